--- /dev/null
+++ b/include/almondthread/config.h
@@ -0,0 +1,191 @@
+/*
+ * config.h - the fleet's configuration: one JSON document, validated whole.
+ *
+ * The document holds fleet-wide defaults plus a short list of exceptions,
+ * each with its reason. Its generation only grows. A parsed at_config_t is
+ * never changed; a new document makes a new object. All arrays belong to the
+ * object and die with it.
+ */
+#ifndef ALMONDTHREAD_CONFIG_H
+#define ALMONDTHREAD_CONFIG_H
+
+#include "almondthread/status.h"
+#include "almondthread/units.h"
+
+#define AT_KEY_HASH_SIZE 32u /* bytes of a keyed key hash */
+#define AT_CONFIG_OBJECT "config/current"
+
+/* How often a request on a route may run. */
+typedef enum at_repeat {
+	AT_REPEATABLE, /* any number of times */
+	AT_IDEMPOTENT, /* repeats have no further effect */
+	AT_ONCE,       /* at most once */
+	AT_REPEAT_COUNT
+} at_repeat_t;
+
+extern const char *const at_repeat_names[];
+
+/* Class of work: overnight work yields to interactive work. */
+typedef enum at_priority {
+	AT_INTERACTIVE,
+	AT_OVERNIGHT,
+	AT_PRIORITY_COUNT
+} at_priority_t;
+
+extern const char *const at_priority_names[];
+
+/* What a cut-off data centre does about keys that it cannot renew. */
+typedef enum at_cut_off_keys {
+	AT_CUT_OFF_SERVE,  /* go on with the keys last seen */
+	AT_CUT_OFF_REFUSE, /* refuse once they are older than the limit */
+	AT_CUT_OFF_COUNT
+} at_cut_off_keys_t;
+
+extern const char *const at_cut_off_keys_names[];
+
+/* Fleet-wide defaults. */
+typedef struct at_defaults {
+	uint32_t first_byte_ms;     /* longest wait for the first byte */
+	uint32_t idle_ms;           /* longest silence within an answer */
+	uint32_t deadline_ms;       /* whole request, interactive */
+	uint32_t connect_ms;        /* making a connection */
+	uint32_t max_body_bytes;    /* of a caller's request */
+	uint32_t max_tokens;        /* when the caller names none */
+	uint32_t min_replicas;      /* of each model in each data centre */
+	uint32_t key_staleness_ms;  /* with AT_CUT_OFF_REFUSE */
+	uint32_t claim_retention_s; /* how long a claim is kept */
+	at_cut_off_keys_t cut_off_keys;
+} at_defaults_t;
+
+/* A caller's key: its public name and the keyed hash of its secret. */
+typedef struct at_key {
+	at_name_t id;
+	uint8_t hash[AT_KEY_HASH_SIZE];
+} at_key_t;
+
+typedef struct at_workspace {
+	at_name_t name;
+	uint64_t rate_tokens_s; /* tokens per second, fleet-wide */
+	uint64_t burst_tokens;
+	at_key_t *keys;
+	size_t key_count;
+} at_workspace_t;
+
+typedef struct at_model {
+	at_name_t name;
+	uint32_t version;
+	uint64_t memory_mb;
+} at_model_t;
+
+typedef struct at_adapter {
+	at_name_t name;
+	at_name_t model; /* the base model */
+	uint32_t version;
+	uint64_t memory_mb;
+	at_name_t workspace; /* empty: open to every workspace */
+} at_adapter_t;
+
+/* What operators declare of an engine; its address is the platform's. */
+typedef struct at_engine {
+	at_name_t name;
+	at_name_t data_centre;
+	uint32_t accelerators;
+	uint64_t memory_mb; /* of all its accelerators, for weights */
+	int heeds_fencing;
+} at_engine_t;
+
+typedef struct at_service {
+	at_name_t name;
+	int checks_orders; /* it checks who calls */
+} at_service_t;
+
+typedef struct at_route {
+	char path[128]; /* a prefix when it ends in '/' */
+	char method[8];
+	at_name_t service;
+	at_repeat_t repeat;
+	at_priority_t priority;
+	uint32_t deadline_ms; /* 0: the default */
+	uint32_t cost_tokens; /* debited for each request */
+	int open;             /* needs no key */
+} at_route_t;
+
+/* What an exception changes. */
+typedef enum at_exception_kind {
+	AT_EXCEPTION_PIN,          /* subject model stays on the engine */
+	AT_EXCEPTION_FORBID,       /* subject model never on the engine */
+	AT_EXCEPTION_MIN_REPLICAS, /* at least value replicas */
+	AT_EXCEPTION_FIRST_BYTE_MS,
+	AT_EXCEPTION_DEADLINE_MS,
+	AT_EXCEPTION_MAX_TOKENS,
+	AT_EXCEPTION_KIND_COUNT
+} at_exception_kind_t;
+
+extern const char *const at_exception_kind_names[];
+
+/* A deviation from the defaults, with the operators' reason. */
+typedef struct at_exception {
+	at_exception_kind_t kind;
+	at_name_t subject; /* model, adapter or service */
+	at_name_t engine;  /* of PIN and FORBID */
+	uint64_t value;
+	char reason[128];
+} at_exception_t;
+
+typedef struct at_config {
+	uint64_t generation;
+	at_defaults_t defaults;
+	at_name_t *data_centres;
+	size_t data_centre_count;
+	at_workspace_t *workspaces;
+	size_t workspace_count;
+	at_model_t *models;
+	size_t model_count;
+	at_adapter_t *adapters;
+	size_t adapter_count;
+	at_engine_t *engines;
+	size_t engine_count;
+	at_service_t *services;
+	size_t service_count;
+	at_route_t *routes;
+	size_t route_count;
+	at_exception_t *exceptions;
+	size_t exception_count;
+} at_config_t;
+
+/*
+ * at_config_parse() reads and validates a document of len bytes.
+ * Returns a new configuration, which the caller deletes, or NULL with
+ * AT_INVALID in status; the message names the path of the first field at
+ * fault and what was expected there, as in
+ * "models[2].memory_mb: expected a number from 1 to 100000000".
+ */
+at_config_t *at_config_parse(const char *text, size_t len, at_status_t *status);
+void at_config_delete(at_config_t *config);
+
+/* Look-ups return NULL when there is no such entry. */
+const at_workspace_t *
+at_config_workspace(const at_config_t *config, const char *name);
+const at_model_t *at_config_model(const at_config_t *config, const char *name);
+const at_adapter_t *
+at_config_adapter(const at_config_t *config, const char *name);
+const at_engine_t *
+at_config_engine(const at_config_t *config, const char *name);
+const at_service_t *
+at_config_service(const at_config_t *config, const char *name);
+
+/*
+ * at_config_route() returns the route with the longest matching path and the
+ * same method. When only the method differs, *wrong_method is set.
+ */
+const at_route_t *at_config_route(const at_config_t *config, const char *path,
+    const char *method, int *wrong_method);
+
+/*
+ * at_config_value() returns the value that the exceptions give a subject for
+ * one kind, or fallback.
+ */
+uint64_t at_config_value(const at_config_t *config, at_exception_kind_t kind,
+    const char *subject, uint64_t fallback);
+
+#endif
--- /dev/null
+++ b/include/almondthread/ports.h
@@ -0,0 +1,164 @@
+/*
+ * ports.h - what the core asks of the outside: time, chance, the platform's
+ * object API and its instance list, and a model engine's orders.
+ *
+ * A port is a table of functions and a pointer that each call gets back.
+ * The core never blocks: a port call returns at once and its completion
+ * arrives later through a callback on the same thread, exactly once.
+ */
+#ifndef ALMONDTHREAD_PORTS_H
+#define ALMONDTHREAD_PORTS_H
+
+#include "almondthread/units.h"
+
+/* Monotonic time in milliseconds. */
+typedef struct at_clock {
+	uint64_t (*now_ms)(void *impl);
+	void *impl;
+} at_clock_t;
+
+/* Uniform 64-bit numbers. Tests pass a seeded at_rng_t. */
+typedef struct at_random {
+	uint64_t (*next)(void *impl);
+	void *impl;
+} at_random_t;
+
+/* A seeded generator (splitmix64); not for secrets. */
+typedef struct at_rng {
+	uint64_t state;
+} at_rng_t;
+
+uint64_t at_rng_next(at_rng_t *rng);
+/* at_rng_below() returns a number in [0, bound); bound must not be 0. */
+uint64_t at_rng_below(at_rng_t *rng, uint64_t bound);
+/* at_rng_port() returns a port that draws from rng, which must outlive it. */
+at_random_t at_rng_port(at_rng_t *rng);
+
+/* How a call to the object API ended. */
+typedef enum at_store_code {
+	AT_STORE_OK,
+	AT_STORE_NOT_FOUND,
+	AT_STORE_CONFLICT, /* the version was not the expected one */
+	AT_STORE_NOT_SENT, /* proved: the call had no effect */
+	AT_STORE_UNKNOWN,  /* no answer: it may have taken effect */
+	AT_STORE_CODE_COUNT
+} at_store_code_t;
+
+extern const char *const at_store_code_names[];
+
+/*
+ * The answer of one call. value is borrowed for the length of the callback
+ * and is not NUL-terminated. version is 0 when the object does not exist.
+ */
+typedef struct at_store_result {
+	at_store_code_t code;
+	uint64_t version;
+	const char *value;
+	size_t value_len; /* bytes, at most AT_VALUE_MAX */
+} at_store_result_t;
+
+typedef void (*at_store_done_t)(void *ctx, const at_store_result_t *result);
+
+/* One change seen by a watch; a deleted object has version 0. */
+typedef struct at_store_event {
+	const char *name;
+	uint64_t version;
+	const char *value;
+	size_t value_len;
+} at_store_event_t;
+
+/*
+ * Called for each change under the prefix and, with event NULL, for each
+ * bookmark, which proves that the watch is alive.
+ */
+typedef void (*at_store_watch_t)(void *ctx, const at_store_event_t *event);
+
+/*
+ * The platform's object API. Versions of an object only grow. put() with
+ * expect_version 0 creates and otherwise replaces exactly that version.
+ * watch() lasts for the life of the port, reconnects by itself and first
+ * replays what exists. Arguments are copied before the call returns.
+ */
+typedef struct at_store {
+	void (*get)(
+	    void *impl, const char *name, at_store_done_t done, void *ctx);
+	void (*put)(void *impl, const char *name, uint64_t expect_version,
+	    const void *value, size_t value_len, at_store_done_t done,
+	    void *ctx);
+	void (*del)(void *impl, const char *name, uint64_t expect_version,
+	    at_store_done_t done, void *ctx);
+	void (*watch)(void *impl, const char *prefix, at_store_watch_t on_event,
+	    void *ctx);
+	void *impl;
+} at_store_t;
+
+/* What an entry of the instance list is. */
+typedef enum at_instance_kind {
+	AT_INSTANCE_ENTRY,
+	AT_INSTANCE_ENGINE,
+	AT_INSTANCE_SERVICE,
+	AT_INSTANCE_KIND_COUNT
+} at_instance_kind_t;
+
+extern const char *const at_instance_kind_names[];
+
+/* One row of the platform's instance list. */
+typedef struct at_instance {
+	at_name_t name;
+	at_name_t data_centre;
+	at_name_t service; /* of AT_INSTANCE_SERVICE only */
+	at_instance_kind_t kind;
+	char address[AT_ADDR_SIZE];      /* callers or orders, "ip:port" */
+	char peer_address[AT_ADDR_SIZE]; /* of AT_INSTANCE_ENTRY only */
+	int leaving;
+} at_instance_t;
+
+/* Orders that a model engine takes. */
+typedef enum at_order_kind {
+	AT_ORDER_LOAD_MODEL,
+	AT_ORDER_UNLOAD_MODEL,
+	AT_ORDER_LOAD_ADAPTER,
+	AT_ORDER_UNLOAD_ADAPTER,
+	AT_ORDER_SET_ROLE,
+	AT_ORDER_KIND_COUNT
+} at_order_kind_t;
+
+extern const char *const at_order_kind_names[];
+
+/*
+ * An order to an engine. fence is the version of the lease object; an engine
+ * that heeds fencing refuses an order whose fence is below the highest it
+ * has seen. id makes a repeated delivery idempotent.
+ */
+typedef struct at_order {
+	at_order_kind_t kind;
+	uint64_t id;
+	uint64_t fence;
+	at_name_t engine;
+	at_name_t model;
+	at_name_t adapter; /* empty unless an adapter's order */
+	uint32_t version;
+	uint64_t memory_mb;
+} at_order_t;
+
+typedef enum at_order_result {
+	AT_ORDER_DONE,
+	AT_ORDER_REFUSED, /* by the engine; it had no effect */
+	AT_ORDER_FENCED,  /* refused: a newer lease holder exists */
+	AT_ORDER_UNKNOWN, /* no answer: it may take effect at any time */
+	AT_ORDER_RESULT_COUNT
+} at_order_result_t;
+
+extern const char *const at_order_result_names[];
+
+typedef void (*at_order_done_t)(
+    void *ctx, const at_order_t *order, at_order_result_t result);
+
+/* Sends one order. The order is copied. */
+typedef struct at_engine_port {
+	void (*order)(void *impl, const at_order_t *order, at_order_done_t done,
+	    void *ctx);
+	void *impl;
+} at_engine_port_t;
+
+#endif
--- /dev/null
+++ b/src/ctl/main.c
@@ -0,0 +1,164 @@
+/*
+ * almondctl: what operators do.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <sodium.h>
+
+#include "ctl/ctl.h"
+
+#define WORDS_MAX 64
+
+typedef struct command {
+	const char *word;
+	ctl_run_t run;
+	const char *help;
+} command_t;
+
+static const command_t commands[] = {
+    {"validate", ctl_validate, "FILE: check a configuration"},
+    {"apply", ctl_apply, "FILE: put a configuration in force"},
+    {"diff", ctl_diff, "FILE: what apply would change"},
+    {"get", ctl_get, "print the configuration in force"},
+    {"workspace", ctl_entry, "list | set ID FIELD=VALUE... | delete ID"},
+    {"key", ctl_key, "give|withdraw WORKSPACE ID"},
+    {"model", ctl_entry, "list | set ID FIELD=VALUE... | delete ID"},
+    {"adapter", ctl_entry, "list | set ID FIELD=VALUE... | delete ID"},
+    {"engine", ctl_entry, "list | set ID FIELD=VALUE... | delete ID"},
+    {"service", ctl_entry, "list | set ID FIELD=VALUE... | delete ID"},
+    {"route", ctl_entry, "list | set PATH FIELD=VALUE... | delete PATH"},
+    {"exception", ctl_exception,
+	"list | set KIND SUBJECT [FIELD=VALUE...] | delete KIND SUBJECT"},
+    {"status", ctl_status, "what one instance knows"},
+};
+
+#define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
+
+static int
+exit_code(const at_status_t *status, at_code_t code)
+{
+	switch (code) {
+	case AT_OK:
+		return CTL_EXIT_OK;
+	case AT_INVALID:
+		return strncmp(status->message, "usage", 5) == 0
+			   ? CTL_EXIT_USAGE
+			   : CTL_EXIT_INVALID;
+	case AT_CONFLICT:
+		return CTL_EXIT_CONFLICT;
+	case AT_UNAVAILABLE:
+		return CTL_EXIT_UNAVAILABLE;
+	case AT_NOT_FOUND:
+		return CTL_EXIT_NOT_FOUND;
+	default:
+		return CTL_EXIT_FAILED;
+	}
+}
+
+static void
+print_help(void **table)
+{
+	size_t i;
+
+	(void)printf("usage: almondctl [options] COMMAND [words]\n\n");
+	for (i = 0; i < COMMAND_COUNT; i++)
+		(void)printf(
+		    "  %-10s %s\n", commands[i].word, commands[i].help);
+	(void)printf("\n");
+	arg_print_glossary(stdout, table, "  %-24s %s\n");
+	(void)printf("\nExit codes: 0 done, 1 failed, 2 wrong call, 3 invalid "
+		     "configuration,\n4 conflict, 5 unavailable, 6 not "
+		     "found.\n");
+}
+
+/* A flag's text, else its variable's, else the default. */
+static const char *
+text_option(
+    const struct arg_str *arg, const char *variable, const char *fallback)
+{
+	const char *text = getenv(variable);
+
+	if (arg->count > 0)
+		return arg->sval[0];
+	return text != NULL ? text : fallback;
+}
+
+static int
+run_command(const ctl_options_t *options, int argc, char **argv)
+{
+	at_status_t status;
+	at_code_t code;
+	size_t i;
+
+	at_status_clear(&status);
+	for (i = 0; i < COMMAND_COUNT; i++) {
+		if (strcmp(commands[i].word, argv[0]) != 0)
+			continue;
+		code = commands[i].run(options, argc, argv, &status);
+		if (code != AT_OK)
+			(void)fprintf(
+			    stderr, "almondctl: %s\n", status.message);
+		return exit_code(&status, code);
+	}
+	(void)fprintf(
+	    stderr, "almondctl: no command '%s'; see --help\n", argv[0]);
+	return CTL_EXIT_USAGE;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_str *platform = arg_str0(NULL, "platform", "IP:PORT",
+	    "the platform [ALMONDTHREAD_PLATFORM]");
+	struct arg_str *node = arg_str0(NULL, "daemon", "IP:PORT",
+	    "an instance's address for operators [ALMONDTHREAD_OPERATORS]");
+	struct arg_str *secret = arg_str0(
+	    NULL, "secret", "HEX", "the fleet's secret [ALMONDTHREAD_SECRET]");
+	struct arg_str *reason =
+	    arg_str0(NULL, "reason", "TEXT", "the reason of an exception");
+	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
+	struct arg_lit *replace = arg_lit0(
+	    NULL, "replace", "apply: over whatever generation is in force");
+	struct arg_lit *help = arg_lit0("h", "help", "print this text");
+	struct arg_str *words =
+	    arg_strn(NULL, NULL, "COMMAND", 0, WORDS_MAX, "command and words");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {
+	    platform, node, secret, reason, json, replace, help, words, end};
+	char *list[WORDS_MAX] = {NULL};
+	ctl_options_t o;
+	int errors;
+	int result;
+	int i;
+
+	errors = arg_parse(argc, argv, table);
+	if (help->count > 0) {
+		print_help(table);
+		return CTL_EXIT_OK;
+	}
+	if (errors > 0 || words->count <= 0) {
+		arg_print_errors(stderr, end, "almondctl");
+		(void)fprintf(stderr, "almondctl: see --help\n");
+		return CTL_EXIT_USAGE;
+	}
+	o.platform =
+	    text_option(platform, "ALMONDTHREAD_PLATFORM", "127.0.0.1:7000");
+	o.daemon =
+	    text_option(node, "ALMONDTHREAD_OPERATORS", "127.0.0.1:8081");
+	o.secret = text_option(secret, "ALMONDTHREAD_SECRET", "");
+	o.reason = text_option(reason, "ALMONDTHREAD_REASON", "");
+	o.json = json->count > 0;
+	o.replace = replace->count > 0;
+	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL) != 0)
+		return CTL_EXIT_FAILED;
+	for (i = 0; i < words->count; i++)
+		list[i] = (char *)(uintptr_t)words->sval[i];
+	result = run_command(&o, words->count, list);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	curl_global_cleanup();
+	return result;
+}
--- /dev/null
+++ b/src/daemon/backends.c
@@ -0,0 +1,184 @@
+#include "daemon/backends.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+typedef struct entry {
+	at_backend_t backend;
+	UT_hash_handle hh;
+} entry_t;
+
+struct at_backends {
+	entry_t *table;
+};
+
+at_backends_t *
+at_backends_new(void)
+{
+	return calloc(1, sizeof(at_backends_t));
+}
+
+static void
+entry_delete(at_backends_t *backends, entry_t *entry)
+{
+	HASH_DEL(backends->table, entry);
+	free(entry->backend.residents);
+	free(entry);
+}
+
+void
+at_backends_delete(at_backends_t *backends)
+{
+	entry_t *entry;
+	entry_t *next;
+
+	if (backends == NULL)
+		return;
+	HASH_ITER(hh, backends->table, entry, next)
+	{
+		entry_delete(backends, entry);
+	}
+	free(backends);
+}
+
+static entry_t *
+find(at_backends_t *backends, const char *name)
+{
+	entry_t *entry;
+
+	HASH_FIND_STR(backends->table, name, entry);
+	return entry;
+}
+
+at_backend_t *
+at_backends_find(at_backends_t *backends, const char *name)
+{
+	entry_t *entry = find(backends, name);
+
+	return entry == NULL ? NULL : &entry->backend;
+}
+
+static void
+take_over(at_backends_t *backends, const at_instance_t *instance)
+{
+	entry_t *entry = find(backends, instance->name.text);
+
+	if (entry == NULL) {
+		entry = calloc(1, sizeof(*entry));
+		if (entry == NULL)
+			return;
+		entry->backend.instance = *instance;
+		HASH_ADD_KEYPTR(hh, backends->table,
+		    entry->backend.instance.name.text,
+		    strlen(instance->name.text), entry);
+	}
+	entry->backend.instance = *instance;
+	entry->backend.present = 1;
+}
+
+void
+at_backends_update(
+    at_backends_t *backends, const at_instance_t *instances, size_t count)
+{
+	entry_t *entry;
+	entry_t *next;
+	size_t i;
+
+	HASH_ITER(hh, backends->table, entry, next)
+	{
+		entry->backend.present = 0;
+	}
+	for (i = 0; i < count; i++) {
+		if (instances[i].kind != AT_INSTANCE_ENTRY)
+			take_over(backends, &instances[i]);
+	}
+	HASH_ITER(hh, backends->table, entry, next)
+	{
+		const at_backend_t *b = &entry->backend;
+
+		if (!b->present && b->outstanding == 0 && !b->polling)
+			entry_delete(backends, entry);
+	}
+}
+
+void
+at_backends_each(at_backends_t *backends,
+    void (*visit)(void *ctx, at_backend_t *backend), void *ctx)
+{
+	entry_t *entry;
+	entry_t *next;
+
+	HASH_ITER(hh, backends->table, entry, next)
+	{
+		visit(ctx, &entry->backend);
+	}
+}
+
+int
+at_backend_serves(const at_backend_t *backend, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < backend->resident_count; i++) {
+		const at_resident_t *r = &backend->residents[i];
+		const char *own =
+		    r->adapter.text[0] ? r->adapter.text : r->model.text;
+
+		if (strcmp(own, name) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+static int
+is_candidate(const at_backend_t *b, at_instance_kind_t kind, const char *target)
+{
+	if (!b->present || b->instance.leaving || b->instance.kind != kind)
+		return 0;
+	if (kind == AT_INSTANCE_ENGINE)
+		return at_backend_serves(b, target);
+	return strcmp(b->instance.service.text, target) == 0;
+}
+
+#define FAILURE_WEIGHT 1000u   /* one failure counts as so many requests */
+#define REMOTE_WEIGHT 100000u  /* another data centre */
+#define AVOID_WEIGHT 10000000u /* the one that was tried before */
+
+static uint64_t
+weight_of(
+    const at_backend_t *b, const at_name_t *data_centre, const at_name_t *avoid)
+{
+	uint64_t weight = b->outstanding;
+
+	weight += (uint64_t)b->failures * FAILURE_WEIGHT;
+	if (!at_name_equal(&b->instance.data_centre, data_centre))
+		weight += REMOTE_WEIGHT;
+	if (avoid != NULL && at_name_equal(&b->instance.name, avoid))
+		weight += AVOID_WEIGHT;
+	return weight;
+}
+
+at_backend_t *
+at_backends_choose(at_backends_t *backends, at_instance_kind_t kind,
+    const char *target, const at_name_t *data_centre, const at_name_t *avoid)
+{
+	at_backend_t *best = NULL;
+	uint64_t best_weight = UINT64_MAX;
+	entry_t *entry;
+
+	for (entry = backends->table; entry != NULL; entry = entry->hh.next) {
+		at_backend_t *b = &entry->backend;
+		uint64_t weight;
+
+		if (!is_candidate(b, kind, target))
+			continue;
+		weight = weight_of(b, data_centre, avoid);
+		if (weight < best_weight) {
+			best = b;
+			best_weight = weight;
+		}
+	}
+	return best;
+}
--- /dev/null
+++ b/src/daemon/backends.h
@@ -0,0 +1,57 @@
+/*
+ * backends.h - what this instance knows of backend servers: engines and
+ * plain services, from the instance list and the engines' own reports.
+ */
+#ifndef ALMONDTHREAD_DAEMON_BACKENDS_H
+#define ALMONDTHREAD_DAEMON_BACKENDS_H
+
+#include "almondthread/ports.h"
+
+/* One model or adapter that an engine reports. */
+typedef struct at_resident {
+	at_name_t model;
+	at_name_t adapter; /* empty for a base model */
+	uint32_t version;
+	uint64_t memory_mb;
+} at_resident_t;
+
+typedef struct at_backend {
+	at_instance_t instance;
+	at_resident_t *residents; /* engines only */
+	size_t resident_count;
+	uint32_t outstanding; /* our own requests in flight */
+	uint32_t failures;    /* in a row */
+	int present;          /* in the newest instance list */
+	int polling;          /* a status call is open */
+} at_backend_t;
+
+typedef struct at_backends at_backends_t;
+
+at_backends_t *at_backends_new(void);
+void at_backends_delete(at_backends_t *backends);
+
+/* at_backends_update() takes over the newest instance list. */
+void at_backends_update(
+    at_backends_t *backends, const at_instance_t *instances, size_t count);
+
+/* at_backends_find() returns a backend server by name, or NULL. */
+at_backend_t *at_backends_find(at_backends_t *backends, const char *name);
+
+/* at_backends_each() visits every backend server. */
+void at_backends_each(at_backends_t *backends,
+    void (*visit)(void *ctx, at_backend_t *backend), void *ctx);
+
+/* at_backend_serves() tells whether the engine holds a model or adapter. */
+int at_backend_serves(const at_backend_t *backend, const char *name);
+
+/*
+ * at_backends_choose() returns the least loaded engine that holds target,
+ * or, with kind AT_INSTANCE_SERVICE, a backend server of that service. Own
+ * data centre goes first; avoid is skipped where there is another. NULL when
+ * there is none.
+ */
+at_backend_t *
+at_backends_choose(at_backends_t *backends, at_instance_kind_t kind,
+    const char *target, const at_name_t *data_centre, const at_name_t *avoid);
+
+#endif
--- /dev/null
+++ b/src/daemon/engine_status.c
@@ -0,0 +1,129 @@
+#include "daemon/engine_status.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#define STATUS_TOTAL_MS 1000u
+#define URL_SIZE 128
+
+/* One status call. */
+typedef struct poll {
+	at_node_t *node;
+	at_name_t engine;
+	char *body;
+	size_t len;
+	int status;
+} poll_t;
+
+static void
+on_head(void *ctx, at_transfer_t *transfer, int status)
+{
+	poll_t *poll = ctx;
+
+	(void)transfer;
+	poll->status = status;
+}
+
+static int
+on_data(void *ctx, const char *data, size_t len)
+{
+	poll_t *poll = ctx;
+	char *grown = realloc(poll->body, poll->len + len);
+
+	if (grown == NULL)
+		return 0;
+	memcpy(grown + poll->len, data, len);
+	poll->body = grown;
+	poll->len += len;
+	return 0;
+}
+
+static void
+read_resident(json_t *object, at_resident_t *resident)
+{
+	const char *adapter =
+	    json_string_value(json_object_get(object, "adapter"));
+
+	memset(resident, 0, sizeof(*resident));
+	(void)at_name_set(&resident->model,
+	    json_string_value(json_object_get(object, "model")));
+	if (adapter != NULL && adapter[0] != '\0')
+		(void)at_name_set(&resident->adapter, adapter);
+	resident->version =
+	    (uint32_t)json_integer_value(json_object_get(object, "version"));
+	resident->memory_mb =
+	    (uint64_t)json_integer_value(json_object_get(object, "memory_mb"));
+}
+
+static void
+take_report(at_backend_t *backend, json_t *root)
+{
+	json_t *list = json_object_get(root, "resident");
+	size_t count = json_array_size(list);
+	at_resident_t *residents = calloc(count + 1, sizeof(*residents));
+	size_t i;
+
+	if (residents == NULL)
+		return;
+	for (i = 0; i < count; i++)
+		read_resident(json_array_get(list, i), &residents[i]);
+	free(backend->residents);
+	backend->residents = residents;
+	backend->resident_count = count;
+}
+
+static void
+on_done(void *ctx, const at_transfer_result_t *result)
+{
+	poll_t *poll = ctx;
+	at_backend_t *backend =
+	    at_backends_find(poll->node->backends, poll->engine.text);
+	json_t *root = NULL;
+
+	if (backend != NULL) {
+		backend->polling = 0;
+		if (result->whole && poll->status == 200)
+			root = json_loadb(poll->body, poll->len, 0, NULL);
+		if (root != NULL)
+			take_report(backend, root);
+	}
+	json_decref(root);
+	free(poll->body);
+	free(poll);
+}
+
+static void
+poll_engine(void *ctx, at_backend_t *backend)
+{
+	at_node_t *node = ctx;
+	char url[URL_SIZE];
+	const at_transfer_spec_t spec = {
+	    .method = "GET", .url = url, .total_ms = STATUS_TOTAL_MS};
+	at_transfer_events_t events = {on_head, on_data, on_done, NULL};
+	poll_t *poll;
+
+	if (backend->instance.kind != AT_INSTANCE_ENGINE || backend->polling)
+		return;
+	poll = calloc(1, sizeof(*poll));
+	if (poll == NULL)
+		return;
+	poll->node = node;
+	poll->engine = backend->instance.name;
+	events.ctx = poll;
+	(void)snprintf(
+	    url, sizeof(url), "http://%s/v1/status", backend->instance.address);
+	if (at_httpc_start(node->httpc, &spec, &events) == NULL) {
+		free(poll);
+		return;
+	}
+	backend->polling = 1;
+}
+
+void
+at_engine_status_poll(at_node_t *node)
+{
+	at_backends_each(node->backends, poll_engine, node);
+}
--- /dev/null
+++ b/src/daemon/entry.c
@@ -0,0 +1,218 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "daemon/exchange.h"
+
+#define BEARER "Bearer "
+#define NO_RETRY 0u
+
+static void
+refuse(at_node_t *node, at_httpd_request_t *request, at_reason_t reason)
+{
+	at_refuse(node, request, NULL, reason, AT_VERDICT_NOT_RUN, NO_RETRY);
+}
+
+/* Returns the key that came with the request, or NULL. */
+static const char *
+key_of(const at_httpd_request_t *request)
+{
+	const char *value = at_httpd_header(request, "Authorization");
+
+	if (value == NULL || strncasecmp(value, BEARER, strlen(BEARER)) != 0)
+		return NULL;
+	return value + strlen(BEARER);
+}
+
+/* Returns the caller's workspace, or refuses and returns NULL. */
+static const at_workspace_t *
+authenticate(at_node_t *node, at_httpd_request_t *request)
+{
+	const char *key = key_of(request);
+	const at_workspace_t *workspace;
+
+	if (key == NULL) {
+		refuse(node, request, AT_REASON_MISSING_KEY);
+		return NULL;
+	}
+	workspace = at_key_find(node->config, &node->secret, key);
+	if (workspace == NULL)
+		refuse(node, request, AT_REASON_UNKNOWN_KEY);
+	return workspace;
+}
+
+static int
+may_use_adapter(const at_adapter_t *adapter, const at_workspace_t *workspace)
+{
+	return adapter->workspace.text[0] == '\0' ||
+	       at_name_equal(&adapter->workspace, &workspace->name);
+}
+
+static void
+add_model(json_t *list, const char *name)
+{
+	json_array_append_new(
+	    list, json_pack("{s:s,s:s,s:s}", "id", name, "object", "model",
+		      "owned_by", "almondthread"));
+}
+
+static void
+list_models(at_node_t *node, at_httpd_request_t *request)
+{
+	static const at_header_t headers[] = {
+	    {"Content-Type", "application/json"}, {NULL, NULL}};
+	const at_workspace_t *workspace = authenticate(node, request);
+	const at_config_t *c = node->config;
+	json_t *list;
+	json_t *root;
+	char *text;
+	size_t i;
+
+	if (workspace == NULL)
+		return;
+	list = json_array();
+	for (i = 0; i < c->model_count; i++)
+		add_model(list, c->models[i].name.text);
+	for (i = 0; i < c->adapter_count; i++) {
+		if (may_use_adapter(&c->adapters[i], workspace))
+			add_model(list, c->adapters[i].name.text);
+	}
+	root = json_pack("{s:s,s:o}", "object", "list", "data", list);
+	text = json_dumps(root, JSON_COMPACT);
+	at_httpd_reply(request, 200, headers, text, strlen(text));
+	free(text);
+	json_decref(root);
+}
+
+/* Says why a workspace may not use a model, or AT_REASON_NONE. */
+static at_reason_t
+check_model(const at_config_t *config, const at_workspace_t *workspace,
+    const char *name)
+{
+	const at_adapter_t *adapter;
+
+	if (at_config_model(config, name) != NULL)
+		return AT_REASON_NONE;
+	adapter = at_config_adapter(config, name);
+	if (adapter == NULL)
+		return AT_REASON_UNKNOWN_MODEL;
+	if (!may_use_adapter(adapter, workspace))
+		return AT_REASON_NOT_PERMITTED;
+	return AT_REASON_NONE;
+}
+
+static void
+start_completion(at_node_t *node, at_httpd_request_t *request,
+    const at_workspace_t *workspace, json_t *root)
+{
+	const char *model = json_string_value(json_object_get(root, "model"));
+	at_exchange_spec_t spec = {.kind = AT_INSTANCE_ENGINE,
+	    .target = model,
+	    .workspace = workspace->name.text,
+	    .method = "POST",
+	    .path = at_httpd_path(request),
+	    .content_type = "application/json",
+	    .repeat = AT_REPEATABLE,
+	    .deadline_ms = node->config->defaults.deadline_ms,
+	    .stream = json_is_true(json_object_get(root, "stream"))};
+	at_reason_t reason;
+
+	if (model == NULL) {
+		refuse(node, request, AT_REASON_BAD_REQUEST);
+		return;
+	}
+	reason = check_model(node->config, workspace, model);
+	if (reason != AT_REASON_NONE) {
+		refuse(node, request, reason);
+		return;
+	}
+	spec.body = at_httpd_body(request, &spec.body_len);
+	at_exchange_start(node, request, &spec);
+}
+
+static void
+handle_completion(at_node_t *node, at_httpd_request_t *request)
+{
+	const at_workspace_t *workspace;
+	const char *body;
+	size_t len;
+	json_t *root;
+
+	if (strcmp(at_httpd_method(request), "POST") != 0) {
+		refuse(node, request, AT_REASON_WRONG_METHOD);
+		return;
+	}
+	workspace = authenticate(node, request);
+	if (workspace == NULL)
+		return;
+	body = at_httpd_body(request, &len);
+	root = json_loadb(body, len, 0, NULL);
+	if (json_is_object(root))
+		start_completion(node, request, workspace, root);
+	else
+		refuse(node, request, AT_REASON_BAD_JSON);
+	json_decref(root);
+}
+
+static void
+handle_route(at_node_t *node, at_httpd_request_t *request)
+{
+	int wrong_method;
+	const at_route_t *route = at_config_route(node->config,
+	    at_httpd_path(request), at_httpd_method(request), &wrong_method);
+	const at_workspace_t *workspace = NULL;
+	at_exchange_spec_t spec = {.kind = AT_INSTANCE_SERVICE,
+	    .method = at_httpd_method(request),
+	    .path = at_httpd_path(request),
+	    .workspace = "",
+	    .content_type = at_httpd_header(request, "Content-Type"),
+	    .idempotency_key = at_httpd_header(request, "Idempotency-Key")};
+
+	if (route == NULL) {
+		refuse(node, request,
+		    wrong_method ? AT_REASON_WRONG_METHOD
+				 : AT_REASON_UNKNOWN_ROUTE);
+		return;
+	}
+	if (!route->open) {
+		workspace = authenticate(node, request);
+		if (workspace == NULL)
+			return;
+		spec.workspace = workspace->name.text;
+	}
+	spec.target = route->service.text;
+	spec.repeat = route->repeat;
+	spec.priority = route->priority;
+	spec.deadline_ms = route->deadline_ms != 0
+			       ? route->deadline_ms
+			       : node->config->defaults.deadline_ms;
+	spec.body = at_httpd_body(request, &spec.body_len);
+	at_exchange_start(node, request, &spec);
+}
+
+void
+at_entry_handle(void *ctx, at_httpd_request_t *request)
+{
+	at_node_t *node = ctx;
+	const char *path = at_httpd_path(request);
+
+	at_counters_add(node->counters, "requests_total", NULL, NULL, 1);
+	if (node->config == NULL) {
+		at_refuse(node, request, NULL, AT_REASON_NO_CONFIG,
+		    AT_VERDICT_NOT_RUN, AT_MS_PER_S);
+		return;
+	}
+	if (strcmp(path, "/v1/models") == 0) {
+		if (strcmp(at_httpd_method(request), "GET") != 0)
+			refuse(node, request, AT_REASON_WRONG_METHOD);
+		else
+			list_models(node, request);
+	} else if (strcmp(path, "/v1/chat/completions") == 0 ||
+		   strcmp(path, "/v1/completions") == 0) {
+		handle_completion(node, request);
+	} else {
+		handle_route(node, request);
+	}
+}
--- /dev/null
+++ b/src/daemon/node.c
@@ -0,0 +1,192 @@
+#include "daemon/node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "almondthread/log.h"
+#include "daemon/engine_status.h"
+#include "io/clock.h"
+
+#define STATUS_EVERY_S 0.5 /* between two reports of an engine */
+#define STOP_CHECK_S 0.05  /* between two looks at open requests */
+#define LINGER_MS 500u     /* for requests already on their way */
+
+const char *const at_node_state_names[] = {
+    "starting", "serving", "draining", "stopping", "stopped"};
+
+at_node_t *
+at_node_new(struct ev_loop *loop, const at_node_settings_t *settings)
+{
+	at_node_t *node = calloc(1, sizeof(*node));
+
+	if (node == NULL)
+		return NULL;
+	node->loop = loop;
+	node->settings = *settings;
+	node->random = at_random_system();
+	node->counters = at_counters_new();
+	node->httpc = at_httpc_new(loop);
+	node->callers = at_httpd_new(loop);
+	node->operators = at_httpd_new(loop);
+	node->platform = at_platform_new(loop, node->httpc);
+	node->backends = at_backends_new();
+	at_httpd_set_handler(node->callers, at_entry_handle, node);
+	at_httpd_set_handler(node->operators, at_operators_handle, node);
+	return node;
+}
+
+static void
+on_config(void *ctx, const at_store_event_t *event)
+{
+	at_node_t *node = ctx;
+	at_status_t status;
+	at_config_t *config;
+
+	if (event == NULL || event->version == 0 ||
+	    strcmp(event->name, AT_CONFIG_OBJECT) != 0)
+		return;
+	at_status_clear(&status);
+	config = at_config_parse(event->value, event->value_len, &status);
+	if (config == NULL) {
+		at_counters_add(
+		    node->counters, "config_refused_total", NULL, NULL, 1);
+		at_log(AT_LOG_ERROR, "config", NULL,
+		    "The new configuration is refused: %s.", status.message);
+		return;
+	}
+	if (node->config != NULL &&
+	    config->generation <= node->config->generation) {
+		at_config_delete(config);
+		return;
+	}
+	at_config_delete(node->config);
+	node->config = config;
+	at_httpd_set_max_body(node->callers, config->defaults.max_body_bytes);
+	at_counters_set(node->counters, "config_generation", NULL, NULL,
+	    config->generation);
+	at_log(AT_LOG_INFO, "config", NULL, "Generation %llu is in force.",
+	    (unsigned long long)config->generation);
+}
+
+static void
+on_instances(void *ctx, const at_instance_t *instances, size_t count)
+{
+	at_node_t *node = ctx;
+
+	at_backends_update(node->backends, instances, count);
+}
+
+static void
+on_status_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	at_engine_status_poll(timer->data);
+}
+
+static at_code_t
+check_settings(at_node_t *node, at_status_t *status)
+{
+	const at_node_settings_t *s = &node->settings;
+
+	if (at_name_set(&node->self.instance, s->name) != 0)
+		return at_status_set(
+		    status, AT_INVALID, "--name: expected a name");
+	if (at_name_set(&node->data_centre, s->data_centre) != 0)
+		return at_status_set(
+		    status, AT_INVALID, "--data-centre: expected a name");
+	if (at_fleet_secret_parse(&node->secret, s->secret) != 0)
+		return at_status_set(status, AT_INVALID,
+		    "--secret: expected 64 hexadecimal digits");
+	return AT_OK;
+}
+
+at_code_t
+at_node_init(at_node_t *node, at_status_t *status)
+{
+	const at_node_settings_t *s = &node->settings;
+
+	if (check_settings(node, status) != AT_OK)
+		return status->code;
+	node->self.number = node->random.next(node->random.impl);
+	if (at_platform_init(node->platform, s->platform, status) != AT_OK ||
+	    at_httpd_init(node->operators, s->operators, status) != AT_OK ||
+	    at_httpd_init(node->callers, s->listen, status) != AT_OK)
+		return status->code;
+	at_platform_set_counters(node->platform, node->counters);
+	node->store = at_platform_store(node->platform);
+	node->store.watch(node->store.impl, "config/", on_config, node);
+	at_platform_watch_instances(node->platform, on_instances, node);
+	ev_timer_init(&node->status_timer, on_status_timer, 0., STATUS_EVERY_S);
+	node->status_timer.data = node;
+	ev_timer_start(node->loop, &node->status_timer);
+	node->state = AT_NODE_SERVING;
+	at_log(AT_LOG_INFO, "node", NULL, "%s in %s serves on port %u.",
+	    s->name, s->data_centre, at_httpd_port(node->callers));
+	return AT_OK;
+}
+
+/* Moves a stopping node on, one state at a time. */
+static void
+on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	at_node_t *node = timer->data;
+	uint64_t now = at_clock_now_ms();
+	uint64_t waited_ms = now - node->stop_since_ms;
+	size_t open = at_httpd_open_requests(node->callers);
+
+	(void)events;
+	if (node->state == AT_NODE_DRAINING) {
+		if (waited_ms < node->settings.drain_ms)
+			return;
+		at_httpd_quiesce(node->callers);
+		node->state = AT_NODE_STOPPING;
+		node->stop_since_ms = now;
+		at_log(AT_LOG_INFO, "node", NULL,
+		    "Accepts no more; %zu requests are open.", open);
+		return;
+	}
+	if (waited_ms < LINGER_MS)
+		return;
+	if (open > 0 && waited_ms < node->settings.stop_max_ms)
+		return;
+	if (open > 0)
+		at_log(AT_LOG_ERROR, "node", NULL,
+		    "Cuts %zu requests after the longest wait.", open);
+	node->state = AT_NODE_STOPPED;
+	ev_timer_stop(loop, timer);
+	ev_break(loop, EVBREAK_ALL);
+}
+
+void
+at_node_stop(at_node_t *node)
+{
+	if (node->state >= AT_NODE_DRAINING)
+		return;
+	node->state = AT_NODE_DRAINING;
+	node->stop_since_ms = at_clock_now_ms();
+	at_httpd_close_connections(node->callers);
+	at_log(AT_LOG_INFO, "node", NULL, "Stops; the balancer has %u ms.",
+	    node->settings.drain_ms);
+	ev_timer_init(
+	    &node->stop_timer, on_stop_timer, STOP_CHECK_S, STOP_CHECK_S);
+	node->stop_timer.data = node;
+	ev_timer_start(node->loop, &node->stop_timer);
+}
+
+void
+at_node_delete(at_node_t *node)
+{
+	if (node == NULL)
+		return;
+	ev_timer_stop(node->loop, &node->stop_timer);
+	ev_timer_stop(node->loop, &node->status_timer);
+	at_httpd_delete(node->callers);
+	at_httpd_delete(node->operators);
+	at_platform_delete(node->platform);
+	at_httpc_delete(node->httpc);
+	at_backends_delete(node->backends);
+	at_config_delete(node->config);
+	at_counters_delete(node->counters);
+	free(node);
+}
--- /dev/null
+++ b/src/daemon/node.h
@@ -0,0 +1,80 @@
+/*
+ * node.h - one entry instance: its settings, its parts and its life.
+ *
+ * The parts are created by at_node_new(), started by at_node_init() and
+ * freed by at_node_delete() in reverse order. Everything runs on one loop.
+ */
+#ifndef ALMONDTHREAD_DAEMON_NODE_H
+#define ALMONDTHREAD_DAEMON_NODE_H
+
+#include <ev.h>
+
+#include "almondthread/config.h"
+#include "almondthread/counters.h"
+#include "almondthread/keyring.h"
+#include "almondthread/ports.h"
+#include "daemon/backends.h"
+#include "io/httpc.h"
+#include "io/httpd.h"
+#include "io/platform.h"
+
+/* What a process learns from its flags and environment. */
+typedef struct at_node_settings {
+	const char *name;
+	const char *data_centre;
+	const char *listen;
+	const char *operators;
+	const char *platform;
+	const char *secret;
+	const char *log_level;
+	uint32_t drain_ms;    /* the balancer's time to look elsewhere */
+	uint32_t stop_max_ms; /* longest wait for open requests */
+} at_node_settings_t;
+
+typedef enum at_node_state {
+	AT_NODE_STARTING,
+	AT_NODE_SERVING,
+	AT_NODE_DRAINING, /* not ready, still accepting */
+	AT_NODE_STOPPING, /* no new connections, finishing */
+	AT_NODE_STOPPED,
+	AT_NODE_STATE_COUNT
+} at_node_state_t;
+
+extern const char *const at_node_state_names[];
+
+typedef struct at_node {
+	struct ev_loop *loop;
+	at_node_settings_t settings;
+	at_incarnation_t self;
+	at_name_t data_centre;
+	at_fleet_secret_t secret;
+	at_node_state_t state;
+	at_random_t random;
+	at_counters_t *counters;
+	at_httpc_t *httpc;
+	at_httpd_t *callers;
+	at_httpd_t *operators;
+	at_platform_t *platform;
+	at_store_t store;
+	at_config_t *config; /* NULL until the first one */
+	at_backends_t *backends;
+	ev_timer stop_timer;
+	ev_timer status_timer;
+	uint64_t stop_since_ms;
+	size_t open_exchanges;
+} at_node_t;
+
+at_node_t *
+at_node_new(struct ev_loop *loop, const at_node_settings_t *settings);
+at_code_t at_node_init(at_node_t *node, at_status_t *status);
+/* at_node_stop() begins a graceful shutdown; the loop breaks at its end. */
+void at_node_stop(at_node_t *node);
+void at_node_delete(at_node_t *node);
+
+/* entry.c: one request of a caller. */
+void at_entry_handle(void *ctx, at_httpd_request_t *request);
+
+/* operators.c: /metrics, /healthz, /readyz, /status. */
+void at_operators_handle(void *ctx, at_httpd_request_t *request);
+
+#endif
--- /dev/null
+++ b/src/daemon/operators.c
@@ -0,0 +1,86 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "daemon/node.h"
+
+static void
+reply_text(at_httpd_request_t *request, int status, const char *text)
+{
+	static const at_header_t headers[] = {
+	    {"Content-Type", "text/plain; version=0.0.4"}, {NULL, NULL}};
+
+	at_httpd_reply(request, status, headers, text, strlen(text));
+}
+
+static void
+reply_metrics(at_node_t *node, at_httpd_request_t *request)
+{
+	char *text;
+
+	at_counters_set(node->counters, "open_requests", NULL, NULL,
+	    at_httpd_open_requests(node->callers));
+	text = at_counters_text(node->counters);
+	reply_text(request, text == NULL ? 500 : 200, text == NULL ? "" : text);
+	free(text);
+}
+
+static void
+add_backend(void *ctx, at_backend_t *backend)
+{
+	json_t *list = ctx;
+
+	json_array_append_new(list,
+	    json_pack("{s:s,s:s,s:s,s:s,s:b,s:i,s:i,s:i}", "name",
+		backend->instance.name.text, "kind",
+		at_instance_kind_names[backend->instance.kind], "data_centre",
+		backend->instance.data_centre.text, "address",
+		backend->instance.address, "leaving", backend->instance.leaving,
+		"outstanding", (int)backend->outstanding, "failures",
+		(int)backend->failures, "resident",
+		(int)backend->resident_count));
+}
+
+static void
+reply_status(at_node_t *node, at_httpd_request_t *request)
+{
+	static const at_header_t headers[] = {
+	    {"Content-Type", "application/json"}, {NULL, NULL}};
+	uint64_t age_ms = at_platform_age_ms(node->platform);
+	json_t *list = json_array();
+	json_t *root = json_pack("{s:s,s:s,s:s,s:I,s:I,s:o}", "name",
+	    node->self.instance.text, "data_centre", node->data_centre.text,
+	    "state", at_node_state_names[node->state], "generation",
+	    (json_int_t)(node->config == NULL ? 0 : node->config->generation),
+	    "platform_age_ms",
+	    age_ms == UINT64_MAX ? (json_int_t)-1 : (json_int_t)age_ms,
+	    "backends", list);
+	char *text;
+
+	at_backends_each(node->backends, add_backend, list);
+	text = json_dumps(root, JSON_COMPACT);
+	at_httpd_reply(request, 200, headers, text, strlen(text));
+	free(text);
+	json_decref(root);
+}
+
+void
+at_operators_handle(void *ctx, at_httpd_request_t *request)
+{
+	at_node_t *node = ctx;
+	const char *path = at_httpd_path(request);
+	int ready = node->state == AT_NODE_SERVING && node->config != NULL;
+
+	if (strcmp(path, "/metrics") == 0)
+		reply_metrics(node, request);
+	else if (strcmp(path, "/healthz") == 0)
+		reply_text(request, 200, "ok\n");
+	else if (strcmp(path, "/readyz") == 0)
+		reply_text(request, ready ? 200 : 503,
+		    ready ? "ready\n" : "not ready\n");
+	else if (strcmp(path, "/status") == 0)
+		reply_status(node, request);
+	else
+		reply_text(request, 404, "no such path\n");
+}
--- /dev/null
+++ b/src/io/proto_anchor.c
@@ -0,0 +1,2 @@
+/* Gives the schema library a translation unit before code is generated. */
+typedef int at_proto_anchor_t;
--- /dev/null
+++ b/src/io/settings.h
@@ -0,0 +1,47 @@
+/*
+ * settings.h - one table of settings gives flags, environment variables and
+ * the text of --help. A flag goes before its variable, a variable before the
+ * default.
+ */
+#ifndef ALMONDTHREAD_IO_SETTINGS_H
+#define ALMONDTHREAD_IO_SETTINGS_H
+
+#include "almondthread/status.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+#define AT_EXIT_USAGE 2 /* exit code of a wrong setting */
+
+typedef enum at_setting_type {
+	AT_SETTING_TEXT,    /* const char ** */
+	AT_SETTING_NUMBER,  /* uint32_t * */
+	AT_SETTING_ADDRESS, /* const char **, "ip:port" */
+	AT_SETTING_FLAG     /* uint32_t *, 0 or 1 */
+} at_setting_type_t;
+
+/* One row. A text with fallback NULL must be given. */
+typedef struct at_setting {
+	const char *flag;     /* "listen" for --listen */
+	const char *variable; /* environment variable, or NULL */
+	at_setting_type_t type;
+	void *value;          /* by type; texts point into argv or environ */
+	const char *fallback; /* default as text; "" may stay empty */
+	uint32_t low;         /* bounds of a number */
+	uint32_t high;
+	const char *help;
+} at_setting_t;
+
+/*
+ * at_settings_read() fills the values of rows[0..count-1].
+ * Returns 0 to go on; 1 after --help was printed; -1 with the setting at
+ * fault in status.
+ */
+int at_settings_read(const at_setting_t *rows, size_t count, int argc,
+    char **argv, at_status_t *status);
+
+/* at_settings_help() prints the table. */
+void
+at_settings_help(const char *program, const at_setting_t *rows, size_t count);
+
+#endif
--- /dev/null
+++ b/src/standin/common.c
@@ -0,0 +1,45 @@
+#include "standin/standin.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct fault_row {
+	const char *name;
+	size_t offset;
+} fault_row_t;
+
+#define FAULT(field)                                      \
+	{                                                 \
+#field, offsetof(standin_faults_t, field) \
+	}
+
+static const fault_row_t fault_rows[] = {FAULT(outage), FAULT(delay_ms),
+    FAULT(lose_replies), FAULT(silent), FAULT(crash), FAULT(truncate_after),
+    FAULT(crossed), FAULT(token_us), FAULT(refuse)};
+
+void
+standin_faults_update(standin_faults_t *faults, json_t *object)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(fault_rows) / sizeof(fault_rows[0]); i++) {
+		json_t *value = json_object_get(object, fault_rows[i].name);
+		char *field = (char *)faults + fault_rows[i].offset;
+		uint32_t number = (uint32_t)json_integer_value(value);
+
+		if (json_is_integer(value))
+			memcpy(field, &number, sizeof(number));
+	}
+}
+
+void
+standin_reply_json(at_httpd_request_t *request, int status, json_t *object)
+{
+	static const at_header_t headers[] = {
+	    {"Content-Type", "application/json"}, {NULL, NULL}};
+	char *text = json_dumps(object, JSON_COMPACT);
+
+	at_httpd_reply(request, status, headers, text, strlen(text));
+	free(text);
+	json_decref(object);
+}
--- /dev/null
+++ b/src/standin/main.c
@@ -0,0 +1,157 @@
+/*
+ * almond-standin: small stand-ins for the platform, an engine, a service.
+ */
+#include "standin/standin.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "io/settings.h"
+
+typedef struct options {
+	const char *listen;
+	const char *name;
+	const char *models;
+	uint32_t memory_mb;
+	uint32_t token_us;
+	uint32_t heeds_fencing;
+} options_t;
+
+static void
+on_signal(struct ev_loop *loop, ev_signal *signal, int events)
+{
+	(void)signal;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+/* Runs until SIGTERM or SIGINT. */
+static void
+run_loop(struct ev_loop *loop, const char *kind, uint16_t port)
+{
+	ev_signal term;
+	ev_signal interrupt;
+
+	(void)printf("%s listens on port %u\n", kind, port);
+	(void)fflush(stdout);
+	ev_signal_init(&term, on_signal, SIGTERM);
+	ev_signal_init(&interrupt, on_signal, SIGINT);
+	ev_signal_start(loop, &term);
+	ev_signal_start(loop, &interrupt);
+	(void)ev_run(loop, 0);
+}
+
+static int
+run_platform(struct ev_loop *loop, const options_t *o, at_status_t *status)
+{
+	standin_platform_t *platform = standin_platform_new(loop);
+	int failed =
+	    standin_platform_init(platform, o->listen, status) != AT_OK;
+
+	if (!failed)
+		run_loop(loop, "platform", standin_platform_port(platform));
+	standin_platform_delete(platform);
+	return failed;
+}
+
+static void
+add_models(standin_engine_t *engine, const char *models)
+{
+	char name[AT_NAME_SIZE];
+
+	while (*models != '\0') {
+		size_t len = strcspn(models, ",");
+
+		(void)snprintf(name, sizeof(name), "%.*s", (int)len, models);
+		if (name[0] != '\0')
+			standin_engine_add_model(engine, name);
+		models += len;
+		if (*models == ',')
+			models++;
+	}
+}
+
+static int
+run_engine(struct ev_loop *loop, const options_t *o, at_status_t *status)
+{
+	standin_engine_t *engine = standin_engine_new(loop);
+	int failed;
+
+	standin_engine_set_name(engine, o->name);
+	standin_engine_set_memory_mb(engine, o->memory_mb);
+	standin_engine_set_fencing(engine, (int)o->heeds_fencing);
+	standin_engine_set_token_us(engine, o->token_us);
+	add_models(engine, o->models);
+	failed = standin_engine_init(engine, o->listen, status) != AT_OK;
+	if (!failed)
+		run_loop(loop, "engine", standin_engine_port(engine));
+	standin_engine_delete(engine);
+	return failed;
+}
+
+static int
+run_service(struct ev_loop *loop, const options_t *o, at_status_t *status)
+{
+	standin_service_t *service = standin_service_new(loop);
+	int failed = standin_service_init(service, o->listen, status) != AT_OK;
+
+	if (!failed)
+		run_loop(loop, "service", standin_service_port(service));
+	standin_service_delete(service);
+	return failed;
+}
+
+typedef struct command {
+	const char *name;
+	int (*run)(struct ev_loop *, const options_t *, at_status_t *);
+} command_t;
+
+static const command_t commands[] = {{"platform", run_platform},
+    {"engine", run_engine}, {"service", run_service}};
+
+int
+main(int argc, char **argv)
+{
+	options_t o = {0};
+	const at_setting_t rows[] = {
+	    {"listen", NULL, AT_SETTING_ADDRESS, &o.listen, "127.0.0.1:0", 0, 0,
+		"address to listen on"},
+	    {"name", NULL, AT_SETTING_TEXT, &o.name, "standin", 0, 0,
+		"name of the engine"},
+	    {"models", NULL, AT_SETTING_TEXT, &o.models, "", 0, 0,
+		"engine: models resident at the start, separated by commas"},
+	    {"memory-mb", NULL, AT_SETTING_NUMBER, &o.memory_mb, "80000", 1,
+		UINT32_MAX, "engine: memory for weights in MB"},
+	    {"token-us", NULL, AT_SETTING_NUMBER, &o.token_us, "2000", 0,
+		10000000, "engine: time of one token in microseconds"},
+	    {"heeds-fencing", NULL, AT_SETTING_FLAG, &o.heeds_fencing, "0", 0,
+		1, "engine: refuse orders with an old fencing number"},
+	};
+	at_status_t status;
+	size_t i;
+	int result;
+
+	at_status_clear(&status);
+	for (i = 0; argc > 1 && i < sizeof(commands) / sizeof(commands[0]);
+	     i++) {
+		if (strcmp(argv[1], commands[i].name) != 0)
+			continue;
+		result = at_settings_read(rows, sizeof(rows) / sizeof(rows[0]),
+		    argc - 1, argv + 1, &status);
+		if (result == 0)
+			result =
+			    commands[i].run(ev_default_loop(0), &o, &status);
+		else if (result < 0)
+			result = AT_EXIT_USAGE;
+		else
+			result = 0;
+		if (status.code != AT_OK)
+			(void)fprintf(
+			    stderr, "almond-standin: %s\n", status.message);
+		return result;
+	}
+	(void)fprintf(stderr,
+	    "usage: almond-standin platform|engine|service [settings]\n");
+	return AT_EXIT_USAGE;
+}
--- /dev/null
+++ b/tests/unit/test_config.c
@@ -0,0 +1,85 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <sodium.h>
+
+#include "almondthread/config.h"
+#include "almondthread/keyring.h"
+
+typedef struct case_row {
+	const char *text;
+	const char *message; /* NULL: accepted */
+} case_row_t;
+
+#define MODEL "{\"name\":\"m\",\"memory_mb\":10}"
+
+static const case_row_t cases[] = {
+    {"{}", NULL},
+    {"{\"models\":[" MODEL "]}", NULL},
+    {"[", "line 1, column 1: ']' expected near end of file"},
+    {"[]", "expected an object"},
+    {"{\"modles\":[]}", "modles: unknown field"},
+    {"{\"models\":[{\"name\":\"m\"}]}",
+	"models[0].memory_mb: expected a number from 1 to 100000000"},
+    {"{\"models\":[{\"name\":\"a b\",\"memory_mb\":1}]}",
+	"models[0].name: expected a name"},
+    {"{\"models\":[" MODEL "," MODEL "]}", "the name 'm' stands twice"},
+    {"{\"models\":[" MODEL "],\"exceptions\":[{\"kind\":\"min_replicas\","
+     "\"subject\":\"m\",\"value\":2}]}",
+	"exceptions[0].reason: expected the reason"},
+    {"{\"models\":[" MODEL "],\"exceptions\":[{\"kind\":\"min_replicas\","
+     "\"subject\":\"x\",\"value\":2,\"reason\":\"r\"}]}",
+	"exceptions[0]: 'x' is not configured"},
+    {"{\"routes\":[{\"path\":\"/a\",\"method\":\"GET\",\"service\":\"s\","
+     "\"repeat\":\"once\"}]}",
+	"routes[0]: 's' is not configured"},
+    {"{\"services\":[{\"name\":\"s\"}],\"routes\":[{\"path\":\"/a\","
+     "\"method\":\"GET\",\"service\":\"s\",\"repeat\":\"twice\"}]}",
+	"routes[0].repeat: expected one of"},
+    {"{\"defaults\":{\"idle_ms\":-1}}",
+	"defaults.idle_ms: expected a number from 0"},
+};
+
+Test(config, accepts_or_names_the_field)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		at_status_t status;
+		at_config_t *config;
+
+		at_status_clear(&status);
+		config = at_config_parse(
+		    cases[i].text, strlen(cases[i].text), &status);
+		if (cases[i].message == NULL) {
+			cr_assert_not_null(
+			    config, "case %zu: %s", i, status.message);
+		} else {
+			cr_assert_null(config, "case %zu", i);
+			cr_assert(strstr(status.message, cases[i].message),
+			    "case %zu: '%s'", i, status.message);
+		}
+		at_config_delete(config);
+	}
+}
+
+Test(keyring, finds_only_the_whole_key)
+{
+	at_fleet_secret_t secret = {{1}};
+	at_key_t key;
+	at_workspace_t workspace = {.keys = &key, .key_count = 1};
+	at_config_t config = {.workspaces = &workspace, .workspace_count = 1};
+	char text[AT_KEY_SIZE];
+
+	cr_assert_geq(sodium_init(), 0);
+	cr_assert_eq(at_name_set(&workspace.name, "w"), 0);
+	cr_assert_eq(at_name_set(&key.id, "k"), 0);
+	at_key_make(&secret, &key.id, text, key.hash);
+	cr_assert_eq(at_key_find(&config, &secret, text), &workspace);
+	cr_assert_null(at_key_find(&config, &secret, "k.00"));
+	cr_assert_null(at_key_find(&config, &secret, "k"));
+	cr_assert_null(at_key_find(&config, &secret, ""));
+	text[strlen(text) - 1] ^= 1;
+	cr_assert_null(at_key_find(&config, &secret, text));
+}
