--- /dev/null
+++ b/include/almondthread/engine_view.h
@@ -0,0 +1,54 @@
+/*
+ * engine_view.h - what an instance believes of one model engine. Placement,
+ * orders, routing and the digests between peers share this shape.
+ */
+#ifndef ALMONDTHREAD_ENGINE_VIEW_H
+#define ALMONDTHREAD_ENGINE_VIEW_H
+
+#include "almondthread/units.h"
+
+#define AT_RESIDENTS_MAX 256u /* models and adapters in one view */
+
+/* Work an engine is ordered to do. */
+typedef enum at_engine_role {
+	AT_ROLE_BOTH,
+	AT_ROLE_PREFILL,
+	AT_ROLE_DECODE,
+	AT_ROLE_COUNT
+} at_engine_role_t;
+
+extern const char *const at_engine_role_names[];
+
+/* One model or adapter in an engine's memory. */
+typedef struct at_resident {
+	at_name_t model;
+	at_name_t adapter; /* empty for a base model */
+	uint32_t version;
+	uint64_t memory_mb;
+} at_resident_t;
+
+/*
+ * One engine. Loads are those of the last report; report_at_ms is when it
+ * was made by this instance's clock, 0 when there was none.
+ */
+typedef struct at_engine_view {
+	at_name_t name;
+	at_name_t data_centre;
+	uint32_t accelerators;
+	uint64_t memory_mb;
+	at_engine_role_t role;
+	at_resident_t *residents;
+	size_t resident_count;
+	uint32_t running; /* requests */
+	uint32_t queued;  /* requests */
+	uint64_t queued_prefill_tokens;
+	uint64_t report_at_ms;
+	uint64_t incarnation; /* of the engine; a change means empty memory */
+	int leaving;
+	int suspected;
+} at_engine_view_t;
+
+/* at_engine_view_serves() tells whether a model or adapter is resident. */
+int at_engine_view_serves(const at_engine_view_t *view, const char *name);
+
+#endif
--- a/src/daemon/backends.c
+++ b/src/daemon/backends.c
@@ -24,7 +24,7 @@
 entry_delete(at_backends_t *backends, entry_t *entry)
 {
 	HASH_DEL(backends->table, entry);
-	free(entry->backend.residents);
+	free(entry->backend.view.residents);
 	free(entry);
 }
 
@@ -116,29 +116,13 @@
 	}
 }
 
-int
-at_backend_serves(const at_backend_t *backend, const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < backend->resident_count; i++) {
-		const at_resident_t *r = &backend->residents[i];
-		const char *own =
-		    r->adapter.text[0] ? r->adapter.text : r->model.text;
-
-		if (strcmp(own, name) == 0)
-			return 1;
-	}
-	return 0;
-}
-
 static int
 is_candidate(const at_backend_t *b, at_instance_kind_t kind, const char *target)
 {
 	if (!b->present || b->instance.leaving || b->instance.kind != kind)
 		return 0;
 	if (kind == AT_INSTANCE_ENGINE)
-		return at_backend_serves(b, target);
+		return at_engine_view_serves(&b->view, target);
 	return strcmp(b->instance.service.text, target) == 0;
 }
 
--- a/src/daemon/backends.h
+++ b/src/daemon/backends.h
@@ -5,24 +5,16 @@
 #ifndef ALMONDTHREAD_DAEMON_BACKENDS_H
 #define ALMONDTHREAD_DAEMON_BACKENDS_H
 
+#include "almondthread/engine_view.h"
 #include "almondthread/ports.h"
 
-/* One model or adapter that an engine reports. */
-typedef struct at_resident {
-	at_name_t model;
-	at_name_t adapter; /* empty for a base model */
-	uint32_t version;
-	uint64_t memory_mb;
-} at_resident_t;
-
 typedef struct at_backend {
 	at_instance_t instance;
-	at_resident_t *residents; /* engines only */
-	size_t resident_count;
-	uint32_t outstanding; /* our own requests in flight */
-	uint32_t failures;    /* in a row */
-	int present;          /* in the newest instance list */
-	int polling;          /* a status call is open */
+	at_engine_view_t view; /* engines only */
+	uint32_t outstanding;  /* our own requests in flight */
+	uint32_t failures;     /* in a row */
+	int present;           /* in the newest instance list */
+	int polling;           /* a status call is open */
 } at_backend_t;
 
 typedef struct at_backends at_backends_t;
@@ -41,9 +33,6 @@
 void at_backends_each(at_backends_t *backends,
     void (*visit)(void *ctx, at_backend_t *backend), void *ctx);
 
-/* at_backend_serves() tells whether the engine holds a model or adapter. */
-int at_backend_serves(const at_backend_t *backend, const char *name);
-
 /*
  * at_backends_choose() returns the least loaded engine that holds target,
  * or, with kind AT_INSTANCE_SERVICE, a backend server of that service. Own
--- a/src/daemon/engine_status.c
+++ b/src/daemon/engine_status.c
@@ -70,9 +70,9 @@
 		return;
 	for (i = 0; i < count; i++)
 		read_resident(json_array_get(list, i), &residents[i]);
-	free(backend->residents);
-	backend->residents = residents;
-	backend->resident_count = count;
+	free(backend->view.residents);
+	backend->view.residents = residents;
+	backend->view.resident_count = count;
 }
 
 static void
--- a/src/daemon/operators.c
+++ b/src/daemon/operators.c
@@ -39,7 +39,7 @@
 		backend->instance.address, "leaving", backend->instance.leaving,
 		"outstanding", (int)backend->outstanding, "failures",
 		(int)backend->failures, "resident",
-		(int)backend->resident_count));
+		(int)backend->view.resident_count));
 }
 
 static void
--- /dev/null
+++ b/src/io/peers.h
@@ -0,0 +1,92 @@
+/*
+ * peers.h - links to the other entry instances: who is there, who is alive,
+ * and messages between parts of the same kind on two instances.
+ *
+ * Each part packs its own messages (protobuf-c, a schema of its own under
+ * proto/) and registers a handler for its kind. Delivery is at most once and
+ * in order on one link; a message may be lost with its link, and a sender
+ * gets no receipt. Payloads are at most AT_PEER_PAYLOAD_MAX bytes.
+ */
+#ifndef ALMONDTHREAD_IO_PEERS_H
+#define ALMONDTHREAD_IO_PEERS_H
+
+#include <ev.h>
+
+#include "almondthread/counters.h"
+#include "almondthread/keyring.h"
+#include "almondthread/ports.h"
+
+#define AT_PEER_PAYLOAD_MAX (AT_VALUE_MAX + 4096u) /* bytes */
+
+/* Kinds of messages; each belongs to one part. */
+typedef enum at_peer_kind {
+	AT_PEER_HEARTBEAT,
+	AT_PEER_CONFIG,
+	AT_PEER_SHARES,
+	AT_PEER_ENGINES,
+	AT_PEER_SUSPECTS,
+	AT_PEER_DEMAND,
+	AT_PEER_KIND_COUNT
+} at_peer_kind_t;
+
+/* One member: an entry instance of the list with a link of ours. */
+typedef struct at_member {
+	at_incarnation_t self; /* number 0 until it was heard */
+	at_name_t data_centre;
+	char address[AT_ADDR_SIZE];
+	uint64_t heard_at_ms; /* 0: never */
+	int alive;            /* heard within the limit */
+	int leaving;
+	int listed; /* in the newest instance list */
+} at_member_t;
+
+typedef struct at_peers at_peers_t;
+
+typedef void (*at_peers_handler_t)(
+    void *ctx, const at_member_t *from, const void *data, size_t len);
+
+at_peers_t *at_peers_new(struct ev_loop *loop);
+void at_peers_set_self(at_peers_t *peers, const at_incarnation_t *self,
+    const at_name_t *data_centre);
+void at_peers_set_secret(at_peers_t *peers, const at_fleet_secret_t *secret);
+void at_peers_set_counters(at_peers_t *peers, at_counters_t *counters);
+/* at_peers_set_handler() is called before init, once for each kind. */
+void at_peers_set_handler(at_peers_t *peers, at_peer_kind_t kind,
+    at_peers_handler_t handler, void *ctx);
+/* at_peers_init() listens for peers on "ip:port". */
+at_code_t
+at_peers_init(at_peers_t *peers, const char *address, at_status_t *status);
+uint16_t at_peers_port(const at_peers_t *peers);
+void at_peers_delete(at_peers_t *peers);
+
+/* at_peers_update() takes over the newest instance list. */
+void at_peers_update(
+    at_peers_t *peers, const at_instance_t *instances, size_t count);
+
+/* at_peers_leave() tells every peer that this instance is leaving. */
+void at_peers_leave(at_peers_t *peers);
+
+/*
+ * at_peers_send() returns 0 when the message was queued on a live link, or
+ * -1 when nothing of it left us.
+ */
+int at_peers_send(at_peers_t *peers, const at_name_t *instance,
+    at_peer_kind_t kind, const void *data, size_t len);
+
+/* at_peers_each() visits every member but this instance. */
+void at_peers_each(at_peers_t *peers,
+    void (*visit)(void *ctx, const at_member_t *member), void *ctx);
+
+/* at_peers_member() returns a member by name, or NULL. */
+const at_member_t *
+at_peers_member(const at_peers_t *peers, const at_name_t *instance);
+
+/*
+ * at_peers_owner() returns the live instance of a data centre, this one
+ * included, that rendezvous hashing gives the soft role named key; rank 0 is
+ * the first choice, 1 the second. Returns NULL when there is none.
+ */
+const at_name_t *at_peers_owner(const at_peers_t *peers,
+    const at_name_t *data_centre, const char *key, uint32_t rank);
+
+#endif
--- /dev/null
+++ b/tests/contract/test_entry.c
@@ -0,0 +1,149 @@
+/*
+ * The callers' interface: every refusal has its documented status, reason
+ * and verdict, and the instance goes on afterwards.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "support/fixture.h"
+
+static fixture_t *f;
+static char bearer[160];
+static char config[2048];
+
+static int
+serves(void *ctx)
+{
+	at_node_t *node = ctx;
+	at_backend_t *engine = at_backends_find(node->backends, "e1");
+
+	return node->config != NULL && engine != NULL &&
+	       engine->view.resident_count > 0;
+}
+
+static void
+setup(void)
+{
+	char hash[65];
+	const char *key = fixture_key("k1", hash);
+
+	f = fixture_new();
+	(void)fixture_add_engine(f, "e1", "north", "m1");
+	(void)fixture_add_service(f, "s1", "north", "desk");
+	(void)fixture_add_node(f, "n1", "north");
+	(void)snprintf(bearer, sizeof(bearer), "Authorization: Bearer %s", key);
+	(void)snprintf(config, sizeof(config),
+	    "{\"generation\":1,\"defaults\":{\"max_body_bytes\":4096},"
+	    "\"data_centres\":[\"north\"],\"workspaces\":[{\"name\":\"w1\","
+	    "\"rate_tokens_s\":1000000,\"burst_tokens\":1000000,\"keys\":["
+	    "{\"id\":\"k1\",\"hash\":\"%s\"}]}],\"models\":[{\"name\":\"m1\","
+	    "\"memory_mb\":10}],\"services\":[{\"name\":\"desk\"}],"
+	    "\"routes\":[{\"path\":\"/slots\",\"method\":\"GET\",\"service\":"
+	    "\"desk\",\"repeat\":\"repeatable\",\"open\":true},{\"path\":"
+	    "\"/charges\",\"method\":\"POST\",\"service\":\"desk\","
+	    "\"repeat\":\"once\"}]}",
+	    hash);
+	fixture_apply(f, config);
+	cr_assert(fixture_until(f, serves, f->nodes[0], 12000));
+}
+
+static void
+teardown(void)
+{
+	fixture_delete(f);
+}
+
+typedef struct case_row {
+	const char *method;
+	const char *path;
+	int with_key;
+	const char *body;
+	int status;
+	const char *contains;
+} case_row_t;
+
+#define CHAT "/v1/chat/completions"
+#define ASK "{\"model\":\"m1\",\"max_tokens\":3,\"messages\":[]}"
+
+static const case_row_t cases[] = {
+    {"GET", "/v1/models", 1, NULL, 200, "\"id\":\"m1\""},
+    {"GET", "/v1/models", 0, NULL, 401, "\"reason\":\"missing_key\""},
+    {"POST", "/v1/models", 1, "{}", 405, "\"reason\":\"wrong_method\""},
+    {"POST", CHAT, 1, ASK, 200, "\"completion_tokens\":3"},
+    {"POST", "/v1/completions", 1, ASK, 200, "\"completion_tokens\":3"},
+    {"POST", CHAT, 0, ASK, 401, "\"verdict\":\"not_run\""},
+    {"POST", CHAT, 1, "{", 400, "\"reason\":\"bad_json\""},
+    {"POST", CHAT, 1, "[]", 400, "\"reason\":\"bad_json\""},
+    {"POST", CHAT, 1, "{}", 400, "\"reason\":\"bad_request\""},
+    {"POST", CHAT, 1, "{\"model\":\"no\"}", 404,
+	"\"reason\":\"unknown_model\""},
+    {"GET", CHAT, 1, NULL, 405, "\"reason\":\"wrong_method\""},
+    {"GET", "/nowhere", 1, NULL, 404, "\"reason\":\"unknown_route\""},
+    {"POST", "/slots", 1, "{}", 405, "\"reason\":\"wrong_method\""},
+    {"GET", "/slots", 0, NULL, 200, "\"ok\":true"},
+    {"POST", "/charges", 0, "{}", 401, "\"reason\":\"missing_key\""},
+    {"POST", "/charges", 1, "{}", 200, "\"ok\":true"},
+};
+
+Test(entry, answers_each_case, .init = setup, .fini = teardown)
+{
+	const char *with[] = {bearer, "Idempotency-Key: t1", NULL};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const case_row_t *c = &cases[i];
+		fixture_answer_t a =
+		    fixture_call(f, c->method, f->node_addresses[0], c->path,
+			c->with_key ? with : NULL, c->body);
+
+		cr_assert_eq(a.status, c->status, "case %zu: %d %s", i,
+		    a.status, a.body);
+		cr_assert(
+		    strstr(a.body, c->contains), "case %zu: %s", i, a.body);
+		fixture_answer_free(&a);
+	}
+}
+
+Test(entry, refuses_a_body_that_is_too_large, .init = setup, .fini = teardown)
+{
+	char *body = malloc(10001);
+	fixture_answer_t a;
+
+	memset(body, 'x', 10000);
+	body[10000] = '\0';
+	a = fixture_call(f, "POST", f->node_addresses[0], CHAT, NULL, body);
+	cr_assert_eq(a.status, 413);
+	cr_assert(strstr(a.body, "body_too_large"));
+	fixture_answer_free(&a);
+	free(body);
+	a = fixture_call(f, "GET", f->node_addresses[0], "/slots", NULL, NULL);
+	cr_assert_eq(a.status, 200);
+	fixture_answer_free(&a);
+}
+
+Test(entry, no_backend_server_sees_a_key, .init = setup, .fini = teardown)
+{
+	const char *with[] = {bearer, NULL};
+	const char *secret = "0123456789abcdef";
+	const char *logs[] = {"/control/seen", "/control/log"};
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		fixture_answer_t a =
+		    fixture_call(f, "POST", f->node_addresses[0],
+			i == 0 ? CHAT : "/charges", with, ASK);
+
+		cr_assert_eq(a.status, 200);
+		fixture_answer_free(&a);
+		a = fixture_call(f, "GET",
+		    i == 0 ? f->engine_addresses[0] : f->service_addresses[0],
+		    logs[i], NULL, NULL);
+		cr_assert(strstr(a.body, "X-Request-Id"));
+		cr_assert_null(strstr(a.body, secret), "%s", a.body);
+		cr_assert_null(strstr(a.body, "Bearer"), "%s", a.body);
+		fixture_answer_free(&a);
+	}
+}
--- /dev/null
+++ b/tests/support/fixture.c
@@ -0,0 +1,307 @@
+#include "support/fixture.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <sodium.h>
+
+#define CALL_LIMIT_MS 20000u
+#define STEP_S 0.005
+
+static void
+on_step(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)timer;
+	(void)events;
+	ev_break(loop, EVBREAK_ONE);
+}
+
+static double
+now_s(void)
+{
+	return ev_time();
+}
+
+int
+fixture_until(fixture_t *f, int (*met)(void *ctx), void *ctx, uint32_t limit_ms)
+{
+	double end = now_s() + (double)limit_ms / AT_MS_PER_S;
+
+	while (!met(ctx)) {
+		ev_timer step;
+
+		if (now_s() >= end)
+			return 0;
+		ev_timer_init(&step, on_step, STEP_S, 0.);
+		ev_timer_start(f->loop, &step);
+		(void)ev_run(f->loop, EVRUN_ONCE);
+		ev_timer_stop(f->loop, &step);
+	}
+	return 1;
+}
+
+static int
+never(void *ctx)
+{
+	(void)ctx;
+	return 0;
+}
+
+void
+fixture_run(fixture_t *f, uint32_t time_ms)
+{
+	(void)fixture_until(f, never, NULL, time_ms);
+}
+
+fixture_t *
+fixture_new(void)
+{
+	fixture_t *f = calloc(1, sizeof(*f));
+	at_status_t status;
+
+	cr_assert_geq(sodium_init(), 0);
+	f->loop = ev_loop_new(EVFLAG_AUTO);
+	f->httpc = at_httpc_new(f->loop);
+	f->platform = standin_platform_new(f->loop);
+	cr_assert_eq(
+	    standin_platform_init(f->platform, "127.0.0.1:0", &status), AT_OK);
+	(void)snprintf(f->platform_address, AT_ADDR_SIZE, "127.0.0.1:%u",
+	    standin_platform_port(f->platform));
+	return f;
+}
+
+void
+fixture_remove_node(fixture_t *f, size_t index)
+{
+	at_node_delete(f->nodes[index]);
+	f->nodes[index] = NULL;
+}
+
+void
+fixture_delete(fixture_t *f)
+{
+	size_t i;
+
+	for (i = 0; i < f->node_count; i++)
+		at_node_delete(f->nodes[i]);
+	for (i = 0; i < f->engine_count; i++)
+		standin_engine_delete(f->engines[i]);
+	for (i = 0; i < f->service_count; i++)
+		standin_service_delete(f->services[i]);
+	at_httpc_delete(f->httpc);
+	standin_platform_delete(f->platform);
+	ev_loop_destroy(f->loop);
+	free(f);
+}
+
+static void
+on_head(void *ctx, at_transfer_t *transfer, int status)
+{
+	fixture_answer_t *answer = ctx;
+
+	const char *version = at_transfer_header(transfer, "X-Version");
+
+	answer->status = status;
+	if (version != NULL)
+		answer->version = strtoull(version, NULL, 10);
+}
+
+static int
+on_data(void *ctx, const char *data, size_t len)
+{
+	fixture_answer_t *answer = ctx;
+
+	answer->body = realloc(answer->body, answer->len + len + 1);
+	memcpy(answer->body + answer->len, data, len);
+	answer->len += len;
+	answer->body[answer->len] = '\0';
+	return 0;
+}
+
+static void
+on_done(void *ctx, const at_transfer_result_t *result)
+{
+	fixture_answer_t *answer = ctx;
+
+	answer->done = 1;
+	answer->whole = result->whole;
+	answer->reason = result->reason;
+	if (answer->body == NULL)
+		answer->body = calloc(1, 1);
+}
+
+void
+fixture_send(fixture_t *f, fixture_answer_t *answer, const char *method,
+    const char *address, const char *path, const char *const *headers,
+    const char *body)
+{
+	char url[256];
+	const at_transfer_spec_t spec = {.method = method,
+	    .url = url,
+	    .headers = headers,
+	    .body = body,
+	    .body_len = body == NULL ? 0 : strlen(body),
+	    .fresh_connection = 1};
+	const at_transfer_events_t events = {on_head, on_data, on_done, answer};
+
+	memset(answer, 0, sizeof(*answer));
+	(void)snprintf(url, sizeof(url), "http://%s%s", address, path);
+	cr_assert_not_null(at_httpc_start(f->httpc, &spec, &events));
+}
+
+static int
+answer_done(void *ctx)
+{
+	return ((fixture_answer_t *)ctx)->done;
+}
+
+fixture_answer_t
+fixture_call(fixture_t *f, const char *method, const char *address,
+    const char *path, const char *const *headers, const char *body)
+{
+	fixture_answer_t answer;
+
+	fixture_send(f, &answer, method, address, path, headers, body);
+	cr_assert(fixture_until(f, answer_done, &answer, CALL_LIMIT_MS),
+	    "%s %s was not answered", method, path);
+	return answer;
+}
+
+void
+fixture_answer_free(fixture_answer_t *answer)
+{
+	free(answer->body);
+	answer->body = NULL;
+}
+
+static void
+call_ok(fixture_t *f, const char *method, const char *address, const char *path,
+    const char *body)
+{
+	fixture_answer_t answer =
+	    fixture_call(f, method, address, path, NULL, body);
+
+	cr_assert_eq(
+	    answer.status, 200, "%s %s: %d", method, path, answer.status);
+	fixture_answer_free(&answer);
+}
+
+void
+fixture_faults(fixture_t *f, const char *address, const char *json)
+{
+	call_ok(f, "POST", address, "/control/faults", json);
+}
+
+static void
+list_instance(fixture_t *f, const char *name, const char *kind,
+    const char *data_centre, const char *service, const char *address,
+    const char *peer_address)
+{
+	char path[128];
+	char body[512];
+
+	(void)snprintf(path, sizeof(path), "/v1/instances/%s", name);
+	(void)snprintf(body, sizeof(body),
+	    "{\"kind\":\"%s\",\"data_centre\":\"%s\",\"service\":\"%s\","
+	    "\"address\":\"%s\",\"peer_address\":\"%s\"}",
+	    kind, data_centre, service, address, peer_address);
+	call_ok(f, "PUT", f->platform_address, path, body);
+}
+
+size_t
+fixture_add_engine(
+    fixture_t *f, const char *name, const char *data_centre, const char *model)
+{
+	size_t i = f->engine_count++;
+	at_status_t status;
+
+	f->engines[i] = standin_engine_new(f->loop);
+	standin_engine_set_name(f->engines[i], name);
+	if (model != NULL)
+		standin_engine_add_model(f->engines[i], model);
+	cr_assert_eq(
+	    standin_engine_init(f->engines[i], "127.0.0.1:0", &status), AT_OK);
+	(void)snprintf(f->engine_addresses[i], AT_ADDR_SIZE, "127.0.0.1:%u",
+	    standin_engine_port(f->engines[i]));
+	list_instance(
+	    f, name, "engine", data_centre, "", f->engine_addresses[i], "");
+	return i;
+}
+
+size_t
+fixture_add_service(fixture_t *f, const char *name, const char *data_centre,
+    const char *service)
+{
+	size_t i = f->service_count++;
+	at_status_t status;
+
+	f->services[i] = standin_service_new(f->loop);
+	cr_assert_eq(
+	    standin_service_init(f->services[i], "127.0.0.1:0", &status),
+	    AT_OK);
+	(void)snprintf(f->service_addresses[i], AT_ADDR_SIZE, "127.0.0.1:%u",
+	    standin_service_port(f->services[i]));
+	list_instance(f, name, "service", data_centre, service,
+	    f->service_addresses[i], "");
+	return i;
+}
+
+size_t
+fixture_add_node(fixture_t *f, const char *name, const char *data_centre)
+{
+	size_t i = f->node_count++;
+	at_node_settings_t settings = {.name = name,
+	    .data_centre = data_centre,
+	    .listen = "127.0.0.1:0",
+	    .operators = "127.0.0.1:0",
+	    .platform = f->platform_address,
+	    .secret = FIXTURE_SECRET,
+	    .log_level = "info"};
+	at_status_t status;
+
+	at_status_clear(&status);
+	f->nodes[i] = at_node_new(f->loop, &settings);
+	cr_assert_eq(
+	    at_node_init(f->nodes[i], &status), AT_OK, "%s", status.message);
+	(void)snprintf(f->node_addresses[i], AT_ADDR_SIZE, "127.0.0.1:%u",
+	    at_httpd_port(f->nodes[i]->callers));
+	(void)snprintf(f->operator_addresses[i], AT_ADDR_SIZE, "127.0.0.1:%u",
+	    at_httpd_port(f->nodes[i]->operators));
+	list_instance(
+	    f, name, "entry", data_centre, "", f->node_addresses[i], "");
+	return i;
+}
+
+void
+fixture_apply(fixture_t *f, const char *json)
+{
+	const char *path = "/v1/objects/" AT_CONFIG_OBJECT;
+	char expect[64];
+	const char *headers[] = {expect, NULL};
+	fixture_answer_t answer;
+
+	answer = fixture_call(f, "GET", f->platform_address, path, NULL, NULL);
+	(void)snprintf(expect, sizeof(expect), "X-Expect-Version: %llu",
+	    (unsigned long long)answer.version);
+	fixture_answer_free(&answer);
+	answer =
+	    fixture_call(f, "PUT", f->platform_address, path, headers, json);
+	cr_assert_eq(answer.status, 200);
+	fixture_answer_free(&answer);
+}
+
+const char *
+fixture_key(const char *id, char hash[65])
+{
+	static char key[AT_KEY_SIZE];
+	at_fleet_secret_t secret;
+	uint8_t bytes[AT_KEY_HASH_SIZE];
+
+	(void)snprintf(key, sizeof(key), "%s.0123456789abcdef", id);
+	cr_assert_eq(at_fleet_secret_parse(&secret, FIXTURE_SECRET), 0);
+	at_key_hash(&secret, key, bytes);
+	(void)sodium_bin2hex(hash, 65, bytes, sizeof(bytes));
+	return key;
+}
--- /dev/null
+++ b/tests/support/fixture.h
@@ -0,0 +1,90 @@
+/*
+ * fixture.h - a small fleet in one process and on one loop: the platform,
+ * engine and service stand-ins and any number of entry instances, all over
+ * loopback. Conditions are awaited with a bound from the stated target.
+ */
+#ifndef ALMONDTHREAD_TESTS_FIXTURE_H
+#define ALMONDTHREAD_TESTS_FIXTURE_H
+
+#include "daemon/node.h"
+#include "standin/standin.h"
+
+#define FIXTURE_MAX 16 /* of each kind */
+#define FIXTURE_SECRET \
+	"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
+
+typedef struct fixture {
+	struct ev_loop *loop;
+	at_httpc_t *httpc;
+	standin_platform_t *platform;
+	char platform_address[AT_ADDR_SIZE];
+	standin_engine_t *engines[FIXTURE_MAX];
+	char engine_addresses[FIXTURE_MAX][AT_ADDR_SIZE];
+	size_t engine_count;
+	standin_service_t *services[FIXTURE_MAX];
+	char service_addresses[FIXTURE_MAX][AT_ADDR_SIZE];
+	size_t service_count;
+	at_node_t *nodes[FIXTURE_MAX];
+	char node_addresses[FIXTURE_MAX][AT_ADDR_SIZE];
+	char operator_addresses[FIXTURE_MAX][AT_ADDR_SIZE];
+	size_t node_count;
+} fixture_t;
+
+/* One answer; body is NUL-terminated. Freed by fixture_answer_free(). */
+typedef struct fixture_answer {
+	int done;
+	int whole;
+	int status;
+	at_reason_t reason;
+	uint64_t version; /* of the X-Version header */
+	char *body;
+	size_t len;
+} fixture_answer_t;
+
+/* fixture_new() starts the platform alone. */
+fixture_t *fixture_new(void);
+void fixture_delete(fixture_t *f);
+
+/* Each starts one process's worth and lists it; returns its index. */
+size_t fixture_add_engine(
+    fixture_t *f, const char *name, const char *data_centre, const char *model);
+size_t fixture_add_service(fixture_t *f, const char *name,
+    const char *data_centre, const char *service);
+size_t
+fixture_add_node(fixture_t *f, const char *name, const char *data_centre);
+
+/* fixture_remove_node() ends a node at once, as a crash would. */
+void fixture_remove_node(fixture_t *f, size_t index);
+
+/* fixture_apply() stores a configuration over whatever is in force. */
+void fixture_apply(fixture_t *f, const char *json);
+
+/*
+ * fixture_key() returns a key's text and writes the hexadecimal hash that a
+ * configuration holds for it.
+ */
+const char *fixture_key(const char *id, char hash[65]);
+
+/* fixture_send() starts a call; headers ends with NULL and may be NULL. */
+void fixture_send(fixture_t *f, fixture_answer_t *answer, const char *method,
+    const char *address, const char *path, const char *const *headers,
+    const char *body);
+/* fixture_call() sends and waits; fails the test after 20 s. */
+fixture_answer_t
+fixture_call(fixture_t *f, const char *method, const char *address,
+    const char *path, const char *const *headers, const char *body);
+void fixture_answer_free(fixture_answer_t *answer);
+
+/* fixture_faults() sets faults of a stand-in at an address. */
+void fixture_faults(fixture_t *f, const char *address, const char *json);
+
+/*
+ * fixture_until() runs the loop until met() or limit_ms; returns non-zero
+ * when it was met.
+ */
+int fixture_until(
+    fixture_t *f, int (*met)(void *ctx), void *ctx, uint32_t limit_ms);
+/* fixture_run() runs the loop for a time. */
+void fixture_run(fixture_t *f, uint32_t time_ms);
+
+#endif
