--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -13,5 +13,6 @@
 
 /* Each returns the exit code; argv[0] is the subcommand's own word. */
 int bench_verdicts(int argc, char **argv);
+int bench_entry(int argc, char **argv);
 
 #endif
