--- a/include/almondthread/config.h
+++ b/include/almondthread/config.h
@@ -164,15 +164,15 @@
 void at_config_delete(at_config_t *config);
 
 /* Look-ups return NULL when there is no such entry. */
-const at_workspace_t *
-at_config_workspace(const at_config_t *config, const char *name);
+const at_workspace_t *at_config_workspace(
+    const at_config_t *config, const char *name);
 const at_model_t *at_config_model(const at_config_t *config, const char *name);
-const at_adapter_t *
-at_config_adapter(const at_config_t *config, const char *name);
-const at_engine_t *
-at_config_engine(const at_config_t *config, const char *name);
-const at_service_t *
-at_config_service(const at_config_t *config, const char *name);
+const at_adapter_t *at_config_adapter(
+    const at_config_t *config, const char *name);
+const at_engine_t *at_config_engine(
+    const at_config_t *config, const char *name);
+const at_service_t *at_config_service(
+    const at_config_t *config, const char *name);
 
 /*
  * at_config_route() returns the route with the longest matching path and the
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -58,18 +58,24 @@
 	instance "$name" "{\"kind\":\"engine\",\"data_centre\":\"$dc\",\"address\":\"127.0.0.1:$port\"}"
 }
 
-# entry NAME DATA_CENTRE PORT SETTINGS...: starts an entry instance for
-# callers on PORT and operators on PORT+100; its id is left in $entry_pid.
+# entry NAME DATA_CENTRE SETTINGS...: starts an entry instance and lists it;
+# leaves $entry_pid, $entry_address (callers) and $entry_operators.
 entry() {
-	local name=$1 dc=$2 first=$3
-	shift 3
+	local name=$1 dc=$2 line
+	shift 2
 	"$bin/almondthreadd" --name="$name" --data-centre="$dc" \
-	    --listen="127.0.0.1:$first" \
-	    --operators="127.0.0.1:$((first + 100))" \
+	    --listen=127.0.0.1:0 --operators=127.0.0.1:0 \
 	    "$@" 2>"$work/$name.log" &
 	entry_pid=$!
 	pids+=("$entry_pid")
-	instance "$name" "{\"kind\":\"entry\",\"data_centre\":\"$dc\",\"address\":\"127.0.0.1:$first\"}"
+	await 5 grep -q 'serves; callers on port' "$work/$name.log" ||
+	    fail "$name did not start"
+	line=$(grep 'serves; callers on port' "$work/$name.log")
+	entry_address=127.0.0.1:$(echo "$line" |
+	    sed 's/.*callers on port \([0-9]*\).*/\1/')
+	entry_operators=127.0.0.1:$(echo "$line" |
+	    sed 's/.*operators on port \([0-9]*\).*/\1/')
+	instance "$name" "{\"kind\":\"entry\",\"data_centre\":\"$dc\",\"address\":\"$entry_address\"}"
 }
 
 # give_key WORKSPACE ID: leaves the key's text in $key.
--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -8,8 +8,8 @@
 /*
  * bench_option() returns the text of --name=TEXT in argv, or fallback.
  */
-const char *
-bench_option(int argc, char **argv, const char *name, const char *fallback);
+const char *bench_option(
+    int argc, char **argv, const char *name, const char *fallback);
 
 /* Each returns the exit code; argv[0] is the subcommand's own word. */
 int bench_verdicts(int argc, char **argv);
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -35,19 +35,21 @@
 
 at_code_t ctl_validate(
     const ctl_options_t *o, int argc, char **argv, at_status_t *status);
-at_code_t
-ctl_apply(const ctl_options_t *o, int argc, char **argv, at_status_t *status);
-at_code_t
-ctl_diff(const ctl_options_t *o, int argc, char **argv, at_status_t *status);
-at_code_t
-ctl_get(const ctl_options_t *o, int argc, char **argv, at_status_t *status);
-at_code_t
-ctl_status(const ctl_options_t *o, int argc, char **argv, at_status_t *status);
-at_code_t
-ctl_key(const ctl_options_t *o, int argc, char **argv, at_status_t *status);
+at_code_t ctl_apply(
+    const ctl_options_t *o, int argc, char **argv, at_status_t *status);
+at_code_t ctl_diff(
+    const ctl_options_t *o, int argc, char **argv, at_status_t *status);
+at_code_t ctl_get(
+    const ctl_options_t *o, int argc, char **argv, at_status_t *status);
+at_code_t ctl_status(
+    const ctl_options_t *o, int argc, char **argv, at_status_t *status);
+at_code_t ctl_explain(
+    const ctl_options_t *o, int argc, char **argv, at_status_t *status);
+at_code_t ctl_key(
+    const ctl_options_t *o, int argc, char **argv, at_status_t *status);
 /* workspace, model, adapter, engine, service, route: set, delete, list. */
-at_code_t
-ctl_entry(const ctl_options_t *o, int argc, char **argv, at_status_t *status);
+at_code_t ctl_entry(
+    const ctl_options_t *o, int argc, char **argv, at_status_t *status);
 at_code_t ctl_exception(
     const ctl_options_t *o, int argc, char **argv, at_status_t *status);
 
--- a/src/ctl/document.h
+++ b/src/ctl/document.h
@@ -17,12 +17,12 @@
 } document_t;
 
 /* document_fetch() reads the one in force; an empty one when none is. */
-at_code_t
-document_fetch(const char *platform, document_t *document, at_status_t *status);
+at_code_t document_fetch(
+    const char *platform, document_t *document, at_status_t *status);
 
 /* document_load() reads a file; the message names file, place and cause. */
-at_code_t
-document_load(const char *file, document_t *document, at_status_t *status);
+at_code_t document_load(
+    const char *file, document_t *document, at_status_t *status);
 
 /* document_validate() checks the whole; source names it in the message. */
 at_code_t document_validate(
@@ -33,8 +33,8 @@
  * writes it over document->version. A lost answer is resolved by reading
  * back. Returns AT_CONFLICT when somebody else wrote first.
  */
-at_code_t
-document_store(const char *platform, document_t *document, at_status_t *status);
+at_code_t document_store(
+    const char *platform, document_t *document, at_status_t *status);
 
 /* document_generation() returns the generation that the document names. */
 uint64_t document_generation(const document_t *document);
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -34,6 +34,8 @@
     {"exception", ctl_exception,
 	"list | set KIND SUBJECT [FIELD=VALUE...] | delete KIND SUBJECT"},
     {"status", ctl_status, "what one instance knows"},
+    {"explain", ctl_explain,
+	"request ID | model NAME: why it was refused, why it sits there"},
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
@@ -132,19 +134,10 @@
 	char *list[WORDS_MAX] = {NULL};
 	ctl_options_t o;
 	int errors;
-	int result;
+	int result = CTL_EXIT_USAGE;
 	int i;
 
 	errors = arg_parse(argc, argv, table);
-	if (help->count > 0) {
-		print_help(table);
-		return CTL_EXIT_OK;
-	}
-	if (errors > 0 || words->count <= 0) {
-		arg_print_errors(stderr, end, "almondctl");
-		(void)fprintf(stderr, "almondctl: see --help\n");
-		return CTL_EXIT_USAGE;
-	}
 	o.platform =
 	    text_option(platform, "ALMONDTHREAD_PLATFORM", "127.0.0.1:7000");
 	o.daemon =
@@ -153,12 +146,21 @@
 	o.reason = text_option(reason, "ALMONDTHREAD_REASON", "");
 	o.json = json->count > 0;
 	o.replace = replace->count > 0;
-	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL) != 0)
-		return CTL_EXIT_FAILED;
 	for (i = 0; i < words->count; i++)
 		list[i] = (char *)(uintptr_t)words->sval[i];
-	result = run_command(&o, words->count, list);
+	if (help->count > 0) {
+		print_help(table);
+		result = CTL_EXIT_OK;
+	} else if (errors > 0 || words->count <= 0) {
+		arg_print_errors(stderr, end, "almondctl");
+		(void)fprintf(stderr, "almondctl: see --help\n");
+	} else if (sodium_init() < 0 ||
+		   curl_global_init(CURL_GLOBAL_ALL) != 0) {
+		result = CTL_EXIT_FAILED;
+	} else {
+		result = run_command(&o, words->count, list);
+		curl_global_cleanup();
+	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
-	curl_global_cleanup();
 	return result;
 }
--- a/src/ctl/status_commands.c
+++ b/src/ctl/status_commands.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <string.h>
 
 #include <jansson.h>
 
@@ -72,3 +73,90 @@
 	client_answer_free(&answer);
 	return code;
 }
+
+static void
+print_request(json_t *root)
+{
+	(void)printf("request  %s\npath     %s\nreason   %s\nverdict  %s\n"
+		     "status   %lld\nage      %lld ms\n%s\n",
+	    text_of(root, "request"), text_of(root, "path"),
+	    text_of(root, "reason"), text_of(root, "verdict"),
+	    number_of(root, "status"), number_of(root, "age_ms"),
+	    text_of(root, "text"));
+}
+
+static void
+print_model(json_t *root)
+{
+	json_t *entry;
+	size_t i;
+
+	(void)printf("model  %s\n", text_of(root, "model"));
+	json_array_foreach(json_object_get(root, "resident_on"), i, entry)
+	{
+		(void)printf("on     %s in %s%s\n", text_of(entry, "engine"),
+		    text_of(entry, "data_centre"),
+		    json_is_true(json_object_get(entry, "leaving"))
+			? ", leaving"
+			: "");
+	}
+	json_array_foreach(json_object_get(root, "exceptions"), i, entry)
+	{
+		(void)printf("rule   %s %s %lld: %s\n", text_of(entry, "kind"),
+		    text_of(entry, "engine"), number_of(entry, "value"),
+		    text_of(entry, "reason"));
+	}
+	json_array_foreach(json_object_get(root, "decisions"), i, entry)
+	{
+		(void)printf("why    %s\n", json_string_value(entry));
+	}
+}
+
+static at_code_t
+print_explanation(
+    const ctl_options_t *o, const client_answer_t *answer, at_status_t *status)
+{
+	json_t *root = json_loadb(answer->body, answer->len, 0, NULL);
+	at_code_t code = AT_OK;
+
+	if (answer->http_status == 404)
+		code = at_status_set(
+		    status, AT_NOT_FOUND, "%s", text_of(root, "error"));
+	else if (answer->http_status != 200 || root == NULL)
+		code = at_status_set(status, AT_FAILED,
+		    "the instance answered %ld", answer->http_status);
+	else if (o->json)
+		(void)printf("%s\n", answer->body);
+	else if (json_object_get(root, "request") != NULL)
+		print_request(root);
+	else
+		print_model(root);
+	json_decref(root);
+	return code;
+}
+
+at_code_t
+ctl_explain(const ctl_options_t *o, int argc, char **argv, at_status_t *status)
+{
+	client_answer_t answer;
+	at_name_t name;
+	char path[64 + AT_NAME_SIZE];
+	at_code_t code;
+
+	if (argc != 3 ||
+	    (strcmp(argv[1], "request") != 0 && strcmp(argv[1], "model") != 0))
+		return at_status_set(status, AT_INVALID,
+		    "usage: almondctl explain request ID | model NAME");
+	if (at_name_set(&name, argv[2]) != 0)
+		return at_status_set(status, AT_INVALID,
+		    "usage: '%s': expected an id or a name", argv[2]);
+	(void)snprintf(
+	    path, sizeof(path), "/explain?%s=%s", argv[1], name.text);
+	code = client_call(
+	    "GET", o->daemon, path, NULL, NULL, 0, &answer, NULL, status);
+	if (code != AT_OK)
+		return code;
+	code = print_explanation(o, &answer, status);
+	client_answer_free(&answer);
+	return code;
+}
--- a/src/daemon/backends.h
+++ b/src/daemon/backends.h
@@ -39,8 +39,8 @@
  * data centre goes first; avoid is skipped where there is another. NULL when
  * there is none.
  */
-at_backend_t *
-at_backends_choose(at_backends_t *backends, at_instance_kind_t kind,
-    const char *target, const at_name_t *data_centre, const at_name_t *avoid);
+at_backend_t *at_backends_choose(at_backends_t *backends,
+    at_instance_kind_t kind, const char *target, const at_name_t *data_centre,
+    const at_name_t *avoid);
 
 #endif
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -12,7 +12,7 @@
 static void
 refuse(at_node_t *node, at_httpd_request_t *request, at_reason_t reason)
 {
-	at_refuse(node, request, NULL, reason, AT_VERDICT_NOT_RUN, NO_RETRY);
+	at_refuse(node, request, reason, AT_VERDICT_NOT_RUN, NO_RETRY);
 }
 
 /* Returns the key that came with the request, or NULL. */
@@ -200,7 +200,7 @@
 
 	at_counters_add(node->counters, "requests_total", NULL, NULL, 1);
 	if (node->config == NULL) {
-		at_refuse(node, request, NULL, AT_REASON_NO_CONFIG,
+		at_refuse(node, request, AT_REASON_NO_CONFIG,
 		    AT_VERDICT_NOT_RUN, AT_MS_PER_S);
 		return;
 	}
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -1,6 +1,5 @@
 #include "daemon/exchange.h"
 
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -138,7 +137,7 @@
 		at_httpd_stream_abort(x->request);
 		return;
 	}
-	at_refuse(x->node, x->request, x->id, reason, verdict, RETRY_AFTER_MS);
+	at_refuse(x->node, x->request, reason, verdict, RETRY_AFTER_MS);
 }
 
 static void
@@ -223,16 +222,6 @@
 	backend->outstanding++;
 }
 
-static void
-make_id(at_node_t *node, char id[AT_REQUEST_ID_SIZE])
-{
-	uint64_t a = node->random.next(node->random.impl);
-	uint64_t b = node->random.next(node->random.impl);
-
-	(void)snprintf(
-	    id, AT_REQUEST_ID_SIZE, "%016" PRIx64 "%016" PRIx64, a, b);
-}
-
 static void
 copy_text(char *out, size_t size, const char *text)
 {
@@ -246,13 +235,13 @@
 	exchange_t *x = calloc(1, sizeof(*x));
 
 	if (x == NULL) {
-		at_refuse(node, request, NULL, AT_REASON_INTERNAL,
-		    AT_VERDICT_NOT_RUN, RETRY_AFTER_MS);
+		at_refuse(node, request, AT_REASON_INTERNAL, AT_VERDICT_NOT_RUN,
+		    RETRY_AFTER_MS);
 		return;
 	}
 	x->node = node;
 	x->request = request;
-	make_id(node, x->id);
+	copy_text(x->id, sizeof(x->id), at_httpd_id(request));
 	x->kind = spec->kind;
 	(void)at_name_set(&x->target, spec->target);
 	copy_text(x->method, sizeof(x->method), spec->method);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -6,7 +6,7 @@
 
 #include "daemon/node.h"
 
-#define AT_REQUEST_ID_SIZE 33u /* hexadecimal digits and the NUL */
+#define AT_REQUEST_ID_SIZE (AT_HTTPD_ID_DIGITS + 1) /* with the NUL */
 
 /* What to run; the texts are copied. */
 typedef struct at_exchange_spec {
@@ -31,11 +31,9 @@
 
 /*
  * at_refuse() answers with the documented status and body of a reason and
- * counts it. request_id may be NULL. verdict may be weaker than the
- * reason's own.
+ * counts it. verdict may be weaker than the reason's own.
  */
-void
-at_refuse(at_node_t *node, at_httpd_request_t *request, const char *request_id,
-    at_reason_t reason, at_verdict_t verdict, uint32_t retry_after_ms);
+void at_refuse(at_node_t *node, at_httpd_request_t *request, at_reason_t reason,
+    at_verdict_t verdict, uint32_t retry_after_ms);
 
 #endif
--- /dev/null
+++ b/src/daemon/explain.c
@@ -0,0 +1,117 @@
+#include "daemon/explain.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "io/clock.h"
+
+static void
+reply(at_httpd_request_t *request, int status, json_t *root)
+{
+	static const at_header_t headers[] = {
+	    {"Content-Type", "application/json"}, {NULL, NULL}};
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	if (text == NULL)
+		return;
+	at_httpd_reply(request, status, headers, text, strlen(text));
+	free(text);
+}
+
+static void
+explain_request(at_node_t *node, at_httpd_request_t *request, const char *id)
+{
+	const at_history_entry_t *e = at_history_find(node->history, id);
+
+	if (e == NULL) {
+		reply(request, 404,
+		    json_pack("{s:s}", "error",
+			"no refusal of this request is kept here"));
+		return;
+	}
+	reply(request, 200,
+	    json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:I}", "request", e->id, "path",
+		e->path, "reason", at_reason_names[e->reason], "verdict",
+		at_verdict_names[e->verdict], "text", at_reason_text(e->reason),
+		"status", at_reason_status(e->reason), "age_ms",
+		(json_int_t)(at_clock_now_ms() - e->at_ms)));
+}
+
+typedef struct holders {
+	const char *model;
+	json_t *list;
+} holders_t;
+
+static void
+add_holder(void *ctx, at_backend_t *backend)
+{
+	holders_t *h = ctx;
+
+	if (backend->instance.kind != AT_INSTANCE_ENGINE ||
+	    !at_engine_view_serves(&backend->view, h->model))
+		return;
+	json_array_append_new(h->list,
+	    json_pack("{s:s,s:s,s:b}", "engine", backend->instance.name.text,
+		"data_centre", backend->instance.data_centre.text, "leaving",
+		backend->instance.leaving));
+}
+
+/* The exceptions that name a model, with their reasons. */
+static json_t *
+exceptions_of(const at_config_t *config, const char *model)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < config->exception_count; i++) {
+		const at_exception_t *e = &config->exceptions[i];
+
+		if (strcmp(e->subject.text, model) != 0)
+			continue;
+		json_array_append_new(
+		    list, json_pack("{s:s,s:s,s:I,s:s}", "kind",
+			      at_exception_kind_names[e->kind], "engine",
+			      e->engine.text, "value", (json_int_t)e->value,
+			      "reason", e->reason));
+	}
+	return list;
+}
+
+static void
+explain_model(at_node_t *node, at_httpd_request_t *request, const char *model)
+{
+	holders_t h = {model, NULL};
+
+	if (node->config == NULL ||
+	    (at_config_model(node->config, model) == NULL &&
+		at_config_adapter(node->config, model) == NULL)) {
+		reply(request, 404,
+		    json_pack("{s:s}", "error",
+			"no such model or adapter is configured"));
+		return;
+	}
+	h.list = json_array();
+	at_backends_each(node->backends, add_holder, &h);
+	reply(request, 200,
+	    json_pack("{s:s,s:o,s:o}", "model", model, "resident_on", h.list,
+		"exceptions", exceptions_of(node->config, model)));
+}
+
+void
+at_explain_handle(at_node_t *node, at_httpd_request_t *request)
+{
+	const char *id = at_httpd_argument(request, "request");
+	const char *model = at_httpd_argument(request, "model");
+
+	if (id != NULL)
+		explain_request(node, request, id);
+	else if (model != NULL)
+		explain_model(node, request, model);
+	else
+		reply(request, 400,
+		    json_pack("{s:s}", "error",
+			"expected ?request=ID or ?model=NAME"));
+}
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -30,6 +30,7 @@
 	node->operators = at_httpd_new(loop);
 	node->platform = at_platform_new(loop, node->httpc);
 	node->backends = at_backends_new();
+	node->history = at_history_new();
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
 	at_httpd_set_handler(node->operators, at_operators_handle, node);
 	return node;
@@ -121,8 +122,10 @@
 	node->status_timer.data = node;
 	ev_timer_start(node->loop, &node->status_timer);
 	node->state = AT_NODE_SERVING;
-	at_log(AT_LOG_INFO, "node", NULL, "%s in %s serves on port %u.",
-	    s->name, s->data_centre, at_httpd_port(node->callers));
+	at_log(AT_LOG_INFO, "node", NULL,
+	    "%s in %s serves; callers on port %u, operators on port %u.",
+	    s->name, s->data_centre, at_httpd_port(node->callers),
+	    at_httpd_port(node->operators));
 	return AT_OK;
 }
 
@@ -186,6 +189,7 @@
 	at_platform_delete(node->platform);
 	at_httpc_delete(node->httpc);
 	at_backends_delete(node->backends);
+	at_history_delete(node->history);
 	at_config_delete(node->config);
 	at_counters_delete(node->counters);
 	free(node);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -14,6 +14,7 @@
 #include "almondthread/keyring.h"
 #include "almondthread/ports.h"
 #include "daemon/backends.h"
+#include "daemon/history.h"
 #include "io/httpc.h"
 #include "io/httpd.h"
 #include "io/platform.h"
@@ -58,14 +59,15 @@
 	at_store_t store;
 	at_config_t *config; /* NULL until the first one */
 	at_backends_t *backends;
+	at_history_t *history; /* of refusals, for explain */
 	ev_timer stop_timer;
 	ev_timer status_timer;
 	uint64_t stop_since_ms;
 	size_t open_exchanges;
 } at_node_t;
 
-at_node_t *
-at_node_new(struct ev_loop *loop, const at_node_settings_t *settings);
+at_node_t *at_node_new(
+    struct ev_loop *loop, const at_node_settings_t *settings);
 at_code_t at_node_init(at_node_t *node, at_status_t *status);
 /* at_node_stop() begins a graceful shutdown; the loop breaks at its end. */
 void at_node_stop(at_node_t *node);
@@ -74,7 +76,7 @@
 /* entry.c: one request of a caller. */
 void at_entry_handle(void *ctx, at_httpd_request_t *request);
 
-/* operators.c: /metrics, /healthz, /readyz, /status. */
+/* operators.c: /metrics, /healthz, /readyz, /status, /explain. */
 void at_operators_handle(void *ctx, at_httpd_request_t *request);
 
 #endif
--- a/src/daemon/operators.c
+++ b/src/daemon/operators.c
@@ -3,7 +3,7 @@
 
 #include <jansson.h>
 
-#include "daemon/node.h"
+#include "daemon/explain.h"
 
 static void
 reply_text(at_httpd_request_t *request, int status, const char *text)
@@ -81,6 +81,8 @@
 		    ready ? "ready\n" : "not ready\n");
 	else if (strcmp(path, "/status") == 0)
 		reply_status(node, request);
+	else if (strcmp(path, "/explain") == 0)
+		at_explain_handle(node, request);
 	else
 		reply_text(request, 404, "no such path\n");
 }
--- a/src/daemon/refuse.c
+++ b/src/daemon/refuse.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include "almondthread/log.h"
+#include "io/clock.h"
 
 static const char *
 error_type(int status)
@@ -21,13 +22,13 @@
 }
 
 void
-at_refuse(at_node_t *node, at_httpd_request_t *request, const char *request_id,
-    at_reason_t reason, at_verdict_t verdict, uint32_t retry_after_ms)
+at_refuse(at_node_t *node, at_httpd_request_t *request, at_reason_t reason,
+    at_verdict_t verdict, uint32_t retry_after_ms)
 {
 	int status = at_reason_status(reason);
 	char retry_after[16];
 	at_header_t headers[] = {{"Content-Type", "application/json"},
-	    {"X-Request-Id", request_id == NULL ? "none" : request_id},
+	    {"X-Request-Id", at_httpd_id(request)},
 	    {"X-Verdict", at_verdict_names[verdict]}, {NULL, NULL},
 	    {NULL, NULL}};
 	json_t *body = json_pack("{s:{s:s,s:s,s:s,s:s,s:s,s:I}}", "error",
@@ -45,7 +46,9 @@
 		headers[3].value = retry_after;
 	}
 	at_counters_refusal(node->counters, reason);
-	at_log(AT_LOG_DEBUG, "entry", request_id, "Refused: %s, %s.",
+	at_history_add(node->history, at_httpd_id(request),
+	    at_httpd_path(request), reason, verdict, at_clock_now_ms());
+	at_log(AT_LOG_DEBUG, "entry", at_httpd_id(request), "Refused: %s, %s.",
 	    at_reason_names[reason], at_verdict_names[verdict]);
 	if (text != NULL)
 		at_httpd_reply(request, status, headers, text, strlen(text));
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <microhttpd.h>
+#include <sodium.h>
 
 #include "io/address.h"
 
@@ -40,6 +41,7 @@
 	at_httpd_request_t *prev;
 	char *path;
 	char method[16];
+	char id[AT_HTTPD_ID_DIGITS + 1];
 	char *body;
 	size_t body_len;
 	size_t body_size;
@@ -128,6 +130,15 @@
 	request->httpd->run_owed = 1;
 }
 
+static void
+make_id(char id[AT_HTTPD_ID_DIGITS + 1])
+{
+	unsigned char bytes[AT_HTTPD_ID_DIGITS / 2];
+
+	randombytes_buf(bytes, sizeof(bytes));
+	(void)sodium_bin2hex(id, AT_HTTPD_ID_DIGITS + 1, bytes, sizeof(bytes));
+}
+
 static at_httpd_request_t *
 request_new(at_httpd_t *httpd, struct MHD_Connection *connection,
     const char *method, const char *path)
@@ -140,6 +151,7 @@
 	request->connection = connection;
 	request->path = strdup(path);
 	(void)snprintf(request->method, sizeof(request->method), "%s", method);
+	make_id(request->id);
 	request->next = httpd->requests;
 	if (request->next != NULL)
 		request->next->prev = request;
@@ -536,6 +548,12 @@
 	free(httpd);
 }
 
+const char *
+at_httpd_id(const at_httpd_request_t *request)
+{
+	return request->id;
+}
+
 const char *
 at_httpd_method(const at_httpd_request_t *request)
 {
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -19,6 +19,8 @@
 typedef struct at_httpd at_httpd_t;
 typedef struct at_httpd_request at_httpd_request_t;
 
+#define AT_HTTPD_ID_DIGITS 32u /* hexadecimal, of a request's id */
+
 /* Bytes buffered for one stream before its producer should pause. */
 #define AT_HTTPD_HIGH_WATER (64u * 1024)
 /* Bytes under which a paused producer is called again. */
@@ -47,13 +49,13 @@
 } at_header_t;
 
 at_httpd_t *at_httpd_new(struct ev_loop *loop);
-void
-at_httpd_set_handler(at_httpd_t *httpd, at_httpd_handler_t handler, void *ctx);
+void at_httpd_set_handler(
+    at_httpd_t *httpd, at_httpd_handler_t handler, void *ctx);
 /* Longest body taken, in bytes; a longer one is answered with 413. */
 void at_httpd_set_max_body(at_httpd_t *httpd, size_t bytes);
 /* at_httpd_init() listens on "ip:port". Port 0 draws a free one. */
-at_code_t
-at_httpd_init(at_httpd_t *httpd, const char *address, at_status_t *status);
+at_code_t at_httpd_init(
+    at_httpd_t *httpd, const char *address, at_status_t *status);
 /* at_httpd_port() returns the port in use. */
 uint16_t at_httpd_port(const at_httpd_t *httpd);
 /* at_httpd_quiesce() stops accepting; open requests go on. */
@@ -68,14 +70,16 @@
  */
 void at_httpd_delete(at_httpd_t *httpd);
 
+/* at_httpd_id() returns a random identifier of AT_HTTPD_ID_DIGITS digits. */
+const char *at_httpd_id(const at_httpd_request_t *request);
 const char *at_httpd_method(const at_httpd_request_t *request);
 /* The path without the query. */
 const char *at_httpd_path(const at_httpd_request_t *request);
 /* A header or query argument, or NULL. */
-const char *
-at_httpd_header(const at_httpd_request_t *request, const char *name);
-const char *
-at_httpd_argument(const at_httpd_request_t *request, const char *name);
+const char *at_httpd_header(
+    const at_httpd_request_t *request, const char *name);
+const char *at_httpd_argument(
+    const at_httpd_request_t *request, const char *name);
 /* Calls visit with each header of the request. */
 void at_httpd_each_header(const at_httpd_request_t *request,
     void (*visit)(void *ctx, const char *name, const char *value), void *ctx);
@@ -83,8 +87,8 @@
 const char *at_httpd_body(const at_httpd_request_t *request, size_t *len);
 
 /* Callbacks of a request that is not answered at once. */
-void
-at_httpd_set_end(at_httpd_request_t *request, at_httpd_end_t end, void *ctx);
+void at_httpd_set_end(
+    at_httpd_request_t *request, at_httpd_end_t end, void *ctx);
 void at_httpd_set_gone(at_httpd_request_t *request, at_httpd_gone_t gone);
 void at_httpd_set_drain(at_httpd_request_t *request, at_httpd_drain_t drain);
 
--- a/src/io/peers.h
+++ b/src/io/peers.h
@@ -54,8 +54,8 @@
 void at_peers_set_handler(at_peers_t *peers, at_peer_kind_t kind,
     at_peers_handler_t handler, void *ctx);
 /* at_peers_init() listens for peers on "ip:port". */
-at_code_t
-at_peers_init(at_peers_t *peers, const char *address, at_status_t *status);
+at_code_t at_peers_init(
+    at_peers_t *peers, const char *address, at_status_t *status);
 uint16_t at_peers_port(const at_peers_t *peers);
 void at_peers_delete(at_peers_t *peers);
 
@@ -78,8 +78,8 @@
     void (*visit)(void *ctx, const at_member_t *member), void *ctx);
 
 /* at_peers_member() returns a member by name, or NULL. */
-const at_member_t *
-at_peers_member(const at_peers_t *peers, const at_name_t *instance);
+const at_member_t *at_peers_member(
+    const at_peers_t *peers, const at_name_t *instance);
 
 /*
  * at_peers_owner() returns the live instance of a data centre, this one
--- a/src/io/settings.h
+++ b/src/io/settings.h
@@ -41,7 +41,7 @@
     char **argv, at_status_t *status);
 
 /* at_settings_help() prints the table. */
-void
-at_settings_help(const char *program, const at_setting_t *rows, size_t count);
+void at_settings_help(
+    const char *program, const at_setting_t *rows, size_t count);
 
 #endif
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -30,8 +30,8 @@
 void standin_faults_update(standin_faults_t *faults, json_t *object);
 
 /* standin_reply_json() answers with object, which it releases. */
-void
-standin_reply_json(at_httpd_request_t *request, int status, json_t *object);
+void standin_reply_json(
+    at_httpd_request_t *request, int status, json_t *object);
 
 typedef struct standin_platform standin_platform_t;
 standin_platform_t *standin_platform_new(struct ev_loop *loop);
--- a/tests/support/fixture.h
+++ b/tests/support/fixture.h
@@ -50,8 +50,8 @@
     fixture_t *f, const char *name, const char *data_centre, const char *model);
 size_t fixture_add_service(fixture_t *f, const char *name,
     const char *data_centre, const char *service);
-size_t
-fixture_add_node(fixture_t *f, const char *name, const char *data_centre);
+size_t fixture_add_node(
+    fixture_t *f, const char *name, const char *data_centre);
 
 /* fixture_remove_node() ends a node at once, as a crash would. */
 void fixture_remove_node(fixture_t *f, size_t index);
@@ -70,9 +70,9 @@
     const char *address, const char *path, const char *const *headers,
     const char *body);
 /* fixture_call() sends and waits; fails the test after 20 s. */
-fixture_answer_t
-fixture_call(fixture_t *f, const char *method, const char *address,
-    const char *path, const char *const *headers, const char *body);
+fixture_answer_t fixture_call(fixture_t *f, const char *method,
+    const char *address, const char *path, const char *const *headers,
+    const char *body);
 void fixture_answer_free(fixture_answer_t *answer);
 
 /* fixture_faults() sets faults of a stand-in at an address. */
