--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -1,5 +1,6 @@
 /*
- * almond-standin: small stand-ins for the platform, an engine, a service.
+ * almond-standin: small stand-ins for the platform, an engine, a service, and
+ * a relay that cuts, delays or silences connections.
  */
 #include "standin/standin.h"
 
@@ -13,6 +14,8 @@
 	const char *listen;
 	const char *name;
 	const char *models;
+	const char *target;
+	const char *control;
 	uint32_t memory_mb;
 	uint32_t token_us;
 	uint32_t heeds_fencing;
@@ -102,13 +105,29 @@
 	return failed;
 }
 
+static int
+run_relay(struct ev_loop *loop, const options_t *o, at_status_t *status)
+{
+	standin_relay_t *relay = standin_relay_new(loop);
+	int failed = standin_relay_init(relay, o->listen, o->target, o->control,
+			 status) != AT_OK;
+
+	if (!failed) {
+		(void)printf("relay is controlled on port %u\n",
+		    standin_relay_control_port(relay));
+		run_loop(loop, "relay", standin_relay_port(relay));
+	}
+	standin_relay_delete(relay);
+	return failed;
+}
+
 typedef struct command {
 	const char *name;
 	int (*run)(struct ev_loop *, const options_t *, at_status_t *);
 } command_t;
 
 static const command_t commands[] = {{"platform", run_platform},
-    {"engine", run_engine}, {"service", run_service}};
+    {"engine", run_engine}, {"service", run_service}, {"relay", run_relay}};
 
 int
 main(int argc, char **argv)
@@ -121,6 +140,10 @@
 		"name of the engine"},
 	    {"models", NULL, AT_SETTING_TEXT, &o.models, "", 0, 0,
 		"engine: models resident at the start, separated by commas"},
+	    {"target", NULL, AT_SETTING_ADDRESS, &o.target, "127.0.0.1:0", 0, 0,
+		"relay: where connections go"},
+	    {"control", NULL, AT_SETTING_ADDRESS, &o.control, "127.0.0.1:0", 0,
+		0, "relay: address that takes faults"},
 	    {"memory-mb", NULL, AT_SETTING_NUMBER, &o.memory_mb, "80000", 1,
 		UINT32_MAX, "engine: memory for weights in MB"},
 	    {"token-us", NULL, AT_SETTING_NUMBER, &o.token_us, "2000", 0,
@@ -152,6 +175,6 @@
 		return result;
 	}
 	(void)fprintf(stderr,
-	    "usage: almond-standin platform|engine|service [settings]\n");
+	    "usage: almond-standin platform|engine|service|relay [settings]\n");
 	return AT_EXIT_USAGE;
 }
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -24,6 +24,7 @@
 	uint32_t crossed;        /* engine: n answers carry another id */
 	uint32_t token_us;       /* engine: time between tokens */
 	uint32_t refuse;         /* this many requests are refused unrun */
+	uint32_t silent_old;     /* relay: open connections go silent */
 } standin_faults_t;
 
 /* standin_faults_update() reads the fields present in object. */
@@ -60,4 +61,19 @@
 uint16_t standin_service_port(const standin_service_t *service);
 void standin_service_delete(standin_service_t *service);
 
+/*
+ * A TCP relay between two parties. Faults: outage closes what is open and
+ * what comes; silent holds every byte back and keeps the connections;
+ * silent_old does so for connections that are open now, for good, while new
+ * ones work; delay_ms holds each byte back for a time.
+ */
+typedef struct standin_relay standin_relay_t;
+standin_relay_t *standin_relay_new(struct ev_loop *loop);
+/* control is the address that takes POST /control/faults. */
+at_code_t standin_relay_init(standin_relay_t *relay, const char *listen,
+    const char *target, const char *control, at_status_t *status);
+uint16_t standin_relay_port(const standin_relay_t *relay);
+uint16_t standin_relay_control_port(const standin_relay_t *relay);
+void standin_relay_delete(standin_relay_t *relay);
+
 #endif
