--- a/include/almondthread/verdict.h
+++ b/include/almondthread/verdict.h
@@ -39,6 +39,8 @@
 	    "The path does not take this method.")                             \
 	X(BODY_TOO_LARGE, "body_too_large", 413, NOT_RUN,                      \
 	    "The body is larger than is accepted.")                            \
+	X(HEADER_TOO_LARGE, "header_too_large", 431, NOT_RUN,                  \
+	    "The headers are larger than is accepted.")                        \
 	X(BODY_TIMEOUT, "body_timeout", 408, NOT_RUN,                          \
 	    "The body did not arrive in time.")                                \
 	X(OVER_RATE, "over_rate", 429, NOT_RUN,                                \
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -14,6 +14,14 @@
 const char *const at_node_state_names[] = {
     "starting", "serving", "draining", "stopping", "stopped"};
 
+static void
+on_slow_caller(void *ctx)
+{
+	at_node_t *node = ctx;
+
+	at_counters_refusal(node->counters, AT_REASON_BODY_TIMEOUT);
+}
+
 at_node_t *
 at_node_new(struct ev_loop *loop, const at_node_settings_t *settings)
 {
@@ -32,6 +40,8 @@
 	node->backends = at_backends_new();
 	node->history = at_history_new();
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
+	at_httpd_set_fault_handler(node->callers, at_entry_handle_fault, node);
+	at_httpd_set_slow(node->callers, on_slow_caller, node);
 	at_httpd_set_handler(node->operators, at_operators_handle, node);
 	return node;
 }
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -73,8 +73,9 @@
 void at_node_stop(at_node_t *node);
 void at_node_delete(at_node_t *node);
 
-/* entry.c: one request of a caller. */
+/* entry.c: one request of a caller, and one that cannot be handled. */
 void at_entry_handle(void *ctx, at_httpd_request_t *request);
+void at_entry_handle_fault(void *ctx, at_httpd_request_t *request);
 
 /* operators.c: /metrics, /healthz, /readyz, /status, /explain. */
 void at_operators_handle(void *ctx, at_httpd_request_t *request);
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -1,89 +1,30 @@
-#include "io/httpd.h"
+#include "io/httpd_private.h"
 
 #include <arpa/inet.h>
 #include <assert.h>
 #include <errno.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <microhttpd.h>
 #include <sodium.h>
 
 #include "io/address.h"
 
-#define CONNECTION_MEMORY (32u * 1024) /* bytes of headers and buffers */
+#define CONNECTION_MEMORY (48u * 1024) /* bytes of headers and buffers */
 #define CONNECTION_IDLE_S 75u          /* an unused connection is closed */
 #define GONE_CHECK_S 0.25              /* between looks for gone callers */
 #define BODY_GROWTH 4096u              /* bytes a body buffer grows by */
-#define STREAM_BLOCK (16u * 1024)      /* bytes handed over at a time */
 #define RUNS_PER_TURN 16               /* runs of the library in one turn */
 #define DEFAULT_MAX_BODY (1u << 20)
+#define DEFAULT_BODY_LIMIT_MS 30000u
+#define MAX_HEADER_BYTES (16u * 1024)
+#define MAX_CONNECTIONS 16384u
 #define POLLS_GROWTH 64u /* places added for gone checks */
 
-typedef enum request_state {
-	REQUEST_READING,
-	REQUEST_HANDLED,   /* the handler has it, no answer yet */
-	REQUEST_ANSWERED,  /* a response is queued or ready to be */
-	REQUEST_STREAMING, /* the body is still being written */
-	REQUEST_ENDING,    /* the whole answer is buffered */
-	REQUEST_ABORTED
-} request_state_t;
-
-struct at_httpd_request {
-	at_httpd_t *httpd;
-	struct MHD_Connection *connection;
-	at_httpd_request_t *next;
-	at_httpd_request_t *prev;
-	char *path;
-	char method[16];
-	char id[AT_HTTPD_ID_DIGITS + 1];
-	char *body;
-	size_t body_len;
-	size_t body_size;
-	int too_large;
-	request_state_t state;
-	int suspended;
-	int gone;
-	int paused; /* the producer was told to pause */
-	struct MHD_Response *response;
-	int status;
-	char *out; /* stream bytes not yet handed over */
-	size_t out_start;
-	size_t out_end;
-	size_t out_size;
-	at_httpd_end_t on_end;
-	at_httpd_gone_t on_gone;
-	at_httpd_drain_t on_drain;
-	void *ctx;
-};
-
-struct at_httpd {
-	struct ev_loop *loop;
-	struct MHD_Daemon *daemon;
-	at_httpd_handler_t handler;
-	void *handler_ctx;
-	size_t max_body;
-	int listen_fd;
-	uint16_t port;
-	int quiescing;
-	int closing; /* each answer ends its connection */
-	int run_owed;
-	ev_io readable;
-	ev_timer timeout;
-	ev_timer gone_check;
-	ev_prepare prepare;
-	at_httpd_request_t *requests;
-	size_t open;
-	struct pollfd *polls;
-	at_httpd_request_t **polled; /* whose descriptor each is */
-	size_t poll_size;
-};
-
 at_httpd_t *
 at_httpd_new(struct ev_loop *loop)
 {
@@ -93,6 +34,7 @@
 		return NULL;
 	httpd->loop = loop;
 	httpd->max_body = DEFAULT_MAX_BODY;
+	httpd->body_limit_ms = DEFAULT_BODY_LIMIT_MS;
 	httpd->listen_fd = -1;
 	return httpd;
 }
@@ -110,24 +52,25 @@
 	httpd->max_body = bytes;
 }
 
-static void
-suspend(at_httpd_request_t *request)
+void
+at_httpd_set_fault_handler(
+    at_httpd_t *httpd, at_httpd_handler_t handler, void *ctx)
 {
-	if (request->suspended)
-		return;
-	request->suspended = 1;
-	MHD_suspend_connection(request->connection);
+	httpd->fault_handler = handler;
+	httpd->fault_ctx = ctx;
 }
 
-/* The library acts on a resumed connection only in its next run. */
-static void
-resume(at_httpd_request_t *request)
+void
+at_httpd_set_slow(at_httpd_t *httpd, void (*slow)(void *ctx), void *ctx)
 {
-	if (!request->suspended)
-		return;
-	request->suspended = 0;
-	MHD_resume_connection(request->connection);
-	request->httpd->run_owed = 1;
+	httpd->on_slow = slow;
+	httpd->slow_ctx = ctx;
+}
+
+void
+at_httpd_set_body_limit(at_httpd_t *httpd, uint32_t limit_ms)
+{
+	httpd->body_limit_ms = limit_ms;
 }
 
 static void
@@ -152,6 +95,7 @@
 	request->path = strdup(path);
 	(void)snprintf(request->method, sizeof(request->method), "%s", method);
 	make_id(request->id);
+	request->started_at = ev_now(httpd->loop);
 	request->next = httpd->requests;
 	if (request->next != NULL)
 		request->next->prev = request;
@@ -201,28 +145,27 @@
 	return 0;
 }
 
-static int
-body_announced_too_large(at_httpd_request_t *request)
+static void
+add_header_size(void *ctx, const char *name, const char *value)
 {
-	const char *text = at_httpd_header(request, "Content-Length");
+	size_t *sum = ctx;
 
-	return text != NULL &&
-	       strtoull(text, NULL, 10) > request->httpd->max_body;
+	*sum += strlen(name) + strlen(value);
 }
 
-static void
-answer_too_large(at_httpd_request_t *request)
+/* Looks at the headers before a byte of the body is taken. */
+static at_httpd_fault_t
+fault_of_head(const at_httpd_request_t *request)
 {
-	static const char body[] =
-	    "{\"error\":{\"message\":\"The body is larger than is accepted.\","
-	    "\"type\":\"invalid_request_error\",\"code\":\"body_too_large\","
-	    "\"verdict\":\"not_run\",\"reason\":\"body_too_large\"}}\n";
-	static const at_header_t headers[] = {
-	    {"Content-Type", "application/json"}, {"Connection", "close"},
-	    {NULL, NULL}};
+	const char *text = at_httpd_header(request, "Content-Length");
+	size_t sum = 0;
 
-	request->state = REQUEST_HANDLED;
-	at_httpd_reply(request, 413, headers, body, sizeof(body) - 1);
+	at_httpd_each_header(request, add_header_size, &sum);
+	if (sum > MAX_HEADER_BYTES)
+		return AT_HTTPD_HEADER_TOO_LARGE;
+	if (text != NULL && strtoull(text, NULL, 10) > request->httpd->max_body)
+		return AT_HTTPD_BODY_TOO_LARGE;
+	return AT_HTTPD_SOUND;
 }
 
 static enum MHD_Result
@@ -232,6 +175,63 @@
 	    (unsigned int)request->status, request->response);
 }
 
+static void
+dispatch(at_httpd_request_t *request)
+{
+	at_httpd_t *httpd = request->httpd;
+
+	request->state = REQUEST_HANDLED;
+	if (request->fault == AT_HTTPD_SOUND)
+		httpd->handler(httpd->handler_ctx, request);
+	else if (httpd->fault_handler != NULL)
+		httpd->fault_handler(httpd->fault_ctx, request);
+	else
+		at_httpd_reply(request,
+		    request->fault == AT_HTTPD_HEADER_TOO_LARGE ? 431 : 413,
+		    NULL, "", 0);
+}
+
+/* Hands a request over once; then says what the library does. */
+static enum MHD_Result
+handle(at_httpd_request_t *request)
+{
+	if (request->state == REQUEST_READING)
+		dispatch(request);
+	if (request->state == REQUEST_ABORTED)
+		return MHD_NO;
+	if (request->response != NULL)
+		return queue_response(request);
+	at_httpd_suspend(request);
+	return MHD_YES;
+}
+
+static int
+too_slow(const at_httpd_request_t *request)
+{
+	const at_httpd_t *httpd = request->httpd;
+	double age_s = ev_now(httpd->loop) - request->started_at;
+
+	return age_s * AT_MS_PER_S > httpd->body_limit_ms;
+}
+
+/* Keeps a part of the body; returns -1 to close the connection. */
+static int
+take_body(at_httpd_request_t *request, const char *data, size_t len)
+{
+	at_httpd_t *httpd = request->httpd;
+
+	if (too_slow(request)) {
+		if (httpd->on_slow != NULL)
+			httpd->on_slow(httpd->slow_ctx);
+		return -1;
+	}
+	if (request->body_len + len > httpd->max_body) {
+		request->fault = AT_HTTPD_BODY_TOO_LARGE;
+		return 0;
+	}
+	return body_append(request, data, len);
+}
+
 /*
  * The library calls this with the headers, with each part of the body, with
  * the end of the body, and once more after each resume until a response is
@@ -251,33 +251,18 @@
 		*request_cls = request;
 		if (request == NULL)
 			return MHD_NO;
-		if (!body_announced_too_large(request))
+		request->fault = fault_of_head(request);
+		if (request->fault == AT_HTTPD_SOUND)
 			return MHD_YES;
-		answer_too_large(request);
-		return queue_response(request);
+		return handle(request);
 	}
 	if (*len > 0) {
-		if (request->body_len + *len > httpd->max_body)
-			request->too_large = 1;
-		else if (body_append(request, data, *len) != 0)
+		if (take_body(request, data, *len) != 0)
 			return MHD_NO;
 		*len = 0;
 		return MHD_YES;
 	}
-	if (request->state == REQUEST_READING) {
-		if (request->too_large) {
-			answer_too_large(request);
-			return queue_response(request);
-		}
-		request->state = REQUEST_HANDLED;
-		httpd->handler(httpd->handler_ctx, request);
-	}
-	if (request->state == REQUEST_ABORTED)
-		return MHD_NO;
-	if (request->response != NULL)
-		return queue_response(request);
-	suspend(request);
-	return MHD_YES;
+	return handle(request);
 }
 
 static void
@@ -352,7 +337,7 @@
 		if (request->on_gone != NULL)
 			request->on_gone(request->ctx);
 		request->state = REQUEST_ABORTED;
-		resume(request);
+		at_httpd_resume(request);
 	}
 }
 
@@ -473,6 +458,7 @@
 	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
 	    httpd, MHD_OPTION_LISTEN_SOCKET, httpd->listen_fd,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+	    MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS,
 	    MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_IDLE_S,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd, MHD_OPTION_END);
 	if (httpd->daemon == NULL) {
@@ -547,225 +533,3 @@
 	free(httpd->polled);
 	free(httpd);
 }
-
-const char *
-at_httpd_id(const at_httpd_request_t *request)
-{
-	return request->id;
-}
-
-const char *
-at_httpd_method(const at_httpd_request_t *request)
-{
-	return request->method;
-}
-
-const char *
-at_httpd_path(const at_httpd_request_t *request)
-{
-	return request->path;
-}
-
-const char *
-at_httpd_header(const at_httpd_request_t *request, const char *name)
-{
-	return MHD_lookup_connection_value(
-	    request->connection, MHD_HEADER_KIND, name);
-}
-
-const char *
-at_httpd_argument(const at_httpd_request_t *request, const char *name)
-{
-	return MHD_lookup_connection_value(
-	    request->connection, MHD_GET_ARGUMENT_KIND, name);
-}
-
-typedef struct header_visit {
-	void (*visit)(void *ctx, const char *name, const char *value);
-	void *ctx;
-} header_visit_t;
-
-static enum MHD_Result
-visit_header(
-    void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
-{
-	header_visit_t *v = cls;
-
-	(void)kind;
-	v->visit(v->ctx, name, value == NULL ? "" : value);
-	return MHD_YES;
-}
-
-void
-at_httpd_each_header(const at_httpd_request_t *request,
-    void (*visit)(void *ctx, const char *name, const char *value), void *ctx)
-{
-	header_visit_t v = {visit, ctx};
-
-	(void)MHD_get_connection_values(
-	    request->connection, MHD_HEADER_KIND, visit_header, &v);
-}
-
-const char *
-at_httpd_body(const at_httpd_request_t *request, size_t *len)
-{
-	*len = request->body_len;
-	return request->body == NULL ? "" : request->body;
-}
-
-void
-at_httpd_set_end(at_httpd_request_t *request, at_httpd_end_t end, void *ctx)
-{
-	request->on_end = end;
-	request->ctx = ctx;
-}
-
-void
-at_httpd_set_gone(at_httpd_request_t *request, at_httpd_gone_t gone)
-{
-	request->on_gone = gone;
-}
-
-void
-at_httpd_set_drain(at_httpd_request_t *request, at_httpd_drain_t drain)
-{
-	request->on_drain = drain;
-}
-
-static void
-set_response(at_httpd_request_t *request, struct MHD_Response *response,
-    int status, const at_header_t *headers)
-{
-	for (; headers != NULL && headers->name != NULL; headers++)
-		(void)MHD_add_response_header(
-		    response, headers->name, headers->value);
-	if (request->httpd->closing)
-		(void)MHD_add_response_header(response, "Connection", "close");
-	request->response = response;
-	request->status = status;
-}
-
-void
-at_httpd_reply(at_httpd_request_t *request, int status,
-    const at_header_t *headers, const void *body, size_t len)
-{
-	struct MHD_Response *response;
-
-	if (request->state == REQUEST_ABORTED)
-		return;
-	assert(request->state == REQUEST_HANDLED);
-	response = MHD_create_response_from_buffer(
-	    len, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
-	request->state = REQUEST_ANSWERED;
-	set_response(request, response, status, headers);
-	resume(request);
-}
-
-/* Hands over buffered bytes, or suspends until there are more. */
-static ssize_t
-on_read(void *cls, uint64_t pos, char *buf, size_t max)
-{
-	at_httpd_request_t *request = cls;
-	size_t len = request->out_end - request->out_start;
-
-	(void)pos;
-	if (request->state == REQUEST_ABORTED)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
-	if (len == 0) {
-		if (request->state == REQUEST_ENDING)
-			return MHD_CONTENT_READER_END_OF_STREAM;
-		suspend(request);
-		return 0;
-	}
-	if (len > max)
-		len = max;
-	memcpy(buf, request->out + request->out_start, len);
-	request->out_start += len;
-	if (request->out_start == request->out_end) {
-		request->out_start = 0;
-		request->out_end = 0;
-	}
-	if (request->paused &&
-	    request->out_end - request->out_start < AT_HTTPD_LOW_WATER) {
-		request->paused = 0;
-		if (request->on_drain != NULL)
-			request->on_drain(request->ctx);
-	}
-	return (ssize_t)len;
-}
-
-void
-at_httpd_stream_begin(
-    at_httpd_request_t *request, int status, const at_header_t *headers)
-{
-	struct MHD_Response *response;
-
-	if (request->state == REQUEST_ABORTED)
-		return;
-	assert(request->state == REQUEST_HANDLED);
-	response = MHD_create_response_from_callback(
-	    MHD_SIZE_UNKNOWN, STREAM_BLOCK, on_read, request, NULL);
-	request->state = REQUEST_STREAMING;
-	set_response(request, response, status, headers);
-	resume(request);
-}
-
-static int
-out_reserve(at_httpd_request_t *request, size_t len)
-{
-	size_t held = request->out_end - request->out_start;
-	size_t size;
-	char *grown;
-
-	if (request->out_end + len <= request->out_size)
-		return 0;
-	if (request->out_start > 0) {
-		memmove(request->out, request->out + request->out_start, held);
-		request->out_start = 0;
-		request->out_end = held;
-	}
-	if (held + len <= request->out_size)
-		return 0;
-	size = held + len + request->out_size;
-	grown = realloc(request->out, size);
-	if (grown == NULL)
-		return -1;
-	request->out = grown;
-	request->out_size = size;
-	return 0;
-}
-
-int
-at_httpd_stream_write(at_httpd_request_t *request, const void *data, size_t len)
-{
-	if (request->state != REQUEST_STREAMING || request->gone)
-		return 0;
-	if (out_reserve(request, len) != 0) {
-		at_httpd_stream_abort(request);
-		return 0;
-	}
-	memcpy(request->out + request->out_end, data, len);
-	request->out_end += len;
-	resume(request);
-	if (request->out_end - request->out_start >= AT_HTTPD_HIGH_WATER)
-		request->paused = 1;
-	return request->paused;
-}
-
-void
-at_httpd_stream_end(at_httpd_request_t *request)
-{
-	if (request->state != REQUEST_STREAMING)
-		return;
-	request->state = REQUEST_ENDING;
-	resume(request);
-}
-
-void
-at_httpd_stream_abort(at_httpd_request_t *request)
-{
-	if (request->state == REQUEST_ABORTED)
-		return;
-	request->state = REQUEST_ABORTED;
-	resume(request);
-}
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -26,7 +26,19 @@
 /* Bytes under which a paused producer is called again. */
 #define AT_HTTPD_LOW_WATER (16u * 1024)
 
-/* Called once for each request, when its body is whole. */
+/* Why a request cannot be handled. */
+typedef enum at_httpd_fault {
+	AT_HTTPD_SOUND,
+	AT_HTTPD_HEADER_TOO_LARGE,
+	AT_HTTPD_BODY_TOO_LARGE
+} at_httpd_fault_t;
+
+/*
+ * Called once for each request, when its body is whole; the handler of
+ * faults is called instead as soon as a request has one. A body that does
+ * not arrive in time has no answer: its connection is closed and the slow
+ * callback runs.
+ */
 typedef void (*at_httpd_handler_t)(void *ctx, at_httpd_request_t *request);
 
 /*
@@ -51,7 +63,14 @@
 at_httpd_t *at_httpd_new(struct ev_loop *loop);
 void at_httpd_set_handler(
     at_httpd_t *httpd, at_httpd_handler_t handler, void *ctx);
-/* Longest body taken, in bytes; a longer one is answered with 413. */
+/* Without a handler of faults they are answered with an empty body. */
+void at_httpd_set_fault_handler(
+    at_httpd_t *httpd, at_httpd_handler_t handler, void *ctx);
+/* Called for each connection closed because its body came too slowly. */
+void at_httpd_set_slow(at_httpd_t *httpd, void (*slow)(void *ctx), void *ctx);
+/* Longest wait for a body, in ms. */
+void at_httpd_set_body_limit(at_httpd_t *httpd, uint32_t limit_ms);
+/* Longest body taken, in bytes; a longer one is a fault. */
 void at_httpd_set_max_body(at_httpd_t *httpd, size_t bytes);
 /* at_httpd_init() listens on "ip:port". Port 0 draws a free one. */
 at_code_t at_httpd_init(
@@ -72,6 +91,7 @@
 
 /* at_httpd_id() returns a random identifier of AT_HTTPD_ID_DIGITS digits. */
 const char *at_httpd_id(const at_httpd_request_t *request);
+at_httpd_fault_t at_httpd_fault(const at_httpd_request_t *request);
 const char *at_httpd_method(const at_httpd_request_t *request);
 /* The path without the query. */
 const char *at_httpd_path(const at_httpd_request_t *request);
--- /dev/null
+++ b/src/io/httpd_private.h
@@ -0,0 +1,83 @@
+/*
+ * httpd_private.h - shapes shared by the files of httpd.
+ */
+#ifndef ALMONDTHREAD_IO_HTTPD_PRIVATE_H
+#define ALMONDTHREAD_IO_HTTPD_PRIVATE_H
+
+#include <poll.h>
+
+#include <microhttpd.h>
+
+#include "io/httpd.h"
+
+typedef enum request_state {
+	REQUEST_READING,
+	REQUEST_HANDLED,   /* the handler has it, no answer yet */
+	REQUEST_ANSWERED,  /* a response is queued or ready to be */
+	REQUEST_STREAMING, /* the body is still being written */
+	REQUEST_ENDING,    /* the whole answer is buffered */
+	REQUEST_ABORTED
+} request_state_t;
+
+struct at_httpd_request {
+	at_httpd_t *httpd;
+	struct MHD_Connection *connection;
+	at_httpd_request_t *next;
+	at_httpd_request_t *prev;
+	char *path;
+	char method[16];
+	char id[AT_HTTPD_ID_DIGITS + 1];
+	char *body;
+	size_t body_len;
+	size_t body_size;
+	at_httpd_fault_t fault;
+	double started_at; /* seconds of the loop's clock */
+	request_state_t state;
+	int suspended;
+	int gone;
+	int paused; /* the producer was told to pause */
+	struct MHD_Response *response;
+	int status;
+	char *out; /* stream bytes not yet handed over */
+	size_t out_start;
+	size_t out_end;
+	size_t out_size;
+	at_httpd_end_t on_end;
+	at_httpd_gone_t on_gone;
+	at_httpd_drain_t on_drain;
+	void *ctx;
+};
+
+struct at_httpd {
+	struct ev_loop *loop;
+	struct MHD_Daemon *daemon;
+	at_httpd_handler_t handler;
+	void *handler_ctx;
+	at_httpd_handler_t fault_handler;
+	void *fault_ctx;
+	size_t max_body;
+	uint32_t body_limit_ms;
+	void (*on_slow)(void *ctx);
+	void *slow_ctx;
+	int listen_fd;
+	uint16_t port;
+	int quiescing;
+	int closing; /* each answer ends its connection */
+	int run_owed;
+	ev_io readable;
+	ev_timer timeout;
+	ev_timer gone_check;
+	ev_prepare prepare;
+	at_httpd_request_t *requests;
+	size_t open;
+	struct pollfd *polls;
+	at_httpd_request_t **polled; /* whose descriptor each is */
+	size_t poll_size;
+};
+
+/* The library leaves a suspended connection alone. */
+void at_httpd_suspend(at_httpd_request_t *request);
+/* The library acts on a resumed connection only in its next run. */
+void at_httpd_resume(at_httpd_request_t *request);
+
+#endif
--- /dev/null
+++ b/src/io/httpd_request.c
@@ -0,0 +1,254 @@
+#include "io/httpd_private.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STREAM_BLOCK (16u * 1024) /* bytes handed over at a time */
+
+void
+at_httpd_suspend(at_httpd_request_t *request)
+{
+	if (request->suspended)
+		return;
+	request->suspended = 1;
+	MHD_suspend_connection(request->connection);
+}
+
+void
+at_httpd_resume(at_httpd_request_t *request)
+{
+	if (!request->suspended)
+		return;
+	request->suspended = 0;
+	MHD_resume_connection(request->connection);
+	request->httpd->run_owed = 1;
+}
+
+at_httpd_fault_t
+at_httpd_fault(const at_httpd_request_t *request)
+{
+	return request->fault;
+}
+
+const char *
+at_httpd_id(const at_httpd_request_t *request)
+{
+	return request->id;
+}
+
+const char *
+at_httpd_method(const at_httpd_request_t *request)
+{
+	return request->method;
+}
+
+const char *
+at_httpd_path(const at_httpd_request_t *request)
+{
+	return request->path;
+}
+
+const char *
+at_httpd_header(const at_httpd_request_t *request, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    request->connection, MHD_HEADER_KIND, name);
+}
+
+const char *
+at_httpd_argument(const at_httpd_request_t *request, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    request->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+typedef struct header_visit {
+	void (*visit)(void *ctx, const char *name, const char *value);
+	void *ctx;
+} header_visit_t;
+
+static enum MHD_Result
+visit_header(
+    void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	header_visit_t *v = cls;
+
+	(void)kind;
+	v->visit(v->ctx, name, value == NULL ? "" : value);
+	return MHD_YES;
+}
+
+void
+at_httpd_each_header(const at_httpd_request_t *request,
+    void (*visit)(void *ctx, const char *name, const char *value), void *ctx)
+{
+	header_visit_t v = {visit, ctx};
+
+	(void)MHD_get_connection_values(
+	    request->connection, MHD_HEADER_KIND, visit_header, &v);
+}
+
+const char *
+at_httpd_body(const at_httpd_request_t *request, size_t *len)
+{
+	*len = request->body_len;
+	return request->body == NULL ? "" : request->body;
+}
+
+void
+at_httpd_set_end(at_httpd_request_t *request, at_httpd_end_t end, void *ctx)
+{
+	request->on_end = end;
+	request->ctx = ctx;
+}
+
+void
+at_httpd_set_gone(at_httpd_request_t *request, at_httpd_gone_t gone)
+{
+	request->on_gone = gone;
+}
+
+void
+at_httpd_set_drain(at_httpd_request_t *request, at_httpd_drain_t drain)
+{
+	request->on_drain = drain;
+}
+
+static void
+set_response(at_httpd_request_t *request, struct MHD_Response *response,
+    int status, const at_header_t *headers)
+{
+	for (; headers != NULL && headers->name != NULL; headers++)
+		(void)MHD_add_response_header(
+		    response, headers->name, headers->value);
+	if (request->httpd->closing)
+		(void)MHD_add_response_header(response, "Connection", "close");
+	request->response = response;
+	request->status = status;
+}
+
+void
+at_httpd_reply(at_httpd_request_t *request, int status,
+    const at_header_t *headers, const void *body, size_t len)
+{
+	struct MHD_Response *response;
+
+	if (request->state == REQUEST_ABORTED)
+		return;
+	assert(request->state == REQUEST_HANDLED);
+	response = MHD_create_response_from_buffer(
+	    len, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
+	request->state = REQUEST_ANSWERED;
+	set_response(request, response, status, headers);
+	at_httpd_resume(request);
+}
+
+/* Hands over buffered bytes, or suspends until there are more. */
+static ssize_t
+on_read(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	at_httpd_request_t *request = cls;
+	size_t len = request->out_end - request->out_start;
+
+	(void)pos;
+	if (request->state == REQUEST_ABORTED)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (len == 0) {
+		if (request->state == REQUEST_ENDING)
+			return MHD_CONTENT_READER_END_OF_STREAM;
+		at_httpd_suspend(request);
+		return 0;
+	}
+	if (len > max)
+		len = max;
+	memcpy(buf, request->out + request->out_start, len);
+	request->out_start += len;
+	if (request->out_start == request->out_end) {
+		request->out_start = 0;
+		request->out_end = 0;
+	}
+	if (request->paused &&
+	    request->out_end - request->out_start < AT_HTTPD_LOW_WATER) {
+		request->paused = 0;
+		if (request->on_drain != NULL)
+			request->on_drain(request->ctx);
+	}
+	return (ssize_t)len;
+}
+
+void
+at_httpd_stream_begin(
+    at_httpd_request_t *request, int status, const at_header_t *headers)
+{
+	struct MHD_Response *response;
+
+	if (request->state == REQUEST_ABORTED)
+		return;
+	assert(request->state == REQUEST_HANDLED);
+	response = MHD_create_response_from_callback(
+	    MHD_SIZE_UNKNOWN, STREAM_BLOCK, on_read, request, NULL);
+	request->state = REQUEST_STREAMING;
+	set_response(request, response, status, headers);
+	at_httpd_resume(request);
+}
+
+static int
+out_reserve(at_httpd_request_t *request, size_t len)
+{
+	size_t held = request->out_end - request->out_start;
+	size_t size;
+	char *grown;
+
+	if (request->out_end + len <= request->out_size)
+		return 0;
+	if (request->out_start > 0) {
+		memmove(request->out, request->out + request->out_start, held);
+		request->out_start = 0;
+		request->out_end = held;
+	}
+	if (held + len <= request->out_size)
+		return 0;
+	size = held + len + request->out_size;
+	grown = realloc(request->out, size);
+	if (grown == NULL)
+		return -1;
+	request->out = grown;
+	request->out_size = size;
+	return 0;
+}
+
+int
+at_httpd_stream_write(at_httpd_request_t *request, const void *data, size_t len)
+{
+	if (request->state != REQUEST_STREAMING || request->gone)
+		return 0;
+	if (out_reserve(request, len) != 0) {
+		at_httpd_stream_abort(request);
+		return 0;
+	}
+	memcpy(request->out + request->out_end, data, len);
+	request->out_end += len;
+	at_httpd_resume(request);
+	if (request->out_end - request->out_start >= AT_HTTPD_HIGH_WATER)
+		request->paused = 1;
+	return request->paused;
+}
+
+void
+at_httpd_stream_end(at_httpd_request_t *request)
+{
+	if (request->state != REQUEST_STREAMING)
+		return;
+	request->state = REQUEST_ENDING;
+	at_httpd_resume(request);
+}
+
+void
+at_httpd_stream_abort(at_httpd_request_t *request)
+{
+	if (request->state == REQUEST_ABORTED)
+		return;
+	request->state = REQUEST_ABORTED;
+	at_httpd_resume(request);
+}
--- a/tests/contract/test_entry.c
+++ b/tests/contract/test_entry.c
@@ -5,9 +5,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <criterion/criterion.h>
 
+#include "io/address.h"
 #include "support/fixture.h"
 
 static fixture_t *f;
@@ -124,6 +127,54 @@
 	fixture_answer_free(&a);
 }
 
+Test(entry, refuses_headers_that_are_too_large, .init = setup, .fini = teardown)
+{
+	char *header = malloc(20001);
+	const char *headers[] = {header, NULL};
+	fixture_answer_t a;
+
+	(void)snprintf(header, 20001, "X-Filler: %019980d", 0);
+	a = fixture_call(
+	    f, "GET", f->node_addresses[0], "/slots", headers, NULL);
+	cr_assert_eq(a.status, 431);
+	cr_assert(strstr(a.body, "\"reason\":\"header_too_large\""));
+	fixture_answer_free(&a);
+	free(header);
+	a = fixture_call(f, "GET", f->node_addresses[0], "/slots", NULL, NULL);
+	cr_assert_eq(a.status, 200);
+	fixture_answer_free(&a);
+}
+
+static int
+slow_caller_counted(void *ctx)
+{
+	at_node_t *node = ctx;
+
+	return at_counters_get(node->counters, "refusals_total", "reason",
+		   "body_timeout") == 1;
+}
+
+Test(
+    entry, closes_a_body_that_comes_too_slowly, .init = setup, .fini = teardown)
+{
+	static const char head[] =
+	    "POST /charges HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nab";
+	struct sockaddr_in addr;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char byte;
+
+	at_httpd_set_body_limit(f->nodes[0]->callers, 50);
+	cr_assert_eq(at_address_parse(f->node_addresses[0], &addr), 0);
+	cr_assert_eq(connect(fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
+	cr_assert_eq(
+	    send(fd, head, sizeof(head) - 1, 0), (ssize_t)sizeof(head) - 1);
+	fixture_run(f, 200);
+	cr_assert_eq(send(fd, "c", 1, 0), 1);
+	cr_assert(fixture_until(f, slow_caller_counted, f->nodes[0], 5000));
+	cr_assert_leq(recv(fd, &byte, 1, 0), 0);
+	(void)close(fd);
+}
+
 Test(entry, no_backend_server_sees_a_key, .init = setup, .fini = teardown)
 {
 	const char *with[] = {bearer, NULL};
