--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -59,12 +59,14 @@
 }
 
 # entry NAME DATA_CENTRE SETTINGS...: starts an entry instance and lists it;
-# leaves $entry_pid, $entry_address (callers) and $entry_operators.
+# leaves $entry_pid, $entry_address (callers), $entry_operators and
+# $entry_peers.
 entry() {
 	local name=$1 dc=$2 line
 	shift 2
 	"$bin/almondthreadd" --name="$name" --data-centre="$dc" \
 	    --listen=127.0.0.1:0 --operators=127.0.0.1:0 \
+	    --peers=127.0.0.1:0 \
 	    "$@" 2>"$work/$name.log" &
 	entry_pid=$!
 	pids+=("$entry_pid")
@@ -75,7 +77,9 @@
 	    sed 's/.*callers on port \([0-9]*\).*/\1/')
 	entry_operators=127.0.0.1:$(echo "$line" |
 	    sed 's/.*operators on port \([0-9]*\).*/\1/')
-	instance "$name" "{\"kind\":\"entry\",\"data_centre\":\"$dc\",\"address\":\"$entry_address\"}"
+	entry_peers=127.0.0.1:$(echo "$line" |
+	    sed 's/.*peers on port \([0-9]*\).*/\1/')
+	instance "$name" "{\"kind\":\"entry\",\"data_centre\":\"$dc\",\"address\":\"$entry_address\",\"peer_address\":\"$entry_peers\"}"
 }
 
 # give_key WORKSPACE ID: leaves the key's text in $key.
