Add the router and the fair queue as pure machines

Cause: the daemon takes the engine with the fewest of its own requests, which knows neither prompt length, cached prefixes, stale reports nor data centres. Change: router.h predicts the time to the first token and corrects reports by what was sent since; two random choices on stale reports; suspicion with gradual return; early refusal beyond the deadline. fair_queue.h shares tokens over workspaces, interactive before overnight, overnight by deadline when near.

--- /dev/null
+++ b/src/bench/route.c
@@ -0,0 +1,123 @@
+/*
+ * The cost of one routing decision, against engines and replicas.
+ */
+#include "bench/bench.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "almondthread/ports.h"
+#include "almondthread/router.h"
+#include "io/clock.h"
+
+#define DECISIONS 200000u
+#define REPORTS 20000u
+#define RESIDENTS 40u
+#define PROMPT_BLOCKS 16u
+
+/* A fleet's size: models are spread evenly over the engines. */
+typedef struct size_row {
+	uint32_t engines;
+	uint32_t models;
+} size_row_t;
+
+static const size_row_t sizes[] = {
+    {12, 20}, {40, 400}, {122, 1200}, {244, 1200}, {610, 1200}};
+
+static void
+make_view(at_engine_view_t *view, at_resident_t *residents, uint32_t engine,
+    const size_row_t *size, uint64_t now_ms)
+{
+	uint32_t i;
+
+	memset(view, 0, sizeof(*view));
+	(void)snprintf(view->name.text, AT_NAME_SIZE, "engine-%u", engine);
+	(void)at_name_set(&view->data_centre, "here");
+	view->residents = residents;
+	view->resident_count = RESIDENTS;
+	view->incarnation = 1;
+	view->report_at_ms = now_ms;
+	view->running = engine % 13;
+	for (i = 0; i < RESIDENTS; i++) {
+		memset(&residents[i], 0, sizeof(residents[i]));
+		(void)snprintf(residents[i].model.text, AT_NAME_SIZE,
+		    "model-%u", (engine * RESIDENTS + i) % size->models);
+	}
+}
+
+static double
+time_reports(
+    at_router_t *router, const size_row_t *size, at_resident_t *residents)
+{
+	at_engine_view_t view;
+	uint64_t start_us;
+	uint64_t spent_us = 0;
+	uint32_t i;
+
+	for (i = 0; i < REPORTS; i++) {
+		make_view(&view, residents, i % size->engines, size,
+		    1 + i / size->engines);
+		start_us = at_clock_now_us();
+		(void)at_router_report(router, &view);
+		spent_us += at_clock_now_us() - start_us;
+	}
+	return (double)spent_us / REPORTS;
+}
+
+static double
+time_decisions(at_router_t *router, const size_row_t *size, at_rng_t *rng)
+{
+	uint64_t hashes[PROMPT_BLOCKS];
+	char target[AT_NAME_SIZE];
+	at_route_request_t request = {.target = target,
+	    .prompt_tokens = 2000,
+	    .prefix_hashes = hashes,
+	    .prefix_count = PROMPT_BLOCKS};
+	at_route_choice_t choice;
+	uint64_t start_us = at_clock_now_us();
+	uint32_t i;
+	uint32_t h;
+
+	for (i = 0; i < DECISIONS; i++) {
+		(void)snprintf(target, sizeof(target), "model-%u",
+		    (uint32_t)at_rng_below(rng, size->models));
+		for (h = 0; h < PROMPT_BLOCKS; h++)
+			hashes[h] = at_rng_next(rng) | 1;
+		if (at_router_choose(router, &request, 100, &choice) !=
+		    AT_REASON_NONE)
+			continue;
+		at_router_sent(router, &request, &choice, 100);
+		at_router_ended(router, &choice, 0, 100);
+	}
+	return (double)(at_clock_now_us() - start_us) / DECISIONS;
+}
+
+int
+bench_route(int argc, char **argv)
+{
+	at_resident_t residents[RESIDENTS];
+	at_name_t here;
+	size_t s;
+
+	(void)argc;
+	(void)argv;
+	(void)at_name_set(&here, "here");
+	(void)printf("%8s %8s %10s %14s %14s\n", "engines", "models",
+	    "replicas", "us/decision", "us/report");
+	for (s = 0; s < sizeof(sizes) / sizeof(sizes[0]); s++) {
+		at_router_t *router = at_router_new(&here, 1);
+		at_rng_t rng = {1};
+		double report_us;
+
+		if (router == NULL)
+			return 1;
+		report_us = time_reports(router, &sizes[s], residents);
+		(void)printf("%8u %8u %10.1f %14.2f %14.2f\n", sizes[s].engines,
+		    sizes[s].models,
+		    (double)sizes[s].engines * RESIDENTS / sizes[s].models,
+		    time_decisions(router, &sizes[s], &rng), report_us);
+		at_router_delete(router);
+	}
+	return 0;
+}
--- /dev/null
+++ b/src/core/prefix_table.c
@@ -0,0 +1,80 @@
+#include "core/prefix_table.h"
+
+#include <stdlib.h>
+
+#define SETS 8192u             /* a power of two */
+#define WAYS 4u                /* places in one set */
+#define KEEP_MS (10u * 60000u) /* an engine keeps a prefix this long */
+
+typedef struct place {
+	uint64_t hash; /* 0: empty */
+	uint64_t used_at_ms;
+	uint32_t engine;
+} place_t;
+
+struct at_prefix_table {
+	place_t places[SETS][WAYS];
+};
+
+at_prefix_table_t *
+at_prefix_table_new(void)
+{
+	return calloc(1, sizeof(at_prefix_table_t));
+}
+
+void
+at_prefix_table_delete(at_prefix_table_t *table)
+{
+	free(table);
+}
+
+void
+at_prefix_table_add(
+    at_prefix_table_t *table, uint64_t hash, uint32_t engine, uint64_t now_ms)
+{
+	place_t *set = table->places[hash & (SETS - 1)];
+	place_t *oldest = &set[0];
+	size_t i;
+
+	for (i = 0; i < WAYS; i++) {
+		if (set[i].hash == hash && set[i].engine == engine) {
+			set[i].used_at_ms = now_ms;
+			return;
+		}
+		if (set[i].hash == 0 ||
+		    (oldest->hash != 0 &&
+			set[i].used_at_ms < oldest->used_at_ms))
+			oldest = &set[i];
+	}
+	oldest->hash = hash;
+	oldest->engine = engine;
+	oldest->used_at_ms = now_ms;
+}
+
+int
+at_prefix_table_has(const at_prefix_table_t *table, uint64_t hash,
+    uint32_t engine, uint64_t now_ms)
+{
+	const place_t *set = table->places[hash & (SETS - 1)];
+	size_t i;
+
+	for (i = 0; i < WAYS; i++) {
+		if (set[i].hash == hash && set[i].engine == engine)
+			return now_ms - set[i].used_at_ms <= KEEP_MS;
+	}
+	return 0;
+}
+
+void
+at_prefix_table_drop(at_prefix_table_t *table, uint32_t engine)
+{
+	size_t s;
+	size_t i;
+
+	for (s = 0; s < SETS; s++) {
+		for (i = 0; i < WAYS; i++) {
+			if (table->places[s][i].engine == engine)
+				table->places[s][i].hash = 0;
+		}
+	}
+}
--- /dev/null
+++ b/tests/unit/test_fair_queue.c
@@ -0,0 +1,85 @@
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "almondthread/fair_queue.h"
+
+#define HOUR_MS 3600000u
+#define ITEMS 300
+
+static at_fair_item_t items[ITEMS];
+
+static at_fair_item_t *
+push(at_fair_queue_t *q, size_t i, const char *workspace, uint64_t weight,
+    uint64_t cost, at_priority_t priority, uint64_t deadline_at_ms)
+{
+	at_fair_item_t *item = &items[i];
+
+	memset(item, 0, sizeof(*item));
+	item->workspace = workspace;
+	item->weight = weight;
+	item->cost_tokens = cost;
+	item->priority = priority;
+	item->deadline_at_ms = deadline_at_ms;
+	cr_assert_eq(at_fair_queue_push(q, item), 0);
+	return item;
+}
+
+Test(fair_queue, shares_tokens_by_weight)
+{
+	at_fair_queue_t *q = at_fair_queue_new(ITEMS);
+	uint64_t tokens[2] = {0, 0};
+	size_t i;
+
+	/* One workspace floods; the other asks for dearer requests. */
+	for (i = 0; i < 200; i++)
+		(void)push(q, i, "flood", 1, 10, AT_INTERACTIVE, HOUR_MS);
+	for (i = 200; i < 220; i++)
+		(void)push(q, i, "calm", 1, 100, AT_INTERACTIVE, HOUR_MS);
+	while (tokens[0] + tokens[1] < 2000) {
+		at_fair_item_t *item = at_fair_queue_pop(q, 0);
+
+		tokens[item->workspace[0] == 'c'] += item->cost_tokens;
+	}
+	cr_assert_geq(tokens[1], 900);
+	cr_assert_leq(tokens[1], 1100);
+	at_fair_queue_delete(q);
+}
+
+Test(fair_queue, orders_the_classes)
+{
+	at_fair_queue_t *q = at_fair_queue_new(ITEMS);
+	at_fair_item_t *night;
+	at_fair_item_t *day;
+	at_fair_item_t *near;
+
+	night = push(q, 0, "w", 1, 1, AT_OVERNIGHT, 8 * HOUR_MS);
+	day = push(q, 1, "w", 1, 1, AT_INTERACTIVE, 5000);
+	cr_assert_eq(at_fair_queue_pop(q, 0), day);
+	near = push(q, 2, "v", 1, 1, AT_OVERNIGHT, 10 * 60000);
+	day = push(q, 3, "w", 1, 1, AT_INTERACTIVE, 20 * 60000);
+	/* Overnight work near its deadline goes by deadline. */
+	cr_assert_eq(at_fair_queue_pop(q, 0), near);
+	cr_assert_eq(at_fair_queue_pop(q, 0), day);
+	cr_assert_eq(at_fair_queue_pop(q, 0), night);
+	cr_assert_null(at_fair_queue_pop(q, 0));
+	at_fair_queue_delete(q);
+}
+
+Test(fair_queue, removes_expires_and_bounds)
+{
+	at_fair_queue_t *q = at_fair_queue_new(2);
+	at_fair_item_t extra = {
+	    .workspace = "w", .weight = 1, .cost_tokens = 1};
+	at_fair_item_t *a = push(q, 0, "w", 1, 1, AT_INTERACTIVE, 100);
+	at_fair_item_t *b = push(q, 1, "w", 1, 1, AT_INTERACTIVE, 200);
+
+	cr_assert_eq(at_fair_queue_push(q, &extra), -1);
+	at_fair_queue_remove(q, a);
+	at_fair_queue_remove(q, a);
+	cr_assert_eq(at_fair_queue_count(q), 1);
+	cr_assert_null(at_fair_queue_expired(q, 199));
+	cr_assert_eq(at_fair_queue_expired(q, 200), b);
+	cr_assert_eq(at_fair_queue_count(q), 0);
+	at_fair_queue_delete(q);
+}
--- /dev/null
+++ b/tests/unit/test_router.c
@@ -0,0 +1,255 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "almondthread/router.h"
+
+#define NOW 10000u
+
+static at_name_t
+name(const char *text)
+{
+	at_name_t n;
+
+	cr_assert_eq(at_name_set(&n, text), 0);
+	return n;
+}
+
+static at_router_t *
+router_new(void)
+{
+	at_name_t here = name("here");
+
+	return at_router_new(&here, 7);
+}
+
+/* One engine of a case. */
+typedef struct engine_row {
+	const char *name;
+	const char *data_centre;
+	const char *model;
+	uint32_t running;
+	uint64_t prefill_tokens;
+	uint64_t report_at_ms;
+	int leaving;
+	int suspected;
+} engine_row_t;
+
+static void
+report(at_router_t *router, const engine_row_t *row)
+{
+	at_resident_t resident = {.model = name(row->model)};
+	at_engine_view_t view = {.name = name(row->name),
+	    .data_centre = name(row->data_centre),
+	    .residents = &resident,
+	    .resident_count = 1,
+	    .running = row->running,
+	    .queued_prefill_tokens = row->prefill_tokens,
+	    .report_at_ms = row->report_at_ms,
+	    .incarnation = 1,
+	    .leaving = row->leaving,
+	    .suspected = row->suspected};
+
+	cr_assert_eq(at_router_report(router, &view), 0);
+}
+
+typedef struct case_row {
+	const char *title;
+	engine_row_t engines[3];
+	uint32_t deadline_ms;
+	const char *avoid;
+	at_reason_t reason;
+	const char *chosen;
+	at_route_why_t why;
+} case_row_t;
+
+#define FRESH (NOW - 100)
+
+static const case_row_t cases[] = {
+    {"the less loaded",
+	{{"a", "here", "m", 1, 8000, FRESH, 0, 0},
+	    {"b", "here", "m", 1, 0, FRESH, 0, 0}},
+	0, NULL, AT_REASON_NONE, "b", AT_ROUTE_LEAST},
+    {"only where the model is",
+	{{"a", "here", "m", 30, 9000, FRESH, 0, 0},
+	    {"b", "here", "x", 0, 0, FRESH, 0, 0}},
+	0, NULL, AT_REASON_NONE, "a", AT_ROUTE_LEAST},
+    {"nowhere", {{"b", "here", "x", 0, 0, FRESH, 0, 0}}, 0, NULL,
+	AT_REASON_NO_BACKEND, "", AT_ROUTE_LEAST},
+    {"not a leaving one",
+	{{"a", "here", "m", 0, 0, FRESH, 1, 0},
+	    {"b", "here", "m", 30, 9000, FRESH, 0, 0}},
+	0, NULL, AT_REASON_NONE, "b", AT_ROUTE_LEAST},
+    {"not a suspected one",
+	{{"a", "here", "m", 0, 0, FRESH, 0, 1},
+	    {"b", "here", "m", 30, 9000, FRESH, 0, 0}},
+	0, NULL, AT_REASON_NONE, "b", AT_ROUTE_LEAST},
+    {"only leaving ones", {{"a", "here", "m", 0, 0, FRESH, 1, 0}}, 0, NULL,
+	AT_REASON_NO_BACKEND, "", AT_ROUTE_LEAST},
+    {"own data centre first",
+	{{"a", "here", "m", 1, 100, FRESH, 0, 0},
+	    {"b", "there", "m", 0, 0, FRESH, 0, 0}},
+	0, NULL, AT_REASON_NONE, "a", AT_ROUTE_LEAST},
+    {"overflow",
+	{{"a", "here", "m", 1, 80000, FRESH, 0, 0},
+	    {"b", "there", "m", 0, 0, FRESH, 0, 0}},
+	0, NULL, AT_REASON_NONE, "b", AT_ROUTE_OVERFLOW},
+    {"elsewhere when none is here", {{"b", "there", "m", 0, 0, FRESH, 0, 0}}, 0,
+	NULL, AT_REASON_NONE, "b", AT_ROUTE_OVERFLOW},
+    {"not the one tried before",
+	{{"a", "here", "m", 0, 0, FRESH, 0, 0},
+	    {"b", "here", "m", 9, 900, FRESH, 0, 0}},
+	0, "a", AT_REASON_NONE, "b", AT_ROUTE_LEAST},
+    {"the one tried before when alone", {{"a", "here", "m", 0, 0, FRESH, 0, 0}},
+	0, "a", AT_REASON_NONE, "a", AT_ROUTE_LEAST},
+    {"too late is said at once", {{"a", "here", "m", 0, 80000, FRESH, 0, 0}},
+	340, NULL, AT_REASON_OVERLOAD, "a", AT_ROUTE_LEAST},
+    {"a full batch waits",
+	{{"a", "here", "m", 64, 0, FRESH, 0, 0},
+	    {"b", "here", "m", 2, 300, FRESH, 0, 0}},
+	0, NULL, AT_REASON_NONE, "b", AT_ROUTE_LEAST},
+    {"stale reports", {{"a", "here", "m", 0, 0, 1, 0, 0}}, 0, NULL,
+	AT_REASON_NONE, "a", AT_ROUTE_TWO},
+};
+
+Test(router, chooses_by_table)
+{
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const case_row_t *c = &cases[i];
+		at_router_t *router = router_new();
+		at_name_t avoid;
+		at_route_request_t request = {.target = "m",
+		    .prompt_tokens = 100,
+		    .deadline_ms = c->deadline_ms};
+		at_route_choice_t choice;
+
+		for (j = 0; j < 3 && c->engines[j].name != NULL; j++)
+			report(router, &c->engines[j]);
+		if (c->avoid != NULL) {
+			avoid = name(c->avoid);
+			request.avoid[0] = &avoid;
+		}
+		cr_assert_eq(at_router_choose(router, &request, NOW, &choice),
+		    c->reason, "%s", c->title);
+		cr_assert_str_eq(choice.engine.text, c->chosen, "%s", c->title);
+		cr_assert_eq(choice.why, c->why, "%s: %s", c->title,
+		    at_route_why_names[choice.why]);
+		at_router_delete(router);
+	}
+}
+
+Test(router, corrects_the_report_by_what_it_sent)
+{
+	at_router_t *router = router_new();
+	const engine_row_t rows[] = {{"a", "here", "m", 0, 0, FRESH, 0, 0},
+	    {"b", "here", "m", 0, 0, FRESH, 0, 0}};
+	at_route_request_t request = {.target = "m", .prompt_tokens = 4000};
+	at_route_choice_t first;
+	at_route_choice_t second;
+	engine_row_t newer;
+
+	report(router, &rows[0]);
+	report(router, &rows[1]);
+	(void)at_router_choose(router, &request, NOW, &first);
+	at_router_sent(router, &request, &first, NOW);
+	(void)at_router_choose(router, &request, NOW, &second);
+	cr_assert_str_neq(first.engine.text, second.engine.text);
+	/* A report made after the send holds it; it is not counted twice. */
+	newer = rows[strcmp(first.engine.text, "a") == 0 ? 0 : 1];
+	newer.report_at_ms = NOW + 10;
+	report(router, &newer);
+	(void)at_router_choose(router, &request, NOW + 20, &second);
+	cr_assert_leq(second.predicted_ms, 501);
+	at_router_delete(router);
+}
+
+Test(router, prefers_a_cached_prefix_until_load_outweighs_it)
+{
+	at_router_t *router = router_new();
+	engine_row_t a = {"a", "here", "m", 0, 0, FRESH, 0, 0};
+	const engine_row_t b = {"b", "here", "m", 0, 0, FRESH, 0, 0};
+	char prompt[64 * 4 * 8];
+	uint64_t hashes[AT_PREFIX_BLOCKS_MAX];
+	at_route_request_t request = {.target = "m", .prompt_tokens = 600};
+	at_route_choice_t first;
+	at_route_choice_t again;
+
+	memset(prompt, 'p', sizeof(prompt));
+	request.prefix_hashes = hashes;
+	request.prefix_count =
+	    at_prefix_hashes("w", "m", prompt, sizeof(prompt), 4, hashes);
+	cr_assert_eq(request.prefix_count, 8);
+	report(router, &a);
+	report(router, &b);
+	(void)at_router_choose(router, &request, NOW, &first);
+	at_router_sent(router, &request, &first, NOW);
+	a.report_at_ms = NOW + 1;
+	report(router, &a);
+	(void)at_router_choose(router, &request, NOW + 2, &again);
+	cr_assert_str_eq(again.engine.text, first.engine.text);
+	cr_assert_eq(again.why, AT_ROUTE_PREFIX);
+	cr_assert_eq(again.cached_tokens, 512);
+	a.report_at_ms = NOW + 3;
+	a.prefill_tokens = 4000;
+	report(router, &a);
+	(void)at_router_choose(router, &request, NOW + 4, &again);
+	cr_assert_str_eq(again.engine.text, "b");
+	/* Another workspace with the same prompt shares nothing. */
+	(void)at_prefix_hashes("v", "m", prompt, sizeof(prompt), 4, hashes);
+	(void)at_router_choose(router, &request, NOW + 4, &again);
+	cr_assert_eq(again.cached_tokens, 0);
+	at_router_delete(router);
+}
+
+Test(router, lets_a_failed_engine_back_gradually)
+{
+	at_router_t *router = router_new();
+	const engine_row_t a = {"a", "here", "m", 0, 0, FRESH, 0, 0};
+	at_route_request_t request = {.target = "m", .prompt_tokens = 10};
+	at_route_choice_t choice;
+	at_route_choice_t extra;
+	int i;
+
+	report(router, &a);
+	(void)at_router_choose(router, &request, NOW, &choice);
+	at_router_sent(router, &request, &choice, NOW);
+	at_router_ended(router, &choice, 1, NOW);
+	cr_assert_eq(at_router_choose(router, &request, NOW + 499, &extra),
+	    AT_REASON_NO_BACKEND);
+	cr_assert_eq(at_router_choose(router, &request, NOW + 500, &choice),
+	    AT_REASON_NONE);
+	cr_assert_eq(choice.why, AT_ROUTE_PROBATION);
+	at_router_sent(router, &request, &choice, NOW + 500);
+	/* One at a time until it has answered. */
+	cr_assert_eq(at_router_choose(router, &request, NOW + 501, &extra),
+	    AT_REASON_NO_BACKEND);
+	for (i = 0; i < 8; i++)
+		at_router_ended(router, &choice, 0, NOW + 600);
+	cr_assert_eq(at_router_choose(router, &request, NOW + 601, &extra),
+	    AT_REASON_NONE);
+	cr_assert_neq(extra.why, AT_ROUTE_PROBATION);
+	cr_assert_eq(at_router_load(router, &choice.engine), 0);
+	at_router_delete(router);
+}
+
+Test(router, learns_an_engine_slower_than_predicted)
+{
+	at_router_t *router = router_new();
+	const engine_row_t rows[] = {{"a", "here", "m", 0, 0, FRESH, 0, 0},
+	    {"b", "here", "m", 0, 0, FRESH, 0, 0}};
+	at_route_request_t request = {.target = "m", .prompt_tokens = 800};
+	at_route_choice_t choice = {.engine = name("a"), .predicted_ms = 100};
+	int i;
+
+	report(router, &rows[0]);
+	report(router, &rows[1]);
+	for (i = 0; i < 20; i++)
+		at_router_first_token(router, &choice, 400);
+	(void)at_router_choose(router, &request, NOW, &choice);
+	cr_assert_str_eq(choice.engine.text, "b");
+	at_router_delete(router);
+}
