Add the attempt machine with retry budgets

Cause: the exchange retried by a counter of its own: a second failed try was told as "not run" when the first may have run, limits lay in the transfer alone, and nothing bounded how far a fault multiplies load.

--- /dev/null
+++ b/src/core/attempt.c
@@ -0,0 +1,569 @@
+#include "almondthread/attempt.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* One event cancels each attempt, starts or finishes, and delivers. */
+#define ACTIONS_MAX (AT_ATTEMPTS_MAX + 3u)
+
+const char *const at_attempt_state_names[] = {
+    "unused", "placing", "connecting", "sent", "answering", "ended"};
+const char *const at_action_kind_names[] = {
+    "start", "cancel", "deliver", "finish"};
+
+typedef struct attempt {
+	at_attempt_state_t state;
+	at_verdict_t verdict; /* of an ended one */
+	at_reason_t reason;   /* of an ended one */
+	int hedge;
+	int paused;
+	uint64_t limit_at_ms; /* end of the limit in force */
+	at_budget_t *budget;  /* of its backend server */
+} attempt_t;
+
+struct at_attempts {
+	at_attempt_limits_t limits;
+	at_repeat_t repeat;
+	int stream;
+	at_budget_t *budget;
+	attempt_t list[AT_ATTEMPTS_MAX];
+	uint32_t count;
+	uint32_t winner;
+	uint64_t deadline_at_ms;
+	uint64_t hedge_at_ms;
+	at_reason_t reason; /* the failure that is told */
+	int finished;
+	int denied;
+	at_action_t actions[ACTIONS_MAX];
+	uint32_t action_count;
+	uint32_t action_next;
+};
+
+at_attempts_t *
+at_attempts_new(void)
+{
+	at_attempts_t *a = calloc(1, sizeof(*a));
+
+	if (a == NULL)
+		return NULL;
+	a->winner = AT_ATTEMPT_NONE;
+	a->hedge_at_ms = AT_ATTEMPTS_NEVER;
+	return a;
+}
+
+void
+at_attempts_delete(at_attempts_t *attempts)
+{
+	free(attempts);
+}
+
+void
+at_attempts_set_limits(at_attempts_t *a, const at_attempt_limits_t *limits)
+{
+	assert(limits->attempts_max >= 1);
+	assert(limits->attempts_max <= AT_ATTEMPTS_MAX);
+	a->limits = *limits;
+}
+
+void
+at_attempts_set_repeat(at_attempts_t *a, at_repeat_t repeat)
+{
+	a->repeat = repeat;
+}
+
+void
+at_attempts_set_stream(at_attempts_t *a, int stream)
+{
+	a->stream = stream;
+}
+
+void
+at_attempts_set_budget(at_attempts_t *a, at_budget_t *budget)
+{
+	a->budget = budget;
+}
+
+static at_action_t *
+push(at_attempts_t *a, at_action_kind_t kind, uint32_t k)
+{
+	at_action_t *action;
+
+	if (a->action_next == a->action_count) {
+		a->action_next = 0;
+		a->action_count = 0;
+	}
+	assert(a->action_count < ACTIONS_MAX);
+	action = &a->actions[a->action_count++];
+	memset(action, 0, sizeof(*action));
+	action->kind = kind;
+	action->attempt = k;
+	return action;
+}
+
+int
+at_attempts_next(at_attempts_t *a, at_action_t *action)
+{
+	if (a->action_next == a->action_count)
+		return 0;
+	*action = a->actions[a->action_next++];
+	return 1;
+}
+
+static int
+is_live(const attempt_t *t)
+{
+	return t->state > AT_ATTEMPT_UNUSED && t->state < AT_ATTEMPT_ENDED;
+}
+
+static int
+is_open(const attempt_t *t)
+{
+	return is_live(t) && t->state != AT_ATTEMPT_PLACING;
+}
+
+/* No other attempt is open and this one waits for its answer's head. */
+static int
+waits_alone(const at_attempts_t *a)
+{
+	uint32_t waiting = 0;
+	uint32_t k;
+
+	for (k = 0; k < a->count; k++) {
+		at_attempt_state_t state = a->list[k].state;
+
+		if (state == AT_ATTEMPT_PLACING ||
+		    state == AT_ATTEMPT_ANSWERING)
+			return 0;
+		waiting += (uint32_t)is_live(&a->list[k]);
+	}
+	return waiting == 1;
+}
+
+static uint32_t
+live_count(const at_attempts_t *a)
+{
+	uint32_t live = 0;
+	uint32_t k;
+
+	for (k = 0; k < a->count; k++)
+		live += (uint32_t)is_live(&a->list[k]);
+	return live;
+}
+
+/* Returns an attempt that takes events, or NULL. */
+static attempt_t *
+open_attempt(at_attempts_t *a, uint32_t k)
+{
+	assert(k < a->count);
+	if (a->finished || !is_open(&a->list[k]))
+		return NULL;
+	return &a->list[k];
+}
+
+static uint64_t
+limit_from(uint64_t now_ms, uint32_t limit_ms)
+{
+	return limit_ms == 0 ? AT_ATTEMPTS_NEVER : now_ms + limit_ms;
+}
+
+/* Has the request run, as far as the ended attempts tell? */
+static at_verdict_t
+verdict_of_all(const at_attempts_t *a)
+{
+	uint32_t k;
+
+	for (k = 0; k < a->count; k++) {
+		if (a->list[k].verdict != AT_VERDICT_NOT_RUN)
+			return AT_VERDICT_MAY_HAVE_RUN;
+	}
+	return AT_VERDICT_NOT_RUN;
+}
+
+/* Ends an attempt that was not told to fail: what left may run. */
+static void
+cancel(at_attempts_t *a, uint32_t k, at_reason_t reason)
+{
+	attempt_t *t = &a->list[k];
+
+	if (!is_live(t))
+		return;
+	if (is_open(t))
+		(void)push(a, AT_ACTION_CANCEL, k);
+	t->verdict = t->state >= AT_ATTEMPT_SENT ? AT_VERDICT_MAY_HAVE_RUN
+						 : AT_VERDICT_NOT_RUN;
+	t->reason = reason;
+	t->state = AT_ATTEMPT_ENDED;
+}
+
+static void
+cancel_others(at_attempts_t *a, uint32_t but, at_reason_t reason)
+{
+	uint32_t k;
+
+	for (k = 0; k < a->count; k++) {
+		if (k != but)
+			cancel(a, k, reason);
+	}
+}
+
+static uint32_t
+retry_after(const at_attempts_t *a, at_verdict_t verdict)
+{
+	if (verdict == AT_VERDICT_RAN)
+		return 0;
+	if (a->repeat == AT_ONCE && verdict != AT_VERDICT_NOT_RUN)
+		return 0;
+	return AT_RETRY_AFTER_MS;
+}
+
+static void
+finish(at_attempts_t *a, at_reason_t reason, at_verdict_t verdict)
+{
+	at_action_t *action = push(a, AT_ACTION_FINISH, a->winner);
+
+	action->reason = reason;
+	action->verdict = verdict;
+	action->retry_after_ms = retry_after(a, verdict);
+	a->finished = 1;
+}
+
+/* Ends the request with what its attempts prove. */
+static void
+give_up(at_attempts_t *a, at_reason_t reason)
+{
+	cancel_others(a, AT_ATTEMPT_NONE, reason);
+	finish(a, reason, verdict_of_all(a));
+}
+
+static void
+start(at_attempts_t *a, at_reason_t reason, int hedge, uint64_t now_ms)
+{
+	uint32_t k = a->count++;
+	at_action_t *action = push(a, AT_ACTION_START, k);
+	attempt_t *t = &a->list[k];
+
+	t->state = AT_ATTEMPT_PLACING;
+	t->hedge = hedge;
+	t->limit_at_ms = AT_ATTEMPTS_NEVER;
+	action->reason = reason;
+	action->hedge = hedge;
+	action->fresh_connection = k > 0 || a->repeat == AT_ONCE;
+	action->remaining_ms = (uint32_t)(a->deadline_at_ms - now_ms);
+}
+
+/* The request itself allows another attempt; budgets are not looked at. */
+static int
+may_start_another(const at_attempts_t *a, uint64_t now_ms)
+{
+	if (a->finished || a->winner != AT_ATTEMPT_NONE)
+		return 0;
+	if (a->count >= a->limits.attempts_max || now_ms >= a->deadline_at_ms)
+		return 0;
+	return a->repeat != AT_ONCE || verdict_of_all(a) == AT_VERDICT_NOT_RUN;
+}
+
+static int
+take_budget(at_attempts_t *a, at_budget_t *budget, uint64_t now_ms)
+{
+	if (budget == NULL || at_budget_take(budget, now_ms) == 0)
+		return 1;
+	a->denied = 1;
+	return 0;
+}
+
+/* After the last open attempt ended without a whole answer. */
+static void
+retry_or_give_up(at_attempts_t *a, uint64_t now_ms)
+{
+	if (!may_start_another(a, now_ms))
+		give_up(a, a->reason);
+	else if (take_budget(a, a->budget, now_ms))
+		start(a, a->reason, 0, now_ms);
+	else if (verdict_of_all(a) == AT_VERDICT_NOT_RUN)
+		give_up(a, AT_REASON_RETRY_BUDGET);
+	else
+		give_up(a, a->reason);
+}
+
+/* A reason that tells of a possible run outlives one that does not. */
+static void
+remember(at_attempts_t *a, at_reason_t reason, at_verdict_t verdict)
+{
+	if (a->reason == AT_REASON_NONE || verdict != AT_VERDICT_NOT_RUN ||
+	    verdict_of_all(a) == AT_VERDICT_NOT_RUN)
+		a->reason = reason;
+}
+
+static void
+ended(at_attempts_t *a, uint32_t k, at_reason_t reason, at_verdict_t verdict,
+    uint64_t now_ms)
+{
+	attempt_t *t = &a->list[k];
+
+	remember(a, reason, verdict);
+	t->state = AT_ATTEMPT_ENDED;
+	t->reason = reason;
+	t->verdict = verdict;
+	if (a->winner == k)
+		give_up(a, reason);
+	else if (live_count(a) == 0)
+		retry_or_give_up(a, now_ms);
+}
+
+void
+at_attempts_init(at_attempts_t *a, uint64_t now_ms)
+{
+	assert(a->count == 0);
+	a->deadline_at_ms = now_ms + a->limits.deadline_ms;
+	start(a, AT_REASON_NONE, 0, now_ms);
+}
+
+int
+at_attempts_placed(
+    at_attempts_t *a, uint32_t k, at_budget_t *budget, uint64_t now_ms)
+{
+	attempt_t *t = &a->list[k];
+
+	assert(k < a->count);
+	if (a->finished || t->state != AT_ATTEMPT_PLACING)
+		return -1;
+	if (k > 0 && !take_budget(a, budget, now_ms)) {
+		at_attempts_unplaced(a, k, AT_REASON_RETRY_BUDGET, now_ms);
+		return -1;
+	}
+	t->budget = budget;
+	t->state = AT_ATTEMPT_CONNECTING;
+	t->limit_at_ms = limit_from(now_ms, a->limits.connect_ms);
+	if (k == 0 && a->repeat != AT_ONCE)
+		a->hedge_at_ms = limit_from(now_ms, a->limits.hedge_ms);
+	return 0;
+}
+
+void
+at_attempts_unplaced(
+    at_attempts_t *a, uint32_t k, at_reason_t reason, uint64_t now_ms)
+{
+	attempt_t *t = &a->list[k];
+
+	assert(k < a->count);
+	(void)now_ms;
+	if (a->finished || t->state != AT_ATTEMPT_PLACING)
+		return;
+	if (k > 0 && a->budget != NULL)
+		at_budget_return(a->budget);
+	t->state = AT_ATTEMPT_ENDED;
+	t->reason = reason;
+	t->verdict = AT_VERDICT_NOT_RUN;
+	if (live_count(a) > 0)
+		return;
+	remember(a, reason, AT_VERDICT_NOT_RUN);
+	give_up(a, a->reason);
+}
+
+void
+at_attempts_sending(at_attempts_t *a, uint32_t k, uint64_t now_ms)
+{
+	attempt_t *t = open_attempt(a, k);
+
+	if (t == NULL || t->state != AT_ATTEMPT_CONNECTING)
+		return;
+	t->state = AT_ATTEMPT_SENT;
+	t->limit_at_ms = limit_from(now_ms, a->limits.first_byte_ms);
+}
+
+/* An answer proves that the request left us. */
+static void
+see_answer(at_attempts_t *a, attempt_t *t, uint64_t now_ms)
+{
+	t->state = AT_ATTEMPT_ANSWERING;
+	t->limit_at_ms = t->paused ? AT_ATTEMPTS_NEVER
+				   : limit_from(now_ms, a->limits.idle_ms);
+	a->hedge_at_ms = AT_ATTEMPTS_NEVER;
+}
+
+void
+at_attempts_head(at_attempts_t *a, uint32_t k, uint64_t now_ms)
+{
+	attempt_t *t = open_attempt(a, k);
+
+	if (t != NULL)
+		see_answer(a, t, now_ms);
+}
+
+static void
+choose_winner(at_attempts_t *a, uint32_t k)
+{
+	if (a->winner != AT_ATTEMPT_NONE)
+		return;
+	a->winner = k;
+	cancel_others(a, k, AT_REASON_NONE);
+}
+
+void
+at_attempts_data(at_attempts_t *a, uint32_t k, uint64_t now_ms)
+{
+	attempt_t *t = open_attempt(a, k);
+
+	if (t == NULL)
+		return;
+	see_answer(a, t, now_ms);
+	if (!a->stream)
+		return;
+	choose_winner(a, k);
+	(void)push(a, AT_ACTION_DELIVER, k);
+}
+
+void
+at_attempts_paused(at_attempts_t *a, uint32_t k, int paused, uint64_t now_ms)
+{
+	attempt_t *t = open_attempt(a, k);
+
+	if (t == NULL || t->paused == paused)
+		return;
+	t->paused = paused;
+	if (t->state == AT_ATTEMPT_ANSWERING)
+		see_answer(a, t, now_ms);
+}
+
+void
+at_attempts_whole(at_attempts_t *a, uint32_t k, uint64_t now_ms)
+{
+	attempt_t *t = open_attempt(a, k);
+
+	(void)now_ms;
+	if (t == NULL)
+		return;
+	choose_winner(a, k);
+	if (!a->stream)
+		(void)push(a, AT_ACTION_DELIVER, k);
+	t->state = AT_ATTEMPT_ENDED;
+	t->verdict = AT_VERDICT_RAN;
+	if (t->budget != NULL)
+		at_budget_success(t->budget);
+	if (a->budget != NULL)
+		at_budget_success(a->budget);
+	finish(a, AT_REASON_NONE, AT_VERDICT_RAN);
+}
+
+void
+at_attempts_refused(at_attempts_t *a, uint32_t k, uint64_t now_ms)
+{
+	if (open_attempt(a, k) != NULL)
+		ended(a, k, AT_REASON_REFUSED_BY_BACKEND, AT_VERDICT_NOT_RUN,
+		    now_ms);
+}
+
+void
+at_attempts_failed(at_attempts_t *a, uint32_t k, at_reason_t reason,
+    at_verdict_t verdict, uint64_t now_ms)
+{
+	const attempt_t *t = open_attempt(a, k);
+
+	if (t == NULL)
+		return;
+	if (t->state >= AT_ATTEMPT_SENT)
+		verdict = AT_VERDICT_MAY_HAVE_RUN;
+	ended(a, k, reason, verdict, now_ms);
+}
+
+void
+at_attempts_caller_gone(at_attempts_t *a, uint64_t now_ms)
+{
+	(void)now_ms;
+	if (!a->finished)
+		give_up(a, AT_REASON_CALLER_GONE);
+}
+
+static at_reason_t
+limit_reason(const attempt_t *t)
+{
+	if (t->state == AT_ATTEMPT_CONNECTING)
+		return AT_REASON_CONNECT_FAILED;
+	if (t->state == AT_ATTEMPT_SENT)
+		return AT_REASON_FIRST_BYTE_TIMEOUT;
+	return AT_REASON_IDLE_TIMEOUT;
+}
+
+static void
+check_limits(at_attempts_t *a, uint64_t now_ms)
+{
+	uint32_t count = a->count;
+	uint32_t k;
+
+	for (k = 0; k < count && !a->finished; k++) {
+		attempt_t *t = &a->list[k];
+		at_reason_t reason = limit_reason(t);
+
+		if (!is_open(t) || now_ms < t->limit_at_ms)
+			continue;
+		cancel(a, k, reason);
+		ended(a, k, reason, t->verdict, now_ms);
+	}
+}
+
+static void
+check_hedge(at_attempts_t *a, uint64_t now_ms)
+{
+	if (a->finished || now_ms < a->hedge_at_ms)
+		return;
+	a->hedge_at_ms = AT_ATTEMPTS_NEVER;
+	if (a->repeat == AT_ONCE || !waits_alone(a))
+		return;
+	if (may_start_another(a, now_ms) && take_budget(a, a->budget, now_ms))
+		start(a, AT_REASON_FIRST_BYTE_TIMEOUT, 1, now_ms);
+}
+
+void
+at_attempts_tick(at_attempts_t *a, uint64_t now_ms)
+{
+	if (a->finished)
+		return;
+	if (now_ms >= a->deadline_at_ms) {
+		give_up(a, AT_REASON_DEADLINE);
+		return;
+	}
+	check_limits(a, now_ms);
+	check_hedge(a, now_ms);
+}
+
+uint64_t
+at_attempts_due_ms(const at_attempts_t *a)
+{
+	uint64_t due = a->deadline_at_ms;
+	uint32_t k;
+
+	if (a->finished)
+		return AT_ATTEMPTS_NEVER;
+	if (a->hedge_at_ms < due)
+		due = a->hedge_at_ms;
+	for (k = 0; k < a->count; k++) {
+		if (is_open(&a->list[k]) && a->list[k].limit_at_ms < due)
+			due = a->list[k].limit_at_ms;
+	}
+	return due;
+}
+
+uint32_t
+at_attempts_winner(const at_attempts_t *a)
+{
+	return a->winner;
+}
+
+at_attempt_state_t
+at_attempts_state(const at_attempts_t *a, uint32_t k)
+{
+	return k < a->count ? a->list[k].state : AT_ATTEMPT_UNUSED;
+}
+
+int
+at_attempts_finished(const at_attempts_t *a)
+{
+	return a->finished;
+}
+
+int
+at_attempts_denied(const at_attempts_t *a)
+{
+	return a->denied;
+}
