Run each request through the attempt machine and check its answer

Cause: the exchange retried by itself, told "not run" of a request whose first attempt may have run, delivered whatever bytes came, also of another request or only half an answer, and libcurl could send a repeatable request again without a trace.

Change: the exchange owns an attempt machine; transport.c is one attempt. A whole answer is held until it is whole and goes out with its length; the end mark of a stream is held until the transfer is complete; a stream that breaks off ends with an error event and a connection that is cut. The library's own second sending is forbidden and becomes a counted retry. A request that may not be repeated goes on without its caller. After silence, pooled connections of that backend server are left alone until they are too old for reuse.

--- a/include/almondthread/attempt.h
+++ b/include/almondthread/attempt.h
@@ -46,7 +46,7 @@
 typedef enum at_action_kind {
 	AT_ACTION_START,   /* choose a backend server and begin an attempt */
 	AT_ACTION_CANCEL,  /* close the attempt's connection at once */
-	AT_ACTION_DELIVER, /* pass on the part, or the whole answer */
+	AT_ACTION_DELIVER, /* pass on the part just reported */
 	AT_ACTION_FINISH,  /* the request is over */
 	AT_ACTION_KIND_COUNT
 } at_action_kind_t;
@@ -85,8 +85,6 @@
 void at_attempts_set_limits(
     at_attempts_t *attempts, const at_attempt_limits_t *limits);
 void at_attempts_set_repeat(at_attempts_t *attempts, at_repeat_t repeat);
-/* With stream set, parts are delivered as they come, else at the end. */
-void at_attempts_set_stream(at_attempts_t *attempts, int stream);
 /* The workspace's budget; it must outlive the machine. NULL: unlimited. */
 void at_attempts_set_budget(at_attempts_t *attempts, at_budget_t *budget);
 
@@ -110,8 +108,9 @@
 
 /* Events of a placed attempt. Those of an ended one are ignored. */
 void at_attempts_sending(at_attempts_t *attempts, uint32_t k, uint64_t now_ms);
+/* The answer's head, or a part not yet proved to be ours. */
 void at_attempts_head(at_attempts_t *attempts, uint32_t k, uint64_t now_ms);
-/* A part of the answer that is proved to belong to this request. */
+/* A part proved to be ours: from now on this attempt alone is delivered. */
 void at_attempts_data(at_attempts_t *attempts, uint32_t k, uint64_t now_ms);
 /* The owner stops (or resumes) reading because its caller is slow. */
 void at_attempts_paused(
@@ -138,6 +137,8 @@
 /* at_attempts_winner() returns the delivered attempt or AT_ATTEMPT_NONE. */
 uint32_t at_attempts_winner(const at_attempts_t *attempts);
 at_attempt_state_t at_attempts_state(const at_attempts_t *attempts, uint32_t k);
+/* at_attempts_reason() returns why an attempt ended. */
+at_reason_t at_attempts_reason(const at_attempts_t *attempts, uint32_t k);
 int at_attempts_finished(const at_attempts_t *attempts);
 /* at_attempts_denied() tells whether a budget has refused a retry. */
 int at_attempts_denied(const at_attempts_t *attempts);
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -25,7 +25,6 @@
 struct at_attempts {
 	at_attempt_limits_t limits;
 	at_repeat_t repeat;
-	int stream;
 	at_budget_t *budget;
 	attempt_t list[AT_ATTEMPTS_MAX];
 	uint32_t count;
@@ -72,12 +71,6 @@
 	a->repeat = repeat;
 }
 
-void
-at_attempts_set_stream(at_attempts_t *a, int stream)
-{
-	a->stream = stream;
-}
-
 void
 at_attempts_set_budget(at_attempts_t *a, at_budget_t *budget)
 {
@@ -276,14 +269,17 @@
 static void
 retry_or_give_up(at_attempts_t *a, uint64_t now_ms)
 {
-	if (!may_start_another(a, now_ms))
-		give_up(a, a->reason);
-	else if (take_budget(a, a->budget, now_ms))
-		start(a, a->reason, 0, now_ms);
-	else if (verdict_of_all(a) == AT_VERDICT_NOT_RUN)
-		give_up(a, AT_REASON_RETRY_BUDGET);
-	else
-		give_up(a, a->reason);
+	at_reason_t reason = a->reason;
+
+	if (may_start_another(a, now_ms)) {
+		if (take_budget(a, a->budget, now_ms)) {
+			start(a, reason, 0, now_ms);
+			return;
+		}
+		if (verdict_of_all(a) == AT_VERDICT_NOT_RUN)
+			reason = AT_REASON_RETRY_BUDGET;
+	}
+	give_up(a, reason);
 }
 
 /* A reason that tells of a possible run outlives one that does not. */
@@ -408,8 +404,6 @@
 	if (t == NULL)
 		return;
 	see_answer(a, t, now_ms);
-	if (!a->stream)
-		return;
 	choose_winner(a, k);
 	(void)push(a, AT_ACTION_DELIVER, k);
 }
@@ -435,8 +429,6 @@
 	if (t == NULL)
 		return;
 	choose_winner(a, k);
-	if (!a->stream)
-		(void)push(a, AT_ACTION_DELIVER, k);
 	t->state = AT_ATTEMPT_ENDED;
 	t->verdict = AT_VERDICT_RAN;
 	if (t->budget != NULL)
@@ -556,6 +548,12 @@
 	return k < a->count ? a->list[k].state : AT_ATTEMPT_UNUSED;
 }
 
+at_reason_t
+at_attempts_reason(const at_attempts_t *a, uint32_t k)
+{
+	return k < a->count ? a->list[k].reason : AT_REASON_NONE;
+}
+
 int
 at_attempts_finished(const at_attempts_t *a)
 {
--- a/src/daemon/backends.c
+++ b/src/daemon/backends.c
@@ -5,6 +5,8 @@
 
 #include <uthash.h>
 
+#include "io/clock.h"
+
 typedef struct entry {
 	at_backend_t backend;
 	UT_hash_handle hh;
@@ -70,6 +72,7 @@
 		if (entry == NULL)
 			return;
 		entry->backend.instance = *instance;
+		at_budget_init(&entry->backend.budget, at_clock_now_ms());
 		HASH_ADD_KEYPTR(hh, backends->table,
 		    entry->backend.instance.name.text,
 		    strlen(instance->name.text), entry);
--- a/src/daemon/backends.h
+++ b/src/daemon/backends.h
@@ -5,16 +5,19 @@
 #ifndef ALMONDTHREAD_DAEMON_BACKENDS_H
 #define ALMONDTHREAD_DAEMON_BACKENDS_H
 
+#include "almondthread/budget.h"
 #include "almondthread/engine_view.h"
 #include "almondthread/ports.h"
 
 typedef struct at_backend {
 	at_instance_t instance;
-	at_engine_view_t view; /* engines only */
-	uint32_t outstanding;  /* our own requests in flight */
-	uint32_t failures;     /* in a row */
-	int present;           /* in the newest instance list */
-	int polling;           /* a status call is open */
+	at_engine_view_t view;   /* engines only */
+	uint32_t outstanding;    /* our own requests in flight */
+	uint32_t failures;       /* in a row */
+	int present;             /* in the newest instance list */
+	int polling;             /* a status call is open */
+	at_budget_t budget;      /* of retries sent to it */
+	uint64_t fresh_until_ms; /* until then ride no pooled connection */
 } at_backend_t;
 
 typedef struct at_backends at_backends_t;
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -1,226 +1,322 @@
-#include "daemon/exchange.h"
+#include "daemon/exchange_impl.h"
 
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "almondthread/log.h"
+#include "io/clock.h"
 
 #define ATTEMPTS_MAX 3u
-#define RETRY_AFTER_MS 1000u
-#define URL_SIZE 512
-#define HEADER_SIZE 256
-
-typedef struct exchange {
-	at_node_t *node;
-	at_httpd_request_t *request;
-	char id[AT_REQUEST_ID_SIZE];
-	at_instance_kind_t kind;
-	at_name_t target;
-	char method[16];
-	char *path;
-	char content_type[128];
-	char idempotency_key[128];
-	char *body;
-	size_t body_len;
-	at_repeat_t repeat;
-	uint32_t deadline_ms;
-	uint32_t attempts;
-	at_name_t backend; /* of the attempt in progress */
-	at_transfer_t *transfer;
-	int answered; /* the caller's answer has begun */
-	int ended;
-	int backend_refused;
-} exchange_t;
-
-static void attempt(exchange_t *x);
+#define HEDGE_PART 2u /* hedge after this part of the first byte's limit */
+
+/*
+ * After silence on a backend server's connection its pooled ones are left
+ * alone until they are too old to be reused (see httpc.c).
+ */
+#define FRESH_AFTER_SILENCE_MS 30000u
 
 static void
 exchange_free(exchange_t *x)
 {
+	uint32_t k;
+
+	for (k = 0; k < x->transport_count; k++)
+		transport_free(&x->transports[k]);
+	ev_timer_stop(x->node->loop, &x->timer);
+	if (x->prev != NULL)
+		x->prev->next = x->next;
+	else
+		x->node->exchanges = x->next;
+	if (x->next != NULL)
+		x->next->prev = x->prev;
 	x->node->open_exchanges--;
+	at_attempts_delete(x->machine);
+	at_budgets_release(x->node->budgets, x->budget, at_clock_now_ms());
 	free(x->path);
 	free(x->body);
 	free(x);
 }
 
+void
+at_exchange_delete_all(at_node_t *node)
+{
+	while (node->exchanges != NULL)
+		exchange_free(node->exchanges);
+}
+
+/* Has the timer fire when the machine's next tick is due. */
 static void
-release_backend(exchange_t *x, int failed)
+arm(exchange_t *x)
 {
-	at_backend_t *b = at_backends_find(x->node->backends, x->backend.text);
+	uint64_t due = x->over ? 0 : at_attempts_due_ms(x->machine);
+	uint64_t now = at_clock_now_ms();
+	double wait_s = 0.;
 
-	if (b == NULL)
+	/* An earlier firing only looks again. */
+	if (ev_is_active(&x->timer) && x->timer_due_ms <= due)
 		return;
-	b->outstanding--;
-	b->failures = failed ? b->failures + 1 : 0;
+	if (due == AT_ATTEMPTS_NEVER)
+		return;
+	if (due > now)
+		wait_s = (double)(due - now) / AT_MS_PER_S;
+	ev_timer_stop(x->node->loop, &x->timer);
+	ev_timer_set(&x->timer, wait_s, 0.);
+	ev_timer_start(x->node->loop, &x->timer);
+	x->timer_due_ms = due;
 }
 
 static void
-on_end(void *ctx, int gone)
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
-	exchange_t *x = ctx;
+	exchange_t *x = timer->data;
 
-	if (x->transfer != NULL) {
-		at_transfer_cancel(x->transfer);
-		release_backend(x, 0);
+	(void)loop;
+	(void)events;
+	if (x->over) {
+		if (x->request == NULL)
+			exchange_free(x);
+		return;
 	}
-	if (gone)
-		at_counters_refusal(x->node->counters, AT_REASON_CALLER_GONE);
-	exchange_free(x);
+	at_attempts_tick(x->machine, at_clock_now_ms());
+	exchange_pump(x);
 }
 
+/* Silence: new connections go round what the pool holds for a while. */
 static void
-on_gone(void *ctx)
+avoid_pool(exchange_t *x, const transport_t *t)
 {
-	exchange_t *x = ctx;
+	at_backend_t *b = at_backends_find(x->node->backends, t->backend.text);
 
-	if (x->transfer == NULL)
+	if (b == NULL)
 		return;
-	at_transfer_cancel(x->transfer);
-	x->transfer = NULL;
-	release_backend(x, 0);
-	at_log(AT_LOG_INFO, "exchange", x->id,
-	    "The caller is gone; the attempt is cancelled.");
+	if (at_clock_now_ms() >= b->fresh_until_ms)
+		at_log(AT_LOG_WARN, "exchange", x->id,
+		    "%s is silent; pooled connections are left alone.",
+		    t->backend.text);
+	b->fresh_until_ms = at_clock_now_ms() + FRESH_AFTER_SILENCE_MS;
 }
 
 static void
-on_drain(void *ctx)
+start(exchange_t *x, const at_action_t *action)
 {
-	exchange_t *x = ctx;
+	if (action->hedge) {
+		at_counters_add(
+		    x->node->counters, "hedges_total", NULL, NULL, 1);
+		avoid_pool(x, &x->transports[action->attempt - 1]);
+	} else if (action->reason != AT_REASON_NONE) {
+		at_counters_retry(x->node->counters, action->reason);
+	}
+	transport_start(x, action);
+}
 
-	if (x->transfer != NULL)
-		at_transfer_resume(x->transfer);
+static void
+cancel(exchange_t *x, uint32_t k)
+{
+	transport_t *t = &x->transports[k];
+	at_reason_t reason = at_attempts_reason(x->machine, k);
+	int silent = reason == AT_REASON_FIRST_BYTE_TIMEOUT ||
+		     reason == AT_REASON_IDLE_TIMEOUT;
+
+	if (silent)
+		avoid_pool(x, t);
+	transport_cancel(t, silent || reason == AT_REASON_CONNECT_FAILED);
 }
 
 static void
-on_head(void *ctx, at_transfer_t *transfer, int status)
+begin_answer(exchange_t *x, const transport_t *t, int whole)
 {
-	exchange_t *x = ctx;
-	const char *type = at_transfer_header(transfer, "Content-Type");
-	const at_header_t headers[] = {
-	    {"Content-Type", type == NULL ? "application/json" : type},
+	const at_header_t headers[] = {{"Content-Type", t->content_type},
 	    {"X-Request-Id", x->id}, {"X-Verdict", "ran"}, {NULL, NULL}};
 
-	if (status == 503 && at_transfer_header(transfer, "X-Not-Run")) {
-		x->backend_refused = 1;
-		return;
-	}
 	x->answered = 1;
-	at_httpd_stream_begin(x->request, status, headers);
+	x->replied = whole;
+	if (x->request == NULL)
+		return;
+	if (whole)
+		at_httpd_reply(
+		    x->request, t->status, headers, x->part, x->part_len);
+	else
+		at_httpd_stream_begin(x->request, t->status, headers);
 }
 
-static int
-on_data(void *ctx, const char *data, size_t len)
+static void
+tell_done(exchange_t *x, const at_exchange_end_t *end)
 {
-	exchange_t *x = ctx;
+	at_exchange_done_t on_done = x->on_done;
 
-	if (x->backend_refused)
-		return 0;
-	return at_httpd_stream_write(x->request, data, len);
+	x->on_done = NULL;
+	if (on_done != NULL)
+		on_done(x->done_ctx, end);
 }
 
-static int
-may_repeat(const exchange_t *x, at_verdict_t verdict)
+/* An answer that is complete before its first part goes out goes whole. */
+static void
+reply_whole(exchange_t *x, const transport_t *t)
 {
-	if (x->attempts >= ATTEMPTS_MAX || x->answered)
-		return 0;
-	return verdict == AT_VERDICT_NOT_RUN || x->repeat != AT_ONCE;
+	const at_exchange_end_t end = {AT_VERDICT_RAN, AT_REASON_NONE,
+	    t->status, t->content_type, x->part, x->part_len};
+
+	tell_done(x, &end);
+	begin_answer(x, t, 1);
 }
 
 static void
-give_up(exchange_t *x, at_reason_t reason, at_verdict_t verdict)
+deliver(exchange_t *x, uint32_t k)
 {
-	if (x->answered) {
-		at_counters_refusal(x->node->counters, reason);
-		at_log(AT_LOG_WARN, "exchange", x->id,
-		    "The answer was cut: %s.", at_reason_names[reason]);
-		at_httpd_stream_abort(x->request);
+	const transport_t *t = &x->transports[k];
+
+	if (!x->answered && t->ending) {
+		reply_whole(x, t);
 		return;
 	}
-	at_refuse(x->node, x->request, x->id, reason, verdict, RETRY_AFTER_MS);
+	if (!x->answered)
+		begin_answer(x, t, 0);
+	if (x->request != NULL &&
+	    at_httpd_stream_write(x->request, x->part, x->part_len))
+		x->paused = 1;
 }
 
+/* Tells a client that reads events of the end; then cuts the connection. */
 static void
-on_done(void *ctx, const at_transfer_result_t *result)
+cut(exchange_t *x, const transport_t *t, const at_action_t *action)
 {
-	exchange_t *x = ctx;
-	at_reason_t reason = result->reason;
-	at_verdict_t verdict = result->verdict;
-
-	x->transfer = NULL;
-	release_backend(x, !result->whole);
-	if (x->backend_refused) {
-		reason = AT_REASON_REFUSED_BY_BACKEND;
-		verdict = AT_VERDICT_NOT_RUN;
+	const char *name = at_reason_names[action->reason];
+	char event[256];
+	int len = snprintf(event, sizeof(event),
+	    "data: {\"error\":{\"message\":\"%s\",\"type\":\"server_error\","
+	    "\"code\":\"%s\",\"reason\":\"%s\",\"verdict\":\"%s\","
+	    "\"retry_after_ms\":%u}}\n\n",
+	    at_reason_text(action->reason), name, name,
+	    at_verdict_names[action->verdict], action->retry_after_ms);
+
+	at_counters_refusal(x->node->counters, action->reason);
+	at_counters_add(
+	    x->node->counters, "answers_cut_total", "reason", name, 1);
+	at_log(AT_LOG_WARN, "exchange", x->id, "The answer was cut: %s.", name);
+	if (x->request == NULL)
+		return;
+	if (strncmp(t->content_type, "text/event-stream", 17) == 0)
+		(void)at_httpd_stream_write(x->request, event, (size_t)len);
+	at_httpd_stream_fail(x->request);
+}
+
+static void
+finish_whole(exchange_t *x, uint32_t winner)
+{
+	const transport_t *t = &x->transports[winner];
+
+	at_counters_add(x->node->counters, "answers_total", NULL, NULL, 1);
+	if (!x->answered) {
+		x->part = "";
+		x->part_len = 0;
+		reply_whole(x, t);
 	}
-	if (reason == AT_REASON_NONE) {
-		at_counters_add(
-		    x->node->counters, "answers_total", NULL, NULL, 1);
+	if (!x->replied && x->request != NULL)
 		at_httpd_stream_end(x->request);
+}
+
+static void
+finish(exchange_t *x, const at_action_t *action)
+{
+	uint32_t winner = action->attempt;
+	const at_exchange_end_t end = {.verdict = action->verdict,
+	    .reason = action->reason,
+	    .http_status = x->answered ? x->transports[winner].status : 0};
+
+	x->over = 1;
+	if (at_attempts_denied(x->machine))
+		at_counters_add(
+		    x->node->counters, "retries_denied_total", NULL, NULL, 1);
+	if (action->verdict == AT_VERDICT_RAN)
+		finish_whole(x, winner);
+	tell_done(x, &end);
+	if (action->verdict == AT_VERDICT_RAN)
 		return;
-	}
-	if (!may_repeat(x, verdict)) {
-		give_up(x, reason, verdict);
+	if (action->reason == AT_REASON_CALLER_GONE)
+		at_counters_refusal(x->node->counters, action->reason);
+	else if (x->answered)
+		cut(x, &x->transports[winner], action);
+	else if (x->request != NULL)
+		at_refuse(x->node, x->request, x->id, action->reason,
+		    action->verdict, action->retry_after_ms);
+}
+
+void
+exchange_pump(exchange_t *x)
+{
+	at_action_t action;
+
+	/* The outermost call takes what inner ones bring about. */
+	if (x->pumping)
 		return;
+	x->pumping = 1;
+	while (at_attempts_next(x->machine, &action)) {
+		if (action.kind == AT_ACTION_START)
+			start(x, &action);
+		else if (action.kind == AT_ACTION_CANCEL)
+			cancel(x, action.attempt);
+		else if (action.kind == AT_ACTION_DELIVER)
+			deliver(x, action.attempt);
+		else
+			finish(x, &action);
 	}
-	at_counters_retry(x->node->counters, reason);
-	attempt(x);
+	x->pumping = 0;
+	arm(x);
+}
+
+/* The caller left: a request that must not be lost half-way goes on. */
+static void
+on_gone(void *ctx)
+{
+	exchange_t *x = ctx;
+
+	if (x->over)
+		return;
+	at_log(AT_LOG_INFO, "exchange", x->id, "The caller is gone.");
+	if (x->repeat != AT_REPEATABLE)
+		return;
+	at_attempts_caller_gone(x->machine, at_clock_now_ms());
+	exchange_pump(x);
 }
 
-static at_transfer_t *
-start_transfer(exchange_t *x, const at_backend_t *backend)
+static void
+on_end(void *ctx, int gone)
 {
-	const at_defaults_t *d = &x->node->config->defaults;
-	char url[URL_SIZE];
-	char id[HEADER_SIZE];
-	char type[HEADER_SIZE];
-	char key[HEADER_SIZE];
-	const char *headers[4] = {id, type, NULL, NULL};
-	const at_transfer_spec_t spec = {.method = x->method,
-	    .url = url,
-	    .headers = headers,
-	    .body = x->body,
-	    .body_len = x->body_len,
-	    .connect_ms = d->connect_ms,
-	    .first_byte_ms = d->first_byte_ms,
-	    .idle_ms = d->idle_ms,
-	    .total_ms = x->deadline_ms,
-	    .fresh_connection = x->repeat == AT_ONCE};
-	const at_transfer_events_t events = {on_head, on_data, on_done, x};
-
-	(void)snprintf(url, sizeof(url), "http://%s%s",
-	    backend->instance.address, x->path);
-	(void)snprintf(id, sizeof(id), "X-Request-Id: %s", x->id);
-	(void)snprintf(type, sizeof(type), "Content-Type: %s", x->content_type);
-	if (x->idempotency_key[0] != '\0') {
-		(void)snprintf(key, sizeof(key), "Idempotency-Key: %s",
-		    x->idempotency_key);
-		headers[2] = key;
+	exchange_t *x = ctx;
+
+	if (gone)
+		on_gone(x);
+	x->request = NULL;
+	if (x->over) {
+		exchange_free(x);
+		return;
+	}
+	if (!gone) {
+		at_attempts_caller_gone(x->machine, at_clock_now_ms());
+		exchange_pump(x);
 	}
-	return at_httpc_start(x->node->httpc, &spec, &events);
 }
 
 static void
-attempt(exchange_t *x)
+on_drain(void *ctx)
 {
-	at_backend_t *backend =
-	    at_backends_choose(x->node->backends, x->kind, x->target.text,
-		&x->node->data_centre, x->attempts > 0 ? &x->backend : NULL);
+	exchange_t *x = ctx;
+	uint32_t winner = at_attempts_winner(x->machine);
+	transport_t *t;
 
-	x->backend_refused = 0;
-	if (backend == NULL) {
-		give_up(x, AT_REASON_NO_BACKEND, AT_VERDICT_NOT_RUN);
+	x->paused = 0;
+	if (x->over || winner == AT_ATTEMPT_NONE)
 		return;
-	}
-	x->attempts++;
-	x->backend = backend->instance.name;
-	x->transfer = start_transfer(x, backend);
-	if (x->transfer == NULL) {
-		give_up(x, AT_REASON_INTERNAL, AT_VERDICT_NOT_RUN);
+	t = &x->transports[winner];
+	if (t->transfer == NULL)
 		return;
-	}
-	backend->outstanding++;
+	at_attempts_paused(x->machine, winner, 0, at_clock_now_ms());
+	exchange_pump(x);
+	at_transfer_resume(t->transfer);
 }
 
 static void
@@ -239,35 +335,89 @@
 	(void)snprintf(out, size, "%s", text == NULL ? "" : text);
 }
 
-void
-at_exchange_start(at_node_t *node, at_httpd_request_t *request,
-    const at_exchange_spec_t *spec)
+static void
+set_machine(exchange_t *x, const at_exchange_spec_t *spec, uint64_t now_ms)
+{
+	const at_defaults_t *d = &x->node->config->defaults;
+	const at_attempt_limits_t limits = {.connect_ms = d->connect_ms,
+	    .first_byte_ms = d->first_byte_ms,
+	    .idle_ms = d->idle_ms,
+	    .hedge_ms = spec->repeat == AT_REPEATABLE
+			    ? d->first_byte_ms / HEDGE_PART
+			    : 0,
+	    .deadline_ms = spec->deadline_ms,
+	    .attempts_max = ATTEMPTS_MAX};
+
+	x->budget = at_budgets_get(x->node->budgets, x->workspace.text, now_ms);
+	at_attempts_set_limits(x->machine, &limits);
+	at_attempts_set_repeat(x->machine, x->repeat);
+	at_attempts_set_budget(x->machine, x->budget);
+	at_attempts_init(x->machine, now_ms);
+}
+
+/* Returns an exchange with copies of all texts, or NULL without memory. */
+static exchange_t *
+exchange_new(at_node_t *node, const at_exchange_spec_t *spec)
 {
 	exchange_t *x = calloc(1, sizeof(*x));
 
-	if (x == NULL) {
-		at_refuse(node, request, NULL, AT_REASON_INTERNAL,
-		    AT_VERDICT_NOT_RUN, RETRY_AFTER_MS);
-		return;
+	if (x == NULL)
+		return NULL;
+	x->machine = at_attempts_new();
+	x->path = strdup(spec->path);
+	x->body = malloc(spec->body_len + 1);
+	if (x->machine == NULL || x->path == NULL || x->body == NULL) {
+		at_attempts_delete(x->machine);
+		free(x->path);
+		free(x->body);
+		free(x);
+		return NULL;
 	}
 	x->node = node;
-	x->request = request;
 	make_id(node, x->id);
 	x->kind = spec->kind;
 	(void)at_name_set(&x->target, spec->target);
+	(void)at_name_set(&x->workspace, spec->workspace);
 	copy_text(x->method, sizeof(x->method), spec->method);
 	copy_text(x->content_type, sizeof(x->content_type), spec->content_type);
 	copy_text(x->idempotency_key, sizeof(x->idempotency_key),
 	    spec->idempotency_key);
-	x->path = strdup(spec->path);
-	x->body = malloc(spec->body_len + 1);
 	memcpy(x->body, spec->body, spec->body_len);
 	x->body_len = spec->body_len;
 	x->repeat = spec->repeat;
-	x->deadline_ms = spec->deadline_ms;
+	x->on_done = spec->on_done;
+	x->done_ctx = spec->done_ctx;
+	return x;
+}
+
+static void
+link_exchange(at_node_t *node, exchange_t *x)
+{
+	x->next = node->exchanges;
+	if (x->next != NULL)
+		x->next->prev = x;
+	node->exchanges = x;
 	node->open_exchanges++;
+}
+
+void
+at_exchange_start(at_node_t *node, at_httpd_request_t *request,
+    const at_exchange_spec_t *spec)
+{
+	exchange_t *x = exchange_new(node, spec);
+
+	if (x == NULL) {
+		at_refuse(node, request, NULL, AT_REASON_INTERNAL,
+		    AT_VERDICT_NOT_RUN, AT_RETRY_AFTER_MS);
+		return;
+	}
+	x->request = request;
+	ev_timer_init(&x->timer, on_timer, 0., 0.);
+	x->timer.data = x;
+	link_exchange(node, x);
 	at_httpd_set_end(request, on_end, x);
 	at_httpd_set_gone(request, on_gone);
 	at_httpd_set_drain(request, on_drain);
-	attempt(x);
+	set_machine(x, spec, at_clock_now_ms());
+	exchange_pump(x);
 }
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -1,5 +1,9 @@
 /*
  * exchange.h - one caller's request on its way to a backend server and back.
+ *
+ * An exchange owns an attempt machine and one transfer for each attempt. It
+ * answers the caller exactly once: with the whole answer, with a refusal, or
+ * with a stream that ends as an error no client takes for whole.
  */
 #ifndef ALMONDTHREAD_DAEMON_EXCHANGE_H
 #define ALMONDTHREAD_DAEMON_EXCHANGE_H
@@ -8,6 +12,19 @@
 
 #define AT_REQUEST_ID_SIZE 33u /* hexadecimal digits and the NUL */
 
+/* How an exchange ended; the body is lent for the call. */
+typedef struct at_exchange_end {
+	at_verdict_t verdict;
+	at_reason_t reason;
+	int http_status;          /* of the answer, 0 without one */
+	const char *content_type; /* of the answer, or NULL */
+	const char *body;         /* of an answer sent whole, or NULL */
+	size_t body_len;
+} at_exchange_end_t;
+
+/* Called exactly once, before the caller gets the end of the answer. */
+typedef void (*at_exchange_done_t)(void *ctx, const at_exchange_end_t *end);
+
 /* What to run; the texts are copied. */
 typedef struct at_exchange_spec {
 	at_instance_kind_t kind;
@@ -23,12 +40,20 @@
 	at_priority_t priority;
 	uint32_t deadline_ms;
 	int stream;
+	at_exchange_done_t on_done; /* may be NULL */
+	void *done_ctx;
 } at_exchange_spec_t;
 
-/* at_exchange_start() runs the request and answers the caller. */
+/*
+ * at_exchange_start() runs the request and answers the caller. A request
+ * that may not be repeated goes on to its end when its caller is gone.
+ */
 void at_exchange_start(at_node_t *node, at_httpd_request_t *request,
     const at_exchange_spec_t *spec);
 
+/* at_exchange_delete_all() ends what is open; callers are not answered. */
+void at_exchange_delete_all(at_node_t *node);
+
 /*
  * at_refuse() answers with the documented status and body of a reason and
  * counts it. request_id may be NULL. verdict may be weaker than the
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -5,6 +5,7 @@
 
 #include "almondthread/log.h"
 #include "daemon/engine_status.h"
+#include "daemon/exchange.h"
 #include "io/clock.h"
 
 #define STATUS_EVERY_S 0.5 /* between two reports of an engine */
@@ -30,6 +31,7 @@
 	node->operators = at_httpd_new(loop);
 	node->platform = at_platform_new(loop, node->httpc);
 	node->backends = at_backends_new();
+	node->budgets = at_budgets_new();
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
 	at_httpd_set_handler(node->operators, at_operators_handle, node);
 	return node;
@@ -126,6 +128,16 @@
 	return AT_OK;
 }
 
+/* An exchange goes on without its caller when it may not be repeated. */
+static size_t
+open_work(const at_node_t *node)
+{
+	size_t requests = at_httpd_open_requests(node->callers);
+
+	return requests > node->open_exchanges ? requests
+					       : node->open_exchanges;
+}
+
 /* Moves a stopping node on, one state at a time. */
 static void
 on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -133,7 +145,7 @@
 	at_node_t *node = timer->data;
 	uint64_t now = at_clock_now_ms();
 	uint64_t waited_ms = now - node->stop_since_ms;
-	size_t open = at_httpd_open_requests(node->callers);
+	size_t open = open_work(node);
 
 	(void)events;
 	if (node->state == AT_NODE_DRAINING) {
@@ -182,10 +194,12 @@
 	ev_timer_stop(node->loop, &node->stop_timer);
 	ev_timer_stop(node->loop, &node->status_timer);
 	at_httpd_delete(node->callers);
+	at_exchange_delete_all(node);
 	at_httpd_delete(node->operators);
 	at_platform_delete(node->platform);
 	at_httpc_delete(node->httpc);
 	at_backends_delete(node->backends);
+	at_budgets_delete(node->budgets);
 	at_config_delete(node->config);
 	at_counters_delete(node->counters);
 	free(node);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -61,6 +61,8 @@
 	ev_timer stop_timer;
 	ev_timer status_timer;
 	uint64_t stop_since_ms;
+	at_budgets_t *budgets; /* of retries, by workspace */
+	struct exchange *exchanges;
 	size_t open_exchanges;
 } at_node_t;
 
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -18,9 +18,12 @@
 	struct curl_slist *headers;
 	char *body;
 	at_transfer_events_t events;
+	void (*on_sending)(void *ctx);
 	uint32_t idle_ms;
 	ev_timer limit;
 	at_reason_t limit_reason; /* why we ended it ourselves */
+	int forbid_resend;
+	uint32_t sendings; /* times the library began to send */
 	int head_seen;
 	int added; /* the library has it */
 	int cancelled;
@@ -232,7 +235,7 @@
 
 	(void)curl_easy_getinfo(transfer->easy, CURLINFO_REQUEST_SIZE, &bytes);
 	*sent = (uint64_t)bytes;
-	return bytes > 0;
+	return bytes > 0 || transfer->sendings > 0;
 }
 
 static at_reason_t
@@ -267,6 +270,8 @@
 	result->http_status = (int)status;
 	result->reason = reason_of(transfer, code, has_left);
 	result->reused_connection = connects == 0;
+	if (transfer->sendings > 1)
+		result->resends = transfer->sendings - 1;
 	if (result->whole)
 		result->verdict = AT_VERDICT_RAN;
 	else if (!has_left)
@@ -341,6 +346,30 @@
 		    transfer->events.ctx, transfer, (int)status);
 }
 
+/* The library calls this each time it is about to send the request. */
+static int
+sending_function(
+    void *ctx, char *remote_ip, char *local_ip, int remote_port, int local_port)
+{
+	at_transfer_t *transfer = ctx;
+
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	(void)local_port;
+	if (transfer->cancelled)
+		return CURL_PREREQFUNC_ABORT;
+	transfer->sendings++;
+	if (transfer->sendings > 1 && transfer->forbid_resend)
+		return CURL_PREREQFUNC_ABORT;
+	if (transfer->sendings == 1 && transfer->on_sending != NULL) {
+		transfer->httpc->running++;
+		transfer->on_sending(transfer->events.ctx);
+		transfer->httpc->running--;
+	}
+	return transfer->cancelled ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 static size_t
 header_function(char *data, size_t size, size_t count, void *ctx)
 {
@@ -411,6 +440,8 @@
 	(void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, write_function);
 	(void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
 	(void)curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+	(void)curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, sending_function);
+	(void)curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
 	if (spec->connect_ms != 0)
 		(void)curl_easy_setopt(
 		    easy, CURLOPT_CONNECTTIMEOUT_MS, (long)spec->connect_ms);
@@ -447,6 +478,7 @@
 	transfer->httpc = httpc;
 	transfer->events = *events;
 	transfer->idle_ms = spec->idle_ms;
+	transfer->forbid_resend = spec->forbid_resend;
 	ev_timer_init(&transfer->limit, on_limit, 0., 0.);
 	transfer->limit.data = transfer;
 	transfer->easy = curl_easy_init();
@@ -467,6 +499,12 @@
 	return transfer;
 }
 
+void
+at_transfer_set_sending(at_transfer_t *transfer, void (*on_sending)(void *ctx))
+{
+	transfer->on_sending = on_sending;
+}
+
 void
 at_transfer_cancel(at_transfer_t *transfer)
 {
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -24,6 +24,7 @@
 	at_reason_t reason;    /* AT_REASON_NONE when whole */
 	at_verdict_t verdict;  /* NOT_RUN only if nothing left us */
 	uint64_t sent_bytes;   /* of the request's headers */
+	uint32_t resends;      /* the library sent it again, or wished to */
 	int reused_connection; /* it rode a connection used before */
 } at_transfer_result_t;
 
@@ -52,6 +53,12 @@
 	uint32_t idle_ms;       /* between two parts of the answer */
 	uint32_t total_ms;
 	int fresh_connection; /* never ride a reused connection */
+	/*
+	 * When a reused connection dies before the first byte of the answer,
+	 * the library sends the request a second time by itself. Non-zero
+	 * ends the transfer instead, with AT_REASON_BACKEND_RESET.
+	 */
+	int forbid_resend;
 } at_transfer_spec_t;
 
 at_httpc_t *at_httpc_new(struct ev_loop *loop);
@@ -67,6 +74,12 @@
 at_transfer_t *at_httpc_start(at_httpc_t *httpc, const at_transfer_spec_t *spec,
     const at_transfer_events_t *events);
 
+/*
+ * at_transfer_set_sending() sets what is called once when a connection
+ * stands and nothing of the request has left us yet.
+ */
+void
+at_transfer_set_sending(at_transfer_t *transfer, void (*on_sending)(void *ctx));
 /* at_transfer_cancel() closes the connection; on_done is not called. */
 void at_transfer_cancel(at_transfer_t *transfer);
 /* at_transfer_resume() goes on with a paused transfer. */
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -30,6 +30,7 @@
 	REQUEST_ANSWERED,  /* a response is queued or ready to be */
 	REQUEST_STREAMING, /* the body is still being written */
 	REQUEST_ENDING,    /* the whole answer is buffered */
+	REQUEST_FAILING,   /* what is buffered goes out, then it is cut */
 	REQUEST_ABORTED
 } request_state_t;
 
@@ -656,6 +657,8 @@
 	if (len == 0) {
 		if (request->state == REQUEST_ENDING)
 			return MHD_CONTENT_READER_END_OF_STREAM;
+		if (request->state == REQUEST_FAILING)
+			return MHD_CONTENT_READER_END_WITH_ERROR;
 		suspend(request);
 		return 0;
 	}
@@ -743,6 +746,15 @@
 	resume(request);
 }
 
+void
+at_httpd_stream_fail(at_httpd_request_t *request)
+{
+	if (request->state != REQUEST_STREAMING)
+		return;
+	request->state = REQUEST_FAILING;
+	resume(request);
+}
+
 void
 at_httpd_stream_abort(at_httpd_request_t *request)
 {
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -100,6 +100,11 @@
 int at_httpd_stream_write(
     at_httpd_request_t *request, const void *data, size_t len);
 void at_httpd_stream_end(at_httpd_request_t *request);
+/*
+ * at_httpd_stream_fail() closes the connection without a proper end after
+ * what was queued has been handed over.
+ */
+void at_httpd_stream_fail(at_httpd_request_t *request);
 /* at_httpd_stream_abort() closes the connection without a proper end. */
 void at_httpd_stream_abort(at_httpd_request_t *request);
 
