--- a/include/almondthread/budget.h
+++ b/include/almondthread/budget.h
@@ -47,10 +47,10 @@
  * then the budget stays where it is. Budgets that nobody uses are forgotten
  * AT_BUDGETS_IDLE_MS after their last use, when they are full again.
  */
-at_budget_t *
-at_budgets_get(at_budgets_t *budgets, const char *name, uint64_t now_ms);
-void
-at_budgets_release(at_budgets_t *budgets, at_budget_t *budget, uint64_t now_ms);
+at_budget_t *at_budgets_get(
+    at_budgets_t *budgets, const char *name, uint64_t now_ms);
+void at_budgets_release(
+    at_budgets_t *budgets, at_budget_t *budget, uint64_t now_ms);
 
 /* at_budgets_count() returns how many names are held. */
 size_t at_budgets_count(const at_budgets_t *budgets);
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -1,6 +1,5 @@
 #include "daemon/exchange_impl.h"
 
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -241,8 +240,8 @@
 	else if (x->answered)
 		cut(x, &x->transports[winner], action);
 	else if (x->request != NULL)
-		at_refuse(x->node, x->request, x->id, action->reason,
-		    action->verdict, action->retry_after_ms);
+		at_refuse(x->node, x->request, action->reason, action->verdict,
+		    action->retry_after_ms);
 }
 
 void
@@ -319,16 +318,6 @@
 	at_transfer_resume(t->transfer);
 }
 
-static void
-make_id(at_node_t *node, char id[AT_REQUEST_ID_SIZE])
-{
-	uint64_t a = node->random.next(node->random.impl);
-	uint64_t b = node->random.next(node->random.impl);
-
-	(void)snprintf(
-	    id, AT_REQUEST_ID_SIZE, "%016" PRIx64 "%016" PRIx64, a, b);
-}
-
 static void
 copy_text(char *out, size_t size, const char *text)
 {
@@ -374,7 +363,6 @@
 		return NULL;
 	}
 	x->node = node;
-	make_id(node, x->id);
 	x->kind = spec->kind;
 	(void)at_name_set(&x->target, spec->target);
 	(void)at_name_set(&x->workspace, spec->workspace);
@@ -407,11 +395,12 @@
 	exchange_t *x = exchange_new(node, spec);
 
 	if (x == NULL) {
-		at_refuse(node, request, NULL, AT_REASON_INTERNAL,
-		    AT_VERDICT_NOT_RUN, AT_RETRY_AFTER_MS);
+		at_refuse(node, request, AT_REASON_INTERNAL, AT_VERDICT_NOT_RUN,
+		    AT_RETRY_AFTER_MS);
 		return;
 	}
 	x->request = request;
+	copy_text(x->id, sizeof(x->id), at_httpd_id(request));
 	ev_timer_init(&x->timer, on_timer, 0., 0.);
 	x->timer.data = x;
 	link_exchange(node, x);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -15,6 +15,14 @@
 const char *const at_node_state_names[] = {
     "starting", "serving", "draining", "stopping", "stopped"};
 
+static void
+on_slow_caller(void *ctx)
+{
+	at_node_t *node = ctx;
+
+	at_counters_refusal(node->counters, AT_REASON_BODY_TIMEOUT);
+}
+
 at_node_t *
 at_node_new(struct ev_loop *loop, const at_node_settings_t *settings)
 {
@@ -32,7 +40,10 @@
 	node->platform = at_platform_new(loop, node->httpc);
 	node->backends = at_backends_new();
 	node->budgets = at_budgets_new();
+	node->history = at_history_new();
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
+	at_httpd_set_fault_handler(node->callers, at_entry_handle_fault, node);
+	at_httpd_set_slow(node->callers, on_slow_caller, node);
 	at_httpd_set_handler(node->operators, at_operators_handle, node);
 	return node;
 }
@@ -123,8 +134,10 @@
 	node->status_timer.data = node;
 	ev_timer_start(node->loop, &node->status_timer);
 	node->state = AT_NODE_SERVING;
-	at_log(AT_LOG_INFO, "node", NULL, "%s in %s serves on port %u.",
-	    s->name, s->data_centre, at_httpd_port(node->callers));
+	at_log(AT_LOG_INFO, "node", NULL,
+	    "%s in %s serves; callers on port %u, operators on port %u.",
+	    s->name, s->data_centre, at_httpd_port(node->callers),
+	    at_httpd_port(node->operators));
 	return AT_OK;
 }
 
@@ -200,6 +213,7 @@
 	at_httpc_delete(node->httpc);
 	at_backends_delete(node->backends);
 	at_budgets_delete(node->budgets);
+	at_history_delete(node->history);
 	at_config_delete(node->config);
 	at_counters_delete(node->counters);
 	free(node);
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -78,8 +78,8 @@
  * at_transfer_set_sending() sets what is called once when a connection
  * stands and nothing of the request has left us yet.
  */
-void
-at_transfer_set_sending(at_transfer_t *transfer, void (*on_sending)(void *ctx));
+void at_transfer_set_sending(
+    at_transfer_t *transfer, void (*on_sending)(void *ctx));
 /* at_transfer_cancel() closes the connection; on_done is not called. */
 void at_transfer_cancel(at_transfer_t *transfer);
 /* at_transfer_resume() goes on with a paused transfer. */
--- a/src/standin/engine.c
+++ b/src/standin/engine.c
@@ -273,6 +273,16 @@
 	    g->id, object, g->model, g->made);
 }
 
+/* Takes one of the answers that a fault is to hit. */
+static int
+take_fault(uint32_t *left)
+{
+	if (*left == 0)
+		return 0;
+	(*left)--;
+	return 1;
+}
+
 static void
 end_stream(generation_t *g)
 {
@@ -286,10 +296,29 @@
 	    g->id, g->model, g->prompt_tokens, g->made,
 	    g->prompt_tokens + g->made);
 
-	(void)at_httpd_stream_write(g->request, out, (size_t)len);
+	if (!take_fault(&g->engine->faults.shorten))
+		(void)at_httpd_stream_write(g->request, out, (size_t)len);
 	at_httpd_stream_end(g->request);
 }
 
+/* Sends half of a whole answer; then ends it properly or breaks it off. */
+static void
+reply_half(generation_t *g, json_t *object, int properly)
+{
+	static const at_header_t headers[] = {
+	    {"Content-Type", "application/json"}, {NULL, NULL}};
+	char *text = json_dumps(object, JSON_COMPACT);
+
+	at_httpd_stream_begin(g->request, 200, headers);
+	(void)at_httpd_stream_write(g->request, text, strlen(text) / 2);
+	if (properly)
+		at_httpd_stream_end(g->request);
+	else
+		at_httpd_stream_fail(g->request);
+	free(text);
+	json_decref(object);
+}
+
 static void
 end_whole(generation_t *g)
 {
@@ -300,12 +329,18 @@
 			     : json_pack("{s:i,s:s,s:s}", "index", 0, "text",
 				   g->text, "finish_reason", "stop");
 
-	standin_reply_json(g->request, 200,
-	    json_pack("{s:s,s:s,s:s,s:[o],s:{s:i,s:i,s:i}}", "id", g->id,
-		"object", g->chat ? "chat.completion" : "text_completion",
-		"model", g->model, "choices", choice, "usage", "prompt_tokens",
-		(int)g->prompt_tokens, "completion_tokens", (int)g->made,
-		"total_tokens", (int)(g->prompt_tokens + g->made)));
+	json_t *answer = json_pack("{s:s,s:s,s:s,s:[o],s:{s:i,s:i,s:i}}", "id",
+	    g->id, "object", g->chat ? "chat.completion" : "text_completion",
+	    "model", g->model, "choices", choice, "usage", "prompt_tokens",
+	    (int)g->prompt_tokens, "completion_tokens", (int)g->made,
+	    "total_tokens", (int)(g->prompt_tokens + g->made));
+
+	if (take_fault(&g->engine->faults.break_whole))
+		reply_half(g, answer, 0);
+	else if (take_fault(&g->engine->faults.shorten))
+		reply_half(g, answer, 1);
+	else
+		standin_reply_json(g->request, 200, answer);
 }
 
 static void
--- a/tests/support/fixture.c
+++ b/tests/support/fixture.c
@@ -258,7 +258,8 @@
 	    .operators = "127.0.0.1:0",
 	    .platform = f->platform_address,
 	    .secret = FIXTURE_SECRET,
-	    .log_level = "info"};
+	    .log_level = "info",
+	    .stop_max_ms = FIXTURE_STOP_MAX_MS};
 	at_status_t status;
 
 	at_status_clear(&status);
