Route engines by predicted first token; halve the cost of a stream

Cause: (1) the daemon still took the engine with the fewest of its own requests; (2) since every event of a stream is read as JSON, an instance forwarded 111,443 tokens per processor second (218,000 before) and held 132.4 MB for 500 streams, over the goal of 64 MB. perf showed jansson and malloc first; the memory was buffers of 64 kB that doubled. Change: routing.c feeds the router with reports and lists and asks it for each attempt; an event that begins with the bytes of one already proved ours, its id among them, is not read again; a stream buffers 16 kB and grows by 4 kB. Ruled out: dropping the check of ids, which a crossed answer needs.

--- a/src/core/answer.c
+++ b/src/core/answer.c
@@ -7,6 +7,7 @@
 
 #define DATA_FIELD "data:"
 #define DONE_MARK "[DONE]"
+#define ID_FIELD "{\"id\":\""
 #define GROWTH 1024u /* bytes a buffer grows by at least */
 
 const char *const at_answer_kind_names[] = {"json", "events", "held", "passed"};
@@ -22,6 +23,8 @@
 	size_t scanned; /* held bytes known to end no event */
 	int done;       /* the end mark is held */
 	at_reason_t fault;
+	char *lead; /* how an event of ours began, through its id */
+	size_t lead_len;
 };
 
 at_answer_t *
@@ -36,6 +39,7 @@
 	if (answer == NULL)
 		return;
 	free(answer->id);
+	free(answer->lead);
 	free(answer->held);
 	free(answer);
 }
@@ -128,10 +132,42 @@
 	return fault;
 }
 
+/*
+ * Engines begin each event of a stream alike. Once one was read whole and is
+ * ours, another that begins with the same bytes, its id among them, and ends
+ * an object needs no reading.
+ */
+static void
+learn_lead(at_answer_t *answer, const char *data, size_t len)
+{
+	const size_t open_len = strlen(ID_FIELD);
+	const char *quote;
+
+	if (len <= open_len || memcmp(data, ID_FIELD, open_len) != 0)
+		return;
+	quote = memchr(data + open_len, '"', len - open_len);
+	if (quote == NULL || memchr(data, '\\', (size_t)(quote - data)) != NULL)
+		return;
+	answer->lead_len = (size_t)(quote - data) + 1;
+	answer->lead = malloc(answer->lead_len);
+	if (answer->lead != NULL)
+		memcpy(answer->lead, data, answer->lead_len);
+}
+
+static int
+begins_alike(const at_answer_t *answer, const char *data, size_t len)
+{
+	return answer->lead != NULL && len > answer->lead_len &&
+	       memcmp(data, answer->lead, answer->lead_len) == 0 &&
+	       data[len - 1] == '}';
+}
+
 /* Checks the payload of one field "data". */
 static at_reason_t
 check_data(at_answer_t *answer, const char *data, size_t len)
 {
+	at_reason_t fault;
+
 	while (len > 0 && *data == ' ') {
 		data++;
 		len--;
@@ -142,7 +178,12 @@
 		answer->done = 1;
 		return AT_REASON_NONE;
 	}
-	return check_object(answer, data, len);
+	if (begins_alike(answer, data, len))
+		return AT_REASON_NONE;
+	fault = check_object(answer, data, len);
+	if (fault == AT_REASON_NONE && answer->lead == NULL)
+		learn_lead(answer, data, len);
+	return fault;
 }
 
 /* Checks the lines of one event. Comments and other fields are free. */
--- a/src/daemon/backends.c
+++ b/src/daemon/backends.c
@@ -1,5 +1,6 @@
 #include "daemon/backends.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,6 +15,8 @@
 
 struct at_backends {
 	entry_t *table;
+	void (*forget)(void *ctx, at_backend_t *backend);
+	void *ctx;
 };
 
 at_backends_t *
@@ -25,6 +28,7 @@
 static void
 entry_delete(at_backends_t *backends, entry_t *entry)
 {
+	assert(backends->table != NULL);
 	HASH_DEL(backends->table, entry);
 	free(entry->backend.view.residents);
 	free(entry);
@@ -81,6 +85,14 @@
 	entry->backend.present = 1;
 }
 
+void
+at_backends_set_forget(at_backends_t *backends,
+    void (*forget)(void *ctx, at_backend_t *backend), void *ctx)
+{
+	backends->forget = forget;
+	backends->ctx = ctx;
+}
+
 void
 at_backends_update(
     at_backends_t *backends, const at_instance_t *instances, size_t count)
@@ -101,8 +113,11 @@
 	{
 		const at_backend_t *b = &entry->backend;
 
-		if (!b->present && b->outstanding == 0 && !b->polling)
-			entry_delete(backends, entry);
+		if (b->present || b->outstanding > 0 || b->polling)
+			continue;
+		if (backends->forget != NULL)
+			backends->forget(backends->ctx, &entry->backend);
+		entry_delete(backends, entry);
 	}
 }
 
@@ -120,13 +135,11 @@
 }
 
 static int
-is_candidate(const at_backend_t *b, at_instance_kind_t kind, const char *target)
+is_candidate(const at_backend_t *b, const char *service)
 {
-	if (!b->present || b->instance.leaving || b->instance.kind != kind)
-		return 0;
-	if (kind == AT_INSTANCE_ENGINE)
-		return at_engine_view_serves(&b->view, target);
-	return strcmp(b->instance.service.text, target) == 0;
+	return b->present && !b->instance.leaving &&
+	       b->instance.kind == AT_INSTANCE_SERVICE &&
+	       strcmp(b->instance.service.text, service) == 0;
 }
 
 #define FAILURE_WEIGHT 1000u   /* one failure counts as so many requests */
@@ -148,8 +161,8 @@
 }
 
 at_backend_t *
-at_backends_choose(at_backends_t *backends, at_instance_kind_t kind,
-    const char *target, const at_name_t *data_centre, const at_name_t *avoid)
+at_backends_choose(at_backends_t *backends, const char *service,
+    const at_name_t *data_centre, const at_name_t *avoid)
 {
 	at_backend_t *best = NULL;
 	uint64_t best_weight = UINT64_MAX;
@@ -159,7 +172,7 @@
 		at_backend_t *b = &entry->backend;
 		uint64_t weight;
 
-		if (!is_candidate(b, kind, target))
+		if (!is_candidate(b, service))
 			continue;
 		weight = weight_of(b, data_centre, avoid);
 		if (weight < best_weight) {
--- a/src/daemon/backends.h
+++ b/src/daemon/backends.h
@@ -25,6 +25,10 @@
 at_backends_t *at_backends_new(void);
 void at_backends_delete(at_backends_t *backends);
 
+/* Called for each backend server before it is forgotten. */
+void at_backends_set_forget(at_backends_t *backends,
+    void (*forget)(void *ctx, at_backend_t *backend), void *ctx);
+
 /* at_backends_update() takes over the newest instance list. */
 void at_backends_update(
     at_backends_t *backends, const at_instance_t *instances, size_t count);
@@ -37,13 +41,11 @@
     void (*visit)(void *ctx, at_backend_t *backend), void *ctx);
 
 /*
- * at_backends_choose() returns the least loaded engine that holds target,
- * or, with kind AT_INSTANCE_SERVICE, a backend server of that service. Own
- * data centre goes first; avoid is skipped where there is another. NULL when
- * there is none.
+ * at_backends_choose() returns the least loaded backend server of a plain
+ * service. Own data centre goes first; avoid is skipped where there is
+ * another. NULL when there is none. Engines are the router's.
  */
-at_backend_t *at_backends_choose(at_backends_t *backends,
-    at_instance_kind_t kind, const char *target, const at_name_t *data_centre,
-    const at_name_t *avoid);
+at_backend_t *at_backends_choose(at_backends_t *backends, const char *service,
+    const at_name_t *data_centre, const at_name_t *avoid);
 
 #endif
--- a/src/daemon/engine_status.c
+++ b/src/daemon/engine_status.c
@@ -6,6 +6,9 @@
 
 #include <jansson.h>
 
+#include "daemon/routing.h"
+#include "io/clock.h"
+
 #define STATUS_TOTAL_MS 1000u
 #define URL_SIZE 128
 
@@ -13,6 +16,7 @@
 typedef struct poll {
 	at_node_t *node;
 	at_name_t engine;
+	uint64_t asked_at_ms; /* what was sent before is in the report */
 	char *body;
 	size_t len;
 	int status;
@@ -58,8 +62,14 @@
 	    (uint64_t)json_integer_value(json_object_get(object, "memory_mb"));
 }
 
+static uint32_t
+number_of(json_t *root, const char *field)
+{
+	return (uint32_t)json_integer_value(json_object_get(root, field));
+}
+
 static void
-take_report(at_backend_t *backend, json_t *root)
+take_report(at_backend_t *backend, json_t *root, uint64_t asked_at_ms)
 {
 	json_t *list = json_object_get(root, "resident");
 	size_t count = json_array_size(list);
@@ -73,6 +83,11 @@
 	free(backend->view.residents);
 	backend->view.residents = residents;
 	backend->view.resident_count = count;
+	backend->view.running = number_of(root, "running");
+	backend->view.queued = number_of(root, "queued");
+	backend->view.queued_prefill_tokens =
+	    number_of(root, "queued_prefill_tokens");
+	backend->view.report_at_ms = asked_at_ms;
 }
 
 static void
@@ -87,8 +102,10 @@
 		backend->polling = 0;
 		if (result->whole && poll->status == 200)
 			root = json_loadb(poll->body, poll->len, 0, NULL);
-		if (root != NULL)
-			take_report(backend, root);
+		if (root != NULL) {
+			take_report(backend, root, poll->asked_at_ms);
+			at_routing_report(poll->node, backend);
+		}
 	}
 	json_decref(root);
 	free(poll->body);
@@ -111,6 +128,7 @@
 	if (poll == NULL)
 		return;
 	poll->node = node;
+	poll->asked_at_ms = at_clock_now_ms();
 	poll->engine = backend->instance.name;
 	events.ctx = poll;
 	(void)snprintf(
--- a/src/daemon/exchange_impl.h
+++ b/src/daemon/exchange_impl.h
@@ -7,6 +7,7 @@
 
 #include "almondthread/answer.h"
 #include "almondthread/attempt.h"
+#include "almondthread/router.h"
 #include "daemon/exchange.h"
 
 #define ATTEMPT_ID_SIZE (AT_REQUEST_ID_SIZE + 8u) /* "-" and a number */
@@ -24,9 +25,13 @@
 	at_answer_t *answer;
 	int status;
 	char content_type[TYPE_SIZE];
-	int refused;       /* by contract, before running */
-	int ending;        /* the transfer was complete */
-	at_reason_t fault; /* found in the answer */
+	int refused;              /* by contract, before running */
+	int ending;               /* the transfer was complete */
+	at_reason_t fault;        /* found in the answer */
+	at_route_choice_t choice; /* of an engine */
+	uint64_t sent_at_ms;
+	int routed; /* the router counts it */
+	int first_token_seen;
 } transport_t;
 
 struct exchange {
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -6,6 +6,7 @@
 
 #include "almondthread/log.h"
 #include "daemon/engine_status.h"
+#include "daemon/routing.h"
 #include "daemon/exchange.h"
 #include "io/clock.h"
 
@@ -89,6 +90,7 @@
 	at_node_t *node = ctx;
 
 	at_backends_update(node->backends, instances, count);
+	at_routing_listed(node);
 	at_peers_update(node->peers, instances, count);
 }
 
@@ -160,6 +162,11 @@
 	if (check_settings(node, status) != AT_OK)
 		return status->code;
 	node->self.number = node->random.next(node->random.impl);
+	node->router = at_router_new(
+	    &node->data_centre, node->random.next(node->random.impl));
+	if (node->router == NULL)
+		return at_status_set(status, AT_FAILED, "no memory");
+	at_backends_set_forget(node->backends, at_routing_forget, node);
 	if (at_platform_init(node->platform, s->platform, status) != AT_OK ||
 	    at_httpd_init(node->operators, s->operators, status) != AT_OK ||
 	    at_httpd_init(node->callers, s->listen, status) != AT_OK ||
@@ -254,6 +261,7 @@
 	at_platform_delete(node->platform);
 	at_httpc_delete(node->httpc);
 	at_backends_delete(node->backends);
+	at_router_delete(node->router);
 	at_budgets_delete(node->budgets);
 	at_history_delete(node->history);
 	at_config_delete(node->config);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -13,6 +13,7 @@
 #include "almondthread/counters.h"
 #include "almondthread/keyring.h"
 #include "almondthread/ports.h"
+#include "almondthread/router.h"
 #include "daemon/backends.h"
 #include "daemon/history.h"
 #include "io/httpc.h"
@@ -63,6 +64,7 @@
 	at_peers_t *peers;
 	at_config_t *config; /* NULL until the first one */
 	at_backends_t *backends;
+	at_router_t *router;   /* of engines */
 	at_history_t *history; /* of refusals, for explain */
 	ev_timer stop_timer;
 	ev_timer status_timer;
--- /dev/null
+++ b/src/daemon/routing.c
@@ -0,0 +1,132 @@
+#include "daemon/routing.h"
+
+#include <string.h>
+
+#include "io/clock.h"
+
+#define BYTES_PER_TOKEN 4u
+
+void
+at_routing_report(at_node_t *node, const at_backend_t *backend)
+{
+	at_engine_view_t view = backend->view;
+
+	view.name = backend->instance.name;
+	view.data_centre = backend->instance.data_centre;
+	view.leaving = backend->instance.leaving || !backend->present;
+	(void)at_router_report(node->router, &view);
+}
+
+void
+at_routing_forget(void *ctx, at_backend_t *backend)
+{
+	at_node_t *node = ctx;
+
+	at_router_remove(node->router, &backend->instance.name);
+}
+
+static void
+take_listed(void *ctx, at_backend_t *backend)
+{
+	at_node_t *node = ctx;
+
+	at_router_leaving(node->router, &backend->instance.name,
+	    backend->instance.leaving || !backend->present);
+}
+
+void
+at_routing_listed(at_node_t *node)
+{
+	at_backends_each(node->backends, take_listed, node);
+}
+
+/* The part of the body that an engine's prefix cache sees. */
+static const char *
+prompt_of(const exchange_t *x, size_t *len)
+{
+	const char *start = memmem(x->body, x->body_len, "\"messages\"", 10);
+
+	if (start == NULL)
+		start = memmem(x->body, x->body_len, "\"prompt\"", 8);
+	if (start == NULL)
+		start = x->body;
+	*len = x->body_len - (size_t)(start - x->body);
+	return start;
+}
+
+static void
+make_request(const transport_t *t, at_route_request_t *request,
+    uint64_t hashes[AT_PREFIX_BLOCKS_MAX])
+{
+	const exchange_t *x = t->x;
+	size_t len;
+	const char *prompt = prompt_of(x, &len);
+	uint32_t k;
+
+	memset(request, 0, sizeof(*request));
+	request->target = x->target.text;
+	request->prompt_tokens = (uint32_t)(len / BYTES_PER_TOKEN);
+	request->prefix_hashes = hashes;
+	request->prefix_count = at_prefix_hashes(x->workspace.text,
+	    x->target.text, prompt, len, BYTES_PER_TOKEN, hashes);
+	request->deadline_ms = x->node->config->defaults.first_byte_ms;
+	for (k = 0; k < t->number && k < AT_ROUTER_AVOID_MAX; k++)
+		request->avoid[k] = &x->transports[k].backend;
+}
+
+at_reason_t
+at_routing_choose(transport_t *t, at_backend_t **backend)
+{
+	at_node_t *node = t->x->node;
+	uint64_t hashes[AT_PREFIX_BLOCKS_MAX];
+	at_route_request_t request;
+	at_reason_t reason;
+
+	*backend = NULL;
+	make_request(t, &request, hashes);
+	reason = at_router_choose(
+	    node->router, &request, at_clock_now_ms(), &t->choice);
+	if (reason != AT_REASON_NONE)
+		return reason;
+	*backend = at_backends_find(node->backends, t->choice.engine.text);
+	return *backend == NULL ? AT_REASON_NO_BACKEND : AT_REASON_NONE;
+}
+
+void
+at_routing_sent(transport_t *t)
+{
+	at_node_t *node = t->x->node;
+	uint64_t hashes[AT_PREFIX_BLOCKS_MAX];
+	at_route_request_t request;
+
+	if (t->x->kind != AT_INSTANCE_ENGINE)
+		return;
+	make_request(t, &request, hashes);
+	t->routed = 1;
+	t->sent_at_ms = at_clock_now_ms();
+	at_router_sent(node->router, &request, &t->choice, t->sent_at_ms);
+	at_counters_add(node->counters, "routes_total", "why",
+	    at_route_why_names[t->choice.why], 1);
+}
+
+void
+at_routing_first_token(transport_t *t)
+{
+	uint64_t seen_ms = at_clock_now_ms() - t->sent_at_ms;
+
+	if (!t->routed || t->first_token_seen)
+		return;
+	t->first_token_seen = 1;
+	at_router_first_token(
+	    t->x->node->router, &t->choice, (uint32_t)seen_ms);
+}
+
+void
+at_routing_ended(transport_t *t, int failed)
+{
+	if (!t->routed)
+		return;
+	t->routed = 0;
+	at_router_ended(
+	    t->x->node->router, &t->choice, failed, at_clock_now_ms());
+}
--- /dev/null
+++ b/src/daemon/routing.h
@@ -0,0 +1,30 @@
+/*
+ * routing.h - the router at work: feeds it with reports and lists, asks it
+ * for each attempt at an engine, and tells it how the attempt went.
+ */
+#ifndef ALMONDTHREAD_DAEMON_ROUTING_H
+#define ALMONDTHREAD_DAEMON_ROUTING_H
+
+#include "daemon/exchange_impl.h"
+
+/* at_routing_report() passes on what an engine reported. */
+void at_routing_report(at_node_t *node, const at_backend_t *backend);
+
+/* at_routing_listed() takes over which engines are listed or leaving. */
+void at_routing_listed(at_node_t *node);
+
+/* at_routing_forget() drops an engine; ctx is the node. */
+void at_routing_forget(void *ctx, at_backend_t *backend);
+
+/*
+ * at_routing_choose() fills t->choice for an attempt at an engine. Returns
+ * AT_REASON_NONE and the backend server, or why there is none.
+ */
+at_reason_t at_routing_choose(transport_t *t, at_backend_t **backend);
+
+/* The attempt left us, got its first token, ended. */
+void at_routing_sent(transport_t *t);
+void at_routing_first_token(transport_t *t);
+void at_routing_ended(transport_t *t, int failed);
+
+#endif
--- a/src/daemon/transport.c
+++ b/src/daemon/transport.c
@@ -1,4 +1,4 @@
-#include "daemon/exchange_impl.h"
+#include "daemon/routing.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -24,6 +24,7 @@
 	at_backend_t *b =
 	    at_backends_find(t->x->node->backends, t->backend.text);
 
+	at_routing_ended(t, outcome == OUTCOME_FAILED);
 	if (b == NULL)
 		return;
 	b->outstanding--;
@@ -64,6 +65,7 @@
 
 	x->part = data;
 	x->part_len = len;
+	at_routing_first_token(t);
 	at_attempts_data(x->machine, t->number, at_clock_now_ms());
 	exchange_pump(x);
 	x->part = NULL;
@@ -227,29 +229,42 @@
 	return at_httpc_start(x->node->httpc, &spec, &events);
 }
 
+static at_reason_t
+choose(transport_t *t, at_backend_t **b)
+{
+	const exchange_t *x = t->x;
+
+	if (x->kind == AT_INSTANCE_ENGINE)
+		return at_routing_choose(t, b);
+	*b = at_backends_choose(x->node->backends, x->target.text,
+	    &x->node->data_centre,
+	    t->number > 0 ? &x->transports[t->number - 1].backend : NULL);
+	return *b == NULL ? AT_REASON_NO_BACKEND : AT_REASON_NONE;
+}
+
 void
 transport_start(exchange_t *x, const at_action_t *action)
 {
 	uint32_t k = action->attempt;
 	transport_t *t = &x->transports[k];
 	uint64_t now_ms = at_clock_now_ms();
-	at_backend_t *b = at_backends_choose(x->node->backends, x->kind,
-	    x->target.text, &x->node->data_centre,
-	    k > 0 ? &x->transports[k - 1].backend : NULL);
+	at_backend_t *b;
+	at_reason_t reason;
 
 	x->transport_count = k + 1;
 	t->x = x;
 	t->number = k;
 	(void)snprintf(t->id, sizeof(t->id), "%s-%u", x->id, k);
-	if (b == NULL) {
-		at_attempts_unplaced(
-		    x->machine, k, AT_REASON_NO_BACKEND, now_ms);
+	reason = choose(t, &b);
+	if (reason != AT_REASON_NONE) {
+		at_attempts_unplaced(x->machine, k, reason, now_ms);
 		return;
 	}
 	if (at_attempts_placed(x->machine, k, &b->budget, now_ms) != 0)
 		return;
 	t->backend = b->instance.name;
 	b->outstanding++;
+	at_routing_sent(t);
 	t->transfer = begin_transfer(t, b->instance.address,
 	    action->fresh_connection || now_ms < b->fresh_until_ms);
 	if (t->transfer != NULL) {
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -22,9 +22,9 @@
 #define AT_HTTPD_ID_DIGITS 32u /* hexadecimal, of a request's id */
 
 /* Bytes buffered for one stream before its producer should pause. */
-#define AT_HTTPD_HIGH_WATER (64u * 1024)
+#define AT_HTTPD_HIGH_WATER (16u * 1024)
 /* Bytes under which a paused producer is called again. */
-#define AT_HTTPD_LOW_WATER (16u * 1024)
+#define AT_HTTPD_LOW_WATER (4u * 1024)
 
 /* Why a request cannot be handled. */
 typedef enum at_httpd_fault {
--- a/src/io/httpd_request.c
+++ b/src/io/httpd_request.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define GROWTH 4096u              /* bytes a buffer grows by at least */
 #define STREAM_BLOCK (16u * 1024) /* bytes handed over at a time */
 
 void
@@ -211,7 +212,7 @@
 	}
 	if (held + len <= request->out_size)
 		return 0;
-	size = held + len + request->out_size;
+	size = held + len + GROWTH;
 	grown = realloc(request->out, size);
 	if (grown == NULL)
 		return -1;
