--- a/src/core/answer.c
+++ b/src/core/answer.c
@@ -257,8 +257,7 @@
 {
 	size_t len;
 
-	if (!answer->done)
-		return AT_REASON_TRUNCATED;
+	/* The only whole event that stays held is the end mark. */
 	answer->scanned = 0;
 	len = event_length(answer);
 	if (len == 0)
--- a/src/daemon/operators.c
+++ b/src/daemon/operators.c
@@ -21,6 +21,8 @@
 
 	at_counters_set(node->counters, "open_requests", NULL, NULL,
 	    at_httpd_open_requests(node->callers));
+	at_counters_set(node->counters, "buffered_bytes", NULL, NULL,
+	    at_httpd_buffered(node->callers));
 	text = at_counters_text(node->counters);
 	reply_text(request, text == NULL ? 500 : 200, text == NULL ? "" : text);
 	free(text);
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -83,6 +83,8 @@
 void at_httpd_close_connections(at_httpd_t *httpd);
 /* at_httpd_open_requests() counts requests that have not ended. */
 size_t at_httpd_open_requests(const at_httpd_t *httpd);
+/* at_httpd_buffered() sums the bytes of streams not yet handed over. */
+size_t at_httpd_buffered(const at_httpd_t *httpd);
 /*
  * at_httpd_delete() aborts the open requests, calls their end callbacks and
  * closes every connection. NULL is permitted.
--- a/src/io/httpd_request.c
+++ b/src/io/httpd_request.c
@@ -237,6 +237,18 @@
 	return request->paused;
 }
 
+size_t
+at_httpd_buffered(const at_httpd_t *httpd)
+{
+	const at_httpd_request_t *request;
+	size_t sum = 0;
+
+	for (request = httpd->requests; request != NULL;
+	     request = request->next)
+		sum += request->out_end - request->out_start;
+	return sum;
+}
+
 void
 at_httpd_stream_end(at_httpd_request_t *request)
 {
--- /dev/null
+++ b/tests/contract/test_requests.c
@@ -0,0 +1,319 @@
+/*
+ * Requests under faults of the backend servers: each has one true verdict, a
+ * whole answer of its own or none, and no more executions than it allows.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "support/desk.h"
+
+static fixture_t *f;
+static standin_relay_t *relay;
+
+static void
+setup(void)
+{
+	f = desk_new(NULL);
+}
+
+static void
+setup_relay(void)
+{
+	f = desk_new(&relay);
+}
+
+static void
+teardown(void)
+{
+	if (relay != NULL)
+		standin_relay_delete(relay);
+	fixture_delete(f);
+}
+
+static void
+silence_old_connections(void)
+{
+	char address[AT_ADDR_SIZE];
+
+	(void)snprintf(address, sizeof(address), "127.0.0.1:%u",
+	    standin_relay_control_port(relay));
+	fixture_faults(f, address, "{\"silent_old\":1}");
+}
+
+typedef struct fault_row {
+	const char *faults;
+	const char *method;
+	const char *path;
+	const char *body;
+	int status;
+	int whole;
+	const char *contains;
+	uint64_t executions; /* at the backend servers, at most and least */
+	at_reason_t retried; /* one retry for this reason, NONE: no retry */
+} fault_row_t;
+
+#define STREAMED "POST", DESK_CHAT, DESK_STREAM
+#define ANSWERED "POST", DESK_CHAT, DESK_WHOLE
+#define CHARGE "POST", "/charges", "{}"
+#define SLOTS "GET", "/slots", NULL
+#define DONE "data: [DONE]"
+#define MAY "\"verdict\":\"may_have_run\""
+#define NOT_RUN "\"verdict\":\"not_run\""
+
+static const fault_row_t rows[] = {
+    {"{}", STREAMED, 200, 1, DONE, 1, AT_REASON_NONE},
+    {"{}", ANSWERED, 200, 1, "-0\"", 1, AT_REASON_NONE},
+    {"{\"crossed\":1}", STREAMED, 200, 1, DONE, 2, AT_REASON_CROSSED},
+    {"{\"crossed\":1}", ANSWERED, 200, 1, "-1\"", 2, AT_REASON_CROSSED},
+    {"{\"crossed\":3}", STREAMED, 502, 1, MAY, 3, AT_REASON_CROSSED},
+    {"{\"crossed\":3}", ANSWERED, 502, 1, MAY, 3, AT_REASON_CROSSED},
+    {"{\"truncate_after\":2}", STREAMED, 200, 0, "\"reason\":\"truncated\"", 1,
+	AT_REASON_NONE},
+    {"{\"shorten\":1}", STREAMED, 200, 0, "\"reason\":\"truncated\"", 1,
+	AT_REASON_NONE},
+    {"{\"break_whole\":1}", ANSWERED, 200, 1, "-1\"", 2, AT_REASON_TRUNCATED},
+    {"{\"shorten\":1}", ANSWERED, 200, 1, "-1\"", 2, AT_REASON_TRUNCATED},
+    {"{\"break_whole\":3}", ANSWERED, 502, 1, "\"truncated\"", 3,
+	AT_REASON_TRUNCATED},
+    {"{\"refuse\":1}", STREAMED, 200, 1, DONE, 1, AT_REASON_REFUSED_BY_BACKEND},
+    {"{\"refuse\":3}", STREAMED, 503, 1, NOT_RUN, 0,
+	AT_REASON_REFUSED_BY_BACKEND},
+    {"{\"crash\":1}", STREAMED, 200, 1, DONE, 2, AT_REASON_BACKEND_RESET},
+    {"{\"silent\":1}", STREAMED, 200, 1, DONE, 2, AT_REASON_NONE},
+    {"{\"refuse\":1,\"crossed\":1}", ANSWERED, 200, 1, "-2\"", 2,
+	AT_REASON_CROSSED},
+    {"{\"crash\":1,\"shorten\":1}", ANSWERED, 200, 1, "-2\"", 3,
+	AT_REASON_TRUNCATED},
+    {"{\"lose_replies\":1}", SLOTS, 200, 1, "\"ok\":true", 2,
+	AT_REASON_BACKEND_RESET},
+    {"{\"silent\":1}", SLOTS, 200, 1, "\"ok\":true", 2, AT_REASON_NONE},
+    {"{\"lose_replies\":1}", CHARGE, 502, 1, MAY, 1, AT_REASON_NONE},
+    {"{\"crash\":1}", CHARGE, 502, 1, MAY, 1, AT_REASON_NONE},
+    {"{\"silent\":1}", CHARGE, 504, 1, MAY, 1, AT_REASON_NONE},
+    {"{\"refuse\":1}", CHARGE, 200, 1, "\"ok\":true", 1,
+	AT_REASON_REFUSED_BY_BACKEND},
+    {"{\"refuse\":3}", CHARGE, 503, 1, NOT_RUN, 0,
+	AT_REASON_REFUSED_BY_BACKEND},
+    {"{\"refuse\":1,\"lose_replies\":1}", CHARGE, 502, 1, MAY, 1,
+	AT_REASON_REFUSED_BY_BACKEND},
+};
+
+static void
+run_row(size_t i)
+{
+	const fault_row_t *r = &rows[i];
+	const char *reason = at_reason_names[r->retried];
+	uint64_t before = desk_executions(f);
+	uint64_t retries = desk_counter(f, "retries_total", "reason", reason);
+	char key[64];
+	fixture_answer_t a;
+
+	(void)snprintf(key, sizeof(key), "Idempotency-Key: row-%zu", i);
+	fixture_faults(f, f->engine_addresses[0], r->faults);
+	fixture_faults(f, f->service_addresses[0], r->faults);
+	a = desk_call(f, r->method, r->path, key, r->body);
+	cr_expect_eq(
+	    a.status, r->status, "row %zu: %d %s", i, a.status, a.body);
+	cr_expect_eq(a.whole, r->whole, "row %zu: whole %d", i, a.whole);
+	cr_expect(strstr(a.body, r->contains), "row %zu: %s", i, a.body);
+	cr_expect_null(strstr(a.body, "someone-else"), "row %zu", i);
+	cr_expect(r->whole || strstr(a.body, DONE) == NULL, "row %zu", i);
+	cr_expect_eq(desk_executions(f) - before, r->executions,
+	    "row %zu: %llu executions", i,
+	    (unsigned long long)(desk_executions(f) - before));
+	if (r->retried != AT_REASON_NONE)
+		cr_expect_gt(desk_counter(f, "retries_total", "reason", reason),
+		    retries);
+	fixture_answer_free(&a);
+	fixture_faults(f, f->engine_addresses[0], DESK_NO_FAULTS);
+	fixture_faults(f, f->service_addresses[0], DESK_NO_FAULTS);
+}
+
+Test(
+    requests, have_a_true_end_under_each_fault, .init = setup, .fini = teardown)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		/* No row is to run out of another's retries. */
+		at_budget_t *b = at_budgets_get(f->nodes[0]->budgets, "w1", 0);
+
+		at_budget_init(b, 0);
+		at_budget_init(at_budgets_get(f->nodes[0]->budgets, "", 0), 0);
+		at_budget_init(
+		    &at_backends_find(f->nodes[0]->backends, "e1")->budget, 0);
+		at_budget_init(
+		    &at_backends_find(f->nodes[0]->backends, "s1")->budget, 0);
+		run_row(i);
+	}
+}
+
+Test(requests, stop_retrying_when_the_budget_is_spent, .init = setup,
+    .fini = teardown)
+{
+	uint64_t before = desk_executions(f);
+	uint64_t tries = 0;
+	int i;
+
+	fixture_faults(f, f->service_addresses[0], "{\"lose_replies\":1000}");
+	for (i = 0; i < 30; i++) {
+		fixture_answer_t a = desk_call(f, "GET", "/slots", NULL, NULL);
+
+		cr_assert_eq(a.status, 502, "%d", a.status);
+		fixture_answer_free(&a);
+	}
+	tries = desk_executions(f) - before;
+	/* 30 requests, 10 retries at once and one in ten seconds. */
+	cr_assert_geq(tries, 40);
+	cr_assert_leq(tries, 42);
+	cr_assert_gt(desk_counter(f, "retries_denied_total", NULL, NULL), 0);
+}
+
+/* What the library does when nothing stops it. */
+static int
+discard(void *ctx, const char *data, size_t len)
+{
+	(void)ctx;
+	(void)data;
+	(void)len;
+	return 0;
+}
+
+static at_transfer_result_t seen;
+static int seen_done;
+
+static void
+keep_result(void *ctx, const at_transfer_result_t *result)
+{
+	(void)ctx;
+	seen = *result;
+	seen_done = 1;
+}
+
+static int
+result_seen(void *ctx)
+{
+	(void)ctx;
+	return seen_done;
+}
+
+static void
+transfer(const char *method, int fresh, int forbid)
+{
+	char url[128];
+	const at_transfer_spec_t spec = {.method = method,
+	    .url = url,
+	    .body = "{}",
+	    .body_len = 2,
+	    .fresh_connection = fresh,
+	    .forbid_resend = forbid};
+	const at_transfer_events_t events = {
+	    .on_data = discard, .on_done = keep_result};
+
+	(void)snprintf(
+	    url, sizeof(url), "http://%s/charges", f->service_addresses[0]);
+	seen_done = 0;
+	cr_assert_not_null(at_httpc_start(f->httpc, &spec, &events));
+	cr_assert(fixture_until(f, result_seen, NULL, 20000));
+}
+
+typedef struct resend_row {
+	int fresh;
+	int forbid;
+	uint64_t executions;
+	int whole;
+	uint32_t resends;
+	int reused;
+} resend_row_t;
+
+static const resend_row_t resends[] = {
+    {0, 0, 2, 1, 1, 0}, /* the trap: two executions, one success */
+    {0, 1, 1, 0, 1, 1},
+    {1, 0, 1, 0, 0, 0},
+};
+
+Test(requests, are_not_sent_again_behind_our_back, .init = setup,
+    .fini = teardown)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(resends) / sizeof(resends[0]); i++) {
+		const resend_row_t *r = &resends[i];
+		uint64_t before;
+
+		transfer("POST", 0, 0); /* leaves a connection in the pool */
+		before = desk_executions(f);
+		fixture_faults(
+		    f, f->service_addresses[0], "{\"lose_replies\":1}");
+		transfer("POST", r->fresh, r->forbid);
+		cr_expect_eq(desk_executions(f) - before, r->executions,
+		    "row %zu: %llu executions", i,
+		    (unsigned long long)(desk_executions(f) - before));
+		cr_expect_eq(seen.whole, r->whole, "row %zu", i);
+		cr_expect_eq(seen.resends, r->resends, "row %zu", i);
+	}
+}
+
+Test(
+    requests, count_a_hidden_resend_as_a_retry, .init = setup, .fini = teardown)
+{
+	uint64_t before;
+	fixture_answer_t a = desk_call(f, "GET", "/slots", NULL, NULL);
+
+	fixture_answer_free(&a);
+	before = desk_executions(f);
+	fixture_faults(f, f->service_addresses[0], "{\"lose_replies\":1}");
+	a = desk_call(f, "GET", "/slots", NULL, NULL);
+	cr_assert_eq(a.status, 200);
+	fixture_answer_free(&a);
+	cr_assert_eq(desk_executions(f) - before, 2);
+	cr_assert_eq(desk_counter(f, "hidden_resends_total", NULL, NULL), 1);
+	cr_assert_eq(
+	    desk_counter(f, "retries_total", "reason", "backend_reset"), 1);
+	/* A charge after it rides no pooled connection. */
+	before = desk_executions(f);
+	fixture_faults(f, f->service_addresses[0], "{\"lose_replies\":1}");
+	a = desk_call(f, "POST", "/charges", "Idempotency-Key: t", "{}");
+	cr_assert_eq(a.status, 502);
+	cr_assert(strstr(a.body, MAY), "%s", a.body);
+	fixture_answer_free(&a);
+	cr_assert_eq(desk_executions(f) - before, 1);
+	cr_assert_eq(desk_counter(f, "hidden_resends_total", NULL, NULL), 1);
+}
+
+Test(requests, lose_one_first_byte_limit_to_a_silent_pool, .init = setup_relay,
+    .fini = teardown)
+{
+	fixture_answer_t answers[8];
+	size_t i;
+	double start;
+	double slowest = 0.;
+
+	/* Eight connections in the pool, all of which fall silent. */
+	fixture_faults(f, f->service_addresses[0], "{\"delay_ms\":100}");
+	for (i = 0; i < 8; i++)
+		desk_send(f, &answers[i], "GET", "/slots", NULL, NULL);
+	for (i = 0; i < 8; i++) {
+		cr_assert(fixture_until(f, desk_is_done, &answers[i], 20000));
+		cr_assert_eq(answers[i].status, 200);
+		fixture_answer_free(&answers[i]);
+	}
+	fixture_faults(f, f->service_addresses[0], "{\"delay_ms\":0}");
+	silence_old_connections();
+	for (i = 0; i < 8; i++) {
+		fixture_answer_t a;
+
+		start = ev_time();
+		a = desk_call(f, "GET", "/slots", NULL, NULL);
+		if (ev_time() - start > slowest)
+			slowest = ev_time() - start;
+		cr_assert_eq(a.status, 200, "%s", a.body);
+		fixture_answer_free(&a);
+	}
+	/* One request met the silence and was hedged; the rest did not. */
+	cr_assert_eq(desk_counter(f, "hedges_total", NULL, NULL), 1);
+	cr_assert_lt(slowest * AT_MS_PER_S, DESK_FIRST_BYTE_MS);
+}
--- /dev/null
+++ b/tests/support/desk.c
@@ -0,0 +1,147 @@
+#include "support/desk.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#define CONFIGURED_MS 12000u
+
+static int
+is_ready(void *ctx)
+{
+	at_node_t *node = ctx;
+	at_backend_t *engine = at_backends_find(node->backends, "e1");
+
+	return node->config != NULL && engine != NULL &&
+	       engine->view.resident_count > 0 &&
+	       at_backends_find(node->backends, "s1") != NULL;
+}
+
+static void
+apply_config(fixture_t *f)
+{
+	char config[2048];
+	char hash[65];
+
+	(void)fixture_key("k1", hash);
+	(void)snprintf(config, sizeof(config),
+	    "{\"generation\":1,\"defaults\":{\"first_byte_ms\":%u,"
+	    "\"idle_ms\":1000,\"deadline_ms\":60000,\"connect_ms\":500},"
+	    "\"data_centres\":[\"north\"],\"workspaces\":[{\"name\":\"w1\","
+	    "\"rate_tokens_s\":1000000,\"burst_tokens\":1000000,\"keys\":["
+	    "{\"id\":\"k1\",\"hash\":\"%s\"}]}],\"models\":[{\"name\":\"m1\","
+	    "\"memory_mb\":10}],\"services\":[{\"name\":\"desk\"}],"
+	    "\"routes\":[{\"path\":\"/slots\",\"method\":\"GET\",\"service\":"
+	    "\"desk\",\"repeat\":\"repeatable\",\"open\":true},{\"path\":"
+	    "\"/charges\",\"method\":\"POST\",\"service\":\"desk\","
+	    "\"repeat\":\"once\"}]}",
+	    DESK_FIRST_BYTE_MS, hash);
+	fixture_apply(f, config);
+	cr_assert(fixture_until(f, is_ready, f->nodes[0], CONFIGURED_MS));
+}
+
+static void
+add_relay(fixture_t *f, standin_relay_t **relay)
+{
+	at_status_t status;
+	char body[256];
+	fixture_answer_t a;
+
+	*relay = standin_relay_new(f->loop);
+	cr_assert_eq(standin_relay_init(*relay, "127.0.0.1:0",
+			 f->service_addresses[0], "127.0.0.1:0", &status),
+	    AT_OK);
+	(void)snprintf(body, sizeof(body),
+	    "{\"kind\":\"service\",\"data_centre\":\"north\",\"service\":"
+	    "\"desk\",\"address\":\"127.0.0.1:%u\"}",
+	    standin_relay_port(*relay));
+	a = fixture_call(
+	    f, "PUT", f->platform_address, "/v1/instances/s1", NULL, body);
+	fixture_answer_free(&a);
+}
+
+fixture_t *
+desk_new(standin_relay_t **relay)
+{
+	fixture_t *f = fixture_new();
+
+	(void)fixture_add_engine(f, "e1", "north", "m1");
+	(void)fixture_add_service(f, "s1", "north", "desk");
+	if (relay != NULL)
+		add_relay(f, relay);
+	(void)fixture_add_node(f, "n1", "north");
+	apply_config(f);
+	return f;
+}
+
+void
+desk_send(fixture_t *f, fixture_answer_t *answer, const char *method,
+    const char *path, const char *header, const char *body)
+{
+	char hash[65];
+	char bearer[160];
+	const char *headers[] = {bearer, header, NULL};
+
+	(void)snprintf(bearer, sizeof(bearer), "Authorization: Bearer %s",
+	    fixture_key("k1", hash));
+	fixture_send(
+	    f, answer, method, f->node_addresses[0], path, headers, body);
+}
+
+int
+desk_is_done(void *answer)
+{
+	return ((fixture_answer_t *)answer)->done;
+}
+
+fixture_answer_t
+desk_call(fixture_t *f, const char *method, const char *path,
+    const char *header, const char *body)
+{
+	fixture_answer_t a;
+
+	desk_send(f, &a, method, path, header, body);
+	cr_assert(fixture_until(f, desk_is_done, &a, DESK_CALL_MS),
+	    "no answer: %s", path);
+	return a;
+}
+
+uint64_t
+desk_counter(
+    fixture_t *f, const char *name, const char *label, const char *value)
+{
+	return at_counters_get(f->nodes[0]->counters, name, label, value);
+}
+
+static uint64_t
+read_number(
+    fixture_t *f, const char *address, const char *path, const char *field)
+{
+	char quoted[64];
+	const char *at;
+	uint64_t n;
+	fixture_answer_t a = fixture_call(f, "GET", address, path, NULL, NULL);
+
+	(void)snprintf(quoted, sizeof(quoted), "\"%s\":", field);
+	at = strstr(a.body, quoted);
+	cr_assert_not_null(at, "%s in %s", field, a.body);
+	n = strtoull(at + strlen(quoted), NULL, 10);
+	fixture_answer_free(&a);
+	return n;
+}
+
+uint64_t
+desk_engine_number(fixture_t *f, const char *field)
+{
+	return read_number(f, f->engine_addresses[0], "/v1/status", field);
+}
+
+uint64_t
+desk_executions(fixture_t *f)
+{
+	return desk_engine_number(f, "executions") +
+	       read_number(
+		   f, f->service_addresses[0], "/control/log", "executions");
+}
--- a/tests/support/fixture.c
+++ b/tests/support/fixture.c
@@ -126,6 +126,7 @@
 	fixture_answer_t *answer = ctx;
 
 	answer->done = 1;
+	answer->transfer = NULL;
 	answer->whole = result->whole;
 	answer->reason = result->reason;
 	if (answer->body == NULL)
@@ -148,7 +149,15 @@
 
 	memset(answer, 0, sizeof(*answer));
 	(void)snprintf(url, sizeof(url), "http://%s%s", address, path);
-	cr_assert_not_null(at_httpc_start(f->httpc, &spec, &events));
+	answer->transfer = at_httpc_start(f->httpc, &spec, &events);
+	cr_assert_not_null(answer->transfer);
+}
+
+void
+fixture_hang_up(fixture_answer_t *answer)
+{
+	at_transfer_cancel(answer->transfer);
+	answer->transfer = NULL;
 }
 
 static int
--- a/tests/support/fixture.h
+++ b/tests/support/fixture.h
@@ -40,6 +40,7 @@
 	uint64_t version; /* of the X-Version header */
 	char *body;
 	size_t len;
+	at_transfer_t *transfer; /* while it is open */
 } fixture_answer_t;
 
 /* fixture_new() starts the platform alone. */
@@ -76,6 +77,9 @@
     const char *body);
 void fixture_answer_free(fixture_answer_t *answer);
 
+/* fixture_hang_up() closes an open call as a caller that leaves does. */
+void fixture_hang_up(fixture_answer_t *answer);
+
 /* fixture_faults() sets faults of a stand-in at an address. */
 void fixture_faults(fixture_t *f, const char *address, const char *json);
 
