Try a distrusted engine rather than refuse; split the router

Cause: test_requests (rows 2 to 16) failed once the router was in force: after one fault each, both engines were out for 500 ms and requests were refused with no_backend although a try would have succeeded. Change: engines that failed stay the last resort instead of no candidate; leaving ones stay none. router.c is split (decisions; table of engines). Conclusion: suspicion orders candidates, it does not remove the last one.

--- a/src/core/router.c
+++ b/src/core/router.c
@@ -1,335 +1,19 @@
-#include "almondthread/router.h"
+#include "core/router_private.h"
 
-#include <assert.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include <uthash.h>
 #include <xxhash.h>
 
-#include "almondthread/ports.h"
-#include "core/prefix_table.h"
-
-#define DEFAULT_PREFILL_TOKENS_S 8000u
-#define DEFAULT_BATCH_MAX 32u
-#define DEFAULT_BATCH_PLACE_MS 60u
-#define DEFAULT_DISTANCE_MS 4u
-#define DEFAULT_STALE_MS 1500u
-#define SENT_MAX 64u    /* sends remembered since a report */
-#define RATIO_ONE 1024u /* observed = predicted */
 #define RATIO_MIN (RATIO_ONE / 2)
 #define RATIO_MAX (RATIO_ONE * 8)
 #define RATIO_SHIFT 4u        /* weight of one observation: 1/16 */
 #define SUSPECT_FIRST_MS 500u /* out after the first failure */
 #define SUSPECT_MAX_MS 30000u /* out after many */
-#define PROBATION_OK 8u       /* answers until full trust */
 #define OVERFLOW_GAIN_MS 30u  /* another data centre must be sooner by */
 
-typedef struct sent {
-	uint64_t at_ms;
-	uint32_t prefill_tokens;
-} sent_t;
-
-typedef struct engine {
-	at_engine_view_t view; /* residents are owned */
-	uint32_t index;
-	uint32_t own_running;
-	sent_t sent[SENT_MAX]; /* since the report */
-	size_t sent_count;
-	uint32_t ratio; /* observed / predicted, in RATIO_ONE */
-	uint32_t failures;
-	uint32_t successes; /* since the last failure */
-	uint64_t out_until_ms;
-	UT_hash_handle hh;
-} engine_t;
-
-/* The engines that hold one model or adapter. */
-typedef struct holders {
-	char target[AT_NAME_SIZE];
-	engine_t **engines;
-	size_t count;
-	size_t size;
-	UT_hash_handle hh;
-} holders_t;
-
-struct at_router {
-	at_name_t data_centre;
-	at_engine_speed_t speed;
-	uint32_t distance_ms;
-	uint32_t stale_ms;
-	at_rng_t rng;
-	engine_t *engines;
-	holders_t *holders;
-	at_prefix_table_t *prefixes;
-	uint32_t next_index;
-};
-
 const char *const at_route_why_names[] = {
     "least", "prefix", "two", "overflow", "probation"};
 
-at_router_t *
-at_router_new(const at_name_t *data_centre, uint64_t seed)
-{
-	at_router_t *router = calloc(1, sizeof(*router));
-
-	if (router == NULL)
-		return NULL;
-	router->data_centre = *data_centre;
-	router->speed.prefill_tokens_s = DEFAULT_PREFILL_TOKENS_S;
-	router->speed.batch_max = DEFAULT_BATCH_MAX;
-	router->speed.batch_place_ms = DEFAULT_BATCH_PLACE_MS;
-	router->distance_ms = DEFAULT_DISTANCE_MS;
-	router->stale_ms = DEFAULT_STALE_MS;
-	router->rng.state = seed;
-	router->prefixes = at_prefix_table_new();
-	if (router->prefixes == NULL) {
-		free(router);
-		return NULL;
-	}
-	return router;
-}
-
-void
-at_router_set_speed(at_router_t *router, const at_engine_speed_t *speed)
-{
-	assert(speed->prefill_tokens_s > 0 && speed->batch_max > 0);
-	router->speed = *speed;
-}
-
-void
-at_router_set_distance_ms(at_router_t *router, uint32_t distance_ms)
-{
-	router->distance_ms = distance_ms;
-}
-
-void
-at_router_set_stale_ms(at_router_t *router, uint32_t stale_ms)
-{
-	router->stale_ms = stale_ms;
-}
-
-static engine_t *
-find_engine(const at_router_t *router, const at_name_t *name)
-{
-	engine_t *e;
-
-	HASH_FIND_STR(router->engines, name->text, e);
-	return e;
-}
-
-static const char *
-target_of(const at_resident_t *resident)
-{
-	return resident->adapter.text[0] != '\0' ? resident->adapter.text
-						 : resident->model.text;
-}
-
-static void
-holders_remove(at_router_t *router, const char *target, const engine_t *e)
-{
-	holders_t *h;
-	size_t i;
-
-	HASH_FIND_STR(router->holders, target, h);
-	if (h == NULL)
-		return;
-	for (i = 0; i < h->count; i++) {
-		if (h->engines[i] == e) {
-			h->engines[i] = h->engines[--h->count];
-			break;
-		}
-	}
-	if (h->count > 0)
-		return;
-	HASH_DEL(router->holders, h);
-	free(h->engines);
-	free(h);
-}
-
-static int
-holders_grow(holders_t *h)
-{
-	size_t size = 2 * h->size + 4;
-	engine_t **grown = realloc(h->engines, size * sizeof(engine_t *));
-
-	if (grown == NULL)
-		return -1;
-	h->engines = grown;
-	h->size = size;
-	return 0;
-}
-
-static int
-holders_add(at_router_t *router, const char *target, engine_t *e)
-{
-	holders_t *h;
-
-	HASH_FIND_STR(router->holders, target, h);
-	if (h == NULL) {
-		h = calloc(1, sizeof(*h));
-		if (h == NULL)
-			return -1;
-		memcpy(h->target, target, strlen(target) + 1);
-		HASH_ADD_STR(router->holders, target, h);
-	}
-	if (h->count == h->size && holders_grow(h) != 0)
-		return -1;
-	h->engines[h->count++] = e;
-	return 0;
-}
-
-static void
-drop_residents(at_router_t *router, engine_t *e)
-{
-	size_t i;
-
-	for (i = 0; i < e->view.resident_count; i++)
-		holders_remove(router, target_of(&e->view.residents[i]), e);
-	free(e->view.residents);
-	e->view.residents = NULL;
-	e->view.resident_count = 0;
-}
-
-static int
-same_residents(const at_engine_view_t *a, const at_engine_view_t *b)
-{
-	size_t i;
-
-	if (a->resident_count != b->resident_count)
-		return 0;
-	for (i = 0; i < a->resident_count; i++) {
-		if (!at_name_equal(
-			&a->residents[i].model, &b->residents[i].model) ||
-		    !at_name_equal(
-			&a->residents[i].adapter, &b->residents[i].adapter))
-			return 0;
-	}
-	return 1;
-}
-
-static int
-take_residents(at_router_t *router, engine_t *e, const at_engine_view_t *view)
-{
-	size_t bytes = view->resident_count * sizeof(view->residents[0]);
-	size_t i;
-
-	if (same_residents(&e->view, view))
-		return 0;
-	drop_residents(router, e);
-	if (bytes == 0)
-		return 0;
-	e->view.residents = malloc(bytes);
-	if (e->view.residents == NULL)
-		return -1;
-	memcpy(e->view.residents, view->residents, bytes);
-	e->view.resident_count = view->resident_count;
-	for (i = 0; i < view->resident_count; i++) {
-		if (holders_add(router, target_of(&view->residents[i]), e) != 0)
-			return -1;
-	}
-	return 0;
-}
-
-/* What was sent before the report is in the report. */
-static void
-forget_sent(engine_t *e, uint64_t report_at_ms)
-{
-	size_t kept = 0;
-	size_t i;
-
-	for (i = 0; i < e->sent_count; i++) {
-		if (e->sent[i].at_ms > report_at_ms)
-			e->sent[kept++] = e->sent[i];
-	}
-	e->sent_count = kept;
-}
-
-static engine_t *
-add_engine(at_router_t *router, const at_name_t *name)
-{
-	engine_t *e = calloc(1, sizeof(*e));
-
-	if (e == NULL)
-		return NULL;
-	e->view.name = *name;
-	e->index = router->next_index++;
-	e->ratio = RATIO_ONE;
-	e->successes = PROBATION_OK;
-	HASH_ADD_KEYPTR(
-	    hh, router->engines, e->view.name.text, strlen(name->text), e);
-	return e;
-}
-
-int
-at_router_report(at_router_t *router, const at_engine_view_t *view)
-{
-	engine_t *e = find_engine(router, &view->name);
-	at_resident_t *residents;
-	size_t count;
-
-	if (e == NULL)
-		e = add_engine(router, &view->name);
-	if (e == NULL)
-		return -1;
-	if (view->report_at_ms < e->view.report_at_ms)
-		return 0;
-	if (view->incarnation != e->view.incarnation)
-		at_prefix_table_drop(router->prefixes, e->index);
-	if (take_residents(router, e, view) != 0)
-		return -1;
-	forget_sent(e, view->report_at_ms);
-	residents = e->view.residents;
-	count = e->view.resident_count;
-	e->view = *view;
-	e->view.residents = residents;
-	e->view.resident_count = count;
-	return 0;
-}
-
-static void
-engine_delete(at_router_t *router, engine_t *e)
-{
-	drop_residents(router, e);
-	HASH_DEL(router->engines, e);
-	free(e);
-}
-
-void
-at_router_remove(at_router_t *router, const at_name_t *name)
-{
-	engine_t *e = find_engine(router, name);
-
-	if (e == NULL)
-		return;
-	at_prefix_table_drop(router->prefixes, e->index);
-	engine_delete(router, e);
-}
-
-void
-at_router_leaving(at_router_t *router, const at_name_t *name, int leaving)
-{
-	engine_t *e = find_engine(router, name);
-
-	if (e != NULL)
-		e->view.leaving = leaving;
-}
-
-void
-at_router_delete(at_router_t *router)
-{
-	engine_t *e;
-	engine_t *next;
-
-	if (router == NULL)
-		return;
-	HASH_ITER(hh, router->engines, e, next)
-	{
-		engine_delete(router, e);
-	}
-	at_prefix_table_delete(router->prefixes);
-	free(router);
-}
-
 static int
 is_avoided(const engine_t *e, const at_route_request_t *request)
 {
@@ -342,11 +26,14 @@
 	return 0;
 }
 
-/* An engine on probation gets one request for each answer it gave. */
+/*
+ * An engine that failed is out for a while; then, on probation, it gets one
+ * request for each answer it gave.
+ */
 static int
-may_take(const engine_t *e, uint64_t now_ms)
+is_trusted(const engine_t *e, uint64_t now_ms)
 {
-	if (e->view.leaving || e->view.suspected)
+	if (e->view.suspected)
 		return 0;
 	if (now_ms < e->out_until_ms)
 		return 0;
@@ -450,7 +137,8 @@
 typedef struct search {
 	best_t local;
 	best_t remote;
-	best_t avoided;
+	best_t avoided;    /* tried before: only when there is no other */
+	best_t distrusted; /* the last resort */
 	const engine_t *stale[2]; /* two of them, drawn at random */
 	uint32_t stale_count;
 } search_t;
@@ -459,8 +147,12 @@
 search_one(at_router_t *router, const engine_t *e,
     const at_route_request_t *request, uint64_t now_ms, search_t *s)
 {
-	if (!may_take(e, now_ms))
+	if (e->view.leaving)
+		return;
+	if (!is_trusted(e, now_ms)) {
+		consider(router, e, request, now_ms, &s->distrusted);
 		return;
+	}
 	if (is_avoided(e, request)) {
 		consider(router, e, request, now_ms, &s->avoided);
 		return;
@@ -495,22 +187,29 @@
 static at_route_why_t
 why(const best_t *best, const search_t *s)
 {
-	if (best->engine->successes < PROBATION_OK)
+	if (best == &s->distrusted || best->engine->successes < PROBATION_OK)
 		return AT_ROUTE_PROBATION;
 	if (best == &s->remote)
 		return AT_ROUTE_OVERFLOW;
 	return best->cached > 0 ? AT_ROUTE_PREFIX : AT_ROUTE_LEAST;
 }
 
+/*
+ * A distrusted engine may fail the request; without another, a refusal
+ * would fail it for certain.
+ */
 static const best_t *
 pick(const search_t *s)
 {
-	if (s->local.engine == NULL)
-		return s->remote.engine != NULL ? &s->remote : &s->avoided;
-	if (s->remote.engine != NULL &&
-	    s->remote.ms + OVERFLOW_GAIN_MS < s->local.ms)
+	if (s->local.engine != NULL && s->remote.engine != NULL)
+		return s->remote.ms + OVERFLOW_GAIN_MS < s->local.ms
+			   ? &s->remote
+			   : &s->local;
+	if (s->local.engine != NULL)
+		return &s->local;
+	if (s->remote.engine != NULL)
 		return &s->remote;
-	return &s->local;
+	return s->avoided.engine != NULL ? &s->avoided : &s->distrusted;
 }
 
 at_reason_t
@@ -544,7 +243,7 @@
 at_router_sent(at_router_t *router, const at_route_request_t *request,
     const at_route_choice_t *choice, uint64_t now_ms)
 {
-	engine_t *e = find_engine(router, &choice->engine);
+	engine_t *e = at_router_engine(router, &choice->engine);
 	size_t i;
 
 	if (e == NULL)
@@ -572,7 +271,7 @@
 at_router_first_token(
     at_router_t *router, const at_route_choice_t *choice, uint32_t seen_ms)
 {
-	engine_t *e = find_engine(router, &choice->engine);
+	engine_t *e = at_router_engine(router, &choice->engine);
 	uint64_t predicted = choice->predicted_ms + 1u;
 	uint64_t ratio;
 
@@ -602,7 +301,7 @@
 at_router_ended(at_router_t *router, const at_route_choice_t *choice,
     int failed, uint64_t now_ms)
 {
-	engine_t *e = find_engine(router, &choice->engine);
+	engine_t *e = at_router_engine(router, &choice->engine);
 
 	if (e == NULL)
 		return;
@@ -622,7 +321,7 @@
 uint32_t
 at_router_load(const at_router_t *router, const at_name_t *name)
 {
-	const engine_t *e = find_engine(router, name);
+	const engine_t *e = at_router_engine(router, name);
 
 	return e == NULL ? 0 : e->own_running;
 }
--- /dev/null
+++ b/src/core/router_table.c
@@ -0,0 +1,274 @@
+#include "core/router_private.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DEFAULT_PREFILL_TOKENS_S 8000u
+#define DEFAULT_BATCH_MAX 32u
+#define DEFAULT_BATCH_PLACE_MS 60u
+#define DEFAULT_DISTANCE_MS 4u
+#define DEFAULT_STALE_MS 1500u
+
+at_router_t *
+at_router_new(const at_name_t *data_centre, uint64_t seed)
+{
+	at_router_t *router = calloc(1, sizeof(*router));
+
+	if (router == NULL)
+		return NULL;
+	router->data_centre = *data_centre;
+	router->speed.prefill_tokens_s = DEFAULT_PREFILL_TOKENS_S;
+	router->speed.batch_max = DEFAULT_BATCH_MAX;
+	router->speed.batch_place_ms = DEFAULT_BATCH_PLACE_MS;
+	router->distance_ms = DEFAULT_DISTANCE_MS;
+	router->stale_ms = DEFAULT_STALE_MS;
+	router->rng.state = seed;
+	router->prefixes = at_prefix_table_new();
+	if (router->prefixes == NULL) {
+		free(router);
+		return NULL;
+	}
+	return router;
+}
+
+void
+at_router_set_speed(at_router_t *router, const at_engine_speed_t *speed)
+{
+	assert(speed->prefill_tokens_s > 0 && speed->batch_max > 0);
+	router->speed = *speed;
+}
+
+void
+at_router_set_distance_ms(at_router_t *router, uint32_t distance_ms)
+{
+	router->distance_ms = distance_ms;
+}
+
+void
+at_router_set_stale_ms(at_router_t *router, uint32_t stale_ms)
+{
+	router->stale_ms = stale_ms;
+}
+
+engine_t *
+at_router_engine(const at_router_t *router, const at_name_t *name)
+{
+	engine_t *e;
+
+	HASH_FIND_STR(router->engines, name->text, e);
+	return e;
+}
+
+static const char *
+target_of(const at_resident_t *resident)
+{
+	return resident->adapter.text[0] != '\0' ? resident->adapter.text
+						 : resident->model.text;
+}
+
+static void
+holders_remove(at_router_t *router, const char *target, const engine_t *e)
+{
+	holders_t *h;
+	size_t i;
+
+	HASH_FIND_STR(router->holders, target, h);
+	if (h == NULL)
+		return;
+	for (i = 0; i < h->count; i++) {
+		if (h->engines[i] == e) {
+			h->engines[i] = h->engines[--h->count];
+			break;
+		}
+	}
+	if (h->count > 0)
+		return;
+	HASH_DEL(router->holders, h);
+	free(h->engines);
+	free(h);
+}
+
+static int
+holders_grow(holders_t *h)
+{
+	size_t size = 2 * h->size + 4;
+	engine_t **grown = realloc(h->engines, size * sizeof(engine_t *));
+
+	if (grown == NULL)
+		return -1;
+	h->engines = grown;
+	h->size = size;
+	return 0;
+}
+
+static int
+holders_add(at_router_t *router, const char *target, engine_t *e)
+{
+	holders_t *h;
+
+	HASH_FIND_STR(router->holders, target, h);
+	if (h == NULL) {
+		h = calloc(1, sizeof(*h));
+		if (h == NULL)
+			return -1;
+		memcpy(h->target, target, strlen(target) + 1);
+		HASH_ADD_STR(router->holders, target, h);
+	}
+	if (h->count == h->size && holders_grow(h) != 0)
+		return -1;
+	h->engines[h->count++] = e;
+	return 0;
+}
+
+static void
+drop_residents(at_router_t *router, engine_t *e)
+{
+	size_t i;
+
+	for (i = 0; i < e->view.resident_count; i++)
+		holders_remove(router, target_of(&e->view.residents[i]), e);
+	free(e->view.residents);
+	e->view.residents = NULL;
+	e->view.resident_count = 0;
+}
+
+static int
+same_residents(const at_engine_view_t *a, const at_engine_view_t *b)
+{
+	size_t i;
+
+	if (a->resident_count != b->resident_count)
+		return 0;
+	for (i = 0; i < a->resident_count; i++) {
+		if (!at_name_equal(
+			&a->residents[i].model, &b->residents[i].model) ||
+		    !at_name_equal(
+			&a->residents[i].adapter, &b->residents[i].adapter))
+			return 0;
+	}
+	return 1;
+}
+
+static int
+take_residents(at_router_t *router, engine_t *e, const at_engine_view_t *view)
+{
+	size_t bytes = view->resident_count * sizeof(view->residents[0]);
+	size_t i;
+
+	if (same_residents(&e->view, view))
+		return 0;
+	drop_residents(router, e);
+	if (bytes == 0)
+		return 0;
+	e->view.residents = malloc(bytes);
+	if (e->view.residents == NULL)
+		return -1;
+	memcpy(e->view.residents, view->residents, bytes);
+	e->view.resident_count = view->resident_count;
+	for (i = 0; i < view->resident_count; i++) {
+		if (holders_add(router, target_of(&view->residents[i]), e) != 0)
+			return -1;
+	}
+	return 0;
+}
+
+/* What was sent before the report is in the report. */
+static void
+forget_sent(engine_t *e, uint64_t report_at_ms)
+{
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < e->sent_count; i++) {
+		if (e->sent[i].at_ms > report_at_ms)
+			e->sent[kept++] = e->sent[i];
+	}
+	e->sent_count = kept;
+}
+
+static engine_t *
+add_engine(at_router_t *router, const at_name_t *name)
+{
+	engine_t *e = calloc(1, sizeof(*e));
+
+	if (e == NULL)
+		return NULL;
+	e->view.name = *name;
+	e->index = router->next_index++;
+	e->ratio = RATIO_ONE;
+	e->successes = PROBATION_OK;
+	HASH_ADD_KEYPTR(
+	    hh, router->engines, e->view.name.text, strlen(name->text), e);
+	return e;
+}
+
+int
+at_router_report(at_router_t *router, const at_engine_view_t *view)
+{
+	engine_t *e = at_router_engine(router, &view->name);
+	at_resident_t *residents;
+	size_t count;
+
+	if (e == NULL)
+		e = add_engine(router, &view->name);
+	if (e == NULL)
+		return -1;
+	if (view->report_at_ms < e->view.report_at_ms)
+		return 0;
+	if (view->incarnation != e->view.incarnation)
+		at_prefix_table_drop(router->prefixes, e->index);
+	if (take_residents(router, e, view) != 0)
+		return -1;
+	forget_sent(e, view->report_at_ms);
+	residents = e->view.residents;
+	count = e->view.resident_count;
+	e->view = *view;
+	e->view.residents = residents;
+	e->view.resident_count = count;
+	return 0;
+}
+
+static void
+engine_delete(at_router_t *router, engine_t *e)
+{
+	drop_residents(router, e);
+	HASH_DEL(router->engines, e);
+	free(e);
+}
+
+void
+at_router_remove(at_router_t *router, const at_name_t *name)
+{
+	engine_t *e = at_router_engine(router, name);
+
+	if (e == NULL)
+		return;
+	at_prefix_table_drop(router->prefixes, e->index);
+	engine_delete(router, e);
+}
+
+void
+at_router_leaving(at_router_t *router, const at_name_t *name, int leaving)
+{
+	engine_t *e = at_router_engine(router, name);
+
+	if (e != NULL)
+		e->view.leaving = leaving;
+}
+
+void
+at_router_delete(at_router_t *router)
+{
+	engine_t *e;
+	engine_t *next;
+
+	if (router == NULL)
+		return;
+	HASH_ITER(hh, router->engines, e, next)
+	{
+		engine_delete(router, e);
+	}
+	at_prefix_table_delete(router->prefixes);
+	free(router);
+}
