--- a/src/io/peers.h
+++ b/src/io/peers.h
@@ -88,8 +88,8 @@
  */
 int at_peers_add_seed(at_peers_t *peers, const char *address);
 /* at_peers_init() listens for peers on "ip:port". */
-at_code_t
-at_peers_init(at_peers_t *peers, const char *address, at_status_t *status);
+at_code_t at_peers_init(
+    at_peers_t *peers, const char *address, at_status_t *status);
 uint16_t at_peers_port(const at_peers_t *peers);
 void at_peers_delete(at_peers_t *peers);
 
@@ -124,8 +124,8 @@
     void (*visit)(void *ctx, const at_member_t *member), void *ctx);
 
 /* at_peers_member() returns a member by name, or NULL. */
-const at_member_t *
-at_peers_member(const at_peers_t *peers, const at_name_t *instance);
+const at_member_t *at_peers_member(
+    const at_peers_t *peers, const at_name_t *instance);
 
 /*
  * at_peers_owner() returns the live instance of a data centre, this one
