Adopt configuration and instance list through readers and peers

Cause: every daemon watched the platform and read the whole instance list each second, so calls grew with the fleet; a daemon that started during an outage had no configuration; nothing said how old the keys in force are.

Two readers in each data centre, by rendezvous hashing, watch the platform and read the list with If-None-Match; heartbeats carry versions, and whoever hears of a newer one asks for the difference. Nobody vouches but for its own calls, so the age of a word cannot shrink by being passed on. An instance that nobody vouches for reads by itself at 5 to 60 s. defaults.cut_off_keys=refuse refuses keys older than key_staleness_ms with key_unchecked. at_platform_fetch_list and at_platform_pause_watch replace the list watch; the list's text is parsed in instances.c; the stand-in's list carries a revision.

Conclusion: calls of the platform follow the readers, not the fleet.

--- /dev/null
+++ b/src/daemon/config_io.c
@@ -0,0 +1,395 @@
+#include "daemon/config_io.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "almondthread/log.h"
+#include "io/clock.h"
+#include "io/instances.h"
+#include "io/replica.h"
+
+#define WATCHED "config/"   /* prefix of the watch */
+#define TICK_S 0.25         /* between two looks at roles and ages */
+#define LIST_EVERY_MS 1000u /* between two reads of a reader */
+#define UNSURE_MS 10000u    /* age after which one reads by oneself */
+#define SLOW_READ_MIN_MS 5000u
+#define SLOW_READ_MAX_MS 60000u
+
+struct at_config_io {
+	struct ev_loop *loop;
+	at_peers_t *peers;
+	at_platform_t *platform;
+	at_store_t store;
+	at_name_t instance;
+	at_name_t data_centre;
+	at_counters_t *counters;
+	at_config_io_config_t on_config;
+	at_config_io_instances_t on_instances;
+	void *ctx;
+	at_replica_t *replicas[AT_PEER_DOCUMENT_COUNT];
+	at_random_t random;
+	ev_timer tick;
+	int reads;
+	int platform_differs;   /* what it holds was refused here */
+	uint64_t own_check_ms;  /* of our own calls; 0: never */
+	uint64_t peer_check_ms; /* by the word of peers; 0: never */
+	uint64_t list_at_ms;    /* next read of the list */
+	uint64_t slow_at_ms;    /* next read of an instance left alone */
+	uint32_t slow_wait_ms;
+	int reading; /* a slow read is open */
+};
+
+static void *
+parse_config(void *impl, const char *text, size_t len, uint64_t *version)
+{
+	at_config_io_t *io = impl;
+	at_status_t status;
+	at_config_t *config;
+
+	at_status_clear(&status);
+	config = at_config_parse(text, len, &status);
+	if (config == NULL) {
+		at_counters_add(
+		    io->counters, "config_refused_total", NULL, NULL, 1);
+		at_log(AT_LOG_ERROR, "config", NULL,
+		    "The new configuration is refused: %s.", status.message);
+		return NULL;
+	}
+	*version = config->generation;
+	return config;
+}
+
+static void
+use_config(void *impl, void *object)
+{
+	at_config_io_t *io = impl;
+	at_config_t *config = object;
+
+	at_counters_set(
+	    io->counters, "config_generation", NULL, NULL, config->generation);
+	at_log(AT_LOG_INFO, "config", NULL, "Generation %llu is in force.",
+	    (unsigned long long)config->generation);
+	io->on_config(io->ctx, config);
+}
+
+static void
+discard_config(void *impl, void *object)
+{
+	(void)impl;
+	at_config_delete(object);
+}
+
+static void *
+parse_list(void *impl, const char *text, size_t len, uint64_t *version)
+{
+	at_instances_t *list = at_instances_parse(text, len);
+
+	(void)impl;
+	if (list != NULL)
+		*version = list->revision;
+	return list;
+}
+
+static void
+use_list(void *impl, void *object)
+{
+	at_config_io_t *io = impl;
+	at_instances_t *list = object;
+
+	at_counters_set(
+	    io->counters, "instances_revision", NULL, NULL, list->revision);
+	at_peers_update(io->peers, list->rows, list->count);
+	io->on_instances(io->ctx, list->rows, list->count);
+	at_instances_delete(list);
+}
+
+static void
+discard_list(void *impl, void *object)
+{
+	(void)impl;
+	at_instances_delete(object);
+}
+
+static at_replica_t *
+config_replica(const at_config_io_t *io)
+{
+	return io->replicas[AT_PEER_DOCUMENT_CONFIG];
+}
+
+static at_replica_t *
+list_replica(const at_config_io_t *io)
+{
+	return io->replicas[AT_PEER_DOCUMENT_INSTANCES];
+}
+
+at_config_io_t *
+at_config_io_new(
+    struct ev_loop *loop, at_peers_t *peers, at_platform_t *platform)
+{
+	at_config_io_t *io = calloc(1, sizeof(*io));
+	const at_adopt_port_t config = {
+	    parse_config, use_config, discard_config, io};
+	const at_adopt_port_t list = {parse_list, use_list, discard_list, io};
+
+	if (io == NULL)
+		return NULL;
+	io->loop = loop;
+	io->peers = peers;
+	io->platform = platform;
+	io->random = at_random_system();
+	io->replicas[AT_PEER_DOCUMENT_CONFIG] =
+	    at_replica_new(peers, AT_PEER_DOCUMENT_CONFIG, &config);
+	io->replicas[AT_PEER_DOCUMENT_INSTANCES] =
+	    at_replica_new(peers, AT_PEER_DOCUMENT_INSTANCES, &list);
+	if (config_replica(io) == NULL || list_replica(io) == NULL) {
+		at_config_io_delete(io);
+		return NULL;
+	}
+	return io;
+}
+
+void
+at_config_io_set_self(
+    at_config_io_t *io, const at_name_t *instance, const at_name_t *data_centre)
+{
+	io->instance = *instance;
+	io->data_centre = *data_centre;
+}
+
+void
+at_config_io_set_counters(at_config_io_t *io, at_counters_t *counters)
+{
+	size_t i;
+
+	io->counters = counters;
+	for (i = 0; i < AT_PEER_DOCUMENT_COUNT; i++)
+		at_replica_set_counters(io->replicas[i], counters);
+}
+
+void
+at_config_io_set_events(at_config_io_t *io, at_config_io_config_t on_config,
+    at_config_io_instances_t on_instances, void *ctx)
+{
+	io->on_config = on_config;
+	io->on_instances = on_instances;
+	io->ctx = ctx;
+}
+
+/* An answer of the platform on what it holds. */
+static void
+take_platform(at_config_io_t *io, const char *text, size_t len)
+{
+	at_adopt_result_t result =
+	    at_replica_offer(config_replica(io), text, len);
+
+	io->platform_differs = result == AT_ADOPT_REFUSED;
+}
+
+/* The platform's own word that nothing newer exists. */
+static void
+note_check(at_config_io_t *io)
+{
+	if (!io->platform_differs)
+		io->own_check_ms = at_clock_now_ms();
+}
+
+static void
+on_watch(void *ctx, const at_store_event_t *event)
+{
+	at_config_io_t *io = ctx;
+
+	if (event == NULL)
+		note_check(io);
+	else if (event->version != 0 &&
+		 strcmp(event->name, AT_CONFIG_OBJECT) == 0)
+		take_platform(io, event->value, event->value_len);
+}
+
+static void
+on_list(void *ctx, const char *text, size_t len)
+{
+	at_config_io_t *io = ctx;
+
+	if (text != NULL)
+		(void)at_replica_offer(list_replica(io), text, len);
+}
+
+static void
+on_slow_read(void *ctx, const at_store_result_t *result)
+{
+	at_config_io_t *io = ctx;
+
+	io->reading = 0;
+	if (result->code == AT_STORE_OK)
+		take_platform(io, result->value, result->value_len);
+	if (result->code == AT_STORE_OK || result->code == AT_STORE_NOT_FOUND) {
+		note_check(io);
+		io->slow_wait_ms = SLOW_READ_MIN_MS;
+	}
+}
+
+static void
+on_heartbeat(void *ctx, const at_member_t *from)
+{
+	at_config_io_t *io = ctx;
+	uint64_t held = at_replica_version(config_replica(io));
+	size_t i;
+
+	for (i = 0; i < AT_PEER_DOCUMENT_COUNT; i++)
+		at_replica_heard(io->replicas[i], from);
+	if (from->versions[AT_PEER_DOCUMENT_CONFIG] <= held &&
+	    from->checked_at_ms > io->peer_check_ms)
+		io->peer_check_ms = from->checked_at_ms;
+}
+
+static void
+on_message(void *ctx, const at_member_t *from, const void *data, size_t len)
+{
+	at_config_io_t *io = ctx;
+
+	at_replicas_take(io->replicas, from, data, len);
+}
+
+static int
+has_reader_role(const at_config_io_t *io)
+{
+	uint32_t rank;
+
+	for (rank = 0; rank < AT_READERS; rank++) {
+		const at_name_t *reader = at_peers_owner(
+		    io->peers, &io->data_centre, AT_READER_ROLE, rank);
+
+		if (reader != NULL && at_name_equal(reader, &io->instance))
+			return 1;
+	}
+	return 0;
+}
+
+static void
+update_role(at_config_io_t *io)
+{
+	int reads = has_reader_role(io);
+
+	if (reads == io->reads)
+		return;
+	io->reads = reads;
+	at_platform_pause_watch(io->platform, WATCHED, !reads);
+	at_counters_set(
+	    io->counters, "config_reader", NULL, NULL, (uint64_t)reads);
+	at_log(AT_LOG_INFO, "config", NULL,
+	    reads ? "Reads from the platform." : "Learns from peers.");
+}
+
+static void
+read_list(at_config_io_t *io, uint64_t now)
+{
+	if (now < io->list_at_ms)
+		return;
+	io->list_at_ms = now + LIST_EVERY_MS;
+	at_platform_fetch_list(
+	    io->platform, at_replica_version(list_replica(io)), on_list, io);
+}
+
+/* Reads by itself what no peer has vouched for, at growing intervals. */
+static void
+read_slowly(at_config_io_t *io, uint64_t now)
+{
+	uint32_t wait_ms = io->slow_wait_ms;
+
+	if (at_config_io_age_ms(io) < UNSURE_MS || io->reading ||
+	    now < io->slow_at_ms)
+		return;
+	io->slow_at_ms =
+	    now + wait_ms / 2 + io->random.next(io->random.impl) % wait_ms;
+	io->slow_wait_ms =
+	    wait_ms * 2 > SLOW_READ_MAX_MS ? SLOW_READ_MAX_MS : wait_ms * 2;
+	io->reading = 1;
+	at_counters_add(io->counters, "config_slow_reads_total", NULL, NULL, 1);
+	io->store.get(io->store.impl, AT_CONFIG_OBJECT, on_slow_read, io);
+	at_platform_fetch_list(
+	    io->platform, at_replica_version(list_replica(io)), on_list, io);
+}
+
+static uint64_t
+age_of(uint64_t at_ms, uint64_t now)
+{
+	return at_ms == 0 ? UINT64_MAX : now - at_ms;
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	at_config_io_t *io = timer->data;
+	uint64_t now = at_clock_now_ms();
+	size_t i;
+
+	(void)loop;
+	(void)events;
+	update_role(io);
+	if (io->reads)
+		read_list(io, now);
+	else
+		read_slowly(io, now);
+	for (i = 0; i < AT_PEER_DOCUMENT_COUNT; i++)
+		at_replica_tick(io->replicas[i]);
+	/* Only our own calls are vouched for: a word passed on would age. */
+	at_peers_set_platform_age(io->peers, age_of(io->own_check_ms, now));
+	at_counters_set(
+	    io->counters, "config_age_ms", NULL, NULL, at_config_io_age_ms(io));
+}
+
+void
+at_config_io_init(at_config_io_t *io)
+{
+	io->slow_wait_ms = SLOW_READ_MIN_MS;
+	io->slow_at_ms = at_clock_now_ms() + UNSURE_MS;
+	io->store = at_platform_store(io->platform);
+	at_peers_set_heartbeat(io->peers, on_heartbeat, io);
+	at_peers_set_handler(io->peers, AT_PEER_CONFIG, on_message, io);
+	io->reads = 1;
+	io->store.watch(io->store.impl, WATCHED, on_watch, io);
+	ev_timer_init(&io->tick, on_tick, 0., TICK_S);
+	io->tick.data = io;
+	ev_timer_start(io->loop, &io->tick);
+}
+
+void
+at_config_io_delete(at_config_io_t *io)
+{
+	size_t i;
+
+	if (io == NULL)
+		return;
+	ev_timer_stop(io->loop, &io->tick);
+	for (i = 0; i < AT_PEER_DOCUMENT_COUNT; i++)
+		at_replica_delete(io->replicas[i]);
+	free(io);
+}
+
+int
+at_config_io_reads(const at_config_io_t *io)
+{
+	return io->reads;
+}
+
+uint64_t
+at_config_io_age_ms(const at_config_io_t *io)
+{
+	uint64_t now = at_clock_now_ms();
+	uint64_t own = age_of(io->own_check_ms, now);
+	uint64_t peers = age_of(io->peer_check_ms, now);
+
+	return own < peers ? own : peers;
+}
+
+uint64_t
+at_config_io_refused(const at_config_io_t *io)
+{
+	return at_replica_refused(config_replica(io));
+}
+
+uint64_t
+at_config_io_list_revision(const at_config_io_t *io)
+{
+	return at_replica_version(list_replica(io));
+}
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -26,6 +26,16 @@
 	return value + strlen(BEARER);
 }
 
+/* Tells whether the keys in force are fresh enough to be relied upon. */
+static int
+keys_are_checked(const at_node_t *node)
+{
+	const at_defaults_t *d = &node->config->defaults;
+
+	return d->cut_off_keys == AT_CUT_OFF_SERVE ||
+	       at_config_io_age_ms(node->config_io) <= d->key_staleness_ms;
+}
+
 /* Returns the caller's workspace, or refuses and returns NULL. */
 static const at_workspace_t *
 authenticate(at_node_t *node, at_httpd_request_t *request)
@@ -37,6 +47,11 @@
 		refuse(node, request, AT_REASON_MISSING_KEY);
 		return NULL;
 	}
+	if (!keys_are_checked(node)) {
+		at_refuse(node, request, AT_REASON_KEY_UNCHECKED,
+		    AT_VERDICT_NOT_RUN, AT_MS_PER_S);
+		return NULL;
+	}
 	workspace = at_key_find(node->config, &node->secret, key);
 	if (workspace == NULL)
 		refuse(node, request, AT_REASON_UNKNOWN_KEY);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -40,6 +40,7 @@
 	node->platform = at_platform_new(loop, node->httpc);
 	node->backends = at_backends_new();
 	node->peers = at_peers_new(loop);
+	node->config_io = at_config_io_new(loop, node->peers, node->platform);
 	node->history = at_history_new();
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
 	at_httpd_set_fault_handler(node->callers, at_entry_handle_fault, node);
@@ -49,36 +50,13 @@
 }
 
 static void
-on_config(void *ctx, const at_store_event_t *event)
+on_config(void *ctx, at_config_t *config)
 {
 	at_node_t *node = ctx;
-	at_status_t status;
-	at_config_t *config;
 
-	if (event == NULL || event->version == 0 ||
-	    strcmp(event->name, AT_CONFIG_OBJECT) != 0)
-		return;
-	at_status_clear(&status);
-	config = at_config_parse(event->value, event->value_len, &status);
-	if (config == NULL) {
-		at_counters_add(
-		    node->counters, "config_refused_total", NULL, NULL, 1);
-		at_log(AT_LOG_ERROR, "config", NULL,
-		    "The new configuration is refused: %s.", status.message);
-		return;
-	}
-	if (node->config != NULL &&
-	    config->generation <= node->config->generation) {
-		at_config_delete(config);
-		return;
-	}
 	at_config_delete(node->config);
 	node->config = config;
 	at_httpd_set_max_body(node->callers, config->defaults.max_body_bytes);
-	at_counters_set(node->counters, "config_generation", NULL, NULL,
-	    config->generation);
-	at_log(AT_LOG_INFO, "config", NULL, "Generation %llu is in force.",
-	    (unsigned long long)config->generation);
 }
 
 static void
@@ -87,7 +65,6 @@
 	at_node_t *node = ctx;
 
 	at_backends_update(node->backends, instances, count);
-	at_peers_update(node->peers, instances, count);
 }
 
 static void
@@ -165,8 +142,11 @@
 		return status->code;
 	at_platform_set_counters(node->platform, node->counters);
 	node->store = at_platform_store(node->platform);
-	node->store.watch(node->store.impl, "config/", on_config, node);
-	at_platform_watch_instances(node->platform, on_instances, node);
+	at_config_io_set_self(
+	    node->config_io, &node->self.instance, &node->data_centre);
+	at_config_io_set_counters(node->config_io, node->counters);
+	at_config_io_set_events(node->config_io, on_config, on_instances, node);
+	at_config_io_init(node->config_io);
 	ev_timer_init(&node->status_timer, on_status_timer, 0., STATUS_EVERY_S);
 	node->status_timer.data = node;
 	ev_timer_start(node->loop, &node->status_timer);
@@ -237,6 +217,7 @@
 	ev_timer_stop(node->loop, &node->status_timer);
 	at_httpd_delete(node->callers);
 	at_httpd_delete(node->operators);
+	at_config_io_delete(node->config_io);
 	at_peers_delete(node->peers);
 	at_platform_delete(node->platform);
 	at_httpc_delete(node->httpc);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -14,6 +14,7 @@
 #include "almondthread/keyring.h"
 #include "almondthread/ports.h"
 #include "daemon/backends.h"
+#include "daemon/config_io.h"
 #include "daemon/history.h"
 #include "io/httpc.h"
 #include "io/httpd.h"
@@ -61,6 +62,7 @@
 	at_platform_t *platform;
 	at_store_t store;
 	at_peers_t *peers;
+	at_config_io_t *config_io;
 	at_config_t *config; /* NULL until the first one */
 	at_backends_t *backends;
 	at_history_t *history; /* of refusals, for explain */
--- a/src/io/platform.c
+++ b/src/io/platform.c
@@ -9,12 +9,11 @@
 
 #include "io/address.h"
 
-#define CALL_TOTAL_MS 3000u   /* one call of the object API */
-#define CONNECT_MS 500u       /* a connection to the platform */
-#define WATCH_WAIT_MS 2000u   /* the platform holds a watch this long */
-#define WATCH_TOTAL_MS 5000u  /* a watch without an answer is dead */
-#define RETRY_S 0.5           /* after a failed watch or list */
-#define INSTANCES_EVERY_S 1.0 /* between two reads of the list */
+#define CALL_TOTAL_MS 3000u  /* one call of the object API */
+#define CONNECT_MS 500u      /* a connection to the platform */
+#define WATCH_WAIT_MS 2000u  /* the platform holds a watch this long */
+#define WATCH_TOTAL_MS 5000u /* a watch without an answer is dead */
+#define RETRY_S 0.5          /* after a failed watch */
 #define URL_SIZE 512
 
 /* One call in flight. */
@@ -30,7 +29,7 @@
 	uint64_t version;
 	void (*finish)(struct call *call, const at_transfer_result_t *result);
 	at_store_done_t done;
-	at_platform_instances_t on_instances;
+	at_platform_list_t on_list;
 	void *ctx;
 	struct watch *watch;
 } call_t;
@@ -44,6 +43,8 @@
 	at_store_watch_t on_event;
 	void *ctx;
 	ev_timer retry;
+	int paused;
+	call_t *call; /* open, or NULL */
 } watch_t;
 
 struct at_platform {
@@ -53,9 +54,6 @@
 	char base[AT_ADDR_SIZE + 16];
 	call_t *calls;
 	watch_t *watches;
-	ev_timer instances_timer;
-	at_platform_instances_t on_instances;
-	void *instances_ctx;
 	int answered;
 	double answered_at;
 };
@@ -123,7 +121,6 @@
 		ev_timer_stop(platform->loop, &watch->retry);
 		free(watch);
 	}
-	ev_timer_stop(platform->loop, &platform->instances_timer);
 	free(platform);
 }
 
@@ -327,6 +324,7 @@
 	if (result->whole && call->http_status == 200 && call->body != NULL)
 		root = json_loadb(call->body, call->len, 0, NULL);
 	count(call, root == NULL ? "failed" : "ok");
+	watch->call = NULL;
 	if (root == NULL) {
 		/* Start again from what exists: nothing is missed. */
 		watch->revision = 0;
@@ -341,7 +339,9 @@
 	    (uint64_t)json_integer_value(json_object_get(root, "revision"));
 	json_decref(root);
 	watch->on_event(watch->ctx, NULL);
-	watch_start(watch);
+	/* The owner may have paused it within. */
+	if (!watch->paused && watch->call == NULL)
+		watch_start(watch);
 }
 
 static void
@@ -354,8 +354,9 @@
 	(void)snprintf(path, sizeof(path),
 	    "/v1/watch?prefix=%s&since=%" PRIu64 "&wait_ms=%u", watch->prefix,
 	    watch->revision, WATCH_WAIT_MS);
-	if (call_start(watch->platform, model, "GET", path, NULL, NULL, 0,
-		WATCH_TOTAL_MS) == NULL)
+	watch->call = call_start(
+	    watch->platform, model, "GET", path, NULL, NULL, 0, WATCH_TOTAL_MS);
+	if (watch->call == NULL)
 		watch_again_later(watch);
 }
 
@@ -387,6 +388,27 @@
 	watch_start(watch);
 }
 
+void
+at_platform_pause_watch(at_platform_t *platform, const char *prefix, int paused)
+{
+	watch_t *watch = platform->watches;
+
+	while (watch != NULL && strcmp(watch->prefix, prefix) != 0)
+		watch = watch->next;
+	if (watch == NULL || watch->paused == paused)
+		return;
+	watch->paused = paused;
+	ev_timer_stop(platform->loop, &watch->retry);
+	if (!paused) {
+		watch->revision = 0;
+		watch_start(watch);
+	} else if (watch->call != NULL) {
+		at_transfer_cancel(watch->call->transfer);
+		call_free(watch->call);
+		watch->call = NULL;
+	}
+}
+
 at_store_t
 at_platform_store(at_platform_t *platform)
 {
@@ -397,101 +419,33 @@
 }
 
 static void
-copy_address(char out[AT_ADDR_SIZE], json_t *object, const char *field)
-{
-	const char *text = json_string_value(json_object_get(object, field));
-
-	(void)snprintf(out, AT_ADDR_SIZE, "%s", text == NULL ? "" : text);
-}
-
-static int
-parse_instance(json_t *object, at_instance_t *instance)
+finish_list(call_t *call, const at_transfer_result_t *result)
 {
-	const char *kind = json_string_value(json_object_get(object, "kind"));
-	const char *service =
-	    json_string_value(json_object_get(object, "service"));
-	int k;
-
-	memset(instance, 0, sizeof(*instance));
-	for (k = 0; kind != NULL && k < AT_INSTANCE_KIND_COUNT; k++) {
-		if (strcmp(kind, at_instance_kind_names[k]) == 0)
-			break;
-	}
-	if (kind == NULL || k == AT_INSTANCE_KIND_COUNT)
-		return -1;
-	instance->kind = (at_instance_kind_t)k;
-	if (service != NULL)
-		(void)at_name_set(&instance->service, service);
-	copy_address(instance->address, object, "address");
-	copy_address(instance->peer_address, object, "peer_address");
-	instance->leaving = json_is_true(json_object_get(object, "leaving"));
-	if (at_name_set(&instance->data_centre,
-		json_string_value(json_object_get(object, "data_centre"))) != 0)
-		return -1;
-	return at_name_set(&instance->name,
-	    json_string_value(json_object_get(object, "name")));
-}
-
-static void
-finish_instances(call_t *call, const at_transfer_result_t *result)
-{
-	json_t *root = NULL;
-	json_t *list;
-	at_instance_t *instances;
-	size_t used = 0;
-	size_t i;
-
-	if (result->whole && call->http_status == 200 && call->body != NULL)
-		root = json_loadb(call->body, call->len, 0, NULL);
-	count(call, root == NULL ? "failed" : "ok");
-	list = json_object_get(root, "instances");
-	instances = calloc(json_array_size(list) + 1, sizeof(*instances));
-	if (root != NULL && instances != NULL) {
-		for (i = 0; i < json_array_size(list); i++) {
-			if (parse_instance(
-				json_array_get(list, i), &instances[used]) == 0)
-				used++;
-		}
-		call->on_instances(call->ctx, instances, used);
-	}
-	free(instances);
-	json_decref(root);
+	int unchanged = result->whole && call->http_status == 304;
+	int whole = result->whole && call->http_status == 200;
+
+	count(call, whole ? "ok" : unchanged ? "unchanged" : "failed");
+	if (whole && call->body != NULL)
+		call->on_list(call->ctx, call->body, call->len);
+	else if (unchanged)
+		call->on_list(call->ctx, NULL, 0);
 }
 
 void
-at_platform_fetch_instances(
-    at_platform_t *platform, at_platform_instances_t on_instances, void *ctx)
+at_platform_fetch_list(at_platform_t *platform, uint64_t known_revision,
+    at_platform_list_t on_list, void *ctx)
 {
 	call_t model = {.kind = "instances",
-	    .finish = finish_instances,
-	    .on_instances = on_instances,
+	    .finish = finish_list,
+	    .on_list = on_list,
 	    .ctx = ctx};
+	char header[64];
+	const char *headers[] = {header, NULL};
 
-	(void)call_start(platform, model, "GET", "/v1/instances", NULL, NULL, 0,
-	    CALL_TOTAL_MS);
-}
-
-static void
-on_instances_timer(struct ev_loop *loop, ev_timer *timer, int events)
-{
-	at_platform_t *platform = timer->data;
-
-	(void)loop;
-	(void)events;
-	at_platform_fetch_instances(
-	    platform, platform->on_instances, platform->instances_ctx);
-}
-
-void
-at_platform_watch_instances(
-    at_platform_t *platform, at_platform_instances_t on_instances, void *ctx)
-{
-	platform->on_instances = on_instances;
-	platform->instances_ctx = ctx;
-	ev_timer_init(&platform->instances_timer, on_instances_timer, 0.,
-	    INSTANCES_EVERY_S);
-	platform->instances_timer.data = platform;
-	ev_timer_start(platform->loop, &platform->instances_timer);
+	(void)snprintf(header, sizeof(header), "If-None-Match: \"%" PRIu64 "\"",
+	    known_revision);
+	(void)call_start(platform, model, "GET", "/v1/instances", headers, NULL,
+	    0, CALL_TOTAL_MS);
 }
 
 uint64_t
--- a/src/io/platform.h
+++ b/src/io/platform.h
@@ -15,11 +15,10 @@
 typedef struct at_platform at_platform_t;
 
 /*
- * Called with the whole instance list after each change and at least every
- * few seconds while the platform answers.
+ * Called with the instance list's text, or with NULL when its revision is
+ * the known one; not called when the platform did not answer.
  */
-typedef void (*at_platform_instances_t)(
-    void *ctx, const at_instance_t *instances, size_t count);
+typedef void (*at_platform_list_t)(void *ctx, const char *text, size_t len);
 
 at_platform_t *at_platform_new(struct ev_loop *loop, at_httpc_t *httpc);
 /* at_platform_set_counters() counts calls by kind and result. */
@@ -33,13 +32,19 @@
 /* at_platform_store() returns the object API's port. */
 at_store_t at_platform_store(at_platform_t *platform);
 
-/* at_platform_watch_instances() reads the list from now on. */
-void at_platform_watch_instances(
-    at_platform_t *platform, at_platform_instances_t on_instances, void *ctx);
+/*
+ * at_platform_pause_watch() stops or resumes the watch on a prefix. A resumed
+ * watch replays what exists.
+ */
+void at_platform_pause_watch(
+    at_platform_t *platform, const char *prefix, int paused);
 
-/* at_platform_fetch_instances() reads the list once. */
-void at_platform_fetch_instances(
-    at_platform_t *platform, at_platform_instances_t on_instances, void *ctx);
+/*
+ * at_platform_fetch_list() reads the instance list once, unless it still has
+ * the known revision.
+ */
+void at_platform_fetch_list(at_platform_t *platform, uint64_t known_revision,
+    at_platform_list_t on_list, void *ctx);
 
 /*
  * at_platform_age_ms() returns the time since the platform last answered
--- a/src/standin/platform.c
+++ b/src/standin/platform.c
@@ -46,6 +46,7 @@
 	object_t *objects;
 	instance_t *instances;
 	uint64_t revision;
+	uint64_t list_revision;
 	uint64_t calls; /* every call counts, a waiting watch as one */
 	uint64_t writes;
 	waiter_t *waiters;
@@ -265,13 +266,24 @@
 static void
 list_instances(standin_platform_t *platform, at_httpd_request_t *request)
 {
-	json_t *list = json_array();
+	const char *known = at_httpd_header(request, "If-None-Match");
+	char revision[32];
+	json_t *list;
 	instance_t *instance;
 
+	(void)snprintf(revision, sizeof(revision), "\"%" PRIu64 "\"",
+	    platform->list_revision);
+	if (known != NULL && strcmp(known, revision) == 0) {
+		at_httpd_reply(request, 304, NULL, "", 0);
+		return;
+	}
+	list = json_array();
 	for (instance = platform->instances; instance != NULL;
 	     instance = instance->hh.next)
 		json_array_append(list, instance->row);
-	standin_reply_json(request, 200, json_pack("{s:o}", "instances", list));
+	standin_reply_json(request, 200,
+	    json_pack("{s:I,s:o}", "revision",
+		(json_int_t)platform->list_revision, "instances", list));
 }
 
 static void
@@ -284,6 +296,7 @@
 	instance_t *instance;
 
 	HASH_FIND_STR(platform->instances, name, instance);
+	platform->list_revision++;
 	if (strcmp(at_httpd_method(request), "DELETE") == 0) {
 		if (instance != NULL) {
 			HASH_DEL(platform->instances, instance);
@@ -391,6 +404,7 @@
 	standin_platform_t *platform = calloc(1, sizeof(*platform));
 
 	platform->loop = loop;
+	platform->list_revision = 1;
 	platform->httpd = at_httpd_new(loop);
 	at_httpd_set_handler(platform->httpd, on_request, platform);
 	at_httpd_set_max_body(platform->httpd, AT_VALUE_MAX);
--- /dev/null
+++ b/tests/contract/test_config_io.c
@@ -0,0 +1,433 @@
+/*
+ * Configuration, instance list and keys over a fleet: in force everywhere,
+ * never back, also where the platform cannot be reached.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "support/fixture.h"
+
+#define IN_FORCE_MS 12000u /* target for a configuration */
+#define KEY_LIMIT_MS 5000u /* target for a withdrawn key */
+#define START_LIMIT_MS 12000u
+#define MODEL "{\"name\":\"m1\",\"memory_mb\":10}"
+#define CALLS_WINDOW_MS 4000u
+
+static fixture_t *f;
+static standin_relay_t *relay; /* before the platform, for some nodes */
+static char relay_address[AT_ADDR_SIZE];
+static char relay_control[AT_ADDR_SIZE];
+static char bearer[160];
+static char key_json[160];
+
+static void
+setup(void)
+{
+	at_status_t status;
+	char hash[65];
+	const char *key = fixture_key("k1", hash);
+
+	f = fixture_new();
+	(void)snprintf(bearer, sizeof(bearer), "Authorization: Bearer %s", key);
+	(void)snprintf(key_json, sizeof(key_json),
+	    "{\"id\":\"k1\",\"hash\":\"%s\"}", hash);
+	relay = standin_relay_new(f->loop);
+	cr_assert_eq(standin_relay_init(relay, "127.0.0.1:0",
+			 f->platform_address, "127.0.0.1:0", &status),
+	    AT_OK);
+	(void)snprintf(relay_address, AT_ADDR_SIZE, "127.0.0.1:%u",
+	    standin_relay_port(relay));
+	(void)snprintf(relay_control, AT_ADDR_SIZE, "127.0.0.1:%u",
+	    standin_relay_control_port(relay));
+}
+
+static void
+teardown(void)
+{
+	fixture_delete(f);
+	relay = NULL;
+}
+
+/* Nodes are gone before the relay that they use. */
+static void
+teardown_relay(void)
+{
+	size_t i;
+
+	for (i = 0; i < f->node_count; i++)
+		fixture_remove_node(f, i);
+	standin_relay_delete(relay);
+	teardown();
+}
+
+static void
+apply(uint64_t generation, int with_key, const char *defaults)
+{
+	char text[1024];
+
+	(void)snprintf(text, sizeof(text),
+	    "{\"generation\":%llu,\"defaults\":{%s},\"data_centres\":["
+	    "\"north\","
+	    "\"south\"],\"workspaces\":[{\"name\":\"w1\",\"rate_tokens_s\":"
+	    "1000000,\"burst_tokens\":1000000,\"keys\":[%s]}],\"models\":[%s]}",
+	    (unsigned long long)generation, defaults, with_key ? key_json : "",
+	    MODEL);
+	fixture_apply(f, text);
+}
+
+static int
+all_have(void *ctx)
+{
+	size_t i;
+
+	for (i = 0; i < f->node_count; i++) {
+		const at_node_t *node = f->nodes[i];
+
+		if (node != NULL &&
+		    (node->config == NULL ||
+			node->config->generation != *(const uint64_t *)ctx))
+			return 0;
+	}
+	return 1;
+}
+
+static void
+await_generation(uint64_t generation)
+{
+	cr_assert(fixture_until(f, all_have, &generation, IN_FORCE_MS),
+	    "generation %llu is not in force everywhere",
+	    (unsigned long long)generation);
+}
+
+static void
+count_alive(void *ctx, const at_member_t *member)
+{
+	*(size_t *)ctx += (size_t)member->alive;
+}
+
+static int
+all_linked(void *ctx)
+{
+	size_t i;
+
+	for (i = 0; i < f->node_count; i++) {
+		size_t alive = 0;
+
+		if (f->nodes[i] == NULL)
+			continue;
+		at_peers_each(f->nodes[i]->peers, count_alive, &alive);
+		if (alive < *(const size_t *)ctx)
+			return 0;
+	}
+	return 1;
+}
+
+static void
+add_nodes(size_t count, const char *data_centre)
+{
+	char name[16];
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		(void)snprintf(name, sizeof(name), "n%zu", f->node_count);
+		(void)fixture_add_node(f, name, data_centre);
+	}
+}
+
+static void
+await_links(size_t others)
+{
+	cr_assert(fixture_until(f, all_linked, &others, START_LIMIT_MS));
+}
+
+Test(config_io, a_change_is_in_force_everywhere, .init = setup,
+    .fini = teardown_relay)
+{
+	size_t readers = 0;
+	size_t i;
+
+	add_nodes(5, "north");
+	add_nodes(2, "south");
+	apply(1, 0, "");
+	await_generation(1);
+	await_links(6);
+	fixture_run(f, 500);
+	apply(2, 1, "");
+	await_generation(2);
+	for (i = 0; i < f->node_count; i++)
+		readers += (size_t)at_config_io_reads(f->nodes[i]->config_io);
+	cr_assert_eq(readers, 4, "two in each data centre, not %zu", readers);
+}
+
+Test(config_io, a_bad_one_is_refused_whole, .init = setup,
+    .fini = teardown_relay)
+{
+	add_nodes(3, "north");
+	apply(4, 1, "");
+	await_generation(4);
+	fixture_apply(f, "{\"generation\":9,\"models\":[{}]}");
+	fixture_run(f, 1500);
+	await_generation(4);
+	apply(3, 1, ""); /* an older one does not come back either */
+	fixture_run(f, 1500);
+	await_generation(4);
+	apply(10, 1, "");
+	await_generation(10);
+}
+
+Test(config_io, a_part_cut_off_from_the_platform_learns_from_peers,
+    .init = setup, .fini = teardown_relay)
+{
+	uint64_t revision;
+
+	add_nodes(2, "north");
+	f->node_platform = relay_address;
+	add_nodes(3, "south");
+	apply(1, 1, "");
+	await_generation(1);
+	await_links(4);
+	fixture_faults(f, relay_control, "{\"outage\":1}");
+	apply(2, 1, "");
+	await_generation(2);
+	/* The instance list comes the same way. */
+	f->node_platform = NULL;
+	add_nodes(1, "north");
+	await_links(5);
+	revision = at_config_io_list_revision(f->nodes[0]->config_io);
+	cr_assert_eq(
+	    at_config_io_list_revision(f->nodes[4]->config_io), revision);
+}
+
+Test(config_io, a_start_without_the_platform, .init = setup,
+    .fini = teardown_relay)
+{
+	static char seeds[2 * AT_ADDR_SIZE];
+
+	add_nodes(2, "north");
+	apply(3, 1, "");
+	await_generation(3);
+	(void)snprintf(seeds, sizeof(seeds), "%s,%s", f->peer_addresses[0],
+	    f->peer_addresses[1]);
+	fixture_faults(f, relay_control, "{\"outage\":1}");
+	f->node_platform = relay_address;
+	f->node_seeds = seeds;
+	add_nodes(1, "north");
+	await_generation(3);
+	await_links(2);
+}
+
+static uint64_t
+platform_calls(void)
+{
+	fixture_answer_t a = fixture_call(
+	    f, "POST", f->platform_address, "/control/none", NULL, "{}");
+	const char *calls = strstr(a.body, "\"calls\":");
+	uint64_t n;
+
+	cr_assert_not_null(calls);
+	n = strtoull(strpbrk(calls, "0123456789"), NULL, 10);
+	fixture_answer_free(&a);
+	return n;
+}
+
+static uint64_t
+calls_in_window(size_t nodes)
+{
+	uint64_t before;
+
+	add_nodes(nodes - f->node_count, "north");
+	await_links(nodes - 1);
+	fixture_run(f, 1000);
+	before = platform_calls();
+	fixture_run(f, CALLS_WINDOW_MS);
+	return platform_calls() - before;
+}
+
+Test(config_io, platform_calls_do_not_grow_with_the_fleet, .init = setup,
+    .fini = teardown_relay)
+{
+	/* A reader's list read each second, and its watch every second one. */
+	const uint64_t limit = AT_READERS * (CALLS_WINDOW_MS / 1000 + 1) * 2;
+	uint64_t few;
+	uint64_t many;
+
+	apply(1, 1, "");
+	few = calls_in_window(3);
+	many = calls_in_window(12);
+	cr_assert_leq(few, limit, "%llu", (unsigned long long)few);
+	cr_assert_leq(many, limit, "%llu", (unsigned long long)many);
+}
+
+/* A call that may ride a connection used before. */
+typedef struct call {
+	int done;
+	int status;
+	int reused;
+} call_t;
+
+static void
+on_head(void *ctx, at_transfer_t *transfer, int status)
+{
+	(void)transfer;
+	((call_t *)ctx)->status = status;
+}
+
+static void
+on_done(void *ctx, const at_transfer_result_t *result)
+{
+	((call_t *)ctx)->done = 1;
+	((call_t *)ctx)->reused = result->reused_connection;
+}
+
+static int
+is_done(void *ctx)
+{
+	return ((call_t *)ctx)->done;
+}
+
+static call_t
+call_on_open_connection(size_t node)
+{
+	char url[128];
+	const char *headers[] = {bearer, NULL};
+	call_t call = {0};
+	const at_transfer_spec_t spec = {
+	    .method = "GET", .url = url, .headers = headers};
+	const at_transfer_events_t events = {on_head, NULL, on_done, &call};
+
+	(void)snprintf(
+	    url, sizeof(url), "http://%s/v1/models", f->node_addresses[node]);
+	cr_assert_not_null(at_httpc_start(f->httpc, &spec, &events));
+	cr_assert(fixture_until(f, is_done, &call, KEY_LIMIT_MS));
+	return call;
+}
+
+/* Every node refuses the key on the connection that it was served on. */
+static int
+all_refuse(void *ctx)
+{
+	size_t i;
+
+	for (i = 0; i < f->node_count; i++) {
+		call_t call = call_on_open_connection(i);
+
+		cr_assert(call.reused);
+		*(int *)ctx = call.status;
+		if (call.status != 401)
+			return 0;
+	}
+	return 1;
+}
+
+static int
+status_of(size_t node)
+{
+	const char *headers[] = {bearer, NULL};
+	fixture_answer_t a = fixture_call(
+	    f, "GET", f->node_addresses[node], "/v1/models", headers, NULL);
+	int status = a.status;
+
+	fixture_answer_free(&a);
+	return status;
+}
+
+Test(config_io, a_withdrawn_key_is_refused_everywhere, .init = setup,
+    .fini = teardown_relay)
+{
+	int status = 0;
+	size_t i;
+
+	add_nodes(2, "north");
+	f->node_platform = relay_address;
+	add_nodes(2, "south");
+	apply(1, 1, "");
+	await_generation(1);
+	await_links(3);
+	for (i = 0; i < f->node_count; i++)
+		cr_assert_eq(call_on_open_connection(i).status, 200);
+	fixture_faults(f, relay_control, "{\"outage\":1}");
+	apply(2, 0, "");
+	cr_assert(fixture_until(f, all_refuse, &status, KEY_LIMIT_MS),
+	    "a node still answers %d", status);
+}
+
+static int
+answered(void *ctx)
+{
+	return ((fixture_answer_t *)ctx)->done;
+}
+
+static int
+has_engine(void *ctx)
+{
+	at_backend_t *engine =
+	    at_backends_find(((at_node_t *)ctx)->backends, "e1");
+
+	return engine != NULL && engine->view.resident_count > 0;
+}
+
+Test(config_io, an_answer_begun_before_the_withdrawal_ends_whole, .init = setup,
+    .fini = teardown_relay)
+{
+	const char *headers[] = {bearer, NULL};
+	fixture_answer_t answer;
+	int status = 0;
+
+	(void)fixture_add_engine(f, "e1", "north", "m1");
+	fixture_faults(f, f->engine_addresses[0], "{\"token_us\":20000}");
+	add_nodes(1, "north");
+	apply(1, 1, "");
+	await_generation(1);
+	cr_assert_eq(call_on_open_connection(0).status, 200);
+	cr_assert(fixture_until(f, has_engine, f->nodes[0], START_LIMIT_MS));
+	fixture_send(f, &answer, "POST", f->node_addresses[0],
+	    "/v1/completions", headers,
+	    "{\"model\":\"m1\",\"stream\":true,\"max_tokens\":200}");
+	fixture_run(f, 300);
+	apply(2, 0, "");
+	cr_assert(fixture_until(f, all_refuse, &status, KEY_LIMIT_MS));
+	cr_assert_not(answer.done, "it was refused while the answer ran");
+	cr_assert(fixture_until(f, answered, &answer, START_LIMIT_MS));
+	cr_assert_eq(answer.status, 200);
+	cr_assert(strstr(answer.body, "[DONE]"), "%s", answer.body);
+	fixture_answer_free(&answer);
+}
+
+static int
+is_unchecked(void *ctx)
+{
+	return status_of(*(size_t *)ctx) == 503;
+}
+
+Test(config_io, a_cut_off_data_centre_does_as_it_is_told, .init = setup,
+    .fini = teardown_relay)
+{
+	size_t cut = 1;
+	int outage = 0;
+
+	f->node_platform = relay_address;
+	add_nodes(1, "north");
+	add_nodes(1, "north");
+	apply(1, 1, "\"cut_off_keys\":\"refuse\",\"key_staleness_ms\":3000");
+	await_generation(1);
+	cr_assert_eq(status_of(cut), 200);
+	for (outage = 1; outage >= 0; outage--) {
+		char fault[32];
+
+		(void)snprintf(fault, sizeof(fault), "{\"outage\":%d}", outage);
+		fixture_faults(f, relay_control, fault);
+		if (outage)
+			cr_assert(fixture_until(
+			    f, is_unchecked, &cut, START_LIMIT_MS));
+	}
+	/* With the platform back, or with the other setting, it serves. */
+	apply(2, 1, "\"cut_off_keys\":\"serve\",\"key_staleness_ms\":3000");
+	await_generation(2);
+	cr_assert_eq(status_of(cut), 200);
+	fixture_faults(f, relay_control, "{\"outage\":1}");
+	fixture_run(f, 4000);
+	cr_assert_eq(status_of(cut), 200);
+}
--- a/tests/support/fixture.c
+++ b/tests/support/fixture.c
@@ -256,7 +256,9 @@
 	    .data_centre = data_centre,
 	    .listen = "127.0.0.1:0",
 	    .operators = "127.0.0.1:0",
-	    .platform = f->platform_address,
+	    .platform = f->node_platform != NULL ? f->node_platform
+						 : f->platform_address,
+	    .seeds = f->node_seeds,
 	    .peers = "127.0.0.1:0",
 	    .secret = FIXTURE_SECRET,
 	    .log_level = "info"};
--- a/tests/support/fixture.h
+++ b/tests/support/fixture.h
@@ -29,6 +29,9 @@
 	char operator_addresses[FIXTURE_MAX][AT_ADDR_SIZE];
 	char peer_addresses[FIXTURE_MAX][AT_ADDR_SIZE];
 	size_t node_count;
+	/* Of nodes added from now on; NULL: the platform itself, none. */
+	const char *node_platform;
+	const char *node_seeds;
 } fixture_t;
 
 /* One answer; body is NUL-terminated. Freed by fixture_answer_free(). */
