--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -65,7 +65,8 @@
 	local name=$1 dc=$2 line
 	shift 2
 	"$bin/almondthreadd" --name="$name" --data-centre="$dc" \
-	    --listen=127.0.0.1:0 --operators=127.0.0.1:0 --peers=127.0.0.1:0 \
+	    --listen=127.0.0.1:0 --operators=127.0.0.1:0 \
+	    --peers=127.0.0.1:0 \
 	    "$@" 2>"$work/$name.log" &
 	entry_pid=$!
 	pids+=("$entry_pid")
--- a/src/io/httpd_request.c
+++ b/src/io/httpd_request.c
@@ -157,6 +157,8 @@
 	if (len == 0) {
 		if (request->state == REQUEST_ENDING)
 			return MHD_CONTENT_READER_END_OF_STREAM;
+		if (request->state == REQUEST_FAILING)
+			return MHD_CONTENT_READER_END_WITH_ERROR;
 		at_httpd_suspend(request);
 		return 0;
 	}
@@ -244,6 +246,15 @@
 	at_httpd_resume(request);
 }
 
+void
+at_httpd_stream_fail(at_httpd_request_t *request)
+{
+	if (request->state != REQUEST_STREAMING)
+		return;
+	request->state = REQUEST_FAILING;
+	at_httpd_resume(request);
+}
+
 void
 at_httpd_stream_abort(at_httpd_request_t *request)
 {
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -21,6 +21,8 @@
 	uint32_t silent;         /* this many calls are never answered */
 	uint32_t crash;          /* this many requests end the connection */
 	uint32_t truncate_after; /* engine: cut a stream after n tokens */
+	uint32_t break_whole;    /* engine: n whole answers break off */
+	uint32_t shorten;        /* engine: n answers end early but properly */
 	uint32_t crossed;        /* engine: n answers carry another id */
 	uint32_t token_us;       /* engine: time between tokens */
 	uint32_t refuse;         /* this many requests are refused unrun */
--- a/tests/support/fixture.h
+++ b/tests/support/fixture.h
@@ -10,6 +10,7 @@
 #include "standin/standin.h"
 
 #define FIXTURE_MAX 16 /* of each kind */
+#define FIXTURE_STOP_MAX_MS 60000u
 #define FIXTURE_SECRET \
 	"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
 
