Index keys and names of a configuration

Cause: a key was sought through every key of every workspace, and parsing compared every name with every other: at the target size (almond-bench target: 1,200 models, 4,800 adapters, 610 engines, 500 workspaces, 5,000 keys; 897,923 bytes) a look-up took 45 to 68 us and parsing 193 to 208 ms, which holds up every open stream on the loop.

Change: name_index (hash table over an array of named entries) for the configuration's arrays, used for uniqueness, references and look-ups; a table of keys by their keyed hash, compared in constant time.

Conclusion: look-ups no longer grow with the keys; parsing still takes longer than one token's interval and is left for later.

--- a/include/almondthread/config.h
+++ b/include/almondthread/config.h
@@ -9,6 +9,7 @@
 #ifndef ALMONDTHREAD_CONFIG_H
 #define ALMONDTHREAD_CONFIG_H
 
+#include "almondthread/name_index.h"
 #include "almondthread/status.h"
 #include "almondthread/units.h"
 
@@ -132,6 +133,12 @@
 	char reason[128];
 } at_exception_t;
 
+/* One key and whose it is, found by its hash; key NULL: free. */
+typedef struct at_key_slot {
+	const at_key_t *key;
+	const at_workspace_t *workspace;
+} at_key_slot_t;
+
 typedef struct at_config {
 	uint64_t generation;
 	at_defaults_t defaults;
@@ -151,6 +158,14 @@
 	size_t route_count;
 	at_exception_t *exceptions;
 	size_t exception_count;
+	at_name_index_t data_centre_index;
+	at_name_index_t workspace_index;
+	at_name_index_t model_index;
+	at_name_index_t adapter_index;
+	at_name_index_t engine_index;
+	at_name_index_t service_index;
+	at_key_slot_t *key_slots;
+	size_t key_mask;
 } at_config_t;
 
 /*
@@ -163,6 +178,12 @@
 at_config_t *at_config_parse(const char *text, size_t len, at_status_t *status);
 void at_config_delete(at_config_t *config);
 
+/*
+ * at_config_index_keys() builds the table that at_key_find() uses; parsing
+ * does so. Returns 0, or -1 without memory.
+ */
+int at_config_index_keys(at_config_t *config);
+
 /* Look-ups return NULL when there is no such entry. */
 const at_workspace_t *at_config_workspace(
     const at_config_t *config, const char *name);
--- /dev/null
+++ b/include/almondthread/name_index.h
@@ -0,0 +1,32 @@
+/*
+ * name_index.h - finds entries of an array by name. Each entry begins with
+ * its at_name_t; the array must not move while the index is used.
+ */
+#ifndef ALMONDTHREAD_NAME_INDEX_H
+#define ALMONDTHREAD_NAME_INDEX_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+typedef struct at_name_index {
+	uint32_t *slots; /* position + 1, 0: free; NULL: not built */
+	size_t mask;
+} at_name_index_t;
+
+/*
+ * at_name_index_build() indexes count entries of size bytes. *duplicate is
+ * the first name that stands twice, or NULL. Returns 0, or -1 without
+ * memory. The index is freed by at_name_index_clear().
+ */
+int at_name_index_build(at_name_index_t *index, const void *array, size_t count,
+    size_t size, const char **duplicate);
+void at_name_index_clear(at_name_index_t *index);
+
+/*
+ * at_name_index_find() returns the entry of that name, or NULL. An array
+ * whose index was not built is searched in its order.
+ */
+const void *at_name_index_find(const at_name_index_t *index, const void *array,
+    size_t count, size_t size, const char *name);
+
+#endif
--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -13,6 +13,8 @@
 } command_t;
 
 static const command_t commands[] = {
+    {"keys", bench_keys, "parsing and key look-ups of a configuration"},
+    {"target", bench_target, "print a configuration of the target size"},
     {"verdicts", bench_verdicts, "every reason, its status and verdict"},
     {"entry", bench_entry, "latency and throughput of an entry instance"},
     {"route", bench_route, "cost of one routing decision"},
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -26,60 +26,105 @@
 	free(config->services);
 	free(config->routes);
 	free(config->exceptions);
+	at_name_index_clear(&config->data_centre_index);
+	at_name_index_clear(&config->workspace_index);
+	at_name_index_clear(&config->model_index);
+	at_name_index_clear(&config->adapter_index);
+	at_name_index_clear(&config->engine_index);
+	at_name_index_clear(&config->service_index);
+	free(config->key_slots);
 	free(config);
 }
 
-/*
- * Every named entry begins with its at_name_t, so one search serves all
- * arrays.
- */
-static const void *
-find_named(const void *array, size_t count, size_t size, const char *name)
+static size_t
+count_keys(const at_config_t *config)
 {
-	const char *entry = array;
+	size_t count = 0;
 	size_t i;
 
-	for (i = 0; i < count; i++, entry += size) {
-		if (strcmp(((const at_name_t *)(const void *)entry)->text,
-			name) == 0)
-			return entry;
+	for (i = 0; i < config->workspace_count; i++)
+		count += config->workspaces[i].key_count;
+	return count;
+}
+
+/* A hash is uniform, and keyed, so that callers cannot choose its slot. */
+static size_t
+key_slot(const at_config_t *config, const uint8_t hash[AT_KEY_HASH_SIZE])
+{
+	size_t slot;
+
+	memcpy(&slot, hash, sizeof(slot));
+	return slot & config->key_mask;
+}
+
+static void
+add_key(
+    at_config_t *config, const at_workspace_t *workspace, const at_key_t *key)
+{
+	size_t i = key_slot(config, key->hash);
+
+	while (config->key_slots[i].key != NULL)
+		i = (i + 1) & config->key_mask;
+	config->key_slots[i].key = key;
+	config->key_slots[i].workspace = workspace;
+}
+
+int
+at_config_index_keys(at_config_t *config)
+{
+	size_t size = 2;
+	size_t w;
+	size_t k;
+
+	while (size < 2 * count_keys(config))
+		size *= 2;
+	free(config->key_slots);
+	config->key_slots = calloc(size, sizeof(*config->key_slots));
+	config->key_mask = size - 1;
+	if (config->key_slots == NULL)
+		return -1;
+	for (w = 0; w < config->workspace_count; w++) {
+		const at_workspace_t *workspace = &config->workspaces[w];
+
+		for (k = 0; k < workspace->key_count; k++)
+			add_key(config, workspace, &workspace->keys[k]);
 	}
-	return NULL;
+	return 0;
 }
 
 const at_workspace_t *
 at_config_workspace(const at_config_t *config, const char *name)
 {
-	return find_named(config->workspaces, config->workspace_count,
-	    sizeof(*config->workspaces), name);
+	return at_name_index_find(&config->workspace_index, config->workspaces,
+	    config->workspace_count, sizeof(*config->workspaces), name);
 }
 
 const at_model_t *
 at_config_model(const at_config_t *config, const char *name)
 {
-	return find_named(
-	    config->models, config->model_count, sizeof(*config->models), name);
+	return at_name_index_find(&config->model_index, config->models,
+	    config->model_count, sizeof(*config->models), name);
 }
 
 const at_adapter_t *
 at_config_adapter(const at_config_t *config, const char *name)
 {
-	return find_named(config->adapters, config->adapter_count,
-	    sizeof(*config->adapters), name);
+	return at_name_index_find(&config->adapter_index, config->adapters,
+	    config->adapter_count, sizeof(*config->adapters), name);
 }
 
 const at_engine_t *
 at_config_engine(const at_config_t *config, const char *name)
 {
-	return find_named(config->engines, config->engine_count,
-	    sizeof(*config->engines), name);
+	return at_name_index_find(&config->engine_index, config->engines,
+	    config->engine_count, sizeof(*config->engines), name);
 }
 
 const at_service_t *
 at_config_service(const at_config_t *config, const char *name)
 {
-	return find_named(config->services, config->service_count,
-	    sizeof(*config->services), name);
+	return at_name_index_find(&config->service_index, config->services,
+	    config->service_count, sizeof(*config->services), name);
 }
 
 static int
--- a/src/core/config_parse.c
+++ b/src/core/config_parse.c
@@ -367,22 +367,15 @@
 }
 
 static void
-check_unique(reader_t *r, const char *field, const void *array, size_t count,
-    size_t size)
+index_names(reader_t *r, const char *field, at_name_index_t *index,
+    const void *array, size_t count, size_t size)
 {
-	const char *a = array;
-	size_t i;
-	size_t j;
-
-	for (i = 1; i < count; i++) {
-		const char *name = a + i * size;
+	const char *duplicate;
 
-		for (j = 0; j < i; j++) {
-			if (strcmp(a + j * size, name) == 0)
-				fail(r, field, "the name '%s' stands twice",
-				    name);
-		}
-	}
+	if (at_name_index_build(index, array, count, size, &duplicate) != 0)
+		fail(r, field, "no memory");
+	else if (duplicate != NULL)
+		fail(r, field, "the name '%s' stands twice", duplicate);
 }
 
 static void
@@ -399,13 +392,8 @@
 static const void *
 find_data_centre(const at_config_t *c, const at_name_t *name)
 {
-	size_t i;
-
-	for (i = 0; i < c->data_centre_count; i++) {
-		if (at_name_equal(&c->data_centres[i], name))
-			return &c->data_centres[i];
-	}
-	return NULL;
+	return at_name_index_find(&c->data_centre_index, c->data_centres,
+	    c->data_centre_count, sizeof(*c->data_centres), name->text);
 }
 
 static int
@@ -417,22 +405,24 @@
 }
 
 static void
-check_names(reader_t *r)
+index_all(reader_t *r)
 {
 	at_config_t *c = r->config;
 
-	check_unique(r, "data_centres", c->data_centres, c->data_centre_count,
-	    sizeof(*c->data_centres));
-	check_unique(r, "workspaces", c->workspaces, c->workspace_count,
-	    sizeof(*c->workspaces));
-	check_unique(
-	    r, "models", c->models, c->model_count, sizeof(*c->models));
-	check_unique(
-	    r, "adapters", c->adapters, c->adapter_count, sizeof(*c->adapters));
-	check_unique(
-	    r, "engines", c->engines, c->engine_count, sizeof(*c->engines));
-	check_unique(
-	    r, "services", c->services, c->service_count, sizeof(*c->services));
+	index_names(r, "data_centres", &c->data_centre_index, c->data_centres,
+	    c->data_centre_count, sizeof(*c->data_centres));
+	index_names(r, "workspaces", &c->workspace_index, c->workspaces,
+	    c->workspace_count, sizeof(*c->workspaces));
+	index_names(r, "models", &c->model_index, c->models, c->model_count,
+	    sizeof(*c->models));
+	index_names(r, "adapters", &c->adapter_index, c->adapters,
+	    c->adapter_count, sizeof(*c->adapters));
+	index_names(r, "engines", &c->engine_index, c->engines, c->engine_count,
+	    sizeof(*c->engines));
+	index_names(r, "services", &c->service_index, c->services,
+	    c->service_count, sizeof(*c->services));
+	if (at_config_index_keys(c) != 0)
+		fail(r, "workspaces", "no memory");
 }
 
 static void
@@ -498,7 +488,7 @@
 	c->exceptions = read_array(r, root, "exceptions",
 	    sizeof(*c->exceptions), &c->exception_count, read_exception);
 	if (!r->failed)
-		check_names(r);
+		index_all(r);
 	if (!r->failed)
 		check_references(r);
 }
--- a/src/core/keyring.c
+++ b/src/core/keyring.c
@@ -46,31 +46,34 @@
 	sodium_memzero(hex, sizeof(hex));
 }
 
+/*
+ * Looks at every key in the run of slots where the hash belongs. Where the
+ * run begins says nothing of the secret, as the hash is keyed.
+ */
 const at_workspace_t *
 at_key_find(
     const at_config_t *config, const at_fleet_secret_t *secret, const char *key)
 {
 	const char *dot = strchr(key, '.');
 	size_t id_len = dot == NULL ? 0 : (size_t)(dot - key);
+	const at_workspace_t *found = NULL;
 	uint8_t hash[AT_KEY_HASH_SIZE];
-	size_t w;
-	size_t k;
+	size_t i;
 
-	if (id_len == 0 || id_len > AT_NAME_MAX || strlen(key) >= AT_KEY_SIZE)
+	if (id_len == 0 || id_len > AT_NAME_MAX || strlen(key) >= AT_KEY_SIZE ||
+	    config->key_slots == NULL)
 		return NULL;
 	at_key_hash(secret, key, hash);
-	for (w = 0; w < config->workspace_count; w++) {
-		const at_workspace_t *workspace = &config->workspaces[w];
+	memcpy(&i, hash, sizeof(i));
+	for (i &= config->key_mask; config->key_slots[i].key != NULL;
+	     i = (i + 1) & config->key_mask) {
+		const at_key_slot_t *slot = &config->key_slots[i];
+		int same =
+		    sodium_memcmp(slot->key->hash, hash, sizeof(hash)) == 0;
 
-		for (k = 0; k < workspace->key_count; k++) {
-			const at_key_t *own = &workspace->keys[k];
-
-			if (strncmp(own->id.text, key, id_len) != 0 ||
-			    own->id.text[id_len] != '\0')
-				continue;
-			if (sodium_memcmp(own->hash, hash, sizeof(hash)) == 0)
-				return workspace;
-		}
+		if (same && strncmp(slot->key->id.text, key, id_len) == 0 &&
+		    slot->key->id.text[id_len] == '\0')
+			found = slot->workspace;
 	}
-	return NULL;
+	return found;
 }
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <criterion/criterion.h>
@@ -76,10 +77,45 @@
 	cr_assert_eq(at_name_set(&workspace.name, "w"), 0);
 	cr_assert_eq(at_name_set(&key.id, "k"), 0);
 	at_key_make(&secret, &key.id, text, key.hash);
+	cr_assert_eq(at_config_index_keys(&config), 0);
 	cr_assert_eq(at_key_find(&config, &secret, text), &workspace);
 	cr_assert_null(at_key_find(&config, &secret, "k.00"));
 	cr_assert_null(at_key_find(&config, &secret, "k"));
 	cr_assert_null(at_key_find(&config, &secret, ""));
 	text[strlen(text) - 1] ^= 1;
 	cr_assert_null(at_key_find(&config, &secret, text));
+	free(config.key_slots);
+}
+
+Test(keyring, finds_each_of_many_keys_and_no_other)
+{
+	enum {
+		KEYS = 300
+	};
+	at_fleet_secret_t secret = {{2}};
+	at_key_t keys[KEYS];
+	at_workspace_t workspaces[2] = {{.keys = keys, .key_count = KEYS / 2},
+	    {.keys = keys + KEYS / 2, .key_count = KEYS / 2}};
+	at_config_t config = {.workspaces = workspaces, .workspace_count = 2};
+	char texts[KEYS][AT_KEY_SIZE];
+	size_t i;
+
+	cr_assert_geq(sodium_init(), 0);
+	for (i = 0; i < KEYS; i++) {
+		/* Both workspaces have keys of the same names. */
+		(void)snprintf(keys[i].id.text, sizeof(keys[i].id.text), "k%zu",
+		    i % (KEYS / 2));
+		at_key_make(&secret, &keys[i].id, texts[i], keys[i].hash);
+	}
+	cr_assert_null(at_key_find(&config, &secret, texts[0]));
+	cr_assert_eq(at_config_index_keys(&config), 0);
+	for (i = 0; i < KEYS; i++)
+		cr_assert_eq(at_key_find(&config, &secret, texts[i]),
+		    &workspaces[i / (KEYS / 2)]);
+	/* The hash of one key under the name of another is no key. */
+	keys[1].id = keys[2].id;
+	cr_assert_null(at_key_find(&config, &secret, texts[1]));
+	secret.bytes[0]++;
+	cr_assert_null(at_key_find(&config, &secret, texts[0]));
+	free(config.key_slots);
 }
