--- /dev/null
+++ b/tests/support/faulty_store.c
@@ -0,0 +1,333 @@
+#include "support/faulty_store.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define NOBODY FAULTY_CLIENTS /* the answer is not awaited */
+
+typedef struct call {
+	int used;
+	unsigned client;
+	int is_put;
+	int applied;
+	faulty_object_t *object;
+	uint64_t expect;
+	uint8_t *value;
+	size_t len;
+	at_store_code_t code;
+	uint64_t version;
+	at_store_done_t done;
+	void *ctx;
+} call_t;
+
+/* What a port carries: the store and who calls. */
+typedef struct client {
+	faulty_store_t *store;
+	unsigned number;
+	int paused;
+} client_t;
+
+struct faulty_store {
+	client_t clients[FAULTY_CLIENTS];
+	faulty_object_t objects[FAULTY_OBJECTS];
+	size_t object_count;
+	call_t calls[FAULTY_CALLS];
+	uint64_t versions;
+	int outage;
+};
+
+faulty_store_t *
+faulty_store_new(void)
+{
+	faulty_store_t *store = calloc(1, sizeof(*store));
+	unsigned i;
+
+	for (i = 0; i < FAULTY_CLIENTS; i++) {
+		store->clients[i].store = store;
+		store->clients[i].number = i;
+	}
+	return store;
+}
+
+static void
+free_call(call_t *c)
+{
+	free(c->value);
+	c->value = NULL;
+	c->used = 0;
+}
+
+void
+faulty_store_delete(faulty_store_t *store)
+{
+	size_t i;
+
+	for (i = 0; i < FAULTY_CALLS; i++)
+		free_call(&store->calls[i]);
+	for (i = 0; i < store->object_count; i++)
+		free(store->objects[i].value);
+	free(store);
+}
+
+static faulty_object_t *
+object_of(faulty_store_t *store, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < store->object_count; i++) {
+		if (strcmp(store->objects[i].name, name) == 0)
+			return &store->objects[i];
+	}
+	assert(i < FAULTY_OBJECTS);
+	store->object_count++;
+	(void)snprintf(store->objects[i].name, AT_NAME_SIZE, "%s", name);
+	return &store->objects[i];
+}
+
+static call_t *
+new_call(client_t *client, const char *name, at_store_done_t done, void *ctx)
+{
+	const at_store_result_t refused = {.code = AT_STORE_NOT_SENT};
+	faulty_store_t *store = client->store;
+	size_t i;
+
+	for (i = 0; i < FAULTY_CALLS; i++) {
+		call_t *c = &store->calls[i];
+
+		if (c->used)
+			continue;
+		memset(c, 0, sizeof(*c));
+		c->used = 1;
+		c->client = client->number;
+		c->object = object_of(store, name);
+		c->done = done;
+		c->ctx = ctx;
+		return c;
+	}
+	done(ctx, &refused);
+	return NULL;
+}
+
+static void
+port_get(void *impl, const char *name, at_store_done_t done, void *ctx)
+{
+	(void)new_call(impl, name, done, ctx);
+}
+
+static void
+port_put(void *impl, const char *name, uint64_t expect, const void *value,
+    size_t len, at_store_done_t done, void *ctx)
+{
+	call_t *c = new_call(impl, name, done, ctx);
+
+	if (c == NULL)
+		return;
+	c->is_put = 1;
+	c->expect = expect;
+	c->value = malloc(len + 1);
+	c->len = len;
+	memcpy(c->value, value, len);
+}
+
+at_store_t
+faulty_store_port(faulty_store_t *store, unsigned client)
+{
+	at_store_t port = {
+	    port_get, port_put, NULL, NULL, &store->clients[client]};
+
+	return port;
+}
+
+void
+faulty_store_set_outage(faulty_store_t *store, int outage)
+{
+	store->outage = outage;
+}
+
+void
+faulty_store_set_paused(faulty_store_t *store, unsigned client, int paused)
+{
+	store->clients[client].paused = paused;
+}
+
+void
+faulty_store_forget(faulty_store_t *store, unsigned client)
+{
+	size_t i;
+
+	store->clients[client].paused = 0;
+	for (i = 0; i < FAULTY_CALLS; i++) {
+		call_t *c = &store->calls[i];
+
+		if (!c->used || c->client != client)
+			continue;
+		if (c->is_put && !c->applied)
+			c->client = NOBODY;
+		else
+			free_call(c);
+	}
+}
+
+static void
+apply_put(faulty_store_t *store, call_t *c)
+{
+	faulty_object_t *o = c->object;
+
+	if (c->expect != o->version) {
+		c->code = AT_STORE_CONFLICT;
+		return;
+	}
+	free(o->value);
+	o->value = malloc(c->len + 1);
+	memcpy(o->value, c->value, c->len);
+	o->len = c->len;
+	o->version = ++store->versions;
+	c->code = AT_STORE_OK;
+}
+
+static void
+apply_get(call_t *c)
+{
+	const faulty_object_t *o = c->object;
+
+	c->code = o->version == 0 ? AT_STORE_NOT_FOUND : AT_STORE_OK;
+	c->value = malloc(o->len + 1);
+	c->len = o->len;
+	if (o->len > 0)
+		memcpy(c->value, o->value, o->len);
+}
+
+static void
+apply(faulty_store_t *store, call_t *c)
+{
+	if (c->applied)
+		return;
+	c->applied = 1;
+	if (c->is_put)
+		apply_put(store, c);
+	else
+		apply_get(c);
+	c->version = c->object->version;
+}
+
+/* Answers; a put that was not carried out stays, awaited by nobody. */
+static void
+reply(call_t *c, at_store_code_t code, int may_land)
+{
+	call_t copy = *c;
+	const at_store_result_t result = {.code = code,
+	    .version = c->version,
+	    .value = c->is_put ? NULL : (const char *)c->value,
+	    .value_len = c->is_put ? 0 : c->len};
+
+	if (may_land) {
+		c->client = NOBODY;
+		copy.value = NULL;
+	} else {
+		c->used = 0;
+		c->value = NULL;
+	}
+	copy.done(copy.ctx, &result);
+	free(copy.value);
+}
+
+static void
+land(faulty_store_t *store, call_t *c)
+{
+	if (store->outage)
+		return;
+	apply(store, c);
+	free_call(c);
+}
+
+static faulty_fate_t
+fate_now(const faulty_store_t *store, const call_t *c, faulty_fate_t fate)
+{
+	if (store->clients[c->client].paused)
+		return FAULTY_SLOW;
+	if (store->outage && !c->applied && fate != FAULTY_NOT_SENT)
+		return FAULTY_LOST;
+	if (fate == FAULTY_NOT_SENT && c->applied)
+		return FAULTY_DONE;
+	return fate;
+}
+
+static void
+handle(faulty_store_t *store, call_t *c, faulty_fate_t fate)
+{
+	if (c->client == NOBODY) {
+		if (fate != FAULTY_SLOW)
+			land(store, c);
+		return;
+	}
+	fate = fate_now(store, c, fate);
+	if (fate != FAULTY_LOST && fate != FAULTY_NOT_SENT && !store->outage)
+		apply(store, c);
+	switch (fate) {
+	case FAULTY_LOST:
+		reply(c, AT_STORE_UNKNOWN, c->is_put && !c->applied);
+		break;
+	case FAULTY_LOST_REPLY:
+		reply(c, AT_STORE_UNKNOWN, 0);
+		break;
+	case FAULTY_SLOW:
+		break;
+	case FAULTY_NOT_SENT:
+		reply(c, AT_STORE_NOT_SENT, 0);
+		break;
+	default:
+		reply(c, c->code, 0);
+		break;
+	}
+}
+
+void
+faulty_store_handle(faulty_store_t *store, unsigned start, faulty_fate_t fate)
+{
+	unsigned i;
+
+	for (i = 0; i < FAULTY_CALLS; i++) {
+		call_t *c = &store->calls[(start + i) % FAULTY_CALLS];
+
+		if (!c->used)
+			continue;
+		handle(store, c, fate);
+		return;
+	}
+}
+
+void
+faulty_store_handle_all(
+    faulty_store_t *store, faulty_fate_t fate, int only_puts)
+{
+	unsigned i;
+
+	for (i = 0; i < FAULTY_CALLS; i++) {
+		call_t *c = &store->calls[i];
+
+		if (c->used && c->client != NOBODY && (c->is_put || !only_puts))
+			handle(store, c, fate);
+	}
+}
+
+void
+faulty_store_land_all(faulty_store_t *store)
+{
+	unsigned i;
+
+	for (i = 0; i < FAULTY_CALLS; i++) {
+		call_t *c = &store->calls[i];
+
+		if (c->used && c->client == NOBODY)
+			land(store, c);
+	}
+}
+
+const faulty_object_t *
+faulty_store_objects(const faulty_store_t *store, size_t *count)
+{
+	*count = store->object_count;
+	return store->objects;
+}
--- /dev/null
+++ b/tests/support/faulty_store.h
@@ -0,0 +1,62 @@
+/*
+ * faulty_store.h - the object API in memory for stateful fuzzers: each call
+ * waits until the fuzzer says what becomes of it. A put whose answer was
+ * lost may still land, at any later time.
+ */
+#ifndef ALMONDTHREAD_TESTS_FAULTY_STORE_H
+#define ALMONDTHREAD_TESTS_FAULTY_STORE_H
+
+#include "almondthread/ports.h"
+
+#define FAULTY_CALLS 64u   /* open at a time; more are not sent */
+#define FAULTY_OBJECTS 16u /* names */
+#define FAULTY_CLIENTS 8u
+
+/* What becomes of a call. */
+typedef enum faulty_fate {
+	FAULTY_DONE,       /* carried out and answered */
+	FAULTY_DONE_TOO,   /* the same: most calls go well */
+	FAULTY_LOST,       /* no answer; a put may land later */
+	FAULTY_LOST_REPLY, /* carried out, no answer */
+	FAULTY_SLOW,       /* carried out, the answer still under way */
+	FAULTY_NOT_SENT,   /* proved without effect */
+	FAULTY_FATES
+} faulty_fate_t;
+
+typedef struct faulty_object {
+	char name[AT_NAME_SIZE];
+	uint64_t version;
+	uint8_t *value;
+	size_t len;
+} faulty_object_t;
+
+typedef struct faulty_store faulty_store_t;
+
+faulty_store_t *faulty_store_new(void);
+void faulty_store_delete(faulty_store_t *store);
+
+/* faulty_store_port() returns the port of one client. */
+at_store_t faulty_store_port(faulty_store_t *store, unsigned client);
+
+/* Nothing answers during an outage. */
+void faulty_store_set_outage(faulty_store_t *store, int outage);
+/* Calls of a paused client may be carried out; its answers wait. */
+void
+faulty_store_set_paused(faulty_store_t *store, unsigned client, int paused);
+/* faulty_store_forget() drops a dead client; its puts may still land. */
+void faulty_store_forget(faulty_store_t *store, unsigned client);
+
+/* faulty_store_handle() gives a fate to the first open call from start. */
+void
+faulty_store_handle(faulty_store_t *store, unsigned start, faulty_fate_t fate);
+/* Gives a fate to every call that is awaited, or only to puts. */
+void faulty_store_handle_all(
+    faulty_store_t *store, faulty_fate_t fate, int only_puts);
+/* faulty_store_land_all() carries out what nobody awaits any more. */
+void faulty_store_land_all(faulty_store_t *store);
+
+/* faulty_store_objects() returns the objects and their number. */
+const faulty_object_t *
+faulty_store_objects(const faulty_store_t *store, size_t *count);
+
+#endif
