--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -14,8 +14,10 @@
 #include "almondthread/keyring.h"
 #include "almondthread/ports.h"
 #include "daemon/backends.h"
+#include "daemon/history.h"
 #include "io/httpc.h"
 #include "io/httpd.h"
+#include "io/peers.h"
 #include "io/platform.h"
 
 /* What a process learns from its flags and environment. */
@@ -26,6 +28,8 @@
 	const char *operators;
 	const char *platform;
 	const char *secret;
+	const char *peers; /* where peers connect; empty or NULL: none do */
+	const char *seeds; /* peers' addresses, separated by commas */
 	const char *log_level;
 	uint32_t drain_ms;    /* the balancer's time to look elsewhere */
 	uint32_t stop_max_ms; /* longest wait for open requests */
@@ -56,25 +60,28 @@
 	at_httpd_t *operators;
 	at_platform_t *platform;
 	at_store_t store;
+	at_peers_t *peers;
 	at_config_t *config; /* NULL until the first one */
 	at_backends_t *backends;
+	at_history_t *history; /* of refusals, for explain */
 	ev_timer stop_timer;
 	ev_timer status_timer;
 	uint64_t stop_since_ms;
 	size_t open_exchanges;
 } at_node_t;
 
-at_node_t *
-at_node_new(struct ev_loop *loop, const at_node_settings_t *settings);
+at_node_t *at_node_new(
+    struct ev_loop *loop, const at_node_settings_t *settings);
 at_code_t at_node_init(at_node_t *node, at_status_t *status);
 /* at_node_stop() begins a graceful shutdown; the loop breaks at its end. */
 void at_node_stop(at_node_t *node);
 void at_node_delete(at_node_t *node);
 
-/* entry.c: one request of a caller. */
+/* entry.c: one request of a caller, and one that cannot be handled. */
 void at_entry_handle(void *ctx, at_httpd_request_t *request);
+void at_entry_handle_fault(void *ctx, at_httpd_request_t *request);
 
-/* operators.c: /metrics, /healthz, /readyz, /status. */
+/* operators.c: /metrics, /healthz, /readyz, /status, /explain. */
 void at_operators_handle(void *ctx, at_httpd_request_t *request);
 
 #endif
