--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -15,5 +15,6 @@
 int bench_verdicts(int argc, char **argv);
 int bench_entry(int argc, char **argv);
 int bench_claims(int argc, char **argv);
+int bench_route(int argc, char **argv);
 
 #endif
--- a/src/daemon/backends.h
+++ b/src/daemon/backends.h
@@ -5,16 +5,19 @@
 #ifndef ALMONDTHREAD_DAEMON_BACKENDS_H
 #define ALMONDTHREAD_DAEMON_BACKENDS_H
 
+#include "almondthread/budget.h"
 #include "almondthread/engine_view.h"
 #include "almondthread/ports.h"
 
 typedef struct at_backend {
 	at_instance_t instance;
-	at_engine_view_t view; /* engines only */
-	uint32_t outstanding;  /* our own requests in flight */
-	uint32_t failures;     /* in a row */
-	int present;           /* in the newest instance list */
-	int polling;           /* a status call is open */
+	at_engine_view_t view;   /* engines only */
+	uint32_t outstanding;    /* our own requests in flight */
+	uint32_t failures;       /* in a row */
+	int present;             /* in the newest instance list */
+	int polling;             /* a status call is open */
+	at_budget_t budget;      /* of retries sent to it */
+	uint64_t fresh_until_ms; /* until then ride no pooled connection */
 } at_backend_t;
 
 typedef struct at_backends at_backends_t;
@@ -22,6 +25,10 @@
 at_backends_t *at_backends_new(void);
 void at_backends_delete(at_backends_t *backends);
 
+/* Called for each backend server before it is forgotten. */
+void at_backends_set_forget(at_backends_t *backends,
+    void (*forget)(void *ctx, at_backend_t *backend), void *ctx);
+
 /* at_backends_update() takes over the newest instance list. */
 void at_backends_update(
     at_backends_t *backends, const at_instance_t *instances, size_t count);
@@ -34,13 +41,11 @@
     void (*visit)(void *ctx, at_backend_t *backend), void *ctx);
 
 /*
- * at_backends_choose() returns the least loaded engine that holds target,
- * or, with kind AT_INSTANCE_SERVICE, a backend server of that service. Own
- * data centre goes first; avoid is skipped where there is another. NULL when
- * there is none.
+ * at_backends_choose() returns the least loaded backend server of a plain
+ * service. Own data centre goes first; avoid is skipped where there is
+ * another. NULL when there is none. Engines are the router's.
  */
-at_backend_t *at_backends_choose(at_backends_t *backends,
-    at_instance_kind_t kind, const char *target, const at_name_t *data_centre,
-    const at_name_t *avoid);
+at_backend_t *at_backends_choose(at_backends_t *backends, const char *service,
+    const at_name_t *data_centre, const at_name_t *avoid);
 
 #endif
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -6,6 +6,8 @@
 
 #include "almondthread/log.h"
 #include "daemon/engine_status.h"
+#include "daemon/routing.h"
+#include "daemon/exchange.h"
 #include "io/clock.h"
 
 #define STATUS_EVERY_S 0.5 /* between two reports of an engine */
@@ -39,6 +41,7 @@
 	node->operators = at_httpd_new(loop);
 	node->platform = at_platform_new(loop, node->httpc);
 	node->backends = at_backends_new();
+	node->budgets = at_budgets_new();
 	node->history = at_history_new();
 	node->peers = at_peers_new(loop);
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
@@ -87,6 +90,7 @@
 	at_node_t *node = ctx;
 
 	at_backends_update(node->backends, instances, count);
+	at_routing_listed(node);
 	at_peers_update(node->peers, instances, count);
 }
 
@@ -158,6 +162,11 @@
 	if (check_settings(node, status) != AT_OK)
 		return status->code;
 	node->self.number = node->random.next(node->random.impl);
+	node->router = at_router_new(
+	    &node->data_centre, node->random.next(node->random.impl));
+	if (node->router == NULL)
+		return at_status_set(status, AT_FAILED, "no memory");
+	at_backends_set_forget(node->backends, at_routing_forget, node);
 	if (at_platform_init(node->platform, s->platform, status) != AT_OK ||
 	    at_httpd_init(node->operators, s->operators, status) != AT_OK ||
 	    at_httpd_init(node->callers, s->listen, status) != AT_OK ||
@@ -179,6 +188,16 @@
 	return AT_OK;
 }
 
+/* An exchange goes on without its caller when it may not be repeated. */
+static size_t
+open_work(const at_node_t *node)
+{
+	size_t requests = at_httpd_open_requests(node->callers);
+
+	return requests > node->open_exchanges ? requests
+					       : node->open_exchanges;
+}
+
 /* Moves a stopping node on, one state at a time. */
 static void
 on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -186,7 +205,7 @@
 	at_node_t *node = timer->data;
 	uint64_t now = at_clock_now_ms();
 	uint64_t waited_ms = now - node->stop_since_ms;
-	size_t open = at_httpd_open_requests(node->callers);
+	size_t open = open_work(node);
 
 	(void)events;
 	if (node->state == AT_NODE_DRAINING) {
@@ -236,11 +255,14 @@
 	ev_timer_stop(node->loop, &node->stop_timer);
 	ev_timer_stop(node->loop, &node->status_timer);
 	at_httpd_delete(node->callers);
+	at_exchange_delete_all(node);
 	at_httpd_delete(node->operators);
 	at_peers_delete(node->peers);
 	at_platform_delete(node->platform);
 	at_httpc_delete(node->httpc);
 	at_backends_delete(node->backends);
+	at_router_delete(node->router);
+	at_budgets_delete(node->budgets);
 	at_history_delete(node->history);
 	at_config_delete(node->config);
 	at_counters_delete(node->counters);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -13,6 +13,7 @@
 #include "almondthread/counters.h"
 #include "almondthread/keyring.h"
 #include "almondthread/ports.h"
+#include "almondthread/router.h"
 #include "daemon/backends.h"
 #include "daemon/history.h"
 #include "io/httpc.h"
@@ -63,10 +64,13 @@
 	at_peers_t *peers;
 	at_config_t *config; /* NULL until the first one */
 	at_backends_t *backends;
+	at_router_t *router;   /* of engines */
 	at_history_t *history; /* of refusals, for explain */
 	ev_timer stop_timer;
 	ev_timer status_timer;
 	uint64_t stop_since_ms;
+	at_budgets_t *budgets; /* of retries, by workspace */
+	struct exchange *exchanges;
 	size_t open_exchanges;
 } at_node_t;
 
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -22,9 +22,9 @@
 #define AT_HTTPD_ID_DIGITS 32u /* hexadecimal, of a request's id */
 
 /* Bytes buffered for one stream before its producer should pause. */
-#define AT_HTTPD_HIGH_WATER (64u * 1024)
+#define AT_HTTPD_HIGH_WATER (16u * 1024)
 /* Bytes under which a paused producer is called again. */
-#define AT_HTTPD_LOW_WATER (16u * 1024)
+#define AT_HTTPD_LOW_WATER (4u * 1024)
 
 /* Why a request cannot be handled. */
 typedef enum at_httpd_fault {
@@ -83,6 +83,8 @@
 void at_httpd_close_connections(at_httpd_t *httpd);
 /* at_httpd_open_requests() counts requests that have not ended. */
 size_t at_httpd_open_requests(const at_httpd_t *httpd);
+/* at_httpd_buffered() sums the bytes of streams not yet handed over. */
+size_t at_httpd_buffered(const at_httpd_t *httpd);
 /*
  * at_httpd_delete() aborts the open requests, calls their end callbacks and
  * closes every connection. NULL is permitted.
@@ -124,6 +126,11 @@
 int at_httpd_stream_write(
     at_httpd_request_t *request, const void *data, size_t len);
 void at_httpd_stream_end(at_httpd_request_t *request);
+/*
+ * at_httpd_stream_fail() closes the connection without a proper end after
+ * what was queued has been handed over.
+ */
+void at_httpd_stream_fail(at_httpd_request_t *request);
 /* at_httpd_stream_abort() closes the connection without a proper end. */
 void at_httpd_stream_abort(at_httpd_request_t *request);
 
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -16,6 +16,7 @@
 	REQUEST_ANSWERED,  /* a response is queued or ready to be */
 	REQUEST_STREAMING, /* the body is still being written */
 	REQUEST_ENDING,    /* the whole answer is buffered */
+	REQUEST_FAILING,   /* what is buffered goes out, then it is cut */
 	REQUEST_ABORTED
 } request_state_t;
 
--- a/src/standin/engine.c
+++ b/src/standin/engine.c
@@ -14,6 +14,7 @@
 #define NAME_SIZE 64
 #define ID_SIZE 80
 #define US_PER_S 1e6
+#define NEVER_S 1e300 /* later than any time of the loop */
 
 /* A model or adapter held in memory. */
 typedef struct resident {
@@ -273,6 +274,16 @@
 	    g->id, object, g->model, g->made);
 }
 
+/* Takes one of the answers that a fault is to hit. */
+static int
+take_fault(uint32_t *left)
+{
+	if (*left == 0)
+		return 0;
+	(*left)--;
+	return 1;
+}
+
 static void
 end_stream(generation_t *g)
 {
@@ -286,10 +297,29 @@
 	    g->id, g->model, g->prompt_tokens, g->made,
 	    g->prompt_tokens + g->made);
 
-	(void)at_httpd_stream_write(g->request, out, (size_t)len);
+	if (!take_fault(&g->engine->faults.shorten))
+		(void)at_httpd_stream_write(g->request, out, (size_t)len);
 	at_httpd_stream_end(g->request);
 }
 
+/* Sends half of a whole answer; then ends it properly or breaks it off. */
+static void
+reply_half(generation_t *g, json_t *object, int properly)
+{
+	static const at_header_t headers[] = {
+	    {"Content-Type", "application/json"}, {NULL, NULL}};
+	char *text = json_dumps(object, JSON_COMPACT);
+
+	at_httpd_stream_begin(g->request, 200, headers);
+	(void)at_httpd_stream_write(g->request, text, strlen(text) / 2);
+	if (properly)
+		at_httpd_stream_end(g->request);
+	else
+		at_httpd_stream_fail(g->request);
+	free(text);
+	json_decref(object);
+}
+
 static void
 end_whole(generation_t *g)
 {
@@ -300,12 +330,18 @@
 			     : json_pack("{s:i,s:s,s:s}", "index", 0, "text",
 				   g->text, "finish_reason", "stop");
 
-	standin_reply_json(g->request, 200,
-	    json_pack("{s:s,s:s,s:s,s:[o],s:{s:i,s:i,s:i}}", "id", g->id,
-		"object", g->chat ? "chat.completion" : "text_completion",
-		"model", g->model, "choices", choice, "usage", "prompt_tokens",
-		(int)g->prompt_tokens, "completion_tokens", (int)g->made,
-		"total_tokens", (int)(g->prompt_tokens + g->made)));
+	json_t *answer = json_pack("{s:s,s:s,s:s,s:[o],s:{s:i,s:i,s:i}}", "id",
+	    g->id, "object", g->chat ? "chat.completion" : "text_completion",
+	    "model", g->model, "choices", choice, "usage", "prompt_tokens",
+	    (int)g->prompt_tokens, "completion_tokens", (int)g->made,
+	    "total_tokens", (int)(g->prompt_tokens + g->made));
+
+	if (take_fault(&g->engine->faults.break_whole))
+		reply_half(g, answer, 0);
+	else if (take_fault(&g->engine->faults.shorten))
+		reply_half(g, answer, 1);
+	else
+		standin_reply_json(g->request, 200, answer);
 }
 
 static void
@@ -323,6 +359,19 @@
 	g->made++;
 }
 
+/* Cuts the connection after what was made. */
+static void
+break_off(generation_t *g, const char *out, size_t used)
+{
+	g->next_at = NEVER_S;
+	if (!g->stream) {
+		at_httpd_stream_abort(g->request);
+		return;
+	}
+	(void)at_httpd_stream_write(g->request, out, used);
+	at_httpd_stream_fail(g->request);
+}
+
 /* Makes the tokens that are due; ends the answer after the last. */
 static void
 generation_step(generation_t *g, double now)
@@ -335,7 +384,7 @@
 	       used < sizeof(out) - 512) {
 		if (faults->truncate_after > 0 &&
 		    g->made >= faults->truncate_after) {
-			at_httpd_stream_abort(g->request);
+			break_off(g, out, used);
 			return;
 		}
 		make_token(g, out, sizeof(out), &used);
@@ -345,7 +394,7 @@
 		(void)at_httpd_stream_write(g->request, out, used);
 	if (g->made < g->max_tokens)
 		return;
-	g->next_at = now + 1e9;
+	g->next_at = NEVER_S;
 	if (g->stream)
 		end_stream(g);
 	else
--- a/tests/support/fixture.h
+++ b/tests/support/fixture.h
@@ -10,6 +10,7 @@
 #include "standin/standin.h"
 
 #define FIXTURE_MAX 16 /* of each kind */
+#define FIXTURE_STOP_MAX_MS 60000u
 #define FIXTURE_SECRET \
 	"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
 
@@ -40,6 +41,7 @@
 	uint64_t version; /* of the X-Version header */
 	char *body;
 	size_t len;
+	at_transfer_t *transfer; /* while it is open */
 } fixture_answer_t;
 
 /* fixture_new() starts the platform alone. */
@@ -76,6 +78,9 @@
     const char *body);
 void fixture_answer_free(fixture_answer_t *answer);
 
+/* fixture_hang_up() closes an open call as a caller that leaves does. */
+void fixture_hang_up(fixture_answer_t *answer);
+
 /* fixture_faults() sets faults of a stand-in at an address. */
 void fixture_faults(fixture_t *f, const char *address, const char *json);
 
