Add share machines, the fleet's table of shares and their fuzzer

Cause: limits were configured but nothing held a workspace to them. Change: a token bucket with rights to refunds (bucket), loans of fractions between two incarnations (share, share_policy), the fleet's table of floors and leases (share_root, share_table), a stateful fuzzer against one true bucket, a draft of the design note. Not in the daemon yet.

--- /dev/null
+++ b/include/almondthread/bucket.h
@@ -0,0 +1,66 @@
+/*
+ * bucket.h - the token bucket of one workspace at one instance.
+ *
+ * It refills with a fraction of the workspace's rate up to the same fraction
+ * of its burst. Fractions are in parts per billion (ppb), levels in
+ * millionths of a token (utok).
+ *
+ * A debit is made at admission and settled once. The bucket gives back what
+ * was not used, but level and open rights to a refund together never exceed
+ * the burst: where they would, the oldest rights are cut. So a refund that
+ * counts against its own debit lets no interval exceed the bound.
+ *
+ * The clock may run fast by AT_CLOCK_ERROR_PPM and is read in whole
+ * milliseconds; the refill is reduced and the level capped to allow for both.
+ */
+#ifndef ALMONDTHREAD_BUCKET_H
+#define ALMONDTHREAD_BUCKET_H
+
+#include "almondthread/units.h"
+
+#define AT_PPB 1000000000            /* the whole of a workspace's limit */
+#define AT_UTOK 1000000              /* utok in one token */
+#define AT_CLOCK_ERROR_PPM 1000u     /* of the rate of any instance's clock */
+#define AT_TOKENS_MAX 1000000000000u /* largest rate, burst and cost */
+
+typedef struct at_bucket at_bucket_t;
+
+/* One debit that is not settled yet; owned by its bucket. */
+typedef struct at_debit at_debit_t;
+
+/* at_bucket_new() returns an empty bucket at now_ms, or NULL. */
+at_bucket_t *at_bucket_new(uint64_t now_ms);
+/* at_bucket_delete() frees the bucket and all its debits. */
+void at_bucket_delete(at_bucket_t *bucket);
+
+/* at_bucket_advance() refills up to now_ms; an earlier time is ignored. */
+void at_bucket_advance(at_bucket_t *bucket, uint64_t now_ms);
+
+/* Each refills up to the last advance by the old value; the level is cut. */
+void at_bucket_set_limit(
+    at_bucket_t *bucket, uint64_t rate_tokens_s, uint64_t burst_tokens);
+void at_bucket_set_share(at_bucket_t *bucket, int64_t share_ppb);
+
+/* May be negative by what the clock's reading may have given too early. */
+int64_t at_bucket_level_utok(const at_bucket_t *bucket);
+/* at_bucket_rights_utok() is what open debits may still get back. */
+int64_t at_bucket_rights_utok(const at_bucket_t *bucket);
+/* at_bucket_burst_utok() is the fraction share_ppb of the whole burst. */
+int64_t at_bucket_burst_utok(const at_bucket_t *bucket, int64_t share_ppb);
+
+/* at_bucket_take() removes up to utok and returns what it removed. */
+int64_t at_bucket_take(at_bucket_t *bucket, int64_t utok);
+/* at_bucket_add() adds utok; what exceeds the capacity is lost. */
+void at_bucket_add(at_bucket_t *bucket, int64_t utok);
+
+/* at_bucket_debit() returns NULL when the level is short of the cost. */
+at_debit_t *at_bucket_debit(at_bucket_t *bucket, uint64_t cost_tokens);
+/*
+ * at_bucket_settle() ends a debit and gives back cost less used, as far as
+ * its right reaches. When more was used than debited the level falls below
+ * zero. Returns the utok given back.
+ */
+int64_t
+at_bucket_settle(at_bucket_t *bucket, at_debit_t *debit, uint64_t used_tokens);
+
+#endif
--- /dev/null
+++ b/src/core/share_impl.h
@@ -0,0 +1,112 @@
+/*
+ * share_impl.h - the inside of a share: share.c keeps the books of loans,
+ * share_policy.c decides when to ask, grant and return.
+ */
+#ifndef ALMONDTHREAD_CORE_SHARE_IMPL_H
+#define ALMONDTHREAD_CORE_SHARE_IMPL_H
+
+#include <uthash.h>
+
+#include "almondthread/share.h"
+
+#define GRANTS_MAX 3u /* alive at once between two incarnations */
+#define NO_TIME UINT64_MAX
+
+/* A grant as its sender or receiver remembers it. */
+typedef struct grant {
+	uint64_t seq;
+	int64_t ppb;
+	uint64_t ends_ms;
+} grant_t;
+
+/* The grants of one direction that may be alive, oldest first. */
+typedef struct loan {
+	grant_t grants[GRANTS_MAX];
+	size_t count;
+} loan_t;
+
+/* Everything about one peer's incarnation. */
+typedef struct peer {
+	UT_hash_handle hh;
+	at_incarnation_t self;
+	loan_t borrowed;
+	uint64_t newest_grant; /* applied */
+	uint64_t asked_ms;     /* our last ask */
+	uint32_t term_ms;      /* of the newest grant applied */
+	loan_t lent;
+	uint64_t newest_ask; /* processed */
+	int64_t spare_ppb;   /* offered by it */
+	/* The last ask, as long as it is not met in full. */
+	int64_t open_ppb;
+	int64_t open_utok;
+	uint64_t open_asked_ms;
+	uint64_t open_since_ms;
+	uint64_t seen_ms;
+} peer_t;
+
+struct at_share {
+	at_incarnation_t self;
+	at_share_port_t port;
+	at_bucket_t *bucket;
+	uint64_t rate_tokens_s;
+	uint64_t burst_tokens;
+	uint64_t now_ms; /* of the last advance */
+	int64_t floor_ppb;
+	int64_t lease_ppb;
+	uint64_t lease_expires_ms;
+	peer_t *peers;
+	uint64_t next_end_ms; /* earliest end of a grant or lease */
+	int64_t cap_ppb;      /* floor + lease + borrowed */
+	int64_t lent_ppb;
+	uint64_t ask_seq;
+	uint64_t grant_seq;
+	at_incarnation_t home; /* number 0: none, or this instance */
+	int is_home;
+	int leaving;
+	at_incarnation_t *remotes;
+	size_t remote_count;
+	size_t next_remote;
+	/* Demand of this instance. */
+	uint64_t window_ms; /* start of the present window */
+	uint64_t window_tokens;
+	int64_t demand_ppb;  /* of the rate, falling */
+	int64_t cost_ppb;    /* of the burst, for the dearest request */
+	uint64_t cost_ms;    /* when it came */
+	int64_t drawn_ppb;   /* lent on in the present window */
+	int64_t reserve_ppb; /* kept ready to lend, falling */
+	int64_t short_ppb;   /* asked of this home and not there */
+	uint64_t remotes_asked_ms;
+	uint64_t reported_ms;
+	uint64_t asks;
+	uint64_t grants;
+};
+
+/* share.c */
+void share_refresh(at_share_t *share);
+int64_t share_own_ppb(const at_share_t *share);
+/* What will be there until ends_ms, by loans that last as long. */
+int64_t share_cap_until(const at_share_t *share, uint64_t ends_ms);
+peer_t *share_find(at_share_t *share, const at_incarnation_t *who);
+peer_t *share_find_or_add(at_share_t *share, const at_incarnation_t *who);
+int64_t loan_ppb(const loan_t *loan);
+/* What all but this peer's loan leave for a loan that ends at ends_ms. */
+int64_t
+share_grantable(const at_share_t *share, const peer_t *peer, uint64_t ends_ms);
+/* Asks for want_ppb, after returning all but keep_ppb of the present loan. */
+void share_ask(at_share_t *share, peer_t *peer, int64_t keep_ppb,
+    int64_t want_ppb, int64_t need_utok, int64_t spare_ppb);
+/* Grants a loan of up to total_ppb for term_ms; returns the loan granted. */
+int64_t share_grant(at_share_t *share, peer_t *peer, int64_t total_ppb,
+    int64_t level_utok, uint32_t term_ms);
+
+/* share_policy.c */
+void
+policy_asked(at_share_t *share, peer_t *peer, const at_share_message_t *ask);
+void policy_granted(at_share_t *share, peer_t *peer);
+void
+policy_short(at_share_t *share, uint64_t cost_tokens, int64_t missing_utok);
+void policy_debited(at_share_t *share, uint64_t cost_tokens);
+void policy_tick(at_share_t *share);
+int64_t policy_need_ppb(const at_share_t *share);
+
+#endif
--- /dev/null
+++ b/src/core/share_table.c
@@ -0,0 +1,124 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "almondthread/share_root.h"
+
+#define FIRST_LINE "shares 1\n"
+#define LINE_SIZE 256u /* bytes of one entry's line, at most */
+
+void
+at_share_table_clear(at_share_table_t *table)
+{
+	free(table->entries);
+	memset(table, 0, sizeof(*table));
+}
+
+at_share_entry_t *
+at_share_table_find(const at_share_table_t *table, uint64_t number)
+{
+	size_t i;
+
+	for (i = 0; i < table->count; i++) {
+		if (table->entries[i].who.number == number)
+			return &table->entries[i];
+	}
+	return NULL;
+}
+
+int64_t
+at_share_table_sum_ppb(const at_share_table_t *table)
+{
+	int64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < table->count; i++)
+		sum +=
+		    table->entries[i].floor_ppb + table->entries[i].lease_ppb;
+	return sum;
+}
+
+static int
+parse_line(at_share_entry_t *entry, const char *line)
+{
+	char name[AT_NAME_SIZE];
+
+	if (sscanf(line, "%63s %" SCNu64 " %" SCNd64 " %" SCNd64 " %" SCNu64,
+		name, &entry->who.number, &entry->floor_ppb, &entry->lease_ppb,
+		&entry->renewal) != 5 ||
+	    at_name_set(&entry->who.instance, name) != 0 ||
+	    entry->floor_ppb < 0 || entry->floor_ppb > AT_PPB ||
+	    entry->lease_ppb < 0 || entry->lease_ppb > AT_PPB)
+		return -1;
+	return 0;
+}
+
+/* Reads one line; returns the next, or NULL when it is not an entry. */
+static const char *
+parse_entry(at_share_table_t *table, const char *text, const char *end)
+{
+	const char *newline = memchr(text, '\n', (size_t)(end - text));
+	at_share_entry_t entry = {0};
+	char line[LINE_SIZE];
+	size_t len;
+
+	if (newline == NULL || newline - text >= (ptrdiff_t)sizeof(line))
+		return NULL;
+	len = (size_t)(newline - text);
+	memcpy(line, text, len);
+	line[len] = '\0';
+	if (parse_line(&entry, line) != 0 ||
+	    at_share_table_find(table, entry.who.number) != NULL)
+		return NULL;
+	table->entries[table->count++] = entry;
+	return newline + 1;
+}
+
+int
+at_share_table_parse(at_share_table_t *table, const char *text, size_t len)
+{
+	const char *end = text + len;
+	size_t lines = 0;
+	size_t i;
+
+	memset(table, 0, sizeof(*table));
+	if (len < strlen(FIRST_LINE) ||
+	    memcmp(text, FIRST_LINE, strlen(FIRST_LINE)) != 0)
+		return -1;
+	for (i = 0; i < len; i++)
+		lines += text[i] == '\n';
+	table->entries = calloc(lines, sizeof(*table->entries));
+	if (table->entries == NULL)
+		return -1;
+	text += strlen(FIRST_LINE);
+	while (text != NULL && text < end)
+		text = parse_entry(table, text, end);
+	if (text != NULL && at_share_table_sum_ppb(table) <= AT_PPB)
+		return 0;
+	at_share_table_clear(table);
+	return -1;
+}
+
+char *
+at_share_table_text(const at_share_table_t *table, size_t *len)
+{
+	size_t size = sizeof(FIRST_LINE) + table->count * LINE_SIZE;
+	char *text = malloc(size);
+	size_t used = strlen(FIRST_LINE);
+	size_t i;
+
+	if (text == NULL)
+		return NULL;
+	memcpy(text, FIRST_LINE, sizeof(FIRST_LINE));
+	for (i = 0; i < table->count; i++) {
+		const at_share_entry_t *e = &table->entries[i];
+
+		used += (size_t)snprintf(text + used, size - used,
+		    "%s %" PRIu64 " %" PRId64 " %" PRId64 " %" PRIu64 "\n",
+		    e->who.instance.text, e->who.number, e->floor_ppb,
+		    e->lease_ppb, e->renewal);
+	}
+	*len = used;
+	return text;
+}
--- /dev/null
+++ b/tests/unit/test_share.c
@@ -0,0 +1,253 @@
+/*
+ * Shares between two instances, the table's text and the refund's right.
+ * The bound over many instances under faults is the fuzzer's.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "almondthread/share_root.h"
+
+#define RATE 1000u
+#define BURST 10000u
+#define MAIL_MAX 32u
+
+typedef struct pair {
+	at_incarnation_t ids[2];
+	at_share_t *shares[2];
+	struct {
+		int from;
+		at_share_message_t message;
+	} mails[MAIL_MAX];
+	size_t mail_count;
+	struct port_ctx {
+		struct pair *pair;
+		int index;
+	} ctx[2];
+} pair_t;
+
+static void
+on_send(void *ctx, const at_incarnation_t *to, const at_share_message_t *m)
+{
+	struct port_ctx *c = ctx;
+	pair_t *pair = c->pair;
+
+	(void)to;
+	cr_assert_lt(pair->mail_count, MAIL_MAX);
+	pair->mails[pair->mail_count].from = c->index;
+	pair->mails[pair->mail_count++].message = *m;
+}
+
+static void
+deliver_all(pair_t *pair, uint64_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < pair->mail_count; i++) {
+		int from = pair->mails[i].from;
+
+		at_share_receive(pair->shares[1 - from], now_ms,
+		    &pair->ids[from], &pair->mails[i].message);
+	}
+	pair->mail_count = 0;
+}
+
+/* Instance 0 is home and holds the whole; instance 1 holds nothing. */
+static void
+pair_init(pair_t *pair)
+{
+	int i;
+
+	memset(pair, 0, sizeof(*pair));
+	for (i = 0; i < 2; i++) {
+		const at_share_port_t port = {on_send, NULL, &pair->ctx[i]};
+
+		pair->ctx[i].pair = pair;
+		pair->ctx[i].index = i;
+		pair->ids[i].number = (uint64_t)i + 1;
+		pair->shares[i] = at_share_new(0, &pair->ids[i], &port);
+		at_share_set_limit(pair->shares[i], 0, RATE, BURST);
+		at_share_set_home(pair->shares[i], 0, &pair->ids[0]);
+	}
+	at_share_set_root(pair->shares[0], 0, AT_PPB, 0, 0);
+}
+
+static void
+pair_delete(pair_t *pair)
+{
+	at_share_delete(pair->shares[0]);
+	at_share_delete(pair->shares[1]);
+}
+
+Test(share, an_instance_without_a_floor_lives_on_loans)
+{
+	pair_t pair;
+	at_debit_t *debit;
+
+	pair_init(&pair);
+	at_share_advance(pair.shares[0], 20000);
+	cr_assert_eq(
+	    at_share_admit(pair.shares[1], 20000, 500, &debit), AT_ADMIT_SHORT);
+	deliver_all(&pair, 20001);
+	deliver_all(&pair, 20002);
+	cr_assert_eq(
+	    at_share_admit(pair.shares[1], 20002, 500, &debit), AT_ADMIT_OK);
+	at_share_settle(pair.shares[1], 20002, debit, 500);
+	pair_delete(&pair);
+}
+
+Test(share, a_loan_ends_by_the_borrowers_clock_from_its_ask)
+{
+	pair_t pair;
+	at_share_view_t view;
+	at_debit_t *debit;
+	const uint64_t asked_ms = 20000;
+
+	pair_init(&pair);
+	at_share_advance(pair.shares[0], asked_ms);
+	(void)at_share_admit(pair.shares[1], asked_ms, 500, &debit);
+	deliver_all(&pair, asked_ms + 1000);
+	deliver_all(&pair, asked_ms + 2000);
+	at_share_view(pair.shares[1], &view);
+	cr_assert_gt(view.own_ppb, 0);
+	at_share_advance(pair.shares[1], asked_ms + AT_LOAN_TERM_MS);
+	at_share_view(pair.shares[1], &view);
+	cr_assert_eq(view.own_ppb, 0);
+	cr_assert_gt(at_share_lent_ppb(pair.shares[0]), 0);
+	at_share_advance(pair.shares[0],
+	    asked_ms + 1000 + at_lender_term_ms(AT_LOAN_TERM_MS));
+	cr_assert_eq(at_share_lent_ppb(pair.shares[0]), 0);
+	pair_delete(&pair);
+}
+
+Test(share, a_leaver_returns_what_it_borrowed)
+{
+	pair_t pair;
+	at_debit_t *debit;
+
+	pair_init(&pair);
+	at_share_advance(pair.shares[0], 20000);
+	(void)at_share_admit(pair.shares[1], 20000, 500, &debit);
+	deliver_all(&pair, 20001);
+	deliver_all(&pair, 20002);
+	at_share_leave(pair.shares[1], 20003);
+	deliver_all(&pair, 20004);
+	cr_assert_eq(at_share_lent_ppb(pair.shares[0]), 0);
+	pair_delete(&pair);
+}
+
+typedef struct admit_row {
+	uint64_t cost;
+	at_admit_t verdict;
+	uint32_t retry_after_ms;
+} admit_row_t;
+
+static const admit_row_t admit_rows[] = {
+    {0, AT_ADMIT_OK, 50},
+    {4000, AT_ADMIT_OK, 50},
+    {9000, AT_ADMIT_SHORT, 3001},
+    {BURST, AT_ADMIT_OVER_BURST, 4001},
+    {BURST + 1, AT_ADMIT_OVER_BURST, 4002},
+};
+
+Test(share, tells_when_to_come_back)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(admit_rows) / sizeof(admit_rows[0]); i++) {
+		const admit_row_t *row = &admit_rows[i];
+		pair_t pair;
+		at_debit_t *debit;
+
+		pair_init(&pair);
+		at_share_advance(pair.shares[0], 6007);
+		cr_assert_eq(
+		    at_share_admit(pair.shares[0], 6007, row->cost, &debit),
+		    row->verdict, "row %zu", i);
+		if (row->verdict != AT_ADMIT_OK)
+			cr_assert_eq(
+			    at_share_retry_after_ms(pair.shares[0], row->cost),
+			    row->retry_after_ms, "row %zu: %u", i,
+			    at_share_retry_after_ms(pair.shares[0], row->cost));
+		pair_delete(&pair);
+	}
+}
+
+/* A bucket of 10,000 is emptied, refills for a time and gets a refund. */
+typedef struct refund_row {
+	uint64_t idle_ms;
+	uint64_t used;
+	int64_t refund_tokens; /* rounded down */
+} refund_row_t;
+
+static const refund_row_t refund_rows[] = {
+    {0, 0, 9999},
+    {0, 4000, 5999},
+    {5000, 0, 5004},
+    {20000, 0, 0},
+    {20000, 9999, 0},
+};
+
+Test(bucket, a_refund_never_exceeds_its_right)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(refund_rows) / sizeof(refund_rows[0]); i++) {
+		const refund_row_t *row = &refund_rows[i];
+		at_bucket_t *bucket = at_bucket_new(0);
+		at_debit_t *debit;
+
+		at_bucket_set_limit(bucket, RATE, BURST);
+		at_bucket_set_share(bucket, AT_PPB);
+		at_bucket_advance(bucket, 60000);
+		debit = at_bucket_debit(bucket, BURST - 1);
+		cr_assert_not_null(debit);
+		at_bucket_advance(bucket, 60000 + row->idle_ms);
+		cr_assert_eq(
+		    at_bucket_settle(bucket, debit, row->used) / AT_UTOK,
+		    row->refund_tokens, "row %zu", i);
+		at_bucket_delete(bucket);
+	}
+}
+
+typedef struct table_row {
+	const char *text;
+	int result;
+	size_t count;
+} table_row_t;
+
+static const table_row_t table_rows[] = {
+    {"shares 1\n", 0, 0},
+    {"shares 1\na 1 500000000 0 1\nb 2 0 500000000 7\n", 0, 2},
+    {"shares 1\na 1 500000000 0 1\nb 2 0 500000001 7\n", -1, 0},
+    {"shares 1\na 1 5 0 1\na 1 5 0 1\n", -1, 0},
+    {"shares 1\na 1 -5 0 1\n", -1, 0},
+    {"shares 1\na 1 5 0 1", -1, 0},
+    {"shares 1\na 1 5 0\n", -1, 0},
+    {"shares 2\n", -1, 0},
+    {"", -1, 0},
+};
+
+Test(share_table, reads_only_whole_and_consistent_tables)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(table_rows) / sizeof(table_rows[0]); i++) {
+		const table_row_t *row = &table_rows[i];
+		at_share_table_t table;
+
+		cr_assert_eq(
+		    at_share_table_parse(&table, row->text, strlen(row->text)),
+		    row->result, "row %zu", i);
+		cr_assert_eq(table.count, row->count, "row %zu", i);
+		if (row->result == 0) {
+			size_t len;
+			char *text = at_share_table_text(&table, &len);
+
+			cr_assert_str_eq(text, row->text);
+			free(text);
+		}
+		at_share_table_clear(&table);
+	}
+}
