--- a/include/almondthread/engine_view.h
+++ b/include/almondthread/engine_view.h
@@ -19,12 +19,16 @@
 
 extern const char *const at_engine_role_names[];
 
-/* One model or adapter in an engine's memory. */
+/*
+ * One model or adapter in an engine's memory. While it is being loaded or
+ * unloaded it takes its memory and serves nothing.
+ */
 typedef struct at_resident {
 	at_name_t model;
 	at_name_t adapter; /* empty for a base model */
 	uint32_t version;
 	uint64_t memory_mb;
+	int changing; /* being loaded or unloaded */
 } at_resident_t;
 
 /*
--- /dev/null
+++ b/include/almondthread/lease.h
@@ -0,0 +1,93 @@
+/*
+ * lease.h - the lease of one data centre: at most one instance gives orders.
+ *
+ * The lease is an object of the object API, "lease/DATA-CENTRE", that holds
+ * its holder and a sequence number. The fencing number is the object's
+ * version after the write that won it; renewals keep it.
+ *
+ * The holder counts its term from when it asked for the write. Another
+ * instance counts a longer one from its own first sight of a version that
+ * is not renewed, so only the rates of the clocks matter: at most
+ * AT_CLOCK_ERROR_PPM each. An instance that is paused may still act on a
+ * check that it made before; orders.h deals with that.
+ *
+ * A machine without input or output: at_lease_process() is called at least
+ * every AT_LEASE_POLL_MS and after each event and says which call to make;
+ * the call's answer is given back by at_lease_answer(). One call is open at
+ * a time.
+ */
+#ifndef ALMONDTHREAD_LEASE_H
+#define ALMONDTHREAD_LEASE_H
+
+#include "almondthread/ports.h"
+
+#define AT_LEASE_TERM_MS 6000u
+#define AT_LEASE_RENEW_MS 1500u  /* between two renewals */
+#define AT_LEASE_POLL_MS 300u    /* between two reads of a candidate */
+#define AT_LEASE_MARGIN_MS 500u  /* left of the term when an order is sent */
+#define AT_CLOCK_ERROR_PPM 1000u /* of the rate of any clock */
+#define AT_LEASE_OBJECT "lease/" /* followed by the data centre */
+#define AT_LEASE_VALUE_SIZE 256u /* bytes, with the NUL */
+
+typedef enum at_lease_state {
+	AT_LEASE_FOLLOWING, /* another instance may hold it */
+	AT_LEASE_HELD,
+	AT_LEASE_RELEASING, /* no orders any more; the object says so soon */
+	AT_LEASE_RELEASED,
+	AT_LEASE_STATE_COUNT
+} at_lease_state_t;
+
+extern const char *const at_lease_state_names[];
+
+typedef enum at_lease_call {
+	AT_LEASE_NO_CALL,
+	AT_LEASE_READ,
+	AT_LEASE_WRITE,
+	AT_LEASE_CALL_COUNT
+} at_lease_call_t;
+
+/* The call to make. value is NUL-terminated, of value_len bytes. */
+typedef struct at_lease_action {
+	at_lease_call_t call;
+	uint64_t expect_version;
+	char value[AT_LEASE_VALUE_SIZE];
+	size_t value_len;
+} at_lease_action_t;
+
+typedef struct at_lease at_lease_t;
+
+at_lease_t *at_lease_new(void);
+void at_lease_set_self(at_lease_t *lease, const at_incarnation_t *self);
+/* at_lease_set_candidate() says whether this instance may take the lease. */
+void at_lease_set_candidate(at_lease_t *lease, int candidate);
+void at_lease_delete(at_lease_t *lease);
+
+/* at_lease_process() returns the call that is due, if any, in action. */
+void
+at_lease_process(at_lease_t *lease, uint64_t now_ms, at_lease_action_t *action);
+
+/* at_lease_answer() takes the answer of the open call. */
+void at_lease_answer(
+    at_lease_t *lease, uint64_t now_ms, const at_store_result_t *result);
+
+/*
+ * at_lease_release() begins the hand-over: from now on at_lease_valid() is
+ * false, and another instance may take the lease as soon as the object says
+ * so. No order of this instance may be open or sent afterwards.
+ */
+void at_lease_release(at_lease_t *lease);
+
+/*
+ * at_lease_valid() tells whether this instance holds the lease for at least
+ * margin_ms more.
+ */
+int
+at_lease_valid(const at_lease_t *lease, uint64_t now_ms, uint32_t margin_ms);
+
+/* at_lease_fence() returns the fencing number; 0 when it was never held. */
+uint64_t at_lease_fence(const at_lease_t *lease);
+at_lease_state_t at_lease_state(const at_lease_t *lease);
+/* at_lease_holder() returns the last holder seen; an empty name if none. */
+const at_incarnation_t *at_lease_holder(const at_lease_t *lease);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_lease.c
@@ -0,0 +1,157 @@
+/*
+ * The lease: two instances and a fake object under virtual time. Each row is
+ * one fault and who holds the lease at its end.
+ */
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "almondthread/lease.h"
+
+#define STEP_MS 10u
+#define HAND_OVER_MS 1000u /* a planned hand-over is shorter */
+
+/* One object that answers at once; faults by flag. */
+typedef struct object {
+	uint64_t version;
+	char value[AT_LEASE_VALUE_SIZE];
+	size_t len;
+	int lose_replies; /* this many writes, after their effect */
+	int lose_calls;   /* this many calls, before any effect */
+	int away;
+} object_t;
+
+static void
+answer_call(object_t *object, const at_lease_action_t *action,
+    at_store_result_t *result)
+{
+	memset(result, 0, sizeof(*result));
+	if (object->away) {
+		result->code = AT_STORE_NOT_SENT;
+		return;
+	}
+	if (object->lose_calls > 0) {
+		object->lose_calls--;
+		result->code = AT_STORE_UNKNOWN;
+		return;
+	}
+	if (action->call == AT_LEASE_WRITE) {
+		if (action->expect_version != object->version) {
+			result->code = AT_STORE_CONFLICT;
+			return;
+		}
+		object->version += 7;
+		object->len = action->value_len;
+		memcpy(object->value, action->value, action->value_len);
+		if (object->lose_replies > 0) {
+			object->lose_replies--;
+			result->code = AT_STORE_UNKNOWN;
+			return;
+		}
+	}
+	result->code = object->version == 0 ? AT_STORE_NOT_FOUND : AT_STORE_OK;
+	result->version = object->version;
+	result->value = object->value;
+	result->value_len = object->len;
+}
+
+static void
+run(at_lease_t *lease, object_t *object, uint64_t now_ms)
+{
+	at_lease_action_t action;
+	at_store_result_t result;
+
+	at_lease_process(lease, now_ms, &action);
+	if (action.call == AT_LEASE_NO_CALL)
+		return;
+	answer_call(object, &action, &result);
+	at_lease_answer(lease, now_ms, &result);
+}
+
+static at_lease_t *
+make(const char *name, uint64_t number)
+{
+	at_incarnation_t self = {.number = number};
+	at_lease_t *lease = at_lease_new();
+
+	(void)at_name_set(&self.instance, name);
+	at_lease_set_self(lease, &self);
+	return lease;
+}
+
+typedef struct case_row {
+	const char *name;
+	int lose_replies;
+	int lose_calls;
+	int away_ms;   /* the platform, from the fault on */
+	int stop_a_ms; /* the first holder is paused */
+	int release;   /* by the first holder */
+	char holder;   /* '-' for none */
+	uint64_t after_ms;
+} case_row_t;
+
+#define TERM AT_LEASE_TERM_MS
+
+static const case_row_t cases[] = {
+    {"no fault", 0, 0, 0, 0, 0, 'a', 20000},
+    {"reply of one renewal lost", 1, 0, 0, 0, 0, 'a', 20000},
+    {"replies of five renewals lost", 5, 0, 0, 0, 0, 'a', 20000},
+    {"calls lost", 0, 5, 0, 0, 0, 'a', 20000},
+    {"platform away for less than the term", 0, 0, 3000, 0, 0, 'a', 3500},
+    {"platform away for longer", 0, 0, 20000, 0, 0, '-', 19000},
+    {"platform back", 0, 0, 20000, 0, 0, 'a', 21000},
+    {"holder paused for less than the term", 0, 0, 0, 3000, 0, 'a', 3500},
+    {"holder paused: not before its term", 0, 0, 0, 99999, 0, 'a', TERM - 1600},
+    {"holder paused: after its term", 0, 0, 0, 99999, 0, 'b', TERM + 500},
+    {"planned hand-over", 0, 0, 0, 0, 1, 'b', HAND_OVER_MS - 1},
+    {"hand-over whose reply is lost", 1, 0, 0, 0, 1, 'b', HAND_OVER_MS - 1},
+};
+
+static void
+run_case(const case_row_t *c)
+{
+	object_t object = {.lose_replies = 0, .lose_calls = 0, .away = 0};
+	at_lease_t *a = make("a", 1);
+	at_lease_t *b = make("b", 2);
+	uint64_t fault_ms = 10000;
+	uint64_t now_ms;
+	uint64_t fence_a;
+	char holder = '-';
+
+	for (now_ms = 0; now_ms < fault_ms; now_ms += STEP_MS) {
+		run(a, &object, now_ms);
+		run(b, &object, now_ms);
+	}
+	cr_assert(at_lease_valid(a, now_ms, 0), "%s", c->name);
+	fence_a = at_lease_fence(a);
+	object.lose_replies = c->lose_replies;
+	object.lose_calls = c->lose_calls;
+	if (c->release)
+		at_lease_release(a);
+	for (; now_ms <= fault_ms + c->after_ms; now_ms += STEP_MS) {
+		object.away = now_ms < fault_ms + (uint64_t)c->away_ms;
+		if (now_ms >= fault_ms + (uint64_t)c->stop_a_ms)
+			run(a, &object, now_ms);
+		run(b, &object, now_ms);
+		cr_assert(!at_lease_valid(a, now_ms, 0) ||
+			      !at_lease_valid(b, now_ms, 0),
+		    "%s: two holders", c->name);
+	}
+	if (at_lease_valid(a, now_ms, 0))
+		holder = 'a';
+	if (at_lease_valid(b, now_ms, 0))
+		holder = 'b';
+	cr_assert_eq(holder, c->holder, "%s: %c", c->name, holder);
+	if (holder == 'b')
+		cr_assert_gt(at_lease_fence(b), fence_a, "%s", c->name);
+	at_lease_delete(a);
+	at_lease_delete(b);
+}
+
+Test(lease, one_holder_in_each_case)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		run_case(&cases[i]);
+}
