Add orders that are safe in every order of deliveries

Cause: an order may be lost, late or doubled, its sender may be paused past its lease, and some engines ignore fencing numbers.

Change: orders.h writes an intent before its order leaves, takes over the object of intents before anything else, reserves the memory of what an earlier holder may still send, completes it, and closes an intent only when no copy can arrive and a later report is known. New defaults: the weight store's rate and concurrency, the adapter bound, the order lifetime, the engine's rate, the time after which an unlisted instance has ended.

Ruled out: closing on the engine's answer alone (a doubled copy reaches a restarted engine), and dropping an earlier holder's intents on engines that heed fencing (a restart forgets the number), so the account keeps a second sum for a restart that nobody has seen yet.

--- a/include/almondthread/config.h
+++ b/include/almondthread/config.h
@@ -55,6 +55,12 @@
 	uint32_t key_staleness_ms;  /* with AT_CUT_OFF_REFUSE */
 	uint32_t claim_retention_s; /* how long a claim is kept */
 	at_cut_off_keys_t cut_off_keys;
+	uint32_t loads_per_1000_s;   /* of models; data centres share it */
+	uint32_t loads_in_flight;    /* of models; data centres share it */
+	uint32_t adapters_in_flight; /* loads; data centres share it */
+	uint32_t order_lifetime_ms;  /* an engine obeys within it or never */
+	uint32_t engine_tokens_s;    /* of one accelerator, at full load */
+	uint32_t instance_gone_ms;   /* unlisted so long: it has ended */
 } at_defaults_t;
 
 /* A caller's key: its public name and the keyed hash of its secret. */
--- a/src/core/config_parse.c
+++ b/src/core/config_parse.c
@@ -332,13 +332,34 @@
 	    "the reason of the exception, a text");
 }
 
+static void
+read_placement_defaults(reader_t *r, json_t *object)
+{
+	at_defaults_t *d = &r->config->defaults;
+
+	d->loads_per_1000_s = (uint32_t)read_number(
+	    r, object, "loads_per_1000_s", 1, 1000000, 2000);
+	d->loads_in_flight =
+	    (uint32_t)read_number(r, object, "loads_in_flight", 1, 10000, 8);
+	d->adapters_in_flight = (uint32_t)read_number(
+	    r, object, "adapters_in_flight", 1, 10000, 40);
+	d->order_lifetime_ms =
+	    read_u32(r, object, "order_lifetime_ms", WAIT_MS_MAX, 10000);
+	d->engine_tokens_s = (uint32_t)read_number(
+	    r, object, "engine_tokens_s", 1, 100000000, 1000);
+	d->instance_gone_ms =
+	    read_u32(r, object, "instance_gone_ms", WAIT_MS_MAX, 60000);
+}
+
 static void
 read_defaults(reader_t *r, json_t *root)
 {
 	static const char *const known[] = {"first_byte_ms", "idle_ms",
 	    "deadline_ms", "connect_ms", "max_body_bytes", "max_tokens",
 	    "min_replicas", "key_staleness_ms", "claim_retention_s",
-	    "cut_off_keys", NULL};
+	    "cut_off_keys", "loads_per_1000_s", "loads_in_flight",
+	    "adapters_in_flight", "order_lifetime_ms", "engine_tokens_s",
+	    "instance_gone_ms", NULL};
 	json_t *object = json_object_get(root, "defaults");
 	at_defaults_t *d = &r->config->defaults;
 
@@ -363,6 +384,7 @@
 	d->cut_off_keys =
 	    (at_cut_off_keys_t)read_word(r, object, "cut_off_keys",
 		at_cut_off_keys_names, AT_CUT_OFF_COUNT, AT_CUT_OFF_SERVE);
+	read_placement_defaults(r, object);
 	r->path[0] = '\0';
 }
 
--- /dev/null
+++ b/src/core/orders.c
@@ -0,0 +1,480 @@
+#include "core/orders_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CALL_RETRY_MS 200u /* after a failed call to the object */
+#define PPM 1000000u
+#define UNSENT_MS 10000u /* an order that could not be sent is given up */
+
+at_orders_t *
+at_orders_new(void)
+{
+	at_orders_t *orders = calloc(1, sizeof(*orders));
+
+	if (orders == NULL)
+		return NULL;
+	orders->intents = calloc(AT_ORDERS_OPEN_MAX, sizeof(*orders->intents));
+	if (orders->intents == NULL) {
+		free(orders);
+		return NULL;
+	}
+	return orders;
+}
+
+void
+at_orders_set_self(at_orders_t *orders, const at_incarnation_t *self)
+{
+	orders->self = *self;
+}
+
+void
+at_orders_set_limits(at_orders_t *orders, const at_orders_limits_t *limits)
+{
+	orders->limits = *limits;
+}
+
+void
+at_orders_delete(at_orders_t *orders)
+{
+	order_engine_t *engine;
+	order_engine_t *next;
+
+	if (orders == NULL)
+		return;
+	HASH_ITER(hh, orders->engines, engine, next)
+	{
+		HASH_DEL(orders->engines, engine);
+		at_account_delete(engine->account);
+		free(engine);
+	}
+	free(orders->intents);
+	free(orders->text);
+	free(orders);
+}
+
+void
+at_orders_begin(at_orders_t *orders, uint64_t fence)
+{
+	at_orders_end(orders);
+	orders->fence = fence;
+	orders->next_number = 0;
+	orders->doc_state = DOC_UNREAD;
+	orders->next_call_ms = 0;
+}
+
+static void
+drop_all(at_orders_t *orders)
+{
+	size_t i;
+
+	for (i = 0; i < orders->count; i++) {
+		const at_order_t *o = &orders->intents[i].intent.order;
+		order_engine_t *engine =
+		    at_orders_find_engine(orders, o->engine.text);
+
+		if (engine != NULL)
+			at_account_drop(engine->account, o->id);
+	}
+	orders->count = 0;
+}
+
+void
+at_orders_end(at_orders_t *orders)
+{
+	order_engine_t *engine;
+
+	drop_all(orders);
+	for (engine = orders->engines; engine != NULL; engine = engine->hh.next)
+		engine->barrier_at_ms = 0;
+	orders->fence = 0;
+	orders->ready = 0;
+	orders->ready_at_ms = 0;
+	orders->open = AT_ORDERS_NO_CALL;
+	orders->dirty = 0;
+	orders->sequence = 0;
+}
+
+int
+at_orders_ready(const at_orders_t *orders)
+{
+	return orders->ready;
+}
+
+/* Reserves for every load that was read from the object. */
+static void
+adopt_loads(at_orders_t *orders)
+{
+	size_t i;
+
+	for (i = 0; i < orders->count; i++) {
+		const at_order_t *o = &orders->intents[i].intent.order;
+		order_engine_t *engine =
+		    at_orders_find_engine(orders, o->engine.text);
+		at_resident_t what = at_orders_resident(o);
+
+		if (engine == NULL)
+			continue;
+		if (at_orders_is_load(o))
+			(void)at_account_adopt(engine->account, o->id, &what);
+		orders->intents[i].landed =
+		    at_orders_has_landed(engine->account, o);
+	}
+}
+
+static void
+write_confirmed(at_orders_t *orders, uint64_t version)
+{
+	size_t i;
+
+	orders->doc_state = DOC_OURS;
+	orders->doc_version = version;
+	orders->ready = 1;
+	for (i = 0; i < orders->count; i++) {
+		if (orders->intents[i].in_write)
+			orders->intents[i].durable = 1;
+		orders->intents[i].in_write = 0;
+	}
+}
+
+static void
+take_object(at_orders_t *orders, const at_store_result_t *result)
+{
+	int adopt = !orders->ready;
+
+	if (adopt)
+		drop_all(orders);
+	orders->doc_fence = 0;
+	orders->doc_sequence = 0;
+	orders->doc_version = result->version;
+	if (result->code == AT_STORE_NOT_FOUND) {
+		orders->doc_version = 0;
+	} else if (at_orders_doc_parse(
+		       orders, result->value, result->value_len, adopt) != 0) {
+		/* Never over what cannot be read: an order may be in it. */
+		orders->count = 0;
+		orders->doc_state = DOC_UNREAD;
+		return;
+	}
+	if (adopt)
+		adopt_loads(orders);
+	if (orders->doc_fence > orders->fence)
+		orders->doc_state = DOC_SUPERSEDED;
+	else if (orders->sequence != 0 && orders->doc_fence == orders->fence &&
+		 orders->doc_sequence == orders->sequence)
+		write_confirmed(orders, orders->doc_version);
+	else
+		orders->doc_state = orders->ready ? DOC_OURS : DOC_READ;
+}
+
+static void
+read_answer(at_orders_t *orders, const at_store_result_t *result)
+{
+	if (result->code == AT_STORE_OK || result->code == AT_STORE_NOT_FOUND) {
+		take_object(orders, result);
+		if (orders->doc_state != DOC_UNREAD)
+			orders->next_call_ms = 0;
+		if (orders->doc_state == DOC_OURS &&
+		    orders->doc_sequence != orders->sequence)
+			orders->dirty = 1;
+	}
+}
+
+void
+at_orders_answer(at_orders_t *orders, const at_store_result_t *result)
+{
+	at_orders_call_t call = orders->open;
+
+	orders->open = AT_ORDERS_NO_CALL;
+	if (call == AT_ORDERS_READ) {
+		read_answer(orders, result);
+	} else if (call == AT_ORDERS_WRITE) {
+		if (result->code == AT_STORE_OK)
+			write_confirmed(orders, result->version);
+		else if (result->code == AT_STORE_NOT_SENT)
+			orders->dirty = 1;
+		else
+			orders->doc_state = DOC_UNSURE;
+	}
+}
+
+static uint64_t
+lifetime_ms(const at_orders_t *orders)
+{
+	uint64_t ms = orders->limits.order_lifetime_ms;
+
+	return ms + ms * 2 * AT_CLOCK_ERROR_PPM / PPM + 1;
+}
+
+void
+at_orders_sent(
+    at_orders_t *orders, uint64_t id, at_order_result_t result, uint64_t now_ms)
+{
+	order_engine_t *engine;
+	open_intent_t *o = NULL;
+	size_t i;
+
+	for (i = 0; i < orders->count && o == NULL; i++) {
+		if (orders->intents[i].intent.order.id == id)
+			o = &orders->intents[i];
+	}
+	if (o == NULL)
+		return;
+	o->in_transit = 0;
+	o->dead_at_ms = now_ms + lifetime_ms(orders);
+	o->next_send_ms = now_ms + AT_ORDERS_RETRY_MS;
+	o->answered |= result == AT_ORDER_DONE || result == AT_ORDER_REFUSED;
+	engine = at_orders_find_engine(orders, o->intent.order.engine.text);
+	if (engine != NULL && result == AT_ORDER_DONE) {
+		engine->barrier_at_ms = now_ms;
+		engine->barrier_incarnation =
+		    at_account_incarnation(engine->account);
+	}
+}
+
+static int
+same_incarnation(const at_incarnation_t *a, const at_incarnation_t *b)
+{
+	return a->number == b->number &&
+	       at_name_equal(&a->instance, &b->instance);
+}
+
+void
+at_orders_sender_ended(at_orders_t *orders, const at_incarnation_t *sender,
+    uint64_t fence, uint64_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < orders->count; i++) {
+		open_intent_t *o = &orders->intents[i];
+
+		if (o->foreign && o->dead_at_ms == NEVER_MS &&
+		    o->intent.order.fence <= fence &&
+		    same_incarnation(&o->intent.sender, sender))
+			o->dead_at_ms = now_ms + lifetime_ms(orders);
+	}
+}
+
+void
+at_orders_each_sender(const at_orders_t *orders,
+    void (*visit)(void *ctx, const at_incarnation_t *sender), void *ctx)
+{
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < orders->count; i++) {
+		const open_intent_t *o = &orders->intents[i];
+
+		if (!o->foreign || o->dead_at_ms != NEVER_MS)
+			continue;
+		for (j = 0; j < i; j++) {
+			const open_intent_t *p = &orders->intents[j];
+
+			if (p->foreign && p->dead_at_ms == NEVER_MS &&
+			    same_incarnation(
+				&p->intent.sender, &o->intent.sender))
+				break;
+		}
+		if (j == i)
+			visit(ctx, &o->intent.sender);
+	}
+}
+
+void
+at_orders_each(const at_orders_t *orders,
+    void (*visit)(void *ctx, const at_intent_t *intent), void *ctx)
+{
+	size_t i;
+
+	for (i = 0; i < orders->count; i++)
+		visit(ctx, &orders->intents[i].intent);
+}
+
+/* Ends an intent: nothing of it can arrive any more. */
+static void
+close_at(at_orders_t *orders, size_t index)
+{
+	const at_order_t *o = &orders->intents[index].intent.order;
+	order_engine_t *engine = at_orders_find_engine(orders, o->engine.text);
+
+	if (engine != NULL)
+		at_account_drop(engine->account, o->id);
+	orders->count--;
+	memmove(&orders->intents[index], &orders->intents[index + 1],
+	    (orders->count - index) * sizeof(*orders->intents));
+	orders->dirty = 1;
+}
+
+/* Whether an order of ours waited too long for its first send. */
+static int
+is_given_up(const open_intent_t *o, uint64_t now_ms)
+{
+	return !o->foreign && o->sends == 0 &&
+	       now_ms >= o->made_at_ms + UNSENT_MS;
+}
+
+static void
+close_dead(at_orders_t *orders, uint64_t now_ms)
+{
+	size_t i = 0;
+
+	while (i < orders->count) {
+		const open_intent_t *o = &orders->intents[i];
+		const order_engine_t *engine =
+		    at_orders_find_engine(orders, o->intent.order.engine.text);
+
+		if (o->closed || is_given_up(o, now_ms))
+			close_at(orders, i);
+		else if (!o->in_transit && engine != NULL &&
+			 o->dead_at_ms != NEVER_MS &&
+			 at_account_asked_at_ms(engine->account) >
+			     o->dead_at_ms)
+			close_at(orders, i);
+		else
+			i++;
+	}
+}
+
+static int
+has_own(const at_orders_t *orders, const at_order_t *order)
+{
+	size_t i;
+
+	for (i = 0; i < orders->count; i++) {
+		const open_intent_t *o = &orders->intents[i];
+
+		if (!o->foreign &&
+		    at_orders_same_slot(&o->intent.order, order->engine.text,
+			order->model.text, order->adapter.text))
+			return 1;
+	}
+	return 0;
+}
+
+/* Sends what an earlier holder meant to, under our own fence. */
+static void
+complete_foreign(at_orders_t *orders, uint64_t now_ms)
+{
+	size_t count = orders->count;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		const open_intent_t *o = &orders->intents[i];
+		const at_order_t *order = &o->intent.order;
+		const order_engine_t *engine =
+		    at_orders_find_engine(orders, order->engine.text);
+		at_resident_t what = at_orders_resident(order);
+		open_intent_t *own;
+
+		if (!o->foreign || o->landed || engine == NULL ||
+		    at_orders_is_fenced(engine) ||
+		    !at_orders_is_fresh(orders, engine, now_ms) ||
+		    has_own(orders, order))
+			continue;
+		if (at_orders_is_unload(order) &&
+		    !at_orders_may_unload(orders, engine, order, now_ms))
+			continue;
+		own = at_orders_append(orders, order,
+		    "completes an earlier holder's order", now_ms);
+		if (own != NULL && at_orders_is_load(order) &&
+		    at_account_reserve(
+			engine->account, own->intent.order.id, &what) != 0)
+			own->closed = 1;
+	}
+}
+
+/* Whether an order may leave now; an order that may not is given up. */
+static int
+may_send(at_orders_t *orders, open_intent_t *o, uint64_t now_ms)
+{
+	const at_order_t *order = &o->intent.order;
+	const order_engine_t *engine =
+	    at_orders_find_engine(orders, order->engine.text);
+	int allowed;
+
+	if (engine == NULL || !at_orders_is_fresh(orders, engine, now_ms))
+		return 0;
+	if (at_orders_is_unload(order))
+		allowed = at_orders_may_unload(orders, engine, order, now_ms);
+	else
+		allowed = at_account_committed_mb(engine->account) <=
+			  at_account_capacity_mb(engine->account);
+	if (!allowed && o->sends == 0)
+		o->closed = 1;
+	return allowed;
+}
+
+static int
+send_due(at_orders_t *orders, const at_lease_t *lease, uint64_t now_ms,
+    at_orders_action_t *action)
+{
+	size_t i;
+
+	for (i = 0; i < orders->count; i++) {
+		open_intent_t *o = &orders->intents[i];
+
+		if (o->foreign || !o->durable || o->in_transit || o->answered ||
+		    o->landed || o->closed || o->sends == AT_ORDERS_SENDS_MAX ||
+		    now_ms < o->next_send_ms || !may_send(orders, o, now_ms))
+			continue;
+		if (!at_lease_valid(lease, now_ms, AT_LEASE_MARGIN_MS))
+			return 0;
+		o->sends++;
+		o->in_transit = 1;
+		action->call = AT_ORDERS_SEND;
+		action->order = o->intent.order;
+		return 1;
+	}
+	return 0;
+}
+
+static void
+call_object(at_orders_t *orders, uint64_t now_ms, at_orders_action_t *action)
+{
+	size_t i;
+
+	if (orders->open != AT_ORDERS_NO_CALL ||
+	    orders->doc_state == DOC_SUPERSEDED ||
+	    now_ms < orders->next_call_ms)
+		return;
+	if (orders->doc_state == DOC_UNREAD ||
+	    orders->doc_state == DOC_UNSURE) {
+		orders->next_call_ms = now_ms + CALL_RETRY_MS;
+		action->call = AT_ORDERS_READ;
+		orders->open = AT_ORDERS_READ;
+		return;
+	}
+	if (orders->doc_state == DOC_OURS && !orders->dirty)
+		return;
+	orders->sequence++;
+	orders->dirty = 0;
+	for (i = 0; i < orders->count; i++)
+		orders->intents[i].in_write = 1;
+	action->value_len = at_orders_doc_encode(orders);
+	action->value = orders->text;
+	action->expect_version = orders->doc_version;
+	action->call = AT_ORDERS_WRITE;
+	orders->open = AT_ORDERS_WRITE;
+}
+
+void
+at_orders_process(at_orders_t *orders, const at_lease_t *lease, uint64_t now_ms,
+    at_orders_action_t *action)
+{
+	memset(action, 0, sizeof(*action));
+	if (orders->fence == 0 || at_lease_fence(lease) != orders->fence)
+		return;
+	if (orders->ready && orders->doc_state != DOC_SUPERSEDED) {
+		if (orders->ready_at_ms == 0) {
+			orders->ready_at_ms = now_ms;
+			at_orders_sender_ended(
+			    orders, &orders->self, orders->fence - 1, now_ms);
+		}
+		close_dead(orders, now_ms);
+		complete_foreign(orders, now_ms);
+		if (send_due(orders, lease, now_ms, action))
+			return;
+	}
+	call_object(orders, now_ms, action);
+}
--- /dev/null
+++ b/src/core/orders_engines.c
@@ -0,0 +1,381 @@
+#include "core/orders_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PPM 1000000u
+#define NUMBER_BITS 24u /* of an order's id, below the fence */
+
+order_engine_t *
+at_orders_find_engine(const at_orders_t *orders, const char *name)
+{
+	order_engine_t *engine;
+
+	HASH_FIND_STR(orders->engines, name, engine);
+	return engine;
+}
+
+static order_engine_t *
+add_engine(at_orders_t *orders, const char *name)
+{
+	order_engine_t *engine = calloc(1, sizeof(*engine));
+	size_t i;
+
+	if (engine == NULL)
+		return NULL;
+	engine->account = at_account_new();
+	if (engine->account == NULL || at_name_set(&engine->name, name) != 0) {
+		at_account_delete(engine->account);
+		free(engine);
+		return NULL;
+	}
+	HASH_ADD_STR(orders->engines, name.text, engine);
+	for (i = 0; i < orders->count; i++) {
+		const at_order_t *o = &orders->intents[i].intent.order;
+		at_resident_t what = {
+		    o->model, o->adapter, o->version, o->memory_mb, 0};
+
+		if (at_name_equal(&o->engine, &engine->name) &&
+		    (o->kind == AT_ORDER_LOAD_MODEL ||
+			o->kind == AT_ORDER_LOAD_ADAPTER))
+			(void)at_account_adopt(engine->account, o->id, &what);
+	}
+	return engine;
+}
+
+int
+at_orders_engine(at_orders_t *orders, const char *name, uint64_t capacity_mb,
+    int heeds_fencing, int usable)
+{
+	order_engine_t *engine = at_orders_find_engine(orders, name);
+
+	if (engine == NULL)
+		engine = add_engine(orders, name);
+	if (engine == NULL)
+		return -1;
+	at_account_set_capacity_mb(engine->account, capacity_mb);
+	engine->heeds_fencing = heeds_fencing;
+	engine->usable = usable;
+	return 0;
+}
+
+const at_account_t *
+at_orders_account(const at_orders_t *orders, const char *engine)
+{
+	const order_engine_t *e = at_orders_find_engine(orders, engine);
+
+	return e == NULL ? NULL : e->account;
+}
+
+int
+at_orders_is_load(const at_order_t *order)
+{
+	return order->kind == AT_ORDER_LOAD_MODEL ||
+	       order->kind == AT_ORDER_LOAD_ADAPTER;
+}
+
+int
+at_orders_is_unload(const at_order_t *order)
+{
+	return order->kind == AT_ORDER_UNLOAD_MODEL ||
+	       order->kind == AT_ORDER_UNLOAD_ADAPTER;
+}
+
+at_resident_t
+at_orders_resident(const at_order_t *order)
+{
+	at_resident_t what = {
+	    order->model, order->adapter, order->version, order->memory_mb, 0};
+
+	return what;
+}
+
+int
+at_orders_same_slot(const at_order_t *order, const char *engine,
+    const char *model, const char *adapter)
+{
+	return strcmp(order->engine.text, engine) == 0 &&
+	       strcmp(order->model.text, model) == 0 &&
+	       strcmp(order->adapter.text, adapter) == 0;
+}
+
+/* Returns an open intent of a slot; with unloads, of an unload only. */
+static open_intent_t *
+find_open(const at_orders_t *orders, const char *engine, const char *model,
+    const char *adapter, int unloads)
+{
+	size_t i;
+
+	for (i = 0; i < orders->count; i++) {
+		open_intent_t *o = &orders->intents[i];
+
+		if (at_orders_same_slot(
+			&o->intent.order, engine, model, adapter) &&
+		    (!unloads || at_orders_is_unload(&o->intent.order)))
+			return o;
+	}
+	return NULL;
+}
+
+int
+at_orders_slot_open(const at_orders_t *orders, const char *engine,
+    const char *model, const char *adapter)
+{
+	return find_open(orders, engine, model, adapter, 0) != NULL;
+}
+
+/* Whether the newest report shows what an order asked for. */
+int
+at_orders_has_landed(const at_account_t *account, const at_order_t *order)
+{
+	const at_resident_t *r =
+	    at_account_find(account, order->model.text, order->adapter.text);
+
+	if (at_orders_is_unload(order))
+		return r == NULL;
+	return r != NULL && !r->changing;
+}
+
+/* Shelves what a heeding engine is known to refuse by now. */
+static void
+shelve_foreign(at_orders_t *orders, const order_engine_t *engine)
+{
+	size_t i;
+
+	for (i = 0; i < orders->count; i++) {
+		const open_intent_t *o = &orders->intents[i];
+
+		if (o->foreign && at_orders_is_load(&o->intent.order) &&
+		    at_name_equal(&o->intent.order.engine, &engine->name))
+			at_account_shelve(engine->account, o->intent.order.id);
+	}
+}
+
+int
+at_orders_is_fenced(const order_engine_t *engine)
+{
+	const at_account_t *account = engine->account;
+
+	return engine->heeds_fencing && engine->barrier_at_ms != 0 &&
+	       at_account_asked_at_ms(account) > engine->barrier_at_ms &&
+	       at_account_incarnation(account) == engine->barrier_incarnation;
+}
+
+int
+at_orders_report(at_orders_t *orders, const char *name, uint64_t asked_at_ms,
+    uint64_t incarnation, const at_resident_t *residents, size_t count)
+{
+	order_engine_t *engine = at_orders_find_engine(orders, name);
+	size_t i;
+
+	if (engine == NULL || at_account_report(engine->account, asked_at_ms,
+				  incarnation, residents, count) != 0)
+		return -1;
+	if (at_orders_is_fenced(engine))
+		shelve_foreign(orders, engine);
+	for (i = 0; i < orders->count; i++) {
+		open_intent_t *o = &orders->intents[i];
+
+		if (at_name_equal(&o->intent.order.engine, &engine->name))
+			o->landed = at_orders_has_landed(
+			    engine->account, &o->intent.order);
+	}
+	return 0;
+}
+
+/* Whether an engine's newest report is fresh and of this term. */
+int
+at_orders_is_fresh(
+    const at_orders_t *orders, const order_engine_t *engine, uint64_t now_ms)
+{
+	uint64_t asked_ms = at_account_asked_at_ms(engine->account);
+
+	return orders->ready_at_ms != 0 && asked_ms >= orders->ready_at_ms &&
+	       now_ms <= asked_ms + AT_ORDERS_REPORT_AGE_MS;
+}
+
+/* Whether a model or adapter is served and stays there. */
+static int
+stands_on(const at_orders_t *orders, const order_engine_t *engine,
+    const at_order_t *order)
+{
+	const at_resident_t *r = at_account_find(
+	    engine->account, order->model.text, order->adapter.text);
+
+	if (r == NULL || r->changing)
+		return 0;
+	if (find_open(orders, engine->name.text, order->model.text,
+		order->adapter.text, 1) != NULL)
+		return 0;
+	if (order->adapter.text[0] == '\0')
+		return 1;
+	r = at_account_find(engine->account, order->model.text, "");
+	return r != NULL && !r->changing &&
+	       find_open(orders, engine->name.text, order->model.text, "", 1) ==
+		   NULL;
+}
+
+static int
+stands_elsewhere(
+    const at_orders_t *orders, const at_order_t *order, uint64_t now_ms)
+{
+	const order_engine_t *e;
+
+	for (e = orders->engines; e != NULL; e = e->hh.next) {
+		if (strcmp(e->name.text, order->engine.text) != 0 &&
+		    e->usable && at_orders_is_fresh(orders, e, now_ms) &&
+		    stands_on(orders, e, order))
+			return 1;
+	}
+	return 0;
+}
+
+/* Whether an adapter is, or may come to be, on its base model's engine. */
+static int
+carries_adapter(const at_orders_t *orders, const order_engine_t *engine,
+    const at_order_t *order)
+{
+	const at_resident_t *r;
+	size_t count;
+	size_t i;
+
+	r = at_account_residents(engine->account, &count);
+	for (i = 0; i < count; i++) {
+		if (r[i].adapter.text[0] != '\0' &&
+		    at_name_equal(&r[i].model, &order->model))
+			return 1;
+	}
+	for (i = 0; i < orders->count; i++) {
+		const at_order_t *o = &orders->intents[i].intent.order;
+
+		if (o->kind == AT_ORDER_LOAD_ADAPTER &&
+		    at_name_equal(&o->engine, &engine->name) &&
+		    at_name_equal(&o->model, &order->model))
+			return 1;
+	}
+	return 0;
+}
+
+int
+at_orders_may_unload(const at_orders_t *orders, const order_engine_t *engine,
+    const at_order_t *order, uint64_t now_ms)
+{
+	if (order->adapter.text[0] == '\0' &&
+	    carries_adapter(orders, engine, order))
+		return 0;
+	return stands_elsewhere(orders, order, now_ms);
+}
+
+open_intent_t *
+at_orders_append(at_orders_t *orders, const at_order_t *order,
+    const char *reason, uint64_t now_ms)
+{
+	open_intent_t *o;
+
+	if (orders->count == AT_ORDERS_OPEN_MAX ||
+	    orders->next_number >> NUMBER_BITS != 0)
+		return NULL;
+	o = &orders->intents[orders->count++];
+	memset(o, 0, sizeof(*o));
+	o->intent.order = *order;
+	o->intent.order.fence = orders->fence;
+	o->intent.order.id =
+	    (orders->fence << NUMBER_BITS) | orders->next_number++;
+	o->intent.sender = orders->self;
+	o->dead_at_ms = NEVER_MS;
+	o->made_at_ms = now_ms;
+	(void)snprintf(
+	    o->intent.reason, sizeof(o->intent.reason), "%s", reason);
+	orders->dirty = 1;
+	return o;
+}
+
+/* Why a load must wait, or NULL. */
+static const char *
+pace_fault(const at_orders_t *orders, const at_order_t *order, uint64_t now_ms)
+{
+	uint32_t limit = order->kind == AT_ORDER_LOAD_MODEL
+			     ? orders->limits.loads_in_flight
+			     : orders->limits.adapters_in_flight;
+	uint32_t open = 0;
+	size_t i;
+
+	if (order->kind == AT_ORDER_LOAD_MODEL && now_ms < orders->next_load_ms)
+		return "the weight store's rate is used";
+	for (i = 0; i < orders->count; i++) {
+		const open_intent_t *o = &orders->intents[i];
+
+		if (o->intent.order.kind == order->kind && !o->landed)
+			open++;
+	}
+	return open >= limit ? "as many loads as allowed are in flight" : NULL;
+}
+
+static at_code_t
+propose_load(at_orders_t *orders, order_engine_t *engine,
+    const at_order_t *order, const char *reason, uint64_t now_ms,
+    at_status_t *status)
+{
+	const char *fault = pace_fault(orders, order, now_ms);
+	at_resident_t what = at_orders_resident(order);
+	open_intent_t *o;
+
+	if (at_account_find(engine->account, order->model.text,
+		order->adapter.text) != NULL)
+		return at_status_set(
+		    status, AT_CONFLICT, "the slot is resident");
+	if (fault != NULL)
+		return at_status_set(status, AT_EXHAUSTED, "%s", fault);
+	o = at_orders_append(orders, order, reason, now_ms);
+	if (o == NULL)
+		return at_status_set(
+		    status, AT_EXHAUSTED, "too many orders are open");
+	if (at_account_reserve(engine->account, o->intent.order.id, &what) !=
+	    0) {
+		orders->count--;
+		return at_status_set(
+		    status, AT_EXHAUSTED, "the engine has no memory to spare");
+	}
+	if (order->kind == AT_ORDER_LOAD_MODEL &&
+	    orders->limits.loads_per_1000_s > 0)
+		orders->next_load_ms =
+		    now_ms + PPM / orders->limits.loads_per_1000_s;
+	return AT_OK;
+}
+
+at_code_t
+at_orders_propose(at_orders_t *orders, const at_order_t *order,
+    const char *reason, uint64_t now_ms, at_status_t *status)
+{
+	order_engine_t *engine =
+	    at_orders_find_engine(orders, order->engine.text);
+
+	if (engine == NULL)
+		return at_status_set(
+		    status, AT_NOT_FOUND, "the engine is not known");
+	if (!orders->ready || !at_orders_is_fresh(orders, engine, now_ms))
+		return at_status_set(status, AT_UNAVAILABLE,
+		    "the orders or the engine's report are not known yet");
+	if (at_orders_slot_open(orders, order->engine.text, order->model.text,
+		order->adapter.text))
+		return at_status_set(
+		    status, AT_CONFLICT, "the slot has an open order");
+	if (at_orders_is_load(order))
+		return propose_load(
+		    orders, engine, order, reason, now_ms, status);
+	if (!at_orders_is_unload(order))
+		return at_status_set(
+		    status, AT_INVALID, "not an order for a slot");
+	if (at_account_find(engine->account, order->model.text,
+		order->adapter.text) == NULL)
+		return at_status_set(
+		    status, AT_CONFLICT, "the slot is not resident");
+	if (!at_orders_may_unload(orders, engine, order, now_ms))
+		return at_status_set(
+		    status, AT_CONFLICT, "it stands on no other engine");
+	if (at_orders_append(orders, order, reason, now_ms) == NULL)
+		return at_status_set(
+		    status, AT_EXHAUSTED, "too many orders are open");
+	return AT_OK;
+}
--- /dev/null
+++ b/tests/fuzz/fuzz_orders.c
@@ -0,0 +1,301 @@
+/*
+ * Leases and orders of three instances on three engines, against an oracle
+ * that knows what each engine truly holds. Orders are lost, late, doubled and
+ * reordered; reports are late; the store loses calls and replies, applies
+ * writes after it was given up on, and goes away; instances pause at any
+ * action, crash and come back; clocks differ in rate; engines restart empty.
+ *
+ * Each input is a seed and a list of operations; every run makes OPERATIONS
+ * of them. check-args: -seed=1 -runs=5500 -max_len=64 -rss_limit_mb=1024
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fuzz/orders_world.h"
+
+#define OPERATIONS 200u
+
+static void
+node_start(node_t *node, size_t index)
+{
+	char name[8];
+	size_t i;
+
+	memset(&node->self, 0, sizeof(node->self));
+	node->self.instance.text[0] = (char)('x' + index);
+	node->self.number = ++next_number;
+	node->lease = at_lease_new();
+	node->orders = at_orders_new();
+	at_lease_set_self(node->lease, &node->self);
+	at_orders_set_self(node->orders, &node->self);
+	at_orders_set_limits(
+	    node->orders, &(at_orders_limits_t){LIFETIME_MS, 20000, 8, 8});
+	for (i = 0; i < ENGINES; i++) {
+		engine_name(name, i);
+		(void)at_orders_engine(
+		    node->orders, name, CAPACITY_MB, engines[i].heeds, 1);
+	}
+	node->rate_ppm = (int64_t)at_rng_below(&rng, 2001) - 1000;
+	node->fence = 0;
+	node->ended_fence = 0;
+	node->paused_until = 0;
+	node->has_held = 0;
+}
+
+static void
+node_stop(node_t *node)
+{
+	at_lease_delete(node->lease);
+	at_orders_delete(node->orders);
+	free(node->held_value);
+	node->held_value = NULL;
+}
+
+static void
+node_restart(size_t index)
+{
+	end_transfers(&nodes[index]);
+	node_stop(&nodes[index]);
+	node_start(&nodes[index], index);
+}
+
+static void
+carry_out(node_t *node, const at_orders_action_t *a, uint64_t checked_at)
+{
+	if (a->call == AT_ORDERS_SEND)
+		send_order(node, &a->order, checked_at);
+	else
+		store_call(node, 0, a->call == AT_ORDERS_WRITE,
+		    a->expect_version, a->value, a->value_len);
+}
+
+/* At the moment of the check nobody else may hold the lease. */
+static void
+check_sole_holder(const node_t *node)
+{
+	size_t i;
+
+	for (i = 0; i < NODES; i++) {
+		if (&nodes[i] != node &&
+		    at_lease_valid(nodes[i].lease, clock_of(&nodes[i]), 0))
+			violated("an order under a lapsed lease");
+	}
+}
+
+/* Takes an action, or is paused between the check and the act. */
+static void
+act(node_t *node, const at_orders_action_t *a)
+{
+	if (a->call == AT_ORDERS_SEND)
+		check_sole_holder(node);
+	if (!chance(2)) {
+		carry_out(node, a, now);
+		return;
+	}
+	node->paused_until = now + at_rng_below(&rng, chance(50) ? 500 : 30000);
+	node->held = *a;
+	node->held_checked_at = now;
+	free(node->held_value);
+	node->held_value = malloc(a->value_len + 1);
+	if (a->value_len > 0)
+		memcpy(node->held_value, a->value, a->value_len);
+	node->held.value = node->held_value;
+	node->has_held = 1;
+}
+
+static void
+node_lease(node_t *node)
+{
+	at_lease_action_t action;
+	uint64_t fence;
+
+	at_lease_process(node->lease, clock_of(node), &action);
+	if (action.call != AT_LEASE_NO_CALL)
+		store_call(node, 1, action.call == AT_LEASE_WRITE,
+		    action.expect_version, action.value, action.value_len);
+	fence = at_lease_valid(node->lease, clock_of(node), 0)
+		    ? at_lease_fence(node->lease)
+		    : 0;
+	if (fence == node->fence)
+		return;
+	end_transfers(node);
+	at_orders_end(node->orders);
+	if (node->fence != 0)
+		node->ended_fence = node->fence;
+	node->fence = fence;
+	if (fence != 0)
+		at_orders_begin(node->orders, fence);
+	/* Answers to calls of the earlier term are for nobody. */
+	store_forget(node);
+}
+
+static void
+node_run(node_t *node)
+{
+	at_orders_action_t action;
+
+	if (now < node->paused_until)
+		return;
+	if (node->has_held) {
+		node->has_held = 0;
+		carry_out(node, &node->held, node->held_checked_at);
+	}
+	if (chance(70))
+		node_lease(node);
+	while (now >= node->paused_until) {
+		at_orders_process(
+		    node->orders, node->lease, clock_of(node), &action);
+		if (action.call == AT_ORDERS_NO_CALL)
+			break;
+		act(node, &action);
+	}
+}
+
+static void
+propose(node_t *node, int load)
+{
+	at_order_t order = {0};
+	size_t slot = at_rng_below(&rng, SLOTS);
+	at_status_t status;
+
+	if (now < node->paused_until || node->fence == 0)
+		return;
+	order.kind = load ? AT_ORDER_LOAD_MODEL : AT_ORDER_UNLOAD_MODEL;
+	if (slot >= 4)
+		order.kind =
+		    load ? AT_ORDER_LOAD_ADAPTER : AT_ORDER_UNLOAD_ADAPTER;
+	slot_names(slot, &order.model, &order.adapter);
+	order.engine.text[0] = (char)('0' + at_rng_below(&rng, ENGINES));
+	order.version = 1;
+	order.memory_mb = slot_mb[slot];
+	(void)at_orders_propose(
+	    node->orders, &order, "fuzz", clock_of(node), &status);
+}
+
+typedef struct teller {
+	node_t *holder;
+	at_incarnation_t senders[AT_ORDERS_OPEN_MAX];
+	size_t count;
+} teller_t;
+
+static void
+collect_sender(void *ctx, const at_incarnation_t *sender)
+{
+	teller_t *teller = ctx;
+
+	teller->senders[teller->count++] = *sender;
+}
+
+/* Tells a holder which earlier ones have ended, as the store would. */
+static void
+tell_ended(node_t *holder)
+{
+	static teller_t teller;
+	size_t i;
+	size_t j;
+
+	teller.holder = holder;
+	teller.count = 0;
+	if (now < holder->paused_until)
+		return;
+	at_orders_each_sender(holder->orders, collect_sender, &teller);
+	for (i = 0; i < teller.count; i++) {
+		uint64_t fence = UINT64_MAX;
+
+		for (j = 0; j < NODES; j++) {
+			if (nodes[j].self.number == teller.senders[i].number)
+				fence = nodes[j].ended_fence;
+		}
+		at_orders_sender_ended(holder->orders, &teller.senders[i],
+		    fence, clock_of(holder));
+	}
+}
+
+/* Proposals go to whoever holds the lease, mostly. */
+static node_t *
+pick_holder(void)
+{
+	size_t i;
+
+	for (i = 0; i < NODES; i++) {
+		if (at_orders_ready(nodes[i].orders) && chance(90))
+			return &nodes[i];
+	}
+	return &nodes[at_rng_below(&rng, NODES)];
+}
+
+/* One of the rarer faults, by number. */
+static void
+fault(size_t kind)
+{
+	size_t n = at_rng_below(&rng, NODES);
+	node_t *node = &nodes[n];
+
+	switch (kind) {
+	case 0:
+	case 1:
+		node->paused_until = now + at_rng_below(&rng, 20000);
+		break;
+	case 2:
+		node_restart(n);
+		break;
+	case 3:
+		engine_restart(&engines[at_rng_below(&rng, ENGINES)]);
+		break;
+	case 4:
+		outage_until = now + at_rng_below(&rng, 10000);
+		break;
+	case 5:
+		if (at_lease_state(node->lease) == AT_LEASE_RELEASED)
+			node_restart(n);
+		else if (now >= node->paused_until)
+			at_lease_release(node->lease);
+		break;
+	default:
+		run_events(now + at_rng_below(&rng, 8000));
+		break;
+	}
+}
+
+static void
+operate(uint8_t op)
+{
+	size_t i;
+
+	if (op < 70)
+		propose(pick_holder(), 1);
+	else if (op < 160)
+		propose(pick_holder(), 0);
+	else if (op < 175)
+		tell_ended(pick_holder());
+	else if (op >= 249)
+		fault(op - 249u);
+	run_events(now + at_rng_below(&rng, 150));
+	for (i = 0; i < NODES; i++) {
+		if (now >= nodes[i].paused_until && chance(30))
+			ask_report(&nodes[i], at_rng_below(&rng, ENGINES));
+		node_run(&nodes[i]);
+	}
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	size_t i;
+
+	rng.state = size;
+	for (i = 0; i < size && i < sizeof(rng.state); i++)
+		rng.state = rng.state * 257 + data[i];
+	world_reset();
+	for (i = 0; i < NODES; i++)
+		node_start(&nodes[i], i);
+	for (i = 0; i < OPERATIONS; i++)
+		operate(i + 8 < size ? data[i + 8]
+				     : (uint8_t)at_rng_below(&rng, 256));
+	for (i = 0; i < NODES; i++)
+		node_stop(&nodes[i]);
+	world_reset();
+	return 0;
+}
