Add the planner of models and adapters to engines

Cause: what stands where has to follow demand without chasing noise, and every model has to stay reachable through every change.

Change: placement.h keeps an estimate for each model and adapter that jumps up when a fast average leaves the noise band of a slow one and falls with the slow one; a round returns decisions with reasons: what stands nowhere first, then minimum counts, then demand that pays for the load. Surplus replicas stay until their memory is needed. Version changes, leaving engines, restarts, pins and forbids go by the same path: load elsewhere, then unload. A data centre wants one of each while 90% of its memory holds them all; beyond that the data centre that rendezvous hashing names.

--- /dev/null
+++ b/include/almondthread/placement.h
@@ -0,0 +1,105 @@
+/*
+ * placement.h - which engine of a data centre holds which model and adapter.
+ *
+ * A pure planner. It keeps an estimate of the demand for each model and
+ * adapter and, once a round, compares what is wanted with what the engines
+ * hold and returns decisions, most urgent first. It sends nothing: orders.h
+ * checks each decision again and may refuse it; what is refused comes up
+ * again in a later round.
+ *
+ * - Every model and adapter is wanted on min_replicas engines of the data
+ *   centre as long as one of each fits into RESIDENT_PERCENT of its memory.
+ *   Beyond that it is wanted only in the data centre that rendezvous hashing
+ *   names for it, and elsewhere where there is demand.
+ * - More replicas follow demand at once. A surplus replica stays until its
+ *   memory is needed, and its count falls only after a hold time.
+ * - Something is unloaded only for what is worth more, only when it stands
+ *   elsewhere, and never the last of its kind.
+ * - A new version is loaded beside the old one first. A leaving engine is
+ *   emptied once its residents stand elsewhere.
+ */
+#ifndef ALMONDTHREAD_PLACEMENT_H
+#define ALMONDTHREAD_PLACEMENT_H
+
+#include "almondthread/config.h"
+#include "almondthread/engine_view.h"
+#include "almondthread/ports.h"
+
+#define AT_PLACEMENT_REASON_SIZE 128u /* bytes, with the NUL */
+
+/* How the planner goes about it; a greedy one is a baseline. */
+typedef enum at_placement_policy {
+	AT_PLACEMENT_STEADY,
+	AT_PLACEMENT_GREEDY, /* follows each second's demand at once */
+	AT_PLACEMENT_POLICY_COUNT
+} at_placement_policy_t;
+
+extern const char *const at_placement_policy_names[];
+
+/* One engine as a round sees it. residents are borrowed. */
+typedef struct at_place_engine {
+	at_name_t name;
+	uint32_t accelerators;
+	uint64_t capacity_mb;
+	uint64_t free_mb; /* by its memory account */
+	int usable;       /* serves and takes orders */
+	int leaving;
+	const at_resident_t *residents;
+	size_t resident_count;
+} at_place_engine_t;
+
+/* One decision; id and fence of the order are not set. */
+typedef struct at_decision {
+	at_order_t order;
+	char reason[AT_PLACEMENT_REASON_SIZE];
+} at_decision_t;
+
+/* What a round saw and wants of one model or adapter. */
+typedef struct at_place_state {
+	uint32_t wanted;  /* replicas */
+	uint32_t serving; /* of the wanted version, on engines that stay */
+	uint32_t coming;  /* being loaded */
+	uint32_t old;     /* of another version or on a leaving engine */
+	uint64_t demand_tokens_s;
+	char reason[AT_PLACEMENT_REASON_SIZE]; /* of the last decision */
+} at_place_state_t;
+
+typedef struct at_placement at_placement_t;
+
+at_placement_t *at_placement_new(void);
+void at_placement_set_policy(
+    at_placement_t *placement, at_placement_policy_t policy);
+/*
+ * at_placement_set_config() takes over a configuration, which must outlive
+ * the rounds under it; estimates of what stays are kept. Returns 0, or -1
+ * without memory.
+ */
+int at_placement_set_config(at_placement_t *placement,
+    const at_config_t *config, const at_name_t *data_centre);
+void at_placement_delete(at_placement_t *placement);
+
+/* at_placement_demand() adds one request for a model or adapter. */
+void at_placement_demand(
+    at_placement_t *placement, const char *name, uint64_t tokens);
+
+/*
+ * at_placement_round() plans. open are the orders that are not closed.
+ * Returns the number of decisions written, at most max.
+ */
+size_t at_placement_round(at_placement_t *placement, uint64_t now_ms,
+    const at_place_engine_t *engines, size_t engine_count,
+    const at_order_t *open, size_t open_count, at_decision_t *decisions,
+    size_t max);
+
+/*
+ * at_placement_state() returns what the last round knew, or NULL for a name
+ * that is not configured.
+ */
+const at_place_state_t *
+at_placement_state(const at_placement_t *placement, const char *name);
+
+/* at_placement_needs() tells whether a model or adapter is configured. */
+int at_placement_needs(
+    const at_placement_t *placement, const char *model, const char *adapter);
+
+#endif
--- a/src/core/orders.c
+++ b/src/core/orders.c
@@ -314,6 +314,16 @@
 	       now_ms >= o->made_at_ms + UNSENT_MS;
 }
 
+static int
+is_dead(const at_orders_t *orders, const open_intent_t *o)
+{
+	const order_engine_t *engine =
+	    at_orders_find_engine(orders, o->intent.order.engine.text);
+
+	return !o->in_transit && engine != NULL && o->dead_at_ms != NEVER_MS &&
+	       at_account_asked_at_ms(engine->account) > o->dead_at_ms;
+}
+
 static void
 close_dead(at_orders_t *orders, uint64_t now_ms)
 {
@@ -321,15 +331,8 @@
 
 	while (i < orders->count) {
 		const open_intent_t *o = &orders->intents[i];
-		const order_engine_t *engine =
-		    at_orders_find_engine(orders, o->intent.order.engine.text);
 
-		if (o->closed || is_given_up(o, now_ms))
-			close_at(orders, i);
-		else if (!o->in_transit && engine != NULL &&
-			 o->dead_at_ms != NEVER_MS &&
-			 at_account_asked_at_ms(engine->account) >
-			     o->dead_at_ms)
+		if (o->closed || is_given_up(o, now_ms) || is_dead(orders, o))
 			close_at(orders, i);
 		else
 			i++;
--- /dev/null
+++ b/src/core/placement.c
@@ -0,0 +1,296 @@
+#include "core/placement_internal.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#define FAST_S 2.0                 /* follows a rise */
+#define SLOW_S 60.0                /* follows a fall */
+#define NOISE_DEVIATIONS 3.0       /* a rise beyond them is real */
+#define HOLD_MS 60000u             /* demand is low before a count falls */
+#define FALL_PERCENT 70u           /* of the next lower count's capacity */
+#define RESIDENT_PERCENT 90u       /* of memory, for one of each */
+#define REQUEST_TOKENS_GUESS 100.0 /* before the first request */
+
+const char *const at_placement_policy_names[] = {"steady", "greedy"};
+
+at_placement_t *
+at_placement_new(void)
+{
+	return calloc(1, sizeof(at_placement_t));
+}
+
+void
+at_placement_set_policy(at_placement_t *placement, at_placement_policy_t policy)
+{
+	placement->policy = policy;
+}
+
+static void
+forget_items(at_placement_t *placement)
+{
+	HASH_CLEAR(hh, placement->by_name);
+	free(placement->items);
+	placement->items = NULL;
+	placement->item_count = 0;
+}
+
+void
+at_placement_delete(at_placement_t *placement)
+{
+	if (placement == NULL)
+		return;
+	forget_items(placement);
+	free(placement);
+}
+
+item_t *
+at_placement_find(const at_placement_t *placement, const char *name)
+{
+	item_t *item;
+
+	HASH_FIND_STR(placement->by_name, name, item);
+	return item;
+}
+
+int
+at_placement_needs(
+    const at_placement_t *placement, const char *model, const char *adapter)
+{
+	const item_t *item =
+	    at_placement_find(placement, adapter[0] ? adapter : model);
+
+	return item != NULL && strcmp(item->model.text, model) == 0;
+}
+
+const at_place_state_t *
+at_placement_state(const at_placement_t *placement, const char *name)
+{
+	const item_t *item = at_placement_find(placement, name);
+
+	return item == NULL ? NULL : &item->state;
+}
+
+void
+at_placement_demand(
+    at_placement_t *placement, const char *name, uint64_t tokens)
+{
+	item_t *item = at_placement_find(placement, name);
+
+	if (item == NULL)
+		return;
+	item->tokens += tokens;
+	item->requests++;
+}
+
+/* The data centre that must hold a model whatever the memory allows. */
+static int
+is_home(
+    const at_config_t *config, const at_name_t *data_centre, const char *name)
+{
+	uint64_t own = XXH64(data_centre->text, strlen(data_centre->text), 0);
+	uint64_t key = XXH64(name, strlen(name), 1);
+	size_t i;
+
+	own = XXH64(&own, sizeof(own), key);
+	for (i = 0; i < config->data_centre_count; i++) {
+		const char *other = config->data_centres[i].text;
+		uint64_t weight = XXH64(other, strlen(other), 0);
+
+		if (XXH64(&weight, sizeof(weight), key) > own)
+			return 0;
+	}
+	return 1;
+}
+
+static uint64_t
+memory_of(const at_config_t *config, const at_name_t *data_centre)
+{
+	uint64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < config->engine_count; i++) {
+		if (at_name_equal(&config->engines[i].data_centre, data_centre))
+			sum += config->engines[i].memory_mb;
+	}
+	return sum;
+}
+
+static void
+add_model(item_t *item, const at_model_t *model)
+{
+	item->name = model->name;
+	item->model = model->name;
+	item->version = model->version;
+	item->memory_mb = model->memory_mb;
+	item->base = NO_ITEM;
+}
+
+static void
+add_adapter(
+    item_t *item, const at_adapter_t *adapter, const at_config_t *config)
+{
+	const at_model_t *base = at_config_model(config, adapter->model.text);
+
+	item->name = adapter->name;
+	item->model = adapter->model;
+	item->adapter = adapter->name;
+	item->version = adapter->version;
+	item->memory_mb = adapter->memory_mb;
+	item->base = (size_t)(base - config->models);
+}
+
+static void
+copy_estimate(item_t *to, const item_t *from)
+{
+	if (from == NULL)
+		return;
+	to->tokens = from->tokens;
+	to->requests = from->requests;
+	to->fast_tokens_s = from->fast_tokens_s;
+	to->slow_tokens_s = from->slow_tokens_s;
+	to->request_tokens = from->request_tokens;
+	to->wanted = from->wanted;
+	to->low_since_ms = from->low_since_ms;
+	to->state = from->state;
+}
+
+static void
+apply_exceptions(item_t *item, const at_config_t *config)
+{
+	size_t i;
+
+	item->min_replicas =
+	    (uint32_t)at_config_value(config, AT_EXCEPTION_MIN_REPLICAS,
+		item->name.text, config->defaults.min_replicas);
+	for (i = 0; i < config->exception_count; i++) {
+		const at_exception_t *e = &config->exceptions[i];
+
+		if ((e->kind == AT_EXCEPTION_PIN ||
+			e->kind == AT_EXCEPTION_FORBID) &&
+		    at_name_equal(&e->subject, &item->name))
+			item->restricted = 1;
+	}
+}
+
+/* Fills and indexes items[]; estimates come from the old table. */
+static void
+build_items(at_placement_t *placement, const at_config_t *config,
+    const at_name_t *data_centre, item_t *items, size_t count)
+{
+	uint64_t all_mb = 0;
+	uint64_t room_mb =
+	    memory_of(config, data_centre) / 100 * RESIDENT_PERCENT;
+	item_t *by_name = NULL;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		item_t *item = &items[i];
+
+		if (i < config->model_count)
+			add_model(item, &config->models[i]);
+		else
+			add_adapter(item,
+			    &config->adapters[i - config->model_count], config);
+		apply_exceptions(item, config);
+		item->index = i;
+		copy_estimate(
+		    item, at_placement_find(placement, item->name.text));
+		all_mb += item->memory_mb;
+	}
+	for (i = 0; i < count; i++) {
+		items[i].required =
+		    all_mb <= room_mb ||
+		    is_home(config, data_centre, items[i].model.text);
+		HASH_ADD_KEYPTR(hh, by_name, items[i].name.text,
+		    strlen(items[i].name.text), &items[i]);
+	}
+	forget_items(placement);
+	placement->by_name = by_name;
+}
+
+int
+at_placement_set_config(at_placement_t *placement, const at_config_t *config,
+    const at_name_t *data_centre)
+{
+	size_t count = config->model_count + config->adapter_count;
+	item_t *items = calloc(count + 1, sizeof(*items));
+
+	if (items == NULL)
+		return -1;
+	build_items(placement, config, data_centre, items, count);
+	placement->items = items;
+	placement->item_count = count;
+	placement->config = config;
+	placement->data_centre = *data_centre;
+	return 0;
+}
+
+void
+at_placement_estimate(at_placement_policy_t policy, item_t *item,
+    uint64_t now_ms, uint64_t past_ms)
+{
+	double past_s = (double)(now_ms - past_ms) / AT_MS_PER_S;
+	double rate;
+	double noise;
+
+	if (past_ms == 0 || now_ms <= past_ms)
+		return;
+	rate = (double)item->tokens / past_s;
+	if (item->request_tokens <= 0)
+		item->request_tokens = REQUEST_TOKENS_GUESS;
+	if (item->requests > 0)
+		item->request_tokens +=
+		    ((double)item->tokens / (double)item->requests -
+			item->request_tokens) /
+		    4;
+	item->tokens = 0;
+	item->requests = 0;
+	item->fast_tokens_s +=
+	    (rate - item->fast_tokens_s) * (1 - exp(-past_s / FAST_S));
+	item->slow_tokens_s += (item->fast_tokens_s - item->slow_tokens_s) *
+			       (1 - exp(-past_s / SLOW_S));
+	noise = NOISE_DEVIATIONS *
+		sqrt((item->slow_tokens_s + item->request_tokens / FAST_S) *
+		     item->request_tokens / (2 * FAST_S));
+	if (item->fast_tokens_s > item->slow_tokens_s + noise)
+		item->slow_tokens_s = item->fast_tokens_s;
+	if (policy == AT_PLACEMENT_GREEDY)
+		item->slow_tokens_s = rate;
+	item->state.demand_tokens_s = (uint64_t)item->slow_tokens_s;
+}
+
+void
+at_placement_want(at_placement_policy_t policy, item_t *item,
+    double share_tokens_s, size_t engine_count, uint64_t now_ms)
+{
+	uint32_t least = item->required ? item->min_replicas : 0;
+	uint32_t needed = 0;
+	double low;
+
+	if (share_tokens_s > 0)
+		needed = (uint32_t)ceil(item->slow_tokens_s / share_tokens_s);
+	/* Below one request in a minute nobody waits for a replica. */
+	if (item->slow_tokens_s * 60 < item->request_tokens)
+		needed = 0;
+	if (needed < least)
+		needed = least;
+	if (needed > engine_count)
+		needed = (uint32_t)engine_count;
+	if (needed >= item->wanted || policy == AT_PLACEMENT_GREEDY) {
+		item->wanted = needed;
+		item->low_since_ms = 0;
+		item->state.wanted = needed;
+		return;
+	}
+	low = share_tokens_s * (item->wanted - 1) * FALL_PERCENT / 100;
+	if (item->slow_tokens_s > low)
+		item->low_since_ms = 0;
+	else if (item->low_since_ms == 0)
+		item->low_since_ms = now_ms;
+	else if (now_ms - item->low_since_ms >= HOLD_MS)
+		item->wanted = needed;
+	item->state.wanted = item->wanted;
+}
