--- a/include/almondthread/account.h
+++ b/include/almondthread/account.h
@@ -50,8 +50,8 @@
 int at_account_reserve(
     at_account_t *account, uint64_t id, const at_resident_t *what);
 /* at_account_adopt() reserves for an order that may arrive in any case. */
-int
-at_account_adopt(at_account_t *account, uint64_t id, const at_resident_t *what);
+int at_account_adopt(
+    at_account_t *account, uint64_t id, const at_resident_t *what);
 void at_account_shelve(at_account_t *account, uint64_t id);
 /* at_account_drop() ends a reservation; an unknown id is ignored. */
 void at_account_drop(at_account_t *account, uint64_t id);
@@ -66,8 +66,8 @@
     const at_account_t *account, const char *model, const char *adapter);
 
 /* at_account_residents() returns the newest report's residents. */
-const at_resident_t *
-at_account_residents(const at_account_t *account, size_t *count);
+const at_resident_t *at_account_residents(
+    const at_account_t *account, size_t *count);
 
 /* at_slot_equal() tells whether two residents are of one slot. */
 int at_slot_equal(const at_resident_t *a, const at_resident_t *b);
--- a/include/almondthread/lease.h
+++ b/include/almondthread/lease.h
@@ -63,8 +63,8 @@
 void at_lease_delete(at_lease_t *lease);
 
 /* at_lease_process() returns the call that is due, if any, in action. */
-void
-at_lease_process(at_lease_t *lease, uint64_t now_ms, at_lease_action_t *action);
+void at_lease_process(
+    at_lease_t *lease, uint64_t now_ms, at_lease_action_t *action);
 
 /* at_lease_answer() takes the answer of the open call. */
 void at_lease_answer(
@@ -81,8 +81,8 @@
  * at_lease_valid() tells whether this instance holds the lease for at least
  * margin_ms more.
  */
-int
-at_lease_valid(const at_lease_t *lease, uint64_t now_ms, uint32_t margin_ms);
+int at_lease_valid(
+    const at_lease_t *lease, uint64_t now_ms, uint32_t margin_ms);
 
 /* at_lease_fence() returns the fencing number; 0 when it was never held. */
 uint64_t at_lease_fence(const at_lease_t *lease);
--- a/include/almondthread/orders.h
+++ b/include/almondthread/orders.h
@@ -82,8 +82,8 @@
 
 at_orders_t *at_orders_new(void);
 void at_orders_set_self(at_orders_t *orders, const at_incarnation_t *self);
-void
-at_orders_set_limits(at_orders_t *orders, const at_orders_limits_t *limits);
+void at_orders_set_limits(
+    at_orders_t *orders, const at_orders_limits_t *limits);
 void at_orders_delete(at_orders_t *orders);
 
 /*
@@ -98,9 +98,9 @@
  * at_orders_report() takes an engine's report, asked for at asked_at_ms.
  * Returns 0, or -1 when it is older than what is known.
  */
-int
-at_orders_report(at_orders_t *orders, const char *engine, uint64_t asked_at_ms,
-    uint64_t incarnation, const at_resident_t *residents, size_t count);
+int at_orders_report(at_orders_t *orders, const char *engine,
+    uint64_t asked_at_ms, uint64_t incarnation, const at_resident_t *residents,
+    size_t count);
 
 /* at_orders_begin() starts as holder of the lease with a fencing number. */
 void at_orders_begin(at_orders_t *orders, uint64_t fence);
@@ -155,8 +155,8 @@
     void (*visit)(void *ctx, const at_intent_t *intent), void *ctx);
 
 /* at_orders_account() returns an engine's account, or NULL. */
-const at_account_t *
-at_orders_account(const at_orders_t *orders, const char *engine);
+const at_account_t *at_orders_account(
+    const at_orders_t *orders, const char *engine);
 
 /* at_orders_slot_open() tells whether a slot has an open intent. */
 int at_orders_slot_open(const at_orders_t *orders, const char *engine,
--- a/include/almondthread/placement.h
+++ b/include/almondthread/placement.h
@@ -95,8 +95,8 @@
  * at_placement_state() returns what the last round knew, or NULL for a name
  * that is not configured.
  */
-const at_place_state_t *
-at_placement_state(const at_placement_t *placement, const char *name);
+const at_place_state_t *at_placement_state(
+    const at_placement_t *placement, const char *name);
 
 /* at_placement_needs() tells whether a model or adapter is configured. */
 int at_placement_needs(
--- a/src/core/orders_internal.h
+++ b/src/core/orders_internal.h
@@ -80,8 +80,8 @@
     at_orders_t *orders, const char *text, size_t len, int adopt);
 
 /* at_orders_find_engine() returns an engine by name, or NULL. */
-order_engine_t *
-at_orders_find_engine(const at_orders_t *orders, const char *name);
+order_engine_t *at_orders_find_engine(
+    const at_orders_t *orders, const char *name);
 
 /*
  * Whether the engine's present incarnation refuses earlier holders, and the
--- a/src/core/placement_round.h
+++ b/src/core/placement_round.h
@@ -59,8 +59,8 @@
 } round_t;
 
 /* at_round_find_place() returns where an item is on an engine, or NULL. */
-place_t *
-at_round_find_place(const round_t *r, const item_t *item, size_t engine);
+place_t *at_round_find_place(
+    const round_t *r, const item_t *item, size_t engine);
 /* at_round_is_excepted() tells whether a pin or forbid names both. */
 int at_round_is_excepted(const round_t *r, const item_t *item, size_t engine,
     at_exception_kind_t kind);
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -12,7 +12,7 @@
 static void
 refuse(at_node_t *node, at_httpd_request_t *request, at_reason_t reason)
 {
-	at_refuse(node, request, NULL, reason, AT_VERDICT_NOT_RUN, NO_RETRY);
+	at_refuse(node, request, reason, AT_VERDICT_NOT_RUN, NO_RETRY);
 }
 
 /* Returns the key that came with the request, or NULL. */
@@ -192,6 +192,18 @@
 	at_exchange_start(node, request, &spec);
 }
 
+void
+at_entry_handle_fault(void *ctx, at_httpd_request_t *request)
+{
+	at_node_t *node = ctx;
+	at_httpd_fault_t fault = at_httpd_fault(request);
+
+	at_counters_add(node->counters, "requests_total", NULL, NULL, 1);
+	refuse(node, request,
+	    fault == AT_HTTPD_HEADER_TOO_LARGE ? AT_REASON_HEADER_TOO_LARGE
+					       : AT_REASON_BODY_TOO_LARGE);
+}
+
 void
 at_entry_handle(void *ctx, at_httpd_request_t *request)
 {
@@ -200,7 +212,7 @@
 
 	at_counters_add(node->counters, "requests_total", NULL, NULL, 1);
 	if (node->config == NULL) {
-		at_refuse(node, request, NULL, AT_REASON_NO_CONFIG,
+		at_refuse(node, request, AT_REASON_NO_CONFIG,
 		    AT_VERDICT_NOT_RUN, AT_MS_PER_S);
 		return;
 	}
--- a/tests/support/fixture.h
+++ b/tests/support/fixture.h
@@ -10,6 +10,7 @@
 #include "standin/standin.h"
 
 #define FIXTURE_MAX 16 /* of each kind */
+#define FIXTURE_STOP_MAX_MS 60000u
 #define FIXTURE_SECRET \
 	"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
 
@@ -27,6 +28,7 @@
 	at_node_t *nodes[FIXTURE_MAX];
 	char node_addresses[FIXTURE_MAX][AT_ADDR_SIZE];
 	char operator_addresses[FIXTURE_MAX][AT_ADDR_SIZE];
+	char peer_addresses[FIXTURE_MAX][AT_ADDR_SIZE];
 	size_t node_count;
 } fixture_t;
 
@@ -50,8 +52,8 @@
     fixture_t *f, const char *name, const char *data_centre, const char *model);
 size_t fixture_add_service(fixture_t *f, const char *name,
     const char *data_centre, const char *service);
-size_t
-fixture_add_node(fixture_t *f, const char *name, const char *data_centre);
+size_t fixture_add_node(
+    fixture_t *f, const char *name, const char *data_centre);
 
 /* fixture_remove_node() ends a node at once, as a crash would. */
 void fixture_remove_node(fixture_t *f, size_t index);
@@ -70,9 +72,9 @@
     const char *address, const char *path, const char *const *headers,
     const char *body);
 /* fixture_call() sends and waits; fails the test after 20 s. */
-fixture_answer_t
-fixture_call(fixture_t *f, const char *method, const char *address,
-    const char *path, const char *const *headers, const char *body);
+fixture_answer_t fixture_call(fixture_t *f, const char *method,
+    const char *address, const char *path, const char *const *headers,
+    const char *body);
 void fixture_answer_free(fixture_answer_t *answer);
 
 /* fixture_faults() sets faults of a stand-in at an address. */
