--- a/src/core/claims_table.c
+++ b/src/core/claims_table.c
@@ -3,11 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MAGIC "ATC1"
 #define HEADER_BYTES 8u
 #define ENTRY_BYTES (2 * AT_CLAIM_HASH_SIZE + 3 * 8u + 2u + 2u + 1u)
 #define GROWTH 64u /* places added to a table */
 
+static const uint8_t magic[4] = {'A', 'T', 'C', '1'};
+
 static void
 put_number(uint8_t **at, uint64_t number, size_t bytes)
 {
@@ -100,7 +101,7 @@
 	size_t count;
 	size_t i;
 
-	if (table->len < HEADER_BYTES || memcmp(at, MAGIC, 4) != 0)
+	if (table->len < HEADER_BYTES || memcmp(at, magic, sizeof(magic)) != 0)
 		return -1;
 	at += 4;
 	count = get_number(&at, 4);
@@ -320,7 +321,7 @@
 	if (bytes == NULL)
 		return NULL;
 	at = bytes;
-	memcpy(at, MAGIC, 4);
+	memcpy(at, magic, sizeof(magic));
 	at += 4;
 	put_number(&at, table->count, 4);
 	for (i = 0; i < table->count; i++)
