--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -18,5 +18,6 @@
 int bench_entry(int argc, char **argv);
 int bench_claims(int argc, char **argv);
 int bench_route(int argc, char **argv);
+int bench_serve(int argc, char **argv);
 
 #endif
--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -19,6 +19,7 @@
     {"entry", bench_entry, "latency and throughput of an entry instance"},
     {"claims", bench_claims, "claims for each platform write, added latency"},
     {"route", bench_route, "cost of one routing decision"},
+    {"serve", bench_serve, "demand served on time, against baselines"},
 };
 
 int
--- a/src/core/router.c
+++ b/src/core/router.c
@@ -6,9 +6,11 @@
 
 #define RATIO_MIN (RATIO_ONE / 2)
 #define RATIO_MAX (RATIO_ONE * 8)
+#define RATIO_SLACK_MS 20u    /* small times tell little of an engine */
 #define RATIO_SHIFT 4u        /* weight of one observation: 1/16 */
 #define SUSPECT_FIRST_MS 500u /* out after the first failure */
 #define SUSPECT_MAX_MS 30000u /* out after many */
+#define DECODE_PERCENT 90u    /* of an engine's time, for a full batch */
 #define OVERFLOW_GAIN_MS 30u  /* another data centre must be sooner by */
 
 const char *const at_route_why_names[] = {
@@ -87,6 +89,18 @@
 	       router->speed.batch_place_ms;
 }
 
+/* Prefill gets the time that the batch leaves. */
+static uint64_t
+prefill_rate(const at_router_t *router, const engine_t *e)
+{
+	uint64_t batch = (uint64_t)e->view.running + e->sent_count;
+	uint64_t percent = batch * DECODE_PERCENT / router->speed.batch_max;
+
+	if (percent > DECODE_PERCENT)
+		percent = DECODE_PERCENT;
+	return (uint64_t)router->speed.prefill_tokens_s * (100 - percent) / 100;
+}
+
 static uint32_t
 predict_ms(const at_router_t *router, const engine_t *e,
     const at_route_request_t *request, uint32_t cached)
@@ -95,7 +109,7 @@
 			   ? request->prompt_tokens - cached
 			   : 1;
 	uint64_t prefill = pending_prefill(e) + own;
-	uint64_t ms = prefill * 1000 / router->speed.prefill_tokens_s;
+	uint64_t ms = prefill * 1000 / prefill_rate(router, e);
 
 	ms += place_wait_ms(router, e);
 	ms = ms * e->ratio / RATIO_ONE;
@@ -272,13 +286,13 @@
     at_router_t *router, const at_route_choice_t *choice, uint32_t seen_ms)
 {
 	engine_t *e = at_router_engine(router, &choice->engine);
-	uint64_t predicted = choice->predicted_ms + 1u;
+	uint64_t predicted = (uint64_t)choice->predicted_ms + RATIO_SLACK_MS;
 	uint64_t ratio;
 
 	if (e == NULL)
 		return;
 	/* The prediction holds the present ratio already. */
-	ratio = (uint64_t)(seen_ms + 1u) * e->ratio / predicted;
+	ratio = ((uint64_t)seen_ms + RATIO_SLACK_MS) * e->ratio / predicted;
 	if (ratio < RATIO_MIN)
 		ratio = RATIO_MIN;
 	if (ratio > RATIO_MAX)
