--- a/src/ctl/status_commands.c
+++ b/src/ctl/status_commands.c
@@ -20,6 +20,41 @@
 	return json_integer_value(json_object_get(object, field));
 }
 
+static const char *
+yes_or_no(json_t *object, const char *field)
+{
+	return json_is_true(json_object_get(object, field)) ? "yes" : "no";
+}
+
+static void
+print_peers(json_t *root)
+{
+	json_t *peer;
+	json_t *reader;
+	size_t i;
+
+	(void)printf("incarnation  %s\nconfig age   %lld ms\nreaders     ",
+	    text_of(root, "incarnation"), number_of(root, "config_age_ms"));
+	json_array_foreach(json_object_get(root, "readers"), i, reader)
+	{
+		(void)printf(" %s", json_string_value(reader));
+	}
+	(void)printf("\n\n%-20s %-12s %-22s %5s %7s %6s %8s %10s %10s\n",
+	    "PEER", "DATA CENTRE", "ADDRESS", "ALIVE", "LEAVING", "LISTED",
+	    "HEARD MS", "GENERATION", "CHECKED MS");
+	json_array_foreach(json_object_get(root, "peers"), i, peer)
+	{
+		(void)printf(
+		    "%-20s %-12s %-22s %5s %7s %6s %8lld %10lld %10lld\n",
+		    text_of(peer, "name"), text_of(peer, "data_centre"),
+		    text_of(peer, "address"), yes_or_no(peer, "alive"),
+		    yes_or_no(peer, "leaving"), yes_or_no(peer, "listed"),
+		    number_of(peer, "heard_ms"), number_of(peer, "generation"),
+		    number_of(peer, "checked_ms"));
+	}
+	(void)printf("\n");
+}
+
 static void
 print_status(json_t *root)
 {
@@ -27,10 +62,11 @@
 	size_t i;
 
 	(void)printf("instance     %s\ndata centre  %s\nstate        %s\n"
-		     "generation   %lld\nplatform     answered %lld ms ago\n\n",
+		     "generation   %lld\nplatform     answered %lld ms ago\n",
 	    text_of(root, "name"), text_of(root, "data_centre"),
 	    text_of(root, "state"), number_of(root, "generation"),
 	    number_of(root, "platform_age_ms"));
+	print_peers(root);
 	(void)printf("%-20s %-8s %-12s %-22s %7s %8s %8s\n", "BACKEND SERVER",
 	    "KIND", "DATA CENTRE", "ADDRESS", "LEAVING", "IN USE", "RESIDENT");
 	json_array_foreach(json_object_get(root, "backends"), i, backend)
@@ -38,9 +74,7 @@
 		(void)printf("%-20s %-8s %-12s %-22s %7s %8lld %8lld\n",
 		    text_of(backend, "name"), text_of(backend, "kind"),
 		    text_of(backend, "data_centre"),
-		    text_of(backend, "address"),
-		    json_is_true(json_object_get(backend, "leaving")) ? "yes"
-								      : "no",
+		    text_of(backend, "address"), yes_or_no(backend, "leaving"),
 		    number_of(backend, "outstanding"),
 		    number_of(backend, "resident"));
 	}
--- a/src/daemon/operators.c
+++ b/src/daemon/operators.c
@@ -4,6 +4,7 @@
 #include <jansson.h>
 
 #include "daemon/explain.h"
+#include "daemon/peers_status.h"
 
 static void
 reply_text(at_httpd_request_t *request, int status, const char *text)
@@ -59,6 +60,7 @@
 	char *text;
 
 	at_backends_each(node->backends, add_backend, list);
+	at_peers_status_add(node, root);
 	text = json_dumps(root, JSON_COMPACT);
 	at_httpd_reply(request, 200, headers, text, strlen(text));
 	free(text);
--- /dev/null
+++ b/src/daemon/peers_status.c
@@ -0,0 +1,69 @@
+#include "daemon/peers_status.h"
+
+#include "io/clock.h"
+
+#define NEVER (-1) /* age of what was never heard */
+
+static json_int_t
+age_ms(uint64_t at_ms, uint64_t now_ms)
+{
+	return at_ms == 0 ? NEVER : (json_int_t)(now_ms - at_ms);
+}
+
+static void
+add_member(void *ctx, const at_member_t *member)
+{
+	uint64_t now_ms = at_clock_now_ms();
+
+	json_array_append_new(
+	    ctx, json_pack("{s:s,s:s,s:s,s:o,s:b,s:b,s:b,s:I,s:I,s:I}", "name",
+		     member->self.instance.text, "data_centre",
+		     member->data_centre.text, "address", member->address,
+		     "incarnation",
+		     json_sprintf(
+			 "%016llx", (unsigned long long)member->self.number),
+		     "alive", member->alive, "leaving", member->leaving,
+		     "listed", member->listed, "heard_ms",
+		     age_ms(member->heard_at_ms, now_ms), "generation",
+		     (json_int_t)member->versions[AT_PEER_DOCUMENT_CONFIG],
+		     "checked_ms", age_ms(member->checked_at_ms, now_ms)));
+}
+
+/* The readers of this data centre, as this instance sees them. */
+static json_t *
+readers(at_node_t *node)
+{
+	json_t *list = json_array();
+	uint32_t rank;
+
+	for (rank = 0; rank < AT_READERS; rank++) {
+		const at_name_t *reader = at_peers_owner(
+		    node->peers, &node->data_centre, AT_READER_ROLE, rank);
+
+		if (reader != NULL)
+			json_array_append_new(list, json_string(reader->text));
+	}
+	return list;
+}
+
+void
+at_peers_status_add(at_node_t *node, json_t *root)
+{
+	uint64_t age = at_config_io_age_ms(node->config_io);
+	json_t *members = json_array();
+
+	at_peers_each(node->peers, add_member, members);
+	json_object_set_new(root, "incarnation",
+	    json_sprintf("%016llx", (unsigned long long)node->self.number));
+	json_object_set_new(root, "config_age_ms",
+	    json_integer(age == UINT64_MAX ? NEVER : (json_int_t)age));
+	json_object_set_new(root, "refused_generation",
+	    json_integer((json_int_t)at_config_io_refused(node->config_io)));
+	json_object_set_new(root, "instances_revision",
+	    json_integer(
+		(json_int_t)at_config_io_list_revision(node->config_io)));
+	json_object_set_new(root, "reads_platform",
+	    json_boolean(at_config_io_reads(node->config_io)));
+	json_object_set_new(root, "readers", readers(node));
+	json_object_set_new(root, "peers", members);
+}
--- a/tests/contract/test_config_io.c
+++ b/tests/contract/test_config_io.c
@@ -162,6 +162,29 @@
 	cr_assert_eq(readers, 4, "two in each data centre, not %zu", readers);
 }
 
+Test(config_io, status_shows_the_view, .init = setup, .fini = teardown_relay)
+{
+	static const char *const fields[] = {"\"generation\":1",
+	    "\"readers\":[\"n", "\"reads_platform\":true", "\"peers\":[{",
+	    "\"alive\":true", "\"leaving\":false", "\"listed\":true",
+	    "\"incarnation\":\"",
+	    "\"config_age_ms\":", "\"heard_ms\":", "\"refused_generation\":0",
+	    "\"instances_revision\":"};
+	fixture_answer_t a;
+	size_t i;
+
+	add_nodes(2, "north");
+	apply(1, 0, "");
+	await_generation(1);
+	await_links(1);
+	a = fixture_call(
+	    f, "GET", f->operator_addresses[0], "/status", NULL, NULL);
+	for (i = 0; i < sizeof(fields) / sizeof(fields[0]); i++)
+		cr_assert(
+		    strstr(a.body, fields[i]), "%s: %s", fields[i], a.body);
+	fixture_answer_free(&a);
+}
+
 Test(config_io, a_bad_one_is_refused_whole, .init = setup,
     .fini = teardown_relay)
 {
