--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -17,6 +17,7 @@
     {"target", bench_target, "print a configuration of the target size"},
     {"verdicts", bench_verdicts, "every reason, its status and verdict"},
     {"entry", bench_entry, "latency and throughput of an entry instance"},
+    {"claims", bench_claims, "claims for each platform write, added latency"},
     {"route", bench_route, "cost of one routing decision"},
 };
 
--- a/src/io/httpd_request.c
+++ b/src/io/httpd_request.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define GROWTH 4096u              /* bytes a buffer grows by at least */
 #define STREAM_BLOCK (16u * 1024) /* bytes handed over at a time */
 
 void
@@ -211,7 +212,7 @@
 	}
 	if (held + len <= request->out_size)
 		return 0;
-	size = held + len + request->out_size;
+	size = held + len + GROWTH;
 	grown = realloc(request->out, size);
 	if (grown == NULL)
 		return -1;
@@ -237,6 +238,18 @@
 	return request->paused;
 }
 
+size_t
+at_httpd_buffered(const at_httpd_t *httpd)
+{
+	const at_httpd_request_t *request;
+	size_t sum = 0;
+
+	for (request = httpd->requests; request != NULL;
+	     request = request->next)
+		sum += request->out_end - request->out_start;
+	return sum;
+}
+
 void
 at_httpd_stream_end(at_httpd_request_t *request)
 {
