--- a/src/core/claims.c
+++ b/src/core/claims.c
@@ -455,6 +455,12 @@
 	claims_deliver(claims);
 }
 
+size_t
+at_claims_pending(const at_claims_t *claims)
+{
+	return claims->pending;
+}
+
 size_t
 at_claims_unsettled(const at_claims_t *claims)
 {
--- a/src/core/claims_table.c
+++ b/src/core/claims_table.c
@@ -3,11 +3,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MAGIC "ATC1"
 #define HEADER_BYTES 8u
 #define ENTRY_BYTES (2 * AT_CLAIM_HASH_SIZE + 3 * 8u + 2u + 2u + 1u)
+#define MAGIC_BYTES 4u
 #define GROWTH 64u /* places added to a table */
 
+static const uint8_t magic[MAGIC_BYTES] = {'A', 'T', 'C', '1'};
+
 static void
 put_number(uint8_t **at, uint64_t number, size_t bytes)
 {
@@ -100,9 +102,9 @@
 	size_t count;
 	size_t i;
 
-	if (table->len < HEADER_BYTES || memcmp(at, MAGIC, 4) != 0)
+	if (table->len < HEADER_BYTES || memcmp(at, magic, MAGIC_BYTES) != 0)
 		return -1;
-	at += 4;
+	at += MAGIC_BYTES;
 	count = get_number(&at, 4);
 	if (count > table->len / ENTRY_BYTES || reserve(table, count) != 0)
 		return -1;
@@ -320,8 +322,8 @@
 	if (bytes == NULL)
 		return NULL;
 	at = bytes;
-	memcpy(at, MAGIC, 4);
-	at += 4;
+	memcpy(at, magic, MAGIC_BYTES);
+	at += MAGIC_BYTES;
 	put_number(&at, table->count, 4);
 	for (i = 0; i < table->count; i++)
 		encode_entry(&table->entries[i], &at);
--- /dev/null
+++ b/src/daemon/claims_io.c
@@ -0,0 +1,403 @@
+#include "daemon/claims_io.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+
+#define TICK_S 0.005
+#define CLAIM_WAIT_MS 1500u   /* longest wait for a claim */
+#define FLEET_PUTS_S 180u     /* of the platform's writes, for claims */
+#define SHARE_EVERY_MS 1000u  /* between two looks at the members */
+#define DEADLINES_RETAINED 2u /* a claim outlives its request's deadline */
+#define ANSWER_DROPPED                                             \
+	"{\"verdict\":\"ran\",\"note\":\"The request ran before; " \
+	"its answer was not kept.\"}"
+
+/* One request between its arrival and the end of its claim. */
+typedef struct claimed {
+	struct claimed *next;
+	struct claimed *prev;
+	at_claims_io_t *io;
+	at_httpd_request_t *request; /* NULL once it has gone on or ended */
+	at_exchange_spec_t spec;     /* texts belong to the request */
+	at_name_t target;
+	at_name_t workspace;
+	at_claim_t *claim;
+	uint64_t asked_ms;
+} claimed_t;
+
+struct at_claims_io {
+	at_node_t *node;
+	at_claims_t *ledger;
+	ev_timer tick;
+	uint64_t shared_ms; /* when the put rate was last set */
+	claimed_t *first;
+};
+
+at_claims_io_t *
+at_claims_io_new(at_node_t *node)
+{
+	at_claims_io_t *io = calloc(1, sizeof(*io));
+
+	if (io == NULL)
+		return NULL;
+	io->node = node;
+	io->ledger = at_claims_new();
+	if (io->ledger == NULL) {
+		free(io);
+		return NULL;
+	}
+	return io;
+}
+
+static void
+claimed_free(claimed_t *c)
+{
+	if (c->prev != NULL)
+		c->prev->next = c->next;
+	else
+		c->io->first = c->next;
+	if (c->next != NULL)
+		c->next->prev = c->prev;
+	free(c);
+}
+
+void
+at_claims_io_delete(at_claims_io_t *io)
+{
+	if (io == NULL)
+		return;
+	ev_timer_stop(io->node->loop, &io->tick);
+	while (io->first != NULL)
+		claimed_free(io->first);
+	at_claims_delete(io->ledger);
+	free(io);
+}
+
+static void
+publish(at_claims_io_t *io)
+{
+	const at_claims_stats_t *s = at_claims_stats(io->ledger);
+	const struct {
+		const char *result;
+		uint64_t count;
+	} puts[] = {{"ok", s->puts_ok}, {"conflict", s->puts_conflict},
+	    {"unknown", s->puts_unknown}, {"not_sent", s->puts_not_sent}};
+	const struct {
+		const char *name;
+		uint64_t count;
+	} totals[] = {{"claims_reads_total", s->reads},
+	    {"claims_settled_total", s->settled},
+	    {"claims_released_total", s->released},
+	    {"claims_recovered_total", s->recovered},
+	    {"claims_refused_full_total", s->refused_full},
+	    {"claims_pruned_total", s->pruned},
+	    {"claims_answers_dropped_total", s->answers_dropped},
+	    {"claims_malformed_total", s->malformed},
+	    {"claims_unsettled", at_claims_unsettled(io->ledger)}};
+	at_counters_t *counters = io->node->counters;
+	size_t i;
+
+	for (i = 0; i < AT_CLAIM_OUTCOME_COUNT; i++)
+		at_counters_set(counters, "claims_total", "outcome",
+		    at_claim_outcome_names[i], s->outcomes[i]);
+	for (i = 0; i < sizeof(puts) / sizeof(puts[0]); i++)
+		at_counters_set(counters, "claims_puts_total", "result",
+		    puts[i].result, puts[i].count);
+	for (i = 0; i < sizeof(totals) / sizeof(totals[0]); i++)
+		at_counters_set(
+		    counters, totals[i].name, NULL, NULL, totals[i].count);
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	at_claims_io_t *io = timer->data;
+
+	(void)events;
+	at_claims_tick(io->ledger);
+	if (at_claims_pending(io->ledger) > 0)
+		return;
+	publish(io);
+	ev_timer_stop(loop, timer);
+}
+
+void
+at_claims_io_init(at_claims_io_t *io)
+{
+	const at_clock_t clock = at_clock_system();
+
+	at_claims_set_store(io->ledger, &io->node->store);
+	at_claims_set_clock(io->ledger, &clock);
+	at_claims_set_random(io->ledger, &io->node->random);
+	at_claims_set_self(io->ledger, &io->node->self);
+	ev_timer_init(&io->tick, on_tick, TICK_S, TICK_S);
+	io->tick.data = io;
+	publish(io);
+}
+
+static void
+count_member(void *ctx, const at_member_t *member)
+{
+	uint32_t *count = ctx;
+
+	*count += member->listed && !member->leaving;
+}
+
+/* A claim outlives the longest request, whatever the configuration says. */
+static uint32_t
+retention_s(const at_config_t *config)
+{
+	uint32_t longest_ms = config->defaults.deadline_ms;
+	uint32_t least_s;
+	size_t i;
+
+	for (i = 0; i < config->route_count; i++) {
+		if (config->routes[i].deadline_ms > longest_ms)
+			longest_ms = config->routes[i].deadline_ms;
+	}
+	least_s = longest_ms / AT_MS_PER_S * DEADLINES_RETAINED;
+	return config->defaults.claim_retention_s > least_s
+		   ? config->defaults.claim_retention_s
+		   : least_s;
+}
+
+/* Takes over the configuration and this instance's part of the writes. */
+static void
+refresh(at_claims_io_t *io)
+{
+	uint64_t now_ms = at_clock_now_ms();
+	uint32_t members = 1;
+
+	if (io->shared_ms != 0 && now_ms < io->shared_ms + SHARE_EVERY_MS)
+		return;
+	io->shared_ms = now_ms;
+	at_claims_set_retention(io->ledger, retention_s(io->node->config));
+	at_peers_each(io->node->peers, count_member, &members);
+	at_claims_set_put_rate(
+	    io->ledger, members >= FLEET_PUTS_S ? 1 : FLEET_PUTS_S / members);
+	publish(io);
+}
+
+void
+at_claims_io_wake(at_claims_io_t *io)
+{
+	refresh(io);
+	if (!ev_is_active(&io->tick))
+		ev_timer_again(io->node->loop, &io->tick);
+}
+
+size_t
+at_claims_io_unsettled(const at_claims_io_t *io)
+{
+	return at_claims_unsettled(io->ledger);
+}
+
+at_claims_t *
+at_claims_io_ledger(at_claims_io_t *io)
+{
+	return io->ledger;
+}
+
+char *
+at_claims_io_pack(
+    const char *content_type, const void *body, size_t body_len, size_t *len)
+{
+	size_t type_len = strlen(content_type) + 1;
+	char *packed = malloc(type_len + body_len);
+
+	*len = type_len + body_len;
+	if (packed == NULL)
+		return NULL;
+	memcpy(packed, content_type, type_len);
+	if (body_len > 0)
+		memcpy(packed + type_len, body, body_len);
+	return packed;
+}
+
+static void
+settle(claimed_t *c, const at_exchange_end_t *end)
+{
+	at_claims_t *ledger = c->io->ledger;
+	char *packed = NULL;
+	size_t len = AT_CLAIM_ANSWER_MAX + 1; /* not kept */
+
+	if (end->body != NULL && end->content_type != NULL)
+		packed = at_claims_io_pack(
+		    end->content_type, end->body, end->body_len, &len);
+	if (packed == NULL)
+		len = AT_CLAIM_ANSWER_MAX + 1;
+	at_claims_settle(
+	    ledger, c->claim, (uint16_t)end->http_status, packed, len);
+	free(packed);
+}
+
+static void
+on_exchanged(void *ctx, const at_exchange_end_t *end)
+{
+	claimed_t *c = ctx;
+	at_claims_io_t *io = c->io;
+
+	if (end->verdict == AT_VERDICT_RAN)
+		settle(c, end);
+	else if (end->verdict == AT_VERDICT_NOT_RUN)
+		at_claims_release(io->ledger, c->claim);
+	else
+		at_claims_abandon(io->ledger, c->claim);
+	at_claims_io_wake(io);
+	claimed_free(c);
+}
+
+static void
+exchange(claimed_t *c)
+{
+	uint64_t waited_ms = at_clock_now_ms() - c->asked_ms;
+	at_httpd_request_t *request = c->request;
+
+	c->request = NULL;
+	c->spec.deadline_ms -= (uint32_t)waited_ms;
+	c->spec.on_done = on_exchanged;
+	c->spec.done_ctx = c;
+	at_exchange_start(c->io->node, request, &c->spec);
+}
+
+static void
+reply_stored(claimed_t *c, const at_claim_result_t *result)
+{
+	const char *packed = result->answer;
+	const char *end = result->answer_len == 0
+			      ? NULL
+			      : memchr(packed, '\0', result->answer_len);
+	int kept = result->answer_kept && end != NULL;
+	const at_header_t headers[] = {
+	    {"Content-Type", kept ? packed : "application/json"},
+	    {"X-Request-Id", at_httpd_id(c->request)}, {"X-Verdict", "ran"},
+	    {"X-Answer", kept ? "stored" : "not-kept"}, {NULL, NULL}};
+
+	if (kept)
+		at_httpd_reply(c->request, result->status, headers, end + 1,
+		    result->answer_len - (size_t)(end + 1 - packed));
+	else
+		at_httpd_reply(c->request, result->status, headers,
+		    ANSWER_DROPPED, strlen(ANSWER_DROPPED));
+}
+
+static void
+refuse(claimed_t *c, at_reason_t reason, uint32_t retry_after_ms)
+{
+	at_refuse(c->io->node, c->request, reason, at_reason_verdict(reason),
+	    retry_after_ms);
+}
+
+static void
+on_claim(void *ctx, at_claim_t *claim, const at_claim_result_t *result)
+{
+	claimed_t *c = ctx;
+
+	c->claim = claim;
+	at_httpd_set_end(c->request, NULL, NULL);
+	at_httpd_set_gone(c->request, NULL);
+	switch (result->outcome) {
+	case AT_CLAIM_GRANTED:
+		exchange(c);
+		return;
+	case AT_CLAIM_ANSWERED:
+		reply_stored(c, result);
+		break;
+	case AT_CLAIM_MISMATCH:
+		refuse(c, AT_REASON_CLAIM_MISMATCH, 0);
+		break;
+	case AT_CLAIM_IN_FLIGHT:
+		refuse(c, AT_REASON_CLAIM_IN_FLIGHT, result->retry_after_ms);
+		break;
+	default:
+		refuse(c, AT_REASON_CLAIM_UNAVAILABLE, result->retry_after_ms);
+		break;
+	}
+	claimed_free(c);
+}
+
+/* The request ended before its claim was decided: the caller is gone. */
+static void
+on_end(void *ctx, int gone)
+{
+	claimed_t *c = ctx;
+
+	if (gone)
+		at_counters_refusal(
+		    c->io->node->counters, AT_REASON_CALLER_GONE);
+	at_claims_cancel(c->io->ledger, c->claim);
+	claimed_free(c);
+}
+
+static void
+hash_request(const at_exchange_spec_t *spec, const at_route_t *route,
+    at_claim_hash_t *key, at_claim_hash_t *digest)
+{
+	const void *names[] = {spec->workspace, spec->target, spec->method,
+	    route->path, spec->idempotency_key};
+	const size_t name_lens[] = {strlen(spec->workspace),
+	    strlen(spec->target), strlen(spec->method), strlen(route->path),
+	    strlen(spec->idempotency_key)};
+	const void *content[] = {spec->path, spec->body};
+	const size_t content_lens[] = {strlen(spec->path), spec->body_len};
+
+	at_claim_hash(key, names, name_lens, 5);
+	at_claim_hash(digest, content, content_lens, 2);
+}
+
+static void
+ask(claimed_t *c, const at_route_t *route)
+{
+	at_claim_hash_t key;
+	at_claim_hash_t digest;
+	uint32_t wait_ms = c->spec.deadline_ms / 2;
+
+	if (wait_ms > CLAIM_WAIT_MS)
+		wait_ms = CLAIM_WAIT_MS;
+	hash_request(&c->spec, route, &key, &digest);
+	c->claim =
+	    at_claims_ask(c->io->ledger, &key, &digest, wait_ms, on_claim, c);
+	if (c->claim == NULL) {
+		refuse(c, AT_REASON_CLAIM_UNAVAILABLE, AT_MS_PER_S);
+		claimed_free(c);
+		return;
+	}
+	at_httpd_set_end(c->request, on_end, c);
+	at_claims_io_wake(c->io);
+}
+
+void
+at_claims_io_start(at_claims_io_t *io, at_httpd_request_t *request,
+    const at_exchange_spec_t *spec, const at_route_t *route)
+{
+	claimed_t *c;
+
+	if (spec->repeat != AT_ONCE || spec->idempotency_key == NULL ||
+	    spec->idempotency_key[0] == '\0') {
+		at_exchange_start(io->node, request, spec);
+		return;
+	}
+	c = calloc(1, sizeof(*c));
+	if (c == NULL ||
+	    strlen(spec->idempotency_key) > AT_IDEMPOTENCY_KEY_MAX) {
+		free(c);
+		at_refuse(io->node, request, AT_REASON_BAD_REQUEST,
+		    AT_VERDICT_NOT_RUN, 0);
+		return;
+	}
+	c->io = io;
+	c->request = request;
+	c->spec = *spec;
+	(void)at_name_set(&c->target, spec->target);
+	(void)at_name_set(&c->workspace, spec->workspace);
+	c->spec.target = c->target.text;
+	c->spec.workspace = c->workspace.text;
+	c->asked_ms = at_clock_now_ms();
+	c->next = io->first;
+	if (c->next != NULL)
+		c->next->prev = c;
+	io->first = c;
+	ask(c, route);
+}
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -4,6 +4,7 @@
 
 #include <jansson.h>
 
+#include "daemon/claims_io.h"
 #include "daemon/exchange.h"
 
 #define BEARER "Bearer "
@@ -189,7 +190,7 @@
 			       ? route->deadline_ms
 			       : node->config->defaults.deadline_ms;
 	spec.body = at_httpd_body(request, &spec.body_len);
-	at_exchange_start(node, request, &spec);
+	at_claims_io_start(node->claims, request, &spec, route);
 }
 
 void
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "almondthread/log.h"
+#include "daemon/claims_io.h"
 #include "daemon/engine_status.h"
 #include "daemon/routing.h"
 #include "daemon/exchange.h"
@@ -40,6 +41,7 @@
 	node->callers = at_httpd_new(loop);
 	node->operators = at_httpd_new(loop);
 	node->platform = at_platform_new(loop, node->httpc);
+	node->claims = at_claims_io_new(node);
 	node->backends = at_backends_new();
 	node->budgets = at_budgets_new();
 	node->history = at_history_new();
@@ -174,6 +176,7 @@
 		return status->code;
 	at_platform_set_counters(node->platform, node->counters);
 	node->store = at_platform_store(node->platform);
+	at_claims_io_init(node->claims);
 	node->store.watch(node->store.impl, "config/", on_config, node);
 	at_platform_watch_instances(node->platform, on_instances, node);
 	ev_timer_init(&node->status_timer, on_status_timer, 0., STATUS_EVERY_S);
@@ -193,9 +196,11 @@
 open_work(const at_node_t *node)
 {
 	size_t requests = at_httpd_open_requests(node->callers);
+	size_t unsettled = at_claims_io_unsettled(node->claims);
 
-	return requests > node->open_exchanges ? requests
-					       : node->open_exchanges;
+	return unsettled + (requests > node->open_exchanges
+				   ? requests
+				   : node->open_exchanges);
 }
 
 /* Moves a stopping node on, one state at a time. */
@@ -259,6 +264,7 @@
 	at_httpd_delete(node->operators);
 	at_peers_delete(node->peers);
 	at_platform_delete(node->platform);
+	at_claims_io_delete(node->claims);
 	at_httpc_delete(node->httpc);
 	at_backends_delete(node->backends);
 	at_router_delete(node->router);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -21,6 +21,8 @@
 #include "io/peers.h"
 #include "io/platform.h"
 
+typedef struct at_claims_io at_claims_io_t;
+
 /* What a process learns from its flags and environment. */
 typedef struct at_node_settings {
 	const char *name;
@@ -70,6 +72,7 @@
 	ev_timer status_timer;
 	uint64_t stop_since_ms;
 	at_budgets_t *budgets; /* of retries, by workspace */
+	at_claims_io_t *claims;
 	struct exchange *exchanges;
 	size_t open_exchanges;
 } at_node_t;
--- /dev/null
+++ b/tests/contract/test_claims.c
@@ -0,0 +1,297 @@
+/*
+ * A request that may not be repeated runs at most once, whichever instance
+ * gets it, however often, and whatever fails. The service stand-in counts
+ * what ran.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <jansson.h>
+
+#include "support/fixture.h"
+
+#define FORCE_MS 12000u  /* a configuration is in force everywhere */
+#define SETTLED_MS 3000u /* a claim is settled */
+#define CHARGE "/charges"
+#define BODY "{\"amount\":5}"
+
+static fixture_t *f;
+static char bearer[160];
+static char config[2048];
+
+static int
+serves(void *ctx)
+{
+	const at_node_t *node = ctx;
+
+	return node->config != NULL &&
+	       at_backends_find(node->backends, "s1") != NULL;
+}
+
+static void
+add_node(const char *name, const char *data_centre)
+{
+	size_t i = fixture_add_node(f, name, data_centre);
+
+	cr_assert(fixture_until(f, serves, f->nodes[i], FORCE_MS));
+}
+
+static void
+setup(void)
+{
+	char hash[65];
+	const char *key = fixture_key("k1", hash);
+
+	f = fixture_new();
+	(void)fixture_add_service(f, "s1", "north", "desk");
+	(void)snprintf(bearer, sizeof(bearer), "Authorization: Bearer %s", key);
+	(void)snprintf(config, sizeof(config),
+	    "{\"generation\":1,\"data_centres\":[\"north\",\"south\"],"
+	    "\"workspaces\":[{\"name\":\"w1\",\"rate_tokens_s\":1000000,"
+	    "\"burst_tokens\":1000000,\"keys\":[{\"id\":\"k1\",\"hash\":"
+	    "\"%s\"}]}],\"services\":[{\"name\":\"desk\"}],\"routes\":["
+	    "{\"path\":\"/slots\",\"method\":\"GET\",\"service\":\"desk\","
+	    "\"repeat\":\"repeatable\",\"open\":true},{\"path\":\"/charges\","
+	    "\"method\":\"POST\",\"service\":\"desk\",\"repeat\":\"once\"}]}",
+	    hash);
+	fixture_apply(f, config);
+	add_node("n1", "north");
+	add_node("n2", "north");
+	add_node("n3", "south");
+}
+
+static void
+teardown(void)
+{
+	fixture_delete(f);
+}
+
+static void
+send_charge(fixture_answer_t *answer, size_t node, const char *key)
+{
+	char header[64];
+	const char *headers[] = {bearer, header, NULL};
+
+	(void)snprintf(header, sizeof(header), "Idempotency-Key: %s", key);
+	if (key[0] == '\0')
+		headers[1] = NULL;
+	fixture_send(
+	    f, answer, "POST", f->node_addresses[node], CHARGE, headers, BODY);
+}
+
+static int
+answered(void *ctx)
+{
+	return ((const fixture_answer_t *)ctx)->done;
+}
+
+static fixture_answer_t
+charge(size_t node, const char *key, const char *body)
+{
+	char header[64];
+	const char *headers[] = {bearer, header, NULL};
+
+	(void)snprintf(header, sizeof(header), "Idempotency-Key: %s", key);
+	return fixture_call(
+	    f, "POST", f->node_addresses[node], CHARGE, headers, body);
+}
+
+static json_int_t
+executions(void)
+{
+	fixture_answer_t a = fixture_call(
+	    f, "GET", f->service_addresses[0], "/control/log", NULL, NULL);
+	json_t *root = json_loadb(a.body, a.len, 0, NULL);
+	json_int_t count =
+	    json_integer_value(json_object_get(root, "executions"));
+
+	json_decref(root);
+	fixture_answer_free(&a);
+	return count;
+}
+
+static void
+expect(fixture_answer_t *a, int status, const char *contains)
+{
+	cr_assert_eq(a->status, status, "%d: %s", a->status, a->body);
+	cr_assert(strstr(a->body, contains), "%s", a->body);
+	fixture_answer_free(a);
+}
+
+static int
+executed(void *ctx)
+{
+	(void)ctx;
+	return executions() == 1;
+}
+
+static int
+settled(void *ctx)
+{
+	const at_node_t *node = ctx;
+
+	return at_counters_get(
+		   node->counters, "claims_settled_total", NULL, NULL) > 0;
+}
+
+/* Duplicates at the same moment, with faults of the object API. */
+typedef struct pair_row {
+	const char *name;
+	size_t first;
+	size_t second;
+	const char *platform_faults;
+	const char *service_faults;
+} pair_row_t;
+
+static const pair_row_t pairs[] = {
+    {"one instance", 0, 0, "{}", "{}"},
+    {"two instances", 0, 1, "{}", "{}"},
+    {"two data centres", 0, 2, "{}", "{}"},
+    {"slow platform", 0, 2, "{\"delay_ms\":30}", "{}"},
+    {"lost reply", 0, 2, "{\"lose_replies\":1}", "{}"},
+    {"two lost replies", 0, 1, "{\"lose_replies\":2}", "{}"},
+    {"slow service", 0, 2, "{}", "{\"delay_ms\":300}"},
+    {"lost reply, slow service", 1, 2, "{\"lose_replies\":1}",
+	"{\"delay_ms\":300}"},
+};
+
+Test(claims, duplicates_at_once_run_once, .init = setup, .fini = teardown)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(pairs) / sizeof(pairs[0]); i++) {
+		const pair_row_t *p = &pairs[i];
+		json_int_t before = executions();
+		fixture_answer_t a;
+		fixture_answer_t b;
+		char key[16];
+
+		(void)snprintf(key, sizeof(key), "pair%zu", i);
+		fixture_faults(f, f->service_addresses[0], p->service_faults);
+		fixture_faults(f, f->platform_address, p->platform_faults);
+		send_charge(&a, p->first, key);
+		send_charge(&b, p->second, key);
+		cr_assert(fixture_until(f, answered, &a, 20000));
+		cr_assert(fixture_until(f, answered, &b, 20000));
+		cr_assert_eq(executions(), before + 1, "%s", p->name);
+		cr_assert_eq(
+		    a.status, 200, "%s: %d %s", p->name, a.status, a.body);
+		cr_assert_eq(
+		    b.status, 200, "%s: %d %s", p->name, b.status, b.body);
+		cr_assert_str_eq(a.body, b.body, "%s", p->name);
+		fixture_answer_free(&a);
+		fixture_answer_free(&b);
+		fixture_faults(f, f->platform_address,
+		    "{\"delay_ms\":0,\"lose_replies\":0}");
+		fixture_faults(f, f->service_addresses[0], "{\"delay_ms\":0}");
+	}
+}
+
+Test(claims, other_body_is_refused, .init = setup, .fini = teardown)
+{
+	fixture_answer_t a = charge(0, "t1", BODY);
+
+	expect(&a, 200, "\"execution\":1");
+	a = charge(1, "t1", "{\"amount\":6}");
+	expect(&a, 422, "\"reason\":\"claim_mismatch\"");
+	a = charge(2, "t1", BODY);
+	expect(&a, 200, "\"execution\":1");
+	cr_assert_eq(executions(), 1);
+}
+
+Test(claims, death_of_the_claimant, .init = setup, .fini = teardown)
+{
+	fixture_answer_t lost;
+	fixture_answer_t a;
+	int i;
+
+	fixture_faults(f, f->service_addresses[0], "{\"silent\":1}");
+	send_charge(&lost, 0, "t1");
+	cr_assert(fixture_until(f, executed, NULL, 5000));
+	fixture_remove_node(f, 0);
+	for (i = 0; i < 2; i++) {
+		a = charge(1 + (size_t)i, "t1", BODY);
+		cr_assert(strstr(a.body, "\"verdict\":\"may_have_run\""));
+		expect(&a, 409, "\"reason\":\"claim_in_flight\"");
+	}
+	cr_assert_eq(executions(), 1);
+	cr_assert(fixture_until(f, answered, &lost, 5000));
+	fixture_answer_free(&lost);
+}
+
+Test(claims, replacement_of_all_instances, .init = setup, .fini = teardown)
+{
+	fixture_answer_t a = charge(0, "t1", BODY);
+	size_t i;
+
+	expect(&a, 200, "\"execution\":1");
+	cr_assert(fixture_until(f, settled, f->nodes[0], SETTLED_MS));
+	for (i = 0; i < 3; i++)
+		fixture_remove_node(f, i);
+	add_node("n4", "north");
+	add_node("n5", "south");
+	a = charge(3, "t1", BODY);
+	expect(&a, 200, "\"execution\":1");
+	a = charge(4, "t1", BODY);
+	expect(&a, 200, "\"execution\":1");
+	cr_assert_eq(executions(), 1);
+}
+
+Test(claims, platform_away, .init = setup, .fini = teardown)
+{
+	fixture_answer_t a;
+
+	fixture_faults(f, f->platform_address, "{\"outage\":1}");
+	a = charge(0, "t1", BODY);
+	cr_assert(strstr(a.body, "\"verdict\":\"not_run\""), "%s", a.body);
+	expect(&a, 503, "\"reason\":\"claim_unavailable\"");
+	a = fixture_call(f, "GET", f->node_addresses[0], "/slots", NULL, NULL);
+	expect(&a, 200, "\"execution\":1");
+	fixture_faults(f, f->platform_address, "{\"outage\":0}");
+	a = charge(0, "t1", BODY);
+	expect(&a, 200, "\"execution\":2");
+	a = charge(2, "t1", BODY);
+	expect(&a, 200, "\"execution\":2");
+	cr_assert_eq(executions(), 2);
+}
+
+Test(claims, refused_unrun_is_released, .init = setup, .fini = teardown)
+{
+	fixture_answer_t a;
+
+	fixture_faults(f, f->service_addresses[0], "{\"refuse\":50}");
+	a = charge(0, "t1", BODY);
+	cr_assert(strstr(a.body, "\"verdict\":\"not_run\""), "%s", a.body);
+	fixture_answer_free(&a);
+	fixture_faults(f, f->service_addresses[0], "{\"refuse\":0}");
+	a = charge(1, "t1", BODY);
+	expect(&a, 200, "\"execution\":1");
+	cr_assert_eq(executions(), 1);
+}
+
+Test(claims, unknown_end_stays_unknown, .init = setup, .fini = teardown)
+{
+	fixture_answer_t a;
+
+	fixture_faults(f, f->service_addresses[0], "{\"crash\":1}");
+	a = charge(0, "t1", BODY);
+	cr_assert(strstr(a.body, "\"verdict\":\"may_have_run\""), "%s", a.body);
+	fixture_answer_free(&a);
+	a = charge(2, "t1", BODY);
+	expect(&a, 409, "\"reason\":\"claim_in_flight\"");
+	cr_assert_eq(executions(), 1);
+}
+
+Test(claims, one_attempt_without_a_key, .init = setup, .fini = teardown)
+{
+	fixture_answer_t a;
+
+	fixture_faults(f, f->service_addresses[0], "{\"crash\":1}");
+	send_charge(&a, 0, "");
+	cr_assert(fixture_until(f, answered, &a, 20000));
+	cr_assert(strstr(a.body, "\"verdict\":\"may_have_run\""), "%s", a.body);
+	fixture_answer_free(&a);
+	cr_assert_eq(executions(), 1);
+}
--- a/tests/support/faulty_store.h
+++ b/tests/support/faulty_store.h
@@ -41,14 +41,14 @@
 /* Nothing answers during an outage. */
 void faulty_store_set_outage(faulty_store_t *store, int outage);
 /* Calls of a paused client may be carried out; its answers wait. */
-void
-faulty_store_set_paused(faulty_store_t *store, unsigned client, int paused);
+void faulty_store_set_paused(
+    faulty_store_t *store, unsigned client, int paused);
 /* faulty_store_forget() drops a dead client; its puts may still land. */
 void faulty_store_forget(faulty_store_t *store, unsigned client);
 
 /* faulty_store_handle() gives a fate to the first open call from start. */
-void
-faulty_store_handle(faulty_store_t *store, unsigned start, faulty_fate_t fate);
+void faulty_store_handle(
+    faulty_store_t *store, unsigned start, faulty_fate_t fate);
 /* Gives a fate to every call that is awaited, or only to puts. */
 void faulty_store_handle_all(
     faulty_store_t *store, faulty_fate_t fate, int only_puts);
@@ -56,7 +56,7 @@
 void faulty_store_land_all(faulty_store_t *store);
 
 /* faulty_store_objects() returns the objects and their number. */
-const faulty_object_t *
-faulty_store_objects(const faulty_store_t *store, size_t *count);
+const faulty_object_t *faulty_store_objects(
+    const faulty_store_t *store, size_t *count);
 
 #endif
