--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -15,6 +15,7 @@
 #include "almondthread/ports.h"
 #include "almondthread/router.h"
 #include "daemon/backends.h"
+#include "daemon/config_io.h"
 #include "daemon/history.h"
 #include "io/httpc.h"
 #include "io/httpd.h"
@@ -64,6 +65,7 @@
 	at_platform_t *platform;
 	at_store_t store;
 	at_peers_t *peers;
+	at_config_io_t *config_io;
 	at_config_t *config; /* NULL until the first one */
 	at_backends_t *backends;
 	at_router_t *router;   /* of engines */
