--- /dev/null
+++ b/src/core/jobs.c
@@ -0,0 +1,590 @@
+#include "core/jobs_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RUNS_MAX 16u     /* at a time in one process */
+#define RETRY_MS 100u    /* after a call without an answer */
+#define BACKOFF_MS 1000u /* before the second run */
+#define BACKOFF_DOUBLINGS 6u
+
+at_jobs_t *
+at_jobs_new(void)
+{
+	at_jobs_t *jobs = calloc(1, sizeof(*jobs));
+	uint32_t i;
+
+	if (jobs == NULL)
+		return NULL;
+	for (i = 0; i < AT_JOB_SHARDS; i++) {
+		job_shard_t *shard = &jobs->shards[i];
+
+		shard->jobs = jobs;
+		(void)snprintf(
+		    shard->object, sizeof(shard->object), "jobs/%02u", i);
+	}
+	return jobs;
+}
+
+void
+at_jobs_set_store(at_jobs_t *jobs, const at_store_t *store)
+{
+	jobs->store = *store;
+}
+
+void
+at_jobs_set_clocks(
+    at_jobs_t *jobs, const at_clock_t *clock, const at_clock_t *wall)
+{
+	jobs->clock = *clock;
+	jobs->wall = *wall;
+}
+
+void
+at_jobs_set_self(at_jobs_t *jobs, const at_incarnation_t *self)
+{
+	jobs->self = self->number;
+}
+
+void
+at_jobs_set_runner(at_jobs_t *jobs, at_job_run_t run, void *ctx)
+{
+	jobs->run = run;
+	jobs->run_ctx = ctx;
+}
+
+void
+at_jobs_set_retention(at_jobs_t *jobs, uint32_t retention_s)
+{
+	jobs->retention_ms = (uint64_t)retention_s * AT_MS_PER_S;
+}
+
+void
+at_jobs_set_candidate(at_jobs_t *jobs, uint32_t shard, int candidate)
+{
+	jobs->shards[shard].candidate = candidate;
+}
+
+uint64_t
+jobs_now(const at_jobs_t *jobs)
+{
+	return jobs->clock.now_ms(jobs->clock.impl);
+}
+
+uint64_t
+jobs_wall(const at_jobs_t *jobs)
+{
+	return jobs->wall.now_ms(jobs->wall.impl);
+}
+
+static void
+submit_free(at_job_submit_t *submit)
+{
+	free(submit->value);
+	free(submit);
+}
+
+static void
+run_free(job_run_t *run)
+{
+	free(run->value);
+	free(run);
+}
+
+void
+at_jobs_delete(at_jobs_t *jobs)
+{
+	uint32_t i;
+
+	if (jobs == NULL)
+		return;
+	while (jobs->submits != NULL) {
+		at_job_submit_t *submit = jobs->submits;
+
+		jobs->submits = submit->next;
+		submit_free(submit);
+	}
+	while (jobs->runs != NULL) {
+		job_run_t *run = jobs->runs;
+
+		jobs->runs = run->next;
+		run_free(run);
+	}
+	for (i = 0; i < AT_JOB_SHARDS; i++) {
+		job_index_free(&jobs->shards[i].index);
+		job_index_free(&jobs->shards[i].next);
+	}
+	free(jobs);
+}
+
+static job_shard_t *
+shard_of(at_jobs_t *jobs, const at_claim_hash_t *id)
+{
+	return &jobs->shards[id->bytes[0] % AT_JOB_SHARDS];
+}
+
+static void
+submit_end(at_job_submit_t *submit, at_job_outcome_t outcome)
+{
+	submit->state = SUBMIT_ENDED;
+	submit->outcome = outcome;
+}
+
+static void
+submit_later(at_job_submit_t *submit, submit_state_t state)
+{
+	submit->state = state;
+	submit->retry_at_ms = jobs_now(submit->jobs) + RETRY_MS;
+}
+
+static void
+on_created(void *ctx, const at_store_result_t *result)
+{
+	at_job_submit_t *submit = ctx;
+
+	submit->busy = 0;
+	if (submit->state == SUBMIT_ENDED)
+		return;
+	if (result->code == AT_STORE_OK)
+		submit->state = SUBMIT_INDEXING;
+	else if (result->code == AT_STORE_NOT_SENT)
+		submit_later(submit, SUBMIT_CREATING);
+	else
+		submit->state = SUBMIT_CHECKING;
+}
+
+/* A record with the same digest is this job, whoever wrote it. */
+static void
+on_checked(void *ctx, const at_store_result_t *result)
+{
+	at_job_submit_t *submit = ctx;
+	at_job_record_t record;
+
+	submit->busy = 0;
+	if (submit->state == SUBMIT_ENDED)
+		return;
+	if (result->code == AT_STORE_NOT_FOUND) {
+		submit_later(submit, SUBMIT_CREATING);
+		return;
+	}
+	if (result->code != AT_STORE_OK) {
+		submit_later(submit, SUBMIT_CHECKING);
+		return;
+	}
+	if (at_job_unpack(&record, result->value, result->value_len) != 0 ||
+	    memcmp(&record.digest, &submit->digest, sizeof(record.digest)) != 0)
+		submit_end(submit, AT_JOB_MISMATCH);
+	else if (record.state != AT_JOB_QUEUED)
+		submit_end(submit, AT_JOB_ACCEPTED);
+	else
+		submit->state = SUBMIT_INDEXING;
+}
+
+static void
+submit_tick(at_job_submit_t *submit, uint64_t now_ms)
+{
+	at_jobs_t *jobs = submit->jobs;
+	char name[AT_JOB_OBJECT_SIZE];
+
+	if (submit->state == SUBMIT_ENDED)
+		return;
+	if (now_ms >= submit->limit_ms) {
+		submit_end(
+		    submit, submit->sent ? AT_JOB_UNKNOWN : AT_JOB_REFUSED);
+		return;
+	}
+	if (submit->busy || now_ms < submit->retry_at_ms ||
+	    submit->state == SUBMIT_INDEXING)
+		return;
+	at_job_object(&submit->id, name);
+	submit->busy = 1;
+	if (submit->state == SUBMIT_CREATING)
+		jobs->store.put(jobs->store.impl, name, 0, submit->value,
+		    submit->len, on_created, submit);
+	else
+		jobs->store.get(jobs->store.impl, name, on_checked, submit);
+}
+
+at_job_submit_t *
+at_jobs_submit(at_jobs_t *jobs, const at_claim_hash_t *id,
+    const at_claim_hash_t *digest, const void *data, size_t len,
+    uint64_t due_wall_ms, uint32_t wait_ms, at_job_submitted_t done, void *ctx)
+{
+	const at_job_record_t record = {.state = AT_JOB_QUEUED,
+	    .digest = *digest,
+	    .data = data,
+	    .len = len};
+	at_job_submit_t *submit = calloc(1, sizeof(*submit));
+
+	if (submit == NULL)
+		return NULL;
+	submit->value = at_job_pack(&record, &submit->len);
+	if (submit->value == NULL) {
+		free(submit);
+		return NULL;
+	}
+	submit->jobs = jobs;
+	submit->shard = shard_of(jobs, id);
+	submit->id = *id;
+	submit->digest = *digest;
+	submit->due_ms = due_wall_ms;
+	submit->limit_ms = jobs_now(jobs) + wait_ms;
+	submit->done = done;
+	submit->ctx = ctx;
+	submit->next = jobs->submits;
+	jobs->submits = submit;
+	return submit;
+}
+
+void
+at_jobs_ignore(at_job_submit_t *submit)
+{
+	submit->done = NULL;
+}
+
+static job_run_t *
+find_run(const at_jobs_t *jobs, const at_claim_hash_t *id)
+{
+	job_run_t *run;
+
+	for (run = jobs->runs; run != NULL; run = run->next) {
+		if (memcmp(&run->entry.id, id, sizeof(*id)) == 0)
+			return run;
+	}
+	return NULL;
+}
+
+void
+at_jobs_finish(at_jobs_t *jobs, const at_claim_hash_t *id, at_job_state_t state,
+    const void *data, size_t len)
+{
+	job_run_t *run = find_run(jobs, id);
+	at_job_record_t record = {.state = state, .data = data, .len = len};
+
+	if (run == NULL || run->state != RUN_RUNNING)
+		return;
+	record.digest = run->digest;
+	run->value = at_job_pack(&record, &run->len);
+	if (run->value == NULL) {
+		at_jobs_retry(jobs, id);
+		return;
+	}
+	run->end = state;
+	run->state = RUN_STORING;
+}
+
+void
+at_jobs_retry(at_jobs_t *jobs, const at_claim_hash_t *id)
+{
+	job_run_t *run = find_run(jobs, id);
+	uint32_t doublings;
+
+	if (run == NULL || run->state != RUN_RUNNING)
+		return;
+	doublings = run->attempts < BACKOFF_DOUBLINGS ? run->attempts
+						      : BACKOFF_DOUBLINGS;
+	jobs->stats.retried++;
+	run->attempts++;
+	run->state = RUN_WAITING;
+	run->retry_at_ms = jobs_now(jobs) + ((uint64_t)BACKOFF_MS << doublings);
+}
+
+static void
+run_later(job_run_t *run, run_state_t state)
+{
+	run->state = state;
+	run->retry_at_ms = jobs_now(run->jobs) + RETRY_MS;
+}
+
+static void
+on_record(void *ctx, const at_store_result_t *result)
+{
+	job_run_t *run = ctx;
+	at_jobs_t *jobs = run->jobs;
+	at_job_record_t record;
+
+	run->busy = 0;
+	if (run->sweep && result->code == AT_STORE_NOT_FOUND) {
+		run->state = RUN_MARKING;
+		return;
+	}
+	if (result->code != AT_STORE_OK ||
+	    at_job_unpack(&record, result->value, result->value_len) != 0) {
+		jobs->stats.malformed += result->code == AT_STORE_OK;
+		run_later(run, run->state);
+		return;
+	}
+	run->version = result->version;
+	run->digest = record.digest;
+	if (run->sweep) {
+		run->state = RUN_DELETING;
+	} else if (record.state != AT_JOB_QUEUED) {
+		run->state = RUN_MARKING;
+	} else if (run->state == RUN_CHECKING) {
+		run->state = RUN_STORING;
+	} else if (!job_shard_holds(run->shard)) {
+		run->obsolete = 1;
+	} else {
+		run->state = RUN_RUNNING;
+		jobs->stats.started++;
+		jobs->run(jobs->run_ctx, &run->entry.id, &record);
+	}
+}
+
+static void
+on_stored(void *ctx, const at_store_result_t *result)
+{
+	job_run_t *run = ctx;
+	at_jobs_t *jobs = run->jobs;
+
+	run->busy = 0;
+	if (result->code == AT_STORE_OK) {
+		jobs->stats.finished[run->end]++;
+		jobs->stats.late += jobs_wall(jobs) > run->entry.due_ms;
+		run->state = RUN_MARKING;
+	} else if (result->code == AT_STORE_NOT_SENT) {
+		run_later(run, RUN_STORING);
+	} else {
+		run_later(run, RUN_CHECKING);
+	}
+}
+
+static void
+on_deleted(void *ctx, const at_store_result_t *result)
+{
+	job_run_t *run = ctx;
+
+	run->busy = 0;
+	run->jobs->stats.deleted += result->code == AT_STORE_OK;
+	if (result->code == AT_STORE_OK || result->code == AT_STORE_NOT_FOUND)
+		run->state = RUN_MARKING;
+	else
+		run_later(run, RUN_READING);
+}
+
+static void
+run_tick(job_run_t *run, uint64_t now_ms)
+{
+	at_jobs_t *jobs = run->jobs;
+	char name[AT_JOB_OBJECT_SIZE];
+
+	if (run->busy || run->obsolete || now_ms < run->retry_at_ms)
+		return;
+	at_job_object(&run->entry.id, name);
+	switch (run->state) {
+	case RUN_WAITING:
+	case RUN_READING:
+		run->state = RUN_READING;
+		/* FALLTHROUGH */
+	case RUN_CHECKING:
+		run->busy = 1;
+		jobs->store.get(jobs->store.impl, name, on_record, run);
+		return;
+	case RUN_STORING:
+		run->busy = 1;
+		jobs->store.put(jobs->store.impl, name, run->version,
+		    run->value, run->len, on_stored, run);
+		return;
+	case RUN_DELETING:
+		run->busy = 1;
+		jobs->store.del(
+		    jobs->store.impl, name, run->version, on_deleted, run);
+		return;
+	default:
+		return;
+	}
+}
+
+void
+jobs_index_changed(job_shard_t *shard, int newer)
+{
+	at_jobs_t *jobs = shard->jobs;
+	at_job_submit_t *submit;
+	job_run_t *run;
+
+	for (submit = jobs->submits; submit != NULL; submit = submit->next) {
+		if (submit->shard != shard || submit->state == SUBMIT_ENDED)
+			continue;
+		submit->sent &= !newer;
+		if (submit->state == SUBMIT_INDEXING &&
+		    job_index_find(&shard->index, &submit->id) != NULL)
+			submit_end(submit, AT_JOB_ACCEPTED);
+	}
+	for (run = jobs->runs; run != NULL; run = run->next) {
+		const job_entry_t *entry;
+
+		if (run->shard != shard || run->state != RUN_MARKING)
+			continue;
+		entry = job_index_find(&shard->index, &run->entry.id);
+		if (entry == NULL || (!run->sweep && entry->done_ms != 0))
+			run->obsolete = 1;
+	}
+}
+
+static void
+start_run(job_shard_t *shard, const job_entry_t *entry, int sweep)
+{
+	job_run_t *run = calloc(1, sizeof(*run));
+
+	if (run == NULL)
+		return;
+	run->jobs = shard->jobs;
+	run->shard = shard;
+	run->entry = *entry;
+	run->sweep = sweep;
+	run->next = shard->jobs->runs;
+	shard->jobs->runs = run;
+}
+
+static size_t
+count_runs(const at_jobs_t *jobs)
+{
+	const job_run_t *run;
+	size_t count = 0;
+
+	for (run = jobs->runs; run != NULL; run = run->next)
+		count += run->state != RUN_WAITING;
+	return count;
+}
+
+/* Returns the queued job that is due first and not yet with us, or NULL. */
+static const job_entry_t *
+next_queued(const job_shard_t *shard)
+{
+	const job_entry_t *first = NULL;
+	size_t i;
+
+	for (i = 0; i < shard->index.count; i++) {
+		const job_entry_t *entry = &shard->index.entries[i];
+
+		if (entry->done_ms != 0 ||
+		    (first != NULL && entry->due_ms >= first->due_ms) ||
+		    find_run(shard->jobs, &entry->id) != NULL)
+			continue;
+		first = entry;
+	}
+	return first;
+}
+
+/* Returns an end that was kept long enough, or NULL. */
+static const job_entry_t *
+next_old(const job_shard_t *shard)
+{
+	uint64_t wall_ms = jobs_wall(shard->jobs);
+	size_t i;
+
+	for (i = 0; i < shard->index.count; i++) {
+		const job_entry_t *entry = &shard->index.entries[i];
+
+		if (entry->done_ms != 0 &&
+		    wall_ms >= entry->done_ms + shard->jobs->retention_ms &&
+		    find_run(shard->jobs, &entry->id) == NULL)
+			return entry;
+	}
+	return NULL;
+}
+
+static void
+start_runs(job_shard_t *shard)
+{
+	const job_entry_t *entry;
+
+	if (!shard->candidate || !shard->loaded)
+		return;
+	while (job_shard_holds(shard) && count_runs(shard->jobs) < RUNS_MAX &&
+	       (entry = next_queued(shard)) != NULL)
+		start_run(shard, entry, 0);
+	entry = next_old(shard);
+	if (entry != NULL && count_runs(shard->jobs) < RUNS_MAX)
+		start_run(shard, entry, 1);
+}
+
+static void
+drop_obsolete(at_jobs_t *jobs)
+{
+	job_run_t **link = &jobs->runs;
+	job_run_t *run;
+
+	while ((run = *link) != NULL) {
+		/* Without the lease a waiting job is another's. */
+		if (run->state == RUN_WAITING && !job_shard_holds(run->shard))
+			run->obsolete = 1;
+		if (!run->obsolete || run->busy) {
+			link = &run->next;
+			continue;
+		}
+		*link = run->next;
+		run_free(run);
+	}
+}
+
+static void
+tell(at_job_submit_t *submit)
+{
+	at_job_submitted_t done = submit->done;
+
+	submit->done = NULL;
+	submit->told = 1;
+	submit->jobs->stats.outcomes[submit->outcome]++;
+	if (done != NULL)
+		done(submit->ctx, submit->outcome);
+}
+
+/* Tells each submission its end at once, even while its call is open. */
+static void
+deliver(at_jobs_t *jobs)
+{
+	at_job_submit_t **link = &jobs->submits;
+	at_job_submit_t *submit;
+
+	for (submit = jobs->submits; submit != NULL; submit = submit->next) {
+		if (submit->state == SUBMIT_ENDED && !submit->told)
+			tell(submit);
+	}
+	while ((submit = *link) != NULL) {
+		if (!submit->told || submit->busy) {
+			link = &submit->next;
+			continue;
+		}
+		*link = submit->next;
+		submit_free(submit);
+	}
+}
+
+void
+at_jobs_tick(at_jobs_t *jobs)
+{
+	uint64_t now_ms = jobs_now(jobs);
+	at_job_submit_t *submit;
+	job_run_t *run;
+	uint32_t i;
+
+	for (submit = jobs->submits; submit != NULL; submit = submit->next)
+		submit_tick(submit, now_ms);
+	for (i = 0; i < AT_JOB_SHARDS; i++)
+		start_runs(&jobs->shards[i]);
+	for (run = jobs->runs; run != NULL; run = run->next)
+		run_tick(run, now_ms);
+	for (i = 0; i < AT_JOB_SHARDS; i++)
+		job_shard_tick(&jobs->shards[i]);
+	drop_obsolete(jobs);
+	deliver(jobs);
+}
+
+size_t
+at_jobs_busy(const at_jobs_t *jobs)
+{
+	const at_job_submit_t *submit;
+	size_t count = count_runs(jobs);
+
+	for (submit = jobs->submits; submit != NULL; submit = submit->next)
+		count++;
+	return count;
+}
+
+const at_jobs_stats_t *
+at_jobs_stats(const at_jobs_t *jobs)
+{
+	return &jobs->stats;
+}
--- a/tests/support/faulty_store.c
+++ b/tests/support/faulty_store.c
@@ -11,6 +11,7 @@
 	int used;
 	unsigned client;
 	int is_put;
+	int is_del; /* a put that leaves nothing */
 	int applied;
 	faulty_object_t *object;
 	uint64_t expect;
@@ -131,11 +132,24 @@
 	memcpy(c->value, value, len);
 }
 
+static void
+port_del(void *impl, const char *name, uint64_t expect, at_store_done_t done,
+    void *ctx)
+{
+	call_t *c = new_call(impl, name, done, ctx);
+
+	if (c == NULL)
+		return;
+	c->is_put = 1;
+	c->is_del = 1;
+	c->expect = expect;
+}
+
 at_store_t
 faulty_store_port(faulty_store_t *store, unsigned client)
 {
 	at_store_t port = {
-	    port_get, port_put, NULL, NULL, &store->clients[client]};
+	    port_get, port_put, port_del, NULL, &store->clients[client]};
 
 	return port;
 }
@@ -181,9 +195,11 @@
 	}
 	free(o->value);
 	o->value = malloc(c->len + 1);
-	memcpy(o->value, c->value, c->len);
+	if (c->len > 0)
+		memcpy(o->value, c->value, c->len);
 	o->len = c->len;
-	o->version = ++store->versions;
+	store->versions++;
+	o->version = c->is_del ? 0 : store->versions;
 	c->code = AT_STORE_OK;
 }
 
--- a/tests/support/faulty_store.h
+++ b/tests/support/faulty_store.h
@@ -9,7 +9,7 @@
 #include "almondthread/ports.h"
 
 #define FAULTY_CALLS 64u   /* open at a time; more are not sent */
-#define FAULTY_OBJECTS 16u /* names */
+#define FAULTY_OBJECTS 32u /* names */
 #define FAULTY_CLIENTS 8u
 
 /* What becomes of a call. */
