--- a/include/almondthread/bucket.h
+++ b/include/almondthread/bucket.h
@@ -60,7 +60,7 @@
  * its right reaches. When more was used than debited the level falls below
  * zero. Returns the utok given back.
  */
-int64_t
-at_bucket_settle(at_bucket_t *bucket, at_debit_t *debit, uint64_t used_tokens);
+int64_t at_bucket_settle(
+    at_bucket_t *bucket, at_debit_t *debit, uint64_t used_tokens);
 
 #endif
--- a/include/almondthread/share_root.h
+++ b/include/almondthread/share_root.h
@@ -43,8 +43,8 @@
 /* at_share_table_text() returns the text, to be freed; *len without NUL. */
 char *at_share_table_text(const at_share_table_t *table, size_t *len);
 void at_share_table_clear(at_share_table_t *table);
-at_share_entry_t *
-at_share_table_find(const at_share_table_t *table, uint64_t number);
+at_share_entry_t *at_share_table_find(
+    const at_share_table_t *table, uint64_t number);
 int64_t at_share_table_sum_ppb(const at_share_table_t *table);
 
 /* Called whenever what this instance may use has changed. */
@@ -68,8 +68,8 @@
 /* Whether this instance holds the lease of its data centre. */
 void at_share_root_set_holder(at_share_root_t *root, int holds);
 /* at_share_root_ended() says that an incarnation is known to have ended. */
-void
-at_share_root_ended(at_share_root_t *root, uint64_t now_ms, uint64_t number);
+void at_share_root_ended(
+    at_share_root_t *root, uint64_t now_ms, uint64_t number);
 /* at_share_root_leave() hands everything back; see at_share_root_left(). */
 void at_share_root_leave(at_share_root_t *root);
 int at_share_root_left(const at_share_root_t *root);
@@ -78,8 +78,8 @@
  * at_share_root_tick() is called every AT_SHARE_TICK_MS, or later. lent_ppb
  * is the most that any workspace's share has lent.
  */
-void
-at_share_root_tick(at_share_root_t *root, uint64_t now_ms, int64_t lent_ppb);
+void at_share_root_tick(
+    at_share_root_t *root, uint64_t now_ms, int64_t lent_ppb);
 
 /* at_share_root_table() is the table as last read. */
 const at_share_table_t *at_share_root_table(const at_share_root_t *root);
--- a/src/core/share_impl.h
+++ b/src/core/share_impl.h
@@ -90,8 +90,8 @@
 peer_t *share_find_or_add(at_share_t *share, const at_incarnation_t *who);
 int64_t loan_ppb(const loan_t *loan);
 /* What all but this peer's loan leave for a loan that ends at ends_ms. */
-int64_t
-share_grantable(const at_share_t *share, const peer_t *peer, uint64_t ends_ms);
+int64_t share_grantable(
+    const at_share_t *share, const peer_t *peer, uint64_t ends_ms);
 /* Asks for want_ppb, after returning all but keep_ppb of the present loan. */
 void share_ask(at_share_t *share, peer_t *peer, int64_t keep_ppb,
     int64_t want_ppb, int64_t need_utok, int64_t spare_ppb);
@@ -100,11 +100,11 @@
     int64_t level_utok, uint32_t term_ms);
 
 /* share_policy.c */
-void
-policy_asked(at_share_t *share, peer_t *peer, const at_share_message_t *ask);
+void policy_asked(
+    at_share_t *share, peer_t *peer, const at_share_message_t *ask);
 void policy_granted(at_share_t *share, peer_t *peer);
-void
-policy_short(at_share_t *share, uint64_t cost_tokens, int64_t missing_utok);
+void policy_short(
+    at_share_t *share, uint64_t cost_tokens, int64_t missing_utok);
 void policy_debited(at_share_t *share, uint64_t cost_tokens);
 void policy_tick(at_share_t *share);
 int64_t policy_need_ppb(const at_share_t *share);
