Find out requests that crash backend servers and refuse them

Cause: a request that crashes each engine that runs it was retried on the next one and, sent again by its caller, took down engine after engine.

Change: a core module knows requests by a keyed fingerprint of target and body and notes where each is in flight. After a crash all in flight there are suspects: retried where no other suspect runs; in flight at two crashes and alone at the last by the word of all instances: refused everywhere with crashes_backend (422, not run, when it expires). In flight at two but never alone: runs alone or is given up at once. A crash is an engine's new incarnation or a refused connection; a lost connection alone is no proof: the engine is asked at once, of a plain service it is looked up whether it takes connections. Operators see suspects on /status and lift with POST /suspects/lift?fingerprint=HEX. Convictions, lifts and what was in flight at a crash go to the other instances (AT_PEER_SUSPECTS).

Ruled out: convicting the only suspect of a second crash. The fuzzer's innocent request is convicted when an unknown one crashes the server that runs it. Judging at once: the other instances' part is not known yet.

--- /dev/null
+++ b/src/core/suspects.c
@@ -0,0 +1,620 @@
+#include "almondthread/suspects.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+#include <utlist.h>
+
+#define CONVICTING_CRASHES 2u
+#define VICTIMS_MAX 64u /* of one crash, told by all instances together */
+
+const char *const at_suspicion_names[] = {
+    "clear", "suspect", "held", "doubted", "pending", "convicted", "lifted"};
+
+typedef struct entry {
+	at_suspect_t suspect; /* its fingerprint is the key */
+	uint32_t pending;     /* lost flights not judged yet */
+	uint32_t confirmed;   /* of those: by a crash */
+	uint64_t lifted_at_ms;
+	UT_hash_handle hh;
+} entry_t;
+
+struct at_flight {
+	at_flight_t *next;
+	at_flight_t *prev;
+	at_fingerprint_t fingerprint;
+	struct place *place;
+	int suspect;   /* when it began */
+	int alone;     /* it runs alone: nothing else may begin there */
+	int doubted;   /* it made its fingerprint's entry pending */
+	int confirmed; /* there was a crash */
+	uint64_t ended_at_ms;
+};
+
+/* A backend server with something in flight or a crash to be judged. */
+typedef struct place {
+	at_name_t name;
+	at_flight_t *open;
+	at_flight_t *ended;     /* that a crash may still concern */
+	uint64_t crashed_at_ms; /* 0: no crash to be judged */
+	at_fingerprint_t victims[VICTIMS_MAX];
+	size_t victim_count;
+	int told; /* the other instances know our part */
+	UT_hash_handle hh;
+} place_t;
+
+struct at_suspects {
+	at_suspects_events_t events;
+	entry_t *entries;
+	place_t *places;
+};
+
+at_suspects_t *
+at_suspects_new(void)
+{
+	return calloc(1, sizeof(at_suspects_t));
+}
+
+static void
+flights_free(at_flight_t **list)
+{
+	at_flight_t *flight;
+	at_flight_t *next;
+
+	DL_FOREACH_SAFE(*list, flight, next)
+	{
+		DL_DELETE(*list, flight);
+		free(flight);
+	}
+}
+
+void
+at_suspects_delete(at_suspects_t *s)
+{
+	entry_t *entry;
+	entry_t *next_entry;
+	place_t *place;
+	place_t *next_place;
+
+	if (s == NULL)
+		return;
+	HASH_ITER(hh, s->entries, entry, next_entry)
+	{
+		HASH_DEL(s->entries, entry);
+		free(entry);
+	}
+	HASH_ITER(hh, s->places, place, next_place)
+	{
+		HASH_DEL(s->places, place);
+		flights_free(&place->open);
+		flights_free(&place->ended);
+		free(place);
+	}
+	free(s);
+}
+
+void
+at_suspects_set_events(at_suspects_t *s, const at_suspects_events_t *events)
+{
+	s->events = *events;
+}
+
+static entry_t *
+find(const at_suspects_t *s, const at_fingerprint_t *fingerprint)
+{
+	entry_t *entry;
+
+	HASH_FIND(hh, s->entries, fingerprint, sizeof(*fingerprint), entry);
+	return entry;
+}
+
+static void
+forget(at_suspects_t *s, entry_t *entry)
+{
+	HASH_DEL(s->entries, entry);
+	free(entry);
+}
+
+static void
+make_room(at_suspects_t *s)
+{
+	entry_t *oldest = s->entries;
+	entry_t *entry;
+
+	if (HASH_COUNT(s->entries) < AT_SUSPECTS_MAX)
+		return;
+	for (entry = s->entries; entry != NULL; entry = entry->hh.next) {
+		if (entry->suspect.expires_at_ms <
+		    oldest->suspect.expires_at_ms)
+			oldest = entry;
+	}
+	forget(s, oldest);
+}
+
+static entry_t *
+find_or_add(at_suspects_t *s, const at_fingerprint_t *fingerprint)
+{
+	entry_t *entry = find(s, fingerprint);
+
+	if (entry != NULL)
+		return entry;
+	make_room(s);
+	entry = calloc(1, sizeof(*entry));
+	if (entry == NULL)
+		return NULL;
+	entry->suspect.fingerprint = *fingerprint;
+	HASH_ADD(hh, s->entries, suspect.fingerprint,
+	    sizeof(entry->suspect.fingerprint), entry);
+	return entry;
+}
+
+static place_t *
+find_place(const at_suspects_t *s, const char *name)
+{
+	place_t *place;
+
+	HASH_FIND_STR(s->places, name, place);
+	return place;
+}
+
+static place_t *
+find_or_add_place(at_suspects_t *s, const at_name_t *name)
+{
+	place_t *place = find_place(s, name->text);
+
+	if (place != NULL)
+		return place;
+	place = calloc(1, sizeof(*place));
+	if (place == NULL)
+		return NULL;
+	place->name = *name;
+	HASH_ADD_KEYPTR(
+	    hh, s->places, place->name.text, strlen(place->name.text), place);
+	return place;
+}
+
+static void
+leave_place(at_suspects_t *s, place_t *place)
+{
+	if (place->open != NULL || place->ended != NULL ||
+	    place->crashed_at_ms != 0)
+		return;
+	HASH_DEL(s->places, place);
+	free(place);
+}
+
+at_suspicion_t
+at_suspects_check(const at_suspects_t *s, const at_fingerprint_t *fingerprint,
+    uint64_t now_ms)
+{
+	const entry_t *entry = find(s, fingerprint);
+
+	if (entry == NULL)
+		return AT_SUSPICION_CLEAR;
+	if (entry->pending + entry->suspect.crashes >= CONVICTING_CRASHES &&
+	    entry->pending > 0)
+		return entry->confirmed > 0 ? AT_SUSPICION_PENDING
+					    : AT_SUSPICION_DOUBTED;
+	if (entry->pending > 0)
+		return AT_SUSPICION_SUSPECT;
+	if (now_ms >= entry->suspect.expires_at_ms)
+		return AT_SUSPICION_CLEAR;
+	return entry->suspect.suspicion;
+}
+
+const at_suspect_t *
+at_suspects_get(const at_suspects_t *s, const at_fingerprint_t *fingerprint)
+{
+	const entry_t *entry = find(s, fingerprint);
+
+	return entry == NULL ? NULL : &entry->suspect;
+}
+
+static int
+is_suspect(at_suspicion_t suspicion)
+{
+	return suspicion != AT_SUSPICION_CLEAR &&
+	       suspicion != AT_SUSPICION_LIFTED;
+}
+
+at_flight_t *
+at_suspects_begin(at_suspects_t *s, const at_fingerprint_t *fingerprint,
+    const at_name_t *backend, uint64_t now_ms)
+{
+	at_suspicion_t suspicion = at_suspects_check(s, fingerprint, now_ms);
+	place_t *place = find_or_add_place(s, backend);
+	at_flight_t *flight = calloc(1, sizeof(*flight));
+
+	if (place == NULL || flight == NULL) {
+		free(flight);
+		return NULL;
+	}
+	flight->fingerprint = *fingerprint;
+	flight->place = place;
+	flight->suspect = is_suspect(suspicion);
+	flight->alone = suspicion == AT_SUSPICION_HELD;
+	DL_PREPEND(place->open, flight);
+	return flight;
+}
+
+static int
+is_none(const at_fingerprint_t *fingerprint)
+{
+	return fingerprint->high == 0 && fingerprint->low == 0;
+}
+
+/* It ended at the crash, or so shortly before that it may have run on. */
+static int
+is_victim(const place_t *place, const at_flight_t *flight)
+{
+	return flight->ended_at_ms + AT_SUSPECTS_WINDOW_MS >=
+	       place->crashed_at_ms;
+}
+
+/* What was lost there was lost by a crash. */
+static void
+confirm(at_suspects_t *s, place_t *place)
+{
+	at_flight_t *flight;
+
+	DL_FOREACH(place->ended, flight)
+	{
+		entry_t *entry = find(s, &flight->fingerprint);
+
+		if (entry == NULL || !flight->doubted || flight->confirmed ||
+		    !is_victim(place, flight))
+			continue;
+		flight->confirmed = 1;
+		entry->confirmed++;
+	}
+}
+
+/* The flight waits for the word whether its backend server crashed. */
+static void
+keep(at_suspects_t *s, at_flight_t *flight, int lost, uint64_t now_ms)
+{
+	entry_t *entry = NULL;
+
+	if (lost && !is_none(&flight->fingerprint))
+		entry = find_or_add(s, &flight->fingerprint);
+
+	if (entry != NULL) {
+		entry->pending++;
+		flight->doubted = 1;
+	}
+	flight->ended_at_ms = now_ms;
+	DL_PREPEND(flight->place->ended, flight);
+	if (flight->place->crashed_at_ms != 0)
+		confirm(s, flight->place);
+}
+
+/* It ran to its end: only a conviction outlasts that. */
+static void
+acquit(at_suspects_t *s, const at_fingerprint_t *fingerprint)
+{
+	entry_t *entry = find(s, fingerprint);
+
+	if (entry == NULL || entry->pending > 0 ||
+	    entry->suspect.suspicion == AT_SUSPICION_CONVICTED ||
+	    entry->suspect.suspicion == AT_SUSPICION_LIFTED)
+		return;
+	forget(s, entry);
+}
+
+void
+at_suspects_end(
+    at_suspects_t *s, at_flight_t *flight, at_flight_end_t end, uint64_t now_ms)
+{
+	place_t *place;
+
+	if (flight == NULL)
+		return;
+	place = flight->place;
+	DL_DELETE(place->open, flight);
+	if (end == AT_FLIGHT_LOST || end == AT_FLIGHT_LEFT) {
+		keep(s, flight, end == AT_FLIGHT_LOST, now_ms);
+	} else {
+		if (end == AT_FLIGHT_WELL)
+			acquit(s, &flight->fingerprint);
+		free(flight);
+	}
+	leave_place(s, place);
+}
+
+/* Takes a flight out of the question; clears what only it tainted. */
+static void
+drop(at_suspects_t *s, place_t *place, at_flight_t *flight)
+{
+	entry_t *entry = flight->doubted ? find(s, &flight->fingerprint) : NULL;
+
+	if (entry != NULL && entry->pending > 0)
+		entry->pending--;
+	if (entry != NULL && flight->confirmed && entry->confirmed > 0)
+		entry->confirmed--;
+	if (entry != NULL && entry->pending == 0 &&
+	    entry->suspect.suspicion == AT_SUSPICION_CLEAR)
+		forget(s, entry);
+	DL_DELETE(place->ended, flight);
+	free(flight);
+}
+
+/* Drops what ended before a time, lost by doubt or left by us. */
+static void
+drop_before(at_suspects_t *s, place_t *place, int doubted, uint64_t time_ms)
+{
+	at_flight_t *flight;
+	at_flight_t *next;
+
+	DL_FOREACH_SAFE(place->ended, flight, next)
+	{
+		if (flight->doubted == doubted && flight->ended_at_ms < time_ms)
+			drop(s, place, flight);
+	}
+}
+
+void
+at_suspects_alive(at_suspects_t *s, const at_name_t *backend, uint64_t since_ms)
+{
+	place_t *place = find_place(s, backend->text);
+
+	if (place == NULL || place->crashed_at_ms != 0)
+		return;
+	drop_before(s, place, 1, since_ms);
+	leave_place(s, place);
+}
+
+static int
+same(const at_fingerprint_t *a, const at_fingerprint_t *b)
+{
+	return a->high == b->high && a->low == b->low;
+}
+
+static void
+add_victim(place_t *place, const at_fingerprint_t *fingerprint)
+{
+	size_t i;
+
+	for (i = 0; i < place->victim_count; i++) {
+		if (same(&place->victims[i], fingerprint))
+			return;
+	}
+	if (place->victim_count < VICTIMS_MAX)
+		place->victims[place->victim_count++] = *fingerprint;
+}
+
+static void
+tell(at_suspects_t *s, place_t *place)
+{
+	at_fingerprint_t own[VICTIMS_MAX];
+	const at_flight_t *flight;
+	size_t count = 0;
+
+	place->told = 1;
+	DL_FOREACH(place->ended, flight)
+	{
+		if (count < VICTIMS_MAX && is_victim(place, flight))
+			own[count++] = flight->fingerprint;
+	}
+	if (count > 0 && s->events.on_crash != NULL)
+		s->events.on_crash(s->events.ctx, &place->name, own, count);
+}
+
+/* Takes the victims out of what has ended. */
+static void
+collect(at_suspects_t *s, place_t *place)
+{
+	at_flight_t *flight;
+	at_flight_t *next;
+
+	DL_FOREACH_SAFE(place->ended, flight, next)
+	{
+		if (is_victim(place, flight))
+			add_victim(place, &flight->fingerprint);
+		/* One that we left may run on and crash it again. */
+		if (flight->doubted)
+			drop(s, place, flight);
+	}
+}
+
+void
+at_suspects_crashed(at_suspects_t *s, const at_name_t *backend, uint64_t now_ms)
+{
+	place_t *place = find_place(s, backend->text);
+
+	if (place == NULL)
+		return;
+	/* Crashes too close to be told apart are judged as one. */
+	if (place->crashed_at_ms != 0) {
+		if (!place->told)
+			tell(s, place);
+		collect(s, place);
+		place->told = 0;
+	}
+	place->crashed_at_ms = now_ms;
+	confirm(s, place);
+}
+
+void
+at_suspects_heard_crash(at_suspects_t *s, const at_name_t *backend,
+    const at_fingerprint_t *victims, size_t count, uint64_t now_ms)
+{
+	place_t *place = find_or_add_place(s, backend);
+	size_t i;
+
+	if (place == NULL)
+		return;
+	if (place->crashed_at_ms == 0)
+		place->crashed_at_ms = now_ms - AT_SUSPECTS_TELL_MS;
+	confirm(s, place);
+	for (i = 0; i < count; i++)
+		add_victim(place, &victims[i]);
+}
+
+/* One more crash of which the fingerprint may be the cause. */
+static void
+charge(at_suspects_t *s, const at_fingerprint_t *fingerprint,
+    const place_t *place, uint64_t now_ms)
+{
+	entry_t *entry;
+	at_suspect_t *suspect;
+
+	if (is_none(fingerprint))
+		return;
+	entry = find_or_add(s, fingerprint);
+	if (entry == NULL)
+		return;
+	suspect = &entry->suspect;
+	/* A lift covers all that happened before it. */
+	if (suspect->suspicion == AT_SUSPICION_LIFTED &&
+	    place->crashed_at_ms <= entry->lifted_at_ms)
+		return;
+	suspect->crashes++;
+	suspect->expires_at_ms = now_ms + AT_SUSPECTS_LIFETIME_MS;
+	if (suspect->suspicion == AT_SUSPICION_CONVICTED)
+		return;
+	if (suspect->crashes < CONVICTING_CRASHES)
+		suspect->suspicion = AT_SUSPICION_SUSPECT;
+	else
+		suspect->suspicion = place->victim_count == 1
+					 ? AT_SUSPICION_CONVICTED
+					 : AT_SUSPICION_HELD;
+	if (suspect->suspicion == AT_SUSPICION_CONVICTED &&
+	    s->events.on_change != NULL)
+		s->events.on_change(s->events.ctx, suspect);
+}
+
+/* All that was in flight is known: who was alone? */
+static void
+judge(at_suspects_t *s, place_t *place, uint64_t now_ms)
+{
+	size_t i;
+
+	collect(s, place);
+	for (i = 0; i < place->victim_count; i++)
+		charge(s, &place->victims[i], place, now_ms);
+	place->victim_count = 0;
+	place->crashed_at_ms = 0;
+	place->told = 0;
+}
+
+void
+at_suspects_heard(at_suspects_t *s, const at_fingerprint_t *fingerprint,
+    at_suspicion_t suspicion, uint64_t lifetime_ms, uint64_t now_ms)
+{
+	entry_t *entry;
+
+	if (suspicion != AT_SUSPICION_CONVICTED &&
+	    suspicion != AT_SUSPICION_LIFTED)
+		return;
+	entry = find_or_add(s, fingerprint);
+	if (entry == NULL || entry->suspect.suspicion == AT_SUSPICION_LIFTED)
+		return;
+	if (lifetime_ms > AT_SUSPECTS_LIFETIME_MS)
+		lifetime_ms = AT_SUSPECTS_LIFETIME_MS;
+	entry->suspect.suspicion = suspicion;
+	entry->suspect.expires_at_ms = now_ms + lifetime_ms;
+	if (suspicion == AT_SUSPICION_LIFTED) {
+		entry->suspect.crashes = 0;
+		entry->lifted_at_ms = now_ms;
+	}
+}
+
+static void
+tick_place(at_suspects_t *s, place_t *place, uint64_t now_ms)
+{
+	uint64_t crashed_at_ms = place->crashed_at_ms;
+
+	if (crashed_at_ms == 0) {
+		if (now_ms > AT_SUSPECTS_DOUBT_MS)
+			drop_before(s, place, 1, now_ms - AT_SUSPECTS_DOUBT_MS);
+		if (now_ms > AT_SUSPECTS_WINDOW_MS)
+			drop_before(
+			    s, place, 0, now_ms - AT_SUSPECTS_WINDOW_MS);
+		return;
+	}
+	if (!place->told && now_ms >= crashed_at_ms + AT_SUSPECTS_TELL_MS)
+		tell(s, place);
+	if (now_ms >= crashed_at_ms + AT_SUSPECTS_SETTLE_MS)
+		judge(s, place, now_ms);
+}
+
+void
+at_suspects_tick(at_suspects_t *s, uint64_t now_ms)
+{
+	entry_t *entry;
+	entry_t *next_entry;
+	place_t *place;
+	place_t *next_place;
+
+	HASH_ITER(hh, s->places, place, next_place)
+	{
+		tick_place(s, place, now_ms);
+		leave_place(s, place);
+	}
+	HASH_ITER(hh, s->entries, entry, next_entry)
+	{
+		if (entry->pending == 0 &&
+		    now_ms >= entry->suspect.expires_at_ms)
+			forget(s, entry);
+	}
+}
+
+int
+at_suspects_may_run(const at_suspects_t *s, const at_fingerprint_t *fingerprint,
+    const char *backend, uint64_t now_ms)
+{
+	at_suspicion_t suspicion = at_suspects_check(s, fingerprint, now_ms);
+	const place_t *place = find_place(s, backend);
+	const at_flight_t *flight;
+
+	if (suspicion == AT_SUSPICION_DOUBTED ||
+	    suspicion == AT_SUSPICION_PENDING ||
+	    suspicion == AT_SUSPICION_CONVICTED)
+		return 0;
+	if (place == NULL || place->open == NULL)
+		return 1;
+	if (suspicion == AT_SUSPICION_HELD)
+		return 0;
+	DL_FOREACH(place->open, flight)
+	{
+		if (flight->alone)
+			return 0;
+		if (flight->suspect && suspicion == AT_SUSPICION_SUSPECT)
+			return 0;
+	}
+	return 1;
+}
+
+int
+at_suspects_quiet(const at_suspects_t *s)
+{
+	return s->entries == NULL;
+}
+
+int
+at_suspects_lift(
+    at_suspects_t *s, const at_fingerprint_t *fingerprint, uint64_t now_ms)
+{
+	entry_t *entry = find(s, fingerprint);
+
+	if (entry == NULL)
+		return -1;
+	entry->suspect.suspicion = AT_SUSPICION_LIFTED;
+	entry->suspect.crashes = 0;
+	entry->suspect.expires_at_ms = now_ms + AT_SUSPECTS_LIFETIME_MS;
+	entry->lifted_at_ms = now_ms;
+	if (s->events.on_change != NULL)
+		s->events.on_change(s->events.ctx, &entry->suspect);
+	return 0;
+}
+
+void
+at_suspects_each(const at_suspects_t *s,
+    void (*visit)(void *ctx, const at_suspect_t *suspect), void *ctx)
+{
+	const entry_t *entry;
+
+	for (entry = s->entries; entry != NULL; entry = entry->hh.next)
+		visit(ctx, &entry->suspect);
+}
--- a/src/daemon/backends.c
+++ b/src/daemon/backends.c
@@ -122,7 +122,8 @@
 static int
 is_candidate(const at_backend_t *b, at_instance_kind_t kind, const char *target)
 {
-	if (!b->present || b->instance.leaving || b->instance.kind != kind)
+	if (!b->present || b->barred || b->instance.leaving ||
+	    b->instance.kind != kind)
 		return 0;
 	if (kind == AT_INSTANCE_ENGINE)
 		return at_engine_view_serves(&b->view, target);
--- a/src/daemon/backends.h
+++ b/src/daemon/backends.h
@@ -17,6 +17,8 @@
 	int present;             /* in the newest instance list */
 	int polling;             /* a status call is open */
 	at_budget_t budget;      /* of retries sent to it */
+	int down;                /* no connection is made; a crash was noted */
+	int barred;              /* not for the request at hand */
 	uint64_t fresh_until_ms; /* until then ride no pooled connection */
 } at_backend_t;
 
--- a/src/daemon/engine_status.c
+++ b/src/daemon/engine_status.c
@@ -6,6 +6,9 @@
 
 #include <jansson.h>
 
+#include "daemon/crashes.h"
+#include "io/clock.h"
+
 #define STATUS_TOTAL_MS 1000u
 #define URL_SIZE 128
 
@@ -16,6 +19,7 @@
 	char *body;
 	size_t len;
 	int status;
+	uint64_t asked_ms;
 } poll_t;
 
 static void
@@ -59,13 +63,16 @@
 }
 
 static void
-take_report(at_backend_t *backend, json_t *root)
+take_report(const poll_t *poll, at_backend_t *backend, json_t *root)
 {
+	uint64_t incarnation =
+	    (uint64_t)json_integer_value(json_object_get(root, "incarnation"));
 	json_t *list = json_object_get(root, "resident");
 	size_t count = json_array_size(list);
 	at_resident_t *residents = calloc(count + 1, sizeof(*residents));
 	size_t i;
 
+	at_crashes_report(poll->node, backend, incarnation, poll->asked_ms);
 	if (residents == NULL)
 		return;
 	for (i = 0; i < count; i++)
@@ -88,7 +95,9 @@
 		if (result->whole && poll->status == 200)
 			root = json_loadb(poll->body, poll->len, 0, NULL);
 		if (root != NULL)
-			take_report(backend, root);
+			take_report(poll, backend, root);
+		else if (result->reason == AT_REASON_CONNECT_FAILED)
+			at_crashes_down(poll->node, backend);
 	}
 	json_decref(root);
 	free(poll->body);
@@ -98,7 +107,12 @@
 static void
 poll_engine(void *ctx, at_backend_t *backend)
 {
-	at_node_t *node = ctx;
+	at_engine_status_ask(ctx, backend);
+}
+
+void
+at_engine_status_ask(at_node_t *node, at_backend_t *backend)
+{
 	char url[URL_SIZE];
 	const at_transfer_spec_t spec = {
 	    .method = "GET", .url = url, .total_ms = STATUS_TOTAL_MS};
@@ -111,6 +125,8 @@
 	if (poll == NULL)
 		return;
 	poll->node = node;
+	/* What was lost in this millisecond is part of the question. */
+	poll->asked_ms = at_clock_now_ms() + 1;
 	poll->engine = backend->instance.name;
 	events.ctx = poll;
 	(void)snprintf(
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -18,6 +18,18 @@
  */
 #define FRESH_AFTER_SILENCE_MS 30000u
 
+/* Frees what exchange_new() made. */
+static void
+exchange_drop(exchange_t *x)
+{
+	at_attempts_delete(x->machine);
+	free(x->path);
+	free(x->body);
+	free(x);
+}
+
+static void stop_waiting(exchange_t *x);
+
 static void
 exchange_free(exchange_t *x)
 {
@@ -32,12 +44,37 @@
 		x->node->exchanges = x->next;
 	if (x->next != NULL)
 		x->next->prev = x->prev;
+	stop_waiting(x);
 	x->node->open_exchanges--;
-	at_attempts_delete(x->machine);
 	at_budgets_release(x->node->budgets, x->budget, at_clock_now_ms());
-	free(x->path);
-	free(x->body);
-	free(x);
+	exchange_drop(x);
+}
+
+static void
+stop_waiting(exchange_t *x)
+{
+	if (!x->waiting)
+		return;
+	x->waiting = 0;
+	x->node->waiting_exchanges--;
+}
+
+void
+at_exchange_retry_waiting(at_node_t *node)
+{
+	exchange_t *x;
+	exchange_t *next;
+
+	if (node->waiting_exchanges == 0)
+		return;
+	for (x = node->exchanges; x != NULL; x = next) {
+		next = x->next;
+		if (!x->waiting)
+			continue;
+		stop_waiting(x);
+		transport_start(x, &x->waiting_action);
+		exchange_pump(x);
+	}
 }
 
 void
@@ -227,6 +264,7 @@
 	    .http_status = x->answered ? x->transports[winner].status : 0};
 
 	x->over = 1;
+	stop_waiting(x);
 	if (at_attempts_denied(x->machine))
 		at_counters_add(
 		    x->node->counters, "retries_denied_total", NULL, NULL, 1);
@@ -356,10 +394,7 @@
 	x->path = strdup(spec->path);
 	x->body = malloc(spec->body_len + 1);
 	if (x->machine == NULL || x->path == NULL || x->body == NULL) {
-		at_attempts_delete(x->machine);
-		free(x->path);
-		free(x->body);
-		free(x);
+		exchange_drop(x);
 		return NULL;
 	}
 	x->node = node;
@@ -375,9 +410,31 @@
 	x->repeat = spec->repeat;
 	x->on_done = spec->on_done;
 	x->done_ctx = spec->done_ctx;
+	/* Without a body one request is like all others of its route. */
+	if (spec->body_len > 0)
+		x->fingerprint = at_fingerprint_make(node->secret.bytes,
+		    sizeof(node->secret.bytes), spec->target, spec->body,
+		    spec->body_len);
 	return x;
 }
 
+/* Returns when to come back, or 0 when the request may run. */
+static uint32_t
+refused_for_ms(const exchange_t *x)
+{
+	uint64_t now_ms = at_clock_now_ms();
+	at_suspicion_t suspicion =
+	    at_suspects_check(x->node->suspects, &x->fingerprint, now_ms);
+	const at_suspect_t *suspect =
+	    at_suspects_get(x->node->suspects, &x->fingerprint);
+
+	if (suspicion == AT_SUSPICION_PENDING)
+		return AT_SUSPECTS_SETTLE_MS;
+	if (suspicion == AT_SUSPICION_CONVICTED)
+		return (uint32_t)(suspect->expires_at_ms - now_ms);
+	return 0;
+}
+
 static void
 link_exchange(at_node_t *node, exchange_t *x)
 {
@@ -399,6 +456,12 @@
 		    AT_RETRY_AFTER_MS);
 		return;
 	}
+	if (refused_for_ms(x) > 0) {
+		at_refuse(node, request, AT_REASON_CRASHES_BACKEND,
+		    AT_VERDICT_NOT_RUN, refused_for_ms(x));
+		exchange_drop(x);
+		return;
+	}
 	x->request = request;
 	copy_text(x->id, sizeof(x->id), at_httpd_id(request));
 	ev_timer_init(&x->timer, on_timer, 0., 0.);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -51,6 +51,9 @@
 void at_exchange_start(at_node_t *node, at_httpd_request_t *request,
     const at_exchange_spec_t *spec);
 
+/* at_exchange_retry_waiting() looks again for a backend server. */
+void at_exchange_retry_waiting(at_node_t *node);
+
 /* at_exchange_delete_all() ends what is open; callers are not answered. */
 void at_exchange_delete_all(at_node_t *node);
 
--- a/src/daemon/exchange_impl.h
+++ b/src/daemon/exchange_impl.h
@@ -21,6 +21,7 @@
 	at_name_t backend;
 	char id[ATTEMPT_ID_SIZE];
 	at_transfer_t *transfer;
+	at_flight_t *flight;
 	at_answer_t *answer;
 	int status;
 	char content_type[TYPE_SIZE];
@@ -49,6 +50,9 @@
 	void *done_ctx;
 	at_attempts_t *machine;
 	at_budget_t *budget; /* of the workspace */
+	at_fingerprint_t fingerprint;
+	int waiting; /* for a backend server free of suspects */
+	at_action_t waiting_action;
 	transport_t transports[AT_ATTEMPTS_MAX];
 	uint32_t transport_count;
 	ev_timer timer;
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "almondthread/log.h"
+#include "daemon/crashes.h"
 #include "daemon/engine_status.h"
 #include "daemon/exchange.h"
 #include "io/clock.h"
@@ -43,6 +44,7 @@
 	node->budgets = at_budgets_new();
 	node->history = at_history_new();
 	node->peers = at_peers_new(loop);
+	(void)at_crashes_new(node);
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
 	at_httpd_set_fault_handler(node->callers, at_entry_handle_fault, node);
 	at_httpd_set_slow(node->callers, on_slow_caller, node);
@@ -172,6 +174,7 @@
 	ev_timer_init(&node->status_timer, on_status_timer, 0., STATUS_EVERY_S);
 	node->status_timer.data = node;
 	ev_timer_start(node->loop, &node->status_timer);
+	at_crashes_start(node);
 	node->state = AT_NODE_SERVING;
 	at_log(AT_LOG_INFO, "node", NULL,
 	    "%s in %s serves; callers on port %u, operators on port %u, "
@@ -255,6 +258,7 @@
 	at_httpc_delete(node->httpc);
 	at_backends_delete(node->backends);
 	at_budgets_delete(node->budgets);
+	at_crashes_delete(node);
 	at_history_delete(node->history);
 	at_config_delete(node->config);
 	at_counters_delete(node->counters);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -13,6 +13,7 @@
 #include "almondthread/counters.h"
 #include "almondthread/keyring.h"
 #include "almondthread/ports.h"
+#include "almondthread/suspects.h"
 #include "daemon/backends.h"
 #include "daemon/history.h"
 #include "io/httpc.h"
@@ -69,6 +70,10 @@
 	uint64_t stop_since_ms;
 	at_budgets_t *budgets; /* of retries, by workspace */
 	struct exchange *exchanges;
+	size_t waiting_exchanges; /* for a backend server free of suspects */
+	at_suspects_t *suspects;
+	ev_timer judge_timer;
+	uint64_t words_due_ms; /* convictions are told again */
 	size_t open_exchanges;
 } at_node_t;
 
--- a/src/daemon/operators.c
+++ b/src/daemon/operators.c
@@ -3,6 +3,7 @@
 
 #include <jansson.h>
 
+#include "daemon/crashes.h"
 #include "daemon/explain.h"
 
 static void
@@ -51,13 +52,13 @@
 	    {"Content-Type", "application/json"}, {NULL, NULL}};
 	uint64_t age_ms = at_platform_age_ms(node->platform);
 	json_t *list = json_array();
-	json_t *root = json_pack("{s:s,s:s,s:s,s:I,s:I,s:o}", "name",
+	json_t *root = json_pack("{s:s,s:s,s:s,s:I,s:I,s:o,s:o}", "name",
 	    node->self.instance.text, "data_centre", node->data_centre.text,
 	    "state", at_node_state_names[node->state], "generation",
 	    (json_int_t)(node->config == NULL ? 0 : node->config->generation),
 	    "platform_age_ms",
 	    age_ms == UINT64_MAX ? (json_int_t)-1 : (json_int_t)age_ms,
-	    "backends", list);
+	    "backends", list, "suspects", at_crashes_list(node));
 	char *text;
 
 	at_backends_each(node->backends, add_backend, list);
@@ -67,6 +68,19 @@
 	json_decref(root);
 }
 
+static void
+lift_suspect(at_node_t *node, at_httpd_request_t *request)
+{
+	const char *text = at_httpd_argument(request, "fingerprint");
+
+	if (strcmp(at_httpd_method(request), "POST") != 0)
+		reply_text(request, 405, "expected POST\n");
+	else if (at_crashes_lift(node, text) != 0)
+		reply_text(request, 404, "no such fingerprint\n");
+	else
+		reply_text(request, 200, "lifted\n");
+}
+
 void
 at_operators_handle(void *ctx, at_httpd_request_t *request)
 {
@@ -81,6 +95,8 @@
 	else if (strcmp(path, "/readyz") == 0)
 		reply_text(request, ready ? 200 : 503,
 		    ready ? "ready\n" : "not ready\n");
+	else if (strcmp(path, "/suspects/lift") == 0)
+		lift_suspect(node, request);
 	else if (strcmp(path, "/status") == 0)
 		reply_status(node, request);
 	else if (strcmp(path, "/explain") == 0)
--- a/src/daemon/transport.c
+++ b/src/daemon/transport.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "almondthread/log.h"
+#include "daemon/crashes.h"
 #include "io/clock.h"
 
 #define URL_SIZE 512
@@ -19,18 +19,22 @@
 } outcome_t;
 
 static void
-release_backend(transport_t *t, outcome_t outcome)
+release_backend(transport_t *t, outcome_t outcome, at_flight_end_t end)
 {
-	at_backend_t *b =
-	    at_backends_find(t->x->node->backends, t->backend.text);
+	at_node_t *node = t->x->node;
+	at_backend_t *b = at_backends_find(node->backends, t->backend.text);
 
+	at_suspects_end(node->suspects, t->flight, end, at_clock_now_ms());
+	t->flight = NULL;
 	if (b == NULL)
 		return;
 	b->outstanding--;
-	if (outcome == OUTCOME_FAILED)
+	if (outcome == OUTCOME_FAILED) {
 		b->failures++;
-	else if (outcome == OUTCOME_WELL)
+	} else if (outcome == OUTCOME_WELL) {
 		b->failures = 0;
+		b->down = 0;
+	}
 }
 
 static void
@@ -173,6 +177,34 @@
 		    AT_VERDICT_MAY_HAVE_RUN, now_ms);
 }
 
+static at_flight_end_t
+flight_end(const transport_t *t, const at_transfer_result_t *result)
+{
+	if (t->refused || result->verdict == AT_VERDICT_NOT_RUN)
+		return AT_FLIGHT_UNRUN;
+	if (result->whole)
+		return AT_FLIGHT_WELL;
+	if (result->reason == AT_REASON_BACKEND_RESET ||
+	    result->reason == AT_REASON_TRUNCATED)
+		return AT_FLIGHT_LOST;
+	return AT_FLIGHT_LEFT;
+}
+
+/* Has the question answered whether the backend server crashed. */
+static void
+look_into(const transport_t *t, const at_transfer_result_t *result)
+{
+	at_node_t *node = t->x->node;
+	at_backend_t *b = at_backends_find(node->backends, t->backend.text);
+
+	if (b == NULL)
+		return;
+	if (result->reason == AT_REASON_CONNECT_FAILED)
+		at_crashes_down(node, b);
+	else if (flight_end(t, result) == AT_FLIGHT_LOST)
+		at_crashes_lost(node, b);
+}
+
 static void
 on_done(void *ctx, const at_transfer_result_t *result)
 {
@@ -183,7 +215,9 @@
 	if (result->resends > 0)
 		at_counters_add(x->node->counters, "hidden_resends_total", NULL,
 		    NULL, result->resends);
-	release_backend(t, result->whole ? OUTCOME_WELL : OUTCOME_FAILED);
+	release_backend(t, result->whole ? OUTCOME_WELL : OUTCOME_FAILED,
+	    flight_end(t, result));
+	look_into(t, result);
 	if (result->whole)
 		end_whole(t);
 	else if (t->refused)
@@ -227,38 +261,82 @@
 	return at_httpc_start(x->node->httpc, &spec, &events);
 }
 
+static at_backend_t *
+choose(exchange_t *x, uint32_t k)
+{
+	return at_backends_choose(x->node->backends, x->kind, x->target.text,
+	    &x->node->data_centre,
+	    k > 0 ? &x->transports[k - 1].backend : NULL);
+}
+
+/*
+ * No backend server can take it now. When it is only kept away from suspects
+ * it waits; when it is itself under heavy suspicion it is given up.
+ */
+static void
+wait_or_give_up(exchange_t *x, const at_action_t *action, uint64_t now_ms)
+{
+	at_suspicion_t suspicion =
+	    at_suspects_check(x->node->suspects, &x->fingerprint, now_ms);
+	at_reason_t reason = AT_REASON_NO_BACKEND;
+
+	at_crashes_unbar(x->node);
+	if (choose(x, action->attempt) != NULL) {
+		if (suspicion == AT_SUSPICION_CLEAR ||
+		    suspicion == AT_SUSPICION_LIFTED ||
+		    suspicion == AT_SUSPICION_SUSPECT ||
+		    suspicion == AT_SUSPICION_DOUBTED) {
+			x->waiting = 1;
+			x->waiting_action = *action;
+			x->node->waiting_exchanges++;
+			return;
+		}
+		reason = AT_REASON_CRASHES_BACKEND;
+	}
+	at_attempts_unplaced(x->machine, action->attempt, reason, now_ms);
+}
+
+static void
+begin_attempt(transport_t *t, at_backend_t *b, int fresh, uint64_t now_ms)
+{
+	exchange_t *x = t->x;
+
+	t->backend = b->instance.name;
+	b->outstanding++;
+	t->flight = at_suspects_begin(
+	    x->node->suspects, &x->fingerprint, &t->backend, now_ms);
+	t->transfer = begin_transfer(
+	    t, b->instance.address, fresh || now_ms < b->fresh_until_ms);
+	if (t->transfer != NULL) {
+		at_transfer_set_sending(t->transfer, on_sending);
+		return;
+	}
+	release_backend(t, OUTCOME_UNKNOWN, AT_FLIGHT_UNRUN);
+	at_attempts_failed(x->machine, t->number, AT_REASON_INTERNAL,
+	    AT_VERDICT_NOT_RUN, now_ms);
+}
+
 void
 transport_start(exchange_t *x, const at_action_t *action)
 {
 	uint32_t k = action->attempt;
 	transport_t *t = &x->transports[k];
 	uint64_t now_ms = at_clock_now_ms();
-	at_backend_t *b = at_backends_choose(x->node->backends, x->kind,
-	    x->target.text, &x->node->data_centre,
-	    k > 0 ? &x->transports[k - 1].backend : NULL);
+	at_backend_t *b;
 
 	x->transport_count = k + 1;
 	t->x = x;
 	t->number = k;
 	(void)snprintf(t->id, sizeof(t->id), "%s-%u", x->id, k);
+	at_crashes_bar(x->node, &x->fingerprint);
+	b = choose(x, k);
 	if (b == NULL) {
-		at_attempts_unplaced(
-		    x->machine, k, AT_REASON_NO_BACKEND, now_ms);
-		return;
-	}
-	if (at_attempts_placed(x->machine, k, &b->budget, now_ms) != 0)
-		return;
-	t->backend = b->instance.name;
-	b->outstanding++;
-	t->transfer = begin_transfer(t, b->instance.address,
-	    action->fresh_connection || now_ms < b->fresh_until_ms);
-	if (t->transfer != NULL) {
-		at_transfer_set_sending(t->transfer, on_sending);
+		wait_or_give_up(x, action, now_ms);
 		return;
 	}
-	release_backend(t, OUTCOME_UNKNOWN);
-	at_attempts_failed(
-	    x->machine, k, AT_REASON_INTERNAL, AT_VERDICT_NOT_RUN, now_ms);
+	at_crashes_unbar(x->node);
+	if (at_attempts_placed(x->machine, k, &b->budget, now_ms) == 0)
+		begin_attempt(t, b, action->fresh_connection, now_ms);
 }
 
 void
@@ -268,7 +346,8 @@
 		return;
 	at_transfer_cancel(t->transfer);
 	t->transfer = NULL;
-	release_backend(t, failed ? OUTCOME_FAILED : OUTCOME_UNKNOWN);
+	release_backend(
+	    t, failed ? OUTCOME_FAILED : OUTCOME_UNKNOWN, AT_FLIGHT_LEFT);
 }
 
 void
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -442,6 +442,8 @@
 	(void)curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
 	(void)curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, sending_function);
 	(void)curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
+	if (spec->connect_only)
+		(void)curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
 	if (spec->connect_ms != 0)
 		(void)curl_easy_setopt(
 		    easy, CURLOPT_CONNECTTIMEOUT_MS, (long)spec->connect_ms);
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -52,6 +52,7 @@
 	uint32_t first_byte_ms; /* from the start to the answer's head */
 	uint32_t idle_ms;       /* between two parts of the answer */
 	uint32_t total_ms;
+	int connect_only;     /* nothing is sent: whole once connected */
 	int fresh_connection; /* never ride a reused connection */
 	/*
 	 * When a reused connection dies before the first byte of the answer,
--- a/src/standin/engine.c
+++ b/src/standin/engine.c
@@ -55,6 +55,7 @@
 	resident_t *residents;
 	generation_t *generations;
 	uint32_t running;
+	uint64_t incarnation;
 	uint64_t executions;
 	uint64_t cancelled;
 	json_t *seen; /* all that callers sent, for contract tests */
@@ -197,7 +198,8 @@
 			r->adapter, "version", (json_int_t)r->version,
 			"memory_mb", (json_int_t)r->memory_mb));
 	standin_reply_json(request, 200,
-	    json_pack("{s:s,s:I,s:I,s:I,s:i,s:I,s:I,s:o}", "name", engine->name,
+	    json_pack("{s:s,s:I,s:I,s:I,s:I,s:i,s:I,s:I,s:o}", "name",
+		engine->name, "incarnation", (json_int_t)engine->incarnation,
 		"memory_mb", (json_int_t)engine->memory_mb, "used_mb",
 		(json_int_t)used_mb(engine), "peak_mb",
 		(json_int_t)engine->peak_mb, "running", (int)engine->running,
@@ -451,6 +453,20 @@
 		at_httpd_stream_begin(request, 200, headers);
 }
 
+/* The process dies and comes back at once: what ran there is lost. */
+static void
+die(standin_engine_t *engine, at_httpd_request_t *request)
+{
+	generation_t *g;
+
+	engine->incarnation++;
+	at_httpd_stream_abort(request);
+	for (g = engine->generations; g != NULL; g = g->next) {
+		g->next_at = NEVER_S;
+		at_httpd_stream_abort(g->request);
+	}
+}
+
 static void
 handle_completion(
     standin_engine_t *engine, at_httpd_request_t *request, int chat)
@@ -469,6 +485,10 @@
 		return;
 	}
 	engine->executions++;
+	if (strstr(text, STANDIN_POISON) != NULL) {
+		die(engine, request);
+		return;
+	}
 	if (engine->faults.crash > 0) {
 		engine->faults.crash--;
 		at_httpd_stream_abort(request);
@@ -526,6 +546,7 @@
 	standin_engine_t *engine = calloc(1, sizeof(*engine));
 
 	engine->loop = loop;
+	engine->incarnation = 1;
 	engine->memory_mb = DEFAULT_MEMORY_MB;
 	engine->faults.token_us = DEFAULT_TOKEN_US;
 	engine->seen = json_array();
@@ -575,6 +596,12 @@
 	return at_httpd_init(engine->httpd, address, status);
 }
 
+uint64_t
+standin_engine_executions(const standin_engine_t *engine)
+{
+	return engine->executions;
+}
+
 uint16_t
 standin_engine_port(const standin_engine_t *engine)
 {
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -43,6 +43,9 @@
 uint16_t standin_platform_port(const standin_platform_t *platform);
 void standin_platform_delete(standin_platform_t *platform);
 
+/* A body that holds this text crashes each engine that runs it. */
+#define STANDIN_POISON "crash-the-engine"
+
 typedef struct standin_engine standin_engine_t;
 standin_engine_t *standin_engine_new(struct ev_loop *loop);
 void standin_engine_set_name(standin_engine_t *engine, const char *name);
@@ -53,6 +56,8 @@
 void standin_engine_add_model(standin_engine_t *engine, const char *model);
 at_code_t standin_engine_init(
     standin_engine_t *engine, const char *address, at_status_t *status);
+/* standin_engine_executions() counts what it truly began to run. */
+uint64_t standin_engine_executions(const standin_engine_t *engine);
 uint16_t standin_engine_port(const standin_engine_t *engine);
 void standin_engine_delete(standin_engine_t *engine);
 
--- /dev/null
+++ b/tests/contract/test_crashes.c
@@ -0,0 +1,224 @@
+/*
+ * A request that crashes each engine that runs it: found out, refused by
+ * every instance, lifted by operators; its neighbours come to no harm.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "support/desk.h"
+
+#define SECONDS_MS 5000u /* "within seconds" */
+#define POISON                                                \
+	"{\"model\":\"m1\",\"max_tokens\":8,\"stream\":true," \
+	"\"messages\":[\"" STANDIN_POISON "\"]}"
+#define NEIGHBOURS 4
+
+static fixture_t *f;
+
+static int
+sees_engines(void *ctx)
+{
+	at_node_t *node = ctx;
+	const char *const names[] = {"e1", "e2", "e3"};
+	size_t i;
+
+	for (i = 0; i < 3; i++) {
+		at_backend_t *b = at_backends_find(node->backends, names[i]);
+
+		if (b == NULL || b->view.resident_count == 0)
+			return 0;
+	}
+	return node->config != NULL;
+}
+
+static void
+setup(void)
+{
+	f = desk_new(NULL);
+	(void)fixture_add_engine(f, "e2", "north", "m1");
+	(void)fixture_add_engine(f, "e3", "north", "m1");
+	(void)fixture_add_node(f, "n2", "north");
+	cr_assert(fixture_until(f, sees_engines, f->nodes[0], 12000));
+	cr_assert(fixture_until(f, sees_engines, f->nodes[1], 12000));
+}
+
+static void
+teardown(void)
+{
+	fixture_delete(f);
+}
+
+static uint64_t
+all_executions(void)
+{
+	return standin_engine_executions(f->engines[0]) +
+	       standin_engine_executions(f->engines[1]) +
+	       standin_engine_executions(f->engines[2]);
+}
+
+/* The most severe suspicion that a node holds. */
+static at_suspicion_t worst;
+static at_suspect_t worst_suspect;
+
+static void
+keep_worst(void *ctx, const at_suspect_t *suspect)
+{
+	(void)ctx;
+	if (suspect->suspicion < worst)
+		return;
+	worst = suspect->suspicion;
+	worst_suspect = *suspect;
+}
+
+static at_suspicion_t
+worst_of(const at_node_t *node)
+{
+	worst = AT_SUSPICION_CLEAR;
+	at_suspects_each(node->suspects, keep_worst, NULL);
+	return worst;
+}
+
+static int
+all_convict(void *ctx)
+{
+	(void)ctx;
+	return worst_of(f->nodes[0]) == AT_SUSPICION_CONVICTED &&
+	       worst_of(f->nodes[1]) == AT_SUSPICION_CONVICTED;
+}
+
+static int
+all_lifted(void *ctx)
+{
+	(void)ctx;
+	return worst_of(f->nodes[0]) == AT_SUSPICION_LIFTED &&
+	       worst_of(f->nodes[1]) == AT_SUSPICION_LIFTED;
+}
+
+static int
+has_crashed(void *ctx)
+{
+	(void)ctx;
+	return all_executions() >= 2 && f->nodes[0]->open_exchanges == 0;
+}
+
+/* Sends the poison until it is convicted. */
+static void
+convict(void)
+{
+	fixture_answer_t a = desk_call(f, "POST", DESK_CHAT, NULL, POISON);
+
+	cr_assert_eq(a.status, 502, "%d %s", a.status, a.body);
+	cr_assert(strstr(a.body, "\"verdict\":\"may_have_run\""), "%s", a.body);
+	fixture_answer_free(&a);
+	cr_assert(fixture_until(f, has_crashed, NULL, SECONDS_MS));
+	cr_assert(fixture_until(f, all_convict, NULL, SECONDS_MS));
+}
+
+Test(crashes, are_refused_everywhere_after_two, .init = setup, .fini = teardown)
+{
+	const char *const nodes[] = {
+	    f->node_addresses[0], f->node_addresses[1]};
+	char hash[65];
+	char bearer[160];
+	char path[128];
+	char text[AT_FINGERPRINT_TEXT_SIZE];
+	const char *headers[] = {bearer, NULL};
+	uint64_t before;
+	fixture_answer_t a;
+	size_t i;
+
+	(void)snprintf(bearer, sizeof(bearer), "Authorization: Bearer %s",
+	    fixture_key("k1", hash));
+	convict();
+	before = all_executions();
+	cr_assert_eq(before, 2, "%llu", (unsigned long long)before);
+	for (i = 0; i < 2; i++) {
+		a = fixture_call(
+		    f, "POST", nodes[i], DESK_CHAT, headers, POISON);
+		cr_assert_eq(a.status, 422, "%d %s", a.status, a.body);
+		cr_assert(strstr(a.body, "\"reason\":\"crashes_backend\""));
+		cr_assert(strstr(a.body, "\"verdict\":\"not_run\""));
+		fixture_answer_free(&a);
+	}
+	cr_assert_eq(all_executions(), before);
+	a = fixture_call(
+	    f, "GET", f->operator_addresses[1], "/status", NULL, NULL);
+	cr_assert(strstr(a.body, "\"suspicion\":\"convicted\""), "%s", a.body);
+	fixture_answer_free(&a);
+	at_fingerprint_format(&worst_suspect.fingerprint, text);
+	(void)snprintf(
+	    path, sizeof(path), "/suspects/lift?fingerprint=%s", text);
+	a = fixture_call(f, "POST", f->operator_addresses[1], path, NULL, NULL);
+	cr_assert_eq(a.status, 200);
+	fixture_answer_free(&a);
+	cr_assert(fixture_until(f, all_lifted, NULL, SECONDS_MS));
+}
+
+static int
+nobody_else(void *ctx)
+{
+	(void)ctx;
+	return f->nodes[0]->open_exchanges == 0;
+}
+
+typedef struct tally {
+	uint32_t convicted;
+	uint32_t others;
+} tally_t;
+
+static void
+count_suspect(void *ctx, const at_suspect_t *suspect)
+{
+	tally_t *t = ctx;
+
+	if (suspect->suspicion == AT_SUSPICION_CONVICTED)
+		t->convicted++;
+	else
+		t->others++;
+}
+
+/* Whole answers wait while their engine dies: they are retried and run. */
+Test(crashes, do_their_neighbours_no_harm, .init = setup, .fini = teardown)
+{
+	fixture_answer_t answers[NEIGHBOURS];
+	char bodies[NEIGHBOURS][160];
+	fixture_answer_t a;
+	tally_t t = {0};
+	int i;
+
+	for (i = 0; i < 3; i++)
+		fixture_faults(
+		    f, f->engine_addresses[i], "{\"token_us\":30000}");
+	for (i = 0; i < NEIGHBOURS; i++) {
+		(void)snprintf(bodies[i], sizeof(bodies[i]),
+		    "{\"model\":\"m1\",\"max_tokens\":8,"
+		    "\"messages\":[\"innocent %d\"]}",
+		    i);
+		desk_send(f, &answers[i], "POST", DESK_CHAT, NULL, bodies[i]);
+	}
+	fixture_run(f, 50);
+	a = desk_call(f, "POST", DESK_CHAT, NULL, POISON);
+	cr_assert_neq(a.status, 200);
+	fixture_answer_free(&a);
+	for (i = 0; i < NEIGHBOURS; i++) {
+		cr_assert(
+		    fixture_until(f, desk_is_done, &answers[i], DESK_CALL_MS));
+		cr_assert_eq(
+		    answers[i].status, 200, "%d: %s", i, answers[i].body);
+		cr_assert(answers[i].whole);
+		fixture_answer_free(&answers[i]);
+	}
+	cr_assert(fixture_until(f, nobody_else, NULL, DESK_CALL_MS));
+	fixture_run(f, 2 * AT_SUSPECTS_SETTLE_MS);
+	at_suspects_each(f->nodes[0]->suspects, count_suspect, &t);
+	cr_assert_leq(t.convicted, 1);
+	/* An innocent one runs again and is clear. */
+	for (i = 0; i < NEIGHBOURS; i++) {
+		a = desk_call(f, "POST", DESK_CHAT, NULL, bodies[i]);
+		cr_assert_eq(a.status, 200, "%d: %s", i, a.body);
+		fixture_answer_free(&a);
+	}
+}
