--- a/src/core/suspects.c
+++ b/src/core/suspects.c
@@ -1,54 +1,9 @@
-#include "almondthread/suspects.h"
-
 #include <stdlib.h>
 #include <string.h>
 
-#include <uthash.h>
 #include <utlist.h>
 
-#define CONVICTING_CRASHES 2u
-#define VICTIMS_MAX 64u /* of one crash, told by all instances together */
-
-const char *const at_suspicion_names[] = {
-    "clear", "suspect", "held", "doubted", "pending", "convicted", "lifted"};
-
-typedef struct entry {
-	at_suspect_t suspect; /* its fingerprint is the key */
-	uint32_t pending;     /* lost flights not judged yet */
-	uint32_t confirmed;   /* of those: by a crash */
-	uint64_t lifted_at_ms;
-	UT_hash_handle hh;
-} entry_t;
-
-struct at_flight {
-	at_flight_t *next;
-	at_flight_t *prev;
-	at_fingerprint_t fingerprint;
-	struct place *place;
-	int suspect;   /* when it began */
-	int alone;     /* it runs alone: nothing else may begin there */
-	int doubted;   /* it made its fingerprint's entry pending */
-	int confirmed; /* there was a crash */
-	uint64_t ended_at_ms;
-};
-
-/* A backend server with something in flight or a crash to be judged. */
-typedef struct place {
-	at_name_t name;
-	at_flight_t *open;
-	at_flight_t *ended;     /* that a crash may still concern */
-	uint64_t crashed_at_ms; /* 0: no crash to be judged */
-	at_fingerprint_t victims[VICTIMS_MAX];
-	size_t victim_count;
-	int told; /* the other instances know our part */
-	UT_hash_handle hh;
-} place_t;
-
-struct at_suspects {
-	at_suspects_events_t events;
-	entry_t *entries;
-	place_t *places;
-};
+#include "core/suspects_internal.h"
 
 at_suspects_t *
 at_suspects_new(void)
@@ -100,55 +55,6 @@
 	s->events = *events;
 }
 
-static entry_t *
-find(const at_suspects_t *s, const at_fingerprint_t *fingerprint)
-{
-	entry_t *entry;
-
-	HASH_FIND(hh, s->entries, fingerprint, sizeof(*fingerprint), entry);
-	return entry;
-}
-
-static void
-forget(at_suspects_t *s, entry_t *entry)
-{
-	HASH_DEL(s->entries, entry);
-	free(entry);
-}
-
-static void
-make_room(at_suspects_t *s)
-{
-	entry_t *oldest = s->entries;
-	entry_t *entry;
-
-	if (HASH_COUNT(s->entries) < AT_SUSPECTS_MAX)
-		return;
-	for (entry = s->entries; entry != NULL; entry = entry->hh.next) {
-		if (entry->suspect.expires_at_ms <
-		    oldest->suspect.expires_at_ms)
-			oldest = entry;
-	}
-	forget(s, oldest);
-}
-
-static entry_t *
-find_or_add(at_suspects_t *s, const at_fingerprint_t *fingerprint)
-{
-	entry_t *entry = find(s, fingerprint);
-
-	if (entry != NULL)
-		return entry;
-	make_room(s);
-	entry = calloc(1, sizeof(*entry));
-	if (entry == NULL)
-		return NULL;
-	entry->suspect.fingerprint = *fingerprint;
-	HASH_ADD(hh, s->entries, suspect.fingerprint,
-	    sizeof(entry->suspect.fingerprint), entry);
-	return entry;
-}
-
 static place_t *
 find_place(const at_suspects_t *s, const char *name)
 {
@@ -184,33 +90,6 @@
 	free(place);
 }
 
-at_suspicion_t
-at_suspects_check(const at_suspects_t *s, const at_fingerprint_t *fingerprint,
-    uint64_t now_ms)
-{
-	const entry_t *entry = find(s, fingerprint);
-
-	if (entry == NULL)
-		return AT_SUSPICION_CLEAR;
-	if (entry->pending + entry->suspect.crashes >= CONVICTING_CRASHES &&
-	    entry->pending > 0)
-		return entry->confirmed > 0 ? AT_SUSPICION_PENDING
-					    : AT_SUSPICION_DOUBTED;
-	if (entry->pending > 0)
-		return AT_SUSPICION_SUSPECT;
-	if (now_ms >= entry->suspect.expires_at_ms)
-		return AT_SUSPICION_CLEAR;
-	return entry->suspect.suspicion;
-}
-
-const at_suspect_t *
-at_suspects_get(const at_suspects_t *s, const at_fingerprint_t *fingerprint)
-{
-	const entry_t *entry = find(s, fingerprint);
-
-	return entry == NULL ? NULL : &entry->suspect;
-}
-
 static int
 is_suspect(at_suspicion_t suspicion)
 {
@@ -238,12 +117,6 @@
 	return flight;
 }
 
-static int
-is_none(const at_fingerprint_t *fingerprint)
-{
-	return fingerprint->high == 0 && fingerprint->low == 0;
-}
-
 /* It ended at the crash, or so shortly before that it may have run on. */
 static int
 is_victim(const place_t *place, const at_flight_t *flight)
@@ -260,7 +133,7 @@
 
 	DL_FOREACH(place->ended, flight)
 	{
-		entry_t *entry = find(s, &flight->fingerprint);
+		entry_t *entry = suspects_find(s, &flight->fingerprint);
 
 		if (entry == NULL || !flight->doubted || flight->confirmed ||
 		    !is_victim(place, flight))
@@ -276,8 +149,8 @@
 {
 	entry_t *entry = NULL;
 
-	if (lost && !is_none(&flight->fingerprint))
-		entry = find_or_add(s, &flight->fingerprint);
+	if (lost && !suspects_is_none(&flight->fingerprint))
+		entry = suspects_find_or_add(s, &flight->fingerprint);
 
 	if (entry != NULL) {
 		entry->pending++;
@@ -289,19 +162,6 @@
 		confirm(s, flight->place);
 }
 
-/* It ran to its end: only a conviction outlasts that. */
-static void
-acquit(at_suspects_t *s, const at_fingerprint_t *fingerprint)
-{
-	entry_t *entry = find(s, fingerprint);
-
-	if (entry == NULL || entry->pending > 0 ||
-	    entry->suspect.suspicion == AT_SUSPICION_CONVICTED ||
-	    entry->suspect.suspicion == AT_SUSPICION_LIFTED)
-		return;
-	forget(s, entry);
-}
-
 void
 at_suspects_end(
     at_suspects_t *s, at_flight_t *flight, at_flight_end_t end, uint64_t now_ms)
@@ -316,7 +176,7 @@
 		keep(s, flight, end == AT_FLIGHT_LOST, now_ms);
 	} else {
 		if (end == AT_FLIGHT_WELL)
-			acquit(s, &flight->fingerprint);
+			suspects_acquit(s, &flight->fingerprint);
 		free(flight);
 	}
 	leave_place(s, place);
@@ -326,7 +186,8 @@
 static void
 drop(at_suspects_t *s, place_t *place, at_flight_t *flight)
 {
-	entry_t *entry = flight->doubted ? find(s, &flight->fingerprint) : NULL;
+	entry_t *entry =
+	    flight->doubted ? suspects_find(s, &flight->fingerprint) : NULL;
 
 	if (entry != NULL && entry->pending > 0)
 		entry->pending--;
@@ -334,7 +195,7 @@
 		entry->confirmed--;
 	if (entry != NULL && entry->pending == 0 &&
 	    entry->suspect.suspicion == AT_SUSPICION_CLEAR)
-		forget(s, entry);
+		suspects_forget(s, entry);
 	DL_DELETE(place->ended, flight);
 	free(flight);
 }
@@ -451,39 +312,6 @@
 		add_victim(place, &victims[i]);
 }
 
-/* One more crash of which the fingerprint may be the cause. */
-static void
-charge(at_suspects_t *s, const at_fingerprint_t *fingerprint,
-    const place_t *place, uint64_t now_ms)
-{
-	entry_t *entry;
-	at_suspect_t *suspect;
-
-	if (is_none(fingerprint))
-		return;
-	entry = find_or_add(s, fingerprint);
-	if (entry == NULL)
-		return;
-	suspect = &entry->suspect;
-	/* A lift covers all that happened before it. */
-	if (suspect->suspicion == AT_SUSPICION_LIFTED &&
-	    place->crashed_at_ms <= entry->lifted_at_ms)
-		return;
-	suspect->crashes++;
-	suspect->expires_at_ms = now_ms + AT_SUSPECTS_LIFETIME_MS;
-	if (suspect->suspicion == AT_SUSPICION_CONVICTED)
-		return;
-	if (suspect->crashes < CONVICTING_CRASHES)
-		suspect->suspicion = AT_SUSPICION_SUSPECT;
-	else
-		suspect->suspicion = place->victim_count == 1
-					 ? AT_SUSPICION_CONVICTED
-					 : AT_SUSPICION_HELD;
-	if (suspect->suspicion == AT_SUSPICION_CONVICTED &&
-	    s->events.on_change != NULL)
-		s->events.on_change(s->events.ctx, suspect);
-}
-
 /* All that was in flight is known: who was alone? */
 static void
 judge(at_suspects_t *s, place_t *place, uint64_t now_ms)
@@ -492,34 +320,12 @@
 
 	collect(s, place);
 	for (i = 0; i < place->victim_count; i++)
-		charge(s, &place->victims[i], place, now_ms);
+		suspects_charge(s, &place->victims[i], place, now_ms);
 	place->victim_count = 0;
 	place->crashed_at_ms = 0;
 	place->told = 0;
 }
 
-void
-at_suspects_heard(at_suspects_t *s, const at_fingerprint_t *fingerprint,
-    at_suspicion_t suspicion, uint64_t lifetime_ms, uint64_t now_ms)
-{
-	entry_t *entry;
-
-	if (suspicion != AT_SUSPICION_CONVICTED &&
-	    suspicion != AT_SUSPICION_LIFTED)
-		return;
-	entry = find_or_add(s, fingerprint);
-	if (entry == NULL || entry->suspect.suspicion == AT_SUSPICION_LIFTED)
-		return;
-	if (lifetime_ms > AT_SUSPECTS_LIFETIME_MS)
-		lifetime_ms = AT_SUSPECTS_LIFETIME_MS;
-	entry->suspect.suspicion = suspicion;
-	entry->suspect.expires_at_ms = now_ms + lifetime_ms;
-	if (suspicion == AT_SUSPICION_LIFTED) {
-		entry->suspect.crashes = 0;
-		entry->lifted_at_ms = now_ms;
-	}
-}
-
 static void
 tick_place(at_suspects_t *s, place_t *place, uint64_t now_ms)
 {
@@ -556,7 +362,7 @@
 	{
 		if (entry->pending == 0 &&
 		    now_ms >= entry->suspect.expires_at_ms)
-			forget(s, entry);
+			suspects_forget(s, entry);
 	}
 }
 
@@ -585,36 +391,3 @@
 	}
 	return 1;
 }
-
-int
-at_suspects_quiet(const at_suspects_t *s)
-{
-	return s->entries == NULL;
-}
-
-int
-at_suspects_lift(
-    at_suspects_t *s, const at_fingerprint_t *fingerprint, uint64_t now_ms)
-{
-	entry_t *entry = find(s, fingerprint);
-
-	if (entry == NULL)
-		return -1;
-	entry->suspect.suspicion = AT_SUSPICION_LIFTED;
-	entry->suspect.crashes = 0;
-	entry->suspect.expires_at_ms = now_ms + AT_SUSPECTS_LIFETIME_MS;
-	entry->lifted_at_ms = now_ms;
-	if (s->events.on_change != NULL)
-		s->events.on_change(s->events.ctx, &entry->suspect);
-	return 0;
-}
-
-void
-at_suspects_each(const at_suspects_t *s,
-    void (*visit)(void *ctx, const at_suspect_t *suspect), void *ctx)
-{
-	const entry_t *entry;
-
-	for (entry = s->entries; entry != NULL; entry = entry->hh.next)
-		visit(ctx, &entry->suspect);
-}
--- /dev/null
+++ b/src/core/suspects_entries.c
@@ -0,0 +1,189 @@
+#include <stdlib.h>
+
+#include "core/suspects_internal.h"
+
+#define CONVICTING_CRASHES 2u
+
+const char *const at_suspicion_names[] = {
+    "clear", "suspect", "held", "doubted", "pending", "convicted", "lifted"};
+
+entry_t *
+suspects_find(const at_suspects_t *s, const at_fingerprint_t *fingerprint)
+{
+	entry_t *entry;
+
+	HASH_FIND(hh, s->entries, fingerprint, sizeof(*fingerprint), entry);
+	return entry;
+}
+
+void
+suspects_forget(at_suspects_t *s, entry_t *entry)
+{
+	HASH_DEL(s->entries, entry);
+	free(entry);
+}
+
+static void
+make_room(at_suspects_t *s)
+{
+	entry_t *oldest = s->entries;
+	entry_t *entry;
+
+	if (HASH_COUNT(s->entries) < AT_SUSPECTS_MAX)
+		return;
+	for (entry = s->entries; entry != NULL; entry = entry->hh.next) {
+		if (entry->suspect.expires_at_ms <
+		    oldest->suspect.expires_at_ms)
+			oldest = entry;
+	}
+	suspects_forget(s, oldest);
+}
+
+entry_t *
+suspects_find_or_add(at_suspects_t *s, const at_fingerprint_t *fingerprint)
+{
+	entry_t *entry = suspects_find(s, fingerprint);
+
+	if (entry != NULL)
+		return entry;
+	make_room(s);
+	entry = calloc(1, sizeof(*entry));
+	if (entry == NULL)
+		return NULL;
+	entry->suspect.fingerprint = *fingerprint;
+	HASH_ADD(hh, s->entries, suspect.fingerprint,
+	    sizeof(entry->suspect.fingerprint), entry);
+	return entry;
+}
+
+at_suspicion_t
+at_suspects_check(const at_suspects_t *s, const at_fingerprint_t *fingerprint,
+    uint64_t now_ms)
+{
+	const entry_t *entry = suspects_find(s, fingerprint);
+
+	if (entry == NULL)
+		return AT_SUSPICION_CLEAR;
+	if (entry->pending + entry->suspect.crashes >= CONVICTING_CRASHES &&
+	    entry->pending > 0)
+		return entry->confirmed > 0 ? AT_SUSPICION_PENDING
+					    : AT_SUSPICION_DOUBTED;
+	if (entry->pending > 0)
+		return AT_SUSPICION_SUSPECT;
+	if (now_ms >= entry->suspect.expires_at_ms)
+		return AT_SUSPICION_CLEAR;
+	return entry->suspect.suspicion;
+}
+
+const at_suspect_t *
+at_suspects_get(const at_suspects_t *s, const at_fingerprint_t *fingerprint)
+{
+	const entry_t *entry = suspects_find(s, fingerprint);
+
+	return entry == NULL ? NULL : &entry->suspect;
+}
+
+int
+suspects_is_none(const at_fingerprint_t *fingerprint)
+{
+	return fingerprint->high == 0 && fingerprint->low == 0;
+}
+
+void
+suspects_acquit(at_suspects_t *s, const at_fingerprint_t *fingerprint)
+{
+	entry_t *entry = suspects_find(s, fingerprint);
+
+	if (entry == NULL || entry->pending > 0 ||
+	    entry->suspect.suspicion == AT_SUSPICION_CONVICTED ||
+	    entry->suspect.suspicion == AT_SUSPICION_LIFTED)
+		return;
+	suspects_forget(s, entry);
+}
+
+void
+suspects_charge(at_suspects_t *s, const at_fingerprint_t *fingerprint,
+    const place_t *place, uint64_t now_ms)
+{
+	entry_t *entry;
+	at_suspect_t *suspect;
+
+	if (suspects_is_none(fingerprint))
+		return;
+	entry = suspects_find_or_add(s, fingerprint);
+	if (entry == NULL)
+		return;
+	suspect = &entry->suspect;
+	/* A lift covers all that happened before it. */
+	if (suspect->suspicion == AT_SUSPICION_LIFTED &&
+	    place->crashed_at_ms <= entry->lifted_at_ms)
+		return;
+	suspect->crashes++;
+	suspect->expires_at_ms = now_ms + AT_SUSPECTS_LIFETIME_MS;
+	if (suspect->suspicion == AT_SUSPICION_CONVICTED)
+		return;
+	if (suspect->crashes < CONVICTING_CRASHES)
+		suspect->suspicion = AT_SUSPICION_SUSPECT;
+	else
+		suspect->suspicion = place->victim_count == 1
+					 ? AT_SUSPICION_CONVICTED
+					 : AT_SUSPICION_HELD;
+	if (suspect->suspicion == AT_SUSPICION_CONVICTED &&
+	    s->events.on_change != NULL)
+		s->events.on_change(s->events.ctx, suspect);
+}
+
+void
+at_suspects_heard(at_suspects_t *s, const at_fingerprint_t *fingerprint,
+    at_suspicion_t suspicion, uint64_t lifetime_ms, uint64_t now_ms)
+{
+	entry_t *entry;
+
+	if (suspicion != AT_SUSPICION_CONVICTED &&
+	    suspicion != AT_SUSPICION_LIFTED)
+		return;
+	entry = suspects_find_or_add(s, fingerprint);
+	if (entry == NULL || entry->suspect.suspicion == AT_SUSPICION_LIFTED)
+		return;
+	if (lifetime_ms > AT_SUSPECTS_LIFETIME_MS)
+		lifetime_ms = AT_SUSPECTS_LIFETIME_MS;
+	entry->suspect.suspicion = suspicion;
+	entry->suspect.expires_at_ms = now_ms + lifetime_ms;
+	if (suspicion == AT_SUSPICION_LIFTED) {
+		entry->suspect.crashes = 0;
+		entry->lifted_at_ms = now_ms;
+	}
+}
+
+int
+at_suspects_quiet(const at_suspects_t *s)
+{
+	return s->entries == NULL;
+}
+
+int
+at_suspects_lift(
+    at_suspects_t *s, const at_fingerprint_t *fingerprint, uint64_t now_ms)
+{
+	entry_t *entry = suspects_find(s, fingerprint);
+
+	if (entry == NULL)
+		return -1;
+	entry->suspect.suspicion = AT_SUSPICION_LIFTED;
+	entry->suspect.crashes = 0;
+	entry->suspect.expires_at_ms = now_ms + AT_SUSPECTS_LIFETIME_MS;
+	entry->lifted_at_ms = now_ms;
+	if (s->events.on_change != NULL)
+		s->events.on_change(s->events.ctx, &entry->suspect);
+	return 0;
+}
+
+void
+at_suspects_each(const at_suspects_t *s,
+    void (*visit)(void *ctx, const at_suspect_t *suspect), void *ctx)
+{
+	const entry_t *entry;
+
+	for (entry = s->entries; entry != NULL; entry = entry->hh.next)
+		visit(ctx, &entry->suspect);
+}
