--- a/include/almondthread/config.h
+++ b/include/almondthread/config.h
@@ -9,6 +9,7 @@
 #ifndef ALMONDTHREAD_CONFIG_H
 #define ALMONDTHREAD_CONFIG_H
 
+#include "almondthread/name_index.h"
 #include "almondthread/status.h"
 #include "almondthread/units.h"
 
@@ -55,6 +56,12 @@
 	uint32_t key_staleness_ms;  /* with AT_CUT_OFF_REFUSE */
 	uint32_t claim_retention_s; /* how long a claim is kept */
 	at_cut_off_keys_t cut_off_keys;
+	uint32_t loads_per_1000_s;   /* of models; data centres share it */
+	uint32_t loads_in_flight;    /* of models; data centres share it */
+	uint32_t adapters_in_flight; /* loads; data centres share it */
+	uint32_t order_lifetime_ms;  /* an engine obeys within it or never */
+	uint32_t engine_tokens_s;    /* of one accelerator, at full load */
+	uint32_t instance_gone_ms;   /* unlisted so long: it has ended */
 } at_defaults_t;
 
 /* A caller's key: its public name and the keyed hash of its secret. */
@@ -132,6 +139,12 @@
 	char reason[128];
 } at_exception_t;
 
+/* One key and whose it is, found by its hash; key NULL: free. */
+typedef struct at_key_slot {
+	const at_key_t *key;
+	const at_workspace_t *workspace;
+} at_key_slot_t;
+
 typedef struct at_config {
 	uint64_t generation;
 	at_defaults_t defaults;
@@ -151,6 +164,14 @@
 	size_t route_count;
 	at_exception_t *exceptions;
 	size_t exception_count;
+	at_name_index_t data_centre_index;
+	at_name_index_t workspace_index;
+	at_name_index_t model_index;
+	at_name_index_t adapter_index;
+	at_name_index_t engine_index;
+	at_name_index_t service_index;
+	at_key_slot_t *key_slots;
+	size_t key_mask;
 } at_config_t;
 
 /*
@@ -163,6 +184,12 @@
 at_config_t *at_config_parse(const char *text, size_t len, at_status_t *status);
 void at_config_delete(at_config_t *config);
 
+/*
+ * at_config_index_keys() builds the table that at_key_find() uses; parsing
+ * does so. Returns 0, or -1 without memory.
+ */
+int at_config_index_keys(at_config_t *config);
+
 /* Look-ups return NULL when there is no such entry. */
 const at_workspace_t *at_config_workspace(
     const at_config_t *config, const char *name);
--- a/src/daemon/engine_status.c
+++ b/src/daemon/engine_status.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include "daemon/crashes.h"
+#include "daemon/routing.h"
 #include "io/clock.h"
 
 #define STATUS_TOTAL_MS 1000u
@@ -16,10 +17,10 @@
 typedef struct poll {
 	at_node_t *node;
 	at_name_t engine;
+	uint64_t asked_at_ms; /* what was sent before is in the report */
 	char *body;
 	size_t len;
 	int status;
-	uint64_t asked_ms;
 } poll_t;
 
 static void
@@ -62,6 +63,12 @@
 	    (uint64_t)json_integer_value(json_object_get(object, "memory_mb"));
 }
 
+static uint32_t
+number_of(json_t *root, const char *field)
+{
+	return (uint32_t)json_integer_value(json_object_get(root, field));
+}
+
 static void
 take_report(const poll_t *poll, at_backend_t *backend, json_t *root)
 {
@@ -72,7 +79,9 @@
 	at_resident_t *residents = calloc(count + 1, sizeof(*residents));
 	size_t i;
 
-	at_crashes_report(poll->node, backend, incarnation, poll->asked_ms);
+	/* What was lost in the same millisecond is part of the question. */
+	at_crashes_report(
+	    poll->node, backend, incarnation, poll->asked_at_ms + 1);
 	if (residents == NULL)
 		return;
 	for (i = 0; i < count; i++)
@@ -80,6 +89,11 @@
 	free(backend->view.residents);
 	backend->view.residents = residents;
 	backend->view.resident_count = count;
+	backend->view.running = number_of(root, "running");
+	backend->view.queued = number_of(root, "queued");
+	backend->view.queued_prefill_tokens =
+	    number_of(root, "queued_prefill_tokens");
+	backend->view.report_at_ms = poll->asked_at_ms;
 }
 
 static void
@@ -94,10 +108,12 @@
 		backend->polling = 0;
 		if (result->whole && poll->status == 200)
 			root = json_loadb(poll->body, poll->len, 0, NULL);
-		if (root != NULL)
+		if (root != NULL) {
 			take_report(poll, backend, root);
-		else if (result->reason == AT_REASON_CONNECT_FAILED)
+			at_routing_report(poll->node, backend);
+		} else if (result->reason == AT_REASON_CONNECT_FAILED) {
 			at_crashes_down(poll->node, backend);
+		}
 	}
 	json_decref(root);
 	free(poll->body);
@@ -125,8 +141,7 @@
 	if (poll == NULL)
 		return;
 	poll->node = node;
-	/* What was lost in this millisecond is part of the question. */
-	poll->asked_ms = at_clock_now_ms() + 1;
+	poll->asked_at_ms = at_clock_now_ms();
 	poll->engine = backend->instance.name;
 	events.ctx = poll;
 	(void)snprintf(
--- a/src/daemon/exchange_impl.h
+++ b/src/daemon/exchange_impl.h
@@ -7,6 +7,7 @@
 
 #include "almondthread/answer.h"
 #include "almondthread/attempt.h"
+#include "almondthread/router.h"
 #include "daemon/exchange.h"
 
 #define ATTEMPT_ID_SIZE (AT_REQUEST_ID_SIZE + 8u) /* "-" and a number */
@@ -25,9 +26,13 @@
 	at_answer_t *answer;
 	int status;
 	char content_type[TYPE_SIZE];
-	int refused;       /* by contract, before running */
-	int ending;        /* the transfer was complete */
-	at_reason_t fault; /* found in the answer */
+	int refused;              /* by contract, before running */
+	int ending;               /* the transfer was complete */
+	at_reason_t fault;        /* found in the answer */
+	at_route_choice_t choice; /* of an engine */
+	uint64_t sent_at_ms;
+	int routed; /* the router counts it */
+	int first_token_seen;
 } transport_t;
 
 struct exchange {
@@ -51,6 +56,7 @@
 	at_attempts_t *machine;
 	at_budget_t *budget; /* of the workspace */
 	at_fingerprint_t fingerprint;
+	int barring; /* keep to where suspects allow it */
 	int waiting; /* for a backend server free of suspects */
 	at_action_t waiting_action;
 	transport_t transports[AT_ATTEMPTS_MAX];
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -13,8 +13,10 @@
 #include "almondthread/counters.h"
 #include "almondthread/keyring.h"
 #include "almondthread/ports.h"
+#include "almondthread/router.h"
 #include "almondthread/suspects.h"
 #include "daemon/backends.h"
+#include "daemon/config_io.h"
 #include "daemon/history.h"
 #include "io/httpc.h"
 #include "io/httpd.h"
@@ -62,8 +64,10 @@
 	at_platform_t *platform;
 	at_store_t store;
 	at_peers_t *peers;
+	at_config_io_t *config_io;
 	at_config_t *config; /* NULL until the first one */
 	at_backends_t *backends;
+	at_router_t *router;   /* of engines */
 	at_history_t *history; /* of refusals, for explain */
 	ev_timer stop_timer;
 	ev_timer status_timer;
--- a/src/daemon/transport.c
+++ b/src/daemon/transport.c
@@ -1,4 +1,4 @@
-#include "daemon/exchange_impl.h"
+#include "daemon/routing.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -24,6 +24,7 @@
 	at_node_t *node = t->x->node;
 	at_backend_t *b = at_backends_find(node->backends, t->backend.text);
 
+	at_routing_ended(t, outcome == OUTCOME_FAILED);
 	at_suspects_end(node->suspects, t->flight, end, at_clock_now_ms());
 	t->flight = NULL;
 	if (b == NULL)
@@ -68,6 +69,7 @@
 
 	x->part = data;
 	x->part_len = len;
+	at_routing_first_token(t);
 	at_attempts_data(x->machine, t->number, at_clock_now_ms());
 	exchange_pump(x);
 	x->part = NULL;
@@ -261,37 +263,60 @@
 	return at_httpc_start(x->node->httpc, &spec, &events);
 }
 
-static at_backend_t *
-choose(exchange_t *x, uint32_t k)
+static at_reason_t
+choose_service(const transport_t *t, at_backend_t **b)
 {
-	return at_backends_choose(x->node->backends, x->kind, x->target.text,
+	const exchange_t *x = t->x;
+
+	if (x->barring)
+		at_crashes_bar(x->node, &x->fingerprint);
+	*b = at_backends_choose(x->node->backends, x->target.text,
 	    &x->node->data_centre,
-	    k > 0 ? &x->transports[k - 1].backend : NULL);
+	    t->number > 0 ? &x->transports[t->number - 1].backend : NULL);
+	if (x->barring)
+		at_crashes_unbar(x->node);
+	return *b == NULL ? AT_REASON_NO_BACKEND : AT_REASON_NONE;
+}
+
+static at_reason_t
+choose(transport_t *t, at_backend_t **b)
+{
+	if (t->x->kind == AT_INSTANCE_ENGINE)
+		return at_routing_choose(t, b);
+	return choose_service(t, b);
+}
+
+static int
+is_grave(at_suspicion_t suspicion)
+{
+	return suspicion == AT_SUSPICION_HELD ||
+	       suspicion == AT_SUSPICION_PENDING ||
+	       suspicion == AT_SUSPICION_CONVICTED;
 }
 
 /*
  * No backend server can take it now. When it is only kept away from suspects
- * it waits; when it is itself under heavy suspicion it is given up.
+ * it waits; when it is itself under grave suspicion it is given up.
  */
 static void
-wait_or_give_up(exchange_t *x, const at_action_t *action, uint64_t now_ms)
+wait_or_give_up(transport_t *t, const at_action_t *action, at_reason_t reason)
 {
-	at_suspicion_t suspicion =
-	    at_suspects_check(x->node->suspects, &x->fingerprint, now_ms);
-	at_reason_t reason = AT_REASON_NO_BACKEND;
-
-	at_crashes_unbar(x->node);
-	if (choose(x, action->attempt) != NULL) {
-		if (suspicion == AT_SUSPICION_CLEAR ||
-		    suspicion == AT_SUSPICION_LIFTED ||
-		    suspicion == AT_SUSPICION_SUSPECT ||
-		    suspicion == AT_SUSPICION_DOUBTED) {
-			x->waiting = 1;
-			x->waiting_action = *action;
-			x->node->waiting_exchanges++;
-			return;
-		}
+	exchange_t *x = t->x;
+	uint64_t now_ms = at_clock_now_ms();
+	at_backend_t *b;
+	int barred;
+
+	x->barring = 0;
+	barred =
+	    reason == AT_REASON_NO_BACKEND && choose(t, &b) == AT_REASON_NONE;
+	if (barred && is_grave(at_suspects_check(
+			  x->node->suspects, &x->fingerprint, now_ms))) {
 		reason = AT_REASON_CRASHES_BACKEND;
+	} else if (barred) {
+		x->waiting = 1;
+		x->waiting_action = *action;
+		x->node->waiting_exchanges++;
+		return;
 	}
 	at_attempts_unplaced(x->machine, action->attempt, reason, now_ms);
 }
@@ -303,6 +328,7 @@
 
 	t->backend = b->instance.name;
 	b->outstanding++;
+	at_routing_sent(t);
 	t->flight = at_suspects_begin(
 	    x->node->suspects, &x->fingerprint, &t->backend, now_ms);
 	t->transfer = begin_transfer(
@@ -323,19 +349,17 @@
 	transport_t *t = &x->transports[k];
 	uint64_t now_ms = at_clock_now_ms();
 	at_backend_t *b;
+	at_reason_t reason;
 
 	x->transport_count = k + 1;
 	t->x = x;
 	t->number = k;
 	(void)snprintf(t->id, sizeof(t->id), "%s-%u", x->id, k);
-	at_crashes_bar(x->node, &x->fingerprint);
-	b = choose(x, k);
-	if (b == NULL) {
-		wait_or_give_up(x, action, now_ms);
-		return;
-	}
-	at_crashes_unbar(x->node);
-	if (at_attempts_placed(x->machine, k, &b->budget, now_ms) == 0)
+	x->barring = !at_suspects_quiet(x->node->suspects);
+	reason = choose(t, &b);
+	if (reason != AT_REASON_NONE)
+		wait_or_give_up(t, action, reason);
+	else if (at_attempts_placed(x->machine, k, &b->budget, now_ms) == 0)
 		begin_attempt(t, b, action->fresh_connection, now_ms);
 }
 
