--- a/tests/fuzz/fuzz_attempt.c
+++ b/tests/fuzz/fuzz_attempt.c
@@ -9,22 +9,13 @@
 #include <string.h>
 
 #include "almondthread/attempt.h"
-#include "almondthread/ports.h"
+#include "fuzz/operations.h"
 
 #define OPERATIONS 400u /* in one run */
 #define REQUESTS 3u     /* open at once, each of its own workspace */
 #define BACKENDS 2u
 #define STEP_MS 7u /* unit of time that passes */
 
-#define CHECK(condition)                                               \
-	do {                                                           \
-		if (!(condition)) {                                    \
-			(void)fprintf(                                 \
-			    stderr, "%d: %s\n", __LINE__, #condition); \
-			abort();                                       \
-		}                                                      \
-	} while (0)
-
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 /* What is true of one attempt. */
@@ -61,9 +52,7 @@
 } request_t;
 
 typedef struct world {
-	const uint8_t *data;
-	size_t size;
-	at_rng_t rng;
+	operations_t input;
 	uint64_t now_ms;
 	uint64_t began_at_ms;
 	ledger_t workspaces[REQUESTS];
@@ -76,11 +65,7 @@
 static uint32_t
 draw(world_t *w, uint32_t bound)
 {
-	if (w->size > 0) {
-		w->size--;
-		return *w->data++ % bound;
-	}
-	return (uint32_t)at_rng_below(&w->rng, bound);
+	return operations_draw(&w->input, bound);
 }
 
 static void
@@ -371,13 +356,11 @@
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-	world_t w = {.data = data, .size = size};
+	world_t w = {.input = operations_of(data, size)};
 	uint32_t i;
 
 	if (operations == 0)
 		(void)atexit(report);
-	for (i = 0; i < size; i++)
-		w.rng.state = w.rng.state * 31 + data[i];
 	w.now_ms = w.began_at_ms = 1;
 	for (i = 0; i < REQUESTS; i++)
 		at_budget_init(&w.workspaces[i].budget, w.now_ms);
--- a/tests/fuzz/fuzz_suspects.c
+++ b/tests/fuzz/fuzz_suspects.c
@@ -8,8 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "almondthread/ports.h"
 #include "almondthread/suspects.h"
+#include "fuzz/operations.h"
 
 #define OPERATIONS 400u
 #define INSTANCES 2u
@@ -20,15 +20,6 @@
 #define STEP_MS 100u
 #define RUNS_ON_MS 1500u /* a flight that was left runs on for so long */
 
-#define CHECK(condition)                                               \
-	do {                                                           \
-		if (!(condition)) {                                    \
-			(void)fprintf(                                 \
-			    stderr, "%d: %s\n", __LINE__, #condition); \
-			abort();                                       \
-		}                                                      \
-	} while (0)
-
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 typedef struct flight {
@@ -41,9 +32,7 @@
 } flight_t;
 
 typedef struct world {
-	const uint8_t *data;
-	size_t size;
-	at_rng_t rng;
+	operations_t input;
 	uint64_t now_ms;
 	at_suspects_t *instances[INSTANCES];
 	flight_t flights[FLIGHTS];
@@ -55,11 +44,7 @@
 static uint32_t
 draw(world_t *w, uint32_t bound)
 {
-	if (w->size > 0) {
-		w->size--;
-		return *w->data++ % bound;
-	}
-	return (uint32_t)at_rng_below(&w->rng, bound);
+	return operations_draw(&w->input, bound);
 }
 
 static at_fingerprint_t
@@ -244,14 +229,12 @@
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-	world_t w = {.data = data, .size = size, .now_ms = 1000};
+	world_t w = {.input = operations_of(data, size), .now_ms = 1000};
 	const at_suspects_events_t events = {on_crash, on_change, &w};
 	uint32_t i;
 
 	if (operations == 0)
 		(void)atexit(report);
-	for (i = 0; i < size; i++)
-		w.rng.state = w.rng.state * 31 + data[i];
 	for (i = 0; i < INSTANCES; i++) {
 		w.instances[i] = at_suspects_new();
 		at_suspects_set_events(w.instances[i], &events);
