--- a/src/core/router.c
+++ b/src/core/router.c
@@ -163,6 +163,9 @@
 {
 	if (e->view.leaving)
 		return;
+	if (request->may_run != NULL &&
+	    !request->may_run(request->may_run_ctx, &e->view.name))
+		return;
 	if (!is_trusted(e, now_ms)) {
 		consider(router, e, request, now_ms, &s->distrusted);
 		return;
--- a/src/daemon/routing.c
+++ b/src/daemon/routing.c
@@ -54,6 +54,15 @@
 	return start;
 }
 
+static int
+may_run(void *ctx, const at_name_t *engine)
+{
+	const exchange_t *x = ctx;
+
+	return at_suspects_may_run(x->node->suspects, &x->fingerprint,
+	    engine->text, at_clock_now_ms());
+}
+
 static void
 make_request(const transport_t *t, at_route_request_t *request,
     uint64_t hashes[AT_PREFIX_BLOCKS_MAX])
@@ -70,6 +79,10 @@
 	request->prefix_count = at_prefix_hashes(x->workspace.text,
 	    x->target.text, prompt, len, BYTES_PER_TOKEN, hashes);
 	request->deadline_ms = x->node->config->defaults.first_byte_ms;
+	if (x->barring) {
+		request->may_run = may_run;
+		request->may_run_ctx = t->x;
+	}
 	for (k = 0; k < t->number && k < AT_ROUTER_AVOID_MAX; k++)
 		request->avoid[k] = &x->transports[k].backend;
 }
--- a/src/daemon/transport.c
+++ b/src/daemon/transport.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "almondthread/log.h"
+#include "daemon/crashes.h"
 #include "io/clock.h"
 
 #define URL_SIZE 512
@@ -19,19 +19,23 @@
 } outcome_t;
 
 static void
-release_backend(transport_t *t, outcome_t outcome)
+release_backend(transport_t *t, outcome_t outcome, at_flight_end_t end)
 {
-	at_backend_t *b =
-	    at_backends_find(t->x->node->backends, t->backend.text);
+	at_node_t *node = t->x->node;
+	at_backend_t *b = at_backends_find(node->backends, t->backend.text);
 
 	at_routing_ended(t, outcome == OUTCOME_FAILED);
+	at_suspects_end(node->suspects, t->flight, end, at_clock_now_ms());
+	t->flight = NULL;
 	if (b == NULL)
 		return;
 	b->outstanding--;
-	if (outcome == OUTCOME_FAILED)
+	if (outcome == OUTCOME_FAILED) {
 		b->failures++;
-	else if (outcome == OUTCOME_WELL)
+	} else if (outcome == OUTCOME_WELL) {
 		b->failures = 0;
+		b->down = 0;
+	}
 }
 
 static void
@@ -175,6 +179,34 @@
 		    AT_VERDICT_MAY_HAVE_RUN, now_ms);
 }
 
+static at_flight_end_t
+flight_end(const transport_t *t, const at_transfer_result_t *result)
+{
+	if (t->refused || result->verdict == AT_VERDICT_NOT_RUN)
+		return AT_FLIGHT_UNRUN;
+	if (result->whole)
+		return AT_FLIGHT_WELL;
+	if (result->reason == AT_REASON_BACKEND_RESET ||
+	    result->reason == AT_REASON_TRUNCATED)
+		return AT_FLIGHT_LOST;
+	return AT_FLIGHT_LEFT;
+}
+
+/* Has the question answered whether the backend server crashed. */
+static void
+look_into(const transport_t *t, const at_transfer_result_t *result)
+{
+	at_node_t *node = t->x->node;
+	at_backend_t *b = at_backends_find(node->backends, t->backend.text);
+
+	if (b == NULL)
+		return;
+	if (result->reason == AT_REASON_CONNECT_FAILED)
+		at_crashes_down(node, b);
+	else if (flight_end(t, result) == AT_FLIGHT_LOST)
+		at_crashes_lost(node, b);
+}
+
 static void
 on_done(void *ctx, const at_transfer_result_t *result)
 {
@@ -185,7 +217,9 @@
 	if (result->resends > 0)
 		at_counters_add(x->node->counters, "hidden_resends_total", NULL,
 		    NULL, result->resends);
-	release_backend(t, result->whole ? OUTCOME_WELL : OUTCOME_FAILED);
+	release_backend(t, result->whole ? OUTCOME_WELL : OUTCOME_FAILED,
+	    flight_end(t, result));
+	look_into(t, result);
 	if (result->whole)
 		end_whole(t);
 	else if (t->refused)
@@ -230,18 +264,84 @@
 }
 
 static at_reason_t
-choose(transport_t *t, at_backend_t **b)
+choose_service(const transport_t *t, at_backend_t **b)
 {
 	const exchange_t *x = t->x;
 
-	if (x->kind == AT_INSTANCE_ENGINE)
-		return at_routing_choose(t, b);
+	if (x->barring)
+		at_crashes_bar(x->node, &x->fingerprint);
 	*b = at_backends_choose(x->node->backends, x->target.text,
 	    &x->node->data_centre,
 	    t->number > 0 ? &x->transports[t->number - 1].backend : NULL);
+	if (x->barring)
+		at_crashes_unbar(x->node);
 	return *b == NULL ? AT_REASON_NO_BACKEND : AT_REASON_NONE;
 }
 
+static at_reason_t
+choose(transport_t *t, at_backend_t **b)
+{
+	if (t->x->kind == AT_INSTANCE_ENGINE)
+		return at_routing_choose(t, b);
+	return choose_service(t, b);
+}
+
+static int
+is_grave(at_suspicion_t suspicion)
+{
+	return suspicion == AT_SUSPICION_HELD ||
+	       suspicion == AT_SUSPICION_PENDING ||
+	       suspicion == AT_SUSPICION_CONVICTED;
+}
+
+/*
+ * No backend server can take it now. When it is only kept away from suspects
+ * it waits; when it is itself under grave suspicion it is given up.
+ */
+static void
+wait_or_give_up(transport_t *t, const at_action_t *action, at_reason_t reason)
+{
+	exchange_t *x = t->x;
+	uint64_t now_ms = at_clock_now_ms();
+	at_backend_t *b;
+	int barred;
+
+	x->barring = 0;
+	barred =
+	    reason == AT_REASON_NO_BACKEND && choose(t, &b) == AT_REASON_NONE;
+	if (barred && is_grave(at_suspects_check(
+			  x->node->suspects, &x->fingerprint, now_ms))) {
+		reason = AT_REASON_CRASHES_BACKEND;
+	} else if (barred) {
+		x->waiting = 1;
+		x->waiting_action = *action;
+		x->node->waiting_exchanges++;
+		return;
+	}
+	at_attempts_unplaced(x->machine, action->attempt, reason, now_ms);
+}
+
+static void
+begin_attempt(transport_t *t, at_backend_t *b, int fresh, uint64_t now_ms)
+{
+	exchange_t *x = t->x;
+
+	t->backend = b->instance.name;
+	b->outstanding++;
+	at_routing_sent(t);
+	t->flight = at_suspects_begin(
+	    x->node->suspects, &x->fingerprint, &t->backend, now_ms);
+	t->transfer = begin_transfer(
+	    t, b->instance.address, fresh || now_ms < b->fresh_until_ms);
+	if (t->transfer != NULL) {
+		at_transfer_set_sending(t->transfer, on_sending);
+		return;
+	}
+	release_backend(t, OUTCOME_UNKNOWN, AT_FLIGHT_UNRUN);
+	at_attempts_failed(x->machine, t->number, AT_REASON_INTERNAL,
+	    AT_VERDICT_NOT_RUN, now_ms);
+}
+
 void
 transport_start(exchange_t *x, const at_action_t *action)
 {
@@ -255,25 +355,12 @@
 	t->x = x;
 	t->number = k;
 	(void)snprintf(t->id, sizeof(t->id), "%s-%u", x->id, k);
+	x->barring = !at_suspects_quiet(x->node->suspects);
 	reason = choose(t, &b);
-	if (reason != AT_REASON_NONE) {
-		at_attempts_unplaced(x->machine, k, reason, now_ms);
-		return;
-	}
-	if (at_attempts_placed(x->machine, k, &b->budget, now_ms) != 0)
-		return;
-	t->backend = b->instance.name;
-	b->outstanding++;
-	at_routing_sent(t);
-	t->transfer = begin_transfer(t, b->instance.address,
-	    action->fresh_connection || now_ms < b->fresh_until_ms);
-	if (t->transfer != NULL) {
-		at_transfer_set_sending(t->transfer, on_sending);
-		return;
-	}
-	release_backend(t, OUTCOME_UNKNOWN);
-	at_attempts_failed(
-	    x->machine, k, AT_REASON_INTERNAL, AT_VERDICT_NOT_RUN, now_ms);
+	if (reason != AT_REASON_NONE)
+		wait_or_give_up(t, action, reason);
+	else if (at_attempts_placed(x->machine, k, &b->budget, now_ms) == 0)
+		begin_attempt(t, b, action->fresh_connection, now_ms);
 }
 
 void
@@ -283,7 +370,8 @@
 		return;
 	at_transfer_cancel(t->transfer);
 	t->transfer = NULL;
-	release_backend(t, failed ? OUTCOME_FAILED : OUTCOME_UNKNOWN);
+	release_backend(
+	    t, failed ? OUTCOME_FAILED : OUTCOME_UNKNOWN, AT_FLIGHT_LEFT);
 }
 
 void
