--- a/include/almondthread/engine_view.h
+++ b/include/almondthread/engine_view.h
@@ -27,8 +27,8 @@
 	at_name_t model;
 	at_name_t adapter; /* empty for a base model */
 	uint32_t version;
-	uint64_t memory_mb;
 	int changing; /* being loaded or unloaded */
+	uint64_t memory_mb;
 } at_resident_t;
 
 /*
--- a/include/almondthread/placement.h
+++ b/include/almondthread/placement.h
@@ -78,7 +78,10 @@
     const at_config_t *config, const at_name_t *data_centre);
 void at_placement_delete(at_placement_t *placement);
 
-/* at_placement_demand() adds one request for a model or adapter. */
+/*
+ * at_placement_demand() adds one request for a model or adapter; an adapter's
+ * counts for its base model too.
+ */
 void at_placement_demand(
     at_placement_t *placement, const char *name, uint64_t tokens);
 
--- a/src/core/orders_engines.c
+++ b/src/core/orders_engines.c
@@ -33,8 +33,7 @@
 	HASH_ADD_STR(orders->engines, name.text, engine);
 	for (i = 0; i < orders->count; i++) {
 		const at_order_t *o = &orders->intents[i].intent.order;
-		at_resident_t what = {
-		    o->model, o->adapter, o->version, o->memory_mb, 0};
+		at_resident_t what = at_orders_resident(o);
 
 		if (at_name_equal(&o->engine, &engine->name) &&
 		    (o->kind == AT_ORDER_LOAD_MODEL ||
@@ -85,8 +84,10 @@
 at_resident_t
 at_orders_resident(const at_order_t *order)
 {
-	at_resident_t what = {
-	    order->model, order->adapter, order->version, order->memory_mb, 0};
+	at_resident_t what = {.model = order->model,
+	    .adapter = order->adapter,
+	    .version = order->version,
+	    .memory_mb = order->memory_mb};
 
 	return what;
 }
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -83,6 +83,10 @@
 		return;
 	item->tokens += tokens;
 	item->requests++;
+	if (item->base == NO_ITEM)
+		return;
+	placement->items[item->base].tokens += tokens;
+	placement->items[item->base].requests++;
 }
 
 /* The data centre that must hold a model whatever the memory allows. */
--- a/src/core/placement_plan.c
+++ b/src/core/placement_plan.c
@@ -106,8 +106,9 @@
 	    "load on %.40s: %.70s", r->engines[engine].name.text, reason);
 	r->free_mb[engine] -= item->memory_mb;
 	item->state.coming++;
-	r->load[engine] +=
-	    item->slow_tokens_s / (item->state.serving + item->state.coming);
+	if (item->base == NO_ITEM)
+		r->load[engine] += item->slow_tokens_s /
+				   (item->state.serving + item->state.coming);
 }
 
 static void
--- a/src/core/placement_view.c
+++ b/src/core/placement_view.c
@@ -226,7 +226,8 @@
 		if (s->coming > 0 && s->serving > 0 &&
 		    s->serving + s->coming > item->wanted)
 			r->relocating = 1;
-		if (s->serving + s->coming == 0)
+		/* What an adapter is asked for counts at its base model. */
+		if (s->serving + s->coming == 0 || item->base != NO_ITEM)
 			continue;
 		share = item->slow_tokens_s / (s->serving + s->coming);
 		for (j = item->first; j < item->first + item->places; j++) {
--- /dev/null
+++ b/src/daemon/demand.h
@@ -0,0 +1,27 @@
+/*
+ * demand.h - counts requests and tokens for each model and adapter between
+ * two messages to the instances that plan.
+ */
+#ifndef ALMONDTHREAD_DAEMON_DEMAND_H
+#define ALMONDTHREAD_DAEMON_DEMAND_H
+
+#include "almondthread/placement.h"
+#include "io/peers.h"
+
+typedef struct at_demand at_demand_t;
+
+at_demand_t *at_demand_new(void);
+void at_demand_delete(at_demand_t *demand);
+void at_demand_add(at_demand_t *demand, const char *name, uint64_t tokens);
+
+/*
+ * at_demand_flush() gives what was counted to the planner at hand, when own
+ * is not NULL, and to count peers by name; then it begins anew.
+ */
+void at_demand_flush(at_demand_t *demand, at_placement_t *own,
+    at_peers_t *peers, const at_name_t *const *names, size_t count);
+
+/* at_demand_take() gives a peer's message to the planner. */
+void at_demand_take(at_placement_t *placement, const void *data, size_t len);
+
+#endif
--- a/src/daemon/engine_status.c
+++ b/src/daemon/engine_status.c
@@ -6,6 +6,8 @@
 
 #include <jansson.h>
 
+#include "io/clock.h"
+
 #define STATUS_TOTAL_MS 1000u
 #define URL_SIZE 128
 
@@ -16,6 +18,7 @@
 	char *body;
 	size_t len;
 	int status;
+	uint64_t asked_at_ms;
 } poll_t;
 
 static void
@@ -46,6 +49,7 @@
 {
 	const char *adapter =
 	    json_string_value(json_object_get(object, "adapter"));
+	const char *state = json_string_value(json_object_get(object, "state"));
 
 	memset(resident, 0, sizeof(*resident));
 	(void)at_name_set(&resident->model,
@@ -56,10 +60,11 @@
 	    (uint32_t)json_integer_value(json_object_get(object, "version"));
 	resident->memory_mb =
 	    (uint64_t)json_integer_value(json_object_get(object, "memory_mb"));
+	resident->changing = state != NULL && strcmp(state, "ready") != 0;
 }
 
 static void
-take_report(at_backend_t *backend, json_t *root)
+take_report(at_backend_t *backend, json_t *root, uint64_t asked_at_ms)
 {
 	json_t *list = json_object_get(root, "resident");
 	size_t count = json_array_size(list);
@@ -73,6 +78,9 @@
 	free(backend->view.residents);
 	backend->view.residents = residents;
 	backend->view.resident_count = count;
+	backend->view.report_at_ms = asked_at_ms;
+	backend->view.incarnation =
+	    (uint64_t)json_integer_value(json_object_get(root, "incarnation"));
 }
 
 static void
@@ -87,8 +95,12 @@
 		backend->polling = 0;
 		if (result->whole && poll->status == 200)
 			root = json_loadb(poll->body, poll->len, 0, NULL);
-		if (root != NULL)
-			take_report(backend, root);
+		if (root != NULL) {
+			take_report(backend, root, poll->asked_at_ms);
+			at_placement_io_report(poll->node->placement,
+			    poll->engine.text, poll->asked_at_ms,
+			    &backend->view);
+		}
 	}
 	json_decref(root);
 	free(poll->body);
@@ -111,6 +123,7 @@
 	if (poll == NULL)
 		return;
 	poll->node = node;
+	poll->asked_at_ms = at_clock_now_ms();
 	poll->engine = backend->instance.name;
 	events.ctx = poll;
 	(void)snprintf(
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -8,6 +8,7 @@
 
 #define BEARER "Bearer "
 #define NO_RETRY 0u
+#define BYTES_PER_TOKEN 4u /* of a prompt, about */
 
 static void
 refuse(at_node_t *node, at_httpd_request_t *request, at_reason_t reason)
@@ -103,6 +104,18 @@
 	return AT_REASON_NONE;
 }
 
+/* What a completion costs at most: its prompt and what it may generate. */
+static uint64_t
+tokens_of(json_t *root, size_t body_len, const at_config_t *config)
+{
+	json_t *limit = json_object_get(root, "max_tokens");
+	uint64_t generated = config->defaults.max_tokens;
+
+	if (json_is_integer(limit) && json_integer_value(limit) > 0)
+		generated = (uint64_t)json_integer_value(limit);
+	return body_len / BYTES_PER_TOKEN + generated;
+}
+
 static void
 start_completion(at_node_t *node, at_httpd_request_t *request,
     const at_workspace_t *workspace, json_t *root)
@@ -129,6 +142,8 @@
 		return;
 	}
 	spec.body = at_httpd_body(request, &spec.body_len);
+	at_placement_io_demand(node->placement, model,
+	    tokens_of(root, spec.body_len, node->config));
 	at_exchange_start(node, request, &spec);
 }
 
--- a/src/daemon/explain.c
+++ b/src/daemon/explain.c
@@ -96,8 +96,9 @@
 	h.list = json_array();
 	at_backends_each(node->backends, add_holder, &h);
 	reply(request, 200,
-	    json_pack("{s:s,s:o,s:o}", "model", model, "resident_on", h.list,
-		"exceptions", exceptions_of(node->config, model)));
+	    json_pack("{s:s,s:o,s:o,s:o}", "model", model, "resident_on",
+		h.list, "exceptions", exceptions_of(node->config, model),
+		"placement", at_placement_io_explain(node->placement, model)));
 }
 
 void
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -43,6 +43,7 @@
 	node->budgets = at_budgets_new();
 	node->history = at_history_new();
 	node->peers = at_peers_new(loop);
+	node->placement = at_placement_io_new(node);
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
 	at_httpd_set_fault_handler(node->callers, at_entry_handle_fault, node);
 	at_httpd_set_slow(node->callers, on_slow_caller, node);
@@ -74,6 +75,7 @@
 		at_config_delete(config);
 		return;
 	}
+	at_placement_io_configure(node->placement, config);
 	at_config_delete(node->config);
 	node->config = config;
 	at_httpd_set_max_body(node->callers, config->defaults.max_body_bytes);
@@ -90,6 +92,7 @@
 
 	at_backends_update(node->backends, instances, count);
 	at_peers_update(node->peers, instances, count);
+	at_placement_io_instances(node->placement);
 }
 
 static void
@@ -167,6 +170,7 @@
 		return status->code;
 	at_platform_set_counters(node->platform, node->counters);
 	node->store = at_platform_store(node->platform);
+	at_placement_io_init(node->placement);
 	node->store.watch(node->store.impl, "config/", on_config, node);
 	at_platform_watch_instances(node->platform, on_instances, node);
 	ev_timer_init(&node->status_timer, on_status_timer, 0., STATUS_EVERY_S);
@@ -232,6 +236,7 @@
 	node->stop_since_ms = at_clock_now_ms();
 	at_httpd_close_connections(node->callers);
 	at_peers_leave(node->peers);
+	at_placement_io_release(node->placement);
 	at_log(AT_LOG_INFO, "node", NULL, "Stops; the balancer has %u ms.",
 	    node->settings.drain_ms);
 	ev_timer_init(
@@ -249,6 +254,7 @@
 	ev_timer_stop(node->loop, &node->status_timer);
 	at_httpd_delete(node->callers);
 	at_exchange_delete_all(node);
+	at_placement_io_delete(node->placement);
 	at_httpd_delete(node->operators);
 	at_peers_delete(node->peers);
 	at_platform_delete(node->platform);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -15,6 +15,7 @@
 #include "almondthread/ports.h"
 #include "daemon/backends.h"
 #include "daemon/history.h"
+#include "daemon/placement_io.h"
 #include "io/httpc.h"
 #include "io/httpd.h"
 #include "io/peers.h"
@@ -64,6 +65,7 @@
 	at_config_t *config; /* NULL until the first one */
 	at_backends_t *backends;
 	at_history_t *history; /* of refusals, for explain */
+	at_placement_io_t *placement;
 	ev_timer stop_timer;
 	ev_timer status_timer;
 	uint64_t stop_since_ms;
--- a/src/daemon/operators.c
+++ b/src/daemon/operators.c
@@ -49,13 +49,14 @@
 	    {"Content-Type", "application/json"}, {NULL, NULL}};
 	uint64_t age_ms = at_platform_age_ms(node->platform);
 	json_t *list = json_array();
-	json_t *root = json_pack("{s:s,s:s,s:s,s:I,s:I,s:o}", "name",
+	json_t *root = json_pack("{s:s,s:s,s:s,s:I,s:I,s:o,s:o}", "name",
 	    node->self.instance.text, "data_centre", node->data_centre.text,
 	    "state", at_node_state_names[node->state], "generation",
 	    (json_int_t)(node->config == NULL ? 0 : node->config->generation),
 	    "platform_age_ms",
 	    age_ms == UINT64_MAX ? (json_int_t)-1 : (json_int_t)age_ms,
-	    "backends", list);
+	    "placement", at_placement_io_status(node->placement), "backends",
+	    list);
 	char *text;
 
 	at_backends_each(node->backends, add_backend, list);
--- /dev/null
+++ b/src/daemon/placement_io.c
@@ -0,0 +1,456 @@
+#include "daemon/placement_io.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "almondthread/log.h"
+#include "daemon/placement_impl.h"
+#include "io/clock.h"
+
+#define TICK_S 0.1        /* between two looks at the machines */
+#define DECISIONS_MAX 64u /* of one round */
+#define AWAY_MS 10000u    /* an engine silent for longer is away */
+#define ROLE "lease"      /* soft role: candidates for the lease */
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	at_placement_io_run(timer->data);
+}
+
+static void
+on_demand(void *ctx, const at_member_t *from, const void *data, size_t len)
+{
+	at_placement_io_t *io = ctx;
+
+	(void)from;
+	at_demand_take(io->placement, data, len);
+}
+
+at_placement_io_t *
+at_placement_io_new(at_node_t *node)
+{
+	at_placement_io_t *io = calloc(1, sizeof(*io));
+
+	if (io == NULL)
+		return NULL;
+	io->node = node;
+	io->lease = at_lease_new();
+	io->orders = at_orders_new();
+	io->placement = at_placement_new();
+	io->demand = at_demand_new();
+	at_peers_set_handler(node->peers, AT_PEER_DEMAND, on_demand, io);
+	ev_timer_init(&io->tick, on_tick, TICK_S, TICK_S);
+	io->tick.data = io;
+	return io;
+}
+
+void
+at_placement_io_init(at_placement_io_t *io)
+{
+	at_node_t *node = io->node;
+
+	(void)snprintf(io->lease_object, sizeof(io->lease_object),
+	    AT_LEASE_OBJECT "%s", node->data_centre.text);
+	(void)snprintf(io->orders_object, sizeof(io->orders_object),
+	    AT_ORDERS_OBJECT "%s", node->data_centre.text);
+	at_lease_set_self(io->lease, &node->self);
+	at_orders_set_self(io->orders, &node->self);
+	ev_timer_start(node->loop, &io->tick);
+	io->started = 1;
+}
+
+void
+at_placement_io_delete(at_placement_io_t *io)
+{
+	if (io == NULL)
+		return;
+	ev_timer_stop(io->node->loop, &io->tick);
+	at_sending_cancel_all(io);
+	at_demand_delete(io->demand);
+	at_placement_delete(io->placement);
+	at_orders_delete(io->orders);
+	at_lease_delete(io->lease);
+	free(io);
+}
+
+/* A data centre's even share of what the weight store allows. */
+static uint32_t
+share_of(uint32_t whole, size_t data_centres)
+{
+	uint32_t share =
+	    data_centres > 0 ? whole / (uint32_t)data_centres : whole;
+
+	return share > 0 ? share : 1;
+}
+
+void
+at_placement_io_configure(at_placement_io_t *io, const at_config_t *config)
+{
+	const at_defaults_t *d = &config->defaults;
+	at_orders_limits_t limits = {.order_lifetime_ms = d->order_lifetime_ms,
+	    .loads_per_1000_s =
+		share_of(d->loads_per_1000_s, config->data_centre_count),
+	    .loads_in_flight =
+		share_of(d->loads_in_flight, config->data_centre_count),
+	    .adapters_in_flight =
+		share_of(d->adapters_in_flight, config->data_centre_count)};
+
+	if (at_placement_set_config(
+		io->placement, config, &io->node->data_centre) != 0) {
+		at_log(AT_LOG_ERROR, "placement", NULL,
+		    "No memory for the new configuration.");
+		return;
+	}
+	io->config = config;
+	at_orders_set_limits(io->orders, &limits);
+	at_placement_io_instances(io);
+}
+
+/* Whether an engine is listed, stays and reported within max_age_ms. */
+static int
+is_usable(const at_backend_t *b, uint32_t max_age_ms)
+{
+	return b != NULL && b->present && !b->instance.leaving &&
+	       b->view.report_at_ms != 0 &&
+	       at_clock_now_ms() <= b->view.report_at_ms + max_age_ms;
+}
+
+static int
+is_ours(const at_placement_io_t *io, const at_engine_t *engine)
+{
+	return at_name_equal(&engine->data_centre, &io->node->data_centre);
+}
+
+/* Tells the orders which engines of this data centre there are. */
+static void
+update_engines(at_placement_io_t *io)
+{
+	size_t i;
+
+	for (i = 0; i < io->config->engine_count; i++) {
+		const at_engine_t *e = &io->config->engines[i];
+
+		if (!is_ours(io, e))
+			continue;
+		(void)at_orders_engine(io->orders, e->name.text, e->memory_mb,
+		    e->heeds_fencing,
+		    is_usable(
+			at_backends_find(io->node->backends, e->name.text),
+			AT_ORDERS_REPORT_AGE_MS));
+	}
+}
+
+void
+at_placement_io_instances(at_placement_io_t *io)
+{
+	if (io->config == NULL)
+		return;
+	update_engines(io);
+	at_senders_listed(io, at_clock_now_ms());
+}
+
+void
+at_placement_io_report(at_placement_io_t *io, const char *engine,
+    uint64_t asked_at_ms, const at_engine_view_t *view)
+{
+	(void)at_orders_report(io->orders, engine, asked_at_ms,
+	    view->incarnation, view->residents, view->resident_count);
+}
+
+void
+at_placement_io_demand(at_placement_io_t *io, const char *name, uint64_t tokens)
+{
+	at_demand_add(io->demand, name, tokens);
+}
+
+void
+at_placement_io_release(at_placement_io_t *io)
+{
+	at_lease_release(io->lease);
+	at_placement_io_run(io);
+}
+
+static void
+on_lease(void *ctx, const at_store_result_t *result)
+{
+	at_placement_io_t *io = ctx;
+
+	at_lease_answer(io->lease, at_clock_now_ms(), result);
+	at_placement_io_run(io);
+}
+
+static void
+on_object(void *ctx, const at_store_result_t *result)
+{
+	at_placement_io_t *io = ctx;
+
+	io->object_open = 0;
+	if (io->object_term == io->term)
+		at_orders_answer(io->orders, result);
+	at_placement_io_run(io);
+}
+
+static void
+run_lease(at_placement_io_t *io)
+{
+	const at_store_t *store = &io->node->store;
+	at_lease_action_t action;
+
+	at_lease_process(io->lease, at_clock_now_ms(), &action);
+	if (action.call == AT_LEASE_READ)
+		store->get(store->impl, io->lease_object, on_lease, io);
+	else if (action.call == AT_LEASE_WRITE)
+		store->put(store->impl, io->lease_object, action.expect_version,
+		    action.value, action.value_len, on_lease, io);
+}
+
+/* Ends and begins terms as the lease goes and comes. */
+static void
+follow_lease(at_placement_io_t *io)
+{
+	uint64_t fence = at_lease_valid(io->lease, at_clock_now_ms(), 0)
+			     ? at_lease_fence(io->lease)
+			     : 0;
+
+	if (fence == io->term)
+		return;
+	if (io->term != 0) {
+		at_sending_cancel_all(io);
+		at_orders_end(io->orders);
+		io->ended_fence = io->term;
+		io->term = 0;
+		at_log(AT_LOG_INFO, "placement", NULL,
+		    "Gives no more orders in %s.", io->node->data_centre.text);
+	}
+	/* An answer to the last term's call would be taken for this one's. */
+	if (fence == 0 || io->object_open)
+		return;
+	io->term = fence;
+	at_orders_begin(io->orders, fence);
+	at_log(AT_LOG_INFO, "placement", NULL,
+	    "Holds the lease of %s with fencing number %llu.",
+	    io->node->data_centre.text, (unsigned long long)fence);
+}
+
+static void
+call_object(at_placement_io_t *io, const at_orders_action_t *action)
+{
+	const at_store_t *store = &io->node->store;
+
+	io->object_open = 1;
+	io->object_term = io->term;
+	if (action->call == AT_ORDERS_READ)
+		store->get(store->impl, io->orders_object, on_object, io);
+	else
+		store->put(store->impl, io->orders_object,
+		    action->expect_version, action->value, action->value_len,
+		    on_object, io);
+}
+
+static void
+run_orders(at_placement_io_t *io)
+{
+	at_orders_action_t action;
+
+	for (;;) {
+		at_orders_process(
+		    io->orders, io->lease, at_clock_now_ms(), &action);
+		if (action.call == AT_ORDERS_NO_CALL)
+			return;
+		if (action.call == AT_ORDERS_SEND)
+			at_sending_start(io, &action.order);
+		else
+			call_object(io, &action);
+	}
+}
+
+typedef struct open_orders {
+	at_order_t list[AT_ORDERS_OPEN_MAX];
+	size_t count;
+} open_orders_t;
+
+static void
+add_open(void *ctx, const at_intent_t *intent)
+{
+	open_orders_t *open = ctx;
+
+	open->list[open->count++] = intent->order;
+}
+
+static size_t
+collect_engines(const at_placement_io_t *io, at_place_engine_t *engines)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < io->config->engine_count; i++) {
+		const at_engine_t *declared = &io->config->engines[i];
+		at_place_engine_t *e = &engines[count];
+		const at_account_t *account =
+		    at_orders_account(io->orders, declared->name.text);
+		const at_backend_t *b =
+		    at_backends_find(io->node->backends, declared->name.text);
+
+		if (!is_ours(io, declared) || account == NULL)
+			continue;
+		e->name = declared->name;
+		e->accelerators = declared->accelerators;
+		e->capacity_mb = declared->memory_mb;
+		e->free_mb = at_account_free_mb(account);
+		e->usable = is_usable(b, AWAY_MS);
+		e->leaving = b != NULL && b->instance.leaving;
+		e->residents =
+		    at_account_residents(account, &e->resident_count);
+		count++;
+	}
+	return count;
+}
+
+static void
+propose(at_placement_io_t *io, const at_decision_t *decision)
+{
+	at_status_t status;
+	at_code_t code;
+
+	at_status_clear(&status);
+	code = at_orders_propose(io->orders, &decision->order, decision->reason,
+	    at_clock_now_ms(), &status);
+	at_counters_add(io->node->counters, "decisions_total", "result",
+	    at_code_names[code], 1);
+	if (code == AT_OK)
+		at_log(AT_LOG_INFO, "placement", NULL,
+		    "Decides %s %s on %s: %s.",
+		    at_order_kind_names[decision->order.kind],
+		    decision->order.adapter.text[0]
+			? decision->order.adapter.text
+			: decision->order.model.text,
+		    decision->order.engine.text, decision->reason);
+}
+
+static void
+plan(at_placement_io_t *io, uint64_t now_ms)
+{
+	at_place_engine_t *engines =
+	    calloc(io->config->engine_count + 1, sizeof(*engines));
+	at_decision_t *decisions = calloc(DECISIONS_MAX, sizeof(*decisions));
+	open_orders_t *open = calloc(1, sizeof(*open));
+	size_t count = 0;
+	size_t i;
+
+	if (engines != NULL && decisions != NULL && open != NULL) {
+		at_orders_each(io->orders, add_open, open);
+		count = at_placement_round(io->placement, now_ms, engines,
+		    collect_engines(io, engines), open->list, open->count,
+		    decisions, DECISIONS_MAX);
+	}
+	for (i = 0; i < count; i++)
+		propose(io, &decisions[i]);
+	free(engines);
+	free(decisions);
+	free(open);
+}
+
+/* Sends what was counted to every instance that may come to plan. */
+static void
+share_demand(at_placement_io_t *io)
+{
+	const at_name_t *names[AT_CANDIDATES];
+	const at_node_t *node = io->node;
+	int candidate = 0;
+	size_t count = 0;
+	uint32_t rank;
+
+	for (rank = 0; rank < AT_CANDIDATES; rank++) {
+		const at_name_t *owner =
+		    at_peers_owner(node->peers, &node->data_centre, ROLE, rank);
+
+		if (owner == NULL)
+			break;
+		if (at_name_equal(owner, &node->self.instance))
+			candidate = 1;
+		else
+			names[count++] = owner;
+	}
+	at_lease_set_candidate(io->lease, candidate);
+	at_demand_flush(io->demand, candidate ? io->placement : NULL,
+	    node->peers, names, count);
+}
+
+static void
+run_round(at_placement_io_t *io, uint64_t now_ms)
+{
+	if (io->config == NULL || now_ms < io->next_round_ms)
+		return;
+	io->next_round_ms = now_ms + AT_ROUND_MS;
+	update_engines(io);
+	share_demand(io);
+	if (!at_orders_ready(io->orders))
+		return;
+	at_senders_check(io, now_ms);
+	plan(io, now_ms);
+}
+
+void
+at_placement_io_run(at_placement_io_t *io)
+{
+	if (!io->started)
+		return;
+	if (io->running) {
+		io->again = 1;
+		return;
+	}
+	io->running = 1;
+	do {
+		io->again = 0;
+		run_lease(io);
+		follow_lease(io);
+		run_round(io, at_clock_now_ms());
+		run_orders(io);
+		at_senders_state(io, at_clock_now_ms());
+	} while (io->again);
+	io->running = 0;
+}
+
+static void
+add_intent(void *ctx, const at_intent_t *intent)
+{
+	const at_order_t *o = &intent->order;
+
+	json_array_append_new(ctx,
+	    json_pack("{s:s,s:s,s:s,s:s,s:s}", "kind",
+		at_order_kind_names[o->kind], "engine", o->engine.text,
+		"subject", o->adapter.text[0] ? o->adapter.text : o->model.text,
+		"sender", intent->sender.instance.text, "reason",
+		intent->reason));
+}
+
+json_t *
+at_placement_io_status(const at_placement_io_t *io)
+{
+	json_t *open = json_array();
+
+	at_orders_each(io->orders, add_intent, open);
+	return json_pack("{s:s,s:s,s:I,s:b,s:o}", "lease",
+	    at_lease_state_names[at_lease_state(io->lease)], "holder",
+	    at_lease_holder(io->lease)->instance.text, "fence",
+	    (json_int_t)io->term, "ready", at_orders_ready(io->orders),
+	    "open_orders", open);
+}
+
+json_t *
+at_placement_io_explain(const at_placement_io_t *io, const char *name)
+{
+	const at_place_state_t *s = at_placement_state(io->placement, name);
+
+	if (s == NULL || !at_orders_ready(io->orders))
+		return json_pack("{s:b,s:s}", "plans_here", 0, "ask",
+		    at_lease_holder(io->lease)->instance.text);
+	return json_pack("{s:b,s:i,s:i,s:i,s:i,s:I,s:s}", "plans_here", 1,
+	    "wanted", (int)s->wanted, "serving", (int)s->serving, "coming",
+	    (int)s->coming, "old", (int)s->old, "demand_tokens_s",
+	    (json_int_t)s->demand_tokens_s, "last_decision", s->reason);
+}
--- a/src/standin/common.c
+++ b/src/standin/common.c
@@ -16,7 +16,8 @@
 static const fault_row_t fault_rows[] = {FAULT(outage), FAULT(delay_ms),
     FAULT(lose_replies), FAULT(silent), FAULT(crash), FAULT(truncate_after),
     FAULT(crossed), FAULT(break_whole), FAULT(shorten), FAULT(token_us),
-    FAULT(refuse), FAULT(silent_old)};
+    FAULT(refuse), FAULT(lose_orders), FAULT(late_orders_ms),
+    FAULT(silent_old)};
 
 void
 standin_faults_update(standin_faults_t *faults, json_t *object)
--- a/src/standin/engine.c
+++ b/src/standin/engine.c
@@ -1,4 +1,4 @@
-#include "standin/standin.h"
+#include "standin/engine_memory.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -6,8 +6,6 @@
 #include <string.h>
 
 #define TICK_S 0.001
-#define DEFAULT_MEMORY_MB 80000u
-#define DEFAULT_MODEL_MB 1000u
 #define DEFAULT_TOKEN_US 2000u
 #define DEFAULT_MAX_TOKENS 16u
 #define BYTES_PER_TOKEN 4u
@@ -15,15 +13,6 @@
 #define ID_SIZE 80
 #define US_PER_S 1e6
 
-/* A model or adapter held in memory. */
-typedef struct resident {
-	struct resident *next;
-	char model[NAME_SIZE];
-	char adapter[NAME_SIZE];
-	uint32_t version;
-	uint64_t memory_mb;
-} resident_t;
-
 /* One answer being generated. */
 typedef struct generation {
 	struct generation *next;
@@ -47,11 +36,7 @@
 	at_httpd_t *httpd;
 	standin_faults_t faults;
 	char name[NAME_SIZE];
-	uint64_t memory_mb;
-	uint64_t peak_mb;
-	int heeds_fencing;
-	uint64_t highest_fence;
-	resident_t *residents;
+	standin_memory_t *memory;
 	generation_t *generations;
 	uint32_t running;
 	uint64_t executions;
@@ -60,64 +45,6 @@
 	ev_timer tick;
 };
 
-static uint64_t
-used_mb(const standin_engine_t *engine)
-{
-	const resident_t *r;
-	uint64_t sum = 0;
-
-	for (r = engine->residents; r != NULL; r = r->next)
-		sum += r->memory_mb;
-	return sum;
-}
-
-static resident_t **
-find_resident(standin_engine_t *engine, const char *model, const char *adapter)
-{
-	resident_t **link = &engine->residents;
-
-	while (*link != NULL) {
-		if (strcmp((*link)->model, model) == 0 &&
-		    strcmp((*link)->adapter, adapter) == 0)
-			return link;
-		link = &(*link)->next;
-	}
-	return NULL;
-}
-
-static int
-serves(standin_engine_t *engine, const char *name)
-{
-	const resident_t *r;
-
-	for (r = engine->residents; r != NULL; r = r->next) {
-		const char *own = r->adapter[0] ? r->adapter : r->model;
-
-		if (strcmp(own, name) == 0)
-			return 1;
-	}
-	return 0;
-}
-
-static void
-add_resident(standin_engine_t *engine, const char *model, const char *adapter,
-    uint32_t version, uint64_t memory_mb)
-{
-	resident_t **link = find_resident(engine, model, adapter);
-	resident_t *r = link == NULL ? calloc(1, sizeof(*r)) : *link;
-
-	if (link == NULL) {
-		(void)snprintf(r->model, sizeof(r->model), "%s", model);
-		(void)snprintf(r->adapter, sizeof(r->adapter), "%s", adapter);
-		r->next = engine->residents;
-		engine->residents = r;
-	}
-	r->version = version;
-	r->memory_mb = memory_mb;
-	if (used_mb(engine) > engine->peak_mb)
-		engine->peak_mb = used_mb(engine);
-}
-
 static const char *
 text_of(json_t *object, const char *field)
 {
@@ -135,36 +62,14 @@
 				      : fallback;
 }
 
-/* Carries out one order; returns the result's name. */
-static const char *
-obey(standin_engine_t *engine, json_t *order)
+/* Takes one of the answers that a fault is to hit. */
+static int
+take_fault(uint32_t *left)
 {
-	const char *kind = text_of(order, "kind");
-	const char *model = text_of(order, "model");
-	const char *adapter = text_of(order, "adapter");
-	uint64_t fence = number_of(order, "fence", 0);
-	resident_t **link;
-
-	if (engine->heeds_fencing && fence < engine->highest_fence)
-		return "fenced";
-	if (fence > engine->highest_fence)
-		engine->highest_fence = fence;
-	if (strncmp(kind, "load_", 5) == 0) {
-		add_resident(engine, model, adapter,
-		    (uint32_t)number_of(order, "version", 1),
-		    number_of(order, "memory_mb", DEFAULT_MODEL_MB));
-		return "done";
-	}
-	if (strncmp(kind, "unload_", 7) != 0)
-		return "refused";
-	link = find_resident(engine, model, adapter);
-	if (link != NULL) {
-		resident_t *r = *link;
-
-		*link = r->next;
-		free(r);
-	}
-	return "done";
+	if (*left == 0)
+		return 0;
+	(*left)--;
+	return 1;
 }
 
 static void
@@ -173,11 +78,18 @@
 	size_t len;
 	const char *body = at_httpd_body(request, &len);
 	json_t *order = json_loadb(body, len, 0, NULL);
-	const char *result = obey(engine, order);
+	const char *result = NULL;
 
+	if (take_fault(&engine->faults.lose_orders))
+		result = NULL;
+	else if (engine->faults.late_orders_ms > 0)
+		standin_memory_obey_later(engine->memory, order,
+		    ev_now(engine->loop) + engine->faults.late_orders_ms / 1e3);
+	else
+		result = standin_memory_obey(
+		    engine->memory, order, ev_now(engine->loop));
 	json_decref(order);
-	if (engine->faults.lose_replies > 0) {
-		engine->faults.lose_replies--;
+	if (result == NULL || take_fault(&engine->faults.lose_replies)) {
 		at_httpd_stream_abort(request);
 		return;
 	}
@@ -187,21 +99,13 @@
 static void
 handle_status(standin_engine_t *engine, at_httpd_request_t *request)
 {
-	json_t *residents = json_array();
-	const resident_t *r;
-
-	for (r = engine->residents; r != NULL; r = r->next)
-		json_array_append_new(residents,
-		    json_pack("{s:s,s:s,s:I,s:I}", "model", r->model, "adapter",
-			r->adapter, "version", (json_int_t)r->version,
-			"memory_mb", (json_int_t)r->memory_mb));
-	standin_reply_json(request, 200,
-	    json_pack("{s:s,s:I,s:I,s:I,s:i,s:I,s:I,s:o}", "name", engine->name,
-		"memory_mb", (json_int_t)engine->memory_mb, "used_mb",
-		(json_int_t)used_mb(engine), "peak_mb",
-		(json_int_t)engine->peak_mb, "running", (int)engine->running,
-		"executions", (json_int_t)engine->executions, "cancelled",
-		(json_int_t)engine->cancelled, "resident", residents));
+	json_t *status = json_pack("{s:s,s:i,s:I,s:I}", "name", engine->name,
+	    "running", (int)engine->running, "executions",
+	    (json_int_t)engine->executions, "cancelled",
+	    (json_int_t)engine->cancelled);
+
+	json_object_update_new(status, standin_memory_report(engine->memory));
+	standin_reply_json(request, 200, status);
 }
 
 static void
@@ -273,16 +177,6 @@
 	    g->id, object, g->model, g->made);
 }
 
-/* Takes one of the answers that a fault is to hit. */
-static int
-take_fault(uint32_t *left)
-{
-	if (*left == 0)
-		return 0;
-	(*left)--;
-	return 1;
-}
-
 static void
 end_stream(generation_t *g)
 {
@@ -396,6 +290,7 @@
 	generation_t *next;
 
 	(void)events;
+	standin_memory_process(engine->memory, now);
 	for (g = engine->generations; g != NULL; g = next) {
 		next = g->next;
 		if (g->next_at <= now)
@@ -467,7 +362,7 @@
 	body = json_loadb(text, len, 0, NULL);
 	if (body == NULL)
 		reply_error(request, 400, "bad_json");
-	else if (!serves(engine, text_of(body, "model")))
+	else if (!standin_memory_serves(engine->memory, text_of(body, "model")))
 		reply_error(request, 404, "model_not_found");
 	else
 		start_generation(engine, request, body, len, chat);
@@ -488,6 +383,9 @@
 		standin_faults_update(&engine->faults, object);
 		json_decref(object);
 		standin_reply_json(request, 200, json_object());
+	} else if (strcmp(path, "/control/restart") == 0) {
+		standin_memory_restart(engine->memory);
+		standin_reply_json(request, 200, json_object());
 	} else if (strcmp(path, "/control/seen") == 0) {
 		standin_reply_json(
 		    request, 200, json_pack("{s:O}", "seen", engine->seen));
@@ -512,7 +410,7 @@
 	standin_engine_t *engine = calloc(1, sizeof(*engine));
 
 	engine->loop = loop;
-	engine->memory_mb = DEFAULT_MEMORY_MB;
+	engine->memory = standin_memory_new();
 	engine->faults.token_us = DEFAULT_TOKEN_US;
 	engine->seen = json_array();
 	engine->httpd = at_httpd_new(loop);
@@ -530,13 +428,19 @@
 void
 standin_engine_set_memory_mb(standin_engine_t *engine, uint64_t mb)
 {
-	engine->memory_mb = mb;
+	standin_memory_set_mb(engine->memory, mb);
 }
 
 void
 standin_engine_set_fencing(standin_engine_t *engine, int heeds)
 {
-	engine->heeds_fencing = heeds;
+	standin_memory_set_fencing(engine->memory, heeds);
+}
+
+void
+standin_engine_set_load_ms(standin_engine_t *engine, uint32_t ms)
+{
+	standin_memory_set_load_ms(engine->memory, ms);
 }
 
 void
@@ -548,7 +452,7 @@
 void
 standin_engine_add_model(standin_engine_t *engine, const char *model)
 {
-	add_resident(engine, model, "", 1, DEFAULT_MODEL_MB);
+	standin_memory_add_model(engine->memory, model);
 }
 
 at_code_t
@@ -572,12 +476,7 @@
 {
 	ev_timer_stop(engine->loop, &engine->tick);
 	at_httpd_delete(engine->httpd);
-	while (engine->residents != NULL) {
-		resident_t *next = engine->residents->next;
-
-		free(engine->residents);
-		engine->residents = next;
-	}
+	standin_memory_delete(engine->memory);
 	json_decref(engine->seen);
 	free(engine);
 }
--- /dev/null
+++ b/src/standin/engine_memory.c
@@ -0,0 +1,318 @@
+#include "standin/engine_memory.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+
+#define DEFAULT_MEMORY_MB 80000u
+#define DEFAULT_MODEL_MB 1000u
+#define DEFAULT_LOAD_MS 20u
+
+typedef enum resident_state {
+	RESIDENT_LOADING,
+	RESIDENT_READY,
+	RESIDENT_UNLOADING
+} resident_state_t;
+
+static const char *const state_names[] = {"loading", "ready", "unloading"};
+
+/* A model or adapter held in memory. */
+typedef struct resident {
+	struct resident *next;
+	char model[AT_NAME_SIZE];
+	char adapter[AT_NAME_SIZE];
+	uint32_t version;
+	uint64_t memory_mb;
+	resident_state_t state;
+	double done_at; /* seconds, while it changes */
+} resident_t;
+
+/* An order that waits. */
+typedef struct late_order {
+	struct late_order *next;
+	json_t *order;
+	double at;
+} late_order_t;
+
+struct standin_memory {
+	uint64_t memory_mb;
+	uint64_t peak_mb;
+	uint64_t incarnation;
+	int heeds_fencing;
+	uint64_t highest_fence;
+	uint32_t load_ms;
+	resident_t *residents;
+	late_order_t *late;
+	uint64_t loads;
+	uint64_t unloads;
+};
+
+static uint64_t
+draw_incarnation(void)
+{
+	at_random_t random = at_random_system();
+
+	return random.next(random.impl) >> 1;
+}
+
+standin_memory_t *
+standin_memory_new(void)
+{
+	standin_memory_t *memory = calloc(1, sizeof(*memory));
+
+	memory->memory_mb = DEFAULT_MEMORY_MB;
+	memory->load_ms = DEFAULT_LOAD_MS;
+	memory->incarnation = draw_incarnation();
+	return memory;
+}
+
+void
+standin_memory_set_mb(standin_memory_t *memory, uint64_t mb)
+{
+	memory->memory_mb = mb;
+}
+
+void
+standin_memory_set_fencing(standin_memory_t *memory, int heeds)
+{
+	memory->heeds_fencing = heeds;
+}
+
+void
+standin_memory_set_load_ms(standin_memory_t *memory, uint32_t ms)
+{
+	memory->load_ms = ms;
+}
+
+static void
+free_residents(standin_memory_t *memory)
+{
+	while (memory->residents != NULL) {
+		resident_t *next = memory->residents->next;
+
+		free(memory->residents);
+		memory->residents = next;
+	}
+}
+
+void
+standin_memory_delete(standin_memory_t *memory)
+{
+	free_residents(memory);
+	while (memory->late != NULL) {
+		late_order_t *next = memory->late->next;
+
+		json_decref(memory->late->order);
+		free(memory->late);
+		memory->late = next;
+	}
+	free(memory);
+}
+
+void
+standin_memory_restart(standin_memory_t *memory)
+{
+	free_residents(memory);
+	memory->highest_fence = 0;
+	memory->incarnation = draw_incarnation();
+}
+
+static uint64_t
+used_mb(const standin_memory_t *memory)
+{
+	const resident_t *r;
+	uint64_t sum = 0;
+
+	for (r = memory->residents; r != NULL; r = r->next)
+		sum += r->memory_mb;
+	return sum;
+}
+
+static resident_t *
+find_resident(
+    const standin_memory_t *memory, const char *model, const char *adapter)
+{
+	resident_t *r;
+
+	for (r = memory->residents; r != NULL; r = r->next) {
+		if (strcmp(r->model, model) == 0 &&
+		    strcmp(r->adapter, adapter) == 0)
+			return r;
+	}
+	return NULL;
+}
+
+int
+standin_memory_serves(const standin_memory_t *memory, const char *name)
+{
+	const resident_t *r;
+
+	for (r = memory->residents; r != NULL; r = r->next) {
+		const char *own = r->adapter[0] ? r->adapter : r->model;
+
+		if (r->state == RESIDENT_READY && strcmp(own, name) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+static resident_t *
+add_resident(standin_memory_t *memory, const char *model, const char *adapter,
+    uint32_t version, uint64_t memory_mb)
+{
+	resident_t *r = calloc(1, sizeof(*r));
+
+	(void)snprintf(r->model, sizeof(r->model), "%s", model);
+	(void)snprintf(r->adapter, sizeof(r->adapter), "%s", adapter);
+	r->version = version;
+	r->memory_mb = memory_mb;
+	r->state = RESIDENT_READY;
+	r->next = memory->residents;
+	memory->residents = r;
+	if (used_mb(memory) > memory->peak_mb)
+		memory->peak_mb = used_mb(memory);
+	return r;
+}
+
+void
+standin_memory_add_model(standin_memory_t *memory, const char *model)
+{
+	(void)add_resident(memory, model, "", 1, DEFAULT_MODEL_MB);
+}
+
+static const char *
+text_of(json_t *object, const char *field)
+{
+	const char *text = json_string_value(json_object_get(object, field));
+
+	return text == NULL ? "" : text;
+}
+
+static uint64_t
+number_of(json_t *object, const char *field)
+{
+	return (uint64_t)json_integer_value(json_object_get(object, field));
+}
+
+static void
+obey_load(standin_memory_t *memory, json_t *order, double done_at)
+{
+	const char *model = text_of(order, "model");
+	const char *adapter = text_of(order, "adapter");
+	resident_t *r;
+
+	if (find_resident(memory, model, adapter) != NULL)
+		return;
+	r = add_resident(memory, model, adapter,
+	    (uint32_t)number_of(order, "version"),
+	    number_of(order, "memory_mb"));
+	r->state = RESIDENT_LOADING;
+	r->done_at = done_at;
+	memory->loads++;
+}
+
+static void
+obey_unload(standin_memory_t *memory, json_t *order, double done_at)
+{
+	resident_t *r = find_resident(
+	    memory, text_of(order, "model"), text_of(order, "adapter"));
+
+	if (r == NULL || r->state == RESIDENT_UNLOADING)
+		return;
+	r->state = RESIDENT_UNLOADING;
+	r->done_at = done_at;
+	memory->unloads++;
+}
+
+const char *
+standin_memory_obey(standin_memory_t *memory, json_t *order, double now)
+{
+	const char *kind = text_of(order, "kind");
+	uint64_t fence = number_of(order, "fence");
+	double done_at = now + (double)memory->load_ms / AT_MS_PER_S;
+
+	if (memory->heeds_fencing && fence < memory->highest_fence)
+		return "fenced";
+	if (fence > memory->highest_fence)
+		memory->highest_fence = fence;
+	if (strncmp(kind, "load_", 5) == 0)
+		obey_load(memory, order, done_at);
+	else if (strncmp(kind, "unload_", 7) == 0)
+		obey_unload(memory, order, done_at);
+	else
+		return "refused";
+	return "done";
+}
+
+void
+standin_memory_obey_later(standin_memory_t *memory, json_t *order, double at)
+{
+	late_order_t *late = calloc(1, sizeof(*late));
+
+	late->order = json_incref(order);
+	late->at = at;
+	late->next = memory->late;
+	memory->late = late;
+}
+
+static void
+process_late(standin_memory_t *memory, double now)
+{
+	late_order_t **link = &memory->late;
+
+	while (*link != NULL) {
+		late_order_t *late = *link;
+
+		if (now < late->at) {
+			link = &late->next;
+			continue;
+		}
+		*link = late->next;
+		(void)standin_memory_obey(memory, late->order, now);
+		json_decref(late->order);
+		free(late);
+	}
+}
+
+void
+standin_memory_process(standin_memory_t *memory, double now)
+{
+	resident_t **link = &memory->residents;
+
+	process_late(memory, now);
+	while (*link != NULL) {
+		resident_t *r = *link;
+
+		if (r->state == RESIDENT_LOADING && now >= r->done_at)
+			r->state = RESIDENT_READY;
+		if (r->state != RESIDENT_UNLOADING || now < r->done_at) {
+			link = &r->next;
+			continue;
+		}
+		*link = r->next;
+		free(r);
+	}
+}
+
+json_t *
+standin_memory_report(const standin_memory_t *memory)
+{
+	json_t *list = json_array();
+	const resident_t *r;
+
+	for (r = memory->residents; r != NULL; r = r->next)
+		json_array_append_new(
+		    list, json_pack("{s:s,s:s,s:I,s:I,s:s}", "model", r->model,
+			      "adapter", r->adapter, "version",
+			      (json_int_t)r->version, "memory_mb",
+			      (json_int_t)r->memory_mb, "state",
+			      state_names[r->state]));
+	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "memory_mb",
+	    (json_int_t)memory->memory_mb, "used_mb",
+	    (json_int_t)used_mb(memory), "peak_mb", (json_int_t)memory->peak_mb,
+	    "incarnation", (json_int_t)memory->incarnation, "loads",
+	    (json_int_t)memory->loads, "unloads", (json_int_t)memory->unloads,
+	    "resident", list);
+}
--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -18,6 +18,7 @@
 	const char *control;
 	uint32_t memory_mb;
 	uint32_t token_us;
+	uint32_t load_ms;
 	uint32_t heeds_fencing;
 } options_t;
 
@@ -85,6 +86,7 @@
 	standin_engine_set_memory_mb(engine, o->memory_mb);
 	standin_engine_set_fencing(engine, (int)o->heeds_fencing);
 	standin_engine_set_token_us(engine, o->token_us);
+	standin_engine_set_load_ms(engine, o->load_ms);
 	add_models(engine, o->models);
 	failed = standin_engine_init(engine, o->listen, status) != AT_OK;
 	if (!failed)
@@ -148,6 +150,8 @@
 		UINT32_MAX, "engine: memory for weights in MB"},
 	    {"token-us", NULL, AT_SETTING_NUMBER, &o.token_us, "2000", 0,
 		10000000, "engine: time of one token in microseconds"},
+	    {"load-ms", NULL, AT_SETTING_NUMBER, &o.load_ms, "20", 0, 3600000,
+		"engine: time of one load or unload in milliseconds"},
 	    {"heeds-fencing", NULL, AT_SETTING_FLAG, &o.heeds_fencing, "0", 0,
 		1, "engine: refuse orders with an old fencing number"},
 	};
--- a/src/standin/platform.c
+++ b/src/standin/platform.c
@@ -49,6 +49,8 @@
 	uint64_t calls; /* every call counts, a waiting watch as one */
 	uint64_t writes;
 	waiter_t *waiters;
+	int serving;     /* waiters are being looked through */
+	int serve_again; /* a write came meanwhile */
 	ev_timer tick;
 };
 
@@ -114,7 +116,7 @@
 }
 
 static void
-serve_waiters(standin_platform_t *platform)
+serve_waiters_once(standin_platform_t *platform)
 {
 	waiter_t **link = &platform->waiters;
 	waiter_t *waiter;
@@ -131,6 +133,21 @@
 	}
 }
 
+/* A delayed write that is answered here calls this again. */
+static void
+serve_waiters(standin_platform_t *platform)
+{
+	platform->serve_again = 1;
+	if (platform->serving)
+		return;
+	platform->serving = 1;
+	while (platform->serve_again) {
+		platform->serve_again = 0;
+		serve_waiters_once(platform);
+	}
+	platform->serving = 0;
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -26,6 +26,8 @@
 	uint32_t crossed;        /* engine: n answers carry another id */
 	uint32_t token_us;       /* engine: time between tokens */
 	uint32_t refuse;         /* this many requests are refused unrun */
+	uint32_t lose_orders;    /* engine: n orders vanish */
+	uint32_t late_orders_ms; /* engine: orders wait, unanswered */
 	uint32_t silent_old;     /* relay: open connections go silent */
 } standin_faults_t;
 
@@ -48,6 +50,8 @@
 void standin_engine_set_name(standin_engine_t *engine, const char *name);
 void standin_engine_set_memory_mb(standin_engine_t *engine, uint64_t mb);
 void standin_engine_set_fencing(standin_engine_t *engine, int heeds);
+/* standin_engine_set_load_ms() sets what a load or an unload takes. */
+void standin_engine_set_load_ms(standin_engine_t *engine, uint32_t ms);
 void standin_engine_set_token_us(standin_engine_t *engine, uint32_t us);
 /* standin_engine_add_model() makes a model resident before the start. */
 void standin_engine_add_model(standin_engine_t *engine, const char *model);
--- /dev/null
+++ b/tests/contract/test_placement_io.c
@@ -0,0 +1,276 @@
+/*
+ * Placement over real connections: engines start empty, and the instances
+ * load what the configuration names. Bounds come from the stated targets: a
+ * planned hand-over under a second, a crash the lease's term, a restarted
+ * engine the order lifetime and its reports.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <jansson.h>
+
+#include "almondthread/lease.h"
+#include "daemon/placement_impl.h"
+#include "support/fixture.h"
+
+#define NODES 3u
+#define SETTLE_MS 20000u   /* six models at two loads a second */
+#define HAND_OVER_MS 1000u /* planned */
+#define CRASH_MS (AT_LEASE_TERM_MS + 4000u) /* then the next round */
+#define CAPACITY_MB 100u
+
+static fixture_t *f;
+
+static const char config[] =
+    "{\"generation\":%d,\"defaults\":{\"loads_per_1000_s\":10000,"
+    "\"order_lifetime_ms\":1000},\"data_centres\":[\"north\"],"
+    "\"models\":[{\"name\":\"m1\",\"memory_mb\":40,\"version\":%d},"
+    "{\"name\":\"m2\",\"memory_mb\":50},{\"name\":\"m3\",\"memory_mb\":"
+    "45},{\"name\":\"m4\",\"memory_mb\":30}],\"adapters\":[{\"name\":\"a1\","
+    "\"model\":\"m1\",\"memory_mb\":5},{\"name\":\"a2\",\"model\":\"m2\","
+    "\"memory_mb\":5}],\"engines\":[{\"name\":\"e1\",\"data_centre\":"
+    "\"north\",\"memory_mb\":100,\"heeds_fencing\":true},{\"name\":\"e2\","
+    "\"data_centre\":\"north\",\"memory_mb\":100},{\"name\":\"e3\","
+    "\"data_centre\":\"north\",\"memory_mb\":100}]}";
+
+static const char *const names[] = {"m1", "m2", "m3", "m4", "a1", "a2"};
+
+/* Reads what an engine stand-in says of itself. */
+static json_t *
+engine_status(size_t engine)
+{
+	fixture_answer_t a = fixture_call(
+	    f, "GET", f->engine_addresses[engine], "/v1/status", NULL, NULL);
+	json_t *root = json_loads(a.body, 0, NULL);
+
+	fixture_answer_free(&a);
+	cr_assert_not_null(root);
+	return root;
+}
+
+static void
+check_memory(void)
+{
+	size_t i;
+
+	for (i = 0; i < f->engine_count; i++) {
+		json_t *root = engine_status(i);
+
+		cr_assert_leq(
+		    json_integer_value(json_object_get(root, "peak_mb")),
+		    (json_int_t)CAPACITY_MB, "engine %zu", i);
+		json_decref(root);
+	}
+}
+
+static int
+holds(json_t *list, const char *name, int version)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(list, i, row)
+	{
+		const char *adapter =
+		    json_string_value(json_object_get(row, "adapter"));
+		const char *model =
+		    json_string_value(json_object_get(row, "model"));
+		const char *state =
+		    json_string_value(json_object_get(row, "state"));
+
+		if (strcmp(adapter[0] ? adapter : model, name) == 0 &&
+		    strcmp(state, "ready") == 0 &&
+		    (version == 0 || json_integer_value(json_object_get(
+					 row, "version")) == version))
+			return 1;
+	}
+	return 0;
+}
+
+static int
+stands(const char *name, int version)
+{
+	size_t i;
+	int found = 0;
+
+	for (i = 0; i < f->engine_count && !found; i++) {
+		json_t *root = engine_status(i);
+
+		found = holds(json_object_get(root, "resident"), name, version);
+		json_decref(root);
+	}
+	return found;
+}
+
+static int
+all_stand(void *ctx)
+{
+	size_t i;
+
+	(void)ctx;
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		if (!stands(names[i], 0))
+			return 0;
+	}
+	return 1;
+}
+
+/* Returns the node that is ready to give orders, or -1. */
+static int
+holder(void)
+{
+	size_t i;
+
+	for (i = 0; i < f->node_count; i++) {
+		if (f->nodes[i] != NULL &&
+		    at_orders_ready(f->nodes[i]->placement->orders))
+			return (int)i;
+	}
+	return -1;
+}
+
+static int
+has_holder(void *ctx)
+{
+	(void)ctx;
+	return holder() >= 0;
+}
+
+static void
+apply(int generation, int version)
+{
+	char text[2048];
+
+	(void)snprintf(text, sizeof(text), config, generation, version);
+	fixture_apply(f, text);
+}
+
+static void
+setup(void)
+{
+	const char *const engines[] = {"e1", "e2", "e3"};
+	const char *const nodes[] = {"n1", "n2", "n3"};
+	size_t i;
+
+	f = fixture_new();
+	for (i = 0; i < 3; i++)
+		(void)fixture_add_engine(f, engines[i], "north", NULL);
+	for (i = 0; i < NODES; i++)
+		(void)fixture_add_node(f, nodes[i], "north");
+	apply(1, 1);
+	cr_assert(fixture_until(f, all_stand, NULL, SETTLE_MS),
+	    "not everything stands");
+	check_memory();
+}
+
+static void
+teardown(void)
+{
+	check_memory();
+	fixture_delete(f);
+}
+
+Test(placement_io, empty_engines_are_filled, .init = setup, .fini = teardown)
+{
+	char path[64];
+	fixture_answer_t a;
+
+	(void)snprintf(path, sizeof(path), "/explain?model=a1");
+	a = fixture_call(
+	    f, "GET", f->operator_addresses[holder()], path, NULL, NULL);
+	cr_assert(strstr(a.body, "it stands nowhere"), "%s", a.body);
+	fixture_answer_free(&a);
+}
+
+Test(
+    placement_io, a_stopping_holder_hands_over, .init = setup, .fini = teardown)
+{
+	int first = holder();
+
+	at_node_stop(f->nodes[first]);
+	cr_assert_neq(holder(), first);
+	cr_assert(fixture_until(f, has_holder, NULL, HAND_OVER_MS));
+	cr_assert_neq(holder(), first);
+}
+
+Test(
+    placement_io, a_crashed_holder_is_replaced, .init = setup, .fini = teardown)
+{
+	fixture_remove_node(f, (size_t)holder());
+	cr_assert(fixture_until(f, has_holder, NULL, CRASH_MS));
+}
+
+Test(
+    placement_io, a_restarted_engine_is_filled, .init = setup, .fini = teardown)
+{
+	size_t i;
+
+	for (i = 0; i < f->engine_count; i++) {
+		fixture_answer_t a = fixture_call(f, "POST",
+		    f->engine_addresses[i], "/control/restart", NULL, "{}");
+
+		fixture_answer_free(&a);
+		cr_assert(fixture_until(f, all_stand, NULL, SETTLE_MS),
+		    "engine %zu", i);
+	}
+}
+
+static int
+has_second_version(void *ctx)
+{
+	(void)ctx;
+	return all_stand(NULL) && stands("m1", 2) && !stands("m1", 1);
+}
+
+Test(placement_io, a_new_version_replaces_the_old, .init = setup,
+    .fini = teardown)
+{
+	apply(2, 2);
+	cr_assert(fixture_until(f, has_second_version, NULL, 2 * SETTLE_MS));
+}
+
+typedef struct fault_row {
+	const char *name;
+	const char *faults; /* of every engine */
+	const char *platform;
+} fault_row_t;
+
+static const fault_row_t fault_rows[] = {
+    {"orders lost", "{\"lose_orders\":2}", "{}"},
+    {"orders late", "{\"late_orders_ms\":700}", "{}"},
+    {"replies to orders lost", "{\"lose_replies\":2}", "{}"},
+    {"replies of the store lost", "{}", "{\"lose_replies\":3}"},
+    {"store slow", "{}", "{\"delay_ms\":200}"},
+};
+
+Test(placement_io, heals_under_each_fault, .init = setup, .fini = teardown)
+{
+	size_t row;
+	size_t i;
+
+	for (row = 0; row < sizeof(fault_rows) / sizeof(fault_rows[0]); row++) {
+		for (i = 0; i < f->engine_count; i++)
+			fixture_faults(
+			    f, f->engine_addresses[i], fault_rows[row].faults);
+		fixture_faults(
+		    f, f->platform_address, fault_rows[row].platform);
+		for (i = 0; i < 2; i++) {
+			fixture_answer_t a =
+			    fixture_call(f, "POST", f->engine_addresses[i],
+				"/control/restart", NULL, "{}");
+
+			fixture_answer_free(&a);
+		}
+		cr_assert(fixture_until(f, all_stand, NULL, 2 * SETTLE_MS),
+		    "%s", fault_rows[row].name);
+		fixture_faults(f, f->platform_address,
+		    "{\"lose_replies\":0,\"delay_ms\":0}");
+		for (i = 0; i < f->engine_count; i++)
+			fixture_faults(f, f->engine_addresses[i],
+			    "{\"lose_orders\":0,\"late_orders_ms\":0,"
+			    "\"lose_replies\":0}");
+		check_memory();
+	}
+}
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -98,8 +98,10 @@
 {
 	at_place_engine_t *e = &fleet->engines[index];
 	at_resident_t *residents = fleet->residents[index];
-	at_resident_t what = {
-	    order->model, order->adapter, order->version, order->memory_mb, 0};
+	at_resident_t what = {.model = order->model,
+	    .adapter = order->adapter,
+	    .version = order->version,
+	    .memory_mb = order->memory_mb};
 	size_t i;
 
 	if (order->kind == AT_ORDER_LOAD_MODEL ||
