Let the planner take part in the fuzzing of orders

Cause: the planner's decisions reached the fuzzer's engines only by chance.

Change: each instance of fuzz_orders has a planner; a round under jumping demand is one of the operations, beside random proposals.

--- a/tests/fuzz/fuzz_orders.c
+++ b/tests/fuzz/fuzz_orders.c
@@ -1,9 +1,10 @@
 /*
- * Leases and orders of three instances on three engines, against an oracle
- * that knows what each engine truly holds. Orders are lost, late, doubled and
- * reordered; reports are late; the store loses calls and replies, applies
- * writes after it was given up on, and goes away; instances pause at any
- * action, crash and come back; clocks differ in rate; engines restart empty.
+ * Leases, orders and planners of three instances on three engines, against an
+ * oracle that knows what each engine truly holds. Orders are lost, late,
+ * doubled and reordered; reports are late; the store loses calls and replies,
+ * applies writes after it was given up on, and goes away; instances pause at
+ * any action, crash and come back; clocks differ in rate; engines restart
+ * empty.
  *
  * Each input is a seed and a list of operations; every run makes OPERATIONS
  * of them. check-args: -seed=1 -runs=5500 -max_len=64 -rss_limit_mb=1024
@@ -15,6 +16,44 @@
 
 #define OPERATIONS 200u
 
+static at_name_t data_centre = {"d"};
+static at_model_t models[4];
+static at_adapter_t adapters[2];
+static at_engine_t declared[ENGINES];
+static at_config_t config = {.data_centres = &data_centre,
+    .data_centre_count = 1,
+    .models = models,
+    .model_count = 4,
+    .adapters = adapters,
+    .adapter_count = 2,
+    .engines = declared,
+    .engine_count = ENGINES,
+    .defaults = {.min_replicas = 1, .engine_tokens_s = 1000}};
+
+static void
+config_fill(void)
+{
+	at_name_t none;
+	size_t i;
+
+	for (i = 0; i < 4; i++) {
+		slot_names(i, &models[i].name, &none);
+		models[i].version = 1;
+		models[i].memory_mb = slot_mb[i];
+	}
+	for (i = 0; i < 2; i++) {
+		slot_names(4 + i, &adapters[i].model, &adapters[i].name);
+		adapters[i].version = 1;
+		adapters[i].memory_mb = slot_mb[4 + i];
+	}
+	for (i = 0; i < ENGINES; i++) {
+		engine_name(declared[i].name.text, i);
+		declared[i].data_centre = data_centre;
+		declared[i].accelerators = 1;
+		declared[i].memory_mb = CAPACITY_MB;
+	}
+}
+
 static void
 node_start(node_t *node, size_t index)
 {
@@ -26,6 +65,9 @@
 	node->self.number = ++next_number;
 	node->lease = at_lease_new();
 	node->orders = at_orders_new();
+	node->placement = at_placement_new();
+	(void)at_placement_set_config(
+	    node->placement, &config, &config.data_centres[0]);
 	at_lease_set_self(node->lease, &node->self);
 	at_orders_set_self(node->orders, &node->self);
 	at_orders_set_limits(
@@ -47,6 +89,7 @@
 {
 	at_lease_delete(node->lease);
 	at_orders_delete(node->orders);
+	at_placement_delete(node->placement);
 	free(node->held_value);
 	node->held_value = NULL;
 }
@@ -172,6 +215,57 @@
 	    node->orders, &order, "fuzz", clock_of(node), &status);
 }
 
+typedef struct open_list {
+	at_order_t orders[AT_ORDERS_OPEN_MAX];
+	size_t count;
+} open_list_t;
+
+static void
+collect_open(void *ctx, const at_intent_t *intent)
+{
+	open_list_t *open = ctx;
+
+	open->orders[open->count++] = intent->order;
+}
+
+/* One round of the planner, under demand that jumps about. */
+static void
+plan(node_t *node)
+{
+	static open_list_t open;
+	at_place_engine_t view[ENGINES] = {0};
+	at_decision_t decisions[16];
+	at_status_t status;
+	char name[8] = "a";
+	size_t count;
+	size_t i;
+
+	if (now < node->paused_until || node->fence == 0)
+		return;
+	for (i = 0; i < ENGINES; i++) {
+		const at_account_t *account;
+
+		engine_name(view[i].name.text, i);
+		account = at_orders_account(node->orders, view[i].name.text);
+		view[i].accelerators = 1;
+		view[i].capacity_mb = CAPACITY_MB;
+		view[i].free_mb = at_account_free_mb(account);
+		view[i].usable = 1;
+		view[i].leaving = chance(5);
+		view[i].residents =
+		    at_account_residents(account, &view[i].resident_count);
+	}
+	name[0] = (char)('a' + at_rng_below(&rng, SLOTS));
+	at_placement_demand(node->placement, name, at_rng_below(&rng, 100000));
+	open.count = 0;
+	at_orders_each(node->orders, collect_open, &open);
+	count = at_placement_round(node->placement, clock_of(node), view,
+	    ENGINES, open.orders, open.count, decisions, 16);
+	for (i = 0; i < count; i++)
+		(void)at_orders_propose(node->orders, &decisions[i].order,
+		    decisions[i].reason, clock_of(node), &status);
+}
+
 typedef struct teller {
 	node_t *holder;
 	at_incarnation_t senders[AT_ORDERS_OPEN_MAX];
@@ -262,8 +356,10 @@
 {
 	size_t i;
 
-	if (op < 70)
+	if (op < 40)
 		propose(pick_holder(), 1);
+	else if (op < 80)
+		plan(pick_holder());
 	else if (op < 160)
 		propose(pick_holder(), 0);
 	else if (op < 175)
@@ -288,6 +384,7 @@
 	rng.state = size;
 	for (i = 0; i < size && i < sizeof(rng.state); i++)
 		rng.state = rng.state * 257 + data[i];
+	config_fill();
 	world_reset();
 	for (i = 0; i < NODES; i++)
 		node_start(&nodes[i], i);
--- a/tests/fuzz/orders_world.h
+++ b/tests/fuzz/orders_world.h
@@ -7,6 +7,7 @@
 #define ALMONDTHREAD_TESTS_ORDERS_WORLD_H
 
 #include "almondthread/orders.h"
+#include "almondthread/placement.h"
 
 #define NODES 3u
 #define ENGINES 3u
@@ -45,6 +46,7 @@
 typedef struct node {
 	at_lease_t *lease;
 	at_orders_t *orders;
+	at_placement_t *placement;
 	at_incarnation_t self;
 	uint64_t fence; /* begun in orders; 0: none */
 	uint64_t ended_fence;
