--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -13,6 +13,7 @@
 
 /* Each returns the exit code; argv[0] is the subcommand's own word. */
 int bench_verdicts(int argc, char **argv);
+int bench_place(int argc, char **argv);
 int bench_entry(int argc, char **argv);
 int bench_route(int argc, char **argv);
 
--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -13,6 +13,7 @@
 } command_t;
 
 static const command_t commands[] = {
+    {"place", bench_place, "rounds of the planner: cost and moves"},
     {"verdicts", bench_verdicts, "every reason, its status and verdict"},
     {"entry", bench_entry, "latency and throughput of an entry instance"},
     {"route", bench_route, "cost of one routing decision"},
