--- a/src/bench/place.c
+++ b/src/bench/place.c
@@ -25,21 +25,21 @@
 typedef struct size_row {
 	const char *name;
 	size_t engines;
-	uint32_t accelerators;
 	uint64_t engine_mb;
 	size_t models;
 	size_t adapters;
-	uint32_t loads_per_1000_s; /* this data centre's share */
 	double tokens_s;           /* of this data centre */
+	uint32_t accelerators;     /* of each engine */
+	uint32_t loads_per_1000_s; /* this data centre's share */
 } size_row_t;
 
 static const size_row_t sizes[] = {
-    {"harthy", 5, 1, 160000, 20, 80, 667, 2000},
-    {"huilun", 4, 1, 160000, 17, 55, 375, 1500},
-    {"target/4", 31, 8, 640000, 300, 1200, 2000, 95000},
-    {"target/2", 61, 8, 640000, 600, 2400, 2000, 190000},
-    {"target", 122, 8, 640000, 1200, 4800, 2000, 380000},
-    {"target*2", 244, 8, 640000, 2400, 9600, 4000, 760000},
+    {"harthy", 5, 160000, 20, 80, 2000, 1, 667},
+    {"huilun", 4, 160000, 17, 55, 1500, 1, 375},
+    {"target/4", 31, 640000, 300, 1200, 95000, 8, 2000},
+    {"target/2", 61, 640000, 600, 2400, 190000, 8, 2000},
+    {"target", 122, 640000, 1200, 4800, 380000, 8, 2000},
+    {"target*2", 244, 640000, 2400, 9600, 760000, 8, 4000},
 };
 
 /* A data centre whose engines do at once what they are told. */
