--- a/src/daemon/engine_status.c
+++ b/src/daemon/engine_status.c
@@ -6,6 +6,7 @@
 
 #include <jansson.h>
 
+#include "daemon/routing.h"
 #include "io/clock.h"
 
 #define STATUS_TOTAL_MS 1000u
@@ -15,10 +16,10 @@
 typedef struct poll {
 	at_node_t *node;
 	at_name_t engine;
+	uint64_t asked_at_ms; /* what was sent before is in the report */
 	char *body;
 	size_t len;
 	int status;
-	uint64_t asked_at_ms;
 } poll_t;
 
 static void
@@ -63,6 +64,12 @@
 	resident->changing = state != NULL && strcmp(state, "ready") != 0;
 }
 
+static uint32_t
+number_of(json_t *root, const char *field)
+{
+	return (uint32_t)json_integer_value(json_object_get(root, field));
+}
+
 static void
 take_report(at_backend_t *backend, json_t *root, uint64_t asked_at_ms)
 {
@@ -78,6 +85,10 @@
 	free(backend->view.residents);
 	backend->view.residents = residents;
 	backend->view.resident_count = count;
+	backend->view.running = number_of(root, "running");
+	backend->view.queued = number_of(root, "queued");
+	backend->view.queued_prefill_tokens =
+	    number_of(root, "queued_prefill_tokens");
 	backend->view.report_at_ms = asked_at_ms;
 	backend->view.incarnation =
 	    (uint64_t)json_integer_value(json_object_get(root, "incarnation"));
@@ -100,6 +111,7 @@
 			at_placement_io_report(poll->node->placement,
 			    poll->engine.text, poll->asked_at_ms,
 			    &backend->view);
+			at_routing_report(poll->node, backend);
 		}
 	}
 	json_decref(root);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -13,7 +13,9 @@
 #include "almondthread/counters.h"
 #include "almondthread/keyring.h"
 #include "almondthread/ports.h"
+#include "almondthread/router.h"
 #include "daemon/backends.h"
+#include "daemon/config_io.h"
 #include "daemon/history.h"
 #include "daemon/placement_io.h"
 #include "io/httpc.h"
@@ -62,8 +64,10 @@
 	at_platform_t *platform;
 	at_store_t store;
 	at_peers_t *peers;
+	at_config_io_t *config_io;
 	at_config_t *config; /* NULL until the first one */
 	at_backends_t *backends;
+	at_router_t *router;   /* of engines */
 	at_history_t *history; /* of refusals, for explain */
 	at_placement_io_t *placement;
 	ev_timer stop_timer;
