Mend the fuzzer's world and the rate of looks in the placement test

The trace showed an answer with the version of another object: an effect of a forgotten call wrote its result into the slot of a newer event. The lease was right, the world was wrong. And test_placement_io once failed after 99 s with "GET /v1/status was not answered": it read every engine 18 times every 5 ms and most likely used up the local ports.

Change: an event is linked by serial number as well as by slot; the test looks at each engine 5 times a second.

--- a/tests/contract/test_placement_io.c
+++ b/tests/contract/test_placement_io.c
@@ -13,9 +13,12 @@
 
 #include "almondthread/lease.h"
 #include "daemon/placement_impl.h"
+#include "io/clock.h"
 #include "support/fixture.h"
 
 #define NODES 3u
+#define ENGINES 3u
+#define LOOK_EVERY_MS 200u
 #define SETTLE_MS 20000u   /* six models at two loads a second */
 #define HAND_OVER_MS 1000u /* planned */
 #define CRASH_MS (AT_LEASE_TERM_MS + 4000u) /* then the next round */
@@ -55,7 +58,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < f->engine_count; i++) {
+	for (i = 0; i < ENGINES; i++) {
 		json_t *root = engine_status(i);
 
 		cr_assert_leq(
@@ -89,34 +92,66 @@
 	return 0;
 }
 
-static int
-stands(const char *name, int version)
+/* Every engine's status at one moment. */
+static void
+read_all(json_t *roots[ENGINES])
 {
 	size_t i;
-	int found = 0;
 
-	for (i = 0; i < f->engine_count && !found; i++) {
-		json_t *root = engine_status(i);
+	for (i = 0; i < ENGINES; i++)
+		roots[i] = engine_status(i);
+}
 
-		found = holds(json_object_get(root, "resident"), name, version);
-		json_decref(root);
+static int
+stands(json_t *const roots[ENGINES], const char *name, int version)
+{
+	size_t i;
+
+	for (i = 0; i < ENGINES; i++) {
+		if (holds(json_object_get(roots[i], "resident"), name, version))
+			return 1;
 	}
-	return found;
+	return 0;
 }
 
 static int
-all_stand(void *ctx)
+all_stand(json_t *const roots[ENGINES])
 {
 	size_t i;
 
-	(void)ctx;
 	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
-		if (!stands(names[i], 0))
+		if (!stands(roots, names[i], 0))
 			return 0;
 	}
 	return 1;
 }
 
+static int
+has_second_version(json_t *const roots[ENGINES])
+{
+	return all_stand(roots) && stands(roots, "m1", 2) &&
+	       !stands(roots, "m1", 1);
+}
+
+/* Looks at the engines a few times a second until they are as wanted. */
+static int
+await(int (*met)(json_t *const roots[ENGINES]), uint32_t limit_ms)
+{
+	uint64_t end_ms = at_clock_now_ms() + limit_ms;
+	json_t *roots[ENGINES];
+	int done = 0;
+	size_t i;
+
+	while (!done && at_clock_now_ms() < end_ms) {
+		fixture_run(f, LOOK_EVERY_MS);
+		read_all(roots);
+		done = met(roots);
+		for (i = 0; i < ENGINES; i++)
+			json_decref(roots[i]);
+	}
+	return done;
+}
+
 /* Returns the node that is ready to give orders, or -1. */
 static int
 holder(void)
@@ -155,13 +190,12 @@
 	size_t i;
 
 	f = fixture_new();
-	for (i = 0; i < 3; i++)
+	for (i = 0; i < ENGINES; i++)
 		(void)fixture_add_engine(f, engines[i], "north", NULL);
 	for (i = 0; i < NODES; i++)
 		(void)fixture_add_node(f, nodes[i], "north");
 	apply(1, 1);
-	cr_assert(fixture_until(f, all_stand, NULL, SETTLE_MS),
-	    "not everything stands");
+	cr_assert(await(all_stand, SETTLE_MS), "not everything stands");
 	check_memory();
 }
 
@@ -207,28 +241,20 @@
 {
 	size_t i;
 
-	for (i = 0; i < f->engine_count; i++) {
+	for (i = 0; i < ENGINES; i++) {
 		fixture_answer_t a = fixture_call(f, "POST",
 		    f->engine_addresses[i], "/control/restart", NULL, "{}");
 
 		fixture_answer_free(&a);
-		cr_assert(fixture_until(f, all_stand, NULL, SETTLE_MS),
-		    "engine %zu", i);
+		cr_assert(await(all_stand, SETTLE_MS), "engine %zu", i);
 	}
 }
 
-static int
-has_second_version(void *ctx)
-{
-	(void)ctx;
-	return all_stand(NULL) && stands("m1", 2) && !stands("m1", 1);
-}
-
 Test(placement_io, a_new_version_replaces_the_old, .init = setup,
     .fini = teardown)
 {
 	apply(2, 2);
-	cr_assert(fixture_until(f, has_second_version, NULL, 2 * SETTLE_MS));
+	cr_assert(await(has_second_version, 2 * SETTLE_MS));
 }
 
 typedef struct fault_row {
@@ -251,7 +277,7 @@
 	size_t i;
 
 	for (row = 0; row < sizeof(fault_rows) / sizeof(fault_rows[0]); row++) {
-		for (i = 0; i < f->engine_count; i++)
+		for (i = 0; i < ENGINES; i++)
 			fixture_faults(
 			    f, f->engine_addresses[i], fault_rows[row].faults);
 		fixture_faults(
@@ -263,11 +289,11 @@
 
 			fixture_answer_free(&a);
 		}
-		cr_assert(fixture_until(f, all_stand, NULL, 2 * SETTLE_MS),
-		    "%s", fault_rows[row].name);
+		cr_assert(await(all_stand, 2 * SETTLE_MS), "%s",
+		    fault_rows[row].name);
 		fixture_faults(f, f->platform_address,
 		    "{\"lose_replies\":0,\"delay_ms\":0}");
-		for (i = 0; i < f->engine_count; i++)
+		for (i = 0; i < ENGINES; i++)
 			fixture_faults(f, f->engine_addresses[i],
 			    "{\"lose_orders\":0,\"late_orders_ms\":0,"
 			    "\"lose_replies\":0}");
--- a/tests/fuzz/orders_world.c
+++ b/tests/fuzz/orders_world.c
@@ -16,6 +16,7 @@
 static uint64_t revision;
 uint64_t outage_until;
 static event_t events[EVENTS];
+static uint64_t last_serial;
 static size_t event_top;                /* no event at or above it is in use */
 static uint64_t lost_by_restart[SLOTS]; /* when a restart took a slot */
 
@@ -49,6 +50,7 @@
 		if (!events[i].used) {
 			memset(&events[i], 0, sizeof(events[i]));
 			events[i].used = 1;
+			events[i].serial = ++last_serial;
 			if (i >= event_top)
 				event_top = i + 1;
 			events[i].kind = kind;
@@ -237,6 +239,7 @@
 	memcpy(effect->value, value, len);
 	effect->len = len;
 	effect->link = (size_t)(answer - events);
+	effect->link_serial = answer->serial;
 	effect->lost = answer->lost;
 }
 
@@ -287,6 +290,7 @@
 		copy->checked_at = checked_at;
 		copy->engine = (size_t)(order->engine.text[0] - '0');
 		copy->link = (size_t)(sent - events);
+		copy->link_serial = sent->serial;
 	}
 }
 
@@ -315,8 +319,7 @@
 	at_order_result_t result =
 	    engine_obey(&engines[e->engine], &e->order, e->checked_at);
 
-	if (sent->used && sent->kind == EVENT_SENT &&
-	    sent->order.id == e->order.id && chance(85))
+	if (sent->used && sent->serial == e->link_serial && chance(85))
 		sent->order_result = result;
 }
 
@@ -394,7 +397,7 @@
 		store_answer(e);
 	else if (e->kind == EVENT_EFFECT) {
 		store_apply(e);
-		if (!e->lost)
+		if (!e->lost && events[e->link].serial == e->link_serial)
 			events[e->link].result = e->result;
 		free(e->value);
 	} else if (e->kind == EVENT_ORDER)
--- a/tests/fuzz/orders_world.h
+++ b/tests/fuzz/orders_world.h
@@ -89,7 +89,9 @@
 	uint64_t incarnation;
 	at_resident_t residents[SLOTS];
 	size_t count;
-	size_t link; /* the event that answers for this one */
+	uint64_t serial;
+	size_t link;          /* the event that answers for this one */
+	uint64_t link_serial; /* which goes when its slot has another */
 } event_t;
 
 extern at_rng_t rng;
