--- a/src/bench/serve_load.c
+++ b/src/bench/serve_load.c
@@ -1,5 +1,6 @@
 #include "bench/serve_load.h"
 
+#include <assert.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -84,15 +85,19 @@
 	at_status_t status;
 	at_config_t *config;
 	uint32_t i;
-	uint32_t total = site->data_centres * site->engines;
+	const uint32_t data_centres = site->data_centres;
+	const uint32_t models = site->models;
+	uint32_t total = data_centres * site->engines;
+
+	assert(data_centres > 0 && models > 0);
 
 	(void)fprintf(out,
 	    "{\"generation\":1,\"defaults\":{\"engine_tokens_s\":930},"
 	    "\"data_centres\":[\"dc-0\"");
-	for (i = 1; i < site->data_centres; i++)
+	for (i = 1; i < data_centres; i++)
 		(void)fprintf(out, ",\"dc-%u\"", i);
 	(void)fprintf(out, "],\"models\":[");
-	for (i = 0; i < site->models; i++)
+	for (i = 0; i < models; i++)
 		(void)fprintf(out, "%s{\"name\":\"model-%u\",\"memory_mb\":%u}",
 		    i > 0 ? "," : "", i, model_mb(i));
 	(void)fprintf(out, "],\"adapters\":[");
@@ -100,14 +105,14 @@
 		(void)fprintf(out,
 		    "%s{\"name\":\"adapter-%u\",\"model\":\"model-%u\","
 		    "\"memory_mb\":100}",
-		    i > 0 ? "," : "", i, i % site->models);
+		    i > 0 ? "," : "", i, i % models);
 	(void)fprintf(out, "],\"engines\":[");
 	for (i = 0; i < total; i++)
 		(void)fprintf(out,
 		    "%s{\"name\":\"engine-%u\",\"data_centre\":\"dc-%u\","
 		    "\"accelerators\":%u,\"memory_mb\":%u}",
-		    i > 0 ? "," : "", i, i % site->data_centres,
-		    site->accelerators, 80000 * site->accelerators);
+		    i > 0 ? "," : "", i, i % data_centres, site->accelerators,
+		    80000 * site->accelerators);
 	(void)fprintf(out, "]}");
 	(void)fclose(out);
 	at_status_clear(&status);
--- a/src/core/orders_engines.c
+++ b/src/core/orders_engines.c
@@ -33,10 +33,7 @@
 	HASH_ADD_STR(orders->engines, name.text, engine);
 	for (i = 0; i < orders->count; i++) {
 		const at_order_t *o = &orders->intents[i].intent.order;
-		at_resident_t what = {.model = o->model,
-		    .adapter = o->adapter,
-		    .version = o->version,
-		    .memory_mb = o->memory_mb};
+		at_resident_t what = at_orders_resident(o);
 
 		if (at_name_equal(&o->engine, &engine->name) &&
 		    (o->kind == AT_ORDER_LOAD_MODEL ||
--- a/src/daemon/engine_status.c
+++ b/src/daemon/engine_status.c
@@ -51,6 +51,7 @@
 {
 	const char *adapter =
 	    json_string_value(json_object_get(object, "adapter"));
+	const char *state = json_string_value(json_object_get(object, "state"));
 
 	memset(resident, 0, sizeof(*resident));
 	(void)at_name_set(&resident->model,
@@ -61,6 +62,7 @@
 	    (uint32_t)json_integer_value(json_object_get(object, "version"));
 	resident->memory_mb =
 	    (uint64_t)json_integer_value(json_object_get(object, "memory_mb"));
+	resident->changing = state != NULL && strcmp(state, "ready") != 0;
 }
 
 static uint32_t
@@ -110,6 +112,9 @@
 			root = json_loadb(poll->body, poll->len, 0, NULL);
 		if (root != NULL) {
 			take_report(poll, backend, root);
+			at_placement_io_report(poll->node->placement,
+			    poll->engine.text, poll->asked_at_ms,
+			    &backend->view);
 			at_routing_report(poll->node, backend);
 		} else if (result->reason == AT_REASON_CONNECT_FAILED) {
 			at_crashes_down(poll->node, backend);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -48,6 +48,7 @@
 	node->history = at_history_new();
 	node->peers = at_peers_new(loop);
 	(void)at_crashes_new(node);
+	node->placement = at_placement_io_new(node);
 	node->config_io = at_config_io_new(loop, node->peers, node->platform);
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
 	at_httpd_set_fault_handler(node->callers, at_entry_handle_fault, node);
@@ -61,6 +62,7 @@
 {
 	at_node_t *node = ctx;
 
+	at_placement_io_configure(node->placement, config);
 	at_config_delete(node->config);
 	node->config = config;
 	at_httpd_set_max_body(node->callers, config->defaults.max_body_bytes);
@@ -72,6 +74,7 @@
 	at_node_t *node = ctx;
 
 	at_backends_update(node->backends, instances, count);
+	at_placement_io_instances(node->placement);
 	at_routing_listed(node);
 }
 
@@ -156,6 +159,7 @@
 	at_platform_set_counters(node->platform, node->counters);
 	node->store = at_platform_store(node->platform);
 	at_claims_io_init(node->claims);
+	at_placement_io_init(node->placement);
 	at_config_io_set_self(
 	    node->config_io, &node->self.instance, &node->data_centre);
 	at_config_io_set_counters(node->config_io, node->counters);
@@ -227,6 +231,7 @@
 	node->stop_since_ms = at_clock_now_ms();
 	at_httpd_close_connections(node->callers);
 	at_peers_leave(node->peers);
+	at_placement_io_release(node->placement);
 	at_log(AT_LOG_INFO, "node", NULL, "Stops; the balancer has %u ms.",
 	    node->settings.drain_ms);
 	ev_timer_init(
@@ -244,6 +249,7 @@
 	ev_timer_stop(node->loop, &node->status_timer);
 	at_httpd_delete(node->callers);
 	at_exchange_delete_all(node);
+	at_placement_io_delete(node->placement);
 	at_httpd_delete(node->operators);
 	at_config_io_delete(node->config_io);
 	at_peers_delete(node->peers);
