--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "almondthread/log.h"
+#include "daemon/claims_io.h"
 #include "daemon/crashes.h"
 #include "daemon/engine_status.h"
 #include "daemon/routing.h"
@@ -41,6 +42,7 @@
 	node->callers = at_httpd_new(loop);
 	node->operators = at_httpd_new(loop);
 	node->platform = at_platform_new(loop, node->httpc);
+	node->claims = at_claims_io_new(node);
 	node->backends = at_backends_new();
 	node->budgets = at_budgets_new();
 	node->history = at_history_new();
@@ -153,6 +155,7 @@
 		return status->code;
 	at_platform_set_counters(node->platform, node->counters);
 	node->store = at_platform_store(node->platform);
+	at_claims_io_init(node->claims);
 	at_config_io_set_self(
 	    node->config_io, &node->self.instance, &node->data_centre);
 	at_config_io_set_counters(node->config_io, node->counters);
@@ -176,9 +179,11 @@
 open_work(const at_node_t *node)
 {
 	size_t requests = at_httpd_open_requests(node->callers);
+	size_t unsettled = at_claims_io_unsettled(node->claims);
 
-	return requests > node->open_exchanges ? requests
-					       : node->open_exchanges;
+	return unsettled + (requests > node->open_exchanges
+				   ? requests
+				   : node->open_exchanges);
 }
 
 /* Moves a stopping node on, one state at a time. */
@@ -243,6 +248,7 @@
 	at_config_io_delete(node->config_io);
 	at_peers_delete(node->peers);
 	at_platform_delete(node->platform);
+	at_claims_io_delete(node->claims);
 	at_httpc_delete(node->httpc);
 	at_backends_delete(node->backends);
 	at_router_delete(node->router);
