Run durable jobs in the daemon

Cause: the jobs machine had no callers and no runner.

Change: a POST with Prefer: respond-async, or of an overnight route, is recorded and answered with 202; GET /v1/jobs/ID tells its end; the lease holder runs jobs through the exchange without a caller, once jobs through the ledger. The platform-call test of the configuration readers failed with it (43 calls in 4 s, limit 20: eight shards and two candidates read every 2 s while idle); mended by four shards, one candidate a data centre besides the acceptor, and a look every 30 s while nothing is queued.

Conclusion: an acknowledged job ends across the death of acceptor and lease holder and the replacement of all instances.

--- a/include/almondthread/jobs.h
+++ b/include/almondthread/jobs.h
@@ -17,7 +17,7 @@
 #include "almondthread/claims.h"
 #include "almondthread/ports.h"
 
-#define AT_JOB_SHARDS 8u             /* index objects; fleet-wide the same */
+#define AT_JOB_SHARDS 4u             /* index objects; fleet-wide the same */
 #define AT_JOB_LEASE_MS 6000u        /* without renewal, to be taken over */
 #define AT_JOB_RECORD_MAX (1000000u) /* bytes of what the runner stores */
 #define AT_JOB_ID_DIGITS 32u         /* hexadecimal */
--- a/include/almondthread/verdict.h
+++ b/include/almondthread/verdict.h
@@ -64,6 +64,9 @@
 	    "The key was used before with another body.")                      \
 	X(CLAIM_IN_FLIGHT, "claim_in_flight", 409, MAY_HAVE_RUN,               \
 	    "A request with this key is in progress or its end is unknown.")   \
+	X(JOB_UNAVAILABLE, "job_unavailable", 503, NOT_RUN,                    \
+	    "The job could not be recorded or read.")                          \
+	X(UNKNOWN_JOB, "unknown_job", 404, NOT_RUN, "No such job.")            \
 	X(CRASHES_BACKEND, "crashes_backend", 422, NOT_RUN,                    \
 	    "Requests like this one have crashed backend servers.")            \
 	X(FIRST_BYTE_TIMEOUT, "first_byte_timeout", 504, MAY_HAVE_RUN,         \
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -408,8 +408,10 @@
 			continue;
 		submit->sent &= !newer;
 		if (submit->state == SUBMIT_INDEXING &&
-		    job_index_find(&shard->index, &submit->id) != NULL)
+		    job_index_find(&shard->index, &submit->id) != NULL) {
 			submit_end(submit, AT_JOB_ACCEPTED);
+			shard->accepted_here = 1;
+		}
 	}
 	for (run = jobs->runs; run != NULL; run = run->next) {
 		const job_entry_t *entry;
@@ -490,7 +492,7 @@
 {
 	const job_entry_t *entry;
 
-	if (!shard->candidate || !shard->loaded)
+	if (!job_shard_looks(shard) || !shard->loaded)
 		return;
 	while (job_shard_holds(shard) && count_runs(shard->jobs) < RUNS_MAX &&
 	       (entry = next_queued(shard)) != NULL)
--- a/src/core/jobs_index.c
+++ b/src/core/jobs_index.c
@@ -6,11 +6,12 @@
 #define MAGIC_BYTES 4u
 #define HEADER_BYTES (MAGIC_BYTES + 8u + 8u + 4u)
 #define ENTRY_BYTES (AT_CLAIM_HASH_SIZE + 8u + 8u)
-#define GROWTH 64u     /* places added to an index */
-#define POLL_MS 2000u  /* between looks at a shard of another */
-#define RENEW_MS 2000u /* between renewals of a lease */
-#define HOLD_MS 4000u  /* after a renewal was sent, jobs may be started */
-#define RETRY_MS 100u  /* after a call without an answer */
+#define GROWTH 64u          /* places added to an index */
+#define POLL_MS 2000u       /* between looks at queued work of another */
+#define POLL_IDLE_MS 30000u /* between looks while nothing is queued */
+#define RENEW_MS 2000u      /* between renewals of a lease */
+#define HOLD_MS 4000u       /* after a renewal was sent, jobs may be started */
+#define RETRY_MS 100u       /* after a call without an answer */
 
 static const uint8_t magic[MAGIC_BYTES] = {'A', 'T', 'I', '1'};
 
@@ -129,6 +130,12 @@
 	return bytes;
 }
 
+int
+job_shard_looks(const job_shard_t *shard)
+{
+	return shard->candidate || shard->accepted_here;
+}
+
 int
 job_shard_holds(const job_shard_t *shard)
 {
@@ -136,6 +143,18 @@
 	       jobs_now(shard->jobs) < shard->held_until_ms;
 }
 
+static int
+has_queued(const job_index_t *index)
+{
+	size_t i;
+
+	for (i = 0; i < index->count; i++) {
+		if (index->entries[i].done_ms == 0)
+			return 1;
+	}
+	return 0;
+}
+
 /* Takes over an index that stands at version. */
 static void
 take(job_shard_t *shard, job_index_t *index, uint64_t version)
@@ -148,6 +167,14 @@
 		shard->beat_seen_ms = now_ms;
 	if (index->owner != shard->jobs->self)
 		shard->held_until_ms = 0;
+	/* Nothing waits, or another holder that lives will run it. */
+	if (!has_queued(index))
+		shard->accepted_here = 0;
+	if (index->owner != 0 && index->owner != shard->jobs->self &&
+	    shard->loaded && index->beat != shard->index.beat)
+		shard->accepted_here = 0;
+	shard->read_at_ms =
+	    now_ms + (has_queued(index) ? POLL_MS : POLL_IDLE_MS);
 	job_index_free(&shard->index);
 	shard->index = *index;
 	memset(index, 0, sizeof(*index));
@@ -210,25 +237,13 @@
 	take(shard, &shard->next, result->version);
 }
 
-static int
-has_queued(const job_index_t *index)
-{
-	size_t i;
-
-	for (i = 0; i < index->count; i++) {
-		if (index->entries[i].done_ms == 0)
-			return 1;
-	}
-	return 0;
-}
-
 /* Whether this instance should take or renew the lease now. */
 static int
 wants_lease(const job_shard_t *shard)
 {
 	uint64_t now_ms = jobs_now(shard->jobs);
 
-	if (!shard->candidate || !has_queued(&shard->index))
+	if (!job_shard_looks(shard) || !has_queued(&shard->index))
 		return 0;
 	if (shard->index.owner == 0)
 		return 1;
@@ -315,7 +330,6 @@
 	at_jobs_t *jobs = shard->jobs;
 
 	shard->busy = 1;
-	shard->read_at_ms = jobs_now(jobs) + POLL_MS;
 	jobs->store.get(jobs->store.impl, shard->object, on_read, shard);
 }
 
@@ -364,7 +378,7 @@
 	int needed = is_needed(shard);
 
 	if (shard->busy || now_ms < shard->retry_at_ms ||
-	    (!shard->candidate && !needed))
+	    (!job_shard_looks(shard) && !needed))
 		return;
 	if (shard->must_read || !shard->loaded ||
 	    (now_ms >= shard->read_at_ms && !job_shard_holds(shard))) {
--- a/src/core/jobs_internal.h
+++ b/src/core/jobs_internal.h
@@ -89,6 +89,7 @@
 	int must_read;
 	int busy;
 	int candidate;
+	int accepted_here; /* a job of ours may still be run by nobody */
 	uint64_t retry_at_ms;
 	uint64_t read_at_ms;    /* the next look */
 	uint64_t beat_seen_ms;  /* owner and beat were new */
@@ -120,6 +121,8 @@
     const job_index_t *index, const at_claim_hash_t *id);
 /* job_shard_tick() starts the call that a shard is due, if any. */
 void job_shard_tick(job_shard_t *shard);
+/* job_shard_looks() tells whether this instance may run its jobs. */
+int job_shard_looks(const job_shard_t *shard);
 /* job_shard_holds() tells whether jobs may be started now. */
 int job_shard_holds(const job_shard_t *shard);
 
--- a/src/daemon/claims_io.c
+++ b/src/daemon/claims_io.c
@@ -331,14 +331,14 @@
 	claimed_free(c);
 }
 
-static void
-hash_request(const at_exchange_spec_t *spec, const at_route_t *route,
+void
+at_claims_io_hash(const at_exchange_spec_t *spec, const char *route,
     at_claim_hash_t *key, at_claim_hash_t *digest)
 {
 	const void *names[] = {spec->workspace, spec->target, spec->method,
-	    route->path, spec->idempotency_key};
+	    route, spec->idempotency_key};
 	const size_t name_lens[] = {strlen(spec->workspace),
-	    strlen(spec->target), strlen(spec->method), strlen(route->path),
+	    strlen(spec->target), strlen(spec->method), strlen(route),
 	    strlen(spec->idempotency_key)};
 	const void *content[] = {spec->path, spec->body};
 	const size_t content_lens[] = {strlen(spec->path), spec->body_len};
@@ -356,7 +356,7 @@
 
 	if (wait_ms > CLAIM_WAIT_MS)
 		wait_ms = CLAIM_WAIT_MS;
-	hash_request(&c->spec, route, &key, &digest);
+	at_claims_io_hash(&c->spec, route->path, &key, &digest);
 	c->claim =
 	    at_claims_ask(c->io->ledger, &key, &digest, wait_ms, on_claim, c);
 	if (c->claim == NULL) {
--- a/src/daemon/claims_io.h
+++ b/src/daemon/claims_io.h
@@ -37,6 +37,10 @@
  */
 void at_claims_io_wake(at_claims_io_t *io);
 
+/* at_claims_io_hash() gives the claim key and digest of a request. */
+void at_claims_io_hash(const at_exchange_spec_t *spec, const char *route,
+    at_claim_hash_t *key, at_claim_hash_t *digest);
+
 /* at_claims_io_pack() joins an answer's type and body for the ledger. */
 char *at_claims_io_pack(
     const char *content_type, const void *body, size_t body_len, size_t *len);
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -6,6 +6,7 @@
 
 #include "daemon/claims_io.h"
 #include "daemon/exchange.h"
+#include "daemon/jobs_io.h"
 
 #define BEARER "Bearer "
 #define NO_RETRY 0u
@@ -102,6 +103,20 @@
 	json_decref(root);
 }
 
+static void
+show_job(at_node_t *node, at_httpd_request_t *request)
+{
+	const at_workspace_t *workspace;
+
+	if (strcmp(at_httpd_method(request), "GET") != 0) {
+		refuse(node, request, AT_REASON_WRONG_METHOD);
+		return;
+	}
+	workspace = authenticate(node, request);
+	if (workspace != NULL)
+		at_jobs_io_show(node->jobs, request, &workspace->name);
+}
+
 /* Says why a workspace may not use a model, or AT_REASON_NONE. */
 static at_reason_t
 check_model(const at_config_t *config, const at_workspace_t *workspace,
@@ -145,7 +160,10 @@
 		return;
 	}
 	spec.body = at_httpd_body(request, &spec.body_len);
-	at_exchange_start(node, request, &spec);
+	if (spec.stream || !at_jobs_io_wanted(request, &spec))
+		at_exchange_start(node, request, &spec);
+	else
+		at_jobs_io_submit(node->jobs, request, &spec, spec.path);
 }
 
 static void
@@ -205,7 +223,10 @@
 			       ? route->deadline_ms
 			       : node->config->defaults.deadline_ms;
 	spec.body = at_httpd_body(request, &spec.body_len);
-	at_claims_io_start(node->claims, request, &spec, route);
+	if (at_jobs_io_wanted(request, &spec))
+		at_jobs_io_submit(node->jobs, request, &spec, route->path);
+	else
+		at_claims_io_start(node->claims, request, &spec, route);
 }
 
 void
@@ -237,6 +258,8 @@
 			refuse(node, request, AT_REASON_WRONG_METHOD);
 		else
 			list_models(node, request);
+	} else if (strncmp(path, AT_JOBS_PATH, strlen(AT_JOBS_PATH)) == 0) {
+		show_job(node, request);
 	} else if (strcmp(path, "/v1/chat/completions") == 0 ||
 		   strcmp(path, "/v1/completions") == 0) {
 		handle_completion(node, request);
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -392,21 +392,30 @@
 at_exchange_start(at_node_t *node, at_httpd_request_t *request,
     const at_exchange_spec_t *spec)
 {
+	static const at_exchange_end_t no_memory = {
+	    .verdict = AT_VERDICT_NOT_RUN, .reason = AT_REASON_INTERNAL};
 	exchange_t *x = exchange_new(node, spec);
 
+	if (x == NULL && request == NULL) {
+		spec->on_done(spec->done_ctx, &no_memory);
+		return;
+	}
 	if (x == NULL) {
 		at_refuse(node, request, AT_REASON_INTERNAL, AT_VERDICT_NOT_RUN,
 		    AT_RETRY_AFTER_MS);
 		return;
 	}
 	x->request = request;
-	copy_text(x->id, sizeof(x->id), at_httpd_id(request));
+	copy_text(x->id, sizeof(x->id),
+	    request == NULL ? spec->request_id : at_httpd_id(request));
 	ev_timer_init(&x->timer, on_timer, 0., 0.);
 	x->timer.data = x;
 	link_exchange(node, x);
-	at_httpd_set_end(request, on_end, x);
-	at_httpd_set_gone(request, on_gone);
-	at_httpd_set_drain(request, on_drain);
+	if (request != NULL) {
+		at_httpd_set_end(request, on_end, x);
+		at_httpd_set_gone(request, on_gone);
+		at_httpd_set_drain(request, on_drain);
+	}
 	set_machine(x, spec, at_clock_now_ms());
 	exchange_pump(x);
 }
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -40,12 +40,14 @@
 	at_priority_t priority;
 	uint32_t deadline_ms;
 	int stream;
+	const char *request_id;     /* without a caller; else NULL */
 	at_exchange_done_t on_done; /* may be NULL */
 	void *done_ctx;
 } at_exchange_spec_t;
 
 /*
- * at_exchange_start() runs the request and answers the caller. A request
+ * at_exchange_start() runs the request and answers the caller; request may
+ * be NULL for work without a caller, whose spec has a request_id. A request
  * that may not be repeated goes on to its end when its caller is gone.
  */
 void at_exchange_start(at_node_t *node, at_httpd_request_t *request,
--- /dev/null
+++ b/src/daemon/jobs_io.c
@@ -0,0 +1,433 @@
+#include "daemon/jobs_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "io/clock.h"
+
+#define TICK_BUSY_S 0.005
+#define TICK_IDLE_S 0.1
+#define SUBMIT_WAIT_MS 2000u       /* longest wait for an acceptance */
+#define RETRY_AFTER_MS 1000u       /* told to a caller that is refused */
+#define ROLES_EVERY_MS 1000u       /* between looks at who runs a shard */
+#define RANKS 1u                   /* candidates in each data centre */
+#define DUE_DEFAULT_S (8u * 3600u) /* a job is due after this */
+#define DUE_MAX_S (7u * 24u * 3600u)
+#define RETENTION_S (24u * 3600u) /* an end can be asked for this long */
+
+at_jobs_io_t *
+at_jobs_io_new(at_node_t *node)
+{
+	at_jobs_io_t *io = calloc(1, sizeof(*io));
+
+	if (io == NULL)
+		return NULL;
+	io->node = node;
+	io->jobs = at_jobs_new();
+	if (io->jobs == NULL) {
+		free(io);
+		return NULL;
+	}
+	return io;
+}
+
+static void
+request_free(job_request_t *r)
+{
+	if (r->prev != NULL)
+		r->prev->next = r->next;
+	else
+		r->io->requests = r->next;
+	if (r->next != NULL)
+		r->next->prev = r->prev;
+	free(r);
+}
+
+void
+at_jobs_io_delete(at_jobs_io_t *io)
+{
+	if (io == NULL)
+		return;
+	ev_timer_stop(io->node->loop, &io->tick);
+	while (io->requests != NULL)
+		request_free(io->requests);
+	job_tasks_free(io);
+	at_jobs_delete(io->jobs);
+	free(io);
+}
+
+static void
+publish(at_jobs_io_t *io)
+{
+	const at_jobs_stats_t *s = at_jobs_stats(io->jobs);
+	at_counters_t *c = io->node->counters;
+	size_t i;
+
+	for (i = 0; i < AT_JOB_OUTCOME_COUNT; i++)
+		at_counters_set(c, "jobs_submitted_total", "outcome",
+		    at_job_outcome_names[i], s->outcomes[i]);
+	for (i = AT_JOB_DONE; i < AT_JOB_STATE_COUNT; i++)
+		at_counters_set(c, "jobs_ended_total", "state",
+		    at_job_state_names[i], s->finished[i]);
+	at_counters_set(c, "jobs_started_total", NULL, NULL, s->started);
+	at_counters_set(c, "jobs_retried_total", NULL, NULL, s->retried);
+	at_counters_set(c, "jobs_late_total", NULL, NULL, s->late);
+	at_counters_set(c, "jobs_leases_total", NULL, NULL, s->leases);
+	at_counters_set(c, "jobs_deleted_total", NULL, NULL, s->deleted);
+	at_counters_set(c, "jobs_malformed_total", NULL, NULL, s->malformed);
+}
+
+/* Whether this instance is one of those that look after a shard here. */
+static int
+is_candidate(const at_node_t *node, uint32_t shard)
+{
+	char key[32];
+	uint32_t rank;
+
+	if (node->state != AT_NODE_SERVING || node->config == NULL)
+		return 0;
+	(void)snprintf(key, sizeof(key), "jobs/%02u", shard);
+	for (rank = 0; rank < RANKS; rank++) {
+		const at_name_t *owner =
+		    at_peers_owner(node->peers, &node->data_centre, key, rank);
+
+		if (owner != NULL && at_name_equal(owner, &node->self.instance))
+			return 1;
+	}
+	return 0;
+}
+
+static void
+look_at_roles(at_jobs_io_t *io)
+{
+	uint64_t now_ms = at_clock_now_ms();
+	uint32_t shard;
+
+	if (io->roles_ms != 0 && now_ms < io->roles_ms + ROLES_EVERY_MS)
+		return;
+	io->roles_ms = now_ms;
+	for (shard = 0; shard < AT_JOB_SHARDS; shard++)
+		at_jobs_set_candidate(
+		    io->jobs, shard, is_candidate(io->node, shard));
+	publish(io);
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	at_jobs_io_t *io = timer->data;
+
+	(void)events;
+	look_at_roles(io);
+	at_jobs_tick(io->jobs);
+	timer->repeat = at_jobs_busy(io->jobs) > 0 ? TICK_BUSY_S : TICK_IDLE_S;
+	ev_timer_again(loop, timer);
+}
+
+void
+at_jobs_io_init(at_jobs_io_t *io)
+{
+	const at_clock_t clock = at_clock_system();
+	const at_clock_t wall = at_clock_wall();
+
+	at_jobs_set_store(io->jobs, &io->node->store);
+	at_jobs_set_clocks(io->jobs, &clock, &wall);
+	at_jobs_set_self(io->jobs, &io->node->self);
+	at_jobs_set_runner(io->jobs, job_run, io);
+	at_jobs_set_retention(io->jobs, RETENTION_S);
+	ev_timer_init(&io->tick, on_tick, TICK_IDLE_S, TICK_IDLE_S);
+	io->tick.data = io;
+	ev_timer_start(io->node->loop, &io->tick);
+	publish(io);
+}
+
+size_t
+at_jobs_io_busy(const at_jobs_io_t *io)
+{
+	return at_jobs_busy(io->jobs);
+}
+
+char *
+job_data(json_t *head, const void *body, size_t body_len, size_t *len)
+{
+	char *text = json_dumps(head, JSON_COMPACT);
+	size_t text_len = text == NULL ? 0 : strlen(text) + 1;
+	char *data = text == NULL ? NULL : realloc(text, text_len + body_len);
+
+	json_decref(head);
+	*len = text_len + body_len;
+	if (data == NULL) {
+		free(text);
+		return NULL;
+	}
+	if (body_len > 0)
+		memcpy(data + text_len, body, body_len);
+	return data;
+}
+
+json_t *
+job_head(const at_job_record_t *record, const char **body, size_t *len)
+{
+	const char *data = record->data;
+	const char *end =
+	    record->len == 0 ? NULL : memchr(data, '\0', record->len);
+
+	if (end == NULL)
+		return NULL;
+	*body = end + 1;
+	*len = record->len - (size_t)(end + 1 - data);
+	return json_loadb(data, (size_t)(end - data), 0, NULL);
+}
+
+int
+at_jobs_io_wanted(
+    const at_httpd_request_t *request, const at_exchange_spec_t *spec)
+{
+	const char *prefer = at_httpd_header(request, "Prefer");
+
+	if (strcmp(spec->method, "POST") != 0)
+		return 0;
+	return spec->priority == AT_OVERNIGHT ||
+	       (prefer != NULL && strstr(prefer, "respond-async") != NULL);
+}
+
+static void
+on_end(void *ctx, int gone)
+{
+	job_request_t *r = ctx;
+
+	(void)gone;
+	r->request = NULL;
+	if (r->submit == NULL)
+		return;
+	at_jobs_ignore(r->submit);
+	request_free(r);
+}
+
+static job_request_t *
+request_new(
+    at_jobs_io_t *io, at_httpd_request_t *request, const char *workspace)
+{
+	job_request_t *r = calloc(1, sizeof(*r));
+
+	if (r == NULL)
+		return NULL;
+	r->io = io;
+	r->request = request;
+	(void)at_name_set(&r->workspace, workspace);
+	r->next = io->requests;
+	if (r->next != NULL)
+		r->next->prev = r;
+	io->requests = r;
+	at_httpd_set_end(request, on_end, r);
+	return r;
+}
+
+static void
+reply_json(at_httpd_request_t *request, int status, json_t *body)
+{
+	const at_header_t headers[] = {{"Content-Type", "application/json"},
+	    {"X-Request-Id", at_httpd_id(request)}, {NULL, NULL}};
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	json_decref(body);
+	at_httpd_reply(request, status, headers, text == NULL ? "{}" : text,
+	    text == NULL ? 2 : strlen(text));
+	free(text);
+}
+
+static void
+on_submitted(void *ctx, at_job_outcome_t outcome)
+{
+	job_request_t *r = ctx;
+	char id[AT_JOB_ID_SIZE];
+	at_verdict_t verdict = outcome == AT_JOB_UNKNOWN
+				   ? AT_VERDICT_MAY_HAVE_RUN
+				   : AT_VERDICT_NOT_RUN;
+
+	at_httpd_set_end(r->request, NULL, NULL);
+	at_job_id_print(&r->id, id);
+	if (outcome == AT_JOB_ACCEPTED)
+		reply_json(r->request, 202,
+		    json_pack("{s:s,s:s,s:s+}", "id", id, "state", "queued",
+			"href", AT_JOBS_PATH, id));
+	else if (outcome == AT_JOB_MISMATCH)
+		at_refuse(r->io->node, r->request, AT_REASON_CLAIM_MISMATCH,
+		    AT_VERDICT_NOT_RUN, 0);
+	else
+		at_refuse(r->io->node, r->request, AT_REASON_JOB_UNAVAILABLE,
+		    verdict, RETRY_AFTER_MS);
+	request_free(r);
+}
+
+/* With a key the same request always gives the same job. */
+static at_claim_hash_t
+make_id(at_node_t *node, const at_exchange_spec_t *spec, const char *route)
+{
+	uint64_t draws[2] = {node->random.next(node->random.impl),
+	    node->random.next(node->random.impl)};
+	const char *key = spec->idempotency_key;
+	const void *parts[] = {"job", spec->workspace, spec->target,
+	    spec->method, route, key == NULL ? (const void *)draws : key};
+	const size_t lens[] = {3, strlen(spec->workspace), strlen(spec->target),
+	    strlen(spec->method), strlen(route),
+	    key == NULL ? sizeof(draws) : strlen(key)};
+	at_claim_hash_t id;
+
+	at_claim_hash(&id, parts, lens, 6);
+	return id;
+}
+
+static json_t *
+make_head(const at_exchange_spec_t *spec, const char *route)
+{
+	return json_pack("{s:i,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:i}", "kind",
+	    (int)spec->kind, "target", spec->target, "workspace",
+	    spec->workspace, "method", spec->method, "path", spec->path,
+	    "route", route, "type",
+	    spec->content_type == NULL ? "application/json"
+				       : spec->content_type,
+	    "key", spec->idempotency_key == NULL ? "" : spec->idempotency_key,
+	    "repeat", (int)spec->repeat, "deadline_ms", (int)spec->deadline_ms);
+}
+
+static uint64_t
+due_wall_ms(const at_httpd_request_t *request)
+{
+	const char *text = at_httpd_header(request, "X-Due-In-S");
+	uint64_t due_s = text == NULL ? 0 : strtoull(text, NULL, 10);
+	const at_clock_t wall = at_clock_wall();
+
+	if (due_s == 0)
+		due_s = DUE_DEFAULT_S;
+	if (due_s > DUE_MAX_S)
+		due_s = DUE_MAX_S;
+	return wall.now_ms(wall.impl) + due_s * AT_MS_PER_S;
+}
+
+void
+at_jobs_io_submit(at_jobs_io_t *io, at_httpd_request_t *request,
+    const at_exchange_spec_t *spec, const char *route)
+{
+	const void *parts[] = {spec->path, spec->body};
+	const size_t lens[] = {strlen(spec->path), spec->body_len};
+	at_claim_hash_t digest;
+	job_request_t *r;
+	char *data;
+	size_t len;
+
+	data =
+	    job_data(make_head(spec, route), spec->body, spec->body_len, &len);
+	if (data == NULL || len > AT_JOB_RECORD_MAX) {
+		free(data);
+		at_refuse(io->node, request, AT_REASON_BODY_TOO_LARGE,
+		    AT_VERDICT_NOT_RUN, 0);
+		return;
+	}
+	r = request_new(io, request, spec->workspace);
+	if (r != NULL) {
+		r->id = make_id(io->node, spec, route);
+		at_claim_hash(&digest, parts, lens, 2);
+		r->submit = at_jobs_submit(io->jobs, &r->id, &digest, data, len,
+		    due_wall_ms(request), SUBMIT_WAIT_MS, on_submitted, r);
+	}
+	free(data);
+	if (r == NULL || r->submit == NULL) {
+		at_refuse(io->node, request, AT_REASON_JOB_UNAVAILABLE,
+		    AT_VERDICT_NOT_RUN, RETRY_AFTER_MS);
+		return;
+	}
+	io->tick.repeat = TICK_BUSY_S;
+	ev_timer_again(io->node->loop, &io->tick);
+}
+
+/* What a caller is told of a job; releases head. */
+static json_t *
+describe(const at_claim_hash_t *id, const at_job_record_t *record, json_t *head,
+    const char *body, size_t len)
+{
+	char text[AT_JOB_ID_SIZE];
+	json_t *out;
+	json_t *answer;
+
+	at_job_id_print(id, text);
+	out = json_pack("{s:s,s:s}", "id", text, "state",
+	    at_job_state_names[record->state]);
+	if (record->state == AT_JOB_DONE) {
+		answer = json_loadb(body, len, JSON_DECODE_ANY, NULL);
+		if (answer == NULL)
+			answer = json_stringn(body, len);
+		json_object_set(out, "status", json_object_get(head, "status"));
+		json_object_set(
+		    out, "content_type", json_object_get(head, "type"));
+		json_object_set_new(
+		    out, "answer", answer == NULL ? json_null() : answer);
+	}
+	json_decref(head);
+	return out;
+}
+
+static void
+show(job_request_t *r, const at_store_result_t *result)
+{
+	at_job_record_t record = {.state = AT_JOB_QUEUED};
+	const char *owner;
+	const char *body = NULL;
+	json_t *head = NULL;
+	size_t len = 0;
+
+	if (result->code == AT_STORE_OK &&
+	    at_job_unpack(&record, result->value, result->value_len) == 0)
+		head = job_head(&record, &body, &len);
+	owner = json_string_value(json_object_get(head, "workspace"));
+	if (owner != NULL && strcmp(owner, r->workspace.text) == 0) {
+		reply_json(r->request, 200,
+		    describe(&r->id, &record, head, body, len));
+		return;
+	}
+	json_decref(head);
+	if (result->code == AT_STORE_OK || result->code == AT_STORE_NOT_FOUND)
+		at_refuse(r->io->node, r->request, AT_REASON_UNKNOWN_JOB,
+		    AT_VERDICT_NOT_RUN, 0);
+	else
+		at_refuse(r->io->node, r->request, AT_REASON_JOB_UNAVAILABLE,
+		    AT_VERDICT_NOT_RUN, RETRY_AFTER_MS);
+}
+
+static void
+on_shown(void *ctx, const at_store_result_t *result)
+{
+	job_request_t *r = ctx;
+
+	if (r->request != NULL) {
+		at_httpd_set_end(r->request, NULL, NULL);
+		show(r, result);
+	}
+	request_free(r);
+}
+
+void
+at_jobs_io_show(
+    at_jobs_io_t *io, at_httpd_request_t *request, const at_name_t *workspace)
+{
+	const char *text = at_httpd_path(request) + strlen(AT_JOBS_PATH);
+	char name[AT_JOB_OBJECT_SIZE];
+	at_claim_hash_t id;
+	job_request_t *r;
+
+	if (at_job_id_parse(&id, text) != 0) {
+		at_refuse(io->node, request, AT_REASON_UNKNOWN_JOB,
+		    AT_VERDICT_NOT_RUN, 0);
+		return;
+	}
+	r = request_new(io, request, workspace->text);
+	if (r == NULL) {
+		at_refuse(io->node, request, AT_REASON_JOB_UNAVAILABLE,
+		    AT_VERDICT_NOT_RUN, RETRY_AFTER_MS);
+		return;
+	}
+	r->id = id;
+	at_job_object(&id, name);
+	io->node->store.get(io->node->store.impl, name, on_shown, r);
+}
--- /dev/null
+++ b/src/daemon/jobs_run.c
@@ -0,0 +1,264 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "almondthread/log.h"
+#include "daemon/claims_io.h"
+#include "daemon/jobs_impl.h"
+#include "io/clock.h"
+
+#define CLAIM_WAIT_MS 1500u /* longest wait for a claim */
+#define FAILURE_STATUS 500  /* from here on the backend server failed */
+
+/* One job between its start and its end. */
+struct job_task {
+	job_task_t *next;
+	job_task_t *prev;
+	at_jobs_io_t *io;
+	at_claim_hash_t id;
+	char id_text[AT_JOB_ID_SIZE];
+	json_t *head; /* owns the texts of spec */
+	char *body;
+	at_exchange_spec_t spec;
+	at_claim_t *claim; /* held, or NULL */
+};
+
+static void
+task_free(job_task_t *t)
+{
+	if (t->prev != NULL)
+		t->prev->next = t->next;
+	else
+		t->io->tasks = t->next;
+	if (t->next != NULL)
+		t->next->prev = t->prev;
+	json_decref(t->head);
+	free(t->body);
+	free(t);
+}
+
+void
+job_tasks_free(at_jobs_io_t *io)
+{
+	while (io->tasks != NULL)
+		task_free(io->tasks);
+}
+
+static void
+retry(job_task_t *t)
+{
+	at_jobs_retry(t->io->jobs, &t->id);
+	task_free(t);
+}
+
+static void
+finish(job_task_t *t, at_job_state_t state, int status, const char *type,
+    const void *body, size_t body_len)
+{
+	json_t *head =
+	    json_pack("{s:s,s:i,s:s}", "workspace", t->spec.workspace, "status",
+		status, "type", type == NULL ? "application/json" : type);
+	size_t len;
+	char *data;
+
+	if (body_len > AT_JOB_RECORD_MAX / 2)
+		body_len = 0;
+	data = job_data(head, body, body_len, &len);
+	if (data == NULL) {
+		retry(t);
+		return;
+	}
+	at_log(AT_LOG_INFO, "jobs", t->id_text, "Ended: %s, status %d.",
+	    at_job_state_names[state], status);
+	at_jobs_finish(t->io->jobs, &t->id, state, data, len);
+	free(data);
+	task_free(t);
+}
+
+static void
+end_claim(job_task_t *t, const at_exchange_end_t *end)
+{
+	at_claims_t *ledger = at_claims_io_ledger(t->io->node->claims);
+	size_t len = AT_CLAIM_ANSWER_MAX + 1;
+	char *packed = NULL;
+
+	if (end->verdict == AT_VERDICT_NOT_RUN) {
+		at_claims_release(ledger, t->claim);
+	} else if (end->verdict == AT_VERDICT_RAN) {
+		if (end->body != NULL && end->content_type != NULL)
+			packed = at_claims_io_pack(
+			    end->content_type, end->body, end->body_len, &len);
+		if (packed == NULL)
+			len = AT_CLAIM_ANSWER_MAX + 1;
+		at_claims_settle(
+		    ledger, t->claim, (uint16_t)end->http_status, packed, len);
+	} else {
+		at_claims_abandon(ledger, t->claim);
+	}
+	free(packed);
+	at_claims_io_wake(t->io->node->claims);
+}
+
+static void
+on_exchanged(void *ctx, const at_exchange_end_t *end)
+{
+	job_task_t *t = ctx;
+	int once = t->spec.repeat == AT_ONCE;
+
+	if (t->claim != NULL)
+		end_claim(t, end);
+	if (end->verdict == AT_VERDICT_RAN &&
+	    (once || end->http_status < FAILURE_STATUS))
+		finish(t, AT_JOB_DONE, end->http_status, end->content_type,
+		    end->body, end->body == NULL ? 0 : end->body_len);
+	else if (once && end->verdict != AT_VERDICT_NOT_RUN)
+		finish(t, AT_JOB_MAY_HAVE_RUN, 0, NULL, "", 0);
+	else
+		retry(t);
+}
+
+static void
+exchange(job_task_t *t)
+{
+	t->spec.on_done = on_exchanged;
+	t->spec.done_ctx = t;
+	t->spec.request_id = t->id_text;
+	at_exchange_start(t->io->node, NULL, &t->spec);
+}
+
+/* It ran before: what the ledger kept is the answer. */
+static void
+finish_stored(job_task_t *t, const at_claim_result_t *result)
+{
+	const char *packed = result->answer;
+	const char *end = result->answer_kept && result->answer_len > 0
+			      ? memchr(packed, '\0', result->answer_len)
+			      : NULL;
+
+	if (end == NULL)
+		finish(t, AT_JOB_DONE, result->status, NULL, "", 0);
+	else
+		finish(t, AT_JOB_DONE, result->status, packed, end + 1,
+		    result->answer_len - (size_t)(end + 1 - packed));
+}
+
+static void
+on_claim(void *ctx, at_claim_t *claim, const at_claim_result_t *result)
+{
+	job_task_t *t = ctx;
+
+	switch (result->outcome) {
+	case AT_CLAIM_GRANTED:
+		t->claim = claim;
+		exchange(t);
+		return;
+	case AT_CLAIM_ANSWERED:
+		finish_stored(t, result);
+		return;
+	case AT_CLAIM_IN_FLIGHT:
+		/* Its claimant has ended without recording an end. */
+		if (result->retry_after_ms == 0)
+			finish(t, AT_JOB_MAY_HAVE_RUN, 0, NULL, "", 0);
+		else
+			retry(t);
+		return;
+	default:
+		retry(t);
+		return;
+	}
+}
+
+/* A job with a key shares its claim with the same request sent directly. */
+static void
+ask(job_task_t *t)
+{
+	const char *route =
+	    json_string_value(json_object_get(t->head, "route"));
+	at_claim_hash_t key;
+	at_claim_hash_t digest;
+
+	if (t->spec.idempotency_key[0] == '\0')
+		t->spec.idempotency_key = t->id_text;
+	at_claims_io_hash(&t->spec, route, &key, &digest);
+	if (at_claims_ask(at_claims_io_ledger(t->io->node->claims), &key,
+		&digest, CLAIM_WAIT_MS, on_claim, t) == NULL) {
+		retry(t);
+		return;
+	}
+	at_claims_io_wake(t->io->node->claims);
+}
+
+static const char *
+text_of(const json_t *head, const char *field)
+{
+	const char *text = json_string_value(json_object_get(head, field));
+
+	return text == NULL ? "" : text;
+}
+
+static void
+read_spec(job_task_t *t, size_t body_len)
+{
+	const json_t *h = t->head;
+
+	t->spec.kind =
+	    (at_instance_kind_t)json_integer_value(json_object_get(h, "kind"));
+	t->spec.target = text_of(h, "target");
+	t->spec.workspace = text_of(h, "workspace");
+	t->spec.method = text_of(h, "method");
+	t->spec.path = text_of(h, "path");
+	t->spec.content_type = text_of(h, "type");
+	t->spec.idempotency_key = text_of(h, "key");
+	t->spec.repeat =
+	    (at_repeat_t)json_integer_value(json_object_get(h, "repeat"));
+	t->spec.deadline_ms =
+	    (uint32_t)json_integer_value(json_object_get(h, "deadline_ms"));
+	t->spec.priority = AT_OVERNIGHT;
+	t->spec.body = t->body;
+	t->spec.body_len = body_len;
+}
+
+static job_task_t *
+task_new(at_jobs_io_t *io, const at_claim_hash_t *id, json_t *head,
+    const char *body, size_t len)
+{
+	job_task_t *t = calloc(1, sizeof(*t));
+
+	if (t != NULL)
+		t->body = malloc(len + 1);
+	if (t == NULL || t->body == NULL) {
+		free(t);
+		return NULL;
+	}
+	memcpy(t->body, body, len);
+	t->io = io;
+	t->id = *id;
+	at_job_id_print(id, t->id_text);
+	t->head = json_incref(head);
+	read_spec(t, len);
+	t->next = io->tasks;
+	if (t->next != NULL)
+		t->next->prev = t;
+	io->tasks = t;
+	return t;
+}
+
+void
+job_run(void *ctx, const at_claim_hash_t *id, const at_job_record_t *record)
+{
+	at_jobs_io_t *io = ctx;
+	job_task_t *t = NULL;
+	const char *body = NULL;
+	size_t len = 0;
+	json_t *head = job_head(record, &body, &len);
+
+	if (head != NULL && io->node->config != NULL)
+		t = task_new(io, id, head, body, len);
+	json_decref(head);
+	if (t == NULL)
+		at_jobs_retry(io->jobs, id);
+	else if (t->spec.repeat == AT_ONCE)
+		ask(t);
+	else
+		exchange(t);
+}
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -7,6 +7,7 @@
 #include "almondthread/log.h"
 #include "daemon/claims_io.h"
 #include "daemon/engine_status.h"
+#include "daemon/jobs_io.h"
 #include "daemon/routing.h"
 #include "daemon/exchange.h"
 #include "io/clock.h"
@@ -42,6 +43,7 @@
 	node->operators = at_httpd_new(loop);
 	node->platform = at_platform_new(loop, node->httpc);
 	node->claims = at_claims_io_new(node);
+	node->jobs = at_jobs_io_new(node);
 	node->backends = at_backends_new();
 	node->budgets = at_budgets_new();
 	node->history = at_history_new();
@@ -154,6 +156,7 @@
 	at_platform_set_counters(node->platform, node->counters);
 	node->store = at_platform_store(node->platform);
 	at_claims_io_init(node->claims);
+	at_jobs_io_init(node->jobs);
 	at_config_io_set_self(
 	    node->config_io, &node->self.instance, &node->data_centre);
 	at_config_io_set_counters(node->config_io, node->counters);
@@ -176,7 +179,8 @@
 open_work(const at_node_t *node)
 {
 	size_t requests = at_httpd_open_requests(node->callers);
-	size_t unsettled = at_claims_io_unsettled(node->claims);
+	size_t unsettled =
+	    at_claims_io_unsettled(node->claims) + at_jobs_io_busy(node->jobs);
 
 	return unsettled + (requests > node->open_exchanges
 				   ? requests
@@ -246,6 +250,7 @@
 	at_peers_delete(node->peers);
 	at_platform_delete(node->platform);
 	at_claims_io_delete(node->claims);
+	at_jobs_io_delete(node->jobs);
 	at_httpc_delete(node->httpc);
 	at_backends_delete(node->backends);
 	at_router_delete(node->router);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -23,6 +23,7 @@
 #include "io/platform.h"
 
 typedef struct at_claims_io at_claims_io_t;
+typedef struct at_jobs_io at_jobs_io_t;
 
 /* What a process learns from its flags and environment. */
 typedef struct at_node_settings {
@@ -75,6 +76,7 @@
 	uint64_t stop_since_ms;
 	at_budgets_t *budgets; /* of retries, by workspace */
 	at_claims_io_t *claims;
+	at_jobs_io_t *jobs;
 	struct exchange *exchanges;
 	size_t open_exchanges;
 } at_node_t;
--- a/src/io/clock.c
+++ b/src/io/clock.c
@@ -31,6 +31,25 @@
 	return at_clock_now_ms();
 }
 
+static uint64_t
+wall_port_now(void *impl)
+{
+	struct timespec now;
+
+	(void)impl;
+	(void)clock_gettime(CLOCK_REALTIME, &now);
+	return (uint64_t)now.tv_sec * (US_PER_S / US_PER_MS) +
+	       (uint64_t)now.tv_nsec / (NS_PER_US * US_PER_MS);
+}
+
+at_clock_t
+at_clock_wall(void)
+{
+	at_clock_t clock = {wall_port_now, NULL};
+
+	return clock;
+}
+
 at_clock_t
 at_clock_system(void)
 {
--- a/src/io/clock.h
+++ b/src/io/clock.h
@@ -14,4 +14,7 @@
 /* at_random_system() returns a cryptographic source. */
 at_random_t at_random_system(void);
 
+/* at_clock_wall() counts milliseconds since 1970; it may be set back. */
+at_clock_t at_clock_wall(void);
+
 #endif
--- /dev/null
+++ b/tests/contract/test_jobs.c
@@ -0,0 +1,215 @@
+/*
+ * Durable jobs: what was accepted ends although the instance that accepted
+ * it, or every instance, has gone; what was refused never ran.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <jansson.h>
+
+#include "support/charges.h"
+
+#define ENDS_MS 60000u /* a lease is taken over and the job run */
+#define ASYNC "Prefer: respond-async"
+#define NODES 3
+#define KEY "Idempotency-Key: j1"
+
+static fixture_t *f;
+static size_t asked_node;
+static char href[128];
+
+static void
+setup(void)
+{
+	f = charges_new();
+}
+
+static void
+teardown(void)
+{
+	fixture_delete(f);
+}
+
+static fixture_answer_t
+submit(size_t node, const char *path, const char *body)
+{
+	static const char *const headers[2] = {ASYNC, KEY};
+
+	return charges_call(f, node, "POST", path, headers, body);
+}
+
+/* Submits, checks that it is accepted and notes where to ask. */
+static void
+accept_job(size_t node, const char *path)
+{
+	fixture_answer_t a = submit(node, path, CHARGES_BODY);
+	json_t *root = json_loadb(a.body, a.len, 0, NULL);
+
+	cr_assert_eq(a.status, 202, "%d %s", a.status, a.body);
+	(void)snprintf(href, sizeof(href), "%s",
+	    json_string_value(json_object_get(root, "href")));
+	json_decref(root);
+	fixture_answer_free(&a);
+}
+
+static int
+is_done(void *ctx)
+{
+	fixture_answer_t a =
+	    charges_call(f, asked_node, "GET", href, NULL, NULL);
+	int done = a.status == 200 && strstr(a.body, "\"state\":\"done\"") &&
+		   strstr(a.body, "\"execution\":1");
+
+	(void)ctx;
+	fixture_answer_free(&a);
+	fixture_run(f, 50);
+	return done;
+}
+
+static void
+until_done(size_t node)
+{
+	asked_node = node;
+	cr_assert(fixture_until(f, is_done, NULL, ENDS_MS));
+	cr_assert_eq(charges_executions(f), 1);
+}
+
+typedef struct route_row {
+	const char *path;
+	const char *platform_faults;
+} route_row_t;
+
+static const route_row_t routes[] = {{"/charges", "{}"}, {"/notices", "{}"},
+    {"/charges", "{\"lose_replies\":1}"}, {"/charges", "{\"lose_replies\":2}"},
+    {"/notices", "{\"delay_ms\":20,\"lose_replies\":1}"}};
+
+static void
+run_route(const route_row_t *row)
+{
+	fixture_faults(f, f->platform_address, row->platform_faults);
+	accept_job(0, row->path);
+	until_done(2);
+}
+
+Test(jobs, charges, .init = setup, .fini = teardown)
+{
+	run_route(&routes[0]);
+}
+
+Test(jobs, notices, .init = setup, .fini = teardown)
+{
+	run_route(&routes[1]);
+}
+
+Test(jobs, lost_reply, .init = setup, .fini = teardown)
+{
+	run_route(&routes[2]);
+}
+
+Test(jobs, two_lost_replies, .init = setup, .fini = teardown)
+{
+	run_route(&routes[3]);
+}
+
+Test(jobs, slow_platform_and_lost_reply, .init = setup, .fini = teardown)
+{
+	run_route(&routes[4]);
+}
+
+Test(jobs, repeated_submission_is_one_job, .init = setup, .fini = teardown)
+{
+	fixture_answer_t a;
+	char first[128];
+
+	accept_job(0, "/charges");
+	memcpy(first, href, sizeof(first));
+	accept_job(1, "/charges");
+	cr_assert_str_eq(href, first);
+	a = submit(2, "/charges", "{\"amount\":6}");
+	charges_expect(&a, 422, "\"reason\":\"claim_mismatch\"");
+	until_done(1);
+}
+
+Test(jobs, death_after_acknowledgement, .init = setup, .fini = teardown)
+{
+	fixture_faults(f, f->service_addresses[0], "{\"refuse\":1000000}");
+	accept_job(0, "/charges");
+	fixture_remove_node(f, 0);
+	fixture_faults(f, f->service_addresses[0], "{\"refuse\":0}");
+	until_done(2);
+}
+
+/* Returns the instance that has started a job, or NODES. */
+static size_t
+runner(void)
+{
+	size_t i;
+
+	for (i = 0; i < NODES; i++) {
+		if (at_counters_get(f->nodes[i]->counters, "jobs_retried_total",
+			NULL, NULL) > 0)
+			return i;
+	}
+	return NODES;
+}
+
+static int
+has_runner(void *ctx)
+{
+	(void)ctx;
+	return runner() < NODES;
+}
+
+Test(jobs, death_of_the_lease_holder, .init = setup, .fini = teardown)
+{
+	size_t dead;
+
+	fixture_faults(f, f->service_addresses[0], "{\"refuse\":1000000}");
+	accept_job(0, "/charges");
+	cr_assert(fixture_until(f, has_runner, NULL, ENDS_MS));
+	dead = runner();
+	fixture_remove_node(f, dead);
+	fixture_faults(f, f->service_addresses[0], "{\"refuse\":0}");
+	until_done((dead + 1) % NODES);
+}
+
+Test(jobs, replacement_of_all_instances, .init = setup, .fini = teardown)
+{
+	size_t i;
+
+	fixture_faults(f, f->service_addresses[0], "{\"refuse\":1000000}");
+	accept_job(0, "/notices");
+	for (i = 0; i < 3; i++)
+		fixture_remove_node(f, i);
+	charges_add_node(f, "n4", "north");
+	charges_add_node(f, "n5", "south");
+	fixture_faults(f, f->service_addresses[0], "{\"refuse\":0}");
+	until_done(4);
+}
+
+Test(jobs, platform_away, .init = setup, .fini = teardown)
+{
+	fixture_answer_t a;
+
+	fixture_faults(f, f->platform_address, "{\"outage\":1}");
+	a = submit(0, "/charges", CHARGES_BODY);
+	cr_assert(strstr(a.body, "\"verdict\":\"not_run\""), "%s", a.body);
+	charges_expect(&a, 503, "\"reason\":\"job_unavailable\"");
+	cr_assert_eq(charges_executions(f), 0);
+	fixture_faults(f, f->platform_address, "{\"outage\":0}");
+	accept_job(1, "/charges");
+	until_done(1);
+}
+
+Test(jobs, unknown_job, .init = setup, .fini = teardown)
+{
+	fixture_answer_t a =
+	    charges_call(f, 0, "GET", "/v1/jobs/abc", NULL, NULL);
+
+	charges_expect(&a, 404, "\"reason\":\"unknown_job\"");
+	a = charges_call(f, 0, "GET",
+	    "/v1/jobs/00112233445566778899aabbccddeeff", NULL, NULL);
+	charges_expect(&a, 404, "\"reason\":\"unknown_job\"");
+}
--- a/tests/fuzz/fuzz_jobs.c
+++ b/tests/fuzz/fuzz_jobs.c
@@ -21,7 +21,7 @@
 #define WAIT_MS 1000u
 #define RETENTION_S 100000u
 #define ROUNDS 3000 /* of the fault-free end */
-#define ROUND_MS 50u
+#define ROUND_MS 200u
 #define QUIET_ROUNDS 240 /* every lease is taken and every job run */
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
--- /dev/null
+++ b/tests/support/charges.c
@@ -0,0 +1,111 @@
+#include "support/charges.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+#include <jansson.h>
+
+#define FORCE_MS 12000u /* a configuration is in force everywhere */
+#define CALL_MS 20000u  /* one call */
+
+static char bearer[160];
+
+static int
+serves(void *ctx)
+{
+	const at_node_t *node = ctx;
+
+	return node->config != NULL &&
+	       at_backends_find(node->backends, "s1") != NULL;
+}
+
+void
+charges_add_node(fixture_t *f, const char *name, const char *data_centre)
+{
+	size_t i = fixture_add_node(f, name, data_centre);
+
+	cr_assert(fixture_until(f, serves, f->nodes[i], FORCE_MS));
+}
+
+fixture_t *
+charges_new(void)
+{
+	char hash[65];
+	char config[2048];
+	const char *key = fixture_key("k1", hash);
+	fixture_t *f = fixture_new();
+
+	(void)fixture_add_service(f, "s1", "north", "desk");
+	(void)snprintf(bearer, sizeof(bearer), "Authorization: Bearer %s", key);
+	(void)snprintf(config, sizeof(config),
+	    "{\"generation\":1,\"data_centres\":[\"north\",\"south\"],"
+	    "\"workspaces\":[{\"name\":\"w1\",\"rate_tokens_s\":1000000,"
+	    "\"burst_tokens\":1000000,\"keys\":[{\"id\":\"k1\",\"hash\":"
+	    "\"%s\"}]}],\"services\":[{\"name\":\"desk\"}],\"routes\":["
+	    "{\"path\":\"/slots\",\"method\":\"GET\",\"service\":\"desk\","
+	    "\"repeat\":\"repeatable\",\"open\":true},{\"path\":\"/charges\","
+	    "\"method\":\"POST\",\"service\":\"desk\",\"repeat\":\"once\"},"
+	    "{\"path\":\"/notices\",\"method\":\"POST\",\"service\":\"desk\","
+	    "\"repeat\":\"repeatable\",\"priority\":\"overnight\"}]}",
+	    hash);
+	fixture_apply(f, config);
+	charges_add_node(f, "n1", "north");
+	charges_add_node(f, "n2", "north");
+	charges_add_node(f, "n3", "south");
+	return f;
+}
+
+void
+charges_send(fixture_t *f, fixture_answer_t *answer, size_t node,
+    const char *method, const char *path, const char *const header[2],
+    const char *body)
+{
+	const char *headers[] = {bearer, NULL, NULL, NULL};
+
+	if (header != NULL) {
+		headers[1] = header[0];
+		headers[2] = header[1];
+	}
+	fixture_send(
+	    f, answer, method, f->node_addresses[node], path, headers, body);
+}
+
+static int
+answered(void *ctx)
+{
+	return ((const fixture_answer_t *)ctx)->done;
+}
+
+fixture_answer_t
+charges_call(fixture_t *f, size_t node, const char *method, const char *path,
+    const char *const header[2], const char *body)
+{
+	fixture_answer_t a;
+
+	charges_send(f, &a, node, method, path, header, body);
+	cr_assert(fixture_until(f, answered, &a, CALL_MS));
+	return a;
+}
+
+uint64_t
+charges_executions(fixture_t *f)
+{
+	fixture_answer_t a = fixture_call(
+	    f, "GET", f->service_addresses[0], "/control/log", NULL, NULL);
+	json_t *root = json_loadb(a.body, a.len, 0, NULL);
+	uint64_t count =
+	    (uint64_t)json_integer_value(json_object_get(root, "executions"));
+
+	json_decref(root);
+	fixture_answer_free(&a);
+	return count;
+}
+
+void
+charges_expect(fixture_answer_t *a, int status, const char *contains)
+{
+	cr_assert_eq(a->status, status, "%d: %s", a->status, a->body);
+	cr_assert(strstr(a->body, contains), "%s", a->body);
+	fixture_answer_free(a);
+}
