--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -17,6 +17,8 @@
 int bench_keys(int argc, char **argv);
 int bench_entry(int argc, char **argv);
 int bench_claims(int argc, char **argv);
+int bench_limits(int argc, char **argv);
 int bench_route(int argc, char **argv);
+int bench_serve(int argc, char **argv);
 
 #endif
--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -18,7 +18,9 @@
     {"verdicts", bench_verdicts, "every reason, its status and verdict"},
     {"entry", bench_entry, "latency and throughput of an entry instance"},
     {"claims", bench_claims, "claims for each platform write, added latency"},
+    {"limits", bench_limits, "shares beside other policies, by refusals"},
     {"route", bench_route, "cost of one routing decision"},
+    {"serve", bench_serve, "demand served on time, against baselines"},
 };
 
 int
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -6,6 +6,7 @@
 
 #include "almondthread/log.h"
 #include "daemon/claims_io.h"
+#include "daemon/crashes.h"
 #include "daemon/engine_status.h"
 #include "daemon/jobs_io.h"
 #include "daemon/routing.h"
@@ -48,6 +49,7 @@
 	node->budgets = at_budgets_new();
 	node->history = at_history_new();
 	node->peers = at_peers_new(loop);
+	(void)at_crashes_new(node);
 	node->config_io = at_config_io_new(loop, node->peers, node->platform);
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
 	at_httpd_set_fault_handler(node->callers, at_entry_handle_fault, node);
@@ -165,6 +167,7 @@
 	ev_timer_init(&node->status_timer, on_status_timer, 0., STATUS_EVERY_S);
 	node->status_timer.data = node;
 	ev_timer_start(node->loop, &node->status_timer);
+	at_crashes_start(node);
 	node->state = AT_NODE_SERVING;
 	at_log(AT_LOG_INFO, "node", NULL,
 	    "%s in %s serves; callers on port %u, operators on port %u, "
@@ -255,6 +258,7 @@
 	at_backends_delete(node->backends);
 	at_router_delete(node->router);
 	at_budgets_delete(node->budgets);
+	at_crashes_delete(node);
 	at_history_delete(node->history);
 	at_config_delete(node->config);
 	at_counters_delete(node->counters);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -14,6 +14,7 @@
 #include "almondthread/keyring.h"
 #include "almondthread/ports.h"
 #include "almondthread/router.h"
+#include "almondthread/suspects.h"
 #include "daemon/backends.h"
 #include "daemon/config_io.h"
 #include "daemon/history.h"
@@ -78,6 +79,10 @@
 	at_claims_io_t *claims;
 	at_jobs_io_t *jobs;
 	struct exchange *exchanges;
+	size_t waiting_exchanges; /* for a backend server free of suspects */
+	at_suspects_t *suspects;
+	ev_timer judge_timer;
+	uint64_t words_due_ms; /* convictions are told again */
 	size_t open_exchanges;
 } at_node_t;
 
