--- a/include/almondthread/jobs.h
+++ b/include/almondthread/jobs.h
@@ -17,7 +17,7 @@
 #include "almondthread/claims.h"
 #include "almondthread/ports.h"
 
-#define AT_JOB_SHARDS 8u             /* index objects; fleet-wide the same */
+#define AT_JOB_SHARDS 4u             /* index objects; fleet-wide the same */
 #define AT_JOB_LEASE_MS 6000u        /* without renewal, to be taken over */
 #define AT_JOB_RECORD_MAX (1000000u) /* bytes of what the runner stores */
 #define AT_JOB_ID_DIGITS 32u         /* hexadecimal */
@@ -89,6 +89,8 @@
  * shard. Two that do at once cost calls, never a job.
  */
 void at_jobs_set_candidate(at_jobs_t *jobs, uint32_t shard, int candidate);
+/* at_jobs_stop() starts no more jobs; what runs is finished. */
+void at_jobs_stop(at_jobs_t *jobs);
 /* The store must have dropped its open calls. */
 void at_jobs_delete(at_jobs_t *jobs);
 
