--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -4,7 +4,8 @@
 
 #include <jansson.h>
 
-#include "daemon/exchange.h"
+#include "almondthread/bucket.h"
+#include "daemon/admission.h"
 
 #define BEARER "Bearer "
 #define NO_RETRY 0u
@@ -26,6 +27,16 @@
 	return value + strlen(BEARER);
 }
 
+/* Tells whether the keys in force are fresh enough to be relied upon. */
+static int
+keys_are_checked(const at_node_t *node)
+{
+	const at_defaults_t *d = &node->config->defaults;
+
+	return d->cut_off_keys == AT_CUT_OFF_SERVE ||
+	       at_config_io_age_ms(node->config_io) <= d->key_staleness_ms;
+}
+
 /* Returns the caller's workspace, or refuses and returns NULL. */
 static const at_workspace_t *
 authenticate(at_node_t *node, at_httpd_request_t *request)
@@ -37,6 +48,11 @@
 		refuse(node, request, AT_REASON_MISSING_KEY);
 		return NULL;
 	}
+	if (!keys_are_checked(node)) {
+		at_refuse(node, request, AT_REASON_KEY_UNCHECKED,
+		    AT_VERDICT_NOT_RUN, AT_MS_PER_S);
+		return NULL;
+	}
 	workspace = at_key_find(node->config, &node->secret, key);
 	if (workspace == NULL)
 		refuse(node, request, AT_REASON_UNKNOWN_KEY);
@@ -103,6 +119,22 @@
 	return AT_REASON_NONE;
 }
 
+/* A token of the prompt has at least one byte of the body. */
+static uint64_t
+most_tokens(const at_config_t *config, const char *model, const json_t *root,
+    size_t body_len)
+{
+	const json_t *asked = json_object_get(root, "max_tokens");
+	uint64_t generated = at_config_value(config, AT_EXCEPTION_MAX_TOKENS,
+	    model, config->defaults.max_tokens);
+
+	if (json_is_integer(asked) && json_integer_value(asked) >= 0)
+		generated = (uint64_t)json_integer_value(asked);
+	if (generated > AT_TOKENS_MAX)
+		generated = AT_TOKENS_MAX;
+	return body_len + generated;
+}
+
 static void
 start_completion(at_node_t *node, at_httpd_request_t *request,
     const at_workspace_t *workspace, json_t *root)
@@ -129,7 +161,8 @@
 		return;
 	}
 	spec.body = at_httpd_body(request, &spec.body_len);
-	at_exchange_start(node, request, &spec);
+	at_admission_start(node, request, &spec,
+	    most_tokens(node->config, model, root, spec.body_len));
 }
 
 static void
@@ -189,7 +222,7 @@
 			       ? route->deadline_ms
 			       : node->config->defaults.deadline_ms;
 	spec.body = at_httpd_body(request, &spec.body_len);
-	at_exchange_start(node, request, &spec);
+	at_admission_start(node, request, &spec, route->cost_tokens);
 }
 
 void
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -5,12 +5,16 @@
 #include <string.h>
 
 #include "almondthread/log.h"
+#include "daemon/admission.h"
 #include "daemon/engine_status.h"
+#include "daemon/routing.h"
 #include "daemon/exchange.h"
+#include "daemon/limits_io.h"
 #include "io/clock.h"
 
 #define STATUS_EVERY_S 0.5 /* between two reports of an engine */
 #define STOP_CHECK_S 0.05  /* between two looks at open requests */
+#define HAND_OVER_MS 3000u /* longest wait for shares to be handed back */
 #define LINGER_MS 500u     /* for requests already on their way */
 
 const char *const at_node_state_names[] = {
@@ -43,6 +47,10 @@
 	node->budgets = at_budgets_new();
 	node->history = at_history_new();
 	node->peers = at_peers_new(loop);
+	node->config_io = at_config_io_new(loop, node->peers, node->platform);
+	node->limits = at_limits_new(loop, node->peers);
+	at_limits_set_counters(node->limits, node->counters);
+	node->admissions = at_admissions_new(node);
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
 	at_httpd_set_fault_handler(node->callers, at_entry_handle_fault, node);
 	at_httpd_set_slow(node->callers, on_slow_caller, node);
@@ -51,36 +59,14 @@
 }
 
 static void
-on_config(void *ctx, const at_store_event_t *event)
+on_config(void *ctx, at_config_t *config)
 {
 	at_node_t *node = ctx;
-	at_status_t status;
-	at_config_t *config;
 
-	if (event == NULL || event->version == 0 ||
-	    strcmp(event->name, AT_CONFIG_OBJECT) != 0)
-		return;
-	at_status_clear(&status);
-	config = at_config_parse(event->value, event->value_len, &status);
-	if (config == NULL) {
-		at_counters_add(
-		    node->counters, "config_refused_total", NULL, NULL, 1);
-		at_log(AT_LOG_ERROR, "config", NULL,
-		    "The new configuration is refused: %s.", status.message);
-		return;
-	}
-	if (node->config != NULL &&
-	    config->generation <= node->config->generation) {
-		at_config_delete(config);
-		return;
-	}
 	at_config_delete(node->config);
 	node->config = config;
+	at_limits_set_config(node->limits, config);
 	at_httpd_set_max_body(node->callers, config->defaults.max_body_bytes);
-	at_counters_set(node->counters, "config_generation", NULL, NULL,
-	    config->generation);
-	at_log(AT_LOG_INFO, "config", NULL, "Generation %llu is in force.",
-	    (unsigned long long)config->generation);
 }
 
 static void
@@ -89,7 +75,8 @@
 	at_node_t *node = ctx;
 
 	at_backends_update(node->backends, instances, count);
-	at_peers_update(node->peers, instances, count);
+	at_limits_set_instances(node->limits, instances, count);
+	at_routing_listed(node);
 }
 
 static void
@@ -160,6 +147,11 @@
 	if (check_settings(node, status) != AT_OK)
 		return status->code;
 	node->self.number = node->random.next(node->random.impl);
+	node->router = at_router_new(
+	    &node->data_centre, node->random.next(node->random.impl));
+	if (node->router == NULL)
+		return at_status_set(status, AT_FAILED, "no memory");
+	at_backends_set_forget(node->backends, at_routing_forget, node);
 	if (at_platform_init(node->platform, s->platform, status) != AT_OK ||
 	    at_httpd_init(node->operators, s->operators, status) != AT_OK ||
 	    at_httpd_init(node->callers, s->listen, status) != AT_OK ||
@@ -167,8 +159,14 @@
 		return status->code;
 	at_platform_set_counters(node->platform, node->counters);
 	node->store = at_platform_store(node->platform);
-	node->store.watch(node->store.impl, "config/", on_config, node);
-	at_platform_watch_instances(node->platform, on_instances, node);
+	if (at_limits_init(node->limits, &node->self, &node->data_centre,
+		&node->store, status) != AT_OK)
+		return status->code;
+	at_config_io_set_self(
+	    node->config_io, &node->self.instance, &node->data_centre);
+	at_config_io_set_counters(node->config_io, node->counters);
+	at_config_io_set_events(node->config_io, on_config, on_instances, node);
+	at_config_io_init(node->config_io);
 	ev_timer_init(&node->status_timer, on_status_timer, 0., STATUS_EVERY_S);
 	node->status_timer.data = node;
 	ev_timer_start(node->loop, &node->status_timer);
@@ -215,6 +213,10 @@
 		return;
 	if (open > 0 && waited_ms < node->settings.stop_max_ms)
 		return;
+	at_limits_leave(node->limits);
+	if (open == 0 && !at_limits_left(node->limits) &&
+	    waited_ms < HAND_OVER_MS)
+		return;
 	if (open > 0)
 		at_log(AT_LOG_ERROR, "node", NULL,
 		    "Cuts %zu requests after the longest wait.", open);
@@ -249,11 +251,15 @@
 	ev_timer_stop(node->loop, &node->status_timer);
 	at_httpd_delete(node->callers);
 	at_exchange_delete_all(node);
+	at_admissions_delete(node->admissions);
 	at_httpd_delete(node->operators);
+	at_config_io_delete(node->config_io);
 	at_peers_delete(node->peers);
 	at_platform_delete(node->platform);
 	at_httpc_delete(node->httpc);
+	at_limits_delete(node->limits);
 	at_backends_delete(node->backends);
+	at_router_delete(node->router);
 	at_budgets_delete(node->budgets);
 	at_history_delete(node->history);
 	at_config_delete(node->config);
--- a/src/daemon/operators.c
+++ b/src/daemon/operators.c
@@ -3,6 +3,7 @@
 
 #include <jansson.h>
 
+#include "daemon/limits_io.h"
 #include "daemon/explain.h"
 
 static void
@@ -21,6 +22,8 @@
 
 	at_counters_set(node->counters, "open_requests", NULL, NULL,
 	    at_httpd_open_requests(node->callers));
+	at_counters_set(node->counters, "buffered_bytes", NULL, NULL,
+	    at_httpd_buffered(node->callers));
 	text = at_counters_text(node->counters);
 	reply_text(request, text == NULL ? 500 : 200, text == NULL ? "" : text);
 	free(text);
@@ -59,6 +62,7 @@
 	char *text;
 
 	at_backends_each(node->backends, add_backend, list);
+	json_object_set_new(root, "shares", at_limits_status(node->limits));
 	text = json_dumps(root, JSON_COMPACT);
 	at_httpd_reply(request, 200, headers, text, strlen(text));
 	free(text);
--- a/tests/support/fixture.c
+++ b/tests/support/fixture.c
@@ -126,6 +126,7 @@
 	fixture_answer_t *answer = ctx;
 
 	answer->done = 1;
+	answer->transfer = NULL;
 	answer->whole = result->whole;
 	answer->reason = result->reason;
 	if (answer->body == NULL)
@@ -148,7 +149,15 @@
 
 	memset(answer, 0, sizeof(*answer));
 	(void)snprintf(url, sizeof(url), "http://%s%s", address, path);
-	cr_assert_not_null(at_httpc_start(f->httpc, &spec, &events));
+	answer->transfer = at_httpc_start(f->httpc, &spec, &events);
+	cr_assert_not_null(answer->transfer);
+}
+
+void
+fixture_hang_up(fixture_answer_t *answer)
+{
+	at_transfer_cancel(answer->transfer);
+	answer->transfer = NULL;
 }
 
 static int
@@ -256,7 +265,9 @@
 	    .data_centre = data_centre,
 	    .listen = "127.0.0.1:0",
 	    .operators = "127.0.0.1:0",
-	    .platform = f->platform_address,
+	    .platform = f->node_platform != NULL ? f->node_platform
+						 : f->platform_address,
+	    .seeds = f->node_seeds,
 	    .peers = "127.0.0.1:0",
 	    .secret = FIXTURE_SECRET,
 	    .log_level = "info",
--- a/tests/support/fixture.h
+++ b/tests/support/fixture.h
@@ -30,6 +30,9 @@
 	char operator_addresses[FIXTURE_MAX][AT_ADDR_SIZE];
 	char peer_addresses[FIXTURE_MAX][AT_ADDR_SIZE];
 	size_t node_count;
+	/* Of nodes added from now on; NULL: the platform itself, none. */
+	const char *node_platform;
+	const char *node_seeds;
 } fixture_t;
 
 /* One answer; body is NUL-terminated. Freed by fixture_answer_free(). */
@@ -41,6 +44,7 @@
 	uint64_t version; /* of the X-Version header */
 	char *body;
 	size_t len;
+	at_transfer_t *transfer; /* while it is open */
 } fixture_answer_t;
 
 /* fixture_new() starts the platform alone. */
@@ -77,6 +81,9 @@
     const char *body);
 void fixture_answer_free(fixture_answer_t *answer);
 
+/* fixture_hang_up() closes an open call as a caller that leaves does. */
+void fixture_hang_up(fixture_answer_t *answer);
+
 /* fixture_faults() sets faults of a stand-in at an address. */
 void fixture_faults(fixture_t *f, const char *address, const char *json);
 
