--- a/src/core/share_policy.c
+++ b/src/core/share_policy.c
@@ -353,6 +353,20 @@
 	    least(spare_ppb, AT_PPB));
 }
 
+/* A leaver asks for what it has lent. */
+static void
+call_back(at_share_t *share)
+{
+	peer_t *peer;
+
+	for (peer = share->peers; peer != NULL; peer = peer->hh.next) {
+		int64_t lent = loan_ppb(&peer->lent);
+
+		if (lent > 0 && share->now_ms >= peer->asked_ms + LOW_GAP_MS)
+			share_ask(share, peer, 0, least(lent, AT_PPB), 0, 0);
+	}
+}
+
 void
 policy_tick(at_share_t *share)
 {
@@ -363,6 +377,7 @@
 	roll_window(share);
 	if (share->leaving) {
 		(void)return_surplus(share, AT_PPB);
+		call_back(share);
 		return;
 	}
 	renew(share);
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -4,8 +4,9 @@
 
 #include <jansson.h>
 
+#include "almondthread/bucket.h"
+#include "daemon/admission.h"
 #include "daemon/claims_io.h"
-#include "daemon/exchange.h"
 #include "daemon/jobs_io.h"
 
 #define BEARER "Bearer "
@@ -135,16 +136,48 @@
 	return AT_REASON_NONE;
 }
 
-/* What a completion costs at most: its prompt and what it may generate. */
+/* A token of the prompt has at least one byte of the body. */
 static uint64_t
-tokens_of(json_t *root, size_t body_len, const at_config_t *config)
+most_tokens(const at_config_t *config, const char *model, const json_t *root,
+    size_t body_len)
 {
-	json_t *limit = json_object_get(root, "max_tokens");
-	uint64_t generated = config->defaults.max_tokens;
+	const json_t *asked = json_object_get(root, "max_tokens");
+	uint64_t generated = at_config_value(config, AT_EXCEPTION_MAX_TOKENS,
+	    model, config->defaults.max_tokens);
 
-	if (json_is_integer(limit) && json_integer_value(limit) > 0)
-		generated = (uint64_t)json_integer_value(limit);
-	return body_len / BYTES_PER_TOKEN + generated;
+	if (json_is_integer(asked) && json_integer_value(asked) >= 0)
+		generated = (uint64_t)json_integer_value(asked);
+	if (generated > AT_TOKENS_MAX)
+		generated = AT_TOKENS_MAX;
+	return body_len + generated;
+}
+
+/* What follows once the request is within its workspace's share. */
+static void
+run_completion(at_node_t *node, at_httpd_request_t *request,
+    const at_exchange_spec_t *spec)
+{
+	if (spec->stream || !at_jobs_io_wanted(request, spec))
+		at_exchange_start(node, request, spec);
+	else
+		at_jobs_io_submit(node->jobs, request, spec, spec->path);
+}
+
+static void
+run_route(at_node_t *node, at_httpd_request_t *request,
+    const at_exchange_spec_t *spec)
+{
+	int wrong_method;
+	const at_route_t *route = at_config_route(
+	    node->config, spec->path, spec->method, &wrong_method);
+
+	/* The configuration may have changed while it waited. */
+	if (route == NULL)
+		refuse(node, request, AT_REASON_UNKNOWN_ROUTE);
+	else if (at_jobs_io_wanted(request, spec))
+		at_jobs_io_submit(node->jobs, request, spec, route->path);
+	else
+		at_claims_io_start(node->claims, request, spec, route);
 }
 
 static void
@@ -174,11 +207,11 @@
 	}
 	spec.body = at_httpd_body(request, &spec.body_len);
 	at_placement_io_demand(node->placement, model,
-	    tokens_of(root, spec.body_len, node->config));
-	if (spec.stream || !at_jobs_io_wanted(request, &spec))
-		at_exchange_start(node, request, &spec);
-	else
-		at_jobs_io_submit(node->jobs, request, &spec, spec.path);
+	    most_tokens(
+		node->config, model, root, spec.body_len / BYTES_PER_TOKEN));
+	at_admission_start(node, request, &spec,
+	    most_tokens(node->config, model, root, spec.body_len),
+	    run_completion);
 }
 
 static void
@@ -238,10 +271,7 @@
 			       ? route->deadline_ms
 			       : node->config->defaults.deadline_ms;
 	spec.body = at_httpd_body(request, &spec.body_len);
-	if (at_jobs_io_wanted(request, &spec))
-		at_jobs_io_submit(node->jobs, request, &spec, route->path);
-	else
-		at_claims_io_start(node->claims, request, &spec, route);
+	at_admission_start(node, request, &spec, route->cost_tokens, run_route);
 }
 
 void
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -69,6 +69,8 @@
 	at_store_t store;
 	at_peers_t *peers;
 	at_config_io_t *config_io;
+	struct at_limits *limits;
+	struct at_admissions *admissions;
 	at_config_t *config; /* NULL until the first one */
 	at_backends_t *backends;
 	at_router_t *router;   /* of engines */
--- a/src/daemon/operators.c
+++ b/src/daemon/operators.c
@@ -4,6 +4,7 @@
 #include <jansson.h>
 
 #include "daemon/crashes.h"
+#include "daemon/limits_io.h"
 #include "daemon/explain.h"
 #include "daemon/peers_status.h"
 
@@ -65,6 +66,7 @@
 
 	at_backends_each(node->backends, add_backend, list);
 	at_peers_status_add(node, root);
+	json_object_set_new(root, "shares", at_limits_status(node->limits));
 	text = json_dumps(root, JSON_COMPACT);
 	at_httpd_reply(request, 200, headers, text, strlen(text));
 	free(text);
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -279,6 +279,8 @@
 		request->gone = 1;
 	if (request->on_end != NULL)
 		request->on_end(request->ctx, request->gone);
+	if (request->finalizer != NULL)
+		request->finalizer(request->finalizer_ctx, request->status);
 	request_delete(request);
 	*request_cls = NULL;
 }
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -44,6 +44,8 @@
 	size_t out_end;
 	size_t out_size;
 	at_httpd_end_t on_end;
+	void (*finalizer)(void *ctx, int status);
+	void *finalizer_ctx;
 	at_httpd_gone_t on_gone;
 	at_httpd_drain_t on_drain;
 	void *ctx;
