--- a/tests/fuzz/fuzz_jobs.c
+++ b/tests/fuzz/fuzz_jobs.c
@@ -2,17 +2,16 @@
  * Durable jobs on several instances over one object API that delays, loses
  * and refuses: what was accepted ends, and what was refused never runs.
  *
- * Input bytes choose the operations; when they end, numbers drawn from their
- * hash go on, so that each run has OPERATIONS of them.
+ * Input bytes choose the operations; when they end, numbers seeded by them
+ * go on, so that each run has OPERATIONS of them.
  * check-args: -seed=1 -runs=4000 -max_len=512 -len_control=0
  */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <xxhash.h>
-
 #include "almondthread/jobs.h"
+#include "fuzz/operations.h"
 #include "support/faulty_store.h"
 
 #define OPERATIONS 256
@@ -53,26 +52,12 @@
 static truth_t truths[IDS];
 static submission_t submissions[64];
 
-static const uint8_t *input;
-static size_t input_left;
-static at_rng_t more;
-
-#define CHECK(condition)                                                    \
-	do {                                                                \
-		if (!(condition)) {                                         \
-			fprintf(                                            \
-			    stderr, "line %d: %s\n", __LINE__, #condition); \
-			abort();                                            \
-		}                                                           \
-	} while (0)
+static operations_t input;
 
 static unsigned
 draw(unsigned bound)
 {
-	if (input_left == 0)
-		return (unsigned)at_rng_below(&more, bound);
-	input_left--;
-	return *input++ % bound;
+	return operations_draw(&input, bound);
 }
 
 static uint64_t
@@ -346,15 +331,13 @@
 {
 	int i;
 
-	input = data;
-	input_left = size;
-	more.state = XXH3_64bits(data, size);
+	input = operations_of(data, size);
 	lives = 0;
 	now_ms = 1000000;
 	store = faulty_store_new();
 	for (i = 0; i < INSTANCES; i++)
 		start_instance(i);
-	for (i = 0; i < OPERATIONS || input_left > 0; i++)
+	for (i = 0; i < OPERATIONS || input.size > 0; i++)
 		step();
 	finish();
 	for (i = 0; i < INSTANCES; i++)
