Test limits over three instances; read the table only when needed

Cause: test_config_io showed that calls to the object API grew with the fleet (51 and then 22 calls in 4 s with 12 instances, limit 20): every instance read the table of shares every 10 s, newcomers every second, and the first to join took the floors of a fleet of one. Change: an instance joins when it knows the fleet's size, shrinks its floor without a read, and reads at long intervals; only lease holders write regularly. Contract test of limits with three instances.

--- a/src/core/share_root.c
+++ b/src/core/share_root.c
@@ -4,8 +4,8 @@
 #include <string.h>
 
 #define RENEW_MS (AT_LEASE_TERM_MS / 3u) /* between two writes of a holder */
-#define REREAD_MS 10000u                 /* between two reads of the others */
-#define JOIN_MS 1000u      /* between two tries while there is no floor */
+#define REREAD_MS 600000u  /* between two reads by all the others */
+#define JOIN_MS 10000u     /* between two tries to get a floor */
 #define RETRY_MS 200u      /* after a call that failed or lost a race */
 #define RETRY_MAX_MS 5000u /* the spread of retries grows up to this */
 #define NEVER UINT64_MAX
@@ -32,6 +32,7 @@
 	int64_t floors_ppb;
 	size_t instances;
 	size_t data_centres;
+	int fleet_known; /* the two above were heard */
 	int holds;
 	int leaving;
 	int left;
@@ -109,6 +110,7 @@
 at_share_root_set_fleet(
     at_share_root_t *root, size_t instances, size_t data_centres)
 {
+	root->fleet_known = 1;
 	root->instances = instances > 0 ? instances : 1;
 	root->data_centres = data_centres > 0 ? data_centres : 1;
 }
@@ -287,11 +289,17 @@
 	return own;
 }
 
+static int64_t
+target_ppb(const at_share_root_t *root)
+{
+	return root->floors_ppb / (int64_t)root->instances;
+}
+
 /* Settles this instance's floor; returns whether it changed. */
 static int
 plan_floor(at_share_root_t *root, at_share_entry_t *own, int64_t free_ppb)
 {
-	int64_t target = root->floors_ppb / (int64_t)root->instances;
+	int64_t target = target_ppb(root);
 
 	if (root->shrinking) {
 		if (!loans_are_over(root) || own->floor_ppb == root->floor_ppb)
@@ -299,11 +307,7 @@
 		own->floor_ppb = root->floor_ppb;
 		return 1;
 	}
-	if (own->floor_ppb > target + target / 4) {
-		shrink(root, target);
-		return 0;
-	}
-	if (own->floor_ppb >= target || free_ppb <= 0)
+	if (!root->fleet_known || own->floor_ppb >= target || free_ppb <= 0)
 		return 0;
 	own->floor_ppb += least(target - own->floor_ppb, free_ppb);
 	return 1;
@@ -408,9 +412,31 @@
 {
 	if (root->leaving)
 		return RETRY_MS;
-	if (root->floor_ppb == 0 && !root->shrinking)
+	if (root->holds)
+		return RENEW_MS;
+	if (!root->fleet_known || root->floor_ppb < target_ppb(root) / 2)
 		return JOIN_MS;
-	return root->holds ? RENEW_MS : REREAD_MS;
+	return REREAD_MS;
+}
+
+/* A floor that has become too large for the fleet shrinks without a read. */
+static void
+check_floor(at_share_root_t *root)
+{
+	int64_t target = target_ppb(root);
+
+	if (root->leaving || root->shrinking || !root->fleet_known ||
+	    root->floor_ppb <= target + target / 4)
+		return;
+	shrink(root, target);
+}
+
+/* A smaller floor is written once its loans are over. */
+static void
+check_shrunk(at_share_root_t *root)
+{
+	if (root->shrinking && root->failures == 0 && loans_are_over(root))
+		root->next_ms = root->now_ms;
 }
 
 /* What the table says of this instance counts from now on. */
@@ -498,6 +524,8 @@
 {
 	root->now_ms = now_ms;
 	root->lent_ppb = lent_ppb;
+	check_floor(root);
+	check_shrunk(root);
 	if (root->answered) {
 		root->answered = 0;
 		if (root->state == STATE_READING)
--- /dev/null
+++ b/tests/contract/test_limits.c
@@ -0,0 +1,149 @@
+/*
+ * Three instances admit one workspace's requests: together never more than
+ * its rate and burst, and what is within the rate is not refused.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "daemon/limits_io.h"
+#include "io/clock.h"
+#include "support/fixture.h"
+
+#define NODES 3u
+#define CHARGE_TOKENS 100u
+#define RATE 1000u  /* tokens per second */
+#define BURST 6000u /* tokens */
+#define CONFIG_MS 12000u
+#define JOIN_MS 30000u /* two retries of the slowest joiner */
+
+static fixture_t *f;
+static char bearer[160];
+
+static int
+joined(void *ctx)
+{
+	size_t i;
+
+	(void)ctx;
+	for (i = 0; i < NODES; i++) {
+		json_t *list = at_limits_status(f->nodes[i]->limits);
+		json_t *floor =
+		    json_object_get(json_array_get(list, 0), "floor_ppb");
+		int has = json_integer_value(floor) > 0;
+
+		json_decref(list);
+		if (!has)
+			return 0;
+	}
+	return 1;
+}
+
+static void
+setup(void)
+{
+	static const char *const names[NODES] = {"n1", "n2", "n3"};
+	static const char *const centres[NODES] = {"north", "north", "south"};
+	char config[2048];
+	char hash[65];
+	const char *key = fixture_key("k1", hash);
+	size_t i;
+
+	f = fixture_new();
+	(void)fixture_add_service(f, "s1", "north", "desk");
+	for (i = 0; i < NODES; i++)
+		(void)fixture_add_node(f, names[i], centres[i]);
+	(void)snprintf(bearer, sizeof(bearer), "Authorization: Bearer %s", key);
+	(void)snprintf(config, sizeof(config),
+	    "{\"generation\":1,\"data_centres\":[\"north\",\"south\"],"
+	    "\"workspaces\":[{\"name\":\"w1\",\"rate_tokens_s\":%u,"
+	    "\"burst_tokens\":%u,\"keys\":[{\"id\":\"k1\",\"hash\":\"%s\"}]}],"
+	    "\"services\":[{\"name\":\"desk\"}],"
+	    "\"routes\":[{\"path\":\"/slots\",\"method\":\"GET\",\"service\":"
+	    "\"desk\",\"repeat\":\"repeatable\",\"cost_tokens\":%u},"
+	    "{\"path\":\"/large\",\"method\":\"GET\",\"service\":\"desk\","
+	    "\"repeat\":\"repeatable\",\"cost_tokens\":%u}]}",
+	    RATE, BURST, hash, CHARGE_TOKENS, BURST + 1);
+	fixture_apply(f, config);
+	cr_assert(fixture_until(f, joined, NULL, CONFIG_MS + JOIN_MS));
+}
+
+static void
+teardown(void)
+{
+	fixture_delete(f);
+}
+
+static int
+ask(size_t node, const char *path, const char *reason)
+{
+	const char *with[] = {bearer, NULL};
+	fixture_answer_t a =
+	    fixture_call(f, "GET", f->node_addresses[node], path, with, NULL);
+	int status = a.status;
+
+	if (status != 200) {
+		cr_assert(strstr(a.body, reason), "%s", a.body);
+		cr_assert(strstr(a.body, "\"verdict\":\"not_run\""));
+	}
+	fixture_answer_free(&a);
+	return status;
+}
+
+Test(
+    limits, admits_no_more_than_rate_and_burst, .init = setup, .fini = teardown)
+{
+	uint64_t start_ms = at_clock_now_ms();
+	uint64_t admitted = 0;
+	uint64_t refused = 0;
+	size_t i;
+
+	for (i = 0; i < 200; i++) {
+		int status = ask(i % NODES, "/slots", "over_rate");
+
+		cr_assert(status == 200 || status == 429, "%d", status);
+		admitted += status == 200;
+		refused += status == 429;
+		cr_assert_leq(admitted * CHARGE_TOKENS,
+		    BURST + RATE * (at_clock_now_ms() + 1 - start_ms) / 1000);
+	}
+	cr_assert_gt(admitted, 0);
+	cr_assert_gt(refused, 0);
+}
+
+/* Half the rate, all at one instance after another. */
+Test(limits, refuses_nothing_within_the_rate, .init = setup, .fini = teardown)
+{
+	size_t i;
+
+	fixture_run(f, 3000);
+	for (i = 0; i < 15; i++) {
+		cr_assert_eq(ask(i / 5 % NODES, "/slots", "none"), 200,
+		    "request %zu", i);
+		fixture_run(f, 200);
+	}
+}
+
+Test(limits, refuses_what_exceeds_the_burst, .init = setup, .fini = teardown)
+{
+	cr_assert_eq(ask(0, "/large", "over_burst"), 400);
+}
+
+/* A planned stop hands the share back; the others take it up. */
+static int
+handed_back(void *ctx)
+{
+	at_limits_t *limits = ctx;
+
+	return at_limits_left(limits);
+}
+
+Test(limits, a_planned_stop_hands_the_share_back, .init = setup,
+    .fini = teardown)
+{
+	at_limits_leave(f->nodes[1]->limits);
+	cr_assert(fixture_until(
+	    f, handed_back, f->nodes[1]->limits, AT_IDLE_TERM_MS + 10000));
+}
