Let the lease be taken as soon as it may, with fewer calls

Cause: scripts/check showed test_config_io counting 36 platform calls in 4 s where 20 are allowed: the lease's reads came on top although nothing was to be placed. Halving the rate of the reads showed that a candidate which saw a release waited for another read's interval before it wrote: a planned hand-over once took more than its second.

Change: no campaign where no engine is configured; reads each 600 ms; a candidate writes as soon as the lease may be taken and waits only after a write that failed; one that is no candidate any more lets it lapse. In the fuzzer an instance acts on a stale view of its lease more often.

--- a/include/almondthread/lease.h
+++ b/include/almondthread/lease.h
@@ -23,7 +23,7 @@
 
 #define AT_LEASE_TERM_MS 6000u
 #define AT_LEASE_RENEW_MS 1500u  /* between two renewals */
-#define AT_LEASE_POLL_MS 300u    /* between two reads of a candidate */
+#define AT_LEASE_POLL_MS 600u    /* between two reads of a candidate */
 #define AT_LEASE_MARGIN_MS 500u  /* left of the term when an order is sent */
 #define AT_CLOCK_ERROR_PPM 1000u /* of the rate of any clock */
 #define AT_LEASE_OBJECT "lease/" /* followed by the data centre */
@@ -58,7 +58,10 @@
 
 at_lease_t *at_lease_new(void);
 void at_lease_set_self(at_lease_t *lease, const at_incarnation_t *self);
-/* at_lease_set_candidate() says whether this instance may take the lease. */
+/*
+ * at_lease_set_candidate() says whether this instance may take the lease; one
+ * that holds it and may no longer lets it lapse.
+ */
 void at_lease_set_candidate(at_lease_t *lease, int candidate);
 void at_lease_delete(at_lease_t *lease);
 
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -28,6 +28,7 @@
 	uint64_t asked_at_ms;   /* of the open call */
 	uint64_t next_read_ms;  /* following */
 	uint64_t next_renew_ms; /* held */
+	uint64_t next_take_ms;  /* following; after a write that failed */
 	uint64_t valid_until_ms;
 	uint64_t fence;
 	uint64_t sequence;       /* of the last write that was tried */
@@ -138,13 +139,12 @@
 	} else if (lease->state == AT_LEASE_RELEASING) {
 		ask_write(lease, now_ms, 1, action);
 	} else if (lease->state == AT_LEASE_HELD) {
-		if (now_ms >= lease->next_renew_ms)
+		if (lease->candidate && now_ms >= lease->next_renew_ms)
 			ask_write(lease, now_ms, 0, action);
+	} else if (may_take(lease, now_ms) && now_ms >= lease->next_take_ms) {
+		ask_write(lease, now_ms, 0, action);
 	} else if (lease->candidate && now_ms >= lease->next_read_ms) {
-		if (may_take(lease, now_ms))
-			ask_write(lease, now_ms, 0, action);
-		else
-			ask_read(lease, now_ms, action);
+		ask_read(lease, now_ms, action);
 	}
 }
 
@@ -256,7 +256,7 @@
 		return;
 	default:
 		lease->next_renew_ms = now_ms + AT_LEASE_POLL_MS;
-		lease->next_read_ms = now_ms + AT_LEASE_POLL_MS;
+		lease->next_take_ms = now_ms + AT_LEASE_POLL_MS;
 		return;
 	}
 }
--- a/src/daemon/placement_io.c
+++ b/src/daemon/placement_io.c
@@ -59,6 +59,7 @@
 	    AT_ORDERS_OBJECT "%s", node->data_centre.text);
 	at_lease_set_self(io->lease, &node->self);
 	at_orders_set_self(io->orders, &node->self);
+	at_lease_set_candidate(io->lease, 0);
 	ev_timer_start(node->loop, &io->tick);
 	io->started = 1;
 }
@@ -354,6 +355,19 @@
 	free(open);
 }
 
+/* Where there is nothing to place, the lease costs no calls. */
+static int
+has_engines(const at_placement_io_t *io)
+{
+	size_t i;
+
+	for (i = 0; i < io->config->engine_count; i++) {
+		if (is_ours(io, &io->config->engines[i]))
+			return 1;
+	}
+	return 0;
+}
+
 /* Sends what was counted to every instance that may come to plan. */
 static void
 share_demand(at_placement_io_t *io)
@@ -375,7 +389,7 @@
 		else
 			names[count++] = owner;
 	}
-	at_lease_set_candidate(io->lease, candidate);
+	at_lease_set_candidate(io->lease, candidate && has_engines(io));
 	at_demand_flush(io->demand, candidate ? io->placement : NULL,
 	    node->peers, names, count);
 }
