--- a/include/almondthread/router.h
+++ b/include/almondthread/router.h
@@ -41,6 +41,9 @@
 	size_t prefix_count;
 	uint32_t deadline_ms; /* for the first token; 0: none */
 	const at_name_t *avoid[AT_ROUTER_AVOID_MAX]; /* tried before; NULL */
+	/* May it run there? NULL: anywhere. */
+	int (*may_run)(void *ctx, const at_name_t *engine);
+	void *may_run_ctx;
 } at_route_request_t;
 
 /* Why an engine was chosen. */
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -5,7 +5,10 @@
 #include <string.h>
 
 #include "almondthread/log.h"
+#include "daemon/claims_io.h"
+#include "daemon/crashes.h"
 #include "daemon/engine_status.h"
+#include "daemon/jobs_io.h"
 #include "daemon/routing.h"
 #include "daemon/exchange.h"
 #include "io/clock.h"
@@ -40,10 +43,13 @@
 	node->callers = at_httpd_new(loop);
 	node->operators = at_httpd_new(loop);
 	node->platform = at_platform_new(loop, node->httpc);
+	node->claims = at_claims_io_new(node);
+	node->jobs = at_jobs_io_new(node);
 	node->backends = at_backends_new();
 	node->budgets = at_budgets_new();
 	node->history = at_history_new();
 	node->peers = at_peers_new(loop);
+	(void)at_crashes_new(node);
 	node->placement = at_placement_io_new(node);
 	node->config_io = at_config_io_new(loop, node->peers, node->platform);
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
@@ -154,7 +160,9 @@
 		return status->code;
 	at_platform_set_counters(node->platform, node->counters);
 	node->store = at_platform_store(node->platform);
+	at_claims_io_init(node->claims);
 	at_placement_io_init(node->placement);
+	at_jobs_io_init(node->jobs);
 	at_config_io_set_self(
 	    node->config_io, &node->self.instance, &node->data_centre);
 	at_config_io_set_counters(node->config_io, node->counters);
@@ -163,6 +171,7 @@
 	ev_timer_init(&node->status_timer, on_status_timer, 0., STATUS_EVERY_S);
 	node->status_timer.data = node;
 	ev_timer_start(node->loop, &node->status_timer);
+	at_crashes_start(node);
 	node->state = AT_NODE_SERVING;
 	at_log(AT_LOG_INFO, "node", NULL,
 	    "%s in %s serves; callers on port %u, operators on port %u, "
@@ -177,9 +186,12 @@
 open_work(const at_node_t *node)
 {
 	size_t requests = at_httpd_open_requests(node->callers);
+	size_t unsettled =
+	    at_claims_io_unsettled(node->claims) + at_jobs_io_busy(node->jobs);
 
-	return requests > node->open_exchanges ? requests
-					       : node->open_exchanges;
+	return unsettled + (requests > node->open_exchanges
+				   ? requests
+				   : node->open_exchanges);
 }
 
 /* Moves a stopping node on, one state at a time. */
@@ -246,10 +258,13 @@
 	at_config_io_delete(node->config_io);
 	at_peers_delete(node->peers);
 	at_platform_delete(node->platform);
+	at_claims_io_delete(node->claims);
+	at_jobs_io_delete(node->jobs);
 	at_httpc_delete(node->httpc);
 	at_backends_delete(node->backends);
 	at_router_delete(node->router);
 	at_budgets_delete(node->budgets);
+	at_crashes_delete(node);
 	at_history_delete(node->history);
 	at_config_delete(node->config);
 	at_counters_delete(node->counters);
--- a/src/standin/engine.c
+++ b/src/standin/engine.c
@@ -346,6 +346,20 @@
 		at_httpd_stream_begin(request, 200, headers);
 }
 
+/* The process dies and comes back at once: what ran there is lost. */
+static void
+die(standin_engine_t *engine, at_httpd_request_t *request)
+{
+	generation_t *g;
+
+	standin_memory_renew(engine->memory);
+	at_httpd_stream_abort(request);
+	for (g = engine->generations; g != NULL; g = g->next) {
+		g->next_at = NEVER_S;
+		at_httpd_stream_abort(g->request);
+	}
+}
+
 static void
 handle_completion(
     standin_engine_t *engine, at_httpd_request_t *request, int chat)
@@ -364,6 +378,10 @@
 		return;
 	}
 	engine->executions++;
+	if (strstr(text, STANDIN_POISON) != NULL) {
+		die(engine, request);
+		return;
+	}
 	if (engine->faults.crash > 0) {
 		engine->faults.crash--;
 		at_httpd_stream_abort(request);
@@ -479,6 +497,12 @@
 	return at_httpd_init(engine->httpd, address, status);
 }
 
+uint64_t
+standin_engine_executions(const standin_engine_t *engine)
+{
+	return engine->executions;
+}
+
 uint16_t
 standin_engine_port(const standin_engine_t *engine)
 {
--- a/src/standin/engine_memory.c
+++ b/src/standin/engine_memory.c
@@ -111,6 +111,12 @@
 	free(memory);
 }
 
+void
+standin_memory_renew(standin_memory_t *memory)
+{
+	memory->incarnation = draw_incarnation();
+}
+
 void
 standin_memory_restart(standin_memory_t *memory)
 {
--- a/src/standin/engine_memory.h
+++ b/src/standin/engine_memory.h
@@ -26,6 +26,8 @@
     standin_memory_t *memory, json_t *order, double at);
 /* standin_memory_process() ends loads and unloads that are due. */
 void standin_memory_process(standin_memory_t *memory, double now);
+/* standin_memory_renew() is a restart that loads again what it held. */
+void standin_memory_renew(standin_memory_t *memory);
 /* standin_memory_restart() empties it under a new incarnation. */
 void standin_memory_restart(standin_memory_t *memory);
 /* standin_memory_report() returns the fields of /v1/status. */
--- a/src/standin/platform.c
+++ b/src/standin/platform.c
@@ -50,8 +50,8 @@
 	uint64_t calls; /* every call counts, a waiting watch as one */
 	uint64_t writes;
 	waiter_t *waiters;
-	int serving;     /* waiters are being looked through */
-	int serve_again; /* a write came meanwhile */
+	int serving;     /* the waiters are being looked through */
+	int serve_again; /* and there is news since */
 	ev_timer tick;
 };
 
@@ -134,7 +134,7 @@
 	}
 }
 
-/* A delayed write that is answered here calls this again. */
+/* A delayed write that is carried out here has news for the watches. */
 static void
 serve_waiters(standin_platform_t *platform)
 {
