--- a/src/daemon/limits_io.c
+++ b/src/daemon/limits_io.c
@@ -368,6 +368,12 @@
 	at_share_root_set_fleet(limits->root, entries, limits->centre_count);
 }
 
+int
+at_limits_joined(const at_limits_t *limits)
+{
+	return limits->floor_ppb > 0;
+}
+
 void
 at_limits_leave(at_limits_t *limits)
 {
--- a/src/daemon/limits_io.h
+++ b/src/daemon/limits_io.h
@@ -33,6 +33,8 @@
 /* at_limits_set_instances() takes over the newest instance list. */
 void at_limits_set_instances(
     at_limits_t *limits, const at_instance_t *instances, size_t count);
+/* at_limits_joined() tells whether the table of shares has this instance. */
+int at_limits_joined(const at_limits_t *limits);
 /* at_limits_leave() hands all shares back; at_limits_left() when done. */
 void at_limits_leave(at_limits_t *limits);
 int at_limits_left(const at_limits_t *limits);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -15,10 +15,11 @@
 #include "daemon/limits_io.h"
 #include "io/clock.h"
 
-#define STATUS_EVERY_S 0.5 /* between two reports of an engine */
-#define STOP_CHECK_S 0.05  /* between two looks at open requests */
-#define HAND_OVER_MS 3000u /* longest wait for shares to be handed back */
-#define LINGER_MS 500u     /* for requests already on their way */
+#define STATUS_EVERY_S 0.5     /* between two reports of an engine */
+#define STOP_CHECK_S 0.05      /* between two looks at open requests */
+#define HAND_OVER_MS 3000u     /* longest wait for shares to be handed back */
+#define PLATFORM_WAIT_MS 3000u /* silent so long: it is away */
+#define LINGER_MS 500u         /* for requests already on their way */
 
 const char *const at_node_state_names[] = {
     "starting", "serving", "draining", "stopping", "stopped"};
@@ -184,6 +185,7 @@
 	ev_timer_start(node->loop, &node->status_timer);
 	at_crashes_start(node);
 	node->state = AT_NODE_SERVING;
+	node->started_at_ms = at_clock_now_ms();
 	at_log(AT_LOG_INFO, "node", NULL,
 	    "%s in %s serves; callers on port %u, operators on port %u, "
 	    "peers on port %u.",
@@ -205,6 +207,19 @@
 				   : node->open_exchanges);
 }
 
+int
+at_node_ready(const at_node_t *node)
+{
+	uint64_t up_ms = at_clock_now_ms() - node->started_at_ms;
+
+	if (node->state != AT_NODE_SERVING || node->config == NULL)
+		return 0;
+	if (at_limits_joined(node->limits))
+		return 1;
+	return up_ms > PLATFORM_WAIT_MS &&
+	       at_platform_age_ms(node->platform) > PLATFORM_WAIT_MS;
+}
+
 /* Moves a stopping node on, one state at a time. */
 static void
 on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -78,6 +78,7 @@
 	at_placement_io_t *placement;
 	ev_timer stop_timer;
 	ev_timer status_timer;
+	uint64_t started_at_ms;
 	uint64_t stop_since_ms;
 	at_budgets_t *budgets; /* of retries, by workspace */
 	at_claims_io_t *claims;
@@ -96,6 +97,12 @@
 /* at_node_stop() begins a graceful shutdown; the loop breaks at its end. */
 void at_node_stop(at_node_t *node);
 void at_node_delete(at_node_t *node);
+/*
+ * at_node_ready() tells whether callers may be sent here: the instance has a
+ * configuration and its floor of the shares. Without an answering platform
+ * it does not wait for the floor and lives on what its peers donate.
+ */
+int at_node_ready(const at_node_t *node);
 
 /* entry.c: one request of a caller, and one that cannot be handled. */
 void at_entry_handle(void *ctx, at_httpd_request_t *request);
--- a/tests/contract/test_crashes.c
+++ b/tests/contract/test_crashes.c
@@ -31,7 +31,7 @@
 		if (b == NULL || b->view.resident_count == 0)
 			return 0;
 	}
-	return node->config != NULL;
+	return at_node_ready(node);
 }
 
 static void
--- a/tests/support/charges.c
+++ b/tests/support/charges.c
@@ -16,7 +16,7 @@
 {
 	const at_node_t *node = ctx;
 
-	return node->config != NULL &&
+	return at_node_ready(node) &&
 	       at_backends_find(node->backends, "s1") != NULL;
 }
 
