--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -13,6 +13,7 @@
 } command_t;
 
 static const command_t commands[] = {
+    {"place", bench_place, "rounds of the planner: cost and moves"},
     {"keys", bench_keys, "parsing and key look-ups of a configuration"},
     {"target", bench_target, "print a configuration of the target size"},
     {"verdicts", bench_verdicts, "every reason, its status and verdict"},
--- a/src/bench/serve_run.c
+++ b/src/bench/serve_run.c
@@ -322,7 +322,7 @@
 place(run_t *run)
 {
 	at_place_engine_t *list =
-	    calloc(run->engine_count, sizeof(at_place_engine_t));
+	    calloc(run->engine_count + 1u, sizeof(at_place_engine_t));
 	at_decision_t decisions[DECISIONS];
 	uint32_t dc;
 	uint32_t e;
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -18,6 +18,7 @@
 #include "daemon/backends.h"
 #include "daemon/config_io.h"
 #include "daemon/history.h"
+#include "daemon/placement_io.h"
 #include "io/httpc.h"
 #include "io/httpd.h"
 #include "io/peers.h"
@@ -68,10 +69,13 @@
 	at_store_t store;
 	at_peers_t *peers;
 	at_config_io_t *config_io;
+	struct at_limits *limits;
+	struct at_admissions *admissions;
 	at_config_t *config; /* NULL until the first one */
 	at_backends_t *backends;
 	at_router_t *router;   /* of engines */
 	at_history_t *history; /* of refusals, for explain */
+	at_placement_io_t *placement;
 	ev_timer stop_timer;
 	ev_timer status_timer;
 	uint64_t stop_since_ms;
