--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -13,12 +13,15 @@
 } command_t;
 
 static const command_t commands[] = {
+    {"place", bench_place, "rounds of the planner: cost and moves"},
     {"keys", bench_keys, "parsing and key look-ups of a configuration"},
     {"target", bench_target, "print a configuration of the target size"},
     {"verdicts", bench_verdicts, "every reason, its status and verdict"},
     {"entry", bench_entry, "latency and throughput of an entry instance"},
     {"claims", bench_claims, "claims for each platform write, added latency"},
+    {"limits", bench_limits, "shares beside other policies, by refusals"},
     {"route", bench_route, "cost of one routing decision"},
+    {"serve", bench_serve, "demand served on time, against baselines"},
 };
 
 int
--- a/src/daemon/engine_status.c
+++ b/src/daemon/engine_status.c
@@ -6,6 +6,7 @@
 
 #include <jansson.h>
 
+#include "daemon/crashes.h"
 #include "daemon/routing.h"
 #include "io/clock.h"
 
@@ -50,6 +51,7 @@
 {
 	const char *adapter =
 	    json_string_value(json_object_get(object, "adapter"));
+	const char *state = json_string_value(json_object_get(object, "state"));
 
 	memset(resident, 0, sizeof(*resident));
 	(void)at_name_set(&resident->model,
@@ -60,6 +62,7 @@
 	    (uint32_t)json_integer_value(json_object_get(object, "version"));
 	resident->memory_mb =
 	    (uint64_t)json_integer_value(json_object_get(object, "memory_mb"));
+	resident->changing = state != NULL && strcmp(state, "ready") != 0;
 }
 
 static uint32_t
@@ -69,13 +72,18 @@
 }
 
 static void
-take_report(at_backend_t *backend, json_t *root, uint64_t asked_at_ms)
+take_report(const poll_t *poll, at_backend_t *backend, json_t *root)
 {
+	uint64_t incarnation =
+	    (uint64_t)json_integer_value(json_object_get(root, "incarnation"));
 	json_t *list = json_object_get(root, "resident");
 	size_t count = json_array_size(list);
 	at_resident_t *residents = calloc(count + 1, sizeof(*residents));
 	size_t i;
 
+	/* What was lost in the same millisecond is part of the question. */
+	at_crashes_report(
+	    poll->node, backend, incarnation, poll->asked_at_ms + 1);
 	if (residents == NULL)
 		return;
 	for (i = 0; i < count; i++)
@@ -87,7 +95,7 @@
 	backend->view.queued = number_of(root, "queued");
 	backend->view.queued_prefill_tokens =
 	    number_of(root, "queued_prefill_tokens");
-	backend->view.report_at_ms = asked_at_ms;
+	backend->view.report_at_ms = poll->asked_at_ms;
 }
 
 static void
@@ -103,8 +111,13 @@
 		if (result->whole && poll->status == 200)
 			root = json_loadb(poll->body, poll->len, 0, NULL);
 		if (root != NULL) {
-			take_report(backend, root, poll->asked_at_ms);
+			take_report(poll, backend, root);
+			at_placement_io_report(poll->node->placement,
+			    poll->engine.text, poll->asked_at_ms,
+			    &backend->view);
 			at_routing_report(poll->node, backend);
+		} else if (result->reason == AT_REASON_CONNECT_FAILED) {
+			at_crashes_down(poll->node, backend);
 		}
 	}
 	json_decref(root);
@@ -115,7 +128,12 @@
 static void
 poll_engine(void *ctx, at_backend_t *backend)
 {
-	at_node_t *node = ctx;
+	at_engine_status_ask(ctx, backend);
+}
+
+void
+at_engine_status_ask(at_node_t *node, at_backend_t *backend)
+{
 	char url[URL_SIZE];
 	const at_transfer_spec_t spec = {
 	    .method = "GET", .url = url, .total_ms = STATUS_TOTAL_MS};
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -4,10 +4,14 @@
 
 #include <jansson.h>
 
-#include "daemon/exchange.h"
+#include "almondthread/bucket.h"
+#include "daemon/admission.h"
+#include "daemon/claims_io.h"
+#include "daemon/jobs_io.h"
 
 #define BEARER "Bearer "
 #define NO_RETRY 0u
+#define BYTES_PER_TOKEN 4u /* of a prompt, about */
 
 static void
 refuse(at_node_t *node, at_httpd_request_t *request, at_reason_t reason)
@@ -101,6 +105,20 @@
 	json_decref(root);
 }
 
+static void
+show_job(at_node_t *node, at_httpd_request_t *request)
+{
+	const at_workspace_t *workspace;
+
+	if (strcmp(at_httpd_method(request), "GET") != 0) {
+		refuse(node, request, AT_REASON_WRONG_METHOD);
+		return;
+	}
+	workspace = authenticate(node, request);
+	if (workspace != NULL)
+		at_jobs_io_show(node->jobs, request, &workspace->name);
+}
+
 /* Says why a workspace may not use a model, or AT_REASON_NONE. */
 static at_reason_t
 check_model(const at_config_t *config, const at_workspace_t *workspace,
@@ -118,6 +136,50 @@
 	return AT_REASON_NONE;
 }
 
+/* A token of the prompt has at least one byte of the body. */
+static uint64_t
+most_tokens(const at_config_t *config, const char *model, const json_t *root,
+    size_t body_len)
+{
+	const json_t *asked = json_object_get(root, "max_tokens");
+	uint64_t generated = at_config_value(config, AT_EXCEPTION_MAX_TOKENS,
+	    model, config->defaults.max_tokens);
+
+	if (json_is_integer(asked) && json_integer_value(asked) >= 0)
+		generated = (uint64_t)json_integer_value(asked);
+	if (generated > AT_TOKENS_MAX)
+		generated = AT_TOKENS_MAX;
+	return body_len + generated;
+}
+
+/* What follows once the request is within its workspace's share. */
+static void
+run_completion(at_node_t *node, at_httpd_request_t *request,
+    const at_exchange_spec_t *spec)
+{
+	if (spec->stream || !at_jobs_io_wanted(request, spec))
+		at_exchange_start(node, request, spec);
+	else
+		at_jobs_io_submit(node->jobs, request, spec, spec->path);
+}
+
+static void
+run_route(at_node_t *node, at_httpd_request_t *request,
+    const at_exchange_spec_t *spec)
+{
+	int wrong_method;
+	const at_route_t *route = at_config_route(
+	    node->config, spec->path, spec->method, &wrong_method);
+
+	/* The configuration may have changed while it waited. */
+	if (route == NULL)
+		refuse(node, request, AT_REASON_UNKNOWN_ROUTE);
+	else if (at_jobs_io_wanted(request, spec))
+		at_jobs_io_submit(node->jobs, request, spec, route->path);
+	else
+		at_claims_io_start(node->claims, request, spec, route);
+}
+
 static void
 start_completion(at_node_t *node, at_httpd_request_t *request,
     const at_workspace_t *workspace, json_t *root)
@@ -144,7 +206,12 @@
 		return;
 	}
 	spec.body = at_httpd_body(request, &spec.body_len);
-	at_exchange_start(node, request, &spec);
+	at_placement_io_demand(node->placement, model,
+	    most_tokens(
+		node->config, model, root, spec.body_len / BYTES_PER_TOKEN));
+	at_admission_start(node, request, &spec,
+	    most_tokens(node->config, model, root, spec.body_len),
+	    run_completion);
 }
 
 static void
@@ -204,7 +271,7 @@
 			       ? route->deadline_ms
 			       : node->config->defaults.deadline_ms;
 	spec.body = at_httpd_body(request, &spec.body_len);
-	at_exchange_start(node, request, &spec);
+	at_admission_start(node, request, &spec, route->cost_tokens, run_route);
 }
 
 void
@@ -236,6 +303,8 @@
 			refuse(node, request, AT_REASON_WRONG_METHOD);
 		else
 			list_models(node, request);
+	} else if (strncmp(path, AT_JOBS_PATH, strlen(AT_JOBS_PATH)) == 0) {
+		show_job(node, request);
 	} else if (strcmp(path, "/v1/chat/completions") == 0 ||
 		   strcmp(path, "/v1/completions") == 0) {
 		handle_completion(node, request);
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -5,13 +5,19 @@
 #include <string.h>
 
 #include "almondthread/log.h"
+#include "daemon/claims_io.h"
+#include "daemon/crashes.h"
+#include "daemon/admission.h"
 #include "daemon/engine_status.h"
+#include "daemon/jobs_io.h"
 #include "daemon/routing.h"
 #include "daemon/exchange.h"
+#include "daemon/limits_io.h"
 #include "io/clock.h"
 
 #define STATUS_EVERY_S 0.5 /* between two reports of an engine */
 #define STOP_CHECK_S 0.05  /* between two looks at open requests */
+#define HAND_OVER_MS 3000u /* longest wait for shares to be handed back */
 #define LINGER_MS 500u     /* for requests already on their way */
 
 const char *const at_node_state_names[] = {
@@ -40,11 +46,18 @@
 	node->callers = at_httpd_new(loop);
 	node->operators = at_httpd_new(loop);
 	node->platform = at_platform_new(loop, node->httpc);
+	node->claims = at_claims_io_new(node);
+	node->jobs = at_jobs_io_new(node);
 	node->backends = at_backends_new();
 	node->budgets = at_budgets_new();
 	node->history = at_history_new();
 	node->peers = at_peers_new(loop);
+	(void)at_crashes_new(node);
+	node->placement = at_placement_io_new(node);
 	node->config_io = at_config_io_new(loop, node->peers, node->platform);
+	node->limits = at_limits_new(loop, node->peers);
+	at_limits_set_counters(node->limits, node->counters);
+	node->admissions = at_admissions_new(node);
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
 	at_httpd_set_fault_handler(node->callers, at_entry_handle_fault, node);
 	at_httpd_set_slow(node->callers, on_slow_caller, node);
@@ -57,8 +70,10 @@
 {
 	at_node_t *node = ctx;
 
+	at_placement_io_configure(node->placement, config);
 	at_config_delete(node->config);
 	node->config = config;
+	at_limits_set_config(node->limits, config);
 	at_httpd_set_max_body(node->callers, config->defaults.max_body_bytes);
 }
 
@@ -68,6 +83,8 @@
 	at_node_t *node = ctx;
 
 	at_backends_update(node->backends, instances, count);
+	at_placement_io_instances(node->placement);
+	at_limits_set_instances(node->limits, instances, count);
 	at_routing_listed(node);
 }
 
@@ -151,6 +168,12 @@
 		return status->code;
 	at_platform_set_counters(node->platform, node->counters);
 	node->store = at_platform_store(node->platform);
+	at_claims_io_init(node->claims);
+	at_placement_io_init(node->placement);
+	at_jobs_io_init(node->jobs);
+	if (at_limits_init(node->limits, &node->self, &node->data_centre,
+		&node->store, status) != AT_OK)
+		return status->code;
 	at_config_io_set_self(
 	    node->config_io, &node->self.instance, &node->data_centre);
 	at_config_io_set_counters(node->config_io, node->counters);
@@ -159,6 +182,7 @@
 	ev_timer_init(&node->status_timer, on_status_timer, 0., STATUS_EVERY_S);
 	node->status_timer.data = node;
 	ev_timer_start(node->loop, &node->status_timer);
+	at_crashes_start(node);
 	node->state = AT_NODE_SERVING;
 	at_log(AT_LOG_INFO, "node", NULL,
 	    "%s in %s serves; callers on port %u, operators on port %u, "
@@ -173,9 +197,12 @@
 open_work(const at_node_t *node)
 {
 	size_t requests = at_httpd_open_requests(node->callers);
+	size_t unsettled =
+	    at_claims_io_unsettled(node->claims) + at_jobs_io_busy(node->jobs);
 
-	return requests > node->open_exchanges ? requests
-					       : node->open_exchanges;
+	return unsettled + (requests > node->open_exchanges
+				   ? requests
+				   : node->open_exchanges);
 }
 
 /* Moves a stopping node on, one state at a time. */
@@ -202,6 +229,10 @@
 		return;
 	if (open > 0 && waited_ms < node->settings.stop_max_ms)
 		return;
+	at_limits_leave(node->limits);
+	if (open == 0 && !at_limits_left(node->limits) &&
+	    waited_ms < HAND_OVER_MS)
+		return;
 	if (open > 0)
 		at_log(AT_LOG_ERROR, "node", NULL,
 		    "Cuts %zu requests after the longest wait.", open);
@@ -219,6 +250,7 @@
 	node->stop_since_ms = at_clock_now_ms();
 	at_httpd_close_connections(node->callers);
 	at_peers_leave(node->peers);
+	at_placement_io_release(node->placement);
 	at_log(AT_LOG_INFO, "node", NULL, "Stops; the balancer has %u ms.",
 	    node->settings.drain_ms);
 	ev_timer_init(
@@ -236,14 +268,20 @@
 	ev_timer_stop(node->loop, &node->status_timer);
 	at_httpd_delete(node->callers);
 	at_exchange_delete_all(node);
+	at_placement_io_delete(node->placement);
+	at_admissions_delete(node->admissions);
 	at_httpd_delete(node->operators);
 	at_config_io_delete(node->config_io);
 	at_peers_delete(node->peers);
 	at_platform_delete(node->platform);
+	at_claims_io_delete(node->claims);
+	at_jobs_io_delete(node->jobs);
 	at_httpc_delete(node->httpc);
+	at_limits_delete(node->limits);
 	at_backends_delete(node->backends);
 	at_router_delete(node->router);
 	at_budgets_delete(node->budgets);
+	at_crashes_delete(node);
 	at_history_delete(node->history);
 	at_config_delete(node->config);
 	at_counters_delete(node->counters);
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -14,14 +14,19 @@
 #include "almondthread/keyring.h"
 #include "almondthread/ports.h"
 #include "almondthread/router.h"
+#include "almondthread/suspects.h"
 #include "daemon/backends.h"
 #include "daemon/config_io.h"
 #include "daemon/history.h"
+#include "daemon/placement_io.h"
 #include "io/httpc.h"
 #include "io/httpd.h"
 #include "io/peers.h"
 #include "io/platform.h"
 
+typedef struct at_claims_io at_claims_io_t;
+typedef struct at_jobs_io at_jobs_io_t;
+
 /* What a process learns from its flags and environment. */
 typedef struct at_node_settings {
 	const char *name;
@@ -64,15 +69,24 @@
 	at_store_t store;
 	at_peers_t *peers;
 	at_config_io_t *config_io;
+	struct at_limits *limits;
+	struct at_admissions *admissions;
 	at_config_t *config; /* NULL until the first one */
 	at_backends_t *backends;
 	at_router_t *router;   /* of engines */
 	at_history_t *history; /* of refusals, for explain */
+	at_placement_io_t *placement;
 	ev_timer stop_timer;
 	ev_timer status_timer;
 	uint64_t stop_since_ms;
 	at_budgets_t *budgets; /* of retries, by workspace */
+	at_claims_io_t *claims;
+	at_jobs_io_t *jobs;
 	struct exchange *exchanges;
+	size_t waiting_exchanges; /* for a backend server free of suspects */
+	at_suspects_t *suspects;
+	ev_timer judge_timer;
+	uint64_t words_due_ms; /* convictions are told again */
 	size_t open_exchanges;
 } at_node_t;
 
