Take back floors of instances long gone from the list

Cause: replaced instances come back under new names; their floors of the shares were stranded for ever, as only a new life under the same name was proof. test_claims and test_jobs showed it (replacement of all instances). Change: absence from the instance list for instance_gone_ms (60 s by default) is proof too.

--- a/src/daemon/limits_io.c
+++ b/src/daemon/limits_io.c
@@ -22,6 +22,14 @@
 	at_share_t *share;
 } holding_t;
 
+/* An entry of the table whose holder is not in the instance list. */
+typedef struct absence {
+	struct absence *next;
+	uint64_t number;
+	uint64_t since_ms;
+	int seen; /* in this look */
+} absence_t;
+
 struct at_limits {
 	struct ev_loop *loop;
 	at_peers_t *peers;
@@ -34,6 +42,10 @@
 	holding_t *holdings;
 	at_name_t centres[CENTRES_MAX]; /* of listed entry instances */
 	size_t centre_count;
+	at_name_t *listed; /* entry instances */
+	size_t listed_count;
+	absence_t *absences;
+	uint32_t gone_ms;  /* unlisted so long: it has ended */
 	int64_t floor_ppb; /* as the table has it */
 	int64_t lease_ppb;
 	uint64_t lease_expires_ms;
@@ -172,7 +184,76 @@
 	at_share_set_remotes(h->share, remotes, remote_count);
 }
 
-/* A member under the name of an entry's holder proves that one ended. */
+static int
+is_listed(const at_limits_t *limits, const at_name_t *name)
+{
+	size_t i;
+
+	for (i = 0; i < limits->listed_count; i++) {
+		if (at_name_equal(&limits->listed[i], name))
+			return 1;
+	}
+	return 0;
+}
+
+static absence_t *
+absence_of(at_limits_t *limits, uint64_t number, uint64_t now_ms)
+{
+	absence_t *a;
+
+	for (a = limits->absences; a != NULL; a = a->next) {
+		if (a->number == number)
+			return a;
+	}
+	a = calloc(1, sizeof(*a));
+	if (a == NULL)
+		return NULL;
+	a->number = number;
+	a->since_ms = now_ms;
+	a->next = limits->absences;
+	limits->absences = a;
+	return a;
+}
+
+/* Drops what the last look did not see. */
+static void
+forget_absences(at_limits_t *limits)
+{
+	absence_t **link = &limits->absences;
+	absence_t *a;
+
+	while ((a = *link) != NULL) {
+		if (a->seen) {
+			a->seen = 0;
+			link = &a->next;
+			continue;
+		}
+		*link = a->next;
+		free(a);
+	}
+}
+
+/*
+ * A member under the name of an entry's holder proves that one ended; so
+ * does a long absence from the instance list.
+ */
+static int
+has_ended(at_limits_t *limits, const at_incarnation_t *who, uint64_t now_ms)
+{
+	at_incarnation_t now = incarnation_of(limits, &who->instance);
+	absence_t *a;
+
+	if (now.number != 0 && now.number != who->number)
+		return 1;
+	if (limits->listed_count == 0 || is_listed(limits, &who->instance))
+		return 0;
+	a = absence_of(limits, who->number, now_ms);
+	if (a == NULL)
+		return 0;
+	a->seen = 1;
+	return now_ms - a->since_ms >= limits->gone_ms;
+}
+
 static void
 find_ended(at_limits_t *limits, uint64_t now_ms)
 {
@@ -181,11 +262,12 @@
 
 	for (i = 0; i < table->count; i++) {
 		const at_incarnation_t *who = &table->entries[i].who;
-		at_incarnation_t now = incarnation_of(limits, &who->instance);
 
-		if (now.number != 0 && now.number != who->number)
+		if (who->number != limits->self.number &&
+		    has_ended(limits, who, now_ms))
 			at_share_root_ended(limits->root, now_ms, who->number);
 	}
+	forget_absences(limits);
 }
 
 static void
@@ -290,6 +372,8 @@
 		free(h);
 	}
 	at_share_root_delete(limits->root);
+	forget_absences(limits);
+	free(limits->listed);
 	free(limits);
 }
 
@@ -322,6 +406,7 @@
 	holding_t *h;
 	size_t i;
 
+	limits->gone_ms = config->defaults.instance_gone_ms;
 	for (h = limits->holdings; h != NULL; h = h->next) {
 		if (at_config_workspace(config, h->workspace.text) == NULL)
 			at_share_set_limit(h->share, now_ms, 0, 0);
@@ -355,16 +440,22 @@
 at_limits_set_instances(
     at_limits_t *limits, const at_instance_t *instances, size_t total)
 {
+	at_name_t *listed = calloc(total + 1, sizeof(*listed));
 	size_t entries = 0;
 	size_t i;
 
+	if (listed == NULL)
+		return;
+	free(limits->listed);
+	limits->listed = listed;
 	limits->centre_count = 0;
 	for (i = 0; i < total; i++) {
 		if (instances[i].kind != AT_INSTANCE_ENTRY)
 			continue;
-		entries++;
+		listed[entries++] = instances[i].name;
 		add_centre(limits, &instances[i].data_centre);
 	}
+	limits->listed_count = entries;
 	at_share_root_set_fleet(limits->root, entries, limits->centre_count);
 }
 
--- a/tests/contract/test_claims.c
+++ b/tests/contract/test_claims.c
@@ -175,14 +175,10 @@
 Test(claims, replacement_of_all_instances, .init = setup, .fini = teardown)
 {
 	fixture_answer_t a = charge(0, "t1", CHARGES_BODY);
-	size_t i;
 
 	charges_expect(&a, 200, "\"execution\":1");
 	cr_assert(fixture_until(f, settled, f->nodes[0], SETTLED_MS));
-	for (i = 0; i < 3; i++)
-		fixture_remove_node(f, i);
-	charges_add_node(f, "n4", "north");
-	charges_add_node(f, "n5", "south");
+	charges_replace_all(f);
 	a = charge(3, "t1", CHARGES_BODY);
 	charges_expect(&a, 200, "\"execution\":1");
 	a = charge(4, "t1", CHARGES_BODY);
--- a/tests/contract/test_jobs.c
+++ b/tests/contract/test_jobs.c
@@ -177,14 +177,10 @@
 
 Test(jobs, replacement_of_all_instances, .init = setup, .fini = teardown)
 {
-	size_t i;
 
 	fixture_faults(f, f->service_addresses[0], "{\"refuse\":1000000}");
 	accept_job(0, "/notices");
-	for (i = 0; i < 3; i++)
-		fixture_remove_node(f, i);
-	charges_add_node(f, "n4", "north");
-	charges_add_node(f, "n5", "south");
+	charges_replace_all(f);
 	fixture_faults(f, f->service_addresses[0], "{\"refuse\":0}");
 	until_done(4);
 }
--- a/tests/support/charges.c
+++ b/tests/support/charges.c
@@ -28,6 +28,20 @@
 	cr_assert(fixture_until(f, serves, f->nodes[i], FORCE_MS));
 }
 
+void
+charges_replace_all(fixture_t *f)
+{
+	static const char *const names[] = {"n1", "n2", "n3"};
+	size_t i;
+
+	for (i = 0; i < 3; i++) {
+		fixture_remove_node(f, i);
+		fixture_unlist(f, names[i]);
+	}
+	charges_add_node(f, "n4", "north");
+	charges_add_node(f, "n5", "south");
+}
+
 fixture_t *
 charges_new(void)
 {
@@ -39,7 +53,8 @@
 	(void)fixture_add_service(f, "s1", "north", "desk");
 	(void)snprintf(bearer, sizeof(bearer), "Authorization: Bearer %s", key);
 	(void)snprintf(config, sizeof(config),
-	    "{\"generation\":1,\"data_centres\":[\"north\",\"south\"],"
+	    "{\"generation\":1,\"defaults\":{\"instance_gone_ms\":1000},"
+	    "\"data_centres\":[\"north\",\"south\"],"
 	    "\"workspaces\":[{\"name\":\"w1\",\"rate_tokens_s\":1000000,"
 	    "\"burst_tokens\":1000000,\"keys\":[{\"id\":\"k1\",\"hash\":"
 	    "\"%s\"}]}],\"services\":[{\"name\":\"desk\"}],\"routes\":["
--- a/tests/support/charges.h
+++ b/tests/support/charges.h
@@ -16,6 +16,9 @@
 /* charges_add_node() starts one more instance and waits until it serves. */
 void charges_add_node(fixture_t *f, const char *name, const char *data_centre);
 
+/* charges_replace_all() ends n1 to n3 unplanned, unlists them, adds n4, n5. */
+void charges_replace_all(fixture_t *f);
+
 /* charges_send() asks an instance with the key; header may be NULL. */
 void charges_send(fixture_t *f, fixture_answer_t *answer, size_t node,
     const char *method, const char *path, const char *const header[2],
--- a/tests/support/fixture.c
+++ b/tests/support/fixture.c
@@ -219,6 +219,15 @@
 	call_ok(f, "PUT", f->platform_address, path, body);
 }
 
+void
+fixture_unlist(fixture_t *f, const char *name)
+{
+	char path[128];
+
+	(void)snprintf(path, sizeof(path), "/v1/instances/%s", name);
+	call_ok(f, "DELETE", f->platform_address, path, NULL);
+}
+
 size_t
 fixture_add_engine(
     fixture_t *f, const char *name, const char *data_centre, const char *model)
--- a/tests/support/fixture.h
+++ b/tests/support/fixture.h
@@ -62,6 +62,9 @@
 /* fixture_remove_node() ends a node at once, as a crash would. */
 void fixture_remove_node(fixture_t *f, size_t index);
 
+/* fixture_unlist() takes an instance out of the platform's list. */
+void fixture_unlist(fixture_t *f, const char *name);
+
 /* fixture_apply() stores a configuration over whatever is in force. */
 void fixture_apply(fixture_t *f, const char *json);
 
