--- a/include/almondthread/share_root.h
+++ b/include/almondthread/share_root.h
@@ -67,6 +67,8 @@
     at_share_root_t *root, size_t instances, size_t data_centres);
 /* Whether this instance holds the lease of its data centre. */
 void at_share_root_set_holder(at_share_root_t *root, int holds);
+/* Whether there is nobody here to borrow from; joining is then hurried. */
+void at_share_root_set_alone(at_share_root_t *root, int alone);
 /* at_share_root_ended() says that an incarnation is known to have ended. */
 void at_share_root_ended(
     at_share_root_t *root, uint64_t now_ms, uint64_t number);
--- a/src/core/share_root.c
+++ b/src/core/share_root.c
@@ -5,6 +5,7 @@
 
 #define RENEW_MS (AT_LEASE_TERM_MS / 3u) /* between two writes of a holder */
 #define REREAD_MS 600000u  /* between two reads by all the others */
+#define ALONE_MS 1000u     /* the same where nobody can lend */
 #define JOIN_MS 10000u     /* between two tries to get a floor */
 #define RETRY_MS 200u      /* after a call that failed or lost a race */
 #define RETRY_MAX_MS 5000u /* the spread of retries grows up to this */
@@ -34,6 +35,7 @@
 	size_t data_centres;
 	int fleet_known; /* the two above were heard */
 	int holds;
+	int alone;
 	int leaving;
 	int left;
 	state_t state;
@@ -123,6 +125,12 @@
 	root->holds = holds;
 }
 
+void
+at_share_root_set_alone(at_share_root_t *root, int alone)
+{
+	root->alone = alone;
+}
+
 const at_share_table_t *
 at_share_root_table(const at_share_root_t *root)
 {
@@ -309,7 +317,8 @@
 	}
 	if (!root->fleet_known || own->floor_ppb >= target || free_ppb <= 0)
 		return 0;
-	own->floor_ppb += least(target - own->floor_ppb, free_ppb);
+	/* The others of a fleet that starts find something too. */
+	own->floor_ppb += least(target - own->floor_ppb, (free_ppb + 1) / 2);
 	return 1;
 }
 
@@ -412,10 +421,10 @@
 {
 	if (root->leaving)
 		return RETRY_MS;
-	if (root->holds)
+	if (root->holds && root->floor_ppb > 0)
 		return RENEW_MS;
 	if (!root->fleet_known || root->floor_ppb < target_ppb(root) / 2)
-		return JOIN_MS;
+		return root->alone ? ALONE_MS : JOIN_MS;
 	return REREAD_MS;
 }
 
--- a/src/daemon/limits_io.c
+++ b/src/daemon/limits_io.c
@@ -10,7 +10,9 @@
 
 #define TICK_S (AT_SHARE_TICK_MS / 1000.0)
 #define NO_LIMIT_RETRY_MS 1000u
+#define READY_WAIT_MS 10000u /* for a floor, where others can lend */
 #define CENTRES_MAX 32u
+#define LENDERS_MAX 32u
 #define ROLE_SIZE (AT_NAME_SIZE + 8u)
 #define LEASE_ROLE "shares"
 
@@ -37,6 +39,8 @@
 	int64_t floor_ppb; /* as the table has it */
 	int64_t lease_ppb;
 	uint64_t lease_expires_ms;
+	uint64_t started_ms;
+	int alone; /* nobody in this data centre lends to it */
 	ev_timer tick;
 	ev_timer changed_timer;
 };
@@ -150,26 +154,53 @@
 	return incarnation_of(limits, name);
 }
 
+/* Whom a home asks when it is short. */
+typedef struct lenders {
+	const at_limits_t *limits;
+	at_incarnation_t who[LENDERS_MAX];
+	size_t count;
+} lenders_t;
+
+static void
+add_lender(lenders_t *lenders, const at_incarnation_t *who)
+{
+	if (who->number != 0 && who->number != lenders->limits->self.number &&
+	    lenders->count < LENDERS_MAX)
+		lenders->who[lenders->count++] = *who;
+}
+
+static void
+add_neighbour(void *ctx, const at_member_t *member)
+{
+	lenders_t *lenders = ctx;
+
+	if (member->alive &&
+	    at_name_equal(&member->data_centre, &lenders->limits->data_centre))
+		add_lender(lenders, &member->self);
+}
+
 static void
 set_roles(at_limits_t *limits, holding_t *h, uint64_t now_ms)
 {
-	at_incarnation_t remotes[CENTRES_MAX];
+	lenders_t lenders = {.limits = limits};
 	at_incarnation_t home;
 	char role[ROLE_SIZE];
-	size_t remote_count = 0;
 	size_t i;
 
 	(void)snprintf(role, sizeof(role), "shares/%s", h->workspace.text);
 	home = owner(limits, &limits->data_centre, role);
 	at_share_set_home(h->share, now_ms, home.number == 0 ? NULL : &home);
 	for (i = 0; i < limits->centre_count; i++) {
-		if (at_name_equal(&limits->centres[i], &limits->data_centre))
-			continue;
-		remotes[remote_count] =
+		at_incarnation_t remote =
 		    owner(limits, &limits->centres[i], role);
-		remote_count += remotes[remote_count].number != 0;
+
+		if (!at_name_equal(&limits->centres[i], &limits->data_centre))
+			add_lender(&lenders, &remote);
 	}
-	at_share_set_remotes(h->share, remotes, remote_count);
+	/* A home that has no floor yet does not wait for offers. */
+	if (limits->floor_ppb == 0)
+		at_peers_each(limits->peers, add_neighbour, &lenders);
+	at_share_set_remotes(h->share, lenders.who, lenders.count);
 }
 
 /* A member under the name of an entry's holder proves that one ended. */
@@ -206,8 +237,10 @@
 		if (at_share_lent_ppb(h->share) > lent_ppb)
 			lent_ppb = at_share_lent_ppb(h->share);
 	}
-	at_share_root_set_holder(limits->root,
-	    holder.number == 0 || holder.number == limits->self.number);
+	limits->alone =
+	    holder.number == 0 || holder.number == limits->self.number;
+	at_share_root_set_holder(limits->root, limits->alone);
+	at_share_root_set_alone(limits->root, limits->alone);
 	find_ended(limits, now_ms);
 	at_share_root_tick(limits->root, now_ms, lent_ppb);
 }
@@ -265,6 +298,7 @@
     const at_name_t *data_centre, const at_store_t *store, at_status_t *status)
 {
 	limits->self = *self;
+	limits->started_ms = at_clock_now_ms();
 	limits->data_centre = *data_centre;
 	limits->root = at_share_root_new(at_clock_now_ms(), self, store);
 	if (limits->root == NULL)
@@ -385,6 +419,14 @@
 	return at_share_root_left(limits->root);
 }
 
+int
+at_limits_ready(const at_limits_t *limits)
+{
+	return limits->floor_ppb > 0 ||
+	       (!limits->alone &&
+		   at_clock_now_ms() >= limits->started_ms + READY_WAIT_MS);
+}
+
 at_admit_t
 at_limits_admit(at_limits_t *limits, const char *workspace,
     uint64_t cost_tokens, at_debit_t **debit, uint32_t *retry_after_ms)
--- a/src/daemon/limits_io.h
+++ b/src/daemon/limits_io.h
@@ -37,6 +37,9 @@
 void at_limits_leave(at_limits_t *limits);
 int at_limits_left(const at_limits_t *limits);
 
+/* at_limits_ready() tells whether there is a floor, or somebody to lend. */
+int at_limits_ready(const at_limits_t *limits);
+
 /*
  * at_limits_admit() debits cost_tokens; see at_share_admit(). For a workspace
  * without a limit here it returns AT_ADMIT_SHORT. *retry_after_ms is set
--- a/src/daemon/operators.c
+++ b/src/daemon/operators.c
@@ -74,7 +74,8 @@
 {
 	at_node_t *node = ctx;
 	const char *path = at_httpd_path(request);
-	int ready = node->state == AT_NODE_SERVING && node->config != NULL;
+	int ready = node->state == AT_NODE_SERVING && node->config != NULL &&
+		    at_limits_ready(node->limits);
 
 	if (strcmp(path, "/metrics") == 0)
 		reply_metrics(node, request);
