Prove by tables that level comes only with burst

Change: table tests of stale, duplicated and unfounded messages and of a fast clock; their mutations name test_share. The fuzzer still misses three: older grants dropped at once, an ended floor reused before its loans end, a leaver that does not await its loans.

--- a/src/core/share_policy.c
+++ b/src/core/share_policy.c
@@ -6,7 +6,7 @@
 #define COST_HOLD_MS 2000u  /* how long a request's cost is remembered */
 #define SHORT_GAP_MS 20u    /* between two asks for a waiting request */
 #define LOW_GAP_MS 500u     /* between two asks for a low level */
-#define RETURN_GAP_MS 1000u  /* between two returns of surplus */
+#define RETURN_GAP_MS 1000u /* between two returns of surplus */
 #define DRAW_GAP_MS 200u    /* between two asks for one peer's spare */
 #define OPEN_MS 100u        /* how long an ask may be met later */
 #define SPARE_MIN_PPB 10000 /* not worth a message */
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -137,6 +137,91 @@
 	pair_delete(&pair);
 }
 
+/* A message from instance 1 to instance 0 that would add level. */
+typedef struct level_row {
+	at_share_message_t message;
+	const char *why;
+} level_row_t;
+
+#define TOKENS_500 ((int64_t)500 * AT_UTOK)
+
+static const level_row_t level_rows[] = {
+    {{.kind = AT_SHARE_ASK, .seq = 9, .keep_ppb = -1, .level_utok = TOKENS_500},
+	"no burst came back"},
+    {{.kind = AT_SHARE_GRANT,
+	 .seq = 9,
+	 .asked_ms = 1000,
+	 .term_ms = 1000,
+	 .loan_ppb = AT_PPB / 10,
+	 .level_utok = TOKENS_500},
+	"no burst was newly lent"},
+    {{.kind = AT_SHARE_GRANT,
+	 .seq = 9,
+	 .asked_ms = 100,
+	 .term_ms = 500,
+	 .loan_ppb = AT_PPB / 10,
+	 .added_ppb = AT_PPB / 10,
+	 .level_utok = TOKENS_500},
+	"the term is over"},
+};
+
+Test(share, level_comes_only_with_burst)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(level_rows) / sizeof(level_rows[0]); i++) {
+		at_share_message_t message = level_rows[i].message;
+		at_share_view_t before;
+		at_share_view_t after;
+		pair_t pair;
+
+		pair_init(&pair);
+		at_share_set_root(pair.shares[0], 0, AT_PPB / 2, 0, 0);
+		at_share_advance(pair.shares[0], 1000);
+		at_share_view(pair.shares[0], &before);
+		message.from = pair.ids[1].number;
+		message.to = pair.ids[0].number;
+		at_share_receive(pair.shares[0], 1000, &pair.ids[1], &message);
+		at_share_view(pair.shares[0], &after);
+		cr_assert_leq(after.level_utok, before.level_utok, "%s",
+		    level_rows[i].why);
+		pair_delete(&pair);
+	}
+}
+
+Test(share, an_old_ask_is_dropped)
+{
+	at_share_message_t ask = {.kind = AT_SHARE_ASK,
+	    .from = 2,
+	    .to = 1,
+	    .seq = 2,
+	    .keep_ppb = -1,
+	    .want_ppb = 1000};
+	pair_t pair;
+
+	pair_init(&pair);
+	at_share_receive(pair.shares[0], 1, &pair.ids[1], &ask);
+	cr_assert_eq(pair.mail_count, 1);
+	at_share_receive(pair.shares[0], 2, &pair.ids[1], &ask);
+	ask.seq = 1;
+	at_share_receive(pair.shares[0], 3, &pair.ids[1], &ask);
+	cr_assert_eq(pair.mail_count, 1);
+	pair_delete(&pair);
+}
+
+/* 1,000 s by a clock that is 0.1% fast are 999.001 s. */
+Test(bucket, a_fast_clock_gives_no_more_than_the_rate)
+{
+	at_bucket_t *bucket = at_bucket_new(0);
+	const int64_t most = (int64_t)RATE * 999001 / 1000 * AT_UTOK;
+
+	at_bucket_set_limit(bucket, RATE, 10000 * BURST);
+	at_bucket_set_share(bucket, AT_PPB);
+	at_bucket_advance(bucket, 1000000);
+	cr_assert_leq(at_bucket_level_utok(bucket), most);
+	at_bucket_delete(bucket);
+}
+
 typedef struct admit_row {
 	uint64_t cost;
 	at_admit_t verdict;
