--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -214,7 +214,7 @@
 
 	if (node->state != AT_NODE_SERVING || node->config == NULL)
 		return 0;
-	if (at_limits_joined(node->limits))
+	if (at_limits_ready(node->limits))
 		return 1;
 	return up_ms > PLATFORM_WAIT_MS &&
 	       at_platform_age_ms(node->platform) > PLATFORM_WAIT_MS;
