Shorten the planner's relocation; share the stand-ins' JSON look-ups

Cause: relocate_for was one nest of loops, and the engine stand-in's two files held the same look-ups twice.

Change: find_mover apart from relocate_for; standin_text_of and standin_number_of in common.c.

--- a/src/core/placement_plan.c
+++ b/src/core/placement_plan.c
@@ -271,42 +271,51 @@
 	return 1;
 }
 
+/* Finds what could leave an engine for an item, and where it could go. */
+static item_t *
+find_mover(const round_t *r, const item_t *item, size_t engine, size_t *to)
+{
+	uint64_t short_mb = item->memory_mb - r->free_mb[engine];
+	size_t i;
+
+	for (i = 0; i < r->engines[engine].resident_count; i++) {
+		size_t index = r->resident_item[r->first_resident[engine] + i];
+		item_t *x;
+
+		if (index == NO_ITEM)
+			continue;
+		x = &r->placement->items[index];
+		if (x->memory_mb < short_mb ||
+		    x->memory_mb >= item->memory_mb || x->state.serving != 1 ||
+		    x->state.coming != 0 || carries_adapter(r, x, engine))
+			continue;
+		*to = find_room(r, x);
+		if (*to != NO_ITEM)
+			return x;
+	}
+	return NULL;
+}
+
 /* Loads something else a second time, so that it can leave one engine. */
 static int
 relocate_for(round_t *r, const item_t *item)
 {
 	char reason[AT_PLACEMENT_REASON_SIZE];
+	item_t *mover;
+	size_t to;
 	size_t e;
-	size_t i;
 
+	(void)snprintf(reason, sizeof(reason), "moves, to make room for %.63s",
+	    item->name.text);
 	for (e = 0; e < r->engine_count; e++) {
-		uint64_t short_mb;
-
 		if (!is_eligible(r, item, e) ||
 		    r->free_mb[e] >= item->memory_mb)
 			continue;
-		short_mb = item->memory_mb - r->free_mb[e];
-		for (i = 0; i < r->engines[e].resident_count; i++) {
-			size_t index =
-			    r->resident_item[r->first_resident[e] + i];
-			item_t *x = index == NO_ITEM
-					? NULL
-					: &r->placement->items[index];
-			size_t to;
-
-			if (x == NULL || x->memory_mb < short_mb ||
-			    x->memory_mb >= item->memory_mb ||
-			    x->state.serving != 1 || x->state.coming != 0 ||
-			    carries_adapter(r, x, e))
-				continue;
-			to = find_room(r, x);
-			if (to == NO_ITEM)
-				continue;
-			(void)snprintf(reason, sizeof(reason),
-			    "moves, to make room for %.63s", item->name.text);
-			load(r, x, to, reason);
-			return 1;
-		}
+		mover = find_mover(r, item, e, &to);
+		if (mover == NULL)
+			continue;
+		load(r, mover, to, reason);
+		return 1;
 	}
 	return 0;
 }
--- a/src/standin/common.c
+++ b/src/standin/common.c
@@ -45,3 +45,20 @@
 	free(text);
 	json_decref(object);
 }
+
+const char *
+standin_text_of(json_t *object, const char *field)
+{
+	const char *text = json_string_value(json_object_get(object, field));
+
+	return text == NULL ? "" : text;
+}
+
+uint64_t
+standin_number_of(json_t *object, const char *field, uint64_t fallback)
+{
+	json_t *value = json_object_get(object, field);
+
+	return json_is_integer(value) ? (uint64_t)json_integer_value(value)
+				      : fallback;
+}
--- a/src/standin/engine.c
+++ b/src/standin/engine.c
@@ -46,23 +46,6 @@
 	ev_timer tick;
 };
 
-static const char *
-text_of(json_t *object, const char *field)
-{
-	const char *text = json_string_value(json_object_get(object, field));
-
-	return text == NULL ? "" : text;
-}
-
-static uint64_t
-number_of(json_t *object, const char *field, uint64_t fallback)
-{
-	json_t *value = json_object_get(object, field);
-
-	return json_is_integer(value) ? (uint64_t)json_integer_value(value)
-				      : fallback;
-}
-
 /* Takes one of the answers that a fault is to hit. */
 static int
 take_fault(uint32_t *left)
@@ -327,9 +310,9 @@
 	g->stream = json_is_true(json_object_get(body, "stream"));
 	g->prompt_tokens = (uint32_t)(body_len / BYTES_PER_TOKEN);
 	g->max_tokens =
-	    (uint32_t)number_of(body, "max_tokens", DEFAULT_MAX_TOKENS);
+	    (uint32_t)standin_number_of(body, "max_tokens", DEFAULT_MAX_TOKENS);
 	(void)snprintf(
-	    g->model, sizeof(g->model), "%s", text_of(body, "model"));
+	    g->model, sizeof(g->model), "%s", standin_text_of(body, "model"));
 	(void)snprintf(g->id, sizeof(g->id), "%s", id == NULL ? "none" : id);
 	if (engine->faults.crossed > 0) {
 		engine->faults.crossed--;
@@ -394,7 +377,8 @@
 	body = json_loadb(text, len, 0, NULL);
 	if (body == NULL)
 		reply_error(request, 400, "bad_json");
-	else if (!standin_memory_serves(engine->memory, text_of(body, "model")))
+	else if (!standin_memory_serves(
+		     engine->memory, standin_text_of(body, "model")))
 		reply_error(request, 404, "model_not_found");
 	else
 		start_generation(engine, request, body, len, chat);
--- a/src/standin/engine_memory.c
+++ b/src/standin/engine_memory.c
@@ -188,32 +188,18 @@
 	(void)add_resident(memory, model, "", 1, DEFAULT_MODEL_MB);
 }
 
-static const char *
-text_of(json_t *object, const char *field)
-{
-	const char *text = json_string_value(json_object_get(object, field));
-
-	return text == NULL ? "" : text;
-}
-
-static uint64_t
-number_of(json_t *object, const char *field)
-{
-	return (uint64_t)json_integer_value(json_object_get(object, field));
-}
-
 static void
 obey_load(standin_memory_t *memory, json_t *order, double done_at)
 {
-	const char *model = text_of(order, "model");
-	const char *adapter = text_of(order, "adapter");
+	const char *model = standin_text_of(order, "model");
+	const char *adapter = standin_text_of(order, "adapter");
 	resident_t *r;
 
 	if (find_resident(memory, model, adapter) != NULL)
 		return;
 	r = add_resident(memory, model, adapter,
-	    (uint32_t)number_of(order, "version"),
-	    number_of(order, "memory_mb"));
+	    (uint32_t)standin_number_of(order, "version", 0),
+	    standin_number_of(order, "memory_mb", 0));
 	r->state = RESIDENT_LOADING;
 	r->done_at = done_at;
 	memory->loads++;
@@ -222,8 +208,8 @@
 static void
 obey_unload(standin_memory_t *memory, json_t *order, double done_at)
 {
-	resident_t *r = find_resident(
-	    memory, text_of(order, "model"), text_of(order, "adapter"));
+	resident_t *r = find_resident(memory, standin_text_of(order, "model"),
+	    standin_text_of(order, "adapter"));
 
 	if (r == NULL || r->state == RESIDENT_UNLOADING)
 		return;
@@ -235,8 +221,8 @@
 const char *
 standin_memory_obey(standin_memory_t *memory, json_t *order, double now)
 {
-	const char *kind = text_of(order, "kind");
-	uint64_t fence = number_of(order, "fence");
+	const char *kind = standin_text_of(order, "kind");
+	uint64_t fence = standin_number_of(order, "fence", 0);
 	double done_at = now + (double)memory->load_ms / AT_MS_PER_S;
 
 	if (memory->heeds_fencing && fence < memory->highest_fence)
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -38,6 +38,11 @@
 void standin_reply_json(
     at_httpd_request_t *request, int status, json_t *object);
 
+/* Each returns a field, or an empty text or the fallback. */
+const char *standin_text_of(json_t *object, const char *field);
+uint64_t standin_number_of(
+    json_t *object, const char *field, uint64_t fallback);
+
 typedef struct standin_platform standin_platform_t;
 standin_platform_t *standin_platform_new(struct ev_loop *loop);
 at_code_t standin_platform_init(
