--- /dev/null
+++ b/src/daemon/admission.c
@@ -0,0 +1,210 @@
+#include "daemon/admission.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+#include <utlist.h>
+
+#include "daemon/limits_io.h"
+#include "io/clock.h"
+
+#define HTTP_REFUSED 400 /* a status from here on is a refusal */
+#define RETRY_S 0.01     /* between two tries of waiting requests */
+
+/* One request, from its debit to its settlement. */
+typedef struct admission {
+	struct admission *prev;
+	struct admission *next;
+	at_node_t *node;
+	at_httpd_request_t *request;
+	at_exchange_spec_t spec;
+	at_name_t target;
+	at_name_t workspace;
+	uint64_t cost_tokens;
+	uint64_t arrived_ms;
+	at_debit_t *debit;
+	at_admission_run_t run;
+	uint64_t used_tokens;
+	int ended; /* its exchange has, used_tokens is known */
+} admission_t;
+
+struct at_admissions {
+	at_node_t *node;
+	admission_t *waiting; /* in order of arrival */
+	ev_timer timer;
+};
+
+/* The tokens that a whole answer reports, or fallback. */
+static uint64_t
+reported_tokens(const at_exchange_end_t *end, uint64_t fallback)
+{
+	json_t *root;
+	json_t *total;
+
+	if (end->body == NULL)
+		return fallback;
+	root = json_loadb(end->body, end->body_len, 0, NULL);
+	total = json_object_get(json_object_get(root, "usage"), "total_tokens");
+	if (json_is_integer(total) && json_integer_value(total) >= 0)
+		fallback = (uint64_t)json_integer_value(total);
+	json_decref(root);
+	return fallback;
+}
+
+static void
+on_done(void *ctx, const at_exchange_end_t *end)
+{
+	admission_t *a = ctx;
+
+	a->ended = 1;
+	if (end->verdict != AT_VERDICT_NOT_RUN)
+		a->used_tokens = reported_tokens(end, a->cost_tokens);
+}
+
+/* The request is over. */
+static void
+finalize(void *ctx, int status)
+{
+	admission_t *a = ctx;
+
+	if (a->debit != NULL) {
+		if (!a->ended && status < HTTP_REFUSED)
+			a->used_tokens = a->cost_tokens;
+		at_counters_add(a->node->counters, "tokens_settled_total",
+		    "workspace", a->workspace.text, a->used_tokens);
+		at_limits_settle(a->node->limits, a->workspace.text, a->debit,
+		    a->used_tokens);
+	}
+	free(a);
+}
+
+/* Runs or refuses; returns 0 when the request has to wait. */
+static int
+try(admission_t *a)
+{
+	uint32_t retry_after_ms;
+	at_reason_t reason = AT_REASON_OVER_BURST;
+	at_admit_t verdict = at_limits_admit(a->node->limits, a->workspace.text,
+	    a->cost_tokens, &a->debit, &retry_after_ms);
+
+	if (verdict == AT_ADMIT_OK) {
+		a->run(a->node, a->request, &a->spec);
+		return 1;
+	}
+	if (verdict == AT_ADMIT_SHORT) {
+		if (at_clock_now_ms() < a->arrived_ms + AT_ADMISSION_WAIT_MS)
+			return 0;
+		reason = AT_REASON_OVER_RATE;
+	} else {
+		retry_after_ms = 0;
+	}
+	at_refuse(
+	    a->node, a->request, reason, AT_VERDICT_NOT_RUN, retry_after_ms);
+	return 1;
+}
+
+static void
+on_end(void *ctx, int gone)
+{
+	admission_t *a = ctx;
+
+	(void)gone;
+	DL_DELETE(a->node->admissions->waiting, a);
+	at_counters_refusal(a->node->counters, AT_REASON_CALLER_GONE);
+}
+
+static void
+wait_for_grant(admission_t *a)
+{
+	DL_APPEND(a->node->admissions->waiting, a);
+	at_httpd_set_end(a->request, on_end, a);
+}
+
+static void
+retry_all(void *ctx)
+{
+	at_admissions_t *all = ctx;
+	admission_t *waiting = all->waiting;
+	admission_t *a;
+
+	all->waiting = NULL;
+	while ((a = waiting) != NULL) {
+		DL_DELETE(waiting, a);
+		at_httpd_set_end(a->request, NULL, NULL);
+		if (!try(a))
+			wait_for_grant(a);
+	}
+	if (all->waiting == NULL)
+		ev_timer_stop(all->node->loop, &all->timer);
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	retry_all(timer->data);
+}
+
+at_admissions_t *
+at_admissions_new(at_node_t *node)
+{
+	at_admissions_t *all = calloc(1, sizeof(*all));
+
+	if (all == NULL)
+		return NULL;
+	all->node = node;
+	ev_timer_init(&all->timer, on_timer, RETRY_S, RETRY_S);
+	all->timer.data = all;
+	at_limits_set_changed(node->limits, retry_all, all);
+	return all;
+}
+
+void
+at_admissions_delete(at_admissions_t *all)
+{
+	if (all == NULL)
+		return;
+	ev_timer_stop(all->node->loop, &all->timer);
+	free(all);
+}
+
+void
+at_admission_start(at_node_t *node, at_httpd_request_t *request,
+    const at_exchange_spec_t *spec, uint64_t cost_tokens,
+    at_admission_run_t run)
+{
+	admission_t *a;
+
+	if (spec->workspace[0] == '\0' || cost_tokens == 0) {
+		run(node, request, spec);
+		return;
+	}
+	a = calloc(1, sizeof(*a));
+	if (a == NULL) {
+		at_refuse(node, request, AT_REASON_INTERNAL, AT_VERDICT_NOT_RUN,
+		    AT_MS_PER_S);
+		return;
+	}
+	a->node = node;
+	a->request = request;
+	a->spec = *spec;
+	(void)at_name_set(&a->target, spec->target);
+	(void)at_name_set(&a->workspace, spec->workspace);
+	a->spec.target = a->target.text;
+	a->spec.workspace = a->workspace.text;
+	a->cost_tokens = cost_tokens;
+	a->arrived_ms = at_clock_now_ms();
+	a->run = run;
+	/* Only engines report use; their exchanges end with their callers. */
+	if (spec->kind == AT_INSTANCE_ENGINE) {
+		a->spec.on_done = on_done;
+		a->spec.done_ctx = a;
+	}
+	at_httpd_set_finalizer(request, finalize, a);
+	if (try(a))
+		return;
+	wait_for_grant(a);
+	ev_timer_again(node->loop, &node->admissions->timer);
+}
--- a/src/daemon/node.c
+++ b/src/daemon/node.c
@@ -7,15 +7,19 @@
 #include "almondthread/log.h"
 #include "daemon/claims_io.h"
 #include "daemon/crashes.h"
+#include "daemon/admission.h"
 #include "daemon/engine_status.h"
 #include "daemon/jobs_io.h"
 #include "daemon/routing.h"
 #include "daemon/exchange.h"
+#include "daemon/limits_io.h"
 #include "io/clock.h"
 
-#define STATUS_EVERY_S 0.5 /* between two reports of an engine */
-#define STOP_CHECK_S 0.05  /* between two looks at open requests */
-#define LINGER_MS 500u     /* for requests already on their way */
+#define STATUS_EVERY_S 0.5     /* between two reports of an engine */
+#define STOP_CHECK_S 0.05      /* between two looks at open requests */
+#define HAND_OVER_MS 3000u     /* longest wait for shares to be handed back */
+#define PLATFORM_WAIT_MS 3000u /* silent so long: it is away */
+#define LINGER_MS 500u         /* for requests already on their way */
 
 const char *const at_node_state_names[] = {
     "starting", "serving", "draining", "stopping", "stopped"};
@@ -52,6 +56,9 @@
 	(void)at_crashes_new(node);
 	node->placement = at_placement_io_new(node);
 	node->config_io = at_config_io_new(loop, node->peers, node->platform);
+	node->limits = at_limits_new(loop, node->peers);
+	at_limits_set_counters(node->limits, node->counters);
+	node->admissions = at_admissions_new(node);
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
 	at_httpd_set_fault_handler(node->callers, at_entry_handle_fault, node);
 	at_httpd_set_slow(node->callers, on_slow_caller, node);
@@ -67,6 +74,7 @@
 	at_placement_io_configure(node->placement, config);
 	at_config_delete(node->config);
 	node->config = config;
+	at_limits_set_config(node->limits, config);
 	at_httpd_set_max_body(node->callers, config->defaults.max_body_bytes);
 }
 
@@ -77,6 +85,7 @@
 
 	at_backends_update(node->backends, instances, count);
 	at_placement_io_instances(node->placement);
+	at_limits_set_instances(node->limits, instances, count);
 	at_routing_listed(node);
 }
 
@@ -163,6 +172,9 @@
 	at_claims_io_init(node->claims);
 	at_placement_io_init(node->placement);
 	at_jobs_io_init(node->jobs);
+	if (at_limits_init(node->limits, &node->self, &node->data_centre,
+		&node->store, status) != AT_OK)
+		return status->code;
 	at_config_io_set_self(
 	    node->config_io, &node->self.instance, &node->data_centre);
 	at_config_io_set_counters(node->config_io, node->counters);
@@ -173,6 +185,7 @@
 	ev_timer_start(node->loop, &node->status_timer);
 	at_crashes_start(node);
 	node->state = AT_NODE_SERVING;
+	node->started_at_ms = at_clock_now_ms();
 	at_log(AT_LOG_INFO, "node", NULL,
 	    "%s in %s serves; callers on port %u, operators on port %u, "
 	    "peers on port %u.",
@@ -194,6 +207,19 @@
 				   : node->open_exchanges);
 }
 
+int
+at_node_ready(const at_node_t *node)
+{
+	uint64_t up_ms = at_clock_now_ms() - node->started_at_ms;
+
+	if (node->state != AT_NODE_SERVING || node->config == NULL)
+		return 0;
+	if (at_limits_joined(node->limits))
+		return 1;
+	return up_ms > PLATFORM_WAIT_MS &&
+	       at_platform_age_ms(node->platform) > PLATFORM_WAIT_MS;
+}
+
 /* Moves a stopping node on, one state at a time. */
 static void
 on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -218,6 +244,10 @@
 		return;
 	if (open > 0 && waited_ms < node->settings.stop_max_ms)
 		return;
+	at_limits_leave(node->limits);
+	if (open == 0 && !at_limits_left(node->limits) &&
+	    waited_ms < HAND_OVER_MS)
+		return;
 	if (open > 0)
 		at_log(AT_LOG_ERROR, "node", NULL,
 		    "Cuts %zu requests after the longest wait.", open);
@@ -254,6 +284,7 @@
 	at_httpd_delete(node->callers);
 	at_exchange_delete_all(node);
 	at_placement_io_delete(node->placement);
+	at_admissions_delete(node->admissions);
 	at_httpd_delete(node->operators);
 	at_config_io_delete(node->config_io);
 	at_peers_delete(node->peers);
@@ -261,6 +292,7 @@
 	at_claims_io_delete(node->claims);
 	at_jobs_io_delete(node->jobs);
 	at_httpc_delete(node->httpc);
+	at_limits_delete(node->limits);
 	at_backends_delete(node->backends);
 	at_router_delete(node->router);
 	at_budgets_delete(node->budgets);
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -111,6 +111,9 @@
 /* Callbacks of a request that is not answered at once. */
 void at_httpd_set_end(
     at_httpd_request_t *request, at_httpd_end_t end, void *ctx);
+/* Called last, with the status of the answer, or 0 without one. */
+void at_httpd_set_finalizer(at_httpd_request_t *request,
+    void (*finalizer)(void *ctx, int status), void *ctx);
 void at_httpd_set_gone(at_httpd_request_t *request, at_httpd_gone_t gone);
 void at_httpd_set_drain(at_httpd_request_t *request, at_httpd_drain_t drain);
 
--- a/src/io/httpd_request.c
+++ b/src/io/httpd_request.c
@@ -104,6 +104,14 @@
 	request->ctx = ctx;
 }
 
+void
+at_httpd_set_finalizer(at_httpd_request_t *request,
+    void (*finalizer)(void *ctx, int status), void *ctx)
+{
+	request->finalizer = finalizer;
+	request->finalizer_ctx = ctx;
+}
+
 void
 at_httpd_set_gone(at_httpd_request_t *request, at_httpd_gone_t gone)
 {
