Ask for more than is held, count as drawn only what was lent

Cause: refusals came while other homes had 100,000 tokens. An ask that could return nothing still asked for less than it held, and a home kept in reserve whatever had been asked of it, met or not. Change: an ask states what is wished for on top of what is kept; only what was lent counts as drawn; waiting requests ask every 10 ms.

--- a/src/core/share.c
+++ b/src/core/share.c
@@ -245,7 +245,7 @@
 }
 
 void
-share_ask(at_share_t *share, peer_t *peer, int64_t keep_ppb, int64_t want_ppb,
+share_ask(at_share_t *share, peer_t *peer, int64_t keep_ppb, int64_t more_ppb,
     int64_t need_utok, int64_t spare_ppb)
 {
 	at_share_message_t ask = {.kind = AT_SHARE_ASK,
@@ -253,7 +253,6 @@
 	    .to = peer->self.number,
 	    .seq = ++share->ask_seq,
 	    .asked_ms = share->now_ms,
-	    .want_ppb = want_ppb,
 	    .need_utok = need_utok,
 	    .spare_ppb = spare_ppb,
 	    .keep_ppb = -1};
@@ -268,6 +267,9 @@
 	if (back_ppb > 0)
 		ask.level_utok = at_bucket_take(share->bucket,
 		    at_bucket_burst_utok(share->bucket, back_ppb));
+	ask.want_ppb = loan_ppb(&peer->borrowed) + more_ppb;
+	if (ask.want_ppb > AT_PPB)
+		ask.want_ppb = AT_PPB;
 	ask.ack = peer->newest_grant;
 	if (peer->borrowed.count > 0)
 		ask.ack = peer->borrowed.grants[0].seq;
@@ -276,7 +278,7 @@
 	share_refresh(share);
 	peer->seen_ms = share->now_ms;
 	peer->asked_ms = share->now_ms;
-	if (want_ppb > 0) {
+	if (ask.want_ppb > 0) {
 		peer->due_seq = ask.seq;
 		peer->due_ms = share->now_ms;
 		peer->answer_due = 1;
--- a/src/core/share_impl.h
+++ b/src/core/share_impl.h
@@ -94,9 +94,9 @@
 /* What all but this peer's loan leave for a loan that ends at ends_ms. */
 int64_t share_grantable(
     const at_share_t *share, const peer_t *peer, uint64_t ends_ms);
-/* Asks for want_ppb, after returning all but keep_ppb of the present loan. */
+/* Returns what may be returned above keep_ppb and asks for more_ppb to it. */
 void share_ask(at_share_t *share, peer_t *peer, int64_t keep_ppb,
-    int64_t want_ppb, int64_t need_utok, int64_t spare_ppb);
+    int64_t more_ppb, int64_t need_utok, int64_t spare_ppb);
 /*
  * Grants a loan of up to total_ppb of the want_ppb for term_ms; returns the
  * loan granted.
--- a/src/core/share_policy.c
+++ b/src/core/share_policy.c
@@ -4,7 +4,7 @@
 #define SMOOTHING 4         /* windows over which it is smoothed */
 #define AHEAD_MS 3000u      /* demand for which level is kept ready */
 #define COST_HOLD_MS 2000u  /* how long a request's cost is remembered */
-#define SHORT_GAP_MS 20u    /* between two asks for a waiting request */
+#define SHORT_GAP_MS 10u    /* between two asks for a waiting request */
 #define LOW_GAP_MS 500u     /* between two asks for a low level */
 #define RETURN_GAP_MS 1000u /* between two returns of surplus */
 #define DRAW_GAP_MS 200u    /* between two asks for one peer's spare */
@@ -88,8 +88,7 @@
 
 	/* A loan costs its borrower up to a clock step of the rate. */
 	need_utok += AT_UTOK + (int64_t)share->rate_tokens_s * 1000;
-	share_ask(share, peer, keep,
-	    least(keep + fraction(share, need_utok), AT_PPB), need_utok, 0);
+	share_ask(share, peer, keep, fraction(share, need_utok), need_utok, 0);
 }
 
 /* A home that is short asks the other homes, each for a part. */
@@ -122,9 +121,7 @@
 		if (peer->spare_ppb <= 0 ||
 		    share->now_ms < peer->asked_ms + DRAW_GAP_MS)
 			continue;
-		share_ask(share, peer, AT_PPB,
-		    least(loan_ppb(&peer->borrowed) + peer->spare_ppb, AT_PPB),
-		    ALL_UTOK, 0);
+		share_ask(share, peer, AT_PPB, peer->spare_ppb, ALL_UTOK, 0);
 		peer->spare_ppb = 0;
 	}
 }
@@ -139,7 +136,7 @@
 	if (want_ppb <= 0 || before == 0)
 		return 0;
 	keep = before - least(want_ppb, before);
-	share_ask(share, peer, keep, keep, 0, 0);
+	share_ask(share, peer, keep, 0, 0, 0);
 	return before - loan_ppb(&peer->borrowed);
 }
 
@@ -188,9 +185,9 @@
 	want -= return_own(share, peer, want - present);
 	total = share_grant(share, peer, lendable(share, peer, want),
 	    peer->open_utok, term_for(share, peer), want);
-	if (want > present)
+	if (total > present)
 		share->drawn_utok +=
-		    at_bucket_burst_utok(share->bucket, want - present);
+		    at_bucket_burst_utok(share->bucket, total - present);
 	peer->open_ppb = total < want ? want : 0;
 	if (total >= want)
 		return;
@@ -314,7 +311,7 @@
 		if (share->is_home && !share->leaving &&
 		    !is_remote(share, peer))
 			continue;
-		share_ask(share, peer, keep, keep, 0, 0);
+		share_ask(share, peer, keep, 0, 0, 0);
 		surplus -= before - loan_ppb(&peer->borrowed);
 	}
 	return surplus;
@@ -337,7 +334,7 @@
 		if (newest->ppb > 0 &&
 		    (loan->count > 1 ||
 			newest->ends_ms < share->now_ms + peer->term_ms / 2))
-			share_ask(share, peer, AT_PPB, newest->ppb, 0, 0);
+			share_ask(share, peer, AT_PPB, 0, 0, 0);
 	}
 }
 
@@ -349,8 +346,7 @@
 	if (share->home.number == 0 || spare_ppb <= SPARE_MIN_PPB)
 		return;
 	home = share_find_or_add(share, &share->home);
-	share_ask(share, home, AT_PPB, loan_ppb(&home->borrowed), 0,
-	    least(spare_ppb, AT_PPB));
+	share_ask(share, home, AT_PPB, 0, 0, least(spare_ppb, AT_PPB));
 }
 
 /* A leaver asks for what it has lent. */
