Let floors shrink only in a fleet that has settled

Change: nothing is read before the instance list is known; floors shrink when the fleet has had one size for 10 s. Conclusion: platform calls stay under the limit while a fleet grows.

--- a/src/core/share_root.c
+++ b/src/core/share_root.c
@@ -7,6 +7,7 @@
 #define REREAD_MS 600000u  /* between two reads by all the others */
 #define ALONE_MS 1000u     /* the same where nobody can lend */
 #define JOIN_MS 10000u     /* between two tries to get a floor */
+#define SETTLED_MS 10000u  /* a fleet of one size, before floors shrink */
 #define RETRY_MS 200u      /* after a call that failed or lost a race */
 #define RETRY_MAX_MS 5000u /* the spread of retries grows up to this */
 #define NEVER UINT64_MAX
@@ -33,7 +34,8 @@
 	int64_t floors_ppb;
 	size_t instances;
 	size_t data_centres;
-	int fleet_known; /* the two above were heard */
+	int fleet_known;   /* the two above were heard */
+	uint64_t fleet_ms; /* when the first last changed */
 	int holds;
 	int alone;
 	int leaving;
@@ -112,8 +114,14 @@
 at_share_root_set_fleet(
     at_share_root_t *root, size_t instances, size_t data_centres)
 {
+	if (instances == 0)
+		instances = 1;
+	if (!root->fleet_known)
+		root->next_ms = root->now_ms;
+	if (!root->fleet_known || instances != root->instances)
+		root->fleet_ms = root->now_ms;
 	root->fleet_known = 1;
-	root->instances = instances > 0 ? instances : 1;
+	root->instances = instances;
 	root->data_centres = data_centres > 0 ? data_centres : 1;
 }
 
@@ -435,6 +443,7 @@
 	int64_t target = target_ppb(root);
 
 	if (root->leaving || root->shrinking || !root->fleet_known ||
+	    root->now_ms < root->fleet_ms + SETTLED_MS ||
 	    root->floor_ppb <= target + target / 4)
 		return;
 	shrink(root, target);
@@ -542,7 +551,8 @@
 		else
 			have_written(root);
 	}
-	if (root->state != STATE_IDLE || now_ms < root->next_ms || root->left)
+	if (root->state != STATE_IDLE || now_ms < root->next_ms || root->left ||
+	    (!root->fleet_known && !root->leaving))
 		return;
 	root->state = STATE_READING;
 	root->store.get(root->store.impl, AT_SHARES_OBJECT, on_answer, root);
