--- a/tests/support/charges.c
+++ b/tests/support/charges.c
@@ -6,12 +6,26 @@
 #include <criterion/criterion.h>
 #include <jansson.h>
 
+#include "daemon/limits_io.h"
+
 #define FORCE_MS 12000u /* a configuration is in force everywhere */
 #define JOIN_MS 45000u  /* a lease of 15 s and loans of 20 s end, and margin */
 #define CALL_MS 20000u  /* one call */
 
 static char bearer[160];
 
+/* The instance has a part of the workspace's rate. */
+static int
+has_share(const at_node_t *node)
+{
+	json_t *list = at_limits_status(node->limits);
+	json_t *floor = json_object_get(json_array_get(list, 0), "floor_ppb");
+	int has = json_integer_value(floor) > 0;
+
+	json_decref(list);
+	return has;
+}
+
 static int
 configured(void *ctx)
 {
@@ -24,7 +38,8 @@
 	const at_node_t *node = ctx;
 
 	return at_node_ready(node) &&
-	       at_backends_find(node->backends, "s1") != NULL;
+	       at_backends_find(node->backends, "s1") != NULL &&
+	       has_share(node);
 }
 
 void
@@ -36,20 +51,6 @@
 	cr_assert(fixture_until(f, serves, f->nodes[i], JOIN_MS));
 }
 
-void
-charges_replace_all(fixture_t *f)
-{
-	static const char *const names[] = {"n1", "n2", "n3"};
-	size_t i;
-
-	for (i = 0; i < 3; i++) {
-		fixture_remove_node(f, i);
-		fixture_unlist(f, names[i]);
-	}
-	charges_add_node(f, "n4", "north");
-	charges_add_node(f, "n5", "south");
-}
-
 fixture_t *
 charges_new(void)
 {
@@ -79,6 +80,26 @@
 	return f;
 }
 
+void
+charges_end_node(fixture_t *f, size_t node)
+{
+	at_name_t name = f->nodes[node]->self.instance;
+
+	fixture_remove_node(f, node);
+	fixture_unlist(f, name.text);
+}
+
+void
+charges_replace_all(fixture_t *f)
+{
+	size_t i;
+
+	for (i = 0; i < 3; i++)
+		charges_end_node(f, i);
+	charges_add_node(f, "n4", "north");
+	charges_add_node(f, "n5", "south");
+}
+
 void
 charges_send(fixture_t *f, fixture_answer_t *answer, size_t node,
     const char *method, const char *path, const char *const header[2],
--- a/tests/support/charges.h
+++ b/tests/support/charges.h
@@ -16,7 +16,10 @@
 /* charges_add_node() starts one more instance and waits until it serves. */
 void charges_add_node(fixture_t *f, const char *name, const char *data_centre);
 
-/* charges_replace_all() ends n1 to n3 unplanned, unlists them, adds n4, n5. */
+/* charges_end_node() ends a node at once; the platform delists it. */
+void charges_end_node(fixture_t *f, size_t node);
+
+/* charges_replace_all() ends n1 to n3 unplanned and adds n4 and n5. */
 void charges_replace_all(fixture_t *f);
 
 /* charges_send() asks an instance with the key; header may be NULL. */
