Call back what a shrunk floor has lent too much

Cause: an instance whose floor shrank had lent more than it was left with. Ruled out: fewer asks after an empty answer, blamed at first. Change: such an instance calls back the deficit.

--- a/src/core/share_policy.c
+++ b/src/core/share_policy.c
@@ -349,9 +349,9 @@
 	share_ask(share, home, AT_PPB, 0, 0, least(spare_ppb, AT_PPB));
 }
 
-/* A leaver asks for what it has lent. */
+/* Asks for up to most_ppb of what was lent to each peer. */
 static void
-call_back(at_share_t *share)
+call_back(at_share_t *share, int64_t most_ppb)
 {
 	peer_t *peer;
 
@@ -359,7 +359,8 @@
 		int64_t lent = loan_ppb(&peer->lent);
 
 		if (lent > 0 && share->now_ms >= peer->asked_ms + LOW_GAP_MS)
-			share_ask(share, peer, 0, least(lent, AT_PPB), 0, 0);
+			share_ask(share, peer, share->leaving ? 0 : AT_PPB,
+			    least(lent, most_ppb), 0, 0);
 	}
 }
 
@@ -373,9 +374,12 @@
 	roll_window(share);
 	if (share->leaving) {
 		(void)return_surplus(share, AT_PPB);
-		call_back(share);
+		call_back(share, AT_PPB);
 		return;
 	}
+	/* A floor that shrank may be less than what was lent of it. */
+	if (share->lent_ppb > share->cap_ppb)
+		call_back(share, share->lent_ppb - share->cap_ppb);
 	renew(share);
 	target = target_utok(share);
 	use = policy_use_ppb(share);
