Place what must stand before what need not; keep room for adapters

Change: what must stand here is wanted first and nothing else is loaded into its room; a model is put where its adapters and its neighbours' fit.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -203,6 +203,8 @@
 		copy_estimate(
 		    item, at_placement_find(placement, item->name.text));
 		all_mb += item->memory_mb;
+		if (item->base != NO_ITEM)
+			items[item->base].adapters_mb += item->memory_mb;
 	}
 	for (i = 0; i < count; i++) {
 		items[i].required =
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -17,6 +17,7 @@
 	at_name_t adapter; /* empty for a model */
 	uint32_t version;
 	uint64_t memory_mb;
+	uint64_t adapters_mb; /* of a model's adapters, all together */
 	uint32_t min_replicas;
 	int required;   /* stands in this data centre in any case */
 	int restricted; /* an exception pins or forbids it somewhere */
--- a/src/core/placement_plan.c
+++ b/src/core/placement_plan.c
@@ -72,9 +72,19 @@
 	       FIT_WEIGHT * left_mb / (double)(e->capacity_mb + 1);
 }
 
+/* A model leaves room for its adapters and for those of its neighbours. */
+static uint64_t
+needed_mb(
+    const round_t *r, const item_t *item, size_t engine, int with_adapters)
+{
+	if (item->base != NO_ITEM || !with_adapters)
+		return item->memory_mb;
+	return item->memory_mb + item->adapters_mb + r->kept_mb[engine];
+}
+
 /* Returns the best engine with room, or NO_ITEM. */
 static size_t
-find_room(const round_t *r, const item_t *item)
+find_room(const round_t *r, const item_t *item, int with_adapters)
 {
 	size_t best = NO_ITEM;
 	double best_score = 0;
@@ -83,7 +93,8 @@
 	for (e = 0; e < r->engine_count; e++) {
 		double score;
 
-		if (r->free_mb[e] < item->memory_mb || !is_eligible(r, item, e))
+		if (r->free_mb[e] < needed_mb(r, item, e, with_adapters) ||
+		    !is_eligible(r, item, e))
 			continue;
 		score = score_of(r, item, e);
 		if (best == NO_ITEM || score < best_score) {
@@ -94,6 +105,44 @@
 	return best;
 }
 
+/* Memory that engines keep for adapters that their models may still get. */
+static void
+keep_for_adapters(round_t *r)
+{
+	size_t e;
+	size_t i;
+
+	for (e = 0; e < r->engine_count; e++) {
+		uint64_t held_mb = 0;
+
+		for (i = 0; i < r->engines[e].resident_count; i++) {
+			size_t index =
+			    r->resident_item[r->first_resident[e] + i];
+			const item_t *item;
+
+			if (index == NO_ITEM)
+				continue;
+			item = &r->placement->items[index];
+			if (item->base == NO_ITEM)
+				r->kept_mb[e] += item->adapters_mb;
+			else
+				held_mb += item->memory_mb;
+		}
+		r->kept_mb[e] -=
+		    held_mb < r->kept_mb[e] ? held_mb : r->kept_mb[e];
+		r->total_free_mb += r->free_mb[e];
+	}
+}
+
+/* What must stand here comes before all that need not. */
+static int
+holds_back(const round_t *r, const item_t *item, urgency_t urgency)
+{
+	if (urgency == URGENCY_REQUIRED)
+		return 0;
+	return r->total_free_mb < r->missing_mb + item->memory_mb;
+}
+
 static void
 load(round_t *r, item_t *item, size_t engine, const char *reason)
 {
@@ -105,7 +154,12 @@
 	(void)snprintf(item->state.reason, sizeof(item->state.reason),
 	    "load on %.40s: %.70s", r->engines[engine].name.text, reason);
 	r->free_mb[engine] -= item->memory_mb;
+	r->total_free_mb -= item->memory_mb;
+	if (item->required && item->state.serving + item->state.coming == 0)
+		r->missing_mb -= item->memory_mb;
 	item->state.coming++;
+	if (item->base == NO_ITEM)
+		r->kept_mb[engine] += item->adapters_mb;
 	if (item->base == NO_ITEM)
 		r->load[engine] += item->slow_tokens_s /
 				   (item->state.serving + item->state.coming);
@@ -289,7 +343,7 @@
 		    x->memory_mb >= item->memory_mb || x->state.serving != 1 ||
 		    x->state.coming != 0 || carries_adapter(r, x, engine))
 			continue;
-		*to = find_room(r, x);
+		*to = find_room(r, x, 0);
 		if (*to != NO_ITEM)
 			return x;
 	}
@@ -322,13 +376,19 @@
 
 static const char *const urgency_reasons[] = {"demand is beyond its replicas",
     "fewer replicas than the minimum",
-    "only an old version or a leaving engine holds it", "it stands nowhere"};
+    "only an old version or a leaving engine holds it", "it stands nowhere",
+    "it stands nowhere and must stand here"};
 
 static void
 serve_want(round_t *r, item_t *item, urgency_t urgency)
 {
-	size_t engine = find_room(r, item);
+	size_t engine;
 
+	if (holds_back(r, item, urgency))
+		return;
+	engine = find_room(r, item, 1);
+	if (engine == NO_ITEM && urgency >= URGENCY_OLD)
+		engine = find_room(r, item, 0);
 	if (engine != NO_ITEM) {
 		if (urgency > URGENCY_DEMAND ||
 		    r->placement->policy == AT_PLACEMENT_GREEDY ||
@@ -369,7 +429,9 @@
 	uint32_t standing = item->state.serving + item->state.coming;
 
 	if (standing == 0)
-		return item->state.old == 0 ? URGENCY_NOWHERE : URGENCY_OLD;
+		return item->state.old > 0 ? URGENCY_OLD
+		       : item->required    ? URGENCY_REQUIRED
+					   : URGENCY_NOWHERE;
 	if (item->required && standing < item->min_replicas)
 		return URGENCY_FEW;
 	return URGENCY_DEMAND;
@@ -389,6 +451,8 @@
 			continue;
 		w->item = i;
 		w->urgency = urgency_of(item);
+		if (w->urgency == URGENCY_REQUIRED)
+			r->missing_mb += item->memory_mb;
 		w->is_adapter = item->base != NO_ITEM;
 		w->demand = item->slow_tokens_s;
 		w->memory_mb = item->memory_mb;
@@ -453,6 +517,7 @@
 	for (i = 0; i < r->placement->item_count; i++)
 		at_placement_want(r->placement->policy, &r->placement->items[i],
 		    r->mean_rate * SHARE_PERCENT / 100, r->stays, r->now_ms);
+	keep_for_adapters(r);
 	serve_wants(r);
 	clear_out(r);
 }
--- a/src/core/placement_round.h
+++ b/src/core/placement_round.h
@@ -13,7 +13,8 @@
 	URGENCY_DEMAND,
 	URGENCY_FEW,
 	URGENCY_OLD,
-	URGENCY_NOWHERE
+	URGENCY_NOWHERE,
+	URGENCY_REQUIRED /* nowhere, and this data centre must hold it */
 } urgency_t;
 
 typedef struct want {
@@ -42,8 +43,11 @@
 	size_t stays;      /* engines that are usable and not leaving */
 	uint64_t *free_mb; /* of each engine, less what was decided */
 	uint64_t *soon_mb; /* of each engine, being unloaded */
-	double *load;      /* of each engine, tokens per second */
-	double *rate;      /* of each engine, tokens per second */
+	uint64_t *kept_mb; /* of each engine, for its models' adapters */
+	uint64_t total_free_mb;
+	uint64_t missing_mb; /* of what must stand here and does not */
+	double *load;        /* of each engine, tokens per second */
+	double *rate;        /* of each engine, tokens per second */
 	double mean_rate;
 	size_t *first_resident; /* of each engine, in resident_item */
 	size_t *resident_item;  /* NO_ITEM for a stranger */
--- a/src/core/placement_view.c
+++ b/src/core/placement_view.c
@@ -266,16 +266,17 @@
 
 	r->free_mb = calloc(n, sizeof(*r->free_mb));
 	r->soon_mb = calloc(n, sizeof(*r->soon_mb));
+	r->kept_mb = calloc(n, sizeof(*r->kept_mb));
 	r->load = calloc(n, sizeof(*r->load));
 	r->rate = calloc(n, sizeof(*r->rate));
 	r->first_resident = calloc(n, sizeof(*r->first_resident));
 	r->resident_item = calloc(residents + 1, sizeof(*r->resident_item));
 	r->places = calloc(residents + open_count + 1, sizeof(*r->places));
 	r->wants = calloc(r->placement->item_count + 1, sizeof(*r->wants));
-	return r->free_mb != NULL && r->soon_mb != NULL && r->load != NULL &&
-	       r->rate != NULL && r->first_resident != NULL &&
-	       r->resident_item != NULL && r->places != NULL &&
-	       r->wants != NULL;
+	return r->free_mb != NULL && r->soon_mb != NULL && r->kept_mb != NULL &&
+	       r->load != NULL && r->rate != NULL &&
+	       r->first_resident != NULL && r->resident_item != NULL &&
+	       r->places != NULL && r->wants != NULL;
 }
 
 static void
@@ -283,6 +284,7 @@
 {
 	free(r->free_mb);
 	free(r->soon_mb);
+	free(r->kept_mb);
 	free(r->load);
 	free(r->rate);
 	free(r->first_resident);
