Give every model a home with room; end servers while requests arrive

(2) test_jobs crashed in a teardown (MHD_stop_daemon with suspended connections): a request that came in while the open ones were being ended was suspended and not ended itself. Change: homes are chosen with regard to room, largest model first, by every planner alike; a server being deleted closes what comes in.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -89,28 +89,8 @@
 	placement->items[item->base].requests++;
 }
 
-/* The data centre that must hold a model whatever the memory allows. */
-static int
-is_home(
-    const at_config_t *config, const at_name_t *data_centre, const char *name)
-{
-	uint64_t own = XXH64(data_centre->text, strlen(data_centre->text), 0);
-	uint64_t key = XXH64(name, strlen(name), 1);
-	size_t i;
-
-	own = XXH64(&own, sizeof(own), key);
-	for (i = 0; i < config->data_centre_count; i++) {
-		const char *other = config->data_centres[i].text;
-		uint64_t weight = XXH64(other, strlen(other), 0);
-
-		if (XXH64(&weight, sizeof(weight), key) > own)
-			return 0;
-	}
-	return 1;
-}
-
-static uint64_t
-memory_of(const at_config_t *config, const at_name_t *data_centre)
+uint64_t
+at_placement_memory_mb(const at_config_t *config, const at_name_t *data_centre)
 {
 	uint64_t sum = 0;
 	size_t i;
@@ -180,16 +160,20 @@
 }
 
 /* Fills and indexes items[]; estimates come from the old table. */
-static void
+static int
 build_items(at_placement_t *placement, const at_config_t *config,
     const at_name_t *data_centre, item_t *items, size_t count)
 {
 	uint64_t all_mb = 0;
-	uint64_t room_mb =
-	    memory_of(config, data_centre) / 100 * RESIDENT_PERCENT;
+	uint64_t room_mb = at_placement_memory_mb(config, data_centre) / 100 *
+			   RESIDENT_PERCENT;
+	size_t *homes = calloc(config->model_count + 1, sizeof(*homes));
 	item_t *by_name = NULL;
 	size_t i;
 
+	if (homes == NULL)
+		return -1;
+
 	for (i = 0; i < count; i++) {
 		item_t *item = &items[i];
 
@@ -206,15 +190,25 @@
 		if (item->base != NO_ITEM)
 			items[item->base].adapters_mb += item->memory_mb;
 	}
+	if (config->data_centre_count > 0 &&
+	    at_placement_homes(config, items, RESIDENT_PERCENT, homes) != 0) {
+		free(homes);
+		return -1;
+	}
 	for (i = 0; i < count; i++) {
+		size_t model = items[i].base == NO_ITEM ? i : items[i].base;
+
 		items[i].required =
-		    all_mb <= room_mb ||
-		    is_home(config, data_centre, items[i].model.text);
+		    all_mb <= room_mb || config->data_centre_count == 0 ||
+		    at_name_equal(
+			&config->data_centres[homes[model]], data_centre);
 		HASH_ADD_KEYPTR(hh, by_name, items[i].name.text,
 		    strlen(items[i].name.text), &items[i]);
 	}
 	forget_items(placement);
 	placement->by_name = by_name;
+	free(homes);
+	return 0;
 }
 
 int
@@ -226,7 +220,10 @@
 
 	if (items == NULL)
 		return -1;
-	build_items(placement, config, data_centre, items, count);
+	if (build_items(placement, config, data_centre, items, count) != 0) {
+		free(items);
+		return -1;
+	}
 	placement->items = items;
 	placement->item_count = count;
 	placement->config = config;
--- a/src/core/placement_internal.h
+++ b/src/core/placement_internal.h
@@ -63,6 +63,18 @@
 	uint64_t last_round_ms;
 };
 
+/* at_placement_memory_mb() sums the engines of a data centre. */
+uint64_t at_placement_memory_mb(
+    const at_config_t *config, const at_name_t *data_centre);
+
+/*
+ * at_placement_homes() gives each model the index of the data centre that
+ * must hold it, when percent of each one's memory may be taken. items begins
+ * with the models. Returns 0, or -1 without memory.
+ */
+int at_placement_homes(const at_config_t *config, const item_t *items,
+    uint32_t percent, size_t *homes);
+
 /* at_placement_find() returns an item by name, or NULL. */
 item_t *at_placement_find(const at_placement_t *placement, const char *name);
 
--- a/src/core/placement_plan.c
+++ b/src/core/placement_plan.c
@@ -387,7 +387,8 @@
 	if (holds_back(r, item, urgency))
 		return;
 	engine = find_room(r, item, 1);
-	if (engine == NO_ITEM && urgency >= URGENCY_OLD)
+	if (engine == NO_ITEM &&
+	    (urgency == URGENCY_OLD || urgency == URGENCY_REQUIRED))
 		engine = find_room(r, item, 0);
 	if (engine != NO_ITEM) {
 		if (urgency > URGENCY_DEMAND ||
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -18,6 +18,7 @@
 #define CONNECTION_IDLE_S 75u          /* an unused connection is closed */
 #define GONE_CHECK_S 0.25              /* between looks for gone callers */
 #define BODY_GROWTH 4096u              /* bytes a body buffer grows by */
+#define ABORT_TURNS 1000               /* runs until all requests ended */
 #define RUNS_PER_TURN 16               /* runs of the library in one turn */
 #define DEFAULT_MAX_BODY (1u << 20)
 #define DEFAULT_BODY_LIMIT_MS 30000u
@@ -246,6 +247,8 @@
 	at_httpd_request_t *request = *request_cls;
 
 	(void)version;
+	if (httpd->aborting)
+		return MHD_NO;
 	if (request == NULL) {
 		request = request_new(httpd, connection, method, url);
 		*request_cls = request;
@@ -503,19 +506,27 @@
 	return httpd->open;
 }
 
-/* Stopping the library with a suspended connection would abort us. */
+/*
+ * Stopping the library with a suspended connection would abort us. What
+ * comes in while the open requests end is closed at once (see on_access).
+ */
 static void
 abort_open(at_httpd_t *httpd)
 {
 	at_httpd_request_t *request;
 	int turns;
 
-	for (request = httpd->requests; request != NULL;
-	     request = request->next)
-		at_httpd_stream_abort(request);
-	for (turns = 0; httpd->requests != NULL && turns < RUNS_PER_TURN;
-	     turns++)
+	httpd->aborting = 1;
+	for (turns = 0; turns < ABORT_TURNS; turns++) {
+		for (request = httpd->requests; request != NULL;
+		     request = request->next) {
+			at_httpd_stream_abort(request);
+			at_httpd_resume(request);
+		}
 		(void)MHD_run(httpd->daemon);
+		if (httpd->requests == NULL)
+			return;
+	}
 }
 
 void
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -65,7 +65,8 @@
 	int listen_fd;
 	uint16_t port;
 	int quiescing;
-	int closing; /* each answer ends its connection */
+	int aborting; /* being deleted */
+	int closing;  /* each answer ends its connection */
 	int run_owed;
 	ev_io readable;
 	ev_timer timeout;
--- /dev/null
+++ b/tests/contract/test_httpd.c
@@ -0,0 +1,75 @@
+/*
+ * An HTTP server may be deleted at any moment: with requests that wait for
+ * their answer, and with requests that arrive while it is deleted.
+ */
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+#include <sodium.h>
+
+#include "io/address.h"
+#include "io/httpd.h"
+
+#define WAITING 4u
+
+static void
+leave_waiting(void *ctx, at_httpd_request_t *request)
+{
+	(void)request;
+	(*(unsigned int *)ctx)++;
+}
+
+static int
+connect_to(uint16_t port)
+{
+	struct sockaddr_in addr;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	cr_assert_eq(at_address_parse("127.0.0.1:0", &addr), 0);
+	addr.sin_port = htons(port);
+	cr_assert_eq(connect(fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
+	return fd;
+}
+
+static void
+send_request(int fd)
+{
+	static const char text[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+	cr_assert_eq(
+	    send(fd, text, sizeof(text) - 1, 0), (ssize_t)sizeof(text) - 1);
+}
+
+Test(httpd, deleted_while_requests_wait_and_arrive)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	at_httpd_t *httpd = at_httpd_new(loop);
+	at_status_t status;
+	unsigned int handled = 0;
+	int fds[2 * WAITING];
+	char byte;
+	size_t i;
+
+	cr_assert_geq(sodium_init(), 0);
+	at_httpd_set_handler(httpd, leave_waiting, &handled);
+	cr_assert_eq(at_httpd_init(httpd, "127.0.0.1:0", &status), AT_OK);
+	/* All are accepted, idle ones first, before the last have asked. */
+	for (i = 0; i < 2 * WAITING; i++)
+		fds[i] = connect_to(at_httpd_port(httpd));
+	for (i = WAITING; i < 2 * WAITING; i++)
+		send_request(fds[i]);
+	while (handled < WAITING)
+		(void)ev_run(loop, EVRUN_ONCE);
+	/* The loop does not see these; the library would. */
+	for (i = 0; i < WAITING; i++)
+		send_request(fds[i]);
+	at_httpd_delete(httpd);
+	cr_assert_eq(handled, WAITING);
+	for (i = 0; i < 2 * WAITING; i++) {
+		cr_assert_leq(recv(fds[i], &byte, 1, 0), 0);
+		(void)close(fds[i]);
+	}
+	ev_loop_destroy(loop);
+}
