--- a/src/daemon/engine_status.c
+++ b/src/daemon/engine_status.c
@@ -10,6 +10,7 @@
 #include "daemon/routing.h"
 #include "io/clock.h"
 
+#define FAR_EVERY_MS 5000u /* between two reports of a far engine */
 #define STATUS_TOTAL_MS 1000u
 #define URL_SIZE 128
 
@@ -128,7 +129,14 @@
 static void
 poll_engine(void *ctx, at_backend_t *backend)
 {
-	at_engine_status_ask(ctx, backend);
+	at_node_t *node = ctx;
+	int near =
+	    at_name_equal(&backend->instance.data_centre, &node->data_centre);
+
+	/* Far engines get overflow only; a late report of them will do. */
+	if (near || backend->view.report_at_ms == 0 ||
+	    at_clock_now_ms() - backend->view.report_at_ms >= FAR_EVERY_MS)
+		at_engine_status_ask(node, backend);
 }
 
 void
