--- a/src/core/share_policy.c
+++ b/src/core/share_policy.c
@@ -377,11 +377,15 @@
 		call_back(share, AT_PPB);
 		return;
 	}
-	/* A floor that shrank may be less than what was lent of it. */
-	if (share->lent_ppb > share->cap_ppb)
-		call_back(share, share->lent_ppb - share->cap_ppb);
 	renew(share);
 	target = target_utok(share);
+	/*
+	 * A floor that shrank may be less than what was lent of it. Without
+	 * demand that is left to the loans' terms.
+	 */
+	if (share->lent_ppb > share->cap_ppb &&
+	    (target > 0 || share->drawn_utok_s > 0))
+		call_back(share, share->lent_ppb - share->cap_ppb);
 	use = policy_use_ppb(share);
 	if (share->is_home) {
 		target += share->drawn_utok_s;
