Give each concern its folder in the core and the daemon

src/core held over forty files side by side and src/daemon thirty, so a newcomer could not tell which belong together.

--- a/src/core/claims_internal.h
+++ b/src/core/claims/claims_internal.h
@@ -6,7 +6,7 @@
 #define ALMONDTHREAD_CORE_CLAIMS_INTERNAL_H
 
 #include "almondthread/claims.h"
-#include "core/claims_table.h"
+#include "core/claims/claims_table.h"
 
 #define CLAIM_OBJECT_SIZE 32u /* bytes of an object's name */
 
--- a/src/core/claims_shard.c
+++ b/src/core/claims/claims_shard.c
@@ -1,4 +1,4 @@
-#include "core/claims_internal.h"
+#include "core/claims/claims_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/claims_table.c
+++ b/src/core/claims/claims_table.c
@@ -1,4 +1,4 @@
-#include "core/claims_table.h"
+#include "core/claims/claims_table.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/jobs_index.c
+++ b/src/core/jobs/jobs_index.c
@@ -1,4 +1,4 @@
-#include "core/jobs_internal.h"
+#include "core/jobs/jobs_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/share.c
+++ b/src/core/limits/share.c
@@ -1,4 +1,4 @@
-#include "core/share_impl.h"
+#include "core/limits/share_impl.h"
 
 #include <assert.h>
 #include <stdlib.h>
--- a/src/core/share_policy.c
+++ b/src/core/limits/share_policy.c
@@ -1,4 +1,4 @@
-#include "core/share_impl.h"
+#include "core/limits/share_impl.h"
 
 #define WINDOW_MS 500u      /* over which demand is counted */
 #define SMOOTHING 4         /* windows over which it is smoothed */
--- a/src/core/orders_doc.c
+++ b/src/core/placement/orders_doc.c
@@ -5,7 +5,7 @@
 
 #include <jansson.h>
 
-#include "core/orders_internal.h"
+#include "core/placement/orders_internal.h"
 
 static json_t *
 encode_intent(const at_intent_t *intent)
--- a/src/core/orders_engines.c
+++ b/src/core/placement/orders_engines.c
@@ -1,4 +1,4 @@
-#include "core/orders_internal.h"
+#include "core/placement/orders_internal.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/core/placement.c
+++ b/src/core/placement/placement.c
@@ -1,4 +1,4 @@
-#include "core/placement_internal.h"
+#include "core/placement/placement_internal.h"
 
 #include <math.h>
 #include <stdlib.h>
--- a/src/core/placement_home.c
+++ b/src/core/placement/placement_home.c
@@ -9,7 +9,7 @@
 
 #include <xxhash.h>
 
-#include "core/placement_internal.h"
+#include "core/placement/placement_internal.h"
 
 /* One model in the order of choice. */
 typedef struct chooser {
--- a/src/core/placement_plan.c
+++ b/src/core/placement/placement_plan.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/placement_round.h"
+#include "core/placement/placement_round.h"
 
 #define SHARE_PERCENT 50u  /* of an engine, for one replica */
 #define FIT_WEIGHT 0.25    /* of memory left over, against load */
--- a/src/core/placement_round.h
+++ b/src/core/placement/placement_round.h
@@ -4,7 +4,7 @@
 #ifndef ALMONDTHREAD_CORE_PLACEMENT_ROUND_H
 #define ALMONDTHREAD_CORE_PLACEMENT_ROUND_H
 
-#include "core/placement_internal.h"
+#include "core/placement/placement_internal.h"
 
 #define EVICTION_LIST_MAX AT_RESIDENTS_MAX
 
--- a/src/core/placement_view.c
+++ b/src/core/placement/placement_view.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/placement_round.h"
+#include "core/placement/placement_round.h"
 
 static item_t *
 item_of(const at_placement_t *placement, const at_name_t *model,
--- a/src/core/suspects.c
+++ b/src/core/requests/suspects.c
@@ -3,7 +3,7 @@
 
 #include <utlist.h>
 
-#include "core/suspects_internal.h"
+#include "core/requests/suspects_internal.h"
 
 at_suspects_t *
 at_suspects_new(void)
--- a/src/core/suspects_entries.c
+++ b/src/core/requests/suspects_entries.c
@@ -1,6 +1,6 @@
 #include <stdlib.h>
 
-#include "core/suspects_internal.h"
+#include "core/requests/suspects_internal.h"
 
 #define CONVICTING_CRASHES 2u
 
--- a/src/core/prefix_table.c
+++ b/src/core/routing/prefix_table.c
@@ -1,4 +1,4 @@
-#include "core/prefix_table.h"
+#include "core/routing/prefix_table.h"
 
 #include <stdlib.h>
 
--- a/src/core/router.c
+++ b/src/core/routing/router.c
@@ -1,4 +1,4 @@
-#include "core/router_private.h"
+#include "core/routing/router_private.h"
 
 #include <string.h>
 
--- a/src/core/router_private.h
+++ b/src/core/routing/router_private.h
@@ -9,7 +9,7 @@
 
 #include "almondthread/ports.h"
 #include "almondthread/router.h"
-#include "core/prefix_table.h"
+#include "core/routing/prefix_table.h"
 
 #define SENT_MAX 64u    /* sends remembered since a report */
 #define RATIO_ONE 1024u /* observed = predicted */
--- a/src/daemon/claims_io.c
+++ b/src/daemon/claims/claims_io.c
@@ -1,4 +1,4 @@
-#include "daemon/claims_io.h"
+#include "daemon/claims/claims_io.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/daemon/claims_io.h
+++ b/src/daemon/claims/claims_io.h
@@ -7,7 +7,7 @@
 #define ALMONDTHREAD_DAEMON_CLAIMS_IO_H
 
 #include "almondthread/claims.h"
-#include "daemon/exchange.h"
+#include "daemon/requests/exchange.h"
 
 #define AT_IDEMPOTENCY_KEY_MAX 120u /* bytes */
 
--- a/src/daemon/config_io.c
+++ b/src/daemon/config/config_io.c
@@ -1,4 +1,4 @@
-#include "daemon/config_io.h"
+#include "daemon/config/config_io.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/daemon/jobs_impl.h
+++ b/src/daemon/jobs/jobs_impl.h
@@ -7,7 +7,7 @@
 
 #include <jansson.h>
 
-#include "daemon/jobs_io.h"
+#include "daemon/jobs/jobs_io.h"
 
 /* A caller's request that waits for the object API. */
 typedef struct job_request {
--- a/src/daemon/jobs_io.c
+++ b/src/daemon/jobs/jobs_io.c
@@ -1,4 +1,4 @@
-#include "daemon/jobs_impl.h"
+#include "daemon/jobs/jobs_impl.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/daemon/jobs_io.h
+++ b/src/daemon/jobs/jobs_io.h
@@ -9,7 +9,7 @@
 #define ALMONDTHREAD_DAEMON_JOBS_IO_H
 
 #include "almondthread/jobs.h"
-#include "daemon/exchange.h"
+#include "daemon/requests/exchange.h"
 
 #define AT_JOBS_PATH "/v1/jobs/" /* followed by an id */
 
--- a/src/daemon/jobs_run.c
+++ b/src/daemon/jobs/jobs_run.c
@@ -5,8 +5,8 @@
 #include <utlist.h>
 
 #include "almondthread/log.h"
-#include "daemon/claims_io.h"
-#include "daemon/jobs_impl.h"
+#include "daemon/claims/claims_io.h"
+#include "daemon/jobs/jobs_impl.h"
 #include "io/clock.h"
 
 #define CLAIM_WAIT_MS 1500u /* longest wait for a claim */
--- a/src/daemon/limits_io.c
+++ b/src/daemon/limits/limits_io.c
@@ -1,4 +1,4 @@
-#include "daemon/limits_io.h"
+#include "daemon/limits/limits_io.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -9,7 +9,7 @@
 #include <sodium.h>
 
 #include "almondthread/log.h"
-#include "daemon/node.h"
+#include "daemon/node/node.h"
 #include "io/settings.h"
 
 static void
--- a/src/daemon/explain.c
+++ b/src/daemon/node/explain.c
@@ -1,4 +1,4 @@
-#include "daemon/explain.h"
+#include "daemon/node/explain.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/daemon/explain.h
+++ b/src/daemon/node/explain.h
@@ -4,7 +4,7 @@
 #ifndef ALMONDTHREAD_DAEMON_EXPLAIN_H
 #define ALMONDTHREAD_DAEMON_EXPLAIN_H
 
-#include "daemon/node.h"
+#include "daemon/node/node.h"
 
 /*
  * at_explain_handle() answers /explain?request=ID with the refusal's reason
--- a/src/daemon/node.c
+++ b/src/daemon/node/node.c
@@ -1,18 +1,18 @@
-#include "daemon/node.h"
+#include "daemon/node/node.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "daemon/claims_io.h"
-#include "daemon/crashes.h"
-#include "daemon/admission.h"
-#include "daemon/engine_status.h"
-#include "daemon/jobs_io.h"
-#include "daemon/routing.h"
-#include "daemon/exchange.h"
-#include "daemon/limits_io.h"
+#include "daemon/claims/claims_io.h"
+#include "daemon/requests/crashes.h"
+#include "daemon/requests/admission.h"
+#include "daemon/routing/engine_status.h"
+#include "daemon/jobs/jobs_io.h"
+#include "daemon/routing/routing.h"
+#include "daemon/requests/exchange.h"
+#include "daemon/limits/limits_io.h"
 #include "io/clock.h"
 
 #define STATUS_EVERY_S 0.5     /* between two reports of an engine */
--- a/src/daemon/operators.c
+++ b/src/daemon/node/operators.c
@@ -3,10 +3,10 @@
 
 #include <jansson.h>
 
-#include "daemon/crashes.h"
-#include "daemon/limits_io.h"
-#include "daemon/explain.h"
-#include "daemon/peers_status.h"
+#include "daemon/requests/crashes.h"
+#include "daemon/limits/limits_io.h"
+#include "daemon/node/explain.h"
+#include "daemon/node/peers_status.h"
 
 static void
 reply_text(at_httpd_request_t *request, int status, const char *text)
--- a/src/daemon/peers_status.c
+++ b/src/daemon/node/peers_status.c
@@ -1,4 +1,4 @@
-#include "daemon/peers_status.h"
+#include "daemon/node/peers_status.h"
 
 #include "io/clock.h"
 
--- a/src/daemon/peers_status.h
+++ b/src/daemon/node/peers_status.h
@@ -7,7 +7,7 @@
 
 #include <jansson.h>
 
-#include "daemon/node.h"
+#include "daemon/node/node.h"
 
 /* at_peers_status_add() sets the fields of the view in root. */
 void at_peers_status_add(at_node_t *node, json_t *root);
--- a/src/daemon/demand.c
+++ b/src/daemon/placement/demand.c
@@ -1,4 +1,4 @@
-#include "daemon/demand.h"
+#include "daemon/placement/demand.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/daemon/placement_impl.h
+++ b/src/daemon/placement/placement_impl.h
@@ -9,9 +9,9 @@
 #include "almondthread/lease.h"
 #include "almondthread/orders.h"
 #include "almondthread/placement.h"
-#include "daemon/demand.h"
-#include "daemon/node.h"
-#include "daemon/placement_io.h"
+#include "daemon/placement/demand.h"
+#include "daemon/node/node.h"
+#include "daemon/placement/placement_io.h"
 
 #define AT_OBJECT_NAME_SIZE 160u /* bytes of an object's name, with the NUL */
 #define AT_CANDIDATES 3u  /* instances of a data centre that may hold it */
--- a/src/daemon/placement_io.c
+++ b/src/daemon/placement/placement_io.c
@@ -1,11 +1,11 @@
-#include "daemon/placement_io.h"
+#include "daemon/placement/placement_io.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "daemon/placement_impl.h"
+#include "daemon/placement/placement_impl.h"
 #include "io/clock.h"
 
 #define TICK_S 0.1        /* between two looks at the machines */
--- a/src/daemon/placement_send.c
+++ b/src/daemon/placement/placement_send.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "daemon/placement_impl.h"
+#include "daemon/placement/placement_impl.h"
 #include "io/clock.h"
 
 #define ORDER_CONNECT_MS 500u
--- a/src/daemon/placement_senders.c
+++ b/src/daemon/placement/placement_senders.c
@@ -9,7 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "daemon/placement_impl.h"
+#include "daemon/placement/placement_impl.h"
 #include "io/clock.h"
 
 #define STATEMENT_EVERY_MS 1000u
--- a/src/daemon/admission.c
+++ b/src/daemon/requests/admission.c
@@ -1,4 +1,4 @@
-#include "daemon/admission.h"
+#include "daemon/requests/admission.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -6,7 +6,7 @@
 #include <jansson.h>
 #include <utlist.h>
 
-#include "daemon/limits_io.h"
+#include "daemon/limits/limits_io.h"
 #include "io/clock.h"
 
 #define HTTP_REFUSED 400 /* a status from here on is a refusal */
--- a/src/daemon/admission.h
+++ b/src/daemon/requests/admission.h
@@ -5,7 +5,7 @@
 #ifndef ALMONDTHREAD_DAEMON_ADMISSION_H
 #define ALMONDTHREAD_DAEMON_ADMISSION_H
 
-#include "daemon/exchange.h"
+#include "daemon/requests/exchange.h"
 
 typedef struct at_admissions at_admissions_t;
 
--- a/src/daemon/crashes.c
+++ b/src/daemon/requests/crashes.c
@@ -1,12 +1,12 @@
-#include "daemon/crashes.h"
+#include "daemon/requests/crashes.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "daemon/engine_status.h"
-#include "daemon/exchange.h"
+#include "daemon/routing/engine_status.h"
+#include "daemon/requests/exchange.h"
 #include "io/clock.h"
 #include "suspects.pb-c.h"
 
--- a/src/daemon/crashes.h
+++ b/src/daemon/requests/crashes.h
@@ -7,7 +7,7 @@
 
 #include <jansson.h>
 
-#include "daemon/node.h"
+#include "daemon/node/node.h"
 
 /* at_crashes_new() makes node->suspects; call it before at_peers_init(). */
 at_code_t at_crashes_new(at_node_t *node);
--- a/src/daemon/entry.c
+++ b/src/daemon/requests/entry.c
@@ -5,9 +5,9 @@
 #include <jansson.h>
 
 #include "almondthread/bucket.h"
-#include "daemon/admission.h"
-#include "daemon/claims_io.h"
-#include "daemon/jobs_io.h"
+#include "daemon/requests/admission.h"
+#include "daemon/claims/claims_io.h"
+#include "daemon/jobs/jobs_io.h"
 
 #define BEARER "Bearer "
 #define NO_RETRY 0u
--- a/src/daemon/exchange.c
+++ b/src/daemon/requests/exchange.c
@@ -1,4 +1,4 @@
-#include "daemon/exchange_impl.h"
+#include "daemon/requests/exchange_impl.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/daemon/exchange.h
+++ b/src/daemon/requests/exchange.h
@@ -8,7 +8,7 @@
 #ifndef ALMONDTHREAD_DAEMON_EXCHANGE_H
 #define ALMONDTHREAD_DAEMON_EXCHANGE_H
 
-#include "daemon/node.h"
+#include "daemon/node/node.h"
 
 #define AT_REQUEST_ID_SIZE (AT_HTTPD_ID_DIGITS + 1) /* with the NUL */
 
--- a/src/daemon/exchange_impl.h
+++ b/src/daemon/requests/exchange_impl.h
@@ -8,7 +8,7 @@
 #include "almondthread/answer.h"
 #include "almondthread/attempt.h"
 #include "almondthread/router.h"
-#include "daemon/exchange.h"
+#include "daemon/requests/exchange.h"
 
 #define ATTEMPT_ID_SIZE (AT_REQUEST_ID_SIZE + 8u) /* "-" and a number */
 #define TYPE_SIZE 128u                            /* of a content type */
--- a/src/daemon/history.c
+++ b/src/daemon/requests/history.c
@@ -1,4 +1,4 @@
-#include "daemon/history.h"
+#include "daemon/requests/history.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/daemon/refuse.c
+++ b/src/daemon/requests/refuse.c
@@ -1,4 +1,4 @@
-#include "daemon/exchange.h"
+#include "daemon/requests/exchange.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/daemon/transport.c
+++ b/src/daemon/requests/transport.c
@@ -1,9 +1,9 @@
-#include "daemon/routing.h"
+#include "daemon/routing/routing.h"
 
 #include <stdio.h>
 #include <string.h>
 
-#include "daemon/crashes.h"
+#include "daemon/requests/crashes.h"
 #include "io/clock.h"
 
 #define URL_SIZE 512
--- a/src/daemon/backends.c
+++ b/src/daemon/routing/backends.c
@@ -1,4 +1,4 @@
-#include "daemon/backends.h"
+#include "daemon/routing/backends.h"
 
 #include <assert.h>
 #include <stdlib.h>
--- a/src/daemon/engine_status.c
+++ b/src/daemon/routing/engine_status.c
@@ -1,4 +1,4 @@
-#include "daemon/engine_status.h"
+#include "daemon/routing/engine_status.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -6,8 +6,8 @@
 
 #include <jansson.h>
 
-#include "daemon/crashes.h"
-#include "daemon/routing.h"
+#include "daemon/requests/crashes.h"
+#include "daemon/routing/routing.h"
 #include "io/clock.h"
 
 #define FAR_EVERY_MS 5000u /* between two reports of a far engine */
--- a/src/daemon/routing.c
+++ b/src/daemon/routing/routing.c
@@ -1,4 +1,4 @@
-#include "daemon/routing.h"
+#include "daemon/routing/routing.h"
 
 #include <string.h>
 
--- a/src/daemon/routing.h
+++ b/src/daemon/routing/routing.h
@@ -5,7 +5,7 @@
 #ifndef ALMONDTHREAD_DAEMON_ROUTING_H
 #define ALMONDTHREAD_DAEMON_ROUTING_H
 
-#include "daemon/exchange_impl.h"
+#include "daemon/requests/exchange_impl.h"
 
 /* at_routing_report() passes on what an engine reported. */
 void at_routing_report(at_node_t *node, const at_backend_t *backend);
--- a/tests/contract/test_limits.c
+++ b/tests/contract/test_limits.c
@@ -8,7 +8,7 @@
 
 #include <criterion/criterion.h>
 
-#include "daemon/limits_io.h"
+#include "daemon/limits/limits_io.h"
 #include "io/clock.h"
 #include "support/fixture.h"
 
--- a/tests/contract/test_placement_io.c
+++ b/tests/contract/test_placement_io.c
@@ -12,7 +12,7 @@
 #include <jansson.h>
 
 #include "almondthread/lease.h"
-#include "daemon/placement_impl.h"
+#include "daemon/placement/placement_impl.h"
 #include "io/clock.h"
 #include "support/fixture.h"
 
--- a/tests/fuzz/fuzz_claims.c
+++ b/tests/fuzz/fuzz_claims.c
@@ -10,7 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/claims_table.h"
+#include "core/claims/claims_table.h"
 #include "fuzz/operations.h"
 #include "support/faulty_store.h"
 
--- a/tests/support/charges.c
+++ b/tests/support/charges.c
@@ -6,7 +6,7 @@
 #include <criterion/criterion.h>
 #include <jansson.h>
 
-#include "daemon/limits_io.h"
+#include "daemon/limits/limits_io.h"
 
 #define FORCE_MS 12000u /* a configuration is in force everywhere */
 #define JOIN_MS 45000u  /* a lease of 15 s and loans of 20 s end, and margin */
--- a/tests/support/fixture.h
+++ b/tests/support/fixture.h
@@ -6,7 +6,7 @@
 #ifndef ALMONDTHREAD_TESTS_FIXTURE_H
 #define ALMONDTHREAD_TESTS_FIXTURE_H
 
-#include "daemon/node.h"
+#include "daemon/node/node.h"
 #include "standin/standin.h"
 
 #define FIXTURE_MAX 16 /* of each kind */
--- a/tests/unit/test_claims_table.c
+++ b/tests/unit/test_claims_table.c
@@ -7,7 +7,7 @@
 
 #include <criterion/criterion.h>
 
-#include "core/claims_table.h"
+#include "core/claims/claims_table.h"
 
 #define ENTRIES 5
 
--- a/tests/unit/test_placement_home.c
+++ b/tests/unit/test_placement_home.c
@@ -7,7 +7,7 @@
 
 #include <criterion/criterion.h>
 
-#include "core/placement_internal.h"
+#include "core/placement/placement_internal.h"
 
 #define CENTRES 4u
 #define ENGINES 8u
