--- a/include/almondthread/attempt.h
+++ b/include/almondthread/attempt.h
@@ -10,7 +10,9 @@
  *   - AT_VERDICT_NOT_RUN only when each attempt is proved not to have run;
  *   - an AT_ONCE request has no second attempt after a byte of it left us,
  *     unless the backend server refused it before running it;
- *   - AT_ACTION_DELIVER names one and the same attempt in all of a request;
+ *   - AT_ACTION_DELIVER names one and the same attempt in all of a request,
+ *     unless the request may be resumed: then a later attempt may go on where
+ *     the one before broke off;
  *   - each attempt but the first is paid for by the workspace's budget and
  *     by that of its backend server.
  *
@@ -85,6 +87,8 @@
 void at_attempts_set_limits(
     at_attempts_t *attempts, const at_attempt_limits_t *limits);
 void at_attempts_set_repeat(at_attempts_t *attempts, at_repeat_t repeat);
+/* A resumable answer may be gone on with by another attempt. */
+void at_attempts_set_resumable(at_attempts_t *attempts, int resumable);
 /* The workspace's budget; it must outlive the machine. NULL: unlimited. */
 void at_attempts_set_budget(at_attempts_t *attempts, at_budget_t *budget);
 
--- a/include/almondthread/budget.h
+++ b/include/almondthread/budget.h
@@ -20,9 +20,18 @@
 
 typedef struct at_budget {
 	uint32_t level_milli;
+	uint32_t max_milli;     /* most that is kept */
+	uint32_t success_milli; /* added by one success */
 	uint64_t trickled_at_ms;
 } at_budget_t;
 
+/*
+ * at_budget_set_limits() replaces AT_BUDGET_MAX_MILLI and
+ * AT_BUDGET_SUCCESS_MILLI; a level above the new maximum is cut to it.
+ */
+void at_budget_set_limits(
+    at_budget_t *budget, uint32_t max_milli, uint32_t success_milli);
+
 /* at_budget_init() fills the budget. */
 void at_budget_init(at_budget_t *budget, uint64_t now_ms);
 
--- a/include/almondthread/counters.h
+++ b/include/almondthread/counters.h
@@ -27,6 +27,14 @@
 void at_counters_set(at_counters_t *counters, const char *name,
     const char *label, const char *value, uint64_t n);
 
+/*
+ * at_counters_observe() adds a time to the histogram name{label="value"}; its
+ * bounds are 1, 2, 5, 10 and so on to 20,000 ms. The first observation makes
+ * it.
+ */
+void at_counters_observe(at_counters_t *counters, const char *name,
+    const char *label, const char *value, uint64_t ms);
+
 uint64_t at_counters_get(const at_counters_t *counters, const char *name,
     const char *label, const char *value);
 
--- /dev/null
+++ b/include/almondthread/event_frames.h
@@ -0,0 +1,40 @@
+/*
+ * event_frames.h - cuts the bytes of an event stream into whole events, so
+ * that a part of an event is never passed on.
+ */
+#ifndef ALMONDTHREAD_EVENT_FRAMES_H
+#define ALMONDTHREAD_EVENT_FRAMES_H
+
+#include "almondthread/units.h"
+
+#define AT_EVENT_MAX (256u << 10) /* bytes of one event */
+
+/* One whole event, with the empty line that ends it; lent for the call. */
+typedef struct at_event {
+	const char *data;
+	size_t len;
+	int has_id;
+	uint64_t id;
+} at_event_t;
+
+typedef void (*at_event_sink_t)(void *ctx, const at_event_t *event);
+
+typedef struct at_event_frames {
+	char *held;
+	size_t len;
+	size_t size;
+} at_event_frames_t;
+
+/*
+ * at_event_frames_feed() passes each event that is whole to the sink.
+ * Returns 0, or -1 when an event is larger than AT_EVENT_MAX or there is no
+ * memory.
+ */
+int at_event_frames_feed(at_event_frames_t *frames, const char *data,
+    size_t len, at_event_sink_t sink, void *ctx);
+/* at_event_frames_held() returns the bytes of an event that is not whole. */
+size_t at_event_frames_held(const at_event_frames_t *frames);
+/* at_event_frames_reset() drops them. */
+void at_event_frames_reset(at_event_frames_t *frames);
+
+#endif
--- a/include/almondthread/lease.h
+++ b/include/almondthread/lease.h
@@ -63,6 +63,11 @@
  * that holds it and may no longer lets it lapse.
  */
 void at_lease_set_candidate(at_lease_t *lease, int candidate);
+/*
+ * at_lease_set_term() replaces AT_LEASE_TERM_MS, and AT_LEASE_RENEW_MS in
+ * proportion; every instance must be given the same.
+ */
+void at_lease_set_term(at_lease_t *lease, uint32_t term_ms);
 void at_lease_delete(at_lease_t *lease);
 
 /* at_lease_process() returns the call that is due, if any, in action. */
@@ -87,6 +92,12 @@
 int at_lease_valid(
     const at_lease_t *lease, uint64_t now_ms, uint32_t margin_ms);
 
+/*
+ * at_lease_outranked() says that an engine has seen a higher fencing number:
+ * the lease is lost, whatever the term says.
+ */
+void at_lease_outranked(at_lease_t *lease, uint64_t now_ms);
+
 /* at_lease_fence() returns the fencing number; 0 when it was never held. */
 uint64_t at_lease_fence(const at_lease_t *lease);
 at_lease_state_t at_lease_state(const at_lease_t *lease);
--- a/include/almondthread/log.h
+++ b/include/almondthread/log.h
@@ -1,6 +1,13 @@
 /*
- * log.h - short sentences to standard error, one line each, with a fixed
- * prefix for each part: "2026-01-02T03:04:05.678Z info  http-in: ...".
+ * log.h - one line for each event, with a fixed prefix for each part:
+ * "2026-01-02T03:04:05.678Z info  http-in: ...". Lines of almondthreadd are
+ * short sentences; lines that explain a decision are an event's name and
+ * fields, "refused reason=overload wait_ms=820".
+ *
+ * Lines go to standard error at once. After at_log_to_stdout() they go to
+ * standard output, at most a stated number a second, from a buffer that
+ * never waits for its reader; what is left out is counted, and a line says
+ * how many there were.
  *
  * Keys, secrets and bodies are never passed to these functions.
  */
@@ -17,6 +24,13 @@
 
 extern const char *const at_log_level_names[];
 
+/* at_log_to_stdout() bounds lines a second; at_log_flush() is then owed. */
+void at_log_to_stdout(unsigned lines_per_s);
+/* at_log_flush() hands over what is buffered, as far as the reader takes it. */
+void at_log_flush(void);
+/* at_log_suppressed() returns how many lines were left out so far. */
+unsigned long at_log_suppressed(void);
+
 /* at_log_set_level() drops what is less important than level. */
 void at_log_set_level(at_log_level_t level);
 
--- /dev/null
+++ b/include/almondthread/mirror.h
@@ -0,0 +1,64 @@
+/*
+ * mirror.h - a copy of all objects of one kind, kept by list and watch.
+ *
+ * A machine without input or output: at_mirror_process() says which call to
+ * make, at_mirror_answer() takes its answer, and the sink hears of each
+ * object that is new, changed or gone. Versions of an object never go back.
+ *
+ * Objects that vanish around an outage of the platform may be back shortly
+ * after its return. They are kept for linger_ms after the return and are
+ * gone if they are missing still.
+ */
+#ifndef ALMONDTHREAD_MIRROR_H
+#define ALMONDTHREAD_MIRROR_H
+
+#include "almondthread/objects.h"
+
+#define AT_MIRROR_NEVER UINT64_MAX /* nothing is due */
+
+typedef enum at_mirror_step {
+	AT_MIRROR_WAIT,
+	AT_MIRROR_LIST,
+	AT_MIRROR_WATCH,
+	AT_MIRROR_STEP_COUNT
+} at_mirror_step_t;
+
+typedef struct at_mirror_action {
+	at_mirror_step_t step;
+	const char *after; /* LIST: NULL for the first page */
+	uint64_t since;    /* WATCH */
+	uint32_t wait_ms;  /* WATCH */
+} at_mirror_action_t;
+
+/* Hears of changes. The object is lent for the call. */
+typedef struct at_mirror_sink {
+	void (*on_change)(void *ctx, const at_object_t *object);
+	void (*on_gone)(void *ctx, const char *name);
+	void *ctx;
+} at_mirror_sink_t;
+
+typedef struct at_mirror at_mirror_t;
+
+at_mirror_t *at_mirror_new(void);
+void at_mirror_delete(at_mirror_t *mirror);
+void at_mirror_set_sink(at_mirror_t *mirror, const at_mirror_sink_t *sink);
+/* How long vanished objects are kept after an outage, in ms. */
+void at_mirror_set_linger(at_mirror_t *mirror, uint32_t linger_ms);
+
+/* at_mirror_process() returns the call to make now, if any. */
+void at_mirror_process(
+    at_mirror_t *mirror, uint64_t now_ms, at_mirror_action_t *action);
+/* at_mirror_answer() takes the answer of that call. */
+void at_mirror_answer(
+    at_mirror_t *mirror, uint64_t now_ms, const at_objects_page_t *page);
+/* at_mirror_due_ms() returns when at_mirror_process() is due again. */
+uint64_t at_mirror_due_ms(const at_mirror_t *mirror);
+
+/* at_mirror_synced() tells whether a whole list was ever taken over. */
+int at_mirror_synced(const at_mirror_t *mirror);
+/* at_mirror_away() tells whether the last call failed. */
+int at_mirror_away(const at_mirror_t *mirror);
+/* at_mirror_count() returns how many objects are known. */
+size_t at_mirror_count(const at_mirror_t *mirror);
+
+#endif
--- /dev/null
+++ b/include/almondthread/objects.h
@@ -0,0 +1,57 @@
+/*
+ * objects.h - the platform's objects as the product sees them: lists and
+ * watches of one kind. Single objects are read and written through
+ * at_store_t (ports.h), where an object's name is "KIND/NAME".
+ *
+ * Each call answers exactly once through its callback, on the same thread
+ * and never before the call returns, unless it is cancelled.
+ */
+#ifndef ALMONDTHREAD_OBJECTS_H
+#define ALMONDTHREAD_OBJECTS_H
+
+#include "almondthread/units.h"
+
+/* How a list or watch ended. */
+typedef enum at_objects_code {
+	AT_OBJECTS_OK,
+	AT_OBJECTS_HISTORY_GONE, /* list anew before watching again */
+	AT_OBJECTS_REFUSED,      /* the platform answered, but not with it */
+	AT_OBJECTS_SILENT,       /* no whole answer came */
+	AT_OBJECTS_CODE_COUNT
+} at_objects_code_t;
+
+extern const char *const at_objects_code_names[];
+
+/* One object; what it holds is lent for the length of the callback. */
+typedef struct at_object {
+	const char *name;
+	uint64_t version; /* of its last change */
+	int deleted;      /* in a watch: it no longer exists */
+	const void *spec; /* of the adapter's own type; NULL when unreadable */
+} at_object_t;
+
+/* A page of a list, or the changes that a watch brought. */
+typedef struct at_objects_page {
+	at_objects_code_t code;
+	const at_object_t *objects;
+	size_t count;
+	int more;       /* a list goes on behind the last object */
+	uint64_t as_of; /* the version that this shows */
+} at_objects_page_t;
+
+typedef void (*at_objects_done_t)(void *ctx, const at_objects_page_t *page);
+
+typedef struct at_objects_call at_objects_call_t;
+
+/* Lists and watches. after is NULL for the first page. */
+typedef struct at_objects {
+	at_objects_call_t *(*list)(void *impl, const char *kind,
+	    const char *after, at_objects_done_t done, void *ctx);
+	at_objects_call_t *(*watch)(void *impl, const char *kind,
+	    uint64_t since, uint32_t wait_ms, at_objects_done_t done,
+	    void *ctx);
+	void (*cancel)(void *impl, at_objects_call_t *call);
+	void *impl;
+} at_objects_t;
+
+#endif
--- /dev/null
+++ b/include/almondthread/residency.h
@@ -0,0 +1,72 @@
+/*
+ * residency.h - which models should be on which engines of a service, and
+ * the next orders on the way there.
+ *
+ * Pure. The owner describes the engines and the demand as they are now and
+ * gets orders that can be given at once: at most one for each engine, each
+ * within that engine's memory.
+ */
+#ifndef ALMONDTHREAD_RESIDENCY_H
+#define ALMONDTHREAD_RESIDENCY_H
+
+#include "almondthread/demand_rates.h"
+
+#define AT_RESIDENCY_ENGINES_MAX 1024u
+#define AT_RESIDENCY_MODELS_MAX 1536u
+
+/* One engine as the planner sees it. */
+typedef struct at_engine_state {
+	const at_server_entry_t *entry;
+	at_load_t load;
+	int usable;       /* it may be given orders: not leaving, not failing */
+	int busy;         /* an order is under way or its end is not known */
+	at_tag_t loading; /* model under way there, or 0 */
+	at_tag_t unloading; /* model on its way out, or 0 */
+} at_engine_state_t;
+
+typedef enum at_move_kind {
+	AT_MOVE_LOAD,
+	AT_MOVE_UNLOAD
+} at_move_kind_t;
+
+/* Where the weights of a load come from. */
+typedef enum at_copy_place {
+	AT_COPY_MEMORY,
+	AT_COPY_DISK,
+	AT_COPY_STORE,
+	AT_COPY_PLACE_COUNT
+} at_copy_place_t;
+
+extern const char *const at_copy_place_names[];
+
+/* One order to give. */
+typedef struct at_move {
+	at_move_kind_t kind;
+	at_tag_t server;
+	at_tag_t model;
+	at_copy_place_t from; /* of a load */
+	int urgent;           /* requests wait for it and it is nowhere */
+} at_move_t;
+
+/* Bounds on one round. */
+typedef struct at_residency_limits {
+	uint32_t store_loads; /* that may begin now */
+	uint32_t moves;       /* that are not urgent */
+} at_residency_limits_t;
+
+/*
+ * at_residency_plan() fills moves and returns how many there are.
+ */
+size_t at_residency_plan(const at_site_service_t *service,
+    const at_engine_state_t *engines, size_t engine_count,
+    const at_demand_rates_t *demand, const at_residency_limits_t *limits,
+    at_move_t *moves, size_t max);
+
+/*
+ * at_residency_targets() fills how many engines each model of the service
+ * should be on; the planner uses it, tables test it.
+ */
+void at_residency_targets(const at_site_service_t *service, size_t engines,
+    const at_demand_rates_t *demand, uint32_t *targets);
+
+#endif
--- /dev/null
+++ b/include/almondthread/roster.h
@@ -0,0 +1,65 @@
+/*
+ * roster.h - the entry instances of a deployment as this one knows them: who
+ * is present, who is heard, and who should take the lease.
+ *
+ * Pure: times are passed in, in microseconds.
+ */
+#ifndef ALMONDTHREAD_ROSTER_H
+#define ALMONDTHREAD_ROSTER_H
+
+#include "almondthread/site.h"
+
+/* An instance not heard for so long may be gone or cut off. */
+#define AT_ROSTER_SILENT_US 1500000u
+
+typedef struct at_roster_member {
+	at_name_t name;
+	at_tag_t tag;
+	at_tag_t data_centre;
+	char address[AT_ADDR_SIZE]; /* for datagrams */
+	uint64_t incarnation;
+	uint64_t sequence; /* of its last report in that incarnation */
+	uint64_t heard_us; /* 0: never */
+	uint64_t known_us; /* when it was first known */
+	int leaving;
+	uint64_t fence; /* of the lease that it holds; 0: it does not */
+} at_roster_member_t;
+
+typedef struct at_roster at_roster_t;
+
+at_roster_t *at_roster_new(const at_name_t *self);
+void at_roster_delete(at_roster_t *roster);
+
+/*
+ * at_roster_add() notes an instance that the platform names or that was
+ * heard; a new address replaces the old one. Returns NULL for this instance
+ * itself and without memory.
+ */
+at_roster_member_t *at_roster_add(at_roster_t *roster, const at_name_t *name,
+    at_tag_t data_centre, const char *address, uint64_t now_us);
+/*
+ * at_roster_heard() takes a report's head. Returns 0, or -1 when the report
+ * is older than one that was taken before.
+ */
+int at_roster_heard(at_roster_member_t *member, uint64_t incarnation,
+    uint64_t sequence, int leaving, uint64_t fence, uint64_t now_us);
+void at_roster_remove(at_roster_t *roster, at_tag_t member);
+
+/* Instances that may be serving, this one included. */
+uint32_t at_roster_present(const at_roster_t *roster);
+/* Those of them that are heard, this one included. */
+uint32_t at_roster_heard_count(const at_roster_t *roster, uint64_t now_us);
+/* at_roster_holder() returns who is heard to hold the lease, or NULL. */
+const at_roster_member_t *at_roster_holder(
+    const at_roster_t *roster, uint64_t now_us);
+/*
+ * at_roster_is_first() tells whether this instance is the one of those heard
+ * that should take a free lease; all that hear each other agree.
+ */
+int at_roster_is_first(const at_roster_t *roster, uint64_t now_us);
+
+/* Visits every other instance; visit may remove the one it gets. */
+void at_roster_each(at_roster_t *roster,
+    void (*visit)(void *ctx, at_roster_member_t *member), void *ctx);
+
+#endif
--- /dev/null
+++ b/include/almondthread/site.h
@@ -0,0 +1,164 @@
+/*
+ * site.h - the configuration of a deployment: which paths lead to which
+ * service, who may call, and what each service's backend servers can hold.
+ *
+ * A site is made empty, filled once by whoever decodes the configuration,
+ * sealed, and never changed again. It is counted: a request keeps the site
+ * it was admitted under until it ends.
+ */
+#ifndef ALMONDTHREAD_SITE_H
+#define ALMONDTHREAD_SITE_H
+
+#include "almondthread/keyring.h"
+#include "almondthread/units.h"
+
+#define AT_SITE_TARGETS_MAX 8u  /* services one route is split over */
+#define AT_SITE_TEXT_SIZE 256u  /* host or path prefix, with the NUL */
+#define AT_SITE_ATTEMPTS_MAX 4u /* backend servers tried for one request */
+
+/* 64-bit hash of a name: how modules and instances refer to things. */
+typedef uint64_t at_tag_t;
+
+/* at_tag() hashes a text; the tag of "" is 0, which stands for "none". */
+at_tag_t at_tag(const char *text);
+
+/* What a route's requests are, and so what may be repeated. */
+typedef enum at_route_type {
+	AT_ROUTE_SAFE,   /* any number of times */
+	AT_ROUTE_UNSAFE, /* at most once */
+	AT_ROUTE_STREAM, /* at most once, unless it may be resumed */
+	AT_ROUTE_TYPE_COUNT
+} at_route_type_t;
+
+extern const char *const at_route_type_names[];
+
+/* A service that gets a part of a route's requests. */
+typedef struct at_site_target {
+	at_tag_t service;
+	uint32_t weight; /* relative to the route's other targets */
+} at_site_target_t;
+
+typedef struct at_site_route {
+	at_name_t name;
+	char host[AT_SITE_TEXT_SIZE];
+	char prefix[AT_SITE_TEXT_SIZE]; /* begins and ends with '/' */
+	at_route_type_t type;
+	uint32_t timeout_ms;   /* longest time to the end of the answer */
+	uint32_t objective_ms; /* to the answer, or to a stream's first event */
+	uint32_t pause_ms;     /* longest pause within a timely stream */
+	uint32_t priority;     /* 0 is the most urgent */
+	uint32_t attempts_max; /* backend servers that may see one request */
+	at_site_target_t targets[AT_SITE_TARGETS_MAX];
+	size_t target_count;
+	int open;      /* needs no key */
+	int resumable; /* a stream may go on at another backend server */
+} at_site_route_t;
+
+typedef struct at_site_model {
+	at_name_t name;
+	at_tag_t tag;
+	uint64_t weights_mb;
+	uint64_t adapter_mb;
+	uint32_t adapter_count;
+	uint32_t store_load_ms;  /* from the weight store */
+	uint32_t disk_load_ms;   /* from the backend server's own disk */
+	uint32_t memory_load_ms; /* from its own memory */
+} at_site_model_t;
+
+typedef struct at_site_service {
+	at_name_t name;
+	at_tag_t tag;
+	uint32_t connections_max; /* of all callers, to one backend server */
+	int has_models;           /* its backend servers are model engines */
+	/* Of one model engine: */
+	uint32_t slots;            /* requests in one batch */
+	uint64_t kv_tokens;        /* memory for tokens */
+	uint64_t weights_mb;       /* memory for models and adapters */
+	uint32_t adapter_slots;    /* adapters held at once */
+	uint32_t loads_per_1000_s; /* of the weight store, for all engines */
+	at_site_model_t *models;
+	size_t model_count;
+} at_site_service_t;
+
+typedef struct at_site_workspace {
+	at_name_t name;
+	at_tag_t tag;
+	uint64_t rate_per_s;  /* in the unit; 0: no limit */
+	uint64_t burst;       /* in the unit */
+	uint32_t plain_units; /* counted for a request that states no tokens */
+	int counts_tokens;    /* the unit is a token, else a request */
+	int has_priority;     /* its priority goes before the route's */
+	uint32_t priority;
+} at_site_workspace_t;
+
+/* The keyed hash of a caller's key and whose it is. */
+typedef struct at_site_key {
+	uint8_t hash[AT_KEY_HASH_SIZE];
+	uint32_t workspace; /* index */
+} at_site_key_t;
+
+/* Bounds on what a caller may send. */
+typedef struct at_site_limits {
+	uint32_t header_bytes;
+	uint32_t body_bytes;
+	uint32_t header_ms; /* longest time to send a header */
+	uint32_t idle_ms;   /* longest idle time of a connection */
+} at_site_limits_t;
+
+typedef struct at_site {
+	uint32_t references;
+	at_fleet_secret_t secret; /* keys are hashed under it */
+	uint64_t version;
+	at_site_limits_t limits;
+	at_site_route_t *routes;
+	size_t route_count;
+	at_site_service_t *services;
+	size_t service_count;
+	at_site_workspace_t *workspaces;
+	size_t workspace_count;
+	at_site_key_t *keys; /* sorted once sealed */
+	size_t key_count;
+} at_site_t;
+
+/*
+ * at_site_new() returns an empty site with one reference, or NULL. Keys are
+ * kept as hashes under the secret, which need not outlive the process.
+ */
+at_site_t *at_site_new(const at_fleet_secret_t *secret);
+at_site_t *at_site_ref(at_site_t *site);
+/* at_site_unref() frees the site with its last reference; NULL is allowed. */
+void at_site_unref(at_site_t *site);
+
+/* Each adds a zeroed entry and returns it, or NULL without memory. */
+at_site_route_t *at_site_add_route(at_site_t *site);
+at_site_service_t *at_site_add_service(at_site_t *site);
+at_site_workspace_t *at_site_add_workspace(at_site_t *site);
+at_site_model_t *at_site_add_model(at_site_service_t *service);
+/* at_site_add_key() gives a key to the workspace; -1 without memory. */
+int at_site_add_key(at_site_t *site, const char *key, uint32_t workspace);
+
+/* at_site_seal() sorts what look-ups search. */
+void at_site_seal(at_site_t *site);
+
+/*
+ * at_site_route() returns the route of a host whose prefix is the longest
+ * that begins the path, or NULL. A port behind the host is ignored.
+ */
+const at_site_route_t *at_site_route(
+    const at_site_t *site, const char *host, const char *path);
+
+/* at_site_workspace() returns whose key it is, or NULL. */
+const at_site_workspace_t *at_site_workspace(
+    const at_site_t *site, const char *key);
+
+const at_site_service_t *at_site_service(const at_site_t *site, at_tag_t tag);
+const at_site_model_t *at_site_model(
+    const at_site_service_t *service, at_tag_t tag);
+
+/*
+ * at_site_target() picks one of a route's services by weight; draw is a
+ * uniform number. Returns 0 when the route names none.
+ */
+at_tag_t at_site_target(const at_site_route_t *route, uint64_t draw);
+
+#endif
--- a/include/almondthread/verdict.h
+++ b/include/almondthread/verdict.h
@@ -76,6 +76,8 @@
 	X(DEADLINE, "deadline", 504, MAY_HAVE_RUN, "The deadline has passed.") \
 	X(BACKEND_RESET, "backend_reset", 502, MAY_HAVE_RUN,                   \
 	    "The connection to the backend server was lost.")                  \
+	X(BACKEND_FAILED, "backend_failed", 502, MAY_HAVE_RUN,                 \
+	    "The backend server failed.")                                      \
 	X(TRUNCATED, "truncated", 502, MAY_HAVE_RUN,                           \
 	    "The answer ended before it was whole.")                           \
 	X(CROSSED, "crossed", 502, MAY_HAVE_RUN,                               \
--- /dev/null
+++ b/src/core/fleet/roster.c
@@ -0,0 +1,168 @@
+#include "almondthread/roster.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+typedef struct entry {
+	at_roster_member_t member; /* first: a member is its entry's address */
+	UT_hash_handle hh;
+} entry_t;
+
+struct at_roster {
+	at_name_t self;
+	at_tag_t self_tag;
+	entry_t *table;
+};
+
+at_roster_t *
+at_roster_new(const at_name_t *self)
+{
+	at_roster_t *roster = calloc(1, sizeof(*roster));
+
+	if (roster == NULL)
+		return NULL;
+	roster->self = *self;
+	roster->self_tag = at_tag(self->text);
+	return roster;
+}
+
+void
+at_roster_delete(at_roster_t *roster)
+{
+	entry_t *entry;
+	entry_t *next;
+
+	if (roster == NULL)
+		return;
+	HASH_ITER(hh, roster->table, entry, next)
+	{
+		HASH_DEL(roster->table, entry);
+		free(entry);
+	}
+	free(roster);
+}
+
+at_roster_member_t *
+at_roster_add(at_roster_t *roster, const at_name_t *name, at_tag_t data_centre,
+    const char *address, uint64_t now_us)
+{
+	at_tag_t tag = at_tag(name->text);
+	entry_t *entry;
+
+	if (tag == roster->self_tag)
+		return NULL;
+	HASH_FIND(hh, roster->table, &tag, sizeof(tag), entry);
+	if (entry == NULL) {
+		entry = calloc(1, sizeof(*entry));
+		if (entry == NULL)
+			return NULL;
+		entry->member.name = *name;
+		entry->member.tag = tag;
+		entry->member.known_us = now_us;
+		HASH_ADD(hh, roster->table, member.tag, sizeof(tag), entry);
+	}
+	entry->member.data_centre = data_centre;
+	(void)snprintf(entry->member.address, sizeof(entry->member.address),
+	    "%s", address);
+	return &entry->member;
+}
+
+int
+at_roster_heard(at_roster_member_t *member, uint64_t incarnation,
+    uint64_t sequence, int leaving, uint64_t fence, uint64_t now_us)
+{
+	if (member->incarnation == incarnation && sequence <= member->sequence)
+		return -1;
+	member->incarnation = incarnation;
+	member->sequence = sequence;
+	member->leaving = leaving;
+	member->fence = fence;
+	member->heard_us = now_us;
+	return 0;
+}
+
+void
+at_roster_remove(at_roster_t *roster, at_tag_t tag)
+{
+	entry_t *entry;
+
+	HASH_FIND(hh, roster->table, &tag, sizeof(tag), entry);
+	if (entry == NULL)
+		return;
+	HASH_DEL(roster->table, entry);
+	free(entry);
+}
+
+static int
+is_heard(const at_roster_member_t *member, uint64_t now_us)
+{
+	return !member->leaving && member->heard_us != 0 &&
+	       now_us - member->heard_us <= AT_ROSTER_SILENT_US;
+}
+
+uint32_t
+at_roster_present(const at_roster_t *roster)
+{
+	const entry_t *entry;
+	uint32_t count = 1;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next)
+		count += (uint32_t)(entry->member.leaving == 0);
+	return count;
+}
+
+uint32_t
+at_roster_heard_count(const at_roster_t *roster, uint64_t now_us)
+{
+	const entry_t *entry;
+	uint32_t count = 1;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next)
+		count += (uint32_t)is_heard(&entry->member, now_us);
+	return count;
+}
+
+const at_roster_member_t *
+at_roster_holder(const at_roster_t *roster, uint64_t now_us)
+{
+	const at_roster_member_t *holder = NULL;
+	const entry_t *entry;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		const at_roster_member_t *member = &entry->member;
+
+		if (member->fence != 0 && is_heard(member, now_us) &&
+		    (holder == NULL || member->fence > holder->fence))
+			holder = member;
+	}
+	return holder;
+}
+
+int
+at_roster_is_first(const at_roster_t *roster, uint64_t now_us)
+{
+	const entry_t *entry;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		if (is_heard(&entry->member, now_us) &&
+		    entry->member.tag < roster->self_tag)
+			return 0;
+	}
+	return 1;
+}
+
+void
+at_roster_each(at_roster_t *roster,
+    void (*visit)(void *ctx, at_roster_member_t *member), void *ctx)
+{
+	entry_t *entry;
+	entry_t *next;
+
+	HASH_ITER(hh, roster->table, entry, next)
+	{
+		visit(ctx, &entry->member);
+	}
+}
--- /dev/null
+++ b/src/core/fleet/trust.c
@@ -0,0 +1,66 @@
+#include "core/fleet/fleet_private.h"
+
+#define REST_FIRST_US 200000u /* after the first failure in a row */
+#define REST_MAX_US 4000000u  /* however many there were */
+#define FAILURES_TO_REST 2u   /* a single one may be the request's fault */
+#define SLOW_ONE 1000u        /* as predicted */
+#define SLOW_MIN 250u
+#define SLOW_MAX 12000u
+#define SLOW_WEIGHT 8u /* of the past, against one observation */
+
+void
+trust_init(trust_t *trust)
+{
+	trust->failures = 0;
+	trust->rest_until_us = 0;
+	trust->slow_milli = SLOW_ONE;
+}
+
+static uint64_t
+rest_us(uint32_t failures)
+{
+	uint64_t rest = REST_FIRST_US;
+
+	for (; failures > FAILURES_TO_REST && rest < REST_MAX_US; failures--)
+		rest *= 2;
+	return rest < REST_MAX_US ? rest : REST_MAX_US;
+}
+
+void
+trust_judge(trust_t *trust, at_outcome_t outcome, uint64_t now_us)
+{
+	if (outcome == AT_OUTCOME_WELL) {
+		trust->failures = 0;
+		trust->rest_until_us = 0;
+	} else if (outcome == AT_OUTCOME_FAILED) {
+		trust->failures++;
+		if (trust->failures >= FAILURES_TO_REST)
+			trust->rest_until_us =
+			    now_us + rest_us(trust->failures);
+	}
+}
+
+void
+trust_time(trust_t *trust, uint64_t predicted_us, uint64_t seen_us)
+{
+	uint64_t ratio = SLOW_ONE;
+
+	if (predicted_us > 0)
+		ratio = seen_us * SLOW_ONE / predicted_us;
+	if (ratio < SLOW_MIN)
+		ratio = SLOW_MIN;
+	if (ratio > SLOW_MAX)
+		ratio = SLOW_MAX;
+	trust->slow_milli =
+	    (uint32_t)((trust->slow_milli * (SLOW_WEIGHT - 1) + ratio) /
+		       SLOW_WEIGHT);
+}
+
+int
+trust_allows(const trust_t *trust, uint64_t now_us, uint32_t open)
+{
+	if (now_us < trust->rest_until_us)
+		return 0;
+	/* After a rest one request at a time shows whether it is well. */
+	return trust->failures < FAILURES_TO_REST || open == 0;
+}
--- /dev/null
+++ b/src/core/fleet/waiting.c
@@ -0,0 +1,275 @@
+/*
+ * waiting.c - the queue before the backend servers.
+ *
+ * Answers the load pattern of bursts: for seconds more arrives than can be
+ * read in time. Without an order, requests whose objective has passed take
+ * the room of those that could still be on time, and all become late.
+ */
+#include "almondthread/waiting.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TOKEN_US 45u         /* one prompt token, at an engine in use */
+#define PLACE_FREE_US 30000u /* between two ends at a full batch */
+#define PLAIN_FREE_US 12000u /* the same at a plain service */
+#define LOAD_US 1500000u     /* until a model that is asked for is there */
+#define PRIORITY_US 150000u  /* what a step of priority weighs */
+#define WAIT_PERCENT 45u     /* of the time left that may be waited */
+#define RETRY_MIN_MS 50u     /* sooner is no use */
+#define RETRY_MAX_MS 5000u
+#define FULL_KINDS_MAX 32u /* kinds of work known to find no room */
+
+const char *const at_admit_names[] = {"now", "wait", "refuse"};
+
+struct at_waiting {
+	at_fleet_t *fleet;
+	uint32_t instances;
+	at_waiter_t *head; /* by rank */
+	at_waiter_t *tail;
+	size_t count;
+};
+
+/* Kinds of work that found no room in one pass. */
+typedef struct full_kinds {
+	at_work_t const *works[FULL_KINDS_MAX];
+	size_t count;
+} full_kinds_t;
+
+at_waiting_t *
+at_waiting_new(at_fleet_t *fleet)
+{
+	at_waiting_t *waiting = calloc(1, sizeof(*waiting));
+
+	if (waiting == NULL)
+		return NULL;
+	waiting->fleet = fleet;
+	waiting->instances = 1;
+	return waiting;
+}
+
+void
+at_waiting_delete(at_waiting_t *waiting)
+{
+	free(waiting);
+}
+
+void
+at_waiting_set_instances(at_waiting_t *waiting, uint32_t instances)
+{
+	waiting->instances = instances == 0 ? 1 : instances;
+}
+
+static uint64_t
+rank(const at_waiter_t *waiter)
+{
+	return waiter->objective_us + (uint64_t)waiter->priority * PRIORITY_US;
+}
+
+static int
+is_late(const at_waiter_t *waiter, uint64_t now_us)
+{
+	return waiter->objective_us <= now_us;
+}
+
+static int
+same_kind(const at_work_t *a, const at_work_t *b)
+{
+	return a->service == b->service && a->model == b->model &&
+	       a->adapter == b->adapter;
+}
+
+/* What the requests before this one still need, in microseconds. */
+static uint64_t
+wait_before(
+    const at_waiting_t *waiting, const at_waiter_t *waiter, uint32_t candidates)
+{
+	uint64_t need_us = 0;
+	const at_waiter_t *other;
+
+	for (other = waiting->head; other != NULL; other = other->next) {
+		if (other == waiter || rank(other) > rank(waiter) ||
+		    other->work.service != waiter->work.service ||
+		    other->work.model != waiter->work.model)
+			continue;
+		if (waiter->work.model == 0)
+			need_us += PLAIN_FREE_US;
+		else
+			need_us += other->work.prompt_tokens * TOKEN_US +
+				   PLACE_FREE_US;
+	}
+	need_us += waiter->work.model == 0 ? PLAIN_FREE_US : PLACE_FREE_US;
+	if (candidates == 0)
+		return need_us;
+	return need_us * waiting->instances / candidates;
+}
+
+static uint32_t
+retry_after_ms(
+    const at_waiting_t *waiting, const at_waiter_t *waiter, uint64_t wait_us)
+{
+	/* Those refused one after the other come back one after the other. */
+	uint64_t spread = (waiter->arrived_us / 1000u) % 97u;
+	uint64_t ms = wait_us / 1000u + spread;
+
+	(void)waiting;
+	if (ms < RETRY_MIN_MS)
+		ms = RETRY_MIN_MS;
+	return ms > RETRY_MAX_MS ? RETRY_MAX_MS : (uint32_t)ms;
+}
+
+void
+at_waiting_judge(at_waiting_t *waiting, at_waiter_t *waiter, uint64_t now_us,
+    at_judgment_t *j)
+{
+	uint64_t left_us =
+	    waiter->deadline_us > now_us ? waiter->deadline_us - now_us : 0;
+	uint64_t may_wait_us = left_us * WAIT_PERCENT / 100u;
+
+	memset(j, 0, sizeof(*j));
+	waiter->give_up_us = now_us + may_wait_us;
+	j->fit =
+	    at_fleet_choose(waiting->fleet, &waiter->work, now_us, &j->choice);
+	if (j->fit == AT_FIT_SERVER) {
+		j->admit = AT_ADMIT_NOW;
+		return;
+	}
+	j->wait_us = wait_before(waiting, waiter, j->choice.candidates);
+	if (j->fit == AT_FIT_ABSENT)
+		j->wait_us += LOAD_US;
+	if (j->fit != AT_FIT_NOBODY && j->wait_us <= may_wait_us) {
+		j->admit = AT_ADMIT_WAIT;
+		return;
+	}
+	j->admit = AT_ADMIT_REFUSE;
+	j->retry_after_ms = retry_after_ms(waiting, waiter, j->wait_us);
+}
+
+void
+at_waiting_add(at_waiting_t *waiting, at_waiter_t *waiter)
+{
+	at_waiter_t *before = waiting->tail;
+
+	while (before != NULL && rank(before) > rank(waiter))
+		before = before->prev;
+	waiter->prev = before;
+	waiter->next = before == NULL ? waiting->head : before->next;
+	if (waiter->next != NULL)
+		waiter->next->prev = waiter;
+	else
+		waiting->tail = waiter;
+	if (before != NULL)
+		before->next = waiter;
+	else
+		waiting->head = waiter;
+	waiter->linked = 1;
+	waiting->count++;
+}
+
+void
+at_waiting_remove(at_waiting_t *waiting, at_waiter_t *waiter)
+{
+	if (!waiter->linked)
+		return;
+	if (waiter->prev != NULL)
+		waiter->prev->next = waiter->next;
+	else
+		waiting->head = waiter->next;
+	if (waiter->next != NULL)
+		waiter->next->prev = waiter->prev;
+	else
+		waiting->tail = waiter->prev;
+	waiter->linked = 0;
+	waiting->count--;
+}
+
+static int
+is_full(const full_kinds_t *full, const at_work_t *work)
+{
+	size_t i;
+
+	for (i = 0; i < full->count; i++) {
+		if (same_kind(full->works[i], work) &&
+		    full->works[i]->relaxed <= work->relaxed)
+			return 1;
+	}
+	return 0;
+}
+
+static at_waiter_t *
+first_that_fits(at_waiting_t *waiting, int late, full_kinds_t *full,
+    uint64_t now_us, at_choice_t *choice)
+{
+	at_waiter_t *waiter;
+
+	for (waiter = waiting->head; waiter != NULL; waiter = waiter->next) {
+		if (is_late(waiter, now_us) != late ||
+		    is_full(full, &waiter->work))
+			continue;
+		if (at_fleet_choose(waiting->fleet, &waiter->work, now_us,
+			choice) == AT_FIT_SERVER)
+			return waiter;
+		if (full->count < FULL_KINDS_MAX)
+			full->works[full->count++] = &waiter->work;
+	}
+	return NULL;
+}
+
+at_waiter_t *
+at_waiting_next(at_waiting_t *waiting, uint64_t now_us, at_choice_t *choice)
+{
+	full_kinds_t full = {.count = 0};
+	at_waiter_t *waiter;
+
+	if (waiting->head == NULL)
+		return NULL;
+	waiter = first_that_fits(waiting, 0, &full, now_us, choice);
+	if (waiter == NULL)
+		waiter = first_that_fits(waiting, 1, &full, now_us, choice);
+	if (waiter != NULL)
+		at_waiting_remove(waiting, waiter);
+	return waiter;
+}
+
+at_waiter_t *
+at_waiting_expired(at_waiting_t *waiting, uint64_t now_us)
+{
+	at_waiter_t *waiter;
+
+	for (waiter = waiting->head; waiter != NULL; waiter = waiter->next) {
+		if (waiter->give_up_us > now_us)
+			continue;
+		at_waiting_remove(waiting, waiter);
+		return waiter;
+	}
+	return NULL;
+}
+
+uint64_t
+at_waiting_due_us(const at_waiting_t *waiting)
+{
+	const at_waiter_t *waiter;
+	uint64_t due_us = AT_WAITING_NEVER;
+
+	for (waiter = waiting->head; waiter != NULL; waiter = waiter->next) {
+		if (waiter->give_up_us < due_us)
+			due_us = waiter->give_up_us;
+	}
+	return due_us;
+}
+
+size_t
+at_waiting_count(const at_waiting_t *waiting)
+{
+	return waiting->count;
+}
+
+void
+at_waiting_each(const at_waiting_t *waiting,
+    void (*visit)(void *ctx, const at_waiter_t *waiter), void *ctx)
+{
+	const at_waiter_t *waiter;
+
+	for (waiter = waiting->head; waiter != NULL; waiter = waiter->next)
+		visit(ctx, waiter);
+}
--- /dev/null
+++ b/src/core/limits/quota.c
@@ -0,0 +1,268 @@
+#include "almondthread/quota.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#define US_PER_S 1000000.
+#define START_PART 0.25 /* of the burst; others may just have spent the rest \
+			 */
+#define NEVER_MS 60000u /* told when a request is larger than the burst */
+
+typedef struct account {
+	at_tag_t workspace;
+	double rate_per_s;
+	double burst;
+	double level;
+	uint64_t refilled_us;
+	uint64_t spent; /* by this instance, since its start */
+	int unlimited;
+	UT_hash_handle hh;
+} account_t;
+
+/* What one instance had spent of one workspace when last heard. */
+typedef struct heard {
+	struct {
+		at_tag_t instance;
+		at_tag_t workspace;
+	} key;
+	uint64_t incarnation;
+	uint64_t units;
+	UT_hash_handle hh;
+} heard_t;
+
+struct at_quota {
+	account_t *accounts;
+	heard_t *heard;
+	double part; /* of the rate that is not left to the silent */
+};
+
+at_quota_t *
+at_quota_new(uint64_t now_us)
+{
+	at_quota_t *quota = calloc(1, sizeof(*quota));
+
+	(void)now_us;
+	if (quota != NULL)
+		quota->part = 1.;
+	return quota;
+}
+
+void
+at_quota_delete(at_quota_t *quota)
+{
+	account_t *account;
+	account_t *next_account;
+	heard_t *heard;
+	heard_t *next_heard;
+
+	if (quota == NULL)
+		return;
+	HASH_ITER(hh, quota->accounts, account, next_account)
+	{
+		HASH_DEL(quota->accounts, account);
+		free(account);
+	}
+	HASH_ITER(hh, quota->heard, heard, next_heard)
+	{
+		HASH_DEL(quota->heard, heard);
+		free(heard);
+	}
+	free(quota);
+}
+
+static account_t *
+find(const at_quota_t *quota, at_tag_t workspace)
+{
+	account_t *account;
+
+	HASH_FIND(hh, quota->accounts, &workspace, sizeof(workspace), account);
+	return account;
+}
+
+static void
+refill(const at_quota_t *quota, account_t *account, uint64_t now_us)
+{
+	double passed_s;
+
+	if (now_us <= account->refilled_us)
+		return;
+	passed_s = (double)(now_us - account->refilled_us) / US_PER_S;
+	account->refilled_us = now_us;
+	account->level += passed_s * account->rate_per_s * quota->part;
+	if (account->level > account->burst)
+		account->level = account->burst;
+}
+
+static account_t *
+add(at_quota_t *quota, const at_site_workspace_t *workspace, uint64_t now_us)
+{
+	account_t *account = calloc(1, sizeof(*account));
+
+	if (account == NULL)
+		return NULL;
+	account->workspace = workspace->tag;
+	account->level = (double)workspace->burst * START_PART;
+	account->refilled_us = now_us;
+	HASH_ADD(hh, quota->accounts, workspace, sizeof(at_tag_t), account);
+	return account;
+}
+
+static account_t *
+set_limits(
+    at_quota_t *quota, const at_site_workspace_t *workspace, uint64_t now_us)
+{
+	account_t *account = find(quota, workspace->tag);
+
+	if (account == NULL)
+		account = add(quota, workspace, now_us);
+	if (account == NULL)
+		return NULL;
+	refill(quota, account, now_us);
+	account->rate_per_s = (double)workspace->rate_per_s;
+	account->burst = (double)workspace->burst;
+	account->unlimited =
+	    workspace->rate_per_s == 0 && workspace->burst == 0;
+	if (account->level > account->burst)
+		account->level = account->burst;
+	return account;
+}
+
+void
+at_quota_set_site(at_quota_t *quota, const at_site_t *site, uint64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < site->workspace_count; i++)
+		(void)set_limits(quota, &site->workspaces[i], now_us);
+}
+
+void
+at_quota_set_instances(
+    at_quota_t *quota, uint32_t present, uint32_t heard, uint64_t now_us)
+{
+	double part = present == 0 ? 1. : (double)heard / present;
+	account_t *account;
+
+	if (part > 1.)
+		part = 1.;
+	for (account = quota->accounts; account != NULL;
+	     account = account->hh.next) {
+		refill(quota, account, now_us);
+		/* The silent may spend their part of what is left. */
+		if (part < quota->part && account->level > 0)
+			account->level *= part / quota->part;
+	}
+	quota->part = part;
+}
+
+uint32_t
+at_quota_take(at_quota_t *quota, const at_site_workspace_t *workspace,
+    uint64_t units, uint64_t now_us)
+{
+	account_t *account = find(quota, workspace->tag);
+	double missing;
+	double wait_ms;
+
+	if (account == NULL)
+		account = set_limits(quota, workspace, now_us);
+	if (account == NULL)
+		return NEVER_MS;
+	refill(quota, account, now_us);
+	missing = (double)units - account->level;
+	if (account->unlimited || missing <= 0) {
+		account->level -= account->unlimited ? 0 : (double)units;
+		account->spent += units;
+		return 0;
+	}
+	if ((double)units > account->burst || account->rate_per_s <= 0)
+		return NEVER_MS;
+	wait_ms = missing / (account->rate_per_s * quota->part) * AT_MS_PER_S;
+	return wait_ms >= NEVER_MS ? NEVER_MS : (uint32_t)wait_ms + 1u;
+}
+
+void
+at_quota_return(at_quota_t *quota, at_tag_t workspace, uint64_t units)
+{
+	account_t *account = find(quota, workspace);
+
+	if (account == NULL || account->spent < units)
+		return;
+	account->spent -= units;
+	if (account->unlimited)
+		return;
+	account->level += (double)units;
+	if (account->level > account->burst)
+		account->level = account->burst;
+}
+
+size_t
+at_quota_report(const at_quota_t *quota, at_spending_t *rows, size_t max)
+{
+	const account_t *account;
+	size_t count = 0;
+
+	for (account = quota->accounts; account != NULL && count < max;
+	     account = account->hh.next) {
+		if (account->spent == 0)
+			continue;
+		rows[count].workspace = account->workspace;
+		rows[count].units = account->spent;
+		count++;
+	}
+	return count;
+}
+
+/* Returns what an instance spent since it was last heard. */
+static uint64_t
+newly_spent(at_quota_t *quota, at_tag_t instance, uint64_t incarnation,
+    const at_spending_t *row)
+{
+	heard_t *heard;
+	heard_t key = {.key = {instance, row->workspace}};
+	uint64_t before;
+
+	HASH_FIND(hh, quota->heard, &key.key, sizeof(key.key), heard);
+	if (heard == NULL) {
+		heard = calloc(1, sizeof(*heard));
+		if (heard == NULL)
+			return 0;
+		heard->key = key.key;
+		heard->incarnation = incarnation;
+		/* What it spent before is not known to be recent. */
+		heard->units = row->units;
+		HASH_ADD(hh, quota->heard, key, sizeof(heard->key), heard);
+		return 0;
+	}
+	before = heard->incarnation == incarnation ? heard->units : 0;
+	heard->incarnation = incarnation;
+	heard->units = row->units;
+	return row->units > before ? row->units - before : 0;
+}
+
+void
+at_quota_heard(at_quota_t *quota, at_tag_t instance, uint64_t incarnation,
+    const at_spending_t *rows, size_t count, uint64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		account_t *account = find(quota, rows[i].workspace);
+		uint64_t units =
+		    newly_spent(quota, instance, incarnation, &rows[i]);
+
+		if (account == NULL || account->unlimited)
+			continue;
+		refill(quota, account, now_us);
+		account->level -= (double)units;
+	}
+}
+
+int64_t
+at_quota_level(const at_quota_t *quota, at_tag_t workspace)
+{
+	const account_t *account = find(quota, workspace);
+
+	return account == NULL ? 0 : (int64_t)account->level;
+}
--- a/src/core/placement/lease.c
+++ b/src/core/placement/lease.c
@@ -12,15 +12,9 @@
 const char *const at_lease_state_names[] = {
     "following", "held", "releasing", "released"};
 
-/*
- * The holder's clock may run slow and the taker's fast; rounding up and one
- * more millisecond keep the inequality strict.
- */
-#define TAKE_MS                                                                \
-	(AT_LEASE_TERM_MS + AT_LEASE_TERM_MS * 3u * AT_CLOCK_ERROR_PPM / PPM + \
-	    1u)
-
 struct at_lease {
+	uint32_t term_ms;
+	uint32_t renew_ms;
 	at_incarnation_t self;
 	int candidate;
 	at_lease_state_t state;
@@ -48,11 +42,32 @@
 {
 	at_lease_t *lease = calloc(1, sizeof(*lease));
 
-	if (lease != NULL)
-		lease->candidate = 1;
+	if (lease == NULL)
+		return NULL;
+	lease->candidate = 1;
+	at_lease_set_term(lease, AT_LEASE_TERM_MS);
 	return lease;
 }
 
+void
+at_lease_set_term(at_lease_t *lease, uint32_t term_ms)
+{
+	lease->term_ms = term_ms;
+	lease->renew_ms = (uint32_t)((uint64_t)term_ms * AT_LEASE_RENEW_MS /
+				     AT_LEASE_TERM_MS);
+}
+
+/*
+ * The holder's clock may run slow and the taker's fast; rounding up and one
+ * more millisecond keep the inequality strict.
+ */
+static uint64_t
+take_ms(const at_lease_t *lease)
+{
+	return lease->term_ms +
+	       (uint64_t)lease->term_ms * 3u * AT_CLOCK_ERROR_PPM / PPM + 1u;
+}
+
 void
 at_lease_set_self(at_lease_t *lease, const at_incarnation_t *self)
 {
@@ -114,7 +129,7 @@
 		return 0;
 	if (lease->version == 0 || lease->released || is_self(lease))
 		return 1;
-	return now_ms - lease->first_seen_ms >= TAKE_MS;
+	return now_ms - lease->first_seen_ms >= take_ms(lease);
 }
 
 static void
@@ -163,15 +178,15 @@
 		return;
 	}
 	lease->released = 0;
-	if (now_ms >= lease->write_asked_ms + AT_LEASE_TERM_MS) {
+	if (now_ms >= lease->write_asked_ms + lease->term_ms) {
 		follow(lease, now_ms);
 		return;
 	}
 	if (lease->state != AT_LEASE_HELD)
 		lease->fence = version;
 	lease->state = AT_LEASE_HELD;
-	lease->valid_until_ms = lease->write_asked_ms + AT_LEASE_TERM_MS;
-	lease->next_renew_ms = lease->write_asked_ms + AT_LEASE_RENEW_MS;
+	lease->valid_until_ms = lease->write_asked_ms + lease->term_ms;
+	lease->next_renew_ms = lease->write_asked_ms + lease->renew_ms;
 }
 
 /* What cannot be read is waited out like another holder. */
@@ -290,6 +305,13 @@
 	       now_ms + margin_ms < lease->valid_until_ms;
 }
 
+void
+at_lease_outranked(at_lease_t *lease, uint64_t now_ms)
+{
+	if (lease->state == AT_LEASE_HELD)
+		follow(lease, now_ms);
+}
+
 uint64_t
 at_lease_fence(const at_lease_t *lease)
 {
--- /dev/null
+++ b/src/core/placement/residency.c
@@ -0,0 +1,443 @@
+/*
+ * residency.c - models on engines.
+ *
+ * Answers two load patterns. Demand moves from one busy model to the next
+ * within seconds: places follow the load of each model, with falling returns,
+ * so that the next places go where they shorten the most waiting. Many rare
+ * models are asked for now and then, more than fit: one that is asked for and
+ * stands nowhere takes the place that is missed least, on an engine that has
+ * a copy of its weights near.
+ */
+#include "almondthread/residency.h"
+
+#include <string.h>
+
+#define ASKED_FOR 0.08  /* requests a second from which a model is in use */
+#define GAIN_RATIO 1.6  /* a move must earn so many times what it costs */
+#define LAST_LOSS 0.004 /* of taking the last replica of an unused model */
+#define LAST_USED 0.6   /* the same for each request a second it is asked */
+#define URGENT_GAIN 10. /* of the first replica of a model that is waited for \
+			 */
+#define BUSY_MS 12u     /* what each request in flight adds to a load's cost */
+#define NO_ENGINE SIZE_MAX
+#define NO_MODEL SIZE_MAX
+
+const char *const at_copy_place_names[] = {"memory", "disk", "store"};
+
+/* What one round works on. */
+typedef struct round {
+	const at_site_service_t *service;
+	const at_engine_state_t *engines;
+	size_t engine_count;
+	uint32_t targets[AT_RESIDENCY_MODELS_MAX];
+	uint32_t replicas[AT_RESIDENCY_MODELS_MAX];
+	at_model_demand_t demand[AT_RESIDENCY_MODELS_MAX];
+	unsigned char taken[AT_RESIDENCY_ENGINES_MAX]; /* has a move */
+	at_residency_limits_t limits;
+	at_move_t *moves;
+	size_t move_count;
+	size_t max;
+} round_t;
+
+static size_t
+model_index(const at_site_service_t *service, at_tag_t model)
+{
+	size_t i;
+
+	for (i = 0; i < service->model_count; i++) {
+		if (service->models[i].tag == model)
+			return i;
+	}
+	return NO_MODEL;
+}
+
+/* What the next replica of a model shortens. */
+static double
+gain_of_next(double load, uint32_t replicas)
+{
+	return load / ((double)replicas * (replicas + 1.));
+}
+
+static size_t
+places_for_models(const at_site_service_t *service, size_t engines)
+{
+	uint64_t sum_mb = 0;
+	size_t i;
+
+	for (i = 0; i < service->model_count; i++)
+		sum_mb += service->models[i].weights_mb;
+	if (sum_mb == 0 || service->model_count == 0)
+		return 0;
+	return engines * (size_t)(service->weights_mb /
+				  (sum_mb / service->model_count + 1u));
+}
+
+void
+at_residency_targets(const at_site_service_t *service, size_t engines,
+    const at_demand_rates_t *demand, uint32_t *targets)
+{
+	double loads[AT_RESIDENCY_MODELS_MAX];
+	size_t places = places_for_models(service, engines);
+	size_t count = service->model_count < AT_RESIDENCY_MODELS_MAX
+			   ? service->model_count
+			   : AT_RESIDENCY_MODELS_MAX;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		at_model_demand_t d = at_demand_rates_get(
+		    demand, service->tag, service->models[i].tag);
+
+		loads[i] = d.load;
+		targets[i] = d.requests_per_s >= ASKED_FOR || d.waiting > 0;
+		if (targets[i] > 0 && places > 0)
+			places--;
+	}
+	while (places > 0) {
+		size_t best = NO_MODEL;
+		double best_gain = 0.;
+
+		for (i = 0; i < count; i++) {
+			double gain;
+
+			if (targets[i] == 0 || targets[i] >= engines)
+				continue;
+			gain = gain_of_next(loads[i], targets[i]);
+			if (gain <= best_gain)
+				continue;
+			best = i;
+			best_gain = gain;
+		}
+		if (best == NO_MODEL)
+			return;
+		targets[best]++;
+		places--;
+	}
+}
+
+static int
+holds(const at_engine_state_t *engine, at_tag_t model)
+{
+	size_t i;
+
+	if (engine->loading == model)
+		return 1;
+	for (i = 0; i < engine->entry->held_count; i++) {
+		if (engine->entry->held[i].tag == model)
+			return engine->unloading != model;
+	}
+	return 0;
+}
+
+static uint64_t
+used_mb(const round_t *r, const at_engine_state_t *engine)
+{
+	uint64_t mb = 0;
+	size_t i;
+
+	for (i = 0; i < engine->entry->held_count; i++) {
+		const at_held_model_t *held = &engine->entry->held[i];
+		const at_site_model_t *model =
+		    at_site_model(r->service, held->tag);
+
+		if (model == NULL)
+			continue;
+		mb += model->weights_mb;
+		mb += model->adapter_mb * held->adapter_count;
+	}
+	return mb;
+}
+
+/* Adapters need room beside the models: a full set of the largest. */
+static uint64_t
+reserve_mb(const round_t *r)
+{
+	uint64_t largest = 0;
+	size_t i;
+
+	for (i = 0; i < r->service->model_count; i++) {
+		if (r->service->models[i].adapter_mb > largest)
+			largest = r->service->models[i].adapter_mb;
+	}
+	return largest * r->service->adapter_slots;
+}
+
+static int
+has_room(const round_t *r, const at_engine_state_t *engine,
+    const at_site_model_t *model)
+{
+	uint64_t free_mb;
+	uint64_t used = used_mb(r, engine) + reserve_mb(r);
+
+	if (engine->entry->held_count >= AT_HELD_MODELS_MAX)
+		return 0;
+	free_mb =
+	    r->service->weights_mb > used ? r->service->weights_mb - used : 0;
+	return model->weights_mb <= free_mb;
+}
+
+static int
+is_listed(const at_tag_t *list, size_t count, at_tag_t tag)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (list[i] == tag)
+			return 1;
+	}
+	return 0;
+}
+
+static at_copy_place_t
+copy_place(const at_server_entry_t *entry, at_tag_t model)
+{
+	if (is_listed(entry->in_memory, entry->in_memory_count, model))
+		return AT_COPY_MEMORY;
+	if (is_listed(entry->on_disk, entry->on_disk_count, model))
+		return AT_COPY_DISK;
+	return AT_COPY_STORE;
+}
+
+static uint32_t
+load_ms(const at_site_model_t *model, at_copy_place_t from)
+{
+	if (from == AT_COPY_MEMORY)
+		return model->memory_load_ms;
+	if (from == AT_COPY_DISK)
+		return model->disk_load_ms;
+	return model->store_load_ms;
+}
+
+/* What taking a replica away costs; below 0 when it must stay. */
+static double
+loss_of(const round_t *r, size_t model)
+{
+	uint32_t replicas = r->replicas[model];
+	const at_model_demand_t *d = &r->demand[model];
+
+	if (replicas > 1)
+		return d->load / ((double)replicas * (replicas - 1.));
+	if (d->waiting > 0)
+		return -1.;
+	return LAST_LOSS + d->requests_per_s * LAST_USED;
+}
+
+/* Returns the held model of an engine that is missed least, or NO_MODEL. */
+static size_t
+victim_of(const round_t *r, const at_engine_state_t *engine, double *loss)
+{
+	size_t victim = NO_MODEL;
+	size_t i;
+
+	for (i = 0; i < engine->entry->held_count; i++) {
+		size_t model =
+		    model_index(r->service, engine->entry->held[i].tag);
+		double l;
+
+		if (model == NO_MODEL)
+			continue;
+		l = loss_of(r, model);
+		if (l < 0 || (victim != NO_MODEL && l >= *loss))
+			continue;
+		victim = model;
+		*loss = l;
+	}
+	return victim;
+}
+
+typedef struct spot {
+	size_t engine;
+	size_t victim; /* NO_MODEL: there is room */
+	at_copy_place_t from;
+	double cost;
+} spot_t;
+
+static int
+consider(const round_t *r, size_t e, const at_site_model_t *model, double gain,
+    spot_t *spot)
+{
+	const at_engine_state_t *engine = &r->engines[e];
+	double loss = 0.;
+
+	if (!engine->usable || engine->busy || r->taken[e] ||
+	    holds(engine, model->tag))
+		return 0;
+	spot->engine = e;
+	spot->victim = NO_MODEL;
+	spot->from = copy_place(engine->entry, model->tag);
+	if (spot->from == AT_COPY_STORE && r->limits.store_loads == 0)
+		return 0;
+	if (!has_room(r, engine, model)) {
+		spot->victim = victim_of(r, engine, &loss);
+		if (spot->victim == NO_MODEL || loss * GAIN_RATIO > gain)
+			return 0;
+	}
+	/* In milliseconds until it serves there; a loss weighs like time. */
+	spot->cost = load_ms(model, spot->from) +
+		     (double)engine->load.active * BUSY_MS + loss * 4000.;
+	return 1;
+}
+
+static spot_t
+best_spot(const round_t *r, size_t model, double gain)
+{
+	spot_t best = {.engine = NO_ENGINE};
+	spot_t spot;
+	size_t e;
+
+	for (e = 0; e < r->engine_count; e++) {
+		if (consider(r, e, &r->service->models[model], gain, &spot) &&
+		    (best.engine == NO_ENGINE || spot.cost < best.cost))
+			best = spot;
+	}
+	return best;
+}
+
+/* Orders the load, or first the unload that makes room for it. */
+static int
+move_to(round_t *r, size_t model, const spot_t *spot, int urgent)
+{
+	at_move_t *move;
+
+	if (spot->engine == NO_ENGINE || r->move_count == r->max)
+		return 0;
+	move = &r->moves[r->move_count++];
+	memset(move, 0, sizeof(*move));
+	move->server = r->engines[spot->engine].entry->tag;
+	move->urgent = urgent;
+	r->taken[spot->engine] = 1;
+	if (spot->victim != NO_MODEL) {
+		move->kind = AT_MOVE_UNLOAD;
+		move->model = r->service->models[spot->victim].tag;
+		r->replicas[spot->victim]--;
+		return 1;
+	}
+	move->kind = AT_MOVE_LOAD;
+	move->model = r->service->models[model].tag;
+	move->from = spot->from;
+	r->replicas[model]++;
+	if (spot->from == AT_COPY_STORE)
+		r->limits.store_loads--;
+	return 1;
+}
+
+/* Places that will be free soon without a further unload. */
+static size_t
+rooms_coming(const round_t *r)
+{
+	const at_site_model_t *any = &r->service->models[0];
+	size_t rooms = 0;
+	size_t e;
+
+	for (e = 0; e < r->engine_count; e++) {
+		const at_engine_state_t *engine = &r->engines[e];
+
+		if (engine->usable && engine->loading == 0 &&
+		    (engine->unloading != 0 || has_room(r, engine, any)))
+			rooms++;
+	}
+	return rooms;
+}
+
+static void
+serve_urgent(round_t *r)
+{
+	size_t rooms = rooms_coming(r);
+	size_t i;
+
+	for (i = 0; i < r->service->model_count; i++) {
+		spot_t spot;
+
+		if (r->demand[i].waiting == 0 || r->replicas[i] > 0)
+			continue;
+		spot = best_spot(r, i, URGENT_GAIN);
+		/* Room that is being made is waited for, not made twice. */
+		if (spot.engine != NO_ENGINE && spot.victim != NO_MODEL &&
+		    rooms > 0) {
+			rooms--;
+			continue;
+		}
+		if (spot.victim == NO_MODEL && rooms > 0)
+			rooms--;
+		(void)move_to(r, i, &spot, 1);
+	}
+}
+
+static void
+follow_demand(round_t *r)
+{
+	while (r->limits.moves > 0) {
+		size_t best = NO_MODEL;
+		double best_gain = 0.;
+		spot_t spot;
+		size_t i;
+
+		for (i = 0; i < r->service->model_count; i++) {
+			double gain;
+
+			if (r->replicas[i] == 0 ||
+			    r->replicas[i] >= r->targets[i])
+				continue;
+			gain = gain_of_next(r->demand[i].load, r->replicas[i]);
+			if (gain <= best_gain)
+				continue;
+			best = i;
+			best_gain = gain;
+		}
+		if (best == NO_MODEL)
+			return;
+		spot = best_spot(r, best, best_gain);
+		if (!move_to(r, best, &spot, 0))
+			return;
+		r->limits.moves--;
+	}
+}
+
+static void
+count_replicas(round_t *r)
+{
+	size_t i;
+	size_t e;
+
+	for (i = 0; i < r->service->model_count; i++) {
+		r->replicas[i] = 0;
+		for (e = 0; e < r->engine_count; e++)
+			r->replicas[i] +=
+			    (uint32_t)(r->engines[e].usable &&
+				       holds(&r->engines[e],
+					   r->service->models[i].tag));
+	}
+}
+
+size_t
+at_residency_plan(const at_site_service_t *service,
+    const at_engine_state_t *engines, size_t engine_count,
+    const at_demand_rates_t *demand, const at_residency_limits_t *limits,
+    at_move_t *moves, size_t max)
+{
+	static round_t r;
+	size_t usable = 0;
+	size_t i;
+
+	if (service->model_count == 0 ||
+	    service->model_count > AT_RESIDENCY_MODELS_MAX)
+		return 0;
+	memset(&r, 0, sizeof(r));
+	r.service = service;
+	r.engines = engines;
+	r.engine_count = engine_count < AT_RESIDENCY_ENGINES_MAX
+			     ? engine_count
+			     : AT_RESIDENCY_ENGINES_MAX;
+	r.limits = *limits;
+	r.moves = moves;
+	r.max = max;
+	for (i = 0; i < r.engine_count; i++)
+		usable += (size_t)(engines[i].usable != 0);
+	count_replicas(&r);
+	for (i = 0; i < service->model_count; i++)
+		r.demand[i] = at_demand_rates_get(
+		    demand, service->tag, service->models[i].tag);
+	at_residency_targets(service, usable, demand, r.targets);
+	serve_urgent(&r);
+	follow_demand(&r);
+	return r.move_count;
+}
--- a/src/core/requests/attempt.c
+++ b/src/core/requests/attempt.c
@@ -25,6 +25,7 @@
 struct at_attempts {
 	at_attempt_limits_t limits;
 	at_repeat_t repeat;
+	int resumable; /* another attempt may go on with a broken answer */
 	at_budget_t *budget;
 	attempt_t list[AT_ATTEMPTS_MAX];
 	uint32_t count;
@@ -71,6 +72,12 @@
 	a->repeat = repeat;
 }
 
+void
+at_attempts_set_resumable(at_attempts_t *a, int resumable)
+{
+	a->resumable = resumable;
+}
+
 void
 at_attempts_set_budget(at_attempts_t *a, at_budget_t *budget)
 {
@@ -301,6 +308,8 @@
 	t->state = AT_ATTEMPT_ENDED;
 	t->reason = reason;
 	t->verdict = verdict;
+	if (a->winner == k && a->resumable)
+		a->winner = AT_ATTEMPT_NONE;
 	if (a->winner == k)
 		give_up(a, reason);
 	else if (live_count(a) == 0)
--- a/src/core/requests/budget.c
+++ b/src/core/requests/budget.c
@@ -23,22 +23,34 @@
 at_budget_init(at_budget_t *budget, uint64_t now_ms)
 {
 	budget->level_milli = AT_BUDGET_MAX_MILLI;
+	budget->max_milli = AT_BUDGET_MAX_MILLI;
+	budget->success_milli = AT_BUDGET_SUCCESS_MILLI;
 	budget->trickled_at_ms = now_ms;
 }
 
+void
+at_budget_set_limits(
+    at_budget_t *budget, uint32_t max_milli, uint32_t success_milli)
+{
+	budget->max_milli = max_milli;
+	budget->success_milli = success_milli;
+	if (budget->level_milli > max_milli)
+		budget->level_milli = max_milli;
+}
+
 static void
 add(at_budget_t *budget, uint64_t milli)
 {
 	uint64_t level = budget->level_milli + milli;
 
 	budget->level_milli =
-	    level > AT_BUDGET_MAX_MILLI ? AT_BUDGET_MAX_MILLI : (uint32_t)level;
+	    level > budget->max_milli ? budget->max_milli : (uint32_t)level;
 }
 
 void
 at_budget_success(at_budget_t *budget)
 {
-	add(budget, AT_BUDGET_SUCCESS_MILLI);
+	add(budget, budget->success_milli);
 }
 
 void
--- /dev/null
+++ b/src/entry/call.c
@@ -0,0 +1,663 @@
+#include "entry/call_impl.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "almondthread/log.h"
+#include "entry/gossip.h"
+#include "entry/orders.h"
+#include "entry/retries.h"
+#include "io/clock.h"
+#include "platform/caller.h"
+
+#define US_PER_MS 1000u
+#define CUT_EARLY_MS 30u         /* the answer leaves before the time limit */
+#define FIRST_EVENT_MS 3000u     /* a resumable stream's server is silent */
+#define PAUSE_MS 1200u           /* the same, within a resumable stream */
+#define SAFE_ANSWER_MS 900u      /* a server's answer to a safe request */
+#define OUTPUT_GUESS_PERCENT 60u /* of the most, without a caller's guess */
+#define RELAXED_MS 1500u         /* objectives from here on leave room */
+#define NO_CONFIG_RETRY_MS 500u
+#define BODY_SIZE 320
+
+/* What is said to a caller that gets no backend server's answer. */
+typedef struct refusal {
+	at_reason_t reason;
+	int status;
+	uint32_t retry_after_ms;
+} refusal_t;
+
+static void
+reply_refusal(at_entry_t *entry, at_httpd_request_t *request,
+    const at_call_head_t *head, const refusal_t *refusal)
+{
+	at_caller_headers_t headers;
+	char body[BODY_SIZE];
+	int len = snprintf(body, sizeof(body),
+	    "{\"error\":{\"reason\":\"%s\",\"message\":\"%s\",\"run\":%s,"
+	    "\"retry_after_ms\":%u}}",
+	    at_reason_names[refusal->reason], at_reason_text(refusal->reason),
+	    refusal->status == 502 || refusal->status == 504 ? "\"unknown\""
+							     : "false",
+	    refusal->retry_after_ms);
+
+	at_counters_refusal(entry->counters, refusal->reason);
+	at_caller_refusal(head, refusal->retry_after_ms, &headers);
+	at_httpd_reply(
+	    request, refusal->status, headers.rows, body, (size_t)len);
+}
+
+/* Refuses a request that never became a call. */
+static void
+refuse_head(at_entry_t *entry, at_httpd_request_t *request,
+    const at_call_head_t *head, at_reason_t reason, uint32_t retry_after_ms,
+    const char *detail)
+{
+	const refusal_t refusal = {
+	    reason, at_reason_status(reason), retry_after_ms};
+
+	at_log(AT_LOG_INFO, "call", head->id,
+	    "refused reason=%s status=%d retry_after_ms=%u config=%" PRIu64
+	    " %s",
+	    at_reason_names[reason], refusal.status, retry_after_ms,
+	    entry->site == NULL ? 0 : entry->site->version, detail);
+	reply_refusal(entry, request, head, &refusal);
+}
+
+void
+at_call_handle_fault(void *ctx, at_httpd_request_t *request)
+{
+	at_entry_t *entry = ctx;
+	at_call_head_t head;
+	at_reason_t reason =
+	    at_httpd_fault(request) == AT_HTTPD_HEADER_TOO_LARGE
+		? AT_REASON_HEADER_TOO_LARGE
+		: AT_REASON_BODY_TOO_LARGE;
+
+	(void)at_caller_read(request, &head);
+	refuse_head(entry, request, &head, reason, 0, "");
+}
+
+static void
+call_free(at_call_t *call)
+{
+	at_entry_t *entry = call->entry;
+
+	leg_end(&call->leg, AT_OUTCOME_UNKNOWN);
+	at_waiting_remove(entry->waiting, &call->waiter);
+	ev_timer_stop(entry->loop, &call->timer);
+	if (call->prev != NULL)
+		call->prev->next = call->next;
+	else
+		entry->calls = call->next;
+	if (call->next != NULL)
+		call->next->prev = call->prev;
+	entry->call_count--;
+	held_answer_reset(&call->leg.answer);
+	held_answer_reset(&call->failure);
+	at_header_lines_free(&call->lines);
+	at_attempts_delete(call->machine);
+	at_site_unref(call->site);
+	free(call);
+}
+
+void
+at_calls_delete(at_entry_t *entry)
+{
+	while (entry->calls != NULL)
+		call_free(entry->calls);
+}
+
+/* Has the timer fire when the machine's next tick is due. */
+static void
+arm(at_call_t *call)
+{
+	uint64_t due = call->over ? 0 : at_attempts_due_ms(call->machine);
+	uint64_t now = at_clock_now_ms();
+	double wait_s = 0.;
+
+	if (call->over && call->request != NULL)
+		return;
+	if (due == AT_ATTEMPTS_NEVER ||
+	    (ev_is_active(&call->timer) && call->timer_due_ms <= due))
+		return;
+	if (due > now)
+		wait_s = (double)(due - now) / AT_MS_PER_S;
+	ev_timer_stop(call->entry->loop, &call->timer);
+	ev_timer_set(&call->timer, wait_s, 0.);
+	ev_timer_start(call->entry->loop, &call->timer);
+	call->timer_due_ms = due;
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	at_call_t *call = timer->data;
+
+	(void)loop;
+	(void)events;
+	if (call->over) {
+		if (call->request == NULL)
+			call_free(call);
+		return;
+	}
+	at_attempts_tick(call->machine, at_clock_now_ms());
+	call_pump(call);
+}
+
+static void
+log_end(const at_call_t *call, const char *outcome, at_reason_t reason,
+    int status, uint32_t retry_after_ms)
+{
+	const at_work_t *work = &call->waiter.work;
+	uint64_t now_us = at_clock_now_us();
+
+	at_log(AT_LOG_INFO, "call", call->id,
+	    "%s reason=%s status=%d route=%s workspace=%s model=%s adapter=%s "
+	    "config=%" PRIu64
+	    " server=%s attempts=%u prompt=%u waited_us=%" PRIu64
+	    " took_us=%" PRIu64 " predicted_us=%" PRIu64 " retry_after_ms=%u",
+	    outcome, at_reason_names[reason], status, call->route->name.text,
+	    call->workspace == NULL ? "-" : call->workspace->name.text,
+	    call->head.model.text, call->head.adapter.text, call->site->version,
+	    call->leg.server_id.text,
+	    call->leg.server_id.text[0] == '\0' ? 0 : call->leg.number + 1,
+	    work->prompt_tokens, call->waited_us, now_us - call->started_us,
+	    call->leg.predicted_us, retry_after_ms);
+}
+
+static void
+deliver(at_call_t *call)
+{
+	const held_answer_t *answer = &call->leg.answer;
+
+	if (call->event == NULL || call->request == NULL)
+		return;
+	if (!call->answered)
+		at_httpd_stream_begin(
+		    call->request, answer->status, answer->headers.rows);
+	call->answered = 1;
+	call->paused = at_httpd_stream_write(
+	    call->request, call->event->data, call->event->len);
+}
+
+static void
+reply_held(at_call_t *call, const held_answer_t *answer)
+{
+	if (call->request != NULL)
+		at_httpd_reply(call->request, answer->status,
+		    answer->headers.rows, answer->body, answer->len);
+	call->answered = 1;
+}
+
+static void
+finish_whole(at_call_t *call)
+{
+	if (call->answered) {
+		if (call->request != NULL)
+			at_httpd_stream_end(call->request);
+	} else if (call->leg.is_stream && call->request != NULL) {
+		/* A stream without a single event. */
+		at_httpd_stream_begin(call->request, call->leg.answer.status,
+		    call->leg.answer.headers.rows);
+		at_httpd_stream_end(call->request);
+	} else {
+		reply_held(call, &call->leg.answer);
+	}
+	log_end(call, "answered", AT_REASON_NONE, call->leg.answer.status, 0);
+	at_counters_add(call->entry->counters, "answers_total", NULL, NULL, 1);
+}
+
+/* Only what is proved not to have run may be told so. */
+static refusal_t
+make_refusal(const at_call_t *call, const at_action_t *action)
+{
+	refusal_t refusal = {action->reason, at_reason_status(action->reason),
+	    call->refusal_retry_ms};
+
+	if (action->verdict == AT_VERDICT_NOT_RUN) {
+		if (refusal.status != 429)
+			refusal.status = 503;
+		if (refusal.retry_after_ms == 0)
+			refusal.retry_after_ms = AT_RETRY_AFTER_MS / 4u;
+	} else {
+		if (refusal.status != 504)
+			refusal.status = 502;
+		refusal.retry_after_ms = 0;
+	}
+	return refusal;
+}
+
+static void
+give_back_units(at_call_t *call)
+{
+	if (call->workspace != NULL)
+		at_quota_return(
+		    call->entry->quota, call->workspace->tag, call->units);
+	call->units = 0;
+}
+
+static void
+finish_failed(at_call_t *call, const at_action_t *action)
+{
+	refusal_t refusal = make_refusal(call, action);
+
+	if (action->verdict == AT_VERDICT_NOT_RUN)
+		give_back_units(call);
+	if (action->reason == AT_REASON_CALLER_GONE) {
+		log_end(call, "left", action->reason, 0, 0);
+		at_counters_refusal(call->entry->counters, action->reason);
+	} else if (call->answered) {
+		log_end(call, "cut", action->reason, 0, 0);
+		at_counters_add(call->entry->counters, "answers_cut_total",
+		    "reason", at_reason_names[action->reason], 1);
+		if (call->request != NULL)
+			at_httpd_stream_fail(call->request);
+	} else if (call->failure.status != 0) {
+		log_end(
+		    call, "failed", action->reason, call->failure.status, 0);
+		reply_held(call, &call->failure);
+	} else {
+		log_end(call, "refused", action->reason, refusal.status,
+		    refusal.retry_after_ms);
+		if (call->request != NULL)
+			reply_refusal(
+			    call->entry, call->request, &call->head, &refusal);
+	}
+}
+
+/* Looks for a backend server for the machine's next attempt. */
+static void
+place(at_call_t *call, const at_action_t *action)
+{
+	at_entry_t *entry = call->entry;
+	uint64_t now_us = at_clock_now_us();
+	at_judgment_t judgment;
+
+	call->placing = action->attempt;
+	if (action->attempt > 0)
+		at_counters_retry(entry->counters, action->reason);
+	at_waiting_judge(entry->waiting, &call->waiter, now_us, &judgment);
+	if (judgment.admit == AT_ADMIT_NOW) {
+		leg_start(call, action->attempt, &judgment.choice);
+		return;
+	}
+	at_log(AT_LOG_INFO, "call", call->id,
+	    "%s fit=%s candidates=%u wait_us=%" PRIu64 " waiting=%zu model=%s",
+	    at_admit_names[judgment.admit], at_fit_names[judgment.fit],
+	    judgment.choice.candidates, judgment.wait_us,
+	    at_waiting_count(entry->waiting), call->head.model.text);
+	if (judgment.fit == AT_FIT_ABSENT)
+		at_gossip_soon(entry->gossip);
+	if (judgment.admit == AT_ADMIT_WAIT) {
+		at_waiting_add(entry->waiting, &call->waiter);
+		return;
+	}
+	call->refusal_retry_ms = judgment.retry_after_ms;
+	at_attempts_unplaced(call->machine, action->attempt,
+	    judgment.fit == AT_FIT_FULL ? AT_REASON_OVERLOAD
+					: AT_REASON_NO_BACKEND,
+	    at_clock_now_ms());
+}
+
+static void
+finish(at_call_t *call, const at_action_t *action)
+{
+	call->over = 1;
+	at_waiting_remove(call->entry->waiting, &call->waiter);
+	if (action->verdict == AT_VERDICT_RAN)
+		finish_whole(call);
+	else
+		finish_failed(call, action);
+	leg_end(&call->leg, AT_OUTCOME_UNKNOWN);
+}
+
+static at_outcome_t
+outcome_of(at_reason_t reason)
+{
+	return reason == AT_REASON_FIRST_BYTE_TIMEOUT ||
+		       reason == AT_REASON_IDLE_TIMEOUT ||
+		       reason == AT_REASON_CONNECT_FAILED
+		   ? AT_OUTCOME_FAILED
+		   : AT_OUTCOME_UNKNOWN;
+}
+
+void
+call_pump(at_call_t *call)
+{
+	at_action_t action;
+
+	/* The outermost call takes what inner ones bring about. */
+	if (call->pumping)
+		return;
+	call->pumping = 1;
+	while (at_attempts_next(call->machine, &action)) {
+		if (action.kind == AT_ACTION_START)
+			place(call, &action);
+		else if (action.kind == AT_ACTION_CANCEL)
+			leg_end(
+			    &call->leg, outcome_of(at_attempts_reason(
+					    call->machine, action.attempt)));
+		else if (action.kind == AT_ACTION_DELIVER)
+			deliver(call);
+		else
+			finish(call, &action);
+	}
+	call->pumping = 0;
+	arm(call);
+	at_entry_place_waiting(call->entry);
+}
+
+/* The caller left: what may not be repeated and was sent goes on. */
+static void
+on_gone(void *ctx)
+{
+	at_call_t *call = ctx;
+
+	if (call->over)
+		return;
+	if (call->route->type == AT_ROUTE_UNSAFE && call->leg.server != NULL)
+		return;
+	at_attempts_caller_gone(call->machine, at_clock_now_ms());
+	call_pump(call);
+}
+
+static void
+on_end(void *ctx, int gone)
+{
+	at_call_t *call = ctx;
+
+	if (!call->over && gone)
+		on_gone(call);
+	call->request = NULL;
+	call->head.id = call->id;
+	if (call->over)
+		call_free(call);
+}
+
+static void
+on_drain(void *ctx)
+{
+	at_call_t *call = ctx;
+
+	call->paused = 0;
+	if (call->over || call->leg.transfer == NULL)
+		return;
+	at_attempts_paused(
+	    call->machine, call->leg.number, 0, at_clock_now_ms());
+	call_pump(call);
+	at_transfer_resume(call->leg.transfer);
+}
+
+static void
+fill_work(at_call_t *call, const at_call_head_t *head)
+{
+	at_work_t *work = &call->waiter.work;
+	uint32_t output = head->output_max_tokens;
+
+	work->service = call->service->tag;
+	work->relaxed = call->route->objective_ms >= RELAXED_MS;
+	if (!call->service->has_models)
+		return;
+	work->model = at_tag(head->model.text);
+	work->adapter = at_call_head_adapter_tag(head);
+	work->model_name = &call->head.model;
+	work->adapter_name = &call->head.adapter;
+	work->prompt_tokens = head->prompt_tokens;
+	if (head->output_hint_tokens > 0 && head->output_hint_tokens < output)
+		output = head->output_hint_tokens;
+	else
+		output = output * OUTPUT_GUESS_PERCENT / 100u;
+	work->output_tokens = output;
+	memcpy(work->prefix, head->prefix, sizeof(work->prefix));
+	work->prefix_count = head->prefix_count;
+}
+
+static void
+fill_waiter(at_call_t *call, const at_call_head_t *head)
+{
+	at_waiter_t *waiter = &call->waiter;
+	uint32_t limit_ms = call->route->timeout_ms;
+
+	if (head->deadline_ms > 0 && head->deadline_ms < limit_ms)
+		limit_ms = head->deadline_ms;
+	if (limit_ms > CUT_EARLY_MS)
+		limit_ms -= CUT_EARLY_MS;
+	waiter->priority =
+	    call->workspace != NULL && call->workspace->has_priority
+		? call->workspace->priority
+		: call->route->priority;
+	waiter->arrived_us = call->started_us;
+	waiter->objective_us =
+	    call->started_us + call->route->objective_ms * US_PER_MS;
+	waiter->deadline_us = call->started_us + (uint64_t)limit_ms * US_PER_MS;
+	fill_work(call, head);
+}
+
+static void
+start_machine(at_call_t *call)
+{
+	const at_site_route_t *route = call->route;
+	int may_repeat = route->type == AT_ROUTE_SAFE ||
+			 (route->type == AT_ROUTE_STREAM && route->resumable);
+	at_attempt_limits_t limits = {.connect_ms = 0,
+	    .deadline_ms =
+		(uint32_t)((call->waiter.deadline_us - call->started_us) /
+			   US_PER_MS),
+	    .attempts_max = route->attempts_max};
+	uint64_t now_ms = at_clock_now_ms();
+
+	if (limits.attempts_max < 1)
+		limits.attempts_max = 1;
+	if (limits.attempts_max > AT_ATTEMPTS_MAX)
+		limits.attempts_max = AT_ATTEMPTS_MAX;
+	if (route->type == AT_ROUTE_SAFE)
+		limits.first_byte_ms = SAFE_ANSWER_MS;
+	if (route->type == AT_ROUTE_STREAM && may_repeat) {
+		limits.first_byte_ms = FIRST_EVENT_MS;
+		limits.idle_ms = PAUSE_MS;
+	}
+	at_attempts_set_limits(call->machine, &limits);
+	at_attempts_set_repeat(
+	    call->machine, may_repeat ? AT_REPEATABLE : AT_ONCE);
+	at_attempts_set_resumable(
+	    call->machine, route->type == AT_ROUTE_STREAM && may_repeat);
+	at_attempts_set_budget(
+	    call->machine, at_retry_budgets_get(call->entry->retries,
+			       call->service->tag, now_ms));
+	at_attempts_init(call->machine, now_ms);
+}
+
+static at_call_t *
+call_new(
+    at_entry_t *entry, at_httpd_request_t *request, const at_call_head_t *head)
+{
+	at_call_t *call = calloc(1, sizeof(*call));
+
+	if (call == NULL)
+		return NULL;
+	call->entry = entry;
+	call->leg.call = call;
+	call->request = request;
+	call->head = *head;
+	call->site = at_site_ref(entry->site);
+	call->started_us = at_clock_now_us();
+	(void)snprintf(
+	    call->id, sizeof(call->id), "%s", head->id == NULL ? "" : head->id);
+	ev_timer_init(&call->timer, on_timer, 0., 0.);
+	call->timer.data = call;
+	call->next = entry->calls;
+	if (call->next != NULL)
+		call->next->prev = call;
+	entry->calls = call;
+	entry->call_count++;
+	call->machine = at_attempts_new();
+	at_server_call_copy(request, &call->lines);
+	if (call->machine == NULL || call->lines.failed) {
+		call_free(call);
+		return NULL;
+	}
+	return call;
+}
+
+/* Spends the request's units, or refuses and returns -1. */
+static int
+spend(at_entry_t *entry, at_httpd_request_t *request,
+    const at_call_head_t *head, const at_site_workspace_t *workspace,
+    uint64_t *units)
+{
+	uint32_t retry_ms;
+	char detail[160];
+
+	*units = 1;
+	if (workspace->counts_tokens)
+		*units = head->has_tokens ? (uint64_t)head->prompt_tokens +
+						head->output_max_tokens
+					  : workspace->plain_units;
+	retry_ms =
+	    at_quota_take(entry->quota, workspace, *units, at_clock_now_us());
+	if (retry_ms == 0)
+		return 0;
+	(void)snprintf(detail, sizeof(detail),
+	    "workspace=%s units=%" PRIu64 " level=%" PRId64,
+	    workspace->name.text, *units,
+	    at_quota_level(entry->quota, workspace->tag));
+	refuse_head(
+	    entry, request, head, AT_REASON_OVER_RATE, retry_ms, detail);
+	return -1;
+}
+
+static void
+start_call(at_entry_t *entry, at_httpd_request_t *request,
+    const at_call_head_t *head, const at_site_route_t *route,
+    const at_site_workspace_t *workspace)
+{
+	const at_site_service_t *service = at_site_service(
+	    entry->site, at_site_target(route, at_rng_next(&entry->rng)));
+	uint64_t units = 0;
+	at_call_t *call;
+
+	if (service == NULL) {
+		refuse_head(entry, request, head, AT_REASON_NO_BACKEND,
+		    NO_CONFIG_RETRY_MS, "service=unknown");
+		return;
+	}
+	if (workspace != NULL &&
+	    spend(entry, request, head, workspace, &units) != 0)
+		return;
+	call = call_new(entry, request, head);
+	if (call == NULL) {
+		if (workspace != NULL)
+			at_quota_return(entry->quota, workspace->tag, units);
+		refuse_head(entry, request, head, AT_REASON_OVERLOAD,
+		    NO_CONFIG_RETRY_MS, "memory=none");
+		return;
+	}
+	call->route = route;
+	call->workspace = workspace;
+	call->service = service;
+	call->units = units;
+	fill_waiter(call, head);
+	at_orders_note_demand(entry->orders, &call->waiter.work);
+	at_httpd_set_end(request, on_end, call);
+	at_httpd_set_gone(request, on_gone);
+	at_httpd_set_drain(request, on_drain);
+	start_machine(call);
+	call_pump(call);
+}
+
+/* Returns 0 with the caller's workspace, or refuses and returns -1. */
+static int
+authenticate(at_entry_t *entry, at_httpd_request_t *request,
+    const at_call_head_t *head, const at_site_route_t *route,
+    const at_site_workspace_t **workspace)
+{
+	*workspace = NULL;
+	if (route->open || entry->site->workspace_count == 0)
+		return 0;
+	if (head->key == NULL) {
+		refuse_head(entry, request, head, AT_REASON_MISSING_KEY, 0, "");
+		return -1;
+	}
+	*workspace = at_site_workspace(entry->site, head->key);
+	if (*workspace != NULL)
+		return 0;
+	refuse_head(entry, request, head, AT_REASON_UNKNOWN_KEY, 0, "");
+	return -1;
+}
+
+void
+at_call_handle(void *ctx, at_httpd_request_t *request)
+{
+	at_entry_t *entry = ctx;
+	const at_site_route_t *route;
+	const at_site_workspace_t *workspace;
+	at_call_head_t head;
+	const char *unreadable = at_caller_read(request, &head);
+
+	at_counters_add(entry->counters, "requests_total", NULL, NULL, 1);
+	if (entry->site == NULL) {
+		refuse_head(entry, request, &head, AT_REASON_NO_CONFIG,
+		    NO_CONFIG_RETRY_MS, "");
+		return;
+	}
+	route = at_site_route(entry->site, head.host, at_httpd_target(request));
+	if (route == NULL) {
+		refuse_head(
+		    entry, request, &head, AT_REASON_UNKNOWN_ROUTE, 0, "");
+		return;
+	}
+	if (unreadable != NULL) {
+		refuse_head(entry, request, &head, AT_REASON_BAD_REQUEST, 0,
+		    unreadable);
+		return;
+	}
+	if (authenticate(entry, request, &head, route, &workspace) != 0)
+		return;
+	start_call(entry, request, &head, route, workspace);
+}
+
+static at_call_t *
+call_of(at_waiter_t *waiter)
+{
+	return (
+	    at_call_t *)(void *)((char *)waiter - offsetof(at_call_t, waiter));
+}
+
+void
+at_calls_place(at_entry_t *entry)
+{
+	uint64_t now_us = at_clock_now_us();
+	at_waiter_t *waiter;
+	at_choice_t choice;
+
+	while ((waiter = at_waiting_next(entry->waiting, now_us, &choice)) !=
+	       NULL) {
+		at_call_t *call = call_of(waiter);
+
+		call->waited_us = now_us - call->started_us;
+		at_counters_observe(entry->counters, "waited_ms", "route",
+		    at_route_type_names[call->route->type],
+		    call->waited_us / US_PER_MS);
+		leg_start(call, call->placing, &choice);
+		call_pump(call);
+	}
+}
+
+void
+at_calls_expire(at_entry_t *entry)
+{
+	at_waiter_t *waiter;
+
+	while ((waiter = at_waiting_expired(
+		    entry->waiting, at_clock_now_us())) != NULL) {
+		at_call_t *call = call_of(waiter);
+
+		call->waited_us = at_clock_now_us() - call->started_us;
+		at_attempts_unplaced(call->machine, call->placing,
+		    AT_REASON_OVERLOAD, at_clock_now_ms());
+		call_pump(call);
+	}
+}
--- /dev/null
+++ b/src/entry/call_impl.h
@@ -0,0 +1,82 @@
+/*
+ * call_impl.h - shapes shared by the files of a call: call.c has the request
+ * and its caller, leg.c one attempt at one backend server.
+ */
+#ifndef ALMONDTHREAD_ENTRY_CALL_IMPL_H
+#define ALMONDTHREAD_ENTRY_CALL_IMPL_H
+
+#include "almondthread/attempt.h"
+#include "almondthread/call_head.h"
+#include "almondthread/event_frames.h"
+#include "entry/call.h"
+#include "platform/server_call.h"
+
+#define ID_SIZE 96u /* of a request's id, with the NUL */
+
+/* An answer that is held until it is whole. */
+typedef struct held_answer {
+	at_answer_headers_t headers;
+	int status;
+	char *body;
+	size_t len;
+	size_t size;
+} held_answer_t;
+
+/* One attempt at one backend server. */
+typedef struct leg {
+	at_call_t *call;
+	uint32_t number;
+	at_server_t *server; /* counted there; NULL: none is open */
+	at_name_t server_id;
+	at_transfer_t *transfer;
+	uint64_t sent_us;
+	uint64_t predicted_us;
+	int had_event;     /* the first event, or the whole answer, came */
+	int refused;       /* it says that it did not run it */
+	int is_stream;     /* its answer is passed on as it comes */
+	at_reason_t fault; /* found in what it sent */
+	held_answer_t answer;
+	at_event_frames_t frames;
+} leg_t;
+
+struct at_call {
+	at_entry_t *entry;
+	at_call_t *next;
+	at_call_t *prev;
+	at_httpd_request_t *request; /* NULL once the caller has gone */
+	at_call_head_t head;
+	char id[ID_SIZE];
+	at_site_t *site;
+	const at_site_route_t *route;
+	const at_site_workspace_t *workspace; /* NULL: the route is open */
+	const at_site_service_t *service;
+	uint64_t units; /* spent of the workspace's limit */
+	at_header_lines_t lines;
+	at_waiter_t waiter;
+	at_attempts_t *machine;
+	uint32_t placing; /* the attempt that waits for a backend server */
+	leg_t leg;
+	int pumping;
+	int over;
+	int answered;     /* the head of an answer has gone out */
+	int paused;       /* the caller is slow */
+	int has_event_id; /* of the last event passed on */
+	uint64_t event_id;
+	const at_event_t *event; /* being delivered */
+	held_answer_t failure;   /* of a backend server, if nothing better */
+	uint64_t started_us;
+	uint64_t waited_us;
+	uint32_t refusal_retry_ms; /* when to come back, as it was judged */
+	ev_timer timer;
+	uint64_t timer_due_ms;
+};
+
+/* call.c */
+void call_pump(at_call_t *call);
+/* leg.c */
+void leg_start(at_call_t *call, uint32_t number, const at_choice_t *choice);
+/* Ends the leg at its backend server; the transfer is closed if open. */
+void leg_end(leg_t *leg, at_outcome_t outcome);
+void held_answer_reset(held_answer_t *answer);
+
+#endif
--- /dev/null
+++ b/src/entry/entry.c
@@ -0,0 +1,254 @@
+#include "entry/entry.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "almondthread/log.h"
+#include "almondthread/roster.h"
+#include "entry/call.h"
+#include "entry/gossip.h"
+#include "entry/join.h"
+#include "entry/orders.h"
+#include "entry/ready.h"
+#include "entry/retries.h"
+#include "entry/sync.h"
+#include "io/clock.h"
+
+#define TICK_S 0.05          /* waiting requests are looked at this often */
+#define LOG_FLUSH_TICKS 4u   /* of those, between two flushes of the log */
+#define DRAIN_MS 2600u       /* until the balancer sends nobody here */
+#define STOP_CHECK_S 0.05    /* between two looks at open requests */
+#define STOP_MARGIN_MS 500u  /* of the grace, left for the end itself */
+#define MIN_STOPPING_MS 300u /* for requests on their way */
+#define MAX_BODY_BYTES (4u << 20) /* until a configuration says otherwise */
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	at_entry_t *entry = timer->data;
+	static unsigned ticks;
+
+	(void)loop;
+	(void)events;
+	at_calls_expire(entry);
+	at_entry_place_waiting(entry);
+	if (++ticks % LOG_FLUSH_TICKS == 0)
+		at_log_flush();
+}
+
+at_entry_t *
+at_entry_new(struct ev_loop *loop, const at_entry_settings_t *settings)
+{
+	at_entry_t *entry = calloc(1, sizeof(*entry));
+
+	if (entry == NULL)
+		return NULL;
+	entry->loop = loop;
+	entry->settings = *settings;
+	return entry;
+}
+
+static at_code_t
+check_settings(at_entry_t *entry, at_status_t *status)
+{
+	const at_entry_settings_t *s = &entry->settings;
+
+	if (at_name_set(&entry->self.instance, s->name) != 0)
+		return at_status_set(
+		    status, AT_INVALID, "--name: expected a name");
+	if (at_fleet_secret_parse(&entry->secret, s->secret) != 0)
+		return at_status_set(status, AT_INVALID,
+		    "--secret: expected 64 hexadecimal digits");
+	entry->self.number = at_random_system().next(NULL);
+	entry->self_tag = at_tag(s->name);
+	entry->data_centre = at_tag(s->data_centre);
+	entry->rng.state = entry->self.number;
+	return AT_OK;
+}
+
+/* Makes every part; returns -1 without memory. */
+static int
+make_parts(at_entry_t *entry)
+{
+	const at_entry_settings_t *s = &entry->settings;
+
+	entry->counters = at_counters_new();
+	entry->httpc = at_httpc_new(entry->loop);
+	entry->callers = at_httpd_new(entry->loop);
+	if (entry->counters == NULL || entry->httpc == NULL ||
+	    entry->callers == NULL)
+		return -1;
+	entry->wire_store = at_wire_store_new(entry->httpc);
+	entry->fleet =
+	    at_fleet_new(entry->data_centre, at_rng_next(&entry->rng));
+	entry->quota = at_quota_new(at_clock_now_us());
+	entry->retries = at_retry_budgets_new(s->retry_ratio, s->retry_slack);
+	entry->roster = at_roster_new(&entry->self.instance);
+	if (entry->wire_store == NULL || entry->fleet == NULL ||
+	    entry->quota == NULL || entry->retries == NULL ||
+	    entry->roster == NULL)
+		return -1;
+	entry->store = at_wire_store_port(entry->wire_store);
+	at_wire_store_set_counters(entry->wire_store, entry->counters);
+	entry->waiting = at_waiting_new(entry->fleet);
+	entry->sync = at_sync_new(entry);
+	entry->join = at_join_new(entry);
+	entry->gossip = at_gossip_new(entry);
+	entry->orders = at_orders_new(entry);
+	entry->ready = at_ready_new(entry);
+	return entry->waiting == NULL || entry->sync == NULL ||
+		       entry->join == NULL || entry->gossip == NULL ||
+		       entry->orders == NULL || entry->ready == NULL
+		   ? -1
+		   : 0;
+}
+
+at_code_t
+at_entry_init(at_entry_t *entry, at_status_t *status)
+{
+	const at_entry_settings_t *s = &entry->settings;
+
+	if (check_settings(entry, status) != AT_OK)
+		return status->code;
+	if (make_parts(entry) != 0)
+		return at_status_set(status, AT_FAILED, "no memory");
+	at_httpd_set_handler(entry->callers, at_call_handle, entry);
+	at_httpd_set_fault_handler(entry->callers, at_call_handle_fault, entry);
+	at_httpd_set_max_body(entry->callers, MAX_BODY_BYTES);
+	if (at_wire_store_init(entry->wire_store, s->store, status) != AT_OK ||
+	    at_ready_init(entry->ready, status) != AT_OK ||
+	    at_gossip_init(entry->gossip, status) != AT_OK ||
+	    at_httpd_init(entry->callers, s->listen, status) != AT_OK)
+		return status->code;
+	at_sync_start(entry->sync);
+	at_join_start(entry->join);
+	at_orders_start(entry->orders);
+	ev_timer_init(&entry->tick, on_tick, TICK_S, TICK_S);
+	entry->tick.data = entry;
+	ev_timer_start(entry->loop, &entry->tick);
+	entry->state = AT_ENTRY_SERVING;
+	at_log(AT_LOG_INFO, "entry", NULL,
+	    "started name=%s data_centre=%s incarnation=%" PRIu64
+	    " callers=%s peers=%s store=%s",
+	    s->name, s->data_centre, entry->self.number, s->listen, s->peers,
+	    s->store);
+	return AT_OK;
+}
+
+int
+at_entry_is_ready(const at_entry_t *entry)
+{
+	return entry->state == AT_ENTRY_SERVING && entry->site != NULL &&
+	       at_sync_complete(entry->sync);
+}
+
+void
+at_entry_set_site(at_entry_t *entry, at_site_t *site)
+{
+	at_log(AT_LOG_INFO, "config", NULL,
+	    "in force version=%" PRIu64 " before=%" PRIu64
+	    " routes=%zu services=%zu workspaces=%zu keys=%zu",
+	    site->version, entry->site == NULL ? 0 : entry->site->version,
+	    site->route_count, site->service_count, site->workspace_count,
+	    site->key_count);
+	at_site_unref(entry->site);
+	entry->site = site;
+	at_fleet_set_site(entry->fleet, site);
+	at_quota_set_site(entry->quota, site, at_clock_now_us());
+	at_httpd_set_max_body(entry->callers, site->limits.body_bytes);
+}
+
+void
+at_entry_place_waiting(at_entry_t *entry)
+{
+	/* Placing one request may make this owed again. */
+	if (entry->placing) {
+		entry->placing_owed = 1;
+		return;
+	}
+	entry->placing = 1;
+	do {
+		entry->placing_owed = 0;
+		at_calls_place(entry);
+	} while (entry->placing_owed);
+	entry->placing = 0;
+}
+
+static void
+on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	at_entry_t *entry = timer->data;
+	uint64_t waited_ms = at_clock_now_ms() - entry->stop_since_ms;
+	uint64_t grace_ms =
+	    (uint64_t)entry->settings.stop_grace_s * AT_MS_PER_S;
+	size_t open = at_httpd_open_requests(entry->callers);
+
+	(void)events;
+	if (entry->call_count > open)
+		open = entry->call_count;
+	if (entry->state == AT_ENTRY_DRAINING) {
+		if (waited_ms < DRAIN_MS)
+			return;
+		at_httpd_quiesce(entry->callers);
+		entry->state = AT_ENTRY_STOPPING;
+		at_log(AT_LOG_INFO, "entry", NULL,
+		    "takes no more connections open=%zu", open);
+		return;
+	}
+	if (waited_ms < DRAIN_MS + MIN_STOPPING_MS)
+		return;
+	if (open > 0 && waited_ms + STOP_MARGIN_MS < grace_ms)
+		return;
+	if (open > 0)
+		at_log(AT_LOG_ERROR, "entry", NULL,
+		    "cuts requests at the end of the grace open=%zu", open);
+	ev_timer_stop(loop, timer);
+	ev_break(loop, EVBREAK_ALL);
+}
+
+void
+at_entry_stop(at_entry_t *entry)
+{
+	if (entry->state >= AT_ENTRY_DRAINING)
+		return;
+	entry->state = AT_ENTRY_DRAINING;
+	entry->stop_since_ms = at_clock_now_ms();
+	at_httpd_close_connections(entry->callers);
+	at_orders_release(entry->orders);
+	at_gossip_leave(entry->gossip);
+	at_log(AT_LOG_INFO, "entry", NULL, "stops open=%zu grace_s=%u",
+	    entry->call_count, entry->settings.stop_grace_s);
+	ev_timer_init(
+	    &entry->stop_timer, on_stop_timer, STOP_CHECK_S, STOP_CHECK_S);
+	entry->stop_timer.data = entry;
+	ev_timer_start(entry->loop, &entry->stop_timer);
+}
+
+void
+at_entry_delete(at_entry_t *entry)
+{
+	if (entry == NULL)
+		return;
+	ev_timer_stop(entry->loop, &entry->tick);
+	ev_timer_stop(entry->loop, &entry->stop_timer);
+	at_httpd_delete(entry->callers);
+	if (entry->waiting != NULL)
+		at_calls_delete(entry);
+	at_ready_delete(entry->ready);
+	at_orders_delete(entry->orders);
+	at_gossip_delete(entry->gossip);
+	at_join_delete(entry->join);
+	if (entry->sync != NULL)
+		at_sync_delete(entry->sync);
+	at_wire_store_delete(entry->wire_store);
+	at_httpc_delete(entry->httpc);
+	at_waiting_delete(entry->waiting);
+	at_roster_delete(entry->roster);
+	at_retry_budgets_delete(entry->retries);
+	at_quota_delete(entry->quota);
+	at_fleet_delete(entry->fleet);
+	at_site_unref(entry->site);
+	at_counters_delete(entry->counters);
+	free(entry);
+}
--- /dev/null
+++ b/src/entry/entry.h
@@ -0,0 +1,110 @@
+/*
+ * entry.h - one entry instance before the backend servers of a deployment.
+ *
+ * The parts below share this object; each has a file of its own:
+ *
+ *   call.c      one caller's request on its way to a backend server and back
+ *   sync.c      copies of the configuration and of the list of servers
+ *   gossip.c    reports to and from the other instances
+ *   join.c      who the other instances are
+ *   orders.c    the lease and orders to model engines
+ *   ready.c     readiness and metrics
+ */
+#ifndef ALMONDTHREAD_ENTRY_ENTRY_H
+#define ALMONDTHREAD_ENTRY_ENTRY_H
+
+#include <ev.h>
+
+#include "almondthread/budget.h"
+#include "almondthread/counters.h"
+#include "almondthread/quota.h"
+#include "almondthread/waiting.h"
+#include "io/httpc.h"
+#include "io/httpd.h"
+#include "platform/store.h"
+
+/* Settings; texts outlive the instance. */
+typedef struct at_entry_settings {
+	const char *name;
+	const char *data_centre;
+	const char *listen;  /* callers */
+	const char *ready;   /* the balancer's readiness check */
+	const char *metrics; /* counters; empty: with readiness only */
+	const char *peers;   /* datagrams of the other instances */
+	const char *store;   /* the platform's store */
+	const char *secret;
+	const char *log_level;
+	uint32_t log_lines_per_s;
+	uint32_t stop_grace_s; /* from SIGTERM to SIGKILL */
+	uint32_t lease_ms;     /* term of the lease for orders */
+	double retry_ratio;    /* of requests, that may be sent again */
+	uint32_t retry_slack;  /* besides, over all instances */
+} at_entry_settings_t;
+
+typedef enum at_entry_state {
+	AT_ENTRY_STARTING,
+	AT_ENTRY_SERVING,
+	AT_ENTRY_DRAINING, /* callers are being sent elsewhere */
+	AT_ENTRY_STOPPING, /* no new connection is taken */
+	AT_ENTRY_STATE_COUNT
+} at_entry_state_t;
+
+typedef struct at_sync at_sync_t;
+typedef struct at_gossip at_gossip_t;
+typedef struct at_roster at_roster_t;
+typedef struct at_join at_join_t;
+typedef struct at_orders_io at_orders_io_t;
+typedef struct at_ready at_ready_t;
+typedef struct at_call at_call_t;
+typedef struct at_retry_budgets at_retry_budgets_t;
+
+typedef struct at_entry {
+	struct ev_loop *loop;
+	at_entry_settings_t settings;
+	at_entry_state_t state;
+	at_incarnation_t self;
+	at_tag_t self_tag;
+	at_tag_t data_centre;
+	at_fleet_secret_t secret;
+	at_rng_t rng;
+	at_counters_t *counters;
+	at_httpd_t *callers;
+	at_httpc_t *httpc;
+	at_wire_store_t *wire_store;
+	at_store_t store;
+	at_site_t *site; /* NULL until the first configuration */
+	at_fleet_t *fleet;
+	at_waiting_t *waiting;
+	at_quota_t *quota;
+	at_retry_budgets_t *retries;
+	at_sync_t *sync;
+	at_gossip_t *gossip;
+	at_roster_t *roster;
+	at_join_t *join;
+	at_orders_io_t *orders;
+	at_ready_t *ready;
+	at_call_t *calls;
+	size_t call_count;
+	int placing;      /* waiting requests are being placed */
+	int placing_owed; /* and there is room since */
+	ev_timer tick;
+	ev_timer stop_timer;
+	uint64_t stop_since_ms;
+} at_entry_t;
+
+at_entry_t *at_entry_new(
+    struct ev_loop *loop, const at_entry_settings_t *settings);
+at_code_t at_entry_init(at_entry_t *entry, at_status_t *status);
+/* at_entry_stop() begins a graceful shutdown, which ends the loop. */
+void at_entry_stop(at_entry_t *entry);
+void at_entry_delete(at_entry_t *entry);
+
+/* at_entry_is_ready() tells whether callers should be sent here. */
+int at_entry_is_ready(const at_entry_t *entry);
+
+/* Called when a newer configuration is in force; takes the reference over. */
+void at_entry_set_site(at_entry_t *entry, at_site_t *site);
+/* Called after whatever may have made room at a backend server. */
+void at_entry_place_waiting(at_entry_t *entry);
+
+#endif
--- /dev/null
+++ b/src/entry/gossip.h
@@ -0,0 +1,24 @@
+/*
+ * gossip.h - reports between entry instances, one datagram each: loads at
+ * backend servers, spending of workspaces, demand for models, and what the
+ * holder of the lease has done with adapters.
+ *
+ * A datagram is a 16-byte keyed hash under the fleet's secret, then a Report
+ * (proto/report.proto). One that is lost costs nothing: the next one carries
+ * all of it again. Datagrams are used since a link that is cut, frozen or
+ * silent then holds nothing back.
+ */
+#ifndef ALMONDTHREAD_ENTRY_GOSSIP_H
+#define ALMONDTHREAD_ENTRY_GOSSIP_H
+
+#include "entry/entry.h"
+
+at_gossip_t *at_gossip_new(at_entry_t *entry);
+at_code_t at_gossip_init(at_gossip_t *gossip, at_status_t *status);
+void at_gossip_delete(at_gossip_t *gossip);
+/* at_gossip_soon() sends a report within a few milliseconds. */
+void at_gossip_soon(at_gossip_t *gossip);
+/* at_gossip_leave() tells every instance that this one is leaving. */
+void at_gossip_leave(at_gossip_t *gossip);
+
+#endif
--- /dev/null
+++ b/src/entry/join.c
@@ -0,0 +1,224 @@
+#include "entry/join.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "almondthread/log.h"
+#include "almondthread/roster.h"
+#include "io/clock.h"
+
+#define KIND "entry-instances" /* of this system's own objects */
+#define RETRY_FIRST_S 0.2
+#define RETRY_MAX_S 3.2
+
+typedef enum join_state {
+	JOIN_WRITING, /* its own object */
+	JOIN_READING, /* the others' */
+	JOIN_DONE
+} join_state_t;
+
+struct at_join {
+	at_entry_t *entry;
+	at_objects_t objects;
+	at_objects_call_t *call;
+	join_state_t state;
+	uint64_t version; /* of its own object; 0: it is to be created */
+	char after[AT_NAME_SIZE];
+	double retry_s;
+	ev_timer timer;
+};
+
+static void step(at_join_t *join);
+
+static void
+retry(at_join_t *join, const char *what, const char *result)
+{
+	at_log(AT_LOG_WARN, "join", NULL, "%s failed result=%s retry_s=%.1f",
+	    what, result, join->retry_s);
+	ev_timer_set(&join->timer, join->retry_s, 0.);
+	ev_timer_start(join->entry->loop, &join->timer);
+	if (join->retry_s < RETRY_MAX_S)
+		join->retry_s *= 2;
+}
+
+static json_t *
+own_value(const at_entry_t *entry)
+{
+	return json_pack("{s:s,s:s}", "address", entry->settings.peers,
+	    "data_centre", entry->settings.data_centre);
+}
+
+/* Whether the object that is there already says what this one would. */
+static int
+says_the_same(const at_entry_t *entry, const at_store_result_t *result)
+{
+	json_t *there = result->value == NULL ? NULL
+					      : json_loadb(result->value,
+						    result->value_len, 0, NULL);
+	json_t *own = own_value(entry);
+	int same = there != NULL && json_equal(there, own);
+
+	json_decref(there);
+	json_decref(own);
+	return same;
+}
+
+static void
+on_written(void *ctx, const at_store_result_t *result)
+{
+	at_join_t *join = ctx;
+
+	if (result->code == AT_STORE_CONFLICT &&
+	    !says_the_same(join->entry, result)) {
+		join->version = result->version;
+		step(join);
+		return;
+	}
+	if (result->code != AT_STORE_OK && result->code != AT_STORE_CONFLICT) {
+		/* An object that vanished is created anew. */
+		if (result->code == AT_STORE_NOT_FOUND)
+			join->version = 0;
+		retry(join, "write", at_store_code_names[result->code]);
+		return;
+	}
+	join->state = JOIN_READING;
+	step(join);
+}
+
+static void
+add_member(at_join_t *join, const at_object_t *object)
+{
+	const json_t *spec = object->spec;
+	const char *address =
+	    json_string_value(json_object_get(spec, "address"));
+	const char *data_centre =
+	    json_string_value(json_object_get(spec, "data_centre"));
+	at_name_t name;
+
+	if (address == NULL || data_centre == NULL ||
+	    at_name_set(&name, object->name) != 0) {
+		at_log(AT_LOG_WARN, "join", NULL,
+		    "entry ignored name=%s: no address or data centre",
+		    object->name);
+		return;
+	}
+	(void)at_roster_add(join->entry->roster, &name, at_tag(data_centre),
+	    address, at_clock_now_us());
+}
+
+static void
+on_list(void *ctx, const at_objects_page_t *page)
+{
+	at_join_t *join = ctx;
+	size_t i;
+
+	join->call = NULL;
+	if (page->code != AT_OBJECTS_OK) {
+		retry(join, "list", at_objects_code_names[page->code]);
+		return;
+	}
+	for (i = 0; i < page->count; i++)
+		add_member(join, &page->objects[i]);
+	if (page->more && page->count > 0) {
+		(void)snprintf(join->after, sizeof(join->after), "%s",
+		    page->objects[page->count - 1].name);
+		step(join);
+		return;
+	}
+	join->state = JOIN_DONE;
+	at_log(AT_LOG_INFO, "join", NULL, "joined instances=%u",
+	    at_roster_present(join->entry->roster));
+}
+
+static void
+write_own(at_join_t *join)
+{
+	at_entry_t *entry = join->entry;
+	json_t *value = own_value(entry);
+	char *text = json_dumps(value, JSON_COMPACT);
+	char name[2 * AT_NAME_SIZE];
+
+	json_decref(value);
+	(void)snprintf(name, sizeof(name), KIND "/%s", entry->settings.name);
+	if (text != NULL)
+		entry->store.put(entry->store.impl, name, join->version, text,
+		    strlen(text), on_written, join);
+	free(text);
+}
+
+static void
+step(at_join_t *join)
+{
+	if (join->state == JOIN_WRITING)
+		write_own(join);
+	else if (join->state == JOIN_READING)
+		join->call = join->objects.list(join->objects.impl, KIND,
+		    join->after[0] == '\0' ? NULL : join->after, on_list, join);
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	step(timer->data);
+}
+
+at_join_t *
+at_join_new(at_entry_t *entry)
+{
+	at_join_t *join = calloc(1, sizeof(*join));
+
+	if (join == NULL)
+		return NULL;
+	join->entry = entry;
+	join->objects = at_wire_store_objects(entry->wire_store);
+	join->retry_s = RETRY_FIRST_S;
+	ev_timer_init(&join->timer, on_timer, 0., 0.);
+	join->timer.data = join;
+	return join;
+}
+
+void
+at_join_start(at_join_t *join)
+{
+	step(join);
+}
+
+void
+at_join_delete(at_join_t *join)
+{
+	if (join == NULL)
+		return;
+	ev_timer_stop(join->entry->loop, &join->timer);
+	if (join->call != NULL)
+		join->objects.cancel(join->objects.impl, join->call);
+	free(join);
+}
+
+int
+at_join_complete(const at_join_t *join)
+{
+	return join->state == JOIN_DONE;
+}
+
+static void
+on_removed(void *ctx, const at_store_result_t *result)
+{
+	(void)ctx;
+	at_log(AT_LOG_INFO, "join", NULL, "removed an instance's object: %s",
+	    at_store_code_names[result->code]);
+}
+
+void
+at_join_remove(at_join_t *join, const at_name_t *instance)
+{
+	at_entry_t *entry = join->entry;
+	char name[2 * AT_NAME_SIZE];
+
+	(void)snprintf(name, sizeof(name), KIND "/%s", instance->text);
+	entry->store.del(entry->store.impl, name, 0, on_removed, join);
+}
--- /dev/null
+++ b/src/entry/main.c
@@ -0,0 +1,143 @@
+/*
+ * almond-entry: one entry instance on the users' platform.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <sodium.h>
+
+#include "almondthread/log.h"
+#include "entry/entry.h"
+#include "io/settings.h"
+#include "platform/settings.h"
+
+static void
+on_signal(struct ev_loop *loop, ev_signal *signal, int events)
+{
+	(void)loop;
+	(void)events;
+	at_entry_stop(signal->data);
+}
+
+static int
+set_log_level(const char *name)
+{
+	int level;
+
+	for (level = 0; level < AT_LOG_LEVEL_COUNT; level++) {
+		if (strcmp(name, at_log_level_names[level]) == 0) {
+			at_log_set_level((at_log_level_t)level);
+			return 0;
+		}
+	}
+	return -1;
+}
+
+static int
+run(const at_entry_settings_t *settings)
+{
+	struct ev_loop *loop = ev_default_loop(0);
+	at_entry_t *entry = at_entry_new(loop, settings);
+	at_status_t status;
+	ev_signal term;
+	ev_signal interrupt;
+
+	at_status_clear(&status);
+	if (entry == NULL || at_entry_init(entry, &status) != AT_OK) {
+		(void)fprintf(stderr, "almond-entry: %s\n", status.message);
+		at_entry_delete(entry);
+		return status.code == AT_INVALID ? AT_EXIT_USAGE : 1;
+	}
+	ev_signal_init(&term, on_signal, SIGTERM);
+	ev_signal_init(&interrupt, on_signal, SIGINT);
+	term.data = entry;
+	interrupt.data = entry;
+	ev_signal_start(loop, &term);
+	ev_signal_start(loop, &interrupt);
+	(void)ev_run(loop, 0);
+	at_entry_delete(entry);
+	at_log(AT_LOG_INFO, "entry", NULL, "stopped");
+	at_log_flush();
+	return 0;
+}
+
+/* Reads flags, variables and the settings file; the file outlives the run. */
+static int
+read_settings(at_entry_settings_t *s, int argc, char **argv,
+    at_settings_file_t **file, at_status_t *status)
+{
+	const at_setting_t rows[] = {
+	    {"name", "ALMONDTHREAD_NAME", AT_SETTING_TEXT, &s->name, NULL, 0, 0,
+		"name of this instance"},
+	    {"data-centre", "ALMONDTHREAD_DATA_CENTRE", AT_SETTING_TEXT,
+		&s->data_centre, NULL, 0, 0, "its data centre"},
+	    {"listen", "ALMONDTHREAD_LISTEN", AT_SETTING_ADDRESS, &s->listen,
+		NULL, 0, 0, "address for callers"},
+	    {"ready", "ALMONDTHREAD_READY", AT_SETTING_ADDRESS, &s->ready, NULL,
+		0, 0, "address for the balancer's checks"},
+	    {"metrics", "ALMONDTHREAD_METRICS", AT_SETTING_ADDRESS, &s->metrics,
+		"", 0, 0, "address for counters; empty: that of the checks"},
+	    {"peers", "ALMONDTHREAD_PEERS", AT_SETTING_ADDRESS, &s->peers, NULL,
+		0, 0, "address for datagrams of the other instances"},
+	    {"store", "ALMONDTHREAD_STORE", AT_SETTING_ADDRESS, &s->store, NULL,
+		0, 0, "address of the platform's store"},
+	    {"secret", "ALMONDTHREAD_SECRET", AT_SETTING_TEXT, &s->secret, NULL,
+		0, 0, "the fleet's secret, 64 hexadecimal digits"},
+	    {"log-level", "ALMONDTHREAD_LOG_LEVEL", AT_SETTING_TEXT,
+		&s->log_level, "info", 0, 0, "error, warn, info or debug"},
+	    {"log-lines", "ALMONDTHREAD_LOG_LINES", AT_SETTING_NUMBER,
+		&s->log_lines_per_s, "200", 1, 1000000,
+		"most lines a second; more are counted"},
+	    {"stop-grace-s", "ALMONDTHREAD_STOP_GRACE_S", AT_SETTING_NUMBER,
+		&s->stop_grace_s, "8", 3, 3600,
+		"time from SIGTERM to the end of the process"},
+	    {"lease-ms", "ALMONDTHREAD_LEASE_MS", AT_SETTING_NUMBER,
+		&s->lease_ms, "3000", 500, 600000,
+		"term of the lease for orders"},
+	    {"retry-ratio", "ALMONDTHREAD_RETRY_RATIO", AT_SETTING_DECIMAL,
+		&s->retry_ratio, "0.2", 0, 0,
+		"part of requests that all instances may send again"},
+	    {"retry-slack", "ALMONDTHREAD_RETRY_SLACK", AT_SETTING_NUMBER,
+		&s->retry_slack, "20", 0, 1000000,
+		"requests besides that they may send again"},
+	};
+	size_t count = sizeof(rows) / sizeof(rows[0]);
+
+	*file = at_settings_file_read(
+	    at_platform_settings_path(), rows, count, status);
+	if (*file == NULL)
+		return -1;
+	return at_settings_read_with(rows, count, argc, argv, *file, status);
+}
+
+int
+main(int argc, char **argv)
+{
+	at_entry_settings_t settings = {0};
+	at_settings_file_t *file = NULL;
+	at_status_t status;
+	int result;
+
+	at_status_clear(&status);
+	result = read_settings(&settings, argc, argv, &file, &status);
+	if (result == 0 && set_log_level(settings.log_level) != 0) {
+		(void)at_status_set(&status, AT_INVALID,
+		    "--log-level: expected error, warn, info or debug");
+		result = -1;
+	}
+	if (result < 0)
+		(void)fprintf(stderr, "almond-entry: %s\n", status.message);
+	if (result == 0) {
+		at_log_to_stdout(settings.log_lines_per_s);
+		if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL) != 0)
+			result = 1;
+		else
+			result = run(&settings);
+	} else {
+		result = result < 0 ? AT_EXIT_USAGE : 0;
+	}
+	at_settings_file_delete(file);
+	return result;
+}
--- /dev/null
+++ b/src/entry/orders.h
@@ -0,0 +1,32 @@
+/*
+ * orders.h - the lease, and what its holder does with it: models and adapters
+ * are loaded and unloaded so that engines hold what is asked for.
+ *
+ * Only the holder of the lease gives orders. It tells the other instances
+ * what it has done with its reports, ahead of the platform's list.
+ */
+#ifndef ALMONDTHREAD_ENTRY_ORDERS_H
+#define ALMONDTHREAD_ENTRY_ORDERS_H
+
+#include "almondthread/roster.h"
+#include "entry/entry.h"
+#include "report.pb-c.h"
+
+at_orders_io_t *at_orders_new(at_entry_t *entry);
+void at_orders_start(at_orders_io_t *orders);
+void at_orders_delete(at_orders_io_t *orders);
+/* at_orders_release() hands the lease over; no order is sent any more. */
+void at_orders_release(at_orders_io_t *orders);
+
+/* at_orders_note_demand() counts a request of this instance. */
+void at_orders_note_demand(at_orders_io_t *orders, const at_work_t *work);
+
+/*
+ * at_orders_fill_report() adds demand, wants and, from the holder, what it
+ * has done; what it adds is lent until the next call.
+ */
+void at_orders_fill_report(at_orders_io_t *orders, Report *report);
+void at_orders_take_report(at_orders_io_t *orders,
+    const at_roster_member_t *from, const Report *report);
+
+#endif
--- /dev/null
+++ b/src/entry/orders_adapters.c
@@ -0,0 +1,246 @@
+/*
+ * orders_adapters.c - adapters are loaded when a request asks for one that is
+ * nowhere, on the least loaded engine that holds its model.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "almondthread/log.h"
+#include "entry/gossip.h"
+#include "entry/orders_impl.h"
+#include "io/clock.h"
+
+#define ADAPTER_READY_US 11000u /* from an accepted order to its end */
+
+/* The engine to load an adapter on, and what has to go for it. */
+typedef struct spot {
+	at_orders_io_t *orders;
+	at_tag_t service;
+	at_tag_t model;
+	at_tag_t adapter;
+	uint32_t slots;
+	uint64_t now_us;
+	at_server_t *server;
+	const at_held_model_t *victim_model; /* NULL: there is a free place */
+	const at_held_adapter_t *victim;
+	double cost;
+	int there; /* an engine holds it, or will soon */
+} spot_t;
+
+static size_t
+adapters_held(const at_server_entry_t *entry)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < entry->held_count; i++)
+		count += entry->held[i].adapter_count;
+	return count;
+}
+
+/* Finds the adapter that is asked for least. */
+static double
+find_victim(const spot_t *spot, const at_server_entry_t *entry,
+    const at_held_model_t **model, const at_held_adapter_t **victim)
+{
+	double least = 0.;
+	size_t i;
+	size_t k;
+
+	*victim = NULL;
+	for (i = 0; i < entry->held_count; i++) {
+		for (k = 0; k < entry->held[i].adapter_count; k++) {
+			const at_held_adapter_t *a =
+			    &entry->held[i].adapters[k];
+			double rate = at_demand_rates_get(
+			    spot->orders->demand, spot->service, a->tag)
+					  .requests_per_s;
+
+			if (*victim != NULL && rate >= least)
+				continue;
+			*model = &entry->held[i];
+			*victim = a;
+			least = rate;
+		}
+	}
+	return least;
+}
+
+static int
+is_coming(const track_t *track, const spot_t *spot, const char *adapter)
+{
+	if (at_tag(track->next_model.text) == spot->model &&
+	    strcmp(track->next_adapter.text, adapter) == 0)
+		return 1;
+	if (track->adapter_ready_us != 0 &&
+	    at_tag(track->ready_model.text) == spot->model &&
+	    strcmp(track->ready_adapter.text, adapter) == 0)
+		return 1;
+	return track->state != TRACK_IDLE && track->load &&
+	       at_tag(track->model.text) == spot->model &&
+	       strcmp(track->adapter.text, adapter) == 0;
+}
+
+typedef struct visit {
+	spot_t *spot;
+	const char *adapter;
+} visit_t;
+
+static void
+consider(void *ctx, at_server_t *server)
+{
+	visit_t *visit = ctx;
+	spot_t *spot = visit->spot;
+	const at_server_entry_t *entry = at_server_entry(server);
+	const at_held_model_t *model = NULL;
+	const at_held_adapter_t *victim = NULL;
+	const track_t *track;
+	double cost;
+
+	if (entry->service != spot->service || spot->there)
+		return;
+	track = track_of(spot->orders, entry);
+	if (track == NULL)
+		return;
+	if (at_server_holds(server, spot->model, spot->adapter) ||
+	    is_coming(track, spot, visit->adapter)) {
+		spot->there = 1;
+		return;
+	}
+	if (entry->leaving || !at_server_trusted(server, spot->now_us) ||
+	    !at_server_holds(server, spot->model, 0) ||
+	    track->state != TRACK_IDLE || track->adapter_ready_us != 0)
+		return;
+	cost = at_server_load(server).active;
+	if (adapters_held(entry) >= spot->slots) {
+		cost += 20. + 100. * find_victim(spot, entry, &model, &victim);
+		if (victim == NULL)
+			return;
+	}
+	if (spot->server != NULL && cost >= spot->cost)
+		return;
+	spot->server = server;
+	spot->victim_model = model;
+	spot->victim = victim;
+	spot->cost = cost;
+}
+
+void
+adapters_want(at_orders_io_t *orders, at_tag_t service, const at_name_t *model,
+    const at_name_t *adapter)
+{
+	const at_site_service_t *s =
+	    at_site_service(orders->entry->site, service);
+	char text[2 * AT_NAME_SIZE];
+	spot_t spot = {.orders = orders,
+	    .service = service,
+	    .model = at_tag(model->text),
+	    .slots = s == NULL ? 0 : s->adapter_slots,
+	    .now_us = at_clock_now_us()};
+	visit_t visit = {&spot, adapter->text};
+	track_t *track;
+
+	if (!orders_may_send(orders) || s == NULL)
+		return;
+	(void)snprintf(text, sizeof(text), "%s/%s", model->text, adapter->text);
+	spot.adapter = at_tag(text);
+	at_fleet_each(orders->entry->fleet, consider, &visit);
+	if (spot.there || spot.server == NULL)
+		return;
+	track = track_of(orders, at_server_entry(spot.server));
+	if (track == NULL)
+		return;
+	if (spot.victim == NULL) {
+		track_send(track, 1, model, adapter);
+		return;
+	}
+	track->next_model = *model;
+	track->next_adapter = *adapter;
+	track_send(track, 0, &spot.victim_model->name, &spot.victim->name);
+}
+
+static void
+own_want(void *ctx, const at_waiter_t *waiter)
+{
+	at_orders_io_t *orders = ctx;
+
+	if (waiter->work.adapter != 0)
+		adapters_want(orders, waiter->work.service,
+		    waiter->work.model_name, waiter->work.adapter_name);
+}
+
+void
+adapters_own_wants(at_orders_io_t *orders)
+{
+	if (orders_may_send(orders))
+		at_waiting_each(orders->entry->waiting, own_want, orders);
+}
+
+static void
+on_adapter_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	at_orders_io_t *orders = timer->data;
+	uint64_t now_us = at_clock_now_us();
+	uint64_t due_us = 0;
+	track_t *track;
+
+	(void)events;
+	for (track = orders->tracks; track != NULL; track = track->hh.next) {
+		at_server_t *server;
+
+		if (track->adapter_ready_us == 0)
+			continue;
+		if (track->adapter_ready_us > now_us) {
+			if (due_us == 0 || track->adapter_ready_us < due_us)
+				due_us = track->adapter_ready_us;
+			continue;
+		}
+		track->adapter_ready_us = 0;
+		server = at_fleet_find(orders->entry->fleet, track->server);
+		if (server == NULL)
+			continue;
+		at_server_note_adapter(server, &track->ready_model,
+		    &track->ready_adapter, 1, now_us);
+		orders_tell(orders, track->server, &track->ready_model,
+		    &track->ready_adapter, 1);
+	}
+	at_gossip_soon(orders->entry->gossip);
+	at_entry_place_waiting(orders->entry);
+	if (due_us == 0)
+		return;
+	ev_timer_set(timer, (double)(due_us - now_us) / 1e6, 0.);
+	ev_timer_start(loop, timer);
+}
+
+void
+adapters_accepted(track_t *track)
+{
+	at_orders_io_t *orders = track->orders;
+	at_server_t *server =
+	    at_fleet_find(orders->entry->fleet, track->server);
+	at_name_t model = track->next_model;
+	at_name_t adapter = track->next_adapter;
+
+	if (server == NULL)
+		return;
+	if (track->load) {
+		track->ready_model = track->model;
+		track->ready_adapter = track->adapter;
+		track->adapter_ready_us = at_clock_now_us() + ADAPTER_READY_US;
+		if (ev_is_active(&orders->adapter_timer))
+			return;
+		ev_timer_init(&orders->adapter_timer, on_adapter_timer,
+		    ADAPTER_READY_US / 1e6, 0.);
+		orders->adapter_timer.data = orders;
+		ev_timer_start(orders->entry->loop, &orders->adapter_timer);
+		return;
+	}
+	at_server_note_adapter(
+	    server, &track->model, &track->adapter, 0, at_clock_now_us());
+	orders_tell(orders, track->server, &track->model, &track->adapter, 0);
+	track->next_adapter.text[0] = '\0';
+	track->next_model.text[0] = '\0';
+	if (adapter.text[0] != '\0')
+		track_send(track, 1, &model, &adapter);
+}
--- /dev/null
+++ b/src/entry/sync.c
@@ -0,0 +1,257 @@
+#include "entry/sync.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "almondthread/log.h"
+#include "almondthread/mirror.h"
+#include "io/clock.h"
+#include "platform/names.h"
+#include "platform/server_decode.h"
+#include "platform/site_decode.h"
+
+/* Vanished servers may be back so long after the platform's return. */
+#define SERVERS_LINGER_MS 2000u
+
+/* One kind of objects. */
+typedef struct copy {
+	at_sync_t *sync;
+	const char *kind;
+	at_mirror_t *mirror;
+	at_objects_call_t *call; /* open, or NULL */
+	int was_away;
+	ev_timer timer;
+} copy_t;
+
+struct at_sync {
+	at_entry_t *entry;
+	at_objects_t objects;
+	copy_t config;
+	copy_t servers;
+};
+
+static void step(copy_t *copy);
+
+static void
+on_config_change(void *ctx, const at_object_t *object)
+{
+	copy_t *copy = ctx;
+	at_entry_t *entry = copy->sync->entry;
+	at_status_t status;
+	at_site_t *site;
+
+	if (strcmp(object->name, WIRE_CONFIG_NAME) != 0)
+		return;
+	at_status_clear(&status);
+	site = at_site_decode(object->spec, &entry->secret, &status);
+	if (site == NULL) {
+		at_log(AT_LOG_ERROR, "config", NULL,
+		    "unreadable object_version=%" PRIu64 " fault=\"%s\"",
+		    object->version, status.message);
+		return;
+	}
+	if (entry->site != NULL && site->version <= entry->site->version) {
+		at_log(AT_LOG_WARN, "config", NULL,
+		    "ignored version=%" PRIu64 " in_force=%" PRIu64,
+		    site->version, entry->site->version);
+		at_site_unref(site);
+		return;
+	}
+	at_entry_set_site(entry, site);
+}
+
+static void
+on_config_gone(void *ctx, const char *name)
+{
+	(void)ctx;
+	at_log(AT_LOG_ERROR, "config", NULL,
+	    "object vanished name=%s; the last one stays in force", name);
+}
+
+static void
+on_server_change(void *ctx, const at_object_t *object)
+{
+	copy_t *copy = ctx;
+	at_entry_t *entry = copy->sync->entry;
+	at_server_entry_t server;
+	const char *fault =
+	    at_server_decode(object->name, object->spec, &server);
+
+	if (fault != NULL) {
+		at_log(AT_LOG_WARN, "servers", NULL,
+		    "entry ignored name=%s object_version=%" PRIu64 " fault=%s",
+		    object->name, object->version, fault);
+		at_fleet_remove(entry->fleet, at_tag(object->name));
+		return;
+	}
+	if (at_fleet_apply(entry->fleet, &server, at_clock_now_us()) == NULL) {
+		at_log(AT_LOG_INFO, "servers", NULL,
+		    "entry overtaken name=%s object_version=%" PRIu64,
+		    object->name, object->version);
+		return;
+	}
+	at_log(AT_LOG_INFO, "servers", NULL,
+	    "entry name=%s address=%s leaving=%d models=%zu beat=%" PRIu64
+	    " object_version=%" PRIu64,
+	    object->name, server.address, server.leaving, server.held_count,
+	    server.beat, object->version);
+}
+
+static void
+on_server_gone(void *ctx, const char *name)
+{
+	copy_t *copy = ctx;
+
+	at_log(AT_LOG_INFO, "servers", NULL, "gone name=%s", name);
+	at_fleet_remove(copy->sync->entry->fleet, at_tag(name));
+}
+
+static void
+report_reach(copy_t *copy, at_objects_code_t code)
+{
+	int away = at_mirror_away(copy->mirror);
+
+	if (away == copy->was_away)
+		return;
+	copy->was_away = away;
+	if (away)
+		at_log(AT_LOG_WARN, "platform", NULL, "lost kind=%s result=%s",
+		    copy->kind, at_objects_code_names[code]);
+	else
+		at_log(AT_LOG_INFO, "platform", NULL,
+		    "regained kind=%s objects=%zu", copy->kind,
+		    at_mirror_count(copy->mirror));
+}
+
+static void
+on_page(void *ctx, const at_objects_page_t *page)
+{
+	copy_t *copy = ctx;
+
+	copy->call = NULL;
+	at_mirror_answer(copy->mirror, at_clock_now_ms(), page);
+	report_reach(copy, page->code);
+	step(copy);
+	at_entry_place_waiting(copy->sync->entry);
+}
+
+static void
+arm(copy_t *copy)
+{
+	struct ev_loop *loop = copy->sync->entry->loop;
+	uint64_t due_ms = at_mirror_due_ms(copy->mirror);
+	uint64_t now_ms = at_clock_now_ms();
+
+	ev_timer_stop(loop, &copy->timer);
+	if (due_ms == AT_MIRROR_NEVER)
+		return;
+	ev_timer_set(&copy->timer,
+	    due_ms > now_ms ? (double)(due_ms - now_ms) / AT_MS_PER_S : 0., 0.);
+	ev_timer_start(loop, &copy->timer);
+}
+
+static void
+step(copy_t *copy)
+{
+	const at_objects_t *objects = &copy->sync->objects;
+	const at_objects_page_t failed = {.code = AT_OBJECTS_SILENT};
+	at_mirror_action_t action;
+
+	at_mirror_process(copy->mirror, at_clock_now_ms(), &action);
+	if (action.step == AT_MIRROR_LIST)
+		copy->call = objects->list(
+		    objects->impl, copy->kind, action.after, on_page, copy);
+	else if (action.step == AT_MIRROR_WATCH)
+		copy->call = objects->watch(objects->impl, copy->kind,
+		    action.since, action.wait_ms, on_page, copy);
+	if (action.step != AT_MIRROR_WAIT && copy->call == NULL)
+		at_mirror_answer(copy->mirror, at_clock_now_ms(), &failed);
+	arm(copy);
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	copy_t *copy = timer->data;
+
+	(void)loop;
+	(void)events;
+	step(copy);
+}
+
+static int
+copy_init(at_sync_t *sync, copy_t *copy, const char *kind,
+    const at_mirror_sink_t *sink, uint32_t linger_ms)
+{
+	copy->sync = sync;
+	copy->kind = kind;
+	copy->mirror = at_mirror_new();
+	if (copy->mirror == NULL)
+		return -1;
+	at_mirror_set_sink(copy->mirror, sink);
+	at_mirror_set_linger(copy->mirror, linger_ms);
+	ev_timer_init(&copy->timer, on_timer, 0., 0.);
+	copy->timer.data = copy;
+	return 0;
+}
+
+at_sync_t *
+at_sync_new(at_entry_t *entry)
+{
+	at_sync_t *sync = calloc(1, sizeof(*sync));
+	const at_mirror_sink_t config_sink = {on_config_change, on_config_gone,
+	    sync == NULL ? NULL : &sync->config};
+	const at_mirror_sink_t servers_sink = {on_server_change, on_server_gone,
+	    sync == NULL ? NULL : &sync->servers};
+
+	if (sync == NULL)
+		return NULL;
+	sync->entry = entry;
+	sync->objects = at_wire_store_objects(entry->wire_store);
+	if (copy_init(sync, &sync->config, WIRE_KIND_CONFIG, &config_sink, 0) !=
+		0 ||
+	    copy_init(sync, &sync->servers, WIRE_KIND_SERVERS, &servers_sink,
+		SERVERS_LINGER_MS) != 0) {
+		at_sync_delete(sync);
+		return NULL;
+	}
+	return sync;
+}
+
+void
+at_sync_start(at_sync_t *sync)
+{
+	step(&sync->config);
+	step(&sync->servers);
+}
+
+void
+at_sync_delete(at_sync_t *sync)
+{
+	copy_t *copies[] = {&sync->config, &sync->servers};
+	size_t i;
+
+	for (i = 0; i < sizeof(copies) / sizeof(copies[0]); i++) {
+		ev_timer_stop(sync->entry->loop, &copies[i]->timer);
+		if (copies[i]->call != NULL)
+			sync->objects.cancel(
+			    sync->objects.impl, copies[i]->call);
+		at_mirror_delete(copies[i]->mirror);
+	}
+	free(sync);
+}
+
+int
+at_sync_complete(const at_sync_t *sync)
+{
+	return at_mirror_synced(sync->config.mirror) &&
+	       at_mirror_synced(sync->servers.mirror);
+}
+
+int
+at_sync_away(const at_sync_t *sync)
+{
+	return at_mirror_away(sync->config.mirror) ||
+	       at_mirror_away(sync->servers.mirror);
+}
--- /dev/null
+++ b/src/entry/sync.h
@@ -0,0 +1,19 @@
+/*
+ * sync.h - copies of the platform's configuration and of its list of backend
+ * servers, kept by list and watch.
+ */
+#ifndef ALMONDTHREAD_ENTRY_SYNC_H
+#define ALMONDTHREAD_ENTRY_SYNC_H
+
+#include "entry/entry.h"
+
+at_sync_t *at_sync_new(at_entry_t *entry);
+/* at_sync_start() makes the first calls. */
+void at_sync_start(at_sync_t *sync);
+void at_sync_delete(at_sync_t *sync);
+/* at_sync_complete() tells whether both were ever read whole. */
+int at_sync_complete(const at_sync_t *sync);
+/* at_sync_away() tells whether the last call of either failed. */
+int at_sync_away(const at_sync_t *sync);
+
+#endif
--- a/src/io/counters.c
+++ b/src/io/counters.c
@@ -15,8 +15,23 @@
 	UT_hash_handle hh;
 } counter_t;
 
+/* Upper bounds of a histogram's buckets, in ms; one more has no bound. */
+static const uint64_t bounds_ms[] = {1, 2, 5, 10, 20, 50, 100, 200, 500, 1000,
+    2000, 5000, 10000, 20000};
+#define BOUNDS (sizeof(bounds_ms) / sizeof(bounds_ms[0]))
+
+typedef struct histogram {
+	char key[KEY_SIZE]; /* its name and label */
+	char name[KEY_SIZE / 2];
+	char label[KEY_SIZE / 2]; /* label="value" */
+	uint64_t buckets[BOUNDS + 1];
+	uint64_t sum_ms;
+	UT_hash_handle hh;
+} histogram_t;
+
 struct at_counters {
 	counter_t *table;
+	histogram_t *histograms;
 };
 
 static void
@@ -71,9 +86,16 @@
 {
 	counter_t *counter;
 	counter_t *tmp;
+	histogram_t *histogram;
+	histogram_t *next;
 
 	if (counters == NULL)
 		return;
+	HASH_ITER(hh, counters->histograms, histogram, next)
+	{
+		HASH_DEL(counters->histograms, histogram);
+		free(histogram);
+	}
 	HASH_ITER(hh, counters->table, counter, tmp)
 	{
 		HASH_DEL(counters->table, counter);
@@ -102,6 +124,44 @@
 		counter->value = n;
 }
 
+static histogram_t *
+find_or_add_histogram(at_counters_t *counters, const char *name,
+    const char *label, const char *value)
+{
+	char key[KEY_SIZE];
+	histogram_t *histogram;
+
+	format_key(key, name, label, value);
+	HASH_FIND_STR(counters->histograms, key, histogram);
+	if (histogram != NULL)
+		return histogram;
+	histogram = calloc(1, sizeof(*histogram));
+	if (histogram == NULL)
+		return NULL;
+	memcpy(histogram->key, key, sizeof(key));
+	(void)snprintf(histogram->name, sizeof(histogram->name), "%s", name);
+	(void)snprintf(histogram->label, sizeof(histogram->label),
+	    "%s=\"%s\"", label, value);
+	HASH_ADD_STR(counters->histograms, key, histogram);
+	return histogram;
+}
+
+void
+at_counters_observe(at_counters_t *counters, const char *name,
+    const char *label, const char *value, uint64_t ms)
+{
+	histogram_t *histogram =
+	    find_or_add_histogram(counters, name, label, value);
+	size_t i = 0;
+
+	if (histogram == NULL)
+		return;
+	while (i < BOUNDS && ms > bounds_ms[i])
+		i++;
+	histogram->buckets[i]++;
+	histogram->sum_ms += ms;
+}
+
 uint64_t
 at_counters_get(const at_counters_t *counters, const char *name,
     const char *label, const char *value)
@@ -134,11 +194,34 @@
 	return strcmp(a->key, b->key);
 }
 
+static void
+print_histogram(FILE *out, const histogram_t *h)
+{
+	uint64_t count = 0;
+	size_t i;
+
+	for (i = 0; i < BOUNDS; i++) {
+		count += h->buckets[i];
+		(void)fprintf(out,
+		    "almondthread_%s_bucket{%s,le=\"%" PRIu64 "\"} %" PRIu64
+		    "\n",
+		    h->name, h->label, bounds_ms[i], count);
+	}
+	count += h->buckets[BOUNDS];
+	(void)fprintf(out,
+	    "almondthread_%s_bucket{%s,le=\"+Inf\"} %" PRIu64 "\n"
+	    "almondthread_%s_sum{%s} %" PRIu64 "\n"
+	    "almondthread_%s_count{%s} %" PRIu64 "\n",
+	    h->name, h->label, count, h->name, h->label, h->sum_ms, h->name,
+	    h->label, count);
+}
+
 char *
 at_counters_text(const at_counters_t *counters)
 {
 	/* Sorting only relinks the table; the counters stay as they are. */
 	at_counters_t *mutable = (at_counters_t *)(uintptr_t)counters;
+	const histogram_t *histogram;
 	counter_t *counter;
 	char *text = NULL;
 	size_t size = 0;
@@ -151,6 +234,9 @@
 	     counter = counter->hh.next)
 		(void)fprintf(
 		    out, "%s %" PRIu64 "\n", counter->key, counter->value);
+	for (histogram = counters->histograms; histogram != NULL;
+	     histogram = histogram->hh.next)
+		print_histogram(out, histogram);
 	if (fclose(out) != 0) {
 		free(text);
 		return NULL;
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -1,7 +1,10 @@
 #include "io/httpc.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <curl/curl.h>
 
@@ -10,6 +13,15 @@
 #define CONNECTION_AGE_S 600L       /* nor one that lived longer */
 #define DEFAULT_MAX_CONNECTIONS 512L
 
+/*
+ * A connection may go silent for good without a reset. Probes on an idle one
+ * and a bound on unacknowledged bytes end it after about three seconds.
+ */
+#define PROBE_IDLE_S 1
+#define PROBE_EVERY_S 1
+#define PROBES_MAX 2
+#define UNACKNOWLEDGED_MS 3000
+
 struct at_transfer {
 	at_httpc_t *httpc;
 	at_transfer_t *next;
@@ -376,6 +388,8 @@
 	at_transfer_t *transfer = ctx;
 	size_t len = size * count;
 
+	if (transfer->cancelled)
+		return 0;
 	/* An empty line ends the head. */
 	if (len <= 2 && data[0] == '\r') {
 		transfer->httpc->running++;
@@ -394,6 +408,8 @@
 	size_t len = size * count;
 	int pause = 0;
 
+	if (transfer->cancelled)
+		return CURL_WRITEFUNC_ERROR;
 	limit_start(transfer, transfer->idle_ms);
 	if (transfer->events.on_data == NULL)
 		return len;
@@ -410,6 +426,28 @@
 	return len;
 }
 
+static int
+sockopt_function(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+	static const struct {
+		int level;
+		int name;
+		int value;
+	} options[] = {{SOL_SOCKET, SO_KEEPALIVE, 1},
+	    {IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S},
+	    {IPPROTO_TCP, TCP_KEEPINTVL, PROBE_EVERY_S},
+	    {IPPROTO_TCP, TCP_KEEPCNT, PROBES_MAX},
+	    {IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS}};
+	size_t i;
+
+	(void)ctx;
+	(void)purpose;
+	for (i = 0; i < sizeof(options) / sizeof(options[0]); i++)
+		(void)setsockopt(fd, options[i].level, options[i].name,
+		    &options[i].value, sizeof(options[i].value));
+	return CURL_SOCKOPT_OK;
+}
+
 static int
 set_options(at_transfer_t *transfer, const at_transfer_spec_t *spec)
 {
@@ -434,7 +472,11 @@
 	(void)curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, CONNECTION_IDLE_S);
 	(void)curl_easy_setopt(
 	    easy, CURLOPT_MAXLIFETIME_CONN, CONNECTION_AGE_S);
-	(void)curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	(void)curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, sockopt_function);
+	(void)curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+	if (spec->target != NULL)
+		(void)curl_easy_setopt(
+		    easy, CURLOPT_REQUEST_TARGET, spec->target);
 	(void)curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, header_function);
 	(void)curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
 	(void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, write_function);
@@ -533,3 +575,14 @@
 		return NULL;
 	return header->value;
 }
+
+void
+at_transfer_each_header(const at_transfer_t *transfer,
+    void (*visit)(void *ctx, const char *name, const char *value), void *ctx)
+{
+	struct curl_header *header = NULL;
+
+	while ((header = curl_easy_nextheader(
+		    transfer->easy, CURLH_HEADER, -1, header)) != NULL)
+		visit(ctx, header->name, header->value);
+}
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -44,7 +44,8 @@
  */
 typedef struct at_transfer_spec {
 	const char *method;
-	const char *url; /* with an IP literal */
+	const char *url;    /* with an IP literal */
+	const char *target; /* path and query to send as they are, or NULL */
 	const char *const *headers;
 	const void *body;
 	size_t body_len;
@@ -87,5 +88,8 @@
 void at_transfer_resume(at_transfer_t *transfer);
 /* at_transfer_header() returns an answer's header in on_head, or NULL. */
 const char *at_transfer_header(const at_transfer_t *transfer, const char *name);
+/* at_transfer_each_header() visits an answer's headers in on_head. */
+void at_transfer_each_header(const at_transfer_t *transfer,
+    void (*visit)(void *ctx, const char *name, const char *value), void *ctx);
 
 #endif
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -83,18 +83,18 @@
 	(void)sodium_bin2hex(id, AT_HTTPD_ID_DIGITS + 1, bytes, sizeof(bytes));
 }
 
-static at_httpd_request_t *
-request_new(at_httpd_t *httpd, struct MHD_Connection *connection,
-    const char *method, const char *path)
+/* The library calls this with the request line, before its headers. */
+static void *
+request_new(void *cls, const char *target, struct MHD_Connection *connection)
 {
+	at_httpd_t *httpd = cls;
 	at_httpd_request_t *request = calloc(1, sizeof(*request));
 
 	if (request == NULL)
 		return NULL;
 	request->httpd = httpd;
 	request->connection = connection;
-	request->path = strdup(path);
-	(void)snprintf(request->method, sizeof(request->method), "%s", method);
+	request->target = strdup(target);
 	make_id(request->id);
 	request->started_at = ev_now(httpd->loop);
 	request->next = httpd->requests;
@@ -120,6 +120,7 @@
 	if (request->response != NULL)
 		MHD_destroy_response(request->response);
 	free(request->path);
+	free(request->target);
 	free(request->body);
 	free(request->out);
 	free(request);
@@ -233,6 +234,15 @@
 	return body_append(request, data, len);
 }
 
+static int
+begin(at_httpd_request_t *request, const char *method, const char *path)
+{
+	request->begun = 1;
+	request->path = strdup(path);
+	(void)snprintf(request->method, sizeof(request->method), "%s", method);
+	return request->path == NULL || request->target == NULL ? -1 : 0;
+}
+
 /*
  * The library calls this with the headers, with each part of the body, with
  * the end of the body, and once more after each resume until a response is
@@ -246,13 +256,14 @@
 	at_httpd_t *httpd = cls;
 	at_httpd_request_t *request = *request_cls;
 
+	(void)connection;
 	(void)version;
 	if (httpd->aborting)
 		return MHD_NO;
-	if (request == NULL) {
-		request = request_new(httpd, connection, method, url);
-		*request_cls = request;
-		if (request == NULL)
+	if (request == NULL)
+		return MHD_NO;
+	if (!request->begun) {
+		if (begin(request, method, url) != 0)
 			return MHD_NO;
 		request->fault = fault_of_head(request);
 		if (request->fault == AT_HTTPD_SOUND)
@@ -465,7 +476,8 @@
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
 	    MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS,
 	    MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_IDLE_S,
-	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd, MHD_OPTION_END);
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd,
+	    MHD_OPTION_URI_LOG_CALLBACK, request_new, httpd, MHD_OPTION_END);
 	if (httpd->daemon == NULL) {
 		(void)close(httpd->listen_fd);
 		httpd->listen_fd = -1;
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -95,8 +95,10 @@
 const char *at_httpd_id(const at_httpd_request_t *request);
 at_httpd_fault_t at_httpd_fault(const at_httpd_request_t *request);
 const char *at_httpd_method(const at_httpd_request_t *request);
-/* The path without the query. */
+/* The path without the query, decoded. */
 const char *at_httpd_path(const at_httpd_request_t *request);
+/* Path and query as the caller sent them. */
+const char *at_httpd_target(const at_httpd_request_t *request);
 /* A header or query argument, or NULL. */
 const char *at_httpd_header(
     const at_httpd_request_t *request, const char *name);
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -25,8 +25,10 @@
 	struct MHD_Connection *connection;
 	at_httpd_request_t *next;
 	at_httpd_request_t *prev;
-	char *path;
+	char *path;   /* decoded, without the query */
+	char *target; /* as the caller sent it */
 	char method[16];
+	int begun; /* its headers have been seen */
 	char id[AT_HTTPD_ID_DIGITS + 1];
 	char *body;
 	size_t body_len;
--- a/src/io/httpd_request.c
+++ b/src/io/httpd_request.c
@@ -50,6 +50,12 @@
 	return request->path;
 }
 
+const char *
+at_httpd_target(const at_httpd_request_t *request)
+{
+	return request->target;
+}
+
 const char *
 at_httpd_header(const at_httpd_request_t *request, const char *name)
 {
--- a/src/io/log.c
+++ b/src/io/log.c
@@ -1,15 +1,105 @@
 #include "almondthread/log.h"
 
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 #include <time.h>
+#include <unistd.h>
 
-#define LINE_SIZE 1024 /* bytes of one line */
+#define LINE_SIZE 1024          /* bytes of one line */
+#define BUFFER_SIZE (64u << 10) /* bytes kept for a reader that is slow */
+#define FLUSH_AT (8u << 10)     /* bytes that are worth a write */
 
 const char *const at_log_level_names[] = {"error", "warn", "info", "debug"};
 
 static at_log_level_t log_level = AT_LOG_INFO;
 
+/* Lines on their way to standard output. */
+static struct {
+	int on;
+	unsigned lines_per_s;
+	time_t second; /* the one that is being counted */
+	unsigned lines; /* in it */
+	unsigned long suppressed;
+	unsigned long told; /* of those, in a line */
+	char buffer[BUFFER_SIZE];
+	size_t len;
+} out;
+
+void
+at_log_to_stdout(unsigned lines_per_s)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags >= 0)
+		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	out.on = 1;
+	out.lines_per_s = lines_per_s;
+}
+
+void
+at_log_flush(void)
+{
+	ssize_t written;
+
+	if (out.len == 0)
+		return;
+	written = write(STDOUT_FILENO, out.buffer, out.len);
+	if (written <= 0)
+		return;
+	out.len -= (size_t)written;
+	memmove(out.buffer, out.buffer + written, out.len);
+}
+
+unsigned long
+at_log_suppressed(void)
+{
+	return out.suppressed;
+}
+
+static int
+append(const char *line, size_t len)
+{
+	if (out.len + len + 1 > BUFFER_SIZE)
+		at_log_flush();
+	if (out.len + len + 1 > BUFFER_SIZE)
+		return -1;
+	memcpy(out.buffer + out.len, line, len);
+	out.len += len;
+	out.buffer[out.len++] = '\n';
+	if (out.len >= FLUSH_AT)
+		at_log_flush();
+	return 0;
+}
+
+static void
+tell_suppressed(void)
+{
+	char line[64];
+	int len = snprintf(line, sizeof(line), "log: suppressed lines=%lu",
+	    out.suppressed - out.told);
+
+	if (append(line, (size_t)len) == 0)
+		out.told = out.suppressed;
+}
+
+static void
+put_line(const char *line, size_t len)
+{
+	struct timespec now;
+
+	(void)clock_gettime(CLOCK_MONOTONIC, &now);
+	if (now.tv_sec != out.second) {
+		out.second = now.tv_sec;
+		out.lines = 0;
+		if (out.suppressed > out.told)
+			tell_suppressed();
+	}
+	if (++out.lines > out.lines_per_s || append(line, len) != 0)
+		out.suppressed++;
+}
+
 void
 at_log_set_level(at_log_level_t level)
 {
@@ -49,5 +139,8 @@
 		(void)vsnprintf(line + len, sizeof(line) - len, fmt, ap);
 		va_end(ap);
 	}
-	(void)fprintf(stderr, "%s\n", line);
+	if (out.on)
+		put_line(line, strlen(line));
+	else
+		(void)fprintf(stderr, "%s\n", line);
 }
--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -29,6 +29,22 @@
 	return 0;
 }
 
+static int
+store_decimal(const at_setting_t *row, const char *text, at_status_t *status)
+{
+	char *end;
+	double number = strtod(text, &end);
+
+	if (text[0] < '0' || text[0] > '9' || *end != '\0') {
+		(void)at_status_set(status, AT_INVALID,
+		    "--%s: expected a decimal number, not '%s'", row->flag,
+		    text);
+		return -1;
+	}
+	*(double *)row->value = number;
+	return 0;
+}
+
 static int
 store_text(const at_setting_t *row, const char *text, at_status_t *status)
 {
@@ -56,6 +72,8 @@
 	}
 	if (row->type == AT_SETTING_NUMBER || row->type == AT_SETTING_FLAG)
 		return store_number(row, text, status);
+	if (row->type == AT_SETTING_DECIMAL)
+		return store_decimal(row, text, status);
 	return store_text(row, text, status);
 }
 
@@ -78,11 +96,134 @@
 	}
 }
 
+/* One line of a settings file. */
+typedef struct file_line {
+	char *flag;
+	char *value;
+} file_line_t;
+
+struct at_settings_file {
+	char *text;
+	file_line_t *lines;
+	size_t count;
+};
+
+void
+at_settings_file_delete(at_settings_file_t *file)
+{
+	if (file == NULL)
+		return;
+	free(file->lines);
+	free(file->text);
+	free(file);
+}
+
+static char *
+read_whole(const char *path, at_status_t *status)
+{
+	FILE *in = fopen(path, "r");
+	char *text = NULL;
+	size_t size = 0;
+
+	if (in == NULL || getdelim(&text, &size, '\0', in) < 0) {
+		(void)at_status_set(
+		    status, AT_INVALID, "%s: %s", path, strerror(errno));
+		free(text);
+		text = NULL;
+	}
+	if (in != NULL)
+		(void)fclose(in);
+	return text;
+}
+
+static int
+is_setting(const at_setting_t *rows, size_t count, const char *flag)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (strcmp(rows[i].flag, flag) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+/* Takes a line apart in place; returns -1 when it is no setting. */
+static int
+add_line(at_settings_file_t *file, const at_setting_t *rows, size_t count,
+    char *line)
+{
+	char *equals = strchr(line, '=');
+	file_line_t *grown;
+
+	if (line[0] == '\0' || line[0] == '#')
+		return 0;
+	if (equals == NULL)
+		return -1;
+	*equals = '\0';
+	if (!is_setting(rows, count, line))
+		return -1;
+	grown = realloc(file->lines, (file->count + 1) * sizeof(*grown));
+	if (grown == NULL)
+		return -1;
+	file->lines = grown;
+	file->lines[file->count].flag = line;
+	file->lines[file->count].value = equals + 1;
+	file->count++;
+	return 0;
+}
+
+at_settings_file_t *
+at_settings_file_read(const char *path, const at_setting_t *rows, size_t count,
+    at_status_t *status)
+{
+	at_settings_file_t *file = calloc(1, sizeof(*file));
+	unsigned number = 0;
+	char *rest;
+	char *line;
+
+	if (file == NULL) {
+		(void)at_status_set(status, AT_FAILED, "no memory");
+		return NULL;
+	}
+	file->text = read_whole(path, status);
+	rest = file->text;
+	while (rest != NULL && (line = strsep(&rest, "\n")) != NULL) {
+		number++;
+		if (add_line(file, rows, count, line) == 0)
+			continue;
+		(void)at_status_set(status, AT_INVALID,
+		    "%s, line %u: '%s' is no setting", path, number, line);
+		at_settings_file_delete(file);
+		return NULL;
+	}
+	if (file->text == NULL) {
+		at_settings_file_delete(file);
+		return NULL;
+	}
+	return file;
+}
+
+static const char *
+file_value(const at_settings_file_t *file, const char *flag)
+{
+	size_t i;
+
+	for (i = 0; file != NULL && i < file->count; i++) {
+		if (strcmp(file->lines[i].flag, flag) == 0)
+			return file->lines[i].value;
+	}
+	return NULL;
+}
+
 static int
-read_row(const at_setting_t *row, void *arg, at_status_t *status)
+read_row(const at_setting_t *row, void *arg, const at_settings_file_t *file,
+    at_status_t *status)
 {
-	const char *text = row->fallback;
+	const char *text = file_value(file, row->flag);
 
+	if (text == NULL || text[0] == '\0')
+		text = row->fallback;
 	if (row->variable != NULL && getenv(row->variable) != NULL)
 		text = getenv(row->variable);
 	if (row->type == AT_SETTING_FLAG) {
@@ -134,6 +275,13 @@
 int
 at_settings_read(const at_setting_t *rows, size_t count, int argc, char **argv,
     at_status_t *status)
+{
+	return at_settings_read_with(rows, count, argc, argv, NULL, status);
+}
+
+int
+at_settings_read_with(const at_setting_t *rows, size_t count, int argc,
+    char **argv, const at_settings_file_t *file, at_status_t *status)
 {
 	struct arg_end *end = NULL;
 	void **table = make_table(rows, count, &end);
@@ -152,7 +300,7 @@
 		result = 1;
 	}
 	for (i = 0; i < count && result == 0; i++)
-		result = read_row(&rows[i], table[i], status);
+		result = read_row(&rows[i], table[i], file, status);
 	arg_freetable(table, count + 2);
 	free(table);
 	return result;
