Look past watches that hear nothing; leave nothing open at a stop

Idle connections are closed when the balancer has turned away, later requests and those that wait are refused as not run, what is open at the end of the grace is answered.

Ruled out: shorter waits of every watch (calls are priced).

--- a/include/almondthread/attempt.h
+++ b/include/almondthread/attempt.h
@@ -130,6 +130,8 @@
 void at_attempts_failed(at_attempts_t *attempts, uint32_t k, at_reason_t reason,
     at_verdict_t verdict, uint64_t now_ms);
 void at_attempts_caller_gone(at_attempts_t *attempts, uint64_t now_ms);
+/* The owner ends the request, whatever is open; reason is told. */
+void at_attempts_abandon(at_attempts_t *attempts, at_reason_t reason);
 void at_attempts_tick(at_attempts_t *attempts, uint64_t now_ms);
 
 /* at_attempts_due_ms() returns when a tick is due, or AT_ATTEMPTS_NEVER. */
--- a/include/almondthread/mirror.h
+++ b/include/almondthread/mirror.h
@@ -51,6 +51,15 @@
 /* at_mirror_answer() takes the answer of that call. */
 void at_mirror_answer(
     at_mirror_t *mirror, uint64_t now_ms, const at_objects_page_t *page);
+/*
+ * at_mirror_look() takes a list that was read besides, to find out whether
+ * the watch still hears of changes. Returns non-zero when it did not: the
+ * owner then drops the open call and says so with at_mirror_relist().
+ */
+int at_mirror_look(
+    at_mirror_t *mirror, uint64_t now_ms, const at_objects_page_t *page);
+/* at_mirror_relist() forgets the open call; a list is due at once. */
+void at_mirror_relist(at_mirror_t *mirror);
 /* at_mirror_due_ms() returns when at_mirror_process() is due again. */
 uint64_t at_mirror_due_ms(const at_mirror_t *mirror);
 
--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -57,6 +57,9 @@
  * that should take a free lease; all that hear each other agree.
  */
 int at_roster_is_first(const at_roster_t *roster, uint64_t now_us);
+/* The same among the instances of its own data centre. */
+int at_roster_is_first_of(
+    const at_roster_t *roster, at_tag_t data_centre, uint64_t now_us);
 
 /* Visits every other instance; visit may remove the one it gets. */
 void at_roster_each(at_roster_t *roster,
--- a/include/almondthread/waiting.h
+++ b/include/almondthread/waiting.h
@@ -69,6 +69,8 @@
  */
 at_waiter_t *at_waiting_next(
     at_waiting_t *waiting, uint64_t now_us, at_choice_t *choice);
+/* at_waiting_first() returns the one that goes first, or NULL. */
+at_waiter_t *at_waiting_first(const at_waiting_t *waiting);
 /* at_waiting_expired() takes out a request whose time to wait is over. */
 at_waiter_t *at_waiting_expired(at_waiting_t *waiting, uint64_t now_us);
 /* at_waiting_due_us() returns when the next one's time is over. */
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -276,6 +276,37 @@
 		take_watch(mirror, page);
 }
 
+int
+at_mirror_look(
+    at_mirror_t *mirror, uint64_t now_ms, const at_objects_page_t *page)
+{
+	int missed = 0;
+	size_t i;
+
+	if (page->code != AT_OBJECTS_OK || mirror->listing)
+		return 0;
+	mirror->now_ms = now_ms;
+	for (i = 0; i < page->count; i++) {
+		const known_t *known;
+
+		HASH_FIND_STR(mirror->objects, page->objects[i].name, known);
+		if (known != NULL &&
+		    known->version >= page->objects[i].version)
+			continue;
+		missed = 1;
+		change(mirror, &page->objects[i]);
+	}
+	return missed;
+}
+
+void
+at_mirror_relist(at_mirror_t *mirror)
+{
+	begin_list(mirror);
+	mirror->open = 0;
+	mirror->next_call_ms = 0;
+}
+
 uint64_t
 at_mirror_due_ms(const at_mirror_t *mirror)
 {
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -142,18 +142,27 @@
 }
 
 int
-at_roster_is_first(const at_roster_t *roster, uint64_t now_us)
+at_roster_is_first_of(
+    const at_roster_t *roster, at_tag_t data_centre, uint64_t now_us)
 {
 	const entry_t *entry;
 
 	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
 		if (is_heard(&entry->member, now_us) &&
+		    (data_centre == 0 ||
+			entry->member.data_centre == data_centre) &&
 		    entry->member.tag < roster->self_tag)
 			return 0;
 	}
 	return 1;
 }
 
+int
+at_roster_is_first(const at_roster_t *roster, uint64_t now_us)
+{
+	return at_roster_is_first_of(roster, 0, now_us);
+}
+
 void
 at_roster_each(at_roster_t *roster,
     void (*visit)(void *ctx, at_roster_member_t *member), void *ctx)
--- a/src/core/fleet/waiting.c
+++ b/src/core/fleet/waiting.c
@@ -231,6 +231,12 @@
 	return waiter;
 }
 
+at_waiter_t *
+at_waiting_first(const at_waiting_t *waiting)
+{
+	return waiting->head;
+}
+
 at_waiter_t *
 at_waiting_expired(at_waiting_t *waiting, uint64_t now_us)
 {
--- a/src/core/requests/attempt.c
+++ b/src/core/requests/attempt.c
@@ -468,12 +468,18 @@
 	ended(a, k, reason, verdict, now_ms);
 }
 
+void
+at_attempts_abandon(at_attempts_t *a, at_reason_t reason)
+{
+	if (!a->finished)
+		give_up(a, reason);
+}
+
 void
 at_attempts_caller_gone(at_attempts_t *a, uint64_t now_ms)
 {
 	(void)now_ms;
-	if (!a->finished)
-		give_up(a, AT_REASON_CALLER_GONE);
+	at_attempts_abandon(a, AT_REASON_CALLER_GONE);
 }
 
 static at_reason_t
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -20,6 +20,7 @@
 #define OUTPUT_GUESS_PERCENT 60u /* of the most, without a caller's guess */
 #define RELAXED_MS 1500u         /* objectives from here on leave room */
 #define NO_CONFIG_RETRY_MS 500u
+#define STOPPING_RETRY_MS 10u /* another instance can take it at once */
 #define BODY_SIZE 320
 
 /* What is said to a caller that gets no backend server's answer. */
@@ -598,6 +599,12 @@
 	const char *unreadable = at_caller_read(request, &head);
 
 	at_counters_add(entry->counters, "requests_total", NULL, NULL, 1);
+	/* Its end would come after that of this process. */
+	if (entry->state == AT_ENTRY_STOPPING) {
+		refuse_head(entry, request, &head, AT_REASON_STOPPING,
+		    STOPPING_RETRY_MS, "");
+		return;
+	}
 	if (entry->site == NULL) {
 		refuse_head(entry, request, &head, AT_REASON_NO_CONFIG,
 		    NO_CONFIG_RETRY_MS, "");
@@ -661,3 +668,31 @@
 		call_pump(call);
 	}
 }
+
+void
+at_calls_refuse_waiting(at_entry_t *entry)
+{
+	at_waiter_t *waiter;
+
+	while ((waiter = at_waiting_first(entry->waiting)) != NULL) {
+		at_call_t *call = call_of(waiter);
+
+		at_waiting_remove(entry->waiting, waiter);
+		call->refusal_retry_ms = STOPPING_RETRY_MS;
+		at_attempts_unplaced(call->machine, call->placing,
+		    AT_REASON_STOPPING, at_clock_now_ms());
+		call_pump(call);
+	}
+}
+
+void
+at_calls_abandon(at_entry_t *entry)
+{
+	at_call_t *call;
+
+	for (call = entry->calls; call != NULL; call = call->next) {
+		call->refusal_retry_ms = STOPPING_RETRY_MS;
+		at_attempts_abandon(call->machine, AT_REASON_STOPPING);
+		call_pump(call);
+	}
+}
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -191,7 +191,9 @@
 		if (waited_ms < DRAIN_MS)
 			return;
 		at_httpd_quiesce(entry->callers);
+		at_httpd_close_idle(entry->callers);
 		entry->state = AT_ENTRY_STOPPING;
+		at_calls_refuse_waiting(entry);
 		at_log(AT_LOG_INFO, "entry", NULL,
 		    "takes no more connections open=%zu", open);
 		return;
@@ -200,9 +202,14 @@
 		return;
 	if (open > 0 && waited_ms + STOP_MARGIN_MS < grace_ms)
 		return;
-	if (open > 0)
+	if (open > 0 && !entry->abandoned) {
 		at_log(AT_LOG_ERROR, "entry", NULL,
 		    "cuts requests at the end of the grace open=%zu", open);
+		/* The answers go out before the next look. */
+		entry->abandoned = 1;
+		at_calls_abandon(entry);
+		return;
+	}
 	ev_timer_stop(loop, timer);
 	ev_break(loop, EVBREAK_ALL);
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -90,6 +90,7 @@
 	ev_timer tick;
 	ev_timer stop_timer;
 	uint64_t stop_since_ms;
+	int abandoned; /* what was open at the end of the grace was ended */
 } at_entry_t;
 
 at_entry_t *at_entry_new(
--- a/src/entry/orders_adapters.c
+++ b/src/entry/orders_adapters.c
@@ -130,8 +130,9 @@
 adapters_want(at_orders_io_t *orders, at_tag_t service, const at_name_t *model,
     const at_name_t *adapter)
 {
+	const at_site_t *site = orders->entry->site;
 	const at_site_service_t *s =
-	    at_site_service(orders->entry->site, service);
+	    site == NULL ? NULL : at_site_service(site, service);
 	char text[2 * AT_NAME_SIZE];
 	spot_t spot = {.orders = orders,
 	    .service = service,
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -29,6 +29,7 @@
 	at_objects_t objects;
 	copy_t config;
 	copy_t servers;
+	at_objects_call_t *look; /* open, or NULL */
 };
 
 static void step(copy_t *copy);
@@ -124,14 +125,66 @@
 		    at_mirror_count(copy->mirror));
 }
 
+static void
+relist(copy_t *copy)
+{
+	if (copy->call != NULL)
+		copy->sync->objects.cancel(
+		    copy->sync->objects.impl, copy->call);
+	copy->call = NULL;
+	at_mirror_relist(copy->mirror);
+	step(copy);
+}
+
+/* Where one watch lost its history, the other hears nothing either. */
+static void
+relist_other(copy_t *copy)
+{
+	at_sync_t *sync = copy->sync;
+	copy_t *other = copy == &sync->config ? &sync->servers : &sync->config;
+
+	at_log(AT_LOG_WARN, "platform", NULL,
+	    "history lost kind=%s; listing kind=%s too", copy->kind,
+	    other->kind);
+	relist(other);
+}
+
+static void
+on_look(void *ctx, const at_objects_page_t *page)
+{
+	at_sync_t *sync = ctx;
+
+	sync->look = NULL;
+	if (!at_mirror_look(sync->config.mirror, at_clock_now_ms(), page))
+		return;
+	at_log(AT_LOG_WARN, "platform", NULL,
+	    "a watch missed changes kind=%s", sync->config.kind);
+	relist(&sync->config);
+	relist(&sync->servers);
+}
+
+void
+at_sync_look(at_sync_t *sync)
+{
+	if (sync->look != NULL || !at_mirror_synced(sync->config.mirror))
+		return;
+	sync->look = sync->objects.list(
+	    sync->objects.impl, sync->config.kind, NULL, on_look, sync);
+}
+
 static void
 on_page(void *ctx, const at_objects_page_t *page)
 {
 	copy_t *copy = ctx;
 
 	copy->call = NULL;
+	at_log(AT_LOG_DEBUG, "platform", NULL,
+	    "answer kind=%s result=%s objects=%zu as_of=%" PRIu64, copy->kind,
+	    at_objects_code_names[page->code], page->count, page->as_of);
 	at_mirror_answer(copy->mirror, at_clock_now_ms(), page);
 	report_reach(copy, page->code);
+	if (page->code == AT_OBJECTS_HISTORY_GONE)
+		relist_other(copy);
 	step(copy);
 	at_entry_place_waiting(copy->sync->entry);
 }
@@ -232,6 +285,8 @@
 	copy_t *copies[] = {&sync->config, &sync->servers};
 	size_t i;
 
+	if (sync->look != NULL)
+		sync->objects.cancel(sync->objects.impl, sync->look);
 	for (i = 0; i < sizeof(copies) / sizeof(copies[0]); i++) {
 		ev_timer_stop(sync->entry->loop, &copies[i]->timer);
 		if (copies[i]->call != NULL)
--- a/src/entry/sync.h
+++ b/src/entry/sync.h
@@ -11,6 +11,11 @@
 /* at_sync_start() makes the first calls. */
 void at_sync_start(at_sync_t *sync);
 void at_sync_delete(at_sync_t *sync);
+/*
+ * at_sync_look() reads the configuration besides its watch, which may have
+ * gone deaf; a call that is open already is enough.
+ */
+void at_sync_look(at_sync_t *sync);
 /* at_sync_complete() tells whether both were ever read whole. */
 int at_sync_complete(const at_sync_t *sync);
 /* at_sync_away() tells whether the last call of either failed. */
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -16,6 +16,7 @@
 
 #define CONNECTION_MEMORY (48u * 1024) /* bytes of headers and buffers */
 #define CONNECTION_IDLE_S 75u          /* an unused connection is closed */
+#define IDLE_AT_END_S 1u               /* the same while stopping */
 #define GONE_CHECK_S 0.25              /* between looks for gone callers */
 #define BODY_GROWTH 4096u              /* bytes a body buffer grows by */
 #define ABORT_TURNS 1000               /* runs until all requests ended */
@@ -299,6 +300,50 @@
 	*request_cls = NULL;
 }
 
+/* The library calls this when a connection begins and when it ends. */
+static void
+on_connection(void *cls, struct MHD_Connection *handle, void **socket_cls,
+    enum MHD_ConnectionNotificationCode code)
+{
+	at_httpd_t *httpd = cls;
+	connection_t *connection = *socket_cls;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		connection = calloc(1, sizeof(*connection));
+		*socket_cls = connection;
+		if (connection == NULL)
+			return;
+		connection->handle = handle;
+		connection->next = httpd->connections;
+		if (connection->next != NULL)
+			connection->next->prev = connection;
+		httpd->connections = connection;
+		return;
+	}
+	if (connection == NULL)
+		return;
+	if (connection->prev != NULL)
+		connection->prev->next = connection->next;
+	else
+		httpd->connections = connection->next;
+	if (connection->next != NULL)
+		connection->next->prev = connection->prev;
+	*socket_cls = NULL;
+	free(connection);
+}
+
+void
+at_httpd_close_idle(at_httpd_t *httpd)
+{
+	connection_t *connection;
+
+	for (connection = httpd->connections; connection != NULL;
+	     connection = connection->next)
+		(void)MHD_set_connection_option(connection->handle,
+		    MHD_CONNECTION_OPTION_TIMEOUT, IDLE_AT_END_S);
+	httpd->run_owed = 1;
+}
+
 static int
 grow_polls(at_httpd_t *httpd)
 {
@@ -477,6 +522,7 @@
 	    MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS,
 	    MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_IDLE_S,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, httpd,
 	    MHD_OPTION_URI_LOG_CALLBACK, request_new, httpd, MHD_OPTION_END);
 	if (httpd->daemon == NULL) {
 		(void)close(httpd->listen_fd);
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -81,6 +81,11 @@
 void at_httpd_quiesce(at_httpd_t *httpd);
 /* at_httpd_close_connections() ends each connection after its answer. */
 void at_httpd_close_connections(at_httpd_t *httpd);
+/*
+ * at_httpd_close_idle() closes connections that carry no request, after a
+ * second without bytes at most.
+ */
+void at_httpd_close_idle(at_httpd_t *httpd);
 /* at_httpd_open_requests() counts requests that have not ended. */
 size_t at_httpd_open_requests(const at_httpd_t *httpd);
 /* at_httpd_buffered() sums the bytes of streams not yet handed over. */
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -53,7 +53,15 @@
 	void *ctx;
 };
 
+/* One connection of a caller. */
+typedef struct connection {
+	struct MHD_Connection *handle;
+	struct connection *next;
+	struct connection *prev;
+} connection_t;
+
 struct at_httpd {
+	connection_t *connections;
 	struct ev_loop *loop;
 	struct MHD_Daemon *daemon;
 	at_httpd_handler_t handler;
