Tables for the new decisions; workspaces start with an empty level

Levels begin empty, and an instance that was heard before it spent counts from nothing.

Ruled out: dividing the start by the instances, which a new process cannot know yet.

--- a/include/almondthread/waiting.h
+++ b/include/almondthread/waiting.h
@@ -18,14 +18,14 @@
 #define AT_WAITING_NEVER UINT64_MAX /* nothing is due */
 
 /* What becomes of a request that arrives. */
-typedef enum at_admit {
-	AT_ADMIT_NOW,  /* it can go to the chosen backend server */
-	AT_ADMIT_WAIT, /* it is worth its while to wait */
-	AT_ADMIT_REFUSE,
-	AT_ADMIT_COUNT
-} at_admit_t;
+typedef enum at_arrival {
+	AT_ARRIVAL_PLACED,  /* it can go to the chosen backend server */
+	AT_ARRIVAL_WAITS, /* it is worth its while to wait */
+	AT_ARRIVAL_REFUSED,
+	AT_ARRIVAL_COUNT
+} at_arrival_t;
 
-extern const char *const at_admit_names[];
+extern const char *const at_arrival_names[];
 
 /* One request; kept by its owner, linked in while it waits. */
 typedef struct at_waiter {
@@ -42,11 +42,11 @@
 
 /* Why, and when to come back. */
 typedef struct at_judgment {
-	at_admit_t admit;
+	at_arrival_t arrival;
 	at_fit_t fit;
-	at_choice_t choice;      /* of AT_ADMIT_NOW */
+	at_choice_t choice;      /* of AT_ARRIVAL_PLACED */
 	uint64_t wait_us;        /* expected until there is room */
-	uint32_t retry_after_ms; /* of AT_ADMIT_REFUSE */
+	uint32_t retry_after_ms; /* of AT_ARRIVAL_REFUSED */
 } at_judgment_t;
 
 typedef struct at_waiting at_waiting_t;
--- a/src/core/fleet/waiting.c
+++ b/src/core/fleet/waiting.c
@@ -20,7 +20,7 @@
 #define RETRY_MAX_MS 5000u
 #define FULL_KINDS_MAX 32u /* kinds of work known to find no room */
 
-const char *const at_admit_names[] = {"now", "wait", "refuse"};
+const char *const at_arrival_names[] = {"placed", "waits", "refused"};
 
 struct at_waiting {
 	at_fleet_t *fleet;
@@ -131,17 +131,17 @@
 	j->fit =
 	    at_fleet_choose(waiting->fleet, &waiter->work, now_us, &j->choice);
 	if (j->fit == AT_FIT_SERVER) {
-		j->admit = AT_ADMIT_NOW;
+		j->arrival = AT_ARRIVAL_PLACED;
 		return;
 	}
 	j->wait_us = wait_before(waiting, waiter, j->choice.candidates);
 	if (j->fit == AT_FIT_ABSENT)
 		j->wait_us += LOAD_US;
 	if (j->fit != AT_FIT_NOBODY && j->wait_us <= may_wait_us) {
-		j->admit = AT_ADMIT_WAIT;
+		j->arrival = AT_ARRIVAL_WAITS;
 		return;
 	}
-	j->admit = AT_ADMIT_REFUSE;
+	j->arrival = AT_ARRIVAL_REFUSED;
 	j->retry_after_ms = retry_after_ms(waiting, waiter, j->wait_us);
 }
 
--- a/src/core/limits/quota.c
+++ b/src/core/limits/quota.c
@@ -21,7 +21,10 @@
 	UT_hash_handle hh;
 } account_t;
 
-/* What one instance had spent of one workspace when last heard. */
+/*
+ * What one instance had spent of one workspace when last heard. The entry of
+ * workspace 0 says that the instance was heard at all.
+ */
 typedef struct heard {
 	struct {
 		at_tag_t instance;
@@ -103,7 +106,8 @@
 	if (account == NULL)
 		return NULL;
 	account->workspace = workspace->tag;
-	account->level = (double)workspace->burst * START_PART;
+	/* Others may just have spent all there was. */
+	account->level = 0;
 	account->refilled_us = now_us;
 	HASH_ADD(hh, quota->accounts, workspace, sizeof(at_tag_t), account);
 	return account;
@@ -214,28 +218,39 @@
 	return count;
 }
 
-/* Returns what an instance spent since it was last heard. */
+static heard_t *
+heard_of(at_quota_t *quota, at_tag_t instance, at_tag_t workspace)
+{
+	heard_t wanted = {.key = {instance, workspace}};
+	heard_t *heard;
+
+	HASH_FIND(hh, quota->heard, &wanted.key, sizeof(wanted.key), heard);
+	if (heard != NULL)
+		return heard;
+	heard = calloc(1, sizeof(*heard));
+	if (heard == NULL)
+		return NULL;
+	heard->key = wanted.key;
+	HASH_ADD(hh, quota->heard, key, sizeof(heard->key), heard);
+	return heard;
+}
+
+/*
+ * Returns what an instance spent since it was last heard. What one spent
+ * before it was ever heard is not known to be recent.
+ */
 static uint64_t
 newly_spent(at_quota_t *quota, at_tag_t instance, uint64_t incarnation,
-    const at_spending_t *row)
+    int is_known, const at_spending_t *row)
 {
-	heard_t *heard;
-	heard_t key = {.key = {instance, row->workspace}};
+	heard_t *heard = heard_of(quota, instance, row->workspace);
 	uint64_t before;
 
-	HASH_FIND(hh, quota->heard, &key.key, sizeof(key.key), heard);
-	if (heard == NULL) {
-		heard = calloc(1, sizeof(*heard));
-		if (heard == NULL)
-			return 0;
-		heard->key = key.key;
-		heard->incarnation = incarnation;
-		/* What it spent before is not known to be recent. */
-		heard->units = row->units;
-		HASH_ADD(hh, quota->heard, key, sizeof(heard->key), heard);
+	if (heard == NULL)
 		return 0;
-	}
 	before = heard->incarnation == incarnation ? heard->units : 0;
+	if (!is_known)
+		before = row->units;
 	heard->incarnation = incarnation;
 	heard->units = row->units;
 	return row->units > before ? row->units - before : 0;
@@ -245,12 +260,16 @@
 at_quota_heard(at_quota_t *quota, at_tag_t instance, uint64_t incarnation,
     const at_spending_t *rows, size_t count, uint64_t now_us)
 {
+	heard_t *known = heard_of(quota, instance, 0);
+	int is_known = known != NULL && known->units != 0;
 	size_t i;
 
+	if (known != NULL)
+		known->units = 1;
 	for (i = 0; i < count; i++) {
 		account_t *account = find(quota, rows[i].workspace);
-		uint64_t units =
-		    newly_spent(quota, instance, incarnation, &rows[i]);
+		uint64_t units = newly_spent(
+		    quota, instance, incarnation, is_known, &rows[i]);
 
 		if (account == NULL || account->unlimited)
 			continue;
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -281,18 +281,18 @@
 	if (action->attempt > 0)
 		at_counters_retry(entry->counters, action->reason);
 	at_waiting_judge(entry->waiting, &call->waiter, now_us, &judgment);
-	if (judgment.admit == AT_ADMIT_NOW) {
+	if (judgment.arrival == AT_ARRIVAL_PLACED) {
 		leg_start(call, action->attempt, &judgment.choice);
 		return;
 	}
 	at_log(AT_LOG_INFO, "call", call->id,
 	    "%s fit=%s candidates=%u wait_us=%" PRIu64 " waiting=%zu model=%s",
-	    at_admit_names[judgment.admit], at_fit_names[judgment.fit],
+	    at_arrival_names[judgment.arrival], at_fit_names[judgment.fit],
 	    judgment.choice.candidates, judgment.wait_us,
 	    at_waiting_count(entry->waiting), call->head.model.text);
 	if (judgment.fit == AT_FIT_ABSENT)
 		at_gossip_soon(entry->gossip);
-	if (judgment.admit == AT_ADMIT_WAIT) {
+	if (judgment.arrival == AT_ARRIVAL_WAITS) {
 		at_waiting_add(entry->waiting, &call->waiter);
 		return;
 	}
@@ -561,7 +561,7 @@
 	call->service = service;
 	call->units = units;
 	fill_waiter(call, head);
-	at_orders_note_demand(entry->orders, &call->waiter.work);
+	at_orders_io_note_demand(entry->orders, &call->waiter.work);
 	at_httpd_set_end(request, on_end, call);
 	at_httpd_set_gone(request, on_gone);
 	at_httpd_set_drain(request, on_drain);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -95,7 +95,7 @@
 	entry->sync = at_sync_new(entry);
 	entry->join = at_join_new(entry);
 	entry->gossip = at_gossip_new(entry);
-	entry->orders = at_orders_new(entry);
+	entry->orders = at_orders_io_new(entry);
 	entry->ready = at_ready_new(entry);
 	return entry->waiting == NULL || entry->sync == NULL ||
 		       entry->join == NULL || entry->gossip == NULL ||
@@ -123,7 +123,7 @@
 		return status->code;
 	at_sync_start(entry->sync);
 	at_join_start(entry->join);
-	at_orders_start(entry->orders);
+	at_orders_io_start(entry->orders);
 	ev_timer_init(&entry->tick, on_tick, TICK_S, TICK_S);
 	entry->tick.data = entry;
 	ev_timer_start(entry->loop, &entry->tick);
@@ -222,7 +222,7 @@
 	entry->state = AT_ENTRY_DRAINING;
 	entry->stop_since_ms = at_clock_now_ms();
 	at_httpd_close_connections(entry->callers);
-	at_orders_release(entry->orders);
+	at_orders_io_release(entry->orders);
 	at_gossip_leave(entry->gossip);
 	at_log(AT_LOG_INFO, "entry", NULL, "stops open=%zu grace_s=%u",
 	    entry->call_count, entry->settings.stop_grace_s);
@@ -243,7 +243,7 @@
 	if (entry->waiting != NULL)
 		at_calls_delete(entry);
 	at_ready_delete(entry->ready);
-	at_orders_delete(entry->orders);
+	at_orders_io_delete(entry->orders);
 	at_gossip_delete(entry->gossip);
 	at_join_delete(entry->join);
 	if (entry->sync != NULL)
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -142,7 +142,7 @@
 	report.config_version = entry->site == NULL ? 0 : entry->site->version;
 	fill_loads(entry, &parts, &report);
 	fill_spending(entry, &parts, &report);
-	at_orders_fill_report(entry->orders, &report);
+	at_orders_io_fill_report(entry->orders, &report);
 	len = report__get_packed_size(&report);
 	if (len + MAC_SIZE > DATAGRAM_MAX) {
 		at_log(AT_LOG_ERROR, "gossip", NULL,
@@ -296,7 +296,7 @@
 		at_sync_look(entry->sync);
 	take_loads(entry, member->tag, report, now_us);
 	take_spending(entry, member->tag, report, now_us);
-	at_orders_take_report(entry->orders, member, report);
+	at_orders_io_take_report(entry->orders, member, report);
 	if (report->leaving)
 		at_roster_remove(entry->roster, member->tag);
 }
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -294,7 +294,7 @@
 }
 
 void
-at_orders_note_demand(at_orders_io_t *orders, const at_work_t *work)
+at_orders_io_note_demand(at_orders_io_t *orders, const at_work_t *work)
 {
 	at_work_t adapter;
 
@@ -310,7 +310,7 @@
 }
 
 at_orders_io_t *
-at_orders_new(at_entry_t *entry)
+at_orders_io_new(at_entry_t *entry)
 {
 	at_orders_io_t *orders = calloc(1, sizeof(*orders));
 
@@ -320,7 +320,7 @@
 	orders->lease = at_lease_new();
 	orders->demand = at_demand_rates_new();
 	if (orders->lease == NULL || orders->demand == NULL) {
-		at_orders_delete(orders);
+		at_orders_io_delete(orders);
 		return NULL;
 	}
 	at_lease_set_term(orders->lease, entry->settings.lease_ms);
@@ -340,7 +340,7 @@
 }
 
 void
-at_orders_start(at_orders_io_t *orders)
+at_orders_io_start(at_orders_io_t *orders)
 {
 	at_lease_set_self(orders->lease, &orders->entry->self);
 	ev_timer_init(&orders->tick, on_settled, SETTLE_US / US_PER_S, 0.);
@@ -349,14 +349,14 @@
 }
 
 void
-at_orders_release(at_orders_io_t *orders)
+at_orders_io_release(at_orders_io_t *orders)
 {
 	at_lease_release(orders->lease);
 	step_lease(orders);
 }
 
 void
-at_orders_delete(at_orders_io_t *orders)
+at_orders_io_delete(at_orders_io_t *orders)
 {
 	track_t *track;
 	track_t *next;
--- a/src/entry/orders.h
+++ b/src/entry/orders.h
@@ -12,21 +12,21 @@
 #include "entry/entry.h"
 #include "report.pb-c.h"
 
-at_orders_io_t *at_orders_new(at_entry_t *entry);
-void at_orders_start(at_orders_io_t *orders);
-void at_orders_delete(at_orders_io_t *orders);
-/* at_orders_release() hands the lease over; no order is sent any more. */
-void at_orders_release(at_orders_io_t *orders);
+at_orders_io_t *at_orders_io_new(at_entry_t *entry);
+void at_orders_io_start(at_orders_io_t *orders);
+void at_orders_io_delete(at_orders_io_t *orders);
+/* at_orders_io_release() hands the lease over; no order is sent any more. */
+void at_orders_io_release(at_orders_io_t *orders);
 
-/* at_orders_note_demand() counts a request of this instance. */
-void at_orders_note_demand(at_orders_io_t *orders, const at_work_t *work);
+/* at_orders_io_note_demand() counts a request of this instance. */
+void at_orders_io_note_demand(at_orders_io_t *orders, const at_work_t *work);
 
 /*
- * at_orders_fill_report() adds demand, wants and, from the holder, what it
+ * at_orders_io_fill_report() adds demand, wants and, from the holder, what it
  * has done; what it adds is lent until the next call.
  */
-void at_orders_fill_report(at_orders_io_t *orders, Report *report);
-void at_orders_take_report(at_orders_io_t *orders,
+void at_orders_io_fill_report(at_orders_io_t *orders, Report *report);
+void at_orders_io_take_report(at_orders_io_t *orders,
     const at_roster_member_t *from, const Report *report);
 
 #endif
--- a/src/entry/orders_report.c
+++ b/src/entry/orders_report.c
@@ -109,7 +109,7 @@
 }
 
 void
-at_orders_fill_report(at_orders_io_t *orders, Report *report)
+at_orders_io_fill_report(at_orders_io_t *orders, Report *report)
 {
 	static wants_t wants;
 
@@ -154,7 +154,7 @@
 }
 
 void
-at_orders_take_report(at_orders_io_t *orders, const at_roster_member_t *from,
+at_orders_io_take_report(at_orders_io_t *orders, const at_roster_member_t *from,
     const Report *report)
 {
 	static at_demand_row_t rows[DEMAND_ROWS_MAX];
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -144,8 +144,23 @@
 	}
 }
 
+/* Of a stream that another backend server may go on with. */
+static const case_row_t resumable_cases[] = {
+    {"whole", AT_REPEATABLE, "s0 h0 d0 w0", "start0 deliver0 none/ran/0"},
+    {"resumed after a reset in mid-stream", AT_REPEATABLE, "s0 d0 f0 s1 d1 w1",
+	"start0 deliver0 start1 deliver1 none/ran/0"},
+    {"resumed after silence in mid-stream", AT_REPEATABLE,
+	"s0 d0 t301 s1 d1 w1",
+	"start0 deliver0 cancel0 start1 deliver1 none/ran/0"},
+    {"broken off at each", AT_REPEATABLE, "s0 d0 f0 s1 d1 f1 s2 d2 f2",
+	"start0 deliver0 start1 deliver1 start2 deliver2 "
+	"backend_reset/may_have_run/1000"},
+    {"deadline between two", AT_REPEATABLE, "s0 d0 f0 t2000",
+	"start0 deliver0 start1 cancel1 deadline/may_have_run/1000"},
+};
+
 static void
-run_case(const case_row_t *c)
+run_case(const case_row_t *c, int resumable)
 {
 	at_attempts_t *a = at_attempts_new();
 	const char *p = c->script;
@@ -154,6 +169,7 @@
 
 	at_attempts_set_limits(a, &limits);
 	at_attempts_set_repeat(a, c->repeat);
+	at_attempts_set_resumable(a, resumable);
 	at_attempts_init(a, now);
 	pump(a, out, sizeof(out), now);
 	while (*p != '\0') {
@@ -174,7 +190,32 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
-		run_case(&cases[i]);
+		run_case(&cases[i], 0);
+}
+
+Test(attempt, goes_on_with_a_resumable_answer)
+{
+	size_t count = sizeof(resumable_cases) / sizeof(resumable_cases[0]);
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		run_case(&resumable_cases[i], 1);
+}
+
+Test(attempt, abandoned_before_it_left_has_not_run)
+{
+	at_attempts_t *a = at_attempts_new();
+	char out[256] = "";
+
+	at_attempts_set_limits(a, &limits);
+	at_attempts_set_repeat(a, AT_ONCE);
+	at_attempts_init(a, START_MS);
+	pump(a, out, sizeof(out), START_MS);
+	at_attempts_abandon(a, AT_REASON_STOPPING);
+	pump(a, out, sizeof(out), START_MS);
+	cr_assert_str_eq(
+	    out, "start0 cancel0 stopping/not_run/1000", "%s", out);
+	at_attempts_delete(a);
 }
 
 Test(budget, follows_successes_and_time)
--- /dev/null
+++ b/tests/unit/test_event_frames.c
@@ -0,0 +1,75 @@
+/*
+ * Whole events out of a stream that is cut anywhere.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "almondthread/event_frames.h"
+
+static char seen[256];
+
+static void
+on_event(void *ctx, const at_event_t *event)
+{
+	size_t len = strlen(seen);
+
+	(void)ctx;
+	(void)snprintf(seen + len, sizeof(seen) - len, "%s%llu:%zu ",
+	    event->has_id ? "" : "?", (unsigned long long)event->id,
+	    event->len);
+}
+
+static const struct {
+	const char *stream;
+	const char *events; /* id and length of each */
+	size_t held;        /* bytes at the end that are no event */
+} cases[] = {
+    {"id: 1\ndata: x\n\n", "1:15 ", 0},
+    {"id: 1\ndata: x\n\nid: 2\ndata: y\n\n", "1:15 2:15 ", 0},
+    {"id: 1\r\ndata: x\r\n\r\n", "1:18 ", 0},
+    {"data: x\n\n", "?0:9 ", 0},
+    {"x-weight-versions: 3\nid: 7\ndata: x\n\n", "7:36 ", 0},
+    {"id: 1\ndata: x\n\nid: 2\nda", "1:15 ", 8},
+    {"", "", 0},
+};
+
+Test(event_frames, cuts_at_every_byte)
+{
+	size_t i;
+	size_t cut;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		size_t len = strlen(cases[i].stream);
+
+		for (cut = 0; cut <= len; cut++) {
+			at_event_frames_t frames = {0};
+
+			seen[0] = '\0';
+			cr_assert_eq(at_event_frames_feed(&frames,
+					 cases[i].stream, cut, on_event, NULL),
+			    0);
+			cr_assert_eq(
+			    at_event_frames_feed(&frames, cases[i].stream + cut,
+				len - cut, on_event, NULL),
+			    0);
+			cr_assert_str_eq(seen, cases[i].events);
+			cr_assert_eq(
+			    at_event_frames_held(&frames), cases[i].held);
+			at_event_frames_reset(&frames);
+		}
+	}
+}
+
+Test(event_frames, refuses_an_event_without_end)
+{
+	static char data[AT_EVENT_MAX + 1];
+	at_event_frames_t frames = {0};
+
+	memset(data, 'x', sizeof(data));
+	cr_assert_eq(
+	    at_event_frames_feed(&frames, data, sizeof(data), on_event, NULL),
+	    -1);
+	at_event_frames_reset(&frames);
+}
--- /dev/null
+++ b/tests/unit/test_fleet.c
@@ -0,0 +1,253 @@
+/*
+ * Which backend server a request goes to, and what is known to be on each.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "almondthread/fleet.h"
+
+#define SLOTS 4u
+#define KV_TOKENS 10000u
+
+static const at_fleet_secret_t secret = {.bytes = {1}};
+
+static at_site_t *
+make_site(void)
+{
+	at_site_t *site = at_site_new(&secret);
+	at_site_service_t *llm = at_site_add_service(site);
+	at_site_service_t *plain;
+
+	llm->tag = at_tag("llm");
+	llm->has_models = 1;
+	llm->slots = SLOTS;
+	llm->kv_tokens = KV_TOKENS;
+	plain = at_site_add_service(site);
+	plain->tag = at_tag("plain");
+	return site;
+}
+
+static at_fleet_t *
+make_fleet(void)
+{
+	at_fleet_t *fleet = at_fleet_new(at_tag("north"), 1);
+	at_site_t *site = make_site();
+
+	at_fleet_set_site(fleet, site);
+	at_site_unref(site);
+	return fleet;
+}
+
+static at_server_entry_t
+make_entry(const char *id, const char *service, const char *data_centre,
+    const char *model)
+{
+	at_server_entry_t entry = {.tag = at_tag(id),
+	    .service = at_tag(service),
+	    .data_centre = at_tag(data_centre),
+	    .slots = SLOTS,
+	    .born_ms = 1000,
+	    .beat = 1};
+
+	(void)at_name_set(&entry.id, id);
+	if (model != NULL) {
+		(void)at_name_set(&entry.held[0].name, model);
+		entry.held[0].tag = at_tag(model);
+		entry.held_count = 1;
+	}
+	return entry;
+}
+
+static at_server_t *
+add(at_fleet_t *fleet, const char *id, const char *service,
+    const char *data_centre, const char *model)
+{
+	at_server_entry_t entry = make_entry(id, service, data_centre, model);
+
+	return at_fleet_apply(fleet, &entry, 0);
+}
+
+static at_work_t
+make_work(const char *model, uint32_t prompt)
+{
+	at_work_t work = {.service = at_tag(model == NULL ? "plain" : "llm"),
+	    .model = model == NULL ? 0 : at_tag(model),
+	    .prompt_tokens = prompt,
+	    .output_tokens = 100};
+
+	return work;
+}
+
+static const char *
+choose(at_fleet_t *fleet, const at_work_t *work, at_fit_t *fit)
+{
+	at_choice_t choice;
+
+	*fit = at_fleet_choose(fleet, work, 1, &choice);
+	return choice.server == NULL ? ""
+				     : at_server_entry(choice.server)->id.text;
+}
+
+Test(fleet, takes_the_engine_with_least_before_it)
+{
+	at_fleet_t *fleet = make_fleet();
+	at_server_t *one = add(fleet, "one", "llm", "north", "m");
+	at_work_t work = make_work("m", 1000);
+	at_fit_t fit;
+
+	(void)add(fleet, "two", "llm", "north", "m");
+	(void)add(fleet, "three", "llm", "north", "other");
+	at_fleet_sent(fleet, one, &work);
+	cr_assert_str_eq(choose(fleet, &work, &fit), "two");
+	cr_assert_eq(fit, AT_FIT_SERVER);
+	at_fleet_ended(fleet, one, &work, 0, AT_OUTCOME_WELL, 2);
+	at_fleet_delete(fleet);
+}
+
+Test(fleet, counts_what_other_instances_have_in_flight)
+{
+	at_fleet_t *fleet = make_fleet();
+	const at_load_row_t full = {
+	    at_tag("one"), {.active = SLOTS, .prefill_tokens = 500}};
+	at_work_t work = make_work("m", 1000);
+	at_fit_t fit;
+
+	(void)add(fleet, "one", "llm", "north", "m");
+	at_fleet_heard(fleet, at_tag("peer"), &full, 1, 0);
+	(void)choose(fleet, &work, &fit);
+	cr_assert_eq(fit, AT_FIT_FULL);
+	at_fleet_forget(fleet, 2000, 1000);
+	(void)choose(fleet, &work, &fit);
+	cr_assert_eq(fit, AT_FIT_SERVER, "a silent peer's load counts on");
+	at_fleet_delete(fleet);
+}
+
+static const struct {
+	const char *name;
+	const char *model; /* NULL: the plain service */
+	const char *adapter;
+	uint32_t prompt;
+	at_fit_t fit;
+} fits[] = {
+    {"held", "m", NULL, 100, AT_FIT_SERVER},
+    {"not held", "absent", NULL, 100, AT_FIT_ABSENT},
+    {"adapter not held", "m", "m/a1", 100, AT_FIT_ABSENT},
+    {"larger than the memory, but alone", "m", NULL, KV_TOKENS, AT_FIT_SERVER},
+    {"no server of the service", NULL, NULL, 0, AT_FIT_NOBODY},
+};
+
+Test(fleet, says_why_there_is_none)
+{
+	at_fleet_t *fleet = make_fleet();
+	size_t i;
+
+	(void)add(fleet, "one", "llm", "north", "m");
+	for (i = 0; i < sizeof(fits) / sizeof(fits[0]); i++) {
+		at_work_t work = make_work(fits[i].model, fits[i].prompt);
+		at_fit_t fit;
+
+		if (fits[i].adapter != NULL)
+			work.adapter = at_tag(fits[i].adapter);
+		(void)choose(fleet, &work, &fit);
+		cr_assert_eq(fit, fits[i].fit, "%s: %s", fits[i].name,
+		    at_fit_names[fit]);
+	}
+	at_fleet_delete(fleet);
+}
+
+Test(fleet, leaves_a_failing_server_alone_and_tries_it_again)
+{
+	at_fleet_t *fleet = make_fleet();
+	at_server_t *one = add(fleet, "one", "plain", "north", NULL);
+	at_work_t work = make_work(NULL, 0);
+	at_choice_t choice;
+	int i;
+
+	for (i = 0; i < 3; i++) {
+		at_fleet_sent(fleet, one, &work);
+		at_fleet_ended(fleet, one, &work, 0, AT_OUTCOME_FAILED, 100);
+	}
+	cr_assert_neq(
+	    at_fleet_choose(fleet, &work, 101, &choice), AT_FIT_SERVER);
+	cr_assert_eq(
+	    at_fleet_choose(fleet, &work, 5000000, &choice), AT_FIT_SERVER);
+	at_fleet_sent(fleet, one, &work);
+	cr_assert_neq(at_fleet_choose(fleet, &work, 5000000, &choice),
+	    AT_FIT_SERVER, "two trials at once");
+	at_fleet_ended(fleet, one, &work, 1, AT_OUTCOME_WELL, 5000001);
+	cr_assert_eq(
+	    at_fleet_choose(fleet, &work, 5000002, &choice), AT_FIT_SERVER);
+	at_fleet_delete(fleet);
+}
+
+/* Words of a server on itself, one after the other. */
+static const struct {
+	const char *name;
+	uint64_t born_ms;
+	uint64_t beat;
+	int taken;
+} words[] = {
+    {"the next", 1000, 2, 1},
+    {"an older one, late", 1000, 1, 0},
+    {"a later life under the same id", 2000, 1, 1},
+    {"of the life before, late", 1000, 9, 0},
+};
+
+Test(fleet, never_goes_back_to_an_older_word)
+{
+	at_fleet_t *fleet = make_fleet();
+	size_t i;
+
+	(void)add(fleet, "one", "llm", "north", "m");
+	for (i = 0; i < sizeof(words) / sizeof(words[0]); i++) {
+		at_server_entry_t entry =
+		    make_entry("one", "llm", "north", "m");
+
+		entry.born_ms = words[i].born_ms;
+		entry.beat = words[i].beat;
+		cr_assert_eq(at_fleet_apply(fleet, &entry, 0) != NULL,
+		    words[i].taken, "%s", words[i].name);
+	}
+	at_fleet_delete(fleet);
+}
+
+Test(fleet, notes_go_before_the_list_for_a_while)
+{
+	at_fleet_t *fleet = make_fleet();
+	at_server_t *one = add(fleet, "one", "llm", "north", "m");
+	at_server_entry_t entry = make_entry("one", "llm", "north", "m");
+	at_name_t model;
+	at_name_t adapter;
+
+	(void)at_name_set(&model, "new");
+	(void)at_name_set(&adapter, "a1");
+	at_server_note_model(one, &model, 1, 0);
+	at_server_note_adapter(one, &model, &adapter, 1, 0);
+	cr_assert(at_server_holds(one, at_tag("new"), at_tag("new/a1")));
+	entry.beat = 2;
+	(void)at_fleet_apply(fleet, &entry, 0);
+	cr_assert(at_server_holds(one, at_tag("new"), at_tag("new/a1")),
+	    "an older list undid a note");
+	at_fleet_expire_notes(fleet, AT_NOTE_STANDS_US + 1);
+	cr_assert_not(at_server_holds(one, at_tag("new"), 0));
+	cr_assert(at_server_holds(one, at_tag("m"), 0));
+	at_fleet_delete(fleet);
+}
+
+Test(fleet, a_new_life_holds_nothing_of_before)
+{
+	at_fleet_t *fleet = make_fleet();
+	at_server_t *one = add(fleet, "one", "llm", "north", "m");
+	at_server_entry_t entry = make_entry("one", "llm", "north", NULL);
+	at_name_t model;
+
+	(void)at_name_set(&model, "new");
+	at_server_note_model(one, &model, 1, 0);
+	entry.born_ms = 5000;
+	(void)at_fleet_apply(fleet, &entry, 0);
+	cr_assert_not(at_server_holds(one, at_tag("new"), 0));
+	cr_assert_not(at_server_holds(one, at_tag("m"), 0));
+	at_fleet_delete(fleet);
+}
--- /dev/null
+++ b/tests/unit/test_site.c
@@ -0,0 +1,108 @@
+/*
+ * The configuration of a deployment: routes by host and longest prefix, keys
+ * by hash, services by weight.
+ */
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "almondthread/site.h"
+
+static const at_fleet_secret_t secret = {.bytes = {7}};
+
+static void
+add_route(
+    at_site_t *site, const char *name, const char *host, const char *prefix)
+{
+	at_site_route_t *route = at_site_add_route(site);
+
+	(void)at_name_set(&route->name, name);
+	(void)strcpy(route->host, host);
+	(void)strcpy(route->prefix, prefix);
+}
+
+static at_site_t *
+make_site(void)
+{
+	at_site_t *site = at_site_new(&secret);
+	at_site_workspace_t *workspace = at_site_add_workspace(site);
+
+	(void)at_name_set(&workspace->name, "studio");
+	cr_assert_eq(at_site_add_key(site, "key-one", 0), 0);
+	cr_assert_eq(at_site_add_key(site, "key-two", 0), 0);
+	add_route(site, "root", "a.example", "/");
+	add_route(site, "short", "a.example", "/notes/");
+	add_route(site, "long", "a.example", "/notes/live/");
+	add_route(site, "other", "b.example", "/notes/");
+	at_site_seal(site);
+	return site;
+}
+
+static const struct {
+	const char *host;
+	const char *path;
+	const char *route; /* NULL: none */
+} routes[] = {
+    {"a.example", "/notes/live/3", "long"},
+    {"a.example", "/notes/3", "short"},
+    {"a.example", "/notes", "root"},
+    {"A.Example", "/notes/3", "short"},
+    {"a.example:8080", "/notes/3", "short"},
+    {"b.example", "/notes/live/3", "other"},
+    {"b.example", "/", NULL},
+    {"a.example.org", "/notes/3", NULL},
+    {"", "/notes/3", NULL},
+};
+
+Test(site, finds_the_route_with_the_longest_prefix)
+{
+	at_site_t *site = make_site();
+	size_t i;
+
+	for (i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
+		const at_site_route_t *route =
+		    at_site_route(site, routes[i].host, routes[i].path);
+
+		if (routes[i].route == NULL)
+			cr_assert_null(
+			    route, "%s%s", routes[i].host, routes[i].path);
+		else
+			cr_assert_str_eq(route->name.text, routes[i].route);
+	}
+	at_site_unref(site);
+}
+
+Test(site, knows_keys_and_no_others)
+{
+	at_site_t *site = make_site();
+
+	cr_assert_not_null(at_site_workspace(site, "key-one"));
+	cr_assert_not_null(at_site_workspace(site, "key-two"));
+	cr_assert_null(at_site_workspace(site, "key-three"));
+	cr_assert_null(at_site_workspace(site, ""));
+	at_site_unref(site);
+}
+
+Test(site, splits_a_route_by_weight)
+{
+	at_site_route_t route = {
+	    .targets = {{1, 90}, {2, 10}, {3, 0}}, .target_count = 3};
+	unsigned seen[4] = {0};
+	uint64_t draw;
+
+	for (draw = 0; draw < 1000; draw++)
+		seen[at_site_target(&route, draw)]++;
+	cr_assert_eq(seen[1], 900);
+	cr_assert_eq(seen[2], 100);
+	cr_assert_eq(seen[3], 0);
+}
+
+Test(site, lives_as_long_as_its_references)
+{
+	at_site_t *site = make_site();
+	at_site_t *held = at_site_ref(site);
+
+	at_site_unref(site);
+	cr_assert_not_null(at_site_route(held, "a.example", "/x"));
+	at_site_unref(held);
+}
--- /dev/null
+++ b/tests/unit/test_waiting.c
@@ -0,0 +1,166 @@
+/*
+ * The queue before the backend servers: who waits, who goes first, who is
+ * told to come back.
+ */
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "almondthread/waiting.h"
+
+#define MS 1000u /* microseconds */
+#define SLOTS 2u
+
+static const at_fleet_secret_t secret = {.bytes = {1}};
+
+static at_fleet_t *
+make_fleet(int with_engine)
+{
+	at_fleet_t *fleet = at_fleet_new(at_tag("north"), 1);
+	at_site_t *site = at_site_new(&secret);
+	at_site_service_t *llm = at_site_add_service(site);
+	at_server_entry_t entry = {.tag = at_tag("one"),
+	    .service = at_tag("llm"),
+	    .slots = SLOTS,
+	    .held_count = 1};
+
+	llm->tag = at_tag("llm");
+	llm->has_models = 1;
+	llm->kv_tokens = 100000;
+	at_fleet_set_site(fleet, site);
+	at_site_unref(site);
+	entry.held[0].tag = at_tag("m");
+	if (with_engine)
+		(void)at_fleet_apply(fleet, &entry, 0);
+	return fleet;
+}
+
+static at_waiter_t
+make_waiter(uint64_t objective_ms, uint64_t deadline_ms, uint32_t priority)
+{
+	at_waiter_t waiter = {.work = {.service = at_tag("llm"),
+				  .model = at_tag("m"),
+				  .prompt_tokens = 800,
+				  .output_tokens = 100},
+	    .priority = priority,
+	    .objective_us = objective_ms * MS,
+	    .deadline_us = deadline_ms * MS};
+
+	return waiter;
+}
+
+static void
+fill(at_fleet_t *fleet)
+{
+	const at_load_row_t row = {at_tag("one"), {.active = SLOTS}};
+
+	at_fleet_heard(fleet, at_tag("peer"), &row, 1, 0);
+}
+
+static void
+empty(at_fleet_t *fleet)
+{
+	at_fleet_heard(fleet, at_tag("peer"), NULL, 0, 0);
+}
+
+/* Who goes first when there is room at 1,000 ms. */
+static const struct {
+	const char *name;
+	uint64_t objective_ms[2];
+	uint32_t priority[2];
+	int first;
+} orders[] = {
+    {"less time left", {1400, 1200}, {0, 0}, 1},
+    {"late ones come last", {900, 1900}, {0, 0}, 1},
+    {"priority counts as time", {1400, 1300}, {0, 2}, 0},
+    {"of two late ones the older", {700, 800}, {0, 0}, 0},
+};
+
+Test(waiting, lets_the_most_pressing_go_first)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(orders) / sizeof(orders[0]); i++) {
+		at_fleet_t *fleet = make_fleet(1);
+		at_waiting_t *waiting = at_waiting_new(fleet);
+		at_waiter_t w[2];
+		at_choice_t choice;
+		int k;
+
+		fill(fleet);
+		for (k = 0; k < 2; k++) {
+			w[k] = make_waiter(orders[i].objective_ms[k], 20000,
+			    orders[i].priority[k]);
+			at_waiting_add(waiting, &w[k]);
+		}
+		cr_assert_null(at_waiting_next(waiting, 1000 * MS, &choice));
+		empty(fleet);
+		cr_assert_eq(at_waiting_next(waiting, 1000 * MS, &choice),
+		    &w[orders[i].first], "%s", orders[i].name);
+		at_waiting_delete(waiting);
+		at_fleet_delete(fleet);
+	}
+}
+
+static const struct {
+	const char *name;
+	int with_engine;
+	int full;
+	uint64_t deadline_ms;
+	unsigned ahead; /* requests that wait already */
+	at_arrival_t arrival;
+} arrivals[] = {
+    {"there is room", 1, 0, 10000, 0, AT_ARRIVAL_PLACED},
+    {"room soon", 1, 1, 10000, 0, AT_ARRIVAL_WAITS},
+    {"too many before it", 1, 1, 10000, 200, AT_ARRIVAL_REFUSED},
+    {"too little time", 1, 1, 50, 0, AT_ARRIVAL_REFUSED},
+    {"nobody serves it", 0, 0, 10000, 0, AT_ARRIVAL_REFUSED},
+};
+
+Test(waiting, refuses_at_once_what_cannot_be_served)
+{
+	static at_waiter_t crowd[256];
+	size_t i;
+
+	for (i = 0; i < sizeof(arrivals) / sizeof(arrivals[0]); i++) {
+		at_fleet_t *fleet = make_fleet(arrivals[i].with_engine);
+		at_waiting_t *waiting = at_waiting_new(fleet);
+		at_waiter_t waiter =
+		    make_waiter(400, arrivals[i].deadline_ms, 0);
+		at_judgment_t judgment;
+		unsigned k;
+
+		if (arrivals[i].full)
+			fill(fleet);
+		for (k = 0; k < arrivals[i].ahead; k++) {
+			crowd[k] = make_waiter(300, 20000, 0);
+			at_waiting_add(waiting, &crowd[k]);
+		}
+		at_waiting_judge(waiting, &waiter, 0, &judgment);
+		cr_assert_eq(judgment.arrival, arrivals[i].arrival, "%s: %s",
+		    arrivals[i].name, at_arrival_names[judgment.arrival]);
+		if (judgment.arrival == AT_ARRIVAL_REFUSED)
+			cr_assert_gt(judgment.retry_after_ms, 0);
+		at_waiting_delete(waiting);
+		at_fleet_delete(fleet);
+	}
+}
+
+Test(waiting, gives_up_in_time_to_try_elsewhere)
+{
+	at_fleet_t *fleet = make_fleet(1);
+	at_waiting_t *waiting = at_waiting_new(fleet);
+	at_waiter_t waiter = make_waiter(400, 10000, 0);
+	at_judgment_t judgment;
+
+	fill(fleet);
+	at_waiting_judge(waiting, &waiter, 0, &judgment);
+	at_waiting_add(waiting, &waiter);
+	cr_assert_null(at_waiting_expired(waiting, 0));
+	cr_assert_lt(at_waiting_due_us(waiting), 10000 * MS);
+	cr_assert_eq(
+	    at_waiting_expired(waiting, at_waiting_due_us(waiting)), &waiter);
+	cr_assert_eq(at_waiting_count(waiting), 0);
+	at_waiting_delete(waiting);
+	at_fleet_delete(fleet);
+}
