Reload settings by signal or change; tables for residency and decoding

SIGHUP ended the process: its default action stood. It now reads the settings once more, as does a change of the file without a signal; limits are taken over, addresses and names stay until the next start, and a wrong file changes nothing but a log line.

Tables: residency replays demand that moves on and rare models; decoding covers entries by bad writers.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -175,6 +175,46 @@
 	entry->placing = 0;
 }
 
+static void
+tell_fixed(const char *setting, const char *in_use, const char *newer)
+{
+	if (strcmp(in_use, newer) != 0)
+		at_log(AT_LOG_WARN, "entry", NULL,
+		    "setting=%s differs from the one in use; it takes effect "
+		    "at the next start",
+		    setting);
+}
+
+void
+at_entry_reload(at_entry_t *entry, const at_entry_settings_t *newer)
+{
+	at_entry_settings_t *s = &entry->settings;
+
+	tell_fixed("name", s->name, newer->name);
+	tell_fixed("data-centre", s->data_centre, newer->data_centre);
+	tell_fixed("listen", s->listen, newer->listen);
+	tell_fixed("ready", s->ready, newer->ready);
+	tell_fixed("metrics", s->metrics, newer->metrics);
+	tell_fixed("peers", s->peers, newer->peers);
+	tell_fixed("store", s->store, newer->store);
+	tell_fixed("secret", s->secret, newer->secret);
+	if (s->lease_ms != newer->lease_ms)
+		at_log(AT_LOG_WARN, "entry", NULL,
+		    "setting=lease-ms takes effect at the next start");
+	s->stop_grace_s = newer->stop_grace_s;
+	s->log_lines_per_s = newer->log_lines_per_s;
+	s->retry_ratio = newer->retry_ratio;
+	s->retry_slack = newer->retry_slack;
+	at_retry_budgets_set_rule(
+	    entry->retries, s->retry_ratio, s->retry_slack);
+	at_log_to_stdout(s->log_lines_per_s);
+	at_log(AT_LOG_INFO, "entry", NULL,
+	    "reloaded stop_grace_s=%u log_lines=%u retry_ratio=%.2f "
+	    "retry_slack=%u",
+	    s->stop_grace_s, s->log_lines_per_s, s->retry_ratio,
+	    s->retry_slack);
+}
+
 static void
 on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -96,6 +96,11 @@
 at_entry_t *at_entry_new(
     struct ev_loop *loop, const at_entry_settings_t *settings);
 at_code_t at_entry_init(at_entry_t *entry, at_status_t *status);
+/*
+ * at_entry_reload() takes over limits from newer settings. Addresses, names
+ * and the secret stay as they were at the start; one that differs is logged.
+ */
+void at_entry_reload(at_entry_t *entry, const at_entry_settings_t *settings);
 /* at_entry_stop() begins a graceful shutdown, which ends the loop. */
 void at_entry_stop(at_entry_t *entry);
 void at_entry_delete(at_entry_t *entry);
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -21,7 +21,7 @@
 #define REPORT_EVERY_S 0.1       /* within the data centre */
 #define FAR_EVERY 3u             /* of those go to other data centres */
 #define SOON_S 0.004             /* a report that is asked for */
-#define LOOK_EVERY 8u          /* rounds between two looks at the config */
+#define LOOK_EVERY 8u            /* rounds between two looks at the config */
 #define MAC_SIZE 16u             /* bytes of the keyed hash */
 #define DATAGRAM_MAX 60000u      /* bytes, with the hash */
 #define LOADS_FORGET_US 1200000u /* loads of an instance that is silent */
@@ -198,8 +198,7 @@
 	send_report(gossip, gossip->rounds % FAR_EVERY == 0);
 	/* One instance of each data centre looks for all of it. */
 	if (gossip->rounds % LOOK_EVERY == 0 &&
-	    at_roster_is_first_of(
-		entry->roster, entry->data_centre, now_us))
+	    at_roster_is_first_of(entry->roster, entry->data_centre, now_us))
 		at_sync_look(entry->sync);
 	at_fleet_forget(entry->fleet, now_us, LOADS_FORGET_US);
 	at_quota_set_instances(entry->quota, at_roster_present(entry->roster),
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #include <curl/curl.h>
 #include <sodium.h>
@@ -13,13 +14,19 @@
 #include "io/settings.h"
 #include "platform/settings.h"
 
-static void
-on_signal(struct ev_loop *loop, ev_signal *signal, int events)
-{
-	(void)loop;
-	(void)events;
-	at_entry_stop(signal->data);
-}
+#define LOOK_S 1. /* between two looks at the settings file */
+
+/* What a running process needs to read its settings once more. */
+typedef struct program {
+	int argc;
+	char **argv;
+	at_entry_t *entry;
+	struct stat seen; /* of the settings file, when it was last read */
+	ev_signal term;
+	ev_signal interrupt;
+	ev_signal hang_up;
+	ev_timer look;
+} program_t;
 
 static int
 set_log_level(const char *name)
@@ -35,34 +42,6 @@
 	return -1;
 }
 
-static int
-run(const at_entry_settings_t *settings)
-{
-	struct ev_loop *loop = ev_default_loop(0);
-	at_entry_t *entry = at_entry_new(loop, settings);
-	at_status_t status;
-	ev_signal term;
-	ev_signal interrupt;
-
-	at_status_clear(&status);
-	if (entry == NULL || at_entry_init(entry, &status) != AT_OK) {
-		(void)fprintf(stderr, "almond-entry: %s\n", status.message);
-		at_entry_delete(entry);
-		return status.code == AT_INVALID ? AT_EXIT_USAGE : 1;
-	}
-	ev_signal_init(&term, on_signal, SIGTERM);
-	ev_signal_init(&interrupt, on_signal, SIGINT);
-	term.data = entry;
-	interrupt.data = entry;
-	ev_signal_start(loop, &term);
-	ev_signal_start(loop, &interrupt);
-	(void)ev_run(loop, 0);
-	at_entry_delete(entry);
-	at_log(AT_LOG_INFO, "entry", NULL, "stopped");
-	at_log_flush();
-	return 0;
-}
-
 /* Reads flags, variables and the settings file; the file outlives the run. */
 static int
 read_settings(at_entry_settings_t *s, int argc, char **argv,
@@ -112,9 +91,107 @@
 	return at_settings_read_with(rows, count, argc, argv, *file, status);
 }
 
+static void
+reload(program_t *program)
+{
+	at_entry_settings_t settings = {0};
+	at_settings_file_t *file = NULL;
+	at_status_t status;
+
+	at_status_clear(&status);
+	if (read_settings(
+		&settings, program->argc, program->argv, &file, &status) == 0 &&
+	    set_log_level(settings.log_level) == 0)
+		at_entry_reload(program->entry, &settings);
+	else
+		at_log(AT_LOG_ERROR, "entry", NULL,
+		    "settings not reloaded: %s; those in use stay",
+		    status.message);
+	at_settings_file_delete(file);
+}
+
+static void
+on_hang_up(struct ev_loop *loop, ev_signal *signal, int events)
+{
+	program_t *program = signal->data;
+
+	(void)loop;
+	(void)events;
+	(void)stat(at_platform_settings_path(), &program->seen);
+	reload(program);
+}
+
+/* The settings file may change without a signal. */
+static void
+on_look(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	program_t *program = timer->data;
+	struct stat now;
+
+	(void)loop;
+	(void)events;
+	if (stat(at_platform_settings_path(), &now) != 0)
+		return;
+	if (now.st_mtim.tv_sec == program->seen.st_mtim.tv_sec &&
+	    now.st_mtim.tv_nsec == program->seen.st_mtim.tv_nsec &&
+	    now.st_size == program->seen.st_size)
+		return;
+	program->seen = now;
+	reload(program);
+}
+
+static void
+on_stop_signal(struct ev_loop *loop, ev_signal *signal, int events)
+{
+	program_t *program = signal->data;
+
+	(void)loop;
+	(void)events;
+	at_entry_stop(program->entry);
+}
+
+static void
+watch_signal(struct ev_loop *loop, program_t *program, ev_signal *watcher,
+    int number, void (*on_signal)(struct ev_loop *, ev_signal *, int))
+{
+	ev_signal_init(watcher, on_signal, number);
+	watcher->data = program;
+	ev_signal_start(loop, watcher);
+}
+
+static int
+run(program_t *program, const at_entry_settings_t *settings)
+{
+	struct ev_loop *loop = ev_default_loop(0);
+	at_status_t status;
+
+	at_status_clear(&status);
+	program->entry = at_entry_new(loop, settings);
+	if (program->entry == NULL ||
+	    at_entry_init(program->entry, &status) != AT_OK) {
+		(void)fprintf(stderr, "almond-entry: %s\n", status.message);
+		at_entry_delete(program->entry);
+		return status.code == AT_INVALID ? AT_EXIT_USAGE : 1;
+	}
+	watch_signal(loop, program, &program->term, SIGTERM, on_stop_signal);
+	watch_signal(
+	    loop, program, &program->interrupt, SIGINT, on_stop_signal);
+	watch_signal(loop, program, &program->hang_up, SIGHUP, on_hang_up);
+	(void)stat(at_platform_settings_path(), &program->seen);
+	ev_timer_init(&program->look, on_look, LOOK_S, LOOK_S);
+	program->look.data = program;
+	ev_timer_start(loop, &program->look);
+	(void)ev_run(loop, 0);
+	at_entry_delete(program->entry);
+	at_log(AT_LOG_INFO, "entry", NULL, "stopped");
+	at_log_flush();
+	return 0;
+}
+
 int
 main(int argc, char **argv)
 {
+	program_t program = {.argc = argc, .argv = argv};
 	at_entry_settings_t settings = {0};
 	at_settings_file_t *file = NULL;
 	at_status_t status;
@@ -134,7 +211,7 @@
 		if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL) != 0)
 			result = 1;
 		else
-			result = run(&settings);
+			result = run(&program, &settings);
 	} else {
 		result = result < 0 ? AT_EXIT_USAGE : 0;
 	}
--- a/src/entry/retries.c
+++ b/src/entry/retries.c
@@ -63,6 +63,15 @@
 	    (uint32_t)(retries->ratio * RATIO_PART * RETRY_MILLI));
 }
 
+void
+at_retry_budgets_set_rule(
+    at_retry_budgets_t *retries, double ratio, uint32_t slack)
+{
+	retries->ratio = ratio;
+	retries->slack = slack;
+	at_retry_budgets_set_instances(retries, retries->instances);
+}
+
 void
 at_retry_budgets_set_instances(at_retry_budgets_t *retries, uint32_t instances)
 {
--- a/src/entry/retries.h
+++ b/src/entry/retries.h
@@ -10,6 +10,8 @@
 
 at_retry_budgets_t *at_retry_budgets_new(double ratio, uint32_t slack);
 void at_retry_budgets_delete(at_retry_budgets_t *retries);
+void at_retry_budgets_set_rule(
+    at_retry_budgets_t *retries, double ratio, uint32_t slack);
 /* How many instances share the slack. */
 void at_retry_budgets_set_instances(
     at_retry_budgets_t *retries, uint32_t instances);
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -157,8 +157,8 @@
 	sync->look = NULL;
 	if (!at_mirror_look(sync->config.mirror, at_clock_now_ms(), page))
 		return;
-	at_log(AT_LOG_WARN, "platform", NULL,
-	    "a watch missed changes kind=%s", sync->config.kind);
+	at_log(AT_LOG_WARN, "platform", NULL, "a watch missed changes kind=%s",
+	    sync->config.kind);
 	relist(&sync->config);
 	relist(&sync->servers);
 }
--- /dev/null
+++ b/tests/unit/test_platform.c
@@ -0,0 +1,175 @@
+/*
+ * The platform's words, decoded: configurations, entries of backend servers
+ * by good and bad writers.
+ */
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "platform/server_decode.h"
+#include "platform/site_decode.h"
+
+static const at_fleet_secret_t secret = {.bytes = {1}};
+
+#define ROUTE                                                                 \
+	"{\"name\":\"r\",\"hostname\":\"h.example\",\"path_prefix\":\"/p/\"," \
+	"\"type\":\"streaming\",\"timeout_ms\":15000,"                        \
+	"\"target_latency_ms\":400,\"priority\":1,\"max_attempts\":2,"        \
+	"\"resumable\":true,\"gap_target_ms\":300,"                           \
+	"\"backends\":[{\"service\":\"s\",\"weight\":90},"                    \
+	"{\"service\":\"t\",\"weight\":10}]}"
+#define SERVICE                                                             \
+	"{\"name\":\"s\",\"max_connections\":370,\"engine\":{\"slots\":64," \
+	"\"kv_capacity\":1000,\"weights_mb\":230000.0,\"adapter_slots\":8," \
+	"\"loads_per_s\":2.1,\"models\":[{\"name\":\"m\","                  \
+	"\"weights_mb\":65099.99,\"load_s\":3.8,\"warm_s\":0.45,"           \
+	"\"disk_s\":0.76,\"adapters\":3,\"adapter_mb\":12.0}]}}"
+#define TENANT                                                              \
+	"{\"name\":\"w\",\"api_keys\":[\"k1\",\"k2\"],\"unit\":\"tokens\"," \
+	"\"plain_tokens\":200,\"rate_per_s\":93743,\"burst\":93743}"
+
+static at_site_t *
+decode(const char *text, at_status_t *status)
+{
+	json_t *root = json_loads(text, 0, NULL);
+	at_site_t *site;
+
+	cr_assert_not_null(root, "the case is no JSON: %s", text);
+	at_status_clear(status);
+	site = at_site_decode(root, &secret, status);
+	json_decref(root);
+	return site;
+}
+
+Test(platform, decodes_a_configuration)
+{
+	at_status_t status;
+	at_site_t *site = decode("{\"version\":7,\"new_field\":1,\"routes\":"
+				 "[" ROUTE "],\"services\":[" SERVICE
+				 "],\"tenants\":[" TENANT "],\"limits\":"
+				 "{\"max_body_bytes\":99}}",
+	    &status);
+	const at_site_route_t *route;
+	const at_site_model_t *model;
+
+	cr_assert_not_null(site, "%s", status.message);
+	cr_assert_eq(site->version, 7);
+	cr_assert_eq(site->limits.body_bytes, 99);
+	route = at_site_route(site, "h.example", "/p/x");
+	cr_assert_not_null(route);
+	cr_assert_eq(route->type, AT_ROUTE_STREAM);
+	cr_assert_eq(route->objective_ms, 400);
+	cr_assert_eq(route->pause_ms, 300);
+	cr_assert_eq(route->target_count, 2);
+	cr_assert_eq(route->targets[0].service, at_tag("s"));
+	cr_assert(route->resumable);
+	model = at_site_model(&site->services[0], at_tag("m"));
+	cr_assert_not_null(model);
+	cr_assert_eq(model->weights_mb, 65100);
+	cr_assert_eq(model->disk_load_ms, 760);
+	cr_assert_eq(site->services[0].loads_per_1000_s, 2100);
+	cr_assert_not_null(at_site_workspace(site, "k2"));
+	cr_assert(site->workspaces[0].counts_tokens);
+	at_site_unref(site);
+}
+
+static const struct {
+	const char *text;
+	const char *fault; /* the message begins so */
+} faults[] = {
+    {"{}", "version:"},
+    {"{\"version\":\"7\"}", "version:"},
+    {"{\"version\":1,\"routes\":[{}]}", "routes[0].name:"},
+    {"{\"version\":1,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
+     "\"path_prefix\":\"/\",\"type\":\"odd\"}]}",
+	"routes[0].type:"},
+    {"{\"version\":1,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\","
+     "\"path_prefix\":\"/\",\"type\":\"safe\"}]}",
+	"routes[0].service:"},
+    {"{\"version\":1,\"tenants\":[{\"name\":\"w\",\"api_keys\":[1]}]}",
+	"tenants[0].api_keys:"},
+};
+
+Test(platform, names_the_field_at_fault)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		at_status_t status;
+
+		cr_assert_null(decode(faults[i].text, &status));
+		cr_assert_eq(strncmp(status.message, faults[i].fault,
+				 strlen(faults[i].fault)),
+		    0, "%s", status.message);
+	}
+}
+
+/* Entries of the list: the field at fault, or NULL when it can be used. */
+static const struct {
+	const char *spec;
+	const char *fault;
+} entries[] = {
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"slots\":4,\"state\":\"ready\",\"sequence\":3}",
+	NULL},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"slots\":4,\"state\":\"draining\",\"remaining_ms\":2000}",
+	NULL},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"slots\":4,\"state\":\"asleep\"}",
+	"state"},
+    {"{\"service\":\"s\",\"address\":\"host:80\",\"zone\":\"z\","
+     "\"slots\":4,\"state\":\"ready\"}",
+	"address"},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"slots\":\"4\",\"state\":\"ready\"}",
+	"slots"},
+    {"{\"service\":4,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"slots\":4,\"state\":\"ready\"}",
+	"service"},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"slots\":4,"
+     "\"state\":\"ready\"}",
+	"zone"},
+    {"[]", "spec"},
+    {"\"text\"", "spec"},
+};
+
+Test(platform, takes_no_entry_that_cannot_be_used)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(entries) / sizeof(entries[0]); i++) {
+		json_t *spec =
+		    json_loads(entries[i].spec, JSON_DECODE_ANY, NULL);
+		at_server_entry_t entry;
+		const char *fault = at_server_decode("i-1", spec, &entry);
+
+		if (entries[i].fault == NULL)
+			cr_assert_null(fault, "%s", entries[i].spec);
+		else
+			cr_assert_str_eq(fault, entries[i].fault);
+		json_decref(spec);
+	}
+}
+
+Test(platform, decodes_what_an_engine_holds)
+{
+	static const char text[] =
+	    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	    "\"slots\":64,\"state\":\"ready\",\"born\":1700000000000,"
+	    "\"sequence\":4,\"models\":[{\"name\":\"m\",\"version\":2,"
+	    "\"adapters\":[\"a1\",\"a2\"]},{\"name\":5}],\"available\":"
+	    "{\"in_memory\":[\"m\"],\"on_disk\":[\"m\",\"n\"]}}";
+	json_t *spec = json_loads(text, 0, NULL);
+	at_server_entry_t entry;
+
+	cr_assert_null(at_server_decode("i-1", spec, &entry));
+	cr_assert_eq(entry.born_ms, 1700000000000u);
+	cr_assert_eq(entry.beat, 4);
+	cr_assert_eq(entry.held_count, 1);
+	cr_assert_eq(entry.held[0].tag, at_tag("m"));
+	cr_assert_eq(entry.held[0].adapter_count, 2);
+	cr_assert_eq(entry.held[0].adapters[1].tag, at_tag("m/a2"));
+	cr_assert_eq(entry.on_disk_count, 2);
+	json_decref(spec);
+}
--- /dev/null
+++ b/tests/unit/test_residency.c
@@ -0,0 +1,286 @@
+/*
+ * Models on engines: how many of each, and the next orders. The cases replay
+ * the patterns named in residency.c: demand that moves from one busy model
+ * to the next, and rare models that are asked for now and then.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "almondthread/residency.h"
+
+#define ENGINES 4u
+#define MODELS 8u
+#define PLACES 3u /* models that fit on one engine */
+#define US_PER_S 1000000u
+
+static const at_fleet_secret_t secret = {.bytes = {1}};
+
+/* A service with four engines of three places and eight models. */
+typedef struct world {
+	at_site_t *site;
+	at_site_service_t *service;
+	at_server_entry_t entries[ENGINES];
+	at_engine_state_t engines[ENGINES];
+	at_demand_rates_t *demand;
+	at_move_t moves[16];
+	size_t move_count;
+} world_t;
+
+static at_tag_t
+model_tag(unsigned m)
+{
+	char name[8];
+
+	(void)snprintf(name, sizeof(name), "m%u", m);
+	return at_tag(name);
+}
+
+static void
+make_world(world_t *w)
+{
+	unsigned i;
+
+	memset(w, 0, sizeof(*w));
+	w->site = at_site_new(&secret);
+	w->service = at_site_add_service(w->site);
+	w->service->tag = at_tag("llm");
+	w->service->has_models = 1;
+	w->service->weights_mb = 230000;
+	w->service->adapter_slots = 8;
+	for (i = 0; i < MODELS; i++) {
+		at_site_model_t *model = at_site_add_model(w->service);
+
+		(void)snprintf(
+		    model->name.text, sizeof(model->name.text), "m%u", i);
+		model->tag = model_tag(i);
+		model->weights_mb = 70000;
+		model->memory_load_ms = 450;
+		model->disk_load_ms = 800;
+		model->store_load_ms = 4000;
+	}
+	for (i = 0; i < ENGINES; i++) {
+		(void)snprintf(w->entries[i].id.text,
+		    sizeof(w->entries[i].id.text), "e%u", i);
+		w->entries[i].tag = at_tag(w->entries[i].id.text);
+		w->engines[i].entry = &w->entries[i];
+		w->engines[i].usable = 1;
+	}
+	w->demand = at_demand_rates_new();
+}
+
+static void
+free_world(world_t *w)
+{
+	at_demand_rates_delete(w->demand);
+	at_site_unref(w->site);
+}
+
+static void
+hold(world_t *w, unsigned engine, unsigned model)
+{
+	at_server_entry_t *entry = &w->entries[engine];
+
+	entry->held[entry->held_count].tag = model_tag(model);
+	entry->held_count++;
+}
+
+/* Asks for a model so many times a second, for ten seconds. */
+static void
+ask(world_t *w, unsigned model, unsigned per_s)
+{
+	at_work_t work = {.service = at_tag("llm"),
+	    .model = model_tag(model),
+	    .prompt_tokens = 800,
+	    .output_tokens = 300};
+	unsigned i;
+
+	for (i = 0; i < per_s * 10; i++)
+		at_demand_rates_note(w->demand, &work, US_PER_S);
+}
+
+static void
+settle_demand(world_t *w)
+{
+	at_demand_rates_tick(w->demand, US_PER_S);
+	at_demand_rates_tick(w->demand, 11u * US_PER_S);
+}
+
+static void
+wait_for(world_t *w, unsigned model)
+{
+	const at_work_t work = {
+	    .service = at_tag("llm"), .model = model_tag(model)};
+
+	at_demand_rates_add_waiting(w->demand, &work);
+}
+
+static void
+plan(world_t *w, uint32_t store_loads, uint32_t moves)
+{
+	const at_residency_limits_t limits = {store_loads, moves};
+
+	w->move_count = at_residency_plan(
+	    w->service, w->engines, ENGINES, w->demand, &limits, w->moves, 16);
+}
+
+Test(residency, gives_places_to_load_with_falling_returns)
+{
+	uint32_t targets[MODELS];
+	uint32_t sum = 0;
+	world_t w;
+	unsigned i;
+
+	make_world(&w);
+	ask(&w, 0, 60);
+	ask(&w, 1, 30);
+	ask(&w, 2, 1);
+	ask(&w, 3, 1);
+	settle_demand(&w);
+	at_residency_targets(w.service, ENGINES, w.demand, targets);
+	for (i = 0; i < MODELS; i++)
+		sum += targets[i];
+	cr_assert_eq(targets[0], ENGINES);
+	cr_assert_geq(targets[1], 3);
+	cr_assert_geq(targets[2], 1);
+	cr_assert_eq(targets[4], 0, "a model nobody asks for has a place");
+	cr_assert_leq(sum, ENGINES * PLACES);
+	free_world(&w);
+}
+
+Test(residency, follows_demand_that_moves_on)
+{
+	world_t w;
+	unsigned e;
+
+	make_world(&w);
+	for (e = 0; e < ENGINES; e++) {
+		hold(&w, e, 0);
+		hold(&w, e, 1);
+		hold(&w, e, 2 + e);
+		w.entries[e].on_disk[0] = model_tag(2);
+		w.entries[e].on_disk_count = 1;
+	}
+	/* All of it goes to the model that stands on one engine. */
+	ask(&w, 2, 60);
+	settle_demand(&w);
+	plan(&w, 0, 2);
+	cr_assert_eq(w.move_count, 2);
+	for (e = 0; e < w.move_count; e++) {
+		cr_assert_eq(w.moves[e].kind, AT_MOVE_UNLOAD);
+		cr_assert(w.moves[e].model != model_tag(2));
+		cr_assert(w.moves[e].server != w.entries[0].tag);
+	}
+	free_world(&w);
+}
+
+Test(residency, puts_a_rare_model_where_its_weights_are_near)
+{
+	world_t w;
+	unsigned e;
+
+	make_world(&w);
+	for (e = 0; e < ENGINES; e++) {
+		hold(&w, e, 0);
+		hold(&w, e, 1);
+	}
+	w.entries[2].on_disk[0] = model_tag(7);
+	w.entries[2].on_disk_count = 1;
+	ask(&w, 0, 30);
+	settle_demand(&w);
+	wait_for(&w, 7);
+	plan(&w, 1, 0);
+	cr_assert_eq(w.move_count, 1);
+	cr_assert_eq(w.moves[0].kind, AT_MOVE_LOAD);
+	cr_assert_eq(w.moves[0].server, w.entries[2].tag);
+	cr_assert_eq(w.moves[0].from, AT_COPY_DISK);
+	cr_assert(w.moves[0].urgent);
+	free_world(&w);
+}
+
+Test(residency, makes_room_once_for_a_rare_model)
+{
+	world_t w;
+	unsigned e;
+
+	make_world(&w);
+	for (e = 0; e < ENGINES; e++) {
+		hold(&w, e, 0);
+		hold(&w, e, 1);
+		hold(&w, e, 2 + e);
+	}
+	ask(&w, 0, 30);
+	settle_demand(&w);
+	wait_for(&w, 7);
+	plan(&w, 1, 0);
+	cr_assert_eq(w.move_count, 1);
+	cr_assert_eq(w.moves[0].kind, AT_MOVE_UNLOAD);
+	cr_assert(w.moves[0].model != model_tag(0), "a busy model has gone");
+	/* While it goes, no second one is sent away. */
+	for (e = 0; e < ENGINES; e++) {
+		if (w.entries[e].tag == w.moves[0].server) {
+			w.engines[e].busy = 1;
+			w.engines[e].unloading = w.moves[0].model;
+		}
+	}
+	plan(&w, 1, 0);
+	cr_assert_eq(w.move_count, 0);
+	free_world(&w);
+}
+
+Test(residency, begins_no_load_that_the_weight_store_does_not_allow)
+{
+	world_t w;
+
+	make_world(&w);
+	wait_for(&w, 7);
+	plan(&w, 0, 2);
+	cr_assert_eq(w.move_count, 0);
+	plan(&w, 1, 2);
+	cr_assert_eq(w.move_count, 1);
+	cr_assert_eq(w.moves[0].from, AT_COPY_STORE);
+	free_world(&w);
+}
+
+/* Any engines, any demand: no plan may exceed an engine's memory. */
+Test(residency, never_loads_more_than_fits)
+{
+	uint64_t state = 7;
+	unsigned round;
+
+	for (round = 0; round < 300; round++) {
+		world_t w;
+		unsigned e;
+		size_t i;
+
+		make_world(&w);
+		for (e = 0; e < ENGINES; e++) {
+			unsigned held;
+
+			for (held = 0; held < PLACES; held++) {
+				state = state * 6364136223846793005u + 1u;
+				if ((state >> 60) < 9)
+					hold(&w, e, held + (state >> 40) % 4);
+			}
+			w.engines[e].usable = (state >> 33) % 8 != 0;
+			w.engines[e].busy = (state >> 35) % 8 == 0;
+		}
+		ask(&w, (unsigned)(state >> 50) % MODELS, 20);
+		settle_demand(&w);
+		wait_for(&w, (unsigned)(state >> 45) % MODELS);
+		plan(&w, 2, 2);
+		for (i = 0; i < w.move_count; i++) {
+			for (e = 0; e < ENGINES; e++) {
+				if (w.entries[e].tag != w.moves[i].server)
+					continue;
+				cr_assert(w.engines[e].usable);
+				cr_assert_not(w.engines[e].busy);
+				if (w.moves[i].kind == AT_MOVE_LOAD)
+					cr_assert_lt(
+					    w.entries[e].held_count, PLACES);
+			}
+		}
+		free_world(&w);
+	}
+}
