--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -40,6 +40,21 @@
 	size_t adapter_count;
 } at_held_model_t;
 
+/* The models on one engine, with their adapters. */
+typedef struct at_held_set {
+	at_held_model_t models[AT_HELD_MODELS_MAX];
+	size_t count;
+} at_held_set_t;
+
+/* at_held_set_has() tells whether model and adapter (0: none) are there. */
+int at_held_set_has(const at_held_set_t *set, at_tag_t model, at_tag_t adapter);
+/* Both add or take away; what does not fit is left out. */
+void at_held_set_model(at_held_set_t *set, const at_name_t *model, int held);
+void at_held_set_adapter(at_held_set_t *set, const at_name_t *model,
+    const at_name_t *adapter, int held);
+/* at_held_set_adapters() counts the adapters of all models. */
+size_t at_held_set_adapters(const at_held_set_t *set);
+
 /* What the platform's list says of one backend server. */
 typedef struct at_server_entry {
 	at_name_t id;
@@ -53,8 +68,7 @@
 	uint32_t cold_ms; /* it is slow for so much longer */
 	int leaving;
 	uint32_t remaining_ms; /* until it is gone; 0: not said */
-	at_held_model_t held[AT_HELD_MODELS_MAX];
-	size_t held_count;
+	at_held_set_t held;
 	at_tag_t in_memory[AT_COPIES_MAX];
 	size_t in_memory_count;
 	at_tag_t on_disk[AT_COPIES_MAX];
@@ -113,6 +127,7 @@
 	at_server_t *server;
 	uint64_t predicted_us; /* to the first event */
 	uint32_t candidates;   /* that hold what is asked for */
+	uint32_t holders;      /* that hold the model, if not the adapter */
 } at_choice_t;
 
 /* How a request at a backend server ended, as far as it tells of that. */
--- a/include/almondthread/mirror.h
+++ b/include/almondthread/mirror.h
@@ -33,7 +33,7 @@
 /* Hears of changes. The object is lent for the call. */
 typedef struct at_mirror_sink {
 	void (*on_change)(void *ctx, const at_object_t *object);
-	void (*on_gone)(void *ctx, const char *name);
+	void (*on_gone)(void *ctx, const char *name, uint64_t version);
 	void *ctx;
 } at_mirror_sink_t;
 
@@ -45,6 +45,20 @@
 /* How long vanished objects are kept after an outage, in ms. */
 void at_mirror_set_linger(at_mirror_t *mirror, uint32_t linger_ms);
 
+/*
+ * at_mirror_set_following() says that another instance watches and tells what
+ * changes: after its first list the mirror makes no calls of its own. When
+ * that ends it lists anew.
+ */
+void at_mirror_set_following(at_mirror_t *mirror, int following);
+/* Both take what the other instance tells; what is older is ignored. */
+void at_mirror_feed(
+    at_mirror_t *mirror, uint64_t now_ms, const at_object_t *object);
+void at_mirror_feed_gone(
+    at_mirror_t *mirror, uint64_t now_ms, const char *name, uint64_t version);
+/* at_mirror_digest() is the same for the same objects and versions. */
+uint64_t at_mirror_digest(const at_mirror_t *mirror);
+
 /* at_mirror_process() returns the call to make now, if any. */
 void at_mirror_process(
     at_mirror_t *mirror, uint64_t now_ms, at_mirror_action_t *action);
@@ -63,6 +77,9 @@
 /* at_mirror_due_ms() returns when at_mirror_process() is due again. */
 uint64_t at_mirror_due_ms(const at_mirror_t *mirror);
 
+/* at_mirror_dropped() says that the owner dropped the open call. */
+void at_mirror_dropped(at_mirror_t *mirror);
+int at_mirror_is_listing(const at_mirror_t *mirror);
 /* at_mirror_synced() tells whether a whole list was ever taken over. */
 int at_mirror_synced(const at_mirror_t *mirror);
 /* at_mirror_away() tells whether the last call failed. */
--- a/include/almondthread/residency.h
+++ b/include/almondthread/residency.h
@@ -17,6 +17,11 @@
 /* One engine as the planner sees it. */
 typedef struct at_engine_state {
 	const at_server_entry_t *entry;
+	/*
+	 * What it holds at the count of orders that the next one will name;
+	 * the entry may be older than that.
+	 */
+	const at_held_set_t *held;
 	at_load_t load;
 	int usable;       /* it may be given orders: not leaving, not failing */
 	int busy;         /* an order is under way or its end is not known */
--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -22,7 +22,8 @@
 	uint64_t heard_us; /* 0: never */
 	uint64_t known_us; /* when it was first known */
 	int leaving;
-	uint64_t fence; /* of the lease that it holds; 0: it does not */
+	uint64_t fence;   /* of the lease that it holds; 0: it does not */
+	int platform_away; /* it cannot reach the platform */
 } at_roster_member_t;
 
 typedef struct at_roster at_roster_t;
@@ -53,13 +54,14 @@
 const at_roster_member_t *at_roster_holder(
     const at_roster_t *roster, uint64_t now_us);
 /*
- * at_roster_is_first() tells whether this instance is the one of those heard
- * that should take a free lease; all that hear each other agree.
+ * at_roster_is_first() tells whether a shared task is this instance's: it is
+ * the first of those heard in a data centre (0: in all) that reach the
+ * platform, or the first of all if none does. All that hear each other agree.
+ * The holder of the lease is left out where but_holder is set: the first of
+ * the others stands by to take it.
  */
-int at_roster_is_first(const at_roster_t *roster, uint64_t now_us);
-/* The same among the instances of its own data centre. */
-int at_roster_is_first_of(
-    const at_roster_t *roster, at_tag_t data_centre, uint64_t now_us);
+int at_roster_is_first(const at_roster_t *roster, at_tag_t data_centre,
+    int but_holder, int platform_away, uint64_t now_us);
 
 /* Visits every other instance; visit may remove the one it gets. */
 void at_roster_each(at_roster_t *roster,
--- a/include/almondthread/waiting.h
+++ b/include/almondthread/waiting.h
@@ -19,8 +19,8 @@
 
 /* What becomes of a request that arrives. */
 typedef enum at_arrival {
-	AT_ARRIVAL_PLACED,  /* it can go to the chosen backend server */
-	AT_ARRIVAL_WAITS, /* it is worth its while to wait */
+	AT_ARRIVAL_PLACED, /* it can go to the chosen backend server */
+	AT_ARRIVAL_WAITS,  /* it is worth its while to wait */
 	AT_ARRIVAL_REFUSED,
 	AT_ARRIVAL_COUNT
 } at_arrival_t;
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &report_adapter__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_server__init
+                     (ReportServer         *message)
+{
+  static const ReportServer init_value = REPORT_SERVER__INIT;
+  *message = init_value;
+}
+size_t report_server__get_packed_size
+                     (const ReportServer *message)
+{
+  assert(message->base.descriptor == &report_server__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_server__pack
+                     (const ReportServer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_server__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_server__pack_to_buffer
+                     (const ReportServer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_server__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportServer *
+       report_server__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportServer *)
+     protobuf_c_message_unpack (&report_server__descriptor,
+                                allocator, len, data);
+}
+void   report_server__free_unpacked
+                     (ReportServer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_server__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report__init
                      (Report         *message)
 {
@@ -649,7 +694,84 @@
   (ProtobufCMessageInit) report_adapter__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[13] =
+static const ProtobufCFieldDescriptor report_server__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ReportServer, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportServer, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deleted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ReportServer, deleted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ReportServer, spec),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_server__field_indices_by_name[] = {
+  2,   /* field[2] = deleted */
+  0,   /* field[0] = name */
+  3,   /* field[3] = spec */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange report_server__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor report_server__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportServer",
+  "ReportServer",
+  "ReportServer",
+  "",
+  sizeof(ReportServer),
+  4,
+  report_server__field_descriptors,
+  report_server__field_indices_by_name,
+  1,  report_server__number_ranges,
+  (ProtobufCMessageInit) report_server__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report__field_descriptors[18] =
 {
   {
     "name",
@@ -807,6 +929,66 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Report, reads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "platform_away",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Report, platform_away),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers_digest",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Report, servers_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_servers),
+    offsetof(Report, servers),
+    &report_server__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_loads",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Report, has_loads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -815,18 +997,23 @@
   1,   /* field[1] = data_centre */
   9,   /* field[9] = demand */
   6,   /* field[6] = fence */
+  17,   /* field[17] = has_loads */
   3,   /* field[3] = incarnation */
   5,   /* field[5] = leaving */
   7,   /* field[7] = loads */
   0,   /* field[0] = name */
+  14,   /* field[14] = platform_away */
+  13,   /* field[13] = reads */
   4,   /* field[4] = sequence */
+  16,   /* field[16] = servers */
+  15,   /* field[15] = servers_digest */
   8,   /* field[8] = spending */
   10,   /* field[10] = wants */
 };
 static const ProtobufCIntRange report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -836,7 +1023,7 @@
   "Report",
   "",
   sizeof(Report),
-  13,
+  18,
   report__field_descriptors,
   report__field_indices_by_name,
   1,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct ReportDemand ReportDemand;
 typedef struct ReportWant ReportWant;
 typedef struct ReportAdapter ReportAdapter;
+typedef struct ReportServer ReportServer;
 typedef struct Report Report;
 
 
@@ -111,6 +112,26 @@
     , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * An object of the platform's list of backend servers, as its reader in this
+ * data centre has seen it.
+ */
+struct  ReportServer
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t version;
+  protobuf_c_boolean deleted;
+  /*
+   * JSON
+   */
+  char *spec;
+};
+#define REPORT_SERVER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_server__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+
+
 struct  Report
 {
   ProtobufCMessage base;
@@ -135,10 +156,25 @@
   size_t n_adapters;
   ReportAdapter **adapters;
   uint64_t config_version;
+  /*
+   * the platform's lists, for its data centre
+   */
+  protobuf_c_boolean reads;
+  /*
+   * the sender cannot reach it
+   */
+  protobuf_c_boolean platform_away;
+  uint64_t servers_digest;
+  size_t n_servers;
+  ReportServer **servers;
+  /*
+   * the loads are all there are
+   */
+  protobuf_c_boolean has_loads;
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /* ReportLoad methods */
@@ -236,6 +272,25 @@
 void   report_adapter__free_unpacked
                      (ReportAdapter *message,
                       ProtobufCAllocator *allocator);
+/* ReportServer methods */
+void   report_server__init
+                     (ReportServer         *message);
+size_t report_server__get_packed_size
+                     (const ReportServer   *message);
+size_t report_server__pack
+                     (const ReportServer   *message,
+                      uint8_t             *out);
+size_t report_server__pack_to_buffer
+                     (const ReportServer   *message,
+                      ProtobufCBuffer     *buffer);
+ReportServer *
+       report_server__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_server__free_unpacked
+                     (ReportServer *message,
+                      ProtobufCAllocator *allocator);
 /* Report methods */
 void   report__init
                      (Report         *message);
@@ -272,6 +327,9 @@
 typedef void (*ReportAdapter_Closure)
                  (const ReportAdapter *message,
                   void *closure_data);
+typedef void (*ReportServer_Closure)
+                 (const ReportServer *message,
+                  void *closure_data);
 typedef void (*Report_Closure)
                  (const Report *message,
                   void *closure_data);
@@ -286,6 +344,7 @@
 extern const ProtobufCMessageDescriptor report_demand__descriptor;
 extern const ProtobufCMessageDescriptor report_want__descriptor;
 extern const ProtobufCMessageDescriptor report_adapter__descriptor;
+extern const ProtobufCMessageDescriptor report_server__descriptor;
 extern const ProtobufCMessageDescriptor report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <uthash.h>
+#include <xxhash.h>
 
 #define WATCH_MS 15000u     /* one watch; connections are probed besides */
 #define RETRY_FIRST_MS 100u /* after a failed call */
@@ -31,6 +32,7 @@
 	size_t lingering; /* objects with gone_at_ms set */
 	int open;         /* a call has no answer yet */
 	int listing;      /* the next call is a list */
+	int following;    /* another instance watches */
 	char after[NAME_SIZE];
 	uint64_t since;
 	int synced;
@@ -85,7 +87,7 @@
 	HASH_DEL(mirror->objects, known);
 	if (known->gone_at_ms != 0)
 		mirror->lingering--;
-	mirror->sink.on_gone(mirror->sink.ctx, known->name);
+	mirror->sink.on_gone(mirror->sink.ctx, known->name, known->version);
 	free(known);
 }
 
@@ -239,7 +241,8 @@
 	mirror->now_ms = now_ms;
 	expire_vanished(mirror);
 	action->step = AT_MIRROR_WAIT;
-	if (mirror->open || now_ms < mirror->next_call_ms)
+	if (mirror->open || now_ms < mirror->next_call_ms ||
+	    (mirror->following && !mirror->listing))
 		return;
 	mirror->open = 1;
 	if (mirror->listing) {
@@ -307,10 +310,54 @@
 	mirror->next_call_ms = 0;
 }
 
+void
+at_mirror_set_following(at_mirror_t *mirror, int following)
+{
+	if (mirror->following == following)
+		return;
+	mirror->following = following;
+	if (!following && !mirror->open)
+		at_mirror_relist(mirror);
+}
+
+void
+at_mirror_feed(
+    at_mirror_t *mirror, uint64_t now_ms, const at_object_t *object)
+{
+	mirror->now_ms = now_ms;
+	change(mirror, object);
+}
+
+void
+at_mirror_feed_gone(
+    at_mirror_t *mirror, uint64_t now_ms, const char *name, uint64_t version)
+{
+	known_t *known;
+
+	mirror->now_ms = now_ms;
+	HASH_FIND_STR(mirror->objects, name, known);
+	if (known != NULL && known->version <= version)
+		forget(mirror, known);
+}
+
+uint64_t
+at_mirror_digest(const at_mirror_t *mirror)
+{
+	const known_t *known;
+	uint64_t digest = 0;
+
+	/* Sums do not depend on the order. */
+	for (known = mirror->objects; known != NULL; known = known->hh.next)
+		digest += XXH3_64bits_withSeed(
+		    known->name, strlen(known->name), known->version);
+	return digest;
+}
+
 uint64_t
 at_mirror_due_ms(const at_mirror_t *mirror)
 {
-	uint64_t due_ms = mirror->open ? AT_MIRROR_NEVER : mirror->next_call_ms;
+	int quiet = mirror->open || (mirror->following && !mirror->listing);
+	uint64_t due_ms = quiet ? AT_MIRROR_NEVER : mirror->next_call_ms;
 	const known_t *known;
 
 	if (mirror->lingering == 0)
@@ -322,6 +369,18 @@
 	return due_ms;
 }
 
+void
+at_mirror_dropped(at_mirror_t *mirror)
+{
+	mirror->open = 0;
+}
+
+int
+at_mirror_is_listing(const at_mirror_t *mirror)
+{
+	return mirror->listing;
+}
+
 int
 at_mirror_synced(const at_mirror_t *mirror)
 {
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -155,6 +155,8 @@
 		    is_avoided(work, server->entry.tag))
 			continue;
 		usable++;
+		if (work->model != 0 && at_server_holds(server, work->model, 0))
+			choice->holders++;
 		if (work->model != 0 &&
 		    !at_server_holds(server, work->model, work->adapter))
 			continue;
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -22,8 +22,7 @@
 
 /* A change that an order has made, ahead of the list. */
 typedef struct note {
-	at_tag_t model;
-	at_name_t model_name;
+	at_name_t model;
 	at_name_t adapter; /* empty: the model itself */
 	int held;
 	uint64_t noted_us;
@@ -31,8 +30,7 @@
 
 struct at_server {
 	at_server_entry_t entry; /* held: the list's, changed by the notes */
-	at_held_model_t listed_held[AT_HELD_MODELS_MAX];
-	size_t listed_held_count;
+	at_held_set_t listed_held;
 	note_t notes[NOTES_MAX];
 	size_t note_count;
 	int listed;
--- a/src/core/fleet/held.c
+++ b/src/core/fleet/held.c
@@ -2,104 +2,32 @@
  * held.c - what an engine holds: the platform's list, changed by notes of
  * orders that the list does not show yet.
  */
-#include <stdio.h>
 #include <string.h>
 
 #include "core/fleet/fleet_private.h"
 
-static at_held_model_t *
-held_model(at_server_entry_t *entry, at_tag_t model)
-{
-	size_t i;
-
-	for (i = 0; i < entry->held_count; i++) {
-		if (entry->held[i].tag == model)
-			return &entry->held[i];
-	}
-	return NULL;
-}
-
-static size_t
-find_adapter(const at_held_model_t *held, at_tag_t adapter)
-{
-	size_t i;
-
-	for (i = 0; i < held->adapter_count; i++) {
-		if (held->adapters[i].tag == adapter)
-			break;
-	}
-	return i;
-}
-
 int
 at_server_holds(const at_server_t *server, at_tag_t model, at_tag_t adapter)
 {
-	const at_held_model_t *held;
-	size_t i;
-
-	for (i = 0; i < server->entry.held_count; i++) {
-		held = &server->entry.held[i];
-		if (held->tag == model)
-			return adapter == 0 || find_adapter(held, adapter) <
-						   held->adapter_count;
-	}
-	return 0;
-}
-
-static void
-apply_model(at_server_entry_t *entry, const note_t *note)
-{
-	at_held_model_t *held = held_model(entry, note->model);
-
-	if (!note->held && held != NULL) {
-		*held = entry->held[--entry->held_count];
-	} else if (note->held && held == NULL &&
-		   entry->held_count < AT_HELD_MODELS_MAX) {
-		held = &entry->held[entry->held_count++];
-		memset(held, 0, sizeof(*held));
-		held->name = note->model_name;
-		held->tag = note->model;
-	}
-}
-
-static void
-apply_adapter(at_server_entry_t *entry, const note_t *note)
-{
-	at_held_model_t *held = held_model(entry, note->model);
-	char text[2 * AT_NAME_SIZE];
-	at_tag_t tag;
-	size_t i;
-
-	if (held == NULL)
-		return;
-	(void)snprintf(
-	    text, sizeof(text), "%s/%s", held->name.text, note->adapter.text);
-	tag = at_tag(text);
-	i = find_adapter(held, tag);
-	if (note->held && i == held->adapter_count &&
-	    i < AT_HELD_ADAPTERS_MAX) {
-		held->adapters[i].tag = tag;
-		held->adapters[i].name = note->adapter;
-		held->adapter_count++;
-	} else if (!note->held && i < held->adapter_count) {
-		held->adapters[i] = held->adapters[--held->adapter_count];
-	}
+	return at_held_set_has(&server->entry.held, model, adapter);
 }
 
 /* The list as it is, then every note in the order it was made. */
 static void
 recompute(at_server_t *server)
 {
-	at_server_entry_t *entry = &server->entry;
+	at_held_set_t *held = &server->entry.held;
 	size_t i;
 
-	memcpy(entry->held, server->listed_held, sizeof(entry->held));
-	entry->held_count = server->listed_held_count;
+	*held = server->listed_held;
 	for (i = 0; i < server->note_count; i++) {
-		if (server->notes[i].adapter.text[0] == '\0')
-			apply_model(entry, &server->notes[i]);
+		const note_t *note = &server->notes[i];
+
+		if (note->adapter.text[0] == '\0')
+			at_held_set_model(held, &note->model, note->held);
 		else
-			apply_adapter(entry, &server->notes[i]);
+			at_held_set_adapter(
+			    held, &note->model, &note->adapter, note->held);
 	}
 }
 
@@ -115,7 +43,7 @@
 static int
 is_overtaken(const note_t *note, const note_t *by)
 {
-	if (note->model != by->model)
+	if (!at_name_equal(&note->model, &by->model))
 		return 0;
 	return by->adapter.text[0] == '\0' ||
 	       strcmp(note->adapter.text, by->adapter.text) == 0;
@@ -147,7 +75,7 @@
 	for (i = 0; i < server->note_count; i++) {
 		const note_t *known = &server->notes[i];
 
-		if (known->model == note->model &&
+		if (at_name_equal(&known->model, &note->model) &&
 		    strcmp(known->adapter.text, note->adapter.text) == 0)
 			return known->held == note->held;
 	}
@@ -158,10 +86,8 @@
 at_server_note_model(
     at_server_t *server, const at_name_t *model, int is_held, uint64_t now_us)
 {
-	const note_t note = {.model = at_tag(model->text),
-	    .model_name = *model,
-	    .held = is_held,
-	    .noted_us = now_us};
+	const note_t note = {
+	    .model = *model, .held = is_held, .noted_us = now_us};
 
 	if (!is_known(server, &note))
 		add_note(server, &note);
@@ -171,8 +97,7 @@
 at_server_note_adapter(at_server_t *server, const at_name_t *model,
     const at_name_t *adapter, int is_held, uint64_t now_us)
 {
-	const note_t note = {.model = at_tag(model->text),
-	    .model_name = *model,
+	const note_t note = {.model = *model,
 	    .adapter = *adapter,
 	    .held = is_held,
 	    .noted_us = now_us};
@@ -181,17 +106,10 @@
 		add_note(server, &note);
 }
 
-static void
-set_listed(at_server_t *server, const at_server_entry_t *entry)
-{
-	memcpy(server->listed_held, entry->held, sizeof(server->listed_held));
-	server->listed_held_count = entry->held_count;
-}
-
 void
 held_listed(at_server_t *server, const at_server_entry_t *entry)
 {
-	set_listed(server, entry);
+	server->listed_held = entry->held;
 	recompute(server);
 }
 
@@ -214,7 +132,7 @@
 		else
 			i++;
 	}
-	set_listed(server, held);
+	server->listed_held = held->held;
 	memcpy(
 	    server->entry.in_memory, held->in_memory, sizeof(held->in_memory));
 	server->entry.in_memory_count = held->in_memory_count;
--- /dev/null
+++ b/src/core/fleet/held_set.c
@@ -0,0 +1,92 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "almondthread/fleet.h"
+
+static at_held_model_t *
+find_model(at_held_set_t *set, at_tag_t model)
+{
+	size_t i;
+
+	for (i = 0; i < set->count; i++) {
+		if (set->models[i].tag == model)
+			return &set->models[i];
+	}
+	return NULL;
+}
+
+static size_t
+find_adapter(const at_held_model_t *model, at_tag_t adapter)
+{
+	size_t i;
+
+	for (i = 0; i < model->adapter_count; i++) {
+		if (model->adapters[i].tag == adapter)
+			break;
+	}
+	return i;
+}
+
+int
+at_held_set_has(const at_held_set_t *set, at_tag_t model, at_tag_t adapter)
+{
+	size_t i;
+
+	for (i = 0; i < set->count; i++) {
+		const at_held_model_t *held = &set->models[i];
+
+		if (held->tag == model)
+			return adapter == 0 || find_adapter(held, adapter) <
+						   held->adapter_count;
+	}
+	return 0;
+}
+
+void
+at_held_set_model(at_held_set_t *set, const at_name_t *model, int is_held)
+{
+	at_held_model_t *held = find_model(set, at_tag(model->text));
+
+	if (!is_held && held != NULL) {
+		*held = set->models[--set->count];
+	} else if (is_held && held == NULL && set->count < AT_HELD_MODELS_MAX) {
+		held = &set->models[set->count++];
+		memset(held, 0, sizeof(*held));
+		held->name = *model;
+		held->tag = at_tag(model->text);
+	}
+}
+
+void
+at_held_set_adapter(at_held_set_t *set, const at_name_t *model,
+    const at_name_t *adapter, int is_held)
+{
+	at_held_model_t *held = find_model(set, at_tag(model->text));
+	char text[2 * AT_NAME_SIZE];
+	at_tag_t tag;
+	size_t i;
+
+	if (held == NULL)
+		return;
+	(void)snprintf(text, sizeof(text), "%s/%s", model->text, adapter->text);
+	tag = at_tag(text);
+	i = find_adapter(held, tag);
+	if (is_held && i == held->adapter_count && i < AT_HELD_ADAPTERS_MAX) {
+		held->adapters[i].tag = tag;
+		held->adapters[i].name = *adapter;
+		held->adapter_count++;
+	} else if (!is_held && i < held->adapter_count) {
+		held->adapters[i] = held->adapters[--held->adapter_count];
+	}
+}
+
+size_t
+at_held_set_adapters(const at_held_set_t *set)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < set->count; i++)
+		count += set->models[i].adapter_count;
+	return count;
+}
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -142,25 +142,26 @@
 }
 
 int
-at_roster_is_first_of(
-    const at_roster_t *roster, at_tag_t data_centre, uint64_t now_us)
+at_roster_is_first(const at_roster_t *roster, at_tag_t data_centre,
+    int but_holder, int platform_away, uint64_t now_us)
 {
 	const entry_t *entry;
+	int other_reaches = 0;
+	int is_first = 1;
 
 	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
-		if (is_heard(&entry->member, now_us) &&
-		    (data_centre == 0 ||
-			entry->member.data_centre == data_centre) &&
-		    entry->member.tag < roster->self_tag)
-			return 0;
-	}
-	return 1;
-}
+		const at_roster_member_t *member = &entry->member;
 
-int
-at_roster_is_first(const at_roster_t *roster, uint64_t now_us)
-{
-	return at_roster_is_first_of(roster, 0, now_us);
+		if (!is_heard(member, now_us) ||
+		    (but_holder && member->fence != 0) ||
+		    (data_centre != 0 && member->data_centre != data_centre))
+			continue;
+		if (member->tag < roster->self_tag &&
+		    (platform_away || !member->platform_away))
+			is_first = 0;
+		other_reaches |= !member->platform_away;
+	}
+	return is_first && !(platform_away && other_reaches);
 }
 
 void
--- a/src/core/fleet/waiting.c
+++ b/src/core/fleet/waiting.c
@@ -13,7 +13,8 @@
 #define TOKEN_US 45u         /* one prompt token, at an engine in use */
 #define PLACE_FREE_US 30000u /* between two ends at a full batch */
 #define PLAIN_FREE_US 12000u /* the same at a plain service */
-#define LOAD_US 1500000u     /* until a model that is asked for is there */
+#define LOAD_US 1000000u     /* until a model that is asked for is there */
+#define ADAPTER_US 60000u    /* the same for an adapter of a held model */
 #define PRIORITY_US 150000u  /* what a step of priority weighs */
 #define WAIT_PERCENT 45u     /* of the time left that may be waited */
 #define RETRY_MIN_MS 50u     /* sooner is no use */
@@ -136,7 +137,7 @@
 	}
 	j->wait_us = wait_before(waiting, waiter, j->choice.candidates);
 	if (j->fit == AT_FIT_ABSENT)
-		j->wait_us += LOAD_US;
+		j->wait_us += j->choice.holders > 0 ? ADAPTER_US : LOAD_US;
 	if (j->fit != AT_FIT_NOBODY && j->wait_us <= may_wait_us) {
 		j->arrival = AT_ARRIVAL_WAITS;
 		return;
--- a/src/core/limits/quota.c
+++ b/src/core/limits/quota.c
@@ -8,6 +8,7 @@
 #define US_PER_S 1000000.
 #define START_PART 0.25 /* of the burst; others may just have spent the rest \
 			 */
+#define REPORT_FOR_US 3000000u /* a row is told so long after a change */
 #define NEVER_MS 60000u /* told when a request is larger than the burst */
 
 typedef struct account {
@@ -17,6 +18,7 @@
 	double level;
 	uint64_t refilled_us;
 	uint64_t spent; /* by this instance, since its start */
+	uint64_t spent_us;
 	int unlimited;
 	UT_hash_handle hh;
 } account_t;
@@ -178,6 +180,7 @@
 	if (account->unlimited || missing <= 0) {
 		account->level -= account->unlimited ? 0 : (double)units;
 		account->spent += units;
+		account->spent_us = now_us;
 		return 0;
 	}
 	if ((double)units > account->burst || account->rate_per_s <= 0)
@@ -202,14 +205,16 @@
 }
 
 size_t
-at_quota_report(const at_quota_t *quota, at_spending_t *rows, size_t max)
+at_quota_report(const at_quota_t *quota, at_spending_t *rows, size_t max,
+    uint64_t now_us)
 {
 	const account_t *account;
 	size_t count = 0;
 
 	for (account = quota->accounts; account != NULL && count < max;
 	     account = account->hh.next) {
-		if (account->spent == 0)
+		if (account->spent == 0 ||
+		    now_us - account->spent_us > REPORT_FOR_US)
 			continue;
 		rows[count].workspace = account->workspace;
 		rows[count].units = account->spent;
--- a/src/core/placement/residency.c
+++ b/src/core/placement/residency.c
@@ -16,9 +16,10 @@
 #define GAIN_RATIO 1.6  /* a move must earn so many times what it costs */
 #define LAST_LOSS 0.004 /* of taking the last replica of an unused model */
 #define LAST_USED 0.6   /* the same for each request a second it is asked */
-#define URGENT_GAIN 10. /* of the first replica of a model that is waited for \
-			 */
-#define BUSY_MS 12u     /* what each request in flight adds to a load's cost */
+#define URGENT_GAIN                                                       \
+	10.         /* of the first replica of a model that is waited for \
+		     */
+#define BUSY_MS 12u /* what each request in flight adds to a load's cost */
 #define NO_ENGINE SIZE_MAX
 #define NO_MODEL SIZE_MAX
 
@@ -121,8 +122,8 @@
 
 	if (engine->loading == model)
 		return 1;
-	for (i = 0; i < engine->entry->held_count; i++) {
-		if (engine->entry->held[i].tag == model)
+	for (i = 0; i < engine->held->count; i++) {
+		if (engine->held->models[i].tag == model)
 			return engine->unloading != model;
 	}
 	return 0;
@@ -134,8 +135,8 @@
 	uint64_t mb = 0;
 	size_t i;
 
-	for (i = 0; i < engine->entry->held_count; i++) {
-		const at_held_model_t *held = &engine->entry->held[i];
+	for (i = 0; i < engine->held->count; i++) {
+		const at_held_model_t *held = &engine->held->models[i];
 		const at_site_model_t *model =
 		    at_site_model(r->service, held->tag);
 
@@ -168,7 +169,7 @@
 	uint64_t free_mb;
 	uint64_t used = used_mb(r, engine) + reserve_mb(r);
 
-	if (engine->entry->held_count >= AT_HELD_MODELS_MAX)
+	if (engine->held->count >= AT_HELD_MODELS_MAX)
 		return 0;
 	free_mb =
 	    r->service->weights_mb > used ? r->service->weights_mb - used : 0;
@@ -228,9 +229,9 @@
 	size_t victim = NO_MODEL;
 	size_t i;
 
-	for (i = 0; i < engine->entry->held_count; i++) {
+	for (i = 0; i < engine->held->count; i++) {
 		size_t model =
-		    model_index(r->service, engine->entry->held[i].tag);
+		    model_index(r->service, engine->held->models[i].tag);
 		double l;
 
 		if (model == NO_MODEL)
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -6,7 +6,6 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/gossip.h"
 #include "entry/orders.h"
 #include "entry/retries.h"
 #include "io/clock.h"
@@ -157,16 +156,19 @@
 
 	at_log(AT_LOG_INFO, "call", call->id,
 	    "%s reason=%s status=%d route=%s workspace=%s model=%s adapter=%s "
-	    "config=%" PRIu64
-	    " server=%s attempts=%u prompt=%u waited_us=%" PRIu64
-	    " took_us=%" PRIu64 " predicted_us=%" PRIu64 " retry_after_ms=%u",
+	    "config=%" PRIu64 " server=%s attempts=%u prompt=%u "
+	    "objective_ms=%u waited_us=%" PRIu64 " first_us=%" PRIu64
+	    " pause_us=%" PRIu64 " took_us=%" PRIu64 " predicted_us=%" PRIu64
+	    " retry_after_ms=%u",
 	    outcome, at_reason_names[reason], status, call->route->name.text,
 	    call->workspace == NULL ? "-" : call->workspace->name.text,
 	    call->head.model.text, call->head.adapter.text, call->site->version,
 	    call->leg.server_id.text,
 	    call->leg.server_id.text[0] == '\0' ? 0 : call->leg.number + 1,
-	    work->prompt_tokens, call->waited_us, now_us - call->started_us,
-	    call->leg.predicted_us, retry_after_ms);
+	    work->prompt_tokens, call->route->objective_ms, call->waited_us,
+	    call->first_us == 0 ? 0 : call->first_us - call->started_us,
+	    call->pause_us, now_us - call->started_us, call->leg.predicted_us,
+	    retry_after_ms);
 }
 
 static void
@@ -174,8 +176,15 @@
 {
 	const held_answer_t *answer = &call->leg.answer;
 
+	uint64_t now_us = at_clock_now_us();
+
 	if (call->event == NULL || call->request == NULL)
 		return;
+	if (call->first_us == 0)
+		call->first_us = now_us;
+	else if (now_us - call->last_event_us > call->pause_us)
+		call->pause_us = now_us - call->last_event_us;
+	call->last_event_us = now_us;
 	if (!call->answered)
 		at_httpd_stream_begin(
 		    call->request, answer->status, answer->headers.rows);
@@ -291,7 +300,7 @@
 	    judgment.choice.candidates, judgment.wait_us,
 	    at_waiting_count(entry->waiting), call->head.model.text);
 	if (judgment.fit == AT_FIT_ABSENT)
-		at_gossip_soon(entry->gossip);
+		at_orders_io_want(entry->orders, &call->waiter.work);
 	if (judgment.arrival == AT_ARRIVAL_WAITS) {
 		at_waiting_add(entry->waiting, &call->waiter);
 		return;
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -65,6 +65,9 @@
 	const at_event_t *event; /* being delivered */
 	held_answer_t failure;   /* of a backend server, if nothing better */
 	uint64_t started_us;
+	uint64_t first_us;      /* when the first event went out; 0: none did */
+	uint64_t last_event_us; /* when the last one did */
+	uint64_t pause_us;      /* longest time between two events */
 	uint64_t waited_us;
 	uint32_t refusal_retry_ms; /* when to come back, as it was judged */
 	ev_timer timer;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -143,6 +143,13 @@
 	       at_sync_complete(entry->sync);
 }
 
+int
+at_entry_platform_away(const at_entry_t *entry)
+{
+	return at_sync_away(entry->sync) ||
+	       at_orders_io_platform_away(entry->orders);
+}
+
 void
 at_entry_set_site(at_entry_t *entry, at_site_t *site)
 {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -108,6 +108,9 @@
 /* at_entry_is_ready() tells whether callers should be sent here. */
 int at_entry_is_ready(const at_entry_t *entry);
 
+/* at_entry_platform_away() tells whether its last calls failed. */
+int at_entry_platform_away(const at_entry_t *entry);
+
 /* Called when a newer configuration is in force; takes the reference over. */
 void at_entry_set_site(at_entry_t *entry, at_site_t *site);
 /* Called after whatever may have made room at a backend server. */
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -1,54 +1,23 @@
-#include "entry/gossip.h"
-
 #include <errno.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <sodium.h>
-
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
-#include "entry/orders.h"
+#include "entry/gossip_impl.h"
 #include "entry/retries.h"
 #include "entry/sync.h"
 #include "io/address.h"
 #include "io/clock.h"
-#include "report.pb-c.h"
 
-#define REPORT_EVERY_S 0.1       /* within the data centre */
-#define FAR_EVERY 3u             /* of those go to other data centres */
+#define REPORT_EVERY_S 0.1       /* within the data centre, and to the holder */
+#define FAR_EVERY 4u             /* of those go to other data centres */
 #define SOON_S 0.004             /* a report that is asked for */
+#define SERVERS_S 0.002          /* changes that come together go together */
 #define LOOK_EVERY 8u            /* rounds between two looks at the config */
-#define MAC_SIZE 16u             /* bytes of the keyed hash */
-#define DATAGRAM_MAX 60000u      /* bytes, with the hash */
-#define LOADS_FORGET_US 1200000u /* loads of an instance that is silent */
-#define SPENDING_MAX 256u        /* workspaces in one report */
-#define DEMAND_MAX 512u          /* models in one report */
-
-struct at_gossip {
-	at_entry_t *entry;
-	int fd;
-	ev_io readable;
-	ev_timer timer;
-	ev_timer soon;
-	uint64_t sequence;
-	uint64_t rounds;
-	int leaving;
-	unsigned char datagram[DATAGRAM_MAX];
-};
-
-/* What a report is put together from. */
-typedef struct parts {
-	at_load_row_t load_rows[AT_LOAD_ROWS_MAX];
-	ReportLoad loads[AT_LOAD_ROWS_MAX];
-	ReportLoad *load_list[AT_LOAD_ROWS_MAX];
-	at_spending_t spending_rows[SPENDING_MAX];
-	ReportSpending spending[SPENDING_MAX];
-	ReportSpending *spending_list[SPENDING_MAX];
-} parts_t;
+#define LOADS_FORGET_US 1500000u /* loads of an instance that is silent */
 
 at_gossip_t *
 at_gossip_new(at_entry_t *entry)
@@ -62,151 +31,128 @@
 	return gossip;
 }
 
-void
-at_gossip_delete(at_gossip_t *gossip)
-{
-	if (gossip == NULL)
-		return;
-	ev_timer_stop(gossip->entry->loop, &gossip->timer);
-	ev_timer_stop(gossip->entry->loop, &gossip->soon);
-	if (gossip->fd >= 0) {
-		ev_io_stop(gossip->entry->loop, &gossip->readable);
-		(void)close(gossip->fd);
-	}
-	free(gossip);
-}
-
-static void
-seal(const at_gossip_t *gossip, const unsigned char *data, size_t len,
-    unsigned char mac[MAC_SIZE])
-{
-	(void)crypto_generichash(mac, MAC_SIZE, data, len,
-	    gossip->entry->secret.bytes, sizeof(gossip->entry->secret.bytes));
-}
-
 static void
-fill_loads(const at_entry_t *entry, parts_t *parts, Report *report)
+forget_told(at_gossip_t *gossip)
 {
-	size_t count =
-	    at_fleet_report(entry->fleet, parts->load_rows, AT_LOAD_ROWS_MAX);
 	size_t i;
 
-	for (i = 0; i < count; i++) {
-		ReportLoad *load = &parts->loads[i];
-
-		report_load__init(load);
-		load->server = parts->load_rows[i].server;
-		load->active = parts->load_rows[i].load.active;
-		load->prefill_tokens = parts->load_rows[i].load.prefill_tokens;
-		load->kv_tokens = parts->load_rows[i].load.kv_tokens;
-		parts->load_list[i] = load;
+	for (i = 0; i < gossip->server_count; i++) {
+		free(gossip->servers[i].name);
+		free(gossip->servers[i].spec);
 	}
-	report->n_loads = count;
-	report->loads = parts->load_list;
+	gossip->server_count = 0;
 }
 
-static void
-fill_spending(const at_entry_t *entry, parts_t *parts, Report *report)
+void
+at_gossip_delete(at_gossip_t *gossip)
 {
-	size_t count =
-	    at_quota_report(entry->quota, parts->spending_rows, SPENDING_MAX);
-	size_t i;
-
-	for (i = 0; i < count; i++) {
-		ReportSpending *row = &parts->spending[i];
+	struct ev_loop *loop;
 
-		report_spending__init(row);
-		row->workspace = parts->spending_rows[i].workspace;
-		row->units = parts->spending_rows[i].units;
-		parts->spending_list[i] = row;
+	if (gossip == NULL)
+		return;
+	loop = gossip->entry->loop;
+	ev_timer_stop(loop, &gossip->timer);
+	ev_timer_stop(loop, &gossip->soon);
+	ev_timer_stop(loop, &gossip->want);
+	ev_timer_stop(loop, &gossip->servers_timer);
+	forget_told(gossip);
+	if (gossip->fd >= 0) {
+		ev_io_stop(loop, &gossip->readable);
+		(void)close(gossip->fd);
 	}
-	report->n_spending = count;
-	report->spending = parts->spending_list;
+	free(gossip);
 }
 
-/* Packs a report into the datagram; returns its length, or 0. */
-static size_t
-pack(at_gossip_t *gossip)
+static void
+send_one(at_gossip_t *gossip, const at_roster_member_t *member, size_t len)
 {
-	static parts_t parts;
-	at_entry_t *entry = gossip->entry;
-	Report report = REPORT__INIT;
-	size_t len;
+	struct sockaddr_in addr;
 
-	report.name = entry->self.instance.text;
-	report.data_centre = (char *)(uintptr_t)entry->settings.data_centre;
-	report.address = (char *)(uintptr_t)entry->settings.peers;
-	report.incarnation = entry->self.number;
-	report.sequence = ++gossip->sequence;
-	report.leaving = gossip->leaving;
-	report.config_version = entry->site == NULL ? 0 : entry->site->version;
-	fill_loads(entry, &parts, &report);
-	fill_spending(entry, &parts, &report);
-	at_orders_io_fill_report(entry->orders, &report);
-	len = report__get_packed_size(&report);
-	if (len + MAC_SIZE > DATAGRAM_MAX) {
-		at_log(AT_LOG_ERROR, "gossip", NULL,
-		    "report too large bytes=%zu", len);
-		return 0;
-	}
-	(void)report__pack(&report, gossip->datagram + MAC_SIZE);
-	seal(gossip, gossip->datagram + MAC_SIZE, len, gossip->datagram);
-	return len + MAC_SIZE;
+	if (at_address_parse(member->address, &addr) != 0)
+		return;
+	if (sendto(gossip->fd, gossip->datagram, len, 0,
+		(const struct sockaddr *)&addr, sizeof(addr)) < 0)
+		at_counters_add(gossip->entry->counters, "reports_unsent_total",
+		    "why", strerror(errno), 1);
 }
 
 typedef struct sending {
 	at_gossip_t *gossip;
 	size_t len;
 	int far_too;
+	at_tag_t but; /* who gets another one; 0: nobody */
 } sending_t;
 
 static void
 send_to(void *ctx, at_roster_member_t *member)
 {
 	const sending_t *s = ctx;
-	struct sockaddr_in addr;
 
-	if (!s->far_too && member->data_centre != s->gossip->entry->data_centre)
-		return;
-	if (at_address_parse(member->address, &addr) != 0)
+	if (member->tag == s->but)
 		return;
-	if (sendto(s->gossip->fd, s->gossip->datagram, s->len, 0,
-		(const struct sockaddr *)&addr, sizeof(addr)) < 0)
-		at_counters_add(s->gossip->entry->counters,
-		    "reports_unsent_total", "why", strerror(errno), 1);
+	if (s->far_too || member->data_centre == s->gossip->entry->data_centre)
+		send_one(s->gossip, member, s->len);
 }
 
 static void
-send_report(at_gossip_t *gossip, int far_too)
+send_report(at_gossip_t *gossip, report_kind_t kind, int far_too, at_tag_t but)
 {
-	sending_t s = {gossip, pack(gossip), far_too};
+	sending_t s = {gossip, report_pack(gossip, kind), far_too, but};
 
 	if (s.len > 0)
 		at_roster_each(gossip->entry->roster, send_to, &s);
 }
 
+/* Tells the holder of the lease what is asked for; returns who that is. */
+static at_tag_t
+send_demand(at_gossip_t *gossip)
+{
+	const at_roster_member_t *holder =
+	    at_roster_holder(gossip->entry->roster, at_clock_now_us());
+	size_t len;
+
+	if (holder == NULL)
+		return 0;
+	len = report_pack(gossip, REPORT_DEMAND);
+	if (len > 0)
+		send_one(gossip, holder, len);
+	return holder->tag;
+}
+
+/* Which of the shared tasks are this instance's. */
+static void
+share_out(at_gossip_t *gossip, uint64_t now_us)
+{
+	at_entry_t *entry = gossip->entry;
+
+	at_sync_set_reader(
+	    entry->sync, at_roster_is_first(entry->roster, entry->data_centre,
+			     0, at_entry_platform_away(entry), now_us));
+	if (gossip->rounds % LOOK_EVERY == 0 && at_sync_is_reader(entry->sync))
+		at_sync_look(entry->sync);
+}
+
 static void
 on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	at_gossip_t *gossip = timer->data;
 	at_entry_t *entry = gossip->entry;
 	uint64_t now_us = at_clock_now_us();
+	uint32_t heard = at_roster_heard_count(entry->roster, now_us);
+	uint32_t present = at_roster_present(entry->roster);
+	at_tag_t holder;
 
 	(void)loop;
 	(void)events;
 	gossip->rounds++;
-	send_report(gossip, gossip->rounds % FAR_EVERY == 0);
-	/* One instance of each data centre looks for all of it. */
-	if (gossip->rounds % LOOK_EVERY == 0 &&
-	    at_roster_is_first_of(entry->roster, entry->data_centre, now_us))
-		at_sync_look(entry->sync);
+	holder = send_demand(gossip);
+	send_report(
+	    gossip, REPORT_COMMON, gossip->rounds % FAR_EVERY == 0, holder);
+	share_out(gossip, now_us);
 	at_fleet_forget(entry->fleet, now_us, LOADS_FORGET_US);
-	at_quota_set_instances(entry->quota, at_roster_present(entry->roster),
-	    at_roster_heard_count(entry->roster, now_us), now_us);
-	at_waiting_set_instances(
-	    entry->waiting, at_roster_heard_count(entry->roster, now_us));
-	at_retry_budgets_set_instances(
-	    entry->retries, at_roster_present(entry->roster));
+	at_quota_set_instances(entry->quota, present, heard, now_us);
+	at_waiting_set_instances(entry->waiting, heard);
+	at_retry_budgets_set_instances(entry->retries, present);
 }
 
 static void
@@ -214,120 +160,94 @@
 {
 	(void)loop;
 	(void)events;
-	send_report(timer->data, 1);
+	send_report(timer->data, REPORT_COMMON, 1, 0);
 }
 
-void
-at_gossip_soon(at_gossip_t *gossip)
+static void
+start_timer(at_gossip_t *gossip, ev_timer *timer, double after_s)
 {
-	if (gossip->fd < 0 || ev_is_active(&gossip->soon))
+	if (gossip->fd < 0 || ev_is_active(timer))
 		return;
-	ev_timer_set(&gossip->soon, SOON_S, 0.);
-	ev_timer_start(gossip->entry->loop, &gossip->soon);
+	ev_timer_set(timer, after_s, 0.);
+	ev_timer_start(gossip->entry->loop, timer);
 }
 
 void
-at_gossip_leave(at_gossip_t *gossip)
+at_gossip_soon(at_gossip_t *gossip)
 {
-	gossip->leaving = 1;
-	if (gossip->fd >= 0)
-		send_report(gossip, 1);
+	start_timer(gossip, &gossip->soon, SOON_S);
 }
 
 static void
-take_loads(
-    at_entry_t *entry, at_tag_t from, const Report *report, uint64_t now_us)
+on_want(struct ev_loop *loop, ev_timer *timer, int events)
 {
-	at_load_row_t rows[AT_LOAD_ROWS_MAX];
-	size_t count = 0;
-
-	while (count < report->n_loads && count < AT_LOAD_ROWS_MAX) {
-		const ReportLoad *load = report->loads[count];
+	(void)loop;
+	(void)events;
+	(void)send_demand(timer->data);
+}
 
-		rows[count].server = load->server;
-		rows[count].load.active = load->active;
-		rows[count].load.prefill_tokens = load->prefill_tokens;
-		rows[count].load.kv_tokens = load->kv_tokens;
-		count++;
-	}
-	at_fleet_heard(entry->fleet, from, rows, count, now_us);
+void
+at_gossip_want(at_gossip_t *gossip)
+{
+	start_timer(gossip, &gossip->want, SOON_S);
 }
 
 static void
-take_spending(
-    at_entry_t *entry, at_tag_t from, const Report *report, uint64_t now_us)
+tell_servers(at_gossip_t *gossip)
 {
-	at_spending_t rows[SPENDING_MAX];
-	size_t count = 0;
-
-	while (count < report->n_spending && count < SPENDING_MAX) {
-		rows[count].workspace = report->spending[count]->workspace;
-		rows[count].units = report->spending[count]->units;
-		count++;
-	}
-	at_quota_heard(
-	    entry->quota, from, report->incarnation, rows, count, now_us);
+	if (gossip->server_count > 0)
+		send_report(gossip, REPORT_SERVERS, 0, 0);
+	forget_told(gossip);
 }
 
 static void
-take_report(at_gossip_t *gossip, const Report *report)
+on_servers(struct ev_loop *loop, ev_timer *timer, int events)
 {
-	at_entry_t *entry = gossip->entry;
-	uint64_t now_us = at_clock_now_us();
-	at_roster_member_t *member;
-	at_name_t name;
+	(void)loop;
+	(void)events;
+	tell_servers(timer->data);
+}
 
-	if (at_name_set(&name, report->name) != 0)
-		return;
-	member = at_roster_add(entry->roster, &name,
-	    at_tag(report->data_centre), report->address, now_us);
-	if (member == NULL)
+void
+at_gossip_tell_server(
+    at_gossip_t *gossip, const char *name, uint64_t version, const json_t *spec)
+{
+	told_server_t *told;
+
+	if (gossip->fd < 0)
 		return;
-	if (member->incarnation != report->incarnation)
-		at_log(AT_LOG_INFO, "roster", NULL,
-		    "heard instance=%s address=%s data_centre=%s", name.text,
-		    report->address, report->data_centre);
-	if (at_roster_heard(member, report->incarnation, report->sequence,
-		report->leaving, report->fence, now_us) != 0)
+	if (gossip->server_count == SERVERS_MAX)
+		tell_servers(gossip);
+	told = &gossip->servers[gossip->server_count];
+	told->name = strdup(name);
+	told->version = version;
+	told->spec = spec == NULL
+			 ? NULL
+			 : json_dumps(spec, JSON_COMPACT | JSON_ENCODE_ANY);
+	if (told->name == NULL)
 		return;
-	if (entry->site != NULL &&
-	    report->config_version > entry->site->version)
-		at_sync_look(entry->sync);
-	take_loads(entry, member->tag, report, now_us);
-	take_spending(entry, member->tag, report, now_us);
-	at_orders_io_take_report(entry->orders, member, report);
-	if (report->leaving)
-		at_roster_remove(entry->roster, member->tag);
+	gossip->server_count++;
+	start_timer(gossip, &gossip->servers_timer, SERVERS_S);
+}
+
+void
+at_gossip_leave(at_gossip_t *gossip)
+{
+	gossip->leaving = 1;
+	if (gossip->fd >= 0)
+		send_report(gossip, REPORT_COMMON, 1, 0);
 }
 
 static void
 on_readable(struct ev_loop *loop, ev_io *io, int events)
 {
 	at_gossip_t *gossip = io->data;
-	unsigned char mac[MAC_SIZE];
-	Report *report;
 	ssize_t len;
 
 	(void)loop;
 	(void)events;
-	while (
-	    (len = recv(gossip->fd, gossip->datagram, DATAGRAM_MAX, 0)) > 0) {
-		if ((size_t)len < MAC_SIZE)
-			continue;
-		seal(gossip, gossip->datagram + MAC_SIZE,
-		    (size_t)len - MAC_SIZE, mac);
-		report = NULL;
-		if (sodium_memcmp(mac, gossip->datagram, MAC_SIZE) == 0)
-			report = report__unpack(NULL, (size_t)len - MAC_SIZE,
-			    gossip->datagram + MAC_SIZE);
-		if (report == NULL) {
-			at_counters_add(gossip->entry->counters,
-			    "reports_rejected_total", NULL, NULL, 1);
-			continue;
-		}
-		take_report(gossip, report);
-		report__free_unpacked(report, NULL);
-	}
+	while ((len = recv(gossip->fd, gossip->datagram, DATAGRAM_MAX, 0)) > 0)
+		report_take(gossip, (size_t)len);
 	at_entry_place_waiting(gossip->entry);
 }
 
@@ -354,5 +274,9 @@
 	ev_timer_start(gossip->entry->loop, &gossip->timer);
 	ev_timer_init(&gossip->soon, on_soon, SOON_S, 0.);
 	gossip->soon.data = gossip;
+	ev_timer_init(&gossip->want, on_want, SOON_S, 0.);
+	gossip->want.data = gossip;
+	ev_timer_init(&gossip->servers_timer, on_servers, SERVERS_S, 0.);
+	gossip->servers_timer.data = gossip;
 	return AT_OK;
 }
--- /dev/null
+++ b/src/entry/gossip_impl.h
@@ -0,0 +1,54 @@
+/*
+ * gossip_impl.h - shapes shared by the files of gossip: gossip.c has the
+ * socket and its timers, report_pack.c puts reports together, report_take.c
+ * takes those of the others in.
+ */
+#ifndef ALMONDTHREAD_ENTRY_GOSSIP_IMPL_H
+#define ALMONDTHREAD_ENTRY_GOSSIP_IMPL_H
+
+#include "entry/gossip.h"
+#include "report.pb-c.h"
+
+#define MAC_SIZE 16u        /* bytes of the keyed hash */
+#define DATAGRAM_MAX 60000u /* bytes, with the hash */
+#define SPENDING_MAX 256u   /* workspaces in one report */
+#define SERVERS_MAX 24u     /* backend servers in one report */
+
+/* What a report carries besides its head. */
+typedef enum report_kind {
+	REPORT_COMMON,  /* loads, spending and news of the holder */
+	REPORT_DEMAND,  /* the same, with demand and wants, for the holder */
+	REPORT_SERVERS, /* what the list says of backend servers */
+} report_kind_t;
+
+/* One change of the list that is to be told. */
+typedef struct told_server {
+	char *name;
+	char *spec; /* NULL: it is gone */
+	uint64_t version;
+} told_server_t;
+
+struct at_gossip {
+	at_entry_t *entry;
+	int fd;
+	ev_io readable;
+	ev_timer timer;
+	ev_timer soon;          /* a report to all */
+	ev_timer want;          /* a report to the holder of the lease */
+	ev_timer servers_timer; /* changes of the list */
+	uint64_t sequence;
+	uint64_t rounds;
+	int leaving;
+	told_server_t servers[SERVERS_MAX];
+	size_t server_count;
+	unsigned char datagram[DATAGRAM_MAX];
+};
+
+/* report_pack.c: fills the datagram and returns its length, or 0. */
+size_t report_pack(at_gossip_t *gossip, report_kind_t kind);
+void report_seal(const at_gossip_t *gossip, const unsigned char *data,
+    size_t len, unsigned char mac[MAC_SIZE]);
+/* report_take.c: takes a datagram of len bytes in. */
+void report_take(at_gossip_t *gossip, size_t len);
+
+#endif
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -11,7 +11,7 @@
 #define TICK_S 0.1
 #define LEASE_OBJECT "entry-lease/orders"
 #define LEASE_MARGIN_MS 250u /* left of the term when an order is sent */
-#define HOLDER_SILENT_US 1500000u
+#define LEARN_US 1200000u    /* after taking the lease */
 #define SETTLE_US 400000u    /* after a start, to hear of a holder */
 #define STORE_RATE_PART 0.85 /* of the weight store's rate */
 #define STORE_LOADS_MAX 2.   /* that may begin at once */
@@ -35,6 +35,20 @@
 	at_lease_outranked(orders->lease, at_clock_now_ms());
 }
 
+int
+at_orders_io_platform_away(const at_orders_io_t *orders)
+{
+	return orders->platform_away;
+}
+
+uint64_t
+at_orders_io_fence(const at_orders_io_t *orders)
+{
+	return at_lease_state(orders->lease) == AT_LEASE_HELD
+		   ? at_lease_fence(orders->lease)
+		   : 0;
+}
+
 static void step_lease(at_orders_io_t *orders);
 
 static void
@@ -43,11 +57,13 @@
 	at_orders_io_t *orders = ctx;
 
 	orders->lease_call_open = 0;
+	orders->platform_away = result->code == AT_STORE_NOT_SENT ||
+				result->code == AT_STORE_UNKNOWN;
 	at_lease_answer(orders->lease, at_clock_now_ms(), result);
 	step_lease(orders);
 }
 
-/* Only the first of those that hear each other asks for a free lease. */
+/* Only one of those that hear each other stands by to take the lease. */
 static int
 is_candidate(const at_orders_io_t *orders)
 {
@@ -57,8 +73,8 @@
 	if (at_lease_state(orders->lease) == AT_LEASE_HELD)
 		return 1;
 	return entry->state == AT_ENTRY_SERVING && entry->site != NULL &&
-	       at_roster_holder(entry->roster, now_us) == NULL &&
-	       at_roster_is_first(entry->roster, now_us);
+	       at_roster_is_first(
+		   entry->roster, 0, 1, at_entry_platform_away(entry), now_us);
 }
 
 /* What the engines have accepted under others is not known. */
@@ -149,6 +165,7 @@
 		return;
 	memset(state, 0, sizeof(*state));
 	state->entry = entry;
+	state->held = &track->held;
 	state->load = at_server_load(server);
 	state->usable =
 	    !entry->leaving && at_server_trusted(server, engines->now_us);
@@ -287,6 +304,9 @@
 		return;
 	step_tracks(orders);
 	adapters_own_wants(orders);
+	/* What is asked for is not known before all have told it. */
+	if (at_clock_now_us() - orders->taken_us < LEARN_US)
+		return;
 	for (i = 0; i < entry->site->service_count; i++) {
 		if (entry->site->services[i].has_models)
 			run_round(orders, &entry->site->services[i]);
--- a/src/entry/orders.h
+++ b/src/entry/orders.h
@@ -22,10 +22,20 @@
 void at_orders_io_note_demand(at_orders_io_t *orders, const at_work_t *work);
 
 /*
- * at_orders_io_fill_report() adds demand, wants and, from the holder, what it
- * has done; what it adds is lent until the next call.
+ * at_orders_io_want() has the holder of the lease hear at once that a request
+ * waits for a model or adapter.
  */
-void at_orders_io_fill_report(at_orders_io_t *orders, Report *report);
+void at_orders_io_want(at_orders_io_t *orders, const at_work_t *work);
+/* at_orders_io_platform_away() tells whether its last call failed. */
+int at_orders_io_platform_away(const at_orders_io_t *orders);
+/* at_orders_io_fence() returns the lease's number if it is held here, or 0. */
+uint64_t at_orders_io_fence(const at_orders_io_t *orders);
+/*
+ * Both add to a report what is lent until the next call: what the holder has
+ * done, and what this instance is asked for and waits for.
+ */
+void at_orders_io_fill_news(at_orders_io_t *orders, Report *report);
+void at_orders_io_fill_demand(at_orders_io_t *orders, Report *report);
 void at_orders_io_take_report(at_orders_io_t *orders,
     const at_roster_member_t *from, const Report *report);
 
--- a/src/entry/orders_adapters.c
+++ b/src/entry/orders_adapters.c
@@ -28,20 +28,9 @@
 	int there; /* an engine holds it, or will soon */
 } spot_t;
 
-static size_t
-adapters_held(const at_server_entry_t *entry)
-{
-	size_t count = 0;
-	size_t i;
-
-	for (i = 0; i < entry->held_count; i++)
-		count += entry->held[i].adapter_count;
-	return count;
-}
-
 /* Finds the adapter that is asked for least. */
 static double
-find_victim(const spot_t *spot, const at_server_entry_t *entry,
+find_victim(const spot_t *spot, const at_held_set_t *held,
     const at_held_model_t **model, const at_held_adapter_t **victim)
 {
 	double least = 0.;
@@ -49,17 +38,17 @@
 	size_t k;
 
 	*victim = NULL;
-	for (i = 0; i < entry->held_count; i++) {
-		for (k = 0; k < entry->held[i].adapter_count; k++) {
+	for (i = 0; i < held->count; i++) {
+		for (k = 0; k < held->models[i].adapter_count; k++) {
 			const at_held_adapter_t *a =
-			    &entry->held[i].adapters[k];
+			    &held->models[i].adapters[k];
 			double rate = at_demand_rates_get(
 			    spot->orders->demand, spot->service, a->tag)
 					  .requests_per_s;
 
 			if (*victim != NULL && rate >= least)
 				continue;
-			*model = &entry->held[i];
+			*model = &held->models[i];
 			*victim = a;
 			least = rate;
 		}
@@ -113,8 +102,9 @@
 	    track->state != TRACK_IDLE || track->adapter_ready_us != 0)
 		return;
 	cost = at_server_load(server).active;
-	if (adapters_held(entry) >= spot->slots) {
-		cost += 20. + 100. * find_victim(spot, entry, &model, &victim);
+	if (at_held_set_adapters(&track->held) >= spot->slots) {
+		cost += 20. +
+			100. * find_victim(spot, &track->held, &model, &victim);
 		if (victim == NULL)
 			return;
 	}
@@ -161,6 +151,16 @@
 	track_send(track, 0, &spot.victim_model->name, &spot.victim->name);
 }
 
+void
+at_orders_io_want(at_orders_io_t *orders, const at_work_t *work)
+{
+	if (!orders_may_send(orders))
+		at_gossip_want(orders->entry->gossip);
+	else if (work->adapter != 0)
+		adapters_want(orders, work->service, work->model_name,
+		    work->adapter_name);
+}
+
 static void
 own_want(void *ctx, const at_waiter_t *waiter)
 {
--- a/src/entry/orders_impl.h
+++ b/src/entry/orders_impl.h
@@ -37,7 +37,8 @@
 	at_name_t next_model;
 	int knows_accepted; /* the next is known */
 	uint64_t accepted; /* orders that the engine has accepted in its life */
-	uint64_t born_ms;  /* of that life */
+	at_held_set_t held; /* what it holds after just those */
+	uint64_t born_ms;   /* of that life */
 	uint64_t begun_us;
 	uint64_t look_us;          /* when its end is looked at again */
 	int looking;               /* a report is being fetched */
@@ -60,6 +61,7 @@
 	at_entry_t *entry;
 	at_lease_t *lease;
 	int lease_call_open;
+	int platform_away; /* the last call about the lease failed */
 	at_lease_state_t told_state;
 	uint64_t taken_us;  /* when the lease was last taken */
 	double store_loads; /* that may begin, by the store's rate */
--- a/src/entry/orders_report.c
+++ b/src/entry/orders_report.c
@@ -60,7 +60,6 @@
 }
 
 typedef struct wants {
-	at_fleet_t *fleet;
 	ReportWant rows[WANTS_MAX];
 	ReportWant *list[WANTS_MAX];
 	size_t count;
@@ -82,8 +81,8 @@
 	wants->list[wants->count++] = want;
 }
 
-static void
-fill_news(at_orders_io_t *orders, Report *report)
+void
+at_orders_io_fill_news(at_orders_io_t *orders, Report *report)
 {
 	static ReportAdapter rows[NEWS_MAX];
 	static ReportAdapter *list[NEWS_MAX];
@@ -91,6 +90,8 @@
 	size_t count = 0;
 	size_t i;
 
+	if (at_orders_io_fence(orders) == 0)
+		return;
 	for (i = 0; i < orders->news_count; i++) {
 		news_t *news = &orders->news[i];
 
@@ -109,20 +110,15 @@
 }
 
 void
-at_orders_io_fill_report(at_orders_io_t *orders, Report *report)
+at_orders_io_fill_demand(at_orders_io_t *orders, Report *report)
 {
 	static wants_t wants;
 
-	wants.fleet = orders->entry->fleet;
 	wants.count = 0;
 	at_waiting_each(orders->entry->waiting, add_want, &wants);
 	report->n_wants = wants.count;
 	report->wants = wants.list;
 	fill_demand(orders, report);
-	if (at_lease_state(orders->lease) != AT_LEASE_HELD)
-		return;
-	report->fence = at_lease_fence(orders->lease);
-	fill_news(orders, report);
 }
 
 static void
--- a/src/entry/orders_send.c
+++ b/src/entry/orders_send.c
@@ -93,6 +93,17 @@
 		    LOOK_EARLY_US;
 }
 
+/* A model on its way out keeps its place until a report shows the end. */
+static void
+note_accepted(track_t *track, int is_adapter)
+{
+	if (is_adapter)
+		at_held_set_adapter(
+		    &track->held, &track->model, &track->adapter, track->load);
+	else if (track->load)
+		at_held_set_model(&track->held, &track->model, 1);
+}
+
 static void
 on_answer(void *ctx, at_order_answer_t answer)
 {
@@ -117,6 +128,7 @@
 	case AT_ORDER_ACCEPTED:
 	case AT_ORDER_HOLDS:
 		track->accepted++;
+		note_accepted(track, is_adapter);
 		if (is_adapter)
 			adapters_accepted(track);
 		else
@@ -171,9 +183,14 @@
 
 	at_server_note_held(server, &report->held, at_clock_now_us());
 	track->accepted = report->sequence;
+	track->held = report->held.held;
 	track->knows_accepted = 1;
 	track->state = TRACK_IDLE;
-	held = at_server_holds(server, at_tag(track->model.text), 0);
+	held = at_held_set_has(&track->held, at_tag(track->model.text), 0);
+	/* The list may be older than this for some seconds. */
+	if (had_order)
+		at_server_note_model(
+		    server, &track->model, held, at_clock_now_us());
 	at_log(AT_LOG_INFO, "orders", NULL,
 	    "ended server=%s %s model=%s held=%d accepted=%" PRIu64
 	    " took_ms=%" PRIu64,
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -6,6 +6,7 @@
 
 #include "almondthread/log.h"
 #include "almondthread/mirror.h"
+#include "entry/gossip.h"
 #include "io/clock.h"
 #include "platform/names.h"
 #include "platform/server_decode.h"
@@ -13,6 +14,10 @@
 
 /* Vanished servers may be back so long after the platform's return. */
 #define SERVERS_LINGER_MS 2000u
+/* Between two looks at the configuration at least. */
+#define LOOK_EVERY_MS 250u
+/* A list that differs from the reader's for so long missed a datagram. */
+#define DIFFERS_MS 700u
 
 /* One kind of objects. */
 typedef struct copy {
@@ -30,6 +35,9 @@
 	copy_t config;
 	copy_t servers;
 	at_objects_call_t *look; /* open, or NULL */
+	uint64_t look_after_ms;  /* no further one before */
+	int is_reader;
+	uint64_t differs_since_ms; /* from the reader's list; 0: it does not */
 };
 
 static void step(copy_t *copy);
@@ -63,9 +71,10 @@
 }
 
 static void
-on_config_gone(void *ctx, const char *name)
+on_config_gone(void *ctx, const char *name, uint64_t version)
 {
 	(void)ctx;
+	(void)version;
 	at_log(AT_LOG_ERROR, "config", NULL,
 	    "object vanished name=%s; the last one stays in force", name);
 }
@@ -79,6 +88,10 @@
 	const char *fault =
 	    at_server_decode(object->name, object->spec, &server);
 
+	if (at_sync_is_reader(copy->sync))
+		at_gossip_tell_server(
+		    entry->gossip, object->name, object->version, object->spec);
+
 	if (fault != NULL) {
 		at_log(AT_LOG_WARN, "servers", NULL,
 		    "entry ignored name=%s object_version=%" PRIu64 " fault=%s",
@@ -95,17 +108,20 @@
 	at_log(AT_LOG_INFO, "servers", NULL,
 	    "entry name=%s address=%s leaving=%d models=%zu beat=%" PRIu64
 	    " object_version=%" PRIu64,
-	    object->name, server.address, server.leaving, server.held_count,
+	    object->name, server.address, server.leaving, server.held.count,
 	    server.beat, object->version);
 }
 
 static void
-on_server_gone(void *ctx, const char *name)
+on_server_gone(void *ctx, const char *name, uint64_t version)
 {
 	copy_t *copy = ctx;
+	at_entry_t *entry = copy->sync->entry;
 
 	at_log(AT_LOG_INFO, "servers", NULL, "gone name=%s", name);
-	at_fleet_remove(copy->sync->entry->fleet, at_tag(name));
+	at_fleet_remove(entry->fleet, at_tag(name));
+	if (at_sync_is_reader(copy->sync))
+		at_gossip_tell_server(entry->gossip, name, version, NULL);
 }
 
 static void
@@ -155,7 +171,9 @@
 	at_sync_t *sync = ctx;
 
 	sync->look = NULL;
-	if (!at_mirror_look(sync->config.mirror, at_clock_now_ms(), page))
+	/* One that follows hears of changes later than the reader. */
+	if (!at_mirror_look(sync->config.mirror, at_clock_now_ms(), page) ||
+	    !sync->is_reader)
 		return;
 	at_log(AT_LOG_WARN, "platform", NULL, "a watch missed changes kind=%s",
 	    sync->config.kind);
@@ -163,11 +181,96 @@
 	relist(&sync->servers);
 }
 
+static void
+set_following(copy_t *copy, int following)
+{
+	if (following && copy->call != NULL &&
+	    !at_mirror_is_listing(copy->mirror)) {
+		copy->sync->objects.cancel(
+		    copy->sync->objects.impl, copy->call);
+		copy->call = NULL;
+		at_mirror_dropped(copy->mirror);
+	}
+	at_mirror_set_following(copy->mirror, following);
+	step(copy);
+}
+
+void
+at_sync_set_reader(at_sync_t *sync, int is_reader)
+{
+	if (sync->is_reader == is_reader)
+		return;
+	sync->is_reader = is_reader;
+	sync->differs_since_ms = 0;
+	at_log(AT_LOG_INFO, "platform", NULL, "%s the platform's lists",
+	    is_reader ? "reads" : "follows another instance for");
+	set_following(&sync->config, !is_reader);
+	set_following(&sync->servers, !is_reader);
+}
+
+int
+at_sync_is_reader(const at_sync_t *sync)
+{
+	return sync->is_reader;
+}
+
+void
+at_sync_feed(
+    at_sync_t *sync, const char *name, uint64_t version, const char *spec)
+{
+	at_object_t object = {.name = name, .version = version};
+	uint64_t now_ms = at_clock_now_ms();
+	json_t *root;
+
+	if (sync->is_reader)
+		return;
+	if (spec == NULL) {
+		at_mirror_feed_gone(
+		    sync->servers.mirror, now_ms, name, version);
+		return;
+	}
+	root = json_loads(spec, JSON_DECODE_ANY, NULL);
+	object.spec = root;
+	at_mirror_feed(sync->servers.mirror, now_ms, &object);
+	json_decref(root);
+}
+
+uint64_t
+at_sync_digest(const at_sync_t *sync)
+{
+	return at_mirror_digest(sync->servers.mirror);
+}
+
+void
+at_sync_compare(at_sync_t *sync, uint64_t readers_digest)
+{
+	uint64_t now_ms = at_clock_now_ms();
+
+	if (sync->is_reader || at_mirror_is_listing(sync->servers.mirror) ||
+	    readers_digest == at_mirror_digest(sync->servers.mirror)) {
+		sync->differs_since_ms = 0;
+		return;
+	}
+	if (sync->differs_since_ms == 0)
+		sync->differs_since_ms = now_ms;
+	if (now_ms - sync->differs_since_ms < DIFFERS_MS)
+		return;
+	at_log(AT_LOG_WARN, "platform", NULL,
+	    "list differs from the reader's kind=%s; listing",
+	    WIRE_KIND_SERVERS);
+	sync->differs_since_ms = 0;
+	relist(&sync->servers);
+}
+
 void
 at_sync_look(at_sync_t *sync)
 {
-	if (sync->look != NULL || !at_mirror_synced(sync->config.mirror))
+	uint64_t now_ms = at_clock_now_ms();
+
+	if (sync->look != NULL || now_ms < sync->look_after_ms ||
+	    !at_mirror_synced(sync->config.mirror))
 		return;
+	sync->look_after_ms = now_ms + LOOK_EVERY_MS;
 	sync->look = sync->objects.list(
 	    sync->objects.impl, sync->config.kind, NULL, on_look, sync);
 }
@@ -261,6 +364,7 @@
 	if (sync == NULL)
 		return NULL;
 	sync->entry = entry;
+	sync->is_reader = 1;
 	sync->objects = at_wire_store_objects(entry->wire_store);
 	if (copy_init(sync, &sync->config, WIRE_KIND_CONFIG, &config_sink, 0) !=
 		0 ||
--- a/src/entry/sync.h
+++ b/src/entry/sync.h
@@ -16,6 +16,18 @@
  * gone deaf; a call that is open already is enough.
  */
 void at_sync_look(at_sync_t *sync);
+/*
+ * at_sync_set_reader() says whether this instance reads for its data centre;
+ * else it follows what the reader tells.
+ */
+void at_sync_set_reader(at_sync_t *sync, int is_reader);
+int at_sync_is_reader(const at_sync_t *sync);
+/* What the reader tells of one backend server; spec is NULL when it is gone. */
+void at_sync_feed(
+    at_sync_t *sync, const char *name, uint64_t version, const char *spec);
+/* at_sync_compare() lists anew when the reader's list stays another one. */
+void at_sync_compare(at_sync_t *sync, uint64_t readers_digest);
+uint64_t at_sync_digest(const at_sync_t *sync);
 /* at_sync_complete() tells whether both were ever read whole. */
 int at_sync_complete(const at_sync_t *sync);
 /* at_sync_away() tells whether the last call of either failed. */
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -53,9 +53,9 @@
 
 	(void)at_name_set(&entry.id, id);
 	if (model != NULL) {
-		(void)at_name_set(&entry.held[0].name, model);
-		entry.held[0].tag = at_tag(model);
-		entry.held_count = 1;
+		(void)at_name_set(&entry.held.models[0].name, model);
+		entry.held.models[0].tag = at_tag(model);
+		entry.held.count = 1;
 	}
 	return entry;
 }
--- a/tests/unit/test_mirror.c
+++ b/tests/unit/test_mirror.c
@@ -26,11 +26,12 @@
 }
 
 static void
-on_gone(void *ctx, const char *name)
+on_gone(void *ctx, const char *name, uint64_t version)
 {
 	size_t len = strlen(heard);
 
 	(void)ctx;
+	(void)version;
 	(void)snprintf(heard + len, sizeof(heard) - len, "-%s ", name);
 }
 
@@ -206,3 +207,28 @@
 	cr_assert_eq(step(mirror, START_MS).step, AT_MIRROR_LIST);
 	at_mirror_delete(mirror);
 }
+
+Test(mirror, follows_another_instance)
+{
+	at_mirror_t *mirror = make();
+	at_mirror_t *reader = make();
+	uint64_t before;
+
+	list_both(reader);
+	list_both(mirror);
+	at_mirror_set_following(mirror, 1);
+	cr_assert_eq(step(mirror, START_MS).step, AT_MIRROR_WAIT);
+	cr_assert_eq(at_mirror_due_ms(mirror), AT_MIRROR_NEVER);
+	cr_assert_eq(at_mirror_digest(mirror), at_mirror_digest(reader));
+	before = at_mirror_digest(mirror);
+	at_mirror_feed(mirror, START_MS, &a4);
+	at_mirror_feed(mirror, START_MS, &a1);
+	cr_assert_neq(at_mirror_digest(mirror), before);
+	at_mirror_feed_gone(mirror, START_MS, "b", 1);
+	at_mirror_feed_gone(mirror, START_MS, "b", 2);
+	cr_assert_str_eq(heard, "+a@4 -b ");
+	at_mirror_set_following(mirror, 0);
+	cr_assert_eq(step(mirror, START_MS).step, AT_MIRROR_LIST);
+	at_mirror_delete(mirror);
+	at_mirror_delete(reader);
+}
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -166,10 +166,10 @@
 	cr_assert_null(at_server_decode("i-1", spec, &entry));
 	cr_assert_eq(entry.born_ms, 1700000000000u);
 	cr_assert_eq(entry.beat, 4);
-	cr_assert_eq(entry.held_count, 1);
-	cr_assert_eq(entry.held[0].tag, at_tag("m"));
-	cr_assert_eq(entry.held[0].adapter_count, 2);
-	cr_assert_eq(entry.held[0].adapters[1].tag, at_tag("m/a2"));
+	cr_assert_eq(entry.held.count, 1);
+	cr_assert_eq(entry.held.models[0].tag, at_tag("m"));
+	cr_assert_eq(entry.held.models[0].adapter_count, 2);
+	cr_assert_eq(entry.held.models[0].adapters[1].tag, at_tag("m/a2"));
 	cr_assert_eq(entry.on_disk_count, 2);
 	json_decref(spec);
 }
--- a/tests/unit/test_residency.c
+++ b/tests/unit/test_residency.c
@@ -65,6 +65,7 @@
 		    sizeof(w->entries[i].id.text), "e%u", i);
 		w->entries[i].tag = at_tag(w->entries[i].id.text);
 		w->engines[i].entry = &w->entries[i];
+		w->engines[i].held = &w->entries[i].held;
 		w->engines[i].usable = 1;
 	}
 	w->demand = at_demand_rates_new();
@@ -82,8 +83,8 @@
 {
 	at_server_entry_t *entry = &w->entries[engine];
 
-	entry->held[entry->held_count].tag = model_tag(model);
-	entry->held_count++;
+	entry->held.models[entry->held.count].tag = model_tag(model);
+	entry->held.count++;
 }
 
 /* Asks for a model so many times a second, for ten seconds. */
@@ -278,7 +279,7 @@
 				cr_assert_not(w.engines[e].busy);
 				if (w.moves[i].kind == AT_MOVE_LOAD)
 					cr_assert_lt(
-					    w.entries[e].held_count, PLACES);
+					    w.entries[e].held.count, PLACES);
 			}
 		}
 		free_world(&w);
--- a/tests/unit/test_roster.c
+++ b/tests/unit/test_roster.c
@@ -77,7 +77,7 @@
 			if (m != NULL)
 				(void)at_roster_heard(m, 1, 1, 0, 0, 10);
 		}
-		firsts += (unsigned)at_roster_is_first(roster, 20);
+		firsts += (unsigned)at_roster_is_first(roster, 0, 0, 0, 20);
 		at_roster_delete(roster);
 	}
 	cr_assert_eq(firsts, 1);
@@ -95,3 +95,55 @@
 	cr_assert_null(at_roster_holder(roster, 101 + AT_ROSTER_SILENT_US));
 	at_roster_delete(roster);
 }
+
+/* Of three instances a < b < c by their order, which one is first. */
+static const struct {
+	const char *name;
+	int self_away;
+	int others_away[2];
+	int first;
+} reaches[] = {
+    {"all reach the platform", 0, {0, 0}, 1},
+    {"it does not", 1, {0, 0}, 0},
+    {"none does", 1, {1, 1}, 1},
+};
+
+Test(roster, leaves_shared_tasks_to_those_that_reach_the_platform)
+{
+	static const char *const names[] = {"a", "b", "c"};
+	size_t first = 0;
+	size_t i;
+
+	for (i = 1; i < 3; i++) {
+		if (at_tag(names[i]) < at_tag(names[first]))
+			first = i;
+	}
+	for (i = 0; i < sizeof(reaches) / sizeof(reaches[0]); i++) {
+		at_roster_t *roster = make(names[first]);
+		size_t k = 0;
+		size_t n;
+
+		for (n = 0; n < 3; n++) {
+			at_roster_member_t *m = add(roster, names[n], "north");
+
+			if (m == NULL)
+				continue;
+			(void)at_roster_heard(m, 1, 1, 0, 0, 10);
+			m->platform_away = reaches[i].others_away[k++];
+		}
+		cr_assert_eq(
+		    at_roster_is_first(roster, 0, 0, reaches[i].self_away, 20),
+		    reaches[i].first, "%s", reaches[i].name);
+		at_roster_delete(roster);
+	}
+}
+
+Test(roster, one_stands_by_while_the_first_holds_the_lease)
+{
+	at_roster_t *roster = make("a");
+	at_roster_member_t *b = add(roster, "b", "north");
+
+	(void)at_roster_heard(b, 1, 1, 0, 77, 10);
+	cr_assert(at_roster_is_first(roster, 0, 1, 0, 20));
+	at_roster_delete(roster);
+}
--- a/tests/unit/test_waiting.c
+++ b/tests/unit/test_waiting.c
@@ -22,14 +22,14 @@
 	at_server_entry_t entry = {.tag = at_tag("one"),
 	    .service = at_tag("llm"),
 	    .slots = SLOTS,
-	    .held_count = 1};
+	    .held.count = 1};
 
 	llm->tag = at_tag("llm");
 	llm->has_models = 1;
 	llm->kv_tokens = 100000;
 	at_fleet_set_site(fleet, site);
 	at_site_unref(site);
-	entry.held[0].tag = at_tag("m");
+	entry.held.models[0].tag = at_tag("m");
 	if (with_engine)
 		(void)at_fleet_apply(fleet, &entry, 0);
 	return fleet;
