Stand-ins of the users' platform and contract tests of the whole path

Ruled out: a fault on one named server, since routing picks freely; a shared fault strikes the first.

--- a/src/core/limits/quota.c
+++ b/src/core/limits/quota.c
@@ -6,8 +6,9 @@
 #include <uthash.h>
 
 #define US_PER_S 1000000.
-#define START_PART 0.25 /* of the burst; others may just have spent the rest \
-			 */
+#define START_PART                                                \
+	0.25 /* of the burst; others may just have spent the rest \
+	      */
 #define REPORT_FOR_US 3000000u /* a row is told so long after a change */
 #define NEVER_MS 60000u /* told when a request is larger than the burst */
 
@@ -205,8 +206,8 @@
 }
 
 size_t
-at_quota_report(const at_quota_t *quota, at_spending_t *rows, size_t max,
-    uint64_t now_us)
+at_quota_report(
+    const at_quota_t *quota, at_spending_t *rows, size_t max, uint64_t now_us)
 {
 	const account_t *account;
 	size_t count = 0;
@@ -226,9 +227,13 @@
 static heard_t *
 heard_of(at_quota_t *quota, at_tag_t instance, at_tag_t workspace)
 {
-	heard_t wanted = {.key = {instance, workspace}};
+	heard_t wanted;
 	heard_t *heard;
 
+	memset(&wanted, 0, sizeof(wanted));
+	wanted.key.instance = instance;
+	wanted.key.workspace = workspace;
+
 	HASH_FIND(hh, quota->heard, &wanted.key, sizeof(wanted.key), heard);
 	if (heard != NULL)
 		return heard;
--- a/src/core/placement/demand_rates.c
+++ b/src/core/placement/demand_rates.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <uthash.h>
 
@@ -82,9 +83,12 @@
 static model_entry_t *
 find(const at_demand_rates_t *rates, at_tag_t service, at_tag_t model)
 {
-	const model_entry_t wanted = {.key = {service, model}};
+	model_entry_t wanted;
 	model_entry_t *entry;
 
+	memset(&wanted, 0, sizeof(wanted));
+	wanted.key.service = service;
+	wanted.key.model = model;
 	HASH_FIND(hh, rates->models, &wanted.key, sizeof(wanted.key), entry);
 	return entry;
 }
@@ -171,9 +175,14 @@
 heard_entry(
     at_demand_rates_t *rates, at_tag_t instance, const at_demand_row_t *row)
 {
-	heard_t wanted = {.key = {instance, row->service, row->model}};
+	heard_t wanted;
 	heard_t *heard;
 
+	memset(&wanted, 0, sizeof(wanted));
+	wanted.key.instance = instance;
+	wanted.key.service = row->service;
+	wanted.key.model = row->model;
+
 	HASH_FIND(hh, rates->heard, &wanted.key, sizeof(wanted.key), heard);
 	if (heard != NULL)
 		return heard;
--- /dev/null
+++ b/src/standin/server.c
@@ -0,0 +1,354 @@
+#include "standin/standin.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/names.h"
+
+#define MODELS_MAX 8
+#define LAST_SIZE 8192
+#define STAMP "stand-in"
+
+/* One streamed answer. */
+typedef struct stream {
+	standin_server_t *server;
+	at_httpd_request_t *request;
+	struct stream *next;
+	uint32_t sent;
+	ev_timer timer;
+} stream_t;
+
+struct standin_server {
+	struct ev_loop *loop;
+	at_httpd_t *httpd;
+	at_name_t id;
+	int is_engine;
+	at_name_t models[MODELS_MAX];
+	size_t model_count;
+	uint32_t events;
+	uint32_t gap_ms;
+	standin_faults_t own_faults;
+	standin_faults_t *faults; /* its own, or shared with others */
+	uint64_t runs;
+	uint64_t orders;
+	uint64_t highest_fence;
+	stream_t *streams;
+	char last[LAST_SIZE];
+};
+
+static void
+add_line(void *ctx, const char *name, const char *value)
+{
+	standin_server_t *server = ctx;
+	size_t len = strlen(server->last);
+
+	(void)snprintf(server->last + len, sizeof(server->last) - len,
+	    "%s: %s\n", name, value);
+}
+
+static void
+remember(standin_server_t *server, at_httpd_request_t *request)
+{
+	size_t body_len;
+	const char *body;
+	size_t len;
+
+	(void)snprintf(server->last, sizeof(server->last), "%s %s\n",
+	    at_httpd_method(request), at_httpd_target(request));
+	at_httpd_each_header(request, add_line, server);
+	body = at_httpd_body(request, &body_len);
+	len = strlen(server->last);
+	(void)snprintf(
+	    server->last + len, sizeof(server->last) - len, "\n%s", body);
+}
+
+static void
+end_stream(stream_t *stream)
+{
+	stream_t **link = &stream->server->streams;
+
+	while (*link != NULL && *link != stream)
+		link = &(*link)->next;
+	if (*link != NULL)
+		*link = stream->next;
+	ev_timer_stop(stream->server->loop, &stream->timer);
+	free(stream);
+}
+
+static void
+on_stream_end(void *ctx, int gone)
+{
+	(void)gone;
+	end_stream(ctx);
+}
+
+static void
+on_event(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	stream_t *stream = timer->data;
+	standin_server_t *server = stream->server;
+	char event[64];
+	int len;
+
+	(void)events;
+	if (server->faults->truncate_after > 0 &&
+	    stream->sent == server->faults->truncate_after) {
+		/* A part of the next event goes out before the break. */
+		server->faults->truncate_after = 0;
+		(void)at_httpd_stream_write(stream->request, "id: ", 4);
+		at_httpd_stream_fail(stream->request);
+		ev_timer_stop(loop, timer);
+		return;
+	}
+	if (stream->sent == server->events) {
+		at_httpd_stream_end(stream->request);
+		ev_timer_stop(loop, timer);
+		return;
+	}
+	stream->sent++;
+	len = snprintf(event, sizeof(event), "id: %u\ndata: e%u\n\n",
+	    stream->sent, stream->sent);
+	(void)at_httpd_stream_write(stream->request, event, (size_t)len);
+}
+
+static void
+begin_stream(standin_server_t *server, at_httpd_request_t *request,
+    const at_header_t *headers)
+{
+	const char *after = at_httpd_header(request, WIRE_RESUME_AFTER);
+	stream_t *stream = calloc(1, sizeof(*stream));
+	double gap_s = (double)server->gap_ms / AT_MS_PER_S;
+
+	stream->server = server;
+	stream->request = request;
+	stream->sent = after == NULL ? 0 : (uint32_t)strtoul(after, NULL, 10);
+	stream->next = server->streams;
+	server->streams = stream;
+	at_httpd_set_end(request, on_stream_end, stream);
+	at_httpd_stream_begin(request, 200, headers);
+	ev_timer_init(&stream->timer, on_event, gap_s, gap_s);
+	stream->timer.data = stream;
+	ev_timer_start(server->loop, &stream->timer);
+}
+
+static int
+holds(const standin_server_t *server, const char *model)
+{
+	size_t len = strcspn(model, "/");
+	size_t i;
+
+	for (i = 0; i < server->model_count; i++) {
+		if (strlen(server->models[i].text) == len &&
+		    strncmp(server->models[i].text, model, len) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+static void
+refuse(const standin_server_t *server, at_httpd_request_t *request, int status)
+{
+	const at_header_t headers[] = {{WIRE_NOT_RUN, "1"},
+	    {"X-Instance-Id", server->id.text}, {NULL, NULL}};
+
+	at_httpd_reply(request, status, headers, "", 0);
+}
+
+/* A fault that takes the place of an answer; non-zero when there was one. */
+static int
+answer_faultily(standin_server_t *server, at_httpd_request_t *request)
+{
+	if (server->faults->silent > 0) {
+		server->faults->silent--;
+		return 1;
+	}
+	if (server->faults->crash > 0) {
+		server->faults->crash--;
+		at_httpd_stream_abort(request);
+		return 1;
+	}
+	return 0;
+}
+
+static void
+run(standin_server_t *server, at_httpd_request_t *request)
+{
+	const char *id = at_httpd_header(request, WIRE_REQUEST_ID);
+	const char *said = id == NULL ? "" : id;
+	const at_header_t headers[] = {
+	    {WIRE_REQUEST_ID, server->faults->crossed > 0 ? "another" : said},
+	    {WIRE_STAMP, STAMP}, {"Content-Type", "text/plain"}, {NULL, NULL}};
+	static const char body[] = "done";
+
+	server->runs++;
+	if (answer_faultily(server, request))
+		return;
+	if (server->faults->crossed > 0)
+		server->faults->crossed--;
+	if (server->faults->lose_replies > 0) {
+		server->faults->lose_replies--;
+		at_httpd_reply(request, 500, headers, "failed", 6);
+	} else if (server->is_engine) {
+		begin_stream(server, request, headers);
+	} else {
+		at_httpd_reply(request, 200, headers, body, strlen(body));
+	}
+}
+
+static json_t *
+models_json(const standin_server_t *server)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < server->model_count; i++)
+		json_array_append_new(list,
+		    json_pack("{s:s,s:i,s:[]}", "name", server->models[i].text,
+			"version", 1, "adapters"));
+	return list;
+}
+
+/* Orders end at once; they are counted, fenced and conditional. */
+static void
+handle_order(standin_server_t *server, at_httpd_request_t *request)
+{
+	size_t len;
+	const char *body = at_httpd_body(request, &len);
+	json_t *order = json_loadb(body, len, 0, NULL);
+	uint64_t fence = standin_number_of(order, "fencing_token", 0);
+	uint64_t expected =
+	    standin_number_of(order, "precondition", server->orders);
+	const char *model = standin_text_of(order, "model");
+	int load = strcmp(standin_text_of(order, "operation"), "load") == 0;
+	int status = 202;
+
+	if (fence < server->highest_fence) {
+		status = 412;
+	} else if (expected != server->orders) {
+		status = 409;
+	} else {
+		server->highest_fence = fence;
+		server->orders++;
+		if (load && !holds(server, model) &&
+		    server->model_count < MODELS_MAX)
+			(void)at_name_set(
+			    &server->models[server->model_count++], model);
+	}
+	json_decref(order);
+	standin_reply_json(request, status, json_object());
+}
+
+static void
+on_request(void *ctx, at_httpd_request_t *request)
+{
+	standin_server_t *server = ctx;
+	const char *path = at_httpd_path(request);
+	const char *expected = at_httpd_header(request, WIRE_EXPECT_SERVER);
+	const char *model = at_httpd_header(request, WIRE_MODEL);
+
+	if (expected != NULL && strcmp(expected, server->id.text) != 0) {
+		refuse(server, request, WIRE_STATUS_OTHER_SERVER);
+	} else if (strcmp(path, WIRE_ORDER_PATH) == 0) {
+		handle_order(server, request);
+	} else if (strcmp(path, WIRE_REPORT_PATH) == 0) {
+		standin_reply_json(request, 200,
+		    json_pack("{s:o,s:b,s:I}", "models", models_json(server),
+			"busy", 0, "sequence", (json_int_t)server->orders));
+	} else {
+		remember(server, request);
+		if (server->faults->refuse > 0) {
+			server->faults->refuse--;
+			refuse(server, request, 503);
+		} else if (model != NULL && !holds(server, model)) {
+			refuse(server, request, WIRE_STATUS_OTHER_SERVER);
+		} else {
+			run(server, request);
+		}
+	}
+}
+
+standin_server_t *
+standin_server_new(struct ev_loop *loop, const char *id)
+{
+	standin_server_t *server = calloc(1, sizeof(*server));
+
+	server->loop = loop;
+	server->faults = &server->own_faults;
+	server->events = 3;
+	server->gap_ms = 5;
+	(void)at_name_set(&server->id, id);
+	server->httpd = at_httpd_new(loop);
+	at_httpd_set_handler(server->httpd, on_request, server);
+	return server;
+}
+
+void
+standin_server_set_engine(standin_server_t *server)
+{
+	server->is_engine = 1;
+}
+
+void
+standin_server_add_model(standin_server_t *server, const char *model)
+{
+	(void)at_name_set(&server->models[server->model_count++], model);
+}
+
+void
+standin_server_set_events(
+    standin_server_t *server, uint32_t events, uint32_t gap_ms)
+{
+	server->events = events;
+	server->gap_ms = gap_ms;
+}
+
+at_code_t
+standin_server_init(
+    standin_server_t *server, const char *address, at_status_t *status)
+{
+	return at_httpd_init(server->httpd, address, status);
+}
+
+uint16_t
+standin_server_port(const standin_server_t *server)
+{
+	return at_httpd_port(server->httpd);
+}
+
+standin_faults_t *
+standin_server_faults(standin_server_t *server)
+{
+	return server->faults;
+}
+
+void
+standin_server_share_faults(standin_server_t *server, standin_server_t *with)
+{
+	server->faults = with->faults;
+}
+
+uint64_t
+standin_server_runs(const standin_server_t *server)
+{
+	return server->runs;
+}
+
+uint64_t
+standin_server_orders(const standin_server_t *server)
+{
+	return server->orders;
+}
+
+const char *
+standin_server_last(const standin_server_t *server)
+{
+	return server->last;
+}
+
+void
+standin_server_delete(standin_server_t *server)
+{
+	at_httpd_delete(server->httpd);
+	free(server);
+}
