--- a/include/almondthread/attempt.h
+++ b/include/almondthread/attempt.h
@@ -75,6 +75,13 @@
 	uint32_t hedge_ms;      /* head later than this: hedge; 0: never */
 	uint32_t deadline_ms;   /* of the whole request */
 	uint32_t attempts_max;  /* 1 to AT_ATTEMPTS_MAX */
+	/*
+	 * Attempts of which nothing left us, for want of a connection, neither
+	 * count nor are paid for; there are at most AT_ATTEMPTS_MAX in all.
+	 */
+	int unsent_free;
+	/* Silence ends an attempt only if another one may follow it. */
+	int patient;
 } at_attempt_limits_t;
 
 typedef struct at_attempts at_attempts_t;
--- a/include/almondthread/demand_rates.h
+++ b/include/almondthread/demand_rates.h
@@ -33,9 +33,12 @@
 at_demand_rates_t *at_demand_rates_new(void);
 void at_demand_rates_delete(at_demand_rates_t *rates);
 
-/* at_demand_rates_note() counts a request of this instance. */
-void at_demand_rates_note(
-    at_demand_rates_t *rates, const at_work_t *work, uint64_t now_us);
+/*
+ * at_demand_rates_note() counts a request of this instance for engines with so
+ * many places in a batch.
+ */
+void at_demand_rates_note(at_demand_rates_t *rates, const at_work_t *work,
+    uint32_t slots, uint64_t now_us);
 /* at_demand_rates_set_waiting() counts this instance's waiting requests. */
 void at_demand_rates_clear_waiting(at_demand_rates_t *rates);
 void at_demand_rates_add_waiting(
--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -75,11 +75,16 @@
 	size_t on_disk_count;
 } at_server_entry_t;
 
+/* Time constant in which tokens sent lately fade. */
+#define AT_RECENT_US 400000.
+
 /* What is in flight at one backend server. */
 typedef struct at_load {
 	uint32_t active;
 	uint32_t prefill_tokens; /* of requests without a first event */
 	uint64_t kv_tokens;      /* their prompts and what they may generate */
+	uint32_t recent_tokens;  /* prompts sent there lately, fading */
+	int unreachable;         /* in reports: no connection can be made */
 } at_load_t;
 
 /* One backend server in an instance's report. */
@@ -135,7 +140,8 @@
 	AT_OUTCOME_WELL,
 	AT_OUTCOME_REFUSED, /* it did not run it */
 	AT_OUTCOME_FAILED,  /* it broke off, answered wrongly or not at all */
-	AT_OUTCOME_UNKNOWN, /* ended for reasons of ours or the caller's */
+	AT_OUTCOME_UNREACHABLE, /* no connection could be made */
+	AT_OUTCOME_UNKNOWN,     /* ended for reasons of ours or the caller's */
 	AT_OUTCOME_COUNT
 } at_outcome_t;
 
@@ -164,7 +170,7 @@
 
 const at_server_entry_t *at_server_entry(const at_server_t *server);
 /* at_server_load() sums what is in flight there from every instance. */
-at_load_t at_server_load(const at_server_t *server);
+at_load_t at_server_load(const at_server_t *server, uint64_t now_us);
 /* at_server_holds() tells whether it has the model and the adapter. */
 int at_server_holds(
     const at_server_t *server, at_tag_t model, at_tag_t adapter);
@@ -184,6 +190,13 @@
  */
 void at_server_note_held(
     at_server_t *server, const at_server_entry_t *held, uint64_t now_us);
+/*
+ * at_fleet_misplaced() says that a server does not hold what was asked of it,
+ * or is another one: it is not asked for that again until the list or a note
+ * says otherwise.
+ */
+void at_fleet_misplaced(at_fleet_t *fleet, at_server_t *server,
+    const at_work_t *work, uint64_t now_us);
 /* at_server_trusted() tells whether it may be given requests now. */
 int at_server_trusted(const at_server_t *server, uint64_t now_us);
 
@@ -196,8 +209,8 @@
  * at_fleet_ended(). at_fleet_first_event() says when its first event, or the
  * whole answer of a plain service, came.
  */
-void at_fleet_sent(
-    at_fleet_t *fleet, at_server_t *server, const at_work_t *work);
+void at_fleet_sent(at_fleet_t *fleet, at_server_t *server,
+    const at_work_t *work, uint64_t now_us);
 void at_fleet_first_event(at_fleet_t *fleet, at_server_t *server,
     const at_work_t *work, uint64_t predicted_us, uint64_t seen_us);
 void at_fleet_ended(at_fleet_t *fleet, at_server_t *server,
@@ -205,14 +218,20 @@
     uint64_t now_us);
 
 /*
- * at_fleet_report() fills rows with this instance's own loads and returns
- * how many there are.
+ * at_fleet_report() fills rows with this instance's own loads and returns how
+ * many there are.
  */
 size_t at_fleet_report(
-    const at_fleet_t *fleet, at_load_row_t *rows, size_t max);
+    const at_fleet_t *fleet, at_load_row_t *rows, size_t max, uint64_t now_us);
 /* at_fleet_heard() replaces what an instance reported before. */
 void at_fleet_heard(at_fleet_t *fleet, at_tag_t instance,
     const at_load_row_t *rows, size_t count, uint64_t now_us);
+/*
+ * at_fleet_heard_unreachable() takes the word of an instance near this one
+ * that it cannot connect to a server; what was seen here goes before it.
+ */
+void at_fleet_heard_unreachable(
+    at_fleet_t *fleet, at_tag_t server, uint64_t now_us);
 /* at_fleet_forget() drops reports older than max_age_us. */
 void at_fleet_forget(at_fleet_t *fleet, uint64_t now_us, uint64_t max_age_us);
 
--- a/include/almondthread/quota.h
+++ b/include/almondthread/quota.h
@@ -48,8 +48,8 @@
  * at_quota_report() fills rows with what has changed in the last seconds and
  * returns how many there are.
  */
-size_t at_quota_report(const at_quota_t *quota, at_spending_t *rows,
-    size_t max, uint64_t now_us);
+size_t at_quota_report(
+    const at_quota_t *quota, at_spending_t *rows, size_t max, uint64_t now_us);
 /* at_quota_heard() debits what an instance spent since it was last heard. */
 void at_quota_heard(at_quota_t *quota, at_tag_t instance, uint64_t incarnation,
     const at_spending_t *rows, size_t count, uint64_t now_us);
--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -22,13 +22,17 @@
 	uint64_t heard_us; /* 0: never */
 	uint64_t known_us; /* when it was first known */
 	int leaving;
-	uint64_t fence;   /* of the lease that it holds; 0: it does not */
+	uint64_t fence;    /* of the lease that it holds; 0: it does not */
 	int platform_away; /* it cannot reach the platform */
+	uint32_t waiting;  /* requests that wait there */
+	uint32_t
+	    strength; /* of its machine; shared tasks go to the strongest */
 } at_roster_member_t;
 
 typedef struct at_roster at_roster_t;
 
-at_roster_t *at_roster_new(const at_name_t *self);
+/* strength is that of this instance's machine, in any fixed unit. */
+at_roster_t *at_roster_new(const at_name_t *self, uint32_t strength);
 void at_roster_delete(at_roster_t *roster);
 
 /*
@@ -50,13 +54,15 @@
 uint32_t at_roster_present(const at_roster_t *roster);
 /* Those of them that are heard, this one included. */
 uint32_t at_roster_heard_count(const at_roster_t *roster, uint64_t now_us);
+/* at_roster_waiting() sums the requests that wait at the others heard. */
+uint32_t at_roster_waiting(const at_roster_t *roster, uint64_t now_us);
 /* at_roster_holder() returns who is heard to hold the lease, or NULL. */
 const at_roster_member_t *at_roster_holder(
     const at_roster_t *roster, uint64_t now_us);
 /*
  * at_roster_is_first() tells whether a shared task is this instance's: it is
- * the first of those heard in a data centre (0: in all) that reach the
- * platform, or the first of all if none does. All that hear each other agree.
+ * the strongest of those heard in a data centre (0: in all) that reach the
+ * platform, or of all if none does. All that hear each other agree.
  * The holder of the lease is left out where but_holder is set: the first of
  * the others stands by to take it.
  */
--- a/include/almondthread/waiting.h
+++ b/include/almondthread/waiting.h
@@ -53,8 +53,8 @@
 
 at_waiting_t *at_waiting_new(at_fleet_t *fleet);
 void at_waiting_delete(at_waiting_t *waiting);
-/* How many instances share the traffic; each has a queue like this one. */
-void at_waiting_set_instances(at_waiting_t *waiting, uint32_t instances);
+/* How many requests wait at the other instances, for the same servers. */
+void at_waiting_set_others(at_waiting_t *waiting, uint32_t others);
 
 /* at_waiting_judge() looks at a request that arrives or comes back. */
 void at_waiting_judge(at_waiting_t *waiting, at_waiter_t *waiter,
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -322,7 +322,7 @@
   assert(message->base.descriptor == &report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor report_load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor report_load__field_descriptors[6] =
 {
   {
     "server",
@@ -372,17 +372,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "recent_tokens",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportLoad, recent_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unreachable",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ReportLoad, unreachable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report_load__field_indices_by_name[] = {
   1,   /* field[1] = active */
   3,   /* field[3] = kv_tokens */
   2,   /* field[2] = prefill_tokens */
+  4,   /* field[4] = recent_tokens */
   0,   /* field[0] = server */
+  5,   /* field[5] = unreachable */
 };
 static const ProtobufCIntRange report_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor report_load__descriptor =
 {
@@ -392,7 +418,7 @@
   "ReportLoad",
   "",
   sizeof(ReportLoad),
-  4,
+  6,
   report_load__field_descriptors,
   report_load__field_indices_by_name,
   1,  report_load__number_ranges,
@@ -771,7 +797,7 @@
   (ProtobufCMessageInit) report_server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[18] =
+static const ProtobufCFieldDescriptor report__field_descriptors[20] =
 {
   {
     "name",
@@ -989,6 +1015,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "strength",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Report, strength),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Report, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -1008,12 +1058,14 @@
   16,   /* field[16] = servers */
   15,   /* field[15] = servers_digest */
   8,   /* field[8] = spending */
+  18,   /* field[18] = strength */
+  19,   /* field[19] = waiting */
   10,   /* field[10] = wants */
 };
 static const ProtobufCIntRange report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -1023,7 +1075,7 @@
   "Report",
   "",
   sizeof(Report),
-  18,
+  20,
   report__field_descriptors,
   report__field_indices_by_name,
   1,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -39,10 +39,18 @@
   uint32_t active;
   uint32_t prefill_tokens;
   uint64_t kv_tokens;
+  /*
+   * prompt tokens sent there lately
+   */
+  uint32_t recent_tokens;
+  /*
+   * no connection can be made from there
+   */
+  protobuf_c_boolean unreachable;
 };
 #define REPORT_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report_load__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -171,10 +179,18 @@
    * the loads are all there are
    */
   protobuf_c_boolean has_loads;
+  /*
+   * of the sender's machine
+   */
+  uint32_t strength;
+  /*
+   * requests that wait at the sender
+   */
+  uint32_t waiting;
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /* ReportLoad methods */
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -293,8 +293,7 @@
 		const known_t *known;
 
 		HASH_FIND_STR(mirror->objects, page->objects[i].name, known);
-		if (known != NULL &&
-		    known->version >= page->objects[i].version)
+		if (known != NULL && known->version >= page->objects[i].version)
 			continue;
 		missed = 1;
 		change(mirror, &page->objects[i]);
@@ -321,8 +320,7 @@
 }
 
 void
-at_mirror_feed(
-    at_mirror_t *mirror, uint64_t now_ms, const at_object_t *object)
+at_mirror_feed(at_mirror_t *mirror, uint64_t now_ms, const at_object_t *object)
 {
 	mirror->now_ms = now_ms;
 	change(mirror, object);
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -17,6 +17,8 @@
 #define PLAIN_US 50000u       /* one request of a plain service, until known */
 #define PREFILL_MAX 6000u     /* prompt tokens waiting at one engine */
 #define PREFILL_RELAXED 3500u /* the same, for requests with time to spare */
+#define PROMPT_USUAL 2500u    /* prompt tokens that count against both bounds */
+#define RECENT_MAX 7000u      /* prompt tokens sent lately to one engine */
 #define KV_FILL_PERCENT 92u   /* of an engine's memory for tokens */
 #define TIE_PERCENT 5u        /* predictions this close are equal */
 
@@ -81,10 +83,14 @@
 
 static int
 has_room(const at_server_t *server, const at_site_service_t *service,
-    const at_work_t *work)
+    const at_work_t *work, uint64_t now_us)
 {
-	at_load_t load = at_server_load(server);
+	at_load_t load = at_server_load(server, now_us);
 	uint32_t prefill_max = work->relaxed ? PREFILL_RELAXED : PREFILL_MAX;
+	/* A long prompt finds room where a usual one would. */
+	uint32_t prompt = work->prompt_tokens < PROMPT_USUAL
+			      ? work->prompt_tokens
+			      : PROMPT_USUAL;
 	uint64_t kv = (uint64_t)work->prompt_tokens + work->output_tokens;
 
 	if (load.active >= server->entry.slots)
@@ -92,17 +98,20 @@
 	if (work->model == 0 || load.active == 0)
 		return 1;
 	if (load.prefill_tokens > 0 &&
-	    load.prefill_tokens + work->prompt_tokens > prefill_max)
+	    load.prefill_tokens + prompt > prefill_max)
+		return 0;
+	/* Else every step of the streams there reads a piece of a prompt. */
+	if (load.recent_tokens > 0 && load.recent_tokens + prompt > RECENT_MAX)
 		return 0;
 	return load.kv_tokens + kv <=
 	       service->kv_tokens * KV_FILL_PERCENT / 100u;
 }
 
 static uint64_t
-predict_us(
-    const at_fleet_t *fleet, const at_server_t *server, const at_work_t *work)
+predict_us(const at_fleet_t *fleet, const at_server_t *server,
+    const at_work_t *work, uint64_t now_us)
 {
-	at_load_t load = at_server_load(server);
+	at_load_t load = at_server_load(server, now_us);
 	uint64_t us;
 
 	if (work->model == 0)
@@ -162,9 +171,9 @@
 			continue;
 		choice->candidates++;
 		if (!trust_allows(&server->trust, now_us, server->own.active) ||
-		    !has_room(server, service, work))
+		    !has_room(server, service, work, now_us))
 			continue;
-		us = predict_us(fleet, server, work);
+		us = predict_us(fleet, server, work, now_us);
 		if (!is_better(fleet, us, choice))
 			continue;
 		choice->server = server;
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -1,5 +1,6 @@
 #include "core/fleet/fleet_private.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -98,6 +99,8 @@
 			    report->rows[i].load.prefill_tokens;
 			server->others.kv_tokens +=
 			    report->rows[i].load.kv_tokens;
+			server->others.recent_tokens +=
+			    report->rows[i].load.recent_tokens;
 		}
 	}
 	return server;
@@ -174,11 +177,24 @@
 	return &server->entry;
 }
 
+/* Prompt tokens sent lately, as they have faded since. */
+static uint32_t
+fade(double tokens, uint64_t since_us, uint64_t now_us)
+{
+	double passed_us = now_us > since_us ? (double)(now_us - since_us) : 0.;
+
+	return (uint32_t)(tokens * exp(-passed_us / AT_RECENT_US));
+}
+
 at_load_t
-at_server_load(const at_server_t *server)
+at_server_load(const at_server_t *server, uint64_t now_us)
 {
 	at_load_t sum = server->own;
 
+	sum.recent_tokens =
+	    fade(server->recent_tokens, server->recent_us, now_us) +
+	    server->others.recent_tokens;
+
 	sum.active += server->others.active;
 	sum.prefill_tokens += server->others.prefill_tokens;
 	sum.kv_tokens += server->others.kv_tokens;
@@ -198,9 +214,14 @@
 }
 
 void
-at_fleet_sent(at_fleet_t *fleet, at_server_t *server, const at_work_t *work)
+at_fleet_sent(at_fleet_t *fleet, at_server_t *server, const at_work_t *work,
+    uint64_t now_us)
 {
 	(void)fleet;
+	server->recent_tokens =
+	    fade(server->recent_tokens, server->recent_us, now_us) +
+	    work->prompt_tokens;
+	server->recent_us = now_us;
 	server->open++;
 	server->own.active++;
 	server->own.prefill_tokens += work->prompt_tokens;
@@ -231,17 +252,23 @@
 }
 
 size_t
-at_fleet_report(const at_fleet_t *fleet, at_load_row_t *rows, size_t max)
+at_fleet_report(
+    const at_fleet_t *fleet, at_load_row_t *rows, size_t max, uint64_t now_us)
 {
 	const at_server_t *server;
 	size_t count = 0;
 
 	for (server = fleet->servers; server != NULL && count < max;
 	     server = server->hh.next) {
-		if (server->own.active == 0)
+		if (server->own.active == 0 && !server->trust.unreachable)
 			continue;
 		rows[count].server = server->entry.tag;
 		rows[count].load = server->own;
+		rows[count].load.unreachable =
+		    server->trust.unreachable &&
+		    now_us < server->trust.rest_until_us;
+		rows[count].load.recent_tokens =
+		    fade(server->recent_tokens, server->recent_us, now_us);
 		count++;
 	}
 	return count;
@@ -264,10 +291,12 @@
 			server->others.active += load->active;
 			server->others.prefill_tokens += load->prefill_tokens;
 			server->others.kv_tokens += load->kv_tokens;
+			server->others.recent_tokens += load->recent_tokens;
 		} else {
 			server->others.active -= load->active;
 			server->others.prefill_tokens -= load->prefill_tokens;
 			server->others.kv_tokens -= load->kv_tokens;
+			server->others.recent_tokens -= load->recent_tokens;
 		}
 	}
 }
@@ -301,6 +330,15 @@
 	count_report(fleet, report, 1);
 }
 
+void
+at_fleet_heard_unreachable(at_fleet_t *fleet, at_tag_t tag, uint64_t now_us)
+{
+	at_server_t *server = at_fleet_find(fleet, tag);
+
+	if (server != NULL)
+		trust_heard_unreachable(&server->trust, now_us);
+}
+
 void
 at_fleet_forget(at_fleet_t *fleet, uint64_t now_us, uint64_t max_age_us)
 {
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -16,6 +16,8 @@
 /* How far a backend server can be trusted. */
 typedef struct trust {
 	uint32_t failures; /* in a row */
+	int unreachable;   /* the last one was without a connection */
+	uint64_t well_us;  /* when a request last went well; 0: never */
 	uint64_t rest_until_us;
 	uint32_t slow_milli; /* observed to predicted time, in thousandths */
 } trust_t;
@@ -25,7 +27,7 @@
 	at_name_t model;
 	at_name_t adapter; /* empty: the model itself */
 	int held;
-	uint64_t noted_us;
+	uint64_t stands_until_us;
 } note_t;
 
 struct at_server {
@@ -34,8 +36,10 @@
 	note_t notes[NOTES_MAX];
 	size_t note_count;
 	int listed;
-	uint32_t open; /* requests of ours that hold a pointer to it */
-	at_load_t own;
+	uint32_t open;        /* requests of ours that hold a pointer to it */
+	at_load_t own;        /* without recent tokens */
+	double recent_tokens; /* prompts of ours sent there, fading */
+	uint64_t recent_us;   /* as of then */
 	at_load_t others;
 	trust_t trust;
 	uint64_t prefixes[PREFIXES_KEPT]; /* recent parts, by hash */
@@ -62,6 +66,7 @@
 /* trust.c */
 void trust_init(trust_t *trust);
 void trust_judge(trust_t *trust, at_outcome_t outcome, uint64_t now_us);
+void trust_heard_unreachable(trust_t *trust, uint64_t now_us);
 void trust_time(trust_t *trust, uint64_t predicted_us, uint64_t seen_us);
 /* Whether it may get a request now, and whether as its one trial. */
 int trust_allows(const trust_t *trust, uint64_t now_us, uint32_t open);
--- a/src/core/fleet/held.c
+++ b/src/core/fleet/held.c
@@ -6,6 +6,8 @@
 
 #include "core/fleet/fleet_private.h"
 
+#define MISPLACED_US 1000000u /* a server's own word that it holds it not */
+
 int
 at_server_holds(const at_server_t *server, at_tag_t model, at_tag_t adapter)
 {
@@ -86,8 +88,9 @@
 at_server_note_model(
     at_server_t *server, const at_name_t *model, int is_held, uint64_t now_us)
 {
-	const note_t note = {
-	    .model = *model, .held = is_held, .noted_us = now_us};
+	const note_t note = {.model = *model,
+	    .held = is_held,
+	    .stands_until_us = now_us + AT_NOTE_STANDS_US};
 
 	if (!is_known(server, &note))
 		add_note(server, &note);
@@ -100,12 +103,31 @@
 	const note_t note = {.model = *model,
 	    .adapter = *adapter,
 	    .held = is_held,
-	    .noted_us = now_us};
+	    .stands_until_us = UINT64_MAX};
+
+	(void)now_us;
 
 	if (!is_known(server, &note))
 		add_note(server, &note);
 }
 
+void
+at_fleet_misplaced(at_fleet_t *fleet, at_server_t *server,
+    const at_work_t *work, uint64_t now_us)
+{
+	note_t note = {.held = 0, .stands_until_us = now_us + MISPLACED_US};
+
+	(void)fleet;
+	if (work->model == 0) {
+		trust_judge(&server->trust, AT_OUTCOME_FAILED, now_us);
+		return;
+	}
+	note.model = *work->model_name;
+	if (work->adapter != 0)
+		note.adapter = *work->adapter_name;
+	add_note(server, &note);
+}
+
 void
 held_listed(at_server_t *server, const at_server_entry_t *entry)
 {
@@ -153,10 +175,7 @@
 
 		i = 0;
 		while (i < server->note_count) {
-			const note_t *note = &server->notes[i];
-
-			if (note->adapter.text[0] == '\0' &&
-			    now_us - note->noted_us > AT_NOTE_STANDS_US)
+			if (now_us >= server->notes[i].stands_until_us)
 				drop_note(server, i);
 			else
 				i++;
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -14,17 +14,19 @@
 struct at_roster {
 	at_name_t self;
 	at_tag_t self_tag;
+	uint32_t strength;
 	entry_t *table;
 };
 
 at_roster_t *
-at_roster_new(const at_name_t *self)
+at_roster_new(const at_name_t *self, uint32_t strength)
 {
 	at_roster_t *roster = calloc(1, sizeof(*roster));
 
 	if (roster == NULL)
 		return NULL;
 	roster->self = *self;
+	roster->strength = strength;
 	roster->self_tag = at_tag(self->text);
 	return roster;
 }
@@ -125,6 +127,19 @@
 	return count;
 }
 
+uint32_t
+at_roster_waiting(const at_roster_t *roster, uint64_t now_us)
+{
+	const entry_t *entry;
+	uint32_t waiting = 0;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		if (is_heard(&entry->member, now_us))
+			waiting += entry->member.waiting;
+	}
+	return waiting;
+}
+
 const at_roster_member_t *
 at_roster_holder(const at_roster_t *roster, uint64_t now_us)
 {
@@ -141,6 +156,15 @@
 	return holder;
 }
 
+/* Whether another instance goes before this one. */
+static int
+goes_before(const at_roster_t *roster, const at_roster_member_t *member)
+{
+	if (member->strength != roster->strength)
+		return member->strength > roster->strength;
+	return member->tag < roster->self_tag;
+}
+
 int
 at_roster_is_first(const at_roster_t *roster, at_tag_t data_centre,
     int but_holder, int platform_away, uint64_t now_us)
@@ -156,7 +180,7 @@
 		    (but_holder && member->fence != 0) ||
 		    (data_centre != 0 && member->data_centre != data_centre))
 			continue;
-		if (member->tag < roster->self_tag &&
+		if (goes_before(roster, member) &&
 		    (platform_away || !member->platform_away))
 			is_first = 0;
 		other_reaches |= !member->platform_away;
--- a/src/core/fleet/trust.c
+++ b/src/core/fleet/trust.c
@@ -3,6 +3,8 @@
 #define REST_FIRST_US 200000u /* after the first failure in a row */
 #define REST_MAX_US 4000000u  /* however many there were */
 #define FAILURES_TO_REST 2u   /* a single one may be the request's fault */
+#define HEARD_REST_US 300000u /* after another instance's word */
+#define WELL_US 1500000u      /* what went well here so lately goes before it */
 #define SLOW_ONE 1000u        /* as predicted */
 #define SLOW_MIN 250u
 #define SLOW_MAX 12000u
@@ -13,6 +15,8 @@
 {
 	trust->failures = 0;
 	trust->rest_until_us = 0;
+	trust->unreachable = 0;
+	trust->well_us = 0;
 	trust->slow_milli = SLOW_ONE;
 }
 
@@ -32,14 +36,29 @@
 	if (outcome == AT_OUTCOME_WELL) {
 		trust->failures = 0;
 		trust->rest_until_us = 0;
-	} else if (outcome == AT_OUTCOME_FAILED) {
-		trust->failures++;
+		trust->unreachable = 0;
+		trust->well_us = now_us;
+	} else if (outcome == AT_OUTCOME_FAILED ||
+		   outcome == AT_OUTCOME_UNREACHABLE) {
+		trust->unreachable = outcome == AT_OUTCOME_UNREACHABLE;
+		trust->failures += trust->unreachable ? FAILURES_TO_REST : 1u;
 		if (trust->failures >= FAILURES_TO_REST)
 			trust->rest_until_us =
 			    now_us + rest_us(trust->failures);
 	}
 }
 
+void
+trust_heard_unreachable(trust_t *trust, uint64_t now_us)
+{
+	if (trust->well_us != 0 && now_us - trust->well_us < WELL_US)
+		return;
+	if (trust->failures < FAILURES_TO_REST)
+		trust->failures = FAILURES_TO_REST;
+	if (trust->rest_until_us < now_us + HEARD_REST_US)
+		trust->rest_until_us = now_us + HEARD_REST_US;
+}
+
 void
 trust_time(trust_t *trust, uint64_t predicted_us, uint64_t seen_us)
 {
--- a/src/core/fleet/waiting.c
+++ b/src/core/fleet/waiting.c
@@ -25,7 +25,7 @@
 
 struct at_waiting {
 	at_fleet_t *fleet;
-	uint32_t instances;
+	uint32_t others;   /* requests that wait at other instances */
 	at_waiter_t *head; /* by rank */
 	at_waiter_t *tail;
 	size_t count;
@@ -45,7 +45,6 @@
 	if (waiting == NULL)
 		return NULL;
 	waiting->fleet = fleet;
-	waiting->instances = 1;
 	return waiting;
 }
 
@@ -56,9 +55,9 @@
 }
 
 void
-at_waiting_set_instances(at_waiting_t *waiting, uint32_t instances)
+at_waiting_set_others(at_waiting_t *waiting, uint32_t others)
 {
-	waiting->instances = instances == 0 ? 1 : instances;
+	waiting->others = others;
 }
 
 static uint64_t
@@ -100,9 +99,9 @@
 				   PLACE_FREE_US;
 	}
 	need_us += waiter->work.model == 0 ? PLAIN_FREE_US : PLACE_FREE_US;
-	if (candidates == 0)
-		return need_us;
-	return need_us * waiting->instances / candidates;
+	/* The others' requests are taken to be like these. */
+	need_us += need_us * waiting->others / (waiting->count + 1u);
+	return candidates == 0 ? need_us : need_us / candidates;
 }
 
 static uint32_t
--- a/src/core/placement/demand_rates.c
+++ b/src/core/placement/demand_rates.c
@@ -9,7 +9,8 @@
 #define US_PER_S 1000000.
 #define FOLLOW_S 1.8           /* time constant of the rates */
 #define PROMPT_TOKEN_US 34u    /* engine time of one prompt token */
-#define OUTPUT_TOKEN_US 125u   /* of one generated token, in a full batch */
+#define STEP_US 5600u          /* one step of a batch, a token for each place */
+#define PLACE_US 20u           /* what each place adds to it */
 #define REPORT_FOR_US 3000000u /* a row is told so long after a change */
 #define WAITING_FOR_US 600000u /* what an instance said of waiting counts */
 
@@ -110,24 +111,26 @@
 }
 
 static uint64_t
-engine_us(const at_work_t *work)
+engine_us(const at_work_t *work, uint32_t slots)
 {
+	uint64_t token_us = STEP_US / (slots == 0 ? 1u : slots) + PLACE_US;
+
 	return (uint64_t)work->prompt_tokens * PROMPT_TOKEN_US +
-	       (uint64_t)work->output_tokens * OUTPUT_TOKEN_US;
+	       work->output_tokens * token_us;
 }
 
 void
-at_demand_rates_note(
-    at_demand_rates_t *rates, const at_work_t *work, uint64_t now_us)
+at_demand_rates_note(at_demand_rates_t *rates, const at_work_t *work,
+    uint32_t slots, uint64_t now_us)
 {
 	model_entry_t *entry = find_or_add(rates, work->service, work->model);
 
 	if (entry == NULL)
 		return;
 	entry->own_requests++;
-	entry->own_engine_us += engine_us(work);
+	entry->own_engine_us += engine_us(work, slots);
 	entry->new_requests++;
-	entry->new_engine_us += engine_us(work);
+	entry->new_engine_us += engine_us(work, slots);
 	entry->changed_us = now_us;
 }
 
--- a/src/core/placement/residency.c
+++ b/src/core/placement/residency.c
@@ -10,8 +10,10 @@
  */
 #include "almondthread/residency.h"
 
+#include <math.h>
 #include <string.h>
 
+#define RETURNS 1.25    /* how fast further replicas earn less */
 #define ASKED_FOR 0.08  /* requests a second from which a model is in use */
 #define GAIN_RATIO 1.6  /* a move must earn so many times what it costs */
 #define LAST_LOSS 0.004 /* of taking the last replica of an unused model */
@@ -56,7 +58,7 @@
 static double
 gain_of_next(double load, uint32_t replicas)
 {
-	return load / ((double)replicas * (replicas + 1.));
+	return load / pow(replicas, RETURNS);
 }
 
 static size_t
@@ -216,7 +218,7 @@
 	const at_model_demand_t *d = &r->demand[model];
 
 	if (replicas > 1)
-		return d->load / ((double)replicas * (replicas - 1.));
+		return gain_of_next(d->load, replicas - 1);
 	if (d->waiting > 0)
 		return -1.;
 	return LAST_LOSS + d->requests_per_s * LAST_USED;
--- a/src/core/requests/attempt.c
+++ b/src/core/requests/attempt.c
@@ -17,6 +17,7 @@
 	at_verdict_t verdict; /* of an ended one */
 	at_reason_t reason;   /* of an ended one */
 	int hedge;
+	int paid; /* a retry of the workspace's budget was spent on it */
 	int paused;
 	uint64_t limit_at_ms; /* end of the limit in force */
 	at_budget_t *budget;  /* of its backend server */
@@ -252,13 +253,34 @@
 	action->remaining_ms = (uint32_t)(a->deadline_at_ms - now_ms);
 }
 
+static int
+is_unsent(const at_attempts_t *a, const attempt_t *t)
+{
+	return a->limits.unsent_free && t->state == AT_ATTEMPT_ENDED &&
+	       t->verdict == AT_VERDICT_NOT_RUN &&
+	       t->reason == AT_REASON_CONNECT_FAILED;
+}
+
+/* Attempts that count against attempts_max. */
+static uint32_t
+counted(const at_attempts_t *a)
+{
+	uint32_t count = 0;
+	uint32_t k;
+
+	for (k = 0; k < a->count; k++)
+		count += (uint32_t)!is_unsent(a, &a->list[k]);
+	return count;
+}
+
 /* The request itself allows another attempt; budgets are not looked at. */
 static int
 may_start_another(const at_attempts_t *a, uint64_t now_ms)
 {
 	if (a->finished || a->winner != AT_ATTEMPT_NONE)
 		return 0;
-	if (a->count >= a->limits.attempts_max || now_ms >= a->deadline_at_ms)
+	if (a->count == AT_ATTEMPTS_MAX ||
+	    counted(a) >= a->limits.attempts_max || now_ms >= a->deadline_at_ms)
 		return 0;
 	return a->repeat != AT_ONCE || verdict_of_all(a) == AT_VERDICT_NOT_RUN;
 }
@@ -277,10 +299,12 @@
 retry_or_give_up(at_attempts_t *a, uint64_t now_ms)
 {
 	at_reason_t reason = a->reason;
+	int is_free = is_unsent(a, &a->list[a->count - 1]);
 
 	if (may_start_another(a, now_ms)) {
-		if (take_budget(a, a->budget, now_ms)) {
+		if (is_free || take_budget(a, a->budget, now_ms)) {
 			start(a, reason, 0, now_ms);
+			a->list[a->count - 1].paid = !is_free;
 			return;
 		}
 		if (verdict_of_all(a) == AT_VERDICT_NOT_RUN)
@@ -355,7 +379,7 @@
 	(void)now_ms;
 	if (a->finished || t->state != AT_ATTEMPT_PLACING)
 		return;
-	if (k > 0 && a->budget != NULL)
+	if (t->paid && a->budget != NULL)
 		at_budget_return(a->budget);
 	t->state = AT_ATTEMPT_ENDED;
 	t->reason = reason;
@@ -492,6 +516,18 @@
 	return AT_REASON_IDLE_TIMEOUT;
 }
 
+/* Whether another attempt may follow one that has been sent. */
+static int
+may_follow(const at_attempts_t *a, uint64_t now_ms)
+{
+	if (a->repeat == AT_ONCE || a->count == AT_ATTEMPTS_MAX ||
+	    counted(a) >= a->limits.attempts_max || now_ms >= a->deadline_at_ms)
+		return 0;
+	if (a->winner != AT_ATTEMPT_NONE && !a->resumable)
+		return 0;
+	return a->budget == NULL || at_budget_allows(a->budget);
+}
+
 static void
 check_limits(at_attempts_t *a, uint64_t now_ms)
 {
@@ -504,6 +540,11 @@
 
 		if (!is_open(t) || now_ms < t->limit_at_ms)
 			continue;
+		if (a->limits.patient && t->state >= AT_ATTEMPT_SENT &&
+		    !may_follow(a, now_ms)) {
+			t->limit_at_ms = AT_ATTEMPTS_NEVER;
+			continue;
+		}
 		cancel(a, k, reason);
 		ended(a, k, reason, t->verdict, now_ms);
 	}
@@ -517,8 +558,10 @@
 	a->hedge_at_ms = AT_ATTEMPTS_NEVER;
 	if (a->repeat == AT_ONCE || !waits_alone(a))
 		return;
-	if (may_start_another(a, now_ms) && take_budget(a, a->budget, now_ms))
+	if (may_start_another(a, now_ms) && take_budget(a, a->budget, now_ms)) {
 		start(a, AT_REASON_FIRST_BYTE_TIMEOUT, 1, now_ms);
+		a->list[a->count - 1].paid = 1;
+	}
 }
 
 void
--- a/src/core/requests/budget.c
+++ b/src/core/requests/budget.c
@@ -59,6 +59,12 @@
 	add(budget, AT_BUDGET_RETRY_MILLI);
 }
 
+int
+at_budget_allows(const at_budget_t *budget)
+{
+	return budget->level_milli >= AT_BUDGET_RETRY_MILLI;
+}
+
 int
 at_budget_take(at_budget_t *budget, uint64_t now_ms)
 {
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -456,7 +456,9 @@
 	    .deadline_ms =
 		(uint32_t)((call->waiter.deadline_us - call->started_us) /
 			   US_PER_MS),
-	    .attempts_max = route->attempts_max};
+	    .attempts_max = route->attempts_max,
+	    .unsent_free = 1,
+	    .patient = 1};
 	uint64_t now_ms = at_clock_now_ms();
 
 	if (limits.attempts_max < 1)
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -33,6 +33,7 @@
 	uint64_t predicted_us;
 	int had_event;     /* the first event, or the whole answer, came */
 	int refused;       /* it says that it did not run it */
+	int misplaced;     /* and that what was asked for is not there */
 	int is_stream;     /* its answer is passed on as it comes */
 	at_reason_t fault; /* found in what it sent */
 	held_answer_t answer;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -15,12 +15,14 @@
 #include "entry/sync.h"
 #include "io/clock.h"
 
-#define TICK_S 0.05          /* waiting requests are looked at this often */
-#define LOG_FLUSH_TICKS 4u   /* of those, between two flushes of the log */
-#define DRAIN_MS 2600u       /* until the balancer sends nobody here */
-#define STOP_CHECK_S 0.05    /* between two looks at open requests */
-#define STOP_MARGIN_MS 500u  /* of the grace, left for the end itself */
-#define MIN_STOPPING_MS 300u /* for requests on their way */
+#define TICK_S 0.05         /* waiting requests are looked at this often */
+#define LOG_FLUSH_TICKS 4u  /* of those, between two flushes of the log */
+#define DRAIN_MS 2600u      /* until the balancer sends nobody here */
+#define STOP_CHECK_S 0.05   /* between two looks at open requests */
+#define STOP_MARGIN_MS 500u /* of the grace, left for the end itself */
+#define PERCENT 100u
+#define WIDE_LINK_MBPS 100u       /* from here on a link is no bottleneck */
+#define MIN_STOPPING_MS 300u      /* for requests on their way */
 #define MAX_BODY_BYTES (4u << 20) /* until a configuration says otherwise */
 
 static void
@@ -49,6 +51,16 @@
 	return entry;
 }
 
+/* The lease's holder and readers send much: the link counts, too. */
+static uint32_t
+strength_of(const at_entry_settings_t *s)
+{
+	uint32_t processor =
+	    (uint32_t)(s->processor_share * s->cores * PERCENT);
+
+	return processor + (s->link_mbps >= WIDE_LINK_MBPS ? PERCENT : 0);
+}
+
 static at_code_t
 check_settings(at_entry_t *entry, at_status_t *status)
 {
@@ -64,6 +76,7 @@
 	entry->self_tag = at_tag(s->name);
 	entry->data_centre = at_tag(s->data_centre);
 	entry->rng.state = entry->self.number;
+	entry->strength = strength_of(s);
 	return AT_OK;
 }
 
@@ -84,7 +97,7 @@
 	    at_fleet_new(entry->data_centre, at_rng_next(&entry->rng));
 	entry->quota = at_quota_new(at_clock_now_us());
 	entry->retries = at_retry_budgets_new(s->retry_ratio, s->retry_slack);
-	entry->roster = at_roster_new(&entry->self.instance);
+	entry->roster = at_roster_new(&entry->self.instance, entry->strength);
 	if (entry->wire_store == NULL || entry->fleet == NULL ||
 	    entry->quota == NULL || entry->retries == NULL ||
 	    entry->roster == NULL)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -34,6 +34,9 @@
 	const char *store;   /* the platform's store */
 	const char *secret;
 	const char *log_level;
+	double processor_share; /* of this machine */
+	uint32_t cores;
+	double link_mbps;
 	uint32_t log_lines_per_s;
 	uint32_t stop_grace_s; /* from SIGTERM to SIGKILL */
 	uint32_t lease_ms;     /* term of the lease for orders */
@@ -67,6 +70,7 @@
 	at_tag_t data_centre;
 	at_fleet_secret_t secret;
 	at_rng_t rng;
+	uint32_t strength; /* of this machine, for shared tasks */
 	at_counters_t *counters;
 	at_httpd_t *callers;
 	at_httpc_t *httpc;
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -12,11 +12,12 @@
 #include "io/address.h"
 #include "io/clock.h"
 
-#define REPORT_EVERY_S 0.1       /* within the data centre, and to the holder */
-#define FAR_EVERY 4u             /* of those go to other data centres */
-#define SOON_S 0.004             /* a report that is asked for */
-#define SERVERS_S 0.002          /* changes that come together go together */
-#define LOOK_EVERY 8u            /* rounds between two looks at the config */
+#define REPORT_EVERY_S 0.1 /* within the data centre, and to the holder */
+#define DEMAND_EVERY 3u    /* of those tell the holder what is asked for */
+#define FAR_EVERY 4u       /* of those go to other data centres */
+#define SOON_S 0.004       /* a report that is asked for */
+#define SERVERS_S 0.002    /* changes that come together go together */
+#define LOOK_EVERY 8u      /* rounds between two looks at the config */
 #define LOADS_FORGET_US 1500000u /* loads of an instance that is silent */
 
 at_gossip_t *
@@ -145,13 +146,14 @@
 	(void)loop;
 	(void)events;
 	gossip->rounds++;
-	holder = send_demand(gossip);
+	holder = gossip->rounds % DEMAND_EVERY == 0 ? send_demand(gossip) : 0;
 	send_report(
 	    gossip, REPORT_COMMON, gossip->rounds % FAR_EVERY == 0, holder);
 	share_out(gossip, now_us);
 	at_fleet_forget(entry->fleet, now_us, LOADS_FORGET_US);
 	at_quota_set_instances(entry->quota, present, heard, now_us);
-	at_waiting_set_instances(entry->waiting, heard);
+	at_waiting_set_others(
+	    entry->waiting, at_roster_waiting(entry->roster, now_us));
 	at_retry_budgets_set_instances(entry->retries, present);
 }
 
--- a/src/entry/leg.c
+++ b/src/entry/leg.c
@@ -91,6 +91,7 @@
 	at_server_answer_read(transfer, status, call->id, &head);
 	if (head.not_run) {
 		leg->refused = 1;
+		leg->misplaced = head.misplaced;
 		return;
 	}
 	if (!head.is_ours) {
@@ -217,6 +218,9 @@
 
 	leg->transfer = NULL;
 	if (leg->refused) {
+		if (leg->misplaced && leg->server != NULL)
+			at_fleet_misplaced(call->entry->fleet, leg->server,
+			    &call->waiter.work, at_clock_now_us());
 		leg_end(leg, AT_OUTCOME_REFUSED);
 		at_log(AT_LOG_INFO, "call", call->id,
 		    "refused by server=%s status=%d", leg->server_id.text,
@@ -230,7 +234,9 @@
 		    "broken off server=%s reason=%s verdict=%s events=%d",
 		    leg->server_id.text, at_reason_names[result->reason],
 		    at_verdict_names[result->verdict], leg->had_event);
-		leg_end(leg, AT_OUTCOME_FAILED);
+		leg_end(leg, result->reason == AT_REASON_CONNECT_FAILED
+				 ? AT_OUTCOME_UNREACHABLE
+				 : AT_OUTCOME_FAILED);
 		at_attempts_failed(call->machine, leg->number, result->reason,
 		    result->verdict, at_clock_now_ms());
 	}
@@ -315,7 +321,8 @@
 	}
 	leg->server = choice->server;
 	at_transfer_set_sending(leg->transfer, on_sending);
-	at_fleet_sent(call->entry->fleet, leg->server, &call->waiter.work);
+	at_fleet_sent(
+	    call->entry->fleet, leg->server, &call->waiter.work, now_us);
 	at_log(AT_LOG_DEBUG, "call", call->id,
 	    "sent attempt=%u server=%s predicted_us=%llu waited_us=%llu",
 	    number, to->id.text, (unsigned long long)leg->predicted_us,
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -166,7 +166,7 @@
 	memset(state, 0, sizeof(*state));
 	state->entry = entry;
 	state->held = &track->held;
-	state->load = at_server_load(server);
+	state->load = at_server_load(server, engines->now_us);
 	state->usable =
 	    !entry->leaving && at_server_trusted(server, engines->now_us);
 	state->busy = track->state != TRACK_IDLE;
@@ -316,17 +316,20 @@
 void
 at_orders_io_note_demand(at_orders_io_t *orders, const at_work_t *work)
 {
+	const at_site_service_t *service =
+	    at_site_service(orders->entry->site, work->service);
+	uint64_t now_us = at_clock_now_us();
 	at_work_t adapter;
 
-	if (work->model == 0)
+	if (work->model == 0 || service == NULL)
 		return;
-	at_demand_rates_note(orders->demand, work, at_clock_now_us());
+	at_demand_rates_note(orders->demand, work, service->slots, now_us);
 	if (work->adapter == 0)
 		return;
 	/* Adapters have a rate of their own, under their own tag. */
 	adapter = *work;
 	adapter.model = work->adapter;
-	at_demand_rates_note(orders->demand, &adapter, at_clock_now_us());
+	at_demand_rates_note(orders->demand, &adapter, service->slots, now_us);
 }
 
 at_orders_io_t *
@@ -380,6 +383,8 @@
 {
 	track_t *track;
 	track_t *next;
+	want_t *want;
+	want_t *next_want;
 
 	if (orders == NULL)
 		return;
@@ -390,6 +395,11 @@
 		HASH_DEL(orders->tracks, track);
 		free(track);
 	}
+	HASH_ITER(hh, orders->wants, want, next_want)
+	{
+		HASH_DEL(orders->wants, want);
+		free(want);
+	}
 	at_lease_delete(orders->lease);
 	at_demand_rates_delete(orders->demand);
 	free(orders);
--- a/src/entry/orders_adapters.c
+++ b/src/entry/orders_adapters.c
@@ -11,6 +11,7 @@
 #include "entry/orders_impl.h"
 #include "io/clock.h"
 
+#define LOOK_AGAIN_US 40000u    /* between two looks after one adapter */
 #define ADAPTER_READY_US 11000u /* from an accepted order to its end */
 
 /* The engine to load an adapter on, and what has to go for it. */
@@ -25,7 +26,8 @@
 	const at_held_model_t *victim_model; /* NULL: there is a free place */
 	const at_held_adapter_t *victim;
 	double cost;
-	int there; /* an engine holds it, or will soon */
+	int there;             /* an engine holds it, or will soon */
+	at_tag_t there_server; /* which one holds it; 0: it will soon */
 } spot_t;
 
 /* Finds the adapter that is asked for least. */
@@ -95,13 +97,15 @@
 	if (at_server_holds(server, spot->model, spot->adapter) ||
 	    is_coming(track, spot, visit->adapter)) {
 		spot->there = 1;
+		if (at_held_set_has(&track->held, spot->model, spot->adapter))
+			spot->there_server = entry->tag;
 		return;
 	}
 	if (entry->leaving || !at_server_trusted(server, spot->now_us) ||
 	    !at_server_holds(server, spot->model, 0) ||
 	    track->state != TRACK_IDLE || track->adapter_ready_us != 0)
 		return;
-	cost = at_server_load(server).active;
+	cost = at_server_load(server, spot->now_us).active;
 	if (at_held_set_adapters(&track->held) >= spot->slots) {
 		cost += 20. +
 			100. * find_victim(spot, &track->held, &model, &victim);
@@ -116,6 +120,26 @@
 	spot->cost = cost;
 }
 
+/* Several instances may want one adapter, each in several reports. */
+static int
+was_looked_after(at_orders_io_t *orders, at_tag_t adapter, uint64_t now_us)
+{
+	want_t *want;
+
+	HASH_FIND(hh, orders->wants, &adapter, sizeof(adapter), want);
+	if (want == NULL) {
+		want = calloc(1, sizeof(*want));
+		if (want == NULL)
+			return 0;
+		want->adapter = adapter;
+		HASH_ADD(hh, orders->wants, adapter, sizeof(adapter), want);
+	}
+	if (now_us < want->until_us)
+		return 1;
+	want->until_us = now_us + LOOK_AGAIN_US;
+	return 0;
+}
+
 void
 adapters_want(at_orders_io_t *orders, at_tag_t service, const at_name_t *model,
     const at_name_t *adapter)
@@ -136,7 +160,12 @@
 		return;
 	(void)snprintf(text, sizeof(text), "%s/%s", model->text, adapter->text);
 	spot.adapter = at_tag(text);
+	if (was_looked_after(orders, spot.adapter, spot.now_us))
+		return;
 	at_fleet_each(orders->entry->fleet, consider, &visit);
+	/* Whoever wants it has not heard where it is. */
+	if (spot.there_server != 0)
+		orders_tell(orders, spot.there_server, model, adapter, 1);
 	if (spot.there || spot.server == NULL)
 		return;
 	track = track_of(orders, at_server_entry(spot.server));
--- a/src/entry/orders_impl.h
+++ b/src/entry/orders_impl.h
@@ -48,6 +48,13 @@
 	UT_hash_handle hh;
 } track_t;
 
+/* An adapter that was lately looked after. */
+typedef struct want {
+	at_tag_t adapter;
+	uint64_t until_us; /* no further look before */
+	UT_hash_handle hh;
+} want_t;
+
 /* A change of what an engine holds, told for a while. */
 typedef struct news {
 	at_tag_t server;
@@ -68,6 +75,7 @@
 	uint64_t refilled_us;
 	at_demand_rates_t *demand;
 	track_t *tracks;
+	want_t *wants;
 	news_t news[NEWS_MAX];
 	size_t news_count;
 	ev_timer tick;
--- a/src/entry/orders_report.c
+++ b/src/entry/orders_report.c
@@ -7,7 +7,7 @@
 #include "entry/orders_impl.h"
 #include "io/clock.h"
 
-#define TOLD_FOR_US 1500000u /* news are in every report for so long */
+#define TOLD_FOR_US 500000u /* news are in every report for so long */
 
 void
 orders_tell(at_orders_io_t *orders, at_tag_t server, const at_name_t *model,
--- a/src/entry/report_pack.c
+++ b/src/entry/report_pack.c
@@ -32,8 +32,8 @@
 static void
 fill_loads(const at_entry_t *entry, parts_t *parts, Report *report)
 {
-	size_t count =
-	    at_fleet_report(entry->fleet, parts->load_rows, AT_LOAD_ROWS_MAX);
+	size_t count = at_fleet_report(entry->fleet, parts->load_rows,
+	    AT_LOAD_ROWS_MAX, at_clock_now_us());
 	size_t i;
 
 	for (i = 0; i < count; i++) {
@@ -44,6 +44,8 @@
 		load->active = parts->load_rows[i].load.active;
 		load->prefill_tokens = parts->load_rows[i].load.prefill_tokens;
 		load->kv_tokens = parts->load_rows[i].load.kv_tokens;
+		load->unreachable = parts->load_rows[i].load.unreachable;
+		load->recent_tokens = parts->load_rows[i].load.recent_tokens;
 		parts->load_list[i] = load;
 	}
 	report->n_loads = count;
@@ -106,6 +108,8 @@
 	report->reads = at_sync_is_reader(entry->sync);
 	if (report->reads)
 		report->servers_digest = at_sync_digest(entry->sync);
+	report->strength = entry->strength;
+	report->waiting = (uint32_t)at_waiting_count(entry->waiting);
 	report->fence = at_orders_io_fence(entry->orders);
 }
 
--- a/src/entry/report_take.c
+++ b/src/entry/report_take.c
@@ -11,8 +11,8 @@
 #include "io/clock.h"
 
 static void
-take_loads(
-    at_entry_t *entry, at_tag_t from, const Report *report, uint64_t now_us)
+take_loads(at_entry_t *entry, at_tag_t from, int is_near, const Report *report,
+    uint64_t now_us)
 {
 	at_load_row_t rows[AT_LOAD_ROWS_MAX];
 	size_t count = 0;
@@ -24,6 +24,11 @@
 		rows[count].load.active = load->active;
 		rows[count].load.prefill_tokens = load->prefill_tokens;
 		rows[count].load.kv_tokens = load->kv_tokens;
+		rows[count].load.recent_tokens = load->recent_tokens;
+		rows[count].load.unreachable = 0;
+		if (load->unreachable && is_near)
+			at_fleet_heard_unreachable(
+			    entry->fleet, load->server, now_us);
 		count++;
 	}
 	at_fleet_heard(entry->fleet, from, rows, count, now_us);
@@ -82,13 +87,17 @@
 		report->leaving, report->fence, now_us) != 0)
 		return;
 	member->platform_away = report->platform_away;
+	member->strength = report->strength;
+	if (report->has_loads)
+		member->waiting = report->waiting;
 	if (member->data_centre == entry->data_centre)
 		take_servers(entry, report);
 	if (report->config_version >
 	    (entry->site == NULL ? 0 : entry->site->version))
 		at_sync_look(entry->sync);
 	if (report->has_loads)
-		take_loads(entry, member->tag, report, now_us);
+		take_loads(entry, member->tag,
+		    member->data_centre == entry->data_centre, report, now_us);
 	take_spending(entry, member->tag, report, now_us);
 	at_orders_io_take_report(entry->orders, member, report);
 	if (report->leaving)
--- a/src/io/counters.c
+++ b/src/io/counters.c
@@ -16,8 +16,8 @@
 } counter_t;
 
 /* Upper bounds of a histogram's buckets, in ms; one more has no bound. */
-static const uint64_t bounds_ms[] = {1, 2, 5, 10, 20, 50, 100, 200, 500, 1000,
-    2000, 5000, 10000, 20000};
+static const uint64_t bounds_ms[] = {
+    1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 20000};
 #define BOUNDS (sizeof(bounds_ms) / sizeof(bounds_ms[0]))
 
 typedef struct histogram {
@@ -140,8 +140,8 @@
 		return NULL;
 	memcpy(histogram->key, key, sizeof(key));
 	(void)snprintf(histogram->name, sizeof(histogram->name), "%s", name);
-	(void)snprintf(histogram->label, sizeof(histogram->label),
-	    "%s=\"%s\"", label, value);
+	(void)snprintf(histogram->label, sizeof(histogram->label), "%s=\"%s\"",
+	    label, value);
 	HASH_ADD_STR(counters->histograms, key, histogram);
 	return histogram;
 }
--- a/src/io/log.c
+++ b/src/io/log.c
@@ -19,7 +19,7 @@
 static struct {
 	int on;
 	unsigned lines_per_s;
-	time_t second; /* the one that is being counted */
+	time_t second;  /* the one that is being counted */
 	unsigned lines; /* in it */
 	unsigned long suppressed;
 	unsigned long told; /* of those, in a line */
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -202,6 +202,69 @@
 		run_case(&resumable_cases[i], 1);
 }
 
+/* Silence of the last attempt that there may be ends at the deadline. */
+Test(attempt, waits_for_the_last_one_that_may_be)
+{
+	const at_attempt_limits_t patient = {.first_byte_ms = 400,
+	    .idle_ms = 300,
+	    .deadline_ms = 2000,
+	    .attempts_max = 2,
+	    .patient = 1};
+	at_attempts_t *a = at_attempts_new();
+	uint64_t now = START_MS;
+	char out[256] = "";
+
+	at_attempts_set_limits(a, &patient);
+	at_attempts_set_repeat(a, AT_REPEATABLE);
+	at_attempts_set_resumable(a, 1);
+	at_attempts_init(a, now);
+	pump(a, out, sizeof(out), now);
+	event(a, 's', 0, &now);
+	event(a, 'd', 0, &now);
+	pump(a, out, sizeof(out), now);
+	event(a, 't', 301, &now);
+	pump(a, out, sizeof(out), now);
+	event(a, 's', 1, &now);
+	event(a, 'd', 1, &now);
+	pump(a, out, sizeof(out), now);
+	event(a, 't', 1500, &now);
+	pump(a, out, sizeof(out), now);
+	event(a, 'd', 1, &now);
+	event(a, 'w', 1, &now);
+	pump(a, out, sizeof(out), now);
+	cr_assert_str_eq(out,
+	    "start0 deliver0 cancel0 start1 deliver1 deliver1 none/ran/0", "%s",
+	    out);
+	at_attempts_delete(a);
+}
+
+Test(attempt, connections_that_fail_neither_count_nor_cost)
+{
+	const at_attempt_limits_t once = {
+	    .deadline_ms = 2000, .attempts_max = 1, .unsent_free = 1};
+	at_attempts_t *a = at_attempts_new();
+	at_budget_t empty;
+	char out[256] = "";
+	uint32_t k;
+
+	at_budget_init(&empty, START_MS);
+	at_budget_set_limits(&empty, 0, 0);
+	at_attempts_set_limits(a, &once);
+	at_attempts_set_repeat(a, AT_ONCE);
+	at_attempts_set_budget(a, &empty);
+	at_attempts_init(a, START_MS);
+	pump(a, out, sizeof(out), START_MS);
+	for (k = 0; k < 4; k++) {
+		at_attempts_failed(a, k, AT_REASON_CONNECT_FAILED,
+		    AT_VERDICT_NOT_RUN, START_MS);
+		pump(a, out, sizeof(out), START_MS);
+	}
+	cr_assert_str_eq(out,
+	    "start0 start1 start2 start3 connect_failed/not_run/1000", "%s",
+	    out);
+	at_attempts_delete(a);
+}
+
 Test(attempt, abandoned_before_it_left_has_not_run)
 {
 	at_attempts_t *a = at_attempts_new();
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -99,7 +99,7 @@
 
 	(void)add(fleet, "two", "llm", "north", "m");
 	(void)add(fleet, "three", "llm", "north", "other");
-	at_fleet_sent(fleet, one, &work);
+	at_fleet_sent(fleet, one, &work, 0);
 	cr_assert_str_eq(choose(fleet, &work, &fit), "two");
 	cr_assert_eq(fit, AT_FIT_SERVER);
 	at_fleet_ended(fleet, one, &work, 0, AT_OUTCOME_WELL, 2);
@@ -166,14 +166,14 @@
 	int i;
 
 	for (i = 0; i < 3; i++) {
-		at_fleet_sent(fleet, one, &work);
+		at_fleet_sent(fleet, one, &work, 0);
 		at_fleet_ended(fleet, one, &work, 0, AT_OUTCOME_FAILED, 100);
 	}
 	cr_assert_neq(
 	    at_fleet_choose(fleet, &work, 101, &choice), AT_FIT_SERVER);
 	cr_assert_eq(
 	    at_fleet_choose(fleet, &work, 5000000, &choice), AT_FIT_SERVER);
-	at_fleet_sent(fleet, one, &work);
+	at_fleet_sent(fleet, one, &work, 0);
 	cr_assert_neq(at_fleet_choose(fleet, &work, 5000000, &choice),
 	    AT_FIT_SERVER, "two trials at once");
 	at_fleet_ended(fleet, one, &work, 1, AT_OUTCOME_WELL, 5000001);
@@ -251,3 +251,61 @@
 	cr_assert_not(at_server_holds(one, at_tag("m"), 0));
 	at_fleet_delete(fleet);
 }
+
+Test(fleet, believes_its_neighbours_unless_it_saw_better)
+{
+	at_fleet_t *fleet = make_fleet();
+	at_server_t *one = add(fleet, "one", "plain", "north", NULL);
+	at_work_t work = make_work(NULL, 0);
+	at_choice_t choice;
+
+	at_fleet_heard_unreachable(fleet, at_tag("one"), 100);
+	cr_assert_neq(
+	    at_fleet_choose(fleet, &work, 101, &choice), AT_FIT_SERVER);
+	cr_assert_eq(
+	    at_fleet_choose(fleet, &work, 1000000, &choice), AT_FIT_SERVER);
+	at_fleet_sent(fleet, one, &work, 1000000);
+	at_fleet_ended(fleet, one, &work, 0, AT_OUTCOME_WELL, 1000001);
+	at_fleet_heard_unreachable(fleet, at_tag("one"), 1000002);
+	cr_assert_eq(
+	    at_fleet_choose(fleet, &work, 1000003, &choice), AT_FIT_SERVER);
+	at_fleet_delete(fleet);
+}
+
+Test(fleet, does_not_ask_again_for_what_is_not_there)
+{
+	at_fleet_t *fleet = make_fleet();
+	at_server_t *one = add(fleet, "one", "llm", "north", "m");
+	at_work_t work = make_work("m", 100);
+	at_name_t model;
+	at_fit_t fit;
+
+	(void)at_name_set(&model, "m");
+	work.model_name = &model;
+	at_fleet_misplaced(fleet, one, &work, 100);
+	(void)choose(fleet, &work, &fit);
+	cr_assert_eq(fit, AT_FIT_ABSENT);
+	at_fleet_expire_notes(fleet, 2000000);
+	(void)choose(fleet, &work, &fit);
+	cr_assert_eq(fit, AT_FIT_SERVER);
+	at_fleet_delete(fleet);
+}
+
+/* A long prompt must find room as often as a usual one. */
+Test(fleet, long_prompts_find_room_beside_others)
+{
+	at_fleet_t *fleet = make_fleet();
+	at_server_t *one = add(fleet, "one", "llm", "north", "m");
+	at_work_t usual = make_work("m", 800);
+	at_work_t longest = make_work("m", 7000);
+	at_fit_t fit;
+
+	longest.relaxed = 1;
+	at_fleet_sent(fleet, one, &usual, 0);
+	(void)choose(fleet, &longest, &fit);
+	cr_assert_eq(fit, AT_FIT_SERVER);
+	at_fleet_sent(fleet, one, &longest, 0);
+	(void)choose(fleet, &longest, &fit);
+	cr_assert_eq(fit, AT_FIT_FULL);
+	at_fleet_delete(fleet);
+}
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -74,7 +74,8 @@
 	size_t to;
 
 	for (from = 0; from < INSTANCES; from++) {
-		size_t count = at_quota_report(c->quotas[from], rows, 4, now_us);
+		size_t count =
+		    at_quota_report(c->quotas[from], rows, 4, now_us);
 
 		for (to = 0; to < INSTANCES; to++) {
 			if (to == from || (cut && from % 3 != to % 3))
--- a/tests/unit/test_residency.c
+++ b/tests/unit/test_residency.c
@@ -98,7 +98,7 @@
 	unsigned i;
 
 	for (i = 0; i < per_s * 10; i++)
-		at_demand_rates_note(w->demand, &work, US_PER_S);
+		at_demand_rates_note(w->demand, &work, 64, US_PER_S);
 }
 
 static void
--- a/tests/unit/test_roster.c
+++ b/tests/unit/test_roster.c
@@ -20,7 +20,7 @@
 	at_name_t name;
 
 	(void)at_name_set(&name, self);
-	return at_roster_new(&name);
+	return at_roster_new(&name, 10);
 }
 
 Test(roster, counts_the_present_and_the_heard)
@@ -74,8 +74,11 @@
 			at_roster_member_t *m =
 			    add(roster, names[other], "north");
 
-			if (m != NULL)
-				(void)at_roster_heard(m, 1, 1, 0, 0, 10);
+			if (m == NULL)
+				continue;
+			(void)at_roster_heard(m, 1, 1, 0, 0, 10);
+			m->strength = 10;
+			m->strength = 10;
 		}
 		firsts += (unsigned)at_roster_is_first(roster, 0, 0, 0, 20);
 		at_roster_delete(roster);
@@ -129,6 +132,7 @@
 			if (m == NULL)
 				continue;
 			(void)at_roster_heard(m, 1, 1, 0, 0, 10);
+			m->strength = 10;
 			m->platform_away = reaches[i].others_away[k++];
 		}
 		cr_assert_eq(
@@ -138,12 +142,26 @@
 	}
 }
 
+Test(roster, gives_shared_tasks_to_the_strongest)
+{
+	at_roster_t *roster = make("self");
+	at_roster_member_t *a = add(roster, "a", "north");
+
+	(void)at_roster_heard(a, 1, 1, 0, 0, 10);
+	a->strength = 9;
+	cr_assert(at_roster_is_first(roster, 0, 0, 0, 20));
+	a->strength = 11;
+	cr_assert_not(at_roster_is_first(roster, 0, 0, 0, 20));
+	at_roster_delete(roster);
+}
+
 Test(roster, one_stands_by_while_the_first_holds_the_lease)
 {
 	at_roster_t *roster = make("a");
 	at_roster_member_t *b = add(roster, "b", "north");
 
 	(void)at_roster_heard(b, 1, 1, 0, 77, 10);
+	b->strength = 11;
 	cr_assert(at_roster_is_first(roster, 0, 1, 0, 20));
 	at_roster_delete(roster);
 }
