--- a/include/almondthread/mirror.h
+++ b/include/almondthread/mirror.h
@@ -45,6 +45,11 @@
 /* How long vanished objects are kept after an outage, in ms. */
 void at_mirror_set_linger(at_mirror_t *mirror, uint32_t linger_ms);
 
+/*
+ * at_mirror_set_gather() has the mirror wait so long after changes before it
+ * watches again, so that changes that come one after the other come together.
+ */
+void at_mirror_set_gather(at_mirror_t *mirror, uint32_t gather_ms);
 /*
  * at_mirror_set_following() says that another instance watches and tells what
  * changes: after its first list the mirror makes no calls of its own. When
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -28,6 +28,7 @@
 struct at_mirror {
 	at_mirror_sink_t sink;
 	uint32_t linger_ms;
+	uint32_t gather_ms;
 	known_t *objects;
 	size_t lingering; /* objects with gone_at_ms set */
 	int open;         /* a call has no answer yet */
@@ -81,6 +82,12 @@
 	mirror->linger_ms = linger_ms;
 }
 
+void
+at_mirror_set_gather(at_mirror_t *mirror, uint32_t gather_ms)
+{
+	mirror->gather_ms = gather_ms;
+}
+
 static void
 forget(at_mirror_t *mirror, known_t *known)
 {
@@ -219,6 +226,8 @@
 	}
 	if (page->as_of > mirror->since)
 		mirror->since = page->as_of;
+	if (page->count > 0)
+		mirror->next_call_ms = mirror->now_ms + mirror->gather_ms;
 }
 
 static void
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -20,6 +20,7 @@
 #define PROMPT_USUAL 2500u    /* prompt tokens that count against both bounds */
 #define RECENT_MAX 7000u      /* prompt tokens sent lately to one engine */
 #define KV_FILL_PERCENT 92u   /* of an engine's memory for tokens */
+#define PLAIN_QUEUE 3u        /* requests for each place of a plain service */
 #define TIE_PERCENT 5u        /* predictions this close are equal */
 
 static uint64_t
@@ -93,9 +94,15 @@
 			      : PROMPT_USUAL;
 	uint64_t kv = (uint64_t)work->prompt_tokens + work->output_tokens;
 
+	/*
+	 * Loads of the others are some hundred milliseconds old, longer than
+	 * most requests of a plain service take: its own queue keeps it busy.
+	 */
+	if (work->model == 0)
+		return load.active < server->entry.slots * PLAIN_QUEUE;
 	if (load.active >= server->entry.slots)
 		return 0;
-	if (work->model == 0 || load.active == 0)
+	if (load.active == 0)
 		return 1;
 	if (load.prefill_tokens > 0 &&
 	    load.prefill_tokens + prompt > prefill_max)
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -118,8 +118,7 @@
 			continue;
 		if (is_gone)
 			gone(ctx, member);
-		HASH_DEL(roster->table, entry);
-		free(entry);
+		at_roster_remove(roster, member->tag);
 	}
 }
 
--- a/src/core/placement/residency.c
+++ b/src/core/placement/residency.c
@@ -13,11 +13,13 @@
 #include <math.h>
 #include <string.h>
 
-#define RETURNS 1.25    /* how fast further replicas earn less */
-#define ASKED_FOR 0.08  /* requests a second from which a model is in use */
-#define GAIN_RATIO 1.6  /* a move must earn so many times what it costs */
-#define LAST_LOSS 0.004 /* of taking the last replica of an unused model */
-#define LAST_USED 0.6   /* the same for each request a second it is asked */
+#define RETURNS 1.25        /* how fast further replicas earn less */
+#define ASKED_FOR 0.08      /* requests a second from which a model is in use */
+#define GAIN_RATIO 1.6      /* a move must earn so many times what it costs */
+#define LAST_LOSS 0.004     /* of taking the last replica of an unused model */
+#define LAST_USED 0.6       /* the same for each request a second it is asked */
+#define MIN_GAIN 0.02       /* of a further replica that is worth an order */
+#define MIN_GAIN_STORE 0.05 /* the same for a load from the weight store */
 #define URGENT_GAIN                                                       \
 	10.         /* of the first replica of a model that is waited for \
 		     */
@@ -267,7 +269,8 @@
 	spot->engine = e;
 	spot->victim = NO_MODEL;
 	spot->from = copy_place(engine->entry, model->tag);
-	if (spot->from == AT_COPY_STORE && r->limits.store_loads == 0)
+	if (spot->from == AT_COPY_STORE &&
+	    (r->limits.store_loads == 0 || gain < MIN_GAIN_STORE))
 		return 0;
 	if (!has_room(r, engine, model)) {
 		spot->victim = victim_of(r, engine, &loss);
@@ -386,7 +389,7 @@
 			best = i;
 			best_gain = gain;
 		}
-		if (best == NO_MODEL)
+		if (best == NO_MODEL || best_gain < MIN_GAIN)
 			return;
 		spot = best_spot(r, best, best_gain);
 		if (!move_to(r, best, &spot, 0))
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -14,6 +14,8 @@
 
 /* Vanished servers may be back so long after the platform's return. */
 #define SERVERS_LINGER_MS 2000u
+/* Changes within so long are read together. */
+#define GATHER_MS 200u
 /* Between two looks at the configuration at least. */
 #define LOOK_EVERY_MS 250u
 /* A list that differs from the reader's for so long missed a datagram. */
@@ -347,6 +349,7 @@
 		return -1;
 	at_mirror_set_sink(copy->mirror, sink);
 	at_mirror_set_linger(copy->mirror, linger_ms);
+	at_mirror_set_gather(copy->mirror, GATHER_MS);
 	ev_timer_init(&copy->timer, on_timer, 0., 0.);
 	copy->timer.data = copy;
 	return 0;
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -291,6 +291,25 @@
 	at_fleet_delete(fleet);
 }
 
+/* A plain service at its limit is kept busy by its own queue. */
+Test(fleet, lets_a_plain_service_queue)
+{
+	at_fleet_t *fleet = make_fleet();
+	const at_load_row_t full = {at_tag("one"), {.active = SLOTS}};
+	const at_load_row_t long_queue = {at_tag("one"), {.active = 3 * SLOTS}};
+	at_work_t work = make_work(NULL, 0);
+	at_fit_t fit;
+
+	(void)add(fleet, "one", "plain", "north", NULL);
+	at_fleet_heard(fleet, at_tag("peer"), &full, 1, 0);
+	(void)choose(fleet, &work, &fit);
+	cr_assert_eq(fit, AT_FIT_SERVER);
+	at_fleet_heard(fleet, at_tag("peer"), &long_queue, 1, 0);
+	(void)choose(fleet, &work, &fit);
+	cr_assert_eq(fit, AT_FIT_FULL);
+	at_fleet_delete(fleet);
+}
+
 /* A long prompt must find room as often as a usual one. */
 Test(fleet, long_prompts_find_room_beside_others)
 {
--- a/tests/unit/test_mirror.c
+++ b/tests/unit/test_mirror.c
@@ -232,3 +232,16 @@
 	at_mirror_delete(mirror);
 	at_mirror_delete(reader);
 }
+
+Test(mirror, gathers_changes_that_follow_each_other)
+{
+	at_mirror_t *mirror = make();
+
+	at_mirror_set_gather(mirror, 200);
+	list_both(mirror);
+	cr_assert_eq(step(mirror, START_MS).step, AT_MIRROR_WATCH);
+	answer(mirror, START_MS, &a4, 1, 0, 11);
+	cr_assert_eq(step(mirror, START_MS + 199).step, AT_MIRROR_WAIT);
+	cr_assert_eq(step(mirror, START_MS + 200).step, AT_MIRROR_WATCH);
+	at_mirror_delete(mirror);
+}
