--- a/src/standin/store.c
+++ b/src/standin/store.c
@@ -230,6 +230,14 @@
 	standin_reply_json(request, 200, object_json(object));
 }
 
+/* Whether an object has the version that a call expects, if it does. */
+static int
+has_version(const object_t *object, const json_t *expected)
+{
+	return !json_is_integer(expected) ||
+	       (uint64_t)json_integer_value(expected) == object->version;
+}
+
 static void
 handle_write(standin_store_t *store, at_httpd_request_t *request,
     const char *path, int creating)
@@ -249,10 +257,7 @@
 	exists = object != NULL && !object->deleted;
 	if (!creating && !exists) {
 		standin_reply_json(request, 404, json_object());
-	} else if ((creating && exists) ||
-		   (json_is_integer(expected) &&
-		       (uint64_t)json_integer_value(expected) !=
-			   object->version)) {
+	} else if (exists && (creating || !has_version(object, expected))) {
 		standin_reply_json(request, 409, object_json(object));
 	} else {
 		object =
