Start no attempt for a caller that left; let priority weigh in the queue

The new contract test crashes without the change (listeners with full queues make connections hang). A step weighs 1.5 s now, callers may wait six tenths of their time, and a wait counts the reading of the prompt. Ruled out: strict priority (queued work with 4 s left would starve).

--- a/src/core/fleet/waiting.c
+++ b/src/core/fleet/waiting.c
@@ -15,8 +15,8 @@
 #define PLAIN_FREE_US 12000u /* the same at a plain service */
 #define LOAD_US 1000000u     /* until a model that is asked for is there */
 #define ADAPTER_US 60000u    /* the same for an adapter of a held model */
-#define PRIORITY_US 150000u  /* what a step of priority weighs */
-#define WAIT_PERCENT 45u     /* of the time left that may be waited */
+#define PRIORITY_US 1500000u /* what a step of priority weighs */
+#define WAIT_PERCENT 60u     /* of the time left that may be waited */
 #define RETRY_MIN_MS 50u     /* sooner is no use */
 #define RETRY_MAX_MS 5000u
 #define FULL_KINDS_MAX 32u /* kinds of work known to find no room */
@@ -125,6 +125,7 @@
 	uint64_t left_us =
 	    waiter->deadline_us > now_us ? waiter->deadline_us - now_us : 0;
 	uint64_t may_wait_us = left_us * WAIT_PERCENT / 100u;
+	uint64_t own_us = (uint64_t)waiter->work.prompt_tokens * TOKEN_US;
 
 	memset(j, 0, sizeof(*j));
 	waiter->give_up_us = now_us + may_wait_us;
@@ -137,7 +138,7 @@
 	j->wait_us = wait_before(waiting, waiter, j->choice.candidates);
 	if (j->fit == AT_FIT_ABSENT)
 		j->wait_us += j->choice.holders > 0 ? ADAPTER_US : LOAD_US;
-	if (j->fit != AT_FIT_NOBODY && j->wait_us <= may_wait_us) {
+	if (j->fit != AT_FIT_NOBODY && j->wait_us + own_us <= may_wait_us) {
 		j->arrival = AT_ARRIVAL_WAITS;
 		return;
 	}
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -287,6 +287,12 @@
 	at_judgment_t judgment;
 
 	call->placing = action->attempt;
+	/* Nobody waits for it any more, and nothing of it has left us. */
+	if (call->request == NULL) {
+		at_attempts_unplaced(call->machine, action->attempt,
+		    AT_REASON_CALLER_GONE, at_clock_now_ms());
+		return;
+	}
 	if (action->attempt > 0)
 		at_counters_retry(entry->counters, action->reason);
 	at_waiting_judge(entry->waiting, &call->waiter, now_us, &judgment);
@@ -408,7 +414,8 @@
 	uint32_t output = head->output_max_tokens;
 
 	work->service = call->service->tag;
-	work->relaxed = call->route->objective_ms >= RELAXED_MS;
+	work->relaxed = call->route->objective_ms >= RELAXED_MS &&
+			call->waiter.priority > 0;
 	if (!call->service->has_models)
 		return;
 	work->model = at_tag(head->model.text);
--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -4,6 +4,7 @@
  */
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <criterion/criterion.h>
 
@@ -370,6 +371,41 @@
 	edge_delete(edge);
 }
 
+static int
+has_one_call(void *ctx)
+{
+	return ((const edge_t *)ctx)->entries[0]->call_count == 1;
+}
+
+static int
+knows_two_servers(void *ctx)
+{
+	const at_entry_t *entry = ((const edge_t *)ctx)->entries[0];
+
+	return at_entry_is_ready(entry) && at_fleet_count(entry->fleet) == 2;
+}
+
+/* The caller leaves while its charge waits for a connection that fails. */
+Test(entry_path, a_charge_without_a_caller_is_not_tried_again)
+{
+	edge_t *edge = edge_new();
+	int sockets[EDGE_DEAF_SOCKETS];
+	edge_answer_t answer;
+	int i;
+
+	edge_configure(edge, 1);
+	edge_list_deaf(edge, sockets);
+	(void)edge_add_entry(edge);
+	edge_until(edge, knows_two_servers, edge);
+	edge_send(edge, 0, &unsafe, &answer);
+	edge_until(edge, has_one_call, edge);
+	edge_answer_free(&answer);
+	edge_until(edge, nothing_open, edge);
+	for (i = 0; i < EDGE_DEAF_SOCKETS; i++)
+		(void)close(sockets[i]);
+	edge_delete(edge);
+}
+
 static int
 one_reads(void *ctx)
 {
--- a/tests/support/edge.c
+++ b/tests/support/edge.c
@@ -161,6 +161,37 @@
 		models));
 }
 
+/* A listener whose queue is full drops what asks for a connection. */
+void
+edge_list_deaf(edge_t *edge, int sockets[EDGE_DEAF_SOCKETS])
+{
+	struct sockaddr_in bound = {
+	    .sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	socklen_t len = sizeof(bound);
+	char address[AT_ADDR_SIZE];
+	int i;
+
+	sockets[0] = socket(AF_INET, SOCK_STREAM, 0);
+	cr_assert_eq(
+	    bind(sockets[0], (struct sockaddr *)&bound, sizeof(bound)), 0);
+	cr_assert_eq(listen(sockets[0], 0), 0);
+	cr_assert_eq(
+	    getsockname(sockets[0], (struct sockaddr *)&bound, &len), 0);
+	for (i = 1; i < EDGE_DEAF_SOCKETS; i++) {
+		sockets[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(
+		    sockets[i], (struct sockaddr *)&bound, sizeof(bound));
+	}
+	(void)snprintf(
+	    address, sizeof(address), "127.0.0.1:%u", ntohs(bound.sin_port));
+	for (i = 0; i < 2; i++)
+		standin_store_put(edge->store, WIRE_KIND_SERVERS,
+		    i == 0 ? "deaf-0" : "deaf-1",
+		    json_pack("{s:s,s:s,s:s,s:i,s:s,s:i}", "service", "plain",
+			"address", address, "zone", "north", "slots", 16,
+			"state", "ready", "sequence", 1));
+}
+
 static size_t
 add_server(edge_t *edge, const char *id, const char *model)
 {
--- a/tests/unit/test_waiting.c
+++ b/tests/unit/test_waiting.c
@@ -73,6 +73,9 @@
     {"less time left", {1400, 1200}, {0, 0}, 1},
     {"late ones come last", {900, 1900}, {0, 0}, 1},
     {"priority counts as time", {1400, 1300}, {0, 2}, 0},
+    {"a more urgent route goes before a shorter objective", {2800, 1400},
+	{0, 1}, 0},
+    {"but not before all that has less time", {3500, 1400}, {0, 1}, 1},
     {"of two late ones the older", {700, 800}, {0, 0}, 0},
 };
 
