--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -123,13 +123,51 @@
 	return failed;
 }
 
+static int
+run_store(struct ev_loop *loop, const options_t *o, at_status_t *status)
+{
+	standin_store_t *store = standin_store_new(loop);
+	int failed = standin_store_init(store, o->listen, status) != AT_OK;
+
+	if (!failed)
+		run_loop(loop, "store", standin_store_port(store));
+	standin_store_delete(store);
+	return failed;
+}
+
+/* With models it is an engine, else a plain service. */
+static int
+run_server(struct ev_loop *loop, const options_t *o, at_status_t *status)
+{
+	standin_server_t *server = standin_server_new(loop, o->name);
+	char name[AT_NAME_SIZE];
+	const char *models = o->models;
+	int failed;
+
+	if (models[0] != '\0')
+		standin_server_set_engine(server);
+	while (models[0] != '\0') {
+		size_t len = strcspn(models, ",");
+
+		(void)snprintf(name, sizeof(name), "%.*s", (int)len, models);
+		standin_server_add_model(server, name);
+		models += len + (models[len] == ',');
+	}
+	failed = standin_server_init(server, o->listen, status) != AT_OK;
+	if (!failed)
+		run_loop(loop, "server", standin_server_port(server));
+	standin_server_delete(server);
+	return failed;
+}
+
 typedef struct command {
 	const char *name;
 	int (*run)(struct ev_loop *, const options_t *, at_status_t *);
 } command_t;
 
 static const command_t commands[] = {{"platform", run_platform},
-    {"engine", run_engine}, {"service", run_service}, {"relay", run_relay}};
+    {"engine", run_engine}, {"service", run_service}, {"relay", run_relay},
+    {"store", run_store}, {"server", run_server}};
 
 int
 main(int argc, char **argv)
@@ -139,9 +177,10 @@
 	    {"listen", NULL, AT_SETTING_ADDRESS, &o.listen, "127.0.0.1:0", 0, 0,
 		"address to listen on"},
 	    {"name", NULL, AT_SETTING_TEXT, &o.name, "standin", 0, 0,
-		"name of the engine"},
+		"name of the engine or server"},
 	    {"models", NULL, AT_SETTING_TEXT, &o.models, "", 0, 0,
-		"engine: models resident at the start, separated by commas"},
+		"engine, server: models held at the start, separated by "
+		"commas"},
 	    {"target", NULL, AT_SETTING_ADDRESS, &o.target, "127.0.0.1:0", 0, 0,
 		"relay: where connections go"},
 	    {"control", NULL, AT_SETTING_ADDRESS, &o.control, "127.0.0.1:0", 0,
@@ -179,6 +218,7 @@
 		return result;
 	}
 	(void)fprintf(stderr,
-	    "usage: almond-standin platform|engine|service|relay [settings]\n");
+	    "usage: almond-standin "
+	    "platform|engine|service|relay|store|server [settings]\n");
 	return AT_EXIT_USAGE;
 }
