Split admission from the call; keep the platform's stand-ins beside its adapter

The stand-ins of the platform and the documents of operators and servers are under platform/standin, so that no file outside platform/ has the platform's names.

--- /dev/null
+++ b/src/entry/call_admit.c
@@ -0,0 +1,291 @@
+/*
+ * call_admit.c - what a request is asked before it becomes a call: its route,
+ * its key, its workspace's limit.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "almondthread/log.h"
+#include "entry/call_impl.h"
+#include "entry/orders.h"
+#include "entry/retries.h"
+#include "io/clock.h"
+#include "platform/caller.h"
+
+#define US_PER_MS 1000u
+#define CUT_EARLY_MS 30u         /* the answer leaves before the time limit */
+#define FIRST_EVENT_MS 3000u     /* a resumable stream's server is silent */
+#define PAUSE_MS 1200u           /* the same, within a resumable stream */
+#define SAFE_ANSWER_MS 900u      /* a server's answer to a safe request */
+#define OUTPUT_GUESS_PERCENT 60u /* of the most, without a caller's guess */
+#define RELAXED_MS 1500u         /* objectives from here on leave room */
+#define NO_CONFIG_RETRY_MS 500u
+#define STOPPING_RETRY_MS 10u /* another instance can take it at once */
+
+/* Refuses a request that never became a call. */
+static void
+refuse_head(at_entry_t *entry, at_httpd_request_t *request,
+    const at_call_head_t *head, at_reason_t reason, uint32_t retry_after_ms,
+    const char *detail)
+{
+	const refusal_t refusal = {
+	    reason, at_reason_status(reason), retry_after_ms};
+
+	at_log(AT_LOG_INFO, "call", head->id,
+	    "refused reason=%s status=%d retry_after_ms=%u config=%" PRIu64
+	    " %s",
+	    at_reason_names[reason], refusal.status, retry_after_ms,
+	    entry->site == NULL ? 0 : entry->site->version, detail);
+	call_reply_refusal(entry, request, head, &refusal);
+}
+
+void
+at_call_handle_fault(void *ctx, at_httpd_request_t *request)
+{
+	at_entry_t *entry = ctx;
+	at_call_head_t head;
+	at_reason_t reason =
+	    at_httpd_fault(request) == AT_HTTPD_HEADER_TOO_LARGE
+		? AT_REASON_HEADER_TOO_LARGE
+		: AT_REASON_BODY_TOO_LARGE;
+
+	(void)at_caller_read(request, &head);
+	refuse_head(entry, request, &head, reason, 0, "");
+}
+
+static void
+fill_work(at_call_t *call, const at_call_head_t *head)
+{
+	at_work_t *work = &call->waiter.work;
+	uint32_t output = head->output_max_tokens;
+
+	work->service = call->service->tag;
+	work->relaxed = call->route->objective_ms >= RELAXED_MS &&
+			call->waiter.priority > 0;
+	if (!call->service->has_models)
+		return;
+	work->model = at_tag(head->model.text);
+	work->adapter = at_call_head_adapter_tag(head);
+	work->model_name = &call->head.model;
+	work->adapter_name = &call->head.adapter;
+	work->prompt_tokens = head->prompt_tokens;
+	if (head->output_hint_tokens > 0 && head->output_hint_tokens < output)
+		output = head->output_hint_tokens;
+	else
+		output = output * OUTPUT_GUESS_PERCENT / 100u;
+	work->output_tokens = output;
+	memcpy(work->prefix, head->prefix, sizeof(work->prefix));
+	work->prefix_count = head->prefix_count;
+}
+
+static void
+fill_waiter(at_call_t *call, const at_call_head_t *head)
+{
+	at_waiter_t *waiter = &call->waiter;
+	uint32_t limit_ms = call->route->timeout_ms;
+
+	if (head->deadline_ms > 0 && head->deadline_ms < limit_ms)
+		limit_ms = head->deadline_ms;
+	if (limit_ms > CUT_EARLY_MS)
+		limit_ms -= CUT_EARLY_MS;
+	waiter->priority =
+	    call->workspace != NULL && call->workspace->has_priority
+		? call->workspace->priority
+		: call->route->priority;
+	waiter->arrived_us = call->started_us;
+	waiter->objective_us =
+	    call->started_us + call->route->objective_ms * US_PER_MS;
+	waiter->deadline_us = call->started_us + (uint64_t)limit_ms * US_PER_MS;
+	fill_work(call, head);
+}
+
+static void
+start_machine(at_call_t *call)
+{
+	const at_site_route_t *route = call->route;
+	int may_repeat = route->type == AT_ROUTE_SAFE ||
+			 (route->type == AT_ROUTE_STREAM && route->resumable);
+	at_attempt_limits_t limits = {.connect_ms = 0,
+	    .deadline_ms =
+		(uint32_t)((call->waiter.deadline_us - call->started_us) /
+			   US_PER_MS),
+	    .attempts_max = route->attempts_max,
+	    .unsent_free = 1,
+	    .patient = 1};
+	uint64_t now_ms = at_clock_now_ms();
+
+	if (limits.attempts_max < 1)
+		limits.attempts_max = 1;
+	if (limits.attempts_max > AT_ATTEMPTS_MAX)
+		limits.attempts_max = AT_ATTEMPTS_MAX;
+	if (route->type == AT_ROUTE_SAFE)
+		limits.first_byte_ms = SAFE_ANSWER_MS;
+	if (route->type == AT_ROUTE_STREAM && may_repeat) {
+		limits.first_byte_ms = FIRST_EVENT_MS;
+		limits.idle_ms = PAUSE_MS;
+	}
+	at_attempts_set_limits(call->machine, &limits);
+	at_attempts_set_repeat(
+	    call->machine, may_repeat ? AT_REPEATABLE : AT_ONCE);
+	at_attempts_set_resumable(
+	    call->machine, route->type == AT_ROUTE_STREAM && may_repeat);
+	at_attempts_set_budget(
+	    call->machine, at_retry_budgets_get(call->entry->retries,
+			       call->service->tag, now_ms));
+	at_attempts_init(call->machine, now_ms);
+}
+
+static at_call_t *
+call_new(
+    at_entry_t *entry, at_httpd_request_t *request, const at_call_head_t *head)
+{
+	at_call_t *call = calloc(1, sizeof(*call));
+
+	if (call == NULL)
+		return NULL;
+	call->entry = entry;
+	call->leg.call = call;
+	call->request = request;
+	call->head = *head;
+	call->site = at_site_ref(entry->site);
+	call->started_us = at_clock_now_us();
+	(void)snprintf(
+	    call->id, sizeof(call->id), "%s", head->id == NULL ? "" : head->id);
+	ev_timer_init(&call->timer, call_on_timer, 0., 0.);
+	call->timer.data = call;
+	call->next = entry->calls;
+	if (call->next != NULL)
+		call->next->prev = call;
+	entry->calls = call;
+	entry->call_count++;
+	call->machine = at_attempts_new();
+	at_server_call_copy(request, &call->lines);
+	if (call->machine == NULL || call->lines.failed) {
+		call_free(call);
+		return NULL;
+	}
+	return call;
+}
+
+/* Spends the request's units, or refuses and returns -1. */
+static int
+spend(at_entry_t *entry, at_httpd_request_t *request,
+    const at_call_head_t *head, const at_site_workspace_t *workspace,
+    uint64_t *units)
+{
+	uint32_t retry_ms;
+	char detail[160];
+
+	*units = 1;
+	if (workspace->counts_tokens)
+		*units = head->has_tokens ? (uint64_t)head->prompt_tokens +
+						head->output_max_tokens
+					  : workspace->plain_units;
+	retry_ms =
+	    at_quota_take(entry->quota, workspace, *units, at_clock_now_us());
+	if (retry_ms == 0)
+		return 0;
+	(void)snprintf(detail, sizeof(detail),
+	    "workspace=%s units=%" PRIu64 " level=%" PRId64,
+	    workspace->name.text, *units,
+	    at_quota_level(entry->quota, workspace->tag));
+	refuse_head(
+	    entry, request, head, AT_REASON_OVER_RATE, retry_ms, detail);
+	return -1;
+}
+
+static void
+start_call(at_entry_t *entry, at_httpd_request_t *request,
+    const at_call_head_t *head, const at_site_route_t *route,
+    const at_site_workspace_t *workspace)
+{
+	const at_site_service_t *service = at_site_service(
+	    entry->site, at_site_target(route, at_rng_next(&entry->rng)));
+	uint64_t units = 0;
+	at_call_t *call;
+
+	if (service == NULL) {
+		refuse_head(entry, request, head, AT_REASON_NO_BACKEND,
+		    NO_CONFIG_RETRY_MS, "service=unknown");
+		return;
+	}
+	if (workspace != NULL &&
+	    spend(entry, request, head, workspace, &units) != 0)
+		return;
+	call = call_new(entry, request, head);
+	if (call == NULL) {
+		if (workspace != NULL)
+			at_quota_return(entry->quota, workspace->tag, units);
+		refuse_head(entry, request, head, AT_REASON_OVERLOAD,
+		    NO_CONFIG_RETRY_MS, "memory=none");
+		return;
+	}
+	call->route = route;
+	call->workspace = workspace;
+	call->service = service;
+	call->units = units;
+	fill_waiter(call, head);
+	at_orders_io_note_demand(entry->orders, &call->waiter.work);
+	call_attach(call);
+	start_machine(call);
+	call_pump(call);
+}
+
+/* Returns 0 with the caller's workspace, or refuses and returns -1. */
+static int
+authenticate(at_entry_t *entry, at_httpd_request_t *request,
+    const at_call_head_t *head, const at_site_route_t *route,
+    const at_site_workspace_t **workspace)
+{
+	*workspace = NULL;
+	if (route->open || entry->site->workspace_count == 0)
+		return 0;
+	if (head->key == NULL) {
+		refuse_head(entry, request, head, AT_REASON_MISSING_KEY, 0, "");
+		return -1;
+	}
+	*workspace = at_site_workspace(entry->site, head->key);
+	if (*workspace != NULL)
+		return 0;
+	refuse_head(entry, request, head, AT_REASON_UNKNOWN_KEY, 0, "");
+	return -1;
+}
+
+void
+at_call_handle(void *ctx, at_httpd_request_t *request)
+{
+	at_entry_t *entry = ctx;
+	const at_site_route_t *route;
+	const at_site_workspace_t *workspace;
+	at_call_head_t head;
+	const char *unreadable = at_caller_read(request, &head);
+
+	at_counters_add(entry->counters, "requests_total", NULL, NULL, 1);
+	/* Its end would come after that of this process. */
+	if (entry->state == AT_ENTRY_STOPPING) {
+		refuse_head(entry, request, &head, AT_REASON_STOPPING,
+		    STOPPING_RETRY_MS, "");
+		return;
+	}
+	if (entry->site == NULL) {
+		refuse_head(entry, request, &head, AT_REASON_NO_CONFIG,
+		    NO_CONFIG_RETRY_MS, "");
+		return;
+	}
+	route = at_site_route(entry->site, head.host, at_httpd_target(request));
+	if (route == NULL) {
+		refuse_head(
+		    entry, request, &head, AT_REASON_UNKNOWN_ROUTE, 0, "");
+		return;
+	}
+	if (unreadable != NULL) {
+		refuse_head(entry, request, &head, AT_REASON_BAD_REQUEST, 0,
+		    unreadable);
+		return;
+	}
+	if (authenticate(entry, request, &head, route, &workspace) != 0)
+		return;
+	start_call(entry, request, &head, route, workspace);
+}
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -1,6 +1,7 @@
 /*
- * call_impl.h - shapes shared by the files of a call: call.c has the request
- * and its caller, leg.c one attempt at one backend server.
+ * call_impl.h - shapes shared by the files of a call: call_admit.c lets it in,
+ * call.c has the request and its caller, leg.c one attempt at one backend
+ * server.
  */
 #ifndef ALMONDTHREAD_ENTRY_CALL_IMPL_H
 #define ALMONDTHREAD_ENTRY_CALL_IMPL_H
@@ -75,8 +76,21 @@
 	uint64_t timer_due_ms;
 };
 
+/* What is said to a caller that gets no backend server's answer. */
+typedef struct refusal {
+	at_reason_t reason;
+	int status;
+	uint32_t retry_after_ms;
+} refusal_t;
+
 /* call.c */
 void call_pump(at_call_t *call);
+void call_free(at_call_t *call);
+void call_on_timer(struct ev_loop *loop, ev_timer *timer, int events);
+/* Has the caller's end, its leaving and its reading come to the call. */
+void call_attach(at_call_t *call);
+void call_reply_refusal(at_entry_t *entry, at_httpd_request_t *request,
+    const at_call_head_t *head, const refusal_t *refusal);
 /* leg.c */
 void leg_start(at_call_t *call, uint32_t number, const at_choice_t *choice);
 /* Ends the leg at its backend server; the transfer is closed if open. */
--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -2,7 +2,7 @@
  * almond-standin: small stand-ins for the platform, an engine, a service, and
  * a relay that cuts, delays or silences connections.
  */
-#include "standin/standin.h"
+#include "platform/standin/standin_platform.h"
 
 #include <signal.h>
 #include <stdio.h>
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -77,54 +77,6 @@
 uint16_t standin_service_port(const standin_service_t *service);
 void standin_service_delete(standin_service_t *service);
 
-/*
- * The users' platform's store: objects by kind and name, lists in pages,
- * watches. Faults besides those of every stand-in: at_standin_store_forget()
- * drops the history, and watches that are open then hear nothing more.
- */
-typedef struct standin_store standin_store_t;
-standin_store_t *standin_store_new(struct ev_loop *loop);
-at_code_t standin_store_init(
-    standin_store_t *store, const char *address, at_status_t *status);
-uint16_t standin_store_port(const standin_store_t *store);
-void standin_store_delete(standin_store_t *store);
-/* The faults, to be changed at any time. */
-standin_faults_t *standin_store_faults(standin_store_t *store);
-/* standin_store_put() writes as the operator or a backend server does. */
-void standin_store_put(
-    standin_store_t *store, const char *kind, const char *name, json_t *spec);
-void standin_store_remove(
-    standin_store_t *store, const char *kind, const char *name);
-void standin_store_forget(standin_store_t *store);
-/* standin_store_calls() counts calls, a waiting watch as one. */
-uint64_t standin_store_calls(const standin_store_t *store);
-
-/*
- * A backend server of the users' platform: a plain service, or a model engine
- * with events, orders and a report of itself.
- */
-typedef struct standin_server standin_server_t;
-standin_server_t *standin_server_new(struct ev_loop *loop, const char *id);
-void standin_server_set_engine(standin_server_t *server);
-/* standin_server_add_model() has an engine hold a model from the start. */
-void standin_server_add_model(standin_server_t *server, const char *model);
-/* standin_server_set_events() sets how many an answer has, and their pace. */
-void standin_server_set_events(
-    standin_server_t *server, uint32_t events, uint32_t gap_ms);
-at_code_t standin_server_init(
-    standin_server_t *server, const char *address, at_status_t *status);
-uint16_t standin_server_port(const standin_server_t *server);
-standin_faults_t *standin_server_faults(standin_server_t *server);
-/* A fault that is shared strikes whichever server is met first. */
-void standin_server_share_faults(
-    standin_server_t *server, standin_server_t *with);
-/* Requests that it began to run, and orders that it accepted. */
-uint64_t standin_server_runs(const standin_server_t *server);
-uint64_t standin_server_orders(const standin_server_t *server);
-/* The last request that it got, as a text "METHOD target\nName: value...". */
-const char *standin_server_last(const standin_server_t *server);
-void standin_server_delete(standin_server_t *server);
-
 /*
  * A TCP relay between two parties. Faults: outage closes what is open and
  * what comes; silent holds every byte back and keeps the connections;
--- a/tests/support/edge.c
+++ b/tests/support/edge.c
@@ -86,79 +86,35 @@
 	free(edge);
 }
 
-static json_t *
-route_json(const char *path, const char *type, const char *service,
-    int attempts, int resumable)
-{
-	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:b}", "name",
-	    path + 1, "hostname", EDGE_HOST, "path_prefix", path, "type", type,
-	    "service", service, "timeout_ms", 8000, "target_latency_ms", 1000,
-	    "priority", 0, "max_attempts", attempts, "resumable", resumable);
-}
-
-static json_t *
-engine_json(void)
-{
-	json_t *models = json_array();
-	unsigned i;
-
-	for (i = 0; i < 3; i++) {
-		char name[8];
-
-		(void)snprintf(name, sizeof(name), "m%u", i);
-		json_array_append_new(
-		    models, json_pack("{s:s,s:i,s:f,s:f,s:f}", "name", name,
-				"weights_mb", 70000, "load_s", 0.1, "warm_s",
-				0.1, "disk_s", 0.1));
-	}
-	return json_pack("{s:i,s:i,s:i,s:i,s:f,s:o}", "slots", 16,
-	    "kv_capacity", 100000, "weights_mb", 230000, "adapter_slots", 8,
-	    "loads_per_s", 20., "models", models);
-}
-
 void
 edge_configure(edge_t *edge, int with_key)
 {
-	json_t *routes = json_array();
-
-	json_array_append_new(
-	    routes, route_json("/safe/", "safe", "plain", 2, 0));
-	json_array_append_new(
-	    routes, route_json("/unsafe/", "unsafe", "plain", 1, 0));
-	json_array_append_new(
-	    routes, route_json("/stream/", "streaming", "llm", 2, 1));
-	json_array_append_new(
-	    routes, route_json("/once/", "streaming", "llm", 1, 0));
+	static const standin_route_t routes[] = {
+	    {"/safe/", "safe", "plain", 2, 0},
+	    {"/unsafe/", "unsafe", "plain", 1, 0},
+	    {"/stream/", "streaming", "llm", 2, 1},
+	    {"/once/", "streaming", "llm", 1, 0}};
+
 	edge->config_version += 3;
 	standin_store_put(edge->store, WIRE_KIND_CONFIG, WIRE_CONFIG_NAME,
-	    json_pack("{s:I,s:o,s:[{s:s},{s:s,s:o}],s:[{s:s,s:[s]}]}",
-		"version", (json_int_t)edge->config_version, "routes", routes,
-		"services", "name", "plain", "name", "llm", "engine",
-		engine_json(), "tenants", "name", "studio", "api_keys",
+	    standin_config_spec(edge->config_version, EDGE_HOST, routes,
+		sizeof(routes) / sizeof(routes[0]), "studio",
 		with_key ? EDGE_KEY : "another-key"));
 }
 
 void
 edge_list_server(edge_t *edge, size_t server, int leaving)
 {
-	static json_int_t beat;
+	static uint64_t beat;
 	char address[AT_ADDR_SIZE];
-	int is_engine = edge->ids[server][0] == 'e';
-	json_t *models = json_array();
+	const char *id = edge->ids[server];
+	const char *model = strchr(id, '-');
 
 	(void)snprintf(address, sizeof(address), "127.0.0.1:%u",
 	    standin_server_port(edge->servers[server]));
-	if (is_engine)
-		json_array_append_new(
-		    models, json_pack("{s:s,s:i,s:[]}", "name",
-				strchr(edge->ids[server], '-') + 1, "version",
-				1, "adapters"));
-	standin_store_put(edge->store, WIRE_KIND_SERVERS, edge->ids[server],
-	    json_pack("{s:s,s:s,s:s,s:i,s:s,s:I,s:I,s:o}", "service",
-		is_engine ? "llm" : "plain", "address", address, "zone",
-		"north", "slots", 16, "state", leaving ? "draining" : "ready",
-		"born", (json_int_t)1700000000000, "sequence", ++beat, "models",
-		models));
+	standin_store_put(edge->store, WIRE_KIND_SERVERS, id,
+	    standin_server_spec(model == NULL ? "plain" : "llm", address,
+		"north", model == NULL ? NULL : model + 1, leaving, ++beat));
 }
 
 /* A listener whose queue is full drops what asks for a connection. */
@@ -187,9 +143,8 @@
 	for (i = 0; i < 2; i++)
 		standin_store_put(edge->store, WIRE_KIND_SERVERS,
 		    i == 0 ? "deaf-0" : "deaf-1",
-		    json_pack("{s:s,s:s,s:s,s:i,s:s,s:i}", "service", "plain",
-			"address", address, "zone", "north", "slots", 16,
-			"state", "ready", "sequence", 1));
+		    standin_server_spec(
+			"plain", address, "north", NULL, 0, 1));
 }
 
 static size_t
--- a/tests/support/edge.h
+++ b/tests/support/edge.h
@@ -6,7 +6,7 @@
 #define ALMONDTHREAD_TESTS_EDGE_H
 
 #include "entry/entry.h"
-#include "standin/standin.h"
+#include "platform/standin/standin_platform.h"
 #include "support/fixture.h"
 
 #define EDGE_MAX 8            /* of each kind */
