--- a/tests/support/edge.c
+++ b/tests/support/edge.c
@@ -143,8 +143,7 @@
 	for (i = 0; i < 2; i++)
 		standin_store_put(edge->store, WIRE_KIND_SERVERS,
 		    i == 0 ? "deaf-0" : "deaf-1",
-		    standin_server_spec(
-			"plain", address, "north", NULL, 0, 1));
+		    standin_server_spec("plain", address, "north", NULL, 0, 1));
 }
 
 static size_t
