Fuzz: resumed answers, attempts without a connection, patience

The generator drew none of the three options that almond-entry sets. The oracle now counts what was sent, not what was planned, where attempts without a connection are free; requests share one workspace, so that its budget is reached before those of the backend servers.

Checked by hand with six inserted faults: counting no attempt, resuming any answer, free retries, free whatever ended the attempt, no patience, a sent attempt taken for unsent. All are caught; with a workspace for each request 'free retries' was missed.

--- a/tests/fuzz/fuzz_attempt.c
+++ b/tests/fuzz/fuzz_attempt.c
@@ -12,7 +12,8 @@
 #include "fuzz/operations.h"
 
 #define OPERATIONS 400u /* in one run */
-#define REQUESTS 3u     /* open at once, each of its own workspace */
+#define REQUESTS 3u     /* open at once */
+#define WORKSPACES 1u   /* fewer than backend servers: its budget ends first */
 #define BACKENDS 2u
 #define STEP_MS 7u /* unit of time that passes */
 
@@ -26,6 +27,7 @@
 	int executed;
 	uint64_t sent_at_ms;
 	int headed;
+	int unsent; /* ended without a connection, nothing had left */
 	uint32_t backend;
 } truth_t;
 
@@ -42,6 +44,7 @@
 	ledger_t *workspace;
 	at_attempt_limits_t limits;
 	at_repeat_t repeat;
+	int resumable;
 	uint64_t began_at_ms;
 	truth_t attempts[AT_ATTEMPTS_MAX];
 	uint32_t count;
@@ -55,7 +58,7 @@
 	operations_t input;
 	uint64_t now_ms;
 	uint64_t began_at_ms;
-	ledger_t workspaces[REQUESTS];
+	ledger_t workspaces[WORKSPACES];
 	ledger_t backends[BACKENDS];
 	request_t requests[REQUESTS];
 } world_t;
@@ -91,23 +94,42 @@
 	CHECK(!r->finished || r->verdict != AT_VERDICT_NOT_RUN);
 }
 
+/* No answer was begun, or it broke off and may be gone on with. */
+static int
+may_deliver_another(const request_t *r)
+{
+	return r->delivered == AT_ATTEMPT_NONE ||
+	       (r->resumable && !r->attempts[r->delivered].open);
+}
+
+/* Counts an attempt after the first; with unsent_free once it is sent. */
+static void
+pay(world_t *w, request_t *r)
+{
+	r->workspace->retries++;
+	check_ledger(w, r->workspace);
+}
+
 static void
 check_may_start(const request_t *r, const at_action_t *action)
 {
 	uint32_t open = 0;
+	uint32_t counted = 0;
 	uint32_t k;
 
 	CHECK(action->attempt == r->count);
-	CHECK(r->count < r->limits.attempts_max);
-	CHECK(r->delivered == AT_ATTEMPT_NONE);
+	CHECK(r->count < AT_ATTEMPTS_MAX);
+	CHECK(may_deliver_another(r));
 	CHECK(action->fresh_connection ||
 	      (r->count == 0 && r->repeat != AT_ONCE));
 	for (k = 0; k < r->count; k++) {
 		const truth_t *t = &r->attempts[k];
 
 		open += (uint32_t)t->open;
+		counted += (uint32_t) !(r->limits.unsent_free && t->unsent);
 		CHECK(r->repeat != AT_ONCE || !t->sent || t->refused);
 	}
+	CHECK(counted < r->limits.attempts_max);
 	CHECK(open == (uint32_t)action->hedge);
 	CHECK(r->repeat != AT_ONCE || !action->hedge);
 }
@@ -134,12 +156,23 @@
 	t->open = 1;
 	if (k == 0)
 		return;
-	r->workspace->retries++;
+	if (!r->limits.unsent_free)
+		pay(w, r);
 	w->backends[backend].retries++;
-	check_ledger(w, r->workspace);
 	check_ledger(w, &w->backends[backend]);
 }
 
+/* Could anything follow an attempt that was sent and stays silent? */
+static int
+silence_is_final(const request_t *r)
+{
+	if (r->repeat == AT_ONCE)
+		return 1;
+	if (r->limits.attempts_max == 1 && !r->limits.unsent_free)
+		return 1;
+	return r->delivered != AT_ATTEMPT_NONE && !r->resumable;
+}
+
 static void
 on_finish(request_t *r, const at_action_t *action)
 {
@@ -151,10 +184,24 @@
 	CHECK((action->verdict == AT_VERDICT_RAN) ==
 	      (action->reason == AT_REASON_NONE));
 	CHECK(action->verdict != AT_VERDICT_RAN || r->executions > 0);
+	if (r->limits.patient && silence_is_final(r))
+		CHECK(action->reason != AT_REASON_FIRST_BYTE_TIMEOUT &&
+		      action->reason != AT_REASON_IDLE_TIMEOUT);
 	for (k = 0; k < r->count; k++)
 		CHECK(!r->attempts[k].open);
 }
 
+static void
+on_cancel(request_t *r, uint32_t k)
+{
+	truth_t *t = &r->attempts[k];
+
+	CHECK(t->open);
+	t->open = 0;
+	t->unsent = !t->sent && at_attempts_reason(r->machine, k) ==
+				    AT_REASON_CONNECT_FAILED;
+}
+
 static void
 pump(world_t *w, request_t *r)
 {
@@ -167,12 +214,11 @@
 			on_start(w, r, &action);
 			break;
 		case AT_ACTION_CANCEL:
-			CHECK(r->attempts[action.attempt].open);
-			r->attempts[action.attempt].open = 0;
+			on_cancel(r, action.attempt);
 			break;
 		case AT_ACTION_DELIVER:
-			CHECK(r->delivered == AT_ATTEMPT_NONE ||
-			      r->delivered == action.attempt);
+			CHECK(r->delivered == action.attempt ||
+			      may_deliver_another(r));
 			CHECK(r->attempts[action.attempt].executed);
 			r->delivered = action.attempt;
 			break;
@@ -191,7 +237,7 @@
 	memset(r, 0, sizeof(*r));
 	r->machine = at_attempts_new();
 	CHECK(r->machine != NULL);
-	r->workspace = &w->workspaces[r - w->requests];
+	r->workspace = &w->workspaces[draw(w, WORKSPACES)];
 	r->delivered = AT_ATTEMPT_NONE;
 	r->repeat = (at_repeat_t)draw(w, AT_REPEAT_COUNT);
 	r->limits.connect_ms = draw(w, 100);
@@ -200,9 +246,13 @@
 	r->limits.hedge_ms = draw(w, 100);
 	r->limits.deadline_ms = 1 + 4 * draw(w, 256);
 	r->limits.attempts_max = 1 + draw(w, AT_ATTEMPTS_MAX);
+	r->limits.unsent_free = (int)draw(w, 2);
+	r->limits.patient = (int)draw(w, 2);
+	r->resumable = (int)draw(w, 2);
 	r->began_at_ms = w->now_ms;
 	at_attempts_set_limits(r->machine, &r->limits);
 	at_attempts_set_repeat(r->machine, r->repeat);
+	at_attempts_set_resumable(r->machine, r->resumable);
 	at_attempts_set_budget(r->machine, &r->workspace->budget);
 	at_attempts_init(r->machine, w->now_ms);
 	pump(w, r);
@@ -220,7 +270,7 @@
 	for (k = 0; k < r->count; k++) {
 		const truth_t *t = &r->attempts[k];
 
-		if (t->open && t->sent && !t->headed &&
+		if (t->open && t->sent && !t->headed && !r->limits.patient &&
 		    r->limits.first_byte_ms != 0)
 			CHECK(w->now_ms <
 			      t->sent_at_ms + r->limits.first_byte_ms);
@@ -250,9 +300,12 @@
 	truth_t *t = &r->attempts[k];
 	/* Also what the transfer claims wrongly must not matter. */
 	at_verdict_t claimed = (at_verdict_t)draw(w, 2);
+	at_reason_t reason = draw(w, 2) == 0 ? AT_REASON_BACKEND_RESET
+					     : AT_REASON_CONNECT_FAILED;
 
 	t->open = 0;
-	at_attempts_failed(r->machine, k, AT_REASON_BACKEND_RESET,
+	t->unsent = !t->sent && reason == AT_REASON_CONNECT_FAILED;
+	at_attempts_failed(r->machine, k, reason,
 	    t->sent ? claimed : AT_VERDICT_NOT_RUN, w->now_ms);
 }
 
@@ -302,6 +355,17 @@
 	}
 }
 
+static uint32_t
+sent_count(const request_t *r)
+{
+	uint32_t sent = 0;
+	uint32_t k;
+
+	for (k = 0; k < r->count; k++)
+		sent += (uint32_t)r->attempts[k].sent;
+	return sent;
+}
+
 static void
 operate(world_t *w)
 {
@@ -339,6 +403,8 @@
 	} else if (!t->sent) {
 		t->sent = 1;
 		t->sent_at_ms = w->now_ms;
+		if (r->limits.unsent_free && sent_count(r) > 1)
+			pay(w, r);
 		at_attempts_sending(r->machine, k, w->now_ms);
 	} else {
 		answer(w, r, k, operation % 6);
@@ -362,7 +428,7 @@
 	if (operations == 0)
 		(void)atexit(report);
 	w.now_ms = w.began_at_ms = 1;
-	for (i = 0; i < REQUESTS; i++)
+	for (i = 0; i < WORKSPACES; i++)
 		at_budget_init(&w.workspaces[i].budget, w.now_ms);
 	for (i = 0; i < BACKENDS; i++)
 		at_budget_init(&w.backends[i].budget, w.now_ms);
