Fleet: no memcpy from NULL for a report without rows

An instance without requests in flight reports no rows, and memcpy was called with a null source. Found by UndefinedBehaviorSanitizer in test_waiting (lets_the_most_pressing_go_first, through empty()), which failed before and passes now. No change of what is decided.

--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -322,7 +322,8 @@
 		    hh, fleet->reports, instance, sizeof(instance), report);
 	}
 	count_report(fleet, report, -1);
-	memcpy(copy, rows, count * sizeof(*copy));
+	if (count > 0)
+		memcpy(copy, rows, count * sizeof(*copy));
 	free(report->rows);
 	report->rows = copy;
 	report->count = count;
