--- a/include/almondthread/quota.h
+++ b/include/almondthread/quota.h
@@ -60,5 +60,8 @@
 
 /* at_quota_level() returns the present level, below 0 when units are owed. */
 int64_t at_quota_level(const at_quota_t *quota, at_tag_t workspace);
+/* at_quota_recent_debt() returns the debt that still holds requests back. */
+int64_t at_quota_recent_debt(
+    const at_quota_t *quota, at_tag_t workspace, uint64_t now_us);
 
 #endif
--- a/src/core/limits/quota.c
+++ b/src/core/limits/quota.c
@@ -20,7 +20,7 @@
 #define LATE_DEBT_PART 0.5     /* the same for what is heard late */
 #define LATE_US 1000000u       /* after such a silence reports are late */
 #define CATCH_UP_US 100000u    /* so long after it, those of all others too */
-#define RESERVE_US 5000000u    /* until a past debt is forgotten */
+#define DEBT_FADES_US 5000000u /* until a past debt is forgotten */
 #define NEVER_MS 60000u /* told when a request is larger than the burst */
 
 typedef struct account {
@@ -32,8 +32,8 @@
 	uint64_t spent; /* by this instance, since its start */
 	uint64_t spent_us;
 	int unlimited;
-	double reserve; /* the deepest debt of late, fading */
-	uint64_t reserve_us;
+	double debt; /* the deepest of late, fading */
+	uint64_t debt_us;
 	UT_hash_handle hh;
 } account_t;
 
@@ -192,13 +192,13 @@
 }
 
 static double
-reserve_now(const account_t *account, uint64_t now_us)
+recent_debt(const account_t *account, uint64_t now_us)
 {
-	uint64_t age_us = now_us - account->reserve_us;
+	uint64_t age_us = now_us - account->debt_us;
 
-	if (account->reserve <= 0 || age_us >= RESERVE_US)
+	if (account->debt <= 0 || age_us >= DEBT_FADES_US)
 		return 0;
-	return account->reserve * (1. - (double)age_us / RESERVE_US);
+	return account->debt * (1. - (double)age_us / DEBT_FADES_US);
 }
 
 uint32_t
@@ -215,7 +215,7 @@
 		return NEVER_MS;
 	refill(quota, account, now_us);
 	missing = (double)units - account->level +
-		  draw(quota) * reserve_now(account, now_us);
+		  draw(quota) * recent_debt(account, now_us);
 	if (account->unlimited || missing <= 0) {
 		account->level -= account->unlimited ? 0 : (double)units;
 		account->spent += units;
@@ -329,9 +329,9 @@
 	if (level < floor)
 		level = account->level < floor ? account->level : floor;
 	account->level = level;
-	if (!late && -level > reserve_now(account, now_us)) {
-		account->reserve = -level;
-		account->reserve_us = now_us;
+	if (!late && -level > recent_debt(account, now_us)) {
+		account->debt = -level;
+		account->debt_us = now_us;
 	}
 }
 
@@ -365,3 +365,12 @@
 
 	return account == NULL ? 0 : (int64_t)account->level;
 }
+
+int64_t
+at_quota_recent_debt(
+    const at_quota_t *quota, at_tag_t workspace, uint64_t now_us)
+{
+	const account_t *account = find(quota, workspace);
+
+	return account == NULL ? 0 : (int64_t)recent_debt(account, now_us);
+}
--- a/src/entry/call_admit.c
+++ b/src/entry/call_admit.c
@@ -188,9 +188,12 @@
 	if (retry_ms == 0)
 		return 0;
 	(void)snprintf(detail, sizeof(detail),
-	    "workspace=%s units=%" PRIu64 " level=%" PRId64,
+	    "workspace=%s units=%" PRIu64 " level=%" PRId64
+	    " recent_debt=%" PRId64,
 	    workspace->name.text, *units,
-	    at_quota_level(entry->quota, workspace->tag));
+	    at_quota_level(entry->quota, workspace->tag),
+	    at_quota_recent_debt(
+		entry->quota, workspace->tag, at_clock_now_us()));
 	refuse_head(
 	    entry, request, head, AT_REASON_OVER_RATE, retry_ms, detail);
 	return -1;
