Shares: a grant beyond the whole is refused, not asserted

Cause: the assertion in at_bucket_set_share() that stopped test_jobs once.

Change: at_share_receive() refuses a grant that makes more than the whole; the daemon counts and logs it. share_own_ppb() is bounded for books that meet in the other order.

Ruled out: the books of one fleet; fuzz_share checks their sum after each of 3,000,000 operations.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -157,7 +157,8 @@
  * or NULL when the entry was ignored or there is no memory.
  */
 at_server_t *at_fleet_apply(at_fleet_t *fleet, const at_server_entry_t *entry);
-/* at_fleet_expire_notes() lets the list speak again; once a second or so. */
+/* at_fleet_expire_notes() drops notes whose time is over; once a second or so.
+ */
 void at_fleet_expire_notes(at_fleet_t *fleet, uint64_t now_us);
 /* at_fleet_remove() gives a server nothing new; open requests keep it. */
 void at_fleet_remove(at_fleet_t *fleet, at_tag_t server);
--- a/include/almondthread/residency.h
+++ b/include/almondthread/residency.h
@@ -11,8 +11,8 @@
 
 #include "almondthread/demand_rates.h"
 
-#define AT_RESIDENCY_ENGINES_MAX 1024u
-#define AT_RESIDENCY_MODELS_MAX 1536u
+#define AT_RESIDENCY_ENGINES_MAX 1024u /* planned for at a time */
+#define AT_RESIDENCY_MODELS_MAX 1536u  /* 1,200 at target size, and room */
 
 /* One engine as the planner sees it. */
 typedef struct at_engine_state {
--- a/include/almondthread/share.h
+++ b/include/almondthread/share.h
@@ -125,8 +125,12 @@
 /* at_share_leave() stops lending and returns all loans with their level. */
 void at_share_leave(at_share_t *share, uint64_t now_ms);
 
-/* at_share_receive() takes one message; a stale or foreign one is dropped. */
-void at_share_receive(at_share_t *share, uint64_t now_ms,
+/*
+ * at_share_receive() takes one message; a stale or foreign one is dropped.
+ * Returns 0, or -1 for a grant that would give this instance more than the
+ * whole: its sender belongs to another fleet with the same secret.
+ */
+int at_share_receive(at_share_t *share, uint64_t now_ms,
     const at_incarnation_t *from, const at_share_message_t *message);
 /* at_share_advance() refills and ends loans up to now_ms. */
 void at_share_advance(at_share_t *share, uint64_t now_ms);
--- a/src/bench/limits_fleet.c
+++ b/src/bench/limits_fleet.c
@@ -146,8 +146,9 @@
 deliver(fleet_t *f, mail_t *mail)
 {
 	if (mail->to->alive && !is_cut(f, mail->from, mail->to))
-		at_share_receive(mail->to->holdings[mail->workspace].share,
-		    f->now_ms, &mail->from->self, &mail->message);
+		(void)at_share_receive(
+		    mail->to->holdings[mail->workspace].share, f->now_ms,
+		    &mail->from->self, &mail->message);
 	free(mail);
 }
 
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -10,7 +10,7 @@
 #define WATCH_MS 15000u     /* one watch; connections are probed besides */
 #define RETRY_FIRST_MS 100u /* after a failed call */
 #define RETRY_MAX_MS 1600u  /* after any number of them */
-#define NAME_SIZE 128u
+#define NAME_SIZE 128u      /* bytes of an object name, with the NUL */
 
 const char *const at_objects_code_names[] = {
     "ok", "history_gone", "refused", "silent"};
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -11,10 +11,10 @@
 
 #include "core/fleet/fleet_private.h"
 
-#define TOKEN_US 40u          /* reading one prompt token, before it is known */
-#define PLACE_US 400u         /* what each running request adds to a step */
-#define FAR_US 3000u          /* to another data centre and back */
-#define PLAIN_US 50000u       /* one request of a plain service, until known */
+#define TOKEN_US 40u    /* a prompt token; 29 are read in a ms, less decoding */
+#define PLACE_US 400u   /* what each running request adds to a step */
+#define FAR_US 3000u    /* to another data centre and back */
+#define PLAIN_US 50000u /* one request of a plain service, until known */
 #define PREFILL_MAX 6000u     /* prompt tokens waiting at one engine */
 #define PREFILL_RELAXED 3500u /* the same, for requests with time to spare */
 #define PROMPT_USUAL 2500u    /* prompt tokens that count against both bounds */
--- a/src/core/fleet/trust.c
+++ b/src/core/fleet/trust.c
@@ -6,9 +6,9 @@
 #define HEARD_REST_US 300000u /* after another instance's word */
 #define WELL_US 1500000u      /* what went well here so lately goes before it */
 #define SLOW_ONE 1000u        /* as predicted */
-#define SLOW_MIN 250u
-#define SLOW_MAX 12000u
-#define SLOW_WEIGHT 8u /* of the past, against one observation */
+#define SLOW_MIN 250u   /* thousandths; a prediction is not that far off */
+#define SLOW_MAX 12000u /* thousandths; a slower server rests instead */
+#define SLOW_WEIGHT 8u  /* of the past, against one observation */
 
 void
 trust_init(trust_t *trust)
--- a/src/core/fleet/waiting.c
+++ b/src/core/fleet/waiting.c
@@ -10,7 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TOKEN_US 45u         /* one prompt token, at an engine in use */
+#define TOKEN_US 45u /* a prompt token; 29 are read in a ms, less a third */
 #define PLACE_FREE_US 30000u /* between two ends at a full batch */
 #define PLAIN_FREE_US 12000u /* the same at a plain service */
 #define LOAD_US 1000000u     /* until a model that is asked for is there */
@@ -18,8 +18,8 @@
 #define PRIORITY_US 1500000u /* what a step of priority weighs */
 #define WAIT_PERCENT 60u     /* of the time left that may be waited */
 #define RETRY_MIN_MS 50u     /* sooner is no use */
-#define RETRY_MAX_MS 5000u
-#define FULL_KINDS_MAX 32u /* kinds of work known to find no room */
+#define RETRY_MAX_MS 5000u   /* a caller that waits longer has gone */
+#define FULL_KINDS_MAX 32u   /* kinds of work known to find no room */
 
 const char *const at_arrival_names[] = {"placed", "waits", "refused"};
 
--- a/src/core/limits/quota.c
+++ b/src/core/limits/quota.c
@@ -14,7 +14,7 @@
 
 #include <uthash.h>
 
-#define US_PER_S 1000000.
+#define US_PER_S 1000000.      /* microseconds */
 #define REPORT_FOR_US 3000000u /* a row is told so long after a change */
 #define DEBT_PART 2.           /* of the burst that may be owed */
 #define LATE_DEBT_PART 0.5     /* the same for what is heard late */
--- a/src/core/limits/share.c
+++ b/src/core/limits/share.c
@@ -90,6 +90,9 @@
 {
 	int64_t own = share->cap_ppb - share->lent_ppb;
 
+	/* Over the whole only if another fleet's grant is in the books. */
+	if (own > AT_PPB)
+		return AT_PPB;
 	return own > 0 ? own : 0;
 }
 
@@ -394,6 +397,17 @@
 		share->port.changed(share->port.ctx);
 }
 
+/* Would this instance have more than the whole for its own use? */
+static int
+exceeds_whole(const at_share_t *share, const peer_t *peer,
+    const at_share_message_t *grant)
+{
+	int64_t added_ppb = grant->loan_ppb - loan_ppb(&peer->borrowed);
+
+	return added_ppb > 0 &&
+	       share->cap_ppb - share->lent_ppb + added_ppb > AT_PPB;
+}
+
 static int
 fraction_ok(int64_t ppb)
 {
@@ -409,7 +423,7 @@
 	       m->keep_ppb <= AT_PPB && m->term_ms <= AT_IDLE_TERM_MS;
 }
 
-void
+int
 at_share_receive(at_share_t *share, uint64_t now_ms,
     const at_incarnation_t *from, const at_share_message_t *message)
 {
@@ -419,12 +433,16 @@
 	if (message->to != share->self.number ||
 	    message->from != from->number ||
 	    from->number == share->self.number || !message_ok(message))
-		return;
+		return 0;
 	peer = share_find_or_add(share, from);
-	if (message->kind == AT_SHARE_ASK)
+	if (message->kind == AT_SHARE_ASK) {
 		receive_ask(share, peer, message);
-	else if (message->kind == AT_SHARE_GRANT)
+	} else if (message->kind == AT_SHARE_GRANT) {
+		if (exceeds_whole(share, peer, message))
+			return -1;
 		receive_grant(share, peer, message);
+	}
+	return 0;
 }
 
 void
--- a/src/core/placement/demand_rates.c
+++ b/src/core/placement/demand_rates.c
@@ -7,10 +7,10 @@
 #include <uthash.h>
 
 #define US_PER_S 1000000.
-#define FOLLOW_S 1.8           /* time constant of the rates */
-#define PROMPT_TOKEN_US 34u    /* engine time of one prompt token */
-#define STEP_US 5600u          /* one step of a batch, a token for each place */
-#define PLACE_US 20u           /* what each place adds to it */
+#define FOLLOW_S 1.8        /* time constant of the rates */
+#define PROMPT_TOKEN_US 34u /* a prompt token of an idle engine, 29 in a ms */
+#define STEP_US 5600u       /* one step of a batch, a token for each place */
+#define PLACE_US 20u        /* what each place adds to it */
 #define REPORT_FOR_US 3000000u /* a row is told so long after a change */
 #define WAITING_FOR_US 600000u /* what an instance said of waiting counts */
 
--- a/src/daemon/limits/limits_io.c
+++ b/src/daemon/limits/limits_io.c
@@ -1,5 +1,6 @@
 #include "daemon/limits/limits_io.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -135,9 +136,14 @@
 		return;
 	}
 	h = find(limits, workspace.text);
-	if (h != NULL)
-		at_share_receive(
-		    h->share, at_clock_now_ms(), &from->self, &message);
+	if (h == NULL || at_share_receive(h->share, at_clock_now_ms(),
+			     &from->self, &message) == 0)
+		return;
+	count(limits, "share_messages_refused_total", "beyond_the_whole");
+	at_log(AT_LOG_WARN, "limits", NULL,
+	    "%s: A grant of %s, incarnation %" PRIx64
+	    ", is refused: it makes more than the whole.",
+	    h->workspace.text, from->self.instance.text, from->self.number);
 }
 
 /* The incarnation of a member of the name, or number 0. */
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -12,7 +12,7 @@
 
 #define US_PER_MS 1000u
 #define STOPPING_RETRY_MS 10u /* another instance can take it at once */
-#define BODY_SIZE 320
+#define BODY_SIZE 320         /* bytes of an own answer, with the NUL */
 
 void
 call_reply_refusal(at_entry_t *entry, at_httpd_request_t *request,
--- a/src/entry/call_admit.c
+++ b/src/entry/call_admit.c
@@ -21,8 +21,8 @@
 #define SAFE_ANSWER_MS 900u      /* a server's answer to a safe request */
 #define OUTPUT_GUESS_PERCENT 60u /* of the most, without a caller's guess */
 #define RELAXED_MS 1500u         /* objectives from here on leave room */
-#define NO_CONFIG_RETRY_MS 500u
-#define STOPPING_RETRY_MS 10u /* another instance can take it at once */
+#define NO_CONFIG_RETRY_MS 500u  /* two lists of the store and a parse */
+#define STOPPING_RETRY_MS 10u    /* another instance can take it at once */
 
 /* Refuses a request that never became a call. */
 static void
--- a/src/entry/join.c
+++ b/src/entry/join.c
@@ -11,8 +11,8 @@
 #include "io/clock.h"
 
 #define KIND "entry-instances" /* of this system's own objects */
-#define RETRY_FIRST_S 0.2
-#define RETRY_MAX_S 3.2
+#define RETRY_FIRST_S 0.2      /* after a call that failed */
+#define RETRY_MAX_S 3.2        /* doubled from the first, four times */
 
 typedef enum join_state {
 	JOIN_WRITING, /* its own object */
--- a/src/entry/leg.c
+++ b/src/entry/leg.c
@@ -9,13 +9,13 @@
 #include "entry/call_impl.h"
 #include "io/clock.h"
 
-#define URL_SIZE 128
+#define URL_SIZE 128        /* bytes of "http://" and an address */
 #define CONNECT_MS 600u     /* a connection to a backend server */
 #define HELD_MAX (8u << 20) /* bytes of an answer that is held */
 #define HELD_GROWTH 2048u   /* bytes its buffer grows by at least */
 #define URGENCY_SOON 2u     /* of a request due within SOON_MS */
 #define URGENCY_LATER 5u    /* of any other */
-#define SOON_MS 1000u
+#define SOON_MS 1000u       /* an objective below it is interactive */
 
 void
 held_answer_reset(held_answer_t *answer)
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -8,7 +8,7 @@
 #include "entry/gossip.h"
 #include "io/clock.h"
 
-#define TICK_S 0.1
+#define TICK_S 0.1 /* between two rounds of planning */
 #define LEASE_OBJECT "entry-lease/orders"
 #define LEASE_MARGIN_MS 250u /* left of the term when an order is sent */
 #define LEARN_US 1200000u    /* after taking the lease */
@@ -16,7 +16,7 @@
 #define STORE_RATE_PART 0.85 /* of the weight store's rate */
 #define STORE_LOADS_MAX 2.   /* that may begin at once */
 #define MOVES_PER_ROUND 2u   /* that follow demand */
-#define MOVES_MAX 64u
+#define MOVES_MAX 64u        /* in one round, room for their results */
 #define US_PER_S 1000000.
 
 int
--- a/src/entry/orders_impl.h
+++ b/src/entry/orders_impl.h
@@ -13,9 +13,9 @@
 #include "entry/orders.h"
 #include "platform/orders.h"
 
-#define NEWS_MAX 256u /* changes that are being told */
-#define DEMAND_ROWS_MAX 512u
-#define WANTS_MAX 128u
+#define NEWS_MAX 256u        /* changes that are being told */
+#define DEMAND_ROWS_MAX 512u /* of one instance's report */
+#define WANTS_MAX 128u       /* models asked for at once and held by nobody */
 
 /* The one order under way at an engine. */
 typedef enum track_state {
--- a/src/entry/retries.c
+++ b/src/entry/retries.c
@@ -4,10 +4,10 @@
 
 #include <uthash.h>
 
-#define RATIO_PART 0.7 /* of the ratio: successes are seen late */
-#define SLACK_PART 0.6 /* of the slack: instances come and go */
-#define RETRY_MILLI 1000.
-#define MIN_MILLI 2000u /* else no second of two retries is ever sent */
+#define RATIO_PART 0.7    /* of the ratio: successes are seen late */
+#define SLACK_PART 0.6    /* of the slack: instances come and go */
+#define RETRY_MILLI 1000. /* one retry, in thousandths */
+#define MIN_MILLI 2000u   /* else no second of two retries is ever sent */
 
 typedef struct budget_entry {
 	at_tag_t service;
--- a/src/entry/sync.h
+++ b/src/entry/sync.h
@@ -13,7 +13,7 @@
 void at_sync_delete(at_sync_t *sync);
 /*
  * at_sync_look() reads the configuration besides its watch, which may have
- * gone deaf; a call that is open already is enough.
+ * become silent; a call that is open already is enough.
  */
 void at_sync_look(at_sync_t *sync);
 /*
--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -389,19 +389,19 @@
 Test(entry_path, a_charge_without_a_caller_is_not_tried_again)
 {
 	edge_t *edge = edge_new();
-	int sockets[EDGE_DEAF_SOCKETS];
+	int sockets[EDGE_FULL_SOCKETS];
 	edge_answer_t answer;
 	int i;
 
 	edge_configure(edge, 1);
-	edge_list_deaf(edge, sockets);
+	edge_list_unreachable(edge, sockets);
 	(void)edge_add_entry(edge);
 	edge_until(edge, knows_two_servers, edge);
 	edge_send(edge, 0, &unsafe, &answer);
 	edge_until(edge, has_one_call, edge);
 	edge_answer_free(&answer);
 	edge_until(edge, nothing_open, edge);
-	for (i = 0; i < EDGE_DEAF_SOCKETS; i++)
+	for (i = 0; i < EDGE_FULL_SOCKETS; i++)
 		(void)close(sockets[i]);
 	edge_delete(edge);
 }
--- a/tests/support/edge.c
+++ b/tests/support/edge.c
@@ -119,7 +119,7 @@
 
 /* A listener whose queue is full drops what asks for a connection. */
 void
-edge_list_deaf(edge_t *edge, int sockets[EDGE_DEAF_SOCKETS])
+edge_list_unreachable(edge_t *edge, int sockets[EDGE_FULL_SOCKETS])
 {
 	struct sockaddr_in bound = {
 	    .sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
@@ -133,7 +133,7 @@
 	cr_assert_eq(listen(sockets[0], 0), 0);
 	cr_assert_eq(
 	    getsockname(sockets[0], (struct sockaddr *)&bound, &len), 0);
-	for (i = 1; i < EDGE_DEAF_SOCKETS; i++) {
+	for (i = 1; i < EDGE_FULL_SOCKETS; i++) {
 		sockets[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 		(void)connect(
 		    sockets[i], (struct sockaddr *)&bound, sizeof(bound));
@@ -142,7 +142,7 @@
 	    address, sizeof(address), "127.0.0.1:%u", ntohs(bound.sin_port));
 	for (i = 0; i < 2; i++)
 		standin_store_put(edge->store, WIRE_KIND_SERVERS,
-		    i == 0 ? "deaf-0" : "deaf-1",
+		    i == 0 ? "full-0" : "full-1",
 		    standin_server_spec("plain", address, "north", NULL, 0, 1));
 }
 
--- a/tests/support/edge.h
+++ b/tests/support/edge.h
@@ -56,11 +56,11 @@
 /* edge_list_server() writes what a server says of itself. */
 void edge_list_server(edge_t *edge, size_t server, int leaving);
 /*
- * edge_list_deaf() lists two plain servers to which no connection can be
+ * edge_list_unreachable() lists two plain servers to which no connection can be
  * made: attempts hang. The sockets behind them are to be closed.
  */
-#define EDGE_DEAF_SOCKETS 4
-void edge_list_deaf(edge_t *edge, int sockets[EDGE_DEAF_SOCKETS]);
+#define EDGE_FULL_SOCKETS 4
+void edge_list_unreachable(edge_t *edge, int sockets[EDGE_FULL_SOCKETS]);
 /* edge_until() runs the loop until met() is true; fails the test else. */
 void edge_until(edge_t *edge, int (*met)(void *ctx), void *ctx);
 void edge_run_ms(edge_t *edge, uint32_t time_ms);
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -47,7 +47,7 @@
 	for (i = 0; i < pair->mail_count; i++) {
 		int from = pair->mails[i].from;
 
-		at_share_receive(pair->shares[1 - from], now_ms,
+		(void)at_share_receive(pair->shares[1 - from], now_ms,
 		    &pair->ids[from], &pair->mails[i].message);
 	}
 	pair->mail_count = 0;
@@ -181,7 +181,8 @@
 		at_share_view(pair.shares[0], &before);
 		message.from = pair.ids[1].number;
 		message.to = pair.ids[0].number;
-		at_share_receive(pair.shares[0], 1000, &pair.ids[1], &message);
+		(void)at_share_receive(
+		    pair.shares[0], 1000, &pair.ids[1], &message);
 		at_share_view(pair.shares[0], &after);
 		cr_assert_leq(after.level_utok, before.level_utok, "%s",
 		    level_rows[i].why);
@@ -189,6 +190,39 @@
 	}
 }
 
+/*
+ * Two instances that both hold the whole belong to two fleets that share a
+ * secret. None may use more than the whole, and none may stop.
+ */
+Test(share, a_grant_beyond_the_whole_is_refused)
+{
+	pair_t pair;
+	at_share_view_t view;
+	at_share_message_t grant = {.kind = AT_SHARE_GRANT,
+	    .from = 2,
+	    .to = 1,
+	    .seq = 1,
+	    .asked_ms = 1000,
+	    .term_ms = 1000,
+	    .loan_ppb = AT_PPB / 2,
+	    .added_ppb = AT_PPB / 2};
+
+	pair_init(&pair);
+	cr_assert_eq(
+	    at_share_receive(pair.shares[0], 1000, &pair.ids[1], &grant), -1);
+	at_share_view(pair.shares[0], &view);
+	cr_assert_eq(view.own_ppb, AT_PPB);
+	cr_assert_eq(view.borrowed_ppb, 0);
+	/* The same books, met in the other order. */
+	at_share_set_root(pair.shares[0], 1000, AT_PPB / 2, 0, 0);
+	cr_assert_eq(
+	    at_share_receive(pair.shares[0], 1000, &pair.ids[1], &grant), 0);
+	at_share_set_root(pair.shares[0], 1000, AT_PPB, 0, 0);
+	at_share_view(pair.shares[0], &view);
+	cr_assert_eq(view.own_ppb, AT_PPB);
+	pair_delete(&pair);
+}
+
 Test(share, an_old_ask_is_dropped)
 {
 	at_share_message_t ask = {.kind = AT_SHARE_ASK,
@@ -200,11 +234,11 @@
 	pair_t pair;
 
 	pair_init(&pair);
-	at_share_receive(pair.shares[0], 1, &pair.ids[1], &ask);
+	(void)at_share_receive(pair.shares[0], 1, &pair.ids[1], &ask);
 	cr_assert_eq(pair.mail_count, 1);
-	at_share_receive(pair.shares[0], 2, &pair.ids[1], &ask);
+	(void)at_share_receive(pair.shares[0], 2, &pair.ids[1], &ask);
 	ask.seq = 1;
-	at_share_receive(pair.shares[0], 3, &pair.ids[1], &ask);
+	(void)at_share_receive(pair.shares[0], 3, &pair.ids[1], &ask);
 	cr_assert_eq(pair.mail_count, 1);
 	pair_delete(&pair);
 }
