Placement: one order of merit for rare and busy models

Models that were waited for and held nowhere went first in each round and used up the weight store's 8.5 loads a second, one for each request of a rare model. Room that was cleared for the busy model was taken by a rare one in the next round (290 unloads, 400 loads; 40 models went within a second of having come). A place for each model in use came off the targets before busy ones got any.

Change: a further replica is worth the requests a second that it serves in time, a first one also those that wait; loads and places go by that worth. An unload names the model it is for, and the room is kept for it.

Ruled out: too few moves a round; the store's rate was spent in every second.

test_residency: rare_models_leave_loads_to_a_busy_one, keeps_room_for_the_model_it_was_made_for. The owner's part of makes_room_once_for_a_rare_model now says what the room is for.

--- a/include/almondthread/residency.h
+++ b/include/almondthread/residency.h
@@ -27,6 +27,7 @@
 	int busy;         /* an order is under way or its end is not known */
 	at_tag_t loading; /* model under way there, or 0 */
 	at_tag_t unloading; /* model on its way out, or 0 */
+	at_tag_t room_for;  /* of the last unload's move, until the next load */
 } at_engine_state_t;
 
 typedef enum at_move_kind {
@@ -50,6 +51,7 @@
 	at_tag_t server;
 	at_tag_t model;
 	at_copy_place_t from; /* of a load */
+	at_tag_t room_for;    /* of an unload: the model to be loaded then */
 	int urgent;           /* requests wait for it and it is nowhere */
 } at_move_t;
 
@@ -69,7 +71,7 @@
 
 /*
  * at_residency_targets() fills how many engines each model of the service
- * should be on; the planner uses it, tables test it.
+ * should be on, if each were placed anew by what its replicas earn.
  */
 void at_residency_targets(const at_site_service_t *service, size_t engines,
     const at_demand_rates_t *demand, uint32_t *targets);
--- a/src/core/placement/residency.c
+++ b/src/core/placement/residency.c
@@ -2,27 +2,27 @@
  * residency.c - models on engines.
  *
  * Answers two load patterns. Demand moves from one busy model to the next
- * within seconds: places follow the load of each model, with falling returns,
- * so that the next places go where they shorten the most waiting. Many rare
- * models are asked for now and then, more than fit: one that is asked for and
- * stands nowhere takes the place that is missed least, on an engine that has
- * a copy of its weights near.
+ * within seconds: the next places, and the loads that the weight store allows,
+ * go where they serve the most requests. Many rare models are asked for now
+ * and then, more than fit: one that is asked for and stands nowhere takes the
+ * place that is missed least, on an engine that has a copy of its weights
+ * near. Both at once: rare models do not use up the store's rate while a busy
+ * one has too few engines, and room is kept for the model it was made for.
  */
 #include "almondthread/residency.h"
 
 #include <math.h>
 #include <string.h>
 
-#define RETURNS 1.25        /* how fast further replicas earn less */
-#define ASKED_FOR 0.08      /* requests a second from which a model is in use */
-#define GAIN_RATIO 1.6      /* a move must earn so many times what it costs */
-#define LAST_LOSS 0.004     /* of taking the last replica of an unused model */
-#define LAST_USED 0.6       /* the same for each request a second it is asked */
-#define MIN_GAIN 0.02       /* of a further replica that is worth an order */
-#define MIN_GAIN_STORE 0.05 /* the same for a load from the weight store */
-#define URGENT_GAIN                                                       \
-	10.         /* of the first replica of a model that is waited for \
-		     */
+#define PLACE_LOAD 0.5    /* seconds of an engine a second that a place gives */
+#define ASKED_FOR 0.08    /* requests a second from which a model is in use */
+#define GAIN_RATIO 1.6    /* a move must earn so many times what it costs */
+#define LAST_LOSS 0.004   /* of taking the last replica of an unused model */
+#define LAST_USED 0.6     /* the same for each request a second it is asked */
+#define WAITING_GAIN 0.25 /* requests a second that one waiting is worth */
+#define MIN_GAIN 0.05     /* requests a second that are worth an order */
+#define MIN_GAIN_STORE 0.15 /* the same for a load from the weight store */
+#define LOSS_MS 4000.       /* what a loss as large as the gain weighs */
 #define BUSY_MS 12u /* what each request in flight adds to a load's cost */
 #define NO_ENGINE SIZE_MAX
 #define NO_MODEL SIZE_MAX
@@ -34,14 +34,17 @@
 	const at_site_service_t *service;
 	const at_engine_state_t *engines;
 	size_t engine_count;
-	uint32_t targets[AT_RESIDENCY_MODELS_MAX];
 	uint32_t replicas[AT_RESIDENCY_MODELS_MAX];
 	at_model_demand_t demand[AT_RESIDENCY_MODELS_MAX];
 	unsigned char taken[AT_RESIDENCY_ENGINES_MAX]; /* has a move */
+	/* The model that room is or was made for, or NO_MODEL. */
+	size_t reserved[AT_RESIDENCY_ENGINES_MAX];
 	at_residency_limits_t limits;
 	at_move_t *moves;
 	size_t move_count;
 	size_t max;
+	/* No engine can take these in this round. */
+	unsigned char unplaced[AT_RESIDENCY_MODELS_MAX];
 } round_t;
 
 static size_t
@@ -56,11 +59,29 @@
 	return NO_MODEL;
 }
 
-/* What the next replica of a model shortens. */
+/*
+ * The part of a load that is served in time by so many replicas: nearly all
+ * of it while they have time to spare, what they can do when they have not.
+ */
+static double
+served_part(double load, uint32_t replicas)
+{
+	double use;
+
+	if (replicas == 0)
+		return 0.;
+	use = load / (replicas * PLACE_LOAD);
+	return 1. / cbrt(1. + use * use * use);
+}
+
+/* Requests a second that a further replica serves in time. */
 static double
-gain_of_next(double load, uint32_t replicas)
+gain_of_next(const at_model_demand_t *d, uint32_t replicas)
 {
-	return load / pow(replicas, RETURNS);
+	double gain = d->requests_per_s * (served_part(d->load, replicas + 1) -
+					      served_part(d->load, replicas));
+
+	return replicas > 0 ? gain : gain + d->waiting * WAITING_GAIN;
 }
 
 static size_t
@@ -81,7 +102,7 @@
 at_residency_targets(const at_site_service_t *service, size_t engines,
     const at_demand_rates_t *demand, uint32_t *targets)
 {
-	double loads[AT_RESIDENCY_MODELS_MAX];
+	at_model_demand_t demands[AT_RESIDENCY_MODELS_MAX];
 	size_t places = places_for_models(service, engines);
 	size_t count = service->model_count < AT_RESIDENCY_MODELS_MAX
 			   ? service->model_count
@@ -89,24 +110,20 @@
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		at_model_demand_t d = at_demand_rates_get(
+		demands[i] = at_demand_rates_get(
 		    demand, service->tag, service->models[i].tag);
-
-		loads[i] = d.load;
-		targets[i] = d.requests_per_s >= ASKED_FOR || d.waiting > 0;
-		if (targets[i] > 0 && places > 0)
-			places--;
+		targets[i] = 0;
 	}
 	while (places > 0) {
 		size_t best = NO_MODEL;
-		double best_gain = 0.;
+		double best_gain = MIN_GAIN;
 
 		for (i = 0; i < count; i++) {
 			double gain;
 
-			if (targets[i] == 0 || targets[i] >= engines)
+			if (targets[i] >= engines)
 				continue;
-			gain = gain_of_next(loads[i], targets[i]);
+			gain = gain_of_next(&demands[i], targets[i]);
 			if (gain <= best_gain)
 				continue;
 			best = i;
@@ -220,7 +237,7 @@
 	const at_model_demand_t *d = &r->demand[model];
 
 	if (replicas > 1)
-		return gain_of_next(d->load, replicas - 1);
+		return gain_of_next(d, replicas - 1);
 	if (d->waiting > 0)
 		return -1.;
 	return LAST_LOSS + d->requests_per_s * LAST_USED;
@@ -264,7 +281,7 @@
 	double loss = 0.;
 
 	if (!engine->usable || engine->busy || r->taken[e] ||
-	    holds(engine, model->tag))
+	    r->reserved[e] != NO_MODEL || holds(engine, model->tag))
 		return 0;
 	spot->engine = e;
 	spot->victim = NO_MODEL;
@@ -279,7 +296,8 @@
 	}
 	/* In milliseconds until it serves there; a loss weighs like time. */
 	spot->cost = load_ms(model, spot->from) +
-		     (double)engine->load.active * BUSY_MS + loss * 4000.;
+		     (double)engine->load.active * BUSY_MS +
+		     loss / gain * LOSS_MS;
 	return 1;
 }
 
@@ -314,7 +332,9 @@
 	if (spot->victim != NO_MODEL) {
 		move->kind = AT_MOVE_UNLOAD;
 		move->model = r->service->models[spot->victim].tag;
+		move->room_for = r->service->models[model].tag;
 		r->replicas[spot->victim]--;
+		r->replicas[model]++;
 		return 1;
 	}
 	move->kind = AT_MOVE_LOAD;
@@ -326,75 +346,104 @@
 	return 1;
 }
 
-/* Places that will be free soon without a further unload. */
-static size_t
-rooms_coming(const round_t *r)
+/* Whether a model is still worth the room that is made for it. */
+static int
+is_wanted(const round_t *r, size_t model)
+{
+	return model != NO_MODEL &&
+	       (r->demand[model].waiting > 0 ||
+		   r->demand[model].requests_per_s >= ASKED_FOR);
+}
+
+/* Room that is being made counts as a replica of the model it is for. */
+static void
+reserve_rooms(round_t *r)
 {
-	const at_site_model_t *any = &r->service->models[0];
-	size_t rooms = 0;
 	size_t e;
 
 	for (e = 0; e < r->engine_count; e++) {
 		const at_engine_state_t *engine = &r->engines[e];
-
-		if (engine->usable && engine->loading == 0 &&
-		    (engine->unloading != 0 || has_room(r, engine, any)))
-			rooms++;
+		size_t model = engine->room_for == 0
+				   ? NO_MODEL
+				   : model_index(r->service, engine->room_for);
+
+		r->reserved[e] = NO_MODEL;
+		if (!engine->usable || !is_wanted(r, model) ||
+		    holds(engine, engine->room_for) ||
+		    (engine->unloading == 0 &&
+			!has_room(r, engine, &r->service->models[model])))
+			continue;
+		r->reserved[e] = model;
+		r->replicas[model]++;
 	}
-	return rooms;
 }
 
+/* Loads what room was made for. */
 static void
-serve_urgent(round_t *r)
+fill_rooms(round_t *r)
 {
-	size_t rooms = rooms_coming(r);
+	size_t e;
+
+	for (e = 0; e < r->engine_count; e++) {
+		const at_engine_state_t *engine = &r->engines[e];
+		size_t model = r->reserved[e];
+		spot_t spot = {.engine = e, .victim = NO_MODEL};
+
+		if (model == NO_MODEL || engine->busy)
+			continue;
+		spot.from =
+		    copy_place(engine->entry, r->service->models[model].tag);
+		if (spot.from == AT_COPY_STORE && r->limits.store_loads == 0)
+			continue;
+		r->replicas[model]--;
+		(void)move_to(r, model, &spot,
+		    r->replicas[model] == 0 && r->demand[model].waiting > 0);
+	}
+}
+
+/* Returns the model whose next replica earns the most, or NO_MODEL. */
+static size_t
+most_wanted(const round_t *r, double *gain)
+{
+	size_t best = NO_MODEL;
 	size_t i;
 
+	*gain = MIN_GAIN;
 	for (i = 0; i < r->service->model_count; i++) {
-		spot_t spot;
+		int urgent = r->replicas[i] == 0 && r->demand[i].waiting > 0;
+		double g;
 
-		if (r->demand[i].waiting == 0 || r->replicas[i] > 0)
+		if (r->unplaced[i] || (!urgent && r->limits.moves == 0))
 			continue;
-		spot = best_spot(r, i, URGENT_GAIN);
-		/* Room that is being made is waited for, not made twice. */
-		if (spot.engine != NO_ENGINE && spot.victim != NO_MODEL &&
-		    rooms > 0) {
-			rooms--;
+		g = gain_of_next(&r->demand[i], r->replicas[i]);
+		if (g <= *gain)
 			continue;
-		}
-		if (spot.victim == NO_MODEL && rooms > 0)
-			rooms--;
-		(void)move_to(r, i, &spot, 1);
+		best = i;
+		*gain = g;
 	}
+	return best;
 }
 
+/*
+ * Gives the next places, and the loads that the weight store allows, to the
+ * models that earn the most by them, whether they are rare or busy.
+ */
 static void
 follow_demand(round_t *r)
 {
-	while (r->limits.moves > 0) {
-		size_t best = NO_MODEL;
-		double best_gain = 0.;
-		spot_t spot;
-		size_t i;
-
-		for (i = 0; i < r->service->model_count; i++) {
-			double gain;
-
-			if (r->replicas[i] == 0 ||
-			    r->replicas[i] >= r->targets[i])
-				continue;
-			gain = gain_of_next(r->demand[i].load, r->replicas[i]);
-			if (gain <= best_gain)
-				continue;
-			best = i;
-			best_gain = gain;
-		}
-		if (best == NO_MODEL || best_gain < MIN_GAIN)
-			return;
-		spot = best_spot(r, best, best_gain);
-		if (!move_to(r, best, &spot, 0))
-			return;
-		r->limits.moves--;
+	double gain;
+	size_t model;
+
+	while (r->move_count < r->max &&
+	       (model = most_wanted(r, &gain)) != NO_MODEL) {
+		int urgent =
+		    r->replicas[model] == 0 && r->demand[model].waiting > 0;
+		spot_t spot = best_spot(r, model, gain);
+
+		if (!move_to(r, model, &spot, urgent))
+			r->unplaced[model] = 1;
+		else if (!urgent)
+			r->limits.moves--;
 	}
 }
 
@@ -421,7 +470,6 @@
     at_move_t *moves, size_t max)
 {
 	static round_t r;
-	size_t usable = 0;
 	size_t i;
 
 	if (service->model_count == 0 ||
@@ -436,14 +484,12 @@
 	r.limits = *limits;
 	r.moves = moves;
 	r.max = max;
-	for (i = 0; i < r.engine_count; i++)
-		usable += (size_t)(engines[i].usable != 0);
 	count_replicas(&r);
 	for (i = 0; i < service->model_count; i++)
 		r.demand[i] = at_demand_rates_get(
 		    demand, service->tag, service->models[i].tag);
-	at_residency_targets(service, usable, demand, r.targets);
-	serve_urgent(&r);
+	reserve_rooms(&r);
+	fill_rooms(&r);
 	follow_demand(&r);
 	return r.move_count;
 }
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -15,7 +15,7 @@
 #define SETTLE_US 400000u    /* after a start, to hear of a holder */
 #define STORE_RATE_PART 0.85 /* of the weight store's rate */
 #define STORE_LOADS_MAX 2.   /* that may begin at once */
-#define MOVES_PER_ROUND 2u   /* that follow demand */
+#define MOVES_PER_ROUND 4u   /* that follow demand */
 #define MOVES_MAX 64u        /* in one round, room for their results */
 #define US_PER_S 1000000.
 
@@ -170,6 +170,7 @@
 	state->usable =
 	    !entry->leaving && at_server_trusted(server, engines->now_us);
 	state->busy = track->state != TRACK_IDLE;
+	state->room_for = track->room_for;
 	if (state->busy && track->adapter.text[0] == '\0') {
 		if (track->load)
 			state->loading = at_tag(track->model.text);
@@ -196,6 +197,7 @@
 	    move->kind == AT_MOVE_LOAD ? "load" : "unload",
 	    at_server_entry(server)->id.text, model->name.text,
 	    at_copy_place_names[move->from], move->urgent, track->accepted);
+	track->room_for = move->room_for;
 	if (move->kind == AT_MOVE_LOAD) {
 		track_send(track, 1, &model->name, NULL);
 		return;
--- a/src/entry/orders_impl.h
+++ b/src/entry/orders_impl.h
@@ -35,6 +35,7 @@
 	at_name_t adapter;      /* empty: the model itself */
 	at_name_t next_adapter; /* to load once a victim has gone */
 	at_name_t next_model;
+	at_tag_t room_for;  /* model that a place was cleared for, or 0 */
 	int knows_accepted; /* the next is known */
 	uint64_t accepted; /* orders that the engine has accepted in its life */
 	at_held_set_t held; /* what it holds after just those */
--- a/src/entry/orders_send.c
+++ b/src/entry/orders_send.c
@@ -46,6 +46,7 @@
 	if (track->born_ms != entry->born_ms) {
 		track->born_ms = entry->born_ms;
 		track->knows_accepted = 0;
+		track->room_for = 0;
 	}
 	if (track->state == TRACK_IDLE && !track->knows_accepted) {
 		track->state = TRACK_UNSURE;
--- a/tests/unit/test_residency.c
+++ b/tests/unit/test_residency.c
@@ -223,6 +223,7 @@
 		if (w.entries[e].tag == w.moves[0].server) {
 			w.engines[e].busy = 1;
 			w.engines[e].unloading = w.moves[0].model;
+			w.engines[e].room_for = w.moves[0].room_for;
 		}
 	}
 	plan(&w, 1, 0);
@@ -230,6 +231,64 @@
 	free_world(&w);
 }
 
+/*
+ * A shift of demand while every rare model is asked for, too: the store's few
+ * loads go to the model whose queue is longest, not to the rare ones first.
+ */
+Test(residency, rare_models_leave_loads_to_a_busy_one)
+{
+	world_t w;
+	unsigned e;
+
+	make_world(&w);
+	for (e = 0; e < ENGINES; e++)
+		hold(&w, e, 1 + e);
+	hold(&w, 0, 0);
+	ask(&w, 0, 60);
+	for (e = 5; e < MODELS; e++)
+		ask(&w, e, 1);
+	settle_demand(&w);
+	for (e = 5; e < MODELS; e++)
+		wait_for(&w, e);
+	plan(&w, 1, 2);
+	cr_assert_eq(w.move_count, 1);
+	cr_assert_eq(w.moves[0].kind, AT_MOVE_LOAD);
+	cr_assert_eq(w.moves[0].model, model_tag(0), "a rare model went first");
+	free_world(&w);
+}
+
+/* Room that was made for a busy model is not taken by a rare one. */
+Test(residency, keeps_room_for_the_model_it_was_made_for)
+{
+	world_t w;
+	unsigned e;
+
+	make_world(&w);
+	for (e = 0; e < ENGINES; e++) {
+		hold(&w, e, 1);
+		hold(&w, e, 2);
+		hold(&w, e, 3);
+	}
+	ask(&w, 0, 60);
+	settle_demand(&w);
+	plan(&w, 1, 1);
+	cr_assert_eq(w.move_count, 1);
+	cr_assert_eq(w.moves[0].kind, AT_MOVE_UNLOAD);
+	cr_assert_eq(w.moves[0].room_for, model_tag(0));
+	for (e = 0; e < ENGINES; e++) {
+		if (w.entries[e].tag == w.moves[0].server) {
+			w.entries[e].held.count--;
+			w.engines[e].room_for = w.moves[0].room_for;
+		}
+	}
+	wait_for(&w, 7);
+	plan(&w, 1, 0);
+	cr_assert_geq(w.move_count, 1);
+	cr_assert_eq(w.moves[0].kind, AT_MOVE_LOAD);
+	cr_assert_eq(w.moves[0].model, model_tag(0));
+	free_world(&w);
+}
+
 Test(residency, begins_no_load_that_the_weight_store_does_not_allow)
 {
 	world_t w;
