Queues: room that many instances see is taken in turns

First events took 1,283 ms in one of ten (217 ms predicted) from 12 s to 16 s; 414 requests were preempted, 837 turned away by engines, which spent the retry budget. Requests whose caller leaves after 2.4 s without an event were kept for up to 7.2 s; 1,157 callers left. A queue for one model held up all others.

Change: engines that are about as good are drawn in proportion to their room. Instances tell what waits for which model; where others wait, too, each sends one request in an interval of its own, and requests that are late yield to those of other instances that are not. A request is refused before its caller would leave. Another data centre's engine must be better by 25 ms, as its load is told late. Models that are rare go by their usual rate over ten seconds.

Ruled out: slow engines (the same ones answer in 40 ms between the crowds).

--- a/include/almondthread/demand_rates.h
+++ b/include/almondthread/demand_rates.h
@@ -23,9 +23,10 @@
 typedef struct at_model_demand {
 	at_tag_t service;
 	at_tag_t model;
-	double requests_per_s;
-	double load;      /* engines that it keeps busy */
-	uint32_t waiting; /* requests that wait now */
+	double requests_per_s; /* over the last seconds */
+	double usual_per_s;    /* the same over some ten seconds */
+	double load;           /* engines that it keeps busy */
+	uint32_t waiting;      /* requests that wait now */
 } at_model_demand_t;
 
 typedef struct at_demand_rates at_demand_rates_t;
--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -24,7 +24,6 @@
 	int leaving;
 	uint64_t fence;    /* of the lease that it holds; 0: it does not */
 	int platform_away; /* it cannot reach the platform */
-	uint32_t waiting;  /* requests that wait there */
 	uint32_t
 	    strength; /* of its machine; shared tasks go to the strongest */
 } at_roster_member_t;
@@ -62,8 +61,6 @@
 uint32_t at_roster_present(const at_roster_t *roster);
 /* Those of them that are heard, this one included. */
 uint32_t at_roster_heard_count(const at_roster_t *roster, uint64_t now_us);
-/* at_roster_waiting() sums the requests that wait at the others heard. */
-uint32_t at_roster_waiting(const at_roster_t *roster, uint64_t now_us);
 /* at_roster_holder() returns who is heard to hold the lease, or NULL. */
 const at_roster_member_t *at_roster_holder(
     const at_roster_t *roster, uint64_t now_us);
--- a/include/almondthread/waiting.h
+++ b/include/almondthread/waiting.h
@@ -8,11 +8,14 @@
  * by the time that it has left and its route's priority. Late ones take what
  * is left over, the more urgent route first. A request is refused when it
  * arrives if those before it will take longer than it can wait; one that was
- * let in is refused as soon as its time to wait is over.
+ * let in is refused as soon as its time to wait is over, before its caller
+ * would leave without an answer. Room that many instances see is taken in
+ * turns (contention.h).
  */
 #ifndef ALMONDTHREAD_WAITING_H
 #define ALMONDTHREAD_WAITING_H
 
+#include "almondthread/contention.h"
 #include "almondthread/fleet.h"
 
 #define AT_WAITING_NEVER UINT64_MAX /* nothing is due */
@@ -34,7 +37,9 @@
 	uint64_t arrived_us;
 	uint64_t objective_us; /* when its first event is due */
 	uint64_t deadline_us;  /* when its caller leaves */
-	uint64_t give_up_us;   /* set by at_waiting_judge() */
+	/* When a caller leaves that has heard nothing until then; 0: never. */
+	uint64_t patience_us;
+	uint64_t give_up_us; /* set by at_waiting_judge() */
 	struct at_waiter *next;
 	struct at_waiter *prev;
 	int linked;
@@ -46,15 +51,20 @@
 	at_fit_t fit;
 	at_choice_t choice;      /* of AT_ARRIVAL_PLACED */
 	uint64_t wait_us;        /* expected until there is room */
-	uint32_t retry_after_ms; /* of AT_ARRIVAL_REFUSED */
+	uint32_t retry_after_ms; /* unless it is placed */
 } at_judgment_t;
 
 typedef struct at_waiting at_waiting_t;
 
-at_waiting_t *at_waiting_new(at_fleet_t *fleet);
+/* at_waiting_new() keeps both, which the caller frees after it. */
+at_waiting_t *at_waiting_new(at_fleet_t *fleet, at_contention_t *contention);
 void at_waiting_delete(at_waiting_t *waiting);
-/* How many requests wait at the other instances, for the same servers. */
-void at_waiting_set_others(at_waiting_t *waiting, uint32_t others);
+/*
+ * at_waiting_report() fills rows with what waits here, by kind, and returns
+ * how many there are.
+ */
+size_t at_waiting_report(const at_waiting_t *waiting, at_queue_row_t *rows,
+    size_t max, uint64_t now_us);
 
 /* at_waiting_judge() looks at a request that arrives or comes back. */
 void at_waiting_judge(at_waiting_t *waiting, at_waiter_t *waiter,
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &report_server__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_queue__init
+                     (ReportQueue         *message)
+{
+  static const ReportQueue init_value = REPORT_QUEUE__INIT;
+  *message = init_value;
+}
+size_t report_queue__get_packed_size
+                     (const ReportQueue *message)
+{
+  assert(message->base.descriptor == &report_queue__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_queue__pack
+                     (const ReportQueue *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_queue__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_queue__pack_to_buffer
+                     (const ReportQueue *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_queue__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportQueue *
+       report_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportQueue *)
+     protobuf_c_message_unpack (&report_queue__descriptor,
+                                allocator, len, data);
+}
+void   report_queue__free_unpacked
+                     (ReportQueue *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_queue__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report__init
                      (Report         *message)
 {
@@ -797,6 +842,96 @@
   (ProtobufCMessageInit) report_server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor report_queue__field_descriptors[5] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportQueue, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportQueue, model),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportQueue, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prompt_tokens",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportQueue, prompt_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pressing",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportQueue, pressing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_queue__field_indices_by_name[] = {
+  1,   /* field[1] = model */
+  4,   /* field[4] = pressing */
+  3,   /* field[3] = prompt_tokens */
+  2,   /* field[2] = requests */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange report_queue__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor report_queue__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportQueue",
+  "ReportQueue",
+  "ReportQueue",
+  "",
+  sizeof(ReportQueue),
+  5,
+  report_queue__field_descriptors,
+  report_queue__field_indices_by_name,
+  1,  report_queue__number_ranges,
+  (ProtobufCMessageInit) report_queue__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor report__field_descriptors[20] =
 {
   {
@@ -1028,13 +1163,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "waiting",
-    20,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Report, waiting),
-    NULL,
+    "queues",
+    21,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_queues),
+    offsetof(Report, queues),
+    &report_queue__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1053,18 +1188,19 @@
   7,   /* field[7] = loads */
   0,   /* field[0] = name */
   14,   /* field[14] = platform_away */
+  19,   /* field[19] = queues */
   13,   /* field[13] = reads */
   4,   /* field[4] = sequence */
   16,   /* field[16] = servers */
   15,   /* field[15] = servers_digest */
   8,   /* field[8] = spending */
   18,   /* field[18] = strength */
-  19,   /* field[19] = waiting */
   10,   /* field[10] = wants */
 };
-static const ProtobufCIntRange report__number_ranges[1 + 1] =
+static const ProtobufCIntRange report__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 21, 19 },
   { 0, 20 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
@@ -1078,7 +1214,7 @@
   20,
   report__field_descriptors,
   report__field_indices_by_name,
-  1,  report__number_ranges,
+  2,  report__number_ranges,
   (ProtobufCMessageInit) report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct ReportWant ReportWant;
 typedef struct ReportAdapter ReportAdapter;
 typedef struct ReportServer ReportServer;
+typedef struct ReportQueue ReportQueue;
 typedef struct Report Report;
 
 
@@ -140,6 +141,32 @@
     , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Requests of one kind that wait at the sender.
+ */
+struct  ReportQueue
+{
+  ProtobufCMessage base;
+  uint64_t service;
+  /*
+   * 0: the service has no models
+   */
+  uint64_t model;
+  uint32_t requests;
+  /*
+   * of all of them
+   */
+  uint32_t prompt_tokens;
+  /*
+   * of them can still meet their objective
+   */
+  uint32_t pressing;
+};
+#define REPORT_QUEUE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_queue__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 struct  Report
 {
   ProtobufCMessage base;
@@ -183,14 +210,12 @@
    * of the sender's machine
    */
   uint32_t strength;
-  /*
-   * requests that wait at the sender
-   */
-  uint32_t waiting;
+  size_t n_queues;
+  ReportQueue **queues;
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
 
 
 /* ReportLoad methods */
@@ -307,6 +332,25 @@
 void   report_server__free_unpacked
                      (ReportServer *message,
                       ProtobufCAllocator *allocator);
+/* ReportQueue methods */
+void   report_queue__init
+                     (ReportQueue         *message);
+size_t report_queue__get_packed_size
+                     (const ReportQueue   *message);
+size_t report_queue__pack
+                     (const ReportQueue   *message,
+                      uint8_t             *out);
+size_t report_queue__pack_to_buffer
+                     (const ReportQueue   *message,
+                      ProtobufCBuffer     *buffer);
+ReportQueue *
+       report_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_queue__free_unpacked
+                     (ReportQueue *message,
+                      ProtobufCAllocator *allocator);
 /* Report methods */
 void   report__init
                      (Report         *message);
@@ -346,6 +390,9 @@
 typedef void (*ReportServer_Closure)
                  (const ReportServer *message,
                   void *closure_data);
+typedef void (*ReportQueue_Closure)
+                 (const ReportQueue *message,
+                  void *closure_data);
 typedef void (*Report_Closure)
                  (const Report *message,
                   void *closure_data);
@@ -361,6 +408,7 @@
 extern const ProtobufCMessageDescriptor report_want__descriptor;
 extern const ProtobufCMessageDescriptor report_adapter__descriptor;
 extern const ProtobufCMessageDescriptor report_server__descriptor;
+extern const ProtobufCMessageDescriptor report_queue__descriptor;
 extern const ProtobufCMessageDescriptor report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -3,18 +3,20 @@
  *
  * Answers the load pattern in which every instance sees a part of the
  * traffic and all of them would otherwise pick the same idle engine: what is
- * in flight is counted over all instances, prompts that are still to be read
- * are bounded for each engine, so that the streams already running there keep
+ * in flight is counted over all instances, engines that are about as good are
+ * drawn in proportion to their room, prompts that are still to be read are
+ * bounded for each engine, so that the streams already running there keep
  * their pace, and requests with time to spare leave room for the others.
  */
 #include <string.h>
 
 #include "core/fleet/fleet_private.h"
 
-#define TOKEN_US 40u    /* a prompt token; 29 are read in a ms, less decoding */
-#define PLACE_US 400u   /* what each running request adds to a step */
-#define FAR_US 3000u    /* to another data centre and back */
-#define PLAIN_US 50000u /* one request of a plain service, until known */
+#define TOKEN_US 40u  /* a prompt token; 29 are read in a ms, less decoding */
+#define PLACE_US 400u /* what each running request adds to a step */
+#define FAR_US 25000u /* loads of another data centre are told late */
+#define FAR_PLAIN_US 3000u    /* to another data centre and back */
+#define PLAIN_US 50000u       /* one request of a plain service, until known */
 #define PREFILL_MAX 6000u     /* prompt tokens waiting at one engine */
 #define PREFILL_RELAXED 3500u /* the same, for requests with time to spare */
 #define PROMPT_USUAL 2500u    /* prompt tokens that count against both bounds */
@@ -22,6 +24,8 @@
 #define KV_FILL_PERCENT 92u   /* of an engine's memory for tokens */
 #define PLAIN_QUEUE 3u        /* requests for each place of a plain service */
 #define TIE_PERCENT 5u        /* predictions this close are equal */
+#define TIE_US 30000u         /* and these: one prompt that is not told yet */
+#define TIE_PLAIN_US 5000u    /* the same at a plain service */
 
 static uint64_t
 next_tie(at_fleet_t *fleet)
@@ -82,71 +86,93 @@
 	return 0;
 }
 
-static int
-has_room(const at_server_t *server, const at_site_service_t *service,
-    const at_work_t *work, uint64_t now_us)
+/* How many prompts fit below a bound; what is there may be over it alone. */
+static uint32_t
+fits_below(uint64_t there, uint64_t each, uint64_t bound)
+{
+	if (there + each > bound)
+		return there == 0;
+	return (uint32_t)((bound - there) / (each == 0 ? 1u : each));
+}
+
+static uint32_t
+least(uint32_t a, uint32_t b)
+{
+	return a < b ? a : b;
+}
+
+/* How many requests like this one a server has room for. */
+static uint32_t
+rooms_at(const at_server_t *server, const at_site_service_t *service,
+    const at_work_t *work, const at_load_t *load)
 {
-	at_load_t load = at_server_load(server, now_us);
 	uint32_t prefill_max = work->relaxed ? PREFILL_RELAXED : PREFILL_MAX;
 	/* A long prompt finds room where a usual one would. */
-	uint32_t prompt = work->prompt_tokens < PROMPT_USUAL
-			      ? work->prompt_tokens
-			      : PROMPT_USUAL;
+	uint32_t prompt = least(work->prompt_tokens, PROMPT_USUAL);
 	uint64_t kv = (uint64_t)work->prompt_tokens + work->output_tokens;
+	uint32_t slots = server->entry.slots;
+	uint32_t rooms;
 
 	/*
 	 * Loads of the others are some hundred milliseconds old, longer than
 	 * most requests of a plain service take: its own queue keeps it busy.
 	 */
 	if (work->model == 0)
-		return load.active < server->entry.slots * PLAIN_QUEUE;
-	if (load.active >= server->entry.slots)
-		return 0;
-	if (load.active == 0)
-		return 1;
-	if (load.prefill_tokens > 0 &&
-	    load.prefill_tokens + prompt > prefill_max)
+		slots *= PLAIN_QUEUE;
+	if (load->active >= slots)
 		return 0;
+	rooms = slots - load->active;
+	if (work->model == 0)
+		return rooms;
+	rooms =
+	    least(rooms, fits_below(load->prefill_tokens, prompt, prefill_max));
 	/* Else every step of the streams there reads a piece of a prompt. */
-	if (load.recent_tokens > 0 && load.recent_tokens + prompt > RECENT_MAX)
-		return 0;
-	return load.kv_tokens + kv <=
-	       service->kv_tokens * KV_FILL_PERCENT / 100u;
+	rooms =
+	    least(rooms, fits_below(load->recent_tokens, prompt, RECENT_MAX));
+	rooms = least(rooms, fits_below(load->kv_tokens, kv,
+				 service->kv_tokens * KV_FILL_PERCENT / 100u));
+	return load->active == 0 && rooms == 0 ? 1u : rooms;
 }
 
 static uint64_t
 predict_us(const at_fleet_t *fleet, const at_server_t *server,
-    const at_work_t *work, uint64_t now_us)
+    const at_work_t *work, const at_load_t *load)
 {
-	at_load_t load = at_server_load(server, now_us);
+	int is_far = server->entry.data_centre != fleet->data_centre;
 	uint64_t us;
 
 	if (work->model == 0)
-		us = PLAIN_US + (uint64_t)load.active * PLAIN_US /
+		us = PLAIN_US + (uint64_t)load->active * PLAIN_US /
 				    (server->entry.slots + 1u);
 	else
-		us = ((uint64_t)load.prefill_tokens + work->prompt_tokens -
+		us = ((uint64_t)load->prefill_tokens + work->prompt_tokens -
 			 kept_tokens(server, work)) *
 			 TOKEN_US +
-		     (uint64_t)load.active * PLACE_US;
+		     (uint64_t)load->active * PLACE_US;
 	us = us * server->trust.slow_milli / 1000u;
-	if (server->entry.data_centre != fleet->data_centre)
-		us += FAR_US;
+	if (is_far)
+		us += work->model == 0 ? FAR_PLAIN_US : FAR_US;
 	return us;
 }
 
-static int
-is_better(at_fleet_t *fleet, uint64_t us, const at_choice_t *best)
+/* Draws among those that are about as good, in proportion to their room. */
+static void
+consider(at_fleet_t *fleet, at_server_t *server, const at_work_t *work,
+    uint64_t us, uint32_t rooms, at_choice_t *best, uint64_t *drawn_from)
 {
-	uint64_t margin = best->predicted_us * TIE_PERCENT / 100u;
-
-	if (best->server == NULL)
-		return 1;
-	if (us + margin < best->predicted_us)
-		return 1;
-	if (us > best->predicted_us + margin)
-		return 0;
-	return (next_tie(fleet) & 1u) == 0;
+	uint64_t margin = best->predicted_us * TIE_PERCENT / 100u +
+			  (work->model == 0 ? TIE_PLAIN_US : TIE_US);
+
+	best->rooms += rooms;
+	if (best->server != NULL && us > best->predicted_us + margin)
+		return;
+	if (best->server == NULL || us + margin < best->predicted_us)
+		*drawn_from = 0;
+	*drawn_from += rooms;
+	if (next_tie(fleet) % *drawn_from >= rooms)
+		return;
+	best->server = server;
+	best->predicted_us = us;
 }
 
 at_fit_t
@@ -157,6 +183,7 @@
 	    fleet->site == NULL ? NULL
 				: at_site_service(fleet->site, work->service);
 	at_server_t *server;
+	uint64_t drawn_from = 0;
 	uint32_t usable = 0;
 
 	memset(choice, 0, sizeof(*choice));
@@ -164,7 +191,8 @@
 		return AT_FIT_NOBODY;
 	for (server = fleet->servers; server != NULL;
 	     server = server->hh.next) {
-		uint64_t us;
+		at_load_t load;
+		uint32_t rooms;
 
 		if (!server->listed || server->entry.leaving ||
 		    server->entry.service != work->service ||
@@ -177,14 +205,14 @@
 		    !at_server_holds(server, work->model, work->adapter))
 			continue;
 		choice->candidates++;
-		if (!trust_allows(&server->trust, now_us, server->own.active) ||
-		    !has_room(server, service, work, now_us))
-			continue;
-		us = predict_us(fleet, server, work, now_us);
-		if (!is_better(fleet, us, choice))
+		if (!trust_allows(&server->trust, now_us, server->own.active))
 			continue;
-		choice->server = server;
-		choice->predicted_us = us;
+		load = at_server_load(server, now_us);
+		rooms = rooms_at(server, service, work, &load);
+		if (rooms > 0)
+			consider(fleet, server, work,
+			    predict_us(fleet, server, work, &load), rooms,
+			    choice, &drawn_from);
 	}
 	if (choice->server != NULL)
 		return AT_FIT_SERVER;
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -151,19 +151,6 @@
 	return count;
 }
 
-uint32_t
-at_roster_waiting(const at_roster_t *roster, uint64_t now_us)
-{
-	const entry_t *entry;
-	uint32_t waiting = 0;
-
-	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
-		if (is_heard(&entry->member, now_us))
-			waiting += entry->member.waiting;
-	}
-	return waiting;
-}
-
 const at_roster_member_t *
 at_roster_holder(const at_roster_t *roster, uint64_t now_us)
 {
--- a/src/core/fleet/waiting.c
+++ b/src/core/fleet/waiting.c
@@ -16,16 +16,19 @@
 #define LOAD_US 1000000u     /* until a model that is asked for is there */
 #define ADAPTER_US 60000u    /* the same for an adapter of a held model */
 #define PRIORITY_US 1500000u /* what a step of priority weighs */
-#define WAIT_PERCENT 60u     /* of the time left that may be waited */
-#define RETRY_MIN_MS 50u     /* sooner is no use */
-#define RETRY_MAX_MS 5000u   /* a caller that waits longer has gone */
-#define FULL_KINDS_MAX 32u   /* kinds of work known to find no room */
+#define WAIT_PERCENT 75u     /* of the time left that may be waited */
+#define LEAVE_MARGIN_US                                                 \
+	150000u            /* a refusal is there before a caller leaves \
+			    */
+#define RETRY_MIN_MS 50u   /* sooner is no use */
+#define RETRY_MAX_MS 5000u /* a caller that waits longer has gone */
+#define FULL_KINDS_MAX 32u /* kinds of work known to find no room */
 
 const char *const at_arrival_names[] = {"placed", "waits", "refused"};
 
 struct at_waiting {
 	at_fleet_t *fleet;
-	uint32_t others;   /* requests that wait at other instances */
+	at_contention_t *contention;
 	at_waiter_t *head; /* by rank */
 	at_waiter_t *tail;
 	size_t count;
@@ -38,13 +41,14 @@
 } full_kinds_t;
 
 at_waiting_t *
-at_waiting_new(at_fleet_t *fleet)
+at_waiting_new(at_fleet_t *fleet, at_contention_t *contention)
 {
 	at_waiting_t *waiting = calloc(1, sizeof(*waiting));
 
 	if (waiting == NULL)
 		return NULL;
 	waiting->fleet = fleet;
+	waiting->contention = contention;
 	return waiting;
 }
 
@@ -54,12 +58,6 @@
 	free(waiting);
 }
 
-void
-at_waiting_set_others(at_waiting_t *waiting, uint32_t others)
-{
-	waiting->others = others;
-}
-
 static uint64_t
 rank(const at_waiter_t *waiter)
 {
@@ -79,29 +77,60 @@
 	       a->adapter == b->adapter;
 }
 
-/* What the requests before this one still need, in microseconds. */
+static at_work_kind_t
+kind_of(const at_work_t *work)
+{
+	const at_work_kind_t kind = {work->service, work->model};
+
+	return kind;
+}
+
 static uint64_t
-wait_before(
-    const at_waiting_t *waiting, const at_waiter_t *waiter, uint32_t candidates)
+need_us(const at_work_kind_t *kind, uint32_t requests, uint64_t prompt_tokens)
+{
+	if (kind->model == 0)
+		return (uint64_t)requests * PLAIN_FREE_US;
+	return prompt_tokens * TOKEN_US + (uint64_t)requests * PLACE_FREE_US;
+}
+
+/* What waits here for the same; ahead: only what goes before this one. */
+static at_queue_row_t
+own_queue(const at_waiting_t *waiting, const at_waiter_t *waiter, int ahead)
 {
-	uint64_t need_us = 0;
+	at_queue_row_t row = {.kind = kind_of(&waiter->work)};
 	const at_waiter_t *other;
 
 	for (other = waiting->head; other != NULL; other = other->next) {
-		if (other == waiter || rank(other) > rank(waiter) ||
+		if (other == waiter ||
 		    other->work.service != waiter->work.service ||
-		    other->work.model != waiter->work.model)
+		    other->work.model != waiter->work.model ||
+		    (ahead && rank(other) > rank(waiter)))
 			continue;
-		if (waiter->work.model == 0)
-			need_us += PLAIN_FREE_US;
-		else
-			need_us += other->work.prompt_tokens * TOKEN_US +
-				   PLACE_FREE_US;
+		row.requests++;
+		row.prompt_tokens += other->work.prompt_tokens;
 	}
-	need_us += waiter->work.model == 0 ? PLAIN_FREE_US : PLACE_FREE_US;
-	/* The others' requests are taken to be like these. */
-	need_us += need_us * waiting->others / (waiting->count + 1u);
-	return candidates == 0 ? need_us : need_us / candidates;
+	return row;
+}
+
+/*
+ * What the requests before this one still need, in microseconds. Of those at
+ * other instances as large a part goes before it as of those here.
+ */
+static uint64_t
+wait_before(
+    const at_waiting_t *waiting, const at_waiter_t *waiter, uint32_t candidates)
+{
+	at_queue_row_t all = own_queue(waiting, waiter, 0);
+	at_queue_row_t ahead = own_queue(waiting, waiter, 1);
+	at_queue_sum_t others =
+	    at_contention_others(waiting->contention, &all.kind);
+	uint64_t us =
+	    need_us(&all.kind, others.requests, others.prompt_tokens) *
+	    (ahead.requests + 1u) / (all.requests + 2u);
+
+	us += need_us(&all.kind, ahead.requests, ahead.prompt_tokens);
+	us += all.kind.model == 0 ? PLAIN_FREE_US : PLACE_FREE_US;
+	return candidates == 0 ? us : us / candidates;
 }
 
 static uint32_t
@@ -116,32 +145,85 @@
 	return ms > RETRY_MAX_MS ? RETRY_MAX_MS : (uint32_t)ms;
 }
 
+/* How long it may wait here, so that an answer still finds its caller. */
+static uint64_t
+may_wait_us(const at_waiter_t *waiter, uint64_t now_us)
+{
+	uint64_t own_us = (uint64_t)waiter->work.prompt_tokens * TOKEN_US;
+	uint64_t left_us =
+	    waiter->deadline_us > now_us ? waiter->deadline_us - now_us : 0;
+	uint64_t may_us = left_us * WAIT_PERCENT / 100u;
+	uint64_t margin_us = own_us;
+
+	if (waiter->patience_us != 0 &&
+	    waiter->patience_us < waiter->deadline_us) {
+		left_us = waiter->patience_us > now_us
+			      ? waiter->patience_us - now_us
+			      : 0;
+		margin_us += LEAVE_MARGIN_US;
+	}
+	if (left_us <= margin_us)
+		return 0;
+	return may_us < left_us - margin_us ? may_us : left_us - margin_us;
+}
+
+static at_seeker_t
+seeker_of(const at_waiting_t *waiting, const at_waiter_t *waiter,
+    const at_choice_t *choice, uint64_t now_us)
+{
+	const at_seeker_t seeker = {.kind = kind_of(&waiter->work),
+	    .pressing = !is_late(waiter, now_us),
+	    .rooms = choice->rooms,
+	    .own = own_queue(waiting, waiter, 0).requests + 1u};
+
+	return seeker;
+}
+
+/* Room that others wait for, too, is taken in turns. */
+static int
+may_go(at_waiting_t *waiting, const at_waiter_t *waiter,
+    const at_choice_t *choice, uint64_t now_us)
+{
+	at_seeker_t seeker = seeker_of(waiting, waiter, choice, now_us);
+
+	/* A plain service's request is over before its load is told. */
+	return waiter->work.model == 0 ||
+	       at_contention_may_go(waiting->contention, &seeker, now_us);
+}
+
+static void
+went(at_waiting_t *waiting, const at_waiter_t *waiter,
+    const at_choice_t *choice, uint64_t now_us)
+{
+	at_seeker_t seeker = seeker_of(waiting, waiter, choice, now_us);
+
+	if (waiter->work.model != 0)
+		at_contention_went(waiting->contention, &seeker, now_us);
+}
+
 void
 at_waiting_judge(at_waiting_t *waiting, at_waiter_t *waiter, uint64_t now_us,
     at_judgment_t *j)
 {
-	uint64_t left_us =
-	    waiter->deadline_us > now_us ? waiter->deadline_us - now_us : 0;
-	uint64_t may_wait_us = left_us * WAIT_PERCENT / 100u;
-	uint64_t own_us = (uint64_t)waiter->work.prompt_tokens * TOKEN_US;
+	uint64_t may_us = may_wait_us(waiter, now_us);
 
 	memset(j, 0, sizeof(*j));
-	waiter->give_up_us = now_us + may_wait_us;
+	waiter->give_up_us = now_us + may_us;
 	j->fit =
 	    at_fleet_choose(waiting->fleet, &waiter->work, now_us, &j->choice);
-	if (j->fit == AT_FIT_SERVER) {
+	if (j->fit == AT_FIT_SERVER &&
+	    may_go(waiting, waiter, &j->choice, now_us)) {
+		went(waiting, waiter, &j->choice, now_us);
 		j->arrival = AT_ARRIVAL_PLACED;
 		return;
 	}
 	j->wait_us = wait_before(waiting, waiter, j->choice.candidates);
 	if (j->fit == AT_FIT_ABSENT)
 		j->wait_us += j->choice.holders > 0 ? ADAPTER_US : LOAD_US;
-	if (j->fit != AT_FIT_NOBODY && j->wait_us + own_us <= may_wait_us) {
-		j->arrival = AT_ARRIVAL_WAITS;
-		return;
-	}
-	j->arrival = AT_ARRIVAL_REFUSED;
 	j->retry_after_ms = retry_after_ms(waiter, j->wait_us);
+	j->arrival = j->fit != AT_FIT_NOBODY && j->wait_us <= may_us
+			 ? AT_ARRIVAL_WAITS
+			 : AT_ARRIVAL_REFUSED;
 }
 
 void
@@ -206,7 +288,8 @@
 		    is_full(full, &waiter->work))
 			continue;
 		if (at_fleet_choose(waiting->fleet, &waiter->work, now_us,
-			choice) == AT_FIT_SERVER)
+			choice) == AT_FIT_SERVER &&
+		    may_go(waiting, waiter, choice, now_us))
 			return waiter;
 		if (full->count < FULL_KINDS_MAX)
 			full->works[full->count++] = &waiter->work;
@@ -225,8 +308,10 @@
 	waiter = first_that_fits(waiting, 0, &full, now_us, choice);
 	if (waiter == NULL)
 		waiter = first_that_fits(waiting, 1, &full, now_us, choice);
-	if (waiter != NULL)
-		at_waiting_remove(waiting, waiter);
+	if (waiter == NULL)
+		return NULL;
+	went(waiting, waiter, choice, now_us);
+	at_waiting_remove(waiting, waiter);
 	return waiter;
 }
 
@@ -263,6 +348,43 @@
 	return due_us;
 }
 
+static at_queue_row_t *
+row_of(at_queue_row_t *rows, size_t *count, size_t max, const at_work_t *work)
+{
+	size_t i;
+
+	for (i = 0; i < *count; i++) {
+		if (rows[i].kind.service == work->service &&
+		    rows[i].kind.model == work->model)
+			return &rows[i];
+	}
+	if (*count == max)
+		return NULL;
+	memset(&rows[i], 0, sizeof(rows[i]));
+	rows[i].kind = kind_of(work);
+	(*count)++;
+	return &rows[i];
+}
+
+size_t
+at_waiting_report(const at_waiting_t *waiting, at_queue_row_t *rows, size_t max,
+    uint64_t now_us)
+{
+	const at_waiter_t *waiter;
+	size_t count = 0;
+
+	for (waiter = waiting->head; waiter != NULL; waiter = waiter->next) {
+		at_queue_row_t *row = row_of(rows, &count, max, &waiter->work);
+
+		if (row == NULL)
+			continue;
+		row->requests++;
+		row->pressing += (uint32_t)!is_late(waiter, now_us);
+		row->prompt_tokens += waiter->work.prompt_tokens;
+	}
+	return count;
+}
+
 size_t
 at_waiting_count(const at_waiting_t *waiting)
 {
--- a/src/core/placement/demand_rates.c
+++ b/src/core/placement/demand_rates.c
@@ -8,6 +8,7 @@
 
 #define US_PER_S 1000000.
 #define FOLLOW_S 1.8        /* time constant of the rates */
+#define USUAL_S 8.          /* the same of the usual rate: two loads' time */
 #define PROMPT_TOKEN_US 34u /* a prompt token of an idle engine, 29 in a ms */
 #define STEP_US 5600u       /* one step of a batch, a token for each place */
 #define PLACE_US 20u        /* what each place adds to it */
@@ -26,6 +27,7 @@
 	uint64_t new_requests; /* of all instances, since the last tick */
 	uint64_t new_engine_us;
 	double requests_per_s;
+	double usual_per_s;
 	double load;
 	uint32_t others_waiting;
 	UT_hash_handle hh;
@@ -255,6 +257,7 @@
 {
 	double passed_s = (double)(now_us - rates->ticked_us) / US_PER_S;
 	double part;
+	double usual_part;
 	model_entry_t *entry;
 
 	if (rates->ticked_us == 0 || passed_s <= 0) {
@@ -262,6 +265,7 @@
 		return;
 	}
 	part = 1. - exp(-passed_s / FOLLOW_S);
+	usual_part = 1. - exp(-passed_s / USUAL_S);
 	rates->ticked_us = now_us;
 	for (entry = rates->models; entry != NULL; entry = entry->hh.next) {
 		double requests = (double)entry->new_requests / passed_s;
@@ -270,6 +274,8 @@
 
 		entry->requests_per_s +=
 		    (requests - entry->requests_per_s) * part;
+		entry->usual_per_s +=
+		    (requests - entry->usual_per_s) * usual_part;
 		entry->load += (load - entry->load) * part;
 		entry->new_requests = 0;
 		entry->new_engine_us = 0;
@@ -287,6 +293,7 @@
 	if (entry == NULL)
 		return demand;
 	demand.requests_per_s = entry->requests_per_s;
+	demand.usual_per_s = entry->usual_per_s;
 	demand.load = entry->load;
 	demand.waiting = entry->own_waiting + entry->others_waiting;
 	return demand;
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -249,6 +249,10 @@
 	}
 	if (action->attempt > 0)
 		at_counters_retry(entry->counters, action->reason);
+	if (call->patience_us != 0)
+		call->waiter.patience_us =
+		    (call->answered ? call->last_event_us : call->started_us) +
+		    call->patience_us;
 	at_waiting_judge(entry->waiting, &call->waiter, now_us, &judgment);
 	if (judgment.arrival == AT_ARRIVAL_PLACED) {
 		leg_start(call, action->attempt, &judgment.choice);
@@ -404,10 +408,17 @@
 	while ((waiter = at_waiting_expired(
 		    entry->waiting, at_clock_now_us())) != NULL) {
 		at_call_t *call = call_of(waiter);
+		at_judgment_t judgment;
 
 		call->waited_us = at_clock_now_us() - call->started_us;
-		at_attempts_unplaced(call->machine, call->placing,
-		    AT_REASON_OVERLOAD, at_clock_now_ms());
+		at_waiting_judge(
+		    entry->waiting, waiter, at_clock_now_us(), &judgment);
+		call->refusal_retry_ms = judgment.retry_after_ms;
+		if (judgment.arrival == AT_ARRIVAL_PLACED)
+			leg_start(call, call->placing, &judgment.choice);
+		else
+			at_attempts_unplaced(call->machine, call->placing,
+			    AT_REASON_OVERLOAD, at_clock_now_ms());
 		call_pump(call);
 	}
 }
--- a/src/entry/call_admit.c
+++ b/src/entry/call_admit.c
@@ -21,6 +21,9 @@
 #define SAFE_ANSWER_MS 900u      /* a server's answer to a safe request */
 #define OUTPUT_GUESS_PERCENT 60u /* of the most, without a caller's guess */
 #define RELAXED_MS 1500u         /* objectives from here on leave room */
+#define PATIENCE_MIN_MS 2000u    /* a caller of a stream leaves after it, */
+#define PATIENCE_OBJECTIVES 4u   /* or so many objectives, */
+#define PATIENCE_PAUSES 8u       /* or so many pauses, if that is longer */
 #define NO_CONFIG_RETRY_MS 500u  /* two lists of the store and a parse */
 #define STOPPING_RETRY_MS 10u    /* another instance can take it at once */
 
@@ -80,6 +83,21 @@
 	work->prefix_count = head->prefix_count;
 }
 
+/* How long the caller of a stream waits for the next event. */
+static uint64_t
+patience_us(const at_site_route_t *route)
+{
+	uint32_t ms = PATIENCE_MIN_MS;
+
+	if (route->type != AT_ROUTE_STREAM)
+		return 0;
+	if (ms < route->objective_ms * PATIENCE_OBJECTIVES)
+		ms = route->objective_ms * PATIENCE_OBJECTIVES;
+	if (ms < route->pause_ms * PATIENCE_PAUSES)
+		ms = route->pause_ms * PATIENCE_PAUSES;
+	return (uint64_t)ms * US_PER_MS;
+}
+
 static void
 fill_waiter(at_call_t *call, const at_call_head_t *head)
 {
@@ -98,6 +116,7 @@
 	waiter->objective_us =
 	    call->started_us + call->route->objective_ms * US_PER_MS;
 	waiter->deadline_us = call->started_us + (uint64_t)limit_ms * US_PER_MS;
+	call->patience_us = patience_us(call->route);
 	fill_work(call, head);
 }
 
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -71,6 +71,8 @@
 	uint64_t last_event_us; /* when the last one did */
 	uint64_t pause_us;      /* longest time between two events */
 	uint64_t waited_us;
+	uint64_t
+	    patience_us; /* its caller leaves after such a silence; 0: no */
 	uint32_t refusal_retry_ms; /* when to come back, as it was judged */
 	ev_timer timer;
 	uint64_t timer_due_ms;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -104,15 +104,17 @@
 		return -1;
 	entry->store = at_wire_store_port(entry->wire_store);
 	at_wire_store_set_counters(entry->wire_store, entry->counters);
-	entry->waiting = at_waiting_new(entry->fleet);
+	entry->contention = at_contention_new(at_rng_next(&entry->rng));
+	entry->waiting = at_waiting_new(entry->fleet, entry->contention);
 	entry->sync = at_sync_new(entry);
 	entry->join = at_join_new(entry);
 	entry->gossip = at_gossip_new(entry);
 	entry->orders = at_orders_io_new(entry);
 	entry->ready = at_ready_new(entry);
-	return entry->waiting == NULL || entry->sync == NULL ||
-		       entry->join == NULL || entry->gossip == NULL ||
-		       entry->orders == NULL || entry->ready == NULL
+	return entry->waiting == NULL || entry->contention == NULL ||
+		       entry->sync == NULL || entry->join == NULL ||
+		       entry->gossip == NULL || entry->orders == NULL ||
+		       entry->ready == NULL
 		   ? -1
 		   : 0;
 }
@@ -311,6 +313,7 @@
 	at_wire_store_delete(entry->wire_store);
 	at_httpc_delete(entry->httpc);
 	at_waiting_delete(entry->waiting);
+	at_contention_delete(entry->contention);
 	at_roster_delete(entry->roster);
 	at_retry_budgets_delete(entry->retries);
 	at_quota_delete(entry->quota);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -79,6 +79,7 @@
 	at_store_t store;
 	at_site_t *site; /* NULL until the first configuration */
 	at_fleet_t *fleet;
+	at_contention_t *contention;
 	at_waiting_t *waiting;
 	at_quota_t *quota;
 	at_retry_budgets_t *retries;
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -20,7 +20,8 @@
 #define SOON_S 0.004       /* a report that is asked for */
 #define SERVERS_S 0.002    /* changes that come together go together */
 #define LOOK_EVERY 8u      /* rounds between two looks at the config */
-#define LOADS_FORGET_US 1500000u /* loads of an instance that is silent */
+#define LOADS_FORGET_US 1500000u  /* loads of an instance that is silent */
+#define QUEUES_FORGET_US 1000000u /* the same for what waits there */
 
 at_gossip_t *
 at_gossip_new(at_entry_t *entry)
@@ -167,8 +168,7 @@
 	at_roster_expire(entry->roster, now_us, on_gone, gossip);
 	at_fleet_forget(entry->fleet, now_us, LOADS_FORGET_US);
 	at_quota_set_instances(entry->quota, present, heard, now_us);
-	at_waiting_set_others(
-	    entry->waiting, at_roster_waiting(entry->roster, now_us));
+	at_contention_forget(entry->contention, now_us, QUEUES_FORGET_US);
 	at_retry_budgets_set_instances(entry->retries, present);
 }
 
--- a/src/entry/report_pack.c
+++ b/src/entry/report_pack.c
@@ -17,6 +17,9 @@
 	at_spending_t spending_rows[SPENDING_MAX];
 	ReportSpending spending[SPENDING_MAX];
 	ReportSpending *spending_list[SPENDING_MAX];
+	at_queue_row_t queue_rows[AT_QUEUE_ROWS_MAX];
+	ReportQueue queues[AT_QUEUE_ROWS_MAX];
+	ReportQueue *queue_list[AT_QUEUE_ROWS_MAX];
 	ReportServer servers[SERVERS_MAX];
 	ReportServer *server_list[SERVERS_MAX];
 } parts_t;
@@ -71,6 +74,29 @@
 	report->spending = parts->spending_list;
 }
 
+static void
+fill_queues(const at_entry_t *entry, parts_t *parts, Report *report)
+{
+	size_t count = at_waiting_report(entry->waiting, parts->queue_rows,
+	    AT_QUEUE_ROWS_MAX, at_clock_now_us());
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		const at_queue_row_t *row = &parts->queue_rows[i];
+		ReportQueue *queue = &parts->queues[i];
+
+		report_queue__init(queue);
+		queue->service = row->kind.service;
+		queue->model = row->kind.model;
+		queue->requests = row->requests;
+		queue->pressing = row->pressing;
+		queue->prompt_tokens = row->prompt_tokens;
+		parts->queue_list[i] = queue;
+	}
+	report->n_queues = count;
+	report->queues = parts->queue_list;
+}
+
 static void
 fill_servers(const at_gossip_t *gossip, parts_t *parts, Report *report)
 {
@@ -109,7 +135,6 @@
 	if (report->reads)
 		report->servers_digest = at_sync_digest(entry->sync);
 	report->strength = entry->strength;
-	report->waiting = (uint32_t)at_waiting_count(entry->waiting);
 	report->fence = at_orders_io_fence(entry->orders);
 }
 
@@ -126,6 +151,7 @@
 		fill_servers(gossip, &parts, &report);
 	} else {
 		fill_loads(entry, &parts, &report);
+		fill_queues(entry, &parts, &report);
 		fill_spending(entry, &parts, &report);
 		at_orders_io_fill_news(entry->orders, &report);
 	}
--- a/src/entry/report_take.c
+++ b/src/entry/report_take.c
@@ -65,6 +65,26 @@
 		at_sync_compare(entry->sync, report->servers_digest);
 }
 
+static void
+take_queues(
+    at_entry_t *entry, at_tag_t instance, const Report *report, uint64_t now_us)
+{
+	at_queue_row_t rows[AT_QUEUE_ROWS_MAX];
+	size_t count = 0;
+
+	while (count < report->n_queues && count < AT_QUEUE_ROWS_MAX) {
+		const ReportQueue *queue = report->queues[count];
+
+		rows[count].kind.service = queue->service;
+		rows[count].kind.model = queue->model;
+		rows[count].requests = queue->requests;
+		rows[count].pressing = queue->pressing;
+		rows[count].prompt_tokens = queue->prompt_tokens;
+		count++;
+	}
+	at_contention_heard(entry->contention, instance, rows, count, now_us);
+}
+
 static void
 take_report(at_gossip_t *gossip, const Report *report)
 {
@@ -88,8 +108,6 @@
 		return;
 	member->platform_away = report->platform_away;
 	member->strength = report->strength;
-	if (report->has_loads)
-		member->waiting = report->waiting;
 	if (member->data_centre == entry->data_centre)
 		take_servers(entry, report);
 	if (report->config_version >
@@ -98,6 +116,8 @@
 	if (report->has_loads)
 		take_loads(entry, member->tag,
 		    member->data_centre == entry->data_centre, report, now_us);
+	if (report->has_loads)
+		take_queues(entry, member->tag, report, now_us);
 	take_spending(entry, member->tag, report, now_us);
 	at_orders_io_take_report(entry->orders, member, report);
 }
--- a/tests/unit/test_residency.c
+++ b/tests/unit/test_residency.c
@@ -289,6 +289,38 @@
 	free_world(&w);
 }
 
+/*
+ * A rare model that has just come for a request is not the next to go: one
+ * that nobody has asked for is.
+ */
+Test(residency, keeps_a_rare_model_that_was_just_loaded)
+{
+	const at_work_t once = {.service = at_tag("llm"),
+	    .model = model_tag(3),
+	    .prompt_tokens = 800,
+	    .output_tokens = 300};
+	world_t w;
+	unsigned e;
+
+	make_world(&w);
+	for (e = 0; e < ENGINES; e++) {
+		hold(&w, e, 0);
+		hold(&w, e, 1);
+		hold(&w, e, e < 2 ? 3 + e : 0);
+	}
+	at_demand_rates_tick(w.demand, US_PER_S);
+	at_demand_rates_note(w.demand, &once, 64, US_PER_S);
+	/* Its load from the weight store takes 4.2 s. */
+	at_demand_rates_tick(w.demand, 2u * US_PER_S);
+	at_demand_rates_tick(w.demand, 5200000u);
+	wait_for(&w, 7);
+	plan(&w, 1, 2);
+	cr_assert_geq(w.move_count, 1);
+	cr_assert_eq(w.moves[0].kind, AT_MOVE_UNLOAD);
+	cr_assert_neq(w.moves[0].model, model_tag(3), "it had just come");
+	free_world(&w);
+}
+
 Test(residency, begins_no_load_that_the_weight_store_does_not_allow)
 {
 	world_t w;
--- a/tests/unit/test_waiting.c
+++ b/tests/unit/test_waiting.c
@@ -35,6 +35,22 @@
 	return fleet;
 }
 
+static at_contention_t *contention;
+
+static at_waiting_t *
+make_waiting(at_fleet_t *fleet)
+{
+	contention = at_contention_new(1);
+	return at_waiting_new(fleet, contention);
+}
+
+static void
+free_waiting(at_waiting_t *waiting)
+{
+	at_waiting_delete(waiting);
+	at_contention_delete(contention);
+}
+
 static at_waiter_t
 make_waiter(uint64_t objective_ms, uint64_t deadline_ms, uint32_t priority)
 {
@@ -85,7 +101,7 @@
 
 	for (i = 0; i < sizeof(orders) / sizeof(orders[0]); i++) {
 		at_fleet_t *fleet = make_fleet(1);
-		at_waiting_t *waiting = at_waiting_new(fleet);
+		at_waiting_t *waiting = make_waiting(fleet);
 		at_waiter_t w[2];
 		at_choice_t choice;
 		int k;
@@ -100,7 +116,7 @@
 		empty(fleet);
 		cr_assert_eq(at_waiting_next(waiting, 1000 * MS, &choice),
 		    &w[orders[i].first], "%s", orders[i].name);
-		at_waiting_delete(waiting);
+		free_waiting(waiting);
 		at_fleet_delete(fleet);
 	}
 }
@@ -127,7 +143,7 @@
 
 	for (i = 0; i < sizeof(arrivals) / sizeof(arrivals[0]); i++) {
 		at_fleet_t *fleet = make_fleet(arrivals[i].with_engine);
-		at_waiting_t *waiting = at_waiting_new(fleet);
+		at_waiting_t *waiting = make_waiting(fleet);
 		at_waiter_t waiter =
 		    make_waiter(400, arrivals[i].deadline_ms, 0);
 		at_judgment_t judgment;
@@ -144,7 +160,7 @@
 		    arrivals[i].name, at_arrival_names[judgment.arrival]);
 		if (judgment.arrival == AT_ARRIVAL_REFUSED)
 			cr_assert_gt(judgment.retry_after_ms, 0);
-		at_waiting_delete(waiting);
+		free_waiting(waiting);
 		at_fleet_delete(fleet);
 	}
 }
@@ -152,7 +168,7 @@
 Test(waiting, gives_up_in_time_to_try_elsewhere)
 {
 	at_fleet_t *fleet = make_fleet(1);
-	at_waiting_t *waiting = at_waiting_new(fleet);
+	at_waiting_t *waiting = make_waiting(fleet);
 	at_waiter_t waiter = make_waiter(400, 10000, 0);
 	at_judgment_t judgment;
 
@@ -164,6 +180,53 @@
 	cr_assert_eq(
 	    at_waiting_expired(waiting, at_waiting_due_us(waiting)), &waiter);
 	cr_assert_eq(at_waiting_count(waiting), 0);
-	at_waiting_delete(waiting);
+	free_waiting(waiting);
+	at_fleet_delete(fleet);
+}
+
+/* A caller without a single event leaves long before its deadline. */
+Test(waiting, gives_up_before_the_caller_leaves)
+{
+	at_fleet_t *fleet = make_fleet(1);
+	at_waiting_t *waiting = make_waiting(fleet);
+	at_waiter_t waiter = make_waiter(400, 12000, 0);
+	at_judgment_t judgment;
+
+	waiter.patience_us = 2400 * MS;
+	fill(fleet);
+	at_waiting_judge(waiting, &waiter, 0, &judgment);
+	cr_assert_eq(judgment.arrival, AT_ARRIVAL_WAITS);
+	at_waiting_add(waiting, &waiter);
+	cr_assert_lt(at_waiting_due_us(waiting), 2400 * MS);
+	cr_assert_gt(at_waiting_due_us(waiting), 1500 * MS);
+	at_waiting_remove(waiting, &waiter);
+	free_waiting(waiting);
 	at_fleet_delete(fleet);
 }
+
+/* What waits elsewhere for another model holds nobody up. */
+Test(waiting, counts_only_queues_for_the_same_model)
+{
+	const struct {
+		const char *model;
+		at_arrival_t arrival;
+	} rows[] = {{"other", AT_ARRIVAL_WAITS}, {"m", AT_ARRIVAL_REFUSED}};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		at_fleet_t *fleet = make_fleet(1);
+		at_waiting_t *waiting = make_waiting(fleet);
+		at_waiter_t waiter = make_waiter(400, 3000, 0);
+		const at_queue_row_t queue = {
+		    {at_tag("llm"), at_tag(rows[i].model)}, 100, 100, 80000};
+		at_judgment_t judgment;
+
+		fill(fleet);
+		at_contention_heard(contention, at_tag("peer"), &queue, 1, 0);
+		at_waiting_judge(waiting, &waiter, 0, &judgment);
+		cr_assert_eq(judgment.arrival, rows[i].arrival, "%s: %s",
+		    rows[i].model, at_arrival_names[judgment.arrival]);
+		free_waiting(waiting);
+		at_fleet_delete(fleet);
+	}
+}
