Notes: a model on its way out is not asked for until it is gone

An engine ends its streams first and shows the model until then; the note that it goes stood for 3 s, then the list was believed again. Queued notes may be sent once only.

Change: a note that a model goes stands for 12 s, the longest streams; one that it has come, for 3 s as before, replaces it. Engines to which much was sent lately cost more, so that streams there pause less.

test_fleet: asks_nothing_of_a_model_on_its_way_out.

--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -21,6 +21,9 @@
 #define PREFILL_RELAXED 3500u /* the same, for requests with time to spare */
 #define PROMPT_USUAL 2500u    /* prompt tokens that count against both bounds */
 #define RECENT_MAX 7000u      /* prompt tokens sent lately to one engine */
+#define RECENT_US 15u         /* what each of them costs the streams there */
+#define PAUSE_TOKENS 6000u    /* read at once, an event is 300 ms late */
+#define PAUSE_US 8000u        /* what that costs for each stream there */
 #define KV_FILL_PERCENT 92u   /* of an engine's memory for tokens */
 #define PLAIN_QUEUE 3u        /* requests for each place of a plain service */
 #define TIE_PERCENT 5u        /* predictions this close are equal */
@@ -155,24 +158,56 @@
 	return us;
 }
 
+/*
+ * What a request costs at a server: its own time, and that of the streams
+ * running there, which stand still for too long if much was sent there lately.
+ */
+static uint64_t
+cost_us(const at_work_t *work, const at_load_t *load, uint64_t predicted)
+{
+	uint64_t recent = (uint64_t)load->recent_tokens + work->prompt_tokens;
+
+	if (work->model == 0)
+		return predicted;
+	if (recent > PAUSE_TOKENS)
+		predicted += (uint64_t)load->active * PAUSE_US;
+	return predicted + load->recent_tokens * RECENT_US;
+}
+
+/* One server that has room, as it is considered. */
+typedef struct spot {
+	at_server_t *server;
+	uint64_t predicted_us;
+	uint64_t cost_us;
+	uint32_t rooms;
+} spot_t;
+
+/* The best ones so far. */
+typedef struct draw {
+	uint64_t cost_us;
+	uint64_t rooms; /* of those that one was drawn from */
+} draw_t;
+
 /* Draws among those that are about as good, in proportion to their room. */
 static void
-consider(at_fleet_t *fleet, at_server_t *server, const at_work_t *work,
-    uint64_t us, uint32_t rooms, at_choice_t *best, uint64_t *drawn_from)
+consider(at_fleet_t *fleet, const at_work_t *work, const spot_t *spot,
+    at_choice_t *best, draw_t *draw)
 {
-	uint64_t margin = best->predicted_us * TIE_PERCENT / 100u +
+	uint64_t margin = draw->cost_us * TIE_PERCENT / 100u +
 			  (work->model == 0 ? TIE_PLAIN_US : TIE_US);
 
-	best->rooms += rooms;
-	if (best->server != NULL && us > best->predicted_us + margin)
+	best->rooms += spot->rooms;
+	if (best->server != NULL && spot->cost_us > draw->cost_us + margin)
 		return;
-	if (best->server == NULL || us + margin < best->predicted_us)
-		*drawn_from = 0;
-	*drawn_from += rooms;
-	if (next_tie(fleet) % *drawn_from >= rooms)
+	if (best->server == NULL || spot->cost_us + margin < draw->cost_us)
+		draw->rooms = 0;
+	if (draw->rooms == 0 || spot->cost_us < draw->cost_us)
+		draw->cost_us = spot->cost_us;
+	draw->rooms += spot->rooms;
+	if (next_tie(fleet) % draw->rooms >= spot->rooms)
 		return;
-	best->server = server;
-	best->predicted_us = us;
+	best->server = spot->server;
+	best->predicted_us = spot->predicted_us;
 }
 
 at_fit_t
@@ -183,7 +218,7 @@
 	    fleet->site == NULL ? NULL
 				: at_site_service(fleet->site, work->service);
 	at_server_t *server;
-	uint64_t drawn_from = 0;
+	draw_t draw = {0, 0};
 	uint32_t usable = 0;
 
 	memset(choice, 0, sizeof(*choice));
@@ -191,8 +226,8 @@
 		return AT_FIT_NOBODY;
 	for (server = fleet->servers; server != NULL;
 	     server = server->hh.next) {
+		spot_t spot = {.server = server};
 		at_load_t load;
-		uint32_t rooms;
 
 		if (!server->listed || server->entry.leaving ||
 		    server->entry.service != work->service ||
@@ -208,11 +243,12 @@
 		if (!trust_allows(&server->trust, now_us, server->own.active))
 			continue;
 		load = at_server_load(server, now_us);
-		rooms = rooms_at(server, service, work, &load);
-		if (rooms > 0)
-			consider(fleet, server, work,
-			    predict_us(fleet, server, work, &load), rooms,
-			    choice, &drawn_from);
+		spot.rooms = rooms_at(server, service, work, &load);
+		if (spot.rooms == 0)
+			continue;
+		spot.predicted_us = predict_us(fleet, server, work, &load);
+		spot.cost_us = cost_us(work, &load, spot.predicted_us);
+		consider(fleet, work, &spot, choice, &draw);
 	}
 	if (choice->server != NULL)
 		return AT_FIT_SERVER;
--- a/src/core/fleet/held.c
+++ b/src/core/fleet/held.c
@@ -90,7 +90,8 @@
 {
 	const note_t note = {.model = *model,
 	    .held = is_held,
-	    .stands_until_us = now_us + AT_NOTE_STANDS_US};
+	    .stands_until_us = now_us + (is_held ? AT_NOTE_STANDS_US
+						 : AT_NOTE_GONE_STANDS_US)};
 
 	if (!is_known(server, &note))
 		add_note(server, &note);
--- a/src/core/placement/residency.c
+++ b/src/core/placement/residency.c
@@ -75,25 +75,18 @@
 }
 
 /*
- * A rare model is asked for again long after its last request, and a load
- * takes seconds: by its rate of just now it would go as soon as it had come.
+ * Requests a second that a further replica serves in time. A rare model is
+ * asked for again long after its last request, and a load takes seconds: by
+ * its rate of just now it would go as soon as it had come.
  */
 static double
-rate_of(const at_model_demand_t *d)
-{
-	return d->usual_per_s > d->requests_per_s ? d->usual_per_s
-						  : d->requests_per_s;
-}
-
-/* Requests a second that a further replica serves in time. */
-static double
 gain_of_next(const at_model_demand_t *d, uint32_t replicas)
 {
 	double part =
 	    served_part(d->load, replicas + 1) - served_part(d->load, replicas);
 
 	return replicas > 0 ? d->requests_per_s * part
-			    : rate_of(d) * part + d->waiting * WAITING_GAIN;
+			    : d->usual_per_s * part + d->waiting * WAITING_GAIN;
 }
 
 static size_t
@@ -252,7 +245,7 @@
 		return gain_of_next(d, replicas - 1);
 	if (d->waiting > 0)
 		return -1.;
-	return LAST_LOSS + rate_of(d) * LAST_USED;
+	return LAST_LOSS + d->usual_per_s * LAST_USED;
 }
 
 /* Returns the held model of an engine that is missed least, or NO_MODEL. */
@@ -364,7 +357,7 @@
 {
 	return model != NO_MODEL &&
 	       (r->demand[model].waiting > 0 ||
-		   rate_of(&r->demand[model]) >= ASKED_FOR);
+		   r->demand[model].usual_per_s >= ASKED_FOR);
 }
 
 /* Room that is being made counts as a replica of the model it is for. */
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -236,6 +236,36 @@
 	at_fleet_delete(fleet);
 }
 
+/*
+ * An engine goes on with its streams before it drops a model, and shows the
+ * model until then; it runs nothing new for it.
+ */
+Test(fleet, asks_nothing_of_a_model_on_its_way_out)
+{
+	at_fleet_t *fleet = make_fleet();
+	at_server_t *one = add(fleet, "one", "llm", "north", "m");
+	at_server_entry_t entry = make_entry("one", "llm", "north", "m");
+	at_work_t work = make_work("m", 800);
+	at_name_t model;
+	at_fit_t fit;
+	uint64_t s;
+
+	(void)at_name_set(&model, "m");
+	at_server_note_model(one, &model, 0, 0);
+	for (s = 1; s <= 6; s++) {
+		entry.beat++;
+		(void)at_fleet_apply(fleet, &entry);
+		at_fleet_expire_notes(fleet, s * 1000000u);
+		(void)choose(fleet, &work, &fit);
+		cr_assert_eq(
+		    fit, AT_FIT_ABSENT, "asked after %u s", (unsigned)s);
+	}
+	at_server_note_model(one, &model, 1, 7000000u);
+	(void)choose(fleet, &work, &fit);
+	cr_assert_eq(fit, AT_FIT_SERVER, "not asked when it is back");
+	at_fleet_delete(fleet);
+}
+
 Test(fleet, a_new_life_holds_nothing_of_before)
 {
 	at_fleet_t *fleet = make_fleet();
