--- a/src/core/placement/demand_rates.c
+++ b/src/core/placement/demand_rates.c
@@ -7,7 +7,7 @@
 #include <uthash.h>
 
 #define US_PER_S 1000000.
-#define FOLLOW_S 1.8        /* time constant of the rates */
+#define FOLLOW_S 1.0        /* time constant of the rates */
 #define USUAL_S 8.          /* the same of the usual rate: two loads' time */
 #define PROMPT_TOKEN_US 34u /* a prompt token of an idle engine, 29 in a ms */
 #define STEP_US 5600u       /* one step of a batch, a token for each place */
--- a/src/core/placement/residency.c
+++ b/src/core/placement/residency.c
@@ -20,9 +20,11 @@
 #define LAST_LOSS 0.004   /* of taking the last replica of an unused model */
 #define LAST_USED 0.6     /* the same for each request a second it is asked */
 #define WAITING_GAIN 0.25 /* requests a second that one waiting is worth */
-#define MIN_GAIN 0.05     /* requests a second that are worth an order */
-#define MIN_GAIN_STORE 0.15 /* the same for a load from the weight store */
-#define LOSS_MS 4000.       /* what a loss as large as the gain weighs */
+#define MIN_GAIN 0.1      /* requests a second that are worth an order */
+#define MIN_GAIN_STORE 0.3 /* the same for a load from the weight store */
+#define STREAM_S 2.        /* that a request keeps a model from going */
+#define UNLOAD_MS 2500.    /* until a model with requests has gone */
+#define LOSS_MS 4000.      /* what a loss as large as the gain weighs */
 #define BUSY_MS 12u /* what each request in flight adds to a load's cost */
 #define NO_ENGINE SIZE_MAX
 #define NO_MODEL SIZE_MAX
@@ -271,6 +273,16 @@
 	return victim;
 }
 
+/* How long a model takes to go, by the requests that probably run there. */
+static double
+unload_ms(const round_t *r, size_t model)
+{
+	double running = r->demand[model].requests_per_s * STREAM_S /
+			 (r->replicas[model] + 1u);
+
+	return UNLOAD_MS * (1. - exp(-running));
+}
+
 typedef struct spot {
 	size_t engine;
 	size_t victim; /* NO_MODEL: there is room */
@@ -279,11 +291,12 @@
 } spot_t;
 
 static int
-consider(const round_t *r, size_t e, const at_site_model_t *model, double gain,
-    spot_t *spot)
+consider(const round_t *r, size_t e, size_t wanted, double gain, spot_t *spot)
 {
+	const at_site_model_t *model = &r->service->models[wanted];
 	const at_engine_state_t *engine = &r->engines[e];
 	double loss = 0.;
+	double wait_ms = 0.;
 
 	if (!engine->usable || engine->busy || r->taken[e] ||
 	    r->reserved[e] != NO_MODEL || holds(engine, model->tag))
@@ -292,15 +305,17 @@
 	spot->victim = NO_MODEL;
 	spot->from = copy_place(engine->entry, model->tag);
 	if (spot->from == AT_COPY_STORE &&
-	    (r->limits.store_loads == 0 || gain < MIN_GAIN_STORE))
+	    (r->limits.store_loads == 0 ||
+		(r->replicas[wanted] > 0 && gain < MIN_GAIN_STORE)))
 		return 0;
 	if (!has_room(r, engine, model)) {
 		spot->victim = victim_of(r, engine, &loss);
 		if (spot->victim == NO_MODEL || loss * GAIN_RATIO > gain)
 			return 0;
+		wait_ms = unload_ms(r, spot->victim);
 	}
 	/* In milliseconds until it serves there; a loss weighs like time. */
-	spot->cost = load_ms(model, spot->from) +
+	spot->cost = load_ms(model, spot->from) + wait_ms +
 		     (double)engine->load.active * BUSY_MS +
 		     loss / gain * LOSS_MS;
 	return 1;
@@ -314,7 +329,7 @@
 	size_t e;
 
 	for (e = 0; e < r->engine_count; e++) {
-		if (consider(r, e, &r->service->models[model], gain, &spot) &&
+		if (consider(r, e, model, gain, &spot) &&
 		    (best.engine == NO_ENGINE || spot.cost < best.cost))
 			best = spot;
 	}
