Adapters ahead of requests; a configuration is told; waits by places

The wait for a place was taken for 30 ms an engine, where 24 streams of two seconds end.

Change: before models' orders an idle engine gets the adapters that are asked for most, up to one place that is kept. The reader of a data centre tells a configuration it has read; the others read it after 200 ms if it has not come, or if it is larger than 50,000 bytes or the link is narrow. The wait is that of prompts or of places, whichever is longer.

test_residency: loads_adapters_before_they_are_waited_for; test_site_decode by test_platform as before.

--- a/include/almondthread/residency.h
+++ b/include/almondthread/residency.h
@@ -76,4 +76,14 @@
 void at_residency_targets(const at_site_service_t *service, size_t engines,
     const at_demand_rates_t *demand, uint32_t *targets);
 
+/*
+ * at_adapters_ahead() finds the adapter that is asked for most of those that
+ * an engine does not hold while it holds their model. Returns 1 with its
+ * model's and its own name, or 0 when none is asked for often enough or no
+ * place is to spare.
+ */
+int at_adapters_ahead(const at_site_service_t *service,
+    const at_held_set_t *held, const at_demand_rates_t *demand,
+    at_name_t *model, at_name_t *adapter);
+
 #endif
--- a/include/almondthread/site.h
+++ b/include/almondthread/site.h
@@ -54,12 +54,18 @@
 	int resumable; /* a stream may go on at another backend server */
 } at_site_route_t;
 
+typedef struct at_site_adapter {
+	at_name_t name;
+	at_tag_t tag; /* of "model/adapter" */
+} at_site_adapter_t;
+
 typedef struct at_site_model {
 	at_name_t name;
 	at_tag_t tag;
 	uint64_t weights_mb;
 	uint64_t adapter_mb;
-	uint32_t adapter_count;
+	at_site_adapter_t *adapters;
+	size_t adapter_count;
 	uint32_t store_load_ms;  /* from the weight store */
 	uint32_t disk_load_ms;   /* from the backend server's own disk */
 	uint32_t memory_load_ms; /* from its own memory */
@@ -134,6 +140,7 @@
 at_site_service_t *at_site_add_service(at_site_t *site);
 at_site_workspace_t *at_site_add_workspace(at_site_t *site);
 at_site_model_t *at_site_add_model(at_site_service_t *service);
+at_site_adapter_t *at_site_add_adapter(at_site_model_t *model);
 /* at_site_add_key() gives a key to the workspace; -1 without memory. */
 int at_site_add_key(at_site_t *site, const char *key, uint32_t workspace);
 
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -932,7 +932,7 @@
   (ProtobufCMessageInit) report_queue__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[20] =
+static const ProtobufCFieldDescriptor report__field_descriptors[21] =
 {
   {
     "name",
@@ -1174,11 +1174,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "configs",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_configs),
+    offsetof(Report, configs),
+    &report_server__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
   2,   /* field[2] = address */
   12,   /* field[12] = config_version */
+  20,   /* field[20] = configs */
   1,   /* field[1] = data_centre */
   9,   /* field[9] = demand */
   6,   /* field[6] = fence */
@@ -1201,7 +1214,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -1211,7 +1224,7 @@
   "Report",
   "",
   sizeof(Report),
-  20,
+  21,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -122,8 +122,8 @@
 
 
 /*
- * An object of the platform's list of backend servers, as its reader in this
- * data centre has seen it.
+ * An object of the platform's list of backend servers, or its configuration,
+ * as its reader in this data centre has seen it.
  */
 struct  ReportServer
 {
@@ -212,10 +212,15 @@
   uint32_t strength;
   size_t n_queues;
   ReportQueue **queues;
+  /*
+   * the configuration, from its reader
+   */
+  size_t n_configs;
+  ReportServer **configs;
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 /* ReportLoad methods */
--- a/src/core/fleet/waiting.c
+++ b/src/core/fleet/waiting.c
@@ -10,8 +10,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TOKEN_US 45u /* a prompt token; 29 are read in a ms, less a third */
-#define PLACE_FREE_US 30000u /* between two ends at a full batch */
+#define TOKEN_US 45u  /* a prompt token; 29 are read in a ms, less a third */
+#define STEP_US 7000u /* a token of every request of a batch */
 #define PLAIN_FREE_US 12000u /* the same at a plain service */
 #define LOAD_US 1000000u     /* until a model that is asked for is there */
 #define ADAPTER_US 60000u    /* the same for an adapter of a held model */
@@ -85,14 +85,6 @@
 	return kind;
 }
 
-static uint64_t
-need_us(const at_work_kind_t *kind, uint32_t requests, uint64_t prompt_tokens)
-{
-	if (kind->model == 0)
-		return (uint64_t)requests * PLAIN_FREE_US;
-	return prompt_tokens * TOKEN_US + (uint64_t)requests * PLACE_FREE_US;
-}
-
 /* What waits here for the same; ahead: only what goes before this one. */
 static at_queue_row_t
 own_queue(const at_waiting_t *waiting, const at_waiter_t *waiter, int ahead)
@@ -113,24 +105,42 @@
 }
 
 /*
- * What the requests before this one still need, in microseconds. Of those at
- * other instances as large a part goes before it as of those here.
+ * When so many requests have begun at the candidates: they wait for prompts to
+ * be read and for places in the batches, whichever takes longer.
+ */
+static uint64_t
+begun_us(const at_waiter_t *like, const at_choice_t *choice, uint64_t requests,
+    uint64_t prompt_tokens)
+{
+	uint32_t engines = choice->candidates == 0 ? 1u : choice->candidates;
+	uint32_t places = choice->places == 0 ? 1u : choice->places;
+	uint64_t read_us = prompt_tokens * TOKEN_US / engines;
+	uint64_t place_us =
+	    requests * like->work.output_tokens * STEP_US / places;
+
+	if (like->work.model == 0)
+		return requests * PLAIN_FREE_US / engines;
+	return read_us > place_us ? read_us : place_us;
+}
+
+/*
+ * Until this one begins, in microseconds. Of the requests at other instances
+ * as large a part goes before it as of those here.
  */
 static uint64_t
-wait_before(
-    const at_waiting_t *waiting, const at_waiter_t *waiter, uint32_t candidates)
+wait_before(const at_waiting_t *waiting, const at_waiter_t *waiter,
+    const at_choice_t *choice)
 {
 	at_queue_row_t all = own_queue(waiting, waiter, 0);
 	at_queue_row_t ahead = own_queue(waiting, waiter, 1);
 	at_queue_sum_t others =
 	    at_contention_others(waiting->contention, &all.kind);
-	uint64_t us =
-	    need_us(&all.kind, others.requests, others.prompt_tokens) *
-	    (ahead.requests + 1u) / (all.requests + 2u);
+	uint64_t part = ahead.requests + 1u;
+	uint64_t of = all.requests + 2u;
 
-	us += need_us(&all.kind, ahead.requests, ahead.prompt_tokens);
-	us += all.kind.model == 0 ? PLAIN_FREE_US : PLACE_FREE_US;
-	return candidates == 0 ? us : us / candidates;
+	return begun_us(waiter, choice,
+	    ahead.requests + 1u + others.requests * part / of,
+	    ahead.prompt_tokens + others.prompt_tokens * part / of);
 }
 
 static uint32_t
@@ -217,7 +227,7 @@
 		j->arrival = AT_ARRIVAL_PLACED;
 		return;
 	}
-	j->wait_us = wait_before(waiting, waiter, j->choice.candidates);
+	j->wait_us = wait_before(waiting, waiter, &j->choice);
 	if (j->fit == AT_FIT_ABSENT)
 		j->wait_us += j->choice.holders > 0 ? ADAPTER_US : LOAD_US;
 	j->retry_after_ms = retry_after_ms(waiter, j->wait_us);
--- a/src/core/site/site.c
+++ b/src/core/site/site.c
@@ -37,6 +37,16 @@
 	return site;
 }
 
+static void
+free_models(at_site_service_t *service)
+{
+	size_t i;
+
+	for (i = 0; i < service->model_count; i++)
+		free(service->models[i].adapters);
+	free(service->models);
+}
+
 void
 at_site_unref(at_site_t *site)
 {
@@ -45,7 +55,7 @@
 	if (site == NULL || --site->references > 0)
 		return;
 	for (i = 0; i < site->service_count; i++)
-		free(site->services[i].models);
+		free_models(&site->services[i]);
 	free(site->routes);
 	free(site->services);
 	free(site->workspaces);
@@ -96,6 +106,13 @@
 	    sizeof(*site->workspaces));
 }
 
+at_site_adapter_t *
+at_site_add_adapter(at_site_model_t *model)
+{
+	return grow((void **)&model->adapters, &model->adapter_count,
+	    sizeof(*model->adapters));
+}
+
 at_site_model_t *
 at_site_add_model(at_site_service_t *service)
 {
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -14,12 +14,14 @@
 #include "io/address.h"
 #include "io/clock.h"
 
-#define REPORT_EVERY_S 0.1 /* within the data centre, and to the holder */
-#define DEMAND_EVERY 3u    /* of those tell the holder what is asked for */
-#define FAR_EVERY 4u       /* of those go to other data centres */
-#define SOON_S 0.004       /* a report that is asked for */
-#define SERVERS_S 0.002    /* changes that come together go together */
-#define LOOK_EVERY 8u      /* rounds between two looks at the config */
+#define REPORT_EVERY_S 0.1     /* within the data centre, and to the holder */
+#define DEMAND_EVERY 3u        /* of those tell the holder what is asked for */
+#define FAR_EVERY 4u           /* of those go to other data centres */
+#define SOON_S 0.004           /* a report that is asked for */
+#define SERVERS_S 0.002        /* changes that come together go together */
+#define CONFIG_TOLD_MAX 50000u /* bytes of a configuration that is told */
+#define CONFIG_LINK_MBPS 100u  /* of a link that can tell it to all at once */
+#define LOOK_EVERY 8u          /* rounds between two looks at the config */
 #define LOADS_FORGET_US 1500000u  /* loads of an instance that is silent */
 #define QUEUES_FORGET_US 1000000u /* the same for what waits there */
 
@@ -35,15 +37,37 @@
 	return gossip;
 }
 
+static void
+told_object_free(told_object_t *told)
+{
+	free(told->name);
+	free(told->spec);
+	memset(told, 0, sizeof(*told));
+}
+
+/* Returns -1 without memory. */
+static int
+told_object_set(
+    told_object_t *told, const char *name, uint64_t version, const json_t *spec)
+{
+	told->name = strdup(name);
+	told->version = version;
+	told->spec = spec == NULL
+			 ? NULL
+			 : json_dumps(spec, JSON_COMPACT | JSON_ENCODE_ANY);
+	if (told->name != NULL && (told->spec != NULL || spec == NULL))
+		return 0;
+	told_object_free(told);
+	return -1;
+}
+
 static void
 forget_told(at_gossip_t *gossip)
 {
 	size_t i;
 
-	for (i = 0; i < gossip->server_count; i++) {
-		free(gossip->servers[i].name);
-		free(gossip->servers[i].spec);
-	}
+	for (i = 0; i < gossip->server_count; i++)
+		told_object_free(&gossip->servers[i]);
 	gossip->server_count = 0;
 }
 
@@ -229,24 +253,32 @@
 at_gossip_tell_server(
     at_gossip_t *gossip, const char *name, uint64_t version, const json_t *spec)
 {
-	told_server_t *told;
+	told_object_t *told;
 
 	if (gossip->fd < 0)
 		return;
 	if (gossip->server_count == SERVERS_MAX)
 		tell_servers(gossip);
 	told = &gossip->servers[gossip->server_count];
-	told->name = strdup(name);
-	told->version = version;
-	told->spec = spec == NULL
-			 ? NULL
-			 : json_dumps(spec, JSON_COMPACT | JSON_ENCODE_ANY);
-	if (told->name == NULL)
+	if (told_object_set(told, name, version, spec) != 0)
 		return;
 	gossip->server_count++;
 	start_timer(gossip, &gossip->servers_timer, SERVERS_S);
 }
 
+void
+at_gossip_tell_config(
+    at_gossip_t *gossip, const char *name, uint64_t version, const json_t *spec)
+{
+	if (gossip->fd < 0 ||
+	    gossip->entry->settings.link_mbps < CONFIG_LINK_MBPS ||
+	    told_object_set(&gossip->config, name, version, spec) != 0)
+		return;
+	if (strlen(gossip->config.spec) <= CONFIG_TOLD_MAX)
+		send_report(gossip, REPORT_CONFIG, 0, 0);
+	told_object_free(&gossip->config);
+}
+
 void
 at_gossip_leave(at_gossip_t *gossip)
 {
--- a/src/entry/gossip.h
+++ b/src/entry/gossip.h
@@ -29,6 +29,13 @@
  */
 void at_gossip_tell_server(at_gossip_t *gossip, const char *name,
     uint64_t version, const json_t *spec);
+/*
+ * at_gossip_tell_config() tells them a configuration that was read. Where the
+ * link is narrow or the configuration large it tells nothing, and each of them
+ * reads it itself.
+ */
+void at_gossip_tell_config(at_gossip_t *gossip, const char *name,
+    uint64_t version, const json_t *spec);
 /* at_gossip_leave() tells every instance that this one is leaving. */
 void at_gossip_leave(at_gossip_t *gossip);
 
--- a/src/entry/gossip_impl.h
+++ b/src/entry/gossip_impl.h
@@ -19,14 +19,15 @@
 	REPORT_COMMON,  /* loads, spending and news of the holder */
 	REPORT_DEMAND,  /* the same, with demand and wants, for the holder */
 	REPORT_SERVERS, /* what the list says of backend servers */
+	REPORT_CONFIG,  /* the configuration */
 } report_kind_t;
 
-/* One change of the list that is to be told. */
-typedef struct told_server {
+/* One object of the platform's store that is to be told. */
+typedef struct told_object {
 	char *name;
 	char *spec; /* NULL: it is gone */
 	uint64_t version;
-} told_server_t;
+} told_object_t;
 
 struct at_gossip {
 	at_entry_t *entry;
@@ -39,8 +40,9 @@
 	uint64_t sequence;
 	uint64_t rounds;
 	int leaving;
-	told_server_t servers[SERVERS_MAX];
+	told_object_t servers[SERVERS_MAX];
 	size_t server_count;
+	told_object_t config;
 	unsigned char datagram[DATAGRAM_MAX];
 };
 
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -309,6 +309,7 @@
 	/* What is asked for is not known before all have told it. */
 	if (at_clock_now_us() - orders->taken_us < LEARN_US)
 		return;
+	adapters_load_ahead(orders);
 	for (i = 0; i < entry->site->service_count; i++) {
 		if (entry->site->services[i].has_models)
 			run_round(orders, &entry->site->services[i]);
--- a/src/entry/orders_adapters.c
+++ b/src/entry/orders_adapters.c
@@ -13,6 +13,7 @@
 
 #define LOOK_AGAIN_US 40000u    /* between two looks after one adapter */
 #define ADAPTER_READY_US 11000u /* from an accepted order to its end */
+#define AHEAD_PER_ROUND 32u     /* adapters loaded before they are waited for */
 
 /* The engine to load an adapter on, and what has to go for it. */
 typedef struct spot {
@@ -26,6 +27,8 @@
 	const at_held_model_t *victim_model; /* NULL: there is a free place */
 	const at_held_adapter_t *victim;
 	double cost;
+	unsigned holders;      /* engines with its model */
+	unsigned idle;         /* of them take orders now */
 	int there;             /* an engine holds it, or will soon */
 	at_tag_t there_server; /* which one holds it; 0: it will soon */
 } spot_t;
@@ -102,9 +105,12 @@
 		return;
 	}
 	if (entry->leaving || !at_server_trusted(server, spot->now_us) ||
-	    !at_server_holds(server, spot->model, 0) ||
-	    track->state != TRACK_IDLE || track->adapter_ready_us != 0)
+	    !at_server_holds(server, spot->model, 0))
 		return;
+	spot->holders++;
+	if (track->state != TRACK_IDLE || track->adapter_ready_us != 0)
+		return;
+	spot->idle++;
 	cost = at_server_load(server, spot->now_us).active;
 	if (at_held_set_adapters(&track->held) >= spot->slots) {
 		cost += 20. +
@@ -166,8 +172,14 @@
 	/* Whoever wants it has not heard where it is. */
 	if (spot.there_server != 0)
 		orders_tell(orders, spot.there_server, model, adapter, 1);
-	if (spot.there || spot.server == NULL)
+	if (spot.there || spot.server == NULL) {
+		at_log(AT_LOG_INFO, "orders", NULL,
+		    "adapter waits model=%s adapter=%s there=%d holders=%u "
+		    "idle=%u",
+		    model->text, adapter->text, spot.there, spot.holders,
+		    spot.idle);
 		return;
+	}
 	track = track_of(orders, at_server_entry(spot.server));
 	if (track == NULL)
 		return;
@@ -207,6 +219,53 @@
 		at_waiting_each(orders->entry->waiting, own_want, orders);
 }
 
+/* Loads the adapter that is worth it most on an idle engine; returns 1 if so.
+ */
+static int
+load_ahead(at_orders_io_t *orders, at_server_t *server)
+{
+	const at_server_entry_t *entry = at_server_entry(server);
+	const at_site_service_t *service =
+	    at_site_service(orders->entry->site, entry->service);
+	at_name_t model;
+	at_name_t adapter;
+	track_t *track;
+
+	if (service == NULL || !service->has_models || entry->leaving ||
+	    !at_server_trusted(server, at_clock_now_us()))
+		return 0;
+	track = track_of(orders, entry);
+	if (track == NULL || track->state != TRACK_IDLE ||
+	    track->adapter_ready_us != 0 ||
+	    !at_adapters_ahead(
+		service, &track->held, orders->demand, &model, &adapter))
+		return 0;
+	track_send(track, 1, &model, &adapter);
+	return 1;
+}
+
+typedef struct ahead {
+	at_orders_io_t *orders;
+	unsigned left; /* orders that may still be given */
+} ahead_t;
+
+static void
+load_ahead_at(void *ctx, at_server_t *server)
+{
+	ahead_t *ahead = ctx;
+
+	if (ahead->left > 0 && load_ahead(ahead->orders, server))
+		ahead->left--;
+}
+
+void
+adapters_load_ahead(at_orders_io_t *orders)
+{
+	ahead_t ahead = {orders, AHEAD_PER_ROUND};
+
+	at_fleet_each(orders->entry->fleet, load_ahead_at, &ahead);
+}
+
 static void
 on_adapter_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -234,6 +293,9 @@
 		    server, &track->ready_model, &track->ready_adapter, 1);
 		orders_tell(orders, track->server, &track->ready_model,
 		    &track->ready_adapter, 1);
+		/* The next one goes before orders that take seconds. */
+		if (orders_may_send(orders))
+			(void)load_ahead(orders, server);
 	}
 	at_gossip_soon(orders->entry->gossip);
 	at_entry_place_waiting(orders->entry);
--- a/src/entry/orders_impl.h
+++ b/src/entry/orders_impl.h
@@ -95,6 +95,7 @@
 void adapters_want(at_orders_io_t *orders, at_tag_t service,
     const at_name_t *model, const at_name_t *adapter);
 void adapters_own_wants(at_orders_io_t *orders);
+void adapters_load_ahead(at_orders_io_t *orders);
 void adapters_accepted(track_t *track);
 /* orders_report.c */
 void orders_tell(at_orders_io_t *orders, at_tag_t server,
--- a/src/entry/report_pack.c
+++ b/src/entry/report_pack.c
@@ -97,27 +97,39 @@
 	report->queues = parts->queue_list;
 }
 
+static void
+fill_object(const told_object_t *told, ReportServer *row)
+{
+	report_server__init(row);
+	row->name = told->name;
+	row->version = told->version;
+	row->deleted = told->spec == NULL;
+	if (told->spec != NULL)
+		row->spec = told->spec;
+}
+
 static void
 fill_servers(const at_gossip_t *gossip, parts_t *parts, Report *report)
 {
 	size_t i;
 
 	for (i = 0; i < gossip->server_count; i++) {
-		const told_server_t *told = &gossip->servers[i];
-		ReportServer *row = &parts->servers[i];
-
-		report_server__init(row);
-		row->name = told->name;
-		row->version = told->version;
-		row->deleted = told->spec == NULL;
-		if (told->spec != NULL)
-			row->spec = told->spec;
-		parts->server_list[i] = row;
+		fill_object(&gossip->servers[i], &parts->servers[i]);
+		parts->server_list[i] = &parts->servers[i];
 	}
 	report->n_servers = gossip->server_count;
 	report->servers = parts->server_list;
 }
 
+static void
+fill_config(const at_gossip_t *gossip, parts_t *parts, Report *report)
+{
+	fill_object(&gossip->config, &parts->servers[0]);
+	parts->server_list[0] = &parts->servers[0];
+	report->n_configs = 1;
+	report->configs = parts->server_list;
+}
+
 static void
 fill_head(at_gossip_t *gossip, Report *report)
 {
@@ -149,6 +161,8 @@
 	fill_head(gossip, &report);
 	if (kind == REPORT_SERVERS) {
 		fill_servers(gossip, &parts, &report);
+	} else if (kind == REPORT_CONFIG) {
+		fill_config(gossip, &parts, &report);
 	} else {
 		fill_loads(entry, &parts, &report);
 		fill_queues(entry, &parts, &report);
@@ -157,7 +171,7 @@
 	}
 	if (kind == REPORT_DEMAND)
 		at_orders_io_fill_demand(entry->orders, &report);
-	report.has_loads = kind != REPORT_SERVERS;
+	report.has_loads = kind == REPORT_COMMON || kind == REPORT_DEMAND;
 	len = report__get_packed_size(&report);
 	if (len + MAC_SIZE > DATAGRAM_MAX) {
 		at_log(AT_LOG_ERROR, "gossip", NULL,
--- a/src/entry/report_take.c
+++ b/src/entry/report_take.c
@@ -61,6 +61,9 @@
 		at_sync_feed(entry->sync, row->name, row->version,
 		    row->deleted ? NULL : row->spec);
 	}
+	for (i = 0; i < report->n_configs; i++)
+		at_sync_feed_config(entry->sync, report->configs[i]->name,
+		    report->configs[i]->version, report->configs[i]->spec);
 	if (report->reads && report->n_servers == 0)
 		at_sync_compare(entry->sync, report->servers_digest);
 }
@@ -112,7 +115,7 @@
 		take_servers(entry, report);
 	if (report->config_version >
 	    (entry->site == NULL ? 0 : entry->site->version))
-		at_sync_look(entry->sync);
+		at_sync_hear_newer(entry->sync);
 	if (report->has_loads)
 		take_loads(entry, member->tag,
 		    member->data_centre == entry->data_centre, report, now_us);
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -15,9 +15,11 @@
 /* Vanished servers may be back so long after the platform's return. */
 #define SERVERS_LINGER_MS 2000u
 /* Changes within so long are read together. */
-#define GATHER_MS 200u
+#define GATHER_MS 300u
 /* Between two looks at the configuration at least. */
 #define LOOK_EVERY_MS 250u
+/* So long a newer configuration is waited for before it is read. */
+#define TOLD_WITHIN_MS 200u
 /* A list that differs from the reader's for so long missed a datagram. */
 #define DIFFERS_MS 700u
 
@@ -39,6 +41,7 @@
 	at_objects_call_t *look; /* open, or NULL */
 	uint64_t look_after_ms;  /* no further one before */
 	int is_reader;
+	uint64_t newer_since_ms;   /* another has a newer config; 0: none */
 	uint64_t differs_since_ms; /* from the reader's list; 0: it does not */
 };
 
@@ -70,6 +73,10 @@
 		return;
 	}
 	at_entry_set_site(entry, site);
+	copy->sync->newer_since_ms = 0;
+	if (at_sync_is_reader(copy->sync))
+		at_gossip_tell_config(
+		    entry->gossip, object->name, object->version, object->spec);
 }
 
 static void
@@ -216,27 +223,58 @@
 	return sync->is_reader;
 }
 
-void
-at_sync_feed(
-    at_sync_t *sync, const char *name, uint64_t version, const char *spec)
+static void
+feed(copy_t *copy, const char *name, uint64_t version, const char *spec)
 {
 	at_object_t object = {.name = name, .version = version};
 	uint64_t now_ms = at_clock_now_ms();
 	json_t *root;
 
-	if (sync->is_reader)
+	if (copy->sync->is_reader)
 		return;
 	if (spec == NULL) {
-		at_mirror_feed_gone(
-		    sync->servers.mirror, now_ms, name, version);
+		at_mirror_feed_gone(copy->mirror, now_ms, name, version);
 		return;
 	}
 	root = json_loads(spec, JSON_DECODE_ANY, NULL);
+	if (root == NULL) {
+		at_log(AT_LOG_WARN, "platform", NULL,
+		    "unreadable report kind=%s name=%s object_version=%" PRIu64,
+		    copy->kind, name, version);
+		return;
+	}
 	object.spec = root;
-	at_mirror_feed(sync->servers.mirror, now_ms, &object);
+	at_mirror_feed(copy->mirror, now_ms, &object);
 	json_decref(root);
 }
 
+void
+at_sync_feed(
+    at_sync_t *sync, const char *name, uint64_t version, const char *spec)
+{
+	feed(&sync->servers, name, version, spec);
+}
+
+void
+at_sync_feed_config(
+    at_sync_t *sync, const char *name, uint64_t version, const char *spec)
+{
+	/* A start reads it itself, to know that it is the newest. */
+	if (spec != NULL && at_mirror_synced(sync->config.mirror))
+		feed(&sync->config, name, version, spec);
+}
+
+void
+at_sync_hear_newer(at_sync_t *sync)
+{
+	uint64_t now_ms = at_clock_now_ms();
+
+	if (sync->newer_since_ms == 0)
+		sync->newer_since_ms = now_ms;
+	if (sync->is_reader || now_ms - sync->newer_since_ms >= TOLD_WITHIN_MS)
+		at_sync_look(sync);
+}
+
 uint64_t
 at_sync_digest(const at_sync_t *sync)
 {
--- a/src/entry/sync.h
+++ b/src/entry/sync.h
@@ -25,6 +25,14 @@
 /* What the reader tells of one backend server; spec is NULL when it is gone. */
 void at_sync_feed(
     at_sync_t *sync, const char *name, uint64_t version, const char *spec);
+/* The same of the configuration. */
+void at_sync_feed_config(
+    at_sync_t *sync, const char *name, uint64_t version, const char *spec);
+/*
+ * at_sync_hear_newer() says that another instance has a newer configuration;
+ * it is read unless the reader tells it soon.
+ */
+void at_sync_hear_newer(at_sync_t *sync);
 /* at_sync_compare() lists anew when the reader's list stays another one. */
 void at_sync_compare(at_sync_t *sync, uint64_t readers_digest);
 uint64_t at_sync_digest(const at_sync_t *sync);
--- a/tests/unit/test_residency.c
+++ b/tests/unit/test_residency.c
@@ -392,3 +392,60 @@
 		free_world(&w);
 	}
 }
+
+/* Which adapter an engine with models 0 and 1 should have next. */
+static const struct {
+	const char *name;
+	unsigned asked[3];   /* requests for m0/a1, m0/a2, m2/a1 */
+	unsigned held;       /* adapters of other names */
+	const char *adapter; /* NULL: none */
+} aheads[] = {
+    {"the one asked for most", {3, 9, 0}, 0, "a2"},
+    {"none that nobody asks for", {0, 0, 0}, 0, NULL},
+    {"none of a model that is elsewhere", {0, 0, 9}, 0, NULL},
+    {"none in the last place", {9, 0, 0}, 7, NULL},
+};
+
+Test(residency, loads_adapters_before_they_are_waited_for)
+{
+	static const char *const names[] = {"a1", "a2", "a1"};
+	static const unsigned models[] = {0, 0, 2};
+	size_t i;
+	unsigned k;
+
+	for (i = 0; i < sizeof(aheads) / sizeof(aheads[0]); i++) {
+		at_name_t model;
+		at_name_t adapter;
+		world_t w;
+		int found;
+
+		make_world(&w);
+		hold(&w, 0, 0);
+		hold(&w, 0, 1);
+		w.entries[0].held.models[1].adapter_count = aheads[i].held;
+		for (k = 0; k < 3; k++) {
+			at_site_model_t *m = &w.service->models[models[k]];
+			at_site_adapter_t *a = at_site_add_adapter(m);
+			at_work_t work = {.service = at_tag("llm")};
+			char text[2 * AT_NAME_SIZE];
+			unsigned n;
+
+			(void)at_name_set(&a->name, names[k]);
+			(void)snprintf(text, sizeof(text), "%s/%s",
+			    m->name.text, names[k]);
+			a->tag = at_tag(text);
+			work.model = a->tag;
+			for (n = 0; n < aheads[i].asked[k] * 10; n++)
+				at_demand_rates_note(
+				    w.demand, &work, 64, US_PER_S);
+		}
+		settle_demand(&w);
+		found = at_adapters_ahead(
+		    w.service, &w.entries[0].held, w.demand, &model, &adapter);
+		cr_assert_eq(
+		    found, aheads[i].adapter != NULL, "%s", aheads[i].name);
+		if (found)
+			cr_assert_str_eq(adapter.text, aheads[i].adapter);
+		free_world(&w);
+	}
+}
