Queues: turns as long as the news is old; an adapter waits by its model's engines

A model's queue is spread over the engines that have the model. An adapter whose engines are full gets another copy.

--- a/include/almondthread/residency.h
+++ b/include/almondthread/residency.h
@@ -47,11 +47,11 @@
 
 /* One order to give. */
 typedef struct at_move {
-	at_move_kind_t kind;
 	at_tag_t server;
 	at_tag_t model;
+	at_tag_t room_for; /* of an unload: the model to be loaded then */
+	at_move_kind_t kind;
 	at_copy_place_t from; /* of a load */
-	at_tag_t room_for;    /* of an unload: the model to be loaded then */
 	int urgent;           /* requests wait for it and it is nowhere */
 } at_move_t;
 
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -20,8 +20,8 @@
 #define PREFILL_MAX 6000u     /* prompt tokens waiting at one engine */
 #define PREFILL_RELAXED 3500u /* the same, for requests with time to spare */
 #define PROMPT_USUAL 2500u    /* prompt tokens that count against both bounds */
-#define RECENT_MAX 6000u      /* prompt tokens sent lately to one engine */
-#define RECENT_US 25u         /* what each of them costs the streams there */
+#define RECENT_MAX 7000u      /* prompt tokens sent lately to one engine */
+#define RECENT_US 15u         /* what each of them costs the streams there */
 #define PAUSE_TOKENS 6000u    /* read at once, an event is 300 ms late */
 #define PAUSE_US 8000u        /* what that costs for each stream there */
 #define KV_FILL_PERCENT 92u   /* of an engine's memory for tokens */
@@ -234,13 +234,15 @@
 		    is_avoided(work, server->entry.tag))
 			continue;
 		usable++;
-		if (work->model != 0 && at_server_holds(server, work->model, 0))
+		if (work->model == 0 ||
+		    at_server_holds(server, work->model, 0)) {
 			choice->holders++;
+			choice->places += server->entry.slots;
+		}
 		if (work->model != 0 &&
 		    !at_server_holds(server, work->model, work->adapter))
 			continue;
 		choice->candidates++;
-		choice->places += server->entry.slots;
 		if (!trust_allows(&server->trust, now_us, server->own.active))
 			continue;
 		load = at_server_load(server, now_us);
--- a/src/core/fleet/contention.c
+++ b/src/core/fleet/contention.c
@@ -12,7 +12,7 @@
 
 #include <uthash.h>
 
-#define NEWS_AGE_US 200000u   /* age of what is known of the others' sends */
+#define NEWS_AGE_US 70000u    /* age of what is known of the others' sends */
 #define PACE_KEPT_US 2000000u /* after its time an interval is forgotten */
 
 typedef struct queue_report {
--- a/src/core/fleet/waiting.c
+++ b/src/core/fleet/waiting.c
@@ -105,14 +105,15 @@
 }
 
 /*
- * When so many requests have begun at the candidates: they wait for prompts to
+ * When so many requests have begun at the engines: they wait for prompts to
  * be read and for places in the batches, whichever takes longer.
  */
 static uint64_t
 begun_us(const at_waiter_t *like, const at_choice_t *choice, uint64_t requests,
     uint64_t prompt_tokens)
 {
-	uint32_t engines = choice->candidates == 0 ? 1u : choice->candidates;
+	/* An adapter comes to any engine that has its model. */
+	uint32_t engines = choice->holders == 0 ? 1u : choice->holders;
 	uint32_t places = choice->places == 0 ? 1u : choice->places;
 	uint64_t read_us = prompt_tokens * TOKEN_US / engines;
 	uint64_t place_us =
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -274,7 +274,8 @@
 	    gossip->entry->settings.link_mbps < CONFIG_LINK_MBPS ||
 	    told_object_set(&gossip->config, name, version, spec) != 0)
 		return;
-	if (strlen(gossip->config.spec) <= CONFIG_TOLD_MAX)
+	if (gossip->config.spec != NULL &&
+	    strlen(gossip->config.spec) <= CONFIG_TOLD_MAX)
 		send_report(gossip, REPORT_CONFIG, 0, 0);
 	told_object_free(&gossip->config);
 }
--- a/src/entry/orders_adapters.c
+++ b/src/entry/orders_adapters.c
@@ -99,6 +99,9 @@
 		return;
 	if (at_server_holds(server, spot->model, spot->adapter) ||
 	    is_coming(track, spot, visit->adapter)) {
+		/* Beside an engine without room another one is worth it. */
+		if (at_server_load(server, spot->now_us).active >= entry->slots)
+			return;
 		spot->there = 1;
 		if (at_held_set_has(&track->held, spot->model, spot->adapter))
 			spot->there_server = entry->tag;
--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -439,3 +439,23 @@
 	cr_assert_leq(standin_store_calls(edge->store) - calls, 8);
 	edge_delete(edge);
 }
+
+/* One reads a new configuration, and tells the others of its data centre. */
+Test(entry_path, one_instance_reads_a_configuration_for_its_data_centre)
+{
+	edge_t *edge = make();
+	uint64_t calls;
+	int i;
+
+	for (i = 0; i < 6; i++)
+		(void)edge_add_entry(edge);
+	edge_until_ready(edge);
+	edge_until(edge, one_reads, edge);
+	edge_run_ms(edge, 300);
+	calls = standin_store_calls(edge->store);
+	edge_configure(edge, 0);
+	edge_until(edge, newest_everywhere, edge);
+	/* Six that follow would be six calls; the lease and a look go on. */
+	cr_assert_leq(standin_store_calls(edge->store) - calls, 4);
+	edge_delete(edge);
+}
--- a/tests/unit/test_waiting.c
+++ b/tests/unit/test_waiting.c
@@ -230,3 +230,36 @@
 		at_fleet_delete(fleet);
 	}
 }
+
+/*
+ * A queue for a model that is on many engines does not turn away requests for
+ * an adapter of it that none of them holds yet.
+ */
+Test(waiting, waits_for_an_adapter_of_a_busy_model)
+{
+	at_fleet_t *fleet = make_fleet(1);
+	at_waiting_t *waiting = make_waiting(fleet);
+	at_waiter_t waiter = make_waiter(2000, 3000, 0);
+	const at_queue_row_t queue = {
+	    {at_tag("llm"), at_tag("m")}, 60, 60, 48000};
+	at_judgment_t judgment;
+	unsigned i;
+
+	for (i = 0; i < 19; i++) {
+		at_server_entry_t entry = {.tag = 1000u + i,
+		    .service = at_tag("llm"),
+		    .slots = SLOTS,
+		    .held.count = 1};
+
+		entry.held.models[0].tag = at_tag("m");
+		(void)at_fleet_apply(fleet, &entry);
+	}
+	waiter.work.adapter = at_tag("m/a1");
+	at_contention_heard(contention, at_tag("peer"), &queue, 1, 0);
+	at_waiting_judge(waiting, &waiter, 0, &judgment);
+	cr_assert_eq(judgment.fit, AT_FIT_ABSENT);
+	cr_assert_eq(judgment.arrival, AT_ARRIVAL_WAITS, "wait_us=%lu",
+	    (unsigned long)judgment.wait_us);
+	free_waiting(waiting);
+	at_fleet_delete(fleet);
+}
