--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -133,8 +133,8 @@
 	uint64_t predicted_us; /* to the first event */
 	uint32_t rooms;        /* requests like this one that fit now, in all */
 	uint32_t candidates;   /* that hold what is asked for */
-	uint32_t places;       /* in the batches of the holders */
-	uint32_t holders;      /* that hold the model, if not the adapter */
+	uint32_t places;  /* in the batches of the holders, or of one to be */
+	uint32_t holders; /* that hold the model, if not the adapter */
 } at_choice_t;
 
 /* How a request at a backend server ended, as far as it tells of that. */
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -253,6 +253,9 @@
 		spot.cost_us = cost_us(work, &load, spot.predicted_us);
 		consider(fleet, work, &spot, choice, &draw);
 	}
+	/* Where none has the model, one engine will. */
+	if (choice->places == 0)
+		choice->places = service->slots;
 	if (choice->server != NULL)
 		return AT_FIT_SERVER;
 	if (usable == 0)
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -106,6 +106,27 @@
 	at_fleet_delete(fleet);
 }
 
+/* All instances see the same best engine; not all of them may take it. */
+Test(fleet, draws_among_engines_that_are_about_as_good)
+{
+	at_fleet_t *fleet = make_fleet();
+	at_server_t *one = add(fleet, "one", "llm", "north", "m");
+	at_work_t small = make_work("m", 300);
+	at_work_t work = make_work("m", 800);
+	unsigned ones = 0;
+	at_fit_t fit;
+	unsigned i;
+
+	(void)add(fleet, "two", "llm", "north", "m");
+	at_server_sent(one, &small, 0);
+	for (i = 0; i < 100; i++)
+		ones += strcmp(choose(fleet, &work, &fit), "one") == 0;
+	cr_assert_gt(ones, 10, "the best engine gets all");
+	cr_assert_lt(ones, 60, "room does not count");
+	at_fleet_ended(fleet, one, &small, 0, AT_OUTCOME_WELL, 2);
+	at_fleet_delete(fleet);
+}
+
 Test(fleet, counts_what_other_instances_have_in_flight)
 {
 	at_fleet_t *fleet = make_fleet();
