Orders: an adapter on its way counts before the report names it

Cause, by reading: an engine's report counts an accepted order in its sequence at once, but names an adapter that is on its way under "pending" and not among what is held. A report read in between gave a count that was right and a list that was one adapter short, so that one adapter too many could be ordered (LIMIT).

test_entry_path: gives_no_order_while_an_adapter_is_on_its_way; it failed before.

--- a/src/entry/orders_send.c
+++ b/src/entry/orders_send.c
@@ -209,7 +209,8 @@
 static int
 shows_end(const track_t *track, const at_engine_report_t *report)
 {
-	if (report == NULL || report->busy)
+	/* What is on its way counts already, and is not told as held. */
+	if (report == NULL || report->busy || report->pending_adapters > 0)
 		return 0;
 	return track->state == TRACK_UNSURE ||
 	       report->sequence >= track->accepted;
--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -345,6 +345,42 @@
 	edge_delete(edge);
 }
 
+/*
+ * An adapter that is on its way takes its place before the report names it
+ * among what is held; an engine with one is not planned for.
+ */
+Test(entry_path, gives_no_order_while_an_adapter_is_on_its_way)
+{
+	static const edge_request_t rare = {
+	    "POST", "/stream/x", "id-6", EDGE_KEY, "m1", "prompt"};
+	edge_t *edge = make();
+	edge_answer_t answer;
+	int tries;
+
+	standin_server_set_pending(edge->servers[2], "m0/a1@1");
+	standin_server_set_pending(edge->servers[3], "m0/a1@1");
+	for (tries = 0; tries < 8; tries++) {
+		edge_ask(edge, 0, &rare, &answer);
+		cr_assert_eq(answer.status, 503);
+		edge_answer_free(&answer);
+		edge_run_ms(edge, 300);
+	}
+	cr_assert_eq(standin_server_orders(edge->servers[2]), 0);
+	cr_assert_eq(standin_server_orders(edge->servers[3]), 0);
+	standin_server_set_pending(edge->servers[2], NULL);
+	standin_server_set_pending(edge->servers[3], NULL);
+	for (tries = 0; tries < 40; tries++) {
+		edge_ask(edge, 0, &rare, &answer);
+		if (answer.status == 200)
+			break;
+		edge_answer_free(&answer);
+		edge_run_ms(edge, 300);
+	}
+	cr_assert_eq(answer.status, 200);
+	edge_answer_free(&answer);
+	edge_delete(edge);
+}
+
 static int
 stream_begun(void *ctx)
 {
