Queues: late requests take the room that is left; unloads are told until they end

A late request yielded to any pressing one of others, whatever room there was. A note that a model goes stood for 12 s also where the order was never sent.

Change: late requests yield as much room as is pressing elsewhere. The holder repeats that a model goes until it has gone; the note stands for 3 s again.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -179,11 +179,11 @@
 /*
  * Both record what an order has done, before the platform's list tells it. A
  * note on an adapter stands until another one or a new life; one on a model
- * gives way to the list after AT_NOTE_STANDS_US; one that it goes stands for
- * longer, as the list shows the model until the last request there has ended.
+ * gives way to the list AT_NOTE_STANDS_US after it was last made. Whoever
+ * unloads a model makes it again until the engine has ended its requests, as
+ * the list shows the model until then.
  */
 #define AT_NOTE_STANDS_US 3000000u
-#define AT_NOTE_GONE_STANDS_US 12000000u /* the longest streams */
 void at_server_note_model(
     at_server_t *server, const at_name_t *model, int held, uint64_t now_us);
 void at_server_note_adapter(at_server_t *server, const at_name_t *model,
--- a/src/core/fleet/contention.c
+++ b/src/core/fleet/contention.c
@@ -156,15 +156,27 @@
 	return (double)(contention->draws >> 33) / (double)(UINT64_MAX >> 33);
 }
 
+/* Room that is left for a request: what is pressing elsewhere goes before. */
+static uint32_t
+rooms_left(const at_seeker_t *seeker, const at_queue_sum_t *others)
+{
+	if (seeker->pressing)
+		return seeker->rooms;
+	return seeker->rooms > others->pressing
+		   ? seeker->rooms - others->pressing
+		   : 0;
+}
+
 /* Between two requests of one instance, on average. */
 static double
 interval_us(const at_seeker_t *seeker, const at_queue_sum_t *others)
 {
 	uint32_t instances =
 	    seeker->pressing ? others->pressing_instances : others->instances;
+	uint32_t rooms = rooms_left(seeker, others);
 
 	return (double)NEWS_AGE_US * (instances + 1u) /
-	       (seeker->rooms == 0 ? 1u : seeker->rooms);
+	       (rooms == 0 ? 1u : rooms);
 }
 
 static pace_t *
@@ -202,7 +214,7 @@
 	if (others.requests == 0 ||
 	    others.requests + seeker->own <= seeker->rooms)
 		return 1;
-	if (!seeker->pressing && others.pressing > 0)
+	if (rooms_left(seeker, &others) == 0)
 		return 0;
 	pace = pace_of(contention, &seeker->kind);
 	if (pace != NULL)
--- a/src/core/fleet/held.c
+++ b/src/core/fleet/held.c
@@ -68,18 +68,23 @@
 	recompute(server);
 }
 
-/* Whether a note says what is so already; telling it again is no news. */
+/* A note that says the same makes the known one stand longer; 1 if it does. */
 static int
-is_known(const at_server_t *server, const note_t *note)
+renew_known(at_server_t *server, const note_t *note)
 {
 	size_t i;
 
 	for (i = 0; i < server->note_count; i++) {
-		const note_t *known = &server->notes[i];
-
-		if (at_name_equal(&known->model, &note->model) &&
-		    strcmp(known->adapter.text, note->adapter.text) == 0)
-			return known->held == note->held;
+		note_t *known = &server->notes[i];
+
+		if (!at_name_equal(&known->model, &note->model) ||
+		    strcmp(known->adapter.text, note->adapter.text) != 0)
+			continue;
+		if (known->held != note->held)
+			return 0;
+		if (known->stands_until_us < note->stands_until_us)
+			known->stands_until_us = note->stands_until_us;
+		return 1;
 	}
 	return 0;
 }
@@ -90,10 +95,9 @@
 {
 	const note_t note = {.model = *model,
 	    .held = is_held,
-	    .stands_until_us = now_us + (is_held ? AT_NOTE_STANDS_US
-						 : AT_NOTE_GONE_STANDS_US)};
+	    .stands_until_us = now_us + AT_NOTE_STANDS_US};
 
-	if (!is_known(server, &note))
+	if (!renew_known(server, &note))
 		add_note(server, &note);
 }
 
@@ -106,7 +110,7 @@
 	    .held = is_held,
 	    .stands_until_us = UINT64_MAX};
 
-	if (!is_known(server, &note))
+	if (!renew_known(server, &note))
 		add_note(server, &note);
 }
 
--- a/src/core/fleet/waiting.c
+++ b/src/core/fleet/waiting.c
@@ -12,17 +12,15 @@
 
 #define TOKEN_US 45u  /* a prompt token; 29 are read in a ms, less a third */
 #define STEP_US 7000u /* a token of every request of a batch */
-#define PLAIN_FREE_US 12000u /* the same at a plain service */
-#define LOAD_US 1000000u     /* until a model that is asked for is there */
-#define ADAPTER_US 60000u    /* the same for an adapter of a held model */
-#define PRIORITY_US 1500000u /* what a step of priority weighs */
-#define WAIT_PERCENT 75u     /* of the time left that may be waited */
-#define LEAVE_MARGIN_US                                                 \
-	150000u            /* a refusal is there before a caller leaves \
-			    */
-#define RETRY_MIN_MS 50u   /* sooner is no use */
-#define RETRY_MAX_MS 5000u /* a caller that waits longer has gone */
-#define FULL_KINDS_MAX 32u /* kinds of work known to find no room */
+#define PLAIN_FREE_US 12000u    /* the same at a plain service */
+#define LOAD_US 1000000u        /* until a model that is asked for is there */
+#define ADAPTER_US 60000u       /* the same for an adapter of a held model */
+#define PRIORITY_US 1500000u    /* what a step of priority weighs */
+#define WAIT_PERCENT 75u        /* of the time left that may be waited */
+#define LEAVE_MARGIN_US 150000u /* a refusal is there by then */
+#define RETRY_MIN_MS 50u        /* sooner is no use */
+#define RETRY_MAX_MS 5000u      /* a caller that waits longer has gone */
+#define FULL_KINDS_MAX 32u      /* kinds of work known to find no room */
 
 const char *const at_arrival_names[] = {"placed", "waits", "refused"};
 
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -252,6 +252,22 @@
 	}
 }
 
+/* Until its requests have ended an engine shows a model that is to go. */
+static void
+tell_unload(track_t *track, uint64_t now_us)
+{
+	at_server_t *server =
+	    at_fleet_find(track->orders->entry->fleet, track->server);
+
+	if (server == NULL || track->load || track->adapter.text[0] != '\0' ||
+	    (track->state != TRACK_CLOSING && track->state != TRACK_SENT &&
+		track->state != TRACK_CARRIED))
+		return;
+	at_server_note_model(server, &track->model, 0, now_us);
+	orders_tell(
+	    track->orders, track->server, &track->model, &track->adapter, 0);
+}
+
 static void
 step_tracks(at_orders_io_t *orders)
 {
@@ -261,6 +277,7 @@
 
 	HASH_ITER(hh, orders->tracks, track, next)
 	{
+		tell_unload(track, now_us);
 		if (at_fleet_find(orders->entry->fleet, track->server) ==
 			NULL &&
 		    track->state != TRACK_SENT && !track->looking) {
--- a/tests/unit/test_contention.c
+++ b/tests/unit/test_contention.c
@@ -337,6 +337,8 @@
     {"too little room", 5, 1, 1, 0, 0},
     {"too little room, but its turn", 5, 1, 1, 500, 1},
     {"too little room and late", 5, 1, 0, 500, 0},
+    {"late, but room is left beside the pressing ones", 5, 6, 0, 500, 1},
+    {"late, in turn, with more room than is pressing", 3, 4, 0, 500, 1},
 };
 
 Test(contention, takes_turns_for_room_that_others_see)
