--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -495,3 +495,37 @@
 	cr_assert_leq(standin_store_calls(edge->store) - calls, 4);
 	edge_delete(edge);
 }
+
+static int
+reader_is_away(void *ctx)
+{
+	const edge_t *edge = ctx;
+	size_t i;
+
+	for (i = 0; i < edge->entry_count; i++) {
+		if (at_sync_is_reader(edge->entries[i]->sync) &&
+		    at_sync_away(edge->entries[i]->sync))
+			return 1;
+	}
+	return 0;
+}
+
+/*
+ * A store that takes calls and does not answer them leaves the watches open;
+ * whoever reads for the others must notice by its looks, and give way.
+ */
+Test(entry_path, a_reader_without_answers_says_so)
+{
+	edge_t *edge = make();
+	int i;
+
+	(void)edge_add_entry(edge);
+	(void)edge_add_entry(edge);
+	edge_until_ready(edge);
+	edge_until(edge, one_reads, edge);
+	standin_store_faults(edge->store)->silent = 100;
+	for (i = 0; i < 40 && !reader_is_away(edge); i++)
+		edge_run_ms(edge, 50);
+	cr_assert(reader_is_away(edge), "nobody noticed in 2 s");
+	edge_delete(edge);
+}
