Log attempts cancelled after a time-out, and the newest configuration

Cause: the log could not tell whether a stream was cut because its server had been silent or because a newer configuration left it without a server. Change: a line 'attempt cancelled' with its reason, and newest_config= beside config= in the line of a call's end.

--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -112,14 +112,16 @@
 
 	at_log(AT_LOG_INFO, "call", call->id,
 	    "ended outcome=%s reason=%s status=%d route=%s workspace=%s "
-	    "model=%s adapter=%s config=%" PRIu64 " server=%s attempts=%u "
+	    "model=%s adapter=%s config=%" PRIu64 " newest_config=%" PRIu64
+	    " server=%s attempts=%u "
 	    "prompt=%u objective_ms=%u waited_us=%" PRIu64
 	    " first_event_us=%" PRIu64 " event_gap_max_us=%" PRIu64
 	    " took_us=%" PRIu64 " predicted_us=%" PRIu64 " retry_after_ms=%u",
 	    outcome, at_reason_names[reason], status, call->route->name.text,
 	    call->workspace == NULL ? "-" : call->workspace->name.text,
 	    call->header.model.text, call->header.adapter.text,
-	    call->site->version, call->current.server_id.text,
+	    call->site->version, call->entry->site->version,
+	    call->current.server_id.text,
 	    call->current.server_id.text[0] == '\0' ? 0
 						    : call->current.number + 1,
 	    work->prompt_tokens, call->route->objective_ms, call->waited_us,
@@ -285,6 +287,30 @@
 	    at_clock_now_ms());
 }
 
+static at_server_outcome_t
+outcome_from_reason(at_reason_t reason)
+{
+	return reason == AT_REASON_FIRST_BYTE_TIMEOUT ||
+		       reason == AT_REASON_IDLE_TIMEOUT ||
+		       reason == AT_REASON_CONNECT_FAILED
+		   ? AT_OUTCOME_FAILED
+		   : AT_OUTCOME_UNKNOWN;
+}
+
+static void
+cancel_attempt(at_call_t *call, uint32_t number)
+{
+	at_reason_t reason = at_attempts_reason(call->attempts, number);
+
+	if (reason != AT_REASON_NONE)
+		at_log(AT_LOG_INFO, "call", call->id,
+		    "attempt cancelled attempt=%u server=%s reason=%s "
+		    "had_event=%d",
+		    number, call->current.server_id.text,
+		    at_reason_names[reason], call->current.had_event);
+	call_attempt_end(&call->current, outcome_from_reason(reason));
+}
+
 static void
 finish(at_call_t *call, const at_action_t *action)
 {
@@ -297,16 +323,6 @@
 	call_attempt_end(&call->current, AT_OUTCOME_UNKNOWN);
 }
 
-static at_server_outcome_t
-outcome_from_reason(at_reason_t reason)
-{
-	return reason == AT_REASON_FIRST_BYTE_TIMEOUT ||
-		       reason == AT_REASON_IDLE_TIMEOUT ||
-		       reason == AT_REASON_CONNECT_FAILED
-		   ? AT_OUTCOME_FAILED
-		   : AT_OUTCOME_UNKNOWN;
-}
-
 void
 call_process(at_call_t *call)
 {
@@ -320,9 +336,7 @@
 		if (action.kind == AT_ACTION_START)
 			place_attempt(call, &action);
 		else if (action.kind == AT_ACTION_CANCEL)
-			call_attempt_end(&call->current,
-			    outcome_from_reason(at_attempts_reason(
-				call->attempts, action.attempt)));
+			cancel_attempt(call, action.attempt);
 		else if (action.kind == AT_ACTION_DELIVER)
 			deliver_event(call);
 		else
