Test that a silent server which goes on ends its response

Cause: a stream or safe request whose server is silent for longer than its time-out is cancelled before another server has taken it; where none does, the caller's connection is closed or gets 504.

--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -213,6 +213,95 @@
 	entry_fixture_delete(fixture);
 }
 
+static int
+has_leaving_server(void *ctx)
+{
+	const entry_fixture_t *fixture = ctx;
+	const at_server_t *server = at_fleet_find(
+	    fixture->entries[0]->fleet, at_tag_from_text(fixture->ids[0]));
+
+	return server != NULL && at_server_entry(server)->is_leaving;
+}
+
+static int
+is_response_done(void *ctx)
+{
+	return ((const entry_fixture_response_t *)ctx)->done;
+}
+
+/*
+ * A server falls silent for longer than the time after which another one is
+ * tried, and goes on. The other server has a fault, or there is none.
+ */
+static const struct {
+	const char *name;
+	const entry_fixture_request_t *request;
+	uint32_t pause_after; /* events */
+	uint32_t pause_ms;
+	size_t fault; /* of the other server */
+	int is_alone; /* the other server leaves */
+	const char *body;
+} silences[] = {
+    {"stream: the other server refuses", &streamed, 1, 1600,
+	offsetof(standin_faults_t, refuse), 0, THREE_EVENTS},
+    {"stream: the other server crashes", &streamed, 1, 1600,
+	offsetof(standin_faults_t, crash), 0, THREE_EVENTS},
+    {"stream: there is no other server", &streamed, 1, 1600,
+	offsetof(standin_faults_t, refuse), 1, THREE_EVENTS},
+    {"stream: the other server falls silent, too", &streamed, 2, 1600,
+	offsetof(standin_faults_t, silent), 0, THREE_EVENTS},
+    {"first event: the other server refuses", &streamed, 0, 3300,
+	offsetof(standin_faults_t, refuse), 0, THREE_EVENTS},
+    {"safe: the other server refuses", &safe, 0, 1300,
+	offsetof(standin_faults_t, refuse), 0, "done"},
+    {"safe: there is no other server", &safe, 0, 1300,
+	offsetof(standin_faults_t, refuse), 1, "done"},
+};
+
+static int
+has_run(void *ctx)
+{
+	return count_runs(ctx) > 0;
+}
+
+static void
+run_silence(size_t i)
+{
+	entry_fixture_t *fixture = make_fixture();
+	standin_faults_t *server_faults =
+	    standin_server_faults(fixture->servers[0]);
+	entry_fixture_response_t response;
+
+	set_fault(fixture, offsetof(standin_faults_t, pause_after),
+	    silences[i].pause_after);
+	server_faults->pause_ms = silences[i].pause_ms;
+	if (silences[i].is_alone) {
+		entry_fixture_list_server(fixture, 0, 1);
+		entry_fixture_list_server(fixture, 2, 1);
+		entry_fixture_run_until(fixture, has_leaving_server, fixture);
+		entry_fixture_run_ms(fixture, 400);
+	}
+	entry_fixture_send(fixture, 0, silences[i].request, &response);
+	entry_fixture_run_until(fixture, has_run, fixture);
+	set_fault(fixture, silences[i].fault, 100);
+	entry_fixture_run_until(fixture, is_response_done, &response);
+	cr_expect_eq(
+	    response.status, 200, "%s: %d", silences[i].name, response.status);
+	cr_expect(response.is_complete, "%s: cut", silences[i].name);
+	cr_expect_str_eq(response.body == NULL ? "" : response.body,
+	    silences[i].body, "%s", silences[i].name);
+	entry_fixture_response_free(&response);
+	entry_fixture_delete(fixture);
+}
+
+Test(entry_path, a_silent_server_that_goes_on_ends_its_response)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(silences) / sizeof(silences[0]); i++)
+		run_silence(i);
+}
+
 static const struct {
 	const char *name;
 	entry_fixture_request_t request;
@@ -295,16 +384,6 @@
 	entry_fixture_delete(fixture);
 }
 
-static int
-has_leaving_server(void *ctx)
-{
-	const entry_fixture_t *fixture = ctx;
-	const at_server_t *server = at_fleet_find(
-	    fixture->entries[0]->fleet, at_tag_from_text(fixture->ids[0]));
-
-	return server != NULL && at_server_entry(server)->is_leaving;
-}
-
 Test(entry_path, a_leaving_server_is_not_chosen)
 {
 	entry_fixture_t *fixture = make_fixture();
