Keep a silent server's attempt until another one has responded

Cause: a time-out of the response ended the attempt first and placed the next one afterwards. Where no server was free, or the next one refused, crashed or was silent, nothing was left and the caller's connection was closed. The class of the fault: what works is given up before its replacement is secured.

Change: with keeps_silent (before: no_timeout_on_last) a time-out starts another attempt beside the silent one; the one that delivers next ends the other, and an attempt that was sent is cancelled only then or when the request ends. An attempt that was not placed does not count towards attempts_max, and one that is cancelled while it is queued refunds its retry. A call has two open attempts. The silent server's health counts the silence at once, as before.

--- a/include/almondthread/attempt.h
+++ b/include/almondthread/attempt.h
@@ -14,7 +14,9 @@
  *     sent, unless the backend server refused it before running it;
  *   - all AT_ACTION_DELIVER actions of a request name the same attempt,
  *     unless the request is resumable: then a later attempt may continue
- *     where the previous one broke off;
+ *     where the previous one broke off or fell silent;
+ *   - with keeps_silent, an attempt that was sent is cancelled only when
+ *     another one has responded or the request ends;
  *   - each attempt but the first spends a retry of the workspace's budget
  *     and of its backend server's budget.
  *
@@ -81,13 +83,18 @@
 	uint32_t deadline_ms; /* of the whole request */
 	uint32_t attempts_max; /* 1 to AT_ATTEMPTS_MAX */
 	/*
-	 * Attempts of which nothing was sent, for lack of a connection,
-	 * neither count towards attempts_max nor spend a retry. In total
-	 * there are still at most AT_ATTEMPTS_MAX.
+	 * Attempts of which nothing was sent, for lack of a server or a
+	 * connection, do not count towards attempts_max; those for lack of a
+	 * connection do not spend a retry either. In total there are still at
+	 * most AT_ATTEMPTS_MAX.
 	 */
 	int unsent_not_counted;
-	/* A timeout ends an attempt only if another one may follow it. */
-	int no_timeout_on_last;
+	/*
+	 * A server that is silent for first_byte_ms or idle_ms does not end
+	 * its attempt. Another attempt is started beside it, if one may be,
+	 * and the attempt that responds next ends the other.
+	 */
+	int keeps_silent;
 } at_attempt_limits_t;
 
 typedef struct at_attempts at_attempts_t;
--- a/include/almondthread/budget.h
+++ b/include/almondthread/budget.h
@@ -42,9 +42,6 @@
 /* at_budget_take() spends one retry. Returns 0, or -1 when none is left. */
 int at_budget_take(at_budget_t *budget, uint64_t now_ms);
 
-/* at_budget_has_retry() returns non-zero if a retry could be spent. */
-int at_budget_has_retry(const at_budget_t *budget);
-
 /* at_budget_refund() adds back a retry that was not sent. */
 void at_budget_refund(at_budget_t *budget);
 
--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -230,6 +230,12 @@
 void at_server_note_misplaced(
     at_server_t *server, const at_work_t *work, uint64_t now_us);
 
+/*
+ * at_server_note_silent() counts a failure of a server that is silent while a
+ * request is open. A response that it completes later clears it.
+ */
+void at_server_note_silent(at_server_t *server, uint64_t now_us);
+
 /*
  * at_server_is_available() returns non-zero unless the server is in a backoff
  * after failures.
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -251,6 +251,12 @@
 	delete_if_unused(fleet, server);
 }
 
+void
+at_server_note_silent(at_server_t *server, uint64_t now_us)
+{
+	server_health_note_outcome(&server->health, AT_OUTCOME_FAILED, now_us);
+}
+
 size_t
 at_fleet_fill_report(const at_fleet_t *fleet, at_load_report_t *entries,
     size_t max, uint64_t now_us)
--- a/src/core/requests/attempt.c
+++ b/src/core/requests/attempt.c
@@ -93,8 +93,8 @@
 	return attempt_is_live(attempt) && attempt->state != AT_ATTEMPT_PLACING;
 }
 
-static uint32_t
-live_count(const at_attempts_t *attempts)
+uint32_t
+attempts_live(const at_attempts_t *attempts)
 {
 	uint32_t live = 0;
 	uint32_t k;
@@ -114,8 +114,8 @@
 	return &attempts->list[k];
 }
 
-static uint64_t
-timeout_at(uint64_t now_ms, uint32_t timeout_ms)
+uint64_t
+attempts_timeout_at(uint64_t now_ms, uint32_t timeout_ms)
 {
 	return timeout_ms == 0 ? AT_ATTEMPTS_NO_TIMER : now_ms + timeout_ms;
 }
@@ -142,6 +142,8 @@
 		return;
 	if (attempt_is_open(attempt))
 		(void)add_action(attempts, AT_ACTION_CANCEL, k);
+	else if (attempt->is_paid && attempts->budget != NULL)
+		at_budget_refund(attempts->budget);
 	attempt->verdict = attempt->state >= AT_ATTEMPT_SENT
 			       ? AT_VERDICT_MAY_HAVE_RUN
 			       : AT_VERDICT_NOT_RUN;
@@ -206,9 +208,9 @@
 	action->remaining_ms = (uint32_t)(attempts->deadline_at_ms - now_ms);
 }
 
-/* Returns whether an attempt without a connection is not to be counted. */
+/* Returns whether an attempt ended for lack of a connection. */
 static int
-is_not_counted(const at_attempts_t *attempts, const attempt_t *attempt)
+is_unconnected(const at_attempts_t *attempts, const attempt_t *attempt)
 {
 	return attempts->limits.unsent_not_counted &&
 	       attempt->state == AT_ATTEMPT_ENDED &&
@@ -216,8 +218,17 @@
 	       attempt->reason == AT_REASON_CONNECT_FAILED;
 }
 
-uint32_t
-attempts_counted(const at_attempts_t *attempts)
+static int
+is_not_counted(const at_attempts_t *attempts, const attempt_t *attempt)
+{
+	return is_unconnected(attempts, attempt) ||
+	       (attempts->limits.unsent_not_counted &&
+		   attempt->state == AT_ATTEMPT_ENDED && !attempt->is_placed);
+}
+
+/* Returns the number of attempts that count towards attempts_max. */
+static uint32_t
+counted(const at_attempts_t *attempts)
 {
 	uint32_t count = 0;
 	uint32_t k;
@@ -231,10 +242,11 @@
 int
 attempts_may_start(const at_attempts_t *attempts, uint64_t now_ms)
 {
-	if (attempts->is_finished || attempts->delivered != AT_ATTEMPT_NONE)
+	if (attempts->is_finished ||
+	    (attempts->delivered != AT_ATTEMPT_NONE && !attempts->is_resumable))
 		return 0;
 	if (attempts->count == AT_ATTEMPTS_MAX ||
-	    attempts_counted(attempts) >= attempts->limits.attempts_max ||
+	    counted(attempts) >= attempts->limits.attempts_max ||
 	    now_ms >= attempts->deadline_at_ms)
 		return 0;
 	return attempts->repeat != AT_REPEAT_ONCE ||
@@ -260,7 +272,7 @@
 {
 	at_reason_t reason = attempts->reason;
 	int is_free =
-	    is_not_counted(attempts, &attempts->list[attempts->count - 1]);
+	    is_unconnected(attempts, &attempts->list[attempts->count - 1]);
 
 	if (attempts_may_start(attempts, now_ms)) {
 		if (is_free ||
@@ -302,7 +314,7 @@
 		attempts->delivered = AT_ATTEMPT_NONE;
 	if (attempts->delivered == k)
 		attempts_finish_failed(attempts, reason);
-	else if (live_count(attempts) == 0)
+	else if (attempts_live(attempts) == 0)
 		retry_or_finish(attempts, now_ms);
 }
 
@@ -329,12 +341,13 @@
 		return -1;
 	}
 	attempt->budget = budget;
+	attempt->is_placed = 1;
 	attempt->state = AT_ATTEMPT_CONNECTING;
 	attempt->timeout_at_ms =
-	    timeout_at(now_ms, attempts->limits.connect_ms);
+	    attempts_timeout_at(now_ms, attempts->limits.connect_ms);
 	if (k == 0 && attempts->repeat != AT_REPEAT_ONCE)
 		attempts->hedge_at_ms =
-		    timeout_at(now_ms, attempts->limits.hedge_ms);
+		    attempts_timeout_at(now_ms, attempts->limits.hedge_ms);
 	return 0;
 }
 
@@ -353,7 +366,7 @@
 	attempt->state = AT_ATTEMPT_ENDED;
 	attempt->reason = reason;
 	attempt->verdict = AT_VERDICT_NOT_RUN;
-	if (live_count(attempts) > 0)
+	if (attempts_live(attempts) > 0)
 		return;
 	note_failure(attempts, reason, AT_VERDICT_NOT_RUN);
 	attempts_finish_failed(attempts, attempts->reason);
@@ -368,7 +381,7 @@
 		return;
 	attempt->state = AT_ATTEMPT_SENT;
 	attempt->timeout_at_ms =
-	    timeout_at(now_ms, attempts->limits.first_byte_ms);
+	    attempts_timeout_at(now_ms, attempts->limits.first_byte_ms);
 }
 
 /*
@@ -380,8 +393,9 @@
 {
 	attempt->state = AT_ATTEMPT_RECEIVING;
 	attempt->timeout_at_ms =
-	    attempt->is_paused ? AT_ATTEMPTS_NO_TIMER
-			       : timeout_at(now_ms, attempts->limits.idle_ms);
+	    attempt->is_paused
+		? AT_ATTEMPTS_NO_TIMER
+		: attempts_timeout_at(now_ms, attempts->limits.idle_ms);
 	attempts->hedge_at_ms = AT_ATTEMPTS_NO_TIMER;
 }
 
@@ -394,11 +408,10 @@
 		note_response(attempts, attempt, now_ms);
 }
 
+/* From now on only this attempt is delivered. */
 static void
 set_delivered(at_attempts_t *attempts, uint32_t k)
 {
-	if (attempts->delivered != AT_ATTEMPT_NONE)
-		return;
 	attempts->delivered = k;
 	cancel_all_but(attempts, k, AT_REASON_NONE);
 }
--- a/src/core/requests/attempt_internal.h
+++ b/src/core/requests/attempt_internal.h
@@ -15,6 +15,7 @@
 	at_verdict_t verdict; /* set when it has ended */
 	at_reason_t reason;   /* set when it has ended */
 	int is_hedge;
+	int is_placed; /* a backend server was chosen */
 	int is_paid;   /* a retry of the workspace's budget was taken */
 	int is_paused; /* the caller accepts no data */
 	uint64_t timeout_at_ms; /* latest end of the present state */
@@ -45,8 +46,10 @@
 int attempt_is_live(const attempt_t *attempt);
 /* Returns non-zero if the attempt is live and placed on a backend server. */
 int attempt_is_open(const attempt_t *attempt);
-/* Returns the number of attempts that count towards attempts_max. */
-uint32_t attempts_counted(const at_attempts_t *attempts);
+/* Returns the number of attempts that have started and not ended. */
+uint32_t attempts_live(const at_attempts_t *attempts);
+/* Returns the time at which a timeout ends, or AT_ATTEMPTS_NO_TIMER for 0. */
+uint64_t attempts_timeout_at(uint64_t now_ms, uint32_t timeout_ms);
 /*
  * Returns non-zero if another attempt may start, apart from the retry budgets.
  */
--- a/src/core/requests/attempt_time.c
+++ b/src/core/requests/attempt_time.c
@@ -28,19 +28,25 @@
 	return AT_REASON_IDLE_TIMEOUT;
 }
 
-/* Returns whether another attempt may follow one that has been sent. */
-static int
-may_retry(const at_attempts_t *attempts, uint64_t now_ms)
+/*
+ * Starts another attempt beside a silent one, unless one is live already. It is
+ * tried again each time that the timeout has passed.
+ */
+static void
+start_beside(at_attempts_t *attempts, uint32_t k, uint64_t now_ms)
 {
-	if (attempts->repeat == AT_REPEAT_ONCE ||
-	    attempts->count == AT_ATTEMPTS_MAX ||
-	    attempts_counted(attempts) >= attempts->limits.attempts_max ||
-	    now_ms >= attempts->deadline_at_ms)
-		return 0;
-	if (attempts->delivered != AT_ATTEMPT_NONE && !attempts->is_resumable)
-		return 0;
-	return attempts->budget == NULL ||
-	       at_budget_has_retry(attempts->budget);
+	attempt_t *attempt = &attempts->list[k];
+	at_reason_t reason = timeout_reason(attempt);
+
+	attempt->timeout_at_ms = attempts_timeout_at(now_ms,
+	    attempt->state == AT_ATTEMPT_SENT ? attempts->limits.first_byte_ms
+					      : attempts->limits.idle_ms);
+	if (attempts->repeat != AT_REPEAT_ANY || attempts_live(attempts) > 1 ||
+	    !attempts_may_start(attempts, now_ms) ||
+	    !attempts_take_budget(attempts, attempts->budget, now_ms))
+		return;
+	attempts_start(attempts, reason, 1, now_ms);
+	attempts->list[attempts->count - 1].is_paid = 1;
 }
 
 static void
@@ -56,10 +62,9 @@
 		if (!attempt_is_open(attempt) ||
 		    now_ms < attempt->timeout_at_ms)
 			continue;
-		if (attempts->limits.no_timeout_on_last &&
-		    attempt->state >= AT_ATTEMPT_SENT &&
-		    !may_retry(attempts, now_ms)) {
-			attempt->timeout_at_ms = AT_ATTEMPTS_NO_TIMER;
+		if (attempts->limits.keeps_silent &&
+		    attempt->state >= AT_ATTEMPT_SENT) {
+			start_beside(attempts, k, now_ms);
 			continue;
 		}
 		attempts_cancel(attempts, k, reason);
--- a/src/core/requests/budget.c
+++ b/src/core/requests/budget.c
@@ -59,12 +59,6 @@
 	add_milli(budget, AT_BUDGET_RETRY_MILLI);
 }
 
-int
-at_budget_has_retry(const at_budget_t *budget)
-{
-	return budget->level_milli >= AT_BUDGET_RETRY_MILLI;
-}
-
 int
 at_budget_take(at_budget_t *budget, uint64_t now_ms)
 {
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -35,12 +35,22 @@
 	    request, refusal->status, headers.entries, body, (size_t)len);
 }
 
+static void
+end_attempts(at_call_t *call)
+{
+	size_t i;
+
+	for (i = 0; i < OPEN_ATTEMPTS_MAX; i++)
+		call_attempt_end(&call->open_attempts[i], AT_OUTCOME_UNKNOWN);
+}
+
 void
 call_free(at_call_t *call)
 {
 	at_entry_t *entry = call->entry;
+	size_t i;
 
-	call_attempt_end(&call->current, AT_OUTCOME_UNKNOWN);
+	end_attempts(call);
 	at_wait_queue_remove(entry->queue, &call->waiter);
 	ev_timer_stop(entry->loop, &call->timer);
 	if (call->prev != NULL)
@@ -50,7 +60,8 @@
 	if (call->next != NULL)
 		call->next->prev = call->prev;
 	entry->call_count--;
-	buffered_response_reset(&call->current.response);
+	for (i = 0; i < OPEN_ATTEMPTS_MAX; i++)
+		buffered_response_reset(&call->open_attempts[i].response);
 	buffered_response_reset(&call->failure_response);
 	at_header_lines_free(&call->request_headers);
 	at_attempts_delete(call->attempts);
@@ -121,23 +132,25 @@
 	    call->workspace == NULL ? "-" : call->workspace->name.text,
 	    call->header.model.text, call->header.adapter.text,
 	    call->site->version, call->entry->site->version,
-	    call->current.server_id.text,
-	    call->current.server_id.text[0] == '\0' ? 0
-						    : call->current.number + 1,
+	    call->current->server_id.text,
+	    call->current->server_id.text[0] == '\0'
+		? 0
+		: call->current->number + 1,
 	    work->prompt_tokens, call->route->objective_ms, call->waited_us,
 	    call->first_event_us == 0 ? 0
 				      : call->first_event_us - call->started_us,
 	    call->event_gap_max_us, now_us - call->started_us,
-	    call->current.predicted_us, retry_after_ms);
+	    call->current->predicted_us, retry_after_ms);
 }
 
 static void
-deliver_event(at_call_t *call)
+deliver_event(at_call_t *call, call_attempt_t *attempt)
 {
-	const buffered_response_t *response = &call->current.response;
-
+	const buffered_response_t *response = &attempt->response;
 	uint64_t now_us = at_clock_now_us();
 
+	call->current = attempt;
+	attempt->is_silent = 0;
 	if (call->event == NULL || call->request == NULL)
 		return;
 	if (call->first_event_us == 0)
@@ -168,17 +181,17 @@
 	if (call->response_started) {
 		if (call->request != NULL)
 			at_httpd_stream_end(call->request);
-	} else if (call->current.is_stream && call->request != NULL) {
+	} else if (call->current->is_stream && call->request != NULL) {
 		/* The stream is complete without a single event. */
 		at_httpd_stream_begin(call->request,
-		    call->current.response.status,
-		    call->current.response.headers.entries);
+		    call->current->response.status,
+		    call->current->response.headers.entries);
 		at_httpd_stream_end(call->request);
 	} else {
-		reply_buffered(call, &call->current.response);
+		reply_buffered(call, &call->current->response);
 	}
-	log_end(
-	    call, "answered", AT_REASON_NONE, call->current.response.status, 0);
+	log_end(call, "answered", AT_REASON_NONE,
+	    call->current->response.status, 0);
 	at_counters_add(call->entry->counters, "answers_total", NULL, NULL, 1);
 }
 
@@ -240,6 +253,29 @@
 	}
 }
 
+/* An attempt is about to start beside another one, whose server is silent. */
+static void
+note_silence(at_call_t *call, const at_action_t *action)
+{
+	size_t i;
+
+	for (i = 0; i < OPEN_ATTEMPTS_MAX; i++) {
+		call_attempt_t *attempt = &call->open_attempts[i];
+
+		if (!call_attempt_is_open(attempt))
+			continue;
+		if (!attempt->is_silent)
+			at_server_note_silent(
+			    attempt->server, at_clock_now_us());
+		attempt->is_silent = 1;
+		at_log(AT_LOG_INFO, "call", call->id,
+		    "server silent; another attempt starts beside it "
+		    "attempt=%u server=%s reason=%s",
+		    attempt->number, attempt->server_id.text,
+		    at_reason_names[action->reason]);
+	}
+}
+
 /* Places the next attempt at a backend server, or queues or refuses it. */
 static void
 place_attempt(at_call_t *call, const at_action_t *action)
@@ -257,6 +293,8 @@
 	}
 	if (action->attempt > 0)
 		at_counters_add_retry(entry->counters, action->reason);
+	if (action->is_hedge)
+		note_silence(call, action);
 	if (call->caller_timeout_us != 0)
 		call->waiter.first_event_limit_us =
 		    (call->response_started ? call->last_event_us
@@ -300,27 +338,34 @@
 static void
 cancel_attempt(at_call_t *call, uint32_t number)
 {
+	call_attempt_t *attempt = call_attempt_find(call, number);
 	at_reason_t reason = at_attempts_reason(call->attempts, number);
 
-	if (reason != AT_REASON_NONE)
+	if (attempt == NULL)
+		return;
+	if (attempt->is_silent)
 		at_log(AT_LOG_INFO, "call", call->id,
-		    "attempt cancelled attempt=%u server=%s reason=%s "
+		    "silent attempt cancelled attempt=%u server=%s reason=%s "
 		    "had_event=%d",
-		    number, call->current.server_id.text,
-		    at_reason_names[reason], call->current.had_event);
-	call_attempt_end(&call->current, outcome_from_reason(reason));
+		    number, attempt->server_id.text, at_reason_names[reason],
+		    attempt->had_event);
+	call_attempt_end(attempt, outcome_from_reason(reason));
 }
 
 static void
 finish(at_call_t *call, const at_action_t *action)
 {
+	call_attempt_t *delivered = call_attempt_find(call, action->attempt);
+
 	call->is_finished = 1;
 	at_wait_queue_remove(call->entry->queue, &call->waiter);
+	if (delivered != NULL)
+		call->current = delivered;
 	if (action->verdict == AT_VERDICT_RAN)
 		finish_complete(call);
 	else
 		finish_failed(call, action);
-	call_attempt_end(&call->current, AT_OUTCOME_UNKNOWN);
+	end_attempts(call);
 }
 
 void
@@ -338,10 +383,15 @@
 		else if (action.kind == AT_ACTION_CANCEL)
 			cancel_attempt(call, action.attempt);
 		else if (action.kind == AT_ACTION_DELIVER)
-			deliver_event(call);
+			deliver_event(
+			    call, call_attempt_find(call, action.attempt));
 		else
 			finish(call, &action);
 	}
+	/* An attempt that was queued is cancelled without an action. */
+	if (at_attempts_state(call->attempts, call->queued_attempt) !=
+	    AT_ATTEMPT_PLACING)
+		at_wait_queue_remove(call->entry->queue, &call->waiter);
 	call->is_processing = 0;
 	set_timer(call);
 	at_entry_place_queued(call->entry);
@@ -359,7 +409,7 @@
 	if (call->is_finished)
 		return;
 	if (call->route->type == AT_ROUTE_UNSAFE &&
-	    call->current.server != NULL)
+	    call_attempt_is_open(call->current))
 		return;
 	at_attempts_on_caller_closed(call->attempts, at_clock_now_ms());
 	call_process(call);
@@ -382,14 +432,20 @@
 on_drain(void *ctx)
 {
 	at_call_t *call = ctx;
+	size_t i;
 
 	call->is_paused = 0;
-	if (call->is_finished || call->current.transfer == NULL)
-		return;
-	at_attempts_on_paused(
-	    call->attempts, call->current.number, 0, at_clock_now_ms());
-	call_process(call);
-	at_transfer_resume(call->current.transfer);
+	for (i = 0; i < OPEN_ATTEMPTS_MAX && !call->is_finished; i++) {
+		call_attempt_t *attempt = &call->open_attempts[i];
+
+		if (attempt->transfer == NULL)
+			continue;
+		at_attempts_on_paused(
+		    call->attempts, attempt->number, 0, at_clock_now_ms());
+		call_process(call);
+		if (attempt->transfer != NULL)
+			at_transfer_resume(attempt->transfer);
+	}
 }
 
 void
--- a/src/entry/call_admit.c
+++ b/src/entry/call_admit.c
@@ -146,7 +146,7 @@
 			   US_PER_MS),
 	    .attempts_max = route->attempts_max,
 	    .unsent_not_counted = 1,
-	    .no_timeout_on_last = 1};
+	    .keeps_silent = 1};
 	uint64_t now_ms = at_clock_now_ms();
 
 	if (limits.attempts_max < 1)
@@ -175,11 +175,16 @@
     const at_request_header_t *header)
 {
 	at_call_t *call = calloc(1, sizeof(*call));
+	size_t i;
 
 	if (call == NULL)
 		return NULL;
 	call->entry = entry;
-	call->current.call = call;
+	for (i = 0; i < OPEN_ATTEMPTS_MAX; i++) {
+		call->open_attempts[i].call = call;
+		call->open_attempts[i].number = AT_ATTEMPT_NONE;
+	}
+	call->current = &call->open_attempts[0];
 	call->request = request;
 	call->header = *header;
 	call->site = at_site_ref(entry->site);
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -44,6 +44,24 @@
 	at_event_frames_reset(&attempt->frames);
 }
 
+int
+call_attempt_is_open(const call_attempt_t *attempt)
+{
+	return attempt->server != NULL;
+}
+
+call_attempt_t *
+call_attempt_find(at_call_t *call, uint32_t number)
+{
+	size_t i;
+
+	for (i = 0; i < OPEN_ATTEMPTS_MAX; i++) {
+		if (call->open_attempts[i].number == number)
+			return &call->open_attempts[i];
+	}
+	return NULL;
+}
+
 static void
 note_first_event(call_attempt_t *attempt)
 {
@@ -318,7 +336,9 @@
 void
 call_attempt_start(at_call_t *call, uint32_t number, const at_choice_t *choice)
 {
-	call_attempt_t *attempt = &call->current;
+	call_attempt_t *attempt = call_attempt_is_open(&call->open_attempts[0])
+				      ? &call->open_attempts[1]
+				      : &call->open_attempts[0];
 	const at_server_entry_t *server_entry = at_server_entry(choice->server);
 	uint64_t now_us = at_clock_now_us();
 
@@ -332,6 +352,8 @@
 	if (at_attempts_on_placed(
 		call->attempts, number, NULL, at_clock_now_ms()) != 0)
 		return;
+	if (!call_attempt_is_open(call->current))
+		call->current = attempt;
 	call->waiter.work.avoid[number] = server_entry->tag;
 	attempt->transfer = start_transfer(attempt, server_entry, now_us);
 	if (attempt->transfer == NULL) {
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -12,7 +12,8 @@
 #include "entry/call.h"
 #include "platform/server_call.h"
 
-#define ID_SIZE 96u /* bytes of a request's id, with the NUL */
+#define ID_SIZE 96u          /* bytes of a request's id, with the NUL */
+#define OPEN_ATTEMPTS_MAX 2u /* a second one beside one that is silent */
 
 /* A response that is buffered until it is complete. */
 typedef struct buffered_response {
@@ -33,6 +34,7 @@
 	uint64_t sent_us;
 	uint64_t predicted_us;
 	int had_event;     /* an event or the complete response has arrived */
+	int is_silent;     /* another attempt was started beside it */
 	int is_refused;    /* the server states that it did not run it */
 	int is_misplaced;  /* refused: wrong server, or model not resident */
 	int is_stream;     /* the response is passed on as it arrives */
@@ -57,7 +59,9 @@
 	at_waiter_t waiter;
 	at_attempts_t *attempts;
 	uint32_t queued_attempt; /* number of the attempt to be placed */
-	call_attempt_t current;
+	call_attempt_t open_attempts[OPEN_ATTEMPTS_MAX];
+	/* The attempt whose response is passed on, or else the newest one. */
+	call_attempt_t *current;
 	int is_processing; /* call_process() is running */
 	int is_finished;
 	int response_started;    /* the response's headers have been sent */
@@ -105,6 +109,10 @@
 void call_attempt_start(
     at_call_t *call, uint32_t number, const at_choice_t *choice);
 void call_attempt_end(call_attempt_t *attempt, at_server_outcome_t outcome);
+/* call_attempt_is_open() returns non-zero until call_attempt_end(). */
+int call_attempt_is_open(const call_attempt_t *attempt);
+/* call_attempt_find() returns the attempt with this number, or NULL. */
+call_attempt_t *call_attempt_find(at_call_t *call, uint32_t number);
 void buffered_response_reset(buffered_response_t *response);
 
 #endif
