Set the timer for the first byte when a request is sent

Callers saw: a safe request to a server that accepts it and is silent got no response until its deadline, though another server was free.

Cause: the time-out begins with the first byte sent, but the call's timer was set before, to the deadline, and reporting the sending did not set it again. It fired only if another event of the call came in between. The daemon's transport does process the exchange there.

Change: on_sending() sets the timer.

Evidence: a_silent_server_delays_no_safe_request failed before (no response in 2,500 ms) and passes.

--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -76,9 +76,8 @@
 		call_free(entry->calls);
 }
 
-/* Starts the timer for the next tick of the attempts. */
-static void
-set_timer(at_call_t *call)
+void
+call_set_timer(at_call_t *call)
 {
 	uint64_t due =
 	    call->is_finished ? 0 : at_attempts_due_ms(call->attempts);
@@ -393,7 +392,7 @@
 	    AT_ATTEMPT_PLACING)
 		at_wait_queue_remove(call->entry->queue, &call->waiter);
 	call->is_processing = 0;
-	set_timer(call);
+	call_set_timer(call);
 	at_entry_place_queued(call->entry);
 }
 
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -84,6 +84,7 @@
 
 	at_attempts_on_sending(
 	    attempt->call->attempts, attempt->number, at_clock_now_ms());
+	call_set_timer(attempt->call);
 }
 
 /* Ends the attempt after a response that cannot be passed on. */
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -91,11 +91,14 @@
 
 /*
  * call_process() carries out the actions that the attempts ask for, and sets
- * the timer. call_free() ends the attempt and frees the call. call_attach()
- * registers the handlers for the caller's connection. call_reply_refusal()
- * counts a refusal and sends it to the caller.
+ * the timer. call_set_timer() starts the timer for the next tick of the
+ * attempts, after an event that asks for no action. call_free() ends the
+ * attempt and frees the call. call_attach() registers the handlers for the
+ * caller's connection. call_reply_refusal() counts a refusal and sends it to
+ * the caller.
  */
 void call_process(at_call_t *call);
+void call_set_timer(at_call_t *call);
 void call_free(at_call_t *call);
 void call_on_timer(struct ev_loop *loop, ev_timer *timer, int events);
 void call_attach(at_call_t *call);
--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -294,6 +294,22 @@
 	entry_fixture_delete(fixture);
 }
 
+/* A server that is silent before its response does not delay a safe request. */
+Test(entry_path, a_silent_server_delays_no_safe_request)
+{
+	entry_fixture_t *fixture = make_fixture();
+	entry_fixture_response_t response;
+
+	set_fault(fixture, offsetof(standin_faults_t, pause_ms), 5000);
+	entry_fixture_send(fixture, 0, &safe, &response);
+	entry_fixture_run_ms(fixture, 2500);
+	cr_assert(response.done, "no response in 2,500 ms");
+	cr_assert_eq(response.status, 200);
+	cr_assert_eq(count_runs(fixture), 2);
+	entry_fixture_response_free(&response);
+	entry_fixture_delete(fixture);
+}
+
 Test(entry_path, a_silent_server_that_goes_on_ends_its_response)
 {
 	size_t i;
