End a silent attempt 200 ms after another one has begun to respond

Change: headers of a later attempt end the earlier ones after takeover_ms, unless one of them delivers before, or the later one fails. A failure's headers do not count.

--- a/include/almondthread/attempt.h
+++ b/include/almondthread/attempt.h
@@ -92,9 +92,13 @@
 	/*
 	 * A server that is silent for first_byte_ms or idle_ms does not end
 	 * its attempt. Another attempt is started beside it, if one may be,
-	 * and the attempt that responds next ends the other.
+	 * and the attempt that responds next ends the other. Of a resumable
+	 * request, headers end the other takeover_ms later, so that two
+	 * servers do not run it for long; of other requests, only the
+	 * complete response does.
 	 */
 	int keeps_silent;
+	uint32_t takeover_ms;
 } at_attempt_limits_t;
 
 typedef struct at_attempts at_attempts_t;
--- a/src/core/requests/attempt.c
+++ b/src/core/requests/attempt.c
@@ -404,8 +404,12 @@
 {
 	attempt_t *attempt = open_attempt(attempts, k);
 
-	if (attempt != NULL)
-		note_response(attempts, attempt, now_ms);
+	if (attempt == NULL)
+		return;
+	note_response(attempts, attempt, now_ms);
+	if (attempts->limits.keeps_silent && attempts->is_resumable &&
+	    attempt->takeover_at_ms == 0)
+		attempt->takeover_at_ms = now_ms + attempts->limits.takeover_ms;
 }
 
 /* From now on only this attempt is delivered. */
--- a/src/core/requests/attempt_internal.h
+++ b/src/core/requests/attempt_internal.h
@@ -19,6 +19,7 @@
 	int is_paid;   /* a retry of the workspace's budget was taken */
 	int is_paused; /* the caller accepts no data */
 	uint64_t timeout_at_ms; /* latest end of the present state */
+	uint64_t takeover_at_ms; /* earlier attempts end then; 0: never */
 	at_budget_t *budget;    /* budget of its backend server */
 } attempt_t;
 
--- a/src/core/requests/attempt_time.c
+++ b/src/core/requests/attempt_time.c
@@ -49,6 +49,19 @@
 	attempts->list[attempts->count - 1].is_paid = 1;
 }
 
+/* Returns when a later attempt ends this one, or AT_ATTEMPTS_NO_TIMER. */
+static uint64_t
+taken_over_at_ms(const at_attempts_t *attempts, uint32_t k)
+{
+	for (k++; k < attempts->count; k++) {
+		const attempt_t *later = &attempts->list[k];
+
+		if (attempt_is_open(later) && later->takeover_at_ms != 0)
+			return later->takeover_at_ms;
+	}
+	return AT_ATTEMPTS_NO_TIMER;
+}
+
 static void
 check_timeouts(at_attempts_t *attempts, uint64_t now_ms)
 {
@@ -59,6 +72,8 @@
 		attempt_t *attempt = &attempts->list[k];
 		at_reason_t reason = timeout_reason(attempt);
 
+		if (now_ms >= taken_over_at_ms(attempts, k))
+			attempts_cancel(attempts, k, AT_REASON_NONE);
 		if (!attempt_is_open(attempt) ||
 		    now_ms < attempt->timeout_at_ms)
 			continue;
@@ -112,9 +127,14 @@
 	if (attempts->hedge_at_ms < due)
 		due = attempts->hedge_at_ms;
 	for (k = 0; k < attempts->count; k++) {
-		if (attempt_is_open(&attempts->list[k]) &&
-		    attempts->list[k].timeout_at_ms < due)
-			due = attempts->list[k].timeout_at_ms;
+		const attempt_t *attempt = &attempts->list[k];
+
+		if (!attempt_is_open(attempt))
+			continue;
+		if (attempt->timeout_at_ms < due)
+			due = attempt->timeout_at_ms;
+		if (taken_over_at_ms(attempts, k) < due)
+			due = taken_over_at_ms(attempts, k);
 	}
 	return due;
 }
--- a/src/entry/call_admit.c
+++ b/src/entry/call_admit.c
@@ -21,6 +21,8 @@
 #define FIRST_EVENT_TIMEOUT_MS 3000u
 /* Longest time between two events of a resumable stream. */
 #define EVENT_GAP_TIMEOUT_MS 1200u
+/* Longest time for which two servers may both respond to a stream. */
+#define TAKEOVER_MS 200u
 /* Longest time until a backend server's response to a safe request. */
 #define SAFE_RESPONSE_TIMEOUT_MS 900u
 /* Expected output, as part of the maximum, if the caller states none. */
@@ -146,7 +148,8 @@
 			   US_PER_MS),
 	    .attempts_max = route->attempts_max,
 	    .unsent_not_counted = 1,
-	    .keeps_silent = 1};
+	    .keeps_silent = 1,
+	    .takeover_ms = TAKEOVER_MS};
 	uint64_t now_ms = at_clock_now_ms();
 
 	if (limits.attempts_max < 1)
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -128,8 +128,10 @@
 	attempt->response.status = status;
 	at_response_headers_read(transfer, &attempt->response.headers);
 	attempt->is_stream = is_success && call->route->type == AT_ROUTE_STREAM;
-	at_attempts_on_headers(
-	    call->attempts, attempt->number, at_clock_now_ms());
+	/* A failure does not take a stream over from another attempt. */
+	if (attempt->is_stream || call->route->type != AT_ROUTE_STREAM)
+		at_attempts_on_headers(
+		    call->attempts, attempt->number, at_clock_now_ms());
 	call_process(call);
 }
 
