Do not complete a stream with the failure of its resumption

Callers saw: a stream broke off, the next server rejected the resumption with a signed 4xx, and the stream ended as if it were complete, with events missing.

Cause: a complete response finishes the call, also one that is no stream, and finishing a call whose stream has begun ends the stream. Only 5xx was retried.

Change: a response that is no stream is a failed attempt once events were passed on; the stream is resumed elsewhere or cut.

Evidence: a_rejected_resumption_is_not_completed failed before (the response was complete) and passes; the rest of test_entry_path passes but for its listed test.

--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -225,9 +225,12 @@
 	int may_repeat =
 	    call->route->type == AT_ROUTE_SAFE ||
 	    (call->route->type == AT_ROUTE_STREAM && call->route->is_resumable);
+	/* A failure does not complete a stream that has begun. */
+	int is_partial = attempt->is_stream ? at_event_frames_buffered_bytes(
+						  &attempt->frames) > 0
+					    : call->response_started;
 
-	if (attempt->is_stream &&
-	    at_event_frames_buffered_bytes(&attempt->frames) > 0) {
+	if (is_partial) {
 		call_attempt_end(attempt, AT_OUTCOME_FAILED);
 		at_attempts_on_failed(call->attempts, attempt->number,
 		    AT_REASON_TRUNCATED, AT_VERDICT_MAY_HAVE_RUN,
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -36,6 +36,7 @@
 	uint32_t silent;         /* count: connection kept, no response */
 	uint32_t crash;          /* count: connection closed while running */
 	uint32_t truncate_after; /* cut after n tokens (server: n events) */
+	uint32_t reject_resumed; /* server, count: 400 to a resumption */
 	uint32_t pause_after;    /* server: silent once after n events */
 	uint32_t pause_ms;       /* server: length of that silence */
 	uint32_t break_whole;    /* engine, count: cut buffered responses */
--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -318,6 +318,21 @@
 		run_silence(i);
 }
 
+/* A server that rejects the rest of a stream does not complete it. */
+Test(entry_path, a_rejected_resumption_is_not_completed)
+{
+	entry_fixture_t *fixture = make_fixture();
+	entry_fixture_response_t response;
+
+	set_fault(fixture, offsetof(standin_faults_t, truncate_after), 2);
+	standin_server_faults(fixture->servers[0])->reject_resumed = 1;
+	entry_fixture_call(fixture, 0, &streamed, &response);
+	cr_assert_eq(response.status, 200);
+	cr_assert_not(response.is_complete);
+	entry_fixture_response_free(&response);
+	entry_fixture_delete(fixture);
+}
+
 static const struct {
 	const char *name;
 	entry_fixture_request_t request;
