Choose a server again once a silent stream of it goes on

Cause: after two silences a server is tested with one request at a time, when it has none open. Its silent attempts are kept open now, so a server that went on got no new request until all of its streams had ended.

Change: the first event after a silence clears the failures that it counted.

Evidence: a_silent_server_that_goes_on_is_chosen_again in test_fleet: after three silences and no event the server is not chosen, after one event it is. Without at_server_note_responding() there was no way back but the end of a stream.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -232,9 +232,11 @@
 
 /*
  * at_server_note_silent() counts a failure of a server that is silent while a
- * request is open. A response that it completes later clears it.
+ * request is open there. at_server_note_responding() clears it, once such a
+ * request goes on; the request itself may take much longer to end.
  */
 void at_server_note_silent(at_server_t *server, uint64_t now_us);
+void at_server_note_responding(at_server_t *server, uint64_t now_us);
 
 /*
  * at_server_is_available() returns non-zero unless the server is in a backoff
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -257,6 +257,12 @@
 	server_health_note_outcome(&server->health, AT_OUTCOME_FAILED, now_us);
 }
 
+void
+at_server_note_responding(at_server_t *server, uint64_t now_us)
+{
+	server_health_note_outcome(&server->health, AT_OUTCOME_SUCCESS, now_us);
+}
+
 size_t
 at_fleet_fill_report(const at_fleet_t *fleet, at_load_report_t *entries,
     size_t max, uint64_t now_us)
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -149,7 +149,10 @@
 	uint64_t now_us = at_clock_now_us();
 
 	call->current = attempt;
-	attempt->is_silent = 0;
+	if (attempt->is_silent) {
+		attempt->is_silent = 0;
+		at_server_note_responding(attempt->server, now_us);
+	}
 	if (call->event == NULL || call->request == NULL)
 		return;
 	if (call->first_event_us == 0)
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -394,3 +394,26 @@
 	cr_assert_eq(result, AT_CHOICE_FULL);
 	at_fleet_delete(fleet);
 }
+
+/* The streams of a server that was silent and goes on are open for long. */
+Test(fleet, a_silent_server_that_goes_on_is_chosen_again)
+{
+	at_fleet_t *fleet = make_fleet();
+	at_server_t *one = add_server(fleet, "one", "llm", "north", "m");
+	at_work_t work = make_work("m", 100);
+	at_choice_t choice;
+	int i;
+
+	for (i = 0; i < 3; i++) {
+		at_server_note_sent(one, &work, 1);
+		at_server_note_first_event(one, &work, 1000, 1000);
+	}
+	for (i = 0; i < 3; i++)
+		at_server_note_silent(one, 1300000);
+	cr_assert_eq(
+	    at_fleet_choose(fleet, &work, 1400000, &choice), AT_CHOICE_FULL);
+	at_server_note_responding(one, 1600000);
+	cr_assert_eq(
+	    at_fleet_choose(fleet, &work, 1700000, &choice), AT_CHOICE_SERVER);
+	at_fleet_delete(fleet);
+}
