Place requests behind one that avoids the only free server

Cause: one pass over the queue skips the kinds of work for which it found no free slot. A retry, or an attempt beside a silent one, must not go to the servers tried before; that it found none made all others of its kind wait, although a server was free for them.

Change: a request that avoids servers is not recorded.

Evidence: a_request_that_avoids_the_server_blocks_no_other failed before (no request was placeable) and passes.

--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -316,6 +316,20 @@
 	return 0;
 }
 
+/* A request that avoids servers says nothing about others of its kind. */
+static void
+note_full(full_kinds_t *full, const at_work_t *work)
+{
+	size_t i;
+
+	for (i = 0; i < AT_SITE_ATTEMPTS_MAX; i++) {
+		if (work->avoid[i] != 0)
+			return;
+	}
+	if (full->count < FULL_KINDS_MAX)
+		full->works[full->count++] = work;
+}
+
 static at_waiter_t *
 find_placeable(at_wait_queue_t *queue, int late, full_kinds_t *full,
     uint64_t now_us, at_choice_t *choice)
@@ -330,8 +344,7 @@
 			choice) == AT_CHOICE_SERVER &&
 		    may_dispatch(queue, waiter, choice, now_us))
 			return waiter;
-		if (full->count < FULL_KINDS_MAX)
-			full->works[full->count++] = &waiter->work;
+		note_full(full, &waiter->work);
 	}
 	return NULL;
 }
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -298,3 +298,25 @@
 	free_queue(queue);
 	at_fleet_delete(fleet);
 }
+
+/* A request that must not go to the only free server blocks no other. */
+Test(wait_queue, a_request_that_avoids_the_server_blocks_no_other)
+{
+	at_fleet_t *fleet = make_fleet(1);
+	at_wait_queue_t *queue = make_queue(fleet);
+	at_waiter_t waiters[2];
+	at_choice_t choice;
+	size_t i;
+
+	fill_slots(fleet);
+	for (i = 0; i < 2; i++) {
+		waiters[i] = make_waiter(1400, 20000, 0);
+		at_wait_queue_add(queue, &waiters[i]);
+	}
+	waiters[0].work.avoid[0] = at_tag_from_text("one");
+	empty_slots(fleet);
+	cr_assert_eq(at_wait_queue_take_placeable(queue, 1000 * MS, &choice),
+	    &waiters[1]);
+	free_queue(queue);
+	at_fleet_delete(fleet);
+}
