Log the server of a call that ended without a delivered response

Cause: the action that finishes such a call names no attempt; its number is that of an unused place for an open attempt, which was taken for the delivered one. The line 'ended' then had no server and attempts=0. Change: call_attempt_find() finds nothing for AT_ATTEMPT_NONE. Result: the refusals of ends_right_under_each_fault are logged with server= and attempts=1 again.

--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -55,7 +55,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < OPEN_ATTEMPTS_MAX; i++) {
+	for (i = 0; i < OPEN_ATTEMPTS_MAX && number != AT_ATTEMPT_NONE; i++) {
 		if (call->open_attempts[i].number == number)
 			return &call->open_attempts[i];
 	}
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -114,7 +114,7 @@
 void call_attempt_end(call_attempt_t *attempt, at_server_outcome_t outcome);
 /* call_attempt_is_open() returns non-zero until call_attempt_end(). */
 int call_attempt_is_open(const call_attempt_t *attempt);
-/* call_attempt_find() returns the attempt with this number, or NULL. */
+/* call_attempt_find() returns the attempt with this number; NULL: none. */
 call_attempt_t *call_attempt_find(at_call_t *call, uint32_t number);
 void buffered_response_reset(buffered_response_t *response);
 
