Start another attempt at once when the one beside a silent server ends

And replacements that found no server used up the four attempts of a request, so that it was cut when the silent server broke off at last.

Change: an attempt knows that it is silent; the end of the one beside it starts the next. The number of an attempt that was not placed is used again.

--- a/include/almondthread/attempt.h
+++ b/include/almondthread/attempt.h
@@ -132,7 +132,8 @@
 /*
  * at_attempts_on_not_placed() reports, after AT_ACTION_START, that there is
  * no backend server. reason is given to the caller, unless an earlier
- * attempt may have run: then the reason of that attempt is given.
+ * attempt may have run: then the reason of that attempt is given. While
+ * another attempt is open, the number k is given to the next attempt again.
  */
 void at_attempts_on_not_placed(
     at_attempts_t *attempts, uint32_t k, at_reason_t reason, uint64_t now_ms);
--- a/src/core/requests/attempt.c
+++ b/src/core/requests/attempt.c
@@ -199,6 +199,7 @@
 	at_action_t *action = add_action(attempts, AT_ACTION_START, k);
 	attempt_t *attempt = &attempts->list[k];
 
+	memset(attempt, 0, sizeof(*attempt));
 	attempt->state = AT_ATTEMPT_PLACING;
 	attempt->is_hedge = is_hedge;
 	attempt->timeout_at_ms = AT_ATTEMPTS_NO_TIMER;
@@ -300,6 +301,20 @@
 		attempts->reason = reason;
 }
 
+/* The attempt beside a silent one has ended; another may follow at once. */
+static void
+replace_beside_silent(at_attempts_t *attempts, uint64_t now_ms)
+{
+	uint32_t count = attempts->count;
+	uint32_t k;
+
+	for (k = 0; k < count; k++) {
+		if (attempt_is_open(&attempts->list[k]) &&
+		    attempts->list[k].is_silent)
+			attempts_start_beside(attempts, k, now_ms);
+	}
+}
+
 void
 attempts_end(at_attempts_t *attempts, uint32_t k, at_reason_t reason,
     at_verdict_t verdict, uint64_t now_ms)
@@ -316,6 +331,8 @@
 		attempts_finish_failed(attempts, reason);
 	else if (attempts_live(attempts) == 0)
 		retry_or_finish(attempts, now_ms);
+	else
+		replace_beside_silent(attempts, now_ms);
 }
 
 void
@@ -366,8 +383,12 @@
 	attempt->state = AT_ATTEMPT_ENDED;
 	attempt->reason = reason;
 	attempt->verdict = AT_VERDICT_NOT_RUN;
-	if (attempts_live(attempts) > 0)
+	if (attempts_live(attempts) > 0) {
+		/* Its number is used again: nothing refers to it. */
+		if (k + 1 == attempts->count)
+			attempts->count--;
 		return;
+	}
 	note_failure(attempts, reason, AT_VERDICT_NOT_RUN);
 	attempts_finish_failed(attempts, attempts->reason);
 }
@@ -392,6 +413,7 @@
 note_response(at_attempts_t *attempts, attempt_t *attempt, uint64_t now_ms)
 {
 	attempt->state = AT_ATTEMPT_RECEIVING;
+	attempt->is_silent = 0;
 	attempt->timeout_at_ms =
 	    attempt->is_paused
 		? AT_ATTEMPTS_NO_TIMER
--- a/src/core/requests/attempt_internal.h
+++ b/src/core/requests/attempt_internal.h
@@ -16,11 +16,12 @@
 	at_reason_t reason;   /* set when it has ended */
 	int is_hedge;
 	int is_placed; /* a backend server was chosen */
+	int is_silent; /* another attempt was started beside it */
 	int is_paid;   /* a retry of the workspace's budget was taken */
 	int is_paused; /* the caller accepts no data */
-	uint64_t timeout_at_ms; /* latest end of the present state */
+	uint64_t timeout_at_ms;  /* latest end of the present state */
 	uint64_t takeover_at_ms; /* earlier attempts end then; 0: never */
-	at_budget_t *budget;    /* budget of its backend server */
+	at_budget_t *budget;     /* budget of its backend server */
 } attempt_t;
 
 struct at_attempts {
@@ -61,6 +62,12 @@
 /* Starts an attempt, which must be placed next. */
 void attempts_start(
     at_attempts_t *attempts, at_reason_t reason, int is_hedge, uint64_t now_ms);
+/*
+ * Starts another attempt beside a silent one, unless one is live already. It is
+ * tried again each time that the timeout has passed.
+ */
+void attempts_start_beside(
+    at_attempts_t *attempts, uint32_t k, uint64_t now_ms);
 /* Cancels a live attempt. If its request was sent, it may run. */
 void attempts_cancel(at_attempts_t *attempts, uint32_t k, at_reason_t reason);
 /* Ends an attempt without a complete response; retries or finishes. */
--- a/src/core/requests/attempt_time.c
+++ b/src/core/requests/attempt_time.c
@@ -28,16 +28,13 @@
 	return AT_REASON_IDLE_TIMEOUT;
 }
 
-/*
- * Starts another attempt beside a silent one, unless one is live already. It is
- * tried again each time that the timeout has passed.
- */
-static void
-start_beside(at_attempts_t *attempts, uint32_t k, uint64_t now_ms)
+void
+attempts_start_beside(at_attempts_t *attempts, uint32_t k, uint64_t now_ms)
 {
 	attempt_t *attempt = &attempts->list[k];
 	at_reason_t reason = timeout_reason(attempt);
 
+	attempt->is_silent = 1;
 	attempt->timeout_at_ms = attempts_timeout_at(now_ms,
 	    attempt->state == AT_ATTEMPT_SENT ? attempts->limits.first_byte_ms
 					      : attempts->limits.idle_ms);
@@ -79,7 +76,7 @@
 			continue;
 		if (attempts->limits.keeps_silent &&
 		    attempt->state >= AT_ATTEMPT_SENT) {
-			start_beside(attempts, k, now_ms);
+			attempts_start_beside(attempts, k, now_ms);
 			continue;
 		}
 		attempts_cancel(attempts, k, reason);
--- a/tests/fuzz/fuzz_attempt.c
+++ b/tests/fuzz/fuzz_attempt.c
@@ -30,6 +30,7 @@
 	uint64_t headers_at_ms;
 	int is_unsent;   /* ended without a connection, nothing was sent */
 	int is_unplaced; /* ended without a backend server */
+	int is_queued;   /* waits for a backend server */
 	uint32_t backend;
 } attempt_state_t;
 
@@ -117,6 +118,23 @@
 	check_budget(world, request->workspace);
 }
 
+/* An attempt that waits for a server is cancelled without an action. */
+static void
+note_cancelled(request_t *request)
+{
+	uint32_t k;
+
+	for (k = 0; k < request->count; k++) {
+		attempt_state_t *attempt = &request->attempts[k];
+
+		if (!attempt->is_queued || at_attempts_state(request->machine,
+					       k) == AT_ATTEMPT_PLACING)
+			continue;
+		attempt->is_queued = 0;
+		attempt->is_unplaced = 1;
+	}
+}
+
 static void
 check_may_start(const request_t *request, const at_action_t *action)
 {
@@ -146,28 +164,28 @@
 	CHECK(request->repeat != AT_REPEAT_ONCE || !action->is_hedge);
 }
 
+/* Chooses a backend server for an attempt, or finds none. */
 static void
-on_start(world_t *world, request_t *request, const at_action_t *action)
+place(world_t *world, request_t *request, uint32_t k)
 {
-	uint32_t k = action->attempt;
 	uint32_t backend = draw(world, BACKENDS + 1);
 	attempt_state_t *attempt = &request->attempts[k];
 
-	check_may_start(request, action);
-	request->count++;
-	memset(attempt, 0, sizeof(*attempt));
-	if (backend == BACKENDS) {
-		attempt->is_unplaced = 1;
+	attempt->is_queued = 0;
+	attempt->backend = backend;
+	if (backend == BACKENDS)
 		at_attempts_on_not_placed(
 		    request->machine, k, AT_REASON_NO_BACKEND, world->now_ms);
-		return;
-	}
-	attempt->backend = backend;
 	attempt->is_unplaced =
+	    backend == BACKENDS ||
 	    at_attempts_on_placed(request->machine, k,
 		&world->backends[backend].budget, world->now_ms) != 0;
-	if (attempt->is_unplaced)
+	if (attempt->is_unplaced) {
+		/* Its number is given to the next one. */
+		if (at_attempts_state(request->machine, k) == AT_ATTEMPT_UNUSED)
+			request->count--;
 		return;
+	}
 	attempt->is_open = 1;
 	if (k == 0)
 		return;
@@ -177,6 +195,21 @@
 	check_budget(world, &world->backends[backend]);
 }
 
+static void
+on_start(world_t *world, request_t *request, const at_action_t *action)
+{
+	uint32_t k = action->attempt;
+	attempt_state_t *attempt = &request->attempts[k];
+
+	note_cancelled(request);
+	check_may_start(request, action);
+	request->count++;
+	memset(attempt, 0, sizeof(*attempt));
+	attempt->is_queued = (int)draw(world, 2);
+	if (!attempt->is_queued)
+		place(world, request, k);
+}
+
 static void
 on_finish(request_t *request, const at_action_t *action)
 {
@@ -283,6 +316,16 @@
 	take_actions(world, request);
 }
 
+static int
+has_earlier_open(const request_t *request, uint32_t k)
+{
+	while (k > 0) {
+		if (request->attempts[--k].is_open)
+			return 1;
+	}
+	return 0;
+}
+
 static void
 check_limits(const world_t *world, const request_t *request)
 {
@@ -298,7 +341,7 @@
 
 		if (attempt->is_open && attempt->has_headers &&
 		    request->limits.keeps_silent && request->is_resumable &&
-		    k > 0 && request->attempts[k - 1].is_open)
+		    has_earlier_open(request, k))
 			CHECK(world->now_ms < attempt->headers_at_ms +
 						  request->limits.takeover_ms);
 		if (attempt->is_open && attempt->is_sent &&
@@ -428,7 +471,10 @@
 		return;
 	k = draw(world, request->count);
 	attempt = &request->attempts[k];
-	if (operation == 5) {
+	note_cancelled(request);
+	if (attempt->is_queued) {
+		place(world, request, k);
+	} else if (operation == 5) {
 		/* A request may also run long after its cancellation or end. */
 		execute(request, attempt);
 	} else if (!attempt->is_open) {
