Show that closing idle connections cuts responses

at_httpd_close_idle(), which runs 2.6 s after SIGTERM, sets a time-out of 1 s on all connections. A caller that does not read for longer gets a part of its response.

--- a/tests/contract/test_httpd.c
+++ b/tests/contract/test_httpd.c
@@ -77,3 +77,125 @@
 	}
 	ev_loop_destroy(loop);
 }
+
+#define RESPONSE_BYTES (16u << 20) /* more than the sockets buffer */
+#define SILENCE_S 1.6              /* over the idle time of a stop */
+
+/* What happens for SILENCE_S after at_httpd_close_idle(). */
+typedef enum silence {
+	HANDLER_IS_SILENT,
+	STREAM_IS_SILENT,
+	CALLER_DOES_NOT_READ
+} silence_t;
+
+static const struct {
+	const char *name;
+	silence_t silence;
+	size_t len; /* of the whole response, without headers and chunks */
+} silences[] = {
+    {"the response is not ready", HANDLER_IS_SILENT, 4},
+    {"the stream pauses", STREAM_IS_SILENT, 8},
+    {"the caller reads slowly", CALLER_DOES_NOT_READ, RESPONSE_BYTES},
+};
+
+/* Keeps the request, for the test to respond to. */
+static void
+keep_request(void *ctx, at_httpd_request_t *request)
+{
+	*(at_httpd_request_t **)ctx = request;
+}
+
+static void
+on_time_over(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)timer;
+	(void)events;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static void
+run_for(struct ev_loop *loop, double time_s)
+{
+	ev_timer timer;
+
+	ev_timer_init(&timer, on_time_over, time_s, 0.);
+	ev_timer_start(loop, &timer);
+	(void)ev_run(loop, 0);
+}
+
+/* Reads until the connection ends; returns the bytes without the headers. */
+static size_t
+read_response(struct ev_loop *loop, int fd)
+{
+	static char text[RESPONSE_BYTES + 4096];
+	const char *body;
+	size_t len = 0;
+	int i;
+
+	for (i = 0; i < 200; i++) {
+		ssize_t got =
+		    recv(fd, text + len, sizeof(text) - 1 - len, MSG_DONTWAIT);
+
+		if (got == 0)
+			break;
+		if (got > 0)
+			len += (size_t)got;
+		run_for(loop, 0.005);
+	}
+	text[len] = '\0';
+	body = strstr(text, "\r\n\r\n");
+	return body == NULL ? 0 : len - (size_t)(body + 4 - text);
+}
+
+static void
+run_silence(size_t i)
+{
+	static char body[RESPONSE_BYTES];
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	at_httpd_t *httpd = at_httpd_new(loop);
+	at_httpd_request_t *request = NULL;
+	at_status_t status;
+	size_t len;
+	int fd;
+
+	at_httpd_set_handler(httpd, keep_request, &request);
+	cr_assert_eq(at_httpd_init(httpd, "127.0.0.1:0", &status), AT_OK);
+	fd = connect_to(at_httpd_port(httpd));
+	send_request(fd);
+	while (request == NULL)
+		(void)ev_run(loop, EVRUN_ONCE);
+	at_httpd_stop_accepting(httpd);
+	if (silences[i].silence == STREAM_IS_SILENT) {
+		at_httpd_stream_begin(request, 200, NULL);
+		(void)at_httpd_stream_write(request, "data", 4);
+	} else if (silences[i].silence == CALLER_DOES_NOT_READ) {
+		at_httpd_reply(request, 200, NULL, body, sizeof(body));
+	}
+	run_for(loop, 0.05);
+	at_httpd_close_idle(httpd);
+	run_for(loop, SILENCE_S);
+	if (silences[i].silence == HANDLER_IS_SILENT) {
+		at_httpd_reply(request, 200, NULL, "data", 4);
+	} else if (silences[i].silence == STREAM_IS_SILENT) {
+		(void)at_httpd_stream_write(request, "data", 4);
+		at_httpd_stream_end(request);
+	}
+	len = read_response(loop, fd);
+	if (silences[i].silence == STREAM_IS_SILENT)
+		len -= sizeof("4\r\n\r\n4\r\n\r\n0\r\n\r\n") - 1;
+	cr_expect_eq(len, silences[i].len, "%s: %zu bytes of %zu",
+	    silences[i].name, len, silences[i].len);
+	(void)close(fd);
+	at_httpd_delete(httpd);
+	ev_loop_destroy(loop);
+}
+
+/* Only connections without a request are idle. */
+Test(httpd, closing_idle_connections_cuts_no_response)
+{
+	size_t i;
+
+	cr_assert_geq(sodium_init(), 0);
+	for (i = 0; i < sizeof(silences) / sizeof(silences[0]); i++)
+		run_silence(i);
+}
