Leave responses alone when idle connections are closed

Callers saw a response end early: a response that waited for a caller that did not read for a second was cut 2.6 s after SIGTERM, although the instance goes on until the end of the grace period. Cause: at_httpd_close_idle() gave every connection the time-out of an idle one. libmicrohttpd applies it while a response is being written, too. Change: a connection knows whether it has a request; only one without has the short time-out, also once its response is complete.

--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -87,6 +87,31 @@
 	(void)sodium_bin2hex(id, AT_HTTPD_ID_DIGITS + 1, bytes, sizeof(bytes));
 }
 
+/* libmicrohttpd closes a connection after this time without data. */
+static void
+set_idle_timeout(const connection_t *connection)
+{
+	(void)MHD_set_connection_option(connection->handle,
+	    MHD_CONNECTION_OPTION_TIMEOUT,
+	    connection->has_request ? CONNECTION_IDLE_TIMEOUT_S
+				    : SHUTDOWN_IDLE_TIMEOUT_S);
+}
+
+static void
+set_has_request(
+    at_httpd_t *httpd, struct MHD_Connection *handle, int has_request)
+{
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(handle, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	connection_t *connection = info->socket_context;
+
+	if (connection == NULL)
+		return;
+	connection->has_request = has_request;
+	if (httpd->is_closing_idle)
+		set_idle_timeout(connection);
+}
+
 /* libmicrohttpd calls this with the request line, before the headers. */
 static void *
 request_new(void *cls, const char *target, struct MHD_Connection *connection)
@@ -106,6 +131,7 @@
 		request->next->prev = request;
 	httpd->requests = request;
 	httpd->request_count++;
+	set_has_request(httpd, connection, 1);
 	return request;
 }
 
@@ -289,11 +315,11 @@
 {
 	at_httpd_request_t *request = *request_cls;
 
-	(void)cls;
-	(void)connection;
 	if (request == NULL)
 		return;
-	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		set_has_request(cls, connection, 0);
+	else
 		request->caller_closed = 1;
 	if (request->on_end != NULL)
 		request->on_end(request->ctx, request->caller_closed);
@@ -341,9 +367,11 @@
 	connection_t *connection;
 
 	for (connection = httpd->connections; connection != NULL;
-	     connection = connection->next)
-		(void)MHD_set_connection_option(connection->handle,
-		    MHD_CONNECTION_OPTION_TIMEOUT, SHUTDOWN_IDLE_TIMEOUT_S);
+	     connection = connection->next) {
+		if (!connection->has_request)
+			set_idle_timeout(connection);
+	}
+	httpd->is_closing_idle = 1;
 	httpd->is_run_pending = 1;
 }
 
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -56,6 +56,7 @@
 /* A connection of a caller. */
 typedef struct connection {
 	struct MHD_Connection *handle;
+	int has_request; /* from the request line to the end of the response */
 	struct connection *next;
 	struct connection *prev;
 } connection_t;
@@ -75,8 +76,9 @@
 	int listen_fd;
 	uint16_t port;
 	int is_quiescing;
-	int is_aborting; /* the server is being deleted */
-	int is_closing;  /* responses close their connection */
+	int is_aborting;     /* the server is being deleted */
+	int is_closing;      /* responses close their connection */
+	int is_closing_idle; /* at_httpd_close_idle() was called */
 	int is_run_pending;
 	ev_io readable;
 	ev_timer timeout;
--- a/tests/contract/test_httpd.c
+++ b/tests/contract/test_httpd.c
@@ -199,3 +199,56 @@
 	for (i = 0; i < sizeof(silences) / sizeof(silences[0]); i++)
 		run_silence(i);
 }
+
+static const at_header_t no_headers[] = {{NULL, NULL}};
+
+/* Responds at once, so that the connection is kept. */
+static void
+respond(void *ctx, at_httpd_request_t *request)
+{
+	(*(unsigned int *)ctx)++;
+	at_httpd_reply(request, 200, no_headers, "", 0);
+}
+
+static int
+is_closed(int fd)
+{
+	char text[512];
+	ssize_t got;
+
+	do
+		got = recv(fd, text, sizeof(text), MSG_DONTWAIT);
+	while (got > 0);
+	return got == 0;
+}
+
+/* The second one has had a request. */
+Test(httpd, an_idle_connection_is_closed_at_a_stop)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	at_httpd_t *httpd = at_httpd_new(loop);
+	at_status_t status;
+	unsigned int handled = 0;
+	int fds[2];
+	int i;
+
+	cr_assert_geq(sodium_init(), 0);
+	at_httpd_set_handler(httpd, respond, &handled);
+	cr_assert_eq(at_httpd_init(httpd, "127.0.0.1:0", &status), AT_OK);
+	for (i = 0; i < 2; i++)
+		fds[i] = connect_to(at_httpd_port(httpd));
+	send_request(fds[1]);
+	while (handled == 0)
+		(void)ev_run(loop, EVRUN_ONCE);
+	run_for(loop, 0.05);
+	cr_assert_not(is_closed(fds[0]));
+	cr_assert_not(is_closed(fds[1]));
+	at_httpd_close_idle(httpd);
+	run_for(loop, 2.2);
+	for (i = 0; i < 2; i++) {
+		cr_expect(is_closed(fds[i]), "connection %d", i);
+		(void)close(fds[i]);
+	}
+	at_httpd_delete(httpd);
+	ev_loop_destroy(loop);
+}
