Read what has arrived before attempts time out

Callers saw a stream cut although its server had gone on: when the process had not run for a while (a large configuration, a busy machine), the stream's time-out was over before its events were read from the socket. Cause: timers and sockets have the same priority, and libev calls the timers of an iteration first. Change: the timer of a call has the lowest priority, so that data that is ready in the same iteration is handled before, and sets the timer anew.

--- a/src/entry/call_admit.c
+++ b/src/entry/call_admit.c
@@ -187,6 +187,8 @@
 	(void)snprintf(call->id, sizeof(call->id), "%s",
 	    header->id == NULL ? "" : header->id);
 	ev_timer_init(&call->timer, call_on_timer, 0., 0.);
+	/* After a stall, data that has arrived is read before time-outs. */
+	ev_set_priority(&call->timer, EV_MINPRI);
 	call->timer.data = call;
 	call->next = entry->calls;
 	if (call->next != NULL)
