Keep queued streams in the queue at a shutdown

Callers saw a stream cut 2.6 s after SIGTERM, although the grace period had five more seconds: its server had failed, and it waited for another one. Cause: the shutdown refuses all queued requests. For a request whose response has begun a refusal is a broken response. Change: only requests without a response are refused; a stream waits until it is placed or its time is over, as before the shutdown. at_wait_queue_peek() has no user left.

--- a/include/almondthread/wait_queue.h
+++ b/include/almondthread/wait_queue.h
@@ -84,8 +84,6 @@
  */
 at_waiter_t *at_wait_queue_take_placeable(
     at_wait_queue_t *queue, uint64_t now_us, at_choice_t *choice);
-/* at_wait_queue_peek() returns the first request, or NULL. */
-at_waiter_t *at_wait_queue_peek(const at_wait_queue_t *queue);
 /*
  * at_wait_queue_take_expired() removes and returns a request that has
  * expired, or NULL.
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -355,12 +355,6 @@
 	return waiter;
 }
 
-at_waiter_t *
-at_wait_queue_peek(const at_wait_queue_t *queue)
-{
-	return queue->head;
-}
-
 at_waiter_t *
 at_wait_queue_take_expired(at_wait_queue_t *queue, uint64_t now_us)
 {
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -441,12 +441,13 @@
 void
 at_calls_refuse_queued(at_entry_t *entry)
 {
-	at_waiter_t *waiter;
-
-	while ((waiter = at_wait_queue_peek(entry->queue)) != NULL) {
-		at_call_t *call = call_from_waiter(waiter);
+	at_call_t *call;
 
-		at_wait_queue_remove(entry->queue, waiter);
+	for (call = entry->calls; call != NULL; call = call->next) {
+		/* A refusal can no longer be sent; the stream would be cut. */
+		if (!call->waiter.is_queued || call->response_started)
+			continue;
+		at_wait_queue_remove(entry->queue, &call->waiter);
 		call->retry_after_ms = STOPPING_RETRY_MS;
 		at_attempts_on_not_placed(call->attempts, call->queued_attempt,
 		    AT_REASON_STOPPING, at_clock_now_ms());
--- a/src/entry/call.h
+++ b/src/entry/call.h
@@ -21,7 +21,10 @@
  * they can be placed now.
  */
 void at_calls_expire(at_entry_t *entry);
-/* at_calls_refuse_queued() refuses all queued requests, for the shutdown. */
+/*
+ * at_calls_refuse_queued() refuses the queued requests whose response has not
+ * begun, for the shutdown.
+ */
 void at_calls_refuse_queued(at_entry_t *entry);
 /*
  * at_calls_abandon() ends all open requests. Callers whose response has not
