Place requests of a service that the newest configuration lacks

Callers saw a stream cut beside a change of the configuration: it was taken in under the version before, its server broke off, and the newest version no longer has the service, although its servers are there. Cause: a server is chosen with the service of the newest configuration only. Change: a request carries the service of its own configuration, which is used if the newest one lacks it. New requests are checked against the newest configuration as before.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -111,6 +111,8 @@
 /* What a request needs from a backend server. */
 typedef struct at_work {
 	at_tag_t service;
+	/* Borrowed; used if the newest configuration lacks the service. */
+	const at_site_service_t *own_service;
 	at_tag_t model;              /* 0: a plain service */
 	at_tag_t adapter;            /* 0: the base model */
 	const at_name_t *model_name; /* borrowed; NULL: no model */
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -272,6 +272,8 @@
 	uint32_t available = 0;
 
 	memset(choice, 0, sizeof(*choice));
+	if (service == NULL)
+		service = work->own_service;
 	if (service == NULL)
 		return AT_CHOICE_NO_SERVER;
 	for (server = fleet->servers; server != NULL;
--- a/src/entry/call_admit.c
+++ b/src/entry/call_admit.c
@@ -77,6 +77,7 @@
 	uint32_t output = header->output_max_tokens;
 
 	work->service = call->service->tag;
+	work->own_service = call->service;
 	work->has_slack = call->route->objective_ms >= SLACK_OBJECTIVE_MIN_MS &&
 			  call->waiter.priority > 0;
 	if (!call->service->has_models)
