Do not end a stream as complete with a failure response

Callers got a stream that looked complete before its last event: it had broken off, and the server that was to resume it answered with a signed 4xx. Cause: a complete response that is no stream and below 500 ended the request as answered; as the stream had begun, its end was sent. Change: once a response has begun, any response that is no stream fails the attempt.

--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -214,7 +214,9 @@
 		return;
 	}
 	note_first_event(attempt);
-	if (attempt->response.status >= 500 && may_repeat) {
+	/* Only a stream can go on with a response that has begun. */
+	if ((attempt->response.status >= 500 && may_repeat) ||
+	    (call->response_started && !attempt->is_stream)) {
 		handle_failure_response(attempt);
 		return;
 	}
