Test streams while routes move and engines start again

More changes under which an open stream goes on and moves: its routes lead elsewhere with less time and fewer attempts, or its engines are listed with a later start.

--- a/tests/contract/test_interrupted_calls.c
+++ b/tests/contract/test_interrupted_calls.c
@@ -255,6 +255,36 @@
 	apply_config_without_engines(world);
 }
 
+/* The routes lead elsewhere, with less time and fewer attempts. */
+static void
+move_the_routes(world_t *world)
+{
+	static const standin_route_t routes[] = {
+	    {"/stream/", "streaming", "plain", 1, 0}};
+	json_t *spec = standin_config_spec(
+	    1000, ENTRY_FIXTURE_HOST, routes, 1, "studio", ENTRY_FIXTURE_KEY);
+
+	json_object_set_new(json_array_get(json_object_get(spec, "routes"), 0),
+	    "timeout_ms", json_integer(100));
+	standin_store_put(
+	    world->fixture->store, WIRE_KIND_CONFIG, WIRE_CONFIG_NAME, spec);
+}
+
+static void
+start_the_engines_again(world_t *world)
+{
+	size_t i;
+
+	for (i = 0; i < ENGINES; i++) {
+		json_t *spec = standin_server_spec(
+		    "llm", world->engines[i].address, "north", "m0", 0, 1);
+
+		json_object_set_new(spec, "born", json_integer(1800000000000));
+		standin_store_put(
+		    world->fixture->store, WIRE_KIND_SERVERS, ids[i], spec);
+	}
+}
+
 static void
 drop_the_key(world_t *world)
 {
@@ -317,9 +347,13 @@
 	int moves; /* the stream breaks off afterwards and moves */
 } changes[] = {
     {"service dropped", drop_the_service, 600, 0},
+    {"routes moved", move_the_routes, 600, 0},
+    {"routes moved, moves", move_the_routes, 600, 1},
     {"key dropped", drop_the_key, 600, 0},
     {"key dropped, moves", drop_the_key, 600, 1},
     {"engines removed", remove_the_engines, 2800, 0},
+    {"engines started again", start_the_engines_again, 600, 0},
+    {"engines started again, moves", start_the_engines_again, 600, 1},
     {"engines listed elsewhere", list_the_engines_elsewhere, 600, 0},
     {"entries unreadable", write_unreadable_entries, 600, 0},
     {"settings reloaded", reload_settings, 100, 0},
