Test unsafe requests while the configuration and the servers change

The changes of the table are also made while a request that may run once waits for its server's response.

--- a/tests/contract/test_interrupted_calls.c
+++ b/tests/contract/test_interrupted_calls.c
@@ -34,7 +34,8 @@
 	struct ev_loop *engine_loop;
 	engine_t engines[ENGINES];
 	uint64_t heartbeat_sequence;
-	unsigned events; /* written by all engines */
+	const char *service; /* of the engines */
+	unsigned events;     /* written by all engines */
 	entry_fixture_response_t response;
 } world_t;
 
@@ -42,6 +43,10 @@
 static const char *const two_models[ENGINES] = {"m0", "m0"};
 static const entry_fixture_request_t streamed = {
     "POST", "/stream/x", "id-1", ENTRY_FIXTURE_KEY, "m0", "prompt"};
+static const entry_fixture_request_t unsafe = {
+    "POST", "/unsafe/x", "id-1", ENTRY_FIXTURE_KEY, NULL, "pay"};
+static const at_header_t response_headers[] = {
+    {WIRE_REQUEST_ID, "id-1"}, {WIRE_SIGNATURE, "signed"}, {NULL, NULL}};
 
 static void
 on_end(void *ctx, int caller_closed)
@@ -56,7 +61,7 @@
 	engine_t *engine = ctx;
 	const char *resume_after = at_httpd_header(request, WIRE_RESUME_AFTER);
 
-	if (strcmp(at_httpd_path(request), "/stream/x") != 0) {
+	if (strcmp(at_httpd_path(request), WIRE_REPORT_PATH) == 0) {
 		standin_reply_json(request, 200,
 		    json_pack("{s:[{s:s,s:i,s:[]}],s:b,s:i}", "models", "name",
 			"m0", "version", 1, "adapters", "busy", 0, "sequence",
@@ -87,20 +92,27 @@
 list_engine(world_t *world, size_t i, const char *model)
 {
 	standin_store_put(world->fixture->store, WIRE_KIND_SERVERS, ids[i],
-	    standin_server_spec("llm", world->engines[i].address, "north",
-		model, 0, ++world->heartbeat_sequence));
+	    standin_server_spec(world->service, world->engines[i].address,
+		"north", model, 0, ++world->heartbeat_sequence));
 }
 
-/* Writes a configuration without the service "llm" and its routes. */
+static int
+is_llm(const world_t *world)
+{
+	return strcmp(world->service, "llm") == 0;
+}
+
+/* Writes a configuration without the engines' service and its routes. */
 static void
 apply_config_without_engines(world_t *world)
 {
-	static const standin_route_t routes[] = {
-	    {"/safe/", "safe", "plain", 2, 0}};
+	const standin_route_t route = {
+	    "/safe/", "safe", is_llm(world) ? "plain" : "llm", 2, 0};
 	json_t *spec = standin_config_spec(
-	    1000, ENTRY_FIXTURE_HOST, routes, 1, "studio", ENTRY_FIXTURE_KEY);
+	    1000, ENTRY_FIXTURE_HOST, &route, 1, "studio", ENTRY_FIXTURE_KEY);
 
-	(void)json_array_remove(json_object_get(spec, "services"), 1);
+	(void)json_array_remove(
+	    json_object_get(spec, "services"), (size_t)is_llm(world));
 	standin_store_put(
 	    world->fixture->store, WIRE_KIND_CONFIG, WIRE_CONFIG_NAME, spec);
 }
@@ -119,12 +131,13 @@
 }
 
 static world_t *
-world_new(const char *const models[ENGINES])
+world_new(const char *service, const char *const models[ENGINES])
 {
 	world_t *world = calloc(1, sizeof(*world));
 	at_status_t status;
 	size_t i;
 
+	world->service = service;
 	world->fixture = entry_fixture_new();
 	world->engine_loop = ev_loop_new(EVFLAG_AUTO);
 	entry_fixture_apply_config(world->fixture, 1);
@@ -180,10 +193,7 @@
 static void
 begin(const engine_t *engine)
 {
-	const at_header_t headers[] = {{WIRE_REQUEST_ID, "id-1"},
-	    {WIRE_SIGNATURE, "signed"}, {NULL, NULL}};
-
-	at_httpd_stream_begin(engine->request, 200, headers);
+	at_httpd_stream_begin(engine->request, 200, response_headers);
 }
 
 static void
@@ -260,12 +270,16 @@
 move_the_routes(world_t *world)
 {
 	static const standin_route_t routes[] = {
-	    {"/stream/", "streaming", "plain", 1, 0}};
+	    {"/stream/", "streaming", "plain", 1, 0},
+	    {"/unsafe/", "unsafe", "llm", 1, 0}};
 	json_t *spec = standin_config_spec(
-	    1000, ENTRY_FIXTURE_HOST, routes, 1, "studio", ENTRY_FIXTURE_KEY);
+	    1000, ENTRY_FIXTURE_HOST, routes, 2, "studio", ENTRY_FIXTURE_KEY);
+	size_t i;
 
-	json_object_set_new(json_array_get(json_object_get(spec, "routes"), 0),
-	    "timeout_ms", json_integer(100));
+	for (i = 0; i < 2; i++)
+		json_object_set_new(
+		    json_array_get(json_object_get(spec, "routes"), i),
+		    "timeout_ms", json_integer(100));
 	standin_store_put(
 	    world->fixture->store, WIRE_KIND_CONFIG, WIRE_CONFIG_NAME, spec);
 }
@@ -309,8 +323,23 @@
 	for (i = 0; i < ENGINES; i++)
 		standin_store_put(world->fixture->store, WIRE_KIND_SERVERS,
 		    ids[i],
-		    standin_server_spec("plain", world->engines[i].address,
-			"north", NULL, i == 0, ++world->heartbeat_sequence));
+		    standin_server_spec(is_llm(world) ? "plain" : "llm",
+			world->engines[i].address, "north", NULL, i == 0,
+			++world->heartbeat_sequence));
+}
+
+static void
+let_the_engines_leave(world_t *world)
+{
+	size_t i;
+
+	for (i = 0; i < ENGINES; i++)
+		standin_store_put(world->fixture->store, WIRE_KIND_SERVERS,
+		    ids[i],
+		    standin_server_spec(world->service,
+			world->engines[i].address, "north",
+			is_llm(world) ? "m0" : NULL, 1,
+			++world->heartbeat_sequence));
 }
 
 static void
@@ -355,6 +384,7 @@
     {"engines started again", start_the_engines_again, 600, 0},
     {"engines started again, moves", start_the_engines_again, 600, 1},
     {"engines listed elsewhere", list_the_engines_elsewhere, 600, 0},
+    {"engines leaving", let_the_engines_leave, 600, 0},
     {"entries unreadable", write_unreadable_entries, 600, 0},
     {"settings reloaded", reload_settings, 100, 0},
     {"settings reloaded, moves", reload_settings, 100, 1},
@@ -365,7 +395,7 @@
 static void
 run_change(size_t i)
 {
-	world_t *world = world_new(two_models);
+	world_t *world = world_new("llm", two_models);
 	engine_t *engine = begin_stream(world);
 	uint32_t ms;
 
@@ -382,6 +412,28 @@
 	world_delete(world);
 }
 
+/* A request that may run once gets the response of the server that has it. */
+static void
+run_change_with_unsafe(size_t i)
+{
+	static const char *const no_models[ENGINES] = {NULL, NULL};
+	world_t *world = world_new("plain", no_models);
+	engine_t *engine;
+
+	entry_fixture_send(world->fixture, 0, &unsafe, &world->response);
+	engine = wait_for_run(world, 2000);
+	cr_assert_not_null(engine);
+	changes[i].change(world);
+	run_ms(world, changes[i].run_ms);
+	cr_assert_not_null(engine->request, "%s", changes[i].name);
+	at_httpd_reply(engine->request, 200, response_headers, "paid", 4);
+	run_ms(world, 100);
+	cr_expect(world->response.is_complete, "%s: cut", changes[i].name);
+	cr_expect_eq(world->response.status, 200, "%s: %d", changes[i].name,
+	    world->response.status);
+	world_delete(world);
+}
+
 ParameterizedTestParameters(interrupted_calls, outlive_a_change)
 {
 	static size_t rows[sizeof(changes) / sizeof(changes[0])];
@@ -395,12 +447,14 @@
 ParameterizedTest(size_t *row, interrupted_calls, outlive_a_change)
 {
 	run_change(*row);
+	if (!changes[*row].moves)
+		run_change_with_unsafe(*row);
 }
 
 /* The stream may go on where its own configuration allowed it. */
 Test(interrupted_calls, a_stream_moves_after_its_service_was_dropped)
 {
-	world_t *world = world_new(two_models);
+	world_t *world = world_new("llm", two_models);
 	engine_t *engine = begin_stream(world);
 
 	apply_config_without_engines(world);
@@ -413,7 +467,7 @@
 /* Events that arrived while the process stalled are not a silent server. */
 Test(interrupted_calls, a_stall_of_the_process_cuts_no_stream)
 {
-	world_t *world = world_new(two_models);
+	world_t *world = world_new("llm", two_models);
 	engine_t *engine = begin_stream(world);
 	int i;
 
@@ -432,15 +486,13 @@
 /* Another status than that of the stream is not its end. */
 Test(interrupted_calls, a_failure_does_not_complete_a_stream)
 {
-	const at_header_t headers[] = {{WIRE_REQUEST_ID, "id-1"},
-	    {WIRE_SIGNATURE, "signed"}, {NULL, NULL}};
-	world_t *world = world_new(two_models);
+	world_t *world = world_new("llm", two_models);
 	engine_t *engine = begin_stream(world);
 
 	at_httpd_stream_fail(engine->request);
 	engine = wait_for_run(world, 1500);
 	cr_assert_not_null(engine);
-	at_httpd_reply(engine->request, 404, headers, "none", 4);
+	at_httpd_reply(engine->request, 404, response_headers, "none", 4);
 	run_ms(world, 300);
 	cr_expect(world->response.done);
 	cr_expect_not(world->response.is_complete);
@@ -451,7 +503,7 @@
 Test(interrupted_calls, a_stop_does_not_cut_a_queued_stream)
 {
 	static const char *const models[ENGINES] = {"m0", "m1"};
-	world_t *world = world_new(models);
+	world_t *world = world_new("llm", models);
 	engine_t *engine = begin_stream(world);
 
 	at_entry_stop(entry_of(world));
