--- a/tests/contract/test_interrupted_calls.c
+++ b/tests/contract/test_interrupted_calls.c
@@ -479,6 +479,9 @@
 	run_ms(world, 300);
 	cr_expect_eq(
 	    world->engines[0].run_count + world->engines[1].run_count, 1);
+	cr_expect_eq(at_counters_get(entry_of(world)->counters, "retries_total",
+			 "reason", "idle_timeout"),
+	    0);
 	expect_completed(world, engine, "stall");
 	world_delete(world);
 }
