End a HEAD request with the headers of its response

Callers of a HEAD request got 504 at their deadline, although the backend server had answered at once. Cause: libcurl was given the method as a custom one and waited for as many bytes as the response's Content-Length states. Change: HEAD is sent without a body to expect.

--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -511,6 +511,9 @@
 		(void)curl_easy_setopt(
 		    easy, CURLOPT_POSTFIELDS, transfer->body);
 	}
+	/* A response to HEAD has no body, whatever its Content-Length. */
+	if (strcmp(spec->method, "HEAD") == 0)
+		(void)curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
 	(void)curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, spec->method);
 	return 0;
 }
--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -116,6 +116,23 @@
 	entry_fixture_delete(fixture);
 }
 
+/* The Content-Length of a HEAD response announces bytes that do not follow. */
+Test(entry_path, a_head_request_ends_with_the_headers)
+{
+	static const entry_fixture_request_t head = {
+	    "HEAD", "/safe/x", "id-1", ENTRY_FIXTURE_KEY, NULL, NULL};
+	entry_fixture_t *fixture = make_fixture();
+	entry_fixture_response_t response;
+
+	entry_fixture_call(fixture, 0, &head, &response);
+	cr_assert_eq(response.status, 200, "%d", response.status);
+	cr_assert(response.is_complete);
+	cr_assert(has_prefix(find_last_request(fixture), "HEAD /safe/x\n"));
+	cr_assert_eq(count_runs(fixture), 1);
+	entry_fixture_response_free(&response);
+	entry_fixture_delete(fixture);
+}
+
 Test(entry_path, leaves_the_path_encoded)
 {
 	entry_fixture_t *fixture = make_fixture();
