--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -128,8 +128,10 @@
 	attempt->response.status = status;
 	at_response_headers_read(transfer, &attempt->response.headers);
 	attempt->is_stream = is_success && call->route->type == AT_ROUTE_STREAM;
-	at_attempts_on_headers(
-	    call->attempts, attempt->number, at_clock_now_ms());
+	/* A failure does not take a stream over from another attempt. */
+	if (attempt->is_stream || call->route->type != AT_ROUTE_STREAM)
+		at_attempts_on_headers(
+		    call->attempts, attempt->number, at_clock_now_ms());
 	call_process(call);
 }
 
@@ -223,9 +225,12 @@
 	int may_repeat =
 	    call->route->type == AT_ROUTE_SAFE ||
 	    (call->route->type == AT_ROUTE_STREAM && call->route->is_resumable);
+	/* A failure does not complete a stream that has begun. */
+	int is_partial = attempt->is_stream ? at_event_frames_buffered_bytes(
+						  &attempt->frames) > 0
+					    : call->response_started;
 
-	if (attempt->is_stream &&
-	    at_event_frames_buffered_bytes(&attempt->frames) > 0) {
+	if (is_partial) {
 		call_attempt_end(attempt, AT_OUTCOME_FAILED);
 		at_attempts_on_failed(call->attempts, attempt->number,
 		    AT_REASON_TRUNCATED, AT_VERDICT_MAY_HAVE_RUN,
@@ -233,9 +238,7 @@
 		return;
 	}
 	note_first_event(attempt);
-	/* Only a stream can go on with a response that has begun. */
-	if ((attempt->response.status >= 500 && may_repeat) ||
-	    (call->response_started && !attempt->is_stream)) {
+	if (attempt->response.status >= 500 && may_repeat) {
 		handle_failure_response(attempt);
 		return;
 	}
