Make the test of a stalled process independent of libcurl's timers

While the time-out of connecting was still pending, libcurl's timer could read the events after the stall before the timer of the call, so that the mutation without the priority was missed in about half of the runs beside load. The stream now runs for longer than that time-out first.

--- a/tests/contract/test_interrupted_calls.c
+++ b/tests/contract/test_interrupted_calls.c
@@ -471,7 +471,12 @@
 	engine_t *engine = begin_stream(world);
 	int i;
 
-	run_ms(world, 300);
+	/* Past the time-out of connecting, at which libcurl reads, too. */
+	for (i = 0; i < 8; i++) {
+		run_ms(world, GAP_MS);
+		write_event(world, engine);
+	}
+	run_ms(world, GAP_MS);
 	write_event(world, engine);
 	for (i = 0; i < 10; i++)
 		(void)ev_run(world->engine_loop, EVRUN_NOWAIT);
