--- a/src/entry/call_admit.c
+++ b/src/entry/call_admit.c
@@ -79,6 +79,7 @@
 	uint32_t output = header->output_max_tokens;
 
 	work->service = call->service->tag;
+	work->own_service = call->service;
 	work->has_slack = call->route->objective_ms >= SLACK_OBJECTIVE_MIN_MS &&
 			  call->waiter.priority > 0;
 	if (!call->service->has_models)
@@ -195,6 +196,8 @@
 	(void)snprintf(call->id, sizeof(call->id), "%s",
 	    header->id == NULL ? "" : header->id);
 	ev_timer_init(&call->timer, call_on_timer, 0., 0.);
+	/* After a stall, data that has arrived is read before time-outs. */
+	ev_set_priority(&call->timer, EV_MINPRI);
 	call->timer.data = call;
 	call->next = entry->calls;
 	if (call->next != NULL)
