Tests of streams while several software versions serve, failing

The stand-in's entry in the list states a software version; the fixture starts engines of a version, removes an instance or an entry, and sends Resumes and Last-Event-Id.

--- /dev/null
+++ b/tests/contract/test_stream_versions.c
@@ -0,0 +1,308 @@
+/*
+ * Resumable streams while engines of several software versions serve. What two
+ * versions generate does not fit together, and engines do not check it: a
+ * stream must be continued at the version that began it or be refused.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "support/entry_fixture.h"
+
+#define EVENT_GAP_MS 5u
+#define EVENTS 5u          /* of a stream that is not to be broken */
+#define EVENTS_MANY 10000u /* of one that is */
+#define RESUMPTIONS 8 /* of one stream, each of a caller that leaves again */
+/* An origin reaches the other instances within this time. */
+#define REPORT_MS 500u
+
+#define STREAM_ID "first"
+
+static const entry_fixture_request_t first = {
+    "POST", "/stream/x", STREAM_ID, ENTRY_FIXTURE_KEY, "m0", "prompt"};
+
+/* Starts entry instances and one engine of version v1. */
+static entry_fixture_t *
+make_fixture(size_t entries)
+{
+	entry_fixture_t *fixture = entry_fixture_new();
+
+	entry_fixture_apply_config(fixture, 1);
+	(void)entry_fixture_add_engine_of_version(fixture, "m0", "v1");
+	standin_server_set_events(fixture->servers[0], EVENTS, EVENT_GAP_MS);
+	while (entries-- > 0)
+		(void)entry_fixture_add_entry(fixture);
+	entry_fixture_run_until_ready(fixture);
+	return fixture;
+}
+
+static void
+add_engine(entry_fixture_t *fixture, const char *version)
+{
+	size_t i = entry_fixture_add_engine_of_version(fixture, "m0", version);
+
+	standin_server_set_events(fixture->servers[i], EVENTS, EVENT_GAP_MS);
+}
+
+static uint64_t
+count_runs(const entry_fixture_t *fixture, const char *version)
+{
+	uint64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < fixture->server_count; i++) {
+		if (strcmp(fixture->versions[i], version) == 0)
+			sum += standin_server_run_count(fixture->servers[i]);
+	}
+	return sum;
+}
+
+static int
+has_event(void *ctx)
+{
+	const entry_fixture_response_t *response = ctx;
+
+	return response->len > 0 && strstr(response->body, "\n\n") != NULL;
+}
+
+/* Begins the stream at v1; its caller leaves after the first event. */
+static void
+begin_stream(entry_fixture_t *fixture, size_t entry)
+{
+	entry_fixture_response_t response;
+
+	entry_fixture_send(fixture, entry, &first, &response);
+	entry_fixture_run_until(fixture, has_event, &response);
+	entry_fixture_response_free(&response);
+	cr_assert_eq(count_runs(fixture, "v1"), 1);
+}
+
+/* Resumes the stream; its caller leaves again, unless it is refused. */
+static int
+resume_stream(entry_fixture_t *fixture, size_t entry, const char *resumes)
+{
+	static unsigned number;
+	char id[32];
+	entry_fixture_request_t request = first;
+	entry_fixture_response_t response;
+	int status;
+
+	(void)snprintf(id, sizeof(id), "resumed-%u", ++number);
+	request.id = id;
+	entry_fixture_call_resumed(
+	    fixture, entry, &request, resumes, "1", &response);
+	status = response.status;
+	cr_assert(status == 200 || status == 503, "status %d", status);
+	cr_assert_eq(response.retry_after[0] != '\0', status == 503);
+	cr_assert(status == 503 || response.is_complete);
+	entry_fixture_response_free(&response);
+	return status;
+}
+
+static const struct {
+	const char *name;
+	const char
+	    *versions[3]; /* of the engines added after the first event */
+	int is_complete;
+	uint64_t runs;
+} broken[] = {
+    {"only another version is left", {"v2", "v2", NULL}, 0, 1},
+    {"one server of its version is left", {"v2", "v1", "v2"}, 1, 2},
+};
+
+static uint32_t
+count_events(const entry_fixture_response_t *response)
+{
+	const char *at = response->body;
+	uint32_t count = 0;
+
+	while ((at = strstr(at, "\n\n")) != NULL) {
+		at += 2;
+		count++;
+	}
+	return count;
+}
+
+static int
+is_done(void *ctx)
+{
+	return ((const entry_fixture_response_t *)ctx)->done;
+}
+
+/* Breaks the stream within an event that is still to come. */
+static void
+break_stream(entry_fixture_t *fixture, const entry_fixture_response_t *response)
+{
+	uint32_t passed = count_events(response);
+	size_t i;
+
+	for (i = 0; i < fixture->server_count; i++)
+		standin_server_set_events(
+		    fixture->servers[i], passed + 30u, EVENT_GAP_MS);
+	standin_server_faults(fixture->servers[0])->truncate_after =
+	    passed + 20u;
+}
+
+static void
+run_broken(size_t i)
+{
+	entry_fixture_t *fixture = make_fixture(1);
+	entry_fixture_response_t response;
+	size_t k;
+
+	standin_server_set_events(
+	    fixture->servers[0], EVENTS_MANY, EVENT_GAP_MS);
+	entry_fixture_send(fixture, 0, &first, &response);
+	entry_fixture_run_until(fixture, has_event, &response);
+	for (k = 0; k < 3 && broken[i].versions[k] != NULL; k++)
+		add_engine(fixture, broken[i].versions[k]);
+	entry_fixture_run_until_ready(fixture);
+	break_stream(fixture, &response);
+	entry_fixture_run_until(fixture, is_done, &response);
+	cr_assert_eq(
+	    response.is_complete, broken[i].is_complete, "%s", broken[i].name);
+	cr_assert_eq(count_runs(fixture, "v2"), 0, "%s", broken[i].name);
+	cr_assert_eq(
+	    count_runs(fixture, "v1"), broken[i].runs, "%s", broken[i].name);
+	entry_fixture_response_free(&response);
+	entry_fixture_delete(fixture);
+}
+
+/* The retry within the response took any server of the service. */
+Test(stream_versions, a_broken_stream_stays_at_its_version)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(broken) / sizeof(broken[0]); i++)
+		run_broken(i);
+}
+
+/*
+ * Resumes the stream again and again at v1, v2 has the same model; each caller
+ * names the first request.
+ */
+static void
+check_resumptions(entry_fixture_t *fixture, size_t entry)
+{
+	int i;
+
+	for (i = 0; i < RESUMPTIONS; i++)
+		cr_assert_eq(resume_stream(fixture, entry, STREAM_ID), 200);
+	cr_assert_eq(count_runs(fixture, "v2"), 0);
+	cr_assert_eq(count_runs(fixture, "v1"), 1 + RESUMPTIONS);
+}
+
+/* Resumptions were sent to any server of the service. */
+Test(stream_versions, a_resumed_stream_stays_at_its_version)
+{
+	entry_fixture_t *fixture = make_fixture(2);
+
+	begin_stream(fixture, 0);
+	add_engine(fixture, "v2");
+	add_engine(fixture, "v1");
+	entry_fixture_run_until_ready(fixture);
+	entry_fixture_run_ms(fixture, REPORT_MS);
+	check_resumptions(fixture, 1);
+	entry_fixture_delete(fixture);
+}
+
+Test(stream_versions, an_origin_outlives_the_instance)
+{
+	entry_fixture_t *fixture = make_fixture(2);
+
+	begin_stream(fixture, 0);
+	entry_fixture_run_ms(fixture, REPORT_MS);
+	entry_fixture_remove_entry(fixture, 0);
+	add_engine(fixture, "v2");
+	entry_fixture_run_until_ready(fixture);
+	check_resumptions(fixture, 1);
+	entry_fixture_delete(fixture);
+}
+
+/* The instance starts after the stream has begun at another one. */
+Test(stream_versions, an_instance_that_starts_learns_the_origins)
+{
+	entry_fixture_t *fixture = make_fixture(2);
+
+	/* The instances give each other's state once they report. */
+	entry_fixture_run_ms(fixture, REPORT_MS);
+	begin_stream(fixture, 0);
+	add_engine(fixture, "v2");
+	(void)entry_fixture_add_entry(fixture);
+	entry_fixture_run_until_ready(fixture);
+	entry_fixture_run_ms(fixture, 2 * REPORT_MS);
+	check_resumptions(fixture, 2);
+	entry_fixture_delete(fixture);
+}
+
+/* Streams that no server may continue, or whose origin is not known. */
+static const struct {
+	const char *name;
+	const char *resumes;
+	int with_v2;
+	int without_v1;
+	int without_store;
+	int status;
+} origins[] = {
+    {"known, its version is gone", STREAM_ID, 1, 1, 0, 503},
+    {"unknown, two versions", "unknown", 1, 0, 0, 503},
+    {"not stated, two versions", NULL, 1, 0, 0, 503},
+    {"unknown, another version has replaced the first", "unknown", 1, 1, 0,
+	503},
+    {"unknown, one version", "unknown", 0, 0, 0, 200},
+    {"known, the store is away", STREAM_ID, 0, 0, 1, 200},
+    {"unknown, the list may be outdated", "unknown", 0, 0, 1, 503},
+};
+
+static int
+has_no_v1(void *ctx)
+{
+	const entry_fixture_t *fixture = ctx;
+
+	return at_fleet_find(fixture->entries[0]->fleet,
+		   at_tag_from_text(fixture->ids[0])) == NULL;
+}
+
+static int
+is_platform_away(void *ctx)
+{
+	const entry_fixture_t *fixture = ctx;
+
+	return at_entry_is_platform_away(fixture->entries[0]);
+}
+
+static void
+run_origin(size_t i)
+{
+	entry_fixture_t *fixture = make_fixture(1);
+	uint64_t runs;
+
+	begin_stream(fixture, 0);
+	if (origins[i].with_v2)
+		add_engine(fixture, "v2");
+	entry_fixture_run_until_ready(fixture);
+	if (origins[i].without_v1) {
+		entry_fixture_unlist_server(fixture, 0);
+		entry_fixture_run_until(fixture, has_no_v1, fixture);
+	}
+	if (origins[i].without_store) {
+		standin_store_faults(fixture->store)->outage = 1;
+		entry_fixture_run_until(fixture, is_platform_away, fixture);
+	}
+	runs = count_runs(fixture, "v1");
+	cr_assert_eq(resume_stream(fixture, 0, origins[i].resumes),
+	    origins[i].status, "%s", origins[i].name);
+	cr_assert_eq(count_runs(fixture, "v2"), 0, "%s", origins[i].name);
+	cr_assert_eq(count_runs(fixture, "v1") - runs,
+	    origins[i].status == 200 ? 1 : 0, "%s", origins[i].name);
+	entry_fixture_delete(fixture);
+}
+
+Test(stream_versions, a_stream_of_an_unknown_version_is_refused)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(origins) / sizeof(origins[0]); i++)
+		run_origin(i);
+}
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -117,7 +117,8 @@
 	    standin_server_port(fixture->servers[server]));
 	standin_store_put(fixture->store, WIRE_KIND_SERVERS, id,
 	    standin_server_spec(model == NULL ? "plain" : "llm", address,
-		"north", model == NULL ? NULL : model + 1, leaving,
+		"north", fixture->versions[server],
+		model == NULL ? NULL : model + 1, leaving,
 		++heartbeat_sequence));
 }
 
@@ -151,15 +152,19 @@
 	for (i = 0; i < 2; i++)
 		standin_store_put(fixture->store, WIRE_KIND_SERVERS,
 		    i == 0 ? "full-0" : "full-1",
-		    standin_server_spec("plain", address, "north", NULL, 0, 1));
+		    standin_server_spec("plain", address, "north",
+			ENTRY_FIXTURE_VERSION, NULL, 0, 1));
 }
 
 static size_t
-add_server(entry_fixture_t *fixture, const char *id, const char *model)
+add_server(entry_fixture_t *fixture, const char *id, const char *model,
+    const char *version)
 {
 	size_t i = fixture->server_count++;
 	at_status_t status;
 
+	fixture->versions[i] = version;
+
 	(void)snprintf(fixture->ids[i], sizeof(fixture->ids[i]), "%s", id);
 	fixture->servers[i] = standin_server_new(fixture->loop, id);
 	if (model != NULL) {
@@ -179,16 +184,31 @@
 	char id[AT_NAME_SIZE];
 
 	(void)snprintf(id, sizeof(id), "p%zu", fixture->server_count);
-	return add_server(fixture, id, NULL);
+	return add_server(fixture, id, NULL, ENTRY_FIXTURE_VERSION);
 }
 
 size_t
-entry_fixture_add_engine(entry_fixture_t *fixture, const char *model)
+entry_fixture_add_engine_of_version(
+    entry_fixture_t *fixture, const char *model, const char *version)
 {
 	char id[AT_NAME_SIZE];
 
 	(void)snprintf(id, sizeof(id), "e%zu-%s", fixture->server_count, model);
-	return add_server(fixture, id, model);
+	return add_server(fixture, id, model, version);
+}
+
+size_t
+entry_fixture_add_engine(entry_fixture_t *fixture, const char *model)
+{
+	return entry_fixture_add_engine_of_version(
+	    fixture, model, ENTRY_FIXTURE_VERSION);
+}
+
+void
+entry_fixture_unlist_server(entry_fixture_t *fixture, size_t server)
+{
+	standin_store_remove(
+	    fixture->store, WIRE_KIND_SERVERS, fixture->ids[server]);
 }
 
 /* Writes an address on loopback whose UDP port was free just now. */
@@ -241,6 +261,13 @@
 	return i;
 }
 
+void
+entry_fixture_remove_entry(entry_fixture_t *fixture, size_t entry)
+{
+	at_entry_delete(fixture->entries[entry]);
+	fixture->entries[entry] = NULL;
+}
+
 static int
 are_all_ready(void *ctx)
 {
@@ -248,6 +275,8 @@
 	size_t i;
 
 	for (i = 0; i < fixture->entry_count; i++) {
+		if (fixture->entries[i] == NULL)
+			continue;
 		if (!at_entry_is_ready(fixture->entries[i]) ||
 		    at_fleet_count(fixture->entries[i]->fleet) <
 			fixture->server_count)
@@ -312,8 +341,9 @@
 }
 
 void
-entry_fixture_send(entry_fixture_t *fixture, size_t entry,
-    const entry_fixture_request_t *request, entry_fixture_response_t *response)
+entry_fixture_send_resumed(entry_fixture_t *fixture, size_t entry,
+    const entry_fixture_request_t *request, const char *resumes,
+    const char *resume_after, entry_fixture_response_t *response)
 {
 	char lines[HEADERS_MAX][256];
 	const char *headers[HEADERS_MAX + 1] = {NULL};
@@ -340,12 +370,22 @@
 	if (request->model != NULL)
 		count =
 		    add_header(lines, count, WIRE_TOKEN_COUNTS, "", "100,50");
+	count = add_header(lines, count, "Resumes", "", resumes);
+	count = add_header(lines, count, WIRE_RESUME_AFTER, "", resume_after);
 	for (i = 0; i < count; i++)
 		headers[i] = lines[i];
 	response->transfer = at_httpc_start(fixture->httpc, &spec, &events);
 	cr_assert_not_null(response->transfer);
 }
 
+void
+entry_fixture_send(entry_fixture_t *fixture, size_t entry,
+    const entry_fixture_request_t *request, entry_fixture_response_t *response)
+{
+	entry_fixture_send_resumed(
+	    fixture, entry, request, NULL, NULL, response);
+}
+
 static int
 is_done(void *ctx)
 {
@@ -360,6 +400,16 @@
 	entry_fixture_run_until(fixture, is_done, response);
 }
 
+void
+entry_fixture_call_resumed(entry_fixture_t *fixture, size_t entry,
+    const entry_fixture_request_t *request, const char *resumes,
+    const char *resume_after, entry_fixture_response_t *response)
+{
+	entry_fixture_send_resumed(
+	    fixture, entry, request, resumes, resume_after, response);
+	entry_fixture_run_until(fixture, is_done, response);
+}
+
 void
 entry_fixture_response_free(entry_fixture_response_t *response)
 {
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -16,6 +16,8 @@
 #define ENTRY_FIXTURE_MAX 8 /* of backend servers and of entry instances */
 #define ENTRY_FIXTURE_HOST "e.example" /* host name of every route */
 #define ENTRY_FIXTURE_KEY "key-one"    /* API key of workspace "studio" */
+/* Software version of a backend server that is added without one. */
+#define ENTRY_FIXTURE_VERSION "v1"
 
 typedef struct entry_fixture {
 	struct ev_loop *loop;
@@ -24,8 +26,9 @@
 	char store_address[AT_ADDR_SIZE];
 	standin_server_t *servers[ENTRY_FIXTURE_MAX];
 	char ids[ENTRY_FIXTURE_MAX][AT_NAME_SIZE];
+	const char *versions[ENTRY_FIXTURE_MAX]; /* of software; borrowed */
 	size_t server_count;
-	at_entry_t *entries[ENTRY_FIXTURE_MAX];
+	at_entry_t *entries[ENTRY_FIXTURE_MAX]; /* NULL: removed */
 	char addresses[ENTRY_FIXTURE_MAX][AT_ADDR_SIZE];
 	char peers[ENTRY_FIXTURE_MAX][AT_ADDR_SIZE];
 	char names[ENTRY_FIXTURE_MAX][AT_NAME_SIZE];
@@ -64,12 +67,21 @@
 size_t entry_fixture_add_service(entry_fixture_t *fixture);
 size_t entry_fixture_add_engine(entry_fixture_t *fixture, const char *model);
 size_t entry_fixture_add_entry(entry_fixture_t *fixture);
+/* version, of the engine's software, must outlive the fixture. */
+size_t entry_fixture_add_engine_of_version(
+    entry_fixture_t *fixture, const char *model, const char *version);
+/*
+ * entry_fixture_remove_entry() deletes an entry instance without a shutdown, as
+ * if it had been killed.
+ */
+void entry_fixture_remove_entry(entry_fixture_t *fixture, size_t entry);
 /*
  * entry_fixture_list_server() writes the next heartbeat of a backend server to
- * the store.
+ * the store; entry_fixture_unlist_server() removes it from the list.
  */
 void entry_fixture_list_server(
     entry_fixture_t *fixture, size_t server, int leaving);
+void entry_fixture_unlist_server(entry_fixture_t *fixture, size_t server);
 /*
  * entry_fixture_list_unreachable() lists two backend servers of the service
  * "plain" whose address drops connection requests, so that connecting to them
@@ -106,9 +118,19 @@
  */
 void entry_fixture_send(entry_fixture_t *fixture, size_t entry,
     const entry_fixture_request_t *request, entry_fixture_response_t *response);
+/*
+ * entry_fixture_send_resumed() starts a request that continues the stream of
+ * request resumes after the event resume_after; both may be NULL.
+ */
+void entry_fixture_send_resumed(entry_fixture_t *fixture, size_t entry,
+    const entry_fixture_request_t *request, const char *resumes,
+    const char *resume_after, entry_fixture_response_t *response);
+void entry_fixture_call_resumed(entry_fixture_t *fixture, size_t entry,
+    const entry_fixture_request_t *request, const char *resumes,
+    const char *resume_after, entry_fixture_response_t *response);
 /*
  * entry_fixture_call() sends a request and waits until it has ended; fails the
- * test after 20 s.
+ * test after 20 s. entry_fixture_call_resumed() does the same.
  */
 void entry_fixture_call(entry_fixture_t *fixture, size_t entry,
     const entry_fixture_request_t *request, entry_fixture_response_t *response);
