Continue a broken stream only at the software version that began it

Cause: the version in the platform's list of servers was not decoded, and the choice of a server for a retry knew no versions. Change: a server's entry has a tag of its software version; a request whose stream has delivered an event requires that version. If no server of the version has the model, it is refused at once, that is, its stream ends without its end. Requests for different versions are different kinds in a pass over the wait queue. The log states the tag.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -70,6 +70,7 @@
 	at_tag_t tag;
 	at_tag_t service;
 	at_tag_t data_centre;
+	at_tag_t software; /* version of its software, not of the weights */
 	char address[AT_ADDR_SIZE];
 	uint64_t started_ms; /* of this incarnation, by the server's clock */
 	uint64_t heartbeat_sequence; /* of the entry, in this incarnation */
@@ -113,6 +114,7 @@
 	at_tag_t service;
 	at_tag_t model;              /* 0: a plain service */
 	at_tag_t adapter;            /* 0: the base model */
+	at_tag_t software;           /* version that began it; 0: any */
 	const at_name_t *model_name; /* borrowed; NULL: no model */
 	const at_name_t *adapter_name;
 	uint32_t prompt_tokens;
@@ -131,7 +133,12 @@
 	AT_CHOICE_SERVER, /* to the chosen backend server */
 	AT_CHOICE_FULL,   /* servers that could run it have no free slot */
 	AT_CHOICE_NOT_RESIDENT, /* its model or adapter is resident nowhere */
-	AT_CHOICE_NO_SERVER,    /* no server of the service is available */
+	/*
+	 * No server of the service is available. For a request that needs a
+	 * software version, while others serve too: none of that version is
+	 * available or has the model and adapter.
+	 */
+	AT_CHOICE_NO_SERVER,
 	AT_CHOICE_RESULT_COUNT
 } at_choice_result_t;
 
--- a/scripts/demo_platform.sh
+++ b/scripts/demo_platform.sh
@@ -13,7 +13,7 @@
 # list_server ID SERVICE PORT MODELS: adds a backend server to the store; MODELS
 # is the JSON array of its resident models.
 list_server() {
-	put_object servers "$1" "{\"service\":\"$2\",\"address\":\"127.0.0.1:$3\",\"zone\":\"north\",\"slots\":8,\"state\":\"ready\",\"sequence\":1,\"models\":$4}"
+	put_object servers "$1" "{\"service\":\"$2\",\"address\":\"127.0.0.1:$3\",\"zone\":\"north\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"sequence\":1,\"models\":$4}"
 }
 
 # start_platform_entry NAME: starts an instance of almond-entry; sets $entry_pid,
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -129,6 +129,14 @@
 	return (uint32_t)((limit - present) / (each == 0 ? 1u : each));
 }
 
+static int
+is_eligible(const at_server_t *server, const at_work_t *work)
+{
+	return server->is_listed && !server->entry.is_leaving &&
+	       server->entry.service == work->service &&
+	       !is_avoided(work, server->entry.tag);
+}
+
 static uint32_t
 min_u32(uint32_t a, uint32_t b)
 {
@@ -270,6 +278,7 @@
 	at_server_t *server;
 	selection_t selection = {0, 0};
 	uint32_t available = 0;
+	int other_versions = 0;
 
 	memset(choice, 0, sizeof(*choice));
 	if (service == NULL)
@@ -279,10 +288,13 @@
 		candidate_t candidate = {.server = server};
 		at_load_t load;
 
-		if (!server->is_listed || server->entry.is_leaving ||
-		    server->entry.service != work->service ||
-		    is_avoided(work, server->entry.tag))
+		if (!is_eligible(server, work))
 			continue;
+		if (work->software != 0 &&
+		    server->entry.software != work->software) {
+			other_versions = 1;
+			continue;
+		}
 		available++;
 		if (work->model == 0 ||
 		    at_server_has_resident(server, work->model, 0)) {
@@ -313,7 +325,11 @@
 		choice->batch_slots = service->slots;
 	if (choice->server != NULL)
 		return AT_CHOICE_SERVER;
-	if (available == 0)
+	/*
+	 * A model or adapter is loaded by any engine of the service. One that
+	 * is resident at another version is not loaded again.
+	 */
+	if (available == 0 || (other_versions && choice->candidates == 0))
 		return AT_CHOICE_NO_SERVER;
 	return choice->candidates > 0 ? AT_CHOICE_FULL : AT_CHOICE_NOT_RESIDENT;
 }
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -83,7 +83,7 @@
 is_same_kind(const at_work_t *a, const at_work_t *b)
 {
 	return a->service == b->service && a->model == b->model &&
-	       a->adapter == b->adapter;
+	       a->adapter == b->adapter && a->software == b->software;
 }
 
 static at_work_kind_t
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -130,6 +130,8 @@
 		call->has_event_id = 1;
 		call->event_id = event->id;
 	}
+	/* What two software versions generate does not fit together. */
+	call->waiter.work.software = attempt->software;
 	call->event = event;
 	at_attempts_on_data(call->attempts, attempt->number, at_clock_now_ms());
 	call_process(call);
@@ -327,6 +329,7 @@
 	attempt->call = call;
 	attempt->number = number;
 	attempt->server_id = server_entry->id;
+	attempt->software = server_entry->software;
 	attempt->sent_us = now_us;
 	attempt->predicted_us = choice->predicted_us;
 	if (at_attempts_on_placed(
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -29,6 +29,7 @@
 	uint32_t number;
 	at_server_t *server; /* counts this attempt; NULL: none is open */
 	at_name_t server_id;
+	at_tag_t software; /* version of the server's software */
 	at_transfer_t *transfer;
 	uint64_t sent_us;
 	uint64_t predicted_us;
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -123,10 +123,10 @@
 		return;
 	}
 	at_log(AT_LOG_INFO, "servers", NULL,
-	    "server object applied name=%s address=%s leaving=%d "
-	    "models=%zu "
+	    "server object applied name=%s address=%s software=%016" PRIx64
+	    " leaving=%d models=%zu "
 	    "heartbeat=%" PRIu64 " object_version=%" PRIu64,
-	    object->name, server.address, server.is_leaving,
+	    object->name, server.address, server.software, server.is_leaving,
 	    server.residents.count, server.heartbeat_sequence, object->version);
 }
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -394,3 +394,54 @@
 	cr_assert_eq(result, AT_CHOICE_FULL);
 	at_fleet_delete(fleet);
 }
+
+/* Requests for a stream that version "v1" began; "m" is also on "v2". */
+static const struct {
+	const char *name;
+	const char *model;
+	const char *version; /* of the other servers */
+	int leaves;          /* the server of v1 with the model */
+	at_choice_result_t result;
+} versions[] = {
+    {"both versions have the model", "m", "v2", 0, AT_CHOICE_SERVER},
+    {"the model is resident at the other version only", "other", "v2", 0,
+	AT_CHOICE_NO_SERVER},
+    {"the server of its version is leaving", "m", "v2", 1, AT_CHOICE_NO_SERVER},
+    {"the model is resident nowhere, at one version", "none", "v1", 0,
+	AT_CHOICE_NOT_RESIDENT},
+};
+
+Test(fleet, chooses_only_servers_of_the_required_version)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(versions) / sizeof(versions[0]); i++) {
+		at_fleet_t *fleet = make_fleet();
+		at_server_entry_t one = make_entry("one", "llm", "north", "m");
+		at_server_entry_t two = make_entry("two", "llm", "north", "m");
+		at_server_entry_t three =
+		    make_entry("three", "llm", "north", "other");
+		at_work_t work = make_work(versions[i].model, 100);
+		at_choice_result_t result;
+		unsigned k;
+
+		one.software = at_tag_from_text("v1");
+		one.is_leaving = versions[i].leaves;
+		two.software = at_tag_from_text(versions[i].version);
+		three.software = two.software;
+		(void)at_fleet_update_server(fleet, &one);
+		(void)at_fleet_update_server(fleet, &two);
+		(void)at_fleet_update_server(fleet, &three);
+		work.software = one.software;
+		for (k = 0; k < 20; k++) {
+			const char *chosen = choose(fleet, &work, &result);
+
+			cr_assert_eq(
+			    result, versions[i].result, "%s", versions[i].name);
+			cr_assert_str_eq(chosen,
+			    result == AT_CHOICE_SERVER ? "one" : "", "%s",
+			    versions[i].name);
+		}
+		at_fleet_delete(fleet);
+	}
+}
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -110,20 +110,31 @@
 	const char *fault;
 } entries[] = {
     {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
-     "\"slots\":4,\"state\":\"ready\",\"sequence\":3}",
+     "\"version\":\"v1\",\"slots\":4,\"state\":\"ready\","
+     "\"sequence\":3}",
 	NULL},
     {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
-     "\"slots\":4,\"state\":\"draining\",\"remaining_ms\":2000}",
+     "\"version\":\"v1\",\"slots\":4,\"state\":\"draining\","
+     "\"remaining_ms\":2000}",
 	NULL},
     {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
-     "\"slots\":4,\"state\":\"asleep\"}",
+     "\"version\":\"v1\",\"slots\":4,\"state\":\"asleep\"}",
 	"state"},
     {"{\"service\":\"s\",\"address\":\"host:80\",\"zone\":\"z\","
      "\"slots\":4,\"state\":\"ready\"}",
 	"address"},
     {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
-     "\"slots\":\"4\",\"state\":\"ready\"}",
+     "\"version\":\"v1\",\"slots\":\"4\",\"state\":\"ready\"}",
 	"slots"},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"slots\":4,\"state\":\"ready\"}",
+	"version"},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"version\":1,\"slots\":4,\"state\":\"ready\"}",
+	"version"},
+    {"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"version\":\"\",\"slots\":4,\"state\":\"ready\"}",
+	"version"},
     {"{\"service\":4,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
      "\"slots\":4,\"state\":\"ready\"}",
 	"service"},
@@ -156,7 +167,8 @@
 {
 	static const char text[] =
 	    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
-	    "\"slots\":64,\"state\":\"ready\",\"born\":1700000000000,"
+	    "\"version\":\"v1.1\",\"slots\":64,\"state\":\"ready\","
+	    "\"born\":1700000000000,"
 	    "\"sequence\":4,\"models\":[{\"name\":\"m\",\"version\":2,"
 	    "\"adapters\":[\"a1\",\"a2\"]},{\"name\":5}],\"available\":"
 	    "{\"in_memory\":[\"m\"],\"on_disk\":[\"m\",\"n\"]}}";
@@ -166,6 +178,7 @@
 	cr_assert_null(at_server_decode("i-1", spec, &entry));
 	cr_assert_eq(entry.started_ms, 1700000000000u);
 	cr_assert_eq(entry.heartbeat_sequence, 4);
+	cr_assert_eq(entry.software, at_tag_from_text("v1.1"));
 	cr_assert_eq(entry.residents.count, 1);
 	cr_assert_eq(entry.residents.models[0].tag, at_tag_from_text("m"));
 	cr_assert_eq(entry.residents.models[0].adapter_count, 2);
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -298,3 +298,39 @@
 	free_queue(queue);
 	at_fleet_delete(fleet);
 }
+
+/*
+ * A request for the version that has no free slot does not hold up one of the
+ * same model for another version.
+ */
+Test(wait_queue, places_past_a_version_without_a_free_slot)
+{
+	at_fleet_t *fleet = make_fleet(1);
+	at_wait_queue_t *queue = make_queue(fleet);
+	at_waiter_t waiters[2] = {
+	    make_waiter(1000, 3000, 0), make_waiter(2000, 3000, 0)};
+	at_server_entry_t entry = {.tag = at_tag_from_text("one"),
+	    .service = at_tag_from_text("llm"),
+	    .software = at_tag_from_text("v1"),
+	    .slots = SLOTS,
+	    .residents.count = 1};
+	at_choice_t choice;
+
+	entry.residents.models[0].tag = at_tag_from_text("m");
+	(void)at_fleet_update_server(fleet, &entry);
+	entry.tag = at_tag_from_text("two");
+	entry.software = at_tag_from_text("v2");
+	(void)at_fleet_update_server(fleet, &entry);
+	fill_slots(fleet);
+	waiters[0].work.software = at_tag_from_text("v1");
+	waiters[1].work.software = at_tag_from_text("v2");
+	at_wait_queue_add(queue, &waiters[0]);
+	at_wait_queue_add(queue, &waiters[1]);
+	cr_assert_eq(
+	    at_wait_queue_take_placeable(queue, 0, &choice), &waiters[1]);
+	cr_assert_eq(at_server_entry(choice.server)->tag, entry.tag);
+	cr_assert_null(at_wait_queue_take_placeable(queue, 0, &choice));
+	at_wait_queue_remove(queue, &waiters[0]);
+	free_queue(queue);
+	at_fleet_delete(fleet);
+}
