Continue a resumed stream only at the software version that began it

Cause: the header Resumes was not read, and no instance knew at which version a stream of another instance, or of its own, had begun. Change: a core module, stream_origins, has the version that began each recent resumable stream, by the hash of the id of the request that brought its first event. Origins are sent to all instances within 30 ms and twice more with the periodic reports. An instance that starts, or hears from another one after 1.5 s of silence, asks for all origins. A request that resumes requires the version of its origin. If the origin is unknown, it runs only if a single version was listed for the service within the lifetime of an origin, with the platform in reach; otherwise it is refused at once with 503 (unknown_origin) and Retry-After 0.2 s, before its quota is charged. After a restart of all instances at once origins are unknown. Log: each resumption with its origin, each refusal.

--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &report_queue__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_origins__init
+                     (ReportOrigins         *message)
+{
+  static const ReportOrigins init_value = REPORT_ORIGINS__INIT;
+  *message = init_value;
+}
+size_t report_origins__get_packed_size
+                     (const ReportOrigins *message)
+{
+  assert(message->base.descriptor == &report_origins__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_origins__pack
+                     (const ReportOrigins *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_origins__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_origins__pack_to_buffer
+                     (const ReportOrigins *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_origins__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportOrigins *
+       report_origins__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportOrigins *)
+     protobuf_c_message_unpack (&report_origins__descriptor,
+                                allocator, len, data);
+}
+void   report_origins__free_unpacked
+                     (ReportOrigins *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_origins__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report__init
                      (Report         *message)
 {
@@ -932,7 +977,58 @@
   (ProtobufCMessageInit) report_queue__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[21] =
+static const ProtobufCFieldDescriptor report_origins__field_descriptors[2] =
+{
+  {
+    "software",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportOrigins, software),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(ReportOrigins, n_streams),
+    offsetof(ReportOrigins, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_origins__field_indices_by_name[] = {
+  0,   /* field[0] = software */
+  1,   /* field[1] = streams */
+};
+static const ProtobufCIntRange report_origins__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor report_origins__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportOrigins",
+  "ReportOrigins",
+  "ReportOrigins",
+  "",
+  sizeof(ReportOrigins),
+  2,
+  report_origins__field_descriptors,
+  report_origins__field_indices_by_name,
+  1,  report_origins__number_ranges,
+  (ProtobufCMessageInit) report_origins__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report__field_descriptors[25] =
 {
   {
     "name",
@@ -1186,10 +1282,59 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "origins",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_origins),
+    offsetof(Report, origins),
+    &report_origins__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wants_origins",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Report, wants_origins),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Report, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origins_end",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Report, origins_end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
   2,   /* field[2] = address */
+  23,   /* field[23] = age_ms */
   12,   /* field[12] = config_version */
   20,   /* field[20] = configs */
   1,   /* field[1] = data_centre */
@@ -1200,6 +1345,8 @@
   5,   /* field[5] = leaving */
   7,   /* field[7] = loads */
   0,   /* field[0] = name */
+  21,   /* field[21] = origins */
+  24,   /* field[24] = origins_end */
   14,   /* field[14] = platform_away */
   19,   /* field[19] = queues */
   13,   /* field[13] = reads */
@@ -1209,12 +1356,13 @@
   8,   /* field[8] = spending */
   18,   /* field[18] = strength */
   10,   /* field[10] = wants */
+  22,   /* field[22] = wants_origins */
 };
 static const ProtobufCIntRange report__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 21 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -1224,7 +1372,7 @@
   "Report",
   "",
   sizeof(Report),
-  21,
+  25,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct ReportAdapter ReportAdapter;
 typedef struct ReportServer ReportServer;
 typedef struct ReportQueue ReportQueue;
+typedef struct ReportOrigins ReportOrigins;
 typedef struct Report Report;
 
 
@@ -31,7 +32,7 @@
 /* --- messages --- */
 
 /*
- * Requests of the sender in flight at one backend server.
+ * Load of the sender's requests on one backend server.
  */
 struct  ReportLoad
 {
@@ -41,11 +42,11 @@
   uint32_t prefill_tokens;
   uint64_t kv_tokens;
   /*
-   * prompt tokens sent there lately
+   * prompt tokens sent recently; they decay
    */
   uint32_t recent_tokens;
   /*
-   * no connection can be made from there
+   * the sender cannot connect to it
    */
   protobuf_c_boolean unreachable;
 };
@@ -55,7 +56,7 @@
 
 
 /*
- * What the sender has spent of a workspace's limit since its start.
+ * Units of a workspace's quota that the sender has used since its start.
  */
 struct  ReportSpending
 {
@@ -69,7 +70,7 @@
 
 
 /*
- * Requests for a model that the sender has had since its start.
+ * Requests for a model that the sender has received since its start.
  */
 struct  ReportDemand
 {
@@ -77,9 +78,12 @@
   uint64_t service;
   uint64_t model;
   /*
-   * engine time that they need, in microseconds
+   * engine time that they need, in us
    */
   uint64_t engine_us;
+  /*
+   * requests queued now
+   */
   uint32_t waiting;
   uint64_t requests;
 };
@@ -89,7 +93,8 @@
 
 
 /*
- * An adapter that the sender has requests for and finds nowhere.
+ * An adapter that is not resident anywhere and for which the sender has queued
+ * requests.
  */
 struct  ReportWant
 {
@@ -105,8 +110,8 @@
 
 
 /*
- * A model (with an empty adapter) or adapter that was loaded or unloaded,
- * told by the one who gives orders.
+ * A model or adapter that was loaded or unloaded, as reported by the holder of
+ * the lease, which sends the orders. adapter is empty for a model.
  */
 struct  ReportAdapter
 {
@@ -114,6 +119,9 @@
   uint64_t server;
   char *model;
   char *adapter;
+  /*
+   * false if it was unloaded
+   */
   protobuf_c_boolean held;
 };
 #define REPORT_ADAPTER__INIT \
@@ -122,8 +130,8 @@
 
 
 /*
- * An object of the platform's list of backend servers, or its configuration,
- * as its reader in this data centre has seen it.
+ * An entry of the platform's list of backend servers, or the configuration, as
+ * read by the instance that reads the platform's lists for the data centre.
  */
 struct  ReportServer
 {
@@ -132,7 +140,7 @@
   uint64_t version;
   protobuf_c_boolean deleted;
   /*
-   * JSON
+   * JSON; empty if deleted
    */
   char *spec;
 };
@@ -142,23 +150,23 @@
 
 
 /*
- * Requests of one kind that wait at the sender.
+ * Requests of one kind that are queued at the sender.
  */
 struct  ReportQueue
 {
   ProtobufCMessage base;
   uint64_t service;
   /*
-   * 0: the service has no models
+   * 0 if the service has no models
    */
   uint64_t model;
   uint32_t requests;
   /*
-   * of all of them
+   * total
    */
   uint32_t prompt_tokens;
   /*
-   * of them can still meet their objective
+   * requests that can still meet their objective
    */
   uint32_t pressing;
 };
@@ -167,6 +175,25 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * Streams that one software version of a backend server began. A stream is
+ * named by the tag of the id of the request that brought its first event.
+ */
+struct  ReportOrigins
+{
+  ProtobufCMessage base;
+  uint64_t software;
+  size_t n_streams;
+  uint64_t *streams;
+};
+#define REPORT_ORIGINS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_origins__descriptor) \
+    , 0, 0,NULL }
+
+
+/*
+ * A report without a name has only origins.
+ */
 struct  Report
 {
   ProtobufCMessage base;
@@ -177,7 +204,7 @@
   uint64_t sequence;
   protobuf_c_boolean leaving;
   /*
-   * of the lease, if the sender holds it
+   * fencing token; 0 if the sender has no lease
    */
   uint64_t fence;
   size_t n_loads;
@@ -192,35 +219,52 @@
   ReportAdapter **adapters;
   uint64_t config_version;
   /*
-   * the platform's lists, for its data centre
+   * The sender reads the platform's lists for its data centre.
    */
   protobuf_c_boolean reads;
   /*
-   * the sender cannot reach it
+   * the platform does not respond to the sender
    */
   protobuf_c_boolean platform_away;
+  /*
+   * of the reader's list of backend servers
+   */
   uint64_t servers_digest;
   size_t n_servers;
   ReportServer **servers;
   /*
-   * the loads are all there are
+   * loads is complete
    */
   protobuf_c_boolean has_loads;
   /*
-   * of the sender's machine
+   * Capacity of the sender's machine; the strongest owns shared tasks.
    */
   uint32_t strength;
   size_t n_queues;
   ReportQueue **queues;
   /*
-   * the configuration, from its reader
+   * The configuration, from a sender that reads the lists.
    */
   size_t n_configs;
   ReportServer **configs;
+  size_t n_origins;
+  ReportOrigins **origins;
+  /*
+   * The sender asks an instance that is older than its age for all origins.
+   */
+  protobuf_c_boolean wants_origins;
+  /*
+   * 0 if any instance should answer
+   */
+  uint32_t age_ms;
+  /*
+   * the last report of an answer
+   */
+  protobuf_c_boolean origins_end;
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /* ReportLoad methods */
@@ -356,6 +400,25 @@
 void   report_queue__free_unpacked
                      (ReportQueue *message,
                       ProtobufCAllocator *allocator);
+/* ReportOrigins methods */
+void   report_origins__init
+                     (ReportOrigins         *message);
+size_t report_origins__get_packed_size
+                     (const ReportOrigins   *message);
+size_t report_origins__pack
+                     (const ReportOrigins   *message,
+                      uint8_t             *out);
+size_t report_origins__pack_to_buffer
+                     (const ReportOrigins   *message,
+                      ProtobufCBuffer     *buffer);
+ReportOrigins *
+       report_origins__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_origins__free_unpacked
+                     (ReportOrigins *message,
+                      ProtobufCAllocator *allocator);
 /* Report methods */
 void   report__init
                      (Report         *message);
@@ -398,6 +461,9 @@
 typedef void (*ReportQueue_Closure)
                  (const ReportQueue *message,
                   void *closure_data);
+typedef void (*ReportOrigins_Closure)
+                 (const ReportOrigins *message,
+                  void *closure_data);
 typedef void (*Report_Closure)
                  (const Report *message,
                   void *closure_data);
@@ -414,6 +480,7 @@
 extern const ProtobufCMessageDescriptor report_adapter__descriptor;
 extern const ProtobufCMessageDescriptor report_server__descriptor;
 extern const ProtobufCMessageDescriptor report_queue__descriptor;
+extern const ProtobufCMessageDescriptor report_origins__descriptor;
 extern const ProtobufCMessageDescriptor report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/entry/call_admit.c
+++ b/src/entry/call_admit.c
@@ -9,8 +9,10 @@
 
 #include "almondthread/log.h"
 #include "entry/call_impl.h"
+#include "entry/gossip.h"
 #include "entry/orders.h"
 #include "entry/retry_budgets.h"
+#include "entry/sync.h"
 #include "io/clock.h"
 #include "platform/caller.h"
 
@@ -36,6 +38,8 @@
 #define CALLER_TIMEOUT_EVENT_GAPS 8u
 /* The first configuration takes two list calls and the parsing. */
 #define NO_CONFIG_RETRY_MS 500u
+/* Time until a lost report on the origin of a stream has been repeated. */
+#define UNKNOWN_ORIGIN_RETRY_MS 200u
 /* Stated in refusals at the shutdown: another instance can run the request. */
 #define STOPPING_RETRY_MS 10u
 
@@ -233,6 +237,81 @@
 	return -1;
 }
 
+static int
+is_resumable(const at_site_route_t *route)
+{
+	return route->type == AT_ROUTE_STREAM && route->is_resumable;
+}
+
+/*
+ * Returns the only version that can have begun a stream of unknown origin, or
+ * 0. Without the platform, the list may lack servers of another version.
+ */
+static at_tag_t
+only_version(at_entry_t *entry, at_tag_t service)
+{
+	if (!at_sync_is_complete(entry->sync) ||
+	    at_entry_is_platform_away(entry))
+		return 0;
+	at_gossip_note_versions(entry->gossip);
+	return at_stream_origins_only_version(
+	    entry->origins, service, at_clock_now_us());
+}
+
+/*
+ * Finds the software version at which the request must run, 0 for any. Refuses
+ * the request and returns -1 if it resumes a stream whose version is unknown.
+ */
+static int
+find_software(at_entry_t *entry, at_httpd_request_t *request,
+    const at_request_header_t *header, const at_site_route_t *route,
+    at_tag_t service, at_tag_t *software)
+{
+	const char *resumes = header->resumes;
+	const char *source = "reported";
+	char detail[160];
+
+	*software = 0;
+	if (!is_resumable(route) ||
+	    (resumes == NULL && header->resume_after == NULL))
+		return 0;
+	if (resumes != NULL)
+		*software = at_stream_origins_find(entry->origins,
+		    at_tag_from_text(resumes), at_clock_now_us());
+	if (*software == 0) {
+		*software = only_version(entry, service);
+		source = "only_version";
+	}
+	if (*software != 0) {
+		at_log(AT_LOG_INFO, "call", header->id,
+		    "resumes a stream stream=%s after=%s software=%016" PRIx64
+		    " origin=%s",
+		    resumes == NULL ? "-" : resumes,
+		    header->resume_after == NULL ? "-" : header->resume_after,
+		    *software, source);
+		return 0;
+	}
+	(void)snprintf(detail, sizeof(detail), "stream=%s origins=%zu",
+	    resumes == NULL ? "-" : resumes,
+	    at_stream_origins_count(entry->origins));
+	refuse_request(entry, request, header, AT_REASON_UNKNOWN_ORIGIN,
+	    UNKNOWN_ORIGIN_RETRY_MS, detail);
+	return -1;
+}
+
+/* Returns the tag that names the stream of a request, 0 for none. */
+static at_tag_t
+stream_tag(const at_request_header_t *header, const at_site_route_t *route)
+{
+	if (!is_resumable(route))
+		return 0;
+	if (header->resumes != NULL)
+		return at_tag_from_text(header->resumes);
+	return header->resume_after != NULL || header->id == NULL
+		   ? 0
+		   : at_tag_from_text(header->id);
+}
+
 static void
 start_call(at_entry_t *entry, at_httpd_request_t *request,
     const at_request_header_t *header, const at_site_route_t *route,
@@ -241,6 +320,7 @@
 	const at_site_service_t *service = at_site_find_service(
 	    entry->site, at_site_pick_target(route, at_rng_next(&entry->rng)));
 	uint64_t units = 0;
+	at_tag_t software;
 	at_call_t *call;
 
 	if (service == NULL) {
@@ -248,6 +328,9 @@
 		    NO_CONFIG_RETRY_MS, "error=unknown_service");
 		return;
 	}
+	if (find_software(
+		entry, request, header, route, service->tag, &software) != 0)
+		return;
 	if (workspace != NULL &&
 	    charge_quota(entry, request, header, workspace, &units) != 0)
 		return;
@@ -263,7 +346,9 @@
 	call->workspace = workspace;
 	call->service = service;
 	call->units = units;
+	call->stream = stream_tag(header, route);
 	fill_waiter(call, header);
+	call->waiter.work.software = software;
 	at_orders_io_note_demand(entry->orders, &call->waiter.work);
 	call_attach(call);
 	start_attempts(call);
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -7,6 +7,7 @@
 
 #include "almondthread/log.h"
 #include "entry/call_impl.h"
+#include "entry/gossip.h"
 #include "io/clock.h"
 
 #define URL_SIZE 128            /* bytes of "http://" and an address */
@@ -114,6 +115,22 @@
 	call_process(call);
 }
 
+/* What two software versions generate does not fit together. */
+static void
+note_origin(const call_attempt_t *attempt)
+{
+	at_call_t *call = attempt->call;
+	at_entry_t *entry = call->entry;
+
+	call->waiter.work.software = attempt->software;
+	if (call->stream == 0 || call->is_origin_reported)
+		return;
+	call->is_origin_reported = 1;
+	at_stream_origins_note(
+	    entry->origins, call->stream, attempt->software, at_clock_now_us());
+	at_gossip_send_origins_soon(entry->gossip);
+}
+
 static void
 on_event(void *ctx, const at_event_t *event)
 {
@@ -130,8 +147,7 @@
 		call->has_event_id = 1;
 		call->event_id = event->id;
 	}
-	/* What two software versions generate does not fit together. */
-	call->waiter.work.software = attempt->software;
+	note_origin(attempt);
 	call->event = event;
 	at_attempts_on_data(call->attempts, attempt->number, at_clock_now_ms());
 	call_process(call);
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -59,7 +59,9 @@
 	at_attempts_t *attempts;
 	uint32_t queued_attempt; /* number of the attempt to be placed */
 	call_attempt_t current;
-	int is_processing; /* call_process() is running */
+	at_tag_t stream;        /* names it in stream_origins.h; 0: none */
+	int is_origin_reported; /* this call has passed on an event of it */
+	int is_processing;      /* call_process() is running */
 	int is_finished;
 	int response_started;    /* the response's headers have been sent */
 	int is_paused;           /* the caller reads too slowly */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -21,6 +21,9 @@
 #define STOP_CHECK_S 0.05   /* between two checks of open requests */
 #define STOP_MARGIN_MS 500u /* end of the grace period, kept for the exit */
 #define PERCENT 100u
+#define US_PER_MS 1000u
+/* Longest time until a caller resumes a stream that was broken off. */
+#define RESUME_MARGIN_US 5000000u
 #define FAST_LINK_MIN_MBPS 100u /* from here on the link is no bottleneck */
 /* Shortest stop after the drain, for requests that are on their way. */
 #define STOP_MIN_MS 300u
@@ -103,9 +106,10 @@
 	entry->quota = at_quota_new(at_rng_next(&entry->rng));
 	entry->retries = at_retry_budgets_new(s->retry_ratio, s->retry_slack);
 	entry->roster = at_roster_new(&entry->self.instance, entry->strength);
+	entry->origins = at_stream_origins_new();
 	if (entry->wire_store == NULL || entry->fleet == NULL ||
 	    entry->quota == NULL || entry->retries == NULL ||
-	    entry->roster == NULL)
+	    entry->roster == NULL || entry->origins == NULL)
 		return -1;
 	entry->store = at_wire_store_port(entry->wire_store);
 	at_wire_store_set_counters(entry->wire_store, entry->counters);
@@ -170,6 +174,23 @@
 	       at_orders_io_is_platform_away(entry->orders);
 }
 
+/* Returns the longest time that a resumable stream may take. */
+static uint64_t
+longest_stream_us(const at_site_t *site)
+{
+	uint32_t longest_ms = 0;
+	size_t i;
+
+	for (i = 0; i < site->route_count; i++) {
+		const at_site_route_t *route = &site->routes[i];
+
+		if (route->type == AT_ROUTE_STREAM && route->is_resumable &&
+		    route->timeout_ms > longest_ms)
+			longest_ms = route->timeout_ms;
+	}
+	return (uint64_t)longest_ms * US_PER_MS;
+}
+
 void
 at_entry_set_site(at_entry_t *entry, at_site_t *site)
 {
@@ -183,6 +204,8 @@
 	entry->site = site;
 	at_fleet_set_site(entry->fleet, site);
 	at_quota_set_site(entry->quota, site, at_clock_now_us());
+	at_stream_origins_set_lifetime(
+	    entry->origins, longest_stream_us(site) + RESUME_MARGIN_US);
 	at_httpd_set_max_body(entry->callers, site->limits.body_bytes);
 }
 
@@ -326,6 +349,7 @@
 	at_contention_delete(entry->contention);
 	at_roster_delete(entry->roster);
 	at_retry_budgets_delete(entry->retries);
+	at_stream_origins_delete(entry->origins);
 	at_quota_delete(entry->quota);
 	at_fleet_delete(entry->fleet);
 	at_site_unref(entry->site);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -6,7 +6,8 @@
  *   call.c       one caller's request on its way to a backend server and back;
  *                call_admit.c admits it, call_attempt.c has each attempt
  *   sync.c       copies of the configuration and of the list of servers
- *   gossip.c     reports to and from the other instances
+ *   gossip.c     reports to and from the other instances;
+ *                gossip_origins.c has those on the origins of streams
  *   join.c       discovery of the other instances
  *   orders.c     the lease and orders to model engines
  *   readiness.c  readiness check and metrics
@@ -19,6 +20,7 @@
 #include "almondthread/budget.h"
 #include "almondthread/counters.h"
 #include "almondthread/quota.h"
+#include "almondthread/stream_origins.h"
 #include "almondthread/wait_queue.h"
 #include "io/httpc.h"
 #include "io/httpd.h"
@@ -83,6 +85,7 @@
 	at_wait_queue_t *queue;
 	at_quota_t *quota;
 	at_retry_budgets_t *retries;
+	at_stream_origins_t *origins;
 	at_sync_t *sync;
 	at_gossip_t *gossip;
 	at_roster_t *roster;
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -92,6 +92,7 @@
 	ev_timer_stop(loop, &gossip->soon_timer);
 	ev_timer_stop(loop, &gossip->demand_timer);
 	ev_timer_stop(loop, &gossip->servers_timer);
+	ev_timer_stop(loop, &gossip->origins_timer);
 	clear_servers(gossip);
 	if (gossip->fd >= 0) {
 		ev_io_stop(loop, &gossip->readable);
@@ -100,8 +101,9 @@
 	free(gossip);
 }
 
-static void
-send_datagram(at_gossip_t *gossip, const at_roster_member_t *member, size_t len)
+void
+gossip_send_datagram(
+    at_gossip_t *gossip, const at_roster_member_t *member, size_t len)
 {
 	struct sockaddr_in addr;
 
@@ -129,12 +131,12 @@
 		return;
 	if (broadcast->all_data_centres ||
 	    member->data_centre == broadcast->gossip->entry->data_centre)
-		send_datagram(broadcast->gossip, member, broadcast->len);
+		gossip_send_datagram(broadcast->gossip, member, broadcast->len);
 }
 
-static void
-send_report(at_gossip_t *gossip, report_kind_t kind, int all_data_centres,
-    at_tag_t except)
+void
+gossip_send_report(at_gossip_t *gossip, report_kind_t kind,
+    int all_data_centres, at_tag_t except)
 {
 	broadcast_t broadcast = {
 	    gossip, report_encode(gossip, kind), all_data_centres, except};
@@ -158,7 +160,7 @@
 		return 0;
 	len = report_encode(gossip, REPORT_DEMAND);
 	if (len > 0)
-		send_datagram(gossip, holder, len);
+		gossip_send_datagram(gossip, holder, len);
 	return holder->tag;
 }
 
@@ -197,16 +199,21 @@
 	uint64_t now_us = at_clock_now_us();
 	uint32_t reporting = at_roster_reporting_count(entry->roster, now_us);
 	uint32_t present = at_roster_present_count(entry->roster);
+	int to_all;
 	at_tag_t holder;
 
 	(void)loop;
 	(void)events;
 	gossip->rounds++;
+	to_all = gossip->rounds % REMOTE_REPORT_ROUNDS == 0;
+	if (to_all)
+		origins_add_due(gossip);
 	holder = gossip->rounds % DEMAND_REPORT_ROUNDS == 0
 		     ? send_demand(gossip)
 		     : 0;
-	send_report(gossip, REPORT_COMMON,
-	    gossip->rounds % REMOTE_REPORT_ROUNDS == 0, holder);
+	gossip_send_report(gossip, REPORT_COMMON, to_all, holder);
+	gossip->origin_count = 0;
+	origins_on_round(gossip, now_us);
 	assign_tasks(gossip, now_us);
 	at_roster_expire(entry->roster, now_us, on_member_removed, gossip);
 	at_fleet_expire_reports(entry->fleet, now_us, LOADS_MAX_AGE_US);
@@ -221,11 +228,11 @@
 {
 	(void)loop;
 	(void)events;
-	send_report(timer->data, REPORT_COMMON, 1, 0);
+	gossip_send_report(timer->data, REPORT_COMMON, 1, 0);
 }
 
-static void
-start_timer(at_gossip_t *gossip, ev_timer *timer, double after_s)
+void
+gossip_start_timer(at_gossip_t *gossip, ev_timer *timer, double after_s)
 {
 	if (gossip->fd < 0 || ev_is_active(timer))
 		return;
@@ -236,7 +243,7 @@
 void
 at_gossip_send_soon(at_gossip_t *gossip)
 {
-	start_timer(gossip, &gossip->soon_timer, SOON_DELAY_S);
+	gossip_start_timer(gossip, &gossip->soon_timer, SOON_DELAY_S);
 }
 
 static void
@@ -250,14 +257,14 @@
 void
 at_gossip_send_demand_soon(at_gossip_t *gossip)
 {
-	start_timer(gossip, &gossip->demand_timer, SOON_DELAY_S);
+	gossip_start_timer(gossip, &gossip->demand_timer, SOON_DELAY_S);
 }
 
 static void
 send_servers(at_gossip_t *gossip)
 {
 	if (gossip->server_count > 0)
-		send_report(gossip, REPORT_SERVERS, 0, 0);
+		gossip_send_report(gossip, REPORT_SERVERS, 0, 0);
 	clear_servers(gossip);
 }
 
@@ -283,7 +290,8 @@
 	if (object_report_set(object, name, version, spec) != 0)
 		return;
 	gossip->server_count++;
-	start_timer(gossip, &gossip->servers_timer, SERVERS_BATCH_DELAY_S);
+	gossip_start_timer(
+	    gossip, &gossip->servers_timer, SERVERS_BATCH_DELAY_S);
 }
 
 void
@@ -296,7 +304,7 @@
 		return;
 	if (gossip->config.spec != NULL &&
 	    strlen(gossip->config.spec) <= CONFIG_REPORT_MAX_BYTES)
-		send_report(gossip, REPORT_CONFIG, 0, 0);
+		gossip_send_report(gossip, REPORT_CONFIG, 0, 0);
 	object_report_free(&gossip->config);
 }
 
@@ -305,7 +313,7 @@
 {
 	gossip->is_leaving = 1;
 	if (gossip->fd >= 0)
-		send_report(gossip, REPORT_COMMON, 1, 0);
+		gossip_send_report(gossip, REPORT_COMMON, 1, 0);
 }
 
 static void
@@ -352,5 +360,6 @@
 	ev_timer_init(&gossip->servers_timer, on_servers_timer,
 	    SERVERS_BATCH_DELAY_S, 0.);
 	gossip->servers_timer.data = gossip;
+	origins_init(gossip);
 	return AT_OK;
 }
--- a/src/entry/gossip.h
+++ b/src/entry/gossip.h
@@ -1,7 +1,8 @@
 /*
  * gossip.h - reports between entry instances, one datagram each: loads of
- * backend servers, quota usage of workspaces, demand for models, and the
- * changes to models and adapters that the holder of the lease has ordered.
+ * backend servers, quota usage of workspaces, demand for models, origins of
+ * streams, and the changes to models and adapters that the holder of the lease
+ * has ordered.
  *
  * A datagram is a 16-byte keyed hash under the fleet's secret, then a Report
  * (proto/report.proto). Reports repeat their contents, so that the next one
@@ -44,6 +45,16 @@
  */
 void at_gossip_send_config(at_gossip_t *gossip, const char *name,
     uint64_t version, const json_t *spec);
+/*
+ * at_gossip_send_origins_soon() sends the origins of streams that were noted
+ * here to all instances within some tens of milliseconds.
+ */
+void at_gossip_send_origins_soon(at_gossip_t *gossip);
+/*
+ * at_gossip_note_versions() records which software versions the platform lists
+ * for each service.
+ */
+void at_gossip_note_versions(at_gossip_t *gossip);
 /* at_gossip_send_leaving() tells every instance that this one shuts down. */
 void at_gossip_send_leaving(at_gossip_t *gossip);
 
--- a/src/entry/gossip_impl.h
+++ b/src/entry/gossip_impl.h
@@ -1,11 +1,13 @@
 /*
  * gossip_impl.h - types shared by the files of gossip: gossip.c has the
- * socket and its timers, report_encode.c encodes reports, report_apply.c
- * applies those of the other instances.
+ * socket and its timers, gossip_origins.c the exchange of the origins of
+ * streams, report_encode.c encodes reports, report_apply.c applies those of the
+ * other instances.
  */
 #ifndef ALMONDTHREAD_ENTRY_GOSSIP_IMPL_H
 #define ALMONDTHREAD_ENTRY_GOSSIP_IMPL_H
 
+#include "almondthread/roster.h"
 #include "entry/gossip.h"
 #include "report.pb-c.h"
 
@@ -13,6 +15,7 @@
 #define DATAGRAM_MAX_BYTES 60000u /* with the keyed hash */
 #define USAGE_ENTRIES_MAX 256u    /* workspaces in one report */
 #define SERVERS_MAX 24u           /* backend servers in one report */
+#define ORIGINS_MAX 150u /* origins in one report, which fits a packet */
 
 /* Contents of a report besides its header. */
 typedef enum report_kind {
@@ -20,6 +23,8 @@
 	REPORT_DEMAND,  /* the same, with demand and adapter requests */
 	REPORT_SERVERS, /* changed objects of the list of backend servers */
 	REPORT_CONFIG,  /* the configuration */
+	REPORT_ORIGINS, /* origins of streams, without a header */
+	REPORT_ORIGINS_REQUEST, /* a request for all origins */
 } report_kind_t;
 
 /* One object of the platform's store that is to be sent. */
@@ -43,9 +48,45 @@
 	object_report_t servers[SERVERS_MAX];
 	size_t server_count;
 	object_report_t config;
+	ev_timer origins_timer; /* origins that are not reported yet */
+	/* Origins in the next reports of any kind. */
+	at_stream_origin_t origins[ORIGINS_MAX];
+	size_t origin_count;
+	int is_origins_end;      /* they are the last of an answer */
+	uint64_t started_us;     /* start of this instance */
+	uint32_t answers_wanted; /* with all origins */
+	uint64_t answers_wanted_until_us;
+	at_tag_t answer_from;   /* instance to be asked; 0: any */
+	int was_out_of_contact; /* instances older than this one or not */
 	unsigned char datagram[DATAGRAM_MAX_BYTES];
 };
 
+void gossip_send_datagram(
+    at_gossip_t *gossip, const at_roster_member_t *member, size_t len);
+/*
+ * gossip_send_report() sends a report to all instances but except (0: none) of
+ * this data centre or of all.
+ */
+void gossip_send_report(at_gossip_t *gossip, report_kind_t kind,
+    int all_data_centres, at_tag_t except);
+/* gossip_start_timer() does nothing if the timer is active. */
+void gossip_start_timer(at_gossip_t *gossip, ev_timer *timer, double after_s);
+
+/* gossip_origins.c */
+void origins_init(at_gossip_t *gossip);
+/* Adds the origins that are to be reported again to the next reports. */
+void origins_add_due(at_gossip_t *gossip);
+/* To be called in each round of reports. */
+void origins_on_round(at_gossip_t *gossip, uint64_t now_us);
+void origins_apply(at_gossip_t *gossip, const Report *report, uint64_t now_us);
+/* Asks an instance that reports again what it has noted meanwhile. */
+void origins_on_member_back(
+    at_gossip_t *gossip, const at_roster_member_t *member, uint64_t now_us);
+/* Answers a request for all origins. */
+void origins_answer(at_gossip_t *gossip, const at_roster_member_t *member,
+    const Report *request);
+uint32_t origins_age_ms(const at_gossip_t *gossip);
+
 /*
  * report_encode() fills the datagram and returns its length in bytes, or 0
  * when the report is too large.
--- /dev/null
+++ b/src/entry/gossip_origins.c
@@ -0,0 +1,207 @@
+/*
+ * gossip_origins.c - exchanges the origins of resumable streams: new ones are
+ * sent to all instances, and an instance that starts or was out of contact asks
+ * another one for all of them.
+ */
+#include "almondthread/log.h"
+#include "entry/gossip_impl.h"
+#include "io/clock.h"
+
+#define US_PER_MS 1000u
+/* Origins that are noted within this time are sent in one report. */
+#define BATCH_DELAY_S 0.03
+#define START_ANSWERS 2u /* a part of an answer may be lost */
+/* An instance that finds none that is older stops asking after this time. */
+#define ASKING_US 5000000u
+/* Of instances whose ages differ by less, none knows more than the others. */
+#define AGE_MARGIN_MS 200u
+
+uint32_t
+origins_age_ms(const at_gossip_t *gossip)
+{
+	if (gossip->was_out_of_contact)
+		return 0;
+	return (uint32_t)((at_clock_now_us() - gossip->started_us) / US_PER_MS);
+}
+
+static void
+on_origins_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	at_gossip_t *gossip = timer->data;
+
+	(void)loop;
+	(void)events;
+	while ((gossip->origin_count = at_stream_origins_take_new(
+		    gossip->entry->origins, gossip->origins, ORIGINS_MAX)) > 0)
+		gossip_send_report(gossip, REPORT_ORIGINS, 1, 0);
+}
+
+void
+origins_init(at_gossip_t *gossip)
+{
+	ev_timer_init(
+	    &gossip->origins_timer, on_origins_timer, BATCH_DELAY_S, 0.);
+	gossip->origins_timer.data = gossip;
+	gossip->started_us = at_clock_now_us();
+	gossip->answers_wanted = START_ANSWERS;
+	gossip->answers_wanted_until_us = gossip->started_us + ASKING_US;
+}
+
+void
+at_gossip_send_origins_soon(at_gossip_t *gossip)
+{
+	gossip_start_timer(gossip, &gossip->origins_timer, BATCH_DELAY_S);
+}
+
+static void
+note_version(void *ctx, at_server_t *server)
+{
+	at_entry_t *entry = ctx;
+	const at_server_entry_t *server_entry = at_server_entry(server);
+
+	at_stream_origins_note_listed(entry->origins, server_entry->service,
+	    server_entry->software, at_clock_now_us());
+}
+
+void
+at_gossip_note_versions(at_gossip_t *gossip)
+{
+	at_fleet_each(gossip->entry->fleet, note_version, gossip->entry);
+}
+
+void
+origins_add_due(at_gossip_t *gossip)
+{
+	gossip->origin_count = at_stream_origins_take_due(
+	    gossip->entry->origins, gossip->origins, ORIGINS_MAX);
+}
+
+/* State of the choice of the instance that is asked. */
+typedef struct search {
+	at_entry_t *entry;
+	at_tag_t preferred;
+	uint64_t now_us;
+	uint32_t count; /* reporting instances so far */
+	const at_roster_member_t *found;
+} search_t;
+
+/* Draws one of the reporting instances, unless the preferred one reports. */
+static void
+consider_member(void *ctx, at_roster_member_t *member)
+{
+	search_t *search = ctx;
+
+	if (member->reported_us == 0 || member->is_leaving ||
+	    search->now_us - member->reported_us > AT_ROSTER_REPORT_TIMEOUT_US)
+		return;
+	if (search->found != NULL && search->found->tag == search->preferred)
+		return;
+	search->count++;
+	if (member->tag == search->preferred ||
+	    at_rng_next(&search->entry->rng) % search->count == 0)
+		search->found = member;
+}
+
+static void
+send_request(at_gossip_t *gossip, uint64_t now_us)
+{
+	search_t search = {.entry = gossip->entry,
+	    .preferred = gossip->answer_from,
+	    .now_us = now_us};
+	size_t len;
+
+	at_roster_each(gossip->entry->roster, consider_member, &search);
+	if (search.found == NULL)
+		return;
+	len = report_encode(gossip, REPORT_ORIGINS_REQUEST);
+	if (len > 0)
+		gossip_send_datagram(gossip, search.found, len);
+}
+
+void
+origins_on_round(at_gossip_t *gossip, uint64_t now_us)
+{
+	at_gossip_note_versions(gossip);
+	at_stream_origins_expire(gossip->entry->origins, now_us);
+	if (now_us >= gossip->answers_wanted_until_us)
+		gossip->answers_wanted = 0;
+	if (gossip->answers_wanted > 0)
+		send_request(gossip, now_us);
+}
+
+void
+origins_on_member_back(
+    at_gossip_t *gossip, const at_roster_member_t *member, uint64_t now_us)
+{
+	gossip->was_out_of_contact = 1;
+	gossip->answer_from = member->tag;
+	gossip->answers_wanted = 1;
+	gossip->answers_wanted_until_us = now_us + ASKING_US;
+}
+
+void
+origins_apply(at_gossip_t *gossip, const Report *report, uint64_t now_us)
+{
+	at_stream_origins_t *origins = gossip->entry->origins;
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < report->n_origins; i++) {
+		const ReportOrigins *version = report->origins[i];
+
+		for (k = 0; k < version->n_streams; k++) {
+			const at_stream_origin_t origin = {
+			    version->streams[k], version->software};
+
+			at_stream_origins_apply(origins, &origin, now_us);
+		}
+	}
+	if (!report->origins_end || gossip->answers_wanted == 0)
+		return;
+	gossip->answers_wanted--;
+	at_log(AT_LOG_INFO, "origins", NULL,
+	    "origins of streams received streams=%zu answers_wanted=%u",
+	    at_stream_origins_count(origins), gossip->answers_wanted);
+}
+
+/* An answer that is being sent. */
+typedef struct answer {
+	at_gossip_t *gossip;
+	const at_roster_member_t *member;
+} answer_t;
+
+static void
+send_part(const answer_t *answer)
+{
+	size_t len = report_encode(answer->gossip, REPORT_ORIGINS);
+
+	if (len > 0)
+		gossip_send_datagram(answer->gossip, answer->member, len);
+	answer->gossip->origin_count = 0;
+}
+
+static void
+add_to_answer(void *ctx, const at_stream_origin_t *origin)
+{
+	const answer_t *answer = ctx;
+	at_gossip_t *gossip = answer->gossip;
+
+	if (gossip->origin_count == ORIGINS_MAX)
+		send_part(answer);
+	gossip->origins[gossip->origin_count++] = *origin;
+}
+
+void
+origins_answer(at_gossip_t *gossip, const at_roster_member_t *member,
+    const Report *request)
+{
+	answer_t answer = {gossip, member};
+	uint64_t age_ms = (at_clock_now_us() - gossip->started_us) / US_PER_MS;
+
+	if (age_ms < (uint64_t)request->age_ms + AGE_MARGIN_MS)
+		return;
+	at_stream_origins_each(gossip->entry->origins, add_to_answer, &answer);
+	gossip->is_origins_end = 1;
+	send_part(&answer);
+	gossip->is_origins_end = 0;
+}
--- a/src/entry/report_apply.c
+++ b/src/entry/report_apply.c
@@ -93,8 +93,11 @@
 	at_entry_t *entry = gossip->entry;
 	uint64_t now_us = at_clock_now_us();
 	at_roster_member_t *member;
+	uint64_t last_us;
 	at_name_t name;
 
+	/* These do not depend on the order of the reports. */
+	origins_apply(gossip, report, now_us);
 	if (at_name_set(&name, report->name) != 0)
 		return;
 	member = at_roster_add(entry->roster, &name,
@@ -106,9 +109,14 @@
 		    "first report of this incarnation instance=%s address=%s "
 		    "data_centre=%s",
 		    name.text, report->address, report->data_centre);
+	last_us = member->reported_us;
 	if (at_roster_apply_report(member, report->incarnation,
 		report->sequence, report->leaving, report->fence, now_us) != 0)
 		return;
+	if (last_us != 0 && now_us - last_us > AT_ROSTER_REPORT_TIMEOUT_US)
+		origins_on_member_back(gossip, member, now_us);
+	if (report->wants_origins)
+		origins_answer(gossip, member, report);
 	member->platform_away = report->platform_away;
 	member->strength = report->strength;
 	if (member->data_centre == entry->data_centre)
--- a/src/entry/report_encode.c
+++ b/src/entry/report_encode.c
@@ -20,6 +20,9 @@
 	ReportQueue *queue_list[AT_QUEUE_REPORTS_MAX];
 	ReportServer servers[SERVERS_MAX];
 	ReportServer *server_list[SERVERS_MAX];
+	uint64_t streams[ORIGINS_MAX];
+	ReportOrigins origins[ORIGINS_MAX];
+	ReportOrigins *origin_list[ORIGINS_MAX];
 } report_buffers_t;
 
 void
@@ -132,6 +135,33 @@
 	report->configs = buffers->server_list;
 }
 
+/* Origins of one version are sent together, if they follow one another. */
+static void
+fill_origins(
+    const at_gossip_t *gossip, report_buffers_t *buffers, Report *report)
+{
+	ReportOrigins *origins = NULL;
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < gossip->origin_count; i++) {
+		const at_stream_origin_t *origin = &gossip->origins[i];
+
+		buffers->streams[i] = origin->stream;
+		if (origins == NULL || origins->software != origin->software) {
+			origins = &buffers->origins[count];
+			report_origins__init(origins);
+			origins->software = origin->software;
+			origins->streams = &buffers->streams[i];
+			buffers->origin_list[count++] = origins;
+		}
+		origins->n_streams++;
+	}
+	report->n_origins = count;
+	report->origins = buffers->origin_list;
+	report->origins_end = gossip->is_origins_end;
+}
+
 static void
 fill_header(at_gossip_t *gossip, Report *report)
 {
@@ -160,12 +190,17 @@
 	Report report = REPORT__INIT;
 	size_t len;
 
-	fill_header(gossip, &report);
+	if (kind != REPORT_ORIGINS)
+		fill_header(gossip, &report);
+	fill_origins(gossip, &buffers, &report);
 	if (kind == REPORT_SERVERS) {
 		fill_servers(gossip, &buffers, &report);
 	} else if (kind == REPORT_CONFIG) {
 		fill_config(gossip, &buffers, &report);
-	} else {
+	} else if (kind == REPORT_ORIGINS_REQUEST) {
+		report.wants_origins = 1;
+		report.age_ms = origins_age_ms(gossip);
+	} else if (kind != REPORT_ORIGINS) {
 		fill_loads(entry, &buffers, &report);
 		fill_queues(entry, &buffers, &report);
 		fill_usage(entry, &buffers, &report);
--- a/tests/contract/test_stream_versions.c
+++ b/tests/contract/test_stream_versions.c
@@ -5,9 +5,11 @@
  */
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <criterion/criterion.h>
 
+#include "entry/gossip_impl.h"
 #include "support/entry_fixture.h"
 
 #define EVENT_GAP_MS 5u
@@ -236,6 +238,28 @@
 	entry_fixture_delete(fixture);
 }
 
+/* Reports that arrive while an instance is out of contact are lost. */
+Test(stream_versions, an_instance_back_in_contact_learns_the_origins)
+{
+	entry_fixture_t *fixture = make_fixture(2);
+	at_gossip_t *gossip = fixture->entries[1]->gossip;
+	char lost[64];
+
+	entry_fixture_run_ms(fixture, REPORT_MS);
+	ev_io_stop(fixture->loop, &gossip->readable);
+	begin_stream(fixture, 0);
+	add_engine(fixture, "v2");
+	entry_fixture_run_ms(
+	    fixture, AT_ROSTER_REPORT_TIMEOUT_US / 1000u + REPORT_MS);
+	while (recv(gossip->fd, lost, sizeof(lost), MSG_DONTWAIT) > 0)
+		;
+	ev_io_start(fixture->loop, &gossip->readable);
+	entry_fixture_run_until_ready(fixture);
+	entry_fixture_run_ms(fixture, REPORT_MS);
+	check_resumptions(fixture, 1);
+	entry_fixture_delete(fixture);
+}
+
 /* Streams that no server may continue, or whose origin is not known. */
 static const struct {
 	const char *name;
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -370,7 +370,7 @@
 	if (request->model != NULL)
 		count =
 		    add_header(lines, count, WIRE_TOKEN_COUNTS, "", "100,50");
-	count = add_header(lines, count, "Resumes", "", resumes);
+	count = add_header(lines, count, WIRE_RESUMES, "", resumes);
 	count = add_header(lines, count, WIRE_RESUME_AFTER, "", resume_after);
 	for (i = 0; i < count; i++)
 		headers[i] = lines[i];
