Expire a queued request whose software version is gone

A request that resumed a stream and was queued for a slot waited until its time was over, up to three quarters of what its caller had left, after the last server of its version had left the list. Cause: a pass over the wait queue took it for one without a free slot. Change: such a request expires in the pass that finds no server. Measured: test_wait_queue expires_at_once_if_its_version_is_gone failed before and passes, as do the other eight and test_stream_versions, under AddressSanitizer.

--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -321,15 +321,23 @@
     uint64_t now_us, at_choice_t *choice)
 {
 	at_waiter_t *waiter;
+	at_choice_result_t result;
 
 	for (waiter = queue->head; waiter != NULL; waiter = waiter->next) {
 		if (is_late(waiter, now_us) != late ||
 		    is_full(full, &waiter->work))
 			continue;
-		if (at_fleet_choose(queue->fleet, &waiter->work, now_us,
-			choice) == AT_CHOICE_SERVER &&
+		result = at_fleet_choose(
+		    queue->fleet, &waiter->work, now_us, choice);
+		if (result == AT_CHOICE_SERVER &&
 		    may_dispatch(queue, waiter, choice, now_us))
 			return waiter;
+		/* Servers of a version that is replaced do not return. */
+		if (result == AT_CHOICE_NO_SERVER &&
+		    waiter->work.software != 0) {
+			waiter->expires_us = now_us;
+			continue;
+		}
 		if (full->count < FULL_KINDS_MAX)
 			full->works[full->count++] = &waiter->work;
 	}
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -299,6 +299,35 @@
 	at_fleet_delete(fleet);
 }
 
+/* Its caller would wait for nothing. */
+Test(wait_queue, expires_at_once_if_its_version_is_gone)
+{
+	at_fleet_t *fleet = make_fleet(1);
+	at_wait_queue_t *queue = make_queue(fleet);
+	at_waiter_t waiter = make_waiter(2000, 3000, 0);
+	at_server_entry_t entry = {.tag = at_tag_from_text("one"),
+	    .service = at_tag_from_text("llm"),
+	    .software = at_tag_from_text("v1"),
+	    .slots = SLOTS,
+	    .residents.count = 1};
+	at_admission_decision_t decision;
+	at_choice_t choice;
+
+	entry.residents.models[0].tag = at_tag_from_text("m");
+	(void)at_fleet_update_server(fleet, &entry);
+	fill_slots(fleet);
+	waiter.work.software = entry.software;
+	at_wait_queue_decide(queue, &waiter, 0, &decision);
+	cr_assert_eq(decision.admission, AT_ADMISSION_QUEUED);
+	at_wait_queue_add(queue, &waiter);
+	entry.is_leaving = 1;
+	(void)at_fleet_update_server(fleet, &entry);
+	cr_assert_null(at_wait_queue_take_placeable(queue, MS, &choice));
+	cr_assert_eq(at_wait_queue_take_expired(queue, MS), &waiter);
+	free_queue(queue);
+	at_fleet_delete(fleet);
+}
+
 /*
  * A request for the version that has no free slot does not hold up one of the
  * same model for another version.
