--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -12,7 +12,8 @@
 #include "entry/call.h"
 #include "platform/server_call.h"
 
-#define ID_SIZE 96u /* bytes of a request's id, with the NUL */
+#define ID_SIZE 96u          /* bytes of a request's id, with the NUL */
+#define OPEN_ATTEMPTS_MAX 2u /* a second one beside one that is silent */
 
 /* A response that is buffered until it is complete. */
 typedef struct buffered_response {
@@ -34,6 +35,7 @@
 	uint64_t sent_us;
 	uint64_t predicted_us;
 	int had_event;     /* an event or the complete response has arrived */
+	int is_silent;     /* another attempt was started beside it */
 	int is_refused;    /* the server states that it did not run it */
 	int is_misplaced;  /* refused: wrong server, or model not resident */
 	int is_stream;     /* the response is passed on as it arrives */
@@ -58,7 +60,9 @@
 	at_waiter_t waiter;
 	at_attempts_t *attempts;
 	uint32_t queued_attempt; /* number of the attempt to be placed */
-	call_attempt_t current;
+	call_attempt_t open_attempts[OPEN_ATTEMPTS_MAX];
+	/* The attempt whose response is passed on, or else the newest one. */
+	call_attempt_t *current;
 	at_tag_t stream;        /* names it in stream_origins.h; 0: none */
 	int is_origin_reported; /* this call has passed on an event of it */
 	int is_processing;      /* call_process() is running */
@@ -90,11 +94,14 @@
 
 /*
  * call_process() carries out the actions that the attempts ask for, and sets
- * the timer. call_free() ends the attempt and frees the call. call_attach()
- * registers the handlers for the caller's connection. call_reply_refusal()
- * counts a refusal and sends it to the caller.
+ * the timer. call_set_timer() starts the timer for the next tick of the
+ * attempts, after an event that asks for no action. call_free() ends the
+ * attempt and frees the call. call_attach() registers the handlers for the
+ * caller's connection. call_reply_refusal() counts a refusal and sends it to
+ * the caller.
  */
 void call_process(at_call_t *call);
+void call_set_timer(at_call_t *call);
 void call_free(at_call_t *call);
 void call_on_timer(struct ev_loop *loop, ev_timer *timer, int events);
 void call_attach(at_call_t *call);
@@ -108,6 +115,10 @@
 void call_attempt_start(
     at_call_t *call, uint32_t number, const at_choice_t *choice);
 void call_attempt_end(call_attempt_t *attempt, at_server_outcome_t outcome);
+/* call_attempt_is_open() returns non-zero until call_attempt_end(). */
+int call_attempt_is_open(const call_attempt_t *attempt);
+/* call_attempt_find() returns the attempt with this number, or NULL. */
+call_attempt_t *call_attempt_find(at_call_t *call, uint32_t number);
 void buffered_response_reset(buffered_response_t *response);
 
 #endif
