Tests of software versions where a second attempt runs beside a silent one

Cause: since a silent server's attempt is kept, two attempts of one stream may be open, at servers of different versions. Change: a row in which a silent stream goes on although only servers of another version are left, and a test in which the second server's event is the first; resumptions then run at that server's version.

--- a/tests/contract/test_stream_versions.c
+++ b/tests/contract/test_stream_versions.c
@@ -105,12 +105,14 @@
 static const struct {
 	const char *name;
 	const char
-	    *versions[3]; /* of the engines added after the first event */
+	    *versions[3];  /* of the engines added after the first event */
+	uint32_t pause_ms; /* silence of the first server; 0: it breaks off */
 	int is_complete;
 	uint64_t runs;
 } broken[] = {
-    {"only another version is left", {"v2", "v2", NULL}, 0, 1},
-    {"one server of its version is left", {"v2", "v1", "v2"}, 1, 2},
+    {"only another version is left", {"v2", "v2", NULL}, 0, 0, 1},
+    {"one server of its version is left", {"v2", "v1", "v2"}, 0, 1, 2},
+    {"silent beside another version", {"v2", "v2", NULL}, 1600, 1, 1},
 };
 
 static uint32_t
@@ -132,18 +134,23 @@
 	return ((const entry_fixture_response_t *)ctx)->done;
 }
 
-/* Breaks the stream within an event that is still to come. */
+/* Breaks the stream, or makes it pause, at an event that is still to come. */
 static void
-break_stream(entry_fixture_t *fixture, const entry_fixture_response_t *response)
+break_stream(entry_fixture_t *fixture, const entry_fixture_response_t *response,
+    uint32_t pause_ms)
 {
+	standin_faults_t *server_faults =
+	    standin_server_faults(fixture->servers[0]);
 	uint32_t passed = count_events(response);
 	size_t i;
 
 	for (i = 0; i < fixture->server_count; i++)
 		standin_server_set_events(
 		    fixture->servers[i], passed + 30u, EVENT_GAP_MS);
-	standin_server_faults(fixture->servers[0])->truncate_after =
-	    passed + 20u;
+	server_faults->pause_after = passed + 20u;
+	server_faults->pause_ms = pause_ms;
+	if (pause_ms == 0)
+		server_faults->truncate_after = passed + 20u;
 }
 
 static void
@@ -160,7 +167,7 @@
 	for (k = 0; k < 3 && broken[i].versions[k] != NULL; k++)
 		add_engine(fixture, broken[i].versions[k]);
 	entry_fixture_run_until_ready(fixture);
-	break_stream(fixture, &response);
+	break_stream(fixture, &response, broken[i].pause_ms);
 	entry_fixture_run_until(fixture, is_done, &response);
 	cr_assert_eq(
 	    response.is_complete, broken[i].is_complete, "%s", broken[i].name);
@@ -239,6 +246,29 @@
 	entry_fixture_delete(fixture);
 }
 
+/* The first server is silent until the other one has responded. */
+Test(stream_versions, the_first_event_decides_the_version)
+{
+	entry_fixture_t *fixture = make_fixture(2);
+	entry_fixture_response_t response;
+	int i;
+
+	standin_server_faults(fixture->servers[0])->pause_ms = 10000;
+	entry_fixture_send(fixture, 0, &first, &response);
+	entry_fixture_run_ms(fixture, REPORT_MS);
+	cr_assert_eq(count_runs(fixture, "v1"), 1);
+	add_engine(fixture, "v2");
+	entry_fixture_run_until(fixture, is_done, &response);
+	cr_assert_eq(response.status, 200);
+	cr_assert_eq(count_runs(fixture, "v2"), 1);
+	entry_fixture_run_ms(fixture, REPORT_MS);
+	for (i = 0; i < RESUMPTIONS; i++)
+		cr_assert_eq(resume_stream(fixture, 1, STREAM_ID), 200);
+	cr_assert_eq(count_runs(fixture, "v1"), 1);
+	entry_fixture_response_free(&response);
+	entry_fixture_delete(fixture);
+}
+
 /* Reports that arrive while an instance is out of contact are lost. */
 Test(stream_versions, an_instance_back_in_contact_learns_the_origins)
 {
