--- a/src/entry/gossip_impl.h
+++ b/src/entry/gossip_impl.h
@@ -57,7 +57,7 @@
 	uint32_t answers_wanted; /* with all origins */
 	uint64_t answers_wanted_until_us;
 	at_tag_t answer_from;   /* instance to be asked; 0: any */
-	int was_out_of_contact; /* instances older than this one or not */
+	int was_out_of_contact; /* a newer instance may know more, too */
 	unsigned char datagram[DATAGRAM_MAX_BYTES];
 };
 
