--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -83,7 +83,7 @@
 is_same_kind(const at_work_t *a, const at_work_t *b)
 {
 	return a->service == b->service && a->model == b->model &&
-	       a->adapter == b->adapter;
+	       a->adapter == b->adapter && a->software == b->software;
 }
 
 static at_work_kind_t
@@ -335,15 +335,23 @@
     uint64_t now_us, at_choice_t *choice)
 {
 	at_waiter_t *waiter;
+	at_choice_result_t result;
 
 	for (waiter = queue->head; waiter != NULL; waiter = waiter->next) {
 		if (is_late(waiter, now_us) != late ||
 		    is_full(full, &waiter->work))
 			continue;
-		if (at_fleet_choose(queue->fleet, &waiter->work, now_us,
-			choice) == AT_CHOICE_SERVER &&
+		result = at_fleet_choose(
+		    queue->fleet, &waiter->work, now_us, choice);
+		if (result == AT_CHOICE_SERVER &&
 		    may_dispatch(queue, waiter, choice, now_us))
 			return waiter;
+		/* Servers of a version that is replaced do not return. */
+		if (result == AT_CHOICE_NO_SERVER &&
+		    waiter->work.software != 0) {
+			waiter->expires_us = now_us;
+			continue;
+		}
 		note_full(full, &waiter->work);
 	}
 	return NULL;
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -30,6 +30,7 @@
 	uint32_t number;
 	at_server_t *server; /* counts this attempt; NULL: none is open */
 	at_name_t server_id;
+	at_tag_t software; /* version of the server's software */
 	at_transfer_t *transfer;
 	uint64_t sent_us;
 	uint64_t predicted_us;
@@ -62,7 +63,9 @@
 	call_attempt_t open_attempts[OPEN_ATTEMPTS_MAX];
 	/* The attempt whose response is passed on, or else the newest one. */
 	call_attempt_t *current;
-	int is_processing; /* call_process() is running */
+	at_tag_t stream;        /* names it in stream_origins.h; 0: none */
+	int is_origin_reported; /* this call has passed on an event of it */
+	int is_processing;      /* call_process() is running */
 	int is_finished;
 	int response_started;    /* the response's headers have been sent */
 	int is_paused;           /* the caller reads too slowly */
--- a/tests/contract/test_interrupted_calls.c
+++ b/tests/contract/test_interrupted_calls.c
@@ -93,7 +93,8 @@
 {
 	standin_store_put(world->fixture->store, WIRE_KIND_SERVERS, ids[i],
 	    standin_server_spec(world->service, world->engines[i].address,
-		"north", model, 0, ++world->heartbeat_sequence));
+		"north", ENTRY_FIXTURE_VERSION, model, 0,
+		++world->heartbeat_sequence));
 }
 
 static int
@@ -290,8 +291,9 @@
 	size_t i;
 
 	for (i = 0; i < ENGINES; i++) {
-		json_t *spec = standin_server_spec(
-		    "llm", world->engines[i].address, "north", "m0", 0, 1);
+		json_t *spec =
+		    standin_server_spec("llm", world->engines[i].address,
+			"north", ENTRY_FIXTURE_VERSION, "m0", 0, 1);
 
 		json_object_set_new(spec, "born", json_integer(1800000000000));
 		standin_store_put(
@@ -324,7 +326,8 @@
 		standin_store_put(world->fixture->store, WIRE_KIND_SERVERS,
 		    ids[i],
 		    standin_server_spec(is_llm(world) ? "plain" : "llm",
-			world->engines[i].address, "north", NULL, i == 0,
+			world->engines[i].address, "north",
+			ENTRY_FIXTURE_VERSION, NULL, i == 0,
 			++world->heartbeat_sequence));
 }
 
@@ -338,7 +341,7 @@
 		    ids[i],
 		    standin_server_spec(world->service,
 			world->engines[i].address, "north",
-			is_llm(world) ? "m0" : NULL, 1,
+			ENTRY_FIXTURE_VERSION, is_llm(world) ? "m0" : NULL, 1,
 			++world->heartbeat_sequence));
 }
 
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -320,3 +320,68 @@
 	free_queue(queue);
 	at_fleet_delete(fleet);
 }
+
+/* Its caller would wait for nothing. */
+Test(wait_queue, expires_at_once_if_its_version_is_gone)
+{
+	at_fleet_t *fleet = make_fleet(1);
+	at_wait_queue_t *queue = make_queue(fleet);
+	at_waiter_t waiter = make_waiter(2000, 3000, 0);
+	at_server_entry_t entry = {.tag = at_tag_from_text("one"),
+	    .service = at_tag_from_text("llm"),
+	    .software = at_tag_from_text("v1"),
+	    .slots = SLOTS,
+	    .residents.count = 1};
+	at_admission_decision_t decision;
+	at_choice_t choice;
+
+	entry.residents.models[0].tag = at_tag_from_text("m");
+	(void)at_fleet_update_server(fleet, &entry);
+	fill_slots(fleet);
+	waiter.work.software = entry.software;
+	at_wait_queue_decide(queue, &waiter, 0, &decision);
+	cr_assert_eq(decision.admission, AT_ADMISSION_QUEUED);
+	at_wait_queue_add(queue, &waiter);
+	entry.is_leaving = 1;
+	(void)at_fleet_update_server(fleet, &entry);
+	cr_assert_null(at_wait_queue_take_placeable(queue, MS, &choice));
+	cr_assert_eq(at_wait_queue_take_expired(queue, MS), &waiter);
+	free_queue(queue);
+	at_fleet_delete(fleet);
+}
+
+/*
+ * A request for the version that has no free slot does not hold up one of the
+ * same model for another version.
+ */
+Test(wait_queue, places_past_a_version_without_a_free_slot)
+{
+	at_fleet_t *fleet = make_fleet(1);
+	at_wait_queue_t *queue = make_queue(fleet);
+	at_waiter_t waiters[2] = {
+	    make_waiter(1000, 3000, 0), make_waiter(2000, 3000, 0)};
+	at_server_entry_t entry = {.tag = at_tag_from_text("one"),
+	    .service = at_tag_from_text("llm"),
+	    .software = at_tag_from_text("v1"),
+	    .slots = SLOTS,
+	    .residents.count = 1};
+	at_choice_t choice;
+
+	entry.residents.models[0].tag = at_tag_from_text("m");
+	(void)at_fleet_update_server(fleet, &entry);
+	entry.tag = at_tag_from_text("two");
+	entry.software = at_tag_from_text("v2");
+	(void)at_fleet_update_server(fleet, &entry);
+	fill_slots(fleet);
+	waiters[0].work.software = at_tag_from_text("v1");
+	waiters[1].work.software = at_tag_from_text("v2");
+	at_wait_queue_add(queue, &waiters[0]);
+	at_wait_queue_add(queue, &waiters[1]);
+	cr_assert_eq(
+	    at_wait_queue_take_placeable(queue, 0, &choice), &waiters[1]);
+	cr_assert_eq(at_server_entry(choice.server)->tag, entry.tag);
+	cr_assert_null(at_wait_queue_take_placeable(queue, 0, &choice));
+	at_wait_queue_remove(queue, &waiters[0]);
+	free_queue(queue);
+	at_fleet_delete(fleet);
+}
