Replace a reader whose calls get no response

The store had accepted the calls of one data centre's reader and not responded to them.

Cause: nothing measured how fresh the reader's lists are. Its watches stay open when the store falls silent, a check of the configuration without a response was dropped without effect, and an instance that follows relied on a reader for as long as that one sent any report. An instance that received none of its reader's reports, while a stronger instance did receive them, was never served at all.

Change: the reader reports the age of its last confirmation, counted from the sending of the call that got the response: both complete lists, then the check of the configuration that it makes anyway every 0.8 s. At 1.2 s it states that the platform is away and goes on reading until another instance does; at 1.3 s the others replace it without such a statement (a frozen reader); at 1.5 s an instance that follows lists both kinds by itself. So each instance knows a change 1.9 s after the store's acknowledgement plus the time of two lists, however many readers in sequence get no response. No call is added while the reader gets responses; the bounds of calls in one_instance_reads_for_its_data_ centre and one_instance_reads_a_configuration_for_its_data_centre are unchanged.

The old reports without an age count as fresh, so that instances of both versions work together.

--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -10,6 +10,8 @@
 
 #include "almondthread/site.h"
 
+/* A reader that reports no confirmation for longer is replaced. */
+#define AT_ROSTER_CONFIRMATION_MAX_US 1300000u
 /* An instance that is silent for longer may have stopped or be cut off. */
 #define AT_ROSTER_REPORT_TIMEOUT_US 1500000u
 
@@ -26,6 +28,9 @@
 	uint64_t fence;    /* fencing token of its lease; 0: it has none */
 	int platform_away; /* its calls to the platform fail */
 	uint32_t strength; /* of its machine; the strongest owns shared tasks */
+	int reads;         /* it reads the platform's lists */
+	uint64_t reads_since_us;
+	uint64_t confirmed_us; /* when the platform last responded to it */
 } at_roster_member_t;
 
 typedef struct at_roster at_roster_t;
@@ -50,6 +55,12 @@
  */
 int at_roster_apply_report(at_roster_member_t *member, uint64_t incarnation,
     uint64_t sequence, int is_leaving, uint64_t fence, uint64_t now_us);
+/*
+ * at_roster_note_reads() records whether an instance reads the platform's lists
+ * and when the platform last confirmed to it that they are complete.
+ */
+void at_roster_note_reads(at_roster_member_t *member, int reads,
+    uint64_t confirmed_us, uint64_t now_us);
 void at_roster_remove(at_roster_t *roster, at_tag_t tag);
 
 /*
@@ -86,6 +97,13 @@
 int at_roster_is_task_owner(const at_roster_t *roster, at_tag_t data_centre,
     int exclude_holder, int platform_away, uint64_t now_us);
 
+/*
+ * at_roster_has_reader() returns non-zero if another reporting instance of a
+ * data centre reads the platform's lists and reaches the platform.
+ */
+int at_roster_has_reader(
+    const at_roster_t *roster, at_tag_t data_centre, uint64_t now_us);
+
 /*
  * at_roster_each() visits every other instance; visit may remove the one that
  * it is given.
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -932,7 +932,7 @@
   (ProtobufCMessageInit) report_queue__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[21] =
+static const ProtobufCFieldDescriptor report__field_descriptors[22] =
 {
   {
     "name",
@@ -1186,6 +1186,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "read_age_ms",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Report, read_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -1202,6 +1214,7 @@
   0,   /* field[0] = name */
   14,   /* field[14] = platform_away */
   19,   /* field[19] = queues */
+  21,   /* field[21] = read_age_ms */
   13,   /* field[13] = reads */
   4,   /* field[4] = sequence */
   16,   /* field[16] = servers */
@@ -1210,11 +1223,12 @@
   18,   /* field[18] = strength */
   10,   /* field[10] = wants */
 };
-static const ProtobufCIntRange report__number_ranges[2 + 1] =
+static const ProtobufCIntRange report__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 21 }
+  { 30, 21 },
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -1224,10 +1238,10 @@
   "Report",
   "",
   sizeof(Report),
-  21,
+  22,
   report__field_descriptors,
   report__field_indices_by_name,
-  2,  report__number_ranges,
+  3,  report__number_ranges,
   (ProtobufCMessageInit) report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -31,7 +31,7 @@
 /* --- messages --- */
 
 /*
- * Requests of the sender in flight at one backend server.
+ * Load of the sender's requests on one backend server.
  */
 struct  ReportLoad
 {
@@ -41,11 +41,11 @@
   uint32_t prefill_tokens;
   uint64_t kv_tokens;
   /*
-   * prompt tokens sent there lately
+   * prompt tokens sent recently; they decay
    */
   uint32_t recent_tokens;
   /*
-   * no connection can be made from there
+   * the sender cannot connect to it
    */
   protobuf_c_boolean unreachable;
 };
@@ -55,7 +55,7 @@
 
 
 /*
- * What the sender has spent of a workspace's limit since its start.
+ * Units of a workspace's quota that the sender has used since its start.
  */
 struct  ReportSpending
 {
@@ -69,7 +69,7 @@
 
 
 /*
- * Requests for a model that the sender has had since its start.
+ * Requests for a model that the sender has received since its start.
  */
 struct  ReportDemand
 {
@@ -77,9 +77,12 @@
   uint64_t service;
   uint64_t model;
   /*
-   * engine time that they need, in microseconds
+   * engine time that they need, in us
    */
   uint64_t engine_us;
+  /*
+   * requests queued now
+   */
   uint32_t waiting;
   uint64_t requests;
 };
@@ -89,7 +92,8 @@
 
 
 /*
- * An adapter that the sender has requests for and finds nowhere.
+ * An adapter that is not resident anywhere and for which the sender has queued
+ * requests.
  */
 struct  ReportWant
 {
@@ -105,8 +109,8 @@
 
 
 /*
- * A model (with an empty adapter) or adapter that was loaded or unloaded,
- * told by the one who gives orders.
+ * A model or adapter that was loaded or unloaded, as reported by the holder of
+ * the lease, which sends the orders. adapter is empty for a model.
  */
 struct  ReportAdapter
 {
@@ -114,6 +118,9 @@
   uint64_t server;
   char *model;
   char *adapter;
+  /*
+   * false if it was unloaded
+   */
   protobuf_c_boolean held;
 };
 #define REPORT_ADAPTER__INIT \
@@ -122,8 +129,8 @@
 
 
 /*
- * An object of the platform's list of backend servers, or its configuration,
- * as its reader in this data centre has seen it.
+ * An entry of the platform's list of backend servers, or the configuration, as
+ * read by the instance that reads the platform's lists for the data centre.
  */
 struct  ReportServer
 {
@@ -132,7 +139,7 @@
   uint64_t version;
   protobuf_c_boolean deleted;
   /*
-   * JSON
+   * JSON; empty if deleted
    */
   char *spec;
 };
@@ -142,23 +149,23 @@
 
 
 /*
- * Requests of one kind that wait at the sender.
+ * Requests of one kind that are queued at the sender.
  */
 struct  ReportQueue
 {
   ProtobufCMessage base;
   uint64_t service;
   /*
-   * 0: the service has no models
+   * 0 if the service has no models
    */
   uint64_t model;
   uint32_t requests;
   /*
-   * of all of them
+   * total
    */
   uint32_t prompt_tokens;
   /*
-   * of them can still meet their objective
+   * requests that can still meet their objective
    */
   uint32_t pressing;
 };
@@ -177,7 +184,7 @@
   uint64_t sequence;
   protobuf_c_boolean leaving;
   /*
-   * of the lease, if the sender holds it
+   * fencing token; 0 if the sender has no lease
    */
   uint64_t fence;
   size_t n_loads;
@@ -192,35 +199,43 @@
   ReportAdapter **adapters;
   uint64_t config_version;
   /*
-   * the platform's lists, for its data centre
+   * The sender reads the platform's lists for its data centre.
    */
   protobuf_c_boolean reads;
   /*
-   * the sender cannot reach it
+   * the platform does not respond to the sender
    */
   protobuf_c_boolean platform_away;
+  /*
+   * of the reader's list of backend servers
+   */
   uint64_t servers_digest;
   size_t n_servers;
   ReportServer **servers;
   /*
-   * the loads are all there are
+   * loads is complete
    */
   protobuf_c_boolean has_loads;
   /*
-   * of the sender's machine
+   * Capacity of the sender's machine; the strongest owns shared tasks.
    */
   uint32_t strength;
   size_t n_queues;
   ReportQueue **queues;
   /*
-   * the configuration, from its reader
+   * The configuration, from a sender that reads the lists.
    */
   size_t n_configs;
   ReportServer **configs;
+  /*
+   * Age of the platform's last confirmation that the reader's lists contain all
+   * changes.
+   */
+  uint64_t read_age_ms;
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* ReportLoad methods */
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -87,6 +87,16 @@
 	return 0;
 }
 
+void
+at_roster_note_reads(at_roster_member_t *member, int reads,
+    uint64_t confirmed_us, uint64_t now_us)
+{
+	if (reads && !member->reads)
+		member->reads_since_us = now_us;
+	member->reads = reads;
+	member->confirmed_us = confirmed_us;
+}
+
 void
 at_roster_remove(at_roster_t *roster, at_tag_t tag)
 {
@@ -132,6 +142,19 @@
 	       now_us - member->reported_us <= AT_ROSTER_REPORT_TIMEOUT_US;
 }
 
+/* A new reader has the time of its first lists. */
+static int
+reaches_platform(const at_roster_member_t *member, uint64_t now_us)
+{
+	uint64_t since_us = member->confirmed_us > member->reads_since_us
+				? member->confirmed_us
+				: member->reads_since_us;
+
+	return !member->platform_away &&
+	       (!member->reads ||
+		   now_us <= since_us + AT_ROSTER_CONFIRMATION_MAX_US);
+}
+
 uint32_t
 at_roster_present_count(const at_roster_t *roster)
 {
@@ -195,13 +218,30 @@
 		    (data_centre != 0 && member->data_centre != data_centre))
 			continue;
 		if (has_priority(roster, member) &&
-		    (platform_away || !member->platform_away))
+		    (platform_away || reaches_platform(member, now_us)))
 			is_owner = 0;
-		other_reaches_platform |= !member->platform_away;
+		other_reaches_platform |= reaches_platform(member, now_us);
 	}
 	return is_owner && !(platform_away && other_reaches_platform);
 }
 
+int
+at_roster_has_reader(
+    const at_roster_t *roster, at_tag_t data_centre, uint64_t now_us)
+{
+	const entry_t *entry;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		const at_roster_member_t *member = &entry->member;
+
+		if (member->data_centre == data_centre && member->reads &&
+		    is_reporting(member, now_us) &&
+		    reaches_platform(member, now_us))
+			return 1;
+	}
+	return 0;
+}
+
 void
 at_roster_each(at_roster_t *roster,
     void (*visit)(void *ctx, at_roster_member_t *member), void *ctx)
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -167,10 +167,16 @@
 assign_tasks(at_gossip_t *gossip, uint64_t now_us)
 {
 	at_entry_t *entry = gossip->entry;
-
-	at_sync_set_reader(entry->sync,
-	    at_roster_is_task_owner(entry->roster, entry->data_centre, 0,
-		at_entry_is_platform_away(entry), now_us));
+	int is_reader;
+
+	at_sync_check_confirmation(entry->sync);
+	is_reader = at_roster_is_task_owner(entry->roster, entry->data_centre,
+	    0, at_entry_is_platform_away(entry), now_us);
+	/* The reader continues until another instance reads. */
+	if (at_sync_is_reader(entry->sync) &&
+	    !at_roster_has_reader(entry->roster, entry->data_centre, now_us))
+		is_reader = 1;
+	at_sync_set_reader(entry->sync, is_reader);
 	if (gossip->rounds % CONFIG_CHECK_ROUNDS == 0 &&
 	    at_sync_is_reader(entry->sync))
 		at_sync_check_config(entry->sync);
@@ -202,12 +208,12 @@
 	(void)loop;
 	(void)events;
 	gossip->rounds++;
+	assign_tasks(gossip, now_us);
 	holder = gossip->rounds % DEMAND_REPORT_ROUNDS == 0
 		     ? send_demand(gossip)
 		     : 0;
 	send_report(gossip, REPORT_COMMON,
 	    gossip->rounds % REMOTE_REPORT_ROUNDS == 0, holder);
-	assign_tasks(gossip, now_us);
 	at_roster_expire(entry->roster, now_us, on_member_removed, gossip);
 	at_fleet_expire_reports(entry->fleet, now_us, LOADS_MAX_AGE_US);
 	at_quota_set_instances(entry->quota, present, reporting, now_us);
--- a/src/entry/report_apply.c
+++ b/src/entry/report_apply.c
@@ -8,6 +8,8 @@
 #include "entry/sync.h"
 #include "io/clock.h"
 
+#define US_PER_MS 1000u
+
 static void
 apply_loads(at_entry_t *entry, at_tag_t from, int is_same_data_centre,
     const Report *report, uint64_t now_us)
@@ -62,7 +64,10 @@
 	for (i = 0; i < report->n_configs; i++)
 		at_sync_feed_config(entry->sync, report->configs[i]->name,
 		    report->configs[i]->version, report->configs[i]->spec);
-	if (report->reads && report->n_servers == 0)
+	if (!report->reads)
+		return;
+	at_sync_note_reader(entry->sync, report->read_age_ms);
+	if (!report->platform_away && report->n_servers == 0)
 		at_sync_compare_digest(entry->sync, report->servers_digest);
 }
 
@@ -87,6 +92,15 @@
 	    entry->contention, instance, entries, count, now_us);
 }
 
+/* Returns when the platform confirmed the reader's lists, or 0 if unknown. */
+static uint64_t
+confirmed_us(const Report *report, uint64_t now_us)
+{
+	uint64_t age_ms = report->read_age_ms;
+
+	return age_ms < now_us / US_PER_MS ? now_us - age_ms * US_PER_MS : 0;
+}
+
 static void
 apply_report(at_gossip_t *gossip, const Report *report)
 {
@@ -111,6 +125,8 @@
 		return;
 	member->platform_away = report->platform_away;
 	member->strength = report->strength;
+	at_roster_note_reads(
+	    member, report->reads, confirmed_us(report, now_us), now_us);
 	if (member->data_centre == entry->data_centre)
 		apply_servers(entry, report);
 	if (report->config_version >
--- a/src/entry/report_encode.c
+++ b/src/entry/report_encode.c
@@ -146,8 +146,10 @@
 	report->config_version = entry->site == NULL ? 0 : entry->site->version;
 	report->platform_away = at_entry_is_platform_away(entry);
 	report->reads = at_sync_is_reader(entry->sync);
-	if (report->reads)
+	if (report->reads) {
 		report->servers_digest = at_sync_digest(entry->sync);
+		report->read_age_ms = at_sync_confirmation_age_ms(entry->sync);
+	}
 	report->strength = entry->strength;
 	report->fence = at_orders_io_fence(entry->orders);
 }
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -20,6 +20,11 @@
 #define CONFIG_CHECK_INTERVAL_MS 250u
 /* How long to wait for the reader's report of a newer configuration. */
 #define CONFIG_REPORT_TIMEOUT_MS 200u
+/* A reader gives way when the platform has confirmed nothing for longer. */
+#define READER_CONFIRMATION_MAX_MS 1200u
+/* A follower lists by itself when its reader has confirmed nothing for longer.
+ */
+#define FOLLOWER_CONFIRMATION_MAX_MS 1500u
 /* A datagram was lost if the list differs from the reader's for longer. */
 #define DIGEST_MISMATCH_MAX_MS 700u
 
@@ -29,6 +34,8 @@
 	const char *kind;
 	at_mirror_t *mirror;
 	at_objects_call_t *call; /* open call, or NULL */
+	uint64_t list_sent_ms;   /* when the first page was requested */
+	uint64_t listed_ms;      /* the same of the last complete list */
 	int was_away;
 	ev_timer timer;
 } watcher_t;
@@ -40,7 +47,15 @@
 	watcher_t servers;
 	at_objects_call_t *config_check; /* open call, or NULL */
 	uint64_t config_check_after_ms;  /* no check before this time */
+	uint64_t config_check_sent_ms;
+	/*
+	 * Changes that the platform had before this time are known here, from
+	 * its responses to this instance or from the reader's reports.
+	 */
+	uint64_t confirmed_ms;
 	int is_reader;
+	uint64_t reader_since_ms;
+	int is_silent; /* the platform did not confirm in time to the reader */
 	/* Since when another instance has a newer configuration; 0: none. */
 	uint64_t newer_since_ms;
 	/* Since when the list differs from the reader's; 0: it does not. */
@@ -173,6 +188,41 @@
 	process(watcher);
 }
 
+/* Takes confirmation that changes before since_ms are known here. */
+static void
+note_confirmed(at_sync_t *sync, uint64_t since_ms)
+{
+	if (since_ms > sync->confirmed_ms)
+		sync->confirmed_ms = since_ms;
+}
+
+/*
+ * Two complete lists confirm all changes before the earlier one was sent.
+ * Followers that receive this do not list for themselves.
+ */
+static void
+note_listed(at_sync_t *sync)
+{
+	uint64_t config_ms = sync->config.listed_ms;
+	uint64_t servers_ms = sync->servers.listed_ms;
+
+	note_confirmed(sync, config_ms < servers_ms ? config_ms : servers_ms);
+	if (sync->is_reader)
+		at_gossip_send_soon(sync->entry->gossip);
+}
+
+/*
+ * Returns since when the reader has no confirmation. A new reader has the time
+ * of its first lists.
+ */
+static uint64_t
+unconfirmed_since_ms(const at_sync_t *sync)
+{
+	return sync->confirmed_ms > sync->reader_since_ms
+		   ? sync->confirmed_ms
+		   : sync->reader_since_ms;
+}
+
 /* When one watch has lost its history, the other receives no changes either. */
 static void
 relist_other(watcher_t *watcher)
@@ -193,6 +243,10 @@
 	at_sync_t *sync = ctx;
 
 	sync->config_check = NULL;
+	if (page->code == AT_OBJECTS_OK && sync->is_reader &&
+	    !at_mirror_is_listing(sync->config.mirror) &&
+	    !at_mirror_is_listing(sync->servers.mirror))
+		note_confirmed(sync, sync->config_check_sent_ms);
 	/*
 	 * A follower receives changes later than the reader, so a missing
 	 * change does not show that a watch has failed.
@@ -228,6 +282,7 @@
 	if (sync->is_reader == is_reader)
 		return;
 	sync->is_reader = is_reader;
+	sync->reader_since_ms = at_clock_now_ms();
 	sync->differs_since_ms = 0;
 	at_log(AT_LOG_INFO, "platform", NULL,
 	    "this instance %s the platform's lists",
@@ -324,6 +379,76 @@
 	relist(&sync->servers);
 }
 
+uint64_t
+at_sync_confirmation_age_ms(const at_sync_t *sync)
+{
+	return at_clock_now_ms() - sync->confirmed_ms;
+}
+
+void
+at_sync_note_reader(at_sync_t *sync, uint64_t age_ms)
+{
+	uint64_t now_ms = at_clock_now_ms();
+
+	if (!sync->is_reader && age_ms < now_ms)
+		note_confirmed(sync, now_ms - age_ms);
+}
+
+static void
+set_silent(at_sync_t *sync, int is_silent, uint64_t now_ms)
+{
+	if (is_silent == sync->is_silent)
+		return;
+	sync->is_silent = is_silent;
+	if (is_silent)
+		at_log(AT_LOG_WARN, "platform", NULL,
+		    "platform does not respond to the reader of its lists "
+		    "age_ms=%" PRIu64,
+		    now_ms - unconfirmed_since_ms(sync));
+	else
+		at_log(AT_LOG_INFO, "platform", NULL,
+		    "platform responds again age_ms=%" PRIu64,
+		    now_ms - sync->confirmed_ms);
+}
+
+/* A reader without confirmation reports that the platform is away. */
+static void
+check_reader(at_sync_t *sync, uint64_t now_ms)
+{
+	if (now_ms - unconfirmed_since_ms(sync) > READER_CONFIRMATION_MAX_MS)
+		set_silent(sync, 1, now_ms);
+}
+
+static void
+check_follower(at_sync_t *sync, uint64_t now_ms)
+{
+	uint64_t age_ms = now_ms - sync->confirmed_ms;
+
+	if (age_ms <= FOLLOWER_CONFIRMATION_MAX_MS ||
+	    at_mirror_is_listing(sync->config.mirror) ||
+	    at_mirror_is_listing(sync->servers.mirror))
+		return;
+	at_log(AT_LOG_WARN, "platform", NULL,
+	    "no recent confirmation from the reader; listing all kinds "
+	    "age_ms=%" PRIu64,
+	    age_ms);
+	relist(&sync->config);
+	relist(&sync->servers);
+}
+
+void
+at_sync_check_confirmation(at_sync_t *sync)
+{
+	uint64_t now_ms = at_clock_now_ms();
+
+	if (now_ms - sync->confirmed_ms <= READER_CONFIRMATION_MAX_MS)
+		set_silent(sync, 0, now_ms);
+	if (sync->is_reader)
+		check_reader(sync, now_ms);
+	else
+		check_follower(sync, now_ms);
+}
+
 void
 at_sync_check_config(at_sync_t *sync)
 {
@@ -334,6 +459,7 @@
 	    !at_mirror_is_synced(sync->config.mirror))
 		return;
 	sync->config_check_after_ms = now_ms + CONFIG_CHECK_INTERVAL_MS;
+	sync->config_check_sent_ms = now_ms;
 	sync->config_check = sync->objects.list(sync->objects.impl,
 	    sync->config.kind, NULL, on_config_checked, sync);
 }
@@ -342,6 +468,7 @@
 on_page(void *ctx, const at_objects_page_t *page)
 {
 	watcher_t *watcher = ctx;
+	int was_listing = at_mirror_is_listing(watcher->mirror);
 
 	watcher->call = NULL;
 	at_log(AT_LOG_DEBUG, "platform", NULL,
@@ -350,6 +477,10 @@
 	    page->store_version);
 	at_mirror_handle_response(watcher->mirror, at_clock_now_ms(), page);
 	log_platform_state(watcher, page->code);
+	if (was_listing && !at_mirror_is_listing(watcher->mirror)) {
+		watcher->listed_ms = watcher->list_sent_ms;
+		note_listed(watcher->sync);
+	}
 	if (page->code == AT_OBJECTS_HISTORY_GONE)
 		relist_other(watcher);
 	process(watcher);
@@ -379,6 +510,8 @@
 	at_mirror_action_t action;
 
 	at_mirror_process(watcher->mirror, at_clock_now_ms(), &action);
+	if (action.step == AT_MIRROR_LIST && action.after == NULL)
+		watcher->list_sent_ms = at_clock_now_ms();
 	if (action.step == AT_MIRROR_LIST)
 		watcher->call = objects->list(objects->impl, watcher->kind,
 		    action.after, on_page, watcher);
@@ -431,6 +564,7 @@
 		return NULL;
 	sync->entry = entry;
 	sync->is_reader = 1;
+	sync->reader_since_ms = at_clock_now_ms();
 	sync->objects = at_wire_store_objects(entry->wire_store);
 	if (watcher_init(
 		sync, &sync->config, WIRE_KIND_CONFIG, &config_sink, 0) != 0 ||
@@ -477,6 +611,7 @@
 int
 at_sync_is_platform_away(const at_sync_t *sync)
 {
-	return at_mirror_is_platform_away(sync->config.mirror) ||
+	return sync->is_silent ||
+	       at_mirror_is_platform_away(sync->config.mirror) ||
 	       at_mirror_is_platform_away(sync->servers.mirror);
 }
--- a/src/entry/sync.h
+++ b/src/entry/sync.h
@@ -40,6 +40,20 @@
  * 200 ms.
  */
 void at_sync_note_newer_config(at_sync_t *sync);
+/*
+ * at_sync_confirmation_age_ms() returns the age of the platform's last
+ * confirmation: all changes that it had acknowledged before that are known
+ * here. The reader sends it with its reports.
+ */
+uint64_t at_sync_confirmation_age_ms(const at_sync_t *sync);
+/* at_sync_note_reader() takes the age that the reader has sent. */
+void at_sync_note_reader(at_sync_t *sync, uint64_t age_ms);
+/*
+ * at_sync_check_confirmation() is called several times a second. A reader
+ * without a confirmation in 1,200 ms states that the platform is away; a
+ * follower without one in 1,500 ms lists both kinds of objects by itself.
+ */
+void at_sync_check_confirmation(at_sync_t *sync);
 /*
  * at_sync_compare_digest() lists the backend servers again when the digest of
  * the reader's list has differed from this instance's for 700 ms.
@@ -54,7 +68,8 @@
 int at_sync_is_complete(const at_sync_t *sync);
 /*
  * at_sync_is_platform_away() returns non-zero if the last call about either
- * kind of object failed.
+ * kind of object failed, or if the platform did not respond to this instance
+ * when it was the reader and has not responded since.
  */
 int at_sync_is_platform_away(const at_sync_t *sync);
 
--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -9,6 +9,7 @@
 
 #include <criterion/criterion.h>
 
+#include "entry/gossip_impl.h"
 #include "entry/sync.h"
 #include "support/entry_fixture.h"
 
@@ -536,6 +537,81 @@
 	return 0;
 }
 
+/* The bound of the platform: drain_ms. */
+#define DRAIN_MS 2000
+/* Longer than the time between two checks of the reader. */
+#define SILENCE_MS 900
+
+static int
+knows_leaving(const at_entry_t *entry, const char *server)
+{
+	const at_server_t *found =
+	    at_fleet_find(entry->fleet, at_tag_from_text(server));
+
+	return found == NULL || at_server_entry(found)->is_leaving;
+}
+
+static int
+is_leaving_known(const entry_fixture_t *fixture, const char *server)
+{
+	size_t i;
+
+	for (i = 0; i < fixture->entry_count; i++) {
+		if (!knows_leaving(fixture->entries[i], server))
+			return 0;
+	}
+	return 1;
+}
+
+/*
+ * The store does not respond to the reader from shortly before a server leaves:
+ * its watches report nothing, and the calls of SILENCE_MS are lost.
+ */
+Test(entry_path, knows_a_leaving_server_beside_a_silent_reader)
+{
+	entry_fixture_t *fixture = make_fixture();
+	int i;
+
+	(void)entry_fixture_add_entry(fixture);
+	(void)entry_fixture_add_entry(fixture);
+	entry_fixture_run_until_ready(fixture);
+	entry_fixture_run_until(fixture, has_one_reader, fixture);
+	entry_fixture_run_ms(fixture, 1000);
+	standin_store_drop_history(fixture->store);
+	standin_store_faults(fixture->store)->silent = 1000;
+	entry_fixture_list_server(fixture, 0, 1);
+	entry_fixture_run_ms(fixture, SILENCE_MS);
+	standin_store_faults(fixture->store)->silent = 0;
+	for (i = SILENCE_MS;
+	     i < DRAIN_MS && !is_leaving_known(fixture, fixture->ids[0]);
+	     i += 50)
+		entry_fixture_run_ms(fixture, 50);
+	cr_assert(is_leaving_known(fixture, fixture->ids[0]),
+	    "not known everywhere in %d ms", DRAIN_MS);
+	entry_fixture_delete(fixture);
+}
+
+/* A follower may receive no report although its reader still sends them. */
+Test(entry_path, knows_a_leaving_server_without_reports_of_the_reader)
+{
+	entry_fixture_t *fixture = make_fixture();
+	at_entry_t *entry = fixture->entries[0];
+	int i;
+
+	entry_fixture_run_ms(fixture, 1000);
+	ev_timer_stop(fixture->loop, &entry->gossip->timer);
+	at_sync_set_reader(entry->sync, 0);
+	entry_fixture_list_server(fixture, 0, 1);
+	for (i = 0;
+	     i < DRAIN_MS / 100 && !knows_leaving(entry, fixture->ids[0]);
+	     i++) {
+		entry_fixture_run_ms(fixture, 100);
+		at_sync_check_confirmation(entry->sync);
+	}
+	cr_assert(knows_leaving(entry, fixture->ids[0]));
+	entry_fixture_delete(fixture);
+}
+
 /*
  * A store that accepts calls without responding to them leaves the watches
  * open. The reader must notice this from its reads of the list, and report that
--- a/tests/unit/test_roster.c
+++ b/tests/unit/test_roster.c
@@ -177,6 +177,56 @@
 	at_roster_delete(roster);
 }
 
+/*
+ * A stronger instance that reads the platform's lists, and whether this one
+ * must replace it at NOW_US.
+ */
+#define NOW_US 10000000u
+#define RECENT_US (NOW_US - AT_ROSTER_CONFIRMATION_MAX_US)
+
+static const struct {
+	const char *name;
+	int reads;
+	uint64_t reads_since_us;
+	uint64_t confirmed_us;
+	int platform_away;
+	int is_owner;
+	int has_reader;
+} reader_cases[] = {
+    {"confirmed recently", 1, 10, RECENT_US, 0, 0, 1},
+    {"frozen, or its calls get no response", 1, 10, RECENT_US - 1, 0, 1, 0},
+    {"its first lists are open", 1, RECENT_US, 0, 0, 0, 1},
+    {"its first lists get no response", 1, RECENT_US - 1, 0, 0, 1, 0},
+    {"reports that the platform is away", 1, 10, RECENT_US, 1, 1, 0},
+    {"does not read yet", 0, 0, 0, 0, 0, 0},
+};
+
+Test(roster, replaces_a_reader_without_confirmation)
+{
+	at_tag_t north = at_tag_from_text("north");
+	size_t i;
+
+	for (i = 0; i < sizeof(reader_cases) / sizeof(reader_cases[0]); i++) {
+		at_roster_t *roster = make_roster("self");
+		at_roster_member_t *a = add_member(roster, "a", "north");
+
+		a->strength = 11;
+		at_roster_note_reads(a, reader_cases[i].reads,
+		    reader_cases[i].confirmed_us,
+		    reader_cases[i].reads_since_us);
+		a->platform_away = reader_cases[i].platform_away;
+		(void)at_roster_apply_report(a, 1, 1, 0, 0, NOW_US - 1);
+		cr_assert_eq(
+		    at_roster_is_task_owner(roster, north, 0, 0, NOW_US),
+		    reader_cases[i].is_owner, "%s", reader_cases[i].name);
+		cr_assert_eq(at_roster_has_reader(roster, north, NOW_US),
+		    reader_cases[i].has_reader, "%s", reader_cases[i].name);
+		cr_assert_not(at_roster_has_reader(
+		    roster, at_tag_from_text("south"), NOW_US));
+		at_roster_delete(roster);
+	}
+}
+
 static unsigned removed_count;
 
 static void
