Compare the versions of the server lists between data centres

Cause: a watch of the servers can stay open without reporting changes while the other calls of the same reader get responses (a lost history, a lost response). The check of the configuration confirms the reader then although its list of servers is out of date, until the watch ends after 15 s. So a leaving server could get requests of one data centre for as long.

Change: a reader reports the version of the newest change in its list. Another reader that watches and lacks that change 0.7 s later lists both kinds again. The versions are those of the store, so that continuous changes do not look like a difference, as digests would. There are no further calls while watches work. A deployment with one data centre has no second reader and gains nothing.

--- a/include/almondthread/mirror.h
+++ b/include/almondthread/mirror.h
@@ -65,6 +65,13 @@
     at_mirror_t *mirror, uint64_t now_ms, const char *name, uint64_t version);
 /* at_mirror_digest() returns a hash of all objects and their versions. */
 uint64_t at_mirror_digest(const at_mirror_t *mirror);
+/* at_mirror_newest() returns the highest version of any change applied. */
+uint64_t at_mirror_newest(const at_mirror_t *mirror);
+/*
+ * at_mirror_covers() returns non-zero if the mirror has all changes up to a
+ * version; a mirror that watches learns this from the platform's responses.
+ */
+int at_mirror_covers(const at_mirror_t *mirror, uint64_t version);
 
 /* at_mirror_process() stores the call to make now, or AT_MIRROR_WAIT. */
 void at_mirror_process(
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -932,7 +932,7 @@
   (ProtobufCMessageInit) report_queue__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[22] =
+static const ProtobufCFieldDescriptor report__field_descriptors[23] =
 {
   {
     "name",
@@ -1198,6 +1198,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "servers_version",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Report, servers_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -1219,6 +1231,7 @@
   4,   /* field[4] = sequence */
   16,   /* field[16] = servers */
   15,   /* field[15] = servers_digest */
+  22,   /* field[22] = servers_version */
   8,   /* field[8] = spending */
   18,   /* field[18] = strength */
   10,   /* field[10] = wants */
@@ -1228,7 +1241,7 @@
   { 1, 0 },
   { 21, 19 },
   { 30, 21 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -1238,7 +1251,7 @@
   "Report",
   "",
   sizeof(Report),
-  22,
+  23,
   report__field_descriptors,
   report__field_indices_by_name,
   3,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -232,10 +232,14 @@
    * changes.
    */
   uint64_t read_age_ms;
+  /*
+   * Version of the newest change in the reader's list of backend servers.
+   */
+  uint64_t servers_version;
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /* ReportLoad methods */
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -36,6 +36,7 @@
 	int is_following; /* another instance watches and sends the changes */
 	char after[NAME_SIZE];    /* last name of the page before, or empty */
 	uint64_t since;           /* version to watch from */
+	uint64_t newest;          /* highest version of a change */
 	int is_synced;            /* a complete list was applied */
 	int is_platform_away;     /* the last call failed */
 	uint64_t outage_ended_ms; /* end of the last outage */
@@ -133,11 +134,19 @@
 	}
 }
 
+static void
+note_version(at_mirror_t *mirror, uint64_t version)
+{
+	if (version > mirror->newest)
+		mirror->newest = version;
+}
+
 static void
 apply_change(at_mirror_t *mirror, const at_object_t *object)
 {
 	mirror_entry_t *entry;
 
+	note_version(mirror, object->version);
 	if (strlen(object->name) >= NAME_SIZE)
 		return;
 	HASH_FIND_STR(mirror->objects, object->name, entry);
@@ -164,6 +173,7 @@
 {
 	mirror_entry_t *entry;
 
+	note_version(mirror, object->version);
 	HASH_FIND_STR(mirror->objects, object->name, entry);
 	/* A deletion older than the known version is outdated. */
 	if (entry != NULL && object->version >= entry->version)
@@ -348,6 +358,7 @@
 	mirror_entry_t *entry;
 
 	mirror->now_ms = now_ms;
+	note_version(mirror, version);
 	HASH_FIND_STR(mirror->objects, name, entry);
 	if (entry != NULL && entry->version <= version)
 		delete_entry(mirror, entry);
@@ -366,6 +377,18 @@
 	return digest;
 }
 
+uint64_t
+at_mirror_newest(const at_mirror_t *mirror)
+{
+	return mirror->newest;
+}
+
+int
+at_mirror_covers(const at_mirror_t *mirror, uint64_t version)
+{
+	return version <= mirror->newest || version <= mirror->since;
+}
+
 uint64_t
 at_mirror_due_ms(const at_mirror_t *mirror)
 {
--- a/src/entry/report_apply.c
+++ b/src/entry/report_apply.c
@@ -129,6 +129,8 @@
 	    member, report->reads, confirmed_us(report, now_us), now_us);
 	if (member->data_centre == entry->data_centre)
 		apply_servers(entry, report);
+	if (report->reads)
+		at_sync_compare_version(entry->sync, report->servers_version);
 	if (report->config_version >
 	    (entry->site == NULL ? 0 : entry->site->version))
 		at_sync_note_newer_config(entry->sync);
--- a/src/entry/report_encode.c
+++ b/src/entry/report_encode.c
@@ -148,6 +148,7 @@
 	report->reads = at_sync_is_reader(entry->sync);
 	if (report->reads) {
 		report->servers_digest = at_sync_digest(entry->sync);
+		report->servers_version = at_sync_servers_version(entry->sync);
 		report->read_age_ms = at_sync_confirmation_age_ms(entry->sync);
 	}
 	report->strength = entry->strength;
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -25,6 +25,8 @@
 /* A follower lists by itself when its reader has confirmed nothing for longer.
  */
 #define FOLLOWER_CONFIRMATION_MAX_MS 1500u
+/* A watch has failed if another reader knows a newer change for longer. */
+#define NEWER_VERSION_MAX_MS 700u
 /* A datagram was lost if the list differs from the reader's for longer. */
 #define DIGEST_MISMATCH_MAX_MS 700u
 
@@ -58,6 +60,9 @@
 	int is_silent; /* the platform did not confirm in time to the reader */
 	/* Since when another instance has a newer configuration; 0: none. */
 	uint64_t newer_since_ms;
+	/* Version of the servers that another reader has; 0: none newer. */
+	uint64_t newer_version;
+	uint64_t newer_version_since_ms;
 	/* Since when the list differs from the reader's; 0: it does not. */
 	uint64_t differs_since_ms;
 };
@@ -284,6 +289,7 @@
 	sync->is_reader = is_reader;
 	sync->reader_since_ms = at_clock_now_ms();
 	sync->differs_since_ms = 0;
+	sync->newer_version = 0;
 	at_log(AT_LOG_INFO, "platform", NULL,
 	    "this instance %s the platform's lists",
 	    is_reader ? "reads" : "follows the reader of");
@@ -379,6 +385,39 @@
 	relist(&sync->servers);
 }
 
+uint64_t
+at_sync_servers_version(const at_sync_t *sync)
+{
+	return at_mirror_newest(sync->servers.mirror);
+}
+
+void
+at_sync_compare_version(at_sync_t *sync, uint64_t version)
+{
+	const at_mirror_t *mirror = sync->servers.mirror;
+	uint64_t now_ms = at_clock_now_ms();
+
+	if (!sync->is_reader || at_mirror_is_listing(mirror) ||
+	    at_mirror_covers(mirror, sync->newer_version))
+		sync->newer_version = 0;
+	if (!sync->is_reader || at_mirror_is_listing(mirror) ||
+	    at_mirror_covers(mirror, version))
+		return;
+	if (sync->newer_version == 0) {
+		sync->newer_version = version;
+		sync->newer_version_since_ms = now_ms;
+	}
+	if (now_ms - sync->newer_version_since_ms < NEWER_VERSION_MAX_MS)
+		return;
+	at_log(AT_LOG_WARN, "platform", NULL,
+	    "watch missed changes that another reader has; listing all kinds "
+	    "again kind=%s version=%" PRIu64,
+	    sync->servers.kind, sync->newer_version);
+	sync->newer_version = 0;
+	relist(&sync->config);
+	relist(&sync->servers);
+}
+
 uint64_t
 at_sync_confirmation_age_ms(const at_sync_t *sync)
 {
--- a/src/entry/sync.h
+++ b/src/entry/sync.h
@@ -61,6 +61,14 @@
 void at_sync_compare_digest(at_sync_t *sync, uint64_t reader_digest);
 /* at_sync_digest() returns the digest of the list of backend servers. */
 uint64_t at_sync_digest(const at_sync_t *sync);
+/*
+ * at_sync_compare_version() takes the version of the newest change of a backend
+ * server that the reader of another data centre knows. A reader that does not
+ * know it within 700 ms lists both kinds of objects again.
+ */
+void at_sync_compare_version(at_sync_t *sync, uint64_t version);
+/* at_sync_servers_version() returns that version for this instance. */
+uint64_t at_sync_servers_version(const at_sync_t *sync);
 /*
  * at_sync_is_complete() returns non-zero if both kinds of objects have been
  * listed completely.
--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -591,6 +591,26 @@
 	entry_fixture_delete(fixture);
 }
 
+/* Other calls get responses, so that the reader is not silent. */
+Test(entry_path, knows_a_leaving_server_although_its_watch_has_failed)
+{
+	entry_fixture_t *fixture = make_fixture();
+	int i;
+
+	entry_fixture_run_ms(fixture, 1000);
+	standin_store_drop_history(fixture->store);
+	(void)entry_fixture_add_entry_in(fixture, "south");
+	entry_fixture_run_until_ready(fixture);
+	entry_fixture_run_ms(fixture, 1000);
+	entry_fixture_list_server(fixture, 0, 1);
+	for (i = 0; i < DRAIN_MS && !is_leaving_known(fixture, fixture->ids[0]);
+	     i += 50)
+		entry_fixture_run_ms(fixture, 50);
+	cr_assert(is_leaving_known(fixture, fixture->ids[0]),
+	    "not known everywhere in %d ms", DRAIN_MS);
+	entry_fixture_delete(fixture);
+}
+
 /* A follower may receive no report although its reader still sends them. */
 Test(entry_path, knows_a_leaving_server_without_reports_of_the_reader)
 {
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -209,10 +209,16 @@
 
 size_t
 entry_fixture_add_entry(entry_fixture_t *fixture)
+{
+	return entry_fixture_add_entry_in(fixture, "north");
+}
+
+size_t
+entry_fixture_add_entry_in(entry_fixture_t *fixture, const char *data_centre)
 {
 	size_t i = fixture->entry_count++;
 	at_entry_settings_t settings = {.name = fixture->names[i],
-	    .data_centre = "north",
+	    .data_centre = data_centre,
 	    .listen = "127.0.0.1:0",
 	    .ready = "127.0.0.1:0",
 	    .metrics = "",
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -64,6 +64,9 @@
 size_t entry_fixture_add_service(entry_fixture_t *fixture);
 size_t entry_fixture_add_engine(entry_fixture_t *fixture, const char *model);
 size_t entry_fixture_add_entry(entry_fixture_t *fixture);
+/* The same in a data centre other than "north"; data_centre is borrowed. */
+size_t entry_fixture_add_entry_in(
+    entry_fixture_t *fixture, const char *data_centre);
 /*
  * entry_fixture_list_server() writes the next heartbeat of a backend server to
  * the store.
--- a/tests/unit/test_mirror.c
+++ b/tests/unit/test_mirror.c
@@ -126,6 +126,32 @@
 	at_mirror_delete(mirror);
 }
 
+/*
+ * Changes and responses of a watch cover the versions up to theirs. A list with
+ * a higher version shows nothing about the version of the newest change.
+ */
+Test(mirror, knows_which_versions_it_covers)
+{
+	static const at_object_t deletion = {
+	    .name = "b", .version = 13, .is_deleted = 1};
+	at_mirror_t *mirror = new_mirror();
+
+	list_a_and_b(mirror);
+	cr_assert_eq(at_mirror_newest(mirror), 2);
+	cr_assert(at_mirror_covers(mirror, 10));
+	cr_assert_not(at_mirror_covers(mirror, 11));
+	at_mirror_feed(
+	    mirror, START_MS, &(at_object_t){.name = "c", .version = 12});
+	cr_assert_eq(at_mirror_newest(mirror), 12);
+	cr_assert(at_mirror_covers(mirror, 12));
+	(void)step(mirror, START_MS);
+	respond(mirror, START_MS, &deletion, 1, 0, 20);
+	cr_assert_eq(at_mirror_newest(mirror), 13);
+	cr_assert(at_mirror_covers(mirror, 20));
+	cr_assert_not(at_mirror_covers(mirror, 21));
+	at_mirror_delete(mirror);
+}
+
 Test(mirror, lists_again_when_the_history_is_gone)
 {
 	at_mirror_t *mirror = new_mirror();
