fuzz_jobs: check the index's marks after each operation

Missed so far: "job marked as ended before its end is stored". The end of a run looked at the records only, where a put that had got no response took effect later or another instance stored the end.

Change: until records expire, an index marks a job as ended only once the end is in its record; checked after each operation. job_index_decode() is shared within the module for this.

--- a/src/core/jobs/jobs_index.c
+++ b/src/core/jobs/jobs_index.c
@@ -70,12 +70,8 @@
 	return 0;
 }
 
-/*
- * Decodes a value; NULL and 0 give an empty index. Returns 0, or -1 if the
- * value is malformed or if out of memory.
- */
-static int
-decode(job_index_t *index, const void *value, size_t len)
+int
+job_index_decode(job_index_t *index, const void *value, size_t len)
 {
 	const uint8_t *pos = value;
 	size_t count;
@@ -214,7 +210,7 @@
 		note_failure(shard);
 		return;
 	}
-	if (decode(&index, found ? result->value : NULL,
+	if (job_index_decode(&index, found ? result->value : NULL,
 		found ? result->value_len : 0) != 0) {
 		shard->jobs->stats.malformed++;
 		note_failure(shard);
--- a/src/core/jobs/jobs_internal.h
+++ b/src/core/jobs/jobs_internal.h
@@ -127,6 +127,12 @@
 uint64_t jobs_wall_now(const at_jobs_t *jobs);
 
 /* jobs_index.c */
+/*
+ * job_index_decode() decodes the value of a shard's object; NULL and 0 give an
+ * empty index. Returns 0, or -1 if the value is malformed or if out of memory.
+ * The index is freed by job_index_free().
+ */
+int job_index_decode(job_index_t *index, const void *value, size_t len);
 void job_index_free(job_index_t *index);
 /* job_index_find() returns the entry of a job, or NULL. */
 job_entry_t *job_index_find(
--- a/tests/fuzz/fuzz_jobs.c
+++ b/tests/fuzz/fuzz_jobs.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "almondthread/jobs.h"
+#include "core/jobs/jobs_internal.h"
 #include "fuzz/operations.h"
 #include "support/faulty_store.h"
 
@@ -235,28 +236,63 @@
 	}
 }
 
+/* Returns an object of the store, or NULL if it does not exist. */
+static const faulty_object_t *
+find_object(const char *name)
+{
+	size_t count;
+	const faulty_object_t *objects = faulty_store_objects(store, &count);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (strcmp(objects[i].name, name) == 0)
+			return objects[i].version == 0 ? NULL : &objects[i];
+	}
+	return NULL;
+}
+
 /* Returns the state of a job's record, or -1 without one. */
 static int
 stored_state(int id)
 {
 	at_claim_hash_t hash = job_hash(id);
 	char name[AT_JOB_OBJECT_SIZE];
-	const faulty_object_t *objects;
+	const faulty_object_t *object;
 	at_job_record_t record;
-	size_t count;
-	size_t i;
 
 	at_job_object_name(&hash, name);
-	objects = faulty_store_objects(store, &count);
-	for (i = 0; i < count; i++) {
-		if (strcmp(objects[i].name, name) == 0 &&
-		    objects[i].version != 0) {
-			CHECK(at_job_unpack(&record, objects[i].value,
-				  objects[i].len) == 0);
-			return (int)record.state;
-		}
+	object = find_object(name);
+	if (object == NULL)
+		return -1;
+	CHECK(at_job_unpack(&record, object->value, object->len) == 0);
+	return (int)record.state;
+}
+
+/*
+ * Before any record expires, an index marks a job as ended only once the end is
+ * in its record.
+ */
+static void
+check_marks(void)
+{
+	static const char *const shards[] = {"jobs/00", "jobs/01"};
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < sizeof(shards) / sizeof(shards[0]); i++) {
+		const faulty_object_t *object = find_object(shards[i]);
+		job_index_t index;
+
+		if (object == NULL)
+			continue;
+		CHECK(
+		    job_index_decode(&index, object->value, object->len) == 0);
+		for (k = 0; k < index.count; k++)
+			CHECK(index.entries[k].done_ms == 0 ||
+			      stored_state(index.entries[k].id.bytes[1]) ==
+				  AT_JOB_DONE);
+		job_index_free(&index);
 	}
-	return -1;
 }
 
 static int
@@ -320,6 +356,7 @@
 		faulty_store_set_paused(store, (unsigned)n, 0);
 	}
 	run_until(is_every_job_ended);
+	check_marks();
 	for (i = 0; i < 64; i++)
 		CHECK(!submissions[i].used);
 	for (n = 0; n < INSTANCES; n++)
@@ -339,8 +376,10 @@
 	store = faulty_store_new();
 	for (i = 0; i < INSTANCES; i++)
 		start_instance(i);
-	for (i = 0; i < OPERATIONS || input.size > 0; i++)
+	for (i = 0; i < OPERATIONS || input.size > 0; i++) {
 		step();
+		check_marks();
+	}
 	finish();
 	for (i = 0; i < INSTANCES; i++)
 		stop_instance(i);
