Count the wait for loans from when an instance leaves

Found by a stricter check of fuzz_share: an instance had lent 775,895 ppb of 775,847 ppb.

Cause: at_share_root_leave() had no time and used that of the last tick. A process that was stopped or busy for longer than the term of a loan may handle a request for a share and its stop before its next tick. The loans that it has just granted then count as ended, its entry leaves the table at once, and others may be given the same share until those loans end: the limit is exceeded.

Change: at_share_root_leave() takes the time, as at_share_leave() and at_share_root_note_ended() do.

--- a/include/almondthread/share_root.h
+++ b/include/almondthread/share_root.h
@@ -99,7 +99,7 @@
  * at_share_root_leave() starts to return this instance's entry;
  * at_share_root_has_left() returns non-zero once that is done.
  */
-void at_share_root_leave(at_share_root_t *root);
+void at_share_root_leave(at_share_root_t *root, uint64_t now_ms);
 int at_share_root_has_left(const at_share_root_t *root);
 
 /*
--- a/src/core/limits/share_root.c
+++ b/src/core/limits/share_root.c
@@ -188,11 +188,12 @@
 }
 
 void
-at_share_root_leave(at_share_root_t *root)
+at_share_root_leave(at_share_root_t *root, uint64_t now_ms)
 {
 	if (root->is_leaving)
 		return;
 	root->is_leaving = 1;
+	root->now_ms = now_ms;
 	root->lease_ppb = 0;
 	root->lease_expires_ms = 0;
 	root->next_ms = root->now_ms;
--- a/src/daemon/limits/limits_io.c
+++ b/src/daemon/limits/limits_io.c
@@ -532,7 +532,7 @@
 	uint64_t now_ms = at_clock_now_ms();
 	workspace_share_t *entry;
 
-	at_share_root_leave(limits->root);
+	at_share_root_leave(limits->root, now_ms);
 	for (entry = limits->shares; entry != NULL; entry = entry->next)
 		at_share_leave(entry->share, now_ms);
 }
--- a/tests/fuzz/fuzz_share.c
+++ b/tests/fuzz/fuzz_share.c
@@ -176,7 +176,7 @@
 	if (slot->is_paused || share_world_draw(world, 4) != 0)
 		return;
 	slot->is_leaving = 1;
-	at_share_root_leave(slot->root);
+	at_share_root_leave(slot->root, share_slot_clock_ms(slot));
 	at_share_leave(slot->share, share_slot_clock_ms(slot));
 }
 
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -375,3 +375,70 @@
 		at_share_table_clear(&table);
 	}
 }
+
+/* A table in memory; each call is executed and responded to at once. */
+typedef struct memory_store {
+	char *value;
+	size_t len;
+	uint64_t version;
+} memory_store_t;
+
+static void
+memory_get(void *impl, const char *name, at_store_done_t done, void *ctx)
+{
+	const memory_store_t *store = impl;
+	const at_store_result_t result = {
+	    .code = store->version == 0 ? AT_STORE_NOT_FOUND : AT_STORE_OK,
+	    .version = store->version,
+	    .value = store->value,
+	    .value_len = store->len};
+
+	(void)name;
+	done(ctx, &result);
+}
+
+static void
+memory_put(void *impl, const char *name, uint64_t expect, const void *value,
+    size_t len, at_store_done_t done, void *ctx)
+{
+	memory_store_t *store = impl;
+	const at_store_result_t result = {
+	    .code = AT_STORE_OK, .version = expect + 1};
+
+	(void)name;
+	free(store->value);
+	store->value = malloc(len);
+	memcpy(store->value, value, len);
+	store->len = len;
+	store->version = expect + 1;
+	done(ctx, &result);
+}
+
+/*
+ * A process that was frozen may handle messages and its stop before its timers:
+ * the loans that it has just granted must end before its floor is returned.
+ */
+Test(share_root, waits_for_loans_granted_after_the_last_tick)
+{
+	const uint64_t stop_ms = 60000;
+	const at_incarnation_t self = {.instance = {.text = "i"}, .number = 7};
+	memory_store_t memory = {0};
+	const at_store_t store = {memory_get, memory_put, NULL, NULL, &memory};
+	at_share_root_t *root = at_share_root_new(0, &self, &store);
+	uint64_t t;
+
+	at_share_root_set_instance_counts(root, 1, 1);
+	for (t = 0; t < 10; t++)
+		at_share_root_tick(root, t, 0);
+	cr_assert_not_null(
+	    at_share_table_find(at_share_root_table(root), self.number));
+	at_share_root_leave(root, stop_ms);
+	for (t = stop_ms; t < stop_ms + AT_IDLE_LOAN_TERM_MS; t += 100)
+		at_share_root_tick(root, t, 1);
+	cr_assert_not(at_share_root_has_left(root));
+	for (; t < stop_ms + 2 * AT_IDLE_LOAN_TERM_MS; t += 100)
+		at_share_root_tick(root, t, 1);
+	cr_assert(at_share_root_has_left(root));
+	at_share_root_delete(root);
+	free(memory.value);
+}
