--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -1028,7 +1028,7 @@
   (ProtobufCMessageInit) report_origins__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[25] =
+static const ProtobufCFieldDescriptor report__field_descriptors[27] =
 {
   {
     "name",
@@ -1330,6 +1330,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "read_age_ms",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Report, read_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers_version",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Report, servers_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -1349,20 +1373,23 @@
   24,   /* field[24] = origins_end */
   14,   /* field[14] = platform_away */
   19,   /* field[19] = queues */
+  25,   /* field[25] = read_age_ms */
   13,   /* field[13] = reads */
   4,   /* field[4] = sequence */
   16,   /* field[16] = servers */
   15,   /* field[15] = servers_digest */
+  26,   /* field[26] = servers_version */
   8,   /* field[8] = spending */
   18,   /* field[18] = strength */
   10,   /* field[10] = wants */
   22,   /* field[22] = wants_origins */
 };
-static const ProtobufCIntRange report__number_ranges[2 + 1] =
+static const ProtobufCIntRange report__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 25 }
+  { 30, 25 },
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -1372,10 +1399,10 @@
   "Report",
   "",
   sizeof(Report),
-  25,
+  27,
   report__field_descriptors,
   report__field_indices_by_name,
-  2,  report__number_ranges,
+  3,  report__number_ranges,
   (ProtobufCMessageInit) report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -261,10 +261,19 @@
    * the last report of an answer
    */
   protobuf_c_boolean origins_end;
+  /*
+   * Age of the platform's last confirmation that the reader's lists contain all
+   * changes.
+   */
+  uint64_t read_age_ms;
+  /*
+   * Version of the newest change in the reader's list of backend servers.
+   */
+  uint64_t servers_version;
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /* ReportLoad methods */
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -70,6 +70,9 @@
 /* version, of the engine's software, must outlive the fixture. */
 size_t entry_fixture_add_engine_of_version(
     entry_fixture_t *fixture, const char *model, const char *version);
+/* The same in a data centre other than "north"; data_centre is borrowed. */
+size_t entry_fixture_add_entry_in(
+    entry_fixture_t *fixture, const char *data_centre);
 /*
  * entry_fixture_remove_entry() deletes an entry instance without a shutdown, as
  * if it had been killed.
