Add a seeded soak of almond-entry as real processes

soak-entry starts instances as processes over loopback, with the store, backend servers and callers of its own, and disturbs them after a schedule drawn from the seed: SIGTERM, SIGKILL, SIGSTOP, SIGHUP, new configurations, backend servers that leave, crash, reject and fall silent, a store that is out, loses the response of a watch or drops its history. It judges DRAIN, BUDGET (over all instances) and TWICE by what has reached the backend servers.

--- /dev/null
+++ b/tests/soak/judge.c
@@ -0,0 +1,260 @@
+/*
+ * judge.c - the rules DRAIN, BUDGET and TWICE, from what callers have sent and
+ * what has reached the backend servers.
+ *
+ * DRAIN holds for instances in touch and for a leaving that the store
+ * acknowledged while it was stable. BUDGET counts all instances, in touch or
+ * not, and requests that a backend server rejects.
+ */
+#include "soak/soak.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "io/clock.h"
+
+#define CONTACT_MS 3000u
+#define DRAIN_MS 2000u
+#define BUDGET_WINDOW_MS 10000u
+#define PRINTED_MAX 20u /* cases of one rule that are printed */
+#define ID_SIZE 48u
+#define STILL_DISTURBED UINT64_MAX
+
+typedef struct request {
+	char id[ID_SIZE];
+	uint32_t arrivals;
+	uint32_t runs;
+	UT_hash_handle hh;
+} request_t;
+
+typedef struct times {
+	uint64_t *ms; /* in order */
+	size_t count;
+} times_t;
+
+struct soak_judge {
+	uint64_t started_ms;
+	request_t *requests;
+	times_t sent[SOAK_SERVICES];
+	times_t repeats[SOAK_SERVICES];
+	uint64_t arrivals;
+	uint64_t rejected;
+	/* When the last disturbance has ended, or STILL_DISTURBED. */
+	uint64_t instance_disturbed_ms[SOAK_INSTANCES_MAX];
+	uint64_t store_disturbed_ms;
+	uint32_t drain;
+	uint32_t twice;
+	uint32_t exits;
+};
+
+static uint64_t
+elapsed_ms(const soak_judge_t *judge)
+{
+	return at_clock_now_ms() - judge->started_ms;
+}
+
+static void
+add_time(soak_judge_t *judge, times_t *times)
+{
+	if ((times->count & (times->count - 1)) == 0)
+		times->ms = realloc(
+		    times->ms, (times->count == 0 ? 1 : 2 * times->count) *
+				   sizeof(*times->ms));
+	times->ms[times->count++] = elapsed_ms(judge);
+}
+
+soak_judge_t *
+soak_judge_new(void)
+{
+	soak_judge_t *judge = calloc(1, sizeof(*judge));
+
+	judge->started_ms = at_clock_now_ms();
+	return judge;
+}
+
+void
+soak_judge_delete(soak_judge_t *judge)
+{
+	request_t *request;
+	request_t *next;
+	int service;
+
+	HASH_ITER(hh, judge->requests, request, next)
+	{
+		HASH_DEL(judge->requests, request);
+		free(request);
+	}
+	for (service = 0; service < SOAK_SERVICES; service++) {
+		free(judge->sent[service].ms);
+		free(judge->repeats[service].ms);
+	}
+	free(judge);
+}
+
+void
+soak_judge_sent(soak_judge_t *judge, const char *id, soak_service_t service)
+{
+	request_t *request = calloc(1, sizeof(*request));
+
+	(void)snprintf(request->id, sizeof(request->id), "%s", id);
+	HASH_ADD_STR(judge->requests, id, request);
+	add_time(judge, &judge->sent[service]);
+}
+
+static int
+is_calm(uint64_t disturbed_ms, uint64_t now_ms)
+{
+	return disturbed_ms != STILL_DISTURBED &&
+	       now_ms >= disturbed_ms + CONTACT_MS;
+}
+
+int
+soak_judge_is_store_stable(const soak_judge_t *judge)
+{
+	return is_calm(judge->store_disturbed_ms, elapsed_ms(judge));
+}
+
+static void
+judge_drain(soak_judge_t *judge, const soak_arrival_t *arrival)
+{
+	uint64_t now_ms = elapsed_ms(judge);
+	uint64_t late_ms;
+
+	if (arrival->left_ms == 0 || !arrival->is_bound)
+		return;
+	late_ms = at_clock_now_ms() - arrival->left_ms;
+	if (late_ms <= DRAIN_MS || !soak_judge_is_store_stable(judge) ||
+	    !is_calm(judge->instance_disturbed_ms[arrival->instance], now_ms))
+		return;
+	if (judge->drain++ < PRINTED_MAX)
+		(void)printf("DRAIN: at %" PRIu64 " ms request %s from "
+			     "instance %u reached %s %" PRIu64
+			     " ms after its leaving was acknowledged\n",
+		    now_ms, arrival->id, arrival->instance, arrival->backend,
+		    late_ms);
+}
+
+void
+soak_judge_arrived(soak_judge_t *judge, const soak_arrival_t *arrival)
+{
+	request_t *request;
+
+	HASH_FIND_STR(judge->requests, arrival->id, request);
+	if (request == NULL)
+		return;
+	judge->arrivals++;
+	judge->rejected += (uint64_t)!arrival->is_run;
+	if (request->arrivals++ > 0)
+		add_time(judge, &judge->repeats[arrival->service]);
+	request->runs += (uint32_t)arrival->is_run;
+	if (!arrival->may_repeat && request->runs == 2) {
+		judge->twice++;
+		(void)printf("TWICE: at %" PRIu64 " ms request %s ran again\n",
+		    elapsed_ms(judge), arrival->id);
+	}
+	judge_drain(judge, arrival);
+}
+
+void
+soak_judge_instance_disturbed(
+    soak_judge_t *judge, uint32_t instance, int is_disturbed)
+{
+	judge->instance_disturbed_ms[instance] =
+	    is_disturbed ? STILL_DISTURBED : elapsed_ms(judge);
+}
+
+void
+soak_judge_store_disturbed(soak_judge_t *judge, int is_disturbed)
+{
+	judge->store_disturbed_ms =
+	    is_disturbed ? STILL_DISTURBED : elapsed_ms(judge);
+}
+
+void
+soak_judge_exited(soak_judge_t *judge, uint32_t instance, int status)
+{
+	judge->exits++;
+	(void)printf("EXIT: at %" PRIu64
+		     " ms instance %u ended by itself status=%d\n",
+	    elapsed_ms(judge), instance, status);
+}
+
+/* Counts the times in (end_ms - BUDGET_WINDOW_MS - back_ms, end_ms - back_ms].
+ */
+static size_t
+count_window(const times_t *times, uint64_t end_ms, uint64_t back_ms)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < times->count; i++) {
+		uint64_t ms = times->ms[i] + back_ms;
+
+		count += ms <= end_ms && ms + BUDGET_WINDOW_MS > end_ms;
+	}
+	return count;
+}
+
+static double
+allowed_repeats(const times_t *sent, uint64_t end_ms)
+{
+	size_t most = count_window(sent, end_ms, 0);
+	size_t half = count_window(sent, end_ms, BUDGET_WINDOW_MS / 2);
+	size_t before = count_window(sent, end_ms, BUDGET_WINDOW_MS);
+
+	if (half > most)
+		most = half;
+	if (before > most)
+		most = before;
+	return SOAK_RETRY_RATIO * (double)most + SOAK_RETRY_SLACK;
+}
+
+/* The number of repeats is highest at the end of a window with a repeat. */
+static uint32_t
+judge_budget(const soak_judge_t *judge, soak_service_t service)
+{
+	static const char *const names[] = {"plain", "llm"};
+	const times_t *repeats = &judge->repeats[service];
+	double worst = 0.;
+	double worst_allowed = 0.;
+	size_t worst_count = 0;
+	uint64_t worst_ms = 0;
+	size_t i;
+
+	for (i = 0; i < repeats->count; i++) {
+		size_t count = count_window(repeats, repeats->ms[i], 0);
+		double allowed =
+		    allowed_repeats(&judge->sent[service], repeats->ms[i]);
+
+		if ((double)count / allowed < worst)
+			continue;
+		worst = (double)count / allowed;
+		worst_count = count;
+		worst_allowed = allowed;
+		worst_ms = repeats->ms[i];
+	}
+	(void)printf("%s: service=%s requests=%zu repeats=%zu; most in 10 s: "
+		     "%zu of %.0f allowed, at %" PRIu64 " ms\n",
+	    worst > 1. ? "BUDGET" : "budget", names[service],
+	    judge->sent[service].count, repeats->count, worst_count,
+	    worst_allowed, worst_ms);
+	return worst > 1.;
+}
+
+uint32_t
+soak_judge_report(soak_judge_t *judge)
+{
+	uint32_t budget =
+	    judge_budget(judge, SOAK_PLAIN) + judge_budget(judge, SOAK_LLM);
+
+	(void)printf("arrivals=%" PRIu64 " rejected=%" PRIu64
+		     " broken: BUDGET=%u DRAIN=%u TWICE=%u EXIT=%u\n",
+	    judge->arrivals, judge->rejected, budget, judge->drain,
+	    judge->twice, judge->exits);
+	return (budget > 0) + (judge->drain > 0) + (judge->twice > 0) +
+	       (judge->exits > 0);
+}
--- /dev/null
+++ b/tests/soak/processes.c
@@ -0,0 +1,236 @@
+#include "soak/soak.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define POLL_S 0.02         /* between two checks for ended processes */
+#define RESTART_DELAY_S 0.1 /* from the end of a process to its next start */
+#define PATH_SIZE 512u
+#define FIRST_PORT 10000u
+#define PORTS 3u
+#define SECRET \
+	"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
+
+extern char **environ;
+
+typedef struct instance {
+	soak_processes_t *processes;
+	uint32_t index;
+	pid_t pid; /* 0: it does not run */
+	int is_told_to_end;
+	int is_frozen;
+	double start_due_s; /* loop time; 0: none */
+	double thaw_due_s;  /* loop time; 0: none */
+	char name[AT_NAME_SIZE];
+	char addresses[PORTS][AT_ADDR_SIZE]; /* callers, readiness, peers */
+	char conf[PATH_SIZE];
+	char log[PATH_SIZE];
+} instance_t;
+
+struct soak_processes {
+	struct ev_loop *loop;
+	soak_judge_t *judge;
+	const char *program;
+	instance_t *instances;
+	uint32_t count;
+	ev_timer timer;
+};
+
+/*
+ * Each run has its own address on loopback, so that runs at the same time do
+ * not take each other's ports while an instance is restarted.
+ */
+static void
+make_address(char address[AT_ADDR_SIZE], uint32_t instance, uint32_t offset)
+{
+	uint32_t run = (uint32_t)getpid();
+
+	(void)snprintf(address, AT_ADDR_SIZE, "127.%u.%u.%u:%u",
+	    1u + (run >> 16) % 250u, (run >> 8) & 255u, run & 255u,
+	    FIRST_PORT + PORTS * instance + offset);
+}
+
+static void
+start(instance_t *instance)
+{
+	char variable[PATH_SIZE + 32];
+	char *argv[] = {(char *)instance->processes->program, NULL};
+	char *env[] = {variable, "ALMONDTHREAD_SECRET=" SECRET, NULL};
+	posix_spawn_file_actions_t actions;
+
+	(void)snprintf(variable, sizeof(variable), "ALMONDTHREAD_NODE_FILE=%s",
+	    instance->conf);
+	(void)posix_spawn_file_actions_init(&actions);
+	(void)posix_spawn_file_actions_addopen(
+	    &actions, 1, instance->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	(void)posix_spawn_file_actions_adddup2(&actions, 1, 2);
+	if (posix_spawn(&instance->pid, argv[0], &actions, NULL, argv, env) !=
+	    0)
+		instance->pid = 0;
+	(void)posix_spawn_file_actions_destroy(&actions);
+	instance->is_told_to_end = 0;
+	instance->is_frozen = 0;
+	instance->start_due_s = 0.;
+	instance->thaw_due_s = 0.;
+	soak_judge_instance_disturbed(
+	    instance->processes->judge, instance->index, 0);
+}
+
+static void
+thaw(instance_t *instance)
+{
+	(void)kill(instance->pid, SIGCONT);
+	instance->is_frozen = 0;
+	instance->thaw_due_s = 0.;
+	soak_judge_instance_disturbed(instance->processes->judge,
+	    instance->index, instance->is_told_to_end);
+}
+
+static void
+check_instance(instance_t *instance, double now_s)
+{
+	int status;
+
+	if (instance->pid != 0 &&
+	    waitpid(instance->pid, &status, WNOHANG) == instance->pid) {
+		if (!instance->is_told_to_end)
+			soak_judge_exited(instance->processes->judge,
+			    instance->index, status);
+		instance->pid = 0;
+		instance->start_due_s = now_s + RESTART_DELAY_S;
+	}
+	if (instance->pid == 0 && now_s >= instance->start_due_s)
+		start(instance);
+	if (instance->is_frozen && now_s >= instance->thaw_due_s)
+		thaw(instance);
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	soak_processes_t *processes = timer->data;
+	uint32_t i;
+
+	(void)events;
+	for (i = 0; i < processes->count; i++)
+		check_instance(&processes->instances[i], ev_now(loop));
+}
+
+static void
+prepare(instance_t *instance, const char *work, const char *store)
+{
+	/* Two data centres have two of six instances, two have one. */
+	static const char data_centres[] = {'a', 'a', 'b', 'b', 'c', 'd'};
+	char data_centre = data_centres[instance->index % 6u];
+	FILE *file;
+	uint32_t i;
+
+	(void)snprintf(instance->name, sizeof(instance->name), "%c-%u",
+	    data_centre, instance->index);
+	(void)snprintf(
+	    instance->conf, PATH_SIZE, "%s/%s.conf", work, instance->name);
+	(void)snprintf(
+	    instance->log, PATH_SIZE, "%s/%s.log", work, instance->name);
+	for (i = 0; i < PORTS; i++)
+		make_address(instance->addresses[i], instance->index, i);
+	file = fopen(instance->conf, "w");
+	if (file == NULL)
+		return;
+	(void)fprintf(file,
+	    "name=%s\ndata-centre=%c\nlisten=%s\nready=%s\npeers=%s\n"
+	    "store=%s\nretry-ratio=%.2f\nretry-slack=%u\nlog-lines=2000\n",
+	    instance->name, data_centre, instance->addresses[0],
+	    instance->addresses[1], instance->addresses[2], store,
+	    SOAK_RETRY_RATIO, SOAK_RETRY_SLACK);
+	(void)fclose(file);
+}
+
+soak_processes_t *
+soak_processes_new(struct ev_loop *loop, soak_judge_t *judge,
+    const char *program, const char *work, const char *store, uint32_t count)
+{
+	soak_processes_t *processes = calloc(1, sizeof(*processes));
+	uint32_t i;
+
+	processes->loop = loop;
+	processes->judge = judge;
+	processes->program = program;
+	processes->count = count;
+	processes->instances = calloc(count, sizeof(*processes->instances));
+	for (i = 0; i < count; i++) {
+		processes->instances[i].processes = processes;
+		processes->instances[i].index = i;
+		prepare(&processes->instances[i], work, store);
+		start(&processes->instances[i]);
+	}
+	ev_timer_init(&processes->timer, on_timer, POLL_S, POLL_S);
+	processes->timer.data = processes;
+	ev_timer_start(loop, &processes->timer);
+	return processes;
+}
+
+void
+soak_processes_delete(soak_processes_t *processes)
+{
+	uint32_t i;
+
+	ev_timer_stop(processes->loop, &processes->timer);
+	for (i = 0; i < processes->count; i++) {
+		pid_t pid = processes->instances[i].pid;
+
+		if (pid == 0)
+			continue;
+		(void)kill(pid, SIGKILL);
+		(void)waitpid(pid, NULL, 0);
+	}
+	free(processes->instances);
+	free(processes);
+}
+
+uint32_t
+soak_processes_count(const soak_processes_t *processes)
+{
+	return processes->count;
+}
+
+const char *
+soak_processes_address(const soak_processes_t *processes, uint32_t instance)
+{
+	return processes->instances[instance].addresses[0];
+}
+
+int
+soak_processes_is_open(const soak_processes_t *processes, uint32_t instance)
+{
+	return processes->instances[instance].pid != 0 &&
+	       !processes->instances[instance].is_told_to_end;
+}
+
+void
+soak_processes_apply(soak_processes_t *processes, const soak_step_t *step)
+{
+	instance_t *instance = &processes->instances[step->target];
+
+	if (instance->pid == 0)
+		return;
+	if (step->kind == SOAK_HANG_UP) {
+		(void)kill(instance->pid, SIGHUP);
+		return;
+	}
+	soak_judge_instance_disturbed(processes->judge, instance->index, 1);
+	if (step->kind == SOAK_FREEZE) {
+		(void)kill(instance->pid, SIGSTOP);
+		instance->is_frozen = 1;
+		instance->thaw_due_s =
+		    ev_now(processes->loop) + step->duration_ms / 1e3;
+		return;
+	}
+	instance->is_told_to_end = 1;
+	(void)kill(instance->pid, step->kind == SOAK_TERM ? SIGTERM : SIGKILL);
+}
--- /dev/null
+++ b/tests/soak/schedule.c
@@ -0,0 +1,124 @@
+#include "soak/soak.h"
+
+#include <stdlib.h>
+
+#define QUIET_START_MS 4000u
+#define GAP_MIN_MS 600u /* least longest gap between two steps */
+#define SERIES_PERCENT 20u
+
+const char *const soak_kind_names[] = {"term", "kill", "freeze", "hang-up",
+    "config", "backend-leaves", "backend-removed", "backend-crashes",
+    "backend-rejects", "backend-silent", "store-outage", "store-loses-watches",
+    "store-drops-history"};
+
+/* How often each kind is drawn. */
+static const uint32_t weights[SOAK_KINDS] = {
+    6, 6, 6, 3, 8, 8, 3, 4, 10, 6, 1, 2, 1};
+
+/* Each run has some kinds three times as often, and others not at all. */
+static void
+draw_weights(at_rng_t *rng, uint32_t drawn[SOAK_KINDS])
+{
+	static const uint32_t factors[] = {0, 1, 3};
+	uint32_t kind;
+
+	for (kind = 0; kind < SOAK_KINDS; kind++)
+		drawn[kind] = weights[kind] * factors[at_rng_below(rng, 3)];
+	drawn[SOAK_BACKEND_LEAVES] += weights[SOAK_BACKEND_LEAVES];
+}
+
+static soak_kind_t
+draw_kind(at_rng_t *rng, const uint32_t run_weights[SOAK_KINDS])
+{
+	uint32_t total = 0;
+	uint32_t drawn;
+	uint32_t kind;
+
+	for (kind = 0; kind < SOAK_KINDS; kind++)
+		total += run_weights[kind];
+	drawn = (uint32_t)at_rng_below(rng, total);
+	for (kind = 0; drawn >= run_weights[kind]; kind++)
+		drawn -= run_weights[kind];
+	return (soak_kind_t)kind;
+}
+
+static uint32_t
+draw_target(at_rng_t *rng, soak_kind_t kind, uint32_t instances)
+{
+	return (uint32_t)at_rng_below(
+	    rng, kind <= SOAK_HANG_UP ? instances : SOAK_BACKENDS);
+}
+
+static void
+add_step(soak_step_t **steps, size_t *count, const soak_step_t *step)
+{
+	if ((*count & (*count - 1)) == 0)
+		*steps = realloc(
+		    *steps, (*count == 0 ? 1 : 2 * *count) * sizeof(**steps));
+	(*steps)[(*count)++] = *step;
+}
+
+static int
+compare_steps(const void *a, const void *b)
+{
+	const soak_step_t *x = a;
+	const soak_step_t *y = b;
+
+	if (x->at_ms != y->at_ms)
+		return x->at_ms < y->at_ms ? -1 : 1;
+	if (x->kind != y->kind)
+		return x->kind < y->kind ? -1 : 1;
+	return (x->target > y->target) - (x->target < y->target);
+}
+
+/*
+ * A series repeats a kind at all targets in turn, or at the same moment when
+ * its spacing is 0.
+ */
+static void
+add_series(soak_step_t **steps, size_t *count, at_rng_t *rng, soak_step_t step,
+    uint32_t instances)
+{
+	static const uint32_t spacings_ms[] = {0, 200, 700, 1500};
+	uint32_t spacing_ms = spacings_ms[at_rng_below(rng, 4)];
+	uint32_t targets =
+	    step.kind <= SOAK_HANG_UP ? instances : SOAK_BACKENDS / 2u;
+	uint32_t i;
+
+	for (i = 0; i < targets; i++) {
+		add_step(steps, count, &step);
+		step.at_ms += spacing_ms;
+		step.target =
+		    (step.target + 1) %
+		    (step.kind <= SOAK_HANG_UP ? instances : SOAK_BACKENDS);
+	}
+}
+
+soak_step_t *
+soak_schedule_new(
+    uint64_t seed, uint32_t duration_ms, uint32_t instances, size_t *step_count)
+{
+	at_rng_t rng = {seed};
+	soak_step_t *steps = NULL;
+	soak_step_t step = {.at_ms = QUIET_START_MS};
+
+	uint32_t run_weights[SOAK_KINDS];
+	uint32_t gap_max_ms = GAP_MIN_MS << at_rng_below(&rng, 4);
+
+	*step_count = 0;
+	draw_weights(&rng, run_weights);
+	while (step.at_ms < duration_ms) {
+		step.kind = draw_kind(&rng, run_weights);
+		step.target = draw_target(&rng, step.kind, instances);
+		step.duration_ms = 200u + (uint32_t)at_rng_below(&rng, 4000);
+		if (step.kind < SOAK_STORE_OUTAGE &&
+		    at_rng_below(&rng, 100) < SERIES_PERCENT)
+			add_series(&steps, step_count, &rng, step, instances);
+		else
+			add_step(&steps, step_count, &step);
+		step.at_ms += (uint32_t)at_rng_below(&rng, gap_max_ms);
+	}
+	if (steps != NULL)
+		qsort(steps, *step_count, sizeof(*steps), compare_steps);
+	return steps;
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,144 @@
+/*
+ * soak.h - a seeded run of almond-entry as real processes with disturbances.
+ *
+ * schedule.c makes the list of disturbances from the seed alone, processes.c
+ * runs the instances, backends.c the backend servers, callers.c the callers,
+ * and judge.c counts what has reached the backend servers. main.c applies the
+ * schedule. The store, the backend servers and the callers run in the process
+ * of the soak, on one event loop. Allocations are not checked.
+ */
+#ifndef ALMONDTHREAD_TESTS_SOAK_H
+#define ALMONDTHREAD_TESTS_SOAK_H
+
+#include "almondthread/ports.h"
+#include "almondthread/status.h"
+#include "platform/standin/standin_platform.h"
+
+#define SOAK_INSTANCES_MAX 64u
+#define SOAK_BACKENDS_PER_SERVICE 4u
+#define SOAK_BACKENDS (2u * SOAK_BACKENDS_PER_SERVICE)
+#define SOAK_RETRY_RATIO 0.2
+#define SOAK_RETRY_SLACK 52u
+#define SOAK_HOST "soak.example"
+#define SOAK_KEY "soak-key"
+/* Names the instance that a request was sent to; passed on unchanged. */
+#define SOAK_INSTANCE_HEADER "X-Soak-Instance"
+
+typedef enum soak_service {
+	SOAK_PLAIN,
+	SOAK_LLM,
+	SOAK_SERVICES
+} soak_service_t;
+
+/* Schedule */
+
+typedef enum soak_kind {
+	SOAK_TERM,            /* SIGTERM, and a start after the exit */
+	SOAK_KILL,            /* SIGKILL, and a start */
+	SOAK_FREEZE,          /* SIGSTOP, and SIGCONT after duration_ms */
+	SOAK_HANG_UP,         /* SIGHUP */
+	SOAK_CONFIG,          /* a new version of the configuration */
+	SOAK_BACKEND_LEAVES,  /* says so, serves on, is replaced */
+	SOAK_BACKEND_REMOVED, /* the same without saying so first */
+	SOAK_BACKEND_CRASHES, /* and is replaced after duration_ms */
+	SOAK_BACKEND_REJECTS, /* 503, not run, for duration_ms */
+	SOAK_BACKEND_SILENT,  /* no response for duration_ms */
+	SOAK_STORE_OUTAGE,    /* 503 for duration_ms */
+	SOAK_STORE_LOSES_WATCHES,
+	SOAK_STORE_DROPS_HISTORY,
+	SOAK_KINDS
+} soak_kind_t;
+
+extern const char *const soak_kind_names[];
+
+typedef struct soak_step {
+	uint32_t at_ms; /* since the start of the traffic */
+	soak_kind_t kind;
+	uint32_t target; /* of the instance or backend server */
+	uint32_t duration_ms;
+} soak_step_t;
+
+/*
+ * soak_schedule_new() returns steps in the order of time, owned by the caller.
+ * It depends on nothing but its arguments.
+ */
+soak_step_t *soak_schedule_new(uint64_t seed, uint32_t duration_ms,
+    uint32_t instances, size_t *step_count);
+
+/* Judge */
+
+typedef struct soak_judge soak_judge_t;
+
+soak_judge_t *soak_judge_new(void);
+void soak_judge_delete(soak_judge_t *judge);
+/* A request was sent by a caller. */
+void soak_judge_sent(
+    soak_judge_t *judge, const char *id, soak_service_t service);
+/*
+ * A request has reached a backend server. left_ms is when the store
+ * acknowledged the server's leaving, or 0; is_bound is non-zero if the store
+ * was stable then. instance is that which sent it.
+ */
+typedef struct soak_arrival {
+	const char *id;
+	soak_service_t service;
+	uint32_t instance;
+	const char *backend;
+	int is_run;
+	int may_repeat;
+	uint64_t left_ms;
+	int is_bound;
+} soak_arrival_t;
+void soak_judge_arrived(soak_judge_t *judge, const soak_arrival_t *arrival);
+/*
+ * An instance is disturbed from its start, SIGTERM or SIGKILL on, or between
+ * two calls with is_disturbed set and not set. It is in touch once it has not
+ * been disturbed for 3 s. The same holds for the store.
+ */
+void soak_judge_instance_disturbed(
+    soak_judge_t *judge, uint32_t instance, int is_disturbed);
+void soak_judge_store_disturbed(soak_judge_t *judge, int is_disturbed);
+int soak_judge_is_store_stable(const soak_judge_t *judge);
+/* A process has ended by itself. */
+void soak_judge_exited(soak_judge_t *judge, uint32_t instance, int status);
+/* Prints counts and broken rules; returns the number of broken rules. */
+uint32_t soak_judge_report(soak_judge_t *judge);
+
+/* Processes */
+
+typedef struct soak_processes soak_processes_t;
+
+/* Starts count instances with their logs in the folder work. */
+soak_processes_t *soak_processes_new(struct ev_loop *loop, soak_judge_t *judge,
+    const char *program, const char *work, const char *store, uint32_t count);
+/* Kills what still runs. */
+void soak_processes_delete(soak_processes_t *processes);
+uint32_t soak_processes_count(const soak_processes_t *processes);
+const char *soak_processes_address(
+    const soak_processes_t *processes, uint32_t instance);
+/* Non-zero if the instance runs and has not got SIGTERM. */
+int soak_processes_is_open(
+    const soak_processes_t *processes, uint32_t instance);
+/* Applies a step for instances; one that cannot apply has no effect. */
+void soak_processes_apply(soak_processes_t *processes, const soak_step_t *step);
+
+/* Backend servers */
+
+typedef struct soak_backends soak_backends_t;
+
+soak_backends_t *soak_backends_new(
+    struct ev_loop *loop, soak_judge_t *judge, standin_store_t *store);
+void soak_backends_delete(soak_backends_t *backends);
+void soak_backends_apply(soak_backends_t *backends, const soak_step_t *step);
+
+/* Callers */
+
+typedef struct soak_callers soak_callers_t;
+
+soak_callers_t *soak_callers_new(struct ev_loop *loop, soak_judge_t *judge,
+    const soak_processes_t *processes, uint64_t seed, uint32_t count);
+/* No further requests are sent; prints how the requests have ended. */
+void soak_callers_stop(soak_callers_t *callers);
+void soak_callers_delete(soak_callers_t *callers);
+
+#endif
