Failing test: a dead watch hides that a server leaves

The test loses the response, or drops the history, and lets a server say that it leaves or be removed: all four rows fail after 2,000 ms.

--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -8,10 +8,15 @@
 #include <unistd.h>
 
 #include <criterion/criterion.h>
+#include <criterion/parameterized.h>
 
 #include "entry/sync.h"
+#include "io/clock.h"
+#include "platform/names.h"
 #include "support/entry_fixture.h"
 
+/* Time to stop sending to a server that has left. */
+#define DRAIN_MS 2000u
 #define THREE_EVENTS                                          \
 	"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: " \
 	"e3\n\n"
@@ -522,6 +527,56 @@
 	entry_fixture_delete(fixture);
 }
 
+static int
+first_server_has_left(void *ctx)
+{
+	const entry_fixture_t *fixture = ctx;
+	const at_server_t *server = at_fleet_find(
+	    fixture->entries[0]->fleet, at_tag_from_text(fixture->ids[0]));
+
+	return server == NULL || at_server_entry(server)->is_leaving;
+}
+
+typedef struct watch_fault_case {
+	int drops_history; /* else the responses are lost */
+	int is_removed;    /* the server does not say that it leaves */
+} watch_fault_case_t;
+
+ParameterizedTestParameters(entry_path, a_dead_watch_does_not_hide_a_leaving)
+{
+	static watch_fault_case_t cases[] = {{0, 0}, {0, 1}, {1, 0}, {1, 1}};
+
+	return cr_make_param_array(
+	    watch_fault_case_t, cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+/* A watch stays open without responses; the store serves all other calls. */
+ParameterizedTest(
+    watch_fault_case_t *fault, entry_path, a_dead_watch_does_not_hide_a_leaving)
+{
+	entry_fixture_t *fixture = make_fixture();
+	uint64_t left_ms;
+
+	entry_fixture_run_ms(fixture, 500);
+	if (fault->drops_history)
+		standin_store_drop_history(fixture->store);
+	else
+		standin_store_lose_watches(fixture->store);
+	entry_fixture_run_ms(fixture, 500);
+	if (fault->is_removed)
+		standin_store_remove(
+		    fixture->store, WIRE_KIND_SERVERS, fixture->ids[0]);
+	else
+		entry_fixture_list_server(fixture, 0, 1);
+	left_ms = at_clock_now_ms();
+	while (!first_server_has_left(fixture) &&
+	       at_clock_now_ms() < left_ms + DRAIN_MS)
+		entry_fixture_run_ms(fixture, 20);
+	cr_assert(first_server_has_left(fixture),
+	    "server in use %u ms after it has left", DRAIN_MS);
+	entry_fixture_delete(fixture);
+}
+
 static int
 is_reader_without_platform(void *ctx)
 {
