--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -12,7 +12,10 @@
 #include "io/httpc.h"
 #include "platform/names.h"
 
-#define PAUSE_MAX_MS 300u /* between two requests of a caller */
+/* Longest pause between two requests of a caller, in runs with much and little
+ * traffic. */
+#define BUSY_PAUSE_MAX_MS 300u
+#define CALM_PAUSE_MAX_MS 1200u
 #define RETRY_PAUSE_MS 50u
 #define RETRIES_MAX 2u
 #define TOTAL_MS 6000u
@@ -41,6 +44,7 @@
 	soak_judge_t *judge;
 	const soak_processes_t *processes;
 	at_rng_t rng;
+	uint32_t pause_max_ms;
 	uint64_t last_id;
 	caller_t *list;
 	uint32_t count;
@@ -116,8 +120,8 @@
 	caller->events = 0;
 	caller->type =
 	    (call_type_t)at_rng_below(&caller->callers->rng, CALL_STREAM + 1);
-	wait_ms(caller,
-	    (uint32_t)at_rng_below(&caller->callers->rng, PAUSE_MAX_MS));
+	wait_ms(caller, (uint32_t)at_rng_below(&caller->callers->rng,
+			    caller->callers->pause_max_ms));
 }
 
 static void
@@ -182,6 +186,9 @@
 	callers->processes = processes;
 	callers->rng.state = ~seed;
 	callers->count = count;
+	callers->pause_max_ms = at_rng_below(&callers->rng, 2) == 0
+				    ? BUSY_PAUSE_MAX_MS
+				    : CALM_PAUSE_MAX_MS;
 	callers->list = calloc(count, sizeof(*callers->list));
 	for (i = 0; i < count; i++) {
 		caller_t *caller = &callers->list[i];
@@ -191,8 +198,8 @@
 		ev_timer_init(&caller->timer, on_timer, 0., 0.);
 		caller->timer.data = caller;
 		choose_instance(caller);
-		wait_ms(caller,
-		    (uint32_t)at_rng_below(&callers->rng, PAUSE_MAX_MS));
+		wait_ms(caller, (uint32_t)at_rng_below(
+				    &callers->rng, callers->pause_max_ms));
 	}
 	return callers;
 }
--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -81,8 +81,9 @@
 {
 	static const uint32_t spacings_ms[] = {0, 200, 700, 1500};
 	uint32_t spacing_ms = spacings_ms[at_rng_below(rng, 4)];
-	uint32_t targets =
-	    step.kind <= SOAK_HANG_UP ? instances : SOAK_BACKENDS / 2u;
+	uint32_t targets = step.kind <= SOAK_HANG_UP
+			       ? instances
+			       : SOAK_BACKENDS >> at_rng_below(rng, 2);
 	uint32_t i;
 
 	for (i = 0; i < targets; i++) {
