Find out when the watch on the servers is dead

What callers saw: their requests went on to a server that had left. Cause: a watch whose response was lost on its way, or whose history the store has dropped, stays open without responses until its own timeout of 16.5 s. The reader of a data centre compared only the configuration with a list beside its watch; of the servers it learned nothing meanwhile. The failed watch then counted as an outage, so that removed servers were kept for 2 s more.

Change: the list of the configuration also states the store's version. If it is above the version that the servers' watch starts from, the reader makes a second, short watch from there. If that has changes, they are applied and the watch is made again; if its history is gone, both kinds are listed again.

--- a/include/almondthread/mirror.h
+++ b/include/almondthread/mirror.h
@@ -80,6 +80,16 @@
  */
 int at_mirror_check_list(
     at_mirror_t *mirror, uint64_t now_ms, const at_objects_page_t *page);
+/*
+ * at_mirror_since() returns the version that the open watch starts from, which
+ * is that of the last response. at_mirror_check_watch() takes the response to a
+ * watch that was made separately from the version since. Returns non-zero if it
+ * has changes that the open watch has not delivered; they are applied, and the
+ * owner drops the open call.
+ */
+uint64_t at_mirror_since(const at_mirror_t *mirror);
+int at_mirror_check_watch(at_mirror_t *mirror, uint64_t now_ms, uint64_t since,
+    const at_objects_page_t *page);
 /* at_mirror_relist() discards the open call; a list is due at once. */
 void at_mirror_relist(at_mirror_t *mirror);
 /* at_mirror_due_ms() returns when at_mirror_process() is due again. */
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -316,6 +316,25 @@
 	return watch_missed_change;
 }
 
+uint64_t
+at_mirror_since(const at_mirror_t *mirror)
+{
+	return mirror->since;
+}
+
+int
+at_mirror_check_watch(at_mirror_t *mirror, uint64_t now_ms, uint64_t since,
+    const at_objects_page_t *page)
+{
+	if (page->code != AT_OBJECTS_OK || page->count == 0 ||
+	    mirror->is_listing || mirror->since != since)
+		return 0;
+	mirror->now_ms = now_ms;
+	mirror->call_in_flight = 0;
+	apply_watch_page(mirror, page);
+	return 1;
+}
+
 void
 at_mirror_relist(at_mirror_t *mirror)
 {
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -20,6 +20,8 @@
 #define CONFIG_CHECK_INTERVAL_MS 250u
 /* How long to wait for the reader's report of a newer configuration. */
 #define CONFIG_REPORT_TIMEOUT_MS 200u
+/* Wait of a watch that only checks for changes. */
+#define WATCH_CHECK_WAIT_MS 1u
 /* A datagram was lost if the list differs from the reader's for longer. */
 #define DIGEST_MISMATCH_MAX_MS 700u
 
@@ -38,8 +40,10 @@
 	at_objects_t objects;
 	watcher_t config;
 	watcher_t servers;
-	at_objects_call_t *config_check; /* open call, or NULL */
-	uint64_t config_check_after_ms;  /* no check before this time */
+	at_objects_call_t *config_check;  /* open call, or NULL */
+	uint64_t config_check_after_ms;   /* no check before this time */
+	at_objects_call_t *servers_check; /* open call, or NULL */
+	uint64_t servers_check_since;     /* version that it starts from */
 	int is_reader;
 	/* Since when another instance has a newer configuration; 0: none. */
 	uint64_t newer_since_ms;
@@ -187,12 +191,61 @@
 	relist(other);
 }
 
+static void
+on_servers_checked(void *ctx, const at_objects_page_t *page)
+{
+	at_sync_t *sync = ctx;
+	watcher_t *servers = &sync->servers;
+
+	sync->servers_check = NULL;
+	if (!sync->is_reader || at_mirror_is_listing(servers->mirror))
+		return;
+	if (page->code == AT_OBJECTS_HISTORY_GONE) {
+		relist_other(servers);
+		relist(servers);
+		return;
+	}
+	if (!at_mirror_check_watch(servers->mirror, at_clock_now_ms(),
+		sync->servers_check_since, page))
+		return;
+	at_log(AT_LOG_WARN, "platform", NULL,
+	    "watch missed changes; watching again kind=%s objects=%zu",
+	    servers->kind, page->count);
+	if (servers->call != NULL)
+		sync->objects.cancel(sync->objects.impl, servers->call);
+	servers->call = NULL;
+	process(servers);
+	at_entry_place_queued(sync->entry);
+}
+
+/*
+ * A watch whose response was lost, or whose history was dropped, stays open
+ * without responses. The store has changes to report only if its version has
+ * gone up since the watch began.
+ */
+static void
+check_servers(at_sync_t *sync, uint64_t store_version)
+{
+	const at_mirror_t *mirror = sync->servers.mirror;
+
+	if (!sync->is_reader || sync->servers_check != NULL ||
+	    sync->servers.call == NULL || at_mirror_is_listing(mirror) ||
+	    store_version <= at_mirror_since(mirror))
+		return;
+	sync->servers_check_since = at_mirror_since(mirror);
+	sync->servers_check = sync->objects.watch(sync->objects.impl,
+	    sync->servers.kind, sync->servers_check_since, WATCH_CHECK_WAIT_MS,
+	    on_servers_checked, sync);
+}
+
 static void
 on_config_checked(void *ctx, const at_objects_page_t *page)
 {
 	at_sync_t *sync = ctx;
 
 	sync->config_check = NULL;
+	if (page->code == AT_OBJECTS_OK)
+		check_servers(sync, page->store_version);
 	/*
 	 * A follower receives changes later than the reader, so a missing
 	 * change does not show that a watch has failed.
@@ -457,6 +510,8 @@
 
 	if (sync->config_check != NULL)
 		sync->objects.cancel(sync->objects.impl, sync->config_check);
+	if (sync->servers_check != NULL)
+		sync->objects.cancel(sync->objects.impl, sync->servers_check);
 	for (i = 0; i < sizeof(watchers) / sizeof(watchers[0]); i++) {
 		ev_timer_stop(sync->entry->loop, &watchers[i]->timer);
 		if (watchers[i]->call != NULL)
--- a/tests/unit/test_mirror.c
+++ b/tests/unit/test_mirror.c
@@ -213,6 +213,32 @@
 	at_mirror_delete(mirror);
 }
 
+Test(mirror, check_watch_finds_changes_that_the_watch_missed)
+{
+	const at_objects_page_t none = {
+	    .code = AT_OBJECTS_OK, .store_version = 41};
+	const at_objects_page_t newer = {.code = AT_OBJECTS_OK,
+	    .objects = &a4,
+	    .count = 1,
+	    .store_version = 41};
+	at_mirror_t *mirror = new_mirror();
+	uint64_t since;
+
+	list_a_and_b(mirror);
+	since = at_mirror_since(mirror);
+	cr_assert_eq(step(mirror, START_MS).since, since);
+	cr_assert_not(at_mirror_check_watch(mirror, START_MS, since, &none));
+	/* The open watch has delivered something since the check began. */
+	cr_assert_not(
+	    at_mirror_check_watch(mirror, START_MS, since - 1, &newer));
+	cr_assert_str_eq(events, "");
+	cr_assert(at_mirror_check_watch(mirror, START_MS, since, &newer));
+	cr_assert_str_eq(events, "+a@4 ");
+	cr_assert_eq(step(mirror, START_MS).step, AT_MIRROR_WATCH);
+	cr_assert_eq(at_mirror_since(mirror), 41);
+	at_mirror_delete(mirror);
+}
+
 Test(mirror, no_calls_while_following)
 {
 	at_mirror_t *mirror = new_mirror();
