Start a retry budget with one retry

What the backend servers saw: more repeats of a service's requests in 10 s than ratio and slack allow. Cause: each process began with a full budget of up to 10 retries, and took the whole slack for its own share until it had read the instance objects. Instances that had spent their share and were restarted spent it again in the same window.

A process cannot know what the one before it has spent, so a new budget has one retry; the rest of its share comes with time and successes.

--- a/src/entry/retry_budgets.c
+++ b/src/entry/retry_budgets.c
@@ -11,6 +11,8 @@
 #define RETRY_MILLI 1000. /* one retry, in thousandths */
 /* A smaller budget would never permit two consecutive retries. */
 #define BUDGET_MIN_MILLI 2000u
+/* Level of a new budget: an earlier process may just have spent its share. */
+#define BUDGET_START_MILLI 1000u
 
 typedef struct budget_entry {
 	at_tag_t service;
@@ -99,6 +101,7 @@
 		return NULL;
 	entry->service = service;
 	at_budget_init(&entry->budget, now_ms);
+	entry->budget.level_milli = BUDGET_START_MILLI;
 	set_limits(retries, &entry->budget);
 	HASH_ADD(hh, retries->table, service, sizeof(service), entry);
 	return &entry->budget;
--- a/src/entry/retry_budgets.h
+++ b/src/entry/retry_budgets.h
@@ -1,7 +1,9 @@
 /*
  * retry_budgets.h - limits how many requests this instance may retry, for each
  * service: a fraction (ratio) of the successful ones, and an even share of the
- * retries (slack) that all instances together may send in addition.
+ * retries (slack) that all instances together may send in addition. A new
+ * budget has one retry; the rest of its share comes with time and successes, so
+ * that restarts do not refill the budgets.
  */
 #ifndef ALMONDTHREAD_ENTRY_RETRY_BUDGETS_H
 #define ALMONDTHREAD_ENTRY_RETRY_BUDGETS_H
