--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -158,6 +158,8 @@
 	ev_timer_stop(soak->loop, &soak->step_timer);
 	soak_callers_stop(callers);
 	run_s(soak->loop, SETTLE_S);
+	(void)printf("store: calls=%llu\n",
+	    (unsigned long long)standin_store_call_count(soak->store));
 	broken = soak_judge_report(soak->judge);
 	soak_callers_delete(callers);
 	soak_processes_delete(soak->processes);
--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -95,6 +95,21 @@
 	}
 }
 
+/* All instances are restarted, once or twice, while servers fail. */
+static void
+add_restarts(soak_step_t **steps, size_t *count, at_rng_t *rng,
+    uint32_t after_ms, uint32_t instances)
+{
+	uint32_t rounds = 1u + (uint32_t)at_rng_below(rng, 2);
+	soak_step_t step = {.at_ms = after_ms};
+
+	while (rounds-- > 0) {
+		step.kind = at_rng_below(rng, 2) == 0 ? SOAK_TERM : SOAK_KILL;
+		step.at_ms += 500u + (uint32_t)at_rng_below(rng, 2500);
+		add_series(steps, count, rng, step, instances);
+	}
+}
+
 soak_step_t *
 soak_schedule_new(
     uint64_t seed, uint32_t duration_ms, uint32_t instances, size_t *step_count)
@@ -105,6 +120,7 @@
 
 	uint32_t run_weights[SOAK_KINDS];
 	uint32_t gap_max_ms = GAP_MIN_MS << at_rng_below(&rng, 4);
+	int is_series;
 
 	*step_count = 0;
 	draw_weights(&rng, run_weights);
@@ -112,11 +128,18 @@
 		step.kind = draw_kind(&rng, run_weights);
 		step.target = draw_target(&rng, step.kind, instances);
 		step.duration_ms = 200u + (uint32_t)at_rng_below(&rng, 4000);
-		if (step.kind < SOAK_STORE_OUTAGE &&
-		    at_rng_below(&rng, 100) < SERIES_PERCENT)
+		is_series = step.kind < SOAK_STORE_OUTAGE &&
+			    at_rng_below(&rng, 100) < SERIES_PERCENT;
+		if (is_series)
 			add_series(&steps, step_count, &rng, step, instances);
 		else
 			add_step(&steps, step_count, &step);
+		if (is_series &&
+		    (step.kind == SOAK_BACKEND_REJECTS ||
+			step.kind == SOAK_BACKEND_SILENT) &&
+		    at_rng_below(&rng, 2) == 0)
+			add_restarts(
+			    &steps, step_count, &rng, step.at_ms, instances);
 		step.at_ms += (uint32_t)at_rng_below(&rng, gap_max_ms);
 	}
 	if (steps != NULL)
