Keep a SIGHUP that arrives while almond-entry starts

Cause: until the handler is installed, after the settings have been read and the sockets opened, the default action of the signal ends the process. A change of the settings file beside a restart is enough.

Change: the signal is blocked from the first statement of the program until its handler is installed; one that arrives meanwhile is then handled, so that a change after the file was read is not missed either.

Test: e2e entry_signals holds the process in the middle of its start by a named pipe as its settings file. Between exec and the first statement the signal still ends the process; almondthreadd does not handle SIGHUP at all.

--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -168,6 +168,17 @@
 	ev_signal_start(loop, watcher);
 }
 
+/* SIGHUP ends a process that does not handle it yet; blocked, it waits. */
+static void
+block_hang_up(int how)
+{
+	sigset_t signals;
+
+	(void)sigemptyset(&signals);
+	(void)sigaddset(&signals, SIGHUP);
+	(void)sigprocmask(how, &signals, NULL);
+}
+
 static int
 run(program_t *program, const at_entry_settings_t *settings)
 {
@@ -186,6 +197,7 @@
 	watch_signal(
 	    loop, program, &program->interrupt, SIGINT, on_stop_signal);
 	watch_signal(loop, program, &program->hang_up, SIGHUP, on_hang_up);
+	block_hang_up(SIG_UNBLOCK);
 	(void)stat(at_platform_settings_path(), &program->settings_stat);
 	ev_timer_init(&program->settings_timer, on_settings_timer,
 	    SETTINGS_CHECK_S, SETTINGS_CHECK_S);
@@ -207,6 +219,7 @@
 	at_status_t status;
 	int result;
 
+	block_hang_up(SIG_BLOCK);
 	at_status_clear(&status);
 	result = read_settings(&settings, argc, argv, &file, &status);
 	if (result == 0 && set_log_level(settings.log_level) != 0) {
