--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -3,6 +3,10 @@
  * processes over loopback, disturbs them after a schedule drawn from SEED, and
  * prints the rules that were broken. Exits with 0 if there was none; otherwise
  * the folder with the logs is kept. AT_BIN_DIR has almond-entry.
+ *
+ * CTest has one short run. A long one is started by hand, a few at a time:
+ *     seq 1 50 | AT_BIN_DIR=build/bin xargs -P 4 -I{} sh -c \
+ *         'build/bin/soak-entry {} 60 6 >soak-{}.out'
  */
 #include <signal.h>
 #include <stdio.h>
