--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -27,6 +27,8 @@
 #define FOLLOWER_CONFIRMATION_MAX_MS 1500u
 /* A watch has failed if another reader knows a newer change for longer. */
 #define NEWER_VERSION_MAX_MS 700u
+/* Wait of a watch that only checks for changes. */
+#define WATCH_CHECK_WAIT_MS 1u
 /* A datagram was lost if the list differs from the reader's for longer. */
 #define DIGEST_MISMATCH_MAX_MS 700u
 
@@ -38,6 +40,7 @@
 	at_objects_call_t *call; /* open call, or NULL */
 	uint64_t list_sent_ms;   /* when the first page was requested */
 	uint64_t listed_ms;      /* the same of the last complete list */
+	uint64_t responded_ms;   /* last response with objects or changes */
 	int was_away;
 	ev_timer timer;
 } watcher_t;
@@ -50,6 +53,9 @@
 	at_objects_call_t *config_check; /* open call, or NULL */
 	uint64_t config_check_after_ms;  /* no check before this time */
 	uint64_t config_check_sent_ms;
+	at_objects_call_t *servers_check; /* open call, or NULL */
+	uint64_t servers_check_since;     /* version that it starts from */
+	uint64_t servers_check_sent_ms;
 	/*
 	 * Changes that the platform had before this time are known here, from
 	 * its responses to this instance or from the reader's reports.
@@ -242,16 +248,78 @@
 	relist(other);
 }
 
+static void
+on_servers_checked(void *ctx, const at_objects_page_t *page)
+{
+	at_sync_t *sync = ctx;
+	watcher_t *servers = &sync->servers;
+
+	sync->servers_check = NULL;
+	if (!sync->is_reader || at_mirror_is_listing(servers->mirror))
+		return;
+	if (page->code == AT_OBJECTS_HISTORY_GONE) {
+		relist_other(servers);
+		relist(servers);
+		return;
+	}
+	/* Meanwhile the open watch may have responded. */
+	if (page->code == AT_OBJECTS_OK)
+		note_confirmed(sync, at_mirror_since(servers->mirror) ==
+					     sync->servers_check_since
+					 ? sync->servers_check_sent_ms
+					 : sync->config_check_sent_ms);
+	if (!at_mirror_check_watch(servers->mirror, at_clock_now_ms(),
+		sync->servers_check_since, page))
+		return;
+	at_log(AT_LOG_WARN, "platform", NULL,
+	    "watch missed changes; watching again kind=%s objects=%zu",
+	    servers->kind, page->count);
+	if (servers->call != NULL)
+		sync->objects.cancel(sync->objects.impl, servers->call);
+	servers->call = NULL;
+	process(servers);
+	at_entry_place_queued(sync->entry);
+}
+
+/*
+ * Called with the version of the store that a check of the configuration has
+ * returned. The list of servers is complete if its watch began at that version.
+ * Otherwise a second watch shows whether there are changes: a watch whose
+ * response was lost, or whose history was dropped, stays open without any.
+ */
+static void
+confirm_servers(at_sync_t *sync, uint64_t store_version)
+{
+	const at_mirror_t *mirror = sync->servers.mirror;
+
+	if (!sync->is_reader || sync->servers_check != NULL ||
+	    at_mirror_is_listing(sync->config.mirror) ||
+	    at_mirror_is_listing(mirror))
+		return;
+	if (store_version <= at_mirror_since(mirror)) {
+		note_confirmed(sync, sync->config_check_sent_ms);
+		return;
+	}
+	/* No watch is open for a moment after each response to one. */
+	if (sync->servers.call == NULL) {
+		note_confirmed(sync, sync->servers.responded_ms);
+		return;
+	}
+	sync->servers_check_since = at_mirror_since(mirror);
+	sync->servers_check_sent_ms = at_clock_now_ms();
+	sync->servers_check = sync->objects.watch(sync->objects.impl,
+	    sync->servers.kind, sync->servers_check_since, WATCH_CHECK_WAIT_MS,
+	    on_servers_checked, sync);
+}
+
 static void
 on_config_checked(void *ctx, const at_objects_page_t *page)
 {
 	at_sync_t *sync = ctx;
 
 	sync->config_check = NULL;
-	if (page->code == AT_OBJECTS_OK && sync->is_reader &&
-	    !at_mirror_is_listing(sync->config.mirror) &&
-	    !at_mirror_is_listing(sync->servers.mirror))
-		note_confirmed(sync, sync->config_check_sent_ms);
+	if (page->code == AT_OBJECTS_OK)
+		confirm_servers(sync, page->store_version);
 	/*
 	 * A follower receives changes later than the reader, so a missing
 	 * change does not show that a watch has failed.
@@ -514,6 +582,8 @@
 	    "platform responded kind=%s result=%s objects=%zu as_of=%" PRIu64,
 	    watcher->kind, at_objects_code_names[page->code], page->count,
 	    page->store_version);
+	if (page->code == AT_OBJECTS_OK)
+		watcher->responded_ms = at_clock_now_ms();
 	at_mirror_handle_response(watcher->mirror, at_clock_now_ms(), page);
 	log_platform_state(watcher, page->code);
 	if (was_listing && !at_mirror_is_listing(watcher->mirror)) {
@@ -630,6 +700,8 @@
 
 	if (sync->config_check != NULL)
 		sync->objects.cancel(sync->objects.impl, sync->config_check);
+	if (sync->servers_check != NULL)
+		sync->objects.cancel(sync->objects.impl, sync->servers_check);
 	for (i = 0; i < sizeof(watchers) / sizeof(watchers[0]); i++) {
 		ev_timer_stop(sync->entry->loop, &watchers[i]->timer);
 		if (watchers[i]->call != NULL)
