fuzz_share: check that loans are covered

Missed so far with the bounded run: "a grant is applied twice", "older grants are removed although lent on", "lent beyond the end of borrowed loans", "floor of an ended instance reused before its loans end", "a leaving instance does not wait for its loans". The sum of the shares in use shows such a fault only while nearly all of the whole is in use.

Change: after each operation, the loans that others hold from an instance, running or ended, are at most its entry of the table and its own loans, and no loan is larger than its lender counts. Loans as the lenders count them are not compared with the table: a full record merges its two oldest grants into their maxima, so that it may count more than was lent.

--- a/tests/fuzz/fuzz_share.c
+++ b/tests/fuzz/fuzz_share.c
@@ -4,8 +4,9 @@
  * replacements, planned stops, outages of the object API and changes of rate
  * and burst. The oracle is one central bucket: it starts full, so that a debit
  * which it cannot cover exceeds the limit in some interval. The shares in use
- * must also never add up to more than the whole. Each run enables some of the
- * faults, and at times every instance debits its whole level.
+ * must also never add up to more than the whole, and loans must be covered.
+ * Each run enables some of the faults, and at times every instance debits its
+ * whole level.
  *
  * Each run makes OPERATIONS_PER_RUN operations. The input determines the
  * first ones and seeds the random generator for the rest.
@@ -368,6 +369,7 @@
 	for (i = 0; i < OPERATIONS_PER_RUN; i++) {
 		run_operation(&world);
 		share_world_check_sum(&world);
+		share_world_check_cover(&world);
 	}
 	total_ops += OPERATIONS_PER_RUN;
 	share_world_check(&world);
--- a/tests/fuzz/share_world.c
+++ b/tests/fuzz/share_world.c
@@ -1,5 +1,7 @@
 #include "fuzz/share_world.h"
 
+#include "core/limits/share_impl.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -213,9 +215,17 @@
 	share_world_note_limit(world);
 }
 
+static int64_t
+borrowed_ppb(const at_share_t *share)
+{
+	return share->gross_ppb - share->floor_ppb - share->lease_ppb;
+}
+
 void
 share_slot_stop(world_t *world, slot_t *slot)
 {
+	world->ended_borrowed_ppb[world->ended_count] =
+	    borrowed_ppb(slot->share);
 	slot->is_alive = 0;
 	at_share_delete(slot->share);
 	at_share_root_delete(slot->root);
@@ -298,6 +308,117 @@
 	}
 }
 
+/* Returns what the table states for an incarnation. */
+static int64_t
+entry_ppb(world_t *world, uint64_t number)
+{
+	const at_share_entry_t *entry;
+
+	if (world->table_version != world->version) {
+		at_share_table_clear(&world->table);
+		if (at_share_table_parse(
+			&world->table, world->object, world->object_len) != 0)
+			abort();
+		world->table_version = world->version;
+	}
+	entry = at_share_table_find(&world->table, number);
+	return entry == NULL ? 0 : entry->floor_ppb + entry->lease_ppb;
+}
+
+/* Returns what an incarnation may have lent; one that ended keeps its loans. */
+static int64_t
+cover_ppb(world_t *world, uint64_t number)
+{
+	const slot_t *slot = share_world_slot_of(world, number);
+	int64_t ppb = entry_ppb(world, number);
+	size_t i;
+
+	if (slot != NULL)
+		return ppb + borrowed_ppb(slot->share);
+	for (i = 0; i < world->ended_count; i++) {
+		if (world->ended_numbers[i] == number)
+			ppb += world->ended_borrowed_ppb[i];
+	}
+	return ppb;
+}
+
+/* Returns the loans from an incarnation to all instances. */
+static int64_t
+borrowed_from_ppb(world_t *world, const at_incarnation_t *lender)
+{
+	int64_t ppb = 0;
+	uint32_t i;
+
+	for (i = 0; i < world->slot_count; i++) {
+		const peer_t *peer =
+		    share_find_peer(world->slots[i].share, lender);
+
+		if (peer != NULL)
+			ppb += loan_ppb(&peer->borrowed);
+	}
+	return ppb;
+}
+
+static void
+check_lender(world_t *world, const at_incarnation_t *lender)
+{
+	int64_t lent_ppb = borrowed_from_ppb(world, lender);
+	int64_t max_ppb;
+
+	if (lent_ppb == 0)
+		return;
+	max_ppb = cover_ppb(world, lender->number);
+	if (lent_ppb <= max_ppb)
+		return;
+	(void)fprintf(stderr,
+	    "instance %llu has lent %lld ppb of %lld ppb at %llu us\n",
+	    (unsigned long long)lender->number, (long long)lent_ppb,
+	    (long long)max_ppb, (unsigned long long)world->now_us);
+	abort();
+}
+
+/* A lender counts each loan in full for at least as long as its borrower. */
+static void
+check_pair(const slot_t *borrower, const peer_t *peer, const slot_t *lender)
+{
+	const peer_t *lent = share_find_peer(lender->share, &borrower->self);
+	int64_t borrowed_ppb = loan_ppb(&peer->borrowed);
+	int64_t lent_ppb = lent == NULL ? 0 : loan_ppb(&lent->lent);
+
+	if (borrowed_ppb <= lent_ppb)
+		return;
+	(void)fprintf(stderr,
+	    "instance %llu has a loan of %lld ppb, its lender counts %lld "
+	    "ppb\n",
+	    (unsigned long long)borrower->self.number, (long long)borrowed_ppb,
+	    (long long)lent_ppb);
+	abort();
+}
+
+void
+share_world_check_cover(world_t *world)
+{
+	uint32_t i;
+
+	for (i = 0; i < world->slot_count; i++) {
+		const peer_t *peer;
+
+		check_lender(world, &world->slots[i].self);
+		for (peer = world->slots[i].share->peers; peer != NULL;
+		     peer = peer->hh.next) {
+			const slot_t *lender =
+			    share_world_slot_of(world, peer->self.number);
+
+			if (peer->borrowed.count == 0)
+				continue;
+			if (lender != NULL)
+				check_pair(&world->slots[i], peer, lender);
+			else
+				check_lender(world, &peer->self);
+		}
+	}
+}
+
 void
 share_world_check(const world_t *world)
 {
@@ -344,4 +465,5 @@
 	while (world->call_count > 0)
 		share_world_remove_call(world, 0);
 	free(world->object);
+	at_share_table_clear(&world->table);
 }
--- a/tests/fuzz/share_world.h
+++ b/tests/fuzz/share_world.h
@@ -79,6 +79,7 @@
 	uint64_t loan_end_us;    /* of the last grant delivered */
 	uint64_t next_number;
 	uint64_t ended_numbers[2 * OPERATIONS_PER_RUN];
+	int64_t ended_borrowed_ppb[2 * OPERATIONS_PER_RUN];
 	size_t ended_count;
 	uint64_t rates[LIMITS];
 	uint64_t bursts[LIMITS];
@@ -89,6 +90,8 @@
 	char *object;
 	size_t object_len;
 	uint64_t version;
+	at_share_table_t table; /* the object's value at table_version */
+	uint64_t table_version;
 	int partitions[DATA_CENTRES][DATA_CENTRES];
 	int is_outage; /* of the object API */
 	event_t events[EVENTS_MAX];
@@ -117,6 +120,12 @@
 void share_slot_tick(world_t *world, slot_t *slot);
 /* Aborts if the shares in use add up to more than the whole. */
 void share_world_check_sum(world_t *world);
+/*
+ * Aborts if others hold more loans of an instance, running or ended, than its
+ * entry of the table and its own loans cover, or one of them more than its
+ * lender counts.
+ */
+void share_world_check_cover(world_t *world);
 /* Aborts if the debits of a run exceed the limit in any interval. */
 void share_world_check(const world_t *world);
 void share_world_end(world_t *world);
