--- a/tests/soak/backends.c
+++ b/tests/soak/backends.c
@@ -71,7 +71,7 @@
 	(void)snprintf(address, sizeof(address), "127.0.0.1:%u",
 	    standin_server_port(backend->server));
 	standin_store_put(backends->store, WIRE_KIND_SERVERS, backend->id,
-	    standin_server_spec(is_llm ? "llm" : "plain", address, "a",
+	    standin_server_spec(is_llm ? "llm" : "plain", address, "a", "v1",
 		is_llm ? "m0" : NULL, is_leaving,
 		++backends->heartbeat_sequence));
 }
