--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -22,8 +22,7 @@
 #define CONFIG_REPORT_TIMEOUT_MS 200u
 /* A reader gives way when the platform has confirmed nothing for longer. */
 #define READER_CONFIRMATION_MAX_MS 1200u
-/* A follower lists by itself when its reader has confirmed nothing for longer.
- */
+/* A follower lists by itself without a confirmation for longer. */
 #define FOLLOWER_CONFIRMATION_MAX_MS 1500u
 /* A watch has failed if another reader knows a newer change for longer. */
 #define NEWER_VERSION_MAX_MS 700u
