--- a/include/almondthread/request_header.h
+++ b/include/almondthread/request_header.h
@@ -12,8 +12,8 @@
 	const char *id;           /* the caller's id of the request, or NULL */
 	const char *host;         /* "" when none was sent */
 	const char *key;          /* the caller's key, or NULL */
-	const char *resume_after; /* last event received so far, or NULL */
-	const char *resumes;      /* id of the stream's first request, or NULL */
+	const char *resume_after; /* last event of a stream, or NULL */
+	const char *resumes;      /* id of its first request, or NULL */
 	uint32_t deadline_ms;     /* time the caller will wait; 0: not sent */
 	at_name_t model;          /* empty: no model is requested */
 	at_name_t adapter;        /* empty: the base model */
