Send the origins of streams in longer batches with many instances

Cause: each instance sent new origins to every other one each 30 ms. With 61 instances each of them received about 2,000 datagrams a second for them.

Change: the batch is 3.3 ms for each instance, 30 ms at least, so that an instance receives at most 300 such reports a second whatever their number.

--- a/include/almondthread/stream_origins.h
+++ b/include/almondthread/stream_origins.h
@@ -74,6 +74,13 @@
 size_t at_stream_origins_take_due(
     at_stream_origins_t *origins, at_stream_origin_t *entries, size_t max);
 
+/*
+ * at_stream_origins_batch_ms() returns for how long new origins are collected
+ * before they are sent to each of the other instances. Every instance receives
+ * at most 300 reports a second for them, however many instances there are.
+ */
+uint32_t at_stream_origins_batch_ms(uint32_t instances);
+
 /* at_stream_origins_each() visits all origins, the oldest first. */
 void at_stream_origins_each(const at_stream_origins_t *origins,
     void (*visit)(void *ctx, const at_stream_origin_t *origin), void *ctx);
--- a/src/core/requests/stream_origins.c
+++ b/src/core/requests/stream_origins.c
@@ -8,6 +8,9 @@
 #define LIFETIME_MIN_US 30000000u
 #define VERSIONS_MAX 64u      /* versions of all services that are remembered */
 #define REPORTS_PENDING 4096u /* origins to be reported */
+#define BATCH_MIN_MS 30u
+#define RECEIVED_MAX_PER_S 300u /* reports that an instance receives */
+#define MS_PER_S 1000u
 
 typedef struct entry {
 	at_stream_origin_t origin;
@@ -256,3 +259,12 @@
 {
 	return HASH_COUNT(origins->table);
 }
+
+uint32_t
+at_stream_origins_batch_ms(uint32_t instances)
+{
+	uint32_t batch_ms = (instances * MS_PER_S + RECEIVED_MAX_PER_S - 1) /
+			    RECEIVED_MAX_PER_S;
+
+	return batch_ms < BATCH_MIN_MS ? BATCH_MIN_MS : batch_ms;
+}
--- a/src/entry/gossip.h
+++ b/src/entry/gossip.h
@@ -47,7 +47,7 @@
     uint64_t version, const json_t *spec);
 /*
  * at_gossip_send_origins_soon() sends the origins of streams that were noted
- * here to all instances within some tens of milliseconds.
+ * here to all instances after at_stream_origins_batch_ms().
  */
 void at_gossip_send_origins_soon(at_gossip_t *gossip);
 /*
--- a/src/entry/gossip_origins.c
+++ b/src/entry/gossip_origins.c
@@ -8,8 +8,6 @@
 #include "io/clock.h"
 
 #define US_PER_MS 1000u
-/* Origins that are noted within this time are sent in one report. */
-#define BATCH_DELAY_S 0.03
 #define START_ANSWERS 2u /* a part of an answer may be lost */
 /* An instance that finds none that is older stops asking after this time. */
 #define ASKING_US 5000000u
@@ -39,8 +37,7 @@
 void
 origins_init(at_gossip_t *gossip)
 {
-	ev_timer_init(
-	    &gossip->origins_timer, on_origins_timer, BATCH_DELAY_S, 0.);
+	ev_timer_init(&gossip->origins_timer, on_origins_timer, 0., 0.);
 	gossip->origins_timer.data = gossip;
 	gossip->started_us = at_clock_now_us();
 	gossip->answers_wanted = START_ANSWERS;
@@ -50,7 +47,11 @@
 void
 at_gossip_send_origins_soon(at_gossip_t *gossip)
 {
-	gossip_start_timer(gossip, &gossip->origins_timer, BATCH_DELAY_S);
+	uint32_t batch_ms = at_stream_origins_batch_ms(
+	    at_roster_present_count(gossip->entry->roster));
+
+	gossip_start_timer(
+	    gossip, &gossip->origins_timer, (double)batch_ms / AT_MS_PER_S);
 }
 
 static void
--- a/tests/unit/test_stream_origins.c
+++ b/tests/unit/test_stream_origins.c
@@ -139,3 +139,19 @@
 		at_stream_origins_delete(origins);
 	}
 }
+
+/* Instances that each send to all others must not do so ever more often. */
+Test(stream_origins, reports_do_not_grow_with_the_square_of_the_instances)
+{
+	static const uint32_t instances[] = {1, 6, 9, 61, 320};
+	size_t i;
+
+	for (i = 0; i < sizeof(instances) / sizeof(instances[0]); i++) {
+		uint32_t batch_ms = at_stream_origins_batch_ms(instances[i]);
+
+		cr_assert_geq(batch_ms, 30);
+		cr_assert_leq(instances[i] * 1000 / batch_ms, 300,
+		    "%u instances: %u ms", instances[i], batch_ms);
+	}
+	cr_assert_eq(at_stream_origins_batch_ms(9), 30);
+}
