--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -1,6 +1,7 @@
 /*
  * call_attempt.c - one attempt of a call at one backend server.
  */
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,7 +11,9 @@
 #include "entry/gossip.h"
 #include "io/clock.h"
 
-#define URL_SIZE 128            /* bytes of "http://" and an address */
+#define URL_SIZE 128 /* bytes of "http://" and an address */
+/* Bytes of the ids of all parts of a prompt, with commas and the NUL. */
+#define PARTS_TEXT_SIZE (AT_PREFIX_PARTS_MAX * 17u + 1u)
 #define CONNECT_TIMEOUT_MS 600u /* for connecting to a backend server */
 /* Largest response that is buffered. */
 #define RESPONSE_BUFFER_MAX_BYTES (8u << 20)
@@ -265,11 +268,25 @@
 	    call->attempts, attempt->number, at_clock_now_ms());
 }
 
+/* Writes the ids of the parts of a prompt, "ID,ID"; "-" if there are none. */
+static void
+format_parts(const at_work_t *work, char text[PARTS_TEXT_SIZE])
+{
+	size_t len = 0;
+	size_t i;
+
+	(void)snprintf(text, PARTS_TEXT_SIZE, "-");
+	for (i = 0; i < work->prefix_count; i++)
+		len += (size_t)snprintf(text + len, PARTS_TEXT_SIZE - len,
+		    "%s%" PRIx64, i == 0 ? "" : ",", work->prefix[i].id);
+}
+
 static void
 on_done(void *ctx, const at_transfer_result_t *result)
 {
 	call_attempt_t *attempt = ctx;
 	at_call_t *call = attempt->call;
+	char parts[PARTS_TEXT_SIZE];
 
 	attempt->transfer = NULL;
 	if (attempt->is_refused) {
@@ -285,11 +302,13 @@
 	} else if (result->is_complete) {
 		handle_complete(attempt);
 	} else {
+		format_parts(&call->waiter.work, parts);
 		at_log(AT_LOG_INFO, "call", call->id,
 		    "attempt failed server=%s reason=%s verdict=%s "
-		    "had_event=%d",
+		    "had_event=%d parts=%s",
 		    attempt->server_id.text, at_reason_names[result->reason],
-		    at_verdict_names[result->verdict], attempt->had_event);
+		    at_verdict_names[result->verdict], attempt->had_event,
+		    parts);
 		call_attempt_end(
 		    attempt, result->reason == AT_REASON_CONNECT_FAILED
 				 ? AT_OUTCOME_UNREACHABLE
