Test a prompt part that crashes engines, red

The stand-in of a backend server ends with all its connections where the first event of a prompt with the part crash_part is due, and is replaced by another one. Requests with the part come at three instances, no two alike, beside sound ones that share their first part.

--- a/src/standin/main.c
+++ b/src/standin/main.c
@@ -11,6 +11,8 @@
 
 #include "io/settings.h"
 
+#define CRASH_RESTART_MS 3000u /* from a server's crash to its next start */
+
 typedef struct options {
 	const char *listen;
 	const char *name;
@@ -157,6 +159,7 @@
 		standin_server_add_model(server, name);
 		models += len + (models[len] == ',');
 	}
+	standin_server_set_restart_ms(server, CRASH_RESTART_MS);
 	failed = standin_server_init(server, options->listen, status) != AT_OK;
 	if (!failed)
 		run_loop(loop, "server", standin_server_port(server));
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -39,6 +39,8 @@
 	uint32_t reject_resumed; /* server, count: 400 to a resumption */
 	uint32_t pause_after;    /* server: silent once after n events */
 	uint32_t pause_ms;       /* server: length of that silence */
+	/* Server: crashes where it begins to answer a prompt with this part. */
+	uint32_t crash_part;
 	uint32_t break_whole;    /* engine, count: cut buffered responses */
 	uint32_t shorten;        /* engine, count: valid end, bytes missing */
 	uint32_t crossed;        /* engine, server, count: wrong request ID */
--- /dev/null
+++ b/tests/contract/test_crashing_parts.c
@@ -0,0 +1,295 @@
+/*
+ * Engines that crash where they begin to answer prompts with a certain part. No
+ * two requests with it are alike, and sound requests share their other parts.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "io/clock.h"
+#include "platform/names.h"
+#include "support/entry_fixture.h"
+
+#define ENTRIES 3u
+#define ENGINES 6u
+#define EVENTS 8u
+#define EVENT_GAP_MS 20u
+#define REPLACED_MS 700u /* from a crash until another engine serves */
+#define CRASH_PART 0xbadu
+#define COMMON_PART 0xa1u /* the first part of all prompts */
+#define SUBJECTS 6u       /* second parts of sound prompts */
+#define CONTACT_MS 3000u
+#define CRASHES_JUDGED 5u
+#define LATE_ARRIVALS_MAX 3u
+#define CRASH_WAIT_MS 4000u /* for the crashes that are judged */
+#define STEP_MS 30u
+#define STEPS_PER_CRASHING 3u /* a request with the part in so many steps */
+#define REQUESTS_MAX 2000u
+
+typedef struct sent_request {
+	entry_fixture_response_t response;
+	uint64_t sent_ms;
+	int is_sound;
+} sent_request_t;
+
+typedef struct traffic {
+	entry_fixture_t *fixture;
+	uint64_t replaced_at_ms[ENTRY_FIXTURE_MAX]; /* 0: it has not crashed */
+	int is_replaced[ENTRY_FIXTURE_MAX];
+	sent_request_t *requests;
+	size_t count;
+	size_t entry; /* the last one that got a request */
+	uint32_t steps;
+	uint64_t fifth_crash_ms; /* 0: not yet */
+	uint32_t arrivals;       /* with the part, at any engine */
+	uint32_t late_arrivals;  /* contact_ms after the fifth crash */
+} traffic_t;
+
+static uint64_t
+crash_count(const entry_fixture_t *fixture)
+{
+	uint64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < fixture->server_count; i++)
+		sum += standin_server_crash_count(fixture->servers[i]);
+	return sum;
+}
+
+static void
+on_arrival(void *ctx, const at_httpd_request_t *request, int is_run)
+{
+	traffic_t *traffic = ctx;
+	const char *parts = at_httpd_header(request, WIRE_PROMPT_PREFIX);
+
+	(void)is_run;
+	if (parts == NULL || strstr(parts, ",bad:") == NULL)
+		return;
+	traffic->arrivals++;
+	if (traffic->fifth_crash_ms != 0 &&
+	    at_clock_now_ms() > traffic->fifth_crash_ms + CONTACT_MS)
+		traffic->late_arrivals++;
+}
+
+static void
+add_engine(traffic_t *traffic)
+{
+	entry_fixture_t *fixture = traffic->fixture;
+	size_t i = entry_fixture_add_engine(fixture, "m0");
+
+	standin_server_set_events(fixture->servers[i], EVENTS, EVENT_GAP_MS);
+	standin_server_set_observer(fixture->servers[i], on_arrival, traffic);
+	standin_server_faults(fixture->servers[i])->crash_part = CRASH_PART;
+}
+
+/* Lists another engine in place of each that has crashed. */
+static void
+replace_crashed(traffic_t *traffic)
+{
+	entry_fixture_t *fixture = traffic->fixture;
+	uint64_t now_ms = at_clock_now_ms();
+	size_t count = fixture->server_count;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (standin_server_crash_count(fixture->servers[i]) == 0 ||
+		    traffic->is_replaced[i])
+			continue;
+		if (traffic->replaced_at_ms[i] == 0)
+			traffic->replaced_at_ms[i] = now_ms + REPLACED_MS;
+		if (now_ms < traffic->replaced_at_ms[i])
+			continue;
+		traffic->is_replaced[i] = 1;
+		entry_fixture_unlist_server(fixture, i);
+		add_engine(traffic);
+	}
+}
+
+static traffic_t *
+traffic_new(void)
+{
+	traffic_t *traffic = calloc(1, sizeof(*traffic));
+	size_t i;
+
+	traffic->requests = calloc(REQUESTS_MAX, sizeof(*traffic->requests));
+	traffic->fixture = entry_fixture_new();
+	entry_fixture_apply_config(traffic->fixture, 1);
+	for (i = 0; i < ENGINES; i++)
+		add_engine(traffic);
+	for (i = 0; i < ENTRIES; i++)
+		(void)entry_fixture_add_entry(traffic->fixture);
+	entry_fixture_run_until_ready(traffic->fixture);
+	return traffic;
+}
+
+static void
+traffic_delete(traffic_t *traffic)
+{
+	size_t i;
+
+	for (i = 0; i < traffic->count; i++)
+		entry_fixture_response_free(&traffic->requests[i].response);
+	entry_fixture_delete(traffic->fixture);
+	free(traffic->requests);
+	free(traffic);
+}
+
+static void
+send_to(traffic_t *traffic, size_t entry, int is_sound)
+{
+	sent_request_t *request = &traffic->requests[traffic->count];
+	char id[32];
+	char parts[96];
+	const entry_fixture_request_t fields = {
+	    "POST", "/stream/x", id, ENTRY_FIXTURE_KEY, "m0", "prompt"};
+
+	cr_assert_lt(traffic->count, REQUESTS_MAX);
+	(void)snprintf(id, sizeof(id), "request-%zu", traffic->count);
+	(void)snprintf(parts, sizeof(parts), "%x:40,%x:30,%zx:30", COMMON_PART,
+	    is_sound ? 0x500u + (unsigned)(traffic->count % SUBJECTS)
+		     : CRASH_PART,
+	    0x10000u + traffic->count);
+	request->sent_ms = at_clock_now_ms();
+	request->is_sound = is_sound;
+	traffic->count++;
+	entry_fixture_send_prompt(
+	    traffic->fixture, entry, &fields, parts, &request->response);
+}
+
+static void
+send_next(traffic_t *traffic, int is_sound)
+{
+	do {
+		traffic->entry =
+		    (traffic->entry + 1) % traffic->fixture->entry_count;
+	} while (traffic->fixture->entries[traffic->entry] == NULL);
+	send_to(traffic, traffic->entry, is_sound);
+}
+
+static void
+run_step(traffic_t *traffic, int with_crashing)
+{
+	send_next(traffic, 1);
+	if (with_crashing && ++traffic->steps % STEPS_PER_CRASHING == 0)
+		send_next(traffic, 0);
+	entry_fixture_run_ms(traffic->fixture, STEP_MS);
+	replace_crashed(traffic);
+	if (traffic->fifth_crash_ms == 0 &&
+	    crash_count(traffic->fixture) >= CRASHES_JUDGED)
+		traffic->fifth_crash_ms = at_clock_now_ms();
+}
+
+static void
+run_traffic(traffic_t *traffic, uint32_t time_ms, int with_crashing)
+{
+	uint64_t end_ms = at_clock_now_ms() + time_ms;
+
+	while (at_clock_now_ms() < end_ms)
+		run_step(traffic, with_crashing);
+}
+
+/* Returns the percentage of sound requests of a time that began. */
+static uint32_t
+begun_percent(const traffic_t *traffic, uint64_t since_ms, uint64_t until_ms)
+{
+	uint32_t sent = 0;
+	uint32_t begun = 0;
+	size_t i;
+
+	for (i = 0; i < traffic->count; i++) {
+		const sent_request_t *request = &traffic->requests[i];
+
+		if (!request->is_sound || request->sent_ms < since_ms ||
+		    request->sent_ms >= until_ms)
+			continue;
+		sent++;
+		begun += request->response.status == 200 &&
+			 request->response.len > 0;
+	}
+	cr_assert_geq(sent, 20);
+	return 100u * begun / sent;
+}
+
+/* Sends requests with the part until it has crashed five engines, or longer. */
+static void
+run_crashes(traffic_t *traffic)
+{
+	uint64_t end_ms = at_clock_now_ms() + CRASH_WAIT_MS;
+
+	while (traffic->fifth_crash_ms == 0 && at_clock_now_ms() < end_ms)
+		run_step(traffic, 1);
+	cr_assert_gt(crash_count(traffic->fixture), 0);
+	/* The rule counts from the last crash if there are fewer than five. */
+	if (traffic->fifth_crash_ms == 0)
+		traffic->fifth_crash_ms = at_clock_now_ms();
+}
+
+/* Each request was new to the instances, so that engines crashed for ever. */
+Test(crashing_parts, few_requests_reach_engines_after_five_crashes)
+{
+	traffic_t *traffic = traffic_new();
+	uint64_t start_ms = at_clock_now_ms();
+	uint64_t crashing_ms;
+	uint64_t judged_ms;
+	uint32_t before;
+
+	run_traffic(traffic, 1500, 0);
+	crashing_ms = at_clock_now_ms();
+	run_crashes(traffic);
+	run_traffic(traffic, 2 * CONTACT_MS, 1);
+	judged_ms = at_clock_now_ms();
+	run_traffic(traffic, 2000, 1);
+	entry_fixture_run_ms(traffic->fixture, 500);
+	before = begun_percent(traffic, start_ms, crashing_ms);
+	cr_assert_leq(traffic->late_arrivals, LATE_ARRIVALS_MAX,
+	    "%u requests, %llu crashes", traffic->late_arrivals,
+	    (unsigned long long)crash_count(traffic->fixture));
+	cr_assert_geq(2 * begun_percent(traffic, judged_ms, UINT64_MAX), before,
+	    "sound requests begin less than half as often as before");
+	traffic_delete(traffic);
+}
+
+/* The verdict is also known to an instance that starts later. */
+Test(crashing_parts, an_instance_that_starts_knows_the_part)
+{
+	traffic_t *traffic = traffic_new();
+	size_t entry;
+	int i;
+
+	run_traffic(traffic, 500, 0);
+	run_crashes(traffic);
+	run_traffic(traffic, 1000, 1);
+	entry = entry_fixture_add_entry(traffic->fixture);
+	run_traffic(traffic, CONTACT_MS, 0);
+	traffic->late_arrivals = 0;
+	for (i = 0; i < 10; i++) {
+		send_to(traffic, entry, 0);
+		entry_fixture_run_ms(traffic->fixture, 100);
+	}
+	cr_assert_leq(traffic->late_arrivals, LATE_ARRIVALS_MAX);
+	traffic_delete(traffic);
+}
+
+/* Engines that end for other reasons must not stop sound requests. */
+Test(crashing_parts, other_crashes_block_nothing)
+{
+	traffic_t *traffic = traffic_new();
+	uint64_t start_ms = at_clock_now_ms();
+	uint64_t after_ms;
+	size_t i;
+
+	run_traffic(traffic, 1000, 0);
+	after_ms = at_clock_now_ms();
+	for (i = 0; i < ENGINES; i++) {
+		standin_server_crash(traffic->fixture->servers[i]);
+		run_traffic(traffic, i % 3 == 2 ? 400 : 0, 0);
+	}
+	after_ms = at_clock_now_ms() + REPLACED_MS;
+	run_traffic(traffic, REPLACED_MS + 2000, 0);
+	entry_fixture_run_ms(traffic->fixture, 500);
+	cr_assert_geq(begun_percent(traffic, after_ms, UINT64_MAX), 90);
+	cr_assert_geq(begun_percent(traffic, start_ms, after_ms), 30);
+	traffic_delete(traffic);
+}
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -346,10 +346,17 @@
 	return count + 1;
 }
 
-void
-entry_fixture_send_resumed(entry_fixture_t *fixture, size_t entry,
-    const entry_fixture_request_t *request, const char *resumes,
-    const char *resume_after, entry_fixture_response_t *response)
+/* Headers that only some tests send; NULL: not sent. */
+typedef struct extra_headers {
+	const char *resumes;
+	const char *resume_after;
+	const char *parts;
+} extra_headers_t;
+
+static void
+send_request(entry_fixture_t *fixture, size_t entry,
+    const entry_fixture_request_t *request, const extra_headers_t *extra,
+    entry_fixture_response_t *response)
 {
 	char lines[HEADERS_MAX][256];
 	const char *headers[HEADERS_MAX + 1] = {NULL};
@@ -376,20 +383,42 @@
 	if (request->model != NULL)
 		count =
 		    add_header(lines, count, WIRE_TOKEN_COUNTS, "", "100,50");
-	count = add_header(lines, count, WIRE_RESUMES, "", resumes);
-	count = add_header(lines, count, WIRE_RESUME_AFTER, "", resume_after);
+	count = add_header(lines, count, WIRE_RESUMES, "", extra->resumes);
+	count = add_header(
+	    lines, count, WIRE_RESUME_AFTER, "", extra->resume_after);
+	count = add_header(lines, count, WIRE_PROMPT_PREFIX, "", extra->parts);
 	for (i = 0; i < count; i++)
 		headers[i] = lines[i];
 	response->transfer = at_httpc_start(fixture->httpc, &spec, &events);
 	cr_assert_not_null(response->transfer);
 }
 
+void
+entry_fixture_send_resumed(entry_fixture_t *fixture, size_t entry,
+    const entry_fixture_request_t *request, const char *resumes,
+    const char *resume_after, entry_fixture_response_t *response)
+{
+	const extra_headers_t extra = {
+	    .resumes = resumes, .resume_after = resume_after};
+
+	send_request(fixture, entry, request, &extra, response);
+}
+
+void
+entry_fixture_send_prompt(entry_fixture_t *fixture, size_t entry,
+    const entry_fixture_request_t *request, const char *parts,
+    entry_fixture_response_t *response)
+{
+	const extra_headers_t extra = {.parts = parts};
+
+	send_request(fixture, entry, request, &extra, response);
+}
+
 void
 entry_fixture_send(entry_fixture_t *fixture, size_t entry,
     const entry_fixture_request_t *request, entry_fixture_response_t *response)
 {
-	entry_fixture_send_resumed(
-	    fixture, entry, request, NULL, NULL, response);
+	entry_fixture_send_prompt(fixture, entry, request, NULL, response);
 }
 
 static int
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -13,7 +13,7 @@
 #include "platform/standin/standin_platform.h"
 #include "support/fixture.h"
 
-#define ENTRY_FIXTURE_MAX 8 /* of backend servers and of entry instances */
+#define ENTRY_FIXTURE_MAX 96 /* of backend servers and of entry instances */
 #define ENTRY_FIXTURE_HOST "e.example" /* host name of every route */
 #define ENTRY_FIXTURE_KEY "key-one"    /* API key of workspace "studio" */
 /* Software version of a backend server that is added without one. */
@@ -121,6 +121,13 @@
  */
 void entry_fixture_send(entry_fixture_t *fixture, size_t entry,
     const entry_fixture_request_t *request, entry_fixture_response_t *response);
+/*
+ * entry_fixture_send_prompt() starts a request whose prompt has these parts,
+ * "ID:TOKENS,ID:TOKENS"; the last one is the request's own.
+ */
+void entry_fixture_send_prompt(entry_fixture_t *fixture, size_t entry,
+    const entry_fixture_request_t *request, const char *parts,
+    entry_fixture_response_t *response);
 /*
  * entry_fixture_send_resumed() starts a request that continues the stream of
  * request resumes after the event resume_after; both may be NULL.
