--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -97,6 +97,14 @@
 int at_roster_is_task_owner(const at_roster_t *roster, at_tag_t data_centre,
     int exclude_holder, int platform_away, uint64_t now_us);
 
+/*
+ * at_roster_rank() returns how many of the other reporting instances come
+ * before this one in the order that a hash of key gives them. Instances that
+ * receive each other's reports agree on the order.
+ */
+uint32_t at_roster_rank(
+    const at_roster_t *roster, uint64_t key, uint64_t now_us);
+
 /*
  * at_roster_has_reader() returns non-zero if another reporting instance of a
  * data centre reads the platform's lists and reaches the platform.
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -367,6 +367,186 @@
   assert(message->base.descriptor == &report_origins__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_crashed_request__init
+                     (ReportCrashedRequest         *message)
+{
+  static const ReportCrashedRequest init_value = REPORT_CRASHED_REQUEST__INIT;
+  *message = init_value;
+}
+size_t report_crashed_request__get_packed_size
+                     (const ReportCrashedRequest *message)
+{
+  assert(message->base.descriptor == &report_crashed_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_crashed_request__pack
+                     (const ReportCrashedRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_crashed_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_crashed_request__pack_to_buffer
+                     (const ReportCrashedRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_crashed_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportCrashedRequest *
+       report_crashed_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportCrashedRequest *)
+     protobuf_c_message_unpack (&report_crashed_request__descriptor,
+                                allocator, len, data);
+}
+void   report_crashed_request__free_unpacked
+                     (ReportCrashedRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_crashed_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   report_crash__init
+                     (ReportCrash         *message)
+{
+  static const ReportCrash init_value = REPORT_CRASH__INIT;
+  *message = init_value;
+}
+size_t report_crash__get_packed_size
+                     (const ReportCrash *message)
+{
+  assert(message->base.descriptor == &report_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_crash__pack
+                     (const ReportCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_crash__pack_to_buffer
+                     (const ReportCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportCrash *
+       report_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportCrash *)
+     protobuf_c_message_unpack (&report_crash__descriptor,
+                                allocator, len, data);
+}
+void   report_crash__free_unpacked
+                     (ReportCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   report_begun__init
+                     (ReportBegun         *message)
+{
+  static const ReportBegun init_value = REPORT_BEGUN__INIT;
+  *message = init_value;
+}
+size_t report_begun__get_packed_size
+                     (const ReportBegun *message)
+{
+  assert(message->base.descriptor == &report_begun__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_begun__pack
+                     (const ReportBegun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_begun__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_begun__pack_to_buffer
+                     (const ReportBegun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_begun__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportBegun *
+       report_begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportBegun *)
+     protobuf_c_message_unpack (&report_begun__descriptor,
+                                allocator, len, data);
+}
+void   report_begun__free_unpacked
+                     (ReportBegun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_begun__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   report_verdict__init
+                     (ReportVerdict         *message)
+{
+  static const ReportVerdict init_value = REPORT_VERDICT__INIT;
+  *message = init_value;
+}
+size_t report_verdict__get_packed_size
+                     (const ReportVerdict *message)
+{
+  assert(message->base.descriptor == &report_verdict__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_verdict__pack
+                     (const ReportVerdict *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_verdict__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_verdict__pack_to_buffer
+                     (const ReportVerdict *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_verdict__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportVerdict *
+       report_verdict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportVerdict *)
+     protobuf_c_message_unpack (&report_verdict__descriptor,
+                                allocator, len, data);
+}
+void   report_verdict__free_unpacked
+                     (ReportVerdict *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_verdict__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report__init
                      (Report         *message)
 {
@@ -1028,7 +1208,276 @@
   (ProtobufCMessageInit) report_origins__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[27] =
+static const ProtobufCFieldDescriptor report_crashed_request__field_descriptors[2] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportCrashedRequest, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(ReportCrashedRequest, n_parts),
+    offsetof(ReportCrashedRequest, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_crashed_request__field_indices_by_name[] = {
+  1,   /* field[1] = parts */
+  0,   /* field[0] = request */
+};
+static const ProtobufCIntRange report_crashed_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor report_crashed_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportCrashedRequest",
+  "ReportCrashedRequest",
+  "ReportCrashedRequest",
+  "",
+  sizeof(ReportCrashedRequest),
+  2,
+  report_crashed_request__field_descriptors,
+  report_crashed_request__field_indices_by_name,
+  1,  report_crashed_request__number_ranges,
+  (ProtobufCMessageInit) report_crashed_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report_crash__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportCrash, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportCrash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(ReportCrash, n_requests),
+    offsetof(ReportCrash, requests),
+    &report_crashed_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_crash__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  2,   /* field[2] = requests */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange report_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor report_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportCrash",
+  "ReportCrash",
+  "ReportCrash",
+  "",
+  sizeof(ReportCrash),
+  3,
+  report_crash__field_descriptors,
+  report_crash__field_indices_by_name,
+  1,  report_crash__number_ranges,
+  (ProtobufCMessageInit) report_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report_begun__field_descriptors[2] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportBegun, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportBegun, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_begun__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = part */
+};
+static const ProtobufCIntRange report_begun__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor report_begun__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportBegun",
+  "ReportBegun",
+  "ReportBegun",
+  "",
+  sizeof(ReportBegun),
+  2,
+  report_begun__field_descriptors,
+  report_begun__field_indices_by_name,
+  1,  report_begun__number_ranges,
+  (ProtobufCMessageInit) report_begun__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report_verdict__field_descriptors[6] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportVerdict, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportVerdict, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportVerdict, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_begun",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ReportVerdict, has_begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportVerdict, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportVerdict, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_verdict__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  2,   /* field[2] = crashes */
+  3,   /* field[3] = has_begun */
+  0,   /* field[0] = part */
+  5,   /* field[5] = remaining_ms */
+  1,   /* field[1] = state */
+};
+static const ProtobufCIntRange report_verdict__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor report_verdict__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportVerdict",
+  "ReportVerdict",
+  "ReportVerdict",
+  "",
+  sizeof(ReportVerdict),
+  6,
+  report_verdict__field_descriptors,
+  report_verdict__field_indices_by_name,
+  1,  report_verdict__number_ranges,
+  (ProtobufCMessageInit) report_verdict__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report__field_descriptors[30] =
 {
   {
     "name",
@@ -1330,6 +1779,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    27,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_crashes),
+    offsetof(Report, crashes),
+    &report_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun",
+    28,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_begun),
+    offsetof(Report, begun),
+    &report_begun__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdicts",
+    29,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_verdicts),
+    offsetof(Report, verdicts),
+    &report_verdict__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "read_age_ms",
     30,
@@ -1359,8 +1844,10 @@
   11,   /* field[11] = adapters */
   2,   /* field[2] = address */
   23,   /* field[23] = age_ms */
+  26,   /* field[26] = begun */
   12,   /* field[12] = config_version */
   20,   /* field[20] = configs */
+  25,   /* field[25] = crashes */
   1,   /* field[1] = data_centre */
   9,   /* field[9] = demand */
   6,   /* field[6] = fence */
@@ -1373,23 +1860,23 @@
   24,   /* field[24] = origins_end */
   14,   /* field[14] = platform_away */
   19,   /* field[19] = queues */
-  25,   /* field[25] = read_age_ms */
+  28,   /* field[28] = read_age_ms */
   13,   /* field[13] = reads */
   4,   /* field[4] = sequence */
   16,   /* field[16] = servers */
   15,   /* field[15] = servers_digest */
-  26,   /* field[26] = servers_version */
+  29,   /* field[29] = servers_version */
   8,   /* field[8] = spending */
   18,   /* field[18] = strength */
+  27,   /* field[27] = verdicts */
   10,   /* field[10] = wants */
   22,   /* field[22] = wants_origins */
 };
-static const ProtobufCIntRange report__number_ranges[3 + 1] =
+static const ProtobufCIntRange report__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 21, 19 },
-  { 30, 25 },
-  { 0, 27 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -1399,10 +1886,10 @@
   "Report",
   "",
   sizeof(Report),
-  27,
+  30,
   report__field_descriptors,
   report__field_indices_by_name,
-  3,  report__number_ranges,
+  2,  report__number_ranges,
   (ProtobufCMessageInit) report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -23,6 +23,10 @@
 typedef struct ReportServer ReportServer;
 typedef struct ReportQueue ReportQueue;
 typedef struct ReportOrigins ReportOrigins;
+typedef struct ReportCrashedRequest ReportCrashedRequest;
+typedef struct ReportCrash ReportCrash;
+typedef struct ReportBegun ReportBegun;
+typedef struct ReportVerdict ReportVerdict;
 typedef struct Report Report;
 
 
@@ -192,7 +196,78 @@
 
 
 /*
- * A report without a name has only origins.
+ * A request that was beginning at a backend server when it crashed: a hash of
+ * the whole request and the ids of the parts of its prompt, in order.
+ */
+struct  ReportCrashedRequest
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  size_t n_parts;
+  uint64_t *parts;
+};
+#define REPORT_CRASHED_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_crashed_request__descriptor) \
+    , 0, 0,NULL }
+
+
+/*
+ * Requests of the sender at a backend server that crashed.
+ */
+struct  ReportCrash
+{
+  ProtobufCMessage base;
+  /*
+   * one incarnation of the server
+   */
+  uint64_t server;
+  uint32_t age_ms;
+  size_t n_requests;
+  ReportCrashedRequest **requests;
+};
+#define REPORT_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_crash__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * A part that is accused of a crash and has begun at the sender.
+ */
+struct  ReportBegun
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  uint32_t age_ms;
+};
+#define REPORT_BEGUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_begun__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * A part that is blocked, or whose block an operator has lifted. state is an
+ * at_cause_state_t.
+ */
+struct  ReportVerdict
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  uint32_t state;
+  uint32_t crashes;
+  protobuf_c_boolean has_begun;
+  uint32_t age_ms;
+  /*
+   * until it expires
+   */
+  uint32_t remaining_ms;
+};
+#define REPORT_VERDICT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_verdict__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A report without a name has only origins, crashes and what has begun.
  */
 struct  Report
 {
@@ -261,6 +336,12 @@
    * the last report of an answer
    */
   protobuf_c_boolean origins_end;
+  size_t n_crashes;
+  ReportCrash **crashes;
+  size_t n_begun;
+  ReportBegun **begun;
+  size_t n_verdicts;
+  ReportVerdict **verdicts;
   /*
    * Age of the platform's last confirmation that the reader's lists contain all
    * changes.
@@ -273,7 +354,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /* ReportLoad methods */
@@ -428,6 +509,82 @@
 void   report_origins__free_unpacked
                      (ReportOrigins *message,
                       ProtobufCAllocator *allocator);
+/* ReportCrashedRequest methods */
+void   report_crashed_request__init
+                     (ReportCrashedRequest         *message);
+size_t report_crashed_request__get_packed_size
+                     (const ReportCrashedRequest   *message);
+size_t report_crashed_request__pack
+                     (const ReportCrashedRequest   *message,
+                      uint8_t             *out);
+size_t report_crashed_request__pack_to_buffer
+                     (const ReportCrashedRequest   *message,
+                      ProtobufCBuffer     *buffer);
+ReportCrashedRequest *
+       report_crashed_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_crashed_request__free_unpacked
+                     (ReportCrashedRequest *message,
+                      ProtobufCAllocator *allocator);
+/* ReportCrash methods */
+void   report_crash__init
+                     (ReportCrash         *message);
+size_t report_crash__get_packed_size
+                     (const ReportCrash   *message);
+size_t report_crash__pack
+                     (const ReportCrash   *message,
+                      uint8_t             *out);
+size_t report_crash__pack_to_buffer
+                     (const ReportCrash   *message,
+                      ProtobufCBuffer     *buffer);
+ReportCrash *
+       report_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_crash__free_unpacked
+                     (ReportCrash *message,
+                      ProtobufCAllocator *allocator);
+/* ReportBegun methods */
+void   report_begun__init
+                     (ReportBegun         *message);
+size_t report_begun__get_packed_size
+                     (const ReportBegun   *message);
+size_t report_begun__pack
+                     (const ReportBegun   *message,
+                      uint8_t             *out);
+size_t report_begun__pack_to_buffer
+                     (const ReportBegun   *message,
+                      ProtobufCBuffer     *buffer);
+ReportBegun *
+       report_begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_begun__free_unpacked
+                     (ReportBegun *message,
+                      ProtobufCAllocator *allocator);
+/* ReportVerdict methods */
+void   report_verdict__init
+                     (ReportVerdict         *message);
+size_t report_verdict__get_packed_size
+                     (const ReportVerdict   *message);
+size_t report_verdict__pack
+                     (const ReportVerdict   *message,
+                      uint8_t             *out);
+size_t report_verdict__pack_to_buffer
+                     (const ReportVerdict   *message,
+                      ProtobufCBuffer     *buffer);
+ReportVerdict *
+       report_verdict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_verdict__free_unpacked
+                     (ReportVerdict *message,
+                      ProtobufCAllocator *allocator);
 /* Report methods */
 void   report__init
                      (Report         *message);
@@ -473,6 +630,18 @@
 typedef void (*ReportOrigins_Closure)
                  (const ReportOrigins *message,
                   void *closure_data);
+typedef void (*ReportCrashedRequest_Closure)
+                 (const ReportCrashedRequest *message,
+                  void *closure_data);
+typedef void (*ReportCrash_Closure)
+                 (const ReportCrash *message,
+                  void *closure_data);
+typedef void (*ReportBegun_Closure)
+                 (const ReportBegun *message,
+                  void *closure_data);
+typedef void (*ReportVerdict_Closure)
+                 (const ReportVerdict *message,
+                  void *closure_data);
 typedef void (*Report_Closure)
                  (const Report *message,
                   void *closure_data);
@@ -490,6 +659,10 @@
 extern const ProtobufCMessageDescriptor report_server__descriptor;
 extern const ProtobufCMessageDescriptor report_queue__descriptor;
 extern const ProtobufCMessageDescriptor report_origins__descriptor;
+extern const ProtobufCMessageDescriptor report_crashed_request__descriptor;
+extern const ProtobufCMessageDescriptor report_crash__descriptor;
+extern const ProtobufCMessageDescriptor report_begun__descriptor;
+extern const ProtobufCMessageDescriptor report_verdict__descriptor;
 extern const ProtobufCMessageDescriptor report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -177,6 +177,30 @@
 	return count;
 }
 
+/* Mixes the bits, so that each key orders the instances differently. */
+static uint64_t
+rendezvous_weight(at_tag_t instance, uint64_t key)
+{
+	uint64_t h = (instance ^ key) * 0x9e3779b97f4a7c15u;
+
+	h = (h ^ (h >> 32)) * 0xd6e8feb86659fd93u;
+	return h ^ (h >> 32);
+}
+
+uint32_t
+at_roster_rank(const at_roster_t *roster, uint64_t key, uint64_t now_us)
+{
+	uint64_t own = rendezvous_weight(roster->self_tag, key);
+	const entry_t *entry;
+	uint32_t rank = 0;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next)
+		rank +=
+		    (uint32_t)(is_reporting(&entry->member, now_us) &&
+			       rendezvous_weight(entry->member.tag, key) > own);
+	return rank;
+}
+
 const at_roster_member_t *
 at_roster_lease_holder(const at_roster_t *roster, uint64_t now_us)
 {
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -293,6 +293,11 @@
 		    AT_REASON_CALLER_GONE, at_clock_now_ms());
 		return;
 	}
+	if (call_is_refused_for_crashes(call, 1)) {
+		at_attempts_on_not_placed(call->attempts, action->attempt,
+		    AT_REASON_CRASHES_BACKEND, at_clock_now_ms());
+		return;
+	}
 	if (action->attempt > 0)
 		at_counters_add_retry(entry->counters, action->reason);
 	if (action->is_hedge)
--- a/src/entry/call.h
+++ b/src/entry/call.h
@@ -21,6 +21,12 @@
  * they can be placed now.
  */
 void at_calls_expire(at_entry_t *entry);
+/*
+ * at_calls_apply_verdicts() refuses the queued requests that have a part which
+ * is now blocked or suspect, and ends those with a blocked part that have not
+ * begun.
+ */
+void at_calls_apply_verdicts(at_entry_t *entry);
 /*
  * at_calls_refuse_queued() refuses the queued requests whose response has not
  * begun, for the shutdown.
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -8,6 +8,7 @@
 
 #include "almondthread/log.h"
 #include "entry/call_impl.h"
+#include "entry/server_crashes.h"
 #include "entry/gossip.h"
 #include "io/clock.h"
 
@@ -75,6 +76,7 @@
 	if (attempt->had_event)
 		return;
 	attempt->had_event = 1;
+	attempt->first_event_us = at_clock_now_us();
 	at_server_note_first_event(attempt->server, &call->waiter.work,
 	    attempt->predicted_us, elapsed_us);
 	at_counters_observe(call->entry->counters, "first_event_ms", "route",
@@ -164,6 +166,9 @@
 	if (call->is_finished || attempt->transfer == NULL)
 		return;
 	note_first_event(attempt);
+	if (at_clock_now_us() >=
+	    attempt->first_event_us + AT_CRASH_BEGUN_AFTER_US)
+		call_note_begun(attempt);
 	/* A resumed stream may repeat events that were already passed on. */
 	if (event->has_id && call->has_event_id && event->id <= call->event_id)
 		return;
@@ -259,6 +264,7 @@
 		return;
 	}
 	note_first_event(attempt);
+	call_note_begun(attempt);
 	if (attempt->response.status >= 500 && may_repeat) {
 		handle_failure_response(attempt);
 		return;
@@ -309,6 +315,8 @@
 		    attempt->server_id.text, at_reason_names[result->reason],
 		    at_verdict_names[result->verdict], attempt->had_event,
 		    parts);
+		if (result->reason != AT_REASON_CONNECT_FAILED)
+			call_note_lost(attempt);
 		call_attempt_end(
 		    attempt, result->reason == AT_REASON_CONNECT_FAILED
 				 ? AT_OUTCOME_UNREACHABLE
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -34,9 +34,11 @@
 	at_transfer_t *transfer;
 	uint64_t sent_us;
 	uint64_t predicted_us;
-	int had_event;     /* an event or the complete response has arrived */
-	int is_silent;     /* another attempt was started beside it */
-	int is_refused;    /* the server states that it did not run it */
+	int had_event; /* an event or the complete response has arrived */
+	uint64_t first_event_us; /* when that arrived */
+	int is_begun;   /* it has gone on since, which the crashes were told */
+	int is_silent;  /* another attempt was started beside it */
+	int is_refused; /* the server states that it did not run it */
 	int is_misplaced;  /* refused: wrong server, or model not resident */
 	int is_stream;     /* the response is passed on as it arrives */
 	at_reason_t fault; /* why the response was rejected */
@@ -119,6 +121,18 @@
 int call_attempt_is_open(const call_attempt_t *attempt);
 /* call_attempt_find() returns the attempt with this number; NULL: none. */
 call_attempt_t *call_attempt_find(at_call_t *call, uint32_t number);
+/*
+ * call_note_lost() tells the crashes that an open attempt's connection was
+ * lost, call_note_begun() that its response has begun and has gone on.
+ */
+void call_note_lost(const call_attempt_t *attempt);
+void call_note_begun(call_attempt_t *attempt);
+/*
+ * call_is_refused_for_crashes() returns non-zero if a part of the request is
+ * blocked or suspect, and sets its retry time. With may_try, a suspect one may
+ * be let through as a trial.
+ */
+int call_is_refused_for_crashes(at_call_t *call, int may_try);
 void buffered_response_reset(buffered_response_t *response);
 
 #endif
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -4,10 +4,12 @@
  * Its components share this object; each has a file of its own:
  *
  *   call.c       one caller's request on its way to a backend server and back;
- *                call_admit.c admits it, call_attempt.c has each attempt
+ *                call_admit.c admits it, call_attempt.c has each attempt,
+ *                call_crashes.c what crashes of servers have to do with it
  *   sync.c       copies of the configuration and of the list of servers
  *   gossip.c     reports to and from the other instances;
  *                gossip_origins.c has those on the origins of streams
+ *   server_crashes.c  crashes of servers and what is refused for them
  *   join.c       discovery of the other instances
  *   orders.c     the lease and orders to model engines
  *   readiness.c  readiness check and metrics
@@ -62,6 +64,7 @@
 typedef struct at_orders_io at_orders_io_t;
 typedef struct at_readiness at_readiness_t;
 typedef struct at_call at_call_t;
+typedef struct at_server_crashes at_server_crashes_t;
 typedef struct at_retry_budgets at_retry_budgets_t;
 
 typedef struct at_entry {
@@ -88,6 +91,7 @@
 	at_stream_origins_t *origins;
 	at_sync_t *sync;
 	at_gossip_t *gossip;
+	at_server_crashes_t *crashes;
 	at_roster_t *roster;
 	at_join_t *join;
 	at_orders_io_t *orders;
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -6,6 +6,7 @@
 
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
+#include "entry/server_crashes.h"
 #include "entry/gossip_impl.h"
 #include "entry/join.h"
 #include "entry/orders.h"
@@ -92,6 +93,7 @@
 	ev_timer_stop(loop, &gossip->soon_timer);
 	ev_timer_stop(loop, &gossip->demand_timer);
 	ev_timer_stop(loop, &gossip->servers_timer);
+	ev_timer_stop(loop, &gossip->crashes_timer);
 	ev_timer_stop(loop, &gossip->origins_timer);
 	clear_servers(gossip);
 	if (gossip->fd >= 0) {
@@ -197,6 +199,33 @@
 		at_join_remove(gossip->entry->join, &member->name);
 }
 
+static void
+send_crashes(at_gossip_t *gossip)
+{
+	size_t len;
+
+	while ((len = report_encode(gossip, REPORT_CRASHES)) > 0) {
+		const broadcast_t broadcast = {gossip, len, 1, 0};
+
+		at_roster_each(gossip->entry->roster, send_to_member,
+		    (void *)(uintptr_t)&broadcast);
+	}
+}
+
+static void
+on_crashes_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	send_crashes(timer->data);
+}
+
+void
+at_gossip_send_crashes_soon(at_gossip_t *gossip)
+{
+	gossip_start_timer(gossip, &gossip->crashes_timer, SOON_DELAY_S);
+}
+
 static void
 on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -221,6 +250,10 @@
 	gossip_send_report(gossip, REPORT_COMMON, to_all, holder);
 	gossip->origin_count = 0;
 	origins_on_round(gossip, now_us);
+	if (to_all) {
+		at_server_crashes_on_round(entry->crashes);
+		send_crashes(gossip);
+	}
 	at_roster_expire(entry->roster, now_us, on_member_removed, gossip);
 	at_fleet_expire_reports(entry->fleet, now_us, LOADS_MAX_AGE_US);
 	at_quota_set_instances(entry->quota, present, reporting, now_us);
@@ -366,6 +399,9 @@
 	ev_timer_init(&gossip->servers_timer, on_servers_timer,
 	    SERVERS_BATCH_DELAY_S, 0.);
 	gossip->servers_timer.data = gossip;
+	ev_timer_init(
+	    &gossip->crashes_timer, on_crashes_timer, SOON_DELAY_S, 0.);
+	gossip->crashes_timer.data = gossip;
 	origins_init(gossip);
 	return AT_OK;
 }
--- a/src/entry/gossip.h
+++ b/src/entry/gossip.h
@@ -55,6 +55,11 @@
  * for each service.
  */
 void at_gossip_note_versions(at_gossip_t *gossip);
+/*
+ * at_gossip_send_crashes_soon() sends crashes, and parts that are accused of
+ * one and have begun here, to all instances within a few milliseconds.
+ */
+void at_gossip_send_crashes_soon(at_gossip_t *gossip);
 /* at_gossip_send_leaving() tells every instance that this one shuts down. */
 void at_gossip_send_leaving(at_gossip_t *gossip);
 
--- a/src/entry/gossip_impl.h
+++ b/src/entry/gossip_impl.h
@@ -25,6 +25,7 @@
 	REPORT_CONFIG,  /* the configuration */
 	REPORT_ORIGINS, /* origins of streams, without a header */
 	REPORT_ORIGINS_REQUEST, /* a request for all origins */
+	REPORT_CRASHES, /* a crash, or what has begun; without a header */
 } report_kind_t;
 
 /* One object of the platform's store that is to be sent. */
@@ -48,6 +49,7 @@
 	object_report_t servers[SERVERS_MAX];
 	size_t server_count;
 	object_report_t config;
+	ev_timer crashes_timer; /* crashes that are not reported yet */
 	ev_timer origins_timer; /* origins that are not reported yet */
 	/* Origins in the next reports of any kind. */
 	at_stream_origin_t origins[ORIGINS_MAX];
@@ -89,7 +91,7 @@
 
 /*
  * report_encode() fills the datagram and returns its length in bytes, or 0
- * when the report is too large.
+ * when the report is too large or, of crashes, empty.
  */
 size_t report_encode(at_gossip_t *gossip, report_kind_t kind);
 /* report_compute_mac() computes the keyed hash of len bytes. */
--- a/src/entry/report_apply.c
+++ b/src/entry/report_apply.c
@@ -3,6 +3,7 @@
 
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
+#include "entry/server_crashes.h"
 #include "entry/gossip_impl.h"
 #include "entry/orders.h"
 #include "entry/sync.h"
@@ -112,6 +113,7 @@
 
 	/* These do not depend on the order of the reports. */
 	origins_apply(gossip, report, now_us);
+	at_server_crashes_apply_report(entry->crashes, report);
 	if (at_name_set(&name, report->name) != 0)
 		return;
 	member = at_roster_add(entry->roster, &name,
--- a/src/entry/report_encode.c
+++ b/src/entry/report_encode.c
@@ -2,6 +2,7 @@
 #include <sodium.h>
 
 #include "almondthread/log.h"
+#include "entry/server_crashes.h"
 #include "entry/gossip_impl.h"
 #include "entry/orders.h"
 #include "entry/sync.h"
@@ -185,14 +186,35 @@
 	report->fence = at_orders_io_fence(entry->orders);
 }
 
+/* Returns the length of the datagram, or 0 if the report is too large. */
+static size_t
+pack(at_gossip_t *gossip, const Report *report)
+{
+	size_t len = report__get_packed_size(report);
+
+	if (len + MAC_SIZE > DATAGRAM_MAX_BYTES) {
+		at_log(AT_LOG_ERROR, "gossip", NULL,
+		    "report not sent: larger than a datagram bytes=%zu", len);
+		return 0;
+	}
+	(void)report__pack(report, gossip->datagram + MAC_SIZE);
+	report_compute_mac(
+	    gossip, gossip->datagram + MAC_SIZE, len, gossip->datagram);
+	return len + MAC_SIZE;
+}
+
 size_t
 report_encode(at_gossip_t *gossip, report_kind_t kind)
 {
 	static report_buffers_t buffers;
 	at_entry_t *entry = gossip->entry;
 	Report report = REPORT__INIT;
-	size_t len;
 
+	if (kind == REPORT_CRASHES) {
+		if (!at_server_crashes_fill_news(entry->crashes, &report))
+			return 0;
+		return pack(gossip, &report);
+	}
 	if (kind != REPORT_ORIGINS)
 		fill_header(gossip, &report);
 	fill_origins(gossip, &buffers, &report);
@@ -208,18 +230,10 @@
 		fill_queues(entry, &buffers, &report);
 		fill_usage(entry, &buffers, &report);
 		at_orders_io_fill_changes(entry->orders, &report);
+		at_server_crashes_fill_verdicts(entry->crashes, &report);
 	}
 	if (kind == REPORT_DEMAND)
 		at_orders_io_fill_demand(entry->orders, &report);
 	report.has_loads = kind == REPORT_COMMON || kind == REPORT_DEMAND;
-	len = report__get_packed_size(&report);
-	if (len + MAC_SIZE > DATAGRAM_MAX_BYTES) {
-		at_log(AT_LOG_ERROR, "gossip", NULL,
-		    "report not sent: larger than a datagram bytes=%zu", len);
-		return 0;
-	}
-	(void)report__pack(&report, gossip->datagram + MAC_SIZE);
-	report_compute_mac(
-	    gossip, gossip->datagram + MAC_SIZE, len, gossip->datagram);
-	return len + MAC_SIZE;
+	return pack(gossip, &report);
 }
--- /dev/null
+++ b/src/entry/server_crashes.c
@@ -0,0 +1,533 @@
+#include "entry/server_crashes.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "almondthread/log.h"
+#include "almondthread/roster.h"
+#include "entry/call.h"
+#include "entry/gossip.h"
+#include "io/clock.h"
+
+#define US_PER_MS 1000u
+#define US_PER_S 1e6
+#define LOSSES_MAX 32u /* servers that may have crashed, at a time */
+#define REQUESTS_PER_REPORT 32u
+#define REPORTS_MAX 64u /* crashes that are being reported */
+#define REPORT_TIMES 3u /* reports may be lost */
+#define BEGUN_PER_REPORT 64u
+/* A server that crashes breaks all its connections within this time. */
+#define COLLECT_S 0.03
+#define CONNECT_MS 400u /* for the connection that decides */
+#define DECIDE_S 0.1
+/* Instances send trials of a suspect part one after the other. */
+#define TRIAL_FIRST_US 300000u
+#define TRIAL_STEP_MAX_US 300000u
+#define TRIAL_ALL_US 3000000u /* until every instance may send one */
+
+/* Connections that one server has broken off. */
+typedef struct loss {
+	at_server_crashes_t *crashes;
+	struct loss *next;
+	uint64_t incarnation;
+	at_tag_t tag;
+	at_name_t id;
+	char address[AT_ADDR_SIZE];
+	at_request_parts_t requests[REQUESTS_PER_REPORT];
+	size_t count;
+	uint64_t lost_us;
+	ev_timer timer;
+	at_transfer_t *probe; /* NULL: still collecting */
+} loss_t;
+
+/* A crash seen here that is being reported. */
+typedef struct crash_report {
+	uint64_t incarnation;
+	uint64_t crashed_us;
+	at_request_parts_t requests[REQUESTS_PER_REPORT];
+	size_t count;
+	uint32_t reported; /* number of reports so far */
+	int is_due;
+} crash_report_t;
+
+struct at_server_crashes {
+	at_entry_t *entry;
+	at_crash_causes_t *causes;
+	loss_t *losses;
+	crash_report_t *reports[REPORTS_MAX];
+	size_t report_count;
+	ev_timer timer;
+};
+
+static void
+log_verdict(void *ctx, const at_crash_verdict_t *verdict)
+{
+	(void)ctx;
+	at_log(AT_LOG_WARN, "crashes", NULL,
+	    "verdict part=%" PRIx64 " state=%s crashes=%u has_begun=%d",
+	    verdict->part, at_cause_state_names[verdict->state],
+	    verdict->crashes, verdict->has_begun);
+}
+
+static void
+count_blocked(void *ctx, const at_crash_verdict_t *verdict)
+{
+	*(uint64_t *)ctx += verdict->state == AT_CAUSE_BLOCKED;
+}
+
+static void
+on_verdicts_changed(at_server_crashes_t *crashes)
+{
+	uint64_t blocked = 0;
+
+	at_log(AT_LOG_INFO, "crashes", NULL, "verdicts changed");
+	at_crash_causes_each(crashes->causes, log_verdict, NULL);
+	at_crash_causes_each(crashes->causes, count_blocked, &blocked);
+	at_counters_set(
+	    crashes->entry->counters, "blocked_parts", NULL, NULL, blocked);
+	at_calls_apply_verdicts(crashes->entry);
+}
+
+static void
+decide(at_server_crashes_t *crashes)
+{
+	if (at_crash_causes_decide(crashes->causes, at_clock_now_us()))
+		on_verdicts_changed(crashes);
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	decide(timer->data);
+}
+
+at_server_crashes_t *
+at_server_crashes_new(at_entry_t *entry)
+{
+	at_server_crashes_t *crashes = calloc(1, sizeof(*crashes));
+
+	if (crashes == NULL)
+		return NULL;
+	crashes->entry = entry;
+	crashes->causes = at_crash_causes_new();
+	if (crashes->causes == NULL) {
+		free(crashes);
+		return NULL;
+	}
+	ev_timer_init(&crashes->timer, on_timer, DECIDE_S, DECIDE_S);
+	crashes->timer.data = crashes;
+	return crashes;
+}
+
+void
+at_server_crashes_start(at_server_crashes_t *crashes)
+{
+	ev_timer_start(crashes->entry->loop, &crashes->timer);
+}
+
+static void
+delete_loss(loss_t *loss)
+{
+	at_server_crashes_t *crashes = loss->crashes;
+
+	LL_DELETE(crashes->losses, loss);
+	ev_timer_stop(crashes->entry->loop, &loss->timer);
+	if (loss->probe != NULL)
+		at_transfer_cancel(loss->probe);
+	free(loss);
+}
+
+void
+at_server_crashes_delete(at_server_crashes_t *crashes)
+{
+	size_t i;
+
+	if (crashes == NULL)
+		return;
+	ev_timer_stop(crashes->entry->loop, &crashes->timer);
+	while (crashes->losses != NULL)
+		delete_loss(crashes->losses);
+	for (i = 0; i < crashes->report_count; i++)
+		free(crashes->reports[i]);
+	at_crash_causes_delete(crashes->causes);
+	free(crashes);
+}
+
+/* Crashes seen here */
+
+static void
+remove_report(at_server_crashes_t *crashes, size_t i)
+{
+	free(crashes->reports[i]);
+	crashes->reports[i] = crashes->reports[--crashes->report_count];
+}
+
+static void
+add_report(at_server_crashes_t *crashes, const loss_t *loss)
+{
+	crash_report_t *report = calloc(1, sizeof(*report));
+
+	if (report == NULL)
+		return;
+	if (crashes->report_count == REPORTS_MAX)
+		remove_report(crashes, 0);
+	report->incarnation = loss->incarnation;
+	report->crashed_us = loss->lost_us;
+	report->count = loss->count;
+	memcpy(report->requests, loss->requests, sizeof(report->requests));
+	report->is_due = 1;
+	crashes->reports[crashes->report_count++] = report;
+}
+
+static void
+confirm(const loss_t *loss)
+{
+	at_server_crashes_t *crashes = loss->crashes;
+	at_entry_t *entry = crashes->entry;
+
+	at_counters_add(entry->counters, "crashes_total", NULL, NULL, 1);
+	at_log(AT_LOG_WARN, "crashes", NULL,
+	    "server crashed server=%s beginning=%zu", loss->id.text,
+	    loss->count);
+	at_fleet_apply_unreachable(entry->fleet, loss->tag, at_clock_now_us());
+	(void)at_crash_causes_add_crash(crashes->causes, loss->incarnation,
+	    loss->requests, loss->count, loss->lost_us);
+	add_report(crashes, loss);
+	at_gossip_send_crashes_soon(entry->gossip);
+	decide(crashes);
+}
+
+static void
+on_probe_done(void *ctx, const at_transfer_result_t *result)
+{
+	loss_t *loss = ctx;
+
+	loss->probe = NULL;
+	if (result->is_connection_refused)
+		confirm(loss);
+	else
+		at_log(AT_LOG_INFO, "crashes", NULL,
+		    "server lost connections without a crash server=%s "
+		    "connected=%d",
+		    loss->id.text, result->is_complete);
+	delete_loss(loss);
+}
+
+static void
+on_collected(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	loss_t *loss = timer->data;
+	char url[AT_ADDR_SIZE + 16];
+	const at_transfer_spec_t spec = {.method = "GET",
+	    .url = url,
+	    .connect_ms = CONNECT_MS,
+	    .connect_only = 1,
+	    .new_connection = 1};
+	const at_transfer_events_t probe_events = {
+	    .on_done = on_probe_done, .ctx = loss};
+
+	(void)loop;
+	(void)events;
+	(void)snprintf(url, sizeof(url), "http://%s/", loss->address);
+	loss->probe =
+	    at_httpc_start(loss->crashes->entry->httpc, &spec, &probe_events);
+	if (loss->probe == NULL)
+		delete_loss(loss);
+}
+
+static uint64_t
+incarnation_of(const at_server_entry_t *server)
+{
+	return server->tag ^ (server->started_ms * 0x9e3779b97f4a7c15u);
+}
+
+static loss_t *
+find_or_add_loss(at_server_crashes_t *crashes, const at_server_entry_t *server)
+{
+	uint64_t incarnation = incarnation_of(server);
+	size_t count = 0;
+	loss_t *loss;
+
+	LL_FOREACH(crashes->losses, loss)
+	{
+		if (loss->incarnation == incarnation)
+			return loss;
+		count++;
+	}
+	loss = count < LOSSES_MAX ? calloc(1, sizeof(*loss)) : NULL;
+	if (loss == NULL)
+		return NULL;
+	loss->crashes = crashes;
+	loss->incarnation = incarnation;
+	loss->tag = server->tag;
+	loss->id = server->id;
+	memcpy(loss->address, server->address, sizeof(loss->address));
+	loss->lost_us = at_clock_now_us();
+	ev_timer_init(&loss->timer, on_collected, COLLECT_S, 0.);
+	loss->timer.data = loss;
+	ev_timer_start(crashes->entry->loop, &loss->timer);
+	LL_PREPEND(crashes->losses, loss);
+	return loss;
+}
+
+void
+at_server_crashes_note_lost(at_server_crashes_t *crashes,
+    const at_server_entry_t *server, const at_request_parts_t *parts)
+{
+	loss_t *loss = find_or_add_loss(crashes, server);
+
+	if (loss != NULL && loss->count < REQUESTS_PER_REPORT)
+		loss->requests[loss->count++] = *parts;
+}
+
+void
+at_server_crashes_note_begun(at_server_crashes_t *crashes,
+    const at_request_parts_t *parts, uint64_t begun_us)
+{
+	at_crash_causes_note_begun(crashes->causes, parts, begun_us);
+}
+
+/* Requests that are refused */
+
+int
+at_server_crashes_has_verdicts(const at_server_crashes_t *crashes)
+{
+	return at_crash_causes_has_verdicts(crashes->causes);
+}
+
+static uint64_t
+trial_delay_us(
+    const at_server_crashes_t *crashes, uint64_t part, uint64_t now_us)
+{
+	const at_roster_t *roster = crashes->entry->roster;
+	uint32_t rank = at_roster_rank(roster, part, now_us);
+	uint64_t step_us =
+	    TRIAL_ALL_US / at_roster_reporting_count(roster, now_us);
+
+	if (step_us > TRIAL_STEP_MAX_US)
+		step_us = TRIAL_STEP_MAX_US;
+	return TRIAL_FIRST_US + rank * step_us;
+}
+
+const at_crash_verdict_t *
+at_server_crashes_check(
+    at_server_crashes_t *crashes, const at_request_parts_t *parts, int may_try)
+{
+	uint64_t now_us = at_clock_now_us();
+	const at_crash_verdict_t *verdict =
+	    at_crash_causes_check(crashes->causes, parts, now_us);
+
+	if (verdict == NULL || verdict->state != AT_CAUSE_SUSPECT || !may_try ||
+	    !at_crash_causes_start_trial(crashes->causes, verdict->part,
+		trial_delay_us(crashes, verdict->part, now_us), now_us))
+		return verdict;
+	at_log(AT_LOG_INFO, "crashes", NULL,
+	    "request sent as a trial part=%" PRIx64 " crashes=%u",
+	    verdict->part, verdict->crashes);
+	return NULL;
+}
+
+/* Reports */
+
+typedef struct verdict_list {
+	ReportVerdict entries[AT_CRASH_VERDICTS_MAX];
+	ReportVerdict *list[AT_CRASH_VERDICTS_MAX];
+	size_t count;
+	uint64_t now_us;
+} verdict_list_t;
+
+static uint32_t
+age_ms(uint64_t since_us, uint64_t now_us)
+{
+	return now_us > since_us ? (uint32_t)((now_us - since_us) / US_PER_MS)
+				 : 0;
+}
+
+static void
+add_verdict(void *ctx, const at_crash_verdict_t *verdict)
+{
+	verdict_list_t *verdicts = ctx;
+	ReportVerdict *entry = &verdicts->entries[verdicts->count];
+
+	if (verdict->state != AT_CAUSE_BLOCKED &&
+	    verdict->state != AT_CAUSE_LIFTED)
+		return;
+	report_verdict__init(entry);
+	entry->part = verdict->part;
+	entry->state = verdict->state;
+	entry->crashes = verdict->crashes;
+	entry->has_begun = verdict->has_begun;
+	entry->age_ms = age_ms(verdict->since_us, verdicts->now_us);
+	entry->remaining_ms = age_ms(verdicts->now_us, verdict->expires_us);
+	verdicts->list[verdicts->count++] = entry;
+}
+
+void
+at_server_crashes_fill_verdicts(at_server_crashes_t *crashes, Report *report)
+{
+	static verdict_list_t verdicts;
+
+	verdicts.count = 0;
+	verdicts.now_us = at_clock_now_us();
+	at_crash_causes_each(crashes->causes, add_verdict, &verdicts);
+	report->n_verdicts = verdicts.count;
+	report->verdicts = verdicts.list;
+}
+
+static int
+fill_begun(at_server_crashes_t *crashes, Report *report, uint64_t now_us)
+{
+	static ReportBegun entries[BEGUN_PER_REPORT];
+	static ReportBegun *list[BEGUN_PER_REPORT];
+	at_part_begun_t begun[BEGUN_PER_REPORT];
+	size_t count = at_crash_causes_take_begun(
+	    crashes->causes, begun, BEGUN_PER_REPORT);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		report_begun__init(&entries[i]);
+		entries[i].part = begun[i].part;
+		entries[i].age_ms = age_ms(begun[i].begun_us, now_us);
+		list[i] = &entries[i];
+	}
+	report->n_begun = count;
+	report->begun = list;
+	return count > 0;
+}
+
+static void
+fill_crash(crash_report_t *crash, Report *report, uint64_t now_us)
+{
+	static ReportCrashedRequest requests[REQUESTS_PER_REPORT];
+	static ReportCrashedRequest *request_list[REQUESTS_PER_REPORT];
+	static ReportCrash message;
+	static ReportCrash *list[1];
+	size_t i;
+
+	for (i = 0; i < crash->count; i++) {
+		report_crashed_request__init(&requests[i]);
+		requests[i].request = crash->requests[i].request;
+		requests[i].n_parts = crash->requests[i].count;
+		requests[i].parts = crash->requests[i].parts;
+		request_list[i] = &requests[i];
+	}
+	report_crash__init(&message);
+	message.server = crash->incarnation;
+	message.age_ms = age_ms(crash->crashed_us, now_us);
+	message.n_requests = crash->count;
+	message.requests = request_list;
+	list[0] = &message;
+	report->n_crashes = 1;
+	report->crashes = list;
+}
+
+int
+at_server_crashes_fill_news(at_server_crashes_t *crashes, Report *report)
+{
+	uint64_t now_us = at_clock_now_us();
+	size_t i;
+
+	for (i = 0; i < crashes->report_count; i++) {
+		crash_report_t *crash = crashes->reports[i];
+
+		if (!crash->is_due)
+			continue;
+		crash->is_due = 0;
+		crash->reported++;
+		fill_crash(crash, report, now_us);
+		return 1;
+	}
+	return fill_begun(crashes, report, now_us);
+}
+
+void
+at_server_crashes_on_round(at_server_crashes_t *crashes)
+{
+	size_t i = 0;
+
+	while (i < crashes->report_count) {
+		if (crashes->reports[i]->reported >= REPORT_TIMES)
+			remove_report(crashes, i);
+		else
+			crashes->reports[i++]->is_due = 1;
+	}
+}
+
+static uint64_t
+time_of(uint32_t since_ms, uint64_t now_us)
+{
+	uint64_t since_us = (uint64_t)since_ms * US_PER_MS;
+
+	return since_us < now_us ? now_us - since_us : 1;
+}
+
+/* Returns non-zero if the crash, or a part of it, was not known. */
+static int
+apply_crash(
+    at_server_crashes_t *crashes, const ReportCrash *message, uint64_t now_us)
+{
+	at_request_parts_t requests[REQUESTS_PER_REPORT];
+	size_t count = 0;
+	size_t i;
+
+	while (count < message->n_requests && count < REQUESTS_PER_REPORT) {
+		const ReportCrashedRequest *source = message->requests[count];
+		at_request_parts_t *request = &requests[count++];
+
+		memset(request, 0, sizeof(*request));
+		request->request = source->request;
+		for (i = 0; i < source->n_parts && i < AT_PREFIX_PARTS_MAX; i++)
+			request->parts[request->count++] = source->parts[i];
+	}
+	return at_crash_causes_add_crash(crashes->causes, message->server,
+	    requests, count, time_of(message->age_ms, now_us));
+}
+
+static int
+apply_verdict(
+    at_server_crashes_t *crashes, const ReportVerdict *message, uint64_t now_us)
+{
+	const at_crash_verdict_t verdict = {.part = message->part,
+	    .state = message->state < AT_CAUSE_STATE_COUNT
+			 ? (at_cause_state_t)message->state
+			 : AT_CAUSE_CLEAR,
+	    .crashes = message->crashes,
+	    .has_begun = message->has_begun,
+	    .since_us = time_of(message->age_ms, now_us),
+	    .expires_us = now_us + (uint64_t)message->remaining_ms * US_PER_MS};
+
+	return at_crash_causes_apply_verdict(crashes->causes, &verdict, now_us);
+}
+
+void
+at_server_crashes_apply_report(
+    at_server_crashes_t *crashes, const Report *report)
+{
+	uint64_t now_us = at_clock_now_us();
+	int is_new = 0;
+	int is_changed = 0;
+	size_t i;
+
+	for (i = 0; i < report->n_crashes; i++)
+		is_new |= apply_crash(crashes, report->crashes[i], now_us);
+	for (i = 0; i < report->n_begun; i++)
+		at_crash_causes_apply_begun(crashes->causes,
+		    report->begun[i]->part,
+		    time_of(report->begun[i]->age_ms, now_us));
+	for (i = 0; i < report->n_verdicts; i++)
+		is_changed |=
+		    apply_verdict(crashes, report->verdicts[i], now_us);
+	if (is_changed)
+		on_verdicts_changed(crashes);
+	if (is_new) {
+		/* Parts that have begun here are reported at once. */
+		at_gossip_send_crashes_soon(crashes->entry->gossip);
+		decide(crashes);
+	}
+}
--- /dev/null
+++ b/src/entry/server_crashes.h
@@ -0,0 +1,57 @@
+/*
+ * server_crashes.h - crashes of backend servers as this instance sees them, and
+ * what it refuses because of them (crash_causes.h).
+ *
+ * Where a server breaks connections off, it may have crashed, or the network
+ * has failed. A new connection decides: only one that is refused shows that the
+ * server's process is gone.
+ */
+#ifndef ALMONDTHREAD_ENTRY_SERVER_CRASHES_H
+#define ALMONDTHREAD_ENTRY_SERVER_CRASHES_H
+
+#include "almondthread/crash_causes.h"
+#include "entry/entry.h"
+#include "report.pb-c.h"
+
+/* at_server_crashes_new() returns NULL if out of memory. */
+at_server_crashes_t *at_server_crashes_new(at_entry_t *entry);
+void at_server_crashes_start(at_server_crashes_t *crashes);
+void at_server_crashes_delete(at_server_crashes_t *crashes);
+
+/*
+ * at_server_crashes_note_lost() records that the connection of a request was
+ * lost before the request had begun.
+ */
+void at_server_crashes_note_lost(at_server_crashes_t *crashes,
+    const at_server_entry_t *server, const at_request_parts_t *parts);
+/* at_server_crashes_note_begun() records that a request began and has gone on.
+ */
+void at_server_crashes_note_begun(at_server_crashes_t *crashes,
+    const at_request_parts_t *parts, uint64_t begun_us);
+
+/* at_server_crashes_has_verdicts() returns zero if no request is refused. */
+int at_server_crashes_has_verdicts(const at_server_crashes_t *crashes);
+/*
+ * at_server_crashes_check() returns the verdict because of which a request is
+ * refused, or NULL. With may_try, a request with a suspect part may be let
+ * through as a trial.
+ */
+const at_crash_verdict_t *at_server_crashes_check(
+    at_server_crashes_t *crashes, const at_request_parts_t *parts, int may_try);
+
+/*
+ * Reports. at_server_crashes_fill_verdicts() adds the blocks and lifted blocks,
+ * at_server_crashes_fill_news() the next crash or beginnings that are to be
+ * reported, and returns zero if there are none. What a report points to is
+ * valid until the next call.
+ */
+void at_server_crashes_fill_verdicts(
+    at_server_crashes_t *crashes, Report *report);
+int at_server_crashes_fill_news(at_server_crashes_t *crashes, Report *report);
+void at_server_crashes_apply_report(
+    at_server_crashes_t *crashes, const Report *report);
+/* at_server_crashes_on_round() has the crashes reported again, as reports get
+ * lost. */
+void at_server_crashes_on_round(at_server_crashes_t *crashes);
+
+#endif
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -1,5 +1,6 @@
 #include "io/httpc.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -274,6 +275,7 @@
 {
 	long status = 0;
 	long connects = 0;
+	long connect_errno = 0;
 	int is_sent = is_request_sent(transfer, &result->sent_bytes);
 
 	(void)curl_easy_getinfo(
@@ -284,6 +286,10 @@
 	result->http_status = (int)status;
 	result->reason = transfer_reason(transfer, code, is_sent);
 	result->reused_connection = connects == 0;
+	(void)curl_easy_getinfo(
+	    transfer->easy, CURLINFO_OS_ERRNO, &connect_errno);
+	result->is_connection_refused =
+	    code == CURLE_COULDNT_CONNECT && connect_errno == ECONNREFUSED;
 	if (transfer->send_count > 1)
 		result->resend_count = transfer->send_count - 1;
 	if (result->is_complete)
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -26,6 +26,7 @@
 	uint64_t sent_bytes;   /* bytes of the request header that were sent */
 	uint32_t resend_count; /* resends, including forbidden ones */
 	int reused_connection; /* the connection was used before */
+	int is_connection_refused; /* no process listens on the address */
 } at_transfer_result_t;
 
 /* Callbacks of a transfer. All but on_done may be NULL. */
