Keep blocked parts in the platform's store

Cause: a block was known only to the instances; after all of them had been killed the engines would crash again until three more crashes, and an operator had no way to see or lift one.

Change: the holder of the lease writes entry-blocked-parts/PART, reads the kind every 4 s while a part is blocked, and lifts a block whose object an operator has deleted or set to "lifted". Instances that read the platform's lists read the kind once when they start; the others learn blocks by reports.

Measured: test_crashing_parts a_block_outlasts_all_instances and an_operator_lifts_a_block pass; the first fails without the reading (the block is in no instance).

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -7,6 +7,7 @@
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
 #include "entry/call.h"
+#include "entry/crash_blocks.h"
 #include "entry/server_crashes.h"
 #include "entry/gossip.h"
 #include "entry/join.h"
@@ -117,15 +118,17 @@
 	entry->contention = at_contention_new(at_rng_next(&entry->rng));
 	entry->queue = at_wait_queue_new(entry->fleet, entry->contention);
 	entry->crashes = at_server_crashes_new(entry);
+	entry->blocks = at_crash_blocks_new(entry);
 	entry->sync = at_sync_new(entry);
 	entry->join = at_join_new(entry);
 	entry->gossip = at_gossip_new(entry);
 	entry->orders = at_orders_io_new(entry);
 	entry->readiness = at_readiness_new(entry);
 	return entry->queue == NULL || entry->contention == NULL ||
-		       entry->crashes == NULL || entry->sync == NULL ||
-		       entry->join == NULL || entry->gossip == NULL ||
-		       entry->orders == NULL || entry->readiness == NULL
+		       entry->crashes == NULL || entry->blocks == NULL ||
+		       entry->sync == NULL || entry->join == NULL ||
+		       entry->gossip == NULL || entry->orders == NULL ||
+		       entry->readiness == NULL
 		   ? -1
 		   : 0;
 }
@@ -150,6 +153,7 @@
 	at_sync_start(entry->sync);
 	at_join_start(entry->join);
 	at_server_crashes_start(entry->crashes);
+	at_crash_blocks_start(entry->blocks);
 	at_orders_io_start(entry->orders);
 	ev_timer_init(&entry->tick, on_tick, TICK_S, TICK_S);
 	entry->tick.data = entry;
@@ -343,6 +347,7 @@
 	at_readiness_delete(entry->readiness);
 	at_orders_io_delete(entry->orders);
 	at_gossip_delete(entry->gossip);
+	at_crash_blocks_delete(entry->blocks);
 	at_server_crashes_delete(entry->crashes);
 	at_join_delete(entry->join);
 	if (entry->sync != NULL)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -10,6 +10,7 @@
  *   gossip.c     reports to and from the other instances;
  *                gossip_origins.c has those on the origins of streams
  *   server_crashes.c  crashes of servers and what is refused for them
+ *   crash_blocks.c    blocked parts in the platform's store
  *   join.c       discovery of the other instances
  *   orders.c     the lease and orders to model engines
  *   readiness.c  readiness check and metrics
@@ -65,6 +66,7 @@
 typedef struct at_readiness at_readiness_t;
 typedef struct at_call at_call_t;
 typedef struct at_server_crashes at_server_crashes_t;
+typedef struct at_crash_blocks at_crash_blocks_t;
 typedef struct at_retry_budgets at_retry_budgets_t;
 
 typedef struct at_entry {
@@ -92,6 +94,7 @@
 	at_sync_t *sync;
 	at_gossip_t *gossip;
 	at_server_crashes_t *crashes;
+	at_crash_blocks_t *blocks;
 	at_roster_t *roster;
 	at_join_t *join;
 	at_orders_io_t *orders;
--- a/src/entry/server_crashes.c
+++ b/src/entry/server_crashes.c
@@ -333,6 +333,67 @@
 	return NULL;
 }
 
+/* Blocks in the platform's store */
+
+void
+at_server_crashes_each(const at_server_crashes_t *crashes,
+    void (*visit)(void *ctx, const at_crash_verdict_t *verdict), void *ctx)
+{
+	at_crash_causes_each(crashes->causes, visit, ctx);
+}
+
+void
+at_server_crashes_apply_block(at_server_crashes_t *crashes, uint64_t part,
+    uint32_t crash_count, int has_begun)
+{
+	uint64_t now_us = at_clock_now_us();
+	const at_crash_verdict_t block = {.part = part,
+	    .state = AT_CAUSE_BLOCKED,
+	    .crashes = crash_count,
+	    .has_begun = has_begun,
+	    .since_us = now_us,
+	    .expires_us = now_us + AT_CRASH_VERDICT_LIFETIME_US};
+
+	if (at_crash_causes_apply_verdict(crashes->causes, &block, now_us))
+		on_verdicts_changed(crashes);
+}
+
+int
+at_server_crashes_lift(at_server_crashes_t *crashes, uint64_t part)
+{
+	if (at_crash_causes_lift(crashes->causes, part, at_clock_now_us()) != 0)
+		return -1;
+	on_verdicts_changed(crashes);
+	return 0;
+}
+
+typedef struct block_search {
+	uint64_t part;
+	uint64_t since_us; /* 0: it is not blocked */
+} block_search_t;
+
+static void
+find_block(void *ctx, const at_crash_verdict_t *verdict)
+{
+	block_search_t *search = ctx;
+
+	if (verdict->part == search->part && verdict->state == AT_CAUSE_BLOCKED)
+		search->since_us = verdict->since_us;
+}
+
+uint64_t
+at_server_crashes_block_age_us(
+    const at_server_crashes_t *crashes, uint64_t part)
+{
+	block_search_t search = {part, 0};
+	uint64_t now_us = at_clock_now_us();
+
+	at_crash_causes_each(crashes->causes, find_block, &search);
+	if (search.since_us == 0)
+		return 0;
+	return now_us > search.since_us ? now_us - search.since_us : 1;
+}
+
 /* Reports */
 
 typedef struct verdict_list {
--- a/src/entry/server_crashes.h
+++ b/src/entry/server_crashes.h
@@ -39,6 +39,20 @@
 const at_crash_verdict_t *at_server_crashes_check(
     at_server_crashes_t *crashes, const at_request_parts_t *parts, int may_try);
 
+/*
+ * Blocks in the platform's store. at_server_crashes_apply_block() takes one
+ * that was read there. at_server_crashes_lift() lifts a block; it returns 0, or
+ * -1 if there is none. at_server_crashes_block_age_us() returns how long ago a
+ * part was blocked, 1 at least, or 0 if it is not.
+ */
+void at_server_crashes_each(const at_server_crashes_t *crashes,
+    void (*visit)(void *ctx, const at_crash_verdict_t *verdict), void *ctx);
+void at_server_crashes_apply_block(at_server_crashes_t *crashes, uint64_t part,
+    uint32_t crash_count, int has_begun);
+int at_server_crashes_lift(at_server_crashes_t *crashes, uint64_t part);
+uint64_t at_server_crashes_block_age_us(
+    const at_server_crashes_t *crashes, uint64_t part);
+
 /*
  * Reports. at_server_crashes_fill_verdicts() adds the blocks and lifted blocks,
  * at_server_crashes_fill_news() the next crash or beginnings that are to be
--- a/tests/contract/test_crashing_parts.c
+++ b/tests/contract/test_crashing_parts.c
@@ -272,6 +272,60 @@
 	traffic_delete(traffic);
 }
 
+/* Sends some requests with the part; returns how many reach engines. */
+static uint32_t
+send_crashing(traffic_t *traffic)
+{
+	uint32_t before = traffic->arrivals;
+	int i;
+
+	for (i = 0; i < 10; i++) {
+		send_next(traffic, 0);
+		entry_fixture_run_ms(traffic->fixture, 50);
+	}
+	return traffic->arrivals - before;
+}
+
+/* The block is in the store; the instances know nothing of each other. */
+Test(crashing_parts, a_block_outlasts_all_instances)
+{
+	traffic_t *traffic = traffic_new();
+	entry_fixture_t *fixture = traffic->fixture;
+	size_t i;
+
+	run_traffic(traffic, 500, 0);
+	run_crashes(traffic);
+	run_traffic(traffic, 5000, 1);
+	for (i = 0; i < traffic->count; i++)
+		entry_fixture_response_free(&traffic->requests[i].response);
+	for (i = 0; i < ENTRIES; i++)
+		entry_fixture_remove_entry(fixture, i);
+	for (i = 0; i < ENTRIES; i++)
+		(void)entry_fixture_add_entry(fixture);
+	entry_fixture_run_ms(fixture, CONTACT_MS);
+	cr_assert_leq(send_crashing(traffic), LATE_ARRIVALS_MAX);
+	traffic_delete(traffic);
+}
+
+/* An operator deletes the object of the block. */
+Test(crashing_parts, an_operator_lifts_a_block)
+{
+	traffic_t *traffic = traffic_new();
+	entry_fixture_t *fixture = traffic->fixture;
+	size_t i;
+
+	run_traffic(traffic, 500, 0);
+	run_crashes(traffic);
+	run_traffic(traffic, 6000, 1);
+	cr_assert_eq(send_crashing(traffic), 0);
+	for (i = 0; i < fixture->server_count; i++)
+		standin_server_faults(fixture->servers[i])->crash_part = 0;
+	standin_store_remove(fixture->store, "entry-blocked-parts", "bad");
+	run_traffic(traffic, 6000, 0);
+	cr_assert_eq(send_crashing(traffic), 10);
+	traffic_delete(traffic);
+}
+
 /* Engines that end for other reasons must not stop sound requests. */
 Test(crashing_parts, other_crashes_block_nothing)
 {
