Soak: parts that crash engines, judged by BUDGET and LOST

In every second run, one part after the other crashes each engine that begins to answer it; a quarter of the streams have it. The judge counts requests with it that reach engines contact_ms after the fifth crash (three are allowed) and the share of sound streams that begin at the first attempt, beside that of calm times. The steps of a seed are otherwise the same as before.

--- a/tests/soak/backends.c
+++ b/tests/soak/backends.c
@@ -15,6 +15,7 @@
 #define REJECT_ALL 1000000u
 #define EVENTS 6u
 #define EVENT_GAP_MS 30u
+#define PART_CRASH_MS 1500u /* until another server takes the place */
 /* Servers that have left and still serve; their number is limited. */
 #define LEAVING_MAX 64u
 
@@ -36,6 +37,7 @@
 	struct ev_loop *loop;
 	soak_judge_t *judge;
 	standin_store_t *store;
+	const soak_crash_part_t *part;
 	backend_t *listed[SOAK_BACKENDS];
 	backend_t *leaving[LEAVING_MAX];
 	uint32_t last_id;
@@ -55,6 +57,8 @@
 	    .backend = backend->id,
 	    .is_run = is_run,
 	    .may_repeat = strncmp(at_httpd_path(request), "/unsafe/", 8) != 0,
+	    .has_crash_part =
+		at_httpd_header(request, SOAK_PART_HEADER) != NULL,
 	    .left_ms = backend->left_ms,
 	    .is_bound = backend->is_bound};
 
@@ -182,6 +186,20 @@
 	backend->fault_due_s = ev_now(backends->loop) + step->duration_ms / 1e3;
 }
 
+/* Applies the part that crashes engines, and takes away what it has crashed. */
+static void
+check_part(soak_backends_t *backends, backend_t *backend)
+{
+	if (backend == NULL || backend->server == NULL)
+		return;
+	standin_server_faults(backend->server)->crash_part =
+	    backends->part->part;
+	if (standin_server_crash_count(backend->server) == 0)
+		return;
+	soak_judge_part_crashed(backends->judge);
+	crash(backends, backend, PART_CRASH_MS);
+}
+
 static void
 on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -193,6 +211,7 @@
 	for (i = 0; i < SOAK_BACKENDS; i++) {
 		backend_t *backend = backends->listed[i];
 
+		check_part(backends, backend);
 		if (backend->fault_due_s != 0. && backend->server != NULL &&
 		    now_s >= backend->fault_due_s)
 			clear_faults(backend);
@@ -206,6 +225,7 @@
 	for (i = 0; i < LEAVING_MAX; i++) {
 		backend_t *backend = backends->leaving[i];
 
+		check_part(backends, backend);
 		if (backend == NULL || now_s < backend->end_due_s)
 			continue;
 		if (!backend->is_unlisted)
@@ -217,8 +237,8 @@
 }
 
 soak_backends_t *
-soak_backends_new(
-    struct ev_loop *loop, soak_judge_t *judge, standin_store_t *store)
+soak_backends_new(struct ev_loop *loop, soak_judge_t *judge,
+    standin_store_t *store, const soak_crash_part_t *part)
 {
 	soak_backends_t *backends = calloc(1, sizeof(*backends));
 	uint32_t i;
@@ -226,6 +246,7 @@
 	backends->loop = loop;
 	backends->judge = judge;
 	backends->store = store;
+	backends->part = part;
 	for (i = 0; i < SOAK_BACKENDS; i++)
 		backends->listed[i] =
 		    backend_new(backends, i % 2u == 0 ? SOAK_PLAIN : SOAK_LLM);
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -20,6 +20,11 @@
 #define RETRIES_MAX 2u
 #define TOTAL_MS 6000u
 #define LINE_SIZE 96u
+#define CRASH_PART_ONE_IN 4u /* streams, while the part is sent */
+/* Parts of prompts: the second one of sound requests, and the own one. */
+#define SUBJECT 0x500u
+#define SUBJECTS 8u
+#define OWN_PART 0x10000u
 
 typedef enum call_type {
 	CALL_SAFE,
@@ -33,6 +38,8 @@
 	call_type_t type;
 	uint32_t retries;
 	uint32_t events; /* of the stream, over all its requests */
+	int has_crash_part;
+	soak_phase_t phase; /* when the first request was sent */
 	int status;
 	at_transfer_t *transfer; /* while a request is open */
 	ev_timer timer;
@@ -43,7 +50,9 @@
 	at_httpc_t *httpc;
 	soak_judge_t *judge;
 	const soak_processes_t *processes;
+	const soak_crash_part_t *part;
 	at_rng_t rng;
+	at_rng_t part_rng;
 	uint32_t pause_max_ms;
 	uint64_t last_id;
 	caller_t *list;
@@ -79,6 +88,18 @@
 	}
 }
 
+static void
+choose_request(caller_t *caller)
+{
+	soak_callers_t *callers = caller->callers;
+
+	caller->type =
+	    (call_type_t)at_rng_below(&callers->rng, CALL_STREAM + 1);
+	caller->has_crash_part =
+	    caller->type == CALL_STREAM && callers->part->is_sent &&
+	    at_rng_below(&callers->part_rng, CRASH_PART_ONE_IN) == 0;
+}
+
 static void
 on_headers(void *ctx, at_transfer_t *transfer, int status)
 {
@@ -106,6 +127,10 @@
 	int may_repeat = caller->type != CALL_UNSAFE || is_promise;
 
 	caller->transfer = NULL;
+	if (caller->type == CALL_STREAM && caller->retries == 0 &&
+	    !caller->has_crash_part)
+		soak_judge_stream_ended(
+		    caller->callers->judge, caller->phase, caller->events > 0);
 	caller->callers->successes += (uint64_t)is_success;
 	caller->callers->refused += (uint64_t)(!is_success && is_promise);
 	caller->callers->failed += (uint64_t)(!is_success && !is_promise);
@@ -118,8 +143,7 @@
 	}
 	caller->retries = 0;
 	caller->events = 0;
-	caller->type =
-	    (call_type_t)at_rng_below(&caller->callers->rng, CALL_STREAM + 1);
+	choose_request(caller);
 	wait_ms(caller, (uint32_t)at_rng_below(&caller->callers->rng,
 			    caller->callers->pause_max_ms));
 }
@@ -130,10 +154,13 @@
 	static const char *const targets[] = {
 	    "/safe/1", "/unsafe/1", "/stream/1"};
 	soak_callers_t *callers = caller->callers;
-	char lines[5][LINE_SIZE];
+	char lines[6][LINE_SIZE];
 	const char *headers[] = {lines[0], lines[1], lines[2], lines[3],
 	    "Authorization: Bearer " SOAK_KEY, "X-Model: m0",
-	    "X-Token-Count: 100,50", lines[4], NULL};
+	    "X-Token-Count: 100,50", lines[5],
+	    caller->has_crash_part ? SOAK_PART_HEADER ": 1"
+				   : SOAK_PART_HEADER ":",
+	    lines[4], NULL};
 	char id[32];
 	char url[AT_ADDR_SIZE + 16];
 	const at_transfer_spec_t spec = {.method = "GET",
@@ -153,10 +180,19 @@
 	(void)snprintf(lines[3], LINE_SIZE, WIRE_DEADLINE ": %u", TOTAL_MS);
 	(void)snprintf(
 	    lines[4], LINE_SIZE, WIRE_RESUME_AFTER ": %u", caller->events);
+	(void)snprintf(lines[5], LINE_SIZE,
+	    WIRE_PROMPT_PREFIX ": a1:40,%x:30,%" PRIx64 ":30",
+	    caller->has_crash_part
+		? callers->part->part
+		: SUBJECT + (uint32_t)(callers->last_id % SUBJECTS),
+	    OWN_PART + callers->last_id);
+	if (caller->retries == 0)
+		caller->phase =
+		    soak_judge_phase(callers->judge, caller->instance);
 	if (caller->type != CALL_STREAM)
 		headers[5] = NULL;
 	else if (caller->events == 0)
-		headers[7] = NULL;
+		headers[9] = NULL;
 	(void)snprintf(url, sizeof(url), "http://%s/",
 	    soak_processes_address(callers->processes, caller->instance));
 	caller->status = 0;
@@ -175,7 +211,8 @@
 
 soak_callers_t *
 soak_callers_new(struct ev_loop *loop, soak_judge_t *judge,
-    const soak_processes_t *processes, uint64_t seed, uint32_t count)
+    const soak_processes_t *processes, const soak_crash_part_t *part,
+    uint64_t seed, uint32_t count)
 {
 	soak_callers_t *callers = calloc(1, sizeof(*callers));
 	uint32_t i;
@@ -184,7 +221,9 @@
 	callers->httpc = at_httpc_new(loop);
 	callers->judge = judge;
 	callers->processes = processes;
+	callers->part = part;
 	callers->rng.state = ~seed;
+	callers->part_rng.state = seed;
 	callers->count = count;
 	callers->pause_max_ms = at_rng_below(&callers->rng, 2) == 0
 				    ? BUSY_PAUSE_MAX_MS
--- a/tests/soak/judge.c
+++ b/tests/soak/judge.c
@@ -2,6 +2,10 @@
  * judge.c - the rules DRAIN, BUDGET and TWICE, from what callers have sent and
  * what has reached the backend servers.
  *
+ * A part that crashes engines: BUDGET allows three requests with it, of
+ * instances in touch, CONTACT_MS after the fifth crash; LOST asks that sound
+ * streams begin at the first attempt at least half as often as in calm times.
+ *
  * DRAIN holds for instances in touch and for a leaving that the store
  * acknowledged while it was stable. BUDGET counts all instances, in touch or
  * not, and requests that a backend server rejects.
@@ -25,6 +29,9 @@
 #define PRINTED_MAX 20u /* cases of one rule that are printed */
 #define ID_SIZE 48u
 #define STILL_DISTURBED UINT64_MAX
+#define PART_CRASHES 5u /* of a part, after which BUDGET counts */
+#define PART_ARRIVALS_MAX 3u
+#define STREAMS_MIN 20u /* for LOST to be judged */
 
 typedef struct request {
 	char id[ID_SIZE];
@@ -48,6 +55,15 @@
 	/* When the last disturbance has ended, or STILL_DISTURBED. */
 	uint64_t instance_disturbed_ms[SOAK_INSTANCES_MAX];
 	uint64_t store_disturbed_ms;
+	uint64_t unplanned_until_ms;
+	int is_part_sent;
+	uint32_t part_crashes;   /* of the present part */
+	uint64_t part_judged_ms; /* its fifth crash, or the last one so far */
+	uint32_t part_arrivals;  /* late ones */
+	uint32_t part_budget;    /* parts with too many of them */
+	uint32_t crashes;        /* of all parts */
+	uint32_t streams[SOAK_PHASES];
+	uint32_t begun[SOAK_PHASES];
 	uint32_t drain;
 	uint32_t twice;
 	uint32_t exits;
@@ -140,6 +156,98 @@
 		    late_ms);
 }
 
+static void
+judge_part(soak_judge_t *judge, const soak_arrival_t *arrival)
+{
+	uint64_t now_ms = elapsed_ms(judge);
+
+	if (!arrival->has_crash_part || judge->part_crashes < PART_CRASHES ||
+	    now_ms <= judge->part_judged_ms + CONTACT_MS ||
+	    !is_calm(judge->instance_disturbed_ms[arrival->instance], now_ms))
+		return;
+	(void)printf("part: at %" PRIu64 " ms request %s from instance %u "
+		     "reached %s %" PRIu64 " ms after the fifth crash\n",
+	    now_ms, arrival->id, arrival->instance, arrival->backend,
+	    now_ms - judge->part_judged_ms);
+	if (++judge->part_arrivals == PART_ARRIVALS_MAX + 1)
+		judge->part_budget++;
+}
+
+void
+soak_judge_unplanned(soak_judge_t *judge, uint32_t duration_ms)
+{
+	uint64_t until_ms = elapsed_ms(judge) + duration_ms;
+
+	if (until_ms > judge->unplanned_until_ms)
+		judge->unplanned_until_ms = until_ms;
+}
+
+void
+soak_judge_part_begins(soak_judge_t *judge)
+{
+	judge->is_part_sent = 1;
+	judge->part_crashes = 0;
+	judge->part_arrivals = 0;
+}
+
+void
+soak_judge_part_ends(soak_judge_t *judge)
+{
+	judge->is_part_sent = 0;
+	soak_judge_unplanned(judge, CONTACT_MS);
+}
+
+void
+soak_judge_part_crashed(soak_judge_t *judge)
+{
+	judge->crashes++;
+	if (judge->part_crashes++ < PART_CRASHES)
+		judge->part_judged_ms = elapsed_ms(judge);
+}
+
+soak_phase_t
+soak_judge_phase(const soak_judge_t *judge, uint32_t instance)
+{
+	uint64_t now_ms = elapsed_ms(judge);
+
+	if (!is_calm(judge->instance_disturbed_ms[instance], now_ms) ||
+	    now_ms < judge->unplanned_until_ms + CONTACT_MS)
+		return SOAK_PHASE_OTHER;
+	if (!judge->is_part_sent)
+		return SOAK_PHASE_CALM;
+	return judge->part_crashes > 0 &&
+		       now_ms > judge->part_judged_ms + 2 * CONTACT_MS
+		   ? SOAK_PHASE_CRASHING
+		   : SOAK_PHASE_OTHER;
+}
+
+void
+soak_judge_stream_ended(soak_judge_t *judge, soak_phase_t phase, int has_begun)
+{
+	judge->streams[phase]++;
+	judge->begun[phase] += (uint32_t)has_begun;
+}
+
+static uint32_t
+judge_lost(const soak_judge_t *judge)
+{
+	uint32_t calm = judge->streams[SOAK_PHASE_CALM];
+	uint32_t crashing = judge->streams[SOAK_PHASE_CRASHING];
+	double calm_share =
+	    calm == 0 ? 0. : (double)judge->begun[SOAK_PHASE_CALM] / calm;
+	double share =
+	    crashing == 0
+		? 0.
+		: (double)judge->begun[SOAK_PHASE_CRASHING] / crashing;
+	int is_broken = calm >= STREAMS_MIN && crashing >= STREAMS_MIN &&
+			2 * share < calm_share;
+
+	(void)printf("%s: streams begun at the first attempt: calm %.2f of %u, "
+		     "beside a part that crashes engines %.2f of %u\n",
+	    is_broken ? "LOST" : "lost", calm_share, calm, share, crashing);
+	return (uint32_t)is_broken;
+}
+
 void
 soak_judge_arrived(soak_judge_t *judge, const soak_arrival_t *arrival)
 {
@@ -159,6 +267,7 @@
 		    elapsed_ms(judge), arrival->id);
 	}
 	judge_drain(judge, arrival);
+	judge_part(judge, arrival);
 }
 
 void
@@ -258,10 +367,13 @@
 	uint32_t budget =
 	    judge_budget(judge, SOAK_PLAIN) + judge_budget(judge, SOAK_LLM);
 
+	uint32_t lost = judge_lost(judge);
+
 	(void)printf("arrivals=%" PRIu64 " rejected=%" PRIu64
-		     " broken: BUDGET=%u DRAIN=%u TWICE=%u EXIT=%u\n",
-	    judge->arrivals, judge->rejected, budget, judge->drain,
-	    judge->twice, judge->exits);
-	return (budget > 0) + (judge->drain > 0) + (judge->twice > 0) +
-	       (judge->exits > 0);
+		     " part_crashes=%u broken: BUDGET=%u PART=%u LOST=%u "
+		     "DRAIN=%u TWICE=%u EXIT=%u\n",
+	    judge->arrivals, judge->rejected, judge->crashes, budget,
+	    judge->part_budget, lost, judge->drain, judge->twice, judge->exits);
+	return (budget > 0) + (judge->part_budget > 0) + (lost > 0) +
+	       (judge->drain > 0) + (judge->twice > 0) + (judge->exits > 0);
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -22,6 +22,7 @@
 #define CALLERS_PER_INSTANCE_MAX 4u
 #define START_S 4.  /* until the traffic starts */
 #define SETTLE_S 3. /* after the traffic, for open requests */
+#define FIRST_CRASH_PART 0xbad0u
 
 typedef struct soak {
 	struct ev_loop *loop;
@@ -33,9 +34,11 @@
 	size_t step_count;
 	size_t next_step;
 	uint64_t config_version;
+	soak_crash_part_t part;
 	double traffic_s; /* loop time of the start of the traffic */
 	int is_interrupted;
 	ev_timer outage_timer;
+	ev_timer part_timer;
 	ev_timer step_timer;
 	ev_signal signals[2]; /* SIGTERM, SIGINT */
 } soak_t;
@@ -83,13 +86,49 @@
 	}
 }
 
+static void
+on_part_end(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	soak_t *soak = timer->data;
+
+	(void)loop;
+	(void)events;
+	soak->part.is_sent = 0;
+	soak_judge_part_ends(soak->judge);
+}
+
+/* Each time another part crashes engines. */
+static void
+apply_part(soak_t *soak, const soak_step_t *step)
+{
+	soak->part.part =
+	    soak->part.part == 0 ? FIRST_CRASH_PART : soak->part.part + 1;
+	soak->part.is_sent = 1;
+	soak_judge_part_begins(soak->judge);
+	ev_timer_stop(soak->loop, &soak->part_timer);
+	ev_timer_set(&soak->part_timer, step->duration_ms / 1e3, 0.);
+	ev_timer_start(soak->loop, &soak->part_timer);
+}
+
+static int
+is_planned(soak_kind_t kind)
+{
+	return kind == SOAK_TERM || kind == SOAK_HANG_UP ||
+	       kind == SOAK_CONFIG || kind == SOAK_BACKEND_LEAVES ||
+	       kind == SOAK_BACKEND_REMOVED || kind == SOAK_PART_CRASHES;
+}
+
 static void
 apply(soak_t *soak, const soak_step_t *step)
 {
 	(void)printf("step: at %u ms %s target=%u duration_ms=%u\n",
 	    step->at_ms, soak_kind_names[step->kind], step->target,
 	    step->duration_ms);
-	if (step->kind <= SOAK_HANG_UP)
+	if (!is_planned(step->kind))
+		soak_judge_unplanned(soak->judge, step->duration_ms);
+	if (step->kind == SOAK_PART_CRASHES)
+		apply_part(soak, step);
+	else if (step->kind <= SOAK_HANG_UP)
 		soak_processes_apply(soak->processes, step);
 	else if (step->kind == SOAK_CONFIG)
 		write_config(soak);
@@ -164,16 +203,16 @@
 	(void)snprintf(store_address, sizeof(store_address), "127.0.0.1:%u",
 	    standin_store_port(soak->store));
 	soak->judge = soak_judge_new();
-	soak->backends =
-	    soak_backends_new(soak->loop, soak->judge, soak->store);
+	soak->backends = soak_backends_new(
+	    soak->loop, soak->judge, soak->store, &soak->part);
 	write_config(soak);
 	soak->processes = soak_processes_new(
 	    soak->loop, soak->judge, program, work, store_address, instances);
 	run_s(soak, START_S);
 	soak->traffic_s = ev_now(soak->loop);
-	callers =
-	    soak_callers_new(soak->loop, soak->judge, soak->processes, seed,
-		(1u + (uint32_t)(seed % CALLERS_PER_INSTANCE_MAX)) * instances);
+	callers = soak_callers_new(soak->loop, soak->judge, soak->processes,
+	    &soak->part, seed,
+	    (1u + (uint32_t)(seed % CALLERS_PER_INSTANCE_MAX)) * instances);
 	ev_timer_start(soak->loop, &soak->step_timer);
 	run_s(soak, seconds);
 	ev_timer_stop(soak->loop, &soak->step_timer);
@@ -221,6 +260,8 @@
 	    seed, seconds * 1000u, instances, &soak.step_count);
 	ev_timer_init(&soak.outage_timer, on_outage_end, 0., 0.);
 	soak.outage_timer.data = &soak;
+	ev_timer_init(&soak.part_timer, on_part_end, 0., 0.);
+	soak.part_timer.data = &soak;
 	ev_timer_init(&soak.step_timer, on_step, 0.01, 0.01);
 	soak.step_timer.data = &soak;
 	for (i = 0; i < 2; i++) {
--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -5,36 +5,38 @@
 #define QUIET_START_MS 4000u
 #define GAP_MIN_MS 600u /* least longest gap between two steps */
 #define SERIES_PERCENT 20u
+#define PART_MIN_MS 14000u /* for which a part that crashes engines is sent */
+#define PART_MORE_MS 10000u
 
 const char *const soak_kind_names[] = {"term", "kill", "freeze", "hang-up",
     "config", "backend-leaves", "backend-removed", "backend-crashes",
     "backend-rejects", "backend-silent", "store-outage", "store-loses-watches",
-    "store-drops-history"};
+    "store-drops-history", "part-crashes"};
 
 /* How often each kind is drawn. */
-static const uint32_t weights[SOAK_KINDS] = {
+static const uint32_t weights[SOAK_DRAWN_KINDS] = {
     6, 6, 6, 3, 8, 8, 3, 4, 10, 6, 1, 2, 1};
 
 /* Each run has some kinds three times as often, and others not at all. */
 static void
-draw_weights(at_rng_t *rng, uint32_t drawn[SOAK_KINDS])
+draw_weights(at_rng_t *rng, uint32_t drawn[SOAK_DRAWN_KINDS])
 {
 	static const uint32_t factors[] = {0, 1, 3};
 	uint32_t kind;
 
-	for (kind = 0; kind < SOAK_KINDS; kind++)
+	for (kind = 0; kind < SOAK_DRAWN_KINDS; kind++)
 		drawn[kind] = weights[kind] * factors[at_rng_below(rng, 3)];
 	drawn[SOAK_BACKEND_LEAVES] += weights[SOAK_BACKEND_LEAVES];
 }
 
 static soak_kind_t
-draw_kind(at_rng_t *rng, const uint32_t run_weights[SOAK_KINDS])
+draw_kind(at_rng_t *rng, const uint32_t run_weights[SOAK_DRAWN_KINDS])
 {
 	uint32_t total = 0;
 	uint32_t drawn;
 	uint32_t kind;
 
-	for (kind = 0; kind < SOAK_KINDS; kind++)
+	for (kind = 0; kind < SOAK_DRAWN_KINDS; kind++)
 		total += run_weights[kind];
 	drawn = (uint32_t)at_rng_below(rng, total);
 	for (kind = 0; drawn >= run_weights[kind]; kind++)
@@ -110,6 +112,29 @@
 	}
 }
 
+/*
+ * In every second run, parts that crash engines come one after the other. They
+ * have random numbers of their own, so that a seed keeps its other steps.
+ */
+static void
+add_crash_parts(
+    soak_step_t **steps, size_t *count, uint64_t seed, uint32_t duration_ms)
+{
+	at_rng_t rng = {~seed * 0x9e3779b97f4a7c15u};
+	soak_step_t step = {.kind = SOAK_PART_CRASHES};
+
+	if (at_rng_below(&rng, 2) == 0)
+		return;
+	step.at_ms = QUIET_START_MS + (uint32_t)at_rng_below(&rng, 4000);
+	while (step.at_ms < duration_ms) {
+		step.duration_ms =
+		    PART_MIN_MS + (uint32_t)at_rng_below(&rng, PART_MORE_MS);
+		add_step(steps, count, &step);
+		step.at_ms +=
+		    step.duration_ms + (uint32_t)at_rng_below(&rng, 8000);
+	}
+}
+
 soak_step_t *
 soak_schedule_new(
     uint64_t seed, uint32_t duration_ms, uint32_t instances, size_t *step_count)
@@ -118,7 +143,7 @@
 	soak_step_t *steps = NULL;
 	soak_step_t step = {.at_ms = QUIET_START_MS};
 
-	uint32_t run_weights[SOAK_KINDS];
+	uint32_t run_weights[SOAK_DRAWN_KINDS];
 	uint32_t gap_max_ms = GAP_MIN_MS << at_rng_below(&rng, 4);
 	int is_series;
 
@@ -142,6 +167,7 @@
 			    &steps, step_count, &rng, step.at_ms, instances);
 		step.at_ms += (uint32_t)at_rng_below(&rng, gap_max_ms);
 	}
+	add_crash_parts(&steps, step_count, seed, duration_ms);
 	if (steps != NULL)
 		qsort(steps, *step_count, sizeof(*steps), compare_steps);
 	return steps;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,6 +23,8 @@
 #define SOAK_KEY "soak-key"
 /* Names the instance that a request was sent to; passed on unchanged. */
 #define SOAK_INSTANCE_HEADER "X-Soak-Instance"
+/* Sent with a request whose prompt has the part that crashes engines. */
+#define SOAK_PART_HEADER "X-Soak-Part"
 
 typedef enum soak_service {
 	SOAK_PLAIN,
@@ -46,6 +48,8 @@
 	SOAK_STORE_OUTAGE,    /* 503 for duration_ms */
 	SOAK_STORE_LOSES_WATCHES,
 	SOAK_STORE_DROPS_HISTORY,
+	SOAK_DRAWN_KINDS, /* the following ones are scheduled apart */
+	SOAK_PART_CRASHES = SOAK_DRAWN_KINDS, /* engines, for duration_ms */
 	SOAK_KINDS
 } soak_kind_t;
 
@@ -65,6 +69,12 @@
 soak_step_t *soak_schedule_new(uint64_t seed, uint32_t duration_ms,
     uint32_t instances, size_t *step_count);
 
+/* A part that crashes engines, and whether requests with it are sent now. */
+typedef struct soak_crash_part {
+	uint32_t part; /* 0: none so far */
+	int is_sent;
+} soak_crash_part_t;
+
 /* Judge */
 
 typedef struct soak_judge soak_judge_t;
@@ -86,6 +96,7 @@
 	const char *backend;
 	int is_run;
 	int may_repeat;
+	int has_crash_part;
 	uint64_t left_ms;
 	int is_bound;
 } soak_arrival_t;
@@ -99,6 +110,26 @@
     soak_judge_t *judge, uint32_t instance, int is_disturbed);
 void soak_judge_store_disturbed(soak_judge_t *judge, int is_disturbed);
 int soak_judge_is_store_stable(const soak_judge_t *judge);
+/* A step that is not planned work, with its end in ms from now. */
+void soak_judge_unplanned(soak_judge_t *judge, uint32_t duration_ms);
+/* Requests with another part that crashes engines are sent from now on. */
+void soak_judge_part_begins(soak_judge_t *judge);
+void soak_judge_part_ends(soak_judge_t *judge);
+/* A request with the part has crashed an engine. */
+void soak_judge_part_crashed(soak_judge_t *judge);
+/*
+ * Sound streams: when one is sent for the first time, its phase is that of the
+ * instance that it is sent to; when the attempt has ended, it is counted.
+ */
+typedef enum soak_phase {
+	SOAK_PHASE_CALM,
+	SOAK_PHASE_CRASHING, /* some time after the crashes of a part */
+	SOAK_PHASE_OTHER,    /* not counted */
+	SOAK_PHASES
+} soak_phase_t;
+soak_phase_t soak_judge_phase(const soak_judge_t *judge, uint32_t instance);
+void soak_judge_stream_ended(
+    soak_judge_t *judge, soak_phase_t phase, int has_begun);
 /* A process has ended by itself. */
 void soak_judge_exited(soak_judge_t *judge, uint32_t instance, int status);
 /* Prints counts and broken rules; returns the number of broken rules. */
@@ -126,8 +157,9 @@
 
 typedef struct soak_backends soak_backends_t;
 
-soak_backends_t *soak_backends_new(
-    struct ev_loop *loop, soak_judge_t *judge, standin_store_t *store);
+/* part is borrowed. */
+soak_backends_t *soak_backends_new(struct ev_loop *loop, soak_judge_t *judge,
+    standin_store_t *store, const soak_crash_part_t *part);
 void soak_backends_delete(soak_backends_t *backends);
 void soak_backends_apply(soak_backends_t *backends, const soak_step_t *step);
 
@@ -135,8 +167,10 @@
 
 typedef struct soak_callers soak_callers_t;
 
+/* part is borrowed. */
 soak_callers_t *soak_callers_new(struct ev_loop *loop, soak_judge_t *judge,
-    const soak_processes_t *processes, uint64_t seed, uint32_t count);
+    const soak_processes_t *processes, const soak_crash_part_t *part,
+    uint64_t seed, uint32_t count);
 /* No further requests are sent; prints how the requests have ended. */
 void soak_callers_stop(soak_callers_t *callers);
 void soak_callers_delete(soak_callers_t *callers);
