Tell other instances of trials; tests of the reports of crashes

Cause: every instance whose delay was over could send a trial of a suspect part at the same moment; with 80 instances a burst after a quiet time would have crashed up to 80 engines.

Change: a trial is told to all instances at once, which then wait.

--- a/include/almondthread/crash_causes.h
+++ b/include/almondthread/crash_causes.h
@@ -18,8 +18,8 @@
  *   blocked  three crashes, or more if it has begun earlier: is refused
  *   lifted   by an operator; earlier crashes do not count
  *
- * A part of a prompt is accused only if the crashes are those of two requests
- * or more; otherwise the whole request is.
+ * A whole request counts as the part that is furthest back. It explains the
+ * crashes of a request that is sent again and again.
  *
  * Instances exchange crashes, what has begun of the accused parts, and blocks
  * (see the functions named take and apply); each judges by itself.
@@ -138,11 +138,15 @@
 /*
  * at_crash_causes_start_trial() returns non-zero if a request with a suspect
  * part may be sent as a trial: delay_us after the suspicion or after the last
- * trial of this instance. Instances give different delays.
+ * trial. Instances give different delays, and tell the others of their trials,
+ * which at_crash_causes_note_trial() records.
  */
 int at_crash_causes_start_trial(at_crash_causes_t *causes, uint64_t part,
     uint64_t delay_us, uint64_t now_us);
 
+void at_crash_causes_note_trial(
+    at_crash_causes_t *causes, uint64_t part, uint64_t now_us);
+
 /* at_crash_causes_each() visits the verdicts that have not expired. */
 void at_crash_causes_each(const at_crash_causes_t *causes,
     void (*visit)(void *ctx, const at_crash_verdict_t *verdict), void *ctx);
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -1477,7 +1477,7 @@
   (ProtobufCMessageInit) report_verdict__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[30] =
+static const ProtobufCFieldDescriptor report__field_descriptors[31] =
 {
   {
     "name",
@@ -1839,6 +1839,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "trials",
+    32,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Report, n_trials),
+    offsetof(Report, trials),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -1868,6 +1880,7 @@
   29,   /* field[29] = servers_version */
   8,   /* field[8] = spending */
   18,   /* field[18] = strength */
+  30,   /* field[30] = trials */
   27,   /* field[27] = verdicts */
   10,   /* field[10] = wants */
   22,   /* field[22] = wants_origins */
@@ -1876,7 +1889,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 30 }
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -1886,7 +1899,7 @@
   "Report",
   "",
   sizeof(Report),
-  30,
+  31,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -267,7 +267,7 @@
 
 
 /*
- * A report without a name has only origins, crashes and what has begun.
+ * A report without a name has only origins, crashes, trials and what has begun.
  */
 struct  Report
 {
@@ -342,6 +342,11 @@
   ReportBegun **begun;
   size_t n_verdicts;
   ReportVerdict **verdicts;
+  /*
+   * suspect parts of which a request is sent now
+   */
+  size_t n_trials;
+  uint64_t *trials;
   /*
    * Age of the platform's last confirmation that the reader's lists contain all
    * changes.
@@ -354,7 +359,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /* ReportLoad methods */
--- a/src/core/requests/crash_causes.c
+++ b/src/core/requests/crash_causes.c
@@ -538,6 +538,16 @@
 	return 1;
 }
 
+void
+at_crash_causes_note_trial(
+    at_crash_causes_t *causes, uint64_t part, uint64_t now_us)
+{
+	verdict_t *verdict = find_verdict(causes, part);
+
+	if (verdict != NULL)
+		verdict->trial_us = now_us;
+}
+
 void
 at_crash_causes_each(const at_crash_causes_t *causes,
     void (*visit)(void *ctx, const at_crash_verdict_t *verdict), void *ctx)
--- a/src/entry/server_crashes.c
+++ b/src/entry/server_crashes.c
@@ -20,6 +20,7 @@
 #define REPORTS_MAX 64u /* crashes that are being reported */
 #define REPORT_TIMES 3u /* reports may be lost */
 #define BEGUN_PER_REPORT 64u
+#define TRIALS_MAX 8u
 /* A server that crashes breaks all its connections within this time. */
 #define COLLECT_S 0.03
 #define CONNECT_MS 400u /* for the connection that decides */
@@ -60,6 +61,8 @@
 	loss_t *losses;
 	crash_report_t *reports[REPORTS_MAX];
 	size_t report_count;
+	uint64_t trials[TRIALS_MAX]; /* to be reported */
+	size_t trial_count;
 	ev_timer timer;
 };
 
@@ -330,6 +333,9 @@
 	at_log(AT_LOG_INFO, "crashes", NULL,
 	    "request sent as a trial part=%" PRIx64 " crashes=%u",
 	    verdict->part, verdict->crashes);
+	if (crashes->trial_count < TRIALS_MAX)
+		crashes->trials[crashes->trial_count++] = verdict->part;
+	at_gossip_send_crashes_soon(crashes->entry->gossip);
 	return NULL;
 }
 
@@ -491,9 +497,14 @@
 int
 at_server_crashes_fill_news(at_server_crashes_t *crashes, Report *report)
 {
+	static uint64_t trials[TRIALS_MAX];
 	uint64_t now_us = at_clock_now_us();
 	size_t i;
 
+	memcpy(trials, crashes->trials, sizeof(trials));
+	report->n_trials = crashes->trial_count;
+	report->trials = trials;
+	crashes->trial_count = 0;
 	for (i = 0; i < crashes->report_count; i++) {
 		crash_report_t *crash = crashes->reports[i];
 
@@ -504,7 +515,7 @@
 		fill_crash(crash, report, now_us);
 		return 1;
 	}
-	return fill_begun(crashes, report, now_us);
+	return fill_begun(crashes, report, now_us) || report->n_trials > 0;
 }
 
 void
@@ -581,6 +592,9 @@
 		at_crash_causes_apply_begun(crashes->causes,
 		    report->begun[i]->part,
 		    time_of(report->begun[i]->age_ms, now_us));
+	for (i = 0; i < report->n_trials; i++)
+		at_crash_causes_note_trial(
+		    crashes->causes, report->trials[i], now_us);
 	for (i = 0; i < report->n_verdicts; i++)
 		is_changed |=
 		    apply_verdict(crashes, report->verdicts[i], now_us);
--- a/tests/contract/test_crashing_parts.c
+++ b/tests/contract/test_crashing_parts.c
@@ -326,6 +326,63 @@
 	traffic_delete(traffic);
 }
 
+/* Each instance alone would know one request that crashed two engines. */
+Test(crashing_parts, crashes_that_several_instances_saw_count_together)
+{
+	traffic_t *traffic = traffic_new();
+	uint32_t arrivals;
+	size_t i;
+
+	for (i = 0; i < ENTRIES; i++) {
+		send_to(traffic, i, 0);
+		entry_fixture_run_ms(traffic->fixture, 300);
+		replace_crashed(traffic);
+	}
+	entry_fixture_run_ms(traffic->fixture, 1000);
+	replace_crashed(traffic);
+	entry_fixture_run_ms(traffic->fixture, 500);
+	arrivals = traffic->arrivals;
+	for (i = 0; i < ENTRIES; i++) {
+		send_to(traffic, i, 0);
+		entry_fixture_run_ms(traffic->fixture, 10);
+	}
+	entry_fixture_run_ms(traffic->fixture, 500);
+	/* One of them may be a trial. */
+	cr_assert_leq(traffic->arrivals, arrivals + 1);
+	traffic_delete(traffic);
+}
+
+static int
+is_done(void *ctx)
+{
+	return ((const entry_fixture_response_t *)ctx)->done;
+}
+
+/* Engines that break connections off and go on serving have not crashed. */
+Test(crashing_parts, a_broken_connection_is_no_crash)
+{
+	traffic_t *traffic = traffic_new();
+	size_t i;
+
+	for (i = 0; i < ENGINES; i++) {
+		standin_faults_t *faults =
+		    standin_server_faults(traffic->fixture->servers[i]);
+
+		faults->crash_part = 0;
+		faults->crash = 4;
+	}
+	(void)send_crashing(traffic);
+	for (i = 0; i < ENGINES; i++)
+		standin_server_faults(traffic->fixture->servers[i])->crash = 0;
+	entry_fixture_run_ms(traffic->fixture, 1000);
+	send_next(traffic, 0);
+	i = traffic->count - 1;
+	entry_fixture_run_until(
+	    traffic->fixture, is_done, &traffic->requests[i].response);
+	cr_assert_eq(traffic->requests[i].response.status, 200);
+	traffic_delete(traffic);
+}
+
 /* Engines that end for other reasons must not stop sound requests. */
 Test(crashing_parts, other_crashes_block_nothing)
 {
