Fleet: one place for whether a request may go to a server

What is not a matter of load was spread over at_fleet_choose(): the service, a leaving server, one that was tried, the software version, the backoff. It is server_gate_check() now, which limits that servers name, and later pauses and leaving by header, extend. No change of behaviour: test_fleet, test_wait_queue, test_stream_versions and test_entry_path pass.

--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -105,18 +105,6 @@
 	return cached < work->prompt_tokens ? cached : work->prompt_tokens;
 }
 
-static int
-is_avoided(const at_work_t *work, at_tag_t server)
-{
-	size_t i;
-
-	for (i = 0; i < AT_SITE_ATTEMPTS_MAX; i++) {
-		if (work->avoid[i] == server)
-			return 1;
-	}
-	return 0;
-}
-
 /*
  * Returns how many prompts of the same length, each tokens long, fit below a
  * limit. A single prompt may exceed the limit if there are no others.
@@ -129,14 +117,6 @@
 	return (uint32_t)((limit - present) / (each == 0 ? 1u : each));
 }
 
-static int
-is_eligible(const at_server_t *server, const at_work_t *work)
-{
-	return server->is_listed && !server->entry.is_leaving &&
-	       server->entry.service == work->service &&
-	       !is_avoided(work, server->entry.tag);
-}
-
 static uint32_t
 min_u32(uint32_t a, uint32_t b)
 {
@@ -288,15 +268,13 @@
 	for (server = fleet->servers; server != NULL;
 	     server = server->hh.next) {
 		candidate_t candidate = {.server = server};
+		server_gate_t gate = server_gate_check(server, work, now_us);
 		at_load_t load;
 
-		if (!is_eligible(server, work))
+		other_versions |= gate == SERVER_GATE_OTHER_VERSION;
+		if (gate == SERVER_GATE_EXCLUDED ||
+		    gate == SERVER_GATE_OTHER_VERSION)
 			continue;
-		if (work->software != 0 &&
-		    server->entry.software != work->software) {
-			other_versions = 1;
-			continue;
-		}
 		available++;
 		if (work->model == 0 ||
 		    at_server_has_resident(server, work->model, 0)) {
@@ -307,8 +285,7 @@
 		    !at_server_has_resident(server, work->model, work->adapter))
 			continue;
 		choice->candidates++;
-		if (!server_health_allows(
-			&server->health, now_us, server->own_load.active))
+		if (gate != SERVER_GATE_OPEN)
 			continue;
 		load = at_server_load(server, now_us);
 		candidate.free_slots =
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -1,8 +1,9 @@
 /*
  * fleet_private.h - structures shared by the files of the fleet: fleet.c has
  * the backend servers and their load, residents.c the models and adapters
- * resident on them, choose.c selects one for a request, and server_health.c
- * counts failures and slowness.
+ * resident on them, choose.c selects one for a request, server_gate.c has the
+ * conditions on which it may be sent there, and server_health.c counts failures
+ * and slowness.
  */
 #ifndef ALMONDTHREAD_FLEET_PRIVATE_H
 #define ALMONDTHREAD_FLEET_PRIVATE_H
@@ -86,6 +87,17 @@
 int server_health_allows(
     const server_health_t *health, uint64_t now_us, uint32_t in_flight);
 
+/* server_gate.c */
+typedef enum server_gate {
+	SERVER_GATE_OPEN,
+	SERVER_GATE_EXCLUDED, /* of another service, leaving, or tried before */
+	SERVER_GATE_OTHER_VERSION, /* than the one that began the stream */
+	SERVER_GATE_BACKOFF,       /* after failures */
+} server_gate_t;
+/* Returns whether a request may go to the server now, or why not. */
+server_gate_t server_gate_check(
+    const at_server_t *server, const at_work_t *work, uint64_t now_us);
+
 /* residents.c */
 /*
  * Replaces the residents by those of the instance list and applies the notes.
--- /dev/null
+++ b/src/core/fleet/server_gate.c
@@ -0,0 +1,33 @@
+/*
+ * server_gate.c - whether a request may go to a server now, apart from the
+ * server's load. All attempts of all requests pass here.
+ */
+#include "core/fleet/fleet_private.h"
+
+static int
+is_tried(const at_work_t *work, at_tag_t server)
+{
+	size_t i;
+
+	for (i = 0; i < AT_SITE_ATTEMPTS_MAX; i++) {
+		if (work->avoid[i] == server)
+			return 1;
+	}
+	return 0;
+}
+
+server_gate_t
+server_gate_check(
+    const at_server_t *server, const at_work_t *work, uint64_t now_us)
+{
+	if (!server->is_listed || server->entry.is_leaving ||
+	    server->entry.service != work->service ||
+	    is_tried(work, server->entry.tag))
+		return SERVER_GATE_EXCLUDED;
+	if (work->software != 0 && server->entry.software != work->software)
+		return SERVER_GATE_OTHER_VERSION;
+	if (!server_health_allows(
+		&server->health, now_us, server->own_load.active))
+		return SERVER_GATE_BACKOFF;
+	return SERVER_GATE_OPEN;
+}
