Keep to the limits that servers name, by all instances together

What callers and servers saw: a server that had named 2.1 requests a second got 19 in 4 s, with 18 allowed (LIMIT); nothing was late.

Cause: Server-Limit was not read. Read by each instance for itself it would have been exceeded as well, nine times.

Change: the limit is read in platform/ from every answer and told to all instances within 4 ms and with each report; the newest statement counts. An instance's part depends on its rank among the reporting instances, in an order that a hash of the server gives: as many instances may send as the rule's bound allows to have saved up one request each, so that 9 and 320 instances keep to it alike; the others send elsewhere. If nothing is heard of a limit for 15 s, other instances have their turn to ask. A full limit is one of the conditions of server_gate_check(), so it holds for first attempts, retries, resumptions and what leaves the queue; if all servers that could run a request are limited, it is refused at once as server_limit, without spending a retry.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -141,6 +141,8 @@
 	 * available or has the model and adapter.
 	 */
 	AT_CHOICE_NO_SERVER,
+	/* All servers that could run it have named a limit, which is full. */
+	AT_CHOICE_LIMITED,
 	AT_CHOICE_RESULT_COUNT
 } at_choice_result_t;
 
@@ -155,6 +157,8 @@
 	/* Of all model_servers, or of one engine if there are none. */
 	uint32_t batch_slots;
 	uint32_t model_servers; /* servers with the model resident */
+	/* Of AT_CHOICE_LIMITED: time until one may get a request again. */
+	uint64_t limited_us;
 } at_choice_t;
 
 /* How a request ended, as far as it shows the backend server's health. */
@@ -247,6 +251,42 @@
 void at_server_note_silent(at_server_t *server, uint64_t now_us);
 void at_server_note_responding(at_server_t *server, uint64_t now_us);
 
+/*
+ * Limits. A server may name the rate of requests that it takes from all
+ * instances together. at_server_note_limit() records what an answer that came
+ * at heard_us states, in requests in 1,000 s, or 0 for none; it returns
+ * non-zero if the limit has changed. An answer without a limit counts from when
+ * its request was sent, as others may have named one since.
+ * at_server_set_limit_share() sets this instance's part, from its rank among
+ * the instances in an order that a hash of at_server_limit_key() gives. Until
+ * then the part is 0. The key changes when nothing has been heard of the limit
+ * for AT_SERVER_LIMIT_TURN_US, so that other instances ask whether it is still
+ * in force. A lower rate than AT_SERVER_LIMIT_MIN_MILLI counts as that.
+ */
+#define AT_SERVER_LIMIT_TURN_US 15000000u
+#define AT_SERVER_LIMIT_MIN_MILLI 100u
+#define AT_LIMIT_REPORTS_MAX 256u /* servers in one report */
+int at_server_note_limit(
+    at_server_t *server, uint32_t rate_milli, uint64_t heard_us);
+void at_server_set_limit_share(
+    at_server_t *server, uint32_t rank, uint32_t instances, uint64_t now_us);
+uint64_t at_server_limit_key(const at_server_t *server, uint64_t now_us);
+/* at_server_limit_milli() returns the limit that is in force, or 0. */
+uint32_t at_server_limit_milli(const at_server_t *server);
+
+/* What is known of one server's limit. */
+typedef struct at_limit_report {
+	at_tag_t server;
+	uint32_t rate_milli; /* 0: it has named one, and names none any more */
+	uint64_t heard_us;
+} at_limit_report_t;
+/*
+ * at_fleet_fill_limits() writes the limits that are in force or have ended
+ * recently, at most max, and returns their number.
+ */
+size_t at_fleet_fill_limits(const at_fleet_t *fleet, at_limit_report_t *entries,
+    size_t max, uint64_t now_us);
+
 /*
  * at_server_is_available() returns non-zero unless the server is in a backoff
  * after failures.
--- a/include/almondthread/wait_queue.h
+++ b/include/almondthread/wait_queue.h
@@ -9,7 +9,8 @@
  * over, those of the more urgent route first. A request is refused on arrival
  * if those before it will take longer than it can wait. A queued request is
  * refused as soon as its time to wait is over, before its caller would leave
- * without a response, or when no server of the version that it needs is left.
+ * without a response, when no server of the version that it needs is left, or
+ * when all servers that could run it have named limits that are full.
  * Free slots that several instances see are taken in turns (contention.h).
  */
 #ifndef ALMONDTHREAD_WAIT_QUEUE_H
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &report_verdict__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_limit__init
+                     (ReportLimit         *message)
+{
+  static const ReportLimit init_value = REPORT_LIMIT__INIT;
+  *message = init_value;
+}
+size_t report_limit__get_packed_size
+                     (const ReportLimit *message)
+{
+  assert(message->base.descriptor == &report_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_limit__pack
+                     (const ReportLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_limit__pack_to_buffer
+                     (const ReportLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportLimit *
+       report_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportLimit *)
+     protobuf_c_message_unpack (&report_limit__descriptor,
+                                allocator, len, data);
+}
+void   report_limit__free_unpacked
+                     (ReportLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report__init
                      (Report         *message)
 {
@@ -1477,7 +1522,71 @@
   (ProtobufCMessageInit) report_verdict__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[31] =
+static const ProtobufCFieldDescriptor report_limit__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportLimit, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportLimit, rate_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportLimit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_limit__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = rate_milli */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange report_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor report_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportLimit",
+  "ReportLimit",
+  "ReportLimit",
+  "",
+  sizeof(ReportLimit),
+  3,
+  report_limit__field_descriptors,
+  report_limit__field_indices_by_name,
+  1,  report_limit__number_ranges,
+  (ProtobufCMessageInit) report_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report__field_descriptors[32] =
 {
   {
     "name",
@@ -1851,6 +1960,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    33,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_limits),
+    offsetof(Report, limits),
+    &report_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -1866,6 +1987,7 @@
   17,   /* field[17] = has_loads */
   3,   /* field[3] = incarnation */
   5,   /* field[5] = leaving */
+  31,   /* field[31] = limits */
   7,   /* field[7] = loads */
   0,   /* field[0] = name */
   21,   /* field[21] = origins */
@@ -1889,7 +2011,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 31 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -1899,7 +2021,7 @@
   "Report",
   "",
   sizeof(Report),
-  31,
+  32,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct ReportCrash ReportCrash;
 typedef struct ReportBegun ReportBegun;
 typedef struct ReportVerdict ReportVerdict;
+typedef struct ReportLimit ReportLimit;
 typedef struct Report Report;
 
 
@@ -266,6 +267,24 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * The limit of a backend server, as the sender last heard of it.
+ */
+struct  ReportLimit
+{
+  ProtobufCMessage base;
+  uint64_t server;
+  /*
+   * requests in 1,000 s; 0: it names none any more
+   */
+  uint32_t rate_milli;
+  uint32_t age_ms;
+};
+#define REPORT_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_limit__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * A report without a name has only origins, crashes, trials and what has begun.
  */
@@ -342,6 +361,8 @@
   ReportBegun **begun;
   size_t n_verdicts;
   ReportVerdict **verdicts;
+  size_t n_limits;
+  ReportLimit **limits;
   /*
    * suspect parts of which a request is sent now
    */
@@ -359,7 +380,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /* ReportLoad methods */
@@ -590,6 +611,25 @@
 void   report_verdict__free_unpacked
                      (ReportVerdict *message,
                       ProtobufCAllocator *allocator);
+/* ReportLimit methods */
+void   report_limit__init
+                     (ReportLimit         *message);
+size_t report_limit__get_packed_size
+                     (const ReportLimit   *message);
+size_t report_limit__pack
+                     (const ReportLimit   *message,
+                      uint8_t             *out);
+size_t report_limit__pack_to_buffer
+                     (const ReportLimit   *message,
+                      ProtobufCBuffer     *buffer);
+ReportLimit *
+       report_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_limit__free_unpacked
+                     (ReportLimit *message,
+                      ProtobufCAllocator *allocator);
 /* Report methods */
 void   report__init
                      (Report         *message);
@@ -647,6 +687,9 @@
 typedef void (*ReportVerdict_Closure)
                  (const ReportVerdict *message,
                   void *closure_data);
+typedef void (*ReportLimit_Closure)
+                 (const ReportLimit *message,
+                  void *closure_data);
 typedef void (*Report_Closure)
                  (const Report *message,
                   void *closure_data);
@@ -668,6 +711,7 @@
 extern const ProtobufCMessageDescriptor report_crash__descriptor;
 extern const ProtobufCMessageDescriptor report_begun__descriptor;
 extern const ProtobufCMessageDescriptor report_verdict__descriptor;
+extern const ProtobufCMessageDescriptor report_limit__descriptor;
 extern const ProtobufCMessageDescriptor report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -208,6 +208,28 @@
 	return predicted + load->recent_tokens * RECENT_TOKEN_US;
 }
 
+/* Candidates that may not get the request now for another reason than load. */
+typedef struct closed_servers {
+	uint32_t in_backoff;
+	uint32_t limited;
+	uint64_t limited_us; /* until the first of them may get one */
+} closed_servers_t;
+
+static void
+note_closed(
+    closed_servers_t *closed, const at_server_t *server, server_gate_t gate)
+{
+	uint64_t wait_us;
+
+	if (gate == SERVER_GATE_BACKOFF)
+		closed->in_backoff++;
+	if (gate != SERVER_GATE_LIMITED)
+		return;
+	wait_us = server_limit_wait_us(&server->limit);
+	if (closed->limited++ == 0 || wait_us < closed->limited_us)
+		closed->limited_us = wait_us;
+}
+
 /* A server with free slots. */
 typedef struct candidate {
 	at_server_t *server;
@@ -257,6 +279,7 @@
 		: at_site_find_service(fleet->site, work->service);
 	at_server_t *server;
 	selection_t selection = {0, 0};
+	closed_servers_t closed = {0, 0, 0};
 	uint32_t available = 0;
 	int other_versions = 0;
 
@@ -285,6 +308,7 @@
 		    !at_server_has_resident(server, work->model, work->adapter))
 			continue;
 		choice->candidates++;
+		note_closed(&closed, server, gate);
 		if (gate != SERVER_GATE_OPEN)
 			continue;
 		load = at_server_load(server, now_us);
@@ -310,5 +334,10 @@
 	 */
 	if (available == 0 || (other_versions && choice->candidates == 0))
 		return AT_CHOICE_NO_SERVER;
+	if (closed.limited > 0 &&
+	    closed.limited + closed.in_backoff == choice->candidates) {
+		choice->limited_us = closed.limited_us;
+		return AT_CHOICE_LIMITED;
+	}
 	return choice->candidates > 0 ? AT_CHOICE_FULL : AT_CHOICE_NOT_RESIDENT;
 }
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 const char *const at_choice_result_names[] = {
-    "server", "full", "absent", "nobody"};
+    "server", "full", "absent", "nobody", "limited"};
 
 at_fleet_t *
 at_fleet_new(at_tag_t data_centre, uint64_t seed)
@@ -75,6 +75,7 @@
 {
 	server_health_init(&server->health);
 	residents_clear_notes(server);
+	memset(&server->limit, 0, sizeof(server->limit));
 	memset(server->prefixes, 0, sizeof(server->prefixes));
 }
 
@@ -227,6 +228,7 @@
 	server->own_load.prefill_tokens += work->prompt_tokens;
 	server->own_load.kv_tokens += kv_tokens_of(work);
 	prefixes_add(server, work);
+	server_limit_take(&server->limit, now_us);
 }
 
 void
@@ -263,6 +265,58 @@
 	server_health_note_outcome(&server->health, AT_OUTCOME_SUCCESS, now_us);
 }
 
+int
+at_server_note_limit(
+    at_server_t *server, uint32_t rate_milli, uint64_t heard_us)
+{
+	return server_limit_note(&server->limit, rate_milli, heard_us);
+}
+
+uint64_t
+at_server_limit_key(const at_server_t *server, uint64_t now_us)
+{
+	uint64_t silent_us = now_us > server->limit.heard_us
+				 ? now_us - server->limit.heard_us
+				 : 0;
+
+	return server->entry.tag ^ (silent_us / AT_SERVER_LIMIT_TURN_US);
+}
+
+void
+at_server_set_limit_share(
+    at_server_t *server, uint32_t rank, uint32_t instances, uint64_t now_us)
+{
+	if (server->limit.rate_milli != 0)
+		server_limit_set_share(&server->limit, rank, instances, now_us);
+}
+
+uint32_t
+at_server_limit_milli(const at_server_t *server)
+{
+	return server->limit.rate_milli;
+}
+
+size_t
+at_fleet_fill_limits(const at_fleet_t *fleet, at_limit_report_t *entries,
+    size_t max, uint64_t now_us)
+{
+	const at_server_t *server;
+	size_t count = 0;
+
+	for (server = fleet->servers; server != NULL && count < max;
+	     server = server->hh.next) {
+		const server_limit_t *limit = &server->limit;
+
+		if (limit->rate_milli == 0 &&
+		    (limit->heard_us == 0 ||
+			now_us >= limit->heard_us + AT_SERVER_LIMIT_TURN_US))
+			continue;
+		entries[count++] = (at_limit_report_t){
+		    server->entry.tag, limit->rate_milli, limit->heard_us};
+	}
+	return count;
+}
+
 size_t
 at_fleet_fill_report(const at_fleet_t *fleet, at_load_report_t *entries,
     size_t max, uint64_t now_us)
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -25,6 +25,15 @@
 	uint32_t slowdown_milli;
 } server_health_t;
 
+/* The rate of requests that a backend server takes from all instances. */
+typedef struct server_limit {
+	uint32_t rate_milli;  /* requests in 1,000 s; 0: it has named none */
+	uint64_t heard_us;    /* when it last did, or named none any more */
+	uint32_t share_milli; /* this instance's part of it */
+	uint64_t level_micro; /* saved up, in millionths of a request */
+	uint64_t filled_us;
+} server_limit_t;
+
 /*
  * A model or adapter that was loaded or unloaded by an order, or found missing
  * by a request, before the instance list shows it.
@@ -51,6 +60,7 @@
 	uint64_t recent_us;  /* time of the last decay */
 	at_load_t peer_load; /* sum of the newest reports of peers */
 	server_health_t health;
+	server_limit_t limit;
 	/* Hash table of the prompt prefixes last sent there. */
 	uint64_t prefixes[PREFIX_HASHES];
 	UT_hash_handle hh;
@@ -93,10 +103,27 @@
 	SERVER_GATE_EXCLUDED, /* of another service, leaving, or tried before */
 	SERVER_GATE_OTHER_VERSION, /* than the one that began the stream */
 	SERVER_GATE_BACKOFF,       /* after failures */
+	SERVER_GATE_LIMITED,       /* its limit allows none now */
 } server_gate_t;
 /* Returns whether a request may go to the server now, or why not. */
 server_gate_t server_gate_check(
-    const at_server_t *server, const at_work_t *work, uint64_t now_us);
+    at_server_t *server, const at_work_t *work, uint64_t now_us);
+
+/* server_limit.c */
+/*
+ * Takes what an answer of the server states: a rate, or 0 for none. Returns
+ * non-zero if that is another rate than before. An older statement is ignored.
+ */
+int server_limit_note(
+    server_limit_t *limit, uint32_t rate_milli, uint64_t heard_us);
+/* Sets this instance's part, from its rank among the instances. */
+void server_limit_set_share(
+    server_limit_t *limit, uint32_t rank, uint32_t instances, uint64_t now_us);
+/* Returns non-zero if a request may be sent; take() counts one. */
+int server_limit_allows(server_limit_t *limit, uint64_t now_us);
+void server_limit_take(server_limit_t *limit, uint64_t now_us);
+/* Returns the time until a request may be sent, as of the last call. */
+uint64_t server_limit_wait_us(const server_limit_t *limit);
 
 /* residents.c */
 /*
--- a/src/core/fleet/server_gate.c
+++ b/src/core/fleet/server_gate.c
@@ -17,8 +17,7 @@
 }
 
 server_gate_t
-server_gate_check(
-    const at_server_t *server, const at_work_t *work, uint64_t now_us)
+server_gate_check(at_server_t *server, const at_work_t *work, uint64_t now_us)
 {
 	if (!server->is_listed || server->entry.is_leaving ||
 	    server->entry.service != work->service ||
@@ -29,5 +28,7 @@
 	if (!server_health_allows(
 		&server->health, now_us, server->own_load.active))
 		return SERVER_GATE_BACKOFF;
+	if (!server_limit_allows(&server->limit, now_us))
+		return SERVER_GATE_LIMITED;
 	return SERVER_GATE_OPEN;
 }
--- /dev/null
+++ b/src/core/fleet/server_limit.c
@@ -0,0 +1,103 @@
+/*
+ * server_limit.c - this instance's part of the rate that a server has named.
+ *
+ * The rate is that of all instances together. Each instance that may send has
+ * an equal part and may have saved up one request, so that the number of these
+ * instances bounds what a server gets in a short time. It is therefore smaller
+ * than that of all instances if the rate is low.
+ */
+#include "core/fleet/fleet_private.h"
+
+#define US_PER_S 1000000u
+#define MILLI 1000u
+/* Part of the rate that is used; instances may disagree on who may send. */
+#define USED_PERCENT 90u
+/* Instances that may send: SENDERS_MIN and SENDERS_PER_10_S for 10 a second. */
+#define SENDERS_MIN 2u
+#define SENDERS_PER_10_S 24u
+/* One request, in the unit of the level. */
+#define REQUEST_MICRO 1000000u
+
+int
+server_limit_note(server_limit_t *limit, uint32_t rate_milli, uint64_t heard_us)
+{
+	uint32_t before = limit->rate_milli;
+
+	if (heard_us <= limit->heard_us)
+		return 0;
+	/* Servers without a limit, which are most, are not kept. */
+	if (rate_milli == 0 && before == 0)
+		return 0;
+	if (rate_milli != 0 && rate_milli < AT_SERVER_LIMIT_MIN_MILLI)
+		rate_milli = AT_SERVER_LIMIT_MIN_MILLI;
+	limit->heard_us = heard_us;
+	limit->rate_milli = rate_milli;
+	if (before == 0) {
+		limit->level_micro = 0;
+		limit->filled_us = heard_us;
+	}
+	return before != rate_milli;
+}
+
+void
+server_limit_set_share(
+    server_limit_t *limit, uint32_t rank, uint32_t instances, uint64_t now_us)
+{
+	uint32_t senders = (uint32_t)((uint64_t)limit->rate_milli *
+				      SENDERS_PER_10_S / (10u * MILLI)) +
+			   SENDERS_MIN;
+
+	/* What was saved up until now is kept. */
+	(void)server_limit_allows(limit, now_us);
+	if (senders > instances)
+		senders = instances;
+	limit->share_milli = rank < senders
+				 ? (uint32_t)((uint64_t)limit->rate_milli *
+					      USED_PERCENT / 100u / senders)
+				 : 0;
+}
+
+/* Adds what has been saved up since the last call. */
+static void
+fill(server_limit_t *limit, uint64_t now_us)
+{
+	uint64_t elapsed_us =
+	    now_us > limit->filled_us ? now_us - limit->filled_us : 0;
+	uint64_t added = elapsed_us * limit->share_milli / MILLI;
+
+	limit->filled_us = now_us;
+	limit->level_micro += added;
+	if (limit->level_micro > REQUEST_MICRO)
+		limit->level_micro = REQUEST_MICRO;
+}
+
+int
+server_limit_allows(server_limit_t *limit, uint64_t now_us)
+{
+	if (limit->rate_milli == 0)
+		return 1;
+	fill(limit, now_us);
+	return limit->level_micro >= REQUEST_MICRO;
+}
+
+void
+server_limit_take(server_limit_t *limit, uint64_t now_us)
+{
+	if (limit->rate_milli == 0)
+		return;
+	fill(limit, now_us);
+	limit->level_micro = limit->level_micro > REQUEST_MICRO
+				 ? limit->level_micro - REQUEST_MICRO
+				 : 0;
+}
+
+uint64_t
+server_limit_wait_us(const server_limit_t *limit)
+{
+	uint64_t missing = REQUEST_MICRO - limit->level_micro;
+
+	/* Another instance may send sooner than one without a part. */
+	if (limit->share_milli == 0)
+		return (uint64_t)US_PER_S * MILLI / limit->rate_milli;
+	return missing * MILLI / limit->share_milli;
+}
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -259,10 +259,15 @@
 					 ? ADAPTER_LOAD_US
 					 : MODEL_LOAD_US;
 	decision->retry_after_ms = retry_after_ms(waiter, decision->wait_us);
-	decision->admission = decision->choice_result != AT_CHOICE_NO_SERVER &&
-				      decision->wait_us <= max_us
-				  ? AT_ADMISSION_QUEUED
-				  : AT_ADMISSION_REFUSED;
+	if (decision->choice_result == AT_CHOICE_LIMITED)
+		decision->retry_after_ms =
+		    retry_after_ms(waiter, decision->choice.limited_us);
+	decision->admission =
+	    decision->choice_result != AT_CHOICE_NO_SERVER &&
+		    decision->choice_result != AT_CHOICE_LIMITED &&
+		    decision->wait_us <= max_us
+		? AT_ADMISSION_QUEUED
+		: AT_ADMISSION_REFUSED;
 }
 
 void
@@ -347,8 +352,9 @@
 		    may_dispatch(queue, waiter, choice, now_us))
 			return waiter;
 		/* Servers of a version that is replaced do not return. */
-		if (result == AT_CHOICE_NO_SERVER &&
-		    waiter->work.software != 0) {
+		if (result == AT_CHOICE_LIMITED ||
+		    (result == AT_CHOICE_NO_SERVER &&
+			waiter->work.software != 0)) {
 			waiter->expires_us = now_us;
 			continue;
 		}
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -278,6 +278,15 @@
 	}
 }
 
+static at_reason_t
+reason_from_choice(at_choice_result_t result)
+{
+	if (result == AT_CHOICE_LIMITED)
+		return AT_REASON_SERVER_LIMIT;
+	return result == AT_CHOICE_FULL ? AT_REASON_OVERLOAD
+					: AT_REASON_NO_BACKEND;
+}
+
 /* Places the next attempt at a backend server, or queues or refuses it. */
 static void
 place_attempt(at_call_t *call, const at_action_t *action)
@@ -327,9 +336,7 @@
 	}
 	call->retry_after_ms = decision.retry_after_ms;
 	at_attempts_on_not_placed(call->attempts, action->attempt,
-	    decision.choice_result == AT_CHOICE_FULL ? AT_REASON_OVERLOAD
-						     : AT_REASON_NO_BACKEND,
-	    at_clock_now_ms());
+	    reason_from_choice(decision.choice_result), at_clock_now_ms());
 }
 
 static at_server_outcome_t
@@ -509,7 +516,10 @@
 			    call, call->queued_attempt, &decision.choice);
 		else
 			at_attempts_on_not_placed(call->attempts,
-			    call->queued_attempt, AT_REASON_OVERLOAD,
+			    call->queued_attempt,
+			    decision.choice_result == AT_CHOICE_LIMITED
+				? AT_REASON_SERVER_LIMIT
+				: AT_REASON_OVERLOAD,
 			    at_clock_now_ms());
 		call_process(call);
 	}
--- /dev/null
+++ b/src/entry/server_limits.c
@@ -0,0 +1,125 @@
+#include "entry/server_limits.h"
+
+#include "almondthread/log.h"
+#include "almondthread/roster.h"
+#include "entry/gossip.h"
+#include "io/clock.h"
+
+#define US_PER_MS 1000u
+/* A limit that changes by a smaller part is reported with the next round. */
+#define URGENT_CHANGE_PERCENT 25u
+
+static void
+set_share(const at_entry_t *entry, at_server_t *server, uint64_t now_us)
+{
+	at_server_set_limit_share(server,
+	    at_roster_rank(entry->roster, at_server_entry(server)->tag, now_us),
+	    at_roster_reporting_count(entry->roster, now_us), now_us);
+}
+
+static void
+log_limit(const at_server_t *server, uint32_t before, uint32_t limit_milli,
+    const char *source)
+{
+	at_log(AT_LOG_INFO, "fleet", NULL,
+	    "limit of a server server=%s requests_per_s=%u.%03u "
+	    "before=%u.%03u source=%s",
+	    at_server_entry(server)->id.text, limit_milli / 1000u,
+	    limit_milli % 1000u, before / 1000u, before % 1000u, source);
+}
+
+static int
+is_urgent(uint32_t before, uint32_t after)
+{
+	uint32_t difference = before > after ? before - after : after - before;
+
+	return (uint64_t)difference * 100u >
+	       (uint64_t)before * URGENT_CHANGE_PERCENT;
+}
+
+void
+at_server_limits_note(at_entry_t *entry, at_server_t *server,
+    uint32_t limit_milli, uint64_t sent_us)
+{
+	uint64_t now_us = at_clock_now_us();
+	uint32_t before = at_server_limit_milli(server);
+
+	if (!at_server_note_limit(
+		server, limit_milli, limit_milli == 0 ? sent_us : now_us))
+		return;
+	set_share(entry, server, now_us);
+	if (!is_urgent(before, limit_milli))
+		return;
+	log_limit(server, before, limit_milli, "answer");
+	at_gossip_send_soon(entry->gossip);
+}
+
+typedef struct round_context {
+	const at_entry_t *entry;
+	uint64_t now_us;
+} round_context_t;
+
+static void
+update_share(void *ctx, at_server_t *server)
+{
+	const round_context_t *round = ctx;
+
+	if (at_server_limit_milli(server) != 0)
+		set_share(round->entry, server, round->now_us);
+}
+
+void
+at_server_limits_on_round(at_entry_t *entry, uint64_t now_us)
+{
+	round_context_t round = {entry, now_us};
+
+	at_fleet_each(entry->fleet, update_share, &round);
+}
+
+void
+at_server_limits_fill_report(const at_entry_t *entry, Report *report)
+{
+	static ReportLimit limits[AT_LIMIT_REPORTS_MAX];
+	static ReportLimit *list[AT_LIMIT_REPORTS_MAX];
+	static at_limit_report_t entries[AT_LIMIT_REPORTS_MAX];
+	uint64_t now_us = at_clock_now_us();
+	size_t count = at_fleet_fill_limits(
+	    entry->fleet, entries, AT_LIMIT_REPORTS_MAX, now_us);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		report_limit__init(&limits[i]);
+		limits[i].server = entries[i].server;
+		limits[i].rate_milli = entries[i].rate_milli;
+		limits[i].age_ms =
+		    (uint32_t)((now_us - entries[i].heard_us) / US_PER_MS);
+		list[i] = &limits[i];
+	}
+	report->n_limits = count;
+	report->limits = list;
+}
+
+void
+at_server_limits_apply_report(at_entry_t *entry, const Report *report)
+{
+	uint64_t now_us = at_clock_now_us();
+	size_t i;
+
+	for (i = 0; i < report->n_limits; i++) {
+		const ReportLimit *limit = report->limits[i];
+		uint64_t age_us = (uint64_t)limit->age_ms * US_PER_MS;
+		at_server_t *server =
+		    at_fleet_find(entry->fleet, limit->server);
+		uint32_t before;
+
+		if (server == NULL || age_us >= now_us)
+			continue;
+		before = at_server_limit_milli(server);
+		if (!at_server_note_limit(
+			server, limit->rate_milli, now_us - age_us))
+			continue;
+		set_share(entry, server, now_us);
+		if (is_urgent(before, limit->rate_milli))
+			log_limit(server, before, limit->rate_milli, "report");
+	}
+}
--- a/tests/contract/test_server_limits.c
+++ b/tests/contract/test_server_limits.c
@@ -126,6 +126,23 @@
 	    limit_milli;
 }
 
+static void
+send_to(traffic_t *traffic, size_t entry)
+{
+	sent_request_t *request = &traffic->requests[traffic->count];
+	char id[32];
+	char target[32];
+	const entry_fixture_request_t fields = {
+	    "POST", target, id, ENTRY_FIXTURE_KEY, "m0", "prompt"};
+
+	cr_assert_lt(traffic->count, REQUESTS_MAX);
+	(void)snprintf(id, sizeof(id), "request-%zu", traffic->count++);
+	(void)snprintf(target, sizeof(target), "/stream/%zu", entry);
+	request->sent_ms = at_clock_now_ms();
+	entry_fixture_send(
+	    traffic->fixture, entry, &fields, &request->response);
+}
+
 static void
 run_traffic(traffic_t *traffic, uint32_t time_ms)
 {
@@ -133,22 +150,11 @@
 	size_t i;
 
 	while (at_clock_now_ms() < end_ms) {
-		sent_request_t *request = &traffic->requests[traffic->count];
-		size_t entry = traffic->count % ENTRIES;
-		char id[32];
-		char target[32];
-		const entry_fixture_request_t fields = {
-		    "POST", target, id, ENTRY_FIXTURE_KEY, "m0", "prompt"};
-
-		cr_assert_lt(traffic->count, REQUESTS_MAX);
-		(void)snprintf(id, sizeof(id), "request-%zu", traffic->count++);
-		(void)snprintf(target, sizeof(target), "/stream/%zu", entry);
-		request->sent_ms = at_clock_now_ms();
-		entry_fixture_send(
-		    traffic->fixture, entry, &fields, &request->response);
+		send_to(traffic, traffic->count % ENTRIES);
 		entry_fixture_run_ms(traffic->fixture, STEP_MS);
 		for (i = 0; i < traffic->count; i++) {
-			request = &traffic->requests[i];
+			sent_request_t *request = &traffic->requests[i];
+
 			if (request->response.done && request->done_ms == 0)
 				request->done_ms = at_clock_now_ms();
 		}
@@ -233,6 +239,22 @@
 	traffic_delete(traffic);
 }
 
+/* One instance was told; the requests come at all others. */
+Test(server_limits, instances_that_were_not_told_keep_to_it)
+{
+	traffic_t *traffic = traffic_new(1);
+	size_t i;
+
+	set_limit(traffic, 0, 2000);
+	send_to(traffic, 0);
+	entry_fixture_run_ms(traffic->fixture, 600);
+	for (i = 0; i < 20; i++)
+		send_to(traffic, 1 + i % (ENTRIES - 1));
+	entry_fixture_run_ms(traffic->fixture, 300);
+	cr_assert_leq(traffic->arrival_count, 8);
+	traffic_delete(traffic);
+}
+
 /* The limit changes, and ends when the engine no longer names it. */
 Test(server_limits, a_limit_holds_as_long_as_it_is_named)
 {
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -6,6 +6,7 @@
 
 #include <criterion/criterion.h>
 
+#include "platform/server_call.h"
 #include "platform/server_decode.h"
 #include "platform/site_decode.h"
 
@@ -187,3 +188,21 @@
 	cr_assert_eq(entry.on_disk_count, 2);
 	json_decref(spec);
 }
+
+static const struct {
+	const char *text;
+	uint32_t limit_milli;
+} limits[] = {{NULL, 0}, {"", 0}, {"2.1", 2100}, {"12", 12000}, {".5", 500},
+    {"0.0004", 1}, {"0", 1}, {"3 ", 3000}, {"-1", 0}, {"nan", 0}, {"inf", 0},
+    {"2.1/s", 0}, {"2,1", 0}, {"1e300", 1000000000}};
+
+/* A limit that cannot be read would close a server, or open it wide. */
+Test(platform, limits_of_servers)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(limits) / sizeof(limits[0]); i++)
+		cr_assert_eq(at_server_parse_limit(limits[i].text),
+		    limits[i].limit_milli, "'%s'",
+		    limits[i].text == NULL ? "(none)" : limits[i].text);
+}
