Soak: servers that name limits; postmortem of LIMIT

In two of three runs servers name limits that come, change and go; the judge counts what they get in each 4 s from instances that were told and not disturbed since.

--- a/tests/soak/backends.c
+++ b/tests/soak/backends.c
@@ -15,6 +15,8 @@
 #define REJECT_ALL 1000000u
 #define EVENTS 6u
 #define EVENT_GAP_MS 30u
+#define LIMIT_MIN_MILLI 300u /* requests in 1,000 s */
+#define LIMIT_MORE_MILLI 4000u
 #define PART_CRASH_MS 1500u /* until another server takes the place */
 /* Servers that have left and still serve; their number is limited. */
 #define LEAVING_MAX 64u
@@ -30,6 +32,7 @@
 	int is_unlisted;
 	double end_due_s;   /* of one that has left */
 	double fault_due_s; /* end of a fault; 0: none */
+	double limit_due_s; /* end of a limit; 0: none */
 	double start_due_s; /* of a crashed one's replacement; 0: none */
 } backend_t;
 
@@ -59,6 +62,7 @@
 	    .may_repeat = strncmp(at_httpd_path(request), "/unsafe/", 8) != 0,
 	    .has_crash_part =
 		at_httpd_header(request, SOAK_PART_HEADER) != NULL,
+	    .limit_milli = standin_server_faults(backend->server)->limit_milli,
 	    .left_ms = backend->left_ms,
 	    .is_bound = backend->is_bound};
 
@@ -179,6 +183,13 @@
 	}
 	if (backend->server == NULL)
 		return;
+	if (step->kind == SOAK_SERVER_LIMIT) {
+		standin_server_faults(backend->server)->limit_milli =
+		    LIMIT_MIN_MILLI + step->duration_ms % LIMIT_MORE_MILLI;
+		backend->limit_due_s =
+		    ev_now(backends->loop) + step->duration_ms / 1e3;
+		return;
+	}
 	if (step->kind == SOAK_BACKEND_REJECTS)
 		standin_server_faults(backend->server)->refuse = REJECT_ALL;
 	else
@@ -212,6 +223,11 @@
 		backend_t *backend = backends->listed[i];
 
 		check_part(backends, backend);
+		if (backend->limit_due_s != 0. && backend->server != NULL &&
+		    now_s >= backend->limit_due_s) {
+			standin_server_faults(backend->server)->limit_milli = 0;
+			backend->limit_due_s = 0.;
+		}
 		if (backend->fault_due_s != 0. && backend->server != NULL &&
 		    now_s >= backend->fault_due_s)
 			clear_faults(backend);
--- a/tests/soak/judge.c
+++ b/tests/soak/judge.c
@@ -6,6 +6,11 @@
  * instances in touch, CONTACT_MS after the fifth crash; LOST asks that sound
  * streams begin at the first attempt at least half as often as in calm times.
  *
+ * LIMIT: from CONTACT_MS after a server first named its limit, it gets in 4 s
+ * no more than one and a half times what that allows and five requests, of
+ * instances that have been told half a second before, and have not been
+ * disturbed since.
+ *
  * DRAIN holds for instances in touch and for a leaving that the store
  * acknowledged while it was stable. BUDGET counts all instances, in touch or
  * not, and requests that a backend server rejects.
@@ -31,6 +36,8 @@
 #define STILL_DISTURBED UINT64_MAX
 #define PART_CRASHES 5u /* of a part, after which BUDGET counts */
 #define PART_ARRIVALS_MAX 3u
+#define LIMIT_WINDOW_MS 4000u
+#define TOLD_MS 500u
 #define STREAMS_MIN 20u /* for LOST to be judged */
 
 typedef struct request {
@@ -45,7 +52,22 @@
 	size_t count;
 } times_t;
 
+/* A server that names a limit. */
+typedef struct limited {
+	char id[ID_SIZE];
+	uint64_t named_ms; /* when it first did */
+	uint32_t limit_milli;
+	uint32_t before_milli; /* another limit, until changed_ms */
+	uint64_t changed_ms;
+	uint64_t told_ms[SOAK_INSTANCES_MAX]; /* 0: not told */
+	times_t arrivals;                     /* of instances that were told */
+	UT_hash_handle hh;
+} limited_t;
+
 struct soak_judge {
+	limited_t *limited;
+	uint64_t limited_arrivals;
+	uint32_t limit;
 	uint64_t started_ms;
 	request_t *requests;
 	times_t sent[SOAK_SERVICES];
@@ -94,6 +116,14 @@
 	return judge;
 }
 
+static void
+delete_limited(soak_judge_t *judge, limited_t *limited)
+{
+	HASH_DEL(judge->limited, limited);
+	free(limited->arrivals.ms);
+	free(limited);
+}
+
 void
 soak_judge_delete(soak_judge_t *judge)
 {
@@ -106,6 +136,8 @@
 		HASH_DEL(judge->requests, request);
 		free(request);
 	}
+	while (judge->limited != NULL)
+		delete_limited(judge, judge->limited);
 	for (service = 0; service < SOAK_SERVICES; service++) {
 		free(judge->sent[service].ms);
 		free(judge->repeats[service].ms);
@@ -156,6 +188,19 @@
 		    late_ms);
 }
 
+/* Counts the times in the window that ends at end_ms. */
+static size_t
+count_since(const times_t *times, uint64_t end_ms, uint32_t window_ms)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = times->count; i > 0 && times->ms[i - 1] + window_ms > end_ms;
+	     i--)
+		count++;
+	return count;
+}
+
 static void
 judge_part(soak_judge_t *judge, const soak_arrival_t *arrival)
 {
@@ -173,6 +218,90 @@
 		judge->part_budget++;
 }
 
+static limited_t *
+find_or_add_limited(soak_judge_t *judge, const char *id)
+{
+	limited_t *limited;
+
+	HASH_FIND_STR(judge->limited, id, limited);
+	if (limited != NULL)
+		return limited;
+	limited = calloc(1, sizeof(*limited));
+	(void)snprintf(limited->id, sizeof(limited->id), "%s", id);
+	HASH_ADD_STR(judge->limited, id, limited);
+	return limited;
+}
+
+static void
+set_limit(limited_t *limited, uint32_t limit_milli, uint64_t now_ms)
+{
+	if (limited->named_ms == 0)
+		limited->named_ms = now_ms;
+	if (limited->limit_milli == limit_milli)
+		return;
+	limited->before_milli = limited->limit_milli;
+	limited->changed_ms = now_ms;
+	limited->limit_milli = limit_milli;
+}
+
+/* Returns non-zero if the instance was told, and notes that it is now. */
+static int
+note_told(
+    soak_judge_t *judge, limited_t *limited, uint32_t instance, uint64_t now_ms)
+{
+	uint64_t disturbed_ms = judge->instance_disturbed_ms[instance];
+	uint64_t *told_ms = &limited->told_ms[instance];
+
+	if (disturbed_ms == STILL_DISTURBED || *told_ms < disturbed_ms)
+		*told_ms = 0;
+	if (*told_ms != 0)
+		return now_ms >= *told_ms + TOLD_MS;
+	if (disturbed_ms != STILL_DISTURBED)
+		*told_ms = now_ms;
+	return 0;
+}
+
+static void
+judge_limit(soak_judge_t *judge, const soak_arrival_t *arrival)
+{
+	uint64_t now_ms = elapsed_ms(judge);
+	limited_t *limited;
+	uint32_t limit_milli;
+	size_t count;
+	double allowed;
+
+	HASH_FIND_STR(judge->limited, arrival->backend, limited);
+	if (arrival->limit_milli == 0) {
+		if (limited != NULL)
+			delete_limited(judge, limited);
+		return;
+	}
+	limited = find_or_add_limited(judge, arrival->backend);
+	set_limit(limited, arrival->limit_milli, now_ms);
+	if (!note_told(judge, limited, arrival->instance, now_ms))
+		return;
+	judge->limited_arrivals++;
+	add_time(judge, &limited->arrivals);
+	if (now_ms < limited->named_ms + CONTACT_MS + LIMIT_WINDOW_MS)
+		return;
+	/* The window may begin before the last change, and CONTACT_MS for it.
+	 */
+	limit_milli = limited->limit_milli;
+	if (now_ms < limited->changed_ms + CONTACT_MS + LIMIT_WINDOW_MS &&
+	    limited->before_milli > limit_milli)
+		limit_milli = limited->before_milli;
+	count = count_since(&limited->arrivals, now_ms, LIMIT_WINDOW_MS);
+	allowed = 1.5 * limit_milli / 1e3 * LIMIT_WINDOW_MS / 1e3 + 5;
+	if ((double)count <= allowed)
+		return;
+	if (judge->limit++ < PRINTED_MAX)
+		(void)printf("LIMIT: at %" PRIu64
+			     " ms %s, which has named a limit of %u.%03u a "
+			     "second, got %zu requests in 4 s\n",
+		    now_ms, arrival->backend, limit_milli / 1000u,
+		    limit_milli % 1000u, count);
+}
+
 void
 soak_judge_unplanned(soak_judge_t *judge, uint32_t duration_ms)
 {
@@ -268,6 +397,7 @@
 	}
 	judge_drain(judge, arrival);
 	judge_part(judge, arrival);
+	judge_limit(judge, arrival);
 }
 
 void
@@ -370,10 +500,13 @@
 	uint32_t lost = judge_lost(judge);
 
 	(void)printf("arrivals=%" PRIu64 " rejected=%" PRIu64
-		     " part_crashes=%u broken: BUDGET=%u PART=%u LOST=%u "
-		     "DRAIN=%u TWICE=%u EXIT=%u\n",
-	    judge->arrivals, judge->rejected, judge->crashes, budget,
-	    judge->part_budget, lost, judge->drain, judge->twice, judge->exits);
+		     " part_crashes=%u limited=%" PRIu64
+		     " broken: BUDGET=%u PART=%u LOST=%u LIMIT=%u DRAIN=%u "
+		     "TWICE=%u EXIT=%u\n",
+	    judge->arrivals, judge->rejected, judge->crashes,
+	    judge->limited_arrivals, budget, judge->part_budget, lost,
+	    judge->limit, judge->drain, judge->twice, judge->exits);
 	return (budget > 0) + (judge->part_budget > 0) + (lost > 0) +
-	       (judge->drain > 0) + (judge->twice > 0) + (judge->exits > 0);
+	       (judge->limit > 0) + (judge->drain > 0) + (judge->twice > 0) +
+	       (judge->exits > 0);
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -132,7 +132,8 @@
 		soak_processes_apply(soak->processes, step);
 	else if (step->kind == SOAK_CONFIG)
 		write_config(soak);
-	else if (step->kind < SOAK_STORE_OUTAGE)
+	else if (step->kind < SOAK_STORE_OUTAGE ||
+		 step->kind == SOAK_SERVER_LIMIT)
 		soak_backends_apply(soak->backends, step);
 	else
 		apply_to_store(soak, step);
--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -7,11 +7,13 @@
 #define SERIES_PERCENT 20u
 #define PART_MIN_MS 14000u /* for which a part that crashes engines is sent */
 #define PART_MORE_MS 10000u
+#define LIMIT_MIN_MS 5000u /* for which a server names a limit */
+#define LIMIT_MORE_MS 10000u
 
 const char *const soak_kind_names[] = {"term", "kill", "freeze", "hang-up",
     "config", "backend-leaves", "backend-removed", "backend-crashes",
     "backend-rejects", "backend-silent", "store-outage", "store-loses-watches",
-    "store-drops-history", "part-crashes"};
+    "store-drops-history", "part-crashes", "server-limit"};
 
 /* How often each kind is drawn. */
 static const uint32_t weights[SOAK_DRAWN_KINDS] = {
@@ -135,6 +137,26 @@
 	}
 }
 
+/* Limits that come, change and go, in two of three runs. */
+static void
+add_limits(
+    soak_step_t **steps, size_t *count, uint64_t seed, uint32_t duration_ms)
+{
+	at_rng_t rng = {~seed * 0xd6e8feb86659fd93u};
+	soak_step_t step = {.kind = SOAK_SERVER_LIMIT};
+
+	if (at_rng_below(&rng, 3) == 0)
+		return;
+	step.at_ms = QUIET_START_MS + (uint32_t)at_rng_below(&rng, 3000);
+	while (step.at_ms < duration_ms) {
+		step.target = (uint32_t)at_rng_below(&rng, SOAK_BACKENDS);
+		step.duration_ms =
+		    LIMIT_MIN_MS + (uint32_t)at_rng_below(&rng, LIMIT_MORE_MS);
+		add_step(steps, count, &step);
+		step.at_ms += (uint32_t)at_rng_below(&rng, 5000);
+	}
+}
+
 soak_step_t *
 soak_schedule_new(
     uint64_t seed, uint32_t duration_ms, uint32_t instances, size_t *step_count)
@@ -168,6 +190,7 @@
 		step.at_ms += (uint32_t)at_rng_below(&rng, gap_max_ms);
 	}
 	add_crash_parts(&steps, step_count, seed, duration_ms);
+	add_limits(&steps, step_count, seed, duration_ms);
 	if (steps != NULL)
 		qsort(steps, *step_count, sizeof(*steps), compare_steps);
 	return steps;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -50,6 +50,7 @@
 	SOAK_STORE_DROPS_HISTORY,
 	SOAK_DRAWN_KINDS, /* the following ones are scheduled apart */
 	SOAK_PART_CRASHES = SOAK_DRAWN_KINDS, /* engines, for duration_ms */
+	SOAK_SERVER_LIMIT, /* a backend server names one, for duration_ms */
 	SOAK_KINDS
 } soak_kind_t;
 
@@ -97,6 +98,7 @@
 	int is_run;
 	int may_repeat;
 	int has_crash_part;
+	uint32_t limit_milli; /* that the server names now, in 1,000 s */
 	uint64_t left_ms;
 	int is_bound;
 } soak_arrival_t;
