Search each byte of an incomplete event once

What was seen: eight streams whose server sends one event without end in chunks of 8 bytes held up another request for more than 0.5 s.

Cause: with each chunk the whole buffered event, up to 256 KiB, was searched again for its end, and the buffer grew by 1 KiB.

Change: the search goes on where the last one ended; the buffer grows by half.

--- a/include/almondthread/event_frames.h
+++ b/include/almondthread/event_frames.h
@@ -24,6 +24,7 @@
 	char *buffer;
 	size_t len;
 	size_t size;
+	size_t searched; /* no event ends in these bytes */
 } at_event_frames_t;
 
 /*
--- a/src/core/requests/event_frames.c
+++ b/src/core/requests/event_frames.c
@@ -6,11 +6,14 @@
 #define GROWTH_MIN_BYTES 1024u /* smallest growth of the buffer */
 #define ID_FIELD "id:"
 
-/* Returns the length of the complete event at the start of data, or 0. */
+/*
+ * Returns the length of the complete event at the start of data, or 0. None
+ * ends in the first searched bytes.
+ */
 static size_t
-event_length(const char *data, size_t len)
+event_length(const char *data, size_t len, size_t searched)
 {
-	const char *at = data;
+	const char *at = data + searched;
 	const char *end = data + len;
 
 	while ((at = memchr(at, '\n', (size_t)(end - at))) != NULL) {
@@ -49,12 +52,15 @@
 
 /* Passes complete events to the sink; returns their length in bytes. */
 static size_t
-emit_events(const char *data, size_t len, at_event_sink_t sink, void *ctx)
+emit_events(const char *data, size_t len, size_t searched, at_event_sink_t sink,
+    void *ctx)
 {
 	size_t done = 0;
 	size_t event_len;
 
-	while ((event_len = event_length(data + done, len - done)) > 0) {
+	while (
+	    (event_len = event_length(data + done, len - done, searched)) > 0) {
+		searched = 0;
 		at_event_t event = {.data = data + done, .len = event_len};
 
 		parse_id(&event);
@@ -70,7 +76,8 @@
 	if (frames->len + len > AT_EVENT_MAX_BYTES)
 		return -1;
 	if (frames->len + len > frames->size) {
-		size_t size = frames->len + len + GROWTH_MIN_BYTES;
+		size_t size =
+		    frames->len + frames->len / 2 + len + GROWTH_MIN_BYTES;
 		char *buffer = realloc(frames->buffer, size);
 
 		if (buffer == NULL)
@@ -83,6 +90,13 @@
 	return 0;
 }
 
+/* An event may end with the next bytes, after "\n" or "\n\r". */
+static void
+note_searched(at_event_frames_t *frames)
+{
+	frames->searched = frames->len < 2 ? 0 : frames->len - 2;
+}
+
 int
 at_event_frames_feed(at_event_frames_t *frames, const char *data, size_t len,
     at_event_sink_t sink, void *ctx)
@@ -90,15 +104,21 @@
 	size_t done;
 
 	if (frames->len == 0) {
-		done = emit_events(data, len, sink, ctx);
-		return done == len ? 0
-				   : append(frames, data + done, len - done);
+		done = emit_events(data, len, 0, sink, ctx);
+		if (done == len)
+			return 0;
+		if (append(frames, data + done, len - done) != 0)
+			return -1;
+		note_searched(frames);
+		return 0;
 	}
 	if (append(frames, data, len) != 0)
 		return -1;
-	done = emit_events(frames->buffer, frames->len, sink, ctx);
+	done = emit_events(
+	    frames->buffer, frames->len, frames->searched, sink, ctx);
 	frames->len -= done;
 	memmove(frames->buffer, frames->buffer + done, frames->len);
+	note_searched(frames);
 	return 0;
 }
 
--- a/tests/unit/test_event_frames.c
+++ b/tests/unit/test_event_frames.c
@@ -62,6 +62,26 @@
 	}
 }
 
+/* Each byte would be searched again with every later one. */
+Test(event_frames, finds_events_that_come_byte_by_byte)
+{
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		at_event_frames_t frames = {0};
+
+		found[0] = '\0';
+		for (k = 0; k < strlen(cases[i].stream); k++)
+			cr_assert_eq(
+			    at_event_frames_feed(&frames, cases[i].stream + k,
+				1, on_event, NULL),
+			    0);
+		cr_assert_str_eq(found, cases[i].events);
+		at_event_frames_reset(&frames);
+	}
+}
+
 Test(event_frames, rejects_an_event_too_long)
 {
 	static char data[AT_EVENT_MAX_BYTES + 1];
