Bound responses without end in every part

What was seen: bytes without end cost memory and time: a report of an engine, the body of a failure and of a refusal, the trailer and the extension of a chunk were read until a time limit, 68 to 554 MB in test_endless_bytes.

Cause: only the body of one response and one event had a bound. What libcurl reads without passing it on had none.

Change: the head with trailer and informational responses, reads that lead to nothing, the body of a refusal, all buffered responses together, and the responses of the platform and of engines to reports and orders have bounds (docs/design/requests.md).

--- a/src/daemon/placement/placement_send.c
+++ b/src/daemon/placement/placement_send.c
@@ -11,6 +11,7 @@
 
 #define CONNECT_TIMEOUT_MS 500u
 #define ORDER_TIMEOUT_MS 2000u
+#define RESPONSE_MAX_BYTES (64u << 10)
 #define URL_SIZE 128
 
 static void
@@ -136,6 +137,7 @@
 	    .body = text,
 	    .connect_ms = CONNECT_TIMEOUT_MS,
 	    .total_ms = ORDER_TIMEOUT_MS,
+	    .body_max_bytes = RESPONSE_MAX_BYTES,
 	    .new_connection = 1,
 	    .forbid_resend = 1};
 	at_transfer_t *transfer;
--- a/src/daemon/routing/engine_status.c
+++ b/src/daemon/routing/engine_status.c
@@ -13,6 +13,7 @@
 
 #define REMOTE_INTERVAL_MS 5000u /* between calls to remote engines */
 #define STATUS_TIMEOUT_MS 1000u
+#define STATUS_MAX_BYTES (4u << 20)
 #define URL_SIZE 128
 
 /* One status call. */
@@ -143,8 +144,10 @@
 at_engine_status_request(at_node_t *node, at_backend_t *backend)
 {
 	char url[URL_SIZE];
-	const at_transfer_spec_t spec = {
-	    .method = "GET", .url = url, .total_ms = STATUS_TIMEOUT_MS};
+	const at_transfer_spec_t spec = {.method = "GET",
+	    .url = url,
+	    .total_ms = STATUS_TIMEOUT_MS,
+	    .body_max_bytes = STATUS_MAX_BYTES};
 	at_transfer_events_t events = {on_headers, on_data, on_done, NULL};
 	status_call_t *call;
 
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -19,6 +19,11 @@
 #define CONNECT_TIMEOUT_MS 600u /* for connecting to a backend server */
 /* Largest response that is buffered. */
 #define RESPONSE_BUFFER_MAX_BYTES (8u << 20)
+/* Of all buffered responses; smaller ones are not refused for it. */
+#define RESPONSE_BUFFERS_MAX_BYTES (32u << 20)
+#define RESPONSE_SMALL_BYTES (64u << 10)
+/* Longest body of a refusal that is read, so that its connection is kept. */
+#define REFUSAL_BODY_MAX_BYTES (16u << 10)
 /* Smallest growth of the buffer. */
 #define RESPONSE_BUFFER_GROWTH_BYTES 2048u
 #define PRIORITY_INTERACTIVE 2u /* for an interactive objective */
@@ -31,6 +36,8 @@
 {
 	at_response_headers_free(&response->headers);
 	free(response->body);
+	if (response->total_bytes != NULL)
+		*response->total_bytes -= response->size;
 	memset(response, 0, sizeof(*response));
 }
 
@@ -125,6 +132,7 @@
 	if (server_response.is_not_run) {
 		attempt->is_refused = 1;
 		attempt->is_misplaced = server_response.is_misplaced;
+		attempt->refused_status = status;
 		return;
 	}
 	if (!server_response.matches_request) {
@@ -188,9 +196,12 @@
 }
 
 static int
-append_body(buffered_response_t *response, const char *data, size_t len)
+append_body(at_entry_t *entry, buffered_response_t *response, const char *data,
+    size_t len)
 {
-	if (response->len + len > RESPONSE_BUFFER_MAX_BYTES)
+	if (response->len + len > RESPONSE_BUFFER_MAX_BYTES ||
+	    (response->len + len > RESPONSE_SMALL_BYTES &&
+		entry->buffered_bytes + len > RESPONSE_BUFFERS_MAX_BYTES))
 		return -1;
 	if (response->len + len > response->size) {
 		size_t size =
@@ -199,6 +210,8 @@
 
 		if (body == NULL)
 			return -1;
+		entry->buffered_bytes += size - response->size;
+		response->total_bytes = &entry->buffered_bytes;
 		response->body = body;
 		response->size = size;
 	}
@@ -207,6 +220,23 @@
 	return 0;
 }
 
+/* The server states that it did not run the request. */
+static void
+finish_refused(call_attempt_t *attempt)
+{
+	at_call_t *call = attempt->call;
+
+	if (attempt->is_misplaced && attempt->server != NULL)
+		at_server_note_misplaced(
+		    attempt->server, &call->waiter.work, at_clock_now_us());
+	call_attempt_end(attempt, AT_OUTCOME_REFUSED);
+	at_log(AT_LOG_INFO, "call", call->id,
+	    "attempt refused server=%s status=%d", attempt->server_id.text,
+	    attempt->refused_status);
+	at_attempts_on_refused(
+	    call->attempts, attempt->number, at_clock_now_ms());
+}
+
 static int
 on_data(void *ctx, const char *data, size_t len)
 {
@@ -214,13 +244,21 @@
 	at_call_t *call = attempt->call;
 	int result;
 
-	if (attempt->is_refused)
+	if (attempt->is_refused) {
+		attempt->refused_bytes += len;
+		if (attempt->refused_bytes > REFUSAL_BODY_MAX_BYTES &&
+		    attempt->transfer != NULL) {
+			finish_refused(attempt);
+			call_process(call);
+		}
 		return 0;
+	}
 	if (attempt->is_stream)
 		result = at_event_frames_feed(
 		    &attempt->frames, data, len, on_event, attempt);
 	else
-		result = append_body(&attempt->response, data, len);
+		result =
+		    append_body(call->entry, &attempt->response, data, len);
 	if (result != 0 && attempt->transfer != NULL)
 		reject_response(attempt, AT_REASON_TRUNCATED);
 	if (!call->is_paused || attempt->transfer == NULL)
@@ -300,15 +338,7 @@
 
 	attempt->transfer = NULL;
 	if (attempt->is_refused) {
-		if (attempt->is_misplaced && attempt->server != NULL)
-			at_server_note_misplaced(attempt->server,
-			    &call->waiter.work, at_clock_now_us());
-		call_attempt_end(attempt, AT_OUTCOME_REFUSED);
-		at_log(AT_LOG_INFO, "call", call->id,
-		    "attempt refused server=%s status=%d",
-		    attempt->server_id.text, result->http_status);
-		at_attempts_on_refused(
-		    call->attempts, attempt->number, at_clock_now_ms());
+		finish_refused(attempt);
 	} else if (result->is_complete) {
 		handle_complete(attempt);
 	} else {
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -22,6 +22,7 @@
 	char *body;
 	size_t len;
 	size_t size;
+	size_t *total_bytes; /* of the instance, with size; NULL: no body */
 } buffered_response_t;
 
 /* One attempt at one backend server. */
@@ -39,9 +40,11 @@
 	int is_begun;   /* it has gone on since, which the crashes were told */
 	int is_silent;  /* another attempt was started beside it */
 	int is_refused; /* the server states that it did not run it */
-	int is_misplaced;  /* refused: wrong server, or model not resident */
-	int is_stream;     /* the response is passed on as it arrives */
-	at_reason_t fault; /* why the response was rejected */
+	int refused_status;
+	size_t refused_bytes; /* of the refusal's body, which is not used */
+	int is_misplaced;     /* refused: wrong server, or model not resident */
+	int is_stream;        /* the response is passed on as it arrives */
+	at_reason_t fault;    /* why the response was rejected */
 	buffered_response_t response;
 	at_event_frames_t frames;
 } call_attempt_t;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -102,8 +102,9 @@
 	at_readiness_t *readiness;
 	at_call_t *calls;
 	size_t call_count;
-	int is_placing;      /* queued requests are being placed */
-	int placing_pending; /* slots became free since */
+	size_t buffered_bytes; /* of all buffered responses */
+	int is_placing;        /* queued requests are being placed */
+	int placing_pending;   /* slots became free since */
 	ev_timer tick;
 	ev_timer stop_timer;
 	uint64_t stop_since_ms;
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -12,7 +12,9 @@
 #define RECEIVE_BUFFER_BYTES (16L * 1024) /* buffer of each transfer */
 #define CONNECTION_IDLE_MAX_S 20L         /* idle for longer: not reused */
 #define CONNECTION_AGE_MAX_S 600L         /* open for longer: not reused */
-#define DEFAULT_CONNECTIONS_MAX 512L      /* size of the connection pool */
+/* Reads of a socket in a row that yield neither a header line nor a body. */
+#define IDLE_READS_MAX 64u
+#define DEFAULT_CONNECTIONS_MAX 512L /* size of the connection pool */
 
 /*
  * A server may become unreachable without a reset. TCP keepalive on idle
@@ -38,6 +40,11 @@
 	at_reason_t timeout_reason; /* AT_REASON_NONE before a timeout */
 	int forbid_resend;
 	uint32_t send_count; /* times libcurl began to send */
+	size_t head_bytes;
+	size_t head_lines;
+	uint64_t body_bytes;
+	uint64_t body_max_bytes; /* 0: no limit */
+	uint32_t idle_reads;     /* of the socket, since the response went on */
 	int headers_received;
 	int is_added; /* added to the multi handle */
 	int is_cancelled;
@@ -55,6 +62,7 @@
 /* Watches one socket of libcurl. */
 typedef struct socket_watcher {
 	at_httpc_t *httpc;
+	CURL *easy; /* the transfer that uses it */
 	ev_io io;
 } socket_watcher_t;
 
@@ -106,6 +114,22 @@
 	apply_pending_changes(httpc);
 }
 
+/*
+ * Ends the transfer of a socket whose bytes have led to nothing for too long.
+ * Returns non-zero if it has.
+ */
+static int
+end_without_progress(const socket_watcher_t *watcher)
+{
+	at_transfer_t *transfer = NULL;
+
+	(void)curl_easy_getinfo(watcher->easy, CURLINFO_PRIVATE, &transfer);
+	if (transfer == NULL || ++transfer->idle_reads <= IDLE_READS_MAX)
+		return 0;
+	transfer_finish(transfer, CURLE_WEIRD_SERVER_REPLY);
+	return 1;
+}
+
 static void
 on_socket_ready(struct ev_loop *loop, ev_io *io, int events)
 {
@@ -115,6 +139,10 @@
 	int running;
 
 	(void)loop;
+	if ((events & EV_READ) && end_without_progress(watcher)) {
+		apply_pending_changes(httpc);
+		return;
+	}
 	if (events & EV_READ)
 		mask |= CURL_CSELECT_IN;
 	if (events & EV_WRITE)
@@ -158,7 +186,6 @@
 	socket_watcher_t *watcher = socket_data;
 	int events = 0;
 
-	(void)easy;
 	if (poll_action == CURL_POLL_REMOVE) {
 		if (watcher != NULL) {
 			ev_io_stop(httpc->loop, &watcher->io);
@@ -175,6 +202,7 @@
 		watcher->io.data = watcher;
 		(void)curl_multi_assign(httpc->multi, fd, watcher);
 	}
+	watcher->easy = easy;
 	if (poll_action & CURL_POLL_IN)
 		events |= EV_READ;
 	if (poll_action & CURL_POLL_OUT)
@@ -397,7 +425,11 @@
 	at_transfer_t *transfer = ctx;
 	size_t len = size * count;
 
-	if (transfer->is_cancelled)
+	transfer->idle_reads = 0;
+	transfer->head_bytes += len;
+	if (transfer->is_cancelled ||
+	    transfer->head_bytes > AT_TRANSFER_HEAD_MAX_BYTES ||
+	    ++transfer->head_lines > AT_TRANSFER_HEAD_LINES_MAX)
 		return 0;
 	/* An empty line ends the headers. */
 	if (len <= 2 && data[0] == '\r') {
@@ -417,7 +449,11 @@
 	size_t len = size * count;
 	int pause = 0;
 
-	if (transfer->is_cancelled)
+	transfer->idle_reads = 0;
+	transfer->body_bytes += len;
+	if (transfer->is_cancelled ||
+	    (transfer->body_max_bytes != 0 &&
+		transfer->body_bytes > transfer->body_max_bytes))
 		return CURL_WRITEFUNC_ERROR;
 	timeout_start(transfer, transfer->idle_ms);
 	if (transfer->events.on_data == NULL)
@@ -535,6 +571,7 @@
 	transfer->httpc = httpc;
 	transfer->events = *events;
 	transfer->idle_ms = spec->idle_ms;
+	transfer->body_max_bytes = spec->body_max_bytes;
 	transfer->forbid_resend = spec->forbid_resend;
 	ev_timer_init(&transfer->timeout, on_timeout, 0., 0.);
 	transfer->timeout.data = transfer;
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -2,6 +2,11 @@
  * httpc.h - HTTP client for backend servers and the platform: the multi
  * interface of libcurl, driven by libev on one thread.
  *
+ * A response without end is bounded: its head and trailer by
+ * AT_TRANSFER_HEAD_MAX_BYTES and AT_TRANSFER_HEAD_LINES_MAX, with the
+ * informational responses before it, its body by the owner, and what is neither
+ * (the frame of a chunk) by a number of reads that yield nothing.
+ *
  * A transfer calls on_headers at most once, on_data any number of times and
  * on_done exactly once; after at_transfer_cancel() it calls nothing. on_done
  * states whether the request may have run.
@@ -14,6 +19,9 @@
 #include "almondthread/units.h"
 #include "almondthread/verdict.h"
 
+#define AT_TRANSFER_HEAD_MAX_BYTES (64u << 10)
+#define AT_TRANSFER_HEAD_LINES_MAX 256u
+
 typedef struct at_httpc at_httpc_t;
 typedef struct at_transfer at_transfer_t;
 
@@ -57,8 +65,9 @@
 	uint32_t first_byte_ms; /* from the start to the response headers */
 	uint32_t idle_ms;       /* between two chunks of the response */
 	uint32_t total_ms;
-	int connect_only;   /* completes once connected; nothing is sent */
-	int new_connection; /* never reuses a pooled connection */
+	uint64_t body_max_bytes; /* a longer response fails; 0: no limit */
+	int connect_only;        /* completes once connected; nothing is sent */
+	int new_connection;      /* never reuses a pooled connection */
 	/*
 	 * libcurl sends a request again if a reused connection closes before
 	 * the first byte of the response. Non-zero makes the transfer fail
--- a/src/io/remote.c
+++ b/src/io/remote.c
@@ -190,6 +190,7 @@
 	    .body_len = spec->body_len,
 	    .connect_ms = spec->connect_ms,
 	    .total_ms = spec->total_ms,
+	    .body_max_bytes = AT_REMOTE_BODY_MAX_BYTES,
 	    .new_connection =
 		spec->new_connection || remote->needs_new_connection,
 	    .forbid_resend = strcmp(spec->method, "GET") != 0};
--- a/src/io/remote.h
+++ b/src/io/remote.h
@@ -13,6 +13,7 @@
 #include "io/httpc.h"
 
 #define AT_REMOTE_PATH_SIZE 448u /* bytes of path and query, with the NUL */
+#define AT_REMOTE_BODY_MAX_BYTES (8u << 20) /* a longer response fails */
 
 typedef struct at_remote at_remote_t;
 typedef struct at_remote_call at_remote_call_t;
--- a/tests/contract/test_endless_bytes.c
+++ b/tests/contract/test_endless_bytes.c
@@ -81,6 +81,7 @@
 	struct ev_loop *loop;
 	const endless_t *kind;
 	int fd;
+	void (*on_writable)(struct ev_loop *loop, ev_io *io, int events);
 	ev_io acceptable;
 	connection_t connections[CONNECTIONS_MAX];
 	size_t count;
@@ -158,7 +159,7 @@
 	(void)fcntl(fd, F_SETFL, O_NONBLOCK);
 	*connection = (connection_t){.server = server, .fd = fd};
 	ev_io_init(&connection->readable, on_readable, fd, EV_READ);
-	ev_io_init(&connection->writable, on_writable, fd, EV_WRITE);
+	ev_io_init(&connection->writable, server->on_writable, fd, EV_WRITE);
 	connection->readable.data = connection;
 	connection->writable.data = connection;
 	ev_io_start(loop, &connection->readable);
@@ -177,6 +178,7 @@
 
 	server->loop = fixture->loop;
 	server->kind = kind;
+	server->on_writable = on_writable;
 	while (server->block_len + repeat_len <= sizeof(server->block)) {
 		memcpy(server->block + server->block_len, kind->repeat,
 		    repeat_len);
@@ -292,3 +294,84 @@
 KIND_TEST(12, the_body_of_a_refusal)
 KIND_TEST(13, the_body_of_a_refusal_unsafe)
 KIND_TEST(14, a_body_shorter_than_its_length)
+
+/* Responses that have neither a length nor chunks end with their connection. */
+static const struct {
+	const char *name;
+	const char *target;
+	const char *response;
+	int is_reset;
+	int status;
+	int is_complete;
+} ended[] = {
+    {"a whole stream", "/once/x",
+	"HTTP/1.1 200 OK\r\n" SIGNED "\r\nid: 1\ndata: a\n\n", 0, 200, 1},
+    {"a stream that ends inside an event", "/once/x",
+	"HTTP/1.1 200 OK\r\n" SIGNED "\r\nid: 1\ndata: a\n\nid: 2\nda", 0, 200,
+	0},
+    {"a stream that is reset", "/once/x",
+	"HTTP/1.1 200 OK\r\n" SIGNED "\r\nid: 1\ndata: a\n\n", 1, 200, 0},
+    {"a whole body", "/once/x", "HTTP/1.1 400 Bad\r\n" SIGNED "\r\nabc", 0, 400,
+	1},
+    {"a body that is reset", "/once/x", "HTTP/1.1 400 Bad\r\n" SIGNED "\r\nabc",
+	1, 502, 1},
+};
+
+static void
+send_and_close(struct ev_loop *loop, ev_io *io, int events)
+{
+	connection_t *connection = io->data;
+	const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+	const char *response = connection->server->kind->begin;
+
+	(void)loop;
+	(void)events;
+	if (connection->begin_sent == 0) {
+		(void)send(
+		    connection->fd, response, strlen(response), MSG_NOSIGNAL);
+		connection->begin_sent = 1;
+		return;
+	}
+	/* The loop has gone round, so that the bytes have been read. */
+	if (connection->begin_sent++ < 20)
+		return;
+	if (connection->server->kind->repeat[0] == 'r')
+		(void)setsockopt(connection->fd, SOL_SOCKET, SO_LINGER, &reset,
+		    sizeof(reset));
+	close_connection(connection);
+}
+
+static void
+run_ended(size_t i)
+{
+	const endless_t kind = {ended[i].name, ended[i].target,
+	    ended[i].response, ended[i].is_reset ? "r" : "-"};
+	entry_fixture_t *fixture = entry_fixture_new();
+	entry_fixture_response_t response;
+	entry_fixture_request_t request = {
+	    "POST", ended[i].target, "id", ENTRY_FIXTURE_KEY, MODEL, "prompt"};
+	server_t *server;
+
+	entry_fixture_apply_config(fixture, 1);
+	(void)entry_fixture_add_engine(fixture, "m0");
+	(void)entry_fixture_add_entry(fixture);
+	server = server_new(fixture, &kind);
+	server->on_writable = send_and_close;
+	entry_fixture_run_until(fixture, has_both_servers, fixture);
+	entry_fixture_call(fixture, 0, &request, &response);
+	cr_assert_eq(response.status, ended[i].status, "%s: status %d",
+	    ended[i].name, response.status);
+	cr_assert_eq(
+	    response.is_complete, ended[i].is_complete, "%s", ended[i].name);
+	entry_fixture_response_free(&response);
+	server_delete(server);
+	entry_fixture_delete(fixture);
+}
+
+Test(endless_bytes, a_response_ends_with_its_connection)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(ended) / sizeof(ended[0]); i++)
+		run_ended(i);
+}
