Ask an instance that was silent for its own origins only

Cause: after 1.5 s of silence of an instance, each other one asked it for the origins of all streams, ten times a second until the answer was complete: a hundred datagrams each time, from links of 10 Mbit/s. Full links lost reports, so that more instances seemed silent. Ruled out by the trace: a stall of the loop (0.14 s late), processor time.

Change: it is asked for what it has noted itself; all origins are asked for twice a second at most, by an instance that starts or to which half of the others were silent.

--- a/include/almondthread/stream_origins.h
+++ b/include/almondthread/stream_origins.h
@@ -81,8 +81,11 @@
  */
 uint32_t at_stream_origins_batch_ms(uint32_t instances);
 
-/* at_stream_origins_each() visits all origins, the oldest first. */
-void at_stream_origins_each(const at_stream_origins_t *origins,
+/*
+ * at_stream_origins_each() visits all origins, or with only_own those that were
+ * noted here, the oldest first.
+ */
+void at_stream_origins_each(const at_stream_origins_t *origins, int only_own,
     void (*visit)(void *ctx, const at_stream_origin_t *origin), void *ctx);
 
 /* at_stream_origins_expire() forgets what is older than the lifetime. */
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -1586,7 +1586,7 @@
   (ProtobufCMessageInit) report_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[32] =
+static const ProtobufCFieldDescriptor report__field_descriptors[33] =
 {
   {
     "name",
@@ -1972,6 +1972,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wants_own_origins",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Report, wants_own_origins),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -2006,12 +2018,13 @@
   27,   /* field[27] = verdicts */
   10,   /* field[10] = wants */
   22,   /* field[22] = wants_origins */
+  32,   /* field[32] = wants_own_origins */
 };
 static const ProtobufCIntRange report__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 32 }
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -2021,7 +2034,7 @@
   "Report",
   "",
   sizeof(Report),
-  32,
+  33,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -347,6 +347,10 @@
    * The sender asks an instance that is older than its age for all origins.
    */
   protobuf_c_boolean wants_origins;
+  /*
+   * The sender asks for the origins that the receiver has noted itself.
+   */
+  protobuf_c_boolean wants_own_origins;
   /*
    * 0 if any instance should answer
    */
@@ -380,7 +384,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /* ReportLoad methods */
--- a/src/core/requests/stream_origins.c
+++ b/src/core/requests/stream_origins.c
@@ -15,6 +15,7 @@
 typedef struct entry {
 	at_stream_origin_t origin;
 	uint64_t noted_us;
+	int is_own; /* noted here */
 	UT_hash_handle hh;
 } entry_t;
 
@@ -83,9 +84,9 @@
 	return now_us > since_us && now_us - since_us > origins->lifetime_us;
 }
 
-void
-at_stream_origins_apply(at_stream_origins_t *origins,
-    const at_stream_origin_t *origin, uint64_t now_us)
+static void
+record(at_stream_origins_t *origins, const at_stream_origin_t *origin,
+    int is_own, uint64_t now_us)
 {
 	entry_t *entry;
 
@@ -104,10 +105,18 @@
 		entry->origin = *origin;
 	}
 	entry->noted_us = now_us;
+	entry->is_own |= is_own;
 	HASH_ADD(hh, origins->table, origin.stream,
 	    sizeof(entry->origin.stream), entry);
 }
 
+void
+at_stream_origins_apply(at_stream_origins_t *origins,
+    const at_stream_origin_t *origin, uint64_t now_us)
+{
+	record(origins, origin, 0, now_us);
+}
+
 static void
 add_pending(at_stream_origins_t *origins, const at_stream_origin_t *origin)
 {
@@ -134,7 +143,7 @@
 {
 	const at_stream_origin_t origin = {stream, software};
 
-	at_stream_origins_apply(origins, &origin, now_us);
+	record(origins, &origin, 1, now_us);
 	add_pending(origins, &origin);
 }
 
@@ -237,13 +246,15 @@
 }
 
 void
-at_stream_origins_each(const at_stream_origins_t *origins,
+at_stream_origins_each(const at_stream_origins_t *origins, int only_own,
     void (*visit)(void *ctx, const at_stream_origin_t *origin), void *ctx)
 {
 	const entry_t *entry;
 
-	for (entry = origins->table; entry != NULL; entry = entry->hh.next)
-		visit(ctx, &entry->origin);
+	for (entry = origins->table; entry != NULL; entry = entry->hh.next) {
+		if (entry->is_own || !only_own)
+			visit(ctx, &entry->origin);
+	}
 }
 
 void
--- a/src/entry/gossip_impl.h
+++ b/src/entry/gossip_impl.h
@@ -24,7 +24,8 @@
 	REPORT_SERVERS, /* changed objects of the list of backend servers */
 	REPORT_CONFIG,  /* the configuration */
 	REPORT_ORIGINS, /* origins of streams, without a header */
-	REPORT_ORIGINS_REQUEST, /* a request for all origins */
+	REPORT_ORIGINS_REQUEST,     /* a request for all origins */
+	REPORT_OWN_ORIGINS_REQUEST, /* for those that an instance has noted */
 	REPORT_CRASHES, /* a crash, or what has begun; without a header */
 } report_kind_t;
 
@@ -58,7 +59,9 @@
 	uint64_t started_us;     /* start of this instance */
 	uint32_t answers_wanted; /* with all origins */
 	uint64_t answers_wanted_until_us;
-	at_tag_t answer_from;   /* instance to be asked; 0: any */
+	uint64_t requested_us; /* last request for all origins */
+	uint32_t members_back; /* that report again, since members_back_us */
+	uint64_t members_back_us;
 	int was_out_of_contact; /* a newer instance may know more, too */
 	unsigned char datagram[DATAGRAM_MAX_BYTES];
 };
--- a/src/entry/gossip_origins.c
+++ b/src/entry/gossip_origins.c
@@ -11,6 +11,10 @@
 #define START_ANSWERS 2u /* a part of an answer may be lost */
 /* An instance that finds none that is older stops asking after this time. */
 #define ASKING_US 5000000u
+/* Least time between two requests for all origins. */
+#define REQUEST_INTERVAL_US 500000u
+/* Instances that report again within this time were out of contact together. */
+#define BACK_TOGETHER_US 1000000u
 /* Of instances whose ages differ by less, none knows more than the others. */
 #define AGE_MARGIN_MS 200u
 
@@ -80,13 +84,12 @@
 /* State of the choice of the instance that is asked. */
 typedef struct search {
 	at_entry_t *entry;
-	at_tag_t preferred;
 	uint64_t now_us;
 	uint32_t count; /* reporting instances so far */
 	const at_roster_member_t *found;
 } search_t;
 
-/* Draws one of the reporting instances, unless the preferred one reports. */
+/* Draws one of the reporting instances. */
 static void
 consider_member(void *ctx, at_roster_member_t *member)
 {
@@ -95,22 +98,18 @@
 	if (member->reported_us == 0 || member->is_leaving ||
 	    search->now_us - member->reported_us > AT_ROSTER_REPORT_TIMEOUT_US)
 		return;
-	if (search->found != NULL && search->found->tag == search->preferred)
-		return;
 	search->count++;
-	if (member->tag == search->preferred ||
-	    at_rng_next(&search->entry->rng) % search->count == 0)
+	if (at_rng_next(&search->entry->rng) % search->count == 0)
 		search->found = member;
 }
 
 static void
 send_request(at_gossip_t *gossip, uint64_t now_us)
 {
-	search_t search = {.entry = gossip->entry,
-	    .preferred = gossip->answer_from,
-	    .now_us = now_us};
+	search_t search = {.entry = gossip->entry, .now_us = now_us};
 	size_t len;
 
+	gossip->requested_us = now_us;
 	at_roster_each(gossip->entry->roster, consider_member, &search);
 	if (search.found == NULL)
 		return;
@@ -126,16 +125,32 @@
 	at_stream_origins_expire(gossip->entry->origins, now_us);
 	if (now_us >= gossip->answers_wanted_until_us)
 		gossip->answers_wanted = 0;
-	if (gossip->answers_wanted > 0)
+	if (gossip->answers_wanted > 0 &&
+	    now_us >= gossip->requested_us + REQUEST_INTERVAL_US)
 		send_request(gossip, now_us);
 }
 
+/*
+ * An instance that was silent is asked for what it has noted meanwhile. If at
+ * least half of them were, this one was out of contact itself, and asks one of
+ * them for all origins: those that noted some may be gone.
+ */
 void
 origins_on_member_back(
     at_gossip_t *gossip, const at_roster_member_t *member, uint64_t now_us)
 {
+	size_t len = report_encode(gossip, REPORT_OWN_ORIGINS_REQUEST);
+
+	if (len > 0)
+		gossip_send_datagram(gossip, member, len);
+	if (now_us >= gossip->members_back_us + BACK_TOGETHER_US) {
+		gossip->members_back = 0;
+		gossip->members_back_us = now_us;
+	}
+	if (2 * ++gossip->members_back <
+	    at_roster_present_count(gossip->entry->roster) - 1)
+		return;
 	gossip->was_out_of_contact = 1;
-	gossip->answer_from = member->tag;
 	gossip->answers_wanted = 1;
 	gossip->answers_wanted_until_us = now_us + ASKING_US;
 }
@@ -187,6 +202,8 @@
 	const answer_t *answer = ctx;
 	at_gossip_t *gossip = answer->gossip;
 
+	at_counters_add(
+	    gossip->entry->counters, "origins_answered_total", NULL, NULL, 1);
 	if (gossip->origin_count == ORIGINS_MAX)
 		send_part(answer);
 	gossip->origins[gossip->origin_count++] = *origin;
@@ -199,10 +216,12 @@
 	answer_t answer = {gossip, member};
 	uint64_t age_ms = (at_clock_now_us() - gossip->started_us) / US_PER_MS;
 
-	if (age_ms < (uint64_t)request->age_ms + AGE_MARGIN_MS)
+	if (!request->wants_own_origins &&
+	    age_ms < (uint64_t)request->age_ms + AGE_MARGIN_MS)
 		return;
-	at_stream_origins_each(gossip->entry->origins, add_to_answer, &answer);
-	gossip->is_origins_end = 1;
+	at_stream_origins_each(gossip->entry->origins,
+	    request->wants_own_origins, add_to_answer, &answer);
+	gossip->is_origins_end = !request->wants_own_origins;
 	send_part(&answer);
 	gossip->is_origins_end = 0;
 }
--- a/src/entry/report_apply.c
+++ b/src/entry/report_apply.c
@@ -132,7 +132,7 @@
 		return;
 	if (last_us != 0 && now_us - last_us > AT_ROSTER_REPORT_TIMEOUT_US)
 		origins_on_member_back(gossip, member, now_us);
-	if (report->wants_origins)
+	if (report->wants_origins || report->wants_own_origins)
 		origins_answer(gossip, member, report);
 	member->platform_away = report->platform_away;
 	member->strength = report->strength;
--- a/tests/contract/test_stream_versions.c
+++ b/tests/contract/test_stream_versions.c
@@ -10,6 +10,7 @@
 #include <criterion/criterion.h>
 
 #include "entry/gossip_impl.h"
+#include "io/clock.h"
 #include "support/entry_fixture.h"
 
 #define EVENT_GAP_MS 5u
@@ -291,6 +292,40 @@
 	entry_fixture_delete(fixture);
 }
 
+#define KNOWN_ORIGINS 2000u /* that an instance has heard of */
+
+/*
+ * All instances asked one that reported again for all origins, again and again
+ * until its answer was complete, and filled its link.
+ */
+Test(stream_versions, an_instance_that_was_silent_is_asked_for_its_own_origins)
+{
+	entry_fixture_t *fixture = make_fixture(4);
+	at_entry_t *silent = fixture->entries[0];
+	uint64_t before;
+	uint64_t i;
+
+	entry_fixture_run_ms(fixture, REPORT_MS);
+	begin_stream(fixture, 0);
+	for (i = 1; i <= KNOWN_ORIGINS; i++) {
+		const at_stream_origin_t origin = {i, 1};
+
+		at_stream_origins_apply(
+		    silent->origins, &origin, at_clock_now_us());
+	}
+	ev_timer_stop(fixture->loop, &silent->gossip->timer);
+	entry_fixture_run_ms(
+	    fixture, AT_ROSTER_REPORT_TIMEOUT_US / 1000u + REPORT_MS);
+	before = at_counters_get(
+	    silent->counters, "origins_answered_total", NULL, NULL);
+	ev_timer_start(fixture->loop, &silent->gossip->timer);
+	entry_fixture_run_ms(fixture, 4 * REPORT_MS);
+	cr_assert_leq(at_counters_get(silent->counters,
+			  "origins_answered_total", NULL, NULL),
+	    before + 3);
+	entry_fixture_delete(fixture);
+}
+
 /* Streams that no server may continue, or whose origin is not known. */
 static const struct {
 	const char *name;
