Send nothing to a server that states in an answer that it leaves

What callers and servers saw: nothing knew the header Server-Leaving. A server that leaves got requests until the platform's list said so, and if the store was away for as long as it served.

A server that has stated it counts as leaving, for requests, queued ones, retries and orders, whatever the list says, until its next incarnation; the other instances are told at once and with each report. server_limits.c in src/entry is server_notices.c now, as it has both.

Answers to orders are not read, and idle connections to such a server are not closed.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -251,6 +251,24 @@
 void at_server_note_silent(at_server_t *server, uint64_t now_us);
 void at_server_note_responding(at_server_t *server, uint64_t now_us);
 
+/*
+ * at_server_note_leaving() records that a server has stated in an answer that
+ * it leaves. It gets no requests and no orders any more, whatever the
+ * platform's list says, until it is a new incarnation. Returns non-zero if that
+ * was not known. at_fleet_fill_leaving() writes the servers that have stated
+ * it, at most max, and returns their number. at_fleet_apply_leaving() takes the
+ * same from another instance.
+ */
+typedef struct at_leaving_report {
+	at_tag_t server;
+	uint64_t started_ms; /* of the incarnation */
+} at_leaving_report_t;
+int at_server_note_leaving(at_server_t *server);
+size_t at_fleet_fill_leaving(
+    const at_fleet_t *fleet, at_leaving_report_t *entries, size_t max);
+int at_fleet_apply_leaving(
+    at_fleet_t *fleet, const at_leaving_report_t *report);
+
 /*
  * Limits. A server may name the rate of requests that it takes from all
  * instances together. at_server_note_limit() records what an answer that came
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -592,6 +592,51 @@
   assert(message->base.descriptor == &report_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_leaving__init
+                     (ReportLeaving         *message)
+{
+  static const ReportLeaving init_value = REPORT_LEAVING__INIT;
+  *message = init_value;
+}
+size_t report_leaving__get_packed_size
+                     (const ReportLeaving *message)
+{
+  assert(message->base.descriptor == &report_leaving__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_leaving__pack
+                     (const ReportLeaving *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_leaving__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_leaving__pack_to_buffer
+                     (const ReportLeaving *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_leaving__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportLeaving *
+       report_leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportLeaving *)
+     protobuf_c_message_unpack (&report_leaving__descriptor,
+                                allocator, len, data);
+}
+void   report_leaving__free_unpacked
+                     (ReportLeaving *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_leaving__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report__init
                      (Report         *message)
 {
@@ -1586,7 +1631,58 @@
   (ProtobufCMessageInit) report_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[33] =
+static const ProtobufCFieldDescriptor report_leaving__field_descriptors[2] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportLeaving, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportLeaving, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_leaving__field_indices_by_name[] = {
+  0,   /* field[0] = server */
+  1,   /* field[1] = started_ms */
+};
+static const ProtobufCIntRange report_leaving__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor report_leaving__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportLeaving",
+  "ReportLeaving",
+  "ReportLeaving",
+  "",
+  sizeof(ReportLeaving),
+  2,
+  report_leaving__field_descriptors,
+  report_leaving__field_indices_by_name,
+  1,  report_leaving__number_ranges,
+  (ProtobufCMessageInit) report_leaving__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report__field_descriptors[34] =
 {
   {
     "name",
@@ -1984,6 +2080,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving_servers",
+    35,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_leaving_servers),
+    offsetof(Report, leaving_servers),
+    &report_leaving__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -1999,6 +2107,7 @@
   17,   /* field[17] = has_loads */
   3,   /* field[3] = incarnation */
   5,   /* field[5] = leaving */
+  33,   /* field[33] = leaving_servers */
   31,   /* field[31] = limits */
   7,   /* field[7] = loads */
   0,   /* field[0] = name */
@@ -2024,7 +2133,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 33 }
+  { 0, 34 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -2034,7 +2143,7 @@
   "Report",
   "",
   sizeof(Report),
-  33,
+  34,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct ReportBegun ReportBegun;
 typedef struct ReportVerdict ReportVerdict;
 typedef struct ReportLimit ReportLimit;
+typedef struct ReportLeaving ReportLeaving;
 typedef struct Report Report;
 
 
@@ -285,6 +286,23 @@
     , 0, 0, 0 }
 
 
+/*
+ * A backend server that has stated in an answer that it leaves.
+ */
+struct  ReportLeaving
+{
+  ProtobufCMessage base;
+  uint64_t server;
+  /*
+   * of its incarnation
+   */
+  uint64_t started_ms;
+};
+#define REPORT_LEAVING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_leaving__descriptor) \
+    , 0, 0 }
+
+
 /*
  * A report without a name has only origins, crashes, trials and what has begun.
  */
@@ -367,6 +385,8 @@
   ReportVerdict **verdicts;
   size_t n_limits;
   ReportLimit **limits;
+  size_t n_leaving_servers;
+  ReportLeaving **leaving_servers;
   /*
    * suspect parts of which a request is sent now
    */
@@ -384,7 +404,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /* ReportLoad methods */
@@ -634,6 +654,25 @@
 void   report_limit__free_unpacked
                      (ReportLimit *message,
                       ProtobufCAllocator *allocator);
+/* ReportLeaving methods */
+void   report_leaving__init
+                     (ReportLeaving         *message);
+size_t report_leaving__get_packed_size
+                     (const ReportLeaving   *message);
+size_t report_leaving__pack
+                     (const ReportLeaving   *message,
+                      uint8_t             *out);
+size_t report_leaving__pack_to_buffer
+                     (const ReportLeaving   *message,
+                      ProtobufCBuffer     *buffer);
+ReportLeaving *
+       report_leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_leaving__free_unpacked
+                     (ReportLeaving *message,
+                      ProtobufCAllocator *allocator);
 /* Report methods */
 void   report__init
                      (Report         *message);
@@ -694,6 +733,9 @@
 typedef void (*ReportLimit_Closure)
                  (const ReportLimit *message,
                   void *closure_data);
+typedef void (*ReportLeaving_Closure)
+                 (const ReportLeaving *message,
+                  void *closure_data);
 typedef void (*Report_Closure)
                  (const Report *message,
                   void *closure_data);
@@ -716,6 +758,7 @@
 extern const ProtobufCMessageDescriptor report_begun__descriptor;
 extern const ProtobufCMessageDescriptor report_verdict__descriptor;
 extern const ProtobufCMessageDescriptor report_limit__descriptor;
+extern const ProtobufCMessageDescriptor report_leaving__descriptor;
 extern const ProtobufCMessageDescriptor report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -76,6 +76,7 @@
 	server_health_init(&server->health);
 	residents_clear_notes(server);
 	memset(&server->limit, 0, sizeof(server->limit));
+	server->has_stated_leaving = 0;
 	memset(server->prefixes, 0, sizeof(server->prefixes));
 }
 
@@ -113,6 +114,7 @@
 set_entry(at_server_t *server, const at_server_entry_t *entry)
 {
 	server->entry = *entry;
+	server->entry.is_leaving |= server->has_stated_leaving;
 	residents_update_list(server, entry);
 }
 
@@ -265,6 +267,42 @@
 	server_health_note_outcome(&server->health, AT_OUTCOME_SUCCESS, now_us);
 }
 
+int
+at_server_note_leaving(at_server_t *server)
+{
+	if (server->has_stated_leaving)
+		return 0;
+	server->has_stated_leaving = 1;
+	server->entry.is_leaving = 1;
+	return 1;
+}
+
+size_t
+at_fleet_fill_leaving(
+    const at_fleet_t *fleet, at_leaving_report_t *entries, size_t max)
+{
+	const at_server_t *server;
+	size_t count = 0;
+
+	for (server = fleet->servers; server != NULL && count < max;
+	     server = server->hh.next) {
+		if (server->has_stated_leaving)
+			entries[count++] = (at_leaving_report_t){
+			    server->entry.tag, server->entry.started_ms};
+	}
+	return count;
+}
+
+int
+at_fleet_apply_leaving(at_fleet_t *fleet, const at_leaving_report_t *report)
+{
+	at_server_t *server = at_fleet_find(fleet, report->server);
+
+	return server != NULL &&
+	       server->entry.started_ms == report->started_ms &&
+	       at_server_note_leaving(server);
+}
+
 int
 at_server_note_limit(
     at_server_t *server, uint32_t rate_milli, uint64_t heard_us)
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -52,7 +52,8 @@
 	note_t notes[NOTES_MAX];
 	size_t note_count;
 	int is_listed;
-	uint32_t references; /* requests of this instance that point to it */
+	int has_stated_leaving; /* in an answer */
+	uint32_t references;    /* requests of this instance that point to it */
 	/* Load from this instance, except recent_tokens. */
 	at_load_t own_load;
 	/* Prompt tokens sent there, decayed up to recent_us. */
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -9,7 +9,7 @@
 #include "almondthread/log.h"
 #include "entry/call_impl.h"
 #include "entry/server_crashes.h"
-#include "entry/server_limits.h"
+#include "entry/server_notices.h"
 #include "entry/gossip.h"
 #include "io/clock.h"
 
@@ -126,9 +126,12 @@
 	int is_success = status >= 200 && status < 300;
 
 	at_server_response_read(transfer, status, call->id, &server_response);
-	if (attempt->server != NULL)
-		at_server_limits_note(call->entry, attempt->server,
+	if (attempt->server != NULL) {
+		at_server_notices_limit(call->entry, attempt->server,
 		    server_response.limit_milli, attempt->sent_us);
+		if (server_response.is_leaving)
+			at_server_notices_leaving(call->entry, attempt->server);
+	}
 	if (server_response.is_not_run) {
 		attempt->is_refused = 1;
 		attempt->is_misplaced = server_response.is_misplaced;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -10,7 +10,7 @@
  *   gossip.c     reports to and from the other instances;
  *                gossip_origins.c has those on the origins of streams
  *   server_crashes.c  crashes of servers and what is refused for them
- *   server_limits.c   limits that servers name
+ *   server_notices.c  what servers state about themselves in their answers
  *   crash_blocks.c    blocked parts in the platform's store
  *   join.c       discovery of the other instances
  *   orders.c     the lease and orders to model engines
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -7,7 +7,7 @@
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
 #include "entry/server_crashes.h"
-#include "entry/server_limits.h"
+#include "entry/server_notices.h"
 #include "entry/gossip_impl.h"
 #include "entry/join.h"
 #include "entry/orders.h"
@@ -261,7 +261,7 @@
 	at_contention_expire_reports(
 	    entry->contention, now_us, QUEUES_MAX_AGE_US);
 	at_retry_budgets_set_instances(entry->retries, present);
-	at_server_limits_on_round(entry, now_us);
+	at_server_notices_on_round(entry, now_us);
 }
 
 static void
--- a/src/entry/orders_send.c
+++ b/src/entry/orders_send.c
@@ -13,6 +13,7 @@
 #include "almondthread/log.h"
 #include "entry/gossip.h"
 #include "entry/orders_impl.h"
+#include "entry/server_notices.h"
 #include "io/clock.h"
 
 #define REPORT_INTERVAL_US 150000u /* between two fetches of a report */
@@ -248,7 +249,11 @@
 	uint64_t now_us = at_clock_now_us();
 
 	engine->report_pending = 0;
-	if (server == NULL || engine->state == ENGINE_IDLE)
+	if (server == NULL)
+		return;
+	if (report != NULL && report->is_leaving)
+		at_server_notices_leaving(engine->orders->entry, server);
+	if (engine->state == ENGINE_IDLE)
 		return;
 	engine->report_due_us = now_us + REPORT_INTERVAL_US;
 	if (is_order_ended(engine, report)) {
--- a/src/entry/report_apply.c
+++ b/src/entry/report_apply.c
@@ -4,7 +4,7 @@
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
 #include "entry/server_crashes.h"
-#include "entry/server_limits.h"
+#include "entry/server_notices.h"
 #include "entry/gossip_impl.h"
 #include "entry/orders.h"
 #include "entry/sync.h"
@@ -151,7 +151,7 @@
 	if (report->has_loads)
 		apply_queues(entry, member->tag, report, now_us);
 	apply_usage(entry, member->tag, report, now_us);
-	at_server_limits_apply_report(entry, report);
+	at_server_notices_apply_report(entry, report);
 	at_orders_io_apply_report(entry->orders, member, report);
 }
 
--- a/src/entry/report_encode.c
+++ b/src/entry/report_encode.c
@@ -3,7 +3,7 @@
 
 #include "almondthread/log.h"
 #include "entry/server_crashes.h"
-#include "entry/server_limits.h"
+#include "entry/server_notices.h"
 #include "entry/gossip_impl.h"
 #include "entry/orders.h"
 #include "entry/sync.h"
@@ -234,7 +234,7 @@
 		fill_usage(entry, &buffers, &report);
 		at_orders_io_fill_changes(entry->orders, &report);
 		at_server_crashes_fill_verdicts(entry->crashes, &report);
-		at_server_limits_fill_report(entry, &report);
+		at_server_notices_fill_report(entry, &report);
 	}
 	if (kind == REPORT_DEMAND)
 		at_orders_io_fill_demand(entry->orders, &report);
--- a/src/entry/server_limits.c
+++ b/src/entry/server_notices.c
@@ -1,4 +1,4 @@
-#include "entry/server_limits.h"
+#include "entry/server_notices.h"
 
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
@@ -6,6 +6,7 @@
 #include "io/clock.h"
 
 #define US_PER_MS 1000u
+#define LEAVING_MAX 64u /* servers that leave, in one report */
 /* A limit that changes by a smaller part is reported with the next round. */
 #define URGENT_CHANGE_PERCENT 25u
 
@@ -38,7 +39,7 @@
 }
 
 void
-at_server_limits_note(at_entry_t *entry, at_server_t *server,
+at_server_notices_limit(at_entry_t *entry, at_server_t *server,
     uint32_t limit_milli, uint64_t sent_us)
 {
 	uint64_t now_us = at_clock_now_us();
@@ -54,6 +55,23 @@
 	at_gossip_send_soon(entry->gossip);
 }
 
+static void
+log_leaving(const at_server_t *server, const char *source)
+{
+	at_log(AT_LOG_INFO, "fleet", NULL,
+	    "server states that it leaves server=%s source=%s",
+	    at_server_entry(server)->id.text, source);
+}
+
+void
+at_server_notices_leaving(at_entry_t *entry, at_server_t *server)
+{
+	if (!at_server_note_leaving(server))
+		return;
+	log_leaving(server, "answer");
+	at_gossip_send_soon(entry->gossip);
+}
+
 typedef struct round_context {
 	const at_entry_t *entry;
 	uint64_t now_us;
@@ -69,15 +87,35 @@
 }
 
 void
-at_server_limits_on_round(at_entry_t *entry, uint64_t now_us)
+at_server_notices_on_round(at_entry_t *entry, uint64_t now_us)
 {
 	round_context_t round = {entry, now_us};
 
 	at_fleet_each(entry->fleet, update_share, &round);
 }
 
-void
-at_server_limits_fill_report(const at_entry_t *entry, Report *report)
+static void
+fill_leaving(const at_entry_t *entry, Report *report)
+{
+	static ReportLeaving messages[LEAVING_MAX];
+	static ReportLeaving *list[LEAVING_MAX];
+	at_leaving_report_t entries[LEAVING_MAX];
+	size_t count =
+	    at_fleet_fill_leaving(entry->fleet, entries, LEAVING_MAX);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		report_leaving__init(&messages[i]);
+		messages[i].server = entries[i].server;
+		messages[i].started_ms = entries[i].started_ms;
+		list[i] = &messages[i];
+	}
+	report->n_leaving_servers = count;
+	report->leaving_servers = list;
+}
+
+static void
+fill_limits(const at_entry_t *entry, Report *report)
 {
 	static ReportLimit limits[AT_LIMIT_REPORTS_MAX];
 	static ReportLimit *list[AT_LIMIT_REPORTS_MAX];
@@ -100,7 +138,25 @@
 }
 
 void
-at_server_limits_apply_report(at_entry_t *entry, const Report *report)
+at_server_notices_fill_report(const at_entry_t *entry, Report *report)
+{
+	fill_leaving(entry, report);
+	fill_limits(entry, report);
+}
+
+static void
+apply_leaving(at_entry_t *entry, const ReportLeaving *message)
+{
+	const at_leaving_report_t report = {
+	    message->server, message->started_ms};
+
+	if (at_fleet_apply_leaving(entry->fleet, &report))
+		log_leaving(
+		    at_fleet_find(entry->fleet, message->server), "report");
+}
+
+static void
+apply_limits(at_entry_t *entry, const Report *report)
 {
 	uint64_t now_us = at_clock_now_us();
 	size_t i;
@@ -123,3 +179,13 @@
 			log_limit(server, before, limit->rate_milli, "report");
 	}
 }
+
+void
+at_server_notices_apply_report(at_entry_t *entry, const Report *report)
+{
+	size_t i;
+
+	for (i = 0; i < report->n_leaving_servers; i++)
+		apply_leaving(entry, report->leaving_servers[i]);
+	apply_limits(entry, report);
+}
