Leave a server alone for as long as it asks for in Retry-After

What servers saw: a server that turned a request away with 503 and Retry-After got the next one at once.

Change: platform/ reads the time, 30 s at most, and the server is closed for this instance until its end (server_gate_check()). Then it gets one request at a time until one has succeeded, so that requests which have waited do not come together. If all servers that could run a request want a pause, it waits if the pause ends in time, and is refused at once as server_pause otherwise; neither spends a retry.

Values that are no time, or a huge one: test_platform pauses_of_servers.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -143,6 +143,8 @@
 	AT_CHOICE_NO_SERVER,
 	/* All servers that could run it have named a limit, which is full. */
 	AT_CHOICE_LIMITED,
+	/* All servers that could run it want no request for some time. */
+	AT_CHOICE_PAUSED,
 	AT_CHOICE_RESULT_COUNT
 } at_choice_result_t;
 
@@ -157,8 +159,9 @@
 	/* Of all model_servers, or of one engine if there are none. */
 	uint32_t batch_slots;
 	uint32_t model_servers; /* servers with the model resident */
-	/* Of AT_CHOICE_LIMITED: time until one may get a request again. */
-	uint64_t limited_us;
+	/* Of AT_CHOICE_LIMITED and AT_CHOICE_PAUSED: time until that changes.
+	 */
+	uint64_t closed_us;
 } at_choice_t;
 
 /* How a request ended, as far as it shows the backend server's health. */
@@ -269,6 +272,13 @@
 int at_fleet_apply_leaving(
     at_fleet_t *fleet, const at_leaving_report_t *report);
 
+/*
+ * at_server_note_pause() records that a server wants no request from this
+ * instance before until_us. After that it gets one at a time until one of them
+ * has succeeded.
+ */
+void at_server_note_pause(at_server_t *server, uint64_t until_us);
+
 /*
  * Limits. A server may name the rate of requests that it takes from all
  * instances together. at_server_note_limit() records what an answer that came
--- a/include/almondthread/verdict.h
+++ b/include/almondthread/verdict.h
@@ -55,6 +55,8 @@
 	    "No backend server can take the request.")                         \
 	X(SERVER_LIMIT, "server_limit", 503, NOT_RUN,                          \
 	    "The backend servers have named limits, which are reached.")       \
+	X(SERVER_PAUSE, "server_pause", 503, NOT_RUN,                          \
+	    "The backend servers have asked for a pause.")                     \
 	X(UNKNOWN_ORIGIN, "unknown_origin", 503, NOT_RUN,                      \
 	    "It is not known which software version began the stream.")        \
 	X(CONNECT_FAILED, "connect_failed", 502, NOT_RUN,                      \
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -212,22 +212,27 @@
 typedef struct closed_servers {
 	uint32_t in_backoff;
 	uint32_t limited;
-	uint64_t limited_us; /* until the first of them may get one */
+	uint32_t paused;
+	uint64_t closed_us; /* until the first of these may get one */
 } closed_servers_t;
 
 static void
-note_closed(
-    closed_servers_t *closed, const at_server_t *server, server_gate_t gate)
+note_closed(closed_servers_t *closed, const at_server_t *server,
+    server_gate_t gate, uint64_t now_us)
 {
-	uint64_t wait_us;
+	uint64_t wait_us = UINT64_MAX;
 
-	if (gate == SERVER_GATE_BACKOFF)
-		closed->in_backoff++;
-	if (gate != SERVER_GATE_LIMITED)
-		return;
-	wait_us = server_limit_wait_us(&server->limit);
-	if (closed->limited++ == 0 || wait_us < closed->limited_us)
-		closed->limited_us = wait_us;
+	closed->in_backoff += (uint32_t)(gate == SERVER_GATE_BACKOFF);
+	closed->limited += (uint32_t)(gate == SERVER_GATE_LIMITED);
+	closed->paused += (uint32_t)(gate == SERVER_GATE_PAUSED);
+	if (gate == SERVER_GATE_LIMITED)
+		wait_us = server_limit_wait_us(&server->limit);
+	else if (gate == SERVER_GATE_PAUSED)
+		wait_us = server->paused_until_us > now_us
+			      ? server->paused_until_us - now_us
+			      : 0;
+	if (wait_us < closed->closed_us)
+		closed->closed_us = wait_us;
 }
 
 /* A server with free slots. */
@@ -279,7 +284,7 @@
 		: at_site_find_service(fleet->site, work->service);
 	at_server_t *server;
 	selection_t selection = {0, 0};
-	closed_servers_t closed = {0, 0, 0};
+	closed_servers_t closed = {.closed_us = UINT64_MAX};
 	uint32_t available = 0;
 	int other_versions = 0;
 
@@ -308,7 +313,7 @@
 		    !at_server_has_resident(server, work->model, work->adapter))
 			continue;
 		choice->candidates++;
-		note_closed(&closed, server, gate);
+		note_closed(&closed, server, gate, now_us);
 		if (gate != SERVER_GATE_OPEN)
 			continue;
 		load = at_server_load(server, now_us);
@@ -334,10 +339,11 @@
 	 */
 	if (available == 0 || (other_versions && choice->candidates == 0))
 		return AT_CHOICE_NO_SERVER;
-	if (closed.limited > 0 &&
-	    closed.limited + closed.in_backoff == choice->candidates) {
-		choice->limited_us = closed.limited_us;
-		return AT_CHOICE_LIMITED;
+	if (closed.limited + closed.paused > 0 &&
+	    closed.limited + closed.paused + closed.in_backoff ==
+		choice->candidates) {
+		choice->closed_us = closed.closed_us;
+		return closed.paused > 0 ? AT_CHOICE_PAUSED : AT_CHOICE_LIMITED;
 	}
 	return choice->candidates > 0 ? AT_CHOICE_FULL : AT_CHOICE_NOT_RESIDENT;
 }
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 const char *const at_choice_result_names[] = {
-    "server", "full", "absent", "nobody", "limited"};
+    "server", "full", "absent", "nobody", "limited", "paused"};
 
 at_fleet_t *
 at_fleet_new(at_tag_t data_centre, uint64_t seed)
@@ -77,6 +77,7 @@
 	residents_clear_notes(server);
 	memset(&server->limit, 0, sizeof(server->limit));
 	server->has_stated_leaving = 0;
+	server->paused_until_us = 0;
 	memset(server->prefixes, 0, sizeof(server->prefixes));
 }
 
@@ -251,6 +252,8 @@
 	server->own_load.kv_tokens -= kv_tokens_of(work);
 	if (!had_first_event)
 		server->own_load.prefill_tokens -= work->prompt_tokens;
+	if (outcome == AT_OUTCOME_SUCCESS && now_us >= server->paused_until_us)
+		server->paused_until_us = 0;
 	server_health_note_outcome(&server->health, outcome, now_us);
 	delete_if_unused(fleet, server);
 }
@@ -303,6 +306,13 @@
 	       at_server_note_leaving(server);
 }
 
+void
+at_server_note_pause(at_server_t *server, uint64_t until_us)
+{
+	if (until_us > server->paused_until_us)
+		server->paused_until_us = until_us;
+}
+
 int
 at_server_note_limit(
     at_server_t *server, uint32_t rate_milli, uint64_t heard_us)
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -53,7 +53,9 @@
 	size_t note_count;
 	int is_listed;
 	int has_stated_leaving; /* in an answer */
-	uint32_t references;    /* requests of this instance that point to it */
+	/* No requests until then, and one at a time later; 0: no pause. */
+	uint64_t paused_until_us;
+	uint32_t references; /* requests of this instance that point to it */
 	/* Load from this instance, except recent_tokens. */
 	at_load_t own_load;
 	/* Prompt tokens sent there, decayed up to recent_us. */
@@ -105,6 +107,7 @@
 	SERVER_GATE_OTHER_VERSION, /* than the one that began the stream */
 	SERVER_GATE_BACKOFF,       /* after failures */
 	SERVER_GATE_LIMITED,       /* its limit allows none now */
+	SERVER_GATE_PAUSED,        /* it wants none, or one at a time */
 } server_gate_t;
 /* Returns whether a request may go to the server now, or why not. */
 server_gate_t server_gate_check(
--- a/src/core/fleet/server_gate.c
+++ b/src/core/fleet/server_gate.c
@@ -28,6 +28,9 @@
 	if (!server_health_allows(
 		&server->health, now_us, server->own_load.active))
 		return SERVER_GATE_BACKOFF;
+	if (now_us < server->paused_until_us ||
+	    (server->paused_until_us != 0 && server->own_load.active > 0))
+		return SERVER_GATE_PAUSED;
 	if (!server_limit_allows(&server->limit, now_us))
 		return SERVER_GATE_LIMITED;
 	return SERVER_GATE_OPEN;
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -259,9 +259,12 @@
 					 ? ADAPTER_LOAD_US
 					 : MODEL_LOAD_US;
 	decision->retry_after_ms = retry_after_ms(waiter, decision->wait_us);
-	if (decision->choice_result == AT_CHOICE_LIMITED)
+	if (decision->choice_result == AT_CHOICE_PAUSED)
+		decision->wait_us += decision->choice.closed_us;
+	if (decision->choice_result == AT_CHOICE_LIMITED ||
+	    decision->choice_result == AT_CHOICE_PAUSED)
 		decision->retry_after_ms =
-		    retry_after_ms(waiter, decision->choice.limited_us);
+		    retry_after_ms(waiter, decision->choice.closed_us);
 	decision->admission =
 	    decision->choice_result != AT_CHOICE_NO_SERVER &&
 		    decision->choice_result != AT_CHOICE_LIMITED &&
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -283,6 +283,8 @@
 {
 	if (result == AT_CHOICE_LIMITED)
 		return AT_REASON_SERVER_LIMIT;
+	if (result == AT_CHOICE_PAUSED)
+		return AT_REASON_SERVER_PAUSE;
 	return result == AT_CHOICE_FULL ? AT_REASON_OVERLOAD
 					: AT_REASON_NO_BACKEND;
 }
@@ -517,8 +519,9 @@
 		else
 			at_attempts_on_not_placed(call->attempts,
 			    call->queued_attempt,
-			    decision.choice_result == AT_CHOICE_LIMITED
-				? AT_REASON_SERVER_LIMIT
+			    decision.choice_result == AT_CHOICE_LIMITED ||
+				    decision.choice_result == AT_CHOICE_PAUSED
+				? reason_from_choice(decision.choice_result)
 				: AT_REASON_OVERLOAD,
 			    at_clock_now_ms());
 		call_process(call);
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -16,6 +16,7 @@
 #define URL_SIZE 128 /* bytes of "http://" and an address */
 /* Bytes of the ids of all parts of a prompt, with commas and the NUL. */
 #define PARTS_TEXT_SIZE (AT_PREFIX_PARTS_MAX * 17u + 1u)
+#define US_PER_MS 1000u
 #define CONNECT_TIMEOUT_MS 600u /* for connecting to a backend server */
 /* Largest response that is buffered. */
 #define RESPONSE_BUFFER_MAX_BYTES (8u << 20)
@@ -117,6 +118,17 @@
 	call_process(call);
 }
 
+static void
+note_pause(const call_attempt_t *attempt, uint32_t pause_ms)
+{
+	at_server_note_pause(attempt->server,
+	    at_clock_now_us() + (uint64_t)pause_ms * US_PER_MS);
+	at_log(AT_LOG_INFO, "fleet", NULL,
+	    "server wants no requests for some time server=%s pause_ms=%u%s",
+	    attempt->server_id.text, pause_ms,
+	    pause_ms >= AT_SERVER_PAUSE_MAX_MS ? " at_most=1" : "");
+}
+
 static void
 on_headers(void *ctx, at_transfer_t *transfer, int status)
 {
@@ -136,6 +148,8 @@
 		attempt->is_refused = 1;
 		attempt->is_misplaced = server_response.is_misplaced;
 		attempt->refused_status = status;
+		if (server_response.pause_ms != 0 && attempt->server != NULL)
+			note_pause(attempt, server_response.pause_ms);
 		return;
 	}
 	if (!server_response.matches_request) {
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -41,6 +41,7 @@
 	uint32_t pause_ms;       /* server: length of that silence */
 	/* Server: crashes where it begins to answer a prompt with this part. */
 	uint32_t crash_part;
+	uint32_t pause_reply_ms; /* server: Retry-After of its refusals */
 	uint32_t leaving;        /* server: it states that it leaves */
 	uint32_t limit_milli;    /* server: named limit, requests in 1,000 s */
 	uint32_t break_whole;    /* engine, count: cut buffered responses */
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -206,3 +206,21 @@
 		    limits[i].limit_milli, "'%s'",
 		    limits[i].text == NULL ? "(none)" : limits[i].text);
 }
+
+static const struct {
+	const char *text;
+	uint32_t pause_ms;
+} pauses[] = {{NULL, 0}, {"", 0}, {"2", 2001}, {"0.25", 251}, {"0", 0},
+    {"-3", 0}, {"Fri, 04 Dec 2026 12:00:00 GMT", 0}, {"1e9", 30000},
+    {"86400", 30000}};
+
+/* One server could close itself for ever, or at once. */
+Test(platform, pauses_of_servers)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(pauses) / sizeof(pauses[0]); i++)
+		cr_assert_eq(at_server_parse_pause(pauses[i].text),
+		    pauses[i].pause_ms, "'%s'",
+		    pauses[i].text == NULL ? "(none)" : pauses[i].text);
+}
--- a/tests/unit/test_server_limit.c
+++ b/tests/unit/test_server_limit.c
@@ -213,7 +213,7 @@
 		if (beside[i].result == AT_CHOICE_SERVER)
 			cr_assert_eq(choice.server, other);
 		else
-			cr_assert_gt(choice.limited_us, 0);
+			cr_assert_gt(choice.closed_us, 0);
 		at_fleet_delete(fleet);
 	}
 }
