--- a/src/core/requests/crash_causes_internal.h
+++ b/src/core/requests/crash_causes_internal.h
@@ -58,8 +58,8 @@
 /* A part that is to be suspect or blocked. */
 typedef struct candidate {
 	uint64_t part;
-	uint32_t crashes;
 	uint64_t begun_us; /* 0: never */
+	uint32_t crashes;
 	at_cause_state_t state;
 } candidate_t;
 
--- a/src/core/requests/crash_causes_judge.c
+++ b/src/core/requests/crash_causes_judge.c
@@ -43,16 +43,6 @@
 	tally_t *tallies;
 } judgement_t;
 
-static int
-compare_crashes(const void *a, const void *b)
-{
-	const crash_t *x = *(const crash_t *const *)a;
-	const crash_t *y = *(const crash_t *const *)b;
-
-	return (x->crashed_us > y->crashed_us) -
-	       (x->crashed_us < y->crashed_us);
-}
-
 int
 crash_causes_has_part(const crash_t *crash, uint64_t part)
 {
@@ -70,6 +60,19 @@
 	return 0;
 }
 
+/* Keeps the crashes in the order of time. */
+static void
+add_crash(judgement_t *judgement, const crash_t *crash)
+{
+	size_t i = judgement->count++;
+
+	for (;
+	     i > 0 && judgement->crashes[i - 1]->crashed_us > crash->crashed_us;
+	     i--)
+		judgement->crashes[i] = judgement->crashes[i - 1];
+	judgement->crashes[i] = crash;
+}
+
 static tally_t *
 find_or_add_tally(judgement_t *judgement, uint64_t part, uint32_t depth)
 {
@@ -246,9 +249,11 @@
 		if (tally->depth != best->depth ||
 		    tally->crashes != best->crashes || state == AT_CAUSE_CLEAR)
 			continue;
-		chosen[count++] = (candidate_t){tally->part, tally->crashes,
-		    crash_causes_begun_us(judgement->causes, tally->part),
-		    state};
+		chosen[count++] = (candidate_t){.part = tally->part,
+		    .begun_us =
+			crash_causes_begun_us(judgement->causes, tally->part),
+		    .crashes = tally->crashes,
+		    .state = state};
 	}
 	return count;
 }
@@ -264,11 +269,8 @@
 
 	for (i = 0; i < causes->crash_count; i++) {
 		if (!causes->crashes[i].is_explained)
-			judgement.crashes[judgement.count++] =
-			    &causes->crashes[i];
+			add_crash(&judgement, &causes->crashes[i]);
 	}
-	qsort(judgement.crashes, judgement.count, sizeof(judgement.crashes[0]),
-	    compare_crashes);
 	count_all(&judgement);
 	while (count < CHOSEN_MAX &&
 	       (best = find_best(&judgement, now_us)) != NULL) {
