A failure response does not clear the parts of its request

Cause: a complete response of status 500 counted as an answer that had begun, so that an engine which fails requests for another reason cleared a part that crashes engines; it then took five crashes and three seconds to block it.

Change: only a success clears.

--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -118,6 +118,12 @@
 	call_process(call);
 }
 
+static int
+is_success(int status)
+{
+	return status >= 200 && status < 300;
+}
+
 static void
 note_pause(const call_attempt_t *attempt, uint32_t pause_ms)
 {
@@ -135,7 +141,6 @@
 	call_attempt_t *attempt = ctx;
 	at_call_t *call = attempt->call;
 	at_server_response_t server_response;
-	int is_success = status >= 200 && status < 300;
 
 	at_server_response_read(transfer, status, call->id, &server_response);
 	if (attempt->server != NULL) {
@@ -162,7 +167,8 @@
 	}
 	attempt->response.status = status;
 	at_response_headers_read(transfer, &attempt->response.headers);
-	attempt->is_stream = is_success && call->route->type == AT_ROUTE_STREAM;
+	attempt->is_stream =
+	    is_success(status) && call->route->type == AT_ROUTE_STREAM;
 	/* A failure does not take a stream over from another attempt. */
 	if (attempt->is_stream || call->route->type != AT_ROUTE_STREAM)
 		at_attempts_on_headers(
@@ -323,7 +329,9 @@
 		return;
 	}
 	note_first_event(attempt);
-	call_note_begun(attempt);
+	/* A failure does not show that the server survives an answer. */
+	if (is_success(attempt->response.status))
+		call_note_begun(attempt);
 	if (attempt->response.status >= 500 && may_repeat) {
 		handle_failure_response(attempt);
 		return;
--- a/tests/contract/test_crashing_parts.c
+++ b/tests/contract/test_crashing_parts.c
@@ -8,6 +8,7 @@
 
 #include <criterion/criterion.h>
 
+#include "entry/server_crashes.h"
 #include "io/clock.h"
 #include "platform/names.h"
 #include "support/entry_fixture.h"
@@ -326,6 +327,34 @@
 	traffic_delete(traffic);
 }
 
+/* A failure of another kind had counted as the beginning of an answer. */
+Test(crashing_parts, a_failure_response_clears_nothing)
+{
+	traffic_t *traffic = traffic_new();
+	entry_fixture_t *fixture = traffic->fixture;
+	size_t i;
+
+	for (i = 0; i < ENGINES; i++)
+		standin_server_faults(fixture->servers[i])->lose_replies = 1000;
+	for (i = 0; i < ENGINES; i++) {
+		send_next(traffic, 0);
+		entry_fixture_run_ms(fixture, 20);
+	}
+	cr_assert_eq(crash_count(fixture), 0);
+	for (i = 0; i < ENGINES; i++)
+		standin_server_faults(fixture->servers[i])->lose_replies = 0;
+	for (i = 0; i < 40 && crash_count(fixture) < 3; i++) {
+		send_next(traffic, 0);
+		entry_fixture_run_ms(fixture, 100);
+		replace_crashed(traffic);
+	}
+	entry_fixture_run_ms(fixture, 1000);
+	cr_assert_gt(at_server_crashes_block_age_us(
+			 fixture->entries[0]->crashes, CRASH_PART),
+	    0);
+	traffic_delete(traffic);
+}
+
 /* Each instance alone would know one request that crashed two engines. */
 Test(crashing_parts, crashes_that_several_instances_saw_count_together)
 {
