--- a/src/entry/server_crashes.c
+++ b/src/entry/server_crashes.c
@@ -14,11 +14,10 @@
 #include "io/clock.h"
 
 #define US_PER_MS 1000u
-#define US_PER_S 1e6
-#define LOSSES_MAX 32u /* servers that may have crashed, at a time */
-#define REQUESTS_PER_REPORT 32u
-#define REPORTS_MAX 64u /* crashes that are being reported */
-#define REPORT_TIMES 3u /* reports may be lost */
+#define LOSSES_MAX 32u          /* servers that may have crashed, at a time */
+#define REQUESTS_PER_REPORT 32u /* of one crash; they fit a packet */
+#define REPORTS_MAX 64u         /* crashes that are being reported */
+#define REPORT_TIMES 3u         /* reports may be lost */
 #define BEGUN_PER_REPORT 64u
 #define TRIALS_MAX 8u
 /* A server that crashes breaks all its connections within this time. */
