--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -55,6 +55,8 @@
 	CURLM *multi;
 	ev_timer timer;
 	at_transfer_t *transfers;
+	at_httpc_open_t on_open; /* NULL: none */
+	void *open_ctx;
 	int callback_depth;      /* nested callbacks of libcurl */
 	int has_pending_changes; /* transfers to add or remove */
 };
@@ -246,6 +248,13 @@
 	    httpc->multi, CURLMOPT_MAXCONNECTS, connections);
 }
 
+void
+at_httpc_set_open_handler(at_httpc_t *httpc, at_httpc_open_t on_open, void *ctx)
+{
+	httpc->on_open = on_open;
+	httpc->open_ctx = ctx;
+}
+
 void
 at_httpc_delete(at_httpc_t *httpc)
 {
@@ -471,6 +480,21 @@
 	return len;
 }
 
+static curl_socket_t
+opensocket_function(
+    void *ctx, curlsocktype purpose, struct curl_sockaddr *address)
+{
+	const at_httpc_t *httpc = ctx;
+	int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
+	    address->protocol);
+
+	(void)purpose;
+	if (fd >= 0 && address->family == AF_INET)
+		httpc->on_open(httpc->open_ctx, fd,
+		    (struct sockaddr_in *)(void *)&address->addr);
+	return fd < 0 ? CURL_SOCKET_BAD : fd;
+}
+
 static int
 sockopt_function(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
@@ -530,6 +554,12 @@
 	(void)curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
 	(void)curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, sending_function);
 	(void)curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
+	if (transfer->httpc->on_open != NULL) {
+		(void)curl_easy_setopt(
+		    easy, CURLOPT_OPENSOCKETFUNCTION, opensocket_function);
+		(void)curl_easy_setopt(
+		    easy, CURLOPT_OPENSOCKETDATA, transfer->httpc);
+	}
 	if (spec->connect_only)
 		(void)curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
 	if (spec->connect_ms != 0)
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -80,6 +80,15 @@
 at_httpc_t *at_httpc_new(struct ev_loop *loop);
 /* at_httpc_set_max_connections() limits the size of the connection pool. */
 void at_httpc_set_max_connections(at_httpc_t *httpc, long connections);
+/*
+ * at_httpc_set_open_handler() sets a function that is called for each socket
+ * before it connects; it may change the address. It is meant for tests, which
+ * cut one client off from some addresses with it.
+ */
+struct sockaddr_in;
+typedef void (*at_httpc_open_t)(void *ctx, int fd, struct sockaddr_in *address);
+void at_httpc_set_open_handler(
+    at_httpc_t *httpc, at_httpc_open_t on_open, void *ctx);
 /* at_httpc_delete() cancels the open transfers; on_done is not called. */
 void at_httpc_delete(at_httpc_t *httpc);
 
--- /dev/null
+++ b/tests/support/links.c
@@ -0,0 +1,141 @@
+#include "support/links.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+
+#define SOCKETS_MAX 1024u /* opened to servers by one instance */
+#define FILLERS 3u        /* connections that fill a listener's backlog */
+
+typedef struct link {
+	links_t *links;
+	links_state_t state;
+	int fds[SOCKETS_MAX];
+	size_t fd_count;
+} link_t;
+
+struct links {
+	entry_fixture_t *fixture;
+	link_t of[ENTRY_FIXTURE_MAX];
+	in_port_t refusing; /* nothing listens there */
+	in_port_t hanging;  /* drops requests to connect */
+	int sockets[1u + FILLERS];
+};
+
+static int
+is_server_port(const links_t *links, in_port_t port)
+{
+	size_t i;
+
+	for (i = 0; i < links->fixture->server_count; i++) {
+		if (standin_server_port(links->fixture->servers[i]) ==
+		    ntohs(port))
+			return 1;
+	}
+	return 0;
+}
+
+static void
+on_open(void *ctx, int fd, struct sockaddr_in *address)
+{
+	link_t *link = ctx;
+
+	if (!is_server_port(link->links, address->sin_port))
+		return;
+	link->fds[link->fd_count++ % SOCKETS_MAX] = fd;
+	if (link->state == LINKS_HANG)
+		address->sin_port = link->links->hanging;
+	else if (link->state != LINKS_UP)
+		address->sin_port = link->links->refusing;
+}
+
+/* Returns the port of a new socket, bound on loopback. */
+static in_port_t
+bind_any(int fd)
+{
+	struct sockaddr_in bound = {
+	    .sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	socklen_t len = sizeof(bound);
+
+	cr_assert_eq(bind(fd, (struct sockaddr *)&bound, sizeof(bound)), 0);
+	cr_assert_eq(getsockname(fd, (struct sockaddr *)&bound, &len), 0);
+	return bound.sin_port;
+}
+
+/* A listener with a full backlog drops further requests to connect. */
+static void
+open_hanging(links_t *links)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	size_t i;
+
+	links->sockets[0] = socket(AF_INET, SOCK_STREAM, 0);
+	links->hanging = bind_any(links->sockets[0]);
+	cr_assert_eq(listen(links->sockets[0], 0), 0);
+	address.sin_port = links->hanging;
+	for (i = 1; i <= FILLERS; i++) {
+		links->sockets[i] =
+		    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(links->sockets[i], (struct sockaddr *)&address,
+		    sizeof(address));
+	}
+}
+
+links_t *
+links_new(entry_fixture_t *fixture)
+{
+	links_t *links = calloc(1, sizeof(*links));
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	size_t i;
+
+	links->fixture = fixture;
+	links->refusing = bind_any(fd);
+	(void)close(fd);
+	open_hanging(links);
+	for (i = 0; i < fixture->entry_count; i++) {
+		links->of[i].links = links;
+		at_httpc_set_open_handler(
+		    fixture->entries[i]->httpc, on_open, &links->of[i]);
+	}
+	return links;
+}
+
+void
+links_delete(links_t *links)
+{
+	size_t i;
+
+	for (i = 0; i <= FILLERS; i++)
+		(void)close(links->sockets[i]);
+	free(links);
+}
+
+/* The descriptors may have been closed, and used again for other sockets. */
+static void
+reset_open(const link_t *link)
+{
+	size_t i;
+
+	for (i = 0; i < link->fd_count && i < SOCKETS_MAX; i++) {
+		struct sockaddr_in peer;
+		socklen_t len = sizeof(peer);
+
+		if (getpeername(link->fds[i], (struct sockaddr *)&peer, &len) ==
+			0 &&
+		    peer.sin_family == AF_INET &&
+		    is_server_port(link->links, peer.sin_port))
+			(void)shutdown(link->fds[i], SHUT_RDWR);
+	}
+}
+
+void
+links_set(links_t *links, size_t entry, links_state_t state)
+{
+	links->of[entry].state = state;
+	if (state == LINKS_RESET)
+		reset_open(&links->of[entry]);
+}
