Take a refused connection for a crash only if servers are reached

Seen by callers: a request that was in flight while one instance was cut off from the servers a few times is refused with crashes_backend at all instances.

Cause: the proof of a crash is that a new connection to the server is refused, and a cut instance is refused by each server. Its crashes accuse what was beginning, and its reports reach all instances.

A refused connection is a crash only if another server was reached since the loss. If none is, the other instances' evidence, which reports carry now (reaches_none, evidence_age_ms), dismisses it; without any for 1.5 s the servers are gone and it counts.

The fixture now finds ports that are free for connections, too.

--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -31,6 +31,8 @@
 	int reads;         /* it reads the platform's lists */
 	uint64_t reads_since_us;
 	uint64_t confirmed_us; /* when the platform last responded to it */
+	int reaches_none;      /* it reaches no backend server */
+	uint64_t evidence_us;  /* when it last reached one; 0: unknown */
 } at_roster_member_t;
 
 typedef struct at_roster at_roster_t;
@@ -105,6 +107,12 @@
 uint32_t at_roster_rank(
     const at_roster_t *roster, uint64_t key, uint64_t now_us);
 
+/*
+ * at_roster_evidence_us() returns when another instance last reached a backend
+ * server, or 0.
+ */
+uint64_t at_roster_evidence_us(const at_roster_t *roster);
+
 /*
  * at_roster_has_reader() returns non-zero if another reporting instance of a
  * data centre reads the platform's lists and reaches the platform.
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -1682,7 +1682,7 @@
   (ProtobufCMessageInit) report_leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[34] =
+static const ProtobufCFieldDescriptor report__field_descriptors[36] =
 {
   {
     "name",
@@ -2092,6 +2092,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reaches_none",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Report, reaches_none),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evidence_age_ms",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Report, evidence_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -2103,6 +2127,7 @@
   25,   /* field[25] = crashes */
   1,   /* field[1] = data_centre */
   9,   /* field[9] = demand */
+  35,   /* field[35] = evidence_age_ms */
   6,   /* field[6] = fence */
   17,   /* field[17] = has_loads */
   3,   /* field[3] = incarnation */
@@ -2115,6 +2140,7 @@
   24,   /* field[24] = origins_end */
   14,   /* field[14] = platform_away */
   19,   /* field[19] = queues */
+  34,   /* field[34] = reaches_none */
   28,   /* field[28] = read_age_ms */
   13,   /* field[13] = reads */
   4,   /* field[4] = sequence */
@@ -2133,7 +2159,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 34 }
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -2143,7 +2169,7 @@
   "Report",
   "",
   sizeof(Report),
-  34,
+  36,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -397,6 +397,14 @@
    * changes.
    */
   uint64_t read_age_ms;
+  /*
+   * The sender reaches no backend server.
+   */
+  protobuf_c_boolean reaches_none;
+  /*
+   * Time since the sender last reached one, and one more; 0: unknown.
+   */
+  uint32_t evidence_age_ms;
   /*
    * Version of the newest change in the reader's list of backend servers.
    */
@@ -404,7 +412,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /* ReportLoad methods */
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -51,8 +51,8 @@
 /* Used instead of TIE_US for a plain service. */
 #define TIE_PLAIN_US 5000u
 
-static uint64_t
-next_random(at_fleet_t *fleet)
+uint64_t
+fleet_random(at_fleet_t *fleet)
 {
 	fleet->random_state =
 	    fleet->random_state * 6364136223846793005u + 1442695040888963407u;
@@ -268,7 +268,8 @@
 	    candidate->cost_us < selection->cost_us)
 		selection->cost_us = candidate->cost_us;
 	selection->free_slots += candidate->free_slots;
-	if (next_random(fleet) % selection->free_slots >= candidate->free_slots)
+	if (fleet_random(fleet) % selection->free_slots >=
+	    candidate->free_slots)
 		return;
 	choice->server = candidate->server;
 	choice->predicted_us = candidate->predicted_us;
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -456,6 +456,73 @@
 		server_health_apply_unreachable(&server->health, now_us);
 }
 
+/* How many of the chosen entries are in a data centre. */
+static uint32_t
+count_in(
+    const at_server_entry_t *const *entries, size_t count, at_tag_t data_centre)
+{
+	uint32_t found = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		found += (uint32_t)(entries[i]->data_centre == data_centre);
+	return found;
+}
+
+static int
+is_chosen(const at_server_entry_t *const *entries, size_t count,
+    const at_server_entry_t *entry)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (entries[i] == entry)
+			return 1;
+	}
+	return 0;
+}
+
+/* Draws one of the servers whose data centre has been chosen least often. */
+static const at_server_entry_t *
+pick_probe(
+    at_fleet_t *fleet, const at_server_entry_t *const *entries, size_t count)
+{
+	const at_server_entry_t *best = NULL;
+	uint32_t best_count = 0;
+	uint32_t equals = 0;
+	const at_server_t *server;
+
+	for (server = fleet->servers; server != NULL;
+	     server = server->hh.next) {
+		const at_server_entry_t *entry = &server->entry;
+		uint32_t in_data_centre =
+		    count_in(entries, count, entry->data_centre);
+
+		if (!server->is_listed || entry->is_leaving ||
+		    is_chosen(entries, count, entry) ||
+		    (best != NULL && in_data_centre > best_count))
+			continue;
+		if (best == NULL || in_data_centre < best_count)
+			equals = 0;
+		best_count = in_data_centre;
+		if (fleet_random(fleet) % ++equals == 0)
+			best = entry;
+	}
+	return best;
+}
+
+size_t
+at_fleet_pick_probes(
+    at_fleet_t *fleet, const at_server_entry_t **entries, size_t max)
+{
+	size_t count = 0;
+
+	while (count < max &&
+	       (entries[count] = pick_probe(fleet, entries, count)) != NULL)
+		count++;
+	return count;
+}
+
 void
 at_fleet_expire_reports(at_fleet_t *fleet, uint64_t now_us, uint64_t max_age_us)
 {
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -138,6 +138,8 @@
 void residents_clear_notes(at_server_t *server);
 
 /* choose.c */
+/* Returns the next of the random numbers that break ties, below 2^31. */
+uint64_t fleet_random(at_fleet_t *fleet);
 /* Records the prefix of a request as sent to the server. */
 void prefixes_add(at_server_t *server, const at_work_t *work);
 
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -266,6 +266,19 @@
 	return 0;
 }
 
+uint64_t
+at_roster_evidence_us(const at_roster_t *roster)
+{
+	const entry_t *entry;
+	uint64_t evidence_us = 0;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		if (entry->member.evidence_us > evidence_us)
+			evidence_us = entry->member.evidence_us;
+	}
+	return evidence_us;
+}
+
 void
 at_roster_each(at_roster_t *roster,
     void (*visit)(void *ctx, at_roster_member_t *member), void *ctx)
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -11,6 +11,7 @@
 #include "entry/server_crashes.h"
 #include "entry/server_notices.h"
 #include "entry/gossip.h"
+#include "entry/reach.h"
 #include "io/clock.h"
 
 #define URL_SIZE 128 /* bytes of "http://" and an address */
@@ -50,6 +51,8 @@
 	if (attempt->transfer != NULL)
 		at_transfer_cancel(attempt->transfer);
 	attempt->transfer = NULL;
+	if (attempt->server != NULL)
+		at_reach_note_ended(at_reach_io_state(call->entry->reach));
 	if (attempt->server != NULL)
 		at_fleet_note_ended(call->entry->fleet, attempt->server,
 		    &call->waiter.work, attempt->had_event, outcome,
@@ -97,6 +100,10 @@
 {
 	call_attempt_t *attempt = ctx;
 
+	if (at_transfer_is_on_new_connection(attempt->transfer))
+		at_reach_note_connected(
+		    at_reach_io_state(attempt->call->entry->reach),
+		    at_clock_now_us());
 	at_attempts_on_sending(
 	    attempt->call->attempts, attempt->number, at_clock_now_ms());
 	call_set_timer(attempt->call);
@@ -124,6 +131,13 @@
 	return status >= 200 && status < 300;
 }
 
+static void
+note_heard(const call_attempt_t *attempt)
+{
+	at_reach_note_heard(
+	    at_reach_io_state(attempt->call->entry->reach), at_clock_now_us());
+}
+
 static void
 note_pause(const call_attempt_t *attempt, uint32_t pause_ms)
 {
@@ -142,6 +156,7 @@
 	at_call_t *call = attempt->call;
 	at_server_response_t server_response;
 
+	note_heard(attempt);
 	at_server_response_read(transfer, status, call->id, &server_response);
 	if (attempt->server != NULL) {
 		at_server_notices_limit(call->entry, attempt->server,
@@ -267,6 +282,7 @@
 	at_call_t *call = attempt->call;
 	int result;
 
+	note_heard(attempt);
 	if (attempt->is_refused) {
 		attempt->refused_bytes += len;
 		if (attempt->refused_bytes > REFUSAL_BODY_MAX_BYTES &&
@@ -376,6 +392,8 @@
 		    parts);
 		if (result->reason != AT_REASON_CONNECT_FAILED)
 			call_note_lost(attempt);
+		else
+			at_reach_io_note_failed(call->entry->reach);
 		call_attempt_end(
 		    attempt, result->reason == AT_REASON_CONNECT_FAILED
 				 ? AT_OUTCOME_UNREACHABLE
@@ -473,6 +491,7 @@
 		return;
 	}
 	attempt->server = choice->server;
+	at_reach_note_sent(at_reach_io_state(call->entry->reach), now_us);
 	at_transfer_set_sending_handler(attempt->transfer, on_sending);
 	at_server_note_sent(attempt->server, &call->waiter.work, now_us);
 	at_log(AT_LOG_DEBUG, "call", call->id,
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -12,6 +12,7 @@
 #include "entry/gossip.h"
 #include "entry/join.h"
 #include "entry/orders.h"
+#include "entry/reach.h"
 #include "entry/readiness.h"
 #include "entry/retry_budgets.h"
 #include "entry/sync.h"
@@ -119,6 +120,7 @@
 	entry->queue = at_wait_queue_new(entry->fleet, entry->contention);
 	entry->crashes = at_server_crashes_new(entry);
 	entry->blocks = at_crash_blocks_new(entry);
+	entry->reach = at_reach_io_new(entry);
 	entry->sync = at_sync_new(entry);
 	entry->join = at_join_new(entry);
 	entry->gossip = at_gossip_new(entry);
@@ -126,9 +128,9 @@
 	entry->readiness = at_readiness_new(entry);
 	return entry->queue == NULL || entry->contention == NULL ||
 		       entry->crashes == NULL || entry->blocks == NULL ||
-		       entry->sync == NULL || entry->join == NULL ||
-		       entry->gossip == NULL || entry->orders == NULL ||
-		       entry->readiness == NULL
+		       entry->reach == NULL || entry->sync == NULL ||
+		       entry->join == NULL || entry->gossip == NULL ||
+		       entry->orders == NULL || entry->readiness == NULL
 		   ? -1
 		   : 0;
 }
@@ -154,6 +156,7 @@
 	at_join_start(entry->join);
 	at_server_crashes_start(entry->crashes);
 	at_crash_blocks_start(entry->blocks);
+	at_reach_io_start(entry->reach);
 	at_orders_io_start(entry->orders);
 	ev_timer_init(&entry->tick, on_tick, TICK_S, TICK_S);
 	entry->tick.data = entry;
@@ -344,6 +347,7 @@
 	at_httpd_delete(entry->callers);
 	if (entry->queue != NULL)
 		at_calls_delete(entry);
+	at_reach_io_delete(entry->reach);
 	at_readiness_delete(entry->readiness);
 	at_orders_io_delete(entry->orders);
 	at_gossip_delete(entry->gossip);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -12,6 +12,7 @@
  *   server_crashes.c  crashes of servers and what is refused for them
  *   server_notices.c  what servers state about themselves in their answers
  *   crash_blocks.c    blocked parts in the platform's store
+ *   reach.c      whether this instance reaches the backend servers
  *   join.c       discovery of the other instances
  *   orders.c     the lease and orders to model engines
  *   readiness.c  readiness check and metrics
@@ -65,6 +66,7 @@
 typedef struct at_join at_join_t;
 typedef struct at_orders_io at_orders_io_t;
 typedef struct at_readiness at_readiness_t;
+typedef struct at_reach_io at_reach_io_t;
 typedef struct at_call at_call_t;
 typedef struct at_server_crashes at_server_crashes_t;
 typedef struct at_crash_blocks at_crash_blocks_t;
@@ -96,6 +98,7 @@
 	at_gossip_t *gossip;
 	at_server_crashes_t *crashes;
 	at_crash_blocks_t *blocks;
+	at_reach_io_t *reach;
 	at_roster_t *roster;
 	at_join_t *join;
 	at_orders_io_t *orders;
--- /dev/null
+++ b/src/entry/reach.h
@@ -0,0 +1,33 @@
+/*
+ * reach.h - probes the backend servers when connections to them fail, and what
+ * follows if this instance reaches none (server_reach.h).
+ */
+#ifndef ALMONDTHREAD_ENTRY_REACH_H
+#define ALMONDTHREAD_ENTRY_REACH_H
+
+#include "almondthread/roster.h"
+#include "almondthread/server_reach.h"
+#include "entry/entry.h"
+#include "report.pb-c.h"
+
+/* at_reach_io_new() returns NULL if out of memory. */
+at_reach_io_t *at_reach_io_new(at_entry_t *entry);
+void at_reach_io_start(at_reach_io_t *io);
+void at_reach_io_delete(at_reach_io_t *io);
+
+/*
+ * at_reach_io_state() returns the state, whose events are told to it:
+ * at_reach_io_note_failed() and at_reach_io_doubt() may begin a round.
+ */
+at_reach_t *at_reach_io_state(at_reach_io_t *io);
+void at_reach_io_note_failed(at_reach_io_t *io);
+void at_reach_io_doubt(at_reach_io_t *io);
+
+/* at_reach_io_reaches_none() returns non-zero if no server is reached. */
+int at_reach_io_reaches_none(const at_reach_io_t *io);
+
+void at_reach_io_fill_report(const at_reach_io_t *io, Report *report);
+void at_reach_io_apply_report(
+    at_reach_io_t *io, at_roster_member_t *member, const Report *report);
+
+#endif
--- a/src/entry/report_apply.c
+++ b/src/entry/report_apply.c
@@ -7,6 +7,7 @@
 #include "entry/server_notices.h"
 #include "entry/gossip_impl.h"
 #include "entry/orders.h"
+#include "entry/reach.h"
 #include "entry/sync.h"
 #include "io/clock.h"
 
@@ -148,6 +149,8 @@
 	if (report->has_loads)
 		apply_loads(entry, member->tag,
 		    member->data_centre == entry->data_centre, report, now_us);
+	if (report->has_loads)
+		at_reach_io_apply_report(entry->reach, member, report);
 	if (report->has_loads)
 		apply_queues(entry, member->tag, report, now_us);
 	apply_usage(entry, member->tag, report, now_us);
--- a/src/entry/report_encode.c
+++ b/src/entry/report_encode.c
@@ -6,6 +6,7 @@
 #include "entry/server_notices.h"
 #include "entry/gossip_impl.h"
 #include "entry/orders.h"
+#include "entry/reach.h"
 #include "entry/sync.h"
 #include "io/clock.h"
 
@@ -235,6 +236,7 @@
 		at_orders_io_fill_changes(entry->orders, &report);
 		at_server_crashes_fill_verdicts(entry->crashes, &report);
 		at_server_notices_fill_report(entry, &report);
+		at_reach_io_fill_report(entry->reach, &report);
 	}
 	if (kind == REPORT_DEMAND)
 		at_orders_io_fill_demand(entry->orders, &report);
--- a/src/entry/server_crashes.c
+++ b/src/entry/server_crashes.c
@@ -11,6 +11,7 @@
 #include "almondthread/roster.h"
 #include "entry/call.h"
 #include "entry/gossip.h"
+#include "entry/reach.h"
 #include "io/clock.h"
 
 #define US_PER_MS 1000u
@@ -24,6 +25,10 @@
 #define COLLECT_S 0.03
 #define CONNECT_MS 400u /* for the connection that decides */
 #define DECIDE_S 0.1
+/* Between two checks of whether a refused connection shows a crash. */
+#define REFUSED_CHECK_S 0.02
+/* Until then, an instance that reaches servers has reported so. */
+#define WITNESS_US 1500000u
 /* Instances send trials of a suspect part one after the other. */
 #define TRIAL_FIRST_US 300000u
 #define TRIAL_STEP_MAX_US 300000u
@@ -41,7 +46,8 @@
 	size_t count;
 	uint64_t lost_us;
 	ev_timer timer;
-	at_transfer_t *probe; /* NULL: still collecting */
+	at_transfer_t *probe; /* NULL: still collecting, or it has ended */
+	int needs_witness;    /* this instance has reached no server since */
 } loss_t;
 
 /* A crash seen here that is being reported. */
@@ -205,20 +211,67 @@
 	decide(crashes);
 }
 
+static void
+dismiss(loss_t *loss, const char *why)
+{
+	at_log(AT_LOG_INFO, "crashes", NULL,
+	    "server lost connections without a crash server=%s why=%s",
+	    loss->id.text, why);
+	delete_loss(loss);
+}
+
+/*
+ * A cut instance is refused by each server. So a refused connection shows a
+ * crash only if this instance has reached another server since, or if no
+ * instance reaches any.
+ */
+static void
+decide_refused(loss_t *loss)
+{
+	at_entry_t *entry = loss->crashes->entry;
+	uint64_t now_us = at_clock_now_us();
+
+	loss->needs_witness |= at_reach_io_reaches_none(entry->reach);
+	if (loss->needs_witness &&
+	    at_roster_evidence_us(entry->roster) > loss->lost_us) {
+		dismiss(loss, "other_instances_reach_servers");
+		return;
+	}
+	if (now_us < loss->lost_us + WITNESS_US &&
+	    (loss->needs_witness || at_reach_evidence_us(at_reach_io_state(
+					entry->reach)) <= loss->lost_us))
+		return;
+	confirm(loss);
+	delete_loss(loss);
+}
+
+static void
+on_refused_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	decide_refused(timer->data);
+}
+
 static void
 on_probe_done(void *ctx, const at_transfer_result_t *result)
 {
 	loss_t *loss = ctx;
+	at_entry_t *entry = loss->crashes->entry;
 
 	loss->probe = NULL;
-	if (result->is_connection_refused)
-		confirm(loss);
-	else
-		at_log(AT_LOG_INFO, "crashes", NULL,
-		    "server lost connections without a crash server=%s "
-		    "connected=%d",
-		    loss->id.text, result->is_complete);
-	delete_loss(loss);
+	if (!result->is_connection_refused) {
+		dismiss(loss, result->is_complete ? "connected" : "no_answer");
+		return;
+	}
+	if (at_reach_evidence_us(at_reach_io_state(entry->reach)) <=
+	    loss->lost_us)
+		at_reach_io_doubt(entry->reach);
+	ev_timer_stop(entry->loop, &loss->timer);
+	ev_timer_init(
+	    &loss->timer, on_refused_timer, REFUSED_CHECK_S, REFUSED_CHECK_S);
+	ev_timer_start(entry->loop, &loss->timer);
+	decide_refused(loss);
 }
 
 static void
--- a/src/entry/server_crashes.h
+++ b/src/entry/server_crashes.h
@@ -3,8 +3,9 @@
  * what it refuses because of them (crash_causes.h).
  *
  * Where a server breaks connections off, it may have crashed, or the network
- * has failed. A new connection decides: only one that is refused shows that the
- * server's process is gone.
+ * has failed. A new connection decides: one that is refused shows that the
+ * server's process is gone, provided that this instance reaches other servers
+ * (server_reach.h).
  */
 #ifndef ALMONDTHREAD_ENTRY_SERVER_CRASHES_H
 #define ALMONDTHREAD_ENTRY_SERVER_CRASHES_H
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -630,6 +630,16 @@
 	transfer->on_sending = on_sending;
 }
 
+int
+at_transfer_is_on_new_connection(const at_transfer_t *transfer)
+{
+	long connects = 0;
+
+	(void)curl_easy_getinfo(
+	    transfer->easy, CURLINFO_NUM_CONNECTS, &connects);
+	return connects > 0;
+}
+
 void
 at_transfer_cancel(at_transfer_t *transfer)
 {
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -105,6 +105,11 @@
  */
 void at_transfer_set_sending_handler(
     at_transfer_t *transfer, void (*on_sending)(void *ctx));
+/*
+ * at_transfer_is_on_new_connection() returns non-zero if no earlier transfer
+ * has used the connection; to be called within the callbacks.
+ */
+int at_transfer_is_on_new_connection(const at_transfer_t *transfer);
 /* at_transfer_cancel() ends a transfer; on_done is not called. */
 void at_transfer_cancel(at_transfer_t *transfer);
 /* at_transfer_resume() resumes a paused transfer. */
--- a/tests/contract/test_cut_instances.c
+++ b/tests/contract/test_cut_instances.c
@@ -17,6 +17,7 @@
 #define CUT_MS 400u
 #define BETWEEN_MS 300u
 #define PARTS "a1:40,b2:30,c3:30"
+#define SERVICES 3u
 
 typedef struct deployment {
 	entry_fixture_t *fixture;
@@ -24,14 +25,16 @@
 } deployment_t;
 
 static deployment_t
-deployment_new(size_t engines)
+deployment_new(void)
 {
 	deployment_t deployment = {entry_fixture_new(), NULL};
 	size_t i;
 
 	entry_fixture_apply_config(deployment.fixture, 1);
-	for (i = 0; i < engines; i++)
+	for (i = 0; i < ENGINES; i++)
 		(void)entry_fixture_add_engine(deployment.fixture, "m0");
+	for (i = 0; i < SERVICES; i++)
+		(void)entry_fixture_add_service(deployment.fixture);
 	for (i = 0; i < ENTRIES; i++)
 		(void)entry_fixture_add_entry(deployment.fixture);
 	entry_fixture_run_until_ready(deployment.fixture);
@@ -101,7 +104,7 @@
 
 Test(cut_instances, blocks_no_sound_request)
 {
-	deployment_t deployment = deployment_new(ENGINES);
+	deployment_t deployment = deployment_new();
 
 	reset_links_in_series(&deployment);
 	cr_expect_eq(call_with_parts(&deployment, 1, "elsewhere"), 200);
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -14,7 +14,9 @@
 
 #define WAIT_LIMIT_S 20. /* longest time until a condition is met */
 #define STEP_S 0.005     /* longest time between two checks of a condition */
-#define HEADERS_MAX 8    /* request headers, without the NULL at the end */
+#define FIRST_PORT 10000u
+#define PORTS 20000u
+#define HEADERS_MAX 8 /* request headers, without the NULL at the end */
 
 static void
 on_step(struct ev_loop *loop, ev_timer *timer, int events)
@@ -211,20 +213,34 @@
 	    fixture->store, WIRE_KIND_SERVERS, fixture->ids[server]);
 }
 
-/* Writes an address on loopback whose UDP port was free just now. */
+/* Returns non-zero if a socket of this type can be bound to the port. */
+static int
+is_port_free(int type, uint16_t port)
+{
+	struct sockaddr_in bound = {.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	int fd = socket(AF_INET, type, 0);
+	int result = bind(fd, (struct sockaddr *)&bound, sizeof(bound));
+
+	(void)close(fd);
+	return result == 0;
+}
+
+/*
+ * Writes an address on loopback whose port is free for datagrams and
+ * connections, and is not one that the kernel picks by itself.
+ */
 static void
 find_free_address(char address[AT_ADDR_SIZE])
 {
-	struct sockaddr_in bound = {
-	    .sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
-	socklen_t len = sizeof(bound);
-	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+	uint16_t port;
 
-	cr_assert_eq(bind(fd, (struct sockaddr *)&bound, sizeof(bound)), 0);
-	cr_assert_eq(getsockname(fd, (struct sockaddr *)&bound, &len), 0);
-	(void)close(fd);
-	(void)snprintf(
-	    address, AT_ADDR_SIZE, "127.0.0.1:%u", ntohs(bound.sin_port));
+	do {
+		port = (uint16_t)(FIRST_PORT + randombytes_uniform(PORTS));
+	} while (!is_port_free(SOCK_DGRAM, port) ||
+		 !is_port_free(SOCK_STREAM, port));
+	(void)snprintf(address, AT_ADDR_SIZE, "127.0.0.1:%u", port);
 }
 
 size_t
--- a/tests/support/links.c
+++ b/tests/support/links.c
@@ -38,11 +38,27 @@
 	return 0;
 }
 
+/* A descriptor that is opened again belongs to the last that opened it. */
+static void
+forget_fd(links_t *links, int fd)
+{
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < links->fixture->entry_count; i++) {
+		for (k = 0; k < SOCKETS_MAX; k++) {
+			if (links->of[i].fds[k] == fd)
+				links->of[i].fds[k] = -1;
+		}
+	}
+}
+
 static void
 on_open(void *ctx, int fd, struct sockaddr_in *address)
 {
 	link_t *link = ctx;
 
+	forget_fd(link->links, fd);
 	if (!is_server_port(link->links, address->sin_port))
 		return;
 	link->fds[link->fd_count++ % SOCKETS_MAX] = fd;
@@ -124,7 +140,8 @@
 		struct sockaddr_in peer;
 		socklen_t len = sizeof(peer);
 
-		if (getpeername(link->fds[i], (struct sockaddr *)&peer, &len) ==
+		if (link->fds[i] >= 0 &&
+		    getpeername(link->fds[i], (struct sockaddr *)&peer, &len) ==
 			0 &&
 		    peer.sin_family == AF_INET &&
 		    is_server_port(link->links, peer.sin_port))
