Failing test: instances cut from all servers serve nobody

Three instances, five engines and three plain servers; one or two instances lose the path to all servers: new connections hang, are refused, or all are reset.

--- a/tests/contract/test_cut_instances.c
+++ b/tests/contract/test_cut_instances.c
@@ -18,6 +18,10 @@
 #define BETWEEN_MS 300u
 #define PARTS "a1:40,b2:30,c3:30"
 #define SERVICES 3u
+#define CONTACT_MS 3000u
+#define JUDGED_MS 2000u
+#define STEP_MS 25u
+#define REQUESTS_MAX 1000u
 
 typedef struct deployment {
 	entry_fixture_t *fixture;
@@ -111,3 +115,117 @@
 	cr_expect_eq(call_with_parts(&deployment, 0, "here"), 200);
 	deployment_delete(&deployment);
 }
+
+/* One of three kinds in turn, to each instance in turn. */
+typedef struct sent_request {
+	entry_fixture_response_t response;
+	size_t entry;
+	int is_judged;
+} sent_request_t;
+
+typedef struct traffic {
+	const deployment_t *deployment;
+	sent_request_t requests[REQUESTS_MAX];
+	size_t count;
+} traffic_t;
+
+static void
+send_next(traffic_t *traffic, int is_judged)
+{
+	static const char *const targets[] = {
+	    "/stream/x", "/unsafe/x", "/safe/x", "/once/x"};
+	const char *target = targets[traffic->count / ENTRIES % 4u];
+	int is_plain = target[1] == 'u' || target[2] == 'a';
+	sent_request_t *request = &traffic->requests[traffic->count];
+	char id[32];
+	const entry_fixture_request_t fields = {is_plain ? "GET" : "POST",
+	    target, id, ENTRY_FIXTURE_KEY, is_plain ? NULL : "m0",
+	    is_plain ? NULL : "prompt"};
+
+	cr_assert_lt(traffic->count, REQUESTS_MAX);
+	(void)snprintf(id, sizeof(id), "request-%zu", traffic->count);
+	request->entry = traffic->count++ % ENTRIES;
+	request->is_judged = is_judged;
+	entry_fixture_send(traffic->deployment->fixture, request->entry,
+	    &fields, &request->response);
+}
+
+static void
+run_traffic(traffic_t *traffic, uint32_t time_ms, int is_judged)
+{
+	uint64_t end_ms = at_clock_now_ms() + time_ms;
+
+	while (at_clock_now_ms() < end_ms) {
+		send_next(traffic, is_judged);
+		entry_fixture_run_ms(traffic->deployment->fixture, STEP_MS);
+	}
+}
+
+typedef struct counts {
+	uint32_t sent;
+	uint32_t served;
+} counts_t;
+
+/* Counts judged requests at the cut instances or at the others. */
+static counts_t
+count_requests(const traffic_t *traffic, size_t cut, int at_cut)
+{
+	counts_t counts = {0, 0};
+	size_t i;
+
+	for (i = 0; i < traffic->count; i++) {
+		const sent_request_t *request = &traffic->requests[i];
+
+		if (!request->is_judged || (request->entry < cut) != at_cut)
+			continue;
+		counts.sent++;
+		counts.served += (uint32_t)(request->response.status == 200 &&
+					    request->response.is_complete);
+	}
+	return counts;
+}
+
+static const struct {
+	links_state_t state;
+	size_t cut; /* instances */
+} cuts[] = {{LINKS_HANG, 1}, {LINKS_RESET, 1}, {LINKS_NO_NEW, 1},
+    {LINKS_HANG, 2}, {LINKS_RESET, 2}};
+
+static void
+check_cut(links_state_t state, size_t cut)
+{
+	static traffic_t traffic;
+	deployment_t deployment = deployment_new();
+	counts_t at_cut;
+	counts_t others;
+	size_t i;
+
+	memset(&traffic, 0, sizeof(traffic));
+	traffic.deployment = &deployment;
+	run_traffic(&traffic, 500, 0);
+	for (i = 0; i < cut; i++)
+		links_set(deployment.links, i, state);
+	run_traffic(&traffic, CONTACT_MS, 0);
+	run_traffic(&traffic, JUDGED_MS, 1);
+	entry_fixture_run_ms(deployment.fixture, 1500);
+	at_cut = count_requests(&traffic, cut, 1);
+	others = count_requests(&traffic, cut, 0);
+	cr_expect(3u * at_cut.served * others.sent >=
+			  2u * others.served * at_cut.sent ||
+		      at_cut.sent - at_cut.served <=
+			  10u + (at_cut.sent + others.sent) / 50u,
+	    "links %d, %zu cut: served %u of %u there, %u of %u at the others",
+	    (int)state, cut, at_cut.served, at_cut.sent, others.served,
+	    others.sent);
+	for (i = 0; i < traffic.count; i++)
+		entry_fixture_response_free(&traffic.requests[i].response);
+	deployment_delete(&deployment);
+}
+
+Test(cut_instances, serve_as_the_others_do, .timeout = 120)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(cuts) / sizeof(cuts[0]); i++)
+		check_cut(cuts[i].state, cuts[i].cut);
+}
