Step down as the holder of orders where no server is reached

Cause: the lease is renewed in the platform's store, which a cut instance reaches, so that it kept the lease and no model could be moved for the time of the cut. Change: a holder that reaches no backend server releases the lease and may acquire it again, with a higher token, once it reaches servers; it is no candidate until then.

--- a/include/almondthread/lease.h
+++ b/include/almondthread/lease.h
@@ -89,6 +89,11 @@
  * none afterwards.
  */
 void at_lease_release(at_lease_t *lease);
+/*
+ * at_lease_step_down() does the same if the lease is held, but this instance
+ * may acquire it again afterwards, as a candidate.
+ */
+void at_lease_step_down(at_lease_t *lease);
 
 /*
  * at_lease_is_valid() returns non-zero if this instance holds the lease for at
--- a/src/core/placement/lease.c
+++ b/src/core/placement/lease.c
@@ -36,6 +36,7 @@
 	at_incarnation_t holder;
 	uint64_t holder_sequence;
 	int is_released;
+	int steps_down; /* a release is followed by AT_LEASE_FOLLOWING */
 };
 
 at_lease_t *
@@ -166,6 +167,16 @@
 	}
 }
 
+static void
+end_release(at_lease_t *lease, uint64_t now_ms)
+{
+	if (lease->steps_down)
+		begin_following(lease, now_ms);
+	else
+		lease->state = AT_LEASE_RELEASED;
+	lease->steps_down = 0;
+}
+
 /* Records that the write with lease->sequence made this version. */
 static void
 on_write_confirmed(at_lease_t *lease, uint64_t now_ms, uint64_t version)
@@ -177,7 +188,7 @@
 	lease->first_seen_ms = now_ms;
 	if (lease->state == AT_LEASE_RELEASING) {
 		lease->is_released = 1;
-		lease->state = AT_LEASE_RELEASED;
+		end_release(lease, now_ms);
 		return;
 	}
 	lease->is_released = 0;
@@ -257,7 +268,7 @@
 	lease->next_read_ms = now_ms;
 	if (lease->version != known_version && !is_self(lease)) {
 		if (lease->state == AT_LEASE_RELEASING)
-			lease->state = AT_LEASE_RELEASED;
+			end_release(lease, now_ms);
 		else
 			begin_following(lease, now_ms);
 	}
@@ -307,6 +318,16 @@
 		lease->state = AT_LEASE_RELEASING;
 	else if (lease->state == AT_LEASE_FOLLOWING)
 		lease->state = AT_LEASE_RELEASED;
+	lease->steps_down = 0;
+}
+
+void
+at_lease_step_down(at_lease_t *lease)
+{
+	if (lease->state != AT_LEASE_HELD)
+		return;
+	lease->state = AT_LEASE_RELEASING;
+	lease->steps_down = 1;
 }
 
 int
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -6,6 +6,7 @@
 
 #include "almondthread/log.h"
 #include "entry/gossip.h"
+#include "entry/reach.h"
 #include "io/clock.h"
 
 #define TICK_S 0.1 /* between two rounds of planning */
@@ -81,6 +82,7 @@
 	if (at_lease_state(orders->lease) == AT_LEASE_HELD)
 		return 1;
 	return entry->state == AT_ENTRY_SERVING && entry->site != NULL &&
+	       !at_reach_io_reaches_none(entry->reach) &&
 	       at_roster_is_task_owner(entry->roster, 0, 1,
 		   at_entry_is_platform_away(entry), now_us);
 }
@@ -140,6 +142,9 @@
 	at_store_t *store = &orders->entry->store;
 	at_lease_action_t action;
 
+	/* Orders cannot be sent; another instance takes over at once. */
+	if (at_reach_io_reaches_none(orders->entry->reach))
+		at_lease_step_down(orders->lease);
 	at_lease_set_candidate(orders->lease, is_candidate(orders));
 	at_lease_process(orders->lease, at_clock_now_ms(), &action);
 	note_lease_state(orders);
@@ -425,6 +430,13 @@
 	process_lease(orders);
 }
 
+void
+at_orders_io_step_down(at_orders_io_t *orders)
+{
+	at_lease_step_down(orders->lease);
+	process_lease(orders);
+}
+
 void
 at_orders_io_delete(at_orders_io_t *orders)
 {
--- a/src/entry/orders.h
+++ b/src/entry/orders.h
@@ -19,6 +19,11 @@
 void at_orders_io_delete(at_orders_io_t *orders);
 /* at_orders_io_release() releases the lease and sends no further orders. */
 void at_orders_io_release(at_orders_io_t *orders);
+/*
+ * at_orders_io_step_down() releases the lease; this instance may acquire it
+ * again once it reaches the servers.
+ */
+void at_orders_io_step_down(at_orders_io_t *orders);
 
 /* at_orders_io_note_demand() counts a request of this instance. */
 void at_orders_io_note_demand(at_orders_io_t *orders, const at_work_t *work);
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -85,8 +85,9 @@
 	int lose_calls;
 	int away_ms;   /* duration of a platform outage from the fault on */
 	int stop_a_ms; /* pause of the first holder */
-	int release;   /* the first holder releases the lease */
-	char holder;   /* '-' for none, '*' for either */
+	/* The first holder releases the lease: 1 for good, 2 steps down. */
+	int release;
+	char holder; /* '-' for none, '*' for either */
 	uint64_t after_ms;
 } test_case_t;
 
@@ -105,6 +106,8 @@
     {"holder paused: after its term", 0, 0, 0, 99999, 0, 'b',
 	TERM + AT_LEASE_POLL_MS + 100},
     {"planned hand-over", 0, 0, 0, 0, 1, 'b', HAND_OVER_MS - 1},
+    {"holder steps down", 0, 0, 0, 0, 2, 'b', HAND_OVER_MS - 1},
+    {"holder steps down, response lost", 1, 0, 0, 0, 2, 'b', HAND_OVER_MS - 1},
     {"hand-over, response lost", 1, 0, 0, 0, 1, 'b', HAND_OVER_MS - 1},
 };
 
@@ -127,8 +130,12 @@
 	fence_a = at_lease_fencing_token(a);
 	object.lose_responses = c->lose_responses;
 	object.lose_calls = c->lose_calls;
-	if (c->release)
+	if (c->release == 1)
 		at_lease_release(a);
+	if (c->release == 2) {
+		at_lease_step_down(a);
+		at_lease_set_candidate(a, 0);
+	}
 	for (; now_ms <= fault_ms + c->after_ms; now_ms += STEP_MS) {
 		object.is_away = now_ms < fault_ms + (uint64_t)c->away_ms;
 		if (now_ms >= fault_ms + (uint64_t)c->stop_a_ms)
@@ -164,3 +171,28 @@
 			run_case(&cases[i], phase_ms);
 	}
 }
+
+Test(lease, is_acquired_again_after_stepping_down)
+{
+	object_t object = {.version = 0};
+	at_lease_t *lease = make_lease("a", 1);
+	uint64_t now_ms;
+	uint64_t fence;
+
+	for (now_ms = 0; now_ms < 2000; now_ms += STEP_MS)
+		process_lease(lease, &object, now_ms);
+	cr_assert(at_lease_is_valid(lease, now_ms, 0));
+	fence = at_lease_fencing_token(lease);
+	at_lease_step_down(lease);
+	at_lease_set_candidate(lease, 0);
+	for (; now_ms < 4000; now_ms += STEP_MS) {
+		process_lease(lease, &object, now_ms);
+		cr_assert_not(at_lease_is_valid(lease, now_ms, 0));
+	}
+	at_lease_set_candidate(lease, 1);
+	for (; now_ms < 6000; now_ms += STEP_MS)
+		process_lease(lease, &object, now_ms);
+	cr_expect(at_lease_is_valid(lease, now_ms, 0));
+	cr_expect_gt(at_lease_fencing_token(lease), fence);
+	at_lease_delete(lease);
+}
