--- a/include/almondthread/attempt.h
+++ b/include/almondthread/attempt.h
@@ -161,6 +161,12 @@
  */
 void at_attempts_on_failed(at_attempts_t *attempts, uint32_t k,
     at_reason_t reason, at_verdict_t verdict, uint64_t now_ms);
+/*
+ * An instance that should have passed the attempt on states that nothing of it
+ * was sent to the backend server. It is as if no connection had been made.
+ */
+void at_attempts_on_not_passed(
+    at_attempts_t *attempts, uint32_t k, uint64_t now_ms);
 /* The caller has closed its connection. */
 void at_attempts_on_caller_closed(at_attempts_t *attempts, uint64_t now_ms);
 
--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -361,6 +361,12 @@
 void at_fleet_apply_unreachable(
     at_fleet_t *fleet, at_tag_t tag, uint64_t now_us);
 
+/*
+ * at_fleet_forget_failures() ends all backoffs, after failures that were those
+ * of this instance.
+ */
+void at_fleet_forget_failures(at_fleet_t *fleet);
+
 /*
  * at_fleet_pick_probes() draws listed servers that do not leave, from as many
  * data centres as there are, and returns their number, at most max.
@@ -368,6 +374,13 @@
 size_t at_fleet_pick_probes(
     at_fleet_t *fleet, const at_server_entry_t **entries, size_t max);
 
+/*
+ * at_server_accepts_relayed() returns non-zero unless the server leaves, is not
+ * listed or wants no requests from this instance now. The instance that asks
+ * this one to pass an attempt on has checked everything else.
+ */
+int at_server_accepts_relayed(const at_server_t *server, uint64_t now_us);
+
 /* at_fleet_expire_reports() drops reports older than max_age_us. */
 void at_fleet_expire_reports(
     at_fleet_t *fleet, uint64_t now_us, uint64_t max_age_us);
--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -33,6 +33,10 @@
 	uint64_t confirmed_us; /* when the platform last responded to it */
 	int reaches_none;      /* it reaches no backend server */
 	uint64_t evidence_us;  /* when it last reached one; 0: unknown */
+	/* Attempts of other instances that it passes on. */
+	uint32_t relayed;
+	uint32_t relays_open;          /* those of this instance */
+	uint64_t relay_avoid_until_us; /* it has failed or refused one */
 } at_roster_member_t;
 
 typedef struct at_roster at_roster_t;
@@ -107,6 +111,19 @@
 uint32_t at_roster_rank(
     const at_roster_t *roster, uint64_t key, uint64_t now_us);
 
+/*
+ * at_roster_choose_relay() returns the instance that should pass on an attempt
+ * of this one, which reaches no backend server, or NULL if none can: the one
+ * that passes on least for its strength, where one of another data centre
+ * counts as if it passed on AT_ROSTER_FAR_RELAYS more. The instance except (0:
+ * none) is chosen only if there is no other.
+ */
+#define AT_ROSTER_RELAYED_MAX 192u /* attempts that one instance passes on */
+#define AT_ROSTER_FAR_RELAYS 8u
+at_roster_member_t *at_roster_choose_relay(at_roster_t *roster,
+    at_tag_t data_centre, at_tag_t except, uint64_t now_us);
+/* at_roster_find() returns an instance, or NULL. */
+at_roster_member_t *at_roster_find(at_roster_t *roster, at_tag_t tag);
 /*
  * at_roster_evidence_us() returns when another instance last reached a backend
  * server, or 0.
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -1682,7 +1682,7 @@
   (ProtobufCMessageInit) report_leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[36] =
+static const ProtobufCFieldDescriptor report__field_descriptors[37] =
 {
   {
     "name",
@@ -2116,6 +2116,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relayed",
+    38,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Report, relayed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -2143,6 +2155,7 @@
   34,   /* field[34] = reaches_none */
   28,   /* field[28] = read_age_ms */
   13,   /* field[13] = reads */
+  36,   /* field[36] = relayed */
   4,   /* field[4] = sequence */
   16,   /* field[16] = servers */
   15,   /* field[15] = servers_digest */
@@ -2159,7 +2172,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 36 }
+  { 0, 37 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -2169,7 +2182,7 @@
   "Report",
   "",
   sizeof(Report),
-  36,
+  37,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -405,6 +405,10 @@
    * Time since the sender last reached one, and one more; 0: unknown.
    */
   uint32_t evidence_age_ms;
+  /*
+   * Attempts of other instances that the sender passes on now.
+   */
+  uint32_t relayed;
   /*
    * Version of the newest change in the reader's list of backend servers.
    */
@@ -412,7 +416,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /* ReportLoad methods */
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -456,6 +456,22 @@
 		server_health_apply_unreachable(&server->health, now_us);
 }
 
+void
+at_fleet_forget_failures(at_fleet_t *fleet)
+{
+	at_server_t *server;
+
+	for (server = fleet->servers; server != NULL; server = server->hh.next)
+		server_health_forget_failures(&server->health);
+}
+
+int
+at_server_accepts_relayed(const at_server_t *server, uint64_t now_us)
+{
+	return server->is_listed && !server->entry.is_leaving &&
+	       now_us >= server->paused_until_us;
+}
+
 /* How many of the chosen entries are in a data centre. */
 static uint32_t
 count_in(
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -90,6 +90,8 @@
 void server_health_init(server_health_t *health);
 void server_health_note_outcome(
     server_health_t *health, at_server_outcome_t outcome, uint64_t now_us);
+/* Ends the backoff; the speed is kept. */
+void server_health_forget_failures(server_health_t *health);
 void server_health_apply_unreachable(server_health_t *health, uint64_t now_us);
 void server_health_note_time(
     server_health_t *health, uint64_t predicted_us, uint64_t observed_us);
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -266,6 +266,15 @@
 	return 0;
 }
 
+at_roster_member_t *
+at_roster_find(at_roster_t *roster, at_tag_t tag)
+{
+	entry_t *entry;
+
+	HASH_FIND(hh, roster->table, &tag, sizeof(tag), entry);
+	return entry == NULL ? NULL : &entry->member;
+}
+
 uint64_t
 at_roster_evidence_us(const at_roster_t *roster)
 {
@@ -279,6 +288,44 @@
 	return evidence_us;
 }
 
+/* What an instance passes on, in thousandths of its strength. */
+static uint64_t
+relay_cost(const at_roster_member_t *member, at_tag_t data_centre)
+{
+	/* Its report is some hundred milliseconds old. */
+	uint64_t relayed = member->relays_open > member->relayed
+			       ? member->relays_open
+			       : member->relayed;
+
+	if (member->data_centre != data_centre)
+		relayed += AT_ROSTER_FAR_RELAYS;
+	return (relayed + 1u) * 1000u /
+	       (member->strength == 0 ? 1u : member->strength);
+}
+
+at_roster_member_t *
+at_roster_choose_relay(
+    at_roster_t *roster, at_tag_t data_centre, at_tag_t except, uint64_t now_us)
+{
+	at_roster_member_t *best = NULL;
+	entry_t *entry;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		at_roster_member_t *member = &entry->member;
+
+		if (!is_reporting(member, now_us) || member->reaches_none ||
+		    member->relayed >= AT_ROSTER_RELAYED_MAX ||
+		    now_us < member->relay_avoid_until_us)
+			continue;
+		if (best == NULL || best->tag == except ||
+		    (member->tag != except &&
+			relay_cost(member, data_centre) <
+			    relay_cost(best, data_centre)))
+			best = member;
+	}
+	return best;
+}
+
 void
 at_roster_each(at_roster_t *roster,
     void (*visit)(void *ctx, at_roster_member_t *member), void *ctx)
--- a/src/core/fleet/server_health.c
+++ b/src/core/fleet/server_health.c
@@ -60,6 +60,14 @@
 	}
 }
 
+void
+server_health_forget_failures(server_health_t *health)
+{
+	health->failures = 0;
+	health->backoff_until_us = 0;
+	health->unreachable = 0;
+}
+
 void
 server_health_apply_unreachable(server_health_t *health, uint64_t now_us)
 {
--- a/src/core/requests/attempt.c
+++ b/src/core/requests/attempt.c
@@ -506,6 +506,14 @@
 	attempts_end(attempts, k, reason, verdict, now_ms);
 }
 
+void
+at_attempts_on_not_passed(at_attempts_t *attempts, uint32_t k, uint64_t now_ms)
+{
+	if (open_attempt(attempts, k) != NULL)
+		attempts_end(attempts, k, AT_REASON_CONNECT_FAILED,
+		    AT_VERDICT_NOT_RUN, now_ms);
+}
+
 void
 at_attempts_abandon(at_attempts_t *attempts, at_reason_t reason)
 {
--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -7,6 +7,7 @@
 
 #include "almondthread/log.h"
 #include "entry/orders.h"
+#include "entry/reach.h"
 #include "io/clock.h"
 #include "platform/caller.h"
 
@@ -126,7 +127,8 @@
 	    " server=%s attempts=%u "
 	    "prompt=%u objective_ms=%u waited_us=%" PRIu64
 	    " first_event_us=%" PRIu64 " event_gap_max_us=%" PRIu64
-	    " took_us=%" PRIu64 " predicted_us=%" PRIu64 " retry_after_ms=%u",
+	    " took_us=%" PRIu64 " predicted_us=%" PRIu64
+	    " retry_after_ms=%u via=%s",
 	    outcome, at_reason_names[reason], status, call->route->name.text,
 	    call->workspace == NULL ? "-" : call->workspace->name.text,
 	    call->header.model.text, call->header.adapter.text,
@@ -139,7 +141,8 @@
 	    call->first_event_us == 0 ? 0
 				      : call->first_event_us - call->started_us,
 	    call->event_gap_max_us, now_us - call->started_us,
-	    call->current->predicted_us, retry_after_ms);
+	    call->current->predicted_us, retry_after_ms,
+	    call_via(call->current));
 }
 
 static void
@@ -266,7 +269,9 @@
 
 		if (!call_attempt_is_open(attempt))
 			continue;
-		if (!attempt->is_silent)
+		/* A relayed one may be silent for the other instance's sake. */
+		if (!attempt->is_silent && attempt->relay == 0 &&
+		    !at_reach_io_reaches_none(call->entry->reach))
 			at_server_note_silent(
 			    attempt->server, at_clock_now_us());
 		attempt->is_silent = 1;
@@ -365,7 +370,10 @@
 		    "had_event=%d",
 		    number, attempt->server_id.text, at_reason_names[reason],
 		    attempt->had_event);
-	call_attempt_end(attempt, outcome_from_reason(reason));
+	call_attempt_end(attempt,
+	    attempt->relay != 0 || at_reach_io_reaches_none(call->entry->reach)
+		? AT_OUTCOME_UNKNOWN
+		: outcome_from_reason(reason));
 }
 
 static void
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -19,6 +19,11 @@
 #define PARTS_TEXT_SIZE (AT_PREFIX_PARTS_MAX * 17u + 1u)
 #define US_PER_MS 1000u
 #define CONNECT_TIMEOUT_MS 600u /* for connecting to a backend server */
+#define PERCENT 100u
+/* While it is not known whether servers are reached, only these go directly. */
+#define DOUBTED_ATTEMPTS 2u
+/* An instance that could not pass an attempt on is avoided for this time. */
+#define RELAY_AVOID_US 500000u
 /* Largest response that is buffered. */
 #define RESPONSE_BUFFER_MAX_BYTES (8u << 20)
 /* Of all buffered responses; smaller ones are not refused for it. */
@@ -43,6 +48,38 @@
 	memset(response, 0, sizeof(*response));
 }
 
+static at_roster_member_t *
+find_relay(const call_attempt_t *attempt)
+{
+	return at_roster_find(attempt->call->entry->roster, attempt->relay);
+}
+
+static void
+note_way_ended(const call_attempt_t *attempt)
+{
+	at_roster_member_t *member;
+
+	if (attempt->relay == 0) {
+		at_reach_note_ended(
+		    at_reach_io_state(attempt->call->entry->reach));
+		return;
+	}
+	member = find_relay(attempt);
+	/* An instance that was removed meanwhile counts anew. */
+	if (member != NULL && member->relays_open > 0)
+		member->relays_open--;
+}
+
+static void
+avoid_relay(const call_attempt_t *attempt)
+{
+	at_roster_member_t *member = find_relay(attempt);
+
+	if (member != NULL)
+		member->relay_avoid_until_us =
+		    at_clock_now_us() + RELAY_AVOID_US;
+}
+
 void
 call_attempt_end(call_attempt_t *attempt, at_server_outcome_t outcome)
 {
@@ -52,7 +89,7 @@
 		at_transfer_cancel(attempt->transfer);
 	attempt->transfer = NULL;
 	if (attempt->server != NULL)
-		at_reach_note_ended(at_reach_io_state(call->entry->reach));
+		note_way_ended(attempt);
 	if (attempt->server != NULL)
 		at_fleet_note_ended(call->entry->fleet, attempt->server,
 		    &call->waiter.work, attempt->had_event, outcome,
@@ -100,7 +137,8 @@
 {
 	call_attempt_t *attempt = ctx;
 
-	if (at_transfer_is_on_new_connection(attempt->transfer))
+	if (attempt->relay == 0 &&
+	    at_transfer_is_on_new_connection(attempt->transfer))
 		at_reach_note_connected(
 		    at_reach_io_state(attempt->call->entry->reach),
 		    at_clock_now_us());
@@ -134,8 +172,10 @@
 static void
 note_heard(const call_attempt_t *attempt)
 {
-	at_reach_note_heard(
-	    at_reach_io_state(attempt->call->entry->reach), at_clock_now_us());
+	if (attempt->relay == 0)
+		at_reach_note_heard(
+		    at_reach_io_state(attempt->call->entry->reach),
+		    at_clock_now_us());
 }
 
 static void
@@ -156,6 +196,10 @@
 	at_call_t *call = attempt->call;
 	at_server_response_t server_response;
 
+	if (attempt->relay != 0)
+		attempt->relay_outcome = at_relay_read_outcome(transfer);
+	if (attempt->relay_outcome != AT_RELAY_PASSED)
+		return;
 	note_heard(attempt);
 	at_server_response_read(transfer, status, call->id, &server_response);
 	if (attempt->server != NULL) {
@@ -282,6 +326,8 @@
 	at_call_t *call = attempt->call;
 	int result;
 
+	if (attempt->relay_outcome != AT_RELAY_PASSED)
+		return 0;
 	note_heard(attempt);
 	if (attempt->is_refused) {
 		attempt->refused_bytes += len;
@@ -370,36 +416,103 @@
 		    "%s%" PRIx64, i == 0 ? "" : ",", work->prefix[i].id);
 }
 
+static void
+log_failure(const call_attempt_t *attempt, const at_transfer_result_t *result)
+{
+	const at_call_t *call = attempt->call;
+	char parts[PARTS_TEXT_SIZE];
+
+	format_parts(&call->waiter.work, parts);
+	at_log(AT_LOG_INFO, "call", call->id,
+	    "attempt failed server=%s reason=%s verdict=%s had_event=%d "
+	    "parts=%s via=%s outcome=%s",
+	    attempt->server_id.text, at_reason_names[result->reason],
+	    at_verdict_names[result->verdict], attempt->had_event, parts,
+	    call_via(attempt), at_relay_outcome_names[attempt->relay_outcome]);
+}
+
+/* The connection to the server has failed, or was lost. */
+static void
+handle_direct_failure(
+    call_attempt_t *attempt, const at_transfer_result_t *result)
+{
+	at_call_t *call = attempt->call;
+	at_server_outcome_t outcome = AT_OUTCOME_FAILED;
+
+	if (result->reason == AT_REASON_CONNECT_FAILED) {
+		outcome = AT_OUTCOME_UNREACHABLE;
+		at_reach_io_note_failed(call->entry->reach);
+	} else {
+		call_note_lost(attempt);
+	}
+	/* It says nothing about the server. */
+	if (at_reach_io_reaches_none(call->entry->reach))
+		outcome = AT_OUTCOME_UNKNOWN;
+	call_attempt_end(attempt, outcome);
+	at_attempts_on_failed(call->attempts, attempt->number, result->reason,
+	    result->verdict, at_clock_now_ms());
+}
+
+/*
+ * The connection to the instance that should pass the attempt on has failed or
+ * was lost, or that instance responds itself.
+ */
+static void
+handle_relay_failure(
+    call_attempt_t *attempt, const at_transfer_result_t *result)
+{
+	at_call_t *call = attempt->call;
+	at_server_outcome_t outcome = AT_OUTCOME_UNKNOWN;
+	int is_not_sent = 0;
+
+	if (attempt->relay_outcome == AT_RELAY_UNREACHABLE ||
+	    attempt->relay_outcome == AT_RELAY_CONNECTION_REFUSED) {
+		outcome = AT_OUTCOME_UNREACHABLE;
+		is_not_sent = 1;
+	} else if (attempt->relay_outcome == AT_RELAY_LOST) {
+		outcome = AT_OUTCOME_FAILED;
+	} else {
+		is_not_sent = attempt->relay_outcome == AT_RELAY_REFUSED ||
+			      result->verdict == AT_VERDICT_NOT_RUN;
+		if (!attempt->had_event)
+			avoid_relay(attempt);
+	}
+	/* Nothing speaks against the server if the attempt did not get there.
+	 */
+	if (is_not_sent && outcome == AT_OUTCOME_UNKNOWN)
+		call->waiter.work.avoid[attempt->number] = 0;
+	if (!is_not_sent)
+		call_note_lost(attempt);
+	call_attempt_end(attempt, outcome);
+	if (is_not_sent)
+		at_attempts_on_not_passed(
+		    call->attempts, attempt->number, at_clock_now_ms());
+	else
+		at_attempts_on_failed(call->attempts, attempt->number,
+		    attempt->relay_outcome == AT_RELAY_LOST
+			? AT_REASON_BACKEND_RESET
+			: result->reason,
+		    AT_VERDICT_MAY_HAVE_RUN, at_clock_now_ms());
+}
+
 static void
 on_done(void *ctx, const at_transfer_result_t *result)
 {
 	call_attempt_t *attempt = ctx;
 	at_call_t *call = attempt->call;
-	char parts[PARTS_TEXT_SIZE];
 
 	attempt->transfer = NULL;
 	if (attempt->is_refused) {
 		finish_refused(attempt);
-	} else if (result->is_complete) {
+	} else if (result->is_complete &&
+		   attempt->relay_outcome == AT_RELAY_PASSED) {
 		handle_complete(attempt);
 	} else {
-		format_parts(&call->waiter.work, parts);
-		at_log(AT_LOG_INFO, "call", call->id,
-		    "attempt failed server=%s reason=%s verdict=%s "
-		    "had_event=%d parts=%s",
-		    attempt->server_id.text, at_reason_names[result->reason],
-		    at_verdict_names[result->verdict], attempt->had_event,
-		    parts);
-		if (result->reason != AT_REASON_CONNECT_FAILED)
-			call_note_lost(attempt);
+		log_failure(attempt, result);
+		if (attempt->relay == 0)
+			handle_direct_failure(attempt, result);
 		else
-			at_reach_io_note_failed(call->entry->reach);
-		call_attempt_end(
-		    attempt, result->reason == AT_REASON_CONNECT_FAILED
-				 ? AT_OUTCOME_UNREACHABLE
-				 : AT_OUTCOME_FAILED);
-		at_attempts_on_failed(call->attempts, attempt->number,
-		    result->reason, result->verdict, at_clock_now_ms());
+			handle_relay_failure(attempt, result);
 	}
 	call_process(call);
 }
@@ -416,7 +529,7 @@
 
 static at_transfer_t *
 start_transfer(call_attempt_t *attempt, const at_server_entry_t *server_entry,
-    uint64_t now_us)
+    const at_roster_member_t *relay, uint64_t now_us)
 {
 	at_call_t *call = attempt->call;
 	char url[URL_SIZE];
@@ -446,14 +559,25 @@
 	    .on_data = on_data,
 	    .on_done = on_done,
 	    .ctx = attempt};
+	at_relay_call_t relay_call = {.server_id = server_entry->id.text,
+	    .request_id = call->id,
+	    .method = spec.method,
+	    .target = spec.target,
+	    .new_connection = spec.new_connection};
 	at_transfer_t *transfer = NULL;
 
-	(void)snprintf(url, sizeof(url), "http://%s/", server_entry->address);
+	(void)snprintf(url, sizeof(url), "http://%s/",
+	    relay == NULL ? server_entry->address : relay->address);
 	(void)snprintf(resume_after, sizeof(resume_after), "%llu",
 	    (unsigned long long)call->event_id);
 	spec.body = at_httpd_body(call->request, &spec.body_len);
+	relay_call.body = spec.body;
+	relay_call.body_len = spec.body_len;
+	spec.new_connection |= relay != NULL;
 	if (at_server_call_build_headers(
-		&call->request_headers, &server_call, &lines) == 0) {
+		&call->request_headers, &server_call, &lines) == 0 &&
+	    (relay == NULL || at_relay_add_header(call->entry, relay,
+				  &relay_call, &lines) == 0)) {
 		spec.headers = (const char *const *)lines.lines;
 		transfer = at_httpc_start(call->entry->httpc, &spec, &events);
 	}
@@ -461,6 +585,33 @@
 	return transfer;
 }
 
+/* Returns the instance that should pass the attempt on, NULL for none. */
+static at_roster_member_t *
+choose_relay(const at_call_t *call, uint32_t number, uint64_t now_us)
+{
+	at_entry_t *entry = call->entry;
+	at_tag_t except = 0;
+	size_t i;
+
+	if ((number < DOUBTED_ATTEMPTS || at_reach_io_is_up(entry->reach)) &&
+	    at_reach_is_direct(at_reach_io_state(entry->reach),
+		(uint32_t)(at_rng_next(&entry->rng) % PERCENT), now_us))
+		return NULL;
+	/* One that has fallen silent is not asked again. */
+	for (i = 0; i < OPEN_ATTEMPTS_MAX; i++) {
+		if (call_attempt_is_open(&call->open_attempts[i]))
+			except = call->open_attempts[i].relay;
+	}
+	return at_roster_choose_relay(
+	    entry->roster, entry->data_centre, except, now_us);
+}
+
+const char *
+call_via(const call_attempt_t *attempt)
+{
+	return attempt->relay == 0 ? "-" : attempt->relay_name.text;
+}
+
 void
 call_attempt_start(at_call_t *call, uint32_t number, const at_choice_t *choice)
 {
@@ -469,10 +620,15 @@
 				      : &call->open_attempts[0];
 	const at_server_entry_t *server_entry = at_server_entry(choice->server);
 	uint64_t now_us = at_clock_now_us();
+	at_roster_member_t *relay = choose_relay(call, number, now_us);
 
 	buffered_response_reset(&attempt->response);
 	memset(attempt, 0, sizeof(*attempt));
 	attempt->call = call;
+	if (relay != NULL) {
+		attempt->relay = relay->tag;
+		attempt->relay_name = relay->name;
+	}
 	attempt->number = number;
 	attempt->server_id = server_entry->id;
 	attempt->software = server_entry->software;
@@ -484,20 +640,25 @@
 	if (!call_attempt_is_open(call->current))
 		call->current = attempt;
 	call->waiter.work.avoid[number] = server_entry->tag;
-	attempt->transfer = start_transfer(attempt, server_entry, now_us);
+	attempt->transfer =
+	    start_transfer(attempt, server_entry, relay, now_us);
 	if (attempt->transfer == NULL) {
 		at_attempts_on_failed(call->attempts, number,
 		    AT_REASON_INTERNAL, AT_VERDICT_NOT_RUN, at_clock_now_ms());
 		return;
 	}
 	attempt->server = choice->server;
-	at_reach_note_sent(at_reach_io_state(call->entry->reach), now_us);
+	if (relay != NULL)
+		relay->relays_open++;
+	else
+		at_reach_note_sent(
+		    at_reach_io_state(call->entry->reach), now_us);
 	at_transfer_set_sending_handler(attempt->transfer, on_sending);
 	at_server_note_sent(attempt->server, &call->waiter.work, now_us);
 	at_log(AT_LOG_DEBUG, "call", call->id,
-	    "request sent attempt=%u server=%s predicted_us=%llu "
+	    "request sent attempt=%u server=%s via=%s predicted_us=%llu "
 	    "waited_us=%llu",
-	    number, server_entry->id.text,
+	    number, server_entry->id.text, call_via(attempt),
 	    (unsigned long long)attempt->predicted_us,
 	    (unsigned long long)call->waited_us);
 }
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -10,6 +10,7 @@
 #include "almondthread/request_header.h"
 #include "almondthread/event_frames.h"
 #include "entry/call.h"
+#include "entry/relay.h"
 #include "platform/server_call.h"
 
 #define ID_SIZE 96u          /* bytes of a request's id, with the NUL */
@@ -33,6 +34,9 @@
 	at_name_t server_id;
 	at_tag_t software; /* version of the server's software */
 	at_transfer_t *transfer;
+	at_tag_t relay; /* the instance that passes it on; 0: none */
+	at_name_t relay_name;
+	at_relay_outcome_t relay_outcome;
 	uint64_t sent_us;
 	uint64_t predicted_us;
 	int had_event; /* an event or the complete response has arrived */
@@ -120,6 +124,9 @@
 void call_attempt_start(
     at_call_t *call, uint32_t number, const at_choice_t *choice);
 void call_attempt_end(call_attempt_t *attempt, at_server_outcome_t outcome);
+/* call_via() names the instance that passes the attempt on, "-" if none does.
+ */
+const char *call_via(const call_attempt_t *attempt);
 /* call_attempt_is_open() returns non-zero until call_attempt_end(). */
 int call_attempt_is_open(const call_attempt_t *attempt);
 /* call_attempt_find() returns the attempt with this number; NULL: none. */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -14,6 +14,7 @@
 #include "entry/orders.h"
 #include "entry/reach.h"
 #include "entry/readiness.h"
+#include "entry/relay.h"
 #include "entry/retry_budgets.h"
 #include "entry/sync.h"
 #include "io/clock.h"
@@ -121,6 +122,7 @@
 	entry->crashes = at_server_crashes_new(entry);
 	entry->blocks = at_crash_blocks_new(entry);
 	entry->reach = at_reach_io_new(entry);
+	entry->relay = at_relay_new(entry);
 	entry->sync = at_sync_new(entry);
 	entry->join = at_join_new(entry);
 	entry->gossip = at_gossip_new(entry);
@@ -128,9 +130,10 @@
 	entry->readiness = at_readiness_new(entry);
 	return entry->queue == NULL || entry->contention == NULL ||
 		       entry->crashes == NULL || entry->blocks == NULL ||
-		       entry->reach == NULL || entry->sync == NULL ||
-		       entry->join == NULL || entry->gossip == NULL ||
-		       entry->orders == NULL || entry->readiness == NULL
+		       entry->reach == NULL || entry->relay == NULL ||
+		       entry->sync == NULL || entry->join == NULL ||
+		       entry->gossip == NULL || entry->orders == NULL ||
+		       entry->readiness == NULL
 		   ? -1
 		   : 0;
 }
@@ -150,6 +153,7 @@
 	if (at_wire_store_init(entry->wire_store, s->store, status) != AT_OK ||
 	    at_readiness_init(entry->readiness, status) != AT_OK ||
 	    at_gossip_init(entry->gossip, status) != AT_OK ||
+	    at_relay_init(entry->relay, status) != AT_OK ||
 	    at_httpd_init(entry->callers, s->listen, status) != AT_OK)
 		return status->code;
 	at_sync_start(entry->sync);
@@ -217,6 +221,7 @@
 	at_stream_origins_set_lifetime(
 	    entry->origins, longest_stream_us(site) + RESUME_MARGIN_US);
 	at_httpd_set_max_body(entry->callers, site->limits.body_bytes);
+	at_relay_set_max_body(entry->relay, site->limits.body_bytes);
 }
 
 void
@@ -288,6 +293,7 @@
 	(void)events;
 	if (entry->call_count > open)
 		open = entry->call_count;
+	open += at_relay_open(entry->relay);
 	if (entry->state == AT_ENTRY_DRAINING) {
 		if (waited_ms < DRAIN_MS)
 			return;
@@ -312,6 +318,7 @@
 		/* The responses are sent before the next check. */
 		entry->calls_abandoned = 1;
 		at_calls_abandon(entry);
+		at_relay_abandon(entry->relay);
 		return;
 	}
 	ev_timer_stop(loop, timer);
@@ -347,6 +354,7 @@
 	at_httpd_delete(entry->callers);
 	if (entry->queue != NULL)
 		at_calls_delete(entry);
+	at_relay_delete(entry->relay);
 	at_reach_io_delete(entry->reach);
 	at_readiness_delete(entry->readiness);
 	at_orders_io_delete(entry->orders);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -13,6 +13,8 @@
  *   server_notices.c  what servers state about themselves in their answers
  *   crash_blocks.c    blocked parts in the platform's store
  *   reach.c      whether this instance reaches the backend servers
+ *   relay.c      attempts passed on for instances that reach none;
+ *                relay_header.c has the header that both sides use
  *   join.c       discovery of the other instances
  *   orders.c     the lease and orders to model engines
  *   readiness.c  readiness check and metrics
@@ -67,6 +69,7 @@
 typedef struct at_orders_io at_orders_io_t;
 typedef struct at_readiness at_readiness_t;
 typedef struct at_reach_io at_reach_io_t;
+typedef struct at_relay at_relay_t;
 typedef struct at_call at_call_t;
 typedef struct at_server_crashes at_server_crashes_t;
 typedef struct at_crash_blocks at_crash_blocks_t;
@@ -99,6 +102,7 @@
 	at_server_crashes_t *crashes;
 	at_crash_blocks_t *blocks;
 	at_reach_io_t *reach;
+	at_relay_t *relay;
 	at_roster_t *roster;
 	at_join_t *join;
 	at_orders_io_t *orders;
--- a/src/entry/reach.c
+++ b/src/entry/reach.c
@@ -5,6 +5,7 @@
 
 #include "almondthread/log.h"
 #include "entry/gossip.h"
+#include "entry/orders.h"
 #include "io/clock.h"
 
 #define TICK_S 0.05
@@ -27,6 +28,13 @@
 	ev_timer timer;
 };
 
+static int
+is_failing(at_reach_state_t state)
+{
+	return state == AT_REACH_UNSURE || state == AT_REACH_NONE;
+}
+
+/* Failures while no server is reached are not those of the servers. */
 static void
 on_state_changed(at_reach_io_t *io)
 {
@@ -48,9 +56,13 @@
 	if (state != AT_REACH_NONE)
 		return;
 	at_log(AT_LOG_WARN, "reach", NULL,
-	    "no backend server is reached probes_failed=%u servers=%zu",
+	    "no backend server is reached; other instances pass attempts on "
+	    "probes_failed=%u servers=%zu",
 	    io->reach.round_failed, at_fleet_count(entry->fleet));
+	at_fleet_forget_failures(entry->fleet);
+	at_orders_io_step_down(entry->orders);
 	at_gossip_send_soon(entry->gossip);
+	at_entry_place_queued(entry);
 }
 
 static void
@@ -184,6 +196,12 @@
 	check(io);
 }
 
+int
+at_reach_io_is_up(const at_reach_io_t *io)
+{
+	return !is_failing(io->reach.state);
+}
+
 int
 at_reach_io_reaches_none(const at_reach_io_t *io)
 {
--- a/src/entry/reach.h
+++ b/src/entry/reach.h
@@ -23,6 +23,8 @@
 void at_reach_io_note_failed(at_reach_io_t *io);
 void at_reach_io_doubt(at_reach_io_t *io);
 
+/* at_reach_io_is_up() returns zero while failures may be this instance's. */
+int at_reach_io_is_up(const at_reach_io_t *io);
 /* at_reach_io_reaches_none() returns non-zero if no server is reached. */
 int at_reach_io_reaches_none(const at_reach_io_t *io);
 
--- a/src/entry/report_apply.c
+++ b/src/entry/report_apply.c
@@ -149,8 +149,10 @@
 	if (report->has_loads)
 		apply_loads(entry, member->tag,
 		    member->data_centre == entry->data_centre, report, now_us);
-	if (report->has_loads)
+	if (report->has_loads) {
 		at_reach_io_apply_report(entry->reach, member, report);
+		member->relayed = report->relayed;
+	}
 	if (report->has_loads)
 		apply_queues(entry, member->tag, report, now_us);
 	apply_usage(entry, member->tag, report, now_us);
--- a/src/entry/report_encode.c
+++ b/src/entry/report_encode.c
@@ -7,6 +7,7 @@
 #include "entry/gossip_impl.h"
 #include "entry/orders.h"
 #include "entry/reach.h"
+#include "entry/relay.h"
 #include "entry/sync.h"
 #include "io/clock.h"
 
@@ -52,7 +53,8 @@
 		load->prefill_tokens =
 		    buffers->load_entries[i].load.prefill_tokens;
 		load->kv_tokens = buffers->load_entries[i].load.kv_tokens;
-		load->unreachable = buffers->load_entries[i].load.unreachable;
+		load->unreachable = buffers->load_entries[i].load.unreachable &&
+				    at_reach_io_is_up(entry->reach);
 		load->recent_tokens =
 		    buffers->load_entries[i].load.recent_tokens;
 		buffers->load_list[i] = load;
@@ -237,6 +239,7 @@
 		at_server_crashes_fill_verdicts(entry->crashes, &report);
 		at_server_notices_fill_report(entry, &report);
 		at_reach_io_fill_report(entry->reach, &report);
+		at_relay_fill_report(entry->relay, &report);
 	}
 	if (kind == REPORT_DEMAND)
 		at_orders_io_fill_demand(entry->orders, &report);
--- a/src/entry/server_crashes.c
+++ b/src/entry/server_crashes.c
@@ -12,6 +12,7 @@
 #include "entry/call.h"
 #include "entry/gossip.h"
 #include "entry/reach.h"
+#include "entry/relay.h"
 #include "io/clock.h"
 
 #define US_PER_MS 1000u
@@ -23,7 +24,8 @@
 #define TRIALS_MAX 8u
 /* A server that crashes breaks all its connections within this time. */
 #define COLLECT_S 0.03
-#define CONNECT_MS 400u /* for the connection that decides */
+#define CONNECT_MS 400u        /* for the connection that decides */
+#define RELAYED_PROBE_MS 1000u /* the same, made by another instance */
 #define DECIDE_S 0.1
 /* Between two checks of whether a refused connection shows a crash. */
 #define REFUSED_CHECK_S 0.02
@@ -47,7 +49,8 @@
 	uint64_t lost_us;
 	ev_timer timer;
 	at_transfer_t *probe; /* NULL: still collecting, or it has ended */
-	int needs_witness;    /* this instance has reached no server since */
+	at_relay_outcome_t probe_outcome; /* of a relayed probe */
+	int needs_witness; /* this instance has reached no server since */
 } loss_t;
 
 /* A crash seen here that is being reported. */
@@ -274,6 +277,66 @@
 	decide_refused(loss);
 }
 
+static void
+on_relayed_probe_headers(void *ctx, at_transfer_t *transfer, int status)
+{
+	loss_t *loss = ctx;
+
+	(void)status;
+	loss->probe_outcome = at_relay_read_outcome(transfer);
+}
+
+/* The other instance reaches servers, or it would not have passed it on. */
+static void
+on_relayed_probe_done(void *ctx, const at_transfer_result_t *result)
+{
+	loss_t *loss = ctx;
+
+	loss->probe = NULL;
+	if (!result->is_complete ||
+	    loss->probe_outcome != AT_RELAY_CONNECTION_REFUSED) {
+		dismiss(loss, at_relay_outcome_names[loss->probe_outcome]);
+		return;
+	}
+	confirm(loss);
+	delete_loss(loss);
+}
+
+/* Has another instance try the connection; returns -1 if none can. */
+static int
+start_relayed_probe(loss_t *loss)
+{
+	at_entry_t *entry = loss->crashes->entry;
+	const at_roster_member_t *member = at_roster_choose_relay(
+	    entry->roster, entry->data_centre, 0, at_clock_now_us());
+	char url[AT_ADDR_SIZE + 16];
+	const at_relay_call_t call = {.server_id = loss->id.text,
+	    .method = "GET",
+	    .target = "/",
+	    .is_probe = 1};
+	at_transfer_spec_t spec = {.method = "GET",
+	    .url = url,
+	    .total_ms = RELAYED_PROBE_MS,
+	    .new_connection = 1};
+	const at_transfer_events_t probe_events = {
+	    .on_headers = on_relayed_probe_headers,
+	    .on_done = on_relayed_probe_done,
+	    .ctx = loss};
+	at_header_lines_t lines = {0};
+
+	if (member == NULL)
+		return -1;
+	(void)snprintf(url, sizeof(url), "http://%s/", member->address);
+	loss->probe_outcome = AT_RELAY_REFUSED;
+	if (at_relay_add_header(entry, member, &call, &lines) == 0) {
+		spec.headers = (const char *const *)lines.lines;
+		loss->probe =
+		    at_httpc_start(entry->httpc, &spec, &probe_events);
+	}
+	at_header_lines_free(&lines);
+	return loss->probe == NULL ? -1 : 0;
+}
+
 static void
 on_collected(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -289,6 +352,9 @@
 
 	(void)loop;
 	(void)events;
+	if (at_reach_io_reaches_none(loss->crashes->entry->reach) &&
+	    start_relayed_probe(loss) == 0)
+		return;
 	(void)snprintf(url, sizeof(url), "http://%s/", loss->address);
 	loss->probe =
 	    at_httpc_start(loss->crashes->entry->httpc, &spec, &probe_events);
--- a/src/entry/server_crashes.h
+++ b/src/entry/server_crashes.h
@@ -5,7 +5,7 @@
  * Where a server breaks connections off, it may have crashed, or the network
  * has failed. A new connection decides: one that is refused shows that the
  * server's process is gone, provided that this instance reaches other servers
- * (server_reach.h).
+ * (server_reach.h). If it reaches none, another instance makes the connection.
  */
 #ifndef ALMONDTHREAD_ENTRY_SERVER_CRASHES_H
 #define ALMONDTHREAD_ENTRY_SERVER_CRASHES_H
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -27,6 +27,7 @@
 #define DEFAULT_BODY_MAX_BYTES (1u << 20)
 #define DEFAULT_BODY_TIMEOUT_MS 30000u
 #define HEADERS_MAX_BYTES (16u * 1024)
+#define DEFAULT_CLOSED_CHECK_MS 250u
 #define CONNECTIONS_MAX 16384u
 
 at_httpd_t *
@@ -39,6 +40,7 @@
 	httpd->loop = loop;
 	httpd->body_max_bytes = DEFAULT_BODY_MAX_BYTES;
 	httpd->body_timeout_ms = DEFAULT_BODY_TIMEOUT_MS;
+	httpd->closed_check_ms = DEFAULT_CLOSED_CHECK_MS;
 	httpd->listen_fd = -1;
 	return httpd;
 }
@@ -50,6 +52,12 @@
 	httpd->handler_ctx = ctx;
 }
 
+void
+at_httpd_set_closed_check(at_httpd_t *httpd, uint32_t interval_ms)
+{
+	httpd->closed_check_ms = interval_ms;
+}
+
 void
 at_httpd_set_max_body(at_httpd_t *httpd, size_t bytes)
 {
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -78,6 +78,12 @@
 void at_httpd_set_body_timeout(at_httpd_t *httpd, uint32_t timeout_ms);
 /* at_httpd_set_max_body() limits the body; a larger one is a fault. */
 void at_httpd_set_max_body(at_httpd_t *httpd, size_t bytes);
+/*
+ * at_httpd_set_closed_check() sets the time until a connection that its caller
+ * has closed is noticed; 250 ms without it. To be called before
+ * at_httpd_init().
+ */
+void at_httpd_set_closed_check(at_httpd_t *httpd, uint32_t interval_ms);
 /*
  * at_httpd_init() listens on "ip:port"; with port 0, the kernel picks one.
  * Returns AT_OK, or AT_INVALID or AT_FAILED with a message in status.
--- a/src/io/httpd_loop.c
+++ b/src/io/httpd_loop.c
@@ -6,7 +6,6 @@
 
 #include <stdlib.h>
 
-#define CLOSED_CHECK_INTERVAL_S 0.25 /* between polls of suspended callers */
 #define RUNS_MAX 16         /* runs of the library per loop iteration */
 #define POLL_FDS_GROWTH 64u /* entries added at a time */
 
@@ -133,11 +132,12 @@
 {
 	const union MHD_DaemonInfo *info =
 	    MHD_get_daemon_info(httpd->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	double interval_s = (double)httpd->closed_check_ms / AT_MS_PER_S;
 
 	ev_io_init(&httpd->readable, on_readable, info->epoll_fd, EV_READ);
 	ev_timer_init(&httpd->timeout, on_timeout, 0., 0.);
-	ev_timer_init(&httpd->closed_check, on_closed_check,
-	    CLOSED_CHECK_INTERVAL_S, CLOSED_CHECK_INTERVAL_S);
+	ev_timer_init(
+	    &httpd->closed_check, on_closed_check, interval_s, interval_s);
 	ev_prepare_init(&httpd->prepare, on_prepare);
 	httpd->readable.data = httpd;
 	httpd->timeout.data = httpd;
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -71,6 +71,7 @@
 	void *fault_ctx;
 	size_t body_max_bytes;
 	uint32_t body_timeout_ms;
+	uint32_t closed_check_ms; /* between polls of suspended callers */
 	void (*on_body_timeout)(void *ctx);
 	void *body_timeout_ctx;
 	int listen_fd;
--- a/tests/contract/test_cut_instances.c
+++ b/tests/contract/test_cut_instances.c
@@ -3,11 +3,14 @@
  * and the other instances reach them.
  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <criterion/criterion.h>
 
+#include "entry/relay.h"
 #include "io/clock.h"
+#include "platform/names.h"
 #include "support/entry_fixture.h"
 #include "support/links.h"
 
@@ -121,6 +124,8 @@
 	entry_fixture_response_t response;
 	size_t entry;
 	int is_judged;
+	int may_repeat;
+	uint32_t runs; /* at any server */
 } sent_request_t;
 
 typedef struct traffic {
@@ -129,6 +134,17 @@
 	size_t count;
 } traffic_t;
 
+static void
+on_arrival(void *ctx, const at_httpd_request_t *request, int is_run)
+{
+	traffic_t *traffic = ctx;
+	const char *id = at_httpd_header(request, WIRE_REQUEST_ID);
+	size_t i = strtoul(id + strlen("request-"), NULL, 10);
+
+	cr_assert_lt(i, traffic->count);
+	traffic->requests[i].runs += (uint32_t)is_run;
+}
+
 static void
 send_next(traffic_t *traffic, int is_judged)
 {
@@ -146,6 +162,8 @@
 	(void)snprintf(id, sizeof(id), "request-%zu", traffic->count);
 	request->entry = traffic->count++ % ENTRIES;
 	request->is_judged = is_judged;
+	request->may_repeat =
+	    strcmp(target, "/unsafe/x") != 0 && strcmp(target, "/once/x") != 0;
 	entry_fixture_send(traffic->deployment->fixture, request->entry,
 	    &fields, &request->response);
 }
@@ -202,6 +220,9 @@
 
 	memset(&traffic, 0, sizeof(traffic));
 	traffic.deployment = &deployment;
+	for (i = 0; i < deployment.fixture->server_count; i++)
+		standin_server_set_observer(
+		    deployment.fixture->servers[i], on_arrival, &traffic);
 	run_traffic(&traffic, 500, 0);
 	for (i = 0; i < cut; i++)
 		links_set(deployment.links, i, state);
@@ -217,8 +238,13 @@
 	    "links %d, %zu cut: served %u of %u there, %u of %u at the others",
 	    (int)state, cut, at_cut.served, at_cut.sent, others.served,
 	    others.sent);
-	for (i = 0; i < traffic.count; i++)
+	for (i = 0; i < traffic.count; i++) {
+		cr_expect(traffic.requests[i].may_repeat ||
+			      traffic.requests[i].runs <= 1,
+		    "links %d: request-%zu has run %u times", (int)state, i,
+		    traffic.requests[i].runs);
 		entry_fixture_response_free(&traffic.requests[i].response);
+	}
 	deployment_delete(&deployment);
 }
 
@@ -229,3 +255,204 @@
 	for (i = 0; i < sizeof(cuts) / sizeof(cuts[0]); i++)
 		check_cut(cuts[i].state, cuts[i].cut);
 }
+
+/* Cuts entry 0 and waits until it knows. */
+static void
+cut_entry_0(const deployment_t *deployment)
+{
+	links_set(deployment->links, 0, LINKS_RESET);
+	(void)call_with_parts(deployment, 0, "first-after-the-cut");
+	entry_fixture_run_ms(deployment->fixture, 700);
+}
+
+static uint64_t
+run_count(const deployment_t *deployment)
+{
+	uint64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < deployment->fixture->server_count; i++)
+		sum +=
+		    standin_server_run_count(deployment->fixture->servers[i]);
+	return sum;
+}
+
+typedef struct reply {
+	int status;
+	int done;
+	at_relay_outcome_t outcome;
+} reply_t;
+
+static void
+on_reply_headers(void *ctx, at_transfer_t *transfer, int status)
+{
+	reply_t *reply = ctx;
+
+	reply->status = status;
+	reply->outcome = at_relay_read_outcome(transfer);
+}
+
+static void
+on_reply_done(void *ctx, const at_transfer_result_t *result)
+{
+	(void)result;
+	((reply_t *)ctx)->done = 1;
+}
+
+static int
+is_replied(void *ctx)
+{
+	return ((const reply_t *)ctx)->done;
+}
+
+/* Has entry 1 pass a request on, as another instance would. */
+static reply_t
+ask_to_relay(const deployment_t *deployment, const char *header)
+{
+	entry_fixture_t *fixture = deployment->fixture;
+	reply_t reply = {0, 0, AT_RELAY_REFUSED};
+	char url[AT_ADDR_SIZE + 16];
+	const char *headers[] = {header, "X-Attempt-Id: forged", NULL};
+	const at_transfer_spec_t spec = {.method = "GET",
+	    .url = url,
+	    .target = "/unsafe/x",
+	    .headers = headers,
+	    .total_ms = 2000,
+	    .new_connection = 1};
+	const at_transfer_events_t events = {
+	    on_reply_headers, NULL, on_reply_done, &reply};
+
+	(void)snprintf(url, sizeof(url), "http://%s/", fixture->peers[1]);
+	cr_assert_not_null(at_httpc_start(fixture->httpc, &spec, &events));
+	entry_fixture_run_until(fixture, is_replied, &reply);
+	return reply;
+}
+
+/* Which fields of a valid header are changed; it is for entry 1. */
+static const struct {
+	const char *name;
+	const char *header; /* NULL: a valid one */
+	size_t for_entry;   /* whose incarnation it names */
+	const char *target; /* in the hash */
+	int status;
+} relay_headers[] = {{"valid", NULL, 1, "/unsafe/x", 200},
+    {"for another instance", NULL, 2, "/unsafe/x", 403},
+    {"of another request", NULL, 1, "/unsafe/y", 403},
+    {"no header", "X-Other: 1", 1, "/unsafe/x", 403},
+    {"no hash", "Almondthread-Relay: v1 new p5", 1, "/unsafe/x", 403},
+    {"wrong hash", "Almondthread-Relay: v1 new p5 0123", 1, "/unsafe/x", 403}};
+
+Test(cut_instances, passes_on_what_other_instances_have_signed)
+{
+	deployment_t deployment = deployment_new();
+	size_t i;
+
+	for (i = 0; i < sizeof(relay_headers) / sizeof(relay_headers[0]); i++) {
+		const at_relay_call_t call = {.server_id = "p5",
+		    .request_id = "forged",
+		    .method = "GET",
+		    .target = relay_headers[i].target,
+		    .new_connection = 1};
+		at_entry_t *const *entries = deployment.fixture->entries;
+		const at_roster_member_t member = {
+		    .incarnation =
+			entries[relay_headers[i].for_entry]->self.number};
+		at_header_lines_t lines = {0};
+		uint64_t runs = run_count(&deployment);
+		reply_t reply;
+
+		cr_assert_eq(
+		    at_relay_add_header(entries[0], &member, &call, &lines), 0);
+		reply = ask_to_relay(&deployment,
+		    relay_headers[i].header == NULL ? lines.lines[0]
+						    : relay_headers[i].header);
+		cr_expect_eq(reply.status, relay_headers[i].status, "%s: %d",
+		    relay_headers[i].name, reply.status);
+		cr_expect_eq(run_count(&deployment) - runs,
+		    relay_headers[i].status == 200, "%s",
+		    relay_headers[i].name);
+		at_header_lines_free(&lines);
+	}
+	deployment_delete(&deployment);
+}
+
+/* The header of a valid call to p5 at entry 1, owned by lines. */
+static reply_t
+relay_to_p5(const deployment_t *deployment)
+{
+	at_entry_t *const *entries = deployment->fixture->entries;
+	const at_relay_call_t call = {.server_id = "p5",
+	    .request_id = "forged",
+	    .method = "GET",
+	    .target = "/unsafe/x",
+	    .new_connection = 1};
+	const at_roster_member_t member = {
+	    .incarnation = entries[1]->self.number};
+	at_header_lines_t lines = {0};
+	reply_t reply;
+
+	cr_assert_eq(
+	    at_relay_add_header(entries[0], &member, &call, &lines), 0);
+	reply = ask_to_relay(deployment, lines.lines[0]);
+	at_header_lines_free(&lines);
+	return reply;
+}
+
+static int
+knows_leaving(void *ctx)
+{
+	const deployment_t *deployment = ctx;
+	const at_fleet_t *fleet = deployment->fixture->entries[1]->fleet;
+
+	return at_server_entry(at_fleet_find(fleet, at_tag_from_text("p5")))
+	    ->is_leaving;
+}
+
+Test(cut_instances, passes_nothing_on_to_a_server_that_leaves)
+{
+	deployment_t deployment = deployment_new();
+
+	entry_fixture_list_server(deployment.fixture, 5, 1);
+	entry_fixture_run_until(deployment.fixture, knows_leaving, &deployment);
+	cr_expect_eq(relay_to_p5(&deployment).outcome, AT_RELAY_REFUSED);
+	cr_expect_eq(run_count(&deployment), 0);
+	deployment_delete(&deployment);
+}
+
+Test(cut_instances, passes_nothing_on_twice)
+{
+	deployment_t deployment = deployment_new();
+
+	links_set(deployment.links, 1, LINKS_RESET);
+	(void)call_with_parts(&deployment, 1, "first-after-the-cut");
+	entry_fixture_run_ms(deployment.fixture, 100);
+	cr_expect_eq(relay_to_p5(&deployment).outcome, AT_RELAY_REFUSED);
+	deployment_delete(&deployment);
+}
+
+Test(cut_instances, a_caller_that_leaves_ends_the_run_behind_both_instances)
+{
+	deployment_t deployment = deployment_new();
+	const entry_fixture_request_t fields = {
+	    "POST", "/stream/x", "leaves", ENTRY_FIXTURE_KEY, "m0", "prompt"};
+	entry_fixture_response_t response;
+	uint64_t runs;
+	size_t i;
+
+	cut_entry_0(&deployment);
+	for (i = 0; i < ENGINES; i++)
+		standin_server_set_events(
+		    deployment.fixture->servers[i], 1000, 20);
+	runs = run_count(&deployment);
+	entry_fixture_send(deployment.fixture, 0, &fields, &response);
+	while (run_count(&deployment) == runs)
+		entry_fixture_run_ms(deployment.fixture, 10);
+	entry_fixture_run_ms(deployment.fixture, 100);
+	cr_expect_gt(response.len, 0);
+	entry_fixture_response_free(&response);
+	entry_fixture_run_ms(deployment.fixture, 500);
+	cr_expect_eq(at_relay_open(deployment.fixture->entries[1]->relay) +
+			 at_relay_open(deployment.fixture->entries[2]->relay),
+	    0);
+	deployment_delete(&deployment);
+}
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -2,10 +2,10 @@
  * The attempt state machine: a script of events gives a list of actions.
  *
  * An event is a letter and the number of the attempt: s sending, h headers,
- * d data, w complete, r refused without a run, f reset, c cannot connect,
- * p paused, q no longer paused, n not placed: it follows the event that starts
- * the attempt. "g" means that the caller has closed its
- * connection, "tN" is a tick N ms after the start.
+ * d data, w complete, r refused without a run, f reset, c cannot connect, u not
+ * passed on, p paused, q no longer paused, n not placed: it follows the event
+ * that starts the attempt. "g" means that the caller has closed its connection,
+ * "tN" is a tick N ms after the start.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -47,6 +47,12 @@
 	"start0 start1 none/ran/0"},
     {"once: refused without a run", AT_REPEAT_ONCE, "s0 r0 s1 f1",
 	"start0 start1 backend_reset/may_have_run/0"},
+    {"once: not passed on by another instance", AT_REPEAT_ONCE, "s0 u0 s1 w1",
+	"start0 start1 none/ran/0"},
+    {"not passed on three times", AT_REPEAT_ONCE, "s0 u0 s1 u1 s2 u2",
+	"start0 start1 start2 connect_failed/not_run/1000"},
+    {"not passed on after a possible run", AT_REPEAT_ANY, "s0 f0 s1 u1 s2 u2",
+	"start0 start1 start2 backend_reset/may_have_run/1000"},
     {"once: never hedged", AT_REPEAT_ONCE, "s0 t250 t399 t401",
 	"start0 cancel0 first_byte_timeout/may_have_run/0"},
     {"no connection three times", AT_REPEAT_ANY, "c0 c1 c2",
@@ -114,6 +120,9 @@
 	case 's':
 		at_attempts_on_sending(a, n, *now);
 		break;
+	case 'u':
+		at_attempts_on_not_passed(a, n, *now);
+		break;
 	case 'h':
 		at_attempts_on_headers(a, n, *now);
 		break;
--- a/tests/unit/test_roster.c
+++ b/tests/unit/test_roster.c
@@ -255,3 +255,53 @@
 	cr_assert_eq(at_roster_present_count(roster), 1);
 	at_roster_delete(roster);
 }
+
+/* What the instances b to d, and e in another data centre, report. */
+static const struct {
+	const char *name;
+	uint32_t relayed[4];
+	uint32_t own[4]; /* passed on for this instance */
+	int reaches_none[4];
+	char except;
+	char chosen; /* '-': none */
+} relays[] = {{"least used", {3, 1, 2, 0}, {0}, {0}, 0, 'c'},
+    {"own attempts count at once", {0, 0, 1, 0}, {2, 3, 0, 0}, {0}, 0, 'd'},
+    {"another data centre", {9, 9, 9, 0}, {0}, {0}, 0, 'e'},
+    {"not one that is cut off itself", {0, 5, 5, 9}, {0}, {1, 0, 1, 0}, 0, 'c'},
+    {"all are cut off", {0}, {0}, {1, 1, 1, 1}, 0, '-'},
+    {"all are full",
+	{AT_ROSTER_RELAYED_MAX, AT_ROSTER_RELAYED_MAX, AT_ROSTER_RELAYED_MAX,
+	    AT_ROSTER_RELAYED_MAX},
+	{0}, {0}, 0, '-'},
+    {"not the one that is silent", {0, 1, 2, 9}, {0}, {0}, 'b', 'c'},
+    {"the silent one if there is no other", {0}, {0}, {0, 1, 1, 1}, 'b', 'b'}};
+
+Test(roster, chooses_who_passes_attempts_on)
+{
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < sizeof(relays) / sizeof(relays[0]); i++) {
+		at_roster_t *roster = make_roster("self");
+		const at_roster_member_t *chosen;
+		char except[] = {relays[i].except, '\0'};
+
+		for (k = 0; k < 4; k++) {
+			char name[] = {(char)('b' + k), '\0'};
+			at_roster_member_t *member = add_member(
+			    roster, name, k == 3 ? "south" : "north");
+
+			(void)at_roster_apply_report(member, 1, 1, 0, 0, 10);
+			member->strength = 100;
+			member->relayed = relays[i].relayed[k];
+			member->relays_open = relays[i].own[k];
+			member->reaches_none = relays[i].reaches_none[k];
+		}
+		chosen =
+		    at_roster_choose_relay(roster, at_tag_from_text("north"),
+			except[0] == '\0' ? 0 : at_tag_from_text(except), 20);
+		cr_expect_eq(chosen == NULL ? '-' : chosen->name.text[0],
+		    relays[i].chosen, "%s", relays[i].name);
+		at_roster_delete(roster);
+	}
+}
