Failing test: requests whose callers have left are not blocked

A charge that crashes its server 400 ms after it arrives, sent by callers who leave after 20 ms: no instance accuses it, 13 of 14 servers crash, and 5 of these requests arrive later than contact_ms after the third crash (three are allowed).

--- a/tests/contract/test_crashing_parts.c
+++ b/tests/contract/test_crashing_parts.c
@@ -433,3 +433,102 @@
 	cr_assert_geq(begun_percent(traffic, start_ms, after_ms), 30);
 	traffic_delete(traffic);
 }
+
+/* A request that crashes plain servers, whose callers do not wait for it. */
+
+#define SERVICES 14u
+#define LEAVE_AFTER_MS 20u
+#define CRASH_AFTER_MS 400u /* the instance has noticed by then */
+#define CALL_EVERY_MS 500u
+#define WHOLE_CRASHES_JUDGED 3u
+#define BAD_TARGET "/unsafe/bad"
+
+typedef struct victim {
+	struct left_callers *callers;
+	size_t server;
+	ev_timer timer;
+} victim_t;
+
+typedef struct left_callers {
+	entry_fixture_t *fixture;
+	victim_t victims[SERVICES];
+	uint64_t third_crash_ms; /* 0: not yet */
+	uint32_t late_arrivals;  /* contact_ms after the third crash */
+} left_callers_t;
+
+static void
+on_victim_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	victim_t *victim = timer->data;
+	left_callers_t *callers = victim->callers;
+
+	(void)loop;
+	(void)events;
+	standin_server_crash(callers->fixture->servers[victim->server]);
+	if (callers->third_crash_ms == 0 &&
+	    crash_count(callers->fixture) >= WHOLE_CRASHES_JUDGED)
+		callers->third_crash_ms = at_clock_now_ms();
+}
+
+static void
+on_bad_arrival(void *ctx, const at_httpd_request_t *request, int is_run)
+{
+	victim_t *victim = ctx;
+
+	(void)is_run;
+	if (strcmp(at_httpd_path(request), BAD_TARGET) != 0)
+		return;
+	if (victim->callers->third_crash_ms != 0 &&
+	    at_clock_now_ms() > victim->callers->third_crash_ms + CONTACT_MS)
+		victim->callers->late_arrivals++;
+	standin_server_faults(victim->callers->fixture->servers[victim->server])
+	    ->silent = 1;
+	ev_timer_start(victim->callers->fixture->loop, &victim->timer);
+}
+
+static void
+call_and_leave(left_callers_t *callers, size_t number)
+{
+	entry_fixture_response_t response;
+	char id[32];
+	const entry_fixture_request_t fields = {
+	    "POST", BAD_TARGET, id, ENTRY_FIXTURE_KEY, NULL, "body"};
+
+	(void)snprintf(id, sizeof(id), "left-%zu", number);
+	entry_fixture_send(
+	    callers->fixture, number % ENTRIES, &fields, &response);
+	entry_fixture_run_ms(callers->fixture, LEAVE_AFTER_MS);
+	entry_fixture_response_free(&response);
+	entry_fixture_run_ms(callers->fixture, CALL_EVERY_MS);
+}
+
+Test(crashing_parts, a_request_whose_caller_has_left_is_blocked)
+{
+	static left_callers_t callers;
+	size_t i;
+
+	callers.fixture = entry_fixture_new();
+	entry_fixture_apply_config(callers.fixture, 1);
+	for (i = 0; i < SERVICES; i++) {
+		victim_t *victim = &callers.victims[i];
+
+		(void)entry_fixture_add_service(callers.fixture);
+		*victim = (victim_t){.callers = &callers, .server = i};
+		standin_server_set_observer(
+		    callers.fixture->servers[i], on_bad_arrival, victim);
+		ev_timer_init(
+		    &victim->timer, on_victim_timer, CRASH_AFTER_MS / 1e3, 0.);
+		victim->timer.data = victim;
+	}
+	for (i = 0; i < ENTRIES; i++)
+		(void)entry_fixture_add_entry(callers.fixture);
+	entry_fixture_run_until_ready(callers.fixture);
+	for (i = 0; i < SERVICES; i++)
+		call_and_leave(&callers, i);
+	cr_expect_leq(callers.late_arrivals, LATE_ARRIVALS_MAX,
+	    "%u arrived late, %llu servers crashed", callers.late_arrivals,
+	    (unsigned long long)crash_count(callers.fixture));
+	for (i = 0; i < SERVICES; i++)
+		ev_timer_stop(callers.fixture->loop, &callers.victims[i].timer);
+	entry_fixture_delete(callers.fixture);
+}
