Accuse requests whose callers have left of crashes

Seen by callers: a charge that crashes its server, sent by callers who leave before the server ends, crashes one server after the other.

Cause: the hash of a whole request needs its body, which is freed when the caller's connection has closed; a lost attempt of such a request accused nothing. Change: the parts are computed and kept when the request's body goes, if the call goes on.

--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -446,6 +446,8 @@
 
 	if (!call->is_finished && closed)
 		on_caller_closed(call);
+	if (!call->is_finished)
+		call_keep_parts(call);
 	call->request = NULL;
 	call->header.id = call->id;
 	if (call->is_finished)
--- a/src/entry/call_crashes.c
+++ b/src/entry/call_crashes.c
@@ -14,20 +14,26 @@
 #define BLOCKED_RETRY_MS 60000u
 #define SUSPECT_RETRY_MS 1000u
 
-/* Returns -1 if the caller has closed, so that the request is not at hand. */
-static int
+static void
 fill_parts(const at_call_t *call, at_request_parts_t *parts)
 {
 	size_t body_len;
 	const void *body;
 
-	if (call->request == NULL)
-		return -1;
+	if (call->request == NULL) {
+		*parts = call->parts;
+		return;
+	}
 	body = at_httpd_body(call->request, &body_len);
 	at_request_parts_fill(parts, call->waiter.work.prefix,
 	    call->waiter.work.prefix_count, at_httpd_target(call->request),
 	    call->header.key, body, body_len);
-	return 0;
+}
+
+void
+call_keep_parts(at_call_t *call)
+{
+	fill_parts(call, &call->parts);
 }
 
 void
@@ -36,9 +42,9 @@
 	const at_call_t *call = attempt->call;
 	at_request_parts_t parts;
 
-	if (attempt->is_begun || attempt->server == NULL ||
-	    fill_parts(call, &parts) != 0)
+	if (attempt->is_begun || attempt->server == NULL)
 		return;
+	fill_parts(call, &parts);
 	at_server_crashes_note_lost(
 	    call->entry->crashes, at_server_entry(attempt->server), &parts);
 }
@@ -51,9 +57,9 @@
 	if (attempt->is_begun)
 		return;
 	attempt->is_begun = 1;
-	if (fill_parts(attempt->call, &parts) == 0)
-		at_server_crashes_note_begun(attempt->call->entry->crashes,
-		    &parts, attempt->first_event_us);
+	fill_parts(attempt->call, &parts);
+	at_server_crashes_note_begun(
+	    attempt->call->entry->crashes, &parts, attempt->first_event_us);
 }
 
 int
@@ -63,9 +69,9 @@
 	const at_crash_verdict_t *verdict;
 	at_request_parts_t parts;
 
-	if (!at_server_crashes_has_verdicts(crashes) ||
-	    fill_parts(call, &parts) != 0)
+	if (!at_server_crashes_has_verdicts(crashes))
 		return 0;
+	fill_parts(call, &parts);
 	verdict = at_server_crashes_check(crashes, &parts, may_try);
 	if (verdict == NULL)
 		return 0;
@@ -99,8 +105,7 @@
 	const at_crash_verdict_t *verdict;
 	at_request_parts_t parts;
 
-	if (fill_parts(call, &parts) != 0)
-		return 0;
+	fill_parts(call, &parts);
 	verdict = at_server_crashes_check(call->entry->crashes, &parts, 0);
 	return verdict != NULL && verdict->state == AT_CAUSE_BLOCKED;
 }
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -7,6 +7,7 @@
 #define ALMONDTHREAD_ENTRY_CALL_IMPL_H
 
 #include "almondthread/attempt.h"
+#include "almondthread/crash_causes.h"
 #include "almondthread/request_header.h"
 #include "almondthread/event_frames.h"
 #include "entry/call.h"
@@ -58,6 +59,7 @@
 	at_call_t *next;
 	at_call_t *prev;
 	at_httpd_request_t *request; /* NULL: the caller has closed */
+	at_request_parts_t parts;    /* of the request, once that is so */
 	at_request_header_t header;
 	char id[ID_SIZE];
 	at_site_t *site;
@@ -131,6 +133,9 @@
 int call_attempt_is_open(const call_attempt_t *attempt);
 /* call_attempt_find() returns the attempt with this number; NULL: none. */
 call_attempt_t *call_attempt_find(at_call_t *call, uint32_t number);
+/* call_keep_parts() keeps what call_note_lost() needs of a request that ends.
+ */
+void call_keep_parts(at_call_t *call);
 /*
  * call_note_lost() tells the crashes that an open attempt's connection was
  * lost, call_note_begun() that its response has begun and has gone on.
