Failing test: brittle servers fall again and again

Servers that state Server-Brittle and reject more requests than that in a second crash. Streams in bursts do not break the bound. The stand-in server gets work_ms, room and brittle.

--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -44,6 +44,10 @@
 	uint32_t pause_reply_ms; /* server: Retry-After of its refusals */
 	uint32_t leaving;        /* server: it states that it leaves */
 	uint32_t limit_milli;    /* server: named limit, requests in 1,000 s */
+	uint32_t work_ms;        /* server, plain: time of each request */
+	uint32_t room;           /* server: open requests; 0: no bound */
+	/* Server: it states this, and crashes after more rejections in 1 s. */
+	uint32_t brittle;
 	uint32_t break_whole;    /* engine, count: cut buffered responses */
 	uint32_t shorten;        /* engine, count: valid end, bytes missing */
 	uint32_t crossed;        /* engine, server, count: wrong request ID */
