Share the room at brittle servers among all instances

Seen by callers: servers that state Server-Brittle fall over again and again under bursts, since all instances send to them what they hold to be free, and the rejections are what they fall from.

Cause: an instance knows the others' requests from reports that are some hundred milliseconds old, and a plain service gets up to three requests for each slot. Change: while servers of a service state it, each instance has its part of the places at them (85 in 100 of the slots, numbered over all servers; fleet/server_room) and of the memory for tokens; the others wait in its queue. With more instances than places, and at engines without a place, one request at a time is sent at intervals. A rejection halves the room at that server for a second, at all instances. The statement and rejections are in the reports; instances that are silent keep their part for as long as they may be serving.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -302,6 +302,39 @@
 /* at_server_limit_milli() returns the limit that is in force, or 0. */
 uint32_t at_server_limit_milli(const at_server_t *server);
 
+/*
+ * Brittle servers fall over when they have to reject too many requests for want
+ * of room. at_fleet_note_brittle() records what an answer that came at heard_us
+ * states of a service's servers; it returns non-zero if that has changed. An
+ * answer that does not state it counts from when its request was sent.
+ * at_fleet_share_room() sets this instance's part of the room, from its rank
+ * among the instances; it is called when they, or the servers, may have
+ * changed. at_server_note_rejected() records that a server has rejected a
+ * request, of this instance or another. at_fleet_expire_brittle() ends what has
+ * not been heard of for long.
+ */
+#define AT_BRITTLE_SERVICES_MAX 16u
+#define AT_BRITTLE_REJECTED_MAX 32u /* servers of one service in a report */
+int at_fleet_note_brittle(
+    at_fleet_t *fleet, at_tag_t service, int is_brittle, uint64_t heard_us);
+int at_fleet_is_brittle(const at_fleet_t *fleet, at_tag_t service);
+void at_fleet_share_room(at_fleet_t *fleet, at_tag_t service, uint32_t rank,
+    uint32_t instances, uint64_t now_us);
+void at_server_note_rejected(at_server_t *server, int is_own, uint64_t now_us);
+void at_fleet_expire_brittle(at_fleet_t *fleet, uint64_t now_us);
+
+/* What is known of the servers of one service. */
+typedef struct at_brittle_report {
+	at_tag_t service;
+	int is_brittle; /* 0: they were, recently */
+	uint64_t heard_us;
+	at_tag_t rejected[AT_BRITTLE_REJECTED_MAX]; /* servers, recently */
+	size_t rejected_count;
+} at_brittle_report_t;
+/* at_fleet_fill_brittle() returns the number of entries. */
+size_t at_fleet_fill_brittle(const at_fleet_t *fleet,
+    at_brittle_report_t entries[AT_BRITTLE_SERVICES_MAX], uint64_t now_us);
+
 /* What is known of one server's limit. */
 typedef struct at_limit_report {
 	at_tag_t server;
--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -111,6 +111,12 @@
 uint32_t at_roster_rank(
     const at_roster_t *roster, uint64_t key, uint64_t now_us);
 
+/*
+ * at_roster_present_rank() returns the same among all instances that may be
+ * serving, of which there are at_roster_present_count().
+ */
+uint32_t at_roster_present_rank(const at_roster_t *roster, uint64_t key);
+
 /*
  * at_roster_choose_relay() returns the instance that should pass on an attempt
  * of this one, which reaches no backend server, or NULL if none can: the one
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -592,6 +592,51 @@
   assert(message->base.descriptor == &report_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_brittle__init
+                     (ReportBrittle         *message)
+{
+  static const ReportBrittle init_value = REPORT_BRITTLE__INIT;
+  *message = init_value;
+}
+size_t report_brittle__get_packed_size
+                     (const ReportBrittle *message)
+{
+  assert(message->base.descriptor == &report_brittle__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_brittle__pack
+                     (const ReportBrittle *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_brittle__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_brittle__pack_to_buffer
+                     (const ReportBrittle *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_brittle__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportBrittle *
+       report_brittle__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportBrittle *)
+     protobuf_c_message_unpack (&report_brittle__descriptor,
+                                allocator, len, data);
+}
+void   report_brittle__free_unpacked
+                     (ReportBrittle *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_brittle__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report_leaving__init
                      (ReportLeaving         *message)
 {
@@ -1631,6 +1676,83 @@
   (ProtobufCMessageInit) report_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor report_brittle__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportBrittle, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "brittle",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ReportBrittle, brittle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportBrittle, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rejected",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(ReportBrittle, n_rejected),
+    offsetof(ReportBrittle, rejected),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_brittle__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = brittle */
+  3,   /* field[3] = rejected */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange report_brittle__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor report_brittle__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportBrittle",
+  "ReportBrittle",
+  "ReportBrittle",
+  "",
+  sizeof(ReportBrittle),
+  4,
+  report_brittle__field_descriptors,
+  report_brittle__field_indices_by_name,
+  1,  report_brittle__number_ranges,
+  (ProtobufCMessageInit) report_brittle__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor report_leaving__field_descriptors[2] =
 {
   {
@@ -1682,7 +1804,7 @@
   (ProtobufCMessageInit) report_leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[37] =
+static const ProtobufCFieldDescriptor report__field_descriptors[38] =
 {
   {
     "name",
@@ -2128,12 +2250,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "brittle",
+    39,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_brittle),
+    offsetof(Report, brittle),
+    &report_brittle__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
   2,   /* field[2] = address */
   23,   /* field[23] = age_ms */
   26,   /* field[26] = begun */
+  37,   /* field[37] = brittle */
   12,   /* field[12] = config_version */
   20,   /* field[20] = configs */
   25,   /* field[25] = crashes */
@@ -2172,7 +2307,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 37 }
+  { 0, 38 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -2182,7 +2317,7 @@
   "Report",
   "",
   sizeof(Report),
-  37,
+  38,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct ReportBegun ReportBegun;
 typedef struct ReportVerdict ReportVerdict;
 typedef struct ReportLimit ReportLimit;
+typedef struct ReportBrittle ReportBrittle;
 typedef struct ReportLeaving ReportLeaving;
 typedef struct Report Report;
 
@@ -286,6 +287,32 @@
     , 0, 0, 0 }
 
 
+/*
+ * Backend servers of a service that state that they are brittle.
+ */
+struct  ReportBrittle
+{
+  ProtobufCMessage base;
+  uint64_t service;
+  /*
+   * false: they were, recently
+   */
+  protobuf_c_boolean brittle;
+  /*
+   * since the sender last heard of it
+   */
+  uint32_t age_ms;
+  /*
+   * servers that have rejected a request recently
+   */
+  size_t n_rejected;
+  uint64_t *rejected;
+};
+#define REPORT_BRITTLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_brittle__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
 /*
  * A backend server that has stated in an answer that it leaves.
  */
@@ -387,6 +414,8 @@
   ReportLimit **limits;
   size_t n_leaving_servers;
   ReportLeaving **leaving_servers;
+  size_t n_brittle;
+  ReportBrittle **brittle;
   /*
    * suspect parts of which a request is sent now
    */
@@ -416,7 +445,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /* ReportLoad methods */
@@ -666,6 +695,25 @@
 void   report_limit__free_unpacked
                      (ReportLimit *message,
                       ProtobufCAllocator *allocator);
+/* ReportBrittle methods */
+void   report_brittle__init
+                     (ReportBrittle         *message);
+size_t report_brittle__get_packed_size
+                     (const ReportBrittle   *message);
+size_t report_brittle__pack
+                     (const ReportBrittle   *message,
+                      uint8_t             *out);
+size_t report_brittle__pack_to_buffer
+                     (const ReportBrittle   *message,
+                      ProtobufCBuffer     *buffer);
+ReportBrittle *
+       report_brittle__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_brittle__free_unpacked
+                     (ReportBrittle *message,
+                      ProtobufCAllocator *allocator);
 /* ReportLeaving methods */
 void   report_leaving__init
                      (ReportLeaving         *message);
@@ -745,6 +793,9 @@
 typedef void (*ReportLimit_Closure)
                  (const ReportLimit *message,
                   void *closure_data);
+typedef void (*ReportBrittle_Closure)
+                 (const ReportBrittle *message,
+                  void *closure_data);
 typedef void (*ReportLeaving_Closure)
                  (const ReportLeaving *message,
                   void *closure_data);
@@ -770,6 +821,7 @@
 extern const ProtobufCMessageDescriptor report_begun__descriptor;
 extern const ProtobufCMessageDescriptor report_verdict__descriptor;
 extern const ProtobufCMessageDescriptor report_limit__descriptor;
+extern const ProtobufCMessageDescriptor report_brittle__descriptor;
 extern const ProtobufCMessageDescriptor report_leaving__descriptor;
 extern const ProtobufCMessageDescriptor report__descriptor;
 
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -127,7 +127,7 @@
  * Returns the number of further requests like this one that a server can take.
  */
 static uint32_t
-free_slots_at(const at_server_t *server, const at_site_service_t *service,
+free_slots_now(const at_server_t *server, const at_site_service_t *service,
     const at_work_t *work, const at_load_t *load)
 {
 	uint32_t prefill_limit =
@@ -169,6 +169,24 @@
 	return load->active == 0 && free_slots == 0 ? 1u : free_slots;
 }
 
+/* The same at a brittle server, which must not reject any. */
+static uint32_t
+free_room_at(const at_server_t *server, const at_site_service_t *service,
+    const at_work_t *work, const at_load_t *load, uint64_t now_us)
+{
+	uint64_t kv = (uint64_t)work->prompt_tokens + work->output_tokens;
+	uint64_t kv_limit = service->kv_tokens * KV_FILL_PERCENT / 100u;
+	uint32_t room = min_u32(server_room_free(server, load, now_us),
+	    free_slots_now(server, service, work, load));
+
+	if (room == 0 || load->active >= server->entry.slots)
+		return 0;
+	if (work->model == 0 || server->own_load.active == 0)
+		return room;
+	return min_u32(room, prompts_below_limit(server->own_load.kv_tokens, kv,
+				 server_room_kv_tokens(server, kv_limit)));
+}
+
 static uint64_t
 predict_us(const at_fleet_t *fleet, const at_server_t *server,
     const at_work_t *work, const at_load_t *load)
@@ -288,6 +306,7 @@
 	closed_servers_t closed = {.closed_us = UINT64_MAX};
 	uint32_t available = 0;
 	int other_versions = 0;
+	int is_brittle = at_fleet_is_brittle(fleet, work->service);
 
 	memset(choice, 0, sizeof(*choice));
 	if (service == NULL)
@@ -319,7 +338,9 @@
 			continue;
 		load = at_server_load(server, now_us);
 		candidate.free_slots =
-		    free_slots_at(server, service, work, &load);
+		    is_brittle
+			? free_room_at(server, service, work, &load, now_us)
+			: free_slots_now(server, service, work, &load);
 		if (candidate.free_slots == 0)
 			continue;
 		candidate.predicted_us = predict_us(fleet, server, work, &load);
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -76,6 +76,7 @@
 	server_health_init(&server->health);
 	residents_clear_notes(server);
 	memset(&server->limit, 0, sizeof(server->limit));
+	memset(&server->room, 0, sizeof(server->room));
 	server->has_stated_leaving = 0;
 	server->paused_until_us = 0;
 	memset(server->prefixes, 0, sizeof(server->prefixes));
@@ -232,6 +233,7 @@
 	server->own_load.kv_tokens += kv_tokens_of(work);
 	prefixes_add(server, work);
 	server_limit_take(&server->limit, now_us);
+	server_room_take(&server->room, now_us);
 }
 
 void
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -2,8 +2,9 @@
  * fleet_private.h - structures shared by the files of the fleet: fleet.c has
  * the backend servers and their load, residents.c the models and adapters
  * resident on them, choose.c selects one for a request, server_gate.c has the
- * conditions on which it may be sent there, and server_health.c counts failures
- * and slowness.
+ * conditions on which it may be sent there, server_health.c counts failures and
+ * slowness, server_limit.c and server_room.c have this instance's parts of what
+ * servers take from all instances.
  */
 #ifndef ALMONDTHREAD_FLEET_PRIVATE_H
 #define ALMONDTHREAD_FLEET_PRIVATE_H
@@ -34,6 +35,23 @@
 	uint64_t filled_us;
 } server_limit_t;
 
+/* This instance's part of the room at a brittle server. */
+typedef struct server_room {
+	uint32_t share;   /* requests at a time */
+	int is_spaced;    /* without a share, one may be sent now and then */
+	uint64_t gap_us;  /* between two such requests */
+	uint64_t sent_us; /* the last request */
+	uint64_t rejected_us; /* the server rejected one, of any instance */
+	uint64_t rejected_here_us; /* one of this instance */
+} server_room_t;
+
+/* A service whose servers are brittle, or were recently. */
+typedef struct fleet_brittle {
+	at_tag_t service;
+	int is_brittle;
+	uint64_t heard_us;
+} fleet_brittle_t;
+
 /*
  * A model or adapter that was loaded or unloaded by an order, or found missing
  * by a request, before the instance list shows it.
@@ -64,6 +82,7 @@
 	at_load_t peer_load; /* sum of the newest reports of peers */
 	server_health_t health;
 	server_limit_t limit;
+	server_room_t room;
 	/* Hash table of the prompt prefixes last sent there. */
 	uint64_t prefixes[PREFIX_HASHES];
 	UT_hash_handle hh;
@@ -84,6 +103,8 @@
 	at_site_t *site;
 	at_server_t *servers;
 	peer_report_t *reports;
+	fleet_brittle_t brittle[AT_BRITTLE_SERVICES_MAX];
+	size_t brittle_count;
 };
 
 /* server_health.c */
@@ -131,6 +152,18 @@
 /* Returns the time until a request may be sent, as of the last call. */
 uint64_t server_limit_wait_us(const server_limit_t *limit);
 
+/* server_room.c */
+/* A request is sent to the server. */
+void server_room_take(server_room_t *room, uint64_t now_us);
+/*
+ * Returns how many more requests a brittle server may get from this instance
+ * now; load is that of all instances.
+ */
+uint32_t server_room_free(
+    const at_server_t *server, const at_load_t *load, uint64_t now_us);
+/* Returns this instance's part of the memory for tokens. */
+uint64_t server_room_kv_tokens(const at_server_t *server, uint64_t kv_tokens);
+
 /* residents.c */
 /*
  * Replaces the residents by those of the instance list and applies the notes.
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -201,6 +201,20 @@
 	return rank;
 }
 
+uint32_t
+at_roster_present_rank(const at_roster_t *roster, uint64_t key)
+{
+	uint64_t own = rendezvous_weight(roster->self_tag, key);
+	const entry_t *entry;
+	uint32_t rank = 0;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next)
+		rank +=
+		    (uint32_t)(!entry->member.is_leaving &&
+			       rendezvous_weight(entry->member.tag, key) > own);
+	return rank;
+}
+
 const at_roster_member_t *
 at_roster_lease_holder(const at_roster_t *roster, uint64_t now_us)
 {
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -205,6 +205,9 @@
 	if (attempt->server != NULL) {
 		at_server_notices_limit(call->entry, attempt->server,
 		    server_response.limit_milli, attempt->sent_us);
+		at_server_notices_brittle(call->entry, attempt->server,
+		    server_response.is_brittle, server_response.is_rejected,
+		    attempt->sent_us);
 		if (server_response.is_leaving)
 			at_server_notices_leaving(call->entry, attempt->server);
 	}
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -97,6 +97,8 @@
 		return;
 	at_server_notices_limit(
 	    entry, server, response->limit_milli, relayed->started_us);
+	at_server_notices_brittle(
+	    entry, server, response->is_brittle, 0, relayed->started_us);
 	if (response->is_leaving)
 		at_server_notices_leaving(entry, server);
 	if (response->pause_ms != 0)
--- a/src/entry/server_notices.c
+++ b/src/entry/server_notices.c
@@ -1,5 +1,7 @@
 #include "entry/server_notices.h"
 
+#include <inttypes.h>
+
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
 #include "entry/gossip.h"
@@ -72,6 +74,50 @@
 	at_gossip_send_soon(entry->gossip);
 }
 
+static void
+share_room(const at_entry_t *entry, at_tag_t service)
+{
+	at_fleet_share_room(entry->fleet, service,
+	    at_roster_present_rank(entry->roster, service),
+	    at_roster_present_count(entry->roster), at_clock_now_us());
+}
+
+static void
+note_brittle(const at_entry_t *entry, at_tag_t service, int is_brittle,
+    uint64_t heard_us, const char *source)
+{
+	if (!at_fleet_note_brittle(entry->fleet, service, is_brittle, heard_us))
+		return;
+	share_room(entry, service);
+	at_log(AT_LOG_INFO, "fleet", NULL,
+	    "servers of a service state that they are brittle "
+	    "service=%016" PRIx64 " brittle=%d instances=%u source=%s",
+	    service, is_brittle, at_roster_present_count(entry->roster),
+	    source);
+}
+
+void
+at_server_notices_brittle(at_entry_t *entry, at_server_t *server,
+    int is_brittle, int is_rejected, uint64_t sent_us)
+{
+	at_tag_t service = at_server_entry(server)->service;
+	int was_brittle = at_fleet_is_brittle(entry->fleet, service);
+	uint64_t now_us = at_clock_now_us();
+
+	if (!is_brittle && !was_brittle)
+		return;
+	note_brittle(entry, service, is_brittle, is_brittle ? now_us : sent_us,
+	    "answer");
+	if (is_brittle && is_rejected) {
+		at_server_note_rejected(server, 1, now_us);
+		at_counters_add(
+		    entry->counters, "brittle_rejections_total", NULL, NULL, 1);
+	}
+	if (is_rejected ||
+	    was_brittle != at_fleet_is_brittle(entry->fleet, service))
+		at_gossip_send_soon(entry->gossip);
+}
+
 typedef struct round_context {
 	const at_entry_t *entry;
 	uint64_t now_us;
@@ -90,8 +136,16 @@
 at_server_notices_on_round(at_entry_t *entry, uint64_t now_us)
 {
 	round_context_t round = {entry, now_us};
+	size_t i;
 
 	at_fleet_each(entry->fleet, update_share, &round);
+	at_fleet_expire_brittle(entry->fleet, now_us);
+	for (i = 0; entry->site != NULL && i < entry->site->service_count;
+	     i++) {
+		if (at_fleet_is_brittle(
+			entry->fleet, entry->site->services[i].tag))
+			share_room(entry, entry->site->services[i].tag);
+	}
 }
 
 static void
@@ -137,10 +191,35 @@
 	report->limits = list;
 }
 
+static void
+fill_brittle(const at_entry_t *entry, Report *report)
+{
+	static at_brittle_report_t entries[AT_BRITTLE_SERVICES_MAX];
+	static ReportBrittle messages[AT_BRITTLE_SERVICES_MAX];
+	static ReportBrittle *list[AT_BRITTLE_SERVICES_MAX];
+	uint64_t now_us = at_clock_now_us();
+	size_t count = at_fleet_fill_brittle(entry->fleet, entries, now_us);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		report_brittle__init(&messages[i]);
+		messages[i].service = entries[i].service;
+		messages[i].brittle = entries[i].is_brittle;
+		messages[i].age_ms =
+		    (uint32_t)((now_us - entries[i].heard_us) / US_PER_MS);
+		messages[i].n_rejected = entries[i].rejected_count;
+		messages[i].rejected = entries[i].rejected;
+		list[i] = &messages[i];
+	}
+	report->n_brittle = count;
+	report->brittle = list;
+}
+
 void
 at_server_notices_fill_report(const at_entry_t *entry, Report *report)
 {
 	fill_leaving(entry, report);
+	fill_brittle(entry, report);
 	fill_limits(entry, report);
 }
 
@@ -180,11 +259,33 @@
 	}
 }
 
+static void
+apply_brittle(at_entry_t *entry, const ReportBrittle *message)
+{
+	uint64_t now_us = at_clock_now_us();
+	uint64_t age_us = (uint64_t)message->age_ms * US_PER_MS;
+	size_t i;
+
+	if (age_us >= now_us)
+		return;
+	note_brittle(entry, message->service, message->brittle, now_us - age_us,
+	    "report");
+	for (i = 0; i < message->n_rejected; i++) {
+		at_server_t *server =
+		    at_fleet_find(entry->fleet, message->rejected[i]);
+
+		if (server != NULL)
+			at_server_note_rejected(server, 0, now_us);
+	}
+}
+
 void
 at_server_notices_apply_report(at_entry_t *entry, const Report *report)
 {
 	size_t i;
 
+	for (i = 0; i < report->n_brittle; i++)
+		apply_brittle(entry, report->brittle[i]);
 	for (i = 0; i < report->n_leaving_servers; i++)
 		apply_leaving(entry, report->leaving_servers[i]);
 	apply_limits(entry, report);
--- a/src/entry/server_notices.h
+++ b/src/entry/server_notices.h
@@ -18,6 +18,13 @@
 void at_server_notices_limit(at_entry_t *entry, at_server_t *server,
     uint32_t limit_milli, uint64_t sent_us);
 void at_server_notices_leaving(at_entry_t *entry, at_server_t *server);
+/*
+ * at_server_notices_brittle() takes whether an answer to a request that was
+ * sent at sent_us states that the server is brittle, and whether it rejects the
+ * request.
+ */
+void at_server_notices_brittle(at_entry_t *entry, at_server_t *server,
+    int is_brittle, int is_rejected, uint64_t sent_us);
 /* at_server_notices_on_round() follows changes of the instances. */
 void at_server_notices_on_round(at_entry_t *entry, uint64_t now_us);
 /* What a report points to is valid until the next call. */
