Soak: instances cut from all servers, silences, brittle servers

almond-entry-cut is almond-entry with a connect() of the soak's own: new connections to the servers hang or are refused, open ones hang (a filter on the socket), are closed or live on. The schedule draws cuts in two of three runs, sound servers that are silent for a second, and times in which a service is brittle; each has random numbers of its own, so that a seed keeps its other steps. The judge counts RECOVER and the falls.

--- a/tests/soak/backends.c
+++ b/tests/soak/backends.c
@@ -17,6 +17,10 @@
 #define EVENT_GAP_MS 30u
 #define LIMIT_MIN_MILLI 300u /* requests in 1,000 s */
 #define LIMIT_MORE_MILLI 4000u
+#define WORK_MS 200u /* of a plain server's requests while it is brittle */
+#define ROOM 18u     /* from some time later on: its slots, and two wait */
+#define ROOM_AFTER_S 3.
+#define BRITTLE 4u
 #define PART_CRASH_MS 1500u /* until another server takes the place */
 /* Servers that have left and still serve; their number is limited. */
 #define LEAVING_MAX 64u
@@ -45,6 +49,8 @@
 	backend_t *leaving[LEAVING_MAX];
 	uint32_t last_id;
 	uint64_t heartbeat_sequence;
+	double room_due_s[SOAK_SERVICES];    /* 0: none */
+	double brittle_due_s[SOAK_SERVICES]; /* its end; 0: not brittle */
 	ev_timer timer;
 };
 
@@ -181,8 +187,22 @@
 		crash(backends, backend, step->duration_ms);
 		return;
 	}
+	if (step->kind == SOAK_BRITTLE) {
+		double now_s = ev_now(backends->loop);
+
+		backends->room_due_s[backend->service] = now_s + ROOM_AFTER_S;
+		backends->brittle_due_s[backend->service] =
+		    now_s + step->duration_ms / 1e3;
+		soak_judge_brittle(backends->judge, 1);
+		return;
+	}
 	if (backend->server == NULL)
 		return;
+	if (step->kind == SOAK_PAUSE) {
+		standin_server_faults(backend->server)->pause_ms =
+		    step->duration_ms;
+		return;
+	}
 	if (step->kind == SOAK_SERVER_LIMIT) {
 		standin_server_faults(backend->server)->limit_milli =
 		    LIMIT_MIN_MILLI + step->duration_ms % LIMIT_MORE_MILLI;
@@ -197,6 +217,20 @@
 	backend->fault_due_s = ev_now(backends->loop) + step->duration_ms / 1e3;
 }
 
+static void
+set_brittle(const soak_backends_t *backends, const backend_t *backend)
+{
+	standin_faults_t *faults = standin_server_faults(backend->server);
+	double now_s = ev_now(backends->loop);
+	int is_brittle = now_s < backends->brittle_due_s[backend->service];
+
+	faults->brittle = is_brittle ? BRITTLE : 0;
+	faults->work_ms = is_brittle ? WORK_MS : 0;
+	faults->room =
+	    is_brittle && now_s >= backends->room_due_s[backend->service] ? ROOM
+									  : 0;
+}
+
 /* Applies the part that crashes engines, and takes away what it has crashed. */
 static void
 check_part(soak_backends_t *backends, backend_t *backend)
@@ -205,9 +239,13 @@
 		return;
 	standin_server_faults(backend->server)->crash_part =
 	    backends->part->part;
+	set_brittle(backends, backend);
 	if (standin_server_crash_count(backend->server) == 0)
 		return;
-	soak_judge_part_crashed(backends->judge);
+	if (standin_server_fall_count(backend->server) > 0)
+		soak_judge_fallen(backends->judge);
+	else
+		soak_judge_part_crashed(backends->judge);
 	crash(backends, backend, PART_CRASH_MS);
 }
 
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -40,6 +40,7 @@
 	uint32_t events; /* of the stream, over all its requests */
 	int has_crash_part;
 	soak_phase_t phase; /* when the first request was sent */
+	soak_group_t group; /* the same */
 	int status;
 	at_transfer_t *transfer; /* while a request is open */
 	ev_timer timer;
@@ -131,6 +132,9 @@
 	    !caller->has_crash_part)
 		soak_judge_stream_ended(
 		    caller->callers->judge, caller->phase, caller->events > 0);
+	if (caller->retries == 0 && !caller->has_crash_part)
+		soak_judge_tried(
+		    caller->callers->judge, caller->group, is_success);
 	caller->callers->successes += (uint64_t)is_success;
 	caller->callers->refused += (uint64_t)(!is_success && is_promise);
 	caller->callers->failed += (uint64_t)(!is_success && !is_promise);
@@ -186,9 +190,12 @@
 		? callers->part->part
 		: SUBJECT + (uint32_t)(callers->last_id % SUBJECTS),
 	    OWN_PART + callers->last_id);
-	if (caller->retries == 0)
+	if (caller->retries == 0) {
 		caller->phase =
 		    soak_judge_phase(callers->judge, caller->instance);
+		caller->group =
+		    soak_judge_group(callers->judge, caller->instance);
+	}
 	if (caller->type != CALL_STREAM)
 		headers[5] = NULL;
 	else if (caller->events == 0)
--- a/tests/soak/judge.c
+++ b/tests/soak/judge.c
@@ -11,6 +11,11 @@
  * instances that have been told half a second before, and have not been
  * disturbed since.
  *
+ * RECOVER: the first attempts at instances that are cut from all servers are
+ * served at least two thirds as often as those at the others, unless no more
+ * than 10 + 1 in 50 of all fail there. LIMIT allows two falls, and one for each
+ * ten servers, in one time in which a service's servers are brittle.
+ *
  * DRAIN holds for instances in touch and for a leaving that the store
  * acknowledged while it was stable. BUDGET counts all instances, in touch or
  * not, and requests that a backend server rejects.
@@ -39,6 +44,7 @@
 #define LIMIT_WINDOW_MS 4000u
 #define TOLD_MS 500u
 #define STREAMS_MIN 20u /* for LOST to be judged */
+#define FALLS_MAX (2u + SOAK_BACKENDS_PER_SERVICE / 10u)
 
 typedef struct request {
 	char id[ID_SIZE];
@@ -86,6 +92,15 @@
 	uint32_t crashes;        /* of all parts */
 	uint32_t streams[SOAK_PHASES];
 	uint32_t begun[SOAK_PHASES];
+	uint64_t cut_since_ms[SOAK_INSTANCES_MAX]; /* 0: not cut */
+	uint32_t cut_instances;
+	uint32_t tried[SOAK_GROUPS]; /* in the present cut */
+	uint32_t served[SOAK_GROUPS];
+	uint32_t cuts;
+	uint32_t recover;
+	uint32_t falls; /* in the present time */
+	uint32_t all_falls;
+	uint32_t brittle;
 	uint32_t drain;
 	uint32_t twice;
 	uint32_t exits;
@@ -415,6 +430,83 @@
 	    is_disturbed ? STILL_DISTURBED : elapsed_ms(judge);
 }
 
+/* Ends the present cut. */
+static void
+judge_recover(soak_judge_t *judge)
+{
+	uint32_t cut = judge->tried[SOAK_GROUP_CUT];
+	uint32_t others = judge->tried[SOAK_GROUP_OTHERS];
+	uint32_t served = judge->served[SOAK_GROUP_CUT];
+	int is_broken = cut > 0 && others > 0 &&
+			3.0 * served / cut <
+			    2.0 * judge->served[SOAK_GROUP_OTHERS] / others &&
+			cut - served > 10u + (cut + others) / 50u;
+
+	judge->cuts += cut > 0 && others > 0;
+	judge->recover += (uint32_t)is_broken;
+	if (cut > 0)
+		(void)printf(
+		    "%s: until %" PRIu64 " ms %u of %u first attempts "
+		    "served at cut instances, %u of %u at the others\n",
+		    is_broken ? "RECOVER" : "recover", elapsed_ms(judge),
+		    served, cut, judge->served[SOAK_GROUP_OTHERS], others);
+	memset(judge->tried, 0, sizeof(judge->tried));
+	memset(judge->served, 0, sizeof(judge->served));
+}
+
+void
+soak_judge_cut(soak_judge_t *judge, uint32_t instance, int is_cut)
+{
+	if (is_cut == (judge->cut_since_ms[instance] != 0))
+		return;
+	judge->cut_since_ms[instance] = is_cut ? elapsed_ms(judge) : 0;
+	judge->cut_instances += is_cut ? 1u : UINT32_MAX;
+	if (judge->cut_instances == 0)
+		judge_recover(judge);
+}
+
+soak_group_t
+soak_judge_group(const soak_judge_t *judge, uint32_t instance)
+{
+	uint64_t now_ms = elapsed_ms(judge);
+	uint64_t since_ms = 0;
+	uint32_t i;
+
+	for (i = 0; i < SOAK_INSTANCES_MAX; i++) {
+		if (judge->cut_since_ms[i] > since_ms)
+			since_ms = judge->cut_since_ms[i];
+	}
+	if (since_ms == 0 || now_ms < since_ms + CONTACT_MS ||
+	    !is_calm(judge->instance_disturbed_ms[instance], now_ms))
+		return SOAK_GROUP_NONE;
+	return judge->cut_since_ms[instance] != 0 ? SOAK_GROUP_CUT
+						  : SOAK_GROUP_OTHERS;
+}
+
+void
+soak_judge_tried(soak_judge_t *judge, soak_group_t group, int is_served)
+{
+	judge->tried[group]++;
+	judge->served[group] += (uint32_t)is_served;
+}
+
+void
+soak_judge_brittle(soak_judge_t *judge, int is_brittle)
+{
+	(void)is_brittle;
+	judge->falls = 0;
+}
+
+void
+soak_judge_fallen(soak_judge_t *judge)
+{
+	judge->all_falls++;
+	(void)printf("fall: at %" PRIu64 " ms a brittle server fell over\n",
+	    elapsed_ms(judge));
+	if (++judge->falls == FALLS_MAX + 1)
+		judge->brittle++;
+}
+
 void
 soak_judge_exited(soak_judge_t *judge, uint32_t instance, int status)
 {
@@ -499,14 +591,16 @@
 
 	uint32_t lost = judge_lost(judge);
 
+	judge_recover(judge);
 	(void)printf("arrivals=%" PRIu64 " rejected=%" PRIu64
 		     " part_crashes=%u limited=%" PRIu64
 		     " broken: BUDGET=%u PART=%u LOST=%u LIMIT=%u DRAIN=%u "
-		     "TWICE=%u EXIT=%u\n",
+		     "TWICE=%u EXIT=%u RECOVER=%u of %u FALLS=%u of %u\n",
 	    judge->arrivals, judge->rejected, judge->crashes,
 	    judge->limited_arrivals, budget, judge->part_budget, lost,
-	    judge->limit, judge->drain, judge->twice, judge->exits);
+	    judge->limit, judge->drain, judge->twice, judge->exits,
+	    judge->recover, judge->cuts, judge->brittle, judge->all_falls);
 	return (budget > 0) + (judge->part_budget > 0) + (lost > 0) +
 	       (judge->limit > 0) + (judge->drain > 0) + (judge->twice > 0) +
-	       (judge->exits > 0);
+	       (judge->exits > 0) + (judge->recover > 0) + (judge->brittle > 0);
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -124,16 +124,17 @@
 	(void)printf("step: at %u ms %s target=%u duration_ms=%u\n",
 	    step->at_ms, soak_kind_names[step->kind], step->target,
 	    step->duration_ms);
-	if (!is_planned(step->kind))
+	if (!is_planned(step->kind) && step->kind != SOAK_PAUSE)
 		soak_judge_unplanned(soak->judge, step->duration_ms);
 	if (step->kind == SOAK_PART_CRASHES)
 		apply_part(soak, step);
-	else if (step->kind <= SOAK_HANG_UP)
+	else if (step->kind <= SOAK_HANG_UP || step->kind == SOAK_CUT)
 		soak_processes_apply(soak->processes, step);
 	else if (step->kind == SOAK_CONFIG)
 		write_config(soak);
 	else if (step->kind < SOAK_STORE_OUTAGE ||
-		 step->kind == SOAK_SERVER_LIMIT)
+		 step->kind == SOAK_SERVER_LIMIT || step->kind == SOAK_PAUSE ||
+		 step->kind == SOAK_BRITTLE)
 		soak_backends_apply(soak->backends, step);
 	else
 		apply_to_store(soak, step);
@@ -196,7 +197,7 @@
 	at_status_t status;
 	uint32_t broken;
 
-	(void)snprintf(program, sizeof(program), "%s/almond-entry",
+	(void)snprintf(program, sizeof(program), "%s/almond-entry-cut",
 	    bin == NULL ? "build/bin" : bin);
 	soak->store = standin_store_new(soak->loop);
 	if (standin_store_init(soak->store, "127.0.0.1:0", &status) != AT_OK)
--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -1,11 +1,13 @@
 #include "soak/soak.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -14,6 +16,7 @@
 #define PATH_SIZE 512u
 #define FIRST_PORT 10000u
 #define PORTS 3u
+#define FILLERS 3u /* connections that fill the backlog of a listener */
 #define SECRET \
 	"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
 
@@ -27,9 +30,11 @@
 	int is_frozen;
 	double start_due_s; /* loop time; 0: none */
 	double thaw_due_s;  /* loop time; 0: none */
+	double cut_due_s;   /* end of a cut; 0: none */
 	char name[AT_NAME_SIZE];
 	char addresses[PORTS][AT_ADDR_SIZE]; /* callers, readiness, peers */
 	char conf[PATH_SIZE];
+	char cut[PATH_SIZE]; /* file with the state of its links */
 	char log[PATH_SIZE];
 } instance_t;
 
@@ -37,6 +42,9 @@
 	struct ev_loop *loop;
 	soak_judge_t *judge;
 	const char *program;
+	const char *store;
+	uint16_t hanging; /* port where connections are not answered */
+	int sockets[1u + FILLERS];
 	instance_t *instances;
 	uint32_t count;
 	ev_timer timer;
@@ -61,11 +69,17 @@
 {
 	char variable[PATH_SIZE + 32];
 	char *argv[] = {(char *)instance->processes->program, NULL};
-	char *env[] = {variable, "ALMONDTHREAD_SECRET=" SECRET, NULL};
+	char cut[PATH_SIZE + 32];
+	char store[64];
+	char *env[] = {
+	    variable, cut, store, "ALMONDTHREAD_SECRET=" SECRET, NULL};
 	posix_spawn_file_actions_t actions;
 
 	(void)snprintf(variable, sizeof(variable), "ALMONDTHREAD_NODE_FILE=%s",
 	    instance->conf);
+	(void)snprintf(cut, sizeof(cut), "SOAK_CUT_FILE=%s", instance->cut);
+	(void)snprintf(store, sizeof(store), "SOAK_STORE_PORT=%s",
+	    strchr(instance->processes->store, ':') + 1);
 	(void)posix_spawn_file_actions_init(&actions);
 	(void)posix_spawn_file_actions_addopen(
 	    &actions, 1, instance->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
@@ -92,6 +106,22 @@
 	    instance->index, instance->is_told_to_end);
 }
 
+/* state is a letter of cut/connect.c. */
+static void
+set_links(instance_t *instance, char state)
+{
+	FILE *file = fopen(instance->cut, "w");
+
+	if (file == NULL)
+		return;
+	(void)fprintf(file, "%c%u", state, instance->processes->hanging);
+	(void)fclose(file);
+	if (instance->pid != 0)
+		(void)kill(instance->pid, SIGURG);
+	soak_judge_cut(
+	    instance->processes->judge, instance->index, state != 'u');
+}
+
 static void
 check_instance(instance_t *instance, double now_s)
 {
@@ -107,6 +137,10 @@
 	}
 	if (instance->pid == 0 && now_s >= instance->start_due_s)
 		start(instance);
+	if (instance->cut_due_s != 0. && now_s >= instance->cut_due_s) {
+		instance->cut_due_s = 0.;
+		set_links(instance, 'u');
+	}
 	if (instance->is_frozen && now_s >= instance->thaw_due_s)
 		thaw(instance);
 }
@@ -135,6 +169,8 @@
 	    data_centre, instance->index);
 	(void)snprintf(
 	    instance->conf, PATH_SIZE, "%s/%s.conf", work, instance->name);
+	(void)snprintf(
+	    instance->cut, PATH_SIZE, "%s/%s.cut", work, instance->name);
 	(void)snprintf(
 	    instance->log, PATH_SIZE, "%s/%s.log", work, instance->name);
 	for (i = 0; i < PORTS; i++)
@@ -151,6 +187,28 @@
 	(void)fclose(file);
 }
 
+/* A listener with a full backlog drops further requests to connect. */
+static void
+open_hanging(soak_processes_t *processes)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	socklen_t len = sizeof(address);
+	uint32_t i;
+
+	for (i = 0; i <= FILLERS; i++)
+		processes->sockets[i] = socket(
+		    AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	(void)bind(processes->sockets[0], (struct sockaddr *)&address, len);
+	(void)listen(processes->sockets[0], 0);
+	(void)getsockname(
+	    processes->sockets[0], (struct sockaddr *)&address, &len);
+	for (i = 1; i <= FILLERS; i++)
+		(void)connect(
+		    processes->sockets[i], (struct sockaddr *)&address, len);
+	processes->hanging = ntohs(address.sin_port);
+}
+
 soak_processes_t *
 soak_processes_new(struct ev_loop *loop, soak_judge_t *judge,
     const char *program, const char *work, const char *store, uint32_t count)
@@ -162,6 +220,8 @@
 	processes->judge = judge;
 	processes->program = program;
 	processes->count = count;
+	processes->store = store;
+	open_hanging(processes);
 	processes->instances = calloc(count, sizeof(*processes->instances));
 	for (i = 0; i < count; i++) {
 		processes->instances[i].processes = processes;
@@ -189,6 +249,8 @@
 		(void)kill(pid, SIGKILL);
 		(void)waitpid(pid, NULL, 0);
 	}
+	for (i = 0; i <= FILLERS; i++)
+		(void)close(processes->sockets[i]);
 	free(processes->instances);
 	free(processes);
 }
@@ -217,6 +279,12 @@
 {
 	instance_t *instance = &processes->instances[step->target];
 
+	if (step->kind == SOAK_CUT) {
+		instance->cut_due_s =
+		    ev_now(processes->loop) + step->duration_ms / 1e3;
+		set_links(instance, "hrn"[step->duration_ms % 3u]);
+		return;
+	}
 	if (instance->pid == 0)
 		return;
 	if (step->kind == SOAK_HANG_UP) {
--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -9,11 +9,15 @@
 #define PART_MORE_MS 10000u
 #define LIMIT_MIN_MS 5000u /* for which a server names a limit */
 #define LIMIT_MORE_MS 10000u
+#define CUT_MIN_MS 5000u /* for which instances are cut from all servers */
+#define CUT_MORE_MS 6000u
+#define BRITTLE_MS 9000u /* for which servers are brittle */
 
 const char *const soak_kind_names[] = {"term", "kill", "freeze", "hang-up",
     "config", "backend-leaves", "backend-removed", "backend-crashes",
     "backend-rejects", "backend-silent", "store-outage", "store-loses-watches",
-    "store-drops-history", "part-crashes", "server-limit"};
+    "store-drops-history", "part-crashes", "server-limit", "cut", "pause",
+    "brittle"};
 
 /* How often each kind is drawn. */
 static const uint32_t weights[SOAK_DRAWN_KINDS] = {
@@ -157,6 +161,55 @@
 	}
 }
 
+/* Some instances at once, in two of three runs. */
+static void
+add_cuts(soak_step_t **steps, size_t *count, uint64_t seed,
+    uint32_t duration_ms, uint32_t instances)
+{
+	at_rng_t rng = {~seed * 0xa24baed4963ee407u};
+	soak_step_t step = {.kind = SOAK_CUT};
+	uint32_t i;
+
+	if (instances < 2 || at_rng_below(&rng, 3) == 0)
+		return;
+	step.at_ms = QUIET_START_MS + (uint32_t)at_rng_below(&rng, 6000);
+	while (step.at_ms + CUT_MIN_MS < duration_ms) {
+		uint32_t cut = 1u + (uint32_t)at_rng_below(&rng, instances - 1);
+
+		step.duration_ms =
+		    CUT_MIN_MS + (uint32_t)at_rng_below(&rng, CUT_MORE_MS);
+		step.target = (uint32_t)at_rng_below(&rng, instances);
+		for (i = 0; i < cut; i++) {
+			add_step(steps, count, &step);
+			step.target = (step.target + 1u) % instances;
+		}
+		step.at_ms += step.duration_ms + 1000u +
+			      (uint32_t)at_rng_below(&rng, 8000);
+	}
+}
+
+/* Silences of a second, and times in which a service is brittle. */
+static void
+add_pauses(
+    soak_step_t **steps, size_t *count, uint64_t seed, uint32_t duration_ms)
+{
+	at_rng_t rng = {~seed * 0xe7037ed1a0b428dbu};
+	soak_step_t step = {.at_ms = QUIET_START_MS};
+
+	while (step.at_ms < duration_ms) {
+		step.kind =
+		    at_rng_below(&rng, 4) == 0 ? SOAK_BRITTLE : SOAK_PAUSE;
+		step.target = (uint32_t)at_rng_below(&rng, SOAK_BACKENDS);
+		step.duration_ms =
+		    step.kind == SOAK_BRITTLE
+			? BRITTLE_MS
+			: 800u + (uint32_t)at_rng_below(&rng, 400);
+		add_step(steps, count, &step);
+		step.at_ms += 500u + (uint32_t)at_rng_below(&rng, 7000) +
+			      (step.kind == SOAK_BRITTLE ? BRITTLE_MS : 0);
+	}
+}
+
 soak_step_t *
 soak_schedule_new(
     uint64_t seed, uint32_t duration_ms, uint32_t instances, size_t *step_count)
@@ -191,6 +244,8 @@
 	}
 	add_crash_parts(&steps, step_count, seed, duration_ms);
 	add_limits(&steps, step_count, seed, duration_ms);
+	add_cuts(&steps, step_count, seed, duration_ms, instances);
+	add_pauses(&steps, step_count, seed, duration_ms);
 	if (steps != NULL)
 		qsort(steps, *step_count, sizeof(*steps), compare_steps);
 	return steps;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -51,6 +51,9 @@
 	SOAK_DRAWN_KINDS, /* the following ones are scheduled apart */
 	SOAK_PART_CRASHES = SOAK_DRAWN_KINDS, /* engines, for duration_ms */
 	SOAK_SERVER_LIMIT, /* a backend server names one, for duration_ms */
+	SOAK_CUT,          /* an instance, from all servers, for duration_ms */
+	SOAK_PAUSE,   /* a sound server is silent for a second, and goes on */
+	SOAK_BRITTLE, /* all servers of a service, for duration_ms */
 	SOAK_KINDS
 } soak_kind_t;
 
@@ -132,6 +135,22 @@
 soak_phase_t soak_judge_phase(const soak_judge_t *judge, uint32_t instance);
 void soak_judge_stream_ended(
     soak_judge_t *judge, soak_phase_t phase, int has_begun);
+/*
+ * Cuts. A first attempt is counted in the group that it is in when it is sent:
+ * there is a cut that has lasted for 3 s, and its instance is in touch.
+ */
+typedef enum soak_group {
+	SOAK_GROUP_NONE,
+	SOAK_GROUP_CUT,
+	SOAK_GROUP_OTHERS,
+	SOAK_GROUPS
+} soak_group_t;
+void soak_judge_cut(soak_judge_t *judge, uint32_t instance, int is_cut);
+soak_group_t soak_judge_group(const soak_judge_t *judge, uint32_t instance);
+void soak_judge_tried(soak_judge_t *judge, soak_group_t group, int is_served);
+/* Servers state that they are brittle, or no longer; one has fallen over. */
+void soak_judge_brittle(soak_judge_t *judge, int is_brittle);
+void soak_judge_fallen(soak_judge_t *judge);
 /* A process has ended by itself. */
 void soak_judge_exited(soak_judge_t *judge, uint32_t instance, int status);
 /* Prints counts and broken rules; returns the number of broken rules. */
