--- a/src/core/fleet/server_room.c
+++ b/src/core/fleet/server_room.c
@@ -175,6 +175,8 @@
 	uint32_t places = 0;
 	at_server_t *server;
 
+	if (instances == 0)
+		return;
 	if (rank >= instances)
 		rank = instances - 1u;
 	for (server = fleet->servers; server != NULL; server = server->hh.next)
