--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -308,13 +308,13 @@
  * states of a service's servers; it returns non-zero if that has changed. An
  * answer that does not state it counts from when its request was sent.
  * at_fleet_share_room() sets this instance's part of the room, from its rank
- * among the instances; it is called when they, or the servers, may have
- * changed. at_server_note_rejected() records that a server has rejected a
- * request, of this instance or another. at_fleet_expire_brittle() ends what has
- * not been heard of for long.
+ * among the instances; it is called often, and computes it when they have
+ * changed and once a second. at_server_note_rejected() records that a server
+ * has rejected a request, of this instance or another.
+ * at_fleet_expire_brittle() ends what has not been heard of for long.
  */
 #define AT_BRITTLE_SERVICES_MAX 16u
-#define AT_BRITTLE_REJECTED_MAX 32u /* servers of one service in a report */
+#define AT_BRITTLE_REJECTED_MAX 8u /* servers of one service in a report */
 int at_fleet_note_brittle(
     at_fleet_t *fleet, at_tag_t service, int is_brittle, uint64_t heard_us);
 int at_fleet_is_brittle(const at_fleet_t *fleet, at_tag_t service);
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -50,6 +50,10 @@
 	at_tag_t service;
 	int is_brittle;
 	uint64_t heard_us;
+	/* When, and from what, this instance's part was computed. */
+	uint64_t shared_us;
+	uint32_t rank;
+	uint32_t instances;
 } fleet_brittle_t;
 
 /*
--- a/src/core/fleet/server_room.c
+++ b/src/core/fleet/server_room.c
@@ -22,6 +22,8 @@
 #define REJECTED_US 1000000u
 /* Rejections are reported for this time. */
 #define REPORTED_US 500000u
+/* Other servers are taken into account after this time. */
+#define SHARE_AGE_MAX_US 1000000u
 /* What has not been heard of for this time has ended. */
 #define HEARD_MAX_US 15000000u
 
@@ -173,12 +175,20 @@
     uint32_t instances, uint64_t now_us)
 {
 	uint32_t places = 0;
+	fleet_brittle_t *brittle = find_brittle(fleet, service);
 	at_server_t *server;
 
-	if (instances == 0)
+	if (instances == 0 || brittle == NULL)
 		return;
 	if (rank >= instances)
 		rank = instances - 1u;
+	/* The order of the servers takes a time that grows with its square. */
+	if (brittle->rank == rank && brittle->instances == instances &&
+	    now_us < brittle->shared_us + SHARE_AGE_MAX_US)
+		return;
+	brittle->rank = rank;
+	brittle->instances = instances;
+	brittle->shared_us = now_us;
 	for (server = fleet->servers; server != NULL; server = server->hh.next)
 		places += server->is_listed && server->entry.service == service
 			      ? usable_slots(server)
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -141,9 +141,10 @@
 gossip_send_report(at_gossip_t *gossip, report_kind_t kind,
     int all_data_centres, at_tag_t except)
 {
-	broadcast_t broadcast = {
-	    gossip, report_encode(gossip, kind), all_data_centres, except};
+	broadcast_t broadcast = {gossip, 0, all_data_centres, except};
 
+	gossip->is_to_all = all_data_centres;
+	broadcast.len = report_encode(gossip, kind);
 	if (broadcast.len > 0)
 		at_roster_each(
 		    gossip->entry->roster, send_to_member, &broadcast);
--- a/src/entry/gossip_impl.h
+++ b/src/entry/gossip_impl.h
@@ -47,6 +47,7 @@
 	uint64_t sequence;
 	uint64_t rounds;
 	int is_leaving;
+	int is_to_all; /* the report that is encoded goes to all instances */
 	object_report_t servers[SERVERS_MAX];
 	size_t server_count;
 	object_report_t config;
--- a/src/entry/report_encode.c
+++ b/src/entry/report_encode.c
@@ -241,6 +241,8 @@
 		at_reach_io_fill_report(entry->reach, &report);
 		at_relay_fill_report(entry->relay, &report);
 	}
+	if (kind == REPORT_COMMON && gossip->is_to_all)
+		at_server_notices_fill_brittle(entry, &report);
 	if (kind == REPORT_DEMAND)
 		at_orders_io_fill_demand(entry->orders, &report);
 	report.has_loads = kind == REPORT_COMMON || kind == REPORT_DEMAND;
--- a/src/entry/server_notices.c
+++ b/src/entry/server_notices.c
@@ -9,6 +9,11 @@
 
 #define US_PER_MS 1000u
 #define LEAVING_MAX 64u /* servers that leave, in one report */
+/* Least time between two reports of rejections, and more for each instance. */
+#define NEWS_GAP_US 200000u
+#define NEWS_GAP_EACH_US 3000u
+/* Without news, what is known is reported again after this time. */
+#define REPEAT_US 1000000u
 /* A limit that changes by a smaller part is reported with the next round. */
 #define URGENT_CHANGE_PERCENT 25u
 
@@ -103,6 +108,7 @@
 	at_tag_t service = at_server_entry(server)->service;
 	int was_brittle = at_fleet_is_brittle(entry->fleet, service);
 	uint64_t now_us = at_clock_now_us();
+	uint64_t gap_us;
 
 	if (!is_brittle && !was_brittle)
 		return;
@@ -113,9 +119,13 @@
 		at_counters_add(
 		    entry->counters, "brittle_rejections_total", NULL, NULL, 1);
 	}
-	if (is_rejected ||
-	    was_brittle != at_fleet_is_brittle(entry->fleet, service))
+	gap_us = NEWS_GAP_US +
+		 NEWS_GAP_EACH_US * at_roster_present_count(entry->roster);
+	if ((is_rejected && now_us >= entry->brittle_told_us + gap_us) ||
+	    was_brittle != at_fleet_is_brittle(entry->fleet, service)) {
+		entry->brittle_has_news = 1;
 		at_gossip_send_soon(entry->gossip);
+	}
 }
 
 typedef struct round_context {
@@ -191,16 +201,22 @@
 	report->limits = list;
 }
 
-static void
-fill_brittle(const at_entry_t *entry, Report *report)
+void
+at_server_notices_fill_brittle(at_entry_t *entry, Report *report)
 {
 	static at_brittle_report_t entries[AT_BRITTLE_SERVICES_MAX];
 	static ReportBrittle messages[AT_BRITTLE_SERVICES_MAX];
 	static ReportBrittle *list[AT_BRITTLE_SERVICES_MAX];
 	uint64_t now_us = at_clock_now_us();
-	size_t count = at_fleet_fill_brittle(entry->fleet, entries, now_us);
+	size_t count;
 	size_t i;
 
+	if (!entry->brittle_has_news &&
+	    now_us < entry->brittle_told_us + REPEAT_US)
+		return;
+	entry->brittle_has_news = 0;
+	entry->brittle_told_us = now_us;
+	count = at_fleet_fill_brittle(entry->fleet, entries, now_us);
 	for (i = 0; i < count; i++) {
 		report_brittle__init(&messages[i]);
 		messages[i].service = entries[i].service;
@@ -219,7 +235,6 @@
 at_server_notices_fill_report(const at_entry_t *entry, Report *report)
 {
 	fill_leaving(entry, report);
-	fill_brittle(entry, report);
 	fill_limits(entry, report);
 }
 
--- a/src/entry/server_notices.h
+++ b/src/entry/server_notices.h
@@ -29,6 +29,11 @@
 void at_server_notices_on_round(at_entry_t *entry, uint64_t now_us);
 /* What a report points to is valid until the next call. */
 void at_server_notices_fill_report(const at_entry_t *entry, Report *report);
+/*
+ * at_server_notices_fill_brittle() does the same for brittle servers, once a
+ * second and when there is news. It is for reports to all instances.
+ */
+void at_server_notices_fill_brittle(at_entry_t *entry, Report *report);
 void at_server_notices_apply_report(at_entry_t *entry, const Report *report);
 
 #endif
