--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -425,13 +425,21 @@
 	const at_call_t *call = attempt->call;
 	char parts[PARTS_TEXT_SIZE];
 
+	/* The other instance has responded itself. */
+	if (result->is_complete) {
+		at_log(AT_LOG_INFO, "call", call->id,
+		    "attempt not passed on server=%s via=%s outcome=%s",
+		    attempt->server_id.text, call_via(attempt),
+		    at_relay_outcome_names[attempt->relay_outcome]);
+		return;
+	}
 	format_parts(&call->waiter.work, parts);
 	at_log(AT_LOG_INFO, "call", call->id,
 	    "attempt failed server=%s reason=%s verdict=%s had_event=%d "
-	    "parts=%s via=%s outcome=%s",
+	    "parts=%s via=%s",
 	    attempt->server_id.text, at_reason_names[result->reason],
 	    at_verdict_names[result->verdict], attempt->had_event, parts,
-	    call_via(attempt), at_relay_outcome_names[attempt->relay_outcome]);
+	    call_via(attempt));
 }
 
 /* The connection to the server has failed, or was lost. */
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -255,6 +255,31 @@
 	return server;
 }
 
+static relayed_t *
+add_relayed(at_relay_t *relay, at_httpd_request_t *request,
+    const at_relay_call_t *call, const at_server_entry_t *server)
+{
+	relayed_t *relayed = calloc(1, sizeof(*relayed));
+
+	if (relayed == NULL)
+		return NULL;
+	relayed->relay = relay;
+	relayed->request = request;
+	relayed->server = server->id;
+	relayed->server_tag = server->tag;
+	relayed->is_probe = call->is_probe;
+	relayed->started_us = at_clock_now_us();
+	relayed->next = relay->list;
+	if (relayed->next != NULL)
+		relayed->next->prev = relayed;
+	relay->list = relayed;
+	relay->count++;
+	at_httpd_set_end_handler(request, on_request_end, relayed);
+	at_httpd_set_caller_closed_handler(request, on_closed);
+	at_httpd_set_drain_handler(request, on_drain);
+	return relayed;
+}
+
 static void
 handle(void *ctx, at_httpd_request_t *request)
 {
@@ -264,7 +289,7 @@
 	char server_id[AT_NAME_SIZE];
 	at_request_header_t header;
 	const at_server_t *server;
-	relayed_t *relayed;
+	relayed_t *relayed = NULL;
 
 	(void)at_caller_parse_headers(request, &header);
 	call.request_id = header.id;
@@ -278,26 +303,11 @@
 		return;
 	}
 	server = find_server(relay, &call);
-	relayed = server == NULL ? NULL : calloc(1, sizeof(*relayed));
-	if (relayed == NULL) {
-		reply(relay, request, AT_RELAY_REFUSED);
-		return;
-	}
-	relayed->relay = relay;
-	relayed->request = request;
-	relayed->server = at_server_entry(server)->id;
-	relayed->server_tag = at_server_entry(server)->tag;
-	relayed->is_probe = call.is_probe;
-	relayed->started_us = at_clock_now_us();
-	relayed->next = relay->list;
-	if (relayed->next != NULL)
-		relayed->next->prev = relayed;
-	relay->list = relayed;
-	relay->count++;
-	at_httpd_set_end_handler(request, on_request_end, relayed);
-	at_httpd_set_caller_closed_handler(request, on_closed);
-	at_httpd_set_drain_handler(request, on_drain);
-	if (start_transfer(relayed, &call, at_server_entry(server)) != 0)
+	if (server != NULL)
+		relayed =
+		    add_relayed(relay, request, &call, at_server_entry(server));
+	if (relayed == NULL ||
+	    start_transfer(relayed, &call, at_server_entry(server)) != 0)
 		reply(relay, request, AT_RELAY_REFUSED);
 }
 
--- a/tests/soak/backends.c
+++ b/tests/soak/backends.c
@@ -193,7 +193,7 @@
 		backends->room_due_s[backend->service] = now_s + ROOM_AFTER_S;
 		backends->brittle_due_s[backend->service] =
 		    now_s + step->duration_ms / 1e3;
-		soak_judge_brittle(backends->judge, 1);
+		soak_judge_brittle(backends->judge);
 		return;
 	}
 	if (backend->server == NULL)
--- a/tests/soak/judge.c
+++ b/tests/soak/judge.c
@@ -492,9 +492,8 @@
 }
 
 void
-soak_judge_brittle(soak_judge_t *judge, int is_brittle)
+soak_judge_brittle(soak_judge_t *judge)
 {
-	(void)is_brittle;
 	judge->falls = 0;
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -148,8 +148,9 @@
 void soak_judge_cut(soak_judge_t *judge, uint32_t instance, int is_cut);
 soak_group_t soak_judge_group(const soak_judge_t *judge, uint32_t instance);
 void soak_judge_tried(soak_judge_t *judge, soak_group_t group, int is_served);
-/* Servers state that they are brittle, or no longer; one has fallen over. */
-void soak_judge_brittle(soak_judge_t *judge, int is_brittle);
+/* A time begins in which servers state that they are brittle; one falls over.
+ */
+void soak_judge_brittle(soak_judge_t *judge);
 void soak_judge_fallen(soak_judge_t *judge);
 /* A process has ended by itself. */
 void soak_judge_exited(soak_judge_t *judge, uint32_t instance, int status);
--- a/tests/unit/test_server_reach.c
+++ b/tests/unit/test_server_reach.c
@@ -124,3 +124,25 @@
 	at_reach_note_heard(&reach, 2200 * MS);
 	cr_expect_eq(at_reach_evidence_us(&reach), 1000 * MS);
 }
+
+static const struct {
+	at_reach_state_t state;
+	uint32_t after_ms;
+	int is_direct;
+} others[] = {{AT_REACH_UP, 0, 1}, {AT_REACH_UP, 5000, 1},
+    {AT_REACH_UNSURE, 49, 1}, {AT_REACH_UNSURE, 50, 0}, {AT_REACH_NONE, 0, 0},
+    {AT_REACH_NONE, 5000, 0}};
+
+Test(server_reach, sends_directly_only_while_servers_may_be_reached)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(others) / sizeof(others[0]); i++) {
+		const at_reach_t reach = {
+		    .state = others[i].state, .since_us = 7000 * MS};
+
+		cr_expect_eq(at_reach_is_direct(
+				 &reach, 0, (7000u + others[i].after_ms) * MS),
+		    others[i].is_direct, "case %zu", i);
+	}
+}
