Soak: callers move to another instance now and then

One in six requests that succeed is followed by another instance now, with random numbers of its own.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -1,6 +1,7 @@
 /*
- * callers.c - callers that keep to one instance, over connections that stay
- * open, until a request fails there; they retry, and resume broken streams.
+ * callers.c - callers that keep to one instance for some requests, over
+ * connections that stay open, or until one fails there; they retry, and resume
+ * broken streams.
  */
 #include "soak/soak.h"
 
@@ -20,6 +21,8 @@
 #define RETRIES_MAX 2u
 #define TOTAL_MS 6000u
 #define LINE_SIZE 96u
+/* Of the requests that succeed, so many are followed by another instance. */
+#define MOVES_ONE_IN 6u
 #define CRASH_PART_ONE_IN 4u /* streams, while the part is sent */
 /* Parts of prompts: the second one of sound requests, and the own one. */
 #define SUBJECT 0x500u
@@ -54,6 +57,7 @@
 	const soak_crash_part_t *part;
 	at_rng_t rng;
 	at_rng_t part_rng;
+	at_rng_t move_rng;
 	uint32_t pause_max_ms;
 	uint64_t last_id;
 	caller_t *list;
@@ -75,14 +79,14 @@
 
 /* As a balancer does, skips instances that do not take new connections. */
 static void
-choose_instance(caller_t *caller)
+choose_instance(caller_t *caller, at_rng_t *rng)
 {
 	soak_callers_t *callers = caller->callers;
 	uint32_t count = soak_processes_count(callers->processes);
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
-		caller->instance = (uint32_t)at_rng_below(&callers->rng, count);
+		caller->instance = (uint32_t)at_rng_below(rng, count);
 		if (soak_processes_is_open(
 			callers->processes, caller->instance))
 			return;
@@ -139,7 +143,9 @@
 	caller->callers->refused += (uint64_t)(!is_success && is_promise);
 	caller->callers->failed += (uint64_t)(!is_success && !is_promise);
 	if (!is_success)
-		choose_instance(caller);
+		choose_instance(caller, &caller->callers->rng);
+	else if (at_rng_below(&caller->callers->move_rng, MOVES_ONE_IN) == 0)
+		choose_instance(caller, &caller->callers->move_rng);
 	if (!is_success && may_repeat && caller->retries < RETRIES_MAX) {
 		caller->retries++;
 		wait_ms(caller, RETRY_PAUSE_MS);
@@ -231,6 +237,7 @@
 	callers->part = part;
 	callers->rng.state = ~seed;
 	callers->part_rng.state = seed;
+	callers->move_rng.state = seed * 0x9e3779b97f4a7c15u;
 	callers->count = count;
 	callers->pause_max_ms = at_rng_below(&callers->rng, 2) == 0
 				    ? BUSY_PAUSE_MAX_MS
@@ -243,7 +250,7 @@
 		caller->type = (call_type_t)(i % 3u);
 		ev_timer_init(&caller->timer, on_timer, 0., 0.);
 		caller->timer.data = caller;
-		choose_instance(caller);
+		choose_instance(caller, &callers->rng);
 		wait_ms(caller, (uint32_t)at_rng_below(
 				    &callers->rng, callers->pause_max_ms));
 	}
