Learn soon after a cut that the platform responds again

After a cut from the store an instance waited up to 1.6 s for its next call, and its first watch without changes responded at its end only: for 15 s it reported that the platform was away, so that it was no reader for its data centre, and no log line said that the platform was back.

A watch after an outage responds at once, a reader then confirms its lists without waiting for its next regular check, and calls that get no response are repeated after 0.4 s at most (refused ones still after 1.6 s).

--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -9,9 +9,12 @@
 
 /* Longest duration of one watch; connections are also probed separately. */
 #define WATCH_TIMEOUT_MS 15000u
+#define WATCH_NO_WAIT_MS 1u       /* a watch that responds at once */
 #define RETRY_DELAY_FIRST_MS 100u /* delay after the first failed call */
-#define RETRY_DELAY_MAX_MS 1600u  /* longest delay after failed calls */
-#define NAME_SIZE 128u            /* bytes of an object's name, with the NUL */
+/* Longest delay after calls that were refused, or that got no response. */
+#define REFUSED_DELAY_MAX_MS 1600u
+#define NO_RESPONSE_DELAY_MAX_MS 400u
+#define NAME_SIZE 128u /* bytes of an object's name, with the NUL */
 
 const char *const at_objects_code_names[] = {
     "ok", "history_gone", "refused", "silent"};
@@ -247,12 +250,15 @@
 }
 
 static void
-note_failed_call(at_mirror_t *mirror, uint64_t now_ms)
+note_failed_call(at_mirror_t *mirror, uint64_t now_ms, at_objects_code_t code)
 {
+	uint32_t wait_max_ms = code == AT_OBJECTS_REFUSED
+				   ? REFUSED_DELAY_MAX_MS
+				   : NO_RESPONSE_DELAY_MAX_MS;
 	uint32_t wait_ms = RETRY_DELAY_FIRST_MS;
 	uint32_t i;
 
-	for (i = 0; i < mirror->failures && wait_ms < RETRY_DELAY_MAX_MS; i++)
+	for (i = 0; i < mirror->failures && wait_ms < wait_max_ms; i++)
 		wait_ms *= 2;
 	mirror->failures++;
 	mirror->is_platform_away = 1;
@@ -277,7 +283,9 @@
 	}
 	action->step = AT_MIRROR_WATCH;
 	action->since = mirror->since;
-	action->wait_ms = WATCH_TIMEOUT_MS;
+	/* After an outage, only a response shows that the platform is back. */
+	action->wait_ms =
+	    mirror->is_platform_away ? WATCH_NO_WAIT_MS : WATCH_TIMEOUT_MS;
 }
 
 void
@@ -288,7 +296,7 @@
 	mirror->now_ms = now_ms;
 	if (page->code == AT_OBJECTS_REFUSED ||
 	    page->code == AT_OBJECTS_NO_RESPONSE) {
-		note_failed_call(mirror, now_ms);
+		note_failed_call(mirror, now_ms, page->code);
 		return;
 	}
 	if (mirror->is_platform_away) {
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -620,6 +620,7 @@
 {
 	watcher_t *watcher = ctx;
 	int was_listing = at_mirror_is_listing(watcher->mirror);
+	int was_away;
 
 	watcher->call = NULL;
 	at_log(AT_LOG_DEBUG, "platform", NULL,
@@ -634,8 +635,12 @@
 		    watcher->sync->is_reader)
 			note_watched(watcher->sync);
 	}
+	was_away = at_mirror_is_platform_away(watcher->mirror);
 	at_mirror_handle_response(watcher->mirror, at_clock_now_ms(), page);
 	log_platform_state(watcher, page->code);
+	/* Confirms the lists without waiting for the next regular check. */
+	if (was_away && page->code == AT_OBJECTS_OK)
+		at_sync_check_config(watcher->sync);
 	if (was_listing && !at_mirror_is_listing(watcher->mirror)) {
 		watcher->listed_ms = watcher->list_sent_ms;
 		note_listed(watcher->sync);
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -489,7 +489,7 @@
 	    address->protocol);
 
 	(void)purpose;
-	if (fd >= 0 && address->family == AF_INET)
+	if (fd >= 0 && address->family == AF_INET && httpc->on_open != NULL)
 		httpc->on_open(httpc->open_ctx, fd,
 		    (struct sockaddr_in *)(void *)&address->addr);
 	return fd < 0 ? CURL_SOCKET_BAD : fd;
@@ -554,12 +554,9 @@
 	(void)curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
 	(void)curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, sending_function);
 	(void)curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
-	if (transfer->httpc->on_open != NULL) {
-		(void)curl_easy_setopt(
-		    easy, CURLOPT_OPENSOCKETFUNCTION, opensocket_function);
-		(void)curl_easy_setopt(
-		    easy, CURLOPT_OPENSOCKETDATA, transfer->httpc);
-	}
+	(void)curl_easy_setopt(
+	    easy, CURLOPT_OPENSOCKETFUNCTION, opensocket_function);
+	(void)curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, transfer->httpc);
 	if (spec->connect_only)
 		(void)curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
 	if (spec->connect_ms != 0)
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -284,6 +284,8 @@
 	fixture->entries[i] = at_entry_new(fixture->loop, &settings);
 	cr_assert_eq(at_entry_init(fixture->entries[i], &status), AT_OK, "%s",
 	    status.message);
+	if (fixture->on_entry_created != NULL)
+		fixture->on_entry_created(fixture->on_entry_created_ctx, i);
 	(void)snprintf(fixture->addresses[i], AT_ADDR_SIZE, "127.0.0.1:%u",
 	    at_httpd_port(fixture->entries[i]->callers));
 	return i;
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -34,6 +34,9 @@
 	char names[ENTRY_FIXTURE_MAX][AT_NAME_SIZE];
 	size_t entry_count;
 	uint64_t config_version;
+	/* Called with the index of each instance that is added, or NULL. */
+	void (*on_entry_created)(void *ctx, size_t entry);
+	void *on_entry_created_ctx;
 } entry_fixture_t;
 
 /* A response; freed by entry_fixture_response_free(). */
--- a/tests/support/links.c
+++ b/tests/support/links.c
@@ -2,17 +2,19 @@
 
 #include <arpa/inet.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <criterion/criterion.h>
 
-#define SOCKETS_MAX 1024u /* opened to servers by one instance */
+#define SOCKETS_MAX 1024u /* opened by one instance */
 #define FILLERS 3u        /* connections that fill a listener's backlog */
 
 typedef struct link {
 	links_t *links;
-	links_state_t state;
+	links_state_t state;       /* to the backend servers */
+	links_state_t store_state; /* to the platform's store */
 	int fds[SOCKETS_MAX];
 	size_t fd_count;
 } link_t;
@@ -38,6 +40,14 @@
 	return 0;
 }
 
+static int
+is_store_port(const links_t *links, in_port_t port)
+{
+	const char *colon = strrchr(links->fixture->store_address, ':');
+
+	return strtoul(colon + 1, NULL, 10) == ntohs(port);
+}
+
 /* A descriptor that is opened again belongs to the last that opened it. */
 static void
 forget_fd(links_t *links, int fd)
@@ -57,14 +67,19 @@
 on_open(void *ctx, int fd, struct sockaddr_in *address)
 {
 	link_t *link = ctx;
+	links_state_t state = LINKS_UP;
 
 	forget_fd(link->links, fd);
-	if (!is_server_port(link->links, address->sin_port))
+	if (is_server_port(link->links, address->sin_port))
+		state = link->state;
+	else if (is_store_port(link->links, address->sin_port))
+		state = link->store_state;
+	else
 		return;
 	link->fds[link->fd_count++ % SOCKETS_MAX] = fd;
-	if (link->state == LINKS_HANG)
+	if (state == LINKS_HANG)
 		address->sin_port = link->links->hanging;
-	else if (link->state != LINKS_UP)
+	else if (state != LINKS_UP)
 		address->sin_port = link->links->refusing;
 }
 
@@ -101,6 +116,16 @@
 	}
 }
 
+static void
+watch_entry(void *ctx, size_t entry)
+{
+	links_t *links = ctx;
+
+	links->of[entry].links = links;
+	at_httpc_set_open_handler(links->fixture->entries[entry]->httpc,
+	    on_open, &links->of[entry]);
+}
+
 links_t *
 links_new(entry_fixture_t *fixture)
 {
@@ -112,11 +137,10 @@
 	links->refusing = bind_any(fd);
 	(void)close(fd);
 	open_hanging(links);
-	for (i = 0; i < fixture->entry_count; i++) {
-		links->of[i].links = links;
-		at_httpc_set_open_handler(
-		    fixture->entries[i]->httpc, on_open, &links->of[i]);
-	}
+	fixture->on_entry_created = watch_entry;
+	fixture->on_entry_created_ctx = links;
+	for (i = 0; i < fixture->entry_count; i++)
+		watch_entry(links, i);
 	return links;
 }
 
@@ -132,7 +156,8 @@
 
 /* The descriptors may have been closed, and used again for other sockets. */
 static void
-reset_open(const link_t *link)
+reset_open(
+    const link_t *link, int (*is_port)(const links_t *links, in_port_t port))
 {
 	size_t i;
 
@@ -144,7 +169,7 @@
 		    getpeername(link->fds[i], (struct sockaddr *)&peer, &len) ==
 			0 &&
 		    peer.sin_family == AF_INET &&
-		    is_server_port(link->links, peer.sin_port))
+		    is_port(link->links, peer.sin_port))
 			(void)shutdown(link->fds[i], SHUT_RDWR);
 	}
 }
@@ -154,5 +179,13 @@
 {
 	links->of[entry].state = state;
 	if (state == LINKS_RESET)
-		reset_open(&links->of[entry]);
+		reset_open(&links->of[entry], is_server_port);
+}
+
+void
+links_set_store(links_t *links, size_t entry, links_state_t state)
+{
+	links->of[entry].store_state = state;
+	if (state == LINKS_RESET)
+		reset_open(&links->of[entry], is_store_port);
 }
--- a/tests/support/links.h
+++ b/tests/support/links.h
@@ -1,6 +1,7 @@
 /*
  * links.h - cuts entry instances of an entry_fixture off from all backend
- * servers, while callers, the store and the other instances reach them.
+ * servers or from the platform's store, while callers and the other instances
+ * reach them.
  */
 #ifndef ALMONDTHREAD_TESTS_LINKS_H
 #define ALMONDTHREAD_TESTS_LINKS_H
@@ -17,10 +18,15 @@
 
 typedef struct links links_t;
 
-/* links_new() is called once the instances and servers have been added. */
+/*
+ * links_new() also watches the instances that are added later; connections that
+ * were opened before are not cut.
+ */
 links_t *links_new(entry_fixture_t *fixture);
 void links_delete(links_t *links);
 /* links_set() changes the links of one instance to all backend servers. */
 void links_set(links_t *links, size_t entry, links_state_t state);
+/* links_set_store() does the same with its link to the store. */
+void links_set_store(links_t *links, size_t entry, links_state_t state);
 
 #endif
