Remove missing servers at once after an outage of one instance only

Requests reached servers up to 0.9 s after drain_ms from instances whose own zone had been cut from the store. Entries that a list lacks after an outage were kept for 2 s, counted from the first response after it, as entries that lapse in an outage of the store are back by then. That also held where the store had worked all the time and the servers had gone: the instance had its list 1.05 s after the cut's end and used them until 3.05 s.

Readers now report since when they have had the platform without a gap. An instance whose outage lies within that time removes what is missing; without such a reader the entries are kept as before. Log lines say how many entries are missing, how long they are kept and why they are removed.

--- a/include/almondthread/mirror.h
+++ b/include/almondthread/mirror.h
@@ -8,7 +8,8 @@
  *
  * Objects that disappear around an outage of the platform may reappear
  * shortly after it. They are kept for delay_ms after the outage and reported
- * as deleted if they are still missing then.
+ * as deleted if they are still missing then. An outage that only this instance
+ * has had is no reason to keep them: see at_mirror_delete_missing().
  */
 #ifndef ALMONDTHREAD_MIRROR_H
 #define ALMONDTHREAD_MIRROR_H
@@ -97,6 +98,13 @@
 uint64_t at_mirror_since(const at_mirror_t *mirror);
 int at_mirror_check_watch(at_mirror_t *mirror, uint64_t now_ms, uint64_t since,
     const at_objects_page_t *page);
+/*
+ * at_mirror_delete_missing() reports the objects that are kept after an outage
+ * as deleted; their number is at_mirror_missing_count(). The owner calls it
+ * when it learns that others had the platform throughout.
+ */
+void at_mirror_delete_missing(at_mirror_t *mirror, uint64_t now_ms);
+size_t at_mirror_missing_count(const at_mirror_t *mirror);
 /* at_mirror_relist() discards the open call; a list is due at once. */
 void at_mirror_relist(at_mirror_t *mirror);
 /* at_mirror_due_ms() returns when at_mirror_process() is due again. */
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -2274,7 +2274,7 @@
   (ProtobufCMessageInit) report_summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[42] =
+static const ProtobufCFieldDescriptor report__field_descriptors[43] =
 {
   {
     "name",
@@ -2780,6 +2780,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "steady_ms",
+    44,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Report, steady_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -2816,6 +2828,7 @@
   15,   /* field[15] = servers_digest */
   29,   /* field[29] = servers_version */
   8,   /* field[8] = spending */
+  42,   /* field[42] = steady_ms */
   18,   /* field[18] = strength */
   39,   /* field[39] = summary */
   38,   /* field[38] = takes_summaries */
@@ -2829,7 +2842,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 42 }
+  { 0, 43 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -2839,7 +2852,7 @@
   "Report",
   "",
   sizeof(Report),
-  42,
+  43,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -513,6 +513,10 @@
    * changes.
    */
   uint64_t read_age_ms;
+  /*
+   * Since when the reader has had such confirmations without an interruption.
+   */
+  uint64_t steady_ms;
   /*
    * The sender reaches no backend server.
    */
@@ -545,7 +549,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0 }
 
 
 /* ReportLoad methods */
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -121,8 +121,9 @@
 	mirror->missing_count++;
 }
 
+/* Deletes the missing objects that are due at until_ms. */
 static void
-delete_expired(at_mirror_t *mirror)
+delete_due(at_mirror_t *mirror, uint64_t until_ms)
 {
 	mirror_entry_t *entry;
 	mirror_entry_t *next;
@@ -132,11 +133,24 @@
 	HASH_ITER(hh, mirror->objects, entry, next)
 	{
 		if (entry->deletion_due_ms != 0 &&
-		    mirror->now_ms >= entry->deletion_due_ms)
+		    until_ms >= entry->deletion_due_ms)
 			delete_entry(mirror, entry);
 	}
 }
 
+void
+at_mirror_delete_missing(at_mirror_t *mirror, uint64_t now_ms)
+{
+	mirror->now_ms = now_ms;
+	delete_due(mirror, UINT64_MAX);
+}
+
+size_t
+at_mirror_missing_count(const at_mirror_t *mirror)
+{
+	return mirror->missing_count;
+}
+
 static void
 note_version(at_mirror_t *mirror, uint64_t version)
 {
@@ -270,7 +284,7 @@
     at_mirror_t *mirror, uint64_t now_ms, at_mirror_action_t *action)
 {
 	mirror->now_ms = now_ms;
-	delete_expired(mirror);
+	delete_due(mirror, now_ms);
 	action->step = AT_MIRROR_WAIT;
 	if (mirror->call_in_flight || now_ms < mirror->next_call_ms ||
 	    (mirror->is_following && !mirror->is_listing))
--- a/src/entry/report_apply.c
+++ b/src/entry/report_apply.c
@@ -182,6 +182,9 @@
 		apply_servers(gossip, report);
 	if (report->reads)
 		at_sync_compare_version(entry->sync, report->servers_version);
+	if (report->reads && !report->platform_away)
+		at_sync_note_steady(
+		    entry->sync, report->steady_ms, report->read_age_ms);
 	if (report->config_version >
 	    (entry->site == NULL ? 0 : entry->site->version))
 		at_sync_note_newer_config(entry->sync);
--- a/src/entry/report_encode.c
+++ b/src/entry/report_encode.c
@@ -202,6 +202,7 @@
 		report->servers_digest = at_sync_digest(entry->sync);
 		report->servers_version = at_sync_servers_version(entry->sync);
 		report->read_age_ms = at_sync_confirmation_age_ms(entry->sync);
+		report->steady_ms = at_sync_steady_ms(entry->sync);
 	}
 	report->strength = entry->strength;
 	report->takes_summaries = 1;
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -33,6 +33,11 @@
 #define NEWER_VERSION_MAX_MS 700u
 /* A watch that has responded since then needs no check. */
 #define WATCH_CONFIRMATION_MS 800u
+/*
+ * Entries of the list lapse after some seconds without a heartbeat; no outage
+ * of the platform between two confirmations within this time makes them lapse.
+ */
+#define CONFIRMATION_GAP_MAX_MS 1500u
 /* Wait of a watch that only checks for changes. */
 #define WATCH_CHECK_WAIT_MS 1u
 /* A datagram was lost if the list differs from the reader's for longer. */
@@ -52,6 +57,7 @@
 	 * known here. */
 	uint64_t watched_ms;
 	int was_away;
+	uint64_t away_since_ms; /* last confirmation before the last outage */
 	ev_timer timer;
 } watcher_t;
 
@@ -75,6 +81,7 @@
 	 * its responses to this instance or from the reader's reports.
 	 */
 	uint64_t confirmed_ms;
+	uint64_t steady_since_ms; /* confirmed since then without a gap */
 	int is_reader;
 	uint64_t reader_since_ms;
 	int is_silent; /* the platform did not confirm in time to the reader */
@@ -88,6 +95,7 @@
 };
 
 static void process(watcher_t *watcher);
+static void set_timer(watcher_t *watcher);
 
 static void
 on_config_change(void *ctx, const at_object_t *object)
@@ -190,6 +198,8 @@
 	if (away == watcher->was_away)
 		return;
 	watcher->was_away = away;
+	if (away)
+		watcher->away_since_ms = watcher->sync->confirmed_ms;
 	if (away)
 		at_log(AT_LOG_WARN, "platform", NULL,
 		    "platform away; the last known objects stay in use "
@@ -216,8 +226,11 @@
 static void
 note_confirmed(at_sync_t *sync, uint64_t since_ms)
 {
-	if (since_ms > sync->confirmed_ms)
-		sync->confirmed_ms = since_ms;
+	if (since_ms <= sync->confirmed_ms)
+		return;
+	if (since_ms > sync->confirmed_ms + CONFIRMATION_GAP_MAX_MS)
+		sync->steady_since_ms = since_ms;
+	sync->confirmed_ms = since_ms;
 }
 
 /*
@@ -523,6 +536,31 @@
 	return at_clock_now_ms() - sync->confirmed_ms;
 }
 
+uint64_t
+at_sync_steady_ms(const at_sync_t *sync)
+{
+	return at_clock_now_ms() - sync->steady_since_ms;
+}
+
+void
+at_sync_note_steady(at_sync_t *sync, uint64_t steady_ms, uint64_t age_ms)
+{
+	watcher_t *servers = &sync->servers;
+	uint64_t now_ms = at_clock_now_ms();
+	size_t missing = at_mirror_missing_count(servers->mirror);
+
+	if (missing == 0 || age_ms > READER_CONFIRMATION_MAX_MS ||
+	    at_mirror_is_platform_away(servers->mirror) ||
+	    steady_ms + servers->away_since_ms < now_ms)
+		return;
+	at_log(AT_LOG_INFO, "platform", NULL,
+	    "platform was away from this instance only; missing servers are "
+	    "removed kind=%s missing=%zu outage_ms=%" PRIu64,
+	    servers->kind, missing, now_ms - servers->away_since_ms);
+	at_mirror_delete_missing(servers->mirror, now_ms);
+	set_timer(servers);
+}
+
 void
 at_sync_note_reader(at_sync_t *sync, uint64_t age_ms)
 {
@@ -620,6 +658,7 @@
 {
 	watcher_t *watcher = ctx;
 	int was_listing = at_mirror_is_listing(watcher->mirror);
+	size_t missing = at_mirror_missing_count(watcher->mirror);
 	int was_away;
 
 	watcher->call = NULL;
@@ -641,6 +680,12 @@
 	/* Confirms the lists without waiting for the next regular check. */
 	if (was_away && page->code == AT_OBJECTS_OK)
 		at_sync_check_config(watcher->sync);
+	if (at_mirror_missing_count(watcher->mirror) != missing)
+		at_log(AT_LOG_INFO, "platform", NULL,
+		    "objects missing after an outage are kept kind=%s "
+		    "missing=%zu delay_ms=%u",
+		    watcher->kind, at_mirror_missing_count(watcher->mirror),
+		    SERVERS_DELETION_DELAY_MS);
 	if (was_listing && !at_mirror_is_listing(watcher->mirror)) {
 		watcher->listed_ms = watcher->list_sent_ms;
 		note_listed(watcher->sync);
--- a/src/entry/sync.h
+++ b/src/entry/sync.h
@@ -46,6 +46,19 @@
  * here. The reader sends it with its reports.
  */
 uint64_t at_sync_confirmation_age_ms(const at_sync_t *sync);
+/*
+ * at_sync_steady_ms() returns since when there have been such confirmations
+ * without an interruption in which entries of the list could have lapsed. The
+ * reader sends it, too.
+ */
+uint64_t at_sync_steady_ms(const at_sync_t *sync);
+/*
+ * at_sync_note_steady() takes that time, and the age of the last confirmation,
+ * from a reader of any data centre. If they include an outage that this
+ * instance has had, the platform was not down: backend servers that it no
+ * longer lists have gone.
+ */
+void at_sync_note_steady(at_sync_t *sync, uint64_t steady_ms, uint64_t age_ms);
 /* at_sync_note_reader() takes the age that the reader has sent. */
 void at_sync_note_reader(at_sync_t *sync, uint64_t age_ms);
 /*
--- a/tests/unit/test_mirror.c
+++ b/tests/unit/test_mirror.c
@@ -185,6 +185,25 @@
 	at_mirror_delete(mirror);
 }
 
+/* Others had the platform in the outage: what is missing has been deleted. */
+Test(mirror, deletes_missing_objects_after_an_outage_of_its_own)
+{
+	at_mirror_t *mirror = new_mirror();
+
+	list_a_and_b(mirror);
+	(void)step(mirror, START_MS);
+	respond_with_error(mirror, START_MS, AT_OBJECTS_NO_RESPONSE);
+	at_mirror_relist(mirror);
+	(void)step(mirror, START_MS);
+	respond(mirror, START_MS, &a4, 1, 0, 20);
+	cr_assert_str_eq(events, "+a@4 ");
+	cr_assert_eq(at_mirror_missing_count(mirror), 1);
+	at_mirror_delete_missing(mirror, START_MS);
+	cr_assert_str_eq(events, "+a@4 -b ");
+	cr_assert_eq(at_mirror_missing_count(mirror), 0);
+	at_mirror_delete(mirror);
+}
+
 /* An object deleted in an outage reappears in time, or stays deleted. */
 static const struct {
 	uint64_t reappears_ms; /* after the outage; 0: never */
