Discard the bytes of a request that has ended

Requests whose callers had their answer, or had left, 4 s before reached servers that had said meanwhile that they leave. The bytes had been sent into a cut. close() leaves them to the kernel, which sends them again after the cut; and where the kernel itself gives a connection up (keep-alive, TCP_USER_TIMEOUT), the program has no connection left that it could reset.

A socket now discards its bytes at its end (SO_LINGER 0) unless all have been acknowledged (SIOCOUTQ). The kernel's limit is 15 s until then, and a request that has not been acknowledged for 2 s is given up; once it is, the limit is 3 s as before. This holds for all ends of a transfer (caller gone, time out, hedge, drain, stop, a kill), and for orders, calls to the store and attempts that are passed on, which use the same client. Other connections to such a server may be silent too: for 15 s only new ones are used.

an_ended_request_is_not_delivered_later failed before: the whole request arrived after a cancel, a time out and a stop; stuck is new.

--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -2,12 +2,16 @@
 
 #include <errno.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #include <curl/curl.h>
+#include <uthash.h>
+#include <xxhash.h>
+
+#include "io/clock.h"
+#include "io/tcp_out.h"
 
 #define RECEIVE_BUFFER_BYTES (16L * 1024) /* buffer of each transfer */
 #define CONNECTION_IDLE_MAX_S 20L         /* idle for longer: not reused */
@@ -17,14 +21,13 @@
 #define DEFAULT_CONNECTIONS_MAX 512L /* size of the connection pool */
 
 /*
- * A server may become unreachable without a reset. TCP keepalive on idle
- * connections and a limit on the age of unacknowledged data close a connection
- * to such a server after about three seconds.
+ * A request that the server's kernel has not received by then is given up;
+ * DRAIN allows no later arrival at a server that has begun to leave.
  */
-#define KEEPALIVE_IDLE_S 1
-#define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES_MAX 2
-#define UNACKNOWLEDGED_MAX_MS 3000
+#define UNACKNOWLEDGED_MAX_MS 2000u
+#define UNACKNOWLEDGED_CHECK_S 0.25
+/* Until the kernel has ended the other silent connections to the server. */
+#define SUSPECT_MS 15000u
 
 struct at_transfer {
 	at_httpc_t *httpc;
@@ -45,16 +48,33 @@
 	uint64_t body_bytes;
 	uint64_t body_max_bytes; /* 0: no limit */
 	uint32_t idle_reads;     /* of the socket, since the response went on */
+	int fd;                  /* once the request was sent, else -1 */
+	int is_released;         /* the request has reached the server */
+	int pending_bytes;       /* when it was last checked */
+	uint64_t progress_ms;    /* of sending */
+	uint64_t address;        /* hash of the server's address */
 	int headers_received;
 	int is_added; /* added to the multi handle */
 	int is_cancelled;
 };
 
+/*
+ * A server of which a connection has become silent. Others that are open may be
+ * as silent, so that only new ones are used.
+ */
+typedef struct suspect {
+	uint64_t address;
+	uint64_t until_ms;
+	UT_hash_handle hh;
+} suspect_t;
+
 struct at_httpc {
 	struct ev_loop *loop;
 	CURLM *multi;
 	ev_timer timer;
+	ev_timer unacknowledged_timer;
 	at_transfer_t *transfers;
+	suspect_t *suspects;     /* hash table by address */
 	at_httpc_open_t on_open; /* NULL: none */
 	void *open_ctx;
 	int callback_depth;      /* nested callbacks of libcurl */
@@ -71,6 +91,58 @@
 static void transfer_free(at_transfer_t *transfer);
 static void transfer_finish(at_transfer_t *transfer, CURLcode code);
 
+/* Returns a hash of the scheme, host and port of a URL. */
+static uint64_t
+address_hash(const char *url)
+{
+	const char *host = strstr(url, "://");
+
+	return XXH3_64bits(url,
+	    host == NULL ? strlen(url)
+			 : 3 + strcspn(host + 3, "/") + (size_t)(host - url));
+}
+
+static void
+suspects_add(at_httpc_t *httpc, uint64_t address, uint64_t now_ms)
+{
+	suspect_t *suspect;
+
+	HASH_FIND(hh, httpc->suspects, &address, sizeof(address), suspect);
+	if (suspect == NULL) {
+		suspect = calloc(1, sizeof(*suspect));
+		if (suspect == NULL)
+			return;
+		suspect->address = address;
+		HASH_ADD(hh, httpc->suspects, address, sizeof(suspect->address),
+		    suspect);
+	}
+	suspect->until_ms = now_ms + SUSPECT_MS;
+}
+
+/* Also forgets those that are due. */
+static int
+is_suspect(at_httpc_t *httpc, uint64_t address)
+{
+	uint64_t now_ms;
+	suspect_t *suspect;
+	suspect_t *next;
+	int found = 0;
+
+	if (httpc->suspects == NULL)
+		return 0;
+	now_ms = at_clock_now_ms();
+	HASH_ITER(hh, httpc->suspects, suspect, next)
+	{
+		if (now_ms >= suspect->until_ms) {
+			HASH_DEL(httpc->suspects, suspect);
+			free(suspect);
+		} else if (suspect->address == address) {
+			found = 1;
+		}
+	}
+	return found;
+}
+
 /*
  * libcurl does not allow handles to be added or removed within its callbacks.
  * Transfers that a callback starts or cancels are added or removed here.
@@ -180,6 +252,84 @@
 	return 0;
 }
 
+/* libcurl no longer waits for this socket; it is still open. */
+static void
+forget_socket(CURL *easy, curl_socket_t fd)
+{
+	at_transfer_t *transfer = NULL;
+
+	(void)curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
+	if (transfer == NULL || transfer->fd != fd)
+		return;
+	if (transfer->is_released)
+		tcp_out_hold(fd);
+	transfer->is_released = 0;
+	transfer->fd = -1;
+}
+
+/* The socket of a transfer is known once libcurl waits for the response. */
+static void
+note_socket(at_httpc_t *httpc, CURL *easy, curl_socket_t fd)
+{
+	at_transfer_t *transfer = NULL;
+
+	(void)curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
+	if (transfer == NULL || transfer->send_count == 0 || transfer->fd == fd)
+		return;
+	transfer->fd = fd;
+	transfer->is_released = 0;
+	transfer->pending_bytes = 0;
+	transfer->progress_ms = at_clock_now_ms();
+	if (!ev_is_active(&httpc->unacknowledged_timer))
+		ev_timer_again(httpc->loop, &httpc->unacknowledged_timer);
+}
+
+/* Returns non-zero if the request has been on its way for too long. */
+static int
+is_stuck(at_transfer_t *transfer, uint64_t now_ms)
+{
+	int pending =
+	    transfer->headers_received ? 0 : tcp_out_pending(transfer->fd);
+
+	if (pending == 0) {
+		transfer->is_released = 1;
+		tcp_out_release(transfer->fd);
+		return 0;
+	}
+	if (pending != transfer->pending_bytes)
+		transfer->progress_ms = now_ms;
+	transfer->pending_bytes = pending;
+	return now_ms >= transfer->progress_ms + UNACKNOWLEDGED_MAX_MS;
+}
+
+static void
+on_unacknowledged_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	at_httpc_t *httpc = timer->data;
+	uint64_t now_ms = at_clock_now_ms();
+	at_transfer_t *transfer = httpc->transfers;
+	int unacknowledged = 0;
+
+	(void)events;
+	while (transfer != NULL) {
+		if (transfer->fd < 0 || transfer->is_released ||
+		    transfer->is_cancelled) {
+			transfer = transfer->next;
+		} else if (is_stuck(transfer, now_ms)) {
+			suspects_add(httpc, transfer->address, now_ms);
+			transfer_finish(transfer, CURLE_SEND_ERROR);
+			/* Its callback may have changed the list. */
+			transfer = httpc->transfers;
+		} else {
+			unacknowledged |= !transfer->is_released;
+			transfer = transfer->next;
+		}
+	}
+	if (!unacknowledged)
+		ev_timer_stop(loop, timer);
+	apply_pending_changes(httpc);
+}
+
 static int
 socket_function(
     CURL *easy, curl_socket_t fd, int poll_action, void *ctx, void *socket_data)
@@ -189,6 +339,7 @@
 	int events = 0;
 
 	if (poll_action == CURL_POLL_REMOVE) {
+		forget_socket(easy, fd);
 		if (watcher != NULL) {
 			ev_io_stop(httpc->loop, &watcher->io);
 			free(watcher);
@@ -205,6 +356,7 @@
 		(void)curl_multi_assign(httpc->multi, fd, watcher);
 	}
 	watcher->easy = easy;
+	note_socket(httpc, easy, fd);
 	if (poll_action & CURL_POLL_IN)
 		events |= EV_READ;
 	if (poll_action & CURL_POLL_OUT)
@@ -231,6 +383,9 @@
 	}
 	ev_timer_init(&httpc->timer, on_multi_timer, 0., 0.);
 	httpc->timer.data = httpc;
+	ev_timer_init(&httpc->unacknowledged_timer, on_unacknowledged_timer, 0.,
+	    UNACKNOWLEDGED_CHECK_S);
+	httpc->unacknowledged_timer.data = httpc;
 	(void)curl_multi_setopt(
 	    httpc->multi, CURLMOPT_SOCKETFUNCTION, socket_function);
 	(void)curl_multi_setopt(httpc->multi, CURLMOPT_SOCKETDATA, httpc);
@@ -258,12 +413,21 @@
 void
 at_httpc_delete(at_httpc_t *httpc)
 {
+	suspect_t *suspect;
+	suspect_t *next;
+
 	if (httpc == NULL)
 		return;
 	while (httpc->transfers != NULL)
 		transfer_free(httpc->transfers);
 	ev_timer_stop(httpc->loop, &httpc->timer);
+	ev_timer_stop(httpc->loop, &httpc->unacknowledged_timer);
 	(void)curl_multi_cleanup(httpc->multi);
+	HASH_ITER(hh, httpc->suspects, suspect, next)
+	{
+		HASH_DEL(httpc->suspects, suspect);
+		free(suspect);
+	}
 	free(httpc);
 }
 
@@ -496,24 +660,18 @@
 }
 
 static int
-sockopt_function(void *ctx, curl_socket_t fd, curlsocktype purpose)
+closesocket_function(void *ctx, curl_socket_t fd)
 {
-	static const struct {
-		int level;
-		int name;
-		int value;
-	} options[] = {{SOL_SOCKET, SO_KEEPALIVE, 1},
-	    {IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S},
-	    {IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S},
-	    {IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES_MAX},
-	    {IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX_MS}};
-	size_t i;
+	(void)ctx;
+	return tcp_out_close(fd);
+}
 
+static int
+sockopt_function(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
 	(void)ctx;
 	(void)purpose;
-	for (i = 0; i < sizeof(options) / sizeof(options[0]); i++)
-		(void)setsockopt(fd, options[i].level, options[i].name,
-		    &options[i].value, sizeof(options[i].value));
+	tcp_out_init(fd);
 	return CURL_SOCKOPT_OK;
 }
 
@@ -557,6 +715,8 @@
 	(void)curl_easy_setopt(
 	    easy, CURLOPT_OPENSOCKETFUNCTION, opensocket_function);
 	(void)curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, transfer->httpc);
+	(void)curl_easy_setopt(
+	    easy, CURLOPT_CLOSESOCKETFUNCTION, closesocket_function);
 	if (spec->connect_only)
 		(void)curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, 1L);
 	if (spec->connect_ms != 0)
@@ -565,6 +725,8 @@
 	if (spec->total_ms != 0)
 		(void)curl_easy_setopt(
 		    easy, CURLOPT_TIMEOUT_MS, (long)spec->total_ms);
+	if (is_suspect(transfer->httpc, transfer->address))
+		(void)curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 	if (spec->new_connection) {
 		(void)curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 		(void)curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -600,6 +762,8 @@
 	transfer->idle_ms = spec->idle_ms;
 	transfer->body_max_bytes = spec->body_max_bytes;
 	transfer->forbid_resend = spec->forbid_resend;
+	transfer->fd = -1;
+	transfer->address = address_hash(spec->url);
 	ev_timer_init(&transfer->timeout, on_timeout, 0., 0.);
 	transfer->timeout.data = transfer;
 	transfer->easy = curl_easy_init();
