Keep what a server has stated while its entry is away

Where the entry of a server left the list and came back, as entries do that lapse in an outage, the server was created anew: it was no longer known that it had stated in an answer that it leaves, or its pause or limit.

Such a server is kept for 60 s after its removal. Reports name listed servers only, and orders treat a server that is not listed as gone, as before.

a_server_that_says_so_gets_no_requests, case 'the list has it again', failed before (requests reach the server again after it was listed).

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -195,9 +195,16 @@
 
 /*
  * at_fleet_remove() gives a server no new requests; it is freed when its
- * open requests have ended.
+ * open requests have ended. One that has stated that it leaves, has asked for a
+ * pause or has named a limit is kept for AT_REMOVED_SERVER_KEPT_US after that,
+ * since its entry may only have lapsed; at_fleet_expire_removed(), to be called
+ * about once a second, frees it then.
  */
+#define AT_REMOVED_SERVER_KEPT_US 60000000u
 void at_fleet_remove(at_fleet_t *fleet, at_tag_t tag);
+void at_fleet_expire_removed(at_fleet_t *fleet, uint64_t now_us);
+/* at_server_is_listed() returns zero for a server that has been removed. */
+int at_server_is_listed(const at_server_t *server);
 /* at_fleet_find() returns the server with a tag, or NULL. */
 at_server_t *at_fleet_find(const at_fleet_t *fleet, at_tag_t tag);
 /* at_fleet_each() visits all servers that the platform lists. */
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -60,10 +60,18 @@
 	return server;
 }
 
+/* What it has asked for still holds if the list has it again. */
+static int
+has_notices(const at_server_t *server)
+{
+	return server->has_stated_leaving || server->paused_until_us != 0 ||
+	       server->limit.rate_milli != 0;
+}
+
 static void
 delete_if_unused(at_fleet_t *fleet, at_server_t *server)
 {
-	if (server->is_listed || server->references > 0)
+	if (server->is_listed || server->references > 0 || has_notices(server))
 		return;
 	HASH_DEL(fleet->servers, server);
 	free(server);
@@ -133,10 +141,12 @@
 		return NULL;
 	if (entry->started_ms > server->entry.started_ms)
 		reset_incarnation(server);
-	else if (entry->heartbeat_sequence < server->entry.heartbeat_sequence)
+	else if (server->is_listed &&
+		 entry->heartbeat_sequence < server->entry.heartbeat_sequence)
 		return NULL;
 	set_entry(server, entry);
 	server->is_listed = 1;
+	server->removed_us = 0;
 	return server;
 }
 
@@ -151,6 +161,25 @@
 	delete_if_unused(fleet, server);
 }
 
+void
+at_fleet_expire_removed(at_fleet_t *fleet, uint64_t now_us)
+{
+	at_server_t *server;
+	at_server_t *next;
+
+	HASH_ITER(hh, fleet->servers, server, next)
+	{
+		if (server->is_listed)
+			continue;
+		if (server->removed_us == 0)
+			server->removed_us = now_us;
+		if (now_us < server->removed_us + AT_REMOVED_SERVER_KEPT_US)
+			continue;
+		reset_incarnation(server);
+		delete_if_unused(fleet, server);
+	}
+}
+
 void
 at_fleet_each(const at_fleet_t *fleet,
     void (*visit)(void *ctx, at_server_t *server), void *ctx)
@@ -176,6 +205,12 @@
 	return count;
 }
 
+int
+at_server_is_listed(const at_server_t *server)
+{
+	return server->is_listed;
+}
+
 const at_server_entry_t *
 at_server_entry(const at_server_t *server)
 {
@@ -291,7 +326,7 @@
 
 	for (server = fleet->servers; server != NULL && count < max;
 	     server = server->hh.next) {
-		if (server->has_stated_leaving)
+		if (server->is_listed && server->has_stated_leaving)
 			entries[count++] = (at_leaving_report_t){
 			    server->entry.tag, server->entry.started_ms};
 	}
@@ -357,9 +392,11 @@
 	     server = server->hh.next) {
 		const server_limit_t *limit = &server->limit;
 
-		if (limit->rate_milli == 0 &&
-		    (limit->received_us == 0 ||
-			now_us >= limit->received_us + AT_SERVER_LIMIT_TURN_US))
+		if (!server->is_listed ||
+		    (limit->rate_milli == 0 &&
+			(limit->received_us == 0 ||
+			    now_us >=
+				limit->received_us + AT_SERVER_LIMIT_TURN_US)))
 			continue;
 		entries[count++] = (at_limit_report_t){
 		    server->entry.tag, limit->rate_milli, limit->received_us};
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -363,6 +363,7 @@
 	}
 	at_roster_expire(entry->roster, now_us, on_member_removed, gossip);
 	at_fleet_expire_reports(entry->fleet, now_us, LOADS_MAX_AGE_US);
+	at_fleet_expire_removed(entry->fleet, now_us);
 	at_quota_set_instances(entry->quota, present, reporting, now_us);
 	at_contention_expire_reports(
 	    entry->contention, now_us, QUEUES_MAX_AGE_US);
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -305,9 +305,11 @@
 
 	HASH_ITER(hh, orders->engines, engine, next)
 	{
+		const at_server_t *server =
+		    at_fleet_find(orders->entry->fleet, engine->server);
+
 		announce_unload(engine, now_us);
-		if (at_fleet_find(orders->entry->fleet, engine->server) ==
-			NULL &&
+		if ((server == NULL || !at_server_is_listed(server)) &&
 		    engine->state != ENGINE_ORDER_SENT &&
 		    !engine->report_pending) {
 			HASH_DEL(orders->engines, engine);
--- a/tests/contract/test_server_leaving.c
+++ b/tests/contract/test_server_leaving.c
@@ -17,6 +17,7 @@
 #define DRAIN_MS 2000u
 #define REPORT_MS 500u
 #define AT_ONCE_MS 150u
+#define RELIST_MS 900u /* longer than changes of the list are collected */
 
 static const entry_fixture_request_t request = {
     "POST", "/stream/x", "id", ENTRY_FIXTURE_KEY, "m0", "prompt"};
@@ -67,6 +68,7 @@
 typedef enum change {
 	CHANGE_NONE,
 	CHANGE_HEARTBEAT,  /* a later entry of the list says "ready" */
+	CHANGE_RELISTED,   /* the entry is away for a moment */
 	CHANGE_STORE_AWAY, /* no entry can follow */
 	CHANGE_OTHER_ENTRY /* the requests come at instances not notified */
 } change_t;
@@ -77,6 +79,7 @@
 } cases[] = {
     {"the list says nothing", CHANGE_NONE},
     {"the list says ready", CHANGE_HEARTBEAT},
+    {"the list has it again", CHANGE_RELISTED},
     {"the store is away", CHANGE_STORE_AWAY},
     {"another instance was notified", CHANGE_OTHER_ENTRY},
 };
@@ -92,7 +95,11 @@
 	call_until_notified(fixture, 0);
 	if (cases[i].change == CHANGE_HEARTBEAT)
 		entry_fixture_list_server(fixture, 0, 0);
-	else if (cases[i].change == CHANGE_STORE_AWAY)
+	else if (cases[i].change == CHANGE_RELISTED) {
+		entry_fixture_unlist_server(fixture, 0);
+		entry_fixture_run_ms(fixture, RELIST_MS);
+		entry_fixture_list_server(fixture, 0, 0);
+	} else if (cases[i].change == CHANGE_STORE_AWAY)
 		standin_store_faults(fixture->store)->outage = 1;
 	entry_fixture_run_ms(fixture, REPORT_MS);
 	before = standin_server_run_count(fixture->servers[0]);
