Take a pause from each 503 with Retry-After

A server that turned a request away with 503 and Retry-After, but did not state that nothing was run, got further requests within its pause: the header was read only beside that statement, and the response was handled as a failure of the server. The two are independent now, also where an attempt is passed on. Whether the request may be repeated is decided as before: without the statement it may have run.

a_server_that_wants_a_pause_has_it, case 'refused without a statement', failed before; 'listed again' passes since servers are kept while their entry is away. Whether this is what the users saw is not proved: in their record the later refusals state that nothing was run.

--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -212,13 +212,13 @@
 		    attempt->sent_us);
 		if (server_response.is_leaving)
 			at_server_notices_leaving(call->entry, attempt->server);
+		if (server_response.pause_ms != 0)
+			note_pause(attempt, server_response.pause_ms);
 	}
 	if (server_response.is_not_run) {
 		attempt->is_refused = 1;
 		attempt->is_misplaced = server_response.is_misplaced;
 		attempt->refused_status = status;
-		if (server_response.pause_ms != 0 && attempt->server != NULL)
-			note_pause(attempt, server_response.pause_ms);
 		return;
 	}
 	if (!server_response.matches_request) {
