Remember replaced software versions over a restart of all instances

After a restart of all instances no origin of a stream is known, and a stream was taken up at the only version that is listed.

The holder of the lease records each listed version in the store, beside the objects of the instances, which each instance reads at its start anyway: no further call at a start, one for each version that comes or goes. The record is deleted when the version has not been listed for the lifetime of a stream. A resumption of unknown origin is refused while two versions are recorded or listed, or while the record has not been read.

--- a/include/almondthread/stream_origins.h
+++ b/include/almondthread/stream_origins.h
@@ -64,6 +64,23 @@
 at_tag_t at_stream_origins_only_version(
     const at_stream_origins_t *origins, at_tag_t service, uint64_t now_us);
 
+/*
+ * Versions are recorded outside, for a restart of all instances.
+ * at_stream_origins_next_unrecorded() stores a version whose record is missing,
+ * or is to be deleted since the version has not been listed for the lifetime;
+ * returns zero if there is none. at_stream_origins_set_recorded() notes that it
+ * has a record, or none any more.
+ */
+typedef struct at_stream_version {
+	at_tag_t service;
+	at_tag_t software;
+} at_stream_version_t;
+
+int at_stream_origins_next_unrecorded(const at_stream_origins_t *origins,
+    uint64_t now_us, at_stream_version_t *version, int *is_deletion);
+void at_stream_origins_set_recorded(at_stream_origins_t *origins,
+    at_tag_t service, at_tag_t software, int is_recorded);
+
 /*
  * at_stream_origins_take_new() writes the noted origins that have not been
  * reported yet, at most max, and returns their number. take_due() also writes
--- a/src/core/requests/stream_origins.c
+++ b/src/core/requests/stream_origins.c
@@ -23,6 +23,7 @@
 	at_tag_t service;
 	at_tag_t software;
 	uint64_t listed_us;
+	int is_recorded;
 } listed_version_t;
 
 /* An origin that was noted here and is still to be reported. */
@@ -177,7 +178,7 @@
 	}
 	if (origins->version_count < VERSIONS_MAX)
 		oldest = &origins->versions[origins->version_count++];
-	*oldest = (listed_version_t){service, software, 0};
+	*oldest = (listed_version_t){service, software, 0, 0};
 	return oldest;
 }
 
@@ -208,6 +209,34 @@
 	return only;
 }
 
+int
+at_stream_origins_next_unrecorded(const at_stream_origins_t *origins,
+    uint64_t now_us, at_stream_version_t *version, int *is_deletion)
+{
+	size_t i;
+
+	for (i = 0; i < origins->version_count; i++) {
+		const listed_version_t *listed = &origins->versions[i];
+		int expired = is_expired(origins, listed->listed_us, now_us);
+
+		if (listed->is_recorded != expired)
+			continue;
+		*version =
+		    (at_stream_version_t){listed->service, listed->software};
+		*is_deletion = expired;
+		return 1;
+	}
+	return 0;
+}
+
+void
+at_stream_origins_set_recorded(at_stream_origins_t *origins, at_tag_t service,
+    at_tag_t software, int is_recorded)
+{
+	find_or_add_version(origins, service, software)->is_recorded =
+	    is_recorded;
+}
+
 /* Writes the pending origins that were reported less often than below. */
 static size_t
 take_reports(at_stream_origins_t *origins, uint32_t below,
--- a/src/entry/call_admit.c
+++ b/src/entry/call_admit.c
@@ -10,6 +10,7 @@
 #include "almondthread/log.h"
 #include "entry/call_impl.h"
 #include "entry/gossip.h"
+#include "entry/join.h"
 #include "entry/orders.h"
 #include "entry/retry_budgets.h"
 #include "entry/sync.h"
@@ -262,6 +263,7 @@
 only_version(at_entry_t *entry, at_tag_t service)
 {
 	if (!at_sync_is_complete(entry->sync) ||
+	    !at_join_is_complete(entry->join) ||
 	    at_entry_is_platform_away(entry))
 		return 0;
 	at_gossip_note_versions(entry->gossip);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -11,6 +11,7 @@
 #include "entry/server_crashes.h"
 #include "entry/gossip.h"
 #include "entry/join.h"
+#include "entry/version_record.h"
 #include "entry/orders.h"
 #include "entry/reach.h"
 #include "entry/readiness.h"
@@ -125,6 +126,7 @@
 	entry->relay = at_relay_new(entry);
 	entry->sync = at_sync_new(entry);
 	entry->join = at_join_new(entry);
+	entry->version_record = at_version_record_new(entry);
 	entry->gossip = at_gossip_new(entry);
 	entry->orders = at_orders_io_new(entry);
 	entry->readiness = at_readiness_new(entry);
@@ -132,8 +134,8 @@
 		       entry->crashes == NULL || entry->blocks == NULL ||
 		       entry->reach == NULL || entry->relay == NULL ||
 		       entry->sync == NULL || entry->join == NULL ||
-		       entry->gossip == NULL || entry->orders == NULL ||
-		       entry->readiness == NULL
+		       entry->version_record == NULL || entry->gossip == NULL ||
+		       entry->orders == NULL || entry->readiness == NULL
 		   ? -1
 		   : 0;
 }
@@ -362,6 +364,7 @@
 	at_crash_blocks_delete(entry->blocks);
 	at_server_crashes_delete(entry->crashes);
 	at_join_delete(entry->join);
+	at_version_record_delete(entry->version_record);
 	if (entry->sync != NULL)
 		at_sync_delete(entry->sync);
 	at_wire_store_delete(entry->wire_store);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -18,6 +18,7 @@
  *   relay.c      attempts passed on for instances that reach none;
  *                relay_header.c has the header that both sides use
  *   join.c       discovery of the other instances
+ *   version_record.c  recently listed versions of servers, in the store
  *   orders.c     the lease and orders to model engines
  *   readiness.c  readiness check and metrics
  */
@@ -72,6 +73,7 @@
 typedef struct at_gossip at_gossip_t;
 typedef struct at_roster at_roster_t;
 typedef struct at_join at_join_t;
+typedef struct at_version_record at_version_record_t;
 typedef struct at_orders_io at_orders_io_t;
 typedef struct at_readiness at_readiness_t;
 typedef struct at_reach_io at_reach_io_t;
@@ -111,6 +113,7 @@
 	at_relay_t *relay;
 	at_roster_t *roster;
 	at_join_t *join;
+	at_version_record_t *version_record;
 	at_orders_io_t *orders;
 	at_readiness_t *readiness;
 	at_call_t *calls;
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -13,6 +13,7 @@
 #include "entry/orders.h"
 #include "entry/retry_budgets.h"
 #include "entry/sync.h"
+#include "entry/version_record.h"
 #include "io/address.h"
 #include "io/clock.h"
 
@@ -369,6 +370,7 @@
 	    entry->contention, now_us, QUEUES_MAX_AGE_US);
 	at_retry_budgets_set_instances(entry->retries, present);
 	at_server_notices_on_round(entry, now_us);
+	at_version_record_on_round(entry->version_record, now_us);
 }
 
 static void
--- a/src/entry/join.c
+++ b/src/entry/join.c
@@ -8,10 +8,9 @@
 
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
+#include "entry/version_record.h"
 #include "io/clock.h"
 
-/* Kind of this system's objects in the store. */
-#define OBJECT_KIND "entry-instances"
 #define RETRY_MIN_S 0.2 /* delay after a failed call */
 #define RETRY_MAX_S 3.2 /* the delay doubles up to this limit */
 
@@ -103,6 +102,8 @@
 	    json_string_value(json_object_get(spec, "data_centre"));
 	at_name_t name;
 
+	if (at_version_record_apply(join->entry->version_record, object->name))
+		return;
 	if (address == NULL || data_centre == NULL ||
 	    at_name_set(&name, object->name) != 0) {
 		at_log(AT_LOG_WARN, "join", NULL,
@@ -149,7 +150,7 @@
 
 	json_decref(value);
 	(void)snprintf(
-	    name, sizeof(name), OBJECT_KIND "/%s", entry->settings.name);
+	    name, sizeof(name), AT_INSTANCES_KIND "/%s", entry->settings.name);
 	if (text != NULL)
 		entry->store.put(entry->store.impl, name, join->version, text,
 		    strlen(text), on_written, join);
@@ -162,9 +163,10 @@
 	if (join->state == JOIN_WRITING)
 		write_own_object(join);
 	else if (join->state == JOIN_READING)
-		join->call = join->objects.list(join->objects.impl, OBJECT_KIND,
-		    join->list_after[0] == '\0' ? NULL : join->list_after,
-		    on_list, join);
+		join->call =
+		    join->objects.list(join->objects.impl, AT_INSTANCES_KIND,
+			join->list_after[0] == '\0' ? NULL : join->list_after,
+			on_list, join);
 }
 
 static void
@@ -228,6 +230,7 @@
 	at_entry_t *entry = join->entry;
 	char name[2 * AT_NAME_SIZE];
 
-	(void)snprintf(name, sizeof(name), OBJECT_KIND "/%s", instance->text);
+	(void)snprintf(
+	    name, sizeof(name), AT_INSTANCES_KIND "/%s", instance->text);
 	entry->store.del(entry->store.impl, name, 0, on_removed, join);
 }
--- /dev/null
+++ b/src/entry/version_record.c
@@ -0,0 +1,108 @@
+#include "entry/version_record.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "almondthread/log.h"
+#include "almondthread/stream_origins.h"
+#include "entry/gossip.h"
+#include "entry/orders.h"
+#include "io/clock.h"
+
+#define NAME_FORMAT "software-%016" PRIx64 "-%016" PRIx64
+#define CHECK_INTERVAL_US 1000000u
+
+struct at_version_record {
+	at_entry_t *entry;
+	uint64_t checked_us;
+	/* Of the open call; one at a time. */
+	int is_calling;
+	int is_deletion;
+	at_stream_version_t version;
+};
+
+at_version_record_t *
+at_version_record_new(at_entry_t *entry)
+{
+	at_version_record_t *record = calloc(1, sizeof(*record));
+
+	if (record != NULL)
+		record->entry = entry;
+	return record;
+}
+
+void
+at_version_record_delete(at_version_record_t *record)
+{
+	free(record);
+}
+
+int
+at_version_record_apply(at_version_record_t *record, const char *name)
+{
+	at_stream_origins_t *origins = record->entry->origins;
+	at_tag_t service;
+	at_tag_t software;
+	int end = 0;
+
+	if (sscanf(name, "software-%16" SCNx64 "-%16" SCNx64 "%n", &service,
+		&software, &end) != 2 ||
+	    name[end] != '\0')
+		return 0;
+	at_stream_origins_note_listed(
+	    origins, service, software, at_clock_now_us());
+	at_stream_origins_set_recorded(origins, service, software, 1);
+	return 1;
+}
+
+static void
+on_called(void *ctx, const at_store_result_t *result)
+{
+	at_version_record_t *record = ctx;
+	/* Another holder may have done it. */
+	int is_done = result->code == AT_STORE_OK ||
+		      result->code == (record->is_deletion ? AT_STORE_NOT_FOUND
+							   : AT_STORE_CONFLICT);
+
+	record->is_calling = 0;
+	at_log(is_done ? AT_LOG_INFO : AT_LOG_WARN, "versions", NULL,
+	    "recorded version %s service=%016" PRIx64 " software=%016" PRIx64
+	    " result=%s",
+	    record->is_deletion ? "deleted" : "written",
+	    record->version.service, record->version.software,
+	    at_store_code_names[result->code]);
+	if (is_done)
+		at_stream_origins_set_recorded(record->entry->origins,
+		    record->version.service, record->version.software,
+		    !record->is_deletion);
+}
+
+void
+at_version_record_on_round(at_version_record_t *record, uint64_t now_us)
+{
+	at_entry_t *entry = record->entry;
+	char name[2 * AT_NAME_SIZE];
+	static const char value[] = "{}";
+
+	if (record->is_calling || now_us < record->checked_us ||
+	    at_orders_io_fence(entry->orders) == 0 ||
+	    at_entry_is_platform_away(entry))
+		return;
+	record->checked_us = now_us + CHECK_INTERVAL_US;
+	at_gossip_note_versions(entry->gossip);
+	if (!at_stream_origins_next_unrecorded(
+		entry->origins, now_us, &record->version, &record->is_deletion))
+		return;
+	(void)snprintf(name, sizeof(name), AT_INSTANCES_KIND "/" NAME_FORMAT,
+	    record->version.service, record->version.software);
+	record->is_calling = 1;
+	/* Several versions follow one another without a pause. */
+	record->checked_us = now_us;
+	if (record->is_deletion)
+		entry->store.del(entry->store.impl, name, 0, on_called, record);
+	else
+		entry->store.put(entry->store.impl, name, 0, value,
+		    sizeof(value) - 1, on_called, record);
+}
--- a/tests/contract/test_stream_versions.c
+++ b/tests/contract/test_stream_versions.c
@@ -326,6 +326,45 @@
 	entry_fixture_delete(fixture);
 }
 
+/* How long the holder of the lease takes to record a version. */
+#define RECORDED_MS 4000u
+
+static int
+has_no_v1(void *ctx)
+{
+	const entry_fixture_t *fixture = ctx;
+
+	return at_fleet_find(fixture->entries[0]->fleet,
+		   at_tag_from_text(fixture->ids[0])) == NULL;
+}
+
+/* Nobody knows of v1 any more: the rest of the stream came from v2. */
+Test(stream_versions, a_stream_of_a_replaced_version_outlives_all_instances)
+{
+	entry_fixture_t *fixture = make_fixture(2);
+	size_t entry;
+	int i;
+
+	begin_stream(fixture, 0);
+	entry_fixture_run_ms(fixture, RECORDED_MS);
+	add_engine(fixture, "v2");
+	entry_fixture_run_until_ready(fixture);
+	entry_fixture_unlist_server(fixture, 0);
+	entry_fixture_run_until(fixture, has_no_v1, fixture);
+	entry_fixture_remove_entry(fixture, 0);
+	entry_fixture_remove_entry(fixture, 1);
+	fixture->server_count--; /* wait for v2 only */
+	entry = entry_fixture_add_entry(fixture);
+	entry_fixture_run_until_ready(fixture);
+	fixture->server_count++;
+	for (i = 0; i < RESUMPTIONS; i++) {
+		cr_assert_eq(resume_stream(fixture, entry, STREAM_ID), 503);
+		entry_fixture_run_ms(fixture, REPORT_MS);
+	}
+	cr_assert_eq(count_runs(fixture, "v2"), 0);
+	entry_fixture_delete(fixture);
+}
+
 /* Streams that no server may continue, or whose origin is not known. */
 static const struct {
 	const char *name;
@@ -345,15 +384,6 @@
     {"unknown, the list may be outdated", "unknown", 0, 0, 1, 503},
 };
 
-static int
-has_no_v1(void *ctx)
-{
-	const entry_fixture_t *fixture = ctx;
-
-	return at_fleet_find(fixture->entries[0]->fleet,
-		   at_tag_from_text(fixture->ids[0])) == NULL;
-}
-
 static int
 is_platform_away(void *ctx)
 {
