Send nothing for a caller that has left

Far beyond its capacity an instance is seconds behind its sockets. It reads requests whose callers have closed meanwhile, and sent them to servers: it learned of the close only from its check of suspended requests, 50 ms and more later.

Before an attempt is placed, the kernel is asked whether the caller has closed. Then nothing is sent, and the request takes no place, no part of a limit and no part of a retry budget.

a_request_whose_caller_has_left_is_not_sent failed before (requests of closed connections ran).

--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -294,6 +294,13 @@
 					: AT_REASON_NO_BACKEND;
 }
 
+/* The caller has closed, and nothing of the attempt has been sent. */
+static int
+has_left(const at_call_t *call)
+{
+	return call->request == NULL || at_httpd_is_caller_gone(call->request);
+}
+
 /* Places the next attempt at a backend server, or queues or refuses it. */
 static void
 place_attempt(at_call_t *call, const at_action_t *action)
@@ -303,8 +310,7 @@
 	at_admission_decision_t decision;
 
 	call->queued_attempt = action->attempt;
-	/* The caller has closed, and nothing of the request has been sent. */
-	if (call->request == NULL) {
+	if (has_left(call)) {
 		at_attempts_on_not_placed(call->attempts, action->attempt,
 		    AT_REASON_CALLER_GONE, at_clock_now_ms());
 		return;
@@ -504,7 +510,12 @@
 		at_counters_observe(entry->counters, "waited_ms", "route",
 		    at_route_type_names[call->route->type],
 		    call->waited_us / US_PER_MS);
-		call_attempt_start(call, call->queued_attempt, &choice);
+		if (has_left(call))
+			at_attempts_on_not_placed(call->attempts,
+			    call->queued_attempt, AT_REASON_CALLER_GONE,
+			    at_clock_now_ms());
+		else
+			call_attempt_start(call, call->queued_attempt, &choice);
 		call_process(call);
 	}
 }
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -147,6 +147,11 @@
     void (*finalizer)(void *ctx, int status), void *ctx);
 void at_httpd_set_caller_closed_handler(
     at_httpd_request_t *request, at_httpd_closed_t handler);
+/*
+ * at_httpd_is_caller_gone() asks the kernel whether the caller has closed its
+ * connection; the handler may be called later, if there is much to do.
+ */
+int at_httpd_is_caller_gone(const at_httpd_request_t *request);
 void at_httpd_set_drain_handler(
     at_httpd_request_t *request, at_httpd_drain_t handler);
 
--- a/src/io/httpd_loop.c
+++ b/src/io/httpd_loop.c
@@ -29,6 +29,24 @@
 	return 0;
 }
 
+static int
+caller_fd(const at_httpd_request_t *request)
+{
+	return MHD_get_connection_info(
+	    request->connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+	    ->connect_fd;
+}
+
+int
+at_httpd_is_caller_gone(const at_httpd_request_t *request)
+{
+	struct pollfd caller = {.fd = caller_fd(request), .events = POLLRDHUP};
+
+	return request->caller_closed ||
+	       (poll(&caller, 1, 0) > 0 &&
+		   (caller.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
+}
+
 /* Polls suspended connections, which libmicrohttpd does not read. */
 static void
 check_closed_callers(at_httpd_t *httpd)
@@ -39,15 +57,11 @@
 
 	for (request = httpd->requests; request != NULL;
 	     request = request->next) {
-		const union MHD_ConnectionInfo *info;
-
 		if (!request->is_suspended || request->caller_closed)
 			continue;
 		if (count == httpd->poll_size && grow_poll_arrays(httpd) != 0)
 			break;
-		info = MHD_get_connection_info(
-		    request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-		httpd->poll_fds[count].fd = info->connect_fd;
+		httpd->poll_fds[count].fd = caller_fd(request);
 		httpd->poll_fds[count].events = POLLRDHUP;
 		httpd->poll_requests[count] = request;
 		count++;
--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -5,6 +5,7 @@
  */
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <criterion/criterion.h>
@@ -12,6 +13,7 @@
 
 #include "entry/gossip_impl.h"
 #include "entry/sync.h"
+#include "io/address.h"
 #include "io/clock.h"
 #include "platform/names.h"
 #include "support/entry_fixture.h"
@@ -565,6 +567,50 @@
 	entry_fixture_delete(fixture);
 }
 
+static int
+connect_to(const char *address)
+{
+	struct sockaddr_in addr;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	cr_assert_eq(at_address_parse(address, &addr), 0);
+	cr_assert_eq(
+	    connect(fd, (const struct sockaddr *)&addr, sizeof(addr)), 0);
+	return fd;
+}
+
+#define LEFT_COUNT 20
+
+/* An instance that is behind read requests whose callers had long left. */
+Test(entry_path, a_request_whose_caller_has_left_is_not_sent)
+{
+	entry_fixture_t *fixture = make_fixture();
+	uint64_t before = 0;
+	uint64_t after = 0;
+	char text[512];
+	size_t i;
+
+	for (i = 0; i < fixture->server_count; i++)
+		before += standin_server_run_count(fixture->servers[i]);
+	for (i = 0; i < LEFT_COUNT; i++) {
+		int fd = connect_to(fixture->addresses[0]);
+		int len = snprintf(text, sizeof(text),
+		    "POST /safe/x HTTP/1.1\r\nHost: " ENTRY_FIXTURE_HOST
+		    "\r\n" WIRE_REQUEST_ID ": left-%zu\r\n"
+		    "Authorization: Bearer " ENTRY_FIXTURE_KEY "\r\n"
+		    "Content-Length: 4\r\n\r\nbody",
+		    i);
+
+		cr_assert_eq(write(fd, text, (size_t)len), len);
+		(void)close(fd);
+	}
+	entry_fixture_run_ms(fixture, 500);
+	for (i = 0; i < fixture->server_count; i++)
+		after += standin_server_run_count(fixture->servers[i]);
+	cr_assert_eq(after, before);
+	entry_fixture_delete(fixture);
+}
+
 static int
 has_one_call(void *ctx)
 {
