--- a/tests/support/links.c
+++ b/tests/support/links.c
@@ -122,8 +122,8 @@
 	links_t *links = ctx;
 
 	links->of[entry].links = links;
-	at_httpc_set_open_handler(links->fixture->entries[entry]->httpc,
-	    on_open, &links->of[entry]);
+	at_httpc_set_open_handler(
+	    links->fixture->entries[entry]->httpc, on_open, &links->of[entry]);
 }
 
 links_t *
