--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -198,7 +198,7 @@
  * open requests have ended. One that has stated that it leaves, has asked for a
  * pause or has named a limit is kept for AT_REMOVED_SERVER_KEPT_US after that,
  * since its entry may only have lapsed; at_fleet_expire_removed(), to be called
- * about once a second, frees it then.
+ * several times a second, frees it then.
  */
 #define AT_REMOVED_SERVER_KEPT_US 60000000u
 void at_fleet_remove(at_fleet_t *fleet, at_tag_t tag);
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -161,23 +161,27 @@
 	delete_if_unused(fleet, server);
 }
 
+/* Frees one server at most; the others follow in the next calls. */
 void
 at_fleet_expire_removed(at_fleet_t *fleet, uint64_t now_us)
 {
+	at_server_t *expired = NULL;
 	at_server_t *server;
-	at_server_t *next;
 
-	HASH_ITER(hh, fleet->servers, server, next)
-	{
+	for (server = fleet->servers; server != NULL;
+	     server = server->hh.next) {
 		if (server->is_listed)
 			continue;
 		if (server->removed_us == 0)
 			server->removed_us = now_us;
-		if (now_us < server->removed_us + AT_REMOVED_SERVER_KEPT_US)
-			continue;
-		reset_incarnation(server);
-		delete_if_unused(fleet, server);
+		if (server->references == 0 &&
+		    now_us >= server->removed_us + AT_REMOVED_SERVER_KEPT_US)
+			expired = server;
 	}
+	if (expired == NULL)
+		return;
+	reset_incarnation(expired);
+	delete_if_unused(fleet, expired);
 }
 
 void
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -468,3 +468,51 @@
 		at_fleet_delete(fleet);
 	}
 }
+
+/* What a removed server has stated holds if its entry had only lapsed. */
+static const struct {
+	const char *name;
+	int states_leaving;
+	int wants_pause;
+	int names_limit;
+	int is_kept;
+} notices[] = {
+    {"nothing", 0, 0, 0, 0},
+    {"it leaves", 1, 0, 0, 1},
+    {"a pause", 0, 1, 0, 1},
+    {"a limit", 0, 0, 1, 1},
+};
+
+Test(fleet, keeps_what_a_removed_server_has_stated)
+{
+	const at_tag_t tag = at_tag_from_text("one");
+	size_t i;
+
+	for (i = 0; i < sizeof(notices) / sizeof(notices[0]); i++) {
+		at_fleet_t *fleet = make_fleet();
+		at_server_t *server =
+		    add_server(fleet, "one", "plain", "north", NULL);
+
+		if (notices[i].states_leaving)
+			(void)at_server_note_leaving(server);
+		if (notices[i].wants_pause)
+			at_server_note_pause(server, 5000000);
+		if (notices[i].names_limit)
+			(void)at_server_note_limit(server, 1000, 1);
+		at_fleet_remove(fleet, tag);
+		at_fleet_expire_removed(fleet, 1000000);
+		cr_assert_eq(at_fleet_find(fleet, tag) != NULL,
+		    notices[i].is_kept, "%s", notices[i].name);
+		server = add_server(fleet, "one", "plain", "north", NULL);
+		cr_assert(at_server_is_listed(server));
+		cr_assert_eq(at_server_entry(server)->is_leaving,
+		    notices[i].states_leaving, "%s", notices[i].name);
+		at_fleet_remove(fleet, tag);
+		at_fleet_expire_removed(fleet, 2000000);
+		at_fleet_expire_removed(
+		    fleet, 2000000 + AT_REMOVED_SERVER_KEPT_US);
+		cr_assert_null(
+		    at_fleet_find(fleet, tag), "%s", notices[i].name);
+		at_fleet_delete(fleet);
+	}
+}
