Bound the queue of new connections by what the processor can read

Up to 4,096 new connections waited in the kernel. Far beyond its capacity an instance with a quarter of a core accepted callers seconds after they had connected, and read requests that nobody waited for; requests that it could still have served in time waited behind them.

The queue holds what the processor can read, or refuse, in the second that callers wait for a connection; further ones are not accepted, so that callers turn to another instance.

connections_beyond_the_backlog_are_not_accepted failed with the system's queue (more than 17 of 100 accepted).

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -9,6 +9,7 @@
 #include "entry/call.h"
 #include "entry/crash_blocks.h"
 #include "entry/server_crashes.h"
+#include "entry/entry_settings.h"
 #include "entry/gossip.h"
 #include "entry/join.h"
 #include "entry/version_record.h"
@@ -152,6 +153,7 @@
 	at_httpd_set_handler(entry->callers, at_call_handle, entry);
 	at_httpd_set_fault_handler(entry->callers, at_call_handle_fault, entry);
 	at_httpd_set_max_body(entry->callers, DEFAULT_BODY_MAX_BYTES);
+	at_httpd_set_backlog(entry->callers, at_entry_settings_backlog(s));
 	if (at_wire_store_init(entry->wire_store, s->store, status) != AT_OK ||
 	    at_readiness_init(entry->readiness, status) != AT_OK ||
 	    at_gossip_init(entry->gossip, status) != AT_OK ||
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -1,5 +1,12 @@
 #include "entry/entry_settings.h"
 
+#include <sys/socket.h>
+
+/* Connections that a core reads, or refuses, in the second that callers wait.
+ */
+#define CONNECTIONS_PER_CORE 1000
+#define BACKLOG_MIN 64
+
 int
 at_entry_settings_read(at_entry_settings_t *s, int argc, char **argv,
     const char *path, at_settings_file_t **file, at_status_t *status)
@@ -60,3 +67,14 @@
 		return -1;
 	return at_settings_read_with(table, count, argc, argv, *file, status);
 }
+
+int
+at_entry_settings_backlog(const at_entry_settings_t *s)
+{
+	double connections =
+	    s->processor_share * s->cores * CONNECTIONS_PER_CORE;
+
+	if (connections < BACKLOG_MIN)
+		return BACKLOG_MIN;
+	return connections < SOMAXCONN ? (int)connections : SOMAXCONN;
+}
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -18,4 +18,11 @@
 int at_entry_settings_read(at_entry_settings_t *settings, int argc, char **argv,
     const char *path, at_settings_file_t **file, at_status_t *status);
 
+/*
+ * at_entry_settings_backlog() returns how many new connections may wait: those
+ * that the processor can read before their callers give up. Of more, each would
+ * be read too late.
+ */
+int at_entry_settings_backlog(const at_entry_settings_t *settings);
+
 #endif
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -42,6 +42,7 @@
 	httpd->body_timeout_ms = DEFAULT_BODY_TIMEOUT_MS;
 	httpd->closed_check_ms = DEFAULT_CLOSED_CHECK_MS;
 	httpd->listen_fd = -1;
+	httpd->backlog = SOMAXCONN;
 	return httpd;
 }
 
@@ -58,6 +59,12 @@
 	httpd->closed_check_ms = interval_ms;
 }
 
+void
+at_httpd_set_backlog(at_httpd_t *httpd, int connections)
+{
+	httpd->backlog = connections;
+}
+
 void
 at_httpd_set_max_body(at_httpd_t *httpd, size_t bytes)
 {
@@ -384,7 +391,7 @@
 }
 
 static int
-listen_on(const struct sockaddr_in *addr, uint16_t *port)
+listen_on(const struct sockaddr_in *addr, int backlog, uint16_t *port)
 {
 	struct sockaddr_in bound = {0};
 	socklen_t len = sizeof(bound);
@@ -395,7 +402,7 @@
 		return -1;
 	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) != 0 ||
-	    listen(fd, SOMAXCONN) != 0 ||
+	    listen(fd, backlog) != 0 ||
 	    getsockname(fd, (struct sockaddr *)&bound, &len) != 0) {
 		(void)close(fd);
 		return -1;
@@ -413,7 +420,7 @@
 	if (at_address_parse(address, &addr) != 0)
 		return at_status_set(
 		    status, AT_INVALID, "'%s': expected IP:PORT", address);
-	httpd->listen_fd = listen_on(&addr, &httpd->port);
+	httpd->listen_fd = listen_on(&addr, httpd->backlog, &httpd->port);
 	if (httpd->listen_fd < 0)
 		return at_status_set(status, AT_FAILED,
 		    "cannot listen on %s: %s", address, strerror(errno));
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -76,6 +76,11 @@
  * of the body.
  */
 void at_httpd_set_body_timeout(at_httpd_t *httpd, uint32_t timeout_ms);
+/*
+ * at_httpd_set_backlog() sets how many new connections may wait to be accepted;
+ * as many as the system allows without it. To be called before at_httpd_init().
+ */
+void at_httpd_set_backlog(at_httpd_t *httpd, int connections);
 /* at_httpd_set_max_body() limits the body; a larger one is a fault. */
 void at_httpd_set_max_body(at_httpd_t *httpd, size_t bytes);
 /*
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -75,6 +75,7 @@
 	void (*on_body_timeout)(void *ctx);
 	void *body_timeout_ctx;
 	int listen_fd;
+	int backlog;
 	uint16_t port;
 	int is_quiescing;
 	int is_aborting;     /* the server is being deleted */
--- a/tests/contract/test_httpd.c
+++ b/tests/contract/test_httpd.c
@@ -2,6 +2,7 @@
  * An HTTP server may be deleted at any time: while requests wait for their
  * response, and with requests in its sockets that it has not read yet.
  */
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -252,3 +253,41 @@
 	at_httpd_delete(httpd);
 	ev_loop_destroy(loop);
 }
+
+#define BACKLOG 16
+#define CONNECTING 100
+
+/* An instance that was behind accepted callers long after they had left. */
+Test(httpd, connections_beyond_the_backlog_are_not_accepted)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	at_httpd_t *httpd = at_httpd_new(loop);
+	struct pollfd fds[CONNECTING];
+	struct sockaddr_in addr;
+	at_status_t status;
+	unsigned int handled = 0;
+	int connected = 0;
+	size_t i;
+
+	at_httpd_set_handler(httpd, count_request, &handled);
+	at_httpd_set_backlog(httpd, BACKLOG);
+	cr_assert_eq(at_httpd_init(httpd, "127.0.0.1:0", &status), AT_OK);
+	cr_assert_eq(at_address_parse("127.0.0.1:0", &addr), 0);
+	addr.sin_port = htons(at_httpd_port(httpd));
+	for (i = 0; i < CONNECTING; i++) {
+		fds[i].fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		fds[i].events = POLLOUT;
+		(void)connect(
+		    fds[i].fd, (const struct sockaddr *)&addr, sizeof(addr));
+	}
+	(void)poll(fds, CONNECTING, 100);
+	for (i = 0; i < CONNECTING; i++) {
+		connected += (fds[i].revents & POLLOUT) != 0;
+		(void)close(fds[i].fd);
+	}
+	cr_assert_geq(connected, BACKLOG);
+	/* Linux takes one more than it was told. */
+	cr_assert_leq(connected, BACKLOG + 1);
+	at_httpd_delete(httpd);
+	ev_loop_destroy(loop);
+}
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <criterion/criterion.h>
@@ -121,3 +122,25 @@
 		at_settings_file_delete(file);
 	}
 }
+
+static const struct {
+	double processor_share;
+	uint32_t cores;
+	int backlog;
+} backlogs[] = {
+    {0.01, 1, 64}, {0.25, 1, 250}, {0.5, 4, 2000}, {1., 64, SOMAXCONN}};
+
+/* Connections that cannot be read in time are not accepted. */
+Test(settings, the_backlog_follows_the_processor)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(backlogs) / sizeof(backlogs[0]); i++) {
+		const at_entry_settings_t settings = {
+		    .processor_share = backlogs[i].processor_share,
+		    .cores = backlogs[i].cores};
+
+		cr_assert_eq(
+		    at_entry_settings_backlog(&settings), backlogs[i].backlog);
+	}
+}
