Names and comments of silent addresses; a pause after a failed record

Read as a newcomer: 'suspect' stands for requests that crash servers elsewhere. A version that could not be recorded was tried again in each round of reports, ten times a second; it waits for a second now, as meant.

--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -514,7 +514,7 @@
    */
   uint64_t read_age_ms;
   /*
-   * Since when the reader has had such confirmations without an interruption.
+   * For how long the reader has had such confirmations without an interruption.
    */
   uint64_t steady_ms;
   /*
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -78,8 +78,7 @@
 	/* No requests until then, and one at a time later; 0: no pause. */
 	uint64_t paused_until_us;
 	uint32_t references; /* requests of this instance that point to it */
-	uint64_t
-	    removed_us; /* when it was first seen to be not listed; 0: it is */
+	uint64_t removed_us; /* first seen to be not listed; 0: it is listed */
 	/* Load from this instance, except recent_tokens. */
 	at_load_t own_load;
 	/* Prompt tokens sent there, decayed up to recent_us. */
--- a/src/entry/entry_settings.c
+++ b/src/entry/entry_settings.c
@@ -2,8 +2,7 @@
 
 #include <sys/socket.h>
 
-/* Connections that a core reads, or refuses, in the second that callers wait.
- */
+/* Connections that a core can read in the second that callers wait. */
 #define CONNECTIONS_PER_CORE 1000
 #define BACKLOG_MIN 64
 
--- a/src/entry/sync.h
+++ b/src/entry/sync.h
@@ -47,7 +47,7 @@
  */
 uint64_t at_sync_confirmation_age_ms(const at_sync_t *sync);
 /*
- * at_sync_steady_ms() returns since when there have been such confirmations
+ * at_sync_steady_ms() returns for how long there have been such confirmations
  * without an interruption in which entries of the list could have lapsed. The
  * reader sends it, too.
  */
--- a/src/entry/version_record.c
+++ b/src/entry/version_record.c
@@ -73,10 +73,13 @@
 	    record->is_deletion ? "deleted" : "written",
 	    record->version.service, record->version.software,
 	    at_store_code_names[result->code]);
-	if (is_done)
+	if (is_done) {
 		at_stream_origins_set_recorded(record->entry->origins,
 		    record->version.service, record->version.software,
 		    !record->is_deletion);
+		/* The next version follows without a pause. */
+		record->checked_us = 0;
+	}
 }
 
 void
@@ -98,8 +101,6 @@
 	(void)snprintf(name, sizeof(name), AT_INSTANCES_KIND "/" NAME_FORMAT,
 	    record->version.service, record->version.software);
 	record->is_calling = 1;
-	/* Several versions follow one another without a pause. */
-	record->checked_us = now_us;
 	if (record->is_deletion)
 		entry->store.del(entry->store.impl, name, 0, on_called, record);
 	else
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -21,13 +21,13 @@
 #define DEFAULT_CONNECTIONS_MAX 512L /* size of the connection pool */
 
 /*
- * A request that the server's kernel has not received by then is given up;
- * DRAIN allows no later arrival at a server that has begun to leave.
+ * A request that the server's kernel has not received by then is given up: it
+ * must not arrive at a server that has begun to leave meanwhile.
  */
 #define UNACKNOWLEDGED_MAX_MS 2000u
 #define UNACKNOWLEDGED_CHECK_S 0.25
 /* Until the kernel has ended the other silent connections to the server. */
-#define SUSPECT_MS 15000u
+#define SILENT_ADDRESS_MS 15000u
 
 struct at_transfer {
 	at_httpc_t *httpc;
@@ -62,11 +62,11 @@
  * A server of which a connection has become silent. Others that are open may be
  * as silent, so that only new ones are used.
  */
-typedef struct suspect {
+typedef struct silent_address {
 	uint64_t address;
 	uint64_t until_ms;
 	UT_hash_handle hh;
-} suspect_t;
+} silent_address_t;
 
 struct at_httpc {
 	struct ev_loop *loop;
@@ -74,8 +74,8 @@
 	ev_timer timer;
 	ev_timer unacknowledged_timer;
 	at_transfer_t *transfers;
-	suspect_t *suspects;     /* hash table by address */
-	at_httpc_open_t on_open; /* NULL: none */
+	silent_address_t *silent_addresses; /* hash table by address */
+	at_httpc_open_t on_open;            /* NULL: none */
 	void *open_ctx;
 	int callback_depth;      /* nested callbacks of libcurl */
 	int has_pending_changes; /* transfers to add or remove */
@@ -103,40 +103,41 @@
 }
 
 static void
-suspects_add(at_httpc_t *httpc, uint64_t address, uint64_t now_ms)
+note_silent_address(at_httpc_t *httpc, uint64_t address, uint64_t now_ms)
 {
-	suspect_t *suspect;
+	silent_address_t *silent;
 
-	HASH_FIND(hh, httpc->suspects, &address, sizeof(address), suspect);
-	if (suspect == NULL) {
-		suspect = calloc(1, sizeof(*suspect));
-		if (suspect == NULL)
+	HASH_FIND(
+	    hh, httpc->silent_addresses, &address, sizeof(address), silent);
+	if (silent == NULL) {
+		silent = calloc(1, sizeof(*silent));
+		if (silent == NULL)
 			return;
-		suspect->address = address;
-		HASH_ADD(hh, httpc->suspects, address, sizeof(suspect->address),
-		    suspect);
+		silent->address = address;
+		HASH_ADD(hh, httpc->silent_addresses, address,
+		    sizeof(silent->address), silent);
 	}
-	suspect->until_ms = now_ms + SUSPECT_MS;
+	silent->until_ms = now_ms + SILENT_ADDRESS_MS;
 }
 
 /* Also forgets those that are due. */
 static int
-is_suspect(at_httpc_t *httpc, uint64_t address)
+is_address_silent(at_httpc_t *httpc, uint64_t address)
 {
 	uint64_t now_ms;
-	suspect_t *suspect;
-	suspect_t *next;
+	silent_address_t *silent;
+	silent_address_t *next;
 	int found = 0;
 
-	if (httpc->suspects == NULL)
+	if (httpc->silent_addresses == NULL)
 		return 0;
 	now_ms = at_clock_now_ms();
-	HASH_ITER(hh, httpc->suspects, suspect, next)
+	HASH_ITER(hh, httpc->silent_addresses, silent, next)
 	{
-		if (now_ms >= suspect->until_ms) {
-			HASH_DEL(httpc->suspects, suspect);
-			free(suspect);
-		} else if (suspect->address == address) {
+		if (now_ms >= silent->until_ms) {
+			HASH_DEL(httpc->silent_addresses, silent);
+			free(silent);
+		} else if (silent->address == address) {
 			found = 1;
 		}
 	}
@@ -316,7 +317,7 @@
 		    transfer->is_cancelled) {
 			transfer = transfer->next;
 		} else if (is_stuck(transfer, now_ms)) {
-			suspects_add(httpc, transfer->address, now_ms);
+			note_silent_address(httpc, transfer->address, now_ms);
 			transfer_finish(transfer, CURLE_SEND_ERROR);
 			/* Its callback may have changed the list. */
 			transfer = httpc->transfers;
@@ -413,8 +414,8 @@
 void
 at_httpc_delete(at_httpc_t *httpc)
 {
-	suspect_t *suspect;
-	suspect_t *next;
+	silent_address_t *silent;
+	silent_address_t *next;
 
 	if (httpc == NULL)
 		return;
@@ -423,10 +424,10 @@
 	ev_timer_stop(httpc->loop, &httpc->timer);
 	ev_timer_stop(httpc->loop, &httpc->unacknowledged_timer);
 	(void)curl_multi_cleanup(httpc->multi);
-	HASH_ITER(hh, httpc->suspects, suspect, next)
+	HASH_ITER(hh, httpc->silent_addresses, silent, next)
 	{
-		HASH_DEL(httpc->suspects, suspect);
-		free(suspect);
+		HASH_DEL(httpc->silent_addresses, silent);
+		free(silent);
 	}
 	free(httpc);
 }
@@ -725,7 +726,7 @@
 	if (spec->total_ms != 0)
 		(void)curl_easy_setopt(
 		    easy, CURLOPT_TIMEOUT_MS, (long)spec->total_ms);
-	if (is_suspect(transfer->httpc, transfer->address))
+	if (is_address_silent(transfer->httpc, transfer->address))
 		(void)curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 	if (spec->new_connection) {
 		(void)curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
