--- a/src/io/tcp_out.h
+++ b/src/io/tcp_out.h
@@ -1,9 +1,10 @@
 /*
  * tcp_out.h - what a TCP connection has sent and the other side has not
  * acknowledged. Behind a cut these bytes stay in the kernel and are sent again
- * after it, also when the program has closed the connection or the kernel has
- * given it up. A connection that ends with such bytes is therefore reset, which
- * discards them, and the kernel does not give up before the program does.
+ * after it, also when the program has closed the connection. A connection that
+ * ends with such bytes is therefore reset, which discards them. The program has
+ * to give up before the kernel does, since it cannot reset a connection that
+ * the kernel has ended.
  *
  * All functions take an open TCP socket; errors of the kernel are ignored.
  */
