Log slow calls to the store, late rounds and where a configuration is from

The logs could not tell apart why a large configuration comes late: calls that are given up, lists by every instance, readers that give way, a busy process, a full link.

No behaviour changes.

--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -1,4 +1,5 @@
 #include <errno.h>
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -19,6 +20,8 @@
 
 /* Time between two rounds of reports. */
 #define REPORT_INTERVAL_US 100000u
+#define LATE_ROUND_MS 300u /* a round that is later is logged */
+#define US_PER_MS 1000u
 /* Rounds between reports of demand to the lease's holder. */
 #define DEMAND_REPORT_ROUNDS 3u
 #define SOON_DELAY_S 0.004 /* delay of a report that was requested */
@@ -338,6 +341,25 @@
 	gossip->origin_count = 0;
 }
 
+/* The time beyond the interval since the last round. */
+static void
+note_lateness(at_gossip_t *gossip, uint64_t now_us)
+{
+	uint64_t late_ms = 0;
+
+	if (gossip->round_us != 0 &&
+	    now_us > gossip->round_us + REPORT_INTERVAL_US)
+		late_ms = (now_us - gossip->round_us - REPORT_INTERVAL_US) /
+			  US_PER_MS;
+	gossip->round_us = now_us;
+	at_counters_observe(
+	    gossip->entry->counters, "round_late_ms", "of", "reports", late_ms);
+	if (late_ms >= LATE_ROUND_MS)
+		at_log(AT_LOG_INFO, "gossip", NULL,
+		    "round of reports was late late_ms=%llu",
+		    (unsigned long long)late_ms);
+}
+
 static void
 on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -352,6 +374,7 @@
 
 	(void)loop;
 	(void)events;
+	note_lateness(gossip, now_us);
 	gossip->rounds++;
 	is_direct_due = at_report_paths_is_direct_due(gossip->rounds);
 	assign_tasks(gossip, now_us);
@@ -473,6 +496,13 @@
 	if (gossip->config.spec != NULL &&
 	    strlen(gossip->config.spec) <= CONFIG_REPORT_MAX_BYTES)
 		gossip_send_report(gossip, REPORT_CONFIG, REPORT_NEAR, 0);
+	else
+		at_log(AT_LOG_INFO, "gossip", NULL,
+		    "configuration not sent: too large object_version=%" PRIu64
+		    " bytes=%zu",
+		    version,
+		    gossip->config.spec == NULL ? 0
+						: strlen(gossip->config.spec));
 	object_report_free(&gossip->config);
 }
 
--- a/src/entry/gossip_impl.h
+++ b/src/entry/gossip_impl.h
@@ -52,6 +52,7 @@
 	ev_timer servers_timer; /* changed objects of the list */
 	uint64_t sequence;
 	uint64_t rounds;
+	uint64_t round_us; /* when the last one began */
 	int is_leaving;
 	int is_to_all; /* the report that is encoded goes to all instances */
 	at_report_paths_t *paths;
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -57,6 +57,7 @@
 	 * known here. */
 	uint64_t watched_ms;
 	int was_away;
+	int is_fed;             /* the change comes from the reader */
 	uint64_t away_since_ms; /* last confirmation before the last outage */
 	ev_timer timer;
 } watcher_t;
@@ -102,6 +103,7 @@
 {
 	watcher_t *watcher = ctx;
 	at_entry_t *entry = watcher->sync->entry;
+	uint64_t begun_us = at_clock_now_us();
 	at_status_t status;
 	at_site_t *site;
 
@@ -128,6 +130,11 @@
 	watcher->sync->newer_since_ms = 0;
 	at_gossip_note_config(entry->gossip, object->name, object->version,
 	    object->spec, at_sync_is_reader(watcher->sync));
+	at_log(AT_LOG_INFO, "config", NULL,
+	    "configuration taken object_version=%" PRIu64
+	    " from=%s took_us=%" PRIu64,
+	    object->version, watcher->is_fed ? "reader" : "platform",
+	    at_clock_now_us() - begun_us);
 }
 
 static void
@@ -438,7 +445,9 @@
 		return;
 	}
 	object.spec = root;
+	watcher->is_fed = 1;
 	at_mirror_feed(watcher->mirror, now_ms, &object);
+	watcher->is_fed = 0;
 	json_decref(root);
 }
 
--- a/src/io/platform.c
+++ b/src/io/platform.c
@@ -135,7 +135,7 @@
 	    .value_len = response->len};
 
 	at_remote_add_count(call->platform->remote, call->kind,
-	    at_store_code_names[result.code]);
+	    at_store_code_names[result.code], response->took_ms);
 	call->done(call->ctx, &result);
 }
 
@@ -226,8 +226,8 @@
 	if (response->is_complete && response->status == 200 &&
 	    response->body != NULL)
 		root = json_loadb(response->body, response->len, 0, NULL);
-	at_remote_add_count(
-	    call->platform->remote, call->kind, root == NULL ? "failed" : "ok");
+	at_remote_add_count(call->platform->remote, call->kind,
+	    root == NULL ? "failed" : "ok", response->took_ms);
 	watch->call = NULL;
 	if (root == NULL) {
 		/* Starts again from all existing objects, to miss none. */
@@ -333,7 +333,8 @@
 	at_remote_add_count(call->platform->remote, call->kind,
 	    is_changed     ? "ok"
 	    : is_unchanged ? "unchanged"
-			   : "failed");
+			   : "failed",
+	    response->took_ms);
 	if (is_changed && response->body != NULL)
 		call->on_list(call->ctx, response->body, response->len);
 	else if (is_unchanged)
--- a/src/io/remote.c
+++ b/src/io/remote.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "io/address.h"
+#include "io/clock.h"
 
 #define BASE_SIZE (AT_ADDR_SIZE + 16u) /* "http://" and an address */
 
@@ -17,6 +18,7 @@
 	int is_truncated; /* a chunk could not be stored */
 	int status;
 	uint64_t number;
+	uint64_t begun_ms;
 	const char *number_header;
 	at_remote_done_t on_done;
 	void *context;
@@ -145,7 +147,8 @@
 	    .status = call->status,
 	    .body = call->body.data,
 	    .len = call->body.len,
-	    .number = call->number};
+	    .number = call->number,
+	    .took_ms = at_clock_now_ms() - call->begun_ms};
 
 	remote->needs_new_connection = !result->is_complete;
 	if (result->is_complete && result->http_status < 500) {
@@ -172,6 +175,7 @@
 	call->number_header = spec->number_header;
 	call->on_done = spec->on_done;
 	call->remote = remote;
+	call->begun_ms = at_clock_now_ms();
 	call->next = remote->calls;
 	if (call->next != NULL)
 		call->next->prev = call;
@@ -212,8 +216,8 @@
 }
 
 void
-at_remote_add_count(
-    const at_remote_t *remote, const char *kind, const char *result)
+at_remote_add_count(const at_remote_t *remote, const char *kind,
+    const char *result, uint64_t took_ms)
 {
 	char name[64];
 
@@ -221,6 +225,8 @@
 		return;
 	(void)snprintf(name, sizeof(name), "platform_%s_total", kind);
 	at_counters_add(remote->counters, name, "result", result, 1);
+	at_counters_observe(
+	    remote->counters, "platform_call_ms", "call", kind, took_ms);
 }
 
 uint64_t
--- a/src/io/remote.h
+++ b/src/io/remote.h
@@ -37,7 +37,8 @@
 	int status;           /* 0 if no response headers arrived */
 	const char *body;     /* NUL-terminated, or NULL if empty */
 	size_t len;
-	uint64_t number; /* value of number_header, or 0 */
+	uint64_t number;  /* value of number_header, or 0 */
+	uint64_t took_ms; /* since the call began */
 } at_remote_response_t;
 
 typedef void (*at_remote_done_t)(
@@ -77,9 +78,12 @@
 /* at_remote_cancel() ends a call without on_done. */
 void at_remote_cancel(at_remote_call_t *call);
 
-/* at_remote_add_count() adds 1 to platform_KIND_total{result="RESULT"}. */
-void at_remote_add_count(
-    const at_remote_t *remote, const char *kind, const char *result);
+/*
+ * at_remote_add_count() adds 1 to platform_KIND_total{result="RESULT"} and the
+ * duration of the call to platform_call_ms{call="KIND"}.
+ */
+void at_remote_add_count(const at_remote_t *remote, const char *kind,
+    const char *result, uint64_t took_ms);
 /*
  * at_remote_age_ms() returns the ms since the last complete response with a
  * status below 500, or UINT64_MAX if there was none.
