Find routes by a hash of host and prefix

Sites hold references to routes and services, so that the next site can share those that did not change.

test_site: look-ups among 20,000 routes, rows for equal prefixes and odd paths.

--- a/include/almondthread/site.h
+++ b/include/almondthread/site.h
@@ -5,7 +5,8 @@
  *
  * A site is created empty, filled once by the decoder of the configuration,
  * sealed, and immutable from then on. It is reference-counted: a request
- * keeps the site that it was admitted under until it ends.
+ * keeps the site that it was admitted under until it ends. Sites share the
+ * routes and services that do not differ between them.
  */
 #ifndef ALMONDTHREAD_SITE_H
 #define ALMONDTHREAD_SITE_H
@@ -40,6 +41,8 @@
 } at_site_target_t;
 
 typedef struct at_site_route {
+	uint32_t references; /* of sites */
+	uint64_t text_hash;  /* of what it was decoded from; 0: unknown */
 	at_name_t name;
 	char host[AT_SITE_TEXT_SIZE];
 	char prefix[AT_SITE_TEXT_SIZE]; /* begins and ends with '/' */
@@ -73,6 +76,8 @@
 } at_site_model_t;
 
 typedef struct at_site_service {
+	uint32_t references; /* of sites */
+	uint64_t text_hash;  /* of what it was decoded from; 0: unknown */
 	at_name_t name;
 	at_tag_t tag;
 	uint32_t connections_max; /* to one backend server, for all callers */
@@ -117,9 +122,11 @@
 	at_fleet_secret_t secret; /* keys are hashed under it */
 	uint64_t version;
 	at_site_limits_t limits;
-	at_site_route_t *routes;
+	at_site_route_t **routes;
 	size_t route_count;
-	at_site_service_t *services;
+	at_site_route_t **route_table; /* by host and prefix, once sealed */
+	size_t route_mask;             /* places in the table, less one */
+	at_site_service_t **services;
 	size_t service_count;
 	at_site_workspace_t *workspaces;
 	size_t workspace_count;
@@ -136,23 +143,37 @@
 /* at_site_unref() frees the site with its last reference; NULL is allowed. */
 void at_site_unref(at_site_t *site);
 
-/* Each adds a zeroed entry and returns it, or NULL if out of memory. */
+/*
+ * Each adds a zeroed entry and returns it, or NULL if out of memory. The entry
+ * is freed with the last site that has it.
+ */
 at_site_route_t *at_site_add_route(at_site_t *site);
 at_site_service_t *at_site_add_service(at_site_t *site);
 at_site_workspace_t *at_site_add_workspace(at_site_t *site);
 at_site_model_t *at_site_add_model(at_site_service_t *service);
 at_site_adapter_t *at_site_add_adapter(at_site_model_t *model);
+/*
+ * Both add an entry that another site has, too. Return 0, or -1 if out of
+ * memory.
+ */
+int at_site_share_route(at_site_t *site, at_site_route_t *route);
+int at_site_share_service(at_site_t *site, at_site_service_t *service);
 /*
  * at_site_add_key() adds a workspace's key. Returns 0, or -1 if out of memory.
  */
 int at_site_add_key(at_site_t *site, const char *key, uint32_t workspace);
 
-/* at_site_seal() sorts the arrays that look-ups search. */
-void at_site_seal(at_site_t *site);
+/*
+ * at_site_seal() builds what look-ups search. Returns 0, or -1 if out of
+ * memory.
+ */
+int at_site_seal(at_site_t *site);
 
 /*
  * at_site_find_route() returns the route of a host with the longest prefix of
- * the path, or NULL. A port after the host is ignored.
+ * the path, or NULL; of two with the same host and prefix, the one that was
+ * added first. A port after the host is ignored. It takes time in proportion
+ * to the path's length, whatever the number of routes.
  */
 const at_site_route_t *at_site_find_route(
     const at_site_t *site, const char *host, const char *path);
--- a/src/core/site/site.c
+++ b/src/core/site/site.c
@@ -1,12 +1,16 @@
 #include "almondthread/site.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #include <xxhash.h>
 
-#define LIST_GROWTH 16u /* entries by which a list grows */
+#define LIST_INITIAL 16u /* entries of a list at first; a power of two */
+
+#define FNV_BASIS 14695981039346656037u
+#define FNV_PRIME 1099511628211u
 
 const char *const at_route_type_names[] = {"safe", "unsafe", "stream"};
 
@@ -38,13 +42,23 @@
 }
 
 static void
-free_models(at_site_service_t *service)
+unref_route(at_site_route_t *route)
+{
+	if (--route->references == 0)
+		free(route);
+}
+
+static void
+unref_service(at_site_service_t *service)
 {
 	size_t i;
 
+	if (--service->references > 0)
+		return;
 	for (i = 0; i < service->model_count; i++)
 		free(service->models[i].adapters);
 	free(service->models);
+	free(service);
 }
 
 void
@@ -54,9 +68,12 @@
 
 	if (site == NULL || --site->references > 0)
 		return;
+	for (i = 0; i < site->route_count; i++)
+		unref_route(site->routes[i]);
 	for (i = 0; i < site->service_count; i++)
-		free_models(&site->services[i]);
+		unref_service(site->services[i]);
 	free(site->routes);
+	free(site->route_table);
 	free(site->services);
 	free(site->workspaces);
 	free(site->keys);
@@ -64,16 +81,18 @@
 }
 
 /*
- * Appends a zeroed entry to a list that grows in steps of LIST_GROWTH and
- * returns it, or NULL if out of memory.
+ * Appends a zeroed entry to a list, whose size doubles from LIST_INITIAL
+ * entries on, and returns it, or NULL if out of memory.
  */
 static void *
 append_entry(void **list, size_t *count, size_t size)
 {
 	char *entry;
 
-	if (*count % LIST_GROWTH == 0) {
-		void *grown = realloc(*list, (*count + LIST_GROWTH) * size);
+	if (*count == 0 ||
+	    (*count >= LIST_INITIAL && (*count & (*count - 1)) == 0)) {
+		size_t capacity = *count == 0 ? LIST_INITIAL : *count * 2;
+		void *grown = realloc(*list, capacity * size);
 
 		if (grown == NULL)
 			return NULL;
@@ -85,18 +104,54 @@
 	return entry;
 }
 
+int
+at_site_share_route(at_site_t *site, at_site_route_t *route)
+{
+	at_site_route_t **place = append_entry(
+	    (void **)&site->routes, &site->route_count, sizeof(*site->routes));
+
+	if (place == NULL)
+		return -1;
+	*place = route;
+	route->references++;
+	return 0;
+}
+
 at_site_route_t *
 at_site_add_route(at_site_t *site)
 {
-	return append_entry(
-	    (void **)&site->routes, &site->route_count, sizeof(*site->routes));
+	at_site_route_t *route = calloc(1, sizeof(*route));
+
+	if (route != NULL && at_site_share_route(site, route) != 0) {
+		free(route);
+		return NULL;
+	}
+	return route;
+}
+
+int
+at_site_share_service(at_site_t *site, at_site_service_t *service)
+{
+	at_site_service_t **place = append_entry((void **)&site->services,
+	    &site->service_count, sizeof(*site->services));
+
+	if (place == NULL)
+		return -1;
+	*place = service;
+	service->references++;
+	return 0;
 }
 
 at_site_service_t *
 at_site_add_service(at_site_t *site)
 {
-	return append_entry((void **)&site->services, &site->service_count,
-	    sizeof(*site->services));
+	at_site_service_t *service = calloc(1, sizeof(*service));
+
+	if (service != NULL && at_site_share_service(site, service) != 0) {
+		free(service);
+		return NULL;
+	}
+	return service;
 }
 
 at_site_workspace_t *
@@ -142,12 +197,23 @@
 	return memcmp(left->hash, right->hash, sizeof(left->hash));
 }
 
-void
-at_site_seal(at_site_t *site)
+/* FNV-1a, whose state after a prefix of the path is that prefix's hash. */
+static uint64_t
+hash_byte(uint64_t hash, char byte)
 {
-	if (site->key_count > 0)
-		qsort(site->keys, site->key_count, sizeof(*site->keys),
-		    compare_keys);
+	return (hash ^ (unsigned char)byte) * FNV_PRIME;
+}
+
+/* Hashes a host in lower case, up to its port, if any. */
+static uint64_t
+hash_host(const char *host)
+{
+	uint64_t hash = FNV_BASIS;
+
+	for (; *host != '\0' && *host != ':'; host++)
+		hash = hash_byte(hash, (char)tolower((unsigned char)*host));
+	/* Ends the host, in which it does not occur. */
+	return hash_byte(hash, ':');
 }
 
 static int
@@ -158,22 +224,79 @@
 	return strlen(expected) == len && strncasecmp(expected, host, len) == 0;
 }
 
+/*
+ * Returns the place of the route with this host and the first len bytes of the
+ * path, or the free one where it belongs.
+ */
+static at_site_route_t **
+find_place(const at_site_t *site, uint64_t hash, const char *host,
+    const char *path, size_t len)
+{
+	size_t i = (size_t)(hash ^ (hash >> 32)) & site->route_mask;
+
+	for (; site->route_table[i] != NULL; i = (i + 1) & site->route_mask) {
+		const at_site_route_t *route = site->route_table[i];
+
+		if (strncmp(route->prefix, path, len) == 0 &&
+		    route->prefix[len] == '\0' &&
+		    is_host_equal(route->host, host))
+			break;
+	}
+	return &site->route_table[i];
+}
+
+static int
+build_route_table(at_site_t *site)
+{
+	size_t size = 2;
+	size_t i;
+
+	while (size < 2 * site->route_count)
+		size *= 2;
+	site->route_table = calloc(size, sizeof(*site->route_table));
+	if (site->route_table == NULL)
+		return -1;
+	site->route_mask = size - 1;
+	for (i = 0; i < site->route_count; i++) {
+		at_site_route_t *route = site->routes[i];
+		uint64_t hash = hash_host(route->host);
+		at_site_route_t **place;
+		size_t len = 0;
+
+		while (route->prefix[len] != '\0')
+			hash = hash_byte(hash, route->prefix[len++]);
+		place = find_place(site, hash, route->host, route->prefix, len);
+		if (*place == NULL)
+			*place = route;
+	}
+	return 0;
+}
+
+int
+at_site_seal(at_site_t *site)
+{
+	if (site->key_count > 0)
+		qsort(site->keys, site->key_count, sizeof(*site->keys),
+		    compare_keys);
+	return build_route_table(site);
+}
+
 const at_site_route_t *
 at_site_find_route(const at_site_t *site, const char *host, const char *path)
 {
+	uint64_t hash = hash_host(host);
 	const at_site_route_t *best = NULL;
-	size_t best_len = 0;
 	size_t i;
 
-	for (i = 0; i < site->route_count; i++) {
-		const at_site_route_t *route = &site->routes[i];
-		size_t len = strlen(route->prefix);
+	for (i = 0; path[i] != '\0' && i + 1 < AT_SITE_TEXT_SIZE; i++) {
+		const at_site_route_t *route;
 
-		if (len <= best_len || strncmp(route->prefix, path, len) != 0 ||
-		    !is_host_equal(route->host, host))
+		hash = hash_byte(hash, path[i]);
+		if (path[i] != '/')
 			continue;
-		best = route;
-		best_len = len;
+		route = *find_place(site, hash, host, path, i + 1);
+		if (route != NULL)
+			best = route;
 	}
 	return best;
 }
@@ -198,8 +321,8 @@
 	size_t i;
 
 	for (i = 0; i < site->service_count; i++) {
-		if (site->services[i].tag == tag)
-			return &site->services[i];
+		if (site->services[i]->tag == tag)
+			return site->services[i];
 	}
 	return NULL;
 }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -200,7 +200,7 @@
 	size_t i;
 
 	for (i = 0; i < site->route_count; i++) {
-		const at_site_route_t *route = &site->routes[i];
+		const at_site_route_t *route = site->routes[i];
 
 		if (route->type == AT_ROUTE_STREAM && route->is_resumable &&
 		    route->timeout_ms > longest_ms)
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -360,8 +360,8 @@
 		return;
 	adapters_prefetch(orders);
 	for (i = 0; i < entry->site->service_count; i++) {
-		if (entry->site->services[i].has_models)
-			plan_moves(orders, &entry->site->services[i]);
+		if (entry->site->services[i]->has_models)
+			plan_moves(orders, entry->site->services[i]);
 	}
 }
 
--- a/src/entry/server_notices.c
+++ b/src/entry/server_notices.c
@@ -154,8 +154,8 @@
 	for (i = 0; entry->site != NULL && i < entry->site->service_count;
 	     i++) {
 		if (at_fleet_is_brittle(
-			entry->fleet, entry->site->services[i].tag))
-			share_room(entry, entry->site->services[i].tag);
+			entry->fleet, entry->site->services[i]->tag))
+			share_room(entry, entry->site->services[i]->tag);
 	}
 }
 
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -64,11 +64,11 @@
 	cr_assert_eq(route->target_count, 2);
 	cr_assert_eq(route->targets[0].service, at_tag_from_text("s"));
 	cr_assert(route->is_resumable);
-	model = at_site_find_model(&site->services[0], at_tag_from_text("m"));
+	model = at_site_find_model(site->services[0], at_tag_from_text("m"));
 	cr_assert_not_null(model);
 	cr_assert_eq(model->weights_mb, 65100);
 	cr_assert_eq(model->disk_load_ms, 760);
-	cr_assert_eq(site->services[0].loads_per_1000_s, 2100);
+	cr_assert_eq(site->services[0]->loads_per_1000_s, 2100);
 	cr_assert_not_null(at_site_find_workspace(site, "k2"));
 	cr_assert(site->workspaces[0].counts_tokens);
 	at_site_unref(site);
--- a/tests/unit/test_site.c
+++ b/tests/unit/test_site.c
@@ -2,6 +2,7 @@
  * Tests of the configuration of a deployment: routes by host and longest
  * prefix, keys by hash, services by weight.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include <criterion/criterion.h>
@@ -34,7 +35,8 @@
 	add_route(site, "short", "a.example", "/notes/");
 	add_route(site, "long", "a.example", "/notes/live/");
 	add_route(site, "other", "b.example", "/notes/");
-	at_site_seal(site);
+	add_route(site, "again", "b.example", "/notes/");
+	cr_assert_eq(at_site_seal(site), 0);
 	return site;
 }
 
@@ -52,6 +54,9 @@
     {"b.example", "/", NULL},
     {"a.example.org", "/notes/3", NULL},
     {"", "/notes/3", NULL},
+    {"a.example", "/notes//live/3", "short"},
+    {"a.example", "", NULL},
+    {"a.example", "notes/live/3", NULL},
 };
 
 Test(site, finds_the_route_with_the_longest_prefix)
@@ -72,6 +77,36 @@
 	at_site_unref(site);
 }
 
+#define MANY_ROUTES 20000u
+
+/* A look-up compared the path with each route. */
+Test(site, finds_each_of_many_routes)
+{
+	at_site_t *site = at_site_new(&secret);
+	at_site_t *next = at_site_new(&secret);
+	char text[AT_NAME_SIZE];
+	char path[AT_NAME_SIZE];
+	size_t i;
+
+	for (i = 0; i < MANY_ROUTES; i++) {
+		(void)snprintf(text, sizeof(text), "/p%zu/", i);
+		add_route(site, text + 1, "a.example", text);
+		cr_assert_eq(at_site_share_route(next, site->routes[i]), 0);
+	}
+	cr_assert_eq(at_site_seal(site), 0);
+	cr_assert_eq(at_site_seal(next), 0);
+	at_site_unref(site);
+	for (i = 0; i < MANY_ROUTES; i++) {
+		const at_site_route_t *route;
+
+		(void)snprintf(path, sizeof(path), "/p%zu/x/y", i);
+		route = at_site_find_route(next, "a.example", path);
+		cr_assert_eq(route, next->routes[i]);
+	}
+	cr_assert_null(at_site_find_route(next, "a.example", "/p20000/"));
+	at_site_unref(next);
+}
+
 Test(site, finds_only_known_keys)
 {
 	at_site_t *site = make_site();
