Mirror: versions up to which all is known, deletions that are remembered

A mirror forgot what it had deleted, so that a list begun before brought it back, and it took a reader's word for lists that it did not have. Now it knows up to which version of the store it has all changes, whoever brought them, keeps deletions for a minute, and can tell another instance what has changed since a version. A new reader watches from the version that it has in place of listing. A watch without changes moves that version only once a later one was not refused: one that has lost its history is silent first.

--- a/include/almondthread/mirror.h
+++ b/include/almondthread/mirror.h
@@ -6,6 +6,15 @@
  * sink is called for each object that is new, changed or deleted. Versions
  * of an object never decrease.
  *
+ * The platform numbers all changes. A mirror knows up to which of them it has
+ * all, from complete lists, from watches that have brought changes, and from
+ * other instances. A watch without changes shows less: one that has lost its
+ * history may be silent for a moment, before it is refused. What it states
+ * counts once a later watch was not refused.
+ *
+ * A deleted object is remembered for AT_MIRROR_DELETED_MS, so that an older
+ * list does not bring it back and other instances can be told.
+ *
  * Objects that disappear around an outage of the platform may reappear
  * shortly after it. They are kept for delay_ms after the outage and reported
  * as deleted if they are still missing then. An outage that only this instance
@@ -17,6 +26,7 @@
 #include "almondthread/objects.h"
 
 #define AT_MIRROR_NOT_DUE UINT64_MAX /* nothing is due */
+#define AT_MIRROR_DELETED_MS 60000u  /* for which a deletion is remembered */
 
 typedef enum at_mirror_step {
 	AT_MIRROR_WAIT,
@@ -53,10 +63,12 @@
  * watches again, so that changes in quick succession arrive together.
  */
 void at_mirror_set_batch_delay(at_mirror_t *mirror, uint32_t delay_ms);
+/* at_mirror_keep_texts() makes it keep the objects' texts, to hand them on. */
+void at_mirror_keep_texts(at_mirror_t *mirror);
 /*
  * at_mirror_set_following() sets whether another instance watches and sends
  * the changes. While following, the mirror makes no calls after its first
- * list; afterwards it lists again.
+ * list; afterwards it watches from the version up to which it has all changes.
  */
 void at_mirror_set_following(at_mirror_t *mirror, int following);
 /* Both apply a change sent by the other instance; older ones are ignored. */
@@ -64,10 +76,39 @@
     at_mirror_t *mirror, uint64_t now_ms, const at_object_t *object);
 void at_mirror_feed_deleted(
     at_mirror_t *mirror, uint64_t now_ms, const char *name, uint64_t version);
+/*
+ * at_mirror_feed_all() applies all objects that there were at version: what the
+ * mirror has besides, and has not learned later, is deleted.
+ */
+void at_mirror_feed_all(at_mirror_t *mirror, uint64_t now_ms,
+    const at_object_t *objects, size_t count, uint64_t version);
+/*
+ * at_mirror_since() returns the version up to which the mirror has all changes,
+ * or 0 while it lists. at_mirror_advance() states that there are no others
+ * than those fed between the versions from and to. Returns non-zero if the
+ * mirror then has all changes up to to.
+ */
+uint64_t at_mirror_since(const at_mirror_t *mirror);
+int at_mirror_advance(at_mirror_t *mirror, uint64_t from, uint64_t to);
+/*
+ * at_mirror_changed() returns a version after which the mirror knows of no
+ * change. at_mirror_newest() returns the highest version that the platform has
+ * stated for a change, which is lower where an object was missing from a list.
+ */
+uint64_t at_mirror_changed(const at_mirror_t *mirror);
+uint64_t at_mirror_newest(const at_mirror_t *mirror);
+/*
+ * at_mirror_each_change() visits the objects that were changed or deleted after
+ * a version. Returns 0, or -1 if it no longer knows which were deleted.
+ * at_mirror_each() visits those that exist. Both give texts if they are kept.
+ */
+typedef void (*at_mirror_visit_t)(void *ctx, const at_object_t *object);
+int at_mirror_each_change(const at_mirror_t *mirror, uint64_t after,
+    at_mirror_visit_t visit, void *ctx);
+void at_mirror_each(
+    const at_mirror_t *mirror, at_mirror_visit_t visit, void *ctx);
 /* at_mirror_digest() returns a hash of all objects and their versions. */
 uint64_t at_mirror_digest(const at_mirror_t *mirror);
-/* at_mirror_newest() returns the highest version of any change applied. */
-uint64_t at_mirror_newest(const at_mirror_t *mirror);
 /*
  * at_mirror_covers() returns non-zero if the mirror has all changes up to a
  * version; a mirror that watches learns this from the platform's responses.
@@ -89,13 +130,11 @@
 int at_mirror_check_list(
     at_mirror_t *mirror, uint64_t now_ms, const at_objects_page_t *page);
 /*
- * at_mirror_since() returns the version that the open watch starts from, which
- * is that of the last response. at_mirror_check_watch() takes the response to a
- * watch that was made separately from the version since. Returns non-zero if it
- * has changes that the open watch has not delivered; they are applied, and the
- * owner drops the open call.
+ * at_mirror_check_watch() takes the response to a watch that was made
+ * separately from the version since, to find out whether the open one still
+ * delivers changes. Returns non-zero if it does not: the changes are applied,
+ * and the owner drops the open call.
  */
-uint64_t at_mirror_since(const at_mirror_t *mirror);
 int at_mirror_check_watch(at_mirror_t *mirror, uint64_t now_ms, uint64_t since,
     const at_objects_page_t *page);
 /*
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -14,17 +14,23 @@
 /* Longest delay after calls that were refused, or that got no response. */
 #define REFUSED_DELAY_MAX_MS 1600u
 #define NO_RESPONSE_DELAY_MAX_MS 400u
+/* A watch that has lost its history is silent for less, then refused. */
+#define DEAF_WATCH_MAX_MS 2000u
 #define NAME_SIZE 128u /* bytes of an object's name, with the NUL */
 
 const char *const at_objects_code_names[] = {
     "ok", "history_gone", "refused", "silent"};
 
-/* One known object. */
+/* An object that exists or was deleted recently. */
 typedef struct mirror_entry {
 	char name[NAME_SIZE];
-	uint64_t version;
+	uint64_t version;         /* of the last change, or of the deletion */
 	uint64_t deletion_due_ms; /* when it is deleted; 0: it is not missing */
-	int is_listed;            /* the list being read has it */
+	uint64_t deletion_version; /* while it is missing */
+	uint64_t deleted_ms;       /* when it was deleted; 0: it exists */
+	int is_listed;             /* the list being read has it */
+	char *text;                /* NULL: not kept, or there is none */
+	size_t len;
 	UT_hash_handle hh;
 } mirror_entry_t;
 
@@ -33,13 +39,21 @@
 	uint32_t deletion_delay_ms;
 	uint32_t batch_delay_ms;
 	mirror_entry_t *objects;
+	int keeps_texts;
+	size_t deleted_count; /* of the objects; the others exist */
 	size_t missing_count; /* missing objects that are still kept */
 	int call_in_flight;   /* a response is expected */
 	int is_listing;       /* the next call is a list, not a watch */
 	int is_following; /* another instance watches and sends the changes */
-	char after[NAME_SIZE];    /* last name of the page before, or empty */
-	uint64_t since;           /* version to watch from */
-	uint64_t newest;          /* highest version of a change */
+	char after[NAME_SIZE]; /* last name of the page before, or empty */
+	/* Version up to which all changes are known; 0 while listing. */
+	uint64_t since;
+	/* Stated by a watch without changes at that time; 0: none. */
+	uint64_t unproved_version;
+	uint64_t unproved_ms;
+	uint64_t changed;         /* version after which no change is known */
+	uint64_t newest;          /* highest version stated for a change */
+	uint64_t horizon;         /* deletions up to it may be forgotten */
 	int is_synced;            /* a complete list was applied */
 	int is_platform_away;     /* the last call failed */
 	uint64_t outage_ended_ms; /* end of the last outage */
@@ -69,6 +83,7 @@
 	HASH_ITER(hh, mirror->objects, entry, next)
 	{
 		HASH_DEL(mirror->objects, entry);
+		free(entry->text);
 		free(entry);
 	}
 	free(mirror);
@@ -92,14 +107,73 @@
 	mirror->batch_delay_ms = delay_ms;
 }
 
+void
+at_mirror_keep_texts(at_mirror_t *mirror)
+{
+	mirror->keeps_texts = 1;
+}
+
+static void
+note_changed(at_mirror_t *mirror, uint64_t version)
+{
+	if (version > mirror->changed)
+		mirror->changed = version;
+}
+
+/* Also notes the highest version that the platform has stated. */
+static void
+note_version(at_mirror_t *mirror, uint64_t version)
+{
+	if (version > mirror->newest)
+		mirror->newest = version;
+	note_changed(mirror, version);
+}
+
 static void
-delete_entry(at_mirror_t *mirror, mirror_entry_t *entry)
+clear_missing(at_mirror_t *mirror, mirror_entry_t *entry)
 {
-	HASH_DEL(mirror->objects, entry);
-	if (entry->deletion_due_ms != 0)
-		mirror->missing_count--;
+	if (entry->deletion_due_ms == 0)
+		return;
+	entry->deletion_due_ms = 0;
+	mirror->missing_count--;
+}
+
+/* Keeps the entry, for those that ask later and against older lists. */
+static void
+delete_entry(at_mirror_t *mirror, mirror_entry_t *entry, uint64_t version)
+{
+	clear_missing(mirror, entry);
+	if (version > entry->version)
+		entry->version = version;
+	note_changed(mirror, entry->version);
+	entry->deleted_ms = mirror->now_ms;
+	mirror->deleted_count++;
+	free(entry->text);
+	entry->text = NULL;
+	entry->len = 0;
 	mirror->sink.on_deleted(mirror->sink.ctx, entry->name, entry->version);
-	free(entry);
+}
+
+/* Forgets the deletions that are older than AT_MIRROR_DELETED_MS. */
+static void
+expire_deleted(at_mirror_t *mirror)
+{
+	mirror_entry_t *entry;
+	mirror_entry_t *next;
+
+	if (mirror->deleted_count == 0)
+		return;
+	HASH_ITER(hh, mirror->objects, entry, next)
+	{
+		if (entry->deleted_ms == 0 ||
+		    mirror->now_ms < entry->deleted_ms + AT_MIRROR_DELETED_MS)
+			continue;
+		if (entry->version > mirror->horizon)
+			mirror->horizon = entry->version;
+		mirror->deleted_count--;
+		HASH_DEL(mirror->objects, entry);
+		free(entry);
+	}
 }
 
 /*
@@ -107,17 +181,18 @@
  * reappear, so it is kept until the deletion delay has passed.
  */
 static void
-handle_missing(at_mirror_t *mirror, mirror_entry_t *entry)
+handle_missing(at_mirror_t *mirror, mirror_entry_t *entry, uint64_t version)
 {
 	uint64_t due_ms = mirror->outage_ended_ms + mirror->deletion_delay_ms;
 
-	if (entry->deletion_due_ms != 0)
+	if (entry->deletion_due_ms != 0 || entry->deleted_ms != 0)
 		return;
 	if (mirror->now_ms >= due_ms) {
-		delete_entry(mirror, entry);
+		delete_entry(mirror, entry, version);
 		return;
 	}
 	entry->deletion_due_ms = due_ms;
+	entry->deletion_version = version;
 	mirror->missing_count++;
 }
 
@@ -134,7 +209,7 @@
 	{
 		if (entry->deletion_due_ms != 0 &&
 		    until_ms >= entry->deletion_due_ms)
-			delete_entry(mirror, entry);
+			delete_entry(mirror, entry, entry->deletion_version);
 	}
 }
 
@@ -151,37 +226,62 @@
 	return mirror->missing_count;
 }
 
+/* Returns NULL if out of memory or if the name is too long. */
+static mirror_entry_t *
+find_or_add(at_mirror_t *mirror, const char *name)
+{
+	mirror_entry_t *entry;
+
+	if (strlen(name) >= NAME_SIZE)
+		return NULL;
+	HASH_FIND_STR(mirror->objects, name, entry);
+	if (entry != NULL)
+		return entry;
+	entry = calloc(1, sizeof(*entry));
+	if (entry == NULL)
+		return NULL;
+	(void)snprintf(entry->name, NAME_SIZE, "%s", name);
+	HASH_ADD_STR(mirror->objects, name, entry);
+	return entry;
+}
+
 static void
-note_version(at_mirror_t *mirror, uint64_t version)
+set_text(
+    const at_mirror_t *mirror, mirror_entry_t *entry, const at_object_t *object)
 {
-	if (version > mirror->newest)
-		mirror->newest = version;
+	free(entry->text);
+	entry->text = NULL;
+	entry->len = 0;
+	if (!mirror->keeps_texts || object->text == NULL)
+		return;
+	entry->text = malloc(object->len + 1);
+	if (entry->text == NULL)
+		return;
+	memcpy(entry->text, object->text, object->len);
+	entry->text[object->len] = '\0';
+	entry->len = object->len;
 }
 
 static void
 apply_change(at_mirror_t *mirror, const at_object_t *object)
 {
-	mirror_entry_t *entry;
+	mirror_entry_t *entry = find_or_add(mirror, object->name);
 
 	note_version(mirror, object->version);
-	if (strlen(object->name) >= NAME_SIZE)
+	if (entry == NULL)
 		return;
-	HASH_FIND_STR(mirror->objects, object->name, entry);
-	if (entry == NULL) {
-		entry = calloc(1, sizeof(*entry));
-		if (entry == NULL)
-			return;
-		(void)snprintf(entry->name, NAME_SIZE, "%s", object->name);
-		HASH_ADD_STR(mirror->objects, name, entry);
-	}
+	/* A list that was begun before the deletion. */
+	if (entry->deleted_ms != 0 && object->version <= entry->version)
+		return;
+	if (entry->deleted_ms != 0)
+		mirror->deleted_count--;
+	entry->deleted_ms = 0;
 	entry->is_listed = 1;
-	if (entry->deletion_due_ms != 0) {
-		entry->deletion_due_ms = 0;
-		mirror->missing_count--;
-	}
+	clear_missing(mirror, entry);
 	if (object->version <= entry->version)
 		return;
 	entry->version = object->version;
+	set_text(mirror, entry, object);
 	mirror->sink.on_change(mirror->sink.ctx, object);
 }
 
@@ -194,7 +294,7 @@
 	HASH_FIND_STR(mirror->objects, object->name, entry);
 	/* A deletion older than the known version is outdated. */
 	if (entry != NULL && object->version >= entry->version)
-		handle_missing(mirror, entry);
+		handle_missing(mirror, entry, object->version);
 }
 
 /* Ends a complete list: objects that it did not contain are missing. */
@@ -207,9 +307,11 @@
 	HASH_ITER(hh, mirror->objects, entry, next)
 	{
 		if (!entry->is_listed)
-			handle_missing(mirror, entry);
+			handle_missing(mirror, entry, mirror->since);
 	}
 	mirror->is_listing = 0;
+	if (!mirror->is_synced)
+		mirror->horizon = mirror->since;
 	mirror->is_synced = 1;
 }
 
@@ -223,6 +325,7 @@
 	mirror->is_listing = 1;
 	mirror->after[0] = '\0';
 	mirror->since = 0;
+	mirror->unproved_version = 0;
 }
 
 static void
@@ -246,6 +349,22 @@
 	    page->objects[page->count - 1].name);
 }
 
+/*
+ * Takes the version that a watch without changes has stated. A watch that was
+ * deaf meanwhile would have been refused by now.
+ */
+static void
+note_no_changes(at_mirror_t *mirror, uint64_t version)
+{
+	if (mirror->unproved_version != 0 &&
+	    mirror->now_ms < mirror->unproved_ms + DEAF_WATCH_MAX_MS)
+		return;
+	if (mirror->unproved_version > mirror->since)
+		mirror->since = mirror->unproved_version;
+	mirror->unproved_version = version;
+	mirror->unproved_ms = mirror->now_ms;
+}
+
 static void
 apply_watch_page(at_mirror_t *mirror, const at_objects_page_t *page)
 {
@@ -257,10 +376,14 @@
 		else
 			apply_change(mirror, &page->objects[i]);
 	}
+	if (page->count == 0) {
+		note_no_changes(mirror, page->store_version);
+		return;
+	}
 	if (page->store_version > mirror->since)
 		mirror->since = page->store_version;
-	if (page->count > 0)
-		mirror->next_call_ms = mirror->now_ms + mirror->batch_delay_ms;
+	mirror->unproved_version = 0;
+	mirror->next_call_ms = mirror->now_ms + mirror->batch_delay_ms;
 }
 
 static void
@@ -285,6 +408,7 @@
 {
 	mirror->now_ms = now_ms;
 	delete_due(mirror, now_ms);
+	expire_deleted(mirror);
 	action->step = AT_MIRROR_WAIT;
 	if (mirror->call_in_flight || now_ms < mirror->next_call_ms ||
 	    (mirror->is_following && !mirror->is_listing))
@@ -358,13 +482,14 @@
 at_mirror_check_watch(at_mirror_t *mirror, uint64_t now_ms, uint64_t since,
     const at_objects_page_t *page)
 {
-	if (page->code != AT_OBJECTS_OK || page->count == 0 ||
-	    mirror->is_listing || mirror->since != since)
+	if (page->code != AT_OBJECTS_OK || mirror->is_listing ||
+	    mirror->since != since)
 		return 0;
 	mirror->now_ms = now_ms;
-	mirror->call_in_flight = 0;
+	if (page->count > 0)
+		mirror->call_in_flight = 0;
 	apply_watch_page(mirror, page);
-	return 1;
+	return page->count > 0;
 }
 
 void
@@ -381,8 +506,8 @@
 	if (mirror->is_following == following)
 		return;
 	mirror->is_following = following;
-	if (!following && !mirror->call_in_flight)
-		at_mirror_relist(mirror);
+	if (!following)
+		mirror->next_call_ms = mirror->now_ms;
 }
 
 void
@@ -401,8 +526,90 @@
 	mirror->now_ms = now_ms;
 	note_version(mirror, version);
 	HASH_FIND_STR(mirror->objects, name, entry);
-	if (entry != NULL && entry->version <= version)
-		delete_entry(mirror, entry);
+	if (entry != NULL && entry->deleted_ms == 0 &&
+	    entry->version <= version)
+		delete_entry(mirror, entry, version);
+}
+
+void
+at_mirror_feed_all(at_mirror_t *mirror, uint64_t now_ms,
+    const at_object_t *objects, size_t count, uint64_t version)
+{
+	mirror_entry_t *entry;
+	mirror_entry_t *next;
+	size_t i;
+
+	mirror->now_ms = now_ms;
+	for (entry = mirror->objects; entry != NULL; entry = entry->hh.next)
+		entry->is_listed = entry->version > version;
+	for (i = 0; i < count; i++)
+		apply_change(mirror, &objects[i]);
+	HASH_ITER(hh, mirror->objects, entry, next)
+	{
+		if (!entry->is_listed && entry->deleted_ms == 0)
+			delete_entry(mirror, entry, version);
+	}
+	/* A list that is under way is not needed any more. */
+	mirror->is_listing = 0;
+	mirror->is_synced = 1;
+	if (version > mirror->since)
+		mirror->since = version;
+}
+
+int
+at_mirror_advance(at_mirror_t *mirror, uint64_t from, uint64_t to)
+{
+	if (mirror->is_listing || mirror->since < from)
+		return 0;
+	if (to > mirror->since) {
+		mirror->since = to;
+		mirror->unproved_version = 0;
+	}
+	return 1;
+}
+
+uint64_t
+at_mirror_changed(const at_mirror_t *mirror)
+{
+	return mirror->changed;
+}
+
+static void
+visit_entry(const mirror_entry_t *entry, at_mirror_visit_t visit, void *ctx)
+{
+	const at_object_t object = {.name = entry->name,
+	    .version = entry->version,
+	    .is_deleted = entry->deleted_ms != 0,
+	    .text = entry->text,
+	    .len = entry->len};
+
+	visit(ctx, &object);
+}
+
+int
+at_mirror_each_change(const at_mirror_t *mirror, uint64_t after,
+    at_mirror_visit_t visit, void *ctx)
+{
+	const mirror_entry_t *entry;
+
+	if (after < mirror->horizon)
+		return -1;
+	for (entry = mirror->objects; entry != NULL; entry = entry->hh.next) {
+		if (entry->version > after)
+			visit_entry(entry, visit, ctx);
+	}
+	return 0;
+}
+
+void
+at_mirror_each(const at_mirror_t *mirror, at_mirror_visit_t visit, void *ctx)
+{
+	const mirror_entry_t *entry;
+
+	for (entry = mirror->objects; entry != NULL; entry = entry->hh.next) {
+		if (entry->deleted_ms == 0)
+			visit_entry(entry, visit, ctx);
+	}
 }
 
 uint64_t
@@ -412,9 +619,11 @@
 	uint64_t digest = 0;
 
 	/* A sum does not depend on the order of the objects. */
-	for (entry = mirror->objects; entry != NULL; entry = entry->hh.next)
-		digest += XXH3_64bits_withSeed(
-		    entry->name, strlen(entry->name), entry->version);
+	for (entry = mirror->objects; entry != NULL; entry = entry->hh.next) {
+		if (entry->deleted_ms == 0)
+			digest += XXH3_64bits_withSeed(
+			    entry->name, strlen(entry->name), entry->version);
+	}
 	return digest;
 }
 
@@ -476,5 +685,5 @@
 size_t
 at_mirror_count(const at_mirror_t *mirror)
 {
-	return HASH_COUNT(mirror->objects);
+	return HASH_COUNT(mirror->objects) - mirror->deleted_count;
 }
