Lists and watches end when nothing arrives, not after 2 s

A list had 2 s as a whole, whatever its size. A response is read 16 kB at a time, once in each turn of the event loop, so that 467 kB need 29 turns; beside a busy process they were given up with up to 459 kB there, and begun anew (docs/incidents/large-configuration-late.md).

--- a/src/io/remote.c
+++ b/src/io/remote.c
@@ -193,6 +193,8 @@
 	    .body = spec->body,
 	    .body_len = spec->body_len,
 	    .connect_ms = spec->connect_ms,
+	    .first_byte_ms = spec->first_byte_ms,
+	    .idle_ms = spec->idle_ms,
 	    .total_ms = spec->total_ms,
 	    .body_max_bytes = AT_REMOTE_BODY_MAX_BYTES,
 	    .new_connection =
--- a/src/io/remote.h
+++ b/src/io/remote.h
@@ -55,6 +55,8 @@
 	const void *body;
 	size_t body_len;
 	uint32_t connect_ms;
+	uint32_t first_byte_ms; /* until the response begins; 0: no limit */
+	uint32_t idle_ms;       /* between two parts of it; 0: no limit */
 	uint32_t total_ms;
 	int new_connection;        /* also used after a failed call */
 	const char *number_header; /* or NULL; must outlive the call */
