--- a/include/almondthread/mirror.h
+++ b/include/almondthread/mirror.h
@@ -84,11 +84,13 @@
     const at_object_t *objects, size_t count, uint64_t version);
 /*
  * at_mirror_since() returns the version up to which the mirror has all changes,
- * or 0 while it lists. at_mirror_advance() states that there are no others
+ * or 0 while it lists; at_mirror_base() then returns the one before the list.
+ * at_mirror_advance() states that there are no others
  * than those fed between the versions from and to. Returns non-zero if the
  * mirror then has all changes up to to.
  */
 uint64_t at_mirror_since(const at_mirror_t *mirror);
+uint64_t at_mirror_base(const at_mirror_t *mirror);
 int at_mirror_advance(at_mirror_t *mirror, uint64_t from, uint64_t to);
 /*
  * at_mirror_changed() returns a version after which the mirror knows of no
@@ -159,7 +161,11 @@
 int at_mirror_is_synced(const at_mirror_t *mirror);
 /* at_mirror_is_platform_away() returns non-zero if the last call failed. */
 int at_mirror_is_platform_away(const at_mirror_t *mirror);
-/* at_mirror_count() returns the number of objects. */
+/*
+ * at_mirror_count() returns the number of objects, at_mirror_size() that with
+ * those whose deletion is remembered.
+ */
 size_t at_mirror_count(const at_mirror_t *mirror);
+size_t at_mirror_size(const at_mirror_t *mirror);
 
 #endif
--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -31,8 +31,13 @@
 	int reads;         /* it reads the platform's lists */
 	uint64_t reads_since_us;
 	uint64_t confirmed_us; /* when the platform last responded to it */
-	int reaches_none;      /* it reaches no backend server */
-	uint64_t evidence_us;  /* when it last reached one; 0: unknown */
+	/* The time without that in which it goes on reading; 0: not stated. */
+	uint64_t confirmation_max_us;
+	uint64_t config_version; /* of the configuration that it has */
+	/* Version of the platform up to which it has all changes of servers. */
+	uint64_t servers_since;
+	int reaches_none;     /* it reaches no backend server */
+	uint64_t evidence_us; /* when it last reached one; 0: unknown */
 	/* Attempts of other instances that it passes on. */
 	uint32_t relayed;
 	uint32_t relays_open;          /* those of this instance */
@@ -103,6 +108,27 @@
 void at_roster_expire(at_roster_t *roster, uint64_t now_us,
     void (*on_removed)(void *ctx, const at_roster_member_t *member), void *ctx);
 
+/*
+ * at_roster_children() stores the tags of the instances of this data centre to
+ * which this one passes a document on that root spreads, at most
+ * AT_ROSTER_CHILDREN, and returns their number. The instances form a tree with
+ * that many branches at each, the strongest next to the root. Where two
+ * instances know others of each other, one may get a document twice or not at
+ * all.
+ */
+#define AT_ROSTER_CHILDREN 4u
+size_t at_roster_children(const at_roster_t *roster, at_tag_t data_centre,
+    at_tag_t root, at_tag_t children[AT_ROSTER_CHILDREN], uint64_t now_us);
+/*
+ * at_roster_choose_source() returns a reporting instance that has this version
+ * of the configuration, and all changes of servers up to servers_since, or
+ * newer: one of this data centre if there is one. draw selects among them.
+ * NULL if there is none.
+ */
+const at_roster_member_t *at_roster_choose_source(const at_roster_t *roster,
+    at_tag_t data_centre, uint64_t config_version, uint64_t servers_since,
+    uint64_t draw, uint64_t now_us);
+
 /*
  * at_roster_present_count() returns the number of instances that may be
  * serving, this one included.
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -817,6 +817,141 @@
   assert(message->base.descriptor == &report_summary__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_piece__init
+                     (ReportPiece         *message)
+{
+  static const ReportPiece init_value = REPORT_PIECE__INIT;
+  *message = init_value;
+}
+size_t report_piece__get_packed_size
+                     (const ReportPiece *message)
+{
+  assert(message->base.descriptor == &report_piece__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_piece__pack
+                     (const ReportPiece *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_piece__pack_to_buffer
+                     (const ReportPiece *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportPiece *
+       report_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportPiece *)
+     protobuf_c_message_unpack (&report_piece__descriptor,
+                                allocator, len, data);
+}
+void   report_piece__free_unpacked
+                     (ReportPiece *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   report_piece_request__init
+                     (ReportPieceRequest         *message)
+{
+  static const ReportPieceRequest init_value = REPORT_PIECE_REQUEST__INIT;
+  *message = init_value;
+}
+size_t report_piece_request__get_packed_size
+                     (const ReportPieceRequest *message)
+{
+  assert(message->base.descriptor == &report_piece_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_piece_request__pack
+                     (const ReportPieceRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_piece_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_piece_request__pack_to_buffer
+                     (const ReportPieceRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_piece_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportPieceRequest *
+       report_piece_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportPieceRequest *)
+     protobuf_c_message_unpack (&report_piece_request__descriptor,
+                                allocator, len, data);
+}
+void   report_piece_request__free_unpacked
+                     (ReportPieceRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_piece_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   report_document__init
+                     (ReportDocument         *message)
+{
+  static const ReportDocument init_value = REPORT_DOCUMENT__INIT;
+  *message = init_value;
+}
+size_t report_document__get_packed_size
+                     (const ReportDocument *message)
+{
+  assert(message->base.descriptor == &report_document__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_document__pack
+                     (const ReportDocument *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_document__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_document__pack_to_buffer
+                     (const ReportDocument *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_document__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportDocument *
+       report_document__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportDocument *)
+     protobuf_c_message_unpack (&report_document__descriptor,
+                                allocator, len, data);
+}
+void   report_document__free_unpacked
+                     (ReportDocument *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_document__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report__init
                      (Report         *message)
 {
@@ -2274,7 +2409,277 @@
   (ProtobufCMessageInit) report_summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[43] =
+static const ProtobufCFieldDescriptor report_piece__field_descriptors[8] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportPiece, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportPiece, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportPiece, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "document",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportPiece, document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportPiece, total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportPiece, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(ReportPiece, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "root",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportPiece, root),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_piece__field_indices_by_name[] = {
+  2,   /* field[2] = base_version */
+  6,   /* field[6] = data */
+  3,   /* field[3] = document */
+  0,   /* field[0] = kind */
+  5,   /* field[5] = offset */
+  7,   /* field[7] = root */
+  4,   /* field[4] = total */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange report_piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor report_piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportPiece",
+  "ReportPiece",
+  "ReportPiece",
+  "",
+  sizeof(ReportPiece),
+  8,
+  report_piece__field_descriptors,
+  report_piece__field_indices_by_name,
+  1,  report_piece__number_ranges,
+  (ProtobufCMessageInit) report_piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report_piece_request__field_descriptors[5] =
+{
+  {
+    "sender",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportPieceRequest, sender),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportPieceRequest, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "have",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportPieceRequest, have),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "document",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportPieceRequest, document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "missing",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(ReportPieceRequest, n_missing),
+    offsetof(ReportPieceRequest, missing),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_piece_request__field_indices_by_name[] = {
+  3,   /* field[3] = document */
+  2,   /* field[2] = have */
+  1,   /* field[1] = kind */
+  4,   /* field[4] = missing */
+  0,   /* field[0] = sender */
+};
+static const ProtobufCIntRange report_piece_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor report_piece_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportPieceRequest",
+  "ReportPieceRequest",
+  "ReportPieceRequest",
+  "",
+  sizeof(ReportPieceRequest),
+  5,
+  report_piece_request__field_descriptors,
+  report_piece_request__field_indices_by_name,
+  1,  report_piece_request__number_ranges,
+  (ProtobufCMessageInit) report_piece_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report_document__field_descriptors[2] =
+{
+  {
+    "complete",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ReportDocument, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objects",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(ReportDocument, n_objects),
+    offsetof(ReportDocument, objects),
+    &report_server__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_document__field_indices_by_name[] = {
+  0,   /* field[0] = complete */
+  1,   /* field[1] = objects */
+};
+static const ProtobufCIntRange report_document__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor report_document__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportDocument",
+  "ReportDocument",
+  "ReportDocument",
+  "",
+  sizeof(ReportDocument),
+  2,
+  report_document__field_descriptors,
+  report_document__field_indices_by_name,
+  1,  report_document__number_ranges,
+  (ProtobufCMessageInit) report_document__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report__field_descriptors[50] =
 {
   {
     "name",
@@ -2792,6 +3197,90 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "servers_since",
+    45,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Report, servers_since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers_changed",
+    46,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Report, servers_changed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changes_from",
+    47,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Report, changes_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changes_to",
+    48,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Report, changes_to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    49,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_pieces),
+    offsetof(Report, pieces),
+    &report_piece__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "piece_requests",
+    50,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_piece_requests),
+    offsetof(Report, piece_requests),
+    &report_piece_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "read_age_max_ms",
+    51,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Report, read_age_max_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -2799,6 +3288,8 @@
   23,   /* field[23] = age_ms */
   26,   /* field[26] = begun */
   37,   /* field[37] = brittle */
+  45,   /* field[45] = changes_from */
+  46,   /* field[46] = changes_to */
   12,   /* field[12] = config_version */
   20,   /* field[20] = configs */
   25,   /* field[25] = crashes */
@@ -2817,15 +3308,20 @@
   21,   /* field[21] = origins */
   40,   /* field[40] = origins_data_centre */
   24,   /* field[24] = origins_end */
+  48,   /* field[48] = piece_requests */
+  47,   /* field[47] = pieces */
   14,   /* field[14] = platform_away */
   19,   /* field[19] = queues */
   34,   /* field[34] = reaches_none */
+  49,   /* field[49] = read_age_max_ms */
   28,   /* field[28] = read_age_ms */
   13,   /* field[13] = reads */
   36,   /* field[36] = relayed */
   4,   /* field[4] = sequence */
   16,   /* field[16] = servers */
+  44,   /* field[44] = servers_changed */
   15,   /* field[15] = servers_digest */
+  43,   /* field[43] = servers_since */
   29,   /* field[29] = servers_version */
   8,   /* field[8] = spending */
   42,   /* field[42] = steady_ms */
@@ -2842,7 +3338,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 43 }
+  { 0, 50 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -2852,7 +3348,7 @@
   "Report",
   "",
   sizeof(Report),
-  43,
+  50,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -33,6 +33,9 @@
 typedef struct ReportLeaving ReportLeaving;
 typedef struct ReportMember ReportMember;
 typedef struct ReportSummary ReportSummary;
+typedef struct ReportPiece ReportPiece;
+typedef struct ReportPieceRequest ReportPieceRequest;
+typedef struct ReportDocument ReportDocument;
 typedef struct Report Report;
 
 
@@ -416,6 +419,91 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * A part of a document that is too large for a report: the changes of the
+ * configuration, or of the list of backend servers, since a version.
+ */
+struct  ReportPiece
+{
+  ProtobufCMessage base;
+  /*
+   * 1: the configuration, 2: the list
+   */
+  uint32_t kind;
+  /*
+   * of the platform, to which it leads
+   */
+  uint64_t version;
+  /*
+   * from which it leads there; 0: from any
+   */
+  uint64_t base_version;
+  /*
+   * hash of the whole
+   */
+  uint64_t document;
+  /*
+   * its bytes
+   */
+  uint32_t total;
+  uint32_t offset;
+  ProtobufCBinaryData data;
+  /*
+   * The instance that spreads it over its data centre: whoever gets it passes
+   * it on. 0: it answers a request.
+   */
+  uint64_t root;
+};
+#define REPORT_PIECE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_piece__descriptor) \
+    , 0, 0, 0, 0, 0, 0, {0,NULL}, 0 }
+
+
+/*
+ * Asks for the changes since a version, or for the missing parts of a document.
+ */
+struct  ReportPieceRequest
+{
+  ProtobufCMessage base;
+  uint64_t sender;
+  uint32_t kind;
+  /*
+   * version up to which the sender has all; 0: none
+   */
+  uint64_t have;
+  /*
+   * 0: any
+   */
+  uint64_t document;
+  /*
+   * offsets; none: all
+   */
+  size_t n_missing;
+  uint32_t *missing;
+};
+#define REPORT_PIECE_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_piece_request__descriptor) \
+    , 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * What the pieces are of, compressed.
+ */
+struct  ReportDocument
+{
+  ProtobufCMessage base;
+  /*
+   * objects that are not in it do not exist
+   */
+  protobuf_c_boolean complete;
+  size_t n_objects;
+  ReportServer **objects;
+};
+#define REPORT_DOCUMENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_document__descriptor) \
+    , 0, 0,NULL }
+
+
 /*
  * A report without a name has only origins, crashes, trials and what has begun,
  * or a summary.
@@ -513,6 +601,10 @@
    * changes.
    */
   uint64_t read_age_ms;
+  /*
+   * Beyond this age it gives way to another reader.
+   */
+  uint64_t read_age_max_ms;
   /*
    * For how long the reader has had such confirmations without an interruption.
    */
@@ -542,6 +634,21 @@
    * The sender's state without loads: its reach and what it passes on are valid.
    */
   protobuf_c_boolean has_state;
+  /*
+   * Version of the platform up to which the sender has all changes of servers,
+   * and the last one that it knows of; 0 while it lists.
+   */
+  uint64_t servers_since;
+  uint64_t servers_changed;
+  /*
+   * All changes between these versions are in servers.
+   */
+  uint64_t changes_from;
+  uint64_t changes_to;
+  size_t n_pieces;
+  ReportPiece **pieces;
+  size_t n_piece_requests;
+  ReportPieceRequest **piece_requests;
   /*
    * Of the sender, in a report of new origins; its gateway forwards them.
    */
@@ -549,7 +656,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* ReportLoad methods */
@@ -894,6 +1001,63 @@
 void   report_summary__free_unpacked
                      (ReportSummary *message,
                       ProtobufCAllocator *allocator);
+/* ReportPiece methods */
+void   report_piece__init
+                     (ReportPiece         *message);
+size_t report_piece__get_packed_size
+                     (const ReportPiece   *message);
+size_t report_piece__pack
+                     (const ReportPiece   *message,
+                      uint8_t             *out);
+size_t report_piece__pack_to_buffer
+                     (const ReportPiece   *message,
+                      ProtobufCBuffer     *buffer);
+ReportPiece *
+       report_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_piece__free_unpacked
+                     (ReportPiece *message,
+                      ProtobufCAllocator *allocator);
+/* ReportPieceRequest methods */
+void   report_piece_request__init
+                     (ReportPieceRequest         *message);
+size_t report_piece_request__get_packed_size
+                     (const ReportPieceRequest   *message);
+size_t report_piece_request__pack
+                     (const ReportPieceRequest   *message,
+                      uint8_t             *out);
+size_t report_piece_request__pack_to_buffer
+                     (const ReportPieceRequest   *message,
+                      ProtobufCBuffer     *buffer);
+ReportPieceRequest *
+       report_piece_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_piece_request__free_unpacked
+                     (ReportPieceRequest *message,
+                      ProtobufCAllocator *allocator);
+/* ReportDocument methods */
+void   report_document__init
+                     (ReportDocument         *message);
+size_t report_document__get_packed_size
+                     (const ReportDocument   *message);
+size_t report_document__pack
+                     (const ReportDocument   *message,
+                      uint8_t             *out);
+size_t report_document__pack_to_buffer
+                     (const ReportDocument   *message,
+                      ProtobufCBuffer     *buffer);
+ReportDocument *
+       report_document__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_document__free_unpacked
+                     (ReportDocument *message,
+                      ProtobufCAllocator *allocator);
 /* Report methods */
 void   report__init
                      (Report         *message);
@@ -969,6 +1133,15 @@
 typedef void (*ReportSummary_Closure)
                  (const ReportSummary *message,
                   void *closure_data);
+typedef void (*ReportPiece_Closure)
+                 (const ReportPiece *message,
+                  void *closure_data);
+typedef void (*ReportPieceRequest_Closure)
+                 (const ReportPieceRequest *message,
+                  void *closure_data);
+typedef void (*ReportDocument_Closure)
+                 (const ReportDocument *message,
+                  void *closure_data);
 typedef void (*Report_Closure)
                  (const Report *message,
                   void *closure_data);
@@ -996,6 +1169,9 @@
 extern const ProtobufCMessageDescriptor report_leaving__descriptor;
 extern const ProtobufCMessageDescriptor report_member__descriptor;
 extern const ProtobufCMessageDescriptor report_summary__descriptor;
+extern const ProtobufCMessageDescriptor report_piece__descriptor;
+extern const ProtobufCMessageDescriptor report_piece_request__descriptor;
+extern const ProtobufCMessageDescriptor report_document__descriptor;
 extern const ProtobufCMessageDescriptor report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -46,8 +46,10 @@
 	int is_listing;       /* the next call is a list, not a watch */
 	int is_following; /* another instance watches and sends the changes */
 	char after[NAME_SIZE]; /* last name of the page before, or empty */
-	/* Version up to which all changes are known; 0 while listing. */
+	/* Version up to which all changes were known before the list, if any.
+	 */
 	uint64_t since;
+	uint64_t list_version; /* of the first page of the list */
 	/* Stated by a watch without changes at that time; 0: none. */
 	uint64_t unproved_version;
 	uint64_t unproved_ms;
@@ -307,9 +309,10 @@
 	HASH_ITER(hh, mirror->objects, entry, next)
 	{
 		if (!entry->is_listed)
-			handle_missing(mirror, entry, mirror->since);
+			handle_missing(mirror, entry, mirror->list_version);
 	}
 	mirror->is_listing = 0;
+	mirror->since = mirror->list_version;
 	if (!mirror->is_synced)
 		mirror->horizon = mirror->since;
 	mirror->is_synced = 1;
@@ -324,7 +327,6 @@
 		entry->is_listed = 0;
 	mirror->is_listing = 1;
 	mirror->after[0] = '\0';
-	mirror->since = 0;
 	mirror->unproved_version = 0;
 }
 
@@ -338,7 +340,7 @@
 	 * during the list may be missing from the later pages.
 	 */
 	if (mirror->after[0] == '\0')
-		mirror->since = page->store_version;
+		mirror->list_version = page->store_version;
 	for (i = 0; i < page->count; i++)
 		apply_change(mirror, &page->objects[i]);
 	if (!page->has_more || page->count == 0) {
@@ -474,6 +476,12 @@
 
 uint64_t
 at_mirror_since(const at_mirror_t *mirror)
+{
+	return mirror->is_listing ? 0 : mirror->since;
+}
+
+uint64_t
+at_mirror_base(const at_mirror_t *mirror)
 {
 	return mirror->since;
 }
@@ -687,3 +695,9 @@
 {
 	return HASH_COUNT(mirror->objects) - mirror->deleted_count;
 }
+
+size_t
+at_mirror_size(const at_mirror_t *mirror)
+{
+	return HASH_COUNT(mirror->objects);
+}
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -6,6 +6,9 @@
 
 #include <uthash.h>
 
+/* In which a reader's next report arrives. */
+#define REPORT_MARGIN_US 100000u
+
 typedef struct entry {
 	/* Must be first: the address of a member is that of its entry. */
 	at_roster_member_t member;
@@ -155,10 +158,12 @@
 	uint64_t since_us = member->confirmed_us > member->reads_since_us
 				? member->confirmed_us
 				: member->reads_since_us;
+	uint64_t max_us = member->confirmation_max_us + REPORT_MARGIN_US;
 
+	if (max_us < AT_ROSTER_CONFIRMATION_MAX_US)
+		max_us = AT_ROSTER_CONFIRMATION_MAX_US;
 	return !member->platform_away &&
-	       (!member->reads ||
-		   now_us <= since_us + AT_ROSTER_CONFIRMATION_MAX_US);
+	       (!member->reads || now_us <= since_us + max_us);
 }
 
 uint32_t
@@ -286,6 +291,101 @@
 	return 0;
 }
 
+/* An instance in the order of a tree. */
+typedef struct ranked {
+	at_tag_t tag;
+	uint32_t strength;
+} ranked_t;
+
+static int
+compare_ranked(const void *a, const void *b)
+{
+	const ranked_t *left = a;
+	const ranked_t *right = b;
+
+	if (left->strength != right->strength)
+		return left->strength > right->strength ? -1 : 1;
+	return left->tag < right->tag ? -1 : left->tag > right->tag;
+}
+
+/* The instances of a data centre but root, in the order of its tree. */
+static ranked_t *
+rank_members(const at_roster_t *roster, at_tag_t data_centre, at_tag_t root,
+    uint64_t now_us, size_t *count)
+{
+	ranked_t *ranked =
+	    malloc((HASH_COUNT(roster->table) + 1u) * sizeof(*ranked));
+	const entry_t *entry;
+
+	*count = 0;
+	if (ranked == NULL)
+		return NULL;
+	if (roster->self_tag != root)
+		ranked[(*count)++] =
+		    (ranked_t){roster->self_tag, roster->strength};
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		const at_roster_member_t *member = &entry->member;
+
+		if (member->data_centre == data_centre && member->tag != root &&
+		    is_alive(member, now_us))
+			ranked[(*count)++] =
+			    (ranked_t){member->tag, member->strength};
+	}
+	qsort(ranked, *count, sizeof(*ranked), compare_ranked);
+	return ranked;
+}
+
+size_t
+at_roster_children(const at_roster_t *roster, at_tag_t data_centre,
+    at_tag_t root, at_tag_t children[AT_ROSTER_CHILDREN], uint64_t now_us)
+{
+	size_t count;
+	ranked_t *ranked =
+	    rank_members(roster, data_centre, root, now_us, &count);
+	size_t first = 0;
+	size_t found = 0;
+	size_t i;
+
+	if (ranked == NULL)
+		return 0;
+	if (roster->self_tag != root) {
+		for (i = 0; ranked[i].tag != roster->self_tag; i++)
+			;
+		first = (i + 1) * AT_ROSTER_CHILDREN;
+	}
+	for (i = first; i < count && found < AT_ROSTER_CHILDREN; i++)
+		children[found++] = ranked[i].tag;
+	free(ranked);
+	return found;
+}
+
+const at_roster_member_t *
+at_roster_choose_source(const at_roster_t *roster, at_tag_t data_centre,
+    uint64_t config_version, uint64_t servers_since, uint64_t draw,
+    uint64_t now_us)
+{
+	const at_roster_member_t *chosen = NULL;
+	const entry_t *entry;
+	uint64_t best = 0;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		const at_roster_member_t *member = &entry->member;
+		uint64_t weight = rendezvous_weight(member->tag, draw) >> 1;
+
+		if (!is_alive(member, now_us) ||
+		    member->config_version < config_version ||
+		    member->servers_since < servers_since)
+			continue;
+		if (member->data_centre == data_centre)
+			weight |= 1ull << 63;
+		if (chosen == NULL || weight > best) {
+			chosen = member;
+			best = weight;
+		}
+	}
+	return chosen;
+}
+
 int
 at_roster_note_summarised(at_roster_member_t *member, uint64_t incarnation,
     uint64_t reported_us, uint64_t now_us)
--- a/src/entry/config_text.c
+++ b/src/entry/config_text.c
@@ -103,6 +103,25 @@
 	return report_server__get_packed_size(message);
 }
 
+uint64_t
+at_config_text_version(const at_config_text_t *config)
+{
+	return config->present.version;
+}
+
+int
+at_config_text_fill_since(
+    at_config_text_t *config, uint64_t have, ReportServer *message)
+{
+	if (config->present.json == NULL || have == config->present.version)
+		return -1;
+	message->version = config->present.version;
+	if (have == 0 || have != config->previous.version ||
+	    at_config_text_fill(config, message) == 0)
+		message->spec = config->present.json;
+	return 0;
+}
+
 char *
 at_config_text_apply(
     const at_config_text_t *config, const ReportServer *message)
--- a/src/entry/config_text.h
+++ b/src/entry/config_text.h
@@ -33,6 +33,17 @@
  */
 size_t at_config_text_fill(at_config_text_t *config, ReportServer *message);
 
+/* at_config_text_version() returns that of the text in force; 0: none. */
+uint64_t at_config_text_version(const at_config_text_t *config);
+/*
+ * at_config_text_fill_since() sets what leads from the version have to the one
+ * in force: the difference if there is one, else the whole text. The name of
+ * message is set. Returns 0, or -1 if there is no text, or none newer. The
+ * message borrows from config until the next call.
+ */
+int at_config_text_fill_since(
+    at_config_text_t *config, uint64_t have, ReportServer *message);
+
 /*
  * at_config_text_apply() returns the text that a message states, which the
  * caller frees, or NULL if it is for another version than the present one, if
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "almondthread/log.h"
+#include "almondthread/reassembly.h"
 #include "almondthread/roster.h"
 #include "entry/server_crashes.h"
 #include "entry/server_notices.h"
@@ -30,12 +31,12 @@
 #define SERVERS_BATCH_DELAY_S 0.002
 /* What an object stands for that names no server. */
 #define NO_SERVER "null"
-/* Largest configuration that is sent in a report. */
-#define CONFIG_REPORT_MAX_BYTES 50000u
-/* Least link rate for sending a configuration to all instances. */
-#define CONFIG_LINK_MIN_MBPS 100u
-/* Rounds between two checks of the configuration. */
-#define CONFIG_CHECK_ROUNDS 8u
+/* A larger difference of the configuration is sent in parts. */
+#define CONFIG_CHANGE_MAX_BYTES AT_PART_BYTES
+/* Texts of servers in one report; what is larger is sent in parts. */
+#define SERVERS_MAX_BYTES (3u * AT_PART_BYTES)
+/* Rounds between two checks of what the platform has. */
+#define CHECK_ROUNDS 8u
 /* After its start an instance hears of the others before it takes a task. */
 #define LISTEN_US 800000u
 /* Age limit of the loads that an instance has reported. */
@@ -91,6 +92,8 @@
 	for (i = 0; i < gossip->server_count; i++)
 		object_report_free(&gossip->servers[i]);
 	gossip->server_count = 0;
+	gossip->server_bytes = 0;
+	gossip->has_more_servers = 0;
 }
 
 void
@@ -274,9 +277,9 @@
 	    !at_roster_has_reader(entry->roster, entry->data_centre, now_us))
 		is_reader = 1;
 	at_sync_set_reader(entry->sync, is_reader);
-	if (gossip->rounds % CONFIG_CHECK_ROUNDS == 0 &&
+	if (gossip->rounds % CHECK_ROUNDS == 0 &&
 	    at_sync_is_reader(entry->sync))
-		at_sync_check_config(entry->sync);
+		at_sync_check(entry->sync);
 }
 
 /* Only the holder of the lease deletes the objects of removed instances. */
@@ -438,7 +441,10 @@
 static void
 send_servers(at_gossip_t *gossip)
 {
-	if (gossip->server_count > 0)
+	if (gossip->has_more_servers)
+		at_documents_spread(at_sync_documents(gossip->entry->sync),
+		    AT_DOCUMENT_SERVERS, gossip->servers_from);
+	else if (gossip->server_count > 0)
 		gossip_send_report(gossip, REPORT_SERVERS, REPORT_NEAR, 0);
 	clear_servers(gossip);
 }
@@ -455,26 +461,31 @@
 at_gossip_send_server(at_gossip_t *gossip, const char *name, uint64_t version,
     const char *text, size_t len)
 {
-	object_report_t *object;
+	object_report_t *object = &gossip->servers[gossip->server_count];
 
 	if (gossip->fd < 0)
 		return;
-	if (gossip->server_count == SERVERS_MAX)
-		send_servers(gossip);
-	object = &gossip->servers[gossip->server_count];
+	if (gossip->server_count == 0 && !gossip->has_more_servers)
+		gossip->servers_from =
+		    at_sync_servers_base(gossip->entry->sync);
+	gossip_start_timer(
+	    gossip, &gossip->servers_timer, SERVERS_BATCH_DELAY_S);
 	/* All that matters of one that names no server is its version. */
 	if (len > AT_SERVER_TEXT_MAX_BYTES) {
 		text = NO_SERVER;
 		len = strlen(NO_SERVER);
 	}
-	if (object_report_set(object, name, version, text, len) != 0)
+	if (gossip->server_count == SERVERS_MAX ||
+	    gossip->server_bytes + len > SERVERS_MAX_BYTES ||
+	    object_report_set(object, name, version, text, len) != 0) {
+		gossip->has_more_servers = 1;
 		return;
+	}
 	gossip->server_count++;
-	gossip_start_timer(
-	    gossip, &gossip->servers_timer, SERVERS_BATCH_DELAY_S);
+	gossip->server_bytes += len;
 }
 
-/* Returns non-zero if the difference is small enough to be sent. */
+/* Returns non-zero if the difference is small enough for one report. */
 static int
 send_config_change(at_gossip_t *gossip, const char *name, uint64_t version)
 {
@@ -484,7 +495,7 @@
 	message.name = (char *)(uintptr_t)name;
 	message.version = version;
 	size = at_config_text_fill(gossip->config_text, &message);
-	if (size == 0 || size > CONFIG_REPORT_MAX_BYTES)
+	if (size == 0 || size > CONFIG_CHANGE_MAX_BYTES)
 		return 0;
 	gossip->config_change = &message;
 	gossip_send_report(gossip, REPORT_CONFIG_CHANGE, REPORT_NEAR, 0);
@@ -492,37 +503,40 @@
 	return 1;
 }
 
-static void
-send_config(at_gossip_t *gossip, const char *name, uint64_t version,
-    const char *text, size_t len)
+void
+at_gossip_note_config(at_gossip_t *gossip, const char *name, uint64_t version,
+    const char *text, size_t len, int is_reader)
 {
-	if (gossip->entry->settings.link_mbps < CONFIG_LINK_MIN_MBPS ||
-	    object_report_set(&gossip->config, name, version, text, len) != 0)
+	uint64_t previous = at_config_text_version(gossip->config_text);
+
+	if (at_config_text_set(gossip->config_text, version, text, len) != 0 ||
+	    !is_reader || gossip->fd < 0)
 		return;
-	if (gossip->config.spec != NULL &&
-	    strlen(gossip->config.spec) <= CONFIG_REPORT_MAX_BYTES)
-		gossip_send_report(gossip, REPORT_CONFIG, REPORT_NEAR, 0);
-	else
-		at_log(AT_LOG_INFO, "gossip", NULL,
-		    "configuration not sent: too large object_version=%" PRIu64
-		    " bytes=%zu",
-		    version,
-		    gossip->config.spec == NULL ? 0
-						: strlen(gossip->config.spec));
-	object_report_free(&gossip->config);
+	if (!send_config_change(gossip, name, version))
+		at_documents_spread(at_sync_documents(gossip->entry->sync),
+		    AT_DOCUMENT_CONFIG, previous);
+}
+
+at_config_text_t *
+at_gossip_config_text(at_gossip_t *gossip)
+{
+	return gossip->config_text;
 }
 
 void
-at_gossip_note_config(at_gossip_t *gossip, const char *name, uint64_t version,
-    const char *text, size_t len, int is_reader)
+at_gossip_send_to(
+    at_gossip_t *gossip, const char *address, const Report *report)
 {
-	int has_text =
-	    at_config_text_set(gossip->config_text, version, text, len) == 0;
+	struct sockaddr_in addr;
+	size_t len = report_pack(gossip, report);
 
-	if (!is_reader || gossip->fd < 0)
+	if (len == 0 || at_address_parse(address, &addr) != 0)
 		return;
-	if (!has_text || !send_config_change(gossip, name, version))
-		send_config(gossip, name, version, text, len);
+	if (sendto(gossip->fd, gossip->datagram, len, 0,
+		(const struct sockaddr *)&addr, sizeof(addr)) < 0)
+		at_counters_add(gossip->entry->counters, "reports_unsent_total",
+		    "why", strerror(errno), 1);
+	gossip_count_sent(gossip, "parts", 1, len);
 }
 
 at_report_paths_t *
--- a/src/entry/gossip.h
+++ b/src/entry/gossip.h
@@ -13,6 +13,7 @@
 #define ALMONDTHREAD_ENTRY_GOSSIP_H
 
 #include "almondthread/report_paths.h"
+#include "entry/config_text.h"
 #include "entry/entry.h"
 
 /* at_gossip_new() returns NULL if out of memory. */
@@ -40,9 +41,7 @@
 /*
  * at_gossip_note_config() takes a newer configuration object. A reader of the
  * platform's lists (is_reader non-zero) sends it to the same instances, as the
- * difference to the one before if that is small. Otherwise, where the link is
- * narrow or the configuration large, it sends nothing, and each instance reads
- * the configuration from the platform.
+ * difference to the one before: in one report if that is small, else in parts.
  */
 void at_gossip_note_config(at_gossip_t *gossip, const char *name,
     uint64_t version, const char *text, size_t len, int is_reader);
@@ -66,6 +65,11 @@
  * has had the time to receive the reports of the others.
  */
 int at_gossip_is_listening(const at_gossip_t *gossip);
+/* at_gossip_config_text() returns the text of the configuration in force. */
+at_config_text_t *at_gossip_config_text(at_gossip_t *gossip);
+/* at_gossip_send_to() sends a report in one datagram. */
+void at_gossip_send_to(
+    at_gossip_t *gossip, const char *address, const Report *report);
 /* at_gossip_paths() returns the ways of the reports. */
 at_report_paths_t *at_gossip_paths(at_gossip_t *gossip);
 /* at_gossip_send_leaving() tells every instance that this one shuts down. */
--- a/src/entry/gossip_impl.h
+++ b/src/entry/gossip_impl.h
@@ -27,8 +27,8 @@
 	REPORT_DEMAND,  /* those of REPORT_COMMON, with demand and adapter
 			   requests */
 	REPORT_SERVERS, /* changed objects of the list of backend servers */
-	REPORT_CONFIG,  /* the configuration */
-	REPORT_CONFIG_CHANGE,       /* its difference to the one before */
+	REPORT_CONFIG_CHANGE,       /* the configuration's difference to the one
+				       before */
 	REPORT_ORIGINS,             /* origins of streams, without a header */
 	REPORT_ORIGINS_REQUEST,     /* a request for all origins */
 	REPORT_OWN_ORIGINS_REQUEST, /* for those that an instance has noted */
@@ -63,7 +63,9 @@
 	size_t forwarded_origin_count;
 	object_report_t servers[SERVERS_MAX];
 	size_t server_count;
-	object_report_t config;
+	size_t server_bytes;
+	int has_more_servers;  /* more than fit into one report */
+	uint64_t servers_from; /* version to which they are changes */
 	at_config_text_t *config_text;
 	ReportServer *config_change; /* that is being sent */
 	ev_timer crashes_timer;      /* crashes that are not reported yet */
--- a/src/entry/report_apply.c
+++ b/src/entry/report_apply.c
@@ -1,4 +1,6 @@
 /* report_apply.c - applies the reports of the other instances. */
+#include <string.h>
+
 #include <sodium.h>
 
 #include "almondthread/log.h"
@@ -53,17 +55,20 @@
 	    entry->quota, from, report->incarnation, entries, count, now_us);
 }
 
-/* Without the base, the platform is read when the reports state the version. */
+/* Without the base, the change is asked for when the reports state it. */
 static void
 apply_config(at_gossip_t *gossip, const ReportServer *object)
 {
+	const char *taken = object->spec;
 	char *text = NULL;
 
-	if (object->base_version != 0)
+	if (object->base_version != 0) {
 		text = at_config_text_apply(gossip->config_text, object);
-	if (text != NULL || object->base_version == 0)
+		taken = text;
+	}
+	if (taken != NULL)
 		at_sync_feed_config(gossip->entry->sync, object->name,
-		    object->version, text != NULL ? text : object->spec);
+		    object->version, taken, strlen(taken));
 	at_counters_add(gossip->entry->counters, "config_reports_total", "form",
 	    text != NULL                ? "change"
 	    : object->base_version == 0 ? "complete"
@@ -82,15 +87,34 @@
 		const ReportServer *object = report->servers[i];
 
 		at_sync_feed_server(entry->sync, object->name, object->version,
-		    object->deleted ? NULL : object->spec);
+		    object->deleted ? NULL : object->spec,
+		    strlen(object->spec));
 	}
+	if (report->changes_to != 0)
+		at_sync_feed_range(
+		    entry->sync, report->changes_from, report->changes_to);
 	for (i = 0; i < report->n_configs; i++)
 		apply_config(gossip, report->configs[i]);
-	if (!report->reads)
-		return;
-	at_sync_note_reader(entry->sync, report->read_age_ms);
-	if (!report->platform_away && report->n_servers == 0)
-		at_sync_compare_digest(entry->sync, report->servers_digest);
+}
+
+static void
+apply_copies(
+    at_gossip_t *gossip, const Report *report, const at_roster_member_t *member)
+{
+	const at_sync_report_t copies = {.instance = member->tag,
+	    .is_near = member->data_centre == gossip->entry->data_centre,
+	    .config_version = report->config_version,
+	    .servers_since = report->servers_since,
+	    .reads = report->reads,
+	    .platform_away = report->platform_away,
+	    .servers_changed = report->servers_changed,
+	    .servers_newest = report->servers_version,
+	    .servers_digest = report->servers_digest,
+	    .age_ms = report->read_age_ms,
+	    .age_max_ms = report->read_age_max_ms,
+	    .steady_ms = report->steady_ms};
+
+	at_sync_apply_report(gossip->entry->sync, &copies);
 }
 
 void
@@ -148,6 +172,7 @@
 	/* These do not depend on the order of the reports. */
 	origins_apply(gossip, report, now_us);
 	at_server_crashes_apply_report(entry->crashes, report);
+	at_documents_apply_report(at_sync_documents(entry->sync), report);
 	if (report->origins_data_centre != 0)
 		summary_keep_origins(gossip, report);
 	if (report->summary != NULL) {
@@ -176,18 +201,14 @@
 	member->platform_away = report->platform_away;
 	member->strength = report->strength;
 	member->takes_summaries = report->takes_summaries;
+	member->config_version = report->config_version;
+	member->servers_since = report->servers_since;
+	member->confirmation_max_us = report->read_age_max_ms * US_PER_MS;
 	at_roster_note_reads(
 	    member, report->reads, confirmed_us(report, now_us), now_us);
 	if (member->data_centre == entry->data_centre)
 		apply_servers(gossip, report);
-	if (report->reads)
-		at_sync_compare_version(entry->sync, report->servers_version);
-	if (report->reads && !report->platform_away)
-		at_sync_note_steady(
-		    entry->sync, report->steady_ms, report->read_age_ms);
-	if (report->config_version >
-	    (entry->site == NULL ? 0 : entry->site->version))
-		at_sync_note_newer_config(entry->sync);
+	apply_copies(gossip, report, member);
 	if (report->has_loads && !is_summarised(gossip, member, now_us)) {
 		member->has_direct_load = 1;
 		report_apply_loads(entry, member->tag,
--- a/src/entry/report_encode.c
+++ b/src/entry/report_encode.c
@@ -138,16 +138,8 @@
 	}
 	report->n_servers = gossip->server_count;
 	report->servers = buffers->server_list;
-}
-
-static void
-fill_config(
-    const at_gossip_t *gossip, report_buffers_t *buffers, Report *report)
-{
-	fill_object(&gossip->config, &buffers->servers[0]);
-	buffers->server_list[0] = &buffers->servers[0];
-	report->n_configs = 1;
-	report->configs = buffers->server_list;
+	report->changes_from = gossip->servers_from;
+	report->changes_to = at_sync_servers_since(gossip->entry->sync);
 }
 
 /* Origins of one version are sent together, if they follow one another. */
@@ -188,6 +180,7 @@
 fill_header(at_gossip_t *gossip, Report *report)
 {
 	at_entry_t *entry = gossip->entry;
+	at_sync_report_t copies = {0};
 
 	report->name = entry->self.instance.text;
 	report->data_centre = (char *)(uintptr_t)entry->settings.data_centre;
@@ -197,13 +190,15 @@
 	report->leaving = gossip->is_leaving;
 	report->config_version = entry->site == NULL ? 0 : entry->site->version;
 	report->platform_away = at_entry_is_platform_away(entry);
-	report->reads = at_sync_is_reader(entry->sync);
-	if (report->reads) {
-		report->servers_digest = at_sync_digest(entry->sync);
-		report->servers_version = at_sync_servers_version(entry->sync);
-		report->read_age_ms = at_sync_confirmation_age_ms(entry->sync);
-		report->steady_ms = at_sync_steady_ms(entry->sync);
-	}
+	at_sync_fill_report(entry->sync, &copies);
+	report->servers_since = copies.servers_since;
+	report->reads = copies.reads;
+	report->servers_changed = copies.servers_changed;
+	report->servers_digest = copies.servers_digest;
+	report->servers_version = copies.servers_newest;
+	report->read_age_ms = copies.age_ms;
+	report->read_age_max_ms = copies.age_max_ms;
+	report->steady_ms = copies.steady_ms;
 	report->strength = entry->strength;
 	report->takes_summaries = 1;
 	report->fence = at_orders_io_fence(entry->orders);
@@ -242,8 +237,6 @@
 	fill_origins(gossip, &buffers, &report);
 	if (kind == REPORT_SERVERS) {
 		fill_servers(gossip, &buffers, &report);
-	} else if (kind == REPORT_CONFIG) {
-		fill_config(gossip, &buffers, &report);
 	} else if (kind == REPORT_CONFIG_CHANGE) {
 		report.n_configs = 1;
 		report.configs = &gossip->config_change;
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -1,406 +1,41 @@
+/* sync.c - the roles of reader and follower. */
 #include "entry/sync.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "almondthread/log.h"
-#include "almondthread/mirror.h"
 #include "entry/gossip.h"
+#include "entry/sync_impl.h"
 #include "io/clock.h"
-#include "platform/names.h"
-#include "platform/server_decode.h"
-#include "platform/site_decode.h"
 
 /* Missing servers may be listed again within this time after an outage. */
 #define SERVERS_DELETION_DELAY_MS 2000u
-/* Changes within this time are read in one call. */
-#define BATCH_DELAY_MS 600u
-/* Least time between two checks of the configuration. */
-#define CONFIG_CHECK_INTERVAL_MS 250u
-/* How long to wait for the reader's report of a newer configuration. */
-#define CONFIG_REPORT_TIMEOUT_MS 700u
-/* A reader gives way when the platform has confirmed nothing for longer. */
-#define READER_CONFIRMATION_MAX_MS 1200u
 /*
- * A follower lists by itself without a confirmation for longer. Where there is
- * more time, another instance has become the reader by then, and only that one
- * lists; LIST_TIME_MS is left for the follower's own list.
+ * A reader gives way when the platform has confirmed nothing for longer; where
+ * the platform takes long for each response, when it is that much later than
+ * usual, since another reader would wait as long.
  */
-#define FOLLOWER_CONFIRMATION_MIN_MS 1500u
-#define LIST_TIME_MS 500u
-/* A watch has failed if another reader knows a newer change for longer. */
-#define NEWER_VERSION_MAX_MS 700u
-/* A watch that has responded since then needs no check. */
-#define WATCH_CONFIRMATION_MS 800u
+#define READER_CONFIRMATION_MIN_MS 1200u
+#define READER_CONFIRMATION_MAX_MS 4800u
+/* Between two checks, with the round in which they begin. */
+#define READER_CHECK_MS 900u
+/* A new reader, or one that takes its place, has this time more. */
+#define READER_CHANGE_MS 300u
 /*
- * Entries of the list lapse after some seconds without a heartbeat; no outage
- * of the platform between two confirmations within this time makes them lapse.
+ * A follower asks the platform itself without a confirmation for longer. Where
+ * there is more time, another instance has become the reader by then, and only
+ * that one asks; CHECK_TIME_MS is left for the follower's own question.
  */
-#define CONFIRMATION_GAP_MAX_MS 1500u
-/* Wait of a watch that only checks for changes. */
-#define WATCH_CHECK_WAIT_MS 1u
-/* A datagram was lost if the list differs from the reader's for longer. */
+#define FOLLOWER_CONFIRMATION_MIN_MS 1500u
+#define CHECK_TIME_MS 500u
+/* For which changes may be on their way to a follower, or to a reader. */
+#define CONFIG_ARRIVAL_MS 60u
+#define SERVERS_ARRIVAL_MS 20u
+#define READER_ARRIVAL_MS 700u
+/* With all changes the list differs from the reader's for longer. */
 #define DIGEST_MISMATCH_MAX_MS 700u
 
-/* Copy of the platform's objects of one kind. */
-typedef struct watcher {
-	at_sync_t *sync;
-	const char *kind;
-	at_mirror_t *mirror;
-	at_objects_call_t *call; /* open call, or NULL */
-	uint64_t list_sent_ms;   /* when the first page was requested */
-	uint64_t listed_ms;      /* the same of the last complete list */
-	uint64_t responded_ms;   /* last response with objects or changes */
-	uint64_t watch_sent_ms;  /* when the open or last watch was sent */
-	/* The same of the last watch that responded: all earlier changes are
-	 * known here. */
-	uint64_t watched_ms;
-	int was_away;
-	int is_fed;             /* the change comes from the reader */
-	uint64_t away_since_ms; /* last confirmation before the last outage */
-	ev_timer timer;
-} watcher_t;
-
-struct at_sync {
-	at_entry_t *entry;
-	at_objects_t objects;
-	watcher_t config;
-	watcher_t servers;
-	at_objects_call_t *config_check; /* open call, or NULL */
-	uint64_t config_check_after_ms;  /* no check before this time */
-	uint64_t config_check_sent_ms;
-	/* A check has shown that earlier changes of the configuration are
-	 * known.
-	 */
-	uint64_t config_confirmed_ms;
-	at_objects_call_t *servers_check; /* open call, or NULL */
-	uint64_t servers_check_since;     /* version that it starts from */
-	uint64_t servers_check_sent_ms;
-	/*
-	 * Changes that the platform had before this time are known here, from
-	 * its responses to this instance or from the reader's reports.
-	 */
-	uint64_t confirmed_ms;
-	uint64_t steady_since_ms; /* confirmed since then without a gap */
-	int is_reader;
-	uint64_t reader_since_ms;
-	int is_silent; /* the platform did not confirm in time to the reader */
-	/* Since when another instance has a newer configuration; 0: none. */
-	uint64_t newer_since_ms;
-	/* Version of the servers that another reader has; 0: none newer. */
-	uint64_t newer_version;
-	uint64_t newer_version_since_ms;
-	/* Since when the list differs from the reader's; 0: it does not. */
-	uint64_t differs_since_ms;
-};
-
-static void process(watcher_t *watcher);
-static void set_timer(watcher_t *watcher);
-
-static void
-on_config_change(void *ctx, const at_object_t *object)
-{
-	watcher_t *watcher = ctx;
-	at_entry_t *entry = watcher->sync->entry;
-	uint64_t begun_us = at_clock_now_us();
-	at_status_t status;
-	at_site_t *site;
-
-	if (strcmp(object->name, WIRE_CONFIG_NAME) != 0)
-		return;
-	at_status_clear(&status);
-	site = at_site_decode(
-	    object->text, object->len, entry->site, &entry->secret, &status);
-	if (site == NULL) {
-		at_log(AT_LOG_ERROR, "config", NULL,
-		    "configuration rejected; the previous one stays in use "
-		    "object_version=%" PRIu64 " fault=\"%s\"",
-		    object->version, status.message);
-		return;
-	}
-	if (entry->site != NULL && site->version <= entry->site->version) {
-		at_log(AT_LOG_WARN, "config", NULL,
-		    "configuration ignored: not newer version=%" PRIu64
-		    " current=%" PRIu64,
-		    site->version, entry->site->version);
-		at_site_unref(site);
-		return;
-	}
-	at_entry_set_site(entry, site);
-	watcher->sync->newer_since_ms = 0;
-	at_gossip_note_config(entry->gossip, object->name, object->version,
-	    object->text, object->len, at_sync_is_reader(watcher->sync));
-	at_log(AT_LOG_INFO, "config", NULL,
-	    "configuration taken object_version=%" PRIu64
-	    " from=%s took_us=%" PRIu64,
-	    object->version, watcher->is_fed ? "reader" : "platform",
-	    at_clock_now_us() - begun_us);
-}
-
-static void
-on_config_deleted(void *ctx, const char *name, uint64_t version)
-{
-	(void)ctx;
-	(void)version;
-	at_log(AT_LOG_ERROR, "config", NULL,
-	    "configuration object deleted; the last version stays in "
-	    "use name=%s",
-	    name);
-}
-
-static void
-on_server_change(void *ctx, const at_object_t *object)
-{
-	watcher_t *watcher = ctx;
-	at_entry_t *entry = watcher->sync->entry;
-	at_server_entry_t server;
-	const char *fault =
-	    at_server_decode(object->name, object->text, object->len, &server);
-
-	if (at_sync_is_reader(watcher->sync))
-		at_gossip_send_server(entry->gossip, object->name,
-		    object->version, object->text, object->len);
-
-	if (fault != NULL) {
-		at_log(AT_LOG_WARN, "servers", NULL,
-		    "server object rejected; server removed name=%s "
-		    "object_version=%" PRIu64 " fault=%s",
-		    object->name, object->version, fault);
-		at_fleet_remove(entry->fleet, at_tag_from_text(object->name));
-		return;
-	}
-	if (at_fleet_update_server(entry->fleet, &server) == NULL) {
-		at_log(AT_LOG_INFO, "servers", NULL,
-		    "server object ignored: of an earlier incarnation name=%s "
-		    "object_version=%" PRIu64,
-		    object->name, object->version);
-		return;
-	}
-	at_log(AT_LOG_INFO, "servers", NULL,
-	    "server object applied name=%s address=%s software=%016" PRIx64
-	    " leaving=%d models=%zu "
-	    "heartbeat=%" PRIu64 " object_version=%" PRIu64,
-	    object->name, server.address, server.software, server.is_leaving,
-	    server.residents.count, server.heartbeat_sequence, object->version);
-}
-
-static void
-on_server_deleted(void *ctx, const char *name, uint64_t version)
-{
-	watcher_t *watcher = ctx;
-	at_entry_t *entry = watcher->sync->entry;
-
-	at_log(AT_LOG_INFO, "servers", NULL,
-	    "server object deleted; server removed name=%s", name);
-	at_fleet_remove(entry->fleet, at_tag_from_text(name));
-	if (at_sync_is_reader(watcher->sync))
-		at_gossip_send_server(entry->gossip, name, version, NULL, 0);
-}
-
-static void
-log_platform_state(watcher_t *watcher, at_objects_code_t code)
-{
-	int away = at_mirror_is_platform_away(watcher->mirror);
-
-	if (away == watcher->was_away)
-		return;
-	watcher->was_away = away;
-	if (away)
-		watcher->away_since_ms = watcher->sync->confirmed_ms;
-	if (away)
-		at_log(AT_LOG_WARN, "platform", NULL,
-		    "platform away; the last known objects stay in use "
-		    "kind=%s result=%s",
-		    watcher->kind, at_objects_code_names[code]);
-	else
-		at_log(AT_LOG_INFO, "platform", NULL,
-		    "platform responds again kind=%s objects=%zu",
-		    watcher->kind, at_mirror_count(watcher->mirror));
-}
-
-static void
-relist(watcher_t *watcher)
-{
-	if (watcher->call != NULL)
-		watcher->sync->objects.cancel(
-		    watcher->sync->objects.impl, watcher->call);
-	watcher->call = NULL;
-	at_mirror_relist(watcher->mirror);
-	process(watcher);
-}
-
-/* Takes confirmation that changes before since_ms are known here. */
-static void
-note_confirmed(at_sync_t *sync, uint64_t since_ms)
-{
-	if (since_ms <= sync->confirmed_ms)
-		return;
-	if (since_ms > sync->confirmed_ms + CONFIRMATION_GAP_MAX_MS)
-		sync->steady_since_ms = since_ms;
-	sync->confirmed_ms = since_ms;
-}
-
-/*
- * Two complete lists confirm all changes before the earlier one was sent.
- * Followers that receive this do not list for themselves.
- */
-static void
-note_listed(at_sync_t *sync)
-{
-	uint64_t config_ms = sync->config.listed_ms;
-	uint64_t servers_ms = sync->servers.listed_ms;
-
-	note_confirmed(sync, config_ms < servers_ms ? config_ms : servers_ms);
-	if (sync->is_reader)
-		at_gossip_send_soon(sync->entry->gossip);
-}
-
-/*
- * Returns since when the reader has no confirmation. A new reader has the time
- * of its first lists.
- */
-static uint64_t
-unconfirmed_since_ms(const at_sync_t *sync)
-{
-	return sync->confirmed_ms > sync->reader_since_ms
-		   ? sync->confirmed_ms
-		   : sync->reader_since_ms;
-}
-
-/* When one watch has lost its history, the other receives no changes either. */
-static void
-relist_other(watcher_t *watcher)
-{
-	at_sync_t *sync = watcher->sync;
-	watcher_t *other =
-	    watcher == &sync->config ? &sync->servers : &sync->config;
-
-	at_log(AT_LOG_WARN, "platform", NULL,
-	    "watch history lost kind=%s; listing kind=%s too", watcher->kind,
-	    other->kind);
-	relist(other);
-}
-
-static void
-on_servers_checked(void *ctx, const at_objects_page_t *page)
-{
-	at_sync_t *sync = ctx;
-	watcher_t *servers = &sync->servers;
-
-	sync->servers_check = NULL;
-	if (!sync->is_reader || at_mirror_is_listing(servers->mirror))
-		return;
-	if (page->code == AT_OBJECTS_HISTORY_GONE) {
-		relist_other(servers);
-		relist(servers);
-		return;
-	}
-	/* Meanwhile the open watch may have responded. */
-	if (page->code == AT_OBJECTS_OK)
-		note_confirmed(sync, at_mirror_since(servers->mirror) ==
-					     sync->servers_check_since
-					 ? sync->servers_check_sent_ms
-					 : sync->config_check_sent_ms);
-	if (!at_mirror_check_watch(servers->mirror, at_clock_now_ms(),
-		sync->servers_check_since, page))
-		return;
-	at_log(AT_LOG_WARN, "platform", NULL,
-	    "watch missed changes; watching again kind=%s objects=%zu",
-	    servers->kind, page->count);
-	if (servers->call != NULL)
-		sync->objects.cancel(sync->objects.impl, servers->call);
-	servers->call = NULL;
-	process(servers);
-	at_entry_place_queued(sync->entry);
-}
-
-/* A check of the configuration and a watch of the servers confirm together. */
-static void
-note_watched(at_sync_t *sync)
-{
-	uint64_t watched_ms = sync->servers.watched_ms;
-
-	note_confirmed(sync, watched_ms < sync->config_confirmed_ms
-				 ? watched_ms
-				 : sync->config_confirmed_ms);
-}
-
-/*
- * Called with the version of the store that a check of the configuration has
- * returned. The list of servers is complete if its watch began at that version.
- * Otherwise a second watch shows whether there are changes: a watch whose
- * response was lost, or whose history was dropped, stays open without any.
- */
-static void
-confirm_servers(at_sync_t *sync, uint64_t store_version)
-{
-	const at_mirror_t *mirror = sync->servers.mirror;
-
-	if (!sync->is_reader || sync->servers_check != NULL ||
-	    at_mirror_is_listing(sync->config.mirror) ||
-	    at_mirror_is_listing(mirror))
-		return;
-	if (store_version <= at_mirror_since(mirror)) {
-		note_confirmed(sync, sync->config_check_sent_ms);
-		return;
-	}
-	/* With many changes the watch proves itself, again and again. */
-	if (sync->servers.watched_ms + WATCH_CONFIRMATION_MS >=
-	    at_clock_now_ms()) {
-		sync->config_confirmed_ms = sync->config_check_sent_ms;
-		note_watched(sync);
-		return;
-	}
-	/* No watch is open for a moment after each response to one. */
-	if (sync->servers.call == NULL) {
-		note_confirmed(sync, sync->servers.responded_ms);
-		return;
-	}
-	sync->servers_check_since = at_mirror_since(mirror);
-	sync->servers_check_sent_ms = at_clock_now_ms();
-	sync->servers_check = sync->objects.watch(sync->objects.impl,
-	    sync->servers.kind, sync->servers_check_since, WATCH_CHECK_WAIT_MS,
-	    on_servers_checked, sync);
-}
-
-static void
-on_config_checked(void *ctx, const at_objects_page_t *page)
-{
-	at_sync_t *sync = ctx;
-
-	sync->config_check = NULL;
-	if (page->code == AT_OBJECTS_OK)
-		confirm_servers(sync, page->store_version);
-	/*
-	 * A follower receives changes later than the reader, so a missing
-	 * change does not show that a watch has failed.
-	 */
-	if (!at_mirror_check_list(
-		sync->config.mirror, at_clock_now_ms(), page) ||
-	    !sync->is_reader)
-		return;
-	at_log(AT_LOG_WARN, "platform", NULL,
-	    "watch missed changes; listing all kinds again kind=%s",
-	    sync->config.kind);
-	relist(&sync->config);
-	relist(&sync->servers);
-}
-
-static void
-set_following(watcher_t *watcher, int following)
-{
-	if (following && watcher->call != NULL &&
-	    !at_mirror_is_listing(watcher->mirror)) {
-		watcher->sync->objects.cancel(
-		    watcher->sync->objects.impl, watcher->call);
-		watcher->call = NULL;
-		at_mirror_note_call_dropped(watcher->mirror);
-	}
-	at_mirror_set_following(watcher->mirror, following);
-	process(watcher);
-}
-
 void
 at_sync_set_reader(at_sync_t *sync, int is_reader)
 {
@@ -409,12 +44,18 @@
 	sync->is_reader = is_reader;
 	sync->reader_since_ms = at_clock_now_ms();
 	sync->differs_since_ms = 0;
-	sync->newer_version = 0;
 	at_log(AT_LOG_INFO, "platform", NULL,
-	    "this instance %s the platform's lists",
-	    is_reader ? "reads" : "follows the reader of");
-	set_following(&sync->config, !is_reader);
-	set_following(&sync->servers, !is_reader);
+	    "this instance %s the platform's lists servers_since=%" PRIu64
+	    " config_since=%" PRIu64,
+	    is_reader ? "reads" : "follows the reader of",
+	    at_mirror_since(sync->servers.mirror),
+	    at_mirror_since(sync->config.mirror));
+	watcher_set_following(&sync->config, !is_reader);
+	watcher_set_following(&sync->servers, !is_reader);
+	if (!is_reader)
+		return;
+	sync->check_after_ms = 0;
+	at_sync_check(sync);
 }
 
 int
@@ -423,68 +64,25 @@
 	return sync->is_reader;
 }
 
-static void
-feed_object(
-    watcher_t *watcher, const char *name, uint64_t version, const char *spec)
-{
-	at_object_t object = {.name = name,
-	    .version = version,
-	    .text = spec,
-	    .len = spec == NULL ? 0 : strlen(spec)};
-	uint64_t now_ms = at_clock_now_ms();
-
-	if (watcher->sync->is_reader)
-		return;
-	if (spec == NULL) {
-		at_mirror_feed_deleted(watcher->mirror, now_ms, name, version);
-		return;
-	}
-	watcher->is_fed = 1;
-	at_mirror_feed(watcher->mirror, now_ms, &object);
-	watcher->is_fed = 0;
-}
-
-void
-at_sync_feed_server(
-    at_sync_t *sync, const char *name, uint64_t version, const char *spec)
-{
-	feed_object(&sync->servers, name, version, spec);
-}
-
-void
-at_sync_feed_config(
-    at_sync_t *sync, const char *name, uint64_t version, const char *spec)
-{
-	/* A new instance lists the configuration, to be sure of the newest. */
-	if (spec != NULL && at_mirror_is_synced(sync->config.mirror))
-		feed_object(&sync->config, name, version, spec);
-}
-
-void
-at_sync_note_newer_config(at_sync_t *sync)
+/* How long a reader may be without a confirmation. */
+static uint32_t
+reader_confirmation_max_ms(const at_sync_t *sync)
 {
-	uint64_t now_ms = at_clock_now_ms();
+	uint32_t max_ms = READER_CHECK_MS + 2u * sync->response_ms;
 
-	if (sync->newer_since_ms == 0)
-		sync->newer_since_ms = now_ms;
-	if (sync->is_reader ||
-	    now_ms - sync->newer_since_ms >= CONFIG_REPORT_TIMEOUT_MS)
-		at_sync_check_config(sync);
+	if (max_ms < READER_CONFIRMATION_MIN_MS)
+		return READER_CONFIRMATION_MIN_MS;
+	return max_ms > READER_CONFIRMATION_MAX_MS ? READER_CONFIRMATION_MAX_MS
+						   : max_ms;
 }
 
-uint64_t
-at_sync_digest(const at_sync_t *sync)
-{
-	return at_mirror_digest(sync->servers.mirror);
-}
-
-void
-at_sync_compare_digest(at_sync_t *sync, uint64_t reader_digest)
+static void
+apply_digest(at_sync_t *sync, const at_sync_report_t *report)
 {
 	uint64_t now_ms = at_clock_now_ms();
 
-	if (sync->is_reader || at_mirror_is_listing(sync->servers.mirror) ||
-	    reader_digest == at_mirror_digest(sync->servers.mirror)) {
+	if (at_mirror_is_listing(sync->servers.mirror) ||
+	    report->servers_digest == at_mirror_digest(sync->servers.mirror)) {
 		sync->differs_since_ms = 0;
 		return;
 	}
@@ -493,83 +91,138 @@
 	if (now_ms - sync->differs_since_ms < DIGEST_MISMATCH_MAX_MS)
 		return;
 	at_log(AT_LOG_WARN, "platform", NULL,
-	    "list differs from the reader's; listing again kind=%s",
-	    WIRE_KIND_SERVERS);
+	    "list differs from the reader's; %s kind=%s",
+	    report->servers_since == 0 ? "listing again" : "asking for all",
+	    sync->servers.kind);
 	sync->differs_since_ms = 0;
-	relist(&sync->servers);
+	/* A reader that does not state versions cannot be asked. */
+	if (report->servers_since == 0)
+		watcher_relist(&sync->servers);
+	else
+		sync_ask_for_all_servers(sync, report->instance);
 }
 
-uint64_t
-at_sync_servers_version(const at_sync_t *sync)
-{
-	return at_mirror_newest(sync->servers.mirror);
+/* Returns non-zero if this instance has all changes that the reader has. */
+static int
+has_all_of(at_sync_t *sync, const at_sync_report_t *report)
+{
+	at_mirror_t *servers = sync->servers.mirror;
+	int has_config = sync->entry->site != NULL &&
+			 report->config_version <= sync->entry->site->version;
+
+	if (report->servers_since == 0)
+		return has_config &&
+		       report->servers_digest == at_mirror_digest(servers);
+	if (!at_mirror_advance(
+		servers, report->servers_changed, report->servers_since)) {
+		sync_want_servers(
+		    sync, report->servers_since, SERVERS_ARRIVAL_MS);
+		return 0;
+	}
+	sync_note_servers_known(sync);
+	return has_config;
 }
 
-void
-at_sync_compare_version(at_sync_t *sync, uint64_t version)
+static void
+apply_reader(at_sync_t *sync, const at_sync_report_t *report)
 {
-	const at_mirror_t *mirror = sync->servers.mirror;
 	uint64_t now_ms = at_clock_now_ms();
 
-	if (!sync->is_reader || at_mirror_is_listing(mirror) ||
-	    at_mirror_covers(mirror, sync->newer_version))
-		sync->newer_version = 0;
-	if (!sync->is_reader || at_mirror_is_listing(mirror) ||
-	    at_mirror_covers(mirror, version))
-		return;
-	if (sync->newer_version == 0) {
-		sync->newer_version = version;
-		sync->newer_version_since_ms = now_ms;
+	sync->reader_age_max_ms = report->age_max_ms;
+	if (!report->platform_away &&
+	    report->age_ms <= (report->age_max_ms == 0
+				      ? READER_CONFIRMATION_MIN_MS
+				      : report->age_max_ms))
+		sync->reader_ms = now_ms;
+	if (has_all_of(sync, report) && !sync->is_reader &&
+	    report->age_ms < now_ms) {
+		watcher_confirm(&sync->config, now_ms - report->age_ms);
+		watcher_confirm(&sync->servers, now_ms - report->age_ms);
 	}
-	if (now_ms - sync->newer_version_since_ms < NEWER_VERSION_MAX_MS)
-		return;
-	at_log(AT_LOG_WARN, "platform", NULL,
-	    "watch missed changes that another reader has; listing all kinds "
-	    "again kind=%s version=%" PRIu64,
-	    sync->servers.kind, sync->newer_version);
-	sync->newer_version = 0;
-	relist(&sync->config);
-	relist(&sync->servers);
-}
-
-uint64_t
-at_sync_confirmation_age_ms(const at_sync_t *sync)
-{
-	return at_clock_now_ms() - sync->confirmed_ms;
-}
-
-uint64_t
-at_sync_steady_ms(const at_sync_t *sync)
-{
-	return at_clock_now_ms() - sync->steady_since_ms;
+	if (!sync->is_reader && !report->platform_away)
+		apply_digest(sync, report);
 }
 
-void
-at_sync_note_steady(at_sync_t *sync, uint64_t steady_ms, uint64_t age_ms)
+/*
+ * If a reader of any data centre has had the platform throughout an outage of
+ * this instance, the platform was not down: servers that it no longer lists
+ * have gone.
+ */
+static void
+apply_steady(at_sync_t *sync, const at_sync_report_t *report)
 {
 	watcher_t *servers = &sync->servers;
 	uint64_t now_ms = at_clock_now_ms();
 	size_t missing = at_mirror_missing_count(servers->mirror);
 
-	if (missing == 0 || age_ms > READER_CONFIRMATION_MAX_MS ||
+	if (missing == 0 || report->age_ms > READER_CONFIRMATION_MIN_MS ||
 	    at_mirror_is_platform_away(servers->mirror) ||
-	    steady_ms + servers->away_since_ms < now_ms)
+	    report->steady_ms + servers->away_since_ms < now_ms)
 		return;
 	at_log(AT_LOG_INFO, "platform", NULL,
 	    "platform was away from this instance only; missing servers are "
 	    "removed kind=%s missing=%zu outage_ms=%" PRIu64,
 	    servers->kind, missing, now_ms - servers->away_since_ms);
 	at_mirror_delete_missing(servers->mirror, now_ms);
-	set_timer(servers);
+	watcher_set_timer(servers);
+}
+
+void
+at_sync_apply_report(at_sync_t *sync, const at_sync_report_t *report)
+{
+	if (report->reads && report->is_near)
+		apply_reader(sync, report);
+	/* A watch has failed if another reader knows a newer change for long.
+	 */
+	if (report->reads && !report->is_near && sync->is_reader &&
+	    !at_mirror_covers(sync->servers.mirror, report->servers_newest))
+		sync_want_servers(
+		    sync, report->servers_newest, READER_ARRIVAL_MS);
+	if (report->reads && !report->platform_away)
+		apply_steady(sync, report);
+	sync_want_config(sync, report->config_version, CONFIG_ARRIVAL_MS);
 }
 
 void
-at_sync_note_reader(at_sync_t *sync, uint64_t age_ms)
+at_sync_fill_report(const at_sync_t *sync, at_sync_report_t *report)
 {
+	const at_mirror_t *servers = sync->servers.mirror;
 	uint64_t now_ms = at_clock_now_ms();
 
-	if (!sync->is_reader && age_ms < now_ms)
-		note_confirmed(sync, now_ms - age_ms);
+	report->servers_since = at_mirror_since(servers);
+	report->reads = sync->is_reader;
+	if (!report->reads)
+		return;
+	report->servers_changed = at_mirror_changed(servers);
+	report->servers_newest = at_mirror_newest(servers);
+	report->servers_digest = at_mirror_digest(servers);
+	report->age_ms = now_ms - sync->confirmed_ms;
+	report->age_max_ms = reader_confirmation_max_ms(sync);
+	report->steady_ms = now_ms - sync->steady_since_ms;
+}
+
+uint64_t
+at_sync_servers_base(const at_sync_t *sync)
+{
+	return at_mirror_base(sync->servers.mirror);
+}
+
+uint64_t
+at_sync_servers_since(const at_sync_t *sync)
+{
+	return at_mirror_since(sync->servers.mirror);
+}
+
+/*
+ * Returns since when the reader has no confirmation. A new reader has the time
+ * of its first check.
+ */
+static uint64_t
+unconfirmed_since_ms(const at_sync_t *sync)
+{
+	return sync->confirmed_ms > sync->reader_since_ms
+		   ? sync->confirmed_ms
+		   : sync->reader_since_ms;
 }
 
 static void
@@ -581,8 +234,8 @@
 	if (is_silent)
 		at_log(AT_LOG_WARN, "platform", NULL,
 		    "platform does not respond to the reader of its lists "
-		    "age_ms=%" PRIu64,
-		    now_ms - unconfirmed_since_ms(sync));
+		    "age_ms=%" PRIu64 " response_ms=%u",
+		    now_ms - unconfirmed_since_ms(sync), sync->response_ms);
 	else
 		at_log(AT_LOG_INFO, "platform", NULL,
 		    "platform responds again age_ms=%" PRIu64,
@@ -593,21 +246,26 @@
 static void
 check_reader(at_sync_t *sync, uint64_t now_ms)
 {
-	if (now_ms - unconfirmed_since_ms(sync) > READER_CONFIRMATION_MAX_MS)
+	if (now_ms - unconfirmed_since_ms(sync) >
+	    reader_confirmation_max_ms(sync))
 		set_silent(sync, 1, now_ms);
+	sync_check_list(sync);
 }
 
-static uint32_t
+static uint64_t
 follower_confirmation_max_ms(const at_sync_t *sync)
 {
 	const at_entry_settings_t *settings = &sync->entry->settings;
-	uint32_t max_ms = settings->drain_ms < settings->config_apply_ms
-			      ? settings->drain_ms
-			      : settings->config_apply_ms;
+	uint32_t bound_ms = settings->drain_ms < settings->config_apply_ms
+				? settings->drain_ms
+				: settings->config_apply_ms;
+	uint64_t max_ms = FOLLOWER_CONFIRMATION_MIN_MS;
 
-	return max_ms < FOLLOWER_CONFIRMATION_MIN_MS + LIST_TIME_MS
-		   ? FOLLOWER_CONFIRMATION_MIN_MS
-		   : max_ms - LIST_TIME_MS;
+	if (bound_ms > max_ms + CHECK_TIME_MS)
+		max_ms = bound_ms - CHECK_TIME_MS;
+	return sync->reader_age_max_ms + READER_CHANGE_MS > max_ms
+		   ? sync->reader_age_max_ms + READER_CHANGE_MS
+		   : max_ms;
 }
 
 static void
@@ -617,14 +275,15 @@
 
 	if (age_ms <= follower_confirmation_max_ms(sync) ||
 	    at_mirror_is_listing(sync->config.mirror) ||
-	    at_mirror_is_listing(sync->servers.mirror))
+	    at_mirror_is_listing(sync->servers.mirror) ||
+	    now_ms < sync->check_after_ms)
 		return;
-	at_log(AT_LOG_WARN, "platform", NULL,
-	    "no recent confirmation from the reader; listing all kinds "
+	at_log(AT_LOG_INFO, "platform", NULL,
+	    "no recent confirmation from the reader; asking the platform "
 	    "age_ms=%" PRIu64,
 	    age_ms);
-	relist(&sync->config);
-	relist(&sync->servers);
+	at_sync_check(sync);
+	sync->check_after_ms = now_ms + READER_CHECK_MS;
 }
 
 void
@@ -632,7 +291,7 @@
 {
 	uint64_t now_ms = at_clock_now_ms();
 
-	if (now_ms - sync->confirmed_ms <= READER_CONFIRMATION_MAX_MS)
+	if (now_ms - sync->confirmed_ms <= reader_confirmation_max_ms(sync))
 		set_silent(sync, 0, now_ms);
 	if (sync->is_reader)
 		check_reader(sync, now_ms);
@@ -640,179 +299,46 @@
 		check_follower(sync, now_ms);
 }
 
-void
-at_sync_check_config(at_sync_t *sync)
-{
-	uint64_t now_ms = at_clock_now_ms();
-
-	if (sync->config_check != NULL ||
-	    now_ms < sync->config_check_after_ms ||
-	    !at_mirror_is_synced(sync->config.mirror))
-		return;
-	sync->config_check_after_ms = now_ms + CONFIG_CHECK_INTERVAL_MS;
-	sync->config_check_sent_ms = now_ms;
-	sync->config_check = sync->objects.list(sync->objects.impl,
-	    sync->config.kind, NULL, on_config_checked, sync);
-}
-
-static void
-on_page(void *ctx, const at_objects_page_t *page)
-{
-	watcher_t *watcher = ctx;
-	int was_listing = at_mirror_is_listing(watcher->mirror);
-	size_t missing = at_mirror_missing_count(watcher->mirror);
-	int was_away;
-
-	watcher->call = NULL;
-	at_log(AT_LOG_DEBUG, "platform", NULL,
-	    "platform responded kind=%s result=%s objects=%zu as_of=%" PRIu64,
-	    watcher->kind, at_objects_code_names[page->code], page->count,
-	    page->store_version);
-	if (page->code == AT_OBJECTS_OK)
-		watcher->responded_ms = at_clock_now_ms();
-	if (page->code == AT_OBJECTS_OK && !was_listing) {
-		watcher->watched_ms = watcher->watch_sent_ms;
-		if (watcher == &watcher->sync->servers &&
-		    watcher->sync->is_reader)
-			note_watched(watcher->sync);
-	}
-	was_away = at_mirror_is_platform_away(watcher->mirror);
-	at_mirror_handle_response(watcher->mirror, at_clock_now_ms(), page);
-	log_platform_state(watcher, page->code);
-	/* Confirms the lists without waiting for the next regular check. */
-	if (was_away && page->code == AT_OBJECTS_OK)
-		at_sync_check_config(watcher->sync);
-	if (at_mirror_missing_count(watcher->mirror) != missing)
-		at_log(AT_LOG_INFO, "platform", NULL,
-		    "objects missing after an outage are kept kind=%s "
-		    "missing=%zu delay_ms=%u",
-		    watcher->kind, at_mirror_missing_count(watcher->mirror),
-		    SERVERS_DELETION_DELAY_MS);
-	if (was_listing && !at_mirror_is_listing(watcher->mirror)) {
-		watcher->listed_ms = watcher->list_sent_ms;
-		note_listed(watcher->sync);
-	}
-	if (page->code == AT_OBJECTS_HISTORY_GONE)
-		relist_other(watcher);
-	process(watcher);
-	at_entry_place_queued(watcher->sync->entry);
-}
-
-static void
-set_timer(watcher_t *watcher)
-{
-	struct ev_loop *loop = watcher->sync->entry->loop;
-	uint64_t due_ms = at_mirror_due_ms(watcher->mirror);
-	uint64_t now_ms = at_clock_now_ms();
-
-	ev_timer_stop(loop, &watcher->timer);
-	if (due_ms == AT_MIRROR_NOT_DUE)
-		return;
-	ev_timer_set(&watcher->timer,
-	    due_ms > now_ms ? (double)(due_ms - now_ms) / AT_MS_PER_S : 0., 0.);
-	ev_timer_start(loop, &watcher->timer);
-}
-
-static void
-process(watcher_t *watcher)
-{
-	const at_objects_t *objects = &watcher->sync->objects;
-	const at_objects_page_t failed = {.code = AT_OBJECTS_NO_RESPONSE};
-	at_mirror_action_t action;
-
-	at_mirror_process(watcher->mirror, at_clock_now_ms(), &action);
-	if (action.step == AT_MIRROR_LIST && action.after == NULL)
-		watcher->list_sent_ms = at_clock_now_ms();
-	if (action.step == AT_MIRROR_LIST)
-		watcher->call = objects->list(objects->impl, watcher->kind,
-		    action.after, on_page, watcher);
-	else if (action.step == AT_MIRROR_WATCH) {
-		watcher->watch_sent_ms = at_clock_now_ms();
-		watcher->call = objects->watch(objects->impl, watcher->kind,
-		    action.since, action.wait_ms, on_page, watcher);
-	}
-	if (action.step != AT_MIRROR_WAIT && watcher->call == NULL)
-		at_mirror_handle_response(
-		    watcher->mirror, at_clock_now_ms(), &failed);
-	set_timer(watcher);
-}
-
-static void
-on_timer(struct ev_loop *loop, ev_timer *timer, int events)
-{
-	watcher_t *watcher = timer->data;
-
-	(void)loop;
-	(void)events;
-	process(watcher);
-}
-
-static int
-watcher_init(at_sync_t *sync, watcher_t *watcher, const char *kind,
-    const at_mirror_sink_t *sink, uint32_t deletion_delay_ms)
-{
-	watcher->sync = sync;
-	watcher->kind = kind;
-	watcher->mirror = at_mirror_new();
-	if (watcher->mirror == NULL)
-		return -1;
-	at_mirror_set_sink(watcher->mirror, sink);
-	at_mirror_set_following(watcher->mirror, 1);
-	at_mirror_set_deletion_delay(watcher->mirror, deletion_delay_ms);
-	at_mirror_set_batch_delay(watcher->mirror, BATCH_DELAY_MS);
-	ev_timer_init(&watcher->timer, on_timer, 0., 0.);
-	watcher->timer.data = watcher;
-	return 0;
-}
-
 at_sync_t *
 at_sync_new(at_entry_t *entry)
 {
 	at_sync_t *sync = calloc(1, sizeof(*sync));
-	const at_mirror_sink_t config_sink = {on_config_change,
-	    on_config_deleted, sync == NULL ? NULL : &sync->config};
-	const at_mirror_sink_t servers_sink = {on_server_change,
-	    on_server_deleted, sync == NULL ? NULL : &sync->servers};
+	at_mirror_sink_t config_sink;
+	at_mirror_sink_t servers_sink;
 
 	if (sync == NULL)
 		return NULL;
+	config_sink = watcher_config_sink(&sync->config);
+	servers_sink = watcher_servers_sink(&sync->servers);
 	sync->entry = entry;
 	sync->reader_since_ms = at_clock_now_ms();
 	sync->objects = at_wire_store_objects(entry->wire_store);
-	if (watcher_init(
+	if (sync_documents_init(sync) != 0 ||
+	    watcher_init(
 		sync, &sync->config, WIRE_KIND_CONFIG, &config_sink, 0) != 0 ||
 	    watcher_init(sync, &sync->servers, WIRE_KIND_SERVERS, &servers_sink,
 		SERVERS_DELETION_DELAY_MS) != 0) {
 		at_sync_delete(sync);
 		return NULL;
 	}
+	at_mirror_keep_texts(sync->servers.mirror);
 	return sync;
 }
 
 void
 at_sync_start(at_sync_t *sync)
 {
-	process(&sync->config);
-	process(&sync->servers);
+	watcher_process(&sync->config);
+	watcher_process(&sync->servers);
 }
 
 void
 at_sync_delete(at_sync_t *sync)
 {
-	watcher_t *watchers[] = {&sync->config, &sync->servers};
-	size_t i;
-
-	if (sync->config_check != NULL)
-		sync->objects.cancel(sync->objects.impl, sync->config_check);
-	if (sync->servers_check != NULL)
-		sync->objects.cancel(sync->objects.impl, sync->servers_check);
-	for (i = 0; i < sizeof(watchers) / sizeof(watchers[0]); i++) {
-		ev_timer_stop(sync->entry->loop, &watchers[i]->timer);
-		if (watchers[i]->call != NULL)
-			sync->objects.cancel(
-			    sync->objects.impl, watchers[i]->call);
-		at_mirror_delete(watchers[i]->mirror);
-	}
+	sync_checks_cancel(sync);
+	sync_documents_free(sync);
+	watcher_free(&sync->config);
+	watcher_free(&sync->servers);
 	free(sync);
 }
 
@@ -830,3 +356,9 @@
 	       at_mirror_is_platform_away(sync->config.mirror) ||
 	       at_mirror_is_platform_away(sync->servers.mirror);
 }
+
+at_documents_t *
+at_sync_documents(at_sync_t *sync)
+{
+	return sync->documents;
+}
--- /dev/null
+++ b/src/entry/sync_impl.h
@@ -0,0 +1,112 @@
+/*
+ * sync_impl.h - types shared by the files of sync: sync_watch.c has the copies
+ * and their calls to the platform, sync_check.c the checks of the watches,
+ * sync_documents.c what other instances are told or ask for, and sync.c the
+ * roles of reader and follower.
+ */
+#ifndef ALMONDTHREAD_ENTRY_SYNC_IMPL_H
+#define ALMONDTHREAD_ENTRY_SYNC_IMPL_H
+
+#include "almondthread/catch_up.h"
+#include "almondthread/mirror.h"
+#include "entry/sync.h"
+#include "platform/names.h"
+
+/* Checks without a response at a time; the platform may be slow. */
+#define CHECKS_MAX 4u
+
+/* Copy of the platform's objects of one kind. */
+typedef struct watcher {
+	at_sync_t *sync;
+	const char *kind;
+	at_mirror_t *mirror;
+	at_objects_call_t *call; /* open call, or NULL */
+	uint64_t list_sent_ms;   /* when the first page was requested */
+	uint64_t watch_sent_ms;  /* when the open or last watch was sent */
+	uint64_t watched_ms;     /* the same of the last that responded */
+	/* The changes that the platform had before are known here. */
+	uint64_t confirmed_ms;
+	int was_away;
+	int is_fed;             /* the change comes from another instance */
+	uint64_t away_since_ms; /* last confirmation before the last outage */
+	at_catch_up_t catch_up;
+	ev_timer timer;
+} watcher_t;
+
+/* Asks whether both copies have all changes. */
+typedef struct check {
+	at_sync_t *sync;
+	at_objects_call_t *calls[2]; /* of the configuration, of the servers */
+	uint64_t since[2];           /* versions that they start from */
+	uint64_t sent_ms;            /* 0: not in use */
+} check_t;
+
+struct at_sync {
+	at_entry_t *entry;
+	at_objects_t objects;
+	at_documents_t *documents;
+	watcher_t config;
+	watcher_t servers;
+	check_t checks[CHECKS_MAX];
+	uint64_t check_after_ms;      /* no check before this time */
+	at_objects_call_t *list_call; /* see sync_check_list(), or NULL */
+	uint64_t listed_ms;           /* when it last did */
+	uint32_t response_ms; /* time that the platform has been taking */
+	/* The lower of the times of both copies. */
+	uint64_t confirmed_ms;
+	uint64_t steady_since_ms; /* confirmed since then without a gap */
+	int is_reader;
+	uint64_t reader_since_ms;
+	int is_silent; /* the platform did not confirm in time to the reader */
+	uint64_t reader_age_max_ms; /* as the reader has stated it */
+	uint64_t reader_ms;         /* when it was last up to date */
+	uint64_t config_wanted;     /* newest version that others have */
+	uint64_t servers_wanted;    /* up to which others have all changes */
+	/* Since when the list differs from the reader's; 0: it does not. */
+	uint64_t differs_since_ms;
+	ev_timer catch_up_timer;
+	/* The last document that was filled. */
+	ReportServer *objects_filled;
+	ReportServer **object_list;
+};
+
+/* sync_watch.c */
+/* Returns -1 if out of memory. */
+int watcher_init(at_sync_t *sync, watcher_t *watcher, const char *kind,
+    const at_mirror_sink_t *sink, uint32_t deletion_delay_ms);
+void watcher_free(watcher_t *watcher);
+/* Makes the call that is due. */
+void watcher_process(watcher_t *watcher);
+void watcher_set_timer(watcher_t *watcher);
+void watcher_relist(watcher_t *watcher);
+/* Drops the open watch, which may be deaf, and watches again. */
+void watcher_watch_again(watcher_t *watcher);
+void watcher_set_following(watcher_t *watcher, int following);
+/* Drops the open list, since its objects are known from others. */
+void watcher_drop_list(watcher_t *watcher);
+/* Takes confirmation that changes before since_ms are known. */
+void watcher_confirm(watcher_t *watcher, uint64_t since_ms);
+/* What a copy of each kind does with its changes. */
+at_mirror_sink_t watcher_config_sink(watcher_t *watcher);
+at_mirror_sink_t watcher_servers_sink(watcher_t *watcher);
+
+/* sync_check.c */
+void sync_checks_cancel(at_sync_t *sync);
+/* Reads the whole configuration once in a while, whatever the watches say. */
+void sync_check_list(at_sync_t *sync);
+
+/* sync_documents.c */
+/* Returns -1 if out of memory. */
+int sync_documents_init(at_sync_t *sync);
+void sync_documents_free(at_sync_t *sync);
+/* Others have a newer configuration, or changes of servers up to a version. */
+void sync_want_config(
+    at_sync_t *sync, uint64_t config_version, uint32_t wait_ms);
+void sync_want_servers(at_sync_t *sync, uint64_t since, uint32_t wait_ms);
+/* Ends the wish if it has been met. */
+void sync_note_config_known(at_sync_t *sync);
+void sync_note_servers_known(at_sync_t *sync);
+/* Asks for the complete list of servers. */
+void sync_ask_for_all_servers(at_sync_t *sync, at_tag_t instance);
+
+#endif
