Send leaving servers first, and wait for what is on its way

Servers that leave or were deleted go in a report of their own before the parts of a larger change.

many_changes_reach_all_without_a_list: 60 changes and two removals reach five instances, with one list, the reader's own of the configuration.

--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -438,14 +438,32 @@
 	gossip_start_timer(gossip, &gossip->demand_timer, SOON_DELAY_S);
 }
 
+/* Leaves only the urgent ones. */
+static void
+keep_urgent_servers(at_gossip_t *gossip)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < gossip->server_count; i++) {
+		if (!gossip->servers[i].is_urgent)
+			object_report_free(&gossip->servers[i]);
+		else if (count++ != i)
+			gossip->servers[count - 1] = gossip->servers[i];
+	}
+	gossip->server_count = count;
+}
+
 static void
 send_servers(at_gossip_t *gossip)
 {
+	if (gossip->has_more_servers)
+		keep_urgent_servers(gossip);
+	if (gossip->server_count > 0)
+		gossip_send_report(gossip, REPORT_SERVERS, REPORT_NEAR, 0);
 	if (gossip->has_more_servers)
 		at_documents_spread(at_sync_documents(gossip->entry->sync),
 		    AT_DOCUMENT_SERVERS, gossip->servers_from);
-	else if (gossip->server_count > 0)
-		gossip_send_report(gossip, REPORT_SERVERS, REPORT_NEAR, 0);
 	clear_servers(gossip);
 }
 
@@ -457,11 +475,33 @@
 	send_servers(timer->data);
 }
 
+/* Returns the place of an object, or NULL if the report is full. */
+static object_report_t *
+find_server_place(at_gossip_t *gossip, size_t len, int is_urgent)
+{
+	size_t i;
+
+	if (gossip->server_count < SERVERS_MAX &&
+	    gossip->server_bytes + len <= SERVERS_MAX_BYTES) {
+		gossip->server_bytes += len;
+		return &gossip->servers[gossip->server_count++];
+	}
+	gossip->has_more_servers = 1;
+	for (i = 0; is_urgent && i < gossip->server_count; i++) {
+		if (!gossip->servers[i].is_urgent) {
+			object_report_free(&gossip->servers[i]);
+			return &gossip->servers[i];
+		}
+	}
+	return NULL;
+}
+
 void
 at_gossip_send_server(at_gossip_t *gossip, const char *name, uint64_t version,
-    const char *text, size_t len)
+    const char *text, size_t len, int is_leaving)
 {
-	object_report_t *object = &gossip->servers[gossip->server_count];
+	int is_urgent = is_leaving || text == NULL;
+	object_report_t *object;
 
 	if (gossip->fd < 0)
 		return;
@@ -475,14 +515,15 @@
 		text = NO_SERVER;
 		len = strlen(NO_SERVER);
 	}
-	if (gossip->server_count == SERVERS_MAX ||
-	    gossip->server_bytes + len > SERVERS_MAX_BYTES ||
-	    object_report_set(object, name, version, text, len) != 0) {
+	object = find_server_place(gossip, len, is_urgent);
+	if (object == NULL)
+		return;
+	if (object_report_set(object, name, version, text, len) != 0) {
 		gossip->has_more_servers = 1;
+		*object = gossip->servers[--gossip->server_count];
 		return;
 	}
-	gossip->server_count++;
-	gossip->server_bytes += len;
+	object->is_urgent = is_urgent;
 }
 
 /* Returns non-zero if the difference is small enough for one report. */
--- a/src/entry/gossip.h
+++ b/src/entry/gossip.h
@@ -34,10 +34,11 @@
 /*
  * at_gossip_send_server() sends a backend server's object in the list to the
  * instances of this data centre; text is NULL when it was deleted. Objects
- * that change within two milliseconds are sent in one report.
+ * that change within two milliseconds are sent in one report; where they do not
+ * fit, those of servers that leave (is_leaving) or were deleted go first.
  */
 void at_gossip_send_server(at_gossip_t *gossip, const char *name,
-    uint64_t version, const char *text, size_t len);
+    uint64_t version, const char *text, size_t len, int is_leaving);
 /*
  * at_gossip_note_config() takes a newer configuration object. A reader of the
  * platform's lists (is_reader non-zero) sends it to the same instances, as the
--- a/src/entry/gossip_impl.h
+++ b/src/entry/gossip_impl.h
@@ -40,6 +40,7 @@
 	char *name;
 	char *spec; /* JSON text; NULL: the object was deleted */
 	uint64_t version;
+	int is_urgent;
 } object_report_t;
 
 struct at_gossip {
--- a/src/entry/report_encode.c
+++ b/src/entry/report_encode.c
@@ -138,8 +138,11 @@
 	}
 	report->n_servers = gossip->server_count;
 	report->servers = buffers->server_list;
-	report->changes_from = gossip->servers_from;
-	report->changes_to = at_sync_servers_since(gossip->entry->sync);
+	/* Otherwise these are not all changes. */
+	if (!gossip->has_more_servers) {
+		report->changes_from = gossip->servers_from;
+		report->changes_to = at_sync_servers_since(gossip->entry->sync);
+	}
 }
 
 /* Origins of one version are sent together, if they follow one another. */
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -31,7 +31,7 @@
 #define CHECK_TIME_MS 500u
 /* For which changes may be on their way to a follower, or to a reader. */
 #define CONFIG_ARRIVAL_MS 60u
-#define SERVERS_ARRIVAL_MS 20u
+#define SERVERS_ARRIVAL_MS 100u
 #define READER_ARRIVAL_MS 700u
 /* With all changes the list differs from the reader's for longer. */
 #define DIGEST_MISMATCH_MAX_MS 700u
--- a/src/entry/sync_documents.c
+++ b/src/entry/sync_documents.c
@@ -12,6 +12,8 @@
 #include "io/clock.h"
 
 #define CATCH_UP_INTERVAL_S 0.01
+/* In which a list that is under way brings what is lacking. */
+#define LIST_ARRIVAL_MS 500u
 /* A reader that was up to date within this time knows the newest. */
 #define FRESH_READER_MS 2000u
 
@@ -262,8 +264,13 @@
 /* Asking */
 
 static void
-start_catch_up(at_sync_t *sync)
+note_behind(watcher_t *watcher, uint32_t wait_ms)
 {
+	at_sync_t *sync = watcher->sync;
+
+	if (at_mirror_is_listing(watcher->mirror) && wait_ms < LIST_ARRIVAL_MS)
+		wait_ms = LIST_ARRIVAL_MS;
+	at_catch_up_note_behind(&watcher->catch_up, at_clock_now_ms(), wait_ms);
 	if (!ev_is_active(&sync->catch_up_timer))
 		ev_timer_again(sync->entry->loop, &sync->catch_up_timer);
 }
@@ -277,9 +284,7 @@
 		return;
 	if (config_version > sync->config_wanted)
 		sync->config_wanted = config_version;
-	at_catch_up_note_behind(
-	    &sync->config.catch_up, at_clock_now_ms(), wait_ms);
-	start_catch_up(sync);
+	note_behind(&sync->config, wait_ms);
 }
 
 void
@@ -289,9 +294,7 @@
 		return;
 	if (since > sync->servers_wanted)
 		sync->servers_wanted = since;
-	at_catch_up_note_behind(
-	    &sync->servers.catch_up, at_clock_now_ms(), wait_ms);
-	start_catch_up(sync);
+	note_behind(&sync->servers, wait_ms);
 }
 
 void
--- a/src/entry/sync_watch.c
+++ b/src/entry/sync_watch.c
@@ -81,7 +81,8 @@
 
 	if (watcher->sync->is_reader)
 		at_gossip_send_server(entry->gossip, object->name,
-		    object->version, object->text, object->len);
+		    object->version, object->text, object->len,
+		    fault != NULL || server.is_leaving);
 	if (fault != NULL) {
 		at_log(AT_LOG_WARN, "servers", NULL,
 		    "server object rejected; server removed name=%s "
@@ -117,7 +118,7 @@
 	    name, version);
 	at_fleet_remove(entry->fleet, at_tag_from_text(name));
 	if (watcher->sync->is_reader)
-		at_gossip_send_server(entry->gossip, name, version, NULL, 0);
+		at_gossip_send_server(entry->gossip, name, version, NULL, 0, 1);
 }
 
 static void
--- a/tests/contract/test_reader_changes.c
+++ b/tests/contract/test_reader_changes.c
@@ -2,10 +2,13 @@
  * The list of backend servers while the instance that reads it changes, and
  * while instances list for themselves beside it.
  */
+#include <stdio.h>
+
 #include <criterion/criterion.h>
 
 #include "entry/sync.h"
 #include "io/clock.h"
+#include "platform/names.h"
 #include "support/entry_fixture.h"
 
 #define ENTRIES 5u
@@ -153,3 +156,65 @@
 		entry_fixture_delete(fixture);
 	}
 }
+
+#define MANY 60u
+#define MANY_MS 1500u
+
+static void
+put_many(entry_fixture_t *fixture, uint64_t heartbeat)
+{
+	char id[AT_NAME_SIZE];
+	unsigned i;
+
+	for (i = 0; i < MANY; i++) {
+		(void)snprintf(id, sizeof(id), "many-%u", i);
+		standin_store_put(fixture->store, WIRE_KIND_SERVERS, id,
+		    standin_server_spec("plain", "127.0.0.1:9", "north",
+			ENTRY_FIXTURE_VERSION, NULL, 0, heartbeat));
+	}
+}
+
+/* Instances that know count servers, of which none leaves. */
+static size_t
+count_knowing(const entry_fixture_t *fixture, size_t count)
+{
+	size_t knowing = 0;
+	size_t i;
+
+	for (i = 0; i < fixture->entry_count; i++)
+		knowing += at_fleet_count(fixture->entries[i]->fleet) == count;
+	return knowing;
+}
+
+static uint64_t
+count_lists(const entry_fixture_t *fixture)
+{
+	uint64_t lists = 0;
+	size_t i;
+
+	for (i = 0; i < fixture->entry_count; i++)
+		lists += at_counters_get(fixture->entries[i]->counters,
+		    "platform_list_total", "result", "ok");
+	return lists;
+}
+
+/* More changes than one report holds; one of the servers has gone. */
+Test(reader_changes, many_changes_reach_all_without_a_list, .timeout = 60)
+{
+	entry_fixture_t *fixture = deployment_new(ENTRIES);
+	uint64_t before = count_lists(fixture);
+
+	put_many(fixture, 1);
+	entry_fixture_run_ms(fixture, MANY_MS);
+	cr_expect_eq(count_knowing(fixture, SERVERS + MANY), ENTRIES);
+	put_many(fixture, 2);
+	standin_store_remove(fixture->store, WIRE_KIND_SERVERS, "many-7");
+	entry_fixture_unlist_server(fixture, 0);
+	entry_fixture_run_ms(fixture, MANY_MS);
+	cr_expect_eq(count_knowing(fixture, SERVERS + MANY - 2u), ENTRIES,
+	    "%zu instances know %u servers",
+	    count_knowing(fixture, SERVERS + MANY - 2u), SERVERS + MANY - 2u);
+	/* The reader's own, of the configuration. */
+	cr_expect_leq(count_lists(fixture) - before, 1);
+	entry_fixture_delete(fixture);
+}
