Take a refusal only as that of the request that it names

Cause: whether a response states that nothing was run was looked at before whose response it is. Now a refusal that has another request's id is a crossed response, after which the request may have run; one without an id is believed on a new connection only. An instance that passes attempts on for others does the same, as only it knows the connection.

--- a/src/daemon/requests/transport.c
+++ b/src/daemon/requests/transport.c
@@ -106,7 +106,8 @@
 	const char *content_type = at_transfer_header(transfer, "Content-Type");
 
 	transport->http_status = http_status;
-	if (http_status == NOT_RUN_STATUS &&
+	/* The refusal of another request says nothing about this one. */
+	if (http_status == NOT_RUN_STATUS && !is_foreign(transport, transfer) &&
 	    at_transfer_header(transfer, "X-Not-Run") != NULL) {
 		transport->is_refused = 1;
 		return;
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -189,6 +189,21 @@
 	    pause_ms >= AT_SERVER_PAUSE_MAX_MS ? " at_most=1" : "");
 }
 
+/*
+ * A refusal that was meant for an earlier request on a kept connection has that
+ * request's id, or none. Without an id it is believed where there was no
+ * earlier request.
+ */
+static int
+is_own_refusal(const call_attempt_t *attempt, const at_transfer_t *transfer,
+    const at_server_response_t *response)
+{
+	return response->names_request ||
+	       (response->matches_request &&
+		   (attempt->relay != 0 ||
+		       at_transfer_is_on_new_connection(transfer)));
+}
+
 static void
 on_headers(void *ctx, at_transfer_t *transfer, int status)
 {
@@ -215,6 +230,11 @@
 		if (server_response.pause_ms != 0)
 			note_pause(attempt, server_response.pause_ms);
 	}
+	if (server_response.is_not_run &&
+	    !is_own_refusal(attempt, transfer, &server_response)) {
+		reject_response(attempt, AT_REASON_CROSSED);
+		return;
+	}
 	if (server_response.is_not_run) {
 		attempt->is_refused = 1;
 		attempt->is_misplaced = server_response.is_misplaced;
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -27,6 +27,7 @@
 	at_transfer_t *transfer;     /* NULL: ended */
 	at_name_t server;
 	at_tag_t server_tag;
+	const char *request_id; /* of the request, or NULL */
 	int is_probe;
 	int is_started; /* the response has begun */
 	int is_paused;
@@ -118,8 +119,19 @@
 
 	at_reach_note_received(
 	    at_reach_io_state(entry->reach), at_clock_now_us());
-	at_server_response_read(transfer, status, NULL, &response);
+	at_server_response_read(
+	    transfer, status, relayed->request_id, &response);
 	take_notices(relayed, &response);
+	/* The other instance cannot know which connection it came on. */
+	if (response.is_not_run && !response.names_request &&
+	    !at_transfer_is_on_new_connection(transfer)) {
+		at_log(AT_LOG_WARN, "relay", relayed->request_id,
+		    "response rejected; it is an earlier refusal server=%s",
+		    relayed->server.text);
+		relayed->is_started = 1;
+		at_httpd_stream_abort(relayed->request);
+		return;
+	}
 	at_response_headers_read(transfer, &headers);
 	all = headers.failed ? NULL : add_outcome(&headers);
 	relayed->is_started = 1;
@@ -268,6 +280,7 @@
 	relayed->request = request;
 	relayed->server = server->id;
 	relayed->server_tag = server->tag;
+	relayed->request_id = call->request_id;
 	relayed->is_probe = call->is_probe;
 	relayed->started_us = at_clock_now_us();
 	relayed->next = relay->list;
--- a/src/standin/engine.c
+++ b/src/standin/engine.c
@@ -384,6 +384,14 @@
 		return;
 	}
 	engine->executions++;
+	if (engine->faults.repeat_refusal > 0) {
+		static const at_header_t headers[] = {{"X-Not-Run", "1"},
+		    {"X-Request-Id", "someone-else"}, {NULL, NULL}};
+
+		engine->faults.repeat_refusal--;
+		at_httpd_reply(request, 503, headers, "{}", 2);
+		return;
+	}
 	if (strstr(text, STANDIN_CRASH_TEXT) != NULL) {
 		crash_and_restart(engine, request);
 		return;
--- a/src/standin/service.c
+++ b/src/standin/service.c
@@ -119,6 +119,14 @@
 	}
 	service->executions++;
 	log_execution(service, request);
+	if (service->faults.repeat_refusal > 0) {
+		static const at_header_t headers[] = {{"X-Not-Run", "1"},
+		    {"X-Request-Id", "someone-else"}, {NULL, NULL}};
+
+		service->faults.repeat_refusal--;
+		at_httpd_reply(request, 503, headers, "{}", 2);
+		return;
+	}
 	if (service->faults.silent > 0) {
 		service->faults.silent--;
 		return;
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -43,10 +43,13 @@
 	uint32_t crash_part;
 	uint32_t pause_reply_ms; /* server: Retry-After of its refusals */
 	int refuse_unstated;     /* refusals do not state that nothing ran */
-	uint32_t leaving;        /* server: it states that it leaves */
-	uint32_t limit_milli;    /* server: named limit, requests in 1,000 s */
-	uint32_t work_ms;        /* server, plain: time of each request */
-	uint32_t room;           /* server: open requests; 0: no bound */
+	/* Count: runs the request, and writes an earlier one's refusal. */
+	uint32_t repeat_refusal;
+	int refuse_without_id; /* refusals do not name the request */
+	uint32_t leaving;      /* server: it states that it leaves */
+	uint32_t limit_milli;  /* server: named limit, requests in 1,000 s */
+	uint32_t work_ms;      /* server, plain: time of each request */
+	uint32_t room;         /* server: open requests; 0: no bound */
 	/* Server: it states this, and crashes after more rejections in 1 s. */
 	uint32_t brittle;
 	uint32_t break_whole;    /* engine, count: cut buffered responses */
--- a/tests/contract/test_requests.c
+++ b/tests/contract/test_requests.c
@@ -72,6 +72,11 @@
     {"{\"crossed\":3}", CHAT_STREAM, 502, 1, MAY_HAVE_RUN, 3,
 	AT_REASON_CROSSED},
     {"{\"crossed\":3}", CHAT, 502, 1, MAY_HAVE_RUN, 3, AT_REASON_CROSSED},
+    {"{\"repeat_refusal\":1}", CHAT, 200, 1, "-1\"", 2, AT_REASON_CROSSED},
+    {"{\"repeat_refusal\":3}", CHAT, 502, 1, MAY_HAVE_RUN, 3,
+	AT_REASON_CROSSED},
+    {"{\"repeat_refusal\":3}", CHAT_STREAM, 502, 1, MAY_HAVE_RUN, 3,
+	AT_REASON_CROSSED},
     {"{\"truncate_after\":2}", CHAT_STREAM, 200, 0, "\"reason\":\"truncated\"",
 	1, AT_REASON_NONE},
     {"{\"shorten\":1}", CHAT_STREAM, 200, 0, "\"reason\":\"truncated\"", 1,
@@ -103,6 +108,7 @@
 	AT_REASON_REFUSED_BY_BACKEND},
     {"{\"refuse\":1,\"lose_replies\":1}", CHARGE, 502, 1, MAY_HAVE_RUN, 1,
 	AT_REASON_REFUSED_BY_BACKEND},
+    {"{\"repeat_refusal\":1}", CHARGE, 502, 1, MAY_HAVE_RUN, 1, AT_REASON_NONE},
 };
 
 static void
--- a/tests/support/fault_fixture.h
+++ b/tests/support/fault_fixture.h
@@ -16,9 +16,10 @@
 #define FAULT_FIXTURE_CHAT_STREAM                             \
 	"{\"model\":\"m1\",\"max_tokens\":8,\"stream\":true," \
 	"\"messages\":[]}"
-#define FAULT_FIXTURE_NO_FAULTS                                    \
-	"{\"crossed\":0,\"truncate_after\":0,\"shorten\":0,"       \
-	"\"break_whole\":0,\"refuse\":0,\"crash\":0,\"silent\":0," \
+#define FAULT_FIXTURE_NO_FAULTS                                            \
+	"{\"crossed\":0,\"truncate_after\":0,\"shorten\":0,"               \
+	"\"break_whole\":0,\"refuse\":0,\"repeat_refusal\":0,\"crash\":0," \
+	"\"silent\":0,"                                                    \
 	"\"lose_replies\":0,\"delay_ms\":0,\"token_us\":2000}"
 #define FAULT_FIXTURE_FIRST_BYTE_MS \
 	1000u /* first_byte_ms in the configuration */
