Go on with a broken stream only with events that follow it

Responses with a status of 300 and more were not passed on. A success that is no stream was: its text, with a head in it, came out as an event in the middle of the stream, and an empty one of another type ended the stream as if it were complete.

Now a stream is a 200 with the media type of its first response; what goes on with one that has begun has events with ids, or is cut off there.

test_broken_streams, 13 rows; 'a success that is no stream', 'a partial one' and 'an empty success of another type' failed before.

--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "almondthread/log.h"
 #include "entry/orders.h"
@@ -145,6 +146,20 @@
 	    call_via(call->current));
 }
 
+static void
+begin_stream(at_call_t *call, const buffered_response_t *response)
+{
+	const at_header_t *header = response->headers.entries;
+
+	for (; header != NULL && header->name != NULL; header++) {
+		if (strcasecmp(header->name, "Content-Type") == 0)
+			(void)snprintf(call->content_type,
+			    sizeof(call->content_type), "%s", header->value);
+	}
+	at_httpd_stream_begin(
+	    call->request, response->status, response->headers.entries);
+}
+
 static void
 deliver_event(at_call_t *call, call_attempt_t *attempt)
 {
@@ -164,8 +179,7 @@
 		call->event_gap_max_us = now_us - call->last_event_us;
 	call->last_event_us = now_us;
 	if (!call->response_started)
-		at_httpd_stream_begin(
-		    call->request, response->status, response->headers.entries);
+		begin_stream(call, response);
 	call->response_started = 1;
 	call->is_paused = at_httpd_stream_write(
 	    call->request, call->event->data, call->event->len);
--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "almondthread/log.h"
 #include "entry/call_impl.h"
@@ -20,6 +21,8 @@
 #define US_PER_MS 1000u
 #define CONNECT_TIMEOUT_MS 600u /* for connecting to a backend server */
 #define PERCENT 100u
+#define STATUS_STREAM 200 /* of a response that is a stream */
+#define CONTENT_TYPE "Content-Type"
 /* While it is not known whether servers are reached, only these go directly. */
 #define DOUBTED_ATTEMPTS 2u
 /* An instance that could not pass an attempt on is avoided for this time. */
@@ -204,6 +207,16 @@
 		       at_transfer_is_on_new_connection(transfer)));
 }
 
+/* What goes on with a stream has the type of its first response. */
+static int
+has_same_type(const at_call_t *call, const at_transfer_t *transfer)
+{
+	const char *type = at_transfer_header(transfer, CONTENT_TYPE);
+
+	return strncasecmp(type == NULL ? "" : type, call->content_type,
+		   CONTENT_TYPE_SIZE - 1u) == 0;
+}
+
 static void
 on_headers(void *ctx, at_transfer_t *transfer, int status)
 {
@@ -252,7 +265,12 @@
 	attempt->response.status = status;
 	at_response_headers_read(transfer, &attempt->response.headers);
 	attempt->is_stream =
-	    is_success(status) && call->route->type == AT_ROUTE_STREAM;
+	    status == STATUS_STREAM && call->route->type == AT_ROUTE_STREAM;
+	if (attempt->is_resumption && attempt->is_stream &&
+	    !has_same_type(call, transfer)) {
+		reject_response(attempt, AT_REASON_TRUNCATED);
+		return;
+	}
 	/* A failure does not take a stream over from another attempt. */
 	if (attempt->is_stream || call->route->type != AT_ROUTE_STREAM)
 		at_attempts_on_headers(
@@ -288,6 +306,11 @@
 	if (at_clock_now_us() >=
 	    attempt->first_event_us + AT_CRASH_BEGUN_AFTER_US)
 		call_note_begun(attempt);
+	/* Without an id, nothing shows that it follows the last event. */
+	if (attempt->is_resumption && !event->has_id)
+		attempt->is_other_stream = 1;
+	if (attempt->is_other_stream)
+		return;
 	/* A resumed stream may repeat events that were already passed on. */
 	if (event->has_id && call->has_event_id && event->id <= call->event_id)
 		return;
@@ -364,8 +387,9 @@
 		return 0;
 	}
 	if (attempt->is_stream)
-		result = at_event_frames_feed(
-		    &attempt->frames, data, len, on_event, attempt);
+		result = at_event_frames_feed(&attempt->frames, data, len,
+			     on_event, attempt) != 0 ||
+			 attempt->is_other_stream;
 	else
 		result =
 		    append_body(call->entry, &attempt->response, data, len);
@@ -669,6 +693,7 @@
 	attempt->software = server_entry->software;
 	attempt->sent_us = now_us;
 	attempt->predicted_us = choice->predicted_us;
+	attempt->is_resumption = call->response_started;
 	if (at_attempts_on_placed(
 		call->attempts, number, NULL, at_clock_now_ms()) != 0)
 		return;
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -14,8 +14,9 @@
 #include "entry/relay.h"
 #include "platform/server_call.h"
 
-#define ID_SIZE 96u          /* bytes of a request's id, with the NUL */
-#define OPEN_ATTEMPTS_MAX 2u /* a second one beside one that is silent */
+#define CONTENT_TYPE_SIZE 96u /* bytes of a media type, with the NUL */
+#define ID_SIZE 96u           /* bytes of a request's id, with the NUL */
+#define OPEN_ATTEMPTS_MAX 2u  /* a second one beside one that is silent */
 
 /* A response that is buffered until it is complete. */
 typedef struct buffered_response {
@@ -50,6 +51,8 @@
 	size_t refused_bytes; /* of the refusal's body, which is not used */
 	int is_misplaced;     /* refused: wrong server, or model not resident */
 	int is_stream;        /* the response is passed on as it arrives */
+	int is_resumption;    /* it goes on with a stream that has begun */
+	int is_other_stream;  /* what has arrived does not go on with it */
 	at_reason_t fault;    /* why the response was rejected */
 	buffered_response_t response;
 	at_event_frames_t frames;
@@ -70,6 +73,7 @@
 	uint64_t units; /* charged to the workspace's quota */
 	at_header_lines_t request_headers;
 	at_waiter_t waiter;
+	char content_type[CONTENT_TYPE_SIZE]; /* of the stream that has begun */
 	at_attempts_t *attempts;
 	uint32_t queued_attempt; /* number of the attempt to be placed */
 	call_attempt_t open_attempts[OPEN_ATTEMPTS_MAX];
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -37,6 +37,9 @@
 	uint32_t crash;          /* count: connection closed while running */
 	uint32_t truncate_after; /* cut after n tokens (server: n events) */
 	uint32_t reject_resumed; /* server, count: 400 to a resumption */
+	uint32_t resumed_status; /* server: of all resumptions, with a text */
+	int resumed_unstamped;   /* server: these have no signature */
+	int resumed_empty;       /* server: these are JSON, and empty */
 	uint32_t pause_after;    /* server: silent once after n events */
 	uint32_t pause_ms;       /* server: length of that silence */
 	/* Server: crashes where it begins to answer a prompt with this part. */
