--- a/src/entry/sync_documents.c
+++ b/src/entry/sync_documents.c
@@ -14,6 +14,8 @@
 #define CATCH_UP_INTERVAL_S 0.01
 /* In which a list that is under way brings what is lacking. */
 #define LIST_ARRIVAL_MS 500u
+/* Earlier builds state no version, and do not answer. */
+#define SINCE_STATED 1u
 /* A reader that was up to date within this time knows the newest. */
 #define FRESH_READER_MS 2000u
 
@@ -322,8 +324,8 @@
 	const at_roster_member_t *member =
 	    at_roster_choose_source(entry->roster, entry->data_centre,
 		is_config ? sync->config_wanted : 0,
-		is_config ? 0 : sync->servers_wanted, at_rng_next(&entry->rng),
-		at_clock_now_us());
+		is_config ? SINCE_STATED : sync->servers_wanted,
+		at_rng_next(&entry->rng), at_clock_now_us());
 
 	if (member == NULL)
 		return;
