--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -662,7 +662,7 @@
 			except = call->open_attempts[i].relay;
 	}
 	return at_roster_choose_relay(
-	    entry->roster, entry->data_centre, except, now_us);
+	    entry->roster, entry->identity.data_centre, except, now_us);
 }
 
 const char *
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -80,17 +80,17 @@
 {
 	const at_entry_settings_t *s = &entry->settings;
 
-	if (at_name_set(&entry->self.instance, s->name) != 0)
+	if (at_name_set(&entry->identity.self.instance, s->name) != 0)
 		return at_status_set(status, AT_INVALID,
 		    "--name: expected the name of an instance");
-	if (at_fleet_secret_parse(&entry->secret, s->secret) != 0)
+	if (at_fleet_secret_parse(&entry->identity.secret, s->secret) != 0)
 		return at_status_set(status, AT_INVALID,
 		    "--secret: expected 64 hexadecimal digits");
-	entry->self.number = at_random_system().next(NULL);
-	entry->self_tag = at_tag_from_text(s->name);
-	entry->data_centre = at_tag_from_text(s->data_centre);
-	entry->rng.state = entry->self.number;
-	entry->strength = compute_strength(s);
+	entry->identity.self.number = at_random_system().next(NULL);
+	entry->identity.tag = at_tag_from_text(s->name);
+	entry->identity.data_centre = at_tag_from_text(s->data_centre);
+	entry->rng.state = entry->identity.self.number;
+	entry->identity.strength = compute_strength(s);
 	return AT_OK;
 }
 
@@ -108,10 +108,10 @@
 		return -1;
 	entry->wire_store = at_wire_store_new(entry->loop, entry->httpc);
 	entry->fleet =
-	    at_fleet_new(entry->data_centre, at_rng_next(&entry->rng));
+	    at_fleet_new(entry->identity.data_centre, at_rng_next(&entry->rng));
 	entry->quota = at_quota_new(at_rng_next(&entry->rng));
 	entry->retries = at_retry_budgets_new(s->retry_ratio, s->retry_slack);
-	entry->roster = at_roster_new(&entry->self.instance, entry->strength);
+	entry->roster = at_roster_new(&entry->identity.self.instance, entry->identity.strength);
 	entry->origins = at_stream_origins_new();
 	if (entry->wire_store == NULL || entry->fleet == NULL ||
 	    entry->quota == NULL || entry->retries == NULL ||
@@ -173,7 +173,7 @@
 	at_log(AT_LOG_INFO, "entry", NULL,
 	    "started name=%s data_centre=%s incarnation=%" PRIu64
 	    " callers=%s peers=%s store=%s",
-	    s->name, s->data_centre, entry->self.number, s->listen, s->peers,
+	    s->name, s->data_centre, entry->identity.self.number, s->listen, s->peers,
 	    s->store);
 	return AT_OK;
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -27,48 +27,18 @@
 
 #include <ev.h>
 
-#include "almondthread/budget.h"
 #include "almondthread/counters.h"
 #include "almondthread/quota.h"
 #include "almondthread/stream_origins.h"
 #include "almondthread/wait_queue.h"
+#include "entry/entry_settings.h"
+#include "entry/identity.h"
+#include "entry/retry_budgets.h"
+#include "entry/state.h"
 #include "io/httpc.h"
 #include "io/httpd.h"
 #include "platform/store.h"
 
-/* Settings; the texts must outlive the instance. */
-typedef struct at_entry_settings {
-	const char *name;
-	const char *data_centre;
-	const char *listen;  /* own address for callers */
-	const char *ready;   /* own address for readiness checks */
-	const char *metrics; /* own address for counters, or "" */
-	const char *peers;   /* own address for reports of other instances */
-	const char *store;   /* address of the platform's store */
-	const char *secret;
-	const char *log_level;
-	double processor_share; /* part of each core that may be used */
-	uint32_t cores;
-	double link_mbps;
-	uint32_t log_lines_per_s;
-	uint32_t stop_grace_s; /* time from SIGTERM to SIGKILL */
-	uint32_t lease_ms;     /* term of the lease for orders */
-	/* Within these times a leaving of a server, and a configuration, must
-	 * be in force. */
-	uint32_t drain_ms;
-	uint32_t config_apply_ms;
-	double retry_ratio;   /* part of requests that may be retried */
-	uint32_t retry_slack; /* retries in addition, over all instances */
-} at_entry_settings_t;
-
-typedef enum at_entry_state {
-	AT_ENTRY_STARTING,
-	AT_ENTRY_SERVING,
-	AT_ENTRY_DRAINING, /* until the balancer sends no more requests */
-	AT_ENTRY_STOPPING, /* no new connections are accepted */
-	AT_ENTRY_STATE_COUNT
-} at_entry_state_t;
-
 typedef struct at_sync at_sync_t;
 typedef struct at_gossip at_gossip_t;
 typedef struct at_roster at_roster_t;
@@ -81,18 +51,13 @@
 typedef struct at_call at_call_t;
 typedef struct at_server_crashes at_server_crashes_t;
 typedef struct at_crash_blocks at_crash_blocks_t;
-typedef struct at_retry_budgets at_retry_budgets_t;
 
 typedef struct at_entry {
 	struct ev_loop *loop;
 	at_entry_settings_t settings;
 	at_entry_state_t state;
-	at_incarnation_t self;
-	at_tag_t self_tag;
-	at_tag_t data_centre;
-	at_fleet_secret_t secret;
+	at_identity_t identity;
 	at_rng_t rng;
-	uint32_t strength; /* capacity for shared tasks, in percent of a core */
 	at_counters_t *counters;
 	at_httpd_t *callers;
 	at_httpc_t *httpc;
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -4,9 +4,34 @@
 #ifndef ALMONDTHREAD_ENTRY_ENTRY_SETTINGS_H
 #define ALMONDTHREAD_ENTRY_ENTRY_SETTINGS_H
 
-#include "entry/entry.h"
+#include "almondthread/status.h"
 #include "io/settings.h"
 
+/* Settings; the texts must outlive the instance. */
+typedef struct at_entry_settings {
+	const char *name;
+	const char *data_centre;
+	const char *listen;  /* own address for callers */
+	const char *ready;   /* own address for readiness checks */
+	const char *metrics; /* own address for counters, or "" */
+	const char *peers;   /* own address for reports of other instances */
+	const char *store;   /* address of the platform's store */
+	const char *secret;
+	const char *log_level;
+	double processor_share; /* part of each core that may be used */
+	uint32_t cores;
+	double link_mbps;
+	uint32_t log_lines_per_s;
+	uint32_t stop_grace_s; /* time from SIGTERM to SIGKILL */
+	uint32_t lease_ms;     /* term of the lease for orders */
+	/* Within these times a leaving of a server, and a configuration, must
+	 * be in force. */
+	uint32_t drain_ms;
+	uint32_t config_apply_ms;
+	double retry_ratio;   /* part of requests that may be retried */
+	uint32_t retry_slack; /* retries in addition, over all instances */
+} at_entry_settings_t;
+
 /*
  * at_entry_settings_read() reads flags, environment variables and the settings
  * file at path. Numbers may have any decimal form. A fraction of a unit is
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -163,7 +163,7 @@
 is_addressed(const broadcast_t *broadcast, const at_roster_member_t *member)
 {
 	at_gossip_t *gossip = broadcast->gossip;
-	int is_near = member->data_centre == gossip->entry->data_centre;
+	int is_near = member->data_centre == gossip->entry->identity.data_centre;
 
 	if (broadcast->reach == REPORT_ALL)
 		return 1;
@@ -183,7 +183,7 @@
 	    !is_addressed(broadcast, member))
 		return;
 	gossip_send_datagram(broadcast->gossip, member, broadcast->len);
-	if (member->data_centre == broadcast->gossip->entry->data_centre)
+	if (member->data_centre == broadcast->gossip->entry->identity.data_centre)
 		broadcast->near++;
 	else
 		broadcast->far++;
@@ -270,11 +270,11 @@
 	at_sync_check_confirmation(entry->sync);
 	if (at_gossip_is_listening(gossip))
 		return;
-	is_reader = at_roster_is_task_owner(entry->roster, entry->data_centre,
+	is_reader = at_roster_is_task_owner(entry->roster, entry->identity.data_centre,
 	    0, at_entry_is_platform_away(entry), now_us);
 	/* The reader continues until another instance reads. */
 	if (at_sync_is_reader(entry->sync) &&
-	    !at_roster_has_reader(entry->roster, entry->data_centre, now_us))
+	    !at_roster_has_reader(entry->roster, entry->identity.data_centre, now_us))
 		is_reader = 1;
 	at_sync_set_reader(entry->sync, is_reader);
 	if (gossip->rounds % CHECK_ROUNDS == 0 &&
@@ -373,7 +373,7 @@
 	uint32_t reporting = at_roster_reporting_count(entry->roster, now_us);
 	uint32_t present = at_roster_present_count(entry->roster);
 	uint32_t outside =
-	    at_roster_count_outside(entry->roster, entry->data_centre, now_us);
+	    at_roster_count_outside(entry->roster, entry->identity.data_centre, now_us);
 	int is_direct_due;
 
 	(void)loop;
--- a/src/entry/gossip_summary.c
+++ b/src/entry/gossip_summary.c
@@ -50,7 +50,7 @@
     uint64_t now_us)
 {
 	return member != NULL &&
-	       member->data_centre == gossip->entry->data_centre &&
+	       member->data_centre == gossip->entry->identity.data_centre &&
 	       member->takes_summaries && member->reported_us != 0 &&
 	       now_us <= member->reported_us + AT_ROSTER_REPORT_TIMEOUT_US;
 }
@@ -152,7 +152,7 @@
 	    entry->quota, own, USAGE_ENTRIES_MAX, buffers->now_us);
 	size_t i;
 
-	add_member(buffers, entry->self_tag, entry->self.number, 0);
+	add_member(buffers, entry->identity.tag, entry->identity.self.number, 0);
 	for (i = 0; i < count; i++)
 		add_usage(buffers, 0, &own[i]);
 	at_roster_each(entry->roster, consider_member, buffers);
@@ -218,7 +218,7 @@
 send_to_gateways(at_gossip_t *gossip, size_t len, uint64_t now_us)
 {
 	const at_entry_t *entry = gossip->entry;
-	data_centres_t others = {.own = entry->data_centre};
+	data_centres_t others = {.own = entry->identity.data_centre};
 	size_t sent = 0;
 	size_t i;
 
@@ -248,7 +248,7 @@
 		gossip->paths, instances, gossip->rounds))
 		return;
 	if (gossip->is_leaving ||
-	    !at_roster_is_gateway(entry->roster, entry->data_centre, now_us)) {
+	    !at_roster_is_gateway(entry->roster, entry->identity.data_centre, now_us)) {
 		gossip->forwarded_origin_count = 0;
 		return;
 	}
@@ -257,7 +257,7 @@
 	buffers.member_count = 0;
 	buffers.usage_count = 0;
 	summary.data_centre = (char *)(uintptr_t)entry->settings.data_centre;
-	summary.gateway = entry->self.number;
+	summary.gateway = entry->identity.self.number;
 	summary.sequence = ++gossip->summary_sequence;
 	fill_members(&buffers, &summary);
 	fill_sums(&buffers, &summary);
@@ -290,7 +290,7 @@
 	size_t i;
 	size_t k;
 
-	if (report->origins_data_centre != gossip->entry->data_centre)
+	if (report->origins_data_centre != gossip->entry->identity.data_centre)
 		return;
 	for (i = 0; i < report->n_origins; i++) {
 		const ReportOrigins *origins = report->origins[i];
@@ -356,7 +356,7 @@
 	at_tag_t data_centre = at_tag_from_text(summary->data_centre);
 	size_t i;
 
-	if (data_centre == entry->data_centre ||
+	if (data_centre == entry->identity.data_centre ||
 	    at_report_paths_note_summary(gossip->paths, data_centre,
 		summary->gateway, summary->sequence, now_us) != 0)
 		return;
--- a/src/entry/relay_header.c
+++ b/src/entry/relay_header.c
@@ -43,8 +43,8 @@
 	unsigned char mac[RELAY_MAC_BYTES];
 	crypto_generichash_state state;
 
-	(void)crypto_generichash_init(&state, entry->secret.bytes,
-	    sizeof(entry->secret.bytes), sizeof(mac));
+	(void)crypto_generichash_init(&state, entry->identity.secret.bytes,
+	    sizeof(entry->identity.secret.bytes), sizeof(mac));
 	hash_text(&state, "relay");
 	(void)crypto_generichash_update(
 	    &state, (const unsigned char *)&incarnation, sizeof(incarnation));
@@ -85,7 +85,7 @@
 	call->server_id = server_id;
 	call->is_probe = strcmp(kind, "probe") == 0;
 	call->new_connection = strcmp(kind, "new") == 0;
-	relay_compute_mac(entry, entry->self.number, call, expected);
+	relay_compute_mac(entry, entry->identity.self.number, call, expected);
 	return strlen(mac) == strlen(expected) &&
 		       sodium_memcmp(mac, expected, strlen(expected)) == 0
 		   ? 0
--- a/src/entry/report_apply.c
+++ b/src/entry/report_apply.c
@@ -102,7 +102,7 @@
     at_gossip_t *gossip, const Report *report, const at_roster_member_t *member)
 {
 	const at_sync_report_t copies = {.instance = member->tag,
-	    .is_near = member->data_centre == gossip->entry->data_centre,
+	    .is_near = member->data_centre == gossip->entry->identity.data_centre,
 	    .config_version = report->config_version,
 	    .servers_since = report->servers_since,
 	    .reads = report->reads,
@@ -206,13 +206,13 @@
 	member->confirmation_max_us = report->read_age_max_ms * US_PER_MS;
 	at_roster_note_reads(
 	    member, report->reads, confirmed_us(report, now_us), now_us);
-	if (member->data_centre == entry->data_centre)
+	if (member->data_centre == entry->identity.data_centre)
 		apply_servers(gossip, report);
 	apply_copies(gossip, report, member);
 	if (report->has_loads && !is_summarised(gossip, member, now_us)) {
 		member->has_direct_load = 1;
 		report_apply_loads(entry, member->tag,
-		    member->data_centre == entry->data_centre, report->n_loads,
+		    member->data_centre == entry->identity.data_centre, report->n_loads,
 		    report->loads, now_us);
 		report_apply_queues(entry, member->tag, report->n_queues,
 		    report->queues, now_us);
--- a/src/entry/report_encode.c
+++ b/src/entry/report_encode.c
@@ -34,7 +34,7 @@
     size_t len, unsigned char mac[MAC_SIZE])
 {
 	(void)crypto_generichash(mac, MAC_SIZE, data, len,
-	    gossip->entry->secret.bytes, sizeof(gossip->entry->secret.bytes));
+	    gossip->entry->identity.secret.bytes, sizeof(gossip->entry->identity.secret.bytes));
 }
 
 void
@@ -185,10 +185,10 @@
 	at_entry_t *entry = gossip->entry;
 	at_sync_report_t copies = {0};
 
-	report->name = entry->self.instance.text;
+	report->name = entry->identity.self.instance.text;
 	report->data_centre = (char *)(uintptr_t)entry->settings.data_centre;
 	report->address = (char *)(uintptr_t)entry->settings.peers;
-	report->incarnation = entry->self.number;
+	report->incarnation = entry->identity.self.number;
 	report->sequence = ++gossip->sequence;
 	report->leaving = gossip->is_leaving;
 	report->config_version = entry->site == NULL ? 0 : entry->site->version;
@@ -202,7 +202,7 @@
 	report->read_age_ms = copies.age_ms;
 	report->read_age_max_ms = copies.age_max_ms;
 	report->steady_ms = copies.steady_ms;
-	report->strength = entry->strength;
+	report->strength = entry->identity.strength;
 	report->takes_summaries = 1;
 	report->fence = at_orders_io_fence(entry->orders);
 }
@@ -249,7 +249,7 @@
 		report.wants_origins = 1;
 		report.age_ms = origins_age_ms(gossip);
 	} else if (kind == REPORT_ORIGINS) {
-		report.origins_data_centre = entry->data_centre;
+		report.origins_data_centre = entry->identity.data_centre;
 	} else {
 		if (kind != REPORT_HEADER) {
 			fill_loads(entry, &buffers, &report);
--- a/src/entry/retry_budgets.h
+++ b/src/entry/retry_budgets.h
@@ -8,7 +8,10 @@
 #ifndef ALMONDTHREAD_ENTRY_RETRY_BUDGETS_H
 #define ALMONDTHREAD_ENTRY_RETRY_BUDGETS_H
 
-#include "entry/entry.h"
+#include "almondthread/budget.h"
+#include "almondthread/site.h"
+
+typedef struct at_retry_budgets at_retry_budgets_t;
 
 /* at_retry_budgets_new() returns NULL if out of memory. */
 at_retry_budgets_t *at_retry_budgets_new(double ratio, uint32_t slack);
--- a/src/entry/server_crashes.c
+++ b/src/entry/server_crashes.c
@@ -308,7 +308,7 @@
 {
 	at_entry_t *entry = loss->crashes->entry;
 	const at_roster_member_t *member = at_roster_choose_relay(
-	    entry->roster, entry->data_centre, 0, at_clock_now_us());
+	    entry->roster, entry->identity.data_centre, 0, at_clock_now_us());
 	char url[AT_ADDR_SIZE + 16];
 	const at_relay_call_t call = {.server_id = loss->id.text,
 	    .method = "GET",
--- a/src/entry/sync_documents.c
+++ b/src/entry/sync_documents.c
@@ -322,7 +322,7 @@
 	at_entry_t *entry = sync->entry;
 	int is_config = kind == AT_DOCUMENT_CONFIG;
 	const at_roster_member_t *member =
-	    at_roster_choose_source(entry->roster, entry->data_centre,
+	    at_roster_choose_source(entry->roster, entry->identity.data_centre,
 		is_config ? sync->config_wanted : 0,
 		is_config ? SINCE_STATED : sync->servers_wanted,
 		at_rng_next(&entry->rng), at_clock_now_us());
@@ -389,7 +389,7 @@
 	    CATCH_UP_INTERVAL_S);
 	sync->catch_up_timer.data = sync;
 	sync->documents = at_documents_new(entry->loop, entry->roster,
-	    entry->counters, entry->self_tag, entry->data_centre,
+	    entry->counters, entry->identity.tag, entry->identity.data_centre,
 	    entry->settings.link_mbps, &port);
 	return sync->documents == NULL ? -1 : 0;
 }
--- a/src/entry/sync_watch.c
+++ b/src/entry/sync_watch.c
@@ -32,7 +32,7 @@
 		return;
 	at_status_clear(&status);
 	site = at_site_decode(
-	    object->text, object->len, entry->site, &entry->secret, &status);
+	    object->text, object->len, entry->site, &entry->identity.secret, &status);
 	if (site == NULL) {
 		at_log(AT_LOG_ERROR, "config", NULL,
 		    "configuration rejected; the previous one stays in use "
--- a/tests/contract/test_cut_instances.c
+++ b/tests/contract/test_cut_instances.c
@@ -388,7 +388,7 @@
 	    .target = "/unsafe/x",
 	    .new_connection = 1};
 	const at_roster_member_t member = {
-	    .incarnation = entries[1]->self.number};
+	    .incarnation = entries[1]->identity.self.number};
 	at_header_lines_t lines = {0};
 	reply_t reply;
 
@@ -475,7 +475,7 @@
 	(void)call_with_parts(&deployment, reader, "first-after-the-cut");
 	entry_fixture_run_ms(deployment.fixture, 700);
 	member = at_roster_find(
-	    entries[(reader + 1) % ENTRIES]->roster, entries[reader]->self_tag);
+	    entries[(reader + 1) % ENTRIES]->roster, entries[reader]->identity.tag);
 	cr_assert(member->reaches_none);
 	for (i = 0; i < 200; i++) {
 		if (i % 10 == 0)
