--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -419,7 +419,7 @@
 void
 at_orders_io_start(at_orders_io_t *orders)
 {
-	at_lease_set_self(orders->lease, &orders->entry->self);
+	at_lease_set_self(orders->lease, &orders->entry->identity.self);
 	ev_timer_init(
 	    &orders->tick, on_start_delay, START_DELAY_US / US_PER_S, 0.);
 	orders->tick.data = orders;
--- a/tests/contract/test_cut_instances.c
+++ b/tests/contract/test_cut_instances.c
@@ -357,7 +357,7 @@
 		at_entry_t *const *entries = deployment.fixture->entries;
 		const at_roster_member_t member = {
 		    .incarnation =
-			entries[relay_headers[i].for_entry]->self.number};
+			entries[relay_headers[i].for_entry]->identity.self.number};
 		at_header_lines_t lines = {0};
 		uint64_t runs = run_count(&deployment);
 		reply_t reply;
--- a/tests/contract/test_summaries.c
+++ b/tests/contract/test_summaries.c
@@ -64,7 +64,7 @@
 		const at_entry_t *entry = fleet->fixture->entries[i];
 
 		if (entry != NULL && at_roster_is_gateway(entry->roster,
-					 entry->data_centre, at_clock_now_us()))
+					 entry->identity.data_centre, at_clock_now_us()))
 			found = i;
 	}
 	cr_assert_lt(found, ENTRIES);
