--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -9,6 +9,7 @@
 #include "entry/call.h"
 #include "entry/crash_blocks.h"
 #include "entry/server_crashes.h"
+#include "entry/server_notices.h"
 #include "entry/entry_settings.h"
 #include "entry/gossip.h"
 #include "entry/join.h"
@@ -94,6 +95,91 @@
 	return AT_OK;
 }
 
+static int
+is_reaching(void *ctx)
+{
+	const at_entry_t *entry = ctx;
+
+	return at_reach_io_is_up(entry->reach);
+}
+
+/* Only the holder of the lease deletes the objects of removed instances. */
+static void
+on_member_removed(void *ctx, const at_roster_member_t *member)
+{
+	at_entry_t *entry = ctx;
+
+	if (at_orders_io_fence(entry->orders) != 0)
+		at_join_remove(entry->join, &member->name);
+}
+
+static void
+on_reports_received(void *ctx)
+{
+	at_entry_place_queued(ctx);
+}
+
+static at_gossip_t *
+create_gossip(at_entry_t *entry)
+{
+	const at_gossip_deps_t deps = {.loop = entry->loop,
+	    .counters = entry->counters,
+	    .identity = &entry->identity,
+	    .settings = &entry->settings,
+	    .rng = &entry->rng,
+	    .roster = entry->roster,
+	    .fleet = entry->fleet,
+	    .quota = entry->quota,
+	    .queue = entry->queue,
+	    .contention = entry->contention,
+	    .origins = entry->origins,
+	    .is_reaching = is_reaching,
+	    .on_removed = on_member_removed,
+	    .on_received = on_reports_received,
+	    .ctx = entry};
+
+	return at_gossip_new(&deps);
+}
+
+static void
+fill_report(void *ctx, at_report_kind_t kind, int is_to_all, Report *report)
+{
+	(void)kind;
+	(void)is_to_all;
+	report->platform_away = at_entry_is_platform_away(ctx);
+}
+
+static void
+begin_round(void *ctx, uint64_t now_us)
+{
+	at_entry_t *entry = ctx;
+
+	(void)now_us;
+	at_retry_budgets_set_instances(
+	    entry->retries, at_roster_present_count(entry->roster));
+}
+
+/* What one part states in a report, later ones may rely on. */
+static void
+add_sections(at_entry_t *entry)
+{
+	const at_report_section_t sections[] = {
+	    {.fill = fill_report, .begin_round = begin_round, .ctx = entry},
+	    at_sync_section(entry->sync),
+	    at_gossip_loads_section(entry->gossip),
+	    at_reach_io_section(entry->reach),
+	    at_relay_section(entry->relay),
+	    at_server_notices_section(entry),
+	    at_orders_io_section(entry->orders),
+	    at_server_crashes_section(entry->crashes),
+	    at_version_record_section(entry->version_record),
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(sections) / sizeof(sections[0]); i++)
+		at_gossip_add_section(entry->gossip, &sections[i]);
+}
+
 /* Creates all components; returns -1 if out of memory. */
 static int
 create_components(at_entry_t *entry)
@@ -111,7 +197,8 @@
 	    at_fleet_new(entry->identity.data_centre, at_rng_next(&entry->rng));
 	entry->quota = at_quota_new(at_rng_next(&entry->rng));
 	entry->retries = at_retry_budgets_new(s->retry_ratio, s->retry_slack);
-	entry->roster = at_roster_new(&entry->identity.self.instance, entry->identity.strength);
+	entry->roster = at_roster_new(
+	    &entry->identity.self.instance, entry->identity.strength);
 	entry->origins = at_stream_origins_new();
 	if (entry->wire_store == NULL || entry->fleet == NULL ||
 	    entry->quota == NULL || entry->retries == NULL ||
@@ -128,7 +215,7 @@
 	entry->sync = at_sync_new(entry);
 	entry->join = at_join_new(entry);
 	entry->version_record = at_version_record_new(entry);
-	entry->gossip = at_gossip_new(entry);
+	entry->gossip = create_gossip(entry);
 	entry->orders = at_orders_io_new(entry);
 	entry->readiness = at_readiness_new(entry);
 	return entry->queue == NULL || entry->contention == NULL ||
@@ -150,6 +237,7 @@
 		return status->code;
 	if (create_components(entry) != 0)
 		return at_status_set(status, AT_FAILED, "out of memory");
+	add_sections(entry);
 	at_httpd_set_handler(entry->callers, at_call_handle, entry);
 	at_httpd_set_fault_handler(entry->callers, at_call_handle_fault, entry);
 	at_httpd_set_max_body(entry->callers, DEFAULT_BODY_MAX_BYTES);
@@ -173,8 +261,8 @@
 	at_log(AT_LOG_INFO, "entry", NULL,
 	    "started name=%s data_centre=%s incarnation=%" PRIu64
 	    " callers=%s peers=%s store=%s",
-	    s->name, s->data_centre, entry->identity.self.number, s->listen, s->peers,
-	    s->store);
+	    s->name, s->data_centre, entry->identity.self.number, s->listen,
+	    s->peers, s->store);
 	return AT_OK;
 }
 
--- a/src/entry/gossip_impl.h
+++ b/src/entry/gossip_impl.h
@@ -3,54 +3,28 @@
  * socket and its timers, gossip_origins.c the exchange of the origins of
  * streams, gossip_summary.c the summaries between data centres,
  * report_encode.c encodes reports, report_apply.c applies those of the other
- * instances.
+ * instances, report_loads.c has the section of loads, queues and usage.
  */
 #ifndef ALMONDTHREAD_ENTRY_GOSSIP_IMPL_H
 #define ALMONDTHREAD_ENTRY_GOSSIP_IMPL_H
 
-#include "almondthread/report_paths.h"
-#include "entry/config_text.h"
 #include "entry/gossip.h"
-#include "report.pb-c.h"
 
 #define MAC_SIZE 16u              /* bytes of the keyed hash */
 #define DATAGRAM_MAX_BYTES 60000u /* with the keyed hash */
 #define USAGE_ENTRIES_MAX 256u    /* workspaces in one report */
-#define SERVERS_MAX 24u           /* backend servers in one report */
 #define ORIGINS_MAX 150u /* origins in one report, which fits a packet */
 #define FORWARDED_ORIGINS_MAX 1024u /* origins in one summary */
 
-/* Contents of a report besides its header. */
-typedef enum report_kind {
-	REPORT_COMMON,  /* loads, queues, usage and the holder's changes */
-	REPORT_HEADER,  /* the same without loads, queues and usage */
-	REPORT_DEMAND,  /* those of REPORT_COMMON, with demand and adapter
-			   requests */
-	REPORT_SERVERS, /* changed objects of the list of backend servers */
-	REPORT_CONFIG_CHANGE,       /* the configuration's difference to the one
-				       before */
-	REPORT_ORIGINS,             /* origins of streams, without a header */
-	REPORT_ORIGINS_REQUEST,     /* a request for all origins */
-	REPORT_OWN_ORIGINS_REQUEST, /* for those that an instance has noted */
-	REPORT_CRASHES, /* a crash, or what has begun; without a header */
-} report_kind_t;
-
-/* One object of the platform's store that is to be sent. */
-typedef struct object_report {
-	char *name;
-	char *spec; /* JSON text; NULL: the object was deleted */
-	uint64_t version;
-	int is_urgent;
-} object_report_t;
-
 struct at_gossip {
-	at_entry_t *entry;
+	at_gossip_deps_t deps;
+	at_report_section_t sections[AT_GOSSIP_SECTIONS_MAX];
+	size_t section_count;
 	int fd;
 	ev_io readable;
 	ev_timer timer;
-	ev_timer soon_timer;    /* a report to all instances */
-	ev_timer demand_timer;  /* a report to the holder of the lease */
-	ev_timer servers_timer; /* changed objects of the list */
+	ev_timer soon_timer;   /* a report to all instances */
+	ev_timer demand_timer; /* a report to the holder of the lease */
 	uint64_t sequence;
 	uint64_t rounds;
 	uint64_t round_us; /* when the last one began */
@@ -62,15 +36,7 @@
 	/* Received in this data centre, for the next summary. */
 	at_stream_origin_t forwarded_origins[FORWARDED_ORIGINS_MAX];
 	size_t forwarded_origin_count;
-	object_report_t servers[SERVERS_MAX];
-	size_t server_count;
-	size_t server_bytes;
-	int has_more_servers;  /* more than fit into one report */
-	uint64_t servers_from; /* version to which they are changes */
-	at_config_text_t *config_text;
-	ReportServer *config_change; /* that is being sent */
-	ev_timer crashes_timer;      /* crashes that are not reported yet */
-	ev_timer origins_timer;      /* origins that are not reported yet */
+	ev_timer origins_timer; /* origins that are not reported yet */
 	/* Origins in the next reports of any kind. */
 	at_stream_origin_t origins[ORIGINS_MAX];
 	size_t origin_count;
@@ -95,7 +61,7 @@
 	REPORT_ALL,
 } report_reach_t;
 /* gossip_send_report() sends a report to all instances but except (0: none). */
-void gossip_send_report(at_gossip_t *gossip, report_kind_t kind,
+void gossip_send_report(at_gossip_t *gossip, at_report_kind_t kind,
     report_reach_t reach, at_tag_t except);
 /* gossip_send_near() sends the datagram to all of this data centre. */
 void gossip_send_near(at_gossip_t *gossip, const char *kind, size_t len);
@@ -143,17 +109,18 @@
     uint64_t *streams, ReportOrigins *origins, ReportOrigins **list);
 /* report_pack() fills the datagram; returns its length, or 0 if too large. */
 size_t report_pack(at_gossip_t *gossip, const Report *report);
-void report_apply_loads(at_entry_t *entry, at_tag_t from,
+void report_apply_loads(at_gossip_t *gossip, at_tag_t from,
     int is_same_data_centre, size_t count, ReportLoad *const *loads,
     uint64_t now_us);
-void report_apply_queues(at_entry_t *entry, at_tag_t from, size_t count,
+void report_apply_queues(at_gossip_t *gossip, at_tag_t from, size_t count,
     ReportQueue *const *queues, uint64_t now_us);
 
 /*
  * report_encode() fills the datagram and returns its length in bytes, or 0
- * when the report is too large or, of crashes, empty.
+ * when the report is too large. fill, which may be NULL, adds to it.
  */
-size_t report_encode(at_gossip_t *gossip, report_kind_t kind);
+size_t report_encode(at_gossip_t *gossip, at_report_kind_t kind,
+    void (*fill)(void *ctx, Report *report), void *ctx);
 /* report_compute_mac() computes the keyed hash of len bytes. */
 void report_compute_mac(const at_gossip_t *gossip, const unsigned char *data,
     size_t len, unsigned char mac[MAC_SIZE]);
--- a/src/entry/gossip_origins.c
+++ b/src/entry/gossip_origins.c
@@ -34,7 +34,7 @@
 send_origins(at_gossip_t *gossip)
 {
 	summary_keep_own_origins(gossip);
-	gossip_send_report(gossip, REPORT_ORIGINS, REPORT_DIRECT, 0);
+	gossip_send_report(gossip, AT_REPORT_ORIGINS, REPORT_DIRECT, 0);
 }
 
 static void
@@ -45,7 +45,7 @@
 	(void)loop;
 	(void)events;
 	while ((gossip->origin_count = at_stream_origins_take_new(
-		    gossip->entry->origins, gossip->origins, ORIGINS_MAX)) > 0)
+		    gossip->deps.origins, gossip->origins, ORIGINS_MAX)) > 0)
 		send_origins(gossip);
 }
 
@@ -63,7 +63,7 @@
 at_gossip_send_origins_soon(at_gossip_t *gossip)
 {
 	uint32_t batch_ms = at_stream_origins_batch_ms(
-	    at_roster_present_count(gossip->entry->roster));
+	    at_roster_present_count(gossip->deps.roster));
 
 	gossip_start_timer(
 	    gossip, &gossip->origins_timer, (double)batch_ms / AT_MS_PER_S);
@@ -72,29 +72,29 @@
 static void
 note_version(void *ctx, at_server_t *server)
 {
-	at_entry_t *entry = ctx;
-	const at_server_entry_t *server_entry = at_server_entry(server);
+	at_stream_origins_t *origins = ctx;
+	const at_server_entry_t *entry = at_server_entry(server);
 
-	at_stream_origins_note_listed(entry->origins, server_entry->service,
-	    server_entry->software, at_clock_now_us());
+	at_stream_origins_note_listed(
+	    origins, entry->service, entry->software, at_clock_now_us());
 }
 
 void
 at_gossip_note_versions(at_gossip_t *gossip)
 {
-	at_fleet_each(gossip->entry->fleet, note_version, gossip->entry);
+	at_fleet_each(gossip->deps.fleet, note_version, gossip->deps.origins);
 }
 
 void
 origins_add_due(at_gossip_t *gossip)
 {
 	gossip->origin_count = at_stream_origins_take_due(
-	    gossip->entry->origins, gossip->origins, ORIGINS_MAX);
+	    gossip->deps.origins, gossip->origins, ORIGINS_MAX);
 }
 
 /* State of the choice of the instance that is asked. */
 typedef struct search {
-	at_entry_t *entry;
+	at_rng_t *rng;
 	uint64_t now_us;
 	uint32_t count; /* reporting instances so far */
 	const at_roster_member_t *found;
@@ -110,21 +110,21 @@
 	    search->now_us - member->reported_us > AT_ROSTER_REPORT_TIMEOUT_US)
 		return;
 	search->count++;
-	if (at_rng_next(&search->entry->rng) % search->count == 0)
+	if (at_rng_next(search->rng) % search->count == 0)
 		search->found = member;
 }
 
 static void
 send_request(at_gossip_t *gossip, uint64_t now_us)
 {
-	search_t search = {.entry = gossip->entry, .now_us = now_us};
+	search_t search = {.rng = gossip->deps.rng, .now_us = now_us};
 	size_t len;
 
 	gossip->requested_us = now_us;
-	at_roster_each(gossip->entry->roster, consider_member, &search);
+	at_roster_each(gossip->deps.roster, consider_member, &search);
 	if (search.found == NULL)
 		return;
-	len = report_encode(gossip, REPORT_ORIGINS_REQUEST);
+	len = report_encode(gossip, AT_REPORT_ORIGINS_REQUEST, NULL, NULL);
 	if (len > 0)
 		gossip_send_datagram(gossip, search.found, len);
 }
@@ -133,7 +133,7 @@
 origins_on_round(at_gossip_t *gossip, uint64_t now_us)
 {
 	at_gossip_note_versions(gossip);
-	at_stream_origins_expire(gossip->entry->origins, now_us);
+	at_stream_origins_expire(gossip->deps.origins, now_us);
 	if (now_us >= gossip->answers_wanted_until_us)
 		gossip->answers_wanted = 0;
 	if (gossip->answers_wanted > 0 &&
@@ -150,7 +150,8 @@
 origins_on_member_back(
     at_gossip_t *gossip, const at_roster_member_t *member, uint64_t now_us)
 {
-	size_t len = report_encode(gossip, REPORT_OWN_ORIGINS_REQUEST);
+	size_t len =
+	    report_encode(gossip, AT_REPORT_OWN_ORIGINS_REQUEST, NULL, NULL);
 
 	if (len > 0)
 		gossip_send_datagram(gossip, member, len);
@@ -159,7 +160,7 @@
 		gossip->members_back_us = now_us;
 	}
 	if (2 * ++gossip->members_back <
-	    at_roster_present_count(gossip->entry->roster) - 1)
+	    at_roster_present_count(gossip->deps.roster) - 1)
 		return;
 	gossip->was_out_of_contact = 1;
 	gossip->answers_wanted = 1;
@@ -169,7 +170,7 @@
 void
 origins_apply(at_gossip_t *gossip, const Report *report, uint64_t now_us)
 {
-	at_stream_origins_t *origins = gossip->entry->origins;
+	at_stream_origins_t *origins = gossip->deps.origins;
 	size_t i;
 	size_t k;
 
@@ -200,7 +201,8 @@
 static void
 send_part(const answer_t *answer)
 {
-	size_t len = report_encode(answer->gossip, REPORT_ORIGINS);
+	size_t len =
+	    report_encode(answer->gossip, AT_REPORT_ORIGINS, NULL, NULL);
 
 	if (len > 0)
 		gossip_send_datagram(answer->gossip, answer->member, len);
@@ -214,7 +216,7 @@
 	at_gossip_t *gossip = answer->gossip;
 
 	at_counters_add(
-	    gossip->entry->counters, "origins_answered_total", NULL, NULL, 1);
+	    gossip->deps.counters, "origins_answered_total", NULL, NULL, 1);
 	if (gossip->origin_count == ORIGINS_MAX)
 		send_part(answer);
 	gossip->origins[gossip->origin_count++] = *origin;
@@ -230,8 +232,8 @@
 	if (!request->wants_own_origins &&
 	    age_ms < (uint64_t)request->age_ms + AGE_MARGIN_MS)
 		return;
-	at_stream_origins_each(gossip->entry->origins,
-	    request->wants_own_origins, add_to_answer, &answer);
+	at_stream_origins_each(gossip->deps.origins, request->wants_own_origins,
+	    add_to_answer, &answer);
 	gossip->is_origins_end = !request->wants_own_origins;
 	send_part(&answer);
 	gossip->is_origins_end = 0;
--- a/src/entry/gossip_summary.c
+++ b/src/entry/gossip_summary.c
@@ -6,7 +6,6 @@
 
 #include "almondthread/report_paths.h"
 #include "entry/gossip_impl.h"
-#include "entry/sync.h"
 #include "io/clock.h"
 
 #define US_PER_MS 1000u
@@ -50,7 +49,7 @@
     uint64_t now_us)
 {
 	return member != NULL &&
-	       member->data_centre == gossip->entry->identity.data_centre &&
+	       member->data_centre == gossip->deps.identity->data_centre &&
 	       member->takes_summaries && member->reported_us != 0 &&
 	       now_us <= member->reported_us + AT_ROSTER_REPORT_TIMEOUT_US;
 }
@@ -61,7 +60,7 @@
 	const summary_buffers_t *buffers = ctx;
 
 	return is_member(buffers->gossip,
-	    at_roster_find(buffers->gossip->entry->roster, instance),
+	    at_roster_find(buffers->gossip->deps.roster, instance),
 	    buffers->now_us);
 }
 
@@ -146,17 +145,18 @@
 static void
 fill_members(summary_buffers_t *buffers, ReportSummary *summary)
 {
-	const at_entry_t *entry = buffers->gossip->entry;
+	const at_gossip_deps_t *deps = &buffers->gossip->deps;
 	at_quota_usage_t own[USAGE_ENTRIES_MAX];
 	size_t count = at_quota_fill_report(
-	    entry->quota, own, USAGE_ENTRIES_MAX, buffers->now_us);
+	    deps->quota, own, USAGE_ENTRIES_MAX, buffers->now_us);
 	size_t i;
 
-	add_member(buffers, entry->identity.tag, entry->identity.self.number, 0);
+	add_member(
+	    buffers, deps->identity->tag, deps->identity->self.number, 0);
 	for (i = 0; i < count; i++)
 		add_usage(buffers, 0, &own[i]);
-	at_roster_each(entry->roster, consider_member, buffers);
-	at_quota_each_reported(entry->quota,
+	at_roster_each(deps->roster, consider_member, buffers);
+	at_quota_each_reported(deps->quota,
 	    buffers->now_us - SPENDING_REPEAT_US, consider_usage, buffers);
 	assign_usage(buffers);
 	summary->n_members = buffers->member_count;
@@ -166,10 +166,9 @@
 static void
 fill_sums(summary_buffers_t *buffers, ReportSummary *summary)
 {
-	const at_entry_t *entry = buffers->gossip->entry;
-	size_t count =
-	    at_fleet_sum_reports(entry->fleet, is_member_tag, buffers,
-		buffers->load_entries, AT_LOAD_REPORTS_MAX, buffers->now_us);
+	const at_gossip_deps_t *deps = &buffers->gossip->deps;
+	size_t count = at_fleet_sum_reports(deps->fleet, is_member_tag, buffers,
+	    buffers->load_entries, AT_LOAD_REPORTS_MAX, buffers->now_us);
 	size_t i;
 
 	for (i = 0; i < count; i++) {
@@ -178,9 +177,9 @@
 	}
 	summary->n_loads = count;
 	summary->loads = buffers->load_list;
-	count = at_wait_queue_fill_report(entry->queue, buffers->queue_entries,
+	count = at_wait_queue_fill_report(deps->queue, buffers->queue_entries,
 	    AT_QUEUE_REPORTS_MAX, buffers->now_us);
-	count = at_contention_sum_reports(entry->contention, is_member_tag,
+	count = at_contention_sum_reports(deps->contention, is_member_tag,
 	    buffers, buffers->queue_entries, count, AT_QUEUE_REPORTS_MAX);
 	for (i = 0; i < count; i++) {
 		report_fill_queue(
@@ -217,15 +216,15 @@
 static void
 send_to_gateways(at_gossip_t *gossip, size_t len, uint64_t now_us)
 {
-	const at_entry_t *entry = gossip->entry;
-	data_centres_t others = {.own = entry->identity.data_centre};
+	const at_gossip_deps_t *deps = &gossip->deps;
+	data_centres_t others = {.own = deps->identity->data_centre};
 	size_t sent = 0;
 	size_t i;
 
-	at_roster_each(entry->roster, consider_data_centre, &others);
+	at_roster_each(deps->roster, consider_data_centre, &others);
 	for (i = 0; i < others.count; i++) {
 		const at_roster_member_t *gateway = at_roster_find_gateway(
-		    entry->roster, others.tags[i], now_us);
+		    deps->roster, others.tags[i], now_us);
 
 		if (gateway == NULL)
 			continue;
@@ -239,7 +238,7 @@
 summary_on_round(at_gossip_t *gossip, uint32_t instances, uint64_t now_us)
 {
 	static summary_buffers_t buffers;
-	at_entry_t *entry = gossip->entry;
+	const at_gossip_deps_t *deps = &gossip->deps;
 	Report report = REPORT__INIT;
 	ReportSummary summary = REPORT_SUMMARY__INIT;
 	size_t len;
@@ -247,8 +246,8 @@
 	if (!at_report_paths_is_summary_due(
 		gossip->paths, instances, gossip->rounds))
 		return;
-	if (gossip->is_leaving ||
-	    !at_roster_is_gateway(entry->roster, entry->identity.data_centre, now_us)) {
+	if (gossip->is_leaving || !at_roster_is_gateway(deps->roster,
+				      deps->identity->data_centre, now_us)) {
 		gossip->forwarded_origin_count = 0;
 		return;
 	}
@@ -256,8 +255,8 @@
 	buffers.now_us = now_us;
 	buffers.member_count = 0;
 	buffers.usage_count = 0;
-	summary.data_centre = (char *)(uintptr_t)entry->settings.data_centre;
-	summary.gateway = entry->identity.self.number;
+	summary.data_centre = (char *)(uintptr_t)deps->settings->data_centre;
+	summary.gateway = deps->identity->self.number;
 	summary.sequence = ++gossip->summary_sequence;
 	fill_members(&buffers, &summary);
 	fill_sums(&buffers, &summary);
@@ -290,7 +289,7 @@
 	size_t i;
 	size_t k;
 
-	if (report->origins_data_centre != gossip->entry->identity.data_centre)
+	if (report->origins_data_centre != gossip->deps.identity->data_centre)
 		return;
 	for (i = 0; i < report->n_origins; i++) {
 		const ReportOrigins *origins = report->origins[i];
@@ -310,10 +309,11 @@
 }
 
 static void
-apply_member(at_entry_t *entry, const ReportMember *source, uint64_t now_us)
+apply_member(
+    const at_gossip_deps_t *deps, const ReportMember *source, uint64_t now_us)
 {
 	at_roster_member_t *member =
-	    at_roster_find(entry->roster, source->instance);
+	    at_roster_find(deps->roster, source->instance);
 	uint64_t age_us = (uint64_t)source->age_ms * US_PER_MS;
 	at_quota_usage_t usage[USAGE_ENTRIES_MAX];
 	size_t count = 0;
@@ -327,14 +327,14 @@
 		usage[count].units = source->spending[count]->units;
 		count++;
 	}
-	at_quota_apply_report(entry->quota, member->tag, source->incarnation,
+	at_quota_apply_report(deps->quota, member->tag, source->incarnation,
 	    usage, count, now_us);
 	if (!member->has_direct_load)
 		return;
 	member->has_direct_load = 0;
-	at_fleet_apply_report(entry->fleet, member->tag, NULL, 0, now_us);
+	at_fleet_apply_report(deps->fleet, member->tag, NULL, 0, now_us);
 	at_contention_apply_report(
-	    entry->contention, member->tag, NULL, 0, now_us);
+	    deps->contention, member->tag, NULL, 0, now_us);
 }
 
 static void
@@ -351,21 +351,21 @@
 void
 summary_apply(at_gossip_t *gossip, Report *report, uint64_t now_us)
 {
-	at_entry_t *entry = gossip->entry;
+	const at_gossip_deps_t *deps = &gossip->deps;
 	const ReportSummary *summary = report->summary;
 	at_tag_t data_centre = at_tag_from_text(summary->data_centre);
 	size_t i;
 
-	if (data_centre == entry->identity.data_centre ||
+	if (data_centre == deps->identity->data_centre ||
 	    at_report_paths_note_summary(gossip->paths, data_centre,
 		summary->gateway, summary->sequence, now_us) != 0)
 		return;
 	if (!summary->forwarded)
 		forward(gossip, report);
 	for (i = 0; i < summary->n_members; i++)
-		apply_member(entry, summary->members[i], now_us);
+		apply_member(deps, summary->members[i], now_us);
 	report_apply_loads(
-	    entry, data_centre, 0, summary->n_loads, summary->loads, now_us);
+	    gossip, data_centre, 0, summary->n_loads, summary->loads, now_us);
 	report_apply_queues(
-	    entry, data_centre, summary->n_queues, summary->queues, now_us);
+	    gossip, data_centre, summary->n_queues, summary->queues, now_us);
 }
--- a/src/entry/orders.h
+++ b/src/entry/orders.h
@@ -8,9 +8,8 @@
 #ifndef ALMONDTHREAD_ENTRY_ORDERS_H
 #define ALMONDTHREAD_ENTRY_ORDERS_H
 
-#include "almondthread/roster.h"
 #include "entry/entry.h"
-#include "report.pb-c.h"
+#include "entry/gossip.h"
 
 /* at_orders_io_new() returns NULL if out of memory. */
 at_orders_io_t *at_orders_io_new(at_entry_t *entry);
@@ -41,15 +40,7 @@
 int at_orders_io_is_platform_away(const at_orders_io_t *orders);
 /* at_orders_io_fence() returns the fencing token of a held lease, or 0. */
 uint64_t at_orders_io_fence(const at_orders_io_t *orders);
-/*
- * at_orders_io_fill_changes() adds the holder's recent changes to a report,
- * at_orders_io_fill_demand() this instance's demand and adapter requests. The
- * report points to memory that stays valid until the next call.
- */
-void at_orders_io_fill_changes(at_orders_io_t *orders, Report *report);
-void at_orders_io_fill_demand(at_orders_io_t *orders, Report *report);
-/* at_orders_io_apply_report() applies the entries that the two have added. */
-void at_orders_io_apply_report(at_orders_io_t *orders,
-    const at_roster_member_t *from, const Report *report);
+/* at_orders_io_section() returns its section of the reports. */
+at_report_section_t at_orders_io_section(at_orders_io_t *orders);
 
 #endif
--- a/src/entry/orders_report.c
+++ b/src/entry/orders_report.c
@@ -84,8 +84,9 @@
 	requests->list[requests->count++] = request;
 }
 
-void
-at_orders_io_fill_changes(at_orders_io_t *orders, Report *report)
+/* The holder's recent changes. */
+static void
+fill_changes(at_orders_io_t *orders, Report *report)
 {
 	static ReportAdapter entries[CHANGES_MAX];
 	static ReportAdapter *list[CHANGES_MAX];
@@ -112,8 +113,8 @@
 	report->adapters = list;
 }
 
-void
-at_orders_io_fill_demand(at_orders_io_t *orders, Report *report)
+static void
+fill_requests(at_orders_io_t *orders, Report *report)
 {
 	static request_list_t requests;
 
@@ -121,6 +122,20 @@
 	at_wait_queue_each(orders->entry->queue, add_request, &requests);
 	report->n_wants = requests.count;
 	report->wants = requests.list;
+}
+
+static void
+fill(void *ctx, at_report_kind_t kind, int is_to_all, Report *report)
+{
+	at_orders_io_t *orders = ctx;
+
+	(void)is_to_all;
+	report->fence = at_orders_io_fence(orders);
+	if (at_report_is_regular(kind))
+		fill_changes(orders, report);
+	if (kind != AT_REPORT_DEMAND)
+		return;
+	fill_requests(orders, report);
 	fill_demand(orders, report);
 }
 
@@ -152,11 +167,11 @@
 		adapters_request(orders, request->service, &model, &adapter);
 }
 
-void
-at_orders_io_apply_report(at_orders_io_t *orders,
-    const at_roster_member_t *from, const Report *report)
+static void
+apply(void *ctx, at_roster_member_t *from, const Report *report)
 {
 	static at_demand_report_t entries[DEMAND_ENTRIES_MAX];
+	at_orders_io_t *orders = ctx;
 	size_t count = 0;
 	size_t i;
 
@@ -177,3 +192,18 @@
 	for (i = 0; i < report->n_wants; i++)
 		apply_request(orders, report->wants[i]);
 }
+
+static int
+is_special(void *ctx)
+{
+	return at_orders_io_fence(ctx) != 0;
+}
+
+at_report_section_t
+at_orders_io_section(at_orders_io_t *orders)
+{
+	return (at_report_section_t){.fill = fill,
+	    .apply = apply,
+	    .is_special = is_special,
+	    .ctx = orders};
+}
--- a/src/entry/reach.c
+++ b/src/entry/reach.c
@@ -210,24 +210,30 @@
 
 /* Reports */
 
-void
-at_reach_io_fill_report(const at_reach_io_t *io, Report *report)
+static void
+fill(void *ctx, at_report_kind_t kind, int is_to_all, Report *report)
 {
+	const at_reach_io_t *io = ctx;
 	uint64_t evidence_us = at_reach_evidence_us(&io->reach);
 	uint64_t age_ms = (at_clock_now_us() - evidence_us) / US_PER_MS;
 
+	(void)is_to_all;
+	if (!at_report_is_regular(kind))
+		return;
 	report->reaches_none = at_reach_io_reaches_none(io);
 	if (evidence_us != 0 && age_ms < UINT32_MAX)
 		report->evidence_age_ms = (uint32_t)age_ms + 1u;
 }
 
-void
-at_reach_io_apply_report(
-    at_reach_io_t *io, at_roster_member_t *member, const Report *report)
+static void
+apply(void *ctx, at_roster_member_t *member, const Report *report)
 {
+	at_reach_io_t *io = ctx;
 	uint64_t now_us = at_clock_now_us();
 	uint64_t age_us = (uint64_t)report->evidence_age_ms * US_PER_MS;
 
+	if (!report->has_loads && !report->has_state)
+		return;
 	if (report->evidence_age_ms != 0 && age_us < now_us)
 		member->evidence_us = now_us - age_us;
 	/* It needs to know whether others reach the servers. */
@@ -236,3 +242,9 @@
 		at_reach_io_doubt(io);
 	member->reaches_none = report->reaches_none;
 }
+
+at_report_section_t
+at_reach_io_section(at_reach_io_t *io)
+{
+	return (at_report_section_t){.fill = fill, .apply = apply, .ctx = io};
+}
--- a/src/entry/reach.h
+++ b/src/entry/reach.h
@@ -8,7 +8,7 @@
 #include "almondthread/roster.h"
 #include "almondthread/server_reach.h"
 #include "entry/entry.h"
-#include "report.pb-c.h"
+#include "entry/gossip.h"
 
 /* at_reach_io_new() returns NULL if out of memory. */
 at_reach_io_t *at_reach_io_new(at_entry_t *entry);
@@ -28,8 +28,7 @@
 /* at_reach_io_reaches_none() returns non-zero if no server is reached. */
 int at_reach_io_reaches_none(const at_reach_io_t *io);
 
-void at_reach_io_fill_report(const at_reach_io_t *io, Report *report);
-void at_reach_io_apply_report(
-    at_reach_io_t *io, at_roster_member_t *member, const Report *report);
+/* at_reach_io_section() returns its section of the reports. */
+at_report_section_t at_reach_io_section(at_reach_io_t *io);
 
 #endif
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -387,11 +387,22 @@
 	}
 }
 
-void
-at_relay_fill_report(const at_relay_t *relay, Report *report)
+static void
+fill(void *ctx, at_report_kind_t kind, int is_to_all, Report *report)
 {
+	const at_relay_t *relay = ctx;
+
+	(void)is_to_all;
+	if (!at_report_is_regular(kind))
+		return;
 	/* The last state of a shutdown takes no more. */
 	report->relayed = relay->entry->state == AT_ENTRY_STOPPING
 			      ? AT_ROSTER_RELAYED_MAX
 			      : (uint32_t)relay->count;
 }
+
+at_report_section_t
+at_relay_section(at_relay_t *relay)
+{
+	return (at_report_section_t){.fill = fill, .ctx = relay};
+}
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -18,8 +18,8 @@
 
 #include "almondthread/roster.h"
 #include "entry/entry.h"
+#include "entry/gossip.h"
 #include "platform/server_call.h"
-#include "report.pb-c.h"
 
 #define RELAY_HEADER "Almondthread-Relay"
 
@@ -51,7 +51,8 @@
 size_t at_relay_open(const at_relay_t *relay);
 /* at_relay_abandon() ends them, at the end of the shutdown. */
 void at_relay_abandon(at_relay_t *relay);
-void at_relay_fill_report(const at_relay_t *relay, Report *report);
+/* at_relay_section() returns its section of the reports. */
+at_report_section_t at_relay_section(at_relay_t *relay);
 
 /* What is passed on, as the first instance states it. */
 typedef struct at_relay_call {
--- a/src/entry/server_crashes.c
+++ b/src/entry/server_crashes.c
@@ -16,6 +16,7 @@
 #include "io/clock.h"
 
 #define US_PER_MS 1000u
+#define REPORT_DELAY_S 0.004    /* of what is to be reported at once */
 #define LOSSES_MAX 32u          /* servers that may have crashed, at a time */
 #define REQUESTS_PER_REPORT 32u /* of one crash; they fit a packet */
 #define REPORTS_MAX 64u         /* crashes that are being reported */
@@ -72,6 +73,7 @@
 	uint64_t trials[TRIALS_MAX]; /* to be reported */
 	size_t trial_count;
 	ev_timer timer;
+	ev_timer report_timer; /* for what is not reported yet */
 };
 
 static void
@@ -118,6 +120,36 @@
 	decide(timer->data);
 }
 
+static int fill_updates(void *ctx, Report *report);
+
+static void
+send_reports(at_server_crashes_t *crashes)
+{
+	at_gossip_t *gossip = crashes->entry->gossip;
+
+	while (at_gossip_send_unnamed(gossip, fill_updates, crashes))
+		continue;
+}
+
+static void
+on_report_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	(void)loop;
+	(void)events;
+	send_reports(timer->data);
+}
+
+/*
+ * Sends crashes, and parts that are accused of one and have begun here, to all
+ * instances within a few milliseconds.
+ */
+static void
+report_soon(at_server_crashes_t *crashes)
+{
+	if (!ev_is_active(&crashes->report_timer))
+		ev_timer_start(crashes->entry->loop, &crashes->report_timer);
+}
+
 at_server_crashes_t *
 at_server_crashes_new(at_entry_t *entry)
 {
@@ -133,6 +165,9 @@
 	}
 	ev_timer_init(&crashes->timer, on_timer, DECIDE_S, DECIDE_S);
 	crashes->timer.data = crashes;
+	ev_timer_init(
+	    &crashes->report_timer, on_report_timer, REPORT_DELAY_S, 0.);
+	crashes->report_timer.data = crashes;
 	return crashes;
 }
 
@@ -162,6 +197,7 @@
 	if (crashes == NULL)
 		return;
 	ev_timer_stop(crashes->entry->loop, &crashes->timer);
+	ev_timer_stop(crashes->entry->loop, &crashes->report_timer);
 	while (crashes->losses != NULL)
 		delete_loss(crashes->losses);
 	for (i = 0; i < crashes->report_count; i++)
@@ -210,7 +246,7 @@
 	(void)at_crash_causes_add_crash(crashes->causes, loss->incarnation,
 	    loss->requests, loss->count, loss->lost_us);
 	add_report(crashes, loss);
-	at_gossip_send_crashes_soon(entry->gossip);
+	report_soon(crashes);
 	decide(crashes);
 }
 
@@ -453,7 +489,7 @@
 	    verdict->part, verdict->crashes);
 	if (crashes->trial_count < TRIALS_MAX)
 		crashes->trials[crashes->trial_count++] = verdict->part;
-	at_gossip_send_crashes_soon(crashes->entry->gossip);
+	report_soon(crashes);
 	return NULL;
 }
 
@@ -553,11 +589,16 @@
 	verdicts->list[verdicts->count++] = entry;
 }
 
-void
-at_server_crashes_fill_verdicts(at_server_crashes_t *crashes, Report *report)
+/* Adds the blocks and lifted blocks. */
+static void
+fill(void *ctx, at_report_kind_t kind, int is_to_all, Report *report)
 {
 	static verdict_list_t verdicts;
+	at_server_crashes_t *crashes = ctx;
 
+	(void)is_to_all;
+	if (!at_report_is_regular(kind))
+		return;
 	verdicts.count = 0;
 	verdicts.now_us = at_clock_now_us();
 	at_crash_causes_each(crashes->causes, add_verdict, &verdicts);
@@ -612,10 +653,15 @@
 	report->crashes = list;
 }
 
-int
-at_server_crashes_fill_updates(at_server_crashes_t *crashes, Report *report)
+/*
+ * Adds the next crash or beginnings that are to be reported; returns zero if
+ * there are none.
+ */
+static int
+fill_updates(void *ctx, Report *report)
 {
 	static uint64_t trials[TRIALS_MAX];
+	at_server_crashes_t *crashes = ctx;
 	uint64_t now_us = at_clock_now_us();
 	size_t i;
 
@@ -636,17 +682,23 @@
 	return fill_begun(crashes, report, now_us) || report->n_trials > 0;
 }
 
-void
-at_server_crashes_on_round(at_server_crashes_t *crashes)
+/* Crashes are reported again, as reports get lost. */
+static void
+end_round(void *ctx, uint64_t now_us, int is_direct_due)
 {
+	at_server_crashes_t *crashes = ctx;
 	size_t i = 0;
 
+	(void)now_us;
+	if (!is_direct_due)
+		return;
 	while (i < crashes->report_count) {
 		if (crashes->reports[i]->reported >= REPORT_TIMES)
 			remove_report(crashes, i);
 		else
 			crashes->reports[i++]->is_due = 1;
 	}
+	send_reports(crashes);
 }
 
 static uint64_t
@@ -695,10 +747,10 @@
 	return at_crash_causes_apply_verdict(crashes->causes, &verdict, now_us);
 }
 
-void
-at_server_crashes_apply_report(
-    at_server_crashes_t *crashes, const Report *report)
+static void
+apply_unordered(void *ctx, const Report *report)
 {
+	at_server_crashes_t *crashes = ctx;
 	uint64_t now_us = at_clock_now_us();
 	int is_new = 0;
 	int is_changed = 0;
@@ -720,7 +772,16 @@
 		on_verdicts_changed(crashes);
 	if (is_new) {
 		/* Parts that have begun here are reported at once. */
-		at_gossip_send_crashes_soon(crashes->entry->gossip);
+		report_soon(crashes);
 		decide(crashes);
 	}
 }
+
+at_report_section_t
+at_server_crashes_section(at_server_crashes_t *crashes)
+{
+	return (at_report_section_t){.fill = fill,
+	    .apply_unordered = apply_unordered,
+	    .end_round = end_round,
+	    .ctx = crashes};
+}
--- a/src/entry/server_crashes.h
+++ b/src/entry/server_crashes.h
@@ -12,7 +12,7 @@
 
 #include "almondthread/crash_causes.h"
 #include "entry/entry.h"
-#include "report.pb-c.h"
+#include "entry/gossip.h"
 
 /* at_server_crashes_new() returns NULL if out of memory. */
 at_server_crashes_t *at_server_crashes_new(at_entry_t *entry);
@@ -54,20 +54,7 @@
 uint64_t at_server_crashes_block_age_us(
     const at_server_crashes_t *crashes, uint64_t part);
 
-/*
- * Reports. at_server_crashes_fill_verdicts() adds the blocks and lifted blocks,
- * at_server_crashes_fill_updates() the next crash or beginnings that are to be
- * reported, and returns zero if there are none. What a report points to is
- * valid until the next call.
- */
-void at_server_crashes_fill_verdicts(
-    at_server_crashes_t *crashes, Report *report);
-int at_server_crashes_fill_updates(
-    at_server_crashes_t *crashes, Report *report);
-void at_server_crashes_apply_report(
-    at_server_crashes_t *crashes, const Report *report);
-/* at_server_crashes_on_round() has the crashes reported again, as reports get
- * lost. */
-void at_server_crashes_on_round(at_server_crashes_t *crashes);
+/* at_server_crashes_section() returns its section of the reports. */
+at_report_section_t at_server_crashes_section(at_server_crashes_t *crashes);
 
 #endif
--- a/src/entry/server_notices.c
+++ b/src/entry/server_notices.c
@@ -143,12 +143,15 @@
 		set_share(round->entry, server, round->now_us);
 }
 
-void
-at_server_notices_on_round(at_entry_t *entry, uint64_t now_us)
+/* Follows changes of the instances. */
+static void
+end_round(void *ctx, uint64_t now_us, int is_direct_due)
 {
+	at_entry_t *entry = ctx;
 	round_context_t round = {entry, now_us};
 	size_t i;
 
+	(void)is_direct_due;
 	at_fleet_each(entry->fleet, update_share, &round);
 	at_fleet_expire_brittle(entry->fleet, now_us);
 	for (i = 0; entry->site != NULL && i < entry->site->service_count;
@@ -202,8 +205,9 @@
 	report->limits = list;
 }
 
-void
-at_server_notices_fill_brittle(at_entry_t *entry, Report *report)
+/* Brittle servers are reported once a second and after a change. */
+static void
+fill_brittle(at_entry_t *entry, Report *report)
 {
 	static at_brittle_report_t entries[AT_BRITTLE_SERVICES_MAX];
 	static ReportBrittle messages[AT_BRITTLE_SERVICES_MAX];
@@ -232,11 +236,17 @@
 	report->brittle = list;
 }
 
-void
-at_server_notices_fill_report(const at_entry_t *entry, Report *report)
+static void
+fill(void *ctx, at_report_kind_t kind, int is_to_all, Report *report)
 {
+	at_entry_t *entry = ctx;
+
+	if (!at_report_is_regular(kind))
+		return;
 	fill_leaving(entry, report);
 	fill_limits(entry, report);
+	if (kind == AT_REPORT_HEADER || (kind == AT_REPORT_COMMON && is_to_all))
+		fill_brittle(entry, report);
 }
 
 static void
@@ -295,14 +305,23 @@
 	}
 }
 
-void
-at_server_notices_apply_report(at_entry_t *entry, const Report *report)
+static void
+apply(void *ctx, at_roster_member_t *member, const Report *report)
 {
+	at_entry_t *entry = ctx;
 	size_t i;
 
+	(void)member;
 	for (i = 0; i < report->n_brittle; i++)
 		apply_brittle(entry, report->brittle[i]);
 	for (i = 0; i < report->n_leaving_servers; i++)
 		apply_leaving(entry, report->leaving_servers[i]);
 	apply_limits(entry, report);
 }
+
+at_report_section_t
+at_server_notices_section(at_entry_t *entry)
+{
+	return (at_report_section_t){
+	    .fill = fill, .apply = apply, .end_round = end_round, .ctx = entry};
+}
--- a/src/entry/server_notices.h
+++ b/src/entry/server_notices.h
@@ -7,7 +7,7 @@
 #define ALMONDTHREAD_ENTRY_SERVER_NOTICES_H
 
 #include "entry/entry.h"
-#include "report.pb-c.h"
+#include "entry/gossip.h"
 
 /*
  * at_server_notices_limit() takes what an answer states to a request that was
@@ -25,15 +25,7 @@
  */
 void at_server_notices_brittle(at_entry_t *entry, at_server_t *server,
     int is_brittle, int is_rejected, uint64_t sent_us);
-/* at_server_notices_on_round() follows changes of the instances. */
-void at_server_notices_on_round(at_entry_t *entry, uint64_t now_us);
-/* What a report points to is valid until the next call. */
-void at_server_notices_fill_report(const at_entry_t *entry, Report *report);
-/*
- * at_server_notices_fill_brittle() does the same for brittle servers, once a
- * second and after a change. It is for reports to all instances.
- */
-void at_server_notices_fill_brittle(at_entry_t *entry, Report *report);
-void at_server_notices_apply_report(at_entry_t *entry, const Report *report);
+/* at_server_notices_section() returns their section of the reports. */
+at_report_section_t at_server_notices_section(at_entry_t *entry);
 
 #endif
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -77,7 +77,7 @@
 }
 
 static void
-apply_digest(at_sync_t *sync, const at_sync_report_t *report)
+apply_digest(at_sync_t *sync, const sync_copies_t *report)
 {
 	uint64_t now_ms = at_clock_now_ms();
 
@@ -104,7 +104,7 @@
 
 /* Returns non-zero if this instance has all changes that the reader has. */
 static int
-has_all_of(at_sync_t *sync, const at_sync_report_t *report)
+has_all_of(at_sync_t *sync, const sync_copies_t *report)
 {
 	at_mirror_t *servers = sync->servers.mirror;
 	int has_config = sync->entry->site != NULL &&
@@ -124,7 +124,7 @@
 }
 
 static void
-apply_reader(at_sync_t *sync, const at_sync_report_t *report)
+apply_reader(at_sync_t *sync, const sync_copies_t *report)
 {
 	uint64_t now_ms = at_clock_now_ms();
 
@@ -149,7 +149,7 @@
  * have gone.
  */
 static void
-apply_steady(at_sync_t *sync, const at_sync_report_t *report)
+apply_steady(at_sync_t *sync, const sync_copies_t *report)
 {
 	watcher_t *servers = &sync->servers;
 	uint64_t now_ms = at_clock_now_ms();
@@ -168,7 +168,7 @@
 }
 
 void
-at_sync_apply_report(at_sync_t *sync, const at_sync_report_t *report)
+sync_apply_copies(at_sync_t *sync, const sync_copies_t *report)
 {
 	if (report->reads && report->is_near)
 		apply_reader(sync, report);
@@ -184,7 +184,7 @@
 }
 
 void
-at_sync_fill_report(const at_sync_t *sync, at_sync_report_t *report)
+sync_fill_copies(const at_sync_t *sync, sync_copies_t *report)
 {
 	const at_mirror_t *servers = sync->servers.mirror;
 	uint64_t now_ms = at_clock_now_ms();
@@ -201,18 +201,6 @@
 	report->steady_ms = now_ms - sync->steady_since_ms;
 }
 
-uint64_t
-at_sync_servers_base(const at_sync_t *sync)
-{
-	return at_mirror_base(sync->servers.mirror);
-}
-
-uint64_t
-at_sync_servers_since(const at_sync_t *sync)
-{
-	return at_mirror_since(sync->servers.mirror);
-}
-
 /*
  * Returns since when the reader has no confirmation. A new reader has the time
  * of its first check.
@@ -313,7 +301,7 @@
 	sync->entry = entry;
 	sync->reader_since_ms = at_clock_now_ms();
 	sync->objects = at_wire_store_objects(entry->wire_store);
-	if (sync_documents_init(sync) != 0 ||
+	if (sync_report_init(sync) != 0 || sync_documents_init(sync) != 0 ||
 	    watcher_init(
 		sync, &sync->config, WIRE_KIND_CONFIG, &config_sink, 0) != 0 ||
 	    watcher_init(sync, &sync->servers, WIRE_KIND_SERVERS, &servers_sink,
@@ -337,6 +325,7 @@
 {
 	sync_checks_cancel(sync);
 	sync_documents_free(sync);
+	sync_report_free(sync);
 	watcher_free(&sync->config);
 	watcher_free(&sync->servers);
 	free(sync);
@@ -356,9 +345,3 @@
 	       at_mirror_is_platform_away(sync->config.mirror) ||
 	       at_mirror_is_platform_away(sync->servers.mirror);
 }
-
-at_documents_t *
-at_sync_documents(at_sync_t *sync)
-{
-	return sync->documents;
-}
--- a/src/entry/sync_documents.c
+++ b/src/entry/sync_documents.c
@@ -81,7 +81,7 @@
 fill_config(at_sync_t *sync, uint64_t have, ReportDocument *message,
     at_document_range_t *range)
 {
-	at_config_text_t *text = at_gossip_config_text(sync->entry->gossip);
+	at_config_text_t *text = sync->config_text;
 
 	clear_filled(sync);
 	sync->objects_filled = calloc(1, sizeof(ReportServer));
@@ -121,7 +121,7 @@
 /* Receiving */
 
 void
-at_sync_feed_server(at_sync_t *sync, const char *name, uint64_t version,
+sync_feed_server(at_sync_t *sync, const char *name, uint64_t version,
     const char *text, size_t len)
 {
 	const at_object_t object = {
@@ -139,7 +139,7 @@
 }
 
 void
-at_sync_feed_range(at_sync_t *sync, uint64_t from, uint64_t to)
+sync_feed_range(at_sync_t *sync, uint64_t from, uint64_t to)
 {
 	if (at_mirror_advance(sync->servers.mirror, from, to))
 		sync_note_servers_known(sync);
@@ -172,7 +172,7 @@
 }
 
 void
-at_sync_feed_config(at_sync_t *sync, const char *name, uint64_t version,
+sync_feed_config(at_sync_t *sync, const char *name, uint64_t version,
     const char *text, size_t len)
 {
 	const at_object_t object = {
@@ -194,11 +194,11 @@
 		for (i = 0; i < message->n_objects; i++) {
 			const ReportServer *object = message->objects[i];
 
-			at_sync_feed_server(sync, object->name, object->version,
+			sync_feed_server(sync, object->name, object->version,
 			    object->deleted ? NULL : object->spec,
 			    strlen(object->spec));
 		}
-		at_sync_feed_range(sync, range->base, range->version);
+		sync_feed_range(sync, range->base, range->version);
 		return;
 	}
 	if (!may_take(&sync->servers))
@@ -220,8 +220,7 @@
 static void
 apply_config(at_sync_t *sync, const ReportDocument *message)
 {
-	const at_config_text_t *text =
-	    at_gossip_config_text(sync->entry->gossip);
+	const at_config_text_t *text = sync->config_text;
 	const ReportServer *object;
 	char *applied = NULL;
 
@@ -231,10 +230,10 @@
 	if (object->base_version != 0)
 		applied = at_config_text_apply(text, object);
 	if (applied != NULL)
-		at_sync_feed_config(sync, object->name, object->version,
-		    applied, strlen(applied));
+		sync_feed_config(sync, object->name, object->version, applied,
+		    strlen(applied));
 	else if (object->base_version == 0)
-		at_sync_feed_config(sync, object->name, object->version,
+		sync_feed_config(sync, object->name, object->version,
 		    object->spec, strlen(object->spec));
 	free(applied);
 }
@@ -336,9 +335,8 @@
 	    member->name.text,
 	    is_config ? sync->config_wanted : sync->servers_wanted);
 	at_documents_ask(sync->documents, member, kind,
-	    is_config
-		? at_config_text_version(at_gossip_config_text(entry->gossip))
-		: at_mirror_since(sync->servers.mirror));
+	    is_config ? at_config_text_version(sync->config_text)
+		      : at_mirror_since(sync->servers.mirror));
 }
 
 void
--- a/src/entry/sync_impl.h
+++ b/src/entry/sync_impl.h
@@ -1,14 +1,15 @@
 /*
  * sync_impl.h - types shared by the files of sync: sync_watch.c has the copies
  * and their calls to the platform, sync_check.c the checks of the watches,
- * sync_documents.c what other instances are told or ask for, and sync.c the
- * roles of reader and follower.
+ * sync_documents.c what other instances are handed or ask for, sync_report.c
+ * the reports, and sync.c the roles of reader and follower.
  */
 #ifndef ALMONDTHREAD_ENTRY_SYNC_IMPL_H
 #define ALMONDTHREAD_ENTRY_SYNC_IMPL_H
 
 #include "almondthread/catch_up.h"
 #include "almondthread/mirror.h"
+#include "entry/config_text.h"
 #include "entry/sync.h"
 #include "platform/names.h"
 
@@ -33,6 +34,26 @@
 	ev_timer timer;
 } watcher_t;
 
+#define CHANGES_MAX 24u /* backend servers in one report */
+
+/* An object of the list that is to be sent. */
+typedef struct object_change {
+	char *name;
+	char *spec; /* JSON text; NULL: the object was deleted */
+	uint64_t version;
+	int is_urgent;
+} object_change_t;
+
+/* The changes of the list that are sent in the next report. */
+typedef struct object_changes {
+	object_change_t servers[CHANGES_MAX];
+	size_t count;
+	size_t bytes;
+	int has_more;  /* more than fit into one report */
+	uint64_t from; /* version to which they are changes */
+	ev_timer timer;
+} object_changes_t;
+
 /* Asks whether both copies have all changes. */
 typedef struct check {
 	at_sync_t *sync;
@@ -45,6 +66,9 @@
 	at_entry_t *entry;
 	at_objects_t objects;
 	at_documents_t *documents;
+	at_config_text_t *config_text; /* of the configuration in force */
+	object_changes_t changes;
+	uint64_t rounds; /* of reports */
 	watcher_t config;
 	watcher_t servers;
 	check_t checks[CHECKS_MAX];
@@ -70,6 +94,33 @@
 	ReportServer **object_list;
 };
 
+/* What an instance reports of its copies. */
+typedef struct sync_copies {
+	at_tag_t instance;
+	int is_near; /* of this data centre */
+	uint64_t config_version;
+	uint64_t servers_since; /* it has all changes of servers up to it */
+	/* Of a reader: */
+	int reads;
+	int platform_away;
+	uint64_t servers_changed; /* it knows of no change after it */
+	uint64_t servers_newest;  /* highest version stated for a change */
+	uint64_t servers_digest;
+	uint64_t age_ms;     /* of the platform's last confirmation */
+	uint64_t age_max_ms; /* beyond which it gives way; 0: not stated */
+	uint64_t steady_ms;  /* see at_sync_steady_ms() */
+} sync_copies_t;
+
+/* sync.c */
+/*
+ * sync_apply_copies() takes a report, after the changes in it. A follower
+ * that has all changes that the reader has is as up to date as the reader;
+ * otherwise it asks for the others.
+ */
+void sync_apply_copies(at_sync_t *sync, const sync_copies_t *report);
+/* sync_fill_copies() fills what this instance reports. */
+void sync_fill_copies(const at_sync_t *sync, sync_copies_t *report);
+
 /* sync_watch.c */
 /* Returns -1 if out of memory. */
 int watcher_init(at_sync_t *sync, watcher_t *watcher, const char *kind,
@@ -96,6 +147,17 @@
 void sync_check_list(at_sync_t *sync);
 
 /* sync_documents.c */
+/*
+ * sync_feed_server() applies another instance's report of one backend
+ * server; text is NULL when it was deleted. sync_feed_range() states that
+ * these were all changes between two versions.
+ */
+void sync_feed_server(at_sync_t *sync, const char *name, uint64_t version,
+    const char *text, size_t len);
+void sync_feed_range(at_sync_t *sync, uint64_t from, uint64_t to);
+/* sync_feed_config() does so with the configuration. */
+void sync_feed_config(at_sync_t *sync, const char *name, uint64_t version,
+    const char *text, size_t len);
 /* Returns -1 if out of memory. */
 int sync_documents_init(at_sync_t *sync);
 void sync_documents_free(at_sync_t *sync);
@@ -109,4 +171,24 @@
 /* Asks for the complete list of servers. */
 void sync_ask_for_all_servers(at_sync_t *sync, at_tag_t instance);
 
+/* sync_report.c */
+/* Returns -1 if out of memory. */
+int sync_report_init(at_sync_t *sync);
+void sync_report_free(at_sync_t *sync);
+/*
+ * sync_send_server() sends a backend server's object in the list to the
+ * instances of this data centre; text is NULL when it was deleted. Objects
+ * that change within two milliseconds are sent in one report; where they do not
+ * fit, those of servers that leave (is_leaving) or were deleted go first.
+ */
+void sync_send_server(at_sync_t *sync, const char *name, uint64_t version,
+    const char *text, size_t len, int is_leaving);
+/*
+ * sync_note_config() takes a newer configuration object. A reader of the
+ * platform's lists (is_reader non-zero) sends it to the same instances, as the
+ * difference to the one before: in one report if that is small, else in parts.
+ */
+void sync_note_config(at_sync_t *sync, const char *name, uint64_t version,
+    const char *text, size_t len, int is_reader);
+
 #endif
--- a/src/entry/sync_watch.c
+++ b/src/entry/sync_watch.c
@@ -31,8 +31,8 @@
 	if (strcmp(object->name, WIRE_CONFIG_NAME) != 0)
 		return;
 	at_status_clear(&status);
-	site = at_site_decode(
-	    object->text, object->len, entry->site, &entry->identity.secret, &status);
+	site = at_site_decode(object->text, object->len, entry->site,
+	    &entry->identity.secret, &status);
 	if (site == NULL) {
 		at_log(AT_LOG_ERROR, "config", NULL,
 		    "configuration rejected; the previous one stays in use "
@@ -50,8 +50,8 @@
 	}
 	at_entry_set_site(entry, site);
 	sync_note_config_known(sync);
-	at_gossip_note_config(entry->gossip, object->name, object->version,
-	    object->text, object->len, sync->is_reader && !watcher->is_fed);
+	sync_note_config(sync, object->name, object->version, object->text,
+	    object->len, sync->is_reader && !watcher->is_fed);
 	at_log(AT_LOG_INFO, "config", NULL,
 	    "configuration taken object_version=%" PRIu64
 	    " from=%s took_us=%" PRIu64,
@@ -80,8 +80,8 @@
 	    at_server_decode(object->name, object->text, object->len, &server);
 
 	if (watcher->sync->is_reader)
-		at_gossip_send_server(entry->gossip, object->name,
-		    object->version, object->text, object->len,
+		sync_send_server(watcher->sync, object->name, object->version,
+		    object->text, object->len,
 		    fault != NULL || server.is_leaving);
 	if (fault != NULL) {
 		at_log(AT_LOG_WARN, "servers", NULL,
@@ -118,7 +118,7 @@
 	    name, version);
 	at_fleet_remove(entry->fleet, at_tag_from_text(name));
 	if (watcher->sync->is_reader)
-		at_gossip_send_server(entry->gossip, name, version, NULL, 0, 1);
+		sync_send_server(watcher->sync, name, version, NULL, 0, 1);
 }
 
 static void
--- a/src/entry/version_record.c
+++ b/src/entry/version_record.c
@@ -82,13 +82,16 @@
 	}
 }
 
-void
-at_version_record_on_round(at_version_record_t *record, uint64_t now_us)
+/* Writes what has changed, if it is this instance's turn. */
+static void
+end_round(void *ctx, uint64_t now_us, int is_direct_due)
 {
+	at_version_record_t *record = ctx;
 	at_entry_t *entry = record->entry;
 	char name[2 * AT_NAME_SIZE];
 	static const char value[] = "{}";
 
+	(void)is_direct_due;
 	if (record->is_calling || now_us < record->checked_us ||
 	    at_orders_io_fence(entry->orders) == 0 ||
 	    at_entry_is_platform_away(entry))
@@ -107,3 +110,9 @@
 		entry->store.put(entry->store.impl, name, 0, value,
 		    sizeof(value) - 1, on_called, record);
 }
+
+at_report_section_t
+at_version_record_section(at_version_record_t *record)
+{
+	return (at_report_section_t){.end_round = end_round, .ctx = record};
+}
--- a/src/entry/version_record.h
+++ b/src/entry/version_record.h
@@ -13,6 +13,7 @@
 #define ALMONDTHREAD_ENTRY_VERSION_RECORD_H
 
 #include "entry/entry.h"
+#include "entry/gossip.h"
 
 /* Kind of the objects of instances and of recorded versions. */
 #define AT_INSTANCES_KIND "entry-instances"
@@ -25,7 +26,7 @@
  * zero if it does not record a version.
  */
 int at_version_record_apply(at_version_record_t *record, const char *name);
-/* at_version_record_on_round() writes what has changed, if it is its turn. */
-void at_version_record_on_round(at_version_record_t *record, uint64_t now_us);
+/* at_version_record_section() has no contents, but follows the rounds. */
+at_report_section_t at_version_record_section(at_version_record_t *record);
 
 #endif
