entry: reach, notices, relay and crashes get what they use

They were handed the whole instance. Each now has a struct of what it borrows and callbacks for what others do: that no server is reached any longer (the orders step down, queued requests are placed), and that other requests are refused. The state of the notices is no longer in at_entry_t. Tests: the arguments of at_relay_add_header() in test_cut_instances.

--- a/src/entry/call_attempt.c
+++ b/src/entry/call_attempt.c
@@ -233,13 +233,14 @@
 	note_received(attempt);
 	at_server_response_read(transfer, status, call->id, &server_response);
 	if (attempt->server != NULL) {
-		at_server_notices_limit(call->entry, attempt->server,
+		at_server_notices_limit(call->entry->notices, attempt->server,
 		    server_response.limit_milli, attempt->sent_us);
-		at_server_notices_brittle(call->entry, attempt->server,
+		at_server_notices_brittle(call->entry->notices, attempt->server,
 		    server_response.is_brittle, server_response.is_rejected,
 		    attempt->sent_us);
 		if (server_response.is_leaving)
-			at_server_notices_leaving(call->entry, attempt->server);
+			at_server_notices_leaving(
+			    call->entry->notices, attempt->server);
 		if (server_response.pause_ms != 0)
 			note_pause(attempt, server_response.pause_ms);
 	}
@@ -635,7 +636,7 @@
 	spec.new_connection |= relay != NULL;
 	if (at_server_call_build_headers(
 		&call->request_headers, &server_call, &lines) == 0 &&
-	    (relay == NULL || at_relay_add_header(call->entry, relay,
+	    (relay == NULL || at_relay_add_header(&call->entry->identity, relay,
 				  &relay_call, &lines) == 0)) {
 		spec.headers = (const char *const *)lines.lines;
 		transfer = at_httpc_start(call->entry->httpc, &spec, &events);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -141,6 +141,69 @@
 	return at_gossip_new(&deps);
 }
 
+/* Orders cannot be sent; another instance takes over at once. */
+static void
+on_reaches_none(void *ctx)
+{
+	at_entry_t *entry = ctx;
+
+	at_orders_io_step_down(entry->orders);
+	at_entry_place_queued(entry);
+}
+
+static void
+on_verdicts_changed(void *ctx)
+{
+	at_calls_apply_verdicts(ctx);
+}
+
+/* Creates what sees to the backend servers; returns -1 if out of memory. */
+static int
+create_servers(at_entry_t *entry)
+{
+	const at_server_notices_deps_t notices_deps = {
+	    .counters = entry->counters,
+	    .fleet = entry->fleet,
+	    .roster = entry->roster,
+	    .gossip = entry->gossip,
+	    .site = &entry->site};
+	const at_reach_io_deps_t reach_deps = {.loop = entry->loop,
+	    .counters = entry->counters,
+	    .fleet = entry->fleet,
+	    .httpc = entry->httpc,
+	    .gossip = entry->gossip,
+	    .on_reaches_none = on_reaches_none,
+	    .ctx = entry};
+	at_server_crashes_deps_t crashes_deps = {.loop = entry->loop,
+	    .counters = entry->counters,
+	    .identity = &entry->identity,
+	    .fleet = entry->fleet,
+	    .roster = entry->roster,
+	    .httpc = entry->httpc,
+	    .gossip = entry->gossip,
+	    .on_verdicts_changed = on_verdicts_changed,
+	    .ctx = entry};
+	at_relay_deps_t relay_deps = {.loop = entry->loop,
+	    .counters = entry->counters,
+	    .identity = &entry->identity,
+	    .settings = &entry->settings,
+	    .state = &entry->state,
+	    .fleet = entry->fleet,
+	    .httpc = entry->httpc};
+
+	entry->notices = at_server_notices_new(&notices_deps);
+	entry->reach = at_reach_io_new(&reach_deps);
+	crashes_deps.reach = entry->reach;
+	entry->crashes = at_server_crashes_new(&crashes_deps);
+	relay_deps.reach = entry->reach;
+	relay_deps.notices = entry->notices;
+	entry->relay = at_relay_new(&relay_deps);
+	return entry->notices == NULL || entry->reach == NULL ||
+		       entry->crashes == NULL || entry->relay == NULL
+		   ? -1
+		   : 0;
+}
+
 static void
 fill_report(void *ctx, at_report_kind_t kind, int is_to_all, Report *report)
 {
@@ -169,7 +232,7 @@
 	    at_gossip_loads_section(entry->gossip),
 	    at_reach_io_section(entry->reach),
 	    at_relay_section(entry->relay),
-	    at_server_notices_section(entry),
+	    at_server_notices_section(entry->notices),
 	    at_orders_io_section(entry->orders),
 	    at_server_crashes_section(entry->crashes),
 	    at_version_record_section(entry->version_record),
@@ -208,22 +271,20 @@
 	at_wire_store_set_counters(entry->wire_store, entry->counters);
 	entry->contention = at_contention_new(at_rng_next(&entry->rng));
 	entry->queue = at_wait_queue_new(entry->fleet, entry->contention);
-	entry->crashes = at_server_crashes_new(entry);
+	entry->gossip = create_gossip(entry);
+	if (create_servers(entry) != 0)
+		return -1;
 	entry->blocks = at_crash_blocks_new(entry);
-	entry->reach = at_reach_io_new(entry);
-	entry->relay = at_relay_new(entry);
 	entry->sync = at_sync_new(entry);
 	entry->join = at_join_new(entry);
 	entry->version_record = at_version_record_new(entry);
-	entry->gossip = create_gossip(entry);
 	entry->orders = at_orders_io_new(entry);
 	entry->readiness = at_readiness_new(entry);
 	return entry->queue == NULL || entry->contention == NULL ||
-		       entry->crashes == NULL || entry->blocks == NULL ||
-		       entry->reach == NULL || entry->relay == NULL ||
-		       entry->sync == NULL || entry->join == NULL ||
-		       entry->version_record == NULL || entry->gossip == NULL ||
-		       entry->orders == NULL || entry->readiness == NULL
+		       entry->blocks == NULL || entry->sync == NULL ||
+		       entry->join == NULL || entry->version_record == NULL ||
+		       entry->gossip == NULL || entry->orders == NULL ||
+		       entry->readiness == NULL
 		   ? -1
 		   : 0;
 }
@@ -453,6 +514,7 @@
 	at_gossip_delete(entry->gossip);
 	at_crash_blocks_delete(entry->blocks);
 	at_server_crashes_delete(entry->crashes);
+	at_server_notices_delete(entry->notices);
 	at_join_delete(entry->join);
 	at_version_record_delete(entry->version_record);
 	if (entry->sync != NULL)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -51,6 +51,7 @@
 typedef struct at_call at_call_t;
 typedef struct at_server_crashes at_server_crashes_t;
 typedef struct at_crash_blocks at_crash_blocks_t;
+typedef struct at_server_notices at_server_notices_t;
 
 typedef struct at_entry {
 	struct ev_loop *loop;
@@ -74,6 +75,7 @@
 	at_gossip_t *gossip;
 	at_server_crashes_t *crashes;
 	at_crash_blocks_t *blocks;
+	at_server_notices_t *notices;
 	at_reach_io_t *reach;
 	at_relay_t *relay;
 	at_roster_t *roster;
@@ -83,11 +85,9 @@
 	at_readiness_t *readiness;
 	at_call_t *calls;
 	size_t call_count;
-	size_t buffered_bytes;        /* of all buffered responses */
-	int is_placing;               /* queued requests are being placed */
-	int placing_pending;          /* slots became free since */
-	uint64_t brittle_notified_us; /* last report of brittle servers */
-	int brittle_has_update;       /* to be reported at once */
+	size_t buffered_bytes; /* of all buffered responses */
+	int is_placing;        /* queued requests are being placed */
+	int placing_pending;   /* slots became free since */
 	ev_timer tick;
 	ev_timer stop_timer;
 	uint64_t stop_since_ms;
--- a/src/entry/orders_send.c
+++ b/src/entry/orders_send.c
@@ -252,7 +252,8 @@
 	if (server == NULL)
 		return;
 	if (report != NULL && report->is_leaving)
-		at_server_notices_leaving(engine->orders->entry, server);
+		at_server_notices_leaving(
+		    engine->orders->entry->notices, server);
 	if (engine->state == ENGINE_IDLE)
 		return;
 	engine->report_due_us = now_us + REPORT_INTERVAL_US;
--- a/src/entry/reach.c
+++ b/src/entry/reach.c
@@ -4,8 +4,6 @@
 #include <stdlib.h>
 
 #include "almondthread/log.h"
-#include "entry/gossip.h"
-#include "entry/orders.h"
 #include "io/clock.h"
 
 #define TICK_S 0.05
@@ -16,7 +14,7 @@
 #define EVIDENCE_MAX_US 100000u
 
 struct at_reach_io {
-	at_entry_t *entry;
+	at_reach_io_deps_t deps;
 	at_reach_t reach;
 	at_reach_state_t logged_state;
 	at_transfer_t *probes[AT_REACH_PROBES_MAX];
@@ -38,7 +36,7 @@
 static void
 on_state_changed(at_reach_io_t *io)
 {
-	at_entry_t *entry = io->entry;
+	const at_reach_io_deps_t *deps = &io->deps;
 	at_reach_state_t state = io->reach.state;
 	at_reach_state_t previous = io->logged_state;
 
@@ -51,18 +49,17 @@
 		    "backend servers reached state=%s previous=%s",
 		    at_reach_state_names[state],
 		    at_reach_state_names[previous]);
-	at_counters_set(entry->counters, "reaches_no_server", NULL, NULL,
+	at_counters_set(deps->counters, "reaches_no_server", NULL, NULL,
 	    state == AT_REACH_NONE);
 	if (state != AT_REACH_NONE)
 		return;
 	at_log(AT_LOG_WARN, "reach", NULL,
 	    "no backend server is reached; other instances pass attempts on "
 	    "probes_failed=%u servers=%zu",
-	    io->reach.round_failed, at_fleet_count(entry->fleet));
-	at_fleet_forget_failures(entry->fleet);
-	at_orders_io_step_down(entry->orders);
-	at_gossip_send_soon(entry->gossip);
-	at_entry_place_queued(entry);
+	    io->reach.round_failed, at_fleet_count(deps->fleet));
+	at_fleet_forget_failures(deps->fleet);
+	at_gossip_send_soon(deps->gossip);
+	deps->on_reaches_none(deps->ctx);
 }
 
 static void
@@ -94,8 +91,8 @@
 start_round(at_reach_io_t *io)
 {
 	const at_server_entry_t *servers[AT_REACH_PROBES_MAX];
-	size_t count = at_fleet_pick_probes(
-	    io->entry->fleet, servers, AT_REACH_PROBES_MAX);
+	size_t count =
+	    at_fleet_pick_probes(io->deps.fleet, servers, AT_REACH_PROBES_MAX);
 	char url[URL_SIZE];
 	const at_transfer_spec_t spec = {.method = "GET",
 	    .url = url,
@@ -111,12 +108,11 @@
 
 		(void)snprintf(
 		    url, sizeof(url), "http://%s/", servers[i]->address);
-		io->probes[i] =
-		    at_httpc_start(io->entry->httpc, &spec, &events);
+		io->probes[i] = at_httpc_start(io->deps.httpc, &spec, &events);
 		io->open_probes += io->probes[i] != NULL;
 	}
 	at_counters_add(
-	    io->entry->counters, "reach_probes_total", NULL, NULL, count);
+	    io->deps.counters, "reach_probes_total", NULL, NULL, count);
 	end_round_if_done(io);
 }
 
@@ -124,7 +120,7 @@
 check(at_reach_io_t *io)
 {
 	if (at_reach_tick(&io->reach, at_clock_now_us()) &&
-	    at_fleet_count(io->entry->fleet) > 0)
+	    at_fleet_count(io->deps.fleet) > 0)
 		start_round(io);
 	on_state_changed(io);
 }
@@ -138,14 +134,14 @@
 }
 
 at_reach_io_t *
-at_reach_io_new(at_entry_t *entry)
+at_reach_io_new(const at_reach_io_deps_t *deps)
 {
 	at_reach_io_t *io = calloc(1, sizeof(*io));
 	size_t i;
 
 	if (io == NULL)
 		return NULL;
-	io->entry = entry;
+	io->deps = *deps;
 	for (i = 0; i < AT_REACH_PROBES_MAX; i++) {
 		io->contexts[i].io = io;
 		io->contexts[i].index = i;
@@ -158,7 +154,7 @@
 void
 at_reach_io_start(at_reach_io_t *io)
 {
-	ev_timer_start(io->entry->loop, &io->timer);
+	ev_timer_start(io->deps.loop, &io->timer);
 }
 
 void
@@ -168,7 +164,7 @@
 
 	if (io == NULL)
 		return;
-	ev_timer_stop(io->entry->loop, &io->timer);
+	ev_timer_stop(io->deps.loop, &io->timer);
 	for (i = 0; i < AT_REACH_PROBES_MAX; i++) {
 		if (io->probes[i] != NULL)
 			at_transfer_cancel(io->probes[i]);
--- a/src/entry/reach.h
+++ b/src/entry/reach.h
@@ -7,11 +7,25 @@
 
 #include "almondthread/roster.h"
 #include "almondthread/server_reach.h"
-#include "entry/entry.h"
 #include "entry/gossip.h"
+#include "io/httpc.h"
+
+typedef struct at_reach_io at_reach_io_t;
+
+/* What it needs, borrowed. */
+typedef struct at_reach_io_deps {
+	struct ev_loop *loop;
+	at_counters_t *counters;
+	at_fleet_t *fleet;
+	at_httpc_t *httpc;
+	at_gossip_t *gossip;
+	/* No server is reached any longer. */
+	void (*on_reaches_none)(void *ctx);
+	void *ctx;
+} at_reach_io_deps_t;
 
 /* at_reach_io_new() returns NULL if out of memory. */
-at_reach_io_t *at_reach_io_new(at_entry_t *entry);
+at_reach_io_t *at_reach_io_new(const at_reach_io_deps_t *deps);
 void at_reach_io_start(at_reach_io_t *io);
 void at_reach_io_delete(at_reach_io_t *io);
 
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -5,9 +5,7 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/reach.h"
 #include "entry/relay_impl.h"
-#include "entry/server_notices.h"
 #include "io/clock.h"
 #include "platform/caller.h"
 
@@ -35,7 +33,7 @@
 } relayed_t;
 
 struct at_relay {
-	at_entry_t *entry;
+	at_relay_deps_t deps;
 	at_httpd_t *httpd;
 	relayed_t *list;
 	size_t count;
@@ -65,7 +63,7 @@
 	const at_header_t headers[] = {
 	    {RELAY_HEADER, at_relay_outcome_names[outcome]}, {NULL, NULL}};
 
-	at_counters_add(relay->entry->counters, "relayed_total", "outcome",
+	at_counters_add(relay->deps.counters, "relayed_total", "outcome",
 	    at_relay_outcome_names[outcome], 1);
 	at_httpd_reply(
 	    request, outcome == AT_RELAY_REACHED ? 200 : 503, headers, "", 0);
@@ -91,17 +89,17 @@
 static void
 take_notices(const relayed_t *relayed, const at_server_response_t *response)
 {
-	at_entry_t *entry = relayed->relay->entry;
-	at_server_t *server = at_fleet_find(entry->fleet, relayed->server_tag);
+	const at_relay_deps_t *deps = &relayed->relay->deps;
+	at_server_t *server = at_fleet_find(deps->fleet, relayed->server_tag);
 
 	if (server == NULL)
 		return;
 	at_server_notices_limit(
-	    entry, server, response->limit_milli, relayed->started_us);
-	at_server_notices_brittle(
-	    entry, server, response->is_brittle, 0, relayed->started_us);
+	    deps->notices, server, response->limit_milli, relayed->started_us);
+	at_server_notices_brittle(deps->notices, server, response->is_brittle,
+	    0, relayed->started_us);
 	if (response->is_leaving)
-		at_server_notices_leaving(entry, server);
+		at_server_notices_leaving(deps->notices, server);
 	if (response->pause_ms != 0)
 		at_server_note_pause(
 		    server, at_clock_now_us() +
@@ -112,13 +110,13 @@
 on_headers(void *ctx, at_transfer_t *transfer, int status)
 {
 	relayed_t *relayed = ctx;
-	at_entry_t *entry = relayed->relay->entry;
+	const at_relay_deps_t *deps = &relayed->relay->deps;
 	at_response_headers_t headers = {0};
 	at_server_response_t response;
 	at_header_t *all;
 
 	at_reach_note_received(
-	    at_reach_io_state(entry->reach), at_clock_now_us());
+	    at_reach_io_state(deps->reach), at_clock_now_us());
 	at_server_response_read(
 	    transfer, status, relayed->request_id, &response);
 	take_notices(relayed, &response);
@@ -141,7 +139,7 @@
 		at_httpd_stream_abort(relayed->request);
 	free(all);
 	at_response_headers_free(&headers);
-	at_counters_add(entry->counters, "relayed_total", "outcome",
+	at_counters_add(deps->counters, "relayed_total", "outcome",
 	    at_relay_outcome_names[AT_RELAY_PASSED], 1);
 }
 
@@ -151,7 +149,7 @@
 	relayed_t *relayed = ctx;
 
 	at_reach_note_received(
-	    at_reach_io_state(relayed->relay->entry->reach), at_clock_now_us());
+	    at_reach_io_state(relayed->relay->deps.reach), at_clock_now_us());
 	relayed->is_paused = at_httpd_stream_write(relayed->request, data, len);
 	return relayed->is_paused;
 }
@@ -171,13 +169,13 @@
 on_done(void *ctx, const at_transfer_result_t *result)
 {
 	relayed_t *relayed = ctx;
-	at_entry_t *entry = relayed->relay->entry;
+	const at_relay_deps_t *deps = &relayed->relay->deps;
 	at_relay_outcome_t outcome = outcome_of(relayed, result);
 
 	relayed->transfer = NULL;
 	if (outcome == AT_RELAY_UNREACHABLE ||
 	    outcome == AT_RELAY_CONNECTION_REFUSED)
-		at_reach_io_note_failed(entry->reach);
+		at_reach_io_note_failed(deps->reach);
 	if (!result->is_complete)
 		at_log(AT_LOG_INFO, "relay", NULL,
 		    "relayed attempt failed server=%s outcome=%s reason=%s "
@@ -247,7 +245,7 @@
 	with_headers.headers = (const char *const *)lines.lines;
 	if (!lines.failed)
 		relayed->transfer = at_httpc_start(
-		    relayed->relay->entry->httpc, &with_headers, &events);
+		    relayed->relay->deps.httpc, &with_headers, &events);
 	at_header_lines_free(&lines);
 	return relayed->transfer == NULL ? -1 : 0;
 }
@@ -256,12 +254,12 @@
 static at_server_t *
 find_server(const at_relay_t *relay, const at_relay_call_t *call)
 {
-	const at_entry_t *entry = relay->entry;
+	const at_relay_deps_t *deps = &relay->deps;
 	at_server_t *server =
-	    at_fleet_find(entry->fleet, at_tag_from_text(call->server_id));
+	    at_fleet_find(deps->fleet, at_tag_from_text(call->server_id));
 
-	if (entry->state == AT_ENTRY_STOPPING ||
-	    at_reach_io_reaches_none(entry->reach) ||
+	if (*deps->state == AT_ENTRY_STOPPING ||
+	    at_reach_io_reaches_none(deps->reach) ||
 	    relay->count >= AT_ROSTER_RELAYED_MAX || server == NULL ||
 	    !at_server_accepts_relayed(server, at_clock_now_us()))
 		return NULL;
@@ -308,10 +306,10 @@
 	(void)at_caller_parse_headers(request, &header);
 	call.request_id = header.id;
 	call.body = at_httpd_body(request, &call.body_len);
-	if (relay_parse_header(relay->entry,
+	if (relay_parse_header(relay->deps.identity,
 		at_httpd_header(request, RELAY_HEADER), &call,
 		server_id) != 0) {
-		at_counters_add(relay->entry->counters, "relayed_total",
+		at_counters_add(relay->deps.counters, "relayed_total",
 		    "outcome", "rejected", 1);
 		at_httpd_reply(request, 403, NULL, "", 0);
 		return;
@@ -326,14 +324,14 @@
 }
 
 at_relay_t *
-at_relay_new(at_entry_t *entry)
+at_relay_new(const at_relay_deps_t *deps)
 {
 	at_relay_t *relay = calloc(1, sizeof(*relay));
 
 	if (relay == NULL)
 		return NULL;
-	relay->entry = entry;
-	relay->httpd = at_httpd_new(entry->loop);
+	relay->deps = *deps;
+	relay->httpd = at_httpd_new(deps->loop);
 	if (relay->httpd == NULL) {
 		free(relay);
 		return NULL;
@@ -347,8 +345,7 @@
 at_code_t
 at_relay_init(at_relay_t *relay, at_status_t *status)
 {
-	return at_httpd_init(
-	    relay->httpd, relay->entry->settings.peers, status);
+	return at_httpd_init(relay->httpd, relay->deps.settings->peers, status);
 }
 
 void
@@ -396,7 +393,7 @@
 	if (!at_report_is_regular(kind))
 		return;
 	/* The last state of a shutdown takes no more. */
-	report->relayed = relay->entry->state == AT_ENTRY_STOPPING
+	report->relayed = *relay->deps.state == AT_ENTRY_STOPPING
 			      ? AT_ROSTER_RELAYED_MAX
 			      : (uint32_t)relay->count;
 }
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -17,8 +17,11 @@
 #define ALMONDTHREAD_ENTRY_RELAY_H
 
 #include "almondthread/roster.h"
-#include "entry/entry.h"
 #include "entry/gossip.h"
+#include "entry/reach.h"
+#include "entry/server_notices.h"
+#include "entry/state.h"
+#include "io/httpc.h"
 #include "platform/server_call.h"
 
 #define RELAY_HEADER "Almondthread-Relay"
@@ -38,8 +41,23 @@
 /* Names of outcomes, indexed by at_relay_outcome_t. */
 extern const char *const at_relay_outcome_names[];
 
+typedef struct at_relay at_relay_t;
+
+/* What it needs, borrowed. */
+typedef struct at_relay_deps {
+	struct ev_loop *loop;
+	at_counters_t *counters;
+	const at_identity_t *identity;
+	const at_entry_settings_t *settings;
+	const at_entry_state_t *state;
+	at_fleet_t *fleet;
+	at_httpc_t *httpc;
+	at_reach_io_t *reach;
+	at_server_notices_t *notices;
+} at_relay_deps_t;
+
 /* at_relay_new() returns NULL if out of memory. */
-at_relay_t *at_relay_new(at_entry_t *entry);
+at_relay_t *at_relay_new(const at_relay_deps_t *deps);
 /* at_relay_init() listens; returns AT_FAILED if it cannot. */
 at_code_t at_relay_init(at_relay_t *relay, at_status_t *status);
 void at_relay_delete(at_relay_t *relay);
@@ -70,7 +88,7 @@
  * at_relay_add_header() appends the header for an instance, which is the only
  * one that may pass the call on. Returns 0, or -1 if out of memory.
  */
-int at_relay_add_header(const at_entry_t *entry,
+int at_relay_add_header(const at_identity_t *identity,
     const at_roster_member_t *member, const at_relay_call_t *call,
     at_header_lines_t *lines);
 /*
--- a/src/entry/relay_header.c
+++ b/src/entry/relay_header.c
@@ -37,14 +37,14 @@
 }
 
 void
-relay_compute_mac(const at_entry_t *entry, uint64_t incarnation,
+relay_compute_mac(const at_identity_t *identity, uint64_t incarnation,
     const at_relay_call_t *call, char hex[RELAY_MAC_HEX_SIZE])
 {
 	unsigned char mac[RELAY_MAC_BYTES];
 	crypto_generichash_state state;
 
-	(void)crypto_generichash_init(&state, entry->identity.secret.bytes,
-	    sizeof(entry->identity.secret.bytes), sizeof(mac));
+	(void)crypto_generichash_init(&state, identity->secret.bytes,
+	    sizeof(identity->secret.bytes), sizeof(mac));
 	hash_text(&state, "relay");
 	(void)crypto_generichash_update(
 	    &state, (const unsigned char *)&incarnation, sizeof(incarnation));
@@ -59,20 +59,21 @@
 }
 
 int
-at_relay_add_header(const at_entry_t *entry, const at_roster_member_t *member,
-    const at_relay_call_t *call, at_header_lines_t *lines)
+at_relay_add_header(const at_identity_t *identity,
+    const at_roster_member_t *member, const at_relay_call_t *call,
+    at_header_lines_t *lines)
 {
 	char value[RELAY_HEADER_SIZE];
 	char mac[RELAY_MAC_HEX_SIZE];
 
-	relay_compute_mac(entry, member->incarnation, call, mac);
+	relay_compute_mac(identity, member->incarnation, call, mac);
 	(void)snprintf(value, sizeof(value), "v1 %s %s %s", kind_name(call),
 	    call->server_id, mac);
 	return at_header_lines_set(lines, RELAY_HEADER, value);
 }
 
 int
-relay_parse_header(const at_entry_t *entry, const char *text,
+relay_parse_header(const at_identity_t *identity, const char *text,
     at_relay_call_t *call, char server_id[AT_NAME_SIZE])
 {
 	char kind[8];
@@ -85,7 +86,7 @@
 	call->server_id = server_id;
 	call->is_probe = strcmp(kind, "probe") == 0;
 	call->new_connection = strcmp(kind, "new") == 0;
-	relay_compute_mac(entry, entry->identity.self.number, call, expected);
+	relay_compute_mac(identity, identity->self.number, call, expected);
 	return strlen(mac) == strlen(expected) &&
 		       sodium_memcmp(mac, expected, strlen(expected)) == 0
 		   ? 0
--- a/src/entry/server_crashes.c
+++ b/src/entry/server_crashes.c
@@ -9,9 +9,6 @@
 
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
-#include "entry/call.h"
-#include "entry/gossip.h"
-#include "entry/reach.h"
 #include "entry/relay.h"
 #include "io/clock.h"
 
@@ -65,7 +62,7 @@
 } crash_report_t;
 
 struct at_server_crashes {
-	at_entry_t *entry;
+	at_server_crashes_deps_t deps;
 	at_crash_causes_t *causes;
 	loss_t *losses;
 	crash_report_t *reports[REPORTS_MAX];
@@ -101,8 +98,8 @@
 	at_crash_causes_each(crashes->causes, log_verdict, NULL);
 	at_crash_causes_each(crashes->causes, count_blocked, &blocked);
 	at_counters_set(
-	    crashes->entry->counters, "blocked_parts", NULL, NULL, blocked);
-	at_calls_apply_verdicts(crashes->entry);
+	    crashes->deps.counters, "blocked_parts", NULL, NULL, blocked);
+	crashes->deps.on_verdicts_changed(crashes->deps.ctx);
 }
 
 static void
@@ -125,7 +122,7 @@
 static void
 send_reports(at_server_crashes_t *crashes)
 {
-	at_gossip_t *gossip = crashes->entry->gossip;
+	at_gossip_t *gossip = crashes->deps.gossip;
 
 	while (at_gossip_send_unnamed(gossip, fill_updates, crashes))
 		continue;
@@ -147,17 +144,17 @@
 report_soon(at_server_crashes_t *crashes)
 {
 	if (!ev_is_active(&crashes->report_timer))
-		ev_timer_start(crashes->entry->loop, &crashes->report_timer);
+		ev_timer_start(crashes->deps.loop, &crashes->report_timer);
 }
 
 at_server_crashes_t *
-at_server_crashes_new(at_entry_t *entry)
+at_server_crashes_new(const at_server_crashes_deps_t *deps)
 {
 	at_server_crashes_t *crashes = calloc(1, sizeof(*crashes));
 
 	if (crashes == NULL)
 		return NULL;
-	crashes->entry = entry;
+	crashes->deps = *deps;
 	crashes->causes = at_crash_causes_new();
 	if (crashes->causes == NULL) {
 		free(crashes);
@@ -174,7 +171,7 @@
 void
 at_server_crashes_start(at_server_crashes_t *crashes)
 {
-	ev_timer_start(crashes->entry->loop, &crashes->timer);
+	ev_timer_start(crashes->deps.loop, &crashes->timer);
 }
 
 static void
@@ -183,7 +180,7 @@
 	at_server_crashes_t *crashes = loss->crashes;
 
 	LL_DELETE(crashes->losses, loss);
-	ev_timer_stop(crashes->entry->loop, &loss->timer);
+	ev_timer_stop(crashes->deps.loop, &loss->timer);
 	if (loss->probe != NULL)
 		at_transfer_cancel(loss->probe);
 	free(loss);
@@ -196,8 +193,8 @@
 
 	if (crashes == NULL)
 		return;
-	ev_timer_stop(crashes->entry->loop, &crashes->timer);
-	ev_timer_stop(crashes->entry->loop, &crashes->report_timer);
+	ev_timer_stop(crashes->deps.loop, &crashes->timer);
+	ev_timer_stop(crashes->deps.loop, &crashes->report_timer);
 	while (crashes->losses != NULL)
 		delete_loss(crashes->losses);
 	for (i = 0; i < crashes->report_count; i++)
@@ -236,13 +233,13 @@
 confirm(const loss_t *loss)
 {
 	at_server_crashes_t *crashes = loss->crashes;
-	at_entry_t *entry = crashes->entry;
+	const at_server_crashes_deps_t *deps = &crashes->deps;
 
-	at_counters_add(entry->counters, "crashes_total", NULL, NULL, 1);
+	at_counters_add(deps->counters, "crashes_total", NULL, NULL, 1);
 	at_log(AT_LOG_WARN, "crashes", NULL,
 	    "server crashed server=%s beginning=%zu", loss->id.text,
 	    loss->count);
-	at_fleet_apply_unreachable(entry->fleet, loss->tag, at_clock_now_us());
+	at_fleet_apply_unreachable(deps->fleet, loss->tag, at_clock_now_us());
 	(void)at_crash_causes_add_crash(crashes->causes, loss->incarnation,
 	    loss->requests, loss->count, loss->lost_us);
 	add_report(crashes, loss);
@@ -267,18 +264,18 @@
 static void
 decide_refused(loss_t *loss)
 {
-	at_entry_t *entry = loss->crashes->entry;
+	const at_server_crashes_deps_t *deps = &loss->crashes->deps;
 	uint64_t now_us = at_clock_now_us();
 
-	loss->needs_witness |= at_reach_io_reaches_none(entry->reach);
+	loss->needs_witness |= at_reach_io_reaches_none(deps->reach);
 	if (loss->needs_witness &&
-	    at_roster_evidence_us(entry->roster) > loss->lost_us) {
+	    at_roster_evidence_us(deps->roster) > loss->lost_us) {
 		dismiss(loss, "other_instances_reach_servers");
 		return;
 	}
 	if (now_us < loss->lost_us + WITNESS_US &&
 	    (loss->needs_witness || at_reach_evidence_us(at_reach_io_state(
-					entry->reach)) <= loss->lost_us))
+					deps->reach)) <= loss->lost_us))
 		return;
 	confirm(loss);
 	delete_loss(loss);
@@ -296,20 +293,20 @@
 on_probe_done(void *ctx, const at_transfer_result_t *result)
 {
 	loss_t *loss = ctx;
-	at_entry_t *entry = loss->crashes->entry;
+	const at_server_crashes_deps_t *deps = &loss->crashes->deps;
 
 	loss->probe = NULL;
 	if (!result->is_connection_refused) {
 		dismiss(loss, result->is_complete ? "connected" : "no_answer");
 		return;
 	}
-	if (at_reach_evidence_us(at_reach_io_state(entry->reach)) <=
+	if (at_reach_evidence_us(at_reach_io_state(deps->reach)) <=
 	    loss->lost_us)
-		at_reach_io_doubt(entry->reach);
-	ev_timer_stop(entry->loop, &loss->timer);
+		at_reach_io_doubt(deps->reach);
+	ev_timer_stop(deps->loop, &loss->timer);
 	ev_timer_init(
 	    &loss->timer, on_refused_timer, REFUSED_CHECK_S, REFUSED_CHECK_S);
-	ev_timer_start(entry->loop, &loss->timer);
+	ev_timer_start(deps->loop, &loss->timer);
 	decide_refused(loss);
 }
 
@@ -342,9 +339,9 @@
 static int
 start_relayed_probe(loss_t *loss)
 {
-	at_entry_t *entry = loss->crashes->entry;
+	const at_server_crashes_deps_t *deps = &loss->crashes->deps;
 	const at_roster_member_t *member = at_roster_choose_relay(
-	    entry->roster, entry->identity.data_centre, 0, at_clock_now_us());
+	    deps->roster, deps->identity->data_centre, 0, at_clock_now_us());
 	char url[AT_ADDR_SIZE + 16];
 	const at_relay_call_t call = {.server_id = loss->id.text,
 	    .method = "GET",
@@ -364,10 +361,9 @@
 		return -1;
 	(void)snprintf(url, sizeof(url), "http://%s/", member->address);
 	loss->probe_outcome = AT_RELAY_REFUSED;
-	if (at_relay_add_header(entry, member, &call, &lines) == 0) {
+	if (at_relay_add_header(deps->identity, member, &call, &lines) == 0) {
 		spec.headers = (const char *const *)lines.lines;
-		loss->probe =
-		    at_httpc_start(entry->httpc, &spec, &probe_events);
+		loss->probe = at_httpc_start(deps->httpc, &spec, &probe_events);
 	}
 	at_header_lines_free(&lines);
 	return loss->probe == NULL ? -1 : 0;
@@ -388,12 +384,12 @@
 
 	(void)loop;
 	(void)events;
-	if (at_reach_io_reaches_none(loss->crashes->entry->reach) &&
+	if (at_reach_io_reaches_none(loss->crashes->deps.reach) &&
 	    start_relayed_probe(loss) == 0)
 		return;
 	(void)snprintf(url, sizeof(url), "http://%s/", loss->address);
 	loss->probe =
-	    at_httpc_start(loss->crashes->entry->httpc, &spec, &probe_events);
+	    at_httpc_start(loss->crashes->deps.httpc, &spec, &probe_events);
 	if (loss->probe == NULL)
 		delete_loss(loss);
 }
@@ -428,7 +424,7 @@
 	loss->lost_us = at_clock_now_us();
 	ev_timer_init(&loss->timer, on_collected, COLLECT_S, 0.);
 	loss->timer.data = loss;
-	ev_timer_start(crashes->entry->loop, &loss->timer);
+	ev_timer_start(crashes->deps.loop, &loss->timer);
 	LL_PREPEND(crashes->losses, loss);
 	return loss;
 }
@@ -462,7 +458,7 @@
 trial_delay_us(
     const at_server_crashes_t *crashes, uint64_t part, uint64_t now_us)
 {
-	const at_roster_t *roster = crashes->entry->roster;
+	const at_roster_t *roster = crashes->deps.roster;
 	uint32_t rank = at_roster_rank(roster, part, now_us);
 	uint64_t step_us =
 	    TRIAL_ALL_US / at_roster_reporting_count(roster, now_us);
--- a/src/entry/server_crashes.h
+++ b/src/entry/server_crashes.h
@@ -11,11 +11,30 @@
 #define ALMONDTHREAD_ENTRY_SERVER_CRASHES_H
 
 #include "almondthread/crash_causes.h"
-#include "entry/entry.h"
 #include "entry/gossip.h"
+#include "entry/reach.h"
+#include "io/httpc.h"
+
+typedef struct at_server_crashes at_server_crashes_t;
+
+/* What they need, borrowed. */
+typedef struct at_server_crashes_deps {
+	struct ev_loop *loop;
+	at_counters_t *counters;
+	const at_identity_t *identity;
+	at_fleet_t *fleet;
+	at_roster_t *roster;
+	at_httpc_t *httpc;
+	at_gossip_t *gossip;
+	at_reach_io_t *reach;
+	/* Other requests than before are refused. */
+	void (*on_verdicts_changed)(void *ctx);
+	void *ctx;
+} at_server_crashes_deps_t;
 
 /* at_server_crashes_new() returns NULL if out of memory. */
-at_server_crashes_t *at_server_crashes_new(at_entry_t *entry);
+at_server_crashes_t *at_server_crashes_new(
+    const at_server_crashes_deps_t *deps);
 void at_server_crashes_start(at_server_crashes_t *crashes);
 void at_server_crashes_delete(at_server_crashes_t *crashes);
 
--- a/src/entry/server_notices.c
+++ b/src/entry/server_notices.c
@@ -1,6 +1,7 @@
 #include "entry/server_notices.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
@@ -17,12 +18,36 @@
 /* A limit that changes by a smaller part is reported with the next round. */
 #define URGENT_CHANGE_PERCENT 25u
 
+struct at_server_notices {
+	at_server_notices_deps_t deps;
+	uint64_t brittle_notified_us; /* last report of brittle servers */
+	int brittle_has_update;       /* to be reported at once */
+};
+
+at_server_notices_t *
+at_server_notices_new(const at_server_notices_deps_t *deps)
+{
+	at_server_notices_t *notices = calloc(1, sizeof(*notices));
+
+	if (notices != NULL)
+		notices->deps = *deps;
+	return notices;
+}
+
+void
+at_server_notices_delete(at_server_notices_t *notices)
+{
+	free(notices);
+}
+
 static void
-set_share(const at_entry_t *entry, at_server_t *server, uint64_t now_us)
+set_share(
+    const at_server_notices_t *notices, at_server_t *server, uint64_t now_us)
 {
 	at_server_set_limit_share(server,
-	    at_roster_rank(entry->roster, at_server_entry(server)->tag, now_us),
-	    at_roster_reporting_count(entry->roster, now_us), now_us);
+	    at_roster_rank(
+		notices->deps.roster, at_server_entry(server)->tag, now_us),
+	    at_roster_reporting_count(notices->deps.roster, now_us), now_us);
 }
 
 static void
@@ -46,7 +71,7 @@
 }
 
 void
-at_server_notices_limit(at_entry_t *entry, at_server_t *server,
+at_server_notices_limit(at_server_notices_t *notices, at_server_t *server,
     uint32_t limit_milli, uint64_t sent_us)
 {
 	uint64_t now_us = at_clock_now_us();
@@ -55,11 +80,11 @@
 	if (!at_server_note_limit(
 		server, limit_milli, limit_milli == 0 ? sent_us : now_us))
 		return;
-	set_share(entry, server, now_us);
+	set_share(notices, server, now_us);
 	if (!is_urgent(before, limit_milli))
 		return;
 	log_limit(server, before, limit_milli, "answer");
-	at_gossip_send_soon(entry->gossip);
+	at_gossip_send_soon(notices->deps.gossip);
 }
 
 static void
@@ -71,66 +96,66 @@
 }
 
 void
-at_server_notices_leaving(at_entry_t *entry, at_server_t *server)
+at_server_notices_leaving(at_server_notices_t *notices, at_server_t *server)
 {
 	if (!at_server_note_leaving(server))
 		return;
 	log_leaving(server, "answer");
-	at_gossip_send_soon(entry->gossip);
+	at_gossip_send_soon(notices->deps.gossip);
 }
 
 static void
-share_room(const at_entry_t *entry, at_tag_t service)
+share_room(const at_server_notices_t *notices, at_tag_t service)
 {
-	at_fleet_share_room(entry->fleet, service,
-	    at_roster_present_rank(entry->roster, service),
-	    at_roster_present_count(entry->roster), at_clock_now_us());
+	at_fleet_share_room(notices->deps.fleet, service,
+	    at_roster_present_rank(notices->deps.roster, service),
+	    at_roster_present_count(notices->deps.roster), at_clock_now_us());
 }
 
 static void
-note_brittle(const at_entry_t *entry, at_tag_t service, int is_brittle,
-    uint64_t received_us, const char *source)
+note_brittle(const at_server_notices_t *notices, at_tag_t service,
+    int is_brittle, uint64_t received_us, const char *source)
 {
 	if (!at_fleet_note_brittle(
-		entry->fleet, service, is_brittle, received_us))
+		notices->deps.fleet, service, is_brittle, received_us))
 		return;
-	share_room(entry, service);
+	share_room(notices, service);
 	at_log(AT_LOG_INFO, "fleet", NULL,
 	    "servers of a service state that they are brittle "
 	    "service=%016" PRIx64 " brittle=%d instances=%u source=%s",
-	    service, is_brittle, at_roster_present_count(entry->roster),
+	    service, is_brittle, at_roster_present_count(notices->deps.roster),
 	    source);
 }
 
 void
-at_server_notices_brittle(at_entry_t *entry, at_server_t *server,
+at_server_notices_brittle(at_server_notices_t *notices, at_server_t *server,
     int is_brittle, int is_rejected, uint64_t sent_us)
 {
 	at_tag_t service = at_server_entry(server)->service;
-	int was_brittle = at_fleet_is_brittle(entry->fleet, service);
+	int was_brittle = at_fleet_is_brittle(notices->deps.fleet, service);
 	uint64_t now_us = at_clock_now_us();
 	uint64_t gap_us;
 
 	if (!is_brittle && !was_brittle)
 		return;
-	note_brittle(entry, service, is_brittle, is_brittle ? now_us : sent_us,
-	    "answer");
+	note_brittle(notices, service, is_brittle,
+	    is_brittle ? now_us : sent_us, "answer");
 	if (is_brittle && is_rejected) {
 		at_server_note_rejected(server, 1, now_us);
-		at_counters_add(
-		    entry->counters, "brittle_rejections_total", NULL, NULL, 1);
+		at_counters_add(notices->deps.counters,
+		    "brittle_rejections_total", NULL, NULL, 1);
 	}
-	gap_us = UPDATE_GAP_US +
-		 UPDATE_GAP_EACH_US * at_roster_present_count(entry->roster);
-	if ((is_rejected && now_us >= entry->brittle_notified_us + gap_us) ||
-	    was_brittle != at_fleet_is_brittle(entry->fleet, service)) {
-		entry->brittle_has_update = 1;
-		at_gossip_send_soon(entry->gossip);
+	gap_us = UPDATE_GAP_US + UPDATE_GAP_EACH_US * at_roster_present_count(
+							  notices->deps.roster);
+	if ((is_rejected && now_us >= notices->brittle_notified_us + gap_us) ||
+	    was_brittle != at_fleet_is_brittle(notices->deps.fleet, service)) {
+		notices->brittle_has_update = 1;
+		at_gossip_send_soon(notices->deps.gossip);
 	}
 }
 
 typedef struct round_context {
-	const at_entry_t *entry;
+	const at_server_notices_t *notices;
 	uint64_t now_us;
 } round_context_t;
 
@@ -140,36 +165,36 @@
 	const round_context_t *round = ctx;
 
 	if (at_server_limit_milli(server) != 0)
-		set_share(round->entry, server, round->now_us);
+		set_share(round->notices, server, round->now_us);
 }
 
 /* Follows changes of the instances. */
 static void
 end_round(void *ctx, uint64_t now_us, int is_direct_due)
 {
-	at_entry_t *entry = ctx;
-	round_context_t round = {entry, now_us};
+	at_server_notices_t *notices = ctx;
+	const at_site_t *site = *notices->deps.site;
+	round_context_t round = {notices, now_us};
 	size_t i;
 
 	(void)is_direct_due;
-	at_fleet_each(entry->fleet, update_share, &round);
-	at_fleet_expire_brittle(entry->fleet, now_us);
-	for (i = 0; entry->site != NULL && i < entry->site->service_count;
-	     i++) {
+	at_fleet_each(notices->deps.fleet, update_share, &round);
+	at_fleet_expire_brittle(notices->deps.fleet, now_us);
+	for (i = 0; site != NULL && i < site->service_count; i++) {
 		if (at_fleet_is_brittle(
-			entry->fleet, entry->site->services[i]->tag))
-			share_room(entry, entry->site->services[i]->tag);
+			notices->deps.fleet, site->services[i]->tag))
+			share_room(notices, site->services[i]->tag);
 	}
 }
 
 static void
-fill_leaving(const at_entry_t *entry, Report *report)
+fill_leaving(const at_server_notices_t *notices, Report *report)
 {
 	static ReportLeaving messages[LEAVING_MAX];
 	static ReportLeaving *list[LEAVING_MAX];
 	at_leaving_report_t entries[LEAVING_MAX];
 	size_t count =
-	    at_fleet_fill_leaving(entry->fleet, entries, LEAVING_MAX);
+	    at_fleet_fill_leaving(notices->deps.fleet, entries, LEAVING_MAX);
 	size_t i;
 
 	for (i = 0; i < count; i++) {
@@ -183,14 +208,14 @@
 }
 
 static void
-fill_limits(const at_entry_t *entry, Report *report)
+fill_limits(const at_server_notices_t *notices, Report *report)
 {
 	static ReportLimit limits[AT_LIMIT_REPORTS_MAX];
 	static ReportLimit *list[AT_LIMIT_REPORTS_MAX];
 	static at_limit_report_t entries[AT_LIMIT_REPORTS_MAX];
 	uint64_t now_us = at_clock_now_us();
 	size_t count = at_fleet_fill_limits(
-	    entry->fleet, entries, AT_LIMIT_REPORTS_MAX, now_us);
+	    notices->deps.fleet, entries, AT_LIMIT_REPORTS_MAX, now_us);
 	size_t i;
 
 	for (i = 0; i < count; i++) {
@@ -207,7 +232,7 @@
 
 /* Brittle servers are reported once a second and after a change. */
 static void
-fill_brittle(at_entry_t *entry, Report *report)
+fill_brittle(at_server_notices_t *notices, Report *report)
 {
 	static at_brittle_report_t entries[AT_BRITTLE_SERVICES_MAX];
 	static ReportBrittle messages[AT_BRITTLE_SERVICES_MAX];
@@ -216,12 +241,12 @@
 	size_t count;
 	size_t i;
 
-	if (!entry->brittle_has_update &&
-	    now_us < entry->brittle_notified_us + REPEAT_US)
+	if (!notices->brittle_has_update &&
+	    now_us < notices->brittle_notified_us + REPEAT_US)
 		return;
-	entry->brittle_has_update = 0;
-	entry->brittle_notified_us = now_us;
-	count = at_fleet_fill_brittle(entry->fleet, entries, now_us);
+	notices->brittle_has_update = 0;
+	notices->brittle_notified_us = now_us;
+	count = at_fleet_fill_brittle(notices->deps.fleet, entries, now_us);
 	for (i = 0; i < count; i++) {
 		report_brittle__init(&messages[i]);
 		messages[i].service = entries[i].service;
@@ -239,29 +264,29 @@
 static void
 fill(void *ctx, at_report_kind_t kind, int is_to_all, Report *report)
 {
-	at_entry_t *entry = ctx;
+	at_server_notices_t *notices = ctx;
 
 	if (!at_report_is_regular(kind))
 		return;
-	fill_leaving(entry, report);
-	fill_limits(entry, report);
+	fill_leaving(notices, report);
+	fill_limits(notices, report);
 	if (kind == AT_REPORT_HEADER || (kind == AT_REPORT_COMMON && is_to_all))
-		fill_brittle(entry, report);
+		fill_brittle(notices, report);
 }
 
 static void
-apply_leaving(at_entry_t *entry, const ReportLeaving *message)
+apply_leaving(at_server_notices_t *notices, const ReportLeaving *message)
 {
 	const at_leaving_report_t report = {
 	    message->server, message->started_ms};
 
-	if (at_fleet_apply_leaving(entry->fleet, &report))
-		log_leaving(
-		    at_fleet_find(entry->fleet, message->server), "report");
+	if (at_fleet_apply_leaving(notices->deps.fleet, &report))
+		log_leaving(at_fleet_find(notices->deps.fleet, message->server),
+		    "report");
 }
 
 static void
-apply_limits(at_entry_t *entry, const Report *report)
+apply_limits(at_server_notices_t *notices, const Report *report)
 {
 	uint64_t now_us = at_clock_now_us();
 	size_t i;
@@ -270,7 +295,7 @@
 		const ReportLimit *limit = report->limits[i];
 		uint64_t age_us = (uint64_t)limit->age_ms * US_PER_MS;
 		at_server_t *server =
-		    at_fleet_find(entry->fleet, limit->server);
+		    at_fleet_find(notices->deps.fleet, limit->server);
 		uint32_t before;
 
 		if (server == NULL || age_us >= now_us)
@@ -279,14 +304,14 @@
 		if (!at_server_note_limit(
 			server, limit->rate_milli, now_us - age_us))
 			continue;
-		set_share(entry, server, now_us);
+		set_share(notices, server, now_us);
 		if (is_urgent(before, limit->rate_milli))
 			log_limit(server, before, limit->rate_milli, "report");
 	}
 }
 
 static void
-apply_brittle(at_entry_t *entry, const ReportBrittle *message)
+apply_brittle(at_server_notices_t *notices, const ReportBrittle *message)
 {
 	uint64_t now_us = at_clock_now_us();
 	uint64_t age_us = (uint64_t)message->age_ms * US_PER_MS;
@@ -294,11 +319,11 @@
 
 	if (age_us >= now_us)
 		return;
-	note_brittle(entry, message->service, message->brittle, now_us - age_us,
-	    "report");
+	note_brittle(notices, message->service, message->brittle,
+	    now_us - age_us, "report");
 	for (i = 0; i < message->n_rejected; i++) {
 		at_server_t *server =
-		    at_fleet_find(entry->fleet, message->rejected[i]);
+		    at_fleet_find(notices->deps.fleet, message->rejected[i]);
 
 		if (server != NULL)
 			at_server_note_rejected(server, 0, now_us);
@@ -308,20 +333,22 @@
 static void
 apply(void *ctx, at_roster_member_t *member, const Report *report)
 {
-	at_entry_t *entry = ctx;
+	at_server_notices_t *notices = ctx;
 	size_t i;
 
 	(void)member;
 	for (i = 0; i < report->n_brittle; i++)
-		apply_brittle(entry, report->brittle[i]);
+		apply_brittle(notices, report->brittle[i]);
 	for (i = 0; i < report->n_leaving_servers; i++)
-		apply_leaving(entry, report->leaving_servers[i]);
-	apply_limits(entry, report);
+		apply_leaving(notices, report->leaving_servers[i]);
+	apply_limits(notices, report);
 }
 
 at_report_section_t
-at_server_notices_section(at_entry_t *entry)
+at_server_notices_section(at_server_notices_t *notices)
 {
-	return (at_report_section_t){
-	    .fill = fill, .apply = apply, .end_round = end_round, .ctx = entry};
+	return (at_report_section_t){.fill = fill,
+	    .apply = apply,
+	    .end_round = end_round,
+	    .ctx = notices};
 }
--- a/tests/contract/test_cut_instances.c
+++ b/tests/contract/test_cut_instances.c
@@ -356,14 +356,15 @@
 		    .new_connection = 1};
 		at_entry_t *const *entries = deployment.fixture->entries;
 		const at_roster_member_t member = {
-		    .incarnation =
-			entries[relay_headers[i].for_entry]->identity.self.number};
+		    .incarnation = entries[relay_headers[i].for_entry]
+				       ->identity.self.number};
 		at_header_lines_t lines = {0};
 		uint64_t runs = run_count(&deployment);
 		reply_t reply;
 
-		cr_assert_eq(
-		    at_relay_add_header(entries[0], &member, &call, &lines), 0);
+		cr_assert_eq(at_relay_add_header(
+				 &entries[0]->identity, &member, &call, &lines),
+		    0);
 		reply = ask_to_relay(&deployment,
 		    relay_headers[i].header == NULL ? lines.lines[0]
 						    : relay_headers[i].header);
@@ -393,7 +394,8 @@
 	reply_t reply;
 
 	cr_assert_eq(
-	    at_relay_add_header(entries[0], &member, &call, &lines), 0);
+	    at_relay_add_header(&entries[0]->identity, &member, &call, &lines),
+	    0);
 	reply = ask_to_relay(deployment, lines.lines[0]);
 	at_header_lines_free(&lines);
 	return reply;
@@ -474,8 +476,8 @@
 	links_set(deployment.links, reader, LINKS_RESET);
 	(void)call_with_parts(&deployment, reader, "first-after-the-cut");
 	entry_fixture_run_ms(deployment.fixture, 700);
-	member = at_roster_find(
-	    entries[(reader + 1) % ENTRIES]->roster, entries[reader]->identity.tag);
+	member = at_roster_find(entries[(reader + 1) % ENTRIES]->roster,
+	    entries[reader]->identity.tag);
 	cr_assert(member->reaches_none);
 	for (i = 0; i < 200; i++) {
 		if (i % 10 == 0)
