entry: copies, join, blocks and readiness get what they use

sync.c and its files, join.c, version_record.c, crash_blocks.c and readiness.c were handed the whole instance. They get what they borrow, and callbacks: to apply a configuration, that the list has changed, whether the platform is away, whether this instance is the holder or a reader. The values on /metrics that belong to several parts are set by entry.c, under the names that they had.

--- a/src/entry/crash_blocks.c
+++ b/src/entry/crash_blocks.c
@@ -8,9 +8,6 @@
 #include <jansson.h>
 
 #include "almondthread/log.h"
-#include "entry/orders.h"
-#include "entry/server_crashes.h"
-#include "entry/sync.h"
 #include "io/clock.h"
 
 #define OBJECT_KIND "entry-blocked-parts"
@@ -29,8 +26,7 @@
 } stored_block_t;
 
 struct at_crash_blocks {
-	at_entry_t *entry;
-	at_objects_t objects;
+	at_crash_blocks_deps_t deps;
 	at_objects_call_t *list_call;
 	stored_block_t stored[AT_CRASH_VERDICTS_MAX];
 	size_t stored_count;
@@ -45,7 +41,7 @@
 static int
 is_holder(const at_crash_blocks_t *blocks)
 {
-	return at_orders_io_fence(blocks->entry->orders) != 0;
+	return blocks->deps.may_write(blocks->deps.ctx);
 }
 
 static stored_block_t *
@@ -78,7 +74,7 @@
 static void
 lift(at_crash_blocks_t *blocks, uint64_t part, const char *how)
 {
-	if (at_server_crashes_lift(blocks->entry->crashes, part) == 0)
+	if (at_server_crashes_lift(blocks->deps.crashes, part) == 0)
 		at_log(AT_LOG_WARN, "crashes", NULL,
 		    "block lifted by an operator part=%" PRIx64 " object=%s",
 		    part, how);
@@ -105,14 +101,14 @@
 		? AT_CAUSE_LIFTED
 		: AT_CAUSE_BLOCKED;
 	if (stored->state == AT_CAUSE_BLOCKED && before == AT_CAUSE_CLEAR)
-		at_server_crashes_apply_block(blocks->entry->crashes, part,
+		at_server_crashes_apply_block(blocks->deps.crashes, part,
 		    (uint32_t)json_integer_value(
 			json_object_get(spec, "crashes")),
 		    json_is_true(json_object_get(spec, "has_begun")));
 	else if (stored->state == AT_CAUSE_LIFTED &&
 		 (before == AT_CAUSE_BLOCKED ||
 		     at_server_crashes_block_age_us(
-			 blocks->entry->crashes, part) > NEW_BLOCK_US))
+			 blocks->deps.crashes, part) > NEW_BLOCK_US))
 		lift(blocks, part, "lifted");
 }
 
@@ -168,8 +164,8 @@
 list(at_crash_blocks_t *blocks)
 {
 	blocks->listed_us = at_clock_now_us();
-	blocks->list_call = blocks->objects.list(
-	    blocks->objects.impl, OBJECT_KIND, NULL, on_list, blocks);
+	blocks->list_call = blocks->deps.objects.list(
+	    blocks->deps.objects.impl, OBJECT_KIND, NULL, on_list, blocks);
 }
 
 /* Writing */
@@ -214,12 +210,12 @@
 static void
 write_block(at_crash_blocks_t *blocks, const at_crash_verdict_t *verdict)
 {
-	at_entry_t *entry = blocks->entry;
+	const at_crash_blocks_deps_t *deps = &blocks->deps;
 	const stored_block_t *stored = find_stored(blocks, verdict->part);
 	json_t *value = json_pack("{s:s,s:I,s:b,s:s}", "state",
 	    at_cause_state_names[AT_CAUSE_BLOCKED], "crashes",
 	    (json_int_t)verdict->crashes, "has_begun", verdict->has_begun,
-	    "decided_by", entry->settings.name);
+	    "decided_by", deps->settings->name);
 	char *text = json_dumps(value, JSON_COMPACT);
 	char name[64];
 
@@ -231,7 +227,7 @@
 	blocks->is_writing = 1;
 	blocks->written_part = verdict->part;
 	blocks->written_state = verdict->state;
-	entry->store.put(entry->store.impl, name,
+	deps->store.put(deps->store.impl, name,
 	    stored == NULL ? 0 : stored->version, text, strlen(text),
 	    on_written, blocks);
 	free(text);
@@ -251,7 +247,7 @@
 static int
 remove_outdated(at_crash_blocks_t *blocks)
 {
-	at_entry_t *entry = blocks->entry;
+	const at_crash_blocks_deps_t *deps = &blocks->deps;
 	char name[64];
 	size_t i;
 
@@ -260,14 +256,14 @@
 
 		if (stored.state != AT_CAUSE_BLOCKED ||
 		    at_server_crashes_block_age_us(
-			entry->crashes, stored.part) != 0)
+			deps->crashes, stored.part) != 0)
 			continue;
 		blocks->stored[i] = blocks->stored[--blocks->stored_count];
 		(void)snprintf(
 		    name, sizeof(name), OBJECT_KIND "/%" PRIx64, stored.part);
 		blocks->is_writing = 1;
-		entry->store.del(entry->store.impl, name, stored.version,
-		    on_removed, blocks);
+		deps->store.del(
+		    deps->store.impl, name, stored.version, on_removed, blocks);
 		return 1;
 	}
 	return 0;
@@ -280,10 +276,11 @@
 	uint64_t now_us = at_clock_now_us();
 
 	if (blocks->list_call != NULL || blocks->is_writing ||
-	    at_entry_is_platform_away(blocks->entry))
+	    blocks->deps.is_platform_away(blocks->deps.ctx))
 		return;
 	if (!blocks->has_read) {
-		if (is_holder(blocks) || at_sync_is_reader(blocks->entry->sync))
+		if (is_holder(blocks) ||
+		    blocks->deps.may_read(blocks->deps.ctx))
 			list(blocks);
 		return;
 	}
@@ -292,8 +289,7 @@
 		blocks->listed_us = 0;
 		return;
 	}
-	at_server_crashes_each(
-	    blocks->entry->crashes, consider_verdict, &search);
+	at_server_crashes_each(blocks->deps.crashes, consider_verdict, &search);
 	if ((search.found != NULL || blocks->stored_count > 0) &&
 	    now_us >= blocks->listed_us + LIST_US)
 		list(blocks);
@@ -312,14 +308,13 @@
 }
 
 at_crash_blocks_t *
-at_crash_blocks_new(at_entry_t *entry)
+at_crash_blocks_new(const at_crash_blocks_deps_t *deps)
 {
 	at_crash_blocks_t *blocks = calloc(1, sizeof(*blocks));
 
 	if (blocks == NULL)
 		return NULL;
-	blocks->entry = entry;
-	blocks->objects = at_wire_store_objects(entry->wire_store);
+	blocks->deps = *deps;
 	ev_timer_init(&blocks->timer, on_timer, CHECK_S, CHECK_S);
 	blocks->timer.data = blocks;
 	return blocks;
@@ -328,7 +323,7 @@
 void
 at_crash_blocks_start(at_crash_blocks_t *blocks)
 {
-	ev_timer_start(blocks->entry->loop, &blocks->timer);
+	ev_timer_start(blocks->deps.loop, &blocks->timer);
 }
 
 void
@@ -336,8 +331,9 @@
 {
 	if (blocks == NULL)
 		return;
-	ev_timer_stop(blocks->entry->loop, &blocks->timer);
+	ev_timer_stop(blocks->deps.loop, &blocks->timer);
 	if (blocks->list_call != NULL)
-		blocks->objects.cancel(blocks->objects.impl, blocks->list_call);
+		blocks->deps.objects.cancel(
+		    blocks->deps.objects.impl, blocks->list_call);
 	free(blocks);
 }
--- a/src/entry/crash_blocks.h
+++ b/src/entry/crash_blocks.h
@@ -10,10 +10,29 @@
 #ifndef ALMONDTHREAD_ENTRY_CRASH_BLOCKS_H
 #define ALMONDTHREAD_ENTRY_CRASH_BLOCKS_H
 
-#include "entry/entry.h"
+#include "entry/server_crashes.h"
+#include "platform/store.h"
+
+typedef struct at_crash_blocks at_crash_blocks_t;
+
+/* What they need, borrowed. */
+typedef struct at_crash_blocks_deps {
+	struct ev_loop *loop;
+	const at_entry_settings_t *settings;
+	at_server_crashes_t *crashes;
+	at_store_t store;
+	at_objects_t objects;
+	/* Non-zero for the holder of the lease, which writes. */
+	int (*may_write)(void *ctx);
+	/* Non-zero for one that reads the platform's lists. */
+	int (*may_read)(void *ctx);
+	/* Non-zero if the last calls to the platform failed. */
+	int (*is_platform_away)(void *ctx);
+	void *ctx;
+} at_crash_blocks_deps_t;
 
 /* at_crash_blocks_new() returns NULL if out of memory. */
-at_crash_blocks_t *at_crash_blocks_new(at_entry_t *entry);
+at_crash_blocks_t *at_crash_blocks_new(const at_crash_blocks_deps_t *deps);
 void at_crash_blocks_start(at_crash_blocks_t *blocks);
 void at_crash_blocks_delete(at_crash_blocks_t *blocks);
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -114,7 +114,7 @@
 }
 
 static void
-on_reports_received(void *ctx)
+place_queued(void *ctx)
 {
 	at_entry_place_queued(ctx);
 }
@@ -135,7 +135,7 @@
 	    .origins = entry->origins,
 	    .is_reaching = is_reaching,
 	    .on_removed = on_member_removed,
-	    .on_received = on_reports_received,
+	    .on_received = place_queued,
 	    .ctx = entry};
 
 	return at_gossip_new(&deps);
@@ -204,6 +204,138 @@
 		   : 0;
 }
 
+static void
+set_site(void *ctx, at_site_t *site)
+{
+	at_entry_set_site(ctx, site);
+}
+
+static int
+is_platform_away(void *ctx)
+{
+	return at_entry_is_platform_away(ctx);
+}
+
+static int
+is_holder(void *ctx)
+{
+	const at_entry_t *entry = ctx;
+
+	return at_orders_io_fence(entry->orders) != 0;
+}
+
+static int
+is_reader(void *ctx)
+{
+	const at_entry_t *entry = ctx;
+
+	return at_sync_is_reader(entry->sync);
+}
+
+static int
+may_write_versions(void *ctx)
+{
+	return is_holder(ctx) && !at_entry_is_platform_away(ctx);
+}
+
+static int
+take_recorded_version(void *ctx, const char *name)
+{
+	at_entry_t *entry = ctx;
+
+	return at_version_record_apply(entry->version_record, name);
+}
+
+/* Creates what copies the platform's objects, or keeps some there. */
+static int
+create_copies(at_entry_t *entry)
+{
+	const at_objects_t objects = at_wire_store_objects(entry->wire_store);
+	const at_sync_deps_t sync_deps = {.loop = entry->loop,
+	    .counters = entry->counters,
+	    .identity = &entry->identity,
+	    .settings = &entry->settings,
+	    .rng = &entry->rng,
+	    .roster = entry->roster,
+	    .fleet = entry->fleet,
+	    .gossip = entry->gossip,
+	    .objects = objects,
+	    .site = &entry->site,
+	    .set_site = set_site,
+	    .on_servers_changed = place_queued,
+	    .is_platform_away = is_platform_away,
+	    .ctx = entry};
+	const at_join_deps_t join_deps = {.loop = entry->loop,
+	    .settings = &entry->settings,
+	    .roster = entry->roster,
+	    .store = entry->store,
+	    .objects = objects,
+	    .take_other = take_recorded_version,
+	    .ctx = entry};
+	const at_version_record_deps_t record_deps = {.origins = entry->origins,
+	    .gossip = entry->gossip,
+	    .store = entry->store,
+	    .may_write = may_write_versions,
+	    .ctx = entry};
+	const at_crash_blocks_deps_t blocks_deps = {.loop = entry->loop,
+	    .settings = &entry->settings,
+	    .crashes = entry->crashes,
+	    .store = entry->store,
+	    .objects = objects,
+	    .may_write = is_holder,
+	    .may_read = is_reader,
+	    .is_platform_away = is_platform_away,
+	    .ctx = entry};
+
+	entry->sync = at_sync_new(&sync_deps);
+	entry->join = at_join_new(&join_deps);
+	entry->version_record = at_version_record_new(&record_deps);
+	entry->blocks = at_crash_blocks_new(&blocks_deps);
+	return entry->sync == NULL || entry->join == NULL ||
+		       entry->version_record == NULL || entry->blocks == NULL
+		   ? -1
+		   : 0;
+}
+
+static int
+is_ready(void *ctx)
+{
+	return at_entry_is_ready(ctx);
+}
+
+static void
+set_values(void *ctx)
+{
+	const at_entry_t *entry = ctx;
+	const struct {
+		const char *name;
+		uint64_t value;
+	} values[] = {
+	    {"open_requests", entry->call_count},
+	    {"waiting_requests", at_wait_queue_count(entry->queue)},
+	    {"backend_servers", at_fleet_count(entry->fleet)},
+	    {"config_version", entry->site == NULL ? 0 : entry->site->version},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
+		at_counters_set(entry->counters, values[i].name, NULL, NULL,
+		    values[i].value);
+}
+
+static at_readiness_t *
+create_readiness(at_entry_t *entry)
+{
+	const at_readiness_deps_t deps = {.loop = entry->loop,
+	    .counters = entry->counters,
+	    .settings = &entry->settings,
+	    .is_ready = is_ready,
+	    .set_values = set_values,
+	    .ctx = entry};
+
+	return at_readiness_new(&deps);
+}
+
 static void
 fill_report(void *ctx, at_report_kind_t kind, int is_to_all, Report *report)
 {
@@ -274,15 +406,11 @@
 	entry->gossip = create_gossip(entry);
 	if (create_servers(entry) != 0)
 		return -1;
-	entry->blocks = at_crash_blocks_new(entry);
-	entry->sync = at_sync_new(entry);
-	entry->join = at_join_new(entry);
-	entry->version_record = at_version_record_new(entry);
+	if (create_copies(entry) != 0)
+		return -1;
 	entry->orders = at_orders_io_new(entry);
-	entry->readiness = at_readiness_new(entry);
+	entry->readiness = create_readiness(entry);
 	return entry->queue == NULL || entry->contention == NULL ||
-		       entry->blocks == NULL || entry->sync == NULL ||
-		       entry->join == NULL || entry->version_record == NULL ||
 		       entry->gossip == NULL || entry->orders == NULL ||
 		       entry->readiness == NULL
 		   ? -1
--- a/src/entry/join.c
+++ b/src/entry/join.c
@@ -21,8 +21,7 @@
 } join_state_t;
 
 struct at_join {
-	at_entry_t *entry;
-	at_objects_t objects;
+	at_join_deps_t deps;
 	at_objects_call_t *call;
 	join_state_t state;
 	uint64_t version; /* of this instance's object; 0: to be created */
@@ -41,27 +40,28 @@
 	    "retry_s=%.1f",
 	    operation, result, join->retry_s);
 	ev_timer_set(&join->timer, join->retry_s, 0.);
-	ev_timer_start(join->entry->loop, &join->timer);
+	ev_timer_start(join->deps.loop, &join->timer);
 	if (join->retry_s < RETRY_MAX_S)
 		join->retry_s *= 2;
 }
 
 static json_t *
-own_value(const at_entry_t *entry)
+own_value(const at_entry_settings_t *settings)
 {
-	return json_pack("{s:s,s:s}", "address", entry->settings.peers,
-	    "data_centre", entry->settings.data_centre);
+	return json_pack("{s:s,s:s}", "address", settings->peers, "data_centre",
+	    settings->data_centre);
 }
 
 /* Returns non-zero if the stored object equals the one to be written. */
 static int
-is_same_value(const at_entry_t *entry, const at_store_result_t *result)
+is_same_value(
+    const at_entry_settings_t *settings, const at_store_result_t *result)
 {
 	json_t *existing =
 	    result->value == NULL
 		? NULL
 		: json_loadb(result->value, result->value_len, 0, NULL);
-	json_t *own = own_value(entry);
+	json_t *own = own_value(settings);
 	int same = existing != NULL && json_equal(existing, own);
 
 	json_decref(existing);
@@ -75,7 +75,7 @@
 	at_join_t *join = ctx;
 
 	if (result->code == AT_STORE_CONFLICT &&
-	    !is_same_value(join->entry, result)) {
+	    !is_same_value(join->deps.settings, result)) {
 		join->version = result->version;
 		process(join);
 		return;
@@ -100,7 +100,7 @@
 	const char *data_centre;
 	at_name_t name;
 
-	if (at_version_record_apply(join->entry->version_record, object->name))
+	if (join->deps.take_other(join->deps.ctx, object->name))
 		return;
 	spec = object->text == NULL
 		   ? NULL
@@ -114,7 +114,7 @@
 		    "name=%s",
 		    object->name);
 	} else {
-		(void)at_roster_add(join->entry->roster, &name,
+		(void)at_roster_add(join->deps.roster, &name,
 		    at_tag_from_text(data_centre), address, at_clock_now_us());
 	}
 	json_decref(spec);
@@ -141,22 +141,22 @@
 	}
 	join->state = JOIN_DONE;
 	at_log(AT_LOG_INFO, "join", NULL, "instance objects read instances=%u",
-	    at_roster_present_count(join->entry->roster));
+	    at_roster_present_count(join->deps.roster));
 }
 
 static void
 write_own_object(at_join_t *join)
 {
-	at_entry_t *entry = join->entry;
-	json_t *value = own_value(entry);
+	const at_join_deps_t *deps = &join->deps;
+	json_t *value = own_value(deps->settings);
 	char *text = json_dumps(value, JSON_COMPACT);
 	char name[2 * AT_NAME_SIZE];
 
 	json_decref(value);
 	(void)snprintf(
-	    name, sizeof(name), AT_INSTANCES_KIND "/%s", entry->settings.name);
+	    name, sizeof(name), AT_INSTANCES_KIND "/%s", deps->settings->name);
 	if (text != NULL)
-		entry->store.put(entry->store.impl, name, join->version, text,
+		deps->store.put(deps->store.impl, name, join->version, text,
 		    strlen(text), on_written, join);
 	free(text);
 }
@@ -167,10 +167,10 @@
 	if (join->state == JOIN_WRITING)
 		write_own_object(join);
 	else if (join->state == JOIN_READING)
-		join->call =
-		    join->objects.list(join->objects.impl, AT_INSTANCES_KIND,
-			join->list_after[0] == '\0' ? NULL : join->list_after,
-			on_list, join);
+		join->call = join->deps.objects.list(join->deps.objects.impl,
+		    AT_INSTANCES_KIND,
+		    join->list_after[0] == '\0' ? NULL : join->list_after,
+		    on_list, join);
 }
 
 static void
@@ -182,14 +182,13 @@
 }
 
 at_join_t *
-at_join_new(at_entry_t *entry)
+at_join_new(const at_join_deps_t *deps)
 {
 	at_join_t *join = calloc(1, sizeof(*join));
 
 	if (join == NULL)
 		return NULL;
-	join->entry = entry;
-	join->objects = at_wire_store_objects(entry->wire_store);
+	join->deps = *deps;
 	join->retry_s = RETRY_MIN_S;
 	ev_timer_init(&join->timer, on_timer, 0., 0.);
 	join->timer.data = join;
@@ -207,9 +206,9 @@
 {
 	if (join == NULL)
 		return;
-	ev_timer_stop(join->entry->loop, &join->timer);
+	ev_timer_stop(join->deps.loop, &join->timer);
 	if (join->call != NULL)
-		join->objects.cancel(join->objects.impl, join->call);
+		join->deps.objects.cancel(join->deps.objects.impl, join->call);
 	free(join);
 }
 
@@ -231,10 +230,10 @@
 void
 at_join_remove(at_join_t *join, const at_name_t *instance)
 {
-	at_entry_t *entry = join->entry;
+	const at_store_t *store = &join->deps.store;
 	char name[2 * AT_NAME_SIZE];
 
 	(void)snprintf(
 	    name, sizeof(name), AT_INSTANCES_KIND "/%s", instance->text);
-	entry->store.del(entry->store.impl, name, 0, on_removed, join);
+	store->del(store->impl, name, 0, on_removed, join);
 }
--- a/src/entry/join.h
+++ b/src/entry/join.h
@@ -6,10 +6,28 @@
 #ifndef ALMONDTHREAD_ENTRY_JOIN_H
 #define ALMONDTHREAD_ENTRY_JOIN_H
 
-#include "entry/entry.h"
+#include <ev.h>
+
+#include "almondthread/roster.h"
+#include "entry/entry_settings.h"
+#include "platform/store.h"
+
+typedef struct at_join at_join_t;
+
+/* What it needs, borrowed. */
+typedef struct at_join_deps {
+	struct ev_loop *loop;
+	const at_entry_settings_t *settings;
+	at_roster_t *roster;
+	at_store_t store;
+	at_objects_t objects;
+	/* Takes an object that is not an instance's; zero if it is one. */
+	int (*take_other)(void *ctx, const char *name);
+	void *ctx;
+} at_join_deps_t;
 
 /* at_join_new() returns NULL if out of memory. */
-at_join_t *at_join_new(at_entry_t *entry);
+at_join_t *at_join_new(const at_join_deps_t *deps);
 /* at_join_start() makes the first call; failed calls are repeated. */
 void at_join_start(at_join_t *join);
 void at_join_delete(at_join_t *join);
--- a/src/entry/readiness.c
+++ b/src/entry/readiness.c
@@ -6,29 +6,22 @@
 #include "almondthread/log.h"
 
 struct at_readiness {
-	at_entry_t *entry;
+	at_readiness_deps_t deps;
 	at_httpd_t *checks;
 	at_httpd_t *metrics; /* NULL: served on the address of the checks */
 };
 
 static void
-reply_metrics(const at_entry_t *entry, at_httpd_request_t *request)
+reply_metrics(const at_readiness_deps_t *deps, at_httpd_request_t *request)
 {
 	static const at_header_t headers[] = {
 	    {"Content-Type", "text/plain; version=0.0.4"}, {NULL, NULL}};
 	char *text;
 
-	at_counters_set(
-	    entry->counters, "open_requests", NULL, NULL, entry->call_count);
-	at_counters_set(entry->counters, "waiting_requests", NULL, NULL,
-	    at_wait_queue_count(entry->queue));
-	at_counters_set(entry->counters, "backend_servers", NULL, NULL,
-	    at_fleet_count(entry->fleet));
-	at_counters_set(entry->counters, "config_version", NULL, NULL,
-	    entry->site == NULL ? 0 : entry->site->version);
-	at_counters_set(entry->counters, "log_lines_suppressed", NULL, NULL,
+	deps->set_values(deps->ctx);
+	at_counters_set(deps->counters, "log_lines_suppressed", NULL, NULL,
 	    at_log_suppressed_count());
-	text = at_counters_format(entry->counters);
+	text = at_counters_format(deps->counters);
 	if (text == NULL)
 		at_httpd_reply(request, 503, NULL, "", 0);
 	else
@@ -44,31 +37,31 @@
 
 	if (strcmp(path, "/readyz") == 0)
 		at_httpd_reply(request,
-		    at_entry_is_ready(readiness->entry) ? 200 : 503, NULL, "",
-		    0);
+		    readiness->deps.is_ready(readiness->deps.ctx) ? 200 : 503,
+		    NULL, "", 0);
 	else if (strcmp(path, "/metrics") == 0)
-		reply_metrics(readiness->entry, request);
+		reply_metrics(&readiness->deps, request);
 	else
 		at_httpd_reply(request, 404, NULL, "", 0);
 }
 
 at_readiness_t *
-at_readiness_new(at_entry_t *entry)
+at_readiness_new(const at_readiness_deps_t *deps)
 {
 	at_readiness_t *readiness = calloc(1, sizeof(*readiness));
 
 	if (readiness == NULL)
 		return NULL;
-	readiness->entry = entry;
-	readiness->checks = at_httpd_new(entry->loop);
+	readiness->deps = *deps;
+	readiness->checks = at_httpd_new(deps->loop);
 	if (readiness->checks == NULL) {
 		free(readiness);
 		return NULL;
 	}
 	at_httpd_set_handler(readiness->checks, handle, readiness);
-	if (entry->settings.metrics[0] == '\0')
+	if (deps->settings->metrics[0] == '\0')
 		return readiness;
-	readiness->metrics = at_httpd_new(entry->loop);
+	readiness->metrics = at_httpd_new(deps->loop);
 	if (readiness->metrics != NULL)
 		at_httpd_set_handler(readiness->metrics, handle, readiness);
 	return readiness;
@@ -77,7 +70,7 @@
 at_code_t
 at_readiness_init(at_readiness_t *readiness, at_status_t *status)
 {
-	const at_entry_settings_t *s = &readiness->entry->settings;
+	const at_entry_settings_t *s = readiness->deps.settings;
 
 	if (at_httpd_init(readiness->checks, s->ready, status) != AT_OK)
 		return status->code;
--- a/src/entry/sync.c
+++ b/src/entry/sync.c
@@ -5,7 +5,6 @@
 #include <stdlib.h>
 
 #include "almondthread/log.h"
-#include "entry/gossip.h"
 #include "entry/sync_impl.h"
 #include "io/clock.h"
 
@@ -107,8 +106,8 @@
 has_all_of(at_sync_t *sync, const sync_copies_t *report)
 {
 	at_mirror_t *servers = sync->servers.mirror;
-	int has_config = sync->entry->site != NULL &&
-			 report->config_version <= sync->entry->site->version;
+	int has_config = (*sync->deps.site) != NULL &&
+			 report->config_version <= (*sync->deps.site)->version;
 
 	if (report->servers_since == 0)
 		return has_config &&
@@ -243,7 +242,7 @@
 static uint64_t
 follower_confirmation_max_ms(const at_sync_t *sync)
 {
-	const at_entry_settings_t *settings = &sync->entry->settings;
+	const at_entry_settings_t *settings = sync->deps.settings;
 	uint32_t bound_ms = settings->drain_ms < settings->config_apply_ms
 				? settings->drain_ms
 				: settings->config_apply_ms;
@@ -288,7 +287,7 @@
 }
 
 at_sync_t *
-at_sync_new(at_entry_t *entry)
+at_sync_new(const at_sync_deps_t *deps)
 {
 	at_sync_t *sync = calloc(1, sizeof(*sync));
 	at_mirror_sink_t config_sink;
@@ -298,9 +297,8 @@
 		return NULL;
 	config_sink = watcher_config_sink(&sync->config);
 	servers_sink = watcher_servers_sink(&sync->servers);
-	sync->entry = entry;
+	sync->deps = *deps;
 	sync->reader_since_ms = at_clock_now_ms();
-	sync->objects = at_wire_store_objects(entry->wire_store);
 	if (sync_report_init(sync) != 0 || sync_documents_init(sync) != 0 ||
 	    watcher_init(
 		sync, &sync->config, WIRE_KIND_CONFIG, &config_sink, 0) != 0 ||
--- a/src/entry/sync.h
+++ b/src/entry/sync.h
@@ -8,12 +8,34 @@
 #ifndef ALMONDTHREAD_ENTRY_SYNC_H
 #define ALMONDTHREAD_ENTRY_SYNC_H
 
-#include "entry/documents.h"
-#include "entry/entry.h"
 #include "entry/gossip.h"
+#include "platform/store.h"
+
+typedef struct at_sync at_sync_t;
+
+/* What it needs, borrowed. */
+typedef struct at_sync_deps {
+	struct ev_loop *loop;
+	at_counters_t *counters;
+	const at_identity_t *identity;
+	const at_entry_settings_t *settings;
+	at_rng_t *rng;
+	at_roster_t *roster;
+	at_fleet_t *fleet;
+	at_gossip_t *gossip;
+	at_objects_t objects;
+	at_site_t *const *site; /* points to NULL before the first one */
+	/* Applies a newer configuration, and takes over the reference. */
+	void (*set_site)(void *ctx, at_site_t *site);
+	/* The list of servers has changed. */
+	void (*on_servers_changed)(void *ctx);
+	/* Non-zero if the last calls to the platform failed. */
+	int (*is_platform_away)(void *ctx);
+	void *ctx;
+} at_sync_deps_t;
 
 /* at_sync_new() returns NULL if out of memory. */
-at_sync_t *at_sync_new(at_entry_t *entry);
+at_sync_t *at_sync_new(const at_sync_deps_t *deps);
 /* at_sync_start() lists both kinds of objects. */
 void at_sync_start(at_sync_t *sync);
 void at_sync_delete(at_sync_t *sync);
--- a/src/entry/sync_check.c
+++ b/src/entry/sync_check.c
@@ -9,7 +9,6 @@
 #include <inttypes.h>
 
 #include "almondthread/log.h"
-#include "entry/gossip.h"
 #include "entry/sync_impl.h"
 #include "io/clock.h"
 
@@ -72,14 +71,14 @@
 			    "objects=%zu",
 			    watcher->kind, page->count);
 		watcher_watch_again(watcher);
-		at_entry_place_queued(sync->entry);
+		sync->deps.on_servers_changed(sync->deps.ctx);
 	}
 	/* Otherwise it was made from a version that is outdated. */
 	if (page->count == 0 ||
 	    at_mirror_since(watcher->mirror) >= page->store_version)
 		watcher_confirm(watcher, check->sent_ms);
 	if (sync->is_reader)
-		at_gossip_send_soon(sync->entry->gossip);
+		at_gossip_send_soon(sync->deps.gossip);
 }
 
 static void
@@ -102,9 +101,9 @@
 	    check->calls[CHECK_SERVERS] != NULL)
 		return;
 	check->since[CHECK_SERVERS] = at_mirror_since(servers->mirror);
-	check->calls[CHECK_SERVERS] = sync->objects.watch(sync->objects.impl,
-	    servers->kind, check->since[CHECK_SERVERS], CHECK_WAIT_MS,
-	    on_servers_checked, check);
+	check->calls[CHECK_SERVERS] = sync->deps.objects.watch(
+	    sync->deps.objects.impl, servers->kind, check->since[CHECK_SERVERS],
+	    CHECK_WAIT_MS, on_servers_checked, check);
 }
 
 /* With many changes the watch proves itself, again and again. */
@@ -150,9 +149,10 @@
 	check->sync = sync;
 	check->sent_ms = now_ms;
 	check->since[CHECK_CONFIG] = at_mirror_since(sync->config.mirror);
-	check->calls[CHECK_CONFIG] = sync->objects.watch(sync->objects.impl,
-	    sync->config.kind, check->since[CHECK_CONFIG], CHECK_WAIT_MS,
-	    on_config_checked, check);
+	check->calls[CHECK_CONFIG] =
+	    sync->deps.objects.watch(sync->deps.objects.impl, sync->config.kind,
+		check->since[CHECK_CONFIG], CHECK_WAIT_MS, on_config_checked,
+		check);
 	if (sync->response_ms > SLOW_RESPONSE_MS && needs_servers_check(sync))
 		check_servers(check);
 }
@@ -185,8 +185,8 @@
 	    at_mirror_is_listing(sync->config.mirror))
 		return;
 	sync->listed_ms = now_ms;
-	sync->list_call = sync->objects.list(
-	    sync->objects.impl, sync->config.kind, NULL, on_listed, sync);
+	sync->list_call = sync->deps.objects.list(
+	    sync->deps.objects.impl, sync->config.kind, NULL, on_listed, sync);
 }
 
 void
@@ -198,12 +198,14 @@
 	for (i = 0; i < CHECKS_MAX; i++) {
 		for (kind = CHECK_CONFIG; kind <= CHECK_SERVERS; kind++) {
 			if (sync->checks[i].calls[kind] != NULL)
-				sync->objects.cancel(sync->objects.impl,
+				sync->deps.objects.cancel(
+				    sync->deps.objects.impl,
 				    sync->checks[i].calls[kind]);
 			sync->checks[i].calls[kind] = NULL;
 		}
 	}
 	if (sync->list_call != NULL)
-		sync->objects.cancel(sync->objects.impl, sync->list_call);
+		sync->deps.objects.cancel(
+		    sync->deps.objects.impl, sync->list_call);
 	sync->list_call = NULL;
 }
--- a/src/entry/sync_documents.c
+++ b/src/entry/sync_documents.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/gossip.h"
 #include "entry/sync_impl.h"
 #include "io/clock.h"
 
@@ -115,7 +114,7 @@
 {
 	at_sync_t *sync = ctx;
 
-	at_gossip_send_to(sync->entry->gossip, address, report);
+	at_gossip_send_to(sync->deps.gossip, address, report);
 }
 
 /* Receiving */
@@ -248,7 +247,7 @@
 		apply_config(sync, message);
 	else
 		apply_servers(sync, message, range);
-	at_entry_place_queued(sync->entry);
+	sync->deps.on_servers_changed(sync->deps.ctx);
 }
 
 static void
@@ -273,13 +272,13 @@
 		wait_ms = LIST_ARRIVAL_MS;
 	at_catch_up_note_behind(&watcher->catch_up, at_clock_now_ms(), wait_ms);
 	if (!ev_is_active(&sync->catch_up_timer))
-		ev_timer_again(sync->entry->loop, &sync->catch_up_timer);
+		ev_timer_again(sync->deps.loop, &sync->catch_up_timer);
 }
 
 void
 sync_want_config(at_sync_t *sync, uint64_t config_version, uint32_t wait_ms)
 {
-	const at_site_t *site = sync->entry->site;
+	const at_site_t *site = *sync->deps.site;
 
 	if (site != NULL && config_version <= site->version)
 		return;
@@ -301,7 +300,7 @@
 void
 sync_note_config_known(at_sync_t *sync)
 {
-	const at_site_t *site = sync->entry->site;
+	const at_site_t *site = *sync->deps.site;
 
 	if (site != NULL && site->version >= sync->config_wanted)
 		at_catch_up_note_current(&sync->config.catch_up);
@@ -318,13 +317,12 @@
 static void
 ask(at_sync_t *sync, at_document_kind_t kind)
 {
-	at_entry_t *entry = sync->entry;
+	const at_sync_deps_t *deps = &sync->deps;
 	int is_config = kind == AT_DOCUMENT_CONFIG;
-	const at_roster_member_t *member =
-	    at_roster_choose_source(entry->roster, entry->identity.data_centre,
-		is_config ? sync->config_wanted : 0,
-		is_config ? SINCE_STATED : sync->servers_wanted,
-		at_rng_next(&entry->rng), at_clock_now_us());
+	const at_roster_member_t *member = at_roster_choose_source(deps->roster,
+	    deps->identity->data_centre, is_config ? sync->config_wanted : 0,
+	    is_config ? SINCE_STATED : sync->servers_wanted,
+	    at_rng_next(deps->rng), at_clock_now_us());
 
 	if (member == NULL)
 		return;
@@ -343,7 +341,7 @@
 sync_ask_for_all_servers(at_sync_t *sync, at_tag_t instance)
 {
 	const at_roster_member_t *member =
-	    at_roster_find(sync->entry->roster, instance);
+	    at_roster_find(sync->deps.roster, instance);
 
 	if (member != NULL)
 		at_documents_ask(
@@ -379,23 +377,23 @@
 int
 sync_documents_init(at_sync_t *sync)
 {
-	at_entry_t *entry = sync->entry;
+	const at_sync_deps_t *deps = &sync->deps;
 	const at_documents_port_t port = {
 	    on_send, on_fill, on_apply, on_progress, sync};
 
 	ev_timer_init(&sync->catch_up_timer, on_catch_up, CATCH_UP_INTERVAL_S,
 	    CATCH_UP_INTERVAL_S);
 	sync->catch_up_timer.data = sync;
-	sync->documents = at_documents_new(entry->loop, entry->roster,
-	    entry->counters, entry->identity.tag, entry->identity.data_centre,
-	    entry->settings.link_mbps, &port);
+	sync->documents = at_documents_new(deps->loop, deps->roster,
+	    deps->counters, deps->identity->tag, deps->identity->data_centre,
+	    deps->settings->link_mbps, &port);
 	return sync->documents == NULL ? -1 : 0;
 }
 
 void
 sync_documents_free(at_sync_t *sync)
 {
-	ev_timer_stop(sync->entry->loop, &sync->catch_up_timer);
+	ev_timer_stop(sync->deps.loop, &sync->catch_up_timer);
 	clear_filled(sync);
 	at_documents_delete(sync->documents);
 }
--- a/src/entry/sync_impl.h
+++ b/src/entry/sync_impl.h
@@ -10,6 +10,7 @@
 #include "almondthread/catch_up.h"
 #include "almondthread/mirror.h"
 #include "entry/config_text.h"
+#include "entry/documents.h"
 #include "entry/sync.h"
 #include "platform/names.h"
 
@@ -63,8 +64,7 @@
 } check_t;
 
 struct at_sync {
-	at_entry_t *entry;
-	at_objects_t objects;
+	at_sync_deps_t deps;
 	at_documents_t *documents;
 	at_config_text_t *config_text; /* of the configuration in force */
 	object_changes_t changes;
--- a/src/entry/sync_report.c
+++ b/src/entry/sync_report.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 #include "almondthread/reassembly.h"
-#include "entry/gossip.h"
 #include "entry/sync_impl.h"
 #include "platform/server_decode.h"
 
@@ -123,7 +122,7 @@
 	if (sync->changes.has_more)
 		keep_urgent_servers(sync);
 	if (sync->changes.count > 0)
-		at_gossip_send_changes(sync->entry->gossip, fill_servers, sync);
+		at_gossip_send_changes(sync->deps.gossip, fill_servers, sync);
 	if (sync->changes.has_more)
 		at_documents_spread(
 		    sync->documents, AT_DOCUMENT_SERVERS, sync->changes.from);
@@ -169,7 +168,7 @@
 	if (sync->changes.count == 0 && !sync->changes.has_more)
 		sync->changes.from = at_mirror_base(sync->servers.mirror);
 	if (!ev_is_active(&sync->changes.timer))
-		ev_timer_start(sync->entry->loop, &sync->changes.timer);
+		ev_timer_start(sync->deps.loop, &sync->changes.timer);
 	/* All that matters of one that names no server is its version. */
 	if (len > AT_SERVER_TEXT_MAX_BYTES) {
 		text = NO_SERVER;
@@ -198,7 +197,7 @@
 	size = at_config_text_fill(sync->config_text, &message);
 	if (size == 0 || size > CONFIG_CHANGE_MAX_BYTES)
 		return 0;
-	at_gossip_send_changes(sync->entry->gossip, fill_config, &message);
+	at_gossip_send_changes(sync->deps.gossip, fill_config, &message);
 	return 1;
 }
 
@@ -232,7 +231,7 @@
 	if (taken != NULL)
 		sync_feed_config(
 		    sync, object->name, object->version, taken, strlen(taken));
-	at_counters_add(sync->entry->counters, "config_reports_total", "form",
+	at_counters_add(sync->deps.counters, "config_reports_total", "form",
 	    text != NULL                ? "change"
 	    : object->base_version == 0 ? "complete"
 					: "other_base",
@@ -264,7 +263,7 @@
 fill(void *ctx, at_report_kind_t kind, int is_to_all, Report *report)
 {
 	const at_sync_t *sync = ctx;
-	const at_site_t *site = sync->entry->site;
+	const at_site_t *site = *sync->deps.site;
 	sync_copies_t copies = {0};
 
 	(void)kind;
@@ -286,7 +285,7 @@
 {
 	at_sync_t *sync = ctx;
 	const sync_copies_t copies = {.instance = member->tag,
-	    .is_near = member->data_centre == sync->entry->identity.data_centre,
+	    .is_near = member->data_centre == sync->deps.identity->data_centre,
 	    .config_version = report->config_version,
 	    .servers_since = report->servers_since,
 	    .reads = report->reads,
@@ -316,19 +315,19 @@
 begin_round(void *ctx, uint64_t now_us)
 {
 	at_sync_t *sync = ctx;
-	at_entry_t *entry = sync->entry;
-	at_tag_t data_centre = entry->identity.data_centre;
+	const at_sync_deps_t *deps = &sync->deps;
+	at_tag_t data_centre = deps->identity->data_centre;
 	int is_reader;
 
 	sync->rounds++;
 	at_sync_check_confirmation(sync);
-	if (at_gossip_is_listening(entry->gossip))
+	if (at_gossip_is_listening(deps->gossip))
 		return;
-	is_reader = at_roster_is_task_owner(entry->roster, data_centre, 0,
-	    at_entry_is_platform_away(entry), now_us);
+	is_reader = at_roster_is_task_owner(deps->roster, data_centre, 0,
+	    deps->is_platform_away(deps->ctx), now_us);
 	/* The reader continues until another instance reads. */
 	if (sync->is_reader &&
-	    !at_roster_has_reader(entry->roster, data_centre, now_us))
+	    !at_roster_has_reader(deps->roster, data_centre, now_us))
 		is_reader = 1;
 	at_sync_set_reader(sync, is_reader);
 	if (sync->rounds % CHECK_ROUNDS == 0 && sync->is_reader)
@@ -367,7 +366,7 @@
 void
 sync_report_free(at_sync_t *sync)
 {
-	ev_timer_stop(sync->entry->loop, &sync->changes.timer);
+	ev_timer_stop(sync->deps.loop, &sync->changes.timer);
 	clear_servers(sync);
 	at_config_text_delete(sync->config_text);
 }
--- a/src/entry/sync_watch.c
+++ b/src/entry/sync_watch.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/gossip.h"
 #include "entry/sync_impl.h"
 #include "io/clock.h"
 #include "platform/server_decode.h"
@@ -23,7 +22,8 @@
 {
 	watcher_t *watcher = ctx;
 	at_sync_t *sync = watcher->sync;
-	at_entry_t *entry = sync->entry;
+	const at_sync_deps_t *deps = &sync->deps;
+	const at_site_t *current = *deps->site;
 	uint64_t begun_us = at_clock_now_us();
 	at_status_t status;
 	at_site_t *site;
@@ -31,8 +31,8 @@
 	if (strcmp(object->name, WIRE_CONFIG_NAME) != 0)
 		return;
 	at_status_clear(&status);
-	site = at_site_decode(object->text, object->len, entry->site,
-	    &entry->identity.secret, &status);
+	site = at_site_decode(object->text, object->len, *deps->site,
+	    &deps->identity->secret, &status);
 	if (site == NULL) {
 		at_log(AT_LOG_ERROR, "config", NULL,
 		    "configuration rejected; the previous one stays in use "
@@ -40,15 +40,15 @@
 		    object->version, status.message);
 		return;
 	}
-	if (entry->site != NULL && site->version <= entry->site->version) {
+	if (current != NULL && site->version <= current->version) {
 		at_log(AT_LOG_WARN, "config", NULL,
 		    "configuration ignored: not newer version=%" PRIu64
 		    " current=%" PRIu64,
-		    site->version, entry->site->version);
+		    site->version, current->version);
 		at_site_unref(site);
 		return;
 	}
-	at_entry_set_site(entry, site);
+	deps->set_site(deps->ctx, site);
 	sync_note_config_known(sync);
 	sync_note_config(sync, object->name, object->version, object->text,
 	    object->len, sync->is_reader && !watcher->is_fed);
@@ -74,7 +74,7 @@
 on_server_change(void *ctx, const at_object_t *object)
 {
 	watcher_t *watcher = ctx;
-	at_entry_t *entry = watcher->sync->entry;
+	at_fleet_t *fleet = watcher->sync->deps.fleet;
 	at_server_entry_t server;
 	const char *fault =
 	    at_server_decode(object->name, object->text, object->len, &server);
@@ -88,10 +88,10 @@
 		    "server object rejected; server removed name=%s "
 		    "object_version=%" PRIu64 " fault=%s",
 		    object->name, object->version, fault);
-		at_fleet_remove(entry->fleet, at_tag_from_text(object->name));
+		at_fleet_remove(fleet, at_tag_from_text(object->name));
 		return;
 	}
-	if (at_fleet_update_server(entry->fleet, &server) == NULL) {
+	if (at_fleet_update_server(fleet, &server) == NULL) {
 		at_log(AT_LOG_INFO, "servers", NULL,
 		    "server object ignored: of an earlier incarnation name=%s "
 		    "object_version=%" PRIu64,
@@ -110,13 +110,13 @@
 on_server_deleted(void *ctx, const char *name, uint64_t version)
 {
 	watcher_t *watcher = ctx;
-	at_entry_t *entry = watcher->sync->entry;
+	at_fleet_t *fleet = watcher->sync->deps.fleet;
 
 	at_log(AT_LOG_INFO, "servers", NULL,
 	    "server object deleted; server removed name=%s "
 	    "object_version=%" PRIu64,
 	    name, version);
-	at_fleet_remove(entry->fleet, at_tag_from_text(name));
+	at_fleet_remove(fleet, at_tag_from_text(name));
 	if (watcher->sync->is_reader)
 		sync_send_server(watcher->sync, name, version, NULL, 0, 1);
 }
@@ -164,8 +164,8 @@
 drop_call(watcher_t *watcher)
 {
 	if (watcher->call != NULL)
-		watcher->sync->objects.cancel(
-		    watcher->sync->objects.impl, watcher->call);
+		watcher->sync->deps.objects.cancel(
+		    watcher->sync->deps.objects.impl, watcher->call);
 	watcher->call = NULL;
 }
 
@@ -254,20 +254,20 @@
 		watcher_confirm(watcher, watcher->list_sent_ms);
 		/* Followers that receive this do not ask for themselves. */
 		if (sync->is_reader)
-			at_gossip_send_soon(sync->entry->gossip);
+			at_gossip_send_soon(sync->deps.gossip);
 	}
 	if (page->code == AT_OBJECTS_HISTORY_GONE)
 		watch_other_again(watcher);
 	if (watcher == &sync->servers)
 		sync_note_servers_known(sync);
 	watcher_process(watcher);
-	at_entry_place_queued(sync->entry);
+	sync->deps.on_servers_changed(sync->deps.ctx);
 }
 
 void
 watcher_set_timer(watcher_t *watcher)
 {
-	struct ev_loop *loop = watcher->sync->entry->loop;
+	struct ev_loop *loop = watcher->sync->deps.loop;
 	uint64_t due_ms = at_mirror_due_ms(watcher->mirror);
 	uint64_t now_ms = at_clock_now_ms();
 
@@ -282,7 +282,7 @@
 void
 watcher_process(watcher_t *watcher)
 {
-	const at_objects_t *objects = &watcher->sync->objects;
+	const at_objects_t *objects = &watcher->sync->deps.objects;
 	const at_objects_page_t failed = {.code = AT_OBJECTS_NO_RESPONSE};
 	at_mirror_action_t action;
 
@@ -334,7 +334,7 @@
 {
 	if (watcher->sync == NULL)
 		return;
-	ev_timer_stop(watcher->sync->entry->loop, &watcher->timer);
+	ev_timer_stop(watcher->sync->deps.loop, &watcher->timer);
 	drop_call(watcher);
 	at_mirror_delete(watcher->mirror);
 }
--- a/src/entry/version_record.c
+++ b/src/entry/version_record.c
@@ -7,15 +7,13 @@
 
 #include "almondthread/log.h"
 #include "almondthread/stream_origins.h"
-#include "entry/gossip.h"
-#include "entry/orders.h"
 #include "io/clock.h"
 
 #define NAME_FORMAT "software-%016" PRIx64 "-%016" PRIx64
 #define CHECK_INTERVAL_US 1000000u
 
 struct at_version_record {
-	at_entry_t *entry;
+	at_version_record_deps_t deps;
 	uint64_t checked_us;
 	/* Of the open call; one at a time. */
 	int is_calling;
@@ -24,12 +22,12 @@
 };
 
 at_version_record_t *
-at_version_record_new(at_entry_t *entry)
+at_version_record_new(const at_version_record_deps_t *deps)
 {
 	at_version_record_t *record = calloc(1, sizeof(*record));
 
 	if (record != NULL)
-		record->entry = entry;
+		record->deps = *deps;
 	return record;
 }
 
@@ -42,7 +40,7 @@
 int
 at_version_record_apply(at_version_record_t *record, const char *name)
 {
-	at_stream_origins_t *origins = record->entry->origins;
+	at_stream_origins_t *origins = record->deps.origins;
 	at_tag_t service;
 	at_tag_t software;
 	int end = 0;
@@ -74,7 +72,7 @@
 	    record->version.service, record->version.software,
 	    at_store_code_names[result->code]);
 	if (is_done) {
-		at_stream_origins_set_recorded(record->entry->origins,
+		at_stream_origins_set_recorded(record->deps.origins,
 		    record->version.service, record->version.software,
 		    !record->is_deletion);
 		/* The next version follows without a pause. */
@@ -87,27 +85,26 @@
 end_round(void *ctx, uint64_t now_us, int is_direct_due)
 {
 	at_version_record_t *record = ctx;
-	at_entry_t *entry = record->entry;
+	const at_version_record_deps_t *deps = &record->deps;
 	char name[2 * AT_NAME_SIZE];
 	static const char value[] = "{}";
 
 	(void)is_direct_due;
 	if (record->is_calling || now_us < record->checked_us ||
-	    at_orders_io_fence(entry->orders) == 0 ||
-	    at_entry_is_platform_away(entry))
+	    !deps->may_write(deps->ctx))
 		return;
 	record->checked_us = now_us + CHECK_INTERVAL_US;
-	at_gossip_note_versions(entry->gossip);
+	at_gossip_note_versions(deps->gossip);
 	if (!at_stream_origins_next_unrecorded(
-		entry->origins, now_us, &record->version, &record->is_deletion))
+		deps->origins, now_us, &record->version, &record->is_deletion))
 		return;
 	(void)snprintf(name, sizeof(name), AT_INSTANCES_KIND "/" NAME_FORMAT,
 	    record->version.service, record->version.software);
 	record->is_calling = 1;
 	if (record->is_deletion)
-		entry->store.del(entry->store.impl, name, 0, on_called, record);
+		deps->store.del(deps->store.impl, name, 0, on_called, record);
 	else
-		entry->store.put(entry->store.impl, name, 0, value,
+		deps->store.put(deps->store.impl, name, 0, value,
 		    sizeof(value) - 1, on_called, record);
 }
 
--- a/src/entry/version_record.h
+++ b/src/entry/version_record.h
@@ -12,14 +12,27 @@
 #ifndef ALMONDTHREAD_ENTRY_VERSION_RECORD_H
 #define ALMONDTHREAD_ENTRY_VERSION_RECORD_H
 
-#include "entry/entry.h"
 #include "entry/gossip.h"
+#include "platform/store.h"
+
+typedef struct at_version_record at_version_record_t;
+
+/* What it needs, borrowed. */
+typedef struct at_version_record_deps {
+	at_stream_origins_t *origins;
+	at_gossip_t *gossip;
+	at_store_t store;
+	/* Non-zero if it is this instance's turn to write. */
+	int (*may_write)(void *ctx);
+	void *ctx;
+} at_version_record_deps_t;
 
 /* Kind of the objects of instances and of recorded versions. */
 #define AT_INSTANCES_KIND "entry-instances"
 
 /* at_version_record_new() returns NULL if out of memory. */
-at_version_record_t *at_version_record_new(at_entry_t *entry);
+at_version_record_t *at_version_record_new(
+    const at_version_record_deps_t *deps);
 void at_version_record_delete(at_version_record_t *record);
 /*
  * at_version_record_apply() takes an object that was read at the start; returns
