entry: orders get what they use

The files of orders were handed the whole instance. They get what they borrow, and callbacks: whether the platform is away, and that engines have other models or adapters than before, upon which queued requests are placed.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -297,6 +297,30 @@
 		   : 0;
 }
 
+static at_orders_io_t *
+create_orders(at_entry_t *entry)
+{
+	const at_orders_io_deps_t deps = {.loop = entry->loop,
+	    .counters = entry->counters,
+	    .identity = &entry->identity,
+	    .settings = &entry->settings,
+	    .state = &entry->state,
+	    .site = &entry->site,
+	    .fleet = entry->fleet,
+	    .roster = entry->roster,
+	    .queue = entry->queue,
+	    .httpc = entry->httpc,
+	    .store = entry->store,
+	    .gossip = entry->gossip,
+	    .reach = entry->reach,
+	    .notices = entry->notices,
+	    .is_platform_away = is_platform_away,
+	    .on_residents_changed = place_queued,
+	    .ctx = entry};
+
+	return at_orders_io_new(&deps);
+}
+
 static int
 is_ready(void *ctx)
 {
@@ -408,7 +432,7 @@
 		return -1;
 	if (create_copies(entry) != 0)
 		return -1;
-	entry->orders = at_orders_io_new(entry);
+	entry->orders = create_orders(entry);
 	entry->readiness = create_readiness(entry);
 	return entry->queue == NULL || entry->contention == NULL ||
 		       entry->gossip == NULL || entry->orders == NULL ||
--- a/src/entry/orders.c
+++ b/src/entry/orders.c
@@ -5,8 +5,6 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/gossip.h"
-#include "entry/reach.h"
 #include "io/clock.h"
 
 #define TICK_S 0.1 /* between two rounds of planning */
@@ -26,7 +24,7 @@
 int
 orders_may_send(const at_orders_io_t *orders)
 {
-	return orders->entry->state != AT_ENTRY_STARTING &&
+	return *orders->deps.state != AT_ENTRY_STARTING &&
 	       at_lease_is_valid(
 		   orders->lease, at_clock_now_ms(), LEASE_SEND_MARGIN_MS);
 }
@@ -76,16 +74,16 @@
 static int
 is_candidate(const at_orders_io_t *orders)
 {
-	const at_entry_t *entry = orders->entry;
+	const at_orders_io_deps_t *deps = &orders->deps;
 	uint64_t now_us = at_clock_now_us();
 
 	if (at_lease_state(orders->lease) == AT_LEASE_HELD)
 		return 1;
-	return entry->state == AT_ENTRY_SERVING && entry->site != NULL &&
-	       !at_gossip_is_listening(entry->gossip) &&
-	       !at_reach_io_reaches_none(entry->reach) &&
-	       at_roster_is_task_owner(entry->roster, 0, 1,
-		   at_entry_is_platform_away(entry), now_us);
+	return *deps->state == AT_ENTRY_SERVING && *deps->site != NULL &&
+	       !at_gossip_is_listening(deps->gossip) &&
+	       !at_reach_io_reaches_none(deps->reach) &&
+	       at_roster_is_task_owner(deps->roster, 0, 1,
+		   deps->is_platform_away(deps->ctx), now_us);
 }
 
 /* The engines may have accepted orders from other holders. */
@@ -140,11 +138,11 @@
 static void
 process_lease(at_orders_io_t *orders)
 {
-	at_store_t *store = &orders->entry->store;
+	const at_store_t *store = &orders->deps.store;
 	at_lease_action_t action;
 
 	/* Orders cannot be sent; another instance takes over at once. */
-	if (at_reach_io_reaches_none(orders->entry->reach))
+	if (at_reach_io_reaches_none(orders->deps.reach))
 		at_lease_step_down(orders->lease);
 	at_lease_set_candidate(orders->lease, is_candidate(orders));
 	at_lease_process(orders->lease, at_clock_now_ms(), &action);
@@ -205,7 +203,7 @@
     const at_move_t *move)
 {
 	const at_site_model_t *model = at_site_find_model(service, move->model);
-	at_server_t *server = at_fleet_find(orders->entry->fleet, move->server);
+	at_server_t *server = at_fleet_find(orders->deps.fleet, move->server);
 	engine_t *engine = server == NULL ? NULL
 					  : engine_find_or_add(orders,
 						at_server_entry(server));
@@ -233,7 +231,7 @@
 	engine->order_started_us = at_clock_now_us();
 	at_server_note_model(server, &model->name, 0, at_clock_now_us());
 	orders_add_change(orders, move->server, &model->name, &none, 0);
-	at_gossip_send_soon(orders->entry->gossip);
+	at_gossip_send_soon(orders->deps.gossip);
 }
 
 static void
@@ -264,7 +262,7 @@
 	states.now_us = at_clock_now_us();
 	refill_store_load_tokens(orders, service, states.now_us);
 	limits.store_loads = (uint32_t)orders->store_load_tokens;
-	at_fleet_each(orders->entry->fleet, collect_engine, &states);
+	at_fleet_each(orders->deps.fleet, collect_engine, &states);
 	count = at_residency_plan(service, states.list, states.count,
 	    orders->demand, &limits, moves, ROUND_MOVES_MAX);
 	for (i = 0; i < count; i++) {
@@ -283,7 +281,7 @@
 announce_unload(engine_t *engine, uint64_t now_us)
 {
 	at_server_t *server =
-	    at_fleet_find(engine->orders->entry->fleet, engine->server);
+	    at_fleet_find(engine->orders->deps.fleet, engine->server);
 
 	if (server == NULL || engine->is_load ||
 	    engine->adapter.text[0] != '\0' ||
@@ -306,7 +304,7 @@
 	HASH_ITER(hh, orders->engines, engine, next)
 	{
 		const at_server_t *server =
-		    at_fleet_find(orders->entry->fleet, engine->server);
+		    at_fleet_find(orders->deps.fleet, engine->server);
 
 		announce_unload(engine, now_us);
 		if ((server == NULL || !at_server_is_listed(server)) &&
@@ -341,15 +339,16 @@
 on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	at_orders_io_t *orders = timer->data;
-	const at_entry_t *entry = orders->entry;
+	const at_orders_io_deps_t *deps = &orders->deps;
+	const at_site_t *site;
 	size_t i;
 
 	(void)loop;
 	(void)events;
 	at_demand_rates_clear_queued(orders->demand);
-	at_wait_queue_each(entry->queue, add_queued, orders);
+	at_wait_queue_each(deps->queue, add_queued, orders);
 	at_demand_rates_tick(orders->demand, at_clock_now_us());
-	at_fleet_expire_notes(entry->fleet, at_clock_now_us());
+	at_fleet_expire_notes(deps->fleet, at_clock_now_us());
 	process_lease(orders);
 	if (!orders_may_send(orders))
 		return;
@@ -359,9 +358,10 @@
 	if (at_clock_now_us() - orders->lease_taken_us < DEMAND_LEARN_US)
 		return;
 	adapters_prefetch(orders);
-	for (i = 0; i < entry->site->service_count; i++) {
-		if (entry->site->services[i]->has_models)
-			plan_moves(orders, entry->site->services[i]);
+	site = *deps->site;
+	for (i = 0; i < site->service_count; i++) {
+		if (site->services[i]->has_models)
+			plan_moves(orders, site->services[i]);
 	}
 }
 
@@ -369,7 +369,7 @@
 at_orders_io_note_demand(at_orders_io_t *orders, const at_work_t *work)
 {
 	const at_site_service_t *service =
-	    at_site_find_service(orders->entry->site, work->service);
+	    at_site_find_service(*orders->deps.site, work->service);
 	uint64_t now_us = at_clock_now_us();
 	at_work_t adapter;
 
@@ -387,20 +387,20 @@
 }
 
 at_orders_io_t *
-at_orders_io_new(at_entry_t *entry)
+at_orders_io_new(const at_orders_io_deps_t *deps)
 {
 	at_orders_io_t *orders = calloc(1, sizeof(*orders));
 
 	if (orders == NULL)
 		return NULL;
-	orders->entry = entry;
+	orders->deps = *deps;
 	orders->lease = at_lease_new();
 	orders->demand = at_demand_rates_new();
 	if (orders->lease == NULL || orders->demand == NULL) {
 		at_orders_io_delete(orders);
 		return NULL;
 	}
-	at_lease_set_term(orders->lease, entry->settings.lease_ms);
+	at_lease_set_term(orders->lease, deps->settings->lease_ms);
 	return orders;
 }
 
@@ -419,11 +419,11 @@
 void
 at_orders_io_start(at_orders_io_t *orders)
 {
-	at_lease_set_self(orders->lease, &orders->entry->identity.self);
+	at_lease_set_self(orders->lease, &orders->deps.identity->self);
 	ev_timer_init(
 	    &orders->tick, on_start_delay, START_DELAY_US / US_PER_S, 0.);
 	orders->tick.data = orders;
-	ev_timer_start(orders->entry->loop, &orders->tick);
+	ev_timer_start(orders->deps.loop, &orders->tick);
 }
 
 void
@@ -450,8 +450,8 @@
 
 	if (orders == NULL)
 		return;
-	ev_timer_stop(orders->entry->loop, &orders->tick);
-	ev_timer_stop(orders->entry->loop, &orders->adapter_timer);
+	ev_timer_stop(orders->deps.loop, &orders->tick);
+	ev_timer_stop(orders->deps.loop, &orders->adapter_timer);
 	HASH_ITER(hh, orders->engines, engine, next)
 	{
 		HASH_DEL(orders->engines, engine);
--- a/src/entry/orders.h
+++ b/src/entry/orders.h
@@ -8,11 +8,40 @@
 #ifndef ALMONDTHREAD_ENTRY_ORDERS_H
 #define ALMONDTHREAD_ENTRY_ORDERS_H
 
-#include "entry/entry.h"
 #include "entry/gossip.h"
+#include "entry/reach.h"
+#include "entry/server_notices.h"
+#include "entry/state.h"
+#include "io/httpc.h"
+#include "platform/store.h"
+
+typedef struct at_orders_io at_orders_io_t;
+
+/* What they need, borrowed. */
+typedef struct at_orders_io_deps {
+	struct ev_loop *loop;
+	at_counters_t *counters;
+	const at_identity_t *identity;
+	const at_entry_settings_t *settings;
+	const at_entry_state_t *state;
+	at_site_t *const *site; /* points to NULL before the first one */
+	at_fleet_t *fleet;
+	at_roster_t *roster;
+	at_wait_queue_t *queue;
+	at_httpc_t *httpc;
+	at_store_t store;
+	at_gossip_t *gossip;
+	at_reach_io_t *reach;
+	at_server_notices_t *notices;
+	/* Non-zero if the last calls to the platform failed. */
+	int (*is_platform_away)(void *ctx);
+	/* Engines have other models or adapters than before. */
+	void (*on_residents_changed)(void *ctx);
+	void *ctx;
+} at_orders_io_deps_t;
 
 /* at_orders_io_new() returns NULL if out of memory. */
-at_orders_io_t *at_orders_io_new(at_entry_t *entry);
+at_orders_io_t *at_orders_io_new(const at_orders_io_deps_t *deps);
 /* at_orders_io_start() starts the periodic rounds after a short delay. */
 void at_orders_io_start(at_orders_io_t *orders);
 void at_orders_io_delete(at_orders_io_t *orders);
--- a/src/entry/orders_adapters.c
+++ b/src/entry/orders_adapters.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/gossip.h"
 #include "entry/orders_impl.h"
 #include "io/clock.h"
 
@@ -178,7 +177,7 @@
 adapters_request(at_orders_io_t *orders, at_tag_t service,
     const at_name_t *model, const at_name_t *adapter)
 {
-	const at_site_t *site = orders->entry->site;
+	const at_site_t *site = *orders->deps.site;
 	const at_site_service_t *s =
 	    site == NULL ? NULL : at_site_find_service(site, service);
 	char text[2 * AT_NAME_SIZE];
@@ -196,7 +195,7 @@
 	target.adapter = at_tag_from_text(text);
 	if (was_requested_recently(orders, target.adapter, target.now_us))
 		return;
-	at_fleet_each(orders->entry->fleet, consider_server, &search);
+	at_fleet_each(orders->deps.fleet, consider_server, &search);
 	/* The requesting instance does not know this engine yet. */
 	if (target.resident_server != 0)
 		orders_add_change(
@@ -226,7 +225,7 @@
 at_orders_io_request_load(at_orders_io_t *orders, const at_work_t *work)
 {
 	if (!orders_may_send(orders))
-		at_gossip_send_demand_soon(orders->entry->gossip);
+		at_gossip_send_demand_soon(orders->deps.gossip);
 	else if (work->adapter != 0)
 		adapters_request(orders, work->service, work->model_name,
 		    work->adapter_name);
@@ -246,8 +245,7 @@
 adapters_request_queued(at_orders_io_t *orders)
 {
 	if (orders_may_send(orders))
-		at_wait_queue_each(
-		    orders->entry->queue, request_queued, orders);
+		at_wait_queue_each(orders->deps.queue, request_queued, orders);
 }
 
 /*
@@ -259,7 +257,7 @@
 {
 	const at_server_entry_t *entry = at_server_entry(server);
 	const at_site_service_t *service =
-	    at_site_find_service(orders->entry->site, entry->service);
+	    at_site_find_service(*orders->deps.site, entry->service);
 	at_name_t model;
 	at_name_t adapter;
 	engine_t *engine;
@@ -297,7 +295,7 @@
 {
 	prefetch_t prefetch_ctx = {orders, PREFETCHES_PER_ROUND};
 
-	at_fleet_each(orders->entry->fleet, prefetch_on_server, &prefetch_ctx);
+	at_fleet_each(orders->deps.fleet, prefetch_on_server, &prefetch_ctx);
 }
 
 static void
@@ -321,7 +319,7 @@
 			continue;
 		}
 		engine->adapter_ready_us = 0;
-		server = at_fleet_find(orders->entry->fleet, engine->server);
+		server = at_fleet_find(orders->deps.fleet, engine->server);
 		if (server == NULL)
 			continue;
 		at_server_note_adapter(
@@ -332,8 +330,8 @@
 		if (orders_may_send(orders))
 			(void)prefetch(orders, server);
 	}
-	at_gossip_send_soon(orders->entry->gossip);
-	at_entry_place_queued(orders->entry);
+	at_gossip_send_soon(orders->deps.gossip);
+	orders->deps.on_residents_changed(orders->deps.ctx);
 	if (due_us == 0)
 		return;
 	ev_timer_set(timer, (double)(due_us - now_us) / 1e6, 0.);
@@ -344,8 +342,7 @@
 adapters_note_accepted(engine_t *engine)
 {
 	at_orders_io_t *orders = engine->orders;
-	at_server_t *server =
-	    at_fleet_find(orders->entry->fleet, engine->server);
+	at_server_t *server = at_fleet_find(orders->deps.fleet, engine->server);
 	at_name_t model = engine->next_model;
 	at_name_t adapter = engine->next_adapter;
 
@@ -360,7 +357,7 @@
 		ev_timer_init(&orders->adapter_timer, on_adapter_timer,
 		    ADAPTER_LOAD_US / 1e6, 0.);
 		orders->adapter_timer.data = orders;
-		ev_timer_start(orders->entry->loop, &orders->adapter_timer);
+		ev_timer_start(orders->deps.loop, &orders->adapter_timer);
 		return;
 	}
 	at_server_note_adapter(server, &engine->model, &engine->adapter, 0);
--- a/src/entry/orders_impl.h
+++ b/src/entry/orders_impl.h
@@ -68,7 +68,7 @@
 } resident_change_t;
 
 struct at_orders_io {
-	at_entry_t *entry;
+	at_orders_io_deps_t deps;
 	at_lease_t *lease;
 	int lease_call_open;
 	int platform_away; /* the last call about the lease failed */
--- a/src/entry/orders_report.c
+++ b/src/entry/orders_report.c
@@ -119,7 +119,7 @@
 	static request_list_t requests;
 
 	requests.count = 0;
-	at_wait_queue_each(orders->entry->queue, add_request, &requests);
+	at_wait_queue_each(orders->deps.queue, add_request, &requests);
 	report->n_wants = requests.count;
 	report->wants = requests.list;
 }
@@ -142,8 +142,7 @@
 static void
 apply_change(at_orders_io_t *orders, const ReportAdapter *change)
 {
-	at_server_t *server =
-	    at_fleet_find(orders->entry->fleet, change->server);
+	at_server_t *server = at_fleet_find(orders->deps.fleet, change->server);
 	at_name_t model;
 	at_name_t adapter;
 
--- a/src/entry/orders_send.c
+++ b/src/entry/orders_send.c
@@ -11,9 +11,7 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/gossip.h"
 #include "entry/orders_impl.h"
-#include "entry/server_notices.h"
 #include "io/clock.h"
 
 #define REPORT_INTERVAL_US 150000u /* between two fetches of a report */
@@ -71,7 +69,7 @@
     const char *name)
 {
 	const at_site_service_t *service =
-	    at_site_find_service(orders->entry->site, entry->service);
+	    at_site_find_service(*orders->deps.site, entry->service);
 	const at_site_model_t *model =
 	    service == NULL
 		? NULL
@@ -124,8 +122,7 @@
 {
 	engine_t *engine = ctx;
 	at_orders_io_t *orders = engine->orders;
-	at_server_t *server =
-	    at_fleet_find(orders->entry->fleet, engine->server);
+	at_server_t *server = at_fleet_find(orders->deps.fleet, engine->server);
 	int is_adapter = engine->adapter.text[0] != '\0';
 
 	at_log(AT_LOG_INFO, "orders", NULL,
@@ -136,7 +133,7 @@
 	    server == NULL ? "gone" : at_server_entry(server)->id.text,
 	    engine->is_load ? "load" : "unload", engine->model.text,
 	    engine->adapter.text, engine->accepted_count);
-	at_counters_add(orders->entry->counters, "orders_total", "answer",
+	at_counters_add(orders->deps.counters, "orders_total", "answer",
 	    at_order_response_names[response], 1);
 	engine->state = ENGINE_IDLE;
 	if (server == NULL)
@@ -168,12 +165,12 @@
     const at_name_t *adapter)
 {
 	at_orders_io_t *orders = engine->orders;
-	at_entry_t *entry = orders->entry;
-	at_server_t *server = at_fleet_find(entry->fleet, engine->server);
+	const at_orders_io_deps_t *deps = &orders->deps;
+	at_server_t *server = at_fleet_find(deps->fleet, engine->server);
 	at_engine_order_t order = {.is_load = is_load,
 	    .model = model->text,
 	    .adapter = adapter == NULL ? NULL : adapter->text,
-	    .holder = entry->settings.name,
+	    .holder = deps->settings->name,
 	    .fence = at_lease_fencing_token(orders->lease)};
 
 	at_name_t none = {.text = ""};
@@ -186,7 +183,7 @@
 	engine->adapter = adapter == NULL ? none : *adapter;
 	order.expect_sequence = engine->accepted_count;
 	engine->order_started_us = at_clock_now_us();
-	if (at_engine_order_send(entry->httpc, at_server_entry(server), &order,
+	if (at_engine_order_send(deps->httpc, at_server_entry(server), &order,
 		on_order_response, engine) == 0)
 		engine->state = ENGINE_ORDER_SENT;
 }
@@ -223,8 +220,8 @@
 	if (had_order)
 		orders_add_change(orders, engine->server, &engine->model,
 		    &engine->adapter, is_resident);
-	at_gossip_send_soon(orders->entry->gossip);
-	at_entry_place_queued(orders->entry);
+	at_gossip_send_soon(orders->deps.gossip);
+	orders->deps.on_residents_changed(orders->deps.ctx);
 }
 
 static int
@@ -245,15 +242,14 @@
 {
 	engine_t *engine = ctx;
 	at_server_t *server =
-	    at_fleet_find(engine->orders->entry->fleet, engine->server);
+	    at_fleet_find(engine->orders->deps.fleet, engine->server);
 	uint64_t now_us = at_clock_now_us();
 
 	engine->report_pending = 0;
 	if (server == NULL)
 		return;
 	if (report != NULL && report->is_leaving)
-		at_server_notices_leaving(
-		    engine->orders->entry->notices, server);
+		at_server_notices_leaving(engine->orders->deps.notices, server);
 	if (engine->state == ENGINE_IDLE)
 		return;
 	engine->report_due_us = now_us + REPORT_INTERVAL_US;
@@ -273,12 +269,12 @@
 void
 engine_fetch_report(engine_t *engine)
 {
-	at_entry_t *entry = engine->orders->entry;
-	at_server_t *server = at_fleet_find(entry->fleet, engine->server);
+	const at_orders_io_deps_t *deps = &engine->orders->deps;
+	at_server_t *server = at_fleet_find(deps->fleet, engine->server);
 
 	if (server == NULL)
 		return;
-	if (at_engine_report_fetch(entry->httpc, at_server_entry(server),
+	if (at_engine_report_fetch(deps->httpc, at_server_entry(server),
 		on_engine_report, engine) == 0)
 		engine->report_pending = 1;
 }
