entry: calls get what they use; attempts tell observers

The files of a call were handed the whole instance and called crashes, notices, reach, origins and the gossip by name from call_attempt.c. at_calls_t now has the open requests and what they borrow. An attempt tells what happens to it (attempt_events.h: sent, connected, received, stated, first event, origin, begun, refused, rejected, lost, ended) to observers: the log, reach, notices, health of servers, crashes and origins, in this order, which is that of the calls before.

Tests: two read the number of open requests by at_calls_count().

--- a/src/entry/call.c
+++ b/src/entry/call.c
@@ -18,7 +18,7 @@
 #define REFUSAL_BODY_SIZE 320 /* bytes of a refusal's body, with the NUL */
 
 void
-call_reply_refusal(at_entry_t *entry, at_httpd_request_t *request,
+call_reply_refusal(const at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, const refusal_t *refusal)
 {
 	at_caller_headers_t headers;
@@ -31,7 +31,7 @@
 							     : "false",
 	    refusal->retry_after_ms);
 
-	at_counters_add_refusal(entry->counters, refusal->reason);
+	at_counters_add_refusal(calls->deps.counters, refusal->reason);
 	at_caller_refusal_headers(header, refusal->retry_after_ms, &headers);
 	at_httpd_reply(
 	    request, refusal->status, headers.entries, body, (size_t)len);
@@ -49,19 +49,19 @@
 void
 call_free(at_call_t *call)
 {
-	at_entry_t *entry = call->entry;
+	at_calls_t *calls = call->calls;
 	size_t i;
 
 	end_attempts(call);
-	at_wait_queue_remove(entry->queue, &call->waiter);
-	ev_timer_stop(entry->loop, &call->timer);
+	at_wait_queue_remove(calls->deps.queue, &call->waiter);
+	ev_timer_stop(calls->deps.loop, &call->timer);
 	if (call->prev != NULL)
 		call->prev->next = call->next;
 	else
-		entry->calls = call->next;
+		calls->first = call->next;
 	if (call->next != NULL)
 		call->next->prev = call->prev;
-	entry->call_count--;
+	calls->count--;
 	for (i = 0; i < OPEN_ATTEMPTS_MAX; i++)
 		buffered_response_reset(&call->open_attempts[i].response);
 	buffered_response_reset(&call->failure_response);
@@ -71,11 +71,30 @@
 	free(call);
 }
 
+at_calls_t *
+at_calls_new(const at_calls_deps_t *deps)
+{
+	at_calls_t *calls = calloc(1, sizeof(*calls));
+
+	if (calls != NULL)
+		calls->deps = *deps;
+	return calls;
+}
+
+size_t
+at_calls_count(const at_calls_t *calls)
+{
+	return calls->count;
+}
+
 void
-at_calls_delete(at_entry_t *entry)
+at_calls_delete(at_calls_t *calls)
 {
-	while (entry->calls != NULL)
-		call_free(entry->calls);
+	if (calls == NULL)
+		return;
+	while (calls->first != NULL)
+		call_free(calls->first);
+	free(calls);
 }
 
 void
@@ -93,9 +112,9 @@
 		return;
 	if (due > now)
 		wait_s = (double)(due - now) / AT_MS_PER_S;
-	ev_timer_stop(call->entry->loop, &call->timer);
+	ev_timer_stop(call->calls->deps.loop, &call->timer);
 	ev_timer_set(&call->timer, wait_s, 0.);
-	ev_timer_start(call->entry->loop, &call->timer);
+	ev_timer_start(call->calls->deps.loop, &call->timer);
 	call->timer_due_ms = due;
 }
 
@@ -133,7 +152,7 @@
 	    outcome, at_reason_names[reason], status, call->route->name.text,
 	    call->workspace == NULL ? "-" : call->workspace->name.text,
 	    call->header.model.text, call->header.adapter.text,
-	    call->site->version, call->entry->site->version,
+	    call->site->version, (*call->calls->deps.site)->version,
 	    call->current->server_id.text,
 	    call->current->server_id.text[0] == '\0'
 		? 0
@@ -211,7 +230,8 @@
 	}
 	log_end(call, "answered", AT_REASON_NONE,
 	    call->current->response.status, 0);
-	at_counters_add(call->entry->counters, "answers_total", NULL, NULL, 1);
+	at_counters_add(
+	    call->calls->deps.counters, "answers_total", NULL, NULL, 1);
 }
 
 /* Only a request that has certainly not run may be reported as not run. */
@@ -239,7 +259,7 @@
 {
 	if (call->workspace != NULL)
 		at_quota_refund(
-		    call->entry->quota, call->workspace->tag, call->units);
+		    call->calls->deps.quota, call->workspace->tag, call->units);
 	call->units = 0;
 }
 
@@ -252,10 +272,11 @@
 		refund_units(call);
 	if (action->reason == AT_REASON_CALLER_GONE) {
 		log_end(call, "left", action->reason, 0, 0);
-		at_counters_add_refusal(call->entry->counters, action->reason);
+		at_counters_add_refusal(
+		    call->calls->deps.counters, action->reason);
 	} else if (call->response_started) {
 		log_end(call, "cut", action->reason, 0, 0);
-		at_counters_add(call->entry->counters, "answers_cut_total",
+		at_counters_add(call->calls->deps.counters, "answers_cut_total",
 		    "reason", at_reason_names[action->reason], 1);
 		if (call->request != NULL)
 			at_httpd_stream_fail(call->request);
@@ -267,7 +288,7 @@
 		log_end(call, "refused", action->reason, refusal.status,
 		    refusal.retry_after_ms);
 		if (call->request != NULL)
-			call_reply_refusal(call->entry, call->request,
+			call_reply_refusal(call->calls, call->request,
 			    &call->header, &refusal);
 	}
 }
@@ -285,7 +306,7 @@
 			continue;
 		/* A relayed one may be silent for the other instance's sake. */
 		if (!attempt->is_silent && attempt->relay == 0 &&
-		    !at_reach_io_reaches_none(call->entry->reach))
+		    !at_reach_io_reaches_none(call->calls->deps.reach))
 			at_server_note_silent(
 			    attempt->server, at_clock_now_us());
 		attempt->is_silent = 1;
@@ -319,7 +340,7 @@
 static void
 place_attempt(at_call_t *call, const at_action_t *action)
 {
-	at_entry_t *entry = call->entry;
+	at_calls_t *calls = call->calls;
 	uint64_t now_us = at_clock_now_us();
 	at_admission_decision_t decision;
 
@@ -335,7 +356,7 @@
 		return;
 	}
 	if (action->attempt > 0)
-		at_counters_add_retry(entry->counters, action->reason);
+		at_counters_add_retry(calls->deps.counters, action->reason);
 	if (action->is_hedge)
 		note_silence(call, action);
 	if (call->caller_timeout_us != 0)
@@ -343,7 +364,8 @@
 		    (call->response_started ? call->last_event_us
 					    : call->started_us) +
 		    call->caller_timeout_us;
-	at_wait_queue_decide(entry->queue, &call->waiter, now_us, &decision);
+	at_wait_queue_decide(
+	    calls->deps.queue, &call->waiter, now_us, &decision);
 	if (decision.admission == AT_ADMISSION_PLACED) {
 		call_attempt_start(call, action->attempt, &decision.choice);
 		return;
@@ -354,11 +376,12 @@
 	    at_admission_names[decision.admission],
 	    at_choice_result_names[decision.choice_result],
 	    decision.choice.candidates, decision.wait_us,
-	    at_wait_queue_count(entry->queue), call->header.model.text);
+	    at_wait_queue_count(calls->deps.queue), call->header.model.text);
 	if (decision.choice_result == AT_CHOICE_NOT_RESIDENT)
-		at_orders_io_request_load(entry->orders, &call->waiter.work);
+		at_orders_io_request_load(
+		    calls->deps.orders, &call->waiter.work);
 	if (decision.admission == AT_ADMISSION_QUEUED) {
-		at_wait_queue_add(entry->queue, &call->waiter);
+		at_wait_queue_add(calls->deps.queue, &call->waiter);
 		return;
 	}
 	call->retry_after_ms = decision.retry_after_ms;
@@ -390,10 +413,11 @@
 		    "had_event=%d",
 		    number, attempt->server_id.text, at_reason_names[reason],
 		    attempt->had_event);
-	call_attempt_end(attempt,
-	    attempt->relay != 0 || at_reach_io_reaches_none(call->entry->reach)
-		? AT_OUTCOME_UNKNOWN
-		: outcome_from_reason(reason));
+	call_attempt_end(
+	    attempt, attempt->relay != 0 ||
+			     at_reach_io_reaches_none(call->calls->deps.reach)
+			 ? AT_OUTCOME_UNKNOWN
+			 : outcome_from_reason(reason));
 }
 
 static void
@@ -402,7 +426,7 @@
 	call_attempt_t *delivered = call_attempt_find(call, action->attempt);
 
 	call->is_finished = 1;
-	at_wait_queue_remove(call->entry->queue, &call->waiter);
+	at_wait_queue_remove(call->calls->deps.queue, &call->waiter);
 	if (delivered != NULL)
 		call->current = delivered;
 	if (action->verdict == AT_VERDICT_RAN)
@@ -435,10 +459,10 @@
 	/* An attempt that was queued is cancelled without an action. */
 	if (at_attempts_state(call->attempts, call->queued_attempt) !=
 	    AT_ATTEMPT_PLACING)
-		at_wait_queue_remove(call->entry->queue, &call->waiter);
+		at_wait_queue_remove(call->calls->deps.queue, &call->waiter);
 	call->is_processing = 0;
 	call_set_timer(call);
-	at_entry_place_queued(call->entry);
+	at_calls_place_queued(call->calls);
 }
 
 /*
@@ -509,19 +533,19 @@
 	    at_call_t *)(void *)((char *)waiter - offsetof(at_call_t, waiter));
 }
 
-void
-at_calls_place(at_entry_t *entry)
+static void
+place_all(at_calls_t *calls)
 {
 	uint64_t now_us = at_clock_now_us();
 	at_waiter_t *waiter;
 	at_choice_t choice;
 
 	while ((waiter = at_wait_queue_take_placeable(
-		    entry->queue, now_us, &choice)) != NULL) {
+		    calls->deps.queue, now_us, &choice)) != NULL) {
 		at_call_t *call = call_from_waiter(waiter);
 
 		call->waited_us = now_us - call->started_us;
-		at_counters_observe(entry->counters, "waited_ms", "route",
+		at_counters_observe(calls->deps.counters, "waited_ms", "route",
 		    at_route_type_names[call->route->type],
 		    call->waited_us / US_PER_MS);
 		if (has_left(call))
@@ -535,18 +559,34 @@
 }
 
 void
-at_calls_expire(at_entry_t *entry)
+at_calls_place_queued(at_calls_t *calls)
+{
+	/* Placing a request may free slots for others. */
+	if (calls->is_placing) {
+		calls->placing_pending = 1;
+		return;
+	}
+	calls->is_placing = 1;
+	do {
+		calls->placing_pending = 0;
+		place_all(calls);
+	} while (calls->placing_pending);
+	calls->is_placing = 0;
+}
+
+void
+at_calls_expire(at_calls_t *calls)
 {
 	at_waiter_t *waiter;
 
 	while ((waiter = at_wait_queue_take_expired(
-		    entry->queue, at_clock_now_us())) != NULL) {
+		    calls->deps.queue, at_clock_now_us())) != NULL) {
 		at_call_t *call = call_from_waiter(waiter);
 		at_admission_decision_t decision;
 
 		call->waited_us = at_clock_now_us() - call->started_us;
 		at_wait_queue_decide(
-		    entry->queue, waiter, at_clock_now_us(), &decision);
+		    calls->deps.queue, waiter, at_clock_now_us(), &decision);
 		call->retry_after_ms = decision.retry_after_ms;
 		if (decision.admission == AT_ADMISSION_PLACED)
 			call_attempt_start(
@@ -564,15 +604,15 @@
 }
 
 void
-at_calls_refuse_queued(at_entry_t *entry)
+at_calls_refuse_queued(at_calls_t *calls)
 {
 	at_call_t *call;
 
-	for (call = entry->calls; call != NULL; call = call->next) {
+	for (call = calls->first; call != NULL; call = call->next) {
 		/* A refusal can no longer be sent; the stream would be cut. */
 		if (!call->waiter.is_queued || call->response_started)
 			continue;
-		at_wait_queue_remove(entry->queue, &call->waiter);
+		at_wait_queue_remove(calls->deps.queue, &call->waiter);
 		call->retry_after_ms = STOPPING_RETRY_MS;
 		at_attempts_on_not_placed(call->attempts, call->queued_attempt,
 		    AT_REASON_STOPPING, at_clock_now_ms());
@@ -581,11 +621,11 @@
 }
 
 void
-at_calls_abandon(at_entry_t *entry)
+at_calls_abandon(at_calls_t *calls)
 {
 	at_call_t *call;
 
-	for (call = entry->calls; call != NULL; call = call->next) {
+	for (call = calls->first; call != NULL; call = call->next) {
 		call->retry_after_ms = STOPPING_RETRY_MS;
 		at_attempts_abandon(call->attempts, AT_REASON_STOPPING);
 		call_process(call);
--- a/src/entry/call_admit.c
+++ b/src/entry/call_admit.c
@@ -9,11 +9,6 @@
 
 #include "almondthread/log.h"
 #include "entry/call_impl.h"
-#include "entry/gossip.h"
-#include "entry/join.h"
-#include "entry/orders.h"
-#include "entry/retry_budgets.h"
-#include "entry/sync.h"
 #include "io/clock.h"
 #include "platform/caller.h"
 
@@ -48,10 +43,11 @@
 
 /* Refuses a request before a call is created for it. */
 static void
-refuse_request(at_entry_t *entry, at_httpd_request_t *request,
+refuse_request(at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, at_reason_t reason,
     uint32_t retry_after_ms, const char *detail)
 {
+	const at_site_t *site = *calls->deps.site;
 	const refusal_t refusal = {
 	    reason, at_reason_status(reason), retry_after_ms};
 
@@ -59,14 +55,14 @@
 	    "refused at admission reason=%s status=%d retry_after_ms=%u "
 	    "config=%" PRIu64 " %s",
 	    at_reason_names[reason], refusal.status, retry_after_ms,
-	    entry->site == NULL ? 0 : entry->site->version, detail);
-	call_reply_refusal(entry, request, header, &refusal);
+	    site == NULL ? 0 : site->version, detail);
+	call_reply_refusal(calls, request, header, &refusal);
 }
 
 void
 at_call_handle_fault(void *ctx, at_httpd_request_t *request)
 {
-	at_entry_t *entry = ctx;
+	at_calls_t *calls = ctx;
 	at_request_header_t header;
 	at_reason_t reason =
 	    at_httpd_fault(request) == AT_HTTPD_HEADER_TOO_LARGE
@@ -74,7 +70,7 @@
 		: AT_REASON_BODY_TOO_LARGE;
 
 	(void)at_caller_parse_headers(request, &header);
-	refuse_request(entry, request, &header, reason, 0, "");
+	refuse_request(calls, request, &header, reason, 0, "");
 }
 
 static void
@@ -174,13 +170,13 @@
 	at_attempts_set_resumable(
 	    call->attempts, route->type == AT_ROUTE_STREAM && may_repeat);
 	at_attempts_set_budget(
-	    call->attempts, at_retry_budgets_get(call->entry->retries,
+	    call->attempts, at_retry_budgets_get(call->calls->deps.retries,
 				call->service->tag, now_ms));
 	at_attempts_init(call->attempts, now_ms);
 }
 
 static at_call_t *
-call_new(at_entry_t *entry, at_httpd_request_t *request,
+call_new(at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header)
 {
 	at_call_t *call = calloc(1, sizeof(*call));
@@ -188,7 +184,7 @@
 
 	if (call == NULL)
 		return NULL;
-	call->entry = entry;
+	call->calls = calls;
 	for (i = 0; i < OPEN_ATTEMPTS_MAX; i++) {
 		call->open_attempts[i].call = call;
 		call->open_attempts[i].number = AT_ATTEMPT_NONE;
@@ -196,7 +192,7 @@
 	call->current = &call->open_attempts[0];
 	call->request = request;
 	call->header = *header;
-	call->site = at_site_ref(entry->site);
+	call->site = at_site_ref(*calls->deps.site);
 	call->started_us = at_clock_now_us();
 	(void)snprintf(call->id, sizeof(call->id), "%s",
 	    header->id == NULL ? "" : header->id);
@@ -204,11 +200,11 @@
 	/* After a stall, data that has arrived is read before time-outs. */
 	ev_set_priority(&call->timer, EV_MINPRI);
 	call->timer.data = call;
-	call->next = entry->calls;
+	call->next = calls->first;
 	if (call->next != NULL)
 		call->next->prev = call;
-	entry->calls = call;
-	entry->call_count++;
+	calls->first = call;
+	calls->count++;
 	call->attempts = at_attempts_new();
 	at_server_call_copy_headers(request, &call->request_headers);
 	if (call->attempts == NULL || call->request_headers.failed) {
@@ -220,7 +216,7 @@
 
 /* Charges the request's units to the quota, or refuses it and returns -1. */
 static int
-charge_quota(at_entry_t *entry, at_httpd_request_t *request,
+charge_quota(at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, const at_site_workspace_t *workspace,
     uint64_t *units)
 {
@@ -233,19 +229,19 @@
 			     ? (uint64_t)header->prompt_tokens +
 				   header->output_max_tokens
 			     : workspace->default_units;
-	retry_ms =
-	    at_quota_take(entry->quota, workspace, *units, at_clock_now_us());
+	retry_ms = at_quota_take(
+	    calls->deps.quota, workspace, *units, at_clock_now_us());
 	if (retry_ms == 0)
 		return 0;
 	(void)snprintf(detail, sizeof(detail),
 	    "workspace=%s units=%" PRIu64 " level=%" PRId64
 	    " recent_deficit=%" PRId64,
 	    workspace->name.text, *units,
-	    at_quota_level(entry->quota, workspace->tag),
+	    at_quota_level(calls->deps.quota, workspace->tag),
 	    at_quota_recent_deficit(
-		entry->quota, workspace->tag, at_clock_now_us()));
+		calls->deps.quota, workspace->tag, at_clock_now_us()));
 	refuse_request(
-	    entry, request, header, AT_REASON_OVER_RATE, retry_ms, detail);
+	    calls, request, header, AT_REASON_OVER_RATE, retry_ms, detail);
 	return -1;
 }
 
@@ -260,15 +256,15 @@
  * 0. Without the platform, the list may lack servers of another version.
  */
 static at_tag_t
-only_version(at_entry_t *entry, at_tag_t service)
+only_version(at_calls_t *calls, at_tag_t service)
 {
-	if (!at_sync_is_complete(entry->sync) ||
-	    !at_join_is_complete(entry->join) ||
-	    at_entry_is_platform_away(entry))
+	const at_calls_deps_t *deps = &calls->deps;
+
+	if (!deps->is_list_current(deps->ctx))
 		return 0;
-	at_gossip_note_versions(entry->gossip);
+	at_gossip_note_versions(deps->gossip);
 	return at_stream_origins_only_version(
-	    entry->origins, service, at_clock_now_us());
+	    calls->deps.origins, service, at_clock_now_us());
 }
 
 /*
@@ -276,7 +272,7 @@
  * the request and returns -1 if it resumes a stream whose version is unknown.
  */
 static int
-find_software(at_entry_t *entry, at_httpd_request_t *request,
+find_software(at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, const at_site_route_t *route,
     at_tag_t service, at_tag_t *software)
 {
@@ -289,10 +285,10 @@
 	    (resumes == NULL && header->resume_after == NULL))
 		return 0;
 	if (resumes != NULL)
-		*software = at_stream_origins_find(entry->origins,
+		*software = at_stream_origins_find(calls->deps.origins,
 		    at_tag_from_text(resumes), at_clock_now_us());
 	if (*software == 0) {
-		*software = only_version(entry, service);
+		*software = only_version(calls, service);
 		source = "only_version";
 	}
 	if (*software != 0) {
@@ -306,8 +302,8 @@
 	}
 	(void)snprintf(detail, sizeof(detail), "stream=%s origins=%zu",
 	    resumes == NULL ? "-" : resumes,
-	    at_stream_origins_count(entry->origins));
-	refuse_request(entry, request, header, AT_REASON_UNKNOWN_ORIGIN,
+	    at_stream_origins_count(calls->deps.origins));
+	refuse_request(calls, request, header, AT_REASON_UNKNOWN_ORIGIN,
 	    UNKNOWN_ORIGIN_RETRY_MS, detail);
 	return -1;
 }
@@ -326,32 +322,34 @@
 }
 
 static void
-start_call(at_entry_t *entry, at_httpd_request_t *request,
+start_call(at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, const at_site_route_t *route,
     const at_site_workspace_t *workspace)
 {
-	const at_site_service_t *service = at_site_find_service(
-	    entry->site, at_site_pick_target(route, at_rng_next(&entry->rng)));
+	const at_site_service_t *service =
+	    at_site_find_service((*calls->deps.site),
+		at_site_pick_target(route, at_rng_next(calls->deps.rng)));
 	uint64_t units = 0;
 	at_tag_t software;
 	at_call_t *call;
 
 	if (service == NULL) {
-		refuse_request(entry, request, header, AT_REASON_NO_BACKEND,
+		refuse_request(calls, request, header, AT_REASON_NO_BACKEND,
 		    NO_CONFIG_RETRY_MS, "error=unknown_service");
 		return;
 	}
 	if (find_software(
-		entry, request, header, route, service->tag, &software) != 0)
+		calls, request, header, route, service->tag, &software) != 0)
 		return;
 	if (workspace != NULL &&
-	    charge_quota(entry, request, header, workspace, &units) != 0)
+	    charge_quota(calls, request, header, workspace, &units) != 0)
 		return;
-	call = call_new(entry, request, header);
+	call = call_new(calls, request, header);
 	if (call == NULL) {
 		if (workspace != NULL)
-			at_quota_refund(entry->quota, workspace->tag, units);
-		refuse_request(entry, request, header, AT_REASON_OVERLOAD,
+			at_quota_refund(
+			    calls->deps.quota, workspace->tag, units);
+		refuse_request(calls, request, header, AT_REASON_OVERLOAD,
 		    NO_CONFIG_RETRY_MS, "error=no_memory");
 		return;
 	}
@@ -362,7 +360,7 @@
 	call->stream = stream_tag(header, route);
 	fill_waiter(call, header);
 	call->waiter.work.software = software;
-	at_orders_io_note_demand(entry->orders, &call->waiter.work);
+	at_orders_io_note_demand(calls->deps.orders, &call->waiter.work);
 	call_attach(call);
 	start_attempts(call);
 	call_process(call);
@@ -372,59 +370,59 @@
  * Returns 0 with the caller's workspace, or refuses the request and returns -1.
  */
 static int
-authenticate(at_entry_t *entry, at_httpd_request_t *request,
+authenticate(at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, const at_site_route_t *route,
     const at_site_workspace_t **workspace)
 {
 	*workspace = NULL;
-	if (route->is_public || entry->site->workspace_count == 0)
+	if (route->is_public || (*calls->deps.site)->workspace_count == 0)
 		return 0;
 	if (header->key == NULL) {
 		refuse_request(
-		    entry, request, header, AT_REASON_MISSING_KEY, 0, "");
+		    calls, request, header, AT_REASON_MISSING_KEY, 0, "");
 		return -1;
 	}
-	*workspace = at_site_find_workspace(entry->site, header->key);
+	*workspace = at_site_find_workspace((*calls->deps.site), header->key);
 	if (*workspace != NULL)
 		return 0;
-	refuse_request(entry, request, header, AT_REASON_UNKNOWN_KEY, 0, "");
+	refuse_request(calls, request, header, AT_REASON_UNKNOWN_KEY, 0, "");
 	return -1;
 }
 
 void
 at_call_handle(void *ctx, at_httpd_request_t *request)
 {
-	at_entry_t *entry = ctx;
+	at_calls_t *calls = ctx;
 	const at_site_route_t *route;
 	const at_site_workspace_t *workspace;
 	at_request_header_t header;
 	const char *fault = at_caller_parse_headers(request, &header);
 
-	at_counters_add(entry->counters, "requests_total", NULL, NULL, 1);
+	at_counters_add(calls->deps.counters, "requests_total", NULL, NULL, 1);
 	/* The request would not end before this process does. */
-	if (entry->state == AT_ENTRY_STOPPING) {
-		refuse_request(entry, request, &header, AT_REASON_STOPPING,
+	if (*calls->deps.state == AT_ENTRY_STOPPING) {
+		refuse_request(calls, request, &header, AT_REASON_STOPPING,
 		    STOPPING_RETRY_MS, "");
 		return;
 	}
-	if (entry->site == NULL) {
-		refuse_request(entry, request, &header, AT_REASON_NO_CONFIG,
+	if ((*calls->deps.site) == NULL) {
+		refuse_request(calls, request, &header, AT_REASON_NO_CONFIG,
 		    NO_CONFIG_RETRY_MS, "");
 		return;
 	}
 	route = at_site_find_route(
-	    entry->site, header.host, at_httpd_target(request));
+	    (*calls->deps.site), header.host, at_httpd_target(request));
 	if (route == NULL) {
 		refuse_request(
-		    entry, request, &header, AT_REASON_UNKNOWN_ROUTE, 0, "");
+		    calls, request, &header, AT_REASON_UNKNOWN_ROUTE, 0, "");
 		return;
 	}
 	if (fault != NULL) {
 		refuse_request(
-		    entry, request, &header, AT_REASON_BAD_REQUEST, 0, fault);
+		    calls, request, &header, AT_REASON_BAD_REQUEST, 0, fault);
 		return;
 	}
-	if (authenticate(entry, request, &header, route, &workspace) != 0)
+	if (authenticate(calls, request, &header, route, &workspace) != 0)
 		return;
-	start_call(entry, request, &header, route, workspace);
+	start_call(calls, request, &header, route, workspace);
 }
--- a/src/entry/call_crashes.c
+++ b/src/entry/call_crashes.c
@@ -14,8 +14,8 @@
 #define BLOCKED_RETRY_MS 60000u
 #define SUSPECT_RETRY_MS 1000u
 
-static void
-fill_parts(const at_call_t *call, at_request_parts_t *parts)
+void
+call_fill_parts(const at_call_t *call, at_request_parts_t *parts)
 {
 	size_t body_len;
 	const void *body;
@@ -33,45 +33,28 @@
 void
 call_keep_parts(at_call_t *call)
 {
-	fill_parts(call, &call->parts);
-}
-
-void
-call_note_lost(const call_attempt_t *attempt)
-{
-	const at_call_t *call = attempt->call;
-	at_request_parts_t parts;
-
-	if (attempt->is_begun || attempt->server == NULL)
-		return;
-	fill_parts(call, &parts);
-	at_server_crashes_note_lost(
-	    call->entry->crashes, at_server_entry(attempt->server), &parts);
+	call_fill_parts(call, &call->parts);
 }
 
 void
 call_note_begun(call_attempt_t *attempt)
 {
-	at_request_parts_t parts;
-
 	if (attempt->is_begun)
 		return;
 	attempt->is_begun = 1;
-	fill_parts(attempt->call, &parts);
-	at_server_crashes_note_begun(
-	    attempt->call->entry->crashes, &parts, attempt->first_event_us);
+	call_notify_kind(attempt, AT_ATTEMPT_EVENT_BEGUN);
 }
 
 int
 call_is_refused_for_crashes(at_call_t *call, int may_try)
 {
-	at_server_crashes_t *crashes = call->entry->crashes;
+	at_server_crashes_t *crashes = call->calls->deps.crashes;
 	const at_crash_verdict_t *verdict;
 	at_request_parts_t parts;
 
 	if (!at_server_crashes_has_verdicts(crashes))
 		return 0;
-	fill_parts(call, &parts);
+	call_fill_parts(call, &parts);
 	verdict = at_server_crashes_check(crashes, &parts, may_try);
 	if (verdict == NULL)
 		return 0;
@@ -105,8 +88,8 @@
 	const at_crash_verdict_t *verdict;
 	at_request_parts_t parts;
 
-	fill_parts(call, &parts);
-	verdict = at_server_crashes_check(call->entry->crashes, &parts, 0);
+	call_fill_parts(call, &parts);
+	verdict = at_server_crashes_check(call->calls->deps.crashes, &parts, 0);
 	return verdict != NULL && verdict->state == AT_CAUSE_BLOCKED;
 }
 
@@ -115,7 +98,7 @@
 apply_verdicts(at_call_t *call)
 {
 	if (call->waiter.is_queued && call_is_refused_for_crashes(call, 0)) {
-		at_wait_queue_remove(call->entry->queue, &call->waiter);
+		at_wait_queue_remove(call->calls->deps.queue, &call->waiter);
 		at_attempts_on_not_placed(call->attempts, call->queued_attempt,
 		    AT_REASON_CRASHES_BACKEND, at_clock_now_ms());
 		call_process(call);
@@ -129,13 +112,13 @@
 }
 
 void
-at_calls_apply_verdicts(at_entry_t *entry)
+at_calls_apply_verdicts(at_calls_t *calls)
 {
 	at_call_t *call;
 
-	if (!at_server_crashes_has_verdicts(entry->crashes))
+	if (!at_server_crashes_has_verdicts(calls->deps.crashes))
 		return;
-	for (call = entry->calls; call != NULL; call = call->next) {
+	for (call = calls->first; call != NULL; call = call->next) {
 		if (!call->is_finished && !call->is_processing)
 			apply_verdicts(call);
 	}
--- a/src/entry/call_impl.h
+++ b/src/entry/call_impl.h
@@ -1,7 +1,9 @@
 /*
  * call_impl.h - types shared by the files of a call: call_admit.c checks and
  * admits a request, call.c has the request and its caller, call_attempt.c one
- * attempt at one backend server.
+ * attempt at one backend server, call_response.c its response, call_events.c
+ * tells the observers and call_log.c is one of them, call_crashes.c has what
+ * crashes of servers have to do with a call.
  */
 #ifndef ALMONDTHREAD_ENTRY_CALL_IMPL_H
 #define ALMONDTHREAD_ENTRY_CALL_IMPL_H
@@ -28,6 +30,8 @@
 	size_t *total_bytes; /* of the instance, with size; NULL: no body */
 } buffered_response_t;
 
+typedef struct at_call at_call_t;
+
 /* One attempt at one backend server. */
 typedef struct call_attempt {
 	at_call_t *call;
@@ -58,8 +62,17 @@
 	at_event_frames_t frames;
 } call_attempt_t;
 
+struct at_calls {
+	at_calls_deps_t deps;
+	at_call_t *first;
+	size_t count;
+	size_t buffered_bytes; /* of all buffered responses */
+	int is_placing;        /* queued requests are being placed */
+	int placing_pending;   /* slots became free since */
+};
+
 struct at_call {
-	at_entry_t *entry;
+	at_calls_t *calls;
 	at_call_t *next;
 	at_call_t *prev;
 	at_httpd_request_t *request; /* NULL: the caller has closed */
@@ -121,7 +134,7 @@
 void call_free(at_call_t *call);
 void call_on_timer(struct ev_loop *loop, ev_timer *timer, int events);
 void call_attach(at_call_t *call);
-void call_reply_refusal(at_entry_t *entry, at_httpd_request_t *request,
+void call_reply_refusal(const at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, const refusal_t *refusal);
 /*
  * call_attempt_start() sends the request to the chosen backend server; a
@@ -138,14 +151,29 @@
 int call_attempt_is_open(const call_attempt_t *attempt);
 /* call_attempt_find() returns the attempt with this number; NULL: none. */
 call_attempt_t *call_attempt_find(at_call_t *call, uint32_t number);
-/* call_keep_parts() keeps what call_note_lost() needs of a request that ends.
+/*
+ * call_notify() tells the observers of an event, of which the fields of its
+ * kind are set; call_notify_kind() of one that has none.
  */
-void call_keep_parts(at_call_t *call);
+void call_notify(
+    const call_attempt_t *attempt, const at_attempt_event_t *event);
+void call_notify_kind(
+    const call_attempt_t *attempt, at_attempt_event_kind_t kind);
+/*
+ * The response to an attempt. call_finish_refused() ends one that the server
+ * states not to have run, call_finish_complete() one that is complete.
+ */
+void call_on_headers(void *ctx, at_transfer_t *transfer, int status);
+int call_on_data(void *ctx, const char *data, size_t len);
+void call_finish_refused(call_attempt_t *attempt);
+void call_finish_complete(call_attempt_t *attempt);
 /*
- * call_note_lost() tells the crashes that an open attempt's connection was
- * lost, call_note_begun() that its response has begun and has gone on.
+ * call_fill_parts() fills the parts of a request. call_keep_parts() keeps them
+ * of one whose caller has closed.
  */
-void call_note_lost(const call_attempt_t *attempt);
+void call_fill_parts(const at_call_t *call, at_request_parts_t *parts);
+void call_keep_parts(at_call_t *call);
+/* call_note_begun() notes that a response has begun and has gone on. */
 void call_note_begun(call_attempt_t *attempt);
 /*
  * call_is_refused_for_crashes() returns non-zero if a part of the request is
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -9,6 +9,7 @@
 #include "entry/call.h"
 #include "entry/crash_blocks.h"
 #include "entry/server_crashes.h"
+#include "entry/server_health.h"
 #include "entry/server_notices.h"
 #include "entry/entry_settings.h"
 #include "entry/gossip.h"
@@ -45,8 +46,8 @@
 
 	(void)loop;
 	(void)events;
-	at_calls_expire(entry);
-	at_entry_place_queued(entry);
+	at_calls_expire(entry->calls);
+	at_calls_place_queued(entry->calls);
 	if (++ticks % LOG_FLUSH_TICKS == 0)
 		at_log_flush();
 }
@@ -116,7 +117,9 @@
 static void
 place_queued(void *ctx)
 {
-	at_entry_place_queued(ctx);
+	at_entry_t *entry = ctx;
+
+	at_calls_place_queued(entry->calls);
 }
 
 static at_gossip_t *
@@ -148,13 +151,15 @@
 	at_entry_t *entry = ctx;
 
 	at_orders_io_step_down(entry->orders);
-	at_entry_place_queued(entry);
+	at_calls_place_queued(entry->calls);
 }
 
 static void
 on_verdicts_changed(void *ctx)
 {
-	at_calls_apply_verdicts(ctx);
+	at_entry_t *entry = ctx;
+
+	at_calls_apply_verdicts(entry->calls);
 }
 
 /* Creates what sees to the backend servers; returns -1 if out of memory. */
@@ -321,6 +326,50 @@
 	return at_orders_io_new(&deps);
 }
 
+/* Without the platform, the list may lack servers. */
+static int
+is_list_current(void *ctx)
+{
+	const at_entry_t *entry = ctx;
+
+	return at_sync_is_complete(entry->sync) &&
+	       at_join_is_complete(entry->join) &&
+	       !at_entry_is_platform_away(entry);
+}
+
+static at_calls_t *
+create_calls(at_entry_t *entry)
+{
+	const at_calls_deps_t deps = {.loop = entry->loop,
+	    .counters = entry->counters,
+	    .identity = &entry->identity,
+	    .state = &entry->state,
+	    .site = &entry->site,
+	    .rng = &entry->rng,
+	    .fleet = entry->fleet,
+	    .roster = entry->roster,
+	    .queue = entry->queue,
+	    .quota = entry->quota,
+	    .retries = entry->retries,
+	    .origins = entry->origins,
+	    .httpc = entry->httpc,
+	    .gossip = entry->gossip,
+	    .reach = entry->reach,
+	    .crashes = entry->crashes,
+	    .orders = entry->orders,
+	    .observers = {at_calls_log_observer(),
+		at_reach_io_observer(entry->reach),
+		at_server_notices_observer(entry->notices),
+		at_server_health_observer(entry->fleet),
+		at_server_crashes_observer(entry->crashes),
+		at_gossip_origins_observer(entry->gossip)},
+	    .observer_count = 6,
+	    .is_list_current = is_list_current,
+	    .ctx = entry};
+
+	return at_calls_new(&deps);
+}
+
 static int
 is_ready(void *ctx)
 {
@@ -335,7 +384,7 @@
 		const char *name;
 		uint64_t value;
 	} values[] = {
-	    {"open_requests", entry->call_count},
+	    {"open_requests", at_calls_count(entry->calls)},
 	    {"waiting_requests", at_wait_queue_count(entry->queue)},
 	    {"backend_servers", at_fleet_count(entry->fleet)},
 	    {"config_version", entry->site == NULL ? 0 : entry->site->version},
@@ -433,10 +482,11 @@
 	if (create_copies(entry) != 0)
 		return -1;
 	entry->orders = create_orders(entry);
+	entry->calls = create_calls(entry);
 	entry->readiness = create_readiness(entry);
 	return entry->queue == NULL || entry->contention == NULL ||
 		       entry->gossip == NULL || entry->orders == NULL ||
-		       entry->readiness == NULL
+		       entry->calls == NULL || entry->readiness == NULL
 		   ? -1
 		   : 0;
 }
@@ -451,8 +501,9 @@
 	if (create_components(entry) != 0)
 		return at_status_set(status, AT_FAILED, "out of memory");
 	add_sections(entry);
-	at_httpd_set_handler(entry->callers, at_call_handle, entry);
-	at_httpd_set_fault_handler(entry->callers, at_call_handle_fault, entry);
+	at_httpd_set_handler(entry->callers, at_call_handle, entry->calls);
+	at_httpd_set_fault_handler(
+	    entry->callers, at_call_handle_fault, entry->calls);
 	at_httpd_set_max_body(entry->callers, DEFAULT_BODY_MAX_BYTES);
 	at_httpd_set_backlog(entry->callers, at_entry_settings_backlog(s));
 	if (at_wire_store_init(entry->wire_store, s->store, status) != AT_OK ||
@@ -529,22 +580,6 @@
 	at_relay_set_max_body(entry->relay, site->limits.body_bytes);
 }
 
-void
-at_entry_place_queued(at_entry_t *entry)
-{
-	/* Placing a request may free slots for others. */
-	if (entry->is_placing) {
-		entry->placing_pending = 1;
-		return;
-	}
-	entry->is_placing = 1;
-	do {
-		entry->placing_pending = 0;
-		at_calls_place(entry);
-	} while (entry->placing_pending);
-	entry->is_placing = 0;
-}
-
 static void
 warn_if_changed(const char *setting, const char *current, const char *newer)
 {
@@ -596,8 +631,8 @@
 	size_t open = at_httpd_open_requests(entry->callers);
 
 	(void)events;
-	if (entry->call_count > open)
-		open = entry->call_count;
+	if (at_calls_count(entry->calls) > open)
+		open = at_calls_count(entry->calls);
 	open += at_relay_open(entry->relay);
 	if (entry->state == AT_ENTRY_DRAINING) {
 		if (waited_ms < DRAIN_MS)
@@ -605,7 +640,7 @@
 		at_httpd_stop_accepting(entry->callers);
 		at_httpd_close_idle(entry->callers);
 		entry->state = AT_ENTRY_STOPPING;
-		at_calls_refuse_queued(entry);
+		at_calls_refuse_queued(entry->calls);
 		at_log(AT_LOG_INFO, "entry", NULL,
 		    "no new connections accepted; queued requests refused "
 		    "open=%zu",
@@ -622,7 +657,7 @@
 		    open);
 		/* The responses are sent before the next check. */
 		entry->calls_abandoned = 1;
-		at_calls_abandon(entry);
+		at_calls_abandon(entry->calls);
 		at_relay_abandon(entry->relay);
 		return;
 	}
@@ -641,8 +676,8 @@
 	at_orders_io_release(entry->orders);
 	at_gossip_send_leaving(entry->gossip);
 	at_log(AT_LOG_INFO, "entry", NULL,
-	    "shutdown started open=%zu grace_s=%u", entry->call_count,
-	    entry->settings.stop_grace_s);
+	    "shutdown started open=%zu grace_s=%u",
+	    at_calls_count(entry->calls), entry->settings.stop_grace_s);
 	ev_timer_init(
 	    &entry->stop_timer, on_stop_timer, STOP_CHECK_S, STOP_CHECK_S);
 	entry->stop_timer.data = entry;
@@ -657,8 +692,7 @@
 	ev_timer_stop(entry->loop, &entry->tick);
 	ev_timer_stop(entry->loop, &entry->stop_timer);
 	at_httpd_delete(entry->callers);
-	if (entry->queue != NULL)
-		at_calls_delete(entry);
+	at_calls_delete(entry->calls);
 	at_relay_delete(entry->relay);
 	at_reach_io_delete(entry->reach);
 	at_readiness_delete(entry->readiness);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -48,7 +48,7 @@
 typedef struct at_readiness at_readiness_t;
 typedef struct at_reach_io at_reach_io_t;
 typedef struct at_relay at_relay_t;
-typedef struct at_call at_call_t;
+typedef struct at_calls at_calls_t;
 typedef struct at_server_crashes at_server_crashes_t;
 typedef struct at_crash_blocks at_crash_blocks_t;
 typedef struct at_server_notices at_server_notices_t;
@@ -83,11 +83,7 @@
 	at_version_record_t *version_record;
 	at_orders_io_t *orders;
 	at_readiness_t *readiness;
-	at_call_t *calls;
-	size_t call_count;
-	size_t buffered_bytes; /* of all buffered responses */
-	int is_placing;        /* queued requests are being placed */
-	int placing_pending;   /* slots became free since */
+	at_calls_t *calls;
 	ev_timer tick;
 	ev_timer stop_timer;
 	uint64_t stop_since_ms;
@@ -125,10 +121,5 @@
  * reference.
  */
 void at_entry_set_site(at_entry_t *entry, at_site_t *site);
-/*
- * at_entry_place_queued() places queued requests; to be called when slots may
- * have become free at a backend server.
- */
-void at_entry_place_queued(at_entry_t *entry);
 
 #endif
--- a/src/entry/gossip.h
+++ b/src/entry/gossip.h
@@ -21,6 +21,7 @@
 #include "almondthread/roster.h"
 #include "almondthread/stream_origins.h"
 #include "almondthread/wait_queue.h"
+#include "entry/attempt_events.h"
 #include "entry/entry_settings.h"
 #include "entry/identity.h"
 #include "report.pb-c.h"
@@ -133,9 +134,11 @@
 void at_gossip_send_to(
     at_gossip_t *gossip, const char *address, const Report *report);
 /*
- * at_gossip_send_origins_soon() sends the origins of streams that were noted
- * here to all instances after at_stream_origins_batch_ms().
+ * at_gossip_origins_observer() notes where streams have begun and tells the
+ * other instances. at_gossip_send_origins_soon() sends the origins of streams
+ * that were noted here to all instances after at_stream_origins_batch_ms().
  */
+at_attempt_observer_t at_gossip_origins_observer(at_gossip_t *gossip);
 void at_gossip_send_origins_soon(at_gossip_t *gossip);
 /*
  * at_gossip_note_versions() records which software versions the platform lists
--- a/src/entry/gossip_origins.c
+++ b/src/entry/gossip_origins.c
@@ -238,3 +238,21 @@
 	send_part(&answer);
 	gossip->is_origins_end = 0;
 }
+
+static void
+notify(void *ctx, const at_attempt_event_t *event)
+{
+	at_gossip_t *gossip = ctx;
+
+	if (event->kind != AT_ATTEMPT_EVENT_ORIGIN)
+		return;
+	at_stream_origins_note(gossip->deps.origins, event->stream,
+	    event->software, at_clock_now_us());
+	at_gossip_send_origins_soon(gossip);
+}
+
+at_attempt_observer_t
+at_gossip_origins_observer(at_gossip_t *gossip)
+{
+	return (at_attempt_observer_t){notify, gossip};
+}
--- a/src/entry/reach.c
+++ b/src/entry/reach.c
@@ -244,3 +244,40 @@
 {
 	return (at_report_section_t){.fill = fill, .apply = apply, .ctx = io};
 }
+
+/* Attempts */
+
+static void
+notify(void *ctx, const at_attempt_event_t *event)
+{
+	at_reach_io_t *io = ctx;
+
+	if (!event->is_direct)
+		return;
+	switch (event->kind) {
+	case AT_ATTEMPT_EVENT_SENT:
+		at_reach_note_sent(&io->reach, event->sent_us);
+		break;
+	case AT_ATTEMPT_EVENT_CONNECTED:
+		at_reach_note_connected(&io->reach, at_clock_now_us());
+		break;
+	case AT_ATTEMPT_EVENT_RECEIVED:
+		at_reach_note_received(&io->reach, at_clock_now_us());
+		break;
+	case AT_ATTEMPT_EVENT_LOST:
+		if (event->result->reason == AT_REASON_CONNECT_FAILED)
+			at_reach_io_note_failed(io);
+		break;
+	case AT_ATTEMPT_EVENT_ENDED:
+		at_reach_note_ended(&io->reach);
+		break;
+	default:
+		break;
+	}
+}
+
+at_attempt_observer_t
+at_reach_io_observer(at_reach_io_t *io)
+{
+	return (at_attempt_observer_t){notify, io};
+}
--- a/src/entry/reach.h
+++ b/src/entry/reach.h
@@ -7,6 +7,7 @@
 
 #include "almondthread/roster.h"
 #include "almondthread/server_reach.h"
+#include "entry/attempt_events.h"
 #include "entry/gossip.h"
 #include "io/httpc.h"
 
@@ -44,5 +45,7 @@
 
 /* at_reach_io_section() returns its section of the reports. */
 at_report_section_t at_reach_io_section(at_reach_io_t *io);
+/* at_reach_io_observer() observes which attempts reach their servers. */
+at_attempt_observer_t at_reach_io_observer(at_reach_io_t *io);
 
 #endif
--- a/src/entry/server_crashes.c
+++ b/src/entry/server_crashes.c
@@ -429,9 +429,10 @@
 	return loss;
 }
 
-void
-at_server_crashes_note_lost(at_server_crashes_t *crashes,
-    const at_server_entry_t *server, const at_request_parts_t *parts)
+/* The connection of a request was lost before the request had begun. */
+static void
+note_lost(at_server_crashes_t *crashes, const at_server_entry_t *server,
+    const at_request_parts_t *parts)
 {
 	loss_t *loss = find_or_add_loss(crashes, server);
 
@@ -439,11 +440,27 @@
 		loss->requests[loss->count++] = *parts;
 }
 
-void
-at_server_crashes_note_begun(at_server_crashes_t *crashes,
-    const at_request_parts_t *parts, uint64_t begun_us)
+static void
+notify(void *ctx, const at_attempt_event_t *event)
+{
+	at_server_crashes_t *crashes = ctx;
+	at_request_parts_t parts;
+
+	if (event->kind == AT_ATTEMPT_EVENT_BEGUN) {
+		event->fill_parts(event, &parts);
+		at_crash_causes_note_begun(
+		    crashes->causes, &parts, event->first_event_us);
+	} else if (event->kind == AT_ATTEMPT_EVENT_LOST && event->is_sent &&
+		   !event->is_begun && event->server != NULL) {
+		event->fill_parts(event, &parts);
+		note_lost(crashes, at_server_entry(event->server), &parts);
+	}
+}
+
+at_attempt_observer_t
+at_server_crashes_observer(at_server_crashes_t *crashes)
 {
-	at_crash_causes_note_begun(crashes->causes, parts, begun_us);
+	return (at_attempt_observer_t){notify, crashes};
 }
 
 /* Requests that are refused */
--- a/src/entry/server_crashes.h
+++ b/src/entry/server_crashes.h
@@ -11,6 +11,7 @@
 #define ALMONDTHREAD_ENTRY_SERVER_CRASHES_H
 
 #include "almondthread/crash_causes.h"
+#include "entry/attempt_events.h"
 #include "entry/gossip.h"
 #include "entry/reach.h"
 #include "io/httpc.h"
@@ -39,15 +40,10 @@
 void at_server_crashes_delete(at_server_crashes_t *crashes);
 
 /*
- * at_server_crashes_note_lost() records that the connection of a request was
- * lost before the request had begun.
+ * at_server_crashes_observer() takes attempts whose connection is lost before
+ * they have begun, and those that have begun.
  */
-void at_server_crashes_note_lost(at_server_crashes_t *crashes,
-    const at_server_entry_t *server, const at_request_parts_t *parts);
-/* at_server_crashes_note_begun() records that a request began and has gone on.
- */
-void at_server_crashes_note_begun(at_server_crashes_t *crashes,
-    const at_request_parts_t *parts, uint64_t begun_us);
+at_attempt_observer_t at_server_crashes_observer(at_server_crashes_t *crashes);
 
 /* at_server_crashes_has_verdicts() returns zero if no request is refused. */
 int at_server_crashes_has_verdicts(const at_server_crashes_t *crashes);
--- /dev/null
+++ b/src/entry/server_health.c
@@ -0,0 +1,57 @@
+#include "entry/server_health.h"
+
+#include "almondthread/log.h"
+#include "io/clock.h"
+
+#define US_PER_MS 1000u
+
+static void
+note_pause(const at_attempt_event_t *event)
+{
+	uint32_t pause_ms = event->response->pause_ms;
+
+	if (pause_ms == 0)
+		return;
+	at_server_note_pause(
+	    event->server, at_clock_now_us() + (uint64_t)pause_ms * US_PER_MS);
+	at_log(AT_LOG_INFO, "fleet", NULL,
+	    "server wants no requests for some time server=%s pause_ms=%u%s",
+	    event->server_id, pause_ms,
+	    pause_ms >= AT_SERVER_PAUSE_MAX_MS ? " at_most=1" : "");
+}
+
+static void
+notify(void *ctx, const at_attempt_event_t *event)
+{
+	at_fleet_t *fleet = ctx;
+
+	switch (event->kind) {
+	case AT_ATTEMPT_EVENT_SENT:
+		at_server_note_sent(event->server, event->work, event->sent_us);
+		break;
+	case AT_ATTEMPT_EVENT_STATED:
+		note_pause(event);
+		break;
+	case AT_ATTEMPT_EVENT_FIRST_EVENT:
+		at_server_note_first_event(event->server, event->work,
+		    event->predicted_us, event->elapsed_us);
+		break;
+	case AT_ATTEMPT_EVENT_REFUSED:
+		if (event->is_misplaced && event->server != NULL)
+			at_server_note_misplaced(
+			    event->server, event->work, at_clock_now_us());
+		break;
+	case AT_ATTEMPT_EVENT_ENDED:
+		at_fleet_note_ended(fleet, event->server, event->work,
+		    event->had_event, event->outcome, at_clock_now_us());
+		break;
+	default:
+		break;
+	}
+}
+
+at_attempt_observer_t
+at_server_health_observer(at_fleet_t *fleet)
+{
+	return (at_attempt_observer_t){notify, fleet};
+}
--- a/src/entry/server_notices.c
+++ b/src/entry/server_notices.c
@@ -352,3 +352,25 @@
 	    .end_round = end_round,
 	    .ctx = notices};
 }
+
+static void
+notify(void *ctx, const at_attempt_event_t *event)
+{
+	at_server_notices_t *notices = ctx;
+	const at_server_response_t *response = event->response;
+
+	if (event->kind != AT_ATTEMPT_EVENT_STATED)
+		return;
+	at_server_notices_limit(
+	    notices, event->server, response->limit_milli, event->sent_us);
+	at_server_notices_brittle(notices, event->server, response->is_brittle,
+	    response->is_rejected, event->sent_us);
+	if (response->is_leaving)
+		at_server_notices_leaving(notices, event->server);
+}
+
+at_attempt_observer_t
+at_server_notices_observer(at_server_notices_t *notices)
+{
+	return (at_attempt_observer_t){notify, notices};
+}
--- a/src/entry/server_notices.h
+++ b/src/entry/server_notices.h
@@ -6,6 +6,7 @@
 #ifndef ALMONDTHREAD_ENTRY_SERVER_NOTICES_H
 #define ALMONDTHREAD_ENTRY_SERVER_NOTICES_H
 
+#include "entry/attempt_events.h"
 #include "entry/gossip.h"
 
 typedef struct at_server_notices at_server_notices_t;
@@ -43,5 +44,7 @@
     at_server_t *server, int is_brittle, int is_rejected, uint64_t sent_us);
 /* at_server_notices_section() returns their section of the reports. */
 at_report_section_t at_server_notices_section(at_server_notices_t *notices);
+/* at_server_notices_observer() takes what responses to attempts state. */
+at_attempt_observer_t at_server_notices_observer(at_server_notices_t *notices);
 
 #endif
--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -11,6 +11,7 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include "entry/call.h"
 #include "entry/gossip_impl.h"
 #include "entry/sync.h"
 #include "io/address.h"
@@ -550,7 +551,8 @@
 static int
 has_no_call(void *ctx)
 {
-	return ((const entry_fixture_t *)ctx)->entries[0]->call_count == 0;
+	return at_calls_count(
+		   ((const entry_fixture_t *)ctx)->entries[0]->calls) == 0;
 }
 
 Test(entry_path, a_call_ends_when_its_caller_leaves)
@@ -614,7 +616,8 @@
 static int
 has_one_call(void *ctx)
 {
-	return ((const entry_fixture_t *)ctx)->entries[0]->call_count == 1;
+	return at_calls_count(
+		   ((const entry_fixture_t *)ctx)->entries[0]->calls) == 1;
 }
 
 static int
