--- a/src/entry/entry_settings.c
+++ b/src/entry/base/entry_settings.c
@@ -1,4 +1,4 @@
-#include "entry/entry_settings.h"
+#include "entry/base/entry_settings.h"
 
 #include <sys/socket.h>
 
--- a/src/entry/call.c
+++ b/src/entry/call/call.c
@@ -1,4 +1,4 @@
-#include "entry/call_impl.h"
+#include "entry/call/call_impl.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -7,8 +7,8 @@
 #include <strings.h>
 
 #include "almondthread/log.h"
-#include "entry/orders.h"
-#include "entry/reach.h"
+#include "entry/orders/orders.h"
+#include "entry/servers/reach.h"
 #include "io/clock.h"
 #include "platform/caller.h"
 
--- a/src/entry/call.h
+++ b/src/entry/call/call.h
@@ -6,13 +6,13 @@
 #define ALMONDTHREAD_ENTRY_CALL_H
 
 #include "almondthread/quota.h"
-#include "entry/attempt_events.h"
-#include "entry/gossip.h"
-#include "entry/orders.h"
-#include "entry/reach.h"
-#include "entry/retry_budgets.h"
-#include "entry/server_crashes.h"
-#include "entry/state.h"
+#include "entry/base/attempt_events.h"
+#include "entry/peers/gossip.h"
+#include "entry/orders/orders.h"
+#include "entry/servers/reach.h"
+#include "entry/call/retry_budgets.h"
+#include "entry/servers/server_crashes.h"
+#include "entry/base/state.h"
 #include "io/httpc.h"
 #include "io/httpd.h"
 
--- a/src/entry/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/call_impl.h"
+#include "entry/call/call_impl.h"
 #include "io/clock.h"
 #include "platform/caller.h"
 
--- a/src/entry/call_attempt.c
+++ b/src/entry/call/call_attempt.c
@@ -8,9 +8,9 @@
 #include <strings.h>
 
 #include "almondthread/roster.h"
-#include "entry/call_impl.h"
-#include "entry/reach.h"
-#include "entry/relay.h"
+#include "entry/call/call_impl.h"
+#include "entry/servers/reach.h"
+#include "entry/servers/relay.h"
 #include "io/clock.h"
 
 #define URL_SIZE 128            /* bytes of "http://" and an address */
--- a/src/entry/call_crashes.c
+++ b/src/entry/call/call_crashes.c
@@ -6,8 +6,8 @@
 #include <stdlib.h>
 
 #include "almondthread/log.h"
-#include "entry/call_impl.h"
-#include "entry/server_crashes.h"
+#include "entry/call/call_impl.h"
+#include "entry/servers/server_crashes.h"
 #include "io/clock.h"
 
 /* Stated in refusals: the block lasts longer, the suspicion does not. */
--- a/src/entry/call_events.c
+++ b/src/entry/call/call_events.c
@@ -1,5 +1,5 @@
 /* call_events.c - tells the observers of attempts what happens to one. */
-#include "entry/call_impl.h"
+#include "entry/call/call_impl.h"
 
 static void
 fill_parts(const at_attempt_event_t *event, at_request_parts_t *parts)
--- a/src/entry/call_impl.h
+++ b/src/entry/call/call_impl.h
@@ -12,8 +12,8 @@
 #include "almondthread/crash_causes.h"
 #include "almondthread/request_header.h"
 #include "almondthread/event_frames.h"
-#include "entry/call.h"
-#include "entry/relay.h"
+#include "entry/call/call.h"
+#include "entry/servers/relay.h"
 #include "platform/server_call.h"
 
 #define CONTENT_TYPE_SIZE 96u /* bytes of a media type, with the NUL */
--- a/src/entry/call_log.c
+++ b/src/entry/call/call_log.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 
 #include "almondthread/log.h"
-#include "entry/call_impl.h"
+#include "entry/call/call_impl.h"
 
 /* Bytes of the ids of all parts of a prompt, with commas and the NUL. */
 #define PARTS_TEXT_SIZE (AT_PREFIX_PARTS_MAX * 17u + 1u)
--- a/src/entry/call_response.c
+++ b/src/entry/call/call_response.c
@@ -7,7 +7,7 @@
 #include <strings.h>
 
 #include "almondthread/log.h"
-#include "entry/call_impl.h"
+#include "entry/call/call_impl.h"
 #include "io/clock.h"
 
 #define STATUS_STREAM 200 /* of a response that is a stream */
--- a/src/entry/retry_budgets.c
+++ b/src/entry/call/retry_budgets.c
@@ -1,4 +1,4 @@
-#include "entry/retry_budgets.h"
+#include "entry/call/retry_budgets.h"
 
 #include <stdlib.h>
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -1,57 +1,19 @@
 /*
  * entry.h - one entry instance before the backend servers of a deployment.
  *
- * Its components share this object; each has a file of its own:
- *
- *   call.c       one caller's request on its way to a backend server and back;
- *                call_admit.c admits it, call_attempt.c has each attempt,
- *                call_crashes.c what crashes of servers have to do with it
- *   sync.c       copies of the configuration and of the list of servers
- *   gossip.c     reports to and from the other instances;
- *                gossip_origins.c has those on the origins of streams,
- *                gossip_summary.c the summaries between data centres,
- *                config_text.c differences of the configuration
- *   server_crashes.c  crashes of servers and what is refused for them
- *   server_notices.c  what servers state about themselves in their answers
- *   crash_blocks.c    blocked parts in the platform's store
- *   reach.c      whether this instance reaches the backend servers
- *   relay.c      attempts passed on for instances that reach none;
- *                relay_header.c has the header that both sides use
- *   join.c       discovery of the other instances
- *   version_record.c  recently listed versions of servers, in the store
- *   orders.c     the lease and orders to model engines
- *   readiness.c  readiness check and metrics
+ * entry.c has its start, its end and its states; entry_parts.c makes its parts,
+ * which docs/design/instance.md shows, and connects them.
  */
 #ifndef ALMONDTHREAD_ENTRY_ENTRY_H
 #define ALMONDTHREAD_ENTRY_ENTRY_H
 
-#include <ev.h>
-
-#include "almondthread/counters.h"
-#include "almondthread/quota.h"
-#include "almondthread/stream_origins.h"
-#include "almondthread/wait_queue.h"
-#include "entry/entry_settings.h"
-#include "entry/identity.h"
-#include "entry/retry_budgets.h"
-#include "entry/state.h"
-#include "io/httpc.h"
-#include "io/httpd.h"
-#include "platform/store.h"
-
-typedef struct at_sync at_sync_t;
-typedef struct at_gossip at_gossip_t;
-typedef struct at_roster at_roster_t;
-typedef struct at_join at_join_t;
-typedef struct at_version_record at_version_record_t;
-typedef struct at_orders_io at_orders_io_t;
-typedef struct at_readiness at_readiness_t;
-typedef struct at_reach_io at_reach_io_t;
-typedef struct at_relay at_relay_t;
-typedef struct at_calls at_calls_t;
-typedef struct at_server_crashes at_server_crashes_t;
-typedef struct at_crash_blocks at_crash_blocks_t;
-typedef struct at_server_notices at_server_notices_t;
+#include "entry/call/call.h"
+#include "entry/readiness.h"
+#include "entry/servers/relay.h"
+#include "entry/store/crash_blocks.h"
+#include "entry/store/join.h"
+#include "entry/store/sync.h"
+#include "entry/store/version_record.h"
 
 typedef struct at_entry {
 	struct ev_loop *loop;
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -9,7 +9,7 @@
 
 #include "almondthread/log.h"
 #include "entry/entry.h"
-#include "entry/entry_settings.h"
+#include "entry/base/entry_settings.h"
 #include "platform/settings.h"
 
 #define SETTINGS_CHECK_S 1. /* between two checks of the settings file */
--- a/src/entry/orders.c
+++ b/src/entry/orders/orders.c
@@ -1,4 +1,4 @@
-#include "entry/orders_impl.h"
+#include "entry/orders/orders_impl.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/src/entry/orders.h
+++ b/src/entry/orders/orders.h
@@ -8,10 +8,10 @@
 #ifndef ALMONDTHREAD_ENTRY_ORDERS_H
 #define ALMONDTHREAD_ENTRY_ORDERS_H
 
-#include "entry/gossip.h"
-#include "entry/reach.h"
-#include "entry/server_notices.h"
-#include "entry/state.h"
+#include "entry/peers/gossip.h"
+#include "entry/servers/reach.h"
+#include "entry/servers/server_notices.h"
+#include "entry/base/state.h"
 #include "io/httpc.h"
 #include "platform/store.h"
 
--- a/src/entry/orders_adapters.c
+++ b/src/entry/orders/orders_adapters.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/orders_impl.h"
+#include "entry/orders/orders_impl.h"
 #include "io/clock.h"
 
 /* Time between two searches for an engine for the same adapter. */
--- a/src/entry/orders_impl.h
+++ b/src/entry/orders/orders_impl.h
@@ -11,7 +11,7 @@
 
 #include "almondthread/lease.h"
 #include "almondthread/residency.h"
-#include "entry/orders.h"
+#include "entry/orders/orders.h"
 #include "platform/orders.h"
 
 #define CHANGES_MAX 256u          /* changes being reported */
--- a/src/entry/orders_report.c
+++ b/src/entry/orders/orders_report.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "entry/orders_impl.h"
+#include "entry/orders/orders_impl.h"
 #include "io/clock.h"
 
 #define CHANGE_REPORT_US 500000u /* how long a change is reported */
--- a/src/entry/orders_send.c
+++ b/src/entry/orders/orders_send.c
@@ -11,7 +11,7 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/orders_impl.h"
+#include "entry/orders/orders_impl.h"
 #include "io/clock.h"
 
 #define REPORT_INTERVAL_US 150000u /* between two fetches of a report */
--- a/src/entry/gossip.c
+++ b/src/entry/peers/gossip.c
@@ -7,7 +7,7 @@
 #include <unistd.h>
 
 #include "almondthread/log.h"
-#include "entry/gossip_impl.h"
+#include "entry/peers/gossip_impl.h"
 #include "io/address.h"
 #include "io/clock.h"
 
--- a/src/entry/gossip.h
+++ b/src/entry/peers/gossip.h
@@ -21,9 +21,9 @@
 #include "almondthread/roster.h"
 #include "almondthread/stream_origins.h"
 #include "almondthread/wait_queue.h"
-#include "entry/attempt_events.h"
-#include "entry/entry_settings.h"
-#include "entry/identity.h"
+#include "entry/base/attempt_events.h"
+#include "entry/base/entry_settings.h"
+#include "entry/base/identity.h"
 #include "report.pb-c.h"
 
 typedef struct at_gossip at_gossip_t;
--- a/src/entry/gossip_impl.h
+++ b/src/entry/peers/gossip_impl.h
@@ -8,7 +8,7 @@
 #ifndef ALMONDTHREAD_ENTRY_GOSSIP_IMPL_H
 #define ALMONDTHREAD_ENTRY_GOSSIP_IMPL_H
 
-#include "entry/gossip.h"
+#include "entry/peers/gossip.h"
 
 #define MAC_SIZE 16u              /* bytes of the keyed hash */
 #define DATAGRAM_MAX_BYTES 60000u /* with the keyed hash */
--- a/src/entry/gossip_origins.c
+++ b/src/entry/peers/gossip_origins.c
@@ -4,7 +4,7 @@
  * another one for all of them.
  */
 #include "almondthread/log.h"
-#include "entry/gossip_impl.h"
+#include "entry/peers/gossip_impl.h"
 #include "io/clock.h"
 
 #define US_PER_MS 1000u
--- a/src/entry/gossip_summary.c
+++ b/src/entry/peers/gossip_summary.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "almondthread/report_paths.h"
-#include "entry/gossip_impl.h"
+#include "entry/peers/gossip_impl.h"
 #include "io/clock.h"
 
 #define US_PER_MS 1000u
--- a/src/entry/report_encode.c
+++ b/src/entry/peers/report_encode.c
@@ -2,7 +2,7 @@
 #include <sodium.h>
 
 #include "almondthread/log.h"
-#include "entry/gossip_impl.h"
+#include "entry/peers/gossip_impl.h"
 
 /* Memory that the fields of a report point to. */
 typedef struct report_buffers {
--- a/src/entry/report_loads.c
+++ b/src/entry/peers/report_loads.c
@@ -2,7 +2,7 @@
  * report_loads.c - loads of backend servers, queues and quota usage in the
  * reports of instances.
  */
-#include "entry/gossip_impl.h"
+#include "entry/peers/gossip_impl.h"
 #include "io/clock.h"
 
 /* Memory that the fields of a report point to. */
--- a/src/entry/readiness.h
+++ b/src/entry/readiness.h
@@ -9,7 +9,7 @@
 #include <ev.h>
 
 #include "almondthread/counters.h"
-#include "entry/entry_settings.h"
+#include "entry/base/entry_settings.h"
 #include "io/httpd.h"
 
 typedef struct at_readiness at_readiness_t;
--- a/src/entry/reach.c
+++ b/src/entry/servers/reach.c
@@ -1,4 +1,4 @@
-#include "entry/reach.h"
+#include "entry/servers/reach.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/entry/reach.h
+++ b/src/entry/servers/reach.h
@@ -7,8 +7,8 @@
 
 #include "almondthread/roster.h"
 #include "almondthread/server_reach.h"
-#include "entry/attempt_events.h"
-#include "entry/gossip.h"
+#include "entry/base/attempt_events.h"
+#include "entry/peers/gossip.h"
 #include "io/httpc.h"
 
 typedef struct at_reach_io at_reach_io_t;
--- a/src/entry/relay.c
+++ b/src/entry/servers/relay.c
@@ -1,11 +1,11 @@
-#include "entry/relay.h"
+#include "entry/servers/relay.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/relay_impl.h"
+#include "entry/servers/relay_impl.h"
 #include "io/clock.h"
 #include "platform/caller.h"
 
--- a/src/entry/relay.h
+++ b/src/entry/servers/relay.h
@@ -17,10 +17,10 @@
 #define ALMONDTHREAD_ENTRY_RELAY_H
 
 #include "almondthread/roster.h"
-#include "entry/gossip.h"
-#include "entry/reach.h"
-#include "entry/server_notices.h"
-#include "entry/state.h"
+#include "entry/peers/gossip.h"
+#include "entry/servers/reach.h"
+#include "entry/servers/server_notices.h"
+#include "entry/base/state.h"
 #include "io/httpc.h"
 #include "platform/server_call.h"
 
--- a/src/entry/relay_header.c
+++ b/src/entry/servers/relay_header.c
@@ -8,7 +8,7 @@
 
 #include <sodium.h>
 
-#include "entry/relay_impl.h"
+#include "entry/servers/relay_impl.h"
 
 const char *const at_relay_outcome_names[] = {"passed", "refused",
     "unreachable", "connection_refused", "lost", "reached"};
--- a/src/entry/relay_impl.h
+++ b/src/entry/servers/relay_impl.h
@@ -5,7 +5,7 @@
 #ifndef ALMONDTHREAD_ENTRY_RELAY_IMPL_H
 #define ALMONDTHREAD_ENTRY_RELAY_IMPL_H
 
-#include "entry/relay.h"
+#include "entry/servers/relay.h"
 
 #define RELAY_MAC_BYTES 32u
 #define RELAY_MAC_HEX_SIZE (2u * RELAY_MAC_BYTES + 1u)
--- a/src/entry/server_crashes.c
+++ b/src/entry/servers/server_crashes.c
@@ -1,4 +1,4 @@
-#include "entry/server_crashes.h"
+#include "entry/servers/server_crashes.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -9,7 +9,7 @@
 
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
-#include "entry/relay.h"
+#include "entry/servers/relay.h"
 #include "io/clock.h"
 
 #define US_PER_MS 1000u
--- a/src/entry/server_crashes.h
+++ b/src/entry/servers/server_crashes.h
@@ -11,9 +11,9 @@
 #define ALMONDTHREAD_ENTRY_SERVER_CRASHES_H
 
 #include "almondthread/crash_causes.h"
-#include "entry/attempt_events.h"
-#include "entry/gossip.h"
-#include "entry/reach.h"
+#include "entry/base/attempt_events.h"
+#include "entry/peers/gossip.h"
+#include "entry/servers/reach.h"
 #include "io/httpc.h"
 
 typedef struct at_server_crashes at_server_crashes_t;
--- a/src/entry/server_health.c
+++ b/src/entry/servers/server_health.c
@@ -1,4 +1,4 @@
-#include "entry/server_health.h"
+#include "entry/servers/server_health.h"
 
 #include "almondthread/log.h"
 #include "io/clock.h"
--- a/src/entry/server_health.h
+++ b/src/entry/servers/server_health.h
@@ -5,7 +5,7 @@
 #ifndef ALMONDTHREAD_ENTRY_SERVER_HEALTH_H
 #define ALMONDTHREAD_ENTRY_SERVER_HEALTH_H
 
-#include "entry/attempt_events.h"
+#include "entry/base/attempt_events.h"
 
 /*
  * at_server_health_observer() counts attempts at their servers, which stay
--- a/src/entry/server_notices.c
+++ b/src/entry/servers/server_notices.c
@@ -1,11 +1,11 @@
-#include "entry/server_notices.h"
+#include "entry/servers/server_notices.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
-#include "entry/gossip.h"
+#include "entry/peers/gossip.h"
 #include "io/clock.h"
 
 #define US_PER_MS 1000u
--- a/src/entry/server_notices.h
+++ b/src/entry/servers/server_notices.h
@@ -6,8 +6,8 @@
 #ifndef ALMONDTHREAD_ENTRY_SERVER_NOTICES_H
 #define ALMONDTHREAD_ENTRY_SERVER_NOTICES_H
 
-#include "entry/attempt_events.h"
-#include "entry/gossip.h"
+#include "entry/base/attempt_events.h"
+#include "entry/peers/gossip.h"
 
 typedef struct at_server_notices at_server_notices_t;
 
--- a/src/entry/config_text.c
+++ b/src/entry/store/config_text.c
@@ -1,4 +1,4 @@
-#include "entry/config_text.h"
+#include "entry/store/config_text.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/entry/crash_blocks.c
+++ b/src/entry/store/crash_blocks.c
@@ -1,4 +1,4 @@
-#include "entry/crash_blocks.h"
+#include "entry/store/crash_blocks.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/entry/crash_blocks.h
+++ b/src/entry/store/crash_blocks.h
@@ -10,7 +10,7 @@
 #ifndef ALMONDTHREAD_ENTRY_CRASH_BLOCKS_H
 #define ALMONDTHREAD_ENTRY_CRASH_BLOCKS_H
 
-#include "entry/server_crashes.h"
+#include "entry/servers/server_crashes.h"
 #include "platform/store.h"
 
 typedef struct at_crash_blocks at_crash_blocks_t;
--- a/src/entry/documents.c
+++ b/src/entry/store/documents.c
@@ -1,4 +1,4 @@
-#include "entry/documents.h"
+#include "entry/store/documents.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/src/entry/join.c
+++ b/src/entry/store/join.c
@@ -1,4 +1,4 @@
-#include "entry/join.h"
+#include "entry/store/join.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,7 +8,7 @@
 
 #include "almondthread/log.h"
 #include "almondthread/roster.h"
-#include "entry/version_record.h"
+#include "entry/store/version_record.h"
 #include "io/clock.h"
 
 #define RETRY_MIN_S 0.2 /* delay after a failed call */
--- a/src/entry/join.h
+++ b/src/entry/store/join.h
@@ -9,7 +9,7 @@
 #include <ev.h>
 
 #include "almondthread/roster.h"
-#include "entry/entry_settings.h"
+#include "entry/base/entry_settings.h"
 #include "platform/store.h"
 
 typedef struct at_join at_join_t;
--- a/src/entry/sync.c
+++ b/src/entry/store/sync.c
@@ -1,11 +1,11 @@
 /* sync.c - the roles of reader and follower. */
-#include "entry/sync.h"
+#include "entry/store/sync.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 
 #include "almondthread/log.h"
-#include "entry/sync_impl.h"
+#include "entry/store/sync_impl.h"
 #include "io/clock.h"
 
 /* Missing servers may be listed again within this time after an outage. */
--- a/src/entry/sync.h
+++ b/src/entry/store/sync.h
@@ -8,7 +8,7 @@
 #ifndef ALMONDTHREAD_ENTRY_SYNC_H
 #define ALMONDTHREAD_ENTRY_SYNC_H
 
-#include "entry/gossip.h"
+#include "entry/peers/gossip.h"
 #include "platform/store.h"
 
 typedef struct at_sync at_sync_t;
--- a/src/entry/sync_check.c
+++ b/src/entry/store/sync_check.c
@@ -9,7 +9,7 @@
 #include <inttypes.h>
 
 #include "almondthread/log.h"
-#include "entry/sync_impl.h"
+#include "entry/store/sync_impl.h"
 #include "io/clock.h"
 
 /* Least time between two checks. */
--- a/src/entry/sync_documents.c
+++ b/src/entry/store/sync_documents.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/sync_impl.h"
+#include "entry/store/sync_impl.h"
 #include "io/clock.h"
 
 #define CATCH_UP_INTERVAL_S 0.01
--- a/src/entry/sync_impl.h
+++ b/src/entry/store/sync_impl.h
@@ -9,9 +9,9 @@
 
 #include "almondthread/catch_up.h"
 #include "almondthread/mirror.h"
-#include "entry/config_text.h"
-#include "entry/documents.h"
-#include "entry/sync.h"
+#include "entry/store/config_text.h"
+#include "entry/store/documents.h"
+#include "entry/store/sync.h"
 #include "platform/names.h"
 
 /* Checks without a response at a time; the platform may be slow. */
--- a/src/entry/sync_report.c
+++ b/src/entry/store/sync_report.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "almondthread/reassembly.h"
-#include "entry/sync_impl.h"
+#include "entry/store/sync_impl.h"
 #include "platform/server_decode.h"
 
 /* Changes to the list within this time are sent in one report. */
--- a/src/entry/sync_watch.c
+++ b/src/entry/store/sync_watch.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "almondthread/log.h"
-#include "entry/sync_impl.h"
+#include "entry/store/sync_impl.h"
 #include "io/clock.h"
 #include "platform/server_decode.h"
 #include "platform/site_decode.h"
--- a/src/entry/version_record.c
+++ b/src/entry/store/version_record.c
@@ -1,4 +1,4 @@
-#include "entry/version_record.h"
+#include "entry/store/version_record.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/entry/version_record.h
+++ b/src/entry/store/version_record.h
@@ -12,7 +12,7 @@
 #ifndef ALMONDTHREAD_ENTRY_VERSION_RECORD_H
 #define ALMONDTHREAD_ENTRY_VERSION_RECORD_H
 
-#include "entry/gossip.h"
+#include "entry/peers/gossip.h"
 #include "platform/store.h"
 
 typedef struct at_version_record at_version_record_t;
--- a/tests/contract/test_config_changes.c
+++ b/tests/contract/test_config_changes.c
@@ -4,7 +4,7 @@
  */
 #include <criterion/criterion.h>
 
-#include "entry/sync.h"
+#include "entry/store/sync.h"
 #include "io/clock.h"
 #include "support/entry_fixture.h"
 
--- a/tests/contract/test_crashing_parts.c
+++ b/tests/contract/test_crashing_parts.c
@@ -8,7 +8,7 @@
 
 #include <criterion/criterion.h>
 
-#include "entry/server_crashes.h"
+#include "entry/servers/server_crashes.h"
 #include "io/clock.h"
 #include "platform/names.h"
 #include "support/entry_fixture.h"
--- a/tests/contract/test_cut_instances.c
+++ b/tests/contract/test_cut_instances.c
@@ -8,8 +8,8 @@
 
 #include <criterion/criterion.h>
 
-#include "entry/relay.h"
-#include "entry/sync.h"
+#include "entry/servers/relay.h"
+#include "entry/store/sync.h"
 #include "io/clock.h"
 #include "platform/names.h"
 #include "support/entry_fixture.h"
--- a/tests/contract/test_entry_path.c
+++ b/tests/contract/test_entry_path.c
@@ -11,9 +11,9 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
-#include "entry/call.h"
-#include "entry/gossip_impl.h"
-#include "entry/sync.h"
+#include "entry/call/call.h"
+#include "entry/peers/gossip_impl.h"
+#include "entry/store/sync.h"
 #include "io/address.h"
 #include "io/clock.h"
 #include "platform/names.h"
--- a/tests/contract/test_stream_versions.c
+++ b/tests/contract/test_stream_versions.c
@@ -9,7 +9,7 @@
 
 #include <criterion/criterion.h>
 
-#include "entry/gossip_impl.h"
+#include "entry/peers/gossip_impl.h"
 #include "io/clock.h"
 #include "support/entry_fixture.h"
 
--- a/tests/contract/test_summaries.c
+++ b/tests/contract/test_summaries.c
@@ -8,7 +8,7 @@
 #include <criterion/criterion.h>
 
 #include "almondthread/roster.h"
-#include "entry/gossip.h"
+#include "entry/peers/gossip.h"
 #include "io/clock.h"
 #include "support/entry_fixture.h"
 
--- a/tests/unit/test_config_text.c
+++ b/tests/unit/test_config_text.c
@@ -4,7 +4,7 @@
 
 #include <criterion/criterion.h>
 
-#include "entry/config_text.h"
+#include "entry/store/config_text.h"
 
 static const char *const texts[] = {
     "{\"v\":1,\"routes\":[{\"p\":\"/a/\"},{\"p\":\"/b/\"}]}",
--- a/tests/unit/test_retry_budgets.c
+++ b/tests/unit/test_retry_budgets.c
@@ -1,7 +1,7 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
-#include "entry/retry_budgets.h"
+#include "entry/call/retry_budgets.h"
 
 #define RATIO 0.2
 #define SERVICE ((at_tag_t)7)
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -10,7 +10,7 @@
 
 #include <criterion/criterion.h>
 
-#include "entry/entry_settings.h"
+#include "entry/base/entry_settings.h"
 
 #define FILE_SIZE 512
 
