--- a/tests/contract/test_summaries.c
+++ b/tests/contract/test_summaries.c
@@ -63,8 +63,9 @@
 	for (i = first; i < first + count; i++) {
 		const at_entry_t *entry = fleet->fixture->entries[i];
 
-		if (entry != NULL && at_roster_is_gateway(entry->roster,
-					 entry->identity.data_centre, at_clock_now_us()))
+		if (entry != NULL &&
+		    at_roster_is_gateway(entry->roster,
+			entry->identity.data_centre, at_clock_now_us()))
 			found = i;
 	}
 	cr_assert_lt(found, ENTRIES);
