Take an open renewal for what it is when the lease is released

A renewal that was under way when its holder released the lease counted as the release once it was answered, or found by reading after a lost answer: the object still named the holder, and whoever stood by waited for the whole term. The state machine now knows which of its writes is a release. It also takes note that a holder says to release the lease, and reads it every 100 ms until the object shows that, in place of 600 ms.

--- a/include/almondthread/lease.h
+++ b/include/almondthread/lease.h
@@ -25,6 +25,7 @@
 #define AT_LEASE_TERM_MS 6000u  /* from the request of the holder's write */
 #define AT_LEASE_RENEW_MS 1500u /* between two renewals */
 #define AT_LEASE_POLL_MS 600u   /* between two reads by another candidate */
+#define AT_LEASE_RELEASE_POLL_MS 100u /* the same while a release is expected */
 /* An order is sent only while at least this much of the term is left. */
 #define AT_LEASE_SEND_MARGIN_MS 500u
 #define AT_CLOCK_ERROR_PPM 1000u /* largest error of a clock's rate */
@@ -108,6 +109,12 @@
  */
 void at_lease_note_higher_fence(at_lease_t *lease, uint64_t now_ms);
 
+/*
+ * at_lease_note_released() records that the holder says to release the lease: a
+ * candidate reads the object at once, and often until it shows that.
+ */
+void at_lease_note_released(at_lease_t *lease, uint64_t now_ms);
+
 /* at_lease_fencing_token() returns 0 when the lease was never held. */
 uint64_t at_lease_fencing_token(const at_lease_t *lease);
 at_lease_state_t at_lease_state(const at_lease_t *lease);
--- a/src/core/placement/lease.c
+++ b/src/core/placement/lease.c
@@ -21,12 +21,14 @@
 	at_lease_call_t pending_call; /* the call without a response yet */
 	uint64_t requested_at_ms;     /* of the call without a response */
 	uint64_t next_read_ms;        /* while following */
+	uint64_t release_due_ms;      /* until then a release is expected */
 	uint64_t next_renew_ms;       /* while held */
 	uint64_t next_claim_ms; /* while following, after a failed write */
 	uint64_t valid_until_ms;
 	uint64_t fence;
 	uint64_t sequence;           /* of the last write attempted */
 	uint64_t write_requested_ms; /* of that write */
+	int is_release_written;      /* that write is a release */
 	/* The outcome of the last write is not known. */
 	int is_write_unresolved;
 	/* The lease object as last read or written. */
@@ -113,6 +115,7 @@
 
 	lease->sequence++;
 	lease->write_requested_ms = now_ms;
+	lease->is_release_written = is_released;
 	lease->pending_call = AT_LEASE_WRITE;
 	lease->requested_at_ms = now_ms;
 	action->call = AT_LEASE_WRITE;
@@ -186,12 +189,13 @@
 	lease->holder = lease->self;
 	lease->holder_sequence = lease->sequence;
 	lease->first_seen_ms = now_ms;
+	lease->is_released = lease->is_release_written;
+	/* The write may be a renewal from before the release. */
 	if (lease->state == AT_LEASE_RELEASING) {
-		lease->is_released = 1;
-		end_release(lease, now_ms);
+		if (lease->is_released)
+			end_release(lease, now_ms);
 		return;
 	}
-	lease->is_released = 0;
 	if (now_ms >= lease->write_requested_ms + lease->term_ms) {
 		begin_following(lease, now_ms);
 		return;
@@ -249,7 +253,9 @@
 {
 	uint64_t known_version = lease->version;
 
-	lease->next_read_ms = now_ms + AT_LEASE_POLL_MS;
+	lease->next_read_ms =
+	    now_ms + (now_ms < lease->release_due_ms ? AT_LEASE_RELEASE_POLL_MS
+						     : AT_LEASE_POLL_MS);
 	if (result->code != AT_STORE_OK && result->code != AT_STORE_NOT_FOUND)
 		return;
 	update_object(lease, now_ms, result);
@@ -344,6 +350,14 @@
 		begin_following(lease, now_ms);
 }
 
+void
+at_lease_note_released(at_lease_t *lease, uint64_t now_ms)
+{
+	lease->release_due_ms = now_ms + lease->term_ms;
+	if (lease->next_read_ms > now_ms)
+		lease->next_read_ms = now_ms;
+}
+
 uint64_t
 at_lease_fencing_token(const at_lease_t *lease)
 {
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -196,3 +196,51 @@
 	cr_expect_gt(at_lease_fencing_token(lease), fence);
 	at_lease_delete(lease);
 }
+
+/* Whether the answer to the open renewal arrives, or is lost. */
+static const struct {
+	const char *name;
+	int is_lost;
+	int steps_down;
+} renewals[] = {
+    {"answered", 0, 0},
+    {"lost", 1, 0},
+    {"answered, steps down", 0, 1},
+    {"lost, steps down", 1, 1},
+};
+
+/* A renewal that is open when the lease is released does not release it. */
+Test(lease, is_released_after_an_open_renewal)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(renewals) / sizeof(renewals[0]); i++) {
+		object_t object = {.version = 0};
+		at_lease_t *lease = make_lease("a", 1);
+		at_store_result_t result;
+		at_lease_action_t action;
+		uint64_t now_ms = 1000;
+
+		while (at_lease_state(lease) != AT_LEASE_HELD)
+			process_lease(lease, &object, now_ms += STEP_MS);
+		do
+			at_lease_process(lease, now_ms += STEP_MS, &action);
+		while (action.call != AT_LEASE_WRITE);
+		if (renewals[i].steps_down)
+			at_lease_step_down(lease);
+		else
+			at_lease_release(lease);
+		object.lose_responses = renewals[i].is_lost;
+		respond(&object, &action, &result);
+		at_lease_handle_response(lease, now_ms, &result);
+		cr_expect_eq(at_lease_state(lease), AT_LEASE_RELEASING, "%s",
+		    renewals[i].name);
+		at_lease_set_candidate(lease, 0);
+		while (at_lease_state(lease) == AT_LEASE_RELEASING)
+			process_lease(lease, &object, now_ms += STEP_MS);
+		cr_expect_not_null(
+		    strstr(object.value, "\"released\":true"), "%s",
+		    renewals[i].name);
+		at_lease_delete(lease);
+	}
+}
