Keep the lease while shutting down, until one that started later has it

A holder that was told to stop released the lease at once, however many seconds of its grace period were left, and whoever was strongest took it, though it might be the next to stop, or had just started and could not take it: then all deferred to it and nobody did.

A holder that stops now keeps the lease and goes on sending orders until an instance that was started later could take it, until it is idle and nobody else leaves, or until its grace nearly ends (handover.h). Instances state when they were started and whether they could acquire the lease; of those that could, the strongest of the last started stand by. Whoever takes a lease that was handed over places models once all instances have reported their demand, 1.2 s at the latest. Reports of earlier builds state neither, and those stand back.

--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -15,6 +15,17 @@
 /* An instance that is silent for longer may have stopped or be cut off. */
 #define AT_ROSTER_REPORT_TIMEOUT_US 1500000u
 
+/* Instances whose starts are further apart were not started together. */
+#define AT_ROSTER_GENERATION_MS 3000u
+
+/* Whether an instance could acquire the lease. */
+typedef enum at_standing {
+	AT_STANDING_UNKNOWN, /* it does not state it */
+	AT_STANDING_READY,
+	AT_STANDING_UNABLE,
+	AT_STANDING_COUNT
+} at_standing_t;
+
 typedef struct at_roster_member {
 	at_name_t name;
 	at_tag_t tag;
@@ -25,8 +36,11 @@
 	uint64_t reported_us; /* 0: never */
 	uint64_t added_us;    /* when it was added */
 	int is_leaving;
-	uint64_t fence;    /* fencing token of its lease; 0: it has none */
-	int platform_away; /* its calls to the platform fail */
+	uint64_t fence; /* fencing token of its lease; 0: it has none */
+	at_standing_t standing;
+	uint64_t demand_us;  /* when it last reported its demand */
+	uint64_t started_ms; /* in ms since 1970, by its clock; 0: not stated */
+	int platform_away;   /* its calls to the platform fail */
 	uint32_t strength; /* of its machine; the strongest owns shared tasks */
 	int reads;         /* it reads the platform's lists */
 	uint64_t reads_since_us;
@@ -55,6 +69,8 @@
  */
 at_roster_t *at_roster_new(const at_name_t *self, uint32_t strength);
 void at_roster_delete(at_roster_t *roster);
+/* at_roster_set_started() states when this instance has started. */
+void at_roster_set_started(at_roster_t *roster, uint64_t started_ms);
 
 /*
  * at_roster_add() adds an instance that the platform lists or that sent a
@@ -139,7 +155,10 @@
  * included.
  */
 uint32_t at_roster_reporting_count(const at_roster_t *roster, uint64_t now_us);
-/* at_roster_lease_holder() returns who reports to hold the lease, or NULL. */
+/*
+ * at_roster_lease_holder() returns who reports to hold the lease, which may
+ * leave, or NULL.
+ */
 const at_roster_member_t *at_roster_lease_holder(
     const at_roster_t *roster, uint64_t now_us);
 /*
@@ -147,13 +166,33 @@
  * task: it is the strongest of the reporting instances of a data centre (0: of
  * all) that reach the platform, or of all reporting instances if none does.
  * Instances that receive each other's reports agree. With exclude_holder, the
- * lease holder is left out: the owner is then the instance that stands by to
- * acquire the lease. platform_away states that this instance's calls to the
+ * lease holder and those that are unable are left out: the owner is then the
+ * instance that stands by to acquire the lease, the strongest of those that
+ * have started within AT_ROSTER_GENERATION_MS of the last start. A restart
+ * under way reaches these last. Those half as strong as the strongest of all,
+ * or less, stand back. platform_away states that this instance's calls to the
  * platform fail.
  */
 int at_roster_is_task_owner(const at_roster_t *roster, at_tag_t data_centre,
     int exclude_holder, int platform_away, uint64_t now_us);
 
+/*
+ * at_roster_has_all_demand() returns non-zero if all reporting instances have
+ * reported their demand since since_us.
+ */
+int at_roster_has_all_demand(
+    const at_roster_t *roster, uint64_t since_us, uint64_t now_us);
+
+/* Who could take the lease over from this instance, which leaves. */
+typedef struct at_successors {
+	uint32_t ready;   /* instances that could, and do not leave */
+	uint32_t later;   /* those of them that were started after this one */
+	uint32_t leaving; /* others that leave */
+} at_successors_t;
+
+at_successors_t at_roster_successors(
+    const at_roster_t *roster, uint64_t now_us);
+
 /*
  * at_roster_rank() returns how many of the other reporting instances come
  * before this one in the order that a hash of key gives them. Instances that
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -2679,7 +2679,7 @@
   (ProtobufCMessageInit) report_document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[50] =
+static const ProtobufCFieldDescriptor report__field_descriptors[53] =
 {
   {
     "name",
@@ -3281,6 +3281,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started_ms",
+    52,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Report, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "standing",
+    53,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Report, standing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_demand",
+    54,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Report, has_demand),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -3297,6 +3333,7 @@
   9,   /* field[9] = demand */
   35,   /* field[35] = evidence_age_ms */
   6,   /* field[6] = fence */
+  52,   /* field[52] = has_demand */
   17,   /* field[17] = has_loads */
   41,   /* field[41] = has_state */
   3,   /* field[3] = incarnation */
@@ -3324,6 +3361,8 @@
   43,   /* field[43] = servers_since */
   29,   /* field[29] = servers_version */
   8,   /* field[8] = spending */
+  51,   /* field[51] = standing */
+  50,   /* field[50] = started_ms */
   42,   /* field[42] = steady_ms */
   18,   /* field[18] = strength */
   39,   /* field[39] = summary */
@@ -3338,7 +3377,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 50 }
+  { 0, 53 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -3348,7 +3387,7 @@
   "Report",
   "",
   sizeof(Report),
-  50,
+  53,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -649,6 +649,18 @@
   ReportPiece **pieces;
   size_t n_piece_requests;
   ReportPieceRequest **piece_requests;
+  /*
+   * When the sender has started, in ms since 1970 by its clock; 0: not stated.
+   */
+  uint64_t started_ms;
+  /*
+   * 0: not stated, 1: the sender could acquire the lease, 2: it could not.
+   */
+  uint32_t standing;
+  /*
+   * demand is complete
+   */
+  protobuf_c_boolean has_demand;
   /*
    * Of the sender, in a report of new origins; its gateway forwards them.
    */
@@ -656,7 +668,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /* ReportLoad methods */
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -19,6 +19,7 @@
 	at_name_t self;
 	at_tag_t self_tag;
 	uint32_t strength;
+	uint64_t started_ms; /* this instance; 0: not stated */
 	entry_t *table;
 };
 
@@ -51,6 +52,12 @@
 	free(roster);
 }
 
+void
+at_roster_set_started(at_roster_t *roster, uint64_t started_ms)
+{
+	roster->started_ms = started_ms;
+}
+
 at_roster_member_t *
 at_roster_add(at_roster_t *roster, const at_name_t *name, at_tag_t data_centre,
     const char *address, uint64_t now_us)
@@ -235,7 +242,7 @@
 	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
 		const at_roster_member_t *member = &entry->member;
 
-		if (member->fence != 0 && is_reporting(member, now_us) &&
+		if (member->fence != 0 && is_alive(member, now_us) &&
 		    (holder == NULL || member->fence > holder->fence))
 			holder = member;
 	}
@@ -251,10 +258,122 @@
 	return member->tag < roster->self_tag;
 }
 
+/* The strongest instance, and the last start of those that do not stand back.
+ */
+typedef struct standard {
+	uint32_t strength;
+	uint64_t started_ms;
+} standard_t;
+
+static int
+may_stand_by(const at_roster_member_t *member, uint64_t now_us)
+{
+	return is_reporting(member, now_us) && member->fence == 0 &&
+	       member->standing != AT_STANDING_UNABLE;
+}
+
+static int
+is_strong(uint32_t strength, const standard_t *standard)
+{
+	return 2u * (uint64_t)strength > standard->strength;
+}
+
+static standard_t
+find_standard(const at_roster_t *roster, uint64_t now_us)
+{
+	standard_t standard = {.strength = roster->strength};
+	const entry_t *entry;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		const at_roster_member_t *member = &entry->member;
+
+		if (may_stand_by(member, now_us) &&
+		    member->strength > standard.strength)
+			standard.strength = member->strength;
+	}
+	if (is_strong(roster->strength, &standard))
+		standard.started_ms = roster->started_ms;
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		const at_roster_member_t *member = &entry->member;
+
+		if (may_stand_by(member, now_us) &&
+		    is_strong(member->strength, &standard) &&
+		    member->started_ms > standard.started_ms)
+			standard.started_ms = member->started_ms;
+	}
+	return standard;
+}
+
+/* Returns non-zero if an instance is among those that restarts reach last. */
+static int
+is_last_started(
+    uint32_t strength, uint64_t started_ms, const standard_t *standard)
+{
+	return is_strong(strength, standard) &&
+	       started_ms + AT_ROSTER_GENERATION_MS >= standard->started_ms;
+}
+
+/*
+ * What the instances state of their start is compared, so that all come to the
+ * same result.
+ */
+static int
+stands_before(const at_roster_t *roster, const at_roster_member_t *member,
+    const standard_t *standard)
+{
+	int other =
+	    is_last_started(member->strength, member->started_ms, standard);
+	int self =
+	    is_last_started(roster->strength, roster->started_ms, standard);
+
+	return other != self ? other : has_priority(roster, member);
+}
+
+at_successors_t
+at_roster_successors(const at_roster_t *roster, uint64_t now_us)
+{
+	standard_t standard = find_standard(roster, now_us);
+	at_successors_t successors = {0};
+	const entry_t *entry;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		const at_roster_member_t *member = &entry->member;
+
+		if (!is_alive(member, now_us))
+			continue;
+		successors.leaving += (uint32_t)(member->is_leaving != 0);
+		if (!may_stand_by(member, now_us) ||
+		    !reaches_platform(member, now_us))
+			continue;
+		successors.ready++;
+		successors.later +=
+		    (uint32_t)(is_strong(member->strength, &standard) &&
+			       member->started_ms >
+				   roster->started_ms +
+				       AT_ROSTER_GENERATION_MS);
+	}
+	return successors;
+}
+
+int
+at_roster_has_all_demand(
+    const at_roster_t *roster, uint64_t since_us, uint64_t now_us)
+{
+	const entry_t *entry;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		if (is_reporting(&entry->member, now_us) &&
+		    entry->member.demand_us < since_us)
+			return 0;
+	}
+	return 1;
+}
+
 int
 at_roster_is_task_owner(const at_roster_t *roster, at_tag_t data_centre,
     int exclude_holder, int platform_away, uint64_t now_us)
 {
+	standard_t standard = find_standard(roster, now_us);
 	const entry_t *entry;
 	int other_reaches_platform = 0;
 	int is_owner = 1;
@@ -263,10 +382,11 @@
 		const at_roster_member_t *member = &entry->member;
 
 		if (!is_reporting(member, now_us) ||
-		    (exclude_holder && member->fence != 0) ||
+		    (exclude_holder && !may_stand_by(member, now_us)) ||
 		    (data_centre != 0 && member->data_centre != data_centre))
 			continue;
-		if (has_priority(roster, member) &&
+		if ((exclude_holder ? stands_before(roster, member, &standard)
+				    : has_priority(roster, member)) &&
 		    (platform_away || reaches_platform(member, now_us)))
 			is_owner = 0;
 		other_reaches_platform |= reaches_platform(member, now_us);
--- a/src/entry/base/identity.h
+++ b/src/entry/base/identity.h
@@ -13,6 +13,7 @@
 	at_tag_t tag; /* of its name */
 	at_tag_t data_centre;
 	at_fleet_secret_t secret; /* of all instances */
+	uint64_t started_ms;      /* in ms since 1970 */
 	uint32_t strength; /* capacity for shared tasks, in percent of a core */
 } at_identity_t;
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -66,6 +66,7 @@
 check_settings(at_entry_t *entry, at_status_t *status)
 {
 	const at_entry_settings_t *s = &entry->settings;
+	at_clock_t wall = at_clock_wall();
 
 	if (at_name_set(&entry->identity.self.instance, s->name) != 0)
 		return at_status_set(status, AT_INVALID,
@@ -76,6 +77,7 @@
 	entry->identity.self.number = at_random_system().next(NULL);
 	entry->identity.tag = at_tag_from_text(s->name);
 	entry->identity.data_centre = at_tag_from_text(s->data_centre);
+	entry->identity.started_ms = wall.now_ms(wall.impl);
 	entry->rng.state = entry->identity.self.number;
 	entry->identity.strength = compute_strength(s);
 	return AT_OK;
@@ -214,12 +216,16 @@
 	uint64_t waited_ms = at_clock_now_ms() - entry->stop_since_ms;
 	uint64_t grace_ms =
 	    (uint64_t)entry->settings.stop_grace_s * AT_MS_PER_S;
+	uint64_t left_ms = waited_ms < grace_ms ? grace_ms - waited_ms : 0;
 	size_t open = at_httpd_open_requests(entry->callers);
+	int is_holder;
 
 	(void)events;
 	if (at_calls_count(entry->calls) > open)
 		open = at_calls_count(entry->calls);
 	open += at_relay_open(entry->relay);
+	is_holder = at_orders_io_stop(entry->orders, left_ms,
+	    open == 0 && waited_ms >= DRAIN_MS + STOP_MIN_MS);
 	if (entry->state == AT_ENTRY_DRAINING) {
 		if (waited_ms < DRAIN_MS)
 			return;
@@ -235,7 +241,7 @@
 	}
 	if (waited_ms < DRAIN_MS + STOP_MIN_MS)
 		return;
-	if (open > 0 && waited_ms + STOP_MARGIN_MS < grace_ms)
+	if ((open > 0 || is_holder) && left_ms > STOP_MARGIN_MS)
 		return;
 	if (open > 0 && !entry->calls_abandoned) {
 		at_log(AT_LOG_ERROR, "entry", NULL,
@@ -259,7 +265,7 @@
 	entry->state = AT_ENTRY_DRAINING;
 	entry->stop_since_ms = at_clock_now_ms();
 	at_httpd_close_connections(entry->callers);
-	at_orders_io_release(entry->orders);
+	at_orders_io_begin_stop(entry->orders);
 	at_gossip_send_leaving(entry->gossip);
 	at_log(AT_LOG_INFO, "entry", NULL,
 	    "shutdown started open=%zu grace_s=%u",
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -377,6 +377,7 @@
 	    entry->quota == NULL || entry->retries == NULL ||
 	    entry->roster == NULL || entry->origins == NULL)
 		return -1;
+	at_roster_set_started(entry->roster, entry->identity.started_ms);
 	entry->store = at_wire_store_port(entry->wire_store);
 	at_wire_store_set_counters(entry->wire_store, entry->counters);
 	entry->contention = at_contention_new(at_rng_next(&entry->rng));
--- a/src/entry/orders/orders.c
+++ b/src/entry/orders/orders.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "almondthread/handover.h"
 #include "almondthread/log.h"
 #include "io/clock.h"
 
@@ -11,8 +12,12 @@
 #define LEASE_OBJECT "entry-lease/orders"
 /* Least remaining term of the lease when an order is sent. */
 #define LEASE_SEND_MARGIN_MS 250u
-/* Time after taking the lease in which all instances report their demand. */
+/* After taking the lease, the longest time until the demand counts as known. */
 #define DEMAND_LEARN_US 1200000u
+/* A lease that is taken within this time after its release was handed over. */
+#define HANDED_OVER_US 3000000u
+/* In which instances that become able together hear so of each other. */
+#define ABLE_REPORTS_US 300000u
 /* Time after the start in which the reports of a holder arrive. */
 #define START_DELAY_US 400000u
 #define STORE_RATE_FRACTION 0.85  /* part of the weight store's rate in use */
@@ -61,27 +66,42 @@
 	at_orders_io_t *orders = ctx;
 
 	orders->lease_call_open = 0;
+	orders->lease_call_took_ms =
+	    (uint32_t)(at_clock_now_ms() - orders->lease_call_ms);
 	orders->platform_away = result->code == AT_STORE_NOT_SENT ||
 				result->code == AT_STORE_UNKNOWN;
 	at_lease_handle_response(orders->lease, at_clock_now_ms(), result);
 	process_lease(orders);
 }
 
+int
+orders_could_hold(const at_orders_io_t *orders)
+{
+	const at_orders_io_deps_t *deps = &orders->deps;
+
+	return *deps->state == AT_ENTRY_SERVING && *deps->site != NULL &&
+	       !at_gossip_is_listening(deps->gossip) &&
+	       !at_reach_io_reaches_none(deps->reach);
+}
+
 /*
  * Returns whether this instance may take the lease: it has it, or is the only
  * one to take it among the instances that receive each other's reports.
  */
 static int
-is_candidate(const at_orders_io_t *orders)
+is_candidate(at_orders_io_t *orders)
 {
 	const at_orders_io_deps_t *deps = &orders->deps;
 	uint64_t now_us = at_clock_now_us();
 
 	if (at_lease_state(orders->lease) == AT_LEASE_HELD)
 		return 1;
-	return *deps->state == AT_ENTRY_SERVING && *deps->site != NULL &&
-	       !at_gossip_is_listening(deps->gossip) &&
-	       !at_reach_io_reaches_none(deps->reach) &&
+	if (!orders_could_hold(orders))
+		orders->able_since_us = 0;
+	else if (orders->able_since_us == 0)
+		orders->able_since_us = now_us;
+	return orders->able_since_us != 0 &&
+	       now_us >= orders->able_since_us + ABLE_REPORTS_US &&
 	       at_roster_is_task_owner(deps->roster, 0, 1,
 		   deps->is_platform_away(deps->ctx), now_us);
 }
@@ -144,12 +164,17 @@
 	/* Orders cannot be sent; another instance takes over at once. */
 	if (at_reach_io_reaches_none(orders->deps.reach))
 		at_lease_step_down(orders->lease);
+	/* A renewal that is open would delay it, and nobody could send orders.
+	 */
+	if (orders->is_release_due && !orders->lease_call_open)
+		at_lease_release(orders->lease);
 	at_lease_set_candidate(orders->lease, is_candidate(orders));
 	at_lease_process(orders->lease, at_clock_now_ms(), &action);
 	note_lease_state(orders);
 	if (action.call == AT_LEASE_NO_CALL || orders->lease_call_open)
 		return;
 	orders->lease_call_open = 1;
+	orders->lease_call_ms = at_clock_now_ms();
 	if (action.call == AT_LEASE_READ)
 		store->get(
 		    store->impl, LEASE_OBJECT, on_lease_response, orders);
@@ -335,6 +360,20 @@
 		at_demand_rates_add_queued(orders->demand, &waiter->work);
 }
 
+/* All instances report it within some time, or are cut off. */
+static int
+is_demand_known(const at_orders_io_t *orders)
+{
+	uint64_t now_us = at_clock_now_us();
+
+	if (now_us - orders->lease_taken_us >= DEMAND_LEARN_US)
+		return 1;
+	/* Otherwise some may not have started yet. */
+	return orders->released_us + HANDED_OVER_US >= orders->lease_taken_us &&
+	       at_roster_has_all_demand(
+		   orders->deps.roster, orders->lease_taken_us, now_us);
+}
+
 static void
 on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -354,8 +393,7 @@
 		return;
 	process_engines(orders);
 	adapters_request_queued(orders);
-	/* The demand is not known before all instances have reported it. */
-	if (at_clock_now_us() - orders->lease_taken_us < DEMAND_LEARN_US)
+	if (!is_demand_known(orders))
 		return;
 	adapters_prefetch(orders);
 	site = *deps->site;
@@ -427,12 +465,38 @@
 }
 
 void
-at_orders_io_release(at_orders_io_t *orders)
+at_orders_io_begin_stop(at_orders_io_t *orders)
 {
-	at_lease_release(orders->lease);
+	if (at_lease_state(orders->lease) != AT_LEASE_HELD)
+		at_lease_release(orders->lease);
 	process_lease(orders);
 }
 
+int
+at_orders_io_stop(at_orders_io_t *orders, uint64_t left_ms, int is_idle)
+{
+	at_lease_state_t state = at_lease_state(orders->lease);
+	const at_handover_t handover = {.left_ms = left_ms,
+	    .call_ms = orders->lease_call_took_ms,
+	    .is_idle = is_idle,
+	    .successors =
+		at_roster_successors(orders->deps.roster, at_clock_now_us())};
+
+	if (state == AT_LEASE_HELD && !orders->is_release_due &&
+	    at_handover_is_due(&handover)) {
+		at_log(AT_LOG_INFO, "lease", NULL,
+		    "lease handed over left_ms=%" PRIu64
+		    " ready=%u started_later=%u leaving=%u idle=%d",
+		    left_ms, handover.successors.ready,
+		    handover.successors.later, handover.successors.leaving,
+		    is_idle);
+		orders->is_release_due = 1;
+		process_lease(orders);
+	}
+	return state == AT_LEASE_HELD || state == AT_LEASE_RELEASING ||
+	       orders->lease_call_open;
+}
+
 void
 at_orders_io_step_down(at_orders_io_t *orders)
 {
--- a/src/entry/orders/orders_impl.h
+++ b/src/entry/orders/orders_impl.h
@@ -71,7 +71,13 @@
 	at_orders_io_deps_t deps;
 	at_lease_t *lease;
 	int lease_call_open;
-	int platform_away; /* the last call about the lease failed */
+	int is_release_due;          /* with the next call */
+	uint64_t able_since_us;      /* to acquire the lease; 0: it is not */
+	uint64_t lease_call_ms;      /* when it was sent */
+	uint32_t lease_call_took_ms; /* the last one that had a response */
+	at_tag_t holder; /* another instance, as it last reported; 0: none */
+	uint64_t released_us; /* when such a one last reported a release */
+	int platform_away;    /* the last call about the lease failed */
 	at_lease_state_t logged_state;
 	uint64_t lease_taken_us;  /* when the lease was last taken */
 	double store_load_tokens; /* loads that the store's rate permits now */
@@ -91,6 +97,8 @@
  * has seen a higher fencing token.
  */
 int orders_may_send(const at_orders_io_t *orders);
+/* orders_could_hold() returns non-zero if it could acquire the lease. */
+int orders_could_hold(const at_orders_io_t *orders);
 void orders_note_higher_fence(at_orders_io_t *orders);
 /*
  * engine_find_or_add() returns NULL if out of memory. engine_send_order() sends
--- a/src/entry/orders/orders_report.c
+++ b/src/entry/orders/orders_report.c
@@ -131,10 +131,13 @@
 
 	(void)is_to_all;
 	report->fence = at_orders_io_fence(orders);
+	report->standing =
+	    orders_could_hold(orders) ? AT_STANDING_READY : AT_STANDING_UNABLE;
 	if (at_report_is_regular(kind))
 		fill_changes(orders, report);
 	if (kind != AT_REPORT_DEMAND)
 		return;
+	report->has_demand = 1;
 	fill_requests(orders, report);
 	fill_demand(orders, report);
 }
@@ -166,6 +169,20 @@
 		adapters_request(orders, request->service, &model, &adapter);
 }
 
+/* Who stands by learns of a release sooner than by the next read. */
+static void
+note_holder(
+    at_orders_io_t *orders, const at_roster_member_t *from, uint64_t fence)
+{
+	if (fence != 0)
+		orders->holder = from->tag;
+	if (fence != 0 || orders->holder != from->tag)
+		return;
+	orders->holder = 0;
+	orders->released_us = at_clock_now_us();
+	at_lease_note_released(orders->lease, at_clock_now_ms());
+}
+
 static void
 apply(void *ctx, at_roster_member_t *from, const Report *report)
 {
@@ -174,6 +191,10 @@
 	size_t count = 0;
 	size_t i;
 
+	note_holder(orders, from, report->fence);
+	/* Only these reports have it, also where there is none. */
+	if (report->has_demand)
+		from->demand_us = at_clock_now_us();
 	while (count < report->n_demand && count < DEMAND_ENTRIES_MAX) {
 		const ReportDemand *demand = report->demand[count];
 
--- a/src/entry/peers/report_encode.c
+++ b/src/entry/peers/report_encode.c
@@ -66,6 +66,7 @@
 	report->incarnation = identity->self.number;
 	report->sequence = ++gossip->sequence;
 	report->leaving = gossip->is_leaving;
+	report->started_ms = identity->started_ms;
 	report->strength = identity->strength;
 	report->takes_summaries = 1;
 }
--- /dev/null
+++ b/tests/contract/test_restarts.c
@@ -0,0 +1,108 @@
+/*
+ * Instances that are stopped one soon after the other, as in a rolling restart
+ * that overlaps.
+ */
+#include <criterion/criterion.h>
+
+#include "almondthread/log.h"
+#include "io/clock.h"
+#include "support/entry_fixture.h"
+
+#define ENTRIES 3u
+#define STOP_GAP_MS 400u
+#define STEP_MS 50u
+#define TERM_MS 3000u /* of the lease, in the fixture */
+/* Of the grace of 8 s, this is left for the last writes and the exit. */
+#define KEPT_UNTIL_MS 5500u
+
+typedef struct deployment {
+	entry_fixture_t *fixture;
+	uint64_t last_held_ms;
+	uint64_t longest_gap_ms; /* without a holder */
+} deployment_t;
+
+static deployment_t deployment;
+
+static size_t
+count_holders(void)
+{
+	const entry_fixture_t *fixture = deployment.fixture;
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < fixture->entry_count; i++)
+		count += fixture->entries[i] != NULL &&
+			 at_orders_io_fence(fixture->entries[i]->orders) != 0;
+	return count;
+}
+
+static int
+has_holder(void *ctx)
+{
+	(void)ctx;
+	return count_holders() > 0;
+}
+
+static void
+setup(void)
+{
+	size_t i;
+
+	deployment = (deployment_t){.fixture = entry_fixture_new()};
+	entry_fixture_apply_config(deployment.fixture, 1);
+	(void)entry_fixture_add_engine(deployment.fixture, "m0");
+	for (i = 0; i < ENTRIES; i++)
+		(void)entry_fixture_add_entry(deployment.fixture);
+	entry_fixture_run_until_ready(deployment.fixture);
+	entry_fixture_run_until(deployment.fixture, has_holder, NULL);
+	deployment.last_held_ms = at_clock_now_ms();
+}
+
+static void
+teardown(void)
+{
+	entry_fixture_delete(deployment.fixture);
+}
+
+/* Runs the loop and measures how long there is no holder. */
+static void
+watch_holders(uint32_t time_ms)
+{
+	uint64_t end_ms = at_clock_now_ms() + time_ms;
+
+	while (at_clock_now_ms() < end_ms) {
+		uint64_t now_ms;
+
+		entry_fixture_run_ms(deployment.fixture, STEP_MS);
+		now_ms = at_clock_now_ms();
+		if (count_holders() > 0)
+			deployment.last_held_ms = now_ms;
+		if (now_ms - deployment.last_held_ms >
+		    deployment.longest_gap_ms)
+			deployment.longest_gap_ms =
+			    now_ms - deployment.last_held_ms;
+	}
+}
+
+/* All stop: guards that nobody places models until others have started. */
+Test(restarts, the_lease_has_a_holder_while_all_stop, .init = setup,
+    .fini = teardown, .timeout = 60)
+{
+	size_t i;
+
+	for (i = 0; i < ENTRIES; i++) {
+		at_entry_stop(deployment.fixture->entries[i]);
+		watch_holders(STOP_GAP_MS);
+	}
+	watch_holders(KEPT_UNTIL_MS - ENTRIES * STOP_GAP_MS);
+	cr_expect_lt(deployment.longest_gap_ms, TERM_MS, "%llu",
+	    (unsigned long long)deployment.longest_gap_ms);
+	/* One that starts meanwhile takes it. */
+	i = entry_fixture_add_entry(deployment.fixture);
+	watch_holders(4000);
+	cr_expect_lt(deployment.longest_gap_ms, TERM_MS, "%llu",
+	    (unsigned long long)deployment.longest_gap_ms);
+	cr_expect_neq(
+	    at_orders_io_fence(deployment.fixture->entries[i]->orders), 0);
+	cr_expect_eq(count_holders(), 1);
+}
--- a/tests/unit/test_roster.c
+++ b/tests/unit/test_roster.c
@@ -177,6 +177,69 @@
 	at_roster_delete(roster);
 }
 
+/* Who stands by to acquire the lease: this instance, or b and c. */
+typedef struct standby {
+	uint64_t started_ms; /* 0: not stated, as in earlier builds */
+	uint32_t strength;
+	at_standing_t standing;
+	int is_leaving;
+} standby_t;
+
+static const struct {
+	const char *name;
+	standby_t self;
+	standby_t b;
+	standby_t c;
+	int stands_by;
+} standby_cases[] = {
+    {"started together, the strongest", {1000, 11, 0, 0}, {3999, 10, 1, 0},
+	{4000, 10, 1, 0}, 1},
+    {"started together, not the strongest", {1000, 10, 0, 0}, {3999, 11, 1, 0},
+	{4000, 10, 1, 0}, 0},
+    {"started last", {9000, 10, 0, 0}, {1000, 11, 1, 0}, {2000, 11, 1, 0}, 1},
+    {"another one started last", {1000, 11, 0, 0}, {2000, 11, 1, 0},
+	{9000, 10, 1, 0}, 0},
+    {"that one is not ready", {1000, 11, 0, 0}, {2000, 10, 1, 0},
+	{9000, 10, 2, 0}, 1},
+    {"that one leaves", {1000, 11, 0, 0}, {2000, 10, 1, 0}, {9000, 10, 1, 1},
+	1},
+    {"that one is weak", {1000, 11, 0, 0}, {2000, 10, 1, 0}, {9000, 5, 1, 0},
+	1},
+    {"none states its start", {0, 11, 0, 0}, {0, 10, 0, 0}, {0, 10, 0, 0}, 1},
+    {"earlier builds stand back", {9000, 10, 0, 0}, {0, 11, 0, 0},
+	{0, 11, 0, 0}, 1},
+};
+
+static void
+set_standby(at_roster_member_t *member, const standby_t *standby)
+{
+	(void)at_roster_apply_report(member, 1, 1, standby->is_leaving, 0, 10);
+	member->started_ms = standby->started_ms;
+	member->strength = standby->strength;
+	member->standing = standby->standing;
+}
+
+/* Guards against a holder that is the next to be restarted. */
+Test(roster, those_that_started_last_stand_by)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(standby_cases) / sizeof(standby_cases[0]); i++) {
+		at_name_t name = {.text = "a"};
+		at_roster_t *roster =
+		    at_roster_new(&name, standby_cases[i].self.strength);
+
+		at_roster_set_started(roster, standby_cases[i].self.started_ms);
+		set_standby(
+		    add_member(roster, "b", "north"), &standby_cases[i].b);
+		set_standby(
+		    add_member(roster, "c", "north"), &standby_cases[i].c);
+		cr_expect_eq(at_roster_is_task_owner(roster, 0, 1, 0, 20),
+		    standby_cases[i].stands_by, "%s", standby_cases[i].name);
+		at_roster_delete(roster);
+	}
+}
+
 /*
  * A stronger instance that reads the platform's lists, and whether this one
  * must replace it at NOW_US.
