Go on taking short requests where few others serve

Those that were told to stop last now linger while fewer than half serve: they take requests that end within their grace period, by the route's time or the caller's deadline, and refuse others as not run. Those that were told first end as before and start again the sooner. Where no other instance is known, lingering would help nobody. Readiness is unchanged: /readyz is not 200 from the signal on.

A grace period shorter than 3.6 s is now kept, too.

--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -201,6 +201,21 @@
  */
 int at_roster_stands_in(const at_roster_t *roster, uint64_t now_us);
 
+/*
+ * Instances that are there: how many serve requests, this one not included,
+ * how many of those that leave do so after this one, and how many are known
+ * at all, with it.
+ */
+typedef struct at_presence {
+	uint32_t ready;
+	uint32_t outlast;
+	uint32_t total;
+} at_presence_t;
+
+/* at_roster_presence() counts those of a data centre, or of all for 0. */
+at_presence_t at_roster_presence(
+    const at_roster_t *roster, at_tag_t data_centre, uint64_t now_us);
+
 /* Who could take the lease over from this instance, which leaves. */
 typedef struct at_successors {
 	uint32_t ready; /* instances that could, and do not leave */
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -373,6 +373,40 @@
 	return successors;
 }
 
+/* Returns non-zero if a leaving instance has more time left than this one. */
+static int
+outlasts(const at_roster_t *roster, const at_roster_member_t *member)
+{
+	if (member->ends_ms != roster->ends_ms)
+		return member->ends_ms > roster->ends_ms;
+	return member->tag < roster->self_tag;
+}
+
+at_presence_t
+at_roster_presence(
+    const at_roster_t *roster, at_tag_t data_centre, uint64_t now_us)
+{
+	at_presence_t presence = {.total = 1};
+	const entry_t *entry;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		const at_roster_member_t *member = &entry->member;
+
+		if (!is_alive(member, now_us) ||
+		    (data_centre != 0 && member->data_centre != data_centre))
+			continue;
+		presence.total++;
+		if (member->is_leaving)
+			presence.outlast +=
+			    (uint32_t)(member->ends_ms != 0 &&
+				       outlasts(roster, member));
+		else
+			presence.ready += (uint32_t)(member->standing !=
+						     AT_STANDING_UNABLE);
+	}
+	return presence;
+}
+
 int
 at_roster_stands_in(const at_roster_t *roster, uint64_t now_us)
 {
@@ -387,9 +421,7 @@
 		if (!is_alive(member, now_us) || !member->is_leaving ||
 		    member->standing != AT_STANDING_READY || member->fence != 0)
 			continue;
-		if (member->ends_ms != roster->ends_ms
-			? member->ends_ms > roster->ends_ms
-			: member->tag < roster->self_tag)
+		if (outlasts(roster, member))
 			return 0;
 	}
 	return 1;
--- a/src/entry/call/call.c
+++ b/src/entry/call/call.c
@@ -604,13 +604,15 @@
 }
 
 void
-at_calls_refuse_queued(at_calls_t *calls)
+at_calls_refuse_queued(at_calls_t *calls, uint64_t left_ms)
 {
+	uint64_t latest_us = at_clock_now_us() + left_ms * US_PER_MS;
 	at_call_t *call;
 
 	for (call = calls->first; call != NULL; call = call->next) {
 		/* A refusal can no longer be sent; the stream would be cut. */
-		if (!call->waiter.is_queued || call->response_started)
+		if (!call->waiter.is_queued || call->response_started ||
+		    call->waiter.deadline_us <= latest_us)
 			continue;
 		at_wait_queue_remove(calls->deps.queue, &call->waiter);
 		call->retry_after_ms = STOPPING_RETRY_MS;
--- a/src/entry/call/call.h
+++ b/src/entry/call/call.h
@@ -45,6 +45,9 @@
 	size_t observer_count;
 	/* Zero if the list of servers may lack some. */
 	int (*is_list_current)(void *ctx);
+	/* The time in which requests may still run, in ms, during a shutdown.
+	 */
+	uint64_t (*left_ms)(void *ctx);
 	void *ctx;
 } at_calls_deps_t;
 
@@ -81,9 +84,9 @@
 void at_calls_apply_verdicts(at_calls_t *calls);
 /*
  * at_calls_refuse_queued() refuses the queued requests whose response has not
- * begun, for the shutdown.
+ * begun and which may take longer than left_ms, for the shutdown.
  */
-void at_calls_refuse_queued(at_calls_t *calls);
+void at_calls_refuse_queued(at_calls_t *calls, uint64_t left_ms);
 /*
  * at_calls_abandon() ends all open requests. Callers whose response has not
  * begun get a refusal.
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -115,14 +115,23 @@
 	return (uint64_t)ms * US_PER_MS;
 }
 
+/* Returns after which time a request ends at the latest. */
+static uint32_t
+request_limit_ms(
+    const at_site_route_t *route, const at_request_header_t *header)
+{
+	return header->deadline_ms > 0 &&
+		       header->deadline_ms < route->timeout_ms
+		   ? header->deadline_ms
+		   : route->timeout_ms;
+}
+
 static void
 fill_waiter(at_call_t *call, const at_request_header_t *header)
 {
 	at_waiter_t *waiter = &call->waiter;
-	uint32_t limit_ms = call->route->timeout_ms;
+	uint32_t limit_ms = request_limit_ms(call->route, header);
 
-	if (header->deadline_ms > 0 && header->deadline_ms < limit_ms)
-		limit_ms = header->deadline_ms;
 	if (limit_ms > RESPONSE_MARGIN_MS)
 		limit_ms -= RESPONSE_MARGIN_MS;
 	waiter->priority =
@@ -424,5 +433,12 @@
 	}
 	if (authenticate(calls, request, &header, route, &workspace) != 0)
 		return;
+	if (*calls->deps.state == AT_ENTRY_LINGERING &&
+	    request_limit_ms(route, &header) >
+		calls->deps.left_ms(calls->deps.ctx)) {
+		refuse_request(calls, request, &header, AT_REASON_STOPPING,
+		    STOPPING_RETRY_MS, "");
+		return;
+	}
 	start_call(calls, request, &header, route, workspace);
 }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -10,7 +10,6 @@
 
 #define TICK_S 0.05         /* between two checks of queued requests */
 #define LOG_FLUSH_TICKS 4u  /* between two flushes of the log */
-#define DRAIN_MS 2600u      /* until the balancer sends no more requests here */
 #define STOP_CHECK_S 0.05   /* between two checks of open requests */
 #define STOP_MARGIN_MS 500u /* end of the grace period, kept for the exit */
 #define PERCENT 100u
@@ -209,39 +208,85 @@
 	    s->retry_slack);
 }
 
+uint64_t
+at_entry_left_ms(const at_entry_t *entry)
+{
+	uint64_t grace_ms =
+	    (uint64_t)entry->settings.stop_grace_s * AT_MS_PER_S;
+	uint64_t waited_ms = at_clock_now_ms() - entry->stop_since_ms;
+
+	return waited_ms + STOP_MARGIN_MS < grace_ms
+		   ? grace_ms - waited_ms - STOP_MARGIN_MS
+		   : 0;
+}
+
 static void
-on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
+linger(at_entry_t *entry, size_t open, const at_stop_view_t *view)
+{
+	entry->state = AT_ENTRY_LINGERING;
+	at_calls_refuse_queued(entry->calls, at_entry_left_ms(entry));
+	at_log(AT_LOG_INFO, "entry", NULL,
+	    "few others serve; requests that end in time are accepted open=%zu "
+	    "ready=%u outlast=%u total=%u left_ms=%" PRIu64,
+	    open, view->all.ready, view->all.outlast, view->all.total,
+	    view->left_ms);
+}
+
+static void
+close_listener(at_entry_t *entry, size_t open)
+{
+	at_httpd_stop_accepting(entry->callers);
+	at_httpd_close_idle(entry->callers);
+	entry->state = AT_ENTRY_STOPPING;
+	entry->closed_ms = at_clock_now_ms();
+	at_calls_refuse_queued(entry->calls, 0);
+	at_log(AT_LOG_INFO, "entry", NULL,
+	    "no new connections accepted; queued requests refused open=%zu",
+	    open);
+}
+
+/* Returns non-zero if the instance is closed. */
+static int
+go_on_stopping(at_entry_t *entry, size_t open)
 {
-	at_entry_t *entry = timer->data;
 	uint64_t waited_ms = at_clock_now_ms() - entry->stop_since_ms;
 	uint64_t grace_ms =
 	    (uint64_t)entry->settings.stop_grace_s * AT_MS_PER_S;
-	uint64_t left_ms = waited_ms < grace_ms ? grace_ms - waited_ms : 0;
+	uint64_t now_us = at_clock_now_us();
+	const at_stop_view_t view = {.waited_ms = waited_ms,
+	    .left_ms = waited_ms < grace_ms ? grace_ms - waited_ms : 0,
+	    .near = at_roster_presence(
+		entry->roster, entry->identity.data_centre, now_us),
+	    .all = at_roster_presence(entry->roster, 0, now_us)};
+	at_stop_step_t step;
+
+	if (entry->state == AT_ENTRY_STOPPING)
+		return 1;
+	step = at_stop_next(&entry->stop, &view);
+	if (step == AT_STOP_LINGER && entry->state == AT_ENTRY_DRAINING)
+		linger(entry, open, &view);
+	else if (step == AT_STOP_CLOSE)
+		close_listener(entry, open);
+	return 0;
+}
+
+static void
+on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	at_entry_t *entry = timer->data;
 	size_t open = at_httpd_open_requests(entry->callers);
+	int is_closed;
 	int is_holder;
 
 	(void)events;
 	if (at_calls_count(entry->calls) > open)
 		open = at_calls_count(entry->calls);
 	open += at_relay_open(entry->relay);
-	is_holder = at_orders_io_stop(
-	    entry->orders, open == 0 && waited_ms >= DRAIN_MS + STOP_MIN_MS);
-	if (entry->state == AT_ENTRY_DRAINING) {
-		if (waited_ms < DRAIN_MS)
-			return;
-		at_httpd_stop_accepting(entry->callers);
-		at_httpd_close_idle(entry->callers);
-		entry->state = AT_ENTRY_STOPPING;
-		at_calls_refuse_queued(entry->calls);
-		at_log(AT_LOG_INFO, "entry", NULL,
-		    "no new connections accepted; queued requests refused "
-		    "open=%zu",
-		    open);
-		return;
-	}
-	if (waited_ms < DRAIN_MS + STOP_MIN_MS)
-		return;
-	if ((open > 0 || is_holder) && left_ms > STOP_MARGIN_MS)
+	is_closed = go_on_stopping(entry, open) &&
+		    at_clock_now_ms() >= entry->closed_ms + STOP_MIN_MS;
+	is_holder = at_orders_io_stop(entry->orders, is_closed && open == 0);
+	if (!is_closed ||
+	    ((open > 0 || is_holder) && at_entry_left_ms(entry) > 0))
 		return;
 	if (open > 0 && !entry->calls_abandoned) {
 		at_log(AT_LOG_ERROR, "entry", NULL,
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -7,6 +7,7 @@
 #ifndef ALMONDTHREAD_ENTRY_ENTRY_H
 #define ALMONDTHREAD_ENTRY_ENTRY_H
 
+#include "almondthread/stop_plan.h"
 #include "entry/call/call.h"
 #include "entry/readiness.h"
 #include "entry/servers/relay.h"
@@ -49,6 +50,8 @@
 	ev_timer tick;
 	ev_timer stop_timer;
 	uint64_t stop_since_ms;
+	at_stop_t stop;
+	uint64_t closed_ms;  /* when it stopped accepting connections */
 	int calls_abandoned; /* at the end of the grace period */
 } at_entry_t;
 
@@ -78,6 +81,10 @@
  */
 int at_entry_is_platform_away(const at_entry_t *entry);
 
+/*
+ * at_entry_left_ms() returns how long requests may still run during a shutdown.
+ */
+uint64_t at_entry_left_ms(const at_entry_t *entry);
 /*
  * at_entry_set_site() applies a newer configuration and takes over the
  * reference.
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -243,6 +243,12 @@
 	       !at_entry_is_platform_away(entry);
 }
 
+static uint64_t
+left_ms(void *ctx)
+{
+	return at_entry_left_ms(ctx);
+}
+
 static at_calls_t *
 create_calls(at_entry_t *entry)
 {
@@ -271,6 +277,7 @@
 		at_gossip_origins_observer(entry->gossip)},
 	    .observer_count = 6,
 	    .is_list_current = is_list_current,
+	    .left_ms = left_ms,
 	    .ctx = entry};
 
 	return at_calls_new(&deps);
--- a/src/entry/servers/relay.c
+++ b/src/entry/servers/relay.c
@@ -258,7 +258,7 @@
 	at_server_t *server =
 	    at_fleet_find(deps->fleet, at_tag_from_text(call->server_id));
 
-	if (*deps->state == AT_ENTRY_STOPPING ||
+	if (*deps->state >= AT_ENTRY_LINGERING ||
 	    at_reach_io_reaches_none(deps->reach) ||
 	    relay->count >= AT_ROSTER_RELAYED_MAX || server == NULL ||
 	    !at_server_accepts_relayed(server, at_clock_now_us()))
@@ -392,8 +392,8 @@
 	(void)is_to_all;
 	if (!at_report_is_regular(kind))
 		return;
-	/* The last state of a shutdown takes no more. */
-	report->relayed = *relay->deps.state == AT_ENTRY_STOPPING
+	/* The last states of a shutdown take no more. */
+	report->relayed = *relay->deps.state >= AT_ENTRY_LINGERING
 			      ? AT_ROSTER_RELAYED_MAX
 			      : (uint32_t)relay->count;
 }
--- a/tests/contract/test_restarts.c
+++ b/tests/contract/test_restarts.c
@@ -51,6 +51,7 @@
 	deployment = (deployment_t){.fixture = entry_fixture_new()};
 	entry_fixture_apply_config(deployment.fixture, 1);
 	(void)entry_fixture_add_engine(deployment.fixture, "m0");
+	(void)entry_fixture_add_service(deployment.fixture);
 	for (i = 0; i < ENTRIES; i++)
 		(void)entry_fixture_add_entry(deployment.fixture);
 	entry_fixture_run_until_ready(deployment.fixture);
@@ -106,3 +107,57 @@
 	    at_orders_io_fence(deployment.fixture->entries[i]->orders), 0);
 	cr_expect_eq(count_holders(), 1);
 }
+
+/* A request that ends in time, one that may not, and what they get. */
+static const struct {
+	const char *target;
+	const char *deadline_ms;
+	int status;
+} requests[] = {
+    {"/safe/a", "1000", 200},
+    {"/safe/a", "7900", 503},
+    {"/once/a", NULL, 503},
+};
+
+static int
+send_to(size_t entry, size_t i)
+{
+	const entry_fixture_request_t request = {.method = "POST",
+	    .target = requests[i].target,
+	    .id = "r",
+	    .key = ENTRY_FIXTURE_KEY,
+	    .model = i == 2 ? "m0" : NULL,
+	    .body = "{}"};
+	entry_fixture_response_t response;
+	int status;
+
+	entry_fixture_call_within(deployment.fixture, entry, &request,
+	    requests[i].deadline_ms, &response);
+	status = response.status;
+	entry_fixture_response_free(&response);
+	return status;
+}
+
+/* Guards against a time in which nobody accepts a connection. */
+Test(restarts, requests_are_served_while_all_stop, .init = setup,
+    .fini = teardown, .timeout = 60)
+{
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < ENTRIES; i++) {
+		at_entry_stop(deployment.fixture->entries[i]);
+		entry_fixture_run_ms(deployment.fixture, STOP_GAP_MS);
+	}
+	entry_fixture_run_ms(
+	    deployment.fixture, 3000 - (ENTRIES - 1) * STOP_GAP_MS);
+	/* Those that were told last go on, the first one ends. */
+	cr_expect_eq(send_to(0, 0), 0);
+	for (k = 0; k < 5; k++) {
+		for (i = 0; i < sizeof(requests) / sizeof(requests[0]); i++)
+			cr_expect_eq(send_to(ENTRIES - 1, i),
+			    requests[i].status, "%s %zu", requests[i].target,
+			    k);
+		entry_fixture_run_ms(deployment.fixture, 500);
+	}
+}
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -403,6 +403,7 @@
 	const char *resumes;
 	const char *resume_after;
 	const char *parts;
+	const char *deadline_ms;
 } extra_headers_t;
 
 static void
@@ -432,6 +433,7 @@
 	count = add_header(lines, count, WIRE_REQUEST_ID, "", request->id);
 	count = add_header(lines, count, WIRE_API_KEY, "Bearer ", request->key);
 	count = add_header(lines, count, WIRE_MODEL, "", request->model);
+	count = add_header(lines, count, WIRE_DEADLINE, "", extra->deadline_ms);
 	if (request->model != NULL)
 		count =
 		    add_header(lines, count, WIRE_TOKEN_COUNTS, "", "100,50");
@@ -497,6 +499,17 @@
 	entry_fixture_run_until(fixture, is_done, response);
 }
 
+void
+entry_fixture_call_within(entry_fixture_t *fixture, size_t entry,
+    const entry_fixture_request_t *request, const char *deadline_ms,
+    entry_fixture_response_t *response)
+{
+	const extra_headers_t extra = {.deadline_ms = deadline_ms};
+
+	send_request(fixture, entry, request, &extra, response);
+	entry_fixture_run_until(fixture, is_done, response);
+}
+
 void
 entry_fixture_response_free(entry_fixture_response_t *response)
 {
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -151,6 +151,10 @@
  */
 void entry_fixture_call(entry_fixture_t *fixture, size_t entry,
     const entry_fixture_request_t *request, entry_fixture_response_t *response);
+/* entry_fixture_call_within() states how long the caller waits, in ms. */
+void entry_fixture_call_within(entry_fixture_t *fixture, size_t entry,
+    const entry_fixture_request_t *request, const char *deadline_ms,
+    entry_fixture_response_t *response);
 /* entry_fixture_response_free() also cancels a request that is still open. */
 void entry_fixture_response_free(entry_fixture_response_t *response);
 
