Requests that go on with a stream go before new ones

A stream that broke off goes on only at a server of the version that began it.

In the queue such a request now goes before new ones of its priority, however long it has waited, and has a pace of its own among the instances. While one waits, here or elsewhere, servers of its version that have its model are held: no new request is sent there unless it is more urgent (holds.c).

Tests of the queue: initialisers of the two new fields.

--- a/include/almondthread/contention.h
+++ b/include/almondthread/contention.h
@@ -19,10 +19,14 @@
 
 #define AT_QUEUE_REPORTS_MAX 64u /* kinds of work in one report */
 
-/* The model of a service that requests wait for; model 0: the service. */
+/*
+ * The model of a service that requests wait for; model 0: the service. Requests
+ * that go on with a stream need a version of the servers' software.
+ */
 typedef struct at_work_kind {
 	at_tag_t service;
 	at_tag_t model;
+	at_tag_t software; /* 0: any */
 } at_work_kind_t;
 
 /* Requests of one kind that wait at one instance. */
@@ -34,6 +38,7 @@
 	/* In a sum over instances, those that have such requests; else 0. */
 	uint32_t instances;
 	uint32_t on_time_instances;
+	uint32_t priority; /* of the most urgent of them */
 } at_queue_report_t;
 
 /* Requests of one kind that wait at all other instances. */
@@ -82,6 +87,10 @@
     int (*is_member)(void *ctx, at_tag_t instance), void *ctx,
     at_queue_report_t *entries, size_t count, size_t max);
 
+/* at_contention_each() visits what the other instances have reported. */
+void at_contention_each(const at_contention_t *contention,
+    void (*visit)(void *ctx, const at_queue_report_t *entry), void *ctx);
+
 /* at_contention_peer_queues() sums one kind over all other instances. */
 at_queue_total_t at_contention_peer_queues(
     const at_contention_t *contention, const at_work_kind_t *kind);
--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -123,7 +123,9 @@
 	uint32_t output_tokens; /* expected */
 	at_prefix_part_t prefix[AT_PREFIX_PARTS_MAX];
 	size_t prefix_count;
-	int has_slack; /* it meets its objective even if others go first */
+	int has_slack;     /* it meets its objective even if others go first */
+	uint32_t priority; /* 0 is the most urgent */
+	int is_resumption; /* it goes on with a stream that has begun */
 	at_tag_t avoid[AT_SITE_ATTEMPTS_MAX]; /* tried before; 0: none */
 } at_work_t;
 
@@ -361,6 +363,21 @@
  */
 int at_server_is_available(const at_server_t *server, uint64_t now_us);
 
+/*
+ * Servers of a version with a model that are held for requests which go on with
+ * streams of that version: other requests, unless they are more urgent than
+ * these, are not sent there. at_fleet_set_holds() replaces the list, of which
+ * the first AT_HOLDS_MAX count.
+ */
+#define AT_HOLDS_MAX 32u
+typedef struct at_hold {
+	at_tag_t software;
+	at_tag_t model; /* 0: of a service without models */
+	uint32_t priority;
+} at_hold_t;
+void at_fleet_set_holds(
+    at_fleet_t *fleet, const at_hold_t *holds, size_t count);
+
 /*
  * at_fleet_choose() chooses a server for a request and fills choice. It
  * changes nothing but the state that breaks ties.
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -1588,7 +1588,7 @@
   (ProtobufCMessageInit) report_server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report_queue__field_descriptors[7] =
+static const ProtobufCFieldDescriptor report_queue__field_descriptors[9] =
 {
   {
     "service",
@@ -1674,20 +1674,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "software",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportQueue, software),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportQueue, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report_queue__field_indices_by_name[] = {
   5,   /* field[5] = instances */
   1,   /* field[1] = model */
   4,   /* field[4] = pressing */
   6,   /* field[6] = pressing_instances */
+  8,   /* field[8] = priority */
   3,   /* field[3] = prompt_tokens */
   2,   /* field[2] = requests */
   0,   /* field[0] = service */
+  7,   /* field[7] = software */
 };
 static const ProtobufCIntRange report_queue__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor report_queue__descriptor =
 {
@@ -1697,7 +1723,7 @@
   "ReportQueue",
   "",
   sizeof(ReportQueue),
-  7,
+  9,
   report_queue__field_descriptors,
   report_queue__field_indices_by_name,
   1,  report_queue__number_ranges,
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -334,7 +334,8 @@
 			continue;
 		choice->candidates++;
 		note_closed(&closed, server, gate, now_us);
-		if (gate != SERVER_GATE_OPEN)
+		if (gate != SERVER_GATE_OPEN ||
+		    fleet_is_held(fleet, server, work))
 			continue;
 		load = at_server_load(server, now_us);
 		candidate.free_slots =
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -111,6 +111,8 @@
 	peer_report_t *reports;
 	fleet_brittle_t brittle[AT_BRITTLE_SERVICES_MAX];
 	size_t brittle_count;
+	at_hold_t holds[AT_HOLDS_MAX];
+	size_t hold_count;
 };
 
 /* server_health.c */
@@ -129,6 +131,11 @@
 int server_health_allows(
     const server_health_t *health, uint64_t now_us, uint32_t in_flight);
 
+/* holds.c */
+/* Returns non-zero if a server is held for other requests than this one. */
+int fleet_is_held(
+    const at_fleet_t *fleet, at_server_t *server, const at_work_t *work);
+
 /* server_gate.c */
 typedef enum server_gate {
 	SERVER_GATE_OPEN,
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -401,8 +401,8 @@
 			    (uint32_t)(member->ends_ms != 0 &&
 				       outlasts(roster, member));
 		else
-			presence.ready += (uint32_t)(member->standing !=
-						     AT_STANDING_UNABLE);
+			presence.ready +=
+			    (uint32_t)(member->standing != AT_STANDING_UNABLE);
 	}
 	return presence;
 }
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -30,6 +30,8 @@
 #define RETRY_MIN_MS 50u
 /* Longest retry time; callers that are told to wait longer do not return. */
 #define RETRY_MAX_MS 5000u
+/* Time between two looks at who waits to go on with a stream. */
+#define HOLDS_INTERVAL_US 10000u
 /* Kinds of work without a free slot that one pass can record. */
 #define FULL_KINDS_MAX 32u
 
@@ -41,6 +43,7 @@
 	at_waiter_t *head; /* sorted by rank */
 	at_waiter_t *tail;
 	size_t count;
+	uint64_t holds_us; /* when the holds were last set; 0: they changed */
 };
 
 /* Kinds of work for which one pass found no free slot. */
@@ -70,13 +73,17 @@
 static uint64_t
 rank(const at_waiter_t *waiter)
 {
-	return waiter->objective_us + (uint64_t)waiter->priority * PRIORITY_US;
+	uint64_t due_us = waiter->work.is_resumption ? waiter->arrived_us
+						     : waiter->objective_us;
+
+	return due_us + (uint64_t)waiter->priority * PRIORITY_US;
 }
 
+/* A stream that has begun has met its objective, or not, before it broke. */
 static int
 is_late(const at_waiter_t *waiter, uint64_t now_us)
 {
-	return waiter->objective_us <= now_us;
+	return !waiter->work.is_resumption && waiter->objective_us <= now_us;
 }
 
 static int
@@ -89,11 +96,19 @@
 static at_work_kind_t
 kind_of(const at_work_t *work)
 {
-	const at_work_kind_t kind = {work->service, work->model};
+	const at_work_kind_t kind = {work->service, work->model,
+	    work->is_resumption ? work->software : 0};
 
 	return kind;
 }
 
+static int
+is_kind(const at_work_kind_t *a, const at_work_kind_t *b)
+{
+	return a->service == b->service && a->model == b->model &&
+	       a->software == b->software;
+}
+
 /*
  * Sums the requests in this queue for the same service and model; with ahead
  * set, only those ranked before this one.
@@ -105,9 +120,9 @@
 	const at_waiter_t *other;
 
 	for (other = queue->head; other != NULL; other = other->next) {
-		if (other == waiter ||
-		    other->work.service != waiter->work.service ||
-		    other->work.model != waiter->work.model ||
+		at_work_kind_t kind = kind_of(&other->work);
+
+		if (other == waiter || !is_kind(&kind, &entry.kind) ||
 		    (ahead && rank(other) > rank(waiter)))
 			continue;
 		entry.requests++;
@@ -237,6 +252,58 @@
 		    queue->contention, &candidate, now_us);
 }
 
+typedef struct holds {
+	at_hold_t list[AT_HOLDS_MAX];
+	size_t count;
+} holds_t;
+
+static void
+add_hold(holds_t *holds, const at_work_kind_t *kind, uint32_t priority)
+{
+	size_t i;
+
+	for (i = 0; i < holds->count; i++) {
+		at_hold_t *hold = &holds->list[i];
+
+		if (hold->software != kind->software ||
+		    hold->model != kind->model)
+			continue;
+		if (priority < hold->priority)
+			hold->priority = priority;
+		return;
+	}
+	if (i < AT_HOLDS_MAX)
+		holds->list[holds->count++] =
+		    (at_hold_t){kind->software, kind->model, priority};
+}
+
+static void
+add_peer_hold(void *ctx, const at_queue_report_t *entry)
+{
+	if (entry->kind.software != 0 && entry->requests > 0)
+		add_hold(ctx, &entry->kind, entry->priority);
+}
+
+static void
+update_holds(at_wait_queue_t *queue, uint64_t now_us)
+{
+	holds_t holds = {.count = 0};
+	const at_waiter_t *waiter;
+
+	if (queue->holds_us != 0 &&
+	    now_us < queue->holds_us + HOLDS_INTERVAL_US)
+		return;
+	queue->holds_us = now_us;
+	for (waiter = queue->head; waiter != NULL; waiter = waiter->next) {
+		at_work_kind_t kind = kind_of(&waiter->work);
+
+		if (kind.software != 0)
+			add_hold(&holds, &kind, waiter->work.priority);
+	}
+	at_contention_each(queue->contention, add_peer_hold, &holds);
+	at_fleet_set_holds(queue->fleet, holds.list, holds.count);
+}
+
 void
 at_wait_queue_decide(at_wait_queue_t *queue, at_waiter_t *waiter,
     uint64_t now_us, at_admission_decision_t *decision)
@@ -244,6 +311,8 @@
 	uint64_t max_us = max_wait_us(waiter, now_us);
 
 	memset(decision, 0, sizeof(*decision));
+	update_holds(queue, now_us);
+	waiter->work.priority = waiter->priority;
 	waiter->expires_us = now_us + max_us;
 	decision->choice_result = at_fleet_choose(
 	    queue->fleet, &waiter->work, now_us, &decision->choice);
@@ -292,6 +361,8 @@
 		queue->head = waiter;
 	waiter->is_queued = 1;
 	queue->count++;
+	if (waiter->work.is_resumption)
+		queue->holds_us = 0;
 }
 
 void
@@ -309,6 +380,8 @@
 		queue->tail = waiter->prev;
 	waiter->is_queued = 0;
 	queue->count--;
+	if (waiter->work.is_resumption)
+		queue->holds_us = 0;
 }
 
 static int
@@ -375,6 +448,7 @@
 
 	if (queue->head == NULL)
 		return NULL;
+	update_holds(queue, now_us);
 	waiter = find_placeable(queue, 0, &full, now_us, choice);
 	if (waiter == NULL)
 		waiter = find_placeable(queue, 1, &full, now_us, choice);
@@ -416,17 +490,18 @@
 find_or_add_entry(at_queue_report_t *entries, size_t *count, size_t max,
     const at_work_t *work)
 {
+	at_work_kind_t kind = kind_of(work);
 	size_t i;
 
 	for (i = 0; i < *count; i++) {
-		if (entries[i].kind.service == work->service &&
-		    entries[i].kind.model == work->model)
+		if (is_kind(&entries[i].kind, &kind))
 			return &entries[i];
 	}
 	if (*count == max)
 		return NULL;
 	memset(&entries[i], 0, sizeof(entries[i]));
-	entries[i].kind = kind_of(work);
+	entries[i].kind = kind;
+	entries[i].priority = work->priority;
 	(*count)++;
 	return &entries[i];
 }
@@ -447,6 +522,8 @@
 		entry->requests++;
 		entry->on_time += (uint32_t)!is_late(waiter, now_us);
 		entry->prompt_tokens += waiter->work.prompt_tokens;
+		if (waiter->work.priority < entry->priority)
+			entry->priority = waiter->work.priority;
 	}
 	return count;
 }
--- a/src/entry/call/call.c
+++ b/src/entry/call/call.c
@@ -364,6 +364,7 @@
 		    (call->response_started ? call->last_event_us
 					    : call->started_us) +
 		    call->caller_timeout_us;
+	call->waiter.work.is_resumption |= call->response_started;
 	at_wait_queue_decide(
 	    calls->deps.queue, &call->waiter, now_us, &decision);
 	if (decision.admission == AT_ADMISSION_PLACED) {
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -369,6 +369,7 @@
 	call->stream = stream_tag(header, route);
 	fill_waiter(call, header);
 	call->waiter.work.software = software;
+	call->waiter.work.is_resumption = software != 0;
 	at_orders_io_note_demand(calls->deps.orders, &call->waiter.work);
 	call_attach(call);
 	start_attempts(call);
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -224,8 +224,9 @@
 		at_wait_queue_t *queue = make_queue(fleet);
 		at_waiter_t waiter = make_waiter(400, 3000, 0);
 		const at_queue_report_t report = {
-		    {at_tag_from_text("llm"), at_tag_from_text(cases[i].model)},
-		    100, 100, 80000, 0, 0};
+		    {at_tag_from_text("llm"), at_tag_from_text(cases[i].model),
+			0},
+		    100, 100, 80000, 0, 0, 0};
 		at_admission_decision_t decision;
 
 		fill_slots(fleet);
@@ -249,8 +250,8 @@
 	at_wait_queue_t *queue = make_queue(fleet);
 	at_waiter_t waiter = make_waiter(2000, 3000, 0);
 	const at_queue_report_t report = {
-	    {at_tag_from_text("llm"), at_tag_from_text("m")}, 200, 200, 160000,
-	    0, 0};
+	    {at_tag_from_text("llm"), at_tag_from_text("m"), 0}, 200, 200,
+	    160000, 0, 0, 0};
 	at_admission_decision_t decision;
 	unsigned i;
 
@@ -284,8 +285,8 @@
 	at_wait_queue_t *queue = make_queue(fleet);
 	at_waiter_t waiter = make_waiter(4000, 20000, 2);
 	const at_queue_report_t report = {
-	    {at_tag_from_text("llm"), at_tag_from_text("rare")}, 8, 8, 6400, 0,
-	    0};
+	    {at_tag_from_text("llm"), at_tag_from_text("rare"), 0}, 8, 8, 6400,
+	    0, 0, 0};
 	at_admission_decision_t decision;
 
 	waiter.work.model = at_tag_from_text("rare");
