--- a/include/almondthread/contention.h
+++ b/include/almondthread/contention.h
@@ -38,7 +38,6 @@
 	/* In a sum over instances, those that have such requests; else 0. */
 	uint32_t instances;
 	uint32_t on_time_instances;
-	uint32_t priority; /* of the most urgent of them */
 } at_queue_report_t;
 
 /* Requests of one kind that wait at all other instances. */
@@ -87,10 +86,6 @@
     int (*is_member)(void *ctx, at_tag_t instance), void *ctx,
     at_queue_report_t *entries, size_t count, size_t max);
 
-/* at_contention_each() visits what the other instances have reported. */
-void at_contention_each(const at_contention_t *contention,
-    void (*visit)(void *ctx, const at_queue_report_t *entry), void *ctx);
-
 /* at_contention_peer_queues() sums one kind over all other instances. */
 at_queue_total_t at_contention_peer_queues(
     const at_contention_t *contention, const at_work_kind_t *kind);
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -1588,7 +1588,7 @@
   (ProtobufCMessageInit) report_server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report_queue__field_descriptors[9] =
+static const ProtobufCFieldDescriptor report_queue__field_descriptors[8] =
 {
   {
     "service",
@@ -1686,25 +1686,12 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "priority",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(ReportQueue, priority),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned report_queue__field_indices_by_name[] = {
   5,   /* field[5] = instances */
   1,   /* field[1] = model */
   4,   /* field[4] = pressing */
   6,   /* field[6] = pressing_instances */
-  8,   /* field[8] = priority */
   3,   /* field[3] = prompt_tokens */
   2,   /* field[2] = requests */
   0,   /* field[0] = service */
@@ -1713,7 +1700,7 @@
 static const ProtobufCIntRange report_queue__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor report_queue__descriptor =
 {
@@ -1723,7 +1710,7 @@
   "ReportQueue",
   "",
   sizeof(ReportQueue),
-  9,
+  8,
   report_queue__field_descriptors,
   report_queue__field_indices_by_name,
   1,  report_queue__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -217,14 +217,10 @@
    * The requests go on with streams of this version; 0: they are others.
    */
   uint64_t software;
-  /*
-   * of the most urgent of them
-   */
-  uint32_t priority;
 };
 #define REPORT_QUEUE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report_queue__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/core/fleet/contention.c
+++ b/src/core/fleet/contention.c
@@ -166,8 +166,6 @@
 	sum->requests += entry->requests;
 	sum->on_time += entry->on_time;
 	sum->prompt_tokens += entry->prompt_tokens;
-	if (entry->priority < sum->priority)
-		sum->priority = entry->priority;
 }
 
 size_t
@@ -200,20 +198,6 @@
 	return count;
 }
 
-void
-at_contention_each(const at_contention_t *contention,
-    void (*visit)(void *ctx, const at_queue_report_t *entry), void *ctx)
-{
-	const queue_report_t *report;
-	size_t i;
-
-	for (report = contention->reports; report != NULL;
-	     report = report->hh.next) {
-		for (i = 0; i < report->count; i++)
-			visit(ctx, &report->entries[i]);
-	}
-}
-
 at_queue_total_t
 at_contention_peer_queues(
     const at_contention_t *contention, const at_work_kind_t *kind)
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -277,13 +277,6 @@
 		    (at_hold_t){kind->software, kind->model, priority};
 }
 
-static void
-add_peer_hold(void *ctx, const at_queue_report_t *entry)
-{
-	if (entry->kind.software != 0 && entry->requests > 0)
-		add_hold(ctx, &entry->kind, entry->priority);
-}
-
 static void
 update_holds(at_wait_queue_t *queue, uint64_t now_us)
 {
@@ -300,7 +293,6 @@
 		if (kind.software != 0)
 			add_hold(&holds, &kind, waiter->work.priority);
 	}
-	at_contention_each(queue->contention, add_peer_hold, &holds);
 	at_fleet_set_holds(queue->fleet, holds.list, holds.count);
 }
 
@@ -501,7 +493,6 @@
 		return NULL;
 	memset(&entries[i], 0, sizeof(entries[i]));
 	entries[i].kind = kind;
-	entries[i].priority = work->priority;
 	(*count)++;
 	return &entries[i];
 }
@@ -522,8 +513,6 @@
 		entry->requests++;
 		entry->on_time += (uint32_t)!is_late(waiter, now_us);
 		entry->prompt_tokens += waiter->work.prompt_tokens;
-		if (waiter->work.priority < entry->priority)
-			entry->priority = waiter->work.priority;
 	}
 	return count;
 }
--- a/src/entry/peers/report_loads.c
+++ b/src/entry/peers/report_loads.c
@@ -37,7 +37,6 @@
 	queue->service = entry->kind.service;
 	queue->model = entry->kind.model;
 	queue->software = entry->kind.software;
-	queue->priority = entry->priority;
 	queue->requests = entry->requests;
 	queue->pressing = entry->on_time;
 	queue->prompt_tokens = entry->prompt_tokens;
@@ -151,7 +150,6 @@
 		entries[count].kind.service = queue->service;
 		entries[count].kind.model = queue->model;
 		entries[count].kind.software = queue->software;
-		entries[count].priority = queue->priority;
 		entries[count].requests = queue->requests;
 		entries[count].on_time = queue->pressing;
 		entries[count].prompt_tokens = queue->prompt_tokens;
