--- a/include/almondthread/stop_plan.h
+++ b/include/almondthread/stop_plan.h
@@ -2,9 +2,9 @@
  * stop_plan.h - what an instance that shuts down does next.
  *
  * At first it takes requests as before, until the balancer has noticed that it
- * is not ready. Then it closes, unless fewer than half of the instances are left
- * that serve: those that were told to stop last go on taking requests that end
- * within their grace period, while the others end and start again.
+ * is not ready. Then it closes, unless fewer than half of the instances are
+ * left that serve: those that were told to stop last go on taking requests that
+ * end within their grace period, while the others end and start again.
  */
 #ifndef ALMONDTHREAD_STOP_PLAN_H
 #define ALMONDTHREAD_STOP_PLAN_H
--- a/include/almondthread/wait_queue.h
+++ b/include/almondthread/wait_queue.h
@@ -14,8 +14,8 @@
  * Free slots that several instances see are taken in turns (contention.h).
  *
  * A request that goes on with a stream needs a server of the version that began
- * it. It goes before new requests of its priority, and while one waits, those of
- * this instance leave such servers to it.
+ * it. It goes before new requests of its priority, and while one waits, those
+ * of this instance leave such servers to it.
  */
 #ifndef ALMONDTHREAD_WAIT_QUEUE_H
 #define ALMONDTHREAD_WAIT_QUEUE_H
--- a/src/core/site/site.c
+++ b/src/core/site/site.c
@@ -108,7 +108,7 @@
 at_site_share_route(at_site_t *site, at_site_route_t *route)
 {
 	at_site_route_t **place = append_entry(
-	    (void **)&site->routes, &site->route_count, sizeof(*site->routes));
+	    (void **)&site->routes, &site->route_count, sizeof(void *));
 
 	if (place == NULL)
 		return -1;
@@ -132,8 +132,8 @@
 int
 at_site_share_service(at_site_t *site, at_site_service_t *service)
 {
-	at_site_service_t **place = append_entry((void **)&site->services,
-	    &site->service_count, sizeof(*site->services));
+	at_site_service_t **place = append_entry(
+	    (void **)&site->services, &site->service_count, sizeof(void *));
 
 	if (place == NULL)
 		return -1;
@@ -253,7 +253,7 @@
 
 	while (size < 2 * site->route_count)
 		size *= 2;
-	site->route_table = calloc(size, sizeof(*site->route_table));
+	site->route_table = calloc(size, sizeof(void *));
 	if (site->route_table == NULL)
 		return -1;
 	site->route_mask = size - 1;
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -238,9 +238,8 @@
 		at_lease_set_candidate(lease, 0);
 		while (at_lease_state(lease) == AT_LEASE_RELEASING)
 			process_lease(lease, &object, now_ms += STEP_MS);
-		cr_expect_not_null(
-		    strstr(object.value, "\"released\":true"), "%s",
-		    renewals[i].name);
+		cr_expect_not_null(strstr(object.value, "\"released\":true"),
+		    "%s", renewals[i].name);
 		at_lease_delete(lease);
 	}
 }
