--- a/include/almondthread/lease.h
+++ b/include/almondthread/lease.h
@@ -25,9 +25,8 @@
 #define AT_LEASE_TERM_MS 6000u  /* from the request of the holder's write */
 #define AT_LEASE_RENEW_MS 1500u /* between two renewals */
 #define AT_LEASE_POLL_MS 600u   /* between two reads by another candidate */
-#define AT_LEASE_RELEASE_POLL_MS 100u /* the same while a release is expected \
-				       */
-/* An order is sent only while at least this much of the term is left. */
+/* The same while a release is expected. */
+#define AT_LEASE_RELEASE_POLL_MS 100u
 #define AT_LEASE_SEND_MARGIN_MS 500u
 #define AT_CLOCK_ERROR_PPM 1000u /* largest error of a clock's rate */
 #define AT_LEASE_OBJECT "lease/" /* followed by the data centre */
