--- a/include/almondthread/lease.h
+++ b/include/almondthread/lease.h
@@ -27,6 +27,7 @@
 #define AT_LEASE_POLL_MS 600u   /* between two reads by another candidate */
 /* The same while a release is expected. */
 #define AT_LEASE_RELEASE_POLL_MS 100u
+/* An order is sent only while at least this much of the term is left. */
 #define AT_LEASE_SEND_MARGIN_MS 500u
 #define AT_CLOCK_ERROR_PPM 1000u /* largest error of a clock's rate */
 #define AT_LEASE_OBJECT "lease/" /* followed by the data centre */
