One time limit for all tests of a file

Cause: Criterion keeps the time limits of running tests in a list by their ends; one that ends before the first in the list replaces it, so that the first test loses its limit and the memory of it leaks. That happens where a test that starts later has the shorter limit. Change: each of these files has its longer limit for all tests; the limits only end a test that hangs, the bounds that are judged are in the tests.

--- a/tests/contract/test_large_configuration.c
+++ b/tests/contract/test_large_configuration.c
@@ -103,7 +103,7 @@
 
 /* The difference was too large to be sent, so that each instance listed. */
 Test(large_configuration, followers_get_a_large_change_from_their_reader,
-    .timeout = 60)
+    .timeout = 120)
 {
 	deployment_t deployment = deployment_new();
 
@@ -117,7 +117,7 @@
 	deployment_delete(&deployment);
 }
 
-Test(large_configuration, followers_do_not_list_a_large_change, .timeout = 60)
+Test(large_configuration, followers_do_not_list_a_large_change, .timeout = 120)
 {
 	deployment_t deployment = deployment_new();
 	uint64_t before = count_follower_lists(deployment.fixture);
--- a/tests/contract/test_odd_entries.c
+++ b/tests/contract/test_odd_entries.c
@@ -157,7 +157,7 @@
 #define PAGE_OBJECTS 3u /* of the stand-in's lists */
 
 /* A list that continues after such a name was refused, or began anew. */
-Test(odd_entries, names_do_not_end_a_list, .timeout = 120)
+Test(odd_entries, names_do_not_end_a_list, .timeout = 240)
 {
 	size_t i;
 
--- a/tests/contract/test_reader_changes.c
+++ b/tests/contract/test_reader_changes.c
@@ -199,7 +199,7 @@
 }
 
 /* More changes than one report holds; one of the servers has gone. */
-Test(reader_changes, many_changes_reach_all_without_a_list, .timeout = 60)
+Test(reader_changes, many_changes_reach_all_without_a_list, .timeout = 120)
 {
 	entry_fixture_t *fixture = deployment_new(ENTRIES);
 	uint64_t before = count_lists(fixture);
