Notice that the platform is back where an instance no longer reads it

What users saw: an instance that had lost the platform once reported it as away for ever. It was left out of reading the lists and of acquiring the lease, did not read blocked parts, and refused streams that callers took up again, as its list might lack servers. Cause: both marks of an outage were cleared by the response to the next call of the same kind, and after the instance had given way there was none: a follower's copies make no calls, and whoever is no candidate makes none about the lease.

--- a/include/almondthread/mirror.h
+++ b/include/almondthread/mirror.h
@@ -123,6 +123,12 @@
 /* at_mirror_handle_response() takes the response of that call. */
 void at_mirror_handle_response(
     at_mirror_t *mirror, uint64_t now_ms, const at_objects_page_t *page);
+/*
+ * at_mirror_note_response() states that the platform has responded to another
+ * call of the owner. A mirror that follows makes none itself that would show
+ * it.
+ */
+void at_mirror_note_response(at_mirror_t *mirror, uint64_t now_ms);
 /*
  * at_mirror_check_list() compares the mirror with a list that was read
  * separately, to find out whether the watch still delivers changes. Returns
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -428,6 +428,23 @@
 	    mirror->is_platform_away ? WATCH_NO_WAIT_MS : WATCH_TIMEOUT_MS;
 }
 
+static void
+note_response(at_mirror_t *mirror)
+{
+	if (mirror->is_platform_away) {
+		mirror->is_platform_away = 0;
+		mirror->outage_ended_ms = mirror->now_ms;
+	}
+	mirror->failures = 0;
+}
+
+void
+at_mirror_note_response(at_mirror_t *mirror, uint64_t now_ms)
+{
+	mirror->now_ms = now_ms;
+	note_response(mirror);
+}
+
 void
 at_mirror_handle_response(
     at_mirror_t *mirror, uint64_t now_ms, const at_objects_page_t *page)
@@ -439,11 +456,7 @@
 		note_failed_call(mirror, now_ms, page->code);
 		return;
 	}
-	if (mirror->is_platform_away) {
-		mirror->is_platform_away = 0;
-		mirror->outage_ended_ms = now_ms;
-	}
-	mirror->failures = 0;
+	note_response(mirror);
 	if (page->code == AT_OBJECTS_HISTORY_GONE)
 		begin_list(mirror);
 	else if (mirror->is_listing)
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -128,7 +128,8 @@
 at_entry_is_platform_away(const at_entry_t *entry)
 {
 	return at_sync_is_platform_away(entry->sync) ||
-	       at_orders_io_is_platform_away(entry->orders);
+	       at_orders_io_failed_ms(entry->orders) >
+		   at_sync_responded_ms(entry->sync);
 }
 
 /* Returns the longest time that a resumable stream may take. */
--- a/src/entry/orders/orders.c
+++ b/src/entry/orders/orders.c
@@ -44,10 +44,10 @@
 	at_lease_note_higher_fence(orders->lease, at_clock_now_ms());
 }
 
-int
-at_orders_io_is_platform_away(const at_orders_io_t *orders)
+uint64_t
+at_orders_io_failed_ms(const at_orders_io_t *orders)
 {
-	return orders->platform_away;
+	return orders->failed_ms;
 }
 
 uint64_t
@@ -68,8 +68,10 @@
 	orders->lease_call_open = 0;
 	orders->lease_call_took_ms =
 	    (uint32_t)(at_clock_now_ms() - orders->lease_call_ms);
-	orders->platform_away = result->code == AT_STORE_NOT_SENT ||
-				result->code == AT_STORE_UNKNOWN;
+	orders->failed_ms = result->code == AT_STORE_NOT_SENT ||
+				    result->code == AT_STORE_UNKNOWN
+				? at_clock_now_ms()
+				: 0;
 	at_lease_handle_response(orders->lease, at_clock_now_ms(), result);
 	process_lease(orders);
 }
--- a/src/entry/orders/orders.h
+++ b/src/entry/orders/orders.h
@@ -71,10 +71,10 @@
  */
 void at_orders_io_request_load(at_orders_io_t *orders, const at_work_t *work);
 /*
- * at_orders_io_is_platform_away() returns non-zero if the last call about the
- * lease failed.
+ * at_orders_io_failed_ms() returns when the last call about the lease failed,
+ * or 0 if it did not.
  */
-int at_orders_io_is_platform_away(const at_orders_io_t *orders);
+uint64_t at_orders_io_failed_ms(const at_orders_io_t *orders);
 /* at_orders_io_fence() returns the fencing token of a held lease, or 0. */
 uint64_t at_orders_io_fence(const at_orders_io_t *orders);
 /* at_orders_io_section() returns its section of the reports. */
--- a/src/entry/store/sync.c
+++ b/src/entry/store/sync.c
@@ -259,16 +259,20 @@
 check_follower(at_sync_t *sync, uint64_t now_ms)
 {
 	uint64_t age_ms = now_ms - sync->confirmed_ms;
+	int is_behind = age_ms > follower_confirmation_max_ms(sync);
 
-	if (age_ms <= follower_confirmation_max_ms(sync) ||
+	/* One that has given way makes no other calls that show the platform.
+	 */
+	if ((!is_behind && !sync->deps.is_platform_away(sync->deps.ctx)) ||
 	    at_mirror_is_listing(sync->config.mirror) ||
 	    at_mirror_is_listing(sync->servers.mirror) ||
 	    now_ms < sync->check_after_ms)
 		return;
-	at_log(AT_LOG_INFO, "platform", NULL,
-	    "no recent confirmation from the reader; asking the platform "
-	    "age_ms=%" PRIu64,
-	    age_ms);
+	if (is_behind)
+		at_log(AT_LOG_INFO, "platform", NULL,
+		    "no recent confirmation from the reader; asking the "
+		    "platform age_ms=%" PRIu64,
+		    age_ms);
 	at_sync_check(sync);
 	sync->check_after_ms = now_ms + READER_CHECK_MS;
 }
@@ -336,6 +340,12 @@
 	       at_mirror_is_synced(sync->servers.mirror);
 }
 
+uint64_t
+at_sync_responded_ms(const at_sync_t *sync)
+{
+	return sync->responded_ms;
+}
+
 int
 at_sync_is_platform_away(const at_sync_t *sync)
 {
--- a/src/entry/store/sync.h
+++ b/src/entry/store/sync.h
@@ -69,6 +69,11 @@
  * when it was the reader and has not responded since.
  */
 int at_sync_is_platform_away(const at_sync_t *sync);
+/*
+ * at_sync_responded_ms() returns when the platform last responded to a call
+ * about the copies, or 0.
+ */
+uint64_t at_sync_responded_ms(const at_sync_t *sync);
 /* at_sync_section() returns its section of the reports. */
 at_report_section_t at_sync_section(at_sync_t *sync);
 
--- a/src/entry/store/sync_check.c
+++ b/src/entry/store/sync_check.c
@@ -41,11 +41,27 @@
 {
 	uint64_t took_ms = at_clock_now_ms() - sent_ms;
 
+	sync->responded_ms = at_clock_now_ms();
 	sync->response_ms -= sync->response_ms / 8u;
 	if (took_ms > sync->response_ms)
 		sync->response_ms = (uint32_t)took_ms;
 }
 
+/* A reader's watches show themselves whether the platform responds to them. */
+static void
+note_platform_back(at_sync_t *sync)
+{
+	watcher_t *const watchers[] = {&sync->config, &sync->servers};
+	size_t i;
+
+	if (sync->is_reader)
+		return;
+	for (i = 0; i < sizeof(watchers) / sizeof(watchers[0]); i++) {
+		at_mirror_note_response(watchers[i]->mirror, at_clock_now_ms());
+		watcher_log_platform(watchers[i], AT_OBJECTS_OK);
+	}
+}
+
 static void
 take_response(watcher_t *watcher, const check_t *check, int kind,
     const at_objects_page_t *page)
@@ -62,6 +78,7 @@
 	}
 	if (page->code != AT_OBJECTS_OK)
 		return;
+	note_platform_back(sync);
 	note_response(sync, check->sent_ms);
 	if (at_mirror_check_watch(
 		watcher->mirror, at_clock_now_ms(), check->since[kind], page)) {
--- a/src/entry/store/sync_impl.h
+++ b/src/entry/store/sync_impl.h
@@ -75,6 +75,7 @@
 	uint64_t check_after_ms;      /* no check before this time */
 	at_objects_call_t *list_call; /* see sync_check_list(), or NULL */
 	uint64_t listed_ms;           /* when it last did */
+	uint64_t responded_ms;        /* when the platform last did */
 	uint32_t response_ms; /* time that the platform has been taking */
 	/* The lower of the times of both copies. */
 	uint64_t confirmed_ms;
@@ -137,6 +138,8 @@
 void watcher_drop_list(watcher_t *watcher);
 /* Takes confirmation that changes before since_ms are known. */
 void watcher_confirm(watcher_t *watcher, uint64_t since_ms);
+/* Logs that the platform is away, or back, where that has changed. */
+void watcher_log_platform(watcher_t *watcher, at_objects_code_t code);
 /* What a copy of each kind does with its changes. */
 at_mirror_sink_t watcher_config_sink(watcher_t *watcher);
 at_mirror_sink_t watcher_servers_sink(watcher_t *watcher);
--- a/src/entry/store/sync_watch.c
+++ b/src/entry/store/sync_watch.c
@@ -121,8 +121,8 @@
 		sync_send_server(watcher->sync, name, version, NULL, 0, 1);
 }
 
-static void
-log_platform_state(watcher_t *watcher, at_objects_code_t code)
+void
+watcher_log_platform(watcher_t *watcher, at_objects_code_t code)
 {
 	int away = at_mirror_is_platform_away(watcher->mirror);
 
@@ -237,7 +237,9 @@
 	    page->store_version);
 	was_away = at_mirror_is_platform_away(watcher->mirror);
 	at_mirror_handle_response(watcher->mirror, at_clock_now_ms(), page);
-	log_platform_state(watcher, page->code);
+	if (!at_mirror_is_platform_away(watcher->mirror))
+		sync->responded_ms = at_clock_now_ms();
+	watcher_log_platform(watcher, page->code);
 	if (page->code == AT_OBJECTS_OK && !was_listing) {
 		watcher->watched_ms = watcher->watch_sent_ms;
 		watcher_confirm(watcher, watcher->watched_ms);
--- a/tests/contract/test_store_cuts.c
+++ b/tests/contract/test_store_cuts.c
@@ -4,6 +4,7 @@
  */
 #include <criterion/criterion.h>
 
+#include "entry/store/sync.h"
 #include "io/clock.h"
 #include "support/entry_fixture.h"
 #include "support/links.h"
@@ -109,6 +110,41 @@
 	deployment_delete(&deployment);
 }
 
+static const struct {
+	const char *name;
+	links_state_t state;
+} cuts[] = {{"reset", LINKS_RESET}, {"silent", LINKS_HANG}};
+
+/* A reader that gave way made no calls that could show the platform again. */
+Test(store_cuts, one_that_gave_way_has_the_platform_again, .timeout = 120)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(cuts) / sizeof(cuts[0]); i++) {
+		deployment_t deployment = deployment_new();
+		entry_fixture_t *fixture = deployment.fixture;
+		uint64_t healed_ms;
+
+		(void)entry_fixture_add_entry(fixture);
+		entry_fixture_run_until_ready(fixture);
+		links_set_store(deployment.links, 0, LINKS_RESET);
+		links_set_store(deployment.links, 0, cuts[i].state);
+		entry_fixture_run_ms(fixture, CUT_MS);
+		cr_expect_not(has_platform(fixture), "%s", cuts[i].name);
+		cr_expect_not(at_sync_is_reader(fixture->entries[0]->sync),
+		    "%s: does not give way", cuts[i].name);
+		links_set_store(deployment.links, 0, LINKS_UP);
+		healed_ms = at_clock_now_ms();
+		while (!has_platform(fixture) &&
+		       at_clock_now_ms() < healed_ms + DRAIN_MS)
+			entry_fixture_run_ms(fixture, 20);
+		cr_expect(has_platform(fixture),
+		    "%s: platform away for %u ms after the cut", cuts[i].name,
+		    DRAIN_MS);
+		deployment_delete(&deployment);
+	}
+}
+
 /* Entries that lapse in an outage of the store are back soon after it. */
 Test(store_cuts, a_missing_server_is_kept_after_an_outage)
 {
