Start from the state of other instances while the platform does not respond

Cause: the others, the configuration and the list of servers were known from the store only.

Change: the settings name seeds, at most a few other instances, which the platform provides. Without a list of its own it takes the newest that others use once the store has refused its list or has not sent it for 0.5 s. It counts the store as away until that has responded, follows it from then on, and writes its own object. The wire has two new fields, which earlier builds ignore: they report to it, as it has reported to them.

--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -952,6 +952,51 @@
   assert(message->base.descriptor == &report_document__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_instance__init
+                     (ReportInstance         *message)
+{
+  static const ReportInstance init_value = REPORT_INSTANCE__INIT;
+  *message = init_value;
+}
+size_t report_instance__get_packed_size
+                     (const ReportInstance *message)
+{
+  assert(message->base.descriptor == &report_instance__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_instance__pack
+                     (const ReportInstance *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_instance__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_instance__pack_to_buffer
+                     (const ReportInstance *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_instance__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportInstance *
+       report_instance__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportInstance *)
+     protobuf_c_message_unpack (&report_instance__descriptor,
+                                allocator, len, data);
+}
+void   report_instance__free_unpacked
+                     (ReportInstance *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_instance__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report__init
                      (Report         *message)
 {
@@ -2692,7 +2737,71 @@
   (ProtobufCMessageInit) report_document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[54] =
+static const ProtobufCFieldDescriptor report_instance__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ReportInstance, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportInstance, data_centre),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ReportInstance, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_instance__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  1,   /* field[1] = data_centre */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange report_instance__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor report_instance__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportInstance",
+  "ReportInstance",
+  "ReportInstance",
+  "",
+  sizeof(ReportInstance),
+  3,
+  report_instance__field_descriptors,
+  report_instance__field_indices_by_name,
+  1,  report_instance__number_ranges,
+  (ProtobufCMessageInit) report_instance__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report__field_descriptors[56] =
 {
   {
     "name",
@@ -3342,6 +3451,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wants_instances",
+    56,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Report, wants_instances),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instances",
+    57,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_instances),
+    offsetof(Report, instances),
+    &report_instance__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -3363,6 +3496,7 @@
   17,   /* field[17] = has_loads */
   41,   /* field[41] = has_state */
   3,   /* field[3] = incarnation */
+  55,   /* field[55] = instances */
   5,   /* field[5] = leaving */
   33,   /* field[33] = leaving_servers */
   31,   /* field[31] = limits */
@@ -3396,6 +3530,7 @@
   30,   /* field[30] = trials */
   27,   /* field[27] = verdicts */
   10,   /* field[10] = wants */
+  54,   /* field[54] = wants_instances */
   22,   /* field[22] = wants_origins */
   32,   /* field[32] = wants_own_origins */
 };
@@ -3403,7 +3538,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 54 }
+  { 0, 56 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -3413,7 +3548,7 @@
   "Report",
   "",
   sizeof(Report),
-  54,
+  56,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -36,6 +36,7 @@
 typedef struct ReportPiece ReportPiece;
 typedef struct ReportPieceRequest ReportPieceRequest;
 typedef struct ReportDocument ReportDocument;
+typedef struct ReportInstance ReportInstance;
 typedef struct Report Report;
 
 
@@ -508,6 +509,21 @@
     , 0, 0,NULL }
 
 
+/*
+ * An instance that the sender hears of.
+ */
+struct  ReportInstance
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t data_centre;
+  char *address;
+};
+#define REPORT_INSTANCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_instance__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+
+
 /*
  * A report without a name has only origins, crashes, trials and what has begun,
  * or a summary.
@@ -669,6 +685,13 @@
    * as started_ms: of its grace period; 0: it stays
    */
   uint64_t ends_ms;
+  /*
+   * The sender, which has started, asks for the instances that the receiver
+   * hears of.
+   */
+  protobuf_c_boolean wants_instances;
+  size_t n_instances;
+  ReportInstance **instances;
   /*
    * Of the sender, in a report of new origins; its gateway forwards them.
    */
@@ -676,7 +699,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /* ReportLoad methods */
@@ -1078,6 +1101,25 @@
 void   report_document__free_unpacked
                      (ReportDocument *message,
                       ProtobufCAllocator *allocator);
+/* ReportInstance methods */
+void   report_instance__init
+                     (ReportInstance         *message);
+size_t report_instance__get_packed_size
+                     (const ReportInstance   *message);
+size_t report_instance__pack
+                     (const ReportInstance   *message,
+                      uint8_t             *out);
+size_t report_instance__pack_to_buffer
+                     (const ReportInstance   *message,
+                      ProtobufCBuffer     *buffer);
+ReportInstance *
+       report_instance__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_instance__free_unpacked
+                     (ReportInstance *message,
+                      ProtobufCAllocator *allocator);
 /* Report methods */
 void   report__init
                      (Report         *message);
@@ -1162,6 +1204,9 @@
 typedef void (*ReportDocument_Closure)
                  (const ReportDocument *message,
                   void *closure_data);
+typedef void (*ReportInstance_Closure)
+                 (const ReportInstance *message,
+                  void *closure_data);
 typedef void (*Report_Closure)
                  (const Report *message,
                   void *closure_data);
@@ -1192,6 +1237,7 @@
 extern const ProtobufCMessageDescriptor report_piece__descriptor;
 extern const ProtobufCMessageDescriptor report_piece_request__descriptor;
 extern const ProtobufCMessageDescriptor report_document__descriptor;
+extern const ProtobufCMessageDescriptor report_instance__descriptor;
 extern const ProtobufCMessageDescriptor report__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/entry/base/entry_settings.h
+++ b/src/entry/base/entry_settings.h
@@ -16,6 +16,7 @@
 	const char *metrics; /* own address for counters, or "" */
 	const char *peers;   /* own address for reports of other instances */
 	const char *store;   /* address of the platform's store */
+	const char *seeds;   /* addresses of some other instances, or "" */
 	const char *secret;
 	const char *log_level;
 	double processor_share; /* part of each core that may be used */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -96,6 +96,7 @@
 	if (at_wire_store_init(entry->wire_store, s->store, status) != AT_OK ||
 	    at_readiness_init(entry->readiness, status) != AT_OK ||
 	    at_gossip_init(entry->gossip, status) != AT_OK ||
+	    at_introductions_init(entry->introductions, status) != AT_OK ||
 	    at_relay_init(entry->relay, status) != AT_OK ||
 	    at_httpd_init(entry->callers, s->listen, status) != AT_OK)
 		return status->code;
@@ -111,9 +112,9 @@
 	entry->state = AT_ENTRY_SERVING;
 	at_log(AT_LOG_INFO, "entry", NULL,
 	    "started name=%s data_centre=%s incarnation=%" PRIu64
-	    " callers=%s peers=%s store=%s",
+	    " callers=%s peers=%s store=%s seeds=%s",
 	    s->name, s->data_centre, entry->identity.self.number, s->listen,
-	    s->peers, s->store);
+	    s->peers, s->store, s->seeds);
 	return AT_OK;
 }
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -15,6 +15,7 @@
 #include "entry/store/join.h"
 #include "entry/store/sync.h"
 #include "entry/store/version_record.h"
+#include "entry/peers/introductions.h"
 
 typedef struct at_entry {
 	struct ev_loop *loop;
@@ -44,6 +45,7 @@
 	at_roster_t *roster;
 	at_join_t *join;
 	at_version_record_t *version_record;
+	at_introductions_t *introductions;
 	at_orders_io_t *orders;
 	at_readiness_t *readiness;
 	at_calls_t *calls;
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -208,6 +208,28 @@
 		   : 0;
 }
 
+static int
+is_listed(void *ctx)
+{
+	const at_entry_t *entry = ctx;
+
+	return at_join_is_complete(entry->join);
+}
+
+static at_introductions_t *
+create_introductions(at_entry_t *entry)
+{
+	const at_introductions_deps_t deps = {.counters = entry->counters,
+	    .settings = &entry->settings,
+	    .rng = &entry->rng,
+	    .roster = entry->roster,
+	    .gossip = entry->gossip,
+	    .is_listed = is_listed,
+	    .ctx = entry};
+
+	return at_introductions_new(&deps);
+}
+
 static at_orders_io_t *
 create_orders(at_entry_t *entry)
 {
@@ -354,6 +376,7 @@
 	    at_orders_io_section(entry->orders),
 	    at_server_crashes_section(entry->crashes),
 	    at_version_record_section(entry->version_record),
+	    at_introductions_section(entry->introductions),
 	};
 	size_t i;
 
@@ -394,12 +417,13 @@
 		return -1;
 	if (create_copies(entry) != 0)
 		return -1;
+	entry->introductions = create_introductions(entry);
 	entry->orders = create_orders(entry);
 	entry->calls = create_calls(entry);
 	entry->readiness = create_readiness(entry);
 	if (entry->queue == NULL || entry->contention == NULL ||
-	    entry->orders == NULL || entry->calls == NULL ||
-	    entry->readiness == NULL)
+	    entry->introductions == NULL || entry->orders == NULL ||
+	    entry->calls == NULL || entry->readiness == NULL)
 		return -1;
 	at_httpd_set_handler(entry->callers, at_call_handle, entry->calls);
 	at_httpd_set_fault_handler(
@@ -423,6 +447,7 @@
 	at_server_notices_delete(entry->notices);
 	at_join_delete(entry->join);
 	at_version_record_delete(entry->version_record);
+	at_introductions_delete(entry->introductions);
 	if (entry->sync != NULL)
 		at_sync_delete(entry->sync);
 	at_wire_store_delete(entry->wire_store);
--- a/src/entry/peers/gossip.c
+++ b/src/entry/peers/gossip.c
@@ -69,13 +69,12 @@
 	free(gossip);
 }
 
-void
-gossip_send_datagram(
-    at_gossip_t *gossip, const at_roster_member_t *member, size_t len)
+static void
+send_datagram_to(at_gossip_t *gossip, const char *address, size_t len)
 {
 	struct sockaddr_in addr;
 
-	if (at_address_parse(member->address, &addr) != 0)
+	if (len == 0 || at_address_parse(address, &addr) != 0)
 		return;
 	if (sendto(gossip->fd, gossip->datagram, len, 0,
 		(const struct sockaddr *)&addr, sizeof(addr)) < 0)
@@ -83,6 +82,13 @@
 		    "why", strerror(errno), 1);
 }
 
+void
+gossip_send_datagram(
+    at_gossip_t *gossip, const at_roster_member_t *member, size_t len)
+{
+	send_datagram_to(gossip, member->address, len);
+}
+
 void
 gossip_count_sent(
     at_gossip_t *gossip, const char *kind, size_t datagrams, size_t len)
@@ -404,18 +410,21 @@
 at_gossip_send_to(
     at_gossip_t *gossip, const char *address, const Report *report)
 {
-	struct sockaddr_in addr;
 	size_t len = report_pack(gossip, report);
 
-	if (len == 0 || at_address_parse(address, &addr) != 0)
-		return;
-	if (sendto(gossip->fd, gossip->datagram, len, 0,
-		(const struct sockaddr *)&addr, sizeof(addr)) < 0)
-		at_counters_add(gossip->deps.counters, "reports_unsent_total",
-		    "why", strerror(errno), 1);
+	send_datagram_to(gossip, address, len);
 	gossip_count_sent(gossip, "parts", 1, len);
 }
 
+void
+at_gossip_send_named_to(at_gossip_t *gossip, const char *address,
+    void (*fill)(void *ctx, Report *report), void *ctx)
+{
+	gossip->is_to_all = 1;
+	send_datagram_to(gossip, address,
+	    report_encode(gossip, AT_REPORT_CHANGES, fill, ctx));
+}
+
 at_report_paths_t *
 at_gossip_paths(at_gossip_t *gossip)
 {
--- a/src/entry/peers/gossip.h
+++ b/src/entry/peers/gossip.h
@@ -133,6 +133,9 @@
 /* at_gossip_send_to() sends a report in one datagram. */
 void at_gossip_send_to(
     at_gossip_t *gossip, const char *address, const Report *report);
+/* at_gossip_send_named_to() sends one that bears this instance's name. */
+void at_gossip_send_named_to(at_gossip_t *gossip, const char *address,
+    void (*fill)(void *ctx, Report *report), void *ctx);
 /*
  * at_gossip_origins_observer() notes where streams have begun and tells the
  * other instances. at_gossip_send_origins_soon() sends the origins of streams
--- a/src/entry/store/sync.c
+++ b/src/entry/store/sync.c
@@ -171,6 +171,10 @@
 {
 	if (report->reads && report->is_near)
 		apply_reader(sync, report);
+	/* Whoever has no list yet takes that of any instance. */
+	if (!at_mirror_is_synced(sync->servers.mirror))
+		sync_want_servers(
+		    sync, report->servers_since, SERVERS_ARRIVAL_MS);
 	/* A watch has failed if another reader knows a newer change for long.
 	 */
 	if (report->reads && !report->is_near && sync->is_reader &&
@@ -318,6 +322,7 @@
 void
 at_sync_start(at_sync_t *sync)
 {
+	sync->started_ms = at_clock_now_ms();
 	watcher_process(&sync->config);
 	watcher_process(&sync->servers);
 }
--- a/src/entry/store/sync_documents.c
+++ b/src/entry/store/sync_documents.c
@@ -17,6 +17,8 @@
 #define SINCE_STATED 1u
 /* A reader that was up to date within this time knows the newest. */
 #define FRESH_READER_MS 2000u
+/* The platform's lists have this time after the start. */
+#define FIRST_LIST_MS 500u
 
 /* Sending */
 
@@ -146,12 +148,52 @@
 		sync_want_servers(sync, to, 0);
 }
 
+static int
+is_reader_fresh(const at_sync_t *sync)
+{
+	return sync->reader_ms != 0 &&
+	       at_clock_now_ms() <= sync->reader_ms + FRESH_READER_MS;
+}
+
+/*
+ * An instance that has no list of its own yet takes what it is told if the
+ * reader is up to date. Otherwise it waits for its list, and where the platform
+ * does not respond, it takes what the others use.
+ */
+static int
+may_take(const watcher_t *watcher)
+{
+	const at_sync_t *sync = watcher->sync;
+
+	return at_mirror_is_synced(watcher->mirror) || is_reader_fresh(sync) ||
+	       at_mirror_is_platform_away(watcher->mirror) ||
+	       at_clock_now_ms() >= sync->started_ms + FIRST_LIST_MS;
+}
+
+/* The list that is open counts as unanswered, so that it is tried again. */
+static void
+begin_without_platform(watcher_t *watcher, uint64_t version)
+{
+	const at_objects_page_t none = {.code = AT_OBJECTS_NO_RESPONSE};
+	uint64_t now_ms = at_clock_now_ms();
+
+	at_mirror_handle_response(watcher->mirror, now_ms, &none);
+	watcher_log_platform(watcher, none.code);
+	at_log(AT_LOG_WARN, "platform", NULL,
+	    "no list since the start; using that of another instance kind=%s "
+	    "version=%" PRIu64 " waited_ms=%" PRIu64,
+	    watcher->kind, version, now_ms - watcher->sync->started_ms);
+}
+
 /* Applies all objects of a kind, in place of a list that may be under way. */
 static void
 feed_all(watcher_t *watcher, const at_object_t *objects, size_t count,
     uint64_t version)
 {
 	watcher_drop_list(watcher);
+	if (!at_mirror_is_synced(watcher->mirror) &&
+	    !is_reader_fresh(watcher->sync))
+		begin_without_platform(watcher, version);
 	watcher->is_fed = 1;
 	at_mirror_feed_all(
 	    watcher->mirror, at_clock_now_ms(), objects, count, version);
@@ -159,17 +201,6 @@
 	watcher_process(watcher);
 }
 
-/*
- * An instance that has no list of its own yet takes what it is told if the
- * reader is up to date, and otherwise waits for its list.
- */
-static int
-may_take(const watcher_t *watcher)
-{
-	return at_mirror_is_synced(watcher->mirror) ||
-	       at_clock_now_ms() <= watcher->sync->reader_ms + FRESH_READER_MS;
-}
-
 void
 sync_feed_config(at_sync_t *sync, const char *name, uint64_t version,
     const char *text, size_t len)
@@ -268,7 +299,9 @@
 {
 	at_sync_t *sync = watcher->sync;
 
-	if (at_mirror_is_listing(watcher->mirror) && wait_ms < LIST_ARRIVAL_MS)
+	if (at_mirror_is_listing(watcher->mirror) &&
+	    !at_mirror_is_platform_away(watcher->mirror) &&
+	    wait_ms < LIST_ARRIVAL_MS)
 		wait_ms = LIST_ARRIVAL_MS;
 	at_catch_up_note_behind(&watcher->catch_up, at_clock_now_ms(), wait_ms);
 	if (!ev_is_active(&sync->catch_up_timer))
--- a/src/entry/store/sync_impl.h
+++ b/src/entry/store/sync_impl.h
@@ -68,6 +68,7 @@
 	at_documents_t *documents;
 	at_config_text_t *config_text; /* of the configuration in force */
 	object_changes_t changes;
+	uint64_t started_ms;
 	uint64_t rounds; /* of reports */
 	watcher_t config;
 	watcher_t servers;
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -277,6 +277,37 @@
 	(void)snprintf(address, AT_ADDR_SIZE, "127.0.0.1:%u", port);
 }
 
+void
+entry_fixture_use_hosts(entry_fixture_t *fixture)
+{
+	char address[AT_ADDR_SIZE];
+
+	find_free_address(address);
+	fixture->peers_port =
+	    (uint16_t)strtoul(strchr(address, ':') + 1, NULL, 10);
+}
+
+void
+entry_fixture_host(size_t entry, char host[AT_ADDR_SIZE])
+{
+	(void)snprintf(host, AT_ADDR_SIZE, "127.0.1.%zu", entry + 1);
+}
+
+static void
+choose_peers_address(
+    const entry_fixture_t *fixture, size_t entry, char address[AT_ADDR_SIZE])
+{
+	char host[AT_ADDR_SIZE];
+
+	if (fixture->peers_port == 0) {
+		find_free_address(address);
+		return;
+	}
+	entry_fixture_host(entry, host);
+	(void)snprintf(
+	    address, AT_ADDR_SIZE, "%.15s:%u", host, fixture->peers_port);
+}
+
 size_t
 entry_fixture_add_entry(entry_fixture_t *fixture)
 {
@@ -294,6 +325,7 @@
 	    .metrics = "",
 	    .peers = fixture->peers[i],
 	    .store = fixture->store_address,
+	    .seeds = fixture->seeds,
 	    .secret = fixture_secret(),
 	    .log_level = "info",
 	    .processor_share = 1.,
@@ -308,7 +340,7 @@
 
 	(void)snprintf(
 	    fixture->names[i], sizeof(fixture->names[i]), "entry-%zu", i);
-	find_free_address(fixture->peers[i]);
+	choose_peers_address(fixture, i, fixture->peers[i]);
 	fixture->entries[i] = at_entry_new(fixture->loop, &settings);
 	cr_assert_eq(at_entry_init(fixture->entries[i], &status), AT_OK, "%s",
 	    status.message);
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -24,6 +24,9 @@
 	at_httpc_t *httpc;
 	standin_store_t *store;
 	char store_address[AT_ADDR_SIZE];
+	char seeds[4 * AT_ADDR_SIZE]; /* of the instances added from now on */
+	/* Not 0: they have hosts of their own, and this port for reports. */
+	uint16_t peers_port;
 	standin_server_t *servers[ENTRY_FIXTURE_MAX];
 	char ids[ENTRY_FIXTURE_MAX][AT_NAME_SIZE];
 	const char *versions[ENTRY_FIXTURE_MAX]; /* of software; borrowed */
@@ -80,6 +83,13 @@
 /* The same in a data centre other than "north"; data_centre is borrowed. */
 size_t entry_fixture_add_entry_in(
     entry_fixture_t *fixture, const char *data_centre);
+/*
+ * entry_fixture_use_hosts() gives the instances that are added later hosts of
+ * their own, as on machines; entry_fixture_host() returns that of one, which
+ * need not have been added yet.
+ */
+void entry_fixture_use_hosts(entry_fixture_t *fixture);
+void entry_fixture_host(size_t entry, char host[AT_ADDR_SIZE]);
 /*
  * entry_fixture_remove_entry() deletes an entry instance without a shutdown, as
  * if it had been killed.
