Soak: restarts in series while the store is away

Judged from what callers see: while the store is away, the first attempts at instances that have started in that time, 3 s beside another that knows the state, are served at least two thirds as often as those at the others (START). Each instance of a run has a host of its own, as seeds are hosts.

--- a/src/entry/peers/introductions.c
+++ b/src/entry/peers/introductions.c
@@ -132,15 +132,14 @@
 	answer->count = 0;
 }
 
-/* Those that are silent or leave need not be known. */
+/* One that leaves may be the last that has the configuration. */
 static void
 add_instance(void *ctx, at_roster_member_t *member)
 {
 	answer_t *answer = ctx;
 	ReportInstance *instance = &answer->instances[answer->count];
 
-	if (member == answer->to || member->is_leaving ||
-	    member->reported_us == 0 ||
+	if (member == answer->to || member->reported_us == 0 ||
 	    answer->now_us - member->reported_us > AT_ROSTER_REPORT_TIMEOUT_US)
 		return;
 	report_instance__init(instance);
--- a/tests/soak/judge.c
+++ b/tests/soak/judge.c
@@ -16,6 +16,10 @@
  * than 10 + 1 in 50 of all fail there. LIMIT allows two falls, and one for each
  * ten servers, in one time in which a service's servers are brittle.
  *
+ * START: while the store is away, the first attempts at instances that have
+ * started in that time are served at least two thirds as often as those at the
+ * others, with the same exception.
+ *
  * DRAIN holds for instances in touch and for a leaving that the store
  * acknowledged while it was stable. BUDGET counts all instances, in touch or
  * not, and requests that a backend server rejects.
@@ -98,6 +102,16 @@
 	uint32_t served[SOAK_GROUPS];
 	uint32_t cuts;
 	uint32_t recover;
+	uint64_t away_since_ms; /* the store; 0: it is not */
+	/* What the instances know of the store's state. */
+	enum {
+		KNOWS_NOTHING,
+		KNOWS_FROM_OTHERS,
+		KNOWS_FROM_STORE
+	} knows[SOAK_INSTANCES_MAX];
+	uint32_t instances; /* that have ever started */
+	uint32_t outages;
+	uint32_t starts;
 	uint32_t falls; /* in the present time */
 	uint32_t all_falls;
 	uint32_t brittle;
@@ -423,35 +437,82 @@
 	    is_disturbed ? STILL_DISTURBED : elapsed_ms(judge);
 }
 
+void
+soak_judge_instance_started(soak_judge_t *judge, uint32_t instance)
+{
+	soak_judge_instance_disturbed(judge, instance, 0);
+	if (instance >= judge->instances)
+		judge->instances = instance + 1;
+	judge->knows[instance] =
+	    judge->away_since_ms == 0 ? KNOWS_FROM_STORE : KNOWS_NOTHING;
+}
+
+/*
+ * Compares the first attempts of two groups, and begins to count them anew.
+ * Returns -1 if the rule is broken, 1 if it holds, and 0 if there is nothing to
+ * compare.
+ */
+static int
+compare_groups(soak_judge_t *judge, soak_group_t judged, soak_group_t others,
+    const char *broken, const char *kept, const char *where)
+{
+	uint32_t tried = judge->tried[judged];
+	uint32_t served = judge->served[judged];
+	uint32_t others_tried = judge->tried[others];
+	uint32_t others_served = judge->served[others];
+	int is_broken =
+	    tried > 0 && others_tried > 0 &&
+	    3.0 * served / tried < 2.0 * others_served / others_tried &&
+	    tried - served > 10u + (tried + others_tried) / 50u;
+
+	if (tried > 0)
+		(void)printf("%s: until %" PRIu64 " ms %u of %u first attempts "
+			     "served at %s, %u of %u at the others\n",
+		    is_broken ? broken : kept, elapsed_ms(judge), served, tried,
+		    where, others_served, others_tried);
+	judge->tried[judged] = judge->served[judged] = 0;
+	judge->tried[others] = judge->served[others] = 0;
+	if (is_broken)
+		return -1;
+	return tried > 0 && others_tried > 0;
+}
+
+/* Ends the present outage of the store. */
+static void
+judge_starts(soak_judge_t *judge)
+{
+	int result =
+	    compare_groups(judge, SOAK_GROUP_STARTED, SOAK_GROUP_KNOWING,
+		"START", "start", "instances that started without the store");
+	uint32_t i;
+
+	judge->outages += result != 0;
+	judge->starts += result < 0;
+	judge->away_since_ms = 0;
+	for (i = 0; i < judge->instances; i++)
+		judge->knows[i] = KNOWS_FROM_STORE;
+}
+
 void
 soak_judge_store_disturbed(soak_judge_t *judge, int is_disturbed)
 {
 	judge->store_disturbed_ms =
 	    is_disturbed ? STILL_DISTURBED : elapsed_ms(judge);
+	if (!is_disturbed)
+		judge_starts(judge);
+	else if (judge->away_since_ms == 0)
+		judge->away_since_ms = elapsed_ms(judge);
 }
 
 /* Ends the present cut. */
 static void
 judge_recover(soak_judge_t *judge)
 {
-	uint32_t cut = judge->tried[SOAK_GROUP_CUT];
-	uint32_t others = judge->tried[SOAK_GROUP_OTHERS];
-	uint32_t served = judge->served[SOAK_GROUP_CUT];
-	int is_broken = cut > 0 && others > 0 &&
-			3.0 * served / cut <
-			    2.0 * judge->served[SOAK_GROUP_OTHERS] / others &&
-			cut - served > 10u + (cut + others) / 50u;
-
-	judge->cuts += cut > 0 && others > 0;
-	judge->recover += (uint32_t)is_broken;
-	if (cut > 0)
-		(void)printf(
-		    "%s: until %" PRIu64 " ms %u of %u first attempts "
-		    "served at cut instances, %u of %u at the others\n",
-		    is_broken ? "RECOVER" : "recover", elapsed_ms(judge),
-		    served, cut, judge->served[SOAK_GROUP_OTHERS], others);
-	memset(judge->tried, 0, sizeof(judge->tried));
-	memset(judge->served, 0, sizeof(judge->served));
+	int result = compare_groups(judge, SOAK_GROUP_CUT, SOAK_GROUP_OTHERS,
+	    "RECOVER", "recover", "cut instances");
+
+	judge->cuts += result != 0;
+	judge->recover += result < 0;
 }
 
 void
@@ -465,8 +526,31 @@
 		judge_recover(judge);
 }
 
+/* An instance has heard of the state after 3 s beside another that knows it. */
+static soak_group_t
+find_start_group(soak_judge_t *judge, uint32_t instance, uint64_t now_ms)
+{
+	uint32_t i;
+
+	if (judge->away_since_ms == 0 ||
+	    now_ms < judge->away_since_ms + CONTACT_MS ||
+	    !is_calm(judge->instance_disturbed_ms[instance], now_ms))
+		return SOAK_GROUP_NONE;
+	for (i = 0;
+	     i < judge->instances && judge->knows[instance] == KNOWS_NOTHING;
+	     i++) {
+		if (judge->knows[i] != KNOWS_NOTHING &&
+		    is_calm(judge->instance_disturbed_ms[i], now_ms))
+			judge->knows[instance] = KNOWS_FROM_OTHERS;
+	}
+	if (judge->knows[instance] == KNOWS_NOTHING)
+		return SOAK_GROUP_NONE;
+	return judge->knows[instance] == KNOWS_FROM_STORE ? SOAK_GROUP_KNOWING
+							  : SOAK_GROUP_STARTED;
+}
+
 soak_group_t
-soak_judge_group(const soak_judge_t *judge, uint32_t instance)
+soak_judge_group(soak_judge_t *judge, uint32_t instance)
 {
 	uint64_t now_ms = elapsed_ms(judge);
 	uint64_t since_ms = 0;
@@ -476,7 +560,9 @@
 		if (judge->cut_since_ms[i] > since_ms)
 			since_ms = judge->cut_since_ms[i];
 	}
-	if (since_ms == 0 || now_ms < since_ms + CONTACT_MS ||
+	if (since_ms == 0)
+		return find_start_group(judge, instance, now_ms);
+	if (now_ms < since_ms + CONTACT_MS ||
 	    !is_calm(judge->instance_disturbed_ms[instance], now_ms))
 		return SOAK_GROUP_NONE;
 	return judge->cut_since_ms[instance] != 0 ? SOAK_GROUP_CUT
@@ -591,15 +677,19 @@
 	uint32_t lost = judge_lost(judge);
 
 	judge_recover(judge);
+	judge_starts(judge);
 	(void)printf("arrivals=%" PRIu64 " rejected=%" PRIu64
 		     " part_crashes=%u limited=%" PRIu64
 		     " broken: BUDGET=%u PART=%u LOST=%u LIMIT=%u DRAIN=%u "
-		     "TWICE=%u EXIT=%u RECOVER=%u of %u FALLS=%u of %u\n",
+		     "TWICE=%u EXIT=%u RECOVER=%u of %u FALLS=%u of %u "
+		     "START=%u of %u\n",
 	    judge->arrivals, judge->rejected, judge->crashes,
 	    judge->limited_arrivals, budget, judge->part_budget, lost,
 	    judge->limit, judge->drain, judge->twice, judge->exits,
-	    judge->recover, judge->cuts, judge->brittle, judge->all_falls);
+	    judge->recover, judge->cuts, judge->brittle, judge->all_falls,
+	    judge->starts, judge->outages);
 	return (budget > 0) + (judge->part_budget > 0) + (lost > 0) +
 	       (judge->limit > 0) + (judge->drain > 0) + (judge->twice > 0) +
-	       (judge->exits > 0) + (judge->recover > 0) + (judge->brittle > 0);
+	       (judge->exits > 0) + (judge->recover > 0) +
+	       (judge->brittle > 0) + (judge->starts > 0);
 }
--- a/tests/soak/processes.c
+++ b/tests/soak/processes.c
@@ -16,6 +16,7 @@
 #define PATH_SIZE 512u
 #define FIRST_PORT 10000u
 #define PORTS 3u
+#define SEEDS 3u   /* one in each of three data centres */
 #define FILLERS 3u /* connections that fill the backlog of a listener */
 #define SECRET \
 	"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
@@ -51,17 +52,17 @@
 };
 
 /*
- * Each run has its own address on loopback, so that runs at the same time do
- * not take each other's ports while an instance is restarted.
+ * Each instance of a run has its own host on loopback, with the same ports, so
+ * that runs at the same time do not take each other's while one is restarted.
  */
 static void
 make_address(char address[AT_ADDR_SIZE], uint32_t instance, uint32_t offset)
 {
 	uint32_t run = (uint32_t)getpid();
 
-	(void)snprintf(address, AT_ADDR_SIZE, "127.%u.%u.%u:%u",
-	    1u + (run >> 16) % 250u, (run >> 8) & 255u, run & 255u,
-	    FIRST_PORT + PORTS * instance + offset);
+	(void)snprintf(address, AT_ADDR_SIZE, "127.%u.%u.%u:%u", 1u + instance,
+	    (run >> 8) & 255u, run & 255u,
+	    FIRST_PORT + PORTS * ((run >> 16) & 255u) + offset);
 }
 
 static void
@@ -92,8 +93,8 @@
 	instance->is_frozen = 0;
 	instance->start_due_s = 0.;
 	instance->thaw_due_s = 0.;
-	soak_judge_instance_disturbed(
-	    instance->processes->judge, instance->index, 0);
+	soak_judge_instance_started(
+	    instance->processes->judge, instance->index);
 }
 
 static void
@@ -163,6 +164,7 @@
 	static const char data_centres[] = {'a', 'a', 'b', 'b', 'c', 'd'};
 	char data_centre = data_centres[instance->index % 6u];
 	FILE *file;
+	char seeds[SEEDS][AT_ADDR_SIZE];
 	uint32_t i;
 
 	(void)snprintf(instance->name, sizeof(instance->name), "%c-%u",
@@ -175,15 +177,18 @@
 	    instance->log, PATH_SIZE, "%s/%s.log", work, instance->name);
 	for (i = 0; i < PORTS; i++)
 		make_address(instance->addresses[i], instance->index, i);
+	for (i = 0; i < SEEDS; i++)
+		make_address(seeds[i], 2u * i, PORTS - 1u);
 	file = fopen(instance->conf, "w");
 	if (file == NULL)
 		return;
 	(void)fprintf(file,
 	    "name=%s\ndata-centre=%c\nlisten=%s\nready=%s\npeers=%s\n"
-	    "store=%s\nretry-ratio=%.2f\nretry-slack=%u\nlog-lines=2000\n",
+	    "store=%s\nseeds=%s,%s,%s\nretry-ratio=%.2f\nretry-slack=%u\n"
+	    "log-lines=2000\n",
 	    instance->name, data_centre, instance->addresses[0],
-	    instance->addresses[1], instance->addresses[2], store,
-	    SOAK_RETRY_RATIO, SOAK_RETRY_SLACK);
+	    instance->addresses[1], instance->addresses[2], store, seeds[0],
+	    seeds[1], seeds[2], SOAK_RETRY_RATIO, SOAK_RETRY_SLACK);
 	(void)fclose(file);
 }
 
--- a/tests/soak/schedule.c
+++ b/tests/soak/schedule.c
@@ -11,7 +11,9 @@
 #define LIMIT_MORE_MS 10000u
 #define CUT_MIN_MS 5000u /* for which instances are cut from all servers */
 #define CUT_MORE_MS 6000u
-#define BRITTLE_MS 9000u /* for which servers are brittle */
+#define BRITTLE_MS 9000u    /* for which servers are brittle */
+#define OUTAGE_MIN_MS 8000u /* of the store, beside restarts */
+#define OUTAGE_MORE_MS 5000u
 
 const char *const soak_kind_names[] = {"term", "kill", "freeze", "hang-up",
     "config", "backend-leaves", "backend-removed", "backend-crashes",
@@ -210,6 +212,31 @@
 	}
 }
 
+/* The store is away while all instances are restarted, in every second run. */
+static void
+add_outages(soak_step_t **steps, size_t *count, uint64_t seed,
+    uint32_t duration_ms, uint32_t instances)
+{
+	at_rng_t rng = {~seed * 0x8ebc6af09c88c6e3u};
+	soak_step_t outage = {.kind = SOAK_STORE_OUTAGE};
+
+	if (at_rng_below(&rng, 2) == 0)
+		return;
+	outage.at_ms = QUIET_START_MS + (uint32_t)at_rng_below(&rng, 4000);
+	while (outage.at_ms + OUTAGE_MIN_MS < duration_ms) {
+		soak_step_t step = {.at_ms = outage.at_ms + 500u,
+		    .kind = at_rng_below(&rng, 2) == 0 ? SOAK_TERM : SOAK_KILL,
+		    .target = (uint32_t)at_rng_below(&rng, instances)};
+
+		outage.duration_ms = OUTAGE_MIN_MS + (uint32_t)at_rng_below(
+							 &rng, OUTAGE_MORE_MS);
+		add_step(steps, count, &outage);
+		add_series(steps, count, &rng, step, instances);
+		outage.at_ms += outage.duration_ms + 4000u +
+				(uint32_t)at_rng_below(&rng, 8000);
+	}
+}
+
 soak_step_t *
 soak_schedule_new(
     uint64_t seed, uint32_t duration_ms, uint32_t instances, size_t *step_count)
@@ -246,6 +273,7 @@
 	add_limits(&steps, step_count, seed, duration_ms);
 	add_cuts(&steps, step_count, seed, duration_ms, instances);
 	add_pauses(&steps, step_count, seed, duration_ms);
+	add_outages(&steps, step_count, seed, duration_ms, instances);
 	if (steps != NULL)
 		qsort(steps, *step_count, sizeof(*steps), compare_steps);
 	return steps;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -113,6 +113,7 @@
  */
 void soak_judge_instance_disturbed(
     soak_judge_t *judge, uint32_t instance, int is_disturbed);
+void soak_judge_instance_started(soak_judge_t *judge, uint32_t instance);
 void soak_judge_store_disturbed(soak_judge_t *judge, int is_disturbed);
 int soak_judge_is_store_stable(const soak_judge_t *judge);
 /* A step that is not planned work, with its end in ms from now. */
@@ -137,16 +138,20 @@
     soak_judge_t *judge, soak_phase_t phase, int has_begun);
 /*
  * Cuts. A first attempt is counted in the group that it is in when it is sent:
- * there is a cut that has lasted for 3 s, and its instance is in touch.
+ * there is a cut that has lasted for 3 s, and its instance is in touch. The
+ * same holds for an outage of the store: the instance has started in it, beside
+ * others that know its state, or before.
  */
 typedef enum soak_group {
 	SOAK_GROUP_NONE,
 	SOAK_GROUP_CUT,
 	SOAK_GROUP_OTHERS,
+	SOAK_GROUP_STARTED,
+	SOAK_GROUP_KNOWING,
 	SOAK_GROUPS
 } soak_group_t;
 void soak_judge_cut(soak_judge_t *judge, uint32_t instance, int is_cut);
-soak_group_t soak_judge_group(const soak_judge_t *judge, uint32_t instance);
+soak_group_t soak_judge_group(soak_judge_t *judge, uint32_t instance);
 void soak_judge_tried(soak_judge_t *judge, soak_group_t group, int is_served);
 /* A time begins in which servers state that they are brittle; one falls over.
  */
