Keep descriptors for backend servers, the store and new callers

Cause: three overlapping bursts leave thousands of idle kept connections, which were kept for 75 s, up to 16,384 of them; the process had all of its 4,100 descriptors open, so that neither callers nor connections to servers, to the store and to other instances got one.

Change: callers may have 60 in 100 of the descriptors that the settings state. From three quarters of that on, each response closes its connection, and of those that have no request the longest idle are closed after a second without data; a request that arrives on one meanwhile keeps it.

--- a/src/entry/base/entry_settings.c
+++ b/src/entry/base/entry_settings.c
@@ -5,6 +5,7 @@
 /* Connections that a core can read in the second that callers wait. */
 #define CONNECTIONS_PER_CORE 1000
 #define BACKLOG_MIN 64
+#define CALLERS_PERCENT 60u /* of the descriptors */
 
 int
 at_entry_settings_read(at_entry_settings_t *s, int argc, char **argv,
@@ -33,6 +34,9 @@
 		0, 0, "the fleet's secret, 64 hexadecimal digits"},
 	    {"log-level", "ALMONDTHREAD_LOG_LEVEL", AT_SETTING_TEXT,
 		&s->log_level, "info", 0, 0, "error, warn, info or debug"},
+	    {"descriptors", "ALMONDTHREAD_DESCRIPTORS", AT_SETTING_NUMBER,
+		&s->descriptors, "1024", 128, 1000000,
+		"files and sockets that the process may have open"},
 	    {"log-lines", "ALMONDTHREAD_LOG_LINES", AT_SETTING_NUMBER,
 		&s->log_lines_per_s, "200", 1, 1000000,
 		"most log lines a second; further ones are only counted"},
@@ -81,3 +85,9 @@
 		return BACKLOG_MIN;
 	return connections < SOMAXCONN ? (int)connections : SOMAXCONN;
 }
+
+size_t
+at_entry_settings_callers(const at_entry_settings_t *s)
+{
+	return (size_t)s->descriptors * CALLERS_PERCENT / 100u;
+}
--- a/src/entry/base/entry_settings.h
+++ b/src/entry/base/entry_settings.h
@@ -22,6 +22,7 @@
 	double processor_share; /* part of each core that may be used */
 	uint32_t cores;
 	double link_mbps;
+	uint32_t descriptors; /* files and sockets that may be open */
 	uint32_t log_lines_per_s;
 	uint32_t stop_grace_s; /* time from SIGTERM to SIGKILL */
 	uint32_t lease_ms;     /* term of the lease for orders */
@@ -50,5 +51,11 @@
  * be read too late.
  */
 int at_entry_settings_backlog(const at_entry_settings_t *settings);
+/*
+ * at_entry_settings_callers() returns how many connections callers may have.
+ * The other descriptors are for backend servers, the store, other instances and
+ * files: without them no request could be served.
+ */
+size_t at_entry_settings_callers(const at_entry_settings_t *settings);
 
 #endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -93,6 +93,8 @@
 		return at_status_set(status, AT_FAILED, "out of memory");
 	at_httpd_set_max_body(entry->callers, DEFAULT_BODY_MAX_BYTES);
 	at_httpd_set_backlog(entry->callers, at_entry_settings_backlog(s));
+	at_httpd_set_connections_max(
+	    entry->callers, at_entry_settings_callers(s));
 	if (at_wire_store_init(entry->wire_store, s->store, status) != AT_OK ||
 	    at_readiness_init(entry->readiness, status) != AT_OK ||
 	    at_gossip_init(entry->gossip, status) != AT_OK ||
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -1,6 +1,6 @@
 /*
- * The server and its connections: settings, listening, receiving requests, and
- * shutdown. Responses are in httpd_request.c.
+ * The server: settings, listening, receiving requests, and shutdown.
+ * Connections are in httpd_connections.c, responses in httpd_request.c.
  */
 #include "io/httpd_private.h"
 
@@ -19,16 +19,14 @@
 #include "io/address.h"
 
 #define CONNECTION_MEMORY_BYTES (48u * 1024) /* headers and buffers */
-#define CONNECTION_IDLE_TIMEOUT_S 75u
-#define SHUTDOWN_IDLE_TIMEOUT_S 1u /* after at_httpd_close_idle() */
-#define BODY_GROWTH_BYTES 4096u    /* added to the bytes needed */
+#define BODY_GROWTH_BYTES 4096u              /* added to the bytes needed */
 /* Runs of libmicrohttpd in which a deleted server ends its requests. */
 #define ABORT_RUNS_MAX 1000
 #define DEFAULT_BODY_MAX_BYTES (1u << 20)
 #define DEFAULT_BODY_TIMEOUT_MS 30000u
 #define HEADERS_MAX_BYTES (16u * 1024)
 #define DEFAULT_CLOSED_CHECK_MS 250u
-#define CONNECTIONS_MAX 16384u
+#define DEFAULT_CONNECTIONS_MAX 16384u
 
 at_httpd_t *
 at_httpd_new(struct ev_loop *loop)
@@ -43,6 +41,9 @@
 	httpd->closed_check_ms = DEFAULT_CLOSED_CHECK_MS;
 	httpd->listen_fd = -1;
 	httpd->backlog = SOMAXCONN;
+	httpd->connections_max = DEFAULT_CONNECTIONS_MAX;
+	TAILQ_INIT(&httpd->connections);
+	TAILQ_INIT(&httpd->idle);
 	return httpd;
 }
 
@@ -65,6 +66,12 @@
 	httpd->backlog = connections;
 }
 
+void
+at_httpd_set_connections_max(at_httpd_t *httpd, size_t connections)
+{
+	httpd->connections_max = connections;
+}
+
 void
 at_httpd_set_max_body(at_httpd_t *httpd, size_t bytes)
 {
@@ -102,31 +109,6 @@
 	(void)sodium_bin2hex(id, AT_HTTPD_ID_DIGITS + 1, bytes, sizeof(bytes));
 }
 
-/* libmicrohttpd closes a connection after this time without data. */
-static void
-set_idle_timeout(const connection_t *connection)
-{
-	(void)MHD_set_connection_option(connection->handle,
-	    MHD_CONNECTION_OPTION_TIMEOUT,
-	    connection->has_request ? CONNECTION_IDLE_TIMEOUT_S
-				    : SHUTDOWN_IDLE_TIMEOUT_S);
-}
-
-static void
-set_has_request(
-    at_httpd_t *httpd, struct MHD_Connection *handle, int has_request)
-{
-	const union MHD_ConnectionInfo *info =
-	    MHD_get_connection_info(handle, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-	connection_t *connection = info->socket_context;
-
-	if (connection == NULL)
-		return;
-	connection->has_request = has_request;
-	if (httpd->is_closing_idle)
-		set_idle_timeout(connection);
-}
-
 /* libmicrohttpd calls this with the request line, before the headers. */
 static void *
 request_new(void *cls, const char *target, struct MHD_Connection *connection)
@@ -146,7 +128,7 @@
 		request->next->prev = request;
 	httpd->requests = request;
 	httpd->request_count++;
-	set_has_request(httpd, connection, 1);
+	httpd_set_has_request(httpd, connection, 1);
 	return request;
 }
 
@@ -333,7 +315,7 @@
 	if (request == NULL)
 		return;
 	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
-		set_has_request(cls, connection, 0);
+		httpd_set_has_request(cls, connection, 0);
 	else
 		request->caller_closed = 1;
 	if (request->on_end != NULL)
@@ -344,52 +326,6 @@
 	*request_cls = NULL;
 }
 
-/* libmicrohttpd calls this when a connection begins and when it ends. */
-static void
-on_connection(void *cls, struct MHD_Connection *handle, void **socket_cls,
-    enum MHD_ConnectionNotificationCode code)
-{
-	at_httpd_t *httpd = cls;
-	connection_t *connection = *socket_cls;
-
-	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-		connection = calloc(1, sizeof(*connection));
-		*socket_cls = connection;
-		if (connection == NULL)
-			return;
-		connection->handle = handle;
-		connection->next = httpd->connections;
-		if (connection->next != NULL)
-			connection->next->prev = connection;
-		httpd->connections = connection;
-		return;
-	}
-	if (connection == NULL)
-		return;
-	if (connection->prev != NULL)
-		connection->prev->next = connection->next;
-	else
-		httpd->connections = connection->next;
-	if (connection->next != NULL)
-		connection->next->prev = connection->prev;
-	*socket_cls = NULL;
-	free(connection);
-}
-
-void
-at_httpd_close_idle(at_httpd_t *httpd)
-{
-	connection_t *connection;
-
-	for (connection = httpd->connections; connection != NULL;
-	     connection = connection->next) {
-		if (!connection->has_request)
-			set_idle_timeout(connection);
-	}
-	httpd->is_closing_idle = 1;
-	httpd->is_run_pending = 1;
-}
-
 static int
 listen_on(const struct sockaddr_in *addr, int backlog, uint16_t *port)
 {
@@ -428,10 +364,10 @@
 	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
 	    httpd, MHD_OPTION_LISTEN_SOCKET, httpd->listen_fd,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX,
+	    MHD_OPTION_CONNECTION_LIMIT, (unsigned int)httpd->connections_max,
 	    MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_IDLE_TIMEOUT_S,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd,
-	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, httpd,
+	    MHD_OPTION_NOTIFY_CONNECTION, httpd_on_connection, httpd,
 	    MHD_OPTION_URI_LOG_CALLBACK, request_new, httpd, MHD_OPTION_END);
 	if (httpd->daemon == NULL) {
 		(void)close(httpd->listen_fd);
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -81,6 +81,13 @@
  * as many as the system allows without it. To be called before at_httpd_init().
  */
 void at_httpd_set_backlog(at_httpd_t *httpd, int connections);
+/*
+ * at_httpd_set_connections_max() limits the connections, 16,384 without it.
+ * From three quarters on, responses close theirs, and the longest idle are
+ * closed. Further ones wait to be accepted. To be called before
+ * at_httpd_init().
+ */
+void at_httpd_set_connections_max(at_httpd_t *httpd, size_t connections);
 /* at_httpd_set_max_body() limits the body; a larger one is a fault. */
 void at_httpd_set_max_body(at_httpd_t *httpd, size_t bytes);
 /*
--- a/src/io/httpd_loop.c
+++ b/src/io/httpd_loop.c
@@ -97,6 +97,7 @@
 
 	do {
 		httpd->is_run_pending = 0;
+		httpd_close_longest_idle(httpd);
 		(void)MHD_run(httpd->daemon);
 	} while (httpd->is_run_pending && ++runs < RUNS_MAX);
 }
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -5,6 +5,7 @@
 #define ALMONDTHREAD_IO_HTTPD_PRIVATE_H
 
 #include <poll.h>
+#include <sys/queue.h>
 
 #include <microhttpd.h>
 
@@ -57,12 +58,19 @@
 typedef struct connection {
 	struct MHD_Connection *handle;
 	int has_request; /* from the request line to the end of the response */
-	struct connection *next;
-	struct connection *prev;
+	int is_expiring; /* it is closed after a second without data */
+	TAILQ_ENTRY(connection) all;
+	TAILQ_ENTRY(connection) idle; /* unless it has a request */
 } connection_t;
 
+TAILQ_HEAD(connection_list, connection);
+
 struct at_httpd {
-	connection_t *connections;
+	struct connection_list connections;
+	struct connection_list idle; /* the longest idle first */
+	size_t connection_count;
+	size_t connections_max;
+	size_t expiring_count; /* of those that are idle */
 	struct ev_loop *loop;
 	struct MHD_Daemon *daemon;
 	at_httpd_handler_t handler;
@@ -98,6 +106,21 @@
 /* libmicrohttpd handles a resumed connection in its next run. */
 void at_httpd_resume(at_httpd_request_t *request);
 
+/* What libmicrohttpd calls when a connection begins or ends. */
+void httpd_on_connection(void *cls, struct MHD_Connection *handle,
+    void **socket_cls, enum MHD_ConnectionNotificationCode code);
+/* A request begins on a connection, or its response has ended. */
+void httpd_set_has_request(
+    at_httpd_t *httpd, struct MHD_Connection *handle, int has_request);
+/*
+ * httpd_is_crowded() returns non-zero if few more connections may be accepted:
+ * responses then close theirs. httpd_close_longest_idle() makes room.
+ */
+int httpd_is_crowded(const at_httpd_t *httpd);
+void httpd_close_longest_idle(at_httpd_t *httpd);
+/* libmicrohttpd closes a connection after this time without data. */
+#define CONNECTION_IDLE_TIMEOUT_S 75u
+
 /* Start and stop the watchers that run libmicrohttpd (httpd_loop.c). */
 void httpd_start_watchers(at_httpd_t *httpd);
 void httpd_stop_watchers(at_httpd_t *httpd);
--- a/src/io/httpd_request.c
+++ b/src/io/httpd_request.c
@@ -145,7 +145,7 @@
 	for (; headers != NULL && headers->name != NULL; headers++)
 		(void)MHD_add_response_header(
 		    response, headers->name, headers->value);
-	if (request->httpd->is_closing)
+	if (request->httpd->is_closing || httpd_is_crowded(request->httpd))
 		(void)MHD_add_response_header(response, "Connection", "close");
 	request->response = response;
 	request->status = status;
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -13,8 +13,9 @@
 
 #include "platform/names.h"
 
-#define WAIT_LIMIT_S 20. /* longest time until a condition is met */
-#define STEP_S 0.005     /* longest time between two checks of a condition */
+#define DESCRIPTORS 1024u /* of an instance */
+#define WAIT_LIMIT_S 20.  /* longest time until a condition is met */
+#define STEP_S 0.005      /* longest time between two checks of a condition */
 #define FIRST_PORT 10000u
 #define PORTS 20000u
 #define HEADERS_MAX 8 /* request headers, without the NULL at the end */
@@ -67,6 +68,7 @@
 	at_status_t status;
 
 	cr_assert_geq(sodium_init(), 0);
+	fixture->descriptors = DESCRIPTORS;
 	fixture->loop = ev_loop_new(EVFLAG_AUTO);
 	fixture->httpc = at_httpc_new(fixture->loop);
 	fixture->store = standin_store_new(fixture->loop);
@@ -331,6 +333,7 @@
 	    .processor_share = 1.,
 	    .cores = 1,
 	    .link_mbps = 1000,
+	    .descriptors = fixture->descriptors,
 	    .log_lines_per_s = 1000,
 	    .stop_grace_s = 8,
 	    .lease_ms = 3000,
