--- a/src/entry/store/sync.c
+++ b/src/entry/store/sync.c
@@ -351,6 +351,12 @@
 	return sync->responded_ms;
 }
 
+uint64_t
+at_sync_age_ms(const at_sync_t *sync)
+{
+	return at_clock_now_ms() - sync->confirmed_ms;
+}
+
 int
 at_sync_is_platform_away(const at_sync_t *sync)
 {
--- a/src/entry/store/sync.h
+++ b/src/entry/store/sync.h
@@ -74,6 +74,11 @@
  * about the copies, or 0.
  */
 uint64_t at_sync_responded_ms(const at_sync_t *sync);
+/*
+ * at_sync_age_ms() returns the time since when the platform has confirmed that
+ * both kinds of objects are complete.
+ */
+uint64_t at_sync_age_ms(const at_sync_t *sync);
 /* at_sync_section() returns its section of the reports. */
 at_report_section_t at_sync_section(at_sync_t *sync);
 
--- a/src/entry/store/sync_documents.c
+++ b/src/entry/store/sync_documents.c
@@ -330,20 +330,32 @@
 	note_behind(&sync->servers, wait_ms);
 }
 
+/* Counts for how long others were known to have what is known here now. */
+static void
+note_current(watcher_t *watcher)
+{
+	uint64_t since_ms = watcher->catch_up.behind_ms;
+
+	at_counters_observe(watcher->sync->deps.counters, "behind_ms", "of",
+	    watcher->kind, since_ms == 0 ? 0 : at_clock_now_ms() - since_ms);
+	at_catch_up_note_current(&watcher->catch_up);
+}
+
 void
 sync_note_config_known(at_sync_t *sync)
 {
 	const at_site_t *site = *sync->deps.site;
 
 	if (site != NULL && site->version >= sync->config_wanted)
-		at_catch_up_note_current(&sync->config.catch_up);
+		note_current(&sync->config);
 }
 
 void
 sync_note_servers_known(at_sync_t *sync)
 {
-	if (at_mirror_since(sync->servers.mirror) >= sync->servers_wanted)
-		at_catch_up_note_current(&sync->servers.catch_up);
+	if (sync->servers.catch_up.behind_ms != 0 &&
+	    at_mirror_since(sync->servers.mirror) >= sync->servers_wanted)
+		note_current(&sync->servers);
 }
 
 /* Asks an instance that has what is wanted; another one each time. */
--- a/tests/contract/test_large_configuration.c
+++ b/tests/contract/test_large_configuration.c
@@ -2,6 +2,9 @@
  * Changes of a configuration of thousands of routes: beside a store that does
  * not respond to most instances, and one that takes long for each call.
  */
+#include <stdlib.h>
+#include <string.h>
+
 #include <criterion/criterion.h>
 
 #include "entry/store/sync.h"
@@ -101,6 +104,22 @@
 	}
 }
 
+/* Those that state how late they had a configuration that others have. */
+static size_t
+count_stating_delays(const entry_fixture_t *fixture)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < fixture->entry_count; i++) {
+		char *text = at_counters_format(fixture->entries[i]->counters);
+
+		count += strstr(text, "behind_ms_count{of=\"config\"") != NULL;
+		free(text);
+	}
+	return count;
+}
+
 /* The difference was too large to be sent, so that each instance listed. */
 Test(large_configuration, followers_get_a_large_change_from_their_reader,
     .timeout = 120)
@@ -114,6 +133,7 @@
 	cr_assert_eq(count_with_newest(deployment.fixture), ENTRIES,
 	    "%zu of %u instances have the change after %u ms",
 	    count_with_newest(deployment.fixture), ENTRIES, IN_FORCE_MS);
+	cr_expect_eq(count_stating_delays(deployment.fixture), ENTRIES);
 	deployment_delete(&deployment);
 }
 
