Go on beside a store that comes back from an older copy

The rule: the store may be back from a copy some seconds old, with a higher Store-Era in all responses; it gives out revisions again, leases are gone. Nothing knew of it. Blocks of parts would have been lifted, as if an operator had deleted them.

The lease is void once a later era is seen; its holder acquires it again at once, others only when a lost one must have ended. Instances, versions and blocked parts are written again, spread over 2 s.

--- a/include/almondthread/lease.h
+++ b/include/almondthread/lease.h
@@ -116,6 +116,14 @@
  */
 void at_lease_note_released(at_lease_t *lease, uint64_t now_ms);
 
+/*
+ * at_lease_note_lost_writes() records that the store has come back without
+ * writes that it had acknowledged. The lease is void, and the open call, if
+ * any. This instance may acquire it again at once if it held it, as nobody else
+ * can have; otherwise when a lease that the store has lost must have ended.
+ */
+void at_lease_note_lost_writes(at_lease_t *lease, uint64_t now_ms);
+
 /* at_lease_fencing_token() returns 0 when the lease was never held. */
 uint64_t at_lease_fencing_token(const at_lease_t *lease);
 at_lease_state_t at_lease_state(const at_lease_t *lease);
--- a/include/almondthread/stream_origins.h
+++ b/include/almondthread/stream_origins.h
@@ -69,7 +69,8 @@
  * at_stream_origins_next_unrecorded() stores a version whose record is missing,
  * or is to be deleted since the version has not been listed for the lifetime;
  * returns zero if there is none. at_stream_origins_set_recorded() notes that it
- * has a record, or none any more.
+ * has a record, or none any more; at_stream_origins_forget_recorded() that all
+ * records may be lost.
  */
 typedef struct at_stream_version {
 	at_tag_t service;
@@ -80,6 +81,7 @@
     uint64_t now_us, at_stream_version_t *version, int *is_deletion);
 void at_stream_origins_set_recorded(at_stream_origins_t *origins,
     at_tag_t service, at_tag_t software, int is_recorded);
+void at_stream_origins_forget_recorded(at_stream_origins_t *origins);
 
 /*
  * at_stream_origins_take_new() writes the noted origins that have not been
--- a/src/core/placement/lease.c
+++ b/src/core/placement/lease.c
@@ -39,6 +39,10 @@
 	uint64_t holder_sequence;
 	int is_released;
 	int steps_down; /* a release is followed by AT_LEASE_FOLLOWING */
+	/* The store has lost writes: others may hold it until then, */
+	uint64_t lost_until_ms;
+	uint64_t reclaim_until_ms; /* but not before this time */
+	int is_call_void;          /* the open call is not to be used */
 };
 
 at_lease_t *
@@ -134,6 +138,10 @@
 {
 	if (!lease->is_candidate || !lease->is_known)
 		return 0;
+	if (now_ms < lease->reclaim_until_ms)
+		return 1;
+	if (now_ms < lease->lost_until_ms)
+		return 0;
 	if (lease->version == 0 || lease->is_released || is_self(lease))
 		return 1;
 	return now_ms - lease->first_seen_ms >= claim_delay_ms(lease);
@@ -311,6 +319,11 @@
 	at_lease_call_t call = lease->pending_call;
 
 	lease->pending_call = AT_LEASE_NO_CALL;
+	if (lease->is_call_void) {
+		lease->is_call_void = 0;
+		lease->next_read_ms = now_ms;
+		return;
+	}
 	if (call == AT_LEASE_READ)
 		handle_read_response(lease, now_ms, result);
 	else if (call == AT_LEASE_WRITE)
@@ -350,6 +363,22 @@
 		begin_following(lease, now_ms);
 }
 
+void
+at_lease_note_lost_writes(at_lease_t *lease, uint64_t now_ms)
+{
+	/* Nobody else could have acquired a lease that is held. */
+	lease->reclaim_until_ms =
+	    lease->state == AT_LEASE_HELD ? lease->valid_until_ms : 0;
+	lease->lost_until_ms = now_ms + claim_delay_ms(lease);
+	if (lease->state == AT_LEASE_HELD)
+		begin_following(lease, now_ms);
+	lease->is_known = 0;
+	lease->is_write_unresolved = 0;
+	lease->next_read_ms = now_ms;
+	/* An open call may be one of before. */
+	lease->is_call_void = lease->pending_call != AT_LEASE_NO_CALL;
+}
+
 void
 at_lease_note_released(at_lease_t *lease, uint64_t now_ms)
 {
--- a/src/core/requests/stream_origins.c
+++ b/src/core/requests/stream_origins.c
@@ -237,6 +237,15 @@
 	    is_recorded;
 }
 
+void
+at_stream_origins_forget_recorded(at_stream_origins_t *origins)
+{
+	size_t i;
+
+	for (i = 0; i < origins->version_count; i++)
+		origins->versions[i].is_recorded = 0;
+}
+
 /* Writes the pending origins that were reported less often than below. */
 static size_t
 take_reports(at_stream_origins_t *origins, uint32_t below,
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -2,6 +2,9 @@
 
 #include "entry/servers/server_health.h"
 
+/* In which all instances write their objects again. */
+#define REJOIN_SPREAD_MS 2000u
+
 static int
 is_reaching(void *ctx)
 {
@@ -157,6 +160,20 @@
 	return at_version_record_apply(entry->version_record, name);
 }
 
+/* What this system has written to the platform may be gone. */
+static void
+on_later_era(void *ctx)
+{
+	at_entry_t *entry = ctx;
+
+	at_counters_add(entry->counters, "store_eras_total", NULL, NULL, 1);
+	at_orders_io_note_lost_writes(entry->orders);
+	at_stream_origins_forget_recorded(entry->origins);
+	at_crash_blocks_forget_stored(entry->blocks);
+	at_join_repeat(entry->join,
+	    (uint32_t)(at_rng_next(&entry->rng) % REJOIN_SPREAD_MS));
+}
+
 /* Creates what copies the platform's objects, or keeps some there. */
 static int
 create_copies(at_entry_t *entry)
@@ -359,6 +376,9 @@
 	at_entry_t *entry = ctx;
 
 	(void)now_us;
+	/* Others may have noticed a later era of the platform. */
+	at_wire_store_note_version(
+	    entry->wire_store, at_sync_servers_since(entry->sync));
 	at_retry_budgets_set_instances(
 	    entry->retries, at_roster_present_count(entry->roster));
 }
@@ -429,6 +449,7 @@
 	at_httpd_set_handler(entry->callers, at_call_handle, entry->calls);
 	at_httpd_set_fault_handler(
 	    entry->callers, at_call_handle_fault, entry->calls);
+	at_wire_store_set_era_handler(entry->wire_store, on_later_era, entry);
 	add_sections(entry);
 	return 0;
 }
--- a/src/entry/orders/orders.c
+++ b/src/entry/orders/orders.c
@@ -50,6 +50,12 @@
 	return orders->failed_ms;
 }
 
+void
+at_orders_io_note_lost_writes(at_orders_io_t *orders)
+{
+	at_lease_note_lost_writes(orders->lease, at_clock_now_ms());
+}
+
 uint64_t
 at_orders_io_fence(const at_orders_io_t *orders)
 {
--- a/src/entry/orders/orders.h
+++ b/src/entry/orders/orders.h
@@ -75,6 +75,8 @@
  * or 0 if it did not.
  */
 uint64_t at_orders_io_failed_ms(const at_orders_io_t *orders);
+/* at_orders_io_note_lost_writes(): see at_lease_note_lost_writes(). */
+void at_orders_io_note_lost_writes(at_orders_io_t *orders);
 /* at_orders_io_fence() returns the fencing token of a held lease, or 0. */
 uint64_t at_orders_io_fence(const at_orders_io_t *orders);
 /* at_orders_io_section() returns its section of the reports. */
--- a/src/entry/store/crash_blocks.c
+++ b/src/entry/store/crash_blocks.c
@@ -326,6 +326,13 @@
 	ev_timer_start(blocks->deps.loop, &blocks->timer);
 }
 
+void
+at_crash_blocks_forget_stored(at_crash_blocks_t *blocks)
+{
+	blocks->stored_count = 0;
+	blocks->has_read = 0;
+}
+
 void
 at_crash_blocks_delete(at_crash_blocks_t *blocks)
 {
--- a/src/entry/store/crash_blocks.h
+++ b/src/entry/store/crash_blocks.h
@@ -34,6 +34,11 @@
 /* at_crash_blocks_new() returns NULL if out of memory. */
 at_crash_blocks_t *at_crash_blocks_new(const at_crash_blocks_deps_t *deps);
 void at_crash_blocks_start(at_crash_blocks_t *blocks);
+/*
+ * at_crash_blocks_forget_stored(): the platform may have lost objects, which
+ * does not lift their blocks; the holder writes them again.
+ */
+void at_crash_blocks_forget_stored(at_crash_blocks_t *blocks);
 void at_crash_blocks_delete(at_crash_blocks_t *blocks);
 
 #endif
--- a/src/entry/store/join.c
+++ b/src/entry/store/join.c
@@ -166,7 +166,7 @@
 {
 	if (join->state == JOIN_WRITING)
 		write_own_object(join);
-	else if (join->state == JOIN_READING)
+	else if (join->state == JOIN_READING && join->call == NULL)
 		join->call = join->deps.objects.list(join->deps.objects.impl,
 		    AT_INSTANCES_KIND,
 		    join->list_after[0] == '\0' ? NULL : join->list_after,
@@ -201,6 +201,20 @@
 	process(join);
 }
 
+void
+at_join_repeat(at_join_t *join, uint32_t delay_ms)
+{
+	if (join->call != NULL)
+		join->deps.objects.cancel(join->deps.objects.impl, join->call);
+	join->call = NULL;
+	join->state = JOIN_WRITING;
+	join->version = 0;
+	join->list_after[0] = '\0';
+	ev_timer_stop(join->deps.loop, &join->timer);
+	ev_timer_set(&join->timer, delay_ms / 1e3, 0.);
+	ev_timer_start(join->deps.loop, &join->timer);
+}
+
 void
 at_join_delete(at_join_t *join)
 {
--- a/src/entry/store/join.h
+++ b/src/entry/store/join.h
@@ -34,6 +34,11 @@
 /*
  * at_join_is_complete() returns non-zero if the others' objects have been read.
  */
+/*
+ * at_join_repeat() writes and reads the objects once more after delay_ms, since
+ * the platform may have lost some.
+ */
+void at_join_repeat(at_join_t *join, uint32_t delay_ms);
 int at_join_is_complete(const at_join_t *join);
 /* at_join_remove() deletes the object of an instance that was removed. */
 void at_join_remove(at_join_t *join, const at_name_t *instance);
--- a/src/entry/store/sync.c
+++ b/src/entry/store/sync.c
@@ -357,6 +357,12 @@
 	return at_clock_now_ms() - sync->confirmed_ms;
 }
 
+uint64_t
+at_sync_servers_since(const at_sync_t *sync)
+{
+	return at_mirror_since(sync->servers.mirror);
+}
+
 int
 at_sync_is_platform_away(const at_sync_t *sync)
 {
--- a/src/entry/store/sync.h
+++ b/src/entry/store/sync.h
@@ -79,6 +79,11 @@
  * both kinds of objects are complete.
  */
 uint64_t at_sync_age_ms(const at_sync_t *sync);
+/*
+ * at_sync_servers_since() returns the version of the platform up to which all
+ * changes of servers are known, 0 while they are listed.
+ */
+uint64_t at_sync_servers_since(const at_sync_t *sync);
 /* at_sync_section() returns its section of the reports. */
 at_report_section_t at_sync_section(at_sync_t *sync);
 
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -243,3 +243,74 @@
 		at_lease_delete(lease);
 	}
 }
+
+#define OTHERS 30u /* versions that other objects have used since the copy */
+
+static const struct {
+	const char *name;
+	int in_copy; /* the copy has the lease as the holder has acquired it */
+	int b_first; /* the one that follows notices first */
+	int a_is_gone;
+	uint32_t within_ms; /* in which there is a holder again */
+} lost_writes[] = {
+    {"the holder notices first", 0, 0, 0, AT_LEASE_RENEW_MS},
+    {"the holder notices later", 0, 1, 0, AT_LEASE_RENEW_MS},
+    {"the object is in the copy", 1, 1, 0, AT_LEASE_RENEW_MS},
+    {"the holder has gone", 0, 1, 1, 2u * AT_LEASE_TERM_MS},
+    {"and is in the copy", 1, 1, 1, 2u * AT_LEASE_TERM_MS},
+};
+
+/* Two instances held the lease, or one with the fence of before. */
+Test(lease, survives_a_store_that_has_lost_writes)
+{
+	const uint64_t step_ms = STEP_MS;
+	size_t i;
+
+	for (i = 0; i < sizeof(lost_writes) / sizeof(lost_writes[0]); i++) {
+		at_lease_t *a = make_lease("a", 1);
+		at_lease_t *b = make_lease("b", 2);
+		object_t object = {0};
+		object_t copy = {0};
+		uint64_t now_ms = step_ms;
+		uint64_t held_ms = 0;
+		uint64_t lost_ms;
+		int has_a = !lost_writes[i].a_is_gone;
+
+		while (at_lease_state(a) != AT_LEASE_HELD) {
+			process_lease(a, &object, now_ms);
+			now_ms += step_ms;
+		}
+		if (lost_writes[i].in_copy)
+			copy = object;
+		for (; now_ms < 2u * AT_LEASE_TERM_MS; now_ms += step_ms) {
+			process_lease(a, &object, now_ms);
+			process_lease(b, &object, now_ms);
+		}
+		/* Its versions are of a later era. */
+		if (copy.version != 0)
+			copy.version = object.version + OTHERS;
+		object = copy;
+		lost_ms = now_ms;
+		if (lost_writes[i].b_first)
+			at_lease_note_lost_writes(b, now_ms);
+		for (; now_ms < lost_ms + lost_writes[i].within_ms;
+		     now_ms += step_ms) {
+			if (has_a && now_ms == lost_ms + AT_LEASE_RENEW_MS / 2u)
+				at_lease_note_lost_writes(a, now_ms);
+			if (has_a)
+				process_lease(a, &object, now_ms);
+			process_lease(b, &object, now_ms);
+			cr_expect_not(at_lease_is_valid(a, now_ms, 0) &&
+					  at_lease_is_valid(b, now_ms, 0),
+			    "%s: two holders", lost_writes[i].name);
+			if (now_ms > lost_ms + AT_LEASE_RENEW_MS / 2u &&
+			    (at_lease_is_valid(b, now_ms, 0) ||
+				(has_a && at_lease_is_valid(a, now_ms, 0))))
+				held_ms = now_ms;
+		}
+		cr_expect_neq(
+		    held_ms, 0u, "%s: no holder", lost_writes[i].name);
+		at_lease_delete(a);
+		at_lease_delete(b);
+	}
+}
