--- a/src/io/httpd_connections.c
+++ b/src/io/httpd_connections.c
@@ -106,8 +106,8 @@
 	size_t remaining = httpd->connection_count - httpd->expiring_count;
 	connection_t *connection;
 
-	TAILQ_FOREACH(connection, &httpd->idle, idle)
-	{
+	for (connection = TAILQ_FIRST(&httpd->idle); connection != NULL;
+	     connection = TAILQ_NEXT(connection, idle)) {
 		if (remaining <= crowded_count(httpd))
 			break;
 		if (connection->is_expiring)
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -25,7 +25,7 @@
 	standin_store_t *store;
 	char store_address[AT_ADDR_SIZE];
 	char seeds[4 * AT_ADDR_SIZE]; /* of the instances added from now on */
-	uint32_t descriptors; /* of each instance added from now on */
+	uint32_t descriptors;         /* of each instance added from now on */
 	/* Not 0: they have hosts of their own, and this port for reports. */
 	uint16_t peers_port;
 	standin_server_t *servers[ENTRY_FIXTURE_MAX];
