--- a/src/io/httpd_connections.c
+++ b/src/io/httpd_connections.c
@@ -122,8 +122,9 @@
 {
 	connection_t *connection;
 
-	TAILQ_FOREACH(connection, &httpd->idle, idle)
-	set_expiring(httpd, connection, 1);
+	for (connection = TAILQ_FIRST(&httpd->idle); connection != NULL;
+	     connection = TAILQ_NEXT(connection, idle))
+		set_expiring(httpd, connection, 1);
 	httpd->is_closing_idle = 1;
 	httpd->is_run_pending = 1;
 }
