Tell no changes before a whole list

Its logs show followers whose list differs from the reader's although they had all changes by version. Cause: a mirror that takes a whole list, its own or another instance's, does not know what has come and gone before it, and yet told others the changes since earlier versions, without these deletions; and a follower with objects that its reader had never seen took itself for up to date. Change: the version of a whole list is the earliest from which a mirror tells changes, and a version after which something may have changed; whoever has less gets the whole list, unless its list has the same digest.

test_mirror/a_whole_list_tells_no_changes_before_it: four rows, all failed before.

--- a/include/almondthread/mirror.h
+++ b/include/almondthread/mirror.h
@@ -101,9 +101,12 @@
 uint64_t at_mirror_newest(const at_mirror_t *mirror);
 /*
  * at_mirror_each_change() visits the objects that were changed or deleted after
- * a version. Returns 0, or -1 if it no longer knows which were deleted.
- * at_mirror_each() visits those that exist. Both give texts if they are kept.
+ * a version. Returns 0, or -1 if it does not know all that were deleted, as it
+ * has a whole list from after that version, or has forgotten some;
+ * at_mirror_knows_since() returns zero then. at_mirror_each() visits those that
+ * exist. Both give texts if they are kept.
  */
+int at_mirror_knows_since(const at_mirror_t *mirror, uint64_t after);
 typedef void (*at_mirror_visit_t)(void *ctx, const at_object_t *object);
 int at_mirror_each_change(const at_mirror_t *mirror, uint64_t after,
     at_mirror_visit_t visit, void *ctx);
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -299,6 +299,18 @@
 		handle_missing(mirror, entry, object->version);
 }
 
+/*
+ * Objects may have come and gone between two lists, which others have: whoever
+ * does not have all changes up to this one needs the whole list.
+ */
+static void
+note_whole_list(at_mirror_t *mirror, uint64_t version)
+{
+	note_changed(mirror, version);
+	if (version > mirror->horizon)
+		mirror->horizon = version;
+}
+
 /* Ends a complete list: objects that it did not contain are missing. */
 static void
 end_list(at_mirror_t *mirror)
@@ -313,8 +325,7 @@
 	}
 	mirror->is_listing = 0;
 	mirror->since = mirror->list_version;
-	if (!mirror->is_synced)
-		mirror->horizon = mirror->since;
+	note_whole_list(mirror, mirror->list_version);
 	mirror->is_synced = 1;
 }
 
@@ -573,6 +584,7 @@
 	/* A list that is under way is not needed any more. */
 	mirror->is_listing = 0;
 	mirror->is_synced = 1;
+	note_whole_list(mirror, version);
 	if (version > mirror->since)
 		mirror->since = version;
 }
@@ -607,13 +619,19 @@
 	visit(ctx, &object);
 }
 
+int
+at_mirror_knows_since(const at_mirror_t *mirror, uint64_t after)
+{
+	return after >= mirror->horizon;
+}
+
 int
 at_mirror_each_change(const at_mirror_t *mirror, uint64_t after,
     at_mirror_visit_t visit, void *ctx)
 {
 	const mirror_entry_t *entry;
 
-	if (after < mirror->horizon)
+	if (!at_mirror_knows_since(mirror, after))
 		return -1;
 	for (entry = mirror->objects; entry != NULL; entry = entry->hh.next) {
 		if (entry->version > after)
--- a/src/entry/store/sync.c
+++ b/src/entry/store/sync.c
@@ -101,6 +101,20 @@
 		sync_ask_for_all_servers(sync, report->instance);
 }
 
+/*
+ * Returns non-zero if the list has all changes that the reader has: since it
+ * has those up to the last that the reader knows of, or since the lists are the
+ * same.
+ */
+static int
+has_servers_of(at_mirror_t *servers, const sync_copies_t *report)
+{
+	return at_mirror_advance(
+		   servers, report->servers_changed, report->servers_since) ||
+	       (report->servers_digest == at_mirror_digest(servers) &&
+		   at_mirror_advance(servers, 0, report->servers_since));
+}
+
 /* Returns non-zero if this instance has all changes that the reader has. */
 static int
 has_all_of(at_sync_t *sync, const sync_copies_t *report)
@@ -112,8 +126,7 @@
 	if (report->servers_since == 0)
 		return has_config &&
 		       report->servers_digest == at_mirror_digest(servers);
-	if (!at_mirror_advance(
-		servers, report->servers_changed, report->servers_since)) {
+	if (!has_servers_of(servers, report)) {
 		sync_want_servers(
 		    sync, report->servers_since, SERVERS_ARRIVAL_MS);
 		return 0;
--- a/src/entry/store/sync_report.c
+++ b/src/entry/store/sync_report.c
@@ -119,6 +119,9 @@
 static void
 send_servers(at_sync_t *sync)
 {
+	/* A whole list is not told as changes. */
+	if (!at_mirror_knows_since(sync->servers.mirror, sync->changes.from))
+		sync->changes.has_more = 1;
 	if (sync->changes.has_more)
 		keep_urgent_servers(sync);
 	if (sync->changes.count > 0)
--- a/tests/unit/test_mirror.c
+++ b/tests/unit/test_mirror.c
@@ -470,3 +470,60 @@
 	cr_assert_eq(step(mirror, START_MS + 5000).step, AT_MIRROR_LIST);
 	at_mirror_delete(mirror);
 }
+
+/* How a mirror came to its list at version 20, from what it knew at 10. */
+typedef enum whole_list {
+	LISTED_FIRST,
+	LISTED_AGAIN,
+	FED_FIRST,
+	FED_AGAIN,
+	WHOLE_LISTS
+} whole_list_t;
+
+static const char *const whole_list_names[] = {
+    "listed first", "listed again", "handed over first", "handed over again"};
+
+static at_mirror_t *
+mirror_with_list(whole_list_t how)
+{
+	at_mirror_t *mirror = new_mirror();
+
+	if (how == LISTED_AGAIN || how == FED_AGAIN)
+		list_a_and_b(mirror);
+	if (how == FED_FIRST || how == FED_AGAIN) {
+		at_mirror_set_following(mirror, 1);
+		at_mirror_feed_all(mirror, START_MS, objects_a_b, 2, 20);
+		return mirror;
+	}
+	if (how == LISTED_AGAIN)
+		at_mirror_relist(mirror);
+	(void)step(mirror, START_MS);
+	respond(mirror, START_MS, objects_a_b, 2, 0, 20);
+	at_mirror_set_following(mirror, 1);
+	return mirror;
+}
+
+/*
+ * One that was handed changes of such an instance kept a server that had come
+ * and gone between two lists, and took itself for up to date.
+ */
+Test(mirror, a_whole_list_tells_no_changes_before_it)
+{
+	char text[128] = "";
+	int how;
+
+	for (how = 0; how < WHOLE_LISTS; how++) {
+		at_mirror_t *mirror = mirror_with_list((whole_list_t)how);
+
+		cr_expect_eq(
+		    at_mirror_since(mirror), 20, "%s", whole_list_names[how]);
+		cr_expect_eq(at_mirror_each_change(mirror, 15, visit, text), -1,
+		    "%s", whole_list_names[how]);
+		cr_expect_eq(at_mirror_each_change(mirror, 20, visit, text), 0,
+		    "%s", whole_list_names[how]);
+		cr_expect_eq(at_mirror_changed(mirror), 20,
+		    "%s: one that has all up to 15 seems to have all",
+		    whole_list_names[how]);
+		at_mirror_delete(mirror);
+	}
+}
