Ignore what is handed over of a past that is known

An object that was deleted, came back and went again unseen kept the version of its first deletion, which an older object overcame, too.

Change: an object that another instance hands over is ignored up to the version up to which all changes are known; a delayed deletion is undone by a list or a later version only; a later deletion raises the version of one that is known.

--- a/include/almondthread/mirror.h
+++ b/include/almondthread/mirror.h
@@ -71,7 +71,11 @@
  * list; afterwards it watches from the version up to which it has all changes.
  */
 void at_mirror_set_following(at_mirror_t *mirror, int following);
-/* Both apply a change sent by the other instance; older ones are ignored. */
+/*
+ * Both apply a change sent by another instance. One of an object that is not
+ * after the version up to which all is known is ignored: if the mirror does not
+ * have it, it has been superseded.
+ */
 void at_mirror_feed(
     at_mirror_t *mirror, uint64_t now_ms, const at_object_t *object);
 void at_mirror_feed_deleted(
--- a/src/core/config/mirror.c
+++ b/src/core/config/mirror.c
@@ -187,6 +187,11 @@
 {
 	uint64_t due_ms = mirror->outage_ended_ms + mirror->deletion_delay_ms;
 
+	/* It may have come back meanwhile, unseen. */
+	if (entry->deleted_ms != 0 && version > entry->version)
+		entry->version = version;
+	if (entry->deletion_due_ms != 0 && version > entry->deletion_version)
+		entry->deletion_version = version;
 	if (entry->deletion_due_ms != 0 || entry->deleted_ms != 0)
 		return;
 	if (mirror->now_ms >= due_ms) {
@@ -279,7 +284,9 @@
 		mirror->deleted_count--;
 	entry->deleted_ms = 0;
 	entry->is_listed = 1;
-	clear_missing(mirror, entry);
+	/* A list has what exists; otherwise only a later change shows that. */
+	if (mirror->is_listing || object->version > entry->deletion_version)
+		clear_missing(mirror, entry);
 	if (object->version <= entry->version)
 		return;
 	entry->version = object->version;
@@ -542,11 +549,20 @@
 		mirror->next_call_ms = mirror->now_ms;
 }
 
+/* All changes up to there are known, whoever brings one of them again. */
+static int
+is_past(const at_mirror_t *mirror, uint64_t version)
+{
+	return mirror->is_synced && !mirror->is_listing &&
+	       version <= mirror->since;
+}
+
 void
 at_mirror_feed(at_mirror_t *mirror, uint64_t now_ms, const at_object_t *object)
 {
 	mirror->now_ms = now_ms;
-	apply_change(mirror, object);
+	if (!is_past(mirror, object->version))
+		apply_change(mirror, object);
 }
 
 void
