--- a/src/core/placement/lease.c
+++ b/src/core/placement/lease.c
@@ -39,10 +39,14 @@
 	uint64_t holder_sequence;
 	int is_released;
 	int steps_down; /* a release is followed by AT_LEASE_FOLLOWING */
-	/* The store has lost writes: others may hold it until then, */
+	/*
+	 * After lost writes of the store: until when another instance may hold
+	 * the lease without the object showing it, and until when this one may
+	 * acquire it again, as it held it; 0 if it did not.
+	 */
 	uint64_t lost_until_ms;
-	uint64_t reclaim_until_ms; /* but not before this time */
-	int is_call_void;          /* the open call is not to be used */
+	uint64_t reclaim_until_ms;
+	int is_call_void; /* the open call is not to be used */
 };
 
 at_lease_t *
--- a/src/entry/orders/orders_impl.h
+++ b/src/entry/orders/orders_impl.h
@@ -80,8 +80,8 @@
 	uint32_t lease_call_took_ms; /* the last one that had a response */
 	at_tag_t holder; /* another instance, as it last reported; 0: none */
 	uint64_t released_us; /* when such a one last reported a release */
-	uint64_t
-	    failed_ms; /* of the last call about the lease; 0: it did not */
+	/* When the last call about the lease failed; 0: it did not. */
+	uint64_t failed_ms;
 	at_lease_state_t logged_state;
 	uint64_t lease_taken_us;  /* when the lease was last taken */
 	double store_load_tokens; /* loads that the store's rate permits now */
