Let streams that had begun overdraw a limit by a tenth of its burst

Change: a request that goes on with a stream may bring the level to a tenth of the burst below zero, which later requests pay back.

--- a/include/almondthread/quota.h
+++ b/include/almondthread/quota.h
@@ -52,8 +52,9 @@
     uint64_t units, uint64_t now_us);
 /*
  * at_quota_take_resumed() does the same for a request that goes on with a
- * stream: after a deficit it may use what is left at once, before new requests,
- * which are refused at random. The level limits both.
+ * stream. After a deficit it is not refused at random, as new ones are, and the
+ * level may fall to a tenth of the burst below zero: the caller was charged for
+ * the whole stream when it began.
  */
 uint32_t at_quota_take_resumed(at_quota_t *quota,
     const at_site_workspace_t *workspace, uint64_t units, uint64_t now_us);
--- a/src/core/limits/quota.c
+++ b/src/core/limits/quota.c
@@ -28,6 +28,8 @@
 #define CATCH_UP_US 100000u
 /* Time in which a deficit decays to zero. */
 #define DEFICIT_DECAY_US 5000000u
+/* By so much requests that go on with a stream may exceed the level. */
+#define RESUMED_OVERDRAFT_BURSTS 0.1
 /* Longest wait returned, also for a request of more units than the burst. */
 #define WAIT_MAX_MS 60000u
 
@@ -214,10 +216,13 @@
 	return account->deficit * (1. - (double)age_us / DEFICIT_DECAY_US);
 }
 
-/* reserve is the part of the recent deficit that must be left. */
+/*
+ * reserve is the part of the recent deficit that must be left, overdraft how
+ * far the level may fall below zero, in bursts.
+ */
 static uint32_t
 take(at_quota_t *quota, const at_site_workspace_t *workspace, uint64_t units,
-    double reserve, uint64_t now_us)
+    double reserve, double overdraft, uint64_t now_us)
 {
 	account_t *account = find_account(quota, workspace->tag);
 	double missing_units;
@@ -229,7 +234,8 @@
 		return WAIT_MAX_MS;
 	refill(quota, account, now_us);
 	missing_units = (double)units - account->level +
-			reserve * recent_deficit(account, now_us);
+			reserve * recent_deficit(account, now_us) -
+			overdraft * account->burst;
 	if (account->is_unlimited || missing_units <= 0) {
 		account->level -= account->is_unlimited ? 0 : (double)units;
 		account->used_units += units;
@@ -247,14 +253,16 @@
 at_quota_take(at_quota_t *quota, const at_site_workspace_t *workspace,
     uint64_t units, uint64_t now_us)
 {
-	return take(quota, workspace, units, random_fraction(quota), now_us);
+	return take(
+	    quota, workspace, units, random_fraction(quota), 0., now_us);
 }
 
 uint32_t
 at_quota_take_resumed(at_quota_t *quota, const at_site_workspace_t *workspace,
     uint64_t units, uint64_t now_us)
 {
-	return take(quota, workspace, units, 0., now_us);
+	return take(
+	    quota, workspace, units, 0., RESUMED_OVERDRAFT_BURSTS, now_us);
 }
 
 void
