Review: the shared stand-in beside the cases, not in a folder

Cause: each folder in review/ is taken for a case. Done: standin.c and standin.h stand in review/; build.sh follows.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 for source in review/[1-5]/case.c; do
 	[ -e "$source" ] || continue
 	number=$(basename "$(dirname "$source")")
-	gcc -std=gnu11 -D_GNU_SOURCE -O1 -Wall -Wextra -pthread -I review/standin \
+	gcc -std=gnu11 -D_GNU_SOURCE -O1 -Wall -Wextra -pthread -I review \
 	    -o "target/review/case-$number" "$source" \
-	    review/standin/standin.c -ljansson
+	    review/standin.c -ljansson
 done
