Pass no status on that says "not run" unless the server states it

Such a response now fails the attempt as one that may have run: another attempt follows where the request may be repeated, else the caller gets 502. A log line tells it from a refusal; before, both were outcome=answered.

--- a/src/entry/base/attempt_events.h
+++ b/src/entry/base/attempt_events.h
@@ -21,6 +21,8 @@
 	AT_ATTEMPT_EVENT_ORIGIN,   /* the stream has an event of this version */
 	AT_ATTEMPT_EVENT_BEGUN,    /* the response has begun and gone on */
 	AT_ATTEMPT_EVENT_REFUSED,  /* it has not run: status and is_misplaced */
+	/* It states no refusal, but its status is one to callers: status. */
+	AT_ATTEMPT_EVENT_MAY_HAVE_RUN,
 	AT_ATTEMPT_EVENT_REJECTED, /* its response is not passed on: reason */
 	AT_ATTEMPT_EVENT_LOST,     /* without a response: result and is_sent */
 	AT_ATTEMPT_EVENT_ENDED, /* whatever was told before: outcome is set */
--- a/src/entry/call/call_log.c
+++ b/src/entry/call/call_log.c
@@ -60,6 +60,12 @@
 		    "attempt refused server=%s status=%d", event->server_id,
 		    event->status);
 		break;
+	case AT_ATTEMPT_EVENT_MAY_HAVE_RUN:
+		at_log(AT_LOG_INFO, "call", event->request_id,
+		    "response not passed on; the server does not state that "
+		    "the request was not run server=%s status=%d",
+		    event->server_id, event->status);
+		break;
 	case AT_ATTEMPT_EVENT_REJECTED:
 		at_log(AT_LOG_WARN, "call", event->request_id,
 		    "response rejected; attempt failed server=%s reason=%s",
--- a/src/entry/call/call_response.c
+++ b/src/entry/call/call_response.c
@@ -271,17 +271,24 @@
 }
 
 /*
- * Keeps a backend server's failure response and fails the attempt; another
- * attempt may succeed.
+ * Fails the attempt; another one may succeed. The response is kept to be passed
+ * on if none does, unless its status says what the server has not stated.
  */
 static void
 handle_failure_response(call_attempt_t *attempt)
 {
 	at_call_t *call = attempt->call;
 
-	buffered_response_reset(&call->failure_response);
-	call->failure_response = attempt->response;
-	memset(&attempt->response, 0, sizeof(attempt->response));
+	if (at_caller_status_says_not_run(attempt->response.status)) {
+		call_notify(attempt,
+		    &(at_attempt_event_t){.kind = AT_ATTEMPT_EVENT_MAY_HAVE_RUN,
+			.status = attempt->response.status});
+		buffered_response_reset(&attempt->response);
+	} else {
+		buffered_response_reset(&call->failure_response);
+		call->failure_response = attempt->response;
+		memset(&attempt->response, 0, sizeof(attempt->response));
+	}
 	call_attempt_end(attempt, AT_OUTCOME_SUCCESS);
 	at_attempts_on_failed(call->attempts, attempt->number,
 	    AT_REASON_BACKEND_FAILED, AT_VERDICT_MAY_HAVE_RUN,
@@ -311,7 +318,8 @@
 	/* A failure does not show that the server survives an answer. */
 	if (is_success(attempt->response.status))
 		call_note_begun(attempt);
-	if (attempt->response.status >= 500 && may_repeat) {
+	if (at_caller_status_says_not_run(attempt->response.status) ||
+	    (attempt->response.status >= 500 && may_repeat)) {
 		handle_failure_response(attempt);
 		return;
 	}
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -40,6 +40,8 @@
 	uint32_t resumed_status; /* server: of all resumptions, with a text */
 	int resumed_unstamped;   /* server: these have no signature */
 	int resumed_empty;       /* server: these are JSON, and empty */
+	/* Server: status of all responses to requests that it has run. */
+	uint32_t failure_status;
 	uint32_t pause_after;    /* server: silent once after n events */
 	uint32_t pause_ms;       /* server: length of that silence */
 	/* Server: crashes where it begins to answer a prompt with this part. */
