Take a relaying instance's outcome from that instance alone

A charge that was relayed by another instance ran at both servers and was answered 503 when the server's response had a header Almondthread-Relay: it was passed on ahead of the instance's own, and the first one counts. A response without the header counted as "not sent" as well, whatever had sent it.

The relaying instance drops a server's header of that name. Without the header, only 400 to 499 means that the request was rejected before it was sent.

--- a/src/entry/servers/relay.c
+++ b/src/entry/servers/relay.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "almondthread/log.h"
 #include "entry/servers/relay_impl.h"
@@ -69,18 +70,24 @@
 	    request, outcome == AT_RELAY_REACHED ? 200 : 503, headers, "", 0);
 }
 
-/* The server's own headers, and the one that marks its response. */
+/*
+ * The server's own headers, and the one that marks its response. A header of
+ * that name from the server would be taken for this instance's statement.
+ */
 static at_header_t *
 add_outcome(at_response_headers_t *headers)
 {
 	at_header_t *all = calloc(headers->count + 2, sizeof(*all));
+	size_t count = 0;
 	size_t i;
 
 	if (all == NULL)
 		return NULL;
-	for (i = 0; i < headers->count; i++)
-		all[i] = headers->entries[i];
-	all[i] = (at_header_t){
+	for (i = 0; i < headers->count; i++) {
+		if (strcasecmp(headers->entries[i].name, RELAY_HEADER) != 0)
+			all[count++] = headers->entries[i];
+	}
+	all[count] = (at_header_t){
 	    RELAY_HEADER, at_relay_outcome_names[AT_RELAY_PASSED]};
 	return all;
 }
--- a/src/entry/servers/relay.h
+++ b/src/entry/servers/relay.h
@@ -92,9 +92,11 @@
     const at_roster_member_t *member, const at_relay_call_t *call,
     at_header_lines_t *lines);
 /*
- * at_relay_read_outcome() reads a response; one without the header is
- * AT_RELAY_REFUSED.
+ * at_relay_read_outcome() reads a response. Without the header, a status from
+ * 400 to 499 is AT_RELAY_REFUSED, as an instance rejects a request before it
+ * looks for a server; any other is AT_RELAY_LOST: something else has responded.
  */
-at_relay_outcome_t at_relay_read_outcome(const at_transfer_t *transfer);
+at_relay_outcome_t at_relay_read_outcome(
+    const at_transfer_t *transfer, int status);
 
 #endif
--- a/src/entry/servers/relay_header.c
+++ b/src/entry/servers/relay_header.c
@@ -94,7 +94,7 @@
 }
 
 at_relay_outcome_t
-at_relay_read_outcome(const at_transfer_t *transfer)
+at_relay_read_outcome(const at_transfer_t *transfer, int status)
 {
 	const char *text = at_transfer_header(transfer, RELAY_HEADER);
 	int i;
@@ -103,5 +103,6 @@
 		if (strcmp(text, at_relay_outcome_names[i]) == 0)
 			return (at_relay_outcome_t)i;
 	}
-	return AT_RELAY_REFUSED;
+	return status >= 400 && status < 500 && text == NULL ? AT_RELAY_REFUSED
+							     : AT_RELAY_LOST;
 }
--- a/src/entry/servers/server_crashes.c
+++ b/src/entry/servers/server_crashes.c
@@ -315,8 +315,7 @@
 {
 	loss_t *loss = ctx;
 
-	(void)status;
-	loss->probe_outcome = at_relay_read_outcome(transfer);
+	loss->probe_outcome = at_relay_read_outcome(transfer, status);
 }
 
 /* The other instance reaches servers, or it would not have passed it on. */
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -42,6 +42,8 @@
 	int resumed_empty;       /* server: these are JSON, and empty */
 	/* Server: status of all responses to requests that it has run. */
 	uint32_t failure_status;
+	/* Server: responses claim to be a refusal of a relaying instance. */
+	int claims_relay_refusal;
 	uint32_t pause_after;    /* server: silent once after n events */
 	uint32_t pause_ms;       /* server: length of that silence */
 	/* Server: crashes where it begins to answer a prompt with this part. */
--- a/tests/contract/test_cut_instances.c
+++ b/tests/contract/test_cut_instances.c
@@ -290,7 +290,7 @@
 	reply_t *reply = ctx;
 
 	reply->status = status;
-	reply->outcome = at_relay_read_outcome(transfer);
+	reply->outcome = at_relay_read_outcome(transfer, status);
 }
 
 static void
