--- a/tests/contract/test_framing.c
+++ b/tests/contract/test_framing.c
@@ -178,6 +178,24 @@
 	"Transfer-Encoding: chunked\r\n\r\n 1\r\na\r\n0\r\n\r\n"),
 };
 
+/* Fields that state one thing, twice: nobody can tell which one counts. */
+static const form_t ambiguous[] = {
+    BAD("two fields of which there is one",
+	POST HOST AUTH "X-Attempt-Id: a\r\nX-Attempt-Id: b\r\n"
+		       "Connection: close\r\nContent-Length: 0\r\n\r\n"),
+    BAD("two keys",
+	POST HOST AUTH AUTH "Connection: close\r\nContent-Length: 0\r\n\r\n"),
+    BAD("two models",
+	POST HOST AUTH "X-Model: m0\r\nX-Model: m1\r\nConnection: "
+		       "close\r\nContent-Length: 0\r\n\r\n"),
+    BAD("two prompts",
+	POST HOST AUTH "X-Prompt-Prefix: a:1\r\nx-prompt-prefix: b:1\r\n"
+		       "Connection: close\r\nContent-Length: 0\r\n\r\n"),
+    BAD("two counts of tokens",
+	POST HOST AUTH "X-Token-Count: 1,1\r\nX-Token-Count: 9,9\r\n"
+		       "Connection: close\r\nContent-Length: 0\r\n\r\n"),
+};
+
 /* What was received on one connection, until it was closed. */
 typedef struct answer {
 	char text[ANSWER_SIZE];
@@ -300,3 +318,9 @@
 	check_forms(
 	    malformed, sizeof(malformed) / sizeof(malformed[0]), SMUGGLED);
 }
+
+/* The quota counted one of two headers, and the engine ran the other one. */
+Test(framing, of_a_header_that_comes_twice_is_rejected, .timeout = 240)
+{
+	check_forms(ambiguous, sizeof(ambiguous) / sizeof(ambiguous[0]), "");
+}
