Reject responses whose head can be read in two ways

Of two Content-Length lines libcurl takes the last, of "5, 2" and "5x" the digits; it passes over "Transfer-Encoding : chunked", so that chunk sizes went to the caller as body, and a 101 that was not asked for ended as a connection without an answer although the request had run.

http_syntax.c checks each line of a response's head as it arrives; such a response is lost, may have run, and is logged with what is wrong. The checks of tokens and values are shared with the server's side.

--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -10,7 +10,9 @@
 #include <uthash.h>
 #include <xxhash.h>
 
+#include "almondthread/log.h"
 #include "io/clock.h"
+#include "io/http_syntax.h"
 #include "io/tcp_out.h"
 
 #define RECEIVE_BUFFER_BYTES (16L * 1024) /* buffer of each transfer */
@@ -45,6 +47,7 @@
 	uint32_t send_count; /* times libcurl began to send */
 	size_t head_bytes;
 	size_t head_lines;
+	http_head_t head; /* of the response that is received */
 	uint64_t body_bytes;
 	uint64_t body_max_bytes; /* 0: no limit */
 	uint32_t idle_reads;     /* of the socket, since the response went on */
@@ -593,6 +596,25 @@
 				      : CURL_PREREQFUNC_OK;
 }
 
+/* Returns non-zero if the line makes the response one that is not passed on. */
+static int
+is_line_rejected(at_transfer_t *transfer, const char *line, size_t len)
+{
+	const char *fault;
+	const char *url = NULL;
+
+	/* Trailers are not used. */
+	if (transfer->headers_received)
+		return 0;
+	fault = http_head_add_line(&transfer->head, line, len);
+	if (fault == NULL)
+		return 0;
+	(void)curl_easy_getinfo(transfer->easy, CURLINFO_EFFECTIVE_URL, &url);
+	at_log(AT_LOG_WARN, "http", NULL, "response rejected; %s url=%s", fault,
+	    url == NULL ? "-" : url);
+	return 1;
+}
+
 static size_t
 header_function(char *data, size_t size, size_t count, void *ctx)
 {
@@ -603,10 +625,12 @@
 	transfer->head_bytes += len;
 	if (transfer->is_cancelled ||
 	    transfer->head_bytes > AT_TRANSFER_HEAD_MAX_BYTES ||
-	    ++transfer->head_lines > AT_TRANSFER_HEAD_LINES_MAX)
+	    ++transfer->head_lines > AT_TRANSFER_HEAD_LINES_MAX ||
+	    is_line_rejected(transfer, data, len))
 		return 0;
 	/* An empty line ends the headers. */
-	if (len <= 2 && data[0] == '\r') {
+	if (len <= 2 && (data[0] == '\r' || data[0] == '\n')) {
+		memset(&transfer->head, 0, sizeof(transfer->head));
 		transfer->httpc->callback_depth++;
 		receive_headers(transfer);
 		transfer->httpc->callback_depth--;
--- a/src/io/httpd_syntax.c
+++ b/src/io/httpd_syntax.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "io/http_syntax.h"
+
 #define VERSION_1_0 "HTTP/1.0"
 #define CHUNKED "chunked"
 #define ASCII_MAX 0x7e /* the last visible character */
@@ -16,38 +18,6 @@
 	unsigned int codings;
 } framing_t;
 
-static int
-is_token(const char *text, size_t len)
-{
-	static const char other[] = "!#$%&'*+-.^_`|~";
-	size_t i;
-
-	for (i = 0; i < len; i++) {
-		unsigned char c = (unsigned char)text[i];
-
-		if (!((c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') ||
-			(c >= 'a' && c <= 'z') ||
-			(c != '\0' && strchr(other, c) != NULL)))
-			return 0;
-	}
-	return len > 0;
-}
-
-/* RFC 9110, section 5.5: visible characters, spaces and tabs. */
-static int
-is_field_value(const char *text, size_t len)
-{
-	size_t i;
-
-	for (i = 0; i < len; i++) {
-		unsigned char c = (unsigned char)text[i];
-
-		if ((c < ' ' && c != '\t') || c == 0x7f)
-			return 0;
-	}
-	return 1;
-}
-
 /* A host and a port, without anything that delimits other parts of a URI. */
 static int
 is_host(const char *text, size_t len)
@@ -106,11 +76,12 @@
 check_field(framing_t *framing, const char *name, size_t name_len,
     const char *value, size_t value_len)
 {
-	if (!is_token(name, name_len))
+	if (!http_is_token(name, name_len))
 		return "a header's name is not a token";
 	if (value == NULL || is_folded(name, name_len, value))
 		return "a header is continued on another line";
-	if (!is_next_line(framing, name) || !is_field_value(value, value_len))
+	if (!is_next_line(framing, name) ||
+	    !http_is_field_value(value, value_len))
 		return "a header's value has a control character";
 	framing->end = value + value_len;
 	if (strcasecmp(name, "Host") == 0) {
@@ -144,7 +115,7 @@
 {
 	const char *end = request->raw_target + strlen(request->target);
 
-	if (!is_token(request->method, strlen(request->method)))
+	if (!http_is_token(request->method, strlen(request->method)))
 		return "the method is not a token";
 	/* Also if a NUL ends the target in the middle. */
 	if (!is_target(request->target) || version != end + 1)
