--- a/tests/contract/test_framing.c
+++ b/tests/contract/test_framing.c
@@ -324,3 +324,24 @@
 {
 	check_forms(ambiguous, sizeof(ambiguous) / sizeof(ambiguous[0]), "");
 }
+
+/* Only the first Connection header counted, and the rest went to the server. */
+Test(framing, headers_of_the_connection_are_not_passed_on, .timeout = 240)
+{
+	static const form_t form = {"two lists",
+	    POST HOST AUTH "X-Attempt-Id: a\r\nConnection: X-Hop-1, close\r\n"
+			   "connection: x-hop-2,X-Hop-3\r\nX-Hop-1: 1\r\n"
+			   "X-Hop-2: 2\r\nX-Hop-3: 3\r\nX-End: 4\r\n"
+			   "Content-Length: 0\r\n\r\n",
+	    0, 200};
+	entry_fixture_t *fixture = fixture_with_service();
+	const char *request;
+	answer_t answer;
+
+	send_form(fixture, &form, "", &answer);
+	request = standin_server_last_request(fixture->servers[0]);
+	cr_expect_eq(status_of(&answer), form.status, "%d", status_of(&answer));
+	cr_expect_null(strstr(request, "X-Hop"), "%s", request);
+	cr_expect_not_null(strstr(request, "X-End: 4"), "%s", request);
+	entry_fixture_delete(fixture);
+}
--- a/tests/contract/test_response_framing.c
+++ b/tests/contract/test_response_framing.c
@@ -229,6 +229,14 @@
 		"plain", address, "north", ENTRY_FIXTURE_VERSION, NULL, 0, 1));
 }
 
+static void
+server_close(server_t *server)
+{
+	close_connection(server);
+	ev_io_stop(server->loop, &server->acceptable);
+	(void)close(server->fd);
+}
+
 static int
 has_server(void *ctx)
 {
@@ -237,6 +245,78 @@
 	return at_fleet_count(fixture->entries[0]->fleet) == 1;
 }
 
+static const form_t with_options = {"two lists",
+    OK "Connection: X-Hop-1\r\nConnection: keep-alive, x-hop-2\r\n"
+       "X-Hop-1: 1\r\nX-Hop-2: 2\r\nX-End: 3\r\nContent-Length: 0\r\n\r\n",
+    200, "", 0};
+
+typedef struct passed_on {
+	int hops;
+	int ends;
+	int is_done;
+} passed_on_t;
+
+static void
+count_header(void *ctx, const char *name, const char *value)
+{
+	passed_on_t *passed_on = ctx;
+
+	(void)value;
+	passed_on->hops += strncmp(name, "X-Hop", strlen("X-Hop")) == 0;
+	passed_on->ends += strcmp(name, "X-End") == 0;
+}
+
+static void
+on_headers(void *ctx, at_transfer_t *transfer, int status)
+{
+	(void)status;
+	at_transfer_each_header(transfer, count_header, ctx);
+}
+
+static void
+on_done(void *ctx, const at_transfer_result_t *result)
+{
+	(void)result;
+	((passed_on_t *)ctx)->is_done = 1;
+}
+
+static int
+is_done(void *ctx)
+{
+	return ((passed_on_t *)ctx)->is_done;
+}
+
+/* What a server's Connection header names went on to the caller. */
+Test(response_framing, headers_of_the_connection_are_not_passed_on,
+    .timeout = 120)
+{
+	static const char *const headers[] = {"Host: " ENTRY_FIXTURE_HOST,
+	    "Authorization: Bearer " ENTRY_FIXTURE_KEY, WIRE_REQUEST_ID ": id",
+	    NULL};
+	entry_fixture_t *fixture = entry_fixture_new();
+	passed_on_t passed_on = {0};
+	const at_transfer_events_t events = {
+	    .on_headers = on_headers, .on_done = on_done, .ctx = &passed_on};
+	at_transfer_spec_t spec = {
+	    .method = "POST", .target = "/unsafe/x", .headers = headers};
+	server_t server;
+	char url[64];
+
+	entry_fixture_apply_config(fixture, 1);
+	(void)entry_fixture_add_entry(fixture);
+	server_init(&server, fixture);
+	server.form = &with_options;
+	entry_fixture_run_until(fixture, has_server, fixture);
+	(void)snprintf(url, sizeof(url), "http://%s/", fixture->addresses[0]);
+	spec.url = url;
+	cr_assert_not_null(at_httpc_start(fixture->httpc, &spec, &events));
+	entry_fixture_run_until(fixture, is_done, &passed_on);
+	cr_expect_eq(passed_on.hops, 0, "%d", passed_on.hops);
+	cr_expect_eq(passed_on.ends, 1, "%d", passed_on.ends);
+	server_close(&server);
+	entry_fixture_delete(fixture);
+}
+
 /* Of two lengths, one was taken, and a part of the body for all of it. */
 Test(response_framing, is_read_in_one_way_only, .timeout = 120)
 {
@@ -266,8 +346,6 @@
 			    "%s: body '%.20s'", forms[i].name, response.body);
 		entry_fixture_response_free(&response);
 	}
-	close_connection(&server);
-	ev_io_stop(fixture->loop, &server.acceptable);
-	(void)close(server.fd);
+	server_close(&server);
 	entry_fixture_delete(fixture);
 }
