--- a/include/almondthread/site.h
+++ b/include/almondthread/site.h
@@ -128,6 +128,8 @@
 	size_t route_mask;             /* places in the table, less one */
 	at_site_service_t **services;
 	size_t service_count;
+	/* The configuration lists workspaces, if only an empty list. */
+	int has_workspaces;
 	at_site_workspace_t *workspaces;
 	size_t workspace_count;
 	at_site_key_t *keys; /* sorted once sealed */
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -387,7 +387,7 @@
     const at_site_workspace_t **workspace)
 {
 	*workspace = NULL;
-	if (route->is_public || (*calls->deps.site)->workspace_count == 0)
+	if (route->is_public || !(*calls->deps.site)->has_workspaces)
 		return 0;
 	if (header->key == NULL) {
 		refuse_request(
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -157,10 +157,10 @@
 {
 	at_log(AT_LOG_INFO, "config", NULL,
 	    "configuration applied version=%" PRIu64 " previous=%" PRIu64
-	    " routes=%zu services=%zu workspaces=%zu keys=%zu",
+	    " routes=%zu services=%zu workspaces=%zu keys=%zu needs_keys=%d",
 	    site->version, entry->site == NULL ? 0 : entry->site->version,
 	    site->route_count, site->service_count, site->workspace_count,
-	    site->key_count);
+	    site->key_count, site->has_workspaces);
 	at_site_unref(entry->site);
 	entry->site = site;
 	at_fleet_set_site(entry->fleet, site);
