--- a/include/almondthread/request_header.h
+++ b/include/almondthread/request_header.h
@@ -14,10 +14,11 @@
 	const char *key;          /* the caller's key, or NULL */
 	const char *resume_after; /* last event of a stream, or NULL */
 	const char *resumes;      /* id of its first request, or NULL */
-	uint32_t deadline_ms;     /* time the caller will wait; 0: not sent */
-	at_name_t model;          /* empty: no model is requested */
-	at_name_t adapter;        /* empty: the base model */
-	int has_token_counts;     /* the next two fields were sent */
+	int has_deadline;
+	uint32_t deadline_ms; /* time the caller will wait */
+	at_name_t model;      /* empty: no model is requested */
+	at_name_t adapter;    /* empty: the base model */
+	int has_token_counts; /* the next two fields were sent */
 	uint32_t prompt_tokens;
 	uint32_t output_max_tokens;
 	uint32_t output_hint_tokens; /* the caller's estimate; 0: none */
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -120,8 +120,7 @@
 request_limit_ms(
     const at_site_route_t *route, const at_request_header_t *header)
 {
-	return header->deadline_ms > 0 &&
-		       header->deadline_ms < route->timeout_ms
+	return header->has_deadline && header->deadline_ms < route->timeout_ms
 		   ? header->deadline_ms
 		   : route->timeout_ms;
 }
@@ -436,6 +435,11 @@
 	}
 	if (authenticate(calls, request, &header, route, &workspace) != 0)
 		return;
+	if (header.has_deadline && header.deadline_ms == 0) {
+		refuse_request(calls, request, &header, AT_REASON_OVERLOAD, 0,
+		    "error=no_time_left");
+		return;
+	}
 	if (*calls->deps.state == AT_ENTRY_LINGERING &&
 	    request_limit_ms(route, &header) >
 		calls->deps.left_ms(calls->deps.ctx)) {
