Search all parts of a prompt for the one that crashes engines

The prompt was cut after eight parts, which routing needs; the search saw no more.

The search takes all parts, whatever their ids look like: ids beyond 64 bits and parts without one have a hash. Long prompts are reported in pieces, with their position; what is remembered of crashes has a bound in parts.

--- a/include/almondthread/crash_causes.h
+++ b/include/almondthread/crash_causes.h
@@ -34,7 +34,8 @@
 
 #define AT_CRASHES_MAX 64u        /* crashes that are remembered */
 #define AT_CRASH_REQUESTS_MAX 96u /* requests of one crash */
-#define AT_CRASH_BEGUN_MAX 2048u  /* parts that are known to have begun */
+#define AT_CRASH_BEGUN_MAX 8192u  /* parts that are known to have begun */
+#define AT_CRASH_PARTS_MAX 65536u /* of all requests of all crashes */
 #define AT_CRASH_VERDICTS_MAX 32u /* parts that are not clear */
 /* Crashes after which a part that is not known to have begun is blocked. */
 #define AT_CRASHES_TO_BLOCK 3u
@@ -43,21 +44,28 @@
 /* A request has begun when it goes on for this long after its first event. */
 #define AT_CRASH_BEGUN_AFTER_US 200000u
 
-/* The parts of one request. */
+/* The place of a part that another instance has not told yet. */
+#define AT_REQUEST_PART_NONE UINT64_MAX
+
+/* The parts of one request: as many as its prompt has. */
 typedef struct at_request_parts {
 	uint64_t request; /* hash of the whole request, itself a part */
-	uint64_t parts[AT_PREFIX_PARTS_MAX]; /* of its prompt, in order */
+	uint64_t *parts;  /* of its prompt, in order; owned; NULL: none */
 	size_t count;
 } at_request_parts_t;
 
 /*
- * at_request_parts_fill() fills the parts of a request with a prompt (count 0:
- * none). All but prefix may be NULL. Requests are the same if target, key, body
- * and the last part of the prompt are.
+ * at_request_parts_init() takes over the parts of a request's prompt (count 0:
+ * none, parts may be NULL). Target, key and body may be NULL. Requests are the
+ * same if target, key, body and the last part of the prompt are.
  */
-void at_request_parts_fill(at_request_parts_t *parts,
-    const at_prefix_part_t *prefix, size_t count, const char *target,
-    const char *key, const void *body, size_t body_len);
+void at_request_parts_init(at_request_parts_t *request, uint64_t *parts,
+    size_t count, const char *target, const char *key, const void *body,
+    size_t body_len);
+/* at_request_parts_copy() copies no parts if out of memory. */
+void at_request_parts_copy(
+    at_request_parts_t *copy, const at_request_parts_t *request);
+void at_request_parts_clear(at_request_parts_t *request);
 
 typedef enum at_cause_state {
 	AT_CAUSE_CLEAR,
@@ -90,7 +98,9 @@
  * at_crash_causes_add_crash() records that a server crashed at crashed_us while
  * these requests were beginning there. server names one incarnation; what
  * several instances record of it is one crash. Returns non-zero if that was new
- * in any part. Requests are dropped if out of memory.
+ * in any part. Requests are copied; of one that was recorded before, parts that
+ * were missing are added. Requests are dropped if out of memory, and those of
+ * the oldest crashes beyond AT_CRASH_PARTS_MAX.
  */
 int at_crash_causes_add_crash(at_crash_causes_t *causes, uint64_t server,
     const at_request_parts_t *requests, size_t count, uint64_t crashed_us);
--- a/include/almondthread/request_header.h
+++ b/include/almondthread/request_header.h
@@ -22,6 +22,8 @@
 	uint32_t prompt_tokens;
 	uint32_t output_max_tokens;
 	uint32_t output_hint_tokens; /* the caller's estimate; 0: none */
+	const char *prompt;          /* all parts, as sent; NULL: not sent */
+	/* The first parts of the prompt. */
 	at_prefix_part_t prefix[AT_PREFIX_PARTS_MAX];
 	size_t prefix_count;
 } at_request_header_t;
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -1813,7 +1813,7 @@
   (ProtobufCMessageInit) report_origins__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report_crashed_request__field_descriptors[2] =
+static const ProtobufCFieldDescriptor report_crashed_request__field_descriptors[3] =
 {
   {
     "request",
@@ -1839,15 +1839,28 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportCrashedRequest, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report_crashed_request__field_indices_by_name[] = {
+  2,   /* field[2] = first */
   1,   /* field[1] = parts */
   0,   /* field[0] = request */
 };
 static const ProtobufCIntRange report_crashed_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor report_crashed_request__descriptor =
 {
@@ -1857,7 +1870,7 @@
   "ReportCrashedRequest",
   "",
   sizeof(ReportCrashedRequest),
-  2,
+  3,
   report_crashed_request__field_descriptors,
   report_crashed_request__field_indices_by_name,
   1,  report_crashed_request__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -250,10 +250,14 @@
   uint64_t request;
   size_t n_parts;
   uint64_t *parts;
+  /*
+   * position in the prompt of the first of these parts
+   */
+  uint32_t first;
 };
 #define REPORT_CRASHED_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report_crashed_request__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
 
 
 /*
--- a/src/core/requests/crash_causes.c
+++ b/src/core/requests/crash_causes.c
@@ -25,20 +25,40 @@
 }
 
 void
-at_request_parts_fill(at_request_parts_t *parts, const at_prefix_part_t *prefix,
+at_request_parts_init(at_request_parts_t *request, uint64_t *parts,
     size_t count, const char *target, const char *key, const void *body,
     size_t body_len)
 {
-	uint64_t own = count == 0 ? 0 : prefix[count - 1].id;
-	size_t i;
+	uint64_t own = count == 0 ? 0 : parts[count - 1];
 
-	parts->count = count;
-	for (i = 0; i < count; i++)
-		parts->parts[i] = prefix[i].id;
-	parts->request = hash_text(key, hash_text(target, own));
+	request->parts = parts;
+	request->count = count;
+	request->request = hash_text(key, hash_text(target, own));
 	if (body != NULL)
-		parts->request =
-		    XXH3_64bits_withSeed(body, body_len, parts->request);
+		request->request =
+		    XXH3_64bits_withSeed(body, body_len, request->request);
+}
+
+void
+at_request_parts_copy(
+    at_request_parts_t *copy, const at_request_parts_t *request)
+{
+	*copy = (at_request_parts_t){.request = request->request};
+	if (request->count == 0)
+		return;
+	copy->parts = malloc(request->count * sizeof(*copy->parts));
+	if (copy->parts == NULL)
+		return;
+	memcpy(
+	    copy->parts, request->parts, request->count * sizeof(*copy->parts));
+	copy->count = request->count;
+}
+
+void
+at_request_parts_clear(at_request_parts_t *request)
+{
+	free(request->parts);
+	memset(request, 0, sizeof(*request));
 }
 
 at_crash_causes_t *
@@ -63,6 +83,8 @@
 {
 	accused_t *accused = find_accused(causes, part);
 
+	if (part == AT_REQUEST_PART_NONE)
+		return;
 	if (accused == NULL) {
 		accused = calloc(1, sizeof(*accused));
 		if (accused == NULL)
@@ -92,11 +114,13 @@
 	size_t k;
 
 	for (i = 0; i < crash->count; i++) {
-		const at_request_parts_t *request = &crash->requests[i];
+		at_request_parts_t *request = &crash->requests[i];
 
 		for (k = 0; k < request->count; k++)
 			remove_accused(causes, request->parts[k]);
 		remove_accused(causes, request->request);
+		causes->part_count -= request->count;
+		at_request_parts_clear(request);
 	}
 	free(crash->requests);
 	crash->requests = NULL;
@@ -147,7 +171,70 @@
 	return oldest;
 }
 
-/* Returns non-zero if the request was not recorded before. */
+/* Makes room for parts; returns -1 if there is not enough. */
+static int
+make_room(at_crash_causes_t *causes, const crash_t *crash, size_t count)
+{
+	while (causes->part_count + count > AT_CRASH_PARTS_MAX) {
+		crash_t *oldest = NULL;
+		size_t i;
+
+		for (i = 0; i < causes->crash_count; i++) {
+			crash_t *other = &causes->crashes[i];
+
+			if (other != crash && other->count > 0 &&
+			    (oldest == NULL ||
+				other->crashed_us < oldest->crashed_us))
+				oldest = other;
+		}
+		if (oldest == NULL)
+			return -1;
+		clear_requests(causes, oldest);
+	}
+	return 0;
+}
+
+/*
+ * Adds the parts that a recorded request lacks: an instance reports a long
+ * prompt in pieces. Returns non-zero if there were any.
+ */
+static int
+add_missing_parts(at_crash_causes_t *causes, const crash_t *crash,
+    at_request_parts_t *recorded, const at_request_parts_t *request)
+{
+	size_t more = request->count > recorded->count
+			  ? request->count - recorded->count
+			  : 0;
+	int is_new = 0;
+	size_t i;
+
+	if (more > 0) {
+		uint64_t *grown;
+
+		if (make_room(causes, crash, more) != 0)
+			return 0;
+		grown =
+		    realloc(recorded->parts, request->count * sizeof(*grown));
+		if (grown == NULL)
+			return 0;
+		recorded->parts = grown;
+		for (i = recorded->count; i < request->count; i++)
+			grown[i] = AT_REQUEST_PART_NONE;
+		recorded->count = request->count;
+		causes->part_count += more;
+	}
+	for (i = 0; i < request->count; i++) {
+		if (recorded->parts[i] != AT_REQUEST_PART_NONE ||
+		    request->parts[i] == AT_REQUEST_PART_NONE)
+			continue;
+		recorded->parts[i] = request->parts[i];
+		add_accused(causes, recorded->parts[i]);
+		is_new = 1;
+	}
+	return is_new;
+}
+
+/* Returns non-zero if the request, or a part of it, was not recorded before. */
 static int
 add_request(at_crash_causes_t *causes, crash_t *crash,
     const at_request_parts_t *request)
@@ -157,15 +244,19 @@
 
 	for (i = 0; i < crash->count; i++) {
 		if (crash->requests[i].request == request->request)
-			return 0;
+			return add_missing_parts(
+			    causes, crash, &crash->requests[i], request);
 	}
-	if (crash->is_explained || crash->count == AT_CRASH_REQUESTS_MAX)
+	if (crash->is_explained || crash->count == AT_CRASH_REQUESTS_MAX ||
+	    make_room(causes, crash, request->count) != 0)
 		return 0;
 	grown = realloc(crash->requests, (crash->count + 1) * sizeof(*grown));
 	if (grown == NULL)
 		return 0;
 	crash->requests = grown;
-	grown[crash->count++] = *request;
+	at_request_parts_copy(&grown[crash->count], request);
+	request = &grown[crash->count++];
+	causes->part_count += request->count;
 	for (i = 0; i < request->count; i++)
 		add_accused(causes, request->parts[i]);
 	add_accused(causes, request->request);
--- a/src/core/requests/crash_causes_internal.h
+++ b/src/core/requests/crash_causes_internal.h
@@ -46,6 +46,7 @@
 struct at_crash_causes {
 	crash_t crashes[AT_CRASHES_MAX];
 	size_t crash_count;
+	size_t part_count; /* of all requests in crashes */
 	accused_t *accused;
 	begun_t *begun; /* in the order of the last change */
 	verdict_t verdicts[AT_CRASH_VERDICTS_MAX];
--- a/src/core/requests/crash_causes_judge.c
+++ b/src/core/requests/crash_causes_judge.c
@@ -152,9 +152,12 @@
 		for (k = 0; k < crash->count; k++) {
 			const at_request_parts_t *request = &crash->requests[k];
 
-			for (n = 0; n < request->count; n++)
-				count_part(judgement, crash, request->parts[n],
-				    (uint32_t)n, request->request);
+			for (n = 0; n < request->count; n++) {
+				if (request->parts[n] != AT_REQUEST_PART_NONE)
+					count_part(judgement, crash,
+					    request->parts[n], (uint32_t)n,
+					    request->request);
+			}
 			count_part(judgement, crash, request->request,
 			    DEPTH_WHOLE_REQUEST, request->request);
 		}
--- a/src/entry/base/attempt_events.h
+++ b/src/entry/base/attempt_events.h
@@ -18,9 +18,9 @@
 	AT_ATTEMPT_EVENT_STATED,    /* headers of a response: response is set */
 	AT_ATTEMPT_EVENT_FIRST_EVENT, /* or the complete response: elapsed_us is
 					 set */
-	AT_ATTEMPT_EVENT_ORIGIN,   /* the stream has an event of this version */
-	AT_ATTEMPT_EVENT_BEGUN,    /* the response has begun and gone on */
-	AT_ATTEMPT_EVENT_REFUSED,  /* it has not run: status and is_misplaced */
+	AT_ATTEMPT_EVENT_ORIGIN,  /* the stream has an event of this version */
+	AT_ATTEMPT_EVENT_BEGUN,   /* the response has begun and gone on */
+	AT_ATTEMPT_EVENT_REFUSED, /* it has not run: status and is_misplaced */
 	/* It states no refusal, but its status is one to callers: status. */
 	AT_ATTEMPT_EVENT_MAY_HAVE_RUN,
 	AT_ATTEMPT_EVENT_REJECTED, /* its response is not passed on: reason */
@@ -58,7 +58,8 @@
 	int is_sent;     /* it may have reached the server */
 	const char *why; /* what the instance that passes it on has stated */
 	at_server_outcome_t outcome;
-	/* Fills the parts of the request, which takes a hash of its body. */
+	/* Fills the parts of the request, which takes a hash of its body; the
+	   observer clears them. */
 	void (*fill_parts)(
 	    const at_attempt_event_t *event, at_request_parts_t *parts);
 	const void *attempt;
--- a/src/entry/call/call.c
+++ b/src/entry/call/call.c
@@ -65,6 +65,7 @@
 	for (i = 0; i < OPEN_ATTEMPTS_MAX; i++)
 		buffered_response_reset(&call->open_attempts[i].response);
 	buffered_response_reset(&call->failure_response);
+	at_request_parts_clear(&call->parts);
 	at_header_lines_free(&call->request_headers);
 	at_attempts_delete(call->attempts);
 	at_site_unref(call->site);
--- a/src/entry/call/call_crashes.c
+++ b/src/entry/call/call_crashes.c
@@ -9,6 +9,7 @@
 #include "entry/call/call_impl.h"
 #include "entry/servers/server_crashes.h"
 #include "io/clock.h"
+#include "platform/caller.h"
 
 /* Stated in refusals: the block lasts longer, the suspicion does not. */
 #define BLOCKED_RETRY_MS 60000u
@@ -17,22 +18,25 @@
 void
 call_fill_parts(const at_call_t *call, at_request_parts_t *parts)
 {
+	uint64_t *prompt;
 	size_t body_len;
+	size_t count;
 	const void *body;
 
 	if (call->request == NULL) {
-		*parts = call->parts;
+		at_request_parts_copy(parts, &call->parts);
 		return;
 	}
+	prompt = at_caller_prompt_parts(call->header.prompt, &count);
 	body = at_httpd_body(call->request, &body_len);
-	at_request_parts_fill(parts, call->waiter.work.prefix,
-	    call->waiter.work.prefix_count, at_httpd_target(call->request),
-	    call->header.key, body, body_len);
+	at_request_parts_init(parts, prompt, count,
+	    at_httpd_target(call->request), call->header.key, body, body_len);
 }
 
 void
 call_keep_parts(at_call_t *call)
 {
+	at_request_parts_clear(&call->parts);
 	call_fill_parts(call, &call->parts);
 }
 
@@ -56,6 +60,7 @@
 		return 0;
 	call_fill_parts(call, &parts);
 	verdict = at_server_crashes_check(crashes, &parts, may_try);
+	at_request_parts_clear(&parts);
 	if (verdict == NULL)
 		return 0;
 	call->retry_after_ms = verdict->state == AT_CAUSE_BLOCKED
@@ -90,6 +95,7 @@
 
 	call_fill_parts(call, &parts);
 	verdict = at_server_crashes_check(call->calls->deps.crashes, &parts, 0);
+	at_request_parts_clear(&parts);
 	return verdict != NULL && verdict->state == AT_CAUSE_BLOCKED;
 }
 
--- a/src/entry/call/call_impl.h
+++ b/src/entry/call/call_impl.h
@@ -171,6 +171,7 @@
  * call_fill_parts() fills the parts of a request. call_keep_parts() keeps them
  * of one whose caller has closed.
  */
+/* The caller clears parts. */
 void call_fill_parts(const at_call_t *call, at_request_parts_t *parts);
 void call_keep_parts(at_call_t *call);
 /* call_note_begun() notes that a response has begun and has gone on. */
--- a/src/entry/servers/server_crashes.c
+++ b/src/entry/servers/server_crashes.c
@@ -16,6 +16,8 @@
 #define REPORT_DELAY_S 0.004    /* of what is to be reported at once */
 #define LOSSES_MAX 32u          /* servers that may have crashed, at a time */
 #define REQUESTS_PER_REPORT 32u /* of one crash; they fit a packet */
+#define PARTS_PER_REPORT 256u   /* of all its requests; the same */
+#define PROMPT_PARTS_MAX 16384u /* of one prompt, in pieces */
 #define REPORTS_MAX 64u         /* crashes that are being reported */
 #define REPORT_TIMES 3u         /* reports may be lost */
 #define BEGUN_PER_REPORT 64u
@@ -59,6 +61,8 @@
 	size_t count;
 	uint32_t reported; /* number of reports so far */
 	int is_due;
+	size_t next_request; /* what the next report begins with */
+	size_t next_part;    /* of that request */
 } crash_report_t;
 
 struct at_server_crashes {
@@ -174,6 +178,22 @@
 	ev_timer_start(crashes->deps.loop, &crashes->timer);
 }
 
+static void
+clear_requests(at_request_parts_t *requests, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		at_request_parts_clear(&requests[i]);
+}
+
+static void
+delete_report(crash_report_t *report)
+{
+	clear_requests(report->requests, report->count);
+	free(report);
+}
+
 static void
 delete_loss(loss_t *loss)
 {
@@ -183,6 +203,7 @@
 	ev_timer_stop(crashes->deps.loop, &loss->timer);
 	if (loss->probe != NULL)
 		at_transfer_cancel(loss->probe);
+	clear_requests(loss->requests, loss->count);
 	free(loss);
 }
 
@@ -198,7 +219,7 @@
 	while (crashes->losses != NULL)
 		delete_loss(crashes->losses);
 	for (i = 0; i < crashes->report_count; i++)
-		free(crashes->reports[i]);
+		delete_report(crashes->reports[i]);
 	at_crash_causes_delete(crashes->causes);
 	free(crashes);
 }
@@ -208,7 +229,7 @@
 static void
 remove_report(at_server_crashes_t *crashes, size_t i)
 {
-	free(crashes->reports[i]);
+	delete_report(crashes->reports[i]);
 	crashes->reports[i] = crashes->reports[--crashes->report_count];
 }
 
@@ -216,6 +237,7 @@
 add_report(at_server_crashes_t *crashes, const loss_t *loss)
 {
 	crash_report_t *report = calloc(1, sizeof(*report));
+	size_t i;
 
 	if (report == NULL)
 		return;
@@ -224,7 +246,8 @@
 	report->incarnation = loss->incarnation;
 	report->crashed_us = loss->lost_us;
 	report->count = loss->count;
-	memcpy(report->requests, loss->requests, sizeof(report->requests));
+	for (i = 0; i < loss->count; i++)
+		at_request_parts_copy(&report->requests[i], &loss->requests[i]);
 	report->is_due = 1;
 	crashes->reports[crashes->report_count++] = report;
 }
@@ -428,15 +451,20 @@
 	return loss;
 }
 
-/* The connection of a request was lost before the request had begun. */
+/*
+ * The connection of a request was lost before the request had begun. Takes over
+ * its parts.
+ */
 static void
 note_lost(at_server_crashes_t *crashes, const at_server_entry_t *server,
-    const at_request_parts_t *parts)
+    at_request_parts_t *parts)
 {
 	loss_t *loss = find_or_add_loss(crashes, server);
 
 	if (loss != NULL && loss->count < REQUESTS_PER_REPORT)
 		loss->requests[loss->count++] = *parts;
+	else
+		at_request_parts_clear(parts);
 }
 
 static void
@@ -449,6 +477,7 @@
 		event->fill_parts(event, &parts);
 		at_crash_causes_note_begun(
 		    crashes->causes, &parts, event->first_event_us);
+		at_request_parts_clear(&parts);
 	} else if (event->kind == AT_ATTEMPT_EVENT_LOST && event->is_sent &&
 		   !event->is_begun && event->server != NULL) {
 		event->fill_parts(event, &parts);
@@ -639,6 +668,10 @@
 	return count > 0;
 }
 
+/*
+ * Adds as many requests as a report takes, or a piece of one with a long
+ * prompt, and notes what the next report begins with.
+ */
 static void
 fill_crash(crash_report_t *crash, Report *report, uint64_t now_us)
 {
@@ -646,19 +679,40 @@
 	static ReportCrashedRequest *request_list[REQUESTS_PER_REPORT];
 	static ReportCrash message;
 	static ReportCrash *list[1];
-	size_t i;
+	size_t left = PARTS_PER_REPORT;
+	size_t count = 0;
 
-	for (i = 0; i < crash->count; i++) {
-		report_crashed_request__init(&requests[i]);
-		requests[i].request = crash->requests[i].request;
-		requests[i].n_parts = crash->requests[i].count;
-		requests[i].parts = crash->requests[i].parts;
-		request_list[i] = &requests[i];
+	while (crash->next_request < crash->count && left > 0) {
+		const at_request_parts_t *source =
+		    &crash->requests[crash->next_request];
+		ReportCrashedRequest *request = &requests[count];
+		size_t parts = source->count - crash->next_part;
+
+		if (parts > left)
+			parts = left;
+		report_crashed_request__init(request);
+		request->request = source->request;
+		request->first = (uint32_t)crash->next_part;
+		request->n_parts = parts;
+		request->parts =
+		    parts == 0 ? NULL : source->parts + crash->next_part;
+		request_list[count++] = request;
+		left -= parts;
+		crash->next_part += parts;
+		if (crash->next_part == source->count) {
+			crash->next_request++;
+			crash->next_part = 0;
+		}
+	}
+	if (crash->next_request == crash->count) {
+		crash->next_request = 0;
+		crash->is_due = 0;
+		crash->reported++;
 	}
 	report_crash__init(&message);
 	message.server = crash->incarnation;
 	message.age_ms = age_ms(crash->crashed_us, now_us);
-	message.n_requests = crash->count;
+	message.n_requests = count;
 	message.requests = request_list;
 	list[0] = &message;
 	report->n_crashes = 1;
@@ -686,8 +740,6 @@
 
 		if (!crash->is_due)
 			continue;
-		crash->is_due = 0;
-		crash->reported++;
 		fill_crash(crash, report, now_us);
 		return 1;
 	}
@@ -721,26 +773,44 @@
 	return since_us < now_us ? now_us - since_us : 1;
 }
 
+/* The parts before the first one that is told are in other reports. */
+static void
+read_request(const ReportCrashedRequest *source, at_request_parts_t *request)
+{
+	size_t first = source->first;
+	size_t i;
+
+	*request = (at_request_parts_t){.request = source->request};
+	if (first + source->n_parts > PROMPT_PARTS_MAX || source->n_parts == 0)
+		return;
+	request->parts =
+	    malloc((first + source->n_parts) * sizeof(*request->parts));
+	if (request->parts == NULL)
+		return;
+	request->count = first + source->n_parts;
+	for (i = 0; i < first; i++)
+		request->parts[i] = AT_REQUEST_PART_NONE;
+	memcpy(request->parts + first, source->parts,
+	    source->n_parts * sizeof(*request->parts));
+}
+
 /* Returns non-zero if the crash, or a part of it, was not known. */
 static int
 apply_crash(
     at_server_crashes_t *crashes, const ReportCrash *message, uint64_t now_us)
 {
-	at_request_parts_t requests[REQUESTS_PER_REPORT];
+	at_request_parts_t requests[REQUESTS_PER_REPORT] = {{0}};
 	size_t count = 0;
-	size_t i;
+	int is_new;
 
 	while (count < message->n_requests && count < REQUESTS_PER_REPORT) {
-		const ReportCrashedRequest *source = message->requests[count];
-		at_request_parts_t *request = &requests[count++];
-
-		memset(request, 0, sizeof(*request));
-		request->request = source->request;
-		for (i = 0; i < source->n_parts && i < AT_PREFIX_PARTS_MAX; i++)
-			request->parts[request->count++] = source->parts[i];
+		read_request(message->requests[count], &requests[count]);
+		count++;
 	}
-	return at_crash_causes_add_crash(crashes->causes, message->server,
+	is_new = at_crash_causes_add_crash(crashes->causes, message->server,
 	    requests, count, time_of(message->age_ms, now_us));
+	clear_requests(requests, count);
+	return is_new;
 }
 
 static int
--- a/tests/contract/test_crashing_parts.c
+++ b/tests/contract/test_crashing_parts.c
@@ -28,6 +28,7 @@
 #define STEP_MS 30u
 #define STEPS_PER_CRASHING 3u /* a request with the part in so many steps */
 #define REQUESTS_MAX 2000u
+#define PROMPT_SIZE 8000u
 
 typedef struct sent_request {
 	entry_fixture_response_t response;
@@ -35,8 +36,20 @@
 	int is_sound;
 } sent_request_t;
 
+/* How prompts look. All of them share the further parts. */
+typedef struct shape {
+	const char *name;
+	size_t before;         /* further parts before the one that crashes */
+	size_t after;          /* and after it */
+	const char *prefix;    /* of the further parts' ids, hexadecimal */
+	const char *malformed; /* a part that has no id, or "" */
+} shape_t;
+
+static const shape_t plain = {"three parts", 0, 0, "", ""};
+
 typedef struct traffic {
 	entry_fixture_t *fixture;
+	const shape_t *shape;
 	uint64_t replaced_at_ms[ENTRY_FIXTURE_MAX]; /* 0: it has not crashed */
 	int is_replaced[ENTRY_FIXTURE_MAX];
 	sent_request_t *requests;
@@ -116,6 +129,7 @@
 
 	traffic->requests = calloc(REQUESTS_MAX, sizeof(*traffic->requests));
 	traffic->fixture = entry_fixture_new();
+	traffic->shape = &plain;
 	entry_fixture_apply_config(traffic->fixture, 1);
 	for (i = 0; i < ENGINES; i++)
 		add_engine(traffic);
@@ -137,20 +151,39 @@
 	free(traffic);
 }
 
+static size_t
+add_parts(char parts[PROMPT_SIZE], size_t len, const char *prefix,
+    unsigned first, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		len += (size_t)snprintf(parts + len, PROMPT_SIZE - len,
+		    "%s%x:30,", prefix, first + (unsigned)i);
+	return len;
+}
+
 static void
 send_to(traffic_t *traffic, size_t entry, int is_sound)
 {
 	sent_request_t *request = &traffic->requests[traffic->count];
+	const shape_t *shape = traffic->shape;
 	char id[32];
-	char parts[96];
+	char parts[PROMPT_SIZE];
+	size_t len;
 	const entry_fixture_request_t fields = {
 	    "POST", "/stream/x", id, ENTRY_FIXTURE_KEY, "m0", "prompt"};
 
 	cr_assert_lt(traffic->count, REQUESTS_MAX);
 	(void)snprintf(id, sizeof(id), "request-%zu", traffic->count);
-	(void)snprintf(parts, sizeof(parts), "%x:40,%x:30,%zx:30", COMMON_PART,
+	len = (size_t)snprintf(
+	    parts, sizeof(parts), "%x:40,%s", COMMON_PART, shape->malformed);
+	len = add_parts(parts, len, shape->prefix, 0x2000u, shape->before);
+	len += (size_t)snprintf(parts + len, sizeof(parts) - len, "%x:30,",
 	    is_sound ? 0x500u + (unsigned)(traffic->count % SUBJECTS)
-		     : CRASH_PART,
+		     : CRASH_PART);
+	len = add_parts(parts, len, shape->prefix, 0x4000u, shape->after);
+	(void)snprintf(parts + len, sizeof(parts) - len, "%zx:30",
 	    0x10000u + traffic->count);
 	request->sent_ms = at_clock_now_ms();
 	request->is_sound = is_sound;
@@ -227,8 +260,8 @@
 		traffic->fifth_crash_ms = at_clock_now_ms();
 }
 
-/* Each request was new to the instances, so that engines crashed for ever. */
-Test(crashing_parts, few_requests_reach_engines_after_five_crashes)
+static void
+check_shape(const shape_t *shape)
 {
 	traffic_t *traffic = traffic_new();
 	uint64_t start_ms = at_clock_now_ms();
@@ -236,6 +269,7 @@
 	uint64_t judged_ms;
 	uint32_t before;
 
+	traffic->shape = shape;
 	run_traffic(traffic, 1500, 0);
 	crashing_ms = at_clock_now_ms();
 	run_crashes(traffic);
@@ -245,13 +279,43 @@
 	entry_fixture_run_ms(traffic->fixture, 500);
 	before = begun_percent(traffic, start_ms, crashing_ms);
 	cr_assert_leq(traffic->late_arrivals, LATE_ARRIVALS_MAX,
-	    "%u requests, %llu crashes", traffic->late_arrivals,
+	    "%s: %u requests, %llu crashes", shape->name,
+	    traffic->late_arrivals,
 	    (unsigned long long)crash_count(traffic->fixture));
 	cr_assert_geq(2 * begun_percent(traffic, judged_ms, UINT64_MAX), before,
-	    "sound requests begin less than half as often as before");
+	    "%s: sound requests begin less than half as often as before",
+	    shape->name);
 	traffic_delete(traffic);
 }
 
+/* Each request was new to the instances, so that engines crashed for ever. */
+Test(crashing_parts, few_requests_reach_engines_after_five_crashes)
+{
+	check_shape(&plain);
+}
+
+/* Only the first eight parts of a prompt were searched. */
+static const shape_t shapes[] = {
+    {"the ninth part", 7, 1, "", ""},
+    {"the fortieth part", 38, 2, "", ""},
+    {"behind 600 parts", 600, 20, "", ""},
+    /* Such ids have the same low or no 64 bits. */
+    {"ids of 20 digits", 9, 2, "ffffffffffffffff", ""},
+    {"behind a part that has no id", 3, 1, "", "other:x,"},
+};
+
+#define SHAPE_TEST(number, name)              \
+	Test(crashing_parts, name)            \
+	{                                     \
+		check_shape(&shapes[number]); \
+	}
+
+SHAPE_TEST(0, the_ninth_part_is_found)
+SHAPE_TEST(1, the_fortieth_part_is_found)
+SHAPE_TEST(2, a_part_behind_600_is_found)
+SHAPE_TEST(3, a_part_among_long_ids_is_found)
+SHAPE_TEST(4, a_part_behind_one_without_an_id_is_found)
+
 /* The verdict is also known to an instance that starts later. */
 Test(crashing_parts, an_instance_that_starts_knows_the_part)
 {
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -19,6 +19,7 @@
 #define FIRST_PORT 10000u
 #define PORTS 20000u
 #define HEADERS_MAX 8 /* request headers, without the NULL at the end */
+#define HEADER_SIZE 8192
 
 static void
 on_step(struct ev_loop *loop, ev_timer *timer, int events)
@@ -424,12 +425,13 @@
 }
 
 static size_t
-add_header(char lines[HEADERS_MAX][256], size_t count, const char *name,
+add_header(char lines[HEADERS_MAX][HEADER_SIZE], size_t count, const char *name,
     const char *prefix, const char *value)
 {
 	if (value == NULL)
 		return count;
-	(void)snprintf(lines[count], 256, "%s: %s%s", name, prefix, value);
+	(void)snprintf(
+	    lines[count], HEADER_SIZE, "%s: %s%s", name, prefix, value);
 	return count + 1;
 }
 
@@ -446,7 +448,7 @@
     const entry_fixture_request_t *request, const extra_headers_t *extra,
     entry_fixture_response_t *response)
 {
-	char lines[HEADERS_MAX][256];
+	char lines[HEADERS_MAX][HEADER_SIZE];
 	const char *headers[HEADERS_MAX + 1] = {NULL};
 	char url[AT_ADDR_SIZE + 16];
 	size_t count = 0;
--- a/tests/unit/test_crash_causes.c
+++ b/tests/unit/test_crash_causes.c
@@ -185,15 +185,15 @@
 	    {BAD, AT_CAUSE_BLOCKED}}},
 };
 
+/* The parts are those of the step. */
 static at_request_parts_t
 parts_of(const step_t *step)
 {
-	at_request_parts_t parts = {.request = step->request};
+	at_request_parts_t parts = {.request = step->request,
+	    .parts = (uint64_t *)(uintptr_t)step->parts};
 
-	while (parts.count < 2 && step->parts[parts.count] != 0) {
-		parts.parts[parts.count] = step->parts[parts.count];
+	while (parts.count < 2 && step->parts[parts.count] != 0)
 		parts.count++;
-	}
 	return parts;
 }
 
@@ -286,7 +286,7 @@
 Test(crash_causes, a_block_expires)
 {
 	at_crash_causes_t *causes = at_crash_causes_new();
-	const at_request_parts_t request = {105, {COMMON, BAD}, 2};
+	const at_request_parts_t request = {105, (uint64_t[]){COMMON, BAD}, 2};
 	uint64_t now_us = run_steps(causes, blocking);
 
 	now_us += AT_CRASH_VERDICT_LIFETIME_US / 2;
@@ -305,7 +305,7 @@
 {
 	at_crash_causes_t *causes = at_crash_causes_new();
 	at_crash_causes_t *other = at_crash_causes_new();
-	const at_request_parts_t begun = {100, {COMMON}, 1};
+	const at_request_parts_t begun = {100, (uint64_t[]){COMMON}, 1};
 	const at_crash_verdict_t block = {COMMON, AT_CAUSE_BLOCKED, 3, 0,
 	    2000000u, 3000000u + AT_CRASH_VERDICT_LIFETIME_US};
 	at_part_begun_t reports[4];
@@ -348,7 +348,7 @@
 {
 	at_crash_causes_t *causes = at_crash_causes_new();
 	const step_t suspicious[] = {blocking[0], blocking[1], blocking[3]};
-	const at_request_parts_t third = {103, {COMMON, BAD}, 2};
+	const at_request_parts_t third = {103, (uint64_t[]){COMMON, BAD}, 2};
 	uint64_t now_us = run_steps(causes, suspicious);
 
 	cr_assert_eq(
@@ -377,7 +377,7 @@
 	for (i = 0; i < 4 * AT_CRASHES_MAX; i++) {
 		for (k = 0; k < 2 * AT_CRASH_REQUESTS_MAX; k++) {
 			const at_request_parts_t request = {
-			    i * 1000 + k, {COMMON, 7 + i % 50}, 2};
+			    i * 1000 + k, (uint64_t[]){COMMON, 7 + i % 50}, 2};
 
 			(void)at_crash_causes_add_crash(
 			    causes, i + 1, &request, 1, i * 100000u);
@@ -387,7 +387,7 @@
 		(void)at_crash_causes_decide(causes, i * 100000u);
 	}
 	for (i = 0; i < 3 * AT_CRASH_BEGUN_MAX; i++) {
-		const at_request_parts_t request = {i, {i + 1}, 1};
+		const at_request_parts_t request = {i, (uint64_t[]){i + 1}, 1};
 
 		at_crash_causes_note_begun(causes, &request, 1000000000u);
 	}
@@ -419,17 +419,17 @@
 	    {"another key", "/a", "l", "b", 9, 0},
 	    {"another body", "/a", "k", "c", 9, 0},
 	    {"another last part", "/a", "k", "b", 8, 0}};
-	const at_prefix_part_t first[] = {{1, 10}, {9, 10}};
+	uint64_t first[] = {1, 9};
 	at_request_parts_t parts;
 	size_t i;
 
-	at_request_parts_fill(&parts, first, 2, "/a", "k", "b", 1);
+	at_request_parts_init(&parts, first, 2, "/a", "k", "b", 1);
 	cr_assert_eq(parts.count, 2);
 	for (i = 0; i < sizeof(others) / sizeof(others[0]); i++) {
-		const at_prefix_part_t prefix[] = {{1, 10}, {others[i].own, 1}};
+		uint64_t prefix[] = {1, others[i].own};
 		at_request_parts_t other;
 
-		at_request_parts_fill(&other, prefix, 2, others[i].target,
+		at_request_parts_init(&other, prefix, 2, others[i].target,
 		    others[i].key, others[i].body, 1);
 		cr_assert_eq(parts.request == other.request, others[i].is_same,
 		    "%s", others[i].name);
