Take no charge in a shutdown that its end may cut

In the first 2.6 s of a planned stop an instance took all requests, also charges that may last longer than the grace period; these were cut at its end with 502 after they had begun to run.

From the signal on, a request that may not be repeated is taken only if its time limit ends before the grace period; else it is refused as not run, at once. test_restarts, no_charge_is_taken_that_the_stop_may_cut: "one that may last longer than the grace period: 502" before, 503 now; 3 of 3 tests pass.

--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -400,6 +400,25 @@
 	return -1;
 }
 
+/*
+ * Returns non-zero if the shutdown may cut the request, as it may last longer
+ * than the grace period. At first, until the balancer has noticed, that counts
+ * for requests only that nobody may send again once they were passed on: other
+ * ones mostly end long before their limit.
+ */
+static int
+may_be_cut(const at_calls_t *calls, const at_site_route_t *route,
+    const at_request_header_t *header)
+{
+	at_entry_state_t state = *calls->deps.state;
+
+	return (state == AT_ENTRY_LINGERING ||
+		   (state == AT_ENTRY_DRAINING &&
+		       route->type == AT_ROUTE_UNSAFE)) &&
+	       request_limit_ms(route, header) >
+		   calls->deps.left_ms(calls->deps.ctx);
+}
+
 void
 at_call_handle(void *ctx, at_httpd_request_t *request)
 {
@@ -440,9 +459,7 @@
 		    "error=no_time_left");
 		return;
 	}
-	if (*calls->deps.state == AT_ENTRY_LINGERING &&
-	    request_limit_ms(route, &header) >
-		calls->deps.left_ms(calls->deps.ctx)) {
+	if (may_be_cut(calls, route, &header)) {
 		refuse_request(calls, request, &header, AT_REASON_STOPPING,
 		    STOPPING_RETRY_MS, "");
 		return;
--- a/tests/contract/test_restarts.c
+++ b/tests/contract/test_restarts.c
@@ -161,3 +161,50 @@
 		entry_fixture_run_ms(deployment.fixture, 500);
 	}
 }
+
+/* A charge that comes during the shutdown, and what becomes of it. */
+static const struct {
+	const char *name;
+	uint32_t sent_ms; /* after the signal */
+	const char *deadline_ms;
+	uint32_t work_ms;
+	int status;
+	uint64_t runs;
+} late_charges[] = {
+    {"one that ends in time", 500, "3000", 100, 200, 1},
+    {"one that may last longer than the grace period", 1500, "7900", 7000, 503,
+	0},
+    {"a short one that may last as long", 1500, "7900", 100, 503, 0},
+    {"one late in the drain", 2300, "3000", 2000, 200, 1},
+    {"one after the drain", 3000, "1000", 100, 0, 0},
+};
+
+/* A charge that was passed on in a planned stop was cut at its end. */
+Test(restarts, no_charge_is_taken_that_the_stop_may_cut, .timeout = 60)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(late_charges) / sizeof(late_charges[0]); i++) {
+		const entry_fixture_request_t request = {
+		    "POST", "/unsafe/x", "r", ENTRY_FIXTURE_KEY, NULL, "{}"};
+		entry_fixture_response_t response;
+		standin_server_t *server;
+
+		setup();
+		server = deployment.fixture->servers[1];
+		standin_server_faults(server)->work_ms =
+		    late_charges[i].work_ms;
+		at_entry_stop(deployment.fixture->entries[0]);
+		entry_fixture_run_ms(
+		    deployment.fixture, late_charges[i].sent_ms);
+		entry_fixture_call_within(deployment.fixture, 0, &request,
+		    late_charges[i].deadline_ms, &response);
+		cr_expect_eq(response.status, late_charges[i].status, "%s: %d",
+		    late_charges[i].name, response.status);
+		cr_expect_eq(standin_server_run_count(server),
+		    late_charges[i].runs, "%s: %llu runs", late_charges[i].name,
+		    (unsigned long long)standin_server_run_count(server));
+		entry_fixture_response_free(&response);
+		teardown();
+	}
+}
