Take up no stream of unknown origin while out of step

A stream that had begun at servers of a new version went on at one of the old version where an instance was cut off from the others, or had not run: its list had the old version only, and passed for current until a timer said otherwise.

The list is current only while at least half of the instances of the data centre that report have done so within 0.5 s, or while this one reads the lists and they were confirmed within 0.5 s. Reports that have arrived are applied first. Otherwise the request is refused as not run, as for other unknown origins.

--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -211,6 +211,44 @@
 	return count;
 }
 
+/* Counts others of a data centre (0: of all) that report, and that just did. */
+static void
+count_touch(const at_roster_t *roster, at_tag_t data_centre, uint64_t now_us,
+    uint32_t *present, uint32_t *reporting, uint32_t *recent)
+{
+	const entry_t *entry;
+
+	*present = 0;
+	*reporting = 0;
+	*recent = 0;
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		const at_roster_member_t *member = &entry->member;
+
+		if (member->is_leaving ||
+		    (data_centre != 0 && member->data_centre != data_centre))
+			continue;
+		(*present)++;
+		if (!is_reporting(member, now_us))
+			continue;
+		(*reporting)++;
+		*recent += now_us - member->reported_us <= AT_ROSTER_TOUCH_US;
+	}
+}
+
+int
+at_roster_is_in_touch(
+    const at_roster_t *roster, at_tag_t data_centre, uint64_t now_us)
+{
+	uint32_t present;
+	uint32_t reporting;
+	uint32_t recent;
+
+	count_touch(roster, data_centre, now_us, &present, &reporting, &recent);
+	if (present == 0)
+		count_touch(roster, 0, now_us, &present, &reporting, &recent);
+	return present == 0 || (reporting > 0 && 2u * recent >= reporting);
+}
+
 /* Mixes the bits, so that each key orders the instances differently. */
 static uint64_t
 rendezvous_weight(at_tag_t instance, uint64_t key)
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -277,6 +277,15 @@
 	    calls->deps.origins, service, at_clock_now_us());
 }
 
+static at_tag_t
+find_origin(const at_calls_t *calls, const char *resumes)
+{
+	return resumes == NULL
+		   ? 0
+		   : at_stream_origins_find(calls->deps.origins,
+			 at_tag_from_text(resumes), at_clock_now_us());
+}
+
 /*
  * Finds the software version at which the request must run, 0 for any. Refuses
  * the request and returns -1 if it resumes a stream whose version is unknown.
@@ -294,9 +303,12 @@
 	if (!is_resumable(route) ||
 	    (resumes == NULL && header->resume_after == NULL))
 		return 0;
-	if (resumes != NULL)
-		*software = at_stream_origins_find(calls->deps.origins,
-		    at_tag_from_text(resumes), at_clock_now_us());
+	*software = find_origin(calls, resumes);
+	if (*software == 0) {
+		/* A report on it, or on a new version, may have arrived. */
+		at_gossip_receive(calls->deps.gossip);
+		*software = find_origin(calls, resumes);
+	}
 	if (*software == 0) {
 		*software = only_version(calls, service);
 		source = "only_version";
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -1,7 +1,9 @@
 #include "entry/entry_parts.h"
 
 #include "entry/servers/server_health.h"
+#include "io/clock.h"
 
+#define READER_AGE_MAX_MS 500u /* of a list, while the others are silent */
 /* In which all instances write their objects again. */
 #define REJOIN_SPREAD_MS 2000u
 
@@ -271,13 +273,26 @@
 	return at_orders_io_new(&deps);
 }
 
-/* Without the platform, the list may lack servers. */
+/*
+ * An instance that has just been cut off, or did not run, does not know it yet:
+ * the others are silent, and what it reads itself is old.
+ */
+static int
+is_in_step(const at_entry_t *entry)
+{
+	return at_roster_is_in_touch(entry->roster, entry->identity.data_centre,
+		   at_clock_now_us()) ||
+	       (at_sync_is_reader(entry->sync) &&
+		   at_sync_age_ms(entry->sync) <= READER_AGE_MAX_MS);
+}
+
+/* Without the platform or the others, the list may lack servers. */
 static int
 is_list_current(void *ctx)
 {
 	const at_entry_t *entry = ctx;
 
-	return at_sync_is_complete(entry->sync) &&
+	return is_in_step(entry) && at_sync_is_complete(entry->sync) &&
 	       at_join_is_complete(entry->join) &&
 	       !at_entry_is_platform_away(entry);
 }
--- a/tests/contract/test_stream_versions.c
+++ b/tests/contract/test_stream_versions.c
@@ -10,8 +10,10 @@
 #include <criterion/criterion.h>
 
 #include "entry/peers/gossip_impl.h"
+#include "entry/store/sync.h"
 #include "io/clock.h"
 #include "support/entry_fixture.h"
+#include "support/links.h"
 
 #define EVENT_GAP_MS 5u
 #define EVENTS 5u          /* of a stream that is not to be broken */
@@ -426,3 +428,95 @@
 	for (i = 0; i < sizeof(origins) / sizeof(origins[0]); i++)
 		run_origin(i);
 }
+
+/*
+ * An instance that is out of step: nothing of the store or of the others
+ * arrives for a while. What the others have sent may be read at its end.
+ */
+static const struct {
+	const char *name;
+	uint32_t time_ms;
+	int is_read_later;
+} out_of_step[] = {
+    {"cut off for 0.3 s", 300, 0},
+    {"cut off for 0.7 s", 700, 0},
+    {"cut off for 1.2 s", 1200, 0},
+    {"cut off for 2.5 s", 2500, 0},
+    {"standing still for 0.7 s", 700, 1},
+    {"standing still for 1.5 s", 1500, 1},
+};
+
+static void
+count_v1(void *ctx, at_server_t *server)
+{
+	*(size_t *)ctx +=
+	    at_server_entry(server)->software == at_tag_from_text("v1");
+}
+
+static int
+has_only_v2(void *ctx)
+{
+	at_fleet_t *fleet = ((const at_entry_t *)ctx)->fleet;
+	size_t count = 0;
+
+	at_fleet_each(fleet, count_v1, &count);
+	return at_fleet_count(fleet) == 1 && count == 0;
+}
+
+/* Begins the stream at v2, which the instance out of step does not know. */
+static void
+begin_stream_at_v2(entry_fixture_t *fixture, size_t entry)
+{
+	entry_fixture_response_t response;
+
+	add_engine(fixture, "v2");
+	entry_fixture_unlist_server(fixture, 0);
+	entry_fixture_run_until(fixture, has_only_v2, fixture->entries[entry]);
+	entry_fixture_send(fixture, entry, &first, &response);
+	entry_fixture_run_until(fixture, has_event, &response);
+	entry_fixture_response_free(&response);
+	cr_assert_eq(count_runs(fixture, "v2"), 1);
+}
+
+static void
+run_out_of_step(size_t i)
+{
+	entry_fixture_t *fixture = make_fixture(0);
+	links_t *links = links_new(fixture);
+	at_gossip_t *gossip;
+	size_t late; /* follows the other one, which reads the store's lists */
+	uint64_t runs;
+	uint64_t end_ms;
+
+	(void)entry_fixture_add_entry(fixture);
+	(void)entry_fixture_add_entry(fixture);
+	entry_fixture_run_until_ready(fixture);
+	entry_fixture_run_ms(fixture, 1500);
+	late = at_sync_is_reader(fixture->entries[0]->sync) ? 1 : 0;
+	cr_assert_not(at_sync_is_reader(fixture->entries[late]->sync));
+	gossip = fixture->entries[late]->gossip;
+	end_ms = at_clock_now_ms() + out_of_step[i].time_ms;
+	ev_io_stop(fixture->loop, &gossip->readable);
+	links_set_store(links, late, LINKS_HANG);
+	begin_stream_at_v2(fixture, 1 - late);
+	while (at_clock_now_ms() < end_ms)
+		entry_fixture_run_ms(fixture, 10);
+	runs = count_runs(fixture, "v1");
+	if (out_of_step[i].is_read_later)
+		ev_feed_event(fixture->loop, &gossip->readable, EV_READ);
+	(void)resume_stream(fixture, late, STREAM_ID);
+	cr_expect_eq(
+	    count_runs(fixture, "v1"), runs, "%s", out_of_step[i].name);
+	entry_fixture_delete(fixture);
+	links_delete(links);
+}
+
+/* Its list had the old version only, at which streams of the new one went on.
+ */
+Test(stream_versions, an_instance_out_of_step_takes_up_no_stream)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(out_of_step) / sizeof(out_of_step[0]); i++)
+		run_out_of_step(i);
+}
--- a/tests/unit/test_roster.c
+++ b/tests/unit/test_roster.c
@@ -44,6 +44,33 @@
 	at_roster_delete(roster);
 }
 
+/* It took what it had heard before a cut for what the others know. */
+Test(roster, an_instance_that_hears_nobody_is_not_in_touch)
+{
+	at_roster_t *roster = make_roster("self");
+	at_tag_t north = at_tag_from_text("north");
+	uint64_t late_us = 10 + AT_ROSTER_TOUCH_US + 1;
+	at_roster_member_t *a;
+	at_roster_member_t *b;
+	at_roster_member_t *c;
+
+	cr_assert(at_roster_is_in_touch(roster, north, 10), "alone");
+	c = add_member(roster, "c", "south");
+	cr_assert_not(at_roster_is_in_touch(roster, north, 10), "none reports");
+	(void)at_roster_apply_report(c, 1, 1, 0, 0, 10);
+	cr_assert(at_roster_is_in_touch(roster, north, 10), "only elsewhere");
+	a = add_member(roster, "a", "north");
+	cr_assert_not(at_roster_is_in_touch(roster, north, 10), "a is silent");
+	b = add_member(roster, "b", "north");
+	(void)at_roster_apply_report(a, 1, 1, 0, 0, 10);
+	(void)at_roster_apply_report(b, 1, 1, 0, 0, 10);
+	cr_assert(at_roster_is_in_touch(roster, north, 10), "both");
+	cr_assert_not(at_roster_is_in_touch(roster, north, late_us), "cut off");
+	(void)at_roster_apply_report(a, 1, 2, 0, 0, late_us);
+	cr_assert(at_roster_is_in_touch(roster, north, late_us), "b is silent");
+	at_roster_delete(roster);
+}
+
 static const struct {
 	uint64_t incarnation;
 	uint64_t sequence;
