--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -166,8 +166,9 @@
 /*
  * at_roster_is_in_touch() returns whether at least half of the other instances
  * of the data centre, or of all if it has no other one, have reported within
- * AT_ROSTER_TOUCH_US: what they have told the others has then arrived here, too.
- * It is zero where there are others and none reports, non-zero without any.
+ * AT_ROSTER_TOUCH_US: what they have told the others has then arrived here,
+ * too. It is zero where there are others and none reports, non-zero without
+ * any.
  */
 #define AT_ROSTER_TOUCH_US 500000u
 int at_roster_is_in_touch(
