--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -44,8 +44,8 @@
 	uint32_t failure_status;
 	/* Server: responses claim to be a refusal of a relaying instance. */
 	int claims_relay_refusal;
-	uint32_t pause_after;    /* server: silent once after n events */
-	uint32_t pause_ms;       /* server: length of that silence */
+	uint32_t pause_after; /* server: silent once after n events */
+	uint32_t pause_ms;    /* server: length of that silence */
 	/* Server: crashes where it begins to answer a prompt with this part. */
 	uint32_t crash_part;
 	uint32_t pause_reply_ms; /* server: Retry-After of its refusals */
