Find a crashing request that comes again with another query

The hash takes the target up to its query. test_crash_causes, requests_are_told_apart: the row "another query" failed before and passes now.

--- a/include/almondthread/crash_causes.h
+++ b/include/almondthread/crash_causes.h
@@ -57,7 +57,7 @@
 /*
  * at_request_parts_init() takes over the parts of a request's prompt (count 0:
  * none, parts may be NULL). Target, key and body may be NULL. Requests are the
- * same if target, key, body and the last part of the prompt are.
+ * same if the target's path, key, body and the last part of the prompt are.
  */
 void at_request_parts_init(at_request_parts_t *request, uint64_t *parts,
     size_t count, const char *target, const char *key, const void *body,
--- a/src/core/requests/crash_causes.c
+++ b/src/core/requests/crash_causes.c
@@ -24,6 +24,15 @@
 			    : XXH3_64bits_withSeed(text, strlen(text), seed);
 }
 
+/* A query may differ each time that a caller sends a request again. */
+static uint64_t
+hash_path(const char *target, uint64_t seed)
+{
+	return target == NULL
+		   ? seed
+		   : XXH3_64bits_withSeed(target, strcspn(target, "?"), seed);
+}
+
 void
 at_request_parts_init(at_request_parts_t *request, uint64_t *parts,
     size_t count, const char *target, const char *key, const void *body,
@@ -33,7 +42,7 @@
 
 	request->parts = parts;
 	request->count = count;
-	request->request = hash_text(key, hash_text(target, own));
+	request->request = hash_text(key, hash_path(target, own));
 	if (body != NULL)
 		request->request =
 		    XXH3_64bits_withSeed(body, body_len, request->request);
--- a/tests/unit/test_crash_causes.c
+++ b/tests/unit/test_crash_causes.c
@@ -416,6 +416,9 @@
 		int is_same;
 	} others[] = {{"the same", "/a", "k", "b", 9, 1},
 	    {"another path", "/b", "k", "b", 9, 0},
+	    {"another query", "/a?x=1", "k", "b", 9, 1},
+	    {"an empty query", "/a?", "k", "b", 9, 1},
+	    {"another path with a query", "/ab?x=1", "k", "b", 9, 0},
 	    {"another key", "/a", "l", "b", 9, 0},
 	    {"another body", "/a", "k", "c", 9, 0},
 	    {"another last part", "/a", "k", "b", 8, 0}};
