--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -212,7 +212,9 @@
 		return 0;
 	if (++transfer->idle_reads <= IDLE_READS_MAX &&
 	    transfer->idle_bytes <= IDLE_BYTES_MAX) {
-		if (ioctl(watcher->io.fd, FIONREAD, &available) == 0)
+		/* Mostly the read before has led to something. */
+		if (transfer->idle_reads > 1 &&
+		    ioctl(watcher->io.fd, FIONREAD, &available) == 0)
 			transfer->idle_bytes += (uint64_t)available;
 		return 0;
 	}
