--- a/tests/contract/test_empty_values.c
+++ b/tests/contract/test_empty_values.c
@@ -72,7 +72,7 @@
 	    .on_headers = on_headers, .on_done = on_done, .ctx = &reply};
 	at_transfer_spec_t spec = {
 	    .method = "POST", .target = "/unsafe/x", .headers = lines};
-	char url[64];
+	char url[AT_ADDR_SIZE + 16];
 
 	(void)snprintf(url, sizeof(url), "http://%s/", fixture->addresses[0]);
 	spec.url = url;
--- a/tests/contract/test_response_framing.c
+++ b/tests/contract/test_response_framing.c
@@ -300,7 +300,7 @@
 	at_transfer_spec_t spec = {
 	    .method = "POST", .target = "/unsafe/x", .headers = headers};
 	server_t server;
-	char url[64];
+	char url[AT_ADDR_SIZE + 16];
 
 	entry_fixture_apply_config(fixture, 1);
 	(void)entry_fixture_add_entry(fixture);
