--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -18,6 +18,7 @@
 #ifndef ALMONDTHREAD_FLEET_H
 #define ALMONDTHREAD_FLEET_H
 
+#include "almondthread/service_times.h"
 #include "almondthread/site.h"
 
 #define AT_RESIDENT_MODELS_MAX 8u    /* models on one engine */
@@ -179,6 +180,8 @@
 /* at_fleet_new() returns NULL if out of memory; seed breaks ties. */
 at_fleet_t *at_fleet_new(at_tag_t data_centre, uint64_t seed);
 void at_fleet_delete(at_fleet_t *fleet);
+/* at_fleet_service_times() returns what the fleet owns. */
+at_service_times_t *at_fleet_service_times(const at_fleet_t *fleet);
 
 /* at_fleet_set_site() takes its own reference. */
 void at_fleet_set_site(at_fleet_t *fleet, at_site_t *site);
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -14,6 +14,11 @@
 
 	if (fleet == NULL)
 		return NULL;
+	fleet->times = at_service_times_new();
+	if (fleet->times == NULL) {
+		free(fleet);
+		return NULL;
+	}
 	fleet->data_centre = data_centre;
 	fleet->random_state = seed;
 	return fleet;
@@ -41,9 +46,16 @@
 		free(report);
 	}
 	at_site_unref(fleet->site);
+	at_service_times_delete(fleet->times);
 	free(fleet);
 }
 
+at_service_times_t *
+at_fleet_service_times(const at_fleet_t *fleet)
+{
+	return fleet->times;
+}
+
 void
 at_fleet_set_site(at_fleet_t *fleet, at_site_t *site)
 {
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -12,6 +12,7 @@
 #include <uthash.h>
 
 #include "almondthread/fleet.h"
+#include "almondthread/service_times.h"
 
 #define NOTES_MAX 48u      /* notes on one server */
 #define PREFIX_HASHES 256u /* slots of the prefix table of one server */
@@ -107,6 +108,7 @@
 	at_tag_t data_centre;
 	uint64_t random_state; /* state of the random numbers that break ties */
 	at_site_t *site;
+	at_service_times_t *times; /* owned */
 	at_server_t *servers;
 	peer_report_t *reports;
 	fleet_brittle_t brittle[AT_BRITTLE_SERVICES_MAX];
