Add the set of evacuated data centres and its gate

The fleet is told which data centres are evacuated and in which regions they are; server_gate.c then keeps requests away from their servers, and at_server_accepts_relayed() and at_server_is_available() do the same for attempts of other instances and for orders. Queued requests for which no server is left are refused at once, and the log line says how many servers were evacuated or outside of the allowed regions.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -110,6 +110,9 @@
 	uint32_t tokens;
 } at_prefix_part_t;
 
+/* Lists of allowed regions, all of which apply to one request. */
+#define AT_WORK_REGIONS_MAX 2u
+
 /* What a request needs from a backend server. */
 typedef struct at_work {
 	at_tag_t service;
@@ -127,6 +130,8 @@
 	int has_slack;     /* it meets its objective even if others go first */
 	uint32_t priority; /* 0 is the most urgent */
 	int is_resumption; /* it goes on with a stream that has begun */
+	/* Borrowed: those of its route and workspace; NULL: any region. */
+	const at_site_regions_t *regions[AT_WORK_REGIONS_MAX];
 	at_tag_t avoid[AT_SITE_ATTEMPTS_MAX]; /* tried before; 0: none */
 } at_work_t;
 
@@ -162,6 +167,9 @@
 	/* Of all model_servers, or of one engine if there are none. */
 	uint32_t batch_slots;
 	uint32_t model_servers; /* servers with the model resident */
+	/* Servers that it may not be sent to for these reasons. */
+	uint32_t evacuated;
+	uint32_t outside_regions;
 	/* Of AT_CHOICE_LIMITED and AT_CHOICE_PAUSED: time until that changes.
 	 */
 	uint64_t closed_us;
@@ -360,9 +368,28 @@
 size_t at_fleet_fill_limits(const at_fleet_t *fleet, at_limit_report_t *entries,
     size_t max, uint64_t now_us);
 
+/*
+ * Data centres. at_fleet_set_evacuated() sets whether the servers of one are
+ * sent no requests and no orders, also those that are listed later; requests
+ * that run there end normally. at_fleet_set_region() sets the region of one; at
+ * most AT_FLEET_DATA_CENTRES_MAX are known. Both return 0, or -1 if there are
+ * more. at_fleet_region() returns the region of a data centre, or 0 if unknown.
+ * at_fleet_has_regions() returns non-zero if any was set.
+ */
+#define AT_FLEET_DATA_CENTRES_MAX 64u
+int at_fleet_set_evacuated(
+    at_fleet_t *fleet, at_tag_t data_centre, int is_evacuated);
+int at_fleet_set_region(
+    at_fleet_t *fleet, at_tag_t data_centre, at_tag_t region);
+at_tag_t at_fleet_region(const at_fleet_t *fleet, at_tag_t data_centre);
+int at_fleet_has_regions(const at_fleet_t *fleet);
+int at_server_is_evacuated(const at_server_t *server);
+/* at_work_allows_region() returns non-zero if a request may run in a region. */
+int at_work_allows_region(const at_work_t *work, at_tag_t region);
+
 /*
  * at_server_is_available() returns non-zero unless the server is in a backoff
- * after failures.
+ * after failures, or its data centre is evacuated.
  */
 int at_server_is_available(const at_server_t *server, uint64_t now_us);
 
@@ -445,8 +472,9 @@
 
 /*
  * at_server_accepts_relayed() returns non-zero unless the server leaves, is not
- * listed or wants no requests from this instance now. The instance that asks
- * this one to pass an attempt on has checked everything else.
+ * listed, is evacuated or wants no requests from this instance now. The
+ * instance that asks this one to pass an attempt on has checked everything
+ * else.
  */
 int at_server_accepts_relayed(const at_server_t *server, uint64_t now_us);
 
--- a/include/almondthread/site.h
+++ b/include/almondthread/site.h
@@ -24,6 +24,15 @@
 /* at_tag_from_text() returns the tag of a text; "" has tag 0, for none. */
 at_tag_t at_tag_from_text(const char *text);
 
+/* Regions of one list of allowed ones; a longer list is an error. */
+#define AT_SITE_REGIONS_MAX 16u
+
+/* Regions whose backend servers may be sent a request. */
+typedef struct at_site_regions {
+	at_tag_t tags[AT_SITE_REGIONS_MAX];
+	size_t count; /* 0: any region */
+} at_site_regions_t;
+
 /* Kind of a route's requests, which decides how often they may run. */
 typedef enum at_route_type {
 	AT_ROUTE_SAFE,   /* any number of times */
@@ -56,6 +65,7 @@
 	size_t target_count;
 	int is_public;    /* needs no key */
 	int is_resumable; /* a stream may continue at another server */
+	at_site_regions_t allowed_regions;
 } at_site_route_t;
 
 typedef struct at_site_adapter {
@@ -101,6 +111,7 @@
 	int counts_tokens;      /* the unit is a token, else a request */
 	int has_priority;       /* its priority overrides the route's */
 	uint32_t priority;
+	at_site_regions_t allowed_regions;
 } at_site_workspace_t;
 
 /* The keyed hash of a caller's key and its workspace. */
@@ -184,6 +195,9 @@
 const at_site_workspace_t *at_site_find_workspace(
     const at_site_t *site, const char *key);
 
+/* at_site_allows_region() returns non-zero if a region is among them. */
+int at_site_allows_region(const at_site_regions_t *regions, at_tag_t region);
+
 const at_site_service_t *at_site_find_service(
     const at_site_t *site, at_tag_t tag);
 const at_site_model_t *at_site_find_model(
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -320,8 +320,11 @@
 		at_load_t load;
 
 		other_versions |= gate == SERVER_GATE_OTHER_VERSION;
+		choice->evacuated += gate == SERVER_GATE_EVACUATED;
+		choice->outside_regions += gate == SERVER_GATE_REGION;
 		if (gate == SERVER_GATE_EXCLUDED ||
-		    gate == SERVER_GATE_OTHER_VERSION)
+		    gate == SERVER_GATE_OTHER_VERSION ||
+		    gate == SERVER_GATE_EVACUATED || gate == SERVER_GATE_REGION)
 			continue;
 		available++;
 		if (work->model == 0 ||
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -133,11 +133,13 @@
 }
 
 static void
-set_entry(at_server_t *server, const at_server_entry_t *entry)
+set_entry(const at_fleet_t *fleet, at_server_t *server,
+    const at_server_entry_t *entry)
 {
 	server->entry = *entry;
 	server->entry.is_leaving |= server->has_stated_leaving;
 	residents_update_list(server, entry);
+	data_centres_apply(fleet, server);
 }
 
 at_server_t *
@@ -156,7 +158,7 @@
 	else if (server->is_listed &&
 		 entry->heartbeat_sequence < server->entry.heartbeat_sequence)
 		return NULL;
-	set_entry(server, entry);
+	set_entry(fleet, server, entry);
 	server->is_listed = 1;
 	server->removed_us = 0;
 	return server;
@@ -262,7 +264,8 @@
 int
 at_server_is_available(const at_server_t *server, uint64_t now_us)
 {
-	return now_us >= server->health.backoff_until_us;
+	return !server->is_evacuated &&
+	       now_us >= server->health.backoff_until_us;
 }
 
 static uint64_t
@@ -572,7 +575,7 @@
 at_server_accepts_relayed(const at_server_t *server, uint64_t now_us)
 {
 	return server->is_listed && !server->entry.is_leaving &&
-	       now_us >= server->paused_until_us;
+	       !server->is_evacuated && now_us >= server->paused_until_us;
 }
 
 /* How many of the chosen entries are in a data centre. */
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -2,7 +2,8 @@
  * fleet_private.h - structures shared by the files of the fleet: fleet.c has
  * the backend servers and their load, residents.c the models and adapters
  * resident on them, choose.c selects one for a request, server_gate.c has the
- * conditions on which it may be sent there, server_health.c counts failures and
+ * conditions on which it may be sent there, data_centres.c which of them are
+ * evacuated and in which regions they are, server_health.c counts failures and
  * slowness, server_limit.c and server_room.c have this instance's parts of what
  * servers take from all instances.
  */
@@ -76,6 +77,8 @@
 	size_t note_count;
 	int is_listed;
 	int has_stated_leaving; /* in an answer */
+	int is_evacuated;       /* its data centre is */
+	at_tag_t region;        /* of its data centre; 0: unknown */
 	/* No requests until then, and one at a time later; 0: no pause. */
 	uint64_t paused_until_us;
 	uint32_t references; /* requests of this instance that point to it */
@@ -104,6 +107,13 @@
 	UT_hash_handle hh;
 } peer_report_t;
 
+/* A data centre that was evacuated once, or whose region is known. */
+typedef struct fleet_data_centre {
+	at_tag_t tag;
+	int is_evacuated;
+	at_tag_t region; /* 0: unknown */
+} fleet_data_centre_t;
+
 struct at_fleet {
 	at_tag_t data_centre;
 	uint64_t random_state; /* state of the random numbers that break ties */
@@ -115,6 +125,8 @@
 	size_t brittle_count;
 	at_hold_t holds[AT_HOLDS_MAX];
 	size_t hold_count;
+	fleet_data_centre_t data_centres[AT_FLEET_DATA_CENTRES_MAX];
+	size_t data_centre_count;
 };
 
 /* server_health.c */
@@ -138,6 +150,10 @@
 int fleet_is_held(
     const at_fleet_t *fleet, at_server_t *server, const at_work_t *work);
 
+/* data_centres.c */
+/* Sets what the server has from its data centre, after a change of either. */
+void data_centres_apply(const at_fleet_t *fleet, at_server_t *server);
+
 /* server_gate.c */
 typedef enum server_gate {
 	SERVER_GATE_OPEN,
@@ -146,6 +162,8 @@
 	SERVER_GATE_BACKOFF,       /* after failures */
 	SERVER_GATE_LIMITED,       /* its limit allows none now */
 	SERVER_GATE_PAUSED,        /* it wants none, or one at a time */
+	SERVER_GATE_EVACUATED,     /* its data centre is */
+	SERVER_GATE_REGION,        /* in none of the allowed regions */
 } server_gate_t;
 /* Returns whether a request may go to the server now, or why not. */
 server_gate_t server_gate_check(
--- a/src/core/fleet/server_gate.c
+++ b/src/core/fleet/server_gate.c
@@ -23,6 +23,10 @@
 	    server->entry.service != work->service ||
 	    is_tried(work, server->entry.tag))
 		return SERVER_GATE_EXCLUDED;
+	if (server->is_evacuated)
+		return SERVER_GATE_EVACUATED;
+	if (!at_work_allows_region(work, server->region))
+		return SERVER_GATE_REGION;
 	if (work->software != 0 && server->entry.software != work->software)
 		return SERVER_GATE_OTHER_VERSION;
 	if (!server_health_allows(
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -90,7 +90,8 @@
 is_same_kind(const at_work_t *a, const at_work_t *b)
 {
 	return a->service == b->service && a->model == b->model &&
-	       a->adapter == b->adapter && a->software == b->software;
+	       a->adapter == b->adapter && a->software == b->software &&
+	       memcmp(a->regions, b->regions, sizeof(a->regions)) == 0;
 }
 
 static at_work_kind_t
@@ -419,10 +420,14 @@
 		if (result == AT_CHOICE_SERVER &&
 		    may_dispatch(queue, waiter, choice, now_us))
 			return waiter;
-		/* Servers of a version that is replaced do not return. */
+		/*
+		 * Servers of a version that is replaced do not return, nor do
+		 * evacuated ones soon.
+		 */
 		if (result == AT_CHOICE_LIMITED ||
 		    (result == AT_CHOICE_NO_SERVER &&
-			waiter->work.software != 0)) {
+			(waiter->work.software != 0 || choice->evacuated > 0 ||
+			    choice->outside_regions > 0))) {
 			waiter->expires_us = now_us;
 			continue;
 		}
--- a/src/core/site/site.c
+++ b/src/core/site/site.c
@@ -315,6 +315,18 @@
 	return found == NULL ? NULL : &site->workspaces[found->workspace];
 }
 
+int
+at_site_allows_region(const at_site_regions_t *regions, at_tag_t region)
+{
+	size_t i;
+
+	for (i = 0; i < regions->count; i++) {
+		if (regions->tags[i] == region)
+			return 1;
+	}
+	return regions->count == 0;
+}
+
 const at_site_service_t *
 at_site_find_service(const at_site_t *site, at_tag_t tag)
 {
--- a/src/entry/call/call.c
+++ b/src/entry/call/call.c
@@ -330,6 +330,15 @@
 					: AT_REASON_NO_BACKEND;
 }
 
+/* No server is left that is not evacuated and in an allowed region. */
+static int
+is_closed_off(const at_admission_decision_t *decision)
+{
+	return decision->choice_result == AT_CHOICE_NO_SERVER &&
+	       (decision->choice.evacuated > 0 ||
+		   decision->choice.outside_regions > 0);
+}
+
 /* The caller has closed, and nothing of the attempt has been sent. */
 static int
 has_left(const at_call_t *call)
@@ -374,10 +383,12 @@
 	}
 	at_log(AT_LOG_INFO, "call", call->id,
 	    "attempt not sent admission=%s choice=%s candidates=%u "
+	    "evacuated=%u outside_regions=%u "
 	    "wait_us=%" PRIu64 " queued=%zu model=%s",
 	    at_admission_names[decision.admission],
 	    at_choice_result_names[decision.choice_result],
-	    decision.choice.candidates, decision.wait_us,
+	    decision.choice.candidates, decision.choice.evacuated,
+	    decision.choice.outside_regions, decision.wait_us,
 	    at_wait_queue_count(calls->deps.queue), call->header.model.text);
 	if (decision.choice_result == AT_CHOICE_NOT_RESIDENT)
 		at_orders_io_request_load(
@@ -597,7 +608,9 @@
 			at_attempts_on_not_placed(call->attempts,
 			    call->queued_attempt,
 			    decision.choice_result == AT_CHOICE_LIMITED ||
-				    decision.choice_result == AT_CHOICE_PAUSED
+				    decision.choice_result ==
+					AT_CHOICE_PAUSED ||
+				    is_closed_off(&decision)
 				? reason_from_choice(decision.choice_result)
 				: AT_REASON_OVERLOAD,
 			    at_clock_now_ms());
