Load elsewhere what only evacuated engines have

A model that is resident in an evacuated data centre only, and in use, is loaded before any further replica of another one, the ones with the most requests first, and without the limit of moves in a round. Engines there get no orders and are not asked for reports; what they have is taken from the platform's list.

loads_elsewhere_what_was_evacuated in tests/unit/test_residency.c fails with the planner as it was: a further replica of a busy model came first, or nothing was loaded.

--- a/include/almondthread/residency.h
+++ b/include/almondthread/residency.h
@@ -24,7 +24,9 @@
 	 */
 	const at_resident_set_t *residents;
 	at_load_t load;
-	int is_usable;    /* it may be sent orders: not leaving, not failing */
+	/* It may be sent orders: not leaving, failing or evacuated. */
+	int is_usable;
+	int is_evacuated; /* what it has counts as lost */
 	int is_busy;      /* an order is in progress or its result is unknown */
 	at_tag_t loading; /* model being loaded, or 0 */
 	at_tag_t unloading; /* model being unloaded, or 0 */
@@ -55,7 +57,8 @@
 	at_tag_t replacement; /* of an unload: the model to load afterwards */
 	at_move_kind_t kind;
 	at_copy_location_t from; /* of a load */
-	int is_urgent; /* requests wait for a model that is resident nowhere */
+	/* Requests wait for a model that is resident nowhere, or evacuated. */
+	int is_urgent;
 } at_move_t;
 
 /* Limits of one round. */
--- a/src/core/placement/residency.c
+++ b/src/core/placement/residency.c
@@ -8,7 +8,10 @@
  * replaces the model whose loss costs the least, on an engine with a nearby
  * copy of its weights. With both patterns at once, loads of rare models must
  * not use up the rate of the weight store while a busy model has too few
- * engines, and memory is reserved for the model that it was freed for.
+ * engines, and memory is reserved for the model that it was freed for. When a
+ * data centre is evacuated, many models are resident nowhere else at once:
+ * those in use are loaded before any further replica, the ones with the most
+ * requests first.
  */
 #include "almondthread/residency.h"
 
@@ -61,6 +64,8 @@
 	size_t max;
 	/* No engine can load these models in this round. */
 	unsigned char is_unplaced[AT_RESIDENCY_MODELS_MAX];
+	/* These are resident in evacuated data centres only. */
+	unsigned char is_lost[AT_RESIDENCY_MODELS_MAX];
 } round_t;
 
 static size_t
@@ -466,7 +471,35 @@
 	}
 }
 
-/* Returns the model whose next replica gains the most, or NO_MODEL. */
+/* Returns non-zero if the model was resident and in use until an evacuation. */
+static int
+is_lost(const round_t *r, size_t model)
+{
+	return r->is_lost[model] && r->replicas[model] == 0;
+}
+
+static int
+is_urgent(const round_t *r, size_t model)
+{
+	return (r->replicas[model] == 0 && r->demand[model].queued > 0) ||
+	       (is_lost(r, model) && is_in_use(r, model));
+}
+
+/* A model that is lost may have become busy only recently. */
+static double
+gain_of(const round_t *r, size_t model)
+{
+	const at_model_demand_t *d = &r->demand[model];
+	double gain = next_replica_gain(d, r->replicas[model]);
+	double present = d->requests_per_s * served_part(d->busy_engines, 1);
+
+	return is_lost(r, model) && present > gain ? present : gain;
+}
+
+/*
+ * Returns the model whose next replica gains the most, or NO_MODEL; those that
+ * are lost come first.
+ */
 static size_t
 find_highest_gain(const round_t *r, double *gain)
 {
@@ -475,13 +508,17 @@
 
 	*gain = MIN_GAIN;
 	for (i = 0; i < r->service->model_count; i++) {
-		int is_urgent = r->replicas[i] == 0 && r->demand[i].queued > 0;
+		int is_first =
+		    best != NO_MODEL && is_lost(r, i) && !is_lost(r, best);
+		int is_last =
+		    best != NO_MODEL && !is_lost(r, i) && is_lost(r, best);
 		double g;
 
-		if (r->is_unplaced[i] || (!is_urgent && r->limits.moves == 0))
+		if (r->is_unplaced[i] || is_last ||
+		    (!is_urgent(r, i) && r->limits.moves == 0))
 			continue;
-		g = next_replica_gain(&r->demand[i], r->replicas[i]);
-		if (g <= *gain)
+		g = gain_of(r, i);
+		if (g <= (is_first ? MIN_GAIN : *gain))
 			continue;
 		best = i;
 		*gain = g;
@@ -501,13 +538,12 @@
 
 	while (r->move_count < r->max &&
 	       (model = find_highest_gain(r, &gain)) != NO_MODEL) {
-		int is_urgent =
-		    r->replicas[model] == 0 && r->demand[model].queued > 0;
+		int needs_no_limit = is_urgent(r, model);
 		candidate_t candidate = best_candidate(r, model, gain);
 
-		if (!add_move(r, model, &candidate, is_urgent))
+		if (!add_move(r, model, &candidate, needs_no_limit))
 			r->is_unplaced[model] = 1;
-		else if (!is_urgent)
+		else if (!needs_no_limit)
 			r->limits.moves--;
 	}
 }
@@ -520,11 +556,17 @@
 
 	for (i = 0; i < r->service->model_count; i++) {
 		r->replicas[i] = 0;
-		for (e = 0; e < r->engine_count; e++)
-			r->replicas[i] +=
-			    (uint32_t)(r->engines[e].is_usable &&
-				       has_model(&r->engines[e],
-					   r->service->models[i].tag));
+		for (e = 0; e < r->engine_count; e++) {
+			const at_engine_state_t *engine = &r->engines[e];
+
+			if ((!engine->is_usable && !engine->is_evacuated) ||
+			    !has_model(engine, r->service->models[i].tag))
+				continue;
+			if (engine->is_evacuated)
+				r->is_lost[i] = 1;
+			else
+				r->replicas[i]++;
+		}
 	}
 }
 
--- a/src/entry/orders/orders.c
+++ b/src/entry/orders/orders.c
@@ -235,6 +235,10 @@
 	state->load = at_server_load(server, states->now_us);
 	state->is_usable = !entry->is_leaving &&
 			   at_server_is_available(server, states->now_us);
+	state->is_evacuated = at_server_is_evacuated(server);
+	/* An engine that is evacuated is not asked what it has. */
+	if (state->is_evacuated)
+		state->residents = &entry->residents;
 	state->is_busy = engine->state != ENGINE_IDLE;
 	state->replacement = engine->replacement;
 	if (state->is_busy && engine->adapter.text[0] == '\0') {
--- a/src/entry/orders/orders_adapters.c
+++ b/src/entry/orders/orders_adapters.c
@@ -103,7 +103,8 @@
 	const engine_t *engine;
 	double cost;
 
-	if (entry->service != target->service || target->is_available)
+	if (entry->service != target->service || target->is_available ||
+	    at_server_is_evacuated(server))
 		return;
 	engine = engine_find_or_add(target->orders, entry);
 	if (engine == NULL)
--- a/src/entry/orders/orders_send.c
+++ b/src/entry/orders/orders_send.c
@@ -176,7 +176,8 @@
 	at_name_t none = {.text = ""};
 
 	engine->state = ENGINE_IDLE;
-	if (server == NULL || !orders_may_send(orders))
+	if (server == NULL || !orders_may_send(orders) ||
+	    at_server_is_evacuated(server))
 		return;
 	engine->is_load = is_load;
 	engine->model = *model;
@@ -272,7 +273,8 @@
 	const at_orders_io_deps_t *deps = &engine->orders->deps;
 	at_server_t *server = at_fleet_find(deps->fleet, engine->server);
 
-	if (server == NULL)
+	/* Until its data centre is in use again, its state is not needed. */
+	if (server == NULL || at_server_is_evacuated(server))
 		return;
 	if (at_engine_report_fetch(deps->httpc, at_server_entry(server),
 		on_engine_report, engine) == 0)
--- a/tests/unit/test_residency.c
+++ b/tests/unit/test_residency.c
@@ -3,8 +3,8 @@
  * orders.
  *
  * The cases replay the load patterns described in residency.c: demand that
- * shifts from one busy model to another, and rare models that are requested now
- * and then.
+ * shifts from one busy model to another, rare models that are requested now and
+ * then, and the evacuation of a data centre.
  */
 #include <stdio.h>
 #include <string.h>
@@ -420,6 +420,71 @@
     {"none in the last adapter slot", {9, 0, 0}, 7, NULL},
 };
 
+/*
+ * Engines 0 and 1 are evacuated. Models 0 to 2 are resident there only, 3 and 4
+ * elsewhere as well; 3 is overloaded with the replica that is left.
+ */
+static const struct {
+	const char *name;
+	unsigned requests[5]; /* per second, for each model */
+	unsigned queued;      /* requests for model 2 */
+	uint32_t store_loads;
+	uint32_t moves;
+	const char *loads; /* models, in order */
+} evacuations[] = {
+    {"the ones with the most requests first", {4, 12, 2, 60, 0}, 0, 4, 9, "10"},
+    {"before one that is overloaded", {0, 1, 0, 60, 0}, 0, 4, 9, "13"},
+    {"without a limit of moves for them", {4, 12, 2, 60, 0}, 0, 4, 0, "10"},
+    {"as many as the weight store allows", {4, 12, 2, 60, 0}, 0, 1, 9, "1"},
+    {"not the ones that nobody requests", {0, 1, 0, 1, 0}, 0, 4, 9, "1"},
+    {"one for which requests wait", {0, 0, 0, 0, 0}, 1, 4, 0, "2"},
+};
+
+Test(residency, loads_elsewhere_what_was_evacuated)
+{
+	size_t i;
+	unsigned k;
+
+	for (i = 0; i < sizeof(evacuations) / sizeof(evacuations[0]); i++) {
+		char loads[16] = "";
+		world_t w;
+
+		make_world(&w);
+		for (k = 0; k < 2; k++) {
+			w.engines[k].is_usable = 0;
+			w.engines[k].is_evacuated = 1;
+		}
+		for (k = 0; k < 5; k++) {
+			if (evacuations[i].requests[k] > 0)
+				add_requests(&w, k, evacuations[i].requests[k]);
+		}
+		for (k = 0; k < evacuations[i].queued; k++)
+			add_queued(&w, 2);
+		update_rates(&w);
+		for (k = 0; k < 3; k++)
+			add_resident(&w, 0, k);
+		add_resident(&w, 1, 3);
+		add_resident(&w, 1, 4);
+		add_resident(&w, 2, 3);
+		add_resident(&w, 3, 4);
+		plan(&w, evacuations[i].store_loads, evacuations[i].moves);
+		for (k = 0; k < w.move_count; k++) {
+			unsigned m = 0;
+
+			cr_expect_eq(w.moves[k].kind, AT_MOVE_LOAD);
+			cr_expect_neq(w.moves[k].server, w.entries[0].tag);
+			cr_expect_neq(w.moves[k].server, w.entries[1].tag);
+			while (model_tag(m) != w.moves[k].model)
+				m++;
+			(void)snprintf(loads + strlen(loads),
+			    sizeof(loads) - strlen(loads), "%u", m);
+		}
+		cr_expect_str_eq(loads, evacuations[i].loads, "%s: %s",
+		    evacuations[i].name, loads);
+		free_world(&w);
+	}
+}
+
 Test(residency, prefetches_the_adapter_with_the_most_requests)
 {
 	static const char *const names[] = {"a1", "a2", "a1"};
