Read evacuations of data centres and report them

The reader of each data centre lists and watches the objects of kind evacuations, with one call at a time and at most one list in half of evacuate-ms. A watch lasts a quarter of the bound, since one whose history is lost stays silent. All instances state in their reports what they know, with the store's versions, so that an instance that does not reach the store, or starts without it, learns it from any other. One that starts becomes ready when it has heard of evacuations, or after 1 s. Without the setting nothing is read or sent.

test_evacuated_data_centres runs four instances against a store that is slow, away or silent, loses watches or the history, or is out of reach of some instances, and a reader that stops.

--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -727,6 +727,96 @@
   assert(message->base.descriptor == &report_leaving__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_evacuation__init
+                     (ReportEvacuation         *message)
+{
+  static const ReportEvacuation init_value = REPORT_EVACUATION__INIT;
+  *message = init_value;
+}
+size_t report_evacuation__get_packed_size
+                     (const ReportEvacuation *message)
+{
+  assert(message->base.descriptor == &report_evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_evacuation__pack
+                     (const ReportEvacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_evacuation__pack_to_buffer
+                     (const ReportEvacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportEvacuation *
+       report_evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportEvacuation *)
+     protobuf_c_message_unpack (&report_evacuation__descriptor,
+                                allocator, len, data);
+}
+void   report_evacuation__free_unpacked
+                     (ReportEvacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   report_evacuations__init
+                     (ReportEvacuations         *message)
+{
+  static const ReportEvacuations init_value = REPORT_EVACUATIONS__INIT;
+  *message = init_value;
+}
+size_t report_evacuations__get_packed_size
+                     (const ReportEvacuations *message)
+{
+  assert(message->base.descriptor == &report_evacuations__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_evacuations__pack
+                     (const ReportEvacuations *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_evacuations__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_evacuations__pack_to_buffer
+                     (const ReportEvacuations *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_evacuations__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportEvacuations *
+       report_evacuations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportEvacuations *)
+     protobuf_c_message_unpack (&report_evacuations__descriptor,
+                                allocator, len, data);
+}
+void   report_evacuations__free_unpacked
+                     (ReportEvacuations *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_evacuations__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report_member__init
                      (ReportMember         *message)
 {
@@ -2287,6 +2377,134 @@
   (ProtobufCMessageInit) report_leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor report_evacuation__field_descriptors[3] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ReportEvacuation, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuated",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ReportEvacuation, evacuated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportEvacuation, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_evacuation__field_indices_by_name[] = {
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = evacuated */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange report_evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor report_evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportEvacuation",
+  "ReportEvacuation",
+  "ReportEvacuation",
+  "",
+  sizeof(ReportEvacuation),
+  3,
+  report_evacuation__field_descriptors,
+  report_evacuation__field_indices_by_name,
+  1,  report_evacuation__number_ranges,
+  (ProtobufCMessageInit) report_evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report_evacuations__field_descriptors[3] =
+{
+  {
+    "entries",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(ReportEvacuations, n_entries),
+    offsetof(ReportEvacuations, entries),
+    &report_evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportEvacuations, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportEvacuations, list_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_evacuations__field_indices_by_name[] = {
+  0,   /* field[0] = entries */
+  2,   /* field[2] = list_age_ms */
+  1,   /* field[1] = since */
+};
+static const ProtobufCIntRange report_evacuations__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor report_evacuations__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportEvacuations",
+  "ReportEvacuations",
+  "ReportEvacuations",
+  "",
+  sizeof(ReportEvacuations),
+  3,
+  report_evacuations__field_descriptors,
+  report_evacuations__field_indices_by_name,
+  1,  report_evacuations__number_ranges,
+  (ProtobufCMessageInit) report_evacuations__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor report_member__field_descriptors[4] =
 {
   {
@@ -2814,7 +3032,7 @@
   (ProtobufCMessageInit) report_instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[56] =
+static const ProtobufCFieldDescriptor report__field_descriptors[57] =
 {
   {
     "name",
@@ -3488,6 +3706,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    58,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Report, evacuations),
+    &report_evacuations__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -3503,6 +3733,7 @@
   1,   /* field[1] = data_centre */
   9,   /* field[9] = demand */
   53,   /* field[53] = ends_ms */
+  56,   /* field[56] = evacuations */
   35,   /* field[35] = evidence_age_ms */
   6,   /* field[6] = fence */
   52,   /* field[52] = has_demand */
@@ -3551,7 +3782,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 56 }
+  { 0, 57 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -3561,7 +3792,7 @@
   "Report",
   "",
   sizeof(Report),
-  56,
+  57,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -31,6 +31,8 @@
 typedef struct ReportLimit ReportLimit;
 typedef struct ReportBrittle ReportBrittle;
 typedef struct ReportLeaving ReportLeaving;
+typedef struct ReportEvacuation ReportEvacuation;
+typedef struct ReportEvacuations ReportEvacuations;
 typedef struct ReportMember ReportMember;
 typedef struct ReportSummary ReportSummary;
 typedef struct ReportPiece ReportPiece;
@@ -376,6 +378,46 @@
     , 0, 0 }
 
 
+/*
+ * Whether a data centre is evacuated, and the store's version of that change.
+ */
+struct  ReportEvacuation
+{
+  ProtobufCMessage base;
+  char *data_centre;
+  /*
+   * false: not any more
+   */
+  protobuf_c_boolean evacuated;
+  uint64_t version;
+};
+#define REPORT_EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_evacuation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * What the sender knows of evacuations.
+ */
+struct  ReportEvacuations
+{
+  ProtobufCMessage base;
+  size_t n_entries;
+  ReportEvacuation **entries;
+  /*
+   * Version of the store up to which these are all changes; 0: some may lack.
+   */
+  uint64_t since;
+  /*
+   * Time since the sender last listed them, and one more; 0: not recently.
+   */
+  uint32_t list_age_ms;
+};
+#define REPORT_EVACUATIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_evacuations__descriptor) \
+    , 0,NULL, 0, 0 }
+
+
 /*
  * An instance in a summary, as its data centre's gateway knows it.
  */
@@ -696,6 +738,7 @@
   protobuf_c_boolean wants_instances;
   size_t n_instances;
   ReportInstance **instances;
+  ReportEvacuations *evacuations;
   /*
    * Of the sender, in a report of new origins; its gateway forwards them.
    */
@@ -703,7 +746,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, NULL, 0 }
 
 
 /* ReportLoad methods */
@@ -1010,6 +1053,44 @@
 void   report_leaving__free_unpacked
                      (ReportLeaving *message,
                       ProtobufCAllocator *allocator);
+/* ReportEvacuation methods */
+void   report_evacuation__init
+                     (ReportEvacuation         *message);
+size_t report_evacuation__get_packed_size
+                     (const ReportEvacuation   *message);
+size_t report_evacuation__pack
+                     (const ReportEvacuation   *message,
+                      uint8_t             *out);
+size_t report_evacuation__pack_to_buffer
+                     (const ReportEvacuation   *message,
+                      ProtobufCBuffer     *buffer);
+ReportEvacuation *
+       report_evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_evacuation__free_unpacked
+                     (ReportEvacuation *message,
+                      ProtobufCAllocator *allocator);
+/* ReportEvacuations methods */
+void   report_evacuations__init
+                     (ReportEvacuations         *message);
+size_t report_evacuations__get_packed_size
+                     (const ReportEvacuations   *message);
+size_t report_evacuations__pack
+                     (const ReportEvacuations   *message,
+                      uint8_t             *out);
+size_t report_evacuations__pack_to_buffer
+                     (const ReportEvacuations   *message,
+                      ProtobufCBuffer     *buffer);
+ReportEvacuations *
+       report_evacuations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_evacuations__free_unpacked
+                     (ReportEvacuations *message,
+                      ProtobufCAllocator *allocator);
 /* ReportMember methods */
 void   report_member__init
                      (ReportMember         *message);
@@ -1193,6 +1274,12 @@
 typedef void (*ReportLeaving_Closure)
                  (const ReportLeaving *message,
                   void *closure_data);
+typedef void (*ReportEvacuation_Closure)
+                 (const ReportEvacuation *message,
+                  void *closure_data);
+typedef void (*ReportEvacuations_Closure)
+                 (const ReportEvacuations *message,
+                  void *closure_data);
 typedef void (*ReportMember_Closure)
                  (const ReportMember *message,
                   void *closure_data);
@@ -1236,6 +1323,8 @@
 extern const ProtobufCMessageDescriptor report_limit__descriptor;
 extern const ProtobufCMessageDescriptor report_brittle__descriptor;
 extern const ProtobufCMessageDescriptor report_leaving__descriptor;
+extern const ProtobufCMessageDescriptor report_evacuation__descriptor;
+extern const ProtobufCMessageDescriptor report_evacuations__descriptor;
 extern const ProtobufCMessageDescriptor report_member__descriptor;
 extern const ProtobufCMessageDescriptor report_summary__descriptor;
 extern const ProtobufCMessageDescriptor report_piece__descriptor;
--- a/src/entry/base/entry_settings.c
+++ b/src/entry/base/entry_settings.c
@@ -66,6 +66,12 @@
 	    {"retry-slack", "ALMONDTHREAD_RETRY_SLACK", AT_SETTING_NUMBER,
 		&s->retry_slack, "20", 0, 1000000,
 		"retries that all instances may send in addition"},
+	    {"evacuate-ms", "ALMONDTHREAD_EVACUATE_MS", AT_SETTING_NUMBER,
+		&s->evacuate_ms, "0", 0, 600000,
+		"time after which the evacuation of a data centre is in force; "
+		"0: evacuations are not read"},
+	    {"regions", "ALMONDTHREAD_REGIONS", AT_SETTING_TEXT, &s->regions,
+		"", 0, 0, "DATA-CENTRE:REGION,... of all data centres"},
 	};
 	size_t count = sizeof(table) / sizeof(table[0]);
 
--- a/src/entry/base/entry_settings.h
+++ b/src/entry/base/entry_settings.h
@@ -32,6 +32,10 @@
 	uint32_t config_apply_ms;
 	double retry_ratio;   /* part of requests that may be retried */
 	uint32_t retry_slack; /* retries in addition, over all instances */
+	/* Within this time an evacuation must be in force; 0: none is read. */
+	uint32_t evacuate_ms;
+	/* "DATA-CENTRE:REGION,..."; NULL or "": regions are not used. */
+	const char *regions;
 } at_entry_settings_t;
 
 /*
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -103,6 +103,7 @@
 	    at_httpd_init(entry->callers, s->listen, status) != AT_OK)
 		return status->code;
 	at_sync_start(entry->sync);
+	at_evacuation_sync_start(entry->evacuations);
 	at_join_start(entry->join);
 	at_server_crashes_start(entry->crashes);
 	at_crash_blocks_start(entry->blocks);
@@ -124,7 +125,8 @@
 at_entry_is_ready(const at_entry_t *entry)
 {
 	return entry->state == AT_ENTRY_SERVING && entry->site != NULL &&
-	       at_sync_is_complete(entry->sync);
+	       at_sync_is_complete(entry->sync) &&
+	       at_evacuation_sync_is_settled(entry->evacuations);
 }
 
 int
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -12,6 +12,7 @@
 #include "entry/readiness.h"
 #include "entry/servers/relay.h"
 #include "entry/store/crash_blocks.h"
+#include "entry/store/evacuation_sync.h"
 #include "entry/store/join.h"
 #include "entry/store/sync.h"
 #include "entry/store/version_record.h"
@@ -36,6 +37,7 @@
 	at_retry_budgets_t *retries;
 	at_stream_origins_t *origins;
 	at_sync_t *sync;
+	at_evacuation_sync_t *evacuations;
 	at_gossip_t *gossip;
 	at_server_crashes_t *crashes;
 	at_crash_blocks_t *blocks;
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -176,6 +176,16 @@
 	    (uint32_t)(at_rng_next(&entry->rng) % REJOIN_SPREAD_MS));
 }
 
+/* Queued requests that can go nowhere any more are refused at once. */
+static void
+on_evacuations_changed(void *ctx)
+{
+	at_entry_t *entry = ctx;
+
+	at_calls_place_queued(entry->calls);
+	at_calls_expire(entry->calls);
+}
+
 /* Creates what copies the platform's objects, or keeps some there. */
 static int
 create_copies(at_entry_t *entry)
@@ -217,12 +227,25 @@
 	    .is_platform_away = is_platform_away,
 	    .ctx = entry};
 
+	const at_evacuation_sync_deps_t evacuation_deps = {.loop = entry->loop,
+	    .counters = entry->counters,
+	    .identity = &entry->identity,
+	    .settings = &entry->settings,
+	    .fleet = entry->fleet,
+	    .gossip = entry->gossip,
+	    .objects = objects,
+	    .is_reader = is_reader,
+	    .on_changed = on_evacuations_changed,
+	    .ctx = entry};
+
 	entry->sync = at_sync_new(&sync_deps);
+	entry->evacuations = at_evacuation_sync_new(&evacuation_deps);
 	entry->join = at_join_new(&join_deps);
 	entry->version_record = at_version_record_new(&record_deps);
 	entry->blocks = at_crash_blocks_new(&blocks_deps);
-	return entry->sync == NULL || entry->join == NULL ||
-		       entry->version_record == NULL || entry->blocks == NULL
+	return entry->sync == NULL || entry->evacuations == NULL ||
+		       entry->join == NULL || entry->version_record == NULL ||
+		       entry->blocks == NULL
 		   ? -1
 		   : 0;
 }
@@ -355,6 +378,8 @@
 	    {"waiting_requests", at_wait_queue_count(entry->queue)},
 	    {"backend_servers", at_fleet_count(entry->fleet)},
 	    {"copies_age_ms", at_sync_age_ms(entry->sync)},
+	    {"evacuated_data_centres",
+		at_evacuation_sync_count(entry->evacuations)},
 	    {"config_version", entry->site == NULL ? 0 : entry->site->version},
 	};
 	size_t i;
@@ -405,6 +430,7 @@
 	const at_report_section_t sections[] = {
 	    {.fill = fill_report, .begin_round = begin_round, .ctx = entry},
 	    at_sync_section(entry->sync),
+	    at_evacuation_sync_section(entry->evacuations),
 	    at_gossip_loads_section(entry->gossip),
 	    at_reach_io_section(entry->reach),
 	    at_relay_section(entry->relay),
@@ -485,6 +511,7 @@
 	at_join_delete(entry->join);
 	at_version_record_delete(entry->version_record);
 	at_introductions_delete(entry->introductions);
+	at_evacuation_sync_delete(entry->evacuations);
 	if (entry->sync != NULL)
 		at_sync_delete(entry->sync);
 	at_wire_store_delete(entry->wire_store);
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -151,7 +151,7 @@
 	    standin_server_port(fixture->servers[server]));
 	standin_store_put(fixture->store, WIRE_KIND_SERVERS, id,
 	    standin_server_spec(model == NULL ? "plain" : "llm", address,
-		"north", fixture->versions[server],
+		fixture->data_centres[server], fixture->versions[server],
 		model == NULL ? NULL : model + 1, leaving,
 		++heartbeat_sequence));
 }
@@ -192,13 +192,13 @@
 
 static size_t
 add_server(entry_fixture_t *fixture, const char *id, const char *model,
-    const char *version)
+    const char *version, const char *data_centre)
 {
 	size_t i = fixture->server_count++;
 	at_status_t status;
 
 	fixture->versions[i] = version;
-
+	fixture->data_centres[i] = data_centre;
 	(void)snprintf(fixture->ids[i], sizeof(fixture->ids[i]), "%s", id);
 	fixture->servers[i] = standin_server_new(fixture->loop, id);
 	if (model != NULL) {
@@ -213,22 +213,43 @@
 }
 
 size_t
-entry_fixture_add_service(entry_fixture_t *fixture)
+entry_fixture_add_service_in(entry_fixture_t *fixture, const char *data_centre)
 {
 	char id[AT_NAME_SIZE];
 
 	(void)snprintf(id, sizeof(id), "p%zu", fixture->server_count);
-	return add_server(fixture, id, NULL, ENTRY_FIXTURE_VERSION);
+	return add_server(
+	    fixture, id, NULL, ENTRY_FIXTURE_VERSION, data_centre);
 }
 
 size_t
-entry_fixture_add_engine_of_version(
-    entry_fixture_t *fixture, const char *model, const char *version)
+entry_fixture_add_service(entry_fixture_t *fixture)
+{
+	return entry_fixture_add_service_in(fixture, "north");
+}
+
+static size_t
+add_engine(entry_fixture_t *fixture, const char *model, const char *version,
+    const char *data_centre)
 {
 	char id[AT_NAME_SIZE];
 
 	(void)snprintf(id, sizeof(id), "e%zu-%s", fixture->server_count, model);
-	return add_server(fixture, id, model, version);
+	return add_server(fixture, id, model, version, data_centre);
+}
+
+size_t
+entry_fixture_add_engine_in(
+    entry_fixture_t *fixture, const char *model, const char *data_centre)
+{
+	return add_engine(fixture, model, ENTRY_FIXTURE_VERSION, data_centre);
+}
+
+size_t
+entry_fixture_add_engine_of_version(
+    entry_fixture_t *fixture, const char *model, const char *version)
+{
+	return add_engine(fixture, model, version, "north");
 }
 
 size_t
@@ -339,7 +360,9 @@
 	    .stop_grace_s = 8,
 	    .lease_ms = 3000,
 	    .retry_ratio = 0.2,
-	    .retry_slack = 100};
+	    .retry_slack = 100,
+	    .evacuate_ms = fixture->evacuate_ms,
+	    .regions = fixture->regions};
 	at_status_t status;
 
 	(void)snprintf(
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -26,11 +26,15 @@
 	char store_address[AT_ADDR_SIZE];
 	char seeds[4 * AT_ADDR_SIZE]; /* of the instances added from now on */
 	uint32_t descriptors;         /* of each instance added from now on */
+	/* Settings of each instance added from now on; regions is borrowed. */
+	uint32_t evacuate_ms;
+	const char *regions;
 	/* Not 0: they have hosts of their own, and this port for reports. */
 	uint16_t peers_port;
 	standin_server_t *servers[ENTRY_FIXTURE_MAX];
 	char ids[ENTRY_FIXTURE_MAX][AT_NAME_SIZE];
-	const char *versions[ENTRY_FIXTURE_MAX]; /* of software; borrowed */
+	const char *versions[ENTRY_FIXTURE_MAX];     /* of software; borrowed */
+	const char *data_centres[ENTRY_FIXTURE_MAX]; /* of servers; borrowed */
 	size_t server_count;
 	at_entry_t *entries[ENTRY_FIXTURE_MAX]; /* NULL: removed */
 	char addresses[ENTRY_FIXTURE_MAX][AT_ADDR_SIZE];
@@ -82,6 +86,10 @@
 size_t entry_fixture_add_engine_of_version(
     entry_fixture_t *fixture, const char *model, const char *version);
 /* The same in a data centre other than "north"; data_centre is borrowed. */
+size_t entry_fixture_add_service_in(
+    entry_fixture_t *fixture, const char *data_centre);
+size_t entry_fixture_add_engine_in(
+    entry_fixture_t *fixture, const char *model, const char *data_centre);
 size_t entry_fixture_add_entry_in(
     entry_fixture_t *fixture, const char *data_centre);
 /*
