Apply allowed regions of routes and tenants

A route and a tenant may have allowed_regions; a request is sent to servers of data centres in these regions only, which the setting regions names, and its body to other instances only in these or in the own region. A list that is not one of names is an error, so that a restriction is not dropped; an empty one is none. Without the setting the lists are not applied, and a log line says so.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -375,12 +375,15 @@
  * most AT_FLEET_DATA_CENTRES_MAX are known. Both return 0, or -1 if there are
  * more. at_fleet_region() returns the region of a data centre, or 0 if unknown.
  * at_fleet_has_regions() returns non-zero if any was set.
+ * at_fleet_set_regions() sets those in a text "DATA-CENTRE:REGION,..."; one
+ * without a name stays unknown. Returns -1 if the text is something else.
  */
 #define AT_FLEET_DATA_CENTRES_MAX 64u
 int at_fleet_set_evacuated(
     at_fleet_t *fleet, at_tag_t data_centre, int is_evacuated);
 int at_fleet_set_region(
     at_fleet_t *fleet, at_tag_t data_centre, at_tag_t region);
+int at_fleet_set_regions(at_fleet_t *fleet, const char *text);
 at_tag_t at_fleet_region(const at_fleet_t *fleet, at_tag_t data_centre);
 int at_fleet_has_regions(const at_fleet_t *fleet);
 int at_server_is_evacuated(const at_server_t *server);
--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -260,12 +260,17 @@
  * that passes on least for its strength, where one of another data centre
  * counts as if it passed on AT_ROSTER_FAR_RELAYS more. One that leaves is
  * chosen only if there is no other, and the instance except (0: none) only if
- * there is none of these.
+ * there is none of these. at_roster_choose_relay_where() chooses one of those
+ * in the data centres for which is_allowed() returns non-zero.
  */
 #define AT_ROSTER_RELAYED_MAX 192u /* attempts that one instance passes on */
 #define AT_ROSTER_FAR_RELAYS 8u
 at_roster_member_t *at_roster_choose_relay(at_roster_t *roster,
     at_tag_t data_centre, at_tag_t except, uint64_t now_us);
+at_roster_member_t *at_roster_choose_relay_where(at_roster_t *roster,
+    at_tag_t data_centre, at_tag_t except,
+    int (*is_allowed)(void *ctx, at_tag_t data_centre), void *ctx,
+    uint64_t now_us);
 /* at_roster_find() returns an instance, or NULL. */
 at_roster_member_t *at_roster_find(at_roster_t *roster, at_tag_t tag);
 /*
--- a/src/core/fleet/data_centres.c
+++ b/src/core/fleet/data_centres.c
@@ -6,6 +6,8 @@
  * taking requests at once, under load, and its requests go on elsewhere; and a
  * part of the requests may run in some regions only.
  */
+#include <string.h>
+
 #include "core/fleet/fleet_private.h"
 
 static const fleet_data_centre_t *
@@ -80,6 +82,39 @@
 	return 0;
 }
 
+/* Returns the tag of a part of a text, 0 if it is empty or too long. */
+static at_tag_t
+tag_of(const char *text, size_t len)
+{
+	at_name_t name = {.text = ""};
+
+	if (len > AT_NAME_MAX)
+		return 0;
+	memcpy(name.text, text, len);
+	return at_tag_from_text(name.text);
+}
+
+int
+at_fleet_set_regions(at_fleet_t *fleet, const char *text)
+{
+	while (*text != '\0') {
+		size_t len = strcspn(text, ",");
+		size_t name_len = strcspn(text, ":");
+		at_tag_t data_centre;
+
+		if (name_len >= len)
+			return -1;
+		data_centre = tag_of(text, name_len);
+		if (data_centre == 0 ||
+		    at_fleet_set_region(fleet, data_centre,
+			tag_of(text + name_len + 1, len - name_len - 1)) != 0)
+			return -1;
+		text += len;
+		text += *text == ',';
+	}
+	return 0;
+}
+
 at_tag_t
 at_fleet_region(const at_fleet_t *fleet, at_tag_t data_centre)
 {
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -735,8 +735,9 @@
 }
 
 at_roster_member_t *
-at_roster_choose_relay(
-    at_roster_t *roster, at_tag_t data_centre, at_tag_t except, uint64_t now_us)
+at_roster_choose_relay_where(at_roster_t *roster, at_tag_t data_centre,
+    at_tag_t except, int (*is_allowed)(void *ctx, at_tag_t data_centre),
+    void *ctx, uint64_t now_us)
 {
 	at_roster_member_t *best = NULL;
 	entry_t *entry;
@@ -746,7 +747,9 @@
 
 		if (!is_alive(member, now_us) || member->reaches_none ||
 		    member->relayed >= AT_ROSTER_RELAYED_MAX ||
-		    now_us < member->relay_avoid_until_us)
+		    now_us < member->relay_avoid_until_us ||
+		    (is_allowed != NULL &&
+			!is_allowed(ctx, member->data_centre)))
 			continue;
 		if (best == NULL ||
 		    is_better_relay(member, best, data_centre, except))
@@ -755,6 +758,14 @@
 	return best;
 }
 
+at_roster_member_t *
+at_roster_choose_relay(
+    at_roster_t *roster, at_tag_t data_centre, at_tag_t except, uint64_t now_us)
+{
+	return at_roster_choose_relay_where(
+	    roster, data_centre, except, NULL, NULL, now_us);
+}
+
 void
 at_roster_each(at_roster_t *roster,
     void (*visit)(void *ctx, at_roster_member_t *member), void *ctx)
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -73,6 +73,19 @@
 	    0, at_httpd_fault_text(request));
 }
 
+/* The regions of the route and of the workspace both apply. */
+static void
+set_regions(const at_call_t *call, at_work_t *work)
+{
+	if (!at_fleet_has_regions(call->calls->deps.fleet))
+		return;
+	if (call->route->allowed_regions.count > 0)
+		work->regions[0] = &call->route->allowed_regions;
+	if (call->workspace != NULL &&
+	    call->workspace->allowed_regions.count > 0)
+		work->regions[1] = &call->workspace->allowed_regions;
+}
+
 static void
 fill_work(at_call_t *call, const at_request_header_t *header)
 {
@@ -81,6 +94,7 @@
 
 	work->service = call->service->tag;
 	work->own_service = call->service;
+	set_regions(call, work);
 	work->has_slack = call->route->objective_ms >= SLACK_OBJECTIVE_MIN_MS &&
 			  call->waiter.priority > 0;
 	if (!call->service->has_models)
--- a/src/entry/call/call_attempt.c
+++ b/src/entry/call/call_attempt.c
@@ -262,9 +262,28 @@
 	return transfer;
 }
 
+/*
+ * The body is sent to instances in the allowed regions and in this instance's
+ * own, which has it anyway.
+ */
+static int
+may_pass_body_to(void *ctx, at_tag_t data_centre)
+{
+	const at_call_t *call = ctx;
+	const at_calls_deps_t *deps = &call->calls->deps;
+	at_tag_t region;
+
+	if (data_centre == deps->identity->data_centre)
+		return 1;
+	region = at_fleet_region(deps->fleet, data_centre);
+	return at_work_allows_region(&call->waiter.work, region) ||
+	       (region != 0 && region == at_fleet_region(deps->fleet,
+					     deps->identity->data_centre));
+}
+
 /* Returns the instance that should pass the attempt on, NULL for none. */
 static at_roster_member_t *
-choose_relay(const at_call_t *call, uint32_t number, uint64_t now_us)
+choose_relay(at_call_t *call, uint32_t number, uint64_t now_us)
 {
 	const at_calls_deps_t *deps = &call->calls->deps;
 	at_tag_t except = 0;
@@ -279,8 +298,9 @@
 		if (call_attempt_is_open(&call->open_attempts[i]))
 			except = call->open_attempts[i].relay;
 	}
-	return at_roster_choose_relay(
-	    deps->roster, deps->identity->data_centre, except, now_us);
+	return at_roster_choose_relay_where(deps->roster,
+	    deps->identity->data_centre, except, may_pass_body_to, call,
+	    now_us);
 }
 
 const char *
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -91,6 +91,11 @@
 		return status->code;
 	if (entry_parts_new(entry) != 0)
 		return at_status_set(status, AT_FAILED, "out of memory");
+	if (s->regions != NULL &&
+	    at_fleet_set_regions(entry->fleet, s->regions) != 0)
+		return at_status_set(status, AT_INVALID,
+		    "--regions: expected DATA-CENTRE:REGION,..., not '%s'",
+		    s->regions);
 	at_httpd_set_max_body(entry->callers, DEFAULT_BODY_MAX_BYTES);
 	at_httpd_set_backlog(entry->callers, at_entry_settings_backlog(s));
 	at_httpd_set_connections_max(
@@ -154,15 +159,36 @@
 	return (uint64_t)longest_ms * US_PER_MS;
 }
 
+/* Returns how many routes and workspaces have allowed regions. */
+static size_t
+count_restricted(const at_site_t *site)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < site->route_count; i++)
+		count += site->routes[i]->allowed_regions.count > 0;
+	for (i = 0; i < site->workspace_count; i++)
+		count += site->workspaces[i].allowed_regions.count > 0;
+	return count;
+}
+
 void
 at_entry_set_site(at_entry_t *entry, at_site_t *site)
 {
+	size_t restricted = count_restricted(site);
+
 	at_log(AT_LOG_INFO, "config", NULL,
 	    "configuration applied version=%" PRIu64 " previous=%" PRIu64
 	    " routes=%zu services=%zu workspaces=%zu keys=%zu needs_keys=%d",
 	    site->version, entry->site == NULL ? 0 : entry->site->version,
 	    site->route_count, site->service_count, site->workspace_count,
 	    site->key_count, site->has_workspaces);
+	if (restricted > 0 && !at_fleet_has_regions(entry->fleet))
+		at_log(AT_LOG_WARN, "config", NULL,
+		    "allowed regions not applied: the setting regions is empty "
+		    "restricted=%zu",
+		    restricted);
 	at_site_unref(entry->site);
 	entry->site = site;
 	at_fleet_set_site(entry->fleet, site);
@@ -196,10 +222,15 @@
 	warn_if_changed("peers", s->peers, newer->peers);
 	warn_if_changed("store", s->store, newer->store);
 	warn_if_changed("secret", s->secret, newer->secret);
+	warn_if_changed("regions", s->regions, newer->regions);
 	if (s->lease_ms != newer->lease_ms)
 		at_log(AT_LOG_WARN, "entry", NULL,
 		    "setting changed; the new value takes effect at the next "
 		    "start setting=lease-ms");
+	if (s->evacuate_ms != newer->evacuate_ms)
+		at_log(AT_LOG_WARN, "entry", NULL,
+		    "setting changed; the new value takes effect at the next "
+		    "start setting=evacuate-ms");
 	s->stop_grace_s = newer->stop_grace_s;
 	s->log_lines_per_s = newer->log_lines_per_s;
 	s->retry_ratio = newer->retry_ratio;
--- a/tests/unit/test_evacuations.c
+++ b/tests/unit/test_evacuations.c
@@ -511,3 +511,36 @@
 	cr_expect(at_server_is_available(server, 10));
 	at_fleet_delete(fleet);
 }
+
+static const struct {
+	const char *text;
+	const char *north; /* its region; NULL: the text is rejected */
+} settings[] = {
+    {"", ""},
+    {"north:eu", "eu"},
+    {"south:us,north:eu,west:us", "eu"},
+    {"north:,south:us", ""},
+    {"north", NULL},
+    {"north:eu,south", NULL},
+    {":eu", NULL},
+    {"north:eu,,south:us", NULL},
+};
+
+Test(evacuations, reads_the_regions_of_data_centres)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(settings) / sizeof(settings[0]); i++) {
+		at_fleet_t *fleet = at_fleet_new(1, 1);
+		int result = at_fleet_set_regions(fleet, settings[i].text);
+
+		cr_expect_eq(result == 0, settings[i].north != NULL, "%s",
+		    settings[i].text);
+		if (result == 0)
+			cr_expect_eq(
+			    at_fleet_region(fleet, at_tag_from_text("north")),
+			    at_tag_from_text(settings[i].north), "%s",
+			    settings[i].text);
+		at_fleet_delete(fleet);
+	}
+}
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -83,12 +83,69 @@
 	"routes[0].service:"},
     {"{\"version\":1,\"tenants\":[{\"name\":\"w\",\"api_keys\":[1]}]}",
 	"tenants[0].api_keys:"},
+    {"{\"version\":1,\"tenants\":[{\"name\":\"w\","
+     "\"allowed_regions\":\"eu\"}]}",
+	"tenants[0].allowed_regions:"},
+    {"{\"version\":1,\"tenants\":[{\"name\":\"w\","
+     "\"allowed_regions\":[\"eu\",1]}]}",
+	"tenants[0].allowed_regions:"},
     {"{\"version\":1,\"routes\":[1e999]}", "routes[0]:"},
     {"{\"version\":1,\"services\":[{} {}]}", "services[0].name:"},
     {"{\"version\":-1}", "version:"},
     {"", "version:"},
 };
 
+/* A restriction that is read as none would let requests leave the region. */
+static const struct {
+	const char *list;
+	size_t count;
+	int allows_eu;
+	int allows_other;
+} regions[] = {
+    {"", 0, 1, 1},
+    {"\"allowed_regions\":null,", 0, 1, 1},
+    {"\"allowed_regions\":[],", 0, 1, 1},
+    {"\"allowed_regions\":[\"eu\"],", 1, 1, 0},
+    {"\"allowed_regions\":[\"us\",\"eu\"],", 2, 1, 0},
+    {"\"allowed_regions\":[\"us\"],", 1, 0, 0},
+};
+
+Test(platform, decodes_allowed_regions)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(regions) / sizeof(regions[0]); i++) {
+		const at_site_regions_t *route;
+		const at_site_regions_t *workspace;
+		char text[512];
+		at_status_t status;
+		at_site_t *site;
+
+		(void)snprintf(text, sizeof(text),
+		    "{\"version\":1,\"routes\":[{%s\"name\":\"r\","
+		    "\"hostname\":\"h\",\"path_prefix\":\"/\",\"type\":"
+		    "\"safe\",\"service\":\"s\"}],\"tenants\":[{%s\"name\":"
+		    "\"w\"}]}",
+		    regions[i].list, regions[i].list);
+		site = decode(text, &status);
+		cr_assert_not_null(site, "%s", status.message);
+		route = &site->routes[0]->allowed_regions;
+		workspace = &site->workspaces[0].allowed_regions;
+		cr_expect_eq(route->count, regions[i].count);
+		cr_expect_eq(workspace->count, regions[i].count);
+		cr_expect_eq(
+		    at_site_allows_region(route, at_tag_from_text("eu")) != 0,
+		    regions[i].allows_eu);
+		cr_expect_eq(at_site_allows_region(
+				 workspace, at_tag_from_text("asia")) != 0,
+		    regions[i].allows_other);
+		/* That of a data centre which the setting does not name. */
+		cr_expect_eq(at_site_allows_region(workspace, 0) != 0,
+		    regions[i].allows_other);
+		at_site_unref(site);
+	}
+}
+
 #define ROUTE_NAMED(name)                                    \
 	"{\"name\":\"" name "\",\"hostname\":\"h.example\"," \
 	"\"path_prefix\":\"/" name "/\",\"type\":\"safe\",\"service\":\"s\"}"
