--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -222,7 +222,8 @@
 	warn_if_changed("peers", s->peers, newer->peers);
 	warn_if_changed("store", s->store, newer->store);
 	warn_if_changed("secret", s->secret, newer->secret);
-	warn_if_changed("regions", s->regions, newer->regions);
+	if (s->regions != NULL && newer->regions != NULL)
+		warn_if_changed("regions", s->regions, newer->regions);
 	if (s->lease_ms != newer->lease_ms)
 		at_log(AT_LOG_WARN, "entry", NULL,
 		    "setting changed; the new value takes effect at the next "
