Load a model in the regions where its requests may run

The planner counts the engines of all regions; a request whose model is resident only outside of its allowed regions waited until it was refused. Instances now report to the holder of the lease for which models such requests wait, with their regions, and the holder loads the model in one of them.

--- a/include/almondthread/residency.h
+++ b/include/almondthread/residency.h
@@ -27,6 +27,8 @@
 	/* It may be sent orders: not leaving, failing or evacuated. */
 	int is_usable;
 	int is_evacuated; /* what it has counts as lost */
+	/* Of at_residency_plan_for(): it may not serve these requests. */
+	int is_excluded;
 	int is_busy;      /* an order is in progress or its result is unknown */
 	at_tag_t loading; /* model being loaded, or 0 */
 	at_tag_t unloading; /* model being unloaded, or 0 */
@@ -75,6 +77,16 @@
     const at_demand_rates_t *demand, const at_residency_limits_t *limits,
     at_move_t *moves, size_t max);
 
+/*
+ * at_residency_plan_for() plans for one model, for which requests wait that not
+ * all engines may serve: if none of the others has it or is about to, it is
+ * loaded by one of them. Returns the number of orders, 1 at most.
+ */
+size_t at_residency_plan_for(const at_site_service_t *service,
+    const at_engine_state_t *engines, size_t engine_count,
+    const at_demand_rates_t *demand, const at_residency_limits_t *limits,
+    at_tag_t model, at_move_t *move);
+
 /*
  * at_residency_compute_targets() writes, for each model of the service, the
  * number of engines that it should be resident on if all models were placed
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &report_leaving__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_regional_demand__init
+                     (ReportRegionalDemand         *message)
+{
+  static const ReportRegionalDemand init_value = REPORT_REGIONAL_DEMAND__INIT;
+  *message = init_value;
+}
+size_t report_regional_demand__get_packed_size
+                     (const ReportRegionalDemand *message)
+{
+  assert(message->base.descriptor == &report_regional_demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_regional_demand__pack
+                     (const ReportRegionalDemand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_regional_demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_regional_demand__pack_to_buffer
+                     (const ReportRegionalDemand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_regional_demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportRegionalDemand *
+       report_regional_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportRegionalDemand *)
+     protobuf_c_message_unpack (&report_regional_demand__descriptor,
+                                allocator, len, data);
+}
+void   report_regional_demand__free_unpacked
+                     (ReportRegionalDemand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_regional_demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report_evacuation__init
                      (ReportEvacuation         *message)
 {
@@ -2377,6 +2422,70 @@
   (ProtobufCMessageInit) report_leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor report_regional_demand__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportRegionalDemand, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportRegionalDemand, model),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "regions",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(ReportRegionalDemand, n_regions),
+    offsetof(ReportRegionalDemand, regions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_regional_demand__field_indices_by_name[] = {
+  1,   /* field[1] = model */
+  2,   /* field[2] = regions */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange report_regional_demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor report_regional_demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportRegionalDemand",
+  "ReportRegionalDemand",
+  "ReportRegionalDemand",
+  "",
+  sizeof(ReportRegionalDemand),
+  3,
+  report_regional_demand__field_descriptors,
+  report_regional_demand__field_indices_by_name,
+  1,  report_regional_demand__number_ranges,
+  (ProtobufCMessageInit) report_regional_demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor report_evacuation__field_descriptors[3] =
 {
   {
@@ -3032,7 +3141,7 @@
   (ProtobufCMessageInit) report_instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[57] =
+static const ProtobufCFieldDescriptor report__field_descriptors[58] =
 {
   {
     "name",
@@ -3718,6 +3827,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "regional_demand",
+    59,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_regional_demand),
+    offsetof(Report, regional_demand),
+    &report_regional_demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -3757,6 +3878,7 @@
   49,   /* field[49] = read_age_max_ms */
   28,   /* field[28] = read_age_ms */
   13,   /* field[13] = reads */
+  57,   /* field[57] = regional_demand */
   36,   /* field[36] = relayed */
   4,   /* field[4] = sequence */
   16,   /* field[16] = servers */
@@ -3782,7 +3904,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 57 }
+  { 0, 58 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -3792,7 +3914,7 @@
   "Report",
   "",
   sizeof(Report),
-  57,
+  58,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct ReportLimit ReportLimit;
 typedef struct ReportBrittle ReportBrittle;
 typedef struct ReportLeaving ReportLeaving;
+typedef struct ReportRegionalDemand ReportRegionalDemand;
 typedef struct ReportEvacuation ReportEvacuation;
 typedef struct ReportEvacuations ReportEvacuations;
 typedef struct ReportMember ReportMember;
@@ -378,6 +379,22 @@
     , 0, 0 }
 
 
+/*
+ * Requests wait for a model that may run in these regions only.
+ */
+struct  ReportRegionalDemand
+{
+  ProtobufCMessage base;
+  uint64_t service;
+  uint64_t model;
+  size_t n_regions;
+  uint64_t *regions;
+};
+#define REPORT_REGIONAL_DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_regional_demand__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 /*
  * Whether a data centre is evacuated, and the store's version of that change.
  */
@@ -739,6 +756,11 @@
   size_t n_instances;
   ReportInstance **instances;
   ReportEvacuations *evacuations;
+  /*
+   * For the holder of the lease.
+   */
+  size_t n_regional_demand;
+  ReportRegionalDemand **regional_demand;
   /*
    * Of the sender, in a report of new origins; its gateway forwards them.
    */
@@ -746,7 +768,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, NULL, 0,NULL, 0 }
 
 
 /* ReportLoad methods */
@@ -1053,6 +1075,25 @@
 void   report_leaving__free_unpacked
                      (ReportLeaving *message,
                       ProtobufCAllocator *allocator);
+/* ReportRegionalDemand methods */
+void   report_regional_demand__init
+                     (ReportRegionalDemand         *message);
+size_t report_regional_demand__get_packed_size
+                     (const ReportRegionalDemand   *message);
+size_t report_regional_demand__pack
+                     (const ReportRegionalDemand   *message,
+                      uint8_t             *out);
+size_t report_regional_demand__pack_to_buffer
+                     (const ReportRegionalDemand   *message,
+                      ProtobufCBuffer     *buffer);
+ReportRegionalDemand *
+       report_regional_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_regional_demand__free_unpacked
+                     (ReportRegionalDemand *message,
+                      ProtobufCAllocator *allocator);
 /* ReportEvacuation methods */
 void   report_evacuation__init
                      (ReportEvacuation         *message);
@@ -1274,6 +1315,9 @@
 typedef void (*ReportLeaving_Closure)
                  (const ReportLeaving *message,
                   void *closure_data);
+typedef void (*ReportRegionalDemand_Closure)
+                 (const ReportRegionalDemand *message,
+                  void *closure_data);
 typedef void (*ReportEvacuation_Closure)
                  (const ReportEvacuation *message,
                   void *closure_data);
@@ -1323,6 +1367,7 @@
 extern const ProtobufCMessageDescriptor report_limit__descriptor;
 extern const ProtobufCMessageDescriptor report_brittle__descriptor;
 extern const ProtobufCMessageDescriptor report_leaving__descriptor;
+extern const ProtobufCMessageDescriptor report_regional_demand__descriptor;
 extern const ProtobufCMessageDescriptor report_evacuation__descriptor;
 extern const ProtobufCMessageDescriptor report_evacuations__descriptor;
 extern const ProtobufCMessageDescriptor report_member__descriptor;
--- a/src/core/placement/residency.c
+++ b/src/core/placement/residency.c
@@ -335,8 +335,9 @@
 	double loss = 0.;
 	double wait_ms = 0.;
 
-	if (!engine->is_usable || engine->is_busy || r->has_move[e] ||
-	    r->reserved_for[e] != NO_MODEL || has_model(engine, model->tag))
+	if (!engine->is_usable || engine->is_excluded || engine->is_busy ||
+	    r->has_move[e] || r->reserved_for[e] != NO_MODEL ||
+	    has_model(engine, model->tag))
 		return 0;
 	candidate->engine = e;
 	candidate->victim = NO_MODEL;
@@ -570,6 +571,32 @@
 	}
 }
 
+/* Returns -1 if the service has no models, or too many. */
+static int
+begin_round(round_t *r, const at_site_service_t *service,
+    const at_engine_state_t *engines, size_t engine_count,
+    const at_demand_rates_t *demand, const at_residency_limits_t *limits)
+{
+	size_t i;
+
+	if (service->model_count == 0 ||
+	    service->model_count > AT_RESIDENCY_MODELS_MAX)
+		return -1;
+	memset(r, 0, sizeof(*r));
+	r->service = service;
+	r->engines = engines;
+	r->engine_count = engine_count < AT_RESIDENCY_ENGINES_MAX
+			      ? engine_count
+			      : AT_RESIDENCY_ENGINES_MAX;
+	r->limits = *limits;
+	count_replicas(r);
+	for (i = 0; i < service->model_count; i++)
+		r->demand[i] = at_demand_rates_get(
+		    demand, service->tag, service->models[i].tag);
+	reserve_freed_memory(r);
+	return 0;
+}
+
 size_t
 at_residency_plan(const at_site_service_t *service,
     const at_engine_state_t *engines, size_t engine_count,
@@ -577,26 +604,46 @@
     at_move_t *moves, size_t max)
 {
 	static round_t r;
-	size_t i;
 
-	if (service->model_count == 0 ||
-	    service->model_count > AT_RESIDENCY_MODELS_MAX)
+	if (begin_round(&r, service, engines, engine_count, demand, limits) !=
+	    0)
 		return 0;
-	memset(&r, 0, sizeof(r));
-	r.service = service;
-	r.engines = engines;
-	r.engine_count = engine_count < AT_RESIDENCY_ENGINES_MAX
-			     ? engine_count
-			     : AT_RESIDENCY_ENGINES_MAX;
-	r.limits = *limits;
 	r.moves = moves;
 	r.max = max;
-	count_replicas(&r);
-	for (i = 0; i < service->model_count; i++)
-		r.demand[i] = at_demand_rates_get(
-		    demand, service->tag, service->models[i].tag);
-	reserve_freed_memory(&r);
 	load_reserved(&r);
 	plan_by_demand(&r);
 	return r.move_count;
 }
+
+size_t
+at_residency_plan_for(const at_site_service_t *service,
+    const at_engine_state_t *engines, size_t engine_count,
+    const at_demand_rates_t *demand, const at_residency_limits_t *limits,
+    at_tag_t model, at_move_t *move)
+{
+	static round_t r;
+	size_t index = model_index(service, model);
+	candidate_t candidate;
+	double gain;
+	size_t e;
+
+	if (index == NO_MODEL || begin_round(&r, service, engines, engine_count,
+				     demand, limits) != 0)
+		return 0;
+	for (e = 0; e < r.engine_count; e++) {
+		if (engines[e].is_usable && !engines[e].is_excluded &&
+		    (has_model(&engines[e], model) ||
+			r.reserved_for[e] == index))
+			return 0;
+	}
+	/* Those elsewhere do not count. */
+	r.replicas[index] = 0;
+	gain = gain_of(&r, index);
+	if (gain < QUEUED_GAIN)
+		gain = QUEUED_GAIN;
+	r.moves = move;
+	r.max = 1;
+	candidate = best_candidate(&r, index, gain);
+	(void)add_move(&r, index, &candidate, 1);
+	return r.move_count;
+}
--- a/src/entry/orders/orders.c
+++ b/src/entry/orders/orders.c
@@ -325,6 +325,39 @@
 	}
 }
 
+/* Loads the models for which requests with allowed regions wait. */
+static void
+plan_regions(at_orders_io_t *orders, const at_site_service_t *service)
+{
+	static engine_states_t states;
+	const regional_demand_t *demand;
+	size_t next = 0;
+	size_t i;
+
+	while ((demand = regions_find(orders, service->tag, &next)) != NULL) {
+		at_residency_limits_t limits = {
+		    (uint32_t)orders->store_load_tokens, 0};
+		at_move_t move;
+
+		states.orders = orders;
+		states.service = service->tag;
+		states.count = 0;
+		states.now_us = at_clock_now_us();
+		at_fleet_each(orders->deps.fleet, collect_engine, &states);
+		for (i = 0; i < states.count; i++)
+			states.list[i].is_excluded =
+			    !at_site_allows_region(&demand->regions,
+				at_fleet_region(orders->deps.fleet,
+				    states.list[i].entry->data_centre));
+		if (at_residency_plan_for(service, states.list, states.count,
+			orders->demand, &limits, demand->model, &move) == 0)
+			continue;
+		if (move.kind == AT_MOVE_LOAD && move.from == AT_COPY_STORE)
+			orders->store_load_tokens -= 1.;
+		start_move(orders, service, &move);
+	}
+}
+
 /*
  * An engine lists a model that is being unloaded until its requests have ended;
  * the unload is therefore announced again in each round.
@@ -424,9 +457,12 @@
 		return;
 	adapters_prefetch(orders);
 	site = *deps->site;
+	regions_collect(orders);
 	for (i = 0; i < site->service_count; i++) {
-		if (site->services[i]->has_models)
-			plan_moves(orders, site->services[i]);
+		if (!site->services[i]->has_models)
+			continue;
+		plan_moves(orders, site->services[i]);
+		plan_regions(orders, site->services[i]);
 	}
 }
 
--- a/src/entry/orders/orders_impl.h
+++ b/src/entry/orders/orders_impl.h
@@ -1,7 +1,8 @@
 /*
  * orders_impl.h - types shared by the files of orders: orders.c has the lease
  * and the planning rounds, orders_send.c one order at one engine,
- * orders_adapters.c the loading of adapters, orders_report.c the entries in
+ * orders_adapters.c the loading of adapters, orders_regions.c the models for
+ * which requests with allowed regions wait, orders_report.c the entries in
  * reports to and from other instances.
  */
 #ifndef ALMONDTHREAD_ENTRY_ORDERS_IMPL_H
@@ -18,6 +19,16 @@
 #define DEMAND_ENTRIES_MAX 512u   /* models and adapters in one report */
 #define ADAPTER_REQUESTS_MAX 128u /* queued requests in one report */
 
+#define REGIONAL_MAX 32u /* models for requests with regions */
+
+/* Requests with allowed regions wait for a model. */
+typedef struct regional_demand {
+	at_tag_t service;
+	at_tag_t model;
+	at_site_regions_t regions;
+	uint64_t reported_us;
+} regional_demand_t;
+
 /* State of the order to an engine, which has at most one at a time. */
 typedef enum engine_order_state {
 	ENGINE_IDLE,
@@ -91,6 +102,9 @@
 	adapter_request_t *adapter_requests;
 	resident_change_t changes[CHANGES_MAX];
 	size_t change_count;
+	/* Of all instances, if this one holds the lease. */
+	regional_demand_t regional[REGIONAL_MAX];
+	size_t regional_count;
 	ev_timer tick;
 	ev_timer adapter_timer; /* expected end of the next adapter load */
 };
@@ -126,6 +140,16 @@
 void adapters_request_queued(at_orders_io_t *orders);
 void adapters_prefetch(at_orders_io_t *orders);
 void adapters_note_accepted(engine_t *engine);
+/*
+ * regions_fill() and regions_apply() are its parts of the reports.
+ * regions_collect() adds what waits here; regions_find() returns the next of a
+ * service from *next on, or NULL.
+ */
+void regions_fill(at_orders_io_t *orders, Report *report);
+void regions_apply(at_orders_io_t *orders, const Report *report);
+void regions_collect(at_orders_io_t *orders);
+const regional_demand_t *regions_find(
+    const at_orders_io_t *orders, at_tag_t service, size_t *next);
 /* orders_add_change() adds a change to the reports of the next 500 ms. */
 void orders_add_change(at_orders_io_t *orders, at_tag_t server,
     const at_name_t *model, const at_name_t *adapter, int resident);
--- a/src/entry/orders/orders_report.c
+++ b/src/entry/orders/orders_report.c
@@ -141,6 +141,7 @@
 	report->has_demand = 1;
 	fill_requests(orders, report);
 	fill_demand(orders, report);
+	regions_fill(orders, report);
 }
 
 static void
@@ -212,6 +213,7 @@
 		apply_change(orders, report->adapters[i]);
 	for (i = 0; i < report->n_wants; i++)
 		apply_request(orders, report->wants[i]);
+	regions_apply(orders, report);
 }
 
 static int
--- a/tests/contract/test_allowed_regions.c
+++ b/tests/contract/test_allowed_regions.c
@@ -19,6 +19,8 @@
 #define REPORT_MS 800u
 #define BOUND_MS 2000u
 #define TRIES_MAX 50
+/* Until an instance has the lease and knows the demand of all. */
+#define PLANNING_MS 8000u
 #define REGIONS "north:eu,south:us,east:eu,far:"
 
 /* One server in each, the last of unknown region; instances in the first. */
@@ -81,9 +83,10 @@
     const char *workspace)
 {
 	static const standin_route_t routes[] = {
-	    {"/safe/", "safe", "plain", 2, 0}};
+	    {"/safe/", "safe", "plain", 2, 0},
+	    {"/stream/", "streaming", "llm", 2, 1}};
 	json_t *config = standin_config_spec(version, ENTRY_FIXTURE_HOST,
-	    routes, 1, "studio", ENTRY_FIXTURE_KEY);
+	    routes, 2, "studio", ENTRY_FIXTURE_KEY);
 
 	json_object_set_new(
 	    json_array_get(json_object_get(config, "routes"), 0),
@@ -238,3 +241,31 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
 		run_case(i);
 }
+
+/* It waited for a model that is resident in another region only. */
+Test(allowed_regions, its_model_is_loaded_there, .timeout = 60)
+{
+	const entry_fixture_request_t request = {
+	    "POST", "/stream/x", "id", ENTRY_FIXTURE_KEY, "m0", "prompt"};
+	size_t entry;
+
+	for (entry = 0; entry < 2; entry++) {
+		entry_fixture_t *fixture = entry_fixture_new();
+		entry_fixture_response_t response;
+
+		fixture->regions = REGIONS;
+		apply_config(fixture, 1, "", "us");
+		(void)entry_fixture_add_engine_in(fixture, "m0", "north");
+		(void)entry_fixture_add_engine_in(fixture, "m1", "south");
+		(void)entry_fixture_add_entry_in(fixture, "north");
+		(void)entry_fixture_add_entry_in(fixture, "south");
+		entry_fixture_run_until_ready(fixture);
+		entry_fixture_run_ms(fixture, PLANNING_MS);
+		entry_fixture_call(fixture, entry, &request, &response);
+		cr_expect_eq(response.status, 200, "instance %zu: %d", entry,
+		    response.status);
+		cr_expect_eq(standin_server_run_count(fixture->servers[0]), 0);
+		entry_fixture_response_free(&response);
+		entry_fixture_delete(fixture);
+	}
+}
--- a/tests/unit/test_residency.c
+++ b/tests/unit/test_residency.c
@@ -485,6 +485,66 @@
 	}
 }
 
+/*
+ * Engines 0 and 1 are in another region; model 0 is resident there. Requests
+ * for it that may not go there wait.
+ */
+static const struct {
+	const char *name;
+	int resident_at; /* also at this engine; -1: nowhere else */
+	int loading_at;
+	int is_usable; /* engines 2 and 3 */
+	uint32_t store_loads;
+	size_t moves;
+} regional[] = {
+    {"it is loaded there", -1, -1, 1, 4, 1},
+    {"it is there", 2, -1, 1, 4, 0},
+    {"it is being loaded there", -1, 3, 1, 4, 0},
+    {"it is being loaded elsewhere", -1, 0, 1, 4, 1},
+    {"no engine there is usable", -1, -1, 0, 4, 0},
+    {"the weight store allows none", -1, -1, 1, 0, 0},
+};
+
+Test(residency, loads_a_model_where_requests_may_run)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(regional) / sizeof(regional[0]); i++) {
+		const at_residency_limits_t limits = {
+		    regional[i].store_loads, 0};
+		at_move_t move = {.model = 0};
+		size_t moves;
+		world_t w;
+
+		make_world(&w);
+		w.engines[0].is_excluded = 1;
+		w.engines[1].is_excluded = 1;
+		w.engines[2].is_usable = regional[i].is_usable;
+		w.engines[3].is_usable = regional[i].is_usable;
+		add_resident(&w, 1, 0);
+		if (regional[i].resident_at >= 0)
+			add_resident(&w, (unsigned)regional[i].resident_at, 0);
+		if (regional[i].loading_at >= 0) {
+			w.engines[regional[i].loading_at].loading =
+			    model_tag(0);
+			w.engines[regional[i].loading_at].is_busy = 1;
+		}
+		update_rates(&w);
+		moves = at_residency_plan_for(w.service, w.engines, ENGINES,
+		    w.demand, &limits, model_tag(0), &move);
+		cr_expect_eq(moves, regional[i].moves, "%s: %zu",
+		    regional[i].name, moves);
+		if (moves > 0) {
+			cr_expect_eq(move.kind, AT_MOVE_LOAD);
+			cr_expect_eq(move.model, model_tag(0));
+			cr_expect(move.server == w.entries[2].tag ||
+				      move.server == w.entries[3].tag,
+			    "%s", regional[i].name);
+		}
+		free_world(&w);
+	}
+}
+
 Test(residency, prefetches_the_adapter_with_the_most_requests)
 {
 	static const char *const names[] = {"a1", "a2", "a1"};
