--- a/tests/unit/test_residency.c
+++ b/tests/unit/test_residency.c
@@ -3,8 +3,8 @@
  * orders.
  *
  * The cases replay the load patterns described in residency.c: demand that
- * shifts from one busy model to another, and rare models that are requested now
- * and then.
+ * shifts from one busy model to another, rare models that are requested now and
+ * then, and the evacuation of a data centre.
  */
 #include <stdio.h>
 #include <string.h>
@@ -420,6 +420,131 @@
     {"none in the last adapter slot", {9, 0, 0}, 7, NULL},
 };
 
+/*
+ * Engines 0 and 1 are evacuated. Models 0 to 2 are resident there only, 3 and 4
+ * elsewhere as well; 3 is overloaded with the replica that is left.
+ */
+static const struct {
+	const char *name;
+	unsigned requests[5]; /* per second, for each model */
+	unsigned queued;      /* requests for model 2 */
+	uint32_t store_loads;
+	uint32_t moves;
+	const char *loads; /* models, in order */
+} evacuations[] = {
+    {"the ones with the most requests first", {4, 12, 2, 60, 0}, 0, 4, 9, "10"},
+    {"before one that is overloaded", {0, 1, 0, 60, 0}, 0, 4, 9, "13"},
+    {"without a limit of moves for them", {4, 12, 2, 60, 0}, 0, 4, 0, "10"},
+    {"as many as the weight store allows", {4, 12, 2, 60, 0}, 0, 1, 9, "1"},
+    {"not the ones that nobody requests", {0, 1, 0, 1, 0}, 0, 4, 9, "1"},
+    {"one for which requests wait", {0, 0, 0, 0, 0}, 1, 4, 0, "2"},
+};
+
+Test(residency, loads_elsewhere_what_was_evacuated)
+{
+	size_t i;
+	unsigned k;
+
+	for (i = 0; i < sizeof(evacuations) / sizeof(evacuations[0]); i++) {
+		char loads[16] = "";
+		world_t w;
+
+		make_world(&w);
+		for (k = 0; k < 2; k++) {
+			w.engines[k].is_usable = 0;
+			w.engines[k].is_evacuated = 1;
+		}
+		for (k = 0; k < 5; k++) {
+			if (evacuations[i].requests[k] > 0)
+				add_requests(&w, k, evacuations[i].requests[k]);
+		}
+		for (k = 0; k < evacuations[i].queued; k++)
+			add_queued(&w, 2);
+		update_rates(&w);
+		for (k = 0; k < 3; k++)
+			add_resident(&w, 0, k);
+		add_resident(&w, 1, 3);
+		add_resident(&w, 1, 4);
+		add_resident(&w, 2, 3);
+		add_resident(&w, 3, 4);
+		plan(&w, evacuations[i].store_loads, evacuations[i].moves);
+		for (k = 0; k < w.move_count; k++) {
+			unsigned m = 0;
+
+			cr_expect_eq(w.moves[k].kind, AT_MOVE_LOAD);
+			cr_expect_neq(w.moves[k].server, w.entries[0].tag);
+			cr_expect_neq(w.moves[k].server, w.entries[1].tag);
+			while (model_tag(m) != w.moves[k].model)
+				m++;
+			(void)snprintf(loads + strlen(loads),
+			    sizeof(loads) - strlen(loads), "%u", m);
+		}
+		cr_expect_str_eq(loads, evacuations[i].loads, "%s: %s",
+		    evacuations[i].name, loads);
+		free_world(&w);
+	}
+}
+
+/*
+ * Engines 0 and 1 are in another region; model 0 is resident there. Requests
+ * for it that may not go there wait.
+ */
+static const struct {
+	const char *name;
+	int resident_at; /* also at this engine; -1: nowhere else */
+	int loading_at;
+	int is_usable; /* engines 2 and 3 */
+	uint32_t store_loads;
+	size_t moves;
+} regional[] = {
+    {"it is loaded there", -1, -1, 1, 4, 1},
+    {"it is there", 2, -1, 1, 4, 0},
+    {"it is being loaded there", -1, 3, 1, 4, 0},
+    {"it is being loaded elsewhere", -1, 0, 1, 4, 1},
+    {"no engine there is usable", -1, -1, 0, 4, 0},
+    {"the weight store allows none", -1, -1, 1, 0, 0},
+};
+
+Test(residency, loads_a_model_where_requests_may_run)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(regional) / sizeof(regional[0]); i++) {
+		const at_residency_limits_t limits = {
+		    regional[i].store_loads, 0};
+		at_move_t move = {.model = 0};
+		size_t moves;
+		world_t w;
+
+		make_world(&w);
+		w.engines[0].is_excluded = 1;
+		w.engines[1].is_excluded = 1;
+		w.engines[2].is_usable = regional[i].is_usable;
+		w.engines[3].is_usable = regional[i].is_usable;
+		add_resident(&w, 1, 0);
+		if (regional[i].resident_at >= 0)
+			add_resident(&w, (unsigned)regional[i].resident_at, 0);
+		if (regional[i].loading_at >= 0) {
+			w.engines[regional[i].loading_at].loading =
+			    model_tag(0);
+			w.engines[regional[i].loading_at].is_busy = 1;
+		}
+		update_rates(&w);
+		moves = at_residency_plan_for(w.service, w.engines, ENGINES,
+		    w.demand, &limits, model_tag(0), &move);
+		cr_expect_eq(moves, regional[i].moves, "%s: %zu",
+		    regional[i].name, moves);
+		if (moves > 0) {
+			cr_expect_eq(move.kind, AT_MOVE_LOAD);
+			cr_expect_eq(move.model, model_tag(0));
+			cr_expect(move.server == w.entries[2].tag ||
+				      move.server == w.entries[3].tag,
+			    "%s", regional[i].name);
+		}
+		free_world(&w);
+	}
+}
+
 Test(residency, prefetches_the_adapter_with_the_most_requests)
 {
 	static const char *const names[] = {"a1", "a2", "a1"};
