Limit what all instances send to a cold engine

An engine that is cold crashes at a rate well above cold_per_s of its service, and nothing read that field, the cold time in its entry or X-Cold-Ms. When 47 engines returned at once, every instance saw them without a request.

server_cold.c keeps until when an engine is cold, by the newest of its entry, its answers, its start and what is assumed after an evacuation. server_limit.c has the part of the rate in the same bucket as that of Server-Limit; the lower rate applies. The instances of the engine's data centre that are present share it, silent ones included, so that two groups that cannot hear each other agree for 60 s; half of the bound is used by each group, in case they don't.

Nothing sets the bound yet, so that an instance serves as before.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -18,6 +18,7 @@
 #ifndef ALMONDTHREAD_FLEET_H
 #define ALMONDTHREAD_FLEET_H
 
+#include "almondthread/roster.h"
 #include "almondthread/service_times.h"
 #include "almondthread/site.h"
 
@@ -76,7 +77,10 @@
 	uint64_t started_ms; /* of this incarnation, by the server's clock */
 	uint64_t heartbeat_sequence; /* of the entry, in this incarnation */
 	uint32_t slots;
-	uint32_t warmup_ms; /* remaining time in which it is slow */
+	uint32_t warmup_ms; /* remaining time in which it is cold */
+	int has_warmup;     /* warmup_ms is stated */
+	/* When this instance read it, in ms since 1970; 0: not known. */
+	uint64_t listed_ms;
 	int is_leaving;
 	uint32_t remaining_ms; /* until it stops; 0: not stated */
 	at_resident_set_t residents;
@@ -165,6 +169,11 @@
 	/* Of AT_CHOICE_LIMITED and AT_CHOICE_PAUSED: time until that changes.
 	 */
 	uint64_t closed_us;
+	/*
+	 * Of AT_CHOICE_FULL, if the rates of cold engines allow no request and
+	 * no other engine is available: time until one of them may get one.
+	 */
+	uint64_t cold_us;
 } at_choice_t;
 
 /* How a request ended, as far as it shows the backend server's health. */
@@ -360,6 +369,77 @@
 size_t at_fleet_fill_limits(const at_fleet_t *fleet, at_limit_report_t *entries,
     size_t max, uint64_t now_us);
 
+/*
+ * Cold engines. For some time after a start, and whenever it states so, an
+ * engine takes few requests a second, cold_milli of its service, and crashes at
+ * a rate well above that. at_fleet_set_cold_bound() states that all instances
+ * together may send it cold_milli x overage + tolerance requests in any one
+ * second; AT_COLD_NO_BOUND or more: cold engines are not limited.
+ *
+ * An entry of the list states the cold time, or else a start that is new to
+ * this instance does; at_server_note_cold() takes what an answer states, with
+ * stated_us when the answer came, and when its request was sent if it states 0.
+ * The newest of these applies, but an entry does not shorten what an answer has
+ * stated, as it may be older. It returns non-zero if the engine has become cold
+ * or is no longer. An engine that cannot be reached, and with
+ * at_fleet_note_maybe_cold() each one of a data centre, is assumed to be cold
+ * as after a start, until an entry of a later heartbeat states otherwise.
+ *
+ * at_server_share_cold() sets this instance's part of the rate, from the roster
+ * and the data centre of the instance, and 0 if it is not sending; call it in
+ * each round of reports, as the part ends when it is not renewed.
+ * at_server_take_relayed() returns non-zero if an
+ * attempt of another instance may be passed on to the server now, and counts
+ * it: that instance may not know that the engine is cold.
+ *
+ * at_fleet_fill_cold() writes what answers have stated of cold engines, at most
+ * max, and returns the number; at_fleet_apply_cold() takes the same from
+ * another instance and returns as at_server_note_cold().
+ */
+typedef enum at_cold_source {
+	AT_COLD_NONE,
+	AT_COLD_START,
+	AT_COLD_ASSUMED,
+	AT_COLD_ENTRY,
+	AT_COLD_ANSWER,
+	AT_COLD_SOURCE_COUNT
+} at_cold_source_t;
+
+/* Names of sources, indexed by at_cold_source_t. */
+extern const char *const at_cold_source_names[];
+
+typedef struct at_cold_report {
+	at_tag_t server;
+	uint64_t started_ms;   /* of the incarnation */
+	uint32_t remaining_ms; /* from now on */
+	uint64_t stated_us;    /* when the answer came */
+} at_cold_report_t;
+
+#define AT_COLD_NO_BOUND 1e9
+#define AT_COLD_REPORTS_MAX 256u /* servers in one report */
+void at_fleet_set_cold_bound(
+    at_fleet_t *fleet, double overage, double tolerance);
+int at_server_note_cold(at_server_t *server, uint32_t remaining_ms,
+    uint64_t stated_us, uint64_t now_us);
+void at_fleet_note_maybe_cold(
+    at_fleet_t *fleet, at_tag_t data_centre, uint64_t now_us);
+void at_server_share_cold(at_server_t *server, const at_roster_t *roster,
+    at_tag_t own, int is_sending, uint64_t now_us);
+int at_server_take_relayed(at_server_t *server, uint64_t now_us);
+/* at_server_is_cold() returns non-zero if the engine is cold and limited. */
+int at_server_is_cold(at_server_t *server, uint64_t now_us);
+/* The rest describes a server for which at_server_is_cold() was last called. */
+uint32_t at_server_cold_ms(const at_server_t *server, uint64_t now_us);
+at_cold_source_t at_server_cold_source(const at_server_t *server);
+uint32_t at_server_cold_share_milli(const at_server_t *server);
+/* at_server_mark_cold() keeps whether it was cold; returns what was kept. */
+int at_server_mark_cold(at_server_t *server, int is_cold);
+uint32_t at_fleet_count_cold(at_fleet_t *fleet, uint64_t now_us);
+size_t at_fleet_fill_cold(const at_fleet_t *fleet, at_cold_report_t *entries,
+    size_t max, uint64_t now_us);
+int at_fleet_apply_cold(
+    at_fleet_t *fleet, const at_cold_report_t *report, uint64_t now_us);
+
 /*
  * at_server_is_available() returns non-zero unless the server is in a backoff
  * after failures.
--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -173,6 +173,23 @@
 #define AT_ROSTER_TOUCH_US 500000u
 int at_roster_is_in_touch(
     const at_roster_t *roster, at_tag_t data_centre, uint64_t now_us);
+/*
+ * Who may send to the engines of a data centre where instances must agree on
+ * it. at_roster_settle() is called in each round of reports.
+ * at_roster_rank_at() returns non-zero if this instance, of the data centre
+ * own, may be among those for data_centre, with its rank among the instances in
+ * an order that a hash of key gives. These are the instances of data_centre
+ * that may be serving, silent ones included, so that instances which cannot
+ * hear each other agree for AT_ROSTER_REMOVAL_TIMEOUT_US. Those of other data
+ * centres are only if none is there and none was lost. It returns zero without
+ * recent reports of the others, and for AT_ROSTER_REPORT_TIMEOUT_US after the
+ * first one since a start or an interruption.
+ */
+#define AT_ROSTER_LOST_MAX 16u
+void at_roster_settle(at_roster_t *roster, uint64_t now_us);
+int at_roster_rank_at(const at_roster_t *roster, at_tag_t own,
+    at_tag_t data_centre, uint64_t key, uint64_t now_us, uint32_t *rank,
+    uint32_t *instances);
 /*
  * at_roster_lease_holder() returns who reports to hold the lease, which may
  * leave, or NULL.
--- a/include/almondthread/site.h
+++ b/include/almondthread/site.h
@@ -81,7 +81,10 @@
 	at_name_t name;
 	at_tag_t tag;
 	uint32_t connections_max; /* to one backend server, for all callers */
-	int has_models;           /* its backend servers are model engines */
+	/* After a start it takes only so many requests, in 1,000 s; 0: any. */
+	uint32_t cold_start_ms;
+	uint32_t cold_milli;
+	int has_models; /* its backend servers are model engines */
 	/* Of one model engine: */
 	uint32_t slots;            /* requests in one batch */
 	uint64_t kv_tokens;        /* capacity of the key-value cache */
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -231,7 +231,9 @@
 	uint32_t in_backoff;
 	uint32_t limited;
 	uint32_t paused;
+	uint32_t cold;
 	uint64_t closed_us; /* until the first of these may get one */
+	uint64_t cold_us;   /* the same of the cold ones */
 } closed_servers_t;
 
 static void
@@ -251,6 +253,32 @@
 			      : 0;
 	if (wait_us < closed->closed_us)
 		closed->closed_us = wait_us;
+	if (gate != SERVER_GATE_COLD)
+		return;
+	closed->cold++;
+	wait_us = server_limit_wait_us(&server->limit);
+	if (wait_us < closed->cold_us)
+		closed->cold_us = wait_us;
+}
+
+/*
+ * Requests with slack lose least where a cold engine is slow, so they go there
+ * before any other engine; other requests go there only if no other engine has
+ * a free slot. A stream that goes on pauses for its caller if it is slow.
+ */
+typedef enum preference {
+	PREFERENCE_FIRST,
+	PREFERENCE_USUAL,
+	PREFERENCE_LAST
+} preference_t;
+
+static preference_t
+preference_of(const at_server_t *server, const at_work_t *work, uint64_t now_us)
+{
+	if (now_us >= server->limit.cold_until_us)
+		return PREFERENCE_USUAL;
+	return work->has_slack && !work->is_resumption ? PREFERENCE_FIRST
+						       : PREFERENCE_LAST;
 }
 
 /* A server with free slots. */
@@ -259,10 +287,12 @@
 	uint64_t predicted_us;
 	uint64_t cost_us;
 	uint32_t free_slots;
+	preference_t preference;
 } candidate_t;
 
 /* State of the weighted random choice among the cheapest candidates. */
 typedef struct selection {
+	preference_t preference;
 	uint64_t cost_us;
 	uint64_t free_slots; /* sum over the candidates of nearly equal cost */
 } selection_t;
@@ -277,11 +307,17 @@
 
 	choice->free_slots += candidate->free_slots;
 	if (choice->server != NULL &&
+	    candidate->preference > selection->preference)
+		return;
+	if (choice->server != NULL &&
+	    candidate->preference == selection->preference &&
 	    candidate->cost_us > selection->cost_us + margin)
 		return;
 	if (choice->server == NULL ||
+	    candidate->preference < selection->preference ||
 	    candidate->cost_us + margin < selection->cost_us)
 		selection->free_slots = 0;
+	selection->preference = candidate->preference;
 	if (selection->free_slots == 0 ||
 	    candidate->cost_us < selection->cost_us)
 		selection->cost_us = candidate->cost_us;
@@ -302,8 +338,9 @@
 		? NULL
 		: at_site_find_service(fleet->site, work->service);
 	at_server_t *server;
-	selection_t selection = {0, 0};
-	closed_servers_t closed = {.closed_us = UINT64_MAX};
+	selection_t selection = {.preference = PREFERENCE_USUAL};
+	closed_servers_t closed = {
+	    .closed_us = UINT64_MAX, .cold_us = UINT64_MAX};
 	uint32_t available = 0;
 	int other_versions = 0;
 	int is_brittle = at_fleet_is_brittle(fleet, work->service);
@@ -327,7 +364,9 @@
 		if (work->model == 0 ||
 		    at_server_has_resident(server, work->model, 0)) {
 			choice->model_servers++;
-			choice->batch_slots += server->entry.slots;
+			/* A cold engine takes few of the requests that wait. */
+			if (gate != SERVER_GATE_COLD)
+				choice->batch_slots += server->entry.slots;
 		}
 		if (work->model != 0 &&
 		    !at_server_has_resident(server, work->model, work->adapter))
@@ -344,6 +383,10 @@
 			: free_slots_now(server, service, work, &load);
 		if (candidate.free_slots == 0)
 			continue;
+		candidate.preference = preference_of(server, work, now_us);
+		/* A part of the rate covers one request at a time. */
+		if (candidate.preference != PREFERENCE_USUAL)
+			candidate.free_slots = 1;
 		candidate.predicted_us = predict_us(fleet, server, work, &load);
 		candidate.cost_us =
 		    cost_us(work, &load, candidate.predicted_us);
@@ -368,5 +411,9 @@
 		choice->closed_us = closed.closed_us;
 		return closed.paused > 0 ? AT_CHOICE_PAUSED : AT_CHOICE_LIMITED;
 	}
+	if (closed.cold > 0 &&
+	    closed.cold + closed.limited + closed.paused + closed.in_backoff ==
+		choice->candidates)
+		choice->cold_us = closed.cold_us;
 	return choice->candidates > 0 ? AT_CHOICE_FULL : AT_CHOICE_NOT_RESIDENT;
 }
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -59,8 +59,12 @@
 void
 at_fleet_set_site(at_fleet_t *fleet, at_site_t *site)
 {
+	at_server_t *server;
+
 	at_site_unref(fleet->site);
 	fleet->site = at_site_ref(site);
+	for (server = fleet->servers; server != NULL; server = server->hh.next)
+		server_cold_set_service(fleet, server);
 }
 
 at_server_t *
@@ -96,6 +100,7 @@
 	server_health_init(&server->health);
 	residents_clear_notes(server);
 	memset(&server->limit, 0, sizeof(server->limit));
+	memset(&server->cold, 0, sizeof(server->cold));
 	memset(&server->room, 0, sizeof(server->room));
 	server->has_stated_leaving = 0;
 	server->paused_until_us = 0;
@@ -144,6 +149,10 @@
 at_fleet_update_server(at_fleet_t *fleet, const at_server_entry_t *entry)
 {
 	at_server_t *server = at_fleet_find(fleet, entry->tag);
+	int is_new =
+	    server == NULL || entry->started_ms > server->entry.started_ms;
+	int is_later = is_new || entry->heartbeat_sequence >
+				     server->entry.heartbeat_sequence;
 
 	if (server == NULL)
 		server = add_server(fleet, entry);
@@ -157,6 +166,10 @@
 		 entry->heartbeat_sequence < server->entry.heartbeat_sequence)
 		return NULL;
 	set_entry(server, entry);
+	server_cold_set_service(fleet, server);
+	/* The times of one entry that comes again do not start again. */
+	if (is_later)
+		server_cold_note_entry(&server->cold, entry, is_new);
 	server->is_listed = 1;
 	server->removed_us = 0;
 	return server;
@@ -308,6 +321,8 @@
 	if (outcome == AT_OUTCOME_SUCCESS && now_us >= server->paused_until_us)
 		server->paused_until_us = 0;
 	server_health_note_outcome(&server->health, outcome, now_us);
+	if (outcome == AT_OUTCOME_UNREACHABLE)
+		server_cold_note_unreachable(server, now_us);
 	delete_if_unused(fleet, server);
 }
 
@@ -555,8 +570,10 @@
 {
 	at_server_t *server = at_fleet_find(fleet, tag);
 
-	if (server != NULL)
-		server_health_apply_unreachable(&server->health, now_us);
+	if (server == NULL)
+		return;
+	server_health_apply_unreachable(&server->health, now_us);
+	server_cold_note_unreachable(server, now_us);
 }
 
 void
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -4,7 +4,7 @@
  * resident on them, choose.c selects one for a request, server_gate.c has the
  * conditions on which it may be sent there, server_health.c counts failures and
  * slowness, server_limit.c and server_room.c have this instance's parts of what
- * servers take from all instances.
+ * servers take from all instances, server_cold.c knows which engines are cold.
  */
 #ifndef ALMONDTHREAD_FLEET_PRIVATE_H
 #define ALMONDTHREAD_FLEET_PRIVATE_H
@@ -34,8 +34,39 @@
 	uint32_t share_milli; /* this instance's part of it */
 	uint64_t level_micro; /* saved up, in millionths of a request */
 	uint64_t filled_us;
+	/* While the engine is cold, this part counts instead of the other. */
+	uint64_t cold_until_us; /* 0: it is not cold, or takes any rate */
+	uint32_t cold_share_milli;
+	uint64_t cold_share_until_us; /* the part is 0 from then on */
 } server_limit_t;
 
+/* Until when an engine is cold, and what it then takes. */
+typedef struct server_cold {
+	int has_service;      /* what the service states is known */
+	uint32_t start_ms;    /* after a start */
+	uint32_t per_s_milli; /* of all instances; 0: no limit */
+	uint32_t group_milli; /* that instances which agree may send in 1 s */
+	at_cold_source_t source;
+	uint64_t until_us;
+	uint64_t noted_us;  /* when until_us was set */
+	uint64_t stated_us; /* newest answer to this instance; 0: none */
+	/* What an answer to any instance has stated, and when it came. */
+	uint64_t answer_until_us;
+	uint64_t answer_us;
+	int is_marked; /* by at_server_mark_cold() */
+	/* An entry that has not been looked at yet. */
+	int has_pending;
+	at_cold_source_t pending_source;
+	uint32_t pending_ms;
+	uint64_t age_ms; /* of the incarnation, by two clocks; 0: not known */
+} server_cold_t;
+
+/* How many instances may send to a cold engine, and their rate together. */
+typedef struct server_cold_plan {
+	uint32_t senders;
+	uint32_t rate_milli;
+} server_cold_plan_t;
+
 /* This instance's part of the room at a brittle server. */
 typedef struct server_room {
 	uint32_t share;   /* requests at a time */
@@ -89,6 +120,7 @@
 	at_load_t member_load; /* scratch of at_fleet_sum_reports() */
 	server_health_t health;
 	server_limit_t limit;
+	server_cold_t cold;
 	server_room_t room;
 	/* Hash table of the prompt prefixes last sent there. */
 	uint64_t prefixes[PREFIX_HASHES];
@@ -113,6 +145,9 @@
 	peer_report_t *reports;
 	fleet_brittle_t brittle[AT_BRITTLE_SERVICES_MAX];
 	size_t brittle_count;
+	int has_cold_bound;
+	double cold_overage;
+	double cold_tolerance;
 	at_hold_t holds[AT_HOLDS_MAX];
 	size_t hold_count;
 };
@@ -145,6 +180,7 @@
 	SERVER_GATE_OTHER_VERSION, /* than the one that began the stream */
 	SERVER_GATE_BACKOFF,       /* after failures */
 	SERVER_GATE_LIMITED,       /* its limit allows none now */
+	SERVER_GATE_COLD,          /* it is cold, and takes none now */
 	SERVER_GATE_PAUSED,        /* it wants none, or one at a time */
 } server_gate_t;
 /* Returns whether a request may go to the server now, or why not. */
@@ -167,6 +203,32 @@
 /* Returns the time until a request may be sent, as of the last call. */
 uint64_t server_limit_wait_us(const server_limit_t *limit);
 
+/* Returns what is used of the rate that the server has named; 0: none. */
+uint32_t server_limit_named_milli(const server_limit_t *limit);
+/* States until when the engine is cold (0: not at all); its part is 0 first. */
+void server_limit_set_cold(
+    server_limit_t *limit, uint64_t until_us, uint64_t now_us);
+/* Sets this instance's part while the engine is cold; it ends at until_us. */
+void server_limit_set_cold_share(server_limit_t *limit, uint32_t share_milli,
+    uint64_t until_us, uint64_t now_us);
+
+/* server_cold.c */
+/* Takes what the configuration states of the server's service. */
+void server_cold_set_service(const at_fleet_t *fleet, at_server_t *server);
+/* Takes a new entry; is_new if its incarnation was not known. */
+void server_cold_note_entry(
+    server_cold_t *cold, const at_server_entry_t *entry, int is_new);
+/* A server that cannot be reached may have stopped, and is cold afterwards. */
+void server_cold_note_unreachable(at_server_t *server, uint64_t now_us);
+/* Brings the limiter up to date with what has been noted. */
+void server_cold_settle(at_server_t *server, uint64_t now_us);
+/*
+ * Returns who of a group of instances may send. group_milli is what the group
+ * may send in one second, in thousandths of a request.
+ */
+server_cold_plan_t server_cold_plan(
+    uint32_t per_s_milli, uint32_t group_milli, uint32_t instances);
+
 /* server_room.c */
 /* A request is sent to the server. */
 void server_room_take(server_room_t *room, uint64_t now_us);
--- a/src/core/fleet/roster.c
+++ b/src/core/fleet/roster.c
@@ -22,6 +22,11 @@
 	uint64_t started_ms; /* this instance; 0: not stated */
 	uint64_t ends_ms;    /* its grace period; 0: it stays */
 	entry_t *table;
+	uint64_t settled_us; /* last round */
+	uint64_t heard_us;   /* others have been heard since then; 0: not yet */
+	/* Data centres of which an instance was removed while silent. */
+	at_tag_t lost[AT_ROSTER_LOST_MAX];
+	size_t lost_count;
 };
 
 at_roster_t *
@@ -135,6 +140,26 @@
 	free(entry);
 }
 
+static int
+is_lost(const at_roster_t *roster, at_tag_t data_centre)
+{
+	size_t i;
+
+	for (i = 0; i < roster->lost_count; i++) {
+		if (roster->lost[i] == data_centre)
+			return 1;
+	}
+	/* There is no room for more, so any may be. */
+	return roster->lost_count == AT_ROSTER_LOST_MAX;
+}
+
+static void
+note_lost(at_roster_t *roster, at_tag_t data_centre)
+{
+	if (!is_lost(roster, data_centre))
+		roster->lost[roster->lost_count++] = data_centre;
+}
+
 void
 at_roster_expire(at_roster_t *roster, uint64_t now_us,
     void (*on_removed)(void *ctx, const at_roster_member_t *member), void *ctx)
@@ -155,8 +180,10 @@
 		    !(member->is_leaving &&
 			now_us > since_us + AT_ROSTER_REPORT_TIMEOUT_US))
 			continue;
-		if (is_removed)
+		if (is_removed) {
+			note_lost(roster, member->data_centre);
 			on_removed(ctx, member);
+		}
 		at_roster_remove(roster, member->tag);
 	}
 }
@@ -287,6 +314,52 @@
 	return rank;
 }
 
+void
+at_roster_settle(at_roster_t *roster, uint64_t now_us)
+{
+	int has_others = at_roster_present_count(roster) > 1;
+	int hears_others = at_roster_reporting_count(roster, now_us) > 1;
+
+	/* It did not run, or hears none of the others. */
+	if (now_us > roster->settled_us + AT_ROSTER_REPORT_TIMEOUT_US ||
+	    hears_others != has_others)
+		roster->heard_us = 0;
+	if (roster->heard_us == 0 && hears_others == has_others)
+		roster->heard_us = now_us;
+	roster->settled_us = now_us;
+}
+
+int
+at_roster_rank_at(const at_roster_t *roster, at_tag_t own, at_tag_t data_centre,
+    uint64_t key, uint64_t now_us, uint32_t *rank, uint32_t *instances)
+{
+	uint64_t weight = rendezvous_weight(roster->self_tag, key);
+	int is_own = own == data_centre;
+	uint32_t home = (uint32_t)is_own;
+	uint32_t home_rank = 0;
+	const entry_t *entry;
+
+	for (entry = roster->table; entry != NULL; entry = entry->hh.next) {
+		const at_roster_member_t *member = &entry->member;
+
+		if (member->is_leaving || member->data_centre != data_centre)
+			continue;
+		home++;
+		home_rank +=
+		    (uint32_t)(rendezvous_weight(member->tag, key) > weight);
+	}
+	if (roster->heard_us == 0 ||
+	    now_us > roster->settled_us + AT_ROSTER_REPORT_TIMEOUT_US ||
+	    now_us < roster->heard_us + AT_ROSTER_REPORT_TIMEOUT_US ||
+	    (home > 0 && !is_own) ||
+	    (home == (uint32_t)is_own && is_lost(roster, data_centre)) ||
+	    !at_roster_is_in_touch(roster, is_own ? own : 0, now_us))
+		return 0;
+	*rank = is_own ? home_rank : at_roster_present_rank(roster, key);
+	*instances = is_own ? home : at_roster_present_count(roster);
+	return 1;
+}
+
 const at_roster_member_t *
 at_roster_lease_holder(const at_roster_t *roster, uint64_t now_us)
 {
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -319,6 +319,7 @@
 		decision->wait_us += decision->choice.model_servers > 0
 					 ? ADAPTER_LOAD_US
 					 : MODEL_LOAD_US;
+	decision->wait_us += decision->choice.cold_us;
 	decision->retry_after_ms = retry_after_ms(waiter, decision->wait_us);
 	if (decision->choice_result == AT_CHOICE_PAUSED)
 		decision->wait_us += decision->choice.closed_us;
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -2,6 +2,7 @@
  * Tests of the decoders of the platform's documents: configurations, and valid
  * and invalid entries of the list of backend servers.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include <criterion/criterion.h>
@@ -249,6 +250,66 @@
 		    limits[i].text == NULL ? "(none)" : limits[i].text);
 }
 
+static const struct {
+	const char *fields;
+	uint32_t start_ms;
+	uint32_t milli;
+	int is_valid;
+} cold_services[] = {{"", 0, 0, 1},
+    {",\"cold_start_s\":3,\"cold_per_s\":7", 3000, 7000, 1},
+    {",\"cold_start_s\":2.5,\"cold_per_s\":0.0001", 2500, 1, 1},
+    {",\"cold_start_s\":3,\"cold_per_s\":0", 3000, 0, 1},
+    {",\"cold_start_s\":3,\"cold_per_s\":null", 3000, 0, 1},
+    {",\"cold_per_s\":1e99", 0, 1000000000, 1}, {",\"cold_per_s\":-1", 0, 0, 0},
+    {",\"cold_per_s\":\"7\"", 0, 0, 0}};
+
+/* A rate that cannot be read would leave cold engines without a limit. */
+Test(platform, cold_times_and_rates_of_services)
+{
+	char text[128];
+	size_t i;
+
+	for (i = 0; i < sizeof(cold_services) / sizeof(cold_services[0]); i++) {
+		at_status_t status;
+		at_site_t *site;
+
+		(void)snprintf(text, sizeof(text),
+		    "{\"version\":7,\"services\":[{\"name\":\"s\"%s}]}",
+		    cold_services[i].fields);
+		site = decode(text, &status);
+		cr_assert_eq(site != NULL, cold_services[i].is_valid, "%s",
+		    cold_services[i].fields);
+		if (site == NULL)
+			continue;
+		cr_assert_eq(site->services[0]->cold_start_ms,
+		    cold_services[i].start_ms, "%s", cold_services[i].fields);
+		cr_assert_eq(site->services[0]->cold_milli,
+		    cold_services[i].milli, "%s", cold_services[i].fields);
+		at_site_unref(site);
+	}
+}
+
+static const struct {
+	const char *text;
+	int result;
+	uint32_t cold_ms;
+} colds[] = {{NULL, -1, 0}, {"", -1, 0}, {"0", 0, 0}, {"3000", 0, 3000},
+    {"0.2", 0, 1}, {"1e12", 0, UINT32_MAX}, {"-1", -1, 0}, {"cold", -1, 0}};
+
+/* What cannot be read must not count as "not cold". */
+Test(platform, cold_times_of_servers)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(colds) / sizeof(colds[0]); i++) {
+		uint32_t cold_ms = 0;
+
+		cr_assert_eq(at_server_parse_cold(colds[i].text, &cold_ms),
+		    colds[i].result);
+		cr_assert_eq(cold_ms, colds[i].cold_ms);
+	}
+}
+
 static const struct {
 	const char *text;
 	uint32_t pause_ms;
