Apply the limits of cold engines in almond-entry

The settings cold-overage and cold-tolerance enable them; without them, or without cold_per_s of the service, an instance serves as before. X-Cold-Ms is read in all responses, those of relayed attempts and of engine reports included, and passed on in the reports (field 60). An instance that passes an attempt on for another one counts it against its own part of the rate, since the other one may not know that the engine is cold. An instance that stops or reaches no server has no part. A server that cannot be reached counts as cold as after a start, until its next heartbeat states otherwise: the others see a restart in place only in the list, seconds later.

Requests with slack go to cold engines first, then short ones if a part of the rate is not used; the others go there when no other engine has a free slot.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -383,7 +383,8 @@
  * stated, as it may be older. It returns non-zero if the engine has become cold
  * or is no longer. An engine that cannot be reached, and with
  * at_fleet_note_maybe_cold() each one of a data centre, is assumed to be cold
- * as after a start, until an entry of a later heartbeat states otherwise.
+ * as after a start, until an entry of a later heartbeat states otherwise, or
+ * until at_fleet_forget_failures().
  *
  * at_server_share_cold() sets this instance's part of the rate, from the roster
  * and the data centre of the instance, and 0 if it is not sending; call it in
@@ -402,6 +403,7 @@
 	AT_COLD_ASSUMED,
 	AT_COLD_ENTRY,
 	AT_COLD_ANSWER,
+	AT_COLD_UNREACHABLE,
 	AT_COLD_SOURCE_COUNT
 } at_cold_source_t;
 
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -952,6 +952,51 @@
   assert(message->base.descriptor == &report_document__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_cold__init
+                     (ReportCold         *message)
+{
+  static const ReportCold init_value = REPORT_COLD__INIT;
+  *message = init_value;
+}
+size_t report_cold__get_packed_size
+                     (const ReportCold *message)
+{
+  assert(message->base.descriptor == &report_cold__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_cold__pack
+                     (const ReportCold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_cold__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_cold__pack_to_buffer
+                     (const ReportCold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_cold__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportCold *
+       report_cold__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportCold *)
+     protobuf_c_message_unpack (&report_cold__descriptor,
+                                allocator, len, data);
+}
+void   report_cold__free_unpacked
+                     (ReportCold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_cold__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report_instance__init
                      (ReportInstance         *message)
 {
@@ -2750,6 +2795,83 @@
   (ProtobufCMessageInit) report_document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor report_cold__field_descriptors[4] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportCold, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportCold, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportCold, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportCold, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_cold__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  2,   /* field[2] = remaining_ms */
+  0,   /* field[0] = server */
+  1,   /* field[1] = started_ms */
+};
+static const ProtobufCIntRange report_cold__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor report_cold__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportCold",
+  "ReportCold",
+  "ReportCold",
+  "",
+  sizeof(ReportCold),
+  4,
+  report_cold__field_descriptors,
+  report_cold__field_indices_by_name,
+  1,  report_cold__number_ranges,
+  (ProtobufCMessageInit) report_cold__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor report_instance__field_descriptors[3] =
 {
   {
@@ -2814,7 +2936,7 @@
   (ProtobufCMessageInit) report_instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[56] =
+static const ProtobufCFieldDescriptor report__field_descriptors[57] =
 {
   {
     "name",
@@ -3488,6 +3610,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_servers",
+    60,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_cold_servers),
+    offsetof(Report, cold_servers),
+    &report_cold__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -3497,6 +3631,7 @@
   37,   /* field[37] = brittle */
   45,   /* field[45] = changes_from */
   46,   /* field[46] = changes_to */
+  56,   /* field[56] = cold_servers */
   12,   /* field[12] = config_version */
   20,   /* field[20] = configs */
   25,   /* field[25] = crashes */
@@ -3547,11 +3682,12 @@
   22,   /* field[22] = wants_origins */
   32,   /* field[32] = wants_own_origins */
 };
-static const ProtobufCIntRange report__number_ranges[2 + 1] =
+static const ProtobufCIntRange report__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 56 }
+  { 60, 56 },
+  { 0, 57 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -3561,10 +3697,10 @@
   "Report",
   "",
   sizeof(Report),
-  56,
+  57,
   report__field_descriptors,
   report__field_indices_by_name,
-  2,  report__number_ranges,
+  3,  report__number_ranges,
   (ProtobufCMessageInit) report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -36,6 +36,7 @@
 typedef struct ReportPiece ReportPiece;
 typedef struct ReportPieceRequest ReportPieceRequest;
 typedef struct ReportDocument ReportDocument;
+typedef struct ReportCold ReportCold;
 typedef struct ReportInstance ReportInstance;
 typedef struct Report Report;
 
@@ -513,6 +514,31 @@
     , 0, 0,NULL }
 
 
+/*
+ * What a backend server has stated in an answer of its cold time.
+ */
+struct  ReportCold
+{
+  ProtobufCMessage base;
+  uint64_t server;
+  /*
+   * of the incarnation
+   */
+  uint64_t started_ms;
+  /*
+   * when the report is sent
+   */
+  uint32_t remaining_ms;
+  /*
+   * since the answer came
+   */
+  uint32_t age_ms;
+};
+#define REPORT_COLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&report_cold__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 /*
  * An instance that the sender hears of.
  */
@@ -696,6 +722,8 @@
   protobuf_c_boolean wants_instances;
   size_t n_instances;
   ReportInstance **instances;
+  size_t n_cold_servers;
+  ReportCold **cold_servers;
   /*
    * Of the sender, in a report of new origins; its gateway forwards them.
    */
@@ -703,7 +731,7 @@
 };
 #define REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* ReportLoad methods */
@@ -1105,6 +1133,25 @@
 void   report_document__free_unpacked
                      (ReportDocument *message,
                       ProtobufCAllocator *allocator);
+/* ReportCold methods */
+void   report_cold__init
+                     (ReportCold         *message);
+size_t report_cold__get_packed_size
+                     (const ReportCold   *message);
+size_t report_cold__pack
+                     (const ReportCold   *message,
+                      uint8_t             *out);
+size_t report_cold__pack_to_buffer
+                     (const ReportCold   *message,
+                      ProtobufCBuffer     *buffer);
+ReportCold *
+       report_cold__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   report_cold__free_unpacked
+                     (ReportCold *message,
+                      ProtobufCAllocator *allocator);
 /* ReportInstance methods */
 void   report_instance__init
                      (ReportInstance         *message);
@@ -1208,6 +1255,9 @@
 typedef void (*ReportDocument_Closure)
                  (const ReportDocument *message,
                   void *closure_data);
+typedef void (*ReportCold_Closure)
+                 (const ReportCold *message,
+                  void *closure_data);
 typedef void (*ReportInstance_Closure)
                  (const ReportInstance *message,
                   void *closure_data);
@@ -1241,6 +1291,7 @@
 extern const ProtobufCMessageDescriptor report_piece__descriptor;
 extern const ProtobufCMessageDescriptor report_piece_request__descriptor;
 extern const ProtobufCMessageDescriptor report_document__descriptor;
+extern const ProtobufCMessageDescriptor report_cold__descriptor;
 extern const ProtobufCMessageDescriptor report_instance__descriptor;
 extern const ProtobufCMessageDescriptor report__descriptor;
 
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -263,8 +263,10 @@
 
 /*
  * Requests with slack lose least where a cold engine is slow, so they go there
- * before any other engine; other requests go there only if no other engine has
- * a free slot. A stream that goes on pauses for its caller if it is slow.
+ * before any other engine. If there are too few of them for this instance's
+ * part of the rate, short ones follow, whose own time is the least. Others go
+ * there only if no other engine has a free slot. A stream that goes on pauses
+ * for its caller if the engine is slow.
  */
 typedef enum preference {
 	PREFERENCE_FIRST,
@@ -273,12 +275,19 @@
 } preference_t;
 
 static preference_t
-preference_of(const at_server_t *server, const at_work_t *work, uint64_t now_us)
+preference_of(const at_fleet_t *fleet, const at_server_t *server,
+    const at_work_t *work, uint64_t now_us)
 {
+	double tokens = (double)work->prompt_tokens + work->output_tokens;
+
 	if (now_us >= server->limit.cold_until_us)
 		return PREFERENCE_USUAL;
-	return work->has_slack && !work->is_resumption ? PREFERENCE_FIRST
-						       : PREFERENCE_LAST;
+	if (work->is_resumption)
+		return PREFERENCE_LAST;
+	return work->has_slack || (server_limit_is_unused(&server->limit) &&
+				      tokens <= fleet->mean_tokens)
+		   ? PREFERENCE_FIRST
+		   : PREFERENCE_LAST;
 }
 
 /* A server with free slots. */
@@ -383,7 +392,8 @@
 			: free_slots_now(server, service, work, &load);
 		if (candidate.free_slots == 0)
 			continue;
-		candidate.preference = preference_of(server, work, now_us);
+		candidate.preference =
+		    preference_of(fleet, server, work, now_us);
 		/* A part of the rate covers one request at a time. */
 		if (candidate.preference != PREFERENCE_USUAL)
 			candidate.free_slots = 1;
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -4,6 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Weight of a request in the mean of its tokens: about the last hundred. */
+#define MEAN_TOKENS_WEIGHT 0.01
+
 const char *const at_choice_result_names[] = {
     "server", "full", "absent", "nobody", "limited", "paused"};
 
@@ -308,11 +311,21 @@
 	server_health_note_time(&server->health, predicted_us, observed_us);
 }
 
+static void
+note_tokens(at_fleet_t *fleet, double tokens)
+{
+	if (fleet->mean_tokens == 0.)
+		fleet->mean_tokens = tokens;
+	fleet->mean_tokens +=
+	    (tokens - fleet->mean_tokens) * MEAN_TOKENS_WEIGHT;
+}
+
 void
 at_fleet_note_ended(at_fleet_t *fleet, at_server_t *server,
     const at_work_t *work, int had_first_event, at_server_outcome_t outcome,
     uint64_t now_us)
 {
+	note_tokens(fleet, (double)kv_tokens_of(work));
 	server->references--;
 	server->own_load.active--;
 	server->own_load.kv_tokens -= kv_tokens_of(work);
@@ -573,7 +586,8 @@
 	if (server == NULL)
 		return;
 	server_health_apply_unreachable(&server->health, now_us);
-	server_cold_note_unreachable(server, now_us);
+	if (!at_server_is_available(server, now_us))
+		server_cold_note_unreachable(server, now_us);
 }
 
 void
@@ -581,8 +595,11 @@
 {
 	at_server_t *server;
 
-	for (server = fleet->servers; server != NULL; server = server->hh.next)
+	for (server = fleet->servers; server != NULL;
+	     server = server->hh.next) {
 		server_health_forget_failures(&server->health);
+		server_cold_forget_unreachable(&server->cold);
+	}
 }
 
 int
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -33,6 +33,8 @@
 	uint64_t received_us; /* when it last did, or named none any more */
 	uint32_t share_milli; /* this instance's part of it */
 	uint64_t level_micro; /* saved up, in millionths of a request */
+	/* What could not be saved up beside that since the last request. */
+	uint64_t unused_micro;
 	uint64_t filled_us;
 	/* While the engine is cold, this part counts instead of the other. */
 	uint64_t cold_until_us; /* 0: it is not cold, or takes any rate */
@@ -48,7 +50,8 @@
 	uint32_t group_milli; /* that instances which agree may send in 1 s */
 	at_cold_source_t source;
 	uint64_t until_us;
-	uint64_t noted_us;  /* when until_us was set */
+	uint64_t unreachable_until_us; /* it may have stopped; 0: no */
+	uint64_t noted_us;             /* when one of these was set */
 	uint64_t stated_us; /* newest answer to this instance; 0: none */
 	/* What an answer to any instance has stated, and when it came. */
 	uint64_t answer_until_us;
@@ -145,6 +148,7 @@
 	peer_report_t *reports;
 	fleet_brittle_t brittle[AT_BRITTLE_SERVICES_MAX];
 	size_t brittle_count;
+	double mean_tokens; /* of recent requests */
 	int has_cold_bound;
 	double cold_overage;
 	double cold_tolerance;
@@ -200,6 +204,8 @@
 /* Returns non-zero if a request may be sent; take() counts one. */
 int server_limit_allows(server_limit_t *limit, uint64_t now_us);
 void server_limit_take(server_limit_t *limit, uint64_t now_us);
+/* Returns whether one more request could have been sent since the last one. */
+int server_limit_is_unused(const server_limit_t *limit);
 /* Returns the time until a request may be sent, as of the last call. */
 uint64_t server_limit_wait_us(const server_limit_t *limit);
 
@@ -220,6 +226,8 @@
     server_cold_t *cold, const at_server_entry_t *entry, int is_new);
 /* A server that cannot be reached may have stopped, and is cold afterwards. */
 void server_cold_note_unreachable(at_server_t *server, uint64_t now_us);
+/* This instance did not reach it for reasons of its own. */
+void server_cold_forget_unreachable(server_cold_t *cold);
 /* Brings the limiter up to date with what has been noted. */
 void server_cold_settle(at_server_t *server, uint64_t now_us);
 /*
--- a/src/core/fleet/server_cold.c
+++ b/src/core/fleet/server_cold.c
@@ -45,7 +45,7 @@
 #define CLOCK_SKEW_MAX_MS 6000u
 
 const char *const at_cold_source_names[] = {
-    "none", "start", "assumed", "entry", "answer"};
+    "none", "start", "assumed", "entry", "answer", "unreachable"};
 
 /* Returns what a group may send in a second, in thousandths of a request. */
 static uint32_t
@@ -154,6 +154,7 @@
 	    (cold->pending_source == AT_COLD_START && !cold->has_service))
 		return;
 	cold->has_pending = 0;
+	cold->unreachable_until_us = 0;
 	until_us = now_us + (uint64_t)pending_ms(cold) * US_PER_MS;
 	/* An entry may be older than an answer that came before it. */
 	if (until_us <= cold->answer_until_us)
@@ -162,6 +163,14 @@
 		set_until(cold, cold->pending_source, until_us, now_us);
 }
 
+static uint64_t
+cold_until_us(const server_cold_t *cold)
+{
+	return cold->until_us > cold->unreachable_until_us
+		   ? cold->until_us
+		   : cold->unreachable_until_us;
+}
+
 void
 server_cold_settle(at_server_t *server, uint64_t now_us)
 {
@@ -169,7 +178,7 @@
 	uint64_t until_us;
 
 	take_pending(cold, now_us);
-	until_us = cold->per_s_milli == 0 ? 0 : cold->until_us;
+	until_us = cold->per_s_milli == 0 ? 0 : cold_until_us(cold);
 	if (until_us != server->limit.cold_until_us)
 		server_limit_set_cold(&server->limit, until_us, now_us);
 }
@@ -180,10 +189,11 @@
     at_server_t *server, uint64_t until_us, uint64_t stated_us, uint64_t now_us)
 {
 	server_cold_t *cold = &server->cold;
-	int was_cold = now_us < cold->until_us;
+	int was_cold = now_us < cold_until_us(cold);
 
 	cold->answer_until_us = until_us;
 	cold->answer_us = stated_us;
+	cold->unreachable_until_us = 0;
 	set_until(cold, AT_COLD_ANSWER, until_us, now_us);
 	server_cold_settle(server, now_us);
 	return was_cold != (now_us < until_us);
@@ -201,7 +211,7 @@
 	cold->stated_us = stated_us;
 	/* What has been noted since the request was sent is newer. */
 	if (remaining_ms == 0 &&
-	    (now_us >= cold->until_us || stated_us <= cold->noted_us))
+	    (now_us >= cold_until_us(cold) || stated_us <= cold->noted_us))
 		return 0;
 	return set_answer(server,
 	    stated_us + (uint64_t)remaining_ms * US_PER_MS, stated_us, now_us);
@@ -210,8 +220,19 @@
 void
 server_cold_note_unreachable(at_server_t *server, uint64_t now_us)
 {
+	server_cold_t *cold = &server->cold;
+
 	server_cold_settle(server, now_us);
-	assume(&server->cold, now_us);
+	cold->unreachable_until_us =
+	    now_us + (uint64_t)cold->start_ms * US_PER_MS;
+	cold->noted_us = now_us;
+	server_cold_settle(server, now_us);
+}
+
+void
+server_cold_forget_unreachable(server_cold_t *cold)
+{
+	cold->unreachable_until_us = 0;
 }
 
 void
@@ -272,7 +293,9 @@
 at_cold_source_t
 at_server_cold_source(const at_server_t *server)
 {
-	return server->cold.source;
+	return server->cold.unreachable_until_us > server->cold.until_us
+		   ? AT_COLD_UNREACHABLE
+		   : server->cold.source;
 }
 
 uint32_t
@@ -352,7 +375,7 @@
 		return 0;
 	server_cold_settle(server, now_us);
 	if (report->stated_us <= server->cold.stated_us ||
-	    until_us <= server->cold.until_us + REPORT_AGE_MAX_US)
+	    until_us <= cold_until_us(&server->cold) + REPORT_AGE_MAX_US)
 		return 0;
 	return set_answer(server, until_us, report->stated_us, now_us);
 }
--- a/src/core/fleet/server_limit.c
+++ b/src/core/fleet/server_limit.c
@@ -90,8 +90,11 @@
 	added += between(since_us, now_us) * limit->share_milli / MILLI;
 	limit->filled_us = now_us;
 	limit->level_micro += added;
-	if (limit->level_micro > REQUEST_MICRO)
-		limit->level_micro = REQUEST_MICRO;
+	if (limit->level_micro <= REQUEST_MICRO)
+		return;
+	limit->unused_micro = min_u64(REQUEST_MICRO,
+	    limit->unused_micro + limit->level_micro - REQUEST_MICRO);
+	limit->level_micro = REQUEST_MICRO;
 }
 
 static int
@@ -118,6 +121,7 @@
 		return;
 	/* Nothing that was saved up before it became cold may be used. */
 	limit->level_micro = 0;
+	limit->unused_micro = 0;
 	limit->filled_us = now_us;
 	limit->cold_share_milli = 0;
 }
@@ -154,11 +158,18 @@
 	if (limit->rate_milli == 0 && !is_cold(limit, now_us))
 		return;
 	fill(limit, now_us);
+	limit->unused_micro = 0;
 	limit->level_micro = limit->level_micro > REQUEST_MICRO
 				 ? limit->level_micro - REQUEST_MICRO
 				 : 0;
 }
 
+int
+server_limit_is_unused(const server_limit_t *limit)
+{
+	return limit->unused_micro >= REQUEST_MICRO;
+}
+
 uint64_t
 server_limit_wait_us(const server_limit_t *limit)
 {
--- a/src/entry/base/entry_settings.c
+++ b/src/entry/base/entry_settings.c
@@ -66,6 +66,14 @@
 	    {"retry-slack", "ALMONDTHREAD_RETRY_SLACK", AT_SETTING_NUMBER,
 		&s->retry_slack, "20", 0, 1000000,
 		"retries that all instances may send in addition"},
+	    {"cold-overage", "ALMONDTHREAD_COLD_OVERAGE", AT_SETTING_DECIMAL,
+		&s->cold_overage, "1e9", 0, 0,
+		"part of the rate of a cold engine that all instances may "
+		"send in a second; empty: cold engines are not limited"},
+	    {"cold-tolerance", "ALMONDTHREAD_COLD_TOLERANCE",
+		AT_SETTING_DECIMAL, &s->cold_tolerance, "1e9", 0, 0,
+		"requests that they may send in addition; empty: cold engines "
+		"are not limited"},
 	};
 	size_t count = sizeof(table) / sizeof(table[0]);
 
--- a/src/entry/base/entry_settings.h
+++ b/src/entry/base/entry_settings.h
@@ -32,6 +32,10 @@
 	uint32_t config_apply_ms;
 	double retry_ratio;   /* part of requests that may be retried */
 	uint32_t retry_slack; /* retries in addition, over all instances */
+	/* In a second all instances send a cold engine at most its rate x
+	 * cold_overage + cold_tolerance requests. */
+	double cold_overage;
+	double cold_tolerance;
 } at_entry_settings_t;
 
 /*
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -73,6 +73,16 @@
 	at_calls_apply_verdicts(entry->calls);
 }
 
+/* A leaving instance, or one that reaches no server, leaves it to others. */
+static int
+is_sending(void *ctx)
+{
+	const at_entry_t *entry = ctx;
+
+	return entry->state < AT_ENTRY_DRAINING &&
+	       at_reach_io_is_up(entry->reach);
+}
+
 /* Creates what sees to the backend servers; returns -1 if out of memory. */
 static int
 create_servers(at_entry_t *entry)
@@ -82,7 +92,10 @@
 	    .fleet = entry->fleet,
 	    .roster = entry->roster,
 	    .gossip = entry->gossip,
-	    .site = &entry->site};
+	    .site = &entry->site,
+	    .identity = &entry->identity,
+	    .is_sending = is_sending,
+	    .ctx = entry};
 	const at_reach_io_deps_t reach_deps = {.loop = entry->loop,
 	    .counters = entry->counters,
 	    .fleet = entry->fleet,
@@ -354,6 +367,8 @@
 	    {"open_requests", at_calls_count(entry->calls)},
 	    {"waiting_requests", at_wait_queue_count(entry->queue)},
 	    {"backend_servers", at_fleet_count(entry->fleet)},
+	    {"cold_servers",
+		at_fleet_count_cold(entry->fleet, at_clock_now_us())},
 	    {"copies_age_ms", at_sync_age_ms(entry->sync)},
 	    {"config_version", entry->site == NULL ? 0 : entry->site->version},
 	};
@@ -443,6 +458,8 @@
 	    entry->quota == NULL || entry->retries == NULL ||
 	    entry->roster == NULL || entry->origins == NULL)
 		return -1;
+	at_fleet_set_cold_bound(
+	    entry->fleet, s->cold_overage, s->cold_tolerance);
 	at_roster_set_started(entry->roster, entry->identity.started_ms);
 	entry->store = at_wire_store_port(entry->wire_store);
 	at_wire_store_set_counters(entry->wire_store, entry->counters);
--- a/src/entry/orders/orders_impl.h
+++ b/src/entry/orders/orders_impl.h
@@ -45,6 +45,7 @@
 	uint64_t order_started_us;
 	uint64_t report_due_us;    /* when its report is fetched next */
 	int report_pending;        /* a report is being fetched */
+	uint64_t report_sent_us;   /* when its fetch began */
 	uint64_t adapter_ready_us; /* expected end of a load; 0: none */
 	at_name_t ready_model;     /* model of the adapter being loaded */
 	at_name_t ready_adapter;   /* adapter being loaded */
--- a/src/entry/orders/orders_send.c
+++ b/src/entry/orders/orders_send.c
@@ -248,6 +248,9 @@
 	engine->report_pending = 0;
 	if (server == NULL)
 		return;
+	if (report != NULL && report->has_cold)
+		at_server_notices_cold(engine->orders->deps.notices, server,
+		    report->cold_ms, engine->report_sent_us);
 	if (report != NULL && report->is_leaving)
 		at_server_notices_leaving(engine->orders->deps.notices, server);
 	if (engine->state == ENGINE_IDLE)
@@ -277,4 +280,5 @@
 	if (at_engine_report_fetch(deps->httpc, at_server_entry(server),
 		on_engine_report, engine) == 0)
 		engine->report_pending = 1;
+	engine->report_sent_us = at_clock_now_us();
 }
--- a/src/entry/servers/relay.c
+++ b/src/entry/servers/relay.c
@@ -105,6 +105,9 @@
 	    deps->notices, server, response->limit_milli, relayed->started_us);
 	at_server_notices_brittle(deps->notices, server, response->is_brittle,
 	    0, relayed->started_us);
+	if (response->has_cold)
+		at_server_notices_cold(deps->notices, server, response->cold_ms,
+		    relayed->started_us);
 	if (response->is_leaving)
 		at_server_notices_leaving(deps->notices, server);
 	if (response->pause_ms != 0)
@@ -270,6 +273,20 @@
 	    relay->count >= AT_ROSTER_RELAYED_MAX || server == NULL ||
 	    !at_server_accepts_relayed(server, at_clock_now_us()))
 		return NULL;
+	/* A probe only connects. */
+	if (!call->is_probe &&
+	    !at_server_take_relayed(server, at_clock_now_us())) {
+		at_counters_add(
+		    deps->counters, "cold_relays_refused_total", NULL, NULL, 1);
+		at_log(AT_LOG_INFO, "relay", call->request_id,
+		    "attempt not passed on; the engine is cold server=%s "
+		    "remaining_ms=%u own_requests_per_s=%u.%03u",
+		    call->server_id,
+		    at_server_cold_ms(server, at_clock_now_us()),
+		    at_server_cold_share_milli(server) / 1000u,
+		    at_server_cold_share_milli(server) % 1000u);
+		return NULL;
+	}
 	return server;
 }
 
--- a/src/entry/servers/server_notices.c
+++ b/src/entry/servers/server_notices.c
@@ -104,6 +104,45 @@
 	at_gossip_send_soon(notices->deps.gossip);
 }
 
+/* Logs a change of what is assumed of a server, whatever it came from. */
+static void
+follow_cold(at_server_notices_t *notices, at_server_t *server, uint64_t now_us)
+{
+	int is_cold = at_server_is_cold(server, now_us);
+	int was_cold = at_server_mark_cold(server, is_cold);
+
+	if (is_cold)
+		at_server_share_cold(server, notices->deps.roster,
+		    notices->deps.identity->data_centre,
+		    notices->deps.is_sending(notices->deps.ctx), now_us);
+	if (is_cold == was_cold)
+		return;
+	at_counters_add(
+	    notices->deps.counters, "cold_changes_total", NULL, NULL, 1);
+	at_log(AT_LOG_INFO, "fleet", NULL,
+	    "engine cold=%d server=%s source=%s remaining_ms=%u "
+	    "own_requests_per_s=%u.%03u",
+	    is_cold, at_server_entry(server)->id.text,
+	    at_cold_source_names[at_server_cold_source(server)],
+	    at_server_cold_ms(server, now_us),
+	    at_server_cold_share_milli(server) / 1000u,
+	    at_server_cold_share_milli(server) % 1000u);
+}
+
+void
+at_server_notices_cold(at_server_notices_t *notices, at_server_t *server,
+    uint32_t cold_ms, uint64_t sent_us)
+{
+	uint64_t now_us = at_clock_now_us();
+
+	if (!at_server_note_cold(
+		server, cold_ms, cold_ms == 0 ? sent_us : now_us, now_us))
+		return;
+	follow_cold(notices, server, now_us);
+	if (at_server_is_cold(server, now_us))
+		at_gossip_send_soon(notices->deps.gossip);
+}
+
 static void
 share_room(const at_server_notices_t *notices, at_tag_t service)
 {
@@ -155,7 +194,7 @@
 }
 
 typedef struct round_context {
-	const at_server_notices_t *notices;
+	at_server_notices_t *notices;
 	uint64_t now_us;
 } round_context_t;
 
@@ -166,6 +205,7 @@
 
 	if (at_server_limit_milli(server) != 0)
 		set_share(round->notices, server, round->now_us);
+	follow_cold(round->notices, server, round->now_us);
 }
 
 /* Follows changes of the instances. */
@@ -178,6 +218,7 @@
 	size_t i;
 
 	(void)is_direct_due;
+	at_roster_settle(notices->deps.roster, now_us);
 	at_fleet_each(notices->deps.fleet, update_share, &round);
 	at_fleet_expire_brittle(notices->deps.fleet, now_us);
 	for (i = 0; site != NULL && i < site->service_count; i++) {
@@ -230,6 +271,30 @@
 	report->limits = list;
 }
 
+static void
+fill_cold(const at_server_notices_t *notices, Report *report)
+{
+	static ReportCold messages[AT_COLD_REPORTS_MAX];
+	static ReportCold *list[AT_COLD_REPORTS_MAX];
+	static at_cold_report_t entries[AT_COLD_REPORTS_MAX];
+	uint64_t now_us = at_clock_now_us();
+	size_t count = at_fleet_fill_cold(
+	    notices->deps.fleet, entries, AT_COLD_REPORTS_MAX, now_us);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		report_cold__init(&messages[i]);
+		messages[i].server = entries[i].server;
+		messages[i].started_ms = entries[i].started_ms;
+		messages[i].remaining_ms = entries[i].remaining_ms;
+		messages[i].age_ms =
+		    (uint32_t)((now_us - entries[i].stated_us) / US_PER_MS);
+		list[i] = &messages[i];
+	}
+	report->n_cold_servers = count;
+	report->cold_servers = list;
+}
+
 /* Brittle servers are reported once a second and after a change. */
 static void
 fill_brittle(at_server_notices_t *notices, Report *report)
@@ -270,6 +335,7 @@
 		return;
 	fill_leaving(notices, report);
 	fill_limits(notices, report);
+	fill_cold(notices, report);
 	if (kind == AT_REPORT_HEADER || (kind == AT_REPORT_COMMON && is_to_all))
 		fill_brittle(notices, report);
 }
@@ -310,6 +376,26 @@
 	}
 }
 
+static void
+apply_cold(at_server_notices_t *notices, const Report *report)
+{
+	uint64_t now_us = at_clock_now_us();
+	size_t i;
+
+	for (i = 0; i < report->n_cold_servers; i++) {
+		const ReportCold *message = report->cold_servers[i];
+		uint64_t age_us = (uint64_t)message->age_ms * US_PER_MS;
+		const at_cold_report_t entry = {message->server,
+		    message->started_ms, message->remaining_ms,
+		    age_us < now_us ? now_us - age_us : 0};
+
+		if (at_fleet_apply_cold(notices->deps.fleet, &entry, now_us))
+			follow_cold(notices,
+			    at_fleet_find(notices->deps.fleet, message->server),
+			    now_us);
+	}
+}
+
 static void
 apply_brittle(at_server_notices_t *notices, const ReportBrittle *message)
 {
@@ -342,6 +428,7 @@
 	for (i = 0; i < report->n_leaving_servers; i++)
 		apply_leaving(notices, report->leaving_servers[i]);
 	apply_limits(notices, report);
+	apply_cold(notices, report);
 }
 
 at_report_section_t
@@ -359,12 +446,19 @@
 	at_server_notices_t *notices = ctx;
 	const at_server_response_t *response = event->response;
 
+	if (event->kind == AT_ATTEMPT_EVENT_SENT &&
+	    at_server_is_cold(event->server, event->sent_us))
+		at_counters_add(notices->deps.counters, "cold_requests_total",
+		    NULL, NULL, 1);
 	if (event->kind != AT_ATTEMPT_EVENT_STATED)
 		return;
 	at_server_notices_limit(
 	    notices, event->server, response->limit_milli, event->sent_us);
 	at_server_notices_brittle(notices, event->server, response->is_brittle,
 	    response->is_rejected, event->sent_us);
+	if (response->has_cold)
+		at_server_notices_cold(
+		    notices, event->server, response->cold_ms, event->sent_us);
 	if (response->is_leaving)
 		at_server_notices_leaving(notices, event->server);
 }
--- a/src/entry/servers/server_notices.h
+++ b/src/entry/servers/server_notices.h
@@ -18,6 +18,10 @@
 	at_roster_t *roster;
 	at_gossip_t *gossip;
 	at_site_t *const *site; /* points to NULL before the first one */
+	const at_identity_t *identity;
+	/* Whether this instance sends requests to servers itself. */
+	int (*is_sending)(void *ctx);
+	void *ctx;
 } at_server_notices_deps_t;
 
 /* at_server_notices_new() returns NULL if out of memory. */
@@ -42,6 +46,12 @@
  */
 void at_server_notices_brittle(at_server_notices_t *notices,
     at_server_t *server, int is_brittle, int is_rejected, uint64_t sent_us);
+/*
+ * at_server_notices_cold() takes that an answer to a request that was sent at
+ * sent_us states the remaining cold time of the server, 0 for none.
+ */
+void at_server_notices_cold(at_server_notices_t *notices, at_server_t *server,
+    uint32_t cold_ms, uint64_t sent_us);
 /* at_server_notices_section() returns their section of the reports. */
 at_report_section_t at_server_notices_section(at_server_notices_t *notices);
 /* at_server_notices_observer() takes what responses to attempts state. */
--- a/src/entry/store/sync_watch.c
+++ b/src/entry/store/sync_watch.c
@@ -75,10 +75,12 @@
 {
 	watcher_t *watcher = ctx;
 	at_fleet_t *fleet = watcher->sync->deps.fleet;
+	at_clock_t wall = at_clock_wall();
 	at_server_entry_t server;
 	const char *fault =
 	    at_server_decode(object->name, object->text, object->len, &server);
 
+	server.listed_ms = wall.now_ms(wall.impl);
 	if (watcher->sync->is_reader)
 		sync_send_server(watcher->sync, object->name, object->version,
 		    object->text, object->len,
--- a/src/standin/common.c
+++ b/src/standin/common.c
@@ -20,7 +20,7 @@
     FAULT(lose_orders), FAULT(late_orders_ms), FAULT(silent_old),
     FAULT(crash_part), FAULT(limit_milli), FAULT(work_ms), FAULT(room),
     FAULT(brittle), FAULT(leaving), FAULT(pause_reply_ms),
-    FAULT(repeat_refusal)};
+    FAULT(repeat_refusal), FAULT(cold_max)};
 
 void
 standin_faults_update(standin_faults_t *faults, json_t *object)
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -59,6 +59,8 @@
 	uint32_t room;         /* server: open requests; 0: no bound */
 	/* Server: it states this, and crashes after more rejections in 1 s. */
 	uint32_t brittle;
+	/* Server: it crashes after more requests in 1 s while it is cold. */
+	uint32_t cold_max;
 	uint32_t break_whole;    /* engine, count: cut buffered responses */
 	uint32_t shorten;        /* engine, count: valid end, bytes missing */
 	uint32_t crossed;        /* engine, server, count: wrong request ID */
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -135,6 +135,11 @@
 	    ENTRY_FIXTURE_HOST, routes, sizeof(routes) / sizeof(routes[0]),
 	    "studio", with_key ? ENTRY_FIXTURE_KEY : "another-key");
 	add_further_routes(config, fixture->further_routes);
+	if (fixture->cold_per_s != 0)
+		(void)json_object_update_new(
+		    json_array_get(json_object_get(config, "services"), 1),
+		    json_pack("{s:f,s:i}", "cold_start_s", 3., "cold_per_s",
+			(int)fixture->cold_per_s));
 	standin_store_put(
 	    fixture->store, WIRE_KIND_CONFIG, WIRE_CONFIG_NAME, config);
 }
@@ -146,14 +151,18 @@
 	char address[AT_ADDR_SIZE];
 	const char *id = fixture->ids[server];
 	const char *model = strchr(id, '-');
+	json_t *spec;
 
 	(void)snprintf(address, sizeof(address), "127.0.0.1:%u",
 	    standin_server_port(fixture->servers[server]));
-	standin_store_put(fixture->store, WIRE_KIND_SERVERS, id,
-	    standin_server_spec(model == NULL ? "plain" : "llm", address,
-		"north", fixture->versions[server],
-		model == NULL ? NULL : model + 1, leaving,
-		++heartbeat_sequence));
+	spec = standin_server_spec(model == NULL ? "plain" : "llm", address,
+	    "north", fixture->versions[server],
+	    model == NULL ? NULL : model + 1, leaving, ++heartbeat_sequence);
+	if (fixture->cold_per_s != 0)
+		json_object_set_new(spec, "cold_remaining_ms",
+		    json_integer((json_int_t)standin_server_cold_ms(
+			fixture->servers[server])));
+	standin_store_put(fixture->store, WIRE_KIND_SERVERS, id, spec);
 }
 
 /*
@@ -339,7 +348,9 @@
 	    .stop_grace_s = 8,
 	    .lease_ms = 3000,
 	    .retry_ratio = 0.2,
-	    .retry_slack = 100};
+	    .retry_slack = 100,
+	    .cold_overage = fixture->cold_per_s == 0 ? 1e9 : 1.5,
+	    .cold_tolerance = fixture->cold_per_s == 0 ? 1e9 : 5.};
 	at_status_t status;
 
 	(void)snprintf(
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -39,6 +39,11 @@
 	size_t entry_count;
 	uint64_t config_version;
 	size_t further_routes;
+	/*
+	 * Not 0: what the engines take a second while they are cold, and the
+	 * instances added from now on keep to it.
+	 */
+	uint32_t cold_per_s;
 	/* Called with the index of each instance that is added, or NULL. */
 	void (*on_entry_created)(void *ctx, size_t entry);
 	void *on_entry_created_ctx;
--- a/tests/unit/test_cold_engines.c
+++ b/tests/unit/test_cold_engines.c
@@ -75,7 +75,9 @@
 	OLD_ANSWER,
 	MAYBE_COLD,
 	REPORT,
-	BORN
+	BORN,
+	UNREACHABLE,
+	REACHED_NONE
 };
 typedef struct note {
 	int kind; /* NOTHING: an entry only */
@@ -111,6 +113,9 @@
     {"a report of another instance", 0, 0, {{REPORT, 500, 1000}}, 1500},
     {"a report that is passed on and ages", 0, 0,
 	{{REPORT, 500, 1000}, {REPORT, 1400, 200}}, 1500},
+    {"no connection", 0, 0, {{UNREACHABLE, 500, 0}}, 500 + COLD_MS},
+    {"no connection for reasons of this instance", 0, 0,
+	{{UNREACHABLE, 500, 0}, {REACHED_NONE, 900, 0}}, 900},
     {"a new incarnation", 0, 0, {{BORN, 500, -1}}, 500 + COLD_MS},
 };
 
@@ -129,6 +134,10 @@
 		    note->kind == ANSWER ? now_us : now_us - 300u * MS, now_us);
 	else if (note->kind == MAYBE_COLD)
 		at_fleet_note_maybe_cold(fleet, entry->data_centre, now_us);
+	else if (note->kind == UNREACHABLE)
+		at_fleet_apply_unreachable(fleet, entry->tag, now_us);
+	else if (note->kind == REACHED_NONE)
+		at_fleet_forget_failures(fleet);
 	else if (note->kind == REPORT)
 		(void)at_fleet_apply_cold(fleet, &report, now_us);
 	else {
@@ -208,13 +217,10 @@
 }
 
 static at_choice_result_t
-choose(at_fleet_t *fleet, int has_slack, int is_resumption, uint64_t now_us,
-    at_choice_t *choice)
+choose(at_fleet_t *fleet, uint64_t now_us, at_choice_t *choice)
 {
-	const at_work_t work = {.service = at_tag_from_text("llm"),
-	    .model = at_tag_from_text("m"),
-	    .has_slack = has_slack,
-	    .is_resumption = is_resumption};
+	const at_work_t work = {
+	    .service = at_tag_from_text("llm"), .model = at_tag_from_text("m")};
 
 	return at_fleet_choose(fleet, &work, now_us, choice);
 }
@@ -259,7 +265,7 @@
 			    at_tag_from_text(parts[i].data_centre),
 			    parts[i].is_sending, now_us);
 		}
-		cr_assert_eq(choose(fleet, 0, 0, (uint64_t)parts[i].at_ms * MS,
+		cr_assert_eq(choose(fleet, (uint64_t)parts[i].at_ms * MS,
 				 &choice) == AT_CHOICE_SERVER,
 		    parts[i].may_send, "%s", parts[i].name);
 		cr_assert_eq(choice.cold_us == 0, parts[i].may_send, "%s",
@@ -302,7 +308,7 @@
 		/* Both paths compete for the same rate. */
 		if (is_relayed && at_server_take_relayed(server, now_us))
 			count++;
-		if (choose(fleet, 0, 0, now_us, &choice) != AT_CHOICE_SERVER)
+		if (choose(fleet, now_us, &choice) != AT_CHOICE_SERVER)
 			continue;
 		count++;
 		at_server_note_sent(server, &work, now_us);
@@ -367,19 +373,25 @@
 	int has_slack;
 	int is_resumption;
 	int is_warm_full;
-	at_tag_t engine; /* 1 is cold, 2 is warm */
+	uint32_t tokens;
+	uint32_t after_ms; /* the part of the rate is one request in 165 ms */
+	at_tag_t engine;   /* 1 is cold, 2 is warm */
 } preferences[] = {
-    {"slack", 1, 0, 0, 1},
-    {"urgent", 0, 0, 0, 2},
-    {"urgent, no other engine", 0, 0, 1, 1},
-    {"a stream that goes on", 1, 1, 0, 2},
-    {"a stream that goes on, no other engine", 1, 1, 1, 1},
+    {"slack", 1, 0, 0, 200, 250, 1},
+    {"slack, the rate is used up", 1, 0, 0, 200, 100, 2},
+    {"urgent", 0, 0, 0, 50, 250, 2},
+    {"urgent, no other engine", 0, 0, 1, 50, 250, 1},
+    {"urgent and short, the rate is not used", 0, 0, 0, 50, 400, 1},
+    {"urgent and long, the rate is not used", 0, 0, 0, 200, 400, 2},
+    {"a stream that goes on", 1, 1, 0, 50, 400, 2},
+    {"a stream that goes on, no other engine", 1, 1, 1, 50, 400, 1},
 };
 
 /* Urgent requests would have been slow while other engines were free. */
 Test(cold_engines, requests_that_lose_least_go_there)
 {
-	const at_work_t work = {.model = at_tag_from_text("m")};
+	at_work_t usual = {
+	    .model = at_tag_from_text("m"), .prompt_tokens = 100};
 	size_t i;
 	uint32_t n;
 
@@ -387,19 +399,29 @@
 		at_fleet_t *fleet = make_fleet("north", 1, COLD_PER_S);
 		at_server_entry_t cold = make_entry(0);
 		at_server_entry_t warm = make_entry(1);
+		at_work_t work = {.service = at_tag_from_text("llm"),
+		    .model = at_tag_from_text("m"),
+		    .has_slack = preferences[i].has_slack,
+		    .is_resumption = preferences[i].is_resumption,
+		    .prompt_tokens = preferences[i].tokens};
 		at_server_t *server;
 		at_choice_t choice;
 
 		cold.warmup_ms = 3000;
 		(void)at_fleet_update_server(fleet, &cold);
 		server = at_fleet_update_server(fleet, &warm);
+		for (n = 0; n < 500; n++) {
+			at_server_note_sent(server, &usual, 9000u * MS);
+			at_fleet_note_ended(fleet, server, &usual, 0,
+			    AT_OUTCOME_SUCCESS, 9000u * MS);
+		}
 		for (n = 0; n < SLOTS && preferences[i].is_warm_full; n++)
-			at_server_note_sent(server, &work, 10000u * MS);
+			at_server_note_sent(server, &usual, 10000u * MS);
 		(void)keep_share(fleet, 10000u * MS);
 		cr_assert_eq(
-		    choose(fleet, preferences[i].has_slack,
-			preferences[i].is_resumption, 10500u * MS, &choice),
-		    AT_CHOICE_SERVER);
+		    at_fleet_choose(fleet, &work,
+			(10000u + preferences[i].after_ms) * MS, &choice),
+		    AT_CHOICE_SERVER, "%s", preferences[i].name);
 		cr_assert_eq(at_server_entry(choice.server)->tag,
 		    preferences[i].engine, "%s", preferences[i].name);
 		at_fleet_delete(fleet);
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -68,7 +68,11 @@
     {"processor-share", DECIMAL(processor_share), "inf", -1},
     {"link-mbps", DECIMAL(link_mbps), "1000.0", 1000},
     {"link-mbps", DECIMAL(link_mbps), "1e3", 1000},
-    {"link-mbps", DECIMAL(link_mbps), "", 1000}};
+    {"link-mbps", DECIMAL(link_mbps), "", 1000},
+    {"cold-overage", DECIMAL(cold_overage), "1.5", 1.5},
+    {"cold-overage", DECIMAL(cold_overage), "", 1e9},
+    {"cold-tolerance", DECIMAL(cold_tolerance), "5", 5},
+    {"cold-tolerance", DECIMAL(cold_tolerance), "", 1e9}};
 
 static int
 read_with(const char *flag, const char *text, at_entry_settings_t *settings,
