Check that what one instance is told of a cold engine reaches all

test_cold_engines_io passed without the reports of cold engines, because each instance soon had an answer of its own. The new test has one request; without fill_cold() one of six instances knows, with it all six.

--- a/tests/contract/test_cold_engines_io.c
+++ b/tests/contract/test_cold_engines_io.c
@@ -248,3 +248,27 @@
 	cr_expect_eq(passing.passed + passing.refused, 10u * ENTRIES);
 	world_delete(world);
 }
+
+/* Each instance learnt it from its own requests only, and sent one at least. */
+Test(cold_engines_io, what_one_is_told_all_know, .timeout = 60)
+{
+	world_t *world = world_new(COLD_PER_S);
+	uint32_t told = 0;
+	size_t e;
+	size_t i;
+
+	set_cold(world, 0, ENGINES, COLD_MAX);
+	run_traffic(world, 1, STEP_MS);
+	for (e = 0; e < ENGINES; e++) {
+		if (standin_server_arrivals_most(world->fixture->servers[e]) ==
+		    0)
+			continue;
+		for (i = 0; i < ENTRIES; i++)
+			told += at_server_is_cold(
+			    at_fleet_find(world->fixture->entries[i]->fleet,
+				at_tag_from_text(world->fixture->ids[e])),
+			    at_clock_now_us());
+	}
+	cr_expect_eq(told, ENTRIES, "%u", told);
+	world_delete(world);
+}
