--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -219,6 +219,13 @@
     uint64_t until_us, uint64_t now_us);
 
 /* server_cold.c */
+/* Returns zero if the server has never been cold; settling changes nothing. */
+static inline int
+server_cold_is_noted(const server_cold_t *cold)
+{
+	return cold->has_pending || cold->until_us != 0 ||
+	       cold->unreachable_until_us != 0;
+}
 /* Takes what the configuration states of the server's service. */
 void server_cold_set_service(const at_fleet_t *fleet, at_server_t *server);
 /* Takes a new entry; is_new if its incarnation was not known. */
--- a/src/core/fleet/server_gate.c
+++ b/src/core/fleet/server_gate.c
@@ -31,7 +31,8 @@
 	if (now_us < server->paused_until_us ||
 	    (server->paused_until_us != 0 && server->own_load.active > 0))
 		return SERVER_GATE_PAUSED;
-	server_cold_settle(server, now_us);
+	if (server_cold_is_noted(&server->cold))
+		server_cold_settle(server, now_us);
 	if (!server_limit_allows(&server->limit, now_us))
 		return now_us < server->limit.cold_until_us
 			   ? SERVER_GATE_COLD
