--- a/proto/demand.pb-c.h
+++ b/proto/demand.pb-c.h
@@ -28,7 +28,7 @@
 {
   ProtobufCMessage base;
   /*
-   * model or adapter
+   * of a model or an adapter
    */
   char *name;
   uint64_t tokens;
--- a/proto/replica.pb-c.h
+++ b/proto/replica.pb-c.h
@@ -27,7 +27,8 @@
 /* --- messages --- */
 
 /*
- * Asks for a document newer than base_version, which the sender holds; 0: whole.
+ * Requests the newest version of a document. base_version is the version that
+ * the sender has, or 0 if it has none.
  */
 struct  Almondthread__DocumentRequest
 {
@@ -41,7 +42,7 @@
 
 
 /*
- * New bytes, followed by bytes copied from the base.
+ * Literal bytes, followed by length bytes copied from offset in the base text.
  */
 struct  Almondthread__DocumentPart
 {
@@ -55,6 +56,10 @@
     , {0,NULL}, 0, 0 }
 
 
+/*
+ * The text of a version as a difference to base_version, or to the empty text
+ * if base_version is 0.
+ */
 struct  Almondthread__DocumentUpdate
 {
   ProtobufCMessage base;
@@ -65,7 +70,7 @@
   Almondthread__DocumentPart **parts;
   uint32_t result_len;
   /*
-   * XXH3 of the whole text
+   * 64-bit XXH3 of the complete text
    */
   uint64_t result_hash;
 };
--- a/proto/shares.pb-c.h
+++ b/proto/shares.pb-c.h
@@ -28,22 +28,22 @@
   ProtobufCMessage base;
   char *workspace;
   /*
-   * 0: ask, 1: grant
+   * at_share_kind_t; 0: request, 1: grant
    */
   uint32_t kind;
   /*
-   * incarnation numbers
+   * incarnation numbers of the instances
    */
   uint64_t from;
   uint64_t to;
   uint64_t seq;
   /*
-   * of the borrower's clock
+   * on the borrower's clock
    */
   uint64_t asked_ms;
   uint64_t ack;
   /*
-   * -1: all
+   * -1 for all
    */
   int64_t keep_ppb;
   uint64_t want_ppb;
@@ -53,6 +53,9 @@
   uint64_t loan_ppb;
   uint64_t added_ppb;
   uint32_t term_ms;
+  /*
+   * seq of the request that a grant responds to
+   */
   uint64_t ask_seq;
   protobuf_c_boolean more;
 };
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -4,6 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Weight of a request in the mean of its tokens: about the last hundred. */
+#define MEAN_TOKENS_WEIGHT 0.01
+
 const char *const at_choice_result_names[] = {
     "server", "full", "absent", "nobody", "limited", "paused"};
 
@@ -59,8 +62,12 @@
 void
 at_fleet_set_site(at_fleet_t *fleet, at_site_t *site)
 {
+	at_server_t *server;
+
 	at_site_unref(fleet->site);
 	fleet->site = at_site_ref(site);
+	for (server = fleet->servers; server != NULL; server = server->hh.next)
+		server_cold_set_service(fleet, server);
 }
 
 at_server_t *
@@ -96,6 +103,7 @@
 	server_health_init(&server->health);
 	residents_clear_notes(server);
 	memset(&server->limit, 0, sizeof(server->limit));
+	memset(&server->cold, 0, sizeof(server->cold));
 	memset(&server->room, 0, sizeof(server->room));
 	server->has_stated_leaving = 0;
 	server->paused_until_us = 0;
@@ -146,6 +154,10 @@
 at_fleet_update_server(at_fleet_t *fleet, const at_server_entry_t *entry)
 {
 	at_server_t *server = at_fleet_find(fleet, entry->tag);
+	int is_new =
+	    server == NULL || entry->started_ms > server->entry.started_ms;
+	int is_later = is_new || entry->heartbeat_sequence >
+				     server->entry.heartbeat_sequence;
 
 	if (server == NULL)
 		server = add_server(fleet, entry);
@@ -159,6 +171,10 @@
 		 entry->heartbeat_sequence < server->entry.heartbeat_sequence)
 		return NULL;
 	set_entry(fleet, server, entry);
+	server_cold_set_service(fleet, server);
+	/* The times of one entry that comes again do not start again. */
+	if (is_later)
+		server_cold_note_entry(&server->cold, entry, is_new);
 	server->is_listed = 1;
 	server->removed_us = 0;
 	return server;
@@ -298,11 +314,21 @@
 	server_health_note_time(&server->health, predicted_us, observed_us);
 }
 
+static void
+note_tokens(at_fleet_t *fleet, double tokens)
+{
+	if (fleet->mean_tokens == 0.)
+		fleet->mean_tokens = tokens;
+	fleet->mean_tokens +=
+	    (tokens - fleet->mean_tokens) * MEAN_TOKENS_WEIGHT;
+}
+
 void
 at_fleet_note_ended(at_fleet_t *fleet, at_server_t *server,
     const at_work_t *work, int had_first_event, at_server_outcome_t outcome,
     uint64_t now_us)
 {
+	note_tokens(fleet, (double)kv_tokens_of(work));
 	server->references--;
 	server->own_load.active--;
 	server->own_load.kv_tokens -= kv_tokens_of(work);
@@ -311,6 +337,8 @@
 	if (outcome == AT_OUTCOME_SUCCESS && now_us >= server->paused_until_us)
 		server->paused_until_us = 0;
 	server_health_note_outcome(&server->health, outcome, now_us);
+	if (outcome == AT_OUTCOME_UNREACHABLE)
+		server_cold_note_unreachable(server, now_us);
 	delete_if_unused(fleet, server);
 }
 
@@ -558,8 +586,11 @@
 {
 	at_server_t *server = at_fleet_find(fleet, tag);
 
-	if (server != NULL)
-		server_health_apply_unreachable(&server->health, now_us);
+	if (server == NULL)
+		return;
+	server_health_apply_unreachable(&server->health, now_us);
+	if (!at_server_is_available(server, now_us))
+		server_cold_note_unreachable(server, now_us);
 }
 
 void
@@ -567,8 +598,11 @@
 {
 	at_server_t *server;
 
-	for (server = fleet->servers; server != NULL; server = server->hh.next)
+	for (server = fleet->servers; server != NULL;
+	     server = server->hh.next) {
 		server_health_forget_failures(&server->health);
+		server_cold_forget_unreachable(&server->cold);
+	}
 }
 
 int
--- a/src/entry/base/entry_settings.h
+++ b/src/entry/base/entry_settings.h
@@ -36,6 +36,10 @@
 	uint32_t evacuate_ms;
 	/* "DATA-CENTRE:REGION,..."; NULL or "": regions are not used. */
 	const char *regions;
+	/* In a second all instances send a cold engine at most its rate x
+	 * cold_overage + cold_tolerance requests. */
+	double cold_overage;
+	double cold_tolerance;
 } at_entry_settings_t;
 
 /*
--- a/src/entry/store/evacuation_sync.c
+++ b/src/entry/store/evacuation_sync.c
@@ -42,6 +42,10 @@
 		evacuation->is_evacuated) == 0;
 
 	sync->has_change = 1;
+	/* Its servers may have restarted meanwhile; the list is older. */
+	if (!evacuation->is_evacuated)
+		at_fleet_note_maybe_cold(sync->deps.fleet,
+		    at_tag_from_text(name), at_clock_now_us());
 	at_log(is_known ? AT_LOG_WARN : AT_LOG_ERROR, "fleet", NULL,
 	    "%s data_centre=%s evacuated=%d version=%" PRIu64
 	    " source=%s evacuated_data_centres=%zu",
