--- a/tests/contract/test_cold_engines_io.c
+++ b/tests/contract/test_cold_engines_io.c
@@ -158,7 +158,7 @@
 	    "%s: %llu crashes", returns[i].name,
 	    (unsigned long long)count_falls(world));
 	for (e = 0; e < ENGINES; e++)
-		cr_log_warn("%s: engine %zu has run %llu, at most %u in 1 s",
+		cr_log_info("%s: engine %zu has run %llu, at most %u in 1 s",
 		    returns[i].name, e,
 		    (unsigned long long)standin_server_run_count(
 			world->fixture->servers[e]),
--- a/tests/unit/test_cold_engines.c
+++ b/tests/unit/test_cold_engines.c
@@ -828,7 +828,7 @@
 		    (int)check_bound(replay, 0, from_ms, end_ms, bound),
 		    replay->least);
 	}
-	cr_log_warn(
+	cr_log_info(
 	    "%s: %u requests at the cold engines, at most %u of %u in a second",
 	    replay->name, served, worst, bound);
 	for (n = 0; n < INSTANCES; n++)
