Accept callers again after idle connections have ended at the limit

With as many connections as an instance may have, libmicrohttpd does not watch its listening socket. It watches it again in the next run that begins below the limit, and where the connections had ended by their timeout nothing started such a run: with 400 connections that send nothing no caller was accepted for up to 75 s. A connection that ends at the limit now asks for another run.

memory_limits/silent_connections (256 descriptors): an ordinary request got no response in 30 s before, is served now (the test takes 2.6 s).

--- a/src/io/httpd_connections.c
+++ b/src/io/httpd_connections.c
@@ -68,7 +68,9 @@
 static void
 remove_connection(at_httpd_t *httpd, connection_t *connection)
 {
-	httpd->connection_count--;
+	/* libmicrohttpd accepts again in a run that begins below the limit. */
+	if (httpd->connection_count-- >= httpd->connections_max)
+		httpd->is_run_pending = 1;
 	httpd->expiring_count -= (size_t)connection->is_expiring;
 	TAILQ_REMOVE(&httpd->connections, connection, all);
 	if (!connection->has_request)
