Bound the memory of bodies and responses, and keep a body once

Cause: bodies were kept in buffers that grow by half, were copied for each attempt, and were kept up to the limit even when they were over it; complete responses were copied to be sent; nothing bounded the sum, and an instance did not know how much memory it has.

Change: the setting memory-mb (32 or more; 0 or empty: no limit, as before) gives the account its limit, resident size is read 20 times a second, and what the kernel holds unread once a second. A body with a length claims its room with the headers; one in chunks as it grows, and reading stops for up to a second before it is refused. A refused body is dropped as it arrives and then answered 503 with Retry-After, so that the answer arrives. A body is counted by reference and shared by request and transfers. Complete responses are handed over and not copied. A response that its caller does not read is read on while there is room and paused only without. Connections of callers have receive buffers of a bounded size, and fewer wait to be accepted. An attempt that is passed on and finds no memory is refused to the other instance, which sends it another way.

--- a/src/entry/base/entry_settings.c
+++ b/src/entry/base/entry_settings.c
@@ -6,6 +6,17 @@
 #define CONNECTIONS_PER_CORE 1000
 #define BACKLOG_MIN 64
 #define CALLERS_PERCENT 60u /* of the descriptors */
+/* An idle instance takes 12, and a body of 4 MB is to be served, too. */
+#define MEMORY_MIN_MB 32u
+/*
+ * Of the memory, for what the kernel receives in advance. At least 64 KB each,
+ * so that a body of 4 MB takes 64 round trips at most.
+ */
+#define RECEIVE_PART 4u
+/* Of the memory, for what is received before a connection is accepted. */
+#define BACKLOG_PART 8u
+#define RECEIVE_MIN_BYTES (64u << 10)
+#define RECEIVE_MAX_BYTES (1u << 20)
 
 int
 at_entry_settings_read(at_entry_settings_t *s, int argc, char **argv,
@@ -37,6 +48,10 @@
 	    {"descriptors", "ALMONDTHREAD_DESCRIPTORS", AT_SETTING_NUMBER,
 		&s->descriptors, "1024", 128, 1000000,
 		"files and sockets that the process may have open"},
+	    {"memory-mb", "ALMONDTHREAD_MEMORY_MB", AT_SETTING_NUMBER,
+		&s->memory_mb, "0", 0, 16777216,
+		"memory of this machine; what does not fit is refused; 0: not "
+		"limited"},
 	    {"log-lines", "ALMONDTHREAD_LOG_LINES", AT_SETTING_NUMBER,
 		&s->log_lines_per_s, "200", 1, 1000000,
 		"most log lines a second; further ones are only counted"},
@@ -68,11 +83,19 @@
 		"retries that all instances may send in addition"},
 	};
 	size_t count = sizeof(table) / sizeof(table[0]);
+	int result;
 
 	*file = at_settings_file_read(path, table, count, status);
 	if (*file == NULL)
 		return -1;
-	return at_settings_read_with(table, count, argc, argv, *file, status);
+	result = at_settings_read_with(table, count, argc, argv, *file, status);
+	if (result == 0 && s->memory_mb != 0 && s->memory_mb < MEMORY_MIN_MB) {
+		(void)at_status_set(status, AT_INVALID,
+		    "--memory-mb: expected 0 or at least %u, not %u",
+		    MEMORY_MIN_MB, s->memory_mb);
+		return -1;
+	}
+	return result;
 }
 
 int
@@ -81,6 +104,14 @@
 	double connections =
 	    s->processor_share * s->cores * CONNECTIONS_PER_CORE;
 
+	if (s->memory_mb != 0) {
+		double fitting = ((double)s->memory_mb * (1u << 20)) /
+				 BACKLOG_PART /
+				 (double)at_entry_settings_receive_buffer(s);
+
+		if (connections > fitting)
+			connections = fitting;
+	}
 	if (connections < BACKLOG_MIN)
 		return BACKLOG_MIN;
 	return connections < SOMAXCONN ? (int)connections : SOMAXCONN;
@@ -91,3 +122,16 @@
 {
 	return (size_t)s->descriptors * CALLERS_PERCENT / 100u;
 }
+
+size_t
+at_entry_settings_receive_buffer(const at_entry_settings_t *s)
+{
+	size_t bytes = ((size_t)s->memory_mb << 20) / RECEIVE_PART /
+		       at_entry_settings_callers(s);
+
+	if (s->memory_mb == 0)
+		return 0;
+	if (bytes < RECEIVE_MIN_BYTES)
+		return RECEIVE_MIN_BYTES;
+	return bytes < RECEIVE_MAX_BYTES ? bytes : RECEIVE_MAX_BYTES;
+}
--- a/src/entry/base/entry_settings.h
+++ b/src/entry/base/entry_settings.h
@@ -22,6 +22,7 @@
 	double processor_share; /* part of each core that may be used */
 	uint32_t cores;
 	double link_mbps;
+	uint32_t memory_mb;   /* of this machine, in MiB; 0: not limited */
 	uint32_t descriptors; /* files and sockets that may be open */
 	uint32_t log_lines_per_s;
 	uint32_t stop_grace_s; /* time from SIGTERM to SIGKILL */
@@ -48,7 +49,8 @@
 /*
  * at_entry_settings_backlog() returns how many new connections may wait: those
  * that the processor can read before their callers give up. Of more, each would
- * be read too late.
+ * be read too late. What the kernel receives for them meanwhile has its part of
+ * the memory.
  */
 int at_entry_settings_backlog(const at_entry_settings_t *settings);
 /*
@@ -57,5 +59,10 @@
  * files: without them no request could be served.
  */
 size_t at_entry_settings_callers(const at_entry_settings_t *settings);
+/*
+ * at_entry_settings_receive_buffer() returns how many bytes the kernel may
+ * receive in advance on a caller's connection; 0: as many as it likes.
+ */
+size_t at_entry_settings_receive_buffer(const at_entry_settings_t *settings);
 
 #endif
--- a/src/entry/call/call.c
+++ b/src/entry/call/call.c
@@ -206,11 +206,12 @@
 }
 
 static void
-reply_buffered(at_call_t *call, const buffered_response_t *response)
+reply_buffered(at_call_t *call, buffered_response_t *response)
 {
 	if (call->request != NULL)
-		at_httpd_reply(call->request, response->status,
-		    response->headers.entries, response->body, response->len);
+		at_httpd_reply_owned(call->request, response->status,
+		    response->headers.entries, buffered_response_take(response),
+		    response->len);
 	call->response_started = 1;
 }
 
--- a/src/entry/call/call.h
+++ b/src/entry/call/call.h
@@ -36,6 +36,7 @@
 	at_retry_budgets_t *retries;
 	at_stream_origins_t *origins;
 	at_httpc_t *httpc;
+	at_memory_t *memory; /* has no limit unless one is set */
 	at_gossip_t *gossip;
 	at_reach_io_t *reach;
 	at_server_crashes_t *crashes;
@@ -65,6 +66,9 @@
  */
 void at_call_handle(void *ctx, at_httpd_request_t *request);
 void at_call_handle_fault(void *ctx, at_httpd_request_t *request);
+/* at_call_classify() finds the workspace and the priority of a request. */
+void at_call_classify(
+    void *ctx, const at_httpd_request_t *request, at_httpd_class_t *class);
 
 /*
  * at_calls_place_queued() places queued requests; to be called when slots may
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -70,7 +70,32 @@
 	if (at_httpd_fault(request) != AT_HTTPD_MALFORMED)
 		(void)at_caller_parse_headers(request, &header);
 	refuse_request(calls, request, &header, at_httpd_fault_reason(request),
-	    0, at_httpd_fault_text(request));
+	    at_httpd_retry_after_ms(request), at_httpd_fault_text(request));
+}
+
+void
+at_call_classify(
+    void *ctx, const at_httpd_request_t *request, at_httpd_class_t *class)
+{
+	const at_calls_t *calls = ctx;
+	const at_site_t *site = *calls->deps.site;
+	const at_site_workspace_t *workspace = NULL;
+	const at_site_route_t *route;
+	at_request_header_t header;
+
+	if (site == NULL)
+		return;
+	(void)at_caller_parse_headers(request, &header);
+	route = at_site_find_route(site, header.host, at_httpd_target(request));
+	if (header.key != NULL)
+		workspace = at_site_find_workspace(site, header.key);
+	if (route != NULL)
+		class->priority = route->priority;
+	if (workspace == NULL)
+		return;
+	class->owner = workspace->tag;
+	if (workspace->has_priority)
+		class->priority = workspace->priority;
 }
 
 static void
--- a/src/entry/call/call_attempt.c
+++ b/src/entry/call/call_attempt.c
@@ -246,9 +246,8 @@
 	    relay == NULL ? server_entry->address : relay->address);
 	(void)snprintf(resume_after, sizeof(resume_after), "%llu",
 	    (unsigned long long)call->event_id);
-	spec.body = at_httpd_body(call->request, &spec.body_len);
-	relay_call.body = spec.body;
-	relay_call.body_len = spec.body_len;
+	spec.shared_body = at_httpd_shared_body(call->request);
+	relay_call.body = at_httpd_body(call->request, &relay_call.body_len);
 	spec.new_connection |= relay != NULL;
 	if (at_server_call_build_headers(
 		&call->request_headers, &server_call, &lines) == 0 &&
--- a/src/entry/call/call_impl.h
+++ b/src/entry/call/call_impl.h
@@ -28,6 +28,7 @@
 	size_t len;
 	size_t size;
 	size_t *total_bytes; /* of the instance, with size; NULL: no body */
+	at_memory_t *memory; /* with size, while the body is here */
 } buffered_response_t;
 
 typedef struct at_call at_call_t;
@@ -182,6 +183,8 @@
  * be let through as a trial.
  */
 int call_is_refused_for_crashes(at_call_t *call, int may_try);
+/* The caller of buffered_response_take() frees the body. */
+char *buffered_response_take(buffered_response_t *response);
 void buffered_response_reset(buffered_response_t *response);
 
 #endif
--- a/src/entry/call/call_response.c
+++ b/src/entry/call/call_response.c
@@ -22,11 +22,23 @@
 /* Smallest growth of the buffer. */
 #define RESPONSE_BUFFER_GROWTH_BYTES 2048u
 
+char *
+buffered_response_take(buffered_response_t *response)
+{
+	char *body = response->body;
+
+	if (body != NULL)
+		at_memory_sub(
+		    response->memory, AT_MEMORY_RESPONSES, response->size);
+	response->body = NULL;
+	return body;
+}
+
 void
 buffered_response_reset(buffered_response_t *response)
 {
 	at_response_headers_free(&response->headers);
-	free(response->body);
+	free(buffered_response_take(response));
 	if (response->total_bytes != NULL)
 		*response->total_bytes -= response->size;
 	memset(response, 0, sizeof(*response));
@@ -197,9 +209,15 @@
 }
 
 static int
-append_body(at_calls_t *calls, buffered_response_t *response, const char *data,
+append_body(at_call_t *call, buffered_response_t *response, const char *data,
     size_t len)
 {
+	at_calls_t *calls = call->calls;
+
+	if (response->len + len > RESPONSE_SMALL_BYTES &&
+	    call->request != NULL &&
+	    at_httpd_claim_response(call->request, len) != 0)
+		return -1;
 	if (response->len + len > RESPONSE_BUFFER_MAX_BYTES ||
 	    (response->len + len > RESPONSE_SMALL_BYTES &&
 		calls->buffered_bytes + len > RESPONSE_BUFFERS_MAX_BYTES))
@@ -213,6 +231,9 @@
 			return -1;
 		calls->buffered_bytes += size - response->size;
 		response->total_bytes = &calls->buffered_bytes;
+		response->memory = calls->deps.memory;
+		at_memory_add(response->memory, AT_MEMORY_RESPONSES,
+		    size - response->size);
 		response->body = body;
 		response->size = size;
 	}
@@ -260,8 +281,7 @@
 			     on_event, attempt) != 0 ||
 			 attempt->is_other_stream;
 	else
-		result =
-		    append_body(call->calls, &attempt->response, data, len);
+		result = append_body(call, &attempt->response, data, len);
 	if (result != 0 && attempt->transfer != NULL)
 		reject_response(attempt, AT_REASON_TRUNCATED);
 	if (!call->is_paused || attempt->transfer == NULL)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -24,6 +24,8 @@
 	at_identity_t identity;
 	at_rng_t rng;
 	at_counters_t *counters;
+	at_memory_t memory;
+	uint64_t unread_checked_ms; /* what the kernel holds */
 	at_httpd_t *callers;
 	at_httpc_t *httpc;
 	at_wire_store_t *wire_store;
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -105,6 +105,7 @@
 	    .settings = &entry->settings,
 	    .state = &entry->state,
 	    .fleet = entry->fleet,
+	    .memory = &entry->memory,
 	    .httpc = entry->httpc};
 
 	entry->notices = at_server_notices_new(&notices_deps);
@@ -319,6 +320,7 @@
 	    .retries = entry->retries,
 	    .origins = entry->origins,
 	    .httpc = entry->httpc,
+	    .memory = &entry->memory,
 	    .gossip = entry->gossip,
 	    .reach = entry->reach,
 	    .crashes = entry->crashes,
@@ -355,6 +357,10 @@
 	    {"waiting_requests", at_wait_queue_count(entry->queue)},
 	    {"backend_servers", at_fleet_count(entry->fleet)},
 	    {"copies_age_ms", at_sync_age_ms(entry->sync)},
+	    {"memory_limit_bytes", entry->memory.limit},
+	    {"memory_refused_total", entry->memory.refused_total},
+	    {"memory_closed_total", entry->memory.closed_total},
+	    {"memory_paused_total", entry->memory.paused_total},
 	    {"config_version", entry->site == NULL ? 0 : entry->site->version},
 	};
 	size_t i;
@@ -362,6 +368,9 @@
 	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
 		at_counters_set(entry->counters, values[i].name, NULL, NULL,
 		    values[i].value);
+	for (i = 0; i < AT_MEMORY_KIND_COUNT; i++)
+		at_counters_set(entry->counters, "memory_bytes", "kind",
+		    at_memory_kind_names[i], entry->memory.held[i]);
 }
 
 static at_readiness_t *
@@ -431,6 +440,7 @@
 	if (entry->counters == NULL || entry->httpc == NULL ||
 	    entry->callers == NULL)
 		return -1;
+	at_httpd_set_memory(entry->callers, &entry->memory);
 	entry->wire_store = at_wire_store_new(entry->loop, entry->httpc);
 	entry->fleet =
 	    at_fleet_new(entry->identity.data_centre, at_rng_next(&entry->rng));
@@ -464,6 +474,7 @@
 	at_httpd_set_handler(entry->callers, at_call_handle, entry->calls);
 	at_httpd_set_fault_handler(
 	    entry->callers, at_call_handle_fault, entry->calls);
+	at_httpd_set_classifier(entry->callers, at_call_classify, entry->calls);
 	at_wire_store_set_era_handler(entry->wire_store, on_later_era, entry);
 	add_sections(entry);
 	return 0;
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -9,6 +9,7 @@
 
 #include "almondthread/log.h"
 #include "entry/entry.h"
+#include "io/resident.h"
 #include "entry/base/entry_settings.h"
 #include "platform/settings.h"
 
@@ -126,6 +127,8 @@
 	at_status_t status;
 
 	at_status_clear(&status);
+	if (settings->memory_mb != 0)
+		at_resident_set_returning();
 	program->entry = at_entry_new(loop, settings);
 	if (program->entry == NULL ||
 	    at_entry_init(program->entry, &status) != AT_OK) {
--- a/src/entry/servers/relay.c
+++ b/src/entry/servers/relay.c
@@ -235,8 +235,7 @@
 	const at_transfer_spec_t spec = {.method = call->method,
 	    .url = url,
 	    .target = call->target,
-	    .body = call->body,
-	    .body_len = call->body_len,
+	    .shared_body = at_httpd_shared_body(relayed->request),
 	    .connect_ms = CONNECT_TIMEOUT_MS,
 	    .connect_only = call->is_probe,
 	    .new_connection = call->new_connection || call->is_probe,
@@ -330,6 +329,20 @@
 		reply(relay, request, AT_RELAY_REFUSED);
 }
 
+/* The other instance sends what found no memory here another way. */
+static void
+handle_fault(void *ctx, at_httpd_request_t *request)
+{
+	at_relay_t *relay = ctx;
+
+	if (at_httpd_fault(request) == AT_HTTPD_NO_MEMORY)
+		reply(relay, request, AT_RELAY_REFUSED);
+	else
+		at_httpd_reply(request,
+		    at_reason_status(at_httpd_fault_reason(request)), NULL, "",
+		    0);
+}
+
 at_relay_t *
 at_relay_new(const at_relay_deps_t *deps)
 {
@@ -344,6 +357,8 @@
 		return NULL;
 	}
 	at_httpd_set_handler(relay->httpd, handle, relay);
+	at_httpd_set_fault_handler(relay->httpd, handle_fault, relay);
+	at_httpd_set_memory(relay->httpd, deps->memory);
 	at_httpd_set_max_body(relay->httpd, DEFAULT_BODY_MAX_BYTES);
 	at_httpd_set_closed_check(relay->httpd, CLOSED_CHECK_MS);
 	return relay;
@@ -371,6 +386,18 @@
 	at_httpd_set_max_body(relay->httpd, bytes);
 }
 
+void
+at_relay_relieve(at_relay_t *relay)
+{
+	at_httpd_relieve(relay->httpd);
+}
+
+uint64_t
+at_relay_unread_bytes(const at_relay_t *relay)
+{
+	return at_httpd_unread_bytes(relay->httpd);
+}
+
 size_t
 at_relay_open(const at_relay_t *relay)
 {
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -42,6 +42,8 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	char *body;
+	at_shared_body_t *shared_body;
+	int is_paused;
 	at_transfer_events_t events;
 	void (*on_sending)(void *ctx);
 	uint32_t idle_ms;
@@ -554,6 +556,7 @@
 	curl_easy_cleanup(transfer->easy);
 	curl_slist_free_all(transfer->headers);
 	free(transfer->body);
+	at_shared_body_unref(transfer->shared_body);
 	free(transfer);
 }
 
@@ -684,6 +687,7 @@
 	if (pause) {
 		/* The chunk is consumed. A paused transfer has no timeout. */
 		timeout_start(transfer, 0);
+		transfer->is_paused = 1;
 		(void)curl_easy_pause(transfer->easy, CURLPAUSE_RECV);
 	}
 	return len;
@@ -725,7 +729,9 @@
 {
 	CURL *easy = transfer->easy;
 	const char *const *header;
-	int has_body = spec->body_len > 0 || strcmp(spec->method, "POST") == 0;
+	int is_shared = spec->shared_body != NULL && spec->shared_body->len > 0;
+	int has_body = is_shared || spec->body_len > 0 ||
+		       strcmp(spec->method, "POST") == 0;
 
 	transfer->headers = curl_slist_append(NULL, "Expect:");
 	for (header = spec->headers; header != NULL && *header != NULL;
@@ -776,7 +782,13 @@
 		(void)curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
 		(void)curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
 	}
-	if (has_body) {
+	if (is_shared) {
+		transfer->shared_body = at_shared_body_ref(spec->shared_body);
+		(void)curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+		    (curl_off_t)spec->shared_body->len);
+		(void)curl_easy_setopt(
+		    easy, CURLOPT_POSTFIELDS, spec->shared_body->data);
+	} else if (has_body) {
 		transfer->body = malloc(spec->body_len + 1);
 		if (transfer->body == NULL)
 			return -1;
@@ -816,6 +828,7 @@
 		curl_easy_cleanup(transfer->easy);
 		curl_slist_free_all(transfer->headers);
 		free(transfer->body);
+		at_shared_body_unref(transfer->shared_body);
 		free(transfer);
 		return NULL;
 	}
@@ -858,10 +871,31 @@
 void
 at_transfer_resume(at_transfer_t *transfer)
 {
+	transfer->is_paused = 0;
 	timeout_start(transfer, transfer->idle_ms);
 	(void)curl_easy_pause(transfer->easy, CURLPAUSE_CONT);
 }
 
+uint64_t
+at_httpc_unread_bytes(const at_httpc_t *httpc)
+{
+	const at_transfer_t *transfer;
+	uint64_t sum = 0;
+
+	for (transfer = httpc->transfers; transfer != NULL;
+	     transfer = transfer->next) {
+		curl_socket_t fd = CURL_SOCKET_BAD;
+		int available = 0;
+
+		if (transfer->is_paused &&
+		    curl_easy_getinfo(transfer->easy, CURLINFO_ACTIVESOCKET,
+			&fd) == CURLE_OK &&
+		    ioctl(fd, FIONREAD, &available) == 0)
+			sum += (uint64_t)available;
+	}
+	return sum;
+}
+
 const char *
 at_transfer_header(const at_transfer_t *transfer, const char *name)
 {
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -18,6 +18,7 @@
 
 #include "almondthread/units.h"
 #include "almondthread/verdict.h"
+#include "io/shared_body.h"
 
 #define AT_TRANSFER_HEAD_MAX_BYTES (64u << 10)
 #define AT_TRANSFER_HEAD_LINES_MAX 256u
@@ -51,7 +52,8 @@
 } at_transfer_events_t;
 
 /*
- * A request. Strings and the body are copied. headers is an array of
+ * A request. Strings and the body are copied, except shared_body: the transfer
+ * keeps a reference to it until its last byte was read. headers is an array of
  * "Name: value" that ends with NULL, or NULL. A timeout of 0 is none.
  */
 typedef struct at_transfer_spec {
@@ -61,6 +63,7 @@
 	const char *const *headers;
 	const void *body;
 	size_t body_len;
+	at_shared_body_t *shared_body; /* instead of body; NULL: none */
 	uint32_t connect_ms;
 	uint32_t first_byte_ms; /* from the start to the response headers */
 	uint32_t idle_ms;       /* between two chunks of the response */
@@ -112,6 +115,11 @@
 int at_transfer_is_on_new_connection(const at_transfer_t *transfer);
 /* at_transfer_cancel() ends a transfer; on_done is not called. */
 void at_transfer_cancel(at_transfer_t *transfer);
+/*
+ * at_httpc_unread_bytes() returns how many bytes the kernel has received for
+ * the paused transfers.
+ */
+uint64_t at_httpc_unread_bytes(const at_httpc_t *httpc);
 /* at_transfer_resume() resumes a paused transfer. */
 void at_transfer_resume(at_transfer_t *transfer);
 /*
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -73,6 +73,28 @@
 	httpd->connections_max = connections;
 }
 
+void
+at_httpd_set_memory(at_httpd_t *httpd, at_memory_t *memory)
+{
+	httpd->memory = memory;
+}
+
+void
+at_httpd_set_receive_buffer(at_httpd_t *httpd, size_t bytes)
+{
+	httpd->receive_buffer_bytes = bytes;
+}
+
+void
+at_httpd_set_classifier(at_httpd_t *httpd,
+    void (*classify)(
+	void *ctx, const at_httpd_request_t *request, at_httpd_class_t *class),
+    void *ctx)
+{
+	httpd->classify = classify;
+	httpd->classify_ctx = ctx;
+}
+
 void
 at_httpd_set_max_body(at_httpd_t *httpd, size_t bytes)
 {
@@ -125,6 +147,7 @@
 	request->raw_target = target;
 	generate_id(request->id);
 	request->started_at = ev_now(httpd->loop);
+	request->progressed_at = request->started_at;
 	request->next = httpd->requests;
 	if (request->next != NULL)
 		request->next->prev = request;
@@ -151,30 +174,38 @@
 	free(request->path);
 	free(request->target);
 	free(request->method);
-	free(request->body);
-	free(request->out);
+	httpd_drop_body(request);
+	httpd_drop_out(request);
 	free(request);
 }
 
-static int
-body_append(at_httpd_request_t *request, const char *data, size_t len)
+/* Returns the room for need bytes of a body that may go on. */
+static size_t
+body_room(const at_httpd_request_t *request, size_t need)
 {
-	size_t need = request->body_len + len + 1;
-	char *grown;
+	size_t size = need + need / 2 + BODY_GROWTH_BYTES;
+	size_t max = request->httpd->body_max_bytes;
 
-	if (need > request->body_size) {
-		size_t size = need + need / 2 + BODY_GROWTH_BYTES;
+	return size < max ? size : max;
+}
 
-		grown = realloc(request->body, size);
-		if (grown == NULL)
-			return -1;
-		request->body = grown;
-		request->body_size = size;
-	}
-	memcpy(request->body + request->body_len, data, len);
-	request->body_len += len;
-	request->body[request->body_len] = '\0';
-	return 0;
+/* Makes room for size bytes of the body, unless there is no memory. */
+static at_memory_verdict_t
+body_reserve(at_httpd_request_t *request, size_t size, int may_pause)
+{
+	at_memory_verdict_t verdict;
+
+	if (request->body == NULL)
+		request->body = at_shared_body_new(request->httpd->memory);
+	if (request->body == NULL)
+		return AT_MEMORY_CLOSE;
+	if (size <= request->body->size)
+		return AT_MEMORY_ACCEPT;
+	verdict = httpd_claim_body(request, size, may_pause);
+	if (verdict == AT_MEMORY_ACCEPT &&
+	    at_shared_body_reserve(request->body, size) != 0)
+		return AT_MEMORY_CLOSE;
+	return verdict;
 }
 
 static void
@@ -251,22 +282,78 @@
 	return age_s * AT_MS_PER_S > httpd->body_timeout_ms;
 }
 
-/* Appends a chunk of the body. Returns -1 to close the connection. */
-static int
+/*
+ * Appends a chunk of the body. Returns AT_MEMORY_CLOSE to close the connection,
+ * AT_MEMORY_PAUSE if the chunk is to be passed again, else the chunk is used.
+ */
+static at_memory_verdict_t
 receive_body(at_httpd_request_t *request, const char *data, size_t len)
 {
 	at_httpd_t *httpd = request->httpd;
+	size_t need = len + (request->body == NULL ? 0 : request->body->len);
+	at_memory_verdict_t verdict;
 
 	if (is_body_late(request)) {
 		if (httpd->on_body_timeout != NULL)
 			httpd->on_body_timeout(httpd->body_timeout_ctx);
-		return -1;
+		return AT_MEMORY_CLOSE;
 	}
-	if (request->body_len + len > httpd->body_max_bytes) {
+	request->progressed_at = ev_now(httpd->loop);
+	/* What follows a fault is dropped. */
+	if (request->fault != AT_HTTPD_NO_FAULT)
+		return AT_MEMORY_ACCEPT;
+	if (need > httpd->body_max_bytes) {
 		request->fault = AT_HTTPD_BODY_TOO_LARGE;
-		return 0;
+		httpd_drop_body(request);
+		return AT_MEMORY_ACCEPT;
 	}
-	return body_append(request, data, len);
+	verdict = request->body != NULL && need <= request->body->size
+		      ? AT_MEMORY_ACCEPT
+		      : body_reserve(request, body_room(request, need), 1);
+	if (verdict == AT_MEMORY_ACCEPT)
+		at_shared_body_append(request->body, data, len);
+	return verdict;
+}
+
+/* Passes a chunk on; the library passes one that is not used again. */
+static enum MHD_Result
+on_body(at_httpd_request_t *request, const char *data, size_t *len)
+{
+	switch (receive_body(request, data, *len)) {
+	case AT_MEMORY_CLOSE:
+		return MHD_NO;
+	case AT_MEMORY_PAUSE:
+		at_httpd_suspend(request);
+		return MHD_YES;
+	case AT_MEMORY_ACCEPT:
+	case AT_MEMORY_REFUSE:
+	case AT_MEMORY_CUT_BACK:
+		break;
+	}
+	*len = 0;
+	return MHD_YES;
+}
+
+/* The headers are complete: refuses the request, or reads its body. */
+static enum MHD_Result
+on_headers(at_httpd_request_t *request, const char *version)
+{
+	at_memory_verdict_t verdict = AT_MEMORY_ACCEPT;
+
+	request->fault = check_headers(request, version);
+	if (request->fault != AT_HTTPD_NO_FAULT)
+		return handle_request(request);
+	request->progressed_at = ev_now(request->httpd->loop);
+	if (request->content_len > 0)
+		verdict =
+		    body_reserve(request, (size_t)request->content_len, 0);
+	if (verdict == AT_MEMORY_CLOSE)
+		return MHD_NO;
+	/* The caller of a refused one that waits has sent no body yet. */
+	return verdict == AT_MEMORY_REFUSE &&
+		       at_httpd_header(request, "Expect") != NULL
+		   ? handle_request(request)
+		   : MHD_YES;
 }
 
 static int
@@ -297,22 +384,15 @@
 	(void)connection;
 	if (httpd->is_aborting)
 		return MHD_NO;
-	if (request == NULL)
+	if (request == NULL || request->state == REQUEST_ABORTED)
 		return MHD_NO;
 	if (!request->has_headers) {
 		if (begin_request(request, method, url) != 0)
 			return MHD_NO;
-		request->fault = check_headers(request, version);
-		if (request->fault == AT_HTTPD_NO_FAULT)
-			return MHD_YES;
-		return handle_request(request);
-	}
-	if (*len > 0) {
-		if (receive_body(request, data, *len) != 0)
-			return MHD_NO;
-		*len = 0;
-		return MHD_YES;
+		return on_headers(request, version);
 	}
+	if (*len > 0)
+		return on_body(request, data, len);
 	return handle_request(request);
 }
 
@@ -337,8 +417,10 @@
 }
 
 static int
-listen_on(const struct sockaddr_in *addr, int backlog, uint16_t *port)
+listen_on(
+    const at_httpd_t *httpd, const struct sockaddr_in *addr, uint16_t *port)
 {
+	int receive_bytes = (int)httpd->receive_buffer_bytes;
 	struct sockaddr_in bound = {0};
 	socklen_t len = sizeof(bound);
 	int one = 1;
@@ -347,8 +429,12 @@
 	if (fd < 0)
 		return -1;
 	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	/* Connections have that of the socket that accepts them. */
+	if (receive_bytes > 0)
+		(void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+		    sizeof(receive_bytes));
 	if (bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) != 0 ||
-	    listen(fd, backlog) != 0 ||
+	    listen(fd, httpd->backlog) != 0 ||
 	    getsockname(fd, (struct sockaddr *)&bound, &len) != 0) {
 		(void)close(fd);
 		return -1;
@@ -366,7 +452,7 @@
 	if (at_address_parse(address, &addr) != 0)
 		return at_status_set(
 		    status, AT_INVALID, "'%s': expected IP:PORT", address);
-	httpd->listen_fd = listen_on(&addr, httpd->backlog, &httpd->port);
+	httpd->listen_fd = listen_on(httpd, &addr, &httpd->port);
 	if (httpd->listen_fd < 0)
 		return at_status_set(status, AT_FAILED,
 		    "cannot listen on %s: %s", address, strerror(errno));
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -16,6 +16,7 @@
 #include "almondthread/status.h"
 #include "almondthread/units.h"
 #include "almondthread/verdict.h"
+#include "io/shared_body.h"
 
 typedef struct at_httpd at_httpd_t;
 typedef struct at_httpd_request at_httpd_request_t;
@@ -32,7 +33,8 @@
 	AT_HTTPD_NO_FAULT,
 	AT_HTTPD_HEADER_TOO_LARGE,
 	AT_HTTPD_BODY_TOO_LARGE,
-	AT_HTTPD_MALFORMED /* syntax or framing, see at_httpd_fault_text() */
+	AT_HTTPD_NO_MEMORY, /* for the body; see at_httpd_set_memory() */
+	AT_HTTPD_MALFORMED  /* syntax or framing, see at_httpd_fault_text() */
 } at_httpd_fault_t;
 
 /*
@@ -101,6 +103,37 @@
  * at_httpd_init().
  */
 void at_httpd_set_closed_check(at_httpd_t *httpd, uint32_t interval_ms);
+/*
+ * at_httpd_set_memory() has an account decide on bodies and on responses that
+ * callers do not read; it outlives the server. A body that is refused is read
+ * to its end and dropped, so that the response arrives. A stream is read on
+ * beyond AT_HTTPD_HIGH_WATER_BYTES while the account has room. To be called
+ * before at_httpd_init(), as at_httpd_set_receive_buffer(), which sets how
+ * many bytes the kernel may receive in advance on each connection.
+ */
+void at_httpd_set_memory(at_httpd_t *httpd, at_memory_t *memory);
+void at_httpd_set_receive_buffer(at_httpd_t *httpd, size_t bytes);
+/* Whom a request belongs to (0: its address), and how urgent it is. */
+typedef struct at_httpd_class {
+	at_memory_owner_t owner;
+	uint32_t priority;
+} at_httpd_class_t;
+/*
+ * classify is called for requests with large bodies, with the headers and
+ * before the body; class is zeroed.
+ */
+void at_httpd_set_classifier(at_httpd_t *httpd,
+    void (*classify)(
+	void *ctx, const at_httpd_request_t *request, at_httpd_class_t *class),
+    void *ctx);
+/*
+ * at_httpd_relieve() resumes what was suspended for want of memory, and closes
+ * connections if the account exceeds its limit. To be called several times a
+ * second, after at_memory_set_resident().
+ */
+void at_httpd_relieve(at_httpd_t *httpd);
+/* at_httpd_unread_bytes() sums what the kernel holds for all connections. */
+uint64_t at_httpd_unread_bytes(const at_httpd_t *httpd);
 /*
  * at_httpd_init() listens on "ip:port"; with port 0, the kernel picks one.
  * Returns AT_OK, or AT_INVALID or AT_FAILED with a message in status.
@@ -158,6 +191,13 @@
     void (*visit)(void *ctx, const char *name, const char *value), void *ctx);
 /* The NUL-terminated body; *len is set to its length in bytes. */
 const char *at_httpd_body(const at_httpd_request_t *request, size_t *len);
+/*
+ * at_httpd_shared_body() returns the body, or NULL if it is empty. With a
+ * reference of their own, others may use it after the request has ended.
+ */
+at_shared_body_t *at_httpd_shared_body(const at_httpd_request_t *request);
+/* Time after which a request with AT_HTTPD_NO_MEMORY may be repeated. */
+uint32_t at_httpd_retry_after_ms(const at_httpd_request_t *request);
 
 /* Sets the end handler; ctx is also passed to the two handlers below. */
 void at_httpd_set_end_handler(
@@ -184,6 +224,17 @@
  */
 void at_httpd_reply(at_httpd_request_t *request, int status,
     const at_header_t *headers, const void *body, size_t len);
+/*
+ * at_httpd_reply_owned() does the same with a body that is freed once it was
+ * sent; it may be NULL.
+ */
+void at_httpd_reply_owned(at_httpd_request_t *request, int status,
+    const at_header_t *headers, char *body, size_t len);
+/*
+ * at_httpd_claim_response() asks for room to keep more of a response to the
+ * request. Returns 0, or -1 if there is none.
+ */
+int at_httpd_claim_response(at_httpd_request_t *request, size_t bytes);
 /* at_httpd_stream_begin() begins a streamed response. */
 void at_httpd_stream_begin(
     at_httpd_request_t *request, int status, const at_header_t *headers);
--- a/src/io/httpd_connections.c
+++ b/src/io/httpd_connections.c
@@ -10,6 +10,8 @@
 /* Part of the connections beyond which those that are idle are closed. */
 #define CROWDED_PERCENT 75u
 #define PERCENT 100u
+/* Charged to the memory account; what it holds beyond that is measured. */
+#define CONNECTION_BYTES (8u * 1024)
 
 static void
 set_timeout(const connection_t *connection, unsigned int timeout_s)
@@ -60,6 +62,7 @@
 	if (connection == NULL)
 		return;
 	connection->handle = handle;
+	at_memory_add(httpd->memory, AT_MEMORY_CONNECTIONS, CONNECTION_BYTES);
 	httpd->connection_count++;
 	TAILQ_INSERT_TAIL(&httpd->connections, connection, all);
 	TAILQ_INSERT_TAIL(&httpd->idle, connection, idle);
@@ -68,6 +71,7 @@
 static void
 remove_connection(at_httpd_t *httpd, connection_t *connection)
 {
+	at_memory_sub(httpd->memory, AT_MEMORY_CONNECTIONS, CONNECTION_BYTES);
 	/* libmicrohttpd accepts again in a run that begins below the limit. */
 	if (httpd->connection_count-- >= httpd->connections_max)
 		httpd->is_run_pending = 1;
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -35,12 +35,16 @@
 	unsigned long long content_len; /* Content-Length, 0 without one */
 	int has_headers;                /* on_access() has seen the headers */
 	char id[AT_HTTPD_ID_DIGITS + 1];
-	char *body;
-	size_t body_len;
-	size_t body_size;
+	at_shared_body_t *body; /* NULL: empty, or dropped */
 	at_httpd_fault_t fault;
 	const char *fault_text; /* of AT_HTTPD_MALFORMED, else NULL; static */
 	double started_at;      /* seconds, on the loop's clock */
+	double progressed_at;   /* last bytes of the body, or of the response */
+	double paused_at;       /* reading of the body, for want of memory */
+	int is_body_paused;
+	int is_classified;
+	uint32_t priority;       /* once classified */
+	uint32_t retry_after_ms; /* of AT_HTTPD_NO_MEMORY */
 	request_state_t state;
 	int is_suspended;
 	int caller_closed;
@@ -64,6 +68,7 @@
 	struct MHD_Connection *handle;
 	int has_request; /* from the request line to the end of the response */
 	int is_expiring; /* it is closed after a second without data */
+	int is_closed;   /* its socket was shut down for want of memory */
 	TAILQ_ENTRY(connection) all;
 	TAILQ_ENTRY(connection) idle; /* unless it has a request */
 } connection_t;
@@ -82,6 +87,11 @@
 	void *handler_ctx;
 	at_httpd_handler_t fault_handler;
 	void *fault_ctx;
+	at_memory_t *memory;         /* NULL: no account */
+	size_t receive_buffer_bytes; /* 0: as the kernel has it */
+	void (*classify)(void *ctx, const at_httpd_request_t *request,
+	    at_httpd_class_t *class);
+	void *classify_ctx;
 	size_t body_max_bytes;
 	uint32_t body_timeout_ms;
 	uint32_t closed_check_ms; /* between polls of suspended callers */
@@ -111,6 +121,19 @@
 /* libmicrohttpd handles a resumed connection in its next run. */
 void at_httpd_resume(at_httpd_request_t *request);
 
+/*
+ * httpd_claim_body() asks for room for size bytes of a body. After
+ * AT_MEMORY_REFUSE the request has the fault AT_HTTPD_NO_MEMORY and no body;
+ * AT_MEMORY_PAUSE is returned with may_pause only.
+ */
+at_memory_verdict_t httpd_claim_body(
+    at_httpd_request_t *request, size_t size, int may_pause);
+void httpd_refuse_body(
+    at_httpd_request_t *request, const at_memory_claim_t *claim);
+/* They free what was received, and what was not sent. */
+void httpd_drop_body(at_httpd_request_t *request);
+void httpd_drop_out(at_httpd_request_t *request);
+
 /* What libmicrohttpd calls when a connection begins or ends. */
 void httpd_on_connection(void *cls, struct MHD_Connection *handle,
     void **socket_cls, enum MHD_ConnectionNotificationCode code);
--- a/src/io/httpd_request.c
+++ b/src/io/httpd_request.c
@@ -8,7 +8,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BUFFER_GROWTH_BYTES 4096u       /* added to the bytes needed */
+#define OUT_MOVE_PART 4u
+#define BUFFER_GROWTH_BYTES 4096u /* added to the bytes needed */
+/* A larger buffer is freed when it is empty. */
+#define OUT_KEPT_BYTES (2u * AT_HTTPD_HIGH_WATER_BYTES)
 #define STREAM_BLOCK_BYTES (16u * 1024) /* largest read by libmicrohttpd */
 
 void
@@ -52,6 +55,8 @@
 		return AT_REASON_HEADER_TOO_LARGE;
 	case AT_HTTPD_BODY_TOO_LARGE:
 		return AT_REASON_BODY_TOO_LARGE;
+	case AT_HTTPD_NO_MEMORY:
+		return AT_REASON_NO_MEMORY;
 	case AT_HTTPD_MALFORMED:
 		break;
 	}
@@ -126,8 +131,23 @@
 const char *
 at_httpd_body(const at_httpd_request_t *request, size_t *len)
 {
-	*len = request->body_len;
-	return request->body == NULL ? "" : request->body;
+	const at_shared_body_t *body = at_httpd_shared_body(request);
+
+	*len = body == NULL ? 0 : body->len;
+	return body == NULL ? "" : body->data;
+}
+
+at_shared_body_t *
+at_httpd_shared_body(const at_httpd_request_t *request)
+{
+	return request->body == NULL || request->body->len == 0 ? NULL
+								: request->body;
+}
+
+uint32_t
+at_httpd_retry_after_ms(const at_httpd_request_t *request)
+{
+	return request->retry_after_ms;
 }
 
 void
@@ -216,9 +236,12 @@
 		len = max;
 	memcpy(buf, request->out + request->out_start, len);
 	request->out_start += len;
+	request->progressed_at = ev_now(request->httpd->loop);
 	if (request->out_start == request->out_end) {
 		request->out_start = 0;
 		request->out_end = 0;
+		if (request->out_size > OUT_KEPT_BYTES)
+			httpd_drop_out(request);
 	}
 	if (request->is_paused &&
 	    request->out_end - request->out_start < AT_HTTPD_LOW_WATER_BYTES) {
@@ -229,6 +252,41 @@
 	return (ssize_t)len;
 }
 
+void
+at_httpd_reply_owned(at_httpd_request_t *request, int status,
+    const at_header_t *headers, char *body, size_t len)
+{
+	struct MHD_Response *response;
+
+	if (request->state == REQUEST_ABORTED) {
+		free(body);
+		return;
+	}
+	assert(request->state == REQUEST_HANDLED);
+	request->progressed_at = ev_now(request->httpd->loop);
+	if (request->httpd->memory != NULL &&
+	    request->httpd->memory->limit != 0 &&
+	    len >= AT_HTTPD_HIGH_WATER_BYTES) {
+		/* Its progress is seen, as that of a stream. */
+		request->out = body;
+		request->out_end = len;
+		request->out_size = len;
+		at_memory_add(request->httpd->memory, AT_MEMORY_RESPONSES, len);
+		response = MHD_create_response_from_callback(
+		    len, STREAM_BLOCK_BYTES, on_stream_read, request, NULL);
+		request->state = REQUEST_ENDING;
+	} else {
+		response = MHD_create_response_from_buffer(len,
+		    len == 0 ? (void *)(uintptr_t) "" : body,
+		    len == 0 ? MHD_RESPMEM_PERSISTENT : MHD_RESPMEM_MUST_FREE);
+		if (len == 0)
+			free(body);
+		request->state = REQUEST_RESPONDED;
+	}
+	set_response(request, response, status, headers);
+	at_httpd_resume(request);
+}
+
 void
 at_httpd_stream_begin(
     at_httpd_request_t *request, int status, const at_header_t *headers)
@@ -254,23 +312,42 @@
 
 	if (request->out_end + len <= request->out_size)
 		return 0;
-	if (request->out_start > 0) {
+	/* Moving a large rest for little room would take longer than it. */
+	if (request->out_start > 0 &&
+	    request->out_start >= buffered / OUT_MOVE_PART) {
 		memmove(
 		    request->out, request->out + request->out_start, buffered);
 		request->out_start = 0;
 		request->out_end = buffered;
 	}
-	if (buffered + len <= request->out_size)
+	if (request->out_end + len <= request->out_size)
 		return 0;
-	size = buffered + len + BUFFER_GROWTH_BYTES;
+	size = request->out_end + len + buffered / OUT_MOVE_PART +
+	       BUFFER_GROWTH_BYTES;
 	grown = realloc(request->out, size);
 	if (grown == NULL)
 		return -1;
+	at_memory_add(request->httpd->memory, AT_MEMORY_RESPONSES,
+	    size - request->out_size);
 	request->out = grown;
 	request->out_size = size;
 	return 0;
 }
 
+/* The backend server cuts off a response that stays unread for long. */
+static int
+may_read_on(at_httpd_request_t *request)
+{
+	const at_httpd_t *httpd = request->httpd;
+
+	if (httpd->memory == NULL || httpd->memory->limit == 0)
+		return 0;
+	if (at_httpd_claim_response(request, AT_HTTPD_HIGH_WATER_BYTES) == 0)
+		return 1;
+	httpd->memory->paused_total += !request->is_paused;
+	return 0;
+}
+
 int
 at_httpd_stream_write(at_httpd_request_t *request, const void *data, size_t len)
 {
@@ -280,10 +357,15 @@
 		at_httpd_stream_abort(request);
 		return 0;
 	}
+	/* A caller makes no progress only while it has something to read. */
+	if (request->out_end == request->out_start)
+		request->progressed_at = ev_now(request->httpd->loop);
 	memcpy(request->out + request->out_end, data, len);
 	request->out_end += len;
 	at_httpd_resume(request);
-	if (request->out_end - request->out_start >= AT_HTTPD_HIGH_WATER_BYTES)
+	if (request->out_end - request->out_start >=
+		AT_HTTPD_HIGH_WATER_BYTES &&
+	    !may_read_on(request))
 		request->is_paused = 1;
 	return request->is_paused;
 }
