Close the oldest of many requests whose headers do not end

A connection holds 48 KB of headers and what the kernel receives beyond them. Requests with incomplete headers may now take a fifth of the limit; beyond it the oldest is closed. Callers send their headers at once, so that a sound request is hardly the oldest.

--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -19,8 +19,7 @@
 #include "io/address.h"
 #include "io/httpd_syntax.h"
 
-#define CONNECTION_MEMORY_BYTES (48u * 1024) /* headers and buffers */
-#define BODY_GROWTH_BYTES 4096u              /* added to the bytes needed */
+#define BODY_GROWTH_BYTES 4096u /* added to the bytes needed */
 /* Runs of libmicrohttpd in which a deleted server ends its requests. */
 #define ABORT_RUNS_MAX 1000
 #define DEFAULT_BODY_MAX_BYTES (1u << 20)
@@ -154,6 +153,7 @@
 	httpd->requests = request;
 	httpd->request_count++;
 	httpd_set_has_request(httpd, connection, 1);
+	httpd_begin_headers(request);
 	return request;
 }
 
@@ -169,6 +169,7 @@
 	if (request->next != NULL)
 		request->next->prev = request->prev;
 	httpd->request_count--;
+	httpd_end_headers(request);
 	if (request->response != NULL)
 		MHD_destroy_response(request->response);
 	free(request->path);
@@ -360,6 +361,7 @@
 begin_request(at_httpd_request_t *request, const char *method, const char *path)
 {
 	request->has_headers = 1;
+	httpd_end_headers(request);
 	request->path = strdup(path);
 	request->method = strdup(method);
 	request->raw_method = method;
--- a/src/io/httpd_memory.c
+++ b/src/io/httpd_memory.c
@@ -10,6 +10,8 @@
 #include <sys/socket.h>
 #include <xxhash.h>
 
+/* Of the limit, for requests whose headers are incomplete. */
+#define HEADINGS_PART 5u
 #define VICTIMS_MAX 16 /* for one claim */
 #define CLOSES_MAX 64  /* of connections, in one at_httpd_relieve() */
 /* Freed with a connection: its structures, and what was used of its buffer. */
@@ -205,6 +207,50 @@
 	httpd->is_run_pending = 1;
 }
 
+/*
+ * Callers send their headers at once, mostly in one segment: of many whose
+ * headers are incomplete, the oldest are hardly sound.
+ */
+static void
+close_oldest_heading(const at_httpd_t *httpd)
+{
+	at_httpd_request_t *request;
+	at_httpd_request_t *found = NULL;
+
+	/* The newest is first. */
+	for (request = httpd->requests; request != NULL;
+	     request = request->next) {
+		if (request->is_heading)
+			found = request;
+	}
+	if (found == NULL)
+		return;
+	httpd_end_headers(found);
+	close_request(found);
+}
+
+void
+httpd_begin_headers(at_httpd_request_t *request)
+{
+	at_httpd_t *httpd = request->httpd;
+	size_t each = CONNECTION_MEMORY_BYTES + httpd->receive_buffer_bytes;
+
+	request->is_heading = 1;
+	httpd->heading_count++;
+	if (httpd->memory != NULL && httpd->memory->limit != 0 &&
+	    httpd->heading_count * each > httpd->memory->limit / HEADINGS_PART)
+		close_oldest_heading(httpd);
+}
+
+void
+httpd_end_headers(at_httpd_request_t *request)
+{
+	if (!request->is_heading)
+		return;
+	request->is_heading = 0;
+	request->httpd->heading_count--;
+}
+
 static int
 cut_back(at_httpd_t *httpd, const at_httpd_request_t *except,
     const at_memory_claim_t *claim)
@@ -312,7 +358,7 @@
 	for (request = httpd->requests; request != NULL && count < CLOSES_MAX &&
 					count * CLOSED_BYTES < excess;
 	     request = request->next) {
-		if (request->has_headers || request->state != REQUEST_READING ||
+		if (!request->is_heading || request->state != REQUEST_READING ||
 		    ms_since(httpd, request->started_at) < AT_MEMORY_STALLED_MS)
 			continue;
 		close_request(request);
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -34,6 +34,7 @@
 	const char *raw_target;
 	unsigned long long content_len; /* Content-Length, 0 without one */
 	int has_headers;                /* on_access() has seen the headers */
+	int is_heading; /* counted by heading_count until it has them */
 	char id[AT_HTTPD_ID_DIGITS + 1];
 	at_shared_body_t *body; /* NULL: empty, or dropped */
 	at_httpd_fault_t fault;
@@ -111,6 +112,7 @@
 	ev_timer timeout;
 	ev_timer closed_check;
 	ev_prepare prepare;
+	size_t heading_count; /* requests whose headers are incomplete */
 	at_httpd_request_t *requests;
 	size_t request_count;
 	struct pollfd *poll_fds;
@@ -130,6 +132,12 @@
  */
 at_memory_verdict_t httpd_claim_body(
     at_httpd_request_t *request, size_t size, int may_pause);
+/*
+ * Between the two the headers of a request are received. Where many are, those
+ * that take the longest are closed.
+ */
+void httpd_begin_headers(at_httpd_request_t *request);
+void httpd_end_headers(at_httpd_request_t *request);
 /* Returns 0 if a stream may be read ahead, else -1. */
 int httpd_claim_ahead(at_httpd_request_t *request);
 void httpd_refuse_body(
@@ -152,6 +160,8 @@
  */
 int httpd_is_crowded(const at_httpd_t *httpd);
 void httpd_close_longest_idle(at_httpd_t *httpd);
+/* Of each connection, for headers; the library maps it as it is filled. */
+#define CONNECTION_MEMORY_BYTES (48u * 1024)
 /* libmicrohttpd closes a connection after this time without data. */
 #define CONNECTION_IDLE_TIMEOUT_S 75u
 
