--- a/tests/contract/test_memory_limits.c
+++ b/tests/contract/test_memory_limits.c
@@ -374,15 +374,19 @@
 	if (world->crowd.stub == STUB_NO_READING)
 		return;
 	while (connection->sent < connection->response_len + end) {
-		const char *data = connection->response + connection->sent;
-		size_t left = connection->response_len - connection->sent;
-		size_t offset = connection->sent - connection->response_len;
-
-		if (connection->sent >= connection->response_len) {
-			data =
-			    world->stub_block + offset % world->stub_block_len;
-			left = world->stub_block_len -
-			       offset % world->stub_block_len;
+		const char *data;
+		size_t left;
+
+		if (connection->sent < connection->response_len) {
+			data = connection->response + connection->sent;
+			left = connection->response_len - connection->sent;
+		} else {
+			size_t offset =
+			    (connection->sent - connection->response_len) %
+			    world->stub_block_len;
+
+			data = world->stub_block + offset;
+			left = world->stub_block_len - offset;
 		}
 		len = send(connection->fd, data, left, MSG_NOSIGNAL);
 		if (len <= 0)
