Observe the speed of backend servers and report it

An instance takes the gaps between the events of each stream, six at a time, the time to the first event of a prompt that no other one delays, the time of a complete stream by the tokens that were expected, and the time of a successful request of a plain service. What it has observed of a server in the last 600 ms goes into its load reports (5 bytes for a server in them, 16 for one without a request in flight), and into the summaries between data centres.

test_choose_speed: a factor observed by one instance is known to another one of its data centre and, by a summary, to one of another.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -96,6 +96,7 @@
 	uint64_t kv_tokens;      /* prompts and what they may generate */
 	uint32_t recent_tokens;  /* of prompts sent recently, decaying */
 	int unreachable;         /* in reports: connections to it fail */
+	uint32_t speed; /* in reports: as at_speed_report(); 0: not seen */
 } at_load_t;
 
 /* Load of one backend server in an instance's report. */
@@ -124,9 +125,10 @@
 	uint32_t output_tokens; /* expected */
 	at_prefix_part_t prefix[AT_PREFIX_PARTS_MAX];
 	size_t prefix_count;
-	int has_slack;     /* it meets its objective even if others go first */
-	uint32_t priority; /* 0 is the most urgent */
-	int is_resumption; /* it goes on with a stream that has begun */
+	int has_slack; /* it meets its objective even if others go first */
+	uint32_t event_gap_ms; /* longest gap in an on-time stream; 0: any */
+	uint32_t priority;     /* 0 is the most urgent */
+	int is_resumption;     /* it goes on with a stream that has begun */
 	at_tag_t avoid[AT_SITE_ATTEMPTS_MAX]; /* tried before; 0: none */
 } at_work_t;
 
@@ -402,6 +404,20 @@
     const at_work_t *work, int had_first_event, at_server_outcome_t outcome,
     uint64_t now_us);
 
+/*
+ * Observations for service_times.h. at_server_note_prompt() takes the time to
+ * the first event, before at_server_note_first_event(). at_server_note_events()
+ * takes what at_event_gaps_add() has returned. at_server_note_completed() takes
+ * a successful request that took run_us: since its first event for a stream, of
+ * which events have arrived, and since it was sent for a plain service.
+ */
+void at_server_note_prompt(at_server_t *server, const at_work_t *work,
+    uint64_t observed_us, uint64_t now_us);
+void at_server_note_events(at_server_t *server, const at_work_t *work,
+    uint32_t count, uint32_t usual_us, uint64_t now_us);
+void at_server_note_completed(at_server_t *server, const at_work_t *work,
+    uint32_t events, uint64_t run_us, uint64_t now_us);
+
 /*
  * at_fleet_fill_report() writes this instance's own loads, at most max
  * entries, and returns their number.
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -1042,7 +1042,7 @@
   assert(message->base.descriptor == &report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor report_load__field_descriptors[6] =
+static const ProtobufCFieldDescriptor report_load__field_descriptors[7] =
 {
   {
     "server",
@@ -1116,6 +1116,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "speed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(ReportLoad, speed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report_load__field_indices_by_name[] = {
   1,   /* field[1] = active */
@@ -1123,12 +1135,13 @@
   2,   /* field[2] = prefill_tokens */
   4,   /* field[4] = recent_tokens */
   0,   /* field[0] = server */
+  6,   /* field[6] = speed */
   5,   /* field[5] = unreachable */
 };
 static const ProtobufCIntRange report_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor report_load__descriptor =
 {
@@ -1138,7 +1151,7 @@
   "ReportLoad",
   "",
   sizeof(ReportLoad),
-  6,
+  7,
   report_load__field_descriptors,
   report_load__field_indices_by_name,
   1,  report_load__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -63,10 +63,14 @@
    * the sender cannot connect to it
    */
   protobuf_c_boolean unreachable;
+  /*
+   * How fast the sender has seen it lately, packed as service_times.c says.
+   */
+  uint32_t speed;
 };
 #define REPORT_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report_load__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -4,6 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Events of a stream that shows how long one runs. */
+#define STREAM_MIN_EVENTS 4u
+
 const char *const at_choice_result_names[] = {
     "server", "full", "absent", "nobody", "limited", "paused"};
 
@@ -86,6 +89,7 @@
 	if (server->is_listed || server->references > 0 || has_notices(server))
 		return;
 	HASH_DEL(fleet->servers, server);
+	at_service_times_remove(fleet->times, server->speed);
 	free(server);
 }
 
@@ -94,6 +98,7 @@
 reset_incarnation(at_server_t *server)
 {
 	server_health_init(&server->health);
+	at_speed_reset(server->speed);
 	residents_clear_notes(server);
 	memset(&server->limit, 0, sizeof(server->limit));
 	memset(&server->room, 0, sizeof(server->room));
@@ -112,6 +117,8 @@
 	if (server == NULL)
 		return NULL;
 	server->entry = *entry;
+	server->speed =
+	    at_service_times_add(fleet->times, entry->service, entry->tag);
 	reset_incarnation(server);
 	HASH_ADD(hh, fleet->servers, entry.tag, sizeof(entry->tag), server);
 	for (report = fleet->reports; report != NULL;
@@ -311,6 +318,48 @@
 	delete_if_unused(fleet, server);
 }
 
+void
+at_server_note_prompt(at_server_t *server, const at_work_t *work,
+    uint64_t observed_us, uint64_t now_us)
+{
+	uint32_t unread =
+	    server->own_load.prefill_tokens + server->peer_load.prefill_tokens;
+
+	/*
+	 * With other prompts at the server the time would be theirs, too; one
+	 * with a known prefix may be cached.
+	 */
+	if (work->model != 0 && unread == work->prompt_tokens &&
+	    work->prefix_count == 0)
+		at_speed_note_prompt(
+		    server->speed, work->prompt_tokens, observed_us, now_us);
+}
+
+void
+at_server_note_events(at_server_t *server, const at_work_t *work,
+    uint32_t count, uint32_t usual_us, uint64_t now_us)
+{
+	if (work->model != 0)
+		at_speed_note_events(
+		    server->speed, work->model, count, usual_us, now_us);
+}
+
+void
+at_server_note_completed(at_server_t *server, const at_work_t *work,
+    uint32_t events, uint64_t run_us, uint64_t now_us)
+{
+	if (work->model != 0) {
+		/* One that ended early took less than was expected of it. */
+		if (events >= STREAM_MIN_EVENTS)
+			at_speed_note_stream(server->speed, work->model,
+			    work->output_tokens, run_us, now_us);
+		return;
+	}
+	/* With more requests than slots it may have waited at the server. */
+	if (at_server_load(server, now_us).active <= server->entry.slots)
+		at_speed_note_plain(server->speed, run_us, now_us);
+}
+
 void
 at_server_note_silent(at_server_t *server, uint64_t now_us)
 {
@@ -429,10 +478,14 @@
 
 	for (server = fleet->servers; server != NULL && count < max;
 	     server = server->hh.next) {
-		if (server->own_load.active == 0 && !server->health.unreachable)
+		uint32_t speed = at_speed_report(server->speed, now_us);
+
+		if (server->own_load.active == 0 &&
+		    !server->health.unreachable && speed == 0)
 			continue;
 		entries[count].server = server->entry.tag;
 		entries[count].load = server->own_load;
+		entries[count].load.speed = speed;
 		entries[count].load.unreachable =
 		    server->health.unreachable &&
 		    now_us < server->health.backoff_until_us;
@@ -482,10 +535,14 @@
 	}
 	for (server = fleet->servers; server != NULL && count < max;
 	     server = server->hh.next) {
-		if (server->member_load.active == 0)
+		uint32_t speed =
+		    at_speed_sum(server->speed, is_member, ctx, now_us);
+
+		if (server->member_load.active == 0 && speed == 0)
 			continue;
 		entries[count].server = server->entry.tag;
 		entries[count].load = server->member_load;
+		entries[count].load.speed = speed;
 		entries[count++].load.unreachable = 0;
 	}
 	return count;
@@ -510,6 +567,8 @@
 			    load->prefill_tokens;
 			server->peer_load.kv_tokens += load->kv_tokens;
 			server->peer_load.recent_tokens += load->recent_tokens;
+			at_speed_apply(server->speed, report->instance,
+			    load->speed, report->received_us);
 		} else {
 			server->peer_load.active -= load->active;
 			server->peer_load.prefill_tokens -=
--- a/src/entry/base/attempt_events.h
+++ b/src/entry/base/attempt_events.h
@@ -18,6 +18,7 @@
 	AT_ATTEMPT_EVENT_STATED,    /* headers of a response: response is set */
 	AT_ATTEMPT_EVENT_FIRST_EVENT, /* or the complete response: elapsed_us is
 					 set */
+	AT_ATTEMPT_EVENT_GAPS,        /* between events: gap_count and gap_us */
 	AT_ATTEMPT_EVENT_ORIGIN,  /* the stream has an event of this version */
 	AT_ATTEMPT_EVENT_BEGUN,   /* the response has begun and gone on */
 	AT_ATTEMPT_EVENT_REFUSED, /* it has not run: status and is_misplaced */
@@ -46,11 +47,14 @@
 	uint64_t waited_us; /* in the queue before */
 	uint64_t predicted_us;
 	uint64_t first_event_us;
+	uint32_t event_count; /* of a stream, so far */
 	int had_event;
 	int is_begun;
 	/* Of single kinds: */
 	const at_server_response_t *response;
 	uint64_t elapsed_us; /* since it was sent */
+	uint32_t gap_count;  /* as at_event_gaps_add() returns it */
+	uint32_t gap_us;     /* their usual length */
 	int status;
 	int is_misplaced; /* wrong server, or a model that is not resident */
 	at_reason_t reason;
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -96,6 +96,8 @@
 	else
 		output = output * OUTPUT_ESTIMATE_PERCENT / 100u;
 	work->output_tokens = output;
+	if (call->route->type == AT_ROUTE_STREAM)
+		work->event_gap_ms = call->route->event_gap_ms;
 	memcpy(work->prefix, header->prefix, sizeof(work->prefix));
 	work->prefix_count = header->prefix_count;
 }
--- a/src/entry/call/call_events.c
+++ b/src/entry/call/call_events.c
@@ -30,6 +30,7 @@
 	complete.waited_us = call->waited_us;
 	complete.predicted_us = attempt->predicted_us;
 	complete.first_event_us = attempt->first_event_us;
+	complete.event_count = attempt->event_count;
 	complete.had_event = attempt->had_event;
 	complete.is_begun = attempt->is_begun;
 	complete.fill_parts = fill_parts;
--- a/src/entry/call/call_impl.h
+++ b/src/entry/call/call_impl.h
@@ -48,6 +48,8 @@
 	uint64_t predicted_us;
 	int had_event; /* an event or the complete response has arrived */
 	uint64_t first_event_us; /* when that arrived */
+	uint32_t event_count;    /* of a stream */
+	at_event_gaps_t gaps;    /* between them */
 	int is_begun;   /* it has gone on since, which the crashes know */
 	int is_silent;  /* another attempt was started beside it */
 	int is_refused; /* the server states that it did not run it */
--- a/src/entry/call/call_response.c
+++ b/src/entry/call/call_response.c
@@ -165,6 +165,21 @@
 	call_notify_kind(attempt, AT_ATTEMPT_EVENT_ORIGIN);
 }
 
+static void
+note_gap(call_attempt_t *attempt)
+{
+	uint32_t usual_us = 0;
+	uint32_t count;
+
+	attempt->event_count++;
+	count = at_event_gaps_add(&attempt->gaps, at_clock_now_us(), &usual_us);
+	if (count > 0)
+		call_notify(attempt,
+		    &(at_attempt_event_t){.kind = AT_ATTEMPT_EVENT_GAPS,
+			.gap_count = count,
+			.gap_us = usual_us});
+}
+
 static void
 on_event(void *ctx, const at_event_t *event)
 {
@@ -174,6 +189,7 @@
 	if (call->is_finished || attempt->transfer == NULL)
 		return;
 	note_first_event(attempt);
+	note_gap(attempt);
 	if (at_clock_now_us() >=
 	    attempt->first_event_us + AT_CRASH_BEGUN_AFTER_US)
 		call_note_begun(attempt);
@@ -194,6 +210,9 @@
 	at_attempts_on_data(call->attempts, attempt->number, at_clock_now_ms());
 	call_process(call);
 	call->event = NULL;
+	/* What waits for a slow caller says nothing of the server. */
+	if (call->is_paused)
+		at_event_gaps_reset(&attempt->gaps);
 }
 
 static int
--- a/src/entry/peers/report_loads.c
+++ b/src/entry/peers/report_loads.c
@@ -28,6 +28,7 @@
 	load->kv_tokens = entry->load.kv_tokens;
 	load->unreachable = entry->load.unreachable;
 	load->recent_tokens = entry->load.recent_tokens;
+	load->speed = entry->load.speed;
 }
 
 void
@@ -129,6 +130,7 @@
 		entries[count].load.kv_tokens = load->kv_tokens;
 		entries[count].load.recent_tokens = load->recent_tokens;
 		entries[count].load.unreachable = 0;
+		entries[count].load.speed = load->speed;
 		if (load->unreachable && is_same_data_centre)
 			at_fleet_apply_unreachable(
 			    gossip->deps.fleet, load->server, now_us);
--- a/src/entry/servers/server_health.c
+++ b/src/entry/servers/server_health.c
@@ -20,6 +20,18 @@
 	    pause_ms >= AT_SERVER_PAUSE_MAX_MS ? " at_most=1" : "");
 }
 
+/* Only a successful response shows how long a request runs. */
+static void
+note_completed(const at_attempt_event_t *event, uint64_t now_us)
+{
+	uint64_t begin_us =
+	    event->work->model == 0 ? event->sent_us : event->first_event_us;
+
+	if (event->outcome == AT_OUTCOME_SUCCESS && event->is_begun)
+		at_server_note_completed(event->server, event->work,
+		    event->event_count, now_us - begin_us, now_us);
+}
+
 static void
 notify(void *ctx, const at_attempt_event_t *event)
 {
@@ -33,15 +45,22 @@
 		note_pause(event);
 		break;
 	case AT_ATTEMPT_EVENT_FIRST_EVENT:
+		at_server_note_prompt(event->server, event->work,
+		    event->elapsed_us, event->sent_us + event->elapsed_us);
 		at_server_note_first_event(event->server, event->work,
 		    event->predicted_us, event->elapsed_us);
 		break;
+	case AT_ATTEMPT_EVENT_GAPS:
+		at_server_note_events(event->server, event->work,
+		    event->gap_count, event->gap_us, at_clock_now_us());
+		break;
 	case AT_ATTEMPT_EVENT_REFUSED:
 		if (event->is_misplaced && event->server != NULL)
 			at_server_note_misplaced(
 			    event->server, event->work, at_clock_now_us());
 		break;
 	case AT_ATTEMPT_EVENT_ENDED:
+		note_completed(event, at_clock_now_us());
 		at_fleet_note_ended(fleet, event->server, event->work,
 		    event->had_event, event->outcome, at_clock_now_us());
 		break;
