Choose backend servers by their speed

An engine's factor multiplies the predicted time to the first event, and the pauses count that a prompt causes in its own stream and in those that run there: event time and prompts sent lately, against the route's event gap, in excess of what the fastest engine would cost. A fast engine that is nearly full is not preferred to a mean one. With equal factors the choice is the same, request by request, as before. A recent window loses weight in two seconds when nothing is observed any more, so that an engine that was avoided is tried again.

--- a/src/bench/bench.h
+++ b/src/bench/bench.h
@@ -21,6 +21,7 @@
 int bench_claims(int argc, char **argv);
 int bench_limits(int argc, char **argv);
 int bench_route(int argc, char **argv);
+int bench_choose(int argc, char **argv);
 int bench_serve(int argc, char **argv);
 
 #endif
--- a/src/bench/main.c
+++ b/src/bench/main.c
@@ -21,6 +21,7 @@
     {"claims", bench_claims, "claims per object API write and added latency"},
     {"limits", bench_limits, "workspace limits: shares against other policies"},
     {"route", bench_route, "cost of one routing decision"},
+    {"choose", bench_choose, "time of one choice of a backend server"},
     {"serve", bench_serve, "requests served on time, against baselines"},
 };
 
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -8,6 +8,13 @@
  * each engine are bounded, so that the streams that already run there keep
  * their pace; the bound is lower for requests with slack, which leaves slots
  * for the others.
+ *
+ * Engines of one service may differ in speed by a factor of two and more
+ * (service_times.h). At a slow one not only the first event is late: while
+ * prompts are read, all streams there pause longer than callers accept. Both
+ * count by the engine's factor, and the fast engines are not filled to the last
+ * slot while slower ones are idle. With equal factors the choice is the same as
+ * without.
  */
 #include <string.h>
 
@@ -105,22 +112,29 @@
 	return cached < work->prompt_tokens ? cached : work->prompt_tokens;
 }
 
+static uint32_t
+min_u32(uint32_t a, uint32_t b)
+{
+	return a < b ? a : b;
+}
+
 /*
  * Returns how many prompts of the same length, each tokens long, fit below a
- * limit. A single prompt may exceed the limit if there are no others.
+ * limit, at most max, which is at least 1. A single prompt may exceed the limit
+ * if there are no others.
  */
 static uint32_t
-prompts_below_limit(uint64_t present, uint64_t each, uint64_t limit)
+prompts_below_limit(
+    uint64_t present, uint64_t each, uint64_t limit, uint32_t max)
 {
+	/* Mostly the limit is far away; a division for each would take longer.
+	 */
+	if (present + each * max <= limit)
+		return max;
 	if (present + each > limit)
 		return present == 0;
-	return (uint32_t)((limit - present) / (each == 0 ? 1u : each));
-}
-
-static uint32_t
-min_u32(uint32_t a, uint32_t b)
-{
-	return a < b ? a : b;
+	return min_u32(
+	    (uint32_t)((limit - present) / (each == 0 ? 1u : each)), max);
 }
 
 /*
@@ -154,18 +168,16 @@
 	free_slots = slots - load->active;
 	if (work->model == 0)
 		return free_slots;
-	free_slots = min_u32(free_slots,
-	    prompts_below_limit(load->prefill_tokens, prompt, prefill_limit));
+	free_slots = prompts_below_limit(
+	    load->prefill_tokens, prompt, prefill_limit, free_slots);
 	/*
 	 * Without this limit every step of the streams that run there would
 	 * also read a part of a prompt and take longer.
 	 */
-	free_slots =
-	    min_u32(free_slots, prompts_below_limit(load->recent_tokens, prompt,
-				    RECENT_MAX_TOKENS));
-	free_slots = min_u32(
-	    free_slots, prompts_below_limit(load->kv_tokens, kv,
-			    service->kv_tokens * KV_FILL_PERCENT / 100u));
+	free_slots = prompts_below_limit(
+	    load->recent_tokens, prompt, RECENT_MAX_TOKENS, free_slots);
+	free_slots = prompts_below_limit(load->kv_tokens, kv,
+	    service->kv_tokens * KV_FILL_PERCENT / 100u, free_slots);
 	return load->active == 0 && free_slots == 0 ? 1u : free_slots;
 }
 
@@ -183,13 +195,115 @@
 		return 0;
 	if (work->model == 0 || server->own_load.active == 0)
 		return room;
-	return min_u32(room, prompts_below_limit(server->own_load.kv_tokens, kv,
-				 server_room_kv_tokens(server, kv_limit)));
+	return prompts_below_limit(server->own_load.kv_tokens, kv,
+	    server_room_kv_tokens(server, kv_limit), room);
+}
+
+/* What a choice takes from the service times, for the mean server. */
+typedef struct pace {
+	double event_us;
+	double prompt_token_us;
+	double gap_us; /* longest gap of an on-time stream; 0: any */
+} pace_t;
+
+/* One candidate's speed; the mean is 1. */
+typedef struct speed_factors {
+	double own;
+	double fastest; /* of the service */
+} speed_factors_t;
+
+static pace_t
+get_pace(const at_fleet_t *fleet, const at_work_t *work, uint64_t now_us)
+{
+	at_service_time_t time;
+
+	if (work->event_gap_ms == 0)
+		return (pace_t){0., 0., 0.};
+	at_service_times_get(
+	    fleet->times, work->service, 0, work->model, now_us, &time);
+	return (pace_t){(double)time.event_us,
+	    (double)time.prompt_token_ns / 1000.,
+	    (double)work->event_gap_ms * 1000.};
+}
+
+static speed_factors_t
+get_factors(const at_server_t *server, uint64_t now_us)
+{
+	uint32_t fastest;
+	uint32_t own = at_speed_factor_milli(server->speed, now_us, &fastest);
+
+	return (speed_factors_t){(double)own / AT_FACTOR_MEAN_MILLI,
+	    (double)(own < fastest ? own : fastest) / AT_FACTOR_MEAN_MILLI};
+}
+
+/*
+ * Returns the expected cost of the lateness of one stream whose longest pause
+ * is predicted: that of the longest gap if it is as long, and less below it, as
+ * a server may be slower for a time than it was.
+ */
+static double
+lateness_us(const pace_t *pace, double pause_us)
+{
+	double part = pause_us / pace->gap_us;
+
+	return part >= 1. ? pace->gap_us : pace->gap_us * part * part;
+}
+
+/*
+ * Returns the cost of the pauses at a server of this factor: those of the new
+ * stream, and what its prompt adds to those of the streams that run there. A
+ * stream pauses for the time of an event and of the prompts that are read in
+ * it: the unread ones, or as many as were sent there lately.
+ */
+static double
+pauses_us(
+    const pace_t *pace, const at_load_t *load, uint32_t prompt, double factor)
+{
+	uint32_t tokens = load->prefill_tokens > load->recent_tokens
+			      ? load->prefill_tokens
+			      : load->recent_tokens;
+	double before_us =
+	    factor * (pace->event_us + tokens * pace->prompt_token_us);
+	double after_us = before_us + factor * prompt * pace->prompt_token_us;
+	double after = lateness_us(pace, after_us);
+
+	return after + load->active * (after - lateness_us(pace, before_us));
+}
+
+/*
+ * Returns what a server's speed adds to the cost of a request besides the
+ * predicted time.
+ */
+static uint64_t
+speed_cost_us(const at_server_t *server, const at_load_t *load,
+    const pace_t *pace, uint32_t prompt, uint64_t predicted_us,
+    const speed_factors_t *factors)
+{
+	double gain_us = (double)predicted_us * (1. / factors->own - 1.);
+	double fill = (double)load->active / (server->entry.slots + 1u);
+	double cost = 0.;
+
+	if (factors->own == factors->fastest && factors->own == 1.)
+		return 0;
+	if (pace->gap_us > 0.) {
+		double own = pauses_us(pace, load, prompt, factors->own);
+
+		cost = own - pauses_us(pace, load, prompt, factors->fastest);
+		gain_us += pauses_us(pace, load, prompt, 1.) - own;
+	}
+	/*
+	 * All instances know the same fastest servers. One that is nearly full
+	 * is preferred to a mean one no more.
+	 */
+	if (gain_us > 0.)
+		cost += gain_us * fill * fill;
+	return (uint64_t)cost;
 }
 
 static uint64_t
 predict_us(const at_fleet_t *fleet, const at_server_t *server,
-    const at_work_t *work, const at_load_t *load)
+    const at_work_t *work, const at_load_t *load, uint32_t prompt,
+    const speed_factors_t *factors)
 {
 	int is_far = server->entry.data_centre != fleet->data_centre;
 	uint64_t us;
@@ -199,11 +313,11 @@
 					    PLAIN_REQUEST_US /
 					    (server->entry.slots + 1u);
 	else
-		us = ((uint64_t)load->prefill_tokens + work->prompt_tokens -
-			 cached_tokens(server, work)) *
-			 TOKEN_US +
+		us = ((uint64_t)load->prefill_tokens + prompt) * TOKEN_US +
 		     (uint64_t)load->active * ACTIVE_REQUEST_US;
 	us = us * server->health.slowdown_milli / 1000u;
+	if (factors->own != 1.)
+		us = (uint64_t)((double)us * factors->own);
 	if (is_far)
 		us += work->model == 0 ? REMOTE_PLAIN_US : REMOTE_ENGINE_US;
 	return us;
@@ -261,6 +375,43 @@
 	uint32_t free_slots;
 } candidate_t;
 
+/* What is the same for all candidates of one choice. */
+typedef struct choosing {
+	at_fleet_t *fleet;
+	const at_site_service_t *service;
+	const at_work_t *work;
+	uint64_t now_us;
+	pace_t pace;
+	int is_brittle;
+} choosing_t;
+
+/* Returns zero if the server has no free slot for the request. */
+static int
+evaluate(const choosing_t *choosing, candidate_t *candidate)
+{
+	const at_server_t *server = candidate->server;
+	const at_work_t *work = choosing->work;
+	const at_load_t load = at_server_load(server, choosing->now_us);
+	speed_factors_t factors;
+	uint32_t prompt;
+
+	candidate->free_slots =
+	    choosing->is_brittle
+		? free_room_at(
+		      server, choosing->service, work, &load, choosing->now_us)
+		: free_slots_now(server, choosing->service, work, &load);
+	if (candidate->free_slots == 0)
+		return 0;
+	factors = get_factors(server, choosing->now_us);
+	prompt = work->prompt_tokens - cached_tokens(server, work);
+	candidate->predicted_us =
+	    predict_us(choosing->fleet, server, work, &load, prompt, &factors);
+	candidate->cost_us = cost_us(work, &load, candidate->predicted_us) +
+			     speed_cost_us(server, &load, &choosing->pace,
+				 prompt, candidate->predicted_us, &factors);
+	return 1;
+}
+
 /* State of the weighted random choice among the cheapest candidates. */
 typedef struct selection {
 	uint64_t cost_us;
@@ -306,7 +457,12 @@
 	closed_servers_t closed = {.closed_us = UINT64_MAX};
 	uint32_t available = 0;
 	int other_versions = 0;
-	int is_brittle = at_fleet_is_brittle(fleet, work->service);
+	const choosing_t choosing = {.fleet = fleet,
+	    .service = service == NULL ? work->own_service : service,
+	    .work = work,
+	    .now_us = now_us,
+	    .pace = get_pace(fleet, work, now_us),
+	    .is_brittle = at_fleet_is_brittle(fleet, work->service)};
 
 	memset(choice, 0, sizeof(*choice));
 	if (service == NULL)
@@ -317,7 +473,6 @@
 	     server = server->hh.next) {
 		candidate_t candidate = {.server = server};
 		server_gate_t gate = server_gate_check(server, work, now_us);
-		at_load_t load;
 
 		other_versions |= gate == SERVER_GATE_OTHER_VERSION;
 		if (gate == SERVER_GATE_EXCLUDED ||
@@ -337,17 +492,9 @@
 		if (gate != SERVER_GATE_OPEN ||
 		    fleet_is_held(fleet, server, work))
 			continue;
-		load = at_server_load(server, now_us);
-		candidate.free_slots =
-		    is_brittle
-			? free_room_at(server, service, work, &load, now_us)
-			: free_slots_now(server, service, work, &load);
-		if (candidate.free_slots == 0)
-			continue;
-		candidate.predicted_us = predict_us(fleet, server, work, &load);
-		candidate.cost_us =
-		    cost_us(work, &load, candidate.predicted_us);
-		consider_candidate(fleet, work, &candidate, choice, &selection);
+		if (evaluate(&choosing, &candidate))
+			consider_candidate(
+			    fleet, work, &candidate, choice, &selection);
 	}
 	/*
 	 * If no server has the model resident, count the slots of one engine.
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* After this time less than one is left of a million recent tokens. */
+#define DECAYED_US (14. * AT_RECENT_TOKENS_DECAY_US)
 /* Events of a stream that shows how long one runs. */
 #define STREAM_MIN_EVENTS 4u
 
@@ -247,6 +249,9 @@
 	double elapsed_us =
 	    now_us > since_us ? (double)(now_us - since_us) : 0.;
 
+	/* Most servers have got nothing lately. */
+	if (tokens < 1. || elapsed_us > DECAYED_US)
+		return 0;
 	return (
 	    uint32_t)(tokens * exp(-elapsed_us / AT_RECENT_TOKENS_DECAY_US));
 }
--- a/src/core/fleet/service_times.c
+++ b/src/core/fleet/service_times.c
@@ -10,8 +10,9 @@
  * Two windows are kept of each server. The long one follows its lasting speed;
  * in it an observation far from the estimate counts as a limited change, since
  * a spell of slowness says little about the time after it. The recent one
- * follows a change within a second; without new observations its weight is
- * gone as fast, so that a server that was avoided is tried again.
+ * follows a change within a second: in it observations lose weight by the time
+ * before the newest one. When none come any more because the server is avoided,
+ * it loses its weight in some seconds, and the server is tried again.
  */
 #include "almondthread/service_times.h"
 
@@ -34,6 +35,9 @@
 /* Time constants of the windows. */
 #define LONG_US 20000000.f
 #define RECENT_US 500000.f
+/* The same of the recent window after the newest observation of any instance.
+ */
+#define UNSEEN_US 2000000.f
 /* Time constant of the times of models and services. */
 #define KIND_US 60000000.f
 /* Weight, in observations, of the mean of the service in a long window. */
@@ -350,17 +354,22 @@
 	float mean = speed->service == NULL ? 1.f : speed->service->mean;
 	window_t sum = {0};
 	float current;
+	uint64_t newest_us =
+	    speed->newest_us < now_us ? speed->newest_us : now_us;
 	size_t i;
 
 	if (speed->computed_us != 0 &&
 	    now_us < speed->computed_us + FACTOR_VALID_US)
 		return;
 	speed->computed_us = now_us == 0 ? 1u : now_us;
-	window_add(&sum, &speed->own, now_us);
+	window_add(&sum, &speed->own, newest_us);
 	for (i = 0; i < PEERS; i++) {
 		if (speed->peers[i].instance != 0)
-			window_add(&sum, &speed->peers[i].window, now_us);
+			window_add(&sum, &speed->peers[i].window, newest_us);
 	}
+	sum.long_weight = decayed(sum.long_weight, newest_us, now_us, LONG_US);
+	sum.recent_weight =
+	    decayed(sum.recent_weight, newest_us, now_us, UNSEEN_US);
 	speed->weight = sum.long_weight;
 	add_mean(&sum.long_weight, &sum.long_ratio, LONG_PRIOR, mean);
 	speed->lasting_ratio = sum.long_ratio;
