Predict waits in the queue from learned times

start_delay_us() and max_wait_us() used constants for a prompt token, a step and a plain request. They take them from the service times now, for the mean server. The time of a plain request was divided by the servers only, as the constant stood for a part of it; the learned time is divided by the slots. A prior has the weight of a few observations. The choice skips engines without the model before it checks whether they may be used.

--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -496,16 +496,21 @@
 	for (server = fleet->servers; server != NULL;
 	     server = server->hh.next) {
 		candidate_t candidate = {.server = server};
-		server_gate_t gate = server_gate_check(server, work, now_us);
+		int has_model = work->model == 0 ||
+				at_server_has_resident(server, work->model, 0);
+		server_gate_t gate;
 		uint64_t limit_us;
 
+		/* Most engines of a large fleet do not have the model. */
+		if (!has_model && available > 0 && work->software == 0)
+			continue;
+		gate = server_gate_check(server, work, now_us);
 		other_versions |= gate == SERVER_GATE_OTHER_VERSION;
 		if (gate == SERVER_GATE_EXCLUDED ||
 		    gate == SERVER_GATE_OTHER_VERSION)
 			continue;
 		available++;
-		if (work->model != 0 &&
-		    !at_server_has_resident(server, work->model, 0))
+		if (!has_model)
 			continue;
 		choice->model_servers++;
 		choice->batch_slots += server->entry.slots;
--- a/src/core/fleet/service_times.c
+++ b/src/core/fleet/service_times.c
@@ -46,6 +46,10 @@
 #define RECENT_PRIOR 10.f
 /* Observations of a model after which those of its servers count half. */
 #define KIND_PRIOR 12.f
+/* Weight of the priors of a prompt token and a plain request. */
+#define TIME_PRIOR 4.f
+/* The same of the time of a token, in tokens. */
+#define TOKEN_PRIOR 500.f
 /* In a long window an observation is at most this far from the estimate. */
 #define OUTLIER_RATIO 2.f
 /* Limits of a ratio of an observed to a usual time. */
@@ -60,7 +64,7 @@
 /* A plain request counts as this number of observations. */
 #define PLAIN_COUNT 2u
 /* Prompts below this are read in the time of a few steps. */
-#define PROMPT_MIN_TOKENS 500u
+#define PROMPT_MIN_TOKENS 1000u
 /* Limits of what is believed of a prompt token. */
 #define PROMPT_TOKEN_MIN_NS 2000.f
 #define PROMPT_TOKEN_MAX_NS 1000000.f
@@ -217,10 +221,14 @@
 	add_mean(&estimate->weight, &estimate->value, weight, value);
 }
 
-static float
-estimate_get(const estimate_t *estimate, float prior)
+static uint64_t
+estimate_get(const estimate_t *estimate, float prior, float prior_weight)
 {
-	return estimate->weight > 0.f ? estimate->value : prior;
+	float weight = estimate->weight;
+	float value = estimate->value;
+
+	add_mean(&weight, &value, prior_weight, prior);
+	return (uint64_t)value;
 }
 
 static service_t *
@@ -539,17 +547,17 @@
 	const kind_t *kind = find_kind(times, service->tag, model);
 	const estimate_t *plain = &service->plain_us;
 
-	time->prompt_token_ns =
-	    (uint64_t)estimate_get(&service->prompt_token_ns, PROMPT_TOKEN_NS);
-	time->plain_us = (uint64_t)estimate_get(plain, PLAIN_US);
+	time->prompt_token_ns = estimate_get(
+	    &service->prompt_token_ns, PROMPT_TOKEN_NS, TIME_PRIOR);
+	time->plain_us = estimate_get(plain, PLAIN_US, TIME_PRIOR);
 	if (model == 0)
 		set_certainty(time,
 		    decayed(plain->weight, plain->us, now_us, KIND_US),
 		    plain->us, now_us);
 	if (model == 0 || kind == NULL)
 		return;
-	time->token_us = (uint64_t)estimate_get(&kind->token_us, TOKEN_US);
-	time->event_us = (uint64_t)estimate_get(&kind->event_us, 0.f);
+	time->token_us = estimate_get(&kind->token_us, TOKEN_US, TOKEN_PRIOR);
+	time->event_us = estimate_get(&kind->event_us, 0.f, 0.f);
 	set_certainty(time,
 	    decayed(kind->event_us.weight, kind->event_us.us, now_us, KIND_US),
 	    kind->event_us.us, now_us);
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -10,12 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Time to read a prompt token; the rate is 29 in 1 ms, less a third. */
-#define TOKEN_US 45u
-/* Time of a step, which generates a token for each request of a batch. */
-#define STEP_US 7000u
-/* Time of one request of a plain service. */
-#define PLAIN_REQUEST_US 12000u
+#define NS_PER_US 1000u
 /* Time until a requested model is resident. */
 #define MODEL_LOAD_US 1000000u
 /* Time until an adapter of a resident model is resident. */
@@ -131,25 +126,39 @@
 	return entry;
 }
 
+static at_service_time_t
+mean_times(
+    const at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
+{
+	at_service_time_t time;
+
+	at_service_times_get(at_fleet_service_times(queue->fleet),
+	    waiter->work.service, 0, waiter->work.model, now_us, &time);
+	return time;
+}
+
 /*
  * Returns the time until this number of requests has started. They wait for
  * prompts to be read and for batch slots, whichever takes longer.
  */
 static uint64_t
-start_delay_us(const at_waiter_t *waiter, const at_choice_t *choice,
-    uint64_t requests, uint64_t prompt_tokens)
+start_delay_us(const at_wait_queue_t *queue, const at_waiter_t *waiter,
+    const at_choice_t *choice, uint64_t requests, uint64_t prompt_tokens,
+    uint64_t now_us)
 {
 	/* An adapter can be loaded on any engine that has its model. */
 	uint32_t engines =
 	    choice->model_servers == 0 ? 1u : choice->model_servers;
 	uint32_t batch_slots =
 	    choice->batch_slots == 0 ? 1u : choice->batch_slots;
-	uint64_t read_us = prompt_tokens * TOKEN_US / engines;
+	const at_service_time_t time = mean_times(queue, waiter, now_us);
+	uint64_t read_us =
+	    prompt_tokens * time.prompt_token_ns / NS_PER_US / engines;
 	uint64_t batch_us =
-	    requests * waiter->work.output_tokens * STEP_US / batch_slots;
+	    requests * waiter->work.output_tokens * time.token_us / batch_slots;
 
 	if (waiter->work.model == 0)
-		return requests * PLAIN_REQUEST_US / engines;
+		return requests * time.plain_us / batch_slots;
 	return read_us > batch_us ? read_us : batch_us;
 }
 
@@ -160,7 +169,7 @@
  */
 static uint64_t
 expected_wait_us(const at_wait_queue_t *queue, const at_waiter_t *waiter,
-    const at_choice_t *choice)
+    const at_choice_t *choice, uint64_t now_us)
 {
 	at_queue_report_t all = queued_like(queue, waiter, 0);
 	at_queue_report_t ahead = queued_like(queue, waiter, 1);
@@ -169,10 +178,11 @@
 	uint64_t ahead_weight = ahead.requests + 1u;
 	uint64_t total_weight = all.requests + 2u;
 
-	return start_delay_us(waiter, choice,
+	return start_delay_us(queue, waiter, choice,
 	    ahead.requests + 1u + peers.requests * ahead_weight / total_weight,
 	    ahead.prompt_tokens +
-		peers.prompt_tokens * ahead_weight / total_weight);
+		peers.prompt_tokens * ahead_weight / total_weight,
+	    now_us);
 }
 
 static uint32_t
@@ -192,9 +202,12 @@
  * caller.
  */
 static uint64_t
-max_wait_us(const at_waiter_t *waiter, uint64_t now_us)
+max_wait_us(
+    const at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
 {
-	uint64_t own_us = (uint64_t)waiter->work.prompt_tokens * TOKEN_US;
+	uint64_t own_us = (uint64_t)waiter->work.prompt_tokens *
+			  mean_times(queue, waiter, now_us).prompt_token_ns /
+			  NS_PER_US;
 	uint64_t remaining_us =
 	    waiter->deadline_us > now_us ? waiter->deadline_us - now_us : 0;
 	uint64_t max_us = remaining_us * WAIT_PERCENT / 100u;
@@ -300,7 +313,7 @@
 at_wait_queue_decide(at_wait_queue_t *queue, at_waiter_t *waiter,
     uint64_t now_us, at_admission_decision_t *decision)
 {
-	uint64_t max_us = max_wait_us(waiter, now_us);
+	uint64_t max_us = max_wait_us(queue, waiter, now_us);
 
 	memset(decision, 0, sizeof(*decision));
 	update_holds(queue, now_us);
@@ -314,7 +327,8 @@
 		decision->admission = AT_ADMISSION_PLACED;
 		return;
 	}
-	decision->wait_us = expected_wait_us(queue, waiter, &decision->choice);
+	decision->wait_us =
+	    expected_wait_us(queue, waiter, &decision->choice, now_us);
 	if (decision->choice_result == AT_CHOICE_NOT_RESIDENT)
 		decision->wait_us += decision->choice.model_servers > 0
 					 ? ADAPTER_LOAD_US
