Log and count slow backend servers

A server whose lasting factor reaches 1.4 is logged when a request is sent there or its streams are observed, and again when the factor is below 1.2; the gauge slow_servers has the number of those known.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -418,6 +418,16 @@
 void at_server_note_completed(at_server_t *server, const at_work_t *work,
     uint32_t events, uint64_t run_us, uint64_t now_us);
 
+/*
+ * at_server_note_speed() returns non-zero if a server has become slow since
+ * the last call, or is so no more, and writes its lasting factor;
+ * at_server_is_slow() returns which. at_fleet_slow() counts the slow servers.
+ */
+int at_server_note_speed(
+    at_server_t *server, uint64_t now_us, uint32_t *factor_milli);
+int at_server_is_slow(const at_server_t *server);
+size_t at_fleet_slow(const at_fleet_t *fleet, uint64_t now_us);
+
 /*
  * at_fleet_fill_report() writes this instance's own loads, at most max
  * entries, and returns their number.
--- a/include/almondthread/service_times.h
+++ b/include/almondthread/service_times.h
@@ -103,6 +103,12 @@
 uint32_t at_speed_factor_milli(
     at_speed_t *speed, uint64_t now_us, uint32_t *fastest_milli);
 
+/*
+ * at_speed_lasting_milli() returns the same without the recent window and with
+ * small differences from the mean.
+ */
+uint32_t at_speed_lasting_milli(at_speed_t *speed, uint64_t now_us);
+
 /*
  * Reports, 32 bits for each server. at_speed_report() returns what this
  * instance has observed, or 0 if that is nothing within
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -6,6 +6,9 @@
 
 /* After this time less than one is left of a million recent tokens. */
 #define DECAYED_US (14. * AT_RECENT_TOKENS_DECAY_US)
+/* A server is slow from the first of these factors until below the second. */
+#define SLOW_MILLI 1400u
+#define SLOW_END_MILLI 1200u
 /* Events of a stream that shows how long one runs. */
 #define STREAM_MIN_EVENTS 4u
 
@@ -365,6 +368,37 @@
 		at_speed_note_plain(server->speed, run_us, now_us);
 }
 
+int
+at_server_note_speed(
+    at_server_t *server, uint64_t now_us, uint32_t *factor_milli)
+{
+	int was_slow = server->is_slow;
+
+	*factor_milli = at_speed_lasting_milli(server->speed, now_us);
+	server->is_slow =
+	    *factor_milli >= (was_slow ? SLOW_END_MILLI : SLOW_MILLI);
+	return server->is_slow != was_slow;
+}
+
+int
+at_server_is_slow(const at_server_t *server)
+{
+	return server->is_slow;
+}
+
+size_t
+at_fleet_slow(const at_fleet_t *fleet, uint64_t now_us)
+{
+	const at_server_t *server;
+	size_t count = 0;
+
+	for (server = fleet->servers; server != NULL; server = server->hh.next)
+		count += (size_t)(server->is_listed &&
+				  at_speed_lasting_milli(
+				      server->speed, now_us) >= SLOW_MILLI);
+	return count;
+}
+
 void
 at_server_note_silent(at_server_t *server, uint64_t now_us)
 {
--- a/src/core/fleet/fleet_private.h
+++ b/src/core/fleet/fleet_private.h
@@ -89,6 +89,7 @@
 	at_load_t member_load; /* scratch of at_fleet_sum_reports() */
 	server_health_t health;
 	at_speed_t *speed; /* belongs to the fleet's times; may be NULL */
+	int is_slow;       /* as at_server_note_speed() has returned it */
 	server_limit_t limit;
 	server_room_t room;
 	/* Hash table of the prompt prefixes last sent there. */
--- a/src/core/fleet/service_times.c
+++ b/src/core/fleet/service_times.c
@@ -415,6 +415,15 @@
 	return (uint32_t)(speed->factor * AT_FACTOR_MEAN_MILLI);
 }
 
+uint32_t
+at_speed_lasting_milli(at_speed_t *speed, uint64_t now_us)
+{
+	if (speed == NULL)
+		return AT_FACTOR_MEAN_MILLI;
+	update_factor(speed, now_us);
+	return (uint32_t)(speed->lasting_factor * AT_FACTOR_MEAN_MILLI);
+}
+
 /* Counts the ratio of an observed to a usual time for a server. */
 static void
 note_ratio(at_speed_t *speed, float ratio, float weight, int has_recent,
@@ -633,7 +642,7 @@
 	sort(gaps_us, count);
 	for (i = first; i < end; i++)
 		sum += gaps_us[i];
-	return (uint32_t)(sum / (end - first));
+	return end > first ? (uint32_t)(sum / (end - first)) : 0;
 }
 
 uint32_t
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -354,6 +354,7 @@
 	    {"open_requests", at_calls_count(entry->calls)},
 	    {"waiting_requests", at_wait_queue_count(entry->queue)},
 	    {"backend_servers", at_fleet_count(entry->fleet)},
+	    {"slow_servers", at_fleet_slow(entry->fleet, at_clock_now_us())},
 	    {"copies_age_ms", at_sync_age_ms(entry->sync)},
 	    {"config_version", entry->site == NULL ? 0 : entry->site->version},
 	};
--- a/src/entry/servers/server_health.c
+++ b/src/entry/servers/server_health.c
@@ -32,6 +32,26 @@
 		    event->event_count, now_us - begin_us, now_us);
 }
 
+/* How fast a server is lastingly decides how many requests it gets. */
+static void
+log_speed(
+    const at_fleet_t *fleet, const at_attempt_event_t *event, uint64_t now_us)
+{
+	uint32_t factor_milli;
+	at_service_time_t time;
+
+	if (!at_server_note_speed(event->server, now_us, &factor_milli))
+		return;
+	at_service_times_get(at_fleet_service_times(fleet),
+	    event->work->service, 0, event->work->model, now_us, &time);
+	at_log(AT_LOG_INFO, "fleet", NULL,
+	    "server %s slower than the mean server=%s factor_milli=%u "
+	    "event_us=%u plain_us=%u",
+	    at_server_is_slow(event->server) ? "is" : "is no more",
+	    event->server_id, factor_milli, (unsigned)time.event_us,
+	    (unsigned)time.plain_us);
+}
+
 static void
 notify(void *ctx, const at_attempt_event_t *event)
 {
@@ -40,6 +60,7 @@
 	switch (event->kind) {
 	case AT_ATTEMPT_EVENT_SENT:
 		at_server_note_sent(event->server, event->work, event->sent_us);
+		log_speed(fleet, event, event->sent_us);
 		break;
 	case AT_ATTEMPT_EVENT_STATED:
 		note_pause(event);
@@ -53,6 +74,7 @@
 	case AT_ATTEMPT_EVENT_GAPS:
 		at_server_note_events(event->server, event->work,
 		    event->gap_count, event->gap_us, at_clock_now_us());
+		log_speed(fleet, event, at_clock_now_us());
 		break;
 	case AT_ATTEMPT_EVENT_REFUSED:
 		if (event->is_misplaced && event->server != NULL)
