Count replicas at slow engines for less in load orders

A replica at an engine whose lasting factor is 1.4 or more serves the inverse of it. It counts so in the gain of a further replica and in the loss of unloading it, and a load on such an engine costs as much time as the loss of that part. Without slow engines the plan is the same.

--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -13,7 +13,8 @@
  *     + the time of one batch slot for each request in flight
  *     + distance to its data centre,
  *
- * multiplied by the server's recent ratio of observed to predicted time.
+ * multiplied by the server's recent ratio of observed to predicted time and by
+ * its factor (service_times.h).
  */
 #ifndef ALMONDTHREAD_FLEET_H
 #define ALMONDTHREAD_FLEET_H
@@ -426,6 +427,8 @@
 int at_server_note_speed(
     at_server_t *server, uint64_t now_us, uint32_t *factor_milli);
 int at_server_is_slow(const at_server_t *server);
+/* at_server_slow_milli() returns the lasting factor of a slow server, or 0. */
+uint32_t at_server_slow_milli(const at_server_t *server, uint64_t now_us);
 size_t at_fleet_slow(const at_fleet_t *fleet, uint64_t now_us);
 
 /*
--- a/include/almondthread/residency.h
+++ b/include/almondthread/residency.h
@@ -30,6 +30,8 @@
 	at_tag_t unloading; /* model being unloaded, or 0 */
 	/* Model that the last unload freed memory for, until the next load. */
 	at_tag_t replacement;
+	/* Lasting factor of a slow engine (service_times.h); 0: it is not. */
+	uint32_t slow_milli;
 } at_engine_state_t;
 
 typedef enum at_move_kind {
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -386,6 +386,14 @@
 	return server->is_slow;
 }
 
+uint32_t
+at_server_slow_milli(const at_server_t *server, uint64_t now_us)
+{
+	uint32_t milli = at_speed_lasting_milli(server->speed, now_us);
+
+	return milli >= SLOW_MILLI ? milli : 0;
+}
+
 size_t
 at_fleet_slow(const at_fleet_t *fleet, uint64_t now_us)
 {
@@ -394,8 +402,7 @@
 
 	for (server = fleet->servers; server != NULL; server = server->hh.next)
 		count += (size_t)(server->is_listed &&
-				  at_speed_lasting_milli(
-				      server->speed, now_us) >= SLOW_MILLI);
+				  at_server_slow_milli(server, now_us) != 0);
 	return count;
 }
 
--- a/src/core/placement/residency.c
+++ b/src/core/placement/residency.c
@@ -9,6 +9,9 @@
  * copy of its weights. With both patterns at once, loads of rare models must
  * not use up the rate of the weight store while a busy model has too few
  * engines, and memory is reserved for the model that it was freed for.
+ *
+ * A third of the engines may take more than twice the time of the others. A
+ * replica there serves as much less, and the choice of a server avoids it.
  */
 #include "almondthread/residency.h"
 
@@ -50,6 +53,8 @@
 	const at_engine_state_t *engines;
 	size_t engine_count;
 	uint32_t replicas[AT_RESIDENCY_MODELS_MAX];
+	/* What replicas at slow engines serve less, in replicas. */
+	double lacking[AT_RESIDENCY_MODELS_MAX];
 	at_model_demand_t demand[AT_RESIDENCY_MODELS_MAX];
 	/* A move was ordered in this round. */
 	unsigned char has_move[AT_RESIDENCY_ENGINES_MAX];
@@ -81,11 +86,11 @@
  * that.
  */
 static double
-served_part(double load, uint32_t replicas)
+served_part(double load, double replicas)
 {
 	double utilization;
 
-	if (replicas == 0)
+	if (replicas <= 0.)
 		return 0.;
 	utilization = load / (replicas * REPLICA_CAPACITY);
 	return 1. / cbrt(1. + utilization * utilization * utilization);
@@ -98,12 +103,12 @@
  * present rate it would be unloaded as soon as it is resident.
  */
 static double
-next_replica_gain(const at_model_demand_t *d, uint32_t replicas)
+next_replica_gain(const at_model_demand_t *d, double replicas)
 {
-	double gained_part = served_part(d->busy_engines, replicas + 1) -
+	double gained_part = served_part(d->busy_engines, replicas + 1.) -
 			     served_part(d->busy_engines, replicas);
 
-	return replicas > 0
+	return replicas > 0.
 		   ? d->requests_per_s * gained_part
 		   : d->long_term_per_s * gained_part + d->queued * QUEUED_GAIN;
 }
@@ -258,15 +263,32 @@
 	return model->store_load_ms;
 }
 
+/* Returns what a replica serves less at this engine than at the mean one. */
+static double
+lacking_at(const at_engine_state_t *engine)
+{
+	return engine->slow_milli == 0 ? 0. : 1. - 1000. / engine->slow_milli;
+}
+
+/* Returns the replicas of a model, of which those at slow engines count less.
+ */
+static double
+served_by(const round_t *r, size_t model)
+{
+	return (double)r->replicas[model] - r->lacking[model];
+}
+
 /* Returns the cost of unloading a replica, or less than 0 if it must stay. */
 static double
-unload_loss(const round_t *r, size_t model)
+unload_loss(const round_t *r, const at_engine_state_t *engine, size_t model)
 {
 	uint32_t replicas = r->replicas[model];
 	const at_model_demand_t *d = &r->demand[model];
+	double serves = 1. - lacking_at(engine);
 
 	if (replicas > 1)
-		return next_replica_gain(d, replicas - 1);
+		return next_replica_gain(d, served_by(r, model) - serves) *
+		       serves;
 	if (d->queued > 0)
 		return -1.;
 	return LAST_REPLICA_LOSS +
@@ -290,7 +312,7 @@
 
 		if (model == NO_MODEL)
 			continue;
-		model_loss = unload_loss(r, model);
+		model_loss = unload_loss(r, engine, model);
 		if (model_loss < 0 ||
 		    (victim != NO_MODEL && model_loss >= *loss))
 			continue;
@@ -352,7 +374,7 @@
 	 */
 	candidate->cost = load_ms(model, candidate->from) + wait_ms +
 			  (double)engine->load.active * ACTIVE_REQUEST_MS +
-			  loss / gain * LOSS_WEIGHT_MS;
+			  (loss / gain + lacking_at(engine)) * LOSS_WEIGHT_MS;
 	return 1;
 }
 
@@ -480,7 +502,7 @@
 
 		if (r->is_unplaced[i] || (!is_urgent && r->limits.moves == 0))
 			continue;
-		g = next_replica_gain(&r->demand[i], r->replicas[i]);
+		g = next_replica_gain(&r->demand[i], served_by(r, i));
 		if (g <= *gain)
 			continue;
 		best = i;
@@ -520,11 +542,15 @@
 
 	for (i = 0; i < r->service->model_count; i++) {
 		r->replicas[i] = 0;
-		for (e = 0; e < r->engine_count; e++)
-			r->replicas[i] +=
-			    (uint32_t)(r->engines[e].is_usable &&
-				       has_model(&r->engines[e],
-					   r->service->models[i].tag));
+		for (e = 0; e < r->engine_count; e++) {
+			const at_engine_state_t *engine = &r->engines[e];
+
+			if (!engine->is_usable ||
+			    !has_model(engine, r->service->models[i].tag))
+				continue;
+			r->replicas[i]++;
+			r->lacking[i] += lacking_at(engine);
+		}
 	}
 }
 
--- a/src/entry/orders/orders.c
+++ b/src/entry/orders/orders.c
@@ -237,6 +237,7 @@
 			   at_server_is_available(server, states->now_us);
 	state->is_busy = engine->state != ENGINE_IDLE;
 	state->replacement = engine->replacement;
+	state->slow_milli = at_server_slow_milli(server, states->now_us);
 	if (state->is_busy && engine->adapter.text[0] == '\0') {
 		if (engine->is_load)
 			state->loading = at_tag_from_text(engine->model.text);
--- a/tests/unit/test_residency.c
+++ b/tests/unit/test_residency.c
@@ -466,3 +466,33 @@
 		free_world(&w);
 	}
 }
+
+/*
+ * Guards against a busy model that stays on the slow engines while others have
+ * memory for it, or is loaded on a slow one where a usual one is as near.
+ */
+Test(residency, a_replica_at_a_slow_engine_counts_for_less)
+{
+	static const uint32_t slow_milli[] = {0, 3000};
+	size_t moves[2];
+	world_t w;
+	size_t c;
+
+	for (c = 0; c < 2; c++) {
+		make_world(&w);
+		add_resident(&w, 0, 0);
+		add_resident(&w, 1, 0);
+		w.engines[0].slow_milli = slow_milli[c];
+		w.engines[1].slow_milli = slow_milli[c];
+		w.engines[2].slow_milli = slow_milli[c];
+		add_requests(&w, 0, 6);
+		update_rates(&w);
+		plan(&w, 1, 1);
+		moves[c] = w.move_count;
+		cr_assert(
+		    moves[c] == 0 || w.moves[0].server == w.entries[3].tag);
+		free_world(&w);
+	}
+	cr_assert_eq(moves[0], 0);
+	cr_assert_eq(moves[1], 1);
+}
