Compare a slow server with the mean one, not the fastest

The excess cost of pauses over the fastest server became negative where streams are late already, which the conversion to an unsigned number made the highest cost (found by the undefined-behaviour sanitizer), and it spread load away from mean servers if a single one is faster. A slower server is now compared with the mean one, by the square of the predicted pause; the existing cost of prompts sent lately for the streams that run there is multiplied by the factor.

--- a/include/almondthread/service_times.h
+++ b/include/almondthread/service_times.h
@@ -97,11 +97,9 @@
 /*
  * at_speed_factor_milli() returns the time that a server takes in thousandths
  * of the mean, with what was observed in the last second; 1,000 if it does not
- * differ from the mean by more than the estimate's error. fastest_milli (may be
- * NULL) is set to the factor of the fastest server of the service.
+ * differ from the mean by more than the estimate's error.
  */
-uint32_t at_speed_factor_milli(
-    at_speed_t *speed, uint64_t now_us, uint32_t *fastest_milli);
+uint32_t at_speed_factor_milli(at_speed_t *speed, uint64_t now_us);
 
 /*
  * at_speed_lasting_milli() returns the same without the recent window and with
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -203,117 +203,76 @@
 typedef struct pace {
 	double event_us;
 	double prompt_token_us;
-	double gap_us;     /* longest gap of an on-time stream; 0: any */
-	double per_gap_us; /* 1 / gap_us */
+	double per_gap_us; /* of the longest gap of an on-time stream; 0: any */
 } pace_t;
 
 #define FACTOR_UNIT (1. / AT_FACTOR_MEAN_MILLI)
 
-/* One candidate's speed; the mean is 1. */
-typedef struct speed_factors {
-	double own;
-	double fastest; /* of the service */
-} speed_factors_t;
-
 static pace_t
 get_pace(const at_fleet_t *fleet, const at_work_t *work, uint64_t now_us)
 {
 	at_service_time_t time;
 
 	if (work->event_gap_ms == 0)
-		return (pace_t){0., 0., 0., 0.};
+		return (pace_t){0., 0., 0.};
 	at_service_times_get(
 	    fleet->times, work->service, 0, work->model, now_us, &time);
 	return (pace_t){(double)time.event_us,
 	    (double)time.prompt_token_ns / 1000.,
-	    (double)work->event_gap_ms * 1000.,
 	    1. / ((double)work->event_gap_ms * 1000.)};
 }
 
-static speed_factors_t
-get_factors(const at_server_t *server, uint64_t now_us)
-{
-	uint32_t fastest;
-	uint32_t own = at_speed_factor_milli(server->speed, now_us, &fastest);
-
-	if (own == fastest && own == AT_FACTOR_MEAN_MILLI)
-		return (speed_factors_t){1., 1.};
-	return (speed_factors_t){
-	    own * FACTOR_UNIT, (own < fastest ? own : fastest) * FACTOR_UNIT};
-}
-
-/*
- * Returns the expected cost of the lateness of one stream whose longest pause
- * is predicted: that of the longest gap if it is as long, and less below it, as
- * a server may be slower for a time than it was.
- */
-static double
-lateness_us(const pace_t *pace, double pause_us)
-{
-	return pause_us >= pace->gap_us
-		   ? pace->gap_us
-		   : pause_us * pause_us * pace->per_gap_us;
-}
-
-/*
- * Returns the cost of the pauses at a server of this factor: those of the new
- * stream, and what its prompt adds to those of the streams that run there. A
- * stream pauses for the time of an event and of the prompts that are read in
- * it: the unread ones, or as many as were sent there lately.
- */
+/* Returns the factor of a server's times; that of the mean server is 1. */
 static double
-pauses_us(
-    const pace_t *pace, const at_load_t *load, uint32_t prompt, double factor)
+get_factor(const at_server_t *server, uint64_t now_us)
 {
-	uint32_t tokens = load->prefill_tokens > load->recent_tokens
-			      ? load->prefill_tokens
-			      : load->recent_tokens;
-	double before_us =
-	    factor * (pace->event_us + tokens * pace->prompt_token_us);
-	double after_us = before_us + factor * prompt * pace->prompt_token_us;
-	double after = lateness_us(pace, after_us);
+	uint32_t milli = at_speed_factor_milli(server->speed, now_us);
 
-	return after + load->active * (after - lateness_us(pace, before_us));
+	return milli == AT_FACTOR_MEAN_MILLI ? 1. : milli * FACTOR_UNIT;
 }
 
 /*
  * Returns what a server's speed adds to the cost of a request besides the
  * predicted time.
+ *
+ * A stream pauses for the time of an event and of the prompts that are read in
+ * it: the unread ones, or as many as were sent there lately, and its own. A
+ * pause as long as the longest gap costs as much as that; others cost the
+ * square of their part of it, less below, as a server may be slower for a time
+ * than it was, and more above, as a server where streams are late already must
+ * not seem cheaper. What is more than at the mean server counts.
  */
 static uint64_t
 speed_cost_us(const at_server_t *server, const at_load_t *load,
-    const pace_t *pace, uint32_t prompt, uint64_t predicted_us,
-    const speed_factors_t *factors)
+    const pace_t *pace, uint32_t prompt, uint64_t predicted_us, double factor)
 {
-	double own = 0.;
-	double cost = 0.;
+	uint32_t tokens = load->prefill_tokens > load->recent_tokens
+			      ? load->prefill_tokens
+			      : load->recent_tokens;
 
-	if (factors->own == factors->fastest && factors->own == 1.)
+	if (factor == 1.)
 		return 0;
-	if (pace->gap_us > 0.) {
-		own = pauses_us(pace, load, prompt, factors->own);
-		cost = own - pauses_us(pace, load, prompt, factors->fastest);
+	if (factor > 1.) {
+		double pause_us = pace->event_us + ((double)tokens + prompt) *
+						       pace->prompt_token_us;
+
+		return (uint64_t)(pause_us * pause_us * pace->per_gap_us *
+				  (factor * factor - 1.));
 	}
 	/*
 	 * All instances know the same fastest servers. One that is nearly full
 	 * is preferred to a mean one no more.
 	 */
-	if (factors->own < 1. && load->active > 0) {
-		double fill = (double)load->active / (server->entry.slots + 1u);
-		double gain_us =
-		    (double)predicted_us * (1. / factors->own - 1.);
-
-		if (pace->gap_us > 0.)
-			gain_us += pauses_us(pace, load, prompt, 1.) - own;
-		cost += gain_us * fill * fill;
-	}
-	return (uint64_t)cost;
+	return (uint64_t)((double)predicted_us * (1. / factor - 1.) *
+			  load->active * load->active /
+			  (server->entry.slots + 1u) /
+			  (server->entry.slots + 1u));
 }
 
 static uint64_t
 predict_us(const at_fleet_t *fleet, const at_server_t *server,
     const at_work_t *work, const at_load_t *load, uint32_t prompt,
-    const speed_factors_t *factors)
+    double factor)
 {
 	int is_far = server->entry.data_centre != fleet->data_centre;
 	uint64_t us;
@@ -326,8 +285,8 @@
 		us = ((uint64_t)load->prefill_tokens + prompt) * TOKEN_US +
 		     (uint64_t)load->active * ACTIVE_REQUEST_US;
 	us = us * server->health.slowdown_milli / 1000u;
-	if (factors->own != 1.)
-		us = (uint64_t)((double)us * factors->own);
+	if (factor != 1.)
+		us = (uint64_t)((double)us * factor);
 	if (is_far)
 		us += work->model == 0 ? REMOTE_PLAIN_US : REMOTE_ENGINE_US;
 	return us;
@@ -336,18 +295,21 @@
 /*
  * Returns the cost of a request at a server: its own predicted time and the
  * delay of the streams that run there, which pause too long if many prompt
- * tokens were sent there recently.
+ * tokens were sent there recently: the sooner, the slower the server is.
  */
 static uint64_t
-cost_us(const at_work_t *work, const at_load_t *load, uint64_t predicted)
+cost_us(const at_work_t *work, const at_load_t *load, uint64_t predicted,
+    double factor)
 {
-	uint64_t recent = (uint64_t)load->recent_tokens + work->prompt_tokens;
+	double recent =
+	    ((double)load->recent_tokens + work->prompt_tokens) * factor;
 
 	if (work->model == 0)
 		return predicted;
 	if (recent > LONG_PAUSE_TOKENS)
 		predicted += (uint64_t)load->active * LONG_PAUSE_US;
-	return predicted + load->recent_tokens * RECENT_TOKEN_US;
+	return predicted + (uint64_t)((double)load->recent_tokens *
+				      RECENT_TOKEN_US * factor);
 }
 
 /* Candidates that may not get the request now for another reason than load. */
@@ -407,7 +369,7 @@
 	const at_server_t *server = candidate->server;
 	const at_work_t *work = choosing->work;
 	const at_load_t load = at_server_load(server, choosing->now_us);
-	speed_factors_t factors;
+	double factor;
 	uint32_t prompt;
 
 	candidate->free_slots =
@@ -417,14 +379,15 @@
 		: free_slots_now(server, choosing->service, work, &load);
 	if (candidate->free_slots == 0)
 		return 0;
-	factors = get_factors(server, choosing->now_us);
+	factor = get_factor(server, choosing->now_us);
 	prompt = work->prompt_tokens - cached_tokens(server, work);
 	candidate->predicted_us =
-	    predict_us(choosing->fleet, server, work, &load, prompt, &factors);
-	candidate->cost_us = cost_us(work, &load, candidate->predicted_us);
+	    predict_us(choosing->fleet, server, work, &load, prompt, factor);
+	candidate->cost_us =
+	    cost_us(work, &load, candidate->predicted_us, factor);
 	if (candidate->cost_us <= limit_us)
 		candidate->cost_us += speed_cost_us(server, &load,
-		    &choosing->pace, prompt, candidate->predicted_us, &factors);
+		    &choosing->pace, prompt, candidate->predicted_us, factor);
 	return 1;
 }
 
--- a/src/core/fleet/service_times.c
+++ b/src/core/fleet/service_times.c
@@ -112,8 +112,7 @@
 	estimate_t prompt_token_ns;
 	estimate_t plain_us;
 	float mean;       /* of the servers' ratios */
-	float fastest;    /* factor */
-	uint64_t mean_us; /* when both were computed; 0: never */
+	uint64_t mean_us; /* when it was computed; 0: never */
 } service_t;
 
 struct at_speed {
@@ -245,7 +244,6 @@
 	times->service_count++;
 	times->services[i].tag = tag;
 	times->services[i].mean = 1.f;
-	times->services[i].fastest = 1.f;
 	return &times->services[i];
 }
 
@@ -335,7 +333,6 @@
 	const at_speed_t *speed;
 	float weight = 0.f;
 	float mean = 1.f;
-	float fastest = 0.f;
 
 	if (service->mean_us != 0 && now_us < service->mean_us + MEAN_VALID_US)
 		return;
@@ -346,14 +343,8 @@
 		if (speed->service != service)
 			continue;
 		add_mean(&weight, &mean, known, speed->lasting_ratio);
-		if (speed->weight >= LONG_PRIOR &&
-		    (fastest <= 0.f || speed->lasting_ratio < fastest))
-			fastest = speed->lasting_ratio;
 	}
 	service->mean = mean;
-	service->fastest = fastest <= 0.f || fastest / mean > 1.f - EQUAL_PART
-			       ? 1.f
-			       : fastest / mean;
 }
 
 static void
@@ -401,17 +392,11 @@
 }
 
 uint32_t
-at_speed_factor_milli(
-    at_speed_t *speed, uint64_t now_us, uint32_t *fastest_milli)
+at_speed_factor_milli(at_speed_t *speed, uint64_t now_us)
 {
-	if (fastest_milli != NULL)
-		*fastest_milli = AT_FACTOR_MEAN_MILLI;
 	if (speed == NULL)
 		return AT_FACTOR_MEAN_MILLI;
 	update_factor(speed, now_us);
-	if (fastest_milli != NULL && speed->service != NULL)
-		*fastest_milli =
-		    (uint32_t)(speed->service->fastest * AT_FACTOR_MEAN_MILLI);
 	return (uint32_t)(speed->factor * AT_FACTOR_MEAN_MILLI);
 }
 
@@ -595,7 +580,7 @@
 		HASH_FIND(hh, times->speeds, &server, sizeof(server), speed);
 	if (speed == NULL)
 		return;
-	time->factor_milli = at_speed_factor_milli(speed, now_us, NULL);
+	time->factor_milli = at_speed_factor_milli(speed, now_us);
 	time->prompt_token_ns =
 	    time->prompt_token_ns * time->factor_milli / AT_FACTOR_MEAN_MILLI;
 	time->token_us =
