Keep the reports of 32 instances on the speed of a server

With summaries an instance gets reports of up to 48 others of its data centre and of the other data centres; 16 were replaced by one another.

--- a/src/core/fleet/service_times.c
+++ b/src/core/fleet/service_times.c
@@ -40,6 +40,8 @@
 #define UNSEEN_US 2000000.f
 /* Time constant of the times of models and services. */
 #define KIND_US 60000000.f
+/* After this many time constants a weight counts as gone. */
+#define DECAYED_CONSTANTS 8.f
 /* Weight, in observations, of the mean of the service in a long window. */
 #define LONG_PRIOR 10.f
 /* Weight of the long window's estimate in the recent one. */
@@ -74,7 +76,7 @@
 /* Gaps of a stream are observed after this time, if there are MIN_GAPS. */
 #define GAPS_SPAN_US 250000u
 #define MIN_GAPS 3u
-#define PEERS 16u    /* reports kept of one server */
+#define PEERS 32u    /* reports kept of one server */
 #define KINDS 64u    /* models whose times are kept */
 #define SERVICES 32u /* services whose means are kept */
 
@@ -166,6 +168,8 @@
 {
 	if (weight <= 0.f || now_us <= since_us)
 		return weight;
+	if ((float)(now_us - since_us) > DECAYED_CONSTANTS * constant_us)
+		return 0.f;
 	return weight * expf(-(float)(now_us - since_us) / constant_us);
 }
 
@@ -717,17 +721,18 @@
 	size_t i;
 
 	for (i = 0; i < PEERS; i++) {
-		peer_window_t *peer = &speed->peers[i];
-		float weight = -1.f;
-
-		if (peer->instance == instance)
-			return peer;
-		if (peer->instance != 0)
-			weight = decayed(peer->window.long_weight,
-			    peer->window.us, now_us, LONG_US);
+		if (speed->peers[i].instance == instance ||
+		    speed->peers[i].instance == 0)
+			return &speed->peers[i];
+	}
+	for (i = 0; i < PEERS; i++) {
+		const window_t *window = &speed->peers[i].window;
+		float weight =
+		    decayed(window->long_weight, window->us, now_us, LONG_US);
+
 		if (weight >= least_weight)
 			continue;
-		least = peer;
+		least = &speed->peers[i];
 		least_weight = weight;
 	}
 	return least;
