Check that a slow plain server gets fewer requests

With the factor left out of the predicted time, the slow one of nine servers gets 48 of 300 requests; the test asks for fewer than 20, and some.

--- a/tests/unit/test_choose_speed.c
+++ b/tests/unit/test_choose_speed.c
@@ -195,6 +195,32 @@
 	}
 }
 
+/* Guards against a slow server of a plain service that gets as many requests.
+ */
+Test(choose_speed, a_slow_plain_server_gets_fewer_requests)
+{
+	static const uint32_t percent[ENGINES] = {
+	    100, 300, 100, 100, 100, 100, 100, 100, 100};
+	at_server_t *servers[ENGINES];
+	at_fleet_t *fleet = make_fleet("plain", servers, 5);
+	at_work_t work = make_work("plain", 0);
+	uint32_t sent = 0;
+	uint32_t slow = 0;
+	at_choice_t choice;
+
+	observe(servers, &work, percent, S, 5u * S);
+	while (sent < 300) {
+		cr_assert_eq(at_fleet_choose(fleet, &work, 5u * S, &choice),
+		    AT_CHOICE_SERVER);
+		at_server_note_sent(choice.server, &work, 5u * S);
+		slow += choice.server == servers[1];
+		sent++;
+	}
+	cr_expect_gt(slow, 0, "it gets none although the others are full");
+	cr_expect_lt(slow, 20, "%u of 300", (unsigned)slow);
+	at_fleet_delete(fleet);
+}
+
 /*
  * Replay: many instances, each of which sees few of the streams. An engine
  * makes an event for each of its streams in one step, and reads in it the
