--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -394,6 +394,7 @@
 	    {"backend_servers", at_fleet_count(entry->fleet)},
 	    {"cold_servers",
 		at_fleet_count_cold(entry->fleet, at_clock_now_us())},
+	    {"slow_servers", at_fleet_slow(entry->fleet, at_clock_now_us())},
 	    {"copies_age_ms", at_sync_age_ms(entry->sync)},
 	    {"evacuated_data_centres",
 		at_evacuation_sync_count(entry->evacuations)},
