Bound the requests in flight at plain services in a shortage

Requests of a plain service are shorter than the delay of a report, so up to three for each slot were sent by each of many instances against loads that no longer held: the servers refused requests in no order, and what they accepted waited too long. In a shortage all instances together now send what the servers complete, corrected by the difference from a target in flight; each sends the same part of what it receives, from arrivals and completions that queue reports state. Frequent refusals of servers lower that part. A request that would be late is refused.

--- a/include/almondthread/contention.h
+++ b/include/almondthread/contention.h
@@ -15,6 +15,7 @@
 #ifndef ALMONDTHREAD_CONTENTION_H
 #define ALMONDTHREAD_CONTENTION_H
 
+#include "almondthread/plain_rates.h"
 #include "almondthread/site.h"
 
 #define AT_QUEUE_REPORTS_MAX 64u /* kinds of work in one report */
@@ -38,6 +39,7 @@
 	/* In a sum over instances, those that have such requests; else 0. */
 	uint32_t instances;
 	uint32_t on_time_instances;
+	at_plain_flow_t flow; /* of a plain service in a shortage; else 0 */
 } at_queue_report_t;
 
 /* Requests of one kind that wait at all other instances. */
@@ -47,6 +49,7 @@
 	uint32_t requests;
 	uint32_t on_time;
 	uint64_t prompt_tokens;
+	at_plain_flow_t flow;
 } at_queue_total_t;
 
 /* A queued request that needs a slot. */
@@ -62,6 +65,8 @@
 /* at_contention_new() returns NULL if out of memory. */
 at_contention_t *at_contention_new(uint64_t seed);
 void at_contention_delete(at_contention_t *contention);
+/* at_contention_seed() derives a seed for another part of this instance. */
+uint64_t at_contention_seed(const at_contention_t *contention);
 /*
  * at_contention_set_report_interval() sets the interval of the reports of most
  * other instances, 100 ms by default; it decides how old they are.
--- a/include/almondthread/wait_queue.h
+++ b/include/almondthread/wait_queue.h
@@ -12,6 +12,8 @@
  * without a response, when no server of the version that it needs is left, or
  * when all servers that could run it have named limits that are full.
  * Free slots that several instances see are taken in turns (contention.h).
+ * While the servers of a plain service are short of slots, part of its requests
+ * is sent (plain_rates.h), and one that would be late is refused.
  *
  * A request that goes on with a stream needs a server of the version that began
  * it. It goes before new requests of its priority, and while one waits, those
@@ -49,6 +51,7 @@
 	struct at_waiter *next;
 	struct at_waiter *prev;
 	int is_queued;
+	int is_counted; /* among the arrivals at a plain service */
 } at_waiter_t;
 
 /* An admission decision and its causes. */
@@ -58,6 +61,7 @@
 	at_choice_t choice;      /* of AT_ADMISSION_PLACED */
 	uint64_t wait_us;        /* expected, until a slot is free */
 	uint32_t retry_after_ms; /* for a refusal; 0 if placed */
+	int is_short; /* the servers of the plain service are short of slots */
 } at_admission_decision_t;
 
 typedef struct at_wait_queue at_wait_queue_t;
@@ -83,6 +87,13 @@
 /* at_wait_queue_remove() does nothing for a request that is not queued. */
 void at_wait_queue_remove(at_wait_queue_t *queue, at_waiter_t *waiter);
 
+/*
+ * at_wait_queue_note_ended() tells that a request that was sent has ended,
+ * elapsed_us after it.
+ */
+void at_wait_queue_note_ended(at_wait_queue_t *queue, const at_work_t *work,
+    at_server_outcome_t outcome, uint64_t elapsed_us, uint64_t now_us);
+
 /*
  * at_wait_queue_take_placeable() removes the next request that can be sent
  * now and returns it with its choice, or NULL.
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -1633,7 +1633,7 @@
   (ProtobufCMessageInit) report_server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report_queue__field_descriptors[8] =
+static const ProtobufCFieldDescriptor report_queue__field_descriptors[10] =
 {
   {
     "service",
@@ -1731,21 +1731,47 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "arrivals_milli",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportQueue, arrivals_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "served_milli",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportQueue, served_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report_queue__field_indices_by_name[] = {
+  8,   /* field[8] = arrivals_milli */
   5,   /* field[5] = instances */
   1,   /* field[1] = model */
   4,   /* field[4] = pressing */
   6,   /* field[6] = pressing_instances */
   3,   /* field[3] = prompt_tokens */
   2,   /* field[2] = requests */
+  9,   /* field[9] = served_milli */
   0,   /* field[0] = service */
   7,   /* field[7] = software */
 };
 static const ProtobufCIntRange report_queue__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor report_queue__descriptor =
 {
@@ -1755,7 +1781,7 @@
   "ReportQueue",
   "",
   sizeof(ReportQueue),
-  8,
+  10,
   report_queue__field_descriptors,
   report_queue__field_indices_by_name,
   1,  report_queue__number_ranges,
--- a/proto/report.pb-c.h
+++ b/proto/report.pb-c.h
@@ -218,10 +218,16 @@
    * The requests go on with streams of this version; 0: they are others.
    */
   uint64_t software;
+  /*
+   * Of a plain service whose servers are short of slots, in 1,000 s: requests
+   * that the sender has received, and that servers have completed for it.
+   */
+  uint64_t arrivals_milli;
+  uint64_t served_milli;
 };
 #define REPORT_QUEUE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&report_queue__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -338,6 +338,8 @@
 		    fleet_is_held(fleet, server, work))
 			continue;
 		load = at_server_load(server, now_us);
+		choice->open_slots += server->entry.slots;
+		choice->open_active += load.active;
 		candidate.free_slots =
 		    is_brittle
 			? free_room_at(server, service, work, &load, now_us)
--- a/src/core/fleet/contention.c
+++ b/src/core/fleet/contention.c
@@ -84,6 +84,13 @@
 	free(contention);
 }
 
+uint64_t
+at_contention_seed(const at_contention_t *contention)
+{
+	return (contention->random_state ^ 0x9e3779b97f4a7c15u) *
+	       6364136223846793005u;
+}
+
 void
 at_contention_apply_report(at_contention_t *contention, at_tag_t instance,
     const at_queue_report_t *entries, size_t count, uint64_t now_us)
@@ -166,6 +173,8 @@
 	sum->requests += entry->requests;
 	sum->on_time += entry->on_time;
 	sum->prompt_tokens += entry->prompt_tokens;
+	sum->flow.arrivals_milli += entry->flow.arrivals_milli;
+	sum->flow.served_milli += entry->flow.served_milli;
 }
 
 size_t
@@ -217,6 +226,10 @@
 			total.requests += report->entries[i].requests;
 			total.on_time += report->entries[i].on_time;
 			total.prompt_tokens += report->entries[i].prompt_tokens;
+			total.flow.arrivals_milli +=
+			    report->entries[i].flow.arrivals_milli;
+			total.flow.served_milli +=
+			    report->entries[i].flow.served_milli;
 		}
 	}
 	return total;
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -24,6 +24,13 @@
 #define PRIORITY_US 1500000u
 /* Part of the remaining time that a request may wait. */
 #define WAIT_PERCENT 75u
+/*
+ * The same in a shortage at a plain service, of the time until the objective
+ * that the server leaves. In a lasting one many wait as long as they may, as
+ * the queue is in order of the time left, and the time at the servers varies.
+ */
+#define SHORTAGE_WAIT_PERCENT 90u
+#define LASTING_WAIT_PERCENT 50u
 /* Time for a refusal to reach the caller. */
 #define REFUSAL_MARGIN_US 150000u
 /* Shortest retry time; an earlier retry would not be placed. */
@@ -40,6 +47,7 @@
 struct at_wait_queue {
 	at_fleet_t *fleet;
 	at_contention_t *contention;
+	at_plain_rates_t *plain_rates;
 	at_waiter_t *head; /* sorted by rank */
 	at_waiter_t *tail;
 	size_t count;
@@ -61,12 +69,20 @@
 		return NULL;
 	queue->fleet = fleet;
 	queue->contention = contention;
+	queue->plain_rates = at_plain_rates_new(at_contention_seed(contention));
+	if (queue->plain_rates == NULL) {
+		free(queue);
+		return NULL;
+	}
 	return queue;
 }
 
 void
 at_wait_queue_delete(at_wait_queue_t *queue)
 {
+	if (queue == NULL)
+		return;
+	at_plain_rates_delete(queue->plain_rates);
 	free(queue);
 }
 
@@ -226,6 +242,57 @@
 	return candidate;
 }
 
+static at_plain_view_t
+plain_view(const at_wait_queue_t *queue, const at_waiter_t *waiter,
+    const at_choice_t *choice)
+{
+	at_queue_report_t here = queued_like(queue, waiter, 0);
+	at_queue_total_t peers =
+	    at_contention_peer_queues(queue->contention, &here.kind);
+	const at_plain_view_t view = {.slots = choice->open_slots,
+	    .active = choice->open_active,
+	    .queued_here = here.requests + (uint32_t)(waiter->is_queued != 0),
+	    .peers_queued = peers.requests,
+	    .peers = peers.flow};
+
+	return view;
+}
+
+/* Returns non-zero if a queued request for the service goes before this one. */
+static int
+is_behind_another(
+    const at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
+{
+	const at_waiter_t *other;
+
+	for (other = queue->head; other != NULL && other != waiter;
+	     other = other->next) {
+		if (other->work.service == waiter->work.service &&
+		    !is_late(other, now_us) && rank(other) <= rank(waiter))
+			return 1;
+	}
+	return 0;
+}
+
+/*
+ * A request of a plain service ends before its load is reported; in a shortage
+ * each instance sends a part of what it receives.
+ */
+static int
+may_send_plain(at_wait_queue_t *queue, const at_waiter_t *waiter,
+    const at_choice_t *choice, uint64_t now_us)
+{
+	at_plain_view_t view = plain_view(queue, waiter, choice);
+
+	if (!at_plain_rates_is_short(
+		queue->plain_rates, waiter->work.service, &view, now_us))
+		return 1;
+	return (waiter->is_queued ||
+		   !is_behind_another(queue, waiter, now_us)) &&
+	       at_plain_rates_may_send(
+		   queue->plain_rates, waiter->work.service, &view, now_us);
+}
+
 /* Instances with queues for the same engines take turns. */
 static int
 may_dispatch(at_wait_queue_t *queue, const at_waiter_t *waiter,
@@ -234,22 +301,83 @@
 	at_dispatch_candidate_t candidate =
 	    dispatch_candidate(queue, waiter, choice, now_us);
 
-	/* A request to a plain service ends before its load is reported. */
-	return waiter->work.model == 0 ||
-	       at_contention_may_dispatch(
-		   queue->contention, &candidate, now_us);
+	if (waiter->work.model == 0)
+		return may_send_plain(queue, waiter, choice, now_us);
+	return at_contention_may_dispatch(
+	    queue->contention, &candidate, now_us);
 }
 
 static void
-note_dispatch(at_wait_queue_t *queue, const at_waiter_t *waiter,
+note_dispatch(at_wait_queue_t *queue, at_waiter_t *waiter,
     const at_choice_t *choice, uint64_t now_us)
 {
 	at_dispatch_candidate_t candidate =
 	    dispatch_candidate(queue, waiter, choice, now_us);
 
-	if (waiter->work.model != 0)
+	if (waiter->work.model != 0) {
 		at_contention_note_dispatch(
 		    queue->contention, &candidate, now_us);
+		return;
+	}
+	waiter->is_counted = 0;
+	at_plain_rates_note_sent(
+	    queue->plain_rates, waiter->work.service, now_us);
+}
+
+/* An attempt is counted once, also if it is decided on again. */
+static void
+note_plain_arrival(at_wait_queue_t *queue, at_waiter_t *waiter,
+    const at_choice_t *choice, uint64_t now_us)
+{
+	at_plain_view_t view;
+
+	if (waiter->work.model != 0 || waiter->is_counted)
+		return;
+	view = plain_view(queue, waiter, choice);
+	at_plain_rates_note_arrival(
+	    queue->plain_rates, waiter->work.service, &view, now_us);
+	waiter->is_counted = 1;
+}
+
+/*
+ * Decides on a request for a plain service whose servers are short of slots:
+ * it is refused if it would be late, as late ones take the slots of others.
+ * Returns 0 if there is no shortage.
+ */
+static int
+decide_in_shortage(at_wait_queue_t *queue, at_waiter_t *waiter, uint64_t now_us,
+    at_admission_decision_t *decision)
+{
+	at_plain_view_t view = plain_view(queue, waiter, &decision->choice);
+	uint64_t served_us =
+	    at_plain_rates_served_us(queue->plain_rates, waiter->work.service);
+	uint32_t percent = at_plain_rates_is_lasting(queue->plain_rates,
+			       waiter->work.service, &view, now_us)
+			       ? LASTING_WAIT_PERCENT
+			       : SHORTAGE_WAIT_PERCENT;
+	uint64_t latest_us;
+
+	if (decision->choice_result != AT_CHOICE_SERVER &&
+	    decision->choice_result != AT_CHOICE_FULL)
+		return 0;
+	if (!at_plain_rates_is_short(
+		queue->plain_rates, waiter->work.service, &view, now_us))
+		return 0;
+	decision->is_short = 1;
+	decision->wait_us =
+	    at_plain_rates_wait_us(queue->plain_rates, waiter->work.service,
+		&view, queued_like(queue, waiter, 1).requests, now_us);
+	decision->retry_after_ms = retry_after_ms(waiter, decision->wait_us);
+	latest_us = waiter->objective_us > now_us + served_us
+			? now_us + (waiter->objective_us - now_us - served_us) *
+				       percent / 100u
+			: now_us;
+	if (latest_us < waiter->expires_us)
+		waiter->expires_us = latest_us;
+	decision->admission = now_us + decision->wait_us <= waiter->expires_us
+				  ? AT_ADMISSION_QUEUED
+				  : AT_ADMISSION_REFUSED;
+	return 1;
 }
 
 typedef struct holds {
@@ -308,12 +436,16 @@
 	waiter->expires_us = now_us + max_us;
 	decision->choice_result = at_fleet_choose(
 	    queue->fleet, &waiter->work, now_us, &decision->choice);
+	note_plain_arrival(queue, waiter, &decision->choice, now_us);
 	if (decision->choice_result == AT_CHOICE_SERVER &&
 	    may_dispatch(queue, waiter, &decision->choice, now_us)) {
 		note_dispatch(queue, waiter, &decision->choice, now_us);
 		decision->admission = AT_ADMISSION_PLACED;
 		return;
 	}
+	if (waiter->work.model == 0 &&
+	    decide_in_shortage(queue, waiter, now_us, decision))
+		return;
 	decision->wait_us = expected_wait_us(queue, waiter, &decision->choice);
 	if (decision->choice_result == AT_CHOICE_NOT_RESIDENT)
 		decision->wait_us += decision->choice.model_servers > 0
@@ -376,6 +508,17 @@
 		queue->holds_us = 0;
 }
 
+void
+at_wait_queue_note_ended(at_wait_queue_t *queue, const at_work_t *work,
+    at_server_outcome_t outcome, uint64_t elapsed_us, uint64_t now_us)
+{
+	if (work->model != 0 ||
+	    (outcome != AT_OUTCOME_SUCCESS && outcome != AT_OUTCOME_REFUSED))
+		return;
+	at_plain_rates_note_ended(queue->plain_rates, work->service,
+	    outcome == AT_OUTCOME_REFUSED, elapsed_us, now_us);
+}
+
 static int
 is_full(const full_kinds_t *full, const at_work_t *work)
 {
@@ -502,6 +645,9 @@
     at_queue_report_t *entries, size_t max, uint64_t now_us)
 {
 	const at_waiter_t *waiter;
+	at_work_t plain = {.service = 0};
+	at_plain_flow_t flow;
+	size_t next = 0;
 	size_t count = 0;
 
 	for (waiter = queue->head; waiter != NULL; waiter = waiter->next) {
@@ -514,6 +660,14 @@
 		entry->on_time += (uint32_t)!is_late(waiter, now_us);
 		entry->prompt_tokens += waiter->work.prompt_tokens;
 	}
+	while (at_plain_rates_next(
+	    queue->plain_rates, &next, &plain.service, &flow, now_us)) {
+		at_queue_report_t *entry =
+		    find_or_add_entry(entries, &count, max, &plain);
+
+		if (entry != NULL)
+			entry->flow = flow;
+	}
 	return count;
 }
 
--- a/src/entry/call/call.c
+++ b/src/entry/call/call.c
@@ -326,8 +326,10 @@
 		return AT_REASON_SERVER_LIMIT;
 	if (result == AT_CHOICE_PAUSED)
 		return AT_REASON_SERVER_PAUSE;
-	return result == AT_CHOICE_FULL ? AT_REASON_OVERLOAD
-					: AT_REASON_NO_BACKEND;
+	/* With a free slot, others of the queue go before it. */
+	return result == AT_CHOICE_FULL || result == AT_CHOICE_SERVER
+		   ? AT_REASON_OVERLOAD
+		   : AT_REASON_NO_BACKEND;
 }
 
 /* The caller has closed, and nothing of the attempt has been sent. */
@@ -374,11 +376,17 @@
 	}
 	at_log(AT_LOG_INFO, "call", call->id,
 	    "attempt not sent admission=%s choice=%s candidates=%u "
-	    "wait_us=%" PRIu64 " queued=%zu model=%s",
+	    "wait_us=%" PRIu64 " queued=%zu model=%s shortage=%d active=%u "
+	    "slots=%u",
 	    at_admission_names[decision.admission],
 	    at_choice_result_names[decision.choice_result],
 	    decision.choice.candidates, decision.wait_us,
-	    at_wait_queue_count(calls->deps.queue), call->header.model.text);
+	    at_wait_queue_count(calls->deps.queue), call->header.model.text,
+	    decision.is_short, decision.choice.open_active,
+	    decision.choice.open_slots);
+	if (decision.is_short && decision.admission == AT_ADMISSION_REFUSED)
+		at_counters_add(calls->deps.counters, "shortage_refusals_total",
+		    NULL, NULL, 1);
 	if (decision.choice_result == AT_CHOICE_NOT_RESIDENT)
 		at_orders_io_request_load(
 		    calls->deps.orders, &call->waiter.work);
--- a/src/entry/call/call_attempt.c
+++ b/src/entry/call/call_attempt.c
@@ -60,10 +60,16 @@
 	attempt->transfer = NULL;
 	if (attempt->server != NULL && attempt->relay != 0)
 		note_relay_ended(attempt);
-	if (attempt->server != NULL)
+	if (attempt->server != NULL) {
+		uint64_t now_us = at_clock_now_us();
+
 		call_notify(attempt,
 		    &(at_attempt_event_t){
 			.kind = AT_ATTEMPT_EVENT_ENDED, .outcome = outcome});
+		at_wait_queue_note_ended(attempt->call->calls->deps.queue,
+		    &attempt->call->waiter.work, outcome,
+		    now_us - attempt->sent_us, now_us);
+	}
 	attempt->server = NULL;
 	at_event_frames_reset(&attempt->frames);
 }
--- a/src/entry/peers/report_loads.c
+++ b/src/entry/peers/report_loads.c
@@ -42,6 +42,8 @@
 	queue->prompt_tokens = entry->prompt_tokens;
 	queue->instances = entry->instances;
 	queue->pressing_instances = entry->on_time_instances;
+	queue->arrivals_milli = entry->flow.arrivals_milli;
+	queue->served_milli = entry->flow.served_milli;
 }
 
 static void
@@ -155,6 +157,8 @@
 		entries[count].prompt_tokens = queue->prompt_tokens;
 		entries[count].instances = queue->instances;
 		entries[count].on_time_instances = queue->pressing_instances;
+		entries[count].flow.arrivals_milli = queue->arrivals_milli;
+		entries[count].flow.served_milli = queue->served_milli;
 		count++;
 	}
 	at_contention_apply_report(
--- a/tests/unit/test_contention.c
+++ b/tests/unit/test_contention.c
@@ -373,7 +373,7 @@
 		    dispatch_cases[i].on_time, dispatch_cases[i].free_slots, 1};
 		const at_queue_report_t report = {kind,
 		    dispatch_cases[i].peers_queued,
-		    dispatch_cases[i].peers_queued, 800, 0, 0};
+		    dispatch_cases[i].peers_queued, 800, 0, 0, {0, 0}};
 
 		if (dispatch_cases[i].peers_queued > 0)
 			at_contention_apply_report(c, 1, &report, 1, 0);
@@ -398,11 +398,11 @@
 {
 	const at_work_kind_t kind = {5, 6, 0};
 	const at_work_kind_t other = {5, 7, 0};
-	const at_queue_report_t first[] = {{kind, 3, 2, 300, 0, 0}};
+	const at_queue_report_t first[] = {{kind, 3, 2, 300, 0, 0, {0, 0}}};
 	const at_queue_report_t second[] = {
-	    {kind, 4, 0, 400, 0, 0}, {other, 1, 1, 50, 0, 0}};
+	    {kind, 4, 0, 400, 0, 0, {0, 0}}, {other, 1, 1, 50, 0, 0, {0, 0}}};
 	at_queue_report_t sums[AT_QUEUE_REPORTS_MAX] = {
-	    {kind, 1, 1, 100, 0, 0}};
+	    {kind, 1, 1, 100, 0, 0, {0, 0}}};
 	at_contention_t *contention = at_contention_new(1);
 	at_queue_total_t total;
 	size_t count;
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -226,7 +226,7 @@
 		const at_queue_report_t report = {
 		    {at_tag_from_text("llm"), at_tag_from_text(cases[i].model),
 			0},
-		    100, 100, 80000, 0, 0};
+		    100, 100, 80000, 0, 0, {0, 0}};
 		at_admission_decision_t decision;
 
 		fill_slots(fleet);
@@ -251,7 +251,7 @@
 	at_waiter_t waiter = make_waiter(2000, 3000, 0);
 	const at_queue_report_t report = {
 	    {at_tag_from_text("llm"), at_tag_from_text("m"), 0}, 200, 200,
-	    160000, 0, 0};
+	    160000, 0, 0, {0, 0}};
 	at_admission_decision_t decision;
 	unsigned i;
 
@@ -286,7 +286,7 @@
 	at_waiter_t waiter = make_waiter(4000, 20000, 2);
 	const at_queue_report_t report = {
 	    {at_tag_from_text("llm"), at_tag_from_text("rare"), 0}, 8, 8, 6400,
-	    0, 0};
+	    0, 0, {0, 0}};
 	at_admission_decision_t decision;
 
 	waiter.work.model = at_tag_from_text("rare");
