Do not count servers in a backoff as short of slots

The first wait is computed from the prior of service_times.h, without which it was a division by zero.

--- a/include/almondthread/plain_rates.h
+++ b/include/almondthread/plain_rates.h
@@ -30,6 +30,7 @@
 	uint32_t active;      /* requests there, of all instances */
 	uint32_t queued_here; /* without the request that is decided on */
 	uint32_t peers_queued;
+	uint64_t request_us;   /* time of a request, until it is observed */
 	at_plain_flow_t peers; /* of all other instances */
 } at_plain_view_t;
 
--- a/src/core/fleet/plain_rates.c
+++ b/src/core/fleet/plain_rates.c
@@ -181,6 +181,12 @@
 	return rate->slot_per_s * view->slots;
 }
 
+static double
+floor_per_s(const at_plain_view_t *view)
+{
+	return view->slots * US_PER_S / FLOOR_US;
+}
+
 /* Returns how many requests should be at the servers. */
 static double
 target_active(const plain_rate_t *rate, const at_plain_view_t *view)
@@ -201,9 +207,8 @@
 	double missing = target_active(rate, view) - (double)view->active;
 	double per_s = capacity_per_s(rate, view, now_us) +
 		       missing * US_PER_S / CORRECTION_US;
-	double floor_per_s = view->slots * US_PER_S / FLOOR_US;
 
-	return per_s < floor_per_s ? floor_per_s : per_s;
+	return per_s < floor_per_s(view) ? floor_per_s(view) : per_s;
 }
 
 static double
@@ -250,6 +255,9 @@
 static int
 check_shortage(plain_rate_t *rate, const at_plain_view_t *view, uint64_t now_us)
 {
+	/* Servers that take nothing, as after failures, are not short. */
+	if (view->slots == 0)
+		return 0;
 	if ((double)view->active >=
 		target_active(rate, view) + SHORT_PER_SLOT * view->slots ||
 	    is_refused(rate, now_us))
@@ -408,6 +416,10 @@
 	if (part >= 1.)
 		return 0;
 	capacity = capacity_per_s(rate, view, now_us);
+	if (rate->slot_per_s == 0. && view->request_us > 0)
+		capacity = view->slots * US_PER_S / (double)view->request_us;
+	if (capacity < floor_per_s(view))
+		capacity = floor_per_s(view);
 	/* After a burst, what waits everywhere is served, and no more comes. */
 	if (!check_lasting(rate, view, now_us)) {
 		missing = (double)view->active - target_active(rate, view) +
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -244,17 +244,21 @@
 
 static at_plain_view_t
 plain_view(const at_wait_queue_t *queue, const at_waiter_t *waiter,
-    const at_choice_t *choice)
+    const at_choice_t *choice, uint64_t now_us)
 {
 	at_queue_report_t here = queued_like(queue, waiter, 0);
 	at_queue_total_t peers =
 	    at_contention_peer_queues(queue->contention, &here.kind);
-	const at_plain_view_t view = {.slots = choice->open_slots,
+	at_service_time_t time;
+	at_plain_view_t view = {.slots = choice->open_slots,
 	    .active = choice->open_active,
 	    .queued_here = here.requests + (uint32_t)(waiter->is_queued != 0),
 	    .peers_queued = peers.requests,
 	    .peers = peers.flow};
 
+	at_service_times_get(at_fleet_service_times(queue->fleet),
+	    waiter->work.service, 0, 0, now_us, &time);
+	view.request_us = time.plain_us;
 	return view;
 }
 
@@ -282,7 +286,7 @@
 may_send_plain(at_wait_queue_t *queue, const at_waiter_t *waiter,
     const at_choice_t *choice, uint64_t now_us)
 {
-	at_plain_view_t view = plain_view(queue, waiter, choice);
+	at_plain_view_t view = plain_view(queue, waiter, choice, now_us);
 
 	if (!at_plain_rates_is_short(
 		queue->plain_rates, waiter->work.service, &view, now_us))
@@ -333,7 +337,7 @@
 
 	if (waiter->work.model != 0 || waiter->is_counted)
 		return;
-	view = plain_view(queue, waiter, choice);
+	view = plain_view(queue, waiter, choice, now_us);
 	at_plain_rates_note_arrival(
 	    queue->plain_rates, waiter->work.service, &view, now_us);
 	waiter->is_counted = 1;
@@ -348,7 +352,8 @@
 decide_in_shortage(at_wait_queue_t *queue, at_waiter_t *waiter, uint64_t now_us,
     at_admission_decision_t *decision)
 {
-	at_plain_view_t view = plain_view(queue, waiter, &decision->choice);
+	at_plain_view_t view =
+	    plain_view(queue, waiter, &decision->choice, now_us);
 	uint64_t served_us =
 	    at_plain_rates_served_us(queue->plain_rates, waiter->work.service);
 	uint32_t percent = at_plain_rates_is_lasting(queue->plain_rates,
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -302,6 +302,27 @@
 	at_fleet_delete(fleet);
 }
 
+/*
+ * The only server of a plain service is in a backoff after failures: a request
+ * waits for its end, and is not refused as if the servers were overloaded.
+ */
+Test(wait_queue, waits_for_the_end_of_a_backoff)
+{
+	at_fleet_t *fleet = make_fleet(1);
+	at_wait_queue_t *queue = make_queue(fleet);
+	at_waiter_t waiter = make_waiter(1, 5000, 0);
+	at_admission_decision_t decision;
+
+	waiter.work.model = 0;
+	at_fleet_apply_unreachable(fleet, at_tag_from_text("one"), 0);
+	at_wait_queue_decide(queue, &waiter, MS, &decision);
+	cr_assert_eq(decision.choice_result, AT_CHOICE_FULL);
+	cr_assert_eq(decision.admission, AT_ADMISSION_QUEUED);
+	cr_assert_gt(waiter.expires_us, 1000 * MS);
+	free_queue(queue);
+	at_fleet_delete(fleet);
+}
+
 /* A request that must not go to the only free server blocks no other. */
 Test(wait_queue, a_request_that_avoids_the_server_blocks_no_other)
 {
