Limit plain services only in a lasting shortage

A burst of requests at one instance was held back for the age of the reports although the servers had room for it soon after. The limit now applies when more arrives than the servers can complete for 250 ms, or 1.5 times as much at once.

--- a/include/almondthread/plain_rates.h
+++ b/include/almondthread/plain_rates.h
@@ -56,16 +56,11 @@
 
 /*
  * at_plain_rates_is_short() returns non-zero while the servers are short of
- * slots, and for some seconds after it.
+ * slots and more requests arrive than they can complete, or they refuse many. A
+ * short burst is not a shortage.
  */
 int at_plain_rates_is_short(at_plain_rates_t *rates, at_tag_t service,
     const at_plain_view_t *view, uint64_t now_us);
-/*
- * at_plain_rates_is_lasting() returns non-zero while more requests arrive than
- * the servers can complete; otherwise a shortage ends by itself.
- */
-int at_plain_rates_is_lasting(at_plain_rates_t *rates, at_tag_t service,
-    const at_plain_view_t *view, uint64_t now_us);
 /* at_plain_rates_may_send() returns non-zero if one may be sent now. */
 int at_plain_rates_may_send(at_plain_rates_t *rates, at_tag_t service,
     const at_plain_view_t *view, uint64_t now_us);
--- a/src/core/fleet/plain_rates.c
+++ b/src/core/fleet/plain_rates.c
@@ -45,6 +45,8 @@
 /* A shortage is lasting when more has arrived than can be served for so long.
  */
 #define LASTING_US 250000u
+/* Or when this many times as much arrives. */
+#define LASTING_EXCESS 1.5
 /* Part of this instance's requests that servers refuse in a shortage. */
 #define REFUSED_PART 0.3
 /* Refusals in a second from which that part means something. */
@@ -268,13 +270,24 @@
 static int
 check_lasting(plain_rate_t *rate, const at_plain_view_t *view, uint64_t now_us)
 {
-	if (arrivals_per_s(rate, view, now_us) <=
-	    capacity_per_s(rate, view, now_us))
+	double arrivals = arrivals_per_s(rate, view, now_us);
+	double capacity = capacity_per_s(rate, view, now_us);
+
+	if (arrivals <= capacity)
 		rate->excess_since_us = 0;
 	else if (rate->excess_since_us == 0)
 		rate->excess_since_us = now_us;
-	return rate->excess_since_us != 0 &&
-	       now_us >= rate->excess_since_us + LASTING_US;
+	return arrivals > capacity * LASTING_EXCESS ||
+	       (rate->excess_since_us != 0 &&
+		   now_us >= rate->excess_since_us + LASTING_US);
+}
+
+/* A burst is over before the reports that would show what to send. */
+static int
+is_limited(plain_rate_t *rate, const at_plain_view_t *view, uint64_t now_us)
+{
+	return check_shortage(rate, view, now_us) &&
+	       (rate->factor < 1. || check_lasting(rate, view, now_us));
 }
 
 /* Returns the part of the requests that may be sent, up to 1. */
@@ -284,9 +297,9 @@
 	double demand = demand_per_s(rate, view, now_us);
 	double target = target_per_s(rate, view, now_us);
 
-	if (!check_shortage(rate, view, now_us))
-		return 1.;
 	recover_factor(rate, now_us);
+	if (!is_limited(rate, view, now_us))
+		return 1.;
 	return (target >= demand ? 1. : target / demand) * rate->factor;
 }
 
@@ -371,7 +384,7 @@
 {
 	plain_rate_t *rate = find_or_add(rates, service);
 
-	return rate != NULL && check_shortage(rate, view, now_us);
+	return rate != NULL && is_limited(rate, view, now_us);
 }
 
 int
@@ -390,16 +403,6 @@
 	return rate->credit >= 1.;
 }
 
-int
-at_plain_rates_is_lasting(at_plain_rates_t *rates, at_tag_t service,
-    const at_plain_view_t *view, uint64_t now_us)
-{
-	plain_rate_t *rate = find_or_add(rates, service);
-
-	return rate != NULL && check_shortage(rate, view, now_us) &&
-	       check_lasting(rate, view, now_us);
-}
-
 uint64_t
 at_plain_rates_wait_us(at_plain_rates_t *rates, at_tag_t service,
     const at_plain_view_t *view, uint32_t ahead, uint64_t now_us)
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -26,11 +26,10 @@
 #define WAIT_PERCENT 75u
 /*
  * The same in a shortage at a plain service, of the time until the objective
- * that the server leaves. In a lasting one many wait as long as they may, as
- * the queue is in order of the time left, and the time at the servers varies.
+ * that the server leaves. Many wait as long as they may, as the queue is in
+ * order of the time left, and the time at the servers varies by half.
  */
-#define SHORTAGE_WAIT_PERCENT 90u
-#define LASTING_WAIT_PERCENT 50u
+#define SHORTAGE_WAIT_PERCENT 50u
 /* Time for a refusal to reach the caller. */
 #define REFUSAL_MARGIN_US 150000u
 /* Shortest retry time; an earlier retry would not be placed. */
@@ -356,10 +355,6 @@
 	    plain_view(queue, waiter, &decision->choice, now_us);
 	uint64_t served_us =
 	    at_plain_rates_served_us(queue->plain_rates, waiter->work.service);
-	uint32_t percent = at_plain_rates_is_lasting(queue->plain_rates,
-			       waiter->work.service, &view, now_us)
-			       ? LASTING_WAIT_PERCENT
-			       : SHORTAGE_WAIT_PERCENT;
 	uint64_t latest_us;
 
 	if (decision->choice_result != AT_CHOICE_SERVER &&
@@ -375,7 +370,7 @@
 	decision->retry_after_ms = retry_after_ms(waiter, decision->wait_us);
 	latest_us = waiter->objective_us > now_us + served_us
 			? now_us + (waiter->objective_us - now_us - served_us) *
-				       percent / 100u
+				       SHORTAGE_WAIT_PERCENT / 100u
 			: now_us;
 	if (latest_us < waiter->expires_us)
 		waiter->expires_us = latest_us;
