Leave room for urgent requests of plain services in a shortage

An instance without a queue sent whatever arrived, so that a kind that may wait 6 s was served as often as one with an objective of 500 ms. In a shortage a less urgent request is sent only if that leaves part of a request saved up for the urgent one that may arrive next.

--- a/include/almondthread/plain_rates.h
+++ b/include/almondthread/plain_rates.h
@@ -43,7 +43,7 @@
 
 /* at_plain_rates_note_arrival() counts a request that needs a slot. */
 void at_plain_rates_note_arrival(at_plain_rates_t *rates, at_tag_t service,
-    const at_plain_view_t *view, uint64_t now_us);
+    const at_plain_view_t *view, uint32_t priority, uint64_t now_us);
 /* at_plain_rates_note_sent() counts one that has been sent. */
 void at_plain_rates_note_sent(
     at_plain_rates_t *rates, at_tag_t service, uint64_t now_us);
@@ -61,9 +61,12 @@
  */
 int at_plain_rates_is_short(at_plain_rates_t *rates, at_tag_t service,
     const at_plain_view_t *view, uint64_t now_us);
-/* at_plain_rates_may_send() returns non-zero if one may be sent now. */
+/*
+ * at_plain_rates_may_send() returns non-zero if one may be sent now; priority 0
+ * is the most urgent.
+ */
 int at_plain_rates_may_send(at_plain_rates_t *rates, at_tag_t service,
-    const at_plain_view_t *view, uint64_t now_us);
+    const at_plain_view_t *view, uint32_t priority, uint64_t now_us);
 /*
  * at_plain_rates_wait_us() returns the time until a request may be sent with
  * this number of others of this instance before it; 0 without a shortage.
--- a/src/core/fleet/plain_rates.c
+++ b/src/core/fleet/plain_rates.c
@@ -57,7 +57,15 @@
 #define REFUSED_RECOVERY 0.1
 #define REFUSED_INTERVAL_US 200000u
 /* Requests that may be saved up. */
-#define CREDIT_MAX 2.
+#define CREDIT_MAX (1.5 + RESERVE * PRIORITIES_MAX)
+/*
+ * What a request leaves saved up for each step of priority above it, so that an
+ * urgent request that arrives next is sent at once.
+ */
+#define RESERVE 0.5
+#define PRIORITIES_MAX 2u
+/* A priority without a request for this time counts no longer. */
+#define URGENT_US 2000000u
 /* One observation has this weight in the mean time at a server. */
 #define SERVED_WEIGHT 0.125
 
@@ -81,6 +89,8 @@
 	uint64_t credit_us;
 	double factor; /* after refusals; 1: none */
 	uint64_t factor_us;
+	uint32_t urgent; /* highest priority of recent requests */
+	uint64_t urgent_us;
 	uint64_t short_until_us;
 	uint64_t
 	    excess_since_us; /* more arrives than is served; 0: it does not */
@@ -319,13 +329,17 @@
 
 void
 at_plain_rates_note_arrival(at_plain_rates_t *rates, at_tag_t service,
-    const at_plain_view_t *view, uint64_t now_us)
+    const at_plain_view_t *view, uint32_t priority, uint64_t now_us)
 {
 	plain_rate_t *rate = find_or_add(rates, service);
 	double part;
 
 	if (rate == NULL)
 		return;
+	if (priority <= rate->urgent || now_us >= rate->urgent_us + URGENT_US) {
+		rate->urgent = priority;
+		rate->urgent_us = now_us;
+	}
 	rate_add(&rate->arrivals, now_us);
 	part = part_to_send(rate, view, now_us);
 	fill(rate, part, view, now_us);
@@ -389,7 +403,7 @@
 
 int
 at_plain_rates_may_send(at_plain_rates_t *rates, at_tag_t service,
-    const at_plain_view_t *view, uint64_t now_us)
+    const at_plain_view_t *view, uint32_t priority, uint64_t now_us)
 {
 	plain_rate_t *rate = find_or_add(rates, service);
 	double part;
@@ -400,7 +414,10 @@
 	if (part >= 1.)
 		return 1;
 	fill(rate, part, view, now_us);
-	return rate->credit >= 1.;
+	priority = priority > rate->urgent ? priority - rate->urgent : 0;
+	return rate->credit >=
+	       1. + RESERVE *
+			(priority < PRIORITIES_MAX ? priority : PRIORITIES_MAX);
 }
 
 uint64_t
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -271,6 +271,7 @@
 	for (other = queue->head; other != NULL && other != waiter;
 	     other = other->next) {
 		if (other->work.service == waiter->work.service &&
+		    other->priority <= waiter->priority &&
 		    !is_late(other, now_us) && rank(other) <= rank(waiter))
 			return 1;
 	}
@@ -292,8 +293,8 @@
 		return 1;
 	return (waiter->is_queued ||
 		   !is_behind_another(queue, waiter, now_us)) &&
-	       at_plain_rates_may_send(
-		   queue->plain_rates, waiter->work.service, &view, now_us);
+	       at_plain_rates_may_send(queue->plain_rates, waiter->work.service,
+		   &view, waiter->priority, now_us);
 }
 
 /* Instances with queues for the same engines take turns. */
@@ -337,8 +338,8 @@
 	if (waiter->work.model != 0 || waiter->is_counted)
 		return;
 	view = plain_view(queue, waiter, choice, now_us);
-	at_plain_rates_note_arrival(
-	    queue->plain_rates, waiter->work.service, &view, now_us);
+	at_plain_rates_note_arrival(queue->plain_rates, waiter->work.service,
+	    &view, waiter->priority, now_us);
 	waiter->is_counted = 1;
 }
 
@@ -569,6 +570,10 @@
 			waiter->expires_us = now_us;
 			continue;
 		}
+		/* More urgent ones may be sent where this one may not. */
+		if (result == AT_CHOICE_SERVER && waiter->work.model == 0 &&
+		    waiter->priority > 0)
+			continue;
 		note_full(full, &waiter->work);
 	}
 	return NULL;
--- a/tests/unit/test_plain_shortage.c
+++ b/tests/unit/test_plain_shortage.c
@@ -440,3 +440,40 @@
 		    result.refused_by_servers);
 	}
 }
+
+/*
+ * Kinds of different urgency in a lasting shortage. The least urgent one used
+ * to be served as often as the most urgent one, which has the least time.
+ */
+static const load_case_t kind_cases[] = {
+    {"the urgent kind has the least time", 88, 150, 1, 60, 100, 3,
+	{{0, 500, 1500}, {1, 600, 1500}, {2, 6000, 10000}}},
+    {"the urgent kind has more time", 88, 150, 1, 60, 100, 3,
+	{{2, 400, 1500}, {1, 4000, 8000}, {0, 1500, 3000}}},
+};
+
+static unsigned
+percent_on_time(const result_t *result, unsigned kind)
+{
+	return result->on_time[kind] * 100u / result->count[kind];
+}
+
+Test(plain_shortage, less_urgent_kinds_yield)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(kind_cases) / sizeof(kind_cases[0]); i++) {
+		const load_case_t *load = &kind_cases[i];
+		result_t result = replay(load, 12);
+		unsigned percent[KINDS_MAX];
+		unsigned k;
+
+		for (k = 0; k < KINDS_MAX; k++)
+			percent[load->kinds[k].priority] =
+			    percent_on_time(&result, k);
+		cr_expect(percent[0] >= 90u && percent[0] >= percent[1] &&
+			      percent[1] >= percent[2],
+		    "%s: on time by priority %u, %u and %u percent", load->name,
+		    percent[0], percent[1], percent[2]);
+	}
+}
