Refuse queued requests that are late in favour of one on time

The request that arrived was always the one to be refused, though requests ahead of it had missed their objective already. A queued request that can no longer be on time is now refused if its refusal costs callers less for its work, by priority and deadline (shed.c), and lets an arriving one wait. Requests of a workspace beyond its equal part of the queue wait behind the others, by one step of priority: in a pulse the others waited behind all of it.

Both new tests of test_wait_queue fail without their part.

--- a/include/almondthread/wait_queue.h
+++ b/include/almondthread/wait_queue.h
@@ -11,6 +11,9 @@
  * refused as soon as its time to wait is over, before its caller would leave
  * without a response, when no server of the version that it needs is left, or
  * when all servers that could run it have named limits that are full.
+ * A queued request that will be late is refused if an arriving one can be on
+ * time in its place; the requests of a workspace that has more than its part of
+ * the queue wait behind the others (shed.h).
  * Free slots that several instances see are taken in turns (contention.h).
  * While the servers of a plain service are short of slots, part of its requests
  * is sent (plain_rates.h), and one that would be late is refused.
@@ -41,7 +44,8 @@
 /* One request; it belongs to the owner and is linked while it is queued. */
 typedef struct at_waiter {
 	at_work_t work;
-	uint32_t priority; /* of its route, 0 is the most urgent */
+	uint32_t priority;  /* of its route, 0 is the most urgent */
+	at_tag_t workspace; /* of its caller; 0: none */
 	uint64_t arrived_us;
 	uint64_t objective_us; /* when its first event is due */
 	uint64_t deadline_us;  /* when its caller leaves */
@@ -51,7 +55,9 @@
 	struct at_waiter *next;
 	struct at_waiter *prev;
 	int is_queued;
-	int is_counted; /* among the arrivals at a plain service */
+	int is_counted;  /* among the arrivals at a plain service */
+	int is_yielding; /* it is refused in favour of another */
+	int is_surplus;  /* its workspace has more than its part of the queue */
 } at_waiter_t;
 
 /* An admission decision and its causes. */
@@ -80,7 +86,10 @@
 size_t at_wait_queue_fill_report(const at_wait_queue_t *queue,
     at_queue_report_t *entries, size_t max, uint64_t now_us);
 
-/* at_wait_queue_decide() decides on a request that arrives or is retried. */
+/*
+ * at_wait_queue_decide() decides on a request that arrives or is retried. A
+ * queued one that is to be refused in its favour expires with it.
+ */
 void at_wait_queue_decide(at_wait_queue_t *queue, at_waiter_t *waiter,
     uint64_t now_us, at_admission_decision_t *decision);
 void at_wait_queue_add(at_wait_queue_t *queue, at_waiter_t *waiter);
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -6,6 +6,7 @@
  * those that can still meet it, and all would become late.
  */
 #include "almondthread/wait_queue.h"
+#include "almondthread/shed.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -20,8 +21,6 @@
 #define MODEL_LOAD_US 1000000u
 /* Time until an adapter of a resident model is resident. */
 #define ADAPTER_LOAD_US 60000u
-/* Added to the rank for each step of priority; 0 is the most urgent. */
-#define PRIORITY_US 1500000u
 /* Part of the remaining time that a request may wait. */
 #define WAIT_PERCENT 75u
 /*
@@ -40,6 +39,8 @@
 #define HOLDS_INTERVAL_US 10000u
 /* Kinds of work without a free slot that one pass can record. */
 #define FULL_KINDS_MAX 32u
+/* Workspaces that are told apart in the queue for one kind. */
+#define WORKSPACES_MAX 32u
 
 const char *const at_admission_names[] = {"placed", "waits", "refused"};
 
@@ -85,13 +86,26 @@
 	free(queue);
 }
 
+static at_shed_request_t
+shed_request(const at_waiter_t *waiter)
+{
+	const at_shed_request_t request = {.priority = waiter->priority,
+	    .arrived_us = waiter->arrived_us,
+	    .objective_us = waiter->objective_us,
+	    .deadline_us = waiter->deadline_us,
+	    .work_us = (uint64_t)waiter->work.prompt_tokens * TOKEN_US,
+	    .is_begun = waiter->work.is_resumption,
+	    .is_surplus = waiter->is_surplus};
+
+	return request;
+}
+
 static uint64_t
 rank(const at_waiter_t *waiter)
 {
-	uint64_t due_us = waiter->work.is_resumption ? waiter->arrived_us
-						     : waiter->objective_us;
+	at_shed_request_t request = shed_request(waiter);
 
-	return due_us + (uint64_t)waiter->priority * PRIORITY_US;
+	return at_shed_rank(&request);
 }
 
 /* A stream that has begun has met its objective, or not, before it broke. */
@@ -137,7 +151,8 @@
 	for (other = queue->head; other != NULL; other = other->next) {
 		at_work_kind_t kind = kind_of(&other->work);
 
-		if (other == waiter || !is_kind(&kind, &entry.kind) ||
+		if (other == waiter || other->is_yielding ||
+		    !is_kind(&kind, &entry.kind) ||
 		    (ahead && rank(other) > rank(waiter)))
 			continue;
 		entry.requests++;
@@ -425,16 +440,79 @@
 	at_fleet_set_holds(queue->fleet, holds.list, holds.count);
 }
 
+/*
+ * Returns a queued request of the same kind that can no longer be on time and
+ * whose refusal costs callers less than that of the one that arrives; NULL if
+ * there is none.
+ */
+static at_waiter_t *
+find_yielding(
+    at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
+{
+	at_work_kind_t kind = kind_of(&waiter->work);
+	at_shed_request_t arriving = shed_request(waiter);
+	at_waiter_t *other;
+	at_waiter_t *found = NULL;
+	uint64_t found_cost = 0;
+
+	for (other = queue->head; other != NULL; other = other->next) {
+		at_work_kind_t other_kind = kind_of(&other->work);
+		at_shed_request_t queued = shed_request(other);
+		uint64_t cost = at_shed_cost(&queued, now_us);
+
+		if (!is_kind(&other_kind, &kind) || other->is_yielding ||
+		    !at_shed_yields(&queued, now_us, &arriving, now_us) ||
+		    (found != NULL && cost >= found_cost))
+			continue;
+		found = other;
+		found_cost = cost;
+	}
+	return found;
+}
+
+/*
+ * Refuses queued requests in favour of one that would be refused otherwise.
+ * Returns the expected time until that one starts.
+ */
+static uint64_t
+make_room(at_wait_queue_t *queue, at_waiter_t *waiter,
+    const at_choice_t *choice, uint64_t max_us, uint64_t now_us)
+{
+	uint64_t wait_us = expected_wait_us(queue, waiter, choice);
+	at_waiter_t *other;
+
+	while (wait_us > max_us) {
+		other = find_yielding(queue, waiter, now_us);
+		if (other == NULL)
+			break;
+		other->is_yielding = 1;
+		wait_us = expected_wait_us(queue, waiter, choice);
+	}
+	for (other = queue->head; other != NULL; other = other->next) {
+		if (!other->is_yielding || other->expires_us <= now_us)
+			continue;
+		/* It would make no difference. */
+		if (wait_us > max_us)
+			other->is_yielding = 0;
+		else
+			other->expires_us = now_us;
+	}
+	return wait_us;
+}
+
 void
 at_wait_queue_decide(at_wait_queue_t *queue, at_waiter_t *waiter,
     uint64_t now_us, at_admission_decision_t *decision)
 {
 	uint64_t max_us = max_wait_us(waiter, now_us);
+	int has_expired =
+	    waiter->expires_us != 0 && waiter->expires_us <= now_us;
 
 	memset(decision, 0, sizeof(*decision));
 	update_holds(queue, now_us);
 	waiter->work.priority = waiter->priority;
 	waiter->expires_us = now_us + max_us;
+	waiter->is_yielding = 0;
 	decision->choice_result = at_fleet_choose(
 	    queue->fleet, &waiter->work, now_us, &decision->choice);
 	note_plain_arrival(queue, waiter, &decision->choice, now_us);
@@ -447,7 +525,11 @@
 	if (waiter->work.model == 0 &&
 	    decide_in_shortage(queue, waiter, now_us, decision))
 		return;
-	decision->wait_us = expected_wait_us(queue, waiter, &decision->choice);
+	decision->wait_us =
+	    !has_expired && (decision->choice_result == AT_CHOICE_FULL ||
+				decision->choice_result == AT_CHOICE_SERVER)
+		? make_room(queue, waiter, &decision->choice, max_us, now_us)
+		: expected_wait_us(queue, waiter, &decision->choice);
 	if (decision->choice_result == AT_CHOICE_NOT_RESIDENT)
 		decision->wait_us += decision->choice.model_servers > 0
 					 ? ADAPTER_LOAD_US
@@ -467,11 +549,44 @@
 		: AT_ADMISSION_REFUSED;
 }
 
+/* Compares the workspace's part of the queue for the same kind. */
+static int
+is_surplus(const at_wait_queue_t *queue, const at_waiter_t *waiter)
+{
+	at_work_kind_t kind = kind_of(&waiter->work);
+	at_tag_t seen[WORKSPACES_MAX];
+	uint32_t workspaces = 0;
+	uint32_t own = 1;
+	uint32_t all = 1;
+	const at_waiter_t *other;
+	uint32_t i;
+
+	if (waiter->workspace == 0)
+		return 0;
+	seen[workspaces++] = waiter->workspace;
+	for (other = queue->head; other != NULL; other = other->next) {
+		at_work_kind_t other_kind = kind_of(&other->work);
+
+		if (!is_kind(&other_kind, &kind))
+			continue;
+		all++;
+		own += (uint32_t)(other->workspace == waiter->workspace);
+		for (i = 0; i < workspaces; i++) {
+			if (seen[i] == other->workspace)
+				break;
+		}
+		if (i == workspaces && workspaces < WORKSPACES_MAX)
+			seen[workspaces++] = other->workspace;
+	}
+	return at_shed_is_surplus(own, all, workspaces);
+}
+
 void
 at_wait_queue_add(at_wait_queue_t *queue, at_waiter_t *waiter)
 {
 	at_waiter_t *before = queue->tail;
 
+	waiter->is_surplus = is_surplus(queue, waiter);
 	while (before != NULL && rank(before) > rank(waiter))
 		before = before->prev;
 	waiter->prev = before;
@@ -555,7 +670,7 @@
 	at_choice_result_t result;
 
 	for (waiter = queue->head; waiter != NULL; waiter = waiter->next) {
-		if (is_late(waiter, now_us) != late ||
+		if (is_late(waiter, now_us) != late || waiter->is_yielding ||
 		    is_full(full, &waiter->work))
 			continue;
 		result = at_fleet_choose(
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -137,6 +137,8 @@
 	    call->workspace != NULL && call->workspace->has_priority
 		? call->workspace->priority
 		: call->route->priority;
+	if (call->workspace != NULL)
+		waiter->workspace = call->workspace->tag;
 	waiter->arrived_us = call->started_us;
 	waiter->objective_us =
 	    call->started_us + call->route->objective_ms * US_PER_MS;
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -409,3 +409,89 @@
 	free_queue(queue);
 	at_fleet_delete(fleet);
 }
+
+/*
+ * Queued requests that are late keep out none that can be on time: as many are
+ * refused as the arriving request needs, and only where that helps.
+ */
+static const struct {
+	const char *name;
+	uint64_t queued_objective_ms;
+	uint32_t queued_priority;
+	uint64_t objective_ms; /* of the request that arrives at 1,000 ms */
+	at_admission_t admission;
+	int is_one_refused;
+} yield_cases[] = {
+    {"late ones yield", 900, 0, 2600, AT_ADMISSION_QUEUED, 1},
+    {"on-time ones stay", 2500, 0, 2600, AT_ADMISSION_REFUSED, 0},
+    {"not to one that is late itself", 900, 0, 950, AT_ADMISSION_REFUSED, 0},
+};
+
+Test(wait_queue, late_requests_yield_to_one_that_can_be_on_time)
+{
+	static at_waiter_t queued[256];
+	size_t i;
+
+	for (i = 0; i < sizeof(yield_cases) / sizeof(yield_cases[0]); i++) {
+		at_fleet_t *fleet = make_fleet(1);
+		at_wait_queue_t *queue = make_queue(fleet);
+		at_waiter_t waiter =
+		    make_waiter(yield_cases[i].objective_ms, 4000, 0);
+		at_waiter_t *refused;
+		at_admission_decision_t decision;
+		unsigned k;
+
+		fill_slots(fleet);
+		for (k = 0; k < 100; k++) {
+			queued[k] =
+			    make_waiter(yield_cases[i].queued_objective_ms,
+				20000, yield_cases[i].queued_priority);
+			queued[k].expires_us = 15000 * MS;
+			at_wait_queue_add(queue, &queued[k]);
+		}
+		at_wait_queue_decide(queue, &waiter, 1000 * MS, &decision);
+		cr_expect_eq(decision.admission, yield_cases[i].admission,
+		    "%s: %s", yield_cases[i].name,
+		    at_admission_names[decision.admission]);
+		refused = at_wait_queue_take_expired(queue, 1000 * MS);
+		cr_expect_eq(refused != NULL, yield_cases[i].is_one_refused,
+		    "%s", yield_cases[i].name);
+		free_queue(queue);
+		at_fleet_delete(fleet);
+	}
+}
+
+/*
+ * A workspace sends six times as much as another in a pulse: the requests of
+ * the other one do not wait behind all of it.
+ */
+Test(wait_queue, a_workspace_in_a_pulse_waits_behind_its_own)
+{
+	at_fleet_t *fleet = make_fleet(1);
+	at_wait_queue_t *queue = make_queue(fleet);
+	at_waiter_t waiters[14];
+	at_choice_t choice;
+	unsigned others = 0;
+	unsigned i;
+
+	fill_slots(fleet);
+	for (i = 0; i < 14; i++) {
+		/* Every seventh request is that of the other workspace. */
+		waiters[i] = make_waiter(1400 + i * 10, 20000, 0);
+		waiters[i].workspace = i % 7 == 6 ? 2 : 1;
+		at_wait_queue_add(queue, &waiters[i]);
+	}
+	empty_slots(fleet);
+	for (i = 0; i < 9; i++) {
+		at_waiter_t *waiter =
+		    at_wait_queue_take_placeable(queue, 1000 * MS, &choice);
+
+		cr_assert_not_null(waiter);
+		others += (unsigned)(waiter->workspace == 2);
+	}
+	cr_assert_eq(others, 2, "others=%u", others);
+	while (at_wait_queue_take_placeable(queue, 1000 * MS, &choice) != NULL)
+		;
+	free_queue(queue);
+	at_fleet_delete(fleet);
+}
