Spread the retry times of refusals by a quarter

A spread of 97 ms is short against waits of seconds, and all refusals of a long overload stated the longest time, 5,000 ms, so that the requests returned together. The spread is now 97 ms and a quarter of the wait; the longest times begin at 3,750 ms.

--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -33,6 +33,9 @@
 #define REFUSAL_MARGIN_US 150000u
 /* Shortest retry time; an earlier retry would not be placed. */
 #define RETRY_MIN_MS 50u
+/* The retry time is spread by this, and by this part of it. */
+#define SPREAD_MS 97u
+#define SPREAD_PERCENT 25u
 /* Longest retry time; callers that are told to wait longer do not return. */
 #define RETRY_MAX_MS 5000u
 /* Time between two looks at who waits to go on with a stream. */
@@ -209,9 +212,13 @@
 retry_after_ms(const at_waiter_t *waiter, uint64_t wait_us)
 {
 	/* Spreads the retries of requests that were refused together. */
-	uint64_t spread = (waiter->arrived_us / 1000u) % 97u;
-	uint64_t ms = wait_us / 1000u + spread;
+	uint64_t ms = wait_us / 1000u;
 
+	/* All of a long overload would otherwise return at the longest time. */
+	if (ms > RETRY_MAX_MS * (100u - SPREAD_PERCENT) / 100u)
+		ms = RETRY_MAX_MS * (100u - SPREAD_PERCENT) / 100u;
+	ms += (waiter->arrived_us / 1000u) %
+	      (SPREAD_MS + ms * SPREAD_PERCENT / 100u);
 	if (ms < RETRY_MIN_MS)
 		ms = RETRY_MIN_MS;
 	return ms > RETRY_MAX_MS ? RETRY_MAX_MS : (uint32_t)ms;
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -495,3 +495,37 @@
 	free_queue(queue);
 	at_fleet_delete(fleet);
 }
+
+/* Requests refused one after the other do not return all at one moment. */
+Test(wait_queue, retries_after_a_long_overload_are_spread)
+{
+	static at_waiter_t queued[400];
+	at_fleet_t *fleet = make_fleet(1);
+	at_wait_queue_t *queue = make_queue(fleet);
+	at_admission_decision_t decision;
+	uint32_t shortest_ms = UINT32_MAX;
+	uint32_t longest_ms = 0;
+	unsigned i;
+
+	fill_slots(fleet);
+	for (i = 0; i < 400; i++) {
+		queued[i] = make_waiter(60000, 90000, 0);
+		at_wait_queue_add(queue, &queued[i]);
+	}
+	for (i = 0; i < 1000; i++) {
+		at_waiter_t waiter = make_waiter(60000, 2000 + i, 1);
+
+		waiter.arrived_us = (1000 + i) * MS;
+		at_wait_queue_decide(
+		    queue, &waiter, (1000 + i) * MS, &decision);
+		cr_assert_eq(decision.admission, AT_ADMISSION_REFUSED);
+		if (decision.retry_after_ms < shortest_ms)
+			shortest_ms = decision.retry_after_ms;
+		if (decision.retry_after_ms > longest_ms)
+			longest_ms = decision.retry_after_ms;
+	}
+	cr_assert_geq(longest_ms, shortest_ms + 900, "from %u to %u",
+	    shortest_ms, longest_ms);
+	free_queue(queue);
+	at_fleet_delete(fleet);
+}
