Tell callers of plain services to return when there can be room

A caller that was refused in an overload was told to return after the wait of its instance, some 100 ms, and was refused again until it gave up. It is now told the time in which the servers could run all that was refused in the last second.

--- a/include/almondthread/plain_rates.h
+++ b/include/almondthread/plain_rates.h
@@ -73,6 +73,13 @@
  */
 uint64_t at_plain_rates_wait_us(at_plain_rates_t *rates, at_tag_t service,
     const at_plain_view_t *view, uint32_t ahead, uint64_t now_us);
+/*
+ * at_plain_rates_return_us() returns when a caller that is refused should come
+ * back: after the time in which the servers could run all that was refused in
+ * the last second; 0 without a shortage.
+ */
+uint64_t at_plain_rates_return_us(at_plain_rates_t *rates, at_tag_t service,
+    const at_plain_view_t *view, uint64_t now_us);
 /* at_plain_rates_served_us() returns the recent mean time at a server. */
 uint64_t at_plain_rates_served_us(
     const at_plain_rates_t *rates, at_tag_t service);
--- a/src/core/fleet/plain_rates.c
+++ b/src/core/fleet/plain_rates.c
@@ -455,6 +455,16 @@
 	return missing <= 0. ? 0 : (uint64_t)(missing * US_PER_S / here_per_s);
 }
 
+uint64_t
+at_plain_rates_return_us(at_plain_rates_t *rates, at_tag_t service,
+    const at_plain_view_t *view, uint64_t now_us)
+{
+	plain_rate_t *rate = find_or_add(rates, service);
+	double part = rate == NULL ? 1. : part_to_send(rate, view, now_us);
+
+	return (uint64_t)((1. / part - 1.) * US_PER_S);
+}
+
 uint64_t
 at_plain_rates_served_us(const at_plain_rates_t *rates, at_tag_t service)
 {
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -378,6 +378,7 @@
 	    plain_view(queue, waiter, &decision->choice, now_us);
 	uint64_t served_us =
 	    at_plain_rates_served_us(queue->plain_rates, waiter->work.service);
+	uint64_t return_us;
 	uint64_t latest_us;
 
 	if (decision->choice_result != AT_CHOICE_SERVER &&
@@ -390,7 +391,10 @@
 	decision->wait_us =
 	    at_plain_rates_wait_us(queue->plain_rates, waiter->work.service,
 		&view, queued_like(queue, waiter, 1).requests, now_us);
-	decision->retry_after_ms = retry_after_ms(waiter, decision->wait_us);
+	return_us = at_plain_rates_return_us(
+	    queue->plain_rates, waiter->work.service, &view, now_us);
+	decision->retry_after_ms = retry_after_ms(waiter,
+	    return_us > decision->wait_us ? return_us : decision->wait_us);
 	latest_us = waiter->objective_us > now_us + served_us
 			? now_us + (waiter->objective_us - now_us - served_us) *
 				       SHORTAGE_WAIT_PERCENT / 100u
--- a/tests/unit/test_plain_shortage.c
+++ b/tests/unit/test_plain_shortage.c
@@ -20,6 +20,7 @@
 #define KINDS_MAX 3u
 #define ATTEMPTS_MAX 3u
 #define SEEDS 3u
+#define RECOVERY_MS 1000u /* after the end of a step */
 
 static const at_fleet_secret_t secret = {.bytes = {1}};
 
@@ -39,7 +40,9 @@
 	uint64_t sent_ms;
 	uint64_t ends_ms; /* set when a server runs it */
 	int is_on_time;
-	struct request *next; /* at its server */
+	unsigned returns;       /* after refusals */
+	uint64_t returns_at_ms; /* 0: it does not */
+	struct request *next;   /* at its server */
 } request_t;
 
 typedef struct server {
@@ -67,8 +70,17 @@
 	kind_t kinds[KINDS_MAX];
 } load_case_t;
 
+/* A step of the load for some seconds; its requests have kind 1. */
+typedef struct step {
+	unsigned percent;
+	unsigned from_ms;
+	unsigned until_ms;
+	unsigned returns_max; /* of a caller that is refused */
+} step_t;
+
 typedef struct world {
 	const load_case_t *load;
+	const step_t *step; /* NULL: none */
 	instance_t instances[INSTANCES_MAX];
 	server_t servers[SERVERS];
 	request_t *requests;
@@ -131,15 +143,28 @@
 		   : random_below(w, w->load->instances);
 }
 
+static void
+set_times(request_t *request, const kind_t *kind, uint64_t at_ms)
+{
+	request->waiter.arrived_us = at_ms * MS;
+	request->waiter.objective_us = (at_ms + kind->objective_ms) * MS;
+	request->waiter.deadline_us = (at_ms + kind->deadline_ms) * MS;
+}
+
 static void
 draw_requests(world_t *w, unsigned seconds)
 {
+	unsigned per_s = SERVERS * SLOTS * 1000u / w->load->service_ms;
+	size_t usual = (size_t)per_s * seconds * w->load->percent / 100u;
 	size_t i;
 	unsigned instance = 0;
 	uint64_t at_ms = 0;
 
-	w->count = (size_t)SERVERS * SLOTS * 1000u / w->load->service_ms *
-		   seconds * w->load->percent / 100u;
+	w->count = usual;
+	if (w->step != NULL)
+		w->count += (size_t)per_s *
+			    (w->step->until_ms - w->step->from_ms) / 1000u *
+			    (w->step->percent - w->load->percent) / 100u;
 	w->requests = calloc(w->count, sizeof(*w->requests));
 	cr_assert_not_null(w->requests);
 	for (i = 0; i < w->count; i++) {
@@ -149,6 +174,10 @@
 		if (i % w->load->bunch == 0) {
 			instance = draw_instance(w);
 			at_ms = START_MS + random_below(w, seconds * 1000u);
+			if (i >= usual)
+				at_ms = w->step->from_ms +
+					random_below(w, w->step->until_ms -
+							    w->step->from_ms);
 		}
 		request->instance = instance;
 		request->kind = random_below(w, w->load->kind_count);
@@ -156,10 +185,7 @@
 		request->arrives_ms = at_ms;
 		request->waiter.work.service = at_tag_from_text("plain");
 		request->waiter.priority = kind->priority;
-		request->waiter.arrived_us = at_ms * MS;
-		request->waiter.objective_us =
-		    (at_ms + kind->objective_ms) * MS;
-		request->waiter.deadline_us = (at_ms + kind->deadline_ms) * MS;
+		set_times(request, kind, at_ms);
 	}
 	qsort(w->requests, w->count, sizeof(*w->requests), by_arrival);
 }
@@ -228,6 +254,17 @@
 	server->queued++;
 }
 
+/* The caller returns when the refusal says. */
+static void
+note_refused(
+    world_t *w, request_t *request, uint32_t retry_after_ms, uint64_t now_ms)
+{
+	if (w->step == NULL || request->returns == w->step->returns_max)
+		return;
+	request->returns++;
+	request->returns_at_ms = now_ms + retry_after_ms;
+}
+
 static void
 decide(world_t *w, request_t *request, uint64_t now_ms)
 {
@@ -239,6 +276,8 @@
 		send_request(w, request, &decision.choice, now_ms);
 	else if (decision.admission == AT_ADMISSION_QUEUED)
 		at_wait_queue_add(queue, &request->waiter);
+	else
+		note_refused(w, request, decision.retry_after_ms, now_ms);
 }
 
 static void
@@ -251,8 +290,40 @@
 	while ((waiter = at_wait_queue_take_placeable(
 		    queue, now_ms * MS, &choice)) != NULL)
 		send_request(w, (request_t *)(void *)waiter, &choice, now_ms);
-	while (at_wait_queue_take_expired(queue, now_ms * MS) != NULL)
-		;
+	while (
+	    (waiter = at_wait_queue_take_expired(queue, now_ms * MS)) != NULL) {
+		at_admission_decision_t decision;
+
+		at_wait_queue_decide(queue, waiter, now_ms * MS, &decision);
+		if (decision.admission == AT_ADMISSION_PLACED)
+			send_request(w, (request_t *)(void *)waiter,
+			    &decision.choice, now_ms);
+		else
+			note_refused(w, (request_t *)(void *)waiter,
+			    decision.retry_after_ms, now_ms);
+	}
+}
+
+static void
+return_callers(world_t *w, uint64_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; w->step != NULL && i < w->next; i++) {
+		request_t *request = &w->requests[i];
+
+		if (request->returns_at_ms == 0 ||
+		    request->returns_at_ms > now_ms)
+			continue;
+		request->returns_at_ms = 0;
+		request->attempts = 0;
+		memset(request->waiter.work.avoid, 0,
+		    sizeof(request->waiter.work.avoid));
+		request->waiter.is_counted = 0;
+		set_times(request, &w->load->kinds[request->kind], now_ms);
+		decide(w, request, now_ms);
+		place_queued(w, request->instance, now_ms);
+	}
 }
 
 static void
@@ -289,7 +360,8 @@
 } result_t;
 
 static result_t
-replay_seed(const load_case_t *load, unsigned seconds, uint64_t seed)
+replay_seed(const load_case_t *load, const step_t *step, unsigned seconds,
+    uint64_t seed)
 {
 	world_t *w = calloc(1, sizeof(*w));
 	result_t result = {.late = 0};
@@ -299,6 +371,7 @@
 
 	cr_assert_not_null(w);
 	w->load = load;
+	w->step = step;
 	w->random = seed;
 	for (n = 0; n < load->instances; n++)
 		make_instance(&w->instances[n], n);
@@ -307,6 +380,7 @@
 	     now_ms++) {
 		for (n = 0; n < SERVERS; n++)
 			step_server(w, &w->servers[n], now_ms);
+		return_callers(w, now_ms);
 		while (w->next < w->count &&
 		       w->requests[w->next].arrives_ms <= now_ms) {
 			request_t *request = &w->requests[w->next++];
@@ -324,9 +398,15 @@
 	}
 	for (i = 0; i < w->count; i++) {
 		const request_t *request = &w->requests[i];
-
-		result.count[request->kind]++;
-		result.on_time[request->kind] += (unsigned)request->is_on_time;
+		unsigned k = request->kind;
+
+		if (step != NULL)
+			k = request->arrives_ms < step->from_ms
+				? 0
+				: 1 + (request->arrives_ms >=
+					  step->until_ms + RECOVERY_MS);
+		result.count[k]++;
+		result.on_time[k] += (unsigned)request->is_on_time;
 		result.late +=
 		    (unsigned)(request->ends_ms != 0 && !request->is_on_time);
 	}
@@ -343,14 +423,14 @@
 
 /* Returns the sums over several seeds, as single ones vary by 2 percent. */
 static result_t
-replay(const load_case_t *load, unsigned seconds)
+replay(const load_case_t *load, const step_t *step, unsigned seconds)
 {
 	result_t sum = {.late = 0};
 	uint64_t seed;
 	unsigned k;
 
 	for (seed = 1; seed <= SEEDS; seed++) {
-		result_t result = replay_seed(load, seconds, seed);
+		result_t result = replay_seed(load, step, seconds, seed);
 
 		for (k = 0; k < KINDS_MAX; k++) {
 			sum.count[k] += result.count[k];
@@ -385,7 +465,7 @@
 
 	for (i = 0; i < sizeof(overloads) / sizeof(overloads[0]); i++) {
 		const load_case_t *load = &overloads[i].load;
-		result_t result = replay(load, 5);
+		result_t result = replay(load, NULL, 5);
 		unsigned capacity =
 		    SERVERS * SLOTS * 1000u / load->service_ms * 5u * SEEDS;
 
@@ -431,7 +511,7 @@
 
 	for (i = 0; i < sizeof(normal_loads) / sizeof(normal_loads[0]); i++) {
 		const load_case_t *load = &normal_loads[i].load;
-		result_t result = replay(load, 5);
+		result_t result = replay(load, NULL, 5);
 
 		cr_expect_geq(result.on_time[0] * 1000u,
 		    result.count[0] * normal_loads[i].permille,
@@ -464,7 +544,7 @@
 
 	for (i = 0; i < sizeof(kind_cases) / sizeof(kind_cases[0]); i++) {
 		const load_case_t *load = &kind_cases[i];
-		result_t result = replay(load, 12);
+		result_t result = replay(load, NULL, 12);
 		unsigned percent[KINDS_MAX];
 		unsigned k;
 
@@ -477,3 +557,39 @@
 		    percent[0], percent[1], percent[2]);
 	}
 }
+
+/*
+ * A step of the load to 1.6 times the capacity, and its end. Callers that are
+ * refused return when they are told, and are served when there is room; they
+ * must not prolong the overload. percent is that of the requests of the step
+ * which are on time in the end.
+ */
+static const struct {
+	step_t step;
+	unsigned percent;
+} steps[] = {
+    {{160, 3000, 6000, 0}, 60},
+    {{160, 3000, 6000, 1}, 75},
+    {{160, 3000, 6000, 3}, 88},
+};
+
+Test(plain_shortage, a_load_step_ends)
+{
+	const load_case_t load = {
+	    "half of the capacity", 88, 50, 1, 60, 100, 1, {{1, 300, 2000}}};
+	size_t i;
+
+	for (i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+		result_t result = replay(&load, &steps[i].step, 9);
+
+		cr_expect_eq(result.on_time[0], result.count[0]);
+		cr_expect_geq(result.on_time[1] * 100u,
+		    result.count[1] * steps[i].percent,
+		    "%u returns: on time %u of %u", steps[i].step.returns_max,
+		    result.on_time[1], result.count[1]);
+		cr_expect_geq(result.on_time[2] * 100u, result.count[2] * 97u,
+		    "%u returns: on time %u of %u after the step",
+		    steps[i].step.returns_max, result.on_time[2],
+		    result.count[2]);
+	}
+}
