--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -185,6 +185,9 @@
 	 * no other engine is available: time until one of them may get one.
 	 */
 	uint64_t cold_us;
+	/* Of candidates that may get a request, whether or not one is free. */
+	uint32_t open_slots;
+	uint32_t open_active; /* requests there, of all instances */
 } at_choice_t;
 
 /* How a request ended, as far as it shows the backend server's health. */
--- a/include/almondthread/wait_queue.h
+++ b/include/almondthread/wait_queue.h
@@ -11,7 +11,12 @@
  * refused as soon as its time to wait is over, before its caller would leave
  * without a response, when no server of the version that it needs is left, or
  * when all servers that could run it have named limits that are full.
+ * A queued request that will be late is refused if an arriving one can be on
+ * time in its place; the requests of a workspace that has more than its part of
+ * the queue wait behind the others (shed.h).
  * Free slots that several instances see are taken in turns (contention.h).
+ * While the servers of a plain service are short of slots, part of its requests
+ * is sent (plain_rates.h), and one that would be late is refused.
  *
  * A request that goes on with a stream needs a server of the version that began
  * it. It goes before new requests of its priority, and while one waits, those
@@ -39,16 +44,22 @@
 /* One request; it belongs to the owner and is linked while it is queued. */
 typedef struct at_waiter {
 	at_work_t work;
-	uint32_t priority; /* of its route, 0 is the most urgent */
+	uint32_t priority;  /* of its route, 0 is the most urgent */
+	at_tag_t workspace; /* of its caller; 0: none */
 	uint64_t arrived_us;
 	uint64_t objective_us; /* when its first event is due */
 	uint64_t deadline_us;  /* when its caller leaves */
 	/* The caller leaves if it has no event by then; 0: it does not. */
 	uint64_t first_event_limit_us;
 	uint64_t expires_us; /* set by at_wait_queue_decide() */
+	/* Time to read the prompt at a server; 0: set by the queue. */
+	uint64_t work_us;
 	struct at_waiter *next;
 	struct at_waiter *prev;
 	int is_queued;
+	int is_counted;  /* among the arrivals at a plain service */
+	int is_yielding; /* it is refused in favour of another */
+	int is_surplus;  /* its workspace has more than its part of the queue */
 } at_waiter_t;
 
 /* An admission decision and its causes. */
@@ -58,6 +69,7 @@
 	at_choice_t choice;      /* of AT_ADMISSION_PLACED */
 	uint64_t wait_us;        /* expected, until a slot is free */
 	uint32_t retry_after_ms; /* for a refusal; 0 if placed */
+	int is_short; /* the servers of the plain service are short of slots */
 } at_admission_decision_t;
 
 typedef struct at_wait_queue at_wait_queue_t;
@@ -76,13 +88,23 @@
 size_t at_wait_queue_fill_report(const at_wait_queue_t *queue,
     at_queue_report_t *entries, size_t max, uint64_t now_us);
 
-/* at_wait_queue_decide() decides on a request that arrives or is retried. */
+/*
+ * at_wait_queue_decide() decides on a request that arrives or is retried. A
+ * queued one that is to be refused in its favour expires with it.
+ */
 void at_wait_queue_decide(at_wait_queue_t *queue, at_waiter_t *waiter,
     uint64_t now_us, at_admission_decision_t *decision);
 void at_wait_queue_add(at_wait_queue_t *queue, at_waiter_t *waiter);
 /* at_wait_queue_remove() does nothing for a request that is not queued. */
 void at_wait_queue_remove(at_wait_queue_t *queue, at_waiter_t *waiter);
 
+/*
+ * at_wait_queue_note_ended() tells that a request that was sent has ended,
+ * elapsed_us after it.
+ */
+void at_wait_queue_note_ended(at_wait_queue_t *queue, const at_work_t *work,
+    at_server_outcome_t outcome, uint64_t elapsed_us, uint64_t now_us);
+
 /*
  * at_wait_queue_take_placeable() removes the next request that can be sent
  * now and returns it with its choice, or NULL.
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -6,6 +6,7 @@
  * those that can still meet it, and all would become late.
  */
 #include "almondthread/wait_queue.h"
+#include "almondthread/shed.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -15,26 +16,36 @@
 #define MODEL_LOAD_US 1000000u
 /* Time until an adapter of a resident model is resident. */
 #define ADAPTER_LOAD_US 60000u
-/* Added to the rank for each step of priority; 0 is the most urgent. */
-#define PRIORITY_US 1500000u
 /* Part of the remaining time that a request may wait. */
 #define WAIT_PERCENT 75u
+/*
+ * The same in a shortage at a plain service, of the time until the objective
+ * that the server leaves. Many wait as long as they may, as the queue is in
+ * order of the time left, and the time at the servers varies by half.
+ */
+#define SHORTAGE_WAIT_PERCENT 50u
 /* Time for a refusal to reach the caller. */
 #define REFUSAL_MARGIN_US 150000u
 /* Shortest retry time; an earlier retry would not be placed. */
 #define RETRY_MIN_MS 50u
+/* The retry time is spread by this, and by this part of it. */
+#define SPREAD_MS 97u
+#define SPREAD_PERCENT 25u
 /* Longest retry time; callers that are told to wait longer do not return. */
 #define RETRY_MAX_MS 5000u
 /* Time between two looks at who waits to go on with a stream. */
 #define HOLDS_INTERVAL_US 10000u
 /* Kinds of work without a free slot that one pass can record. */
 #define FULL_KINDS_MAX 32u
+/* Workspaces that are told apart in the queue for one kind. */
+#define WORKSPACES_MAX 32u
 
 const char *const at_admission_names[] = {"placed", "waits", "refused"};
 
 struct at_wait_queue {
 	at_fleet_t *fleet;
 	at_contention_t *contention;
+	at_plain_rates_t *plain_rates;
 	at_waiter_t *head; /* sorted by rank */
 	at_waiter_t *tail;
 	size_t count;
@@ -56,22 +67,43 @@
 		return NULL;
 	queue->fleet = fleet;
 	queue->contention = contention;
+	queue->plain_rates = at_plain_rates_new(at_contention_seed(contention));
+	if (queue->plain_rates == NULL) {
+		free(queue);
+		return NULL;
+	}
 	return queue;
 }
 
 void
 at_wait_queue_delete(at_wait_queue_t *queue)
 {
+	if (queue == NULL)
+		return;
+	at_plain_rates_delete(queue->plain_rates);
 	free(queue);
 }
 
+static at_shed_request_t
+shed_request(const at_waiter_t *waiter)
+{
+	const at_shed_request_t request = {.priority = waiter->priority,
+	    .arrived_us = waiter->arrived_us,
+	    .objective_us = waiter->objective_us,
+	    .deadline_us = waiter->deadline_us,
+	    .work_us = waiter->work_us,
+	    .is_begun = waiter->work.is_resumption,
+	    .is_surplus = waiter->is_surplus};
+
+	return request;
+}
+
 static uint64_t
 rank(const at_waiter_t *waiter)
 {
-	uint64_t due_us = waiter->work.is_resumption ? waiter->arrived_us
-						     : waiter->objective_us;
+	at_shed_request_t request = shed_request(waiter);
 
-	return due_us + (uint64_t)waiter->priority * PRIORITY_US;
+	return at_shed_rank(&request);
 }
 
 /* A stream that has begun has met its objective, or not, before it broke. */
@@ -118,7 +150,8 @@
 	for (other = queue->head; other != NULL; other = other->next) {
 		at_work_kind_t kind = kind_of(&other->work);
 
-		if (other == waiter || !is_kind(&kind, &entry.kind) ||
+		if (other == waiter || other->is_yielding ||
+		    !is_kind(&kind, &entry.kind) ||
 		    (ahead && rank(other) > rank(waiter)))
 			continue;
 		entry.requests++;
@@ -190,25 +223,35 @@
 retry_after_ms(const at_waiter_t *waiter, uint64_t wait_us)
 {
 	/* Spreads the retries of requests that were refused together. */
-	uint64_t spread = (waiter->arrived_us / 1000u) % 97u;
-	uint64_t ms = wait_us / 1000u + spread;
+	uint64_t ms = wait_us / 1000u;
 
+	/* All of a long overload would otherwise return at the longest time. */
+	if (ms > RETRY_MAX_MS * (100u - SPREAD_PERCENT) / 100u)
+		ms = RETRY_MAX_MS * (100u - SPREAD_PERCENT) / 100u;
+	ms += (waiter->arrived_us / 1000u) %
+	      (SPREAD_MS + ms * SPREAD_PERCENT / 100u);
 	if (ms < RETRY_MIN_MS)
 		ms = RETRY_MIN_MS;
 	return ms > RETRY_MAX_MS ? RETRY_MAX_MS : (uint32_t)ms;
 }
 
+/* Returns the time to read the request's prompt at a mean server. */
+static uint64_t
+prompt_us(
+    const at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
+{
+	return (uint64_t)waiter->work.prompt_tokens *
+	       mean_times(queue, waiter, now_us).prompt_token_ns / NS_PER_US;
+}
+
 /*
  * Returns how long a request may wait here so that a response still reaches its
  * caller.
  */
 static uint64_t
-max_wait_us(
-    const at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
+max_wait_us(const at_waiter_t *waiter, uint64_t now_us)
 {
-	uint64_t own_us = (uint64_t)waiter->work.prompt_tokens *
-			  mean_times(queue, waiter, now_us).prompt_token_ns /
-			  NS_PER_US;
+	uint64_t own_us = waiter->work_us;
 	uint64_t remaining_us =
 	    waiter->deadline_us > now_us ? waiter->deadline_us - now_us : 0;
 	uint64_t max_us = remaining_us * WAIT_PERCENT / 100u;
@@ -240,6 +283,62 @@
 	return candidate;
 }
 
+static at_plain_view_t
+plain_view(const at_wait_queue_t *queue, const at_waiter_t *waiter,
+    const at_choice_t *choice, uint64_t now_us)
+{
+	at_queue_report_t here = queued_like(queue, waiter, 0);
+	at_queue_total_t peers =
+	    at_contention_peer_queues(queue->contention, &here.kind);
+	at_service_time_t time;
+	at_plain_view_t view = {.slots = choice->open_slots,
+	    .active = choice->open_active,
+	    .queued_here = here.requests + (uint32_t)(waiter->is_queued != 0),
+	    .peers_queued = peers.requests,
+	    .peers = peers.flow};
+
+	at_service_times_get(at_fleet_service_times(queue->fleet),
+	    waiter->work.service, 0, 0, now_us, &time);
+	view.request_us = time.plain_us;
+	return view;
+}
+
+/* Returns non-zero if a queued request for the service goes before this one. */
+static int
+is_behind_another(
+    const at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
+{
+	const at_waiter_t *other;
+
+	for (other = queue->head; other != NULL && other != waiter;
+	     other = other->next) {
+		if (other->work.service == waiter->work.service &&
+		    other->priority <= waiter->priority &&
+		    !is_late(other, now_us) && rank(other) <= rank(waiter))
+			return 1;
+	}
+	return 0;
+}
+
+/*
+ * A request of a plain service ends before its load is reported; in a shortage
+ * each instance sends a part of what it receives.
+ */
+static int
+may_send_plain(at_wait_queue_t *queue, const at_waiter_t *waiter,
+    const at_choice_t *choice, uint64_t now_us)
+{
+	at_plain_view_t view = plain_view(queue, waiter, choice, now_us);
+
+	if (!at_plain_rates_is_short(
+		queue->plain_rates, waiter->work.service, &view, now_us))
+		return 1;
+	return (waiter->is_queued ||
+		   !is_behind_another(queue, waiter, now_us)) &&
+	       at_plain_rates_may_send(queue->plain_rates, waiter->work.service,
+		   &view, waiter->priority, now_us);
+}
+
 /* Instances with queues for the same engines take turns. */
 static int
 may_dispatch(at_wait_queue_t *queue, const at_waiter_t *waiter,
@@ -248,22 +347,84 @@
 	at_dispatch_candidate_t candidate =
 	    dispatch_candidate(queue, waiter, choice, now_us);
 
-	/* A request to a plain service ends before its load is reported. */
-	return waiter->work.model == 0 ||
-	       at_contention_may_dispatch(
-		   queue->contention, &candidate, now_us);
+	if (waiter->work.model == 0)
+		return may_send_plain(queue, waiter, choice, now_us);
+	return at_contention_may_dispatch(
+	    queue->contention, &candidate, now_us);
 }
 
 static void
-note_dispatch(at_wait_queue_t *queue, const at_waiter_t *waiter,
+note_dispatch(at_wait_queue_t *queue, at_waiter_t *waiter,
     const at_choice_t *choice, uint64_t now_us)
 {
 	at_dispatch_candidate_t candidate =
 	    dispatch_candidate(queue, waiter, choice, now_us);
 
-	if (waiter->work.model != 0)
+	if (waiter->work.model != 0) {
 		at_contention_note_dispatch(
 		    queue->contention, &candidate, now_us);
+		return;
+	}
+	waiter->is_counted = 0;
+	at_plain_rates_note_sent(
+	    queue->plain_rates, waiter->work.service, now_us);
+}
+
+/* An attempt is counted once, also if it is decided on again. */
+static void
+note_plain_arrival(at_wait_queue_t *queue, at_waiter_t *waiter,
+    const at_choice_t *choice, uint64_t now_us)
+{
+	at_plain_view_t view;
+
+	if (waiter->work.model != 0 || waiter->is_counted)
+		return;
+	view = plain_view(queue, waiter, choice, now_us);
+	at_plain_rates_note_arrival(queue->plain_rates, waiter->work.service,
+	    &view, waiter->priority, now_us);
+	waiter->is_counted = 1;
+}
+
+/*
+ * Decides on a request for a plain service whose servers are short of slots:
+ * it is refused if it would be late, as late ones take the slots of others.
+ * Returns 0 if there is no shortage.
+ */
+static int
+decide_in_shortage(at_wait_queue_t *queue, at_waiter_t *waiter, uint64_t now_us,
+    at_admission_decision_t *decision)
+{
+	at_plain_view_t view =
+	    plain_view(queue, waiter, &decision->choice, now_us);
+	uint64_t served_us =
+	    at_plain_rates_served_us(queue->plain_rates, waiter->work.service);
+	uint64_t return_us;
+	uint64_t latest_us;
+
+	if (decision->choice_result != AT_CHOICE_SERVER &&
+	    decision->choice_result != AT_CHOICE_FULL)
+		return 0;
+	if (!at_plain_rates_is_short(
+		queue->plain_rates, waiter->work.service, &view, now_us))
+		return 0;
+	decision->is_short = 1;
+	decision->wait_us =
+	    at_plain_rates_wait_us(queue->plain_rates, waiter->work.service,
+		&view, queued_like(queue, waiter, 1).requests, now_us);
+	return_us = at_plain_rates_return_us(
+	    queue->plain_rates, waiter->work.service, &view, now_us);
+	decision->retry_after_ms = retry_after_ms(waiter,
+	    return_us > decision->wait_us ? return_us : decision->wait_us);
+	latest_us = waiter->objective_us > now_us + served_us
+			? now_us + (waiter->objective_us - now_us - served_us) *
+				       SHORTAGE_WAIT_PERCENT / 100u
+			: now_us;
+	if (latest_us < waiter->expires_us)
+		waiter->expires_us = latest_us;
+	decision->admission = now_us + decision->wait_us <= waiter->expires_us
+				  ? AT_ADMISSION_QUEUED
+				  : AT_ADMISSION_REFUSED;
+	return 1;
 }
 
 typedef struct holds {
@@ -310,26 +471,98 @@
 	at_fleet_set_holds(queue->fleet, holds.list, holds.count);
 }
 
+/*
+ * Returns a queued request of the same kind that can no longer be on time and
+ * whose refusal costs callers less than that of the one that arrives; NULL if
+ * there is none.
+ */
+static at_waiter_t *
+find_yielding(
+    at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
+{
+	at_work_kind_t kind = kind_of(&waiter->work);
+	at_shed_request_t arriving = shed_request(waiter);
+	at_waiter_t *other;
+	at_waiter_t *found = NULL;
+	uint64_t found_cost = 0;
+
+	for (other = queue->head; other != NULL; other = other->next) {
+		at_work_kind_t other_kind = kind_of(&other->work);
+		at_shed_request_t queued = shed_request(other);
+		uint64_t cost = at_shed_cost(&queued, now_us);
+
+		if (!is_kind(&other_kind, &kind) || other->is_yielding ||
+		    !at_shed_yields(&queued, now_us, &arriving, now_us) ||
+		    (found != NULL && cost >= found_cost))
+			continue;
+		found = other;
+		found_cost = cost;
+	}
+	return found;
+}
+
+/*
+ * Refuses queued requests in favour of one that would be refused otherwise.
+ * Returns the expected time until that one starts.
+ */
+static uint64_t
+make_room(at_wait_queue_t *queue, at_waiter_t *waiter,
+    const at_choice_t *choice, uint64_t max_us, uint64_t now_us)
+{
+	uint64_t wait_us = expected_wait_us(queue, waiter, choice, now_us);
+	at_waiter_t *other;
+
+	while (wait_us > max_us) {
+		other = find_yielding(queue, waiter, now_us);
+		if (other == NULL)
+			break;
+		other->is_yielding = 1;
+		wait_us = expected_wait_us(queue, waiter, choice, now_us);
+	}
+	for (other = queue->head; other != NULL; other = other->next) {
+		if (!other->is_yielding || other->expires_us <= now_us)
+			continue;
+		/* It would make no difference. */
+		if (wait_us > max_us)
+			other->is_yielding = 0;
+		else
+			other->expires_us = now_us;
+	}
+	return wait_us;
+}
+
 void
 at_wait_queue_decide(at_wait_queue_t *queue, at_waiter_t *waiter,
     uint64_t now_us, at_admission_decision_t *decision)
 {
-	uint64_t max_us = max_wait_us(queue, waiter, now_us);
+	int has_expired =
+	    waiter->expires_us != 0 && waiter->expires_us <= now_us;
+	uint64_t max_us;
 
 	memset(decision, 0, sizeof(*decision));
 	update_holds(queue, now_us);
+	waiter->work_us = prompt_us(queue, waiter, now_us);
+	max_us = max_wait_us(waiter, now_us);
 	waiter->work.priority = waiter->priority;
 	waiter->expires_us = now_us + max_us;
+	waiter->is_yielding = 0;
 	decision->choice_result = at_fleet_choose(
 	    queue->fleet, &waiter->work, now_us, &decision->choice);
+	note_plain_arrival(queue, waiter, &decision->choice, now_us);
 	if (decision->choice_result == AT_CHOICE_SERVER &&
 	    may_dispatch(queue, waiter, &decision->choice, now_us)) {
 		note_dispatch(queue, waiter, &decision->choice, now_us);
 		decision->admission = AT_ADMISSION_PLACED;
 		return;
 	}
+	if (waiter->work.model == 0 &&
+	    decide_in_shortage(queue, waiter, now_us, decision))
+		return;
 	decision->wait_us =
-	    expected_wait_us(queue, waiter, &decision->choice, now_us);
+	    !has_expired && (decision->choice_result == AT_CHOICE_FULL ||
+				decision->choice_result == AT_CHOICE_SERVER)
+		? make_room(queue, waiter, &decision->choice, max_us, now_us)
+		: expected_wait_us(queue, waiter, &decision->choice, now_us);
 	if (decision->choice_result == AT_CHOICE_NOT_RESIDENT)
 		decision->wait_us += decision->choice.model_servers > 0
 					 ? ADAPTER_LOAD_US
@@ -350,11 +583,46 @@
 		: AT_ADMISSION_REFUSED;
 }
 
+/* Compares the workspace's part of the queue for the same kind. */
+static int
+is_surplus(const at_wait_queue_t *queue, const at_waiter_t *waiter)
+{
+	at_work_kind_t kind = kind_of(&waiter->work);
+	at_tag_t seen[WORKSPACES_MAX];
+	uint32_t workspaces = 0;
+	uint32_t own = 1;
+	uint32_t all = 1;
+	const at_waiter_t *other;
+	uint32_t i;
+
+	if (waiter->workspace == 0)
+		return 0;
+	seen[workspaces++] = waiter->workspace;
+	for (other = queue->head; other != NULL; other = other->next) {
+		at_work_kind_t other_kind = kind_of(&other->work);
+
+		if (!is_kind(&other_kind, &kind))
+			continue;
+		all++;
+		own += (uint32_t)(other->workspace == waiter->workspace);
+		for (i = 0; i < workspaces; i++) {
+			if (seen[i] == other->workspace)
+				break;
+		}
+		if (i == workspaces && workspaces < WORKSPACES_MAX)
+			seen[workspaces++] = other->workspace;
+	}
+	return at_shed_is_surplus(own, all, workspaces);
+}
+
 void
 at_wait_queue_add(at_wait_queue_t *queue, at_waiter_t *waiter)
 {
 	at_waiter_t *before = queue->tail;
 
+	if (waiter->work_us == 0)
+		waiter->work_us = prompt_us(queue, waiter, waiter->arrived_us);
+	waiter->is_surplus = is_surplus(queue, waiter);
 	while (before != NULL && rank(before) > rank(waiter))
 		before = before->prev;
 	waiter->prev = before;
@@ -392,6 +660,17 @@
 		queue->holds_us = 0;
 }
 
+void
+at_wait_queue_note_ended(at_wait_queue_t *queue, const at_work_t *work,
+    at_server_outcome_t outcome, uint64_t elapsed_us, uint64_t now_us)
+{
+	if (work->model != 0 ||
+	    (outcome != AT_OUTCOME_SUCCESS && outcome != AT_OUTCOME_REFUSED))
+		return;
+	at_plain_rates_note_ended(queue->plain_rates, work->service,
+	    outcome == AT_OUTCOME_REFUSED, elapsed_us, now_us);
+}
+
 static int
 is_full(const full_kinds_t *full, const at_work_t *work)
 {
@@ -427,7 +706,7 @@
 	at_choice_result_t result;
 
 	for (waiter = queue->head; waiter != NULL; waiter = waiter->next) {
-		if (is_late(waiter, now_us) != late ||
+		if (is_late(waiter, now_us) != late || waiter->is_yielding ||
 		    is_full(full, &waiter->work))
 			continue;
 		result = at_fleet_choose(
@@ -446,6 +725,10 @@
 			waiter->expires_us = now_us;
 			continue;
 		}
+		/* More urgent ones may be sent where this one may not. */
+		if (result == AT_CHOICE_SERVER && waiter->work.model == 0 &&
+		    waiter->priority > 0)
+			continue;
 		note_full(full, &waiter->work);
 	}
 	return NULL;
@@ -522,6 +805,9 @@
     at_queue_report_t *entries, size_t max, uint64_t now_us)
 {
 	const at_waiter_t *waiter;
+	at_work_t plain = {.service = 0};
+	at_plain_flow_t flow;
+	size_t next = 0;
 	size_t count = 0;
 
 	for (waiter = queue->head; waiter != NULL; waiter = waiter->next) {
@@ -534,6 +820,14 @@
 		entry->on_time += (uint32_t)!is_late(waiter, now_us);
 		entry->prompt_tokens += waiter->work.prompt_tokens;
 	}
+	while (at_plain_rates_next(
+	    queue->plain_rates, &next, &plain.service, &flow, now_us)) {
+		at_queue_report_t *entry =
+		    find_or_add_entry(entries, &count, max, &plain);
+
+		if (entry != NULL)
+			entry->flow = flow;
+	}
 	return count;
 }
 
--- a/tests/unit/test_wait_queue.c
+++ b/tests/unit/test_wait_queue.c
@@ -226,7 +226,7 @@
 		const at_queue_report_t report = {
 		    {at_tag_from_text("llm"), at_tag_from_text(cases[i].model),
 			0},
-		    100, 100, 80000, 0, 0};
+		    100, 100, 80000, 0, 0, {0, 0}};
 		at_admission_decision_t decision;
 
 		fill_slots(fleet);
@@ -251,7 +251,7 @@
 	at_waiter_t waiter = make_waiter(2000, 3000, 0);
 	const at_queue_report_t report = {
 	    {at_tag_from_text("llm"), at_tag_from_text("m"), 0}, 200, 200,
-	    160000, 0, 0};
+	    160000, 0, 0, {0, 0}};
 	at_admission_decision_t decision;
 	unsigned i;
 
@@ -286,7 +286,7 @@
 	at_waiter_t waiter = make_waiter(4000, 20000, 2);
 	const at_queue_report_t report = {
 	    {at_tag_from_text("llm"), at_tag_from_text("rare"), 0}, 8, 8, 6400,
-	    0, 0};
+	    0, 0, {0, 0}};
 	at_admission_decision_t decision;
 
 	waiter.work.model = at_tag_from_text("rare");
@@ -302,6 +302,27 @@
 	at_fleet_delete(fleet);
 }
 
+/*
+ * The only server of a plain service is in a backoff after failures: a request
+ * waits for its end, and is not refused as if the servers were overloaded.
+ */
+Test(wait_queue, waits_for_the_end_of_a_backoff)
+{
+	at_fleet_t *fleet = make_fleet(1);
+	at_wait_queue_t *queue = make_queue(fleet);
+	at_waiter_t waiter = make_waiter(1, 5000, 0);
+	at_admission_decision_t decision;
+
+	waiter.work.model = 0;
+	at_fleet_apply_unreachable(fleet, at_tag_from_text("one"), 0);
+	at_wait_queue_decide(queue, &waiter, MS, &decision);
+	cr_assert_eq(decision.choice_result, AT_CHOICE_FULL);
+	cr_assert_eq(decision.admission, AT_ADMISSION_QUEUED);
+	cr_assert_gt(waiter.expires_us, 1000 * MS);
+	free_queue(queue);
+	at_fleet_delete(fleet);
+}
+
 /* A request that must not go to the only free server blocks no other. */
 Test(wait_queue, a_request_that_avoids_the_server_blocks_no_other)
 {
@@ -388,3 +409,123 @@
 	free_queue(queue);
 	at_fleet_delete(fleet);
 }
+
+/*
+ * Queued requests that are late keep out none that can be on time: as many are
+ * refused as the arriving request needs, and only where that helps.
+ */
+static const struct {
+	const char *name;
+	uint64_t queued_objective_ms;
+	uint32_t queued_priority;
+	uint64_t objective_ms; /* of the request that arrives at 1,000 ms */
+	at_admission_t admission;
+	int is_one_refused;
+} yield_cases[] = {
+    {"late ones yield", 900, 0, 2600, AT_ADMISSION_QUEUED, 1},
+    {"on-time ones stay", 2500, 0, 2600, AT_ADMISSION_REFUSED, 0},
+    {"not to one that is late itself", 900, 0, 950, AT_ADMISSION_REFUSED, 0},
+};
+
+Test(wait_queue, late_requests_yield_to_one_that_can_be_on_time)
+{
+	static at_waiter_t queued[256];
+	size_t i;
+
+	for (i = 0; i < sizeof(yield_cases) / sizeof(yield_cases[0]); i++) {
+		at_fleet_t *fleet = make_fleet(1);
+		at_wait_queue_t *queue = make_queue(fleet);
+		at_waiter_t waiter =
+		    make_waiter(yield_cases[i].objective_ms, 4000, 0);
+		at_waiter_t *refused;
+		at_admission_decision_t decision;
+		unsigned k;
+
+		fill_slots(fleet);
+		for (k = 0; k < 100; k++) {
+			queued[k] =
+			    make_waiter(yield_cases[i].queued_objective_ms,
+				20000, yield_cases[i].queued_priority);
+			queued[k].expires_us = 15000 * MS;
+			at_wait_queue_add(queue, &queued[k]);
+		}
+		at_wait_queue_decide(queue, &waiter, 1000 * MS, &decision);
+		cr_expect_eq(decision.admission, yield_cases[i].admission,
+		    "%s: %s", yield_cases[i].name,
+		    at_admission_names[decision.admission]);
+		refused = at_wait_queue_take_expired(queue, 1000 * MS);
+		cr_expect_eq(refused != NULL, yield_cases[i].is_one_refused,
+		    "%s", yield_cases[i].name);
+		free_queue(queue);
+		at_fleet_delete(fleet);
+	}
+}
+
+/*
+ * A workspace sends six times as much as another in a pulse: the requests of
+ * the other one do not wait behind all of it.
+ */
+Test(wait_queue, a_workspace_in_a_pulse_waits_behind_its_own)
+{
+	at_fleet_t *fleet = make_fleet(1);
+	at_wait_queue_t *queue = make_queue(fleet);
+	at_waiter_t waiters[14];
+	at_choice_t choice;
+	unsigned others = 0;
+	unsigned i;
+
+	fill_slots(fleet);
+	for (i = 0; i < 14; i++) {
+		/* Every seventh request is that of the other workspace. */
+		waiters[i] = make_waiter(1400 + i * 10, 20000, 0);
+		waiters[i].workspace = i % 7 == 6 ? 2 : 1;
+		at_wait_queue_add(queue, &waiters[i]);
+	}
+	empty_slots(fleet);
+	for (i = 0; i < 9; i++) {
+		at_waiter_t *waiter =
+		    at_wait_queue_take_placeable(queue, 1000 * MS, &choice);
+
+		cr_assert_not_null(waiter);
+		others += (unsigned)(waiter->workspace == 2);
+	}
+	cr_assert_eq(others, 2, "others=%u", others);
+	while (at_wait_queue_take_placeable(queue, 1000 * MS, &choice) != NULL)
+		;
+	free_queue(queue);
+	at_fleet_delete(fleet);
+}
+
+/* Requests refused one after the other do not return all at one moment. */
+Test(wait_queue, retries_after_a_long_overload_are_spread)
+{
+	static at_waiter_t queued[400];
+	at_fleet_t *fleet = make_fleet(1);
+	at_wait_queue_t *queue = make_queue(fleet);
+	at_admission_decision_t decision;
+	uint32_t shortest_ms = UINT32_MAX;
+	uint32_t longest_ms = 0;
+	unsigned i;
+
+	fill_slots(fleet);
+	for (i = 0; i < 400; i++) {
+		queued[i] = make_waiter(60000, 90000, 0);
+		at_wait_queue_add(queue, &queued[i]);
+	}
+	for (i = 0; i < 1000; i++) {
+		at_waiter_t waiter = make_waiter(60000, 2000 + i, 1);
+
+		waiter.arrived_us = (1000 + i) * MS;
+		at_wait_queue_decide(
+		    queue, &waiter, (1000 + i) * MS, &decision);
+		cr_assert_eq(decision.admission, AT_ADMISSION_REFUSED);
+		if (decision.retry_after_ms < shortest_ms)
+			shortest_ms = decision.retry_after_ms;
+		if (decision.retry_after_ms > longest_ms)
+			longest_ms = decision.retry_after_ms;
+	}
+	cr_assert_geq(longest_ms, shortest_ms + 900, "from %u to %u",
+	    shortest_ms, longest_ms);
+	free_queue(queue);
+	at_fleet_delete(fleet);
+}
