Reject responses whose status is outside 100 to 599

A backend server's response with status 600 or 999 was passed on to the caller with the server's signature; 000 and 099 were dropped only as interim responses. http_is_status() now says which statuses are valid, and the head of any other response is rejected like other invalid heads: 502, or another attempt where the request may be repeated.

Before: 3 of 10 rows of test_response_framing has_a_valid_status and 6 of 6 new rows of test_failed_answers failed directly, 2 of 2 relayed. After: both programs pass (x86_64).

--- a/src/io/http_syntax.c
+++ b/src/io/http_syntax.c
@@ -9,6 +9,8 @@
 #define STATUS_LINE_MIN 12u
 #define STATUS_AT 9u
 #define STATUS_DIGITS 3u
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 
 int
 http_is_token(const char *text, size_t len)
@@ -41,6 +43,12 @@
 	return 1;
 }
 
+int
+http_is_status(int status)
+{
+	return status >= STATUS_MIN && status <= STATUS_MAX;
+}
+
 static const char *
 parse_status_line(http_head_t *head, const char *line, size_t len)
 {
@@ -56,6 +64,8 @@
 			return "the status is not a number";
 		head->status = head->status * (int)DECIMAL + (line[i] - '0');
 	}
+	if (!http_is_status(head->status))
+		return "the status is not between 100 and 599";
 	head->is_version_1_0 = line[strlen("HTTP/1.")] == '0';
 	return NULL;
 }
--- a/src/io/http_syntax.h
+++ b/src/io/http_syntax.h
@@ -12,6 +12,8 @@
 int http_is_token(const char *text, size_t len);
 /* A header's value: no control characters but tabs. */
 int http_is_field_value(const char *text, size_t len);
+/* A status: 100 to 599 (RFC 9110, section 15). */
+int http_is_status(int status);
 
 /* The head of a response, line by line; zeroed before its status line. */
 typedef struct http_head {
--- a/tests/contract/test_failed_answers.c
+++ b/tests/contract/test_failed_answers.c
@@ -38,6 +38,13 @@
     {"charge, 409", "/unsafe/x", NULL, 409, 409, 0},
     {"safe, 500", "/safe/x", NULL, 500, 500, 1},
     {"safe, 404", "/safe/x", NULL, 404, 404, 1},
+    /* RFC 9110, 15: these are no statuses, and were passed on. */
+    {"charge, 600", "/unsafe/x", NULL, 600, 502, 0},
+    {"safe, 600", "/safe/x", NULL, 600, 502, 1},
+    {"stream, 600", "/stream/x", "m0", 600, 502, 1},
+    {"charge, 999", "/unsafe/x", NULL, 999, 502, 0},
+    {"safe, 999", "/safe/x", NULL, 999, 502, 1},
+    {"stream that may not be resumed, 999", "/once/x", "m0", 999, 502, 0},
 };
 
 static void
--- a/tests/contract/test_response_framing.c
+++ b/tests/contract/test_response_framing.c
@@ -132,6 +132,34 @@
 	OK "Transfer-Encoding: chunked\r\n\r\n4\r\nhello\r\n0\r\n\r\n"),
 };
 
+/* RFC 9110, 15: a status is 100 to 599. */
+static const form_t statuses[] = {
+    BAD("status 000",
+	"HTTP/1.1 000 None\r\n" SIGNED "Content-Length: 5\r\n\r\nhello"),
+    BAD("status 099",
+	"HTTP/1.1 099 None\r\n" SIGNED "Content-Length: 5\r\n\r\nhello"),
+    BAD("status 600",
+	"HTTP/1.1 600 None\r\n" SIGNED "Content-Length: 5\r\n\r\nhello"),
+    BAD("status 999",
+	"HTTP/1.1 999 None\r\n" SIGNED "Content-Length: 5\r\n\r\nhello"),
+    BAD("status 000 with a body up to the end of the connection",
+	"HTTP/1.1 000 None\r\n" SIGNED "\r\nhello"),
+    BAD("status 600 after an interim response",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 600 None\r\n" SIGNED
+	"Content-Length: 5\r\n\r\nhello"),
+    BAD("status 000 after an interim response",
+	"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 000 None\r\n" SIGNED
+	"Content-Length: 5\r\n\r\nhello"),
+    BAD("a response after one with status 000",
+	"HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n" OK
+	"Content-Length: 5\r\n\r\nhello"),
+    BAD("an interim response only",
+	"HTTP/1.1 100 Continue\r\n" SIGNED "Content-Length: 5\r\n\r\nhello"),
+    {"status 599",
+	"HTTP/1.1 599 Other\r\n" SIGNED "Content-Length: 5\r\n\r\nhello", 599,
+	"hello", 0},
+};
+
 typedef struct server {
 	const form_t *form;
 	struct ev_loop *loop;
@@ -317,8 +345,8 @@
 	entry_fixture_delete(fixture);
 }
 
-/* Of two lengths, one was taken, and a part of the body for all of it. */
-Test(response_framing, is_read_in_one_way_only, .timeout = 120)
+static void
+check_forms(const form_t *rows, size_t count)
 {
 	static const entry_fixture_request_t request = {
 	    "POST", "/unsafe/x", "id", ENTRY_FIXTURE_KEY, NULL, "body"};
@@ -331,21 +359,33 @@
 	(void)entry_fixture_add_entry(fixture);
 	server_init(&server, fixture);
 	entry_fixture_run_until(fixture, has_server, fixture);
-	for (i = 0; i < sizeof(forms) / sizeof(forms[0]); i++) {
-		server.form = &forms[i];
+	for (i = 0; i < count; i++) {
+		server.form = &rows[i];
 		entry_fixture_call(fixture, 0, &request, &response);
-		cr_expect_eq(response.status, forms[i].status,
-		    "%s: status %d, body '%.20s'", forms[i].name,
+		cr_expect_eq(response.status, rows[i].status,
+		    "%s: status %d, body '%.20s'", rows[i].name,
 		    response.status,
 		    response.body == NULL ? "" : response.body);
-		if (forms[i].body != NULL)
-			cr_expect(response.len == strlen(forms[i].body) &&
+		if (rows[i].body != NULL)
+			cr_expect(response.len == strlen(rows[i].body) &&
 				      (response.len == 0 ||
-					  memcmp(response.body, forms[i].body,
+					  memcmp(response.body, rows[i].body,
 					      response.len) == 0),
-			    "%s: body '%.20s'", forms[i].name, response.body);
+			    "%s: body '%.20s'", rows[i].name, response.body);
 		entry_fixture_response_free(&response);
 	}
 	server_close(&server);
 	entry_fixture_delete(fixture);
 }
+
+/* Of two lengths, one was taken, and a part of the body for all of it. */
+Test(response_framing, is_read_in_one_way_only, .timeout = 120)
+{
+	check_forms(forms, sizeof(forms) / sizeof(forms[0]));
+}
+
+/* Statuses that HTTP does not have were passed on to callers. */
+Test(response_framing, has_a_valid_status, .timeout = 120)
+{
+	check_forms(statuses, sizeof(statuses) / sizeof(statuses[0]));
+}
