--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -13,11 +13,13 @@
  *     + the time of one batch slot for each request in flight
  *     + distance to its data centre,
  *
- * multiplied by the server's recent ratio of observed to predicted time.
+ * multiplied by the server's recent ratio of observed to predicted time and by
+ * its factor (service_times.h).
  */
 #ifndef ALMONDTHREAD_FLEET_H
 #define ALMONDTHREAD_FLEET_H
 
+#include "almondthread/roster.h"
 #include "almondthread/service_times.h"
 #include "almondthread/site.h"
 
@@ -76,7 +78,10 @@
 	uint64_t started_ms; /* of this incarnation, by the server's clock */
 	uint64_t heartbeat_sequence; /* of the entry, in this incarnation */
 	uint32_t slots;
-	uint32_t warmup_ms; /* remaining time in which it is slow */
+	uint32_t warmup_ms; /* remaining time in which it is cold */
+	int has_warmup;     /* warmup_ms is stated */
+	/* When this instance read it, in ms since 1970; 0: not known. */
+	uint64_t listed_ms;
 	int is_leaving;
 	uint32_t remaining_ms; /* until it stops; 0: not stated */
 	at_resident_set_t residents;
@@ -96,6 +101,7 @@
 	uint64_t kv_tokens;      /* prompts and what they may generate */
 	uint32_t recent_tokens;  /* of prompts sent recently, decaying */
 	int unreachable;         /* in reports: connections to it fail */
+	uint32_t speed; /* in reports: as at_speed_report(); 0: not seen */
 } at_load_t;
 
 /* Load of one backend server in an instance's report. */
@@ -110,6 +116,9 @@
 	uint32_t tokens;
 } at_prefix_part_t;
 
+/* Lists of allowed regions, all of which apply to one request. */
+#define AT_WORK_REGIONS_MAX 2u
+
 /* What a request needs from a backend server. */
 typedef struct at_work {
 	at_tag_t service;
@@ -124,9 +133,12 @@
 	uint32_t output_tokens; /* expected */
 	at_prefix_part_t prefix[AT_PREFIX_PARTS_MAX];
 	size_t prefix_count;
-	int has_slack;     /* it meets its objective even if others go first */
-	uint32_t priority; /* 0 is the most urgent */
-	int is_resumption; /* it goes on with a stream that has begun */
+	int has_slack; /* it meets its objective even if others go first */
+	uint32_t event_gap_ms; /* longest gap in an on-time stream; 0: any */
+	uint32_t priority;     /* 0 is the most urgent */
+	int is_resumption;     /* it goes on with a stream that has begun */
+	/* Borrowed: those of its route and workspace; NULL: any region. */
+	const at_site_regions_t *regions[AT_WORK_REGIONS_MAX];
 	at_tag_t avoid[AT_SITE_ATTEMPTS_MAX]; /* tried before; 0: none */
 } at_work_t;
 
@@ -162,12 +174,20 @@
 	/* Of all model_servers, or of one engine if there are none. */
 	uint32_t batch_slots;
 	uint32_t model_servers; /* servers with the model resident */
+	/* Servers that it may not be sent to for these reasons. */
+	uint32_t evacuated;
+	uint32_t outside_regions;
 	/* Of AT_CHOICE_LIMITED and AT_CHOICE_PAUSED: time until that changes.
 	 */
 	uint64_t closed_us;
 	/* Of candidates that may get a request, whether or not one is free. */
 	uint32_t open_slots;
 	uint32_t open_active; /* requests there, of all instances */
+	/*
+	 * Of AT_CHOICE_FULL, if the rates of cold engines allow no request and
+	 * no other engine is available: time until one of them may get one.
+	 */
+	uint64_t cold_us;
 } at_choice_t;
 
 /* How a request ended, as far as it shows the backend server's health. */
@@ -363,9 +383,104 @@
 size_t at_fleet_fill_limits(const at_fleet_t *fleet, at_limit_report_t *entries,
     size_t max, uint64_t now_us);
 
+/*
+ * Data centres. at_fleet_set_evacuated() sets whether the servers of one are
+ * sent no requests and no orders, also those that are listed later; requests
+ * that run there end normally. at_fleet_set_region() sets the region of one; at
+ * most AT_FLEET_DATA_CENTRES_MAX are known. Both return 0, or -1 if there are
+ * more. at_fleet_region() returns the region of a data centre, or 0 if unknown.
+ * at_fleet_has_regions() returns non-zero if any was set.
+ * at_fleet_set_regions() sets those in a text "DATA-CENTRE:REGION,..."; one
+ * without a name stays unknown. Returns -1 if the text is something else.
+ */
+#define AT_FLEET_DATA_CENTRES_MAX 64u
+int at_fleet_set_evacuated(
+    at_fleet_t *fleet, at_tag_t data_centre, int is_evacuated);
+int at_fleet_set_region(
+    at_fleet_t *fleet, at_tag_t data_centre, at_tag_t region);
+int at_fleet_set_regions(at_fleet_t *fleet, const char *text);
+at_tag_t at_fleet_region(const at_fleet_t *fleet, at_tag_t data_centre);
+int at_fleet_has_regions(const at_fleet_t *fleet);
+int at_server_is_evacuated(const at_server_t *server);
+/* at_work_allows_region() returns non-zero if a request may run in a region. */
+int at_work_allows_region(const at_work_t *work, at_tag_t region);
+
+/*
+ * Cold engines. For some time after a start, and whenever it states so, an
+ * engine takes few requests a second, cold_milli of its service, and crashes at
+ * a rate well above that. at_fleet_set_cold_bound() states that all instances
+ * together may send it cold_milli x overage + tolerance requests in any one
+ * second; AT_COLD_NO_BOUND or more: cold engines are not limited.
+ *
+ * An entry of the list states the cold time, or else a start that is new to
+ * this instance does; at_server_note_cold() takes what an answer states, with
+ * stated_us when the answer came, and when its request was sent if it states 0.
+ * The newest of these applies, but an entry does not shorten what an answer has
+ * stated, as it may be older. It returns non-zero if the engine has become cold
+ * or is no longer. An engine that cannot be reached, and with
+ * at_fleet_note_maybe_cold() each one of a data centre, is assumed to be cold
+ * as after a start, until an entry of a later heartbeat states otherwise, or
+ * until at_fleet_forget_failures().
+ *
+ * at_server_share_cold() sets this instance's part of the rate, from the roster
+ * and the data centre of the instance, and 0 if it is not sending; call it in
+ * each round of reports, as the part ends when it is not renewed.
+ * at_server_take_relayed() returns non-zero if an
+ * attempt of another instance may be passed on to the server now, and counts
+ * it: that instance may not know that the engine is cold.
+ *
+ * at_fleet_fill_cold() writes what answers have stated of cold engines, at most
+ * max, and returns the number; at_fleet_apply_cold() takes the same from
+ * another instance and returns as at_server_note_cold().
+ */
+typedef enum at_cold_source {
+	AT_COLD_NONE,
+	AT_COLD_START,
+	AT_COLD_ASSUMED,
+	AT_COLD_ENTRY,
+	AT_COLD_ANSWER,
+	AT_COLD_UNREACHABLE,
+	AT_COLD_SOURCE_COUNT
+} at_cold_source_t;
+
+/* Names of sources, indexed by at_cold_source_t. */
+extern const char *const at_cold_source_names[];
+
+typedef struct at_cold_report {
+	at_tag_t server;
+	uint64_t started_ms;   /* of the incarnation */
+	uint32_t remaining_ms; /* from now on */
+	uint64_t stated_us;    /* when the answer came */
+} at_cold_report_t;
+
+#define AT_COLD_NO_BOUND 1e9
+#define AT_COLD_REPORTS_MAX 256u /* servers in one report */
+void at_fleet_set_cold_bound(
+    at_fleet_t *fleet, double overage, double tolerance);
+int at_server_note_cold(at_server_t *server, uint32_t remaining_ms,
+    uint64_t stated_us, uint64_t now_us);
+void at_fleet_note_maybe_cold(
+    at_fleet_t *fleet, at_tag_t data_centre, uint64_t now_us);
+void at_server_share_cold(at_server_t *server, const at_roster_t *roster,
+    at_tag_t own, int is_sending, uint64_t now_us);
+int at_server_take_relayed(at_server_t *server, uint64_t now_us);
+/* at_server_is_cold() returns non-zero if the engine is cold and limited. */
+int at_server_is_cold(at_server_t *server, uint64_t now_us);
+/* The rest describes a server for which at_server_is_cold() was last called. */
+uint32_t at_server_cold_ms(const at_server_t *server, uint64_t now_us);
+at_cold_source_t at_server_cold_source(const at_server_t *server);
+uint32_t at_server_cold_share_milli(const at_server_t *server);
+/* at_server_mark_cold() keeps whether it was cold; returns what was kept. */
+int at_server_mark_cold(at_server_t *server, int is_cold);
+uint32_t at_fleet_count_cold(at_fleet_t *fleet, uint64_t now_us);
+size_t at_fleet_fill_cold(const at_fleet_t *fleet, at_cold_report_t *entries,
+    size_t max, uint64_t now_us);
+int at_fleet_apply_cold(
+    at_fleet_t *fleet, const at_cold_report_t *report, uint64_t now_us);
+
 /*
  * at_server_is_available() returns non-zero unless the server is in a backoff
- * after failures.
+ * after failures, or its data centre is evacuated.
  */
 int at_server_is_available(const at_server_t *server, uint64_t now_us);
 
@@ -405,6 +520,32 @@
     const at_work_t *work, int had_first_event, at_server_outcome_t outcome,
     uint64_t now_us);
 
+/*
+ * Observations for service_times.h. at_server_note_prompt() takes the time to
+ * the first event, before at_server_note_first_event(). at_server_note_events()
+ * takes what at_event_gaps_add() has returned. at_server_note_completed() takes
+ * a successful request that took run_us: since its first event for a stream, of
+ * which events have arrived, and since it was sent for a plain service.
+ */
+void at_server_note_prompt(at_server_t *server, const at_work_t *work,
+    uint64_t observed_us, uint64_t now_us);
+void at_server_note_events(at_server_t *server, const at_work_t *work,
+    uint32_t count, uint32_t usual_us, uint64_t now_us);
+void at_server_note_completed(at_server_t *server, const at_work_t *work,
+    uint32_t events, uint64_t run_us, uint64_t now_us);
+
+/*
+ * at_server_note_speed() returns non-zero if a server has become slow since
+ * the last call, or is so no more, and writes its lasting factor;
+ * at_server_is_slow() returns which. at_fleet_slow() counts the slow servers.
+ */
+int at_server_note_speed(
+    at_server_t *server, uint64_t now_us, uint32_t *factor_milli);
+int at_server_is_slow(const at_server_t *server);
+/* at_server_slow_milli() returns the lasting factor of a slow server, or 0. */
+uint32_t at_server_slow_milli(const at_server_t *server, uint64_t now_us);
+size_t at_fleet_slow(const at_fleet_t *fleet, uint64_t now_us);
+
 /*
  * at_fleet_fill_report() writes this instance's own loads, at most max
  * entries, and returns their number.
@@ -448,8 +589,9 @@
 
 /*
  * at_server_accepts_relayed() returns non-zero unless the server leaves, is not
- * listed or wants no requests from this instance now. The instance that asks
- * this one to pass an attempt on has checked everything else.
+ * listed, is evacuated or wants no requests from this instance now. The
+ * instance that asks this one to pass an attempt on has checked everything
+ * else.
  */
 int at_server_accepts_relayed(const at_server_t *server, uint64_t now_us);
 
--- a/include/almondthread/residency.h
+++ b/include/almondthread/residency.h
@@ -24,12 +24,18 @@
 	 */
 	const at_resident_set_t *residents;
 	at_load_t load;
-	int is_usable;    /* it may be sent orders: not leaving, not failing */
+	/* It may be sent orders: not leaving, failing or evacuated. */
+	int is_usable;
+	int is_evacuated; /* what it has counts as lost */
+	/* Of at_residency_plan_for(): it may not serve these requests. */
+	int is_excluded;
 	int is_busy;      /* an order is in progress or its result is unknown */
 	at_tag_t loading; /* model being loaded, or 0 */
 	at_tag_t unloading; /* model being unloaded, or 0 */
 	/* Model that the last unload freed memory for, until the next load. */
 	at_tag_t replacement;
+	/* Lasting factor of a slow engine (service_times.h); 0: it is not. */
+	uint32_t slow_milli;
 } at_engine_state_t;
 
 typedef enum at_move_kind {
@@ -55,7 +61,8 @@
 	at_tag_t replacement; /* of an unload: the model to load afterwards */
 	at_move_kind_t kind;
 	at_copy_location_t from; /* of a load */
-	int is_urgent; /* requests wait for a model that is resident nowhere */
+	/* Requests wait for a model that is resident nowhere, or evacuated. */
+	int is_urgent;
 } at_move_t;
 
 /* Limits of one round. */
@@ -72,6 +79,16 @@
     const at_demand_rates_t *demand, const at_residency_limits_t *limits,
     at_move_t *moves, size_t max);
 
+/*
+ * at_residency_plan_for() plans for one model, for which requests wait that not
+ * all engines may serve: if none of the others has it or is about to, it is
+ * loaded by one of them. Returns the number of orders, 1 at most.
+ */
+size_t at_residency_plan_for(const at_site_service_t *service,
+    const at_engine_state_t *engines, size_t engine_count,
+    const at_demand_rates_t *demand, const at_residency_limits_t *limits,
+    at_tag_t model, at_move_t *move);
+
 /*
  * at_residency_compute_targets() writes, for each model of the service, the
  * number of engines that it should be resident on if all models were placed
--- a/include/almondthread/roster.h
+++ b/include/almondthread/roster.h
@@ -173,6 +173,23 @@
 #define AT_ROSTER_TOUCH_US 500000u
 int at_roster_is_in_touch(
     const at_roster_t *roster, at_tag_t data_centre, uint64_t now_us);
+/*
+ * Who may send to the engines of a data centre where instances must agree on
+ * it. at_roster_settle() is called in each round of reports.
+ * at_roster_rank_at() returns non-zero if this instance, of the data centre
+ * own, may be among those for data_centre, with its rank among the instances in
+ * an order that a hash of key gives. These are the instances of data_centre
+ * that may be serving, silent ones included, so that instances which cannot
+ * hear each other agree for AT_ROSTER_REMOVAL_TIMEOUT_US. Those of other data
+ * centres are only if none is there and none was lost. It returns zero without
+ * recent reports of the others, and for AT_ROSTER_REPORT_TIMEOUT_US after the
+ * first one since a start or an interruption.
+ */
+#define AT_ROSTER_LOST_MAX 16u
+void at_roster_settle(at_roster_t *roster, uint64_t now_us);
+int at_roster_rank_at(const at_roster_t *roster, at_tag_t own,
+    at_tag_t data_centre, uint64_t key, uint64_t now_us, uint32_t *rank,
+    uint32_t *instances);
 /*
  * at_roster_lease_holder() returns who reports to hold the lease, which may
  * leave, or NULL.
@@ -260,12 +277,17 @@
  * that passes on least for its strength, where one of another data centre
  * counts as if it passed on AT_ROSTER_FAR_RELAYS more. One that leaves is
  * chosen only if there is no other, and the instance except (0: none) only if
- * there is none of these.
+ * there is none of these. at_roster_choose_relay_where() chooses one of those
+ * in the data centres for which is_allowed() returns non-zero.
  */
 #define AT_ROSTER_RELAYED_MAX 192u /* attempts that one instance passes on */
 #define AT_ROSTER_FAR_RELAYS 8u
 at_roster_member_t *at_roster_choose_relay(at_roster_t *roster,
     at_tag_t data_centre, at_tag_t except, uint64_t now_us);
+at_roster_member_t *at_roster_choose_relay_where(at_roster_t *roster,
+    at_tag_t data_centre, at_tag_t except,
+    int (*is_allowed)(void *ctx, at_tag_t data_centre), void *ctx,
+    uint64_t now_us);
 /* at_roster_find() returns an instance, or NULL. */
 at_roster_member_t *at_roster_find(at_roster_t *roster, at_tag_t tag);
 /*
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -27,7 +27,7 @@
 /* --- messages --- */
 
 /*
- * The first frame of each side.
+ * The first frame in each direction.
  */
 struct  Almondthread__PeerHello
 {
@@ -36,7 +36,7 @@
   uint64_t incarnation;
   char *data_centre;
   /*
-   * where the sender listens for peers, "ip:port"
+   * "ip:port" on which the sender listens
    */
   char *address;
 };
@@ -49,14 +49,14 @@
 {
   ProtobufCMessage base;
   /*
-   * of the sender's documents, in a fixed order
+   * by at_peer_document_t
    */
   size_t n_versions;
   uint64_t *versions;
   protobuf_c_boolean leaving;
   /*
-   * Since the platform was last known to agree with these versions, in tenths
-   * of a second, plus 1; 0: never.
+   * Time since the platform last confirmed these versions, in units of 100 ms,
+   * plus 1; 0 if it never has.
    */
   uint32_t platform_age;
 };
@@ -66,7 +66,8 @@
 
 
 /*
- * A message of one part; the payload is of that part's own schema.
+ * A message of one module. kind is an at_peer_kind_t; the payload is packed by
+ * that module, with a schema of its own.
  */
 struct  Almondthread__PeerMessage
 {
--- a/proto/report.pb-c.c
+++ b/proto/report.pb-c.c
@@ -727,6 +727,141 @@
   assert(message->base.descriptor == &report_leaving__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_regional_demand__init
+                     (ReportRegionalDemand         *message)
+{
+  static const ReportRegionalDemand init_value = REPORT_REGIONAL_DEMAND__INIT;
+  *message = init_value;
+}
+size_t report_regional_demand__get_packed_size
+                     (const ReportRegionalDemand *message)
+{
+  assert(message->base.descriptor == &report_regional_demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_regional_demand__pack
+                     (const ReportRegionalDemand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_regional_demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_regional_demand__pack_to_buffer
+                     (const ReportRegionalDemand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_regional_demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportRegionalDemand *
+       report_regional_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportRegionalDemand *)
+     protobuf_c_message_unpack (&report_regional_demand__descriptor,
+                                allocator, len, data);
+}
+void   report_regional_demand__free_unpacked
+                     (ReportRegionalDemand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_regional_demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   report_evacuation__init
+                     (ReportEvacuation         *message)
+{
+  static const ReportEvacuation init_value = REPORT_EVACUATION__INIT;
+  *message = init_value;
+}
+size_t report_evacuation__get_packed_size
+                     (const ReportEvacuation *message)
+{
+  assert(message->base.descriptor == &report_evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_evacuation__pack
+                     (const ReportEvacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_evacuation__pack_to_buffer
+                     (const ReportEvacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportEvacuation *
+       report_evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportEvacuation *)
+     protobuf_c_message_unpack (&report_evacuation__descriptor,
+                                allocator, len, data);
+}
+void   report_evacuation__free_unpacked
+                     (ReportEvacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   report_evacuations__init
+                     (ReportEvacuations         *message)
+{
+  static const ReportEvacuations init_value = REPORT_EVACUATIONS__INIT;
+  *message = init_value;
+}
+size_t report_evacuations__get_packed_size
+                     (const ReportEvacuations *message)
+{
+  assert(message->base.descriptor == &report_evacuations__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_evacuations__pack
+                     (const ReportEvacuations *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_evacuations__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_evacuations__pack_to_buffer
+                     (const ReportEvacuations *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_evacuations__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportEvacuations *
+       report_evacuations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportEvacuations *)
+     protobuf_c_message_unpack (&report_evacuations__descriptor,
+                                allocator, len, data);
+}
+void   report_evacuations__free_unpacked
+                     (ReportEvacuations *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_evacuations__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report_member__init
                      (ReportMember         *message)
 {
@@ -952,6 +1087,51 @@
   assert(message->base.descriptor == &report_document__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   report_cold__init
+                     (ReportCold         *message)
+{
+  static const ReportCold init_value = REPORT_COLD__INIT;
+  *message = init_value;
+}
+size_t report_cold__get_packed_size
+                     (const ReportCold *message)
+{
+  assert(message->base.descriptor == &report_cold__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t report_cold__pack
+                     (const ReportCold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &report_cold__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t report_cold__pack_to_buffer
+                     (const ReportCold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &report_cold__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+ReportCold *
+       report_cold__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (ReportCold *)
+     protobuf_c_message_unpack (&report_cold__descriptor,
+                                allocator, len, data);
+}
+void   report_cold__free_unpacked
+                     (ReportCold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &report_cold__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   report_instance__init
                      (ReportInstance         *message)
 {
@@ -1042,7 +1222,7 @@
   assert(message->base.descriptor == &report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor report_load__field_descriptors[6] =
+static const ProtobufCFieldDescriptor report_load__field_descriptors[7] =
 {
   {
     "server",
@@ -1116,6 +1296,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "speed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(ReportLoad, speed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report_load__field_indices_by_name[] = {
   1,   /* field[1] = active */
@@ -1123,12 +1315,13 @@
   2,   /* field[2] = prefill_tokens */
   4,   /* field[4] = recent_tokens */
   0,   /* field[0] = server */
+  6,   /* field[6] = speed */
   5,   /* field[5] = unreachable */
 };
 static const ProtobufCIntRange report_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor report_load__descriptor =
 {
@@ -1138,7 +1331,7 @@
   "ReportLoad",
   "",
   sizeof(ReportLoad),
-  6,
+  7,
   report_load__field_descriptors,
   report_load__field_indices_by_name,
   1,  report_load__number_ranges,
@@ -2313,6 +2506,198 @@
   (ProtobufCMessageInit) report_leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor report_regional_demand__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportRegionalDemand, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportRegionalDemand, model),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "regions",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(ReportRegionalDemand, n_regions),
+    offsetof(ReportRegionalDemand, regions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_regional_demand__field_indices_by_name[] = {
+  1,   /* field[1] = model */
+  2,   /* field[2] = regions */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange report_regional_demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor report_regional_demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportRegionalDemand",
+  "ReportRegionalDemand",
+  "ReportRegionalDemand",
+  "",
+  sizeof(ReportRegionalDemand),
+  3,
+  report_regional_demand__field_descriptors,
+  report_regional_demand__field_indices_by_name,
+  1,  report_regional_demand__number_ranges,
+  (ProtobufCMessageInit) report_regional_demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report_evacuation__field_descriptors[3] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(ReportEvacuation, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuated",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(ReportEvacuation, evacuated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportEvacuation, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_evacuation__field_indices_by_name[] = {
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = evacuated */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange report_evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor report_evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportEvacuation",
+  "ReportEvacuation",
+  "ReportEvacuation",
+  "",
+  sizeof(ReportEvacuation),
+  3,
+  report_evacuation__field_descriptors,
+  report_evacuation__field_indices_by_name,
+  1,  report_evacuation__number_ranges,
+  (ProtobufCMessageInit) report_evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor report_evacuations__field_descriptors[3] =
+{
+  {
+    "entries",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(ReportEvacuations, n_entries),
+    offsetof(ReportEvacuations, entries),
+    &report_evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportEvacuations, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportEvacuations, list_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_evacuations__field_indices_by_name[] = {
+  0,   /* field[0] = entries */
+  2,   /* field[2] = list_age_ms */
+  1,   /* field[1] = since */
+};
+static const ProtobufCIntRange report_evacuations__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor report_evacuations__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportEvacuations",
+  "ReportEvacuations",
+  "ReportEvacuations",
+  "",
+  sizeof(ReportEvacuations),
+  3,
+  report_evacuations__field_descriptors,
+  report_evacuations__field_indices_by_name,
+  1,  report_evacuations__number_ranges,
+  (ProtobufCMessageInit) report_evacuations__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor report_member__field_descriptors[4] =
 {
   {
@@ -2776,6 +3161,83 @@
   (ProtobufCMessageInit) report_document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor report_cold__field_descriptors[4] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(ReportCold, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(ReportCold, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportCold, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(ReportCold, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned report_cold__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  2,   /* field[2] = remaining_ms */
+  0,   /* field[0] = server */
+  1,   /* field[1] = started_ms */
+};
+static const ProtobufCIntRange report_cold__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor report_cold__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ReportCold",
+  "ReportCold",
+  "ReportCold",
+  "",
+  sizeof(ReportCold),
+  4,
+  report_cold__field_descriptors,
+  report_cold__field_indices_by_name,
+  1,  report_cold__number_ranges,
+  (ProtobufCMessageInit) report_cold__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor report_instance__field_descriptors[3] =
 {
   {
@@ -2840,7 +3302,7 @@
   (ProtobufCMessageInit) report_instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor report__field_descriptors[56] =
+static const ProtobufCFieldDescriptor report__field_descriptors[59] =
 {
   {
     "name",
@@ -3514,6 +3976,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    58,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Report, evacuations),
+    &report_evacuations__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "regional_demand",
+    59,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_regional_demand),
+    offsetof(Report, regional_demand),
+    &report_regional_demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_servers",
+    60,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Report, n_cold_servers),
+    offsetof(Report, cold_servers),
+    &report_cold__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned report__field_indices_by_name[] = {
   11,   /* field[11] = adapters */
@@ -3523,12 +4021,14 @@
   37,   /* field[37] = brittle */
   45,   /* field[45] = changes_from */
   46,   /* field[46] = changes_to */
+  58,   /* field[58] = cold_servers */
   12,   /* field[12] = config_version */
   20,   /* field[20] = configs */
   25,   /* field[25] = crashes */
   1,   /* field[1] = data_centre */
   9,   /* field[9] = demand */
   53,   /* field[53] = ends_ms */
+  56,   /* field[56] = evacuations */
   35,   /* field[35] = evidence_age_ms */
   6,   /* field[6] = fence */
   52,   /* field[52] = has_demand */
@@ -3552,6 +4052,7 @@
   49,   /* field[49] = read_age_max_ms */
   28,   /* field[28] = read_age_ms */
   13,   /* field[13] = reads */
+  57,   /* field[57] = regional_demand */
   36,   /* field[36] = relayed */
   4,   /* field[4] = sequence */
   16,   /* field[16] = servers */
@@ -3577,7 +4078,7 @@
 {
   { 1, 0 },
   { 21, 19 },
-  { 0, 56 }
+  { 0, 59 }
 };
 const ProtobufCMessageDescriptor report__descriptor =
 {
@@ -3587,7 +4088,7 @@
   "Report",
   "",
   sizeof(Report),
-  56,
+  59,
   report__field_descriptors,
   report__field_indices_by_name,
   2,  report__number_ranges,
--- a/proto/suspects.pb-c.h
+++ b/proto/suspects.pb-c.h
@@ -25,6 +25,9 @@
 
 /* --- messages --- */
 
+/*
+ * A 128-bit fingerprint of a request.
+ */
 struct  Almondthread__SuspectsFingerprint
 {
   ProtobufCMessage base;
@@ -37,13 +40,19 @@
 
 
 /*
- * A conviction or an operator's lift.
+ * A decision: a fingerprint is blocked, or an operator has lifted the block.
  */
 struct  Almondthread__SuspectsWord
 {
   ProtobufCMessage base;
   Almondthread__SuspectsFingerprint *fingerprint;
+  /*
+   * at_suspicion_t
+   */
   uint32_t suspicion;
+  /*
+   * until the decision expires
+   */
   uint32_t lifetime_ms;
 };
 #define ALMONDTHREAD__SUSPECTS_WORD__INIT \
@@ -55,9 +64,12 @@
 {
   ProtobufCMessage base;
   /*
-   * that crashed; empty: none
+   * backend server that crashed, or empty
    */
   char *backend;
+  /*
+   * requests in flight on it
+   */
   size_t n_victims;
   Almondthread__SuspectsFingerprint **victims;
   size_t n_words;
--- a/src/core/fleet/fleet.c
+++ b/src/core/fleet/fleet.c
@@ -4,6 +4,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Weight of a request in the mean of its tokens: about the last hundred. */
+#define MEAN_TOKENS_WEIGHT 0.01
+/* After this time less than one is left of a million recent tokens. */
+#define DECAYED_US (14. * AT_RECENT_TOKENS_DECAY_US)
+/* A server is slow from the first of these factors until below the second. */
+#define SLOW_MILLI 1400u
+#define SLOW_END_MILLI 1200u
+/* Events of a stream that shows how long one runs. */
+#define STREAM_MIN_EVENTS 4u
+
 const char *const at_choice_result_names[] = {
     "server", "full", "absent", "nobody", "limited", "paused"};
 
@@ -59,8 +69,12 @@
 void
 at_fleet_set_site(at_fleet_t *fleet, at_site_t *site)
 {
+	at_server_t *server;
+
 	at_site_unref(fleet->site);
 	fleet->site = at_site_ref(site);
+	for (server = fleet->servers; server != NULL; server = server->hh.next)
+		server_cold_set_service(fleet, server);
 }
 
 at_server_t *
@@ -86,6 +100,7 @@
 	if (server->is_listed || server->references > 0 || has_notices(server))
 		return;
 	HASH_DEL(fleet->servers, server);
+	at_service_times_remove(fleet->times, server->speed);
 	free(server);
 }
 
@@ -94,8 +109,10 @@
 reset_incarnation(at_server_t *server)
 {
 	server_health_init(&server->health);
+	at_speed_reset(server->speed);
 	residents_clear_notes(server);
 	memset(&server->limit, 0, sizeof(server->limit));
+	memset(&server->cold, 0, sizeof(server->cold));
 	memset(&server->room, 0, sizeof(server->room));
 	server->has_stated_leaving = 0;
 	server->paused_until_us = 0;
@@ -112,6 +129,8 @@
 	if (server == NULL)
 		return NULL;
 	server->entry = *entry;
+	server->speed =
+	    at_service_times_add(fleet->times, entry->service, entry->tag);
 	reset_incarnation(server);
 	HASH_ADD(hh, fleet->servers, entry.tag, sizeof(entry->tag), server);
 	for (report = fleet->reports; report != NULL;
@@ -133,17 +152,23 @@
 }
 
 static void
-set_entry(at_server_t *server, const at_server_entry_t *entry)
+set_entry(const at_fleet_t *fleet, at_server_t *server,
+    const at_server_entry_t *entry)
 {
 	server->entry = *entry;
 	server->entry.is_leaving |= server->has_stated_leaving;
 	residents_update_list(server, entry);
+	data_centres_apply(fleet, server);
 }
 
 at_server_t *
 at_fleet_update_server(at_fleet_t *fleet, const at_server_entry_t *entry)
 {
 	at_server_t *server = at_fleet_find(fleet, entry->tag);
+	int is_new =
+	    server == NULL || entry->started_ms > server->entry.started_ms;
+	int is_later = is_new || entry->heartbeat_sequence >
+				     server->entry.heartbeat_sequence;
 
 	if (server == NULL)
 		server = add_server(fleet, entry);
@@ -156,7 +181,11 @@
 	else if (server->is_listed &&
 		 entry->heartbeat_sequence < server->entry.heartbeat_sequence)
 		return NULL;
-	set_entry(server, entry);
+	set_entry(fleet, server, entry);
+	server_cold_set_service(fleet, server);
+	/* The times of one entry that comes again do not start again. */
+	if (is_later)
+		server_cold_note_entry(&server->cold, entry, is_new);
 	server->is_listed = 1;
 	server->removed_us = 0;
 	return server;
@@ -240,6 +269,9 @@
 	double elapsed_us =
 	    now_us > since_us ? (double)(now_us - since_us) : 0.;
 
+	/* Most servers have got nothing lately. */
+	if (tokens < 1. || elapsed_us > DECAYED_US)
+		return 0;
 	return (
 	    uint32_t)(tokens * exp(-elapsed_us / AT_RECENT_TOKENS_DECAY_US));
 }
@@ -262,7 +294,8 @@
 int
 at_server_is_available(const at_server_t *server, uint64_t now_us)
 {
-	return now_us >= server->health.backoff_until_us;
+	return !server->is_evacuated &&
+	       now_us >= server->health.backoff_until_us;
 }
 
 static uint64_t
@@ -295,11 +328,21 @@
 	server_health_note_time(&server->health, predicted_us, observed_us);
 }
 
+static void
+note_tokens(at_fleet_t *fleet, double tokens)
+{
+	if (fleet->mean_tokens == 0.)
+		fleet->mean_tokens = tokens;
+	fleet->mean_tokens +=
+	    (tokens - fleet->mean_tokens) * MEAN_TOKENS_WEIGHT;
+}
+
 void
 at_fleet_note_ended(at_fleet_t *fleet, at_server_t *server,
     const at_work_t *work, int had_first_event, at_server_outcome_t outcome,
     uint64_t now_us)
 {
+	note_tokens(fleet, (double)kv_tokens_of(work));
 	server->references--;
 	server->own_load.active--;
 	server->own_load.kv_tokens -= kv_tokens_of(work);
@@ -308,9 +351,91 @@
 	if (outcome == AT_OUTCOME_SUCCESS && now_us >= server->paused_until_us)
 		server->paused_until_us = 0;
 	server_health_note_outcome(&server->health, outcome, now_us);
+	if (outcome == AT_OUTCOME_UNREACHABLE)
+		server_cold_note_unreachable(server, now_us);
 	delete_if_unused(fleet, server);
 }
 
+void
+at_server_note_prompt(at_server_t *server, const at_work_t *work,
+    uint64_t observed_us, uint64_t now_us)
+{
+	uint32_t unread =
+	    server->own_load.prefill_tokens + server->peer_load.prefill_tokens;
+
+	/*
+	 * With other prompts at the server the time would be theirs, too; one
+	 * with a known prefix may be cached.
+	 */
+	if (work->model != 0 && unread == work->prompt_tokens &&
+	    work->prefix_count == 0)
+		at_speed_note_prompt(
+		    server->speed, work->prompt_tokens, observed_us, now_us);
+}
+
+void
+at_server_note_events(at_server_t *server, const at_work_t *work,
+    uint32_t count, uint32_t usual_us, uint64_t now_us)
+{
+	if (work->model != 0)
+		at_speed_note_events(
+		    server->speed, work->model, count, usual_us, now_us);
+}
+
+void
+at_server_note_completed(at_server_t *server, const at_work_t *work,
+    uint32_t events, uint64_t run_us, uint64_t now_us)
+{
+	if (work->model != 0) {
+		/* One that ended early took less than was expected of it. */
+		if (events >= STREAM_MIN_EVENTS)
+			at_speed_note_stream(server->speed, work->model,
+			    work->output_tokens, run_us, now_us);
+		return;
+	}
+	/* With more requests than slots it may have waited at the server. */
+	if (at_server_load(server, now_us).active <= server->entry.slots)
+		at_speed_note_plain(server->speed, run_us, now_us);
+}
+
+int
+at_server_note_speed(
+    at_server_t *server, uint64_t now_us, uint32_t *factor_milli)
+{
+	int was_slow = server->is_slow;
+
+	*factor_milli = at_speed_lasting_milli(server->speed, now_us);
+	server->is_slow =
+	    *factor_milli >= (was_slow ? SLOW_END_MILLI : SLOW_MILLI);
+	return server->is_slow != was_slow;
+}
+
+int
+at_server_is_slow(const at_server_t *server)
+{
+	return server->is_slow;
+}
+
+uint32_t
+at_server_slow_milli(const at_server_t *server, uint64_t now_us)
+{
+	uint32_t milli = at_speed_lasting_milli(server->speed, now_us);
+
+	return milli >= SLOW_MILLI ? milli : 0;
+}
+
+size_t
+at_fleet_slow(const at_fleet_t *fleet, uint64_t now_us)
+{
+	const at_server_t *server;
+	size_t count = 0;
+
+	for (server = fleet->servers; server != NULL; server = server->hh.next)
+		count += (size_t)(server->is_listed &&
+				  at_server_slow_milli(server, now_us) != 0);
+	return count;
+}
+
 void
 at_server_note_silent(at_server_t *server, uint64_t now_us)
 {
@@ -429,10 +554,14 @@
 
 	for (server = fleet->servers; server != NULL && count < max;
 	     server = server->hh.next) {
-		if (server->own_load.active == 0 && !server->health.unreachable)
+		uint32_t speed = at_speed_report(server->speed, now_us);
+
+		if (server->own_load.active == 0 &&
+		    !server->health.unreachable && speed == 0)
 			continue;
 		entries[count].server = server->entry.tag;
 		entries[count].load = server->own_load;
+		entries[count].load.speed = speed;
 		entries[count].load.unreachable =
 		    server->health.unreachable &&
 		    now_us < server->health.backoff_until_us;
@@ -482,10 +611,14 @@
 	}
 	for (server = fleet->servers; server != NULL && count < max;
 	     server = server->hh.next) {
-		if (server->member_load.active == 0)
+		uint32_t speed =
+		    at_speed_sum(server->speed, is_member, ctx, now_us);
+
+		if (server->member_load.active == 0 && speed == 0)
 			continue;
 		entries[count].server = server->entry.tag;
 		entries[count].load = server->member_load;
+		entries[count].load.speed = speed;
 		entries[count++].load.unreachable = 0;
 	}
 	return count;
@@ -510,6 +643,8 @@
 			    load->prefill_tokens;
 			server->peer_load.kv_tokens += load->kv_tokens;
 			server->peer_load.recent_tokens += load->recent_tokens;
+			at_speed_apply(server->speed, report->instance,
+			    load->speed, report->received_us);
 		} else {
 			server->peer_load.active -= load->active;
 			server->peer_load.prefill_tokens -=
@@ -555,8 +690,11 @@
 {
 	at_server_t *server = at_fleet_find(fleet, tag);
 
-	if (server != NULL)
-		server_health_apply_unreachable(&server->health, now_us);
+	if (server == NULL)
+		return;
+	server_health_apply_unreachable(&server->health, now_us);
+	if (!at_server_is_available(server, now_us))
+		server_cold_note_unreachable(server, now_us);
 }
 
 void
@@ -564,15 +702,18 @@
 {
 	at_server_t *server;
 
-	for (server = fleet->servers; server != NULL; server = server->hh.next)
+	for (server = fleet->servers; server != NULL;
+	     server = server->hh.next) {
 		server_health_forget_failures(&server->health);
+		server_cold_forget_unreachable(&server->cold);
+	}
 }
 
 int
 at_server_accepts_relayed(const at_server_t *server, uint64_t now_us)
 {
 	return server->is_listed && !server->entry.is_leaving &&
-	       now_us >= server->paused_until_us;
+	       !server->is_evacuated && now_us >= server->paused_until_us;
 }
 
 /* How many of the chosen entries are in a data centre. */
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -11,12 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Time to read a prompt token; the rate is 29 in 1 ms, less a third. */
-#define TOKEN_US 45u
-/* Time of a step, which generates a token for each request of a batch. */
-#define STEP_US 7000u
-/* Time of one request of a plain service. */
-#define PLAIN_REQUEST_US 12000u
+#define NS_PER_US 1000u
 /* Time until a requested model is resident. */
 #define MODEL_LOAD_US 1000000u
 /* Time until an adapter of a resident model is resident. */
@@ -96,7 +91,6 @@
 	    .arrived_us = waiter->arrived_us,
 	    .objective_us = waiter->objective_us,
 	    .deadline_us = waiter->deadline_us,
-	    .work_us = (uint64_t)waiter->work.prompt_tokens * TOKEN_US,
 	    .is_begun = waiter->work.is_resumption,
 	    .is_surplus = waiter->is_surplus};
 
@@ -122,7 +116,8 @@
 is_same_kind(const at_work_t *a, const at_work_t *b)
 {
 	return a->service == b->service && a->model == b->model &&
-	       a->adapter == b->adapter && a->software == b->software;
+	       a->adapter == b->adapter && a->software == b->software &&
+	       memcmp(a->regions, b->regions, sizeof(a->regions)) == 0;
 }
 
 static at_work_kind_t
@@ -164,25 +159,39 @@
 	return entry;
 }
 
+static at_service_time_t
+mean_times(
+    const at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
+{
+	at_service_time_t time;
+
+	at_service_times_get(at_fleet_service_times(queue->fleet),
+	    waiter->work.service, 0, waiter->work.model, now_us, &time);
+	return time;
+}
+
 /*
  * Returns the time until this number of requests has started. They wait for
  * prompts to be read and for batch slots, whichever takes longer.
  */
 static uint64_t
-start_delay_us(const at_waiter_t *waiter, const at_choice_t *choice,
-    uint64_t requests, uint64_t prompt_tokens)
+start_delay_us(const at_wait_queue_t *queue, const at_waiter_t *waiter,
+    const at_choice_t *choice, uint64_t requests, uint64_t prompt_tokens,
+    uint64_t now_us)
 {
 	/* An adapter can be loaded on any engine that has its model. */
 	uint32_t engines =
 	    choice->model_servers == 0 ? 1u : choice->model_servers;
 	uint32_t batch_slots =
 	    choice->batch_slots == 0 ? 1u : choice->batch_slots;
-	uint64_t read_us = prompt_tokens * TOKEN_US / engines;
+	const at_service_time_t time = mean_times(queue, waiter, now_us);
+	uint64_t read_us =
+	    prompt_tokens * time.prompt_token_ns / NS_PER_US / engines;
 	uint64_t batch_us =
-	    requests * waiter->work.output_tokens * STEP_US / batch_slots;
+	    requests * waiter->work.output_tokens * time.token_us / batch_slots;
 
 	if (waiter->work.model == 0)
-		return requests * PLAIN_REQUEST_US / engines;
+		return requests * time.plain_us / batch_slots;
 	return read_us > batch_us ? read_us : batch_us;
 }
 
@@ -193,7 +202,7 @@
  */
 static uint64_t
 expected_wait_us(const at_wait_queue_t *queue, const at_waiter_t *waiter,
-    const at_choice_t *choice)
+    const at_choice_t *choice, uint64_t now_us)
 {
 	at_queue_report_t all = queued_like(queue, waiter, 0);
 	at_queue_report_t ahead = queued_like(queue, waiter, 1);
@@ -202,10 +211,11 @@
 	uint64_t ahead_weight = ahead.requests + 1u;
 	uint64_t total_weight = all.requests + 2u;
 
-	return start_delay_us(waiter, choice,
+	return start_delay_us(queue, waiter, choice,
 	    ahead.requests + 1u + peers.requests * ahead_weight / total_weight,
 	    ahead.prompt_tokens +
-		peers.prompt_tokens * ahead_weight / total_weight);
+		peers.prompt_tokens * ahead_weight / total_weight,
+	    now_us);
 }
 
 static uint32_t
@@ -229,9 +239,12 @@
  * caller.
  */
 static uint64_t
-max_wait_us(const at_waiter_t *waiter, uint64_t now_us)
+max_wait_us(
+    const at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
 {
-	uint64_t own_us = (uint64_t)waiter->work.prompt_tokens * TOKEN_US;
+	uint64_t own_us = (uint64_t)waiter->work.prompt_tokens *
+			  mean_times(queue, waiter, now_us).prompt_token_ns /
+			  NS_PER_US;
 	uint64_t remaining_us =
 	    waiter->deadline_us > now_us ? waiter->deadline_us - now_us : 0;
 	uint64_t max_us = remaining_us * WAIT_PERCENT / 100u;
@@ -461,16 +474,22 @@
     at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
 {
 	at_work_kind_t kind = kind_of(&waiter->work);
+	uint64_t token_ns = mean_times(queue, waiter, now_us).prompt_token_ns;
 	at_shed_request_t arriving = shed_request(waiter);
 	at_waiter_t *other;
 	at_waiter_t *found = NULL;
 	uint64_t found_cost = 0;
 
+	arriving.work_us = waiter->work.prompt_tokens * token_ns / NS_PER_US;
+
 	for (other = queue->head; other != NULL; other = other->next) {
 		at_work_kind_t other_kind = kind_of(&other->work);
 		at_shed_request_t queued = shed_request(other);
-		uint64_t cost = at_shed_cost(&queued, now_us);
+		uint64_t cost;
 
+		queued.work_us =
+		    other->work.prompt_tokens * token_ns / NS_PER_US;
+		cost = at_shed_cost(&queued, now_us);
 		if (!is_kind(&other_kind, &kind) || other->is_yielding ||
 		    !at_shed_yields(&queued, now_us, &arriving, now_us) ||
 		    (found != NULL && cost >= found_cost))
@@ -489,7 +508,7 @@
 make_room(at_wait_queue_t *queue, at_waiter_t *waiter,
     const at_choice_t *choice, uint64_t max_us, uint64_t now_us)
 {
-	uint64_t wait_us = expected_wait_us(queue, waiter, choice);
+	uint64_t wait_us = expected_wait_us(queue, waiter, choice, now_us);
 	at_waiter_t *other;
 
 	while (wait_us > max_us) {
@@ -497,7 +516,7 @@
 		if (other == NULL)
 			break;
 		other->is_yielding = 1;
-		wait_us = expected_wait_us(queue, waiter, choice);
+		wait_us = expected_wait_us(queue, waiter, choice, now_us);
 	}
 	for (other = queue->head; other != NULL; other = other->next) {
 		if (!other->is_yielding || other->expires_us <= now_us)
@@ -515,7 +534,7 @@
 at_wait_queue_decide(at_wait_queue_t *queue, at_waiter_t *waiter,
     uint64_t now_us, at_admission_decision_t *decision)
 {
-	uint64_t max_us = max_wait_us(waiter, now_us);
+	uint64_t max_us = max_wait_us(queue, waiter, now_us);
 	int has_expired =
 	    waiter->expires_us != 0 && waiter->expires_us <= now_us;
 
@@ -540,11 +559,12 @@
 	    !has_expired && (decision->choice_result == AT_CHOICE_FULL ||
 				decision->choice_result == AT_CHOICE_SERVER)
 		? make_room(queue, waiter, &decision->choice, max_us, now_us)
-		: expected_wait_us(queue, waiter, &decision->choice);
+		: expected_wait_us(queue, waiter, &decision->choice, now_us);
 	if (decision->choice_result == AT_CHOICE_NOT_RESIDENT)
 		decision->wait_us += decision->choice.model_servers > 0
 					 ? ADAPTER_LOAD_US
 					 : MODEL_LOAD_US;
+	decision->wait_us += decision->choice.cold_us;
 	decision->retry_after_ms = retry_after_ms(waiter, decision->wait_us);
 	if (decision->choice_result == AT_CHOICE_PAUSED)
 		decision->wait_us += decision->choice.closed_us;
@@ -689,10 +709,14 @@
 		if (result == AT_CHOICE_SERVER &&
 		    may_dispatch(queue, waiter, choice, now_us))
 			return waiter;
-		/* Servers of a version that is replaced do not return. */
+		/*
+		 * Servers of a version that is replaced do not return, nor do
+		 * evacuated ones soon.
+		 */
 		if (result == AT_CHOICE_LIMITED ||
 		    (result == AT_CHOICE_NO_SERVER &&
-			waiter->work.software != 0)) {
+			(waiter->work.software != 0 || choice->evacuated > 0 ||
+			    choice->outside_regions > 0))) {
 			waiter->expires_us = now_us;
 			continue;
 		}
--- a/src/core/placement/residency.c
+++ b/src/core/placement/residency.c
@@ -8,7 +8,13 @@
  * replaces the model whose loss costs the least, on an engine with a nearby
  * copy of its weights. With both patterns at once, loads of rare models must
  * not use up the rate of the weight store while a busy model has too few
- * engines, and memory is reserved for the model that it was freed for.
+ * engines, and memory is reserved for the model that it was freed for. When a
+ * data centre is evacuated, many models are resident nowhere else at once:
+ * those in use are loaded before any further replica, the ones with the most
+ * requests first.
+ *
+ * A third of the engines may take more than twice the time of the others. A
+ * replica there serves as much less, and the choice of a server avoids it.
  */
 #include "almondthread/residency.h"
 
@@ -50,6 +56,8 @@
 	const at_engine_state_t *engines;
 	size_t engine_count;
 	uint32_t replicas[AT_RESIDENCY_MODELS_MAX];
+	/* What replicas at slow engines serve less, in replicas. */
+	double lacking[AT_RESIDENCY_MODELS_MAX];
 	at_model_demand_t demand[AT_RESIDENCY_MODELS_MAX];
 	/* A move was ordered in this round. */
 	unsigned char has_move[AT_RESIDENCY_ENGINES_MAX];
@@ -61,6 +69,8 @@
 	size_t max;
 	/* No engine can load these models in this round. */
 	unsigned char is_unplaced[AT_RESIDENCY_MODELS_MAX];
+	/* These are resident in evacuated data centres only. */
+	unsigned char is_lost[AT_RESIDENCY_MODELS_MAX];
 } round_t;
 
 static size_t
@@ -81,11 +91,11 @@
  * that.
  */
 static double
-served_part(double load, uint32_t replicas)
+served_part(double load, double replicas)
 {
 	double utilization;
 
-	if (replicas == 0)
+	if (replicas <= 0.)
 		return 0.;
 	utilization = load / (replicas * REPLICA_CAPACITY);
 	return 1. / cbrt(1. + utilization * utilization * utilization);
@@ -98,12 +108,12 @@
  * present rate it would be unloaded as soon as it is resident.
  */
 static double
-next_replica_gain(const at_model_demand_t *d, uint32_t replicas)
+next_replica_gain(const at_model_demand_t *d, double replicas)
 {
-	double gained_part = served_part(d->busy_engines, replicas + 1) -
+	double gained_part = served_part(d->busy_engines, replicas + 1.) -
 			     served_part(d->busy_engines, replicas);
 
-	return replicas > 0
+	return replicas > 0.
 		   ? d->requests_per_s * gained_part
 		   : d->long_term_per_s * gained_part + d->queued * QUEUED_GAIN;
 }
@@ -258,15 +268,32 @@
 	return model->store_load_ms;
 }
 
+/* Returns what a replica serves less at this engine than at the mean one. */
+static double
+lacking_at(const at_engine_state_t *engine)
+{
+	return engine->slow_milli == 0 ? 0. : 1. - 1000. / engine->slow_milli;
+}
+
+/* Returns the replicas of a model, of which those at slow engines count less.
+ */
+static double
+served_by(const round_t *r, size_t model)
+{
+	return (double)r->replicas[model] - r->lacking[model];
+}
+
 /* Returns the cost of unloading a replica, or less than 0 if it must stay. */
 static double
-unload_loss(const round_t *r, size_t model)
+unload_loss(const round_t *r, const at_engine_state_t *engine, size_t model)
 {
 	uint32_t replicas = r->replicas[model];
 	const at_model_demand_t *d = &r->demand[model];
+	double serves = 1. - lacking_at(engine);
 
 	if (replicas > 1)
-		return next_replica_gain(d, replicas - 1);
+		return next_replica_gain(d, served_by(r, model) - serves) *
+		       serves;
 	if (d->queued > 0)
 		return -1.;
 	return LAST_REPLICA_LOSS +
@@ -290,7 +317,7 @@
 
 		if (model == NO_MODEL)
 			continue;
-		model_loss = unload_loss(r, model);
+		model_loss = unload_loss(r, engine, model);
 		if (model_loss < 0 ||
 		    (victim != NO_MODEL && model_loss >= *loss))
 			continue;
@@ -330,8 +357,9 @@
 	double loss = 0.;
 	double wait_ms = 0.;
 
-	if (!engine->is_usable || engine->is_busy || r->has_move[e] ||
-	    r->reserved_for[e] != NO_MODEL || has_model(engine, model->tag))
+	if (!engine->is_usable || engine->is_excluded || engine->is_busy ||
+	    r->has_move[e] || r->reserved_for[e] != NO_MODEL ||
+	    has_model(engine, model->tag))
 		return 0;
 	candidate->engine = e;
 	candidate->victim = NO_MODEL;
@@ -352,7 +380,7 @@
 	 */
 	candidate->cost = load_ms(model, candidate->from) + wait_ms +
 			  (double)engine->load.active * ACTIVE_REQUEST_MS +
-			  loss / gain * LOSS_WEIGHT_MS;
+			  (loss / gain + lacking_at(engine)) * LOSS_WEIGHT_MS;
 	return 1;
 }
 
@@ -466,7 +494,35 @@
 	}
 }
 
-/* Returns the model whose next replica gains the most, or NO_MODEL. */
+/* Returns non-zero if the model was resident and in use until an evacuation. */
+static int
+is_lost(const round_t *r, size_t model)
+{
+	return r->is_lost[model] && r->replicas[model] == 0;
+}
+
+static int
+is_urgent(const round_t *r, size_t model)
+{
+	return (r->replicas[model] == 0 && r->demand[model].queued > 0) ||
+	       (is_lost(r, model) && is_in_use(r, model));
+}
+
+/* A model that is lost may have become busy only recently. */
+static double
+gain_of(const round_t *r, size_t model)
+{
+	const at_model_demand_t *d = &r->demand[model];
+	double gain = next_replica_gain(d, served_by(r, model));
+	double present = d->requests_per_s * served_part(d->busy_engines, 1);
+
+	return is_lost(r, model) && present > gain ? present : gain;
+}
+
+/*
+ * Returns the model whose next replica gains the most, or NO_MODEL; those that
+ * are lost come first.
+ */
 static size_t
 find_highest_gain(const round_t *r, double *gain)
 {
@@ -475,13 +531,17 @@
 
 	*gain = MIN_GAIN;
 	for (i = 0; i < r->service->model_count; i++) {
-		int is_urgent = r->replicas[i] == 0 && r->demand[i].queued > 0;
+		int is_first =
+		    best != NO_MODEL && is_lost(r, i) && !is_lost(r, best);
+		int is_last =
+		    best != NO_MODEL && !is_lost(r, i) && is_lost(r, best);
 		double g;
 
-		if (r->is_unplaced[i] || (!is_urgent && r->limits.moves == 0))
+		if (r->is_unplaced[i] || is_last ||
+		    (!is_urgent(r, i) && r->limits.moves == 0))
 			continue;
-		g = next_replica_gain(&r->demand[i], r->replicas[i]);
-		if (g <= *gain)
+		g = gain_of(r, i);
+		if (g <= (is_first ? MIN_GAIN : *gain))
 			continue;
 		best = i;
 		*gain = g;
@@ -501,13 +561,12 @@
 
 	while (r->move_count < r->max &&
 	       (model = find_highest_gain(r, &gain)) != NO_MODEL) {
-		int is_urgent =
-		    r->replicas[model] == 0 && r->demand[model].queued > 0;
+		int needs_no_limit = is_urgent(r, model);
 		candidate_t candidate = best_candidate(r, model, gain);
 
-		if (!add_move(r, model, &candidate, is_urgent))
+		if (!add_move(r, model, &candidate, needs_no_limit))
 			r->is_unplaced[model] = 1;
-		else if (!is_urgent)
+		else if (!needs_no_limit)
 			r->limits.moves--;
 	}
 }
@@ -520,14 +579,48 @@
 
 	for (i = 0; i < r->service->model_count; i++) {
 		r->replicas[i] = 0;
-		for (e = 0; e < r->engine_count; e++)
-			r->replicas[i] +=
-			    (uint32_t)(r->engines[e].is_usable &&
-				       has_model(&r->engines[e],
-					   r->service->models[i].tag));
+		for (e = 0; e < r->engine_count; e++) {
+			const at_engine_state_t *engine = &r->engines[e];
+
+			if ((!engine->is_usable && !engine->is_evacuated) ||
+			    !has_model(engine, r->service->models[i].tag))
+				continue;
+			if (engine->is_evacuated) {
+				r->is_lost[i] = 1;
+				continue;
+			}
+			r->replicas[i]++;
+			r->lacking[i] += lacking_at(engine);
+		}
 	}
 }
 
+/* Returns -1 if the service has no models, or too many. */
+static int
+begin_round(round_t *r, const at_site_service_t *service,
+    const at_engine_state_t *engines, size_t engine_count,
+    const at_demand_rates_t *demand, const at_residency_limits_t *limits)
+{
+	size_t i;
+
+	if (service->model_count == 0 ||
+	    service->model_count > AT_RESIDENCY_MODELS_MAX)
+		return -1;
+	memset(r, 0, sizeof(*r));
+	r->service = service;
+	r->engines = engines;
+	r->engine_count = engine_count < AT_RESIDENCY_ENGINES_MAX
+			      ? engine_count
+			      : AT_RESIDENCY_ENGINES_MAX;
+	r->limits = *limits;
+	count_replicas(r);
+	for (i = 0; i < service->model_count; i++)
+		r->demand[i] = at_demand_rates_get(
+		    demand, service->tag, service->models[i].tag);
+	reserve_freed_memory(r);
+	return 0;
+}
+
 size_t
 at_residency_plan(const at_site_service_t *service,
     const at_engine_state_t *engines, size_t engine_count,
@@ -535,26 +628,46 @@
     at_move_t *moves, size_t max)
 {
 	static round_t r;
-	size_t i;
 
-	if (service->model_count == 0 ||
-	    service->model_count > AT_RESIDENCY_MODELS_MAX)
+	if (begin_round(&r, service, engines, engine_count, demand, limits) !=
+	    0)
 		return 0;
-	memset(&r, 0, sizeof(r));
-	r.service = service;
-	r.engines = engines;
-	r.engine_count = engine_count < AT_RESIDENCY_ENGINES_MAX
-			     ? engine_count
-			     : AT_RESIDENCY_ENGINES_MAX;
-	r.limits = *limits;
 	r.moves = moves;
 	r.max = max;
-	count_replicas(&r);
-	for (i = 0; i < service->model_count; i++)
-		r.demand[i] = at_demand_rates_get(
-		    demand, service->tag, service->models[i].tag);
-	reserve_freed_memory(&r);
 	load_reserved(&r);
 	plan_by_demand(&r);
 	return r.move_count;
 }
+
+size_t
+at_residency_plan_for(const at_site_service_t *service,
+    const at_engine_state_t *engines, size_t engine_count,
+    const at_demand_rates_t *demand, const at_residency_limits_t *limits,
+    at_tag_t model, at_move_t *move)
+{
+	static round_t r;
+	size_t index = model_index(service, model);
+	candidate_t candidate;
+	double gain;
+	size_t e;
+
+	if (index == NO_MODEL || begin_round(&r, service, engines, engine_count,
+				     demand, limits) != 0)
+		return 0;
+	for (e = 0; e < r.engine_count; e++) {
+		if (engines[e].is_usable && !engines[e].is_excluded &&
+		    (has_model(&engines[e], model) ||
+			r.reserved_for[e] == index))
+			return 0;
+	}
+	/* Those elsewhere do not count. */
+	r.replicas[index] = 0;
+	gain = gain_of(&r, index);
+	if (gain < QUEUED_GAIN)
+		gain = QUEUED_GAIN;
+	r.moves = move;
+	r.max = 1;
+	candidate = best_candidate(&r, index, gain);
+	(void)add_move(&r, index, &candidate, 1);
+	return r.move_count;
+}
--- a/src/entry/base/entry_settings.h
+++ b/src/entry/base/entry_settings.h
@@ -22,6 +22,7 @@
 	double processor_share; /* part of each core that may be used */
 	uint32_t cores;
 	double link_mbps;
+	uint32_t memory_mb;   /* of this machine, in MiB; 0: not limited */
 	uint32_t descriptors; /* files and sockets that may be open */
 	uint32_t log_lines_per_s;
 	uint32_t stop_grace_s; /* time from SIGTERM to SIGKILL */
@@ -32,6 +33,14 @@
 	uint32_t config_apply_ms;
 	double retry_ratio;   /* part of requests that may be retried */
 	uint32_t retry_slack; /* retries in addition, over all instances */
+	/* Within this time an evacuation must be in force; 0: none is read. */
+	uint32_t evacuate_ms;
+	/* "DATA-CENTRE:REGION,..."; NULL or "": regions are not used. */
+	const char *regions;
+	/* In a second all instances send a cold engine at most its rate x
+	 * cold_overage + cold_tolerance requests. */
+	double cold_overage;
+	double cold_tolerance;
 } at_entry_settings_t;
 
 /*
@@ -48,7 +57,8 @@
 /*
  * at_entry_settings_backlog() returns how many new connections may wait: those
  * that the processor can read before their callers give up. Of more, each would
- * be read too late.
+ * be read too late. What the kernel receives for them meanwhile has its part of
+ * the memory.
  */
 int at_entry_settings_backlog(const at_entry_settings_t *settings);
 /*
@@ -57,5 +67,10 @@
  * files: without them no request could be served.
  */
 size_t at_entry_settings_callers(const at_entry_settings_t *settings);
+/*
+ * at_entry_settings_receive_buffer() returns how many bytes the kernel may
+ * receive in advance on a caller's connection; 0: as many as it likes.
+ */
+size_t at_entry_settings_receive_buffer(const at_entry_settings_t *settings);
 
 #endif
--- a/src/entry/call/call.c
+++ b/src/entry/call/call.c
@@ -206,11 +206,12 @@
 }
 
 static void
-reply_buffered(at_call_t *call, const buffered_response_t *response)
+reply_buffered(at_call_t *call, buffered_response_t *response)
 {
 	if (call->request != NULL)
-		at_httpd_reply(call->request, response->status,
-		    response->headers.entries, response->body, response->len);
+		at_httpd_reply_owned(call->request, response->status,
+		    response->headers.entries, buffered_response_take(response),
+		    response->len);
 	call->response_started = 1;
 }
 
@@ -332,6 +333,15 @@
 		   : AT_REASON_NO_BACKEND;
 }
 
+/* No server is left that is not evacuated and in an allowed region. */
+static int
+is_closed_off(const at_admission_decision_t *decision)
+{
+	return decision->choice_result == AT_CHOICE_NO_SERVER &&
+	       (decision->choice.evacuated > 0 ||
+		   decision->choice.outside_regions > 0);
+}
+
 /* The caller has closed, and nothing of the attempt has been sent. */
 static int
 has_left(const at_call_t *call)
@@ -376,11 +386,13 @@
 	}
 	at_log(AT_LOG_INFO, "call", call->id,
 	    "attempt not sent admission=%s choice=%s candidates=%u "
+	    "evacuated=%u outside_regions=%u "
 	    "wait_us=%" PRIu64 " queued=%zu model=%s shortage=%d active=%u "
 	    "slots=%u",
 	    at_admission_names[decision.admission],
 	    at_choice_result_names[decision.choice_result],
-	    decision.choice.candidates, decision.wait_us,
+	    decision.choice.candidates, decision.choice.evacuated,
+	    decision.choice.outside_regions, decision.wait_us,
 	    at_wait_queue_count(calls->deps.queue), call->header.model.text,
 	    decision.is_short, decision.choice.open_active,
 	    decision.choice.open_slots);
@@ -605,7 +617,9 @@
 			at_attempts_on_not_placed(call->attempts,
 			    call->queued_attempt,
 			    decision.choice_result == AT_CHOICE_LIMITED ||
-				    decision.choice_result == AT_CHOICE_PAUSED
+				    decision.choice_result ==
+					AT_CHOICE_PAUSED ||
+				    is_closed_off(&decision)
 				? reason_from_choice(decision.choice_result)
 				: AT_REASON_OVERLOAD,
 			    at_clock_now_ms());
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -70,7 +70,45 @@
 	if (at_httpd_fault(request) != AT_HTTPD_MALFORMED)
 		(void)at_caller_parse_headers(request, &header);
 	refuse_request(calls, request, &header, at_httpd_fault_reason(request),
-	    0, at_httpd_fault_text(request));
+	    at_httpd_retry_after_ms(request), at_httpd_fault_text(request));
+}
+
+void
+at_call_classify(
+    void *ctx, const at_httpd_request_t *request, at_httpd_class_t *class)
+{
+	const at_calls_t *calls = ctx;
+	const at_site_t *site = *calls->deps.site;
+	const at_site_workspace_t *workspace = NULL;
+	const at_site_route_t *route;
+	at_request_header_t header;
+
+	if (site == NULL)
+		return;
+	(void)at_caller_parse_headers(request, &header);
+	route = at_site_find_route(site, header.host, at_httpd_target(request));
+	if (header.key != NULL)
+		workspace = at_site_find_workspace(site, header.key);
+	if (route != NULL)
+		class->priority = route->priority;
+	if (workspace == NULL)
+		return;
+	class->owner = workspace->tag;
+	if (workspace->has_priority)
+		class->priority = workspace->priority;
+}
+
+/* The regions of the route and of the workspace both apply. */
+static void
+set_regions(const at_call_t *call, at_work_t *work)
+{
+	if (!at_fleet_has_regions(call->calls->deps.fleet))
+		return;
+	if (call->route->allowed_regions.count > 0)
+		work->regions[0] = &call->route->allowed_regions;
+	if (call->workspace != NULL &&
+	    call->workspace->allowed_regions.count > 0)
+		work->regions[1] = &call->workspace->allowed_regions;
 }
 
 static void
@@ -81,6 +119,7 @@
 
 	work->service = call->service->tag;
 	work->own_service = call->service;
+	set_regions(call, work);
 	work->has_slack = call->route->objective_ms >= SLACK_OBJECTIVE_MIN_MS &&
 			  call->waiter.priority > 0;
 	if (!call->service->has_models)
@@ -96,6 +135,8 @@
 	else
 		output = output * OUTPUT_ESTIMATE_PERCENT / 100u;
 	work->output_tokens = output;
+	if (call->route->type == AT_ROUTE_STREAM)
+		work->event_gap_ms = call->route->event_gap_ms;
 	memcpy(work->prefix, header->prefix, sizeof(work->prefix));
 	work->prefix_count = header->prefix_count;
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -12,6 +12,7 @@
 #include "entry/readiness.h"
 #include "entry/servers/relay.h"
 #include "entry/store/crash_blocks.h"
+#include "entry/store/evacuation_sync.h"
 #include "entry/store/join.h"
 #include "entry/store/sync.h"
 #include "entry/store/version_record.h"
@@ -24,6 +25,8 @@
 	at_identity_t identity;
 	at_rng_t rng;
 	at_counters_t *counters;
+	at_memory_t memory;
+	uint64_t unread_checked_ms; /* what the kernel holds */
 	at_httpd_t *callers;
 	at_httpc_t *httpc;
 	at_wire_store_t *wire_store;
@@ -36,6 +39,7 @@
 	at_retry_budgets_t *retries;
 	at_stream_origins_t *origins;
 	at_sync_t *sync;
+	at_evacuation_sync_t *evacuations;
 	at_gossip_t *gossip;
 	at_server_crashes_t *crashes;
 	at_crash_blocks_t *blocks;
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -73,6 +73,16 @@
 	at_calls_apply_verdicts(entry->calls);
 }
 
+/* A leaving instance, or one that reaches no server, leaves it to others. */
+static int
+is_sending(void *ctx)
+{
+	const at_entry_t *entry = ctx;
+
+	return entry->state < AT_ENTRY_DRAINING &&
+	       at_reach_io_is_up(entry->reach);
+}
+
 /* Creates what sees to the backend servers; returns -1 if out of memory. */
 static int
 create_servers(at_entry_t *entry)
@@ -82,7 +92,10 @@
 	    .fleet = entry->fleet,
 	    .roster = entry->roster,
 	    .gossip = entry->gossip,
-	    .site = &entry->site};
+	    .site = &entry->site,
+	    .identity = &entry->identity,
+	    .is_sending = is_sending,
+	    .ctx = entry};
 	const at_reach_io_deps_t reach_deps = {.loop = entry->loop,
 	    .counters = entry->counters,
 	    .fleet = entry->fleet,
@@ -105,6 +118,7 @@
 	    .settings = &entry->settings,
 	    .state = &entry->state,
 	    .fleet = entry->fleet,
+	    .memory = &entry->memory,
 	    .httpc = entry->httpc};
 
 	entry->notices = at_server_notices_new(&notices_deps);
@@ -176,6 +190,16 @@
 	    (uint32_t)(at_rng_next(&entry->rng) % REJOIN_SPREAD_MS));
 }
 
+/* Queued requests that can go nowhere any more are refused at once. */
+static void
+on_evacuations_changed(void *ctx)
+{
+	at_entry_t *entry = ctx;
+
+	at_calls_place_queued(entry->calls);
+	at_calls_expire(entry->calls);
+}
+
 /* Creates what copies the platform's objects, or keeps some there. */
 static int
 create_copies(at_entry_t *entry)
@@ -217,12 +241,25 @@
 	    .is_platform_away = is_platform_away,
 	    .ctx = entry};
 
+	const at_evacuation_sync_deps_t evacuation_deps = {.loop = entry->loop,
+	    .counters = entry->counters,
+	    .identity = &entry->identity,
+	    .settings = &entry->settings,
+	    .fleet = entry->fleet,
+	    .gossip = entry->gossip,
+	    .objects = objects,
+	    .is_reader = is_reader,
+	    .on_changed = on_evacuations_changed,
+	    .ctx = entry};
+
 	entry->sync = at_sync_new(&sync_deps);
+	entry->evacuations = at_evacuation_sync_new(&evacuation_deps);
 	entry->join = at_join_new(&join_deps);
 	entry->version_record = at_version_record_new(&record_deps);
 	entry->blocks = at_crash_blocks_new(&blocks_deps);
-	return entry->sync == NULL || entry->join == NULL ||
-		       entry->version_record == NULL || entry->blocks == NULL
+	return entry->sync == NULL || entry->evacuations == NULL ||
+		       entry->join == NULL || entry->version_record == NULL ||
+		       entry->blocks == NULL
 		   ? -1
 		   : 0;
 }
@@ -319,6 +356,7 @@
 	    .retries = entry->retries,
 	    .origins = entry->origins,
 	    .httpc = entry->httpc,
+	    .memory = &entry->memory,
 	    .gossip = entry->gossip,
 	    .reach = entry->reach,
 	    .crashes = entry->crashes,
@@ -354,7 +392,16 @@
 	    {"open_requests", at_calls_count(entry->calls)},
 	    {"waiting_requests", at_wait_queue_count(entry->queue)},
 	    {"backend_servers", at_fleet_count(entry->fleet)},
+	    {"cold_servers",
+		at_fleet_count_cold(entry->fleet, at_clock_now_us())},
+	    {"slow_servers", at_fleet_slow(entry->fleet, at_clock_now_us())},
 	    {"copies_age_ms", at_sync_age_ms(entry->sync)},
+	    {"evacuated_data_centres",
+		at_evacuation_sync_count(entry->evacuations)},
+	    {"memory_limit_bytes", entry->memory.limit},
+	    {"memory_refused_total", entry->memory.refused_total},
+	    {"memory_closed_total", entry->memory.closed_total},
+	    {"memory_paused_total", entry->memory.paused_total},
 	    {"config_version", entry->site == NULL ? 0 : entry->site->version},
 	};
 	size_t i;
@@ -362,6 +409,9 @@
 	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
 		at_counters_set(entry->counters, values[i].name, NULL, NULL,
 		    values[i].value);
+	for (i = 0; i < AT_MEMORY_KIND_COUNT; i++)
+		at_counters_set(entry->counters, "memory_bytes", "kind",
+		    at_memory_kind_names[i], entry->memory.held[i]);
 }
 
 static at_readiness_t *
@@ -405,6 +455,7 @@
 	const at_report_section_t sections[] = {
 	    {.fill = fill_report, .begin_round = begin_round, .ctx = entry},
 	    at_sync_section(entry->sync),
+	    at_evacuation_sync_section(entry->evacuations),
 	    at_gossip_loads_section(entry->gossip),
 	    at_reach_io_section(entry->reach),
 	    at_relay_section(entry->relay),
@@ -431,6 +482,7 @@
 	if (entry->counters == NULL || entry->httpc == NULL ||
 	    entry->callers == NULL)
 		return -1;
+	at_httpd_set_memory(entry->callers, &entry->memory);
 	entry->wire_store = at_wire_store_new(entry->loop, entry->httpc);
 	entry->fleet =
 	    at_fleet_new(entry->identity.data_centre, at_rng_next(&entry->rng));
@@ -443,6 +495,8 @@
 	    entry->quota == NULL || entry->retries == NULL ||
 	    entry->roster == NULL || entry->origins == NULL)
 		return -1;
+	at_fleet_set_cold_bound(
+	    entry->fleet, s->cold_overage, s->cold_tolerance);
 	at_roster_set_started(entry->roster, entry->identity.started_ms);
 	entry->store = at_wire_store_port(entry->wire_store);
 	at_wire_store_set_counters(entry->wire_store, entry->counters);
@@ -464,6 +518,7 @@
 	at_httpd_set_handler(entry->callers, at_call_handle, entry->calls);
 	at_httpd_set_fault_handler(
 	    entry->callers, at_call_handle_fault, entry->calls);
+	at_httpd_set_classifier(entry->callers, at_call_classify, entry->calls);
 	at_wire_store_set_era_handler(entry->wire_store, on_later_era, entry);
 	add_sections(entry);
 	return 0;
@@ -485,6 +540,7 @@
 	at_join_delete(entry->join);
 	at_version_record_delete(entry->version_record);
 	at_introductions_delete(entry->introductions);
+	at_evacuation_sync_delete(entry->evacuations);
 	if (entry->sync != NULL)
 		at_sync_delete(entry->sync);
 	at_wire_store_delete(entry->wire_store);
--- a/src/entry/orders/orders_send.c
+++ b/src/entry/orders/orders_send.c
@@ -176,7 +176,8 @@
 	at_name_t none = {.text = ""};
 
 	engine->state = ENGINE_IDLE;
-	if (server == NULL || !orders_may_send(orders))
+	if (server == NULL || !orders_may_send(orders) ||
+	    at_server_is_evacuated(server))
 		return;
 	engine->is_load = is_load;
 	engine->model = *model;
@@ -248,6 +249,9 @@
 	engine->report_pending = 0;
 	if (server == NULL)
 		return;
+	if (report != NULL && report->has_cold)
+		at_server_notices_cold(engine->orders->deps.notices, server,
+		    report->cold_ms, engine->report_sent_us);
 	if (report != NULL && report->is_leaving)
 		at_server_notices_leaving(engine->orders->deps.notices, server);
 	if (engine->state == ENGINE_IDLE)
@@ -272,9 +276,11 @@
 	const at_orders_io_deps_t *deps = &engine->orders->deps;
 	at_server_t *server = at_fleet_find(deps->fleet, engine->server);
 
-	if (server == NULL)
+	/* Until its data centre is in use again, its state is not needed. */
+	if (server == NULL || at_server_is_evacuated(server))
 		return;
 	if (at_engine_report_fetch(deps->httpc, at_server_entry(server),
 		on_engine_report, engine) == 0)
 		engine->report_pending = 1;
+	engine->report_sent_us = at_clock_now_us();
 }
--- a/src/entry/servers/relay.c
+++ b/src/entry/servers/relay.c
@@ -105,6 +105,9 @@
 	    deps->notices, server, response->limit_milli, relayed->started_us);
 	at_server_notices_brittle(deps->notices, server, response->is_brittle,
 	    0, relayed->started_us);
+	if (response->has_cold)
+		at_server_notices_cold(deps->notices, server, response->cold_ms,
+		    relayed->started_us);
 	if (response->is_leaving)
 		at_server_notices_leaving(deps->notices, server);
 	if (response->pause_ms != 0)
@@ -235,8 +238,7 @@
 	const at_transfer_spec_t spec = {.method = call->method,
 	    .url = url,
 	    .target = call->target,
-	    .body = call->body,
-	    .body_len = call->body_len,
+	    .shared_body = at_httpd_shared_body(relayed->request),
 	    .connect_ms = CONNECT_TIMEOUT_MS,
 	    .connect_only = call->is_probe,
 	    .new_connection = call->new_connection || call->is_probe,
@@ -270,6 +272,20 @@
 	    relay->count >= AT_ROSTER_RELAYED_MAX || server == NULL ||
 	    !at_server_accepts_relayed(server, at_clock_now_us()))
 		return NULL;
+	/* A probe only connects. */
+	if (!call->is_probe &&
+	    !at_server_take_relayed(server, at_clock_now_us())) {
+		at_counters_add(
+		    deps->counters, "cold_relays_refused_total", NULL, NULL, 1);
+		at_log(AT_LOG_INFO, "relay", call->request_id,
+		    "attempt not passed on; the engine is cold server=%s "
+		    "remaining_ms=%u own_requests_per_s=%u.%03u",
+		    call->server_id,
+		    at_server_cold_ms(server, at_clock_now_us()),
+		    at_server_cold_share_milli(server) / 1000u,
+		    at_server_cold_share_milli(server) % 1000u);
+		return NULL;
+	}
 	return server;
 }
 
@@ -330,6 +346,20 @@
 		reply(relay, request, AT_RELAY_REFUSED);
 }
 
+/* The other instance sends what found no memory here another way. */
+static void
+handle_fault(void *ctx, at_httpd_request_t *request)
+{
+	at_relay_t *relay = ctx;
+
+	if (at_httpd_fault(request) == AT_HTTPD_NO_MEMORY)
+		reply(relay, request, AT_RELAY_REFUSED);
+	else
+		at_httpd_reply(request,
+		    at_reason_status(at_httpd_fault_reason(request)), NULL, "",
+		    0);
+}
+
 at_relay_t *
 at_relay_new(const at_relay_deps_t *deps)
 {
@@ -344,6 +374,8 @@
 		return NULL;
 	}
 	at_httpd_set_handler(relay->httpd, handle, relay);
+	at_httpd_set_fault_handler(relay->httpd, handle_fault, relay);
+	at_httpd_set_memory(relay->httpd, deps->memory);
 	at_httpd_set_max_body(relay->httpd, DEFAULT_BODY_MAX_BYTES);
 	at_httpd_set_closed_check(relay->httpd, CLOSED_CHECK_MS);
 	return relay;
@@ -371,6 +403,18 @@
 	at_httpd_set_max_body(relay->httpd, bytes);
 }
 
+void
+at_relay_relieve(at_relay_t *relay)
+{
+	at_httpd_relieve(relay->httpd);
+}
+
+uint64_t
+at_relay_unread_bytes(const at_relay_t *relay)
+{
+	return at_httpd_unread_bytes(relay->httpd);
+}
+
 size_t
 at_relay_open(const at_relay_t *relay)
 {
--- a/tests/support/entry_fixture.c
+++ b/tests/support/entry_fixture.c
@@ -135,6 +135,11 @@
 	    ENTRY_FIXTURE_HOST, routes, sizeof(routes) / sizeof(routes[0]),
 	    "studio", with_key ? ENTRY_FIXTURE_KEY : "another-key");
 	add_further_routes(config, fixture->further_routes);
+	if (fixture->cold_per_s != 0)
+		(void)json_object_update_new(
+		    json_array_get(json_object_get(config, "services"), 1),
+		    json_pack("{s:f,s:i}", "cold_start_s", 3., "cold_per_s",
+			(int)fixture->cold_per_s));
 	standin_store_put(
 	    fixture->store, WIRE_KIND_CONFIG, WIRE_CONFIG_NAME, config);
 }
@@ -146,14 +151,18 @@
 	char address[AT_ADDR_SIZE];
 	const char *id = fixture->ids[server];
 	const char *model = strchr(id, '-');
+	json_t *spec;
 
 	(void)snprintf(address, sizeof(address), "127.0.0.1:%u",
 	    standin_server_port(fixture->servers[server]));
-	standin_store_put(fixture->store, WIRE_KIND_SERVERS, id,
-	    standin_server_spec(model == NULL ? "plain" : "llm", address,
-		"north", fixture->versions[server],
-		model == NULL ? NULL : model + 1, leaving,
-		++heartbeat_sequence));
+	spec = standin_server_spec(model == NULL ? "plain" : "llm", address,
+	    fixture->data_centres[server], fixture->versions[server],
+	    model == NULL ? NULL : model + 1, leaving, ++heartbeat_sequence);
+	if (fixture->cold_per_s != 0)
+		json_object_set_new(spec, "cold_remaining_ms",
+		    json_integer((json_int_t)standin_server_cold_ms(
+			fixture->servers[server])));
+	standin_store_put(fixture->store, WIRE_KIND_SERVERS, id, spec);
 }
 
 /*
@@ -192,13 +201,13 @@
 
 static size_t
 add_server(entry_fixture_t *fixture, const char *id, const char *model,
-    const char *version)
+    const char *version, const char *data_centre)
 {
 	size_t i = fixture->server_count++;
 	at_status_t status;
 
 	fixture->versions[i] = version;
-
+	fixture->data_centres[i] = data_centre;
 	(void)snprintf(fixture->ids[i], sizeof(fixture->ids[i]), "%s", id);
 	fixture->servers[i] = standin_server_new(fixture->loop, id);
 	if (model != NULL) {
@@ -213,22 +222,43 @@
 }
 
 size_t
-entry_fixture_add_service(entry_fixture_t *fixture)
+entry_fixture_add_service_in(entry_fixture_t *fixture, const char *data_centre)
 {
 	char id[AT_NAME_SIZE];
 
 	(void)snprintf(id, sizeof(id), "p%zu", fixture->server_count);
-	return add_server(fixture, id, NULL, ENTRY_FIXTURE_VERSION);
+	return add_server(
+	    fixture, id, NULL, ENTRY_FIXTURE_VERSION, data_centre);
 }
 
 size_t
-entry_fixture_add_engine_of_version(
-    entry_fixture_t *fixture, const char *model, const char *version)
+entry_fixture_add_service(entry_fixture_t *fixture)
+{
+	return entry_fixture_add_service_in(fixture, "north");
+}
+
+static size_t
+add_engine(entry_fixture_t *fixture, const char *model, const char *version,
+    const char *data_centre)
 {
 	char id[AT_NAME_SIZE];
 
 	(void)snprintf(id, sizeof(id), "e%zu-%s", fixture->server_count, model);
-	return add_server(fixture, id, model, version);
+	return add_server(fixture, id, model, version, data_centre);
+}
+
+size_t
+entry_fixture_add_engine_in(
+    entry_fixture_t *fixture, const char *model, const char *data_centre)
+{
+	return add_engine(fixture, model, ENTRY_FIXTURE_VERSION, data_centre);
+}
+
+size_t
+entry_fixture_add_engine_of_version(
+    entry_fixture_t *fixture, const char *model, const char *version)
+{
+	return add_engine(fixture, model, version, "north");
 }
 
 size_t
@@ -339,7 +369,11 @@
 	    .stop_grace_s = 8,
 	    .lease_ms = 3000,
 	    .retry_ratio = 0.2,
-	    .retry_slack = 100};
+	    .retry_slack = 100,
+	    .evacuate_ms = fixture->evacuate_ms,
+	    .regions = fixture->regions,
+	    .cold_overage = fixture->cold_per_s == 0 ? 1e9 : 1.5,
+	    .cold_tolerance = fixture->cold_per_s == 0 ? 1e9 : 5.};
 	at_status_t status;
 
 	(void)snprintf(
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -26,11 +26,15 @@
 	char store_address[AT_ADDR_SIZE];
 	char seeds[4 * AT_ADDR_SIZE]; /* of the instances added from now on */
 	uint32_t descriptors;         /* of each instance added from now on */
+	/* Settings of each instance added from now on; regions is borrowed. */
+	uint32_t evacuate_ms;
+	const char *regions;
 	/* Not 0: they have hosts of their own, and this port for reports. */
 	uint16_t peers_port;
 	standin_server_t *servers[ENTRY_FIXTURE_MAX];
 	char ids[ENTRY_FIXTURE_MAX][AT_NAME_SIZE];
-	const char *versions[ENTRY_FIXTURE_MAX]; /* of software; borrowed */
+	const char *versions[ENTRY_FIXTURE_MAX];     /* of software; borrowed */
+	const char *data_centres[ENTRY_FIXTURE_MAX]; /* of servers; borrowed */
 	size_t server_count;
 	at_entry_t *entries[ENTRY_FIXTURE_MAX]; /* NULL: removed */
 	char addresses[ENTRY_FIXTURE_MAX][AT_ADDR_SIZE];
@@ -39,6 +43,11 @@
 	size_t entry_count;
 	uint64_t config_version;
 	size_t further_routes;
+	/*
+	 * Not 0: what the engines take a second while they are cold, and the
+	 * instances added from now on keep to it.
+	 */
+	uint32_t cold_per_s;
 	/* Called with the index of each instance that is added, or NULL. */
 	void (*on_entry_created)(void *ctx, size_t entry);
 	void *on_entry_created_ctx;
@@ -82,6 +91,10 @@
 size_t entry_fixture_add_engine_of_version(
     entry_fixture_t *fixture, const char *model, const char *version);
 /* The same in a data centre other than "north"; data_centre is borrowed. */
+size_t entry_fixture_add_service_in(
+    entry_fixture_t *fixture, const char *data_centre);
+size_t entry_fixture_add_engine_in(
+    entry_fixture_t *fixture, const char *model, const char *data_centre);
 size_t entry_fixture_add_entry_in(
     entry_fixture_t *fixture, const char *data_centre);
 /*
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -2,6 +2,7 @@
  * Tests of the decoders of the platform's documents: configurations, and valid
  * and invalid entries of the list of backend servers.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include <criterion/criterion.h>
@@ -83,12 +84,69 @@
 	"routes[0].service:"},
     {"{\"version\":1,\"tenants\":[{\"name\":\"w\",\"api_keys\":[1]}]}",
 	"tenants[0].api_keys:"},
+    {"{\"version\":1,\"tenants\":[{\"name\":\"w\","
+     "\"allowed_regions\":\"eu\"}]}",
+	"tenants[0].allowed_regions:"},
+    {"{\"version\":1,\"tenants\":[{\"name\":\"w\","
+     "\"allowed_regions\":[\"eu\",1]}]}",
+	"tenants[0].allowed_regions:"},
     {"{\"version\":1,\"routes\":[1e999]}", "routes[0]:"},
     {"{\"version\":1,\"services\":[{} {}]}", "services[0].name:"},
     {"{\"version\":-1}", "version:"},
     {"", "version:"},
 };
 
+/* A restriction that is read as none would let requests leave the region. */
+static const struct {
+	const char *list;
+	size_t count;
+	int allows_eu;
+	int allows_other;
+} regions[] = {
+    {"", 0, 1, 1},
+    {"\"allowed_regions\":null,", 0, 1, 1},
+    {"\"allowed_regions\":[],", 0, 1, 1},
+    {"\"allowed_regions\":[\"eu\"],", 1, 1, 0},
+    {"\"allowed_regions\":[\"us\",\"eu\"],", 2, 1, 0},
+    {"\"allowed_regions\":[\"us\"],", 1, 0, 0},
+};
+
+Test(platform, decodes_allowed_regions)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(regions) / sizeof(regions[0]); i++) {
+		const at_site_regions_t *route;
+		const at_site_regions_t *workspace;
+		char text[512];
+		at_status_t status;
+		at_site_t *site;
+
+		(void)snprintf(text, sizeof(text),
+		    "{\"version\":1,\"routes\":[{%s\"name\":\"r\","
+		    "\"hostname\":\"h\",\"path_prefix\":\"/\",\"type\":"
+		    "\"safe\",\"service\":\"s\"}],\"tenants\":[{%s\"name\":"
+		    "\"w\"}]}",
+		    regions[i].list, regions[i].list);
+		site = decode(text, &status);
+		cr_assert_not_null(site, "%s", status.message);
+		route = &site->routes[0]->allowed_regions;
+		workspace = &site->workspaces[0].allowed_regions;
+		cr_expect_eq(route->count, regions[i].count);
+		cr_expect_eq(workspace->count, regions[i].count);
+		cr_expect_eq(
+		    at_site_allows_region(route, at_tag_from_text("eu")) != 0,
+		    regions[i].allows_eu);
+		cr_expect_eq(at_site_allows_region(
+				 workspace, at_tag_from_text("asia")) != 0,
+		    regions[i].allows_other);
+		/* That of a data centre which the setting does not name. */
+		cr_expect_eq(at_site_allows_region(workspace, 0) != 0,
+		    regions[i].allows_other);
+		at_site_unref(site);
+	}
+}
+
 #define ROUTE_NAMED(name)                                    \
 	"{\"name\":\"" name "\",\"hostname\":\"h.example\"," \
 	"\"path_prefix\":\"/" name "/\",\"type\":\"safe\",\"service\":\"s\"}"
@@ -249,6 +307,66 @@
 		    limits[i].text == NULL ? "(none)" : limits[i].text);
 }
 
+static const struct {
+	const char *fields;
+	uint32_t start_ms;
+	uint32_t milli;
+	int is_valid;
+} cold_services[] = {{"", 0, 0, 1},
+    {",\"cold_start_s\":3,\"cold_per_s\":7", 3000, 7000, 1},
+    {",\"cold_start_s\":2.5,\"cold_per_s\":0.0001", 2500, 1, 1},
+    {",\"cold_start_s\":3,\"cold_per_s\":0", 3000, 0, 1},
+    {",\"cold_start_s\":3,\"cold_per_s\":null", 3000, 0, 1},
+    {",\"cold_per_s\":1e99", 0, 1000000000, 1}, {",\"cold_per_s\":-1", 0, 0, 0},
+    {",\"cold_per_s\":\"7\"", 0, 0, 0}};
+
+/* A rate that cannot be read would leave cold engines without a limit. */
+Test(platform, cold_times_and_rates_of_services)
+{
+	char text[128];
+	size_t i;
+
+	for (i = 0; i < sizeof(cold_services) / sizeof(cold_services[0]); i++) {
+		at_status_t status;
+		at_site_t *site;
+
+		(void)snprintf(text, sizeof(text),
+		    "{\"version\":7,\"services\":[{\"name\":\"s\"%s}]}",
+		    cold_services[i].fields);
+		site = decode(text, &status);
+		cr_assert_eq(site != NULL, cold_services[i].is_valid, "%s",
+		    cold_services[i].fields);
+		if (site == NULL)
+			continue;
+		cr_assert_eq(site->services[0]->cold_start_ms,
+		    cold_services[i].start_ms, "%s", cold_services[i].fields);
+		cr_assert_eq(site->services[0]->cold_milli,
+		    cold_services[i].milli, "%s", cold_services[i].fields);
+		at_site_unref(site);
+	}
+}
+
+static const struct {
+	const char *text;
+	int result;
+	uint32_t cold_ms;
+} colds[] = {{NULL, -1, 0}, {"", -1, 0}, {"0", 0, 0}, {"3000", 0, 3000},
+    {"0.2", 0, 1}, {"1e12", 0, UINT32_MAX}, {"-1", -1, 0}, {"cold", -1, 0}};
+
+/* What cannot be read must not count as "not cold". */
+Test(platform, cold_times_of_servers)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(colds) / sizeof(colds[0]); i++) {
+		uint32_t cold_ms = 0;
+
+		cr_assert_eq(at_server_parse_cold(colds[i].text, &cold_ms),
+		    colds[i].result);
+		cr_assert_eq(cold_ms, colds[i].cold_ms);
+	}
+}
+
 static const struct {
 	const char *text;
 	uint32_t pause_ms;
