--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -481,16 +481,22 @@
     at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
 {
 	at_work_kind_t kind = kind_of(&waiter->work);
+	uint64_t token_ns = mean_times(queue, waiter, now_us).prompt_token_ns;
 	at_shed_request_t arriving = shed_request(waiter);
 	at_waiter_t *other;
 	at_waiter_t *found = NULL;
 	uint64_t found_cost = 0;
 
+	arriving.work_us = waiter->work.prompt_tokens * token_ns / NS_PER_US;
+
 	for (other = queue->head; other != NULL; other = other->next) {
 		at_work_kind_t other_kind = kind_of(&other->work);
 		at_shed_request_t queued = shed_request(other);
-		uint64_t cost = at_shed_cost(&queued, now_us);
+		uint64_t cost;
 
+		queued.work_us =
+		    other->work.prompt_tokens * token_ns / NS_PER_US;
+		cost = at_shed_cost(&queued, now_us);
 		if (!is_kind(&other_kind, &kind) || other->is_yielding ||
 		    !at_shed_yields(&queued, now_us, &arriving, now_us) ||
 		    (found != NULL && cost >= found_cost))
