--- a/src/io/httpd_memory.c
+++ b/src/io/httpd_memory.c
@@ -14,8 +14,6 @@
 #define HEADINGS_PART 5u
 #define VICTIMS_MAX 16 /* for one claim */
 #define CLOSES_MAX 64  /* of connections, in one at_httpd_relieve() */
-/* Freed with a connection: its structures, and what was used of its buffer. */
-#define CLOSED_BYTES (16u * 1024)
 
 static uint64_t
 ms_since(const at_httpd_t *httpd, double since_s)
@@ -355,8 +353,9 @@
 	at_httpd_request_t *request;
 	size_t count = 0;
 
-	for (request = httpd->requests; request != NULL && count < CLOSES_MAX &&
-					count * CLOSED_BYTES < excess;
+	for (request = httpd->requests;
+	     request != NULL && count < CLOSES_MAX &&
+	     count * CONNECTION_MEMORY_BYTES < excess;
 	     request = request->next) {
 		if (!request->is_heading || request->state != REQUEST_READING ||
 		    ms_since(httpd, request->started_at) < AT_MEMORY_STALLED_MS)
@@ -366,7 +365,7 @@
 	}
 	for (connection = TAILQ_FIRST(&httpd->idle);
 	     connection != NULL && count < CLOSES_MAX &&
-	     count * CLOSED_BYTES < excess;
+	     count * CONNECTION_MEMORY_BYTES < excess;
 	     connection = TAILQ_NEXT(connection, idle)) {
 		if (connection->is_closed)
 			continue;
