Give the process of test_memory_limits a host of its own

one_byte_chunks failed once in build/ before it sent anything (not served in 10 s after the start); that another test had taken one of its ports, which are in the same range, is suspected, not shown. The instance now has a host on loopback made of the test's process id, and is ended where a test fails.

--- a/tests/contract/test_memory_limits.c
+++ b/tests/contract/test_memory_limits.c
@@ -94,6 +94,7 @@
 	char folder[64];
 	char conf[PATH_SIZE];
 	char ready[AT_ADDR_SIZE];
+	uint32_t host; /* of its own, as other tests take any port */
 	uint16_t port;
 	client_t clients[CLIENTS_MAX];
 	char *block; /* repeated in a body */
@@ -141,11 +142,11 @@
 }
 
 static int
-connect_to(uint16_t port)
+connect_to(const world_t *world)
 {
 	struct sockaddr_in addr = {.sin_family = AF_INET,
-	    .sin_port = htons(port),
-	    .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	    .sin_port = htons(world->port),
+	    .sin_addr = {htonl(world->host)}};
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
 	cr_assert_geq(fd, 0);
@@ -233,6 +234,16 @@
 	return waitpid(world->pid, NULL, WNOHANG) == 0;
 }
 
+/* A test that fails ends where it is. */
+static pid_t started;
+
+static void
+end_process(void)
+{
+	if (started != 0)
+		(void)kill(started, SIGKILL);
+}
+
 /* Only one of the tests runs at a time, whoever has started them. */
 static void
 wait_for_turn(void)
@@ -273,6 +284,9 @@
 	size_t i;
 	FILE *file;
 
+	world->host = 127u << 24 |
+		      (100u + ((unsigned)getpid() >> 16) % 100u) << 16 |
+		      ((unsigned)getpid() & 0xffffu);
 	(void)snprintf(world->folder, sizeof(world->folder),
 	    "/tmp/almondthread-memory-XXXXXX");
 	cr_assert_not_null(mkdtemp(world->folder));
@@ -281,8 +295,9 @@
 	    world->conf, sizeof(world->conf), "%s/node.conf", world->folder);
 	(void)snprintf(log, sizeof(log), "%s/log", world->folder);
 	for (i = 0; i < 3; i++)
-		(void)snprintf(addresses[i], AT_ADDR_SIZE, "127.0.0.1:%u",
-		    first + 3u * (unsigned)(i + 1u));
+		(void)snprintf(addresses[i], AT_ADDR_SIZE, "127.%u.%u.%u:%u",
+		    world->host >> 16 & 255u, world->host >> 8 & 255u,
+		    world->host & 255u, first + 3u * (unsigned)(i + 1u));
 	world->port = (uint16_t)(first + 3u);
 	(void)snprintf(world->ready, AT_ADDR_SIZE, "%s", addresses[1]);
 	file = fopen(world->conf, "w");
@@ -305,6 +320,7 @@
 	(void)posix_spawn_file_actions_adddup2(&actions, 1, 2);
 	cr_assert_eq(
 	    posix_spawn(&world->pid, program, &actions, NULL, argv, env), 0);
+	started = world->pid;
 	(void)posix_spawn_file_actions_destroy(&actions);
 	(void)snprintf(
 	    world->fixture->addresses[0], AT_ADDR_SIZE, "%s", addresses[0]);
@@ -464,7 +480,7 @@
 						   : "",
 			framing);
 	client->is_complete = number < crowd->complete;
-	client->fd = connect_to(world->port);
+	client->fd = connect_to(world);
 }
 
 /* Returns what a client sends next; *len is 0 at the end. */
@@ -596,6 +612,7 @@
 
 	(void)kill(world->pid, SIGKILL);
 	(void)waitpid(world->pid, NULL, 0);
+	started = 0;
 	for (i = 0; i < world->crowd.clients; i++) {
 		if (world->clients[i].fd >= 0)
 			(void)close(world->clients[i].fd);
@@ -680,11 +697,11 @@
 	world_delete(world);
 }
 
-#define CROWD_TEST(name, ...)                               \
-	Test(memory_limits, name, .timeout = 280)           \
-	{                                                   \
-		static const crowd_t crowd = {__VA_ARGS__}; \
-		run(&crowd);                                \
+#define CROWD_TEST(name, ...)                                          \
+	Test(memory_limits, name, .timeout = 280, .fini = end_process) \
+	{                                                              \
+		static const crowd_t crowd = {__VA_ARGS__};            \
+		run(&crowd);                                           \
 	}
 
 /* Each body was kept whole, with room to grow; nothing bounded their sum. */
