--- a/include/almondthread/fleet.h
+++ b/include/almondthread/fleet.h
@@ -180,14 +180,14 @@
 	/* Of AT_CHOICE_LIMITED and AT_CHOICE_PAUSED: time until that changes.
 	 */
 	uint64_t closed_us;
+	/* Of candidates that may get a request, whether or not one is free. */
+	uint32_t open_slots;
+	uint32_t open_active; /* requests there, of all instances */
 	/*
 	 * Of AT_CHOICE_FULL, if the rates of cold engines allow no request and
 	 * no other engine is available: time until one of them may get one.
 	 */
 	uint64_t cold_us;
-	/* Of candidates that may get a request, whether or not one is free. */
-	uint32_t open_slots;
-	uint32_t open_active; /* requests there, of all instances */
 } at_choice_t;
 
 /* How a request ended, as far as it shows the backend server's health. */
--- a/include/almondthread/wait_queue.h
+++ b/include/almondthread/wait_queue.h
@@ -52,8 +52,6 @@
 	/* The caller leaves if it has no event by then; 0: it does not. */
 	uint64_t first_event_limit_us;
 	uint64_t expires_us; /* set by at_wait_queue_decide() */
-	/* Time to read the prompt at a server; 0: set by the queue. */
-	uint64_t work_us;
 	struct at_waiter *next;
 	struct at_waiter *prev;
 	int is_queued;
--- a/src/core/fleet/choose.c
+++ b/src/core/fleet/choose.c
@@ -402,29 +402,29 @@
  * adds to the cost is left out if the cost is above limit_us without it.
  */
 static int
-evaluate(const choosing_t *choosing, const at_load_t *load,
-    candidate_t *candidate, uint64_t limit_us)
+evaluate(const choosing_t *choosing, candidate_t *candidate, uint64_t limit_us)
 {
 	const at_server_t *server = candidate->server;
 	const at_work_t *work = choosing->work;
+	const at_load_t load = at_server_load(server, choosing->now_us);
 	double factor;
 	uint32_t prompt;
 
 	candidate->free_slots =
 	    choosing->is_brittle
 		? free_room_at(
-		      server, choosing->service, work, load, choosing->now_us)
-		: free_slots_now(server, choosing->service, work, load);
+		      server, choosing->service, work, &load, choosing->now_us)
+		: free_slots_now(server, choosing->service, work, &load);
 	if (candidate->free_slots == 0)
 		return 0;
 	factor = get_factor(server, choosing->now_us);
 	prompt = work->prompt_tokens - cached_tokens(server, work);
 	candidate->predicted_us =
-	    predict_us(choosing->fleet, server, work, load, prompt, factor);
+	    predict_us(choosing->fleet, server, work, &load, prompt, factor);
 	candidate->cost_us =
-	    cost_us(work, load, candidate->predicted_us, factor);
+	    cost_us(work, &load, candidate->predicted_us, factor);
 	if (candidate->cost_us <= limit_us)
-		candidate->cost_us += speed_cost_us(server, load,
+		candidate->cost_us += speed_cost_us(server, &load,
 		    &choosing->pace, prompt, candidate->predicted_us, factor);
 	return 1;
 }
@@ -509,7 +509,6 @@
 				at_server_has_resident(server, work->model, 0);
 		server_gate_t gate;
 		uint64_t limit_us;
-		at_load_t load;
 
 		/* Most engines of a large fleet do not have the model. */
 		if (!has_model && available > 0 && work->software == 0)
@@ -538,9 +537,13 @@
 		    (fleet->hold_count > 0 &&
 			fleet_is_held(fleet, server, work)))
 			continue;
-		load = at_server_load(server, now_us);
-		choice->open_slots += server->entry.slots;
-		choice->open_active += load.active;
+		/* Only plain services are bounded by them (plain_rates.h). */
+		if (work->model == 0) {
+			at_load_t load = at_server_load(server, now_us);
+
+			choice->open_slots += server->entry.slots;
+			choice->open_active += load.active;
+		}
 		candidate.preference =
 		    preference_of(fleet, server, work, now_us);
 		limit_us =
@@ -548,7 +551,7 @@
 			    candidate.preference != selection.preference
 			? UINT64_MAX
 			: selection.cost_us + margin_us(&selection, work);
-		if (!evaluate(&choosing, &load, &candidate, limit_us))
+		if (!evaluate(&choosing, &candidate, limit_us))
 			continue;
 		/* A part of the rate covers one request at a time. */
 		if (candidate.preference != PREFERENCE_USUAL)
--- a/src/core/fleet/wait_queue.c
+++ b/src/core/fleet/wait_queue.c
@@ -91,7 +91,6 @@
 	    .arrived_us = waiter->arrived_us,
 	    .objective_us = waiter->objective_us,
 	    .deadline_us = waiter->deadline_us,
-	    .work_us = waiter->work_us,
 	    .is_begun = waiter->work.is_resumption,
 	    .is_surplus = waiter->is_surplus};
 
@@ -235,23 +234,17 @@
 	return ms > RETRY_MAX_MS ? RETRY_MAX_MS : (uint32_t)ms;
 }
 
-/* Returns the time to read the request's prompt at a mean server. */
-static uint64_t
-prompt_us(
-    const at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
-{
-	return (uint64_t)waiter->work.prompt_tokens *
-	       mean_times(queue, waiter, now_us).prompt_token_ns / NS_PER_US;
-}
-
 /*
  * Returns how long a request may wait here so that a response still reaches its
  * caller.
  */
 static uint64_t
-max_wait_us(const at_waiter_t *waiter, uint64_t now_us)
+max_wait_us(
+    const at_wait_queue_t *queue, const at_waiter_t *waiter, uint64_t now_us)
 {
-	uint64_t own_us = waiter->work_us;
+	uint64_t own_us = (uint64_t)waiter->work.prompt_tokens *
+			  mean_times(queue, waiter, now_us).prompt_token_ns /
+			  NS_PER_US;
 	uint64_t remaining_us =
 	    waiter->deadline_us > now_us ? waiter->deadline_us - now_us : 0;
 	uint64_t max_us = remaining_us * WAIT_PERCENT / 100u;
@@ -541,14 +534,12 @@
 at_wait_queue_decide(at_wait_queue_t *queue, at_waiter_t *waiter,
     uint64_t now_us, at_admission_decision_t *decision)
 {
+	uint64_t max_us = max_wait_us(queue, waiter, now_us);
 	int has_expired =
 	    waiter->expires_us != 0 && waiter->expires_us <= now_us;
-	uint64_t max_us;
 
 	memset(decision, 0, sizeof(*decision));
 	update_holds(queue, now_us);
-	waiter->work_us = prompt_us(queue, waiter, now_us);
-	max_us = max_wait_us(waiter, now_us);
 	waiter->work.priority = waiter->priority;
 	waiter->expires_us = now_us + max_us;
 	waiter->is_yielding = 0;
@@ -626,8 +617,6 @@
 {
 	at_waiter_t *before = queue->tail;
 
-	if (waiter->work_us == 0)
-		waiter->work_us = prompt_us(queue, waiter, waiter->arrived_us);
 	waiter->is_surplus = is_surplus(queue, waiter);
 	while (before != NULL && rank(before) > rank(waiter))
 		before = before->prev;
