--- a/include/almondthread/memory.h
+++ b/include/almondthread/memory.h
@@ -36,7 +36,7 @@
 /* Names of kinds, indexed by at_memory_kind_t. */
 extern const char *const at_memory_kind_names[];
 
-/* Whom bodies belong to: a workspace or an address, as a hash; 0: nobody. */
+/* Whom bodies belong to: a workspace or an address, as a hash; 0: none. */
 typedef uint64_t at_memory_owner_t;
 #define AT_MEMORY_OWNERS 256u /* owners with the same remainder are one */
 
--- a/src/io/httpd_memory.c
+++ b/src/io/httpd_memory.c
@@ -174,7 +174,7 @@
 	request->is_body_paused = 0;
 }
 
-/* What this process has not read yet is no fault of the caller. */
+/* Returns non-zero if bytes of the body wait to be read by this process. */
 static int
 has_unread(const at_httpd_request_t *request)
 {
@@ -334,7 +334,7 @@
 		   : -1;
 }
 
-/* Nobody gives way for it. */
+/* Reading ahead makes no other request give way. */
 int
 httpd_claim_ahead(at_httpd_request_t *request)
 {
@@ -405,7 +405,10 @@
 	(void)close_waiting(httpd, at_memory_excess(httpd->memory));
 }
 
-/* Reading goes on where there is room again, or no more patience. */
+/*
+ * Resumes bodies and streams for which there is room again, and bodies that
+ * were paused for the longest time allowed.
+ */
 static void
 resume_paused(at_httpd_t *httpd)
 {
