--- a/review/6/case.c
+++ b/review/6/case.c
@@ -157,6 +157,7 @@
 		static char ids[SERVERS][16];
 		server_spec_t spec = {.service = "booking-app",
 		    .zone = zones[i],
+		    .version = "v1",
 		    .slots = 20,
 		    .work_ms = 60};
 
@@ -169,7 +170,7 @@
 		(void)snprintf(name, sizeof(name), "frontend-%s-%d",
 		    zones[i % 3], i / 3 + 1);
 		instance_add(&instances[i], world_folder(), name, zones[i % 3],
-		    store, "");
+		    store_open(store, i));
 		instance_start(&instances[i]);
 	}
 	for (i = 0; i < INSTANCES; i++) {
--- a/review/world2.c
+++ b/review/world2.c
@@ -487,9 +487,17 @@
 	uint64_t revision;
 } state_t;
 
-struct store {
+#define GATES_MAX 16
+
+typedef struct gate {
+	store_t *store;
 	service_t service;
 	char address[32];
+	volatile int is_cut;
+} gate_t;
+
+struct store {
+	gate_t gates[GATES_MAX];
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
 	state_t now;
@@ -594,6 +602,16 @@
 	(void)pthread_mutex_lock(&s->lock);
 }
 
+/* The lock is held; what cannot pass the gate waits for good. */
+static void
+pass_gate(store_t *s, const gate_t *gate)
+{
+	(void)pthread_mutex_unlock(&s->lock);
+	while (gate->is_cut)
+		sleep_ms(1000);
+	(void)pthread_mutex_lock(&s->lock);
+}
+
 static void
 store_answer(store_t *s, client_t *c, const char *status, json_t *body)
 {
@@ -623,7 +641,8 @@
 }
 
 static void
-answer_watch(store_t *s, client_t *c, const char *kind, const char *query)
+answer_watch(store_t *s, const gate_t *gate, client_t *c, const char *kind,
+    const char *query)
 {
 	uint64_t since = strtoull(argument(query, "watch"), NULL, 10);
 	const char *wait = argument(query, "wait_ms");
@@ -658,6 +677,7 @@
 		}
 		(void)pthread_cond_timedwait(&s->changed, &s->lock, &until);
 	}
+	pass_gate(s, gate);
 	store_answer(s, c, "200 OK",
 	    json_pack("{s:o,s:I}", "events", events, "as_of",
 		(json_int_t)s->now.revision));
@@ -736,7 +756,8 @@
 static void
 serve_store(void *ctx, client_t *c, const message_t *request)
 {
-	store_t *s = ctx;
+	gate_t *gate = ctx;
+	store_t *s = gate->store;
 	char method[16] = "";
 	char path[1024] = "";
 	char kind[48];
@@ -757,7 +778,9 @@
 	name = name == NULL ? "" : path + 9 + (name - kind) + 1;
 	kind[strcspn(kind, "/")] = '\0';
 	(void)pthread_mutex_lock(&s->lock);
+	pass_gate(s, gate);
 	delay_answer(s);
+	pass_gate(s, gate);
 	if (strcmp(method, "GET") != 0 && strcmp(method, "DELETE") != 0) {
 		answer_write(s, c, request, kind, name);
 	} else if (strcmp(method, "DELETE") == 0) {
@@ -769,7 +792,7 @@
 		else
 			store_answer(s, c, "200 OK", object_json(o));
 	} else if (argument(query, "watch") != NULL) {
-		answer_watch(s, c, kind, query);
+		answer_watch(s, gate, c, kind, query);
 	} else {
 		answer_list(s, c, kind);
 	}
@@ -786,15 +809,26 @@
 	s->delay_ms = 4;
 	(void)pthread_mutex_init(&s->lock, NULL);
 	(void)pthread_cond_init(&s->changed, NULL);
-	s->service = (service_t){listen_on(s->address), serve_store, s};
-	start_thread(run_service, &s->service);
 	return s;
 }
 
 const char *
-store_address(const store_t *s)
+store_open(store_t *s, int number)
+{
+	gate_t *gate = &s->gates[number];
+
+	gate->store = s;
+	gate->service =
+	    (service_t){listen_on(gate->address), serve_store, gate};
+	start_thread(run_service, &gate->service);
+	return gate->address;
+}
+
+void
+store_cut(store_t *s, int number)
 {
-	return s->address;
+	s->gates[number].is_cut = 1;
+	record("store: gate %d is cut", number);
 }
 
 void
@@ -951,8 +985,9 @@
 	(void)client_send(c, text, (size_t)n);
 	for (k++; k <= events && c->fd >= 0; k++) {
 		char event[128];
-		int len = snprintf(event, sizeof(event),
-		    "id: %u\ndata: %s %u\n\n", k, v->spec.id, k);
+		int len =
+		    snprintf(event, sizeof(event), "id: %u\ndata: %s %s %u\n\n",
+			k, v->spec.version, v->spec.id, k);
 		char gone;
 
 		n = snprintf(
@@ -1018,7 +1053,7 @@
 	(void)pthread_mutex_unlock(&v->lock);
 	if (server_on_run != NULL)
 		server_on_run(v, request);
-	if (v->spec.model != NULL)
+	if (v->spec.event_ms != 0)
 		serve_stream(v, c, request);
 	else
 		serve_plain(v, c, request);
@@ -1049,10 +1084,10 @@
 	models_json(v, models, sizeof(models));
 	(void)snprintf(spec, sizeof(spec),
 	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-	    "\"version\":\"v1\",\"slots\":%u,\"state\":\"ready\","
+	    "\"version\":\"%s\",\"slots\":%u,\"state\":\"ready\","
 	    "\"sequence\":1,\"born\":%llu,\"phase\":\"both\",\"models\":%s}",
-	    v->spec.service, v->address, v->spec.zone, v->spec.slots,
-	    (unsigned long long)v->born_ms, models);
+	    v->spec.service, v->address, v->spec.zone, v->spec.version,
+	    v->spec.slots, (unsigned long long)v->born_ms, models);
 	store_put(store, "servers", v->spec.id, spec);
 }
 
@@ -1079,7 +1114,7 @@
 /* The settings of deploy/entry.conf, as the platform fills them in. */
 void
 instance_add(instance_t *instance, const char *in, const char *name,
-    const char *zone, const store_t *store, const char *seeds)
+    const char *zone, const char *store)
 {
 	FILE *f;
 
@@ -1099,7 +1134,7 @@
 		exit(2);
 	(void)fprintf(f,
 	    "name=%s\ndata-centre=%s\nlisten=%s\nready=%s\nmetrics="
-	    "127.0.0.1:%u\npeers=127.0.0.1:%u\nstore=%s\nseeds=%s\n"
+	    "127.0.0.1:%u\npeers=127.0.0.1:%u\nstore=%s\nseeds=\n"
 	    "stop-grace-s=8\nlease-ms=3000\ndrain-ms=2000\n"
 	    "config-apply-ms=2000\nretry-ratio=0.2\nretry-slack=58\n"
 	    "processor-share=0.25\ncores=1\nlink-mbps=1000.0\n"
@@ -1107,7 +1142,7 @@
 	    "regions=muscat-a:muscat,muscat-b:muscat,muscat-c:muscat\n"
 	    "cold-overage=\ncold-tolerance=\nmemory-mb=260\n",
 	    name, zone, instance->listen, instance->ready, free_port(),
-	    free_port(), store_address(store), seeds);
+	    free_port(), store);
 	(void)fclose(f);
 }
 
--- a/review/world2.h
+++ b/review/world2.h
@@ -44,7 +44,10 @@
 typedef struct store store_t;
 
 store_t *store_start(void);
-const char *store_address(const store_t *store);
+/* An address of its own for an instance, which store_cut() closes. */
+const char *store_open(store_t *store, int gate);
+/* Calls through the gate get no answer any more; connections stay open. */
+void store_cut(store_t *store, int gate);
 void store_put(
     store_t *store, const char *kind, const char *name, const char *spec);
 /* Time that each answer takes. */
@@ -66,7 +69,8 @@
 	const char *id;
 	const char *service;
 	const char *zone;
-	const char *model; /* NULL: a plain service */
+	const char *model;   /* NULL: a plain service */
+	const char *version; /* of the software */
 	uint32_t slots;
 	uint32_t work_ms;  /* of a plain request */
 	uint32_t event_ms; /* between two events of a stream */
@@ -98,7 +102,7 @@
 } instance_t;
 
 void instance_add(instance_t *instance, const char *folder, const char *name,
-    const char *zone, const store_t *store, const char *seeds);
+    const char *zone, const char *store);
 void instance_start(instance_t *instance);
 void instance_signal(const instance_t *instance, int number);
 /* Returns non-zero if the process has ended; wait_ms is the longest wait. */
