Let no stream go on by a list that is older than the request

Cause: an instance that did not know where a stream had begun let it go on if its list had one version and was confirmed, or stated by others, less than 0.5 s ago. That is evidence from before the request: a server that was listed since, and began the stream, is not in the list. The log shows it as origin=only_version with the old version's tag.

Change: the request is held until the store has responded to a question that was sent after its arrival. A server that began the stream was listed before its first event, and the caller resumed after that, so the response has it. Without a response within 500 ms it is refused as not run; the next ones at once while that is fresh, or for 2 s after the store is back from an older copy. One question, a watch that responds at once, serves all requests that wait. The version of a server whose deletion comes in the same response is noted, too.

Cost: 1 to 4 questions for 40 resumptions.

--- a/src/entry/call/call.h
+++ b/src/entry/call/call.h
@@ -44,8 +44,17 @@
 	/* Told of the events of all attempts, in this order. */
 	at_attempt_observer_t observers[AT_CALL_OBSERVERS_MAX];
 	size_t observer_count;
-	/* Zero if the list of servers may lack some. */
+	/* Zero if the list of servers is known to lack some, or may for long.
+	 */
 	int (*is_list_current)(void *ctx);
+	/*
+	 * Has the platform asked for all servers that it lists at this moment;
+	 * returns a ticket. Once the list has them, it is confirmed for the
+	 * ticket. It is unconfirmed if the platform did not respond just now.
+	 */
+	uint64_t (*ask_list)(void *ctx);
+	int (*is_list_confirmed)(void *ctx, uint64_t ticket);
+	int (*is_list_unconfirmed)(void *ctx);
 	/* The time in which requests may still run, in ms, during a shutdown.
 	 */
 	uint64_t (*left_ms)(void *ctx);
@@ -70,6 +79,11 @@
 void at_call_classify(
     void *ctx, const at_httpd_request_t *request, at_httpd_class_t *class);
 
+/*
+ * at_calls_release_held() decides on the requests that were held until the list
+ * was confirmed; to be called when a question of ask_list() has ended.
+ */
+void at_calls_release_held(at_calls_t *calls);
 /*
  * at_calls_place_queued() places queued requests; to be called when slots may
  * have become free at a backend server.
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -36,14 +36,11 @@
 #define CALLER_TIMEOUT_EVENT_GAPS 8u
 /* The first configuration takes two list calls and the parsing. */
 #define NO_CONFIG_RETRY_MS 500u
-/* Time until a lost report on the origin of a stream has been repeated. */
-#define UNKNOWN_ORIGIN_RETRY_MS 200u
 /* Stated in refusals at the shutdown: another instance can run the request. */
 #define STOPPING_RETRY_MS 10u
 
-/* Refuses a request before a call is created for it. */
-static void
-refuse_request(at_calls_t *calls, at_httpd_request_t *request,
+void
+call_refuse_request(at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, at_reason_t reason,
     uint32_t retry_after_ms, const char *detail)
 {
@@ -69,8 +66,9 @@
 	 */
 	if (at_httpd_fault(request) != AT_HTTPD_MALFORMED)
 		(void)at_caller_parse_headers(request, &header);
-	refuse_request(calls, request, &header, at_httpd_fault_reason(request),
-	    at_httpd_retry_after_ms(request), at_httpd_fault_text(request));
+	call_refuse_request(calls, request, &header,
+	    at_httpd_fault_reason(request), at_httpd_retry_after_ms(request),
+	    at_httpd_fault_text(request));
 }
 
 void
@@ -156,10 +154,8 @@
 	return (uint64_t)ms * US_PER_MS;
 }
 
-/* Returns after which time a request ends at the latest. */
-static uint32_t
-request_limit_ms(
-    const at_site_route_t *route, const at_request_header_t *header)
+uint32_t
+call_limit_ms(const at_site_route_t *route, const at_request_header_t *header)
 {
 	return header->has_deadline && header->deadline_ms < route->timeout_ms
 		   ? header->deadline_ms
@@ -170,7 +166,7 @@
 fill_waiter(at_call_t *call, const at_request_header_t *header)
 {
 	at_waiter_t *waiter = &call->waiter;
-	uint32_t limit_ms = request_limit_ms(call->route, header);
+	uint32_t limit_ms = call_limit_ms(call->route, header);
 
 	if (limit_ms > RESPONSE_MARGIN_MS)
 		limit_ms -= RESPONSE_MARGIN_MS;
@@ -195,10 +191,12 @@
 	int may_repeat =
 	    route->type == AT_ROUTE_SAFE ||
 	    (route->type == AT_ROUTE_STREAM && route->is_resumable);
+	uint64_t now_us = at_clock_now_us();
+	uint64_t left_us = call->waiter.deadline_us > now_us
+			       ? call->waiter.deadline_us - now_us
+			       : 0;
 	at_attempt_limits_t limits = {.connect_ms = 0,
-	    .deadline_ms =
-		(uint32_t)((call->waiter.deadline_us - call->started_us) /
-			   US_PER_MS),
+	    .deadline_ms = (uint32_t)(left_us / US_PER_MS),
 	    .attempts_max = route->attempts_max,
 	    .unsent_not_counted = 1,
 	    .keeps_silent = 1,
@@ -228,7 +226,7 @@
 
 static at_call_t *
 call_new(at_calls_t *calls, at_httpd_request_t *request,
-    const at_request_header_t *header)
+    const at_request_header_t *header, uint64_t arrived_us)
 {
 	at_call_t *call = calloc(1, sizeof(*call));
 	size_t i;
@@ -244,7 +242,7 @@
 	call->request = request;
 	call->header = *header;
 	call->site = at_site_ref(*calls->deps.site);
-	call->started_us = at_clock_now_us();
+	call->started_us = arrived_us;
 	(void)snprintf(call->id, sizeof(call->id), "%s",
 	    header->id == NULL ? "" : header->id);
 	ev_timer_init(&call->timer, call_on_timer, 0., 0.);
@@ -293,91 +291,16 @@
 	    workspace->name.text, *units,
 	    at_quota_level(calls->deps.quota, workspace->tag),
 	    at_quota_recent_deficit(calls->deps.quota, workspace->tag, now_us));
-	refuse_request(
+	call_refuse_request(
 	    calls, request, header, AT_REASON_OVER_RATE, retry_ms, detail);
 	return -1;
 }
 
-static int
-is_resumable(const at_site_route_t *route)
-{
-	return route->type == AT_ROUTE_STREAM && route->is_resumable;
-}
-
-/*
- * Returns the only version that can have begun a stream of unknown origin, or
- * 0. Without the platform, the list may lack servers of another version.
- */
-static at_tag_t
-only_version(at_calls_t *calls, at_tag_t service)
-{
-	const at_calls_deps_t *deps = &calls->deps;
-
-	if (!deps->is_list_current(deps->ctx))
-		return 0;
-	at_gossip_note_versions(deps->gossip);
-	return at_stream_origins_only_version(
-	    calls->deps.origins, service, at_clock_now_us());
-}
-
-static at_tag_t
-find_origin(const at_calls_t *calls, const char *resumes)
-{
-	return resumes == NULL
-		   ? 0
-		   : at_stream_origins_find(calls->deps.origins,
-			 at_tag_from_text(resumes), at_clock_now_us());
-}
-
-/*
- * Finds the software version at which the request must run, 0 for any. Refuses
- * the request and returns -1 if it resumes a stream whose version is unknown.
- */
-static int
-find_software(at_calls_t *calls, at_httpd_request_t *request,
-    const at_request_header_t *header, const at_site_route_t *route,
-    at_tag_t service, at_tag_t *software)
-{
-	const char *resumes = header->resumes;
-	const char *source = "reported";
-	char detail[160];
-
-	*software = 0;
-	if (!is_resumable(route) ||
-	    (resumes == NULL && header->resume_after == NULL))
-		return 0;
-	*software = find_origin(calls, resumes);
-	if (*software == 0) {
-		/* A report on it, or on a new version, may have arrived. */
-		at_gossip_receive(calls->deps.gossip);
-		*software = find_origin(calls, resumes);
-	}
-	if (*software == 0) {
-		*software = only_version(calls, service);
-		source = "only_version";
-	}
-	if (*software != 0) {
-		at_log(AT_LOG_INFO, "call", header->id,
-		    "resumes a stream stream=%s after=%s software=%016" PRIx64
-		    " origin=%s",
-		    resumes == NULL ? "-" : resumes,
-		    header->resume_after == NULL ? "-" : header->resume_after,
-		    *software, source);
-		return 0;
-	}
-	(void)snprintf(detail, sizeof(detail), "stream=%s origins=%zu",
-	    resumes == NULL ? "-" : resumes,
-	    at_stream_origins_count(calls->deps.origins));
-	refuse_request(calls, request, header, AT_REASON_UNKNOWN_ORIGIN,
-	    UNKNOWN_ORIGIN_RETRY_MS, detail);
-	return -1;
-}
-
 /* Returns the tag that names the stream of a request, 0 for none. */
 static at_tag_t
 stream_tag(const at_request_header_t *header, const at_site_route_t *route)
 {
-	if (!is_resumable(route))
+	if (!call_is_resumable(route))
 		return 0;
 	if (header->resumes != NULL)
 		return at_tag_from_text(header->resumes);
@@ -389,7 +312,7 @@
 static void
 start_call(at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, const at_site_route_t *route,
-    const at_site_workspace_t *workspace)
+    const at_site_workspace_t *workspace, const held_request_t *held)
 {
 	const at_site_service_t *service =
 	    at_site_find_service((*calls->deps.site),
@@ -399,22 +322,24 @@
 	at_call_t *call;
 
 	if (service == NULL) {
-		refuse_request(calls, request, header, AT_REASON_NO_BACKEND,
-		    NO_CONFIG_RETRY_MS, "error=unknown_service");
+		call_refuse_request(calls, request, header,
+		    AT_REASON_NO_BACKEND, NO_CONFIG_RETRY_MS,
+		    "error=unknown_service");
 		return;
 	}
-	if (find_software(
-		calls, request, header, route, service->tag, &software) != 0)
+	if (call_find_software(calls, request, header, route, service->tag,
+		held, &software) != 0)
 		return;
 	if (workspace != NULL && charge_quota(calls, request, header, workspace,
 				     software != 0, &units) != 0)
 		return;
-	call = call_new(calls, request, header);
+	call = call_new(calls, request, header,
+	    held == NULL ? at_clock_now_us() : held->arrived_us);
 	if (call == NULL) {
 		if (workspace != NULL)
 			at_quota_refund(
 			    calls->deps.quota, workspace->tag, units);
-		refuse_request(calls, request, header, AT_REASON_OVERLOAD,
+		call_refuse_request(calls, request, header, AT_REASON_OVERLOAD,
 		    NO_CONFIG_RETRY_MS, "error=no_memory");
 		return;
 	}
@@ -444,14 +369,15 @@
 	if (route->is_public || !(*calls->deps.site)->has_workspaces)
 		return 0;
 	if (header->key == NULL) {
-		refuse_request(
+		call_refuse_request(
 		    calls, request, header, AT_REASON_MISSING_KEY, 0, "");
 		return -1;
 	}
 	*workspace = at_site_find_workspace((*calls->deps.site), header->key);
 	if (*workspace != NULL)
 		return 0;
-	refuse_request(calls, request, header, AT_REASON_UNKNOWN_KEY, 0, "");
+	call_refuse_request(
+	    calls, request, header, AT_REASON_UNKNOWN_KEY, 0, "");
 	return -1;
 }
 
@@ -470,54 +396,62 @@
 	return (state == AT_ENTRY_LINGERING ||
 		   (state == AT_ENTRY_DRAINING &&
 		       route->type == AT_ROUTE_UNSAFE)) &&
-	       request_limit_ms(route, header) >
+	       call_limit_ms(route, header) >
 		   calls->deps.left_ms(calls->deps.ctx);
 }
 
 void
-at_call_handle(void *ctx, at_httpd_request_t *request)
+call_admit(
+    at_calls_t *calls, at_httpd_request_t *request, const held_request_t *held)
 {
-	at_calls_t *calls = ctx;
 	const at_site_route_t *route;
 	const at_site_workspace_t *workspace;
 	at_request_header_t header;
 	const char *fault = at_caller_parse_headers(request, &header);
 
-	at_counters_add(calls->deps.counters, "requests_total", NULL, NULL, 1);
 	/* The request would not end before this process does. */
 	if (*calls->deps.state == AT_ENTRY_STOPPING) {
-		refuse_request(calls, request, &header, AT_REASON_STOPPING,
+		call_refuse_request(calls, request, &header, AT_REASON_STOPPING,
 		    STOPPING_RETRY_MS, "");
 		return;
 	}
 	if ((*calls->deps.site) == NULL) {
-		refuse_request(calls, request, &header, AT_REASON_NO_CONFIG,
-		    NO_CONFIG_RETRY_MS, "");
+		call_refuse_request(calls, request, &header,
+		    AT_REASON_NO_CONFIG, NO_CONFIG_RETRY_MS, "");
 		return;
 	}
 	route = at_site_find_route(
 	    (*calls->deps.site), header.host, at_httpd_target(request));
 	if (route == NULL) {
-		refuse_request(
+		call_refuse_request(
 		    calls, request, &header, AT_REASON_UNKNOWN_ROUTE, 0, "");
 		return;
 	}
 	if (fault != NULL) {
-		refuse_request(
+		call_refuse_request(
 		    calls, request, &header, AT_REASON_BAD_REQUEST, 0, fault);
 		return;
 	}
 	if (authenticate(calls, request, &header, route, &workspace) != 0)
 		return;
 	if (header.has_deadline && header.deadline_ms == 0) {
-		refuse_request(calls, request, &header, AT_REASON_OVERLOAD, 0,
-		    "error=no_time_left");
+		call_refuse_request(calls, request, &header, AT_REASON_OVERLOAD,
+		    0, "error=no_time_left");
 		return;
 	}
 	if (may_be_cut(calls, route, &header)) {
-		refuse_request(calls, request, &header, AT_REASON_STOPPING,
+		call_refuse_request(calls, request, &header, AT_REASON_STOPPING,
 		    STOPPING_RETRY_MS, "");
 		return;
 	}
-	start_call(calls, request, &header, route, workspace);
+	start_call(calls, request, &header, route, workspace, held);
+}
+
+void
+at_call_handle(void *ctx, at_httpd_request_t *request)
+{
+	at_calls_t *calls = ctx;
+
+	at_counters_add(calls->deps.counters, "requests_total", NULL, NULL, 1);
+	call_admit(calls, request, NULL);
 }
--- a/src/entry/call/call_impl.h
+++ b/src/entry/call/call_impl.h
@@ -1,6 +1,7 @@
 /*
  * call_impl.h - types shared by the files of a call: call_admit.c checks and
- * admits a request, call.c has the request and its caller, call_attempt.c one
+ * admits a request, call_origin.c finds where a resumed stream may go on,
+ * call.c has the request and its caller, call_attempt.c one
  * attempt at one backend server, call_response.c its response, call_events.c
  * tells the observers and call_log.c is one of them, call_crashes.c has what
  * crashes of servers have to do with a call.
@@ -8,6 +9,8 @@
 #ifndef ALMONDTHREAD_ENTRY_CALL_IMPL_H
 #define ALMONDTHREAD_ENTRY_CALL_IMPL_H
 
+#include <sys/queue.h>
+
 #include "almondthread/attempt.h"
 #include "almondthread/crash_causes.h"
 #include "almondthread/request_header.h"
@@ -65,8 +68,22 @@
 	at_event_frames_t frames;
 } call_attempt_t;
 
+/*
+ * A request that resumes a stream of unknown origin, until the list of servers
+ * is confirmed up to its arrival. It has no response and no call yet.
+ */
+typedef struct held_request {
+	at_calls_t *calls;
+	at_httpd_request_t *request;
+	uint64_t arrived_us;
+	uint64_t ticket; /* of the deps' ask_list() */
+	ev_timer timer;
+	LIST_ENTRY(held_request) entries;
+} held_request_t;
+
 struct at_calls {
 	at_calls_deps_t deps;
+	LIST_HEAD(held_requests, held_request) held;
 	at_call_t *first;
 	size_t count;
 	size_t buffered_bytes; /* of all buffered responses */
@@ -139,6 +156,30 @@
 void call_attach(at_call_t *call);
 void call_reply_refusal(const at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, const refusal_t *refusal);
+/*
+ * call_admit() decides on a request: it becomes a call, is refused, or is held.
+ * held is what a held one was until now, else NULL.
+ *
+ * call_refuse_request() refuses a request that has no call; detail goes into
+ * the log. call_limit_ms() returns after which time a request ends at the
+ * latest.
+ */
+void call_admit(
+    at_calls_t *calls, at_httpd_request_t *request, const held_request_t *held);
+void call_refuse_request(at_calls_t *calls, at_httpd_request_t *request,
+    const at_request_header_t *header, at_reason_t reason,
+    uint32_t retry_after_ms, const char *detail);
+uint32_t call_limit_ms(
+    const at_site_route_t *route, const at_request_header_t *header);
+/*
+ * call_find_software() finds the software version at which the request must
+ * run, 0 for any. Returns -1 if the request was refused, since it resumes a
+ * stream whose version is unknown, or is held until that can be told.
+ */
+int call_is_resumable(const at_site_route_t *route);
+int call_find_software(at_calls_t *calls, at_httpd_request_t *request,
+    const at_request_header_t *header, const at_site_route_t *route,
+    at_tag_t service, const held_request_t *held, at_tag_t *software);
 /*
  * call_attempt_start() sends the request to the chosen backend server; a
  * failure is reported to the attempts. call_attempt_end() tells the fleet the
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -31,6 +31,7 @@
 	at_httpc_t *httpc;
 	at_wire_store_t *wire_store;
 	at_store_t store;
+	uint64_t later_era_ms; /* when the store's last one was noticed, or 0 */
 	at_site_t *site; /* NULL until the first configuration is applied */
 	at_fleet_t *fleet;
 	at_contention_t *contention;
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -3,9 +3,10 @@
 #include "entry/servers/server_health.h"
 #include "io/clock.h"
 
-#define READER_AGE_MAX_MS 500u /* of a list, while the others are silent */
 /* In which all instances write their objects again. */
 #define REJOIN_SPREAD_MS 2000u
+/* In which the servers have written their entries again. */
+#define RELISTED_MS 2000u
 
 static int
 is_reaching(void *ctx)
@@ -182,6 +183,7 @@
 {
 	at_entry_t *entry = ctx;
 
+	entry->later_era_ms = at_clock_now_ms();
 	at_counters_add(entry->counters, "store_eras_total", NULL, NULL, 1);
 	at_orders_io_note_lost_writes(entry->orders);
 	at_stream_origins_forget_recorded(entry->origins);
@@ -200,6 +202,14 @@
 	at_calls_expire(entry->calls);
 }
 
+static void
+on_list_asked(void *ctx)
+{
+	const at_entry_t *entry = ctx;
+
+	at_calls_release_held(entry->calls);
+}
+
 /* Creates what copies the platform's objects, or keeps some there. */
 static int
 create_copies(at_entry_t *entry)
@@ -213,10 +223,12 @@
 	    .roster = entry->roster,
 	    .fleet = entry->fleet,
 	    .gossip = entry->gossip,
+	    .origins = entry->origins,
 	    .objects = objects,
 	    .site = &entry->site,
 	    .set_site = set_site,
 	    .on_servers_changed = place_queued,
+	    .on_list_asked = on_list_asked,
 	    .is_platform_away = is_platform_away,
 	    .ctx = entry};
 	const at_join_deps_t join_deps = {.loop = entry->loop,
@@ -311,27 +323,43 @@
 }
 
 /*
- * An instance that has just been cut off, or did not run, does not know it yet:
- * the others are silent, and what it reads itself is old.
+ * Without the platform, or shortly after it is back from an older copy, the
+ * list may lack servers for longer than a question to the platform takes.
  */
 static int
-is_in_step(const at_entry_t *entry)
+is_list_current(void *ctx)
 {
-	return at_roster_is_in_touch(entry->roster, entry->identity.data_centre,
-		   at_clock_now_us()) ||
-	       (at_sync_is_reader(entry->sync) &&
-		   at_sync_age_ms(entry->sync) <= READER_AGE_MAX_MS);
+	const at_entry_t *entry = ctx;
+
+	return at_sync_is_complete(entry->sync) &&
+	       at_join_is_complete(entry->join) &&
+	       !at_entry_is_platform_away(entry) &&
+	       (entry->later_era_ms == 0 ||
+		   at_clock_now_ms() >= entry->later_era_ms + RELISTED_MS);
+}
+
+static uint64_t
+ask_list(void *ctx)
+{
+	const at_entry_t *entry = ctx;
+
+	return at_sync_ask(entry->sync);
 }
 
-/* Without the platform or the others, the list may lack servers. */
 static int
-is_list_current(void *ctx)
+is_list_confirmed(void *ctx, uint64_t ticket)
 {
 	const at_entry_t *entry = ctx;
 
-	return is_in_step(entry) && at_sync_is_complete(entry->sync) &&
-	       at_join_is_complete(entry->join) &&
-	       !at_entry_is_platform_away(entry);
+	return at_sync_has_answer(entry->sync, ticket);
+}
+
+static int
+is_list_unconfirmed(void *ctx)
+{
+	const at_entry_t *entry = ctx;
+
+	return at_sync_is_unanswered(entry->sync);
 }
 
 static uint64_t
@@ -369,6 +397,9 @@
 		at_gossip_origins_observer(entry->gossip)},
 	    .observer_count = 6,
 	    .is_list_current = is_list_current,
+	    .ask_list = ask_list,
+	    .is_list_confirmed = is_list_confirmed,
+	    .is_list_unconfirmed = is_list_unconfirmed,
 	    .left_ms = left_ms,
 	    .ctx = entry};
 
--- a/src/entry/store/sync.c
+++ b/src/entry/store/sync.c
@@ -320,6 +320,7 @@
 	servers_sink = watcher_servers_sink(&sync->servers);
 	sync->deps = *deps;
 	sync->reader_since_ms = at_clock_now_ms();
+	sync_confirm_init(sync);
 	if (sync_report_init(sync) != 0 || sync_documents_init(sync) != 0 ||
 	    watcher_init(
 		sync, &sync->config, WIRE_KIND_CONFIG, &config_sink, 0) != 0 ||
@@ -344,6 +345,7 @@
 at_sync_delete(at_sync_t *sync)
 {
 	sync_checks_cancel(sync);
+	sync_confirm_cancel(sync);
 	sync_documents_free(sync);
 	sync_report_free(sync);
 	watcher_free(&sync->config);
--- a/src/entry/store/sync.h
+++ b/src/entry/store/sync.h
@@ -8,6 +8,7 @@
 #ifndef ALMONDTHREAD_ENTRY_SYNC_H
 #define ALMONDTHREAD_ENTRY_SYNC_H
 
+#include "almondthread/stream_origins.h"
 #include "entry/peers/gossip.h"
 #include "platform/store.h"
 
@@ -23,12 +24,15 @@
 	at_roster_t *roster;
 	at_fleet_t *fleet;
 	at_gossip_t *gossip;
+	at_stream_origins_t *origins; /* is told of the versions of servers */
 	at_objects_t objects;
 	at_site_t *const *site; /* points to NULL before the first one */
 	/* Applies a newer configuration, and takes over the reference. */
 	void (*set_site)(void *ctx, at_site_t *site);
 	/* The list of servers has changed. */
 	void (*on_servers_changed)(void *ctx);
+	/* A question of at_sync_ask() has ended. */
+	void (*on_list_asked)(void *ctx);
 	/* Non-zero if the last calls to the platform failed. */
 	int (*is_platform_away)(void *ctx);
 	void *ctx;
@@ -45,6 +49,19 @@
  * four checks are without a response.
  */
 void at_sync_check(at_sync_t *sync);
+/*
+ * at_sync_ask() asks the platform for all changes to the list of servers up to
+ * this moment, whoever reads the lists. Returns a ticket, which
+ * at_sync_has_answer() takes: the list is complete up to that moment once it
+ * returns non-zero. A question without a response fails after 500 ms; those who
+ * still wait after on_list_asked() ask again.
+ *
+ * at_sync_is_unanswered() returns non-zero if the platform did not respond to
+ * the last question that has ended, less than 500 ms ago.
+ */
+uint64_t at_sync_ask(at_sync_t *sync);
+int at_sync_has_answer(const at_sync_t *sync, uint64_t ticket);
+int at_sync_is_unanswered(const at_sync_t *sync);
 /*
  * at_sync_set_reader() sets whether this instance reads the platform's lists
  * for its data centre; else it follows the reports of the reader.
--- a/src/entry/store/sync_check.c
+++ b/src/entry/store/sync_check.c
@@ -62,26 +62,27 @@
 	}
 }
 
-static void
-take_response(watcher_t *watcher, const check_t *check, int kind,
+int
+sync_take_check(watcher_t *watcher, uint64_t since, uint64_t sent_ms,
     const at_objects_page_t *page)
 {
 	at_sync_t *sync = watcher->sync;
+	int is_complete;
 
 	if (page->code == AT_OBJECTS_HISTORY_GONE &&
-	    at_mirror_since(watcher->mirror) == check->since[kind]) {
+	    at_mirror_since(watcher->mirror) == since) {
 		at_log(AT_LOG_WARN, "platform", NULL,
 		    "history lost; listing kind=%s since=%" PRIu64,
-		    watcher->kind, check->since[kind]);
+		    watcher->kind, since);
 		watcher_relist(watcher);
-		return;
+		return 0;
 	}
 	if (page->code != AT_OBJECTS_OK)
-		return;
+		return 0;
 	note_platform_back(sync);
-	note_response(sync, check->sent_ms);
+	note_response(sync, sent_ms);
 	if (at_mirror_check_watch(
-		watcher->mirror, at_clock_now_ms(), check->since[kind], page)) {
+		watcher->mirror, at_clock_now_ms(), since, page)) {
 		if (sync->is_reader)
 			at_log(AT_LOG_WARN, "platform", NULL,
 			    "watch missed changes; watching again kind=%s "
@@ -91,11 +92,13 @@
 		sync->deps.on_servers_changed(sync->deps.ctx);
 	}
 	/* Otherwise it was made from a version that is outdated. */
-	if (page->count == 0 ||
-	    at_mirror_since(watcher->mirror) >= page->store_version)
-		watcher_confirm(watcher, check->sent_ms);
+	is_complete = page->count == 0 ||
+		      at_mirror_since(watcher->mirror) >= page->store_version;
+	if (is_complete)
+		watcher_confirm(watcher, sent_ms);
 	if (sync->is_reader)
 		at_gossip_send_soon(sync->deps.gossip);
+	return is_complete;
 }
 
 static void
@@ -104,7 +107,8 @@
 	check_t *check = ctx;
 
 	check->calls[CHECK_SERVERS] = NULL;
-	take_response(&check->sync->servers, check, CHECK_SERVERS, page);
+	(void)sync_take_check(&check->sync->servers,
+	    check->since[CHECK_SERVERS], check->sent_ms, page);
 	sync_note_servers_known(check->sync);
 }
 
@@ -139,7 +143,8 @@
 	at_sync_t *sync = check->sync;
 
 	check->calls[CHECK_CONFIG] = NULL;
-	take_response(&sync->config, check, CHECK_CONFIG, page);
+	(void)sync_take_check(
+	    &sync->config, check->since[CHECK_CONFIG], check->sent_ms, page);
 	/* All versions of the platform up to there are known. */
 	if (page->code == AT_OBJECTS_OK &&
 	    page->store_version <= at_mirror_since(sync->servers.mirror))
--- a/src/entry/store/sync_impl.h
+++ b/src/entry/store/sync_impl.h
@@ -1,6 +1,7 @@
 /*
  * sync_impl.h - types shared by the files of sync: sync_watch.c has the copies
  * and their calls to the platform, sync_check.c the checks of the watches,
+ * sync_confirm.c evidence that the list is complete up to a moment,
  * sync_documents.c what other instances are handed or ask for, sync_report.c
  * the reports, and sync.c the roles of reader and follower.
  */
@@ -8,6 +9,7 @@
 #define ALMONDTHREAD_ENTRY_SYNC_IMPL_H
 
 #include "almondthread/catch_up.h"
+#include "almondthread/confirmation.h"
 #include "almondthread/mirror.h"
 #include "entry/store/config_text.h"
 #include "entry/store/documents.h"
@@ -63,6 +65,15 @@
 	uint64_t sent_ms;            /* 0: not in use */
 } check_t;
 
+/* An open question of sync_confirm.c. */
+typedef struct question {
+	at_sync_t *sync;
+	at_objects_call_t *call; /* NULL: none is open */
+	uint64_t number;
+	uint64_t since; /* version that it starts from */
+	uint64_t sent_ms;
+} question_t;
+
 struct at_sync {
 	at_sync_deps_t deps;
 	at_documents_t *documents;
@@ -73,7 +84,10 @@
 	watcher_t config;
 	watcher_t servers;
 	check_t checks[CHECKS_MAX];
-	uint64_t check_after_ms;      /* no check before this time */
+	uint64_t check_after_ms; /* no check before this time */
+	at_confirmation_t confirmation;
+	question_t questions[AT_CONFIRMATION_OPEN_MAX];
+	ev_timer question_timer;
 	at_objects_call_t *list_call; /* see sync_check_list(), or NULL */
 	uint64_t listed_ms;           /* when it last did */
 	uint64_t responded_ms;        /* when the platform last did */
@@ -147,9 +161,20 @@
 
 /* sync_check.c */
 void sync_checks_cancel(at_sync_t *sync);
+/*
+ * sync_take_check() takes the response to a watch that was sent at sent_ms from
+ * version since and responds at once. Returns non-zero if all changes that the
+ * platform had when it responded are known.
+ */
+int sync_take_check(watcher_t *watcher, uint64_t since, uint64_t sent_ms,
+    const at_objects_page_t *page);
 /* Reads the whole configuration once in a while, whatever the watches say. */
 void sync_check_list(at_sync_t *sync);
 
+/* sync_confirm.c */
+void sync_confirm_init(at_sync_t *sync);
+void sync_confirm_cancel(at_sync_t *sync);
+
 /* sync_documents.c */
 /*
  * sync_feed_server() applies another instance's report of one backend
--- a/src/entry/store/sync_watch.c
+++ b/src/entry/store/sync_watch.c
@@ -93,6 +93,9 @@
 		at_fleet_remove(fleet, at_tag_from_text(object->name));
 		return;
 	}
+	/* Also that of a server whose deletion comes with the same page. */
+	at_stream_origins_note_listed(watcher->sync->deps.origins,
+	    server.service, server.software, at_clock_now_us());
 	if (at_fleet_update_server(fleet, &server) == NULL) {
 		at_log(AT_LOG_INFO, "servers", NULL,
 		    "server object ignored: of an earlier incarnation name=%s "
--- a/tests/contract/test_stream_versions.c
+++ b/tests/contract/test_stream_versions.c
@@ -438,6 +438,7 @@
 	uint32_t time_ms;
 	int is_read_later;
 } out_of_step[] = {
+    {"cut off at this moment", 0, 0},
     {"cut off for 0.3 s", 300, 0},
     {"cut off for 0.7 s", 700, 0},
     {"cut off for 1.2 s", 1200, 0},
@@ -522,3 +523,169 @@
 	for (i = 0; i < sizeof(out_of_step) / sizeof(out_of_step[0]); i++)
 		run_out_of_step(i);
 }
+
+/*
+ * The only instance of a data centre reads the lists itself. What the others
+ * report reaches it, but they are killed right after the first event.
+ */
+static const struct {
+	const char *name;
+	uint32_t before_ms; /* from the cut to the new version */
+	uint32_t after_ms;  /* from the first event to the resumption */
+} alone[] = {
+    {"cut off with the new version", 0, 0},
+    {"cut off before it", 100, 0},
+    {"cut off long before it", 400, 0},
+    {"resumed later", 0, 300},
+};
+
+static void
+run_alone(size_t i)
+{
+	entry_fixture_t *fixture = make_fixture(0);
+	links_t *links = links_new(fixture);
+	size_t begun;
+	size_t late;
+	uint64_t runs;
+
+	begun = entry_fixture_add_entry(fixture);
+	late = entry_fixture_add_entry_in(fixture, "south");
+	entry_fixture_run_until_ready(fixture);
+	entry_fixture_run_ms(fixture, 1500);
+	cr_assert(at_sync_is_reader(fixture->entries[late]->sync));
+	links_set_store(links, late, LINKS_SILENT);
+	entry_fixture_run_ms(fixture, alone[i].before_ms);
+	begin_stream_at_v2(fixture, begun);
+	entry_fixture_remove_entry(fixture, begun);
+	entry_fixture_run_ms(fixture, alone[i].after_ms);
+	runs = count_runs(fixture, "v1");
+	cr_expect_eq(
+	    resume_stream(fixture, late, STREAM_ID), 503, "%s", alone[i].name);
+	cr_expect_eq(count_runs(fixture, "v1"), runs, "%s", alone[i].name);
+	entry_fixture_delete(fixture);
+	links_delete(links);
+}
+
+/*
+ * Streams of a new version went on at the old one, at an instance that had been
+ * cut off from the store for less than a second (ORDER).
+ */
+Test(stream_versions, an_instance_cut_off_alone_takes_up_no_stream)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(alone) / sizeof(alone[0]); i++)
+		run_alone(i);
+}
+
+/* Time in which the store responds; resumptions that are sent together. */
+static const struct {
+	const char *name;
+	uint32_t delay_ms;
+	int is_silent;
+	size_t resumed;
+	int status;
+	uint64_t questions_max;
+} confirmed[] = {
+    {"at once", 0, 0, 1, 200, 1},
+    {"many together", 0, 0, 40, 200, 4},
+    {"a slow store", 240, 0, 1, 200, 1},
+    {"many at a slow store", 240, 0, 40, 200, 4},
+    {"a silent store", 0, 1, 40, 503, 8},
+};
+
+#define RESUMED_MAX 40u
+#define HELD_MAX_MS 800u
+
+static int
+are_done(void *ctx)
+{
+	const entry_fixture_response_t *responses = ctx;
+	size_t i;
+
+	for (i = 0; i < RESUMED_MAX; i++) {
+		if (!responses[i].done)
+			return 0;
+	}
+	return 1;
+}
+
+static void
+run_confirmed(size_t i)
+{
+	entry_fixture_t *fixture = make_fixture(1);
+	standin_faults_t *faults = standin_store_faults(fixture->store);
+	entry_fixture_response_t responses[RESUMED_MAX] = {{0}};
+	char ids[RESUMED_MAX][16];
+	entry_fixture_request_t request = first;
+	uint64_t questions;
+	uint64_t begun_ms;
+	size_t k;
+
+	entry_fixture_run_ms(fixture, REPORT_MS);
+	faults->delay_ms = confirmed[i].delay_ms;
+	faults->silent = confirmed[i].is_silent ? UINT32_MAX : 0;
+	begun_ms = at_clock_now_ms();
+	for (k = 0; k < RESUMED_MAX; k++) {
+		responses[k].done = k >= confirmed[i].resumed;
+		if (responses[k].done)
+			continue;
+		(void)snprintf(ids[k], sizeof(ids[k]), "again-%zu", k);
+		request.id = ids[k];
+		entry_fixture_send_resumed(
+		    fixture, 0, &request, ids[k], "1", &responses[k]);
+	}
+	entry_fixture_run_until(fixture, are_done, responses);
+	cr_expect_leq(at_clock_now_ms() - begun_ms, HELD_MAX_MS + 500u, "%s",
+	    confirmed[i].name);
+	for (k = 0; k < confirmed[i].resumed; k++) {
+		cr_expect_eq(responses[k].status, confirmed[i].status,
+		    "%s: %zu got %d", confirmed[i].name, k,
+		    responses[k].status);
+		entry_fixture_response_free(&responses[k]);
+	}
+	questions = at_counters_get(fixture->entries[0]->counters,
+			"list_questions_total", "result", "ok") +
+		    at_counters_get(fixture->entries[0]->counters,
+			"list_questions_total", "result", "late");
+	cr_expect(questions > 0 && questions <= confirmed[i].questions_max,
+	    "%s: %llu questions", confirmed[i].name,
+	    (unsigned long long)questions);
+	faults->silent = 0;
+	entry_fixture_delete(fixture);
+}
+
+/*
+ * Streams of unknown origin go on at the only version once the store has
+ * confirmed that there is no other (LOST), with one question for many of them.
+ */
+Test(stream_versions, a_confirmed_list_lets_streams_of_unknown_origin_go_on)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(confirmed) / sizeof(confirmed[0]); i++)
+		run_confirmed(i);
+}
+
+/* The caller leaves while its request is held. */
+Test(stream_versions, a_held_request_ends_with_its_caller)
+{
+	entry_fixture_t *fixture = make_fixture(1);
+	at_entry_t *entry = fixture->entries[0];
+	entry_fixture_response_t response;
+
+	entry_fixture_run_ms(fixture, REPORT_MS);
+	standin_store_faults(fixture->store)->delay_ms = 400;
+	entry_fixture_send_resumed(
+	    fixture, 0, &first, "unknown", "1", &response);
+	entry_fixture_run_ms(fixture, 30);
+	cr_assert_eq(at_httpd_open_requests(entry->callers), 1);
+	entry_fixture_response_free(&response);
+	entry_fixture_run_ms(fixture, 2 * REPORT_MS);
+	cr_assert_eq(at_httpd_open_requests(entry->callers), 0);
+	cr_assert_eq(count_runs(fixture, "v1"), 0);
+	cr_assert_eq(at_counters_get(entry->counters, "held_resumptions_total",
+			 "end", "left"),
+	    1);
+	entry_fixture_delete(fixture);
+}
--- a/tests/support/links.c
+++ b/tests/support/links.c
@@ -25,6 +25,7 @@
 	in_port_t refusing; /* nothing listens there */
 	in_port_t hanging;  /* drops requests to connect */
 	int sockets[1u + FILLERS];
+	int silent[2]; /* nobody reads or writes the second one */
 };
 
 static int
@@ -77,7 +78,7 @@
 	else
 		return;
 	link->fds[link->fd_count++ % SOCKETS_MAX] = fd;
-	if (state == LINKS_HANG)
+	if (state == LINKS_HANG || state == LINKS_SILENT)
 		address->sin_port = link->links->hanging;
 	else if (state != LINKS_UP)
 		address->sin_port = link->links->refusing;
@@ -137,6 +138,7 @@
 	links->refusing = bind_any(fd);
 	(void)close(fd);
 	open_hanging(links);
+	cr_assert_eq(socketpair(AF_UNIX, SOCK_STREAM, 0, links->silent), 0);
 	fixture->on_entry_created = watch_entry;
 	fixture->on_entry_created_ctx = links;
 	for (i = 0; i < fixture->entry_count; i++)
@@ -151,13 +153,24 @@
 
 	for (i = 0; i <= FILLERS; i++)
 		(void)close(links->sockets[i]);
+	(void)close(links->silent[0]);
+	(void)close(links->silent[1]);
 	free(links);
 }
 
+static void
+end_connection(const links_t *links, int fd, links_state_t state)
+{
+	if (state == LINKS_RESET)
+		(void)shutdown(fd, SHUT_RDWR);
+	else if (state == LINKS_SILENT)
+		(void)dup2(links->silent[0], fd);
+}
+
 /* The descriptors may have been closed, and used again for other sockets. */
 static void
-reset_open(
-    const link_t *link, int (*is_port)(const links_t *links, in_port_t port))
+end_open(const link_t *link, links_state_t state,
+    int (*is_port)(const links_t *links, in_port_t port))
 {
 	size_t i;
 
@@ -170,7 +183,7 @@
 			0 &&
 		    peer.sin_family == AF_INET &&
 		    is_port(link->links, peer.sin_port))
-			(void)shutdown(link->fds[i], SHUT_RDWR);
+			end_connection(link->links, link->fds[i], state);
 	}
 }
 
@@ -178,14 +191,12 @@
 links_set(links_t *links, size_t entry, links_state_t state)
 {
 	links->of[entry].state = state;
-	if (state == LINKS_RESET)
-		reset_open(&links->of[entry], is_server_port);
+	end_open(&links->of[entry], state, is_server_port);
 }
 
 void
 links_set_store(links_t *links, size_t entry, links_state_t state)
 {
 	links->of[entry].store_state = state;
-	if (state == LINKS_RESET)
-		reset_open(&links->of[entry], is_store_port);
+	end_open(&links->of[entry], state, is_store_port);
 }
--- a/tests/support/links.h
+++ b/tests/support/links.h
@@ -13,6 +13,7 @@
 	LINKS_HANG,   /* new connections are not answered */
 	LINKS_RESET,  /* open ones are closed, new ones refused */
 	LINKS_NO_NEW, /* open ones live on, new ones are refused */
+	LINKS_SILENT, /* open ones become silent, new ones are not answered */
 	LINKS_STATES
 } links_state_t;
 
