Keep what a callback was called for until it has returned

Cause: the response to a call states the era of the store. The store's client called the handler of a later era in the middle of the end of that call, and the handler cancels the list of instances, if it is open. Here that was the call that was ending: its transfer was freed before, and the call was freed by its cancellation and again by its end.

A call has on_response for what a response says of the server as a whole. It runs before the response is used, since the lease must know that it is void; a call that it cancels ends without its result, which would have ended the joining that had just begun anew. A transfer may be cancelled in its own end, too. Deleting a client in a callback, and headers read in the end of a transfer, are asserted.

--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -1,5 +1,6 @@
 #include "io/httpc.h"
 
+#include <assert.h>
 #include <errno.h>
 #include <inttypes.h>
 #include <netinet/in.h>
@@ -66,6 +67,7 @@
 	int headers_received;
 	int is_added; /* added to the multi handle */
 	int is_cancelled;
+	int is_ended; /* on_done is running; libcurl has let it go */
 };
 
 /*
@@ -88,6 +90,7 @@
 	at_httpc_open_t on_open;            /* NULL: none */
 	void *open_ctx;
 	int callback_depth;      /* nested callbacks of libcurl */
+	uint32_t ending_count;   /* transfers whose on_done is running */
 	int has_pending_changes; /* transfers to add or remove */
 };
 
@@ -442,6 +445,7 @@
 
 	if (httpc == NULL)
 		return;
+	assert(httpc->callback_depth == 0 && httpc->ending_count == 0);
 	while (httpc->transfers != NULL)
 		transfer_free(httpc->transfers);
 	ev_timer_stop(httpc->loop, &httpc->timer);
@@ -525,23 +529,9 @@
 		result->verdict = AT_VERDICT_MAY_HAVE_RUN;
 }
 
+/* Takes the transfer from the client and from libcurl. */
 static void
-transfer_finish(at_transfer_t *transfer, CURLcode code)
-{
-	at_transfer_events_t events = transfer->events;
-	at_transfer_result_t result;
-	int is_cancelled;
-
-	memset(&result, 0, sizeof(result));
-	fill_result(transfer, code, &result);
-	is_cancelled = transfer->is_cancelled;
-	transfer_free(transfer);
-	if (!is_cancelled)
-		events.on_done(events.ctx, &result);
-}
-
-static void
-transfer_free(at_transfer_t *transfer)
+transfer_detach(at_transfer_t *transfer)
 {
 	at_httpc_t *httpc = transfer->httpc;
 
@@ -554,9 +544,33 @@
 		transfer->next->prev = transfer->prev;
 	(void)curl_multi_remove_handle(httpc->multi, transfer->easy);
 	curl_easy_cleanup(transfer->easy);
+	transfer->easy = NULL;
 	curl_slist_free_all(transfer->headers);
 	free(transfer->body);
 	at_shared_body_unref(transfer->shared_body);
+}
+
+static void
+transfer_free(at_transfer_t *transfer)
+{
+	transfer_detach(transfer);
+	free(transfer);
+}
+
+static void
+transfer_finish(at_transfer_t *transfer, CURLcode code)
+{
+	at_transfer_result_t result;
+
+	memset(&result, 0, sizeof(result));
+	fill_result(transfer, code, &result);
+	transfer_detach(transfer);
+	transfer->is_ended = 1;
+	if (!transfer->is_cancelled) {
+		transfer->httpc->ending_count++;
+		transfer->events.on_done(transfer->events.ctx, &result);
+		transfer->httpc->ending_count--;
+	}
 	free(transfer);
 }
 
@@ -854,6 +868,7 @@
 {
 	long connects = 0;
 
+	assert(!transfer->is_ended);
 	(void)curl_easy_getinfo(
 	    transfer->easy, CURLINFO_NUM_CONNECTS, &connects);
 	return connects > 0;
@@ -862,6 +877,9 @@
 void
 at_transfer_cancel(at_transfer_t *transfer)
 {
+	/* Its owner is in on_done, which is not called twice. */
+	if (transfer->is_ended)
+		return;
 	transfer->is_cancelled = 1;
 	ev_timer_stop(transfer->httpc->loop, &transfer->timeout);
 	transfer->httpc->has_pending_changes = 1;
@@ -871,6 +889,8 @@
 void
 at_transfer_resume(at_transfer_t *transfer)
 {
+	if (transfer->is_ended)
+		return;
 	transfer->is_paused = 0;
 	timeout_start(transfer, transfer->idle_ms);
 	(void)curl_easy_pause(transfer->easy, CURLPAUSE_CONT);
@@ -901,6 +921,7 @@
 {
 	struct curl_header *header = NULL;
 
+	assert(!transfer->is_ended);
 	if (curl_easy_header(transfer->easy, name, 0, CURLH_HEADER, -1,
 		&header) != CURLHE_OK)
 		return NULL;
@@ -913,6 +934,7 @@
 {
 	struct curl_header *header = NULL;
 
+	assert(!transfer->is_ended);
 	while ((header = curl_easy_nextheader(
 		    transfer->easy, CURLH_HEADER, -1, header)) != NULL)
 		visit(ctx, header->name, header->value);
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -10,6 +10,11 @@
  * A transfer calls on_headers at most once, on_data any number of times and
  * on_done exactly once; after at_transfer_cancel() it calls nothing. on_done
  * states whether the request may have run.
+ *
+ * While one of its callbacks runs, a transfer exists: at_transfer_cancel() may
+ * be called in each for any transfer, also for the one that is ending, where it
+ * has no effect. The client itself must not be deleted in a callback, and the
+ * headers must not be read in on_done (both are asserted).
  */
 #ifndef ALMONDTHREAD_IO_HTTPC_H
 #define ALMONDTHREAD_IO_HTTPC_H
@@ -113,7 +118,10 @@
  * has used the connection; to be called within the callbacks.
  */
 int at_transfer_is_on_new_connection(const at_transfer_t *transfer);
-/* at_transfer_cancel() ends a transfer; on_done is not called. */
+/*
+ * at_transfer_cancel() ends a transfer; on_done is not called, unless it is
+ * running.
+ */
 void at_transfer_cancel(at_transfer_t *transfer);
 /*
  * at_httpc_unread_bytes() returns how many bytes the kernel has received for
--- a/src/io/remote.c
+++ b/src/io/remote.c
@@ -1,5 +1,6 @@
 #include "io/remote.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -20,8 +21,11 @@
 	uint64_t number;
 	uint64_t begun_ms;
 	const char *number_header;
+	at_remote_done_t on_response;
 	at_remote_done_t on_done;
 	void *context;
+	int is_ending;    /* one of the two is running */
+	int is_cancelled; /* by on_response */
 };
 
 struct at_remote {
@@ -30,6 +34,7 @@
 	at_counters_t *counters;
 	char base[BASE_SIZE];
 	at_remote_call_t *calls;
+	uint32_t ending_count; /* calls whose callbacks are running */
 	/* Set by a failed call, since pooled connections may be dead. */
 	int needs_new_connection;
 	int has_response;
@@ -98,6 +103,10 @@
 void
 at_remote_cancel(at_remote_call_t *call)
 {
+	if (call->is_ending) {
+		call->is_cancelled = 1;
+		return;
+	}
 	at_transfer_cancel(call->transfer);
 	call_free(call);
 }
@@ -107,6 +116,7 @@
 {
 	if (remote == NULL)
 		return;
+	assert(remote->ending_count == 0);
 	while (remote->calls != NULL)
 		at_remote_cancel(remote->calls);
 	free(remote);
@@ -155,7 +165,13 @@
 		remote->has_response = 1;
 		remote->responded_at_s = ev_now(remote->loop);
 	}
-	call->on_done(call->context, &response);
+	call->is_ending = 1;
+	remote->ending_count++;
+	if (call->on_response != NULL)
+		call->on_response(call->context, &response);
+	if (!call->is_cancelled)
+		call->on_done(call->context, &response);
+	remote->ending_count--;
 	call_free(call);
 }
 
@@ -173,6 +189,7 @@
 	}
 	memcpy(call->context, spec->context, spec->context_size);
 	call->number_header = spec->number_header;
+	call->on_response = spec->on_response;
 	call->on_done = spec->on_done;
 	call->remote = remote;
 	call->begun_ms = at_clock_now_ms();
--- a/src/io/remote.h
+++ b/src/io/remote.h
@@ -4,6 +4,10 @@
  *
  * A call ends in one of three ways: on_done is called, the call is cancelled,
  * or its at_remote_t is deleted. No call is retried.
+ *
+ * While one of its callbacks runs, a call and its context exist. A call that
+ * its on_response cancels ends without on_done; cancelled in on_done, it has no
+ * effect. The at_remote_t must not be deleted in a callback (asserted).
  */
 #ifndef ALMONDTHREAD_IO_REMOTE_H
 #define ALMONDTHREAD_IO_REMOTE_H
@@ -60,8 +64,13 @@
 	uint32_t total_ms;
 	int new_connection;        /* also used after a failed call */
 	const char *number_header; /* or NULL; must outlive the call */
+	/*
+	 * Called before on_done, unless NULL, for what the response says of the
+	 * server as a whole: it may cancel calls, also this one.
+	 */
+	at_remote_done_t on_response;
 	at_remote_done_t on_done;
-	const void *context; /* copied; on_done gets the copy */
+	const void *context; /* copied; the callbacks get the copy */
 	size_t context_size;
 } at_remote_spec_t;
 
