Take no response for complete whose head was cut

What happened: a backend server that stopped in the middle of its response's head and closed ended almondthreadd by SIGSEGV.

Cause: libcurl ends a transfer whose connection closes within the head as successful. The HTTP client passed that on as a complete response without having called on_headers(), whose state almondthreadd uses at the end.

Change: the client takes a response for complete only after the end of its head; before, the connection was lost and the request may have run.

--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -51,6 +51,7 @@
 	ev_timer timeout;
 	at_reason_t timeout_reason; /* AT_REASON_NONE before a timeout */
 	int forbid_resend;
+	int connect_only;    /* a connection is all that is wanted */
 	uint32_t send_count; /* times libcurl began to send */
 	size_t head_bytes;
 	size_t head_lines;
@@ -512,7 +513,7 @@
 	(void)curl_easy_getinfo(
 	    transfer->easy, CURLINFO_NUM_CONNECTS, &connects);
 	result->is_complete = code == CURLE_OK;
-	result->http_status = (int)status;
+	result->http_status = transfer->headers_received ? (int)status : 0;
 	result->reason = transfer_reason(transfer, code, is_sent);
 	result->reused_connection = connects == 0;
 	(void)curl_easy_getinfo(
@@ -563,6 +564,11 @@
 	at_transfer_result_t result;
 
 	memset(&result, 0, sizeof(result));
+	/* libcurl takes a head that the end of the connection cuts for whole.
+	 */
+	if (code == CURLE_OK && !transfer->headers_received &&
+	    !transfer->connect_only)
+		code = CURLE_RECV_ERROR;
 	fill_result(transfer, code, &result);
 	transfer_detach(transfer);
 	transfer->is_ended = 1;
@@ -833,6 +839,7 @@
 	transfer->idle_ms = spec->idle_ms;
 	transfer->body_max_bytes = spec->body_max_bytes;
 	transfer->forbid_resend = spec->forbid_resend;
+	transfer->connect_only = spec->connect_only;
 	transfer->fd = -1;
 	transfer->address = address_hash(spec->url);
 	ev_timer_init(&transfer->timeout, on_timeout, 0., 0.);
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -9,7 +9,8 @@
  *
  * A transfer calls on_headers at most once, on_data any number of times and
  * on_done exactly once; after at_transfer_cancel() it calls nothing. on_done
- * states whether the request may have run.
+ * states whether the request may have run. A response whose connection ends
+ * before the end of its head is not complete, whatever libcurl says.
  *
  * While one of its callbacks runs, a transfer exists: at_transfer_cancel() may
  * be called in each for any transfer, also for the one that is ending, where it
--- a/tests/support/links.c
+++ b/tests/support/links.c
@@ -22,6 +22,7 @@
 struct links {
 	entry_fixture_t *fixture;
 	link_t of[ENTRY_FIXTURE_MAX];
+	in_port_t further;  /* of a backend server that is not the fixture's */
 	in_port_t refusing; /* nothing listens there */
 	in_port_t hanging;  /* drops requests to connect */
 	int sockets[1u + FILLERS];
@@ -38,7 +39,7 @@
 		    ntohs(port))
 			return 1;
 	}
-	return 0;
+	return links->further != 0 && links->further == port;
 }
 
 static int
@@ -158,6 +159,13 @@
 	free(links);
 }
 
+void
+links_add_server(links_t *links, const char *address)
+{
+	links->further =
+	    htons((in_port_t)strtoul(strrchr(address, ':') + 1, NULL, 10));
+}
+
 static void
 end_connection(const links_t *links, int fd, links_state_t state)
 {
--- a/tests/support/links.h
+++ b/tests/support/links.h
@@ -25,6 +25,8 @@
  */
 links_t *links_new(entry_fixture_t *fixture);
 void links_delete(links_t *links);
+/* links_add_server() makes an address one of the backend servers. */
+void links_add_server(links_t *links, const char *address);
 /* links_set() changes the links of one instance to all backend servers. */
 void links_set(links_t *links, size_t entry, links_state_t state);
 /* links_set_store() does the same with its link to the store. */
