Read no reports while a request is being decided

Cause: the decision on a request whose stream's origin is unknown read the reports that had arrived. A configuration among them replaced the site, and the route, workspace and service of the request pointed into freed memory.

Change: such a request is held for a turn of the loop, in which the loop reads the reports, and is decided anew under the configuration in force; a held request also goes on when a report tells its origin. The function that read reports in between is gone. The decision holds a reference to its site from its first look to its last. Questions to the platform are sent in the next turn of the loop, one for all who ask in this one.

Evidence: test_config_under_request ended by heap-use-after-free in charge_quota() before, with AddressSanitizer and without a race, and passes now, as does test_stream_versions (13 of 13).

--- a/src/entry/call/call.h
+++ b/src/entry/call/call.h
@@ -80,8 +80,9 @@
     void *ctx, const at_httpd_request_t *request, at_httpd_class_t *class);
 
 /*
- * at_calls_release_held() decides on the requests that were held until the list
- * was confirmed; to be called when a question of ask_list() has ended.
+ * at_calls_release_held() decides on the requests that resume a stream and were
+ * held, if its origin is known or the list is confirmed by now; to be called
+ * when reports were read, and when a question of ask_list() has ended.
  */
 void at_calls_release_held(at_calls_t *calls);
 /*
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -225,7 +225,7 @@
 }
 
 static at_call_t *
-call_new(at_calls_t *calls, at_httpd_request_t *request,
+call_new(at_calls_t *calls, at_site_t *site, at_httpd_request_t *request,
     const at_request_header_t *header, uint64_t arrived_us)
 {
 	at_call_t *call = calloc(1, sizeof(*call));
@@ -241,7 +241,7 @@
 	call->current = &call->open_attempts[0];
 	call->request = request;
 	call->header = *header;
-	call->site = at_site_ref(*calls->deps.site);
+	call->site = at_site_ref(site);
 	call->started_us = arrived_us;
 	(void)snprintf(call->id, sizeof(call->id), "%s",
 	    header->id == NULL ? "" : header->id);
@@ -310,13 +310,12 @@
 }
 
 static void
-start_call(at_calls_t *calls, at_httpd_request_t *request,
+start_call(at_calls_t *calls, at_site_t *site, at_httpd_request_t *request,
     const at_request_header_t *header, const at_site_route_t *route,
-    const at_site_workspace_t *workspace, const held_request_t *held)
+    const at_site_workspace_t *workspace, held_request_t *held)
 {
-	const at_site_service_t *service =
-	    at_site_find_service((*calls->deps.site),
-		at_site_pick_target(route, at_rng_next(calls->deps.rng)));
+	const at_site_service_t *service = at_site_find_service(
+	    site, at_site_pick_target(route, at_rng_next(calls->deps.rng)));
 	uint64_t units = 0;
 	at_tag_t software;
 	at_call_t *call;
@@ -333,7 +332,7 @@
 	if (workspace != NULL && charge_quota(calls, request, header, workspace,
 				     software != 0, &units) != 0)
 		return;
-	call = call_new(calls, request, header,
+	call = call_new(calls, site, request, header,
 	    held == NULL ? at_clock_now_us() : held->arrived_us);
 	if (call == NULL) {
 		if (workspace != NULL)
@@ -361,19 +360,19 @@
  * Returns 0 with the caller's workspace, or refuses the request and returns -1.
  */
 static int
-authenticate(at_calls_t *calls, at_httpd_request_t *request,
-    const at_request_header_t *header, const at_site_route_t *route,
-    const at_site_workspace_t **workspace)
+authenticate(at_calls_t *calls, const at_site_t *site,
+    at_httpd_request_t *request, const at_request_header_t *header,
+    const at_site_route_t *route, const at_site_workspace_t **workspace)
 {
 	*workspace = NULL;
-	if (route->is_public || !(*calls->deps.site)->has_workspaces)
+	if (route->is_public || !site->has_workspaces)
 		return 0;
 	if (header->key == NULL) {
 		call_refuse_request(
 		    calls, request, header, AT_REASON_MISSING_KEY, 0, "");
 		return -1;
 	}
-	*workspace = at_site_find_workspace((*calls->deps.site), header->key);
+	*workspace = at_site_find_workspace(site, header->key);
 	if (*workspace != NULL)
 		return 0;
 	call_refuse_request(
@@ -400,9 +399,9 @@
 		   calls->deps.left_ms(calls->deps.ctx);
 }
 
-void
-call_admit(
-    at_calls_t *calls, at_httpd_request_t *request, const held_request_t *held)
+static void
+admit(at_calls_t *calls, at_site_t *site, at_httpd_request_t *request,
+    held_request_t *held)
 {
 	const at_site_route_t *route;
 	const at_site_workspace_t *workspace;
@@ -415,13 +414,12 @@
 		    STOPPING_RETRY_MS, "");
 		return;
 	}
-	if ((*calls->deps.site) == NULL) {
+	if (site == NULL) {
 		call_refuse_request(calls, request, &header,
 		    AT_REASON_NO_CONFIG, NO_CONFIG_RETRY_MS, "");
 		return;
 	}
-	route = at_site_find_route(
-	    (*calls->deps.site), header.host, at_httpd_target(request));
+	route = at_site_find_route(site, header.host, at_httpd_target(request));
 	if (route == NULL) {
 		call_refuse_request(
 		    calls, request, &header, AT_REASON_UNKNOWN_ROUTE, 0, "");
@@ -432,7 +430,7 @@
 		    calls, request, &header, AT_REASON_BAD_REQUEST, 0, fault);
 		return;
 	}
-	if (authenticate(calls, request, &header, route, &workspace) != 0)
+	if (authenticate(calls, site, request, &header, route, &workspace) != 0)
 		return;
 	if (header.has_deadline && header.deadline_ms == 0) {
 		call_refuse_request(calls, request, &header, AT_REASON_OVERLOAD,
@@ -444,7 +442,17 @@
 		    STOPPING_RETRY_MS, "");
 		return;
 	}
-	start_call(calls, request, &header, route, workspace, held);
+	start_call(calls, site, request, &header, route, workspace, held);
+}
+
+void
+call_admit(at_calls_t *calls, at_httpd_request_t *request, held_request_t *held)
+{
+	at_site_t *site =
+	    *calls->deps.site == NULL ? NULL : at_site_ref(*calls->deps.site);
+
+	admit(calls, site, request, held);
+	at_site_unref(site);
 }
 
 void
--- a/src/entry/call/call_impl.h
+++ b/src/entry/call/call_impl.h
@@ -69,14 +69,17 @@
 } call_attempt_t;
 
 /*
- * A request that resumes a stream of unknown origin, until the list of servers
- * is confirmed up to its arrival. It has no response and no call yet.
+ * A request that resumes a stream of unknown origin: until the reports that
+ * have arrived are read, and then until the list of servers is confirmed up to
+ * its arrival. It has no response and no call yet.
  */
 typedef struct held_request {
 	at_calls_t *calls;
 	at_httpd_request_t *request;
+	at_tag_t stream; /* that it resumes; 0: not stated */
 	uint64_t arrived_us;
-	uint64_t ticket; /* of the deps' ask_list() */
+	uint64_t ticket; /* of the deps' ask_list(); 0: not asked yet */
+	int is_waiting;  /* it stays held */
 	ev_timer timer;
 	LIST_ENTRY(held_request) entries;
 } held_request_t;
@@ -157,15 +160,16 @@
 void call_reply_refusal(const at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, const refusal_t *refusal);
 /*
- * call_admit() decides on a request: it becomes a call, is refused, or is held.
- * held is what a held one was until now, else NULL.
+ * call_admit() decides on a request: it becomes a call, is refused, or is held
+ * or stays held. held is what a held one was until now, else NULL. The site in
+ * force is referenced meanwhile, and by the call.
  *
  * call_refuse_request() refuses a request that has no call; detail goes into
  * the log. call_limit_ms() returns after which time a request ends at the
  * latest.
  */
 void call_admit(
-    at_calls_t *calls, at_httpd_request_t *request, const held_request_t *held);
+    at_calls_t *calls, at_httpd_request_t *request, held_request_t *held);
 void call_refuse_request(at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, at_reason_t reason,
     uint32_t retry_after_ms, const char *detail);
@@ -179,7 +183,7 @@
 int call_is_resumable(const at_site_route_t *route);
 int call_find_software(at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, const at_site_route_t *route,
-    at_tag_t service, const held_request_t *held, at_tag_t *software);
+    at_tag_t service, held_request_t *held, at_tag_t *software);
 /*
  * call_attempt_start() sends the request to the chosen backend server; a
  * failure is reported to the attempts. call_attempt_end() tells the fleet the
--- a/src/entry/call/call_origin.c
+++ b/src/entry/call/call_origin.c
@@ -1,6 +1,7 @@
 /*
  * call_origin.c - finds the software version at which a request that resumes a
- * stream must run. If no report has told it, the request may run at the only
+ * stream must run. If no report has told it, the reports that have arrived are
+ * read first, in the next turn of the loop. Then it may run at the only
  * version of the service, but this instance may have been cut off, or stood
  * still, since before a server of another one was listed. Such a request is
  * held until the platform has confirmed that the list is complete up to its
@@ -29,12 +30,11 @@
 }
 
 static at_tag_t
-find_origin(const at_calls_t *calls, const char *resumes)
+find_origin(const at_calls_t *calls, at_tag_t stream)
 {
-	return resumes == NULL
-		   ? 0
-		   : at_stream_origins_find(calls->deps.origins,
-			 at_tag_from_text(resumes), at_clock_now_us());
+	return stream == 0 ? 0
+			   : at_stream_origins_find(calls->deps.origins, stream,
+				 at_clock_now_us());
 }
 
 /*
@@ -84,16 +84,32 @@
 	held_free(held);
 }
 
-/* Decides on the request once more; it is not held again. */
 static void
-release(held_request_t *held)
+set_timer(held_request_t *held, uint32_t after_ms)
+{
+	struct ev_loop *loop = held->calls->deps.loop;
+
+	ev_timer_stop(loop, &held->timer);
+	ev_timer_set(&held->timer, (double)after_ms / AT_MS_PER_S, 0.);
+	ev_timer_start(loop, &held->timer);
+}
+
+/* Decides on the request once more; it may stay held. */
+static void
+decide(held_request_t *held)
 {
 	at_calls_t *calls = held->calls;
 
+	/* A response ends the request. */
 	at_httpd_set_end_handler(held->request, NULL, NULL);
+	held->is_waiting = 0;
+	call_admit(calls, held->request, held);
+	if (held->is_waiting) {
+		at_httpd_set_end_handler(held->request, on_held_end, held);
+		return;
+	}
 	at_counters_observe(
 	    calls->deps.counters, "held_ms", "of", "origin", held_ms(held));
-	call_admit(calls, held->request, held);
 	held_free(held);
 }
 
@@ -104,40 +120,55 @@
 
 	(void)loop;
 	(void)events;
-	count_held(held->calls, "late");
-	release(held);
+	if (held->ticket != 0)
+		count_held(held->calls, "late");
+	decide(held);
 }
 
-/* Returns -1 if out of memory. */
+/*
+ * Holds the request until the reports that have arrived are read: they may tell
+ * its origin. Reading them here would apply what else they bring, like a
+ * configuration, in the middle of the request. Returns -1 if out of memory.
+ */
 static int
-hold(at_calls_t *calls, at_httpd_request_t *request,
-    const at_request_header_t *header, const at_site_route_t *route)
+hold(at_calls_t *calls, at_httpd_request_t *request, at_tag_t stream)
 {
 	held_request_t *held = calloc(1, sizeof(*held));
-	uint32_t limit_ms = call_limit_ms(route, header) / HOLD_MAX_PART;
 
 	if (held == NULL)
 		return -1;
-	if (limit_ms > HOLD_MAX_MS)
-		limit_ms = HOLD_MAX_MS;
 	held->calls = calls;
 	held->request = request;
+	held->stream = stream;
 	held->arrived_us = at_clock_now_us();
-	held->ticket = calls->deps.ask_list(calls->deps.ctx);
-	ev_timer_init(
-	    &held->timer, on_held_timer, (double)limit_ms / AT_MS_PER_S, 0.);
-	/* After a stall, a response that has arrived is read before. */
+	ev_timer_init(&held->timer, on_held_timer, 0., 0.);
+	/* Reports and responses that have arrived are read before. */
 	ev_set_priority(&held->timer, EV_MINPRI);
 	held->timer.data = held;
-	ev_timer_start(calls->deps.loop, &held->timer);
 	LIST_INSERT_HEAD(&calls->held, held, entries);
 	at_httpd_set_end_handler(request, on_held_end, held);
+	set_timer(held, 0);
+	return 0;
+}
+
+/* Holds the request until the platform has confirmed the list. */
+static void
+ask(held_request_t *held, const at_request_header_t *header,
+    const at_site_route_t *route)
+{
+	const at_calls_deps_t *deps = &held->calls->deps;
+	uint32_t limit_ms = call_limit_ms(route, header) / HOLD_MAX_PART;
+
+	if (limit_ms > HOLD_MAX_MS)
+		limit_ms = HOLD_MAX_MS;
+	held->ticket = deps->ask_list(deps->ctx);
+	held->is_waiting = 1;
+	set_timer(held, limit_ms);
 	at_log(AT_LOG_INFO, "call", header->id,
 	    "held until the platform confirms the list of servers stream=%s "
 	    "question=%" PRIu64 " limit_ms=%u",
 	    header->resumes == NULL ? "-" : header->resumes, held->ticket,
 	    limit_ms);
-	return 0;
 }
 
 static void
@@ -152,47 +183,63 @@
 	    source);
 }
 
+/*
+ * Decides on a request of unknown origin whose reports have been read. Returns
+ * 0 with the software, or -1 if it stays held or is to be refused.
+ */
+static int
+find_unknown(held_request_t *held, const at_request_header_t *header,
+    const at_site_route_t *route, at_tag_t service, at_tag_t *software)
+{
+	const at_calls_deps_t *deps = &held->calls->deps;
+	at_tag_t only = only_version(held->calls, service);
+
+	if (only == 0)
+		return -1;
+	if (held->ticket != 0) {
+		if (!deps->is_list_confirmed(deps->ctx, held->ticket))
+			return -1;
+		*software = only;
+		log_resumption(header, only, "only_version");
+		return 0;
+	}
+	if (deps->is_list_unconfirmed(deps->ctx))
+		/* The platform's next response is noticed. */
+		(void)deps->ask_list(deps->ctx);
+	else
+		ask(held, header, route);
+	return -1;
+}
+
 int
 call_find_software(at_calls_t *calls, at_httpd_request_t *request,
     const at_request_header_t *header, const at_site_route_t *route,
-    at_tag_t service, const held_request_t *held, at_tag_t *software)
+    at_tag_t service, held_request_t *held, at_tag_t *software)
 {
-	const at_calls_deps_t *deps = &calls->deps;
-	at_tag_t only = 0;
+	at_tag_t stream =
+	    header->resumes == NULL ? 0 : at_tag_from_text(header->resumes);
 	char detail[160];
 
 	*software = 0;
 	if (!call_is_resumable(route) ||
 	    (header->resumes == NULL && header->resume_after == NULL))
 		return 0;
-	*software = find_origin(calls, header->resumes);
-	if (*software == 0) {
-		/* A report on it, or on a new version, may have arrived. */
-		at_gossip_receive(deps->gossip);
-		*software = find_origin(calls, header->resumes);
-	}
+	*software = find_origin(calls, stream);
 	if (*software != 0) {
 		log_resumption(header, *software, "reported");
 		return 0;
 	}
-	only = only_version(calls, service);
-	if (only != 0 && held != NULL &&
-	    deps->is_list_confirmed(deps->ctx, held->ticket)) {
-		*software = only;
-		log_resumption(header, only, "only_version");
+	if (held == NULL && hold(calls, request, stream) == 0)
+		return -1;
+	if (held != NULL &&
+	    find_unknown(held, header, route, service, software) == 0)
 		return 0;
-	}
-	if (only != 0 && held == NULL &&
-	    !deps->is_list_unconfirmed(deps->ctx) &&
-	    hold(calls, request, header, route) == 0)
+	if (held != NULL && held->is_waiting)
 		return -1;
-	/* The platform's next response is noticed. */
-	if (only != 0 && held == NULL)
-		(void)deps->ask_list(deps->ctx);
 	(void)snprintf(detail, sizeof(detail),
 	    "stream=%s origins=%zu held_ms=%" PRIu64,
 	    header->resumes == NULL ? "-" : header->resumes,
-	    at_stream_origins_count(deps->origins),
+	    at_stream_origins_count(calls->deps.origins),
 	    held == NULL ? 0 : held_ms(held));
 	call_refuse_request(calls, request, header, AT_REASON_UNKNOWN_ORIGIN,
 	    UNKNOWN_ORIGIN_RETRY_MS, detail);
@@ -208,13 +255,18 @@
 	int is_waiting = 0;
 
 	for (held = LIST_FIRST(&calls->held); held != NULL; held = next) {
+		int is_confirmed =
+		    held->ticket != 0 &&
+		    deps->is_list_confirmed(deps->ctx, held->ticket);
+
 		next = LIST_NEXT(held, entries);
-		if (!deps->is_list_confirmed(deps->ctx, held->ticket)) {
+		if (is_confirmed || find_origin(calls, held->stream) != 0) {
+			count_held(
+			    calls, is_confirmed ? "confirmed" : "reported");
+			decide(held);
+		} else if (held->ticket != 0) {
 			is_waiting = 1;
-			continue;
 		}
-		count_held(calls, "confirmed");
-		release(held);
 	}
 	if (is_waiting)
 		(void)deps->ask_list(deps->ctx);
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -34,6 +34,16 @@
 	at_calls_place_queued(entry->calls);
 }
 
+/* Reports may have told the origins of streams that callers resume. */
+static void
+on_reports_received(void *ctx)
+{
+	at_entry_t *entry = ctx;
+
+	at_calls_place_queued(entry->calls);
+	at_calls_release_held(entry->calls);
+}
+
 static at_gossip_t *
 create_gossip(at_entry_t *entry)
 {
@@ -50,7 +60,7 @@
 	    .origins = entry->origins,
 	    .is_reaching = is_reaching,
 	    .on_removed = on_member_removed,
-	    .on_received = place_queued,
+	    .on_received = on_reports_received,
 	    .ctx = entry};
 
 	return at_gossip_new(&deps);
--- a/src/entry/peers/gossip.c
+++ b/src/entry/peers/gossip.c
@@ -439,25 +439,20 @@
 		gossip_send_report(gossip, AT_REPORT_COMMON, REPORT_ALL, 0);
 }
 
-void
-at_gossip_receive(at_gossip_t *gossip)
+static void
+on_readable(struct ev_loop *loop, ev_io *io, int events)
 {
+	at_gossip_t *gossip = io->data;
 	ssize_t len;
 
+	(void)loop;
+	(void)events;
 	while ((len = recv(
 		    gossip->fd, gossip->datagram, DATAGRAM_MAX_BYTES, 0)) > 0)
 		report_apply_datagram(gossip, (size_t)len);
 	gossip->deps.on_received(gossip->deps.ctx);
 }
 
-static void
-on_readable(struct ev_loop *loop, ev_io *io, int events)
-{
-	(void)loop;
-	(void)events;
-	at_gossip_receive(io->data);
-}
-
 at_code_t
 at_gossip_init(at_gossip_t *gossip, at_status_t *status)
 {
--- a/src/entry/peers/gossip.h
+++ b/src/entry/peers/gossip.h
@@ -103,11 +103,6 @@
  */
 void at_gossip_add_section(
     at_gossip_t *gossip, const at_report_section_t *section);
-/*
- * at_gossip_receive() applies the reports that have arrived and were not read
- * yet, as after a time in which this process did not run.
- */
-void at_gossip_receive(at_gossip_t *gossip);
 /*
  * at_gossip_loads_section() returns the section of loads of servers, queues and
  * quota usage.
--- a/src/entry/store/sync_confirm.c
+++ b/src/entry/store/sync_confirm.c
@@ -155,7 +155,8 @@
 {
 	uint64_t ticket = at_confirmation_take(&sync->confirmation);
 
-	send_due(sync);
+	/* In the next turn of the loop, with those who ask in this one. */
+	set_timer(sync, at_clock_now_ms());
 	return ticket;
 }
 
