Log the signal that ends a process, and its last line

Change: on SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT the buffered lines are written, and one with the signal and the last line that was logged, also if it was suppressed; then the default action ends the process. A signal that has a handler, as under a sanitizer, keeps it.

--- a/include/almondthread/log.h
+++ b/include/almondthread/log.h
@@ -34,6 +34,14 @@
 /* at_log_suppressed_count() returns the lines suppressed since the start. */
 unsigned long at_log_suppressed_count(void);
 
+/*
+ * at_log_set_fatal_signals() has a process that ends by SIGSEGV, SIGBUS,
+ * SIGILL, SIGFPE or SIGABRT write the buffered lines, and one with the signal
+ * and the last line that was logged, suppressed or not. Signals that have a
+ * handler keep it.
+ */
+void at_log_set_fatal_signals(void);
+
 /* at_log_set_level() drops lines that are less severe than level. */
 void at_log_set_level(at_log_level_t level);
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -115,6 +115,7 @@
 		(void)fprintf(stderr, "almondthreadd: %s\n", status.message);
 		return AT_EXIT_USAGE;
 	}
+	at_log_set_fatal_signals();
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL) != 0)
 		return 1;
 	return run(&node_settings);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -175,6 +175,7 @@
 		(void)fprintf(stderr, "almond-entry: %s\n", status.message);
 	if (result == 0) {
 		at_log_to_stdout(settings.log_lines_per_s);
+		at_log_set_fatal_signals();
 		if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL) != 0)
 			result = 1;
 		else
--- a/src/io/log.c
+++ b/src/io/log.c
@@ -1,6 +1,7 @@
 #include "almondthread/log.h"
 
 #include <fcntl.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -28,6 +29,75 @@
 	size_t len;
 } out;
 
+/* The last line that was logged, also if it was suppressed. */
+static char last_line[LINE_MAX_BYTES];
+static size_t last_len;
+
+static const struct {
+	int number;
+	const char *name;
+} fatal_signals[] = {{SIGSEGV, "SIGSEGV"}, {SIGBUS, "SIGBUS"},
+    {SIGILL, "SIGILL"}, {SIGFPE, "SIGFPE"}, {SIGABRT, "SIGABRT"}};
+
+#define FATAL_SIGNALS (sizeof(fatal_signals) / sizeof(fatal_signals[0]))
+#define STAMP_LEN 24u /* "2026-01-02T03:04:05.678Z" */
+
+/* Writes all of a text; only what is safe in a signal handler is called. */
+static void
+write_text(int fd, const char *text, size_t len)
+{
+	ssize_t written;
+
+	while (len > 0 && (written = write(fd, text, len)) > 0) {
+		text += written;
+		len -= (size_t)written;
+	}
+}
+
+static void
+on_fatal_signal(int number)
+{
+	static const char before[] = " error process: ended by signal=";
+	static const char between[] = " last=\"";
+	static const char after[] = "\"\n";
+	int fd = out.is_enabled ? STDOUT_FILENO : STDERR_FILENO;
+	const char *name = "-";
+	size_t i;
+
+	for (i = 0; i < FATAL_SIGNALS; i++) {
+		if (fatal_signals[i].number == number)
+			name = fatal_signals[i].name;
+	}
+	write_text(fd, out.buffer, out.len);
+	out.len = 0;
+	if (last_len > STAMP_LEN)
+		write_text(fd, last_line, STAMP_LEN);
+	write_text(fd, before, sizeof(before) - 1u);
+	write_text(fd, name, strlen(name));
+	write_text(fd, between, sizeof(between) - 1u);
+	write_text(fd, last_line, last_len);
+	write_text(fd, after, sizeof(after) - 1u);
+	/* The default action, which ends the process, is in force again. */
+	(void)raise(number);
+}
+
+void
+at_log_set_fatal_signals(void)
+{
+	struct sigaction action = {.sa_handler = on_fatal_signal,
+	    .sa_flags = SA_RESETHAND | SA_NODEFER};
+	struct sigaction present;
+	size_t i;
+
+	(void)sigemptyset(&action.sa_mask);
+	for (i = 0; i < FATAL_SIGNALS; i++) {
+		/* A sanitizer says more about it. */
+		if (sigaction(fatal_signals[i].number, NULL, &present) == 0 &&
+		    present.sa_handler == SIG_DFL)
+			(void)sigaction(fatal_signals[i].number, &action, NULL);
+	}
+}
+
 void
 at_log_to_stdout(unsigned lines_per_s)
 {
@@ -142,8 +212,10 @@
 		(void)vsnprintf(line + len, sizeof(line) - len, fmt, ap);
 		va_end(ap);
 	}
+	last_len = strlen(line);
+	memcpy(last_line, line, last_len);
 	if (out.is_enabled)
-		append_limited(line, strlen(line));
+		append_limited(line, last_len);
 	else
 		(void)fprintf(stderr, "%s\n", line);
 }
