Judge in the soak for which workspace a server runs a request

Change: a run whose X-Tenant is not the workspace of the caller's key is printed and fails the soak, as UNASKED.

--- a/tests/soak/backends.c
+++ b/tests/soak/backends.c
@@ -70,7 +70,8 @@
 		at_httpd_header(request, SOAK_PART_HEADER) != NULL,
 	    .limit_milli = standin_server_faults(backend->server)->limit_milli,
 	    .left_ms = backend->left_ms,
-	    .is_bound = backend->is_bound};
+	    .is_bound = backend->is_bound,
+	    .workspace = at_httpd_header(request, WIRE_WORKSPACE)};
 
 	soak_judge_arrived(backend->backends->judge, &arrival);
 }
--- a/tests/soak/judge.c
+++ b/tests/soak/judge.c
@@ -117,6 +117,7 @@
 	uint32_t brittle;
 	uint32_t drain;
 	uint32_t twice;
+	uint32_t unasked; /* runs for another workspace than the caller's */
 	uint32_t exits;
 };
 
@@ -406,6 +407,20 @@
 	return (uint32_t)is_broken;
 }
 
+static void
+judge_workspace(soak_judge_t *judge, const soak_arrival_t *arrival)
+{
+	if (!arrival->is_run ||
+	    (arrival->workspace != NULL &&
+		strcmp(arrival->workspace, SOAK_WORKSPACE) == 0))
+		return;
+	judge->unasked++;
+	(void)printf("UNASKED: at %" PRIu64
+		     " ms request %s ran for workspace '%s'\n",
+	    elapsed_ms(judge), arrival->id,
+	    arrival->workspace == NULL ? "" : arrival->workspace);
+}
+
 void
 soak_judge_arrived(soak_judge_t *judge, const soak_arrival_t *arrival)
 {
@@ -427,6 +442,7 @@
 	judge_drain(judge, arrival);
 	judge_part(judge, arrival);
 	judge_limit(judge, arrival);
+	judge_workspace(judge, arrival);
 }
 
 void
@@ -678,18 +694,20 @@
 
 	judge_recover(judge);
 	judge_starts(judge);
-	(void)printf("arrivals=%" PRIu64 " rejected=%" PRIu64
-		     " part_crashes=%u limited=%" PRIu64
-		     " broken: BUDGET=%u PART=%u LOST=%u LIMIT=%u DRAIN=%u "
-		     "TWICE=%u EXIT=%u RECOVER=%u of %u FALLS=%u of %u "
-		     "START=%u of %u\n",
+	(void)printf(
+	    "arrivals=%" PRIu64 " rejected=%" PRIu64
+	    " part_crashes=%u limited=%" PRIu64
+	    " broken: BUDGET=%u PART=%u LOST=%u LIMIT=%u DRAIN=%u "
+	    "TWICE=%u UNASKED=%u EXIT=%u RECOVER=%u of %u FALLS=%u of %u "
+	    "START=%u of %u\n",
 	    judge->arrivals, judge->rejected, judge->crashes,
 	    judge->limited_arrivals, budget, judge->part_budget, lost,
-	    judge->limit, judge->drain, judge->twice, judge->exits,
-	    judge->recover, judge->cuts, judge->brittle, judge->all_falls,
-	    judge->starts, judge->outages);
+	    judge->limit, judge->drain, judge->twice, judge->unasked,
+	    judge->exits, judge->recover, judge->cuts, judge->brittle,
+	    judge->all_falls, judge->starts, judge->outages);
 	return (budget > 0) + (judge->part_budget > 0) + (lost > 0) +
 	       (judge->limit > 0) + (judge->drain > 0) + (judge->twice > 0) +
-	       (judge->exits > 0) + (judge->recover > 0) +
-	       (judge->brittle > 0) + (judge->starts > 0);
+	       (judge->unasked > 0) + (judge->exits > 0) +
+	       (judge->recover > 0) + (judge->brittle > 0) +
+	       (judge->starts > 0);
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -54,7 +54,7 @@
 	soak->config_version += 3;
 	standin_store_put(soak->store, WIRE_KIND_CONFIG, WIRE_CONFIG_NAME,
 	    standin_config_spec(soak->config_version, SOAK_HOST, routes,
-		sizeof(routes) / sizeof(routes[0]), "studio", SOAK_KEY));
+		sizeof(routes) / sizeof(routes[0]), SOAK_WORKSPACE, SOAK_KEY));
 }
 
 static void
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -21,6 +21,7 @@
 #define SOAK_RETRY_SLACK 52u
 #define SOAK_HOST "soak.example"
 #define SOAK_KEY "soak-key"
+#define SOAK_WORKSPACE "studio" /* that holds the key */
 /* Names the instance that a request was sent to; passed on unchanged. */
 #define SOAK_INSTANCE_HEADER "X-Soak-Instance"
 /* Sent with a request whose prompt has the part that crashes engines. */
@@ -104,6 +105,7 @@
 	uint32_t limit_milli; /* that the server names now, in 1,000 s */
 	uint64_t left_ms;
 	int is_bound;
+	const char *workspace; /* that the server was told; NULL: none */
 } soak_arrival_t;
 void soak_judge_arrived(soak_judge_t *judge, const soak_arrival_t *arrival);
 /*
