Ask the platform again only after a question that has ended

Cause: while requests were held, each report that was read led to another question to the platform, although one was open that would answer them: four at a time where the store takes 400 ms.

Change: reports only release the requests whose origin they tell; a question is repeated when one has ended without helping all of them.

--- a/src/entry/call/call.h
+++ b/src/entry/call/call.h
@@ -82,9 +82,11 @@
 /*
  * at_calls_release_held() decides on the requests that resume a stream and were
  * held, if its origin is known or the list is confirmed by now; to be called
- * when reports were read, and when a question of ask_list() has ended.
+ * when reports were read. at_calls_note_list_asked() does so when a question of
+ * ask_list() has ended, and asks again if it did not help all of them.
  */
 void at_calls_release_held(at_calls_t *calls);
+void at_calls_note_list_asked(at_calls_t *calls);
 /*
  * at_calls_place_queued() places queued requests; to be called when slots may
  * have become free at a backend server.
--- a/src/entry/call/call_impl.h
+++ b/src/entry/call/call_impl.h
@@ -1,10 +1,10 @@
 /*
  * call_impl.h - types shared by the files of a call: call_admit.c checks and
  * admits a request, call_origin.c finds where a resumed stream may go on,
- * call.c has the request and its caller, call_attempt.c one
- * attempt at one backend server, call_response.c its response, call_events.c
- * tells the observers and call_log.c is one of them, call_crashes.c has what
- * crashes of servers have to do with a call.
+ * call.c has the request and its caller, call_attempt.c one attempt at one
+ * backend server, call_response.c its response, call_events.c tells the
+ * observers and call_log.c is one of them, call_crashes.c has what crashes of
+ * servers have to do with a call.
  */
 #ifndef ALMONDTHREAD_ENTRY_CALL_IMPL_H
 #define ALMONDTHREAD_ENTRY_CALL_IMPL_H
--- a/src/entry/call/call_origin.c
+++ b/src/entry/call/call_origin.c
@@ -252,7 +252,6 @@
 	const at_calls_deps_t *deps = &calls->deps;
 	held_request_t *held;
 	held_request_t *next;
-	int is_waiting = 0;
 
 	for (held = LIST_FIRST(&calls->held); held != NULL; held = next) {
 		int is_confirmed =
@@ -260,14 +259,24 @@
 		    deps->is_list_confirmed(deps->ctx, held->ticket);
 
 		next = LIST_NEXT(held, entries);
-		if (is_confirmed || find_origin(calls, held->stream) != 0) {
-			count_held(
-			    calls, is_confirmed ? "confirmed" : "reported");
-			decide(held);
-		} else if (held->ticket != 0) {
-			is_waiting = 1;
-		}
+		if (!is_confirmed && find_origin(calls, held->stream) == 0)
+			continue;
+		count_held(calls, is_confirmed ? "confirmed" : "reported");
+		decide(held);
+	}
+}
+
+void
+at_calls_note_list_asked(at_calls_t *calls)
+{
+	const held_request_t *held;
+
+	at_calls_release_held(calls);
+	LIST_FOREACH(held, &calls->held, entries)
+	{
+		if (held->ticket == 0)
+			continue;
+		(void)calls->deps.ask_list(calls->deps.ctx);
+		return;
 	}
-	if (is_waiting)
-		(void)deps->ask_list(deps->ctx);
 }
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -217,7 +217,7 @@
 {
 	const at_entry_t *entry = ctx;
 
-	at_calls_release_held(entry->calls);
+	at_calls_note_list_asked(entry->calls);
 }
 
 /* Creates what copies the platform's objects, or keeps some there. */
--- a/tests/contract/test_stream_versions.c
+++ b/tests/contract/test_stream_versions.c
@@ -584,16 +584,19 @@
 	uint32_t delay_ms;
 	int is_silent;
 	size_t resumed;
+	uint32_t reports; /* that are read while they are held */
 	int status;
 	uint64_t questions_max;
 } confirmed[] = {
-    {"at once", 0, 0, 1, 200, 1},
-    {"many together", 0, 0, 40, 200, 4},
-    {"a slow store", 240, 0, 1, 200, 1},
-    {"many at a slow store", 240, 0, 40, 200, 4},
-    {"a silent store", 0, 1, 40, 503, 8},
+    {"at once", 0, 0, 1, 0, 200, 1},
+    {"many together", 0, 0, 40, 0, 200, 2},
+    {"a slow store", 400, 0, 1, 12, 200, 1},
+    {"many at a slow store", 400, 0, 40, 12, 200, 2},
+    {"a silent store", 0, 1, 40, 12, 503, 2},
 };
 
+#define READ_EACH_MS 30u
+
 #define RESUMED_MAX 40u
 #define HELD_MAX_MS 800u
 
@@ -635,6 +638,11 @@
 		entry_fixture_send_resumed(
 		    fixture, 0, &request, ids[k], "1", &responses[k]);
 	}
+	/* Reports that do not tell the origin lead to no further question. */
+	for (k = 0; k < confirmed[i].reports; k++) {
+		entry_fixture_run_ms(fixture, READ_EACH_MS);
+		at_calls_release_held(fixture->entries[0]->calls);
+	}
 	entry_fixture_run_until(fixture, are_done, responses);
 	cr_expect_leq(at_clock_now_ms() - begun_ms, HELD_MAX_MS + 500u, "%s",
 	    confirmed[i].name);
