--- a/src/standin/service.c
+++ b/src/standin/service.c
@@ -182,6 +182,7 @@
 	service->execution_log = json_array();
 	service->httpd = at_httpd_new(loop);
 	at_httpd_set_handler(service->httpd, on_request, service);
+	at_httpd_set_max_body(service->httpd, STANDIN_BODY_MAX_BYTES);
 	return service;
 }
 
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -133,6 +133,9 @@
 uint16_t standin_engine_port(const standin_engine_t *engine);
 void standin_engine_delete(standin_engine_t *engine);
 
+/* Largest body that stand-ins of backend servers accept. */
+#define STANDIN_BODY_MAX_BYTES (64u << 20)
+
 /* A service: executes every request and records it for GET /control/log. */
 typedef struct standin_service standin_service_t;
 standin_service_t *standin_service_new(struct ev_loop *loop);
--- a/tests/support/fixture.c
+++ b/tests/support/fixture.c
@@ -225,6 +225,14 @@
 	    fixture, "PUT", fixture->platform_address, path, body);
 }
 
+void
+fixture_list_service(fixture_t *fixture, const char *name,
+    const char *data_centre, const char *service, const char *address)
+{
+	list_instance(
+	    fixture, name, "service", data_centre, service, address, "");
+}
+
 void
 fixture_unlist_instance(fixture_t *fixture, const char *name)
 {
--- a/tests/support/fixture.h
+++ b/tests/support/fixture.h
@@ -79,6 +79,9 @@
     const char *data_centre, const char *service);
 size_t fixture_add_node(
     fixture_t *fixture, const char *name, const char *data_centre);
+/* fixture_list_service() lists a service that the caller runs by itself. */
+void fixture_list_service(fixture_t *fixture, const char *name,
+    const char *data_centre, const char *service, const char *address);
 
 /*
  * fixture_remove_node() deletes a node without a planned stop, like a crash.
