Close connections that wait for their callers where there are too many

Callers saw: where clients kept as many connections as callers may have, with requests that stop before their end, no other caller was accepted for up to 75 s. Found with the rows of test_descriptor_limits to the callers' address.

Cause: only connections without a request were closed when there were too many, and one has a request from the request line on. Each byte starts libmicrohttpd's time limit anew, so that a byte from time to time kept a connection for good. The time limit on bodies was checked when bytes arrived, and header_timeout_ms of the configuration was not applied.

A timer checks the time limits on headers and bodies; that on headers is the configuration's. A connection that is closed so is reset, since the kernel would go on sending to a caller that does not read.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -247,6 +247,7 @@
 	at_stream_origins_set_lifetime(
 	    entry->origins, longest_stream_us(site) + RESUME_MARGIN_US);
 	at_httpd_set_max_body(entry->callers, site->limits.body_bytes);
+	at_httpd_set_header_timeout(entry->callers, site->limits.header_ms);
 	at_relay_set_max_body(entry->relay, site->limits.body_bytes);
 }
 
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -23,7 +23,13 @@
 /* Runs of libmicrohttpd in which a deleted server ends its requests. */
 #define ABORT_RUNS_MAX 1000
 #define DEFAULT_BODY_MAX_BYTES (1u << 20)
+#define DEFAULT_HEADER_TIMEOUT_MS 30000u
 #define DEFAULT_BODY_TIMEOUT_MS 30000u
+/*
+ * Lost segments are repeated after 200 and 600 ms by then. Only while hardly
+ * any more connections may be accepted.
+ */
+#define DEFAULT_GIVE_WAY_MS 1000u
 #define HEADERS_MAX_BYTES (16u * 1024)
 #define DEFAULT_CLOSED_CHECK_MS 250u
 #define DEFAULT_CONNECTIONS_MAX 16384u
@@ -37,7 +43,9 @@
 		return NULL;
 	httpd->loop = loop;
 	httpd->body_max_bytes = DEFAULT_BODY_MAX_BYTES;
+	httpd->header_timeout_ms = DEFAULT_HEADER_TIMEOUT_MS;
 	httpd->body_timeout_ms = DEFAULT_BODY_TIMEOUT_MS;
+	httpd->give_way_ms = DEFAULT_GIVE_WAY_MS;
 	httpd->closed_check_ms = DEFAULT_CLOSED_CHECK_MS;
 	httpd->listen_fd = -1;
 	httpd->backlog = SOMAXCONN;
@@ -84,6 +92,25 @@
 	httpd->receive_buffer_bytes = bytes;
 }
 
+void
+at_httpd_set_give_way(at_httpd_t *httpd, uint32_t waiting_ms)
+{
+	httpd->give_way_ms = waiting_ms;
+}
+
+void
+at_httpd_set_header_timeout(at_httpd_t *httpd, uint32_t timeout_ms)
+{
+	httpd->header_timeout_ms = timeout_ms;
+}
+
+void
+at_httpd_add_closed(const at_httpd_t *httpd, at_httpd_closed_counts_t *counts)
+{
+	counts->gave_way += httpd->gave_way_total;
+	counts->late_headers += httpd->late_headers_total;
+}
+
 void
 at_httpd_set_classifier(at_httpd_t *httpd,
     void (*classify)(
@@ -152,7 +179,7 @@
 		request->next->prev = request;
 	httpd->requests = request;
 	httpd->request_count++;
-	httpd_set_has_request(httpd, connection, 1);
+	httpd_set_request(httpd, connection, request);
 	httpd_begin_headers(request);
 	return request;
 }
@@ -274,8 +301,8 @@
 	return MHD_YES;
 }
 
-static int
-is_body_late(const at_httpd_request_t *request)
+int
+httpd_is_body_late(const at_httpd_request_t *request)
 {
 	const at_httpd_t *httpd = request->httpd;
 	double age_s = ev_now(httpd->loop) - request->started_at;
@@ -294,7 +321,7 @@
 	size_t need = len + (request->body == NULL ? 0 : request->body->len);
 	at_memory_verdict_t verdict;
 
-	if (is_body_late(request)) {
+	if (httpd_is_body_late(request)) {
 		if (httpd->on_body_timeout != NULL)
 			httpd->on_body_timeout(httpd->body_timeout_ctx);
 		return AT_MEMORY_CLOSE;
@@ -407,7 +434,7 @@
 	if (request == NULL)
 		return;
 	if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
-		httpd_set_has_request(cls, connection, 0);
+		httpd_set_request(cls, connection, NULL);
 	else
 		request->caller_closed = 1;
 	if (request->on_end != NULL)
@@ -418,12 +445,23 @@
 	*request_cls = NULL;
 }
 
+/*
+ * Bounds what the kernel holds for each connection: those that are accepted
+ * have the buffers of the listening socket. The kernel doubles the value.
+ */
+static void
+set_buffer(int fd, int option, size_t bytes)
+{
+	int half = (int)(bytes / 2u);
+
+	if (bytes > 0)
+		(void)setsockopt(fd, SOL_SOCKET, option, &half, sizeof(half));
+}
+
 static int
 listen_on(
     const at_httpd_t *httpd, const struct sockaddr_in *addr, uint16_t *port)
 {
-	/* The kernel doubles it. */
-	int receive_bytes = (int)(httpd->receive_buffer_bytes / 2u);
 	struct sockaddr_in bound = {0};
 	socklen_t len = sizeof(bound);
 	int one = 1;
@@ -432,10 +470,7 @@
 	if (fd < 0)
 		return -1;
 	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	/* Connections have that of the socket that accepts them. */
-	if (receive_bytes > 0)
-		(void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
-		    sizeof(receive_bytes));
+	set_buffer(fd, SO_RCVBUF, httpd->receive_buffer_bytes);
 	if (bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) != 0 ||
 	    listen(fd, httpd->backlog) != 0 ||
 	    getsockname(fd, (struct sockaddr *)&bound, &len) != 0) {
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -95,6 +95,27 @@
  * at_httpd_init().
  */
 void at_httpd_set_connections_max(at_httpd_t *httpd, size_t connections);
+/*
+ * at_httpd_set_give_way() sets for how long a connection may wait for its
+ * caller while hardly any more may be accepted, 1,000 ms without it: then those
+ * that wait the longest are closed, first those without a request, then those
+ * whose request does not arrive or whose response is not read. A connection
+ * whose request runs does not give way.
+ */
+void at_httpd_set_give_way(at_httpd_t *httpd, uint32_t waiting_ms);
+/*
+ * at_httpd_set_header_timeout() limits the time from the request line to the
+ * end of the headers, 30,000 ms without it. The connection is closed.
+ */
+void at_httpd_set_header_timeout(at_httpd_t *httpd, uint32_t timeout_ms);
+/* How many connections this server has closed. */
+typedef struct at_httpd_closed_counts {
+	uint64_t gave_way;     /* see at_httpd_set_give_way() */
+	uint64_t late_headers; /* see at_httpd_set_header_timeout() */
+} at_httpd_closed_counts_t;
+/* at_httpd_add_closed() adds those of httpd to counts. */
+void at_httpd_add_closed(
+    const at_httpd_t *httpd, at_httpd_closed_counts_t *counts);
 /* at_httpd_set_max_body() limits the body; a larger one is a fault. */
 void at_httpd_set_max_body(at_httpd_t *httpd, size_t bytes);
 /*
--- a/src/io/httpd_connections.c
+++ b/src/io/httpd_connections.c
@@ -1,15 +1,23 @@
 /*
- * httpd_connections.c - the connections of callers: which are idle, and which
- * of them are closed when there are too many.
+ * httpd_connections.c - the connections of callers: which are idle, which of
+ * them are closed when there are too many, and which have taken too long.
  */
 #include "io/httpd_private.h"
 
 #include <stdlib.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #define EXPIRING_TIMEOUT_S 1u
 /* Part of the connections beyond which those that are idle are closed. */
 #define CROWDED_PERCENT 75u
 #define PERCENT 100u
+/* Connections that libmicrohttpd accepts in one run. */
+#define ACCEPTED_PER_RUN 10u
+/* Part of the connections that is kept free for new ones, at most. */
+#define FREE_PART 4u
+/* Between two searches after one that found no connection to close. */
+#define SEARCH_INTERVAL_S 0.05
 /* Charged to the memory account; what it holds beyond that is measured. */
 #define CONNECTION_BYTES (8u * 1024)
 
@@ -31,22 +39,35 @@
 	    is_expiring ? EXPIRING_TIMEOUT_S : CONNECTION_IDLE_TIMEOUT_S);
 }
 
-void
-httpd_set_has_request(
-    at_httpd_t *httpd, struct MHD_Connection *handle, int has_request)
+static connection_t *
+connection_of(struct MHD_Connection *handle)
 {
 	const union MHD_ConnectionInfo *info =
 	    MHD_get_connection_info(handle, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-	connection_t *connection = info->socket_context;
 
-	if (connection == NULL || connection->has_request == has_request)
+	return info->socket_context;
+}
+
+void
+httpd_set_request(at_httpd_t *httpd, struct MHD_Connection *handle,
+    at_httpd_request_t *request)
+{
+	connection_t *connection = connection_of(handle);
+	int was_idle;
+
+	if (connection == NULL)
 		return;
-	connection->has_request = has_request;
-	if (has_request) {
+	was_idle = connection->request == NULL;
+	connection->request = request;
+	if (was_idle == (request == NULL))
+		return;
+	if (request != NULL) {
+		connection->was_used = 1;
 		TAILQ_REMOVE(&httpd->idle, connection, idle);
 		set_expiring(httpd, connection, 0);
 		return;
 	}
+	connection->idle_since = ev_now(httpd->loop);
 	TAILQ_INSERT_TAIL(&httpd->idle, connection, idle);
 	if (httpd->is_closing_idle)
 		set_expiring(httpd, connection, 1);
@@ -62,6 +83,7 @@
 	if (connection == NULL)
 		return;
 	connection->handle = handle;
+	connection->idle_since = ev_now(httpd->loop);
 	at_memory_add(httpd->memory, AT_MEMORY_CONNECTIONS, CONNECTION_BYTES);
 	httpd->connection_count++;
 	TAILQ_INSERT_TAIL(&httpd->connections, connection, all);
@@ -76,8 +98,9 @@
 	if (httpd->connection_count-- >= httpd->connections_max)
 		httpd->is_run_pending = 1;
 	httpd->expiring_count -= (size_t)connection->is_expiring;
+	httpd->closing_count -= (size_t)connection->is_closed;
 	TAILQ_REMOVE(&httpd->connections, connection, all);
-	if (!connection->has_request)
+	if (connection->request == NULL)
 		TAILQ_REMOVE(&httpd->idle, connection, idle);
 	free(connection);
 }
@@ -134,3 +157,175 @@
 	httpd->is_closing_idle = 1;
 	httpd->is_run_pending = 1;
 }
+
+static int
+connection_fd(const connection_t *connection)
+{
+	return MHD_get_connection_info(
+	    connection->handle, MHD_CONNECTION_INFO_CONNECTION_FD)
+	    ->connect_fd;
+}
+
+void
+httpd_shut_down(at_httpd_t *httpd, connection_t *connection)
+{
+	/* The kernel would keep trying to send the rest to a silent caller. */
+	const struct linger at_once = {.l_onoff = 1};
+	int fd = connection_fd(connection);
+
+	if (!connection->is_closed)
+		httpd->closing_count++;
+	connection->is_closed = 1;
+	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	(void)shutdown(fd, SHUT_RDWR);
+	httpd->is_run_pending = 1;
+}
+
+void
+httpd_shut_down_request(at_httpd_request_t *request)
+{
+	connection_t *connection = connection_of(request->connection);
+
+	at_httpd_stream_abort(request);
+	if (connection != NULL)
+		httpd_shut_down(request->httpd, connection);
+}
+
+/* Returns non-zero if bytes of the caller wait to be read by this process. */
+static int
+has_unread(const connection_t *connection)
+{
+	int available = 0;
+
+	return ioctl(connection_fd(connection), FIONREAD, &available) == 0 &&
+	       available > 0;
+}
+
+static uint64_t
+ms_since(const at_httpd_t *httpd, double since_s)
+{
+	double age_s = ev_now(httpd->loop) - since_s;
+
+	return age_s <= 0. ? 0 : (uint64_t)(age_s * AT_MS_PER_S);
+}
+
+/*
+ * Returns the one without a request for the longest time, or NULL. A request
+ * comes right behind its connection: one that has had none does not stay, as
+ * those that wait to be accepted would be shut out by clients that return.
+ */
+static connection_t *
+find_longest_idle(const at_httpd_t *httpd)
+{
+	connection_t *connection;
+
+	TAILQ_FOREACH(connection, &httpd->idle, idle)
+	{
+		if (!connection->is_closed &&
+		    (!connection->was_used ||
+			ms_since(httpd, connection->idle_since) >=
+			    httpd->give_way_ms) &&
+		    !has_unread(connection))
+			return connection;
+	}
+	return NULL;
+}
+
+/* Returns the request that waits for its caller for the longest time. */
+static connection_t *
+find_longest_waiting(const at_httpd_t *httpd)
+{
+	at_httpd_request_t *request;
+	connection_t *found = NULL;
+
+	for (request = httpd->requests; request != NULL;
+	     request = request->next) {
+		connection_t *connection;
+
+		if (!httpd_waits_for_caller(request) ||
+		    ms_since(httpd, request->progressed_at) <
+			httpd->give_way_ms ||
+		    (found != NULL && request->progressed_at >=
+					  found->request->progressed_at))
+			continue;
+		connection = connection_of(request->connection);
+		if (connection == NULL || connection->is_closed ||
+		    connection->request != request ||
+		    (request->state == REQUEST_READING &&
+			has_unread(connection)))
+			continue;
+		found = connection;
+	}
+	return found;
+}
+
+/* Returns how many connections may be open before some give way. */
+static size_t
+filled_count(const at_httpd_t *httpd)
+{
+	size_t spare = httpd->connections_max / FREE_PART;
+
+	if (spare > ACCEPTED_PER_RUN)
+		spare = ACCEPTED_PER_RUN;
+	return httpd->connections_max - spare;
+}
+
+void
+httpd_make_room(at_httpd_t *httpd)
+{
+	if (ev_now(httpd->loop) < httpd->next_search_at)
+		return;
+	while (httpd->connection_count - httpd->closing_count >
+	       filled_count(httpd)) {
+		connection_t *connection = find_longest_idle(httpd);
+
+		if (connection == NULL)
+			connection = find_longest_waiting(httpd);
+		if (connection == NULL) {
+			httpd->next_search_at =
+			    ev_now(httpd->loop) + SEARCH_INTERVAL_S;
+			return;
+		}
+		httpd->gave_way_total++;
+		if (connection->request != NULL)
+			httpd_shut_down_request(connection->request);
+		else
+			httpd_shut_down(httpd, connection);
+	}
+}
+
+static int
+are_headers_late(const at_httpd_request_t *request)
+{
+	return request->is_heading &&
+	       ms_since(request->httpd, request->started_at) >
+		   request->httpd->header_timeout_ms;
+}
+
+void
+httpd_close_late(at_httpd_t *httpd)
+{
+	at_httpd_request_t *request;
+
+	for (request = httpd->requests; request != NULL;
+	     request = request->next) {
+		const connection_t *connection;
+		int are_headers = are_headers_late(request);
+
+		if (request->state != REQUEST_READING ||
+		    request->is_body_paused ||
+		    (!are_headers && !httpd_is_body_late(request)))
+			continue;
+		/* This process has stood still, not the caller. */
+		connection = connection_of(request->connection);
+		if (connection == NULL || connection->is_closed ||
+		    has_unread(connection))
+			continue;
+		if (are_headers)
+			httpd->late_headers_total++;
+		else if (httpd->on_body_timeout != NULL)
+			httpd->on_body_timeout(httpd->body_timeout_ctx);
+		httpd_drop_body(request);
+		httpd_shut_down_request(request);
+	}
+}
--- a/src/io/httpd_loop.c
+++ b/src/io/httpd_loop.c
@@ -88,6 +88,8 @@
 	(void)loop;
 	(void)events;
 	check_closed_callers(timer->data);
+	httpd_close_late(timer->data);
+	httpd_make_room(timer->data);
 }
 
 static void
@@ -98,6 +100,7 @@
 	do {
 		httpd->is_run_pending = 0;
 		httpd_close_longest_idle(httpd);
+		httpd_make_room(httpd);
 		(void)MHD_run(httpd->daemon);
 	} while (httpd->is_run_pending && ++runs < RUNS_MAX);
 }
--- a/src/io/httpd_memory.c
+++ b/src/io/httpd_memory.c
@@ -78,6 +78,25 @@
 	return request->out_end - request->out_start;
 }
 
+int
+httpd_waits_for_caller(const at_httpd_request_t *request)
+{
+	switch (request->state) {
+	case REQUEST_READING:
+		return !request->is_body_paused;
+	case REQUEST_STREAMING:
+		return buffered_bytes(request) > 0;
+	case REQUEST_RESPONDED:
+	case REQUEST_ENDING:
+	case REQUEST_FAILING:
+		return 1;
+	case REQUEST_HANDLED:
+	case REQUEST_ABORTED:
+		break;
+	}
+	return 0;
+}
+
 /* Returns non-zero if it can be closed for what it holds. */
 static int
 may_give_way(const at_httpd_request_t *request)
@@ -186,23 +205,18 @@
 	       available > 0;
 }
 
-/* The library finds the end of the connection in its next run. */
 static void
 close_request(at_httpd_request_t *request)
 {
-	at_httpd_t *httpd = request->httpd;
-
 	if (has_unread(request)) {
 		note_progress_now(request);
 		return;
 	}
-	httpd->memory->closed_total++;
+	request->httpd->memory->closed_total++;
 	if (request->state == REQUEST_READING)
 		httpd_drop_body(request);
-	at_httpd_stream_abort(request);
+	httpd_shut_down_request(request);
 	httpd_drop_out(request);
-	(void)shutdown(connection_fd(request->connection), SHUT_RDWR);
-	httpd->is_run_pending = 1;
 }
 
 /*
@@ -369,13 +383,10 @@
 	     connection = TAILQ_NEXT(connection, idle)) {
 		if (connection->is_closed)
 			continue;
-		connection->is_closed = 1;
 		httpd->memory->closed_total++;
-		(void)shutdown(connection_fd(connection->handle), SHUT_RDWR);
+		httpd_shut_down(httpd, connection);
 		count++;
 	}
-	if (count > 0)
-		httpd->is_run_pending = 1;
 	return count;
 }
 
@@ -445,6 +456,18 @@
 	resume_paused(httpd);
 }
 
+/* Returns the bytes in one of the kernel's queues of a connection. */
+static uint64_t
+queued_bytes(const connection_t *connection, unsigned long queue)
+{
+	int bytes = 0;
+
+	return ioctl(connection_fd(connection->handle), queue, &bytes) == 0 &&
+		       bytes > 0
+		   ? (uint64_t)bytes
+		   : 0;
+}
+
 uint64_t
 at_httpd_unread_bytes(const at_httpd_t *httpd)
 {
@@ -453,11 +476,7 @@
 
 	TAILQ_FOREACH(connection, &httpd->connections, all)
 	{
-		int available = 0;
-
-		if (ioctl(connection_fd(connection->handle), FIONREAD,
-			&available) == 0)
-			sum += (uint64_t)available;
+		sum += queued_bytes(connection, FIONREAD);
 	}
 	return sum;
 }
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -69,9 +69,12 @@
 /* A connection of a caller. */
 typedef struct connection {
 	struct MHD_Connection *handle;
-	int has_request; /* from the request line to the end of the response */
-	int is_expiring; /* it is closed after a second without data */
-	int is_closed;   /* its socket was shut down for want of memory */
+	/* From the request line to the end of the response, else NULL. */
+	at_httpd_request_t *request;
+	int was_used;      /* it has had a request */
+	double idle_since; /* seconds, on the loop's clock */
+	int is_expiring;   /* it is closed after a second without data */
+	int is_closed;     /* its socket was shut down */
 	TAILQ_ENTRY(connection) all;
 	TAILQ_ENTRY(connection) idle; /* unless it has a request */
 } connection_t;
@@ -84,6 +87,11 @@
 	size_t connection_count;
 	size_t connections_max;
 	size_t expiring_count; /* of those that are idle */
+	size_t closing_count;  /* that were shut down and still exist */
+	uint32_t give_way_ms;  /* see at_httpd_set_give_way() */
+	double next_search_at; /* for connections that give way */
+	uint64_t gave_way_total;
+	uint64_t late_headers_total;
 	struct ev_loop *loop;
 	struct MHD_Daemon *daemon;
 	at_httpd_handler_t handler;
@@ -96,6 +104,7 @@
 	    at_httpd_class_t *class);
 	void *classify_ctx;
 	size_t body_max_bytes;
+	uint32_t header_timeout_ms;
 	uint32_t body_timeout_ms;
 	uint32_t closed_check_ms; /* between polls of suspended callers */
 	void (*on_body_timeout)(void *ctx);
@@ -142,6 +151,8 @@
 int httpd_claim_ahead(at_httpd_request_t *request);
 void httpd_refuse_body(
     at_httpd_request_t *request, const at_memory_claim_t *claim);
+/* httpd_is_body_late() returns non-zero after the body timeout. */
+int httpd_is_body_late(const at_httpd_request_t *request);
 /* More bytes of the body were received, or of the response passed on. */
 void httpd_note_progress(at_httpd_request_t *request, size_t bytes);
 /* They free what was received, and what was not sent. */
@@ -151,9 +162,28 @@
 /* What libmicrohttpd calls when a connection begins or ends. */
 void httpd_on_connection(void *cls, struct MHD_Connection *handle,
     void **socket_cls, enum MHD_ConnectionNotificationCode code);
-/* A request begins on a connection, or its response has ended. */
-void httpd_set_has_request(
-    at_httpd_t *httpd, struct MHD_Connection *handle, int has_request);
+/* A request begins on a connection, or, with NULL, its response has ended. */
+void httpd_set_request(at_httpd_t *httpd, struct MHD_Connection *handle,
+    at_httpd_request_t *request);
+/*
+ * httpd_shut_down() ends a connection, and what the kernel has not sent on it.
+ * The library finds that in its next run.
+ */
+void httpd_shut_down(at_httpd_t *httpd, connection_t *connection);
+void httpd_shut_down_request(at_httpd_request_t *request);
+/*
+ * httpd_waits_for_caller() returns non-zero if a request goes on only if its
+ * caller sends or reads.
+ */
+int httpd_waits_for_caller(const at_httpd_request_t *request);
+/*
+ * httpd_make_room() closes the connections that wait for their callers for the
+ * longest time, if hardly any more could be accepted.
+ */
+void httpd_make_room(at_httpd_t *httpd);
+/* httpd_close_late() closes connections whose request takes too long to arrive.
+ */
+void httpd_close_late(at_httpd_t *httpd);
 /*
  * httpd_is_crowded() returns non-zero if few more connections may be accepted:
  * responses then close theirs. httpd_close_longest_idle() makes room.
--- a/src/io/httpd_request.c
+++ b/src/io/httpd_request.c
@@ -193,6 +193,7 @@
 		(void)MHD_add_response_header(response, "Connection", "close");
 	request->response = response;
 	request->status = status;
+	request->progressed_at = ev_now(request->httpd->loop);
 }
 
 void
@@ -263,7 +264,6 @@
 		return;
 	}
 	assert(request->state == REQUEST_HANDLED);
-	request->progressed_at = ev_now(request->httpd->loop);
 	if (request->httpd->memory != NULL &&
 	    request->httpd->memory->limit != 0 &&
 	    len >= AT_HTTPD_HIGH_WATER_BYTES) {
