Divide the descriptors of almond-entry among all of its addresses

Cause: only the callers' address had a bound; the others took up to 16,384 connections each. What the kernel grants was not looked at.

Change: at_process_limits_divide() gives each address a part of the descriptors that the kernel grants, and leaves the rest for the process itself, files and its own connections. process_guard applies the parts and has the memory account, which was in entry.c.

--- a/src/entry/base/entry_settings.c
+++ b/src/entry/base/entry_settings.c
@@ -2,21 +2,12 @@
 
 #include <sys/socket.h>
 
+#include "almondthread/process_limits.h"
+
 /* Connections that a core can read in the second that callers wait. */
 #define CONNECTIONS_PER_CORE 1000
 #define BACKLOG_MIN 64
-#define CALLERS_PERCENT 60u /* of the descriptors */
-/* An idle instance takes 12, and a body of 4 MB is to be served, too. */
-#define MEMORY_MIN_MB 32u
-/*
- * Of the memory, for what the kernel receives in advance. At least 64 KB each,
- * so that a body of 4 MB takes 64 round trips at most.
- */
-#define RECEIVE_PART 4u
-/* Of the memory, for what is received before a connection is accepted. */
-#define BACKLOG_PART 8u
-#define RECEIVE_MIN_BYTES (64u << 10)
-#define RECEIVE_MAX_BYTES (1u << 20)
+#define MEMORY_MIN_MB (AT_PROCESS_MEMORY_MIN_BYTES >> 20)
 
 int
 at_entry_settings_read(at_entry_settings_t *s, int argc, char **argv,
@@ -46,7 +37,7 @@
 	    {"log-level", "ALMONDTHREAD_LOG_LEVEL", AT_SETTING_TEXT,
 		&s->log_level, "info", 0, 0, "error, warn, info or debug"},
 	    {"descriptors", "ALMONDTHREAD_DESCRIPTORS", AT_SETTING_NUMBER,
-		&s->descriptors, "1024", 128, 1000000,
+		&s->descriptors, "1024", AT_PROCESS_DESCRIPTORS_MIN, 1000000,
 		"files and sockets that the process may have open"},
 	    {"memory-mb", "ALMONDTHREAD_MEMORY_MB", AT_SETTING_NUMBER,
 		&s->memory_mb, "0", 0, 16777216,
@@ -113,39 +104,14 @@
 }
 
 int
-at_entry_settings_backlog(const at_entry_settings_t *s)
+at_entry_settings_backlog(const at_entry_settings_t *s, size_t fitting)
 {
 	double connections =
 	    s->processor_share * s->cores * CONNECTIONS_PER_CORE;
 
-	if (s->memory_mb != 0) {
-		double fitting = ((double)s->memory_mb * (1u << 20)) /
-				 BACKLOG_PART /
-				 (double)at_entry_settings_receive_buffer(s);
-
-		if (connections > fitting)
-			connections = fitting;
-	}
+	if (connections > (double)fitting)
+		connections = (double)fitting;
 	if (connections < BACKLOG_MIN)
 		return BACKLOG_MIN;
 	return connections < SOMAXCONN ? (int)connections : SOMAXCONN;
 }
-
-size_t
-at_entry_settings_callers(const at_entry_settings_t *s)
-{
-	return (size_t)s->descriptors * CALLERS_PERCENT / 100u;
-}
-
-size_t
-at_entry_settings_receive_buffer(const at_entry_settings_t *s)
-{
-	size_t bytes = ((size_t)s->memory_mb << 20) / RECEIVE_PART /
-		       at_entry_settings_callers(s);
-
-	if (s->memory_mb == 0)
-		return 0;
-	if (bytes < RECEIVE_MIN_BYTES)
-		return RECEIVE_MIN_BYTES;
-	return bytes < RECEIVE_MAX_BYTES ? bytes : RECEIVE_MAX_BYTES;
-}
--- a/src/entry/base/entry_settings.h
+++ b/src/entry/base/entry_settings.h
@@ -57,20 +57,9 @@
 /*
  * at_entry_settings_backlog() returns how many new connections may wait: those
  * that the processor can read before their callers give up. Of more, each would
- * be read too late. What the kernel receives for them meanwhile has its part of
- * the memory.
+ * be read too late. fitting is how many the memory has room for.
  */
-int at_entry_settings_backlog(const at_entry_settings_t *settings);
-/*
- * at_entry_settings_callers() returns how many connections callers may have.
- * The other descriptors are for backend servers, the store, other instances and
- * files: without them no request could be served.
- */
-size_t at_entry_settings_callers(const at_entry_settings_t *settings);
-/*
- * at_entry_settings_receive_buffer() returns how many bytes the kernel may
- * receive in advance on a caller's connection; 0: as many as it likes.
- */
-size_t at_entry_settings_receive_buffer(const at_entry_settings_t *settings);
+int at_entry_settings_backlog(
+    const at_entry_settings_t *settings, size_t fitting);
 
 #endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -7,9 +7,7 @@
 #include "almondthread/log.h"
 #include "entry/entry_parts.h"
 #include "io/clock.h"
-#include "io/resident.h"
 
-#define UNREAD_CHECK_MS 1000u
 #define TICK_S 0.05         /* between two checks of queued requests */
 #define LOG_FLUSH_TICKS 4u  /* between two flushes of the log */
 #define STOP_CHECK_S 0.05   /* between two checks of open requests */
@@ -24,51 +22,6 @@
 /* Largest request body until a configuration is applied. */
 #define DEFAULT_BODY_MAX_BYTES (4u << 20)
 
-/* What the kernel holds is counted once a second, a call a connection. */
-static void
-count_unread(at_entry_t *entry, uint64_t now_ms)
-{
-	if (now_ms < entry->unread_checked_ms + UNREAD_CHECK_MS)
-		return;
-	entry->unread_checked_ms = now_ms;
-	at_memory_set_kernel(
-	    &entry->memory, at_httpd_unread_bytes(entry->callers) +
-				at_relay_unread_bytes(entry->relay) +
-				at_httpc_unread_bytes(entry->httpc));
-}
-
-static void
-check_memory(at_entry_t *entry)
-{
-	at_memory_t *memory = &entry->memory;
-	uint64_t now_ms = at_clock_now_ms();
-	int change;
-
-	if (memory->limit == 0)
-		return;
-	count_unread(entry, now_ms);
-	at_memory_set_resident(memory, at_resident_bytes());
-	at_httpd_relieve(entry->callers);
-	at_relay_relieve(entry->relay);
-	change = at_memory_tick(memory, now_ms);
-	if (change != 0)
-		at_log(AT_LOG_WARN, "memory", NULL,
-		    "%s used=%" PRIu64 " limit=%" PRIu64 " bodies=%" PRIu64
-		    " responses=%" PRIu64 " connections=%" PRIu64
-		    " kernel=%" PRIu64 " other=%" PRIu64 " refused=%" PRIu64
-		    " closed=%" PRIu64,
-		    change > 0 ? "short of memory; large or less urgent bodies "
-				 "are refused"
-			       : "enough memory again; no body is refused",
-		    at_memory_used(memory), memory->limit,
-		    memory->held[AT_MEMORY_BODIES],
-		    memory->held[AT_MEMORY_RESPONSES],
-		    memory->held[AT_MEMORY_CONNECTIONS],
-		    memory->held[AT_MEMORY_KERNEL],
-		    memory->held[AT_MEMORY_OTHER], memory->refused_total,
-		    memory->closed_total);
-}
-
 static void
 on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -77,7 +30,7 @@
 
 	(void)loop;
 	(void)events;
-	check_memory(entry);
+	at_process_guard_check(&entry->guard);
 	at_calls_expire(entry->calls);
 	at_calls_place_queued(entry->calls);
 	if (++ticks % LOG_FLUSH_TICKS == 0)
@@ -137,7 +90,6 @@
 
 	if (check_settings(entry, status) != AT_OK)
 		return status->code;
-	at_memory_init(&entry->memory, (uint64_t)s->memory_mb << 20);
 	if (entry_parts_new(entry) != 0)
 		return at_status_set(status, AT_FAILED, "out of memory");
 	if (s->regions != NULL &&
@@ -146,11 +98,8 @@
 		    "--regions: expected DATA-CENTRE:REGION,..., not '%s'",
 		    s->regions);
 	at_httpd_set_max_body(entry->callers, DEFAULT_BODY_MAX_BYTES);
-	at_httpd_set_backlog(entry->callers, at_entry_settings_backlog(s));
-	at_httpd_set_connections_max(
-	    entry->callers, at_entry_settings_callers(s));
-	at_httpd_set_receive_buffer(
-	    entry->callers, at_entry_settings_receive_buffer(s));
+	at_httpd_set_backlog(entry->callers,
+	    at_entry_settings_backlog(s, entry->guard.limits.backlog));
 	if (at_wire_store_init(entry->wire_store, s->store, status) != AT_OK ||
 	    at_readiness_init(entry->readiness, status) != AT_OK ||
 	    at_gossip_init(entry->gossip, status) != AT_OK ||
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -17,6 +17,7 @@
 #include "entry/store/sync.h"
 #include "entry/store/version_record.h"
 #include "entry/peers/introductions.h"
+#include "io/process_guard.h"
 
 typedef struct at_entry {
 	struct ev_loop *loop;
@@ -25,8 +26,7 @@
 	at_identity_t identity;
 	at_rng_t rng;
 	at_counters_t *counters;
-	at_memory_t memory;
-	uint64_t unread_checked_ms; /* what the kernel holds */
+	at_process_guard_t guard;
 	at_httpd_t *callers;
 	at_httpc_t *httpc;
 	at_wire_store_t *wire_store;
--- a/src/entry/entry_parts.c
+++ b/src/entry/entry_parts.c
@@ -129,7 +129,7 @@
 	    .settings = &entry->settings,
 	    .state = &entry->state,
 	    .fleet = entry->fleet,
-	    .memory = &entry->memory,
+	    .guard = &entry->guard,
 	    .httpc = entry->httpc};
 
 	entry->notices = at_server_notices_new(&notices_deps);
@@ -394,7 +394,7 @@
 	    .retries = entry->retries,
 	    .origins = entry->origins,
 	    .httpc = entry->httpc,
-	    .memory = &entry->memory,
+	    .memory = &entry->guard.memory,
 	    .gossip = entry->gossip,
 	    .reach = entry->reach,
 	    .crashes = entry->crashes,
@@ -439,10 +439,6 @@
 	    {"copies_age_ms", at_sync_age_ms(entry->sync)},
 	    {"evacuated_data_centres",
 		at_evacuation_sync_count(entry->evacuations)},
-	    {"memory_limit_bytes", entry->memory.limit},
-	    {"memory_refused_total", entry->memory.refused_total},
-	    {"memory_closed_total", entry->memory.closed_total},
-	    {"memory_paused_total", entry->memory.paused_total},
 	    {"config_version", entry->site == NULL ? 0 : entry->site->version},
 	};
 	size_t i;
@@ -450,9 +446,7 @@
 	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++)
 		at_counters_set(entry->counters, values[i].name, NULL, NULL,
 		    values[i].value);
-	for (i = 0; i < AT_MEMORY_KIND_COUNT; i++)
-		at_counters_set(entry->counters, "memory_bytes", "kind",
-		    at_memory_kind_names[i], entry->memory.held[i]);
+	at_process_guard_count(&entry->guard, entry->counters);
 }
 
 static at_readiness_t *
@@ -461,6 +455,7 @@
 	const at_readiness_deps_t deps = {.loop = entry->loop,
 	    .counters = entry->counters,
 	    .settings = &entry->settings,
+	    .guard = &entry->guard,
 	    .is_ready = is_ready,
 	    .set_values = set_values,
 	    .ctx = entry};
@@ -523,7 +518,9 @@
 	if (entry->counters == NULL || entry->httpc == NULL ||
 	    entry->callers == NULL)
 		return -1;
-	at_httpd_set_memory(entry->callers, &entry->memory);
+	at_process_guard_init(
+	    &entry->guard, s->descriptors, s->memory_mb, entry->httpc);
+	at_process_guard_add(&entry->guard, entry->callers, AT_GUARD_CALLERS);
 	entry->wire_store = at_wire_store_new(entry->loop, entry->httpc);
 	entry->fleet =
 	    at_fleet_new(entry->identity.data_centre, at_rng_next(&entry->rng));
--- a/src/entry/readiness.c
+++ b/src/entry/readiness.c
@@ -59,11 +59,16 @@
 		return NULL;
 	}
 	at_httpd_set_handler(readiness->checks, handle, readiness);
+	at_process_guard_add(
+	    deps->guard, readiness->checks, AT_GUARD_OPERATORS);
 	if (deps->settings->metrics[0] == '\0')
 		return readiness;
 	readiness->metrics = at_httpd_new(deps->loop);
-	if (readiness->metrics != NULL)
-		at_httpd_set_handler(readiness->metrics, handle, readiness);
+	if (readiness->metrics == NULL)
+		return readiness;
+	at_httpd_set_handler(readiness->metrics, handle, readiness);
+	at_process_guard_add(
+	    deps->guard, readiness->metrics, AT_GUARD_OPERATORS);
 	return readiness;
 }
 
--- a/src/entry/readiness.h
+++ b/src/entry/readiness.h
@@ -10,7 +10,7 @@
 
 #include "almondthread/counters.h"
 #include "entry/base/entry_settings.h"
-#include "io/httpd.h"
+#include "io/process_guard.h"
 
 typedef struct at_readiness at_readiness_t;
 
@@ -19,6 +19,7 @@
 	struct ev_loop *loop;
 	at_counters_t *counters;
 	const at_entry_settings_t *settings;
+	at_process_guard_t *guard;
 	/* Non-zero if callers should be sent here. */
 	int (*is_ready)(void *ctx);
 	/* Sets the counters that are present values. */
--- a/src/entry/servers/relay.c
+++ b/src/entry/servers/relay.c
@@ -375,7 +375,7 @@
 	}
 	at_httpd_set_handler(relay->httpd, handle, relay);
 	at_httpd_set_fault_handler(relay->httpd, handle_fault, relay);
-	at_httpd_set_memory(relay->httpd, deps->memory);
+	at_process_guard_add(deps->guard, relay->httpd, AT_GUARD_PEERS);
 	at_httpd_set_max_body(relay->httpd, DEFAULT_BODY_MAX_BYTES);
 	at_httpd_set_closed_check(relay->httpd, CLOSED_CHECK_MS);
 	return relay;
@@ -403,18 +403,6 @@
 	at_httpd_set_max_body(relay->httpd, bytes);
 }
 
-void
-at_relay_relieve(at_relay_t *relay)
-{
-	at_httpd_relieve(relay->httpd);
-}
-
-uint64_t
-at_relay_unread_bytes(const at_relay_t *relay)
-{
-	return at_httpd_unread_bytes(relay->httpd);
-}
-
 size_t
 at_relay_open(const at_relay_t *relay)
 {
--- a/src/entry/servers/relay.h
+++ b/src/entry/servers/relay.h
@@ -22,6 +22,7 @@
 #include "entry/servers/server_notices.h"
 #include "entry/base/state.h"
 #include "io/httpc.h"
+#include "io/process_guard.h"
 #include "platform/server_call.h"
 
 #define RELAY_HEADER "Almondthread-Relay"
@@ -52,7 +53,7 @@
 	const at_entry_state_t *state;
 	at_fleet_t *fleet;
 	at_httpc_t *httpc;
-	at_memory_t *memory;
+	at_process_guard_t *guard;
 	at_reach_io_t *reach;
 	at_server_notices_t *notices;
 } at_relay_deps_t;
@@ -68,9 +69,6 @@
 void at_relay_set_max_body(at_relay_t *relay, size_t bytes);
 /* at_relay_open() returns the number of attempts that are being passed on. */
 size_t at_relay_open(const at_relay_t *relay);
-/* See at_httpd_relieve() and at_httpd_unread_bytes(). */
-void at_relay_relieve(at_relay_t *relay);
-uint64_t at_relay_unread_bytes(const at_relay_t *relay);
 /* at_relay_abandon() ends them, at the end of the shutdown. */
 void at_relay_abandon(at_relay_t *relay);
 /* at_relay_section() returns its section of the reports. */
