Refuse requests for which no connection to a server may be opened

Callers saw nothing yet: with as many requests as the callers' part of the descriptors allows, each has a connection to a backend server, too. Together they exceed what the process may have, and accepting, the store and other instances fail alike.

Cause: the pool of libcurl has a limit, the connections in use had none.

Change: httpc counts its transfers. A call that arrives, or is retried, while as many are open as the process may have, less an eighth for the store and for checks, is refused at once with no_connection (503, not run, Retry-After); queued calls wait on, and attempts of other instances are answered "refused", so that they go another way.

--- a/include/almondthread/verdict.h
+++ b/include/almondthread/verdict.h
@@ -53,6 +53,8 @@
 	    "The request cannot be answered in time.")                         \
 	X(NO_MEMORY, "no_memory", 503, NOT_RUN,                                \
 	    "The instance has no memory for the body.")                        \
+	X(NO_CONNECTION, "no_connection", 503, NOT_RUN,                        \
+	    "The instance has too many connections for the request.")          \
 	X(NO_CONFIG, "no_config", 503, NOT_RUN,                                \
 	    "No configuration has been received yet.")                         \
 	X(NO_BACKEND, "no_backend", 503, NOT_RUN,                              \
--- a/src/entry/call/call.c
+++ b/src/entry/call/call.c
@@ -15,6 +15,8 @@
 #define US_PER_MS 1000u
 /* Stated in refusals at the shutdown: another instance can run the request. */
 #define STOPPING_RETRY_MS 10u
+/* A request that holds a connection ends within a second, mostly. */
+#define NO_CONNECTION_RETRY_MS 500u
 #define REFUSAL_BODY_SIZE 320 /* bytes of a refusal's body, with the NUL */
 
 void
@@ -368,6 +370,12 @@
 		    AT_REASON_CRASHES_BACKEND, at_clock_now_ms());
 		return;
 	}
+	if (!at_httpc_has_room(calls->deps.httpc)) {
+		call->retry_after_ms = NO_CONNECTION_RETRY_MS;
+		at_attempts_on_not_placed(call->attempts, action->attempt,
+		    AT_REASON_NO_CONNECTION, at_clock_now_ms());
+		return;
+	}
 	if (action->attempt > 0)
 		at_counters_add_retry(calls->deps.counters, action->reason);
 	if (action->is_hedge)
@@ -562,7 +570,8 @@
 	at_waiter_t *waiter;
 	at_choice_t choice;
 
-	while ((waiter = at_wait_queue_take_placeable(
+	while (at_httpc_has_room(calls->deps.httpc) &&
+	       (waiter = at_wait_queue_take_placeable(
 		    calls->deps.queue, now_us, &choice)) != NULL) {
 		at_call_t *call = call_from_waiter(waiter);
 
--- a/src/entry/servers/relay.c
+++ b/src/entry/servers/relay.c
@@ -270,6 +270,7 @@
 	if (*deps->state >= AT_ENTRY_LINGERING ||
 	    at_reach_io_reaches_none(deps->reach) ||
 	    relay->count >= AT_ROSTER_RELAYED_MAX || server == NULL ||
+	    !at_httpc_has_room(deps->httpc) ||
 	    !at_server_accepts_relayed(server, at_clock_now_us()))
 		return NULL;
 	/* A probe only connects. */
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -25,7 +25,9 @@
 #define IDLE_READS_MAX 64u
 /* Bytes that were to be read by then; libcurl passes over them one by one. */
 #define IDLE_BYTES_MAX (256u << 10)
-#define DEFAULT_CONNECTIONS_MAX 512L /* size of the connection pool */
+#define POOL_MAX 512u /* size of the connection pool */
+/* Part of the connections that is left for others than callers' requests. */
+#define RESERVED_PART 8u
 
 /*
  * A request that the server's kernel has not received by then is given up: it
@@ -87,6 +89,8 @@
 	ev_timer timer;
 	ev_timer unacknowledged_timer;
 	at_transfer_t *transfers;
+	size_t transfer_count;
+	size_t open_max;                    /* connections, in use and pooled */
 	silent_address_t *silent_addresses; /* hash table by address */
 	at_httpc_open_t on_open;            /* NULL: none */
 	void *open_ctx;
@@ -420,15 +424,24 @@
 	(void)curl_multi_setopt(
 	    httpc->multi, CURLMOPT_TIMERFUNCTION, timer_function);
 	(void)curl_multi_setopt(httpc->multi, CURLMOPT_TIMERDATA, httpc);
-	at_httpc_set_max_connections(httpc, DEFAULT_CONNECTIONS_MAX);
+	at_httpc_set_open_max(httpc, SIZE_MAX);
 	return httpc;
 }
 
 void
-at_httpc_set_max_connections(at_httpc_t *httpc, long connections)
+at_httpc_set_open_max(at_httpc_t *httpc, size_t connections)
 {
-	(void)curl_multi_setopt(
-	    httpc->multi, CURLMOPT_MAXCONNECTS, connections);
+	size_t pool = connections < POOL_MAX ? connections : POOL_MAX;
+
+	httpc->open_max = connections;
+	(void)curl_multi_setopt(httpc->multi, CURLMOPT_MAXCONNECTS, (long)pool);
+}
+
+int
+at_httpc_has_room(const at_httpc_t *httpc)
+{
+	return httpc->transfer_count <
+	       httpc->open_max - httpc->open_max / RESERVED_PART;
 }
 
 void
@@ -537,6 +550,7 @@
 	at_httpc_t *httpc = transfer->httpc;
 
 	ev_timer_stop(httpc->loop, &transfer->timeout);
+	httpc->transfer_count--;
 	if (transfer->prev != NULL)
 		transfer->prev->next = transfer->next;
 	else
@@ -857,6 +871,7 @@
 	if (transfer->next != NULL)
 		transfer->next->prev = transfer;
 	httpc->transfers = transfer;
+	httpc->transfer_count++;
 	timeout_start(transfer, spec->first_byte_ms);
 	httpc->has_pending_changes = 1;
 	apply_pending_changes(httpc);
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -87,8 +87,13 @@
 
 /* at_httpc_new() returns a client on loop, or NULL if out of memory. */
 at_httpc_t *at_httpc_new(struct ev_loop *loop);
-/* at_httpc_set_max_connections() limits the size of the connection pool. */
-void at_httpc_set_max_connections(at_httpc_t *httpc, long connections);
+/*
+ * at_httpc_set_open_max() limits the connections, in use and pooled. Not
+ * enforced for transfers: who starts one for a caller asks at_httpc_has_room(),
+ * which leaves some for calls to the platform and for checks.
+ */
+void at_httpc_set_open_max(at_httpc_t *httpc, size_t connections);
+int at_httpc_has_room(const at_httpc_t *httpc);
 /*
  * at_httpc_set_open_handler() sets a function that is called for each socket
  * before it connects; it may change the address. It is meant for tests, which
--- a/src/io/process_guard.c
+++ b/src/io/process_guard.c
@@ -25,6 +25,7 @@
 	    limits, at_machine_descriptors(descriptors), memory_bytes);
 	at_memory_init(&guard->memory, memory_bytes);
 	guard->httpc = httpc;
+	at_httpc_set_open_max(httpc, limits->outgoing);
 	at_log(AT_LOG_INFO, "limits", NULL,
 	    "descriptors=%zu of %u set, callers=%zu peers=%zu operators=%zu "
 	    "outgoing=%zu memory_bytes=%" PRIu64 " of %u MiB set, buffers=%zu",
--- a/tests/contract/test_many_connections.c
+++ b/tests/contract/test_many_connections.c
@@ -130,3 +130,76 @@
 	}
 	entry_fixture_delete(fixture);
 }
+
+/* The fewest descriptors that an instance can have. */
+#define FEW_DESCRIPTORS 128u
+#define FEW_OUTGOING 18u /* connections that it may open itself */
+#define SLOW_MS 1500u    /* for which a request holds one */
+#define REQUESTS 60u
+
+static int
+are_all_done(void *ctx)
+{
+	const entry_fixture_response_t *responses = ctx;
+	size_t i;
+
+	for (i = 0; i < REQUESTS; i++) {
+		if (!responses[i].done)
+			return 0;
+	}
+	return 1;
+}
+
+static size_t
+count_runs(const entry_fixture_t *fixture)
+{
+	size_t runs = 0;
+	size_t i;
+
+	for (i = 0; i < fixture->server_count; i++)
+		runs += standin_server_run_count(fixture->servers[i]);
+	return runs;
+}
+
+/* A connection to a server for each request took all descriptors. */
+Test(many_connections, requests_without_a_connection_are_refused, .timeout = 60)
+{
+	static const entry_fixture_request_t request = {
+	    "POST", "/unsafe/x", "slow", ENTRY_FIXTURE_KEY, NULL, "body"};
+	static entry_fixture_response_t responses[REQUESTS];
+	entry_fixture_t *fixture = entry_fixture_new();
+	size_t served = 0;
+	size_t begun;
+	size_t i;
+
+	fixture->descriptors = FEW_DESCRIPTORS;
+	entry_fixture_apply_config(fixture, 1);
+	for (i = 0; i < 3; i++) {
+		(void)entry_fixture_add_service(fixture);
+		standin_server_faults(fixture->servers[i])->work_ms = SLOW_MS;
+	}
+	(void)entry_fixture_add_entry(fixture);
+	entry_fixture_run_until_ready(fixture);
+	for (i = 0; i < REQUESTS; i++)
+		entry_fixture_send(fixture, 0, &request, &responses[i]);
+	/* None has ended by then. */
+	entry_fixture_run_ms(fixture, SLOW_MS / 2);
+	begun = count_runs(fixture);
+	entry_fixture_run_until(fixture, are_all_done, responses);
+	for (i = 0; i < REQUESTS; i++) {
+		served += responses[i].status == 200;
+		if (responses[i].status == 200)
+			continue;
+		cr_expect_eq(responses[i].status, 503, "request %zu gets %d", i,
+		    responses[i].status);
+		cr_expect_neq(responses[i].retry_after[0], '\0');
+	}
+	cr_expect_gt(begun, 0);
+	cr_expect_leq(begun, FEW_OUTGOING, "%zu run at once", begun);
+	/* What was refused has not run. */
+	cr_expect_eq(count_runs(fixture), served, "%zu of %zu ran",
+	    count_runs(fixture), served);
+	for (i = 0; i < REQUESTS; i++)
+		entry_fixture_response_free(&responses[i]);
+	entry_fixture_delete(fixture);
+}
