--- a/src/entry/base/entry_settings.c
+++ b/src/entry/base/entry_settings.c
@@ -41,8 +41,8 @@
 		"files and sockets that the process may have open"},
 	    {"memory-mb", "ALMONDTHREAD_MEMORY_MB", AT_SETTING_NUMBER,
 		&s->memory_mb, "0", 0, 16777216,
-		"memory of this machine; what does not fit is refused; 0: not "
-		"limited"},
+		"memory of this machine; what does not fit is refused; 0: what "
+		"the kernel grants"},
 	    {"log-lines", "ALMONDTHREAD_LOG_LINES", AT_SETTING_NUMBER,
 		&s->log_lines_per_s, "200", 1, 1000000,
 		"most log lines a second; further ones are only counted"},
--- a/src/entry/base/entry_settings.h
+++ b/src/entry/base/entry_settings.h
@@ -22,7 +22,7 @@
 	double processor_share; /* part of each core that may be used */
 	uint32_t cores;
 	double link_mbps;
-	uint32_t memory_mb;   /* of this machine, in MiB; 0: not limited */
+	uint32_t memory_mb;   /* of this machine, in MiB; 0: it is found out */
 	uint32_t descriptors; /* files and sockets that may be open */
 	uint32_t log_lines_per_s;
 	uint32_t stop_grace_s; /* time from SIGTERM to SIGKILL */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -127,8 +127,7 @@
 	at_status_t status;
 
 	at_status_clear(&status);
-	if (settings->memory_mb != 0)
-		at_resident_set_returning();
+	at_resident_set_returning();
 	program->entry = at_entry_new(loop, settings);
 	if (program->entry == NULL ||
 	    at_entry_init(program->entry, &status) != AT_OK) {
--- a/src/io/process_guard.c
+++ b/src/io/process_guard.c
@@ -19,11 +19,13 @@
     uint32_t memory_mb, at_httpc_t *httpc)
 {
 	at_process_limits_t *limits = &guard->limits;
-	uint64_t memory_bytes = (uint64_t)memory_mb << BYTES_PER_MB_SHIFT;
+	uint64_t memory_bytes = memory_mb == 0
+				    ? at_machine_memory("")
+				    : (uint64_t)memory_mb << BYTES_PER_MB_SHIFT;
 
 	at_process_limits_divide(
 	    limits, at_machine_descriptors(descriptors), memory_bytes);
-	at_memory_init(&guard->memory, memory_bytes);
+	at_memory_init(&guard->memory, limits->memory_bytes);
 	guard->httpc = httpc;
 	at_httpc_set_open_max(httpc, limits->outgoing);
 	at_log(AT_LOG_INFO, "limits", NULL,
@@ -58,8 +60,7 @@
 	guard->servers[guard->server_count++] = httpd;
 	at_httpd_set_memory(httpd, &guard->memory);
 	at_httpd_set_connections_max(httpd, connections_of(limits, kind));
-	if (guard->memory.limit != 0)
-		at_httpd_set_receive_buffer(httpd, limits->receive_bytes);
+	at_httpd_set_receive_buffer(httpd, limits->receive_bytes);
 	if (limits->backlog < SOMAXCONN)
 		at_httpd_set_backlog(httpd, (int)limits->backlog);
 	if (kind != AT_GUARD_OPERATORS)
--- a/src/io/process_guard.h
+++ b/src/io/process_guard.h
@@ -33,7 +33,7 @@
 /*
  * at_process_guard_init() takes the settings: how many descriptors the process
  * may have, of which the kernel may grant fewer, and the memory of the machine
- * in MiB; 0: not limited. httpc is borrowed.
+ * in MiB; 0: what the kernel grants. httpc is borrowed, and limited.
  */
 void at_process_guard_init(at_process_guard_t *guard, uint32_t descriptors,
     uint32_t memory_mb, at_httpc_t *httpc);
