Keep almondthreadd within its memory and descriptors

Callers saw: 600 legal bodies of 1 MB that stop before their end are 592 MB in almondthreadd, up to its 16,384 connections; silent connections to any of its addresses take all descriptors; a stop waits for unfinished bodies.

Cause: account and bounds were part of almond-entry only, and a body was copied for the exchange and again for each attempt.

Change: both programs use process_guard, with the settings descriptors (32,768, or what the kernel grants) and memory-mb. The exchange and its attempts share the body of the request. Refusals for want of memory have a retry time. Of peers without a hello the oldest gives way, not the newest.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -10,6 +10,7 @@
 
 #include "almondthread/log.h"
 #include "daemon/node/node.h"
+#include "io/resident.h"
 #include "io/settings.h"
 
 static void
@@ -91,6 +92,15 @@
 	    {"log-level", "ALMONDTHREAD_LOG_LEVEL", AT_SETTING_TEXT,
 		&node_settings.log_level, "info", 0, 0,
 		"error, warn, info or debug"},
+	    {"descriptors", "ALMONDTHREAD_DESCRIPTORS", AT_SETTING_NUMBER,
+		&node_settings.descriptors, "32768", AT_PROCESS_DESCRIPTORS_MIN,
+		1000000,
+		"files and sockets that the process may have open, if the "
+		"kernel grants as many"},
+	    {"memory-mb", "ALMONDTHREAD_MEMORY_MB", AT_SETTING_NUMBER,
+		&node_settings.memory_mb, "0", 0, 16777216,
+		"memory of this machine; what does not fit is refused; 0: what "
+		"the kernel grants"},
 	    {"drain-ms", "ALMONDTHREAD_DRAIN_MS", AT_SETTING_NUMBER,
 		&node_settings.drain_ms, "3000", 0, 600000,
 		"time for the load balancer to notice a stop"},
@@ -111,11 +121,20 @@
 		    "--log-level: expected error, warn, info or debug");
 		result = -1;
 	}
+	if (result == 0 && node_settings.memory_mb != 0 &&
+	    (uint64_t)node_settings.memory_mb << 20 <
+		AT_PROCESS_MEMORY_MIN_BYTES) {
+		(void)at_status_set(&status, AT_INVALID,
+		    "--memory-mb: expected 0 or at least %u, not %u",
+		    AT_PROCESS_MEMORY_MIN_BYTES >> 20, node_settings.memory_mb);
+		result = -1;
+	}
 	if (result < 0) {
 		(void)fprintf(stderr, "almondthreadd: %s\n", status.message);
 		return AT_EXIT_USAGE;
 	}
 	at_log_set_fatal_signals();
+	at_resident_set_returning();
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_ALL) != 0)
 		return 1;
 	return run(&node_settings);
--- a/src/daemon/node/node.c
+++ b/src/daemon/node/node.c
@@ -16,6 +16,7 @@
 #include "io/clock.h"
 
 #define STATUS_INTERVAL_S 0.5      /* between status requests to an engine */
+#define GUARD_INTERVAL_S 0.05      /* between measurements of the memory */
 #define STOP_CHECK_INTERVAL_S 0.05 /* between checks of open requests */
 #define LEAVE_TIMEOUT_MS 3000u /* longest wait until shares are given back */
 /* The platform is away if it has not responded for longer. */
@@ -61,6 +62,12 @@
 	node->limits = at_limits_new(loop, node->peers);
 	at_limits_set_counters(node->limits, node->counters);
 	node->admissions = at_admissions_new(node);
+	at_process_guard_init(&node->guard, settings->descriptors,
+	    settings->memory_mb, node->httpc);
+	at_process_guard_add(&node->guard, node->callers, AT_GUARD_CALLERS);
+	at_process_guard_add(&node->guard, node->operators, AT_GUARD_OPERATORS);
+	at_peers_set_max_unidentified(node->peers, node->guard.limits.peers);
+	at_httpd_set_classifier(node->callers, at_entry_classify, node);
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
 	at_httpd_set_fault_handler(node->callers, at_entry_handle_fault, node);
 	at_httpd_set_body_timeout_handler(node->callers, on_body_timeout, node);
@@ -99,6 +106,16 @@
 	at_engine_status_poll(timer->data);
 }
 
+static void
+on_guard_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	at_node_t *node = timer->data;
+
+	(void)loop;
+	(void)events;
+	at_process_guard_check(&node->guard);
+}
+
 static at_code_t
 check_settings(at_node_t *node, at_status_t *status)
 {
@@ -188,6 +205,10 @@
 	    &node->status_timer, on_status_timer, 0., STATUS_INTERVAL_S);
 	node->status_timer.data = node;
 	ev_timer_start(node->loop, &node->status_timer);
+	ev_timer_init(&node->guard_timer, on_guard_timer, GUARD_INTERVAL_S,
+	    GUARD_INTERVAL_S);
+	node->guard_timer.data = node;
+	ev_timer_start(node->loop, &node->guard_timer);
 	at_crashes_start(node);
 	node->state = AT_NODE_SERVING;
 	node->started_at_ms = at_clock_now_ms();
@@ -295,6 +316,7 @@
 		return;
 	ev_timer_stop(node->loop, &node->stop_timer);
 	ev_timer_stop(node->loop, &node->status_timer);
+	ev_timer_stop(node->loop, &node->guard_timer);
 	at_httpd_delete(node->callers);
 	at_exchange_delete_all(node);
 	at_placement_io_delete(node->placement);
--- a/src/daemon/node/node.h
+++ b/src/daemon/node/node.h
@@ -23,6 +23,7 @@
 #include "io/httpd.h"
 #include "io/peers.h"
 #include "io/platform.h"
+#include "io/process_guard.h"
 
 typedef struct at_claims_io at_claims_io_t;
 typedef struct at_jobs_io at_jobs_io_t;
@@ -38,6 +39,8 @@
 	const char *peers; /* listen address for peers; empty or NULL: none */
 	const char *seeds; /* IP:PORT of peers, separated by commas */
 	const char *log_level;
+	uint32_t descriptors; /* files and sockets that may be open */
+	uint32_t memory_mb;   /* of this machine, in MiB; 0: it is found out */
 	uint32_t drain_ms;    /* time for the load balancer to notice a stop */
 	uint32_t stop_max_ms; /* timeout of open requests at a stop */
 } at_node_settings_t;
@@ -63,6 +66,8 @@
 	at_random_t random;
 	at_counters_t *counters;
 	at_httpc_t *httpc;
+	at_process_guard_t guard;
+	ev_timer guard_timer;
 	at_httpd_t *callers;
 	at_httpd_t *operators;
 	at_platform_t *platform;
@@ -117,6 +122,9 @@
 /* entry.c: handles a request of a caller, or one that cannot be parsed. */
 void at_entry_handle(void *ctx, at_httpd_request_t *request);
 void at_entry_handle_fault(void *ctx, at_httpd_request_t *request);
+/* entry.c: states whom the body of a request belongs to. */
+void at_entry_classify(
+    void *ctx, const at_httpd_request_t *request, at_httpd_class_t *class);
 
 /*
  * operators.c: handles a request of an operator for /metrics, /healthz,
--- a/src/daemon/node/operators.c
+++ b/src/daemon/node/operators.c
@@ -26,6 +26,7 @@
 	    at_httpd_open_requests(node->callers));
 	at_counters_set(node->counters, "buffered_bytes", NULL, NULL,
 	    at_httpd_buffered_bytes(node->callers));
+	at_process_guard_count(&node->guard, node->counters);
 	text = at_counters_format(node->counters);
 	reply_text(request, text == NULL ? 500 : 200, text == NULL ? "" : text);
 	free(text);
--- a/src/daemon/requests/entry.c
+++ b/src/daemon/requests/entry.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include <jansson.h>
+#include <xxhash.h>
 
 #include "almondthread/bucket.h"
 #include "daemon/requests/admission.h"
@@ -124,6 +125,13 @@
 		at_jobs_io_show(node->jobs, request, &workspace->name);
 }
 
+static void
+set_body(at_exchange_spec_t *spec, at_httpd_request_t *request)
+{
+	spec->body = at_httpd_body(request, &spec->body_len);
+	spec->shared_body = at_httpd_shared_body(request);
+}
+
 /* Returns why a workspace may not use a model, or AT_REASON_NONE. */
 static at_reason_t
 check_model(const at_config_t *config, const at_workspace_t *workspace,
@@ -214,7 +222,7 @@
 		refuse(node, request, reason);
 		return;
 	}
-	spec.body = at_httpd_body(request, &spec.body_len);
+	set_body(&spec, request);
 	at_placement_io_add_demand(node->placement, model,
 	    compute_max_tokens(
 		node->config, model, root, spec.body_len / BYTES_PER_TOKEN));
@@ -280,7 +288,7 @@
 	spec.deadline_ms = route->deadline_ms != 0
 			       ? route->deadline_ms
 			       : node->config->defaults.deadline_ms;
-	spec.body = at_httpd_body(request, &spec.body_len);
+	set_body(&spec, request);
 	at_admission_start(node, request, &spec, route->cost_tokens, run_route);
 }
 
@@ -290,7 +298,24 @@
 	at_node_t *node = ctx;
 
 	at_counters_add(node->counters, "requests_total", NULL, NULL, 1);
-	refuse(node, request, at_httpd_fault_reason(request));
+	at_refuse(node, request, at_httpd_fault_reason(request),
+	    AT_VERDICT_NOT_RUN, at_httpd_retry_after_ms(request));
+}
+
+void
+at_entry_classify(
+    void *ctx, const at_httpd_request_t *request, at_httpd_class_t *class)
+{
+	const at_node_t *node = ctx;
+	const char *key = request_key(request);
+	const at_workspace_t *workspace = NULL;
+
+	if (node->config != NULL && key != NULL)
+		workspace = at_key_find(node->config, &node->secret, key);
+	if (workspace != NULL)
+		class->owner = XXH3_64bits(workspace->name.text,
+				   strlen(workspace->name.text)) |
+			       1u;
 }
 
 void
--- a/src/daemon/requests/exchange.c
+++ b/src/daemon/requests/exchange.c
@@ -25,7 +25,7 @@
 {
 	at_attempts_delete(exchange->attempts);
 	free(exchange->path);
-	free(exchange->body);
+	at_shared_body_unref(exchange->body);
 	free(exchange);
 }
 
@@ -414,6 +414,22 @@
 	at_attempts_init(exchange->attempts, now_ms);
 }
 
+/* Sets the body. Returns -1 if out of memory. */
+static int
+set_body(exchange_t *exchange, const at_exchange_spec_t *spec)
+{
+	if (spec->shared_body != NULL || spec->body_len == 0) {
+		exchange->body = at_shared_body_ref(spec->shared_body);
+		return 0;
+	}
+	exchange->body = at_shared_body_new(&exchange->node->guard.memory);
+	if (exchange->body == NULL ||
+	    at_shared_body_reserve(exchange->body, spec->body_len) != 0)
+		return -1;
+	at_shared_body_append(exchange->body, spec->body, spec->body_len);
+	return 0;
+}
+
 /* Returns an exchange with copies of all texts, or NULL if out of memory. */
 static exchange_t *
 exchange_new(at_node_t *node, const at_exchange_spec_t *spec)
@@ -422,15 +438,14 @@
 
 	if (exchange == NULL)
 		return NULL;
+	exchange->node = node;
 	exchange->attempts = at_attempts_new();
 	exchange->path = strdup(spec->path);
-	exchange->body = malloc(spec->body_len + 1);
 	if (exchange->attempts == NULL || exchange->path == NULL ||
-	    exchange->body == NULL) {
+	    set_body(exchange, spec) != 0) {
 		exchange_free(exchange);
 		return NULL;
 	}
-	exchange->node = node;
 	exchange->kind = spec->kind;
 	(void)at_name_set(&exchange->target, spec->target);
 	(void)at_name_set(&exchange->workspace, spec->workspace);
@@ -439,8 +454,6 @@
 	    spec->content_type);
 	copy_text(exchange->idempotency_key, sizeof(exchange->idempotency_key),
 	    spec->idempotency_key);
-	memcpy(exchange->body, spec->body, spec->body_len);
-	exchange->body_len = spec->body_len;
 	exchange->repeat = spec->repeat;
 	exchange->on_done = spec->on_done;
 	exchange->done_ctx = spec->done_ctx;
--- a/src/daemon/requests/exchange.h
+++ b/src/daemon/requests/exchange.h
@@ -26,7 +26,7 @@
 /* Called exactly once, before the caller gets the end of the response. */
 typedef void (*at_exchange_done_t)(void *ctx, const at_exchange_end_t *end);
 
-/* The request to run; the texts are copied. */
+/* The request to run; the texts are copied, and a shared body is not. */
 typedef struct at_exchange_spec {
 	at_instance_kind_t kind;
 	const char *target;    /* model, adapter or service */
@@ -37,6 +37,7 @@
 	const char *idempotency_key; /* may be NULL */
 	const void *body;
 	size_t body_len;
+	at_shared_body_t *shared_body; /* of which body is part, or NULL */
 	at_repeat_t repeat;
 	at_priority_t priority;
 	uint32_t deadline_ms;
--- a/src/daemon/requests/exchange_impl.h
+++ b/src/daemon/requests/exchange_impl.h
@@ -48,8 +48,7 @@
 	char *path;
 	char content_type[CONTENT_TYPE_SIZE];
 	char idempotency_key[128];
-	char *body;
-	size_t body_len;
+	at_shared_body_t *body; /* NULL: empty */
 	at_repeat_t repeat;
 	at_exchange_done_t on_done;
 	void *done_ctx;
--- a/src/daemon/requests/transport.c
+++ b/src/daemon/requests/transport.c
@@ -261,8 +261,7 @@
 	const at_transfer_spec_t spec = {.method = exchange->method,
 	    .url = url,
 	    .headers = headers,
-	    .body = exchange->body,
-	    .body_len = exchange->body_len,
+	    .shared_body = exchange->body,
 	    .new_connection = new_connection,
 	    .forbid_resend = 1};
 	const at_transfer_events_t events = {.on_headers = on_headers,
@@ -304,6 +303,8 @@
 static at_reason_t
 choose_backend(transport_t *transport, at_backend_t **backend)
 {
+	if (!at_httpc_has_room(transport->exchange->node->httpc))
+		return AT_REASON_NO_CONNECTION;
 	if (transport->exchange->kind == AT_INSTANCE_ENGINE)
 		return at_routing_choose(transport, backend);
 	return choose_service_backend(transport, backend);
--- a/src/daemon/routing/routing.c
+++ b/src/daemon/routing/routing.c
@@ -44,15 +44,18 @@
 static const char *
 find_prompt(const exchange_t *exchange, size_t *len)
 {
-	const char *start =
-	    memmem(exchange->body, exchange->body_len, "\"messages\"", 10);
+	const at_shared_body_t *body = exchange->body;
+	const char *start;
 
+	*len = 0;
+	if (body == NULL)
+		return "";
+	start = memmem(body->data, body->len, "\"messages\"", 10);
 	if (start == NULL)
-		start =
-		    memmem(exchange->body, exchange->body_len, "\"prompt\"", 8);
+		start = memmem(body->data, body->len, "\"prompt\"", 8);
 	if (start == NULL)
-		start = exchange->body;
-	*len = exchange->body_len - (size_t)(start - exchange->body);
+		start = body->data;
+	*len = body->len - (size_t)(start - body->data);
 	return start;
 }
 
--- a/src/io/peers.c
+++ b/src/io/peers.c
@@ -30,7 +30,7 @@
 /* Limits of the delay between two dials of one member or seed. */
 #define BACKOFF_MIN_MS 200u
 #define BACKOFF_MAX_MS 10000u
-#define UNIDENTIFIED_CONNS_MAX 1024u /* connections without a hello */
+#define DEFAULT_UNIDENTIFIED_MAX 1024u /* connections without a hello */
 #define LISTEN_BACKLOG 1024
 #define HASH_SEED 0x616c6d6f6e64u /* the same in all instances */
 
@@ -44,6 +44,7 @@
 	peers->loop = loop;
 	peers->fd = -1;
 	peers->platform_age_ms = AT_PEER_AGE_UNKNOWN;
+	peers->unidentified_max = DEFAULT_UNIDENTIFIED_MAX;
 	return peers;
 }
 
@@ -90,6 +91,12 @@
 	peers->heartbeat_ctx = ctx;
 }
 
+void
+at_peers_set_max_unidentified(at_peers_t *peers, size_t connections)
+{
+	peers->unidentified_max = connections;
+}
+
 int
 at_peers_add_seed(at_peers_t *peers, const char *address)
 {
@@ -316,6 +323,24 @@
 	set_gauges(peers);
 }
 
+/*
+ * Of many that say nothing, the oldest accepted one is hardly a peer. The
+ * newest is first.
+ */
+static void
+close_longest_unidentified(at_peers_t *peers)
+{
+	conn_t *conn;
+	conn_t *found = NULL;
+
+	for (conn = peers->conns; conn != NULL; conn = conn->next) {
+		if (conn->member == NULL && !conn->is_dialer)
+			found = conn;
+	}
+	if (found != NULL)
+		conn_delete(found);
+}
+
 static void
 on_acceptable(struct ev_loop *loop, ev_io *io, int events)
 {
@@ -326,11 +351,10 @@
 	(void)events;
 	while ((fd = accept4(peers->fd, NULL, NULL,
 		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-		if (peers->unidentified >= UNIDENTIFIED_CONNS_MAX) {
+		if (peers->unidentified >= peers->unidentified_max) {
 			peers_add_count(
 			    peers, "peer_links_refused_total", NULL, NULL);
-			(void)close(fd);
-			continue;
+			close_longest_unidentified(peers);
 		}
 		conn_accept(peers, fd);
 	}
--- a/src/io/peers.h
+++ b/src/io/peers.h
@@ -82,6 +82,12 @@
     at_peers_handler_t handler, void *ctx);
 void at_peers_set_heartbeat_handler(
     at_peers_t *peers, at_peers_heartbeat_t on_heartbeat, void *ctx);
+/*
+ * at_peers_set_max_unidentified() limits the connections that have not proved
+ * that they belong to the fleet, 1,024 without it. Of more, the oldest is
+ * closed.
+ */
+void at_peers_set_max_unidentified(at_peers_t *peers, size_t connections);
 /*
  * at_peers_add_seed() adds the "ip:port" of an instance that is dialled even if
  * the instance list is not available. It is called before init. Returns 0, or
--- a/src/io/peers_internal.h
+++ b/src/io/peers_internal.h
@@ -78,6 +78,7 @@
 	member_t *members;
 	conn_t *conns;
 	size_t unidentified; /* connections without a hello */
+	size_t unidentified_max;
 	seed_t seeds[AT_PEERS_SEEDS_MAX];
 	size_t seed_count;
 	uint64_t versions[AT_PEER_DOCUMENT_COUNT];
--- a/tests/support/fixture.c
+++ b/tests/support/fixture.c
@@ -9,6 +9,7 @@
 #include <sodium.h>
 
 #define CALL_TIMEOUT_MS 20000u /* for one call */
+#define DESCRIPTORS 1024u      /* of a node */
 #define STEP_S 0.005 /* longest time between two checks of a condition */
 
 static void
@@ -307,6 +308,7 @@
 	    .peers = "127.0.0.1:0",
 	    .secret = fixture_secret(),
 	    .log_level = "info",
+	    .descriptors = DESCRIPTORS,
 	    .stop_max_ms = FIXTURE_STOP_MAX_MS};
 	at_status_t status;
 
