Parse a large body only if its values fit into the memory

Callers saw: almondthreadd on a machine of 48 MB does not answer, or ends, after 16 completions with a body of 4 MB of JSON numbers.

Cause: jansson keeps each value in a block of its own, about 60 bytes for a number in an array that grows. A body of 4 MB can have two million of them.

Change: the separators of bodies over 64 KB are counted, and 64 bytes for each must fit into the account; else the request is refused with no_memory (503, not run) and a retry time.

--- a/src/daemon/requests/entry.c
+++ b/src/daemon/requests/entry.c
@@ -13,6 +13,8 @@
 #define BEARER_PREFIX "Bearer "
 #define NO_RETRY_AFTER 0u
 #define BYTES_PER_TOKEN 4u /* rough average of a prompt */
+/* Of jansson, for a number in an array that grows. */
+#define PARSED_VALUE_BYTES 64u
 
 static void
 refuse(at_node_t *node, at_httpd_request_t *request, at_reason_t reason)
@@ -232,6 +234,27 @@
 	    run_completion);
 }
 
+/*
+ * A value of one digit takes many times its size once it is parsed. Returns
+ * non-zero if there is memory for it.
+ */
+static int
+has_room_to_parse(const at_node_t *node, const char *body, size_t len)
+{
+	at_memory_claim_t claim = {.kind = AT_MEMORY_RESPONSES};
+	size_t values = 1;
+	size_t i;
+
+	if (len <= AT_MEMORY_SMALL_BYTES)
+		return 1;
+	for (i = 0; i < len; i++)
+		values += body[i] == ',' || body[i] == '[' || body[i] == '{' ||
+			  body[i] == ':';
+	claim.bytes = len + values * PARSED_VALUE_BYTES;
+	claim.total = claim.bytes;
+	return at_memory_fits(&node->guard.memory, &claim);
+}
+
 static void
 handle_completion(at_node_t *node, at_httpd_request_t *request)
 {
@@ -248,6 +271,11 @@
 	if (workspace == NULL)
 		return;
 	body = at_httpd_body(request, &len);
+	if (!has_room_to_parse(node, body, len)) {
+		at_refuse(node, request, AT_REASON_NO_MEMORY,
+		    AT_VERDICT_NOT_RUN, AT_MS_PER_S);
+		return;
+	}
 	root = json_loadb(body, len, 0, NULL);
 	if (json_is_object(root))
 		start_completion(node, request, workspace, root);
