Bound what the kernel holds for callers that do not read

Operators saw: 400 clients that do not read their streams make the kernel hold 88 MB beside the 29 MB of the process; known and open so far.

Cause: a send buffer grows up to 4 MB by the system's setting, for each connection, and was neither bounded nor counted.

--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -87,9 +87,11 @@
 }
 
 void
-at_httpd_set_receive_buffer(at_httpd_t *httpd, size_t bytes)
+at_httpd_set_socket_buffers(
+    at_httpd_t *httpd, size_t receive_bytes, size_t send_bytes)
 {
-	httpd->receive_buffer_bytes = bytes;
+	httpd->receive_buffer_bytes = receive_bytes;
+	httpd->send_buffer_bytes = send_bytes;
 }
 
 void
@@ -471,6 +473,7 @@
 		return -1;
 	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	set_buffer(fd, SO_RCVBUF, httpd->receive_buffer_bytes);
+	set_buffer(fd, SO_SNDBUF, httpd->send_buffer_bytes);
 	if (bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) != 0 ||
 	    listen(fd, httpd->backlog) != 0 ||
 	    getsockname(fd, (struct sockaddr *)&bound, &len) != 0) {
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -129,11 +129,13 @@
  * callers do not read; it outlives the server. A body that is refused is read
  * to its end and dropped, so that the response arrives. A stream is read on
  * beyond AT_HTTPD_HIGH_WATER_BYTES while the account has room. To be called
- * before at_httpd_init(), as at_httpd_set_receive_buffer(), which sets how
- * many bytes the kernel may receive in advance on each connection.
+ * before at_httpd_init(), as at_httpd_set_socket_buffers(), which sets how
+ * many bytes the kernel may receive in advance on each connection, and how many
+ * it may hold that the caller has not read; 0: as the system has it.
  */
 void at_httpd_set_memory(at_httpd_t *httpd, at_memory_t *memory);
-void at_httpd_set_receive_buffer(at_httpd_t *httpd, size_t bytes);
+void at_httpd_set_socket_buffers(
+    at_httpd_t *httpd, size_t receive_bytes, size_t send_bytes);
 /* Whom a request belongs to (0: its address), and how urgent it is. */
 typedef struct at_httpd_class {
 	at_memory_owner_t owner;
@@ -153,8 +155,11 @@
  * second, after at_memory_set_resident().
  */
 void at_httpd_relieve(at_httpd_t *httpd);
-/* at_httpd_unread_bytes() sums what the kernel holds for all connections. */
-uint64_t at_httpd_unread_bytes(const at_httpd_t *httpd);
+/*
+ * at_httpd_kernel_bytes() sums what the kernel holds for all connections: bytes
+ * that this process has not read, and bytes that callers have not.
+ */
+uint64_t at_httpd_kernel_bytes(const at_httpd_t *httpd);
 /*
  * at_httpd_init() listens on "ip:port"; with port 0, the kernel picks one.
  * Returns AT_OK, or AT_INVALID or AT_FAILED with a message in status.
--- a/src/io/httpd_memory.c
+++ b/src/io/httpd_memory.c
@@ -4,6 +4,7 @@
  */
 #include "io/httpd_private.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <sys/ioctl.h>
@@ -469,14 +470,15 @@
 }
 
 uint64_t
-at_httpd_unread_bytes(const at_httpd_t *httpd)
+at_httpd_kernel_bytes(const at_httpd_t *httpd)
 {
 	const connection_t *connection;
 	uint64_t sum = 0;
 
 	TAILQ_FOREACH(connection, &httpd->connections, all)
 	{
-		sum += queued_bytes(connection, FIONREAD);
+		sum += queued_bytes(connection, FIONREAD) +
+		       queued_bytes(connection, SIOCOUTQ);
 	}
 	return sum;
 }
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -100,6 +100,7 @@
 	void *fault_ctx;
 	at_memory_t *memory;         /* NULL: no account */
 	size_t receive_buffer_bytes; /* 0: as the kernel has it */
+	size_t send_buffer_bytes;    /* likewise */
 	void (*classify)(void *ctx, const at_httpd_request_t *request,
 	    at_httpd_class_t *class);
 	void *classify_ctx;
--- a/src/io/process_guard.c
+++ b/src/io/process_guard.c
@@ -60,7 +60,8 @@
 	guard->servers[guard->server_count++] = httpd;
 	at_httpd_set_memory(httpd, &guard->memory);
 	at_httpd_set_connections_max(httpd, connections_of(limits, kind));
-	at_httpd_set_receive_buffer(httpd, limits->receive_bytes);
+	at_httpd_set_socket_buffers(
+	    httpd, limits->receive_bytes, limits->send_bytes);
 	if (limits->backlog < SOMAXCONN)
 		at_httpd_set_backlog(httpd, (int)limits->backlog);
 	if (kind != AT_GUARD_OPERATORS)
@@ -81,7 +82,7 @@
 		return;
 	guard->kernel_checked_ms = now_ms;
 	for (i = 0; i < guard->server_count; i++)
-		bytes += at_httpd_unread_bytes(guard->servers[i]);
+		bytes += at_httpd_kernel_bytes(guard->servers[i]);
 	if (guard->httpc != NULL)
 		bytes += at_httpc_unread_bytes(guard->httpc);
 	at_memory_set_kernel(&guard->memory, bytes);
