--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -105,7 +105,7 @@
 void at_httpd_set_give_way(at_httpd_t *httpd, uint32_t waiting_ms);
 /*
  * at_httpd_set_header_timeout() limits the time from the request line to the
- * end of the headers, 30,000 ms without it. The connection is closed.
+ * end of the headers, 30,000 ms without it; 0: none. The connection is closed.
  */
 void at_httpd_set_header_timeout(at_httpd_t *httpd, uint32_t timeout_ms);
 /* How many connections this server has closed. */
--- a/src/io/httpd_connections.c
+++ b/src/io/httpd_connections.c
@@ -297,7 +297,7 @@
 static int
 are_headers_late(const at_httpd_request_t *request)
 {
-	return request->is_heading &&
+	return request->is_heading && request->httpd->header_timeout_ms != 0 &&
 	       ms_since(request->httpd, request->started_at) >
 		   request->httpd->header_timeout_ms;
 }
--- a/tests/contract/test_memory_limits.c
+++ b/tests/contract/test_memory_limits.c
@@ -47,6 +47,11 @@
     .stub = STUB_SILENT, .descriptors = 2048, .clients = 1000, .piece = 16384)
 BOTH_TEST(several_kinds, .kind = CROWD_MIXED, .clients = 160)
 
+/* Tables by names grew with each name. */
+BOTH_TEST(names_of_clients, .kind = CROWD_NAMES, .clients = 16, .piece = 16384)
+BOTH_TEST(several_kinds_that_return, .kind = CROWD_MIXED, .clients = 160,
+    .returns = 1)
+
 /* Parsed, each digit takes many times its size. */
 CROWD_TEST(daemon_memory_limits, dense_json, .program = CROWD_DAEMON,
     .kind = CROWD_JSON, .clients = 16, .complete = 16, .length = 4000001,
@@ -67,6 +72,9 @@
     .address = CROWD_PEERS, .kind = CROWD_GARBAGE, .clients = 64,
     .sent = 1000000, .piece = 65536)
 
+CROWD_TEST(memory_limits, datagrams_to_peers, .address = CROWD_PEERS,
+    .kind = CROWD_DATAGRAMS, .clients = 16, .sent = 240000, .piece = 1200)
+
 /* Without the setting, the process goes by what the kernel grants it. */
 BOTH_TEST(bodies_without_the_setting, .kind = CROWD_LENGTH,
     .without_memory_setting = 1, .memory_mb = 96, .clients = 64,
--- a/tests/support/crowd.c
+++ b/tests/support/crowd.c
@@ -23,7 +23,7 @@
 /* The crowd has ended once nobody has sent anything for this time. */
 #define QUIET_MS 1500u
 #define CROWD_MAX_MS 60000u
-#define RETURNING_MS 4000u /* for which clients return */
+#define RETURNING_S 4u /* for which clients return */
 #define TRICKLE_MS 100u
 #define EVENT_MS 300u /* from the begin of the crowd to its event */
 #define FREEZE_MS 2000u
@@ -139,7 +139,8 @@
 
 /*
  * Runs by hand on other machines: MEMORY_LIMITS_MB and MEMORY_LIMITS_FDS are
- * the machine's, and MEMORY_LIMITS_TIMES multiplies the crowd.
+ * the machine's, MEMORY_LIMITS_TIMES multiplies the crowd, and
+ * MEMORY_LIMITS_S is for how long its clients return.
  */
 static size_t
 number_of(const char *variable, size_t otherwise)
@@ -154,7 +155,9 @@
 {
 	struct sockaddr_in addr;
 	struct sockaddr_in source = {.sin_family = AF_INET};
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int type =
+	    world->crowd.kind == CROWD_DATAGRAMS ? SOCK_DGRAM : SOCK_STREAM;
+	int fd = socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
 	cr_assert_geq(fd, 0);
 	cr_assert_eq(
@@ -461,6 +464,8 @@
 		return "/v1/chat/completions";
 	if (crowd->program == CROWD_DAEMON)
 		return "/charges";
+	if (crowd->kind == CROWD_NAMES)
+		return "/once/x";
 	return crowd->stub == STUB_STREAM ? "/once/x" : "/unsafe/x";
 }
 
@@ -566,6 +571,23 @@
 			 "Content-Length: 0\r\n\r\n");
 }
 
+/* Names that a client makes up: of a model, of parts of a prompt, of a charge.
+ */
+static size_t
+format_names(client_t *client, size_t len)
+{
+	static size_t name;
+
+	name++;
+	return len + (size_t)snprintf(client->head + len, HEAD_SIZE - len,
+			 WIRE_MODEL
+			 ": name-%zu\r\n" WIRE_TOKEN_COUNTS
+			 ": 100,50\r\n" WIRE_PROMPT_PREFIX
+			 ": %zu:60,%zu:40\r\nIdempotency-Key: key-%zu\r\n"
+			 "Content-Length: 0\r\n\r\n",
+			 name, 2u * name, 2u * name + 1u, name);
+}
+
 static void
 prepare_head(const world_t *world, client_t *client, size_t number)
 {
@@ -576,6 +598,7 @@
 	case CROWD_SILENT:
 	case CROWD_PIPELINED:
 	case CROWD_GARBAGE:
+	case CROWD_DATAGRAMS:
 	case CROWD_MIXED:
 		break;
 	case CROWD_LENGTH:
@@ -584,6 +607,7 @@
 	case CROWD_CHUNKED:
 	case CROWD_HEADERS:
 	case CROWD_FIELDS:
+	case CROWD_NAMES:
 		len = format_headers(
 		    world, "POST", number, client->head, HEAD_SIZE);
 		break;
@@ -600,6 +624,8 @@
 		    client->head + len, HEAD_SIZE - len, "X-Long: ");
 	else if (shape->kind == CROWD_FIELDS)
 		len = format_fields(client, len);
+	else if (shape->kind == CROWD_NAMES)
+		len = format_names(client, len);
 	client->head_len = len;
 }
 
@@ -652,11 +678,15 @@
 
 /* Returns non-zero if the connection was closed. */
 static int
-receive(client_t *client)
+receive(const world_t *world, client_t *client)
 {
 	char bytes[4096];
 	ssize_t len = recv(client->fd, bytes, sizeof(bytes), 0);
 
+	if (len > 0 && client->shape->kind == CROWD_NAMES) {
+		client->offset = 0;
+		prepare_head(world, client, 0);
+	}
 	if (len > 0 || (len < 0 && (errno == EAGAIN || errno == ENOTCONN)))
 		return 0;
 	(void)close(client->fd);
@@ -676,7 +706,7 @@
 
 	if (client->fd < 0 && world->crowd.returns)
 		begin_client(world, number, client);
-	if (client->fd < 0 || (reads(client) && receive(client)))
+	if (client->fd < 0 || (reads(client) && receive(world, client)))
 		return 0;
 	/* What is before the last byte of the headers is sent at once. */
 	if (world->crowd.trickles && client->offset < client->head_len)
@@ -819,14 +849,17 @@
 static void
 run_crowd(world_t *world)
 {
+	uint64_t returning_ms =
+	    number_of("MEMORY_LIMITS_S", RETURNING_S) * (uint64_t)AT_MS_PER_S;
 	uint64_t progress_ms = at_clock_now_ms();
 	uint64_t now_ms = progress_ms;
 
 	world->start_ms = progress_ms;
-	world->goes_on = world->crowd.returns || world->crowd.trickles;
-	while (now_ms < world->start_ms + CROWD_MAX_MS &&
+	world->goes_on = world->crowd.returns || world->crowd.trickles ||
+			 world->crowd.kind == CROWD_NAMES;
+	while ((world->goes_on || now_ms < world->start_ms + CROWD_MAX_MS) &&
 	       (world->goes_on
-		       ? now_ms < world->start_ms + RETURNING_MS
+		       ? now_ms < world->start_ms + returning_ms
 		       : now_ms < progress_ms + QUIET_MS || world->is_frozen)) {
 		size_t sum = step_clients(world);
 
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -42,7 +42,9 @@
 	CROWD_NO_READING, /* a whole request; its response is not read */
 	CROWD_PIPELINED,  /* many; their responses are not read */
 	CROWD_JSON,       /* a body of as many JSON values as it can hold */
+	CROWD_NAMES,      /* one request after the other, each with new names */
 	CROWD_GARBAGE,    /* bytes that are no request */
+	CROWD_DATAGRAMS,  /* likewise, over UDP */
 	CROWD_MIXED       /* clients of the kinds above */
 } crowd_kind_t;
 
