Keep the whole id of a request

Callers saw: a request whose id has more than 95 bytes is answered 502 after it ran.

Cause: the call's copy of the id was cut, and the server's response names the whole one, so that it seemed to belong to another request.

Change: the copy is as long as the id.

--- a/src/entry/call/call.c
+++ b/src/entry/call/call.c
@@ -71,6 +71,7 @@
 	at_header_lines_free(&call->request_headers);
 	at_attempts_delete(call->attempts);
 	at_site_unref(call->site);
+	free(call->id);
 	free(call);
 }
 
--- a/src/entry/call/call_admit.c
+++ b/src/entry/call/call_admit.c
@@ -243,8 +243,7 @@
 	call->header = *header;
 	call->site = at_site_ref(site);
 	call->started_us = arrived_us;
-	(void)snprintf(call->id, sizeof(call->id), "%s",
-	    header->id == NULL ? "" : header->id);
+	call->id = strdup(header->id == NULL ? "" : header->id);
 	ev_timer_init(&call->timer, call_on_timer, 0., 0.);
 	/* After a stall, data that has arrived is read before time-outs. */
 	ev_set_priority(&call->timer, EV_MINPRI);
@@ -256,7 +255,8 @@
 	calls->count++;
 	call->attempts = at_attempts_new();
 	at_server_call_copy_headers(request, &call->request_headers);
-	if (call->attempts == NULL || call->request_headers.failed) {
+	if (call->id == NULL || call->attempts == NULL ||
+	    call->request_headers.failed) {
 		call_free(call);
 		return NULL;
 	}
--- a/src/entry/call/call_impl.h
+++ b/src/entry/call/call_impl.h
@@ -20,7 +20,6 @@
 #include "platform/server_call.h"
 
 #define CONTENT_TYPE_SIZE 96u /* bytes of a media type, with the NUL */
-#define ID_SIZE 96u           /* bytes of a request's id, with the NUL */
 #define OPEN_ATTEMPTS_MAX 2u  /* a second one beside one that is silent */
 
 /* A response that is buffered until it is complete. */
@@ -101,7 +100,7 @@
 	at_httpd_request_t *request; /* NULL: the caller has closed */
 	at_request_parts_t parts;    /* of the request, once that is so */
 	at_request_header_t header;
-	char id[ID_SIZE];
+	char *id; /* a copy, as the request may end first */
 	at_site_t *site;
 	const at_site_route_t *route;
 	const at_site_workspace_t *workspace; /* NULL: the route is public */
--- a/src/io/machine.h
+++ b/src/io/machine.h
@@ -11,7 +11,8 @@
  * at_machine_memory() returns the smallest of: the memory of the machine, the
  * limits of the process's control group and of those above it (cgroups(7),
  * versions 1 and 2), RLIMIT_DATA, and RLIMIT_AS without what is mapped and not
- * resident. What cannot be read is left out. root is prepended to the paths of files; "" on a machine.
+ * resident. What cannot be read is left out. root is prepended to the paths of
+ * files; "" on a machine.
  */
 uint64_t at_machine_memory(const char *root);
 /*
