--- a/tests/contract/test_cut_instances.c
+++ b/tests/contract/test_cut_instances.c
@@ -2,14 +2,18 @@
  * Instances that are cut off from all backend servers, while callers, the store
  * and the other instances reach them.
  */
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <criterion/criterion.h>
 
 #include "entry/servers/relay.h"
 #include "entry/store/sync.h"
+#include "io/address.h"
 #include "io/clock.h"
 #include "platform/names.h"
 #include "support/entry_fixture.h"
@@ -554,3 +558,81 @@
 		deployment_delete(&deployment);
 	}
 }
+
+/* The fewest descriptors: an instance then takes 12 connections of others. */
+#define FEW_DESCRIPTORS 128u
+#define CROWD 60u
+#define RELAYED_REQUESTS 10u
+#define SERVED_MAX_MS 10000u
+
+/* Clients that connect to another instance's address and send nothing. */
+static void
+step_crowd(const entry_fixture_t *fixture, int fds[CROWD])
+{
+	struct sockaddr_in addr;
+	char byte;
+	size_t i;
+
+	cr_assert_eq(at_address_parse(fixture->peers[1], &addr), 0);
+	for (i = 0; i < CROWD; i++) {
+		if (fds[i] >= 0 && recv(fds[i], &byte, 1, 0) < 0 &&
+		    (errno == EAGAIN || errno == ENOTCONN))
+			continue;
+		if (fds[i] >= 0)
+			(void)close(fds[i]);
+		fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		cr_assert_geq(fds[i], 0);
+		(void)connect(
+		    fds[i], (const struct sockaddr *)&addr, sizeof(addr));
+	}
+}
+
+static int
+call_beside_crowd(entry_fixture_t *fixture, int fds[CROWD])
+{
+	static const entry_fixture_request_t request = {
+	    "POST", "/safe/x", "beside", ENTRY_FIXTURE_KEY, NULL, "body"};
+	uint64_t end_ms = at_clock_now_ms() + SERVED_MAX_MS;
+	int status = 0;
+
+	while (status != 200 && at_clock_now_ms() < end_ms) {
+		entry_fixture_response_t response;
+
+		entry_fixture_send(fixture, 0, &request, &response);
+		while (!response.done && at_clock_now_ms() < end_ms) {
+			step_crowd(fixture, fds);
+			entry_fixture_run_ms(fixture, STEP_MS);
+		}
+		status = response.status;
+		entry_fixture_response_free(&response);
+	}
+	return status;
+}
+
+/* Where connections give way to new ones, those of other instances do not. */
+Test(cut_instances, are_served_beside_a_crowd, .timeout = 60)
+{
+	deployment_t deployment = {entry_fixture_new(), NULL};
+	entry_fixture_t *fixture = deployment.fixture;
+	int fds[CROWD];
+	size_t i;
+
+	memset(fds, -1, sizeof(fds));
+	fixture->descriptors = FEW_DESCRIPTORS;
+	entry_fixture_apply_config(fixture, 1);
+	(void)entry_fixture_add_service(fixture);
+	(void)entry_fixture_add_entry(fixture);
+	(void)entry_fixture_add_entry(fixture);
+	entry_fixture_run_until_ready(fixture);
+	entry_fixture_run_ms(fixture, 500);
+	deployment.links = links_new(fixture);
+	cut_entry_0(&deployment);
+	for (i = 0; i < RELAYED_REQUESTS; i++)
+		cr_expect_eq(call_beside_crowd(fixture, fds), 200);
+	cr_expect_gt(at_counters_get(fixture->entries[1]->counters,
+			 "relayed_total", "outcome", "passed"),
+	    0);
+	for (i = 0; i < CROWD; i++)
+		(void)close(fds[i]);
+	deployment_delete(&deployment);
+}
