Let no connection give way that the kernel still sends a response on

Callers could see (found while reading the change, before it was released): a response that was written whole, but not received yet, is cut off where other clients' connections make theirs give way; at the addresses of operators at once, at others after a second.

Cause: a connection is idle for libmicrohttpd once the kernel has taken the response. It was reset as any other, which takes back what was not sent.

Change: an idle connection gives way only if its caller has received the last response, or has stopped reading it: less than 16 KB in a second. This holds where memory is short, too. Sockets, times and queues of connections have one function each, where three files had their own.

--- a/src/io/httpd_connections.c
+++ b/src/io/httpd_connections.c
@@ -4,6 +4,7 @@
  */
 #include "io/httpd_private.h"
 
+#include <linux/sockios.h>
 #include <stdlib.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -63,6 +64,7 @@
 		return;
 	if (request != NULL) {
 		connection->was_used = 1;
+		connection->unsent_at = 0.;
 		TAILQ_REMOVE(&httpd->idle, connection, idle);
 		set_expiring(httpd, connection, 0);
 		return;
@@ -158,20 +160,38 @@
 	httpd->is_run_pending = 1;
 }
 
-static int
-connection_fd(const connection_t *connection)
+int
+httpd_fd(struct MHD_Connection *handle)
 {
 	return MHD_get_connection_info(
-	    connection->handle, MHD_CONNECTION_INFO_CONNECTION_FD)
+	    handle, MHD_CONNECTION_INFO_CONNECTION_FD)
 	    ->connect_fd;
 }
 
+uint64_t
+httpd_ms_since(const at_httpd_t *httpd, double since_s)
+{
+	double age_s = ev_now(httpd->loop) - since_s;
+
+	return age_s <= 0. ? 0 : (uint64_t)(age_s * AT_MS_PER_S);
+}
+
+size_t
+httpd_queued_bytes(struct MHD_Connection *handle, unsigned long queue)
+{
+	int bytes = 0;
+
+	return ioctl(httpd_fd(handle), queue, &bytes) == 0 && bytes > 0
+		   ? (size_t)bytes
+		   : 0;
+}
+
 void
 httpd_shut_down(at_httpd_t *httpd, connection_t *connection)
 {
 	/* The kernel would keep trying to send the rest to a silent caller. */
 	const struct linger at_once = {.l_onoff = 1};
-	int fd = connection_fd(connection);
+	int fd = httpd_fd(connection->handle);
 
 	if (!connection->is_closed)
 		httpd->closing_count++;
@@ -191,22 +211,34 @@
 		httpd_shut_down(request->httpd, connection);
 }
 
-/* Returns non-zero if bytes of the caller wait to be read by this process. */
 static int
 has_unread(const connection_t *connection)
 {
-	int available = 0;
-
-	return ioctl(connection_fd(connection), FIONREAD, &available) == 0 &&
-	       available > 0;
+	return httpd_queued_bytes(connection->handle, FIONREAD) > 0;
 }
 
-static uint64_t
-ms_since(const at_httpd_t *httpd, double since_s)
+/* Returns non-zero if the caller makes no progress with the last response. */
+static int
+has_stopped_reading(const at_httpd_t *httpd, connection_t *connection)
 {
-	double age_s = ev_now(httpd->loop) - since_s;
+	size_t unsent = httpd_queued_bytes(connection->handle, SIOCOUTQ);
+
+	if (unsent == 0)
+		return 1;
+	if (connection->unsent_at == 0. ||
+	    unsent + AT_MEMORY_PROGRESS_BYTES <= connection->unsent_bytes) {
+		connection->unsent_bytes = unsent;
+		connection->unsent_at = ev_now(httpd->loop);
+	}
+	return httpd_ms_since(httpd, connection->unsent_at) >=
+	       AT_MEMORY_STALLED_MS;
+}
 
-	return age_s <= 0. ? 0 : (uint64_t)(age_s * AT_MS_PER_S);
+int
+httpd_may_close_idle(const at_httpd_t *httpd, connection_t *connection)
+{
+	return !connection->is_closed && !has_unread(connection) &&
+	       has_stopped_reading(httpd, connection);
 }
 
 /*
@@ -221,11 +253,10 @@
 
 	TAILQ_FOREACH(connection, &httpd->idle, idle)
 	{
-		if (!connection->is_closed &&
-		    (!connection->was_used ||
-			ms_since(httpd, connection->idle_since) >=
+		if ((!connection->was_used ||
+			httpd_ms_since(httpd, connection->idle_since) >=
 			    httpd->give_way_ms) &&
-		    !has_unread(connection))
+		    httpd_may_close_idle(httpd, connection))
 			return connection;
 	}
 	return NULL;
@@ -243,7 +274,7 @@
 		connection_t *connection;
 
 		if (!httpd_waits_for_caller(request) ||
-		    ms_since(httpd, request->progressed_at) <
+		    httpd_ms_since(httpd, request->progressed_at) <
 			httpd->give_way_ms ||
 		    (found != NULL && request->progressed_at >=
 					  found->request->progressed_at))
@@ -298,7 +329,7 @@
 are_headers_late(const at_httpd_request_t *request)
 {
 	return request->is_heading && request->httpd->header_timeout_ms != 0 &&
-	       ms_since(request->httpd, request->started_at) >
+	       httpd_ms_since(request->httpd, request->started_at) >
 		   request->httpd->header_timeout_ms;
 }
 
--- a/src/io/httpd_loop.c
+++ b/src/io/httpd_loop.c
@@ -29,18 +29,11 @@
 	return 0;
 }
 
-static int
-caller_fd(const at_httpd_request_t *request)
-{
-	return MHD_get_connection_info(
-	    request->connection, MHD_CONNECTION_INFO_CONNECTION_FD)
-	    ->connect_fd;
-}
-
 int
 at_httpd_is_caller_gone(const at_httpd_request_t *request)
 {
-	struct pollfd caller = {.fd = caller_fd(request), .events = POLLRDHUP};
+	struct pollfd caller = {
+	    .fd = httpd_fd(request->connection), .events = POLLRDHUP};
 
 	return request->caller_closed ||
 	       (poll(&caller, 1, 0) > 0 &&
@@ -61,7 +54,7 @@
 			continue;
 		if (count == httpd->poll_size && grow_poll_arrays(httpd) != 0)
 			break;
-		httpd->poll_fds[count].fd = caller_fd(request);
+		httpd->poll_fds[count].fd = httpd_fd(request->connection);
 		httpd->poll_fds[count].events = POLLRDHUP;
 		httpd->poll_requests[count] = request;
 		count++;
--- a/src/io/httpd_memory.c
+++ b/src/io/httpd_memory.c
@@ -16,14 +16,6 @@
 #define VICTIMS_MAX 16 /* for one claim */
 #define CLOSES_MAX 64  /* of connections, in one at_httpd_relieve() */
 
-static uint64_t
-ms_since(const at_httpd_t *httpd, double since_s)
-{
-	double age_s = ev_now(httpd->loop) - since_s;
-
-	return age_s <= 0. ? 0 : (uint64_t)(age_s * AT_MS_PER_S);
-}
-
 static void
 note_progress_now(at_httpd_request_t *request)
 {
@@ -39,14 +31,6 @@
 		note_progress_now(request);
 }
 
-static int
-connection_fd(struct MHD_Connection *handle)
-{
-	return MHD_get_connection_info(
-	    handle, MHD_CONNECTION_INFO_CONNECTION_FD)
-	    ->connect_fd;
-}
-
 /* Returns a hash of the address that the request comes from. */
 static at_memory_owner_t
 address_owner(const at_httpd_request_t *request)
@@ -136,7 +120,7 @@
 		found = request;
 	}
 	if (found != NULL)
-		*stalled_ms = ms_since(httpd, found->progressed_at);
+		*stalled_ms = httpd_ms_since(httpd, found->progressed_at);
 	return found;
 }
 
@@ -198,12 +182,8 @@
 static int
 has_unread(const at_httpd_request_t *request)
 {
-	int available = 0;
-
 	return request->state == REQUEST_READING && request->body != NULL &&
-	       ioctl(connection_fd(request->connection), FIONREAD,
-		   &available) == 0 &&
-	       available > 0;
+	       httpd_queued_bytes(request->connection, FIONREAD) > 0;
 }
 
 static void
@@ -319,7 +299,7 @@
 	claim.priority = request->priority;
 	claim.owner = request->body->owner;
 	if (request->is_body_paused)
-		claim.paused_ms = ms_since(httpd, request->paused_at);
+		claim.paused_ms = httpd_ms_since(httpd, request->paused_at);
 	if (!at_memory_fits(httpd->memory, &claim))
 		verdict = make_room(httpd, request, &claim);
 	if (verdict == AT_MEMORY_REFUSE)
@@ -373,7 +353,8 @@
 	     count * CONNECTION_MEMORY_BYTES < excess;
 	     request = request->next) {
 		if (!request->is_heading || request->state != REQUEST_READING ||
-		    ms_since(httpd, request->started_at) < AT_MEMORY_STALLED_MS)
+		    httpd_ms_since(httpd, request->started_at) <
+			AT_MEMORY_STALLED_MS)
 			continue;
 		close_request(request);
 		count++;
@@ -382,7 +363,7 @@
 	     connection != NULL && count < CLOSES_MAX &&
 	     count * CONNECTION_MEMORY_BYTES < excess;
 	     connection = TAILQ_NEXT(connection, idle)) {
-		if (connection->is_closed)
+		if (!httpd_may_close_idle(httpd, connection))
 			continue;
 		httpd->memory->closed_total++;
 		httpd_shut_down(httpd, connection);
@@ -434,7 +415,7 @@
 		next = request->next;
 		if (request->is_body_paused &&
 		    (at_memory_fits(httpd->memory, &body) ||
-			ms_since(httpd, request->paused_at) >=
+			httpd_ms_since(httpd, request->paused_at) >=
 			    AT_MEMORY_PAUSE_MAX_MS)) {
 			note_progress_now(request);
 			at_httpd_resume(request);
@@ -457,18 +438,6 @@
 	resume_paused(httpd);
 }
 
-/* Returns the bytes in one of the kernel's queues of a connection. */
-static uint64_t
-queued_bytes(const connection_t *connection, unsigned long queue)
-{
-	int bytes = 0;
-
-	return ioctl(connection_fd(connection->handle), queue, &bytes) == 0 &&
-		       bytes > 0
-		   ? (uint64_t)bytes
-		   : 0;
-}
-
 uint64_t
 at_httpd_kernel_bytes(const at_httpd_t *httpd)
 {
@@ -477,8 +446,8 @@
 
 	TAILQ_FOREACH(connection, &httpd->connections, all)
 	{
-		sum += queued_bytes(connection, FIONREAD) +
-		       queued_bytes(connection, SIOCOUTQ);
+		sum += httpd_queued_bytes(connection->handle, FIONREAD) +
+		       httpd_queued_bytes(connection->handle, SIOCOUTQ);
 	}
 	return sum;
 }
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -75,6 +75,10 @@
 	double idle_since; /* seconds, on the loop's clock */
 	int is_expiring;   /* it is closed after a second without data */
 	int is_closed;     /* its socket was shut down */
+	/* Of a response that has ended: what its caller had not received then.
+	 */
+	size_t unsent_bytes;
+	double unsent_at; /* 0: not looked at since */
 	TAILQ_ENTRY(connection) all;
 	TAILQ_ENTRY(connection) idle; /* unless it has a request */
 } connection_t;
@@ -166,6 +170,21 @@
 /* A request begins on a connection, or, with NULL, its response has ended. */
 void httpd_set_request(at_httpd_t *httpd, struct MHD_Connection *handle,
     at_httpd_request_t *request);
+/* The socket of a connection, and the time since a moment. */
+int httpd_fd(struct MHD_Connection *handle);
+uint64_t httpd_ms_since(const at_httpd_t *httpd, double since_s);
+/*
+ * httpd_queued_bytes() returns what is in one of the kernel's queues of a
+ * connection: FIONREAD, not read by this process, or SIOCOUTQ, not received by
+ * the caller.
+ */
+size_t httpd_queued_bytes(struct MHD_Connection *handle, unsigned long queue);
+/*
+ * httpd_may_close_idle() returns non-zero if a connection without a request may
+ * be closed: no bytes of it wait here, and its caller has the last response or
+ * has stopped reading it.
+ */
+int httpd_may_close_idle(const at_httpd_t *httpd, connection_t *connection);
 /*
  * httpd_shut_down() ends a connection, and what the kernel has not sent on it.
  * The library finds that in its next run.
--- a/tests/contract/test_httpd.c
+++ b/tests/contract/test_httpd.c
@@ -1,7 +1,9 @@
 /*
  * An HTTP server may be deleted at any time: while requests wait for their
- * response, and with requests in its sockets that it has not read yet.
+ * response, and with requests in its sockets that it has not read yet. What it
+ * closes for others takes no response from a caller that reads it.
  */
+#include <errno.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -291,3 +293,72 @@
 	at_httpd_delete(httpd);
 	ev_loop_destroy(loop);
 }
+
+#define KERNEL_RESPONSE_BYTES 200000u
+#define SEND_BUFFER_BYTES (1u << 20) /* the kernel takes the response whole */
+#define RECEIVE_BUFFER_BYTES 4096
+#define FEW_CONNECTIONS 8u
+#define SILENT 40u /* connections that make others give way */
+#define RUN_S 0.2
+
+static void
+reply_large(void *ctx, at_httpd_request_t *request)
+{
+	static char body[KERNEL_RESPONSE_BYTES];
+
+	(void)ctx;
+	at_httpd_reply(request, 200, NULL, body, sizeof(body));
+}
+
+/* Returns the bytes until the end of the response, or less. */
+static size_t
+receive_all(struct ev_loop *loop, int fd)
+{
+	static char bytes[RECEIVE_BUFFER_BYTES];
+	size_t sum = 0;
+	ssize_t len;
+
+	do {
+		run_for(loop, 0.001);
+		len = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		sum += len > 0 ? (size_t)len : 0;
+	} while (len > 0 ||
+		 (len < 0 && errno == EAGAIN && sum < KERNEL_RESPONSE_BYTES));
+	return sum;
+}
+
+/*
+ * A connection whose response the library has written gave way to new ones, and
+ * its end took back what the kernel had not sent of the response.
+ */
+Test(httpd, a_response_is_sent_whole_beside_silent_connections, .timeout = 60)
+{
+	const int receive_bytes = RECEIVE_BUFFER_BYTES;
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	at_httpd_t *httpd = at_httpd_new(loop);
+	at_status_t status;
+	int silent[SILENT];
+	int fd;
+	size_t i;
+
+	cr_assert_geq(sodium_init(), 0);
+	at_httpd_set_handler(httpd, reply_large, NULL);
+	at_httpd_set_connections_max(httpd, FEW_CONNECTIONS);
+	at_httpd_set_give_way(httpd, 0);
+	at_httpd_set_socket_buffers(httpd, 0, SEND_BUFFER_BYTES);
+	cr_assert_eq(at_httpd_init(httpd, "127.0.0.1:0", &status), AT_OK);
+	fd = connect_to(at_httpd_port(httpd));
+	(void)setsockopt(
+	    fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
+	send_request(fd);
+	run_for(loop, RUN_S);
+	for (i = 0; i < SILENT; i++)
+		silent[i] = connect_to(at_httpd_port(httpd));
+	run_for(loop, RUN_S);
+	cr_expect_geq(receive_all(loop, fd), KERNEL_RESPONSE_BYTES);
+	for (i = 0; i < SILENT; i++)
+		(void)close(silent[i]);
+	(void)close(fd);
+	at_httpd_delete(httpd);
+	ev_loop_destroy(loop);
+}
