Charge the account for each request, beside its body

Cause: only bodies and responses were decided on. Headers and transfers were seen as growth of the resident size afterwards, for which nothing gives way, since a request that runs does not wait for its caller.

Change: a request is charged 16 KB and twice its headers before it is handled, and refused with no_memory (503, not run) beyond the part that small bodies may use; a transfer is charged 32 KB. At the addresses of operators requests are not charged.

--- a/include/almondthread/memory.h
+++ b/include/almondthread/memory.h
@@ -27,7 +27,7 @@
 typedef enum at_memory_kind {
 	AT_MEMORY_BODIES,      /* of requests, until their last attempt ends */
 	AT_MEMORY_RESPONSES,   /* not yet read by callers */
-	AT_MEMORY_CONNECTIONS, /* of callers and other instances */
+	AT_MEMORY_CONNECTIONS, /* their requests, and transfers to servers */
 	AT_MEMORY_KERNEL,      /* received and not yet read */
 	AT_MEMORY_OTHER,
 	AT_MEMORY_KIND_COUNT
@@ -76,6 +76,7 @@
 	uint64_t own;          /* part of total that is held */
 	uint32_t priority;     /* 0: the most urgent */
 	at_memory_owner_t owner;
+	int is_request;      /* for a request itself, beside its body */
 	int is_ahead;        /* a stream is read faster than its caller reads */
 	int may_pause;       /* reading can be suspended */
 	uint64_t paused_ms;  /* for which it was */
--- a/src/core/memory/memory.c
+++ b/src/core/memory/memory.c
@@ -125,8 +125,9 @@
 			      ? SMALL_BODY_PERCENT
 			      : LARGE_BODY_PERCENT;
 		percent -= steps * PRIORITY_PERCENT;
-		/* A single request is served at every size of machine. */
-		if (memory->held[AT_MEMORY_BODIES] <= claim->own)
+		/* A single body is accepted at every size of machine. */
+		if (!claim->is_request &&
+		    memory->held[AT_MEMORY_BODIES] <= claim->own)
 			percent = ALL_PERCENT;
 	}
 	return memory->limit / PERCENT * percent;
--- a/src/io/httpc.c
+++ b/src/io/httpc.c
@@ -28,6 +28,8 @@
 #define POOL_MAX 512u /* size of the connection pool */
 /* Part of the connections that is left for others than callers' requests. */
 #define RESERVED_PART 8u
+/* Of libcurl, for a transfer and its connection. */
+#define TRANSFER_BYTES (32u << 10)
 
 /*
  * A request that the server's kernel has not received by then is given up: it
@@ -89,6 +91,7 @@
 	ev_timer timer;
 	ev_timer unacknowledged_timer;
 	at_transfer_t *transfers;
+	at_memory_t *memory; /* NULL: no account */
 	size_t transfer_count;
 	size_t open_max;                    /* connections, in use and pooled */
 	silent_address_t *silent_addresses; /* hash table by address */
@@ -437,6 +440,12 @@
 	(void)curl_multi_setopt(httpc->multi, CURLMOPT_MAXCONNECTS, (long)pool);
 }
 
+void
+at_httpc_set_memory(at_httpc_t *httpc, at_memory_t *memory)
+{
+	httpc->memory = memory;
+}
+
 int
 at_httpc_has_room(const at_httpc_t *httpc)
 {
@@ -551,6 +560,7 @@
 
 	ev_timer_stop(httpc->loop, &transfer->timeout);
 	httpc->transfer_count--;
+	at_memory_sub(httpc->memory, AT_MEMORY_CONNECTIONS, TRANSFER_BYTES);
 	if (transfer->prev != NULL)
 		transfer->prev->next = transfer->next;
 	else
@@ -872,6 +882,7 @@
 		transfer->next->prev = transfer;
 	httpc->transfers = transfer;
 	httpc->transfer_count++;
+	at_memory_add(httpc->memory, AT_MEMORY_CONNECTIONS, TRANSFER_BYTES);
 	timeout_start(transfer, spec->first_byte_ms);
 	httpc->has_pending_changes = 1;
 	apply_pending_changes(httpc);
--- a/src/io/httpc.h
+++ b/src/io/httpc.h
@@ -94,6 +94,11 @@
  */
 void at_httpc_set_open_max(at_httpc_t *httpc, size_t connections);
 int at_httpc_has_room(const at_httpc_t *httpc);
+/*
+ * at_httpc_set_memory() has an account charged for each transfer, beside its
+ * body. It outlives the client.
+ */
+void at_httpc_set_memory(at_httpc_t *httpc, at_memory_t *memory);
 /*
  * at_httpc_set_open_handler() sets a function that is called for each socket
  * before it connects; it may change the address. It is meant for tests, which
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -94,6 +94,12 @@
 	httpd->send_buffer_bytes = send_bytes;
 }
 
+void
+at_httpd_set_request_bytes(at_httpd_t *httpd, size_t bytes)
+{
+	httpd->request_bytes = bytes;
+}
+
 void
 at_httpd_set_give_way(at_httpd_t *httpd, uint32_t waiting_ms)
 {
@@ -206,6 +212,8 @@
 	free(request->method);
 	httpd_drop_body(request);
 	httpd_drop_out(request);
+	at_memory_sub(
+	    httpd->memory, AT_MEMORY_CONNECTIONS, request->charged_bytes);
 	free(request);
 }
 
@@ -254,6 +262,7 @@
 	size_t sum = 0;
 
 	at_httpd_each_header(request, add_header_size, &sum);
+	request->header_bytes = sum;
 	if (sum > HEADERS_MAX_BYTES)
 		return AT_HTTPD_HEADER_TOO_LARGE;
 	if (text != NULL)
@@ -293,8 +302,11 @@
 static enum MHD_Result
 handle_request(at_httpd_request_t *request)
 {
-	if (request->state == REQUEST_READING)
+	if (request->state == REQUEST_READING) {
+		if (request->fault == AT_HTTPD_NO_FAULT)
+			httpd_claim_request(request);
 		call_handler(request);
+	}
 	if (request->state == REQUEST_ABORTED)
 		return MHD_NO;
 	if (request->response != NULL)
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -33,7 +33,7 @@
 	AT_HTTPD_NO_FAULT,
 	AT_HTTPD_HEADER_TOO_LARGE,
 	AT_HTTPD_BODY_TOO_LARGE,
-	AT_HTTPD_NO_MEMORY, /* for the body; see at_httpd_set_memory() */
+	AT_HTTPD_NO_MEMORY, /* for its body or itself; at_httpd_set_memory() */
 	AT_HTTPD_MALFORMED  /* syntax or framing, see at_httpd_fault_text() */
 } at_httpd_fault_t;
 
@@ -136,6 +136,12 @@
 void at_httpd_set_memory(at_httpd_t *httpd, at_memory_t *memory);
 void at_httpd_set_socket_buffers(
     at_httpd_t *httpd, size_t receive_bytes, size_t send_bytes);
+/*
+ * at_httpd_set_request_bytes() sets what the account is charged for each
+ * request that is handled, beside its body and twice its headers; 0: a request
+ * is not charged. One for which there is no room is a fault.
+ */
+void at_httpd_set_request_bytes(at_httpd_t *httpd, size_t bytes);
 /* Whom a request belongs to (0: its address), and how urgent it is. */
 typedef struct at_httpd_class {
 	at_memory_owner_t owner;
--- a/src/io/httpd_memory.c
+++ b/src/io/httpd_memory.c
@@ -14,7 +14,9 @@
 /* Of the limit, for requests whose headers are incomplete. */
 #define HEADINGS_PART 5u
 #define VICTIMS_MAX 16 /* for one claim */
-#define CLOSES_MAX 64  /* of connections, in one at_httpd_relieve() */
+/* Those of the request, and those of its attempt. */
+#define HEADER_COPIES 2u
+#define CLOSES_MAX 64 /* of connections, in one at_httpd_relieve() */
 
 static void
 note_progress_now(at_httpd_request_t *request)
@@ -316,6 +318,28 @@
 	return verdict;
 }
 
+void
+httpd_claim_request(at_httpd_request_t *request)
+{
+	at_httpd_t *httpd = request->httpd;
+	size_t bytes =
+	    httpd->request_bytes + HEADER_COPIES * request->header_bytes;
+	at_memory_claim_t claim = {.kind = AT_MEMORY_BODIES,
+	    .bytes = bytes,
+	    .total = bytes,
+	    .is_request = 1};
+
+	if (httpd->memory == NULL || httpd->request_bytes == 0)
+		return;
+	if (!at_memory_fits(httpd->memory, &claim) &&
+	    make_room(httpd, request, &claim) != AT_MEMORY_ACCEPT) {
+		httpd_refuse_body(request, &claim);
+		return;
+	}
+	request->charged_bytes = bytes;
+	at_memory_add(httpd->memory, AT_MEMORY_CONNECTIONS, bytes);
+}
+
 int
 at_httpd_claim_response(at_httpd_request_t *request, size_t bytes)
 {
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -45,6 +45,8 @@
 	size_t progress_bytes; /* since then */
 	double paused_at;      /* reading of the body, for want of memory */
 	int is_body_paused;
+	size_t header_bytes;  /* names and values */
+	size_t charged_bytes; /* for the request itself, once it is handled */
 	int is_classified;
 	uint32_t priority;       /* once classified */
 	uint32_t retry_after_ms; /* of AT_HTTPD_NO_MEMORY */
@@ -105,6 +107,7 @@
 	at_memory_t *memory;         /* NULL: no account */
 	size_t receive_buffer_bytes; /* 0: as the kernel has it */
 	size_t send_buffer_bytes;    /* likewise */
+	size_t request_bytes;        /* see at_httpd_set_request_bytes() */
 	void (*classify)(void *ctx, const at_httpd_request_t *request,
 	    at_httpd_class_t *class);
 	void *classify_ctx;
@@ -146,6 +149,11 @@
  */
 at_memory_verdict_t httpd_claim_body(
     at_httpd_request_t *request, size_t size, int may_pause);
+/*
+ * httpd_claim_request() asks for room for the request itself, before it is
+ * handled; without, it has the fault AT_HTTPD_NO_MEMORY and no body.
+ */
+void httpd_claim_request(at_httpd_request_t *request);
 /*
  * Between the two the headers of a request are received. Where many are, those
  * that take the longest are closed.
--- a/src/io/process_guard.c
+++ b/src/io/process_guard.c
@@ -13,6 +13,8 @@
 /* Requests of operators have no body that matters. */
 #define OPERATOR_BODY_MAX_BYTES 4096u
 #define BYTES_PER_MB_SHIFT 20u
+/* Of a request that runs or waits. */
+#define REQUEST_BYTES (16u << 10)
 
 void
 at_process_guard_init(at_process_guard_t *guard, uint32_t descriptors,
@@ -28,6 +30,7 @@
 	at_memory_init(&guard->memory, limits->memory_bytes);
 	guard->httpc = httpc;
 	at_httpc_set_open_max(httpc, limits->outgoing);
+	at_httpc_set_memory(httpc, &guard->memory);
 	at_log(AT_LOG_INFO, "limits", NULL,
 	    "descriptors=%zu of %u set, callers=%zu peers=%zu operators=%zu "
 	    "outgoing=%zu memory_bytes=%" PRIu64 " of %u MiB set, buffers=%zu",
@@ -64,8 +67,10 @@
 	    httpd, limits->receive_bytes, limits->send_bytes);
 	if (limits->backlog < SOMAXCONN)
 		at_httpd_set_backlog(httpd, (int)limits->backlog);
-	if (kind != AT_GUARD_OPERATORS)
+	if (kind != AT_GUARD_OPERATORS) {
+		at_httpd_set_request_bytes(httpd, REQUEST_BYTES);
 		return;
+	}
 	/* A check sends its request at once, and has few connections. */
 	at_httpd_set_give_way(httpd, 0);
 	at_httpd_set_max_body(httpd, OPERATOR_BODY_MAX_BYTES);
--- a/tests/contract/test_httpd.c
+++ b/tests/contract/test_httpd.c
@@ -362,3 +362,68 @@
 	at_httpd_delete(httpd);
 	ev_loop_destroy(loop);
 }
+
+#define LIMIT_MS 300u
+#define LATE_S 1.2
+
+static const struct {
+	const char *name;
+	const char *text; /* that a client sends, and no more */
+	int is_closed;    /* after the time limits */
+} unfinished[] = {
+    {"headers", "POST / HTTP/1.1\r\nHost: x\r\nX-Long: ", 1},
+    {"a body",
+	"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n12345678", 1},
+    {"a chunk",
+	"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+	"9\r\n1234",
+	1},
+    {"a whole request", "GET / HTTP/1.1\r\nHost: x\r\n\r\n", 0},
+    {"nothing", "", 0},
+};
+
+static void
+count_timeout(void *ctx)
+{
+	(*(unsigned int *)ctx)++;
+}
+
+/* The limits were looked at when bytes arrived, or not at all. */
+Test(httpd, a_request_that_stops_is_closed, .timeout = 60)
+{
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	at_httpd_t *httpd = at_httpd_new(loop);
+	at_status_t status;
+	unsigned int handled = 0;
+	unsigned int late_bodies = 0;
+	size_t count = sizeof(unfinished) / sizeof(unfinished[0]);
+	int fds[sizeof(unfinished) / sizeof(unfinished[0])];
+	char byte;
+	size_t i;
+
+	cr_assert_geq(sodium_init(), 0);
+	at_httpd_set_handler(httpd, count_request, &handled);
+	at_httpd_set_header_timeout(httpd, LIMIT_MS);
+	at_httpd_set_body_timeout(httpd, LIMIT_MS);
+	at_httpd_set_body_timeout_handler(httpd, count_timeout, &late_bodies);
+	cr_assert_eq(at_httpd_init(httpd, "127.0.0.1:0", &status), AT_OK);
+	for (i = 0; i < count; i++) {
+		fds[i] = connect_to(at_httpd_port(httpd));
+		cr_assert_eq(send(fds[i], unfinished[i].text,
+				 strlen(unfinished[i].text), 0),
+		    (ssize_t)strlen(unfinished[i].text));
+	}
+	run_for(loop, LATE_S);
+	for (i = 0; i < count; i++) {
+		ssize_t len = recv(fds[i], &byte, 1, MSG_DONTWAIT);
+		int is_closed = len == 0 || (len < 0 && errno == ECONNRESET);
+
+		cr_expect_eq(is_closed, unfinished[i].is_closed, "%s",
+		    unfinished[i].name);
+		(void)close(fds[i]);
+	}
+	cr_expect_eq(handled, 1);
+	cr_expect_eq(late_bodies, 2);
+	at_httpd_delete(httpd);
+	ev_loop_destroy(loop);
+}
--- a/tests/unit/test_memory.c
+++ b/tests/unit/test_memory.c
@@ -198,3 +198,28 @@
 	cr_expect_eq(at_memory_tick(&memory, 2050), -1);
 	cr_expect_eq(at_memory_tick(&memory, 2100), 0);
 }
+
+/*
+ * Requests without a body held no bytes in the account: as many as there were
+ * connections were accepted, each with its headers and a transfer.
+ */
+Test(memory, a_request_has_no_more_room_than_a_small_body)
+{
+	const at_memory_claim_t request = {.kind = AT_MEMORY_BODIES,
+	    .bytes = 20000,
+	    .total = 20000,
+	    .is_request = 1};
+	at_memory_claim_t body = request;
+	at_memory_t memory;
+
+	body.is_request = 0;
+	at_memory_init(&memory, 100000000);
+	/* 88 in 100 are the limit, of which a small body may use 80. */
+	at_memory_add(&memory, AT_MEMORY_CONNECTIONS, 70380000);
+	cr_expect(at_memory_fits(&memory, &request));
+	at_memory_add(&memory, AT_MEMORY_CONNECTIONS, 20000);
+	cr_expect_not(at_memory_fits(&memory, &request));
+	cr_expect_eq(at_memory_decide(&memory, &request), AT_MEMORY_REFUSE);
+	/* A body that is the only one may use more. */
+	cr_expect(at_memory_fits(&memory, &body));
+}
