Show that unfinished requests give way without the time limit on bodies

The row short_bodies_to_callers passes without that mechanism, too, as the limit of 30 s on a body ends just before the test stops waiting.

--- a/tests/contract/test_descriptor_limits.c
+++ b/tests/contract/test_descriptor_limits.c
@@ -33,6 +33,9 @@
     .sent = 100, .piece = 512)
 ADDRESSES_TEST(short_bodies, .kind = CROWD_LENGTH, .clients = 400, .length = 64,
     .sent = 63, .piece = 512)
+CROWD_TEST(descriptor_limits, returning_bodies_to_callers,
+    .has_kernel_limit = 1, .kind = CROWD_LENGTH, .clients = 400, .length = 64,
+    .sent = 63, .piece = 512, .returns = 1)
 ADDRESSES_TEST(trickling_bodies, .kind = CROWD_LENGTH, .clients = 400,
     .length = 4000, .sent = 3999, .trickles = 1)
 /* Each byte was taken for a sign of life. */
