Raise the soft limit of descriptors in tests of crowds

A test process has all clients and backend servers of its crowd, more than the 1,024 descriptors that many systems grant at first.

--- a/tests/support/crowd.c
+++ b/tests/support/crowd.c
@@ -12,12 +12,14 @@
 
 #include "io/address.h"
 #include "io/clock.h"
+#include "io/machine.h"
 #include "platform/names.h"
 #include "support/entry_fixture.h"
 #include "support/fixture.h"
 
 #define CLIENTS_MAX 4000u
 #define STUB_CONNECTIONS_MAX 1024u
+#define OWN_DESCRIPTORS 8192u
 #define BLOCK_BYTES (1u << 20)
 #define STEP_MS 2u
 /* The crowd has ended once nobody has sent anything for this time. */
@@ -1070,6 +1072,9 @@
 	world->crowd.clients *= times;
 	world->crowd.complete *= times;
 	cr_assert_leq(world->crowd.clients, CLIENTS_MAX);
+	/* Of this process, which has all clients and the backend servers. */
+	cr_assert_geq(at_machine_descriptors(OWN_DESCRIPTORS),
+	    world->crowd.clients + STUB_CONNECTIONS_MAX);
 	(void)snprintf(world->folder, sizeof(world->folder),
 	    "/tmp/almondthread-crowd-XXXXXX");
 	cr_assert_not_null(mkdtemp(world->folder));
