Charge the buffer that a connection keeps after a request

Cause: a connection that has had a request keeps libmicrohttpd's buffer of 48 KB, of which the account was charged 8 KB.

Change: a connection is charged 48 KB more from its first request on. While a request of 64 KB would not fit, responses close their connections.

--- a/src/io/httpd_connections.c
+++ b/src/io/httpd_connections.c
@@ -63,6 +63,10 @@
 	if (was_idle == (request == NULL))
 		return;
 	if (request != NULL) {
+		/* The buffer for headers is mapped, and stays so. */
+		if (!connection->was_used)
+			at_memory_add(httpd->memory, AT_MEMORY_CONNECTIONS,
+			    CONNECTION_MEMORY_BYTES);
 		connection->was_used = 1;
 		connection->unsent_at = 0.;
 		TAILQ_REMOVE(&httpd->idle, connection, idle);
@@ -95,7 +99,9 @@
 static void
 remove_connection(at_httpd_t *httpd, connection_t *connection)
 {
-	at_memory_sub(httpd->memory, AT_MEMORY_CONNECTIONS, CONNECTION_BYTES);
+	at_memory_sub(httpd->memory, AT_MEMORY_CONNECTIONS,
+	    CONNECTION_BYTES +
+		(connection->was_used ? CONNECTION_MEMORY_BYTES : 0));
 	/* libmicrohttpd accepts again in a run that begins below the limit. */
 	if (httpd->connection_count-- >= httpd->connections_max)
 		httpd->is_run_pending = 1;
--- a/src/io/httpd_memory.c
+++ b/src/io/httpd_memory.c
@@ -14,7 +14,8 @@
 /* Of the limit, for requests whose headers are incomplete. */
 #define HEADINGS_PART 5u
 #define VICTIMS_MAX 16 /* for one claim */
-/* Those of the request, and those of its attempt. */
+/* Of the request, beside those in the connection's buffer, and of its attempt.
+ */
 #define HEADER_COPIES 2u
 #define CLOSES_MAX 64 /* of connections, in one at_httpd_relieve() */
 
@@ -396,6 +397,17 @@
 	return count;
 }
 
+int
+httpd_is_short(const at_httpd_t *httpd)
+{
+	const at_memory_claim_t request = {.kind = AT_MEMORY_BODIES,
+	    .bytes = AT_MEMORY_SMALL_BYTES,
+	    .total = AT_MEMORY_SMALL_BYTES,
+	    .is_request = 1};
+
+	return !at_memory_fits(httpd->memory, &request);
+}
+
 /*
  * A connection that is kept after a request has its buffer for headers. Such
  * connections do not keep out requests that would be served.
@@ -403,14 +415,10 @@
 static void
 close_kept(at_httpd_t *httpd)
 {
-	const at_memory_claim_t request = {.kind = AT_MEMORY_BODIES,
-	    .bytes = AT_MEMORY_SMALL_BYTES,
-	    .total = AT_MEMORY_SMALL_BYTES,
-	    .is_request = 1};
 	connection_t *connection;
 	size_t count = 0;
 
-	if (at_memory_fits(httpd->memory, &request))
+	if (!httpd_is_short(httpd))
 		return;
 	TAILQ_FOREACH(connection, &httpd->idle, idle)
 	{
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -149,6 +149,8 @@
  */
 at_memory_verdict_t httpd_claim_body(
     at_httpd_request_t *request, size_t size, int may_pause);
+/* httpd_is_short() returns non-zero while requests are refused. */
+int httpd_is_short(const at_httpd_t *httpd);
 /*
  * httpd_claim_request() asks for room for the request itself, before it is
  * handled; without, it has the fault AT_HTTPD_NO_MEMORY and no body.
--- a/src/io/httpd_request.c
+++ b/src/io/httpd_request.c
@@ -189,6 +189,7 @@
 		    response, headers->name, headers->value);
 	/* What follows a request with a fault may be its body. */
 	if (request->httpd->is_closing || httpd_is_crowded(request->httpd) ||
+	    httpd_is_short(request->httpd) ||
 	    request->fault != AT_HTTPD_NO_FAULT)
 		(void)MHD_add_response_header(response, "Connection", "close");
 	request->response = response;
