Let more connections wait to be accepted on a small machine

Cause: the queue of new connections was half as long as there are connections, 67, so that a receive buffer of each fits into an eighth of the memory. The crowd kept connections and queue full. The kernel drops new connections to a full queue, and attempts 1 to 8 s apart find it full again.

Change: a connection that waits has a receive buffer of its own, the eighth divided by 1,024, at least 16 KB, and it is widened when the connection is accepted. The bytes are bounded as before, the queue here holds 384, and callers are accepted in their order. Larger machines keep what they have.

test_process_limits had the queue times the buffer of an accepted connection below an eighth of the memory; the buffer is that of a waiting one now, and the length of the queue has bounds, too.

--- a/include/almondthread/process_limits.h
+++ b/include/almondthread/process_limits.h
@@ -31,8 +31,9 @@
 	/* Bytes that the kernel holds for each accepted connection. */
 	size_t receive_bytes;
 	size_t send_bytes;
-	/* Connections that may wait to be accepted, for their memory. */
+	/* Connections that may wait to be accepted, and the bytes of each. */
 	size_t backlog;
+	size_t waiting_bytes;
 } at_process_limits_t;
 
 /*
--- a/src/core/memory/process_limits.c
+++ b/src/core/memory/process_limits.c
@@ -28,6 +28,9 @@
 #define BUFFER_MAX_BYTES (1u << 20)
 /* Of the memory, for what is received before a connection is accepted. */
 #define BACKLOG_PART 8u
+/* Clients that come back at once may be more than the connections. */
+#define BACKLOG_WANTED 1024u
+#define WAITING_MIN_BYTES (16u << 10)
 
 static uint64_t
 bounded(uint64_t value, uint64_t min, uint64_t max)
@@ -57,6 +60,7 @@
 at_process_limits_divide(
     at_process_limits_t *limits, size_t descriptors, uint64_t memory_bytes)
 {
+	uint64_t waiting_bytes;
 	size_t buffer;
 
 	limits->descriptors =
@@ -68,5 +72,8 @@
 	    BUFFER_MIN_BYTES, BUFFER_MAX_BYTES);
 	limits->receive_bytes = buffer;
 	limits->send_bytes = buffer;
-	limits->backlog = limits->memory_bytes / BACKLOG_PART / buffer;
+	waiting_bytes = limits->memory_bytes / BACKLOG_PART;
+	limits->waiting_bytes =
+	    bounded(waiting_bytes / BACKLOG_WANTED, WAITING_MIN_BYTES, buffer);
+	limits->backlog = waiting_bytes / limits->waiting_bytes;
 }
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -8,6 +8,7 @@
 #include <assert.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -86,6 +87,12 @@
 	httpd->memory = memory;
 }
 
+void
+at_httpd_set_waiting_buffer(at_httpd_t *httpd, size_t receive_bytes)
+{
+	httpd->waiting_buffer_bytes = receive_bytes;
+}
+
 void
 at_httpd_set_socket_buffers(
     at_httpd_t *httpd, size_t receive_bytes, size_t send_bytes)
@@ -472,6 +479,26 @@
 		(void)setsockopt(fd, SOL_SOCKET, option, &half, sizeof(half));
 }
 
+static int
+has_waiting_buffer(const at_httpd_t *httpd)
+{
+	return httpd->waiting_buffer_bytes != 0 &&
+	       httpd->waiting_buffer_bytes < httpd->receive_buffer_bytes;
+}
+
+void
+httpd_widen_buffer(const at_httpd_t *httpd, int fd)
+{
+	int window = (int)httpd->receive_buffer_bytes;
+
+	if (!has_waiting_buffer(httpd))
+		return;
+	set_buffer(fd, SO_RCVBUF, httpd->receive_buffer_bytes);
+	/* It has kept that of the smaller buffer. */
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, &window, sizeof(window));
+}
+
 static int
 listen_on(
     const at_httpd_t *httpd, const struct sockaddr_in *addr, uint16_t *port)
@@ -484,7 +511,9 @@
 	if (fd < 0)
 		return -1;
 	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	set_buffer(fd, SO_RCVBUF, httpd->receive_buffer_bytes);
+	set_buffer(fd, SO_RCVBUF,
+	    has_waiting_buffer(httpd) ? httpd->waiting_buffer_bytes
+				      : httpd->receive_buffer_bytes);
 	set_buffer(fd, SO_SNDBUF, httpd->send_buffer_bytes);
 	if (bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) != 0 ||
 	    listen(fd, httpd->backlog) != 0 ||
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -88,6 +88,13 @@
  * as many as the system allows without it. To be called before at_httpd_init().
  */
 void at_httpd_set_backlog(at_httpd_t *httpd, int connections);
+/*
+ * at_httpd_set_waiting_buffer() sets how many bytes the kernel may receive on
+ * each of these; 0 and more than on accepted connections: as many as on them.
+ * With less, the window keeps the scale of the smaller buffer when it grows, at
+ * least 64 KB. To be called before at_httpd_init().
+ */
+void at_httpd_set_waiting_buffer(at_httpd_t *httpd, size_t receive_bytes);
 /*
  * at_httpd_set_connections_max() limits the connections, 16,384 without it.
  * From three quarters on, responses close theirs, and the longest idle are
--- a/src/io/httpd_connections.c
+++ b/src/io/httpd_connections.c
@@ -89,6 +89,7 @@
 	if (connection == NULL)
 		return;
 	connection->handle = handle;
+	httpd_widen_buffer(httpd, httpd_fd(handle));
 	connection->idle_since = ev_now(httpd->loop);
 	at_memory_add(httpd->memory, AT_MEMORY_CONNECTIONS, CONNECTION_BYTES);
 	httpd->connection_count++;
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -107,6 +107,7 @@
 	at_memory_t *memory;         /* NULL: no account */
 	size_t receive_buffer_bytes; /* 0: as the kernel has it */
 	size_t send_buffer_bytes;    /* likewise */
+	size_t waiting_buffer_bytes; /* see at_httpd_set_waiting_buffer() */
 	size_t request_bytes;        /* see at_httpd_set_request_bytes() */
 	void (*classify)(void *ctx, const at_httpd_request_t *request,
 	    at_httpd_class_t *class);
@@ -151,6 +152,8 @@
     at_httpd_request_t *request, size_t size, int may_pause);
 /* httpd_is_short() returns non-zero while requests are refused. */
 int httpd_is_short(const at_httpd_t *httpd);
+/* httpd_widen_buffer() is called for each connection that is accepted. */
+void httpd_widen_buffer(const at_httpd_t *httpd, int fd);
 /*
  * httpd_claim_request() asks for room for the request itself, before it is
  * handled; without, it has the fault AT_HTTPD_NO_MEMORY and no body.
--- a/src/io/process_guard.c
+++ b/src/io/process_guard.c
@@ -65,6 +65,7 @@
 	at_httpd_set_connections_max(httpd, connections_of(limits, kind));
 	at_httpd_set_socket_buffers(
 	    httpd, limits->receive_bytes, limits->send_bytes);
+	at_httpd_set_waiting_buffer(httpd, limits->waiting_bytes);
 	if (limits->backlog < SOMAXCONN)
 		at_httpd_set_backlog(httpd, (int)limits->backlog);
 	if (kind != AT_GUARD_OPERATORS) {
--- a/tests/contract/test_httpd.c
+++ b/tests/contract/test_httpd.c
@@ -4,8 +4,12 @@
  * closes for others takes no response from a caller that reads it.
  */
 #include <errno.h>
+#include <linux/sockios.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -294,6 +298,69 @@
 	ev_loop_destroy(loop);
 }
 
+#define WAITING_BYTES 16384
+#define ACCEPTED_BYTES 262144
+#define BODY_BYTES 200000u
+
+/* Returns the bytes of those written that the other end's kernel has. */
+static size_t
+acknowledged_bytes(int fd, size_t written)
+{
+	int unsent = 0;
+
+	cr_assert_eq(ioctl(fd, SIOCOUTQ, &unsent), 0);
+	return written - (size_t)unsent;
+}
+
+/* Sends as much of a body as the kernel takes. Returns the bytes taken. */
+static size_t
+send_some(int fd, size_t left)
+{
+	static const char body[BODY_BYTES];
+	ssize_t len = send(fd, body, left, MSG_DONTWAIT);
+
+	return len > 0 ? (size_t)len : 0;
+}
+
+/* Connections that wait took an eighth of the memory, 67 of them. */
+Test(httpd, a_connection_receives_little_before_it_is_accepted)
+{
+	static const char head[] =
+	    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n";
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	at_httpd_t *httpd = at_httpd_new(loop);
+	struct tcp_info info = {0};
+	socklen_t len = sizeof(info);
+	at_status_t status;
+	unsigned int handled = 0;
+	size_t sent;
+	int fd;
+	int i;
+
+	cr_assert_geq(sodium_init(), 0);
+	at_httpd_set_handler(httpd, respond, &handled);
+	at_httpd_set_socket_buffers(httpd, ACCEPTED_BYTES, 0);
+	at_httpd_set_waiting_buffer(httpd, WAITING_BYTES);
+	cr_assert_eq(at_httpd_init(httpd, "127.0.0.1:0", &status), AT_OK);
+	fd = connect_to(at_httpd_port(httpd));
+	cr_assert_eq(
+	    send(fd, head, sizeof(head) - 1, 0), (ssize_t)sizeof(head) - 1);
+	sent = send_some(fd, BODY_BYTES);
+	(void)poll(NULL, 0, 300);
+	cr_expect_leq(
+	    acknowledged_bytes(fd, sizeof(head) - 1 + sent), WAITING_BYTES);
+	for (i = 0; i < 200 && handled == 0; i++) {
+		run_for(loop, 0.01);
+		sent += send_some(fd, BODY_BYTES - sent);
+	}
+	cr_expect_eq(handled, 1);
+	cr_assert_eq(getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len), 0);
+	cr_expect_gt(info.tcpi_snd_wnd, 2 * WAITING_BYTES);
+	(void)close(fd);
+	at_httpd_delete(httpd);
+	ev_loop_destroy(loop);
+}
+
 #define KERNEL_RESPONSE_BYTES 200000u
 #define SEND_BUFFER_BYTES (1u << 20) /* the kernel takes the response whole */
 #define RECEIVE_BUFFER_BYTES 4096
--- a/tests/unit/test_process_limits.c
+++ b/tests/unit/test_process_limits.c
@@ -47,8 +47,15 @@
 		cr_expect_geq(limits.operators, 8);
 		cr_expect_geq(limits.peers, 12);
 		/* Bytes of connections that wait fit into an eighth. */
-		cr_expect_leq(limits.backlog * limits.receive_bytes,
+		cr_expect_leq(limits.backlog * limits.waiting_bytes,
 		    limits.memory_bytes / 8);
+		cr_expect_geq(limits.waiting_bytes, 16384);
+		cr_expect_leq(limits.waiting_bytes, limits.receive_bytes);
+		cr_expect_geq(limits.backlog, 256);
+		cr_expect(
+		    limits.backlog >= 1024 || limits.waiting_bytes == 16384,
+		    "%zu MiB: %zu may wait", (size_t)machines[i].memory_mb,
+		    limits.backlog);
 		cr_expect_geq(limits.receive_bytes, 65536);
 		cr_expect_geq(limits.send_bytes, 65536);
 	}
