--- a/src/daemon/node/node.c
+++ b/src/daemon/node/node.c
@@ -66,6 +66,7 @@
 	    settings->memory_mb, node->httpc);
 	at_process_guard_add(&node->guard, node->callers, AT_GUARD_CALLERS);
 	at_process_guard_add(&node->guard, node->operators, AT_GUARD_OPERATORS);
+	at_httpd_set_read_ahead(node->callers, 0);
 	at_peers_set_max_unidentified(node->peers, node->guard.limits.peers);
 	at_httpd_set_classifier(node->callers, at_entry_classify, node);
 	at_httpd_set_handler(node->callers, at_entry_handle, node);
--- a/src/io/httpd.c
+++ b/src/io/httpd.c
@@ -47,6 +47,7 @@
 	httpd->header_timeout_ms = DEFAULT_HEADER_TIMEOUT_MS;
 	httpd->body_timeout_ms = DEFAULT_BODY_TIMEOUT_MS;
 	httpd->give_way_ms = DEFAULT_GIVE_WAY_MS;
+	httpd->may_read_ahead = 1;
 	httpd->closed_check_ms = DEFAULT_CLOSED_CHECK_MS;
 	httpd->listen_fd = -1;
 	httpd->backlog = SOMAXCONN;
@@ -101,6 +102,12 @@
 	httpd->send_buffer_bytes = send_bytes;
 }
 
+void
+at_httpd_set_read_ahead(at_httpd_t *httpd, int may_read_ahead)
+{
+	httpd->may_read_ahead = may_read_ahead;
+}
+
 void
 at_httpd_set_request_bytes(at_httpd_t *httpd, size_t bytes)
 {
--- a/src/io/httpd.h
+++ b/src/io/httpd.h
@@ -143,6 +143,11 @@
 void at_httpd_set_memory(at_httpd_t *httpd, at_memory_t *memory);
 void at_httpd_set_socket_buffers(
     at_httpd_t *httpd, size_t receive_bytes, size_t send_bytes);
+/*
+ * at_httpd_set_read_ahead() sets whether streams are read on while the account
+ * has room, as stated above; without the call they are.
+ */
+void at_httpd_set_read_ahead(at_httpd_t *httpd, int may_read_ahead);
 /*
  * at_httpd_set_request_bytes() sets what the account is charged for each
  * request that is handled, beside its body and twice its headers; 0: a request
--- a/src/io/httpd_memory.c
+++ b/src/io/httpd_memory.c
@@ -362,7 +362,10 @@
 	    .bytes = AT_HTTPD_HIGH_WATER_BYTES,
 	    .is_ahead = 1};
 
-	return at_memory_fits(request->httpd->memory, &claim) ? 0 : -1;
+	return request->httpd->may_read_ahead &&
+		       at_memory_fits(request->httpd->memory, &claim)
+		   ? 0
+		   : -1;
 }
 
 /* Requests whose headers have no end, and connections without a request. */
--- a/src/io/httpd_private.h
+++ b/src/io/httpd_private.h
@@ -108,6 +108,7 @@
 	size_t receive_buffer_bytes; /* 0: as the kernel has it */
 	size_t send_buffer_bytes;    /* likewise */
 	size_t waiting_buffer_bytes; /* see at_httpd_set_waiting_buffer() */
+	int may_read_ahead;          /* see at_httpd_set_read_ahead() */
 	size_t request_bytes;        /* see at_httpd_set_request_bytes() */
 	void (*classify)(void *ctx, const at_httpd_request_t *request,
 	    at_httpd_class_t *class);
